--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,79 @@
+// Command wirehost hosts many instances of the control module and speaks the
+// wire text on standard input and output. It decides nothing.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"martennotch/control"
+	"martennotch/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	dec := wire.NewDecoder(in)
+	w := bufio.NewWriterSize(out, 1<<16)
+	hosted := make(map[int]*control.Controller)
+	var buf []byte
+	for {
+		batch, err := dec.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		buf = buf[:0]
+		for _, in := range batch.Inputs {
+			buf = step(buf, hosted, batch.Now, in)
+		}
+		if _, err := w.Write(wire.AppendEnd(buf)); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+// step hands one input to its instance and appends what the instance wants.
+// A panic of the module becomes a bail_out of that instance.
+func step(buf []byte, hosted map[int]*control.Controller, now time.Duration, in wire.Input) (res []byte) {
+	res = buf
+	defer func() {
+		if p := recover(); p != nil {
+			res = wire.AppendBailOut(buf, in.Who, fmt.Sprint("panic: ", p))
+		}
+	}()
+	switch {
+	case in.Open != nil:
+		delete(hosted, in.Who)
+		c, err := control.New(in.Open.Settings, in.Open.Seed)
+		if err != nil {
+			return wire.AppendBailOut(res, in.Who, err.Error())
+		}
+		hosted[in.Who] = c
+	case in.PowerOff:
+		delete(hosted, in.Who)
+	default:
+		c := hosted[in.Who]
+		if c == nil {
+			return res
+		}
+		for _, a := range c.Handle(now, in.Event) {
+			res = wire.AppendAction(res, in.Who, a)
+		}
+	}
+	return res
+}
--- /dev/null
+++ b/control/api.go
@@ -0,0 +1,296 @@
+package control
+
+import "time"
+
+// This file is the interface of the module: the settings a gateway is started
+// with, the events it is told of and the actions it answers with. It holds
+// types only; every decision is in control.go.
+//
+// Times are time.Duration on a clock of the caller's choice that only moves
+// forward; spans are time.Duration too. Units, rates and loads are float64.
+
+// Effect says what a second run of a request would do.
+type Effect int
+
+// The kinds of effect a class can have.
+const (
+	Free       Effect = iota // may run any number of times
+	Guarded                  // carries a key; a group of servers drops repeats for a while
+	SingleShot               // must not run twice
+)
+
+// Scope says which servers drop repeats of a Guarded request together.
+type Scope int
+
+// The key scopes.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Name         string
+	Aim          time.Duration // an answer within it has its full worth
+	Deadline     time.Duration // what a client waits at most, over all its tries
+	Effect       Effect
+	KeyScope     Scope         // with Guarded
+	RepeatWindow time.Duration // with Guarded: how long repeats are dropped
+	Worth        float64
+	LateShare    float64 // part of the worth left for an answer after Aim
+	Stream       bool    // answers start with a Started event
+}
+
+// Plan describes one plan and the quotas it gives each of its customers over
+// all gateways together. A figure of zero means "no such quota".
+type Plan struct {
+	Name         string
+	Price        float64 // factor on the worth of a request
+	Rate         float64 // units a second
+	Depth        float64 // units the quota's store can hold
+	Open         int     // attempts out at once
+	OverCost     float64 // part of its worth that a try beyond the quota costs
+	OverEarns    float64 // part of its worth that a try beyond the quota earns
+	CeilingRate  float64 // units a second of the hard ceiling
+	CeilingBurst float64 // units the ceiling's store can hold
+	CeilingSlack float64 // units by which that store may fall below zero
+}
+
+// Settings is what a gateway is handed at start.
+type Settings struct {
+	SelfIndex, GroupSize int
+	Zone                 string
+	Classes              []Class
+	Plans                []Plan
+
+	OnRequest     bool          // the server list has to be followed or fetched
+	AskWithin     time.Duration // longest time between two askings without a subscription
+	DrainGrace    time.Duration // how long sends to a draining server are forgiven
+	Cold          time.Duration // a server is warm this long after its start, at the latest
+	ColdFrom      float64       // part of its capacity that a server starts with, at least
+	Fall          time.Duration // span over which a cold server's load is counted
+	FallMultiple  float64       // times its present capacity that it bears over that span
+	MeterPeriod   time.Duration // period of the use meter; 0 is no meter
+	CostAfter     bool          // true units arrive with the answer
+	UnitsTop      float64       // the most units of one request
+	HasCounter    bool
+	InboxPerS     float64
+	SendCap       int // most attempts of one request; 0 is no limit
+	OpenCap       int // most requests held at once; 0 is no limit
+	MayCancel     bool
+	MarksRetry    bool // clients mark their later tries
+	Probes        bool
+	PeerMessages  bool
+	SecondCopies  bool
+	RetryAfter    bool
+	MaxRetryAfter time.Duration
+	CrossZone     float64 // price of an attempt that leaves the gateway's zone
+}
+
+// Condition is a server's state in the list.
+type Condition int
+
+// The conditions of a listed server.
+const (
+	On Condition = iota
+	Fading
+	Off
+)
+
+// Member is one entry of the server list.
+type Member struct {
+	Server    uint32
+	Condition Condition
+	Zone      string
+	Cell      int
+	Flavor    string
+	Size      float64
+	CameUp    time.Duration // clock time of the latest start
+	HasCameUp bool          // false: long ago
+}
+
+// ListKind tells what a List event brings.
+type ListKind int
+
+// The kinds of list event.
+const (
+	Patch  ListKind = iota // the entries that changed
+	Whole                  // the complete list
+	Stale                  // the complete list as it was held last, maybe out of date
+	Broken                 // an asking failed or a subscription ended; no entries
+)
+
+// Reason tells how an attempt, a probe or a count ended.
+type Reason int
+
+// The reasons.
+const (
+	OK            Reason = 100
+	Errored       Reason = 301 // may have run
+	Full          Reason = 302 // never ran
+	TimedOut      Reason = 303 // may have run, may be running
+	ConnectFailed Reason = 304 // never ran
+	ResetByPeer   Reason = 305 // may have run
+	Cancelled     Reason = 306 // may have run
+	Moot          Reason = 307 // never ran: was not sent
+)
+
+// Load is a server's load report; a negative figure was not reported.
+type Load struct {
+	Active, Waiting, CPU, AvgMS, RPS, ErrRPS float64
+}
+
+// Event is something that a gateway is told.
+type Event interface{ isEvent() }
+
+// List is news of the servers.
+type List struct {
+	Kind    ListKind
+	Members []Member
+}
+
+// Request is a client's request. It is owed exactly one final answer.
+type Request struct {
+	ID       string
+	Class    string
+	Plan     string
+	Customer string
+	TTL      time.Duration // what is left until the client gives up
+	Units    float64
+	Spread   int // number of gateways that this customer may come through
+	SetStart int // index of the first of them
+	Repeat   bool
+	Write    bool
+}
+
+// Started tells that a streamed answer has begun.
+type Started struct {
+	ID     string
+	N      int
+	Server uint32
+	Delay  time.Duration
+}
+
+// Response tells how an attempt ended.
+type Response struct {
+	ID     string
+	N      int
+	Server uint32
+	Reason Reason
+	Done   bool // the request has its final answer
+	Delay  time.Duration
+	Cost   float64 // true units; 0 is not told
+	Used   int     // 1 + percent of the quota used in the last metered period; 0 is not told
+	Load   *Load
+}
+
+// Hangup tells that the client has left.
+type Hangup struct{ ID string }
+
+// Timer tells that a timer is due.
+type Timer struct{ Label uint64 }
+
+// ProbeResult tells how a probe ended.
+type ProbeResult struct {
+	Server uint32
+	Reason Reason
+	Delay  time.Duration
+	Load   *Load
+}
+
+// PeerMessage is a message of another gateway.
+type PeerMessage struct {
+	From int
+	Raw  []byte
+}
+
+// Counted is the answer to a Count.
+type Counted struct {
+	Name   uint64
+	Total  float64
+	Delay  time.Duration
+	Reason Reason
+}
+
+func (List) isEvent()        {}
+func (Request) isEvent()     {}
+func (Started) isEvent()     {}
+func (Response) isEvent()    {}
+func (Hangup) isEvent()      {}
+func (Timer) isEvent()       {}
+func (ProbeResult) isEvent() {}
+func (PeerMessage) isEvent() {}
+func (Counted) isEvent()     {}
+
+// Action is something that a gateway has to do.
+type Action interface{ isAction() }
+
+// Send starts an attempt. Attempts of a request count 0, 1, 2 in order.
+type Send struct {
+	ID     string
+	Server uint32
+	Within time.Duration // time-out; 0 is until the client gives up
+}
+
+// Withdraw stops waiting for an attempt.
+type Withdraw struct {
+	ID string
+	N  int
+}
+
+// Refuse is the final answer "not run, safe to try again".
+type Refuse struct {
+	ID         string
+	RetryAfter time.Duration // 0 is no advice
+}
+
+// Fail is the final answer that promises nothing.
+type Fail struct{ ID string }
+
+// Arm asks for a Timer event.
+type Arm struct {
+	After time.Duration
+	Label uint64
+}
+
+// Probe checks a server.
+type Probe struct{ Server uint32 }
+
+// Disconnect closes idle connections to a server.
+type Disconnect struct{ Server uint32 }
+
+// Follow asks for the list's changes, or stops asking.
+type Follow struct{ Active bool }
+
+// Snapshot asks for the whole list once.
+type Snapshot struct{}
+
+// Say sends a message to a peer; To below zero is everyone.
+type Say struct {
+	To  int
+	Raw []byte
+}
+
+// Count adds to a number kept by the counter service.
+type Count struct {
+	Name  uint64
+	Add   float64
+	Lives time.Duration
+}
+
+// Remark is a line for the operators' log.
+type Remark struct{ Text string }
+
+func (Send) isAction()       {}
+func (Withdraw) isAction()   {}
+func (Refuse) isAction()     {}
+func (Fail) isAction()       {}
+func (Arm) isAction()        {}
+func (Probe) isAction()      {}
+func (Disconnect) isAction() {}
+func (Follow) isAction()     {}
+func (Snapshot) isAction()   {}
+func (Say) isAction()        {}
+func (Count) isAction()      {}
+func (Remark) isAction()     {}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,753 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings is a small deployment for tests: one free class, two plans.
+func settings() Settings {
+	return Settings{GroupSize: 2, Zone: "z1", SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2, MeterPeriod: time.Second,
+		MayCancel: true,
+		Classes:   []Class{{Name: "job", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1}},
+		Plans: []Plan{{Name: "low", Price: 0.5, Rate: 1000, Depth: 1000},
+			{Name: "high", Price: 1.5, Rate: 1000, Depth: 1000}}}
+}
+
+// gate drives one controller by hand and keeps what it was told to do.
+type gate struct {
+	t     *testing.T
+	c     *Controller
+	now   time.Duration
+	sends []Send
+	ends  map[string]Action
+	n     map[string]int // attempts by request
+	due   map[uint64]time.Duration
+	acts  []Action
+}
+
+func newGate(t *testing.T, s Settings, servers ...Member) *gate {
+	t.Helper()
+	c, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{},
+		due: map[uint64]time.Duration{}}
+	g.do(List{Kind: Stale, Members: servers})
+	return g
+}
+
+// do hands over one event and checks what holds for all actions.
+func (g *gate) do(e Event) []Action {
+	g.t.Helper()
+	acts := append([]Action{}, g.c.Handle(g.now, e)...)
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Send:
+			if g.ends[a.ID] != nil {
+				g.t.Fatalf("%s was sent after its end", a.ID)
+			}
+			g.n[a.ID]++
+			g.sends = append(g.sends, a)
+		case Refuse:
+			g.end(a.ID, a)
+		case Fail:
+			g.end(a.ID, a)
+		case Arm:
+			g.due[a.Label] = g.now + a.After
+		}
+	}
+	g.acts = append(g.acts, acts...)
+	return acts
+}
+
+func (g *gate) end(id string, a Action) {
+	g.t.Helper()
+	if g.ends[id] != nil {
+		g.t.Fatalf("%s has two final answers", id)
+	}
+	g.ends[id] = a
+}
+
+// pass lets time go by, with the timers that come due in it.
+func (g *gate) pass(d time.Duration) {
+	g.t.Helper()
+	for end := g.now + d; ; {
+		var label uint64
+		at := end + 1
+		for l, t := range g.due {
+			if t < at || t == at && l < label {
+				label, at = l, t
+			}
+		}
+		if at > end {
+			g.now = end
+			return
+		}
+		delete(g.due, label)
+		g.now = max(g.now, at)
+		g.do(Timer{Label: label})
+	}
+}
+
+func (g *gate) ask(id, class, plan, customer string) {
+	g.t.Helper()
+	g.do(Request{ID: id, Class: class, Plan: plan, Customer: customer, TTL: 5 * time.Second, Units: 1, Spread: 2})
+}
+
+// reply answers the latest send of a request.
+func (g *gate) reply(id string, why Reason, used int) {
+	g.t.Helper()
+	for i := len(g.sends) - 1; i >= 0; i-- {
+		if g.sends[i].ID == id {
+			g.do(Response{ID: id, N: g.n[id] - 1, Server: g.sends[i].Server, Reason: why, Done: why == OK, Used: used})
+			if why == OK {
+				g.ends[id] = Send{}
+			}
+			return
+		}
+	}
+	g.t.Fatalf("%s was never sent", id)
+}
+
+func on(ids ...uint32) []Member {
+	var m []Member
+	for i, id := range ids {
+		m = append(m, Member{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
+	}
+	return m
+}
+
+// The auditor's limits.
+func TestModuleSize(t *testing.T) {
+	b, err := os.ReadFile("control.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, l := range strings.Split(string(b), "\n") {
+		if strings.TrimSpace(l) != "" {
+			lines++
+		}
+		if n := len([]rune(l)); n > 110 {
+			t.Errorf("control.go:%d has %d characters", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("control.go has %d lines that are not blank", lines)
+	}
+}
+
+func TestNewNamesTheBadSetting(t *testing.T) {
+	for field, spoil := range map[string]func(*Settings){
+		"classes":    func(s *Settings) { s.Classes = nil },
+		"plans":      func(s *Settings) { s.Plans = nil },
+		"self index": func(s *Settings) { s.SelfIndex = 2 },
+		"group size": func(s *Settings) { s.GroupSize = 0 },
+		"rate":       func(s *Settings) { s.Plans[0].Rate = -1 },
+		"price":      func(s *Settings) { s.Plans[1].Price = math.NaN() },
+		"depth":      func(s *Settings) { s.Plans[1].Depth = math.Inf(1) },
+		"aim":        func(s *Settings) { s.Classes[0].Aim = 0 },
+	} {
+		s := settings()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: New gave %v", field, err)
+		}
+	}
+}
+
+func TestTurnsFollowShares(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.plans[0].share, g.c.plans[1].share = 0.25, 0.75
+	for i := 0; i < 80; i++ {
+		g.ask(fmt.Sprint("l", i), "job", "low", "a")
+		g.ask(fmt.Sprint("h", i), "job", "high", "b")
+	}
+	for i := 0; i < 80; i++ { // keep the bound full
+		g.reply(g.sends[i].ID, OK, 0)
+	}
+	high := 0
+	for _, s := range g.sends[4:84] {
+		if s.ID[0] == 'h' {
+			high++
+		}
+	}
+	if high < 57 || high > 63 {
+		t.Errorf("%d of 80 turns went to the plan with three quarters of the share", high)
+	}
+}
+
+func TestAnEmptyQueuePassesItsTurn(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.plans[0].share, g.c.plans[1].share = 0, 1
+	g.ask("a", "job", "low", "x")
+	if len(g.sends) != 1 {
+		t.Errorf("%d sends for the only request", len(g.sends))
+	}
+}
+
+func TestBoundStartsAtTwiceTheServersAndHalvesOnce(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3)...)
+	for i := 0; i < 20; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	if len(g.sends) != 6 {
+		t.Fatalf("%d in flight with three servers at start", len(g.sends))
+	}
+	g.c.bound = 40
+	for i := 0; i < 10; i++ { // time-outs and refusals, many in each interval
+		g.c.bad, g.c.answers = 5, 5
+		before := g.c.bound
+		g.c.endInterval(1)
+		if g.c.bound < before/2 {
+			t.Errorf("the bound went from %g to %g in one interval", before, g.c.bound)
+		}
+	}
+	if g.c.bound != 3 {
+		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", g.c.bound)
+	}
+}
+
+// Guards against a few long requests that pin the bound to its floor.
+func TestOneTimeOutDoesNotCutTheBound(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.bound, g.c.bad, g.c.answers = 40, 1, 99
+	g.c.endInterval(1)
+	if g.c.bound < 40 {
+		t.Errorf("bound %g after one time-out in a hundred answers", g.c.bound)
+	}
+	g.c.bad, g.c.answers = 30, 70
+	g.c.endInterval(1)
+	if g.c.bound != 20 {
+		t.Errorf("bound %g after thirty in a hundred", g.c.bound)
+	}
+}
+
+func TestRLSRecoversALinearSystem(t *testing.T) {
+	l := newShareLaw([]float64{1, 1})
+	want := [][]float64{{-2, 0.5, 0.3, 0}, {0.4, -1, 0, 0.2}}
+	y := []float64{1, 1}
+	for k := 0; k < 400; k++ {
+		u := []float64{0.5 + 0.3*math.Sin(float64(k)*1.7), 0.5 + 0.3*math.Cos(float64(k)*2.9)}
+		l.phi = newPhi(u, y)
+		next := make([]float64, 2)
+		for i := range next {
+			for j := range want[i] {
+				next[i] += want[i][j] * l.phi.AtVec(j)
+			}
+		}
+		l.estimate(next)
+		y = next
+	}
+	for i := range want {
+		for j, w := range want[i] {
+			if got := l.x.At(i, j); math.Abs(got-w) > 0.02 {
+				t.Errorf("X[%d][%d] = %.3f, the system has %.3f", i, j, got, w)
+			}
+		}
+	}
+}
+
+// Without news in a direction the covariance there must not grow.
+func TestCovarianceDoesNotWindUp(t *testing.T) {
+	l := newShareLaw([]float64{1, 2, 3})
+	y := []float64{0.1, 0.1, 0.1}
+	u := []float64{1. / 3, 1. / 3, 1. / 3}
+	for k := 0; k < 5000; k++ {
+		u = l.step(u, y, true)
+		for i := range u {
+			if math.IsNaN(u[i]) || u[i] < 0 {
+				t.Fatalf("share %v at step %d", u, k)
+			}
+		}
+	}
+	for i := 0; i < 6; i++ {
+		if p := l.p.At(i, i); p > 10*firstCov || p <= 0 {
+			t.Errorf("covariance %g in direction %d", p, i)
+		}
+	}
+}
+
+func TestLawMatchesAHandWorkedCase(t *testing.T) {
+	// W = I, B0 = -I, A1 = I, y = (3, 1): error (-2, 0); S = 1/(1+q) I, v = (2, 0)/(1+q),
+	// and (14) moves both by the same amount until the sum is one.
+	l := newShareLaw([]float64{1, 1})
+	for i := 0; i < 2; i++ {
+		for j := 0; j < 4; j++ {
+			l.x.Set(i, j, 0)
+		}
+		l.x.Set(i, i, -1)
+		l.x.Set(i, 2+i, 1)
+	}
+	v := 2 / (1 + shareCost*shareCost)
+	u0, u1 := v-(v-1)/2, -(v-1)/2
+	least := math.Min(0, u1)
+	sum := u0 + u1 - 2*least
+	u := l.control([]float64{3, 1})
+	if math.Abs(u[0]-(u0-least)/sum) > 1e-9 || math.Abs(u[1]-(u1-least)/sum) > 1e-9 {
+		t.Errorf("shares %v, by hand %g %g", u, (u0-least)/sum, (u1-least)/sum)
+	}
+}
+
+func TestDearPlanIsServedFirstUnderScarcity(t *testing.T) {
+	l := newShareLaw([]float64{0.5, 1.5})
+	u := []float64{0.5, 0.5}
+	for k := 0; k < 5; k++ {
+		u = l.step(u, []float64{2, 2}, true)
+	}
+	if u[1] <= u[0] {
+		t.Errorf("equally late, the dear plan has %.2f and the cheap one %.2f", u[1], u[0])
+	}
+	if u = newShareLaw([]float64{0.5, 1.5}).step(u, []float64{0.1, 0.1}, true); math.Abs(u[0]-0.5) > 1e-9 {
+		t.Errorf("with both in time the shares are %v", u)
+	}
+}
+
+func TestSharesStayWithFewAnswers(t *testing.T) {
+	g := newGate(t, settings(), on(1)...)
+	g.c.plans[0].y, g.c.plans[1].y, g.c.answers = 3, 0.1, leastAnswers-1
+	g.c.endInterval(1)
+	if g.c.plans[0].share != 0.5 {
+		t.Errorf("share %g after an interval of four answers", g.c.plans[0].share)
+	}
+}
+
+func TestUnknownClassOrPlanIsRefusedOnce(t *testing.T) {
+	g := newGate(t, settings(), on(1)...)
+	g.ask("a", "other", "low", "x")
+	g.ask("b", "job", "other", "x")
+	for _, id := range []string{"a", "b"} {
+		if _, ok := g.ends[id].(Refuse); !ok {
+			t.Errorf("%s ended with %v", id, g.ends[id])
+		}
+	}
+	g.do(Hangup{ID: "z"})
+	g.do(Response{ID: "z", Server: 9, Reason: OK})
+	g.do(Timer{Label: 999})
+	g.do(ProbeResult{Server: 77})
+	g.do(Counted{Name: 4})
+	g.do(PeerMessage{From: 1})
+	g.do(Started{ID: "z"})
+}
+
+func TestQueuedRequestsAreAnsweredInTime(t *testing.T) {
+	g := newGate(t, settings()) // no server at all
+	g.ask("a", "job", "low", "x")
+	g.pass(5 * time.Second)
+	r, ok := g.ends["a"].(Refuse)
+	if !ok || r.RetryAfter != time.Second {
+		t.Errorf("ended with %#v", g.ends["a"])
+	}
+}
+
+// Guards against a further attempt that waits beyond the client's time.
+func TestRequeuedRequestIsAnsweredInTime(t *testing.T) {
+	g := newGate(t, settings(), on(1)...)
+	g.ask("a", "job", "low", "x")
+	g.pass(4 * time.Second)
+	g.do(List{Kind: Whole})
+	g.reply("a", Errored, 0)
+	g.pass(990 * ms)
+	if g.ends["a"] != nil {
+		return
+	}
+	g.pass(10 * ms)
+	if g.ends["a"] == nil {
+		t.Error("no answer by the client's time")
+	}
+}
+
+func TestRepeatsFollowTheEffect(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		class Class
+		why   Reason
+		again bool // another attempt is sent
+		end   string
+	}{
+		{"free", Class{Effect: Free}, Errored, true, ""},
+		{"unsafe maybe run", Class{Effect: SingleShot}, Errored, false, "control.Fail"},
+		{"unsafe never ran", Class{Effect: SingleShot}, Full, true, ""},
+		{"keyed in window", Class{Effect: Guarded, KeyScope: ScopeCell, RepeatWindow: time.Minute}, ResetByPeer, true, ""},
+		{"keyed too late", Class{Effect: Guarded, KeyScope: ScopeCell, RepeatWindow: ms}, ResetByPeer, false, "control.Fail"},
+		{"keyed by all, too late", Class{Effect: Guarded, RepeatWindow: ms}, ResetByPeer, false, "control.Refuse"},
+	} {
+		s := settings()
+		k.class.Name, k.class.Aim, k.class.Deadline = "job", 2*time.Second, 6*time.Second
+		s.Classes = []Class{k.class}
+		g := newGate(t, s, on(1, 2, 3, 4)...)
+		g.ask("a", "job", "low", "x")
+		g.now += 10 * ms
+		g.reply("a", k.why, 0)
+		if again := g.n["a"] == 2; again != k.again {
+			t.Errorf("%s: sent %d times", k.name, g.n["a"])
+		}
+		if got := fmt.Sprintf("%T", g.ends["a"]); k.end != "" && got != k.end {
+			t.Errorf("%s: ended with %s", k.name, got)
+		}
+	}
+}
+
+func TestKeyedRepeatStaysInItsGroup(t *testing.T) {
+	for scope, same := range map[Scope]func(a, b Member) bool{
+		ScopeCell: func(a, b Member) bool { return a.Cell == b.Cell },
+		ScopeZone: func(a, b Member) bool { return a.Zone == b.Zone },
+	} {
+		s := settings()
+		s.Classes[0].Effect, s.Classes[0].KeyScope, s.Classes[0].RepeatWindow = Guarded, scope, time.Minute
+		list := on(1, 2, 3, 4, 5, 6)
+		g := newGate(t, s, list...)
+		for i := 0; i < 30; i++ {
+			id := fmt.Sprint(scope, "-", i)
+			g.ask(id, "job", "low", "x")
+			g.reply(id, TimedOut, 0)
+			if g.n[id] == 2 {
+				a, b := g.sends[len(g.sends)-2].Server, g.sends[len(g.sends)-1].Server
+				if !same(list[a-1], list[b-1]) {
+					t.Fatalf("scope %v: from server %d to %d", scope, a, b)
+				}
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+}
+
+func TestAttemptLimitAndOneAtATime(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	g.ask("a", "job", "low", "x")
+	for i := 0; i < 3; i++ {
+		if g.n["a"] != i+1 {
+			t.Fatalf("%d attempts after %d failures", g.n["a"], i)
+		}
+		g.reply("a", Full, 0)
+	}
+	if _, ok := g.ends["a"].(Refuse); !ok || g.n["a"] != 3 {
+		t.Errorf("%d attempts, ended with %v", g.n["a"], g.ends["a"])
+	}
+}
+
+func TestNothingGoesToADrainingServer(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.do(List{Kind: Patch, Members: []Member{{Server: 1, Condition: Fading}}})
+	for i := 0; i < 4; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	g.do(List{Kind: Whole, Members: on(3)})
+	g.ask("x", "job", "low", "x")
+	for _, s := range g.sends {
+		if s.Server == 1 || s.ID == "x" && s.Server != 3 {
+			t.Errorf("%s went to %d", s.ID, s.Server)
+		}
+	}
+}
+
+func TestColdServerIsHeldUnderItsBudget(t *testing.T) {
+	s := settings()
+	list := on(1, 2, 3, 4)
+	list[0].CameUp, list[0].HasCameUp = time.Hour-100*ms, true
+	g := newGate(t, s, list...)
+	cold, busy := 0, 0
+	for i := 0; i < 100; i++ {
+		from := len(g.sends)
+		for k := 0; k < 8; k++ {
+			g.ask(fmt.Sprint(i, "-", k), "job", "low", "x")
+		}
+		here := 0
+		for _, a := range g.sends[from:] {
+			if a.Server == 1 {
+				here++
+			}
+		}
+		cold, busy = cold+here, max(busy, here)
+		g.pass(20 * ms)
+		for k := 0; k < 8; k++ {
+			if id := fmt.Sprint(i, "-", k); g.ends[id] == nil {
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if cold == 0 || busy > 1 {
+		t.Errorf("%d sends in 2 s to a server just started, %d at once", cold, busy)
+	}
+}
+
+func TestRestartedGatewayStartsItsCeilingEmpty(t *testing.T) {
+	s := settings()
+	s.Plans[0].CeilingRate, s.Plans[0].CeilingBurst, s.Plans[0].CeilingSlack = 10, 40, 4
+	g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)...)
+	for i := 0; i < 50; i++ {
+		g.ask(fmt.Sprint("s", i), "job", "low", "x")
+	}
+	if len(g.sends) > 2 { // the slack over two gateways
+		t.Errorf("%d units at once from a gateway that knows nothing", len(g.sends))
+	}
+	sent, start := 0, g.now
+	for g.now < start+20*time.Second {
+		id := fmt.Sprint(g.now)
+		g.ask(id, "job", "low", "x")
+		if g.n[id] > 0 {
+			sent++
+			g.reply(id, OK, 0)
+		}
+		g.pass(10 * ms)
+	}
+	if most := 20*5 + 2 + 1; sent > most {
+		t.Errorf("%d units in 20 s, this gateway's part is %d", sent, most)
+	}
+	if sent < 80 {
+		t.Errorf("only %d units in 20 s", sent)
+	}
+}
+
+func TestUnseenCustomerMaySendItsPartOfTheBurst(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Depth = 1, 20
+	g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)...)
+	for i := 0; i < 60; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	if n := len(g.sends); n < 8 || n > 20 {
+		t.Errorf("%d of a burst of 20 over two gateways", n)
+	}
+}
+
+func TestChanceFollowsTheFormulaAndReadsAPeriodOnce(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Depth = 1000, 20 // enough units for a reading to outweigh the prior
+	g := newGate(t, s, on(1, 2, 3)...)
+	q := g.c.customerOf(g.c.plans[0], "x", 1000) // own tries tell next to nothing
+	read := func(pct int) float64 {
+		g.c.now = g.now
+		q.level = 0 // the store is empty enough for the chance to decide
+		g.c.meter(q, pct+1, 1)
+		return g.c.chanceNow(q)
+	}
+	g.c.clock.lag = 0
+	asks := func(n, refused int) { // what was asked and refused in the second to come
+		g.c.now = g.now
+		g.c.refill(q)
+		q.asked.add(float64(n))
+		q.refused.add(float64(refused))
+		g.now += 1100 * ms
+	}
+	asks(4000, 0)
+	if d := read(400); math.Abs(d-0.75) > 0.01 {
+		t.Fatalf("d = %g after a first reading of 400%%", d)
+	}
+	for i := 0; i < 5; i++ {
+		g.now += 20 * ms
+		if d := read(400); math.Abs(d-0.75) > 0.02 {
+			t.Fatalf("d = %g: one period was read again", d)
+		}
+	}
+	g.now += 900 * ms
+	asks(4000, 3000) // with three quarters refused, 200% is left
+	if d := read(200); math.Abs(d-0.875) > 0.01 {
+		t.Errorf("d = %g after 200%% let through by a chance of 0.75", d)
+	}
+	for i := 0; i < 20; i++ {
+		g.now += time.Second
+		if d := read(5000); d < 0 || d > chanceMax {
+			t.Fatalf("d = %g", d)
+		}
+	}
+}
+
+// The meter's period and lateness are learned from our own sends.
+func TestClockLearnsTheLateness(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Depth = 10, 1000
+	g := newGate(t, s, on(1, 2, 3)...)
+	q := g.c.customerOf(g.c.plans[0], "x", 1)
+	const late = 1300 * ms
+	var sent []time.Duration
+	for i := 0; i < 3000; i++ {
+		g.now += 10 * ms
+		g.c.now = g.now
+		g.c.refill(q)
+		if i%7 == 0 && (i/300)%2 == 0 {
+			g.c.draw(q, 1)
+			sent = append(sent, g.now)
+		}
+		end := (g.now - late).Truncate(time.Second)
+		n := 0
+		for _, at := range sent {
+			if at >= end-time.Second && at < end {
+				n++
+			}
+		}
+		if i%5 == 0 {
+			g.c.meter(q, 1+n*10, 1)
+		}
+	}
+	end := g.c.clock.end(g.c.binNow())
+	if want := int64((g.now - late).Truncate(time.Second) / (100 * ms)); end < want-1 || end > want+1 {
+		t.Errorf("the told period is taken to end in bin %d, it ended in %d", end, want)
+	}
+}
+
+func TestOpenQuotaHoldsBack(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Depth, s.Plans[0].Open = 0, 0, 4
+	g := newGate(t, s, on(1, 2, 3, 4)...)
+	for i := 0; i < 4; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	g.ask("y", "job", "low", "y")
+	if g.c.customerOf(g.c.plans[0], "x", 2).open != 2 || g.n["y"] != 1 {
+		t.Fatalf("sends %v: two of x are its part of four, y is not held up", g.sends)
+	}
+	g.reply("0", OK, 0)
+	if g.n["2"] != 1 {
+		t.Error("the next of x did not follow")
+	}
+}
+
+func TestTrueUnitsAreSettled(t *testing.T) {
+	s := settings()
+	s.CostAfter = true
+	g := newGate(t, s, on(1)...)
+	g.ask("a", "job", "low", "x")
+	q := g.c.customerOf(g.c.plans[0], "x", 2)
+	before := q.level
+	g.do(Response{ID: "a", Server: 1, Reason: OK, Done: true, Cost: 4})
+	if got := before - q.level; math.Abs(got-3) > 1e-9 {
+		t.Errorf("settled %g units, guessed 1, true 4", got)
+	}
+}
+
+func TestDeadServerIsLeftAlone(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	bad := 0
+	for i := 0; i < 200; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		for g.ends[id] == nil {
+			if g.sends[len(g.sends)-1].Server == 2 {
+				bad++
+				g.reply(id, ConnectFailed, 0)
+			} else {
+				g.now += 50 * ms
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if bad > 12 {
+		t.Errorf("%d attempts on a server that takes no connection, in 10 s", bad)
+	}
+}
+
+func TestListIsAskedForAgainAfterAFailure(t *testing.T) {
+	s := settings()
+	s.OnRequest, s.AskWithin = true, 10*time.Second
+	g := newGate(t, s, on(1)...)
+	follows := func() (n int) {
+		for _, a := range g.acts {
+			if f, ok := a.(Follow); ok && f.Active {
+				n++
+			}
+		}
+		return n
+	}
+	g.pass(200 * ms)
+	if follows() != 1 {
+		t.Fatalf("%d askings at start", follows())
+	}
+	g.do(List{Kind: Broken})
+	g.pass(5 * time.Second)
+	if follows() < 2 {
+		t.Error("no second asking after the first failed")
+	}
+	g.do(List{Kind: Whole, Members: on(1)})
+	n := follows()
+	g.pass(20 * time.Second)
+	if follows() != n {
+		t.Error("asked again while subscribed")
+	}
+}
+
+// Guards against a server that fails at once, looks idle and draws all traffic.
+func TestServerThatFailsFastDoesNotDrawTheTraffic(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	bad := 0
+	for i := 0; i < 300; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		for g.ends[id] == nil {
+			if g.sends[len(g.sends)-1].Server == 2 {
+				bad++
+				g.now += ms
+				g.reply(id, Errored, 0)
+			} else {
+				g.now += 50 * ms
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if bad > 20 {
+		t.Errorf("%d attempts in 15 s on a server that only fails", bad)
+	}
+}
+
+// Guards against many gateways that jam the fleet by their floors alone.
+func TestFloorsOfALargeGroupAreShared(t *testing.T) {
+	s := settings()
+	s.GroupSize = 16
+	g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8)...)
+	for i := 0; i < 50; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	if per := float64(16*len(g.sends)) / 8; per > 8 {
+		t.Errorf("a group of 16 starts with %g requests in each server", per)
+	}
+}
+
+// Guards against a server that takes requests and never answers.
+func TestSilentServerIsLeftAlone(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	silent := 0
+	for i := 0; i < 200; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		g.pass(20 * ms)
+		if g.sends[len(g.sends)-1].Server == 2 {
+			silent++
+		} else if g.n[id] > 0 {
+			g.reply(id, OK, 0)
+		}
+	}
+	if silent == 0 || silent > 6 {
+		t.Errorf("%d of 200 requests in 4 s went to a server that never answers", silent)
+	}
+}
+
+// Guards against a just-started server that every gateway of a large group tries at once.
+func TestColdServerIsSharedByALargeGroup(t *testing.T) {
+	s := settings()
+	s.GroupSize = 12
+	list := on(1, 2)
+	list[0].CameUp, list[0].HasCameUp = time.Hour-ms, true
+	g := newGate(t, s, list...)
+	cold := 0
+	for i := 0; i < 300; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		g.pass(10 * ms)
+		if g.n[id] > 0 && g.sends[len(g.sends)-1].Server == 1 {
+			cold++
+			g.reply(id, OK, 0)
+		} // the warm server answers nothing, so its rate is not known
+	}
+	if cold > 1 {
+		t.Errorf("%d sends in 3 s from one of twelve gateways that knows no rate", cold)
+	}
+}
--- /dev/null
+++ b/control/example_test.go
@@ -0,0 +1,30 @@
+package control_test
+
+import (
+	"fmt"
+	"time"
+
+	"martennotch/control"
+)
+
+// A gateway hands over what happens and does what it is told.
+func Example() {
+	c, err := control.New(control.Settings{
+		GroupSize: 1, SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		Classes: []control.Class{{Name: "submit", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
+		Plans:   []control.Plan{{Name: "basic", Price: 1, Rate: 2, Depth: 4}},
+	}, 42)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Hour // any clock that only moves forward
+	c.Handle(now, control.List{Kind: control.Whole, Members: []control.Member{{Server: 7, Size: 1}}})
+	for _, a := range c.Handle(now, control.Request{ID: "r1", Class: "submit", Plan: "basic",
+		Customer: "c1", TTL: 3 * time.Second, Units: 1, Spread: 1}) {
+		if s, ok := a.(control.Send); ok {
+			fmt.Println("send", s.ID, "to server", s.Server)
+		}
+	}
+	// Output: send r1 to server 7
+}
--- /dev/null
+++ b/control/property_test.go
@@ -0,0 +1,323 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"sort"
+	"testing"
+	"time"
+)
+
+// world feeds a controller seeded legal events and holds its actions to the rules.
+type world struct {
+	t        *testing.T
+	rng      *rand.Rand
+	set      Settings
+	c        *Controller
+	now      time.Duration
+	log      []string
+	members  map[uint32]*Member
+	toldBad  map[uint32]bool
+	open     map[string]*ask
+	out      []flight
+	timers   []Timer
+	due      []time.Duration
+	next     int
+	ceilings map[string]float64
+	ceilAt   map[string]time.Duration
+}
+
+type ask struct {
+	class     Class
+	plan      string
+	customer  string
+	units     float64
+	end       time.Duration
+	sends     int
+	out       int
+	mayRun    bool
+	firstRun  time.Duration
+	firstSrv  uint32
+	cancelled bool
+}
+
+type flight struct {
+	id   string
+	n    int
+	srv  uint32
+	at   time.Duration
+	till time.Duration
+}
+
+func varied(rng *rand.Rand) Settings {
+	s := Settings{GroupSize: []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)], Zone: "z1", SendCap: 1 + rng.IntN(5), RetryAfter: rng.IntN(2) == 0,
+		MaxRetryAfter: time.Second, Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2,
+		CostAfter: rng.IntN(2) == 0, OnRequest: rng.IntN(2) == 0, AskWithin: 10 * time.Second,
+		MayCancel: rng.IntN(2) == 0, Probes: rng.IntN(2) == 0, UnitsTop: 4}
+	if rng.IntN(4) > 0 {
+		s.MeterPeriod = time.Second
+	}
+	for e := Free; e <= SingleShot; e++ {
+		for k := ScopeAll; k <= ScopeCell; k++ {
+			s.Classes = append(s.Classes, Class{Name: fmt.Sprint("c", e, k), Aim: time.Duration(200+rng.IntN(1500)) * ms,
+				Deadline: time.Duration(2000+rng.IntN(4000)) * ms, Effect: e, KeyScope: k, Worth: 1,
+				RepeatWindow: time.Duration(500+rng.IntN(3000)) * ms, Stream: rng.IntN(5) == 0})
+		}
+	}
+	s.Plans = []Plan{{Name: "rate", Price: 1, Rate: 20, Depth: 40}, {Name: "open", Price: 0.5, Open: 3},
+		{Name: "both", Price: 2, Rate: 10, Depth: 10, Open: 4},
+		{Name: "ceil", Price: 1.5, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4}}
+	return s
+}
+
+func (w *world) handle(e Event) {
+	w.log = append(w.log, fmt.Sprintf("%v %T", w.now, e))
+	for _, a := range w.c.Handle(w.now, e) {
+		w.log = append(w.log, fmt.Sprintf("  %T%+v", a, a))
+		switch a := a.(type) {
+		case Send:
+			w.send(a)
+		case Refuse:
+			w.refused(a)
+		case Fail:
+			w.finished(a.ID)
+		case Arm:
+			w.timers, w.due = append(w.timers, Timer{a.Label}), append(w.due, w.now+a.After)
+		case Withdraw:
+			if !w.set.MayCancel {
+				w.t.Fatal("withdrew where it is not permitted")
+			}
+		case Probe:
+			if !w.set.Probes {
+				w.t.Fatal("probed where it is not permitted")
+			}
+		case Say, Count:
+			w.t.Fatalf("%T on the ordinary path", a)
+		}
+	}
+}
+
+func (w *world) send(a Send) {
+	r := w.open[a.ID]
+	switch {
+	case r == nil:
+		w.t.Fatalf("%s was sent but is not open", a.ID)
+	case w.toldBad[a.Server] || w.members[a.Server] == nil:
+		w.t.Fatalf("%s went to server %d, which is draining or gone", a.ID, a.Server)
+	case r.out > 0:
+		w.t.Fatalf("%s has two attempts out", a.ID)
+	case r.sends >= w.set.SendCap:
+		w.t.Fatalf("%s was sent more than %d times", a.ID, w.set.SendCap)
+	}
+	if r.mayRun && r.class.Effect == SingleShot {
+		w.t.Fatalf("%s may have run and was sent again", a.ID)
+	}
+	if r.mayRun && r.class.Effect == Guarded {
+		f, s := w.members[r.firstSrv], w.members[a.Server]
+		if w.now > r.firstRun+r.class.RepeatWindow || r.class.KeyScope == ScopeCell && f.Cell != s.Cell ||
+			r.class.KeyScope == ScopeZone && f.Zone != s.Zone {
+			w.t.Fatalf("%s may have run and was sent again outside its group or window", a.ID)
+		}
+	}
+	if r.sends == 0 && r.plan == "ceil" {
+		w.drawCeiling(r)
+	}
+	till := r.end
+	if a.Within > 0 {
+		till = min(till, w.now+a.Within)
+	}
+	w.out = append(w.out, flight{a.ID, r.sends, a.Server, w.now, till})
+	r.sends++
+	r.out++
+}
+
+// drawCeiling holds this gateway to its part of the ceiling with part of the slack.
+func (w *world) drawCeiling(r *ask) {
+	p := w.set.Plans[3]
+	if _, known := w.ceilings[r.customer]; !known {
+		w.ceilings[r.customer], w.ceilAt[r.customer] = p.CeilingSlack/2, time.Hour
+	}
+	lv := w.ceilings[r.customer] + (w.now-w.ceilAt[r.customer]).Seconds()*p.CeilingRate/2
+	w.ceilings[r.customer], w.ceilAt[r.customer] = min(lv, p.CeilingBurst/2)-r.units, w.now
+	if w.ceilings[r.customer] < -1e-6 {
+		w.t.Fatalf("the part of a ceiling fell to %g", w.ceilings[r.customer])
+	}
+}
+
+func (w *world) refused(a Refuse) {
+	if r := w.open[a.ID]; r != nil && (r.mayRun || r.out > 0) {
+		if r.class.Effect == SingleShot || r.class.Effect == Guarded && r.class.KeyScope != ScopeAll {
+			w.t.Fatalf("%s may have run and was refused", a.ID)
+		}
+	}
+	w.finished(a.ID)
+}
+
+func (w *world) finished(id string) {
+	if w.open[id] == nil {
+		w.t.Fatalf("%s has a second final answer", id)
+	}
+	delete(w.open, id)
+}
+
+// list is the whole list in a fixed order, with a chance of change for each.
+func (w *world) list() List {
+	var l List
+	l.Kind = Whole
+	for id := uint32(1); id <= 8; id++ {
+		m := &Member{Server: id, Zone: fmt.Sprint("z", 1+id%2), Cell: int(id / 3), Size: 1}
+		w.members[id] = m
+		switch w.rng.IntN(6) {
+		case 0:
+			m.Condition = Fading
+		case 1:
+			w.toldBad[id] = true
+			continue // gone
+		case 2:
+			m.HasCameUp, m.CameUp = true, w.now-ms
+		}
+		w.toldBad[id] = m.Condition != On
+		l.Members = append(l.Members, *m)
+	}
+	return l
+}
+
+// outcome ends the attempt at an index of out.
+func (w *world) outcome(i int) {
+	f := w.out[i]
+	w.out = append(w.out[:i], w.out[i+1:]...)
+	why := []Reason{OK, OK, OK, OK, Errored, Full, ConnectFailed, ResetByPeer}[w.rng.IntN(8)]
+	if w.now >= f.till {
+		why = TimedOut
+	}
+	r := w.open[f.id]
+	e := Response{ID: f.id, N: f.n, Server: f.srv, Reason: why, Done: r == nil || why == OK,
+		Used: w.rng.IntN(300), Cost: float64(1 + w.rng.IntN(4)), Load: &Load{Active: 3, CPU: 0.5}}
+	if r != nil {
+		r.out--
+		if why == OK {
+			delete(w.open, f.id)
+		} else if why != Full && why != ConnectFailed && !r.mayRun {
+			r.mayRun, r.firstRun, r.firstSrv = true, f.at, f.srv
+		}
+	}
+	w.handle(e)
+}
+
+func (w *world) step() {
+	w.now += time.Duration(w.rng.IntN(12)) * ms
+	for i := 0; i < len(w.due); i++ {
+		if w.due[i] <= w.now {
+			e := w.timers[i]
+			w.timers, w.due = append(w.timers[:i], w.timers[i+1:]...), append(w.due[:i], w.due[i+1:]...)
+			w.handle(e)
+			i = -1
+		}
+	}
+	for i := 0; i < len(w.out); i++ {
+		if w.now >= w.out[i].till {
+			w.outcome(i)
+			i = -1
+		}
+	}
+	switch k := w.rng.IntN(100); {
+	case k < 45:
+		w.arrive()
+	case k < 90 && len(w.out) > 0:
+		w.outcome(w.rng.IntN(len(w.out)))
+	case k < 92:
+		w.handle(w.list())
+	case k < 93:
+		w.handle(List{Kind: Broken})
+	case k < 94:
+		w.handle(Response{ID: "not held", Server: 3, Reason: OK})
+	case k < 95:
+		w.handle(ProbeResult{Server: uint32(w.rng.IntN(10)), Reason: OK})
+	case k < 96:
+		ids := make([]string, 0, len(w.open))
+		for id := range w.open {
+			ids = append(ids, id)
+		}
+		if sort.Strings(ids); len(ids) > 0 {
+			id := ids[w.rng.IntN(len(ids))]
+			delete(w.open, id)
+			w.handle(Hangup{ID: id})
+		}
+	}
+	for id, r := range w.open {
+		if w.now > r.end+16*ms {
+			w.t.Fatalf("%s has no answer %v after its end", id, w.now-r.end)
+		}
+	}
+}
+
+func (w *world) arrive() {
+	w.next++
+	k := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
+	r := &ask{class: k, plan: w.set.Plans[w.rng.IntN(4)].Name, customer: fmt.Sprint("k", w.rng.IntN(6)),
+		units: float64(1 + w.rng.IntN(3)), end: w.now + time.Duration(300+w.rng.IntN(3000))*ms}
+	id := fmt.Sprint("r", w.next)
+	w.open[id] = r
+	w.handle(Request{ID: id, Class: k.Name, Plan: r.plan, Customer: r.customer, TTL: r.end - w.now,
+		Units: r.units, Spread: 1 + w.rng.IntN(90)}) // the spread may change within a day
+}
+
+func play(t *testing.T, seed uint64, steps int) *world {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	w := &world{t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Member{},
+		toldBad: map[uint32]bool{}, open: map[string]*ask{}, ceilings: map[string]float64{},
+		ceilAt: map[string]time.Duration{}}
+	c, err := New(w.set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.c = c
+	l := w.list()
+	l.Kind = Stale
+	w.handle(l)
+	for i := 0; i < steps; i++ {
+		w.step()
+	}
+	return w
+}
+
+// Any legal sequence of events keeps the rules, and gives the same actions twice.
+func TestAnyLegalSequenceKeepsTheRules(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		a := play(t, seed, 2500)
+		if seed <= 10 {
+			b := play(t, seed, 2500)
+			if !reflect.DeepEqual(a.log, b.log) {
+				t.Fatalf("seed %d: two runs of the same events differ", seed)
+			}
+		}
+	}
+}
+
+// Memory for customers, requests and servers stays bounded.
+func TestMemoryIsBounded(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3)...)
+	for i := 0; i < 30000; i++ {
+		id := fmt.Sprint("r", i)
+		g.ask(id, "job", "low", fmt.Sprint("once", i))
+		if g.n[id] > 0 {
+			g.reply(id, OK, 0)
+		}
+		g.pass(2 * ms)
+		if i%100 == 0 {
+			g.do(List{Kind: Whole, Members: on(uint32(i+1), uint32(i+2))})
+			g.sends, g.acts = nil, nil
+		}
+	}
+	if n := len(g.c.custs); n > custMost {
+		t.Errorf("%d customers remembered", n)
+	}
+	if n := len(g.c.reqs) + len(g.c.labels) + len(g.c.attempts); n > 100 {
+		t.Errorf("%d requests, labels and attempts held", n)
+	}
+	if n := len(g.c.servers); n > 10 {
+		t.Errorf("%d servers held, two are listed", n)
+	}
+}
--- /dev/null
+++ b/control/scale_test.go
@@ -0,0 +1,245 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// Tests at the size of hundreds of gateways, each of which sees a few requests a second.
+
+func large() Settings {
+	s := settings()
+	s.GroupSize = 300
+	s.Plans[0].Rate, s.Plans[0].Depth = 1, 4
+	return s
+}
+
+// serve asks every gap for a time d, and answers what is sent after 200 ms.
+func (g *gate) serve(d, gap time.Duration, used int, ask func(i int)) {
+	g.t.Helper()
+	next, open := 0, len(g.sends)
+	for i, end := 0, g.now+d; g.now < end; i++ {
+		ask(i)
+		g.pass(200 * ms)
+		for next = open; next < len(g.sends); next++ {
+			g.reply(g.sends[next].ID, OK, used)
+		}
+		open = next
+		g.pass(gap - 200*ms)
+	}
+}
+
+// Guards against a heavy customer that each of many gateways takes for a new one: after a few
+// readings, though seconds apart, most of its tries are refused; most of a calm one's are let in,
+// which come so seldom that each alone speaks for more.
+func TestFewReadingsMakeAChance(t *testing.T) {
+	for _, k := range []struct {
+		used, gap int
+		low, high float64
+	}{{401, 4, 0, 0.5}, {31, 30, 0.55, 1}} {
+		g := newGate(t, large(), on(1, 2, 3, 4)...)
+		asked := 0
+		g.serve(5*time.Minute, time.Duration(k.gap)*time.Second, k.used, func(i int) {
+			asked++
+			g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", TTL: 3 * time.Second,
+				Units: 1, Spread: 60})
+		})
+		if part := float64(len(g.sends)) / float64(asked); part < k.low || part > k.high {
+			t.Errorf("told %d%%: %.2f of the tries sent on, want %v to %v", k.used-1, part, k.low, k.high)
+		}
+	}
+}
+
+// Guards against bounds below one that stop the work: a place is used, then rests.
+func TestPartOfAPlaceRestsAndFlows(t *testing.T) {
+	g := newGate(t, large(), on(1)...)
+	g.c.bound, g.c.latency, g.c.idle, g.c.seen = 0.25, 0.1, 0.1, 100
+	g.ask("a", "job", "high", "x")
+	g.ask("b", "job", "high", "y")
+	if len(g.sends) != 1 {
+		t.Fatalf("%d sent with a quarter of a place", len(g.sends))
+	}
+	g.now += 100 * ms
+	g.reply("a", OK, 0)
+	if len(g.sends) != 1 {
+		t.Fatal("the place did not rest")
+	}
+	g.pass(450 * ms)
+	if len(g.sends) != 2 {
+		t.Error("the place rests for more than three times its use")
+	}
+}
+
+// Guards against first tries that a gateway finds after a stall being taken for later ones.
+func TestStallDoesNotMakeFirstTriesLate(t *testing.T) {
+	s := settings()
+	g := newGate(t, s, on(1, 2)...)
+	k := &g.c.set.Classes[0]
+	for i := 0; i < 3; i++ {
+		if w := g.c.waited(Request{TTL: 3 * time.Second}, k); w != 0 {
+			t.Fatalf("a first try has waited %v", w)
+		}
+	}
+	g.c.skipped = 1500 * ms
+	if w := g.c.waited(Request{TTL: 2 * time.Second}, k); w != time.Second {
+		t.Errorf("a first try that lay for 1 s through a stall has waited %v", w)
+	}
+	g.c.skipped = 4 * ms
+	if w := g.c.waited(Request{TTL: 2 * time.Second}, k); w != 4*time.Second {
+		t.Errorf("a later try with 2 s of 6 s left has waited %v", w)
+	}
+	if w := g.c.waited(Request{TTL: 5 * time.Second}, k); w != time.Second {
+		t.Errorf("a last try, with all the rest of the time, has waited %v", w)
+	}
+	g.c.set.MarksRetry = true
+	if w := g.c.waited(Request{TTL: 5 * time.Second}, k); w != 0 {
+		t.Errorf("a try without the mark of a later one has waited %v", w)
+	}
+}
+
+// After a stall everything comes at once; whoever can still be served is, all are answered once.
+func TestEverythingAtOnceAfterAStall(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.ask("old", "job", "high", "x")
+	for i := 0; i < 40; i++ {
+		g.ask(fmt.Sprint("q", i), "job", "high", "x")
+	}
+	g.now += 4990 * ms // no timer came in time
+	for i := 0; i < 40; i++ {
+		g.ask(fmt.Sprint("n", i), "job", "high", "x")
+	}
+	sent := len(g.sends)
+	g.pass(0)
+	for _, s := range g.sends[sent:] {
+		if s.ID[0] == 'q' {
+			t.Errorf("%s was sent when its client had all but left", s.ID)
+		}
+	}
+	g.pass(6 * time.Second)
+	for i := 0; i < 40; i++ {
+		for _, id := range []string{fmt.Sprint("q", i), fmt.Sprint("n", i)} {
+			if g.ends[id] == nil && g.n[id] == 0 {
+				t.Errorf("%s was not answered", id)
+			}
+		}
+	}
+}
+
+// Guards against servers that refuse one plan: they cut no bound and are not tried again for it.
+func TestServersThatRefuseOnePlan(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	g.c.latency, g.c.idle, g.c.seen = 0.1, 0.1, 100
+	before := g.c.bound
+	refusals := 0
+	for i := 0; i < 30; i++ {
+		for _, p := range []string{"low", "high"} {
+			id := fmt.Sprint(p, i)
+			g.ask(id, "job", p, "x")
+			g.now += 100 * ms
+			for g.ends[id] == nil {
+				last := g.sends[len(g.sends)-1]
+				if last.ID != id {
+					t.Fatalf("%s was held", id)
+				}
+				if p == "low" && last.Server <= 2 {
+					refusals++
+					g.reply(id, Full, 0)
+				} else {
+					g.reply(id, OK, 0)
+				}
+			}
+		}
+		g.pass(100 * ms)
+	}
+	if refusals > 3 {
+		t.Errorf("two servers refused the plan %d times in 6 s", refusals)
+	}
+	if g.c.bound < before {
+		t.Errorf("the bound went from %g to %g on servers with room", before, g.c.bound)
+	}
+}
+
+// Shares move by the law where a gateway sees two answers a second: the interval lasts longer.
+func TestSharesMoveAtAFewRequestsASecond(t *testing.T) {
+	s := large()
+	s.Plans[0].Rate, s.Plans[0].Depth = 1000, 1000
+	g := newGate(t, s, on(1, 2, 3, 4)...)
+	g.serve(40*time.Second, 500*ms, 0, func(i int) {
+		p := s.Plans[i%2]
+		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: p.Name, Customer: "c", TTL: 3 * time.Second, Units: 1, Spread: 9})
+		g.c.plans[1].saw(1.8) // the dear plan is late
+	})
+	if u := g.c.plans[1].share; math.Abs(u-0.5) < 0.05 || u < 0.5 {
+		t.Errorf("the late dear plan has a share of %g", u)
+	}
+}
+
+// A class worth far less leaves the lower half of the store to the others.
+func TestCheapClassYieldsTheStore(t *testing.T) {
+	s := settings()
+	s.Classes = append(s.Classes, Class{Name: "cheap", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 0.2})
+	s.Plans[0].Rate, s.Plans[0].Depth = 1, 10
+	g := newGate(t, s, on(1, 2)...)
+	g.c.customerOf(g.c.plans[0], "x", 2).level = 4
+	g.ask("cheap", "cheap", "low", "x")
+	g.ask("dear", "job", "low", "x")
+	if g.ends["cheap"] == nil || g.ends["dear"] != nil {
+		t.Error("the cheap class did not yield to the dear one")
+	}
+}
+
+// The CPU for one request over fleets of several sizes.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []uint32{10, 30, 90, 300} {
+		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
+			s := settings()
+			c, _ := New(s, 1)
+			var ms []Member
+			for i := uint32(1); i <= n; i++ {
+				ms = append(ms, Member{Server: i, Zone: "z1"})
+			}
+			c.Handle(time.Hour, List{Kind: Stale, Members: ms})
+			for i := 0; i < b.N; i++ {
+				now := time.Hour + time.Duration(i)*time.Millisecond
+				id := fmt.Sprint(i)
+				for _, a := range c.Handle(now, Request{ID: id, Class: "job", Plan: "high", Customer: "x",
+					TTL: 5 * time.Second, Units: 1, Spread: 2}) {
+					if a, ok := a.(Send); ok {
+						c.Handle(now, Response{ID: id, Server: a.Server, Reason: OK, Done: true, Used: 50})
+						break
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a first interval with many answers that leaves the idle time at nothing.
+func TestIdleTimeIsSeenFromTheFirstInterval(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	for i := 0; i < 60; i++ {
+		g.ask(fmt.Sprint(i), "job", "high", "x")
+		g.now += 20 * ms
+		g.reply(fmt.Sprint(i), OK, 0)
+	}
+	g.c.endInterval(1)
+	if g.c.idle < 0.015 || g.c.idle > 0.03 {
+		t.Errorf("idle time %g s after answers within 20 ms", g.c.idle)
+	}
+}
+
+// Guards against a second cut of the bound for answers to sends from before the first.
+func TestBoundIsCutOncePerAnswerTime(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.bound, g.c.latency, g.c.idle, g.c.seen = 80, 1.2, 0.1, 100
+	for i, want := range []float64{40, 40, 40, 20} {
+		g.c.latN, g.c.answers, g.c.latSum, g.c.secSum = 10, 10, 7, 14
+		g.c.now = g.now + time.Duration(i)*time.Second
+		g.c.endInterval(1)
+		if g.c.bound != want {
+			t.Errorf("bound %g after %d late seconds, want %g", g.c.bound, i+1, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/encode.go
@@ -0,0 +1,96 @@
+package wire
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"martennotch/control"
+)
+
+// AppendEnd appends the end of a reply.
+func AppendEnd(b []byte) []byte { return append(b, "yield\n"...) }
+
+// AppendBailOut appends the report that an instance's decisions have failed.
+func AppendBailOut(b []byte, who int, text string) []byte {
+	return appendText(begin(b, "bail_out", who), text)
+}
+
+// AppendAction appends one action of an instance.
+func AppendAction(b []byte, who int, a control.Action) []byte {
+	switch a := a.(type) {
+	case control.Send:
+		b = pair(begin(b, "call_out", who), " xid=", a.ID)
+		b = strconv.AppendUint(append(b, " server="...), uint64(a.Server), 10)
+		if a.Within != 0 {
+			b = appendMS(append(b, " within="...), a.Within)
+		}
+	case control.Withdraw:
+		b = pair(begin(b, "withdraw", who), " xid=", a.ID)
+		b = strconv.AppendInt(append(b, " n="...), int64(a.N), 10)
+	case control.Refuse:
+		b = pair(begin(b, "busy", who), " xid=", a.ID)
+		if a.RetryAfter > 0 {
+			b = appendMS(append(b, " backoff="...), a.RetryAfter)
+		}
+	case control.Fail:
+		b = pair(begin(b, "finish_error", who), " xid=", a.ID)
+	case control.Arm:
+		b = appendMS(append(begin(b, "arm", who), " offset="...), a.After)
+		b = strconv.AppendUint(append(b, " label="...), a.Label, 10)
+	case control.Probe:
+		b = strconv.AppendUint(append(begin(b, "poll", who), " server="...), uint64(a.Server), 10)
+	case control.Disconnect:
+		b = strconv.AppendUint(append(begin(b, "disconnect", who), " server="...), uint64(a.Server), 10)
+	case control.Follow:
+		b = pair(begin(b, "follow", who), " active=", map[bool]string{true: "1", false: "0"}[a.Active])
+	case control.Snapshot:
+		b = begin(b, "snapshot", who)
+	case control.Say:
+		b = append(begin(b, "say", who), " neighbour-id="...)
+		if a.To < 0 {
+			b = append(b, "all"...)
+		} else {
+			b = strconv.AppendInt(b, int64(a.To), 10)
+		}
+		b = pair(b, " raw=", hexOrDash(a.Raw))
+	case control.Count:
+		b = strconv.AppendUint(append(begin(b, "incr", who), " cname="...), a.Name, 10)
+		b = strconv.AppendFloat(append(b, " by="...), a.Add, 'f', -1, 64)
+		b = appendMS(append(b, " expire-in="...), a.Lives)
+	case control.Remark:
+		return appendText(begin(b, "remark", who), a.Text)
+	default:
+		panic(fmt.Sprintf("wire: no text for action %T", a))
+	}
+	return append(b, '\n')
+}
+
+func begin(b []byte, name string, who int) []byte {
+	return strconv.AppendInt(append(append(b, name...), " who="...), int64(who), 10)
+}
+
+func pair(b []byte, key, value string) []byte { return append(append(b, key...), value...) }
+
+func appendMS(b []byte, d time.Duration) []byte {
+	return strconv.AppendFloat(b, float64(d/time.Microsecond)/1000, 'f', -1, 64)
+}
+
+func appendText(b []byte, text string) []byte {
+	text = strings.Map(func(r rune) rune {
+		if r < ' ' {
+			return ' '
+		}
+		return r
+	}, text)
+	return append(pair(b, " body-text=", text), '\n')
+}
+
+func hexOrDash(raw []byte) string {
+	if len(raw) == 0 {
+		return "-"
+	}
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+
+	"martennotch/control"
+)
+
+// open reads the start of an instance. Settings keys that are not known are
+// skipped; what the settings mean is for control.New to judge.
+func (d *Decoder) open(rest string) (Input, error) {
+	f := parse(rest)
+	m := make(map[string]string, len(f.keys))
+	for i, k := range f.keys {
+		m[k] = f.values[i]
+	}
+	g := &facts{fields: f, m: m}
+	o := &Open{Seed: f.unsigned("salt", true), Settings: g.settings()}
+	in := Input{Who: int(f.integer("who", true)), Open: o}
+	if f.err != nil {
+		return in, d.fail("open_instance", f.err)
+	}
+	return in, nil
+}
+
+// facts reads settings by their path.
+type facts struct {
+	*fields
+	m map[string]string
+}
+
+func (g *facts) num(key string) float64 {
+	s, ok := g.m[key]
+	if !ok || s == "" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64) // a figure that is not finite is for control.New to name
+	if err != nil {
+		g.bad(key, err)
+	}
+	return v
+}
+
+func (g *facts) flag(key string) bool { return g.boolean(key) }
+
+func (g *facts) settings() control.Settings {
+	s := control.Settings{
+		SelfIndex: int(g.num("self-index")), GroupSize: int(g.num("group-size")), Zone: g.m["zone"],
+		OnRequest: g.m["discovery"] == "on_request",
+		AskWithin: g.ms("contract.ask-within", false), DrainGrace: g.ms("contract.drain-grace", false),
+		Cold: g.ms("contract.cold", false), ColdFrom: g.num("contract.cold-from"),
+		Fall: g.ms("contract.fall", false), FallMultiple: g.num("contract.fall-multiple"),
+		MeterPeriod: g.ms("domain.meter-period", false), CostAfter: g.flag("domain.cost-after"),
+		UnitsTop: g.num("domain.units-top"), HasCounter: g.flag("domain.has-counter"),
+		InboxPerS: g.num("domain.inbox-per-s"),
+		SendCap:   int(g.num("limits.send-cap")), OpenCap: int(g.num("limits.open-cap")),
+		MayCancel: g.flag("limits.may-cancel"), MarksRetry: g.flag("clients.marks-retry"), Probes: g.flag("limits.probes"),
+		PeerMessages: g.flag("limits.peer-messages"), SecondCopies: g.flag("limits.second-copies"),
+		RetryAfter: g.flag("limits.retry-after"), MaxRetryAfter: g.ms("limits.max-retry-after", false),
+		CrossZone: g.num("charges.cross-zone"),
+	}
+	for i := 0; i < g.count("classes"); i++ {
+		s.Classes = append(s.Classes, g.class(fmt.Sprintf("classes.%d.", i)))
+	}
+	for i := 0; i < g.count("tariffs"); i++ {
+		s.Plans = append(s.Plans, g.plan(fmt.Sprintf("tariffs.%d.", i)))
+	}
+	return s
+}
+
+// count reads the length of a list and holds it to what the line could hold.
+func (g *facts) count(list string) int {
+	n := g.num(list + ".count")
+	if !(n >= 0 && n <= float64(len(g.keys))) {
+		g.bad(list+".count", fmt.Errorf("%g items cannot be in this line", n))
+		return 0
+	}
+	return int(n)
+}
+
+func (g *facts) class(p string) control.Class {
+	c := control.Class{Name: g.m[p+"name"], Aim: g.ms(p+"aim", false), Deadline: g.ms(p+"deadline", false),
+		RepeatWindow: g.ms(p+"repeat-window", false), Worth: g.num(p + "worth"),
+		LateShare: g.num(p + "late-share"), Stream: g.flag(p + "stream")}
+	switch e := g.m[p+"effect"]; e {
+	case "free":
+		c.Effect = control.Free
+	case "guarded":
+		c.Effect = control.Guarded
+	case "single_shot":
+		c.Effect = control.SingleShot
+	default:
+		g.bad(p+"effect", fmt.Errorf("unknown value %q", e))
+	}
+	switch k := g.m[p+"key-scope"]; k {
+	case "", "all":
+		c.KeyScope = control.ScopeAll
+	case "zone":
+		c.KeyScope = control.ScopeZone
+	case "cell":
+		c.KeyScope = control.ScopeCell
+	default:
+		g.bad(p+"key-scope", fmt.Errorf("unknown value %q", k))
+	}
+	return c
+}
+
+func (g *facts) plan(p string) control.Plan {
+	return control.Plan{Name: g.m[p+"name"], Price: g.num(p + "value-factor"), Rate: g.num(p + "quota-rate"),
+		Depth: g.num(p + "depth"), Open: int(g.num(p + "open")), OverCost: g.num(p + "overrun-cost"),
+		OverEarns: g.num(p + "beyond-earns"), CeilingRate: g.num(p + "cap-rate"),
+		CeilingBurst: g.num(p + "hard-burst"), CeilingSlack: g.num(p + "ceiling-slack")}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,386 @@
+// Package wire turns the operators' wire text into the types of package
+// control and back. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"martennotch/control"
+)
+
+// Open is the start of an instance.
+type Open struct {
+	Seed     uint64
+	Settings control.Settings
+}
+
+// Input is one event of a batch for one instance: exactly one of Open,
+// PowerOff and Event is set.
+type Input struct {
+	Who      int
+	Open     *Open
+	PowerOff bool
+	Event    control.Event
+}
+
+// Batch is what happened at one moment.
+type Batch struct {
+	Now    time.Duration
+	Inputs []Input
+}
+
+// Decoder reads batches.
+type Decoder struct {
+	r    *bufio.Reader
+	line int
+}
+
+// NewDecoder reads batches from r.
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{r: bufio.NewReaderSize(r, 1<<20)} }
+
+// next reads a line without its end; io.EOF only where no text was left.
+func (d *Decoder) next() (string, error) {
+	s, err := d.r.ReadString('\n')
+	if err != nil && (err != io.EOF || s == "") {
+		return "", err
+	}
+	d.line++
+	return strings.TrimRight(s, "\r\n"), nil
+}
+
+func (d *Decoder) fail(name string, err error) error {
+	return fmt.Errorf("line %d: %s: %w", d.line, name, err)
+}
+
+// Next reads one batch. It gives io.EOF where the input ends between batches.
+func (d *Decoder) Next() (Batch, error) {
+	var b Batch
+	s, err := d.next()
+	for err == nil && s == "" {
+		s, err = d.next()
+	}
+	if err != nil {
+		return b, err
+	}
+	name, rest, _ := strings.Cut(s, " ")
+	if name != "clock" {
+		return b, d.fail(name, fmt.Errorf("a batch begins with clock"))
+	}
+	f := parse(rest)
+	b.Now = f.ms("ts", true)
+	if f.err != nil {
+		return b, d.fail(name, f.err)
+	}
+	for {
+		if s, err = d.next(); err == io.EOF {
+			return b, fmt.Errorf("line %d: input ended inside a batch", d.line)
+		} else if err != nil {
+			return b, err
+		}
+		name, rest, _ = strings.Cut(s, " ")
+		if name == "end" {
+			return b, nil
+		}
+		in, known, err := d.event(name, rest)
+		if err != nil {
+			return b, err
+		}
+		if known {
+			b.Inputs = append(b.Inputs, in)
+		}
+	}
+}
+
+// event reads one event line; a name that is not known is skipped.
+func (d *Decoder) event(name, rest string) (in Input, known bool, err error) {
+	if name == "open_instance" {
+		in, err = d.open(rest)
+		return in, true, err
+	}
+	f := parse(rest)
+	switch name {
+	case "power_off":
+		in.PowerOff = true
+	case "discovery":
+		in.Who = int(f.integer("who", true))
+		count := f.integer("members", false)
+		kind := listKind(f)
+		if f.err != nil {
+			return in, true, d.fail(name, f.err)
+		}
+		members, err := d.members(count)
+		in.Event = control.List{Kind: kind, Members: members}
+		return in, true, err
+	case "request":
+		in.Event = request(f)
+	case "started":
+		in.Event = control.Started{ID: f.text("xid", true), N: int(f.integer("n", false)),
+			Server: f.server(), Delay: f.ms("delay-seen", false)}
+	case "response":
+		in.Event = response(f)
+	case "hangup":
+		in.Event = control.Hangup{ID: f.text("xid", true)}
+	case "elapsed":
+		in.Event = control.Timer{Label: f.unsigned("label", true)}
+	case "ping_result":
+		in.Event = control.ProbeResult{Server: f.server(), Reason: control.Reason(f.integer("reason", true)),
+			Delay: f.ms("delay-seen", false), Load: load(f)}
+	case "peer":
+		in.Event = control.PeerMessage{From: int(f.integer("src", true)), Raw: f.bytes("raw")}
+	case "reckoned":
+		in.Event = control.Counted{Name: f.unsigned("cname", true), Total: f.number("total", false),
+			Delay: f.ms("delay-seen", false), Reason: control.Reason(f.integer("reason", true))}
+	default:
+		return in, false, nil
+	}
+	in.Who = int(f.integer("who", true))
+	if f.err != nil {
+		return in, true, d.fail(name, f.err)
+	}
+	return in, true, nil
+}
+
+func request(f *fields) control.Request {
+	bits := f.unsigned("bitmap", false)
+	r := control.Request{ID: f.text("xid", true), Class: f.text("class", true), Plan: f.text("terms", false),
+		Customer: f.text("client-id", false), TTL: f.ms("ttl", true), Units: 1, Spread: 1,
+		SetStart: int(f.number("set-start", false)), Repeat: bits&2 != 0, Write: bits&4 != 0}
+	if f.has("weight") {
+		r.Units = f.number("weight", true)
+	}
+	if f.has("spread") {
+		r.Spread = int(f.number("spread", true))
+	}
+	return r
+}
+
+func response(f *fields) control.Response {
+	return control.Response{ID: f.text("xid", true), N: int(f.integer("n", false)), Server: f.server(),
+		Reason: control.Reason(f.integer("reason", true)), Done: f.boolean("no-more"),
+		Delay: f.ms("delay-seen", false), Cost: f.number("cost", false),
+		Used: int(f.integer("use-pct", false)), Load: load(f)}
+}
+
+func listKind(f *fields) control.ListKind {
+	switch k := f.text("kind", true); k {
+	case "patch":
+		return control.Patch
+	case "whole":
+		return control.Whole
+	case "stale_copy":
+		return control.Stale
+	case "broken":
+		return control.Broken
+	default:
+		f.bad("kind", fmt.Errorf("unknown value %q", k))
+		return control.Broken
+	}
+}
+
+// members reads the item lines of a discovery event.
+func (d *Decoder) members(count int64) ([]control.Member, error) {
+	var list []control.Member
+	for ; count > 0; count-- {
+		s, err := d.next()
+		if err != nil {
+			return nil, fmt.Errorf("line %d: input ended inside a list", d.line)
+		}
+		name, rest, _ := strings.Cut(s, " ")
+		if name != "item" {
+			return nil, d.fail(name, fmt.Errorf("an item was expected"))
+		}
+		f := parse(rest)
+		m := control.Member{Server: f.server(), Zone: f.text("area", false), Flavor: f.text("flavor", false),
+			Cell: int(f.integer("unit-group", false)), Size: f.number("size", false), CameUp: f.ms("came-up", false)}
+		m.HasCameUp = m.CameUp != 0
+		switch c := f.text("condition", true); c {
+		case "on":
+			m.Condition = control.On
+		case "fading":
+			m.Condition = control.Fading
+		case "off":
+			m.Condition = control.Off
+		default:
+			f.bad("condition", fmt.Errorf("unknown value %q", c))
+		}
+		if f.err != nil {
+			return nil, d.fail("item", f.err)
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+// load reads the report of a server; names that are not known are skipped.
+func load(f *fields) *control.Load {
+	s := f.text("pressure", false)
+	if s == "" {
+		return nil
+	}
+	l := &control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
+	into := map[string]*float64{"active": &l.Active, "waiting": &l.Waiting, "cpu": &l.CPU,
+		"avg_ms": &l.AvgMS, "rps": &l.RPS, "err_rps": &l.ErrRPS}
+	for s != "" {
+		var pair string
+		pair, s, _ = strings.Cut(s, ",")
+		name, value, _ := strings.Cut(pair, ":")
+		p := into[name]
+		if p == nil {
+			continue
+		}
+		v, err := number(value)
+		if err != nil {
+			f.bad("pressure", err)
+			return nil
+		}
+		*p = v
+	}
+	return l
+}
+
+// fields holds the pairs of one line and the first thing wrong with them.
+type fields struct {
+	keys, values []string
+	err          error
+}
+
+func parse(s string) *fields {
+	f := &fields{keys: make([]string, 0, 16), values: make([]string, 0, 16)}
+	for s != "" {
+		var pair string
+		pair, s, _ = strings.Cut(s, " ")
+		if pair == "" {
+			continue
+		}
+		k, v, found := strings.Cut(pair, "=")
+		if !found {
+			f.bad(k, fmt.Errorf("has no value"))
+			continue
+		}
+		f.keys, f.values = append(f.keys, k), append(f.values, v)
+	}
+	return f
+}
+
+func (f *fields) bad(key string, err error) {
+	if f.err == nil {
+		f.err = fmt.Errorf("field %s: %w", key, err)
+	}
+}
+
+func (f *fields) has(key string) bool {
+	for _, k := range f.keys {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fields) text(key string, needed bool) string {
+	for i, k := range f.keys {
+		if k == key {
+			return f.values[i]
+		}
+	}
+	if needed {
+		f.bad(key, fmt.Errorf("is missing"))
+	}
+	return ""
+}
+
+func number(s string) (float64, error) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
+		err = fmt.Errorf("%q is not finite", s)
+	}
+	return v, err
+}
+
+func (f *fields) number(key string, needed bool) float64 {
+	s := f.text(key, needed)
+	if s == "" {
+		return 0
+	}
+	v, err := number(s)
+	if err != nil {
+		f.bad(key, err)
+	}
+	return v
+}
+
+func (f *fields) ms(key string, needed bool) time.Duration {
+	v := f.number(key, needed)
+	if math.Abs(v) > 1e12 {
+		f.bad(key, fmt.Errorf("%g ms is out of range", v))
+		return 0
+	}
+	return millis(v)
+}
+
+func millis(v float64) time.Duration {
+	return time.Duration(math.Round(v*1000)) * time.Microsecond
+}
+
+func (f *fields) integer(key string, needed bool) int64 {
+	s := f.text(key, needed)
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		f.bad(key, err)
+	}
+	return v
+}
+
+func (f *fields) unsigned(key string, needed bool) uint64 {
+	s := f.text(key, needed)
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		f.bad(key, err)
+	}
+	return v
+}
+
+func (f *fields) server() uint32 {
+	v := f.unsigned("server", true)
+	if v > math.MaxUint32 {
+		f.bad("server", fmt.Errorf("%d is out of range", v))
+	}
+	return uint32(v)
+}
+
+func (f *fields) boolean(key string) bool {
+	switch s := f.text(key, false); s {
+	case "1", "true":
+		return true
+	case "", "0", "false":
+		return false
+	default:
+		f.bad(key, fmt.Errorf("%q is no bool", s))
+		return false
+	}
+}
+
+func (f *fields) bytes(key string) []byte {
+	s := f.text(key, false)
+	if s == "" || s == "-" {
+		return nil
+	}
+	b, err := hex.DecodeString(s)
+	if err != nil {
+		f.bad(key, err)
+	}
+	return b
+}
