--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,132 @@
+// Package node is a real edge node: it brings what happens on sockets to the
+// decision module and carries out what the module answers. It decides nothing.
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"martennotch/control"
+	"martennotch/internal/wire"
+)
+
+// Config is what an edge node is started with.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   listing
+	Settings                control.Settings
+	Keepalive, Connect      time.Duration // of connections to app servers
+}
+
+// LoadConfig reads the JSON file at path.
+func LoadConfig(path string) (Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+	}
+	c, err := parseConfig(raw)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(raw []byte) (Config, error) {
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    listing
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return Config{}, err
+	}
+	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Known: file.Known,
+		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}
+	if c.Listen == "" || c.Discovery == "" {
+		return c, fmt.Errorf("listen and discovery must both be given")
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if err := c.Known.check(); err != nil {
+		return c, fmt.Errorf("known: %w", err)
+	}
+	paths, err := flatten(file.Settings)
+	if err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if c.Settings, err = wire.Settings(paths); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	c.Settings.OnRequest = false // on sockets a watch is always kept; nothing has to be asked for
+	if c.Keepalive, err = millis(paths, "limits.keepalive", 15*time.Second); err != nil {
+		return c, err
+	}
+	c.Connect, err = millis(paths, "limits.connect-timeout", 250*time.Millisecond)
+	return c, err
+}
+
+// millis reads a span of the settings that is the node's own business.
+func millis(paths map[string]string, path string, missing time.Duration) (time.Duration, error) {
+	text, ok := paths[path]
+	if !ok {
+		return missing, nil
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v > 0 && v < 1e9) {
+		return 0, fmt.Errorf("settings: %s: %q is no span in milliseconds", path, text)
+	}
+	return time.Duration(v * float64(time.Millisecond)), nil
+}
+
+// flatten turns nested JSON into the dotted paths that package wire reads.
+func flatten(raw json.RawMessage) (map[string]string, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return nil, err
+	}
+	paths := make(map[string]string)
+	flattenInto(paths, "", tree)
+	return paths, nil
+}
+
+func flattenInto(paths map[string]string, prefix string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, item := range v {
+			flattenInto(paths, strings.TrimPrefix(prefix+"."+k, "."), item)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			if _, ok := item.(map[string]any); ok {
+				flattenInto(paths, prefix+"."+strconv.Itoa(i), item)
+			} else {
+				plain = append(plain, fmt.Sprint(item))
+			}
+		}
+		paths[prefix+".count"] = strconv.Itoa(len(v))
+		if plain != nil {
+			paths[prefix] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		paths[prefix] = fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/internal/node/sockets.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	socketsApart = 24 // listener, discovery, log, poller and what the runtime opens
+	socketsAhead = 64 // left to upstream connections when clients fill the rest
+	roomAgain    = 20 * time.Millisecond
+)
+
+// sockets holds the connections of all sides together under the limit on
+// descriptors. Where it is reached, idle connections are closed for new ones.
+type sockets struct {
+	open  atomic.Int64
+	most  int64
+	evict []func() bool // each closes one idle connection, if there is one
+}
+
+func newSockets(limit int) *sockets {
+	return &sockets{most: int64(max(limit-socketsApart, 2*socketsAhead))}
+}
+
+// take books a place for one more connection and leaves some free.
+func (s *sockets) take(leave int64) bool {
+	for s.open.Add(1) > s.most-leave {
+		s.open.Add(-1)
+		if !s.makeRoom() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sockets) makeRoom() bool {
+	for _, evict := range s.evict {
+		if evict() {
+			return true
+		}
+	}
+	return false
+}
+
+// wait books a place as soon as there is one.
+func (s *sockets) wait(ctx context.Context, leave int64) error {
+	for !s.take(leave) {
+		select {
+		case <-ctx.Done():
+			return net.ErrClosed
+		case <-time.After(roomAgain):
+		}
+	}
+	return nil
+}
+
+// counted is a connection that gives its place back when it is closed.
+type counted struct {
+	net.Conn
+	sockets *sockets
+	once    sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.sockets.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// countedListener takes connections only while there is room for them.
+type countedListener struct {
+	net.Listener
+	ctx     context.Context // ends the waiting for room
+	sockets *sockets
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	if err := l.sockets.wait(l.ctx, socketsAhead); err != nil {
+		return nil, err
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.sockets.open.Add(-1)
+		return nil, err
+	}
+	return &counted{Conn: c, sockets: l.sockets}, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -15,15 +15,29 @@
 	for i, k := range f.keys {
 		m[k] = f.values[i]
 	}
-	g := &facts{fields: f, m: m}
-	o := &Open{Seed: f.unsigned("salt", true), Settings: g.settings()}
-	in := Input{Who: int(f.integer("who", true)), Open: o}
+	settings, err := Settings(m)
+	if err != nil {
+		return Input{}, d.fail("open_instance", err)
+	}
+	in := Input{Who: int(f.integer("who", true)),
+		Open: &Open{Seed: f.unsigned("salt", true), Settings: settings}}
 	if f.err != nil {
 		return in, d.fail("open_instance", f.err)
 	}
 	return in, nil
 }
 
+// Settings reads settings given as text by their dotted paths: the length of a
+// list of objects under .count, its items under .0, .1 and onward.
+func Settings(paths map[string]string) (control.Settings, error) {
+	g := &facts{fields: &fields{}, m: paths}
+	for k, v := range paths {
+		g.keys, g.values = append(g.keys, k), append(g.values, v)
+	}
+	s := g.settings()
+	return s, g.err
+}
+
 // facts reads settings by their path.
 type facts struct {
 	*fields
@@ -69,11 +83,11 @@
 	return s
 }
 
-// count reads the length of a list and holds it to what the line could hold.
+// count reads the length of a list and holds it to what the settings could hold.
 func (g *facts) count(list string) int {
 	n := g.num(list + ".count")
 	if !(n >= 0 && n <= float64(len(g.keys))) {
-		g.bad(list+".count", fmt.Errorf("%g items cannot be in this line", n))
+		g.bad(list+".count", fmt.Errorf("%g items cannot be in these settings", n))
 		return 0
 	}
 	return int(n)
