Test the node over loopback sockets and mend what the tests found

Seen in the new tests, each failing before its mend: - an answer to a request held since before SIGTERM lacked Connection: close, as the header was set when the request came; now when it is answered - the race detector found the module's failure read before it was set, so a panic could have ended with exit code 0; it is set before the loop's end shows - attempts outlived the node's end; they now end with the loop - a known list of no servers set the module's in-flight bound to its least; such a list is no longer told Ruled out by tests: stale idle connections used again, a second attempt outside a keyed request's group, watch breaks that lose a version, malformed answers taken as served, sends to a draining server.

--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"martennotch/control"
+)
+
+func TestConfig(t *testing.T) {
+	c, err := LoadConfig("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.MemoryMB != 192 || c.Known.Rev != 7 ||
+		c.Keepalive != 15*time.Second || c.Connect != 250*time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	if s.GroupSize != 2 || !s.CostAfter || !s.MarksRetry || s.SendCap != 6 || s.Cold != 15*time.Second ||
+		len(s.Classes) != 2 || len(s.Plans) != 2 {
+		t.Errorf("settings %+v", s)
+	}
+	if k := s.Classes[1]; k.Effect != control.Guarded || k.KeyScope != control.ScopeCell || k.Aim != 2*time.Second {
+		t.Errorf("class %+v", k)
+	}
+	if p := s.Plans[0]; p.Rate != 0.5 || p.Depth != 8 || p.OverCost != 0.6 {
+		t.Errorf("plan %+v", p)
+	}
+}
+
+func TestBadConfigIsNamed(t *testing.T) {
+	good, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tc := range map[string]struct{ old, new, tells string }{
+		"not JSON":     {`{"name"`, `{name`, "invalid"},
+		"no address":   {`"127.0.0.1:0"`, `""`, "listen"},
+		"odd seed":     {"8c1f30d27a5be964", "xyz", "seed"},
+		"odd figure":   {`"aim": 2000.0`, `"aim": "soon"`, "aim"},
+		"odd effect":   {`"guarded"`, `"maybe"`, "effect"},
+		"odd span":     {`"keepalive": 15000.0`, `"keepalive": -1`, "keepalive"},
+		"odd known":    {`"targets": []`, `"targets": [{"state": "up"}]`, "known"},
+		"no settings":  {`"settings"`, `"unsettled"`, "settings"},
+		"wrong nature": {`"cores": 1.0`, `"cores": "many"`, "Cores"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, []byte(strings.Replace(string(good), tc.old, tc.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := LoadConfig(path); err == nil || !strings.Contains(err.Error(), tc.tells) {
+				t.Errorf("%v does not tell %q", err, tc.tells)
+			}
+		})
+	}
+	if _, err := LoadConfig(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a missing file was taken")
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -99,9 +99,6 @@
 // ServeHTTP holds a client's request until its final answer.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == "/healthz" {
 		if !f.ready.Load() || f.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -121,24 +118,29 @@
 	f.loop.post(func() { f.loop.begin(x) })
 	select {
 	case a := <-x.answer:
-		a.write(w)
+		f.write(w, a)
 	case <-r.Context().Done():
 		f.loop.post(func() { f.loop.hangup(x) })
 	case <-f.loop.ended:
+		a := answer{status: http.StatusBadGateway} // of one that came too late to be seen
 		select {
-		case a := <-x.answer:
-			a.write(w)
-		default: // came too late to be seen
-			w.WriteHeader(http.StatusBadGateway)
+		case a = <-x.answer:
+		default:
 		}
+		f.write(w, a)
 	}
 }
 
 // write sends the final answer.
-func (a *answer) write(w http.ResponseWriter) {
+func (f *front) write(w http.ResponseWriter, a answer) {
 	// Guards against a client that takes nothing.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
 	h := w.Header()
+	// Guards against requests that come on a held one's connection after the drain: what
+	// counts is whether the node drains now, not when the request came.
+	if f.draining.Load() {
+		h.Set("Connection", "close")
+	}
 	for k, v := range a.header {
 		if !ownHeader(k) {
 			h[k] = v
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -62,8 +62,11 @@
 	start    time.Time
 	sendCap  int
 
+	life      context.Context // of attempts; ends with run
+	end       context.CancelFunc
 	events    chan func()
-	ended     chan struct{} // closed when run has returned
+	ended     chan struct{} // closed when run has ended
+	failed    error         // why, once it has
 	exchanges map[string]*exchange
 	ids       map[string]uint32 // of app servers by uid; never given twice
 	endpoints map[uint32]string
@@ -75,7 +78,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &loop{ctl: ctl, upstream: up, start: time.Now(), sendCap: cfg.Settings.SendCap,
+	life, end := context.WithCancel(context.Background())
+	return &loop{life: life, end: end, ctl: ctl, upstream: up, start: time.Now(), sendCap: cfg.Settings.SendCap,
 		events: make(chan func(), 256), ended: make(chan struct{}), exchanges: make(map[string]*exchange),
 		ids: make(map[string]uint32), endpoints: make(map[uint32]string)}, nil
 }
@@ -98,21 +102,22 @@
 
 // run works until ctx ends or the module fails. Whatever is held then is answered
 // as failed.
-func (l *loop) run(ctx context.Context) (err error) {
+func (l *loop) run(ctx context.Context) {
 	defer func() {
 		// Guards against requests lost with a module that panics.
 		if p := recover(); p != nil {
-			err = fmt.Errorf("the decision module failed: %v\n%s", p, debug.Stack())
+			l.failed = fmt.Errorf("the decision module failed: %v\n%s", p, debug.Stack())
 		}
 		for _, x := range l.exchanges {
 			l.finish(x, answer{status: http.StatusBadGateway})
 		}
 		close(l.ended)
+		l.end()
 	}()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case event := <-l.events:
 			event()
 		}
@@ -215,7 +220,7 @@
 	if a.Within > 0 && time.Until(until) > a.Within {
 		until = time.Now().Add(a.Within)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), until)
+	ctx, cancel := context.WithDeadline(l.life, until)
 	x.stop = append(x.stop, cancel)
 	if x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap {
 		cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,11 +73,13 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer end()
-	var failed error
 	work, stop := context.WithCancel(life)
 	defer stop()
-	parts.Go(func() { failed = n.loop.run(work) })
-	n.loop.post(func() { n.learn(control.Stale, n.known) })
+	parts.Go(func() { n.loop.run(work) })
+	// Guards against a bound that the module sets by a list of no servers.
+	if len(n.known.Targets) > 0 {
+		n.loop.post(func() { n.learn(control.Stale, n.known) })
+	}
 	parts.Go(func() { n.discovery.run(life) })
 	parts.Go(func() { n.upstream.sweep(life) })
 	srv := n.front.server()
@@ -89,16 +91,16 @@
 	case <-ctx.Done():
 	case <-n.loop.ended:
 		n.finish(srv, drainWrite)
-		return failed
+		return n.loop.failed
 	case err := <-served:
 		return fmt.Errorf("serving clients: %w", err)
 	}
-	return n.drain(srv, stop, &failed)
+	return n.drain(srv, stop)
 }
 
 // drain lets go of the clients: they may still come for a while, each answer closes its
 // connection, and the node ends when all that it holds is answered.
-func (n *Node) drain(srv *http.Server, stop context.CancelFunc, failed *error) error {
+func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
 	slog.Info("draining")
 	begun := time.Now()
 	n.front.draining.Store(true)
@@ -115,14 +117,14 @@
 			s.do()
 		case <-n.loop.ended:
 			n.finish(srv, drainWrite)
-			return *failed
+			return n.loop.failed
 		}
 	}
 	stop() // answers what is still held as failed
 	<-n.loop.ended
 	n.finish(srv, drainWrite)
 	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
-	return *failed
+	return n.loop.failed
 }
 
 // finish stops listening and gives the answers that are under way some time.
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,357 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestServedUnchanged(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, func(w http.ResponseWriter, req *http.Request) {
+		left, err := strconv.Atoi(strings.TrimSuffix(req.Header.Get(headerTimeLeft), "m"))
+		// The answer's last byte has to be there in time: the edge node waits a little less.
+		if err != nil || left < 1 || left > 7000-int(answerAhead.Milliseconds()) {
+			t.Errorf("time left %q", req.Header.Get(headerTimeLeft))
+		}
+		w.Header().Set("Content-Type", "text/x-roster")
+		w.Header().Set(headerUsed, "85")
+		served(w, req)
+	})
+	r.list(a.target("s-1", 0))
+	post := r.call(http.MethodPost, "/visit-update/a%2Fb/c", "id-1")
+	post.Body, post.ContentLength = io.NopCloser(strings.NewReader("swap")), 4
+	resp, body := r.do(post)
+	if resp.StatusCode != 200 || body != "served id-1" || resp.Header.Get("Content-Type") != "text/x-roster" {
+		t.Errorf("%s %q %v", resp.Status, body, resp.Header)
+	}
+	if resp.Header.Get(headerUsed) != "" {
+		t.Error("a report for edge nodes went to a client")
+	}
+	if want := "POST /visit-update/a%2Fb/c?account=00000000b4d65521 k-id-1 swap"; a.requests()[0] != want {
+		t.Errorf("%q, not %q", a.requests()[0], want)
+	}
+}
+
+func TestHealthz(t *testing.T) {
+	r := newRig(t)
+	health := func() int {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
+		resp, _ := r.do(req)
+		return resp.StatusCode
+	}
+	if s := health(); s != http.StatusServiceUnavailable {
+		t.Errorf("%d with no app server known", s)
+	}
+	r.list(target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.wait("ready", r.node.front.ready.Load)
+	if s := health(); s != http.StatusOK {
+		t.Errorf("%d with an app server", s)
+	}
+}
+
+// What a client got wrong is told as such, and nothing is sent on.
+func TestBadInput(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	for name, tc := range map[string]struct {
+		change func(*http.Request)
+		want   int
+	}{
+		"no id":            {func(q *http.Request) { q.Header.Del(headerID) }, 400},
+		"a long id":        {func(q *http.Request) { q.Header.Set(headerID, strings.Repeat("x", 129)) }, 400},
+		"no class":         {func(q *http.Request) { q.URL.Path = "/" }, 404},
+		"unknown class":    {func(q *http.Request) { q.URL.Path = "/checkout" }, 404},
+		"wrong method":     {func(q *http.Request) { q.Method = http.MethodPut }, 405},
+		"no key":           {func(q *http.Request) { q.Header.Del(headerKey) }, 400},
+		"unknown plan":     {func(q *http.Request) { q.Header.Set(headerPlan, "gold") }, 400},
+		"no plan":          {func(q *http.Request) { q.Header.Del(headerPlan) }, 400},
+		"no account":       {func(q *http.Request) { q.URL.RawQuery = "" }, 400},
+		"short account":    {func(q *http.Request) { q.URL.RawQuery = "account=b4d65521" }, 400},
+		"huge account":     {func(q *http.Request) { q.URL.RawQuery = "account=0000000200000000" }, 400},
+		"odd account":      {func(q *http.Request) { q.URL.RawQuery = "account=000000000000000g" }, 400},
+		"no time":          {func(q *http.Request) { q.Header.Del(headerTimeLeft) }, 400},
+		"no unit":          {func(q *http.Request) { q.Header.Set(headerTimeLeft, "480") }, 400},
+		"other unit":       {func(q *http.Request) { q.Header.Set(headerTimeLeft, "4s") }, 400},
+		"no time is left":  {func(q *http.Request) { q.Header.Set(headerTimeLeft, "0m") }, 400},
+		"time without end": {func(q *http.Request) { q.Header.Set(headerTimeLeft, "1e300m") }, 400},
+		"odd time":         {func(q *http.Request) { q.Header.Set(headerTimeLeft, "NaNm") }, 400},
+		"no units":         {func(q *http.Request) { q.Header.Set(headerWeight, "units=0") }, 400},
+		"odd units":        {func(q *http.Request) { q.Header.Set(headerWeight, "units=NaN") }, 400},
+		"wide spread":      {func(q *http.Request) { q.Header.Set(headerWeight, "units=1,spread=3") }, 400},
+		"odd spread":       {func(q *http.Request) { q.Header.Set(headerWeight, "spread=1.5") }, 400},
+		"odd first":        {func(q *http.Request) { q.Header.Set(headerWeight, "first=-1") }, 400},
+		"a large body": {func(q *http.Request) {
+			q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), bodyMost+1
+		}, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := r.call(http.MethodPost, "/visit-update", "bad")
+			tc.change(q)
+			if resp, body := r.do(q); resp.StatusCode != tc.want {
+				t.Errorf("%s %q", resp.Status, body)
+			}
+		})
+	}
+	if resp, _ := r.do(r.call(http.MethodPost, "/roster-read", "bad")); resp.StatusCode != 405 {
+		t.Errorf("a POST to a safe class: %s", resp.Status)
+	}
+	if n := a.count(); n > 0 {
+		t.Errorf("%d bad requests were sent on", n)
+	}
+	if resp, _ := r.do(r.call(http.MethodPost, "/visit-update", "good")); resp.StatusCode != 200 {
+		t.Errorf("a good one after them: %s", resp.Status)
+	}
+}
+
+// The module's refusal is given at once and tells when to come again.
+func TestRefusal(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	for i := range 100 {
+		q := r.call(http.MethodGet, "/roster-read", "id-"+strconv.Itoa(i))
+		q.Header.Set(headerPlan, "basic") // a burst of 8 units
+		resp, _ := r.do(q)
+		if resp.StatusCode == http.StatusOK {
+			continue
+		}
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 {
+			t.Errorf("%s %v", resp.Status, resp.Header)
+		}
+		if a.count() != i {
+			t.Errorf("%d requests sent on before the first refusal of %d", a.count(), i)
+		}
+		return
+	}
+	t.Error("none of 100 requests was refused")
+}
+
+// A keyed request that may have run goes again within its group only, with its key.
+func TestKeyedAfterReset(t *testing.T) {
+	r := newRig(t)
+	fails := true
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if fails {
+			fails = false
+			reset(w, q)
+			return
+		}
+		served(w, q)
+	}
+	a, b := newApp(t, serve), newApp(t, serve)
+	r.list(a.target("s-1", 0), b.target("s-2", 1))
+	resp, body := r.do(r.call(http.MethodPost, "/visit-update", "id-1"))
+	if resp.StatusCode != 200 || body != "served id-1" {
+		t.Errorf("%s %q", resp.Status, body)
+	}
+	if n := a.count() * b.count(); n != 0 || a.count()+b.count() != 2 {
+		t.Errorf("attempts %v and %v", a.requests(), b.requests())
+	}
+	for _, s := range append(a.requests(), b.requests()...) {
+		if !strings.Contains(s, "k-id-1") {
+			t.Errorf("attempt %q has lost its key", s)
+		}
+	}
+}
+
+// At the end of the client's time the attempt's connection is closed and the client is told.
+func TestTimeOut(t *testing.T) {
+	for class, tc := range map[string]struct {
+		method string
+		want   int
+	}{
+		"/roster-read":  {http.MethodGet, http.StatusServiceUnavailable}, // harmless to try again
+		"/visit-update": {http.MethodPost, http.StatusGatewayTimeout},    // may have run
+	} {
+		t.Run(class, func(t *testing.T) {
+			r := newRig(t)
+			gone := make(chan struct{})
+			a := newApp(t, func(_ http.ResponseWriter, q *http.Request) {
+				<-q.Context().Done()
+				close(gone)
+			})
+			r.list(a.target("s-1", 0))
+			q := r.call(tc.method, class, "id-1")
+			q.Header.Set(headerTimeLeft, "300000u")
+			if resp, _ := r.do(q); resp.StatusCode != tc.want {
+				t.Errorf("%s", resp.Status)
+			}
+			next(t, gone)
+			if n := a.count(); n != 1 {
+				t.Errorf("%d attempts", n)
+			}
+		})
+	}
+}
+
+// A client that leaves is owed nothing; its id is free again when its attempt has ended.
+func TestHangup(t *testing.T) {
+	r := newRig(t)
+	held, finish := make(chan struct{}), make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, q *http.Request) {
+		held <- struct{}{}
+		<-finish
+		served(w, q)
+	})
+	r.list(a.target("s-1", 0))
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultTransport.RoundTrip(r.call(http.MethodGet, "/roster-read", "id-1").WithContext(ctx))
+		if err == nil {
+			resp.Body.Close()
+		}
+		left <- err
+	}()
+	next(t, held)
+	if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusConflict {
+		t.Errorf("an id in flight was taken again: %s", resp.Status)
+	}
+	leave()
+	if err := next(t, left); err == nil {
+		t.Error("the client got an answer")
+	}
+	r.wait("the hang-up", func() bool { x := r.node.loop.exchanges["id-1"]; return x != nil && x.done })
+	close(finish)
+	r.wait("the attempt's end", func() bool { return len(r.node.loop.exchanges) == 0 })
+	go func() { <-held }()
+	if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != 200 {
+		t.Errorf("a free id: %s", resp.Status)
+	}
+}
+
+// Nothing new goes to an app server that drains, and its idle connections are closed.
+func TestAppServerDrains(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, served)
+	b := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+	drains := a.target("s-1", 0)
+	drains.State = "draining"
+	r.list(drains, b.target("s-2", 0))
+	for i := range 20 {
+		if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "later-"+strconv.Itoa(i))); resp.StatusCode != 200 {
+			t.Errorf("%s", resp.Status)
+		}
+	}
+	if a.count() != 1 || b.count() != 20 {
+		t.Errorf("%d requests to the one that drains, %d to the other", a.count(), b.count())
+	}
+	if c := r.node.upstream.pop(a.Listener.Addr().String()); c != nil {
+		t.Error("an idle connection to it was kept")
+	}
+}
+
+// An app server may come back under another address.
+func TestAppServerMoves(t *testing.T) {
+	r := newRig(t)
+	a, b := newApp(t, served), newApp(t, served)
+	r.list(a.target("s-1", 0))
+	r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+	r.list(b.target("s-1", 0))
+	r.do(r.call(http.MethodGet, "/roster-read", "id-2"))
+	if a.count() != 1 || b.count() != 1 {
+		t.Errorf("%d requests to the old address, %d to the new one", a.count(), b.count())
+	}
+}
+
+// A draining node answers what it holds, takes what still comes and then ends.
+func TestDrain(t *testing.T) {
+	r := newRig(t)
+	held, finish := make(chan struct{}, 2), make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, q *http.Request) {
+		held <- struct{}{}
+		<-finish
+		served(w, q)
+	})
+	r.list(a.target("s-1", 0))
+	answers := make(chan *http.Response, 2)
+	ask := func(id string) {
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", id))
+		answers <- resp
+	}
+	go ask("before")
+	next(t, held)
+	r.stop()
+	r.wait("draining", r.node.front.draining.Load)
+	go ask("after")
+	next(t, held)
+	close(finish)
+	for range 2 {
+		if resp := next(t, answers); resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s, close %v", resp.Status, resp.Close)
+		}
+	}
+	if err := next(t, r.ended); err != nil {
+		t.Error(err)
+	}
+	r.ended <- nil
+	if c, err := net.Dial("tcp", r.node.Addr()); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
+
+// What an app server doesn't answer while the node drains is answered as failed before the end.
+func TestDrainWithSilentAppServer(t *testing.T) {
+	r := newRig(t)
+	asked := make(chan struct{})
+	silent := never(t)
+	a := newApp(t, func(w http.ResponseWriter, q *http.Request) { close(asked); silent(w, q) })
+	r.list(a.target("s-1", 0))
+	answered := make(chan int, 1)
+	go func() {
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+		answered <- resp.StatusCode
+	}()
+	next(t, asked)
+	r.stop()
+	if s := next(t, answered); s != http.StatusBadGateway {
+		t.Errorf("%d", s)
+	}
+	if err := next(t, r.ended); err != nil {
+		t.Error(err)
+	}
+	r.ended <- nil
+}
+
+// Requests are not lost with a module that panics.
+func TestModuleFails(t *testing.T) {
+	r := newRig(t)
+	asked := make(chan struct{})
+	silent := never(t)
+	a := newApp(t, func(w http.ResponseWriter, q *http.Request) { close(asked); silent(w, q) })
+	r.list(a.target("s-1", 0))
+	answered := make(chan int, 1)
+	go func() {
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+		answered <- resp.StatusCode
+	}()
+	next(t, asked)
+	r.node.loop.post(func() { panic("no such share") })
+	if s := next(t, answered); s != http.StatusBadGateway {
+		t.Errorf("%d", s)
+	}
+	err := next(t, r.ended)
+	if err == nil || !strings.Contains(err.Error(), "no such share") {
+		t.Errorf("ended with %v", err)
+	}
+	r.ended <- err
+}
+
+// The node's clock is Unix time, so that an app server's start before ours maps truly.
+func TestClock(t *testing.T) {
+	r := newRig(t)
+	if d := time.Since(time.Unix(0, int64(r.node.loop.now()))); d < -time.Minute || d > time.Minute {
+		t.Errorf("%v off", d)
+	}
+}
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,234 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"martennotch/control"
+)
+
+func message(t *testing.T, body []byte) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://origin.svc/visit-update", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return req
+}
+
+// raw is an app server that answers each request with the same bytes and hangs up.
+func raw(t *testing.T, answer string) string {
+	a := newApp(t, func(w http.ResponseWriter, _ *http.Request) {
+		c := hijack(w)
+		io.WriteString(c, answer)
+		c.Close()
+	})
+	return a.Listener.Addr().String()
+}
+
+func TestOutcomes(t *testing.T) {
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing.Close()
+	for name, tc := range map[string]struct {
+		answer string // "" is an endpoint that refuses connections
+		want   control.Reason
+	}{
+		"served":               {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.OK},
+		"served in chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", control.OK},
+		"after an interim one": {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.OK},
+		"error":                {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", control.Errored},
+		"not found":            {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", control.Errored},
+		"503 of no account":    {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", control.Errored},
+		"504 marked otherwise": {"HTTP/1.1 504 No\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n", control.Errored},
+		"503 turned away":      {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.Full},
+		"504 turned away":      {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.Full},
+		"500 marked":           {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.Errored},
+		"hung up":              {" ", control.ResetByPeer},
+		"no HTTP":              {"what?\r\n\r\n", control.ResetByPeer},
+		"cut short":            {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", control.ResetByPeer},
+		"a chunk cut short":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", control.ResetByPeer},
+		"too large":            {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), control.ResetByPeer},
+		"an endless head":      {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 200000), control.ResetByPeer},
+		"refused":              {"", control.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := refusing.Addr().String()
+			if tc.answer != "" {
+				endpoint = raw(t, tc.answer)
+			}
+			u := newUpstream(patience, patience, newSockets(1024))
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			if o := u.try(ctx, endpoint, message(t, []byte("body"))); o.reason != tc.want {
+				t.Errorf("%d (%v), not %d", o.reason, o.err, tc.want)
+			} else if o.reason == control.OK && string(o.body) != "ok" {
+				t.Errorf("body %q", o.body)
+			}
+		})
+	}
+}
+
+// What breaks before its last byte is written has not run.
+func TestBrokenWhileWriting(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			c.Read(make([]byte, 1))
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	u := newUpstream(patience, patience, newSockets(1024))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if o := u.try(ctx, l.Addr().String(), message(t, make([]byte, 64<<20))); o.reason != control.ConnectFailed {
+		t.Errorf("%d (%v)", o.reason, o.err)
+	}
+}
+
+// A peer that takes nothing, or answers nothing, holds an attempt no longer than its time.
+func TestSilentPeer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel only
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for name, tc := range map[string]struct {
+		body []byte
+		want control.Reason
+	}{
+		"takes nothing":   {make([]byte, 64<<20), control.ConnectFailed},
+		"answers nothing": {[]byte("body"), control.TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			socks := newSockets(1024)
+			u := newUpstream(patience, patience, socks)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			if o := u.try(ctx, l.Addr().String(), message(t, tc.body)); o.reason != tc.want {
+				t.Errorf("%d (%v), not %d", o.reason, o.err, tc.want)
+			}
+			if n := socks.open.Load(); n != 0 {
+				t.Errorf("%d connections left open", n)
+			}
+		})
+	}
+}
+
+func TestCancelledAttempt(t *testing.T) {
+	asked := make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		close(asked)
+		<-r.Context().Done() // the edge node closes its connection
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-asked
+		cancel()
+	}()
+	u := newUpstream(patience, patience, newSockets(1024))
+	if o := u.try(ctx, a.Listener.Addr().String(), message(t, nil)); o.reason != control.Cancelled {
+		t.Errorf("%d (%v)", o.reason, o.err)
+	}
+}
+
+// The connection that is used again is an open one: one that the app server has closed
+// while it stood idle would end the next request as a reset.
+func TestIdleConnections(t *testing.T) {
+	var hangUp bool
+	var from []string
+	conns := make(map[string]net.Conn)
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		from = append(from, r.RemoteAddr)
+		if !hangUp {
+			served(w, r)
+			return
+		}
+		c := hijack(w)
+		conns[r.RemoteAddr] = c
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	endpoint := a.Listener.Addr().String()
+	socks := newSockets(1024)
+	u := newUpstream(patience, 2*patience, socks)
+	try := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if o := u.try(ctx, endpoint, message(t, nil)); o.reason != control.OK {
+			t.Fatalf("%d (%v)", o.reason, o.err)
+		}
+	}
+	try()
+	hangUp = true
+	try()
+	if from[0] != from[1] {
+		t.Error("an open connection was not used again")
+	}
+	idle := u.idle[endpoint][0]
+	conns[from[1]].Close()
+	for end := time.Now().Add(patience); idle.quiet() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	hangUp = false
+	try()
+	if from[2] == from[1] {
+		t.Error("a closed connection was used again")
+	}
+	u.idleFor = 0 // all have idled for too long
+	try()
+	if from[3] == from[2] {
+		t.Error("an old connection was used again")
+	}
+	if n := socks.open.Load(); n != 1 {
+		t.Errorf("%d connections open, not the last alone", n)
+	}
+}
+
+func TestReports(t *testing.T) {
+	o := outcome{header: http.Header{headerUsed: {"85"}, headerCost: {"3"},
+		headerLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"}}}
+	if o.used() != 86 || o.cost() != 3 {
+		t.Errorf("used %d, cost %g", o.used(), o.cost())
+	}
+	if l := *o.load(); l != (control.Load{Active: 7, Waiting: 2, CPU: 0.61, AvgMS: 12.5, RPS: -1, ErrRPS: -1}) {
+		t.Errorf("load %+v", l)
+	}
+	for _, odd := range []string{"", "x", "-1", "NaN", "1e400"} {
+		o := outcome{header: http.Header{headerUsed: {odd}, headerCost: {odd}}}
+		if o.used() != 0 || o.cost() != 0 || o.load() != nil {
+			t.Errorf("%q: used %d, cost %g", odd, o.used(), o.cost())
+		}
+	}
+}
+
+// Near the limit an idle connection goes for a new one.
+func TestSocketsUnderTheLimit(t *testing.T) {
+	a := newApp(t, served)
+	b := newApp(t, served)
+	socks := newSockets(0)
+	socks.most = 1
+	u := newUpstream(patience, 2*patience, socks)
+	for _, x := range []*app{a, b, a} {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if o := u.try(ctx, x.Listener.Addr().String(), message(t, nil)); o.reason != control.OK {
+			t.Errorf("%d (%v)", o.reason, o.err)
+		}
+		cancel()
+		if n := socks.open.Load(); n != 1 {
+			t.Errorf("%d connections open", n)
+		}
+	}
+}
