Write every answer in one place, so that each closes its connection while draining

Seen: in a test that failed before the mend, a 400 to a client of a draining node lacked Connection: close. Blame: errors and health checks were written past front.write; now all go through it. Ruled out: a guess that a write deadline left from an earlier answer would break a later one on its connection. A test over one connection passed without any mend, as net/http clears the deadline between requests; no change was built on it.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -100,19 +100,16 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if r.URL.Path == "/healthz" {
+		status := http.StatusOK
 		if !f.ready.Load() || f.draining.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
+			status = http.StatusServiceUnavailable
 		}
+		f.write(w, answer{status: status})
 		return
 	}
-	x, err := f.exchange(r, arrived)
-	if err != nil {
-		status := http.StatusBadRequest
-		var bad *badRequest
-		if errors.As(err, &bad) {
-			status = bad.status
-		}
-		http.Error(w, err.Error(), status)
+	x, wrong := f.exchange(r, arrived)
+	if wrong != nil {
+		f.write(w, answer{status: wrong.status, body: []byte(wrong.text + "\n")})
 		return
 	}
 	f.loop.post(func() { f.loop.begin(x) })
@@ -131,7 +128,7 @@
 	}
 }
 
-// write sends the final answer.
+// write sends an answer, whatever it is.
 func (f *front) write(w http.ResponseWriter, a answer) {
 	// Guards against a client that takes nothing.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
@@ -173,14 +170,12 @@
 	text   string
 }
 
-func (b *badRequest) Error() string { return b.text }
-
-func bad(status int, format string, args ...any) error {
+func bad(status int, format string, args ...any) *badRequest {
 	return &badRequest{status, fmt.Sprintf(format, args...)}
 }
 
 // exchange reads a client's request.
-func (f *front) exchange(r *http.Request, arrived time.Time) (*exchange, error) {
+func (f *front) exchange(r *http.Request, arrived time.Time) (*exchange, *badRequest) {
 	e := control.Request{ID: r.Header.Get(headerID), Plan: r.Header.Get(headerPlan), Units: 1, Spread: 1,
 		Repeat: r.Header.Get(headerRepeat) == "1", Write: r.Method != http.MethodGet}
 	if e.ID == "" || len(e.ID) > idMost {
