--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -159,6 +159,23 @@
 	return resp, string(body)
 }
 
+// held has the node hold a request that its app server never answers. The status of
+// its final answer comes on the channel.
+func (r *rig) held() <-chan int {
+	r.t.Helper()
+	asked := make(chan struct{})
+	silent := never(r.t)
+	a := newApp(r.t, func(w http.ResponseWriter, q *http.Request) { close(asked); silent(w, q) })
+	r.list(a.target("s-1", 0))
+	answered := make(chan int, 1)
+	go func() {
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+		answered <- resp.StatusCode
+	}()
+	next(r.t, asked)
+	return answered
+}
+
 // app is an app server that notes what it is asked.
 type app struct {
 	*httptest.Server
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -307,16 +308,7 @@
 // What an app server doesn't answer while the node drains is answered as failed before the end.
 func TestDrainWithSilentAppServer(t *testing.T) {
 	r := newRig(t)
-	asked := make(chan struct{})
-	silent := never(t)
-	a := newApp(t, func(w http.ResponseWriter, q *http.Request) { close(asked); silent(w, q) })
-	r.list(a.target("s-1", 0))
-	answered := make(chan int, 1)
-	go func() {
-		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
-		answered <- resp.StatusCode
-	}()
-	next(t, asked)
+	answered := r.held()
 	r.stop()
 	if s := next(t, answered); s != http.StatusBadGateway {
 		t.Errorf("%d", s)
@@ -330,16 +322,7 @@
 // Requests are not lost with a module that panics.
 func TestModuleFails(t *testing.T) {
 	r := newRig(t)
-	asked := make(chan struct{})
-	silent := never(t)
-	a := newApp(t, func(w http.ResponseWriter, q *http.Request) { close(asked); silent(w, q) })
-	r.list(a.target("s-1", 0))
-	answered := make(chan int, 1)
-	go func() {
-		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
-		answered <- resp.StatusCode
-	}()
-	next(t, asked)
+	answered := r.held()
 	r.node.loop.post(func() { panic("no such share") })
 	if s := next(t, answered); s != http.StatusBadGateway {
 		t.Errorf("%d", s)
@@ -358,3 +341,23 @@
 		t.Errorf("%v off", d)
 	}
 }
+
+// Near the limit on descriptors an idle client connection goes for a new one.
+func TestClientsUnderTheLimit(t *testing.T) {
+	r := newRig(t)
+	r.list(target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.wait("ready", r.node.front.ready.Load)
+	r.node.upstream.sockets.most.Store(socketsAhead + 2) // one client, and the place for the next
+	for range 3 {
+		c, err := net.Dial("tcp", r.node.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+}
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -18,17 +18,19 @@
 // descriptors. Where it is reached, idle connections are closed for new ones.
 type sockets struct {
 	open  atomic.Int64
-	most  int64
+	most  atomic.Int64
 	evict []func() bool // each closes one idle connection, if there is one
 }
 
 func newSockets(limit int) *sockets {
-	return &sockets{most: int64(max(limit-socketsApart, 2*socketsAhead))}
+	s := &sockets{}
+	s.most.Store(int64(max(limit-socketsApart, 2*socketsAhead)))
+	return s
 }
 
 // take books a place for one more connection and leaves some free.
 func (s *sockets) take(leave int64) bool {
-	for s.open.Add(1) > s.most-leave {
+	for s.open.Add(1) > s.most.Load()-leave {
 		s.open.Add(-1)
 		if !s.makeRoom() {
 			return false
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -219,7 +219,7 @@
 	a := newApp(t, served)
 	b := newApp(t, served)
 	socks := newSockets(0)
-	socks.most = 1
+	socks.most.Store(1)
 	u := newUpstream(patience, 2*patience, socks)
 	for _, x := range []*app{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
