Reload on SIGHUP: move the watch to the discovery that the file names

Cause: cmd/lockflow/main.go had no handler for SIGHUP, whose default ends the program. Nothing else crashed: the log ends without a word, 5 of 64 MB in use.

The program now reads the file again and moves the watch at once; the new discovery is asked for its whole list, as versions may differ. A bad file is logged and changes nothing, and while draining a SIGHUP is harmless. Silence on a watch now ends it after 3 s instead of 5, and the pause grows to 0.5 s instead of 2, as news counts as told 4 s after SIGHUP. Addresses are checked on reading.

The new test over the program fails without the handler (the program ends).

--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -24,13 +24,17 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx); err != nil {
+	// Guards against a SIGHUP that ends the program: it is never left to its default, also
+	// not while the node starts or drains.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(ctx, hup); err != nil {
 		slog.Error("lockflow ends", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context) error {
+func run(ctx context.Context, hup <-chan os.Signal) error {
 	path := os.Getenv("NODE_CONFIG")
 	if path == "" {
 		return errors.New("NODE_CONFIG names no configuration file")
@@ -53,5 +57,21 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hup {
+			reload(n, path)
+		}
+	}()
 	return n.Run(ctx)
 }
+
+// reload reads the configuration again. Once it was read anew the file goes before the
+// environment; a file that can't be used changes nothing.
+func reload(n *node.Node, path string) {
+	cfg, err := node.LoadConfig(path)
+	if err != nil {
+		slog.Error("reload: the old configuration stays", "err", err)
+		return
+	}
+	n.Reload(cfg)
+}
--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -43,62 +44,72 @@
 	}
 }
 
-// SIGTERM with work held: the client gets its answer, then the program ends well.
-func TestTermWithWorkHeld(t *testing.T) {
-	held, finish := make(chan struct{}), make(chan struct{})
-	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		close(held)
-		<-finish
-		io.WriteString(w, "done")
-	}))
-	defer app.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintf(w, `{"rev":9,"all":true,"targets":[{"uid":"s-1","endpoint":%q,"az":"z1","state":"up"}]}`+"\n",
-			app.Listener.Addr())
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	defer discovery.Close()
+// program is a running lockflow.
+type program struct {
+	*exec.Cmd
+	t     *testing.T
+	lines *bufio.Scanner // its log
+	addr  string         // where it takes clients
+}
 
-	cmd := exec.Command(build(t))
-	cmd.Env = append(os.Environ(), "NODE_CONFIG=../../internal/node/testdata/config.json",
-		"NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+discovery.Listener.Addr().String())
-	log, err := cmd.StderrPipe()
+// start starts the program and waits until it is ready. Without a discovery in the
+// environment that of the file counts.
+func start(t *testing.T, config, discovery string) *program {
+	t.Helper()
+	p := &program{Cmd: exec.Command(build(t)), t: t}
+	p.Env = append(os.Environ(), "NODE_CONFIG="+config, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+discovery)
+	log, err := p.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := cmd.Start(); err != nil {
+	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	// Ends the program where it hangs, and with it all waiting below.
-	defer time.AfterFunc(time.Minute, func() { cmd.Process.Kill() }).Stop()
-	lines := bufio.NewScanner(log)
-	until := func(word string) string {
-		for lines.Scan() {
-			if strings.Contains(lines.Text(), word) {
-				return lines.Text()
-			}
-		}
-		t.Fatalf("the program ended before it logged %q", word)
-		return ""
-	}
-	_, addr, _ := strings.Cut(until("listen="), "listen=")
+	// Ends the program where it hangs, and with it all waiting for it.
+	late := time.AfterFunc(time.Minute, func() { p.Process.Kill() })
+	t.Cleanup(func() { late.Stop(); p.Process.Kill() })
+	p.lines = bufio.NewScanner(log)
+	_, p.addr, _ = strings.Cut(p.until("listen="), "listen=")
 	for {
-		resp, err := http.Get("http://" + addr + "/healthz")
+		resp, err := http.Get("http://" + p.addr + "/healthz")
 		if err != nil {
 			t.Fatal(err)
 		}
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
-			break
+			return p
 		}
 		time.Sleep(time.Millisecond)
 	}
-	req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/roster-read?account=00000000b4d65521", nil)
+}
+
+// until reads the log up to a line with a word in it.
+func (p *program) until(word string) string {
+	p.t.Helper()
+	for p.lines.Scan() {
+		if strings.Contains(p.lines.Text(), word) {
+			return p.lines.Text()
+		}
+	}
+	p.t.Fatalf("the program ended before it logged %q", word)
+	return ""
+}
+
+func (p *program) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ask sends a request and gives what came of it.
+func (p *program) ask(id string) <-chan string {
+	p.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.addr+"/roster-read?account=00000000b4d65521", nil)
 	if err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
-	for k, v := range map[string]string{"X-Correlation-Id": "id-1", "X-Tariff": "basic", "X-Time-Left": "7000m"} {
+	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Tariff": "enterprise", "X-Time-Left": "7000m"} {
 		req.Header.Set(k, v)
 	}
 	answer := make(chan string, 1)
@@ -112,17 +123,107 @@
 		body, _ := io.ReadAll(resp.Body)
 		answer <- fmt.Sprint(resp.StatusCode, " ", string(body), " close=", resp.Close)
 	}()
+	return answer
+}
+
+// discovery lists one app server and keeps its watches open.
+func discovery(t *testing.T, uid string, app *httptest.Server) *httptest.Server {
+	over := make(chan struct{})
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"rev":9,"all":true,"targets":[{"uid":%q,"endpoint":%q,"az":"z1","state":"up"}]}`+"\n",
+			uid, app.Listener.Addr())
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-over:
+		}
+	}))
+	t.Cleanup(func() { close(over); d.Close() })
+	return d
+}
+
+// holding is an app server that answers when it is let.
+func holding(t *testing.T) (app *httptest.Server, held chan struct{}, finish func()) {
+	held, let := make(chan struct{}), make(chan struct{})
+	finish = sync.OnceFunc(func() { close(let) })
+	app = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(held)
+		<-let
+		io.WriteString(w, "done")
+	}))
+	t.Cleanup(func() { finish(); app.Close() })
+	return app, held, finish
+}
+
+const testConfig = "../../internal/node/testdata/config.json"
+
+// SIGTERM with work held: the client gets its answer, then the program ends well. A SIGHUP
+// meanwhile is harmless.
+func TestTermWithWorkHeld(t *testing.T) {
+	app, held, finish := holding(t)
+	p := start(t, testConfig, discovery(t, "s-1", app).Listener.Addr().String())
+	answer := p.ask("id-1")
 	<-held
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	until("draining")
-	close(finish)
+	p.signal(syscall.SIGTERM)
+	p.until("draining")
+	p.signal(syscall.SIGHUP)
+	p.until("reloading")
+	finish()
 	if a := <-answer; a != "200 done close=true" {
 		t.Error(a)
 	}
-	until("drained")
-	if err := cmd.Wait(); err != nil {
+	p.until("drained")
+	if err := p.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// SIGHUP has the program follow the discovery that the file now names, whatever the
+// environment said, and keep what it holds. A file that can't be used changes nothing.
+func TestHup(t *testing.T) {
+	app, held, finish := holding(t)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, "other")
+	}))
+	t.Cleanup(other.Close)
+	first, second := discovery(t, "s-1", app), discovery(t, "s-2", other)
+	raw, err := os.ReadFile(testConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(raw))
+	p := start(t, config, first.Listener.Addr().String())
+	answer := p.ask("id-1")
+	<-held
+
+	write("{")
+	p.signal(syscall.SIGHUP)
+	p.until("the old configuration stays")
+
+	write(strings.Replace(string(raw), "127.0.0.1:1\"", second.Listener.Addr().String()+"\"", 1))
+	p.signal(syscall.SIGHUP)
+	p.until("reloading")
+	finish()
+	if a := <-answer; a != "200 done close=false" {
+		t.Errorf("what was held over the reload: %s", a)
+	}
+	for id := 2; ; id++ {
+		if a := <-p.ask(fmt.Sprint("id-", id)); a == "200 other close=false" {
+			break
+		} else if p.ProcessState != nil {
+			t.Fatal("the program has ended")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	p.signal(syscall.SIGTERM)
+	p.until("drained")
+	if err := p.Wait(); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -58,6 +59,11 @@
 	if c.Listen == "" || c.Discovery == "" {
 		return c, fmt.Errorf("listen and discovery must both be given")
 	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return c, fmt.Errorf("%s: %w", name, err)
+		}
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -40,6 +40,7 @@
 	for name, tc := range map[string]struct{ old, new, tells string }{
 		"not JSON":     {`{"name"`, `{name`, "invalid"},
 		"no address":   {`"127.0.0.1:0"`, `""`, "listen"},
+		"no port":      {`"127.0.0.1:1"`, `"127.0.0.1"`, "discovery"},
 		"odd seed":     {"8c1f30d27a5be964", "xyz", "seed"},
 		"odd figure":   {`"aim": 2000.0`, `"aim": "soon"`, "aim"},
 		"odd effect":   {`"guarded"`, `"maybe"`, "effect"},
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -9,16 +9,17 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"martennotch/control"
 )
 
 const (
-	watchSilence  = 5 * time.Second // two heartbeats and some: the watch is dead
+	watchSilence  = 3 * time.Second // a heartbeat and a half: the watch is dead
 	watchAnswer   = 2 * time.Second // the agent answers at once or not at all
 	backoffFirst  = 100 * time.Millisecond
-	backoffMost   = 2 * time.Second
+	backoffMost   = 500 * time.Millisecond // the agent is near; its news counts as told after 4 s
 	watchLineMost = 4 << 20
 )
 
@@ -72,17 +73,51 @@
 	rev     int64
 	silence time.Duration
 	tell    func(listing)
+
+	mu    sync.Mutex
+	next  string             // the address to move to; "" is none
+	leave context.CancelFunc // ends the stay at the present address
 }
 
 func newWatcher(addr string, rev int64, tell func(listing)) *watcher {
-	return &watcher{url: "http://" + addr + "/v1/servers", rev: rev, silence: watchSilence, tell: tell,
+	return &watcher{url: watchURL(addr), rev: rev, silence: watchSilence, tell: tell, leave: func() {},
 		client: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: watchAnswer,
 			DialContext:       (&net.Dialer{Timeout: watchAnswer}).DialContext,
 			DisableKeepAlives: true, DisableCompression: true}}}
 }
 
+func watchURL(addr string) string { return "http://" + addr + "/v1/servers?watch=1" }
+
+// move has the watch go on at another address, at once.
+func (w *watcher) move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next = addr
+	w.leave()
+}
+
+// arrive turns to the address that is in force and gives the life of the stay there.
+func (w *watcher) arrive(ctx context.Context) context.Context {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next != "" {
+		// Guards against versions of one discovery held against those of another: the new
+		// one is asked for its whole list.
+		w.url, w.rev, w.next = watchURL(w.next), 0, ""
+	}
+	ctx, w.leave = context.WithCancel(ctx)
+	return ctx
+}
+
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.stay(w.arrive(ctx))
+	}
+}
+
+// stay watches at one address until ctx ends.
+func (w *watcher) stay(ctx context.Context) {
 	pause := backoffFirst
 	for {
 		heard, err := w.watch(ctx)
@@ -106,7 +141,7 @@
 func (w *watcher) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	url := w.url + "?watch=1"
+	url := w.url
 	if w.rev > 0 {
 		url += "&from=" + strconv.FormatInt(w.rev, 10)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -18,7 +18,7 @@
 	}
 }
 
-func startWatch(t *testing.T, a *agent, rev int64, silence time.Duration) <-chan listing {
+func startWatch(t *testing.T, a *agent, rev int64, silence time.Duration) (<-chan listing, *watcher) {
 	told := make(chan listing, 100)
 	w := newWatcher(a.addr(), rev, func(l listing) { told <- l })
 	w.silence = silence
@@ -26,7 +26,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); w.run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return told
+	return told, w
 }
 
 const oneUp = `{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","az":"a","model":"m2","pod_group":3,"state":"up","boot_ms":1700000000000}]}` + "\n"
@@ -43,7 +43,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := newAgent(t)
-			told := startWatch(t, a, 41, patience)
+			told, _ := startWatch(t, a, 41, patience)
 			if q := next(t, a.asked); !strings.Contains(q, "watch=1&from=41") {
 				t.Errorf("asked %s", q)
 			}
@@ -77,3 +77,24 @@
 		t.Errorf("asked %s", q)
 	}
 }
+
+// After a move the new discovery is asked for its whole list at once, whatever versions
+// the old one had come to, also where the old one is gone and a pause is on.
+func TestWatchMoves(t *testing.T) {
+	old, other := newAgent(t), newAgent(t)
+	told, w := startWatch(t, old, 41, patience)
+	next(t, old.asked)
+	w.move(other.addr())
+	if q := next(t, other.asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+	other.tell <- `{"rev":2,"all":true,"targets":[]}` + "\n"
+	if l := next(t, told); l.Rev != 2 || !l.All {
+		t.Errorf("told %+v", l)
+	}
+	w.move("127.0.0.1:1") // nobody listens there
+	w.move(old.addr())
+	if q := next(t, old.asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,13 @@
 // Addr is where clients connect.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
+// Reload takes over what may change while the node runs: where discovery is. Requests,
+// connections and what the module has learned stay as they are.
+func (n *Node) Reload(cfg Config) {
+	slog.Info("reloading", "discovery", cfg.Discovery)
+	n.discovery.move(cfg.Discovery)
+}
+
 // learn tells the loop's side of a list; with a server to send to the node is ready.
 func (n *Node) learn(kind control.ListKind, news listing) {
 	n.loop.list(kind, news)
