--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -210,6 +210,13 @@
 	return target{UID: uid, Endpoint: a.Listener.Addr().String(), Zone: "z1", Group: group, State: "up", Capacity: 1}
 }
 
+// pooled are the idle connections to app servers.
+func pooled(u *upstream) []*conn {
+	var all []*conn
+	u.drop(func(c *conn) bool { all = append(all, c); return false })
+	return all
+}
+
 func served(w http.ResponseWriter, r *http.Request) {
 	io.WriteString(w, "served "+r.Header.Get(headerID))
 }
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -17,13 +17,17 @@
 // sockets holds the connections of all sides together under the limit on
 // descriptors. Where it is reached, idle connections are closed for new ones.
 type sockets struct {
-	open  atomic.Int64
-	most  atomic.Int64
-	evict []func() bool // each closes one idle connection, if there is one
+	open atomic.Int64
+	most atomic.Int64
+
+	// Each closes one connection that nothing waits on, if there is one. That of the app
+	// servers keeps some.
+	evictClient func() bool
+	evictServer func(keep int) bool
 }
 
 func newSockets(limit int) *sockets {
-	s := &sockets{}
+	s := &sockets{evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
 	s.most.Store(int64(max(limit-socketsApart, 2*socketsAhead)))
 	return s
 }
@@ -32,22 +36,15 @@
 func (s *sockets) take(leave int64) bool {
 	for s.open.Add(1) > s.most.Load()-leave {
 		s.open.Add(-1)
-		if !s.makeRoom() {
+		// Guards against silent clients that cost app servers handshakes: a client's place is
+		// given up first, and for a client the idle connections to app servers stay.
+		if !s.evictClient() && !s.evictServer(int(leave)) {
 			return false
 		}
 	}
 	return true
 }
 
-func (s *sockets) makeRoom() bool {
-	for _, evict := range s.evict {
-		if evict() {
-			return true
-		}
-	}
-	return false
-}
-
 // wait books a place as soon as there is one.
 func (s *sockets) wait(ctx context.Context, leave int64) error {
 	for !s.take(leave) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -74,7 +74,7 @@
 func newUpstream(connect, keepalive time.Duration, s *sockets) *upstream {
 	u := &upstream{connect: connect, idleFor: time.Duration(idlePart * float64(keepalive)), sockets: s,
 		idle: make(map[string][]*conn)}
-	s.evict = append(s.evict, u.evict)
+	s.evictServer = u.evict
 	return u
 }
 
@@ -248,16 +248,18 @@
 	}
 }
 
-// evict closes the connection that has been idle for the longest time.
-func (u *upstream) evict() bool {
+// evict closes the connection that has been idle for the longest time, where there are more
+// than some.
+func (u *upstream) evict(keep int) bool {
 	var oldest *conn
+	n := 0
 	u.drop(func(c *conn) bool {
-		if oldest == nil || c.since.Before(oldest.since) {
+		if n++; oldest == nil || c.since.Before(oldest.since) {
 			oldest = c
 		}
 		return false
 	})
-	if oldest == nil {
+	if oldest == nil || n <= keep {
 		return false
 	}
 	u.drop(func(c *conn) bool { return c == oldest })
