Tie connections to app servers, bound answers that stop, forget what has gone

Bodies carry no mark that the node can check, so framing is strict. To blame for the rest: conn.read let an answer that stops hang to the deadline and took one of no stated length; upstream kept connections by address (a new app server there got the old one's); loop.ids and loop.endpoints never shrank; outcome.cost, used and load took any figure.

- a pool belongs to one app server at one address and is retired with it; a connection that comes back later is closed
- what follows an answer's first bytes has 300 ms; 1xx ahead starts no clock
- ids come from a counter; what is no longer listed is forgotten
- figures that can't be are not told to the module

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -68,9 +68,11 @@
 	ended     chan struct{} // closed when run has ended
 	failed    error         // why, once it has
 	exchanges map[string]*exchange
-	ids       map[string]uint32 // of app servers by uid; never given twice
-	endpoints map[uint32]string
-	pending   []control.Event // that the node itself caused while it acted
+	ids       map[string]uint32 // of the listed app servers by uid
+	lastID    uint32            // no id is given twice
+	pools     map[uint32]*pool  // of those that are up
+	unitsTop  float64           // of one request; 0 is not told
+	pending   []control.Event   // that the node itself caused while it acted
 }
 
 func newLoop(cfg Config, up *upstream) (*loop, error) {
@@ -81,7 +83,7 @@
 	life, end := context.WithCancel(context.Background())
 	return &loop{life: life, end: end, ctl: ctl, upstream: up, start: time.Now(), sendCap: cfg.Settings.SendCap,
 		events: make(chan func(), 256), ended: make(chan struct{}), exchanges: make(map[string]*exchange),
-		ids: make(map[string]uint32), endpoints: make(map[uint32]string)}, nil
+		ids: make(map[string]uint32), pools: make(map[uint32]*pool), unitsTop: cfg.Settings.UnitsTop}, nil
 }
 
 // now is Unix time when the node started and monotonic time since, so that the start of
@@ -157,8 +159,7 @@
 			l.post(func() { l.handle(control.Timer{Label: a.Label}) })
 		})
 	case control.Disconnect:
-		endpoint := l.endpoints[a.Server]
-		l.upstream.drop(func(c *conn) bool { return c.endpoint == endpoint })
+		l.retire(a.Server, true)
 	case control.Remark:
 		slog.Info("module", "remark", a.Text)
 	}
@@ -214,7 +215,7 @@
 		l.pending = append(l.pending, control.Response{ID: a.ID, Server: a.Server, Reason: control.Moot, Done: true})
 		return
 	}
-	n, endpoint := x.sends, l.endpoints[a.Server]
+	n, to := x.sends, l.pools[a.Server]
 	x.sends++
 	until := x.deadline
 	if a.Within > 0 && time.Until(until) > a.Within {
@@ -222,7 +223,7 @@
 	}
 	ctx, cancel := context.WithDeadline(l.life, until)
 	x.stop = append(x.stop, cancel)
-	if x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap {
+	if to == nil || x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap {
 		cancel()
 		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: control.Moot, Done: x.done})
 		return
@@ -230,7 +231,7 @@
 	x.out++
 	sent := time.Now()
 	go func() {
-		o := l.upstream.try(ctx, endpoint, x.message())
+		o := l.upstream.try(ctx, to, x.message())
 		cancel()
 		l.post(func() { l.settle(x, n, a.Server, sent, o) })
 	}()
@@ -242,7 +243,7 @@
 	x.last = o.reason
 	r := control.Response{ID: x.req.ID, N: n, Server: server, Reason: o.reason, Delay: time.Since(sent)}
 	if o.header != nil {
-		r.Used, r.Cost, r.Load = o.used(), o.cost(), o.load()
+		r.Used, r.Cost, r.Load = o.used(), o.cost(l.unitsTop), o.load()
 	}
 	if o.reason == control.OK {
 		l.finish(x, answer{status: http.StatusOK, header: o.header, body: o.body})
@@ -252,29 +253,47 @@
 	l.handle(r)
 }
 
-// list takes in what discovery tells.
+// retire lets go of the connections to an app server, and takes new ones where it goes on.
+func (l *loop) retire(server uint32, goesOn bool) {
+	p := l.pools[server]
+	if p == nil {
+		return
+	}
+	l.upstream.retire(p)
+	delete(l.pools, server)
+	if goesOn {
+		l.pools[server] = l.upstream.pool(p.endpoint)
+	}
+}
+
+// list takes in what discovery tells. What is no longer listed is forgotten.
 func (l *loop) list(kind control.ListKind, news listing) {
 	e := control.List{Kind: kind}
-	gone := make(map[string]bool)
+	listed := make(map[string]bool)
 	for i := range news.Targets {
 		t := &news.Targets[i]
 		id, ok := l.ids[t.UID]
 		if !ok {
-			id = uint32(len(l.ids) + 1)
+			l.lastID++
+			id = l.lastID
 			l.ids[t.UID] = id
 		}
 		m := control.Member{Server: id, Condition: t.condition(), Zone: t.Zone, Cell: t.Group, Flavor: t.Model,
 			Size: t.Capacity, HasCameUp: t.BootMS > 0, CameUp: time.Duration(t.BootMS * float64(time.Millisecond))}
 		e.Members = append(e.Members, m)
-		if old := l.endpoints[id]; old != "" && (m.Condition != control.On || old != t.Endpoint) {
-			gone[old] = true
+		listed[t.UID] = m.Condition != control.Off
+		if p := l.pools[id]; p != nil && (m.Condition != control.On || p.endpoint != t.Endpoint) {
+			l.retire(id, false)
 		}
-		if t.Endpoint != "" {
-			l.endpoints[id] = t.Endpoint
+		if m.Condition == control.On && l.pools[id] == nil {
+			l.pools[id] = l.upstream.pool(t.Endpoint)
 		}
 	}
-	if len(gone) > 0 {
-		l.upstream.drop(func(c *conn) bool { return gone[c.endpoint] })
+	for uid, id := range l.ids {
+		if is, told := listed[uid]; told && !is || !told && kind != control.Patch {
+			l.retire(id, false)
+			delete(l.ids, uid)
+		}
 	}
 	l.handle(e)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 // learn tells the loop's side of a list; with a server to send to the node is ready.
 func (n *Node) learn(kind control.ListKind, news listing) {
 	n.loop.list(kind, news)
-	if len(n.loop.endpoints) > 0 {
+	if len(n.loop.ids) > 0 {
 		n.front.ready.Store(true)
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -261,7 +262,7 @@
 	if a.count() != 1 || b.count() != 20 {
 		t.Errorf("%d requests to the one that drains, %d to the other", a.count(), b.count())
 	}
-	if len(pooled(r.node.upstream)) != 1 {
+	if r.node.loop.pools[r.node.loop.ids["s-1"]] != nil || len(pooled(r.node.upstream)) != 1 {
 		t.Error("an idle connection to it was kept")
 	}
 }
@@ -279,6 +280,71 @@
 	}
 }
 
+// A connection belongs to the app server that it was opened to, not to its address: it is
+// never used for another one there, also where it was in use when the first one went.
+func TestAddressIsReused(t *testing.T) {
+	r := newRig(t)
+	var mu sync.Mutex
+	from := make(map[string]string)
+	held, finish := make(chan struct{}), make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, q *http.Request) {
+		id := q.Header.Get(headerID)
+		mu.Lock()
+		from[id] = q.RemoteAddr
+		mu.Unlock()
+		if id == "held" {
+			close(held)
+			<-finish
+		}
+		served(w, q)
+	})
+	r.list(a.target("s-1", 0))
+	answered := make(chan int, 1)
+	go func() {
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "held"))
+		answered <- resp.StatusCode
+	}()
+	next(t, held)
+	r.do(r.call(http.MethodGet, "/roster-read", "before"))
+	gone := a.target("s-1", 0)
+	gone.State = "removed"
+	r.list(gone, a.target("s-2", 0))
+	close(finish)
+	if s := next(t, answered); s != 200 {
+		t.Errorf("what was held: %d", s)
+	}
+	r.wait("the attempt's end", func() bool { return len(r.node.loop.exchanges) == 0 })
+	r.do(r.call(http.MethodGet, "/roster-read", "after"))
+	if from["after"] == from["before"] || from["after"] == from["held"] {
+		t.Error("a connection to the one that has gone was used")
+	}
+}
+
+// The node keeps nothing of app servers that have come and gone, and gives no id twice.
+func TestAppServersForgotten(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, served)
+	seen := make(map[uint32]bool)
+	for i := range 50 {
+		up := a.target("s-"+strconv.Itoa(i), 0)
+		r.list(up)
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-"+strconv.Itoa(i)))
+		if resp.StatusCode != 200 {
+			t.Errorf("%s", resp.Status)
+		}
+		r.wait("one app server", func() bool {
+			seen[r.node.loop.ids[up.UID]] = true
+			return len(r.node.loop.ids) == 1 && len(r.node.loop.pools) == 1
+		})
+		up.State = "removed"
+		r.list(up)
+	}
+	r.wait("none", func() bool { return len(r.node.loop.ids) == 0 && len(r.node.loop.pools) == 0 })
+	if len(seen) != 50 || len(r.node.upstream.pools) != 0 || len(pooled(r.node.upstream)) != 0 {
+		t.Errorf("%d ids, %d pools, %d connections", len(seen), len(r.node.upstream.pools), len(pooled(r.node.upstream)))
+	}
+}
+
 // A draining node answers what it holds, takes what still comes and then ends.
 func TestDrain(t *testing.T) {
 	r := newRig(t)
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -19,11 +19,14 @@
 )
 
 const (
-	bodyMost   = 64 << 10          // of any message
-	answerMost = bodyMost + 32<<10 // an answer with its head and framing
-	idlePart   = 2.0 / 3           // of the servers' keepalive that a connection may idle here
-	idleSweep  = time.Second       // how often idle connections are looked at
+	bodyMost   = 64 << 10               // of any message
+	answerMost = bodyMost + 32<<10      // an answer with its head and framing, and those ahead of it
+	answerRest = 300 * time.Millisecond // from an answer's first bytes to its last
+	idlePart   = 2.0 / 3                // of the servers' keepalive that a connection may idle here
+	idleSweep  = time.Second            // how often idle connections are looked at
 	connBuffer = 4 << 10
+	usedMost   = 10000 // per cent; what a meter may tell
+	loadMost   = 1e6   // of any figure in a load report
 )
 
 // Headers of the protocol between edge nodes, clients and app servers.
@@ -56,45 +59,113 @@
 	idleFor time.Duration
 	sockets *sockets
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by endpoint, the most recently used last
+	mu    sync.Mutex
+	pools map[*pool]struct{} // those that are not retired
+}
+
+// pool holds the idle connections to one app server at one address. Guards against those
+// of an app server that has gone being used for one that is now at its address.
+type pool struct {
+	endpoint string
+	idle     []*conn // the most recently used last; nil for good once the pool is retired
 }
 
 // conn is a connection to an app server.
 type conn struct {
 	counted
-	raw      syscall.RawConn
-	limit    io.LimitedReader // holds one answer under answerMost
-	r        *bufio.Reader
-	w        *bufio.Writer
-	endpoint string
-	since    time.Time // idle since
+	raw   syscall.RawConn
+	in    answerReader
+	r     *bufio.Reader
+	w     *bufio.Writer
+	since time.Time // idle since
+}
+
+// answerReader reads one answer: no more than answerMost, and all of it soon after its
+// first bytes. Guards against answers that don't end or stop half way: an app server
+// writes an answer when it has all of it.
+type answerReader struct {
+	net.Conn
+	left    int
+	until   time.Time // when the attempt's time is up; zero is never
+	begun   bool
+	bounded bool // a deadline is set
+}
+
+var errTooLong = fmt.Errorf("an answer of more than %d bytes", answerMost)
+
+func (r *answerReader) Read(b []byte) (int, error) {
+	if r.left == 0 {
+		return 0, errTooLong
+	}
+	if r.begun && !r.bounded {
+		rest := time.Now().Add(answerRest)
+		if !r.until.IsZero() && r.until.Before(rest) {
+			rest = r.until
+		}
+		r.SetReadDeadline(rest)
+		r.bounded = true
+	}
+	n, err := r.Conn.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	r.begun = r.begun || n > 0
+	return n, err
+}
+
+// expect makes the reader ready for the first bytes of an answer, whenever they come.
+func (r *answerReader) expect() {
+	r.begun = false
+	if r.bounded {
+		r.SetReadDeadline(time.Time{})
+		r.bounded = false
+	}
 }
 
 func newUpstream(connect, keepalive time.Duration, s *sockets) *upstream {
 	u := &upstream{connect: connect, idleFor: time.Duration(idlePart * float64(keepalive)), sockets: s,
-		idle: make(map[string][]*conn)}
+		pools: make(map[*pool]struct{})}
 	s.evictServer = u.evict
 	return u
 }
 
+// pool makes a pool of connections to an address.
+func (u *upstream) pool(endpoint string) *pool {
+	p := &pool{endpoint: endpoint}
+	u.mu.Lock()
+	u.pools[p] = struct{}{}
+	u.mu.Unlock()
+	return p
+}
+
+// retire closes a pool's idle connections; those in use are closed when they come back.
+func (u *upstream) retire(p *pool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.pools, p)
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
 // try makes one attempt: it waits until ctx ends at the most.
-func (u *upstream) try(ctx context.Context, endpoint string, req *http.Request) outcome {
-	c, err := u.get(ctx, endpoint)
+func (u *upstream) try(ctx context.Context, p *pool, req *http.Request) outcome {
+	c, err := u.get(ctx, p)
 	if err != nil {
 		return outcome{reason: control.ConnectFailed, err: err}
 	}
 	// Guards against a peer that takes or gives nothing: both directions end with ctx.
+	c.in.expect()
 	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	keep := false
 	defer func() {
 		if unhook() && keep {
-			u.put(c)
+			u.put(p, c)
 		} else {
 			c.Close()
 		}
 	}()
 	if until, ok := ctx.Deadline(); ok {
+		c.in.until = until
 		left := max(time.Until(until).Milliseconds(), 1)
 		req.Header.Set(headerTimeLeft, strconv.FormatInt(left, 10)+"m")
 	}
@@ -119,18 +190,16 @@
 // read reads one answer and tells whether the connection can be used again. What
 // isn't whole, well formed and small enough is a reset: the request may have run.
 func (c *conn) read(req *http.Request) (o outcome, keep bool) {
-	c.limit.N = answerMost
+	c.in.left = answerMost
 	resp, err := http.ReadResponse(c.r, req)
-	for err == nil && resp.StatusCode < 200 { // an interim answer
+	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols { // an interim answer
+		if c.r.Buffered() == 0 {
+			c.in.expect()
+		}
 		resp, err = http.ReadResponse(c.r, req)
 	}
-	if err != nil {
-		return outcome{reason: control.ResetByPeer, err: err}, false
-	}
-	defer resp.Body.Close()
-	o.body, err = io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
-	if err == nil && len(o.body) > bodyMost {
-		err = fmt.Errorf("an answer of more than %d bytes", bodyMost)
+	if err == nil {
+		o.body, err = body(resp)
 	}
 	if err != nil {
 		return outcome{reason: control.ResetByPeer, err: err}, false
@@ -148,12 +217,35 @@
 	return o, !resp.Close && c.r.Buffered() == 0
 }
 
+// body reads the body of an answer, which must say how long it is: one that ends with its
+// connection can't be told from one that was cut off.
+func body(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	switch n := resp.ContentLength; {
+	case resp.StatusCode < 200:
+		return nil, fmt.Errorf("unasked for: %s", resp.Status)
+	case n > bodyMost:
+		return nil, fmt.Errorf("a body of %d bytes", n)
+	case n >= 0:
+		b := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, b)
+		return b, err
+	case len(resp.TransferEncoding) == 0:
+		return nil, errors.New("a body of no stated length")
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
+	if err == nil && len(b) > bodyMost {
+		err = fmt.Errorf("a body of more than %d bytes", bodyMost)
+	}
+	return b, err
+}
+
 // get gives the most recently used idle connection that is still good, else a new one.
-func (u *upstream) get(ctx context.Context, endpoint string) (*conn, error) {
+func (u *upstream) get(ctx context.Context, p *pool) (*conn, error) {
 	for {
-		c := u.pop(endpoint)
+		c := u.pop(p)
 		if c == nil {
-			return u.dial(ctx, endpoint)
+			return u.dial(ctx, p.endpoint)
 		}
 		if c.quiet() && time.Since(c.since) < u.idleFor {
 			return c, nil
@@ -172,18 +264,18 @@
 		u.sockets.open.Add(-1)
 		return nil, err
 	}
-	c := &conn{counted: counted{Conn: tcp, sockets: u.sockets}, endpoint: endpoint}
+	c := &conn{counted: counted{Conn: tcp, sockets: u.sockets}, in: answerReader{Conn: tcp}}
 	if c.raw, err = tcp.(*net.TCPConn).SyscallConn(); err != nil {
 		c.Close()
 		return nil, err
 	}
-	c.limit.R = tcp
-	c.r, c.w = bufio.NewReaderSize(&c.limit, connBuffer), bufio.NewWriterSize(tcp, connBuffer)
+	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(tcp, connBuffer)
 	return c, nil
 }
 
 // quiet tells whether an idle connection is open and has nothing to read. Guards
-// against writing to one that the app server has closed: that would be a reset.
+// against writing to one that the app server has closed, which would be a reset, and
+// against taking what came behind the last answer for the next one.
 func (c *conn) quiet() bool {
 	quiet := false
 	err := c.raw.Control(func(fd uintptr) {
@@ -194,23 +286,27 @@
 	return err == nil && quiet
 }
 
-func (u *upstream) pop(endpoint string) *conn {
+func (u *upstream) pop(p *pool) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	list := u.idle[endpoint]
-	if len(list) == 0 {
+	if len(p.idle) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	u.idle[endpoint] = list[:len(list)-1]
+	c := p.idle[len(p.idle)-1]
+	p.idle[len(p.idle)-1] = nil
+	p.idle = p.idle[:len(p.idle)-1]
 	return c
 }
 
-func (u *upstream) put(c *conn) {
+func (u *upstream) put(p *pool, c *conn) {
 	c.since = time.Now()
 	u.mu.Lock()
-	u.idle[c.endpoint] = append(u.idle[c.endpoint], c)
-	u.mu.Unlock()
+	defer u.mu.Unlock()
+	if _, ok := u.pools[p]; !ok {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
 }
 
 // sweep closes idle connections that are old or that the app server has closed,
@@ -232,19 +328,17 @@
 func (u *upstream) drop(is func(*conn) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for endpoint, list := range u.idle {
-		kept := list[:0]
-		for _, c := range list {
+	for p := range u.pools {
+		kept := p.idle[:0]
+		for _, c := range p.idle {
 			if is(c) {
 				c.Close()
 			} else {
 				kept = append(kept, c)
 			}
 		}
-		clear(list[len(kept):])
-		if u.idle[endpoint] = kept; len(kept) == 0 {
-			delete(u.idle, endpoint)
-		}
+		clear(p.idle[len(kept):])
+		p.idle = kept
 	}
 }
 
@@ -269,32 +363,30 @@
 // used reads the customer's use; the module counts from 1, as 0 is not told.
 func (o *outcome) used() int {
 	v, err := strconv.Atoi(o.header.Get(headerUsed))
-	if err != nil || v < 0 || v > math.MaxInt32 {
+	if err != nil || v < 0 || v > usedMost {
 		return 0
 	}
 	return v + 1
 }
 
-func (o *outcome) cost() float64 {
+// cost reads the true units, of which a request can have so many at the most.
+func (o *outcome) cost(most float64) float64 {
 	v, err := parseNumber(o.header.Get(headerCost))
-	if err != nil || v < 0 {
+	if err != nil || v < 0 || most > 0 && v > most {
 		return 0
 	}
 	return v
 }
 
 // load reads the app server's report. The header's words for the figures are not
-// those of the settings; what is not known is skipped.
+// those of the settings; what is not known, or can't be, is skipped.
 func (o *outcome) load() *control.Load {
-	text := o.header.Get(headerLoad)
-	if text == "" {
-		return nil
-	}
-	l := &control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
-	for pair := range strings.SplitSeq(text, ",") {
+	none := control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
+	l := none
+	for pair := range strings.SplitSeq(o.header.Get(headerLoad), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := parseNumber(value)
-		if err != nil {
+		if err != nil || v < 0 || v > loadMost {
 			continue
 		}
 		switch name {
@@ -312,7 +404,10 @@
 			l.ErrRPS = v
 		}
 	}
-	return l
+	if l == none {
+		return nil
+	}
+	return &l
 }
 
 // parseNumber reads a finite number.
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -57,6 +57,13 @@
 		"a chunk cut short":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", control.ResetByPeer},
 		"too large":            {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), control.ResetByPeer},
 		"an endless head":      {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 200000), control.ResetByPeer},
+		"no stated length":     {"HTTP/1.1 200 OK\r\n\r\nok", control.ResetByPeer},
+		"two lengths":          {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer},
+		"an odd chunk":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n", control.ResetByPeer},
+		"more behind":          {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\noknoise", control.OK},
+		"a second copy":        {strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2), control.OK},
+		"interim without end":  {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 9000), control.ResetByPeer},
+		"switched":             {"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer},
 		"refused":              {"", control.ConnectFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -67,7 +74,7 @@
 			u := newUpstream(patience, patience, newSockets(1024))
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
-			if o := u.try(ctx, endpoint, message(t, []byte("body"))); o.reason != tc.want {
+			if o := u.try(ctx, u.pool(endpoint), message(t, []byte("body"))); o.reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.reason, o.err, tc.want)
 			} else if o.reason == control.OK && string(o.body) != "ok" {
 				t.Errorf("body %q", o.body)
@@ -93,7 +100,7 @@
 	u := newUpstream(patience, patience, newSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if o := u.try(ctx, l.Addr().String(), message(t, make([]byte, 64<<20))); o.reason != control.ConnectFailed {
+	if o := u.try(ctx, u.pool(l.Addr().String()), message(t, make([]byte, 64<<20))); o.reason != control.ConnectFailed {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
 }
@@ -117,7 +124,7 @@
 			u := newUpstream(patience, patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			if o := u.try(ctx, l.Addr().String(), message(t, tc.body)); o.reason != tc.want {
+			if o := u.try(ctx, u.pool(l.Addr().String()), message(t, tc.body)); o.reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.reason, o.err, tc.want)
 			}
 			if n := socks.open.Load(); n != 0 {
@@ -139,7 +146,7 @@
 		cancel()
 	}()
 	u := newUpstream(patience, patience, newSockets(1024))
-	if o := u.try(ctx, a.Listener.Addr().String(), message(t, nil)); o.reason != control.Cancelled {
+	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
 }
@@ -160,14 +167,14 @@
 		conns[r.RemoteAddr] = c
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
-	endpoint := a.Listener.Addr().String()
 	socks := newSockets(1024)
 	u := newUpstream(patience, 2*patience, socks)
+	p := u.pool(a.Listener.Addr().String())
 	try := func() {
 		t.Helper()
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		if o := u.try(ctx, endpoint, message(t, nil)); o.reason != control.OK {
+		if o := u.try(ctx, p, message(t, nil)); o.reason != control.OK {
 			t.Fatalf("%d (%v)", o.reason, o.err)
 		}
 	}
@@ -177,7 +184,7 @@
 	if from[0] != from[1] {
 		t.Error("an open connection was not used again")
 	}
-	idle := u.idle[endpoint][0]
+	idle := p.idle[0]
 	conns[from[1]].Close()
 	for end := time.Now().Add(patience); idle.quiet() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
@@ -200,16 +207,16 @@
 func TestReports(t *testing.T) {
 	o := outcome{header: http.Header{headerUsed: {"85"}, headerCost: {"3"},
 		headerLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"}}}
-	if o.used() != 86 || o.cost() != 3 {
-		t.Errorf("used %d, cost %g", o.used(), o.cost())
+	if o.used() != 86 || o.cost(4) != 3 {
+		t.Errorf("used %d, cost %g", o.used(), o.cost(4))
 	}
 	if l := *o.load(); l != (control.Load{Active: 7, Waiting: 2, CPU: 0.61, AvgMS: 12.5, RPS: -1, ErrRPS: -1}) {
 		t.Errorf("load %+v", l)
 	}
-	for _, odd := range []string{"", "x", "-1", "NaN", "1e400"} {
-		o := outcome{header: http.Header{headerUsed: {odd}, headerCost: {odd}}}
-		if o.used() != 0 || o.cost() != 0 || o.load() != nil {
-			t.Errorf("%q: used %d, cost %g", odd, o.used(), o.cost())
+	for _, odd := range []string{"", "x", "-1", "NaN", "1e400", "1e300", "99999", "inflight=-1,util=NaN", "queue=1e300"} {
+		o := outcome{header: http.Header{headerUsed: {odd}, headerCost: {odd}, headerLoad: {odd}}}
+		if o.used() != 0 || o.cost(4) != 0 || o.load() != nil {
+			t.Errorf("%q: used %d, cost %g", odd, o.used(), o.cost(4))
 		}
 	}
 }
@@ -223,7 +230,7 @@
 	u := newUpstream(patience, 2*patience, socks)
 	for _, x := range []*app{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if o := u.try(ctx, x.Listener.Addr().String(), message(t, nil)); o.reason != control.OK {
+		if o := u.try(ctx, u.pool(x.Listener.Addr().String()), message(t, nil)); o.reason != control.OK {
 			t.Errorf("%d (%v)", o.reason, o.err)
 		}
 		cancel()
@@ -232,3 +239,91 @@
 		}
 	}
 }
+
+// An answer that stops half way, or says that it is too long, is a reset as soon as that is
+// known: the connection stays open and silent, and the attempt must not wait for its time.
+func TestAnswerThatStops(t *testing.T) {
+	for name, text := range map[string]string{
+		"in its head":       "HTTP/1.1 200 OK\r\nContent-Le",
+		"in its body":       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"in a chunk":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+		"of no length":      "HTTP/1.1 200 OK\r\n\r\nok",
+		"of 3 GB":           "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
+		"behind an interim": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			over := make(chan struct{})
+			a := newApp(t, func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(hijack(w), text)
+				<-over
+			})
+			t.Cleanup(func() { close(over) })
+			socks := newSockets(1024)
+			u := newUpstream(patience, patience, socks)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil))
+			if o.reason != control.ResetByPeer || ctx.Err() != nil {
+				t.Errorf("%d (%v)", o.reason, o.err)
+			}
+			if n := socks.open.Load(); n != 0 {
+				t.Errorf("%d connections left open", n)
+			}
+		})
+	}
+}
+
+// An interim answer starts no clock: the answer itself may take its time.
+func TestSlowAfterInterim(t *testing.T) {
+	t.Parallel()
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		time.Sleep(answerRest + answerRest/3) // has to pass
+		io.WriteString(w, "ok")
+	})
+	u := newUpstream(patience, patience, newSockets(1024))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.OK || string(o.body) != "ok" {
+		t.Errorf("%d (%v) %q", o.reason, o.err, o.body)
+	}
+}
+
+// What comes behind an answer, before or after its connection is pooled, is never the next
+// answer.
+func TestMoreThanBelongs(t *testing.T) {
+	const good, noise = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
+	first := make(chan net.Conn, 1)
+	asked := 0
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		if asked++; asked > 1 {
+			io.WriteString(w, "ok")
+			return
+		}
+		c := hijack(w)
+		io.WriteString(c, good)
+		first <- c
+	})
+	u := newUpstream(patience, 2*patience, newSockets(1024))
+	p := u.pool(a.Listener.Addr().String())
+	for i := range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		o := u.try(ctx, p, message(t, nil))
+		cancel()
+		if o.reason != control.OK || string(o.body) != "ok" {
+			t.Errorf("%d (%v) %q", o.reason, o.err, o.body)
+		}
+		if i > 0 {
+			break
+		}
+		c := next(t, first)
+		defer c.Close()
+		idle := pooled(u)[0]
+		io.WriteString(c, noise)
+		// quiet reads a byte; there has to be one left for try to find.
+		for end := time.Now().Add(patience); idle.quiet() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
