Choose servers less that fail part of their requests; forget customers who came once

A probe that logged each attempt's server and outcome: six of ten app servers fail about half of their requests after 1 ms for 12 s, the other four none; the sick ones drew as many attempts as the sound ones. To blame: judge() in control.go counts failures in a row only, an answer in between clears them, and cost() sees a server that fails at once as idle. Ruled out: address reuse (new ids at new addresses fail too) and the resets (16 in 85 s on one node, all within 1 ms of the write).

Also: customers whose stores are full again are forgotten after a minute, not only past 10,000 of them; one whose store or ceiling is not full is kept.

--- a/control/control.go
+++ b/control/control.go
@@ -62,12 +62,14 @@
 	burstPart    = 0.5              // part of the depth that the chance grants over toldAge
 	toldAge      = 20.0             // s after which a reading has lost 63% of its weight
 	coverLeast   = 0.5              // part of the periods told from which the store goes before the chance
-	custKeep     = time.Minute      // the longest that a customer is remembered where there are many
+	custKeep     = time.Minute      // the longest that an idle customer is remembered, if its stores are full
 	custMost     = 20000            // customers from half of which the idle are forgotten
 	latencyGain  = 0.2              // gain of a server's latency estimate
 	fleetGain    = 0.02             // gain of the fleet's latency estimate
 	triedCost    = 4.0              // factor on the cost of a server that this request has tried
 	asideCost    = 1e6              // factor on the cost of a server put aside: where there is no other
+	failGain     = 0.15             // gain of the estimate of a server's failures
+	failCost     = 100.0            // factor on a server's cost, times the square of what it is over the gain
 	tieNoise     = 0.02             // random part of a cost, so that gateways do not agree on one server
 	warmLeast    = 0.1              // the least warmth that is reckoned with
 	latencyAge   = 5.0              // s after which an estimate unfed has lost 63% against the fleet's
@@ -137,7 +139,7 @@
 // anew has no record, and starts cold with an empty budget.
 func (c *Controller) learn(s *server, m Member) {
 	if m.HasCameUp && (!s.HasCameUp || m.CameUp > s.CameUp) {
-		s.latency, s.strikes, s.asideUntil, s.aside = 0, 0, 0, 0
+		s.latency, s.failing, s.strikes, s.asideUntil, s.aside = 0, 0, 0, 0, 0
 		clear(s.shut)
 	}
 	if m.HasCameUp && c.now < m.CameUp+c.set.Cold {
@@ -352,9 +354,15 @@
 // openLeast is half of an even part of an open quota.
 func (q *customer) openLeast() float64 { return float64(q.plan.Open) / q.spread / 2 }
 
-// sweep forgets customers that have been idle for long, sooner where they are many. A
-// ceiling's store that was not full is safe: all stores unseen then fill from now.
+// sweep forgets customers that have been idle for long and are as good as new ones; where
+// there are many it forgets sooner, and all that are idle. A ceiling's store that was not full
+// is safe then: all stores unseen fill from now.
 func (c *Controller) sweep() {
+	for k, q := range c.custs {
+		if c.now-q.at > custKeep && q.open == 0 && q.queued == 0 && c.full(q) {
+			delete(c.custs, k)
+		}
+	}
 	keep := custKeep
 	for len(c.custs) > custMost/2 && keep > interval {
 		keep /= 2
@@ -367,6 +375,14 @@
 	}
 }
 
+// full tells whether an idle customer's stores have filled again since it was last looked at.
+func (c *Controller) full(q *customer) bool {
+	p, dt := q.plan, (c.now - q.at).Seconds()
+	elsewhere := q.base * math.Exp(-(c.now-q.baseAt).Seconds()/baseAge)
+	return p.Open == 0 && (p.Rate == 0 || q.level+dt*(p.Rate-elsewhere) >= p.Depth) &&
+		(p.CeilingRate == 0 || q.ceiling+dt*p.CeilingRate/q.spread >= p.CeilingBurst/q.spread)
+}
+
 // ---- requests ----
 
 func (c *Controller) onRequest(e Request) {
@@ -578,7 +594,22 @@
 	if s.coldRamp {
 		cost /= c.warmth(s)
 	}
-	return cost * (1 + tieNoise*c.rng.Float64())
+	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
+	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
+}
+
+// failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
+// as a server that is not chosen has no chance to do better.
+func (c *Controller) failing(s *server) float64 {
+	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/latencyAge)
+}
+
+// fared takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails
+// part of its requests at once: never so often in a row as to be put aside, it looks idle and
+// draws the rest.
+func (c *Controller) fared(s *server, failed float64) {
+	f := c.failing(s)
+	s.failing, s.failingAt = f+failGain*(failed-f), c.now
 }
 
 // warmth is the part of its capacity that a server has reached at least.
@@ -674,6 +705,7 @@
 	switch e.Reason {
 	case OK:
 		s.strikes, s.probing, s.aside = 0, false, 0
+		c.fared(s, 0)
 		if !s.coldRamp {
 			c.served += r.units
 		}
@@ -692,6 +724,7 @@
 		c.strike(s, strikesOut)
 	case ResetByPeer, Errored: // a server that fails at once looks idle and draws the rest
 		c.strike(s, 1)
+		c.fared(s, 1)
 	case TimedOut:
 		c.strike(s, 1)
 		c.sawLatency(s, took)
--- a/control/state.go
+++ b/control/state.go
@@ -111,6 +111,8 @@
 	latencyAt         time.Duration
 	heard             time.Duration // last outcome, or first send since it held nothing
 	strikes           int
+	failing           float64 // part of the late attempts that failed
+	failingAt         time.Duration
 	shut              map[*plan]time.Duration // not tried for a plan until then
 	asideUntil, aside time.Duration
 	probing           bool
