Keep an attempt's end in force behind an interim answer; no descriptor speaks against no server

Seen while reading upstream.go again: answerReader.expect cleared the read deadline behind an interim answer, so an attempt that ended at that moment would have waited without a limit; and an attempt that found no descriptor ended as "could not connect", for which the module puts a sound app server aside. Now the attempt's own end stays set, and the latter was not sent (moot), so the module refuses at once.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -88,10 +88,14 @@
 	left    int
 	until   time.Time // when the attempt's time is up; zero is never
 	begun   bool
-	bounded bool // a deadline is set
+	bounded bool // what has begun has a deadline
+	set     bool // some deadline is set
 }
 
-var errTooLong = fmt.Errorf("an answer of more than %d bytes", answerMost)
+var (
+	errTooLong      = fmt.Errorf("an answer of more than %d bytes", answerMost)
+	errNoDescriptor = errors.New("no descriptor is left")
+)
 
 func (r *answerReader) Read(b []byte) (int, error) {
 	if r.left == 0 {
@@ -103,7 +107,7 @@
 			rest = r.until
 		}
 		r.SetReadDeadline(rest)
-		r.bounded = true
+		r.bounded, r.set = true, true
 	}
 	n, err := r.Conn.Read(b[:min(len(b), r.left)])
 	r.left -= n
@@ -111,13 +115,21 @@
 	return n, err
 }
 
-// expect makes the reader ready for the first bytes of an answer, whenever they come.
-func (r *answerReader) expect() {
-	r.begun = false
-	if r.bounded {
+// start makes the reader ready for the answer to an attempt that ends at some time.
+func (r *answerReader) start(until time.Time) {
+	if r.set {
 		r.SetReadDeadline(time.Time{})
-		r.bounded = false
 	}
+	*r = answerReader{Conn: r.Conn, left: answerMost, until: until}
+}
+
+// again makes the reader ready for a further answer, after an interim one. Guards, by naming
+// the attempt's end, against undoing the deadline of one that ends at this moment.
+func (r *answerReader) again() {
+	if r.bounded {
+		r.SetReadDeadline(r.until)
+	}
+	r.begun, r.bounded = false, false
 }
 
 func newUpstream(connect, keepalive time.Duration, s *sockets) *upstream {
@@ -150,11 +162,14 @@
 // try makes one attempt: it waits until ctx ends at the most.
 func (u *upstream) try(ctx context.Context, p *pool, req *http.Request) outcome {
 	c, err := u.get(ctx, p)
-	if err != nil {
+	if errors.Is(err, errNoDescriptor) { // speaks against no app server
+		return outcome{reason: control.Moot, err: err}
+	} else if err != nil {
 		return outcome{reason: control.ConnectFailed, err: err}
 	}
+	until, ends := ctx.Deadline()
+	c.in.start(until)
 	// Guards against a peer that takes or gives nothing: both directions end with ctx.
-	c.in.expect()
 	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	keep := false
 	defer func() {
@@ -164,8 +179,7 @@
 			c.Close()
 		}
 	}()
-	if until, ok := ctx.Deadline(); ok {
-		c.in.until = until
+	if ends {
 		left := max(time.Until(until).Milliseconds(), 1)
 		req.Header.Set(headerTimeLeft, strconv.FormatInt(left, 10)+"m")
 	}
@@ -190,11 +204,10 @@
 // read reads one answer and tells whether the connection can be used again. What
 // isn't whole, well formed and small enough is a reset: the request may have run.
 func (c *conn) read(req *http.Request) (o outcome, keep bool) {
-	c.in.left = answerMost
 	resp, err := http.ReadResponse(c.r, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols { // an interim answer
 		if c.r.Buffered() == 0 {
-			c.in.expect()
+			c.in.again()
 		}
 		resp, err = http.ReadResponse(c.r, req)
 	}
@@ -256,7 +269,7 @@
 
 func (u *upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
 	if !u.sockets.take(0) {
-		return nil, errors.New("no descriptor is left")
+		return nil, errNoDescriptor
 	}
 	d := net.Dialer{Timeout: u.connect, KeepAlive: -1}
 	tcp, err := d.DialContext(ctx, "tcp", endpoint)
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -221,6 +221,17 @@
 	}
 }
 
+// A node that is out of descriptors doesn't hold it against the app server.
+func TestNoDescriptorLeft(t *testing.T) {
+	a := newApp(t, served)
+	socks := newSockets(0)
+	socks.most.Store(0)
+	u := newUpstream(patience, patience, socks)
+	if o := u.try(context.Background(), u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Moot || a.count() > 0 {
+		t.Errorf("%d (%v)", o.reason, o.err)
+	}
+}
+
 // Near the limit an idle connection goes for a new one.
 func TestSocketsUnderTheLimit(t *testing.T) {
 	a := newApp(t, served)
@@ -290,6 +301,32 @@
 	}
 }
 
+// The clock of one answer's rest is none of the next attempt's on that connection.
+func TestClockEndsWithItsAnswer(t *testing.T) {
+	t.Parallel()
+	asked := 0
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		if asked++; asked > 1 {
+			time.Sleep(answerRest + answerRest/3) // has to pass
+		}
+		io.WriteString(w, "o")
+		w.(http.Flusher).Flush() // a chunk of its own, so that there is a rest to wait for
+		io.WriteString(w, "k")
+	})
+	u := newUpstream(patience, 2*patience, newSockets(1024))
+	p := u.pool(a.Listener.Addr().String())
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if o := u.try(ctx, p, message(t, nil)); o.reason != control.OK || string(o.body) != "ok" {
+			t.Errorf("%d (%v) %q", o.reason, o.err, o.body)
+		}
+		cancel()
+	}
+	if n := u.sockets.open.Load(); n != 1 {
+		t.Errorf("%d connections, not the same one", n)
+	}
+}
+
 // What comes behind an answer, before or after its connection is pooled, is never the next
 // answer.
 func TestMoreThanBelongs(t *testing.T) {
