Serve a request with fewer goroutines, timers and copies

A profile showed that each request armed a runtime timer which fired for nothing 0.8 s later, in a goroutine and a wake-up of its own, started a goroutine whose stack grew anew, and copied its headers once more.

Change: one runtime timer a service over a heap, no two firings within 2 ms; workers that make attempts one after another (32 wait at most); no copy of headers, as no two attempts are out at once; no map for the usual query.

A first form of the workers settled an outcome under the next job's request; the race detector found it before it was committed.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -74,9 +74,7 @@
 	if !terms.Plans[e.Plan] {
 		return nil, bad(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, e.Plan)
 	}
-	if accounts := r.URL.Query()["account"]; len(accounts) == 1 {
-		e.Customer = strings.ToLower(accounts[0])
-	}
+	e.Customer = account(r.URL)
 	if n, err := strconv.ParseUint(e.Customer, 16, 64); err != nil || len(e.Customer) != 16 || n >= customersMost {
 		return nil, bad(http.StatusBadRequest, "account: %q is none", e.Customer)
 	}
@@ -101,6 +99,18 @@
 	return nil
 }
 
+// account is the customer that a query names; "" where it names none, or more than one.
+func account(u *url.URL) string {
+	// What nearly all clients send needs no map of values.
+	if v, ok := strings.CutPrefix(u.RawQuery, "account="); ok && !strings.ContainsAny(v, "&;%+") {
+		return strings.ToLower(v)
+	}
+	if accounts := u.Query()["account"]; len(accounts) == 1 {
+		return strings.ToLower(accounts[0])
+	}
+	return ""
+}
+
 // onceOnly are the headers by which a request is told from others.
 var onceOnly = []string{protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRepeat, protocol.HeaderKey}
 
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,10 +36,10 @@
 	last  control.Reason
 }
 
-// message is the request as one attempt sends it.
+// message is the request as one attempt sends it, which may set headers of its own: no two
+// attempts are out at once.
 func (x *Exchange) message() *http.Request {
 	m := *x.Forward
-	m.Header = maps.Clone(m.Header)
 	m.ContentLength = int64(len(x.Body))
 	m.Body = http.NoBody
 	if len(x.Body) > 0 {
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"martennotch/control"
@@ -19,6 +20,9 @@
 	Handle(now time.Duration, e control.Event) []control.Action
 }
 
+// idlersMost is how many workers wait for attempts at most.
+const idlersMost = 32
+
 // loop owns the module and all that it is told of. Only its own goroutine
 // touches it; others send it events.
 type loop struct {
@@ -39,13 +43,16 @@
 	lastID    uint32                    // no id is given twice
 	pools     map[uint32]*upstream.Pool // of those that are up
 	unitsTop  float64                   // of one request; 0 is not told
-	pending   []control.Event           // that the node itself caused while it acted
+	timers    timers
+	jobs      chan job        // to workers that are idle
+	idlers    atomic.Int32    // workers that wait for one
+	pending   []control.Event // that the node itself caused while it acted
 }
 
 func newLoop(m Module, o *Options, up *upstream.Upstream, log *slog.Logger) *loop {
 	life, end := context.WithCancel(context.Background())
 	return &loop{life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, log: log, start: time.Now(),
-		sendCap: o.Settings.SendCap, events: make(chan func(), 256), ended: make(chan struct{}),
+		sendCap: o.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan job), ended: make(chan struct{}),
 		exchanges: make(map[string]*Exchange), ids: make(map[string]uint32),
 		pools: make(map[uint32]*upstream.Pool), unitsTop: o.Settings.UnitsTop}
 }
@@ -84,6 +91,7 @@
 			x.drop() // what is out of it is nobody's concern any more
 		}
 		close(l.ended)
+		l.timers.stop()
 		l.end()
 	}()
 	for {
@@ -92,6 +100,14 @@
 			return
 		case event := <-l.events:
 			event()
+		case <-l.timers.fired():
+			for now := time.Now(); ; {
+				label, ok := l.timers.pop(now)
+				if !ok {
+					break
+				}
+				l.handle(control.Timer{Label: label})
+			}
 		}
 	}
 }
@@ -136,9 +152,7 @@
 		}
 		l.finishID(a.ID, Answer{Status: status})
 	case control.Arm:
-		time.AfterFunc(a.After, func() {
-			l.post(func() { l.handle(control.Timer{Label: a.Label}) })
-		})
+		l.timers.arm(time.Now().Add(a.After), a.Label)
 	case control.Disconnect:
 		l.retire(a.Server, true)
 	case control.Remark:
@@ -212,12 +226,48 @@
 		return
 	}
 	x.out++
-	sent := time.Now()
-	go func() {
-		o := l.upstream.Try(ctx, to, x.message())
-		cancel()
-		l.post(func() { l.settle(x, n, a.Server, sent, o) })
-	}()
+	j := job{x: x, n: n, server: a.Server, to: to, ctx: ctx, cancel: cancel, sent: time.Now()}
+	select {
+	case l.jobs <- j:
+	default:
+		go l.work(j)
+	}
+}
+
+// job is one attempt.
+type job struct {
+	x      *Exchange
+	n      int
+	server uint32
+	to     *upstream.Pool
+	ctx    context.Context
+	cancel context.CancelFunc
+	sent   time.Time
+}
+
+// work makes an attempt, and further ones as they come, unless enough others wait for some. A
+// goroutine for each attempt would grow its stack anew.
+func (l *loop) work(j job) {
+	for l.attempt(j) {
+		if l.idlers.Add(1) > idlersMost {
+			l.idlers.Add(-1)
+			return
+		}
+		select {
+		case j = <-l.jobs:
+			l.idlers.Add(-1)
+		case <-l.ended:
+			return
+		}
+	}
+}
+
+// attempt makes one attempt; false where the loop has ended. Guards, by a job of its own,
+// against an outcome that is taken for that of the worker's next one.
+func (l *loop) attempt(j job) bool {
+	o := l.upstream.Try(j.ctx, j.to, j.x.message())
+	j.cancel()
+	return l.post(func() { l.settle(j.x, j.n, j.server, j.sent, o) })
 }
 
 // settle takes in how an attempt ended. The first good answer is the final one.
