--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,10 @@
 	answerWithin  = 2 * time.Second        // of the writing of an answer
 )
 
+// Beside is the longest that a request is held beside its deadline: while it is read, and while
+// its answer is written.
+const Beside = requestWithin + answerWithin
+
 // Table says which service a request is for. It is not changed once a Front has it.
 type Table struct {
 	Router *route.Router // nil: all requests are for the first target
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,208 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"martennotch/control"
+	"martennotch/internal/discovery"
+	"martennotch/internal/limits"
+	"martennotch/internal/route"
+	"martennotch/internal/service"
+	"martennotch/internal/upstream"
+)
+
+// memory is a listener whose connections are pipes, so that a server runs in virtual time.
+type memory struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (m *memory) Accept() (net.Conn, error) {
+	select {
+	case c := <-m.conns:
+		return c, nil
+	case <-m.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (m *memory) Close() error   { m.once.Do(func() { close(m.closed) }); return nil }
+func (m *memory) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (m *memory) dial() net.Conn {
+	client, server := net.Pipe()
+	m.conns <- server
+	return client
+}
+
+// script is a module that does what a test tells it for each request.
+type script func(control.Request) []control.Action
+
+func (s script) Handle(_ time.Duration, e control.Event) []control.Action {
+	if r, ok := e.(control.Request); ok {
+		return s(r)
+	}
+	return nil
+}
+
+func holds(control.Request) []control.Action { return nil }
+
+func refuses(r control.Request) []control.Action {
+	return []control.Action{control.Refuse{ID: r.ID, RetryAfter: time.Second}}
+}
+
+type noRoom struct{}
+
+func (noRoom) Admit(int64) (func(), bool) { return nil, false }
+
+// serving is a front over one service with a scripted module, until stop is called.
+func serving(t *testing.T, module script, parts service.Parts, router *route.Router) (m *memory, f *Front, s *service.Service, stop func()) {
+	t.Helper()
+	settings := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
+		Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 20 * time.Second},
+			{Name: "write", Aim: time.Second, Deadline: 20 * time.Second, Effect: control.Guarded}}}
+	s, err := service.New(service.Options{Settings: settings, Parts: parts, Upstream: upstream.Options{Sockets: limits.NewSockets(100)},
+		Source: discovery.Source{Kind: discovery.Static}, Module: func() (service.Module, error) { return module, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m = &memory{conns: make(chan net.Conn), closed: make(chan struct{})}
+	f = New(&Table{Router: router, Targets: []Target{{Service: s, Body: 1 << 16}}}, func() bool { return true })
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	srv := f.Server()
+	go srv.Serve(m)
+	return m, f, s, func() { srv.Close(); cancel() }
+}
+
+const headers = "Host: h\r\nX-Correlation-Id: id-1\r\nX-Tariff: p\r\nX-Time-Left: 15000m\r\nIdempotency-Key: k\r\n"
+
+// Whoever connects is answered or closed within 3 s, whatever part of a request came.
+func TestSlowClients(t *testing.T) {
+	for name, text := range map[string]string{
+		"silent":      "",
+		"half a head": "POST /write?account=0000000000000001 HTTP/1.1\r\nX-Correlation-Id: x",
+		"half a body": "POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers + "Content-Length: 9\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				heard := 0
+				m, _, _, stop := serving(t, func(control.Request) []control.Action { heard++; return nil }, nil, nil)
+				defer stop()
+				c, begun := m.dial(), time.Now()
+				defer c.Close()
+				go io.WriteString(c, text)
+				raw, _ := io.ReadAll(c) // up to the close
+				if took := time.Since(begun); took > 3*time.Second || took < requestWithin {
+					t.Errorf("closed after %v", took)
+				}
+				if text := string(raw); text != "" && !strings.HasPrefix(text, "HTTP/1.1 4") {
+					t.Errorf("answered %q", text)
+				}
+				if heard > 0 {
+					t.Error("the module heard of it")
+				}
+			})
+		})
+	}
+}
+
+// A request may be held for longer than a client has to send it, and a hang-up is still seen.
+func TestHeldPastReadLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _, s, stop := serving(t, holds, nil, nil)
+		defer stop()
+		c := m.dial()
+		go io.WriteString(c, "POST /write?account=0000000000000001 HTTP/1.1\r\n"+headers+"Content-Length: 4\r\n\r\nswap")
+		time.Sleep(5 * requestWithin)
+		synctest.Wait()
+		if st := s.Status(); st.Waiting != 1 {
+			t.Errorf("%+v", st)
+		}
+		c.Close()
+		synctest.Wait()
+		if st := s.Status(); st.Waiting != 0 || st.Held != 0 {
+			t.Errorf("after the hang-up: %+v", st)
+		}
+	})
+}
+
+// What there is no room for is refused at once, though its body is still to come.
+func TestNoRoomIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _, _, stop := serving(t, func(r control.Request) []control.Action {
+			if !r.NoRoom {
+				t.Error("the module was not told that there is no room")
+			}
+			return refuses(r)
+		}, noRoom{}, nil)
+		defer stop()
+		for _, head := range []string{"GET /read?account=0000000000000001 HTTP/1.1\r\n" + headers + "\r\n",
+			"POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers + "Content-Length: 9\r\n\r\nhalf"} {
+			c, begun := m.dial(), time.Now()
+			go io.WriteString(c, head)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "1" || time.Since(begun) > 0 {
+				t.Errorf("%s %v after %v", resp.Status, resp.Header, time.Since(begun))
+			}
+			c.Close()
+		}
+	})
+}
+
+// The table may be replaced between two requests of a connection.
+func TestSetBetweenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		router, _ := route.New([]route.Rule{{Prefix: "/read"}})
+		m, f, s, stop := serving(t, refuses, nil, router)
+		defer stop()
+		c := m.dial()
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for i, want := range []int{503, 404, 503} {
+			rules := []route.Rule{{Prefix: "/read"}}
+			if want == 404 {
+				rules[0].Prefix = "/other"
+			}
+			router, _ := route.New(rules)
+			f.Set(&Table{Router: router, Targets: []Target{{Service: s, Body: 1}}})
+			go fmt.Fprintf(c, "GET /read?account=0000000000000001 HTTP/1.1\r\n%s\r\n", headers)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			if resp.StatusCode != want {
+				t.Errorf("request %d: %s, not %d", i+1, resp.Status, want)
+			}
+		}
+	})
+}
+
+func TestAccount(t *testing.T) {
+	for query, want := range map[string]string{
+		"account=00000000B4D65521": "00000000b4d65521", "account=1&x=2": "1", "x=2&account=1": "1", "account=%31": "1",
+		"account=1&account=2": "", "": "", "x=1": "", "account=": "", "accounts=1": "", "account=1;x": "", "account=a+b": "a b",
+	} {
+		r, err := http.NewRequest("GET", "http://h/?"+query, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := account(r.URL); got != want {
+			t.Errorf("%q: %q, not %q", query, got, want)
+		}
+	}
+}
--- a/internal/limits/shared.go
+++ b/internal/limits/shared.go
@@ -25,6 +25,13 @@
 	return &Shared{ledger: parts.New(0, term), clock: func() time.Duration { return time.Since(start) }}
 }
 
+// SetTerm sets for how long anything lent is kept at most.
+func (s *Shared) SetTerm(term time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.SetTerm(term)
+}
+
 // Account is one owner's side of a Shared. It is an Opener.
 type Account struct {
 	shared *Shared
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -36,6 +36,7 @@
 	descriptors, held, bytes, dials *limits.Shared
 	pace                            *limits.Pace
 	client                          *limits.Account
+	term                            time.Duration // for which anything lent is kept at most
 }
 
 // account is what one service has of all things.
@@ -49,19 +50,24 @@
 // shareBooks makes the books of services that share; a test puts others in its place.
 var shareBooks = func(cfg *config.Config, f *front.Front) books { return newSharedBooks(cfg, f) }
 
-// newSharedBooks makes books of which nothing lent is kept for longer than the longest
-// deadline of any class, or, of a connection, than it may be idle.
 func newSharedBooks(cfg *config.Config, f *front.Front) *sharedBooks {
-	term := time.Second
+	b := &sharedBooks{descriptors: limits.NewShared(0), held: limits.NewShared(0), bytes: limits.NewShared(0),
+		dials: limits.NewShared(0), pace: limits.NewPace(cfg.Process.Total.ModuleTime)}
+	b.client = b.descriptors.Open(f.Evict)
+	return b
+}
+
+// setTerm brings the books up to the longest that a request of any service is held; that of
+// an earlier configuration may still be, so it never becomes less.
+func (b *sharedBooks) setTerm(cfg *config.Config) {
 	for _, s := range cfg.Services {
 		for _, k := range s.Settings.Classes {
-			term = max(term, k.Deadline)
+			b.term = max(b.term, k.Deadline+front.Beside)
 		}
 	}
-	b := &sharedBooks{descriptors: limits.NewShared(term), held: limits.NewShared(term), bytes: limits.NewShared(term),
-		dials: limits.NewShared(term), pace: limits.NewPace(cfg.Process.Total.ModuleTime)}
-	b.client = b.descriptors.Open(f.Evict)
-	return b
+	for _, s := range []*limits.Shared{b.descriptors, b.held, b.bytes, b.dials} {
+		s.SetTerm(b.term)
+	}
 }
 
 func (b *sharedBooks) clients() limits.Opener { return b.client }
@@ -106,6 +112,7 @@
 			return fmt.Errorf("%s: %w", thing.name, err)
 		}
 	}
+	b.setTerm(cfg)
 	for _, s := range services {
 		b.pace.Set(s.parts.requests.Owner, s.cfg.Guaranteed.ModuleTime)
 	}
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -54,6 +54,9 @@
 	return &Ledger{total: total, term: term}
 }
 
+// SetTerm sets for how long anything lent is kept at most.
+func (l *Ledger) SetTerm(term time.Duration) { l.term = term }
+
 // Add takes in an owner with no guaranteed part.
 func (l *Ledger) Add() Owner {
 	for i := range l.shares {
