--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	defer l.Stop()
-	if err := waitReady(ctx, l); err != nil {
+	if err := l.Ready(ctx); err != nil {
 		return err
 	}
 	say := e.Out
@@ -84,23 +84,6 @@
 	return d.summary(e, l, phases, stopped)
 }
 
-func waitReady(ctx context.Context, l *lab.Lab) error {
-	for {
-		ready := true
-		for _, s := range l.Node.Status() {
-			ready = ready && s.Ready
-		}
-		if ready {
-			return nil
-		}
-		select {
-		case <-time.After(5 * time.Millisecond):
-		case <-ctx.Done():
-			return fmt.Errorf("waiting for the node: %w", ctx.Err())
-		}
-	}
-}
-
 // play sends both services' calls for a third of the time, and prints what each second brings.
 func (d *demo) play(ctx context.Context, l *lab.Lab, begun time.Time, name string, n uint64, say io.Writer) map[string]*standin.Result {
 	ctx, cancel := context.WithTimeout(ctx, d.lasts/3)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"martennotch/internal/config"
 	"martennotch/internal/node"
@@ -101,6 +102,24 @@
 	return l, nil
 }
 
+// Ready waits until every service of the node has a server to send to.
+func (l *Lab) Ready(ctx context.Context) error {
+	for {
+		ready := true
+		for _, s := range l.Node.Status() {
+			ready = ready && s.Ready
+		}
+		if ready {
+			return nil
+		}
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for the node: %w", ctx.Err())
+		}
+	}
+}
+
 // Config reads a configuration in which @NAME stands for the address of a service's discovery.
 func (l *Lab) Config(text string) (config.Config, error) {
 	for name, p := range l.Pools {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,39 +1,17 @@
-package lab
+package lab_test
 
 import (
 	"context"
 	"testing"
 	"time"
 
+	"martennotch/internal/lab"
+	"martennotch/internal/lab/labtest"
 	"martennotch/internal/standin"
-	"martennotch/internal/testkit"
 )
 
-// start starts a lab that a test's end stops.
-func start(t testing.TB, text string, servers map[string][]standin.Server) *Lab {
-	t.Helper()
-	l, err := Start(text, servers)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := l.Stop(); err != nil {
-			t.Error(err)
-		}
-	})
-	testkit.Until(t, "ready", func() bool {
-		for _, s := range l.Node.Status() {
-			if !s.Ready {
-				return false
-			}
-		}
-		return true
-	})
-	return l
-}
-
-// clients sends calls of both services at a rate for a while.
-func play(l *Lab, lasts time.Duration, clients ...standin.Clients) map[string]*standin.Result {
+// play sends calls of both services at a rate for a while.
+func play(l *lab.Lab, lasts time.Duration, clients ...standin.Clients) map[string]*standin.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), lasts)
 	defer cancel()
 	var runs []*standin.Run
@@ -51,9 +29,9 @@
 }
 
 func TestDemoServes(t *testing.T) {
-	l := start(t, Demo, DemoServers(1))
-	got := play(l, time.Second, standin.Clients{Call: RosterCall, Every: 10 * time.Millisecond, Workers: 32, Seed: 1},
-		standin.Clients{Call: DocumentCall, Every: 20 * time.Millisecond, Workers: 32, Seed: 2})
+	l := labtest.Begin(t, lab.Demo, lab.DemoServers(1))
+	got := play(l, time.Second, standin.Clients{Call: lab.RosterCall, Every: 10 * time.Millisecond, Workers: 32, Seed: 1},
+		standin.Clients{Call: lab.DocumentCall, Every: 20 * time.Millisecond, Workers: 32, Seed: 2})
 	for kind, r := range got {
 		if r.Served != r.Calls || r.Calls == 0 || r.Lost+r.Wrong+r.Late > 0 {
 			t.Errorf("%s: %+v", kind, *r)
--- /dev/null
+++ b/internal/lab/labtest/labtest.go
@@ -0,0 +1,31 @@
+// Package labtest runs a lab for the length of a test.
+package labtest
+
+import (
+	"context"
+	"testing"
+
+	"martennotch/internal/lab"
+	"martennotch/internal/standin"
+	"martennotch/internal/testkit"
+)
+
+// Begin starts a lab that the end of a test stops, and waits until its node is ready.
+func Begin(t testing.TB, text string, servers map[string][]standin.Server) *lab.Lab {
+	t.Helper()
+	l, err := lab.Start(text, servers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := l.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+	defer cancel()
+	if err := l.Ready(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -53,3 +53,10 @@
 func WithDescriptors(n int) string {
 	return strings.Replace(Demo, "descriptors = 256", fmt.Sprintf("descriptors = %d", n), 1)
 }
+
+// Patient is Demo for another number of descriptors, with documents whose clients wait long
+// and so hold for long what they get.
+func Patient(descriptors int) string {
+	return strings.Replace(WithDescriptors(descriptors), "[classes.doc-read]\naim = \"500ms\"\ndeadline = \"2s\"",
+		"[classes.doc-read]\naim = \"10s\"\ndeadline = \"20s\"", 1)
+}
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"martennotch/internal/lab"
@@ -61,22 +59,13 @@
 		fmt.Fprintf(o.Progress, "%d descriptors, round %d of %d: served %.4f and %.4f, p99 %.1f and %.1f ms\n", o.Descriptors, round+1, o.Rounds,
 			pair[0].Share, pair[1].Share, pair[0].P99, pair[1].P99)
 	}
-	slices.Sort(ratios)
-	out.Calm, out.Stalled, out.P99Ratio = middle(calm), middle(stalled), ratios[len(ratios)/2]
+	out.Calm, out.Stalled, out.P99Ratio = middle(calm), middle(stalled), median(ratios, func(v float64) float64 { return v })
 	return out, nil
 }
 
 func middle(all []Served) Served {
-	of := func(f func(Served) float64) float64 {
-		var v []float64
-		for _, s := range all {
-			v = append(v, f(s))
-		}
-		slices.Sort(v)
-		return v[len(v)/2]
-	}
-	m := Served{Share: of(func(s Served) float64 { return s.Share }), P50: of(func(s Served) float64 { return s.P50 }),
-		P99: of(func(s Served) float64 { return s.P99 })}
+	m := Served{Share: median(all, func(s Served) float64 { return s.Share }), P50: median(all, func(s Served) float64 { return s.P50 }),
+		P99: median(all, func(s Served) float64 { return s.P99 })}
 	for _, s := range all {
 		m.Lost += s.Lost
 	}
@@ -84,24 +73,13 @@
 }
 
 func stalledRun(ctx context.Context, o IsolationOptions, stall bool, seed uint64) (s Served, parts []string, err error) {
-	// Documents whose clients wait long hold what they get for long.
-	text := strings.Replace(lab.WithDescriptors(o.Descriptors), "[classes.doc-read]\naim = \"500ms\"\ndeadline = \"2s\"",
-		"[classes.doc-read]\naim = \"10s\"\ndeadline = \"20s\"", 1)
-	l, err := lab.Start(text, lab.DemoServers(seed))
+	l, err := lab.Start(lab.Patient(o.Descriptors), lab.DemoServers(seed))
 	if err != nil {
 		return s, nil, err
 	}
 	defer l.Stop()
-	for ready := false; !ready; {
-		ready = true
-		for _, st := range l.Node.Status() {
-			ready = ready && st.Ready
-		}
-		select {
-		case <-ctx.Done():
-			return s, nil, ctx.Err()
-		case <-time.After(5 * time.Millisecond):
-		}
+	if err := l.Ready(ctx); err != nil {
+		return s, nil, err
 	}
 	l.Pools["documents"].Stall(stall)
 	ctx, cancel := context.WithCancel(ctx)
@@ -128,6 +106,5 @@
 	if r == nil {
 		return s, nil, ctx.Err()
 	}
-	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	return Served{Share: r.Share(), P50: ms(r.P(0.5)), P99: ms(r.P(0.99)), Lost: r.Lost + r.Wrong}, parts, nil
 }
--- a/internal/measure/proxy.go
+++ b/internal/measure/proxy.go
@@ -120,24 +120,28 @@
 			fmt.Fprintf(o.Progress, "%4d connections, round %d of %d: %.0f and %.0f us a request\n", n, round+1, o.Rounds, a.CPU, b.CPU)
 		}
 		slices.Sort(ratios)
-		row.Node, row.Proxy, row.Ratio = median(nodes), median(proxies), ratios[len(ratios)/2]
+		row.Node, row.Proxy, row.Ratio = middleSide(nodes), middleSide(proxies), ratios[len(ratios)/2]
 		row.Least, row.Most = ratios[0], ratios[len(ratios)-1]
 		rows = append(rows, row)
 	}
 	return rows, nil
 }
 
-func median(all []Side) Side {
-	of := func(f func(Side) float64) float64 {
-		var v []float64
-		for _, s := range all {
-			v = append(v, f(s))
-		}
-		slices.Sort(v)
-		return v[len(v)/2]
+// median is the middle one of a figure.
+func median[T any](all []T, of func(T) float64) float64 {
+	var v []float64
+	for _, one := range all {
+		v = append(v, of(one))
 	}
-	m := Side{CPU: of(func(s Side) float64 { return s.CPU }), Rate: of(func(s Side) float64 { return s.Rate }),
-		P50: of(func(s Side) float64 { return s.P50 }), P99: of(func(s Side) float64 { return s.P99 })}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func middleSide(all []Side) Side {
+	m := Side{CPU: median(all, func(s Side) float64 { return s.CPU }), Rate: median(all, func(s Side) float64 { return s.Rate }),
+		P50: median(all, func(s Side) float64 { return s.P50 }), P99: median(all, func(s Side) float64 { return s.P99 })}
 	for _, s := range all {
 		m.Refused += s.Refused
 		m.Lost += s.Lost
@@ -202,7 +206,6 @@
 	if r == nil || r.Served == 0 {
 		return Side{}, fmt.Errorf("%s served nothing", args[0])
 	}
-	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	return Side{CPU: float64((after - before).Microseconds()) / float64(r.Tries), Rate: float64(r.Served) / took.Seconds(),
 		P50: ms(r.P(0.5)), P99: ms(r.P(0.99)), Refused: r.Refused, Lost: r.Lost + r.Failed}, nil
 }
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -3,49 +3,20 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
 	"martennotch/internal/lab"
+	"martennotch/internal/lab/labtest"
 	"martennotch/internal/node"
 	"martennotch/internal/standin"
 	"martennotch/internal/testkit"
 )
 
-// startLab starts a node between stand-ins and waits until it is ready.
-func startLab(t testing.TB, text string, servers map[string][]standin.Server) *lab.Lab {
-	t.Helper()
-	l, err := lab.Start(text, servers)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := l.Stop(); err != nil {
-			t.Error(err)
-		}
-	})
-	testkit.Until(t, "ready", func() bool {
-		for _, s := range l.Node.Status() {
-			if !s.Ready {
-				return false
-			}
-		}
-		return true
-	})
-	return l
-}
-
-// patient is the demo's configuration with documents whose clients wait long.
-func patient(descriptors int) string {
-	return strings.Replace(lab.WithDescriptors(descriptors), "[classes.doc-read]\naim = \"500ms\"\ndeadline = \"2s\"",
-		"[classes.doc-read]\naim = \"10s\"\ndeadline = \"20s\"", 1)
-}
-
 // rosterService plays a steady stream of roster calls beside many patient document clients, and
 // tells what became of the rosters.
 func rosterService(t *testing.T, descriptors int, stall bool) *standin.Result {
-	l := startLab(t, patient(descriptors), lab.DemoServers(7))
+	l := labtest.Begin(t, lab.Patient(descriptors), lab.DemoServers(7))
 	l.Pools["documents"].Stall(stall)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -17,6 +17,7 @@
 
 	"martennotch/internal/config"
 	"martennotch/internal/lab"
+	"martennotch/internal/lab/labtest"
 	"martennotch/internal/node"
 	"martennotch/internal/standin"
 	"martennotch/internal/testkit"
@@ -111,7 +112,7 @@
 func TestReloadsUnderLoad(t *testing.T) {
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			l := startLab(t, plain, pools(5*time.Millisecond))
+			l := labtest.Begin(t, plain, pools(5*time.Millisecond))
 			file := filepath.Join(t.TempDir(), "servers-")
 			for name, p := range l.Pools {
 				var list []standin.Entry
@@ -216,7 +217,7 @@
 // A request whose body still arrives when its service is removed is served by that service,
 // which then ends; the next one on the same connection finds no route.
 func TestBodyArrivesWhileItsServiceGoes(t *testing.T) {
-	l := startLab(t, plain, pools(0))
+	l := labtest.Begin(t, plain, pools(0))
 	c, in := dial(t, l)
 	write(c, "care.example", "/two", "id-1", "half", 8)
 	// Its head has been read once something is booked for it.
@@ -242,7 +243,7 @@
 // One connection may ask one service and then another, under different hosts; the same customer
 // and the same id in two services are two requests.
 func TestConnectionChangesService(t *testing.T) {
-	l := startLab(t, strings.Replace(plain, "service = \"b\"\nprefix = \"/two\"\nas = \"write\"", "service = \"b\"\nhost = \"b.example\"\nas = \"read\"", 1), pools(0))
+	l := labtest.Begin(t, strings.Replace(plain, "service = \"b\"\nprefix = \"/two\"\nas = \"write\"", "service = \"b\"\nhost = \"b.example\"\nas = \"read\"", 1), pools(0))
 	c, in := dial(t, l)
 	for i := range 6 {
 		host, want := "a.example", "a"
@@ -277,7 +278,7 @@
 
 // Two services may share a server: each has its own connections to it.
 func TestServicesShareAServer(t *testing.T) {
-	l := startLab(t, strings.Replace(plain, "@b", "@a", 1), pools(0))
+	l := labtest.Begin(t, strings.Replace(plain, "@b", "@a", 1), pools(0))
 	c, in := dial(t, l)
 	for i, path := range []string{"/one", "/two", "/one", "/two"} {
 		length := i % 2
@@ -295,7 +296,7 @@
 
 // What has no single meaning as a path or host is told to the client, and reaches no service.
 func TestOddTargets(t *testing.T) {
-	l := startLab(t, plain, pools(0))
+	l := labtest.Begin(t, plain, pools(0))
 	for target, want := range map[string]int{
 		"/one": 200, "/one/": 200, "/one;v=1": 200, "/on%65": 200, "http://care.example/one": 200, "HTTP://CARE.EXAMPLE:1/one": 200,
 		"/onex": 404, "/": 404, "/ONE": 404,
@@ -364,7 +365,7 @@
 
 // What the module learned of servers stays when only their source moves.
 func TestSourceMoves(t *testing.T) {
-	l := startLab(t, plain, pools(0))
+	l := labtest.Begin(t, plain, pools(0))
 	c, in := dial(t, l)
 	write(c, "x", "/one", "id-1", "", 0)
 	answer(t, in)
@@ -395,7 +396,7 @@
 
 // What can't change while a node runs is told, and the rest stays too.
 func TestReloadThatCantBe(t *testing.T) {
-	l := startLab(t, plain, pools(0))
+	l := labtest.Begin(t, plain, pools(0))
 	for name, text := range map[string]string{
 		"listeners":   strings.Replace(plain, `"127.0.0.1:0"`, `"127.0.0.1:1"`, 1),
 		"descriptors": strings.Replace(plain, "512", "600", 1),
@@ -429,7 +430,7 @@
 
 // A configuration may grow to 500 services and 5,000 routes while the node serves.
 func TestManyServices(t *testing.T) {
-	l := startLab(t, plain, pools(0))
+	l := labtest.Begin(t, plain, pools(0))
 	if err := l.Reload(many(500, 5000)); err != nil {
 		t.Fatal(err)
 	}
