Test the bounds on bytes, dials and module time through a node

Need: only their deciders and books were tested. One service takes all the bytes, dials (servers whose queue of connections is full) or module time that it may; the other serves 20 of 20 requests.

--- /dev/null
+++ b/internal/node/bounds_test.go
@@ -0,0 +1,128 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"martennotch/internal/lab"
+	"martennotch/internal/lab/labtest"
+	"martennotch/internal/node"
+	"martennotch/internal/standin"
+	"martennotch/internal/testkit"
+)
+
+// crowd has clients ask for a path without a pause until stop, which gives what came of it.
+func crowd(l *lab.Lab, path string, workers int) (stop func() *standin.Result) {
+	ctx, cancel := context.WithCancel(context.Background())
+	run := standin.Clients{Addr: l.Node.Addr(), Seed: 77, Workers: workers, Pause: 5 * time.Millisecond, Call: func(rng *rand.Rand) standin.Call {
+		time.Sleep(5 * time.Millisecond)
+		return standin.Call{Kind: "x", Host: "h", Method: "GET", Path: path, Plan: "standard", Customer: rng.Uint64N(100), Deadline: 5 * time.Second}
+	}}.Start(ctx)
+	return func() *standin.Result {
+		cancel()
+		return run.Wait()["x"]
+	}
+}
+
+// served sends some requests to the other service one after another; all have to be served.
+func served(t *testing.T, l *lab.Lab) {
+	t.Helper()
+	c, in := dial(t, l)
+	for i := range 20 {
+		write(c, "h", "/two", fmt.Sprint("two-", i), "x", 1)
+		if status, body := answer(t, in); status != 200 {
+			t.Errorf("request %d of the other service: %d %q", i, status, body)
+		}
+	}
+}
+
+// A service that holds all the bytes that it may leaves the other its own.
+func TestBytesAreBounded(t *testing.T) {
+	l := labtest.Begin(t, strings.Replace(plain, "[process]\n", "[process]\nbytes = \"1MiB\"\n", 1), pools(0)) // 8 requests
+	l.Pools["a"].Stall(true)
+	stop := crowd(l, "/one", 30)
+	testkit.Until(t, "requests turned away", func() bool { return l.Node.Status()[0].Parts.Bytes.Denied > 10 })
+	served(t, l)
+	a, b := l.Node.Status()[0].Parts.Bytes, l.Node.Status()[1].Parts.Bytes
+	if a.Used+b.Used > 1<<20 || a.Used <= a.Guaranteed-1<<17 {
+		t.Errorf("%+v and %+v", a, b)
+	}
+	l.Pools["a"].Stall(false)
+	if r := stop(); r.Refused == 0 || r.Lost > 0 {
+		t.Errorf("%+v", *r)
+	}
+}
+
+// A module that uses up the time of all is held back, and only it.
+func TestModuleTimeIsBounded(t *testing.T) {
+	l := labtest.Begin(t, plain, pools(0))
+	c, in := dial(t, l)
+	write(c, "h", "/one", "before", "", 0)
+	if status, _ := answer(t, in); status != 200 {
+		t.Fatalf("%d", status)
+	}
+	node.SpendModuleTime(l.Node, "a", 20*time.Second)
+	write(c, "h", "/one", "after", "", 0)
+	if status, _ := answer(t, in); status != 503 {
+		t.Errorf("the one that used all: %d", status)
+	}
+	served(t, l)
+}
+
+// full listens on an address on which no connection comes up any more: its queue is full.
+func full(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 10 {
+		c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Skip("this system's queue of connections has no end")
+	return ""
+}
+
+// Servers on which no connection comes up hold as many dials as there may be, not those of the
+// other service, and what finds no room has its answer.
+func TestDialsAreBounded(t *testing.T) {
+	text := strings.Replace(plain, "[process]\n", "[process]\ndials = 6\n", 1)
+	text = strings.Replace(text, "[services.a]\nsource = { kind = \"discovery\", address = \"@a\" }",
+		fmt.Sprintf("[services.a]\nconnect_timeout = \"1s\"\nsource = { kind = \"static\", servers = [%s] }",
+			strings.TrimSuffix(strings.Repeat(fmt.Sprintf("{ uid = \"NAME\", endpoint = %q }, ", full(t)), 8), ", ")), 1)
+	for i := range 8 {
+		text = strings.Replace(text, "NAME", fmt.Sprint("s", i), 1)
+	}
+	l := labtest.Begin(t, text, pools(0))
+	stop := crowd(l, "/one", 30)
+	testkit.Until(t, "dials refused", func() bool { return l.Node.Status()[0].Parts.Dials.Denied > 0 })
+	if d := l.Node.Status()[0].Parts.Dials; d.Used > d.Total-2 {
+		t.Errorf("%+v", d)
+	}
+	served(t, l)
+	if r := stop(); r.Refused+r.Failed != r.Tries || r.Lost > 0 {
+		t.Errorf("%+v", *r)
+	}
+}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"martennotch/internal/config"
 	"martennotch/internal/front"
@@ -51,3 +52,10 @@
 	n.mu.Unlock()
 	s.Post(func() { panic("no such share") })
 }
+
+// SpendModuleTime books time as that of a service's module.
+func SpendModuleTime(n *Node, name string, took time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.services[name].parts.spent(took)
+}
