Begin the daemon: life cycle as a machine, systemd, pid file, lockflow plan

The life of a node of our own configuration (starting, warming, ready, reloading, draining, ended) is a pure machine, each transition logged with its cause; READY, RELOADING with MONOTONIC_USEC, STOPPING, STATUS and WATCHDOG are told to a supervisor, sockets taken over by name; lockflow plan tells what a reload brings, by the same function that refuses one. A node that was ready stays so when a reload adds a required service; a reload before the node serves is not lost.

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/coreos/go-systemd/v22/unit"
 )
 
 func build(t *testing.T) string {
@@ -227,3 +230,100 @@
 		t.Error(err)
 	}
 }
+
+// A supervisor's socket is listened on under its name, and clients are served on it.
+func TestSocketActivation(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	config := filepath.Join(t.TempDir(), "c.toml")
+	if err := os.WriteFile(config, []byte(`
+[process]
+drain = { idle = "0s", accept = "0s", most = "1s" }
+[[listeners]]
+address = "systemd:clients"
+[classes.read]
+repeats = "free"
+[plans.p]
+[services.a]
+source = { kind = "static", servers = [{ endpoint = "127.0.0.1:1" }] }
+[[routes]]
+service = "a"
+as = "read"
+`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]bool{"clients": true, "others": false} {
+		t.Run(name, func(t *testing.T) {
+			// The process that a supervisor means is named by its id, which the shell keeps over exec.
+			p := &program{Cmd: exec.Command("sh", "-c", "LISTEN_PID=$$ exec "+build(t)+" serve --config "+config), t: t}
+			p.Env = append(os.Environ(), "LISTEN_FDS=1", "LISTEN_FDNAMES="+name)
+			p.ExtraFiles = []*os.File{socket}
+			log, err := p.StderrPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := p.Start(); err != nil {
+				t.Fatal(err)
+			}
+			late := time.AfterFunc(time.Minute, func() { p.Process.Kill() })
+			defer func() { late.Stop(); p.Process.Kill() }()
+			p.lines = bufio.NewScanner(log)
+			if !want {
+				p.until(`passed no socket \"clients\" on`)
+				if p.Wait(); p.ProcessState.ExitCode() != 1 {
+					t.Errorf("%v", p.ProcessState)
+				}
+				return
+			}
+			p.until("to=ready")
+			resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Error(resp.Status)
+			}
+			p.signal(syscall.SIGTERM)
+			p.until("to=ended")
+			if err := p.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// The example units can be read, and name what there is.
+func TestUnits(t *testing.T) {
+	for file, want := range map[string][]string{
+		"lockflow.service": {"Service Type notify-reload", "Service WatchdogSec 10", "Unit Requires lockflow.socket"},
+		"lockflow.socket":  {"Socket FileDescriptorName clients"},
+	} {
+		f, err := os.Open("../../deploy/" + file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		options, err := unit.DeserializeOptions(f)
+		f.Close()
+		if err != nil {
+			t.Fatalf("%s: %v", file, err)
+		}
+		have := make(map[string]bool)
+		for _, o := range options {
+			have[o.Section+" "+o.Name+" "+o.Value] = true
+		}
+		for _, w := range want {
+			if !have[w] {
+				t.Errorf("%s lacks %q", file, w)
+			}
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -46,7 +46,7 @@
 }
 
 func commands() []command {
-	return []command{serveCommand(), checkCommand(), routeCommand(), demoCommand(), measureCommand()}
+	return []command{serveCommand(), checkCommand(), planCommand(), routeCommand(), demoCommand(), measureCommand()}
 }
 
 // Main runs a command line, without the program's name, and gives its exit code. SIGTERM and
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -27,6 +27,18 @@
 	if err := os.WriteFile(bad, []byte("x = 1\ny = 2\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	raw, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	variant := func(old, new string) string {
+		path := filepath.Join(t.TempDir(), "new.toml")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(raw), old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	moved, grown := variant("127.0.0.1:8500", "127.0.0.1:8600"), variant("cores = 1", "cores = 2")
 	for name, tc := range map[string]struct {
 		args  []string
 		env   map[string]string
@@ -55,6 +67,12 @@
 		"no route":           {[]string{"route", "--config", example, "--host", "care.example", "--path", "/x"}, nil, Failed, "no route"},
 		"route of odd path":  {[]string{"route", "--config", example, "--path", "/a/../b"}, nil, Failed, ""},
 		"route odd header":   {[]string{"route", "--config", example, "--path", "/", "--header", "x"}, nil, Usage, "colon"},
+		"plan of one":        {[]string{"plan", example}, nil, Usage, "two files"},
+		"plan of the same":   {[]string{"plan", example, example}, nil, Fine, "nothing changes"},
+		"plan as JSON":       {[]string{"plan", example, example, "--json"}, nil, Fine, "[]"},
+		"plan of a change":   {[]string{"plan", example, moved}, nil, Fine, "discovery at 127.0.0.1:8500 -> discovery at 127.0.0.1:8600"},
+		"plan of a restart":  {[]string{"plan", example, grown}, nil, Failed, "need a restart"},
+		"plan of a bad one":  {[]string{"plan", example, bad}, nil, Failed, bad + ":1: x"},
 		"demo for too short": {[]string{"demo", "--for", "1ms"}, nil, Usage, "300ms"},
 		"measure of none":    {[]string{"measure"}, nil, Usage, "isolation, proxy"},
 		"measure of what":    {[]string{"measure", "luck"}, nil, Usage, "luck"},
--- /dev/null
+++ b/internal/command/daemon_test.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"martennotch/internal/testkit"
+)
+
+const small = `
+[process]
+drain = { idle = "0s", accept = "0s", most = "1s" }
+[[listeners]]
+address = "127.0.0.1:0"
+[classes.read]
+repeats = "free"
+[plans.p]
+[services.a]
+source = { kind = "static", servers = [{ endpoint = "127.0.0.1:1" }] }
+[[routes]]
+service = "a"
+as = "read"
+`
+
+// A supervisor hears of each step of a daemon's life: READY once it serves, RELOADING with the
+// time and READY behind it also where the file is bad, STOPPING before the end.
+func TestDaemonTellsItsSupervisor(t *testing.T) {
+	dir := t.TempDir()
+	file, pid, socket := filepath.Join(dir, "c.toml"), filepath.Join(dir, "pid"), filepath.Join(dir, "notify")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(small)
+	c, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: socket, Net: "unixgram"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	t.Setenv("NOTIFY_SOCKET", socket)
+	told := make(chan string, 100)
+	go func() {
+		for raw := make([]byte, 4096); ; {
+			n, err := c.Read(raw)
+			if err != nil {
+				return
+			}
+			told <- string(raw[:n])
+		}
+	}()
+	ctx, stop := context.WithCancel(context.Background())
+	hup := make(chan os.Signal)
+	var out, errs bytes.Buffer
+	code := make(chan int, 1)
+	go func() {
+		code <- Run(ctx, &Env{Getenv: func(string) string { return "" }, Out: &out, Err: &errs, Hup: hup}, []string{"serve", "--config", file, "--pid-file", pid})
+	}()
+	expect := func(want string) {
+		t.Helper()
+		if got := testkit.Next(t, told); !strings.HasPrefix(got, want) {
+			t.Fatalf("told %q, not %q", got, want)
+		}
+	}
+	expect("READY=1\nSTATUS=1 services on 127.0.0.1:")
+	if raw, err := os.ReadFile(pid); err != nil || string(raw) != fmt.Sprintln(os.Getpid()) {
+		t.Errorf("pid file: %q, %v", raw, err)
+	}
+	for _, text := range []string{strings.Replace(small, "services.a", "services.b", 1) + "\n", "x = 1", small} {
+		if strings.Contains(text, "services.b") {
+			text = strings.Replace(text, `service = "a"`, `service = "b"`, 1)
+		}
+		write(text)
+		hup <- syscall.SIGHUP
+		expect("RELOADING=1\nMONOTONIC_USEC=")
+		expect("READY=1")
+	}
+	stop()
+	expect("STOPPING=1")
+	if c := testkit.Next(t, code); c != Fine {
+		t.Errorf("exit %d: %s", c, errs.String())
+	}
+	if _, err := os.Stat(pid); !os.IsNotExist(err) {
+		t.Errorf("the pid file is left: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/command/plan.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+
+	"martennotch/internal/config"
+)
+
+func planCommand() command {
+	return command{name: "plan", does: "tells what a reload from one configuration to another brings",
+		args:     "OLD NEW [--json]",
+		examples: []string{"lockflow plan /etc/lockflow/lockflow.toml new.toml"},
+		setup: func(set *flag.FlagSet) func(context.Context, *Env, []string) error {
+			asJSON := set.Bool("json", false, "prints the changes as a JSON list")
+			return func(_ context.Context, e *Env, args []string) error {
+				if len(args) != 2 {
+					return usage("plan takes two files")
+				}
+				return plan(e, args[0], args[1], *asJSON)
+			}
+		}}
+}
+
+// plan prints the changes; it fails where a reload would be refused.
+func plan(e *Env, oldPath, newPath string, asJSON bool) error {
+	old, err := config.Load(oldPath)
+	if err != nil {
+		return err
+	}
+	new, err := config.Load(newPath)
+	if err != nil {
+		return err
+	}
+	p := config.Compare(old, new)
+	if asJSON {
+		if p == nil {
+			p = config.Plan{}
+		}
+		if err := json.NewEncoder(e.Out).Encode(p); err != nil {
+			return err
+		}
+	} else {
+		w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', 0)
+		for _, c := range p {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", c.Effect, c.What, arrow(c))
+		}
+		if len(p) == 0 {
+			fmt.Fprintln(w, "nothing changes")
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	if n := len(p.Restarts()); n > 0 {
+		fmt.Fprintf(e.Err, "%d changes need a restart: a reload would be refused\n", n)
+		return errTold
+	}
+	return nil
+}
+
+func arrow(c config.Change) string {
+	if c.From == "" && c.To == "" {
+		return ""
+	}
+	return c.From + " -> " + c.To
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -10,7 +10,9 @@
 	"runtime/debug"
 
 	"martennotch/internal/config"
+	"martennotch/internal/life"
 	"martennotch/internal/node"
+	"martennotch/internal/supervise"
 )
 
 const (
@@ -20,10 +22,12 @@
 
 func serveCommand() command {
 	return command{name: "serve", does: "serves by a configuration; SIGHUP reads it again, SIGTERM drains",
-		args:     "[--config FILE]",
-		examples: []string{"lockflow serve --config deploy/lockflow.toml", "LOCKFLOW_CONFIG=deploy/lockflow.toml lockflow"},
+		args: "[--config FILE] [--pid-file FILE]",
+		examples: []string{"lockflow serve --config deploy/lockflow.toml", "LOCKFLOW_CONFIG=deploy/lockflow.toml lockflow",
+			"lockflow serve --config /etc/lockflow/lockflow.toml --pid-file /run/lockflow/pid"},
 		setup: func(set *flag.FlagSet) func(context.Context, *Env, []string) error {
 			path := set.String("config", "", "`FILE` of the configuration; LOCKFLOW_CONFIG if it is not given")
+			pid := set.String("pid-file", "", "`FILE` for the process id, which keeps a second daemon out")
 			return func(ctx context.Context, e *Env, args []string) error {
 				if *path == "" {
 					*path = e.Getenv("LOCKFLOW_CONFIG")
@@ -31,11 +35,38 @@
 				if *path == "" || len(args) > 0 {
 					return usage("serve takes one configuration: --config FILE, or LOCKFLOW_CONFIG")
 				}
-				return serve(ctx, e, func() (config.Config, error) { return config.Load(*path) }, nil)
+				return serveOwn(ctx, e, *path, *pid)
 			}
 		}}
 }
 
+// serveOwn serves by a file of our own form, and speaks with its supervisor.
+func serveOwn(ctx context.Context, e *Env, path, pidFile string) (err error) {
+	load := func() (config.Config, error) { return config.Load(path) }
+	cfg, err := load()
+	if err != nil {
+		return err
+	}
+	if pidFile != "" {
+		pid, err := supervise.WritePID(pidFile)
+		if err != nil {
+			return err
+		}
+		defer pid.Close()
+	}
+	inherited, err := supervise.Inherited()
+	if err != nil {
+		return err
+	}
+	tune(cfg)
+	n, err := node.NewInheriting(cfg, inherited)
+	if err != nil {
+		return err
+	}
+	d := &daemon{node: n, load: load, events: make(chan life.Event, 16)}
+	return d.live(ctx, e.Hup)
+}
+
 // serveByEnvironment is what the program does without arguments.
 func serveByEnvironment(ctx context.Context, e *Env) error {
 	own, platform := e.Getenv("LOCKFLOW_CONFIG"), e.Getenv("NODE_CONFIG")
@@ -43,7 +74,7 @@
 	case own != "" && platform != "":
 		return usage("LOCKFLOW_CONFIG and NODE_CONFIG both name a configuration")
 	case own != "":
-		return serve(ctx, e, func() (config.Config, error) { return config.Load(own) }, nil)
+		return serveOwn(ctx, e, own, "")
 	case platform == "":
 		return errors.New("NODE_CONFIG names no configuration file")
 	}
@@ -57,41 +88,40 @@
 	})
 }
 
-// serve serves by what load gives, changed at the start only, until ctx ends. Once a file was
-// read anew it goes before the environment; one that can't be used changes nothing.
+// serve serves by the platform's configuration, changed at the start only, until ctx ends. Once
+// a file was read anew it goes before the environment; one that can't be used changes nothing.
 func serve(ctx context.Context, e *Env, load func() (config.Config, error), change func(*config.Config)) error {
 	cfg, err := load()
 	if err != nil {
 		return err
 	}
-	if change != nil {
-		change(&cfg)
-	}
-	if cores := cfg.Process.Cores; cores > 0 || !cfg.Process.Shared {
-		runtime.GOMAXPROCS(int(math.Max(1, math.Ceil(cores))))
-	}
-	debug.SetGCPercent(collectAt)
-	if mb := cfg.Process.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(mb<<20)))
-	}
+	change(&cfg)
+	tune(cfg)
 	n, err := node.New(cfg)
 	if err != nil {
 		return err
 	}
 	go func() {
 		for range e.Hup {
-			reload(n, load)
+			cfg, err := load()
+			if err == nil {
+				err = n.Reload(cfg)
+			}
+			if err != nil {
+				slog.Error("reload: the old configuration stays", "err", err)
+			}
 		}
 	}()
 	return n.Run(ctx)
 }
 
-func reload(n *node.Node, load func() (config.Config, error)) {
-	cfg, err := load()
-	if err == nil {
-		err = n.Reload(cfg)
+// tune sets the runtime to what the process may use.
+func tune(cfg config.Config) {
+	if cores := cfg.Process.Cores; cores > 0 || !cfg.Process.Shared {
+		runtime.GOMAXPROCS(int(math.Max(1, math.Ceil(cores))))
 	}
-	if err != nil {
-		slog.Error("reload: the old configuration stays", "err", err)
+	debug.SetGCPercent(collectAt)
+	if mb := cfg.Process.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(mb<<20)))
 	}
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -31,6 +31,9 @@
 	answerMost   = 16 << 20
 )
 
+// Inherited begins an address that names a socket which the supervisor passes on.
+const Inherited = "systemd:"
+
 // Load reads a file of our own form at path. An error is of type Problems, with every one
 // found, or tells why the file can't be read.
 func Load(path string) (Config, error) {
@@ -132,7 +135,11 @@
 	var all []string
 	for _, l := range t.tables("listeners") {
 		addr := l.str("address", "")
-		checkAddress(l, "address", addr)
+		if name, inherited := strings.CutPrefix(addr, Inherited); !inherited {
+			checkAddress(l, "address", addr)
+		} else if name == "" {
+			l.wrong("address", "%q names no socket that the supervisor passes on", addr)
+		}
 		if slices.Contains(all, addr) {
 			l.wrong("address", "%q is given twice", addr)
 		}
--- /dev/null
+++ b/internal/config/plan.go
@@ -0,0 +1,214 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"unicode"
+
+	"martennotch/internal/discovery"
+)
+
+// Effect is what a change takes to come into force.
+type Effect string
+
+// The effects.
+const (
+	Applied  Effect = "applied"  // while everything goes on
+	Started  Effect = "started"  // a service that is new
+	Replaced Effect = "replaced" // a service starts like one of a restarted node; it knows its servers
+	Ended    Effect = "ended"    // a service answers what it holds, then ends
+	Restart  Effect = "restart"  // only a restart brings it into force
+)
+
+// Change is one difference between two configurations.
+type Change struct {
+	Effect Effect `json:"effect"`
+	What   string `json:"what"`           // the key, as in the file
+	From   string `json:"from,omitempty"` // "" is not there
+	To     string `json:"to,omitempty"`
+}
+
+// Plan is what a reload from one configuration to another brings, in a settled order.
+type Plan []Change
+
+// Restarts are the changes that only a restart brings into force; with one a reload is refused.
+func (p Plan) Restarts() Plan {
+	var r Plan
+	for _, c := range p {
+		if c.Effect == Restart {
+			r = append(r, c)
+		}
+	}
+	return r
+}
+
+// Compare plans a reload.
+func Compare(old, new Config) Plan {
+	var p Plan
+	if !slices.Equal(old.Listeners, new.Listeners) {
+		p = append(p, Change{Restart, "listeners", strings.Join(old.Listeners, ", "), strings.Join(new.Listeners, ", ")})
+	}
+	after := new.Process
+	after.Total.Descriptors = old.Process.Total.Descriptors // follows from the process's
+	for _, d := range differences("process", reflect.ValueOf(old.Process), reflect.ValueOf(after)) {
+		effect := Applied
+		switch d.What {
+		case "process.cores", "process.memory_mb", "process.descriptors", "process.module_time", "process.shared":
+			effect = Restart
+		}
+		p = append(p, Change{effect, d.What, d.From, d.To})
+	}
+	was, is := byName(old.Services), byName(new.Services)
+	for _, name := range slices.Sorted(maps.Keys(is)) {
+		key := "services." + name
+		before, ok := was[name]
+		if !ok {
+			p = append(p, Change{Effect: Started, What: key})
+			continue
+		}
+		after := is[name]
+		effect := Applied
+		if before.Replaces(after) {
+			effect = Replaced
+		}
+		for _, d := range differences(key, reflect.ValueOf(before.settled()), reflect.ValueOf(after.settled())) {
+			p = append(p, Change{effect, d.What, d.From, d.To})
+		}
+		if !before.Source.Equal(after.Source) {
+			p = append(p, Change{Applied, key + ".source", describe(before.Source), describe(after.Source)})
+		}
+		p = append(p, differences(key+".guaranteed", reflect.ValueOf(before.Guaranteed), reflect.ValueOf(after.Guaranteed))...)
+		p = append(p, differences(key+".required", reflect.ValueOf(before.Required), reflect.ValueOf(after.Required))...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(was)) {
+		if _, ok := is[name]; !ok {
+			p = append(p, Change{Effect: Ended, What: "services." + name})
+		}
+	}
+	return append(p, compareRoutes(old.Routes, new.Routes)...)
+}
+
+func compareRoutes(old, new []Route) (p Plan) {
+	was, is := make(map[string]Route), make(map[string]Route)
+	for _, r := range old {
+		was[r.Name] = r
+	}
+	for _, r := range new {
+		is[r.Name] = r
+	}
+	names := maps.Clone(was)
+	maps.Copy(names, is)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		before, had := was[name]
+		after, has := is[name]
+		switch key := "routes." + name; {
+		case !had:
+			p = append(p, Change{Applied, key, "", "to " + after.Service})
+		case !has:
+			p = append(p, Change{Applied, key, "to " + before.Service, ""})
+		default:
+			p = append(p, differences(key, reflect.ValueOf(before), reflect.ValueOf(after))...)
+		}
+	}
+	return p
+}
+
+func byName(services []Service) map[string]Service {
+	m := make(map[string]Service)
+	for _, s := range services {
+		m[s.Name] = s
+	}
+	return m
+}
+
+// settled is the service without what can change while it runs.
+func (s Service) settled() Service {
+	s.Source, s.Known, s.Guaranteed, s.Required, s.Seed = discovery.Source{}, discovery.Listing{}, Amounts{}, false, 0
+	return s
+}
+
+// Replaces tells whether a service of the same name has to be replaced by another one to
+// become o: what differs can't change while it runs.
+func (s Service) Replaces(o Service) bool { return !reflect.DeepEqual(s.settled(), o.settled()) }
+
+func describe(s discovery.Source) string {
+	switch s.Kind {
+	case discovery.Watch:
+		return "discovery at " + s.Address
+	case discovery.File:
+		return "file " + s.Path
+	}
+	return fmt.Sprintf("%d servers listed", len(s.Servers))
+}
+
+// keys are the names of fields in a file, where they are not the fields' own.
+var keys = map[string]string{"SendCap": "attempts", "MaxRetryAfter": "retry_after", "Connect": "connect_timeout", "Effect": "repeats",
+	"MemoryMB": "memory_mb", "GroupSize": "instances", "SelfIndex": "instance", "RetryAfter": "retry_after"}
+
+func keyOf(field string) string {
+	if k, ok := keys[field]; ok {
+		return k
+	}
+	var b strings.Builder
+	for i, r := range field {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
+
+// differences lists in what two values of one type differ, by the keys of a file.
+func differences(path string, a, b reflect.Value) (p Plan) {
+	if reflect.DeepEqual(a.Interface(), b.Interface()) {
+		return nil
+	}
+	switch a.Kind() {
+	case reflect.Struct:
+		for i := range a.NumField() {
+			f := a.Type().Field(i)
+			sub := path + "." + keyOf(f.Name)
+			if f.Anonymous || f.Name == "Settings" || f.Name == "Total" {
+				sub = path
+			}
+			p = append(p, differences(sub, a.Field(i), b.Field(i))...)
+		}
+		return p
+	case reflect.Slice:
+		if a.Type().Elem().Kind() == reflect.Struct && a.Type().Elem().Field(0).Name == "Name" {
+			return differentItems(path, a, b)
+		}
+	}
+	return Plan{{Applied, path, fmt.Sprint(a.Interface()), fmt.Sprint(b.Interface())}}
+}
+
+// differentItems compares lists of things that have names.
+func differentItems(path string, a, b reflect.Value) (p Plan) {
+	items := func(list reflect.Value) map[string]reflect.Value {
+		m := make(map[string]reflect.Value)
+		for i := range list.Len() {
+			m[list.Index(i).Field(0).String()] = list.Index(i)
+		}
+		return m
+	}
+	was, is := items(a), items(b)
+	names := maps.Clone(was)
+	maps.Copy(names, is)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		before, had := was[name]
+		after, has := is[name]
+		switch key := path + "." + name; {
+		case !had:
+			p = append(p, Change{Applied, key, "", "there"})
+		case !has:
+			p = append(p, Change{Applied, key, "there", ""})
+		default:
+			p = append(p, differences(key, before, after)...)
+		}
+	}
+	return p
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -44,7 +44,8 @@
 	}
 }
 
-func (p *Pool) close() {
+// Close ends the pool's servers and discovery.
+func (p *Pool) Close() {
 	for _, s := range p.Servers {
 		s.Close()
 	}
@@ -67,7 +68,7 @@
 		}
 		r, err := s.Start()
 		if err != nil {
-			p.close()
+			p.Close()
 			return nil, err
 		}
 		p.Servers, list = append(p.Servers, r), append(list, r.Entry())
@@ -153,6 +154,6 @@
 
 func (l *Lab) closePools() {
 	for _, p := range l.Pools {
-		p.close()
+		p.Close()
 	}
 }
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -85,7 +85,7 @@
 }
 
 func (b *sharedBooks) divide(cfg *config.Config, services map[string]*running) error {
-	for _, thing := range []struct {
+	things := []struct {
 		name   string
 		shared *limits.Shared
 		total  int64
@@ -100,15 +100,26 @@
 			func(p config.Amounts) int64 { return p.Bytes }},
 		{"dials", b.dials, cfg.Process.Total.Dials, func(a *account) *limits.Account { return a.dials },
 			func(p config.Amounts) int64 { return p.Dials }},
-	} {
-		guaranteed := make(map[*limits.Account]int64)
+	}
+	divisions := make([]map[*limits.Account]int64, len(things))
+	for i, thing := range things {
+		divisions[i] = make(map[*limits.Account]int64)
+		if thing.shared == b.descriptors {
+			divisions[i][b.client] = cfg.Process.Clients
+		}
 		for _, s := range services {
-			guaranteed[thing.of(s.parts)] = thing.part(s.cfg.Guaranteed)
+			divisions[i][thing.of(s.parts)] = thing.part(s.cfg.Guaranteed)
 		}
-		if thing.shared == b.descriptors {
-			guaranteed[b.client] = cfg.Process.Clients
+		sum := int64(0)
+		for _, part := range divisions[i] {
+			sum += part
+		}
+		if sum > thing.total { // before anything is changed
+			return fmt.Errorf("%s: guaranteed parts of %d, more than %d", thing.name, sum, thing.total)
 		}
-		if err := thing.shared.Divide(thing.total, guaranteed); err != nil {
+	}
+	for i, thing := range things {
+		if err := thing.shared.Divide(thing.total, divisions[i]); err != nil {
 			return fmt.Errorf("%s: %w", thing.name, err)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"martennotch/internal/config"
@@ -29,6 +30,9 @@
 	books      books
 	listeners  []net.Listener
 	listening  context.CancelFunc
+	changed    chan struct{} // a service has become ready
+	served     chan struct{} // closed once the node was ready
+	wasReady   atomic.Bool
 	drainTimes config.Drain
 
 	mu       sync.Mutex // held over a reload
@@ -49,9 +53,13 @@
 }
 
 // New makes an edge node and begins to listen.
-func New(cfg config.Config) (*Node, error) {
+func New(cfg config.Config) (*Node, error) { return NewInheriting(cfg, nil) }
+
+// NewInheriting is New with listeners that the supervisor has passed on, by name; those that
+// the configuration names (config.Inherited) are used, and one that it doesn't is an error.
+func NewInheriting(cfg config.Config, inherited map[string]net.Listener) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{listening: cancel, cfg: cfg, drainTimes: cfg.Process.Drain, services: make(map[string]*running), failed: make(chan error, 1)}
+	n := &Node{listening: cancel, changed: make(chan struct{}, 1), served: make(chan struct{}), cfg: cfg, drainTimes: cfg.Process.Drain, services: make(map[string]*running), failed: make(chan error, 1)}
 	n.idle = sync.NewCond(&n.mu)
 	n.front = front.New(&front.Table{}, n.ready)
 	if cfg.Process.Shared {
@@ -74,7 +82,7 @@
 		w.sockets.OnEvict(n.front.Evict, next[cfg.Services[0].Name].Upstream().Evict)
 	}
 	for _, addr := range cfg.Listeners {
-		tcp, err := net.Listen("tcp", addr)
+		tcp, err := listen(addr, inherited)
 		if err != nil {
 			n.finishListening()
 			return nil, fmt.Errorf("listening for clients: %w", err)
@@ -84,6 +92,19 @@
 	return n, nil
 }
 
+// listen listens on an address, or takes the listener that the supervisor passed on.
+func listen(addr string, inherited map[string]net.Listener) (net.Listener, error) {
+	name, ok := strings.CutPrefix(addr, config.Inherited)
+	if !ok {
+		return net.Listen("tcp", addr)
+	}
+	l := inherited[name]
+	if l == nil {
+		return nil, fmt.Errorf("the supervisor passed no socket %q on", name)
+	}
+	return l, nil
+}
+
 func (n *Node) finishListening() {
 	n.listening()
 	for _, l := range n.listeners {
@@ -94,8 +115,12 @@
 // Addr is where clients connect, at the first listener.
 func (n *Node) Addr() string { return n.listeners[0].Addr().String() }
 
-// ready tells whether every service that is required can serve.
+// ready tells whether every service that is required has been able to serve. What a later
+// configuration adds doesn't make the node unready: its other services go on.
 func (n *Node) ready() bool {
+	if n.wasReady.Load() {
+		return true
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, s := range n.services {
@@ -103,9 +128,33 @@
 			return false
 		}
 	}
+	if !n.wasReady.Swap(true) {
+		close(n.served)
+	}
 	return true
 }
 
+// Services is how many services are in force.
+func (n *Node) Services() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.services)
+}
+
+// Served is closed once every service that is required has been able to serve.
+func (n *Node) Served() <-chan struct{} { return n.served }
+
+// Alive tells whether all services take events before ctx ends.
+func (n *Node) Alive(ctx context.Context) bool {
+	n.mu.Lock()
+	all := make([]*running, 0, len(n.services))
+	for _, s := range n.services {
+		all = append(all, s)
+	}
+	n.mu.Unlock()
+	return !slices.ContainsFunc(all, func(s *running) bool { return !s.Alive(ctx) })
+}
+
 // Status tells what each service is doing, by name.
 func (n *Node) Status() []Status {
 	n.mu.Lock()
@@ -156,6 +205,15 @@
 		n.start(s)
 	}
 	n.mu.Unlock()
+	parts.Go(func() {
+		for !n.ready() {
+			select {
+			case <-n.changed:
+			case <-life.Done():
+				return
+			}
+		}
+	})
 	srv := n.front.Server()
 	served := make(chan error, len(n.listeners))
 	for _, l := range n.listeners {
@@ -177,8 +235,11 @@
 	return n.drain(srv, stop)
 }
 
-// start runs a service; n.mu is held.
+// start runs a service, unless Run is still to do so; n.mu is held.
 func (n *Node) start(s *running) {
+	if n.work == nil {
+		return
+	}
 	n.serving++
 	n.parts.Go(func() {
 		err := s.Run(n.work)
@@ -215,7 +276,9 @@
 // connection, and the node ends when all that it holds is answered.
 func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
 	slog.Info("draining")
+	n.mu.Lock()
 	begun, times := time.Now(), n.drainTimes
+	n.mu.Unlock()
 	n.front.Drain()
 	steps := []struct {
 		at time.Duration
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -5,11 +5,8 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"reflect"
-	"slices"
 
 	"martennotch/internal/config"
-	"martennotch/internal/discovery"
 	"martennotch/internal/front"
 	"martennotch/internal/route"
 	"martennotch/internal/service"
@@ -34,11 +31,8 @@
 		s.Move(cfg.Services[0].Source)
 		return nil
 	}
-	if n.work == nil {
-		return errors.New("the node does not serve yet")
-	}
-	if err := unchangeable(&n.cfg, &cfg); err != nil {
-		return err
+	for _, c := range config.Compare(n.cfg, cfg).Restarts() {
+		return fmt.Errorf("%s: %s can't become %s without a restart", c.What, c.From, c.To)
 	}
 	next, err := n.prepare(&cfg)
 	if err == nil {
@@ -73,34 +67,24 @@
 				removed++
 			}
 			s.Retire()
+			if n.work == nil { // it never ran
+				s.parts.close()
+			}
 		}
 	}
-	n.services, n.cfg = next, cfg
+	n.services, n.cfg, n.drainTimes = next, cfg, cfg.Process.Drain
+	n.tellChanged() // the service that was waited for may be gone
 	slog.Info("reloaded", "services", len(next), "added", added, "changed", changed, "moved", moved, "removed", removed)
 	return nil
 }
 
-// unchangeable names the first thing that can't change without a restart.
-func unchangeable(old, new *config.Config) error {
-	a, b := old.Process, new.Process
-	switch {
-	case !slices.Equal(old.Listeners, new.Listeners):
-		return errors.New("listeners can't change without a restart")
-	case a.Cores != b.Cores || a.MemoryMB != b.MemoryMB || a.Descriptors != b.Descriptors:
-		return errors.New("process: cores, memory_mb and descriptors can't change without a restart")
-	case a.Total.ModuleTime != b.Total.ModuleTime:
-		return errors.New("process: module_time can't change without a restart")
-	}
-	return nil
-}
-
 // prepare makes what a configuration needs of services that are not in force. It changes
 // nothing; n.mu is held, or nobody knows of n yet.
 func (n *Node) prepare(cfg *config.Config) (map[string]*running, error) {
 	next := make(map[string]*running, len(cfg.Services))
 	for _, c := range cfg.Services {
 		was := n.services[c.Name]
-		if was != nil && same(was.cfg, c) {
+		if was != nil && !was.cfg.Replaces(c) {
 			next[c.Name] = &running{Service: was.Service, cfg: c, parts: was.parts}
 			continue
 		}
@@ -123,19 +107,11 @@
 	}
 }
 
-// same tells whether a service need not be replaced: what differs can change while it runs.
-func same(a, b config.Service) bool {
-	for _, c := range []*config.Service{&a, &b} {
-		c.Source, c.Known, c.Guaranteed, c.Required = discovery.Source{}, discovery.Listing{}, config.Amounts{}, false
-		c.Seed = 0
-	}
-	return reflect.DeepEqual(a, b)
-}
-
 // make makes a service; one that takes another's place knows the servers of that one.
 func (n *Node) make(c config.Service, was *running) (*running, error) {
 	a := n.books.open()
 	o := service.Options{Name: c.Name, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
+		OnReady:  n.tellChanged,
 		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a)}}
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
@@ -158,6 +134,14 @@
 	return &running{Service: s, cfg: c, parts: a}, nil
 }
 
+// tellChanged wakes who waits for the node to be ready. It never waits.
+func (n *Node) tellChanged() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
 // table is where the routes of a configuration lead.
 func table(cfg *config.Config, services map[string]*running) *front.Table {
 	t := &front.Table{}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -415,6 +415,43 @@
 	}
 }
 
+// A reload that comes before the node serves is not lost.
+func TestReloadBeforeRun(t *testing.T) {
+	pool, err := lab.StartPool(pools(0)["a"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Close()
+	load := func(text string) config.Config {
+		cfg, err := config.Parse("x", []byte(strings.NewReplacer("@a", pool.Discovery.Addr(), "@b", pool.Discovery.Addr()).Replace(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cfg
+	}
+	n, err := node.New(load(plain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Reload(load(strings.ReplaceAll(strings.ReplaceAll(plain, "services.b", "services.c"), `"b"`, `"c"`))); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	testkit.Until(t, "both to be ready", func() bool {
+		s := n.Status()
+		return len(s) == 2 && s[1].Name == "c" && s[0].Ready && s[1].Ready
+	})
+	if got := node.Serving(n); got != 2 {
+		t.Errorf("%d services run", got)
+	}
+	stop()
+	if err := testkit.Next(t, ended); err != nil {
+		t.Error(err)
+	}
+}
+
 // many is a configuration of many services and routes.
 func many(services, routes int) string {
 	var b strings.Builder
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -53,6 +53,7 @@
 	OnPanic  Policy
 
 	Parts      Parts                  // nil books nothing
+	OnReady    func()                 // called once, when there is a server to send to; may be nil
 	ModuleTime func(time.Duration)    // told of the module's own time at each event; may be nil
 	Module     func() (Module, error) // makes the module; nil is a control.Controller of Settings
 }
@@ -166,8 +167,8 @@
 func (s *Service) learn(l *loop, kind control.ListKind, news discovery.Listing) {
 	l.post(func() {
 		l.list(kind, news)
-		if len(l.ids) > 0 {
-			s.ready.Store(true)
+		if len(l.ids) > 0 && !s.ready.Swap(true) && s.opts.OnReady != nil {
+			s.opts.OnReady()
 		}
 	})
 }
@@ -321,6 +322,27 @@
 // service has ended. What panics there is taken for a panic of the module.
 func (s *Service) Post(do func()) bool { return s.current().post(do) }
 
+// Alive tells whether the service's own goroutine takes events before ctx ends. One that
+// pauses before it starts anew does.
+func (s *Service) Alive(ctx context.Context) bool {
+	l := s.current()
+	done := make(chan struct{})
+	select {
+	case l.events <- func() { close(done) }:
+	case <-l.ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+	case <-l.ended:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // Status is what a service is doing.
 type Status struct {
 	Name     string `json:"name"`
