--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -394,6 +394,27 @@
 	}
 }
 
+// A server that drains, by its list, gets nothing new, whichever source tells so.
+func TestServerDrains(t *testing.T) {
+	l := labtest.Begin(t, plain, pools(0))
+	c, in := dial(t, l)
+	drains := l.Pools["a"].Servers[0]
+	e := drains.Entry()
+	e.State = "draining"
+	l.Pools["a"].Discovery.Tell(e)
+	testkit.Until(t, "the news", func() bool { return l.Node.Status()[0].Up == 1 })
+	drains.Drain()
+	for i := range 20 {
+		write(c, "x", "/one", fmt.Sprint("id-", i), "", 0)
+		if status, body := answer(t, in); status != 200 {
+			t.Errorf("%d %q", status, body)
+		}
+	}
+	if n := drains.Late(); n > 0 {
+		t.Errorf("%d requests came to the one that drains", n)
+	}
+}
+
 // What can't change while a node runs is told, and the rest stays too.
 func TestReloadThatCantBe(t *testing.T) {
 	l := labtest.Begin(t, plain, pools(0))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -103,9 +103,6 @@
 	return s, nil
 }
 
-// Name is the service's name; "" is the only one of its process.
-func (s *Service) Name() string { return s.opts.Name }
-
 // Upstream holds the service's connections to its servers.
 func (s *Service) Upstream() *upstream.Upstream { return s.upstream }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -116,13 +116,20 @@
 	}
 }
 
-// Drain has it count what still comes.
+// Drain has it count what still comes, for Late to tell.
 func (r *Running) Drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.draining = true
 }
 
+// Late is how many requests came since it drains.
+func (r *Running) Late() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.late
+}
+
 // Fallen tells whether it fell over, and the most that it was sent over what it could bear.
 func (r *Running) Fallen() (fallen bool, worst float64) {
 	r.mu.Lock()
