Read the change once more: one check a job, no state that can be derived

Found on reading: the rule which method a class is asked for by stood twice (front and service.Method), three bound checks in config were one, the stand-in supervisor was written in two tests, the node kept a copy of its configuration's drain times and a goroutine to wait for what it then waited for, the platform's serving took its reading as arguments that had one caller.

--- a/internal/command/daemon_test.go
+++ b/internal/command/daemon_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -33,29 +32,14 @@
 // time and READY behind it also where the file is bad, STOPPING before the end.
 func TestDaemonTellsItsSupervisor(t *testing.T) {
 	dir := t.TempDir()
-	file, pid, socket := filepath.Join(dir, "c.toml"), filepath.Join(dir, "pid"), filepath.Join(dir, "notify")
+	file, pid := filepath.Join(dir, "c.toml"), filepath.Join(dir, "pid")
 	write := func(text string) {
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
 	write(small)
-	c, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: socket, Net: "unixgram"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	t.Setenv("NOTIFY_SOCKET", socket)
-	told := make(chan string, 100)
-	go func() {
-		for raw := make([]byte, 4096); ; {
-			n, err := c.Read(raw)
-			if err != nil {
-				return
-			}
-			told <- string(raw[:n])
-		}
-	}()
+	told := testkit.Supervisor(t)
 	ctx, stop := context.WithCancel(context.Background())
 	hup := make(chan os.Signal)
 	var out, errs bytes.Buffer
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -41,7 +41,7 @@
 }
 
 // serveOwn serves by a file of our own form, and speaks with its supervisor.
-func serveOwn(ctx context.Context, e *Env, path, pidFile string) (err error) {
+func serveOwn(ctx context.Context, e *Env, path, pidFile string) error {
 	load := func() (config.Config, error) { return config.Load(path) }
 	cfg, err := load()
 	if err != nil {
@@ -78,24 +78,23 @@
 	case platform == "":
 		return errors.New("NODE_CONFIG names no configuration file")
 	}
-	return serve(ctx, e, func() (config.Config, error) { return config.LoadPlatform(platform) }, func(c *config.Config) {
-		for name, field := range map[string]*string{"NODE_LISTEN": &c.Listeners[0],
-			"NODE_DISCOVERY": &c.Services[0].Source.Address} {
-			if v := e.Getenv(name); v != "" {
-				*field = v
-			}
-		}
-	})
+	return servePlatform(ctx, e, platform)
 }
 
-// serve serves by the platform's configuration, changed at the start only, until ctx ends. Once
-// a file was read anew it goes before the environment; one that can't be used changes nothing.
-func serve(ctx context.Context, e *Env, load func() (config.Config, error), change func(*config.Config)) error {
-	cfg, err := load()
+// servePlatform serves by the platform's configuration until ctx ends. At the start the
+// environment goes before the file; once that was read anew it goes before the environment,
+// and one that can't be used changes nothing.
+func servePlatform(ctx context.Context, e *Env, path string) error {
+	cfg, err := config.LoadPlatform(path)
 	if err != nil {
 		return err
 	}
-	change(&cfg)
+	for name, field := range map[string]*string{"NODE_LISTEN": &cfg.Listeners[0],
+		"NODE_DISCOVERY": &cfg.Services[0].Source.Address} {
+		if v := e.Getenv(name); v != "" {
+			*field = v
+		}
+	}
 	tune(cfg)
 	n, err := node.New(cfg)
 	if err != nil {
@@ -103,7 +102,7 @@
 	}
 	go func() {
 		for range e.Hup {
-			cfg, err := load()
+			cfg, err := config.LoadPlatform(path)
 			if err == nil {
 				err = n.Reload(cfg)
 			}
--- a/internal/config/tree.go
+++ b/internal/config/tree.go
@@ -253,8 +253,13 @@
 	if !ok {
 		return missing
 	}
-	if v < least || v > most {
-		t.wrong(key, "%d is not within %d and %d", v, least, most)
+	return within(t, key, v, missing, least, most)
+}
+
+// within gives a value that is within bounds; another one, or none, is wrong.
+func within[T cmp.Ordered](t table, key string, v, missing, least, most T) T {
+	if !(v >= least && v <= most) { // also of no number
+		t.wrong(key, "%v is not within %v and %v", v, least, most)
 		return missing
 	}
 	return v
@@ -275,11 +280,7 @@
 		t.wrong(key, "it has to be a number")
 		return missing
 	}
-	if math.IsNaN(v) || v < least || v > most {
-		t.wrong(key, "%g is not within %g and %g", v, least, most)
-		return missing
-	}
-	return v
+	return within(t, key, v, missing, least, most)
 }
 
 // span reads a time such as "250ms" within bounds.
@@ -293,11 +294,7 @@
 		t.wrong(key, `%q is no time such as "250ms"`, s)
 		return missing
 	}
-	if d < least || d > most {
-		t.wrong(key, "%v is not within %v and %v", d, least, most)
-		return missing
-	}
-	return d
+	return within(t, key, d, missing, least, most)
 }
 
 var sizes = []struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,9 +43,7 @@
 
 // Front is the side to the clients. It is safe for concurrent use.
 type Front struct {
-	// Ready tells whether the node may be sent requests.
-	Ready func() bool
-
+	ready    func() bool // whether the node may be sent requests
 	table    atomic.Pointer[Table]
 	draining atomic.Bool
 
@@ -56,7 +54,7 @@
 
 // New makes a front; ready tells whether the node may be sent requests.
 func New(t *Table, ready func() bool) *Front {
-	f := &Front{Ready: ready, idle: make(map[net.Conn]time.Time), fresh: make(map[net.Conn]time.Time)}
+	f := &Front{ready: ready, idle: make(map[net.Conn]time.Time), fresh: make(map[net.Conn]time.Time)}
 	f.table.Store(t)
 	return f
 }
@@ -119,7 +117,7 @@
 	arrived := time.Now()
 	if r.URL.Path == route.Health {
 		status := http.StatusOK
-		if !f.Ready() || f.draining.Load() {
+		if !f.ready() || f.draining.Load() {
 			status = http.StatusServiceUnavailable
 		}
 		f.write(w, service.Answer{Status: status})
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -61,8 +61,7 @@
 	if !ok {
 		return nil, bad(http.StatusNotFound, "unknown class %q", e.Class)
 	}
-	if (class.Effect == control.Free) != (r.Method == http.MethodGet) ||
-		class.Effect != control.Free && r.Method != http.MethodPost {
+	if r.Method != service.Method(class) {
 		return nil, bad(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, e.Class)
 	}
 	if class.Effect == control.Free && r.ContentLength != 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,14 +26,13 @@
 
 // Node is an edge node.
 type Node struct {
-	front      *front.Front
-	books      books
-	listeners  []net.Listener
-	listening  context.CancelFunc
-	changed    chan struct{} // a service has become ready
-	served     chan struct{} // closed once the node was ready
-	wasReady   atomic.Bool
-	drainTimes config.Drain
+	front     *front.Front
+	books     books
+	listeners []net.Listener
+	listening context.CancelFunc
+	changed   chan struct{} // a service has become ready
+	served    chan struct{} // closed once the node was ready
+	wasReady  atomic.Bool
 
 	mu       sync.Mutex // held over a reload
 	cfg      config.Config
@@ -55,11 +54,11 @@
 // New makes an edge node and begins to listen.
 func New(cfg config.Config) (*Node, error) { return NewInheriting(cfg, nil) }
 
-// NewInheriting is New with listeners that the supervisor has passed on, by name; those that
-// the configuration names (config.Inherited) are used, and one that it doesn't is an error.
+// NewInheriting is New with listeners that the supervisor has passed on, by name; of which it
+// uses those that the configuration names (config.Inherited).
 func NewInheriting(cfg config.Config, inherited map[string]net.Listener) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{listening: cancel, changed: make(chan struct{}, 1), served: make(chan struct{}), cfg: cfg, drainTimes: cfg.Process.Drain, services: make(map[string]*running), failed: make(chan error, 1)}
+	n := &Node{listening: cancel, changed: make(chan struct{}, 1), served: make(chan struct{}), cfg: cfg, services: make(map[string]*running), failed: make(chan error, 1)}
 	n.idle = sync.NewCond(&n.mu)
 	n.front = front.New(&front.Table{}, n.ready)
 	if cfg.Process.Shared {
@@ -258,18 +257,13 @@
 	})
 }
 
-// ended closes when no service runs any more.
-func (n *Node) ended() <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		for n.serving > 0 {
-			n.idle.Wait()
-		}
-	}()
-	return done
+// awaitServices returns when no service runs any more.
+func (n *Node) awaitServices() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.serving > 0 {
+		n.idle.Wait()
+	}
 }
 
 // drain lets go of the clients: they may still come for a while, each answer closes its
@@ -277,7 +271,7 @@
 func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
 	slog.Info("draining")
 	n.mu.Lock()
-	begun, times := time.Now(), n.drainTimes
+	begun, times := time.Now(), n.cfg.Process.Drain
 	n.mu.Unlock()
 	n.front.Drain()
 	steps := []struct {
@@ -298,7 +292,7 @@
 		}
 	}
 	stop() // answers what is still held as failed
-	<-n.ended()
+	n.awaitServices()
 	n.finish(srv, drainWrite)
 	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
 	select {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -72,7 +72,7 @@
 			}
 		}
 	}
-	n.services, n.cfg, n.drainTimes = next, cfg, cfg.Process.Drain
+	n.services, n.cfg = next, cfg
 	n.tellChanged() // the service that was waited for may be gone
 	slog.Info("reloaded", "services", len(next), "added", added, "changed", changed, "moved", moved, "removed", removed)
 	return nil
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,35 +11,12 @@
 	"martennotch/internal/testkit"
 )
 
-// peer is a stand-in for systemd's side of the notify protocol.
-func peer(t *testing.T) <-chan string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "notify")
-	c, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: path, Net: "unixgram"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	t.Setenv("NOTIFY_SOCKET", path)
-	told := make(chan string, 100)
-	go func() {
-		for raw := make([]byte, 4096); ; {
-			n, err := c.Read(raw)
-			if err != nil {
-				return
-			}
-			told <- string(raw[:n])
-		}
-	}()
-	return told
-}
-
 func TestNotify(t *testing.T) {
 	t.Setenv("NOTIFY_SOCKET", "")
 	if err := Ready("x"); err != nil {
 		t.Errorf("with no supervisor: %v", err)
 	}
-	told := peer(t)
+	told := testkit.Supervisor(t)
 	for _, err := range []error{Ready("3 services"), Reloading(), Stopping()} {
 		if err != nil {
 			t.Error(err)
@@ -63,7 +39,7 @@
 
 // The watchdog is told of a life only while there is one.
 func TestWatchdog(t *testing.T) {
-	told := peer(t)
+	told := testkit.Supervisor(t)
 	t.Setenv("WATCHDOG_USEC", "20000")
 	t.Setenv("WATCHDOG_PID", "")
 	os.Unsetenv("WATCHDOG_PID")
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +33,30 @@
 	}
 }
 
+// Supervisor is a stand-in for systemd's side of the notify protocol (sd_notify(3)), named by
+// NOTIFY_SOCKET until the test ends. It gives what it is told.
+func Supervisor(t testing.TB) <-chan string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "notify")
+	c, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: path, Net: "unixgram"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	t.Setenv("NOTIFY_SOCKET", path)
+	told := make(chan string, 100)
+	go func() {
+		for raw := make([]byte, 4096); ; {
+			n, err := c.Read(raw)
+			if err != nil {
+				return
+			}
+			told <- string(raw[:n])
+		}
+	}()
+	return told
+}
+
 // Until asks again and again whether something is so; never in time fails the test.
 func Until(t testing.TB, what string, is func() bool) {
 	t.Helper()
