Spread the calls to discovery over the group, so that a fleet which starts at once is told

About 70 of 80 nodes never heard of a change: 36 dead servers stayed listed, 5 of 80 nodes a second knew any new one. Ruled out before: the cold budget of nodes that know one (ready, unused), the first bound, CPU. At fault: watcher.stay (fixed back-off, reset by any byte), no wait before the first call, a client's time-out equal to the server's. Change: discovery.Pace: waits drawn from a window of 100 ms an instance, doubled twice at most; a first call of a node that knows a list waits up to 50 ms an instance. What warm servers do is reckoned by those alive, and is held while less is asked.

--- a/control/control.go
+++ b/control/control.go
@@ -86,6 +86,7 @@
 	asideFirst   = time.Second      // how long it is put aside at first; doubles
 	shutFor      = 15 * time.Second // how long a server that refused a plan is not tried for it
 	asideMost    = 8 * time.Second
+	servedFall   = 0.05  // gain of the rate that warm servers do, where it falls
 	coldSafety   = 0.32  // part of a cold server's budget that is used
 	retryEarn    = 0.1   // further attempts earned by each request
 	retryLeast   = 0.1   // the least that a further attempt takes of what was earned
@@ -701,9 +702,26 @@
 	return s.tokens >= 0
 }
 
-// warmRate is the units a second that a warm server does for this gateway.
+// warmRate is the units a second that a warm server does for this gateway. Guards against servers
+// that are listed long after they died, among which what the others do would seem little: as many of
+// those listed are taken to be alive as of those lately tried.
 func (c *Controller) warmRate() float64 {
-	return c.servedRate / math.Max(1, c.count(func(s *server) bool { return s.usable() && !s.coldRamp }))
+	warm, good, dead := 0.0, 0.0, 0.0
+	for _, s := range c.order {
+		switch {
+		case !s.usable() || s.coldRamp:
+			continue
+		case s.strikes >= strikesOut:
+			dead++
+		case s.toldAt > 0 && c.now < s.toldAt+seconds(slowAge):
+			good++
+		}
+		warm++
+	}
+	if dead > 0 {
+		warm *= (1 + good) / (1 + good + dead)
+	}
+	return c.servedRate / math.Max(1, warm)
 }
 
 // strike counts a failure that speaks against the server.
@@ -949,7 +967,11 @@
 		}
 	}
 	c.intervals++
-	c.servedRate += math.Max(latencyGain, 1/c.intervals) * (c.served/lasted - c.servedRate)
+	gain := math.Max(latencyGain, 1/c.intervals)
+	if c.served/lasted < c.servedRate { // what was done once can be done: less may be asked now
+		gain = math.Max(servedFall, 1/c.intervals)
+	}
+	c.servedRate += gain * (c.served/lasted - c.servedRate)
 	c.span = span{}
 	c.sweep()
 }
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -47,6 +47,10 @@
 	tell    func(Listing)
 	silence time.Duration // after which a watch is dead
 	every   time.Duration // between two looks at a file
+	pace    Pace          // Run's own
+
+	// Known is set before Run where a list is known, so that the first call can wait.
+	Known bool
 
 	mu    sync.Mutex
 	src   Source
@@ -54,10 +58,10 @@
 	leave context.CancelFunc // ends the stay at the present source
 }
 
-// NewFeed makes a feed of a source of which a list of some version is known; 0 is none. tell
-// is called on the goroutine of Run.
-func NewFeed(src Source, rev int64, tell func(Listing)) *Feed {
-	return &Feed{src: src, rev: rev, tell: tell, silence: watchSilence, every: fileEvery, leave: func() {}}
+// NewFeed makes a feed of a source of which a list of some version is known; 0 is none. Watches are
+// begun at pace's times. tell is called on the goroutine of Run.
+func NewFeed(src Source, rev int64, pace Pace, tell func(Listing)) *Feed {
+	return &Feed{src: src, rev: rev, pace: pace, tell: tell, silence: watchSilence, every: fileEvery, leave: func() {}}
 }
 
 // Move has the feed go on with another source, at once. It may be called at any time, from
@@ -80,11 +84,17 @@
 
 // Run follows the sources until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		here, src, rev := f.arrive(ctx)
 		switch src.Kind {
 		case Watch:
-			newWatcher(src.Address, rev, f.silence, f.tell).stay(here)
+			after := time.Duration(0)
+			if !first {
+				after = f.pace.Moved()
+			} else if f.Known {
+				after = f.pace.First()
+			}
+			newWatcher(src.Address, rev, f.silence, &f.pace, f.tell).stay(here, after)
 		case File:
 			f.follow(here, src.Path)
 		case Static:
--- /dev/null
+++ b/internal/discovery/pace.go
@@ -0,0 +1,55 @@
+package discovery
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	callEvery   = 100 * time.Millisecond // a group's calls come no closer together than this, on average
+	firstEvery  = 50 * time.Millisecond  // the same of first calls, where a list is known
+	moveEvery   = 25 * time.Millisecond  // the same after a move: its news counts as told 4 s later
+	firstMost   = 4 * time.Second
+	moveMost    = time.Second
+	backoffMore = 2               // doublings of the window at most
+	livedLong   = 5 * time.Second // a watch that has lived for so long was taken: what went before is forgotten
+)
+
+// Pace spreads the calls of a group's instances over time. Guards against a discovery that is
+// asked by all of them at once, turns most of them away, and is asked by those again at once: it
+// works on calls that nobody waits for any more, and nobody is told anything, for as long as they go
+// on. Instances that can't talk keep to a rate together by waits drawn from a window as long as
+// the group is large.
+type Pace struct {
+	Group int        // instances that ask; below two is one
+	Rand  *rand.Rand // nil never waits for longer than it must
+	fails int        // in a row
+}
+
+// First is the wait before the first call of one that knows a list already.
+func (p *Pace) First() time.Duration { return p.draw(0, min(firstEvery*p.others(), firstMost)) }
+
+// Moved is the wait before the first call to another discovery.
+func (p *Pace) Moved() time.Duration {
+	p.fails = 0
+	return p.draw(0, min(moveEvery*p.others(), moveMost))
+}
+
+// Again is the wait before the next call after a watch that lived for some time.
+func (p *Pace) Again(lived time.Duration) time.Duration {
+	if lived >= livedLong {
+		p.fails = 0
+	}
+	window := max(backoffFirst, callEvery*time.Duration(max(1, p.Group))) << min(p.fails, backoffMore)
+	p.fails++
+	return p.draw(backoffFirst, window)
+}
+
+func (p *Pace) others() time.Duration { return time.Duration(max(0, p.Group-1)) }
+
+func (p *Pace) draw(least, most time.Duration) time.Duration {
+	if p.Rand == nil || most <= least {
+		return least
+	}
+	return least + time.Duration(p.Rand.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/internal/discovery/pace_test.go
@@ -0,0 +1,112 @@
+package discovery
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lockflow/internal/vtime"
+)
+
+// registry is a discovery that takes so many calls a second in turn, also those that nobody waits for
+// any more, and has a caller wait for so long at most.
+type registry struct {
+	vtime.Clock
+	free time.Duration // when the last call that it took is done
+	each time.Duration
+	wait time.Duration
+}
+
+// call takes a call; ok is whether it was answered in time, after some time either way.
+func (r *registry) call() (ok bool, after time.Duration) {
+	r.free = max(r.free, r.Now()) + r.each
+	if took := r.free - r.Now(); took <= r.wait {
+		return true, took
+	}
+	r.free -= r.each / 2 // turning one away is work too
+	return false, min(r.wait, r.free-r.Now())
+}
+
+// subscribed plays instances that all begin in one moment; it gives when nine in ten, and all, had a
+// watch, and 0 for never.
+func subscribed(instances int, each time.Duration, first func(i int) time.Duration, again func(i int) time.Duration) (most, all time.Duration, calls int) {
+	r := &registry{each: each, wait: 2 * time.Second}
+	n := 0
+	var ask func(i int)
+	ask = func(i int) {
+		calls++
+		ok, after := r.call()
+		r.After(after, func() {
+			if !ok {
+				r.After(again(i), func() { ask(i) })
+				return
+			}
+			if n++; n == (instances*9+9)/10 {
+				most = r.Now()
+			}
+			if n == instances {
+				all = r.Now()
+			}
+		})
+	}
+	for i := range instances {
+		r.At(first(i), func() { ask(i) })
+	}
+	r.Run(time.Minute)
+	return most, all, calls
+}
+
+// Guards against a group that starts at once, is turned away for the most part, and asks again at
+// once until nobody is told anything any more.
+func TestGroupThatStartsAtOnceIsTold(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 40, 80, 400} {
+		for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
+			each := all / time.Duration(max(40, n))
+			paces := make([]Pace, n)
+			for i := range paces {
+				paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
+			}
+			most, last, calls := subscribed(n, each, func(i int) time.Duration { return paces[i].First() },
+				func(i int) time.Duration { return paces[i].Again(0) })
+			bound := all + 3*callEvery*time.Duration(n) + firstMost
+			if most == 0 || most > bound {
+				t.Errorf("%d instances, %v for a call of each: nine in ten are told after %v, all after %v, by %d calls", n, all, most, last, calls)
+			}
+			if n < 80 || all < 5*time.Second {
+				continue
+			}
+			// What was before: 100 ms, doubled up to 500 ms, in step.
+			fails := make([]int, n)
+			if before, _, old := subscribed(n, each, func(int) time.Duration { return 0 }, func(i int) time.Duration {
+				fails[i]++
+				return min(backoffFirst<<(fails[i]-1), 500*time.Millisecond)
+			}); before > 0 && before < most {
+				t.Errorf("%d instances, %v: told after %v by %d calls with no pace, %v by %d with it", n, all, before, old, most, calls)
+			}
+		}
+	}
+}
+
+func TestPaceBounds(t *testing.T) {
+	one := Pace{}
+	if one.First() != 0 || one.Moved() != 0 || one.Again(0) != backoffFirst {
+		t.Error("one instance waits for others")
+	}
+	p := Pace{Group: 80, Rand: rand.New(rand.NewPCG(1, 2))}
+	for range 1000 {
+		if d := p.First(); d < 0 || d >= firstMost {
+			t.Fatalf("first after %v", d)
+		}
+		if d := p.Moved(); d < 0 || d >= moveMost {
+			t.Fatalf("moved after %v", d)
+		}
+		for range 4 {
+			if d := p.Again(0); d < backoffFirst || d >= 80*callEvery<<backoffMore {
+				t.Fatalf("again after %v", d)
+			}
+		}
+		if p.Again(livedLong); p.fails != 1 {
+			t.Fatalf("%d failures are remembered after a watch that lived", p.fails)
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -14,9 +14,8 @@
 
 const (
 	watchSilence  = 3 * time.Second // a heartbeat and a half: the watch is dead
-	watchAnswer   = 2 * time.Second // the agent answers at once or not at all
+	watchAnswer   = 3 * time.Second // a discovery with many to answer may take 2 s
 	backoffFirst  = 100 * time.Millisecond
-	backoffMost   = 500 * time.Millisecond // the agent is near; its news counts as told after 4 s
 	watchLineMost = 4 << 20
 )
 
@@ -27,34 +26,36 @@
 	url     string
 	rev     int64
 	silence time.Duration
+	pace    *Pace
 	tell    func(Listing)
 }
 
-func newWatcher(addr string, rev int64, silence time.Duration, tell func(Listing)) *watcher {
-	return &watcher{url: "http://" + addr + "/v1/servers?watch=1", rev: rev, silence: silence, tell: tell,
+func newWatcher(addr string, rev int64, silence time.Duration, pace *Pace, tell func(Listing)) *watcher {
+	return &watcher{pace: pace, url: "http://" + addr + "/v1/servers?watch=1", rev: rev, silence: silence, tell: tell,
 		client: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: watchAnswer,
 			DialContext:       (&net.Dialer{Timeout: watchAnswer}).DialContext,
 			DisableKeepAlives: true, DisableCompression: true}}}
 }
 
-// stay watches at one address until ctx ends.
-func (w *watcher) stay(ctx context.Context) {
-	pause := backoffFirst
+// stay watches at one address until ctx ends, from some time on.
+func (w *watcher) stay(ctx context.Context, after time.Duration) {
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(after):
+		}
+		begun := time.Now()
 		heard, err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		after = w.pace.Again(time.Since(begun))
 		if heard {
-			pause = backoffFirst
 			slog.Warn("discovery: watch ended", "rev", w.rev, "err", err)
+		} else {
+			slog.Debug("discovery: no watch", "in", after, "err", err)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
-		pause = min(2*pause, backoffMost)
 	}
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -11,7 +11,7 @@
 
 func startWatch(t *testing.T, a *testkit.Agent, rev int64, silence time.Duration) (<-chan Listing, *Feed) {
 	told := make(chan Listing, 100)
-	w := NewFeed(Source{Address: a.Addr()}, rev, func(l Listing) { told <- l })
+	w := NewFeed(Source{Address: a.Addr()}, rev, Pace{}, func(l Listing) { told <- l })
 	w.silence = silence
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -72,7 +72,7 @@
 		}
 	}
 	if o.Tally != nil {
-		l.tally = newBook(o.Tally)
+		l.tally = newBook(o.Tally, o.Settings.Plans)
 	}
 	if o.Census {
 		l.census, l.outAt = census.New(o.Settings.GroupSize), make(map[uint32]int)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -109,7 +110,10 @@
 	}
 	s.loop = newLoop(m, &s.opts, s.upstream, log)
 	s.merge(o.Known)
-	s.feed = discovery.NewFeed(o.Source, o.Known.Rev, s.told)
+	// The waits are the network's, and none of the module's draws.
+	pace := discovery.Pace{Group: o.Settings.GroupSize, Rand: rand.New(rand.NewPCG(o.Seed, uint64(o.Settings.SelfIndex)))}
+	s.feed = discovery.NewFeed(o.Source, o.Known.Rev, pace, s.told)
+	s.feed.Known = len(o.Known.Targets) > 0
 	// Guards against a bound that the module sets by a list of no servers.
 	if len(o.Known.Targets) > 0 {
 		s.learn(s.loop, control.Stale, o.Known)
--- a/internal/service/tally.go
+++ b/internal/service/tally.go
@@ -29,7 +29,11 @@
 	boot time.Time // zero is long ago
 }
 
-func newBook(w *tally.Writer) *book {
+func newBook(w *tally.Writer, plans []control.Plan) *book {
+	for _, p := range plans {
+		w.Plan(tally.Plan{At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.Rate, Depth: p.Depth, OverCost: p.OverCost,
+			CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst, Slack: p.CeilingSlack})
+	}
 	return &book{to: w, why: make(map[string]control.Cause), servers: make(map[uint32]booked)}
 }
 
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -53,6 +53,16 @@
 	Listed, Up int // servers
 }
 
+// Plan is one of the settings, without which use says nothing; each is written at the start.
+type Plan struct {
+	At                  time.Time
+	Name                string
+	Price, Rate, Depth  float64
+	OverCost            float64
+	CeilingRate         float64
+	CeilingBurst, Slack float64
+}
+
 // Writer writes lines. A nil one writes nothing. It is safe for concurrent use.
 type Writer struct {
 	mu  sync.Mutex
@@ -92,6 +102,14 @@
 	w.line('s', unixMS(s.At), s.Bound, s.Held, s.Out, s.Conns, s.Listed, s.Up)
 }
 
+// Plan writes one.
+func (w *Writer) Plan(p Plan) {
+	if w == nil {
+		return
+	}
+	w.line('p', unixMS(p.At), text(p.Name), p.Price, p.Rate, p.Depth, p.OverCost, p.CeilingRate, p.CeilingBurst, p.Slack)
+}
+
 // text is a word that holds no space: a word of a peer's must not end a field.
 type text string
 
