--- a/control/control.go
+++ b/control/control.go
@@ -76,11 +76,11 @@
 	warmLeast    = 0.1              // the least warmth that is reckoned with
 	latencyAge   = 5.0              // s after which an estimate unfed has lost 63% against the fleet's
 	sampleNoise  = 6.0              // own answers, of late, whose mean weighs as much as the fleet's
-	slowAge      = 20.0             // s after which what a server told of its speed has lost 63%
+	slowAge      = 40.0             // s after which what a server told of its speed has lost 63%
 	slowLeast    = 1.5              // times the fleet's mean, below which it is as fast as others
 	busyAge      = 2.0              // the same for how busy it is
 	busyCost     = 3.0              // factor on the cost of a busy server, less one
-	strange      = 2.0              // factor on the cost of a server that has told nothing of late
+	strange      = 3.0              // factor on the cost of a server that has told nothing of late
 	knownLeast   = 4                // servers that have, below which others are tried first
 	strikesOut   = 3                // failures in a row that put a server aside
 	asideFirst   = time.Second      // how long it is put aside at first; doubles
@@ -968,9 +968,6 @@
 	}
 	c.intervals++
 	gain := math.Max(latencyGain, 1/c.intervals)
-	if c.served/lasted < c.servedRate { // what was done once can be done: less may be asked now
-		gain = math.Max(servedFall, 1/c.intervals)
-	}
 	c.servedRate += gain * (c.served/lasted - c.servedRate)
 	c.span = span{}
 	c.sweep()
