Let cold servers that tell they have room speak against a cut of the bound

Cause: after a mass replacement only the survivors are full (0.95 of their cores) while the new ones have room; the bound was cut for all.

--- a/control/control.go
+++ b/control/control.go
@@ -849,10 +849,8 @@
 		s.slow = 1
 	}
 	s.util, s.toldAt = math.Min(1, l.CPU), c.now
-	if !s.coldRamp {
-		c.utilSum += s.util
-		c.utilN++
-	}
+	c.utilSum += s.util
+	c.utilN++
 }
 
 // answered takes the latency of a good answer.
--- a/control/state.go
+++ b/control/state.go
@@ -131,7 +131,7 @@
 	cut, pressed         bool
 	latSum, secSum, latN float64 // latency over aim, in s, and their number
 	answers, bad, served float64 // served: units by warm servers
-	utilSum, utilN       float64 // of reports by warm servers
+	utilSum, utilN       float64 // of reports
 }
 
 // Controller decides for one gateway. It is not safe for concurrent use.
--- /dev/null
+++ b/internal/tally/sum.go
@@ -0,0 +1,329 @@
+package tally
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// young is the age, in ms, below which a server's process counts as just started.
+const young = 15000
+
+// lineMost is the longest line of a log that is read; a longer one is none of ours.
+const lineMost = 1 << 16
+
+// Second is what a whole fleet did in one second.
+type Second struct {
+	At       int            `json:"at"`       // s since the first request
+	Requests map[string]int `json:"requests"` // by outcome, and of those not served by why
+	InTime   int            `json:"in_time"`  // served within the aim that was asked for
+	Attempts map[string]int `json:"attempts"` // by reason
+	Dialed   int            `json:"dialed"`
+	Young    int            `json:"young"`   // attempts at servers that had just started
+	TookMS   float64        `json:"took_ms"` // mean of the attempts
+	Bound    float64        `json:"bound"`   // mean of the instances that told, as the next four
+	Out      float64        `json:"out"`
+	Held     float64        `json:"held"`
+	Conns    float64        `json:"conns"`
+	Up       float64        `json:"up"`
+}
+
+// ServerSum is what a whole fleet sent to one server.
+type ServerSum struct {
+	Server   string         `json:"server"`
+	Attempts int            `json:"attempts"`
+	Reasons  map[string]int `json:"reasons"`
+	From     int            `json:"from"`       // instances that sent to it
+	TookMS   float64        `json:"took_ms"`    // mean of good ones
+	Told     float64        `json:"told_ms"`    // mean of what it told of its time, -1 for nothing
+	Util     float64        `json:"util"`       // the same of how busy it was
+	Most     int            `json:"most"`       // out at once, of all instances together
+	First    int            `json:"first_at_s"` // when it was first sent to
+}
+
+// PlanSum is what one plan's customers asked and used, held against quotas as if one gateway had seen
+// all of it. Units are those of the requests' guesses.
+type PlanSum struct {
+	Plan        string  `json:"plan"`
+	Customers   int     `json:"customers"`
+	Tries       int     `json:"tries"`
+	SentInside  float64 `json:"sent_inside"`  // units
+	SentBeyond  float64 `json:"sent_beyond"`  // units
+	RefusedRoom float64 `json:"refused_room"` // units refused though the store held them
+	RefusedOver float64 `json:"refused_over"` // units refused that it did not hold
+}
+
+// Sum is a fleet's day.
+type Sum struct {
+	Instances int         `json:"instances"`
+	Skipped   int         `json:"skipped"` // lines with the mark that can't be read
+	Seconds   []Second    `json:"seconds"`
+	Servers   []ServerSum `json:"servers"` // the slowest first
+	Plans     []PlanSum   `json:"plans"`
+}
+
+// Adder adds up the logs of a fleet.
+type Adder struct {
+	AimMS    float64 // within which a served request is in time; 0 is any time
+	names    map[string]bool
+	skipped  int
+	attempts []attempt
+	requests []request
+	states   []state
+	plans    map[string]plan
+}
+
+type attempt struct {
+	at, took, age, told, util float64
+	server, from, reason      string
+	dialed                    bool
+}
+
+type request struct {
+	at, units, took          float64
+	plan, customer, out, why string
+	sends                    int
+}
+
+type state struct{ at, bound, held, out, conns, up float64 }
+
+type plan struct{ rate, depth float64 }
+
+// Read takes the log of one instance. Lines without the mark are passed over; one with it that can't
+// be read is counted.
+func (a *Adder) Read(instance string, r io.Reader) error {
+	if a.plans == nil {
+		a.plans, a.names = make(map[string]plan), make(map[string]bool)
+	}
+	a.names[instance] = true
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, lineMost)
+	for lines.Scan() {
+		_, line, ok := strings.Cut(lines.Text(), Mark)
+		if ok && !a.take(instance, strings.Fields(line)) {
+			a.skipped++
+		}
+	}
+	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return fmt.Errorf("a line of more than %d bytes", lineMost)
+	} else if err != nil {
+		return err
+	}
+	return nil
+}
+
+func (a *Adder) take(instance string, f []string) bool {
+	want := map[string]int{"a": 15, "r": 12, "s": 8, "p": 9}
+	if len(f) == 0 || len(f) != want[f[0]] {
+		return false
+	}
+	ok := true
+	num := func(i int) float64 {
+		v, err := strconv.ParseFloat(f[i], 64)
+		ok = ok && err == nil && v > -1e15 && v < 1e15
+		return v
+	}
+	switch f[0] {
+	case "a":
+		one := attempt{at: num(1), server: f[2], from: instance, reason: f[5], took: num(6), age: num(7), dialed: f[9] == "true", told: num(12), util: num(13)}
+		if ok {
+			a.attempts = append(a.attempts, one)
+		}
+	case "r":
+		one := request{at: num(1), plan: f[3], customer: f[4], units: num(7), out: f[8], why: f[9], took: num(10), sends: int(num(11))}
+		if ok {
+			a.requests = append(a.requests, one)
+		}
+	case "s":
+		one := state{at: num(1), bound: num(2), held: num(3), out: num(4), conns: num(5), up: num(7)}
+		if ok {
+			a.states = append(a.states, one)
+		}
+	case "p":
+		one := plan{rate: num(4), depth: num(5)}
+		if ok {
+			a.plans[f[2]] = one
+		}
+	}
+	return ok
+}
+
+// Sum adds up what was read.
+func (a *Adder) Sum() Sum {
+	s := Sum{Instances: len(a.names), Skipped: a.skipped}
+	if len(a.requests) == 0 && len(a.attempts) == 0 {
+		return s
+	}
+	slices.SortStableFunc(a.requests, func(x, y request) int { return cmp.Compare(x.at, y.at) })
+	slices.SortStableFunc(a.attempts, func(x, y attempt) int { return cmp.Compare(x.at, y.at) })
+	start := 0.0
+	if len(a.requests) > 0 {
+		start = a.requests[0].at
+	}
+	if len(a.attempts) > 0 && (len(a.requests) == 0 || a.attempts[0].at < start) {
+		start = a.attempts[0].at
+	}
+	s.Seconds = a.seconds(start)
+	s.Servers = a.servers(start)
+	s.Plans = a.quotas()
+	return s
+}
+
+func (a *Adder) seconds(start float64) []Second {
+	by := make(map[int]*Second)
+	told := make(map[int]float64)
+	at := func(t float64) *Second {
+		i := int((t - start) / 1000)
+		if by[i] == nil {
+			by[i] = &Second{At: i, Requests: make(map[string]int), Attempts: make(map[string]int)}
+		}
+		return by[i]
+	}
+	for _, r := range a.requests {
+		s := at(r.at)
+		s.Requests[r.out]++
+		if r.why != "-" {
+			s.Requests[r.why]++
+		}
+		if r.out == "served" && (a.AimMS == 0 || r.took <= a.AimMS) {
+			s.InTime++
+		}
+	}
+	for _, t := range a.attempts {
+		s := at(t.at)
+		s.Attempts[t.reason]++
+		if t.dialed {
+			s.Dialed++
+		}
+		if t.age >= 0 && t.age < young {
+			s.Young++
+		}
+		s.TookMS += t.took
+	}
+	for _, t := range a.states {
+		if t.at < start {
+			continue
+		}
+		s := at(t.at)
+		told[s.At]++
+		s.Bound, s.Out, s.Held, s.Conns, s.Up = s.Bound+t.bound, s.Out+t.out, s.Held+t.held, s.Conns+t.conns, s.Up+t.up
+	}
+	var all []Second
+	for i, s := range by {
+		n := 0
+		for _, k := range s.Attempts {
+			n += k
+		}
+		s.TookMS /= float64(max(1, n))
+		if k := told[i]; k > 0 {
+			s.Bound, s.Out, s.Held, s.Conns, s.Up = s.Bound/k, s.Out/k, s.Held/k, s.Conns/k, s.Up/k
+		}
+		all = append(all, *s)
+	}
+	slices.SortFunc(all, func(x, y Second) int { return cmp.Compare(x.At, y.At) })
+	return all
+}
+
+func (a *Adder) servers(start float64) []ServerSum {
+	by := make(map[string][]attempt)
+	for _, t := range a.attempts {
+		by[t.server] = append(by[t.server], t)
+	}
+	var all []ServerSum
+	for name, ts := range by {
+		s := ServerSum{Server: name, Attempts: len(ts), Reasons: make(map[string]int), First: int((ts[0].at - start) / 1000), Most: most(ts), Told: -1, Util: -1}
+		from := make(map[string]bool)
+		good, told, util, reports := 0.0, 0.0, 0.0, 0.0
+		for _, t := range ts {
+			s.Reasons[t.reason]++
+			from[t.from] = true
+			if t.reason == "ok" {
+				good++
+				s.TookMS += t.took
+			}
+			if t.told >= 0 {
+				reports++
+				told, util = told+t.told, util+t.util
+			}
+		}
+		s.From = len(from)
+		s.TookMS /= max(1, good)
+		if reports > 0 {
+			s.Told, s.Util = told/reports, util/reports
+		}
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(x, y ServerSum) int {
+		return cmp.Or(cmp.Compare(y.TookMS, x.TookMS), cmp.Compare(x.Server, y.Server))
+	})
+	return all
+}
+
+// most is how many of a server's attempts were out at once.
+func most(ts []attempt) int {
+	type end struct {
+		at float64
+		by int
+	}
+	var ends []end
+	for _, t := range ts {
+		ends = append(ends, end{t.at, 1}, end{t.at + t.took, -1})
+	}
+	slices.SortFunc(ends, func(x, y end) int { return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.by, y.by)) })
+	n, high := 0, 0
+	for _, e := range ends {
+		n += e.by
+		high = max(high, n)
+	}
+	return high
+}
+
+// quotas plays each customer's store, which no instance sees whole.
+func (a *Adder) quotas() []PlanSum {
+	type store struct{ level, at float64 }
+	stores := make(map[string]*store)
+	by := make(map[string]*PlanSum)
+	for _, r := range a.requests {
+		p, ok := a.plans[r.plan]
+		if !ok || p.rate <= 0 {
+			continue
+		}
+		s := by[r.plan]
+		if s == nil {
+			s = &PlanSum{Plan: r.plan}
+			by[r.plan] = s
+		}
+		key := r.plan + " " + r.customer
+		c := stores[key]
+		if c == nil {
+			c = &store{p.depth, r.at}
+			stores[key] = c
+			s.Customers++
+		}
+		c.level, c.at = min(p.depth, c.level+(r.at-c.at)/1000*p.rate), r.at
+		s.Tries++
+		inside := c.level >= r.units
+		switch {
+		case r.sends > 0 && inside:
+			c.level -= r.units
+			s.SentInside += r.units
+		case r.sends > 0:
+			s.SentBeyond += r.units
+		case inside:
+			s.RefusedRoom += r.units
+		default:
+			s.RefusedOver += r.units
+		}
+	}
+	var all []PlanSum
+	for _, s := range by {
+		all = append(all, *s)
+	}
+	slices.SortFunc(all, func(x, y PlanSum) int { return cmp.Compare(x.Plan, y.Plan) })
+	return all
+}
