--- a/internal/tally/sum.go
+++ b/internal/tally/sum.go
@@ -118,7 +118,7 @@
 }
 
 func (a *Adder) take(instance string, f []string) bool {
-	want := map[string]int{"a": 15, "r": 12, "s": 8, "p": 9}
+	want := map[string]int{"a": 15, "r": 12, "s": 8, "p": 10}
 	if len(f) == 0 || len(f) != want[f[0]] {
 		return false
 	}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -21,7 +21,7 @@
 	N      int           // of the request's attempts, from 0
 	Reason string        // as metrics name it
 	Took   time.Duration //
-	Age    time.Duration // of the server's process when the attempt began; below zero is long ago
+	Age    time.Duration // of the server's process when the attempt began; -1 ms is long ago
 	Drains bool          // the server was no longer up by the list when the attempt ended
 	Dialed bool          // on a connection of its own making
 	Cost   float64       // true units; 0 is not told
--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,102 @@
+package tally
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+var base = time.UnixMilli(1_800_000_000_000)
+
+func at(ms int) time.Time { return base.Add(time.Duration(ms) * time.Millisecond) }
+
+// Two instances each see a part of a customer's use; only their lines together tell that it is
+// beyond its quota, and that a server had two of their attempts at once.
+func TestFleetIsAddedUp(t *testing.T) {
+	var one, two bytes.Buffer
+	w, v := NewWriter(&one), NewWriter(&two)
+	for _, x := range []*Writer{w, v} {
+		x.Plan(Plan{At: base, Name: "basic", Price: 1, Rate: 1, Depth: 3})
+		x.State(State{At: at(100), Bound: 4, Held: 1, Out: 1, Conns: 2, Listed: 5, Up: 4})
+	}
+	r := Request{At: base, Class: "read", Plan: "basic", Customer: 7, Spread: 2, Units: 2, Outcome: "served", Took: 300 * time.Millisecond, Sends: 1}
+	w.Request(r)
+	w.Attempt(Attempt{At: base, Server: "s 1", Class: "read", Reason: "ok", Took: 300 * time.Millisecond, Age: time.Second, ServiceMS: 200, Util: 0.5, Queue: 0})
+	r.At = at(100)
+	v.Request(r)
+	v.Attempt(Attempt{At: at(100), Server: "s 1", Class: "read", Reason: "ok", Took: 300 * time.Millisecond, Age: -time.Millisecond, Dialed: true, ServiceMS: -1, Util: -1, Queue: -1})
+	r.At, r.Outcome, r.Why, r.Sends = at(1900), "refused", "by_chance", 0
+	v.Request(r)
+	r.At, r.Outcome, r.Why = at(2000), "refused", "over_store"
+	r.Units = 3
+	w.Request(r)
+
+	a := Adder{AimMS: 200}
+	for name, b := range map[string]*bytes.Buffer{"n0": &one, "n1": &two} {
+		if err := a.Read(name, b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := a.Sum()
+	if s.Instances != 2 || s.Skipped != 0 || len(s.Seconds) != 3 || len(s.Servers) != 1 || len(s.Plans) != 1 {
+		t.Fatalf("%+v", s)
+	}
+	first := s.Seconds[0]
+	if first.Requests["served"] != 2 || first.InTime != 0 || first.Attempts["ok"] != 2 || first.Dialed != 1 || first.Young != 1 ||
+		first.TookMS != 300 || first.Bound != 4 || first.Up != 4 {
+		t.Errorf("%+v", first)
+	}
+	if x := s.Servers[0]; x.Server != "s_1" || x.From != 2 || x.Most != 2 || x.Told != 200 || x.Util != 0.5 {
+		t.Errorf("%+v", x)
+	}
+	// 3 units at first, 2 sent; 1.1 at the second; 2.9 and 3 at the refusals.
+	if p := s.Plans[0]; p.Customers != 1 || p.SentInside != 2 || p.SentBeyond != 2 || p.RefusedRoom != 5 || p.RefusedOver != 0 {
+		t.Errorf("%+v", p)
+	}
+}
+
+func TestLinesOfOthersAreNoTally(t *testing.T) {
+	a := Adder{}
+	log := "2026 INFO serving\ntally\ntally a 1\ntally x 1 2\ntally s 1 NaN 1 1 1 1 1 1\ntally r\x00\n"
+	if err := a.Read("n0", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	if s := a.Sum(); s.Skipped != 4 || len(s.Seconds) != 0 {
+		t.Errorf("%+v", s)
+	}
+	if err := a.Read("n0", strings.NewReader(strings.Repeat("x", lineMost+1))); err == nil {
+		t.Error("a line without end was read")
+	}
+}
+
+// failing is a log that can't be written.
+type failing struct{ calls int }
+
+func (f *failing) Write([]byte) (int, error) { f.calls++; return 0, errors.New("full") }
+
+func TestFailingLogIsLeftAlone(t *testing.T) {
+	f := &failing{}
+	w := NewWriter(f)
+	for range 3 {
+		w.State(State{})
+	}
+	if f.calls != 1 {
+		t.Errorf("%d calls of a log that fails", f.calls)
+	}
+	var none *Writer
+	none.State(State{})
+	none.Attempt(Attempt{})
+	none.Request(Request{})
+	none.Plan(Plan{})
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("tally a 1 s-1 read 0 ok 1 -1 false true 2 3 4 0.5 0\ntally p 1 basic 1 1 3 1 0 0 0\ntally r 1 read basic 7 2 false 2 served - 3 1\n")
+	f.Fuzz(func(t *testing.T, log string) {
+		a := Adder{}
+		_ = a.Read("n0", strings.NewReader(log))
+		a.Sum()
+	})
+}
