--- a/control/control.go
+++ b/control/control.go
@@ -102,6 +102,7 @@
 	badCut       = 0.1   // part of an interval's outcomes that are full or timed out from which the bound is cut
 	badIdle      = 1.3   // times the idle time below which it is not
 	utilFull     = 0.9   // mean part of their cores that servers tell as busy, below which they have room
+	answersSure  = 40.0  // answers an interval whose mean is sure enough to cut the bound by
 	badHold      = 0.03  // part from which it does not grow
 	askAgain     = 2 * time.Second
 )
@@ -939,7 +940,8 @@
 	slow := c.latN == 0 || c.secSum > c.latN*badIdle*c.idle
 	// Guards, in a large group, against a bound that is cut for a few answers that took long by
 	// chance, or at slow servers: no other gateway's attempts are fewer for it.
-	jammed := c.utilN == 0 || c.utilSum > c.utilN*utilFull
+	// Where there are many answers they say it themselves, sooner than reports of a server just started.
+	jammed := c.latN >= answersSure || c.utilN == 0 || c.utilSum > c.utilN*utilFull
 	if bad := c.bad / math.Max(1, c.bad+c.answers); jammed && (late || bad > badCut && slow) {
 		if c.cut = true; c.now >= c.cutAt+seconds(2*c.latency) { // answers to sends after the last cut
 			c.cutAt, c.bound = c.now, c.bound*boundDown
