Reckon only what a server has told when choosing one

The choice of servers took 13 us more a request at 90 servers than before it went by told load (21 -> 34), as three exponentials were taken for each. Same results; now 25 us at 90, 15 to 21 at 10 to 30 (14 to 17 before), 43 at 300 (27 to 35 before), no allocation more. A request through a node: 188 us of CPU and 88 allocations before and after (one pair).

--- a/control/control.go
+++ b/control/control.go
@@ -635,16 +635,18 @@
 // and opens connections to all.
 func (c *Controller) cost(s *server) float64 {
 	base := math.Max(c.latency, 1e-3)
-	fresh := s.samples * math.Exp(-(c.now-s.latencyAt).Seconds()/latencyAge)
-	lat := base + (s.latency-base)*fresh/(fresh+sampleNoise)
-	slow := 1 + (c.strange-1)*-math.Expm1(-(c.now-s.toldAt).Seconds()/slowAge)
-	busy := c.util
+	lat, slow, busy := base, c.strange, c.util
+	if s.samples > 0 {
+		fresh := s.samples * math.Exp(-(c.now-s.latencyAt).Seconds()/latencyAge)
+		lat += (s.latency - base) * fresh / (fresh + sampleNoise)
+	}
 	if s.coldRamp { // none has told for long of one, and its budget is below what it can do
 		slow = 1
 	}
 	if s.toldAt > 0 {
-		slow += (s.slow - 1) * math.Exp(-(c.now-s.toldAt).Seconds()/slowAge)
-		busy += (s.util - busy) * math.Exp(-(c.now-s.toldAt).Seconds()/busyAge)
+		since := (c.now - s.toldAt).Seconds()
+		slow += (s.slow - slow) * math.Exp(-since/slowAge)
+		busy += (s.util - busy) * math.Exp(-since/busyAge)
 	}
 	lat = math.Max(lat, base*slow)
 	if s.inflight > 0 { // a server that is silent is at least as slow as its silence
