--- a/control/control.go
+++ b/control/control.go
@@ -86,7 +86,6 @@
 	asideFirst   = time.Second      // how long it is put aside at first; doubles
 	shutFor      = 15 * time.Second // how long a server that refused a plan is not tried for it
 	asideMost    = 8 * time.Second
-	servedFall   = 0.05  // gain of the rate that warm servers do, where it falls
 	coldSafety   = 0.32  // part of a cold server's budget that is used
 	retryEarn    = 0.1   // further attempts earned by each request
 	retryLeast   = 0.1   // the least that a further attempt takes of what was earned
@@ -149,7 +148,7 @@
 }
 
 // learn takes an entry of the list before it replaces what was listed. A server that started
-// anew has no record, and starts cold with an empty budget.
+// anew has no record, and starts cold with nothing to spend.
 func (c *Controller) learn(s *server, m Member) {
 	if m.HasCameUp && (!s.HasCameUp || m.CameUp > s.CameUp) {
 		s.latency, s.failing, s.strikes, s.asideUntil, s.aside, s.samples, s.toldAt = 0, 0, 0, 0, 0, 0, 0
@@ -590,15 +589,15 @@
 func (c *Controller) pick(r *request) *server {
 	var best *server
 	bestCost := math.Inf(1)
-	c.strange = strange
-	if c.count(func(s *server) bool { return s.toldAt > 0 && c.now < s.toldAt+seconds(slowAge) }) < knownLeast {
-		c.strange = 1 / strange
+	unknown := strange
+	if c.count(c.known) < knownLeast {
+		unknown = 1 / strange
 	}
 	for _, s := range c.order {
 		if !s.usable() || !c.sameGroup(r, s) || !c.coldRoom(s) {
 			continue
 		}
-		cost := c.cost(s)
+		cost := c.cost(s, unknown)
 		for _, t := range r.tried {
 			if t == s.Server {
 				cost *= triedCost
@@ -630,12 +629,12 @@
 
 // cost is the expected wait at a server: its latency times what it holds of ours, and more the
 // busier it says its cores are. Own answers count by their number, as the work of each is a draw.
-// What is not known is taken to be as with the fleet, and a server not seen of late to be somewhat
-// slower. Guards against each of many gateways that tries all servers in turn, and so the slow ones,
-// and opens connections to all.
-func (c *Controller) cost(s *server) float64 {
+// What is not known is taken to be as with the fleet; a server not seen of late costs unknown times
+// as much. Guards against each of many gateways that tries all servers in turn, and so the slow
+// ones, and opens connections to all.
+func (c *Controller) cost(s *server, unknown float64) float64 {
 	base := math.Max(c.latency, 1e-3)
-	lat, slow, busy := base, c.strange, c.util
+	lat, slow, busy := base, unknown, c.util
 	if s.samples > 0 {
 		fresh := s.samples * math.Exp(-(c.now-s.latencyAt).Seconds()/latencyAge)
 		lat += (s.latency - base) * fresh / (fresh + sampleNoise)
@@ -659,6 +658,9 @@
 	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
 }
 
+// known tells whether a server has told of its load of late.
+func (c *Controller) known(s *server) bool { return s.toldAt > 0 && c.now < s.toldAt+seconds(slowAge) }
+
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
 // as a server that is not chosen has no chance to do better.
 func (c *Controller) failing(s *server) float64 {
@@ -716,7 +718,7 @@
 			continue
 		case s.strikes >= strikesOut:
 			dead++
-		case s.toldAt > 0 && c.now < s.toldAt+seconds(slowAge):
+		case c.known(s):
 			good++
 		}
 		warm++
@@ -969,8 +971,7 @@
 		}
 	}
 	c.intervals++
-	gain := math.Max(latencyGain, 1/c.intervals)
-	c.servedRate += gain * (c.served/lasted - c.servedRate)
+	c.servedRate += math.Max(latencyGain, 1/c.intervals) * (c.served/lasted - c.servedRate)
 	c.span = span{}
 	c.sweep()
 }
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -8,6 +8,11 @@
 
 // Tests of what many gateways do together, each of which sees a few requests a second.
 
+// told is a server's report of its mean time, in ms, and how busy it is.
+func told(mean, util float64) *Load {
+	return &Load{AvgMS: mean, CPU: util, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+}
+
 // cohort is a group of controllers that are asked in turn; each attempt is answered after 300 ms.
 type cohort struct {
 	t     *testing.T
@@ -84,9 +89,9 @@
 	c := newCohort(t, 40, on(1, 2, 3, 4, 5, 6, 7, 8))
 	c.load = func(s uint32) *Load {
 		if s == 1 {
-			return &Load{AvgMS: 1, CPU: 0.7, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+			return told(1, 0.7)
 		}
-		return &Load{AvgMS: 400, CPU: 0.7, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+		return told(400, 0.7)
 	}
 	c.serve(50)
 	if part := float64(c.sent[1]) * 8 / (40 * 50); part > 2 {
@@ -99,9 +104,9 @@
 	c := newCohort(t, 40, on(1, 2, 3, 4, 5, 6, 7, 8))
 	c.load = func(s uint32) *Load {
 		if s == 1 {
-			return &Load{AvgMS: 2000, CPU: 0.7, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+			return told(2000, 0.7)
 		}
-		return &Load{AvgMS: 300, CPU: 0.7, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+		return told(300, 0.7)
 	}
 	c.serve(50)
 	if part := float64(c.sent[1]) * 8 / (40 * 50); part > 0.3 {
@@ -114,7 +119,7 @@
 func TestBusyServerIsSentLess(t *testing.T) {
 	c := newCohort(t, 40, on(1, 2, 3, 4, 5, 6, 7, 8))
 	c.load = func(s uint32) *Load {
-		l := &Load{AvgMS: 300, CPU: 0.5, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+		l := told(300, 0.5)
 		if s <= 4 {
 			l.CPU = 1
 		}
@@ -149,7 +154,7 @@
 			g.pass(1200 * ms)
 			if n := len(g.sends); g.n[id] > 0 {
 				g.do(Response{ID: id, Server: g.sends[n-1].Server, Reason: OK, Done: true,
-					Load: &Load{AvgMS: 1200, CPU: k.util, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}})
+					Load: told(1200, k.util)})
 				g.ends[id] = Refuse{ID: id}
 			}
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -171,7 +171,6 @@
 	idle, seen        float64
 	util, meanTold    float64 // part of the servers' cores that is busy, and their mean time in s, by reports
 	reports           float64
-	strange           float64 // factor on the cost of a server that has told nothing of late, for one choice
 	servedRate        float64 // units a second by warm servers, smoothed
 	intervals         float64 // that have ended
 	meanUnits, asks   float64 // of the requests asked, and their number
--- a/control/sure_test.go
+++ b/control/sure_test.go
@@ -32,7 +32,7 @@
 					srv = a.Server
 				}
 			}
-			g.do(Response{ID: id, Server: srv, Reason: OK, Done: true, Load: &Load{AvgMS: 10, CPU: 0.3, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}})
+			g.do(Response{ID: id, Server: srv, Reason: OK, Done: true, Load: told(10, 0.3)})
 			g.ends[id] = Refuse{ID: id}
 		}
 		g.pass(time.Second)
--- a/internal/service/counts.go
+++ b/internal/service/counts.go
@@ -54,19 +54,25 @@
 	}
 }
 
-// ended counts a request's final answer; one without a status is a client that has left.
-func (n *ClassCounts) ended(a Answer, noRoom bool) {
+// outcome is what became of a request with this final answer, a place in Outcomes; one without a
+// status is a client that has left.
+func (a Answer) outcome() int {
 	switch {
 	case a.Status == 0:
-		n.Requests[3].Add(1)
+		return 3
 	case a.Kind == Refused:
-		n.Requests[1].Add(1)
-		if noRoom {
-			n.NoRoom.Add(1)
-		}
+		return 1
 	case a.Kind == Failed || a.Status >= http.StatusInternalServerError:
-		n.Requests[2].Add(1)
-	default:
-		n.Requests[0].Add(1)
+		return 2
+	}
+	return 0
+}
+
+// ended counts a request's final answer.
+func (n *ClassCounts) ended(a Answer, noRoom bool) {
+	is := a.outcome()
+	n.Requests[is].Add(1)
+	if is == 1 && noRoom {
+		n.NoRoom.Add(1)
 	}
 }
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -86,6 +86,14 @@
 	return time.Duration(l.start.UnixNano()) + time.Since(l.start)
 }
 
+// bound is how many attempts the module lets out at once; 0 where it doesn't tell.
+func (l *loop) bound() float64 {
+	if m, ok := l.module.(interface{ Bound() float64 }); ok {
+		return m.Bound()
+	}
+	return 0
+}
+
 // post hands work to the loop; false where it has ended.
 func (l *loop) post(event func()) bool {
 	select {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -415,9 +415,7 @@
 				st.Waiting++
 			}
 		}
-		if b, ok := l.module.(interface{ Bound() float64 }); ok {
-			st.Bound = b.Bound()
-		}
+		st.Bound = l.bound()
 		if l.census != nil {
 			st.Group[0], st.Group[1], _ = l.census.Seen(l.now())
 			st.GroupDoubts = l.census.Doubts(l.now())
--- a/internal/service/tally.go
+++ b/internal/service/tally.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,17 +57,8 @@
 }
 
 func (b *book) ended(x *Exchange, a Answer) {
-	r := tally.Request{At: x.began, Class: x.Req.Class, Plan: x.Req.Plan, Customer: uint32(xxhash.Sum64String(x.Req.Customer)), Spread: x.Req.Spread, Repeat: x.Req.Repeat, Units: x.Req.Units, Took: time.Since(x.began), Sends: x.sends}
-	switch {
-	case a.Status == 0 && a.Stream == nil:
-		r.Outcome = Outcomes[3]
-	case a.Kind == Refused:
-		r.Outcome = Outcomes[1]
-	case a.Kind == Failed || a.Status >= http.StatusInternalServerError:
-		r.Outcome = Outcomes[2]
-	default:
-		r.Outcome = Outcomes[0]
-	}
+	r := tally.Request{At: x.began, Class: x.Req.Class, Plan: x.Req.Plan, Customer: uint32(xxhash.Sum64String(x.Req.Customer)),
+		Spread: x.Req.Spread, Repeat: x.Req.Repeat, Units: x.Req.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.began), Sends: x.sends}
 	if why, ok := b.why[x.Req.ID]; ok {
 		r.Why = why.String()
 	}
@@ -99,13 +89,10 @@
 		return
 	}
 	b.stated = now
-	s := tally.State{At: now, Held: len(l.exchanges), Listed: len(l.ids), Up: len(l.pools)}
+	s := tally.State{At: now, Bound: l.bound(), Held: len(l.exchanges), Listed: len(l.ids), Up: len(l.pools)}
 	for _, x := range l.exchanges {
 		s.Out += x.out
 	}
 	s.Conns, _ = l.upstream.Conns()
-	if m, ok := l.module.(interface{ Bound() float64 }); ok {
-		s.Bound = m.Bound()
-	}
 	b.to.State(s)
 }
