Ask the node's own discovery agent at once, whatever the group's size

The paced calls of a large group are for a discovery that all share (on_request). A node of 306 that was killed and came back waited up to 4 s before its first call, and up to 2 minutes after a broken watch. Ruled out: a send queued before the news (these requests came after it), a broken watch (no line 'watch ended' on any node). At fault: Feed.Run in discovery/feed.go waited Pace.First for every source. The settings tell whose discovery it is (pushed or on_request); an agent is asked as by a group of one.

--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// Whether lists are pushed tells whose discovery it is: an agent of the node's own, or one that all share.
+func TestWhoseDiscovery(t *testing.T) {
+	raw, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for mode, agent := range map[string]bool{"pushed": true, "on_request": false} {
+		c, err := ParsePlatform([]byte(strings.NewReplacer(`"discovery": "pushed"`, `"discovery": "`+mode+`"`).Replace(string(raw))))
+		if err != nil || c.Services[0].Source.Agent != agent {
+			t.Errorf("%s: %+v, %v", mode, c.Services[0].Source, err)
+		}
+	}
+}
+
 func TestBadConfigIsNamed(t *testing.T) {
 	good, err := os.ReadFile("testdata/config.json")
 	if err != nil {
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -32,13 +32,14 @@
 type Source struct {
 	Kind    Kind
 	Address string   // with Watch: host and port
+	Agent   bool     // with Watch: it is this instance's own agent, which answers at no cost to others
 	Path    string   // with File
 	Servers []Target // with Static
 }
 
 // Equal tells whether two sources are the same.
 func (s Source) Equal(o Source) bool {
-	return s.Kind == o.Kind && s.Address == o.Address && s.Path == o.Path && slices.Equal(s.Servers, o.Servers)
+	return s.Kind == o.Kind && s.Address == o.Address && s.Agent == o.Agent && s.Path == o.Path && slices.Equal(s.Servers, o.Servers)
 }
 
 // Feed follows one source after another and tells what each lists. The list of a further
@@ -47,7 +48,7 @@
 	tell    func(Listing)
 	silence time.Duration // after which a watch is dead
 	every   time.Duration // between two looks at a file
-	pace    Pace          // Run's own
+	pace    Pace          // of a shared discovery; see paceOf
 
 	// Known is set before Run where a list is known, so that the first call can wait.
 	Known bool
@@ -88,13 +89,14 @@
 		here, src, rev := f.arrive(ctx)
 		switch src.Kind {
 		case Watch:
+			pace := f.paceOf(src)
 			after := time.Duration(0)
 			if !first {
-				after = f.pace.Moved()
+				after = pace.Moved()
 			} else if f.Known {
-				after = f.pace.First()
+				after = pace.First()
 			}
-			newWatcher(src.Address, rev, f.silence, &f.pace, f.tell).stay(here, after)
+			newWatcher(src.Address, rev, f.silence, &pace, f.tell).stay(here, after)
 		case File:
 			f.follow(here, src.Path)
 		case Static:
@@ -104,6 +106,16 @@
 	}
 }
 
+// paceOf is the pace of calls to a source. Guards against an instance that goes on with an old list
+// while its own agent has the news: nobody else waits for what an agent is asked.
+func (f *Feed) paceOf(src Source) Pace {
+	p := f.pace
+	if src.Agent {
+		p.Group = 1
+	}
+	return p
+}
+
 // follow tells the list in a file, and again when the file has changed, until ctx ends. A
 // file that can't be read or used leaves the list as it is, and says so once.
 func (f *Feed) follow(ctx context.Context, path string) {
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -110,3 +110,23 @@
 		}
 	}
 }
+
+// One of hundreds whose own agent has the list asks it at once, after each start, move and break: a
+// change counts as told while it waits.
+func TestOwnAgentIsAskedAtOnce(t *testing.T) {
+	f := NewFeed(Source{}, 41, Pace{Group: 300, Rand: rand.New(rand.NewPCG(1, 2))}, nil)
+	for _, agent := range []bool{true, false} {
+		first, moved, again := time.Duration(0), time.Duration(0), time.Duration(0)
+		for range 100 {
+			p := f.paceOf(Source{Agent: agent})
+			first, moved, again = max(first, p.First()), max(moved, p.Moved()), max(again, p.Again(0))
+		}
+		if !agent {
+			if first < time.Second || again < 10*time.Second {
+				t.Errorf("a shared discovery is asked within %v, and again within %v", first, again)
+			}
+		} else if first > 0 || moved > 0 || again > backoffFirst {
+			t.Errorf("the own agent is asked after %v, when moved after %v, again after %v", first, moved, again)
+		}
+	}
+}
