Start a cold server's debt by the settings' mean units, so that new nodes owe it at once

Cause: where most nodes restart while servers are cold, each of them sent each cold server one request for free. A cold server's store begins at a random debt of up to one mean request (control.go, learn), but the mean of a node that has been asked nothing yet was 0, so that the debt was 0 too. Ruled out: a budget that is too large (no store was used twice), nodes that had not been told (boot_ms stood in the list that they asked for). The mean now begins with that of the settings' largest request and one, and the first requests replace it.

The test was seen to fail without the change, at 8, 80 and 300 gateways (a cold server sent 0.65, 0.78, 0.53 of an even part, against 0.07 and less).

--- a/control/control.go
+++ b/control/control.go
@@ -113,6 +113,7 @@
 	}
 	c := newController(s, seed)
 	c.retries, c.nextTry, c.clock.lag = retryMost, retryAfter, lagFirst
+	c.meanUnits = (1 + math.Max(1, s.UnitsTop)) / 2 // until requests tell
 	for i := range c.set.Classes {
 		k := &c.set.Classes[i]
 		c.classes[k.Name], c.usual[k] = k, &usualTTL{}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Guards against a release that kills most gateways while servers start: each of those that come
+// back knows nothing yet, and sends each cold server one request for free.
+func TestGatewaysThatStartTogetherSpareColdServers(t *testing.T) {
+	for _, n := range []int{8, 80, 300} {
+		list := on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
+		for s := uint32(13); s <= 16; s++ {
+			list = append(list, Member{Server: s, Size: 1, HasCameUp: true, CameUp: time.Hour - time.Second})
+		}
+		c := newCohort(t, n, list)
+		c.serve(10) // 2 s
+		cold, all := 0, 0
+		for s, k := range c.sent {
+			if all += k; s >= 13 {
+				cold += k
+			}
+		}
+		// Were the servers evenly used to the full by this, 2.5 times 0.2 of an even part would be the most.
+		if part := float64(cold) / 4 / (float64(all) / 16); all < 100 || part > 0.4 {
+			t.Errorf("%d gateways: of %d requests a cold server is sent %.2f of an even part", n, all, part)
+		}
+	}
+}
+
 // Guards against many gateways that find a server the fastest because its mean time, which it tells,
 // begins at nothing.
 func TestServerThatTellsNoTimeDoesNotDrawAll(t *testing.T) {
