Hold how many periods were told against those that could have been since the start

Cause: the chance goes before the store until most periods of a customer's use are told (covered, control.go), which was held against 20 s also by a node that had run for 5: none was covered in its first 14 s, nor again after a restart. Now it is held against what could have been told since the start. Ruled out: the chance's own figures (it is 0 for calm customers), the bound (no_turn under 1 % of the refusals).

The test was seen to fail without.

--- a/control/control.go
+++ b/control/control.go
@@ -282,9 +282,11 @@
 	return ByChance
 }
 
-// covered tells whether most periods of a customer's use are told here.
+// covered tells whether most periods of a customer's use are told here, of those that could have
+// been since this gateway started.
 func (c *Controller) covered(q *customer) bool {
-	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > coverLeast*toldAge
+	could := toldAge * (1 - math.Exp(-(c.now-c.start).Seconds()/toldAge))
+	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > coverLeast*could
 }
 
 // chanceNow is the chance of refusal, 1-(1-d')*100/p with p over the latest readings that amount
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Guards against a gateway that has just started and refuses by chance for its first quarter of a
+// minute, though it has been told each period and the store is well filled.
+func TestStoreGoesBeforeTheChanceFromTheFirstReadings(t *testing.T) {
+	for _, k := range []struct {
+		gap, life time.Duration // between readings, and since the start
+		want      bool
+	}{{time.Second, 5 * time.Second, true}, {time.Second, time.Minute, true}, {4 * time.Second, 40 * time.Second, false}} {
+		s := settings()
+		s.Plans[0].Rate, s.Plans[0].Depth = 2, 8
+		g := newGate(t, s, on(1, 2, 3, 4)...)
+		g.serve(k.life, k.gap, 151, func(i int) { // half as much again as its rate, for a while
+			g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", TTL: 3 * time.Second, Units: 1, Spread: 4})
+		})
+		if got := g.c.covered(g.c.custs["low c"]); got != k.want {
+			t.Errorf("a reading each %v for %v: covered %v", k.gap, k.life, got)
+		}
+	}
+}
+
 // Guards against bounds below one that stop the work: a place is used, then rests.
 func TestPartOfAPlaceRestsAndFlows(t *testing.T) {
 	g := newGate(t, large(), on(1)...)
