--- /dev/null
+++ b/internal/fleetrules/rules.go
@@ -0,0 +1,296 @@
+// Package fleetrules holds what a whole fleet did against the five rules: one final answer each, in
+// time; no effect twice; drains kept; cold servers not pushed over; ceilings kept. It is told what
+// came in, what went out and how it ended, and knows nothing of how an instance decides. A Checker
+// is not safe for concurrent use; its times only move forward.
+package fleetrules
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"lockflow/control"
+)
+
+// Rule names one of the five.
+type Rule string
+
+// The rules.
+const (
+	Answer  Rule = "answer"  // one final answer each, in time
+	Twice   Rule = "twice"   // no effect twice
+	Drain   Rule = "drain"   // nothing new to a server that drains or is gone
+	Cold    Rule = "cold"    // no cold server pushed over
+	Ceiling Rule = "ceiling" // no customer beyond its ceiling
+)
+
+// Rules are all of them, in order.
+var Rules = []Rule{Answer, Twice, Drain, Cold, Ceiling}
+
+// toldPart is the part of the work sent to a cold server that must have come from instances that
+// knew of its start, for the fleet to be at fault.
+const toldPart = 2.0 / 3
+
+// breachMost is how many breaches are kept; further ones are counted only.
+const breachMost = 100
+
+// Terms are the figures of the rules.
+type Terms struct {
+	AnswerGrace  time.Duration // past a client's time, in which an answer still counts
+	DrainGrace   time.Duration // after an instance was told
+	Fall         time.Duration // span over which a cold server's work is counted
+	FallMultiple float64       // times what it can do at that moment
+	ColdSlack    float64       // s of one core's work beyond that: chance
+}
+
+// Breach is a rule broken once.
+type Breach struct {
+	Rule   Rule          `json:"rule"`
+	At     time.Duration `json:"at_ns"`
+	Node   int           `json:"node"`             // -1 is the fleet
+	ID     string        `json:"id,omitempty"`     // of the request
+	Server uint32        `json:"server,omitempty"` // 0 is none
+	What   string        `json:"what"`
+}
+
+func (b Breach) String() string {
+	return fmt.Sprintf("%s at %.3f s, node %d, request %q, server %d: %s", b.Rule, b.At.Seconds(), b.Node, b.ID, b.Server, b.What)
+}
+
+// Server is what the checker has to know of one.
+type Server struct {
+	Zone string
+	Cell int
+	// Can is the work, in s of one core each second, that it can do at a time, and whether it is
+	// still cold then. Nil is a server that is warm.
+	Can func(at time.Duration) (work float64, cold bool)
+}
+
+// Checker holds a fleet to the rules.
+type Checker struct {
+	Terms Terms
+
+	servers  map[uint32]*server
+	requests map[string]*request
+	nodes    map[int]map[uint32]time.Duration // when each was told that a server drains or is gone
+	stores   map[string]*store
+	counts   map[Rule]int
+	breaches []Breach
+}
+
+type server struct {
+	Server
+	work []work // of late, while cold
+	sum  float64
+	told float64 // of the sum, by instances that knew of its start
+	fell bool
+}
+
+type work struct {
+	at   time.Duration
+	s    float64
+	told bool
+}
+
+type request struct {
+	node     int
+	class    *control.Class
+	until    time.Duration
+	answered bool
+	excused  bool // nothing is owed: its client left, or its instance was killed
+	out      int  // attempts that have come whole and not ended
+	mayRun   bool
+	cell     Server        // of the first attempt that may have run
+	first    time.Duration // its send
+}
+
+type store struct {
+	level float64
+	at    time.Duration
+}
+
+// New makes a checker.
+func New(t Terms) *Checker {
+	return &Checker{Terms: t, servers: map[uint32]*server{}, requests: map[string]*request{},
+		nodes: map[int]map[uint32]time.Duration{}, stores: map[string]*store{}, counts: map[Rule]int{}}
+}
+
+func (c *Checker) breach(b Breach) {
+	if c.counts[b.Rule]++; len(c.breaches) < breachMost {
+		c.breaches = append(c.breaches, b)
+	}
+}
+
+// Broken is how often each rule was broken; none where it is empty.
+func (c *Checker) Broken() map[Rule]int { return c.counts }
+
+// Breaches are the first of them, in the order of their time.
+func (c *Checker) Breaches() []Breach { return c.breaches }
+
+// Started tells of a server that has started, at a time, or anew.
+func (c *Checker) Started(id uint32, s Server) { c.servers[id] = &server{Server: s} }
+
+// Told notes that an instance was told, or counts as told, that a server drains or is gone; or, where
+// it is up, that it may be sent to.
+func (c *Checker) Told(at time.Duration, node int, id uint32, up bool) {
+	m := c.nodes[node]
+	if m == nil {
+		m = map[uint32]time.Duration{}
+		c.nodes[node] = m
+	}
+	if _, is := m[id]; up {
+		delete(m, id)
+	} else if !is {
+		m[id] = at
+	}
+}
+
+// Taken notes a request that an instance has taken, of a client that waits for so long.
+func (c *Checker) Taken(at time.Duration, node int, id string, class *control.Class, ttl time.Duration) {
+	c.requests[id] = &request{node: node, class: class, until: at + ttl}
+}
+
+// Sent notes an attempt at the moment in which it is sent. first is whether it is the request's first,
+// which draws its units from the customer's ceiling.
+func (c *Checker) Sent(at time.Duration, node int, id string, to uint32, first bool, plan *control.Plan, customer string, units float64) {
+	if told, ok := c.nodes[node][to]; ok && at > told+c.Terms.DrainGrace {
+		c.breach(Breach{Drain, at, node, id, to, fmt.Sprintf("sent %.2f s after it was told that the server drains or is gone", (at - told).Seconds())})
+	}
+	if r := c.requests[id]; r != nil {
+		c.again(at, node, id, to, r)
+		r.out++
+	}
+	if first && plan.CeilingRate > 0 {
+		c.draw(at, node, id, plan, customer, units)
+	}
+}
+
+// again holds an attempt against those before it.
+func (c *Checker) again(at time.Duration, node int, id string, to uint32, r *request) {
+	bad := func(what string) { c.breach(Breach{Twice, at, node, id, to, what}) }
+	if r.answered {
+		bad("sent after its final answer")
+	}
+	if r.out > 0 {
+		bad("sent while an attempt is out")
+	}
+	if !r.mayRun {
+		return
+	}
+	s := c.servers[to]
+	switch k := r.class; {
+	case k.Effect == control.SingleShot:
+		bad("sent again after an attempt that may have run")
+	case k.Effect != control.Guarded || s == nil:
+	case at > r.first+k.RepeatWindow:
+		bad(fmt.Sprintf("repeated %.2f s after the first that may have run", (at - r.first).Seconds()))
+	case k.KeyScope == control.ScopeCell && s.Cell != r.cell.Cell, k.KeyScope == control.ScopeZone && s.Zone != r.cell.Zone:
+		bad("repeated at a server of another group")
+	}
+}
+
+// Ended notes how an attempt ended that was sent at a time: whether it may have run.
+func (c *Checker) Ended(id string, sent time.Duration, to uint32, mayRun bool) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	r.out--
+	if s := c.servers[to]; mayRun && !r.mayRun && s != nil {
+		r.mayRun, r.first, r.cell = true, sent, s.Server
+	}
+}
+
+// Answered notes a final answer; refused is one after which the client may try again.
+func (c *Checker) Answered(at time.Duration, node int, id string, refused bool) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	switch {
+	case r.answered:
+		c.breach(Breach{Answer, at, node, id, 0, "answered twice"})
+	case !r.excused && at > r.until+c.Terms.AnswerGrace:
+		c.breach(Breach{Answer, at, node, id, 0, fmt.Sprintf("answered %.3f s past its client's time", (at - r.until).Seconds())})
+	}
+	k := r.class
+	if refused && k.Effect != control.Free && (r.mayRun || r.out > 0) && !(k.Effect == control.Guarded && k.KeyScope == control.ScopeAll) {
+		c.breach(Breach{Twice, at, node, id, 0, "refused, as if trying again were harmless, though it may have run"})
+	}
+	r.answered = true
+}
+
+// Left notes that a request's client has left: nothing more is owed.
+func (c *Checker) Left(id string) {
+	if r := c.requests[id]; r != nil {
+		r.excused = true
+	}
+}
+
+// Killed notes that an instance has died without warning, or, where it ended by itself and owed
+// what it held, that it has ended.
+func (c *Checker) Killed(at time.Duration, node int, owed bool) {
+	for id, r := range c.requests {
+		if r.node != node || r.answered || r.excused {
+			continue
+		}
+		if r.excused = true; owed {
+			c.breach(Breach{Answer, at, node, id, 0, "its instance ended without an answer"})
+		}
+	}
+	delete(c.nodes, node)
+}
+
+// Arrived notes work that has reached a server, turned away or not, from an instance that had or
+// had not been told of the server's start.
+func (c *Checker) Arrived(at time.Duration, id uint32, s float64, told bool) {
+	v := c.servers[id]
+	if v == nil || v.Can == nil {
+		return
+	}
+	can, cold := v.Can(at)
+	if !cold {
+		v.work, v.sum, v.told = nil, 0, 0
+		return
+	}
+	v.work = append(v.work, work{at, s, told})
+	v.add(s, told)
+	for v.work[0].at <= at-c.Terms.Fall {
+		v.add(-v.work[0].s, v.work[0].told)
+		v.work = v.work[1:]
+	}
+	limit := c.Terms.FallMultiple*can*c.Terms.Fall.Seconds() + c.Terms.ColdSlack
+	if v.sum > limit && v.told >= toldPart*v.sum && !v.fell {
+		v.fell = true
+		c.breach(Breach{Cold, at, -1, "", id, fmt.Sprintf("sent %.1f times what it can do at that moment", v.sum/(can*c.Terms.Fall.Seconds()))})
+	}
+}
+
+func (s *server) add(work float64, told bool) {
+	if s.sum += work; told {
+		s.told += work
+	}
+}
+
+// draw takes a request's units from its customer's ceiling, which all instances share.
+func (c *Checker) draw(at time.Duration, node int, id string, p *control.Plan, customer string, units float64) {
+	q := c.stores[customer]
+	if q == nil {
+		q = &store{level: p.CeilingBurst, at: at}
+		c.stores[customer] = q
+	}
+	q.level = math.Min(p.CeilingBurst, q.level+(at-q.at).Seconds()*p.CeilingRate) - units
+	q.at = at
+	if q.level < -p.CeilingSlack {
+		c.breach(Breach{Ceiling, at, node, id, 0, fmt.Sprintf("customer %s is %.1f units beyond its ceiling", customer, -q.level)})
+	}
+}
+
+// Close ends the day: what is still owed by then and overdue was never answered.
+func (c *Checker) Close(at time.Duration) {
+	for id, r := range c.requests {
+		if !r.answered && !r.excused && at > r.until+c.Terms.AnswerGrace {
+			c.breach(Breach{Answer, at, r.node, id, 0, "never answered"})
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleetrules/rules_test.go
@@ -0,0 +1,135 @@
+package fleetrules
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/control"
+)
+
+const s = time.Second
+
+// Each history breaks one rule or none.
+func TestRules(t *testing.T) {
+	read := &control.Class{Name: "read", Effect: control.Free}
+	once := &control.Class{Name: "once", Effect: control.SingleShot}
+	keyed := &control.Class{Name: "keyed", Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: 5 * s}
+	any := &control.Class{Name: "any", Effect: control.Guarded, KeyScope: control.ScopeAll, RepeatWindow: 5 * s}
+	free, capped := &control.Plan{}, &control.Plan{CeilingRate: 2, CeilingBurst: 10, CeilingSlack: 1}
+	send := func(c *Checker, at time.Duration, to uint32, first bool) { c.Sent(at, 1, "a", to, first, free, "x", 1) }
+	cold := func(time.Duration) (float64, bool) { return 1, true }
+	for name, tc := range map[string]struct {
+		want Rule // empty is none
+		does func(c *Checker)
+	}{
+		"answered in time":   {"", func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Answered(s, 1, "a", false) }},
+		"within the grace":   {"", func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Answered(s+100*time.Millisecond, 1, "a", false) }},
+		"late":               {Answer, func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Answered(2*s, 1, "a", false) }},
+		"never":              {Answer, func(c *Checker) { c.Taken(0, 1, "a", read, s) }},
+		"its client left":    {"", func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Left("a") }},
+		"its instance died":  {"", func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Killed(s/2, 1, false) }},
+		"its instance ended": {Answer, func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Killed(s/2, 1, true) }},
+		"another's ended":    {"", func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Killed(s/2, 2, true); c.Answered(s, 1, "a", true) }},
+		"twice": {Answer, func(c *Checker) {
+			c.Taken(0, 1, "a", read, s)
+			c.Answered(0, 1, "a", true)
+			c.Answered(0, 1, "a", true)
+		}},
+		"sent after its end": {Twice, func(c *Checker) { c.Taken(0, 1, "a", read, s); c.Answered(0, 1, "a", true); send(c, 0, 1, true) }},
+		"two out":            {Twice, func(c *Checker) { c.Taken(0, 1, "a", read, s); send(c, 0, 1, true); send(c, 0, 1, false); c.Left("a") }},
+		"again, never ran": {"", func(c *Checker) {
+			c.Taken(0, 1, "a", once, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, false)
+			send(c, 0, 3, false)
+			c.Left("a")
+		}},
+		"again, may have run": {Twice, func(c *Checker) {
+			c.Taken(0, 1, "a", once, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, true)
+			send(c, 0, 1, false)
+			c.Left("a")
+		}},
+		"the same cell": {"", func(c *Checker) {
+			c.Taken(0, 1, "a", keyed, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, true)
+			send(c, s, 2, false)
+			c.Left("a")
+		}},
+		"another cell": {Twice, func(c *Checker) {
+			c.Taken(0, 1, "a", keyed, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, true)
+			send(c, s, 3, false)
+			c.Left("a")
+		}},
+		"past the window": {Twice, func(c *Checker) {
+			c.Taken(0, 1, "a", keyed, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, true)
+			send(c, 6*s, 2, false)
+			c.Left("a")
+		}},
+		"refused, may have run": {Twice, func(c *Checker) {
+			c.Taken(0, 1, "a", keyed, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, true)
+			c.Answered(0, 1, "a", true)
+		}},
+		"refused, group of all": {"", func(c *Checker) {
+			c.Taken(0, 1, "a", any, s)
+			send(c, 0, 1, true)
+			c.Ended("a", 0, 1, true)
+			c.Answered(0, 1, "a", true)
+		}},
+		"drained, in grace": {"", func(c *Checker) { c.Told(0, 1, 1, false); c.Told(s, 1, 1, false); send(c, 2*s, 1, true) }},
+		"drained, past it":  {Drain, func(c *Checker) { c.Told(0, 1, 1, false); c.Told(s, 1, 1, false); send(c, 3*s, 1, true) }},
+		"drained, back up":  {"", func(c *Checker) { c.Told(0, 1, 1, false); c.Told(s, 1, 1, true); send(c, 3*s, 1, true) }},
+		"another was told":  {"", func(c *Checker) { c.Told(0, 2, 1, false); send(c, 3*s, 1, true) }},
+		"cold, within": {"", func(c *Checker) {
+			c.Started(9, Server{Can: cold})
+			c.Arrived(0, 9, 4, true)
+			c.Arrived(3*s, 9, 4, true)
+		}},
+		"cold, beyond": {Cold, func(c *Checker) {
+			c.Started(9, Server{Can: cold})
+			c.Arrived(0, 9, 4, true)
+			c.Arrived(s, 9, 4, true)
+			c.Arrived(s, 9, 4, true)
+		}},
+		"cold, by untold ones": {"", func(c *Checker) { c.Started(9, Server{Can: cold}); c.Arrived(0, 9, 4, true); c.Arrived(s, 9, 4, false) }},
+		"ceiling, kept": {"", func(c *Checker) {
+			c.Sent(0, 1, "a", 1, true, capped, "x", 11)
+			c.Sent(s, 1, "b", 1, true, capped, "x", 2)
+			c.Sent(s, 1, "c", 1, true, capped, "y", 9)
+		}},
+		"ceiling, repeats": {"", func(c *Checker) {
+			c.Sent(0, 1, "a", 1, true, capped, "x", 10)
+			c.Sent(0, 1, "a", 1, false, capped, "x", 10)
+		}},
+		"ceiling, passed": {Ceiling, func(c *Checker) {
+			c.Sent(0, 1, "a", 1, true, capped, "x", 10)
+			c.Sent(s/2, 2, "b", 1, true, capped, "x", 3)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := New(Terms{AnswerGrace: 100 * time.Millisecond, DrainGrace: 2 * s, Fall: 2 * s, FallMultiple: 2.5})
+			c.Started(1, Server{Cell: 1})
+			c.Started(2, Server{Cell: 1})
+			c.Started(3, Server{Cell: 2})
+			tc.does(c)
+			c.Close(time.Minute)
+			if tc.want == "" && len(c.Broken()) > 0 || tc.want != "" && (len(c.Broken()) != 1 || c.Broken()[tc.want] != 1) {
+				t.Errorf("%v", c.Breaches())
+			}
+			for _, b := range c.Breaches() {
+				if !strings.Contains(b.String(), string(b.Rule)) {
+					t.Errorf("%v does not name its rule", b)
+				}
+			}
+		})
+	}
+}
