--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -5,18 +5,28 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"lockflow/internal/fleetrules"
 	"lockflow/internal/fleetsim"
 )
 
+// What is played where nothing else is asked for; a day's load is as usual then, and its length its own.
+const (
+	usualLoad  = 0.7
+	usualLasts = 30 * time.Second
+)
+
 func simulateCommand() command {
-	return command{name: "simulate", group: trying, does: "plays a fleet in virtual time against one cold server and one ceiling",
-		args: "[--instances N,N...] [--told N] [--lag TIME,TIME...] [--uneven] [--per-server N] [--load PART] [--seed N] [--json]",
-		examples: []string{"lockflow simulate --instances 40,400,4000 --lag 0s,2s,5s",
+	return command{name: "simulate", group: trying, does: "plays a fleet in virtual time: a day by its name, or one cold server and one ceiling",
+		args: "[--day NAME,NAME...|all|mutations] [--instances N,N...] [--told N] [--lag TIME,TIME...] [--uneven] [--per-server N] [--load PART] [--seed N] [--json]",
+		examples: []string{"lockflow simulate --day all --instances 2,8,80,300 --seed 7",
+			"lockflow simulate --day mutations --instances 40   # each guard taken out in turn; the checker has to find it",
+			"lockflow simulate --instances 40,400,4000 --lag 0s,2s,5s",
 			"lockflow simulate --instances 40 --told 1 --per-server 10 --load 0.95   # the group's size is ignored",
 			"lockflow simulate --instances 40 --json > sim.json && lockplot sim.json cold.svg"},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
@@ -27,20 +37,28 @@
 			set.BoolVar(&o.Uneven, "uneven", false, "some instances get ten times as much as others")
 			set.IntVar(&o.Servers, "servers", 20, "`N` warm ones")
 			set.Float64Var(&o.PerServer, "per-server", 100, "`N` calls a second that a server bears")
-			set.Float64Var(&o.Load, "load", 0.7, "`PART` of what the warm servers bear that clients ask for")
-			set.DurationVar(&o.Lasts, "for", 30*time.Second, "`TIME` that is played")
+			set.Float64Var(&o.Load, "load", usualLoad, "`PART` of what the warm servers bear that clients ask for")
+			set.DurationVar(&o.Lasts, "for", usualLasts, "`TIME` that is played")
 			set.Uint64Var(&o.Seed, "seed", 1, "`N` that everything follows from")
+			days := set.String("day", "", "`NAME,NAME...` of days, which hold the fleet to the five rules: "+strings.Join(fleetsim.DayNames, ", ")+"; or all, or mutations")
 			asJSON := set.Bool("json", false, "prints the reports as a JSON list, with each second of the cold server")
 			return func(ctx context.Context, e *Env, args []string) error {
+				if *days != "" && len(args) == 0 {
+					d := fleetsim.DayOptions{Told: o.Told, Seed: o.Seed, Load: o.Load / usualLoad}
+					if o.Lasts != usualLasts {
+						d.Lasts = o.Lasts
+					}
+					return playDays(ctx, e, *days, *instances, d, *asJSON)
+				}
 				if len(args) > 0 || o.Told < 0 || o.Servers < 1 || o.Servers > 1000 || !(o.PerServer > 0) || !(o.Load > 0) || o.Lasts < 12*time.Second {
 					return usage("simulate: its flags are off; it takes 12 s of play or more")
 				}
 				var all []fleetsim.Report
-				for field := range strings.SplitSeq(*instances, ",") {
-					n, err := strconv.Atoi(field)
-					if err != nil || n < 1 || n > 10000 {
-						return usage("simulate: instances: %q is none of 1 to 10000", field)
-					}
+				sizes, err := groupSizes(*instances)
+				if err != nil {
+					return err
+				}
+				for _, n := range sizes {
 					for field := range strings.SplitSeq(*lags, ",") {
 						lag, err := time.ParseDuration(field)
 						if err != nil || lag < 0 {
@@ -75,3 +93,114 @@
 	}
 	t.Flush()
 }
+
+func groupSizes(list string) ([]int, error) {
+	var all []int
+	for field := range strings.SplitSeq(list, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil || n < 1 || n > 10000 {
+			return nil, usage("simulate: instances: %q is none of 1 to 10000", field)
+		}
+		all = append(all, n)
+	}
+	return all, nil
+}
+
+// played is a day's report, and with a mutation which guard was out and whether that was found.
+type played struct {
+	fleetsim.DayReport
+	Mutation string `json:"mutation,omitempty"`
+	Rule     string `json:"rule,omitempty"` // that the mutation breaks
+}
+
+// ok tells whether the day went as it has to: no rule broken, or the one whose guard is out.
+func (p *played) ok() bool {
+	if p.Mutation != "" {
+		return p.Broken[fleetrules.Rule(p.Rule)] > 0
+	}
+	return len(p.Broken) == 0
+}
+
+// playDays plays days at each size. A broken rule, or a guard taken out and not found, is an error.
+func playDays(ctx context.Context, e *Env, names, instances string, o fleetsim.DayOptions, asJSON bool) error {
+	sizes, err := groupSizes(instances)
+	if err != nil {
+		return err
+	}
+	var todo []played
+	var options []fleetsim.DayOptions
+	add := func(o fleetsim.DayOptions, p played) { todo, options = append(todo, p), append(options, o) }
+	for _, n := range sizes {
+		if o.Instances = n; names == "mutations" {
+			for i := range fleetsim.Mutations {
+				m, mutated := &fleetsim.Mutations[i], o
+				mutated.Day, mutated.Mutation = m.Day, m
+				if m.Load > 0 {
+					mutated.Load = m.Load
+				}
+				add(mutated, played{Mutation: m.Name, Rule: m.Rule})
+			}
+			continue
+		}
+		list := fleetsim.DayNames
+		if names != "all" {
+			list = strings.Split(names, ",")
+		}
+		for _, name := range list {
+			if !slices.Contains(fleetsim.DayNames, name) {
+				return usage("simulate: day: %q is none of %s, all, mutations", name, strings.Join(fleetsim.DayNames, ", "))
+			}
+			o.Day = name
+			add(o, played{})
+		}
+	}
+	wrong := 0
+	for i, o := range options {
+		fmt.Fprintf(e.Err, "playing %s with %d instances %s\n", o.Day, o.Instances, todo[i].Mutation)
+		if todo[i].DayReport, err = fleetsim.Day(o); err != nil {
+			return err
+		}
+		if !todo[i].ok() {
+			wrong++
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	if asJSON {
+		if err := json.NewEncoder(e.Out).Encode(todo); err != nil {
+			return err
+		}
+	} else {
+		printDays(e.Out, todo)
+	}
+	if wrong > 0 {
+		return fmt.Errorf("simulate: %d of %d days did not go as they have to", wrong, len(todo))
+	}
+	return nil
+}
+
+func printDays(w io.Writer, all []played) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "day\tinstances\tservers\tfirst tries\ttries\tattempts\tserved\tbeyond quota\tfailed\thandshakes\tcold: worst of its limit\tbroken\t")
+	for i := range all {
+		r := &all[i]
+		broken := "none"
+		if len(r.Broken) > 0 {
+			broken = fmt.Sprint(r.Broken)[len("map"):]
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.4f\t%.3f\t%.2f\t%s\t\n", r.Day, r.Instances, r.Servers, r.First, r.Tries, r.Attempts,
+			r.Served, r.Beyond, r.Failed, r.Handshakes, r.ColdAt, broken)
+	}
+	t.Flush()
+	for i := range all {
+		switch r := &all[i]; {
+		case r.Mutation != "" && r.ok():
+			fmt.Fprintf(w, "found: %s (%s): %v\n", r.Mutation, r.Rule, r.Breaches[0])
+		case r.Mutation != "":
+			fmt.Fprintf(w, "NOT FOUND: %s (%s)\n", r.Mutation, r.Rule)
+		case !r.ok():
+			fmt.Fprintf(w, "%s, %d instances, first broken: %v\n", r.Day, r.Instances, r.Breaches[0])
+		}
+	}
+}
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -5,8 +5,10 @@
 package fleetrules
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"lockflow/control"
@@ -76,6 +78,7 @@
 	stores   map[string]*store
 	counts   map[Rule]int
 	breaches []Breach
+	coldMost float64
 }
 
 type server struct {
@@ -125,7 +128,15 @@
 func (c *Checker) Broken() map[Rule]int { return c.counts }
 
 // Breaches are the first of them, in the order of their time.
-func (c *Checker) Breaches() []Breach { return c.breaches }
+func (c *Checker) Breaches() []Breach {
+	slices.SortFunc(c.breaches, func(a, b Breach) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.ID, b.ID))
+	})
+	return c.breaches
+}
+
+// ColdMost is the most work that a cold server was sent, over its limit.
+func (c *Checker) ColdMost() float64 { return c.coldMost }
 
 // Started tells of a server that has started, at a time, or anew.
 func (c *Checker) Started(id uint32, s Server) { c.servers[id] = &server{Server: s} }
@@ -260,6 +271,7 @@
 		v.work = v.work[1:]
 	}
 	limit := c.Terms.FallMultiple*can*c.Terms.Fall.Seconds() + c.Terms.ColdSlack
+	c.coldMost = math.Max(c.coldMost, v.sum/limit)
 	if v.sum > limit && v.told >= toldPart*v.sum && !v.fell {
 		v.fell = true
 		c.breach(Breach{Cold, at, -1, "", id, fmt.Sprintf("sent %.1f times what it can do at that moment", v.sum/(can*c.Terms.Fall.Seconds()))})
--- /dev/null
+++ b/internal/fleetsim/days.go
@@ -0,0 +1,184 @@
+package fleetsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// A day's script: what happens to servers, instances, lists, the meter and clients, by its name.
+// Times are parts of the day's length, so that a short form plays the same.
+
+// dayPlan is what a day does to the world.
+type dayPlan struct {
+	does   string // one line of help
+	asked  float64
+	script func(w *world)
+
+	bad         float64       // part of the servers that are bad from the start
+	failing     bool          // they fail at once; else they are slow
+	lost, reset float64       // part of the answers that are lost, and of attempts whose connection is reset
+	spoilt      float64       // part of the answers that can't be read
+	leave       float64       // part of the requests whose client leaves early
+	eager       bool          // clients come again at once, and more often
+	late        time.Duration // by which lists come later than usual
+	fresh       bool          // customers are ever new
+}
+
+// DayNames are the days that Day plays, in the order of the fleet test.
+var DayNames = []string{"calm", "roll", "herd", "zone", "split", "join", "long"}
+
+// days are the scripts. A part p of the day is w.part(p).
+var days = map[string]dayPlan{
+	"calm": {does: "no fault; a burst of half as much again", script: func(w *world) {
+		w.At(w.part(0.4), func() { w.asked *= 1.5 })
+		w.At(w.part(0.6), func() { w.asked /= 1.5 })
+	}},
+	"roll": {does: "half of the servers replaced while all instances restart and discovery moves", script: func(w *world) {
+		w.replace(0.5, 0.15, 0.75)
+		tenth := max(1, len(w.nodes)/10)
+		for i := range w.nodes {
+			at := w.part(0.2 + 0.6*float64(i/tenth)/10)
+			w.At(at, func() { w.terminate(i) })
+		}
+		w.At(w.part(0.45), func() { w.listsSilentUntil = w.Now() + 4*time.Second }) // the new one has to be asked first
+	}},
+	"herd": {does: "seven in ten instances killed at once during a release", bad: 1.0 / 8, failing: true, script: func(w *world) {
+		w.replace(0.5, 0.3, 0.7)
+		w.At(w.part(0.45), func() {
+			for i := range w.nodes {
+				if w.rng.Float64() < 0.7 {
+					w.kill(i)
+					w.After(1500*time.Millisecond, func() { w.start(i) })
+				}
+			}
+		})
+	}},
+	"zone": {does: "a third of the servers lost for 5 s and back cold; some are slow", bad: 1.0 / 8, script: func(w *world) {
+		w.At(w.part(0.3), func() { w.loseZone(5 * time.Second) })
+		w.At(w.part(0.7), func() { w.cut(3*time.Second, 3) })
+	}},
+	"split": {does: "a fifth of the servers silent, lists late, no meter, answers lost", lost: 0.01, reset: 0.01, late: 2500 * time.Millisecond,
+		script: func(w *world) {
+			w.At(w.part(0.3), func() {
+				w.cut(6*time.Second, 5)
+				w.meterDown = true
+			})
+			w.At(w.part(0.3)+6*time.Second, func() { w.meterDown = false })
+			w.replace(0.2, 0.4, 0.6)
+		}},
+	"join": {does: "six in ten servers replaced in a quarter of the day; clients leave early or come again at once", spoilt: 0.005, leave: 0.03, eager: true,
+		script: func(w *world) { w.replace(0.6, 0.25, 0.5) }},
+	"long": {does: "servers and customers ever new", fresh: true, script: func(w *world) {
+		for k := range 8 {
+			w.replace(0.25, float64(k)/8, float64(k)/8+0.1)
+		}
+	}},
+}
+
+// DayHelp says what a day does.
+func DayHelp(name string) string { return days[name].does }
+
+func (w *world) part(p float64) time.Duration { return time.Duration(p * float64(w.o.Lasts)) }
+
+// replace has a part of the servers that are up when it begins replaced by new ones, in steps between
+// two parts of the day: the new one is listed, then the old one drains, then it is gone.
+func (w *world) replace(part, from, to float64) {
+	w.At(w.part(from), func() {
+		var old []*host
+		for _, h := range w.hosts {
+			if h.state == hostUp && !h.bad && !h.leaving {
+				old = append(old, h)
+			}
+		}
+		w.rng.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+		old = old[:int(part*float64(len(old)))]
+		const steps = 8
+		for i, h := range old {
+			h.leaving = true
+			w.After(w.part(to-from)*time.Duration(i*steps/len(old))/steps, func() {
+				w.boot(h.zone, h.cell)
+				w.After(1500*time.Millisecond, func() { w.drain(h) })
+				w.After(6*time.Second, func() { w.remove(h) })
+			})
+		}
+	})
+}
+
+// loseZone has a zone's servers vanish and come back cold.
+func (w *world) loseZone(lasts time.Duration) {
+	for _, h := range w.hosts {
+		if h.zone == "z0" && h.state == hostUp {
+			h.state = hostSilent
+			w.After(lasts, func() { w.reboot(h) })
+		}
+	}
+}
+
+// cut takes one of so many servers off the network for a while; they go on working.
+func (w *world) cut(lasts time.Duration, of int) {
+	for i, h := range w.hosts {
+		if i%of == 0 && h.state == hostUp {
+			h.cutUntil = w.Now() + lasts
+		}
+	}
+}
+
+// Mutation takes one guard out, between an instance's module and the world. The checker has to find
+// the rule that then breaks on the day.
+type Mutation struct {
+	Name string
+	Rule string // that it breaks
+	Day  string
+
+	settings  func(w *world, n *node)
+	list      func(w *world, m []listed) []listed
+	noTimer   bool // a request's own timers never come
+	twoCopies bool // an attempt goes out twice
+	twoEnds   bool // a final answer is given twice
+	allFails  bool // what has failed is refused, as if it were harmless
+	drops     bool // an instance that is told to end drops what it holds
+	hidden    bool // the transport sends what was reset once more, by itself
+
+	// Load is how much more is asked than usual, where the rule needs it to show. Zero is as usual.
+	Load float64
+}
+
+// Mutations are the guards that can be taken out, by name.
+var Mutations = []Mutation{
+	{Name: "the group's size is taken as 1", Rule: "cold", Day: "join", settings: func(w *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
+	{Name: "a cold server is held able to do all from its start", Rule: "cold", Day: "herd", settings: func(w *world, n *node) { n.set.ColdFrom, n.set.FallMultiple = 1, 50 }},
+	{Name: "drains are not heard", Rule: "drain", Day: "join", list: func(w *world, m []listed) []listed {
+		var kept []listed
+		for _, one := range m {
+			if one.up {
+				kept = append(kept, one)
+			}
+		}
+		return kept
+	}},
+	{Name: "a repeat may go to any server", Rule: "twice", Day: "split", settings: func(w *world, n *node) { n.set.Classes[1].KeyScope = 0 }},
+	{Name: "a repeat may go at any time", Rule: "twice", Day: "split", Load: 2, settings: func(w *world, n *node) { n.set.Classes[1].RepeatWindow = time.Hour }},
+	{Name: "an attempt goes out twice", Rule: "twice", Day: "calm", twoCopies: true},
+	{Name: "the transport sends again what was reset", Rule: "twice", Day: "split", hidden: true},
+	{Name: "what may have run is refused", Rule: "twice", Day: "split", Load: 3, allFails: true},
+	{Name: "neither ceiling nor quota is looked at", Rule: "ceiling", Day: "calm", Load: 2, settings: func(w *world, n *node) {
+		n.set.Plans[1].CeilingRate, n.set.Plans[1].Rate = 0, 0
+	}},
+	{Name: "each instance grants the whole ceiling", Rule: "ceiling", Day: "calm", Load: 2, settings: func(w *world, n *node) { n.wholeCeiling = true }},
+	{Name: "a request's timers never come", Rule: "answer", Day: "zone", Load: 4, noTimer: true},
+	{Name: "a final answer is given twice", Rule: "answer", Day: "calm", twoEnds: true},
+	{Name: "what is held at an end is dropped", Rule: "answer", Day: "roll", drops: true},
+}
+
+func stream(seed uint64, name uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, name*0x9e3779b97f4a7c15+1))
+}
+
+func dayOf(name string) (dayPlan, error) {
+	d, ok := days[name]
+	if !ok {
+		return d, fmt.Errorf("there is no day %q; there are %v", name, DayNames)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/fleetsim/days_test.go
@@ -0,0 +1,75 @@
+package fleetsim
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"lockflow/internal/fleetrules"
+)
+
+func day(t *testing.T, o DayOptions) DayReport {
+	t.Helper()
+	r, err := Day(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// No rule is broken on any day at any size, and most of what was asked for inside quotas is served.
+func TestDaysKeepTheRules(t *testing.T) {
+	for _, n := range []int{2, 8, 80} {
+		for _, name := range DayNames {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				r := day(t, DayOptions{Day: name, Instances: n, Lasts: 20 * time.Second, Seed: 4})
+				if len(r.Broken) > 0 || r.Served < 0.5 || r.First < 100 {
+					t.Errorf("%d instances: %+v", n, r)
+				}
+			})
+		}
+	}
+}
+
+// Nor where hundreds of instances are killed at once and clients come again and again, in a short form.
+func TestThreeHundredInstancesKeepTheRules(t *testing.T) {
+	r := day(t, DayOptions{Day: "herd", Instances: 300, Lasts: 10 * time.Second, Load: 2, Seed: 4})
+	if len(r.Broken) > 0 || r.Served < 0.5 || r.ColdAt == 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// The same seed gives the same day, whatever map order a run meets; another seed gives another.
+func TestSameSeedSameDay(t *testing.T) {
+	o := DayOptions{Day: "split", Instances: 12, Lasts: 12 * time.Second, Seed: 5}
+	a, b := day(t, o), day(t, o)
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	if o.Seed++; reflect.DeepEqual(a, day(t, o)) {
+		t.Error("the seed changes nothing")
+	}
+	for _, o := range []DayOptions{{Day: "none", Instances: 1}, {Day: "calm"}, {Day: "calm", Instances: 1, Told: -1}} {
+		if _, err := Day(o); err == nil {
+			t.Errorf("%+v was played", o)
+		}
+	}
+}
+
+// Each guard that is taken out is found, by the rule that it keeps.
+func TestMutationsAreFound(t *testing.T) {
+	for _, m := range Mutations {
+		t.Run(m.Name, func(t *testing.T) {
+			t.Parallel()
+			o := DayOptions{Day: m.Day, Instances: 40, Lasts: 20 * time.Second, Load: m.Load, Seed: 4}
+			if r := day(t, o); len(r.Broken) > 0 {
+				t.Errorf("without it: %+v", r)
+			}
+			o.Mutation = &m
+			if r := day(t, o); r.Broken[fleetrules.Rule(m.Rule)] == 0 {
+				t.Errorf("the rule %q holds: %+v", m.Rule, r)
+			}
+		})
+	}
+}
