--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -151,6 +151,9 @@
 
 // merge brings the list that is kept up to a message.
 func (s *Service) merge(l discovery.Listing) {
+	if l.Odd.N > 0 {
+		s.log.Warn("server list: entries that can't be used are left out", "entries", l.Odd.N, "err", l.Odd.First)
+	}
 	if l.All {
 		clear(s.known)
 	}
