Name a platform setting that can't be by file and path, and end the start with 2

Need: a bad setting was told in the module's words (plan basic: rate), without the file, and ended with 1, as a crash does. wire.Settings holds figures, classes, group and plans to what can be, for the platform's file alone (the simulator's wire leaves that to the module as before); on SIGHUP the old configuration stays, as it did. A cold-from above 1 was taken. Measured: eight bad settings, each named by path with exit code 2; the test fails without the change.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,6 +44,9 @@
 // errUsage is a mistake in how a command was called; what it is has been printed.
 var errUsage = errors.New("usage")
 
+// errConfig is a configuration of the platform's that can't be used.
+var errConfig = errors.New("bad configuration")
+
 // flags says what a command's flags are. Their defaults and kinds are pflag's.
 type flags = *pflag.FlagSet
 
@@ -212,6 +215,9 @@
 		return Failed
 	}
 	slog.Error("lockflow ends", "err", err)
+	if errors.Is(err, errConfig) {
+		return Usage
+	}
 	return Failed
 }
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -27,6 +28,40 @@
 	return code, o.String(), e.String()
 }
 
+// Each setting that can't be ends the start with 2 and is named by file and path.
+func TestPlatformSettingsThatCannotBe(t *testing.T) {
+	raw, err := os.ReadFile("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for old, tc := range map[string]struct{ new, tells string }{
+		`"self-index": 0`:      {`"self-index": 2`, "self-index"},
+		`"group-size": 2`:      {`"group-size": 0`, "group-size"},
+		`"quota-rate": 0.5`:    {`"quota-rate": -0.5`, "tariffs.0.quota-rate"},
+		`"deadline": 7500.0`:   {`"deadlines": 7500.0`, "classes.0.deadline"},
+		`"cold-from": 0.15`:    {`"cold-from": 15`, "contract.cold-from"},
+		`"fall-multiple": 2.5`: {`"fall-multiple": "x"`, "contract.fall-multiple"},
+		`"tariffs"`:            {`"tariff"`, "tariffs"},
+		`"seed": "`:            {`"seed": "x`, "seed"},
+	} {
+		if !strings.Contains(string(raw), old) {
+			t.Fatalf("the file has no %s", old)
+		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(raw), old, tc.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var logged strings.Builder
+		was := slog.Default()
+		slog.SetDefault(slog.New(slog.NewTextHandler(&logged, nil)))
+		code, out, errs := run(t, map[string]string{"NODE_CONFIG": path})
+		slog.SetDefault(was)
+		if all := out + errs + logged.String(); code != Usage || !strings.Contains(all, tc.tells) || !strings.Contains(all, path) {
+			t.Errorf("%s: exit %d\n%s", tc.new, code, all)
+		}
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	if err := os.WriteFile(bad, []byte("x = 1\ny = 2\n"), 0o600); err != nil {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -95,7 +95,7 @@
 func servePlatform(ctx context.Context, e *Env, path string) error {
 	cfg, err := config.LoadPlatform(path)
 	if err != nil {
-		return err
+		return badConfig(err)
 	}
 	for name, field := range map[string]*string{"NODE_LISTEN": &cfg.Listeners[0],
 		"NODE_DISCOVERY": &cfg.Services[0].Source.Address} {
@@ -107,7 +107,7 @@
 	tune(cfg)
 	n, err := node.New(cfg)
 	if err != nil {
-		return err
+		return badConfig(fmt.Errorf("configuration %s: %w", path, err))
 	}
 	go func() {
 		for range e.Hup {
@@ -123,6 +123,10 @@
 	return n.Run(ctx)
 }
 
+// badConfig marks an error as one of the configuration that the platform handed over: starting again
+// with the same is of no use.
+func badConfig(err error) error { return fmt.Errorf("%w: %w", errConfig, err) }
+
 // tune sets the runtime to what the process may use.
 func tune(cfg config.Config) {
 	if cores := cfg.Process.Cores; cores > 0 || !cfg.Process.Shared {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,8 +1,11 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"strconv"
+	"time"
 
 	"lockflow/control"
 )
@@ -15,7 +18,7 @@
 	for i, k := range f.keys {
 		m[k] = f.values[i]
 	}
-	settings, err := Settings(m)
+	settings, err := readSettings(m, false) // what they mean is for the module to judge
 	if err != nil {
 		return Input{}, d.fail("open_instance", err)
 	}
@@ -28,20 +31,56 @@
 }
 
 // Settings reads settings given as text by their dotted paths: the length of a
-// list of objects under .count, its items under .0, .1 and onward.
-func Settings(paths map[string]string) (control.Settings, error) {
-	g := &facts{fields: &fields{}, m: paths}
+// list of objects under .count, its items under .0, .1 and onward. The first that can't be is named by
+// its path.
+func Settings(paths map[string]string) (control.Settings, error) { return readSettings(paths, true) }
+
+func readSettings(paths map[string]string, strict bool) (control.Settings, error) {
+	g := &facts{fields: &fields{}, m: paths, strict: strict}
 	for k, v := range paths {
 		g.keys, g.values = append(g.keys, k), append(g.values, v)
 	}
 	s := g.settings()
+	if strict {
+		g.check(&s)
+	}
 	return s, g.err
 }
 
+// check names the first setting, by its path, that can't be whatever a module makes of it.
+func (g *facts) check(s *control.Settings) {
+	for i, k := range s.Classes {
+		for name, v := range map[string]time.Duration{"aim": k.Aim, "deadline": k.Deadline} {
+			if v <= 0 {
+				g.bad(fmt.Sprintf("classes.%d.%s", i, name), fmt.Errorf("class %q: %v is not positive", k.Name, v))
+			}
+		}
+		if k.RepeatWindow < 0 {
+			g.bad(fmt.Sprintf("classes.%d.repeat-window", i), fmt.Errorf("class %q: %v is negative", k.Name, k.RepeatWindow))
+		}
+	}
+	if s.GroupSize < 1 {
+		g.bad("group-size", fmt.Errorf("%d is not positive", s.GroupSize))
+	}
+	if s.SelfIndex >= s.GroupSize {
+		g.bad("self-index", fmt.Errorf("%d is outside a group of %d", s.SelfIndex, s.GroupSize))
+	}
+	if s.ColdFrom > 1 {
+		g.bad("contract.cold-from", fmt.Errorf("%g is more than all of a server's capacity", s.ColdFrom))
+	}
+	if len(s.Classes) == 0 {
+		g.bad("classes", errors.New("there are none"))
+	}
+	if len(s.Plans) == 0 {
+		g.bad("tariffs", errors.New("there are none"))
+	}
+}
+
 // facts reads settings by their path.
 type facts struct {
 	*fields
-	m map[string]string
+	m      map[string]string
+	strict bool // no figure may be one that makes no sense
 }
 
 func (g *facts) num(key string) float64 {
@@ -49,9 +88,11 @@
 	if !ok || s == "" {
 		return 0
 	}
-	v, err := strconv.ParseFloat(s, 64) // a figure that is not finite is for control.New to name
+	v, err := strconv.ParseFloat(s, 64)
 	if err != nil {
 		g.bad(key, err)
+	} else if g.strict && (!(v >= 0) || math.IsInf(v, 0)) { // no setting is below nothing
+		g.bad(key, fmt.Errorf("%g is negative or not finite", v))
 	}
 	return v
 }
