--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -224,27 +224,6 @@
 	return s.CameUp
 }
 
-// amounts are what a history holds, without empty bins.
-func (h *history) amounts() []Amount {
-	var all []Amount
-	for b := h.last - bins + 2; b <= h.last; b++ {
-		if v := h.sum[h.at(b)] - h.sum[h.at(b-1)]; v != 0 {
-			all = append(all, Amount{b, v})
-		}
-	}
-	return all
-}
-
-// take fills an empty history, whose bins it shares.
-func (h *history) take(all []Amount, now int64) {
-	for _, a := range all {
-		if a.Bin > now-bins && a.Bin <= now {
-			h.roll(a.Bin)
-			h.add(a.V)
-		}
-	}
-}
-
 // Trust says how a checkpoint's figures of what is left to spend may be taken.
 type Trust int
 
--- a/control/control.go
+++ b/control/control.go
@@ -357,10 +357,11 @@
 // read many times or matched with another's sends; holds for late reports of any cause.
 func (m *meterClock) learn(q *customer, used, units, part float64, now int64) {
 	least, at, lag := math.Inf(1), int64(0), int64(0)
+	sent := q.own.window()
 	for ph := int64(0); ph < binsPeriod; ph++ {
 		f := flip(now, ph)
 		for l := int64(0); l < lagMost; l++ {
-			own := q.own.over(f - l)
+			own := sent.over(f - l)
 			miss := math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)
 			e := &m.miss[ph][l]
 			if *e = *e*lagKeep + miss/(units+used+own); *e < least {
--- /dev/null
+++ b/control/history_test.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// dense is a history as it was kept before: the running sum of each of the latest bins.
+type dense struct {
+	last int64
+	sum  [bins]float64
+}
+
+func (d *dense) at(b int64) int64 { return (b%bins + bins) % bins }
+
+func (d *dense) roll(b int64) {
+	top := d.sum[d.at(d.last)]
+	for i := max(d.last+1, b-bins+1); i <= b; i++ {
+		d.sum[d.at(i)] = top
+	}
+	d.last = max(d.last, b)
+}
+
+func (d *dense) over(end int64) float64 {
+	lo := max(end-binsPeriod-1, d.last-bins+1)
+	return d.sum[d.at(max(end-1, lo))] - d.sum[d.at(lo)]
+}
+
+// Whatever is booked and whenever, a sparse history gives what one with all of its bins does, and
+// never holds more of them.
+func TestHistoryIsAsOneOfAllBins(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		var h history
+		var d dense
+		now := int64(17_000_000_000) + r.Int64N(1000)
+		pause := 1 + r.Int64N(200)
+		for range 400 {
+			now += r.Int64N(pause)
+			h.roll(now)
+			d.roll(now)
+			if r.IntN(3) > 0 {
+				v := float64(r.IntN(4)) - 0.5
+				h.add(v)
+				d.sum[d.at(d.last)] += v
+			}
+			w := h.window()
+			for range 5 {
+				end := now - r.Int64N(100)
+				if got, also, want := h.over(end), w.over(end), d.over(end); math.Abs(got-want) > 1e-9 || also != got {
+					t.Fatalf("seed %d: %g and %g up to bin %d of %d, want %g", seed, got, also, end, now, want)
+				}
+			}
+			if len(h.steps) > bins+1 {
+				t.Fatalf("seed %d: %d steps", seed, len(h.steps))
+			}
+			var again history
+			again.take(h.amounts(), now)
+			if again.roll(now); math.Abs(again.over(now)-d.over(now)) > 1e-9 {
+				t.Fatalf("seed %d: taken over, %g of the latest period, want %g", seed, again.over(now), d.over(now))
+			}
+		}
+	}
+}
--- a/control/image.go
+++ b/control/image.go
@@ -12,7 +12,7 @@
 
 // ImageVersion is that of the form of an Image. One of another version can't be resumed: a
 // field may mean something else.
-const ImageVersion = 2
+const ImageVersion = 3
 
 // Image is the whole state of a controller between two events: one that is resumed from it takes
 // every later event as the first would have. It holds no settings; a Checkpoint, in contrast, is
@@ -77,18 +77,18 @@
 
 // WholeCustomer is a customer's state, under its key; see customer.
 type WholeCustomer struct {
-	Key                                              string
-	Kept                                             bool
-	Plan                                             int
-	Spread, Level, Ceiling, Queued, OpenCap          float64
-	Chance, Carry, Base, LastUsed, Tries, Told       float64
-	ToldFor, Cover, OwnSum, AllSum, Smooth           float64
-	At, OpenNext, BaseAt, ToldAt, TriesAt            time.Duration
-	Open, Foreign                                    int
-	OpenHit, Metered                                 bool
-	ReadEnd                                          int64
-	OwnLast, ChargedLast, AskedLast, RefusedLast     int64
-	OwnByBin, ChargedByBin, AskedByBin, RefusedByBin []float64
+	Key                                          string
+	Kept                                         bool
+	Plan                                         int
+	Spread, Level, Ceiling, Queued, OpenCap      float64
+	Chance, Carry, Base, LastUsed, Tries, Told   float64
+	ToldFor, Cover, OwnSum, AllSum, Smooth       float64
+	At, OpenNext, BaseAt, ToldAt, TriesAt        time.Duration
+	Open, Foreign                                int
+	OpenHit, Metered                             bool
+	ReadEnd                                      int64
+	OwnLast, ChargedLast, AskedLast, RefusedLast int64
+	Own, Charged, Asked, Refused                 []Step
 }
 
 // WholeRequest is a request that is held, or of which attempts are out.
@@ -222,8 +222,8 @@
 			Told: q.told, ToldFor: q.toldFor, Cover: q.cover, OwnSum: q.ownSum, AllSum: q.allSum, Smooth: q.smooth, At: q.at,
 			OpenNext: q.openNext, BaseAt: q.baseAt, ToldAt: q.toldAt, TriesAt: q.triesAt, Open: q.open, Foreign: q.foreign,
 			OpenHit: q.openHit, Metered: q.metered, ReadEnd: q.readEnd, OwnLast: q.own.last, ChargedLast: q.charged.last,
-			AskedLast: q.asked.last, RefusedLast: q.refused.last, OwnByBin: slices.Clone(q.own.sum[:]), ChargedByBin: slices.Clone(q.charged.sum[:]),
-			AskedByBin: slices.Clone(q.asked.sum[:]), RefusedByBin: slices.Clone(q.refused.sum[:])})
+			AskedLast: q.asked.last, RefusedLast: q.refused.last, Own: slices.Clone(q.own.steps), Charged: slices.Clone(q.charged.steps),
+			Asked: slices.Clone(q.asked.steps), Refused: slices.Clone(q.refused.steps)})
 	}
 	return s
 }
@@ -340,14 +340,18 @@
 		for _, h := range []struct {
 			to   *history
 			last int64
-			sum  []float64
-		}{{&q.own, w.OwnLast, w.OwnByBin}, {&q.charged, w.ChargedLast, w.ChargedByBin}, {&q.asked, w.AskedLast, w.AskedByBin},
-			{&q.refused, w.RefusedLast, w.RefusedByBin}} {
-			if len(h.sum) != bins {
-				return nil, fmt.Errorf("customer %q: a history of %d bins", w.Key, len(h.sum))
+			from []Step
+		}{{&q.own, w.OwnLast, w.Own}, {&q.charged, w.ChargedLast, w.Charged}, {&q.asked, w.AskedLast, w.Asked},
+			{&q.refused, w.RefusedLast, w.Refused}} {
+			if len(h.from) > bins+1 {
+				return nil, fmt.Errorf("customer %q: a history of %d bins", w.Key, len(h.from))
 			}
-			h.to.last = h.last
-			copy(h.to.sum[:], h.sum)
+			for i, s := range h.from {
+				if s.Bin > h.last || i > 0 && s.Bin <= h.from[i-1].Bin {
+					return nil, fmt.Errorf("customer %q: bin %d is out of order", w.Key, s.Bin)
+				}
+			}
+			h.to.last, h.to.steps = h.last, slices.Clone(h.from)
 		}
 		if all = append(all, q); w.Kept {
 			c.custs[w.Key] = q
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"runtime"
 	"sort"
 	"testing"
 	"time"
@@ -296,21 +297,39 @@
 	}
 }
 
-// Memory for customers, requests and servers stays bounded.
+// Memory for customers, requests and servers stays bounded: a day of ever new ones leaves no more
+// than a few minutes of them did.
 func TestMemoryIsBounded(t *testing.T) {
 	g := newGate(t, settings(), on(1, 2, 3)...)
-	for i := 0; i < 30000; i++ {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc) / (1 << 20)
+	}
+	empty, early := heap(), 0.0
+	const calls = 200000
+	for i := 0; i < calls; i++ {
 		id := fmt.Sprint("r", i)
 		g.ask(id, "job", "low", fmt.Sprint("once", i))
 		if g.n[id] > 0 {
-			g.reply(id, OK, 0)
+			g.reply(id, OK, 101)
 		}
-		g.pass(2 * ms)
+		g.pass(4 * ms)
 		if i%100 == 0 {
 			g.do(List{Kind: Whole, Members: on(uint32(i+1), uint32(i+2))})
 			g.sends, g.acts = nil, nil
+			clear(g.ends)
+			clear(g.n)
+		}
+		if i == calls/5 {
+			early = heap() - empty
 		}
 	}
+	late := heap() - empty
+	if early > 8 || late > 1.25*early+1 {
+		t.Errorf("%.1f MB after a fifth of %d customers, %.1f MB after all", early, calls, late)
+	}
 	if n := len(g.c.custs); n > custMost {
 		t.Errorf("%d customers remembered", n)
 	}
@@ -320,4 +339,5 @@
 	if n := len(g.c.servers); n > 10 {
 		t.Errorf("%d servers held, two are listed", n)
 	}
+	t.Logf("%.1f MB, then %.1f; %d customers", early, late, len(g.c.custs))
 }
--- a/control/state.go
+++ b/control/state.go
@@ -192,31 +192,6 @@
 
 func (c *Controller) binNow() int64 { return int64(c.now / c.binLen()) }
 
-// history holds running sums of an amount by bin.
-type history struct {
-	last int64
-	sum  [bins]float64 // up to the end of a bin
-}
-
-// roll brings a history up to a bin.
-func (h *history) roll(b int64) {
-	top := h.sum[h.at(h.last)]
-	for i := max(h.last+1, b-bins+1); i <= b; i++ {
-		h.sum[h.at(i)] = top
-	}
-	h.last = max(h.last, b)
-}
-
-func (h *history) at(b int64) int64 { return (b%bins + bins) % bins }
-
-func (h *history) add(v float64) { h.sum[h.at(h.last)] += v }
-
-// over is the amount of the period that ends before a bin.
-func (h *history) over(end int64) float64 {
-	lo := max(end-binsPeriod-1, h.last-bins+1)
-	return h.sum[h.at(max(end-1, lo))] - h.sum[h.at(lo)]
-}
-
 // roll brings a customer's history up to the present bin.
 func (c *Controller) roll(q *customer) {
 	b := c.binNow()
