--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -194,6 +194,11 @@
 	if err != nil {
 		return DayReport{}, err
 	}
+	return play(o, p)
+}
+
+// play plays a day's script.
+func play(o DayOptions, p dayPlan) (DayReport, error) {
 	if o.Instances < 1 || o.Told < 0 || o.Load < 0 {
 		return DayReport{}, fmt.Errorf("simulating %q: %d instances, %d told", o.Day, o.Instances, o.Told)
 	}
