--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -227,3 +227,21 @@
 		t.Errorf("a stalled pool served %d", d.Served)
 	}
 }
+
+// A day by name keeps the rules and says so; a guard taken out that is found is no failure.
+func TestSimulateDays(t *testing.T) {
+	for args, tells := range map[string]string{
+		"--day calm,join --instances 2,8 --for 12s":         "none",
+		"--day herd --instances 3 --for 12s --json":         `"broken":{}`,
+		"--day mutations --instances 40 --for 20s --seed 4": "found: a final answer is given twice (answer)",
+	} {
+		if code, out, errs := run(t, nil, append([]string{"simulate"}, strings.Fields(args)...)...); code != Fine || !strings.Contains(out, tells) {
+			t.Errorf("%s: exit %d\n%s%s", args, code, out, errs)
+		}
+	}
+	for _, args := range []string{"--day calm,tuesday", "--day calm --instances 0"} {
+		if code, _, errs := run(t, nil, append([]string{"simulate"}, strings.Fields(args)...)...); code != Usage || errs == "" {
+			t.Errorf("%s: exit %d %s", args, code, errs)
+		}
+	}
+}
--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -109,14 +110,14 @@
 // played is a day's report, and with a mutation which guard was out and whether that was found.
 type played struct {
 	fleetsim.DayReport
-	Mutation string `json:"mutation,omitempty"`
-	Rule     string `json:"rule,omitempty"` // that the mutation breaks
+	Mutation string          `json:"mutation,omitempty"`
+	Rule     fleetrules.Rule `json:"rule,omitempty"` // that the mutation breaks
 }
 
 // ok tells whether the day went as it has to: no rule broken, or the one whose guard is out.
 func (p *played) ok() bool {
 	if p.Mutation != "" {
-		return p.Broken[fleetrules.Rule(p.Rule)] > 0
+		return p.Broken[p.Rule] > 0
 	}
 	return len(p.Broken) == 0
 }
@@ -156,7 +157,8 @@
 	}
 	wrong := 0
 	for i, o := range options {
-		fmt.Fprintf(e.Err, "playing %s with %d instances %s\n", o.Day, o.Instances, todo[i].Mutation)
+		what := cmp.Or(todo[i].Mutation, fleetsim.DayHelp(o.Day))
+		fmt.Fprintf(e.Err, "playing %s with %d instances: %s\n", o.Day, o.Instances, what)
 		if todo[i].DayReport, err = fleetsim.Day(o); err != nil {
 			return err
 		}
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -26,9 +26,6 @@
 	Ceiling Rule = "ceiling" // no customer beyond its ceiling
 )
 
-// Rules are all of them, in order.
-var Rules = []Rule{Answer, Twice, Drain, Cold, Ceiling}
-
 // toldPart is the part of the work sent to a cold server that must have come from instances that
 // knew of its start, for the fleet to be at fault.
 const toldPart = 2.0 / 3
--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"lockflow/internal/fleetrules"
 )
 
 // A day's script: what happens to servers, instances, lists, the meter and clients, by its name.
@@ -128,7 +130,7 @@
 // the rule that then breaks on the day.
 type Mutation struct {
 	Name string
-	Rule string // that it breaks
+	Rule fleetrules.Rule // that it breaks
 	Day  string
 
 	settings  func(w *world, n *node)
@@ -146,9 +148,9 @@
 
 // Mutations are the guards that can be taken out, by name.
 var Mutations = []Mutation{
-	{Name: "the group's size is taken as 1", Rule: "cold", Day: "join", settings: func(w *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
-	{Name: "a cold server is held able to do all from its start", Rule: "cold", Day: "herd", settings: func(w *world, n *node) { n.set.ColdFrom, n.set.FallMultiple = 1, 50 }},
-	{Name: "drains are not heard", Rule: "drain", Day: "join", list: func(w *world, m []listed) []listed {
+	{Name: "the group's size is taken as 1", Rule: fleetrules.Cold, Day: "join", settings: func(w *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
+	{Name: "a cold server is held able to do all from its start", Rule: fleetrules.Cold, Day: "herd", settings: func(w *world, n *node) { n.set.ColdFrom, n.set.FallMultiple = 1, 50 }},
+	{Name: "drains are not heard", Rule: fleetrules.Drain, Day: "join", list: func(w *world, m []listed) []listed {
 		var kept []listed
 		for _, one := range m {
 			if one.up {
@@ -157,18 +159,18 @@
 		}
 		return kept
 	}},
-	{Name: "a repeat may go to any server", Rule: "twice", Day: "split", settings: func(w *world, n *node) { n.set.Classes[1].KeyScope = 0 }},
-	{Name: "a repeat may go at any time", Rule: "twice", Day: "split", Load: 2, settings: func(w *world, n *node) { n.set.Classes[1].RepeatWindow = time.Hour }},
-	{Name: "an attempt goes out twice", Rule: "twice", Day: "calm", twoCopies: true},
-	{Name: "the transport sends again what was reset", Rule: "twice", Day: "split", hidden: true},
-	{Name: "what may have run is refused", Rule: "twice", Day: "split", Load: 3, allFails: true},
-	{Name: "neither ceiling nor quota is looked at", Rule: "ceiling", Day: "calm", Load: 2, settings: func(w *world, n *node) {
+	{Name: "a repeat may go to any server", Rule: fleetrules.Twice, Day: "split", settings: func(w *world, n *node) { n.set.Classes[1].KeyScope = 0 }},
+	{Name: "a repeat may go at any time", Rule: fleetrules.Twice, Day: "split", Load: 2, settings: func(w *world, n *node) { n.set.Classes[1].RepeatWindow = time.Hour }},
+	{Name: "an attempt goes out twice", Rule: fleetrules.Twice, Day: "calm", twoCopies: true},
+	{Name: "the transport sends again what was reset", Rule: fleetrules.Twice, Day: "split", hidden: true},
+	{Name: "what may have run is refused", Rule: fleetrules.Twice, Day: "split", Load: 3, allFails: true},
+	{Name: "neither ceiling nor quota is looked at", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(w *world, n *node) {
 		n.set.Plans[1].CeilingRate, n.set.Plans[1].Rate = 0, 0
 	}},
-	{Name: "each instance grants the whole ceiling", Rule: "ceiling", Day: "calm", Load: 2, settings: func(w *world, n *node) { n.wholeCeiling = true }},
-	{Name: "a request's timers never come", Rule: "answer", Day: "zone", Load: 4, noTimer: true},
-	{Name: "a final answer is given twice", Rule: "answer", Day: "calm", twoEnds: true},
-	{Name: "what is held at an end is dropped", Rule: "answer", Day: "roll", drops: true},
+	{Name: "each instance grants the whole ceiling", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(w *world, n *node) { n.wholeCeiling = true }},
+	{Name: "a request's timers never come", Rule: fleetrules.Answer, Day: "zone", Load: 4, noTimer: true},
+	{Name: "a final answer is given twice", Rule: fleetrules.Answer, Day: "calm", twoEnds: true},
+	{Name: "what is held at an end is dropped", Rule: fleetrules.Answer, Day: "roll", drops: true},
 }
 
 func stream(seed uint64, name uint64) *rand.Rand {
--- a/internal/fleetsim/days_test.go
+++ b/internal/fleetsim/days_test.go
@@ -4,8 +4,6 @@
 	"reflect"
 	"testing"
 	"time"
-
-	"lockflow/internal/fleetrules"
 )
 
 func day(t *testing.T, o DayOptions) DayReport {
@@ -67,7 +65,7 @@
 				t.Errorf("without it: %+v", r)
 			}
 			o.Mutation = &m
-			if r := day(t, o); r.Broken[fleetrules.Rule(m.Rule)] == 0 {
+			if r := day(t, o); r.Broken[m.Rule] == 0 {
 				t.Errorf("the rule %q holds: %+v", m.Rule, r)
 			}
 		})
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -390,12 +391,7 @@
 	w.check.Killed(w.Now(), i, owed)
 	n.down = true
 	n.life++
-	held := make([]string, 0, len(n.held))
-	for id := range n.held {
-		held = append(held, id)
-	}
-	slices.Sort(held)
-	for _, id := range held {
+	for _, id := range slices.Sorted(maps.Keys(n.held)) {
 		w.later(n.held[id].call, w.plan.eager)
 	}
 	n.held = nil
@@ -415,13 +411,8 @@
 		if n.life != life {
 			return
 		}
-		held := make([]string, 0, len(n.held))
-		for id := range n.held {
-			held = append(held, id)
-		}
-		slices.Sort(held)
-		for _, id := range held {
-			if !drops {
+		if !drops {
+			for _, id := range slices.Sorted(maps.Keys(n.held)) {
 				w.answer(i, id, "failed")
 			}
 		}
