--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -14,7 +14,6 @@
 // dayPlan is what a day does to the world.
 type dayPlan struct {
 	does   string // one line of help
-	asked  float64
 	script func(w *world)
 
 	bad         float64       // part of the servers that are bad from the start
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -247,12 +247,7 @@
 	if to.cold {
 		s.coldSend(to)
 	}
-	core := 0
-	for i := range to.free {
-		if to.free[i] < to.free[core] {
-			core = i
-		}
-	}
+	core := soonest(to.free[:])
 	work := cores / s.o.PerServer * (0.5 + s.rng.Float64()) / to.warmth(s.Now())
 	from := max(s.Now(), to.free[core])
 	done := from + time.Duration(work*float64(time.Second))
@@ -264,6 +259,17 @@
 	s.At(done, func() { s.end(g, a, n, control.OK) })
 }
 
+// soonest is the core that is free first.
+func soonest(free []time.Duration) int {
+	core := 0
+	for i := range free {
+		if free[i] < free[core] {
+			core = i
+		}
+	}
+	return core
+}
+
 func (s *sim) coldSend(to *server) {
 	s.arrived = append(s.arrived, s.Now())
 	for s.Now()-s.arrived[0] > fall {
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -34,7 +34,7 @@
 	goneNotice   = 2 * time.Second // until a drain or an end is
 	toldAtMost   = 6 * time.Second // after which news counts as told
 	reportEvery  = 400 * time.Millisecond
-	meterLate    = time.Second
+	meterBack    = 2 // periods of a second: the one before the last that ended is told
 	termGrace    = 3 * time.Second
 	unitsTop     = 4
 	firstUse     = time.Hour // on the modules' clock
@@ -93,11 +93,9 @@
 	held     int
 	conns    map[int]time.Duration // last use by instance
 	busy     float64               // smoothed part of its cores
-	busyAt   time.Duration
 	mean     float64
 	report   control.Load
 	reportAt time.Duration
-	rule     fleetrules.Server
 }
 
 // listed is an entry of the list, and whether it says up.
@@ -142,7 +140,6 @@
 type try struct {
 	id    string
 	call  *call
-	node  int
 	until time.Duration
 	sends int
 }
@@ -205,6 +202,9 @@
 	}
 	def(&o.Told, o.Instances)
 	def(&o.Load, 1)
+	if o.Mutation == nil {
+		o.Mutation = &Mutation{}
+	}
 	if o.Day == "long" {
 		def(&o.Lasts, 120*time.Second)
 	}
@@ -343,7 +343,7 @@
 func (w *world) start(i int) {
 	n := w.nodes[i]
 	n.set, n.wholeCeiling = w.settings(i), false
-	if m := w.o.Mutation; m != nil && m.settings != nil {
+	if m := w.o.Mutation; m.settings != nil {
 		m.settings(w, n)
 	}
 	c, err := control.New(n.set, w.o.Seed*1_000_003+uint64(i)*1009+uint64(n.life))
@@ -370,8 +370,8 @@
 }
 
 func (w *world) list(i int, kind control.ListKind, m []listed) {
-	if mu := w.o.Mutation; mu != nil && mu.list != nil {
-		m = mu.list(w, slices.Clone(m))
+	if hide := w.o.Mutation.list; hide != nil {
+		m = hide(w, slices.Clone(m))
 	}
 	e := control.List{Kind: kind}
 	for _, one := range m {
@@ -402,7 +402,7 @@
 func (w *world) terminate(i int) {
 	n := w.nodes[i]
 	life, grace := n.life, termGrace
-	drops := w.o.Mutation != nil && w.o.Mutation.drops
+	drops := w.o.Mutation.drops
 	if drops {
 		grace = 0
 	}
@@ -434,13 +434,13 @@
 		case control.Refuse:
 			w.answer(i, a.ID, "refused")
 		case control.Fail:
-			if m := w.o.Mutation; m != nil && m.allFails {
+			if w.o.Mutation.allFails {
 				w.answer(i, a.ID, "refused")
 			} else {
 				w.answer(i, a.ID, "failed")
 			}
 		case control.Arm:
-			if m := w.o.Mutation; m != nil && m.noTimer && a.Label != 0 {
+			if w.o.Mutation.noTimer && a.Label != 0 {
 				continue
 			}
 			life := n.life
@@ -460,7 +460,7 @@
 		return
 	}
 	w.check.Answered(w.Now(), i, id, how == "refused")
-	if m := w.o.Mutation; m != nil && m.twoEnds {
+	if w.o.Mutation.twoEnds {
 		w.check.Answered(w.Now(), i, id, how == "refused")
 	}
 	delete(w.nodes[i].held, id)
@@ -528,7 +528,7 @@
 		w.spend(c, plan)
 	}
 	work := dayWork * w.rng.ExpFloat64()
-	if m := w.o.Mutation; m != nil && m.twoCopies {
+	if w.o.Mutation.twoCopies {
 		w.check.Sent(w.Now(), i, a.ID, h.id, false, plan, c.cust.name, c.units)
 	}
 	w.arrived(i, h, work)
@@ -545,7 +545,7 @@
 	switch {
 	case draw < w.plan.reset:
 		end(time.Duration(w.rng.Float64()*float64(min(done, t.until-w.Now()))), control.ResetByPeer, true, true)
-		if m := w.o.Mutation; m != nil && m.hidden {
+		if w.o.Mutation.hidden {
 			w.check.Sent(w.Now(), i, a.ID, h.id, false, plan, c.cust.name, c.units)
 		}
 	case w.Now()+done >= t.until:
@@ -596,12 +596,7 @@
 
 // serve has a server work; it gives how long the answer takes.
 func (w *world) serve(h *host, work float64) time.Duration {
-	core := 0
-	for k := range h.free {
-		if h.free[k] < h.free[core] {
-			core = k
-		}
-	}
+	core := soonest(h.free[:])
 	speed := warmthAt(w.Now() - h.bootAt)
 	if h.bad && !w.plan.failing {
 		speed /= 5
@@ -752,14 +747,10 @@
 		return 0
 	}
 	m.roll(int(w.Now() / time.Second))
-	back := 1
-	if w.Now()%time.Second < meterLate%time.Second || meterLate >= time.Second {
-		back = 2
-	}
-	if len(m.told) < back {
+	if len(m.told) < meterBack {
 		return 0
 	}
-	return 1 + int(math.Round(100*m.told[len(m.told)-back]/w.rules.Plans[c.plan].Rate))
+	return 1 + int(math.Round(100*m.told[len(m.told)-meterBack]/w.rules.Plans[c.plan].Rate))
 }
 
 // try has a call come to an instance of its customer's set that is up.
@@ -787,7 +778,7 @@
 	c.tries++
 	w.ids++
 	w.rep.Tries++
-	t := &try{id: fmt.Sprintf("r%d", w.ids), call: c, node: i, until: w.Now() + left}
+	t := &try{id: fmt.Sprintf("r%d", w.ids), call: c, until: w.Now() + left}
 	n, set := w.nodes[i], &w.rules
 	n.held[t.id] = t
 	w.check.Taken(w.Now(), i, t.id, &set.Classes[c.class], left)
