Close a client's connection only where no request has been read on it

Cause: a drain closed idle connections by net/http (SetKeepAlivesEnabled, Shutdown), an eviction by Front.Evict. Both go by the state that net/http tells, which is "idle" until a request's head is read and parsed; a request read in that moment went on to an app server while its client's connection was closed. The client asks again, as PROTOCOL has it, and the request is out twice. Shutdown also drops a request that it reads after it has begun (conn.serve: "if c.server.shuttingDown() { return }").

Ruled out: the test's client (it sends a second time only on a used connection that broke before the answer's first byte, which the protocol allows); two processes serving one connection (the counts are of the one that drains, "closing client connections").

Change: the front keeps its connections itself. One that it closes is marked under the lock that also orders the call that a request is open, and a request on a marked one is not begun. Front.Leave and Gone take the place of Shutdown.

--- /dev/null
+++ b/internal/front/clients.go
@@ -0,0 +1,138 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// clients are the connections of the clients. Its zero value holds none; it is safe for
+// concurrent use.
+//
+// A connection is closed by the node only where no request on it has been begun, and a request on
+// one that was closed is not begun: net/http reads a request before it tells that the connection is
+// no longer idle, so that a close may come between, and what is then sent on has nobody to answer.
+type clients struct {
+	mu      sync.Mutex
+	all     map[net.Conn]*client
+	leaving bool
+	none    chan struct{} // closed when there are none; nil where nobody waits
+}
+
+// client is one of them.
+type client struct {
+	conn  net.Conn
+	since time.Time // it has been quiet; zero is while a request is open
+	fresh bool      // it has not sent a whole head yet
+	// shut says that the node has closed it. It is set before the next request is begun, or not.
+	shut atomic.Bool
+}
+
+// closed tells whether the node has closed the connection.
+func (c *client) closed() bool { return c != nil && c.shut.Load() }
+
+type clientKey struct{}
+
+// begin is http.Server's ConnContext: it has requests find their connection.
+func (s *clients) begin(ctx context.Context, conn net.Conn) context.Context {
+	c := &client{conn: conn, since: time.Now(), fresh: true}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[net.Conn]*client)
+	}
+	s.all[conn] = c
+	return context.WithValue(ctx, clientKey{}, c)
+}
+
+// clientOf is a request's connection; nil where it came over none.
+func clientOf(r *http.Request) *client {
+	c, _ := r.Context().Value(clientKey{}).(*client)
+	return c
+}
+
+// state is http.Server's ConnState. The call that a request is open comes before its handler's.
+func (s *clients) state(conn net.Conn, to http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.all[conn]
+	if c == nil {
+		return
+	}
+	switch to {
+	case http.StateActive:
+		c.since, c.fresh = time.Time{}, false
+	case http.StateIdle:
+		if c.since = time.Now(); s.leaving {
+			c.close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.all, conn)
+		if len(s.all) == 0 && s.none != nil {
+			close(s.none)
+			s.none = nil
+		}
+	}
+}
+
+// close closes a quiet connection; clients.mu is held.
+func (c *client) close() {
+	if !c.shut.Swap(true) {
+		c.conn.Close()
+	}
+}
+
+// evict closes the oldest of those that have said nothing for too long, else of those that are idle.
+func (s *clients) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first *client
+	for _, c := range s.all {
+		if c.since.IsZero() || c.closed() || c.fresh && time.Since(c.since) < silentMost {
+			continue
+		}
+		if first == nil || c.fresh && !first.fresh || c.fresh == first.fresh && c.since.Before(first.since) {
+			first = c
+		}
+	}
+	if first == nil {
+		return false
+	}
+	first.close()
+	return true
+}
+
+// leave closes those that are idle, and each that becomes so.
+func (s *clients) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for _, c := range s.all {
+		if !c.since.IsZero() && !c.fresh {
+			c.close()
+		}
+	}
+}
+
+// gone waits until there are none.
+func (s *clients) gone(ctx context.Context) bool {
+	s.mu.Lock()
+	if len(s.all) == 0 {
+		s.mu.Unlock()
+		return true
+	}
+	if s.none == nil {
+		s.none = make(chan struct{})
+	}
+	none := s.none
+	s.mu.Unlock()
+	select {
+	case <-none:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,11 +3,10 @@
 package front
 
 import (
+	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,14 +74,12 @@
 	table    atomic.Pointer[Table]
 	draining atomic.Bool
 
-	mu    sync.Mutex
-	idle  map[net.Conn]time.Time // client connections between two requests
-	fresh map[net.Conn]time.Time // those that have not sent a whole head yet
+	clients clients
 }
 
 // New makes a front; ready tells whether the node may be sent requests.
 func New(t *Table, ready func() bool) *Front {
-	f := &Front{ready: ready, idle: make(map[net.Conn]time.Time), fresh: make(map[net.Conn]time.Time)}
+	f := &Front{ready: ready}
 	f.table.Store(t)
 	return f
 }
@@ -96,55 +93,31 @@
 // Server is the HTTP server of the clients. An answer or a close is owed to each soon after
 // it has connected, so a request has to come whole in time; ServeHTTP then lifts the limit.
 func (f *Front) Server() *http.Server {
-	return &http.Server{Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.state,
+	return &http.Server{Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.clients.state,
 		ReadHeaderTimeout: requestWithin, ReadTimeout: requestWithin,
-		ConnContext: keepWire,
+		ConnContext: f.clients.begin,
 		ErrorLog:    slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn)}
 }
 
-// state keeps track of the client connections on which no request is open.
-func (f *Front) state(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.idle, c)
-	delete(f.fresh, c)
-	switch s {
-	case http.StateIdle:
-		f.idle[c] = time.Now()
-	case http.StateNew:
-		f.fresh[c] = time.Now()
-	}
-}
-
 // Evict closes a client connection that has said nothing for too long, else the one that
 // has been idle for the longest time.
-func (f *Front) Evict() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c, since := oldest(f.fresh)
-	if c == nil || time.Since(since) < silentMost {
-		if c, _ = oldest(f.idle); c == nil {
-			return false
-		}
-	}
-	delete(f.idle, c)
-	delete(f.fresh, c)
-	c.Close()
-	return true
-}
+func (f *Front) Evict() bool { return f.clients.evict() }
 
-func oldest(conns map[net.Conn]time.Time) (first net.Conn, since time.Time) {
-	for c, t := range conns {
-		if first == nil || t.Before(since) {
-			first, since = c, t
-		}
-	}
-	return first, since
-}
+// Leave closes the connections on which no request is open, from now on. It stands in for
+// http.Server's Shutdown and SetKeepAlivesEnabled, which would close some whose request they have
+// read, or drop such a request: after the first of these it may have been sent on.
+func (f *Front) Leave() { f.clients.leave() }
+
+// Gone waits until no client is connected, after Leave, and tells whether that came before ctx
+// ended. Connections whose protocol has changed are not waited for.
+func (f *Front) Gone(ctx context.Context) bool { return f.clients.gone(ctx) }
 
 // ServeHTTP holds a client's request until its final answer.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if clientOf(r).closed() {
+		panic(http.ErrAbortHandler) // the client asks again, and nothing has been sent on
+	}
 	if r.URL.Path == route.Health {
 		status := http.StatusOK
 		if !f.ready() || f.draining.Load() {
--- a/internal/front/wire.go
+++ b/internal/front/wire.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -86,18 +85,11 @@
 	return &wire{Conn: c}, nil
 }
 
-type wireKey struct{}
-
-// keepWire has requests find their connection.
-func keepWire(ctx context.Context, c net.Conn) context.Context {
-	if w, ok := c.(*wire); ok {
-		return context.WithValue(ctx, wireKey{}, w)
-	}
-	return ctx
-}
-
 // wireOf is a request's connection; nil where it is not looked at.
 func wireOf(r *http.Request) *wire {
-	w, _ := r.Context().Value(wireKey{}).(*wire)
-	return w
+	if c := clientOf(r); c != nil {
+		w, _ := c.conn.(*wire)
+		return w
+	}
+	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -215,14 +214,14 @@
 	case <-ctx.Done():
 	case err := <-n.failed:
 		stop()
-		n.finish(srv, drainWrite)
+		n.finish(drainWrite)
 		return err
 	case err := <-n.broken:
 		stop()
-		n.finish(srv, drainWrite)
+		n.finish(drainWrite)
 		return fmt.Errorf("serving clients: %w", err)
 	}
-	return n.drain(srv, stop)
+	return n.drain(stop)
 }
 
 // start runs a service, unless Run is still to do so; n.mu is held.
@@ -269,7 +268,7 @@
 
 // drain lets go of the clients: they may still come for a while, each answer closes its
 // connection, and the node ends when all that it holds is answered.
-func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
+func (n *Node) drain(stop context.CancelFunc) error {
 	slog.Info("draining")
 	n.mu.Lock()
 	begun, times := time.Now(), n.cfg.Process.Drain
@@ -279,8 +278,8 @@
 		at time.Duration
 		do func()
 	}{
-		{times.Idle, func() { srv.SetKeepAlivesEnabled(false) }},
-		{times.Accept, func() { n.finish(srv, times.Most-times.Accept) }},
+		{times.Idle, n.front.Leave},
+		{times.Accept, func() { n.finish(times.Most - times.Accept) }},
 	}
 	for _, s := range steps {
 		select {
@@ -288,7 +287,7 @@
 			s.do()
 		case err := <-n.failed:
 			stop()
-			n.finish(srv, drainWrite)
+			n.finish(drainWrite)
 			return err
 		}
 	}
@@ -297,7 +296,7 @@
 	}
 	stop() // answers what is still held as failed
 	n.awaitServices()
-	n.finish(srv, drainWrite)
+	n.finish(drainWrite)
 	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
 	select {
 	case err := <-n.failed:
@@ -308,7 +307,7 @@
 }
 
 // finish stops listening and gives the answers that are under way some time.
-func (n *Node) finish(srv *http.Server, within time.Duration) {
+func (n *Node) finish(within time.Duration) {
 	n.mu.Lock()
 	for _, l := range n.listeners {
 		l.close()
@@ -316,7 +315,6 @@
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		slog.Warn("closing client connections", "err", err)
-	}
+	n.front.Leave()
+	n.front.Gone(ctx)
 }
