Speak HTTP/2 to app servers: connection machine, fates of requests, shared connections

Need: where servers offer HTTP/2, many requests share few connections, and of a request whose stream ends it is known whether it can have run, so that only what never ran is sent again.

Change: internal/h2 is the client's side as a state machine over x/net's framer and hpack (not its Transport, which resends by itself), with a table of fates and the choice of a connection as pure functions; Conn carries its bytes. internal/upstream shares connections per server, within its limit, or falls back to HTTP/1.1 for a minute where a service allows it (servers = { protocol = "http/2 or 1.1" }). The module decides on further attempts as before. Off unless a service names it; not for ordinary HTTP yet.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"lockflow/internal/discovery"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
+	"lockflow/internal/upstream"
 )
 
 // Config is what a process is started with. It is not changed once it is read.
@@ -76,6 +77,14 @@
 	Upgrade []string // protocols that its requests may change to, in lower case
 }
 
+// Servers is how a service's app servers are spoken to.
+type Servers struct {
+	Protocol    upstream.Speaks
+	Streams     int           // open at once on a connection of HTTP/2
+	Connections int           // of HTTP/2 to one server
+	Age         time.Duration // from which on one is replaced; 0 is never
+}
+
 // Service is one service.
 type Service struct {
 	Name       string
@@ -87,6 +96,7 @@
 	Keepalive  time.Duration
 	Body       int64 // most bytes of a request's body; below zero is any number
 	Answer     int64 // and of an answer's
+	Servers    Servers
 	OnPanic    service.Policy
 	HTTP       *HTTP // what ordinary HTTP needs; nil is the platform's protocol
 	Record     Record
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -18,6 +18,7 @@
 	"lockflow/internal/protocol"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
+	"lockflow/internal/upstream"
 )
 
 // Bounds of what a file may say.
@@ -279,6 +280,7 @@
 		}
 	}
 	s.Settings = set
+	s.Servers = servers(t.sub("servers"), ordinary)
 	if ordinary {
 		r.http(t, &s)
 	}
@@ -297,6 +299,27 @@
 	return s
 }
 
+// servers reads how a service's servers are spoken to.
+func servers(t table, ordinary bool) Servers {
+	s := Servers{Protocol: upstream.Speaks(t.oneOf("protocol", "http/1.1", "http/2", "http/2 or 1.1"))}
+	if s.Protocol != upstream.SpeaksHTTP1 {
+		if ordinary {
+			t.wrong("protocol", "HTTP/2 is spoken only for clients of protocol = \"platform\"")
+		}
+		s.Streams = int(t.integer("streams", 100, 1, 10000))
+		s.Connections = int(t.integer("connections", 2, 1, 100))
+		s.Age = t.span("age", 0, 0, day)
+	} else {
+		for _, key := range []string{"streams", "connections", "age"} {
+			if t.has(key) {
+				t.wrong(key, "only where protocol is \"http/2\" or \"http/2 or 1.1\"")
+			}
+		}
+	}
+	t.done()
+	return s
+}
+
 // named reads which classes or plans a service has; all where it doesn't say, which may be none.
 func (r *reader) named(t table, key string, all []string, none bool) []string {
 	if !t.has(key) {
--- /dev/null
+++ b/internal/h2/conn.go
@@ -0,0 +1,312 @@
+package h2
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+const (
+	writeWithin  = 5 * time.Second        // one piece of what is to be written
+	cancelWithin = 250 * time.Millisecond // the reset of a stream that is given up
+	frameRead    = 1 << 20                // of a frame that is read; more is an error of the server's
+)
+
+// Options are what a connection is made with.
+type Options struct {
+	Limits
+	// Quiet is for how long nothing may come while streams are open, before the server is asked for
+	// a sign of life; after as long again with none the connection is broken. 0 never asks.
+	Quiet time.Duration
+	// Changed, which may be nil, is called when there may be room for another stream or the
+	// connection has ended. It must neither wait nor call the connection.
+	Changed func()
+}
+
+// ErrNotSpoken says that a server's first bytes were not HTTP/2's.
+var ErrNotSpoken = errors.New("the server does not speak HTTP/2")
+
+// Conn is a connection over which requests share. Its methods are safe for concurrent use.
+type Conn struct {
+	o     Options
+	c     net.Conn
+	begun time.Time
+
+	mu      sync.Mutex
+	m       *Machine
+	waits   map[uint32]chan Event
+	flushed *sync.Cond // more was written, or the connection has ended
+	heard   time.Time  // something came
+	idle    time.Time  // no stream is open since then
+	closing bool       // no further byte is written once what is pending is
+	watched bool       // a look at how quiet it is will come
+
+	wake    chan struct{} // there may be something to write
+	greeted chan struct{} // closed with the server's settings
+	done    chan struct{} // closed when the connection has ended
+}
+
+// Start speaks HTTP/2 on a connection with prior knowledge and waits for the server's settings, so
+// that its limits are known, and that it speaks HTTP/2 at all, before a request is sent. A
+// connection that fails is closed.
+func Start(ctx context.Context, nc net.Conn, o Options) (*Conn, error) {
+	now := time.Now()
+	c := &Conn{o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]chan Event), heard: now, idle: now,
+		wake: make(chan struct{}, 1), greeted: make(chan struct{}), done: make(chan struct{})}
+	c.flushed = sync.NewCond(&c.mu)
+	c.poke()
+	go c.write()
+	go c.read()
+	select {
+	case <-c.greeted:
+		return c, nil
+	case <-c.done:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.heard == now { // it said nothing before it closed
+			return nil, fmt.Errorf("%w: %w", ErrNotSpoken, c.m.Err())
+		}
+		return nil, c.m.Err()
+	case <-ctx.Done():
+		c.Close()
+		return nil, fmt.Errorf("waiting for the server's settings: %w", context.Cause(ctx))
+	}
+}
+
+// poke has the writer look for what there is to write.
+func (c *Conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// read takes in frames until the connection ends.
+func (c *Conn) read() {
+	in := &counted{Conn: c.c}
+	frames := http2.NewFramer(nil, in)
+	frames.SetMaxReadFrameSize(frameRead)
+	frames.SetReuseFrames()
+	frames.ReadMetaHeaders = hpack.NewDecoder(tableDefault, nil)
+	frames.MaxHeaderListSize = uint32(c.m.Head)
+	for first := true; ; first = false {
+		f, err := frames.ReadFrame()
+		if first && in.n > 0 && (err != nil || f.Header().Type != http2.FrameSettings) {
+			err = ErrNotSpoken
+		}
+		c.mu.Lock()
+		if in.n > 0 {
+			c.heard = time.Now()
+		}
+		var events []Event
+		if err != nil {
+			events = c.m.Unreadable(err)
+		} else {
+			events = c.m.Handle(f)
+		}
+		ended := c.settle(events)
+		c.mu.Unlock()
+		c.poke()
+		if ended {
+			return
+		}
+	}
+}
+
+// counted tells whether anything was read.
+type counted struct {
+	net.Conn
+	n int64
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n += int64(n)
+	return n, err
+}
+
+// settle tells those who wait how their streams ended and notes what changed; c.mu is held. ended
+// tells that the connection has.
+func (c *Conn) settle(events []Event) (ended bool) {
+	for _, e := range events {
+		if w := c.waits[e.ID]; w != nil {
+			w <- e // it has room for the one event of its stream
+			delete(c.waits, e.ID)
+		}
+	}
+	if c.m.Open() == 0 && len(events) > 0 {
+		c.idle = time.Now()
+	}
+	if c.m.Greeted() {
+		select {
+		case <-c.greeted:
+		default:
+			close(c.greeted)
+		}
+	}
+	if c.m.Err() != nil {
+		select {
+		case <-c.done:
+		default:
+			close(c.done)
+			c.flushed.Broadcast()
+		}
+		ended = true
+	}
+	if c.o.Changed != nil {
+		c.o.Changed()
+	}
+	return ended || c.m.Err() != nil
+}
+
+// write writes what the machine has to say, until the connection has ended and all is said.
+func (c *Conn) write() {
+	defer c.c.Close()
+	for {
+		c.mu.Lock()
+		out := c.m.Out()
+		over := c.m.Err() != nil || c.m.Ending() && c.m.Open() == 0 && c.closing
+		c.mu.Unlock()
+		if len(out) == 0 {
+			if over {
+				c.broke(net.ErrClosed)
+				return
+			}
+			select {
+			case <-c.wake:
+			case <-c.done:
+			}
+			continue
+		}
+		_ = c.c.SetWriteDeadline(time.Now().Add(writeWithin))
+		n, err := c.c.Write(out)
+		c.mu.Lock()
+		c.m.Wrote(n)
+		c.flushed.Broadcast()
+		c.mu.Unlock()
+		if err != nil {
+			c.broke(fmt.Errorf("writing: %w", err))
+			return
+		}
+	}
+}
+
+// broke ends the connection from this side.
+func (c *Conn) broke(why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settle(c.m.Break(why))
+}
+
+// Do sends a request and waits for how its stream ends, or until ctx does: it is given up then, and
+// its reset has gone out, or the connection ended, before Do returns. ErrNoStream says that nothing was sent.
+func (c *Conn) Do(ctx context.Context, r *Request) (Event, error) {
+	w := make(chan Event, 1)
+	c.mu.Lock()
+	id, err := c.m.OpenStream(r)
+	if err != nil {
+		c.mu.Unlock()
+		return Event{}, err
+	}
+	if c.m.Open() == 1 {
+		c.heard = time.Now() // the silence that counts begins with the first stream
+		c.watch()
+	}
+	c.waits[id] = w
+	c.mu.Unlock()
+	c.poke()
+	select {
+	case e := <-w:
+		return e, nil
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	e, ok := c.m.Cancel(id)
+	if !ok { // it has ended meanwhile
+		c.mu.Unlock()
+		return <-w, nil
+	}
+	c.settle([]Event{e})
+	until := c.m.Pending()
+	c.mu.Unlock()
+	c.poke()
+	c.await(until)
+	return <-w, nil
+}
+
+// await waits until so much is written. Guards against a request that is still out when another
+// server is asked: a connection that takes not even a reset is ended.
+func (c *Conn) await(until int64) {
+	late := time.AfterFunc(cancelWithin, func() { c.Close() })
+	defer late.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.m.written < until && c.m.Err() == nil {
+		c.flushed.Wait()
+	}
+}
+
+// watch asks for signs of life while streams are open; c.mu is held.
+func (c *Conn) watch() {
+	if c.o.Quiet > 0 && !c.watched {
+		c.watched = true
+		time.AfterFunc(c.o.Quiet, c.look)
+	}
+}
+
+// look is what watch does after each time of quiet.
+func (c *Conn) look() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.m.Err() != nil || c.m.Open() == 0 {
+		c.watched = false
+		return
+	}
+	switch silent := time.Since(c.heard); {
+	case silent >= 2*c.o.Quiet && c.m.Awaiting():
+		c.settle(c.m.Break(fmt.Errorf("nothing heard for %v", silent)))
+		return
+	case silent >= c.o.Quiet:
+		c.m.Ping()
+		c.poke()
+	}
+	time.AfterFunc(c.o.Quiet, c.look)
+}
+
+// View is what the choice of a connection goes by.
+func (c *Conn) View() View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return View{Open: c.m.Open(), Room: c.m.Room(), Limit: c.m.Limit(), Ending: c.m.Ending(), Age: time.Since(c.begun)}
+}
+
+// Idle is since when no stream has been open; false where one is.
+func (c *Conn) Idle() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle, c.m.Open() == 0
+}
+
+// Retire has the connection take no more requests, and end with its last stream.
+func (c *Conn) Retire() {
+	c.mu.Lock()
+	c.m.Retire()
+	c.closing = true
+	c.mu.Unlock()
+	c.poke()
+}
+
+// Close ends the connection and all streams on it.
+func (c *Conn) Close() {
+	c.broke(net.ErrClosed)
+	c.c.Close()
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
--- /dev/null
+++ b/internal/node/http2_test.go
@@ -0,0 +1,70 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/lab/labtest"
+	"lockflow/internal/node"
+	"lockflow/internal/standin"
+	"lockflow/internal/testkit"
+)
+
+// A burst of updates through a whole node at servers that close, refuse, go away and change their
+// limits, one of which speaks HTTP/1.1 only, while the node is reloaded: by both sides' counts each
+// has one final answer and none has two effects.
+func TestUpdatesOverHTTP2(t *testing.T) {
+	tally, group := &standin.Tally{}, &standin.Group{Window: 15 * time.Second}
+	faults := standin.HTTP2Faults{Refuse: 0.02, Reset: 0.01, Error: 0.01, Lower: 0.02, GoAway: 0.01, CutRead: 0.2, CutSent: 0.2}
+	var text strings.Builder
+	text.WriteString(head + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", streams = 16 }\n[services.a.source]\nkind = \"static\"\n")
+	entry := func(uid, addr string) {
+		fmt.Fprintf(&text, "[[services.a.source.servers]]\nuid = %q\nendpoint = %q\ngroup = 1\n", uid, addr)
+	}
+	for i := range 3 {
+		s, err := standin.HTTP2Server{UID: fmt.Sprint("s", i), Tally: tally, Group: group, Faults: faults, Seed: uint64(i), Streams: 10}.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		entry(s.UID, s.Addr())
+	}
+	old, err := standin.Server{UID: "old", Tally: tally, Group: group}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(old.Close)
+	entry("old", old.Addr())
+	text.WriteString("[[routes]]\nservice = \"a\"\nprefix = \"/\"\nas = \"write\"\n")
+
+	l := labtest.Begin(t, text.String(), nil)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	run := standin.Clients{Addr: l.Node.Addr(), Seed: 3, Workers: 24, Call: func(rng *rand.Rand) standin.Call {
+		return standin.Call{Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
+			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second}
+	}}.Start(ctx)
+	served := func() int { return run.SoFar()["update"].Served }
+	for i := range 4 {
+		want := served() + 300
+		testkit.Until(t, "more answers", func() bool { return served() >= want })
+		// The third has connections of its own, for others are told of.
+		more := strings.Replace(text.String(), "streams = 16", fmt.Sprint("streams = ", 16+i/2), 1)
+		if err := l.Reload(strings.Replace(more, "[services.a]", fmt.Sprintf("[services.a]\nattempts = %d", 3+i), 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	s := run.Wait()["update"]
+	if s.Lost+s.Wrong+s.Late > 0 || s.Served < s.Calls*8/10 {
+		t.Errorf("%+v", *s)
+	}
+	if c := tally.Counts(); c.Twice > 0 || c.MostAtOne > 1 || c.Requests < s.Served {
+		t.Errorf("%+v, served %d", c, s.Served)
+	}
+	testkit.Until(t, "what was replaced has ended", func() bool { return node.Serving(l.Node) == 1 })
+}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -146,7 +146,7 @@
 // make makes a service; one that takes another's place knows the servers of that one, and has its
 // connections where they are made in the same way.
 func (n *Node) make(c config.Service, was *running, metrics bool) (*running, error) {
-	share := was != nil && was.parts != nil && was.cfg.Connect == c.Connect && was.cfg.Keepalive == c.Keepalive && was.cfg.Answer == c.Answer
+	share := was != nil && was.parts != nil && was.cfg.Connect == c.Connect && was.cfg.Keepalive == c.Keepalive && was.cfg.Answer == c.Answer && was.cfg.Servers == c.Servers
 	var a *account
 	if share { // its connections and all that it holds stay on one account
 		a = was.parts.share()
@@ -159,8 +159,9 @@
 		return nil, err
 	}
 	o := service.Options{Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
-		OnReady:  n.tellChanged,
-		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a)}}
+		OnReady: n.tellChanged,
+		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a),
+			HTTP2: upstream.HTTP2{Speaks: c.Servers.Protocol, Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age}}}
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
 		o.Upstream.Dials = a.dials
--- /dev/null
+++ b/internal/upstream/http2.go
@@ -0,0 +1,343 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/h2"
+	"lockflow/internal/protocol"
+)
+
+// Speaks is what is spoken to app servers.
+type Speaks int
+
+const (
+	SpeaksHTTP1 Speaks = iota
+	SpeaksHTTP2        // with prior knowledge (RFC 9113, 3.3)
+	TriesHTTP2         // the same; HTTP/1.1 to servers that turn out not to speak it
+)
+
+const (
+	tryAgain  = time.Minute     // to speak HTTP/2 to a server that did not
+	quietMost = 5 * time.Second // of a connection with open streams, before it is asked for a sign of life
+)
+
+// HTTP2 is how HTTP/2 is spoken.
+type HTTP2 struct {
+	Speaks  Speaks
+	Streams int           // open at once on a connection, whatever the server allows
+	Conns   int           // to one server, beside those that end
+	Age     time.Duration // from which on a connection is replaced; 0 is never
+}
+
+var errNoStream = errors.New("no stream came free")
+
+// shared is the connections of HTTP/2 to one server. A nil one has none.
+type shared struct {
+	u        *Upstream
+	endpoint string
+	bell     chan struct{} // rung when there may be room; each that it wakes rings it again
+
+	mu      sync.Mutex
+	conns   []*h2.Conn
+	dialing int
+	waiting int
+	fails   int       // dials that came to nothing
+	err     error     // of the last of them
+	plain   time.Time // until which HTTP/1.1 is spoken
+	gone    bool
+}
+
+func (u *Upstream) newShared(endpoint string) *shared {
+	if u.HTTP2.Speaks == SpeaksHTTP1 {
+		return nil
+	}
+	return &shared{u: u, endpoint: endpoint, bell: make(chan struct{}, 1)}
+}
+
+func (s *shared) ring() {
+	select {
+	case s.bell <- struct{}{}:
+	default:
+	}
+}
+
+// share makes an attempt over a connection that others share; false where the server speaks
+// HTTP/1.1, and nothing has been sent.
+func (u *Upstream) share(ctx context.Context, p *Pool, w *Whole) (o Outcome, ok bool) {
+	u.mu.Lock()
+	s := p.last().shared
+	u.mu.Unlock()
+	req := w.Request
+	if until, ends := ctx.Deadline(); ends {
+		tellTime(req, until)
+	}
+	r := &h2.Request{Method: req.Method, Scheme: "http", Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body}
+	wait, cancel := context.WithTimeout(ctx, u.Connect)
+	defer cancel()
+	dialed := false
+	for {
+		c, made, err := s.take(wait)
+		dialed = dialed || made
+		if errors.Is(err, h2.ErrNotSpoken) && u.HTTP2.Speaks == TriesHTTP2 {
+			return Outcome{}, false
+		}
+		if err != nil {
+			o = unconnected(err)
+			if errors.Is(err, errNoStream) {
+				o = Outcome{Reason: control.Moot, Err: err} // speaks against no app server
+			}
+			o.Dialed = dialed
+			return o, true
+		}
+		e, err := c.Do(ctx, r)
+		if errors.Is(err, h2.ErrNoStream) { // others took the room meanwhile; nothing was sent
+			continue
+		}
+		if err != nil {
+			return Outcome{Reason: control.Moot, Err: err, Dialed: dialed}, true
+		}
+		o = ended(ctx, e)
+		o.Dialed = dialed
+		return o, true
+	}
+}
+
+// ended is the outcome of an attempt by how its stream ended.
+func ended(ctx context.Context, e h2.Event) (o Outcome) {
+	if e.Err == nil {
+		h := e.Answer.Header
+		for _, name := range []string{protocol.HeaderLoad, protocol.HeaderUsed, protocol.HeaderCost} { // known behind the body only
+			if v := e.Answer.Trailer[name]; len(v) > 0 && len(h[name]) == 0 {
+				h[name] = v
+			}
+		}
+		o.means(e.Answer.Status, h)
+		if o.Body = e.Answer.Body; o.Body == nil {
+			o.Body = []byte{}
+		}
+		return o
+	}
+	o = Outcome{Reason: control.ResetByPeer, Err: e.Err}
+	switch {
+	case e.Fate == h2.TurnedAway:
+		o.Reason = control.Full
+	case e.Fate == h2.NeverRan:
+		o.Reason = control.ConnectFailed
+	case e.Err.End == h2.Cancelled && errors.Is(ctx.Err(), context.Canceled):
+		o.Reason = control.Cancelled
+	case e.Err.End == h2.Cancelled:
+		o.Reason = control.TimedOut
+	}
+	return o
+}
+
+// take gives a connection with room; made tells that it was made for this request.
+func (s *shared) take(ctx context.Context) (c *h2.Conn, made bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fails := s.fails
+	for {
+		if time.Now().Before(s.plain) {
+			s.ring()
+			return nil, made, h2.ErrNotSpoken
+		}
+		if s.fails > fails && s.dialing == 0 && len(s.conns) == 0 {
+			s.ring()
+			return nil, true, s.err
+		}
+		s.tidy()
+		views := make([]h2.View, len(s.conns), 8)
+		for i, c := range s.conns {
+			views[i] = c.View()
+		}
+		o := &s.u.HTTP2
+		next := h2.Choose(views, s.dialing, s.waiting, h2.Bounds{Conns: max(1, o.Conns), Waiting: max(1, o.Streams), Age: o.Age})
+		if next.Retire >= 0 {
+			s.conns[next.Retire].Retire()
+		}
+		if next.Dial {
+			made = made || next.Use < 0
+			s.dialing++
+			go s.dial()
+		}
+		switch {
+		case next.Use >= 0:
+			if s.waiting > 0 {
+				s.ring()
+			}
+			return s.conns[next.Use], made, nil
+		case !next.Wait:
+			return nil, made, errNoStream
+		}
+		s.waiting++
+		s.mu.Unlock()
+		select {
+		case <-s.bell:
+		case <-ctx.Done():
+			err = errNoStream
+		}
+		s.mu.Lock()
+		s.waiting--
+		if err != nil {
+			if s.waiting > 0 {
+				s.ring()
+			}
+			if s.dialing > 0 && len(s.conns) == 0 { // as a connection that never comes up
+				err = context.Cause(ctx)
+			}
+			return nil, made, err
+		}
+	}
+}
+
+// dial makes a connection, for whoever waits.
+func (s *shared) dial() {
+	c, err := s.connect()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dialing--
+	switch {
+	case err == nil && s.gone:
+		c.Retire()
+	case err == nil:
+		s.conns = append(s.conns, c)
+	default:
+		s.fails++
+		s.err = err
+		if errors.Is(err, h2.ErrNotSpoken) && s.u.HTTP2.Speaks == TriesHTTP2 {
+			s.plain = time.Now().Add(tryAgain)
+		}
+	}
+	s.ring()
+}
+
+func (s *shared) connect() (*h2.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.u.Connect)
+	defer cancel()
+	nc, err := s.u.connect(ctx, s.endpoint)
+	if err != nil {
+		return nil, err
+	}
+	return h2.Start(ctx, nc, h2.Options{Limits: h2.Limits{Streams: s.u.HTTP2.Streams, Body: s.u.Answer, Whole: true}, Quiet: quietMost, Changed: s.ring})
+}
+
+// tidy forgets connections that have ended, and ends those that take no more requests and hold
+// none; s.mu is held.
+func (s *shared) tidy() {
+	kept := s.conns[:0]
+	for _, c := range s.conns {
+		if v := c.View(); v.Ending && v.Open == 0 {
+			c.Retire()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(s.conns[len(kept):])
+	s.conns = kept
+}
+
+// idle counts the connections on which no stream has been open for a time.
+func (s *shared) idle(since time.Duration) (n int) {
+	s.each(func(c *h2.Conn) {
+		if t, ok := c.Idle(); ok && time.Since(t) >= since {
+			n++
+		}
+	})
+	return n
+}
+
+// close ends what has been idle for so long, and what is of no more use.
+func (s *shared) close(since time.Duration) {
+	s.each(func(c *h2.Conn) {
+		if t, ok := c.Idle(); ok && time.Since(t) >= since {
+			c.Retire()
+		}
+	})
+	if s != nil {
+		s.mu.Lock()
+		s.tidy()
+		s.mu.Unlock()
+	}
+}
+
+func (s *shared) each(do func(*h2.Conn)) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		do(c)
+	}
+}
+
+// retire ends all connections, each with its last stream.
+func (s *shared) retire() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+	for _, c := range s.conns {
+		c.Retire()
+	}
+	s.conns = nil
+}
+
+// adopt takes another one's connections over, which lead to the same server.
+func (s *shared) adopt(from *shared) {
+	if s == nil || from == nil {
+		return
+	}
+	from.mu.Lock()
+	conns := from.conns
+	from.conns, from.gone = nil, true
+	from.mu.Unlock()
+	s.mu.Lock()
+	s.conns = append(s.conns, conns...)
+	s.mu.Unlock()
+}
+
+// eachShared calls for the connections of every server.
+func (u *Upstream) eachShared(do func(*shared)) {
+	if u.HTTP2.Speaks == SpeaksHTTP1 {
+		return
+	}
+	u.mu.Lock()
+	var all []*shared
+	for p := range u.pools {
+		all = append(all, p.shared)
+	}
+	u.mu.Unlock()
+	for _, s := range all {
+		do(s)
+	}
+}
+
+// evictShared ends the connection of HTTP/2 that has been idle for the longest time, where more than
+// some are.
+func (u *Upstream) evictShared(keep int) bool {
+	var oldest *h2.Conn
+	var since time.Time
+	n := 0
+	u.eachShared(func(s *shared) {
+		s.each(func(c *h2.Conn) {
+			if t, ok := c.Idle(); ok {
+				if n++; oldest == nil || t.Before(since) {
+					oldest, since = c, t
+				}
+			}
+		})
+	})
+	if oldest == nil || n <= keep {
+		return false
+	}
+	// Guards against ending one that a request has just been given: that one goes on.
+	oldest.Retire()
+	return true
+}
--- /dev/null
+++ b/internal/upstream/http2_test.go
@@ -0,0 +1,283 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/h2"
+	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
+	"lockflow/internal/standin"
+	"lockflow/internal/testkit"
+)
+
+func newHTTP2(speaks Speaks, o HTTP2) *Upstream {
+	if o.Speaks = speaks; o.Conns == 0 {
+		o.Conns = 2
+	}
+	if o.Streams == 0 {
+		o.Streams = 8
+	}
+	return New(Options{Connect: 5 * time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(1000), HTTP2: o})
+}
+
+func update(id string, body string) *Whole {
+	req, err := http.NewRequest(http.MethodPost, "http://origin.svc/visit-update?account=1", nil)
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set(protocol.HeaderID, id)
+	req.Header.Set(protocol.HeaderKey, "key-"+id)
+	return &Whole{Request: req, Body: []byte(body)}
+}
+
+func startHTTP2(t *testing.T, s standin.HTTP2Server) *standin.RunningHTTP2 {
+	t.Helper()
+	r, err := s.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// closes plays a burst of updates against a server that goes wrong by seed, each tried again only
+// where it is told never to have run, or where trusting is true, also where its stream broke. It
+// tells what speaks against the rules.
+func closes(t *testing.T, seed uint64, trusting bool) (wrong []string) {
+	rng := rand.New(rand.NewPCG(seed, 77))
+	f := standin.HTTP2Faults{Refuse: 0.1, Reset: 0.05, Error: 0.05, Lower: 0.1, GoAway: 0.1, CutRead: 0.3, CutSent: 0.3}
+	s, err := standin.HTTP2Server{UID: "s", Seed: seed, Faults: f, Streams: uint32(1 + rng.IntN(8))}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	u := newHTTP2(SpeaksHTTP2, HTTP2{Streams: 1 + rng.IntN(8), Conns: 1 + rng.IntN(3)})
+	p := u.Pool(s.Addr())
+	var mu sync.Mutex
+	say := func(format string, args ...any) {
+		mu.Lock()
+		wrong = append(wrong, fmt.Sprintf(format, args...))
+		mu.Unlock()
+	}
+	var all sync.WaitGroup
+	for i := range 12 {
+		id, body := fmt.Sprint("r", i), strings.Repeat("x", rng.IntN(400))
+		all.Go(func() {
+			w := update(id, body)
+			told := 0 // attempts that ran, by what was told of them
+			for try := 0; try < 30; try++ {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				o := w.Try(ctx, ctx, u, p)
+				cancel()
+				ran := s.Tally.Runs(id) - told
+				var end *h2.StreamError
+				errors.As(o.Err, &end)
+				switch o.Reason {
+				case control.OK, control.Errored:
+					if ran != 1 || o.Reason == control.OK && string(o.Body) != "s "+id {
+						say("%s: %v %q, and it ran %d times", id, o.Reason, o.Body, ran)
+					}
+					return
+				case control.Full, control.ConnectFailed, control.Moot:
+					if ran != 0 {
+						say("%s: told that it never ran (%v, %v), and it ran", id, o.Reason, o.Err)
+						return
+					}
+				case control.ResetByPeer:
+					// Of what never ran only that is not told which went out whole, where all that came back
+					// is the end of the connection.
+					if ran == 0 && (end == nil || end.End != h2.Broke || end.Moment != h2.Sent) {
+						say("%s: it never ran, which could be known: %v", id, o.Err)
+					}
+					if told += ran; !trusting {
+						return
+					}
+				default:
+					say("%s: %v, %v", id, o.Reason, o.Err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	u.Retire(p)
+	if c := s.Tally.Counts(); c.Twice > 0 || c.Again > 0 || c.MostAtOne > 1 {
+		say("%+v", c)
+	}
+	return wrong
+}
+
+// A server that closes at any byte, refuses, goes away in any way and changes its limits, in the
+// middle of a burst of updates: none runs twice, and what never ran is known to.
+func TestServerCloses(t *testing.T) {
+	seeds := 300
+	if n, err := strconv.Atoi(os.Getenv("LOCKFLOW_SEEDS")); err == nil {
+		seeds = n
+	}
+	for seed := range uint64(seeds) {
+		if wrong := closes(t, seed, false); len(wrong) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(wrong, "\n"))
+		}
+	}
+}
+
+// Whoever takes a broken stream for one that never ran is found.
+func TestServerClosesFindsATrustingClient(t *testing.T) {
+	for seed := range uint64(100) {
+		if len(closes(t, seed, true)) > 0 {
+			return
+		}
+	}
+	t.Error("100 seeds, and no update ran twice")
+}
+
+// Many requests at once share few connections, within the server's limit.
+func TestRequestsShare(t *testing.T) {
+	s := startHTTP2(t, standin.HTTP2Server{UID: "s", Streams: 50})
+	u := newHTTP2(SpeaksHTTP2, HTTP2{Streams: 100, Conns: 2})
+	p := u.Pool(s.Addr())
+	var all sync.WaitGroup
+	for i := range 80 {
+		all.Go(func() {
+			if o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Load() == nil {
+				t.Errorf("%v, %v", o.Reason, o.Err)
+			}
+		})
+	}
+	all.Wait()
+	if n, most := s.Dials(); n > 2 || most > 2 {
+		t.Errorf("%d connections, %d at once", n, most)
+	}
+	u.Retire(p)
+	testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.Sockets).Open() == 0 })
+}
+
+// Where there is no stream to be had, a request goes back to the module.
+func TestNoStreamIsToldAtOnce(t *testing.T) {
+	l := listen(t, func(c net.Conn) {
+		io.WriteString(c, "\x00\x00\x06\x04\x00\x00\x00\x00\x00\x00\x03\x00\x00\x00\x00") // settings: no streams
+		io.Copy(io.Discard, c)
+	})
+	u := newHTTP2(SpeaksHTTP2, HTTP2{})
+	begun := time.Now()
+	o := update("a", "").Try(t.Context(), t.Context(), u, u.Pool(l))
+	if o.Reason != control.Moot || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.Connect/2 {
+		t.Errorf("%v, %v after %v", o.Reason, o.Err, time.Since(begun))
+	}
+}
+
+// listen serves each connection, until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			stop := context.AfterFunc(t.Context(), func() { c.Close() })
+			all.Go(func() { serve(c); c.Close(); stop() })
+		}
+	})
+	t.Cleanup(func() { l.Close(); all.Wait() })
+	return l.Addr().String()
+}
+
+// A server that speaks HTTP/1.1 is spoken to so, for a time, and only where that is allowed.
+func TestFallBack(t *testing.T) {
+	app := testkit.NewApp(t, testkit.Served)
+	u := newHTTP2(TriesHTTP2, HTTP2{})
+	p := u.Pool(app.Addr())
+	for i := range 3 {
+		if o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK {
+			t.Errorf("%v, %v", o.Reason, o.Err)
+		}
+	}
+	if n := app.Dials(); n != 2 {
+		t.Errorf("%d connections: one to try, one to use", n)
+	}
+	requests := func() (n int) {
+		for _, r := range app.Requests() {
+			if !strings.HasPrefix(r, "PRI") { // the beginning of HTTP/2, as HTTP/1.1 reads it
+				n++
+			}
+		}
+		return n
+	}
+	if n := requests(); n != 3 {
+		t.Errorf("%d requests", n)
+	}
+	p.shared.plain = time.Now() // the time is over, and the server still as it was
+	if o := update("4", "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || app.Dials() != 3 {
+		t.Errorf("%v, %v; %d connections", o.Reason, o.Err, app.Dials())
+	}
+	u = newHTTP2(SpeaksHTTP2, HTTP2{})
+	if o := update("5", "swap").Try(t.Context(), t.Context(), u, u.Pool(app.Addr())); o.Reason != control.ConnectFailed || requests() != 4 {
+		t.Errorf("%v, %v; %d requests", o.Reason, o.Err, requests())
+	}
+}
+
+// A request whose time is up is reset; the connection and the other requests on it go on.
+func TestGivenUp(t *testing.T) {
+	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
+	held := make(chan struct{}, 1)
+	goOn := make(chan struct{})
+	l := listen(t, func(c net.Conn) {
+		to, err := net.Dial("tcp", s.Addr())
+		if err != nil {
+			return
+		}
+		defer to.Close()
+		go func() {
+			defer c.Close()
+			b := make([]byte, 64)
+			n, _ := to.Read(b) // the settings; what comes then waits
+			c.Write(b[:n])
+			<-goOn
+			io.Copy(c, to)
+		}()
+		b := make([]byte, 4<<10)
+		for all := 0; ; {
+			n, err := c.Read(b)
+			if err != nil {
+				return
+			}
+			to.Write(b[:n])
+			if all += n; all > 300 { // a request has come
+				select {
+				case held <- struct{}{}:
+				default:
+				}
+			}
+		}
+	})
+	u := newHTTP2(SpeaksHTTP2, HTTP2{Conns: 1})
+	p := u.Pool(l)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-held; cancel() }()
+	if o := update("late", strings.Repeat("x", 400)).Try(ctx, ctx, u, p); o.Reason != control.Cancelled {
+		t.Errorf("%v, %v", o.Reason, o.Err)
+	}
+	close(goOn)
+	if o := update("next", "").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Dialed {
+		t.Errorf("%v, %v, dialed %v", o.Reason, o.Err, o.Dialed)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,6 +39,7 @@
 	Sockets   limits.Opener // books each connection
 	Dials     limits.Opener // books each connection until it is up; nil books none
 	Answer    int           // most bytes of an answer's body; 0 is protocol.BodyMost
+	HTTP2     HTTP2
 }
 
 // Outcome is how an attempt ended.
@@ -70,6 +71,7 @@
 	Endpoint string
 	idle     []*conn // the most recently used last; nil for good once the pool is retired
 	next     *Pool   // that has all connections of this one, also those in use; nil is none
+	shared   *shared // connections of HTTP/2; nil where none is spoken
 }
 
 // last is the pool that has the connections of p; the Upstream's lock is held.
@@ -160,7 +162,7 @@
 
 // Pool makes a pool of connections to an address.
 func (u *Upstream) Pool(endpoint string) *Pool {
-	p := &Pool{Endpoint: endpoint}
+	p := &Pool{Endpoint: endpoint, shared: u.newShared(endpoint)}
 	u.mu.Lock()
 	u.pools[p] = struct{}{}
 	u.mu.Unlock()
@@ -181,6 +183,7 @@
 	to.idle = append(to.idle, p.idle...)
 	p.idle, p.next = nil, to
 	delete(u.pools, p)
+	to.shared.adopt(p.shared)
 }
 
 // Retire closes a pool's idle connections; those in use are closed when they come back.
@@ -192,6 +195,7 @@
 		c.Close()
 	}
 	p.idle = nil
+	p.shared.retire()
 }
 
 // Whole is a request of the platform's protocol: all of it is held, and so is its answer.
@@ -212,6 +216,11 @@
 // Try makes one attempt: it waits until ctx ends at the most. It sets headers of its own in the
 // request, of which no two attempts are out at once.
 func (w *Whole) Try(ctx, _ context.Context, u *Upstream, p *Pool) Outcome {
+	if u.HTTP2.Speaks != SpeaksHTTP1 {
+		if o, ok := u.share(ctx, p, w); ok {
+			return o
+		}
+	}
 	m := *w.Request
 	m.ContentLength = int64(len(w.Body))
 	m.Body = http.NoBody
@@ -248,8 +257,7 @@
 		}
 	}()
 	if ends {
-		left := max(time.Until(until).Milliseconds(), 1)
-		req.Header.Set(protocol.HeaderTimeLeft, strconv.FormatInt(left, 10)+"m")
+		tellTime(req, until)
 	}
 	// An app server begins a request with its last byte: what breaks before has not run.
 	if err := req.Write(c.w); err != nil {
@@ -269,6 +277,12 @@
 	return o
 }
 
+// tellTime has a request say until when it is waited for.
+func tellTime(req *http.Request, until time.Time) {
+	left := max(time.Until(until).Milliseconds(), 1)
+	req.Header.Set(protocol.HeaderTimeLeft, strconv.FormatInt(left, 10)+"m")
+}
+
 // read reads one answer and tells whether the connection can be used again. What
 // isn't whole, well formed and small enough is a reset: the request may have run.
 func (c *conn) read(req *http.Request, most int) (o Outcome, keep bool) {
@@ -285,17 +299,21 @@
 	if err != nil {
 		return Outcome{Reason: control.ResetByPeer, Err: err}, false
 	}
-	o.Header = resp.Header
+	o.means(resp.StatusCode, resp.Header)
+	return o, !resp.Close && c.r.Buffered() == 0
+}
+
+// means says what a whole answer of the platform's protocol means.
+func (o *Outcome) means(status int, h http.Header) {
+	o.Header = h
 	switch {
-	case resp.StatusCode == http.StatusOK:
+	case status == http.StatusOK:
 		o.Reason, o.Status, o.Final = control.OK, http.StatusOK, true
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get(protocol.HeaderUnseen) == "1":
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(protocol.HeaderUnseen) == "1":
 		o.Reason = control.Full
 	default:
 		o.Reason = control.Errored
 	}
-	return o, !resp.Close && c.r.Buffered() == 0
 }
 
 // body reads the body of an answer, which must say how long it is: one that ends with its
@@ -366,6 +384,21 @@
 }
 
 func (u *Upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
+	tcp, err := u.connect(ctx, endpoint)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: tcp, in: answerReader{Conn: tcp.Conn}}
+	if c.raw, err = tcp.Conn.(*net.TCPConn).SyscallConn(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(tcp.Conn, connBuffer)
+	return c, nil
+}
+
+// connect makes a connection that is booked.
+func (u *Upstream) connect(ctx context.Context, endpoint string) (*limits.Conn, error) {
 	if u.Dials != nil {
 		if !u.Dials.Take() {
 			return nil, errNoDial
@@ -381,13 +414,7 @@
 		u.Sockets.Give()
 		return nil, err
 	}
-	c := &conn{Conn: limits.Own(tcp, u.Sockets), in: answerReader{Conn: tcp}}
-	if c.raw, err = tcp.(*net.TCPConn).SyscallConn(); err != nil {
-		c.Close()
-		return nil, err
-	}
-	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(tcp, connBuffer)
-	return c, nil
+	return limits.Own(tcp, u.Sockets), nil
 }
 
 // quiet tells whether an idle connection is open and has nothing to read. Guards
@@ -433,7 +460,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for p := range u.pools {
-		idle += len(p.idle)
+		idle += len(p.idle) + p.shared.idle(0)
 	}
 	return idle, len(u.pools)
 }
@@ -449,6 +476,7 @@
 			return
 		case <-t.C:
 			u.drop(func(c *conn) bool { return !c.quiet() || time.Since(c.since) >= u.idleFor })
+			u.eachShared(func(s *shared) { s.close(u.idleFor) })
 		}
 	}
 }
@@ -483,7 +511,7 @@
 		return false
 	})
 	if oldest == nil || n <= keep {
-		return false
+		return u.HTTP2.Speaks != SpeaksHTTP1 && u.evictShared(keep)
 	}
 	u.drop(func(c *conn) bool { return c == oldest })
 	return true
