Measure HTTP/2 to servers beside HTTP/1.1, and write a request from the goroutine that sends it

Need: the aim is a tenth of the connections at no more CPU a request; nothing measured it.

Change: lockflow measure servers; stand-in servers speak HTTP/2 on request and count their connections. The goroutine that sends now writes what the socket takes at once (a non-blocking write(2)); the writer is woken only where something is left. Field names are not made anew for each request.

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -20,10 +20,11 @@
 
 func measureCommand() command {
 	return command{name: "measure", group: trying, does: "repeats a measurement in which two runs are taken in turn",
-		args: "isolation|proxy|bodies|balance|reload|upgrade|fleet [--rounds N] [--for TIME] [--descriptors N] [--connections N,N...] [--json]",
+		args: "isolation|proxy|servers|bodies|balance|reload|upgrade|fleet [--rounds N] [--for TIME] [--descriptors N] [--connections N,N...] [--json]",
 		examples: []string{"lockflow measure isolation --descriptors 256    # one pool stalled, the other's service",
 			"lockflow measure proxy --rounds 5               # beside net/http/httputil.ReverseProxy",
 			"lockflow measure proxy --protocol http          # the same with ordinary HTTP",
+			"lockflow measure servers --connections 1,10,100 # HTTP/2 to servers beside HTTP/1.1",
 			"lockflow measure bodies --sizes 1000000,100000000   # downloads and uploads beside ReverseProxy",
 			"lockflow measure bodies --sizes 1000000000 --ways both --workers 200 --memory 64 --rounds 1",
 			"lockflow measure balance --loads 0.5,0.8 --for 60s   # choice of servers that tell no load, in virtual time",
@@ -35,7 +36,7 @@
 			lasts := set.Duration("for", 4*time.Second, "`TIME` of each run")
 			descriptors := set.Int("descriptors", 256, "isolation: `N` that the node may hold")
 			crowd := set.Int("crowd", 400, "isolation: `N` clients of the pool that stalls")
-			connections := set.String("connections", "1,8,64,256", "proxy: `N,N...` of clients")
+			connections := set.String("connections", "1,8,64,256", "proxy, servers: `N,N...` of clients")
 			protocol := set.String("protocol", "platform", "proxy: `NAME` of what the node speaks: platform or http")
 			sizes := set.String("sizes", "1000000,100000000", "bodies: `N,N...` bytes of one")
 			ways := set.String("ways", "down,up", "bodies: `WAY,WAY...` of them: down, up, both")
@@ -55,7 +56,7 @@
 			asJSON := set.Bool("json", false, "prints the figures as JSON")
 			return func(ctx context.Context, e *Env, args []string) error {
 				if len(args) != 1 {
-					return usage("measure takes one of isolation, proxy, bodies, balance, reload, upgrade, fleet")
+					return usage("measure takes one of isolation, proxy, servers, bodies, balance, reload, upgrade, fleet")
 				}
 				what := args[0]
 				if *rounds < 1 || *lasts < 100*time.Millisecond ||
@@ -73,6 +74,9 @@
 						return usage("protocol: %q is neither platform nor http", *protocol)
 					}
 					return measureProxy(ctx, e, *connections, *protocol, *rounds, *lasts, *asJSON)
+				case what == "servers":
+					return measureServers(ctx, e, measure.ServersOptions{Rounds: *rounds, Lasts: *lasts, Work: time.Millisecond, Progress: e.Err},
+						*connections, *asJSON)
 				case what == "balance":
 					return measureBalance(ctx, e, balancesim.Options{Lasts: *lasts, Seed: fl.Seed}, *loads, *asJSON)
 				case what == "bodies":
@@ -90,21 +94,17 @@
 					return measureIsolation(ctx, e, measure.IsolationOptions{Descriptors: *descriptors, Rounds: *rounds, Lasts: *lasts, Crowd: *crowd,
 						Progress: e.Err}, *asJSON)
 				}
-				return usage("there is no measurement %q: isolation, proxy, bodies, balance, reload, upgrade, fleet", what)
+				return usage("there is no measurement %q: isolation, proxy, servers, bodies, balance, reload, upgrade, fleet", what)
 			}
 		}}
 }
 
 func measureProxy(ctx context.Context, e *Env, connections, protocol string, rounds int, lasts time.Duration, asJSON bool) error {
 	o := measure.ProxyOptions{Protocol: protocol, Rounds: rounds, Lasts: lasts, Progress: e.Err}
-	for field := range strings.SplitSeq(connections, ",") {
-		n, err := strconv.Atoi(field)
-		if err != nil || n < 1 || n > 1000 {
-			return usage("connections: %q is none of 1 to 1000", field)
-		}
-		o.Connections = append(o.Connections, n)
-	}
 	var err error
+	if o.Connections, err = counts(connections); err != nil {
+		return err
+	}
 	if o.Program, err = os.Executable(); err != nil {
 		return fmt.Errorf("finding the program's own file: %w", err)
 	}
@@ -125,6 +125,43 @@
 	return nil
 }
 
+// counts reads the flag --connections.
+func counts(connections string) (all []int, err error) {
+	for field := range strings.SplitSeq(connections, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil || n < 1 || n > 1000 {
+			return nil, usage("connections: %q is none of 1 to 1000", field)
+		}
+		all = append(all, n)
+	}
+	return all, nil
+}
+
+func measureServers(ctx context.Context, e *Env, o measure.ServersOptions, connections string, asJSON bool) (err error) {
+	if o.AtOnce, err = counts(connections); err != nil {
+		return err
+	}
+	if o.Program, err = os.Executable(); err != nil {
+		return fmt.Errorf("finding the program's own file: %w", err)
+	}
+	rows, err := measure.Servers(ctx, o)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(e.Out).Encode(rows)
+	}
+	w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "at once\tprotocol\tCPU us a request\tratio\tanswers a second\tp50 ms\tp99 ms\tconnections\tmade\trefused\tlost\t")
+	for _, r := range rows {
+		for i, s := range []measure.ServersSide{r.HTTP1, r.HTTP2} {
+			fmt.Fprintf(w, "%d\t%s\t%.0f\t%s\t%.0f\t%.2f\t%.2f\t%.0f\t%.0f\t%d\t%d\t\n", r.AtOnce, []string{"HTTP/1.1", "HTTP/2"}[i], s.CPU,
+				[]string{"", fmt.Sprintf("%.2f", r.Ratio)}[i], s.Rate, s.P50, s.P99, s.Most, s.Dials, s.Refused, s.Lost)
+		}
+	}
+	return w.Flush()
+}
+
 func measureBodies(ctx context.Context, e *Env, o measure.BodiesOptions, sizes, ways string, asJSON bool) error {
 	for field := range strings.SplitSeq(sizes, ",") {
 		n, err := strconv.ParseInt(field, 10, 64)
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/net/http2"
@@ -41,11 +42,13 @@
 	mu      sync.Mutex
 	m       *Machine
 	waits   map[uint32]chan Event
-	flushed *sync.Cond // more was written, or the connection has ended
-	heard   time.Time  // something came
-	idle    time.Time  // no stream is open since then
-	closing bool       // no further byte is written once what is pending is
-	watched bool       // a look at how quiet it is will come
+	flushed *sync.Cond      // more was written, or the connection has ended
+	heard   time.Time       // something came
+	idle    time.Time       // no stream is open since then
+	closing bool            // no further byte is written once what is pending is
+	watched bool            // a look at how quiet it is will come
+	writing bool            // somebody writes
+	raw     syscall.RawConn // of a socket; nil where there is none
 
 	wake    chan struct{} // there may be something to write
 	greeted chan struct{} // closed with the server's settings
@@ -60,6 +63,9 @@
 	c := &Conn{o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]chan Event), heard: now, idle: now,
 		wake: make(chan struct{}, 1), greeted: make(chan struct{}), done: make(chan struct{})}
 	c.flushed = sync.NewCond(&c.mu)
+	if under, ok := socket(nc); ok {
+		c.raw, _ = under.SyscallConn()
+	}
 	c.poke()
 	go c.write()
 	go c.read()
@@ -79,6 +85,20 @@
 	}
 }
 
+// socket is the one below a connection.
+func socket(c net.Conn) (syscall.Conn, bool) {
+	for {
+		if s, ok := c.(*net.TCPConn); ok {
+			return s, true
+		}
+		under, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		c = under.NetConn()
+	}
+}
+
 // poke has the writer look for what there is to write.
 func (c *Conn) poke() {
 	select {
@@ -111,8 +131,11 @@
 			events = c.m.Handle(f)
 		}
 		ended := c.settle(events)
+		say := ended || c.closing || c.m.Says()
 		c.mu.Unlock()
-		c.poke()
+		if say {
+			c.poke()
+		}
 		if ended {
 			return
 		}
@@ -165,31 +188,71 @@
 	return ended || c.m.Err() != nil
 }
 
+// push writes what the socket takes at once, which nearly always is all; the writer does the rest.
+// Guards against waking another goroutine for each request, and against one that waits for a
+// server that takes nothing beyond its own time.
+func (c *Conn) push() {
+	if c.raw == nil {
+		c.poke()
+		return
+	}
+	c.mu.Lock()
+	if c.writing || c.m.Err() != nil {
+		c.mu.Unlock()
+		c.poke()
+		return
+	}
+	c.writing = true
+	out := c.m.Out()
+	c.mu.Unlock()
+	n := 0
+	if len(out) > 0 {
+		_ = c.raw.Write(func(fd uintptr) bool {
+			n, _ = syscall.Write(int(fd), out)
+			return true
+		})
+	}
+	c.wrote(max(n, 0))
+	c.mu.Lock()
+	more := c.m.Says() || c.closing || c.m.Err() != nil // for all of which the writer did not go on meanwhile
+	c.mu.Unlock()
+	if more {
+		c.poke()
+	}
+}
+
+// wrote ends a write that took so many bytes.
+func (c *Conn) wrote(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.m.Wrote(n)
+	c.flushed.Broadcast()
+}
+
 // write writes what the machine has to say, until the connection has ended and all is said.
 func (c *Conn) write() {
 	defer c.c.Close()
 	for {
 		c.mu.Lock()
-		out := c.m.Out()
-		over := c.m.Err() != nil || c.m.Ending() && c.m.Open() == 0 && c.closing
+		var out []byte
+		if !c.writing { // else whoever does pokes
+			out = c.m.Out()
+		}
+		over := !c.writing && (c.m.Err() != nil || c.m.Ending() && c.m.Open() == 0 && c.closing)
+		c.writing = c.writing || len(out) > 0
 		c.mu.Unlock()
 		if len(out) == 0 {
 			if over {
 				c.broke(net.ErrClosed)
 				return
 			}
-			select {
-			case <-c.wake:
-			case <-c.done:
-			}
+			<-c.wake
 			continue
 		}
 		_ = c.c.SetWriteDeadline(time.Now().Add(writeWithin))
 		n, err := c.c.Write(out)
-		c.mu.Lock()
-		c.m.Wrote(n)
-		c.flushed.Broadcast()
-		c.mu.Unlock()
+		c.wrote(n)
 		if err != nil {
 			c.broke(fmt.Errorf("writing: %w", err))
 			return
@@ -202,6 +265,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.settle(c.m.Break(why))
+	c.poke()
 }
 
 // Do sends a request and waits for how its stream ends, or until ctx does: it is given up then, and
@@ -220,7 +284,7 @@
 	}
 	c.waits[id] = w
 	c.mu.Unlock()
-	c.poke()
+	c.push()
 	select {
 	case e := <-w:
 		return e, nil
@@ -271,6 +335,7 @@
 	switch silent := time.Since(c.heard); {
 	case silent >= 2*c.o.Quiet && c.m.Awaiting():
 		c.settle(c.m.Break(fmt.Errorf("nothing heard for %v", silent)))
+		c.poke()
 		return
 	case silent >= c.o.Quiet:
 		c.m.Ping()
--- a/internal/h2/machine.go
+++ b/internal/h2/machine.go
@@ -27,6 +27,7 @@
 	interimsMost  = 32   // answers of 1xx to one request
 	noiseMost     = 1000 // frames in a row that bring no answer on
 	outMost       = 1 << 20
+	namesMost     = 200
 	owedMost      = 16 << 10 // of the connection's window, before it is given back
 )
 
@@ -115,6 +116,27 @@
 	pings     uint64 // sent
 	awaited   uint64 // the ping whose answer is awaited; 0 is none
 	waiting   []uint32
+
+	// Names in lower case by their form in net/http, and the other way round: a few, again and again.
+	lower, canonical names
+}
+
+// names are what names have become, so that the same ones are not made anew. Its zero value is
+// empty.
+type names map[string]string
+
+func (n *names) of(name string, make func(string) string) string {
+	if v, ok := (*n)[name]; ok {
+		return v
+	}
+	v := make(name)
+	if *n == nil {
+		*n = names{}
+	}
+	if len(*n) < namesMost {
+		(*n)[name] = v
+	}
+	return v
 }
 
 type stream struct {
@@ -198,7 +220,7 @@
 	if m.Room() == 0 {
 		return 0, ErrNoStream
 	}
-	fields := r.fields()
+	fields := m.fields(r)
 	if m.headMost > 0 { // before anything of it is in the table that both sides keep
 		size := uint32(0)
 		for f := range fields {
@@ -240,7 +262,7 @@
 var own = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "transfer-encoding": true, "upgrade": true, "host": true}
 
 // fields are those of a request's head.
-func (r *Request) fields() iter.Seq[hpack.HeaderField] {
+func (m *Machine) fields(r *Request) iter.Seq[hpack.HeaderField] {
 	return func(yield func(hpack.HeaderField) bool) {
 		for _, f := range [...]hpack.HeaderField{{Name: ":method", Value: r.Method}, {Name: ":scheme", Value: r.Scheme},
 			{Name: ":authority", Value: r.Authority}, {Name: ":path", Value: r.Path}} {
@@ -249,7 +271,7 @@
 			}
 		}
 		for k, vs := range r.Header {
-			name := strings.ToLower(k)
+			name := m.lower.of(k, strings.ToLower)
 			if own[name] || name == "content-length" {
 				continue
 			}
@@ -320,6 +342,9 @@
 	return m.flight
 }
 
+// Says tells whether there is anything to be written.
+func (m *Machine) Says() bool { return len(m.flight) > 0 || m.out.Len() > 0 }
+
 // Pending is where the last byte stands that is to be written so far.
 func (m *Machine) Pending() int64 { return m.offset() }
 
@@ -608,7 +633,8 @@
 		if own[field.Name] && field.Name != "host" {
 			return wrong("a field of HTTP/1.1's connections, %s", field.Name)
 		}
-		h.Add(field.Name, field.Value)
+		name := m.canonical.of(field.Name, http.CanonicalHeaderKey)
+		h[name] = append(h[name], field.Value)
 	}
 	if s.head { // trailers
 		if len(f.PseudoFields()) > 0 || !f.StreamEnded() {
--- /dev/null
+++ b/internal/measure/servers.go
@@ -0,0 +1,109 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"lockflow/internal/lab"
+	"lockflow/internal/standin"
+)
+
+// ServersOptions are what a comparison of HTTP/1.1 and HTTP/2 to servers is made with.
+type ServersOptions struct {
+	Program  string        // lockflow's own file, started anew for each run
+	AtOnce   []int         // requests, each its own row
+	Rounds   int           // pairs of runs a row
+	Lasts    time.Duration // of one run
+	Work     time.Duration // of a server, a request
+	Progress io.Writer
+}
+
+// ServersSide is one of the two.
+type ServersSide struct {
+	Side
+	Dials float64 `json:"dials"`       // connections made to the servers in a run: handshakes
+	Most  float64 `json:"connections"` // open at once to all servers
+}
+
+// ServersRow compares the two at a number of requests at once.
+type ServersRow struct {
+	AtOnce int         `json:"at_once"`
+	HTTP1  ServersSide `json:"http1"`
+	HTTP2  ServersSide `json:"http2"`
+	Ratio  float64     `json:"cpu_ratio"` // median of the pairs', HTTP/2 over HTTP/1.1
+}
+
+// Servers compares HTTP/1.1 and HTTP/2 to the same stand-in servers, in turn.
+func Servers(ctx context.Context, o ServersOptions) ([]ServersRow, error) {
+	var rows []ServersRow
+	for _, n := range o.AtOnce {
+		row := ServersRow{AtOnce: n}
+		var sides [2][]ServersSide
+		var ratios []float64
+		for round := range o.Rounds {
+			for i, speaks := range []string{"http/1.1", "http/2"} {
+				s, err := serversRun(ctx, o, n, uint64(round), speaks)
+				if err != nil {
+					return rows, fmt.Errorf("measuring %s: %w", speaks, err)
+				}
+				sides[i] = append(sides[i], s)
+			}
+			a, b := sides[0][round], sides[1][round]
+			ratios = append(ratios, b.CPU/a.CPU)
+			fmt.Fprintf(o.Progress, "%4d at once, round %d of %d: %.0f and %.0f us a request\n", n, round+1, o.Rounds, a.CPU, b.CPU)
+		}
+		row.HTTP1, row.HTTP2 = middleServers(sides[0]), middleServers(sides[1])
+		row.Ratio = median(ratios, func(v float64) float64 { return v })
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func middleServers(all []ServersSide) (m ServersSide) {
+	var sides []Side
+	for _, s := range all {
+		sides = append(sides, s.Side)
+	}
+	return ServersSide{Side: middleSide(sides), Dials: median(all, func(s ServersSide) float64 { return s.Dials }),
+		Most: median(all, func(s ServersSide) float64 { return s.Most })}
+}
+
+// serversRun has a node of its own ask servers of its own, so that connections are those of one run.
+func serversRun(ctx context.Context, o ServersOptions, n int, seed uint64, speaks string) (s ServersSide, err error) {
+	var servers []standin.Server
+	for i := range 4 {
+		servers = append(servers, standin.Server{UID: fmt.Sprint("s", i), Work: o.Work, Seed: uint64(i), HTTP2: true})
+	}
+	pool, err := lab.StartPool(servers)
+	if err != nil {
+		return s, err
+	}
+	defer pool.Close()
+	var list []string
+	for _, one := range pool.Servers {
+		list = append(list, fmt.Sprintf("{ uid = %q, endpoint = %q }", one.UID, one.Addr()))
+	}
+	file, err := os.CreateTemp("", "lockflow-*.toml")
+	if err != nil {
+		return s, fmt.Errorf("writing the node's configuration: %w", err)
+	}
+	defer os.Remove(file.Name())
+	text := strings.Replace(fmt.Sprintf(proxyConfig, "platform", strings.Join(list, ", ")), "[services.rosters]",
+		fmt.Sprintf("[services.rosters]\nservers = { protocol = %q }", speaks), 1)
+	_, err = io.WriteString(file, text)
+	file.Close()
+	if err != nil {
+		return s, fmt.Errorf("writing the node's configuration: %w", err)
+	}
+	s.Side, err = run(ctx, ProxyOptions{Program: o.Program, Lasts: o.Lasts}, n, seed, "serve", "--config", file.Name())
+	for _, one := range pool.Servers {
+		dials, most := one.Dials()
+		s.Dials += float64(dials)
+		s.Most += float64(most)
+	}
+	return s, err
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -37,6 +37,7 @@
 	Queue  int           // that may wait for a core; more are turned away; 0 is any number
 	Faults Faults
 	Seed   uint64
+	HTTP2  bool // speaks HTTP/2 too, to whoever begins with it
 
 	// A server that starts cold begins with a part of its speed and is warm after a while.
 	// Sent more than Multiple times what it can do at that moment, over Fall, it falls over.
@@ -65,6 +66,9 @@
 	worst    float64   // most of what was sent over what it could bear
 	late     int       // requests that came while it drained
 	latency  float64   // ms, smoothed, without waiting
+	conns    int
+	dials    int
+	most     int // connections open at once
 }
 
 type arrival struct {
@@ -85,11 +89,36 @@
 	if s.Cores > 0 {
 		r.cores = make(chan struct{}, s.Cores)
 	}
-	r.http = &http.Server{Handler: r}
+	r.http = &http.Server{Handler: r, ConnState: r.connState}
+	if s.HTTP2 {
+		r.http.Protocols = new(http.Protocols)
+		r.http.Protocols.SetHTTP1(true)
+		r.http.Protocols.SetUnencryptedHTTP2(true)
+	}
 	go r.http.Serve(l)
 	return r, nil
 }
 
+func (r *Running) connState(_ net.Conn, s http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		r.conns++
+		r.dials++
+		r.most = max(r.most, r.conns)
+	case http.StateClosed, http.StateHijacked:
+		r.conns--
+	}
+}
+
+// Dials is how many connections came, and the most that were open at once.
+func (r *Running) Dials() (n, most int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dials, r.most
+}
+
 // Addr is where it listens.
 func (r *Running) Addr() string { return r.listener.Addr().String() }
 
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -76,11 +76,9 @@
 		tellTime(req, until)
 	}
 	r := &h2.Request{Method: req.Method, Scheme: "http", Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body}
-	wait, cancel := context.WithTimeout(ctx, u.Connect)
-	defer cancel()
 	dialed := false
 	for {
-		c, made, err := s.take(wait)
+		c, made, err := s.take(ctx)
 		dialed = dialed || made
 		if errors.Is(err, h2.ErrNotSpoken) && u.HTTP2.Speaks == TriesHTTP2 {
 			return Outcome{}, false
@@ -135,11 +133,12 @@
 	return o
 }
 
-// take gives a connection with room; made tells that it was made for this request.
+// take gives a connection with room, or waits for one for as long as a connection may take to come up; made tells that it was made for this request.
 func (s *shared) take(ctx context.Context) (c *h2.Conn, made bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fails := s.fails
+	var wait context.Context // made once it has to
 	for {
 		if time.Now().Before(s.plain) {
 			s.ring()
@@ -173,11 +172,16 @@
 		case !next.Wait:
 			return nil, made, errNoStream
 		}
+		if wait == nil {
+			var cancel context.CancelFunc
+			wait, cancel = context.WithTimeout(ctx, s.u.Connect)
+			defer cancel()
+		}
 		s.waiting++
 		s.mu.Unlock()
 		select {
 		case <-s.bell:
-		case <-ctx.Done():
+		case <-wait.Done():
 			err = errNoStream
 		}
 		s.mu.Lock()
@@ -187,7 +191,7 @@
 				s.ring()
 			}
 			if s.dialing > 0 && len(s.conns) == 0 { // as a connection that never comes up
-				err = context.Cause(ctx)
+				err = context.Cause(wait)
 			}
 			return nil, made, err
 		}
