Speak HTTP/2 to servers of ordinary HTTP too: bodies and answers that go on

Need: a service is one of ordinary HTTP unless its file says otherwise; HTTP/2 served the platform's protocol only, where requests and answers are held.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -280,7 +280,7 @@
 		}
 	}
 	s.Settings = set
-	s.Servers = servers(t.sub("servers"), ordinary)
+	s.Servers = servers(t.sub("servers"))
 	if ordinary {
 		r.http(t, &s)
 	}
@@ -300,12 +300,9 @@
 }
 
 // servers reads how a service's servers are spoken to.
-func servers(t table, ordinary bool) Servers {
+func servers(t table) Servers {
 	s := Servers{Protocol: upstream.Speaks(t.oneOf("protocol", "http/1.1", "http/2", "http/2 or 1.1"))}
 	if s.Protocol != upstream.SpeaksHTTP1 {
-		if ordinary {
-			t.wrong("protocol", "HTTP/2 is spoken only for clients of protocol = \"platform\"")
-		}
 		s.Streams = int(t.integer("streams", 100, 1, 10000))
 		s.Connections = int(t.integer("connections", 2, 1, 100))
 		s.Age = t.span("age", 0, 0, day)
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -41,14 +41,15 @@
 
 	mu      sync.Mutex
 	m       *Machine
-	waits   map[uint32]chan Event
-	flushed *sync.Cond      // more was written, or the connection has ended
-	heard   time.Time       // something came
-	idle    time.Time       // no stream is open since then
-	closing bool            // no further byte is written once what is pending is
-	watched bool            // a look at how quiet it is will come
-	writing bool            // somebody writes
-	raw     syscall.RawConn // of a socket; nil where there is none
+	waits   map[uint32]waiter
+	blocked map[*Stream]bool // those whose writer waits for room
+	flushed *sync.Cond       // more was written, or the connection has ended
+	heard   time.Time        // something came
+	idle    time.Time        // no stream is open since then
+	closing bool             // no further byte is written once what is pending is
+	watched bool             // a look at how quiet it is will come
+	writing bool             // somebody writes
+	raw     syscall.RawConn  // of a socket; nil where there is none
 
 	wake    chan struct{} // there may be something to write
 	greeted chan struct{} // closed with the server's settings
@@ -60,7 +61,7 @@
 // connection that fails is closed.
 func Start(ctx context.Context, nc net.Conn, o Options) (*Conn, error) {
 	now := time.Now()
-	c := &Conn{o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]chan Event), heard: now, idle: now,
+	c := &Conn{o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]waiter), blocked: make(map[*Stream]bool), heard: now, idle: now,
 		wake: make(chan struct{}, 1), greeted: make(chan struct{}), done: make(chan struct{})}
 	c.flushed = sync.NewCond(&c.mu)
 	if under, ok := socket(nc); ok {
@@ -154,15 +155,26 @@
 	return n, err
 }
 
+// waiter is told of a stream's events, in order; Conn.mu is held. It must neither wait nor call back.
+type waiter interface{ tell(Event) }
+
+// end takes the one event of a stream whose answer is held.
+type end chan Event
+
+func (w end) tell(e Event) { w <- e }
+
 // settle tells those who wait how their streams ended and notes what changed; c.mu is held. ended
 // tells that the connection has.
 func (c *Conn) settle(events []Event) (ended bool) {
 	for _, e := range events {
 		if w := c.waits[e.ID]; w != nil {
-			w <- e // it has room for the one event of its stream
-			delete(c.waits, e.ID)
+			if e.ends() {
+				delete(c.waits, e.ID)
+			}
+			w.tell(e)
 		}
 	}
+	c.unblock()
 	if c.m.Open() == 0 && len(events) > 0 {
 		c.idle = time.Now()
 	}
@@ -227,9 +239,18 @@
 	defer c.mu.Unlock()
 	c.writing = false
 	c.m.Wrote(n)
+	c.unblock()
 	c.flushed.Broadcast()
 }
 
+// unblock has those who wait for room look again; c.mu is held.
+func (c *Conn) unblock() {
+	for s := range c.blocked {
+		delete(c.blocked, s)
+		ring(s.sent)
+	}
+}
+
 // write writes what the machine has to say, until the connection has ended and all is said.
 func (c *Conn) write() {
 	defer c.c.Close()
@@ -268,15 +289,12 @@
 	c.poke()
 }
 
-// Do sends a request and waits for how its stream ends, or until ctx does: it is given up then, and
-// its reset has gone out, or the connection ended, before Do returns. ErrNoStream says that nothing was sent.
-func (c *Conn) Do(ctx context.Context, r *Request) (Event, error) {
-	w := make(chan Event, 1)
+// open opens a stream and sends its request, as far as it is here and goes at once.
+func (c *Conn) open(r *Request, w waiter) (id uint32, err error) {
 	c.mu.Lock()
-	id, err := c.m.OpenStream(r)
-	if err != nil {
+	if id, err = c.m.OpenStream(r); err != nil {
 		c.mu.Unlock()
-		return Event{}, err
+		return 0, err
 	}
 	if c.m.Open() == 1 {
 		c.heard = time.Now() // the silence that counts begins with the first stream
@@ -285,22 +303,39 @@
 	c.waits[id] = w
 	c.mu.Unlock()
 	c.push()
-	select {
-	case e := <-w:
-		return e, nil
-	case <-ctx.Done():
-	}
+	return id, nil
+}
+
+// giveUp resets a stream, and returns once that has gone out or the connection has ended. A stream that
+// has ended meanwhile is left alone.
+func (c *Conn) giveUp(id uint32) {
 	c.mu.Lock()
 	e, ok := c.m.Cancel(id)
-	if !ok { // it has ended meanwhile
+	if !ok {
 		c.mu.Unlock()
-		return <-w, nil
+		return
 	}
 	c.settle([]Event{e})
 	until := c.m.Pending()
 	c.mu.Unlock()
 	c.poke()
 	c.await(until)
+}
+
+// Do sends a request and waits for how its stream ends, or until ctx does: it is given up then, and
+// its reset has gone out, or the connection ended, before Do returns. ErrNoStream says that nothing was sent.
+func (c *Conn) Do(ctx context.Context, r *Request) (Event, error) {
+	w := make(end, 1)
+	id, err := c.open(r, w)
+	if err != nil {
+		return Event{}, err
+	}
+	select {
+	case e := <-w:
+		return e, nil
+	case <-ctx.Done():
+	}
+	c.giveUp(id)
 	return <-w, nil
 }
 
--- a/internal/h2/machine.go
+++ b/internal/h2/machine.go
@@ -63,9 +63,16 @@
 	Method, Scheme, Authority, Path string
 	Header                          http.Header
 	Body                            []byte
+	// More says that Feed brings more of the body. Length is then that of all of it; below zero it
+	// is not known.
+	More   bool
+	Length int64
+	// Flow says that the answer is told as it comes, by events, and not held: as much of it as its
+	// window has is under way until it is Consumed.
+	Flow bool
 }
 
-// Answer is a whole answer.
+// Answer is a whole answer, or the head of one that goes on.
 type Answer struct {
 	Status  int
 	Header  http.Header
@@ -73,14 +80,21 @@
 	Body    []byte
 }
 
-// Event is how a stream ended: with an answer or an error, never both.
+// Event is how a stream ended, with an answer or an error, never both; of a stream whose answer
+// is told as it comes also what came. Its end is the last.
 type Event struct {
 	ID     uint32
 	Answer *Answer
 	Err    *StreamError
 	Fate   Fate // where there is an error
+
+	Head *Answer // of 1xx, or that of the answer itself
+	Data []byte  // valid until the next frame is read
 }
 
+// ends tells whether the event is a stream's end.
+func (e *Event) ends() bool { return e.Answer != nil || e.Err != nil }
+
 // Why a request was not sent.
 var (
 	ErrNoStream = errors.New("no stream is free")
@@ -142,17 +156,22 @@
 type stream struct {
 	id       uint32
 	window   int64
-	body     []byte // still to be sent
-	queued   bool   // all of the request is in out, or was
-	first    int64  // where in all that was written its first byte is
-	last     int64  // and where its end is, once queued
-	head     bool   // the final head has come
+	body     []byte      // still to be sent
+	more     bool        // Feed will bring more
+	trailer  http.Header // that goes behind the body
+	queued   bool        // all of the request is in out, or was
+	flow     bool        // its answer is told as it comes
+	owed     int         // of its window, consumed and not given back
+	first    int64       // where in all that was written its first byte is
+	last     int64       // and where its end is, once queued
+	head     bool        // the final head has come
 	interims int
 	expect   int64 // by Content-Length; below zero not told
 	head1    bool  // some head has come, be it of 1xx
 	none     bool  // the answer has no body: to HEAD, 204, 304
 	isHead   bool
-	got      int // bytes of the answer that this side's window counts
+	got      int   // bytes of the answer that this side's window counts
+	came     int64 // bytes of its body
 	answer   Answer
 }
 
@@ -234,25 +253,68 @@
 	for f := range fields {
 		m.encoder.WriteField(f)
 	}
-	s := &stream{id: m.next, window: m.initial, body: r.Body, expect: -1, first: m.offset(), isHead: r.Method == http.MethodHead}
+	s := &stream{id: m.next, window: m.initial, body: r.Body, more: r.More, flow: r.Flow, expect: -1,
+		first: m.offset(), isHead: r.Method == http.MethodHead}
+	bare := len(r.Body) == 0 && !r.More // the head is all of the request
 	m.next += 2
 	m.streams[s.id] = s
+	m.writeBlock(s.id, bare)
+	if bare {
+		s.queued, s.last = true, m.offset()
+	} else {
+		m.send(s)
+	}
+	return s.id, nil
+}
+
+// writeBlock writes the head, or the trailers, that were encoded.
+func (m *Machine) writeBlock(id uint32, end bool) {
 	block := m.block.Bytes()
 	for first := true; first || len(block) > 0; first = false {
 		part := block[:min(len(block), m.frameMost)]
 		block = block[len(part):]
 		if first {
-			m.frames.WriteHeaders(http2.HeadersFrameParam{StreamID: s.id, BlockFragment: part, EndStream: len(r.Body) == 0, EndHeaders: len(block) == 0})
+			m.frames.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: part, EndStream: end, EndHeaders: len(block) == 0})
 		} else {
-			m.frames.WriteContinuation(s.id, len(block) == 0, part)
+			m.frames.WriteContinuation(id, len(block) == 0, part)
 		}
 	}
-	if len(r.Body) == 0 {
-		s.queued, s.last = true, m.offset()
-	} else {
-		m.send(s)
+}
+
+// Feed brings more of a request's body; end says that it is the last, which trailers may follow.
+// What can't be sent yet is held: Unsent tells how much that is.
+func (m *Machine) Feed(id uint32, data []byte, end bool, trailer http.Header) {
+	s := m.streams[id]
+	if s == nil || !s.more || m.broken != nil {
+		return
+	}
+	s.body = append(s.body, data...)
+	if end {
+		s.more, s.trailer = false, trailer
+	}
+	m.send(s)
+}
+
+// Unsent is how much of a request's body waits for the windows, or for the socket.
+func (m *Machine) Unsent(id uint32) int {
+	if s := m.streams[id]; s != nil {
+		return len(s.body)
+	}
+	return 0
+}
+
+// Consumed tells that so much of an answer that is told as it comes has been taken further: the
+// server may send as much again.
+func (m *Machine) Consumed(id uint32, n int) {
+	s := m.streams[id]
+	if s == nil || m.broken != nil {
+		return
+	}
+	if s.owed += n; s.owed > m.Body/2 {
+		s.got -= s.owed
+		m.frames.WriteWindowUpdate(id, uint32(s.owed))
+		s.owed = 0
 	}
-	return s.id, nil
 }
 
 // offset is where in all that is ever written the next byte comes.
@@ -284,8 +346,14 @@
 				}
 			}
 		}
-		if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-			yield(hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(r.Body))})
+		length := int64(len(r.Body))
+		if r.More {
+			length = r.Length
+		} else if length == 0 && r.Method != http.MethodPost && r.Method != http.MethodPut && r.Method != http.MethodPatch {
+			return
+		}
+		if length >= 0 {
+			yield(hpack.HeaderField{Name: "content-length", Value: strconv.FormatInt(length, 10)})
 		}
 	}
 }
@@ -294,18 +362,34 @@
 func (m *Machine) send(s *stream) {
 	for !s.queued && m.out.Len() < outMost {
 		n := min(int64(len(s.body)), int64(m.frameMost), s.window, m.window)
-		if n <= 0 {
+		last := int64(len(s.body)) <= max(n, 0) && !s.more
+		if n <= 0 && !last {
 			break
 		}
+		n = max(n, 0)
 		part := s.body[:n]
 		s.body = s.body[n:]
 		s.window -= n
 		m.window -= n
-		s.queued = len(s.body) == 0
-		m.frames.WriteData(s.id, s.queued, part)
+		s.queued = last
+		if len(part) > 0 || len(s.trailer) == 0 {
+			m.frames.WriteData(s.id, last && len(s.trailer) == 0, part)
+		}
+		if last && len(s.trailer) > 0 {
+			m.block.Reset()
+			for k, vs := range s.trailer {
+				for _, v := range vs {
+					m.encoder.WriteField(hpack.HeaderField{Name: m.lower.of(k, strings.ToLower), Value: v})
+				}
+			}
+			m.writeBlock(s.id, true)
+		}
 		s.last = m.offset()
 	}
-	if !s.queued && !contains(m.waiting, s.id) {
+	if len(s.body) == 0 {
+		s.body = nil // what has been sent is not kept for what comes
+	}
+	if !s.queued && len(s.body) > 0 && !contains(m.waiting, s.id) {
 		m.waiting = append(m.waiting, s.id)
 	}
 }
@@ -655,6 +739,9 @@
 		if s.interims++; f.StreamEnded() || s.interims > interimsMost {
 			return wrong("an answer of 1xx that ends the stream, or too many")
 		}
+		if s.flow {
+			return []Event{{ID: s.id, Head: &Answer{Status: int(status), Header: h}}}
+		}
 		return nil
 	}
 	m.noise = 0
@@ -666,14 +753,18 @@
 		if err != nil || len(v) > 1 {
 			return wrong("Content-Length %q", v)
 		}
-		if s.expect = int64(n); !s.none && s.expect > int64(m.Body) {
+		if s.expect = int64(n); !s.none && !s.flow && s.expect > int64(m.Body) {
 			return m.malformed(s.id, http2.ErrCodeCancel, fmt.Sprintf("a body of %d bytes", n))
 		}
 	}
+	var events []Event
+	if s.flow {
+		events = append(events, Event{ID: s.id, Head: &Answer{Status: int(status), Header: h}})
+	}
 	if f.StreamEnded() {
-		return m.ended(s)
+		events = append(events, m.ended(s)...)
 	}
-	return nil
+	return events
 }
 
 func (m *Machine) data(f *http2.DataFrame) []Event {
@@ -693,15 +784,21 @@
 		return m.malformed(s.id, http2.ErrCodeFlowControl, "more than its window")
 	}
 	b := f.Data()
+	var events []Event
 	if len(b) > 0 {
 		m.noise = 0
-		if s.none || s.expect >= 0 && int64(len(s.answer.Body)+len(b)) > s.expect || len(s.answer.Body)+len(b) > m.Body {
+		s.came += int64(len(b))
+		if s.none || s.expect >= 0 && s.came > s.expect || !s.flow && s.came > int64(m.Body) {
 			return m.malformed(s.id, http2.ErrCodeProtocol, "a body of too many bytes")
 		}
-		if s.answer.Body == nil && s.expect > 0 {
-			s.answer.Body = make([]byte, 0, s.expect)
+		if s.flow {
+			events = append(events, Event{ID: s.id, Data: b})
+		} else {
+			if s.answer.Body == nil && s.expect > 0 {
+				s.answer.Body = make([]byte, 0, s.expect)
+			}
+			s.answer.Body = append(s.answer.Body, b...)
 		}
-		s.answer.Body = append(s.answer.Body, b...)
 	}
 	// Padding takes from the stream's window and brings nothing: it is given back.
 	if pad := int(f.Length) - len(b); pad > 0 && !f.StreamEnded() {
@@ -709,16 +806,16 @@
 		m.frames.WriteWindowUpdate(s.id, uint32(pad))
 	}
 	if f.StreamEnded() {
-		return m.ended(s)
+		events = append(events, m.ended(s)...)
 	}
-	return nil
+	return events
 }
 
 // ended gives a stream's answer. Where the server did not wait for the rest of the request, the
 // rest is not sent (RFC 9113, 8.1).
 func (m *Machine) ended(s *stream) []Event {
-	if s.expect >= 0 && !s.none && int64(len(s.answer.Body)) != s.expect {
-		return m.malformed(s.id, http2.ErrCodeProtocol, fmt.Sprintf("a body of %d bytes where %d were told", len(s.answer.Body), s.expect))
+	if s.expect >= 0 && !s.none && s.came != s.expect {
+		return m.malformed(s.id, http2.ErrCodeProtocol, fmt.Sprintf("a body of %d bytes where %d were told", s.came, s.expect))
 	}
 	m.noise = 0
 	delete(m.streams, s.id)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -161,7 +161,8 @@
 	o := service.Options{Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
 		OnReady: n.tellChanged,
 		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a),
-			HTTP2: upstream.HTTP2{Speaks: c.Servers.Protocol, Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age}}}
+			HTTP2: upstream.HTTP2{Speaks: c.Servers.Protocol, Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age,
+				Whole: speaks == nil}}}
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
 		o.Upstream.Dials = a.dials
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -31,6 +31,7 @@
 	Streams int           // open at once on a connection, whatever the server allows
 	Conns   int           // to one server, beside those that end
 	Age     time.Duration // from which on a connection is replaced; 0 is never
+	Whole   bool          // servers begin a request with its last byte (PROTOCOL), not with its head
 }
 
 var errNoStream = errors.New("no stream came free")
@@ -67,40 +68,48 @@
 
 // share makes an attempt over a connection that others share; false where the server speaks
 // HTTP/1.1, and nothing has been sent.
-func (u *Upstream) share(ctx context.Context, p *Pool, w *Whole) (o Outcome, ok bool) {
-	u.mu.Lock()
-	s := p.last().shared
-	u.mu.Unlock()
+func (u *Upstream) share(ctx context.Context, p *Pool, w *Whole) (Outcome, bool) {
 	req := w.Request
 	if until, ends := ctx.Deadline(); ends {
 		tellTime(req, until)
 	}
 	r := &h2.Request{Method: req.Method, Scheme: "http", Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body}
-	dialed := false
+	var e h2.Event
+	o, dialed, ok := u.over(ctx, p, func(c *h2.Conn) (err error) {
+		e, err = c.Do(ctx, r)
+		return err
+	})
+	if ok && o.Err == nil {
+		o = ended(ctx, e)
+	}
+	o.Dialed = dialed
+	return o, ok
+}
+
+// over has do send a request on a connection with room. Where it was not sent, o tells why; ok is
+// false where the server speaks HTTP/1.1.
+func (u *Upstream) over(ctx context.Context, p *Pool, do func(*h2.Conn) error) (o Outcome, dialed, ok bool) {
+	u.mu.Lock()
+	s := p.last().shared
+	u.mu.Unlock()
 	for {
 		c, made, err := s.take(ctx)
 		dialed = dialed || made
-		if errors.Is(err, h2.ErrNotSpoken) && u.HTTP2.Speaks == TriesHTTP2 {
-			return Outcome{}, false
-		}
-		if err != nil {
-			o = unconnected(err)
-			if errors.Is(err, errNoStream) {
-				o = Outcome{Reason: control.Moot, Err: err} // speaks against no app server
-			}
-			o.Dialed = dialed
-			return o, true
+		switch {
+		case errors.Is(err, h2.ErrNotSpoken) && u.HTTP2.Speaks == TriesHTTP2:
+			return o, dialed, false
+		case errors.Is(err, errNoStream):
+			return Outcome{Reason: control.Moot, Err: err}, dialed, true // speaks against no app server
+		case err != nil:
+			return unconnected(err), dialed, true
 		}
-		e, err := c.Do(ctx, r)
-		if errors.Is(err, h2.ErrNoStream) { // others took the room meanwhile; nothing was sent
+		switch err := do(c); {
+		case errors.Is(err, h2.ErrNoStream): // others took the room meanwhile
 			continue
+		case err != nil:
+			return Outcome{Reason: control.Moot, Err: err}, dialed, true
 		}
-		if err != nil {
-			return Outcome{Reason: control.Moot, Err: err, Dialed: dialed}, true
-		}
-		o = ended(ctx, e)
-		o.Dialed = dialed
-		return o, true
+		return o, dialed, true
 	}
 }
 
@@ -226,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return h2.Start(ctx, nc, h2.Options{Limits: h2.Limits{Streams: s.u.HTTP2.Streams, Body: s.u.Answer, Whole: true}, Quiet: quietMost, Changed: s.ring})
+	return h2.Start(ctx, nc, h2.Options{Limits: h2.Limits{Streams: s.u.HTTP2.Streams, Body: s.u.Answer, Whole: s.u.HTTP2.Whole}, Quiet: quietMost, Changed: s.ring})
 }
 
 // tidy forgets connections that have ended, and ends those that take no more requests and hold
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -30,6 +30,7 @@
 	if o.Streams == 0 {
 		o.Streams = 8
 	}
+	o.Whole = true
 	return New(Options{Connect: 5 * time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(1000), HTTP2: o})
 }
 
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -71,6 +71,7 @@
 	c      *conn
 	unhook func() bool // from what ends the attempt
 	req    http.Request
+	resp   *http.Response // of an answer that goes on; nil for a tunnel
 	scan   strict.Scanner
 	heads  int  // bytes that heads may still have
 	body   bool // what is read now is no head
@@ -97,6 +98,11 @@
 // Try makes one attempt: it waits for an answer's head until ctx ends at the most. An answer
 // that is not held goes on as a Stream, until life ends.
 func (q *Relay) Try(ctx, life context.Context, u *Upstream, p *Pool) Outcome {
+	if u.HTTP2.Speaks != SpeaksHTTP1 {
+		if o, ok := q.share(ctx, life, u, p); ok {
+			return o
+		}
+	}
 	c, err := u.get(ctx, p)
 	if err != nil {
 		return unconnected(err)
@@ -228,33 +234,60 @@
 	o.Status, o.Header = resp.StatusCode, resp.Header
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		o.Reason, o.Final = control.OK, true
-		o.Stream = &Stream{t: t, Tunnel: true, Length: -1}
+		o.Stream = &Stream{going: t, t: t, Tunnel: true, Length: -1}
 		return o, true
 	}
-	m := t.Rules.Of(resp.StatusCode, resp.Header)
-	o.Reason, o.Final = m.Reason, m.Final
 	n := resp.ContentLength
-	switch {
-	case resp.Body == http.NoBody:
+	if resp.Body == http.NoBody {
 		resp.Body.Close()
+		n = 0
+	}
+	if held, cut := t.hold(&o, resp.Body, n); held {
+		t.req.Close = t.req.Close || cut
 		return o, false
-	case n >= 0 && n <= int64(t.Hold) && !isEvents(resp.Header):
+	}
+	t.resp = resp
+	o.Stream = &Stream{going: t, t: t, Length: n}
+	return o, true
+}
+
+func (t *relay) readOn(p []byte) (int, error) {
+	if t.resp == nil {
+		return t.c.r.Read(p)
+	}
+	return t.resp.Body.Read(p)
+}
+
+func (t *relay) isReady() bool        { return t.c.r.Buffered() > 0 }
+func (t *relay) trailer() http.Header { return t.resp.Trailer }
+func (t *relay) isCut() bool          { return t.c.cut.Load() }
+func (t *relay) cutOff()              { t.c.interrupt() }
+func (t *relay) clientBroke() bool    { return t.broken.Load() != nil }
+func (t *relay) over(whole bool)      { t.end(whole && !t.req.Close && t.whole()) }
+
+// hold says what an answer's head means and holds its body, of n bytes (below zero is not known),
+// where it is to be held; cut says that some of it was left unread.
+func (q *Relay) hold(o *Outcome, body io.Reader, n int64) (held, cut bool) {
+	m := q.Rules.Of(o.Status, o.Header)
+	o.Reason, o.Final = m.Reason, m.Final
+	switch {
+	case n == 0:
+	case n > 0 && n <= int64(q.Hold) && !isEvents(o.Header):
 		o.Body = make([]byte, n)
-		if _, err := io.ReadFull(resp.Body, o.Body); err != nil {
-			return Outcome{Reason: control.ResetByPeer, Err: err}, false
+		if _, err := io.ReadFull(body, o.Body); err != nil {
+			*o = Outcome{Reason: control.ResetByPeer, Err: err}
 		}
-		return o, false
 	case !m.Final:
 		// What might be tried elsewhere is held for the case that nothing better comes; where it is
 		// too long, the node's own answer has to do.
-		b, err := io.ReadAll(io.LimitReader(resp.Body, int64(t.Hold)+1))
-		if o.Body = b; err != nil || len(b) > t.Hold {
-			o.Status, o.Body, t.req.Close = 0, nil, true
+		b, err := io.ReadAll(io.LimitReader(body, int64(q.Hold)+1))
+		if o.Body = b; err != nil || len(b) > q.Hold {
+			o.Status, o.Body, cut = 0, nil, true
 		}
-		return o, false
+	default:
+		return false, false
 	}
-	o.Stream = &Stream{t: t, resp: resp, Length: n}
-	return o, true
+	return true, cut
 }
 
 func isEvents(h http.Header) bool {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -18,9 +18,9 @@
 	Length int64 // of the body; below zero it is not known
 	Tunnel bool  // the protocol has changed: bytes go both ways
 
-	t    *relay
-	resp *http.Response // nil for a tunnel
-	read int64          // of the body; the reader's own
+	going
+	t    *relay // that it is of; nil over HTTP/2
+	read int64  // of the body; the reader's own
 
 	mu    sync.Mutex
 	err   error // with which reading ended; io.EOF is well
@@ -28,6 +28,17 @@
 	onEnd func(Outcome)
 }
 
+// going is an attempt whose answer goes on.
+type going interface {
+	readOn(p []byte) (int, error)
+	isReady() bool
+	trailer() http.Header // the names that were announced, and the values once all is read
+	isCut() bool          // it was broken off from this side
+	cutOff()
+	clientBroke() bool
+	over(whole bool) // lets go of it, once
+}
+
 // ErrCut is the end of a stream that was broken off from this side.
 var ErrCut = errors.New("broken off")
 
@@ -41,14 +52,10 @@
 // Read reads on. io.EOF is an answer that is whole, any other error one that is not. Each read
 // waits for the attempt's Idle at the most.
 func (s *Stream) Read(p []byte) (n int, err error) {
-	if s.Tunnel {
-		n, err = s.t.c.r.Read(p)
-	} else {
-		n, err = s.resp.Body.Read(p)
-		s.read += int64(n)
-	}
+	n, err = s.readOn(p)
+	s.read += int64(n)
 	if err != nil {
-		if s.t.c.cut.Load() { // else it would look like a silence, which a tunnel may outlast
+		if s.isCut() { // else it would look like a silence, which a tunnel may outlast
 			err = ErrCut
 		}
 		s.ends(err)
@@ -67,6 +74,9 @@
 // moves, which has to have moved within the attempt's Idle, moved after it. An error with which the
 // server has nothing to do is not its failure.
 func (s *Stream) CopyTo(w io.ReaderFrom, ahead func(), moved func(n int64) error) error {
+	if s.t == nil {
+		return errors.ErrUnsupported
+	}
 	tcp, ok := s.t.c.Conn.Conn.(*net.TCPConn)
 	if !ok || s.Length < 0 || s.Ready() {
 		return errors.ErrUnsupported
@@ -121,18 +131,18 @@
 }
 
 // Ready tells whether more is there without waiting.
-func (s *Stream) Ready() bool { return s.t.c.r.Buffered() > 0 }
+func (s *Stream) Ready() bool { return s.isReady() }
 
 // TrailerNames are the fields that the server has announced to come behind the body.
 func (s *Stream) TrailerNames() (names []string) {
-	for name := range s.resp.Trailer {
+	for name := range s.trailer() {
 		names = append(names, name)
 	}
 	return names
 }
 
 // Trailer are the fields that came behind the body, once Read has given io.EOF.
-func (s *Stream) Trailer() http.Header { return s.resp.Trailer }
+func (s *Stream) Trailer() http.Header { return s.trailer() }
 
 // Write sends bytes through a tunnel; each part waits for the attempt's Idle at the most.
 func (s *Stream) Write(p []byte) (int, error) {
@@ -153,7 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ended {
-		s.t.c.interrupt()
+		s.cutOff()
 	}
 }
 
@@ -172,7 +182,7 @@
 	var timeout net.Error
 	o := Outcome{Reason: control.OK} // also where the client left: the server has answered
 	switch {
-	case err == nil || err == io.EOF || s.t.broken.Load() != nil:
+	case err == nil || err == io.EOF || s.clientBroke():
 	case err == ErrCut:
 		o = Outcome{Reason: control.Cancelled, Err: err}
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -180,7 +190,7 @@
 	default:
 		o = Outcome{Reason: control.ResetByPeer, Err: err}
 	}
-	s.t.end(whole && !s.t.req.Close && s.t.whole())
+	s.over(whole)
 	if onEnd != nil {
 		onEnd(o)
 	}
