Hold posts over HTTP/2 to one run each, at servers that break at any byte

Need: a server of ordinary HTTP may begin with a request's head; the table of fates says so, and nothing played it through a node. Change: 1,000 posts of any size and framing at servers that refuse, reset, answer early, go away and close at any byte; the same with a class that may run again has to be found.

--- a/internal/ordinarytest/http2_test.go
+++ b/internal/ordinarytest/http2_test.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,11 +15,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lockflow/internal/config"
 	"lockflow/internal/node"
+	"lockflow/internal/standin"
 	"lockflow/internal/testkit"
 )
 
@@ -33,12 +37,19 @@
 	return s
 }
 
-// over2 is a node that speaks HTTP/2 to an origin.
-func over2(t testing.TB, origin *httptest.Server, service string) *node.Node {
+// one is an origin as the only server of a list.
+func one(origin *httptest.Server) string {
+	return "{ endpoint = \"" + origin.Listener.Addr().String() + "\" }"
+}
+
+// over2 is a node that speaks HTTP/2 to a list of servers; what stands behind its service may be more.
+func over2(t testing.TB, servers, more string) *node.Node {
 	t.Helper()
+	if more == "" {
+		more = "[[routes]]\nservice = \"app\"\nupgrade = [\"echo\"]\n"
+	}
 	text := "[process]\ndrain = { idle = \"0s\", accept = \"0s\", most = \"1s\" }\n[[listeners]]\naddress = \"127.0.0.1:0\"\n[services.app]\n" +
-		"servers = { protocol = \"http/2\" }\n" + service + "\nsource = { kind = \"static\", servers = [{ endpoint = \"" +
-		origin.Listener.Addr().String() + "\" }] }\n[[routes]]\nservice = \"app\"\nupgrade = [\"echo\"]\n"
+		"servers = { protocol = \"http/2\" }\nsource = { kind = \"static\", servers = [" + servers + "] }\n" + more
 	cfg, err := config.Parse("http2.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -119,7 +130,7 @@
 // the origin is asked.
 func TestOverHTTP2IsTheSame(t *testing.T) {
 	origin := both(t, answers)
-	n := over2(t, origin, "")
+	n := over2(t, one(origin), "")
 	type ask struct {
 		method, query string
 		body          int
@@ -189,7 +200,7 @@
 
 // An answer of 1xx goes on to the client as it comes.
 func TestEarlyHintsOverHTTP2(t *testing.T) {
-	n := over2(t, both(t, answers), "")
+	n := over2(t, one(both(t, answers)), "")
 	c, err := net.Dial("tcp", n.Addr())
 	if err != nil {
 		t.Fatal(err)
@@ -211,7 +222,7 @@
 // what is held of it stays within the window.
 func TestSlowReaderOverHTTP2(t *testing.T) {
 	origin := both(t, answers)
-	n := over2(t, origin, "")
+	n := over2(t, one(origin), "")
 	slow, err := net.Dial("tcp", n.Addr())
 	if err != nil {
 		t.Fatal(err)
@@ -260,7 +271,7 @@
 		}
 		answers(w, r)
 	})
-	n := over2(t, origin, "")
+	n := over2(t, one(origin), "")
 	for _, query := range []string{"size=200000&cut", "size=200000&length&cut&flush", "size=10&flush&cut"} {
 		r, err := http.Get("http://" + n.Addr() + "/x?" + query)
 		if err != nil {
@@ -292,7 +303,7 @@
 		}
 		answers(w, r)
 	})
-	n := over2(t, origin, "")
+	n := over2(t, one(origin), "")
 	const size = 30 << 20
 	begun := time.Now()
 	r, err := http.Post("http://"+n.Addr()+"/x?size=3", "application/octet-stream", io.LimitReader(&letters{}, size))
@@ -312,3 +323,70 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// posts sends requests with effects, of any size and framing, through a node to servers of HTTP/2 that
+// break at any byte; it tells what the servers ran, and how many clients were told of a success.
+func posts(t *testing.T, n int, service string) (c standin.Counts, ok int64) {
+	tally := &standin.Tally{}
+	f := standin.HTTP2Faults{Refuse: 0.05, Reset: 0.03, Error: 0.02, Early: 0.05, Lower: 0.05, GoAway: 0.05, CutRead: 0.4, CutSent: 0.4, Far: 60000}
+	var list []string
+	for i := range 3 {
+		s, err := standin.HTTP2Server{UID: fmt.Sprint("s", i), Tally: tally, Faults: f, Seed: uint64(i), Streams: 10}.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		list = append(list, fmt.Sprintf("{ endpoint = %q }", s.Addr()))
+	}
+	node := over2(t, strings.Join(list, ", "), service)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}, Timeout: testkit.Patience}
+	defer client.CloseIdleConnections()
+	var next, served atomic.Int64
+	var all sync.WaitGroup
+	for range 16 {
+		all.Go(func() {
+			for seed := next.Add(1); seed <= int64(n); seed = next.Add(1) {
+				rng := rand.New(rand.NewPCG(uint64(seed), 3))
+				size := int64([]int{0, 1, 300, 5000, 40000}[rng.IntN(5)])
+				var body io.Reader = io.LimitReader(&letters{}, size)
+				if rng.IntN(2) == 0 {
+					raw, _ := io.ReadAll(body)
+					body = bytes.NewReader(raw)
+				}
+				r, err := http.NewRequest("POST", "http://"+node.Addr()+"/x", body)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r.GetBody = nil // the client sends nothing again by itself
+				id := fmt.Sprint("r-", seed)
+				r.Header.Set("X-Correlation-Id", id)
+				resp, err := client.Do(r)
+				if err != nil {
+					t.Errorf("%s: %v", id, err)
+					continue
+				}
+				raw, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					if served.Add(1); err != nil || !strings.HasSuffix(string(raw), " "+id) || tally.Runs(id) == 0 {
+						t.Errorf("%s: %q, %v, and it ran %d times", id, raw, err, tally.Runs(id))
+					}
+				}
+			}
+		})
+	}
+	all.Wait()
+	return tally.Counts(), served.Load()
+}
+
+// Whatever breaks at whatever byte, a request that may not run again doesn't; and the check finds it
+// where a file says that it may.
+func TestPostsOverHTTP2(t *testing.T) {
+	if c, ok := posts(t, 1000, brief); c.Again > 0 || c.Twice > 0 || c.MostAtOne > 1 || ok < 600 {
+		t.Errorf("%+v, %d served", c, ok)
+	}
+	if c, _ := posts(t, 400, strings.Replace(brief, `repeats = "never"`, `repeats = "free"`, 1)); c.Again == 0 {
+		t.Error("requests that ran again were not found")
+	}
+}
--- a/internal/standin/http2.go
+++ b/internal/standin/http2.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -25,6 +26,7 @@
 	GoAway  float64 // the connection goes away: gracefully twice, at once, or with a last id that shrinks
 	CutRead float64 // connections closed after some byte that was read
 	CutSent float64 // connections closed after some byte that was sent
+	Far     int     // the last byte behind which a connection may be closed; 0 is 3000
 }
 
 // HTTP2Server is an app server that speaks HTTP/2 with prior knowledge.
@@ -174,10 +176,10 @@
 func (k *http2Conn) serve() {
 	f := &k.r.Faults
 	if k.draw(f.CutRead) {
-		k.cutRead = len(http2.ClientPreface) + k.rng.IntN(3000)
+		k.cutRead = len(http2.ClientPreface) + k.rng.IntN(cmp.Or(f.Far, 3000))
 	}
 	if k.draw(f.CutSent) {
-		k.cutSent = 1 + k.rng.IntN(1500)
+		k.cutSent = 1 + k.rng.IntN(cmp.Or(f.Far, 3000)/2)
 	}
 	defer func() {
 		for _, s := range k.streams {
