TLS to servers with ALPN from followed files, and a protocol of its own for a server

Need: installations with TLS agree on the protocol in the handshake; in a rolling upgrade some servers of a list speak HTTP/2 and some don't, and the list may say which.

Change: internal/certs reads authorities and this side's certificate, follows the files and swaps them as one; connections of both protocols go through it, their handshake within connect_timeout. Target.Protocol in lists; a pool goes by its server's. A shared connection of TLS is not written past TLS. Connections are shared over a reload only where both services speak the same protocol to clients too, as the table of fates differs.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/certs"
 	"lockflow/internal/discovery"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
@@ -83,6 +84,7 @@
 	Streams     int           // open at once on a connection of HTTP/2
 	Connections int           // of HTTP/2 to one server
 	Age         time.Duration // from which on one is replaced; 0 is never
+	TLS         certs.Options
 }
 
 // Service is one service.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/certs"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
 	"lockflow/internal/protocol"
@@ -139,7 +140,7 @@
 		d.wrong("accept", "idle, accept and most come in this order: %v, %v, %v", p.Drain.Idle, p.Drain.Accept, p.Drain.Most)
 	}
 	d.done()
-	p.State, p.Control = r.path(t, "state"), r.path(t, "control")
+	p.State, p.Control = path(t, "state"), path(t, "control")
 	if len(p.Control) > socketPathMost {
 		t.wrong("control", "%d bytes are more than the %d that the address of a Unix socket may have", len(p.Control), socketPathMost)
 	}
@@ -156,7 +157,7 @@
 }
 
 // path reads the place of a file: a whole one, as a daemon's own directory is nobody's concern.
-func (r *reader) path(t table, key string) string {
+func path(t table, key string) string {
 	v := t.str(key, "")
 	if v != "" && !filepath.IsAbs(v) {
 		t.wrong(key, "%q is no absolute path", v)
@@ -286,7 +287,7 @@
 	}
 	s.Source = r.source(t)
 	rec := t.sub("record")
-	s.Record = Record{Dir: r.path(rec, "dir"), Bytes: rec.size("bytes", 64<<20, 1<<20, bytesMost)}
+	s.Record = Record{Dir: path(rec, "dir"), Bytes: rec.size("bytes", 64<<20, 1<<20, bytesMost)}
 	if t.has("record") && s.Record.Dir == "" {
 		rec.wrong("dir", "it has to be said where the recordings go")
 	}
@@ -301,17 +302,17 @@
 
 // servers reads how a service's servers are spoken to.
 func servers(t table) Servers {
-	s := Servers{Protocol: upstream.Speaks(t.oneOf("protocol", "http/1.1", "http/2", "http/2 or 1.1"))}
-	if s.Protocol != upstream.SpeaksHTTP1 {
-		s.Streams = int(t.integer("streams", 100, 1, 10000))
-		s.Connections = int(t.integer("connections", 2, 1, 100))
-		s.Age = t.span("age", 0, 0, day)
-	} else {
-		for _, key := range []string{"streams", "connections", "age"} {
-			if t.has(key) {
-				t.wrong(key, "only where protocol is \"http/2\" or \"http/2 or 1.1\"")
-			}
+	s := Servers{Protocol: upstream.Speaks(t.oneOf("protocol", discovery.Protocols...))}
+	s.Streams = int(t.integer("streams", 100, 1, 10000))
+	s.Connections = int(t.integer("connections", 2, 1, 100))
+	s.Age = t.span("age", 0, 0, day)
+	if t.has("tls") {
+		c := t.sub("tls")
+		s.TLS = certs.Options{On: true, CA: path(c, "ca"), Cert: path(c, "cert"), Key: path(c, "key"), Name: c.str("name", "")}
+		if (s.TLS.Cert == "") != (s.TLS.Key == "") {
+			c.wrong("cert", "a certificate needs its key, and a key its certificate")
 		}
+		c.done()
 	}
 	t.done()
 	return s
@@ -382,6 +383,9 @@
 	if s.UID == "" {
 		s.UID = s.Endpoint
 	}
+	if t.has("protocol") {
+		s.Protocol = discovery.Protocols[t.oneOf("protocol", discovery.Protocols...)]
+	}
 	checkAddress(t, "endpoint", s.Endpoint)
 	t.done()
 	return s
--- a/internal/discovery/listing.go
+++ b/internal/discovery/listing.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 
 	"lockflow/control"
 )
@@ -87,8 +89,12 @@
 	State    string  `json:"state"`
 	Capacity float64 `json:"capacity_hint"`
 	BootMS   float64 `json:"boot_ms"`
+	Protocol string  `json:"protocol,omitempty"` // one of Protocols; "" is the service's
 }
 
+// Protocols are what servers may be spoken to in.
+var Protocols = []string{"http/1.1", "http/2", "http/2 or 1.1"}
+
 // Check tells what in a list can't be used, where all of it has to be: one that an operator wrote.
 func (l *Listing) Check() error {
 	if l.Odd.N > 0 {
@@ -109,6 +115,9 @@
 	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.Condition() == control.On {
 		return fmt.Errorf("target %s: %w", t.UID, err)
 	}
+	if t.Protocol != "" && !slices.Contains(Protocols, t.Protocol) {
+		return fmt.Errorf("target %s: protocol %q is none of %s", t.UID, t.Protocol, strings.Join(Protocols, ", "))
+	}
 	return nil
 }
 
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -87,9 +88,12 @@
 	}
 }
 
-// socket is the one below a connection.
+// socket is the one below a connection whose bytes go to it as they are.
 func socket(c net.Conn) (syscall.Conn, bool) {
 	for {
+		if _, ok := c.(*tls.Conn); ok {
+			return nil, false
+		}
 		if s, ok := c.(*net.TCPConn); ok {
 			return s, true
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,6 +235,13 @@
 	if s.speaks != nil {
 		n.parts.Go(func() { s.speaks.Customers.Follow(life, planOf(s.cfg)) })
 	}
+	if b := s.Upstream().TLS; b != nil {
+		n.parts.Go(func() {
+			b.Follow(life, time.Second, func(err error) {
+				slog.Warn("TLS to servers: the old files stay in force", "service", s.cfg.Name, "err", err)
+			})
+		})
+	}
 	n.parts.Go(func() {
 		err := s.Run(life)
 		end()
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"lockflow/control"
+	"lockflow/internal/certs"
 	"lockflow/internal/config"
 	"lockflow/internal/customer"
 	"lockflow/internal/front"
@@ -146,7 +147,8 @@
 // make makes a service; one that takes another's place knows the servers of that one, and has its
 // connections where they are made in the same way.
 func (n *Node) make(c config.Service, was *running, metrics bool) (*running, error) {
-	share := was != nil && was.parts != nil && was.cfg.Connect == c.Connect && was.cfg.Keepalive == c.Keepalive && was.cfg.Answer == c.Answer && was.cfg.Servers == c.Servers
+	share := was != nil && was.parts != nil && was.cfg.Connect == c.Connect && was.cfg.Keepalive == c.Keepalive && was.cfg.Answer == c.Answer && was.cfg.Servers == c.Servers &&
+		(was.cfg.HTTP == nil) == (c.HTTP == nil)
 	var a *account
 	if share { // its connections and all that it holds stay on one account
 		a = was.parts.share()
@@ -161,8 +163,15 @@
 	o := service.Options{Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
 		OnReady: n.tellChanged,
 		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a),
-			HTTP2: upstream.HTTP2{Speaks: c.Servers.Protocol, Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age,
+			HTTP2: upstream.HTTP2{Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age,
 				Whole: speaks == nil}}}
+	if c.Servers.TLS.On && !share {
+		if o.Upstream.TLS, err = certs.Load(c.Servers.TLS); err != nil {
+			a.close()
+			return nil, fmt.Errorf("service %s: servers.tls: %w", c.Name, err)
+		}
+	}
+	o.Speaks = c.Servers.Protocol
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
 		o.Upstream.Dials = a.dials
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	module   Module
 	spent    func(time.Duration) // told of the module's own time, where somebody asks
 	upstream *upstream.Upstream
+	speaks   upstream.Speaks // to servers whose entry says nothing else
 	log      *slog.Logger
 	start    time.Time
 	sendCap  int
@@ -61,7 +63,7 @@
 
 func newLoop(m Module, o *Options, up *upstream.Upstream, log *slog.Logger) *loop {
 	life, end := context.WithCancel(context.Background())
-	l := &loop{life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, log: log, start: time.Now(),
+	l := &loop{life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, speaks: o.Speaks, log: log, start: time.Now(),
 		sendCap: o.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan job), ended: make(chan struct{}),
 		exchanges: make(map[string]*Exchange), ids: make(map[string]uint32),
 		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, unitsTop: o.Settings.UnitsTop}
@@ -440,7 +442,7 @@
 	l.upstream.Retire(p)
 	delete(l.pools, server)
 	if goesOn {
-		l.pools[server] = l.upstream.Pool(p.Endpoint)
+		l.pools[server] = l.upstream.Pool(p.Endpoint, p.Speaks)
 	}
 }
 
@@ -463,11 +465,15 @@
 		if l.tally != nil {
 			l.tally.listed(id, t)
 		}
-		if p := l.pools[id]; p != nil && (m.Condition != control.On || p.Endpoint != t.Endpoint) {
+		speaks := l.speaks
+		if t.Protocol != "" {
+			speaks = upstream.Speaks(slices.Index(discovery.Protocols, t.Protocol))
+		}
+		if p := l.pools[id]; p != nil && (m.Condition != control.On || p.Endpoint != t.Endpoint || p.Speaks != speaks) {
 			l.retire(id, false)
 		}
 		if m.Condition == control.On && l.pools[id] == nil {
-			l.pools[id] = l.upstream.Pool(t.Endpoint)
+			l.pools[id] = l.upstream.Pool(t.Endpoint, speaks)
 		}
 	}
 	for uid, id := range l.ids {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -50,6 +50,7 @@
 	Settings control.Settings
 	Seed     uint64 // of the module's random numbers
 	Upstream upstream.Options
+	Speaks   upstream.Speaks    // to servers whose entry says nothing else
 	Share    *upstream.Upstream // connections of a service whose place this one takes; nil has Upstream make them
 	Source   discovery.Source
 	Known    discovery.Listing // the list of servers as it was had last, maybe old
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -36,15 +36,15 @@
 	late    atomic.Bool // the server did not take the body in time
 }
 
-// share makes an attempt over a connection that others share; false where it has to be made over
+// relay makes an attempt over a connection that others share; false where it has to be made over
 // HTTP/1.1, and nothing has been sent.
-func (q *Relay) share(ctx, life context.Context, u *Upstream, p *Pool) (Outcome, bool) {
-	if q.Upgrade != "" && u.HTTP2.Speaks == TriesHTTP2 { // there is none in HTTP/2
+func (s *shared) relay(ctx, life context.Context, q *Relay) (Outcome, bool) {
+	if q.Upgrade != "" && s.speaks == TriesHTTP2 { // there is none in HTTP/2
 		return Outcome{}, false
 	}
 	t := &flow{Relay: q}
-	o, dialed, ok := u.over(ctx, p, func(c *h2.Conn) (err error) {
-		t.s, err = c.Open(t.request(ctx), Window, t.early)
+	o, dialed, ok := s.over(ctx, func(c *h2.Conn) (err error) {
+		t.s, err = c.Open(t.request(ctx, s.scheme()), Window, t.early)
 		return err
 	})
 	if t.s == nil {
@@ -70,7 +70,7 @@
 }
 
 // request is what goes on, with as much of the body as is small and here.
-func (t *flow) request(ctx context.Context) *h2.Request {
+func (t *flow) request(ctx context.Context, scheme string) *h2.Request {
 	h := t.Header
 	set := func(name, value string) {
 		if t.Header != nil && len(h) == len(t.Header) {
@@ -90,7 +90,7 @@
 	if t.Expect {
 		set("Expect", "100-continue")
 	}
-	r := &h2.Request{Method: t.Name, Scheme: "http", Authority: t.Host, Path: t.Target, Header: h, Length: t.Length}
+	r := &h2.Request{Method: t.Name, Scheme: scheme, Authority: t.Host, Path: t.Target, Header: h, Length: t.Length}
 	if t.Body == nil {
 		return r
 	}
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/certs"
 	"lockflow/internal/h2"
 	"lockflow/internal/protocol"
 )
@@ -27,7 +29,6 @@
 
 // HTTP2 is how HTTP/2 is spoken.
 type HTTP2 struct {
-	Speaks  Speaks
 	Streams int           // open at once on a connection, whatever the server allows
 	Conns   int           // to one server, beside those that end
 	Age     time.Duration // from which on a connection is replaced; 0 is never
@@ -40,6 +41,7 @@
 type shared struct {
 	u        *Upstream
 	endpoint string
+	speaks   Speaks
 	bell     chan struct{} // rung when there may be room; each that it wakes rings it again
 
 	mu      sync.Mutex
@@ -52,11 +54,29 @@
 	gone    bool
 }
 
-func (u *Upstream) newShared(endpoint string) *shared {
-	if u.HTTP2.Speaks == SpeaksHTTP1 {
+func (u *Upstream) newShared(endpoint string, speaks Speaks) *shared {
+	if speaks == SpeaksHTTP1 {
 		return nil
 	}
-	return &shared{u: u, endpoint: endpoint, bell: make(chan struct{}, 1)}
+	u.sharing.Store(true)
+	return &shared{u: u, endpoint: endpoint, speaks: speaks, bell: make(chan struct{}, 1)}
+}
+
+// sharedOf is a pool's connections of HTTP/2; nil where it speaks HTTP/1.1.
+func (u *Upstream) sharedOf(p *Pool) *shared {
+	if !u.sharing.Load() {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return p.last().shared
+}
+
+func (s *shared) scheme() string {
+	if s.u.TLS != nil {
+		return "https"
+	}
+	return "http"
 }
 
 func (s *shared) ring() {
@@ -66,16 +86,16 @@
 	}
 }
 
-// share makes an attempt over a connection that others share; false where the server speaks
+// whole makes an attempt over a connection that others share; false where the server speaks
 // HTTP/1.1, and nothing has been sent.
-func (u *Upstream) share(ctx context.Context, p *Pool, w *Whole) (Outcome, bool) {
+func (s *shared) whole(ctx context.Context, w *Whole) (Outcome, bool) {
 	req := w.Request
 	if until, ends := ctx.Deadline(); ends {
 		tellTime(req, until)
 	}
-	r := &h2.Request{Method: req.Method, Scheme: "http", Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body}
+	r := &h2.Request{Method: req.Method, Scheme: s.scheme(), Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body}
 	var e h2.Event
-	o, dialed, ok := u.over(ctx, p, func(c *h2.Conn) (err error) {
+	o, dialed, ok := s.over(ctx, func(c *h2.Conn) (err error) {
 		e, err = c.Do(ctx, r)
 		return err
 	})
@@ -88,15 +108,12 @@
 
 // over has do send a request on a connection with room. Where it was not sent, o tells why; ok is
 // false where the server speaks HTTP/1.1.
-func (u *Upstream) over(ctx context.Context, p *Pool, do func(*h2.Conn) error) (o Outcome, dialed, ok bool) {
-	u.mu.Lock()
-	s := p.last().shared
-	u.mu.Unlock()
+func (s *shared) over(ctx context.Context, do func(*h2.Conn) error) (o Outcome, dialed, ok bool) {
 	for {
 		c, made, err := s.take(ctx)
 		dialed = dialed || made
 		switch {
-		case errors.Is(err, h2.ErrNotSpoken) && u.HTTP2.Speaks == TriesHTTP2:
+		case errors.Is(err, h2.ErrNotSpoken) && s.speaks == TriesHTTP2:
 			return o, dialed, false
 		case errors.Is(err, errNoStream):
 			return Outcome{Reason: control.Moot, Err: err}, dialed, true // speaks against no app server
@@ -221,7 +238,7 @@
 	default:
 		s.fails++
 		s.err = err
-		if errors.Is(err, h2.ErrNotSpoken) && s.u.HTTP2.Speaks == TriesHTTP2 {
+		if errors.Is(err, h2.ErrNotSpoken) && s.speaks == TriesHTTP2 {
 			s.plain = time.Now().Add(tryAgain)
 		}
 	}
@@ -231,10 +248,18 @@
 func (s *shared) connect() (*h2.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.u.Connect)
 	defer cancel()
-	nc, err := s.u.connect(ctx, s.endpoint)
+	offered := []string{protocolHTTP2, protocolHTTP1}
+	if s.speaks == SpeaksHTTP2 {
+		offered = offered[:1]
+	}
+	nc, _, protocol, err := s.u.connect(ctx, s.endpoint, offered...)
 	if err != nil {
 		return nil, err
 	}
+	if s.u.TLS != nil && protocol != protocolHTTP2 { // its bytes need not be waited for
+		nc.Close()
+		return nil, fmt.Errorf("%w: %w", h2.ErrNotSpoken, certs.ErrProtocol)
+	}
 	return h2.Start(ctx, nc, h2.Options{Limits: h2.Limits{Streams: s.u.HTTP2.Streams, Body: s.u.Answer, Whole: s.u.HTTP2.Whole}, Quiet: quietMost, Changed: s.ring})
 }
 
@@ -318,13 +343,15 @@
 
 // eachShared calls for the connections of every server.
 func (u *Upstream) eachShared(do func(*shared)) {
-	if u.HTTP2.Speaks == SpeaksHTTP1 {
+	if !u.sharing.Load() {
 		return
 	}
 	u.mu.Lock()
 	var all []*shared
 	for p := range u.pools {
-		all = append(all, p.shared)
+		if p.shared != nil {
+			all = append(all, p.shared)
+		}
 	}
 	u.mu.Unlock()
 	for _, s := range all {
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -2,20 +2,26 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/certs"
 	"lockflow/internal/h2"
 	"lockflow/internal/limits"
 	"lockflow/internal/protocol"
@@ -23,8 +29,8 @@
 	"lockflow/internal/testkit"
 )
 
-func newHTTP2(speaks Speaks, o HTTP2) *Upstream {
-	if o.Speaks = speaks; o.Conns == 0 {
+func newHTTP2(o HTTP2) *Upstream {
+	if o.Conns == 0 {
 		o.Conns = 2
 	}
 	if o.Streams == 0 {
@@ -65,8 +71,8 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	u := newHTTP2(SpeaksHTTP2, HTTP2{Streams: 1 + rng.IntN(8), Conns: 1 + rng.IntN(3)})
-	p := u.Pool(s.Addr())
+	u := newHTTP2(HTTP2{Streams: 1 + rng.IntN(8), Conns: 1 + rng.IntN(3)})
+	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	var mu sync.Mutex
 	say := func(format string, args ...any) {
 		mu.Lock()
@@ -148,8 +154,8 @@
 // Many requests at once share few connections, within the server's limit.
 func TestRequestsShare(t *testing.T) {
 	s := startHTTP2(t, standin.HTTP2Server{UID: "s", Streams: 50})
-	u := newHTTP2(SpeaksHTTP2, HTTP2{Streams: 100, Conns: 2})
-	p := u.Pool(s.Addr())
+	u := newHTTP2(HTTP2{Streams: 100, Conns: 2})
+	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	var all sync.WaitGroup
 	for i := range 80 {
 		all.Go(func() {
@@ -172,9 +178,9 @@
 		io.WriteString(c, "\x00\x00\x06\x04\x00\x00\x00\x00\x00\x00\x03\x00\x00\x00\x00") // settings: no streams
 		io.Copy(io.Discard, c)
 	})
-	u := newHTTP2(SpeaksHTTP2, HTTP2{})
+	u := newHTTP2(HTTP2{})
 	begun := time.Now()
-	o := update("a", "").Try(t.Context(), t.Context(), u, u.Pool(l))
+	o := update("a", "").Try(t.Context(), t.Context(), u, u.Pool(l, SpeaksHTTP2))
 	if o.Reason != control.Moot || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.Connect/2 {
 		t.Errorf("%v, %v after %v", o.Reason, o.Err, time.Since(begun))
 	}
@@ -205,8 +211,8 @@
 // A server that speaks HTTP/1.1 is spoken to so, for a time, and only where that is allowed.
 func TestFallBack(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
-	u := newHTTP2(TriesHTTP2, HTTP2{})
-	p := u.Pool(app.Addr())
+	u := newHTTP2(HTTP2{})
+	p := u.Pool(app.Addr(), TriesHTTP2)
 	for i := range 3 {
 		if o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK {
 			t.Errorf("%v, %v", o.Reason, o.Err)
@@ -230,8 +236,8 @@
 	if o := update("4", "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || app.Dials() != 3 {
 		t.Errorf("%v, %v; %d connections", o.Reason, o.Err, app.Dials())
 	}
-	u = newHTTP2(SpeaksHTTP2, HTTP2{})
-	if o := update("5", "swap").Try(t.Context(), t.Context(), u, u.Pool(app.Addr())); o.Reason != control.ConnectFailed || requests() != 4 {
+	u = newHTTP2(HTTP2{})
+	if o := update("5", "swap").Try(t.Context(), t.Context(), u, u.Pool(app.Addr(), SpeaksHTTP2)); o.Reason != control.ConnectFailed || requests() != 4 {
 		t.Errorf("%v, %v; %d requests", o.Reason, o.Err, requests())
 	}
 }
@@ -270,8 +276,8 @@
 			}
 		}
 	})
-	u := newHTTP2(SpeaksHTTP2, HTTP2{Conns: 1})
-	p := u.Pool(l)
+	u := newHTTP2(HTTP2{Conns: 1})
+	p := u.Pool(l, SpeaksHTTP2)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-held; cancel() }()
 	if o := update("late", strings.Repeat("x", 400)).Try(ctx, ctx, u, p); o.Reason != control.Cancelled {
@@ -282,3 +288,68 @@
 		t.Errorf("%v, %v, dialed %v", o.Reason, o.Err, o.Dialed)
 	}
 }
+
+// Over TLS the protocol is agreed on; connections are kept and shared as in the clear.
+func TestTLS(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		speaks Speaks
+		h2     bool // the server's
+		want   control.Reason
+		proto  string
+		dials  int64
+	}{
+		{"HTTP/2", SpeaksHTTP2, true, control.OK, "HTTP/2.0", 1},
+		{"HTTP/2 where there is none", SpeaksHTTP2, false, control.ConnectFailed, "", 3},
+		{"either, HTTP/2", TriesHTTP2, true, control.OK, "HTTP/2.0", 1},
+		{"either, HTTP/1.1", TriesHTTP2, false, control.OK, "HTTP/1.1", 2},
+		{"HTTP/1.1", SpeaksHTTP1, true, control.OK, "HTTP/1.1", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var dials atomic.Int64
+			var proto atomic.Value
+			s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				proto.Store(r.Proto)
+				testkit.Served(w, r)
+			}))
+			s.EnableHTTP2 = tc.h2
+			s.Config.ErrorLog = log.New(io.Discard, "", 0)
+			s.Config.ConnState = func(_ net.Conn, st http.ConnState) {
+				if st == http.StateNew {
+					dials.Add(1)
+				}
+			}
+			s.StartTLS()
+			defer s.Close()
+			ca := filepath.Join(t.TempDir(), "ca")
+			if err := os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw}), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			book, err := certs.Load(certs.Options{CA: ca, Name: "example.com"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			u := newHTTP2(HTTP2{})
+			u.TLS = book
+			p := u.Pool(s.Listener.Addr().String(), tc.speaks)
+			for i := range 3 {
+				o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p)
+				if o.Reason != tc.want || tc.want == control.OK && proto.Load() != tc.proto {
+					t.Errorf("%v, %v over %v", o.Reason, o.Err, proto.Load())
+				}
+			}
+			if n := dials.Load(); n != tc.dials {
+				t.Errorf("%d connections", n)
+			}
+			u.TLS, err = certs.Load(certs.Options{CA: ca, Name: "other.example"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if o := update("other", "").Try(t.Context(), t.Context(), u, u.Pool(p.Endpoint, tc.speaks)); o.Reason != control.ConnectFailed {
+				t.Errorf("another name: %v, %v", o.Reason, o.Err)
+			}
+			u.Retire(p)
+			testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.Sockets).Open() == 0 })
+		})
+	}
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -98,8 +98,8 @@
 // Try makes one attempt: it waits for an answer's head until ctx ends at the most. An answer
 // that is not held goes on as a Stream, until life ends.
 func (q *Relay) Try(ctx, life context.Context, u *Upstream, p *Pool) Outcome {
-	if u.HTTP2.Speaks != SpeaksHTTP1 {
-		if o, ok := q.share(ctx, life, u, p); ok {
+	if s := u.sharedOf(p); s != nil {
+		if o, ok := s.relay(ctx, life, q); ok {
 			return o
 		}
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -152,8 +152,8 @@
 
 // CloseWrite ends the client's side of a tunnel.
 func (s *Stream) CloseWrite() {
-	if tcp, ok := s.t.c.Conn.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite() // what is broken shows in reading
+	if c, ok := s.t.c.Conn.Conn.(interface{ CloseWrite() error }); ok { // of TLS too
+		_ = c.CloseWrite() // what is broken shows in reading
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/certs"
 	"lockflow/internal/limits"
 	"lockflow/internal/protocol"
 )
@@ -40,6 +42,7 @@
 	Dials     limits.Opener // books each connection until it is up; nil books none
 	Answer    int           // most bytes of an answer's body; 0 is protocol.BodyMost
 	HTTP2     HTTP2
+	TLS       *certs.Book // nil speaks in the clear
 }
 
 // Outcome is how an attempt ended.
@@ -63,12 +66,15 @@
 
 	mu    sync.Mutex
 	pools map[*Pool]struct{} // those that are not retired
+
+	sharing atomic.Bool // some pool speaks HTTP/2, or did
 }
 
 // Pool holds the idle connections to one app server at one address. Guards against those
 // of an app server that has gone being used for one that is now at its address.
 type Pool struct {
 	Endpoint string
+	Speaks   Speaks
 	idle     []*conn // the most recently used last; nil for good once the pool is retired
 	next     *Pool   // that has all connections of this one, also those in use; nil is none
 	shared   *shared // connections of HTTP/2; nil where none is spoken
@@ -160,9 +166,9 @@
 		pools: make(map[*Pool]struct{})}
 }
 
-// Pool makes a pool of connections to an address.
-func (u *Upstream) Pool(endpoint string) *Pool {
-	p := &Pool{Endpoint: endpoint, shared: u.newShared(endpoint)}
+// Pool makes a pool of connections to an address, of a server that may be spoken to in its own way.
+func (u *Upstream) Pool(endpoint string, speaks Speaks) *Pool {
+	p := &Pool{Endpoint: endpoint, Speaks: speaks, shared: u.newShared(endpoint, speaks)}
 	u.mu.Lock()
 	u.pools[p] = struct{}{}
 	u.mu.Unlock()
@@ -216,8 +222,8 @@
 // Try makes one attempt: it waits until ctx ends at the most. It sets headers of its own in the
 // request, of which no two attempts are out at once.
 func (w *Whole) Try(ctx, _ context.Context, u *Upstream, p *Pool) Outcome {
-	if u.HTTP2.Speaks != SpeaksHTTP1 {
-		if o, ok := u.share(ctx, p, w); ok {
+	if s := u.sharedOf(p); s != nil {
+		if o, ok := s.whole(ctx, w); ok {
 			return o
 		}
 	}
@@ -384,40 +390,64 @@
 }
 
 func (u *Upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
-	tcp, err := u.connect(ctx, endpoint)
+	nc, raw, protocol, err := u.connect(ctx, endpoint, protocolHTTP1)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: tcp, in: answerReader{Conn: tcp.Conn}}
-	if c.raw, err = tcp.Conn.(*net.TCPConn).SyscallConn(); err != nil {
-		c.Close()
-		return nil, err
+	if protocol != "" && protocol != protocolHTTP1 {
+		nc.Close()
+		return nil, certs.ErrProtocol
 	}
-	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(tcp.Conn, connBuffer)
+	c := &conn{Conn: nc, raw: raw, in: answerReader{Conn: nc.Conn}}
+	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(nc.Conn, connBuffer)
 	return c, nil
 }
 
-// connect makes a connection that is booked.
-func (u *Upstream) connect(ctx context.Context, endpoint string) (*limits.Conn, error) {
+// Protocols by their names in TLS (RFC 7301).
+const (
+	protocolHTTP1 = "http/1.1"
+	protocolHTTP2 = "h2"
+)
+
+// connect makes a connection that is booked; raw is its socket, below TLS too. protocol is the one
+// that was agreed on of those offered, where there is TLS and the server knows of that.
+func (u *Upstream) connect(ctx context.Context, endpoint string, offered ...string) (c *limits.Conn, raw syscall.RawConn, protocol string, err error) {
 	if u.Dials != nil {
 		if !u.Dials.Take() {
-			return nil, errNoDial
+			return nil, nil, "", errNoDial
 		}
 		defer u.Dials.Give()
 	}
 	if !u.Sockets.Take() {
-		return nil, errNoDescriptor
+		return nil, nil, "", errNoDescriptor
+	}
+	if u.TLS != nil { // its handshake counts too
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, u.Connect)
+		defer cancel()
 	}
 	d := net.Dialer{Timeout: u.Connect, KeepAlive: -1}
-	tcp, err := d.DialContext(ctx, "tcp", endpoint)
+	nc, err := d.DialContext(ctx, "tcp", endpoint)
 	if err != nil {
 		u.Sockets.Give()
-		return nil, err
+		return nil, nil, "", err
+	}
+	raw, err = nc.(*net.TCPConn).SyscallConn()
+	if u.TLS != nil && err == nil {
+		var s *tls.Conn
+		if s, protocol, err = u.TLS.Client(ctx, nc, endpoint, offered); err == nil {
+			nc = s
+		}
+	}
+	if c = limits.Own(nc, u.Sockets); err != nil {
+		c.Close()
+		return nil, nil, "", err
 	}
-	return limits.Own(tcp, u.Sockets), nil
+	return c, raw, protocol, nil
 }
 
-// quiet tells whether an idle connection is open and has nothing to read. Guards
+// quiet tells whether an idle connection is open and has nothing to read (a server's tickets of TLS
+// come before its first answer, and are read with it). Guards
 // against writing to one that the app server has closed, which would be a reset, and
 // against taking what came behind the last answer for the next one.
 func (c *conn) quiet() bool {
@@ -511,7 +541,7 @@
 		return false
 	})
 	if oldest == nil || n <= keep {
-		return u.HTTP2.Speaks != SpeaksHTTP1 && u.evictShared(keep)
+		return u.evictShared(keep)
 	}
 	u.drop(func(c *conn) bool { return c == oldest })
 	return true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -90,7 +90,7 @@
 			u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 			ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 			defer cancel()
-			if o := u.Try(ctx, u.Pool(endpoint), message(t, []byte("body"))); o.Reason != tc.want {
+			if o := u.Try(ctx, u.Pool(endpoint, SpeaksHTTP1), message(t, []byte("body"))); o.Reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
 			} else if o.Reason == control.OK && string(o.Body) != "ok" {
 				t.Errorf("body %q", o.Body)
@@ -116,7 +116,7 @@
 	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
-	if o := u.Try(ctx, u.Pool(l.Addr().String()), message(t, make([]byte, 64<<20))); o.Reason != control.ConnectFailed {
+	if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, make([]byte, 64<<20))); o.Reason != control.ConnectFailed {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -140,7 +140,7 @@
 			u := newTest(testkit.Patience, testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			if o := u.Try(ctx, u.Pool(l.Addr().String()), message(t, tc.body)); o.Reason != tc.want {
+			if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, tc.body)); o.Reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
 			}
 			if n := socks.Open(); n != 0 {
@@ -162,7 +162,7 @@
 		cancel()
 	}()
 	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
-	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String()), message(t, nil)); o.Reason != control.Cancelled {
+	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -185,7 +185,7 @@
 	})
 	socks := limits.NewSockets(1024)
 	u := newTest(testkit.Patience, 2*testkit.Patience, socks)
-	p := u.Pool(a.Listener.Addr().String())
+	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	try := func() {
 		t.Helper()
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
@@ -243,7 +243,7 @@
 	socks := limits.NewSockets(0)
 	socks.SetMost(0)
 	u := newTest(testkit.Patience, testkit.Patience, socks)
-	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String()), message(t, nil)); o.Reason != control.Moot || a.Count() > 0 {
+	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Moot || a.Count() > 0 {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -257,7 +257,7 @@
 	u := newTest(testkit.Patience, 2*testkit.Patience, socks)
 	for _, x := range []*testkit.App{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		if o := u.Try(ctx, u.Pool(x.Listener.Addr().String()), message(t, nil)); o.Reason != control.OK {
+		if o := u.Try(ctx, u.Pool(x.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK {
 			t.Errorf("%d (%v)", o.Reason, o.Err)
 		}
 		cancel()
@@ -290,7 +290,7 @@
 			u := newTest(testkit.Patience, testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 			defer cancel()
-			o := u.Try(ctx, u.Pool(a.Listener.Addr().String()), message(t, nil))
+			o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil))
 			if o.Reason != control.ResetByPeer || ctx.Err() != nil {
 				t.Errorf("%d (%v)", o.Reason, o.Err)
 			}
@@ -312,7 +312,7 @@
 	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
-	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String()), message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
+	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
 		t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
 	}
 }
@@ -330,7 +330,7 @@
 		io.WriteString(w, "k")
 	})
 	u := newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024))
-	p := u.Pool(a.Listener.Addr().String())
+	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 		if o := u.Try(ctx, p, message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
@@ -359,7 +359,7 @@
 		first <- c
 	})
 	u := newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024))
-	p := u.Pool(a.Listener.Addr().String())
+	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	for i := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 		o := u.Try(ctx, p, message(t, nil))
