--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -152,11 +152,11 @@
 		return json.NewEncoder(e.Out).Encode(rows)
 	}
 	w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "at once\tprotocol\tCPU us a request\tratio\tanswers a second\tp50 ms\tp99 ms\tconnections\tmade\trefused\tlost\t")
+	fmt.Fprintln(w, "at once\tprotocol\tCPU us a request\tratio\tanswers a second\tp50 ms\tp99 ms\tp99 beside slow\tconnections\tmade\trefused\tlost\t")
 	for _, r := range rows {
 		for i, s := range []measure.ServersSide{r.HTTP1, r.HTTP2} {
-			fmt.Fprintf(w, "%d\t%s\t%.0f\t%s\t%.0f\t%.2f\t%.2f\t%.0f\t%.0f\t%d\t%d\t\n", r.AtOnce, []string{"HTTP/1.1", "HTTP/2"}[i], s.CPU,
-				[]string{"", fmt.Sprintf("%.2f", r.Ratio)}[i], s.Rate, s.P50, s.P99, s.Most, s.Dials, s.Refused, s.Lost)
+			fmt.Fprintf(w, "%d\t%s\t%.0f\t%s\t%.0f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%d\t%d\t\n", r.AtOnce, []string{"HTTP/1.1", "HTTP/2"}[i], s.CPU,
+				[]string{"", fmt.Sprintf("%.2f", r.Ratio)}[i], s.Rate, s.P50, s.P99, s.Beside, s.Most, s.Dials, s.Refused, s.Lost)
 		}
 	}
 	return w.Flush()
--- a/internal/h2/conn_test.go
+++ b/internal/h2/conn_test.go
@@ -20,7 +20,7 @@
 		f := http2.NewFramer(far, far)
 		io.ReadFull(far, make([]byte, len(preface)))
 		go http2.NewFramer(far, nil).WriteSettings() // while the other side writes too
-		for range 3 { // settings, the window, the ack
+		for range 3 {                                // settings, the window, the ack
 			f.ReadFrame()
 		}
 		serve(far, f)
--- a/internal/measure/proxy.go
+++ b/internal/measure/proxy.go
@@ -35,8 +35,13 @@
 	Lasts       time.Duration // of one run
 	Protocol    string        // that the node speaks: "platform" or "http"
 	Progress    io.Writer
+
+	slow int // further clients, each of whose requests takes slowUnits times the servers' work
 }
 
+// slowUnits is how much longer the requests take of clients that are there to be in the way.
+const slowUnits = 1000
+
 // Side is what one run showed, or the medians of several.
 type Side struct {
 	CPU     float64 `json:"cpu_us"` // of the process, a request
@@ -173,6 +178,16 @@
 		return c
 	}
 	clients := standin.Clients{Addr: addr, Seed: seed, Workers: connections, Call: call}
+	if o.slow > 0 {
+		slow := standin.Clients{Addr: addr, Seed: seed + 7, Workers: o.slow, Call: func(rng *rand.Rand) standin.Call {
+			c := call(rng)
+			c.Kind, c.Units = "slow", slowUnits
+			return c
+		}}
+		ended, stop := context.WithCancel(ctx)
+		defer slow.Start(ended).Wait()
+		defer stop()
+	}
 	play := func(lasts time.Duration) *standin.Result {
 		ctx, cancel := context.WithTimeout(ctx, lasts)
 		defer cancel()
--- a/internal/measure/servers.go
+++ b/internal/measure/servers.go
@@ -27,6 +27,8 @@
 	Side
 	Dials float64 `json:"dials"`       // connections made to the servers in a run: handshakes
 	Most  float64 `json:"connections"` // open at once to all servers
+	// Beside is the p99 where four clients more have requests open that take a thousand times as long.
+	Beside float64 `json:"p99_beside_slow_ms"`
 }
 
 // ServersRow compares the two at a number of requests at once.
@@ -69,7 +71,7 @@
 		sides = append(sides, s.Side)
 	}
 	return ServersSide{Side: middleSide(sides), Dials: median(all, func(s ServersSide) float64 { return s.Dials }),
-		Most: median(all, func(s ServersSide) float64 { return s.Most })}
+		Most: median(all, func(s ServersSide) float64 { return s.Most }), Beside: median(all, func(s ServersSide) float64 { return s.Beside })}
 }
 
 // serversRun has a node of its own ask servers of its own, so that connections are those of one run.
@@ -99,11 +101,18 @@
 	if err != nil {
 		return s, fmt.Errorf("writing the node's configuration: %w", err)
 	}
-	s.Side, err = run(ctx, ProxyOptions{Program: o.Program, Lasts: o.Lasts}, n, seed, "serve", "--config", file.Name())
-	for _, one := range pool.Servers {
-		dials, most := one.Dials()
+	one := ProxyOptions{Program: o.Program, Lasts: o.Lasts}
+	s.Side, err = run(ctx, one, n, seed, "serve", "--config", file.Name())
+	for _, srv := range pool.Servers {
+		dials, most := srv.Dials()
 		s.Dials += float64(dials)
 		s.Most += float64(most)
 	}
+	if err != nil {
+		return s, err
+	}
+	one.slow = 4
+	beside, err := run(ctx, one, n, seed, "serve", "--config", file.Name())
+	s.Beside = beside.P99
 	return s, err
 }
