Turn an attempt away at once whose server left the list as it began

Seen on reading: a pool of HTTP/2 that was retired had a connection made for such an attempt, which nobody was then given, so that it waited out connect_timeout. Change: it goes back to the module at once; nothing was sent.

--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -166,6 +166,9 @@
 	fails := s.fails
 	var wait context.Context // made once it has to
 	for {
+		if s.gone { // for an attempt that was begun as its server left the list
+			return nil, made, errNoStream
+		}
 		if time.Now().Before(s.plain) {
 			s.ring()
 			return nil, made, h2.ErrNotSpoken
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -186,6 +186,17 @@
 	}
 }
 
+// A server that has left the list is not connected to anew.
+func TestRetiredIsLeft(t *testing.T) {
+	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
+	u := newHTTP2(HTTP2{})
+	p := u.Pool(s.Addr(), SpeaksHTTP2)
+	u.Retire(p)
+	if o := update("a", "").Try(t.Context(), t.Context(), u, p); o.Reason != control.Moot || u.Sockets.(*limits.Sockets).Open() != 0 {
+		t.Errorf("%v, %v", o.Reason, o.Err)
+	}
+}
+
 // listen serves each connection, until the test ends.
 func listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
