Decide once whether a body goes behind its head over HTTP/2; one table of what never ran

Seen on reading the change: flow asked twice whether a body was held whole, before the head went out and after. One that came whole between was announced and sent by neither, and its request waited out its time. Change: decided once. Also one piece each: the reason of what never ran (held and flowing answers), the end of a connection; a channel that nobody waited for and a parameter that was always 0 are gone.

--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -201,12 +201,11 @@
 			close(c.done)
 			c.flushed.Broadcast()
 		}
-		ended = true
 	}
 	if c.o.Changed != nil {
 		c.o.Changed()
 	}
-	return ended || c.m.Err() != nil
+	return c.m.Err() != nil
 }
 
 // push writes what the socket takes at once, which nearly always is all; the writer does the rest.
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -28,9 +28,10 @@
 	open   bool        // no ctx bounds the wait for the answer: it counts from the last of the body
 	fields http.Header // behind the answer: the names that were announced, then the values
 
-	pumped  chan struct{} // closed when nothing more of the body is sent; nil where all went with the head
+	more    bool          // the body, or some of it, goes behind the head
 	proceed chan struct{} // closed once a body that waits for 100 may be sent
-	once    [2]sync.Once  // of proceed, and of the attempt's end
+	goOn    sync.Once     // of proceed
+	once    sync.Once     // of the attempt's end
 	broken  atomic.Pointer[error]
 	cut     atomic.Bool // from this side
 	late    atomic.Bool // the server did not take the body in time
@@ -101,36 +102,30 @@
 	if len(t.TrailerNames) > 0 {
 		set("Trailer", strings.Join(t.TrailerNames, ", "))
 	}
-	r.More = true
+	// Decided once: a body that comes whole between here and exchange would be sent by neither.
+	t.more, r.More = true, true
 	return r
 }
 
 func (t *flow) early(status int, h http.Header) {
-	if status == http.StatusContinue {
-		t.goOn()
-	} else if t.Early != nil {
-		t.Early.Interim(status, h)
-	}
-}
-
-func (t *flow) goOn() {
-	if t.proceed != nil {
-		t.once[0].Do(func() { close(t.proceed) })
+	switch {
+	case status != http.StatusContinue:
+		if t.Early != nil {
+			t.Early.Interim(status, h)
+		}
+	case t.proceed != nil:
+		t.goOn.Do(func() { close(t.proceed) })
 	}
 }
 
 // exchange sends the body and reads the answer up to where it is held; going tells that there is more.
 func (t *flow) exchange(ctx context.Context) (o Outcome, going bool) {
-	if held, ok := []byte(nil), false; t.Body != nil {
-		if held, ok = t.Body.Whole(); !ok || len(held) > inlineMost || t.Expect || t.Length < 0 {
-			t.pumped = make(chan struct{})
-			if t.Expect {
-				t.proceed = make(chan struct{})
-			}
-			go t.pump(t.Body.Reader())
+	if t.more {
+		if t.Expect {
+			t.proceed = make(chan struct{})
 		}
-	}
-	if t.pumped == nil {
+		go t.pump(t.Body.Reader())
+	} else {
 		t.await()
 	}
 	a, err := t.s.Head()
@@ -184,12 +179,13 @@
 		}
 		return o
 	}
-	e := t.s.Ended()
+	never := control.Reason(0)
+	if e := t.s.Ended(); e != nil {
+		never = neverRan(*e)
+	}
 	switch {
-	case e != nil && e.Fate == h2.TurnedAway && e.Err != nil:
-		o.Reason = control.Full
-	case e != nil && e.Fate == h2.NeverRan && e.Err != nil:
-		o.Reason = control.ConnectFailed
+	case never != 0:
+		o.Reason = never
 	case errors.Is(ctx.Err(), context.Canceled):
 		o.Reason = control.Cancelled
 	case ctx.Err() != nil || t.late.Load() || errors.Is(err, os.ErrDeadlineExceeded):
@@ -210,7 +206,6 @@
 
 // pump sends the body as it comes. What breaks on the client's side ends the attempt.
 func (t *flow) pump(body *replay.Reader) {
-	defer close(t.pumped)
 	if t.Expect {
 		wait := time.NewTimer(continueWait)
 		select {
@@ -279,7 +274,7 @@
 
 // over lets go of the stream: one that has not ended is reset.
 func (t *flow) over(bool) {
-	t.once[1].Do(func() {
+	t.once.Do(func() {
 		t.unhook()
 		t.s.Cut()
 		t.s.Close()
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -146,11 +146,9 @@
 		return o
 	}
 	o = Outcome{Reason: control.ResetByPeer, Err: e.Err}
-	switch {
-	case e.Fate == h2.TurnedAway:
-		o.Reason = control.Full
-	case e.Fate == h2.NeverRan:
-		o.Reason = control.ConnectFailed
+	switch never := neverRan(e); {
+	case never != 0:
+		o.Reason = never
 	case e.Err.End == h2.Cancelled && errors.Is(ctx.Err(), context.Canceled):
 		o.Reason = control.Cancelled
 	case e.Err.End == h2.Cancelled:
@@ -159,7 +157,20 @@
 	return o
 }
 
-// take gives a connection with room, or waits for one for as long as a connection may take to come up; made tells that it was made for this request.
+// neverRan is the reason of an attempt whose request is known not to have run; 0 is of any other.
+func neverRan(e h2.Event) control.Reason {
+	switch {
+	case e.Err == nil:
+	case e.Fate == h2.TurnedAway:
+		return control.Full
+	case e.Fate == h2.NeverRan:
+		return control.ConnectFailed
+	}
+	return 0
+}
+
+// take gives a connection with room, or waits for one for as long as a connection may take to come
+// up; made tells that it was made for this request.
 func (s *shared) take(ctx context.Context) (c *h2.Conn, made bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,10 +292,10 @@
 	s.conns = kept
 }
 
-// idle counts the connections on which no stream has been open for a time.
-func (s *shared) idle(since time.Duration) (n int) {
+// idle counts the connections on which no stream is open.
+func (s *shared) idle() (n int) {
 	s.each(func(c *h2.Conn) {
-		if t, ok := c.Idle(); ok && time.Since(t) >= since {
+		if _, ok := c.Idle(); ok {
 			n++
 		}
 	})
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -21,10 +21,12 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/answer"
 	"lockflow/internal/certs"
 	"lockflow/internal/h2"
 	"lockflow/internal/limits"
 	"lockflow/internal/protocol"
+	"lockflow/internal/replay"
 	"lockflow/internal/standin"
 	"lockflow/internal/testkit"
 )
@@ -364,3 +366,31 @@
 		})
 	}
 }
+
+// A body that has come whole just behind the head is sent all the same.
+func TestBodyComesBehindTheHead(t *testing.T) {
+	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
+	u := newHTTP2(HTTP2{})
+	p := u.Pool(s.Addr(), SpeaksHTTP2)
+	q := &Relay{Name: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, Length: 4,
+		Body: replay.New(strings.NewReader("body"), 1000, nil), Rules: &answer.Rules{}, Hold: 1000, Idle: testkit.Patience, Wait: testkit.Patience}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	f := &flow{Relay: q}
+	r := f.request(ctx, "http")
+	if b, err := io.ReadAll(q.Body.Reader()); err != nil || string(b) != "body" || !r.More {
+		t.Fatalf("%q, %v, more %v", b, err, r.More)
+	}
+	c, _, err := u.sharedOf(p).take(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.s, err = c.Open(r, Window, f.early); err != nil {
+		t.Fatal(err)
+	}
+	defer context.AfterFunc(ctx, f.cutOff)()
+	if o, _ := f.exchange(ctx); o.Status != 200 || s.Tally.Runs("a") != 1 {
+		t.Errorf("%+v, ran %d times", o, s.Tally.Runs("a"))
+	}
+	u.Retire(p)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -490,7 +490,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for p := range u.pools {
-		idle += len(p.idle) + p.shared.idle(0)
+		idle += len(p.idle) + p.shared.idle()
 	}
 	return idle, len(u.pools)
 }
