--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,7 @@
 	connsMost = 16
 
 	finishWithin = 5 * time.Second
+	answerWithin = time.Second // a small answer over a Unix socket, while the daemon waits to end
 )
 
 // Status is what a daemon tells of itself.
@@ -65,10 +67,11 @@
 
 // Server serves one control socket.
 type Server struct {
-	http *http.Server
-	path string
-	info os.FileInfo // of the socket that is this server's
-	done chan struct{}
+	http  *http.Server
+	path  string
+	info  os.FileInfo // of the socket that is this server's
+	done  chan struct{}
+	asked asked
 }
 
 // Listen makes the control socket at path, in the place of one that nobody serves any more, or
@@ -90,8 +93,8 @@
 		l.Close()
 		return nil, fmt.Errorf("control socket: %w", err)
 	}
-	s := &Server{http: &http.Server{Handler: handler(d), MaxHeaderBytes: headMost, ReadHeaderTimeout: within, IdleTimeout: within}, path: path,
-		info: info, done: make(chan struct{})}
+	s := &Server{path: path, info: info, done: make(chan struct{})}
+	s.http = &http.Server{Handler: s.asked.counted(handler(d)), MaxHeaderBytes: headMost, ReadHeaderTimeout: within, IdleTimeout: within}
 	go func() {
 		defer close(s.done)
 		s.http.Serve(&owned{l, make(chan struct{}, connsMost)})
@@ -119,11 +122,13 @@
 	return os.Remove(path)
 }
 
-// Close ends the server and removes the socket, where that is still its own.
+// Close ends the server and removes the socket, where that is still its own. Who has asked
+// something is answered first: a drain may have ended the daemon before it was told of it.
 func (s *Server) Close() {
 	if s == nil {
 		return
 	}
+	s.asked.close(answerWithin)
 	s.http.Close()
 	<-s.done
 	if s.Own() {
@@ -147,6 +152,54 @@
 	s.http.Shutdown(ctx)
 }
 
+// asked counts the requests whose answers are not written yet.
+type asked struct {
+	mu     sync.Mutex
+	n      int
+	closed bool
+	none   chan struct{} // closed once none is left; made by close
+}
+
+// counted has each request of h count until its answer is written.
+func (a *asked) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.mu.Lock()
+		if a.closed {
+			a.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		a.n++
+		a.mu.Unlock()
+		defer func() {
+			_ = http.NewResponseController(w).Flush() // one who has hung up hears nothing
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if a.n--; a.n == 0 && a.closed {
+				close(a.none)
+			}
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
+// close takes no more, and waits so long at most until the rest is answered.
+func (a *asked) close(within time.Duration) {
+	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		return
+	}
+	a.closed, a.none = true, make(chan struct{})
+	if a.n == 0 {
+		close(a.none)
+	}
+	a.mu.Unlock()
+	select {
+	case <-a.none:
+	case <-time.After(within):
+	}
+}
+
 // owned takes connections of the socket's owner, a few at a time.
 type owned struct {
 	*net.UnixListener
@@ -236,8 +289,15 @@
 	answer(w, http.StatusOK, d.Status())
 }
 
+// answer writes v whole: its length is told, so that nothing of it is left once it is flushed.
 func answer(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(v) // whoever has left hears nothing
+	w.Write(raw) // whoever has left hears nothing
 }
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -4,10 +4,16 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/internal/testkit"
 )
 
 // fake is a daemon that does what it is told.
@@ -101,3 +107,58 @@
 		t.Errorf("a file in its place: %v", err)
 	}
 }
+
+// ending is a daemon that ends as soon as it is told to drain, before it has answered.
+type ending struct {
+	fake
+	server *Server
+	t      *testing.T
+}
+
+func (e *ending) Drain() { go e.server.Close() }
+
+func (e *ending) Status() Status {
+	testkit.Until(e.t, "the server's end has begun", func() bool {
+		e.server.asked.mu.Lock()
+		defer e.server.asked.mu.Unlock()
+		return e.server.asked.closed
+	})
+	return e.fake.Status()
+}
+
+// Who asks for the drain is answered even where the daemon has ended by then; who comes later is
+// not, and an answer that never comes doesn't hold the end up for ever.
+func TestAnswerBeforeTheEnd(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.sock")
+	e := &ending{t: t}
+	s, err := Listen(path, e, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.server = s
+	c := Client{path}
+	if st, err := c.Drain(context.Background()); err != nil || st.PID != 7 {
+		t.Errorf("%+v, %v", st, err)
+	}
+	<-s.done
+	if _, err := c.Status(context.Background()); err == nil {
+		t.Error("an answer after the end")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		var a asked
+		hang := make(chan struct{})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			a.counted(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hang })).ServeHTTP(httptest.NewRecorder(), nil)
+		}()
+		synctest.Wait()
+		begun := time.Now()
+		if a.close(answerWithin); time.Since(begun) != answerWithin {
+			t.Errorf("the end took %v", time.Since(begun))
+		}
+		close(hang)
+		<-ended
+		a.close(answerWithin)
+	})
+}
