--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -32,6 +32,7 @@
 func (o *Ordinary) Give(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer) {
 	c := x.Forward.(*call)
 	c.last()
+	c.given = true
 	if a.Stream != nil {
 		defer a.Stream.Close()
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"lockflow/control"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
+	"lockflow/internal/replay"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
@@ -206,3 +208,18 @@
 		}
 	}
 }
+
+// A client that left in the middle of its body was given no answer: none is begun for it as its
+// body is let go, while an answer that was given goes out before what is left of the body comes.
+func TestNoAnswerOfItself(t *testing.T) {
+	for _, given := range []bool{false, true} {
+		w := httptest.NewRecorder()
+		x := &call{w: w, ctl: http.NewResponseController(w), given: given}
+		x.Forward = x
+		x.Relay.Body = replay.New(strings.NewReader("the rest"), 0, func() {})
+		(&Ordinary{}).Done(&x.Exchange)
+		if w.Flushed != given {
+			t.Errorf("given %v: flushed %v", given, w.Flushed)
+		}
+	}
+}
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -128,6 +128,7 @@
 	until atomic.Int64 // Unix time in ns after which the body is not read any more; 0 is never
 	ctl   *http.ResponseController
 	w     http.ResponseWriter
+	given bool // the final answer has begun, or been given
 
 	mu   sync.Mutex // of writing to the client before the final answer
 	over bool       // the final answer's turn has come, or the client has left
@@ -306,7 +307,9 @@
 	if body == nil {
 		return
 	}
-	if !body.Ended() && body.Err() == nil {
+	// Guards, with the connection's end, against an answer that nobody made: what is flushed before
+	// there is a head is one of 200.
+	if c.given && !body.Ended() && body.Err() == nil {
 		_ = c.ctl.Flush()
 		until := time.Now().Add(lingerFor)
 		c.until.Store(until.UnixNano())
