Pass listening sockets on without putting them into blocking mode

TestFortyInstances hung in 1 of 24 runs: an old process wrote "draining" after an upgrade and never "drained". Its stack: Accept in the kernel (accept4), and Close of the listener waiting for it. TCPListener.File gives a file whose Fd, which starting a process asks for, sets the socket itself to blocking, in every process that has it; until the successor sets it back, an Accept begun by the old one waits where neither a deadline nor Close reaches it. After an upgrade that failed, for good: such a daemon could not be drained any more. The descriptor is now copied with fcntl (x/sys, already in the module graph), which leaves the mode alone.

TestUpgradeThatFails drains the old process now; without the change it does not end.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -311,6 +311,10 @@
 			if raw, _ := os.ReadFile(r.dir + "/pid"); strings.TrimSpace(string(raw)) != fmt.Sprint(old.PID) {
 				t.Errorf("the pid file says %q", raw)
 			}
+			if _, err := r.client.Drain(context.Background()); err != nil {
+				t.Error(err)
+			}
+			testkit.Until(t, "the end", func() bool { return gone(old.PID) })
 		})
 	}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lockflow/control"
 	"lockflow/internal/service"
 	"lockflow/internal/state"
@@ -20,7 +23,7 @@
 		if l.under == nil {
 			continue
 		}
-		f, err := l.under.File()
+		f, err := passOn(l.under)
 		if err != nil {
 			for _, f := range all {
 				f.Close()
@@ -32,6 +35,24 @@
 	return all, nil
 }
 
+// passOn gives a listener's socket as a file that may be handed to another process. Guards against
+// File, whose file puts the socket into blocking mode as its descriptor is asked for, in every
+// process that has it: an Accept then waits in the kernel, where neither a deadline nor Close ends it.
+func passOn(l *net.TCPListener) (*os.File, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	fd := -1
+	if e := raw.Control(func(own uintptr) { fd, err = unix.FcntlInt(own, unix.F_DUPFD_CLOEXEC, 0) }); e != nil {
+		return nil, e
+	}
+	if err != nil {
+		return nil, os.NewSyscallError("fcntl", err)
+	}
+	return os.NewFile(uintptr(fd), l.Addr().String()), nil
+}
+
 // Pause leaves new connections to whoever else has the listeners' sockets; without anybody they
 // wait. Those that were taken go on.
 func (n *Node) Pause() {
