Hold a replaced service until it has handed over what it has spent

TestReloadKeepsConnections failed in 3 of 100 runs under load: "Idle:0", descriptors 0, where the old service's connection was to be. A reload asks the old service to hand over by an event in its loop, and retires it at once; the loop's select may then see its end before the event. It ended with its connections, and with what its customers had spent: the new one began with full ceilings. HandTo holds the service until the event has run, or the loop has ended.

The new test forces the order and fails without it.

--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"sync"
 	"time"
 
 	"lockflow/control"
@@ -142,10 +143,17 @@
 // left to spend and with what was learned. This one goes on with what it has taken. A request
 // that it has not begun by then goes to the other.
 func (s *Service) HandTo(next *Service) {
+	// Guards against a service that is retired before its loop has come to hand over: it would end
+	// with what is spent and learned, and the other begin with full ceilings.
+	if !s.Hold() {
+		return
+	}
+	release := sync.OnceFunc(s.Release)
 	gave := make(chan handed, 1)
 	l := s.current()
 	k, ok := l.module.(Keeper)
 	ok = ok && l.post(func() {
+		defer release()
 		h := handed{State: l.state(k.HandOver(l.now(), 1))}
 		if s.upstream == next.upstream {
 			h.pools = make(map[string]*upstream.Pool, len(l.pools))
@@ -159,9 +167,11 @@
 		l.next, l.gave = next, h.pools
 	})
 	if !ok {
+		release()
 		return
 	}
 	next.restoreFrom(func() (handed, bool) {
+		defer release()
 		select {
 		case h := <-gave:
 			return h, true
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -301,3 +301,44 @@
 		t.Error("no module")
 	}
 }
+
+// A service that is retired at once after it was told to hand over does so all the same, however
+// busy it is: what it has spent is not the other's to spend again.
+func TestHandOverThenRetire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		was, ended := started(t, Options{})
+		l, busy := was.current(), make(chan struct{})
+		l.post(func() { <-busy })
+		synctest.Wait()
+		next, _ := started(t, Options{Share: was.Upstream()})
+		was.HandTo(next)
+		was.Retire()
+		select {
+		case <-was.unused:
+			t.Error("it may end before it has handed over")
+		default:
+		}
+		close(busy)
+		if err := <-ended; err != nil || l.next != next {
+			t.Errorf("ended with %v, handed to %p, not %p", err, l.next, next)
+		}
+		synctest.Wait()
+		if idle, pools := was.Upstream().Conns(); idle != 0 || pools != 1 {
+			t.Errorf("%d idle connections in %d pools", idle, pools)
+		}
+	})
+}
+
+// A service whose loop has ended hands nothing over, and is not kept from its end by that.
+func TestHandOverTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		was, ended := started(t, Options{})
+		next, _ := started(t, Options{})
+		was.Retire()
+		<-ended
+		was.HandTo(next)
+		if n := was.users.Load(); n >= 0 {
+			t.Errorf("held %d times", n)
+		}
+	})
+}
