Play a rolling upgrade of servers to HTTP/2 and back; tell streams and fall-backs

Left of HTTP/2 to servers: the fall-back was tested with a mixed list and by its time only, and neither status nor metrics told of streams. The time until HTTP/2 is tried again is a setting, servers.again; status and metrics tell connections, streams, room, waits and servers fallen back from. A test ends servers in the middle of a burst and starts them anew at their addresses, from HTTP/1.1 to HTTP/2, back, and again. The stand-in that is ended counts its work as over before its clients can see it.

Seen: with other servers idle, one that has failed gets no request for up to 10 s; nothing is lost by it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,6 +84,7 @@
 	Streams     int           // open at once on a connection of HTTP/2
 	Connections int           // of HTTP/2 to one server
 	Age         time.Duration // from which on one is replaced; 0 is never
+	Again       time.Duration // until HTTP/2 is tried again at a server that turned out not to speak it
 	TLS         certs.Options
 }
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -306,6 +306,7 @@
 	s.Streams = int(t.integer("streams", 100, 1, 10000))
 	s.Connections = int(t.integer("connections", 2, 1, 100))
 	s.Age = t.span("age", 0, 0, day)
+	s.Again = t.span("again", time.Minute, 100*time.Millisecond, day)
 	if t.has("tls") {
 		c := t.sub("tls")
 		s.TLS = certs.Options{On: true, CA: path(c, "ca"), Cert: path(c, "cert"), Key: path(c, "key"), Name: c.str("name", "")}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,10 @@
 	bound      = family{"attempts_bound", "gauge", "Attempts that the decision module lets out at once.", []string{"service"}}
 	servers    = family{"servers", "gauge", "Listed app servers by condition.", []string{"service", "condition"}}
 	idle       = family{"server_connections_idle", "gauge", "Idle connections to app servers.", []string{"service"}}
+	shared     = family{"server_connections_shared", "gauge", "Connections of HTTP/2 to app servers.", []string{"service"}}
+	streams    = family{"server_streams", "gauge", "Streams on connections of HTTP/2: open ones, and the room for more.", []string{"service", "state"}}
+	streamWait = family{"server_stream_waits", "gauge", "Requests that wait for a stream or a connection of HTTP/2.", []string{"service"}}
+	fellBack   = family{"servers_fallen_back", "gauge", "App servers that are spoken to by HTTP/1.1 for a time.", []string{"service"}}
 	restarts   = family{"module_restarts_total", "counter", "Starts of the decision module after a fault.", []string{"service"}}
 	moduleTime = family{"module_seconds_per_second", "gauge", "Time of the decision module, of late.", []string{"service"}}
 	partUsed   = family{"part_used", "gauge", "What a service has of a thing of the process.", []string{"service", "limit"}}
@@ -99,6 +103,13 @@
 		p.add(&servers, float64(s.Servers-s.Up), s.Name, "other")
 		p.add(&idle, float64(s.Idle), s.Name)
 		p.add(&restarts, float64(s.Restarts), s.Name)
+		if h := s.HTTP2; h != nil {
+			p.add(&shared, float64(h.Connections), s.Name)
+			p.add(&streams, float64(h.Streams), s.Name, "open")
+			p.add(&streams, float64(h.Room), s.Name, "room")
+			p.add(&streamWait, float64(h.Waiting), s.Name)
+			p.add(&fellBack, float64(h.FellBack), s.Name)
+		}
 		if s.Parts == nil {
 			continue
 		}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,7 @@
 	"lockflow/internal/lab"
 	"lockflow/internal/lab/labtest"
 	"lockflow/internal/standin"
+	"lockflow/internal/testkit"
 )
 
 // scrape reads what a handler tells, with the parser that Prometheus has.
@@ -85,6 +87,41 @@
 	}
 }
 
+// Where servers are spoken to by HTTP/2, its connections and streams are told, and only there.
+func TestSharedConnections(t *testing.T) {
+	app, err := standin.HTTP2Server{UID: "s0", Streams: 7}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(app.Close)
+	text := strings.Replace(testkit.Small, "[services.a]", "[services.a]\nservers = { protocol = \"http/2\" }", 1)
+	text = strings.Replace(text, "127.0.0.1:1\"", app.Addr()+"\"", 1)
+	l := labtest.Begin(t, text, nil)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	run := standin.Clients{Addr: l.Node.Addr(), Seed: 1, Workers: 2, Call: func(*rand.Rand) standin.Call {
+		return standin.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "p", Deadline: 3 * time.Second}
+	}}.Start(ctx)
+	testkit.Until(t, "answers", func() bool { return run.SoFar()["r"].Served > 10 })
+	stop()
+	run.Wait()
+	h := Handler(l.Node)
+	testkit.Until(t, "the last stream's end", func() bool { return sum(scrape(t, h)["lockflow_server_streams"], "state=open") == 0 })
+	all := scrape(t, h)
+	for name, want := range map[string]float64{"server_connections_shared": 1, "server_stream_waits": 0, "servers_fallen_back": 0} {
+		f := all["lockflow_"+name]
+		if f == nil || sum(f, "service=a") != want {
+			t.Errorf("%s is %v", name, f)
+		}
+	}
+	if room := sum(all["lockflow_server_streams"], "state=room"); room != 7 {
+		t.Errorf("room for %g streams", room)
+	}
+	if f := scrape(t, Handler(labtest.Begin(t, testkit.Small, nil).Node))["lockflow_server_streams"]; f != nil {
+		t.Errorf("over HTTP/1.1: %v", f)
+	}
+}
+
 func TestServeEnds(t *testing.T) {
 	l := labtest.Begin(t, lab.WithDescriptors(256), lab.DemoServers(1))
 	srv := httptest.NewServer(nil) // only for its listener
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -68,3 +68,58 @@
 	}
 	testkit.Until(t, "what was replaced has ended", func() bool { return node.Serving(l.Node) == 1 })
 }
+
+// A rolling upgrade of servers from HTTP/1.1 to HTTP/2 and back, each ended in the middle of a
+// burst and started anew at its address, twice over: no update has two effects or no answer, and
+// each server is spoken to as it speaks once the time to try again is over. The load keeps all of
+// them busy: while others idle, one that has failed is left alone for long.
+func TestRollingUpgradeOfServers(t *testing.T) {
+	tally, group := &standin.Tally{}, &standin.Group{Window: 15 * time.Second}
+	var text strings.Builder
+	text.WriteString(head + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", again = \"100ms\" }\n[services.a.source]\nkind = \"static\"\n")
+	var servers [3]*standin.Running
+	begin := func(i int, addr string, speaks bool) {
+		t.Helper()
+		s, err := standin.Server{UID: fmt.Sprint("s", i), Tally: tally, Group: group, HTTP2: speaks, Listen: addr, Seed: uint64(i),
+			Work: 4 * time.Millisecond, Cores: 1}.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		servers[i] = s
+	}
+	for i := range servers {
+		begin(i, "", false)
+		fmt.Fprintf(&text, "[[services.a.source.servers]]\nuid = %q\nendpoint = %q\ngroup = 1\n", servers[i].UID, servers[i].Addr())
+	}
+	text.WriteString("[[routes]]\nservice = \"a\"\nprefix = \"/\"\nas = \"write\"\n")
+	l := labtest.Begin(t, text.String(), nil)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	run := standin.Clients{Addr: l.Node.Addr(), Seed: 4, Workers: 16, Call: func(rng *rand.Rand) standin.Call {
+		return standin.Call{Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
+			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second}
+	}}.Start(ctx)
+	testkit.Until(t, "a server that is fallen back on", func() bool { return l.Node.Status()[0].HTTP2.FellBack == len(servers) })
+	for _, speaks := range []bool{true, false, true} {
+		for i, s := range servers {
+			s.Close()
+			begin(i, s.Addr(), speaks)
+			testkit.Until(t, "requests as the new one speaks", func() bool {
+				one, two := servers[i].Spoken()
+				return speaks && two > 20 || !speaks && one > 20
+			})
+		}
+		testkit.Until(t, "connections as the servers speak", func() bool {
+			h := l.Node.Status()[0].HTTP2
+			return speaks && h.Connections >= len(servers) && h.FellBack == 0 || !speaks && h.Connections == 0
+		})
+	}
+	stop()
+	if s := run.Wait()["update"]; s.Lost+s.Wrong > 0 || s.Served < s.Calls/2 {
+		t.Errorf("%+v", *s)
+	}
+	if c := tally.Counts(); c.Twice > 0 || c.MostAtOne > 1 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -395,6 +395,8 @@
 	Restarts int64  `json:"restarts"` // of the module
 	Streams  int    `json:"streams"`  // answers that are under way with no end of their own, and tunnels
 	Cut      int64  `json:"cut"`      // of them, broken off because another service asked for what is its own
+	// HTTP2 is what requests share; nil where servers are spoken to by HTTP/1.1 alone.
+	HTTP2 *upstream.Shared `json:"http2,omitempty"`
 	// Bound is how many attempts the module lets out at once; 0 where it doesn't tell.
 	Bound float64 `json:"bound"`
 	// Group is the least and the most that the group's size may be by the servers' reports of
@@ -408,6 +410,7 @@
 func (s *Service) Status() Status {
 	st := Status{Name: s.opts.Name, Ready: s.ready.Load(), Restarts: s.restarts.Load()}
 	st.Idle, _ = s.upstream.Conns()
+	st.HTTP2 = s.upstream.Shared()
 	st.Streams, st.Cut = s.opts.Streams.Open()
 	l := s.current()
 	seen := make(chan struct{})
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -37,7 +38,8 @@
 	Queue  int           // that may wait for a core; more are turned away; 0 is any number
 	Faults Faults
 	Seed   uint64
-	HTTP2  bool // speaks HTTP/2 too, to whoever begins with it
+	HTTP2  bool   // speaks HTTP/2 too, to whoever begins with it
+	Listen string // address that it listens on; "" is a loopback one of its own
 
 	// A server that starts cold begins with a part of its speed and is warm after a while.
 	// Sent more than Multiple times what it can do at that moment, over Fall, it falls over.
@@ -62,10 +64,14 @@
 	fallen   bool
 	queue    int
 	working  int
-	arrived  []arrival // of the last Fall
-	worst    float64   // most of what was sent over what it could bear
-	late     int       // requests that came while it drained
-	latency  float64   // ms, smoothed, without waiting
+	arrived  []arrival      // of the last Fall
+	worst    float64        // most of what was sent over what it could bear
+	late     int            // requests that came while it drained
+	latency  float64        // ms, smoothed, without waiting
+	lefts    map[int]func() // of requests that are out
+	came     int
+	closed   bool
+	spoken   [3]int // requests by the protocol's major version
 	conns    int
 	dials    int
 	most     int // connections open at once
@@ -76,9 +82,9 @@
 	units float64
 }
 
-// Start starts the server on a loopback address of its own.
+// Start starts the server.
 func (s Server) Start() (*Running, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", cmp.Or(s.Listen, "127.0.0.1:0"))
 	if err != nil {
 		return nil, fmt.Errorf("starting app server %s: %w", s.UID, err)
 	}
@@ -119,11 +125,24 @@
 	return r.dials, r.most
 }
 
+// Spoken is how many requests came by HTTP/1 and by HTTP/2.
+func (r *Running) Spoken() (one, two int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.spoken[1], r.spoken[2]
+}
+
 // Addr is where it listens.
 func (r *Running) Addr() string { return r.listener.Addr().String() }
 
-// Close ends it with all its connections.
+// Close ends it with all its connections, and with what it works on.
 func (r *Running) Close() {
+	r.mu.Lock()
+	r.closed = true
+	for _, left := range r.lefts { // before their clients can see it
+		left()
+	}
+	r.mu.Unlock()
 	r.Go()
 	r.http.Close()
 }
@@ -251,11 +270,30 @@
 		return
 	}
 	units := unitsOf(q)
-	r.Tally.come(id)
 	// It is out until its answer is written or its connection ends; whoever sees the end may send
 	// it again at once.
 	left := sync.OnceFunc(func() { r.Tally.leave(id) })
-	defer left()
+	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		hangUp(w)
+		return
+	}
+	r.spoken[min(max(q.ProtoMajor, 0), 2)]++
+	r.Tally.come(id)
+	r.came++
+	n := r.came
+	if r.lefts == nil {
+		r.lefts = make(map[int]func())
+	}
+	r.lefts[n] = left
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.lefts, n)
+		r.mu.Unlock()
+		left()
+	}()
 	r.Ceiling.take(q.URL.Query().Get("account"), units)
 	stall, away, dead := r.admit(units)
 	if dead {
@@ -307,7 +345,11 @@
 
 // hangUp ends a request's connection with no answer.
 func hangUp(w http.ResponseWriter) {
-	if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+	h, ok := w.(http.Hijacker)
+	if !ok { // of HTTP/2: its stream is reset
+		panic(http.ErrAbortHandler)
+	}
+	if c, _, err := h.Hijack(); err == nil {
 		c.Close()
 	}
 }
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -22,16 +22,15 @@
 	TriesHTTP2         // the same; HTTP/1.1 to servers that turn out not to speak it
 )
 
-const (
-	tryAgain  = time.Minute     // to speak HTTP/2 to a server that did not
-	quietMost = 5 * time.Second // of a connection with open streams, before it is asked for a sign of life
-)
+// quietMost is for a connection with open streams, before it is asked for a sign of life.
+const quietMost = 5 * time.Second
 
 // HTTP2 is how HTTP/2 is spoken.
 type HTTP2 struct {
 	Streams int           // open at once on a connection, whatever the server allows
 	Conns   int           // to one server, beside those that end
 	Age     time.Duration // from which on a connection is replaced; 0 is never
+	Again   time.Duration // until a server that turned out not to speak it is tried again
 	Whole   bool          // servers begin a request with its last byte (PROTOCOL), not with its head
 }
 
@@ -253,7 +252,7 @@
 		s.fails++
 		s.err = err
 		if errors.Is(err, h2.ErrNotSpoken) && s.speaks == TriesHTTP2 {
-			s.plain = time.Now().Add(tryAgain)
+			s.plain = time.Now().Add(s.u.HTTP2.Again)
 		}
 	}
 	s.ring()
@@ -302,6 +301,40 @@
 	return n
 }
 
+// Shared is what an Upstream has of connections of HTTP/2.
+type Shared struct {
+	Connections int `json:"connections"`
+	Streams     int `json:"streams"`  // open on them
+	Room        int `json:"room"`     // for further ones, on those that take any
+	Waiting     int `json:"waiting"`  // requests that wait for a stream or a connection
+	FellBack    int `json:"fellback"` // servers that are spoken to by HTTP/1.1 for a time
+}
+
+// Shared counts what requests share; nil where no server is spoken to by HTTP/2.
+func (u *Upstream) Shared() *Shared {
+	if !u.sharing.Load() {
+		return nil
+	}
+	all := &Shared{}
+	u.eachShared(func(s *shared) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		all.Waiting += s.waiting
+		if time.Now().Before(s.plain) {
+			all.FellBack++
+		}
+		for _, c := range s.conns {
+			v := c.View()
+			all.Connections++
+			all.Streams += v.Open
+			if !v.Ending {
+				all.Room += max(0, v.Room)
+			}
+		}
+	})
+	return all
+}
+
 // close ends what has been idle for so long, and what is of no more use.
 func (s *shared) close(since time.Duration) {
 	s.each(func(c *h2.Conn) {
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -32,6 +32,7 @@
 )
 
 func newHTTP2(o HTTP2) *Upstream {
+	o.Again = time.Minute
 	if o.Conns == 0 {
 		o.Conns = 2
 	}
@@ -234,6 +235,9 @@
 	if n := app.Dials(); n != 2 {
 		t.Errorf("%d connections: one to try, one to use", n)
 	}
+	if got := u.Shared(); *got != (Shared{FellBack: 1}) {
+		t.Errorf("%+v", *got)
+	}
 	requests := func() (n int) {
 		for _, r := range app.Requests() {
 			if !strings.HasPrefix(r, "PRI") { // the beginning of HTTP/2, as HTTP/1.1 reads it
@@ -249,7 +253,9 @@
 	if o := update("4", "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || app.Dials() != 3 {
 		t.Errorf("%v, %v; %d connections", o.Reason, o.Err, app.Dials())
 	}
-	u = newHTTP2(HTTP2{})
+	if u = newHTTP2(HTTP2{}); u.Shared() != nil {
+		t.Error("connections that nobody asked for")
+	}
 	if o := update("5", "swap").Try(t.Context(), t.Context(), u, u.Pool(app.Addr(), SpeaksHTTP2)); o.Reason != control.ConnectFailed || requests() != 4 {
 		t.Errorf("%v, %v; %d requests", o.Reason, o.Err, requests())
 	}
