Divide ceilings by parts that instances pledge to a counter for a short time

Quotas without the counter: even parts of a ceiling can hardly be used by a customer that comes through many instances (a store of 1.5 units at 40), and a counter that owns everything lends twice when it is split or replaced. internal/allowance has both sides as state machines: each instance has one part, which it spends itself or pledges to one counter; a counter lends what is pledged to it.

--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,448 @@
+package allowance
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	rules = Rules{Instances: 40, Term: time.Second, Pledge: 2 * time.Second, Settle: 4 * time.Second, Drift: 0.005}
+	cap30 = Ceiling{Rate: 30, Burst: 60}
+)
+
+// trouble is what goes wrong in a world, by name.
+var troubles = map[string]func(w *world){
+	"delays and losses": func(w *world) { w.tail, w.loss = 0.05, 0.05 },
+	"late":              func(w *world) { w.places[0].late = 3 * time.Second },
+	"gone for a while": func(w *world) {
+		w.reach(-1, all)
+		w.After(10*time.Second, func() { w.reach(0, all) })
+	},
+	"replaced": func(w *world) { w.replace(0) },
+	"replaced in a burst": func(w *world) {
+		for i := range 4 {
+			w.After(time.Duration(i)*3*time.Second, func() { w.replace(0) })
+		}
+	},
+	"split in halves": func(w *world) {
+		w.replace(1)
+		w.reach(1, func(i int) bool { return i%2 == 0 })
+		w.After(20*time.Second, func() { w.reach(0, all) })
+	},
+	"a split that swings": func(w *world) {
+		w.replace(1)
+		for i := range 8 {
+			part := w.rng.IntN(len(w.nodes) + 1)
+			w.After(time.Duration(i)*3*time.Second, func() {
+				w.reach(1, func(i int) bool { return i < part })
+				w.reach(0, func(i int) bool { return i >= part })
+			})
+		}
+		w.After(24*time.Second, func() { w.reach(0, all) })
+	},
+	"all move to another and back": func(w *world) {
+		w.replace(1)
+		for i := range 6 {
+			w.After(time.Duration(i)*4*time.Second, func() { w.reach(1-i%2, all) })
+		}
+	},
+	"stopped processes": func(w *world) {
+		for _, n := range w.nodes {
+			if w.rng.IntN(3) == 0 {
+				n.stopped = w.Now() + time.Duration(1+w.rng.IntN(10))*time.Second
+			}
+		}
+	},
+	"killed and started": func(w *world) {
+		for i := range 5 {
+			w.After(time.Duration(i)*2*time.Second, func() {
+				for range 10 {
+					n := w.nodes[w.rng.IntN(len(w.nodes))]
+					n.kill()
+					w.After(time.Duration(w.rng.IntN(2000))*time.Millisecond, n.start)
+				}
+			})
+		}
+	},
+	"the counter's clock steps": func(w *world) {
+		for i := range 6 {
+			w.After(time.Duration(i)*3*time.Second, func() {
+				w.places[0].clock.offset += time.Duration(w.rng.IntN(20)-10) * time.Second
+			})
+		}
+	},
+	"traffic moves at a stroke": func(w *world) {
+		one := w.rng.IntN(len(w.nodes))
+		w.weight = func(i int) float64 {
+			if i == one {
+				return 1
+			}
+			return 0.0001
+		}
+	},
+}
+
+// harsh are troubles that are made for one protection each.
+var harsh = map[string]func(w *world){
+	"none": func(*world) {},
+	// Thirty hold to a counter while their calls take 6 s; then they find another at once.
+	"late pledges, then a move": func(w *world) {
+		w.replace(1)
+		w.units, w.asking = 1, 300
+		for i := range 30 {
+			w.nodes[i].late = 6 * time.Second
+		}
+		w.After(6*time.Second, func() {
+			w.reach(1, func(i int) bool { return i < 30 })
+			for i := range 30 {
+				w.nodes[i].late = 0
+			}
+		})
+	},
+	"a majority moves to and fro": func(w *world) {
+		w.replace(1)
+		for k := range 8 {
+			w.After(time.Duration(k)*2500*time.Millisecond, func() {
+				w.reach(k%2, func(i int) bool { return i < 30 })
+				w.reach(1-k%2, func(i int) bool { return i >= 30 })
+			})
+		}
+	},
+	"a clock steps back, and a majority moves": func(w *world) {
+		w.replace(1)
+		w.places[0].clock.offset -= 10 * time.Second
+		w.After(100*time.Millisecond, func() { w.reach(1, func(i int) bool { return i < 30 }) })
+	},
+	// What a burst borrows comes 6 s late, when the store is full again and as much is asked for.
+	"answers come late": func(w *world) {
+		w.asking = 0
+		w.Run(w.Now() + 4*time.Second)
+		w.asking, w.places[0].answers = 300, 6*time.Second
+		w.After(500*time.Millisecond, func() { w.asking, w.places[0].answers = 0, 0 })
+		w.After(5900*time.Millisecond, func() { w.asking = 300 })
+	},
+	"replaced now and then": func(w *world) {
+		w.asking = 300
+		for i := range 5 {
+			w.After(time.Duration(i)*6*time.Second, func() { w.replace(0) })
+		}
+	},
+	"rolled back": func(w *world) {
+		for k := range 6 {
+			w.After(time.Duration(k)*1500*time.Millisecond, func() {
+				old := w.places[0].c.clone()
+				w.After(time.Second, func() { w.places[0].c = old })
+			})
+		}
+	},
+	// Ten hear that they are alone before the others have ended; there is no counter.
+	"a smaller group": func(w *world) {
+		w.reach(-1, all)
+		w.Run(w.Now() + 3*time.Second)
+		w.units, w.asking = 1, 300
+		for i, n := range w.nodes {
+			if i < 10 {
+				n.h.Resize(n.now(), 10)
+			} else {
+				w.After(rules.Settle-100*time.Millisecond, n.kill)
+			}
+		}
+		w.weight = func(int) float64 { return 1 }
+	},
+	"a larger group": func(w *world) {
+		for i, n := range w.nodes {
+			if i >= 10 {
+				n.kill()
+			} else {
+				n.h.Resize(n.now(), 10)
+			}
+		}
+		w.After(rules.Settle+time.Second, func() {
+			for i, n := range w.nodes {
+				if i >= 10 {
+					n.start()
+				} else {
+					w.After(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { n.h.Resize(n.now(), 40) })
+				}
+			}
+		})
+	},
+}
+
+// play has some troubles come one after another, after the group is up, and more than the
+// customer's ceiling asked for throughout.
+func play(seed uint64, c Ceiling, w without, names ...string) *world {
+	x := newWorld(seed, rules.Instances, rules, c, w)
+	x.asking = 90
+	if seed%2 == 1 && troubles[names[0]] != nil { // quiet for a while, then all that its store holds at once
+		var turn func()
+		turn = func() {
+			if x.asking > 0 {
+				x.asking = 0
+				x.After(time.Duration(1+x.rng.IntN(5))*time.Second, turn)
+			} else {
+				x.asking = 300
+				x.After(2*time.Second, turn)
+			}
+		}
+		x.At(5*time.Second, turn)
+	}
+	x.load(60 * time.Second)
+	x.Run(8 * time.Second)
+	for _, name := range names {
+		trouble := troubles[name]
+		if trouble == nil {
+			trouble = harsh[name]
+		}
+		trouble(x)
+		x.Run(x.Now() + time.Duration(5+x.rng.IntN(10))*time.Second)
+	}
+	x.Run(70 * time.Second)
+	return x
+}
+
+func seeds(t *testing.T, n int) int {
+	if more, err := strconv.Atoi(os.Getenv("LOCKFLOW_SEEDS")); err == nil {
+		t.Logf("%d seeds", more)
+		return more
+	}
+	return n
+}
+
+// Whatever goes wrong, alone and in pairs and threes, no window holds more than the bound.
+func TestCeilingHolds(t *testing.T) {
+	names := make([]string, 0, len(troubles))
+	for name := range troubles {
+		names = append(names, name)
+	}
+	for name := range troubles {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			worst, minute := math.Inf(-1), math.Inf(-1)
+			for seed := range uint64(seeds(t, 2)) {
+				rng := rand.New(rand.NewPCG(seed, 3))
+				with := []string{name}
+				for range rng.IntN(3) {
+					with = append(with, names[rng.IntN(len(names))])
+				}
+				w := play(seed, cap30, without{}, with...)
+				if worst, minute = math.Max(worst, w.worst), math.Max(minute, w.over()); w.worst > 0 {
+					t.Errorf("seed %d, %q: %.2f units beyond the bound", seed, with, w.worst)
+				}
+				if w.sent == 0 {
+					t.Errorf("seed %d, %q: nothing was sent", seed, with)
+				}
+			}
+			t.Logf("nearest to the bound: %.1f units; the most of a minute beyond the ceiling: %+.1f%%", worst, 100*minute)
+		})
+	}
+}
+
+// Each protection is there for something: on a day made for it the bound holds, and breaks without it.
+func TestProtectionsAreNeeded(t *testing.T) {
+	for name, tc := range map[string]struct {
+		without
+		Ceiling
+		trouble string
+	}{
+		"what is pledged is spent as well":                  {without{cede: true}, cap30, "none"},
+		"a new counter begins full":                         {without{empty: true}, Ceiling{30, 240}, "replaced now and then"},
+		"a pledge counts from when it comes":                {without{echo: true}, Ceiling{30, 10}, "late pledges, then a move"},
+		"a part is pledged to another counter at once":      {without{wait: true}, cap30, "a majority moves to and fro"},
+		"what is lent has no end":                           {without{term: true}, cap30, "answers come late"},
+		"parts grow at once":                                {without{settle: true}, Ceiling{30, 30}, "a smaller group"},
+		"a counter that goes back is believed":              {without{seen: true}, cap30, "rolled back"},
+		"pledges outlive a counter's clock that steps back": {without{step: true}, cap30, "a clock steps back, and a majority moves"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken := 0.0
+			for seed := range uint64(seeds(t, 3)) {
+				if w := play(seed, tc.Ceiling, without{}, tc.trouble); w.worst > 0 {
+					t.Errorf("seed %d: %.1f units beyond the bound with all protections", seed, w.worst)
+				}
+				broken = math.Max(broken, play(seed, tc.Ceiling, tc.without, tc.trouble).worst)
+			}
+			if t.Logf("without it: %.1f units beyond the bound", broken); broken <= 0 {
+				t.Error("nothing is broken without it")
+			}
+		})
+	}
+	t.Run("a larger group", func(t *testing.T) {
+		t.Parallel()
+		for seed := range uint64(seeds(t, 3)) {
+			if w := play(seed, cap30, without{}, "a larger group"); w.worst > 0 {
+				t.Errorf("seed %d: %.1f units beyond the bound", seed, w.worst)
+			}
+		}
+	})
+}
+
+// With the counter in good health a customer reaches its ceiling however its traffic is spread.
+func TestUse(t *testing.T) {
+	for _, spread := range []int{1, 2, 4, 40} {
+		for _, asked := range []float64{33, 90} {
+			w := newWorld(5, rules.Instances, rules, cap30, without{})
+			w.weight, w.asking = first(spread), asked
+			w.Run(8 * time.Second)
+			w.load(68 * time.Second)
+			w.Run(70 * time.Second)
+			use := w.sent / (cap30.Rate * 60)
+			t.Logf("spread %2d, %g units a second asked: %.3f of the rate, minute %+.3f", spread, asked, use, w.over())
+			if use < 0.95 {
+				t.Errorf("spread %d: %.3f of the ceiling", spread, use)
+			}
+		}
+	}
+}
+
+// Without the counter each instance has its own part, no more and no less: the figure for each
+// spread is what DESIGN's static division gives.
+func TestUseAlone(t *testing.T) {
+	for _, spread := range []int{1, 2, 4, 40} {
+		w := newWorld(5, rules.Instances, rules, cap30, without{})
+		w.reach(-1, all)
+		w.units = 1
+		w.weight, w.asking = first(spread), 90
+		w.Run(8 * time.Second)
+		w.load(68 * time.Second)
+		w.Run(70 * time.Second)
+		want := float64(spread) / float64(rules.Instances)
+		use := w.sent / (cap30.Rate * 60)
+		t.Logf("spread %2d: %.4f of the rate, %.4f by its own parts", spread, use, want)
+		if use < 0.8*want || use > 1.2*want {
+			t.Errorf("spread %d: %.4f of the ceiling, not about %.4f", spread, use, want)
+		}
+	}
+}
+
+func first(n int) func(int) float64 {
+	return func(i int) float64 {
+		if i < n {
+			return 1
+		}
+		return 0
+	}
+}
+
+// A counter that goes back to an older state as itself lends, each time, at most what its stores
+// held again, until the first instance that has seen a later token asks.
+func TestRolledBack(t *testing.T) {
+	for seed := range uint64(seeds(t, 3)) {
+		if w := play(seed, cap30, without{}, "rolled back"); w.worst > 6*cap30.Burst {
+			t.Errorf("seed %d: %.1f units beyond the bound in six times", seed, w.worst)
+		}
+	}
+}
+
+func TestRules(t *testing.T) {
+	for want, r := range map[string]Rules{
+		"":                 rules,
+		"over 0 instances": {Term: time.Second, Pledge: time.Second, Settle: time.Second},
+		"wrong by 0.2":     {Instances: 1, Term: time.Second, Pledge: time.Second, Settle: time.Second, Drift: 0.2},
+		"wrong by NaN":     {Instances: 1, Term: time.Second, Pledge: time.Second, Settle: time.Second, Drift: math.NaN()},
+		"pledges of 1s":    {Instances: 1, Term: 2 * time.Second, Pledge: time.Second, Settle: time.Second},
+		"1ms":              {Instances: 1, Term: time.Millisecond, Pledge: time.Second, Settle: time.Second},
+	} {
+		if err := r.Check(); (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+	if over := rules.Over(cap30, time.Minute); over < 0.015 || over > 0.05 {
+		t.Errorf("%.3f beyond the ceiling in a minute", over)
+	}
+}
+
+// What a customer is known by is let go of once it would be the same if it were new; a part that is
+// not full is never full by that.
+func TestForgetting(t *testing.T) {
+	h := NewHolder(0, rules, "i")
+	now := rules.Settle
+	for i := range 3 {
+		now += time.Second
+		h.Ask(now, uint64(i), "a", cap30, 0.25)
+	}
+	h.Ask(now, 9, "b", cap30, 0.25)
+	if len(h.accounts) != 2 {
+		t.Fatalf("%d customers", len(h.accounts))
+	}
+	for range 300 {
+		now += time.Second
+		h.Tick(now)
+	}
+	if len(h.accounts) != 0 || len(h.busy) != 0 {
+		t.Errorf("%d customers, %d busy", len(h.accounts), len(h.busy))
+	}
+	for i := range 2 * accountsMax {
+		h.Ask(now, uint64(i), strconv.Itoa(i), cap30, 1)
+	}
+	if n := len(h.accounts); n > accountsMax {
+		t.Errorf("%d customers", n)
+	}
+	if a := h.account(now, "new", cap30); a.level != 0 {
+		t.Errorf("one that may have been let go of has %g units", a.level)
+	}
+}
+
+// What is lent, taken back once, ended, and asked for by others.
+func TestGives(t *testing.T) {
+	c := NewCounter(rules, "c")
+	call := func(now time.Duration, from string, q Call) Answer {
+		q.From, q.Counter, q.Echo, q.Pledge = from, "c", now, 0.5
+		return c.Handle(now, q)
+	}
+	call(0, "i", Call{})
+	call(0, "k", Call{})
+	now := time.Second
+	want := []Want{{Key: "a", Ceiling: cap30, Units: 20, Need: 1}}
+	g := call(now, "i", Call{Wants: want}).Grants
+	if len(g) != 1 || g[0].Units != 20 {
+		t.Fatalf("%+v", g)
+	}
+	level := func() float64 { return c.stores["a"].level }
+	left := level()
+	for _, back := range []struct {
+		from  string
+		give  Give
+		level float64
+	}{
+		{"k", Give{"a", g[0].Token, 20}, left}, // another's
+		{"i", Give{"b", g[0].Token, 20}, left},
+		{"i", Give{"a", g[0].Token, -20}, left},
+		{"i", Give{"a", g[0].Token, math.NaN()}, left},
+		{"i", Give{"a", g[0].Token, 50}, left + 20}, // no more than was lent
+		{"i", Give{"a", g[0].Token, 20}, left + 20}, // once
+	} {
+		if call(now, back.from, Call{Gives: []Give{back.give}}); math.Abs(level()-back.level) > least {
+			t.Errorf("%+v: %g, not %g", back, level(), back.level)
+		}
+	}
+	g = call(now, "i", Call{Wants: want}).Grants
+	now += rules.Term
+	left = level()
+	if call(now, "i", Call{Gives: []Give{{"a", g[0].Token, 20}}}); level() != left {
+		t.Error("what has ended is taken back")
+	}
+	if a := call(now, "i", Call{Wants: []Want{{Key: "a", Ceiling: cap30, Units: 1000, Need: 900}}}); len(a.Grants) != 0 {
+		t.Errorf("less than is of use: %+v", a.Grants)
+	}
+}
+
+func BenchmarkAsk(b *testing.B) {
+	h := NewHolder(0, rules, "i")
+	keys := make([]string, 1000)
+	for i := range keys {
+		keys[i] = strconv.Itoa(i)
+	}
+	now := rules.Settle
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 10 * time.Microsecond
+		h.Ask(now, uint64(i), keys[i%len(keys)], Ceiling{1e6, 1e6}, 1)
+	}
+}
--- /dev/null
+++ b/internal/command/allowance.go
@@ -0,0 +1,92 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"lockflow/internal/allowance"
+	"lockflow/internal/config"
+)
+
+func allowanceCommand() command {
+	return command{name: "allowance", group: files, does: "tells what of a plan's ceiling holds, and what of it can be used, when a shared counter lends it",
+		args:     "explain --config FILE --plan NAME [--instances N] [--units N] [--spread N] [--term TIME] [--pledge TIME] [--settle TIME] [--drift N] [--json]",
+		examples: []string{"lockflow allowance explain --config /etc/lockflow/lockflow.toml --plan enterprise --instances 40 --units 4"},
+		setup: func(set flags) func(context.Context, *Env, []string) error {
+			x := &explain{}
+			set.StringVar(&x.file, "config", "", "`FILE` that has the plan")
+			set.StringVar(&x.plan, "plan", "", "`NAME` of the plan")
+			set.IntVar(&x.rules.Instances, "instances", 0, "`N` instances that a ceiling is divided over; the file's without it")
+			set.Float64Var(&x.units, "units", 1, "`N` units of a request")
+			set.IntVar(&x.spread, "spread", 0, "`N` instances that the customer comes through; all without it")
+			set.DurationVar(&x.rules.Term, "term", time.Second, "`TIME` for which units are lent")
+			set.DurationVar(&x.rules.Pledge, "pledge", 2*time.Second, "`TIME` for which an instance pledges its part")
+			set.DurationVar(&x.rules.Settle, "settle", 10*time.Second, "`TIME` within which all instances know of another number of them")
+			set.Float64Var(&x.rules.Drift, "drift", 0.001, "part by which a clock's rate may be wrong")
+			set.BoolVar(&x.json, "json", false, "prints JSON")
+			return func(_ context.Context, e *Env, args []string) error {
+				if len(args) != 1 || args[0] != "explain" || x.file == "" || x.plan == "" || !(x.units > 0) || x.spread < 0 {
+					return usage("allowance takes explain with --config and --plan, --units above 0, --spread of 0 or more, and nothing else")
+				}
+				return x.run(e)
+			}
+		}}
+}
+
+type explain struct {
+	file, plan string
+	rules      allowance.Rules
+	units      float64
+	spread     int
+	json       bool
+}
+
+func (x *explain) run(e *Env) error {
+	cfg, err := config.Load(x.file)
+	if err != nil {
+		return err
+	}
+	var ceiling allowance.Ceiling
+	found := false
+	for _, s := range cfg.Services {
+		for _, p := range s.Settings.Plans {
+			if p.Name != x.plan {
+				continue
+			}
+			ceiling, found = allowance.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}, true
+			if x.rules.Instances == 0 {
+				x.rules.Instances = s.Settings.GroupSize
+			}
+		}
+	}
+	switch {
+	case !found:
+		return fmt.Errorf("%s: no plan %q", x.file, x.plan)
+	case ceiling.Rate == 0:
+		return fmt.Errorf("%s: plan %q has no ceiling", x.file, x.plan)
+	}
+	if x.spread == 0 || x.spread > x.rules.Instances {
+		x.spread = x.rules.Instances
+	}
+	if err := x.rules.Check(); err != nil {
+		return err
+	}
+	promises := x.rules.Promises(ceiling, x.units, x.spread)
+	if x.json {
+		return json.NewEncoder(e.Out).Encode(map[string]any{"ceiling": ceiling, "bound": x.rules.Bound(ceiling), "promises": promises})
+	}
+	fmt.Fprintf(e.Out, "plan %s: %g units a second, %g at once; %d instances, traffic through %d of them, requests of %g units\n", x.plan, ceiling.Rate,
+		ceiling.Burst, x.rules.Instances, x.spread, x.units)
+	b := x.rules.Bound(ceiling)
+	fmt.Fprintf(e.Out, "in any window, whatever fails: %.4g units and %.4g a second; the rate by clocks wrong by %g, the units by a term of %v\n\n",
+		b.Burst, b.Rate, x.rules.Drift, x.rules.Term)
+	w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "case\tbeyond in a minute\tuse\twhy")
+	for _, p := range promises {
+		fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%s\n", p.Case, 100*p.Over, 100*p.Use, p.Why)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/command/allowance_test.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lockflow/internal/allowance"
+	"lockflow/internal/testkit"
+)
+
+func TestAllowance(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "c.toml")
+	text := strings.Replace(testkit.Small, "[plans.p]", "[plans.p]\n[plans.enterprise]\nceiling_rate = 30\nceiling_burst = 60", 1)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for args, want := range map[string]struct {
+		code  int
+		tells string
+	}{
+		"--plan enterprise --instances 40 --units 4":  {Fine, "the store of one part, 1.5 units, never fills up to one request"},
+		"--plan enterprise --instances 40 --spread 4": {Fine, "10.0%"},
+		"--plan enterprise":                           {Fine, "1 instances, traffic through 1"},
+		"--plan p":                                    {Failed, "has no ceiling"},
+		"--plan q":                                    {Failed, "no plan"},
+		"--plan enterprise --term 5s":                 {Failed, "a term of 5s, pledges of 2s"},
+		"--plan enterprise --units 0":                 {Usage, "--units above 0"},
+		"":                                            {Usage, "takes explain with --config"},
+		"--plan enterprise --instances -1":            {Failed, "over -1 instances"},
+		"--plan enterprise --config /none/of/these":   {Failed, "none/of/these"},
+		"--plan enterprise --instances 40 --drift 0.005 --json": {Fine, `"case":"the counter answers"`},
+		"--plan enterprise --instances 40 --drift 0.5 --json":   {Failed, "wrong by 0.5"},
+	} {
+		code, out, errs := run(t, nil, append([]string{"allowance", "explain", "--config", file}, strings.Fields(args)...)...)
+		if code != want.code || !strings.Contains(out+errs, want.tells) {
+			t.Errorf("%s: exit %d\n%s%s", args, code, out, errs)
+		}
+	}
+	_, out, _ := run(t, nil, "allowance", "explain", "--config", file, "--plan", "enterprise", "--instances", "40", "--json")
+	var got struct {
+		Bound    allowance.Ceiling
+		Promises []allowance.Promise
+	}
+	if err := json.Unmarshal([]byte(out), &got); err != nil || got.Bound.Burst <= 60 || len(got.Promises) < 6 {
+		t.Errorf("%v: %s", err, out)
+	}
+	for _, p := range got.Promises {
+		if p.Over < 0 || p.Use < 0 || p.Use > 1 || p.Why == "" {
+			t.Errorf("%+v", p)
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -68,7 +68,7 @@
 
 func commands() []command {
 	return []command{serveCommand(), proxyCommand(), statusCommand(), upgradeCommand(), fleetCommand(), checkCommand(), planCommand(), routeCommand(),
-		demoCommand(), replayCommand(), tallyCommand(), simulateCommand(), measureCommand()}
+		allowanceCommand(), demoCommand(), replayCommand(), tallyCommand(), simulateCommand(), measureCommand()}
 }
 
 // Main runs a command line, without the program's name, and gives its exit code. SIGTERM and
