Bring calls for shared ceilings to a Redis server, where a script is the counter

The counter of internal/allowance as installations have one: a script on a Redis server, its state under the server's run id, so that a restart or a promoted replica begins with nothing lent. The client sends no call twice. A stand-in speaks RESP 2 and runs the very script by a Lua of its own; it can be slow, dark, cut off, replaced, set back, and refuse as LOADING, READONLY, MOVED, NOAUTH.

Not in service yet.

--- a/internal/allowance/counter.go
+++ b/internal/allowance/counter.go
@@ -1,7 +1,6 @@
 package allowance
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -90,6 +89,7 @@
 type store struct {
 	level float64
 	at    time.Duration
+	fills time.Duration // that it takes from empty to full
 }
 
 type loan struct {
@@ -199,9 +199,9 @@
 
 // least is the least that was pledged since a time, up to the latest note.
 func (c *Counter) least(since time.Duration) float64 {
-	i, found := slices.BinarySearchFunc(c.shares, since, func(s share, t time.Duration) int { return cmp.Compare(s.from, t) })
-	if !found {
-		i = max(0, i-1)
+	i := len(c.shares) - 1
+	for i > 0 && c.shares[i].from > since {
+		i--
 	}
 	return c.shares[i].part
 }
@@ -212,7 +212,7 @@
 	s := c.stores[key]
 	if s == nil {
 		c.sweep(now)
-		s = &store{at: now}
+		s = &store{at: now, fills: time.Duration(of.Burst / of.Rate * float64(time.Second))}
 		if c.without.empty {
 			s.level = of.Burst
 		}
@@ -237,14 +237,14 @@
 // sweepEvery is how many stores are kept before those of customers long gone are looked for.
 const sweepEvery = 1024
 
-// sweep forgets stores that nobody has asked for in ten minutes, once there are many. Where one was
-// not full, it is as full by then as it would be anew.
+// sweep forgets stores that nobody has asked for in ten minutes, and for longer than they take to
+// fill, once there are many: each is as it would be anew.
 func (c *Counter) sweep(now time.Duration) {
 	if n := len(c.stores); n == 0 || n%sweepEvery != 0 {
 		return
 	}
 	for k, s := range c.stores {
-		if now-s.at > 10*time.Minute {
+		if now-s.at > max(10*time.Minute, s.fills) {
 			delete(c.stores, k)
 		}
 	}
--- /dev/null
+++ b/internal/lender/lender_test.go
@@ -0,0 +1,195 @@
+package lender
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/allowance"
+	"lockflow/internal/redistest"
+)
+
+var rules = allowance.Rules{Instances: 4, Term: time.Second, Pledge: 2 * time.Second, Settle: 2 * time.Second}
+
+func eval(t *testing.T, s *redistest.Server, q *allowance.Call) allowance.Answer {
+	t.Helper()
+	args := []string{"EVAL", source, "1", "{x}"}
+	for _, a := range Args(q, rules) {
+		args = append(args, fmt.Sprint(a))
+	}
+	reply := s.Do(args...)
+	list, ok := reply.([]any)
+	if !ok {
+		t.Fatalf("%v", reply)
+	}
+	raw := make([]string, len(list))
+	for i, v := range list {
+		raw[i] = v.(string)
+	}
+	a, err := Parse(raw)
+	if err != nil {
+		t.Fatalf("%v: %q", err, raw)
+	}
+	return a
+}
+
+// The script answers each call as allowance.Counter does, whatever is asked in whatever order while
+// the clock steps, data is forgotten, and returns are made up.
+func TestScriptIsTheCounter(t *testing.T) {
+	lent, returned := 0, 0
+	for seed := range uint64(15) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		now := time.Unix(1_700_000_000, 0)
+		s := redistest.New()
+		s.Clock(func() time.Time { return now })
+		id := eval(t, s, &allowance.Call{From: "x"}).Counter
+		c := allowance.NewCounter(rules, id)
+		c.Handle(time.Duration(now.UnixMicro())*time.Microsecond, allowance.Call{From: "x"})
+		var grants []allowance.Grant
+		var owner []string
+		echo := time.Duration(now.UnixMicro()) * time.Microsecond
+		for step := range 300 {
+			now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
+			switch rng.IntN(60) {
+			case 0:
+				now = now.Add(-time.Duration(rng.IntN(3000)) * time.Millisecond)
+			case 1:
+				now = now.Add(time.Duration(rng.IntN(30)) * time.Second)
+			}
+			q := allowance.Call{From: fmt.Sprint("i", rng.IntN(4)), Counter: id, Echo: echo - time.Duration(rng.IntN(2500))*time.Millisecond}
+			if rng.IntN(4) > 0 {
+				q.Pledge = 0.25
+			}
+			if rng.IntN(50) == 0 {
+				q.Seen = uint64(rng.IntN(2000))
+			}
+			if rng.IntN(30) == 0 {
+				q.Counter = "another"
+			}
+			for range rng.IntN(3) {
+				q.Wants = append(q.Wants, allowance.Want{Key: fmt.Sprint("k ", rng.IntN(3)), Ceiling: allowance.Ceiling{Rate: 30, Burst: 60},
+					Units: rng.Float64() * 20, Need: rng.Float64() * 4})
+			}
+			for range rng.IntN(3) {
+				if len(grants) > 0 {
+					i := rng.IntN(len(grants))
+					g := grants[i]
+					if q.From = owner[i]; rng.IntN(4) == 0 {
+						q.From = "i1"
+					}
+					q.Gives = append(q.Gives, allowance.Give{Key: g.Key, Token: g.Token, Units: g.Units * rng.Float64() * 1.5})
+					returned++
+				}
+			}
+			at := time.Duration(now.UnixMicro()) * time.Microsecond
+			want, got := c.Handle(at, q), eval(t, s, &q)
+			same := want.Counter == got.Counter && want.Now == got.Now && want.Lends == got.Lends && len(want.Grants) == len(got.Grants)
+			for i := 0; same && i < len(want.Grants); i++ {
+				w, g := want.Grants[i], got.Grants[i]
+				same = w.Key == g.Key && w.Token == g.Token && math.Abs(w.Units-g.Units) < 1e-6
+			}
+			if !same {
+				t.Fatalf("seed %d, step %d: %+v\nthe counter: %+v\nthe script:  %+v", seed, step, q, want, got)
+			}
+			for _, g := range got.Grants {
+				grants, owner = append(grants, g), append(owner, q.From)
+			}
+			lent += len(got.Grants)
+			if want.Counter == id {
+				echo = at
+			}
+		}
+	}
+	if t.Logf("%d grants, %d returns", lent, returned); lent < 200 || returned < 200 {
+		t.Error("too little was played")
+	}
+}
+
+func start(t *testing.T) (*redistest.Server, *Client) {
+	t.Helper()
+	s, err := redistest.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	c := New(Options{Address: s.Addr(), Name: "a", Within: 5 * time.Second, Rules: rules})
+	t.Cleanup(func() { c.Close() })
+	return s, c
+}
+
+// A call over the network: a script that is not known yet is brought, an error is told once and
+// nothing is sent again.
+func TestCalls(t *testing.T) {
+	s, c := start(t)
+	call := func() (allowance.Answer, error) {
+		return c.Call(context.Background(), &allowance.Call{From: "i", Seq: 7})
+	}
+	a, err := call()
+	if err != nil || a.Counter == "" || a.Seq != 7 || a.Lends || s.Calls() != 1 {
+		t.Fatalf("%+v, %v, %d calls", a, err, s.Calls())
+	}
+	for _, text := range []string{"LOADING Redis is loading the dataset in memory", "READONLY You can't write against a read only replica.",
+		"MOVED 3999 127.0.0.1:6381", "NOAUTH Authentication required.", "OOM command not allowed when used memory > 'maxmemory'."} {
+		s.Set(0, text, false)
+		if _, err := call(); err == nil || !strings.Contains(err.Error(), strings.Fields(text)[0]) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	s.Set(0, "", false)
+	if n := s.Calls(); n != 1 {
+		t.Errorf("%d calls", n)
+	}
+	s.Replace()
+	b, err := call()
+	for range 3 { // connections of the pool that were cut
+		if err != nil {
+			b, err = call()
+		}
+	}
+	if err != nil || b.Counter == a.Counter {
+		t.Errorf("after it was replaced: %+v, %v", b, err)
+	}
+	s.Set(0, "", true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := c.Call(ctx, &allowance.Call{}); err == nil {
+		t.Error("no answer, and no error")
+	}
+}
+
+func TestPassword(t *testing.T) {
+	s, c := start(t)
+	s.Require("secret")
+	if _, err := c.Call(t.Context(), &allowance.Call{}); err == nil || !strings.Contains(err.Error(), "NOAUTH") {
+		t.Errorf("without: %v", err)
+	}
+	for password, fine := range map[string]bool{"secret": true, "other": false} {
+		c := New(Options{Address: s.Addr(), Password: password, Name: "a", Within: 5 * time.Second, Rules: rules})
+		if _, err := c.Call(t.Context(), &allowance.Call{}); (err == nil) != fine {
+			t.Errorf("%s: %v", password, err)
+		}
+		c.Close()
+	}
+}
+
+// Bad answers are errors; none panics, and no grant is read that is not one.
+func FuzzParse(f *testing.F) {
+	f.Add("id\x001700000000000000\x001\x00k\x005\x002.5")
+	f.Add("id\x00-1\x001")
+	f.Add("id\x001\x001\x00k\x005\x00NaN")
+	f.Fuzz(func(t *testing.T, raw string) {
+		a, err := Parse(strings.Split(raw, "\x00"))
+		if err != nil {
+			return
+		}
+		for _, g := range a.Grants {
+			if !(g.Units > 0) || math.IsInf(g.Units, 0) || a.Counter == "" || a.Now < 0 {
+				t.Errorf("%q: %+v", raw, a)
+			}
+		}
+	})
+}
