--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -122,9 +122,9 @@
 	"answers come late": func(w *world) {
 		w.asking = 0
 		w.Run(w.Now() + 4*time.Second)
-		w.asking, w.places[0].answers = 300, 6*time.Second
+		w.asking, w.places[0].answers = 1200, 6*time.Second
 		w.After(500*time.Millisecond, func() { w.asking, w.places[0].answers = 0, 0 })
-		w.After(5900*time.Millisecond, func() { w.asking = 300 })
+		w.After(5900*time.Millisecond, func() { w.asking = 1200 })
 	},
 	"replaced now and then": func(w *world) {
 		w.asking = 300
