Share ceilings over a group by Redis servers: counter in a service's settings

Ceilings by parts leave a customer that comes through many instances next to nothing. With counter = { addresses } a service's instances pledge their parts and borrow what requests need (internal/allowance, internal/lender); the module is told of requests that a shared ceiling lacks units for, and refuses them. The ledger goes over with a reload; an upgrade resigns its parts. Load refuses figures that can't keep to what a minute may hold, with the arithmetic.

Measured over loopback, six nodes under load, by the servers' own count: a counter that goes dark, refuses, is late, is replaced, set back, split in two, and reloads: never beyond the bound.

--- a/control/api.go
+++ b/control/api.go
@@ -163,6 +163,7 @@
 	Repeat   bool
 	Write    bool
 	NoRoom   bool // the gateway can't hold it: it has to be turned away
+	Over     bool // a ceiling that it shares with other gateways lacks its units: the same
 	// Open tells that its body is still to come: attempts for it last as long as the client sends,
 	// which says nothing of the server. They are no part of the bound, as answers that stream.
 	Open bool
--- a/control/control.go
+++ b/control/control.go
@@ -430,6 +430,9 @@
 	} else if e.NoRoom {
 		c.refuse(e.ID, NoRoom)
 		return
+	} else if e.Over {
+		c.refuse(e.ID, OverCeiling)
+		return
 	} else if k == nil || p == nil || !(e.Units >= 0) || e.TTL <= 0 {
 		c.refuse(e.ID, Unknown)
 		return
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -5,10 +5,16 @@
 	"time"
 )
 
+// TickEvery is how often Tick is wanted.
+const TickEvery = 10 * time.Millisecond
+
+// CallWithin is for how long a Holder waits for an answer.
+const CallWithin = 250 * time.Millisecond
+
 // What a holder does of itself; none of it bears on what is promised.
 const (
-	callEvery   = 10 * time.Millisecond  // calls follow each other by that at least
-	callWithin  = 250 * time.Millisecond // an answer is waited for
+	callEvery   = TickEvery              // calls follow each other by that at least
+	callWithin  = CallWithin             // an answer is waited for
 	patience    = 300 * time.Millisecond // a request waits for units at most
 	waitMost    = 64                     // requests of a customer that wait
 	aheadPart   = 0.2                    // of a term, that is borrowed ahead by the learned demand
@@ -32,7 +38,9 @@
 type Action struct {
 	Kind Kind
 	ID   uint64 // of the request
-	Call *Call  // to send
+	// Until is when what a request was let go on with ends; 0 where some of it was the holder's own part.
+	Until time.Duration
+	Call  *Call // to send
 }
 
 // Holder is an instance's side: it decides on its customers' requests. All times are of its own
@@ -201,13 +209,17 @@
 // least is the smallest part of a unit that counts: what is a sum of parts is never exactly one.
 const least = 1e-9
 
-// take spends units, of what ends first; false where there are too few.
-func (a *account) take(units float64) bool {
+// take spends units, of what ends first; false where there are too few. Until is when the first of
+// what was lent ends; 0 where some was the holder's own.
+func (a *account) take(units float64) (until time.Duration, ok bool) {
 	if a.level+a.lent() < units-least {
-		return false
+		return 0, false
 	}
 	for len(a.leases) > 0 && units > 0 {
 		l := &a.leases[0]
+		if until == 0 {
+			until = l.until
+		}
 		used := min(units, l.units)
 		l.units -= used
 		if units -= used; l.units > least {
@@ -215,8 +227,56 @@
 		}
 		a.leases = a.leases[1:]
 	}
+	if units > least {
+		until = 0
+	}
 	a.level -= units
-	return true
+	return until, true
+}
+
+// Refund gives back units that a Let has spent and that were never sent, until what they were lent by ends.
+func (h *Holder) Refund(now time.Duration, key string, units float64, until time.Duration) {
+	if a := h.accounts[key]; a != nil && now < until && units > 0 && len(a.leases) < leasesMost {
+		a.leases = append(a.leases, lease{0, units, until})
+		h.attend(a)
+	}
+}
+
+// Resign has it spend no more of its own part, and pledge it to nobody, for good: another instance is
+// to have it once its pledge has ended and the group has settled.
+func (h *Holder) Resign() {
+	h.ownFrom, h.pledgeFrom = never, never
+	for _, a := range h.accounts {
+		a.level, a.at = 0, never
+	}
+}
+
+const never = time.Duration(math.MaxInt64)
+
+// Status is what a holder has.
+type Status struct {
+	Identity  string  `json:"identity"`  // of the counter that it holds to; "" is none yet
+	Lends     bool    `json:"lends"`     // and whether it can borrow there now
+	Own       bool    `json:"own"`       // its part is its own to spend
+	Pledged   float64 `json:"pledged"`   // part of each ceiling that is pledged to that counter
+	Customers int     `json:"customers"` // that it knows of
+	Borrowed  float64 `json:"borrowed"`  // units that it holds
+	Waiting   int     `json:"waiting"`   // requests that wait for units
+	Calls     uint64  `json:"calls"`     // made
+}
+
+// Status tells what it has.
+func (h *Holder) Status(now time.Duration) Status {
+	s := Status{Identity: h.counter, Lends: h.borrows(), Own: now >= h.ownFrom, Customers: len(h.accounts), Calls: h.seq}
+	if !s.Own && h.counter != "" && now >= h.pledgeFrom {
+		s.Pledged = 1 / float64(h.size(now))
+	}
+	for _, a := range h.busy {
+		h.refill(now, a)
+		s.Borrowed += a.lent()
+		s.Waiting += len(a.waiting)
+	}
+	return s
 }
 
 // borrows tells whether there is a counter to ask.
@@ -228,9 +288,13 @@
 	k := math.Exp(-(now - a.asked).Seconds() / demandOver.Seconds())
 	a.demand, a.asked = a.demand*k+units/demandOver.Seconds(), now
 	todo := h.todo[:0]
+	until, ok := time.Duration(0), false
+	if len(a.waiting) == 0 {
+		until, ok = a.take(units)
+	}
 	switch {
-	case len(a.waiting) == 0 && a.take(units):
-		todo = append(todo, Action{Kind: Let, ID: id})
+	case ok:
+		todo = append(todo, Action{Kind: Let, ID: id, Until: until})
 		if h.borrows() && h.ahead(a, units) > 0 {
 			h.want(a)
 		}
@@ -381,9 +445,13 @@
 func (h *Holder) decide(a *account, todo []Action, over func(waiting) bool) []Action {
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
+		until, ok := time.Duration(0), false
+		if len(kept) == 0 {
+			until, ok = a.take(w.units)
+		}
 		switch {
-		case len(kept) == 0 && a.take(w.units):
-			todo = append(todo, Action{Kind: Let, ID: w.id})
+		case ok:
+			todo = append(todo, Action{Kind: Let, ID: w.id, Until: until})
 		case over(w):
 			todo = append(todo, Action{Kind: Deny, ID: w.id})
 		default:
--- a/internal/command/allowance.go
+++ b/internal/command/allowance.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,10 +23,10 @@
 			set.IntVar(&x.rules.Instances, "instances", 0, "`N` instances that a ceiling is divided over; the file's without it")
 			set.Float64Var(&x.units, "units", 1, "`N` units of a request")
 			set.IntVar(&x.spread, "spread", 0, "`N` instances that the customer comes through; all without it")
-			set.DurationVar(&x.rules.Term, "term", time.Second, "`TIME` for which units are lent")
-			set.DurationVar(&x.rules.Pledge, "pledge", 2*time.Second, "`TIME` for which an instance pledges its part")
-			set.DurationVar(&x.rules.Settle, "settle", 10*time.Second, "`TIME` within which all instances know of another number of them")
-			set.Float64Var(&x.rules.Drift, "drift", 0.001, "part by which a clock's rate may be wrong")
+			set.DurationVar(&x.rules.Term, "term", 0, "`TIME` for which units are lent; the file's or 1s without it")
+			set.DurationVar(&x.rules.Pledge, "pledge", 0, "`TIME` for which an instance pledges its part; the file's or 2s without it")
+			set.DurationVar(&x.rules.Settle, "settle", 0, "`TIME` within which all instances know of another number of them; the file's or 10s without it")
+			set.Float64Var(&x.rules.Drift, "drift", 0, "part by which a clock's rate may be wrong; the file's or 0.001 without it")
 			set.BoolVar(&x.json, "json", false, "prints JSON")
 			return func(_ context.Context, e *Env, args []string) error {
 				if len(args) != 1 || args[0] != "explain" || x.file == "" || x.plan == "" || !(x.units > 0) || x.spread < 0 {
@@ -57,9 +58,12 @@
 				continue
 			}
 			ceiling, found = allowance.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}, true
-			if x.rules.Instances == 0 {
-				x.rules.Instances = s.Settings.GroupSize
+			file := s.Counter.Rules
+			if file.Instances == 0 {
+				file = allowance.Rules{Instances: s.Settings.GroupSize, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
 			}
+			x.rules = allowance.Rules{Instances: cmp.Or(x.rules.Instances, file.Instances), Term: cmp.Or(x.rules.Term, file.Term),
+				Pledge: cmp.Or(x.rules.Pledge, file.Pledge), Settle: cmp.Or(x.rules.Settle, file.Settle), Drift: cmp.Or(x.rules.Drift, file.Drift)}
 		}
 	}
 	switch {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/allowance"
 	"lockflow/internal/certs"
 	"lockflow/internal/discovery"
 	"lockflow/internal/route"
@@ -88,6 +89,17 @@
 	TLS         certs.Options
 }
 
+// Counter is how a service's ceilings are shared over the group; its zero value shares none.
+type Counter struct {
+	Addresses    []string // of Redis servers; customers are spread over them
+	Name         string   // of what is counted there
+	Username     string
+	PasswordFile string
+	Within       time.Duration // a call has its answer
+	Rules        allowance.Rules
+	Ceilings     map[string]allowance.Ceiling // by plan
+}
+
 // Service is one service.
 type Service struct {
 	Name       string
@@ -100,6 +112,7 @@
 	Body       int64 // most bytes of a request's body; below zero is any number
 	Answer     int64 // and of an answer's
 	Servers    Servers
+	Counter    Counter
 	OnPanic    service.Policy
 	HTTP       *HTTP // what ordinary HTTP needs; nil is the platform's protocol
 	Record     Record
--- /dev/null
+++ b/internal/config/counter_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/allowance"
+)
+
+const withCounter = `
+protocol = "http"
+[process]
+instances = 3
+[[listeners]]
+address = "127.0.0.1:0"
+[classes.read]
+repeats = "free"
+[plans.enterprise]
+ceiling_rate = 30
+ceiling_burst = 60
+[services.app]
+counter = { addresses = ["127.0.0.1:6379"]MORE }
+source = { kind = "static", servers = [{ endpoint = "127.0.0.1:1" }] }
+[[routes]]
+service = "app"
+as = "read"
+`
+
+// What can't be kept by its figures is refused at load, by line, with the arithmetic.
+func TestCounter(t *testing.T) {
+	c, err := Parse("c.toml", []byte(strings.Replace(withCounter, "MORE", "", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := c.Services[0].Counter
+	want := allowance.Rules{Instances: 3, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
+	if got.Rules != want || got.Name != "app" || len(got.Ceilings) != 1 || got.Ceilings["enterprise"] != (allowance.Ceiling{Rate: 30, Burst: 60}) {
+		t.Errorf("%+v", got)
+	}
+	for more, wrong := range map[string]string{
+		`, term = "4s", pledge = "4s"`:              "plan enterprise: a minute may hold 180.2 + 60*30.03 units, which is 6.6% more than 60 + 60*30, and not 5.0%",
+		`, term = "4s", pledge = "4s", over = 0.07`: "",
+		`, term = "3s"`:                             "a term of 3s, pledges of 2s",
+		`, addresses = []`:                          "addresses",
+		`, name = "a b"`:                            `"a b" can't be a part of keys`,
+		`, within = "1s"`:                           "within",
+		`, drift = 0.5`:                             "drift",
+		`, password_file = "relative"`:              "password_file",
+		`, tokens = 1`:                              "unknown key",
+	} {
+		text := strings.Replace(withCounter, "MORE", more, 1)
+		if strings.Contains(more, "addresses") {
+			text = strings.Replace(withCounter, `addresses = ["127.0.0.1:6379"]MORE`, more[2:], 1)
+		}
+		_, err := Parse("c.toml", []byte(text))
+		if (err == nil) != (wrong == "") || err != nil && (!strings.Contains(err.Error(), wrong) || !strings.Contains(err.Error(), "c.toml:13")) {
+			t.Errorf("%s: %v", more, err)
+		}
+	}
+	for _, bad := range []string{`["127.0.0.1"]`, `["127.0.0.1:1", "127.0.0.1:1"]`} {
+		if _, err := Parse("c.toml", []byte(strings.Replace(withCounter, `["127.0.0.1:6379"]MORE`, bad, 1))); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+	none := strings.Replace(strings.Replace(withCounter, "ceiling_rate = 30\nceiling_burst = 60\n", "", 1), "MORE", "", 1)
+	if _, err := Parse("c.toml", []byte(none)); err == nil || !strings.Contains(err.Error(), "no plan of the service has a ceiling") {
+		t.Errorf("%v", err)
+	}
+	two := strings.Replace(strings.Replace(withCounter, "MORE", "", 1), "[[routes]]", `[services.other]
+counter = { addresses = ["127.0.0.1:6379"], name = "app" }
+source = { kind = "static", servers = [{ endpoint = "127.0.0.1:1" }] }
+[[routes]]`, 1)
+	if _, err := Parse("c.toml", []byte(two)); err == nil || !strings.Contains(err.Error(), `another service counts as "app"`) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/allowance"
 	"lockflow/internal/certs"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
@@ -80,11 +81,12 @@
 	classes map[string]control.Class
 	plans   map[string]control.Plan
 	group   struct{ size, index int }
-	speaks  int // the protocol of services that name none, among protocols
+	counted map[string]bool // names at counters
+	speaks  int             // the protocol of services that name none, among protocols
 }
 
 func (f *file) config(t table) Config {
-	r := &reader{f: f, classes: map[string]control.Class{}, plans: map[string]control.Plan{}}
+	r := &reader{f: f, classes: map[string]control.Class{}, plans: map[string]control.Plan{}, counted: map[string]bool{}}
 	var c Config
 	r.speaks = t.oneOf("protocol", protocols...)
 	process := t.sub("process")
@@ -282,6 +284,9 @@
 	}
 	s.Settings = set
 	s.Servers = servers(t.sub("servers"))
+	if t.has("counter") {
+		s.Counter = r.counter(t.sub("counter"), name, set.Plans)
+	}
 	if ordinary {
 		r.http(t, &s)
 	}
@@ -300,6 +305,56 @@
 	return s
 }
 
+// counter reads how a service's ceilings are shared. What can't be kept by its figures is wrong here,
+// and not found out in service.
+func (r *reader) counter(t table, name string, plans []control.Plan) Counter {
+	c := Counter{Addresses: t.texts("addresses"), Name: t.str("name", name), Username: t.str("username", ""), PasswordFile: path(t, "password_file"),
+		Within: t.span("within", 200*time.Millisecond, time.Millisecond, allowance.CallWithin), Ceilings: make(map[string]allowance.Ceiling)}
+	c.Rules = allowance.Rules{Instances: max(1, r.group.size), Term: t.span("term", time.Second, 10*time.Millisecond, time.Minute),
+		Pledge: t.span("pledge", 2*time.Second, 10*time.Millisecond, time.Hour), Settle: t.span("settle", 10*time.Second, 10*time.Millisecond, day),
+		Drift: t.number("drift", 0.001, 0, 0.1)}
+	most := t.number("over", 0.05, 0, 1)
+	if len(c.Addresses) == 0 {
+		t.wrong("addresses", "a counter needs one at least")
+	}
+	for i, a := range c.Addresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			t.wrong("addresses", "%q: %v", a, err)
+		}
+		if slices.Contains(c.Addresses[:i], a) {
+			t.wrong("addresses", "%q is there twice", a)
+		}
+	}
+	if c.Name == "" || strings.ContainsAny(c.Name, "{} \t\r\n") {
+		t.wrong("name", "%q can't be a part of keys", c.Name)
+	}
+	// Guards against two that each have a part of the same ceiling.
+	if r.counted[c.Name] {
+		t.wrong("name", "another service counts as %q", c.Name)
+	}
+	r.counted[c.Name] = true
+	if err := c.Rules.Check(); err != nil {
+		t.wrong("term", "%v", err)
+	}
+	for _, p := range plans {
+		if p.CeilingRate == 0 {
+			continue
+		}
+		of := allowance.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}
+		c.Ceilings[p.Name] = of
+		if over := c.Rules.Over(of, time.Minute); over > most {
+			b := c.Rules.Bound(of)
+			t.wrong("over", "plan %s: a minute may hold %.4g + 60*%.4g units, which is %.1f%% more than %.4g + 60*%.4g, and not %.1f%%: its term is too long, or clocks too wrong",
+				p.Name, b.Burst, b.Rate, 100*over, of.Burst, of.Rate, 100*most)
+		}
+	}
+	if len(c.Ceilings) == 0 {
+		t.wrong("addresses", "no plan of the service has a ceiling")
+	}
+	t.done()
+	return c
+}
+
 // servers reads how a service's servers are spoken to.
 func servers(t table) Servers {
 	s := Servers{Protocol: upstream.Speaks(t.oneOf("protocol", discovery.Protocols...))}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"lockflow/internal/config"
 	"lockflow/internal/front"
+	"lockflow/internal/lender"
 	"lockflow/internal/limits"
 	"lockflow/internal/service"
 )
@@ -58,9 +59,10 @@
 type running struct {
 	*service.Service
 	cfg        config.Service
-	parts      *account        // nil where nothing is shared
-	speaks     *front.Ordinary // nil where it speaks the platform's protocol
-	generation int             // in which it began
+	parts      *account         // nil where nothing is shared
+	speaks     *front.Ordinary  // nil where it speaks the platform's protocol
+	counters   []*lender.Client // that lend its ceilings
+	generation int              // in which it began
 	before     <-chan struct{}
 	stop       func()        // ends it with all that it holds; nil before it runs
 	over       chan struct{} // closed when it has ended, and those whose place it took
@@ -252,6 +254,9 @@
 			}
 		}
 		s.parts.close()
+		for _, c := range s.counters {
+			c.Close()
+		}
 		n.mu.Lock()
 		n.serving--
 		delete(n.older, s.Service)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 
 	"lockflow/control"
 	"lockflow/internal/certs"
 	"lockflow/internal/config"
 	"lockflow/internal/customer"
 	"lockflow/internal/front"
+	"lockflow/internal/lender"
 	"lockflow/internal/record"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
@@ -192,6 +194,18 @@
 	if share {
 		o.Share = was.Upstream()
 	}
+	var counters []*lender.Client
+	if len(c.Counter.Addresses) > 0 {
+		if o.Shared, counters, err = shared(c.Counter); err != nil {
+			a.close()
+			return nil, fmt.Errorf("service %s: counter: %w", c.Name, err)
+		}
+		o.Settings.Plans = slices.Clone(o.Settings.Plans)
+		for i := range o.Settings.Plans {
+			p := &o.Settings.Plans[i]
+			p.CeilingRate, p.CeilingBurst, p.CeilingSlack = 0, 0, 0 // held before the module
+		}
+	}
 	if was != nil {
 		o.Known = was.Known()
 		o.Known.Rev = 0 // of maybe another source
@@ -204,13 +218,32 @@
 	if a != nil {
 		a.upstream.Store(s.Upstream())
 	}
-	r := &running{Service: s, cfg: c, parts: a, speaks: speaks, over: make(chan struct{})}
+	r := &running{Service: s, cfg: c, parts: a, speaks: speaks, counters: counters, over: make(chan struct{})}
 	if was != nil {
 		r.before = was.over
 	}
 	return r, nil
 }
 
+// shared makes what a service needs to have its ceilings lent.
+func shared(c config.Counter) (*service.Shared, []*lender.Client, error) {
+	password := ""
+	if c.PasswordFile != "" {
+		raw, err := os.ReadFile(c.PasswordFile)
+		if err != nil {
+			return nil, nil, err
+		}
+		password = strings.TrimRight(string(raw), "\r\n")
+	}
+	s := &service.Shared{Rules: c.Rules, Ceilings: c.Ceilings, Names: c.Addresses}
+	var all []*lender.Client
+	for _, address := range c.Addresses {
+		l := lender.New(lender.Options{Address: address, Username: c.Username, Password: password, Name: c.Name, Within: c.Within, Rules: c.Rules})
+		s.Counters, all = append(s.Counters, l), append(all, l)
+	}
+	return s, all, nil
+}
+
 // recorded is a service's module with a recorder before it.
 func recorded(c config.Service, seed uint64) (service.Module, error) {
 	m, err := control.New(c.Settings, seed)
--- /dev/null
+++ b/internal/node/shared_test.go
@@ -0,0 +1,202 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/allowance"
+	"lockflow/internal/lab"
+	"lockflow/internal/lab/labtest"
+	"lockflow/internal/redistest"
+	"lockflow/internal/standin"
+	"lockflow/internal/testkit"
+)
+
+// sharedFleet is nodes that share an enterprise customer's ceiling by counters.
+type sharedFleet struct {
+	nodes    []*lab.Lab
+	counter  *redistest.Server // the first of counters
+	ceiling  *standin.Ceiling
+	texts    []string
+	allowed  allowance.Ceiling
+	sent     func() float64
+	counters []*redistest.Server
+}
+
+// beginShared starts nodes with a counter, and further counters that nodes hold to from a number on.
+func beginShared(t *testing.T, nodes int, counters ...int) *sharedFleet {
+	t.Helper()
+	const rate, burst = 100, 50
+	rules := allowance.Rules{Instances: nodes, Term: 200 * time.Millisecond, Pledge: 400 * time.Millisecond, Settle: 500 * time.Millisecond, Drift: 0.001}
+	f := &sharedFleet{allowed: rules.Bound(allowance.Ceiling{Rate: rate, Burst: burst})}
+	f.ceiling = &standin.Ceiling{Rate: f.allowed.Rate, Burst: f.allowed.Burst}
+	f.sent = func() float64 { _, units := f.ceiling.Over(); return units }
+	app, err := standin.Server{UID: "s", Ceiling: f.ceiling}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(app.Close)
+	for range 1 + len(counters) {
+		c, err := redistest.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		f.counters = append(f.counters, c)
+	}
+	f.counter = f.counters[0]
+	for i := range nodes {
+		at := 0
+		for k, first := range counters {
+			if i >= first {
+				at = k + 1
+			}
+		}
+		text := strings.Replace(head, "[process]\n", fmt.Sprintf("[process]\ninstances = %d\ninstance = %d\n", nodes, i), 1) + fmt.Sprintf(`[plans.enterprise]
+ceiling_rate = %d
+ceiling_burst = %d
+[services.a]
+counter = { addresses = [%q], term = "200ms", pledge = "400ms", settle = "500ms", over = 0.5 }
+[services.a.source]
+kind = "static"
+[[services.a.source.servers]]
+uid = "s"
+endpoint = %q
+[[routes]]
+service = "a"
+prefix = "/"
+as = "read"
+`, rate, burst, f.counters[at].Addr(), app.Addr())
+		f.texts = append(f.texts, text)
+		f.nodes = append(f.nodes, labtest.Begin(t, text, nil))
+	}
+	return f
+}
+
+// load has one customer ask for far more than its ceiling through all nodes, until the test ends.
+func (f *sharedFleet) load(t *testing.T) *standin.Run {
+	addrs := make([]string, len(f.nodes))
+	for i, n := range f.nodes {
+		addrs[i] = n.Node.Addr()
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	run := standin.Clients{Seed: 1, Workers: 3 * len(addrs), Every: time.Second / 300,
+		Pick: func(rng *rand.Rand, _ standin.Call, _ string) string { return addrs[rng.IntN(len(addrs))] },
+		Call: func(rng *rand.Rand) standin.Call {
+			return standin.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "enterprise", Customer: 7, Units: 1 + rng.IntN(4), Deadline: 3 * time.Second}
+		}}.Start(ctx)
+	t.Cleanup(func() {
+		stop()
+		if r := run.Wait()["r"]; r.Lost+r.Wrong > 0 {
+			t.Errorf("%+v", *r)
+		}
+		worst, units := f.ceiling.Over()
+		if t.Logf("%.0f units; nearest to the bound of %.0f and %.0f a second: %.1f beyond", units, f.allowed.Burst, f.allowed.Rate, worst); worst > 0 {
+			t.Errorf("%.1f units beyond the bound", worst)
+		}
+	})
+	return run
+}
+
+// more waits until the servers have had more units.
+func (f *sharedFleet) more(t *testing.T, units float64) {
+	t.Helper()
+	want := f.sent() + units
+	testkit.Until(t, fmt.Sprint(units, " units more"), func() bool { return f.sent() >= want })
+}
+
+// all waits until each node tells that of shared ceilings.
+func (f *sharedFleet) all(t *testing.T, what string, is func(allowance.Status) bool) {
+	t.Helper()
+	testkit.Until(t, what, func() bool {
+		for _, n := range f.nodes {
+			for _, s := range n.Node.Status()[0].Shared {
+				if !is(s.Status) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func lends(s allowance.Status) bool  { return s.Lends && s.Pledged > 0 }
+func itsOwn(s allowance.Status) bool { return s.Own }
+
+// Whole nodes over a counter that is lost, late, refuses, goes dark, is replaced by an empty one and
+// restored: by the servers' own count the customer keeps to its ceiling throughout, and goes on
+// being served: by lent units, or by the nodes' own parts.
+func TestSharedCeiling(t *testing.T) {
+	t.Parallel()
+	f := beginShared(t, 6)
+	f.load(t)
+	f.all(t, "a counter that lends", lends)
+	f.more(t, 100)
+	for _, trouble := range []func(){
+		func() { f.counter.Set(0, "", true) },
+		func() { f.counter.Set(0, "LOADING Redis is loading the dataset in memory", false) },
+		func() { f.counter.Set(2*time.Second, "", false) },
+	} {
+		trouble()
+		f.counter.Cut()
+		f.all(t, "parts of its own", itsOwn)
+		f.more(t, 30)
+		f.counter.Set(0, "", false)
+		f.all(t, "a counter that lends again", lends)
+		f.more(t, 30)
+	}
+	for range 3 {
+		f.counter.Replace()
+		f.more(t, 30)
+	}
+	for range 3 {
+		restore := f.counter.Snapshot()
+		f.more(t, 10)
+		restore()
+	}
+	f.all(t, "a counter that lends in the end", lends)
+}
+
+// A split in which each half has a counter, which knows nothing of the other: each lends the parts
+// of its own nodes.
+func TestSharedCeilingSplit(t *testing.T) {
+	t.Parallel()
+	f := beginShared(t, 6, 3)
+	f.load(t)
+	f.all(t, "counters that lend", lends)
+	f.more(t, 200)
+	for _, c := range f.counters {
+		if c.Calls() == 0 {
+			t.Error("a counter was not asked")
+		}
+	}
+}
+
+// Reloads, one of them to another counter, open no ceiling anew; a customer that comes through one
+// node only has all of it.
+func TestSharedCeilingReload(t *testing.T) {
+	t.Parallel()
+	f := beginShared(t, 4, 4) // the second counter is nobody's yet
+	f.load(t)
+	f.all(t, "a counter that lends", lends)
+	for i := range 6 {
+		for k, n := range f.nodes {
+			text := strings.Replace(f.texts[k], "[services.a]\n", fmt.Sprintf("[services.a]\nattempts = %d\n", 3+i%2), 1)
+			if i >= 4 {
+				text = strings.Replace(text, f.counters[0].Addr(), f.counters[1].Addr(), 1)
+			}
+			if err := n.Reload(text); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.more(t, 20)
+	}
+	f.all(t, "another counter that lends", lends)
+	if f.counters[1].Calls() == 0 {
+		t.Error("the other counter was not asked")
+	}
+}
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -49,6 +49,7 @@
 	last  control.Reason
 	said  upstream.Outcome // the last real answer of a server that was not final
 	count *ClassCounts     // nil where nothing is counted
+	lent  lent             // of a ceiling that is shared
 }
 
 // keep has the loop hold what is booked, unless the front, which held it first, has let go.
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -74,7 +74,10 @@
 // control.Controller.HandOver.
 func (s *Service) HandOver(give float64) (st State, ok bool) {
 	l := s.current()
-	ok = l.keep(func(k Keeper) { st = l.state(k.HandOver(l.now(), give)) })
+	ok = l.keep(func(k Keeper) {
+		st = l.state(k.HandOver(l.now(), give))
+		l.resign()
+	})
 	return st, ok
 }
 
@@ -83,6 +86,9 @@
 func (s *Service) Rejoin(given *State) {
 	l := s.current()
 	l.keep(func(k Keeper) {
+		if l.ledger != nil { // the other's parts may not have ended
+			l.ledger.begin()
+		}
 		if given == nil {
 			k.Rejoin(l.now(), nil)
 			return
@@ -101,7 +107,8 @@
 // handed is what a service hands to the one that takes its place.
 type handed struct {
 	State
-	pools map[string]*upstream.Pool // by uid; nil where the other has connections of its own
+	pools  map[string]*upstream.Pool // by uid; nil where the other has connections of its own
+	ledger *ledger                   // of shared ceilings; nil where none are
 }
 
 func (s *Service) restoreFrom(from func() (handed, bool), trust control.Trust) {
@@ -109,6 +116,7 @@
 	l.post(func() {
 		k, keeps := l.module.(Keeper)
 		st, ok := from()
+		l.takeOver(st.ledger)
 		for uid, p := range st.pools {
 			if to := l.pools[l.ids[uid]]; to != nil && to.Endpoint == p.Endpoint {
 				l.upstream.Join(p, to)
@@ -163,6 +171,7 @@
 				}
 			}
 		}
+		h.ledger = l.leave(next)
 		gave <- h
 		l.next, l.gave = next, h.pools
 	})
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -59,6 +59,7 @@
 	counts      map[string]*ClassCounts   // by class; nil where nothing is counted
 	outAt       map[uint32]int            // attempts out by server, for the census
 	tally       *book                     // nil where nothing is written
+	ledger      *ledger                   // of ceilings that are shared; nil where none are
 }
 
 func newLoop(m Module, o *Options, up *upstream.Upstream, log *slog.Logger) *loop {
@@ -76,6 +77,7 @@
 	if o.Tally != nil {
 		l.tally = newBook(o.Tally, o.Settings.Plans)
 	}
+	l.ledger = newLedger(o.Shared)
 	if o.Census {
 		l.census, l.outAt = census.New(o.Settings.GroupSize), make(map[uint32]int)
 	}
@@ -215,6 +217,9 @@
 	if l.counts != nil {
 		x.count = l.counts[x.Req.Class]
 	}
+	if l.ask(x) {
+		return
+	}
 	x.Req.TTL = time.Until(x.Deadline)
 	l.handle(x.Req)
 }
@@ -265,6 +270,7 @@
 		if l.tally != nil {
 			l.tally.ended(x, a)
 		}
+		l.unspent(x)
 	}
 	l.release(x)
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -65,6 +65,7 @@
 	Census     bool                   // whether the group's size is estimated by servers' reports
 	OnReady    func()                 // called once, when there is a server to send to; may be nil
 	ModuleTime func(time.Duration)    // told of the module's own time at each event; may be nil
+	Shared     *Shared                // ceilings that are lent by counters; nil has the module hold them
 	Module     func() (Module, error) // makes the module; nil is a control.Controller of Settings
 }
 
@@ -210,6 +211,9 @@
 	defer stop()
 	parts.Go(func() { s.feed.Run(life) })
 	parts.Go(func() { s.upstream.Sweep(life) })
+	if s.opts.Shared != nil {
+		parts.Go(func() { s.ticks(life) })
+	}
 	parts.Go(func() {
 		select {
 		case <-s.unused:
@@ -397,6 +401,8 @@
 	Cut      int64  `json:"cut"`      // of them, broken off because another service asked for what is its own
 	// HTTP2 is what requests share; nil where servers are spoken to by HTTP/1.1 alone.
 	HTTP2 *upstream.Shared `json:"http2,omitempty"`
+	// Shared is what it has of ceilings that counters lend; none where nothing is shared.
+	Shared []SharedStatus `json:"shared,omitempty"`
 	// Bound is how many attempts the module lets out at once; 0 where it doesn't tell.
 	Bound float64 `json:"bound"`
 	// Group is the least and the most that the group's size may be by the servers' reports of
@@ -423,6 +429,7 @@
 			}
 		}
 		st.Bound = l.bound()
+		st.Shared = l.shared()
 		if l.census != nil {
 			st.Group[0], st.Group[1], _ = l.census.Seen(l.now())
 			st.GroupDoubts = l.census.Doubts(l.now())
--- /dev/null
+++ b/internal/service/shared.go
@@ -0,0 +1,239 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"reflect"
+	"time"
+
+	"lockflow/internal/allowance"
+)
+
+// Counter is asked for units of shared ceilings. It is safe for concurrent use.
+type Counter interface {
+	Call(context.Context, *allowance.Call) (allowance.Answer, error)
+}
+
+// Shared has a service's ceilings lent by counters. The module is told of what they refuse, and holds
+// no ceilings of its own.
+type Shared struct {
+	Rules    allowance.Rules
+	Ceilings map[string]allowance.Ceiling // by plan
+	Names    []string                     // of the counters; customers fall to them by these
+	Counters []Counter
+}
+
+// SharedStatus is what a service has of shared ceilings at one counter.
+type SharedStatus struct {
+	Counter string `json:"counter"` // its name in the configuration
+	allowance.Status
+}
+
+// ledger is the loop's side of Shared. It goes from a service to the one that takes its place.
+type ledger struct {
+	*Shared
+	start   time.Time
+	holders []*allowance.Holder
+	next    uint64
+	asked   map[uint64]*Exchange // of which the holder has not decided
+	failed  []error              // why the last call to each counter did
+}
+
+func newLedger(o *Shared) *ledger {
+	if o == nil || len(o.Counters) == 0 || len(o.Ceilings) == 0 {
+		return nil
+	}
+	g := &ledger{Shared: o, start: time.Now(), asked: make(map[uint64]*Exchange), failed: make([]error, len(o.Counters))}
+	g.begin()
+	return g
+}
+
+// begin makes holders that have nothing.
+func (g *ledger) begin() {
+	g.holders = make([]*allowance.Holder, len(g.Counters))
+	for i := range g.holders {
+		g.holders[i] = allowance.NewHolder(g.now(), g.Rules, fmt.Sprintf("%016x", rand.Uint64()))
+	}
+}
+
+func (g *ledger) now() time.Duration { return time.Since(g.start) }
+
+// of is the counter that a customer falls to: the one whose name and the customer's hash highest
+// together, so that a counter more or less moves the fewest.
+func (g *ledger) of(key string) (best int) {
+	var most uint64
+	for i, name := range g.Names {
+		h := fnv.New64a()
+		h.Write([]byte(name))
+		h.Write([]byte{0})
+		h.Write([]byte(key))
+		if sum := h.Sum64() * 0x9e3779b97f4a7c15; i == 0 || sum > most {
+			best, most = i, sum
+		}
+	}
+	return best
+}
+
+// sharedKey is a customer's name at the counters. It holds no blank, by which a script takes fields apart.
+func sharedKey(plan, customer string) string { return plan + "/" + customer }
+
+// ask has a request's ceiling decide on it, before the module hears of it; false where it has none.
+func (l *loop) ask(x *Exchange) bool {
+	g := l.ledger
+	if g == nil || x.Req.NoRoom {
+		return false
+	}
+	c, ok := g.Ceilings[x.Req.Plan]
+	if !ok {
+		return false
+	}
+	g.next++
+	g.asked[g.next] = x
+	x.lent = lent{key: sharedKey(x.Req.Plan, x.Req.Customer), units: x.Req.Units}
+	i := g.of(x.lent.key)
+	l.share(i, g.holders[i].Ask(g.now(), g.next, x.lent.key, c, x.Req.Units))
+	return true
+}
+
+// lent is what of a shared ceiling a request may spend.
+type lent struct {
+	key   string
+	units float64
+	until time.Duration // by the ledger's clock; 0 is nothing that can be given back
+}
+
+// share does what a holder wants done.
+func (l *loop) share(i int, todo []allowance.Action) {
+	g := l.ledger
+	for _, a := range todo {
+		if a.Kind == allowance.Send {
+			q, c := a.Call, g.Counters[i]
+			go func() {
+				r, err := c.Call(l.life, q)
+				l.post(func() { l.heard(g, i, r, err) })
+			}()
+			continue
+		}
+		x := g.asked[a.ID]
+		delete(g.asked, a.ID)
+		switch {
+		case x == nil: // another service has it
+			continue
+		case x.done: // its client has left
+			if a.Kind == allowance.Let {
+				g.holders[i].Refund(g.now(), x.lent.key, x.lent.units, a.Until)
+			}
+			continue
+		case a.Kind == allowance.Let:
+			x.lent.until = a.Until
+		default:
+			x.Req.Over = true
+		}
+		x.Req.TTL = time.Until(x.Deadline)
+		l.handle(x.Req)
+	}
+}
+
+// heard takes a counter's answer. One to a ledger that another service has by now comes too late.
+func (l *loop) heard(g *ledger, i int, r allowance.Answer, err error) {
+	if l.ledger != g {
+		return
+	}
+	if err == nil {
+		if g.failed[i] != nil {
+			l.log.Info("counter: it answers again", "counter", g.Names[i])
+		}
+		g.failed[i] = nil
+		l.share(i, g.holders[i].Answered(g.now(), r))
+		return
+	}
+	if g.failed[i] == nil {
+		l.log.Warn("counter: a call failed", "counter", g.Names[i], "err", err)
+	}
+	g.failed[i] = err
+	l.share(i, g.holders[i].Lost(g.now()))
+}
+
+// ticks has the holders do what is due by time, until the service ends.
+func (s *Service) ticks(ctx context.Context) {
+	t := time.NewTicker(allowance.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		l := s.current()
+		l.post(func() {
+			if g := l.ledger; g != nil {
+				for i, h := range g.holders {
+					l.share(i, h.Tick(g.now()))
+				}
+			}
+		})
+	}
+}
+
+// unspent gives back what a request was lent that was never sent.
+func (l *loop) unspent(x *Exchange) {
+	if g := l.ledger; g != nil && x.lent.until > 0 && x.sends == 0 {
+		g.holders[g.of(x.lent.key)].Refund(g.now(), x.lent.key, x.lent.units, x.lent.until)
+	}
+	x.lent.until = 0
+}
+
+// leave takes the ledger from a loop whose place another takes. Requests on which it has not
+// decided go to that one.
+func (l *loop) leave(next *Service) *ledger {
+	g := l.ledger
+	if l.ledger = nil; g == nil {
+		return nil
+	}
+	for id, x := range g.asked {
+		delete(g.asked, id)
+		if !x.done && next != nil && next.takes(x) {
+			delete(l.exchanges, x.Req.ID)
+			x.done = true
+			x.answer <- Answer{next: next}
+			x.drop()
+			x.done = false
+			continue
+		}
+		l.giveUp(x, Answer{Kind: Refused, Status: 503, RetryAfter: time.Second})
+	}
+	return g
+}
+
+// takeOver has a loop go on with the ledger of the one whose place it takes, where that has the same
+// parts of the same ceilings; else that one's are let go of, and this one's begin with nothing.
+func (l *loop) takeOver(g *ledger) {
+	switch {
+	case g == nil || l.ledger == nil:
+	case reflect.DeepEqual(g.Names, l.ledger.Names) && g.Rules == l.ledger.Rules:
+		g.Shared = l.ledger.Shared // ceilings may be others
+		l.ledger = g
+	}
+}
+
+// resign has the ledger spend no more of its own parts, for another process that is to have them.
+func (l *loop) resign() {
+	if l.ledger != nil {
+		for _, h := range l.ledger.holders {
+			h.Resign()
+		}
+	}
+}
+
+// shared is for Status.
+func (l *loop) shared() (all []SharedStatus) {
+	if g := l.ledger; g != nil {
+		for i, h := range g.holders {
+			s := SharedStatus{Counter: g.Names[i], Status: h.Status(g.now())}
+			all = append(all, s)
+		}
+	}
+	return all
+}
