Bound what one call to a counter asks for; measure calls and memory by customers

A call could ask for every customer that an instance knows: one script run of any length. It asks for 256 at most, and returns from as many; the rest goes with the next.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -446,3 +448,108 @@
 		h.Ask(now, uint64(i), keys[i%len(keys)], Ceiling{1e6, 1e6}, 1)
 	}
 }
+
+// A call asks for so many customers at the most; those left are asked for by the next.
+func TestManyWants(t *testing.T) {
+	h := NewHolder(0, rules, "i")
+	now := rules.Settle
+	answer := func(q *Call, lends bool) []Action {
+		r := Answer{Counter: "c", Seq: q.Seq, Now: now, Lends: lends}
+		for i, w := range q.Wants {
+			r.Grants = append(r.Grants, Grant{w.Key, q.Seq*1000 + uint64(i) + 1, w.Units})
+		}
+		return h.Answered(now, r)
+	}
+	send := func(todo []Action) *Call {
+		for _, a := range todo {
+			if a.Kind == Send {
+				return a.Call
+			}
+		}
+		return nil
+	}
+	answer(send(h.Tick(now)), true)
+	now += rules.Pledge / 5
+	first := send(h.Tick(now))
+	for i := range 600 {
+		h.Ask(now, uint64(i), strconv.Itoa(i), cap30, 1)
+	}
+	let, calls := 0, 0
+	for q := first; q != nil && calls < 10; calls++ {
+		if len(q.Wants) > wantsMost {
+			t.Errorf("%d wants", len(q.Wants))
+		}
+		now += callEvery
+		todo := answer(q, true)
+		for _, a := range todo {
+			if a.Kind == Let {
+				let++
+			}
+		}
+		if q = send(todo); q == nil {
+			q = send(h.Tick(now))
+		}
+	}
+	if let != 600 || calls < 4 {
+		t.Errorf("%d of 600 let go on in %d calls", let, calls)
+	}
+}
+
+// BenchmarkFleet is forty instances over one counter, by the number of customers: 2,000 requests a second
+// in all, in virtual time.
+func BenchmarkFleet(b *testing.B) {
+	for _, customers := range []int{1_000, 100_000} {
+		b.Run(strconv.Itoa(customers), func(b *testing.B) {
+			for b.Loop() {
+				rng := rand.New(rand.NewPCG(1, 2))
+				c := NewCounter(rules, "c")
+				holders := make([]*Holder, 40)
+				for i := range holders {
+					holders[i] = NewHolder(0, rules, strconv.Itoa(i))
+				}
+				keys := make([]string, customers)
+				for i := range keys {
+					keys[i] = strconv.Itoa(i)
+				}
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				calls, let, denied := 0, 0, 0
+				var do func(h *Holder, now time.Duration, todo []Action)
+				do = func(h *Holder, now time.Duration, todo []Action) {
+					for _, a := range slices.Clone(todo) {
+						switch a.Kind {
+						case Let:
+							let++
+						case Deny:
+							denied++
+						case Send:
+							calls++
+							do(h, now, h.Answered(now, c.Handle(now, *a.Call)))
+						}
+					}
+				}
+				const seconds = 30
+				for now := rules.Settle; now < rules.Settle+seconds*time.Second; now += TickEvery {
+					for _, h := range holders {
+						do(h, now, h.Tick(now))
+					}
+					for i := range 20 {
+						h := holders[rng.IntN(len(holders))]
+						do(h, now, h.Ask(now, uint64(i), keys[rng.IntN(customers)], cap30, 1))
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				known := 0
+				for _, h := range holders {
+					known += len(h.accounts)
+				}
+				b.ReportMetric(float64(calls)/seconds/40, "calls/s/instance")
+				b.ReportMetric(float64(let)/float64(let+denied), "let")
+				b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/float64(known), "B/customer/instance")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,6 +24,7 @@
 	accountsMax = 200_000                // customers that are known
 	leasesMost  = 8                      // of a customer
 	sentMost    = 16                     // calls whose answer may still come
+	wantsMost   = 256                    // customers that one call asks for, and that it returns from
 )
 
 // Kind is that of an Action.
@@ -345,15 +347,17 @@
 		return todo
 	}
 	h.seq++
-	q := &Call{From: h.self, Seq: h.seq, Counter: h.counter, Echo: h.echo, Seen: h.seen, Gives: h.gives}
+	q := &Call{From: h.self, Seq: h.seq, Counter: h.counter, Echo: h.echo, Seen: h.seen}
+	n := min(len(h.gives), wantsMost)
+	q.Gives, h.gives = h.gives[:n:n], h.gives[n:]
 	// The pledge counts from the counter's own time, however late this call comes.
 	// To one whose answers come too late to be of use nothing is pledged.
 	if ends := h.echoAt + stretch(h.rules.Pledge, h.rules.Drift); h.counter != "" && now >= h.pledgeFrom && now < ends && h.echoFor <= callWithin {
 		q.Pledge = 1 / float64(h.size(now))
 		h.ownFrom = max(h.ownFrom, ends)
 	}
-	h.gives = nil
-	for _, a := range h.wanting {
+	n = min(len(h.wanting), wantsMost)
+	for _, a := range h.wanting[:n] {
 		a.wants = false
 		w := Want{Key: a.key, Ceiling: a.ceiling}
 		have := a.level + a.lent()
@@ -370,7 +374,8 @@
 			q.Wants = append(q.Wants, w)
 		}
 	}
-	h.asked, h.wanting = h.wanting, h.asked[:0]
+	h.asked = append(h.asked[:0], h.wanting[:n]...)
+	h.wanting = slices.Delete(h.wanting, 0, n)
 	if len(h.sent) >= sentMost {
 		for s := range h.sent {
 			if s+sentMost <= h.seq {
