Let go of a request before the service that takes it over can have it

A request that waits for units of a shared ceiling as its service is replaced was sent to the next one before the old loop had let go of it: under -race a read in one loop met a write in the other. It is let go of first; a test in virtual time has requests wait over a replacement, and only the next module hears of them.

--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -155,6 +155,14 @@
 	return a
 }
 
+// Key is a customer's name as a string; of one that is known it is made of nothing new.
+func (h *Holder) Key(name []byte) string {
+	if a := h.accounts[string(name)]; a != nil {
+		return a.key
+	}
+	return string(name)
+}
+
 // evict makes room for another customer. One whose part is not full is not to have a full one
 // again: whoever is new from now on begins empty.
 func (h *Holder) evict(now time.Duration) {
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -39,6 +38,7 @@
 	next    uint64
 	asked   map[uint64]*Exchange // of which the holder has not decided
 	failed  []error              // why the last call to each counter did
+	name    []byte               // room for a customer's name
 }
 
 func newLedger(o *Shared) *ledger {
@@ -60,24 +60,32 @@
 
 func (g *ledger) now() time.Duration { return time.Since(g.start) }
 
-// of is the counter that a customer falls to: the one whose name and the customer's hash highest
-// together, so that a counter more or less moves the fewest.
-func (g *ledger) of(key string) (best int) {
+// of is the counter that a customer falls to, the one whose name and the customer's hash highest
+// together, so that a counter more or less moves the fewest; and the customer's name there.
+func (g *ledger) of(plan, customer string) (best int, key string) {
+	g.name = append(append(append(g.name[:0], plan...), '/'), customer...)
 	var most uint64
-	for i, name := range g.Names {
-		h := fnv.New64a()
-		h.Write([]byte(name))
-		h.Write([]byte{0})
-		h.Write([]byte(key))
-		if sum := h.Sum64() * 0x9e3779b97f4a7c15; i == 0 || sum > most {
+	for i := 0; len(g.Names) > 1 && i < len(g.Names); i++ {
+		if sum := hash(g.Names[i], g.name); i == 0 || sum > most {
 			best, most = i, sum
 		}
 	}
-	return best
+	return best, g.holders[best].Key(g.name)
 }
 
-// sharedKey is a customer's name at the counters. It holds no blank, by which a script takes fields apart.
-func sharedKey(plan, customer string) string { return plan + "/" + customer }
+// hash is FNV-1a of both, mixed: of names that differ in their last byte only it leaves the highest bits alike.
+func hash(name string, key []byte) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	for _, b := range key {
+		h = (h ^ uint64(b)) * 1099511628211
+	}
+	h ^= h >> 32
+	h *= 0x9e3779b97f4a7c15
+	return h ^ h>>29
+}
 
 // ask has a request's ceiling decide on it, before the module hears of it; false where it has none.
 func (l *loop) ask(x *Exchange) bool {
@@ -91,14 +99,15 @@
 	}
 	g.next++
 	g.asked[g.next] = x
-	x.lent = lent{key: sharedKey(x.Req.Plan, x.Req.Customer), units: x.Req.Units}
-	i := g.of(x.lent.key)
-	l.share(i, g.holders[i].Ask(g.now(), g.next, x.lent.key, c, x.Req.Units))
+	i, key := g.of(x.Req.Plan, x.Req.Customer)
+	x.lent = lent{at: i, key: key, units: x.Req.Units}
+	l.share(i, g.holders[i].Ask(g.now(), g.next, key, c, x.Req.Units))
 	return true
 }
 
 // lent is what of a shared ceiling a request may spend.
 type lent struct {
+	at    int // number of the counter
 	key   string
 	units float64
 	until time.Duration // by the ledger's clock; 0 is nothing that can be given back
@@ -180,7 +189,7 @@
 // unspent gives back what a request was lent that was never sent.
 func (l *loop) unspent(x *Exchange) {
 	if g := l.ledger; g != nil && x.lent.until > 0 && x.sends == 0 {
-		g.holders[g.of(x.lent.key)].Refund(g.now(), x.lent.key, x.lent.units, x.lent.until)
+		g.holders[x.lent.at].Refund(g.now(), x.lent.key, x.lent.units, x.lent.until)
 	}
 	x.lent.until = 0
 }
@@ -196,10 +205,8 @@
 		delete(g.asked, id)
 		if !x.done && next != nil && next.takes(x) {
 			delete(l.exchanges, x.Req.ID)
-			x.done = true
-			x.answer <- Answer{next: next}
 			x.drop()
-			x.done = false
+			x.answer <- Answer{next: next} // from here on it is another loop's
 			continue
 		}
 		l.giveUp(x, Answer{Kind: Refused, Status: 503, RetryAfter: time.Second})
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,12 +17,22 @@
 
 // memory is a counter without a network; it can be away.
 type memory struct {
+	mu    sync.Mutex
 	c     *allowance.Counter
 	begun time.Time
 	away  bool
+	hold  chan struct{} // calls wait for it; nil is not at all
 }
 
 func (m *memory) Call(_ context.Context, q *allowance.Call) (allowance.Answer, error) {
+	m.mu.Lock()
+	hold := m.hold
+	m.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.away {
 		return allowance.Answer{}, errors.New("away")
 	}
@@ -115,7 +126,9 @@
 		o.Module = holdsAll(&seen)
 		s, _ := started(t, o)
 		time.Sleep(10 * time.Second)
+		m.mu.Lock()
 		m.away = true
+		m.mu.Unlock()
 		begun := s.Status().Shared[0].Calls
 		time.Sleep(60 * time.Second)
 		synctest.Wait()
@@ -182,3 +195,113 @@
 		}
 	})
 }
+
+// A request that waits for units as its service is replaced is decided on by the next one, which is
+// the only one whose module hears of it.
+func TestSharedCeilingWaitsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memory{}
+		var before, after []control.Request
+		o := sharing(m, 1)
+		o.Module, o.AnyMethod = func() (Module, error) { return keeping{&before}, nil }, true
+		was, ended := started(t, o)
+		time.Sleep(10 * time.Second)
+		m.mu.Lock()
+		m.hold = make(chan struct{})
+		m.mu.Unlock()
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		for i := range 3 {
+			go was.Do(ctx, units(fmt.Sprint("a", i), 4))
+		}
+		synctest.Wait()
+		o = sharing(m, 1)
+		o.Module, o.AnyMethod = func() (Module, error) { return keeping{&after}, nil }, true
+		next, _ := started(t, o)
+		was.HandTo(next)
+		was.Retire()
+		synctest.Wait()
+		m.mu.Lock()
+		close(m.hold)
+		m.hold = nil
+		m.mu.Unlock()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if <-ended; len(before) != 0 || len(after) != 3 {
+			t.Errorf("heard of %d before and %d after", len(before), len(after))
+		}
+		leave()
+		synctest.Wait()
+	})
+}
+
+// keeping is a module that hands over nothing, and notes what it hears of.
+type keeping struct{ seen *[]control.Request }
+
+func (k keeping) Handle(_ time.Duration, e control.Event) []control.Action {
+	if r, ok := e.(control.Request); ok {
+		*k.seen = append(*k.seen, r)
+	}
+	return nil
+}
+func (keeping) Checkpoint(time.Duration) (c control.Checkpoint)          { return }
+func (keeping) HandOver(time.Duration, float64) (c control.Checkpoint)   { return }
+func (keeping) Restore(time.Duration, control.Checkpoint, control.Trust) {}
+func (keeping) Rejoin(time.Duration, *control.Checkpoint)                {}
+func (keeping) Alone()                                                   {}
+
+// Customers fall to several counters evenly, and stay where they are when one is added, but for those
+// that fall to that one.
+func TestSharedSpread(t *testing.T) {
+	at := func(names ...string) map[string]string {
+		g := newLedger(&Shared{Rules: allowance.Rules{Instances: 1}, Ceilings: map[string]allowance.Ceiling{"p": {}}, Names: names, Counters: make([]Counter, len(names))})
+		all := make(map[string]string)
+		for i := range 30_000 {
+			n, key := g.of("p", fmt.Sprintf("%016x", i))
+			all[key] = names[n]
+		}
+		return all
+	}
+	three, four := at("10.0.0.1:6379", "10.0.0.2:6379", "10.0.0.3:6379"), at("10.0.0.1:6379", "10.0.0.2:6379", "10.0.0.3:6379", "10.0.0.4:6379")
+	counts := make(map[string]int)
+	for key, name := range three {
+		if counts[name]++; four[key] != name && four[key] != "10.0.0.4:6379" {
+			t.Fatalf("%s moved from %s to %s", key, name, four[key])
+		}
+	}
+	for name, n := range counts {
+		if len(three) != 30_000 || n < 9500 || n > 10_500 {
+			t.Errorf("%d of %d fall to %s", n, len(three), name)
+		}
+	}
+}
+
+// What a request's shared ceiling costs beside the request, where nothing has to be asked for.
+func BenchmarkShared(b *testing.B) {
+	o := sharing(&memory{}, 1)
+	o.Shared.Ceilings["p"] = allowance.Ceiling{Rate: 1e9, Burst: 1e9}
+	o.Shared.Rules.Settle = 1
+	l := &loop{ledger: newLedger(o.Shared), module: script(holds)}
+	l.ledger.start = l.ledger.start.Add(-time.Minute) // its part is its own
+	xs := make([]*Exchange, 1000)
+	for i := range xs {
+		xs[i] = units("x", 1)
+		xs[i].Req.Customer = fmt.Sprintf("%016x", i)
+		l.ask(xs[i])
+	}
+	bare := func() { l.handle(xs[0].Req) }
+	b.Run("without", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			bare()
+		}
+	})
+	b.Run("with", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			if !l.ask(xs[i%len(xs)]) {
+				b.Fatal("not shared")
+			}
+		}
+	})
+}
