Keep a successor's shared ceilings as its predecessor ends

Played with real processes, an upgrade left requests without an answer: as the old process ended, its successor was told to rejoin, and began its shared ceilings anew; what waited there for units was decided on by nobody. Only a ledger that had resigned its parts begins anew now, and turns away what waits.

A test in virtual time forces both.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,9 +17,11 @@
 	"testing"
 	"time"
 
+	"lockflow/internal/allowance"
 	"lockflow/internal/command"
 	"lockflow/internal/lab"
 	"lockflow/internal/manage"
+	"lockflow/internal/redistest"
 	"lockflow/internal/standin"
 	"lockflow/internal/state"
 	"lockflow/internal/testkit"
@@ -121,12 +123,18 @@
 
 // begin starts a daemon that is ready; wrong is what its successors do wrong.
 func begin(t *testing.T, wrong string) *rig {
+	t.Helper()
+	return beginWith(t, wrong, nil, "", "")
+}
+
+// beginWith is begin with servers that watch a ceiling, and a change of the configuration.
+func beginWith(t *testing.T, wrong string, ceiling *standin.Ceiling, old, new string) *rig {
 	t.Helper()
 	r := &rig{t: t, dir: t.TempDir()}
 	var servers []standin.Server
 	group := &standin.Group{Window: 15 * time.Second}
 	for i := range 3 {
-		servers = append(servers, standin.Server{UID: fmt.Sprint("s", i), Group: group, Work: 2 * time.Millisecond})
+		servers = append(servers, standin.Server{UID: fmt.Sprint("s", i), Group: group, Work: 2 * time.Millisecond, Ceiling: ceiling})
 	}
 	var err error
 	if r.pool, err = lab.StartPool(servers); err != nil {
@@ -134,7 +142,7 @@
 	}
 	t.Cleanup(r.pool.Close)
 	r.client = manage.Client{Path: filepath.Join(r.dir, "c.sock")}
-	r.write("", "")
+	r.write(old, new)
 	r.start(wrong)
 	t.Cleanup(func() {
 		if s, err := r.client.Status(context.Background()); err == nil {
@@ -388,6 +396,55 @@
 	}
 }
 
+// A ceiling that a counter lends, over upgrades, kill -9 and restarts in order: by the servers' own
+// count it is kept, and each new process borrows or has its part in the end.
+func TestSharedCeilingOverProcesses(t *testing.T) {
+	counter, err := redistest.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(counter.Close)
+	b := allowance.Rules{Instances: 1, Term: 200 * time.Millisecond, Drift: 0.001}.Bound(allowance.Ceiling{Rate: 50, Burst: 50})
+	ceiling := &standin.Ceiling{Rate: b.Rate, Burst: b.Burst}
+	r := beginWith(t, "", ceiling, "[services.a]", fmt.Sprintf("[services.a]\ncounter = { addresses = [%q], term = \"200ms\", pledge = \"400ms\", "+
+		"settle = \"500ms\", over = 0.5 }", counter.Addr()))
+	more := func() {
+		t.Helper()
+		n := 0
+		testkit.Until(t, "requests that are served", func() bool { n += r.ask(20); return n >= 20 })
+	}
+	more()
+	for i := range 6 {
+		pid := r.status().PID
+		switch i % 3 {
+		case 0:
+			if _, err := r.client.Upgrade(context.Background(), ""); err != nil {
+				t.Fatal(err)
+			}
+			r.until("the successor", func(s manage.Status) bool { return s.PID != pid && s.Ready() })
+			if i == 0 { // else the next one comes while the old one drains
+				testkit.Until(t, "the old one's end", func() bool { return gone(pid) })
+			}
+		case 1:
+			syscall.Kill(pid, syscall.SIGKILL)
+			testkit.Until(t, "the end", func() bool { return gone(pid) })
+			r.start("")
+		default:
+			if _, err := r.client.Drain(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			testkit.Until(t, "the end", func() bool { return gone(pid) })
+			r.start("")
+		}
+		more()
+	}
+	r.until("a counter that lends", func(s manage.Status) bool { return len(s.Services[0].Shared) == 1 && s.Services[0].Shared[0].Lends })
+	worst, units := ceiling.Over()
+	if t.Logf("%.0f units, %.1f beyond the bound", units, worst); worst > 0 || counter.Calls() == 0 {
+		t.Errorf("%.1f units beyond the bound; %d calls", worst, counter.Calls())
+	}
+}
+
 // A state directory that can't be written any more is told, and the daemon serves on.
 func TestStateDirectoryGone(t *testing.T) {
 	r := begin(t, "")
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -86,9 +86,7 @@
 func (s *Service) Rejoin(given *State) {
 	l := s.current()
 	l.keep(func(k Keeper) {
-		if l.ledger != nil { // the other's parts may not have ended
-			l.ledger.begin()
-		}
+		l.unresign()
 		if given == nil {
 			k.Rejoin(l.now(), nil)
 			return
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -38,7 +38,9 @@
 	next    uint64
 	asked   map[uint64]*Exchange // of which the holder has not decided
 	failed  []error              // why the last call to each counter did
-	name    []byte               // room for a customer's name
+	// resigned says that another process is to have the parts.
+	resigned bool
+	name     []byte // room for a customer's name
 }
 
 func newLedger(o *Shared) *ledger {
@@ -235,12 +237,31 @@
 // resign has the ledger spend no more of its own parts, for another process that is to have them.
 func (l *loop) resign() {
 	if l.ledger != nil {
+		l.ledger.resigned = true
 		for _, h := range l.ledger.holders {
 			h.Resign()
 		}
 	}
 }
 
+// unresign has a ledger that resigned begin anew, as the process that was to have its parts has ended:
+// those may not have. What waited for units is turned away.
+func (l *loop) unresign() {
+	g := l.ledger
+	if g == nil || !g.resigned {
+		return
+	}
+	g.resigned = false
+	g.begin()
+	for id, x := range g.asked {
+		if delete(g.asked, id); !x.done {
+			x.Req.Over = true
+			x.Req.TTL = time.Until(x.Deadline)
+			l.handle(x.Req)
+		}
+	}
+}
+
 // shared is for Status.
 func (l *loop) shared() (all []SharedStatus) {
 	if g := l.ledger; g != nil {
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -187,12 +187,42 @@
 			t.Error("another upstream")
 		}
 		// A process whose place another is to take has no part any more.
+		st = next.Status().Shared[0]
+		next.Rejoin(nil) // whoever it took the place of has ended: nothing changes
+		if again := next.Status().Shared[0]; again != st {
+			t.Errorf("%+v, not %+v", again, st)
+		}
 		next.HandOver(0.5)
-		time.Sleep(4 * time.Second)
-		synctest.Wait()
 		if st := next.Status().Shared[0]; st.Own || st.Pledged != 0 {
 			t.Errorf("%+v after it was handed over", st)
 		}
+		// That one fails while a request waits for units here: it is answered, and the part is this
+		// one's again once the other's has ended.
+		m.mu.Lock()
+		m.hold = make(chan struct{})
+		m.mu.Unlock()
+		answered := make(chan Answer, 1)
+		go func() {
+			a, _ := next.Do(t.Context(), units("w", 4))
+			answered <- a
+		}()
+		synctest.Wait()
+		if st := next.Status().Shared[0]; st.Waiting != 1 {
+			t.Errorf("%+v", st)
+		}
+		next.Rejoin(nil)
+		if a := <-answered; a.Kind != Refused {
+			t.Errorf("%+v", a)
+		}
+		m.mu.Lock()
+		close(m.hold)
+		m.hold = nil
+		m.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		synctest.Wait()
+		if st := next.Status().Shared[0]; st.Pledged != 1 || !st.Lends {
+			t.Errorf("%+v after the other has ended", st)
+		}
 	})
 }
 
