Give a successor that is to fail in a test all the time it needs to

TestUpgradeThatFails has a successor end once it sees itself serve, within a probation of 300 ms; on busy cores it took longer, had proved itself by then, and the old process was gone: 1 of 5 suites at once.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -286,22 +286,23 @@
 	for wrong, why := range map[string]string{"dies": "exit status 7", "hangs": "not ready within", "fails after it took over": ""} {
 		t.Run(wrong, func(t *testing.T) {
 			t.Parallel()
-			r := begin(t, wrong)
-			if wrong == "hangs" {
-				r.write(`within = "20s"`, `within = "200ms"`)
-				if _, err := r.client.Reload(context.Background()); err != nil {
-					t.Fatal(err)
-				}
+			old, new := "", ""
+			switch wrong {
+			case "hangs":
+				old, new = `within = "20s"`, `within = "200ms"`
+			case "fails after it took over": // before it has proved itself, however long that takes it here
+				old, new = `probation = "300ms"`, `probation = "30s"`
 			}
+			r := beginWith(t, wrong, nil, old, new)
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
 			run := r.load(ctx, 2)
-			old := r.status()
+			was := r.status()
 			_, err := r.client.Upgrade(ctx, "")
 			if why != "" && (err == nil || !strings.Contains(err.Error(), why)) || why == "" && err != nil {
 				t.Errorf("%v", err)
 			}
-			r.until("going on", func(s manage.Status) bool { return s.PID == old.PID && s.Ready() && s.Beside == 0 })
+			r.until("going on", func(s manage.Status) bool { return s.PID == was.PID && s.Ready() && s.Beside == 0 })
 			testkit.Until(t, "more answers", func() bool { return run.SoFar()["read"].Served > 50 })
 			c, err := net.Dial("tcp", r.addr)
 			if err != nil {
@@ -316,13 +317,13 @@
 				}
 			}
 			r.fine(results)
-			if raw, _ := os.ReadFile(r.dir + "/pid"); strings.TrimSpace(string(raw)) != fmt.Sprint(old.PID) {
+			if raw, _ := os.ReadFile(r.dir + "/pid"); strings.TrimSpace(string(raw)) != fmt.Sprint(was.PID) {
 				t.Errorf("the pid file says %q", raw)
 			}
 			if _, err := r.client.Drain(context.Background()); err != nil {
 				t.Error(err)
 			}
-			testkit.Until(t, "the end", func() bool { return gone(old.PID) })
+			testkit.Until(t, "the end", func() bool { return gone(was.PID) })
 		})
 	}
 }
