Call what stood already for shared ceilings: xxhash, Script.Run, unheard, one tell

Reading the change again: a hash of its own beside xxhash; EVALSHA and then EVAL as go-redis' Run has it; an answer of 503 beside Service.unheard, which keeps to the longest advice that settings allow; the telling of the module three times; names for the same two times; a bound used as another number. One mend: units that are given back end with the first of the leases they came from, also where a late answer's ends before one that came earlier; the test fails without it.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -77,7 +77,6 @@
 	if own := c.times(1 / n); own.Burst < units {
 		alone, why = 0, fmt.Sprintf("the store of one part, %.3g units, never fills up to one request", own.Burst)
 	}
-	one := 1 / n
 	return []Promise{
 		{"the counter answers", over, 1, "all parts are lent; what was lent may be spent to the end of its term, which is what the window may hold beyond"},
 		{"the counter is lost, or late by more than the term", over, alone, why},
@@ -85,7 +84,7 @@
 		{"the counter is replaced by an empty one", over, 1, "it begins with empty stores; what the old one had left is lost, and pledges to that one end first"},
 		{"the counter goes back to an older state as itself", over + c.Burst/(c.Burst+60*c.Rate), 1,
 			"until an instance tells of a later token, an instant later, it may lend again what its stores held: a burst at most, each time"},
-		{"an instance is killed, or stopped for long", over, 1 - one, "its part is nobody's once its pledge has ended"},
-		{"the group changes its size", over, min(1, alone), "larger parts, and those of new instances, wait until all know of it"},
+		{"an instance is killed, or stopped for long", over, 1 - 1/n, "its part is nobody's once its pledge has ended"},
+		{"the group changes its size", over, alone, "larger parts, and those of new instances, wait until all know of it"},
 	}
 }
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -479,7 +479,7 @@
 		if len(q.Wants) > wantsMost {
 			t.Errorf("%d wants", len(q.Wants))
 		}
-		now += callEvery
+		now += TickEvery
 		todo := answer(q, true)
 		for _, a := range todo {
 			if a.Kind == Let {
@@ -495,6 +495,25 @@
 	}
 }
 
+// What is given back ends with the first lease that it was taken from, in whatever order they came.
+func TestRefundEndsWithTheFirst(t *testing.T) {
+	a := &account{leases: []lease{{1, 2, 5 * time.Second}, {2, 2, 4 * time.Second}}}
+	until, ok := a.take(3)
+	if !ok || until != 4*time.Second {
+		t.Errorf("%v, %v", until, ok)
+	}
+	h := NewHolder(0, rules, "i")
+	h.accounts["a"] = a
+	for now, want := range map[time.Duration]int{4*time.Second - 1: 2, 4 * time.Second: 1} {
+		b := *a
+		b.leases = slices.Clone(a.leases)
+		h.accounts["a"] = &b
+		if h.Refund(now, "a", 3, until); len(b.leases) != want {
+			t.Errorf("at %v: %+v", now, b.leases)
+		}
+	}
+}
+
 // BenchmarkFleet is forty instances over one counter, by the number of customers: 2,000 requests a second
 // in all, in virtual time.
 func BenchmarkFleet(b *testing.B) {
--- a/internal/allowance/counter.go
+++ b/internal/allowance/counter.go
@@ -155,9 +155,8 @@
 // hear takes a pledge in, and notes how much is pledged. Pledges only end between two calls, so
 // that what is left of them at the second was there all the time between.
 func (c *Counter) hear(now time.Duration, q Call) {
-	before := c.pledged(now)
-	c.note(now, before)
-	if q.Pledge > 0 && q.Echo <= now || c.without.step {
+	c.note(now, c.pledged(now))
+	if q.Pledge > 0 && (q.Echo <= now || c.without.step) {
 		from := q.Echo
 		if c.without.echo {
 			from = now
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// TickEvery is how often Tick is wanted.
+// TickEvery is how often Tick is wanted, and by how much calls follow each other at least.
 const TickEvery = 10 * time.Millisecond
 
 // CallWithin is for how long a Holder waits for an answer.
@@ -14,8 +14,6 @@
 
 // What a holder does of itself; none of it bears on what is promised.
 const (
-	callEvery   = TickEvery              // calls follow each other by that at least
-	callWithin  = CallWithin             // an answer is waited for
 	patience    = 300 * time.Millisecond // a request waits for units at most
 	waitMost    = 64                     // requests of a customer that wait
 	aheadPart   = 0.2                    // of a term, that is borrowed ahead by the learned demand
@@ -23,6 +21,7 @@
 	idlePart    = 0.4                    // of a term without a request, after which what is left is returned
 	accountsMax = 200_000                // customers that are known
 	leasesMost  = 8                      // of a customer
+	evictOf     = 8                      // customers from whom the one that was quiet for longest is let go of
 	sentMost    = 16                     // calls whose answer may still come
 	wantsMost   = 256                    // customers that one call asks for, and that it returns from
 )
@@ -172,7 +171,7 @@
 		if !a.busy && !a.wants && (oldest == nil || a.asked < oldest.asked) {
 			oldest = a
 		}
-		if n++; n == leasesMost {
+		if n++; n == evictOf {
 			break
 		}
 	}
@@ -228,7 +227,7 @@
 	}
 	for len(a.leases) > 0 && units > 0 {
 		l := &a.leases[0]
-		if until == 0 {
+		if until == 0 || l.until < until { // a late answer's may end before one that came first
 			until = l.until
 		}
 		used := min(units, l.units)
@@ -360,7 +359,7 @@
 	q.Gives, h.gives = h.gives[:n:n], h.gives[n:]
 	// The pledge counts from the counter's own time, however late this call comes.
 	// To one whose answers come too late to be of use nothing is pledged.
-	if ends := h.echoAt + stretch(h.rules.Pledge, h.rules.Drift); h.counter != "" && now >= h.pledgeFrom && now < ends && h.echoFor <= callWithin {
+	if ends := h.echoAt + stretch(h.rules.Pledge, h.rules.Drift); h.counter != "" && now >= h.pledgeFrom && now < ends && h.echoFor <= CallWithin {
 		q.Pledge = 1 / float64(h.size(now))
 		h.ownFrom = max(h.ownFrom, ends)
 	}
@@ -392,7 +391,7 @@
 		}
 	}
 	h.sent[h.seq] = now
-	h.out, h.next, h.quiet = true, now+callEvery, now+h.rules.Pledge/5
+	h.out, h.next, h.quiet = true, now+TickEvery, now+h.rules.Pledge/5
 	h.todo = append(todo, Action{Kind: Send, Call: q})
 	return h.todo
 }
@@ -494,15 +493,15 @@
 func (h *Holder) fail(now time.Duration, todo []Action) []Action {
 	h.out = false
 	h.failures++
-	h.next = now + min(time.Second, callEvery<<min(h.failures, 7))
+	h.next = now + min(time.Second, TickEvery<<min(h.failures, 7))
 	todo = h.settle(now, todo)
 	return h.call(now, todo)
 }
 
-// Tick does what is due by time; it is wanted every callEvery or so.
+// Tick does what is due by time; it is wanted every TickEvery or so.
 func (h *Holder) Tick(now time.Duration) []Action {
 	todo := h.todo[:0]
-	if h.out && now-h.sent[h.seq] > callWithin {
+	if h.out && now-h.sent[h.seq] > CallWithin {
 		todo = h.fail(now, todo)
 	}
 	kept := h.busy[:0]
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -129,7 +129,7 @@
 func (n *node) tick(gen int) {
 	n.when(gen, func() {
 		n.do(n.h.Tick(n.now()))
-		n.w.After(callEvery, func() { n.tick(gen) })
+		n.w.After(TickEvery, func() { n.tick(gen) })
 	})
 }
 
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -55,10 +55,8 @@
 func (c *Client) Call(ctx context.Context, q *allowance.Call) (allowance.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.Within)
 	defer cancel()
-	raw, err := script.EvalSha(ctx, c.rdb, c.key, Args(q, c.o.Rules)...).StringSlice()
-	if redis.HasErrorPrefix(err, "NOSCRIPT") { // nothing was run
-		raw, err = script.Eval(ctx, c.rdb, c.key, Args(q, c.o.Rules)...).StringSlice()
-	}
+	// Of what it may send twice the first was not run: the server did not know the script.
+	raw, err := script.Run(ctx, c.rdb, c.key, Args(q, c.o.Rules)...).StringSlice()
 	if err != nil {
 		return allowance.Answer{}, fmt.Errorf("counter %s: %w", c.o.Address, err)
 	}
--- a/internal/redistest/redistest.go
+++ b/internal/redistest/redistest.go
@@ -410,7 +410,7 @@
 	}
 	key := args[0]
 	e, is := s.get(key)
-	if strings.HasPrefix(name, "H") == (is && e.hash == nil) && name != "PEXPIRE" && name != "DEL" && name != "SET" && is {
+	if hashes := strings.HasPrefix(name, "H"); is && (hashes || name == "GET") && hashes != (e.hash != nil) {
 		return errors.New("WRONGTYPE Operation against a key holding the wrong kind of value")
 	}
 	switch name {
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -169,7 +169,7 @@
 				}
 			}
 		}
-		h.ledger = l.leave(next)
+		h.ledger = l.leave(next, s.unheard())
 		gave <- h
 		l.next, l.gave = next, h.pools
 	})
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -220,6 +220,11 @@
 	if l.ask(x) {
 		return
 	}
+	l.tell(x)
+}
+
+// tell has the module hear of a request.
+func (l *loop) tell(x *Exchange) {
 	x.Req.TTL = time.Until(x.Deadline)
 	l.handle(x.Req)
 }
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lockflow/internal/allowance"
 )
 
@@ -66,27 +68,15 @@
 // together, so that a counter more or less moves the fewest; and the customer's name there.
 func (g *ledger) of(plan, customer string) (best int, key string) {
 	g.name = append(append(append(g.name[:0], plan...), '/'), customer...)
+	n := len(g.name)
 	var most uint64
 	for i := 0; len(g.Names) > 1 && i < len(g.Names); i++ {
-		if sum := hash(g.Names[i], g.name); i == 0 || sum > most {
+		g.name = append(g.name[:n], g.Names[i]...)
+		if sum := xxhash.Sum64(g.name); i == 0 || sum > most {
 			best, most = i, sum
 		}
 	}
-	return best, g.holders[best].Key(g.name)
-}
-
-// hash is FNV-1a of both, mixed: of names that differ in their last byte only it leaves the highest bits alike.
-func hash(name string, key []byte) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * 1099511628211
-	}
-	for _, b := range key {
-		h = (h ^ uint64(b)) * 1099511628211
-	}
-	h ^= h >> 32
-	h *= 0x9e3779b97f4a7c15
-	return h ^ h>>29
+	return best, g.holders[best].Key(g.name[:n])
 }
 
 // ask has a request's ceiling decide on it, before the module hears of it; false where it has none.
@@ -142,8 +132,7 @@
 		default:
 			x.Req.Over = true
 		}
-		x.Req.TTL = time.Until(x.Deadline)
-		l.handle(x.Req)
+		l.tell(x)
 	}
 }
 
@@ -197,21 +186,21 @@
 }
 
 // leave takes the ledger from a loop whose place another takes. Requests on which it has not
-// decided go to that one.
-func (l *loop) leave(next *Service) *ledger {
+// decided go to that one, or are answered as unheard of.
+func (l *loop) leave(next *Service, unheard Answer) *ledger {
 	g := l.ledger
 	if l.ledger = nil; g == nil {
 		return nil
 	}
 	for id, x := range g.asked {
 		delete(g.asked, id)
-		if !x.done && next != nil && next.takes(x) {
+		if !x.done && next.takes(x) {
 			delete(l.exchanges, x.Req.ID)
 			x.drop()
 			x.answer <- Answer{next: next} // from here on it is another loop's
 			continue
 		}
-		l.giveUp(x, Answer{Kind: Refused, Status: 503, RetryAfter: time.Second})
+		l.giveUp(x, unheard)
 	}
 	return g
 }
@@ -256,8 +245,7 @@
 	for id, x := range g.asked {
 		if delete(g.asked, id); !x.done {
 			x.Req.Over = true
-			x.Req.TTL = time.Until(x.Deadline)
-			l.handle(x.Req)
+			l.tell(x)
 		}
 	}
 }
