--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -14,6 +14,14 @@
 	"lockflow/internal/testkit"
 )
 
+// updates are clients that send keyed updates of various lengths, as fast as they are answered.
+func updates(addr string, seed uint64, workers int) standin.Clients {
+	return standin.Clients{Addr: addr, Seed: seed, Workers: workers, Call: func(rng *rand.Rand) standin.Call {
+		return standin.Call{Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
+			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second}
+	}}
+}
+
 // A burst of updates through a whole node at servers that close, refuse, go away and change their
 // limits, one of which speaks HTTP/1.1 only, while the node is reloaded: by both sides' counts each
 // has one final answer and none has two effects.
@@ -44,10 +52,7 @@
 	l := labtest.Begin(t, text.String(), nil)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	run := standin.Clients{Addr: l.Node.Addr(), Seed: 3, Workers: 24, Call: func(rng *rand.Rand) standin.Call {
-		return standin.Call{Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
-			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second}
-	}}.Start(ctx)
+	run := updates(l.Node.Addr(), 3, 24).Start(ctx)
 	served := func() int { return run.SoFar()["update"].Served }
 	for i := range 4 {
 		want := served() + 300
@@ -96,10 +101,7 @@
 	l := labtest.Begin(t, text.String(), nil)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	run := standin.Clients{Addr: l.Node.Addr(), Seed: 4, Workers: 16, Call: func(rng *rand.Rand) standin.Call {
-		return standin.Call{Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
-			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second}
-	}}.Start(ctx)
+	run := updates(l.Node.Addr(), 4, 16).Start(ctx)
 	testkit.Until(t, "a server that is fallen back on", func() bool { return l.Node.Status()[0].HTTP2.FellBack == len(servers) })
 	for _, speaks := range []bool{true, false, true} {
 		for i, s := range servers {
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// startSharing starts a service with a share in a counter, and notes what its module hears of.
+func startSharing(t *testing.T, m *memory, instances int, seen *[]control.Request) *Service {
+	o := sharing(m, instances)
+	o.Module = holdsAll(seen)
+	s, _ := started(t, o)
+	return s
+}
+
 func units(id string, n float64) *Exchange {
 	x := request(id)
 	x.Req.Units, x.Req.Customer = n, "k"
@@ -73,9 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
 		m := &memory{}
-		o := sharing(m, 1)
-		o.Module = holdsAll(&seen)
-		s, _ := started(t, o)
+		s := startSharing(t, m, 1, &seen)
 		for range 20 { // the holder's part is pledged, and the counter's store full
 			time.Sleep(time.Second)
 		}
@@ -122,9 +128,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
 		m := &memory{}
-		o := sharing(m, 2)
-		o.Module = holdsAll(&seen)
-		s, _ := started(t, o)
+		s := startSharing(t, m, 2, &seen)
 		time.Sleep(10 * time.Second)
 		m.mu.Lock()
 		m.away = true
