Hold an unseen or forgotten customer's ceiling to what its store can hold

Cause: customerOf (control/quota.go) begins a customer's ceiling with the slack's part and all that its rate gave since the gateway's start. Nothing held that to the burst: refill's bound is the larger of the store and the burst, so that what it finds above the burst stays. The property test didn't see it: its few customers all come at once.

Change: the store begins with the burst at most.

--- a/control/quota.go
+++ b/control/quota.go
@@ -44,8 +44,9 @@
 		q = &customer{plan: p, at: c.now, level: c.portion * p.Depth, carry: c.rng.Float64(),
 			spread: math.Max(1, float64(spread)), smooth: usePrior * p.Rate}
 		// A gateway just started does not know what its former self has passed on: the
-		// ceiling's store begins with the slack only and fills from the gateway's start.
-		q.ceiling = c.portion * (c.slack*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate) / q.spread
+		// ceiling's store begins with the slack only and fills from the gateway's start, to what it holds.
+		filled := c.slack*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate
+		q.ceiling = c.portion * math.Min(p.CeilingBurst, filled) / q.spread
 		q.openCap = float64(p.Open) / q.spread
 		c.custs[key] = q
 	}
