Don't stop a service's loop for a client that leaves a request answered unbegun

Cause: loop.begin (internal/service/loop.go) answers two kinds of requests without taking them: one with the id of a request that is held (409), and one for the service that has taken this one's place; loop.leave answers the latter too. x.done stays false, rightly, as the request is not this loop's. If the client has left by the time Do waits, Do posts hangup; hangup saw !x.done, and finish sent a second answer into a channel of one that nobody reads any more: the loop stood still for good, and with it all that the service held and all that came. It also took the held request of the same id from the loop's table. A client that sends an id twice and goes was enough.

Change: hangup touches only a request that the loop holds; what else has an answer waiting lets go of it.

Measured: TestLeavesAsItIsAnsweredUnbegun (twice, handed over), seen to fail without the change: "its loop stands still", with the loop's goroutine in chan send under hangup and finish.

--- /dev/null
+++ b/internal/service/left_test.go
@@ -0,0 +1,60 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/upstream"
+)
+
+// A client leaves whose request has an answer without having been begun: one with the id of a
+// request that is held, or one that goes to the service that has taken this one's place. The service
+// goes on, and what it holds has its answer.
+func TestLeavesAsItIsAnsweredUnbegun(t *testing.T) {
+	for _, tc := range []struct {
+		name, id string
+		replaced bool
+	}{{"twice", "held", false}, {"handed over", "late", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var seen []control.Request
+				s, _ := started(t, Options{Module: func() (Module, error) { return keeping{&seen}, nil }})
+				held := make(chan Answer, 1)
+				go func() {
+					a, _ := s.Do(context.Background(), request("held"))
+					held <- a
+				}()
+				synctest.Wait()
+				if tc.replaced {
+					next, _ := started(t, Options{})
+					s.HandTo(next)
+					synctest.Wait()
+				}
+				busy := make(chan struct{})
+				s.Post(func() { <-busy })
+				left, leave := context.WithCancel(context.Background())
+				leave()
+				x := request(tc.id)
+				x.Forward = &upstream.Whole{Request: &http.Request{Method: http.MethodGet}}
+				if a, ok := s.Do(left, x); ok {
+					t.Errorf("%+v", a)
+				}
+				close(busy)
+				within, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				if !s.Alive(within) {
+					t.Fatal("its loop stands still")
+				}
+				l := s.current()
+				s.Post(func() { l.giveUp(l.exchanges["held"], Answer{Kind: Refused, Status: http.StatusServiceUnavailable}) })
+				if a := <-held; a.Kind != Refused || len(seen) != 1 {
+					t.Errorf("%+v; the module heard of %d", a, len(seen))
+				}
+			})
+		})
+	}
+}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -257,7 +257,9 @@
 // hangup notes that the client has left. Attempts that are out go on: their work
 // would not stop, and their outcomes teach.
 func (l *loop) hangup(x *Exchange) {
-	if x.done {
+	// Guards against a second answer, which nobody would take, to one that was answered without
+	// having been begun: it is not this loop's.
+	if x.done || l.exchanges[x.Req.ID] != x {
 		x.unanswered()
 		return
 	}
