Fit the platform's drain to the longest deadline: SIGKILL may come 1.1 s after SIGTERM

PlatformDrain was the constant 0.5/1/3.3 s, right for deadlines of 3 s and more alone. PROTOCOL has SIGKILL come no sooner than the longest deadline (3 s at most) and 0.7 s: with a longest one of 0.4 s the node still listened until 1 s and held requests until 3.3 s where it may be killed at 1.1 s; with 2.6 s what it gave at 3.3 s came at the moment of SIGKILL.

ParsePlatform now derives the steps from the classes: the last answers are given 0.4 s ahead of SIGKILL (0.3 s that they may take to be written, 0.1 s for the end), idle connections stay and new ones come for 0.4 s and 0.1 s more, and half of what is left between is for what came last. From 3 s on it is 0.5/1/3.3 s as before. The drain of a file of our own stays as given.

The test was seen to fail without the fix: "{Idle:500ms Accept:1s Most:3.3s}: SIGKILL may come at 1.1s".

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,9 +63,6 @@
 	Probation time.Duration // for which the old one could still go on where the new one ends
 }
 
-// PlatformDrain fits what PROTOCOL says of planned restarts.
-var PlatformDrain = Drain{Idle: 500 * time.Millisecond, Accept: time.Second, Most: 3300 * time.Millisecond}
-
 // Record is where a service's decisions are recorded.
 type Record struct {
 	Dir   string // "" is nowhere
--- /dev/null
+++ b/internal/config/drain_test.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A drain by the platform's configuration is over before SIGKILL may come, whatever the deadlines, and
+// lets in what may still come.
+func TestPlatformDrainFitsTheDeadlines(t *testing.T) {
+	raw, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, effect := range []string{"free", "guarded", "single_shot"} {
+		for _, ms := range []int{50, 250, 400, 1500, 2600, 3000, 7500} {
+			t.Run(fmt.Sprintf("%s %d ms", effect, ms), func(t *testing.T) {
+				// The first class has the longest deadline.
+				text := strings.NewReplacer(`"deadline": 7500.0, "effect": "free"`, fmt.Sprintf(`"deadline": %d.0, "effect": %q`, ms, effect),
+					`"deadline": 7500.0, "effect": "guarded"`, `"deadline": 40.0, "effect": "guarded"`).Replace(string(raw))
+				c, err := ParsePlatform([]byte(text))
+				if err != nil {
+					t.Fatal(err)
+				}
+				longest := time.Duration(ms) * time.Millisecond
+				if k := c.Services[0].Settings.Classes[0]; k.Deadline != longest {
+					t.Fatalf("%+v", k)
+				}
+				d, kill := c.Process.Drain, min(longest, 3*time.Second)+700*time.Millisecond
+				if d.Idle <= 400*time.Millisecond || d.Accept < d.Idle || d.Most < d.Accept {
+					t.Errorf("%+v: clients may come for 0.4 s", d)
+				}
+				// The answers that are given last are written in 0.3 s. With the shortest deadlines that goes
+				// before what may still come.
+				if within := kill - 300*time.Millisecond; d.Most >= within && longest > 100*time.Millisecond || d.Most >= kill {
+					t.Errorf("%+v: SIGKILL may come at %v", d, kill)
+				}
+				if longest >= 3*time.Second && d != (Drain{500 * time.Millisecond, time.Second, 3300 * time.Millisecond}) {
+					t.Errorf("%+v", d)
+				}
+			})
+		}
+	}
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -48,7 +48,7 @@
 	s := Service{Source: discovery.Source{Address: file.Discovery}, Required: true,
 		Body: protocol.BodyMost, Answer: protocol.BodyMost}
 	c := Config{Listeners: []string{file.Listen},
-		Process: Process{Drain: PlatformDrain, Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Descriptors: file.Limits.Sockets}}
+		Process: Process{Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Descriptors: file.Limits.Sockets}}
 	if file.Listen == "" || file.Discovery == "" {
 		return c, fmt.Errorf("listen and discovery must both be given")
 	}
@@ -83,6 +83,7 @@
 	if s.Connect, err = millis(paths, "limits.connect-timeout", 250*time.Millisecond); err != nil {
 		return c, err
 	}
+	c.Process.Drain = platformDrain(longest(s.Settings))
 	c.Services = []Service{s}
 	return c, nil
 }
