Open a silent watch anew inside its clock, whatever the group's size

Cause: Pace.Again drew the wait after a broken watch from 100 ms an instance, doubled twice, and knew nothing of the 6 s after which what a silent watch missed counts as told: in a group of 300 whose lists are asked for that is a wait of up to 30 s, then 60 and 120 s (TestOwn- AgentIsAskedAtOnce even held that it be over 10 s). A call had 3 s to connect, 3 s to its head and 3 s to its first byte, one after another (watch.go: the dialer's time-out, ResponseHeaderTimeout, and a timer begun behind the head). The first wait of one that knows a list was up to 4 s, so an answer of 2 s came at the very end of the clock. A move that came before the first call waited like a start (up to 4 s), not like a move (its news counts after 4 s), and what followed a refused call after a move had no bound.

Change: Again is told how long ago the watch was last heard. While a call can still be answered in time (6 s less an answer's 2 s and 0.3 s), it is made by then: 0.7 s after the 3 s in which silence is noticed, 3.7 s after a reset. Later calls come within 8 s, in which a discovery takes one call of each instance at any scale. One timer holds a call from its beginning to its head, and from byte to byte. A watch that never said anything fell silent as it began. Where a feed was moved, 2 s of the clock are gone. The own agent is asked every 100 ms, no longer 400, also after failures in a row.

Ruled out: noticing sooner than after 3 s (heartbeats come every 2 s, and a loaded discovery would get calls for late ones); a shorter time for the head (answers take up to 2 s, and a client's time-out equal to the server's has done harm); doubling beyond 8 s (300 instances, 8 s for a call of each: all told after 16 s by 541 calls with the bound, after 64 s by 523 without).

Of the tests before, the one that wanted waits over 10 s wants them between 4 and 8 s where the clock is over, and TestPaceBounds holds 8 s in place of 32.

--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -46,15 +47,17 @@
 // source replaces that of the one before as soon as it is there, and not sooner.
 type Feed struct {
 	tell    func(Listing)
-	silence time.Duration // after which a watch is dead
-	every   time.Duration // between two looks at a file
-	pace    Pace          // of a shared discovery; see paceOf
+	silence time.Duration     // after which a watch is dead
+	every   time.Duration     // between two looks at a file
+	pace    Pace              // of a shared discovery; see paceOf
+	through http.RoundTripper // nil is the network; tests have another
 
 	// Known is set before Run where a list is known, so that the first call can wait.
 	Known bool
 
 	mu    sync.Mutex
 	src   Source
+	moved bool               // from the source of the start
 	rev   int64              // of the list that is known at the start
 	leave context.CancelFunc // ends the stay at the present source
 }
@@ -72,31 +75,36 @@
 	defer f.mu.Unlock()
 	// Guards against versions of one discovery held against those of another: the new one is
 	// asked for its whole list.
-	f.src, f.rev = src, 0
+	f.src, f.rev, f.moved = src, 0, true
 	f.leave()
 }
 
-func (f *Feed) arrive(ctx context.Context) (context.Context, Source, int64) {
+func (f *Feed) arrive(ctx context.Context) (here context.Context, src Source, rev int64, moved bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ctx, f.leave = context.WithCancel(ctx)
-	return ctx, f.src, f.rev
+	here, f.leave = context.WithCancel(ctx)
+	return here, f.src, f.rev, f.moved
 }
 
 // Run follows the sources until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
-	for first := true; ctx.Err() == nil; first = false {
-		here, src, rev := f.arrive(ctx)
+	for ctx.Err() == nil {
+		here, src, rev, moved := f.arrive(ctx)
 		switch src.Kind {
 		case Watch:
 			pace := f.paceOf(src)
+			w := newWatcher(src.Address, rev, f.silence, &pace, f.tell)
+			if f.through != nil {
+				w.client.Transport = f.through
+			}
 			after := time.Duration(0)
-			if !first {
+			if moved {
 				after = pace.Moved()
+				w.last = w.last.Add(-movedSpent)
 			} else if f.Known {
 				after = pace.First()
 			}
-			newWatcher(src.Address, rev, f.silence, &pace, f.tell).stay(here, after)
+			w.stay(here, after)
 		case File:
 			f.follow(here, src.Path)
 		case Static:
--- a/internal/discovery/pace.go
+++ b/internal/discovery/pace.go
@@ -9,10 +9,16 @@
 	callEvery   = 100 * time.Millisecond // a group's calls come no closer together than this, on average
 	firstEvery  = 50 * time.Millisecond  // the same of first calls, where a list is known
 	moveEvery   = 25 * time.Millisecond  // the same after a move: its news counts as told 4 s later
-	firstMost   = 4 * time.Second
 	moveMost    = time.Second
 	backoffMore = 2               // doublings of the window at most
 	livedLong   = 5 * time.Second // a watch that has lived for so long was taken: what went before is forgotten
+
+	newsWithin = 6 * time.Second // what is missed counts as told so long after a watch was last heard
+	movedSpent = 2 * time.Second // of that, where the discovery was left for another: 4 s later it counts
+	answerMost = 2 * time.Second // a discovery answers a call by then, or turns it away
+	newsSpare  = 300 * time.Millisecond
+	askMost    = newsWithin - answerMost - newsSpare // a call that comes no later is answered in time
+	callsMost  = 8 * time.Second                     // a discovery takes a call of each instance in this, however many they are
 )
 
 // Pace spreads the calls of a group's instances over time. Guards against a discovery that is
@@ -27,7 +33,7 @@
 }
 
 // First is the wait before the first call of one that knows a list already.
-func (p *Pace) First() time.Duration { return p.draw(0, min(firstEvery*p.others(), firstMost)) }
+func (p *Pace) First() time.Duration { return p.draw(0, min(firstEvery*p.others(), askMost)) }
 
 // Moved is the wait before the first call to another discovery.
 func (p *Pace) Moved() time.Duration {
@@ -35,12 +41,20 @@
 	return p.draw(0, min(moveEvery*p.others(), moveMost))
 }
 
-// Again is the wait before the next call after a watch that lived for some time.
-func (p *Pace) Again(lived time.Duration) time.Duration {
+// Again is the wait before the next call after a watch that lived for some time and was last heard
+// some time ago. Guards against one that asks when what it missed has long counted as told: while a
+// call can still be answered in time, it is made in time.
+func (p *Pace) Again(lived, quiet time.Duration) time.Duration {
 	if lived >= livedLong {
 		p.fails = 0
 	}
-	window := max(backoffFirst, callEvery*time.Duration(max(1, p.Group))) << min(p.fails, backoffMore)
+	window := backoffFirst
+	if p.Group > 1 {
+		window = min(callEvery*time.Duration(p.Group)<<min(p.fails, backoffMore), callsMost)
+	}
+	if left := askMost - quiet; left >= backoffFirst || lived >= livedLong {
+		window = min(window, max(left, backoffFirst))
+	}
 	p.fails++
 	return p.draw(backoffFirst, window)
 }
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"lockflow/internal/vtime"
 )
 
@@ -67,8 +69,8 @@
 				paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
 			}
 			most, last, calls := subscribed(n, each, func(i int) time.Duration { return paces[i].First() },
-				func(i int) time.Duration { return paces[i].Again(0) })
-			bound := all + 3*callEvery*time.Duration(n) + firstMost
+				func(i int) time.Duration { return paces[i].Again(0, 0) })
+			bound := all + 3*callEvery*time.Duration(n) + askMost
 			if most == 0 || most > bound {
 				t.Errorf("%d instances, %v for a call of each: nine in ten are told after %v, all after %v, by %d calls", n, all, most, last, calls)
 			}
@@ -87,25 +89,78 @@
 	}
 }
 
+// A group whose watches fall silent, or end, in one moment is told in time by a discovery that can answer
+// all of it in time, and soon by one that can't, for less than two calls each.
+func TestGroupThatFallsSilentAtOnceIsTold(t *testing.T) {
+	for _, n := range []int{1, 3, 40, 300} {
+		for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
+			for _, quiet := range []time.Duration{0, watchSilence} {
+				paces := make([]Pace, n)
+				for i := range paces {
+					paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
+				}
+				// The clock begins as the silence is noticed.
+				most, last, calls := subscribed(n, all/time.Duration(max(40, n)), func(i int) time.Duration { return paces[i].Again(time.Minute, quiet) },
+					func(i int) time.Duration { return paces[i].Again(0, newsWithin) })
+				soon, late := all+callsMost, all+callsMost+answerMost
+				if all == answerMost { // it can answer them all in time
+					soon, late = newsWithin-quiet, newsWithin-quiet
+				}
+				if most == 0 || most > soon || last > late || calls >= 2*n && n > 1 {
+					t.Errorf("%d instances, silent for %v, %v for a call of each: nine in ten are told after %v, all after %v, by %d calls", n, quiet, all, most, last, calls)
+				}
+			}
+		}
+	}
+}
+
+// Whatever has failed before, a call that can still be answered in time comes in time; later ones come
+// within what a discovery takes to answer the whole group.
+func TestPaceKeepsTheClock(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Pace{Group: rapid.IntRange(1, 1000).Draw(t, "group"), Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))}
+		for range rapid.IntRange(1, 12).Draw(t, "calls") {
+			quiet := time.Duration(rapid.Int64Range(0, int64(2*newsWithin)).Draw(t, "quiet"))
+			lived := time.Duration(rapid.Int64Range(0, int64(2*livedLong)).Draw(t, "lived"))
+			after := p.Again(lived, quiet)
+			if after < backoffFirst || after > callsMost || p.Group == 1 && after > backoffFirst {
+				t.Fatalf("a group of %d asks again after %v", p.Group, after)
+			}
+			if quiet+backoffFirst <= askMost && quiet+after > askMost {
+				t.Fatalf("silent for %v, it asks again after %v", quiet, after)
+			}
+			if quiet+backoffFirst > askMost && lived >= livedLong && after > backoffFirst {
+				t.Fatalf("held up for %v by itself, it asks again after %v", quiet, after)
+			}
+		}
+		if d := p.First(); d+answerMost > newsWithin {
+			t.Fatalf("the first call comes after %v", d)
+		}
+		if d := p.Moved(); d+answerMost > newsWithin-movedSpent {
+			t.Fatalf("the first call after a move comes after %v", d)
+		}
+	})
+}
+
 func TestPaceBounds(t *testing.T) {
 	one := Pace{}
-	if one.First() != 0 || one.Moved() != 0 || one.Again(0) != backoffFirst {
+	if one.First() != 0 || one.Moved() != 0 || one.Again(0, 0) != backoffFirst {
 		t.Error("one instance waits for others")
 	}
 	p := Pace{Group: 80, Rand: rand.New(rand.NewPCG(1, 2))}
 	for range 1000 {
-		if d := p.First(); d < 0 || d >= firstMost {
+		if d := p.First(); d < 0 || d >= askMost {
 			t.Fatalf("first after %v", d)
 		}
 		if d := p.Moved(); d < 0 || d >= moveMost {
 			t.Fatalf("moved after %v", d)
 		}
 		for range 4 {
-			if d := p.Again(0); d < backoffFirst || d >= 80*callEvery<<backoffMore {
+			if d := p.Again(0, newsWithin); d < backoffFirst || d >= callsMost {
 				t.Fatalf("again after %v", d)
 			}
 		}
-		if p.Again(livedLong); p.fails != 1 {
+		if p.Again(livedLong, 0); p.fails != 1 {
 			t.Fatalf("%d failures are remembered after a watch that lived", p.fails)
 		}
 	}
@@ -119,10 +174,10 @@
 		first, moved, again := time.Duration(0), time.Duration(0), time.Duration(0)
 		for range 100 {
 			p := f.paceOf(Source{Agent: agent})
-			first, moved, again = max(first, p.First()), max(moved, p.Moved()), max(again, p.Again(0))
+			first, moved, again = max(first, p.First()), max(moved, p.Moved()), max(again, p.Again(0, newsWithin))
 		}
 		if !agent {
-			if first < time.Second || again < 10*time.Second {
+			if first < time.Second || again < callsMost/2 || again > callsMost {
 				t.Errorf("a shared discovery is asked within %v, and again within %v", first, again)
 			}
 		} else if first > 0 || moved > 0 || again > backoffFirst {
--- /dev/null
+++ b/internal/discovery/silence_test.go
@@ -0,0 +1,168 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A watch of a scripted discovery: what it says at once and 2 s later, and whether it ends then or falls
+// silent. A watch of the zero value takes its call and says nothing.
+type scripted struct {
+	says, later string
+	ends        bool
+	nobody      bool // the connection never comes up
+}
+
+const scriptedHead = "HTTP/1.1 200 OK\r\n\r\n"
+
+var (
+	beating  = scripted{says: scriptedHead + "\n", later: "\n"}
+	mute     = scripted{}
+	headOnly = scripted{says: scriptedHead}
+	cutHead  = scripted{says: "HTTP/1.1 200 OK\r\nX-"}
+	cutShort = scripted{says: scriptedHead + "\n", later: `{"rev":44,"all":fal`}
+	reset    = scripted{says: scriptedHead + "\n", later: "\n", ends: true}
+	away     = scripted{nobody: true}
+)
+
+// play holds a watch on discoveries that answer one call after another by a script, and the call after
+// with the list, after some time. It gives when the last of the script had been heard, or was
+// called where it said nothing, and when the list was told.
+func play(t *testing.T, f *Feed, script []scripted, answer time.Duration) (silent, told time.Time) {
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup // of all that the bubble has to see the end of
+	defer func() { cancel(); all.Wait() }()
+	var mu sync.Mutex // of the calls and of silent
+	n := 0
+	now := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		silent = time.Now()
+	}
+	f.through = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		all.Add(1)
+		defer all.Done()
+		s := scripted{says: scriptedHead + `{"rev":45,"all":true,"targets":[]}` + "\n"}
+		mu.Lock()
+		call := n
+		n++
+		mu.Unlock()
+		last := call == len(script)
+		if call > len(script) {
+			return nil, errors.New("the play is over")
+		} else if !last {
+			s = script[call]
+			now()
+		}
+		if s.nobody {
+			time.Sleep(time.Hour) // http.Transport goes on with a dial that nobody waits for
+			return nil, errors.New("nobody came")
+		}
+		here, there := net.Pipe()
+		all.Go(func() {
+			defer there.Close()
+			http.ReadRequest(bufio.NewReader(there))
+			if last {
+				time.Sleep(answer)
+			}
+			for _, say := range []string{s.says, s.later} {
+				if say != "" {
+					if _, err := io.WriteString(there, say); err == nil && !last {
+						now()
+					}
+					time.Sleep(2 * time.Second)
+				}
+			}
+			if !s.ends {
+				io.Copy(io.Discard, there) // until the other gives up
+			}
+		})
+		return here, nil
+	}}
+	f.tell = func(l Listing) {
+		if l.Rev == 45 && told.IsZero() {
+			told = time.Now()
+			close(done)
+		}
+	}
+	all.Go(func() { f.Run(ctx) })
+	<-done
+	mu.Lock()
+	defer mu.Unlock()
+	return silent, told
+}
+
+// What a watch misses counts as told 6 s after it fell silent, wherever in its answer that was, for groups of
+// every size: by then another one has brought it, though its answer takes as long as answers may.
+func TestSilentWatchIsOpenedAnewInTime(t *testing.T) {
+	for name, script := range map[string][]scripted{
+		"after a heartbeat":         {beating},
+		"from its start":            {mute},
+		"in its head":               {cutHead},
+		"behind its head":           {headOnly},
+		"in a message":              {cutShort},
+		"never connected":           {away},
+		"reset":                     {reset},
+		"silent, and mute":          {beating, mute},
+		"reset, and mute":           {reset, mute},
+		"mute again and again":      {mute, mute, mute, mute},
+		"away, and silent in a row": {away, headOnly, cutShort, away},
+	} {
+		for _, group := range []int{1, 3, 40, 300} {
+			for _, agent := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%d/agent=%v", strings.ReplaceAll(name, " ", "_"), group, agent), func(t *testing.T) {
+					for seed := range uint64(8) {
+						synctest.Test(t, func(t *testing.T) {
+							f := NewFeed(Source{Address: "discovery:1", Agent: agent}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+							silent, told := play(t, f, script, answerMost)
+							if late := told.Sub(silent); late > newsWithin-newsSpare/2 {
+								t.Errorf("told %v after the silence began, of %v", late, newsWithin)
+							}
+						})
+					}
+				})
+			}
+		}
+	}
+}
+
+// After a move news counts as told 4 s later, also where the move comes before the first call, and
+// where the first calls are turned away.
+func TestMovedFeedIsToldInTime(t *testing.T) {
+	turned := scripted{says: "HTTP/1.1 503 Service Unavailable\r\n\r\n"}
+	for _, group := range []int{1, 3, 40, 300} {
+		for seed := range uint64(20) {
+			synctest.Test(t, func(t *testing.T) {
+				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+				f.Known = true
+				f.Move(Source{Address: "discovery:1"})
+				moved := time.Now()
+				_, told := play(t, f, nil, answerMost)
+				if late := told.Sub(moved); late > newsWithin-movedSpent {
+					t.Errorf("group of %d: told %v after the move", group, late)
+				}
+			})
+			synctest.Test(t, func(t *testing.T) {
+				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+				f.Move(Source{Address: "discovery:1"})
+				moved := time.Now()
+				_, told := play(t, f, []scripted{turned}, answerMost)
+				if late := told.Sub(moved); late > newsWithin-movedSpent {
+					t.Errorf("group of %d: told %v after the move, though turned away once", group, late)
+				}
+			})
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	watchSilence = 3 * time.Second // a heartbeat and a half: the watch is dead
-	watchAnswer  = 3 * time.Second // a discovery with many to answer may take 2 s
+	watchSilence = 3 * time.Second // a heartbeat and a half, and more than an answer takes: the watch is dead
 	backoffFirst = 100 * time.Millisecond
 	messageMost  = 4 << 20 // bytes of a message
 )
 
+var errSilent = errors.New("it fell silent")
+
 // watcher keeps a watch on the server list at one address, whatever becomes of its
 // connections.
 type watcher struct {
@@ -29,12 +30,13 @@
 	silence time.Duration
 	pace    *Pace
 	tell    func(Listing)
+	last    time.Time // when it was last heard
 }
 
 func newWatcher(addr string, rev int64, silence time.Duration, pace *Pace, tell func(Listing)) *watcher {
 	return &watcher{pace: pace, url: "http://" + addr + "/v1/servers?watch=1", rev: rev, silence: silence, tell: tell,
-		client: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: watchAnswer,
-			DialContext:       (&net.Dialer{Timeout: watchAnswer}).DialContext,
+		last: time.Now(),
+		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: silence}).DialContext,
 			DisableKeepAlives: true, DisableCompression: true}}}
 }
 
@@ -51,7 +53,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		after = w.pace.Again(time.Since(begun))
+		// A watch that says nothing fell silent as it began, and is opened anew as soon as one that had spoken.
+		if errors.Is(err, errSilent) && w.last.Before(begun) {
+			w.last = begun
+		}
+		after = w.pace.Again(time.Since(begun), time.Since(w.last))
 		if heard {
 			slog.Warn("discovery: watch ended", "rev", w.rev, "err", err)
 		} else {
@@ -62,8 +68,11 @@
 
 // watch holds one watch for as long as it lives and tells whether it said anything.
 func (w *watcher) watch(ctx context.Context) (heard bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// Guards against a connection that never comes up, or dies without a word: a heartbeat is due every 2 s.
+	silent := time.AfterFunc(w.silence, func() { cancel(errSilent) })
+	defer silent.Stop()
 	url := w.url
 	if w.rev > 0 {
 		url += "&from=" + strconv.FormatInt(w.rev, 10)
@@ -80,10 +89,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	// Guards against a connection that died without a word: a heartbeat is due every 2 s.
-	silent := time.AfterFunc(w.silence, cancel)
-	defer silent.Stop()
-	in := &watched{from: resp.Body, silence: w.silence, silent: silent}
+	silent.Reset(w.silence)
+	in := &watched{watcher: w, from: resp.Body, silent: silent}
 	in.dec = json.NewDecoder(in)
 	for {
 		var l Listing
@@ -102,12 +109,12 @@
 // watched is what a watch says: JSON objects, which may be indented and so go over many lines, and empty
 // lines between them.
 type watched struct {
-	from    io.Reader
-	dec     *json.Decoder // that reads it
-	silence time.Duration
-	silent  *time.Timer
-	heard   bool
-	read    int64
+	*watcher
+	from   io.Reader
+	dec    *json.Decoder // that reads it
+	silent *time.Timer
+	heard  bool
+	read   int64
 }
 
 // Read bounds a message by what was read since the end of the last one.
@@ -118,7 +125,7 @@
 	n, err := w.from.Read(p)
 	if n > 0 {
 		w.read += int64(n)
-		w.heard = true
+		w.heard, w.last = true, time.Now()
 		w.silent.Reset(w.silence)
 	}
 	return n, err
