Refuse at a service's end what surely never ran, and give the answers that have come

loop.run's end answered all that it held as failed (502), also requests of which nothing was ever sent on or whose attempts all never ran (full, connect failed, moot): a client may not simply try such a one again, though it could. And its select takes either of two that are there: an answer that waited in the loop's channel as the service ended was dropped, and its client given a 502.

An exchange now knows whether an attempt of it may have run. At an orderly end (the end of a drain, a service that nothing holds) what has none and none out is refused; else it is failed as before, of every effect. What is in the channel then is taken first, with the module asked for nothing more. With a module that has panicked all is still failed: the request that it panics by must not be tried again at the next node.

--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -124,6 +124,7 @@
 func (l *loop) settle(x *Exchange, n int, server uint32, sent time.Time, o upstream.Outcome) {
 	x.out--
 	x.last = o.Reason
+	x.ran = x.ran || o.Reason != control.Full && o.Reason != control.ConnectFailed && o.Reason != control.Moot
 	if l.tally != nil {
 		l.tally.attempt(x, n, server, sent, &o, l.pools[server] != nil)
 		l.tally.state(l)
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -45,7 +45,8 @@
 	began time.Time
 	done  bool // answered, or the client has left
 	sends int
-	out   int // attempts outstanding
+	out   int  // attempts outstanding
+	ran   bool // an attempt may have run; one that is out may too
 	stop  []context.CancelFunc
 	last  control.Reason
 	said  upstream.Outcome // the last real answer of a server that was not final
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -43,6 +43,7 @@
 	events      chan func()
 	ended       chan struct{} // closed when run has ended
 	failed      error         // why, once it has
+	ending      bool          // the module is asked for nothing more
 	exchanges   map[string]*Exchange
 	ids         map[string]uint32         // of the listed app servers by uid
 	lastID      uint32                    // no id is given twice
@@ -117,8 +118,8 @@
 	}
 }
 
-// run works until ctx ends or the module fails. Whatever is held then is answered
-// as failed.
+// run works until ctx ends or the module fails. Whatever is held then is answered: at an orderly
+// end as refused where it surely never ran, else as failed.
 func (l *loop) run(ctx context.Context) {
 	if l.meters != nil { // only now: one that never runs never ends
 		l.meter = l.meters.loop(l.classes)
@@ -133,7 +134,11 @@
 			if !x.done {
 				unanswered++
 			}
-			l.finish(x, Answer{Kind: Failed, Status: http.StatusBadGateway})
+			a := Answer{Kind: Failed, Status: http.StatusBadGateway}
+			if l.failed == nil && !x.ran && x.out == 0 { // the request that a module fails by must not be tried again
+				a = Answer{Kind: Refused, Status: http.StatusServiceUnavailable, Last: x.last}
+			}
+			l.finish(x, a)
 			x.drop() // what is out of it is nobody's concern any more
 		}
 		if l.meter != nil {
@@ -152,6 +157,11 @@
 	for {
 		select {
 		case <-ctx.Done():
+			// Guards against answers that have come and are lost: the end doesn't go before what was there.
+			l.ending = true
+			for range len(l.events) {
+				(<-l.events)()
+			}
 			return
 		case event := <-l.events:
 			event()
@@ -186,6 +196,9 @@
 
 // decide has the module handle an event, and measures what that takes where it counts.
 func (l *loop) decide(e control.Event) []control.Action {
+	if l.ending {
+		return nil
+	}
 	if l.spent == nil {
 		return l.module.Handle(l.now(), e)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -201,7 +201,8 @@
 }
 
 // Run serves until ctx ends, or, once the service is retired, until it holds nothing. Whatever
-// is held at the end is answered as failed. An error is a module that failed for good.
+// is held at the end is answered, as refused where it surely never ran, else as failed. An error is a
+// module that failed for good.
 func (s *Service) Run(ctx context.Context) error {
 	defer close(s.ended)
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -27,6 +27,19 @@
 
 // started makes a service and runs it until the test ends.
 func started(t *testing.T, o Options) (*Service, <-chan error) {
+	t.Helper()
+	s, end := startedUntil(t, o)
+	return s, end.ended
+}
+
+// ending is how a test ends a service, and the error of that.
+type ending struct {
+	stop  context.CancelFunc
+	ended <-chan error
+}
+
+// startedUntil is started of a service that the test may end before.
+func startedUntil(t *testing.T, o Options) (*Service, ending) {
 	t.Helper()
 	if o.Settings.GroupSize == 0 {
 		o.Settings = settings()
@@ -41,7 +54,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
 	t.Cleanup(func() { stop(); synctest.Wait() })
-	return s, ended
+	return s, ending{stop, ended}
 }
 
 func request(id string) *Exchange {
