Let connections rest behind an answer once a server has sent a second one

Cause: upstream.get took the most recently used idle connection as soon as its answer was read. `conn.quiet` and `Buffered() == 0` see a second answer that is there before the next request is written; one that comes "some milliseconds late", after that, was read as the next request's (seen: 200 with the other request's body, counted OK). Nothing in an answer names its request: the protocol lets servers echo no id, headers are free.

Change: an Upstream remembers that some server has sent what it was not asked for (bytes behind an answer, or on an idle connection in the clear). From then on requests of the platform's protocol use connections that have been idle for 25 ms only; those that rest are used later, so that a pool grows by its rate times 25 ms and no further. Where no server does so nothing changes. Ordinary HTTP stays as it was: servers close idle connections with a 408 there, and rates are high.

Ruled out: a second answer in one piece with the first (closed, as before), behind a 204, an interim one on an idle connection (quiet). Left: the first second answer that an Upstream meets, if it crosses a request.

Measured: TestSecondAnswerBehindTheNextRequest passes -race -count=10 and was seen to fail without the fix: "written where a second answer may still come", `100 (<nil>) "evil"`.

--- /dev/null
+++ b/internal/upstream/ends_test.go
@@ -0,0 +1,106 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"lockflow/control"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+)
+
+// Once a server has sent a second answer, a request isn't written where one may still be on its way:
+// it would be taken for that request's.
+func TestSecondAnswerBehindTheNextRequest(t *testing.T) {
+	const good, noise = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
+	for name, behind := range map[string]bool{"with its answer": true, "when the connection is idle": false} {
+		t.Run(name, func(t *testing.T) {
+			type asked struct {
+				c    net.Conn
+				from string
+			}
+			reqs, say := make(chan asked), make(chan string)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						for r := bufio.NewReader(c); ; {
+							if _, err := http.ReadRequest(r); err != nil {
+								return
+							}
+							reqs <- asked{c, c.RemoteAddr().String()}
+							io.WriteString(c, <-say)
+						}
+					}()
+				}
+			}()
+			u := newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024))
+			u.rest = testkit.Patience
+			p := u.Pool(l.Addr().String(), SpeaksHTTP1)
+			defer u.Retire(p)
+			ends := make(chan Outcome, 1)
+			begin := func() asked {
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+					defer cancel()
+					ends <- u.Try(ctx, p, message(t, nil))
+				}()
+				return testkit.Next(t, reqs)
+			}
+			end := func() {
+				t.Helper()
+				if o := testkit.Next(t, ends); o.Reason != control.OK || string(o.Body) != "ok" {
+					t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
+				}
+			}
+			// What a server does once: it is seen, and harms nobody.
+			first := begin()
+			if say <- good + map[bool]string{true: noise}[behind]; !behind {
+				end()
+				io.WriteString(first.c, noise)
+				testkit.Until(t, "the second answer", func() bool {
+					u.drop(func(c *conn) bool { return !c.quiet() })
+					n, _ := u.Conns()
+					return n == 0
+				})
+			} else {
+				end()
+			}
+			// From then on no request meets one that is late.
+			second := begin()
+			say <- good
+			end()
+			third := begin()
+			io.WriteString(second.c, noise)
+			if say <- good; third.from == second.from {
+				t.Error("written where a second answer may still come")
+			}
+			end()
+			// What has rested is used again.
+			testkit.Until(t, "the late answer", func() bool {
+				u.drop(func(c *conn) bool { return !c.quiet() })
+				n, _ := u.Conns()
+				return n == 1
+			})
+			u.rest = 0
+			fourth := begin()
+			say <- good
+			if end(); fourth.from != third.from {
+				t.Error("one that has rested was not used again")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/outcome.go
@@ -0,0 +1,85 @@
+package upstream
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"lockflow/control"
+	"lockflow/internal/protocol"
+)
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Reason control.Reason
+	Err    error // why, where there was no answer
+	Status int   // of the answer that a client could be given; 0 is none
+	Final  bool  // it is the client's, whatever else could be tried
+	Header http.Header
+	Body   []byte
+	Stream *Stream // the rest of an answer that goes on; nil where all of it is here
+	Dialed bool    // a connection was made for it, or tried to be
+}
+
+// means says what a whole answer of the platform's protocol means.
+func (o *Outcome) means(status int, h http.Header) {
+	o.Header = h
+	switch {
+	case status == http.StatusOK:
+		o.Reason, o.Status, o.Final = control.OK, http.StatusOK, true
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(protocol.HeaderUnseen) == "1":
+		o.Reason = control.Full
+	default:
+		o.Reason = control.Errored
+	}
+}
+
+// Used reads the customer's use; the module counts from 1, as 0 is not told.
+func (o *Outcome) Used() int {
+	v, err := strconv.Atoi(o.Header.Get(protocol.HeaderUsed))
+	if err != nil || v < 0 || v > usedMost {
+		return 0
+	}
+	return v + 1
+}
+
+// Cost reads the true units, of which a request can have so many at the most.
+func (o *Outcome) Cost(most float64) float64 {
+	v, err := protocol.ParseNumber(o.Header.Get(protocol.HeaderCost))
+	if err != nil || v < 0 || most > 0 && v > most {
+		return 0
+	}
+	return v
+}
+
+// Load reads the app server's report. The header's words for the figures are not
+// those of the settings; what is not known, or can't be, is skipped.
+func (o *Outcome) Load() *control.Load {
+	none := control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
+	l := none
+	for pair := range strings.SplitSeq(o.Header.Get(protocol.HeaderLoad), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := protocol.ParseNumber(value)
+		if err != nil || v < 0 || v > loadMost {
+			continue
+		}
+		switch name {
+		case "inflight", "active":
+			l.Active = v
+		case "queue", "waiting":
+			l.Waiting = v
+		case "util", "cpu":
+			l.CPU = v
+		case "latency_ms", "avg_ms":
+			l.AvgMS = v
+		case "qps", "rps":
+			l.RPS = v
+		case "eps", "err_rps":
+			l.ErrRPS = v
+		}
+	}
+	if l == none {
+		return nil
+	}
+	return &l
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,189 @@
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Pool holds the idle connections to one app server at one address. Guards against those
+// of an app server that has gone being used for one that is now at its address.
+type Pool struct {
+	Endpoint string
+	Speaks   Speaks
+	idle     []*conn // the most recently used last; nil for good once the pool is retired
+	next     *Pool   // that has all connections of this one, also those in use; nil is none
+	shared   *shared // connections of HTTP/2; nil where none is spoken
+}
+
+// last is the pool that has the connections of p; the Upstream's lock is held.
+func (p *Pool) last() *Pool {
+	for p.next != nil {
+		p = p.next
+	}
+	return p
+}
+
+// Pool makes a pool of connections to an address, of a server that may be spoken to in its own way.
+func (u *Upstream) Pool(endpoint string, speaks Speaks) *Pool {
+	p := &Pool{Endpoint: endpoint, Speaks: speaks, shared: u.newShared(endpoint, speaks)}
+	u.mu.Lock()
+	u.pools[p] = struct{}{}
+	u.mu.Unlock()
+	return p
+}
+
+// Join has a pool's connections, those in use too, be another one's from now on. Both are of this
+// Upstream and lead to one app server at one address. The first may go on being used.
+func (u *Upstream) Join(p, to *Pool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p = p.last(); p == to.last() {
+		return
+	}
+	if _, ok := u.pools[to]; !ok { // it would keep them for good
+		return
+	}
+	to.idle = append(to.idle, p.idle...)
+	p.idle, p.next = nil, to
+	delete(u.pools, p)
+	to.shared.adopt(p.shared)
+}
+
+// Retire closes a pool's idle connections; those in use are closed when they come back.
+func (u *Upstream) Retire(p *Pool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.pools, p)
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+	p.shared.retire()
+}
+
+// get gives the most recently used idle connection that is still good, else a new one.
+func (u *Upstream) get(ctx context.Context, p *Pool) (*conn, error) { return u.rested(ctx, p, 0) }
+
+// rested is get of those that nothing has been asked on for some time.
+func (u *Upstream) rested(ctx context.Context, p *Pool, rest time.Duration) (*conn, error) {
+	for {
+		c := u.pop(p, rest)
+		if c == nil {
+			return u.dial(ctx, p.Endpoint)
+		}
+		if c.quiet() && time.Since(c.since) < u.idleFor {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// quiet tells whether an idle connection is open and has nothing to read (a server's tickets of TLS
+// come before its first answer, and are read with it). Guards
+// against writing to one that the app server has closed, which would be a reset, and
+// against taking what came behind the last answer for the next one.
+func (c *conn) quiet() bool {
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, err := syscall.Read(int(fd), b[:])
+		quiet = err == syscall.EAGAIN
+		if _, sealed := c.Conn.Conn.(*tls.Conn); n > 0 && !sealed { // there it may be TLS's own word
+			c.doubled.Store(true)
+		}
+	})
+	return err == nil && quiet
+}
+
+// pop takes the most recently used idle connection of those that have rested. Guards, where servers
+// send second answers some milliseconds late, against one that comes once the next request was
+// written: nothing on the wire tells it from that one's.
+func (u *Upstream) pop(p *Pool, rest time.Duration) *conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p = p.last()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; rest == 0 || time.Since(c.since) >= rest {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+func (u *Upstream) put(p *Pool, c *conn) {
+	c.since = time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p = p.last()
+	if _, ok := u.pools[p]; !ok {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Conns counts the idle connections and the pools that are not retired.
+func (u *Upstream) Conns() (idle, pools int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for p := range u.pools {
+		idle += len(p.idle) + p.shared.idle()
+	}
+	return idle, len(u.pools)
+}
+
+// Sweep closes idle connections that are old or that the app server has closed,
+// until ctx ends.
+func (u *Upstream) Sweep(ctx context.Context) {
+	t := time.NewTicker(idleSweep)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			u.drop(func(c *conn) bool { return !c.quiet() || time.Since(c.since) >= u.idleFor })
+			u.eachShared(func(s *shared) { s.close(u.idleFor) })
+		}
+	}
+}
+
+// drop closes the idle connections of which is tells so.
+func (u *Upstream) drop(is func(*conn) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for p := range u.pools {
+		kept := p.idle[:0]
+		for _, c := range p.idle {
+			if is(c) {
+				c.Close()
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		clear(p.idle[len(kept):])
+		p.idle = kept
+	}
+}
+
+// Evict closes the connection that has been idle for the longest time, where there are more
+// than some.
+func (u *Upstream) Evict(keep int) bool {
+	var oldest *conn
+	n := 0
+	u.drop(func(c *conn) bool {
+		if n++; oldest == nil || c.since.Before(oldest.since) {
+			oldest = c
+		}
+		return false
+	})
+	if oldest == nil || n <= keep {
+		return u.evictShared(keep)
+	}
+	u.drop(func(c *conn) bool { return c == oldest })
+	return true
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +28,7 @@
 	answerRest = 300 * time.Millisecond // from an answer's first bytes to its last
 	idlePart   = 2.0 / 3                // of the servers' keepalive that a connection may idle here
 	idleSweep  = time.Second            // how often idle connections are looked at
+	answerGap  = 25 * time.Millisecond  // behind an answer, in which a second one comes
 	connBuffer = 4 << 10
 	usedMost   = 10000 // per cent; what a meter may tell
 	loadMost   = 1e6   // of any figure in a load report
@@ -45,24 +45,14 @@
 	TLS       *certs.Book // nil speaks in the clear
 }
 
-// Outcome is how an attempt ended.
-type Outcome struct {
-	Reason control.Reason
-	Err    error // why, where there was no answer
-	Status int   // of the answer that a client could be given; 0 is none
-	Final  bool  // it is the client's, whatever else could be tried
-	Header http.Header
-	Body   []byte
-	Stream *Stream // the rest of an answer that goes on; nil where all of it is here
-	Dialed bool    // a connection was made for it, or tried to be
-}
-
 // Upstream sends requests to app servers, one at a time on a connection. It never
 // sends one again by itself: net/http's Transport would, and doesn't tell whether
 // the last byte of a request went out.
 type Upstream struct {
 	Options
 	idleFor time.Duration
+	rest    time.Duration // of a connection behind an answer, once doubled
+	doubled atomic.Bool   // a server has sent what it was not asked for
 
 	mu    sync.Mutex
 	pools map[*Pool]struct{} // those that are not retired
@@ -70,24 +60,6 @@
 	sharing atomic.Bool // some pool speaks HTTP/2, or did
 }
 
-// Pool holds the idle connections to one app server at one address. Guards against those
-// of an app server that has gone being used for one that is now at its address.
-type Pool struct {
-	Endpoint string
-	Speaks   Speaks
-	idle     []*conn // the most recently used last; nil for good once the pool is retired
-	next     *Pool   // that has all connections of this one, also those in use; nil is none
-	shared   *shared // connections of HTTP/2; nil where none is spoken
-}
-
-// last is the pool that has the connections of p; the Upstream's lock is held.
-func (p *Pool) last() *Pool {
-	for p.next != nil {
-		p = p.next
-	}
-	return p
-}
-
 // conn is a connection to an app server.
 type conn struct {
 	*limits.Conn
@@ -97,6 +69,8 @@
 	r     *bufio.Reader
 	w     *bufio.Writer
 	since time.Time // idle since
+
+	doubled *atomic.Bool // of its Upstream
 }
 
 // answerReader reads one answer: no more than its bound, and all of it soon after its
@@ -162,48 +136,10 @@
 	if o.Answer == 0 {
 		o.Answer = protocol.BodyMost
 	}
-	return &Upstream{Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)),
+	return &Upstream{Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)), rest: answerGap,
 		pools: make(map[*Pool]struct{})}
 }
 
-// Pool makes a pool of connections to an address, of a server that may be spoken to in its own way.
-func (u *Upstream) Pool(endpoint string, speaks Speaks) *Pool {
-	p := &Pool{Endpoint: endpoint, Speaks: speaks, shared: u.newShared(endpoint, speaks)}
-	u.mu.Lock()
-	u.pools[p] = struct{}{}
-	u.mu.Unlock()
-	return p
-}
-
-// Join has a pool's connections, those in use too, be another one's from now on. Both are of this
-// Upstream and lead to one app server at one address. The first may go on being used.
-func (u *Upstream) Join(p, to *Pool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if p = p.last(); p == to.last() {
-		return
-	}
-	if _, ok := u.pools[to]; !ok { // it would keep them for good
-		return
-	}
-	to.idle = append(to.idle, p.idle...)
-	p.idle, p.next = nil, to
-	delete(u.pools, p)
-	to.shared.adopt(p.shared)
-}
-
-// Retire closes a pool's idle connections; those in use are closed when they come back.
-func (u *Upstream) Retire(p *Pool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.pools, p)
-	for _, c := range p.idle {
-		c.Close()
-	}
-	p.idle = nil
-	p.shared.retire()
-}
-
 // Whole is a request of the platform's protocol: all of it is held, and so is its answer.
 type Whole struct {
 	Request *http.Request // without its body
@@ -238,7 +174,11 @@
 
 // Try makes one attempt: it waits until ctx ends at the most.
 func (u *Upstream) Try(ctx context.Context, p *Pool, req *http.Request) Outcome {
-	c, err := u.get(ctx, p)
+	rest := time.Duration(0)
+	if u.doubled.Load() {
+		rest = u.rest
+	}
+	c, err := u.rested(ctx, p, rest)
 	if err != nil {
 		return unconnected(err)
 	}
@@ -306,20 +246,11 @@
 		return Outcome{Reason: control.ResetByPeer, Err: err}, false
 	}
 	o.means(resp.StatusCode, resp.Header)
-	return o, !resp.Close && c.r.Buffered() == 0
-}
-
-// means says what a whole answer of the platform's protocol means.
-func (o *Outcome) means(status int, h http.Header) {
-	o.Header = h
-	switch {
-	case status == http.StatusOK:
-		o.Reason, o.Status, o.Final = control.OK, http.StatusOK, true
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(protocol.HeaderUnseen) == "1":
-		o.Reason = control.Full
-	default:
-		o.Reason = control.Errored
+	more := c.r.Buffered() > 0
+	if more {
+		c.doubled.Store(true)
 	}
+	return o, !resp.Close && !more
 }
 
 // body reads the body of an answer, which must say how long it is: one that ends with its
@@ -375,20 +306,6 @@
 	return Outcome{Reason: control.ConnectFailed, Err: err, Dialed: true}
 }
 
-// get gives the most recently used idle connection that is still good, else a new one.
-func (u *Upstream) get(ctx context.Context, p *Pool) (*conn, error) {
-	for {
-		c := u.pop(p)
-		if c == nil {
-			return u.dial(ctx, p.Endpoint)
-		}
-		if c.quiet() && time.Since(c.since) < u.idleFor {
-			return c, nil
-		}
-		c.Close()
-	}
-}
-
 func (u *Upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
 	nc, raw, protocol, err := u.connect(ctx, endpoint, protocolHTTP1)
 	if err != nil {
@@ -398,7 +315,7 @@
 		nc.Close()
 		return nil, certs.ErrProtocol
 	}
-	c := &conn{Conn: nc, raw: raw, in: answerReader{Conn: nc.Conn}}
+	c := &conn{Conn: nc, raw: raw, in: answerReader{Conn: nc.Conn}, doubled: &u.doubled}
 	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(nc.Conn, connBuffer)
 	return c, nil
 }
@@ -445,154 +362,3 @@
 	}
 	return c, raw, protocol, nil
 }
-
-// quiet tells whether an idle connection is open and has nothing to read (a server's tickets of TLS
-// come before its first answer, and are read with it). Guards
-// against writing to one that the app server has closed, which would be a reset, and
-// against taking what came behind the last answer for the next one.
-func (c *conn) quiet() bool {
-	quiet := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		quiet = err == syscall.EAGAIN
-	})
-	return err == nil && quiet
-}
-
-func (u *Upstream) pop(p *Pool) *conn {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	p = p.last()
-	if len(p.idle) == 0 {
-		return nil
-	}
-	c := p.idle[len(p.idle)-1]
-	p.idle[len(p.idle)-1] = nil
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
-}
-
-func (u *Upstream) put(p *Pool, c *conn) {
-	c.since = time.Now()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	p = p.last()
-	if _, ok := u.pools[p]; !ok {
-		c.Close()
-		return
-	}
-	p.idle = append(p.idle, c)
-}
-
-// Conns counts the idle connections and the pools that are not retired.
-func (u *Upstream) Conns() (idle, pools int) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for p := range u.pools {
-		idle += len(p.idle) + p.shared.idle()
-	}
-	return idle, len(u.pools)
-}
-
-// Sweep closes idle connections that are old or that the app server has closed,
-// until ctx ends.
-func (u *Upstream) Sweep(ctx context.Context) {
-	t := time.NewTicker(idleSweep)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			u.drop(func(c *conn) bool { return !c.quiet() || time.Since(c.since) >= u.idleFor })
-			u.eachShared(func(s *shared) { s.close(u.idleFor) })
-		}
-	}
-}
-
-// drop closes the idle connections of which is tells so.
-func (u *Upstream) drop(is func(*conn) bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for p := range u.pools {
-		kept := p.idle[:0]
-		for _, c := range p.idle {
-			if is(c) {
-				c.Close()
-			} else {
-				kept = append(kept, c)
-			}
-		}
-		clear(p.idle[len(kept):])
-		p.idle = kept
-	}
-}
-
-// Evict closes the connection that has been idle for the longest time, where there are more
-// than some.
-func (u *Upstream) Evict(keep int) bool {
-	var oldest *conn
-	n := 0
-	u.drop(func(c *conn) bool {
-		if n++; oldest == nil || c.since.Before(oldest.since) {
-			oldest = c
-		}
-		return false
-	})
-	if oldest == nil || n <= keep {
-		return u.evictShared(keep)
-	}
-	u.drop(func(c *conn) bool { return c == oldest })
-	return true
-}
-
-// Used reads the customer's use; the module counts from 1, as 0 is not told.
-func (o *Outcome) Used() int {
-	v, err := strconv.Atoi(o.Header.Get(protocol.HeaderUsed))
-	if err != nil || v < 0 || v > usedMost {
-		return 0
-	}
-	return v + 1
-}
-
-// Cost reads the true units, of which a request can have so many at the most.
-func (o *Outcome) Cost(most float64) float64 {
-	v, err := protocol.ParseNumber(o.Header.Get(protocol.HeaderCost))
-	if err != nil || v < 0 || most > 0 && v > most {
-		return 0
-	}
-	return v
-}
-
-// Load reads the app server's report. The header's words for the figures are not
-// those of the settings; what is not known, or can't be, is skipped.
-func (o *Outcome) Load() *control.Load {
-	none := control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
-	l := none
-	for pair := range strings.SplitSeq(o.Header.Get(protocol.HeaderLoad), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := protocol.ParseNumber(value)
-		if err != nil || v < 0 || v > loadMost {
-			continue
-		}
-		switch name {
-		case "inflight", "active":
-			l.Active = v
-		case "queue", "waiting":
-			l.Waiting = v
-		case "util", "cpu":
-			l.CPU = v
-		case "latency_ms", "avg_ms":
-			l.AvgMS = v
-		case "qps", "rps":
-			l.RPS = v
-		case "eps", "err_rps":
-			l.ErrRPS = v
-		}
-	}
-	if l == none {
-		return nil
-	}
-	return &l
-}
