Don't write a keyed repeat whose connection comes up behind its window

Cause: the module lets a keyed request go again while `c.now < r.firstRun+r.class.RepeatWindow` (control/attempts.go, sameGroup in choose.go), but service.send then waits for a connection, up to connect_timeout, and upstream.try wrote the request whenever that was up. With a short window and connections that come up late the repeat came to an app server that no longer drops it: it may run twice. Queue and timers were guarded, the connection was not.

Change: Send.Begin says until when such a repeat has to be written whole. The loop puts it into the attempt's ctx; once there is a connection (upstream.rested, and shared.over for HTTP/2) an attempt that is too late is moot: it was not sent, speaks against no server, and leaves its connection idle. A write that stalls ends by then too, and never ran. First attempts, free and unsafe classes have no such time and pay one look at their ctx.

The property test of the module now also has attempts that end moot or cancelled.

--- a/control/api.go
+++ b/control/api.go
@@ -236,6 +236,7 @@
 	ID     string
 	Server uint32
 	Within time.Duration // time-out; 0 is until the client gives up
+	Begin  time.Duration // what has not been written whole by then is not sent; 0 is any time
 }
 
 // Withdraw stops waiting for an attempt.
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -120,6 +120,9 @@
 			r.class.KeyScope == ScopeZone && f.Zone != s.Zone {
 			w.t.Fatalf("%s may have run and was sent again outside its group or window", a.ID)
 		}
+		if a.Begin <= 0 || w.now+a.Begin > r.firstRun+r.class.RepeatWindow {
+			w.t.Fatalf("%s may have run, and be written again %v from now, behind its window", a.ID, a.Begin)
+		}
 	}
 	if r.sends == 0 && r.plan == "ceil" {
 		w.drawCeiling(r)
@@ -188,7 +191,7 @@
 func (w *world) outcome(i int) {
 	f := w.out[i]
 	w.out = append(w.out[:i], w.out[i+1:]...)
-	why := []Reason{OK, OK, OK, OK, Errored, Full, ConnectFailed, ResetByPeer}[w.rng.IntN(8)]
+	why := []Reason{OK, OK, OK, OK, OK, Errored, Full, ConnectFailed, ResetByPeer, []Reason{Moot, Cancelled}[w.rng.IntN(2)]}[w.rng.IntN(10)]
 	if w.now >= f.till {
 		why = TimedOut
 	}
@@ -199,7 +202,7 @@
 		r.out--
 		if why == OK {
 			delete(w.open, f.id)
-		} else if why != Full && why != ConnectFailed && !r.mayRun {
+		} else if why != Full && why != ConnectFailed && why != Moot && !r.mayRun {
 			r.mayRun, r.firstRun, r.firstSrv = true, f.at, f.srv
 		}
 	}
--- a/control/turns.go
+++ b/control/turns.go
@@ -180,5 +180,9 @@
 		s.probing = true
 	}
 	c.record(r, s)
-	c.act(Send{ID: r.id, Server: s.Server})
+	a := Send{ID: r.id, Server: s.Server}
+	if r.mayRun && r.class.Effect == Guarded { // its connection may come up when repeats run again
+		a.Begin = r.firstRun + r.class.RepeatWindow - c.now
+	}
+	c.act(a)
 }
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -29,6 +29,9 @@
 	} else {
 		ctx, cancel = context.WithDeadline(ctx, until)
 	}
+	if a.Begin > 0 {
+		ctx = upstream.BeginBy(ctx, time.Now().Add(a.Begin))
+	}
 	x.stop = append(x.stop, cancel)
 	if to == nil || x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap {
 		cancel()
--- /dev/null
+++ b/internal/service/attempts_test.go
@@ -0,0 +1,68 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/discovery"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+	"lockflow/internal/upstream"
+)
+
+// A repeat that can't be written before its window is over, as its connection came up late, is never
+// written, and the module hears that it was not.
+func TestRepeatBehindItsWindow(t *testing.T) {
+	app := testkit.NewApp(t, testkit.Served)
+	for name, tc := range map[string]struct {
+		begin time.Duration
+		want  int
+	}{"over": {1, 0}, "open": {time.Hour, 1}, "none": {0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			before := app.Count()
+			reasons := make(chan control.Reason, 1)
+			listed, server := make(chan struct{}, 10), uint32(0)
+			m := script(func(e control.Event) []control.Action {
+				switch e := e.(type) {
+				case control.List:
+					server = e.Members[0].Server
+					listed <- struct{}{}
+				case control.Request:
+					return []control.Action{control.Send{ID: e.ID, Server: server, Begin: tc.begin}}
+				case control.Response:
+					if reasons <- e.Reason; !e.Done {
+						return []control.Action{control.Refuse{ID: e.ID}}
+					}
+				}
+				return nil
+			})
+			o := Options{Settings: settings(), Module: func() (Module, error) { return m, nil }}
+			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSockets(100), testkit.Patience, testkit.Patience
+			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
+			s, err := New(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- s.Run(ctx) }()
+			testkit.Next(t, listed)
+			x := request("id-1")
+			x.Deadline = time.Now().Add(testkit.Patience)
+			req, _ := http.NewRequest(http.MethodGet, "http://origin.svc/read", nil)
+			x.Forward = &upstream.Whole{Request: req}
+			a, _ := s.Do(context.Background(), x)
+			if n := app.Count() - before; n != tc.want || (a.Status == http.StatusOK) != (n == 1) {
+				t.Errorf("%d were written, answer %d", n, a.Status)
+			}
+			if why := testkit.Next(t, reasons); (why == control.Moot) != (tc.want == 0) {
+				t.Errorf("reason %d", why)
+			}
+			stop()
+			testkit.Next(t, ended)
+		})
+	}
+}
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"lockflow/control"
 	"lockflow/internal/limits"
+	"lockflow/internal/standin"
 	"lockflow/internal/testkit"
 )
 
@@ -104,3 +106,55 @@
 		})
 	}
 }
+
+// comingUp has connections come up once a time is past.
+type comingUp struct{ past time.Time }
+
+func (c *comingUp) Take() bool { time.Sleep(time.Until(c.past)); return true }
+func (c *comingUp) Give()      {}
+
+// What has to begin by some time is not written to a connection that comes up later, nor on an idle
+// one: that speaks against no server, and the connection serves the next request.
+func TestConnectionUpBehindTheWindow(t *testing.T) {
+	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
+		t.Run(name, func(t *testing.T) {
+			a, err := standin.Server{UID: "s", HTTP2: true}.Start()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(a.Close)
+			late := &comingUp{}
+			socks := limits.NewSockets(1024)
+			u := New(Options{Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks, Dials: late,
+				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true}})
+			p := u.Pool(a.Addr(), speaks)
+			t.Cleanup(func() { u.Retire(p) })
+			try := func(by time.Time) Outcome {
+				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+				defer cancel()
+				if !by.IsZero() {
+					ctx = BeginBy(ctx, by)
+				}
+				return update("id", "body").Try(ctx, nil, u, p)
+			}
+			late.past = time.Now().Add(10 * time.Millisecond)
+			if o := try(late.past); o.Reason != control.Moot {
+				t.Errorf("%d (%v) over a new connection", o.Reason, o.Err)
+			}
+			if o := try(time.Now()); o.Reason != control.Moot {
+				t.Errorf("%d (%v) over an idle one", o.Reason, o.Err)
+			}
+			if one, two := a.Spoken(); one+two != 0 {
+				t.Errorf("%d were written", one+two)
+			}
+			for _, by := range []time.Time{time.Now().Add(time.Hour), {}} {
+				if o := try(by); o.Reason != control.OK {
+					t.Errorf("%d (%v) in time", o.Reason, o.Err)
+				}
+			}
+			if n := socks.Open(); n != 1 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -119,6 +119,9 @@
 		case err != nil:
 			return unconnected(err), dialed, true
 		}
+		if tooLate(ctx) {
+			return Outcome{Reason: control.Moot, Err: errLate}, dialed, true
+		}
 		switch err := do(c); {
 		case errors.Is(err, h2.ErrNoStream): // others took the room meanwhile
 			continue
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -71,13 +71,22 @@
 func (u *Upstream) rested(ctx context.Context, p *Pool, rest time.Duration) (*conn, error) {
 	for {
 		c := u.pop(p, rest)
-		if c == nil {
-			return u.dial(ctx, p.Endpoint)
+		fresh := c == nil
+		if fresh {
+			var err error
+			if c, err = u.dial(ctx, p.Endpoint); err != nil {
+				return nil, err
+			}
 		}
-		if c.quiet() && time.Since(c.since) < u.idleFor {
+		switch {
+		case !fresh && (!c.quiet() || time.Since(c.since) >= u.idleFor):
+			c.Close()
+		case tooLate(ctx): // the connection is a good one
+			u.put(p, c)
+			return nil, errLate
+		default:
 			return c, nil
 		}
-		c.Close()
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -91,6 +91,7 @@
 	errTooLong      = errors.New("an answer of too many bytes")
 	errNoDescriptor = errors.New("no descriptor is left")
 	errNoDial       = errors.New("too many connections are coming up")
+	errLate         = errors.New("it had to begin sooner")
 )
 
 func (r *answerReader) Read(b []byte) (int, error) {
@@ -205,6 +206,10 @@
 	if ends {
 		tellTime(req, until)
 	}
+	by := beginBy(ctx)
+	if !by.IsZero() {
+		c.writeBy(by)
+	}
 	// An app server begins a request with its last byte: what breaks before has not run.
 	if err := req.Write(c.w); err != nil {
 		return Outcome{Reason: control.ConnectFailed, Err: err}
@@ -212,6 +217,9 @@
 	if err := c.w.Flush(); err != nil {
 		return Outcome{Reason: control.ConnectFailed, Err: err}
 	}
+	if !by.IsZero() {
+		c.writeBy(time.Time{})
+	}
 	var o Outcome
 	o, keep = c.read(req, u.Answer)
 	if o.Err != nil && ctx.Err() != nil {
@@ -223,6 +231,26 @@
 	return o
 }
 
+type beginKey struct{}
+
+// BeginBy has what is sent with a ctx be written whole by some time, else not at all. An attempt
+// whose connection comes up later is moot.
+func BeginBy(ctx context.Context, t time.Time) context.Context {
+	return context.WithValue(ctx, beginKey{}, t)
+}
+
+// beginBy is the time that BeginBy has set; zero is none.
+func beginBy(ctx context.Context) time.Time {
+	t, _ := ctx.Value(beginKey{}).(time.Time)
+	return t
+}
+
+// tooLate tells whether it is past the time that BeginBy has set.
+func tooLate(ctx context.Context) bool {
+	by := beginBy(ctx)
+	return !by.IsZero() && !time.Now().Before(by)
+}
+
 // tellTime has a request say until when it is waited for.
 func tellTime(req *http.Request, until time.Time) {
 	left := max(time.Until(until).Milliseconds(), 1)
@@ -300,7 +328,7 @@
 
 // unconnected is the outcome of an attempt that got no connection.
 func unconnected(err error) Outcome {
-	if errors.Is(err, errNoDescriptor) || errors.Is(err, errNoDial) { // speaks against no app server
+	if errors.Is(err, errNoDescriptor) || errors.Is(err, errNoDial) || errors.Is(err, errLate) { // speaks against no app server
 		return Outcome{Reason: control.Moot, Err: err}
 	}
 	return Outcome{Reason: control.ConnectFailed, Err: err, Dialed: true}
