Give a connection's place back once its descriptor is closed, not before

Cause: limits.Conn.Close gave its place back first (`c.once.Do(c.opener.Give)`, then `c.Conn.Close()`). At the limit another connection could be opened in between, over TLS for as long as the farewell takes: more descriptors than booked.

Change: close, then give, still once. Measured: TestPlaceIsGivenBackBehindTheDescriptor, -race -count=10; seen to fail before: "0 booked while it closes".

--- a/internal/limits/sockets.go
+++ b/internal/limits/sockets.go
@@ -117,8 +117,9 @@
 
 // Close closes the connection; only the first call gives the place back.
 func (c *Conn) Close() error {
+	err := c.Conn.Close()
 	c.once.Do(c.opener.Give)
-	return c.Conn.Close()
+	return err
 }
 
 // Listener takes connections only while there is room for them.
