Close a connection over TLS at once where its attempt was given up

Cause: upstream.try closes with tls.Conn.Close, which writes a farewell with 5 s of its own (crypto/tls closeNotify), also where the peer takes nothing and the attempt's time is up. The outcome is posted behind the close: an attempt of 1 s ended after 6 s, with its place booked and the client's answer owed (seen in virtual time).

Change: conn.Close of one that was interrupted closes the socket first; a write that failed interrupts. In the clear and for idle connections nothing changes.

Measured: TestGivenUpOverTLS, -race -count=10; seen to fail without the fix: "304 (write pipe: i/o timeout) after 6s".

--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lockflow/control"
@@ -158,3 +161,37 @@
 		})
 	}
 }
+
+// An attempt over TLS that is given up while its server takes nothing ends with its time: it doesn't
+// wait to say farewell.
+func TestGivenUpOverTLS(t *testing.T) {
+	cert := httptest.NewUnstartedServer(nil)
+	cert.StartTLS()
+	certs := cert.TLS.Certificates
+	cert.Close()
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		go tls.Server(far, &tls.Config{Certificates: certs, SessionTicketsDisabled: true}).Handshake() // and reads no more
+		nc := tls.Client(near, &tls.Config{InsecureSkipVerify: true})
+		if err := nc.Handshake(); err != nil {
+			t.Fatal(err)
+		}
+		socks := limits.NewSockets(1024)
+		socks.Take()
+		u := newTest(testkit.Patience, testkit.Patience, socks)
+		p := u.Pool("", SpeaksHTTP1)
+		c := u.newConn(limits.Own(nc, socks), nil)
+		const left = time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), left)
+		defer cancel()
+		begun := time.Now()
+		o := u.try(ctx, p, c, message(t, make([]byte, 64<<10)))
+		if took := time.Since(begun); took != left || o.Reason != control.ConnectFailed {
+			t.Errorf("%d (%v) after %v", o.Reason, o.Err, took)
+		}
+		if n := socks.Open(); n != 0 {
+			t.Errorf("%d connections left open", n)
+		}
+	})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -211,10 +211,12 @@
 		c.writeBy(by)
 	}
 	// An app server begins a request with its last byte: what breaks before has not run.
-	if err := req.Write(c.w); err != nil {
-		return Outcome{Reason: control.ConnectFailed, Err: err}
+	err := req.Write(c.w)
+	if err == nil {
+		err = c.w.Flush()
 	}
-	if err := c.w.Flush(); err != nil {
+	if err != nil {
+		c.interrupt()
 		return Outcome{Reason: control.ConnectFailed, Err: err}
 	}
 	if !by.IsZero() {
@@ -310,6 +312,15 @@
 	c.SetDeadline(time.Unix(1, 0))
 }
 
+// Close closes the connection. Guards against TLS's farewell, which waits for seconds on a peer that
+// takes nothing: one that was interrupted says none.
+func (c *conn) Close() error {
+	if s, ok := c.Conn.Conn.(*tls.Conn); ok && c.cut.Load() {
+		s.NetConn().Close()
+	}
+	return c.Conn.Close()
+}
+
 // readBy and writeBy set when reading or writing has to have come on. Guards against undoing an
 // interrupt.
 func (c *conn) readBy(t time.Time) {
@@ -343,9 +354,13 @@
 		nc.Close()
 		return nil, certs.ErrProtocol
 	}
+	return u.newConn(nc, raw), nil
+}
+
+func (u *Upstream) newConn(nc *limits.Conn, raw syscall.RawConn) *conn {
 	c := &conn{Conn: nc, raw: raw, in: answerReader{Conn: nc.Conn}, doubled: &u.doubled}
 	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(nc.Conn, connBuffer)
-	return c, nil
+	return c
 }
 
 // Protocols by their names in TLS (RFC 7301).
