Keep an answer's clock from undoing the end of its attempt

Cause: answerReader.Read and again set read deadlines of their own (`r.SetReadDeadline(rest)`, `(r.until)`) without looking whether the attempt had been interrupted between two reads; only an end at its deadline was thought of.

Change: both go through conn.readBy, which exists for that. Measured: TestInterruptIsNotUndone, -race -count=10; seen to fail without: "read pipe: i/o timeout after 1h0m0s", "<nil> after 0s".

Ruled out, by TestEndsAtAByte (virtual time, a peer that takes a told number of bytes, bodies of 0, 1, 4 KiB, 64 KiB): a write that fails though its last byte was taken, one that is taken for never run behind the last byte, a connection that is still open when its outcome is told.

--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -195,3 +196,87 @@
 		}
 	})
 }
+
+// An attempt that ends at a told byte of its request never ran where that is not the last one, and
+// may have run where it is, however the request was cut into writes; its connection is closed by then.
+func TestEndsAtAByte(t *testing.T) {
+	for _, size := range []int{0, 1, connBuffer, 64 << 10} {
+		total := 0
+		for _, tc := range []struct {
+			name   string
+			before int // of the last byte
+			breaks bool
+			want   control.Reason
+		}{
+			{"all", 0, false, control.TimedOut}, // counts the request's bytes too
+			{"broken behind the last", 0, true, control.ResetByPeer},
+			{"broken before the last", 1, true, control.ConnectFailed},
+			{"silent before the last", 1, false, control.ConnectFailed},
+			{"broken in the middle", size/2 + 1, true, control.ConnectFailed},
+			{"silent in the middle", size/2 + 1, false, control.ConnectFailed},
+		} {
+			t.Run(fmt.Sprintf("%d bytes, %s", size, tc.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					near, far := net.Pipe()
+					socks := limits.NewSockets(1024)
+					socks.Take()
+					u := newTest(testkit.Patience, testkit.Patience, socks)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					ends := make(chan Outcome, 1)
+					req := message(t, make([]byte, size))
+					go func() {
+						ends <- u.try(ctx, u.Pool("", SpeaksHTTP1), u.newConn(limits.Own(near, socks), nil), req)
+					}()
+					if total == 0 {
+						far.SetReadDeadline(time.Now().Add(time.Millisecond))
+						n, _ := io.Copy(io.Discard, far)
+						total = int(n)
+						far.SetReadDeadline(time.Time{})
+					} else if _, err := io.CopyN(io.Discard, far, int64(total-tc.before)); err != nil {
+						t.Fatal(err)
+					}
+					if tc.breaks {
+						far.Close()
+					}
+					if o := <-ends; o.Reason != tc.want {
+						t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
+					}
+					if _, err := far.Write([]byte("x")); err == nil || socks.Open() != 0 {
+						t.Error("not closed")
+					}
+				})
+			})
+		}
+	}
+}
+
+// What ends an attempt between two reads of its answer is not undone by the clock of that answer.
+func TestInterruptIsNotUndone(t *testing.T) {
+	for name, reads := range map[string]int{"as an answer goes on": 1, "behind an interim one": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer far.Close()
+				socks := limits.NewSockets(1024)
+				socks.Take()
+				c := newTest(testkit.Patience, testkit.Patience, socks).newConn(limits.Own(near, socks), nil)
+				defer c.Close()
+				begun := time.Now()
+				c.in.start(begun.Add(time.Hour), answerHead)
+				go far.Write([]byte("HT"))
+				for range reads {
+					if _, err := c.in.Read(make([]byte, 1)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if c.interrupt(); reads > 1 {
+					c.in.again()
+				}
+				if _, err := c.in.Read(make([]byte, 1)); err == nil || time.Since(begun) > 0 {
+					t.Errorf("%v after %v", err, time.Since(begun))
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -84,6 +84,7 @@
 	bounded bool // what has begun has a deadline
 	set     bool // some deadline is set
 
+	of    *conn
 	relay *relay // of an answer that may go on for any time; nil is none
 }
 
@@ -106,7 +107,7 @@
 		if !r.until.IsZero() && r.until.Before(rest) {
 			rest = r.until
 		}
-		r.SetReadDeadline(rest)
+		r.of.readBy(rest)
 		r.bounded, r.set = true, true
 	}
 	n, err := r.Conn.Read(b[:min(len(b), r.left)])
@@ -120,14 +121,13 @@
 	if r.set {
 		r.SetReadDeadline(time.Time{})
 	}
-	*r = answerReader{Conn: r.Conn, left: most, until: until}
+	*r = answerReader{Conn: r.Conn, of: r.of, left: most, until: until}
 }
 
-// again makes the reader ready for a further answer, after an interim one. Guards, by naming
-// the attempt's end, against undoing the deadline of one that ends at this moment.
+// again makes the reader ready for a further answer, after an interim one.
 func (r *answerReader) again() {
 	if r.bounded {
-		r.SetReadDeadline(r.until)
+		r.of.readBy(r.until)
 	}
 	r.begun, r.bounded = false, false
 }
@@ -359,6 +359,7 @@
 
 func (u *Upstream) newConn(nc *limits.Conn, raw syscall.RawConn) *conn {
 	c := &conn{Conn: nc, raw: raw, in: answerReader{Conn: nc.Conn}, doubled: &u.doubled}
+	c.in.of = c
 	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(nc.Conn, connBuffer)
 	return c
 }
