--- /dev/null
+++ b/internal/upstream/ends_test.go
@@ -0,0 +1,282 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/limits"
+	"lockflow/internal/standin"
+	"lockflow/internal/testkit"
+)
+
+// Once a server has sent a second answer, a request isn't written where one may still be on its way:
+// it would be taken for that request's.
+func TestSecondAnswerBehindTheNextRequest(t *testing.T) {
+	const good, noise = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
+	for name, behind := range map[string]bool{"with its answer": true, "when the connection is idle": false} {
+		t.Run(name, func(t *testing.T) {
+			type asked struct {
+				c    net.Conn
+				from string
+			}
+			reqs, say := make(chan asked), make(chan string)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						for r := bufio.NewReader(c); ; {
+							if _, err := http.ReadRequest(r); err != nil {
+								return
+							}
+							reqs <- asked{c, c.RemoteAddr().String()}
+							io.WriteString(c, <-say)
+						}
+					}()
+				}
+			}()
+			u := newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024))
+			u.rest = testkit.Patience
+			p := u.Pool(l.Addr().String(), SpeaksHTTP1)
+			defer u.Retire(p)
+			ends := make(chan Outcome, 1)
+			begin := func() asked {
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+					defer cancel()
+					ends <- u.Try(ctx, p, message(t, nil))
+				}()
+				return testkit.Next(t, reqs)
+			}
+			end := func() {
+				t.Helper()
+				if o := testkit.Next(t, ends); o.Reason != control.OK || string(o.Body) != "ok" {
+					t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
+				}
+			}
+			// What a server does once: it is seen, and harms nobody.
+			first := begin()
+			if say <- good + map[bool]string{true: noise}[behind]; !behind {
+				end()
+				io.WriteString(first.c, noise)
+				testkit.Until(t, "the second answer", func() bool {
+					u.drop(func(c *conn) bool { return !c.quiet() })
+					n, _ := u.Conns()
+					return n == 0
+				})
+			} else {
+				end()
+			}
+			// From then on no request meets one that is late.
+			second := begin()
+			say <- good
+			end()
+			third := begin()
+			io.WriteString(second.c, noise)
+			if say <- good; third.from == second.from {
+				t.Error("written where a second answer may still come")
+			}
+			end()
+			// What has rested is used again.
+			testkit.Until(t, "the late answer", func() bool {
+				u.drop(func(c *conn) bool { return !c.quiet() })
+				n, _ := u.Conns()
+				return n == 1
+			})
+			u.rest = 0
+			fourth := begin()
+			say <- good
+			if end(); fourth.from != third.from {
+				t.Error("one that has rested was not used again")
+			}
+		})
+	}
+}
+
+// comingUp has connections come up once a time is past.
+type comingUp struct{ past time.Time }
+
+func (c *comingUp) Take() bool { time.Sleep(time.Until(c.past)); return true }
+func (c *comingUp) Give()      {}
+
+// What has to begin by some time is not written to a connection that comes up later, nor on an idle
+// one: that speaks against no server, and the connection serves the next request.
+func TestConnectionUpBehindTheWindow(t *testing.T) {
+	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
+		t.Run(name, func(t *testing.T) {
+			a, err := standin.Server{UID: "s", HTTP2: true}.Start()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(a.Close)
+			late := &comingUp{}
+			socks := limits.NewSockets(1024)
+			u := New(Options{Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks, Dials: late,
+				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true}})
+			p := u.Pool(a.Addr(), speaks)
+			t.Cleanup(func() { u.Retire(p) })
+			try := func(by time.Time) Outcome {
+				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+				defer cancel()
+				if !by.IsZero() {
+					ctx = BeginBy(ctx, by)
+				}
+				return update("id", "body").Try(ctx, nil, u, p)
+			}
+			late.past = time.Now().Add(10 * time.Millisecond)
+			if o := try(late.past); o.Reason != control.Moot {
+				t.Errorf("%d (%v) over a new connection", o.Reason, o.Err)
+			}
+			if o := try(time.Now()); o.Reason != control.Moot {
+				t.Errorf("%d (%v) over an idle one", o.Reason, o.Err)
+			}
+			if one, two := a.Spoken(); one+two != 0 {
+				t.Errorf("%d were written", one+two)
+			}
+			for _, by := range []time.Time{time.Now().Add(time.Hour), {}} {
+				if o := try(by); o.Reason != control.OK {
+					t.Errorf("%d (%v) in time", o.Reason, o.Err)
+				}
+			}
+			if n := socks.Open(); n != 1 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
+// An attempt over TLS that is given up while its server takes nothing ends with its time: it doesn't
+// wait to say farewell.
+func TestGivenUpOverTLS(t *testing.T) {
+	cert := httptest.NewUnstartedServer(nil)
+	cert.StartTLS()
+	certs := cert.TLS.Certificates
+	cert.Close()
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		go tls.Server(far, &tls.Config{Certificates: certs, SessionTicketsDisabled: true}).Handshake() // and reads no more
+		nc := tls.Client(near, &tls.Config{InsecureSkipVerify: true})
+		if err := nc.Handshake(); err != nil {
+			t.Fatal(err)
+		}
+		socks := limits.NewSockets(1024)
+		socks.Take()
+		u := newTest(testkit.Patience, testkit.Patience, socks)
+		p := u.Pool("", SpeaksHTTP1)
+		c := u.newConn(limits.Own(nc, socks), nil)
+		const left = time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), left)
+		defer cancel()
+		begun := time.Now()
+		o := u.try(ctx, p, c, message(t, make([]byte, 64<<10)))
+		if took := time.Since(begun); took != left || o.Reason != control.ConnectFailed {
+			t.Errorf("%d (%v) after %v", o.Reason, o.Err, took)
+		}
+		if n := socks.Open(); n != 0 {
+			t.Errorf("%d connections left open", n)
+		}
+	})
+}
+
+// An attempt that ends at a told byte of its request never ran where that is not the last one, and
+// may have run where it is, however the request was cut into writes; its connection is closed by then.
+func TestEndsAtAByte(t *testing.T) {
+	for _, size := range []int{0, 1, connBuffer, 64 << 10} {
+		total := 0
+		for _, tc := range []struct {
+			name   string
+			before int // of the last byte
+			breaks bool
+			want   control.Reason
+		}{
+			{"all", 0, false, control.TimedOut}, // counts the request's bytes too
+			{"broken behind the last", 0, true, control.ResetByPeer},
+			{"broken before the last", 1, true, control.ConnectFailed},
+			{"silent before the last", 1, false, control.ConnectFailed},
+			{"broken in the middle", size/2 + 1, true, control.ConnectFailed},
+			{"silent in the middle", size/2 + 1, false, control.ConnectFailed},
+		} {
+			t.Run(fmt.Sprintf("%d bytes, %s", size, tc.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					near, far := net.Pipe()
+					socks := limits.NewSockets(1024)
+					socks.Take()
+					u := newTest(testkit.Patience, testkit.Patience, socks)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					ends := make(chan Outcome, 1)
+					req := message(t, make([]byte, size))
+					go func() {
+						ends <- u.try(ctx, u.Pool("", SpeaksHTTP1), u.newConn(limits.Own(near, socks), nil), req)
+					}()
+					if total == 0 {
+						far.SetReadDeadline(time.Now().Add(time.Millisecond))
+						n, _ := io.Copy(io.Discard, far)
+						total = int(n)
+						far.SetReadDeadline(time.Time{})
+					} else if _, err := io.CopyN(io.Discard, far, int64(total-tc.before)); err != nil {
+						t.Fatal(err)
+					}
+					if tc.breaks {
+						far.Close()
+					}
+					if o := <-ends; o.Reason != tc.want {
+						t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
+					}
+					if _, err := far.Write([]byte("x")); err == nil || socks.Open() != 0 {
+						t.Error("not closed")
+					}
+				})
+			})
+		}
+	}
+}
+
+// What ends an attempt between two reads of its answer is not undone by the clock of that answer.
+func TestInterruptIsNotUndone(t *testing.T) {
+	for name, reads := range map[string]int{"as an answer goes on": 1, "behind an interim one": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer far.Close()
+				socks := limits.NewSockets(1024)
+				socks.Take()
+				c := newTest(testkit.Patience, testkit.Patience, socks).newConn(limits.Own(near, socks), nil)
+				defer c.Close()
+				begun := time.Now()
+				c.in.start(begun.Add(time.Hour), answerHead)
+				go far.Write([]byte("HT"))
+				for range reads {
+					if _, err := c.in.Read(make([]byte, 1)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if c.interrupt(); reads > 1 {
+					c.in.again()
+				}
+				if _, err := c.in.Read(make([]byte, 1)); err == nil || time.Since(begun) > 0 {
+					t.Errorf("%v after %v", err, time.Since(begun))
+				}
+			})
+		})
+	}
+}
