Don't grant a ceiling's slack or old time anew to customers that are forgotten

Restore (control/checkpoint.go) took the earlier of its own start and the told one, so that a gateway which had run for longer than the forgetting lay back undid it, and it set the slack to that of a first start, also behind one that had none to grant since a crash. Besides, a customer whose waiting requests had units such as 0.1 and 0.2 kept a rounding error as queued units, and was never forgotten at all.

Change: who forgets grants no slack any more; a checkpoint tells the slack as it tells the start (one without the field means none, the careful reading), and both are taken as told; less than a billionth of a unit is nothing that waits.

--- a/control/ceiling_test.go
+++ b/control/ceiling_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // A customer that was never seen, or that was forgotten, has no more to spend at once than the
@@ -44,3 +45,82 @@
 		})
 	}
 }
+
+// A customer that is forgotten before its store is full again, as there are too many, has no more over
+// time than the ceiling gives, however often that happens, and whoever takes the gateway's place.
+func TestForgettingOpensNoCeiling(t *testing.T) {
+	s := ceilingSettings()
+	p := s.Plans[0]
+	var list []uint32
+	for id := range uint32(200) {
+		list = append(list, id+1)
+	}
+	for name, handsOver := range map[string]bool{"stays": false, "hands over": true} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate(t, s, on(list...)...)
+			many := func() {
+				for i := range custMost/2 + 1 {
+					g.c.customerOf(g.c.planOf[p.Name], fmt.Sprint("busy", i), 2).open = 1
+				}
+			}
+			many()
+			forgotten, sent, begun := 0, 0, g.now
+			for round := range 60 {
+				for i := range 400 {
+					id := fmt.Sprint(round, " ", i)
+					g.do(Request{ID: id, Class: "job", Plan: p.Name, Customer: "x", TTL: 5 * time.Second, Units: 0.125, Spread: 2})
+					if g.n[id] > 0 {
+						sent++
+						g.reply(id, OK, 0)
+					}
+				}
+				g.now += interval
+				if g.c.Handle(g.now, Timer{}); g.c.custs[p.Name+" x"] != nil {
+					g.c.sweep()
+				}
+				if g.c.custs[p.Name+" x"] == nil {
+					forgotten++
+				}
+				if handsOver && round%10 == 0 {
+					given := g.c.HandOver(g.now, 1)
+					next := newGate(t, s, on(list...)...)
+					next.now = g.now
+					next.c.Restore(g.now, given, Exact)
+					g = next
+					many()
+				}
+			}
+			most := (ceilingStart*p.CeilingSlack + (g.now-begun).Seconds()*p.CeilingRate) / 2
+			if n := float64(sent) / 8; forgotten < 10 || n > most+1 {
+				t.Errorf("%g units of %g, forgotten %d times", n, most, forgotten)
+			}
+		})
+	}
+}
+
+// The slack is granted once: not again by each gateway that takes another's place, where that one had
+// none to grant.
+func TestSlackIsNotHandedOverTwice(t *testing.T) {
+	s := ceilingSettings()
+	after := func(c Checkpoint, trust Trust) *Controller {
+		g := newGate(t, s, on(1, 2)...)
+		g.c.Restore(g.now, c, trust)
+		return g.c
+	}
+	crashed := after(newGate(t, s, on(1, 2)...).c.Checkpoint(time.Hour), Learned)
+	next := after(crashed.HandOver(time.Hour, 1), Exact)
+	if left := next.customerOf(next.planOf["low"], "x", 1).ceiling; left > 0 {
+		t.Errorf("%g units for a customer of whom nothing is known since a crash", left)
+	}
+}
+
+// A customer is forgotten whatever the units of its requests were that waited and were not sent.
+func TestPartsOfUnitsAreForgotten(t *testing.T) {
+	g := newGate(t, settings())
+	for i, units := range []float64{0.1, 0.2, 0.3} {
+		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "x", TTL: 5 * time.Second, Units: units, Spread: 2})
+	}
+	if g.pass(2 * custKeep); len(g.c.custs) > 0 || len(g.ends) != 3 {
+		t.Errorf("%d customers remembered, %d requests answered", len(g.c.custs), len(g.ends))
+	}
+}
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -19,6 +19,7 @@
 	Version   int           `cbor:"v"`
 	At        time.Duration `cbor:"at"`      // when it was taken
 	Start     time.Duration `cbor:"start"`   // since when the stores of unseen customers fill
+	Slack     float64       `cbor:"slack"`   // part of the slack with which they began
 	Portion   float64       `cbor:"portion"` // of the rates at which stores fill, from 0 to 1
 	Bound     float64       `cbor:"bound"`
 	Usable    float64       `cbor:"usable"` // servers that Bound was for
@@ -164,7 +165,7 @@
 }
 
 func (c *Controller) checkpoint() Checkpoint {
-	s := Checkpoint{Version: CheckpointVersion, At: c.now, Start: c.start, Portion: c.portion, Bound: c.bound, Usable: c.count((*server).usable),
+	s := Checkpoint{Version: CheckpointVersion, At: c.now, Start: c.start, Slack: c.slack, Portion: c.portion, Bound: c.bound, Usable: c.count((*server).usable),
 		Interval: Interval{c.nextInterval, c.cut, c.pressed, c.latSum, c.secSum, c.latN, c.answers, c.bad, c.served, c.utilSum, c.utilN, c.cutAt}, Latency: c.latency, Idle: c.idle, Seen: c.seen,
 		Served: c.servedRate, Retries: c.retries, NextTry: c.nextTry}
 	if c.set.MeterPeriod > 0 {
@@ -267,7 +268,7 @@
 			served: v.Served}
 	}
 	if c.slack = 0; trust == Exact {
-		c.start, c.slack = min(c.start, s.Start), ceilingStart
+		c.start, c.slack = min(c.now, s.Start), math.Min(ceilingStart, math.Max(0, s.Slack))
 	}
 	if s.Meter.Period == c.set.MeterPeriod && len(s.Meter.Miss) == binsPeriod*lagMost && s.Meter.valid() {
 		c.clock.phase, c.clock.lag = s.Meter.Phase, s.Meter.Lag
@@ -298,7 +299,7 @@
 
 // finite tells whether all that a checkpoint says can be reckoned with.
 func (s *Checkpoint) finite() bool {
-	sum := s.Portion + s.Bound + s.Latency + s.Idle + s.Seen + s.Served + s.Retries
+	sum := s.Slack + s.Portion + s.Bound + s.Latency + s.Idle + s.Seen + s.Served + s.Retries
 	for _, v := range s.Meter.Miss {
 		sum += v
 	}
--- a/control/quota.go
+++ b/control/quota.go
@@ -258,22 +258,25 @@
 // is safe then: all stores unseen fill from now.
 func (c *Controller) sweep() {
 	for k, q := range c.custs {
-		if c.now-q.at > custKeep && q.open == 0 && q.queued == 0 && c.full(q) {
+		if c.now-q.at > custKeep && q.idle() && c.full(q) {
 			delete(c.custs, k)
 		}
 	}
 	keep := custKeep
 	for len(c.custs) > custMost/2 && keep > interval {
 		keep /= 2
-		c.start = max(c.start, c.now-keep)
+		c.start, c.slack = max(c.start, c.now-keep), 0 // each has had its slack
 		for k, q := range c.custs {
-			if c.now-q.at > keep && q.open == 0 && q.queued == 0 {
+			if c.now-q.at > keep && q.idle() {
 				delete(c.custs, k)
 			}
 		}
 	}
 }
 
+// idle tells whether nothing of a customer's is held; what was queued leaves a rounding error.
+func (q *customer) idle() bool { return q.open == 0 && q.queued < tiny }
+
 // full tells whether an idle customer's stores have filled again since it was last looked at.
 func (c *Controller) full(q *customer) bool {
 	p, dt := q.plan, (c.now - q.at).Seconds()
