Take heartbeats within a message that was cut off for no life

Change: within a message white space alone is no life. What is read ahead of the next message counts as its beginning.

Ruled out: a bound on a message's whole time (a long list on a slow connection would never arrive).

Test: the rows "in one, with heartbeats" and "in the next, the same" of TestSilentWatchIsOpenedAnewInTime, seen to fail without the change ("never told").

--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -21,6 +21,7 @@
 type scripted struct {
 	says, later string
 	ends        bool
+	beats       bool // goes on with heartbeats instead
 	nobody      bool // the connection never comes up
 }
 
@@ -32,6 +33,8 @@
 	headOnly = scripted{says: scriptedHead}
 	cutHead  = scripted{says: "HTTP/1.1 200 OK\r\nX-"}
 	cutShort = scripted{says: scriptedHead + "\n", later: `{"rev":44,"all":fal`}
+	cutLater = scripted{says: scriptedHead + `{"rev":44,"all":fal`, beats: true}
+	cutNext  = scripted{says: scriptedHead + `{"rev":43}` + "\n" + `{"rev":44,`, beats: true}
 	reset    = scripted{says: scriptedHead + "\n", later: "\n", ends: true}
 	away     = scripted{nobody: true}
 )
@@ -85,6 +88,12 @@
 					time.Sleep(2 * time.Second)
 				}
 			}
+			for s.beats {
+				if _, err := io.WriteString(there, "\n"); err != nil {
+					return
+				}
+				time.Sleep(2 * time.Second)
+			}
 			if !s.ends {
 				io.Copy(io.Discard, there) // until the other gives up
 			}
@@ -98,7 +107,11 @@
 		}
 	}
 	all.Go(func() { f.Run(ctx) })
-	<-done
+	select {
+	case <-done:
+	case <-time.After(time.Hour):
+		t.Error("never told")
+	}
 	mu.Lock()
 	defer mu.Unlock()
 	return silent, told
@@ -113,6 +126,8 @@
 		"in its head":               {cutHead},
 		"behind its head":           {headOnly},
 		"in a message":              {cutShort},
+		"in one, with heartbeats":   {cutLater},
+		"in the next, the same":     {cutNext},
 		"never connected":           {away},
 		"reset":                     {reset},
 		"silent, and mute":          {beating, mute},
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -100,6 +101,8 @@
 			}
 			return in.heard, err
 		}
+		ahead, _ := io.ReadAll(in.dec.Buffered())
+		in.begun = len(bytes.TrimSpace(ahead)) > 0
 		if err := w.take(l); err != nil {
 			return in.heard, err
 		}
@@ -114,10 +117,12 @@
 	dec    *json.Decoder // that reads it
 	silent *time.Timer
 	heard  bool
+	begun  bool // a message of which the rest is to come
 	read   int64
 }
 
-// Read bounds a message by what was read since the end of the last one.
+// Read bounds a message by what was read since the end of the last one. Guards against a message
+// that was cut off and is followed by heartbeats: within one they are no life.
 func (w *watched) Read(p []byte) (int, error) {
 	if w.read-w.dec.InputOffset() > messageMost {
 		return 0, fmt.Errorf("a message of more than %d bytes", messageMost)
@@ -125,8 +130,12 @@
 	n, err := w.from.Read(p)
 	if n > 0 {
 		w.read += int64(n)
-		w.heard, w.last = true, time.Now()
-		w.silent.Reset(w.silence)
+		w.heard = true
+		if says := len(bytes.TrimSpace(p[:n])) > 0; says || !w.begun {
+			w.begun = says
+			w.last = time.Now()
+			w.silent.Reset(w.silence)
+		}
 	}
 	return n, err
 }
