Hand a request over as a keyed one only where its key was asked for

Cause: Service.takes compared class, plan, method and spread of a request that is handed to the service which takes its place, not the effect. Where new settings make a class keyed that was unsafe before (both come as POST), a request read with no key went to the next module as a keyed one, which may repeat it though it may have run.

Change: a keyed class takes only what was read as one; others stay with the service that has read them, by its terms. Measured: TestEffectAcrossHandOver, -race -count=10; seen to fail without: "heard of 0 before, 1 after" (unsafe, then keyed).

--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lockflow/control"
@@ -66,3 +68,36 @@
 		})
 	}
 }
+
+// A request that a service has not begun when another takes its place goes there, but not as a keyed
+// one where nobody has asked for its key.
+func TestEffectAcrossHandOver(t *testing.T) {
+	effects := []control.Effect{control.Guarded, control.SingleShot}
+	for _, from := range effects {
+		for _, to := range effects {
+			t.Run(fmt.Sprint(from, to), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var before, after []control.Request
+					with := func(e control.Effect, seen *[]control.Request) *Service {
+						o := Options{Settings: settings(), Module: func() (Module, error) { return keeping{seen}, nil }}
+						o.Settings.Classes[0].Effect, o.Settings.Classes[0].RepeatWindow = e, time.Second
+						s, _ := started(t, o)
+						return s
+					}
+					was, next := with(from, &before), with(to, &after)
+					was.HandTo(next)
+					ctx, leave := context.WithCancel(t.Context())
+					x := request("id-1")
+					x.Forward.(*upstream.Whole).Request.Method = http.MethodPost
+					go was.Do(ctx, x)
+					synctest.Wait()
+					if stays := from != to && to == control.Guarded; len(before)+len(after) != 1 || len(before) == 1 != stays {
+						t.Errorf("heard of %d before, %d after", len(before), len(after))
+					}
+					leave()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -28,10 +29,14 @@
 // Ended is closed when the service has ended.
 func (s *Service) Ended() <-chan struct{} { return s.ended }
 
-// takes tells whether a request that was read by another service's terms is served by this one
-// on the same terms.
-func (s *Service) takes(x *Exchange) bool {
+// takes tells whether a request that was read by another service's terms, of some classes, is served by
+// this one on the same terms. Guards against repeats with no key: only of a keyed class's request it
+// was seen that it has one.
+func (s *Service) takes(x *Exchange, read []control.Class) bool {
 	k, ok := s.Classes[x.Req.Class]
+	if ok && k.Effect == control.Guarded {
+		ok = slices.ContainsFunc(read, func(was control.Class) bool { return was.Name == k.Name && was.Effect == k.Effect })
+	}
 	return ok && s.Plans[x.Req.Plan] && s.Serves(k, x.Forward.Method()) && x.Req.Spread <= s.Group
 }
 
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -225,7 +225,7 @@
 // module has not heard goes to the service that has taken this one's place, where that has the
 // request's class and plan too: what is left to spend is there.
 func (l *loop) begin(x *Exchange) {
-	if l.next != nil && l.next.takes(x) {
+	if l.next != nil && l.next.takes(x, l.classes) {
 		x.answer <- Answer{next: l.next}
 		return
 	}
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -194,7 +194,7 @@
 	}
 	for id, x := range g.asked {
 		delete(g.asked, id)
-		if !x.done && next.takes(x) {
+		if !x.done && next.takes(x, l.classes) {
 			delete(l.exchanges, x.Req.ID)
 			x.drop()
 			x.answer <- Answer{next: next} // from here on it is another loop's
