Keep where a server was when an entry only tells that it drains or is gone

Cause: merge (control/state.go) put each entry in the place of what was known of a server. Of one that drains or is removed the list may tell nothing but uid and state (internal/discovery takes that as whole), so zone and cell of the entry are empty, and a request that may have run there found them as its key's group: its repeat went to servers of no zone, or of cell 0, which drop no repeats of it.

Change: an entry that is not up changes a known server's condition alone.

Measured: TestGoneServerKeepsItsGroup (draining, gone; zone, cell; short and long deadline), seen to fail without the change: "sent again to 3". It was found by a new property test, which stays: TestAnySettingsAndStrayEventsLeaveNothing draws settings of any customer (one class or three of any effect, deadlines from 20 ms to 20 s, groups of 1 to 300, no zone, no meter, no attempt limit) and feeds events that come twice, too late or of what is not there, lists that take all servers away or name one twice, and ids that are held; each request has one answer in time, and at the end no request, label, attempt, place, turn or unit is left. Without the change: "r19 may have run and was sent again outside its group or window".

--- a/control/state.go
+++ b/control/state.go
@@ -337,6 +337,11 @@
 		if s == nil {
 			s = &server{shut: map[*plan]time.Duration{}}
 			c.servers[m.Server], c.order = s, append(c.order, s)
+		} else if m.Condition != On {
+			// Guards against an entry that tells no more than that: where the server was says who
+			// drops repeats of what it may have run.
+			s.Condition, s.listed = m.Condition, m.Condition != Off
+			continue
 		}
 		c.learn(s, m)
 		s.Member, s.listed = m, m.Condition != Off
