--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -19,6 +19,7 @@
 	Body   []byte
 	Stream *Stream // the rest of an answer that goes on; nil where all of it is here
 	Dialed bool    // a connection was made for it, or tried to be
+	Left   bool    // nothing was sent, as the client was not there any more
 }
 
 // means says what a whole answer of the platform's protocol means.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"lockflow/control"
 )
 
 // Pool holds the idle connections to one app server at one address. Guards against those
@@ -73,12 +75,18 @@
 		c := u.pop(p, rest)
 		fresh := c == nil
 		if fresh {
+			if u.retired(p) {
+				return nil, errGone
+			}
 			var err error
 			if c, err = u.dial(ctx, p.Endpoint); err != nil {
 				return nil, err
 			}
 		}
 		switch {
+		case fresh && u.retired(p):
+			c.Close()
+			return nil, errGone
 		case !fresh && (!c.quiet() || time.Since(c.since) >= u.idleFor):
 			c.Close()
 		case tooLate(ctx): // the connection is a good one
@@ -123,8 +131,32 @@
 	return nil
 }
 
+// unsent is the outcome of an attempt that was taken back once it had a connection, which is kept: a
+// server bears few that come up.
+func (u *Upstream) unsent(p *Pool, c *conn) Outcome {
+	o := Outcome{Reason: control.Moot, Err: errUnsent, Dialed: c.since.IsZero()}
+	if o.Dialed {
+		c.since = time.Now()
+	}
+	u.keep(p, c)
+	return o
+}
+
 func (u *Upstream) put(p *Pool, c *conn) {
 	c.since = time.Now()
+	u.keep(p, c)
+}
+
+// retired tells whether a pool is. Guards against an attempt that is begun as its server leaves the list, and
+// would be written once its connection is up, when sends to the server have to have stopped.
+func (u *Upstream) retired(p *Pool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, ok := u.pools[p.last()]
+	return !ok
+}
+
+func (u *Upstream) keep(p *Pool, c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p = p.last()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -93,6 +93,7 @@
 	errNoDescriptor = errors.New("no descriptor is left")
 	errNoDial       = errors.New("too many connections are coming up")
 	errLate         = errors.New("it had to begin sooner")
+	errGone         = errors.New("the server has left the list")
 )
 
 func (r *answerReader) Read(b []byte) (int, error) {
@@ -184,6 +185,9 @@
 		return unconnected(err)
 	}
 	dialed := c.since.IsZero()
+	if !commit(ctx) {
+		return u.unsent(p, c)
+	}
 	o := u.try(ctx, p, c, req)
 	o.Dialed = dialed
 	return o
