Keep to limits on descriptors below 152

Connections(limit) was at least 128 whatever the limit, so that with 64 descriptors the node went over it, and accepts and dials failed. It is now what the limit leaves, and the places kept from clients are half of that where it is low. A limit that isn't told means 128 connections as before. TestLowLimits was seen to fail without it: "of 64: 64 clients and 64 servers".

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -176,3 +176,20 @@
 		}
 	})
 }
+
+// A low limit on descriptors is kept, and leaves a place to either side.
+func TestLowLimits(t *testing.T) {
+	for _, limit := range []int{Least, 40, 64, 128, 151, 152, 1024} {
+		s := NewSockets(limit)
+		clients, servers := 0, 0
+		for c := s.Clients(); c.Take(); {
+			clients++
+		}
+		for s.Take() {
+			servers++
+		}
+		if clients < 1 || servers < 1 || clients+servers+socketsApart > limit || servers > SocketsAhead {
+			t.Errorf("of %d: %d clients and %d servers", limit, clients, servers)
+		}
+	}
+}
--- a/internal/limits/sockets.go
+++ b/internal/limits/sockets.go
@@ -17,6 +17,9 @@
 
 	// SocketsAhead is what is left to connections to app servers when clients fill the rest.
 	SocketsAhead = 64
+
+	// Least is the lowest limit on descriptors that leaves a client and an app server a place.
+	Least = socketsApart + 2
 )
 
 // Opener books the descriptors of one owner: a service, or the clients.
@@ -31,8 +34,9 @@
 // descriptors. Where it is reached, idle connections are closed for new ones. It serves a
 // process of one service; several share by a Ledger.
 type Sockets struct {
-	open atomic.Int64
-	most atomic.Int64
+	open  atomic.Int64
+	most  atomic.Int64
+	ahead int64 // SocketsAhead, or half of what a low limit leaves
 
 	// Each closes one connection that nothing waits on, if there is one. That of the app
 	// servers keeps some.
@@ -42,13 +46,20 @@
 
 // NewSockets makes the books for a limit on the process's descriptors.
 func NewSockets(limit int) *Sockets {
-	s := &Sockets{evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
-	s.most.Store(int64(Connections(limit)))
+	most := Connections(limit)
+	s := &Sockets{ahead: int64(min(SocketsAhead, most/2)), evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
+	s.most.Store(int64(most))
 	return s
 }
 
-// Connections is how many connections a limit on descriptors leaves room for.
-func Connections(limit int) int { return max(limit-socketsApart, 2*SocketsAhead) }
+// Connections is how many connections a limit on descriptors leaves room for; 0 is a limit that nobody
+// told.
+func Connections(limit int) int {
+	if limit == 0 {
+		return 2 * SocketsAhead
+	}
+	return max(limit, Least) - socketsApart
+}
 
 // SetMost sets how many connections may be open; what is open beyond it stays.
 func (s *Sockets) SetMost(n int) { s.most.Store(int64(n)) }
@@ -91,7 +102,7 @@
 
 type clientSockets struct{ *Sockets }
 
-func (s clientSockets) Take() bool { return s.take(SocketsAhead) }
+func (s clientSockets) Take() bool { return s.take(s.ahead) }
 
 // wait books a place as soon as there is one.
 func wait(ctx context.Context, o Opener) error {
