Pass paths on as they came, take classes with a slash, refuse addresses that can't be

Seen over loopback, by settings of other sites and bytes of a client: - front.go Table.find took the class from the decoded path: a class "care/plans", asked for as /care%2Fplans, was "404 unknown class care". The first segment is now decoded by itself. - platform.go forward built the target from url.URL's parts, which writes raw bytes encoded: /roster-read/ä went on as /roster-read/%C3%A4. It is now the client's own bytes, as ordinary HTTP has it already (originForm). - net/http answered OPTIONS * with 200, which no app server made; it is 400 now. - platform.go (config): an address with a port that is no number, or a host that none can be, was taken, also from NODE_DISCOVERY, and only debug lines told that it can't be dialled. It is one line with the key now, at the start and after SIGHUP, where the old place stays. The same for negative limits and a limit on sockets below what one client and one server need.

TestTargetGoesOnUnchanged, TestOtherSites and TestNoAnswerToOptions were seen to fail without it: "went on as /roster-read/%C3%A4", "404 Not Found unknown class", "200 OK". Ruled out by TestOtherSites: no zones, contract, domain, limits, meter or known list, figures as text, one class, names with blanks, percents, umlauts or dots.

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -231,9 +231,17 @@
 	answer := p.ask("id-1")
 	<-held
 
-	write("{")
-	p.signal(syscall.SIGHUP)
-	p.until("the old configuration stays")
+	for bad, told := range map[string]string{
+		"{": "configuration",
+		strings.Replace(string(raw), "127.0.0.1:1\"", "127.0.0.1:watch\"", 1): "discovery:",
+		strings.Replace(string(raw), `"aim": 2000.0`, `"aim": 0`, 1):          "classes.0.aim:",
+	} {
+		write(bad)
+		p.signal(syscall.SIGHUP)
+		if line := p.until("the old configuration stays"); !strings.Contains(line, told) {
+			t.Errorf("%s doesn't tell %s", line, told)
+		}
+	}
 
 	write(strings.Replace(string(raw), "127.0.0.1:1\"", second.Listener.Addr().String()+"\"", 1))
 	p.signal(syscall.SIGHUP)
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -101,6 +101,9 @@
 	for name, field := range map[string]*string{"NODE_LISTEN": &cfg.Listeners[0],
 		"NODE_DISCOVERY": &cfg.Services[0].Source.Address} {
 		if v := e.Getenv(name); v != "" {
+			if err := config.CheckAddress(v); err != nil {
+				return badConfig(fmt.Errorf("%s: %w", name, err))
+			}
 			*field = v
 		}
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"lockflow/internal/discovery"
+	"lockflow/internal/limits"
 	"lockflow/internal/orders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/wire"
@@ -53,10 +55,16 @@
 		return c, fmt.Errorf("listen and discovery must both be given")
 	}
 	for name, addr := range map[string]string{"listen": file.Listen, "discovery": file.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
+		if err := CheckAddress(addr); err != nil {
 			return c, fmt.Errorf("%s: %w", name, err)
 		}
 	}
+	// What isn't told has no limit.
+	if l := file.Limits; l.Sockets != 0 && l.Sockets < limits.Least {
+		return c, fmt.Errorf("limits.sockets: %d leaves no room for connections; %d is the least", l.Sockets, limits.Least)
+	} else if l.MemoryMB < 0 || l.Cores < 0 {
+		return c, fmt.Errorf("limits: cores and memory_mb: %v and %d, of which one is negative", l.Cores, l.MemoryMB)
+	}
 	var err error
 	if s.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
@@ -87,6 +95,22 @@
 	return c, nil
 }
 
+// CheckAddress tells what makes an address none that can be connected to or listened on: without DNS
+// there are no named ports either.
+func CheckAddress(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("%q: the port is no number below 65536", addr)
+	}
+	if _, err := url.Parse("http://" + addr); err != nil {
+		return fmt.Errorf("%q: %q is no host", addr, host)
+	}
+	return nil
+}
+
 // millis reads a span of the settings that is the node's own business.
 func millis(paths map[string]string, path string, missing time.Duration) (time.Duration, error) {
 	text, ok := paths[path]
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -90,6 +90,11 @@
 		"odd effect":   {`"guarded"`, `"maybe"`, "effect"},
 		"odd span":     {`"keepalive": 15000.0`, `"keepalive": -1`, "keepalive"},
 		"no settings":  {`"settings"`, `"unsettled"`, "settings"},
+		"port a word":  {`"127.0.0.1:1"`, `"127.0.0.1:watch"`, "discovery: "},
+		"port too big": {`"127.0.0.1:0"`, `"127.0.0.1:65536"`, "listen: "},
+		"odd host":     {`"127.0.0.1:1"`, `"127.0. 0.1:1"`, "discovery: "},
+		"no sockets":   {`"sockets": 1024`, `"sockets": 25`, "limits.sockets"},
+		"odd memory":   {`"memory_mb": 192`, `"memory_mb": -1`, "memory_mb"},
 		"wrong nature": {`"cores": 1.0`, `"cores": "many"`, "Cores"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -106,3 +111,30 @@
 		t.Error("a missing file was taken")
 	}
 }
+
+// FuzzPlatform: what is read can be served by, and what can't is one line.
+func FuzzPlatform(f *testing.F) {
+	good, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"group-size":1,"classes":[{"effect":"free","aim":1,"deadline":"1"}],"tariffs":[null]}}`))
+	f.Add([]byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"classes":{"count":2},"classes.count":1e9}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := ParsePlatform(raw)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("more than a line: %q", err)
+			}
+			return
+		}
+		m, err := control.New(c.Services[0].Settings, 1)
+		if err != nil {
+			return // the module names it
+		}
+		for _, k := range c.Services[0].Settings.Classes {
+			m.Handle(0, control.Request{ID: "a", Class: k.Name, Plan: c.Services[0].Settings.Plans[0].Name, Units: 1, Spread: 1, TTL: k.Deadline})
+		}
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -105,7 +106,9 @@
 	return &http.Server{Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.clients.state,
 		ReadHeaderTimeout: requestWithin, ReadTimeout: requestWithin,
 		ConnContext: f.clients.begin,
-		ErrorLog:    slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn)}
+		// Guards against an answer 200 to OPTIONS * that no app server made.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn)}
 }
 
 // Evict closes a client connection that has said nothing for too long, else the one that
@@ -187,7 +190,7 @@
 
 func (t *Table) find(r *http.Request) (to *Target, first string, wrong *badRequest) {
 	if t.Router == nil {
-		return &t.Targets[0], route.First(r.URL.Path), nil
+		return &t.Targets[0], firstSegment(r.URL), nil
 	}
 	authority, raw, err := route.Target(r.RequestURI)
 	if err != nil {
@@ -211,6 +214,17 @@
 	return &t.Targets[i], route.First(path), nil
 }
 
+// firstSegment is the first segment of a path that is matched with no rule, decoded by itself: what
+// it names may hold a slash.
+func firstSegment(u *url.URL) string {
+	if u.RawPath != "" { // as always where a slash is encoded
+		if first, err := url.PathUnescape(route.First(u.RawPath)); err == nil {
+			return first
+		}
+	}
+	return route.First(u.Path)
+}
+
 // reject tells a client its mistake.
 func (f *Front) reject(w http.ResponseWriter, wrong *badRequest) {
 	if wrong.unread {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -223,3 +223,20 @@
 		}
 	}
 }
+
+// FuzzFigures: what is taken of a client's figures is within what the settings allow.
+func FuzzFigures(f *testing.F) {
+	f.Add("480m", "units=2,spread=3,first=1")
+	f.Add("1e3u", "units=0x1p-2,first=2,=,,")
+	f.Add("-0m", "spread=1e0,units=1_0")
+	terms := &service.Terms{Group: 3, UnitsTop: 4}
+	f.Fuzz(func(t *testing.T, left, text string) {
+		if d, err := parseTimeLeft(left, time.Second); err == nil && (d < 0 || d > time.Second+timeLeftSlack) {
+			t.Errorf("%q: %v", left, d)
+		}
+		e := control.Request{Units: 1, Spread: 1}
+		if weight(terms, &e, text) == nil && !(e.Units > 0 && e.Units <= 4 && e.Spread >= 1 && e.Spread <= 3 && e.SetStart >= 0 && e.SetStart < 3) {
+			t.Errorf("%q: %+v", text, e)
+		}
+	})
+}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -154,8 +154,13 @@
 
 // forward is what goes on of a request.
 func forward(r *http.Request) *http.Request {
-	out := &http.Request{Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:    &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
+	target := url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	// Guards against bytes of a path that package url would write encoded: app servers know a request
+	// by what its client sent.
+	if target.Opaque, _, _ = strings.Cut(originForm(r.RequestURI), "?"); strings.HasPrefix(target.Opaque, "//") {
+		target.Opaque, target.Path, target.RawPath = "", r.URL.Path, r.URL.RawPath // it would be taken for an authority
+	}
+	out := &http.Request{Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: &target,
 		Header: make(http.Header, len(r.Header)+2)}
 	for k, v := range r.Header {
 		if !protocol.OwnHeader(k) {
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -32,13 +32,20 @@
 }
 
 func newRigThatDrains(t *testing.T, drain config.Drain) *rig {
-	r := &rig{t: t, agent: testkit.NewAgent(t), ended: make(chan error, 1), rev: 7}
 	cfg, err := config.LoadPlatform("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Services[0].Source.Address = r.agent.Addr()
 	cfg.Process.Drain = drain
+	return newRigBy(t, cfg)
+}
+
+// newRigBy is a rig by a configuration of the platform, but for where its discovery is.
+func newRigBy(t *testing.T, cfg config.Config) *rig {
+	t.Helper()
+	r := &rig{t: t, agent: testkit.NewAgent(t), ended: make(chan error, 1), rev: 7}
+	cfg.Services[0].Source.Address = r.agent.Addr()
+	var err error
 	if r.node, err = New(cfg); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/node/sites_test.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+
+	"lockflow/internal/config"
+	"lockflow/internal/protocol"
+	"lockflow/internal/testkit"
+)
+
+// obj is an object of a configuration as JSON.
+type obj = map[string]any
+
+// TestOtherSites has a request of each class served by settings of other sites: sparse ones, odd
+// figures, and names that have to be escaped.
+func TestOtherSites(t *testing.T) {
+	free := func(o obj) {
+		o["settings"].(obj)["classes"] = []any{obj{"name": "read", "aim": 100.0, "deadline": 400.0, "effect": "free"}}
+	}
+	named := func(name string) func(obj) {
+		return func(o obj) {
+			for _, k := range o["settings"].(obj)["classes"].([]any) {
+				k := k.(obj)
+				k["name"] = name + k["effect"].(string)
+			}
+		}
+	}
+	set := func(path string, v any) func(obj) {
+		return func(o obj) {
+			keys := strings.Split(path, "/")
+			for _, k := range keys[:len(keys)-1] {
+				o = o[k].(obj)
+			}
+			if o[keys[len(keys)-1]] = v; v == "gone" {
+				delete(o, keys[len(keys)-1])
+			}
+		}
+	}
+	plan := func(name string) func(obj) { return set("settings/tariffs", []any{obj{"name": name}}) }
+	for name, change := range map[string]func(obj){
+		"as it is":               func(obj) {},
+		"one class":              free,
+		"no clients":             set("settings/clients", "gone"),
+		"no contract":            set("settings/contract", "gone"),
+		"no domain":              set("settings/domain", nil),
+		"no limits":              set("settings/limits", obj{}),
+		"no zones":               func(o obj) { set("settings/zone", "gone")(o); set("settings/azs", []any{})(o) },
+		"no process limits":      set("limits", "gone"),
+		"none known":             set("known", "gone"),
+		"no meter":               set("settings/domain/meter-period", 0),
+		"figures as text":        func(o obj) { set("settings/domain/units-top", "4.0")(o); set("settings/group-size", "1")(o) },
+		"alone":                  set("settings/group-size", 1),
+		"few sockets":            set("limits/sockets", 64),
+		"connections come late":  set("settings/limits/connect-timeout", 60000),
+		"connections idle short": set("settings/limits/keepalive", 1),
+		"one attempt":            set("settings/limits/send-cap", 1),
+		"nested unknown words":   set("settings/later", []any{obj{"a": []any{1, "b,c d", nil, []any{}}}, nil}),
+		"a plan of blanks":       plan("Große Kunden, 50 % mehr"),
+		"a plan without figures": plan("plain"),
+		"a class with a slash":   named("care/plans"),
+		"a class with a plus":    named("a+b c"),
+		"a class with percents":  named("50%2F%"),
+		"a class with umlauts":   named("Übersicht;x=1?#"),
+		"a class of dots":        named(".."),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			raw, err := os.ReadFile("../config/testdata/config.json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var o obj
+			if err := json.Unmarshal(raw, &o); err != nil {
+				t.Fatal(err)
+			}
+			classes := o["settings"].(obj)["classes"].([]any)
+			o["settings"].(obj)["classes"] = append(classes, obj{"name": "book", "aim": 900, "deadline": 40, "effect": "single_shot", "worth": 1})
+			o["settings"].(obj)["tariffs"] = o["settings"].(obj)["tariffs"].([]any)[1:]
+			change(o)
+			if raw, err = json.Marshal(o); err != nil {
+				t.Fatal(err)
+			}
+			r := newRigOf(t, raw)
+			a := testkit.NewApp(t, testkit.Served)
+			r.list(target(a, "s-1", 0))
+			s := r.node.services[""].cfg.Settings
+			for i, k := range s.Classes {
+				method := http.MethodPost
+				if k.Effect == 0 {
+					method = http.MethodGet
+				}
+				q := r.call(method, "/", fmt.Sprint("id-", i))
+				q.Header.Set(protocol.HeaderPlan, s.Plans[0].Name)
+				q.Header.Set(protocol.HeaderTimeLeft, fmt.Sprint(k.Deadline.Milliseconds(), "m"))
+				q.URL.Path, q.URL.RawPath = "/"+k.Name+"/7", "/"+url.PathEscape(k.Name)+"/7"
+				if resp, body := r.do(q); resp.StatusCode != http.StatusOK && k.Deadline > 100e6 || resp.StatusCode/100 == 4 && resp.StatusCode != 429 {
+					t.Errorf("class %q: %s %s", k.Name, resp.Status, body)
+				}
+			}
+		})
+	}
+}
+
+// TestTargetGoesOnUnchanged sends targets that url.URL would write in another way.
+func TestTargetGoesOnUnchanged(t *testing.T) {
+	r := newRig(t)
+	a := testkit.NewApp(t, testkit.Served)
+	r.list(target(a, "s-1", 0))
+	for i, path := range []string{"/roster-read/ä", "/roster-read/a|b^c\"", "/roster-read/%7e%2f%2F//x/../.", "/roster%2dread", "/roster-read/a#b", "/roster-read"} {
+		for _, query := range []string{"?account=00000000b4d65521", "?account=00000000b4d65521&x=ä|%7e"} {
+			conn, err := net.Dial("tcp", r.node.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: id-%d%d\r\nX-Tariff: enterprise\r\nX-Time-Left: 7000m\r\nConnection: close\r\n\r\n", path+query, i, len(query))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			conn.Close()
+			all := a.Requests()
+			if got := strings.Fields(all[len(all)-1])[1]; got != path+query || resp.StatusCode != 200 {
+				t.Errorf("%s: %s went on as %s", path+query, resp.Status, got)
+			}
+		}
+	}
+}
+
+// TestNoAnswerToOptions has nobody but an app server answer 200.
+func TestNoAnswerToOptions(t *testing.T) {
+	r := newRig(t)
+	conn, err := net.Dial("tcp", r.node.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("%s", resp.Status)
+	}
+}
+
+// newRigOf is newRig by another configuration.
+func newRigOf(t *testing.T, raw []byte) *rig {
+	t.Helper()
+	cfg, err := config.ParsePlatform(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newRigBy(t, cfg)
+}
