--- a/internal/service/end_test.go
+++ b/internal/service/end_test.go
@@ -36,7 +36,14 @@
 	ends := func(why control.Reason, status int) func(context.Context) upstream.Outcome {
 		return func(context.Context) upstream.Outcome { return upstream.Outcome{Reason: why, Status: status} }
 	}
+	comesUp := func(ctx context.Context) upstream.Outcome {
+		<-ctx.Done()
+		return upstream.Outcome{Reason: control.ConnectFailed}
+	}
 	never := func(ctx context.Context) upstream.Outcome {
+		if !upstream.Commit(ctx) {
+			return upstream.Outcome{Reason: control.Moot}
+		}
 		<-ctx.Done()
 		return upstream.Outcome{Reason: control.Cancelled}
 	}
@@ -54,6 +61,7 @@
 				"reset":          {ends(control.ResetByPeer, 0), Failed},
 				"timed out":      {ends(control.TimedOut, 0), Failed},
 				"out at the end": {never, Failed},
+				"its connection": {comesUp, Refused},
 			} {
 				for _, panics := range []bool{false, true} {
 					t.Run(fmt.Sprintf("%s %v %s, panic %v", effect, deadline, name, panics), func(t *testing.T) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -49,8 +49,8 @@
 	return a.Context.Value(key)
 }
 
-// commit tells whether an attempt may be written, which it is then, and only once.
-func commit(ctx context.Context) bool {
+// Commit tells whether an attempt may be written, which it is then, and only once.
+func Commit(ctx context.Context) bool {
 	a, ok := ctx.Value(attemptKey{}).(*Attempt)
 	return !ok || a.commit()
 }
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -92,7 +92,7 @@
 		set("Expect", "100-continue")
 	}
 	r := &h2.Request{Method: t.Name, Scheme: scheme, Authority: t.Host, Path: t.Target, Header: h, Length: t.Length,
-		Begin: func() bool { return commit(ctx) }}
+		Begin: func() bool { return Commit(ctx) }}
 	if t.Body == nil {
 		return r
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -185,7 +185,7 @@
 		return unconnected(err)
 	}
 	dialed := c.since.IsZero()
-	if !commit(ctx) {
+	if !Commit(ctx) {
 		return u.unsent(p, c)
 	}
 	o := u.try(ctx, p, c, req)
