--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
 	"lockflow/internal/protocol"
@@ -24,109 +23,104 @@
 // waits for its turn, has neither be sent on. net/http sees no more than the first byte of the second.
 func TestLeftBehindFurtherRequests(t *testing.T) {
 	for _, class := range []control.Class{{Effect: control.Free}, {Effect: control.Guarded, RepeatWindow: time.Minute}, {Effect: control.SingleShot}} {
-		for _, ordinary := range []bool{false} {
-			for how, leave := range map[string]func(*net.TCPConn){"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
-				"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }} {
-				t.Run(fmt.Sprint(how, " effect ", class.Effect, " ordinary ", ordinary), func(t *testing.T) {
-					let := make(chan struct{})
-					app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
-						if strings.HasPrefix(r.URL.Path, "/job/f") {
-							<-let
-						}
-						io.WriteString(w, "ok")
-					})
-					class.Name, class.Aim, class.Deadline, class.Worth = "job", time.Minute, time.Minute, 1
-					ready := make(chan struct{})
-					s, err := service.New(service.Options{AnyMethod: true, OnReady: func() { close(ready) },
-						Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}}, Classes: []control.Class{class}},
-						Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up", Capacity: 1}}},
-						Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(100)}})
-					if err != nil {
-						t.Fatal(err)
+		for how, leave := range map[string]func(*net.TCPConn){"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }} {
+			t.Run(fmt.Sprint(how, " effect ", class.Effect), func(t *testing.T) {
+				let := make(chan struct{})
+				app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/job/f") {
+						<-let
 					}
-					ctx, stop := context.WithCancel(t.Context())
-					ended := make(chan error, 1)
-					go func() { ended <- s.Run(ctx) }()
-					defer func() { stop(); <-ended }()
-					testkit.Next(t, ready)
-					to := Target{Service: s, Class: "job", Body: 1 << 20}
-					if ordinary {
-						to.Speaks = NewOrdinary(Options{Safe: "job", Other: "job", Replay: 1 << 20, Hold: 1 << 10, Idle: time.Minute, Rules: answer.Rules{}})
-					}
-					f := New(&Table{Targets: []Target{to}}, func() bool { return true })
-					l, err := net.Listen("tcp", "127.0.0.1:0")
+					io.WriteString(w, "ok")
+				})
+				class.Name, class.Aim, class.Deadline, class.Worth = "job", time.Minute, time.Minute, 1
+				ready := make(chan struct{})
+				s, err := service.New(service.Options{AnyMethod: true, OnReady: func() { close(ready) },
+					Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}}, Classes: []control.Class{class}},
+					Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up", Capacity: 1}}},
+					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(100)}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- s.Run(ctx) }()
+				defer func() { stop(); <-ended }()
+				testkit.Next(t, ready)
+				to := Target{Service: s, Class: "job", Body: 1 << 20}
+				f := New(&Table{Targets: []Target{to}}, func() bool { return true })
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				srv := f.Server()
+				go srv.Serve(Strict(limits.Listen(ctx, l, limits.NewSockets(100))))
+				defer srv.Close()
+
+				send := func(ids ...string) *net.TCPConn {
+					c, err := net.Dial("tcp", l.Addr().String())
 					if err != nil {
 						t.Fatal(err)
 					}
-					srv := f.Server()
-					go srv.Serve(Strict(limits.Listen(ctx, l, limits.NewSockets(100))))
-					defer srv.Close()
-
-					send := func(ids ...string) *net.TCPConn {
-						c, err := net.Dial("tcp", l.Addr().String())
-						if err != nil {
-							t.Fatal(err)
-						}
-						t.Cleanup(func() { c.Close() })
-						var all strings.Builder
+					t.Cleanup(func() { c.Close() })
+					var all strings.Builder
+					for _, id := range ids {
+						fmt.Fprintf(&all, "POST /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\n%s: k-%s\r\nContent-Length: 9000\r\n\r\n%s",
+							id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderKey, id, strings.Repeat("x", 9000))
+					}
+					if class.Effect == control.Free { // such come without a body
+						all.Reset()
 						for _, id := range ids {
-							fmt.Fprintf(&all, "POST /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\n%s: k-%s\r\nContent-Length: 9000\r\n\r\n%s",
-								id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderKey, id, strings.Repeat("x", 9000))
+							fmt.Fprintf(&all, "GET /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\nX-More: %s\r\n\r\n",
+								id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, strings.Repeat("x", 9000))
 						}
-						if class.Effect == control.Free && !ordinary { // such come without a body
-							all.Reset()
-							for _, id := range ids {
-								fmt.Fprintf(&all, "GET /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\nX-More: %s\r\n\r\n",
-									id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, strings.Repeat("x", 9000))
-							}
-						}
-						if _, err := io.WriteString(c, all.String()); err != nil {
-							t.Fatal(err)
-						}
-						return c.(*net.TCPConn)
 					}
-					answered := func(c net.Conn) string {
-						c.SetDeadline(time.Now().Add(testkit.Patience))
-						b := make([]byte, len("HTTP/1.1 200"))
-						io.ReadFull(c, b)
-						return string(b)
+					if _, err := io.WriteString(c, all.String()); err != nil {
+						t.Fatal(err)
 					}
-					first := []net.Conn{send("f0"), send("f1")} // all places
-					testkit.Until(t, "two at the server", func() bool { return app.Count() == 2 })
-					c := send("left", "behind")
-					testkit.Until(t, "its turn's wait", func() bool { return s.Status().Held == 3 })
-					leave(c)
-					testkit.Until(t, "its end to be there", func() bool {
-						f.clients.mu.Lock()
-						defer f.clients.mu.Unlock()
-						n := 0
-						for _, c := range f.clients.all {
-							if c.There() {
-								n++
-							}
-						}
-						return n == 2
-					})
-					close(let)
-					for _, c := range first {
-						if got := answered(c); got != "HTTP/1.1 200" {
-							t.Errorf("one before it: %q", got)
+					return c.(*net.TCPConn)
+				}
+				answered := func(c net.Conn) string {
+					c.SetDeadline(time.Now().Add(testkit.Patience))
+					b := make([]byte, len("HTTP/1.1 200"))
+					io.ReadFull(c, b)
+					return string(b)
+				}
+				first := []net.Conn{send("f0"), send("f1")} // all places
+				testkit.Until(t, "two at the server", func() bool { return app.Count() == 2 })
+				c := send("left", "behind")
+				testkit.Until(t, "its turn's wait", func() bool { return s.Status().Held == 3 })
+				leave(c)
+				testkit.Until(t, "its end to be there", func() bool {
+					f.clients.mu.Lock()
+					defer f.clients.mu.Unlock()
+					n := 0
+					for _, c := range f.clients.all {
+						if c.There() {
+							n++
 						}
 					}
-					testkit.Until(t, "its end", func() bool { return s.Status().Held == 0 })
-					if got := answered(send("next")); got != "HTTP/1.1 200" {
-						t.Errorf("the next one: %q", got)
-					}
-					if how == "half-closes" {
-						if got := answered(c); strings.HasPrefix(got, "HTTP") {
-							t.Errorf("who has left was told %q", got)
-						}
+					return n == 2
+				})
+				close(let)
+				for _, c := range first {
+					if got := answered(c); got != "HTTP/1.1 200" {
+						t.Errorf("one before it: %q", got)
 					}
-					if seen := strings.Join(app.Requests(), " "); strings.Contains(seen, "left") || strings.Contains(seen, "behind") {
-						t.Errorf("the server saw %.200s", seen)
+				}
+				testkit.Until(t, "its end", func() bool { return s.Status().Held == 0 })
+				if got := answered(send("next")); got != "HTTP/1.1 200" {
+					t.Errorf("the next one: %q", got)
+				}
+				if how == "half-closes" {
+					if got := answered(c); strings.HasPrefix(got, "HTTP") {
+						t.Errorf("who has left was told %q", got)
 					}
-				})
-			}
+				}
+				if seen := strings.Join(app.Requests(), " "); strings.Contains(seen, "left") || strings.Contains(seen, "behind") {
+					t.Errorf("the server saw %.200s", seen)
+				}
+			})
 		}
 	}
 }
