Play worlds of quotas in simulate, and hold the module to policies that see late

The simulation knew one made-up pair of plans and a share of units beyond, and no such policy.

A ledger of each customer's true quota tells what was inside; each try beyond costs over_cost of its worth. Two policies that see the true state a meter period and its lateness late decide in the module's place: one by the store as it was, one by what was asked then. Both see the same first tries. What came of the tries is counted by plan, spread, customer, what the instance knew, and the cause of a refusal.

The tests fail where a try beyond takes units, where settling is left out, where the open limit is, where the policy that sees at once sees late, and where every refusal counts as one with room.

--- /dev/null
+++ b/internal/command/simulate_quota.go
@@ -0,0 +1,141 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"lockflow/internal/fleetsim"
+)
+
+// quotaFlag has simulate play worlds of quotas. What it gives plays them where the flag is set: the calm
+// day under the module and under policies that see the true state late, for each seed.
+func quotaFlag(set flags) func(ctx context.Context, e *Env, instances string, o fleetsim.QuotaOptions, asJSON bool) (played bool, err error) {
+	worlds := set.String("quota", "", "`NAME,NAME...` of worlds of quotas in which the calm day is played, by the module and by policies that see the true state late: "+
+		strings.Join(fleetsim.QuotaNames, ", ")+"; or all")
+	seeds := set.Int("seeds", 1, "`N` seeds with which each world of --quota is played, from --seed on")
+	return func(ctx context.Context, e *Env, instances string, o fleetsim.QuotaOptions, asJSON bool) (bool, error) {
+		if *worlds == "" {
+			return false, nil
+		}
+		if *seeds < 1 || *seeds > 100 {
+			return true, usage("simulate: seeds: %d is none of 1 to 100", *seeds)
+		}
+		list := fleetsim.QuotaNames
+		if *worlds != "all" {
+			list = strings.Split(*worlds, ",")
+		}
+		sizes, err := groupSizes(instances)
+		if err != nil {
+			return true, err
+		}
+		var all []fleetsim.QuotaReport
+		first := o.Seed
+		for _, name := range list {
+			if !slices.Contains(fleetsim.QuotaNames, name) {
+				return true, usage("simulate: quota: %q is none of %s, all", name, strings.Join(fleetsim.QuotaNames, ", "))
+			}
+			for _, o.Instances = range sizes {
+				for o.Seed = first; o.Seed < first+uint64(*seeds); o.Seed++ {
+					fmt.Fprintf(e.Err, "playing %s with %d instances, seed %d: %s\n", name, o.Instances, o.Seed, fleetsim.QuotaHelp(name))
+					for _, o.Policy = range fleetsim.Policies {
+						o.World, o.Late = name, -1
+						r, err := fleetsim.Quotas(o)
+						if err != nil {
+							return true, err
+						}
+						if all = append(all, r); ctx.Err() != nil {
+							return true, ctx.Err()
+						}
+					}
+				}
+			}
+		}
+		if asJSON {
+			return true, json.NewEncoder(e.Out).Encode(all)
+		}
+		printQuotas(e.Out, all)
+		return true, nil
+	}
+}
+
+// printQuotas prints a line for each play, with how much more the module's price is than the lower of the
+// late-seeing policies', and then, of the module, what came of each sort of tries over all seeds of a world.
+func printQuotas(w io.Writer, all []fleetsim.QuotaReport) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "world\tinstances\tseed\tpolicy\tlate s\tfirst tries\ttries\tserved\tbeyond: price\tmore than a late-seer's\tof the units\trefused\twith room: of tries\tof requests\tnever sent on\t")
+	of := len(fleetsim.Policies)
+	for i := range all {
+		r, more := &all[i], ""
+		if r.Policy == fleetsim.ByModule {
+			more = fmt.Sprintf("%+.3f", over(all[i:i+of]))
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%.2f\t%d\t%d\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", r.World, r.Instances, r.Seed, r.Policy, r.Late, r.First, r.Tries,
+			r.Served, r.Price, more, r.Beyond, r.Refused, r.RoomTries, r.RoomCalls, r.RoomLost)
+	}
+	t.Flush()
+	for from := 0; from < len(all); {
+		to := from
+		for to < len(all) && all[to].World == all[from].World && all[to].Instances == all[from].Instances {
+			to += of
+		}
+		printSorts(w, all[from:to])
+		from = to
+	}
+}
+
+// over is how much more the price of the first, the module's, is than the lowest of the others.
+func over(group []fleetsim.QuotaReport) float64 {
+	lowest := group[1].Price
+	for _, r := range group[2:] {
+		lowest = min(lowest, r.Price)
+	}
+	return group[0].Price - lowest
+}
+
+func printSorts(w io.Writer, all []fleetsim.QuotaReport) {
+	of := len(fleetsim.Policies)
+	n := float64(len(all) / of)
+	served, price, more, room := 0.0, 0.0, 0.0, 0.0
+	sorts := map[string]map[string]*fleetsim.Cell{}
+	for i := 0; i < len(all); i += of {
+		r := &all[i]
+		served, price, more, room = served+r.Served/n, price+r.Price/n, more+over(all[i:i+of])/n, room+r.RoomTries/n
+		for sort, cells := range r.Cells {
+			if sorts[sort] == nil {
+				sorts[sort] = map[string]*fleetsim.Cell{}
+			}
+			for name, c := range cells {
+				sum := sorts[sort][name]
+				if sum == nil {
+					sum = &fleetsim.Cell{}
+					sorts[sort][name] = sum
+				}
+				sum.Add(c, n)
+			}
+		}
+	}
+	fmt.Fprintf(w, "\n%s, %d instances, module, mean of %.0f: served %.3f, price beyond quotas %.3f, %+.3f more than a late-seer's, refused with room %.3f of the tries\n",
+		all[0].World, all[0].Instances, n, served, price, more, room)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "sort\tof\ttries\toffered\tof the price\tbeyond, of its units\trefused\twith room\t")
+	for _, sort := range fleetsim.CellNames {
+		cells := sorts[sort]
+		for _, name := range slices.Sorted(maps.Keys(cells)) {
+			c := cells[name]
+			part := func(n int) string {
+				if c.Tries == 0 { // tells of refusals alone
+					return fmt.Sprint(n)
+				}
+				return fmt.Sprintf("%.3f", float64(n)/float64(c.Tries))
+			}
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t\n", sort, name, c.Tries, c.Offered, c.Price, c.Beyond/max(1, c.Sent), part(c.Refused), part(c.Room))
+		}
+	}
+	t.Flush()
+}
--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -25,6 +25,7 @@
 		w.After(after, func() {
 			if whole {
 				w.check.Ended(a.ID, sent, h.id, ran)
+				w.plan.quotas.ended(t.call.cust)
 			}
 			if w.nodes[i].life == life && !w.nodes[i].down {
 				w.ended(i, a.ID, n, h, why)
@@ -49,9 +50,10 @@
 	c := t.call
 	plan := &w.rules.Plans[c.cust.plan]
 	w.check.Sent(w.Now(), i, a.ID, h.id, n == 0, plan, c.cust.name, c.units)
-	if n == 0 {
+	if n == 0 && w.plan.quotas == nil {
 		w.spend(c, plan)
 	}
+	w.plan.quotas.sent(i, t)
 	work := dayWork * w.rng.ExpFloat64()
 	if w.o.Mutation.twoCopies {
 		w.check.Sent(w.Now(), i, a.ID, h.id, false, plan, c.cust.name, c.units)
@@ -81,6 +83,7 @@
 		w.After(done, func() {
 			lost := h.life != hl // its process ended under the request
 			w.check.Ended(a.ID, sent, h.id, true)
+			w.plan.quotas.ended(c.cust)
 			if w.nodes[i].life != life || w.nodes[i].down {
 				return
 			}
@@ -161,11 +164,13 @@
 	if why == control.OK || why == control.Full || why == control.Errored {
 		e.Load = w.load(h)
 		if t != nil {
-			e.Used = w.told(t.call.cust)
+			e.Used = w.told(i, t.call.cust)
 		}
 	}
 	if why == control.OK && t != nil {
-		e.Cost, e.Done = math.Max(1, t.call.units+float64(w.rng.IntN(3)-1)), true
+		if e.Cost, e.Done = t.call.cost, true; w.plan.quotas == nil {
+			e.Cost = math.Max(1, t.call.units+float64(w.rng.IntN(3)-1))
+		}
 		w.answer(i, id, "served")
 	}
 	w.tell(i, e)
--- a/internal/fleetsim/clients.go
+++ b/internal/fleetsim/clients.go
@@ -14,6 +14,10 @@
 // people draws the customers. Most use a part of their quota, some nearly all of it, and some ask
 // for several times as much.
 func (w *world) people() {
+	if w.plan.quotas != nil {
+		w.plan.quotas.people(w)
+		return
+	}
 	set := &w.rules
 	capacity := float64(len(w.hosts)) * dayCores / dayWork // requests a second
 	inside := perNodeAsked * capacity
@@ -107,7 +111,10 @@
 
 // told is what an answer tells of a customer's use: 1 and the percent of its rate in the last period
 // that the meter has summed; 0 where it tells nothing.
-func (w *world) told(c *dayCustomer) int {
+func (w *world) told(i int, c *dayCustomer) int {
+	if w.plan.quotas != nil {
+		return w.plan.quotas.told(i, c)
+	}
 	m := w.used[c.name]
 	if m == nil || w.meterDown {
 		return 0
@@ -119,6 +126,18 @@
 	return 1 + int(math.Round(100*m.told[len(m.told)-meterBack]/w.rules.Plans[c.plan].Rate))
 }
 
+// place draws the instance that a try comes to.
+func (w *world) place(c *call) int {
+	if w.plan.quotas != nil {
+		return w.plan.quotas.at(c)
+	}
+	k := w.ask.IntN(c.cust.spread)
+	if w.ask.Float64() < 0.2 {
+		k = c.cust.hot
+	}
+	return (c.cust.first + k) % len(w.nodes)
+}
+
 // try has a call come to an instance of its customer's set that is up.
 func (w *world) try(c *call) {
 	left := c.at + dayDeadline - w.Now()
@@ -127,11 +146,7 @@
 	}
 	i := -1
 	for range 6 {
-		k := w.ask.IntN(c.cust.spread)
-		if w.ask.Float64() < 0.2 {
-			k = c.cust.hot
-		}
-		at := (c.cust.first + k) % len(w.nodes)
+		at := w.place(c)
 		if n := w.nodes[at]; !n.down && !n.closing {
 			i = at
 			break
@@ -148,6 +163,10 @@
 	n, set := w.nodes[i], &w.rules
 	n.held[t.id] = t
 	w.check.Taken(w.Now(), i, t.id, &set.Classes[c.class], left)
+	if !w.plan.quotas.tried(i, t) {
+		w.answer(i, t.id, "refused")
+		return
+	}
 	r := control.Request{ID: t.id, Class: set.Classes[c.class].Name, Plan: set.Plans[c.cust.plan].Name, Customer: c.cust.name,
 		TTL: left, Units: c.units, Spread: c.cust.spread, SetStart: c.cust.first, Repeat: c.tries > 1, Write: c.class == 1}
 	if n.wholeCeiling {
--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -26,6 +26,7 @@
 	slowUp      float64       // part of new connections that come up late, up to 1 s
 	lingers     bool          // some servers drain for long
 	fresh       bool          // customers are ever new
+	quotas      *quotaDay     // customers are those of a world of quotas
 }
 
 // DayNames are the days that Day plays, in the order of the fleet test.
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -12,13 +12,15 @@
 // Instances: their starts, ends and lists.
 
 func (w *world) settings(i int) control.Settings {
-	return control.Settings{SelfIndex: i % w.o.Told, GroupSize: w.o.Told, SendCap: 6, MaxRetryAfter: time.Second, MayCancel: true, MarksRetry: true,
+	s := control.Settings{SelfIndex: i % w.o.Told, GroupSize: w.o.Told, SendCap: 6, MaxRetryAfter: time.Second, MayCancel: true, MarksRetry: true,
 		DrainGrace: 2 * time.Second, Cold: 15 * time.Second, ColdFrom: 0.15, Fall: 2 * time.Second, FallMultiple: 2.5,
 		MeterPeriod: time.Second, CostAfter: true, UnitsTop: unitsTop,
 		Classes: []control.Class{{Name: "read", Aim: dayAim, Deadline: dayDeadline, Worth: 1, LateShare: 0.2},
 			{Name: "update", Aim: dayAim, Deadline: dayDeadline, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: dayWindow}},
 		Plans: []control.Plan{{Name: "basic", Price: 0.8, Rate: 1.5, Depth: 8, OverCost: 0.6},
 			{Name: "enterprise", Price: 1.4, Rate: 10, Depth: 18, OverCost: 1.2, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4}}}
+	w.plan.quotas.settings(&s)
+	return s
 }
 
 // start has an instance begin, or begin again, with the list that it had last; its agent has the
@@ -115,6 +117,9 @@
 		case control.Send:
 			w.send(i, a)
 		case control.Refuse:
+			if t := n.held[a.ID]; t != nil {
+				t.why = a.Why
+			}
 			w.answer(i, a.ID, "refused")
 		case control.Fail:
 			if w.o.Mutation.allFails {
@@ -149,6 +154,7 @@
 	delete(w.nodes[i].held, id)
 	switch how {
 	case "served":
+		w.plan.quotas.answered(t)
 		if c := t.call; !c.done {
 			c.done = true
 			if took := w.Now() - c.at; c.inside && took <= dayAim {
@@ -162,6 +168,7 @@
 			w.later(t.call, w.plan.eager)
 		}
 	default:
+		w.plan.quotas.refused(i, t)
 		w.later(t.call, w.plan.eager)
 	}
 }
--- /dev/null
+++ b/internal/fleetsim/quota_test.go
@@ -0,0 +1,121 @@
+package fleetsim
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"lockflow/control"
+)
+
+func quotas(t *testing.T, o QuotaOptions) QuotaReport {
+	t.Helper()
+	r, err := Quotas(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// A history made by hand has the price, the refusals with room and the readings that follow from the terms.
+func TestQuotasAreBooked(t *testing.T) {
+	const s = time.Second
+	w := &world{rules: control.Settings{Classes: []control.Class{{Aim: 3 * s, LateShare: 0.5}}}}
+	cust := &dayCustomer{name: "c", spread: 1, demand: &demand{kind: calmKind}}
+	q := &quotaDay{w: w, policy: ByModule, f: &quotaWorld{units: guessed, meter: s}, late: s / 2, known: map[place]*known{}, worth: 100,
+		plans: []control.Plan{{Name: "p", Rate: 2, Depth: 4, Open: 2, OverCost: 0.5}}}
+	q.truth = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], s)}
+	q.rough = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], 0)}
+	tried := func(at time.Duration, units, cost, worth float64) *try {
+		tr := &try{call: &call{at: at, cust: cust, units: units, cost: cost, worth: worth, tries: 1}}
+		w.At(at, func() {
+			q.tried(0, tr)
+			q.sent(0, tr)
+		})
+		return tr
+	}
+	ends := func(at time.Duration, tr *try) {
+		w.At(at, func() {
+			q.ended(cust)
+			q.answered(tr)
+			tr.call.done = true
+		})
+	}
+	for _, tc := range []struct {
+		at                 time.Duration
+		units, cost, worth float64
+		ends               time.Duration
+		inside             bool
+	}{
+		{at: 0, units: 3, cost: 3, worth: 20, ends: 3 * s / 2, inside: true},       // 4 are there, 1 is left
+		{at: s / 2, units: 3, cost: 3, worth: 40, ends: 3 * s / 4, inside: false},  // 2 are there: it takes nothing
+		{at: s, units: 3, cost: 4, worth: 10, ends: 5 * s / 4, inside: true},       // 3 are there; it turns out to be 4
+		{at: 7 * s / 4, units: 1, cost: 1, worth: 30, ends: 9 * s, inside: false},  // 0.5 is there, not 1.5
+		{at: 5 * s, units: 1, cost: 1, worth: 10, ends: 9 * s, inside: true},       // full; the second attempt out
+		{at: 51 * s / 10, units: 1, cost: 1, worth: 6, ends: 9 * s, inside: false}, // a third
+	} {
+		tr := tried(tc.at, tc.units, tc.cost, tc.worth)
+		ends(tc.ends, tr)
+		w.At(tc.at+1, func() {
+			if tr.inside != tc.inside {
+				t.Errorf("at %v: inside is %v", tc.at, tr.inside)
+			}
+		})
+	}
+	refused := &try{call: &call{cust: cust}, why: control.ByChance}
+	for _, at := range []time.Duration{6 * s, 11 * s, 12 * s} { // two are out, none, none
+		w.At(at, func() { q.refused(0, refused) })
+	}
+	for at, want := range map[time.Duration]int{s: 0, 3 * s / 2: 1 + 300, 5 * s / 2: 1 + 200, 7 * s: 1 + 100, 8 * s: 1} {
+		w.At(at, func() {
+			if got := q.told(0, cust); got != want {
+				t.Errorf("told at %v: %d, not %d", at, got, want)
+			}
+		})
+	}
+	w.Run(time.Minute)
+	r := q.report(DayReport{First: 6, Tries: 10})
+	want := 0.5 * (40 + 30 + 6) / 100
+	if math.Abs(r.Price-want) > 1e-9 || math.Abs(r.Beyond-5.0/12) > 1e-9 || r.Refused != 0.3 || r.RoomTries != 0.2 || r.RoomCalls != 1.0/6 {
+		t.Errorf("%+v", r)
+	}
+	if worth := 20 + 10 + 0.5*10; r.Served != worth/100 { // the last came after its aim
+		t.Errorf("served %v", r.Served)
+	}
+	if c := r.Cells["lacks"]; c["units"].Beyond != 4 || c["a place"].Beyond != 1 || r.Cells["refused"]["by_chance"].Room != 2 {
+		t.Errorf("%+v", c)
+	}
+	if c := r.Cells["guesses"]; c["inside without settling"].Beyond != 1 || c["beyond too"].Beyond != 4 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// A policy that sees the true store at once lets next to nothing through beyond quotas, in every world: what
+// waits for a turn while others come. One that sees it late lets more through. All see the same first tries.
+func TestSeeingAtOnceCostsNothing(t *testing.T) {
+	for _, name := range QuotaNames {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := QuotaOptions{World: name, Policy: LateStore, Instances: 12, Lasts: 10 * time.Second, Seed: 3}
+			now := quotas(t, o)
+			if o.Late = -1; now.Price > 0.05 || now.Served < 0.8 || len(now.Broken) > 0 {
+				t.Errorf("at once: %+v", now)
+			}
+			if late := quotas(t, o); late.First != now.First || late.Price < now.Price+0.01 {
+				t.Errorf("late: %+v", late)
+			}
+			o.Policy = ByModule
+			r := quotas(t, o)
+			if r.First != now.First || r.Served < 0.6 || r.Price <= 0 || len(r.Broken) > 0 {
+				t.Errorf("module: %+v", r)
+			}
+			if again := quotas(t, o); !reflect.DeepEqual(r, again) {
+				t.Errorf("%+v\n%+v", r, again)
+			}
+		})
+	}
+	if _, err := Quotas(QuotaOptions{World: "none", Instances: 3}); err == nil {
+		t.Error("a world that is not there was played")
+	}
+}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -126,7 +126,8 @@
 	name          string
 	plan          int
 	first, spread int
-	hot           int // the instance of its set that gets a fifth of its tries
+	hot           int     // the instance of its set that gets a fifth of its tries
+	demand        *demand // in a world of quotas
 }
 
 // call is a client's request over all its tries.
@@ -139,6 +140,12 @@
 	inside bool
 	worth  float64
 	done   bool
+
+	// In a world of quotas: its true units, its instance, whether a try was sent on, and whether one was refused with room.
+	cost float64
+	node int
+	sent bool
+	room bool
 }
 
 // try is one request at an instance.
@@ -147,6 +154,11 @@
 	call  *call
 	until time.Duration
 	sends int
+
+	// In a world of quotas: whether it was sent on, and inside its quota; what sorts it is of; why it is refused.
+	sent, inside bool
+	cells        []*Cell
+	why          control.Cause
 }
 
 type world struct {
@@ -251,7 +263,9 @@
 		w.At(time.Duration(w.rng.Int64N(int64(100*time.Millisecond))), func() { w.start(i) })
 	}
 	p.script(w)
-	w.At(200*time.Millisecond, w.arrive)
+	if p.quotas == nil {
+		w.At(200*time.Millisecond, w.arrive)
+	}
 	w.Run(o.Lasts + dayDeadline + time.Second)
 	w.check.Close(w.Now())
 	return w.report(), nil
