--- a/internal/fleetsim/days_test.go
+++ b/internal/fleetsim/days_test.go
@@ -1,9 +1,13 @@
 package fleetsim
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
+
+	"lockflow/control"
+	"lockflow/internal/fleetrules"
 )
 
 func day(t *testing.T, o DayOptions) DayReport {
@@ -86,3 +90,19 @@
 		})
 	}
 }
+
+// A report's sums don't hang on the order of a map.
+func TestSumsAreTheSame(t *testing.T) {
+	w := &world{rules: control.Settings{Classes: make([]control.Class, 2)}, check: fleetrules.New(fleetrules.Terms{}), customers: map[*dayCustomer]*worthOf{}}
+	for i := range 50 {
+		asked := 1 / float64(i+1)
+		w.customers[&dayCustomer{name: fmt.Sprint(i)}] = &worthOf{asked: asked}
+		w.worth.asked += asked
+	}
+	first := w.report().Starved
+	for range 20 {
+		if again := w.report().Starved; again != first {
+			t.Fatalf("%v and %v", again, first)
+		}
+	}
+}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"lockflow/control"
@@ -280,8 +283,9 @@
 	for i := range w.thirds {
 		r.Thirds[i] = w.thirds[i].part()
 	}
-	for _, c := range w.customers {
-		if c.part() < 0.1 {
+	byName := func(a, b *dayCustomer) int { return strings.Compare(a.name, b.name) }
+	for _, cust := range slices.SortedFunc(maps.Keys(w.customers), byName) { // a sum of another order is another in its last digit
+		if c := w.customers[cust]; c.part() < 0.1 {
 			r.Starved += c.asked / math.Max(1, w.worth.asked)
 		}
 	}
