Tell in the simulation by what the module let tries in, and play policies apart

'--policy module' leaves the late-seeing policies out, for trials. As many plays run at a time as there are processors; the reports don't hang on it.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -233,17 +233,18 @@
 // A day by name keeps the rules and says so; a guard taken out that is found is no failure.
 func TestSimulateDays(t *testing.T) {
 	for args, tells := range map[string]string{
-		"--day calm,join --instances 2,8 --for 12s":         "none",
-		"--day herd --instances 3 --for 12s --json":         `"broken":{}`,
-		"--day mutations --instances 40 --for 20s --seed 4": "found: a final answer is given twice (answer)",
-		"--quota kiosk,clinic --instances 4 --for 12s":      "clinic, 4 instances, module, mean of 1",
-		"--quota all --instances 2 --for 12s --json":        `"policy":"late use"`,
+		"--day calm,join --instances 2,8 --for 12s":          "none",
+		"--day herd --instances 3 --for 12s --json":          `"broken":{}`,
+		"--day mutations --instances 40 --for 20s --seed 4":  "found: a final answer is given twice (answer)",
+		"--quota kiosk,clinic --instances 4 --for 12s --why": "by the store, or at no chance",
+		"--quota clinic --instances 4 --policy module":       "clinic, 4 instances, module, mean of 1",
+		"--quota all --instances 2 --for 12s --json":         `"policy":"late use"`,
 	} {
 		if code, out, errs := run(t, nil, append([]string{"simulate"}, strings.Fields(args)...)...); code != Fine || !strings.Contains(out, tells) {
 			t.Errorf("%s: exit %d\n%s%s", args, code, out, errs)
 		}
 	}
-	for _, args := range []string{"--day calm,tuesday", "--day calm --instances 0", "--quota moon", "--quota all --seeds 0"} {
+	for _, args := range []string{"--day calm,tuesday", "--day calm --instances 0", "--quota moon", "--quota all --seeds 0", "--quota all --policy none"} {
 		if code, _, errs := run(t, nil, append([]string{"simulate"}, strings.Fields(args)...)...); code != Usage || errs == "" {
 			t.Errorf("%s: exit %d %s", args, code, errs)
 		}
--- a/internal/command/simulate_quota.go
+++ b/internal/command/simulate_quota.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 
 	"lockflow/internal/fleetsim"
@@ -19,6 +22,8 @@
 	worlds := set.String("quota", "", "`NAME,NAME...` of worlds of quotas in which the calm day is played, by the module and by policies that see the true state late: "+
 		strings.Join(fleetsim.QuotaNames, ", ")+"; or all")
 	seeds := set.Int("seeds", 1, "`N` seeds with which each world of --quota is played, from --seed on")
+	policy := set.String("policy", "all", "quota: `NAME,NAME...` of who decides: "+strings.Join(policyNames(), ", ")+"; or all")
+	why := set.Bool("why", false, "quota: tells by what the module let tries in, which takes three times as long")
 	return func(ctx context.Context, e *Env, instances string, o fleetsim.QuotaOptions, asJSON bool) (bool, error) {
 		if *worlds == "" {
 			return false, nil
@@ -26,53 +31,92 @@
 		if *seeds < 1 || *seeds > 100 {
 			return true, usage("simulate: seeds: %d is none of 1 to 100", *seeds)
 		}
-		list := fleetsim.QuotaNames
-		if *worlds != "all" {
-			list = strings.Split(*worlds, ",")
+		list, err := named("quota", *worlds, fleetsim.QuotaNames)
+		if err != nil {
+			return true, err
+		}
+		policies, err := named("policy", *policy, policyNames())
+		if err != nil {
+			return true, err
 		}
 		sizes, err := groupSizes(instances)
 		if err != nil {
 			return true, err
 		}
-		var all []fleetsim.QuotaReport
+		var todo []fleetsim.QuotaOptions
 		first := o.Seed
-		for _, name := range list {
-			if !slices.Contains(fleetsim.QuotaNames, name) {
-				return true, usage("simulate: quota: %q is none of %s, all", name, strings.Join(fleetsim.QuotaNames, ", "))
-			}
+		o.Late, o.Why = -1, *why
+		for _, o.World = range list {
 			for _, o.Instances = range sizes {
 				for o.Seed = first; o.Seed < first+uint64(*seeds); o.Seed++ {
-					fmt.Fprintf(e.Err, "playing %s with %d instances, seed %d: %s\n", name, o.Instances, o.Seed, fleetsim.QuotaHelp(name))
-					for _, o.Policy = range fleetsim.Policies {
-						o.World, o.Late = name, -1
-						r, err := fleetsim.Quotas(o)
-						if err != nil {
-							return true, err
-						}
-						if all = append(all, r); ctx.Err() != nil {
-							return true, ctx.Err()
-						}
+					for _, p := range policies {
+						o.Policy = fleetsim.Policy(p)
+						todo = append(todo, o)
 					}
 				}
 			}
 		}
+		all, err := playQuotas(ctx, e, todo)
+		if err != nil {
+			return true, err
+		}
 		if asJSON {
 			return true, json.NewEncoder(e.Out).Encode(all)
 		}
-		printQuotas(e.Out, all)
+		printQuotas(e.Out, all, len(policies))
 		return true, nil
 	}
 }
 
-// printQuotas prints a line for each play, with how much more the module's price is than the lower of the
-// late-seeing policies', and then, of the module, what came of each sort of tries over all seeds of a world.
-func printQuotas(w io.Writer, all []fleetsim.QuotaReport) {
+func policyNames() []string {
+	var names []string
+	for _, p := range fleetsim.Policies {
+		names = append(names, string(p))
+	}
+	return names
+}
+
+// named are those of a list that are asked for.
+func named(flag, asked string, all []string) ([]string, error) {
+	if asked == "all" {
+		return all, nil
+	}
+	list := strings.Split(asked, ",")
+	for _, name := range list {
+		if !slices.Contains(all, name) {
+			return nil, usage("simulate: %s: %q is none of %s, all", flag, name, strings.Join(all, ", "))
+		}
+	}
+	return list, nil
+}
+
+// playQuotas plays as many at a time as there are processors; the reports are in the order asked for.
+func playQuotas(ctx context.Context, e *Env, todo []fleetsim.QuotaOptions) ([]fleetsim.QuotaReport, error) {
+	all, errs := make([]fleetsim.QuotaReport, len(todo)), make([]error, len(todo))
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var playing sync.WaitGroup
+	for i, o := range todo {
+		if free <- struct{}{}; ctx.Err() != nil {
+			break
+		}
+		fmt.Fprintf(e.Err, "playing %s with %d instances, seed %d, %s: %s\n", o.World, o.Instances, o.Seed, o.Policy, fleetsim.QuotaHelp(o.World))
+		playing.Go(func() {
+			all[i], errs[i] = fleetsim.Quotas(o)
+			<-free
+		})
+	}
+	playing.Wait()
+	return all, errors.Join(append(errs, ctx.Err())...)
+}
+
+// printQuotas prints a line for each play, with how much more the first policy's price is than the lowest of
+// the others', and then what came of each sort of tries under the first over all seeds of a world.
+func printQuotas(w io.Writer, all []fleetsim.QuotaReport, of int) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "world\tinstances\tseed\tpolicy\tlate s\tfirst tries\ttries\tserved\tbeyond: price\tmore than a late-seer's\tof the units\trefused\twith room: of tries\tof requests\tnever sent on\t")
-	of := len(fleetsim.Policies)
+	fmt.Fprintln(t, "world\tinstances\tseed\tpolicy\tlate s\tfirst tries\ttries\tserved\tbeyond: price\tmore than the lowest other\tof the units\trefused\twith room: of tries\tof requests\tnever sent on\t")
 	for i := range all {
 		r, more := &all[i], ""
-		if r.Policy == fleetsim.ByModule {
+		if i%of == 0 && of > 1 {
 			more = fmt.Sprintf("%+.3f", over(all[i:i+of]))
 		}
 		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%.2f\t%d\t%d\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", r.World, r.Instances, r.Seed, r.Policy, r.Late, r.First, r.Tries,
@@ -84,22 +128,21 @@
 		for to < len(all) && all[to].World == all[from].World && all[to].Instances == all[from].Instances {
 			to += of
 		}
-		printSorts(w, all[from:to])
+		printSorts(w, all[from:to], of)
 		from = to
 	}
 }
 
-// over is how much more the price of the first, the module's, is than the lowest of the others.
+// over is how much more the price of the first is than the lowest of the others.
 func over(group []fleetsim.QuotaReport) float64 {
-	lowest := group[1].Price
-	for _, r := range group[2:] {
+	lowest := group[min(1, len(group)-1)].Price
+	for _, r := range group[1:] {
 		lowest = min(lowest, r.Price)
 	}
 	return group[0].Price - lowest
 }
 
-func printSorts(w io.Writer, all []fleetsim.QuotaReport) {
-	of := len(fleetsim.Policies)
+func printSorts(w io.Writer, all []fleetsim.QuotaReport, of int) {
 	n := float64(len(all) / of)
 	served, price, more, room := 0.0, 0.0, 0.0, 0.0
 	sorts := map[string]map[string]*fleetsim.Cell{}
@@ -120,8 +163,8 @@
 			}
 		}
 	}
-	fmt.Fprintf(w, "\n%s, %d instances, module, mean of %.0f: served %.3f, price beyond quotas %.3f, %+.3f more than a late-seer's, refused with room %.3f of the tries\n",
-		all[0].World, all[0].Instances, n, served, price, more, room)
+	fmt.Fprintf(w, "\n%s, %d instances, %s, mean of %.0f: served %.3f, price beyond quotas %.3f, %+.3f more than the lowest other, refused with room %.3f of the tries\n",
+		all[0].World, all[0].Instances, all[0].Policy, n, served, price, more, room)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "sort\tof\ttries\toffered\tof the price\tbeyond, of its units\trefused\twith room\t")
 	for _, sort := range fleetsim.CellNames {
--- a/internal/fleetsim/quota_day.go
+++ b/internal/fleetsim/quota_day.go
@@ -41,6 +41,7 @@
 	Lasts     time.Duration // 25 s
 	Load      float64       // times what is asked usually; 1
 	Seed      uint64
+	Why       bool // tells by what the module let a try in, which takes three times as long
 }
 
 // QuotaReport is what came of a day in a world of quotas. Worth is counted in parts of what one gateway
@@ -102,6 +103,7 @@
 	w      *world
 	f      *quotaWorld
 	policy Policy
+	why    bool
 	late   time.Duration // of the meter
 	sees   time.Duration // by which the late-seeing policy sees
 	plans  []control.Plan
@@ -133,7 +135,7 @@
 	if f == nil {
 		return QuotaReport{}, fmt.Errorf("there is no world of quotas %q; there are %v", o.World, QuotaNames)
 	}
-	q := &quotaDay{f: f, policy: o.Policy, truth: map[*dayCustomer]*ledger{}, asked: map[*dayCustomer]*ledger{}, rough: map[*dayCustomer]*ledger{}, known: map[place]*known{}}
+	q := &quotaDay{f: f, policy: o.Policy, why: o.Why && o.Policy == ByModule, truth: map[*dayCustomer]*ledger{}, asked: map[*dayCustomer]*ledger{}, rough: map[*dayCustomer]*ledger{}, known: map[place]*known{}}
 	r := stream(o.Seed, 3)
 	q.plans, q.rates = f.terms(r)
 	q.late = time.Duration(f.late.draw(r) * float64(time.Second))
--- a/internal/fleetsim/quota_judge.go
+++ b/internal/fleetsim/quota_judge.go
@@ -11,7 +11,7 @@
 // What a world of quotas books, tells and reports; and the policy that sees true stores late.
 
 // CellNames are the sorts of tries that a report tells apart.
-var CellNames = []string{"plan", "spread", "customer", "known here", "customer known here", "try", "node", "lacks", "guesses", "refused"}
+var CellNames = []string{"plan", "spread", "customer", "known here", "customer known here", "try", "node", "let in", "lacks", "guesses", "refused"}
 
 const nodeYoung = 5 * time.Second
 
@@ -84,6 +84,9 @@
 			one.Offered += c.worth
 		}
 	}
+	if q.why && k.read {
+		t.carry, t.read = q.carry(i, c), true
+	}
 	lets := true
 	switch q.policy {
 	case LateStore:
@@ -111,6 +114,29 @@
 	return (plan.Rate == 0 || was.level >= units) && (plan.Open == 0 || was.out < plan.Open)
 }
 
+// carry is what the module's chance has over of a customer at an instance. A draw changes it.
+func (q *quotaDay) carry(i int, c *dayCustomer) float64 {
+	key := q.plans[c.plan].Name + " " + c.name
+	for _, one := range q.w.nodes[i].c.Image().Customers {
+		if one.Key == key {
+			return one.Carry
+		}
+	}
+	return -1
+}
+
+// letIn tells by what a try was let in. One that has waited counts as let in by chance where another of its
+// customer was drawn for meanwhile.
+func (q *quotaDay) letIn(i int, t *try) string {
+	switch {
+	case !t.read:
+		return "not read here"
+	case math.Abs(q.carry(i, t.call.cust)-t.carry) < tinyWorth:
+		return "by the store, or at no chance"
+	}
+	return "by chance"
+}
+
 // chance thins what was asked to the rate and what the store would give over twice the time by which it
 // is seen late; and to half of the open limit, as attempts come by chance.
 func (q *quotaDay) chance(now time.Duration, c *dayCustomer, units float64) float64 {
@@ -150,6 +176,9 @@
 			q.beyond += c.units
 			t.cells = append(t.cells, q.cell("lacks", lacks), q.cell("guesses", rough))
 		}
+		if q.why {
+			t.cells = append(t.cells, q.cell("let in", q.letIn(i, t)))
+		}
 		for _, one := range t.cells {
 			if one.Sent += c.units; !t.inside {
 				one.Beyond += c.units
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -162,6 +162,8 @@
 	sent, inside bool
 	cells        []*Cell
 	why          control.Cause
+	carry        float64 // what the module's chance had over, where it had read of the customer
+	read         bool
 }
 
 type world struct {
