--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"lockflow/control"
@@ -126,7 +129,8 @@
 	name          string
 	plan          int
 	first, spread int
-	hot           int // the instance of its set that gets a fifth of its tries
+	hot           int     // the instance of its set that gets a fifth of its tries
+	demand        *demand // in a world of quotas
 }
 
 // call is a client's request over all its tries.
@@ -139,6 +143,12 @@
 	inside bool
 	worth  float64
 	done   bool
+
+	// In a world of quotas: its true units, its instance, whether a try was sent on, and whether one was refused with room.
+	cost float64
+	node int
+	sent bool
+	room bool
 }
 
 // try is one request at an instance.
@@ -147,6 +157,13 @@
 	call  *call
 	until time.Duration
 	sends int
+
+	// In a world of quotas: whether it was sent on, and inside its quota; what sorts it is of; why it is refused.
+	sent, inside bool
+	cells        []*Cell
+	why          control.Cause
+	carry        float64 // what the module's chance had over, where it had read of the customer
+	read         bool
 }
 
 type world struct {
@@ -251,7 +268,9 @@
 		w.At(time.Duration(w.rng.Int64N(int64(100*time.Millisecond))), func() { w.start(i) })
 	}
 	p.script(w)
-	w.At(200*time.Millisecond, w.arrive)
+	if p.quotas == nil {
+		w.At(200*time.Millisecond, w.arrive)
+	}
 	w.Run(o.Lasts + dayDeadline + time.Second)
 	w.check.Close(w.Now())
 	return w.report(), nil
@@ -266,8 +285,9 @@
 	for i := range w.thirds {
 		r.Thirds[i] = w.thirds[i].part()
 	}
-	for _, c := range w.customers {
-		if c.part() < 0.1 {
+	byName := func(a, b *dayCustomer) int { return strings.Compare(a.name, b.name) }
+	for _, cust := range slices.SortedFunc(maps.Keys(w.customers), byName) { // a sum of another order is another in its last digit
+		if c := w.customers[cust]; c.part() < 0.1 {
 			r.Starved += c.asked / math.Max(1, w.worth.asked)
 		}
 	}
