Answer clients that wait in the socket for want of room when the node ends

Seen: with one place for clients (limits.sockets 26) and a request held, three further clients that wait in the accept queue, whose connections are up and whose requests are written, were reset at the drain's last step: "read: connection reset by peer".

At fault: Node.finish, which the step Accept called too, closed each listener as its time was over (l.close in the branch of ctx.Done), before the services had ended and had given the places back. With Accept at Most, which is so for all deadlines of up to 0.2 s (config.platformDrain), there was no time at all, and the queue was reset also where there was room.

The step Accept now only has the listeners leave and waits; they are closed at the very end, behind the answers that end the services.

Second fault, by reading, forced by a listener that comes late: the last look ends by a deadline of 20 ms, and Accept with a deadline that is past doesn't look into the queue at all, so that a node that got no CPU for 20 ms between the two, or was told to leave a second time just then, reset what waited. The socket is now asked (poll) whether somebody is there before the look ends.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lockflow/internal/config"
 	"lockflow/internal/front"
 	"lockflow/internal/limits"
@@ -38,12 +40,32 @@
 
 // Accept takes a connection; once the listener is to end, only while one is there.
 func (q queue) Accept() (net.Conn, error) {
-	last := q.of.looksLast()
-	c, err := q.Listener.Accept()
-	if ne := net.Error(nil); last && errors.As(err, &ne) && ne.Timeout() {
-		return nil, net.ErrClosed
+	for {
+		last := q.of.looksLast()
+		c, err := q.Listener.Accept()
+		if ne := net.Error(nil); !last || !errors.As(err, &ne) || !ne.Timeout() {
+			return c, err
+		}
+		// Guards against an Accept that comes so late that it doesn't look any more.
+		if !q.of.waited() {
+			return nil, net.ErrClosed
+		}
 	}
-	return c, err
+}
+
+// waited tells whether a connection is there.
+func (l *listener) waited() bool {
+	raw, err := l.under.SyscallConn()
+	if err != nil {
+		return false
+	}
+	is := false
+	_ = raw.Control(func(fd uintptr) {
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look[:], 0)
+		is = err == nil && n > 0 && look[0].Revents&unix.POLLIN != 0
+	})
+	return is
 }
 
 // gate keeps connections from being taken while it is closed. Its zero value is open.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -304,7 +304,7 @@
 		do func()
 	}{
 		{times.Idle, n.front.Leave},
-		{times.Accept, func() { n.finish(times.Most - times.Accept) }},
+		{times.Accept, func() { n.leave(); n.gone(times.Most - times.Accept) }},
 	}
 	for _, s := range steps {
 		select {
@@ -331,23 +331,40 @@
 	}
 }
 
-// finish stops listening and gives the answers that are under way some time.
-func (n *Node) finish(within time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
+// leave takes the clients that wait in the listeners' sockets and then no more.
+func (n *Node) leave() {
 	n.mu.Lock()
-	listeners := n.listeners
-	for _, l := range listeners {
+	for _, l := range n.listeners {
 		l.leave()
 	}
 	n.mu.Unlock()
 	n.front.Leave()
+}
+
+// gone waits, after leave, until no client waits or is connected, for some time at the most. What still
+// waits in a socket then has no room yet.
+func (n *Node) gone(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	n.mu.Lock()
+	listeners := n.listeners
+	n.mu.Unlock()
 	for _, l := range listeners {
 		select {
 		case <-l.over:
-		case <-ctx.Done(): // there is no room for those that wait
-			l.close()
+		case <-ctx.Done():
 		}
 	}
 	n.front.Gone(ctx)
 }
+
+// finish gives the answers that are under way some time, and to who still waits, and stops listening.
+func (n *Node) finish(within time.Duration) {
+	n.leave()
+	n.gone(within)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.listeners {
+		l.close()
+	}
+}
