Answer the queue of an address that a reload removes, and listen nowhere after the end

Seen: 60 clients at a node with 64 descriptors, servers stalled; a reload removed the address, and the 20 or so that waited in its accept queue, requests written, read "connection reset by peer".

At fault: listenOn closed the removed listener at once (l.close), which drops its queue. It now leaves as at the node's end (listener.leave): what waits is taken, then nothing more. The reload waits for that outside of the node's lock, for the drain's longest step at the most, so that nobody listens there once it has returned, as before. A drain meanwhile counts the removed ones among its own.

Second fault, of the same place: a reload that still went on as the node came to its end opened the new addresses behind the end ("<nil>, listening on" the new address): clients were taken by nobody. Node.finish now says so first, and the reload is refused.

Ruled out by reading: a removed listener that takes clients for ever (bounded, then closed); a removed one before Run (nobody serves it; closed as before); a reload that fails closes what it opened some microseconds before, which no client has been told.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -199,7 +199,38 @@
 	for _, l := range old {
 		if n.listener(l.addr) == nil {
 			slog.Info("no longer serving", "listen", l.Addr().String())
-			l.close()
+			if n.srv == nil {
+				l.close()
+				continue
+			}
+			l.leave()
+			n.removed = append(n.removed, l)
+		}
+	}
+}
+
+// endRemoved ends the listeners of addresses that are gone, behind those who wait there.
+func (n *Node) endRemoved() {
+	n.mu.Lock()
+	removed, within := n.removed, max(n.cfg.Process.Drain.Most, drainWrite)
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	await(ctx, removed)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range removed {
+		l.close()
+	}
+	n.removed = nil
+}
+
+// await waits until listeners that leave are over, or ctx is.
+func await(ctx context.Context, listeners []*listener) {
+	for _, l := range listeners {
+		select {
+		case <-l.over:
+		case <-ctx.Done():
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,8 @@
 
 	mu         sync.Mutex
 	listeners  []*listener                 // in the order of the configuration
+	removed    []*listener                 // by the reload that goes on; they leave
+	ended      bool                        // nothing new begins to listen or to serve
 	srv        *http.Server                // nil before Run
 	broken     chan error                  // the first listener that ended by itself
 	generation int                         // of the configuration in force, from 1 on
@@ -347,24 +349,22 @@
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	n.mu.Lock()
-	listeners := n.listeners
+	all := slices.Concat(n.listeners, n.removed)
 	n.mu.Unlock()
-	for _, l := range listeners {
-		select {
-		case <-l.over:
-		case <-ctx.Done():
-		}
-	}
+	await(ctx, all)
 	n.front.Gone(ctx)
 }
 
 // finish gives the answers that are under way some time, and to who still waits, and stops listening.
 func (n *Node) finish(within time.Duration) {
+	n.mu.Lock()
+	n.ended = true
+	n.mu.Unlock()
 	n.leave()
 	n.gone(within)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, l := range n.listeners {
+	for _, l := range slices.Concat(n.listeners, n.removed) {
 		l.close()
 	}
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -32,6 +32,7 @@
 func (n *Node) Reload(cfg config.Config) error {
 	n.reload.Lock()
 	defer n.reload.Unlock()
+	defer n.endRemoved()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.cfg.Process.Shared || !cfg.Process.Shared {
@@ -49,6 +50,9 @@
 	if err := n.awaitOlder(); err != nil {
 		return err
 	}
+	if n.ended {
+		return errors.New("the node has ended")
+	}
 	opened, err := n.open(cfg.Listeners)
 	if err != nil {
 		return err
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -476,6 +476,51 @@
 	}
 }
 
+// Clients that wait in the socket of an address that a reload removes, for want of descriptors, get their
+// answers as soon as there is room, and then nobody listens there.
+func TestReloadAnswersTheQueueOfAnAddress(t *testing.T) {
+	text := strings.NewReplacer("descriptors = 512\nclients = 200", "descriptors = 64\nclients = 4", `most = "1s"`, `most = "30s"`).Replace(plain)
+	l := labtest.Begin(t, text, pools(0))
+	first := l.Node.Addr()
+	l.Pools["a"].Stall(true)
+	var clients []*bufio.Reader
+	for i := range 60 { // 40 have room at the most
+		c, in := dial(t, l)
+		write(c, "x", "/one", fmt.Sprint("id-", i), "", 0)
+		clients = append(clients, in)
+	}
+	testkit.Until(t, "a request at a server", func() bool { return l.Node.Status()[0].Attempts > 0 })
+	reloaded := make(chan error, 1)
+	go func() { reloaded <- l.Reload(strings.Replace(text, `"127.0.0.1:0"`, `"localhost:0"`, 1)) }()
+	testkit.Until(t, "the other address", func() bool { return l.Node.Addr() != first })
+	l.Pools["a"].Stall(false)
+	for i, in := range clients {
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 {
+			t.Errorf("client %d: %v, %v", i, resp, err)
+		}
+	}
+	if err := testkit.Next(t, reloaded); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", first); err == nil {
+		c.Close()
+		t.Error("the address that is gone takes connections")
+	}
+}
+
+// A reload that comes to its end behind the node's opens no address, where clients would be taken by
+// nobody.
+func TestReloadBehindTheEnd(t *testing.T) {
+	l := labtest.Begin(t, plain, pools(0))
+	first := l.Node.Addr()
+	if err := l.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Reload(strings.Replace(plain, `"127.0.0.1:0"`, `"localhost:0"`, 1)); err == nil || l.Node.Addr() != first {
+		t.Errorf("%v, listening on %s", err, l.Node.Addr())
+	}
+}
+
 // A service that a reload changes keeps its connections and its account; one whose connections
 // are made in another way makes them anew.
 func TestReloadKeepsConnections(t *testing.T) {
