--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lockflow/internal/config"
 	"lockflow/internal/front"
 	"lockflow/internal/limits"
@@ -38,12 +40,32 @@
 
 // Accept takes a connection; once the listener is to end, only while one is there.
 func (q queue) Accept() (net.Conn, error) {
-	last := q.of.looksLast()
-	c, err := q.Listener.Accept()
-	if ne := net.Error(nil); last && errors.As(err, &ne) && ne.Timeout() {
-		return nil, net.ErrClosed
+	for {
+		last := q.of.looksLast()
+		c, err := q.Listener.Accept()
+		if ne := net.Error(nil); !last || !errors.As(err, &ne) || !ne.Timeout() {
+			return c, err
+		}
+		// Guards against an Accept that comes so late that it doesn't look any more.
+		if !q.of.waited() {
+			return nil, net.ErrClosed
+		}
 	}
-	return c, err
+}
+
+// waited tells whether a connection is there.
+func (l *listener) waited() bool {
+	raw, err := l.under.SyscallConn()
+	if err != nil {
+		return false
+	}
+	is := false
+	_ = raw.Control(func(fd uintptr) {
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look[:], 0)
+		is = err == nil && n > 0 && look[0].Revents&unix.POLLIN != 0
+	})
+	return is
 }
 
 // gate keeps connections from being taken while it is closed. Its zero value is open.
@@ -177,7 +199,38 @@
 	for _, l := range old {
 		if n.listener(l.addr) == nil {
 			slog.Info("no longer serving", "listen", l.Addr().String())
-			l.close()
+			if n.srv == nil {
+				l.close()
+				continue
+			}
+			l.leave()
+			n.removed = append(n.removed, l)
+		}
+	}
+}
+
+// endRemoved ends the listeners of addresses that are gone, behind those who wait there.
+func (n *Node) endRemoved() {
+	n.mu.Lock()
+	removed, within := n.removed, max(n.cfg.Process.Drain.Most, drainWrite)
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	await(ctx, removed)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range removed {
+		l.close()
+	}
+	n.removed = nil
+}
+
+// await waits until listeners that leave are over, or ctx is.
+func await(ctx context.Context, listeners []*listener) {
+	for _, l := range listeners {
+		select {
+		case <-l.over:
+		case <-ctx.Done():
 		}
 	}
 }
