Tell classes and plans of one name twice, or of none, by their key

Two classes or plans of one name, or one without a name, were read without a word: the last one won, and a request of that name was held to its terms (TestPlatformSettingsThatCannotBe started a node by such a file and went on serving).

Ruled out: a check in control.New, where the simulator's wire writes blanks and commas of a name as _, so that two names may become one; the adapter must not end for it. In a file of our own form TOML and the reading of lists hold names apart already; a plan of an empty name was taken there.

The strict reading of settings (wire.Settings) names the place, so the start ends with 2 and a reload leaves the old settings. Seen to fail without: TestPlatformSettingsThatCannotBe, TestHup, TestBadFiles (plan-name).

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -235,6 +235,7 @@
 		"{": "configuration",
 		strings.Replace(string(raw), "127.0.0.1:1\"", "127.0.0.1:watch\"", 1): "discovery:",
 		strings.Replace(string(raw), `"aim": 2000.0`, `"aim": 0`, 1):          "classes.0.aim:",
+		strings.Replace(string(raw), `"enterprise"`, `"basic"`, 1):            "tariffs.1.name:",
 	} {
 		write(bad)
 		p.signal(syscall.SIGHUP)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -43,6 +43,10 @@
 		`"fall-multiple": 2.5`: {`"fall-multiple": "x"`, "contract.fall-multiple"},
 		`"tariffs"`:            {`"tariff"`, "tariffs"},
 		`"seed": "`:            {`"seed": "x`, "seed"},
+		`"visit-update"`:       {`"roster-read"`, "classes.1.name"},
+		`"roster-read"`:        {`""`, "classes.0.name"},
+		`"name": "enterprise"`: {`"nick": "basic"`, "tariffs.1.name"},
+		`"enterprise"`:         {`"basic"`, "tariffs.1.name"},
 	} {
 		if !strings.Contains(string(raw), old) {
 			t.Fatalf("the file has no %s", old)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -242,6 +242,9 @@
 			t.Wrong(key, "only with a ceiling_rate")
 		}
 	}
+	if name == "" {
+		t.Wrong("", "a plan needs a name")
+	}
 	if p.CeilingRate > 0 && p.Rate > p.CeilingRate {
 		t.Wrong("ceiling_rate", "%g is below the rate of %g", p.CeilingRate, p.Rate)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -68,6 +68,14 @@
 	if s.ColdFrom > 1 {
 		g.bad("contract.cold-from", fmt.Errorf("%g is more than all of a server's capacity", s.ColdFrom))
 	}
+	// Guards against a request that means the one and is held to the terms of the other.
+	classes, plans := map[string]bool{}, map[string]bool{}
+	for i, k := range s.Classes {
+		g.names(classes, fmt.Sprintf("classes.%d.name", i), k.Name)
+	}
+	for i, p := range s.Plans {
+		g.names(plans, fmt.Sprintf("tariffs.%d.name", i), p.Name)
+	}
 	if len(s.Classes) == 0 {
 		g.bad("classes", errors.New("there are none"))
 	}
@@ -76,6 +84,17 @@
 	}
 }
 
+// names takes one name of a list, which has each once.
+func (g *facts) names(taken map[string]bool, path, name string) {
+	switch {
+	case name == "":
+		g.bad(path, errors.New("there is none"))
+	case taken[name]:
+		g.bad(path, fmt.Errorf("%q is given twice", name))
+	}
+	taken[name] = true
+}
+
 // facts reads settings by their path.
 type facts struct {
 	*fields
