Ask a discovery that turned a call away again only once its work before is done

Cause (pace.go, Again): a group whose watches fall silent at once asks within 0.6 s; a discovery with 2 s of work before it turns the rest away, and where it does so at once, each that was turned away asked again within what was left of the clock, three to five times, and then within 8 s, also while the 2 s were not done. The tests played a discovery that turns calls away late only, and an instance whose clock was always over.

Change: behind a call that was turned away (an answer but 200, or an end before the head; not a connection that never came up or was refused, and not the first after a break or a move) the next comes no sooner than 2 s after it began, then within the least time in which a discovery takes a call of each (2 s), later within the most (8 s).

Second fault (watch.go): the dialer's time-out and the watch's own were both 3 s, and which came first was chance (3 of 100 calls to a full queue gave the dialer's). Then the call was not taken for silence, and the next came up to 8 s later. A dial that times out is silence.

Tests: TestGroupThatFallsSilentAtOnceIsTold and TestGroupThatStartsAtOnceIsTold play both kinds with the clock as it is, seen to fail with TurnedAway as Again; TestPaceKeepsTheClock holds the 2 s; 'twice by it' of TestSilentWatchIsOpenedAnewInTime seen to fail without ('told 11.9 s after the silence began, of 6s').

--- a/internal/discovery/pace.go
+++ b/internal/discovery/pace.go
@@ -18,7 +18,8 @@
 	answerMost = 2 * time.Second // a discovery answers a call by then, or turns it away
 	newsSpare  = 300 * time.Millisecond
 	askMost    = newsWithin - answerMost - newsSpare // a call that comes no later is answered in time
-	callsMost  = 8 * time.Second                     // a discovery takes a call of each instance in this, however many they are
+	callsLeast = 2 * time.Second                     // a discovery takes a call of each instance in this at the soonest
+	callsMost  = 8 * time.Second                     // and in this at the latest, however many they are
 )
 
 // Pace spreads the calls of a group's instances over time. Guards against a discovery that is
@@ -59,6 +60,28 @@
 	return p.draw(backoffFirst, window)
 }
 
+// TurnedAway is the wait before the next call after one that a discovery turned away, which it does where
+// its answer would take longer than answerMost; the call lasted for some time, and the watch before was
+// last heard some time ago. Guards against a discovery that turns calls away at once: until what it has
+// is done it does so again, and that is work too. The first after a break or a move may be asked
+// again at once, as a discovery that has just started turns calls away with nothing to do.
+func (p *Pace) TurnedAway(lasted, quiet time.Duration) time.Duration {
+	if p.fails == 0 || p.Group <= 1 {
+		return p.Again(lasted, quiet)
+	}
+	one := callEvery * time.Duration(p.Group)
+	least := max(min(answerMost, one)-lasted, backoffFirst)
+	most := min(least+min(callsLeast, one), callsMost)
+	switch left := askMost - quiet; {
+	case left >= least:
+		most = min(most, left)
+	case p.fails > 1:
+		most = min(least+one<<min(p.fails, backoffMore), callsMost)
+	}
+	p.fails++
+	return p.draw(least, most)
+}
+
 func (p *Pace) others() time.Duration { return time.Duration(max(0, p.Group-1)) }
 
 func (p *Pace) draw(least, most time.Duration) time.Duration {
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -17,6 +17,7 @@
 	free time.Duration // when the last call that it took is done
 	each time.Duration
 	wait time.Duration
+	soon bool // it turns callers away at once
 }
 
 // call takes a call; ok is whether it was answered in time, after some time either way.
@@ -26,13 +27,16 @@
 		return true, took
 	}
 	r.free -= r.each / 2 // turning one away is work too
+	if r.soon {
+		return false, 0
+	}
 	return false, min(r.wait, r.free-r.Now())
 }
 
 // subscribed plays instances that all begin in one moment; it gives when nine in ten, and all, had a
 // watch, and 0 for never.
-func subscribed(instances int, each time.Duration, first func(i int) time.Duration, again func(i int) time.Duration) (most, all time.Duration, calls int) {
-	r := &registry{each: each, wait: 2 * time.Second}
+func subscribed(instances int, each time.Duration, soon bool, first func(i int) time.Duration, again func(i int, lasted, now time.Duration) time.Duration) (most, all time.Duration, calls int) {
+	r := &registry{each: each, wait: 2 * time.Second, soon: soon}
 	n := 0
 	var ask func(i int)
 	ask = func(i int) {
@@ -40,7 +44,7 @@
 		ok, after := r.call()
 		r.After(after, func() {
 			if !ok {
-				r.After(again(i), func() { ask(i) })
+				r.After(again(i, after, r.Now()), func() { ask(i) })
 				return
 			}
 			if n++; n == (instances*9+9)/10 {
@@ -58,56 +62,71 @@
 	return most, all, calls
 }
 
+// turnsAway is whether a discovery turns calls away at once, or once they have waited.
+var turnsAway = map[string]bool{"at once": true, "late": false}
+
 // Guards against a group that starts at once, is turned away for the most part, and asks again at
 // once until nobody is told anything any more.
 func TestGroupThatStartsAtOnceIsTold(t *testing.T) {
-	for _, n := range []int{1, 2, 8, 40, 80, 400} {
-		for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
-			each := all / time.Duration(max(40, n))
-			paces := make([]Pace, n)
-			for i := range paces {
-				paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
-			}
-			most, last, calls := subscribed(n, each, func(i int) time.Duration { return paces[i].First() },
-				func(i int) time.Duration { return paces[i].Again(0, 0) })
-			bound := all + 3*callEvery*time.Duration(n) + askMost
-			if most == 0 || most > bound {
-				t.Errorf("%d instances, %v for a call of each: nine in ten are told after %v, all after %v, by %d calls", n, all, most, last, calls)
-			}
-			if n < 80 || all < 5*time.Second {
-				continue
-			}
-			// What was before: 100 ms, doubled up to 500 ms, in step.
-			fails := make([]int, n)
-			if before, _, old := subscribed(n, each, func(int) time.Duration { return 0 }, func(i int) time.Duration {
-				fails[i]++
-				return min(backoffFirst<<(fails[i]-1), 500*time.Millisecond)
-			}); before > 0 && before < most {
-				t.Errorf("%d instances, %v: told after %v by %d calls with no pace, %v by %d with it", n, all, before, old, most, calls)
+	for how, soon := range turnsAway {
+		for _, n := range []int{1, 2, 8, 40, 80, 400} {
+			for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
+				each := all / time.Duration(max(40, n))
+				paces := make([]Pace, n)
+				for i := range paces {
+					paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
+				}
+				most, last, calls := subscribed(n, each, soon, func(i int) time.Duration { return paces[i].First() },
+					func(i int, lasted, now time.Duration) time.Duration { return paces[i].TurnedAway(lasted, now) })
+				bound := all + 3*callEvery*time.Duration(n) + askMost
+				if most == 0 || most > bound {
+					t.Errorf("%d instances, %v for a call of each, turned away %s: nine in ten are told after %v, all after %v, by %d calls", n, all, how, most, last, calls)
+				}
+				if n < 80 || all < 5*time.Second {
+					continue
+				}
+				// What was before: 100 ms, doubled up to 500 ms, in step.
+				fails := make([]int, n)
+				if before, _, old := subscribed(n, each, soon, func(int) time.Duration { return 0 }, func(i int, _, _ time.Duration) time.Duration {
+					fails[i]++
+					return min(backoffFirst<<min(fails[i]-1, 3), 500*time.Millisecond)
+				}); before > 0 && before < most {
+					t.Errorf("%d instances, %v, turned away %s: told after %v by %d calls with no pace, %v by %d with it", n, all, how, before, old, most, calls)
+				}
 			}
 		}
 	}
 }
 
 // A group whose watches fall silent, or end, in one moment is told in time by a discovery that can answer
-// all of it in time, and soon by one that can't, for less than two calls each.
+// all of it in time, within the 2 s that sends may take to stop by one that nearly can, and soon by
+// one that can't, for few calls each, whether it turns calls away at once or late.
 func TestGroupThatFallsSilentAtOnceIsTold(t *testing.T) {
-	for _, n := range []int{1, 3, 40, 300} {
-		for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
-			for _, quiet := range []time.Duration{0, watchSilence} {
-				paces := make([]Pace, n)
-				for i := range paces {
-					paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
-				}
-				// The clock begins as the silence is noticed.
-				most, last, calls := subscribed(n, all/time.Duration(max(40, n)), func(i int) time.Duration { return paces[i].Again(time.Minute, quiet) },
-					func(i int) time.Duration { return paces[i].Again(0, newsWithin) })
-				soon, late := all+callsMost, all+callsMost+answerMost
-				if all == answerMost { // it can answer them all in time
-					soon, late = newsWithin-quiet, newsWithin-quiet
-				}
-				if most == 0 || most > soon || last > late || calls >= 2*n && n > 1 {
-					t.Errorf("%d instances, silent for %v, %v for a call of each: nine in ten are told after %v, all after %v, by %d calls", n, quiet, all, most, last, calls)
+	const grace = 2 * time.Second
+	for how, soonAway := range turnsAway {
+		for _, n := range []int{1, 3, 40, 300} {
+			for _, all := range []time.Duration{2 * time.Second, 3500 * time.Millisecond, 5 * time.Second, 8 * time.Second} { // that one call of each takes
+				for _, quiet := range []time.Duration{0, watchSilence} {
+					paces := make([]Pace, n)
+					for i := range paces {
+						paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
+					}
+					// The clock begins as the silence is noticed.
+					most, last, calls := subscribed(n, all/time.Duration(max(40, n)), soonAway, func(i int) time.Duration { return paces[i].Again(time.Minute, quiet) },
+						func(i int, lasted, now time.Duration) time.Duration { return paces[i].TurnedAway(lasted, quiet+now) })
+					soon, late, each := all+callsMost, all+callsMost+answerMost, 2
+					switch all {
+					case answerMost: // it can answer them all in time
+						soon, late = newsWithin-quiet, newsWithin-quiet
+					case 3500 * time.Millisecond:
+						soon, late = newsWithin+grace-quiet, newsWithin+grace-quiet
+					case callsMost:
+						each = 3
+					}
+					if most == 0 || most > soon || last > late || calls >= each*n && n > 1 {
+						t.Errorf("%d instances, silent for %v, %v for a call of each, turned away %s: nine in ten are told after %v, all after %v, by %d calls",
+							n, quiet, all, how, most, last, calls)
+					}
 				}
 			}
 		}
@@ -133,6 +152,17 @@
 				t.Fatalf("held up for %v by itself, it asks again after %v", quiet, after)
 			}
 		}
+		for range 3 {
+			lasted := time.Duration(rapid.Int64Range(0, int64(answerMost)).Draw(t, "lasted"))
+			first := p.fails == 0
+			after := p.TurnedAway(lasted, newsWithin)
+			if after < backoffFirst || after > callsMost || p.Group == 1 && after > backoffFirst {
+				t.Fatalf("a group of %d, turned away, asks again after %v", p.Group, after)
+			}
+			if !first && p.Group >= 20 && lasted+after < answerMost {
+				t.Fatalf("turned away, it asks again %v after it asked", lasted+after)
+			}
+		}
 		if d := p.First(); d+answerMost > newsWithin {
 			t.Fatalf("the first call comes after %v", d)
 		}
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +24,7 @@
 	ends        bool
 	beats       bool // goes on with heartbeats instead
 	nobody      bool // the connection never comes up
+	dialer      bool // the same, and the dialer's own clock tells so first
 }
 
 const scriptedHead = "HTTP/1.1 200 OK\r\n\r\n"
@@ -37,6 +39,7 @@
 	cutNext  = scripted{says: scriptedHead + `{"rev":43}` + "\n" + `{"rev":44,`, beats: true}
 	reset    = scripted{says: scriptedHead + "\n", later: "\n", ends: true}
 	away     = scripted{nobody: true}
+	timedOut = scripted{dialer: true}
 )
 
 // play holds a watch on discoveries that answer one call after another by a script, and the call after
@@ -73,6 +76,10 @@
 			time.Sleep(time.Hour) // http.Transport goes on with a dial that nobody waits for
 			return nil, errors.New("nobody came")
 		}
+		if s.dialer {
+			time.Sleep(watchSilence - time.Nanosecond)
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		}
 		here, there := net.Pipe()
 		all.Go(func() {
 			defer there.Close()
@@ -129,6 +136,8 @@
 		"in one, with heartbeats":   {cutLater},
 		"in the next, the same":     {cutNext},
 		"never connected":           {away},
+		"by the dialer's clock":     {timedOut},
+		"twice by it":               {reset, timedOut, timedOut},
 		"reset":                     {reset},
 		"silent, and mute":          {beating, mute},
 		"reset, and mute":           {reset, mute},
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,7 +20,10 @@
 	messageMost  = 4 << 20 // bytes of a message
 )
 
-var errSilent = errors.New("it fell silent")
+var (
+	errSilent = errors.New("it fell silent")
+	errTurned = errors.New("discovery turned the call away")
+)
 
 // watcher keeps a watch on the server list at one address, whatever becomes of its
 // connections.
@@ -58,7 +61,11 @@
 		if errors.Is(err, errSilent) && w.last.Before(begun) {
 			w.last = begun
 		}
-		after = w.pace.Again(time.Since(begun), time.Since(w.last))
+		next := w.pace.Again
+		if errors.Is(err, errTurned) {
+			next = w.pace.TurnedAway
+		}
+		after = next(time.Since(begun), time.Since(w.last))
 		if heard {
 			slog.Warn("discovery: watch ended", "rev", w.rev, "err", err)
 		} else {
@@ -84,11 +91,11 @@
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return false, err
+		return false, unanswered(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("discovery answered %s", resp.Status)
+		return false, fmt.Errorf("%w: %s", errTurned, resp.Status)
 	}
 	silent.Reset(w.silence)
 	in := &watched{watcher: w, from: resp.Body, silent: silent}
@@ -109,6 +116,19 @@
 	}
 }
 
+// unanswered tells what a call came to that has no answer: nobody was there, by the dialer's clock too, or
+// somebody turned it away.
+func unanswered(err error) error {
+	op, ok := errors.AsType[*net.OpError](err)
+	switch dial := ok && op.Op == "dial"; {
+	case dial && op.Timeout():
+		return errSilent
+	case dial || errors.Is(err, errSilent):
+		return err
+	}
+	return fmt.Errorf("%w: %w", errTurned, err)
+}
+
 // watched is what a watch says: JSON objects, which may be indented and so go over many lines, and empty
 // lines between them.
 type watched struct {
