Send nothing on whose client has sent more than a socket holds behind it

Seen: a client sends two requests and then as much as the sockets take, and closes or half-closes. The node's receive buffer is full (127,973 bytes unread, window 0, state ESTABLISHED), so the FIN never arrives: poll gives POLLIN and no POLLRDHUP, net/http has read its one byte, and the request that waited was written to a server. Probed on sockets with 0, 60,000, 100,000, 300,000 and 2,000,000 bytes: a FIN is seen behind what the buffer holds (up to 100,000), not behind 300,000; a RST is seen behind any.

At fault: client.There, which knew only what the socket has been told. Clients of the platform's protocol send one request at a time, so 32 KiB unread behind a request that is read whole is a flood whose end can't be seen. It isn't sent on; who is still there is told 503 and its connection is closed. Requests of ordinary HTTP, which may be pipelined and whose own body may be what is unread, go on as before.

The test is seen to fail with the comparison taken out: the server saw the request, the flood was told 200.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -44,16 +44,42 @@
 // net/http, which takes that for the client's leaving too, reads no more than one byte beyond a request
 // and sees nothing of what is behind further ones. A socket that can't be asked is taken to be there.
 func (c *client) There() bool {
+	_, gone := c.look()
+	return !gone
+}
+
+// look tells whether there is something to read on the socket, and whether the client has ended its side.
+func (c *client) look() (more, gone bool) {
 	if c.raw == nil {
-		return true
+		return false, false
 	}
-	left := false
 	_ = c.raw.Control(func(fd uintptr) {
-		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look[:], 0)
-		left = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		if n, err := unix.Poll(look[:], 0); err == nil && n > 0 {
+			more = look[0].Revents&unix.POLLIN != 0
+			gone = look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
 	})
-	return !left
+	return more, gone
+}
+
+// behindMost is how much a client that sends one request at a time may have sent behind it: less than any
+// usual socket holds unread.
+const behindMost = 32 << 10
+
+// alone is a client whose request has come whole, and who by its protocol sends no other before the
+// answer. Guards against one that sends more than the socket holds and goes: the word of that waits
+// behind what nobody reads.
+type alone struct{ *client }
+
+// There is the client's, and that it keeps to its protocol as far as an end could be seen.
+func (c alone) There() bool {
+	more, gone := c.look()
+	behind := 0
+	if more {
+		_ = c.raw.Control(func(fd uintptr) { behind, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	}
+	return !gone && behind < behindMost
 }
 
 type clientKey struct{}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -168,6 +168,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	a, ok := to.Service.Do(r.Context(), x)
+	if c := clientOf(r); !ok && r.Context().Err() == nil && c != nil && c.There() {
+		// It was not sent on only for what has come behind it.
+		w.Header().Set("Connection", "close")
+		a, ok = to.Service.Unheard(), true
+	}
 	if !ok {
 		// Guards against an answer that nobody made: net/http gives 200 where a handler gives none,
 		// and a client that has closed one way only would read it.
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,19 +22,24 @@
 )
 
 // A client that sends two requests of more than net/http reads ahead at once and goes, while the first
-// waits for its turn, has neither be sent on. net/http sees no more than the first byte of the second.
+// waits for its turn, has neither be sent on. net/http sees no more than the first byte of the second. The
+// same goes for one that has sent as much as the sockets take: its end is not in the node's, which is full.
 func TestLeftBehindFurtherRequests(t *testing.T) {
+	const stays = "stays" // and is told that it was refused
 	for _, class := range []control.Class{{Effect: control.Free}, {Effect: control.Guarded, RepeatWindow: time.Minute}, {Effect: control.SingleShot}} {
 		for how, leave := range map[string]func(*net.TCPConn){"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
-			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }} {
+			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, "floods and closes": func(c *net.TCPConn) { flood(c); c.Close() },
+			"floods and half-closes": func(c *net.TCPConn) { flood(c); c.CloseWrite() }, "floods and " + stays: flood} {
 			t.Run(fmt.Sprint(how, " effect ", class.Effect), func(t *testing.T) {
 				let := make(chan struct{})
+				open := sync.OnceFunc(func() { close(let) })
 				app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
 					if strings.HasPrefix(r.URL.Path, "/job/f") {
 						<-let
 					}
 					io.WriteString(w, "ok")
 				})
+				t.Cleanup(open) // before the server's end, which waits for it
 				class.Name, class.Aim, class.Deadline, class.Worth = "job", time.Minute, time.Minute, 1
 				ready := make(chan struct{})
 				s, err := service.New(service.Options{AnyMethod: true, OnReady: func() { close(ready) },
@@ -96,13 +103,13 @@
 					defer f.clients.mu.Unlock()
 					n := 0
 					for _, c := range f.clients.all {
-						if c.There() {
+						if (alone{c}).There() {
 							n++
 						}
 					}
 					return n == 2
 				})
-				close(let)
+				open()
 				for _, c := range first {
 					if got := answered(c); got != "HTTP/1.1 200" {
 						t.Errorf("one before it: %q", got)
@@ -112,10 +119,10 @@
 				if got := answered(send("next")); got != "HTTP/1.1 200" {
 					t.Errorf("the next one: %q", got)
 				}
-				if how == "half-closes" {
-					if got := answered(c); strings.HasPrefix(got, "HTTP") {
-						t.Errorf("who has left was told %q", got)
-					}
+				switch got := answered(c); {
+				case strings.HasSuffix(how, stays) && got != "HTTP/1.1 503",
+					strings.HasPrefix(got, "HTTP") && !strings.HasPrefix(how, "floods"), strings.HasSuffix(got, "200"):
+					t.Errorf("who was not sent on was told %q", got)
 				}
 				if seen := strings.Join(app.Requests(), " "); strings.Contains(seen, "left") || strings.Contains(seen, "behind") {
 					t.Errorf("the server saw %.200s", seen)
@@ -124,3 +131,17 @@
 		}
 	}
 }
+
+// flood sends as much as the sockets take.
+func flood(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	for more := true; more; {
+		_ = raw.Control(func(fd uintptr) {
+			_, err := syscall.Write(int(fd), make([]byte, 1<<16))
+			more = err == nil
+		})
+	}
+}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -105,6 +105,9 @@
 		wrong.unread = true
 		return wrong
 	}
+	if c := clientOf(r); c != nil {
+		x.Client = alone{c}
+	}
 	// net/http goes on reading while a request is held, to notice a hang-up; the limit on
 	// the request's own time must not end that.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -174,7 +174,7 @@
 				}
 			}
 		}
-		h.ledger = l.leave(next, s.unheard())
+		h.ledger = l.leave(next, s.Unheard())
 		gave <- h
 		l.next, l.gave = next, h.pools
 	})
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -327,7 +327,7 @@
 	a, ok := s.do(ctx, x)
 	for next := a.next; next != nil; next = a.next {
 		if !next.Hold() {
-			return s.unheard(), true
+			return s.Unheard(), true
 		}
 		a, ok = next.do(ctx, x)
 		next.Release()
@@ -335,8 +335,8 @@
 	return a, ok
 }
 
-// unheard is the answer to a request that no module has heard of: trying again is harmless.
-func (s *Service) unheard() Answer {
+// Unheard is the answer to a request that no module has heard of: trying again is harmless.
+func (s *Service) Unheard() Answer {
 	return Answer{Kind: Refused, Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, s.opts.Settings.MaxRetryAfter)}
 }
 
@@ -344,7 +344,7 @@
 	x.answer = make(chan Answer, 1)
 	l := s.current()
 	if !l.post(func() { l.begin(x) }) {
-		return s.unheard(), true
+		return s.Unheard(), true
 	}
 	select {
 	case a := <-x.answer:
@@ -359,7 +359,7 @@
 		case a := <-x.answer:
 			return a, !a.left
 		default: // all that had begun has its answer before the end
-			return s.unheard(), true
+			return s.Unheard(), true
 		}
 	}
 }
