Close no client connection for want of descriptors on which a request is unread

Seen: a connection on which a whole request lay unread in the socket, new (silent for over 250 ms as far as net/http had told) or kept, was chosen by evict and closed; the client read a reset. On a new connection that request is lost, as its client does not send it again.

At fault: clients.evict, which went by when net/http had last told of the connection and not by its socket. It now passes over one that has something to read and whose client has not gone. The test holds net/http's read at a barrier; with the guard taken out it fails for new and kept ones alike (connection reset by peer).

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -144,7 +144,8 @@
 	}
 }
 
-// evict closes the oldest of those that have said nothing for too long, else of those that are idle.
+// evict closes the oldest of those that have said nothing for too long, else of those that are idle; none
+// on which something has come that is still to be read.
 func (s *clients) evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,7 +155,10 @@
 			continue
 		}
 		if first == nil || c.fresh && !first.fresh || c.fresh == first.fresh && c.since.Before(first.since) {
-			first = c
+			// Guards against requests that are there and lost: nobody has read them yet.
+			if more, gone := c.look(); !more || gone {
+				first = c
+			}
 		}
 	}
 	if first == nil {
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"lockflow/control"
+	"lockflow/internal/testkit"
 )
 
 // readThen is a connection that calls after once it has read bytes and before its reader has them.
@@ -94,3 +97,73 @@
 		}
 	})
 }
+
+// unread is a listener whose connections are read only once it is open.
+type unread struct {
+	net.Listener
+	open chan struct{}
+}
+
+func (l unread) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return heldBack{c, l.open}, err
+}
+
+type heldBack struct {
+	net.Conn
+	open chan struct{}
+}
+
+func (c heldBack) Read(p []byte) (int, error) { <-c.open; return c.Conn.Read(p) }
+func (c heldBack) NetConn() net.Conn          { return c.Conn }
+
+// A place is made by closing no connection, new or kept, on which a request is there that nobody has read
+// yet: it has its answer. One that says nothing goes, and so does one whose client has gone.
+func TestEvictsNoneThatAsks(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		for _, does := range []string{"asks", "is silent", "asks and goes"} {
+			t.Run(fmt.Sprint(does, ", new ", fresh), func(t *testing.T) {
+				_, f, _, stop := serving(t, refuses, nil, nil)
+				defer stop()
+				under, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				l := unread{under, make(chan struct{})}
+				srv := f.Server()
+				go srv.Serve(l)
+				defer srv.Close()
+				client, err := net.Dial("tcp", under.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer client.Close()
+				if does != "is silent" {
+					io.WriteString(client, wholeRequest)
+				}
+				if does == "asks and goes" {
+					client.(*net.TCPConn).CloseWrite()
+				}
+				testkit.Until(t, "its connection and its bytes", func() bool {
+					f.clients.mu.Lock()
+					defer f.clients.mu.Unlock()
+					for _, c := range f.clients.all {
+						more, gone := c.look()
+						c.fresh, c.since = fresh, time.Now().Add(-time.Second)
+						return more == (does != "is silent") && gone == (does == "asks and goes")
+					}
+					return false
+				})
+				if asks := does == "asks"; f.Evict() == asks {
+					t.Error("evicted one that asks, or none")
+				}
+				close(l.open)
+				client.SetDeadline(time.Now().Add(testkit.Patience))
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if does == "asks" && (err != nil || resp.StatusCode != http.StatusServiceUnavailable) || does != "asks" && err == nil {
+					t.Errorf("%v, %v", resp, err)
+				}
+			})
+		}
+	}
+}
