Let connections rest behind an answer before a server has sent a second one, for 50 ms

Need: nothing in an answer names its request, so a second answer that crosses the next request is served as that one's, which breaks a rule. Until now connections rested for 25 ms only once a second answer had been seen, so the first one of a process was taken wherever it crossed.

And a probe over loopback: a server without TCP_NODELAY that writes a second answer 5 ms late has the kernel hold it until the first is acknowledged: it comes 41.2 ms after the answer (4.3 ms with TCP_NODELAY), or, where the next request is written 30 ms behind the answer, right behind that request, with nothing to see in the socket before. So 25 ms is too short wherever servers hold small writes back, and looking right before the write can't help.

Change: each answer to a request of the platform's protocol lets its connection rest for 50 ms. Up to four rest of one server; beyond that the next request goes where the rest was longest, as a pool at high rates would grow by its rate times 50 ms; once a second answer was seen there is no such way out, as before. Ordinary HTTP stays as it was.

What it costs, reckoned for one pool with Poisson requests and exponential times of 20, 65 and 250 ms, 0.25 to 30 a second: new connections a request 0.0217 -> 0.0230 (250 ms, 3/s), 0.0026 -> 0.0037 (65 ms, 10/s), 0.0393 -> 0.0701 at worst (20 ms, 1/s); none to four connections more.

Ruled out: an answer that comes sooner than a round trip, looked for right after the write (on one machine a good answer may be there before the write returns to this goroutine); comparing an answer with the one before (many services answer alike); waiting out the rest in place of a new connection (a closed loop of 8 would give 160 requests a second).

--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -169,7 +169,7 @@
 	}
 	o := service.Options{Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
 		OnReady: n.tellChanged,
-		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a),
+		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a), Rest: upstream.AnswerGap,
 			HTTP2: upstream.HTTP2{Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age, Again: c.Servers.Again,
 				Whole: speaks == nil}}}
 	if c.Servers.TLS.On && !share {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,7 +69,7 @@
 // get gives the most recently used idle connection that is still good, else a new one.
 func (u *Upstream) get(ctx context.Context, p *Pool) (*conn, error) { return u.rested(ctx, p, 0) }
 
-// rested is get of those that nothing has been asked on for some time.
+// rested is get of those that nothing has been asked on for some time, where there may be.
 func (u *Upstream) rested(ctx context.Context, p *Pool, rest time.Duration) (*conn, error) {
 	for {
 		c := u.pop(p, rest)
@@ -115,20 +115,26 @@
 	return err == nil && quiet
 }
 
-// pop takes the most recently used idle connection of those that have rested. Guards, where servers
-// send second answers some milliseconds late, against one that comes once the next request was
-// written: nothing on the wire tells it from that one's.
+// pop takes the most recently used idle connection of those that have rested, and where enough rest the
+// one that has for longest, unless servers are known to send second answers. Guards against one that comes
+// some milliseconds late, once the next request was written: nothing on the wire tells it from that one's.
 func (u *Upstream) pop(p *Pool, rest time.Duration) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p = p.last()
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; rest == 0 || time.Since(c.since) >= rest {
-			p.idle = slices.Delete(p.idle, i, i+1)
-			return c
-		}
+	i := len(p.idle) - 1
+	for i >= 0 && rest > 0 && time.Since(p.idle[i].since) < rest {
+		i--
+	}
+	if i < 0 && len(p.idle) >= restingMost && !u.doubled.Load() {
+		i = 0
+	}
+	if i < 0 {
+		return nil
 	}
-	return nil
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return c
 }
 
 // unsent is the outcome of an attempt that was taken back once it had a connection, which is kept: a
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,10 +28,14 @@
 	answerRest = 300 * time.Millisecond // from an answer's first bytes to its last
 	idlePart   = 2.0 / 3                // of the servers' keepalive that a connection may idle here
 	idleSweep  = time.Second            // how often idle connections are looked at
-	answerGap  = 25 * time.Millisecond  // behind an answer, in which a second one comes
 	connBuffer = 4 << 10
 	usedMost   = 10000 // per cent; what a meter may tell
 	loadMost   = 1e6   // of any figure in a load report
+
+	// AnswerGap is the time behind an answer in which a second one comes. A server that holds small writes
+	// back (no TCP_NODELAY) sends it once the first is acknowledged: 40 ms later, or with the next request.
+	AnswerGap   = 50 * time.Millisecond
+	restingMost = 4 // connections to a server that rest so
 )
 
 // Options are what an Upstream is made with.
@@ -41,6 +45,7 @@
 	Sockets   limits.Opener // books each connection
 	Dials     limits.Opener // books each connection until it is up; nil books none
 	Answer    int           // most bytes of an answer's body; 0 is protocol.BodyMost
+	Rest      time.Duration // of a connection behind an answer, before the next Whole request; 0 is none
 	HTTP2     HTTP2
 	TLS       *certs.Book // nil speaks in the clear
 }
@@ -51,8 +56,7 @@
 type Upstream struct {
 	Options
 	idleFor time.Duration
-	rest    time.Duration // of a connection behind an answer, once doubled
-	doubled atomic.Bool   // a server has sent what it was not asked for
+	doubled atomic.Bool // a server has sent what it was not asked for
 
 	mu    sync.Mutex
 	pools map[*Pool]struct{} // those that are not retired
@@ -138,7 +142,7 @@
 	if o.Answer == 0 {
 		o.Answer = protocol.BodyMost
 	}
-	return &Upstream{Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)), rest: answerGap,
+	return &Upstream{Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)),
 		pools: make(map[*Pool]struct{})}
 }
 
@@ -176,11 +180,7 @@
 
 // Try makes one attempt: it waits until ctx ends at the most.
 func (u *Upstream) Try(ctx context.Context, p *Pool, req *http.Request) Outcome {
-	rest := time.Duration(0)
-	if u.doubled.Load() {
-		rest = u.rest
-	}
-	c, err := u.rested(ctx, p, rest)
+	c, err := u.rested(ctx, p, u.Rest)
 	if err != nil {
 		return unconnected(err)
 	}
