Take an answer of no stated length that its connection's end closes; a reset is no end

Cause: upstream.body refused every such answer ("a body of no stated length"), as the end and the loss of one were thought to be the same. They are not: an end reads as EOF, a reset as an error, also where it comes in the same instant as the last bytes, and nothing else of an attempt reads or writes the socket in between and could take the error away (the request is written by then, idle connections alone are looked at). A good answer was told as "may have run", so an unsafe request failed with 502 though it was served, and any other was sent once more.

Change: body reads such an answer up to its end. One that is said to go on and falls silent ends after 0.3 s as before.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -287,8 +287,8 @@
 	return o, !resp.Close && !more
 }
 
-// body reads the body of an answer, which must say how long it is: one that ends with its
-// connection can't be told from one that was cut off.
+// body reads the body of an answer. One that doesn't say how long it is ends with its connection, if
+// that isn't reset.
 func body(resp *http.Response, most int) ([]byte, error) {
 	defer resp.Body.Close()
 	switch n := resp.ContentLength; {
@@ -300,8 +300,6 @@
 		b := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, b)
 		return b, err
-	case len(resp.TransferEncoding) == 0:
-		return nil, errors.New("a body of no stated length")
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
 	if err == nil && len(b) > most {
