Don't take a reset for an answer's end where the sending of the body was told of it

Cause: the system tells of a reset once, to the call that comes first; a read behind it gives an end. In ordinary HTTP a body may still be sent while the answer comes: relay.pump's write got ECONNRESET and returned ("for the answer to tell"), then relay.read got EOF, and an answer of no length that was cut by the reset went to the client as whole. Seen by a probe over loopback: "EOF" behind "part".

Change: where the body of an answer reads to its connection's end, relay.read asks for the state of the connection (TCP_INFO): behind the other side's end alone it is half open, behind a reset it is gone.

Ruled out: the platform's attempts (their request is written before anything is read); answers in chunks or of a told length (cut short is an error); a mark that the sending goroutine leaves (the end may be read between its call and the mark).

Measured: TestResetIsNoEnd, -race -count=10; seen to fail without: "relay_test.go:65: EOF".

--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -7,15 +7,14 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lockflow/control"
 	"lockflow/internal/answer"
-	"lockflow/internal/protocol"
 	"lockflow/internal/replay"
 	"lockflow/internal/strict"
 )
@@ -71,7 +70,7 @@
 	c      *conn
 	unhook func() bool // from what ends the attempt
 	req    http.Request
-	resp   *http.Response // of an answer that goes on; nil for a tunnel
+	resp   *http.Response // whose body is read; nil for a tunnel
 	scan   strict.Scanner
 	heads  int  // bytes that heads may still have
 	body   bool // what is read now is no head
@@ -185,7 +184,11 @@
 	if t.body {
 		t.timed = true
 		t.c.readBy(time.Now().Add(t.Idle))
-		return t.c.Conn.Read(b)
+		n, err := t.c.Conn.Read(b)
+		if err == io.EOF && t.resp != nil && t.c.wasReset() {
+			err = syscall.ECONNRESET
+		}
+		return n, err
 	}
 	n, err := t.c.Conn.Read(b[:min(len(b), t.heads)])
 	if t.heads -= n; n > 0 {
@@ -240,6 +243,7 @@
 		o.Stream = &Stream{going: t, t: t, Tunnel: true, Length: -1}
 		return o, true
 	}
+	t.resp = resp
 	n := resp.ContentLength
 	if resp.Body == http.NoBody {
 		resp.Body.Close()
@@ -249,7 +253,6 @@
 		t.req.Close = t.req.Close || cut
 		return o, false
 	}
-	t.resp = resp
 	o.Stream = &Stream{going: t, t: t, Length: n}
 	return o, true
 }
@@ -298,75 +301,6 @@
 	return len(v) > 0 && strings.HasPrefix(strings.ToLower(v[0]), "text/event-stream")
 }
 
-// send writes the request's head, and its body where all of it is here and small; else another
-// goroutine goes on with the body.
-func (t *relay) send(ctx context.Context) Outcome {
-	w := t.c.w
-	until, ends := ctx.Deadline()
-	if t.open = !ends; t.open {
-		t.c.writeBy(time.Now().Add(t.Idle))
-	}
-	w.WriteString(t.Name)
-	w.WriteByte(' ')
-	w.WriteString(t.Target)
-	w.WriteString(" HTTP/1.1\r\nHost: ")
-	w.WriteString(t.Host)
-	w.WriteString("\r\n")
-	t.Header.Write(w)
-	if t.Tell {
-		left := t.Wait
-		if ends {
-			left = max(time.Until(until), time.Millisecond)
-		}
-		w.WriteString(protocol.HeaderTimeLeft + ": " + strconv.FormatInt(left.Milliseconds(), 10) + "m\r\n")
-	}
-	if t.Upgrade != "" {
-		w.WriteString("Connection: Upgrade\r\nUpgrade: " + t.Upgrade + "\r\n")
-	}
-	var inline []byte
-	switch {
-	case t.Body == nil:
-		if t.Length == 0 { // told by the client, as a POST without a body may
-			w.WriteString("Content-Length: 0\r\n")
-		}
-		t.sent.Store(true)
-	case t.Length < 0:
-		w.WriteString("Transfer-Encoding: chunked\r\n")
-		if len(t.TrailerNames) > 0 {
-			w.WriteString("Trailer: " + strings.Join(t.TrailerNames, ", ") + "\r\n")
-		}
-	default:
-		w.WriteString("Content-Length: " + strconv.FormatInt(t.Length, 10) + "\r\n")
-		if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.Expect {
-			inline = held
-			t.sent.Store(true)
-		}
-	}
-	if t.Expect {
-		w.WriteString("Expect: 100-continue\r\n")
-	}
-	w.WriteString("\r\n")
-	w.Write(inline)
-	before := w.Buffered()
-	if err := w.Flush(); err != nil {
-		o := Outcome{Reason: control.ResetByPeer, Err: err}
-		// Where the kernel took no byte, the server has seen none.
-		if w.Buffered() == before && before < connBuffer {
-			o.Reason = control.ConnectFailed
-		}
-		return o
-	}
-	if !t.sent.Load() {
-		t.pumped = make(chan struct{})
-		if t.Expect {
-			t.ended, t.proceed = make(chan struct{}), make(chan struct{})
-		}
-		body := t.Body.Reader() // before anything else can want one
-		go t.pump(body)
-	}
-	return Outcome{}
-}
-
 // head reads heads up to that of the final answer, or of a change of protocol.
 func (t *relay) head() (*http.Response, error) {
 	for n := 0; ; n++ {
@@ -399,76 +333,3 @@
 		return resp, nil
 	}
 }
-
-// goOn lets the body be sent; only the first call does anything. It is called by the reader only.
-func (t *relay) goOn() {
-	if t.proceed == nil {
-		return
-	}
-	select {
-	case <-t.proceed:
-	default:
-		close(t.proceed)
-	}
-}
-
-// pump sends the body as it comes. What breaks on the client's side ends the attempt; what breaks
-// on the server's is for the answer to tell: it may have come before.
-func (t *relay) pump(body *replay.Reader) {
-	defer close(t.pumped)
-	if t.Expect {
-		wait := time.NewTimer(continueWait)
-		select {
-		case <-t.proceed:
-		case <-wait.C:
-		case <-t.ended:
-		}
-		wait.Stop()
-		select {
-		case <-t.ended:
-			return
-		default:
-		}
-	}
-	room := Buffers.Get().(*[]byte)
-	defer Buffers.Put(room)
-	w := t.c.w
-	for {
-		n, err := body.Read(*room)
-		if n > 0 {
-			t.c.writeBy(time.Now().Add(t.Idle))
-			if t.Length < 0 {
-				w.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
-			}
-			w.Write((*room)[:n])
-			if t.Length < 0 {
-				w.WriteString("\r\n")
-			}
-			if w.Flush() != nil {
-				return
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			if !errors.Is(err, replay.ErrGone) && !errors.Is(err, replay.ErrClosed) {
-				t.broken.Store(&err)
-			}
-			t.c.interrupt()
-			return
-		}
-	}
-	if t.Length < 0 {
-		w.WriteString("0\r\n")
-		if t.Trailer != nil {
-			t.Trailer().Write(w)
-		}
-		w.WriteString("\r\n")
-		if w.Flush() != nil {
-			return
-		}
-	}
-	t.sent.Store(true)
-	t.await()
-}
--- /dev/null
+++ b/internal/upstream/relay_test.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"lockflow/internal/answer"
+	"lockflow/internal/limits"
+	"lockflow/internal/replay"
+	"lockflow/internal/testkit"
+)
+
+// An answer that ends with its connection isn't whole where that is reset, whichever side of the attempt
+// the system tells it to: it tells it once, and here the body's.
+func TestResetIsNoEnd(t *testing.T) {
+	for name, reset := range map[string]bool{"ended": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			conns := make(chan net.Conn, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				c.Read(make([]byte, 1<<10))
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				conns <- c
+			}()
+			u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
+			from, body := io.Pipe()
+			q := &Relay{Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: replay.New(from, 0, nil), Rules: &answer.Rules{},
+				Idle: testkit.Patience, Wait: testkit.Patience}
+			o := q.Try(context.Background(), context.Background(), u, u.Pool(l.Addr().String(), SpeaksHTTP1))
+			if o.Stream == nil {
+				t.Fatalf("%+v", o)
+			}
+			defer o.Stream.Close()
+			got := make([]byte, 4)
+			if _, err := io.ReadFull(o.Stream, got); err != nil {
+				t.Fatal(err)
+			}
+			c := testkit.Next(t, conns).(*net.TCPConn)
+			defer c.Close()
+			if !reset {
+				c.CloseWrite()
+				body.Close()
+			} else {
+				c.SetLinger(0)
+				c.Close()
+				go func() {
+					for _, err := body.Write([]byte("more")); err == nil; _, err = body.Write([]byte("more")) {
+					}
+				}()
+			}
+			<-o.Stream.t.pumped
+			from.Close()
+			if _, err := o.Stream.Read(got); (err == io.EOF) == reset {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lockflow/control"
 	"lockflow/internal/certs"
 	"lockflow/internal/limits"
@@ -339,6 +341,16 @@
 	}
 }
 
+// wasReset tells whether the connection is gone from both sides, of which this one has not ended. Guards
+// against a reset that looks like an end: the system tells of it once, to who reads or who writes.
+func (c *conn) wasReset() (gone bool) {
+	_ = c.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		gone = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return gone
+}
+
 // unconnected is the outcome of an attempt that got no connection.
 func unconnected(err error) Outcome {
 	if errors.Is(err, errNoDescriptor) || errors.Is(err, errNoDial) || errors.Is(err, errLate) { // speaks against no app server
