Refuse an answer whose first line has half of another one ahead of it

Cause: http.ReadResponse takes whatever follows the status as its words.

Change: a first line with another one in its words is noise: the request may have run, and its connection is closed. Of what comes ahead of an answer, a shorter half, a whole line, a field that is cut and an empty line were refused before; TestOutcomes now holds all five, each ended and reset, -race -count=10.

Beside it, taking a connection asks for the time once, not once for each that rests.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -122,8 +122,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p = p.last()
-	i := len(p.idle) - 1
-	for i >= 0 && rest > 0 && time.Since(p.idle[i].since) < rest {
+	i, before := len(p.idle)-1, time.Now().Add(-rest)
+	for i >= 0 && rest > 0 && p.idle[i].since.After(before) {
 		i--
 	}
 	if i < 0 && len(p.idle) >= restingMost && !u.doubled.Load() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -275,6 +276,9 @@
 		}
 		resp, err = http.ReadResponse(c.r, req)
 	}
+	if err == nil && strings.Contains(resp.Status, "HTTP/") { // else the words of one for the status of another
+		err = fmt.Errorf("half a line ahead: %s", resp.Status)
+	}
 	if err == nil {
 		o.Body, err = body(resp, most)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -94,6 +94,11 @@
 		"a second copy":                {strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2), control.OK, 0},
 		"interim without end":          {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 9000), control.ResetByPeer, 0},
 		"switched":                     {"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer, 0},
+		"half a line ahead":            {"HTTP/1.1 2HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer, 0},
+		"most of a line ahead":         {"HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer, 0},
+		"a line ahead":                 {"noise\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer, 0},
+		"a field cut ahead":            {"HTTP/1.1 200 OK\r\nContent-LenHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer, 0},
+		"an end of a line ahead":       {"\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.ResetByPeer, 0},
 		"refused":                      {"", control.ConnectFailed, 0},
 	} {
 		for end, reset := range map[string]bool{"": false, ", reset": true} {
