Look at what a peer finds of a request that was given up, once it reads

Need: a request counts when its last byte has come, and closing a connection still delivers what the system had taken. So "never ran" has to mean that the last byte can't come any more, and a request that the system took whole may yet run.

Ruled out, by TestSilentPeer (a peer that reads only behind the attempt's end): of 64 MB half of which was taken the peer never gets the whole, and it was told as "could not connect"; of a small request it gets the whole, and that was told as "timed out". -race -count=10. No fault found; seen to fail with a write that goes on behind the attempt's end: "the request came whole: true".

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -145,7 +146,8 @@
 	}
 }
 
-// A peer that takes nothing, or answers nothing, holds an attempt no longer than its time.
+// A peer that takes nothing, or answers nothing, holds an attempt no longer than its time; what is told of the
+// request is what the peer may find of it later.
 func TestSilentPeer(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel only
 	if err != nil {
@@ -170,6 +172,20 @@
 			if n := socks.Open(); n != 0 {
 				t.Errorf("%d connections left open", n)
 			}
+			// What the system had taken comes all the same, once the peer reads: a request that can be begun may yet run.
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetReadDeadline(time.Now().Add(testkit.Patience))
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, err = io.Copy(io.Discard, req.Body)
+			}
+			if whole := err == nil; whole != (tc.want == control.TimedOut) {
+				t.Errorf("the request came whole: %v (%v)", whole, err)
+			}
 		})
 	}
 }
