Hear drains in changes of an older version; let a move's call go on when it is repeated

Seen: (1) changes of a version below ours were dropped whole, and the list asked for anew: up to 3.7 s and an answer's 2 s later where lists are asked for, while a drain in them counts as told when it is written. watcher.take told nothing. Now what it says of servers that aren't up is told at once; entries that are up still wait for the whole list, as they may be older than a drain. (2) Each SIGHUP broke off the call that the one before had begun and drew a new wait: three within 3 s put the answer up to 1.9 s behind the 4 s (Feed.Move). One to a source of which nothing was heard since the last move is the same move.

Ruled out by reading: two watches at once (one goroutine holds one, and reads its last word before it asks again; a move ends it the same way); a lower version from a moved discovery (it is asked for its whole list, which is taken whatever its version); a server removed and back under its uid (a new one to the module); changes of unknown servers; a cut within a character or number (the decoder waits for the rest).

Tests: TestDrainOfAnOlderVersionIsHeard ('nothing came' without), TestMovedAgainBeforeItIsTold ('never told' without: the call was broken off).

--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -58,6 +58,7 @@
 	mu    sync.Mutex
 	src   Source
 	moved bool               // from the source of the start
+	moves bool               // to src, of which nothing was heard since
 	rev   int64              // of the list that is known at the start
 	leave context.CancelFunc // ends the stay at the present source
 }
@@ -73,6 +74,12 @@
 func (f *Feed) Move(src Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// Guards against a call that is broken off again and again, and is answered when its news has long
+	// counted as told.
+	if f.moves && f.src.Equal(src) {
+		return
+	}
+	f.moves = true
 	// Guards against versions of one discovery held against those of another: the new one is
 	// asked for its whole list.
 	f.src, f.rev, f.moved = src, 0, true
@@ -86,6 +93,14 @@
 	return here, f.src, f.rev, f.moved
 }
 
+// hear tells what a source lists.
+func (f *Feed) hear(l Listing) {
+	f.mu.Lock()
+	f.moves = false
+	f.mu.Unlock()
+	f.tell(l)
+}
+
 // Run follows the sources until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -93,7 +108,7 @@
 		switch src.Kind {
 		case Watch:
 			pace := f.paceOf(src)
-			w := newWatcher(src.Address, rev, f.silence, &pace, f.tell)
+			w := newWatcher(src.Address, rev, f.silence, &pace, f.hear)
 			if f.through != nil {
 				w.client.Transport = f.through
 			}
@@ -108,7 +123,7 @@
 		case File:
 			f.follow(here, src.Path)
 		case Static:
-			f.tell(Listing{All: true, Targets: src.Servers})
+			f.hear(Listing{All: true, Targets: src.Servers})
 			<-here.Done()
 		}
 	}
@@ -130,7 +145,7 @@
 	filewatch.Follow(ctx, path, f.every, nil, func() error {
 		l, err := ReadFile(path)
 		if err == nil {
-			f.tell(l)
+			f.hear(l)
 		}
 		return err
 	}, func(err error) { slog.Warn("server list: the old one stays", "err", err) })
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -190,3 +190,25 @@
 		}
 	}
 }
+
+// A configuration that is read again before the new discovery has answered leaves the call to it alone, however
+// often: its news counts from the first.
+func TestMovedAgainBeforeItIsTold(t *testing.T) {
+	for _, group := range []int{1, 40, 300} {
+		for seed := range uint64(20) {
+			synctest.Test(t, func(t *testing.T) {
+				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+				f.Move(Source{Address: "discovery:1"})
+				moved := time.Now()
+				for _, later := range []time.Duration{0, 900 * time.Millisecond, 1900 * time.Millisecond} {
+					again := time.AfterFunc(later, func() { f.Move(Source{Address: "discovery:1"}) })
+					defer again.Stop()
+				}
+				_, told := play(t, f, nil, answerMost)
+				if late := told.Sub(moved); late > newsWithin-movedSpent {
+					t.Errorf("group of %d: told %v after the first move", group, late)
+				}
+			})
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -10,8 +10,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
+
+	"lockflow/control"
 )
 
 const (
@@ -164,8 +167,12 @@
 // version that was whole.
 func (w *watcher) take(l Listing) error {
 	if !l.All && l.Rev < w.rev {
-		// Guards against a discovery that began to count anew: its changes don't fit our list.
-		w.rev = 0
+		// Guards against a discovery that began to count anew: its changes don't fit our list. That a server is
+		// not up is true of any.
+		l.Targets = slices.DeleteFunc(l.Targets, func(t Target) bool { return t.Condition() == control.On })
+		if w.rev = 0; len(l.Targets) > 0 {
+			w.tell(l)
+		}
 		return fmt.Errorf("discovery: version went back to %d", l.Rev)
 	}
 	w.rev = l.Rev
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+// Changes that don't fit the list, of a discovery that began to count anew or told them out of order, are
+// asked for anew; but a drain in them is told as it arrives: by then the next answer may be some seconds off.
+func TestDrainOfAnOlderVersionIsHeard(t *testing.T) {
+	a := testkit.NewAgent(t)
+	told, _ := startWatch(t, a, 41, testkit.Patience)
+	testkit.Next(t, a.Asked)
+	a.Tell <- oneUp
+	testkit.Next(t, told)
+	a.Tell <- `{"rev":42,"targets":[{"uid":"s-2","endpoint":"127.0.0.1:9","state":"up"},{"uid":"s-1","state":"draining"},{"uid":"s-3","state":"removed"}]}` + "\n"
+	l := testkit.Next(t, told)
+	if l.All || len(l.Targets) != 2 || l.Targets[0].UID != "s-1" || l.Targets[1].UID != "s-3" {
+		t.Errorf("told %+v", l)
+	}
+	a.Tell <- ""
+	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+}
+
 // A message may be indented, so that it goes over many lines, with empty lines between messages; one without
 // end is none.
 func TestIndentedMessages(t *testing.T) {
