Write nothing on connections to an earlier start of a server

Cause: loop.list changed a server's pool only where its address or protocol did. A machine that vanishes says nothing, so its idle connections stayed good until they had idled for two thirds of keepalive; where it was back and listed with a later start before that, the next requests were written to a process that had ended: a reset or silence that may have run, the end of a request with no key.

Change: with each entry that tells a start, idle connections that were used last before it are closed (Upstream.Forget); those used since lead to the new process and are kept.

Ruled out: retiring the whole pool (connections to the new process, which may be up before the list tells, cost a cold server work). Not done: connections of HTTP/2, which are asked for a sign of life by themselves.

Test: TestNoConnectionToAnEarlierStart, seen to fail without ('1 connections, of 2').

--- a/internal/service/drained_test.go
+++ b/internal/service/drained_test.go
@@ -79,3 +79,28 @@
 		}
 	}
 }
+
+// A server that is listed with a later start has ended in between: a connection that was used last before leads to
+// nobody, though none has told of its end, as where a machine vanished; one that was used since is kept.
+func TestNoConnectionToAnEarlierStart(t *testing.T) {
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		for when, dials := range map[time.Duration]int{time.Hour: 2, -time.Hour: 1} {
+			t.Run(fmt.Sprint(class, " ", when), func(t *testing.T) {
+				r := newLeaver(t, class, "whole", time.Minute)
+				ask := func(id string) {
+					if a, ok := r.s.Do(t.Context(), r.request(id)); !ok || a.Status != http.StatusOK {
+						t.Fatalf("%s: %+v, %v", id, a, ok)
+					}
+				}
+				ask("one")
+				up := r.s.Known().Targets[0]
+				up.BootMS = float64(time.Now().Add(when).UnixMilli())
+				r.s.told(discovery.Listing{Rev: 2, Targets: []discovery.Target{up}})
+				ask("two")
+				if n := r.dials(); n != dials {
+					t.Errorf("%d connections, of %d", n, dials)
+				}
+			})
+		}
+	}
+}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -381,6 +381,9 @@
 		}
 		if p := l.pools[id]; p != nil && (m.Condition != control.On || p.Endpoint != t.Endpoint || p.Speaks != speaks) {
 			l.retire(id, false)
+		} else if p != nil && m.HasCameUp {
+			// Guards against connections that were open to a machine as it vanished: none tells of their end.
+			l.upstream.Forget(p, time.UnixMilli(int64(t.BootMS)))
 		}
 		if m.Condition == control.On && l.pools[id] == nil {
 			l.pools[id] = l.upstream.Pool(t.Endpoint, speaks)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,6 +66,20 @@
 	p.shared.retire()
 }
 
+// Forget closes a pool's idle connections that were used last before some time.
+func (u *Upstream) Forget(p *Pool, before time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p = p.last()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		old := c.since.Before(before)
+		if old {
+			c.Close()
+		}
+		return old
+	})
+}
+
 // get gives the most recently used idle connection that is still good, else a new one.
 func (u *Upstream) get(ctx context.Context, p *Pool) (*conn, error) { return u.rested(ctx, p, 0) }
 
