Send a request elsewhere whose server left the list, over HTTP/2 too

Seen (TestDrainedIsSentNothingNew, the answers by protocol): a request at its worker or waiting for a connection as its server drains was answered 200 by the other server over HTTP/1.1 and 503 over HTTP/2. Cause: shared.take gave the reason of a connection without room, which is moot, and the module makes no further attempt behind a moot one; the pools of HTTP/1.1 give errGone, of which it is known that it never ran.

Change: the same error for both. The test now wants the other server's answer everywhere, seen to fail without; TestRetiredIsLeft wants errGone where it wanted moot.

--- a/internal/service/drained_test.go
+++ b/internal/service/drained_test.go
@@ -12,8 +12,7 @@
 )
 
 // A server that drains, is gone or is listed at another address while a request for it waits for its turn, its worker or
-// its connection sees nothing of it: what is sent goes to another server, and of what isn't the client hears that
-// it was refused. The next requests go to the other one too.
+// its connection sees nothing of it: it goes to another server, as nothing of it has run, and so does the next.
 func TestDrainedIsSentNothingNew(t *testing.T) {
 	for _, news := range []string{"draining", "removed", "whole", "moved"} {
 		for _, where := range []string{"its turn", "its worker", "its connection"} {
@@ -64,7 +63,7 @@
 						} else {
 							close(at.open)
 						}
-						if a := testkit.Next(t, answers); a.Status != http.StatusOK && a.Kind != Refused || where == "its turn" && a.Status != http.StatusOK {
+						if a := testkit.Next(t, answers); a.Status != http.StatusOK {
 							t.Errorf("%+v", a)
 						}
 						if a, ok := r.s.Do(t.Context(), r.request("next")); !ok || a.Status != http.StatusOK {
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -181,7 +181,7 @@
 	var wait context.Context // made once it has to
 	for {
 		if s.gone { // for an attempt that was begun as its server left the list
-			return nil, made, errNoStream
+			return nil, made, errGone
 		}
 		if time.Now().Before(s.plain) {
 			s.ring()
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -195,7 +195,7 @@
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	u.Retire(p)
-	if o := update("a", "").Try(t.Context(), t.Context(), u, p); o.Reason != control.Moot || u.Sockets.(*limits.Sockets).Open() != 0 {
+	if o := update("a", "").Try(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.Sockets.(*limits.Sockets).Open() != 0 {
 		t.Errorf("%v, %v", o.Reason, o.Err)
 	}
 }
