Cut what a watch says anywhere: the same is told

Need: that cuts within a character, a number or CR LF change nothing was read, not tested. Test: TestWatchCutAnywhere, each place and byte by byte, with indented and joined messages, unknown fields and heartbeats of CR LF.

--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -9,9 +9,11 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -207,3 +209,31 @@
 		}
 	})
 }
+
+// answering is a transport that gives each call the same answer.
+type answering func() io.Reader
+
+func (a answering) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(a())}, nil
+}
+
+// Wherever the network cuts what a watch says (in a character, a number, between CR and LF), the same is told.
+func TestWatchCutAnywhere(t *testing.T) {
+	const says = "\r\n\n" + `{"rev":43,"all":true,"more":{"x":[1,2]},"targets":[` + "\r\n" + `  {"uid":"s-é","endpoint":"127.0.0.1:9","az":"Zürich","model":"\u00fc}","pod_group":31,"state":"up","boot_ms":1.7e12}]}` +
+		"\n \r\n" + `{"rev":44,"targets":[{"uid":"s-é","state":"draining"}]}{"rev":45,"targets":[]}` + "\r\n"
+	want := []Listing{
+		{Rev: 43, All: true, Targets: []Target{{UID: "s-é", Endpoint: "127.0.0.1:9", Zone: "Zürich", Model: "ü}", Group: 31, State: "up", BootMS: 1.7e12}}},
+		{Rev: 44, Targets: []Target{{UID: "s-é", State: "draining"}}}, {Rev: 45}}
+	pieces := map[string]func() io.Reader{"bytes": func() io.Reader { return iotest.OneByteReader(strings.NewReader(says)) }}
+	for i := range says {
+		pieces[strconv.Itoa(i)] = func() io.Reader { return io.MultiReader(strings.NewReader(says[:i]), strings.NewReader(says[i:])) }
+	}
+	for name, in := range pieces {
+		var told []Listing
+		w := newWatcher("a:1", 41, testkit.Patience, &Pace{}, func(l Listing) { told = append(told, l) })
+		w.client.Transport = answering(in)
+		if heard, err := w.watch(t.Context()); !heard || err != nil || w.rev != 45 || !reflect.DeepEqual(told, want) {
+			t.Errorf("cut at %s: %v, %v, told %+v", name, heard, err, told)
+		}
+	}
+}
