Move a feed in each state of its watch, twice and back: told within 4 s

Need: a SIGHUP in the middle of silence, a half-read message or a connection that comes up was not forced by a test. Test: TestMovedInTheMiddle, nine states, four instants, once, twice and back to the old address, four sizes of group. Seen to fail where Move doesn't end the stay ('told 4.6s after the move').

--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -42,7 +42,7 @@
 	timedOut = scripted{dialer: true}
 )
 
-// play holds a watch on discoveries that answer one call after another by a script, and the call after
+// play holds a watch on discoveries that answer one call after another by a script, and the calls after
 // with the list, after some time. It gives when the last of the script had been heard, or was
 // called where it said nothing, and when the list was told.
 func play(t *testing.T, f *Feed, script []scripted, answer time.Duration) (silent, told time.Time) {
@@ -65,10 +65,8 @@
 		call := n
 		n++
 		mu.Unlock()
-		last := call == len(script)
-		if call > len(script) {
-			return nil, errors.New("the play is over")
-		} else if !last {
+		last := call >= len(script)
+		if !last {
 			s = script[call]
 			now()
 		}
@@ -212,3 +210,33 @@
 		}
 	}
 }
+
+// A configuration that is read while the watch is in any state, or twice, or that leads back to the old
+// discovery, has the list told 4 s later.
+func TestMovedInTheMiddle(t *testing.T) {
+	for name, old := range map[string]scripted{"beating": beating, "mute": mute, "in its head": cutHead, "behind its head": headOnly, "in a message": cutShort,
+		"in one, with heartbeats": cutNext, "never connected": away, "by the dialer's clock": timedOut, "reset": reset} {
+		for _, group := range []int{1, 3, 40, 300} {
+			for _, at := range []time.Duration{500 * time.Millisecond, 2500 * time.Millisecond, watchSilence, watchSilence + backoffFirst/2} {
+				for way, to := range map[string][]string{"once": {"discovery:1"}, "twice": {"discovery:1", "discovery:1"}, "and back": {"discovery:1", "old:1"}} {
+					t.Run(fmt.Sprint(name, " ", group, " ", at, " ", way), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(1, 1))}, nil)
+							var moved time.Time
+							move := time.AfterFunc(at, func() {
+								moved = time.Now()
+								for _, a := range to {
+									f.Move(Source{Address: a})
+								}
+							})
+							defer move.Stop()
+							if _, told := play(t, f, []scripted{old}, answerMost); told.Sub(moved) > newsWithin-movedSpent || told.Before(moved) {
+								t.Errorf("told %v after the move", told.Sub(moved))
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
