--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -9,9 +9,11 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -118,6 +120,25 @@
 	}
 }
 
+// Changes that don't fit the list, of a discovery that began to count anew or told them out of order, are
+// asked for anew; but a drain in them is told as it arrives: by then the next answer may be some seconds off.
+func TestDrainOfAnOlderVersionIsHeard(t *testing.T) {
+	a := testkit.NewAgent(t)
+	told, _ := startWatch(t, a, 41, testkit.Patience)
+	testkit.Next(t, a.Asked)
+	a.Tell <- oneUp
+	testkit.Next(t, told)
+	a.Tell <- `{"rev":42,"targets":[{"uid":"s-2","endpoint":"127.0.0.1:9","state":"up"},{"uid":"s-1","state":"draining"},{"uid":"s-3","state":"removed"}]}` + "\n"
+	l := testkit.Next(t, told)
+	if l.All || len(l.Targets) != 2 || l.Targets[0].UID != "s-1" || l.Targets[1].UID != "s-3" {
+		t.Errorf("told %+v", l)
+	}
+	a.Tell <- ""
+	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+}
+
 // A message may be indented, so that it goes over many lines, with empty lines between messages; one without
 // end is none.
 func TestIndentedMessages(t *testing.T) {
@@ -188,3 +209,31 @@
 		}
 	})
 }
+
+// answering is a transport that gives each call the same answer.
+type answering func() io.Reader
+
+func (a answering) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(a())}, nil
+}
+
+// Wherever the network cuts what a watch says (in a character, a number, between CR and LF), the same is told.
+func TestWatchCutAnywhere(t *testing.T) {
+	const says = "\r\n\n" + `{"rev":43,"all":true,"more":{"x":[1,2]},"targets":[` + "\r\n" + `  {"uid":"s-é","endpoint":"127.0.0.1:9","az":"Zürich","model":"\u00fc}","pod_group":31,"state":"up","boot_ms":1.7e12}]}` +
+		"\n \r\n" + `{"rev":44,"targets":[{"uid":"s-é","state":"draining"}]}{"rev":45,"targets":[]}` + "\r\n"
+	want := []Listing{
+		{Rev: 43, All: true, Targets: []Target{{UID: "s-é", Endpoint: "127.0.0.1:9", Zone: "Zürich", Model: "ü}", Group: 31, State: "up", BootMS: 1.7e12}}},
+		{Rev: 44, Targets: []Target{{UID: "s-é", State: "draining"}}}, {Rev: 45}}
+	pieces := map[string]func() io.Reader{"bytes": func() io.Reader { return iotest.OneByteReader(strings.NewReader(says)) }}
+	for i := range says {
+		pieces[strconv.Itoa(i)] = func() io.Reader { return io.MultiReader(strings.NewReader(says[:i]), strings.NewReader(says[i:])) }
+	}
+	for name, in := range pieces {
+		var told []Listing
+		w := newWatcher("a:1", 41, testkit.Patience, &Pace{}, func(l Listing) { told = append(told, l) })
+		w.client.Transport = answering(in)
+		if heard, err := w.watch(t.Context()); !heard || err != nil || w.rev != 45 || !reflect.DeepEqual(told, want) {
+			t.Errorf("cut at %s: %v, %v, told %+v", name, heard, err, told)
+		}
+	}
+}
