Force a client's leaving at the gate, in the loop's channel and as a service is replaced

These three ends were known by reading only. The test now holds the loop at a barrier before the event that has the request be sent, and at another between that event and the hang-up, until the attempt is over: the worker then has nothing but the commit to go by. A client that leaves behind a shut gate has its moot outcome told before the gate opens, and no second one when it does.

No fault was found.

--- a/internal/service/left_test.go
+++ b/internal/service/left_test.go
@@ -75,6 +75,17 @@
 	return h.Forward.Try(ctx, life, u, p)
 }
 
+// watched is a request that tells when an attempt of it is over.
+type watched struct {
+	Forward
+	over chan struct{}
+}
+
+func (w watched) Try(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome {
+	defer close(w.over)
+	return w.Forward.Try(ctx, life, u, p)
+}
+
 // asked is a client that tells what a test has it tell.
 type asked func() bool
 
@@ -95,6 +106,26 @@
 			x.Client = asked(func() bool { return false })
 			r.found(x)
 		},
+		"the loop's channel": func(r *leaver, x *Exchange) { r.crosses(x, r.s, nil) },
+		"another's place": func(r *leaver, x *Exchange) {
+			next := r.service(r.s.Upstream())
+			r.s.HandTo(next)
+			r.crosses(x, next, nil)
+		},
+		"the gate": func(r *leaver, x *Exchange) {
+			decided := make(chan bool, 1)
+			x.Gate = &Gate{Decided: func(taken bool) { decided <- taken }}
+			r.crosses(x, r.s, decided)
+		},
+		"the gate, shut": func(r *leaver, x *Exchange) {
+			decided := newBarrier()
+			x.Gate = &Gate{Decided: func(bool) { close(decided.came) }}
+			r.leave(x, decided)
+			if sent := r.module.of("left"); len(sent) != 1 {
+				r.t.Errorf("before the gate opens %+v", sent)
+			}
+			x.Go()
+		},
 	}
 	for where, play := range rings {
 		for _, class := range []string{"safe", "keyed", "unsafe"} {
@@ -128,6 +159,7 @@
 type leaver struct {
 	t        *testing.T
 	s        *Service
+	app      string // the server's address
 	module   *noted
 	slow     *slowly
 	class    string
@@ -160,6 +192,14 @@
 	app.Config.Protocols.SetUnencryptedHTTP2(true)
 	app.Start()
 	t.Cleanup(app.Close)
+	r.app = app.Listener.Addr().String()
+	r.s = r.service(nil)
+	return r
+}
+
+// service makes and runs one, which has the connections of another where it shares some.
+func (r *leaver) service(share *upstream.Upstream) *Service {
+	t, by, deadline := r.t, r.by, r.deadline
 	speaks := upstream.SpeaksHTTP1
 	if len(by) > len("relay") && by != "whole" {
 		speaks = upstream.SpeaksHTTP2
@@ -169,10 +209,9 @@
 	for i := range set.Classes {
 		set.Classes[i].Aim, set.Classes[i].Deadline, set.Classes[i].Worth = deadline, deadline, 1
 	}
-	var err error
 	ready := make(chan struct{})
-	r.s, err = New(Options{Settings: set, Speaks: speaks, AnyMethod: true, OnReady: func() { close(ready) },
-		Source: discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Listener.Addr().String(), State: "up", Capacity: 1}}},
+	s, err := New(Options{Settings: set, Speaks: speaks, Share: share, AnyMethod: true, OnReady: func() { close(ready) },
+		Source: discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.app, State: "up", Capacity: 1}}},
 		Module: func() (Module, error) {
 			c, err := control.New(set, 1)
 			r.module = &noted{Controller: c, ended: make(map[string][]control.Response)}
@@ -184,10 +223,10 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- r.s.Run(ctx) }()
-	t.Cleanup(func() { stop(); <-ended; r.s.Upstream().Evict(0) })
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-ended; s.Upstream().Evict(0) })
 	testkit.Next(t, ready)
-	return r
+	return s
 }
 
 func (r *leaver) request(id string) *Exchange {
@@ -229,6 +268,37 @@
 	}
 }
 
+// crosses has the client leave once its request, or the word that its gate is open, is in a loop's channel,
+// and the loop hear of that only when the attempt which follows is over.
+func (r *leaver) crosses(x *Exchange, into *Service, gate chan bool) {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	done, over := make(chan bool, 1), make(chan struct{})
+	x.Forward = watched{x.Forward, over}
+	was := r.s
+	enter := func() { go func() { _, ok := was.Do(ctx, x); done <- ok }() }
+	if gate != nil {
+		enter()
+		testkit.Next(r.t, gate)
+		enter = x.Go
+	}
+	before, after := newBarrier(), newBarrier()
+	into.Post(before.pass)
+	testkit.Next(r.t, before.came)
+	enter()
+	testkit.Until(r.t, "its event", func() bool { return len(into.current().events) == 1 })
+	into.Post(after.pass)
+	cancel()
+	if testkit.Next(r.t, done) {
+		r.t.Error("it has an answer")
+	}
+	close(before.open)
+	testkit.Next(r.t, after.came)
+	testkit.Next(r.t, over)
+	close(after.open)
+	r.s = into
+	r.heard(x)
+}
+
 // heard waits until the loop has heard that the client has left.
 func (r *leaver) heard(x *Exchange) {
 	testkit.Until(r.t, "the loop to hear", func() bool {
