Hold what the platform's requests take to half of the process's memory

Seen: with memory_mb 64 and 1,024 descriptors, 900 clients that send a body of 64 KiB each at once took the process to 97 MB resident (123 MB of 192 with a larger limit): it would have been killed. Bodies are held from before the module refuses, so its bound does not help, nor does the heap's soft limit, which can't drop what is held. The ordinary settings book bytes; the platform's books booked sockets only.

At fault: wholeBooks, which gave its service no service.Parts, and platform.Body, whose ReadAll grows by doubling. Requests now book their body and the most of an answer against half of memory_mb; beyond it the refusal is given before the body is read, as in any service. Bodies are read into what their length says.

Not mended: 900 connections of half heads with about 950 fields each take 90 MB, as net/http parses them; and 900 connections alone take 20 MB.

--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -99,12 +99,13 @@
 
 // Body reads a request's body.
 func (platform) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *badRequest {
-	var err error
-	if x.Forward.(*upstream.Whole).Body, err = io.ReadAll(r.Body); err != nil {
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
 		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
 		wrong.unread = true
 		return wrong
 	}
+	x.Forward.(*upstream.Whole).Body = body
 	if c := clientOf(r); c != nil {
 		x.Client = alone{c}
 	}
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -19,17 +20,35 @@
 	open() *account
 	// sockets books a service's connections.
 	socketsOf(a *account) limits.Opener
+	// requests books what a service's requests hold.
+	requests(a *account) service.Parts
 	// divide sets the parts of the services of a configuration. It changes nothing where
 	// they can't be.
 	divide(cfg *config.Config, services map[string]*running) error
 }
 
 // wholeBooks are those of one service that has the process to itself.
-type wholeBooks struct{ sockets *limits.Sockets }
+type wholeBooks struct {
+	sockets *limits.Sockets
+	bytes   *limits.Bytes
+}
+
+// heldPart is how much of the process's memory requests may hold with their answers.
+const heldPart = 0.5
+
+// newWholeBooks makes the books for the process's limits, of which 0 is none.
+func newWholeBooks(p *config.Process) *wholeBooks {
+	most := int64(math.MaxInt64)
+	if p.MemoryMB > 0 {
+		most = int64(heldPart * float64(p.MemoryMB<<20))
+	}
+	return &wholeBooks{limits.NewSockets(p.Descriptors), limits.NewBytes(most)}
+}
 
 func (w *wholeBooks) clients() limits.Opener                           { return w.sockets.Clients() }
 func (w *wholeBooks) open() *account                                   { return nil }
 func (w *wholeBooks) socketsOf(*account) limits.Opener                 { return w.sockets }
+func (w *wholeBooks) requests(*account) service.Parts                  { return w.bytes }
 func (w *wholeBooks) divide(*config.Config, map[string]*running) error { return nil }
 
 // sharedBooks are those of services that share the process by parts.
@@ -83,6 +102,8 @@
 
 func (b *sharedBooks) socketsOf(a *account) limits.Opener { return a.descriptors }
 
+func (b *sharedBooks) requests(a *account) service.Parts { return &a.requests }
+
 func (b *sharedBooks) open() *account {
 	a := &account{dials: b.dials.Open(nil)}
 	a.requests = limits.Requests{Held: b.held.Open(nil), Bytes: b.bytes.Open(nil), Pace: b.pace, Owner: b.pace.Open()}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 	if cfg.Process.Shared {
 		n.books = shareBooks(&cfg, n.front)
 	} else {
-		n.books = &wholeBooks{limits.NewSockets(cfg.Process.Descriptors)}
+		n.books = newWholeBooks(&cfg.Process)
 	}
 	if cfg.Process.Shared && cfg.Process.Control != "" {
 		n.meter = &service.Meter{}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -179,10 +179,10 @@
 		}
 	}
 	o.Speaks = c.Servers.Protocol
+	o.Parts = n.books.requests(a)
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
 		o.Upstream.Dials = a.dials
-		o.Parts = &a.requests
 		o.Streams = &a.streams
 		o.ModuleTime = a.spent
 		o.Census = true
