Send a request elsewhere whose server left the list while it waited at its gate

Seen (TestDrainedIsSentNothingNew, 'its gate'): a request kept back until others are let in, whose server drained meanwhile, was refused with another server free. Cause: loop.send gave every attempt without a pool as moot, behind which the module makes no further one. Change: where only the server is gone, it could not be connected to, and never ran. The row was seen to fail without (503).

--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -34,9 +34,14 @@
 	}
 	try := upstream.NewAttempt(ctx, cancel, x)
 	x.tries = append(x.tries, try)
-	if to == nil || x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap {
+	over := x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap
+	if to == nil || over {
 		try.Stop()
-		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: control.Moot, Done: x.done})
+		why := control.ConnectFailed // its server left the list at the gate; another may take it
+		if over {
+			why = control.Moot
+		}
+		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: why, Done: x.done})
 		return
 	}
 	x.out++
--- a/internal/service/drained_test.go
+++ b/internal/service/drained_test.go
@@ -11,11 +11,11 @@
 	"lockflow/internal/testkit"
 )
 
-// A server that drains, is gone or is listed at another address while a request for it waits for its turn, its worker or
+// A server that drains, is gone or is listed at another address while a request for it waits for its turn, at its gate, for its worker or
 // its connection sees nothing of it: it goes to another server, as nothing of it has run, and so does the next.
 func TestDrainedIsSentNothingNew(t *testing.T) {
 	for _, news := range []string{"draining", "removed", "whole", "moved"} {
-		for _, where := range []string{"its turn", "its worker", "its connection"} {
+		for _, where := range []string{"its turn", "its gate", "its worker", "its connection"} {
 			for _, class := range []string{"safe", "keyed", "unsafe"} {
 				for _, by := range []string{"whole", "whole over HTTP/2", "relay", "relay over HTTP/2"} {
 					t.Run(fmt.Sprint(news, " ", where, " ", class, " ", by), func(t *testing.T) {
@@ -38,6 +38,10 @@
 							r.fill()
 							ask()
 							testkit.Until(t, "its place in the queue", func() bool { return r.s.Status().Held == 3 })
+						case "its gate":
+							x.Gate = &Gate{Decided: func(bool) { close(at.came) }}
+							ask()
+							testkit.Next(t, at.came)
 						case "its worker":
 							x.Forward = held{x.Forward, at}
 							ask()
@@ -58,9 +62,12 @@
 						}
 						r.s.told(l)
 						r.heard(&Exchange{done: true}) // the list came before
-						if where == "its turn" {
+						switch where {
+						case "its turn":
 							r.empty()
-						} else {
+						case "its gate":
+							x.Go()
+						default:
 							close(at.open)
 						}
 						if a := testkit.Next(t, answers); a.Status != http.StatusOK {
