Take no server for up by a whole list that comes behind newer news of the same watch

Seen (TestWholeListOutOfOrder): a whole list of version 7 behind changes of version 8 in one watch was taken, so that a server that had drained at 8 was up again, until something else changed. Cause: watcher.take held only changes against the version. Change: a whole list of a lower version is taken where it begins a watch (a discovery that counts anew); later in one it is as changes that don't fit: what is not up in it is told, and the list asked for anew. The test was seen to fail without ('asked ... from=7').

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -103,7 +103,7 @@
 	silent.Reset(w.silence)
 	in := &watched{watcher: w, from: resp.Body, silent: silent}
 	in.dec = json.NewDecoder(in)
-	for {
+	for first := true; ; first = false {
 		var l Listing
 		if err := in.dec.Decode(&l); err != nil {
 			if errors.Is(err, io.EOF) {
@@ -113,7 +113,7 @@
 		}
 		ahead, _ := io.ReadAll(in.dec.Buffered())
 		in.begun = len(bytes.TrimSpace(ahead)) > 0
-		if err := w.take(l); err != nil {
+		if err := w.take(l, first); err != nil {
 			return in.heard, err
 		}
 	}
@@ -163,14 +163,14 @@
 	return n, err
 }
 
-// take takes one message of a watch. After one that can't be used, a new watch asks again from the last
+// take takes one message of a watch, of which first begins it. After one that can't be used, a new watch asks again from the last
 // version that was whole.
-func (w *watcher) take(l Listing) error {
-	if !l.All && l.Rev < w.rev {
-		// Guards against a discovery that began to count anew: its changes don't fit our list. That a server is
-		// not up is true of any.
+func (w *watcher) take(l Listing, first bool) error {
+	if l.Rev < w.rev && !(l.All && first) {
+		// Guards against a discovery that began to count anew, whose changes don't fit our list, and against
+		// a message that comes late: a server may have drained since. That one is not up is true of any.
 		l.Targets = slices.DeleteFunc(l.Targets, func(t Target) bool { return t.Condition() == control.On })
-		if w.rev = 0; len(l.Targets) > 0 {
+		if l.All, w.rev = false, 0; len(l.Targets) > 0 {
 			w.tell(l)
 		}
 		return fmt.Errorf("discovery: version went back to %d", l.Rev)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -139,6 +139,31 @@
 	}
 }
 
+// A whole list of an older version than what the same watch has told is no news of servers that are up: one that
+// has drained since would be sent to again. At the beginning of a watch it is the list of a discovery that
+// counts anew.
+func TestWholeListOutOfOrder(t *testing.T) {
+	a := testkit.NewAgent(t)
+	told, _ := startWatch(t, a, 41, testkit.Patience)
+	testkit.Next(t, a.Asked)
+	const older = `{"rev":7,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","state":"up"}]}` + "\n"
+	a.Tell <- older
+	if l := testkit.Next(t, told); l.Rev != 7 || !l.All {
+		t.Errorf("told %+v", l)
+	}
+	a.Tell <- `{"rev":8,"targets":[{"uid":"s-1","state":"draining"}]}` + "\n"
+	testkit.Next(t, told)
+	a.Tell <- older
+	a.Tell <- ""
+	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+	a.Tell <- `{"rev":8,"all":true,"targets":[]}` + "\n"
+	if l := testkit.Next(t, told); l.Rev != 8 || !l.All {
+		t.Errorf("told %+v", l)
+	}
+}
+
 // A message may be indented, so that it goes over many lines, with empty lines between messages; one without
 // end is none.
 func TestIndentedMessages(t *testing.T) {
