Bound a request's units where the settings name no most

An app server's X-True-Cost: 1e300 emptied its customer's store for good (TestUnitsWithoutAMost: the next request 503).

Ruled out: with units-top told both are held to it already (TestBadInput, TestReports); spread, first and X-Time-Left have bounds of their own (0, negative, over the group, overflow: 400), X-Allowance-Used and the load fields too. A bound by a multiple of the mean was weighed: it is moved by whoever comes first.

Terms hold each plan's most units: the told one, or what its largest store holds, as more could never be inside; 400 beyond. Costs are held to the same. Fractions stay allowed. Each test was seen to fail with its part taken out.

--- a/control/attempts.go
+++ b/control/attempts.go
@@ -67,7 +67,7 @@
 // unsent gives back what an attempt was booked that no server was asked for.
 func (c *Controller) unsent(a *attempt) {
 	if a.srv.coldRamp && a.sent >= a.srv.coldFrom {
-		a.srv.tokens += a.req.units
+		a.srv.tokens += c.work(a.req.units)
 	}
 	if a.bill.units > 0 {
 		c.undraw(a.cust, a.bill)
@@ -83,7 +83,7 @@
 		s.strikes, s.probing, s.aside = 0, false, 0
 		c.fared(s, 0)
 		if !s.coldRamp {
-			c.served += r.units
+			c.served += c.work(r.units)
 		}
 		if e.Cost > 0 && c.set.CostAfter {
 			c.refill(a.cust)
--- a/control/cold.go
+++ b/control/cold.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// work is what a request counts for in what all share, who go by one mean of it. Guards against any number
+// of units that a client names where the settings name no most.
+func (c *Controller) work(units float64) float64 {
+	if c.set.UnitsTop == 0 {
+		return 1
+	}
+	return units
+}
+
 // warmth is the part of its capacity that a server has reached at least.
 func (c *Controller) warmth(s *server) float64 {
 	if c.set.Cold <= 0 {
--- a/control/turns.go
+++ b/control/turns.go
@@ -27,7 +27,7 @@
 		return
 	}
 	c.asks++
-	c.meanUnits += math.Max(fleetGain, 1/c.asks) * (e.Units - c.meanUnits)
+	c.meanUnits += math.Max(fleetGain, 1/c.asks) * (c.work(e.Units) - c.meanUnits)
 	q := c.customerOf(p, e.Customer, e.Spread)
 	waited := c.waited(e, k)
 	late := waited+seconds(c.latency) >= k.Aim
@@ -175,7 +175,7 @@
 		s.heard = c.now
 	}
 	if s.coldRamp {
-		s.tokens -= r.units
+		s.tokens -= c.work(r.units)
 	}
 	if s.strikes >= strikesOut {
 		s.probing = true
--- /dev/null
+++ b/control/units_test.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// Where the settings name no most of a request's units, a client that tells any number of them moves nothing
+// that requests of others go by: what servers do, what a cold one may be sent, and what requests take on average.
+func TestUnitsOfOneMoveNoOthers(t *testing.T) {
+	type shared struct{ mean, done, tokens float64 }
+	play := func(units float64, refused bool) shared {
+		s := settings()
+		s.UnitsTop = 0
+		s.Plans = []Plan{{Name: "open", Price: 1, Open: 50}, {Name: "rate", Price: 1, Rate: 10, Depth: 10}}
+		g := newGate(t, s, on(1, 2)...)
+		plan := "open"
+		if refused {
+			plan = "rate"
+		}
+		ask := func(id string, units float64) {
+			g.do(Request{ID: id, Class: "job", Plan: plan, Customer: id, Units: units, Spread: 1, TTL: 6 * time.Second})
+			if n := len(g.sends); n > 0 && g.sends[n-1].ID == id {
+				g.now += 10 * ms
+				g.do(Response{ID: id, Server: g.sends[n-1].Server, Reason: OK, Done: true, Delay: 10 * ms})
+			}
+		}
+		ask("odd", units)
+		g.pass(2 * time.Second)
+		cold := Member{Server: 3, Zone: "z1", HasCameUp: true, CameUp: g.now - time.Second}
+		g.do(List{Kind: Patch, Members: []Member{cold, {Server: 1, Condition: Off}, {Server: 2, Condition: Off}}})
+		srv := g.c.servers[3]
+		srv.tokens = 0
+		plan = "open"
+		ask("odd again", units)
+		return shared{g.c.meanUnits, g.c.served + g.c.servedRate, srv.tokens}
+	}
+	for name, refused := range map[string]bool{"sent": false, "refused": true} {
+		// Of 30 the store of the second plan can't hold half.
+		if some, odd := play(30, refused), play(1e300, refused); some != odd {
+			t.Errorf("%s: of 30 units %+v, of many %+v", name, some, odd)
+		}
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -229,7 +229,7 @@
 	f.Add("480m", "units=2,spread=3,first=1")
 	f.Add("1e3u", "units=0x1p-2,first=2,=,,")
 	f.Add("-0m", "spread=1e0,units=1_0")
-	terms := &service.Terms{Group: 3, UnitsTop: 4}
+	terms := &service.Terms{Group: 3, Plans: map[string]float64{"": 4}}
 	f.Fuzz(func(t *testing.T, left, text string) {
 		if d, err := parseTimeLeft(left, time.Second); err == nil && (d < 0 || d > time.Second+timeLeftSlack) {
 			t.Errorf("%q: %v", left, d)
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -72,7 +72,7 @@
 	if class.Effect == control.Guarded && r.Header.Get(protocol.HeaderKey) == "" {
 		return nil, bad(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
 	}
-	if !terms.Plans[e.Plan] {
+	if terms.Plans[e.Plan] == 0 {
 		return nil, bad(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, e.Plan)
 	}
 	e.Customer = account(r.URL)
@@ -205,7 +205,7 @@
 		seen[name] = true
 		switch name {
 		case "units":
-			ok = ok && err == nil && v > 0 && (terms.UnitsTop == 0 || v <= terms.UnitsTop)
+			ok = ok && err == nil && v > 0 && v <= terms.Plans[e.Plan]
 			e.Units = v
 		case "spread":
 			ok = ok && whole && v >= 1 && v <= float64(terms.Group)
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -110,6 +110,48 @@
 	}
 }
 
+// Where the settings name no most of a request's units, what a plan's store holds bounds them, of what a client
+// tells and of what an app server does: no figure spoils the accounts of whoever asks next.
+func TestUnitsWithoutAMost(t *testing.T) {
+	raw, err := os.ReadFile("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var o obj
+	if err := json.Unmarshal(raw, &o); err != nil {
+		t.Fatal(err)
+	}
+	set := o["settings"].(obj)
+	delete(set["domain"].(obj), "units-top")
+	set["tariffs"] = []any{obj{"name": "stored", "quota-rate": 0.1, "depth": 8}, obj{"name": "small", "quota-rate": 0.1, "depth": 0.5},
+		obj{"name": "counted", "open": 9}, obj{"name": "capped", "cap-rate": 9.5, "hard-burst": 30, "ceiling-slack": 30}}
+	if raw, err = json.Marshal(o); err != nil {
+		t.Fatal(err)
+	}
+	r := newRigOf(t, raw)
+	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(protocol.HeaderCost, "1e300")
+		testkit.Served(w, q)
+	})
+	r.list(target(a, "s-1", 0))
+	for i, tc := range []struct {
+		plan, weight string
+		status       int
+	}{
+		{"stored", "units=8.1", 400}, {"stored", "units=1e300", 400}, {"stored", "units=3", 200}, {"stored", "units=2", 200},
+		{"small", "units=1.5", 400}, {"small", "", 200}, // one without figures is none of bad form
+		{"counted", "units=1e300", 400}, {"counted", "units=1.5", 200}, {"counted", "units=1e5", 200}, {"counted", "", 200},
+		{"capped", "units=31", 400}, {"capped", "units=5", 200},
+	} {
+		q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
+		q.Header.Set(protocol.HeaderPlan, tc.plan)
+		q.Header.Set(protocol.HeaderWeight, tc.weight)
+		if resp, body := r.do(q); resp.StatusCode != tc.status {
+			t.Errorf("%s of plan %s: %s %s", tc.weight, tc.plan, resp.Status, body)
+		}
+	}
+}
+
 // TestTargetGoesOnUnchanged sends targets that url.URL would write in another way.
 func TestTargetGoesOnUnchanged(t *testing.T) {
 	r := newRig(t)
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -141,7 +141,7 @@
 	}
 	r := control.Response{ID: x.Req.ID, N: n, Server: server, Reason: o.Reason, Delay: time.Since(sent)}
 	if o.Header != nil {
-		r.Used, r.Cost, r.Load = o.Used(), o.Cost(l.unitsTop), o.Load()
+		r.Used, r.Cost, r.Load = o.Used(), o.Cost(l.units[x.Req.Plan]), o.Load()
 	}
 	if l.census != nil {
 		l.count(server, r.Load)
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -37,7 +37,7 @@
 	if ok && k.Effect == control.Guarded {
 		ok = slices.ContainsFunc(read, func(was control.Class) bool { return was.Name == k.Name && was.Effect == k.Effect })
 	}
-	return ok && s.Plans[x.Req.Plan] && s.Serves(k, x.Forward.Method()) && x.Req.Spread <= s.Group
+	return ok && x.Req.Units <= s.Plans[x.Req.Plan] && s.Serves(k, x.Forward.Method()) && x.Req.Spread <= s.Group
 }
 
 // keep has the loop's own goroutine use its module, and waits; false where the loop has ended or
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -48,7 +48,7 @@
 	ids         map[string]uint32         // of the listed app servers by uid
 	lastID      uint32                    // no id is given twice
 	pools       map[uint32]*upstream.Pool // of those that are up
-	unitsTop    float64                   // of one request; 0 is not told
+	units       map[string]float64        // the most of one request, by plan
 	timers      timers
 	jobs        chan job                  // to workers that are idle
 	idlers      atomic.Int32              // workers that wait for one
@@ -71,7 +71,7 @@
 	l := &loop{life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, speaks: o.Speaks, log: log, start: time.Now(),
 		sendCap: o.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan job), ended: make(chan struct{}),
 		exchanges: make(map[string]*Exchange), ids: make(map[string]uint32),
-		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, unitsTop: o.Settings.UnitsTop,
+		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, units: newTerms(o.Settings).Plans,
 		meters: o.Meter, classes: o.Settings.Classes}
 	if o.Counts != nil {
 		l.counts = make(map[string]*ClassCounts)
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -47,7 +47,7 @@
 // Cost reads the true units, of which a request can have so many at the most.
 func (o *Outcome) Cost(most float64) float64 {
 	v, err := protocol.ParseNumber(o.Header.Get(protocol.HeaderCost))
-	if err != nil || v < 0 || most > 0 && v > most {
+	if err != nil || v < 0 || v > most {
 		return 0
 	}
 	return v
