Tell quotas that make no sense by one line that names the key

A plan with a rate and a store below one request, a store without a rate, a ceiling whose store holds no request: such settings started a node without a word, and all of that plan's requests were refused. They stay no reason not to start: sites without rates, with only open, with neither, with no meter are all legal, and a node that does not start serves none of its other plans. Each is now one warning with its path at the start and at a reload (wire.Doubts).

Seen to fail without: TestDoubts, TestHup.

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -244,8 +244,10 @@
 		}
 	}
 
-	write(strings.Replace(string(raw), "127.0.0.1:1\"", second.Listener.Addr().String()+"\"", 1))
+	// What makes no sense is told, and no reason not to go on.
+	write(strings.NewReplacer("127.0.0.1:1\"", second.Listener.Addr().String()+"\"", `"depth": 8.0`, `"depth": 0.5`).Replace(string(raw)))
 	p.signal(syscall.SIGHUP)
+	p.until("tariffs.0.depth:")
 	p.until("reloading")
 	finish()
 	if a := <-answer; a != "200 done close=false" {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -94,7 +94,7 @@
 // environment goes before the file; once that was read anew it goes before the environment,
 // and one that can't be used changes nothing.
 func servePlatform(ctx context.Context, e *Env, path string) error {
-	cfg, err := config.LoadPlatform(path)
+	cfg, err := loadPlatform(path)
 	if err != nil {
 		return badConfig(err)
 	}
@@ -115,7 +115,7 @@
 	}
 	go func() {
 		for range e.Hup {
-			cfg, err := config.LoadPlatform(path)
+			cfg, err := loadPlatform(path)
 			if err == nil {
 				err = n.Reload(cfg)
 			}
@@ -127,6 +127,15 @@
 	return n.Run(ctx)
 }
 
+// loadPlatform reads the platform's configuration and logs what is doubtful in it.
+func loadPlatform(path string) (config.Config, error) {
+	cfg, err := config.LoadPlatform(path)
+	for _, doubt := range cfg.Doubts {
+		slog.Warn("settings", "file", path, "err", doubt)
+	}
+	return cfg, err
+}
+
 // badConfig marks an error as one of the configuration that the platform handed over: starting again
 // with the same is of no use.
 func badConfig(err error) error { return fmt.Errorf("%w: %w", errConfig, err) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 	Services  []Service
 	Gathers   []Gather // services that ask others; none of their names is a Service's
 	Hash      string   // of the text that it was read from, SHA-256 in hex
+	Doubts    []error  // of the platform's: what makes no sense and can be served by
 }
 
 // Process bounds what the process may use.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -92,7 +92,7 @@
 		return c, err
 	}
 	c.Process.Drain = platformDrain(longest(s.Settings))
-	c.Services = []Service{s}
+	c.Services, c.Doubts = []Service{s}, wire.Doubts(s.Settings)
 	return c, nil
 }
 
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -152,6 +152,51 @@
 	}
 }
 
+// A plan whose quota makes no sense starts, and nothing but its own customers' requests go by it.
+func TestSenselessQuotas(t *testing.T) {
+	raw, err := os.ReadFile("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, odd := range map[string]obj{
+		"no depth": {"quota-rate": 5}, "a depth below one": {"quota-rate": 5, "depth": 0.4}, "no rate": {"depth": 5}, "nothing": {},
+		"no burst": {"cap-rate": 5}, "no ceiling's rate": {"hard-burst": 5}, "huge": {"quota-rate": 1e300, "depth": 1e300, "cap-rate": 1e300, "hard-burst": 1e300, "open": 1e9},
+		"tiny": {"quota-rate": 1e-300, "depth": 1e-300, "cap-rate": 1e-300, "hard-burst": 1e-300, "ceiling-slack": 1e-300},
+		"open": {"quota-rate": 0, "depth": 0, "open": 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var o obj
+			if err := json.Unmarshal(raw, &o); err != nil {
+				t.Fatal(err)
+			}
+			odd["name"] = "odd"
+			o["settings"].(obj)["tariffs"] = append(o["settings"].(obj)["tariffs"].([]any), odd)
+			raw, err := json.Marshal(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := newRigOf(t, raw)
+			a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+				w.Header().Set(protocol.HeaderUsed, "120")
+				w.Header().Set(protocol.HeaderCost, "3")
+				testkit.Served(w, q)
+			})
+			r.list(target(a, "s-1", 0))
+			for i := range 20 {
+				q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
+				if i%2 == 0 {
+					q.Header.Set(protocol.HeaderPlan, "odd")
+				}
+				resp, body := r.do(q)
+				if ok := resp.StatusCode == 200; !ok && (i%2 == 1 || resp.StatusCode != 503) {
+					t.Errorf("request %d: %s %s", i, resp.Status, body)
+				}
+			}
+		})
+	}
+}
+
 // TestTargetGoesOnUnchanged sends targets that url.URL would write in another way.
 func TestTargetGoesOnUnchanged(t *testing.T) {
 	r := newRig(t)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -84,6 +84,31 @@
 	}
 }
 
+// Doubts names, by its path, each figure of a quota that makes no sense. They can be served by: their plan's
+// customers get little or have no quota, and nobody else hears of it.
+func Doubts(s control.Settings) []error {
+	var all []error
+	doubt := func(plan int, name, format string, args ...any) {
+		all = append(all, fmt.Errorf("field tariffs.%d.%s: plan %q: %s", plan, name, s.Plans[plan].Name, fmt.Sprintf(format, args...)))
+	}
+	largest := max(1, s.UnitsTop)
+	for i, p := range s.Plans {
+		if p.Rate > 0 && p.Depth < largest {
+			doubt(i, "depth", "%g units are fewer than the %g of one request", p.Depth, largest)
+		}
+		if p.Rate == 0 && p.Depth > 0 && p.Open == 0 {
+			doubt(i, "quota-rate", "a store of %g units is no quota without one", p.Depth)
+		}
+		if p.CeilingRate > 0 && p.CeilingBurst < largest {
+			doubt(i, "hard-burst", "%g units are fewer than the %g of one request", p.CeilingBurst, largest)
+		}
+		if p.CeilingRate == 0 && p.CeilingBurst > 0 {
+			doubt(i, "cap-rate", "a store of %g units is no ceiling without one", p.CeilingBurst)
+		}
+	}
+	return all
+}
+
 // names takes one name of a list, which has each once.
 func (g *facts) names(taken map[string]bool, path, name string) {
 	switch {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -150,3 +150,29 @@
 		}
 	})
 }
+
+// A quota that makes no sense is named, once; whatever a site may leave out or set to nothing is none.
+func TestDoubts(t *testing.T) {
+	plain := []control.Plan{{Name: "none"}, {Name: "open", Open: 3}, {Name: "open with a store", Open: 1, Depth: 4},
+		{Name: "rate", Rate: 0.1, Depth: 4}, {Name: "both", Rate: 1, Depth: 8, Open: 2}, {Name: "ceiling", CeilingRate: 2, CeilingBurst: 4, CeilingSlack: 0.4},
+		{Name: "all", Rate: 1, Depth: 4, CeilingRate: 2, CeilingBurst: 9}}
+	for name, tc := range map[string]struct {
+		plan  control.Plan
+		tells string
+	}{
+		"nothing":              {control.Plan{Price: 1, OverCost: 1}, ""},
+		"no depth":             {control.Plan{Rate: 3}, "tariffs.7.depth: "},
+		"depth below the most": {control.Plan{Rate: 3, Depth: 3.9}, "tariffs.7.depth: "},
+		"no rate":              {control.Plan{Depth: 5}, "tariffs.7.quota-rate: "},
+		"no burst":             {control.Plan{CeilingRate: 3, CeilingSlack: 9}, "tariffs.7.hard-burst: "},
+		"no ceiling rate":      {control.Plan{Rate: 1, Depth: 9, CeilingBurst: 3}, "tariffs.7.cap-rate: "},
+	} {
+		all := Doubts(control.Settings{UnitsTop: 4, Plans: append(plain, tc.plan)})
+		if tc.tells == "" && len(all) > 0 || tc.tells != "" && (len(all) != 1 || !strings.Contains(all[0].Error(), tc.tells)) {
+			t.Errorf("%s: %v", name, all)
+		}
+	}
+	if all := Doubts(control.Settings{Plans: []control.Plan{{Rate: 1, Depth: 1}}}); len(all) > 0 {
+		t.Errorf("of one unit each: %v", all)
+	}
+}
