Test odd lists and versions in any order, by a node and by a watch

No fault found. A node is told lists with unknown fields, over several lines, a server twice, no uid, no or unknown states, addresses that can't be dialled, figures out of range, keys given twice: each holds what is good of it, the count of servers is as told, and every request is served. A watch hears versions that repeat, skip and go back.

A start in the far future (boot_ms) keeps that one server cold: ruled out as a fault, as all machines read one clock.

--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +68,33 @@
 	}
 }
 
+// Versions may repeat, leave some out, and go back with a whole list; with changes only they may not. Changes before
+// any whole list are of the one that is known.
+func TestVersionsInAnyOrder(t *testing.T) {
+	a := testkit.NewAgent(t)
+	told, _ := startWatch(t, a, 0, testkit.Patience)
+	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+	for _, all := range []struct {
+		rev   int64
+		whole bool
+	}{{5, false}, {5, false}, {9, false}, {9, true}, {4, true}, {4, true}, {6, false}} {
+		a.Tell <- fmt.Sprintf(`{"all":%v,"targets":[],"rev":%d}`+"\n", all.whole, all.rev)
+		if l := testkit.Next(t, told); l.Rev != all.rev || l.All != all.whole {
+			t.Errorf("told %+v, not %+v", l, all)
+		}
+	}
+	a.Tell <- `{"rev":5,"all":false,"targets":[{"uid":"s-1","state":"removed"}]}` + "\n"
+	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+		t.Errorf("asked %s", q)
+	}
+	a.Tell <- `{"rev":2,"all":true,"targets":[]}` + "\n"
+	if l := testkit.Next(t, told); l.Rev != 2 || !l.All {
+		t.Errorf("told %+v", l)
+	}
+}
+
 // A watch that says nothing is dead, though its connection is open.
 func TestSilentWatch(t *testing.T) {
 	a := testkit.NewAgent(t)
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -250,3 +250,39 @@
 	}
 	return newRigBy(t, cfg)
 }
+
+// Entries of a list that can't be used, or only by their form, take nothing from the others.
+func TestOddListsTakeNothing(t *testing.T) {
+	r := newRig(t)
+	a := testkit.NewApp(t, testkit.Served)
+	good := fmt.Sprintf(`{"uid":"s-1","endpoint":%q,"az":"z1","state":"up","capacity_hint":1.0,"boot_ms":0,"later":{"a":[1]}}`, a.Addr())
+	tell := func(line string) {
+		t.Helper()
+		r.rev++
+		r.agent.Tell <- strings.Replace(line, "REV", fmt.Sprint(r.rev), 1) + "\n"
+		r.wait("the list", func() bool { return r.only().Known().Rev == int64(r.rev) })
+		r.status()
+	}
+	up := []int{1, 1, 1, 5, 5, 5, 5, 1}
+	for i, line := range []string{
+		`{"rev":REV,"all":true,"more":{},"targets":[` + good + `]}`,
+		`{"rev":REV,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"up"},` + good + `,` + good + `]}`, // the last word on a server holds
+		`{"rev":REV,"all":false,"targets":[{"uid":"","endpoint":"127.0.0.1:1","state":"up"},{"uid":"s-2"},{"uid":"s-3","state":"starting","endpoint":"127.0.0.1:1"}]}`,
+		`{"rev":REV,"all":false,"targets":[{"uid":"s-4","endpoint":"127.0.0.1:99999","state":"up"},{"uid":"s-5","endpoint":"a b\r\n:9","state":"up"},
+			{"uid":"s-6","endpoint":"[::1","state":"up"},{"uid":"s-7","endpoint":":","state":"up"},{"uid":"s-8","endpoint":"127.0.0.1:x","state":"up"}]}`,
+		`{"rev":REV,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"removed"},` + good + `]}`,
+		`{"rev":REV,"targets":[{"uid":"s-1","endpoint":"` + a.Addr() + `","state":"up","boot_ms":1e300,"capacity_hint":-1e300,"pod_group":-9}]}`,
+		`{"rev":REV,"targets":[{"uid":"s-9","state":"removed"},{"uid":"s-9","state":"draining"}],"targets":[]}`,
+		`{"targets":[],"all":false,"all":true,"rev":1,"rev":REV,"targets":[` + good + `]}`,
+	} {
+		tell(line)
+		if s := r.status(); s.Up != up[i] {
+			t.Errorf("behind %s: %d up, not %d", line, s.Up, up[i])
+		}
+		for n := range 8 {
+			if resp, body := r.do(r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i, "-", n))); resp.StatusCode != 200 {
+				t.Errorf("behind %s: %s %s", line, resp.Status, body)
+			}
+		}
+	}
+}
