Name whole-number settings that are none, in place of cutting them off

send-cap 0.5 was read as 0, which is no limit; open 1e300 as a number below zero; group-size 2.5 as 2: a node started by them without a word (TestPlatformSettingsThatCannotBe went on serving). Seen to fail without: TestPlatformSettingsThatCannotBe.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -141,11 +141,20 @@
 	return v
 }
 
+// whole reads a whole number. Guards against a part of one cut off, which may leave what means no limit.
+func (g *facts) whole(key string) int {
+	v := g.num(key)
+	if g.strict && (v != math.Trunc(v) || v > math.MaxInt32) {
+		g.bad(key, fmt.Errorf("%g is no whole number, or too large", v))
+	}
+	return int(v)
+}
+
 func (g *facts) flag(key string) bool { return g.boolean(key) }
 
 func (g *facts) settings() control.Settings {
 	s := control.Settings{
-		SelfIndex: int(g.num("self-index")), GroupSize: int(g.num("group-size")), Zone: g.m["zone"],
+		SelfIndex: g.whole("self-index"), GroupSize: g.whole("group-size"), Zone: g.m["zone"],
 		OnRequest: g.m["discovery"] == "on_request",
 		AskWithin: g.ms("contract.ask-within", false), DrainGrace: g.ms("contract.drain-grace", false),
 		Cold: g.ms("contract.cold", false), ColdFrom: g.num("contract.cold-from"),
@@ -153,7 +162,7 @@
 		MeterPeriod: g.ms("domain.meter-period", false), CostAfter: g.flag("domain.cost-after"),
 		UnitsTop: g.num("domain.units-top"), HasCounter: g.flag("domain.has-counter"),
 		InboxPerS: g.num("domain.inbox-per-s"),
-		SendCap:   int(g.num("limits.send-cap")), OpenCap: int(g.num("limits.open-cap")),
+		SendCap:   g.whole("limits.send-cap"), OpenCap: g.whole("limits.open-cap"),
 		MayCancel: g.flag("limits.may-cancel"), MarksRetry: g.flag("clients.marks-retry"), Probes: g.flag("limits.probes"),
 		PeerMessages: g.flag("limits.peer-messages"), SecondCopies: g.flag("limits.second-copies"),
 		RetryAfter: g.flag("limits.retry-after"), MaxRetryAfter: g.ms("limits.max-retry-after", false),
@@ -207,7 +216,7 @@
 
 func (g *facts) plan(p string) control.Plan {
 	return control.Plan{Name: g.m[p+"name"], Price: g.num(p + "value-factor"), Rate: g.num(p + "quota-rate"),
-		Depth: g.num(p + "depth"), Open: int(g.num(p + "open")), OverCost: g.num(p + "overrun-cost"),
+		Depth: g.num(p + "depth"), Open: g.whole(p + "open"), OverCost: g.num(p + "overrun-cost"),
 		OverEarns: g.num(p + "beyond-earns"), CeilingRate: g.num(p + "cap-rate"),
 		CeilingBurst: g.num(p + "hard-burst"), CeilingSlack: g.num(p + "ceiling-slack")}
 }
