Start by limits on memory and sockets that are told in parts

memory_mb 76.8, or sockets 512.0, ended the start: 'cannot unmarshal number 76.8 into Go struct field'. They are read as numbers now; memory is rounded up, as 0 is no limit. Seen to fail without: TestOtherSites (limits in parts).

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"net/url"
 	"os"
@@ -38,8 +39,8 @@
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
 			Cores    float64
-			MemoryMB int `json:"memory_mb"`
-			Sockets  int
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64
 		}
 		Known    json.RawMessage
 		Settings json.RawMessage
@@ -50,7 +51,8 @@
 	s := Service{Source: discovery.Source{Address: file.Discovery}, Required: true,
 		Body: protocol.BodyMost, Answer: protocol.BodyMost}
 	c := Config{Listeners: []string{file.Listen},
-		Process: Process{Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Descriptors: file.Limits.Sockets}}
+		Process: Process{Cores: file.Limits.Cores, MemoryMB: int(math.Ceil(min(file.Limits.MemoryMB, math.MaxInt32))),
+			Descriptors: int(min(file.Limits.Sockets, math.MaxInt32))}}
 	if file.Listen == "" || file.Discovery == "" {
 		return c, fmt.Errorf("listen and discovery must both be given")
 	}
@@ -61,9 +63,9 @@
 	}
 	// What isn't told has no limit.
 	if l := file.Limits; l.Sockets != 0 && l.Sockets < limits.Least {
-		return c, fmt.Errorf("limits.sockets: %d leaves no room for connections; %d is the least", l.Sockets, limits.Least)
+		return c, fmt.Errorf("limits.sockets: %g leaves no room for connections; %d is the least", l.Sockets, limits.Least)
 	} else if l.MemoryMB < 0 || l.Cores < 0 {
-		return c, fmt.Errorf("limits: cores and memory_mb: %v and %d, of which one is negative", l.Cores, l.MemoryMB)
+		return c, fmt.Errorf("limits: cores and memory_mb: %v and %v, of which one is negative", l.Cores, l.MemoryMB)
 	}
 	var err error
 	if s.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -59,6 +59,7 @@
 		"no meter":               set("settings/domain/meter-period", 0),
 		"figures as text":        func(o obj) { set("settings/domain/units-top", "4.0")(o); set("settings/group-size", "1")(o) },
 		"alone":                  set("settings/group-size", 1),
+		"limits in parts":        set("limits", obj{"cores": 0.25, "memory_mb": 76.8, "sockets": json.Number("512.0")}),
 		"few sockets":            set("limits/sockets", 64),
 		"connections come late":  set("settings/limits/connect-timeout", 60000),
 		"connections idle short": set("settings/limits/keepalive", 1),
