--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -59,6 +59,7 @@
 		"no meter":               set("settings/domain/meter-period", 0),
 		"figures as text":        func(o obj) { set("settings/domain/units-top", "4.0")(o); set("settings/group-size", "1")(o) },
 		"alone":                  set("settings/group-size", 1),
+		"limits in parts":        set("limits", obj{"cores": 0.25, "memory_mb": 76.8, "sockets": json.Number("512.0")}),
 		"few sockets":            set("limits/sockets", 64),
 		"connections come late":  set("settings/limits/connect-timeout", 60000),
 		"connections idle short": set("settings/limits/keepalive", 1),
@@ -110,6 +111,93 @@
 	}
 }
 
+// Where the settings name no most of a request's units, what a plan's store holds bounds them, of what a client
+// tells and of what an app server does: no figure spoils the accounts of whoever asks next.
+func TestUnitsWithoutAMost(t *testing.T) {
+	raw, err := os.ReadFile("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var o obj
+	if err := json.Unmarshal(raw, &o); err != nil {
+		t.Fatal(err)
+	}
+	set := o["settings"].(obj)
+	delete(set["domain"].(obj), "units-top")
+	set["tariffs"] = []any{obj{"name": "stored", "quota-rate": 0.1, "depth": 8}, obj{"name": "small", "quota-rate": 0.1, "depth": 0.5},
+		obj{"name": "counted", "open": 9}, obj{"name": "capped", "cap-rate": 9.5, "hard-burst": 30, "ceiling-slack": 30}}
+	if raw, err = json.Marshal(o); err != nil {
+		t.Fatal(err)
+	}
+	r := newRigOf(t, raw)
+	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(protocol.HeaderCost, "1e300")
+		testkit.Served(w, q)
+	})
+	r.list(target(a, "s-1", 0))
+	for i, tc := range []struct {
+		plan, weight string
+		status       int
+	}{
+		{"stored", "units=8.1", 400}, {"stored", "units=1e300", 400}, {"stored", "units=3", 200}, {"stored", "units=2", 200},
+		{"small", "units=1.5", 400}, {"small", "", 200}, // one without figures is none of bad form
+		{"counted", "units=1e300", 400}, {"counted", "units=1.5", 200}, {"counted", "units=1e5", 200}, {"counted", "", 200},
+		{"capped", "units=31", 400}, {"capped", "units=5", 200},
+	} {
+		q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
+		q.Header.Set(protocol.HeaderPlan, tc.plan)
+		q.Header.Set(protocol.HeaderWeight, tc.weight)
+		if resp, body := r.do(q); resp.StatusCode != tc.status {
+			t.Errorf("%s of plan %s: %s %s", tc.weight, tc.plan, resp.Status, body)
+		}
+	}
+}
+
+// A plan whose quota makes no sense starts, and nothing but its own customers' requests go by it.
+func TestSenselessQuotas(t *testing.T) {
+	raw, err := os.ReadFile("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, odd := range map[string]obj{
+		"no depth": {"quota-rate": 5}, "a depth below one": {"quota-rate": 5, "depth": 0.4}, "no rate": {"depth": 5}, "nothing": {},
+		"no burst": {"cap-rate": 5}, "no ceiling's rate": {"hard-burst": 5}, "huge": {"quota-rate": 1e300, "depth": 1e300, "cap-rate": 1e300, "hard-burst": 1e300, "open": 1e9},
+		"tiny": {"quota-rate": 1e-300, "depth": 1e-300, "cap-rate": 1e-300, "hard-burst": 1e-300, "ceiling-slack": 1e-300},
+		"open": {"quota-rate": 0, "depth": 0, "open": 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var o obj
+			if err := json.Unmarshal(raw, &o); err != nil {
+				t.Fatal(err)
+			}
+			odd["name"] = "odd"
+			o["settings"].(obj)["tariffs"] = append(o["settings"].(obj)["tariffs"].([]any), odd)
+			raw, err := json.Marshal(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := newRigOf(t, raw)
+			a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+				w.Header().Set(protocol.HeaderUsed, "120")
+				w.Header().Set(protocol.HeaderCost, "3")
+				testkit.Served(w, q)
+			})
+			r.list(target(a, "s-1", 0))
+			for i := range 20 {
+				q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
+				if i%2 == 0 {
+					q.Header.Set(protocol.HeaderPlan, "odd")
+				}
+				resp, body := r.do(q)
+				if ok := resp.StatusCode == 200; !ok && (i%2 == 1 || resp.StatusCode != 503) {
+					t.Errorf("request %d: %s %s", i, resp.Status, body)
+				}
+			}
+		})
+	}
+}
+
 // TestTargetGoesOnUnchanged sends targets that url.URL would write in another way.
 func TestTargetGoesOnUnchanged(t *testing.T) {
 	r := newRig(t)
@@ -163,3 +251,39 @@
 	}
 	return newRigBy(t, cfg)
 }
+
+// Entries of a list that can't be used, or only by their form, take nothing from the others.
+func TestOddListsTakeNothing(t *testing.T) {
+	r := newRig(t)
+	a := testkit.NewApp(t, testkit.Served)
+	good := fmt.Sprintf(`{"uid":"s-1","endpoint":%q,"az":"z1","state":"up","capacity_hint":1.0,"boot_ms":0,"later":{"a":[1]}}`, a.Addr())
+	tell := func(line string) {
+		t.Helper()
+		r.rev++
+		r.agent.Tell <- strings.Replace(line, "REV", fmt.Sprint(r.rev), 1) + "\n"
+		r.wait("the list", func() bool { return r.only().Known().Rev == int64(r.rev) })
+		r.status()
+	}
+	up := []int{1, 1, 1, 5, 5, 5, 5, 1}
+	for i, line := range []string{
+		`{"rev":REV,"all":true,"more":{},"targets":[` + good + `]}`,
+		`{"rev":REV,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"up"},` + good + `,` + good + `]}`, // the last word on a server holds
+		`{"rev":REV,"all":false,"targets":[{"uid":"","endpoint":"127.0.0.1:1","state":"up"},{"uid":"s-2"},{"uid":"s-3","state":"starting","endpoint":"127.0.0.1:1"}]}`,
+		`{"rev":REV,"all":false,"targets":[{"uid":"s-4","endpoint":"127.0.0.1:99999","state":"up"},{"uid":"s-5","endpoint":"a b\r\n:9","state":"up"},
+			{"uid":"s-6","endpoint":"[::1","state":"up"},{"uid":"s-7","endpoint":":","state":"up"},{"uid":"s-8","endpoint":"127.0.0.1:x","state":"up"}]}`,
+		`{"rev":REV,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"removed"},` + good + `]}`,
+		`{"rev":REV,"targets":[{"uid":"s-1","endpoint":"` + a.Addr() + `","state":"up","boot_ms":1e300,"capacity_hint":-1e300,"pod_group":-9}]}`,
+		`{"rev":REV,"targets":[{"uid":"s-9","state":"removed"},{"uid":"s-9","state":"draining"}],"targets":[]}`,
+		`{"targets":[],"all":false,"all":true,"rev":1,"rev":REV,"targets":[` + good + `]}`,
+	} {
+		tell(line)
+		if s := r.status(); s.Up != up[i] {
+			t.Errorf("behind %s: %d up, not %d", line, s.Up, up[i])
+		}
+		for n := range 8 {
+			if resp, body := r.do(r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i, "-", n))); resp.StatusCode != 200 {
+				t.Errorf("behind %s: %s %s", line, resp.Status, body)
+			}
+		}
+	}
+}
