Force the crossing of a second answer that a server's system holds back

TestSecondAnswerHeldBack has a server without TCP_NODELAY write a second answer at once; its system sends it when the first is acknowledged, 40 ms later. It sleeps for the rest's time, which has to pass; its verdict is by connections.

--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -154,6 +154,25 @@
 	}
 }
 
+// A second answer that the server's system holds back until the first one is acknowledged (no TCP_NODELAY) is
+// there when its connection has rested.
+func TestSecondAnswerHeldBack(t *testing.T) {
+	s := newTeller(t)
+	var c asked
+	for range 50 { // then this system no longer acknowledges at once
+		c = s.begin()
+		c.Conn.(*net.TCPConn).SetNoDelay(false)
+		s.end(good)
+	}
+	io.WriteString(c, noise)
+	s.u.Rest = AnswerGap
+	time.Sleep(AnswerGap) // has to pass
+	if next := s.begin(); next.from == c.from {
+		t.Error("written where a second answer was still to come")
+	}
+	s.end(good)
+}
+
 // comingUp has connections come up once a time is past.
 type comingUp struct{ past time.Time }
 
