Keep a connection on which nothing was written as it was

Cause: upstream.rested gave a connection back with put where a repeat came too late for its window, as if an answer had come on it: its idle time began anew, while its server's clock went on, so that a later request could be written behind the server's keepalive and end as a reset. And with connections that rest behind an answer, one that nothing was asked on rested too, though servers bear few that come up.

Change: that place calls unsent, as the other one does, which leaves the idle time; what rests goes by when the last answer came.

Measured: TestUnusedConnectionIsAsItWas, -race -count=10; seen to fail with each half taken out: "1s younger", "one that nothing was asked on was not used".

--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -154,6 +154,34 @@
 	}
 }
 
+// A connection that an attempt took and wrote nothing on is as it was: it needs no rest, and grows no younger,
+// as its server's clock of idle connections goes on.
+func TestUnusedConnectionIsAsItWas(t *testing.T) {
+	const age = time.Second
+	s := newTeller(t)
+	s.u.Rest = testkit.Patience
+	late := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(BeginBy(t.Context(), time.Now()), testkit.Patience)
+		defer cancel()
+		if o := s.u.Try(ctx, s.p, message(t, nil)); o.Reason != control.Moot {
+			t.Fatalf("%d (%v)", o.Reason, o.Err)
+		}
+	}
+	late() // over a new one
+	c := pooled(s.u)[0]
+	c.since = c.since.Add(-age)
+	was := c.since
+	if late(); c.since != was {
+		t.Errorf("%v younger", c.since.Sub(was))
+	}
+	s.begin()
+	s.end(good)
+	if all := pooled(s.u); len(all) != 1 || all[0] != c {
+		t.Error("one that nothing was asked on was not used")
+	}
+}
+
 // A second answer that the server's system holds back until the first one is acknowledged (no TCP_NODELAY) is
 // there when its connection has rested.
 func TestSecondAnswerHeldBack(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,8 +89,8 @@
 			return nil, errGone
 		case !fresh && (!c.quiet() || time.Since(c.since) >= u.idleFor):
 			c.Close()
-		case tooLate(ctx): // the connection is a good one
-			u.put(p, c)
+		case tooLate(ctx):
+			u.unsent(p, c)
 			return nil, errLate
 		default:
 			return c, nil
@@ -123,7 +123,7 @@
 	defer u.mu.Unlock()
 	p = p.last()
 	i, before := len(p.idle)-1, time.Now().Add(-rest)
-	for i >= 0 && rest > 0 && p.idle[i].since.After(before) {
+	for i >= 0 && rest > 0 && p.idle[i].heard.After(before) {
 		i--
 	}
 	if i < 0 && len(p.idle) >= restingMost && !u.doubled.Load() {
@@ -137,8 +137,8 @@
 	return c
 }
 
-// unsent is the outcome of an attempt that was taken back once it had a connection, which is kept: a
-// server bears few that come up.
+// unsent is the outcome of an attempt that was taken back once it had a connection, which is kept as it was: a
+// server bears few that come up, and its own clock of an idle one goes on.
 func (u *Upstream) unsent(p *Pool, c *conn) Outcome {
 	o := Outcome{Reason: control.Moot, Err: errUnsent, Dialed: c.since.IsZero()}
 	if o.Dialed {
@@ -150,6 +150,7 @@
 
 func (u *Upstream) put(p *Pool, c *conn) {
 	c.since = time.Now()
+	c.heard = c.since
 	u.keep(p, c)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -76,6 +76,7 @@
 	r     *bufio.Reader
 	w     *bufio.Writer
 	since time.Time // idle since
+	heard time.Time // its last answer; zero is none
 
 	doubled *atomic.Bool // of its Upstream
 }
