Read every answer's head in one place, which refuses half of another ahead of it

Cause: ordinary HTTP took "HTTP/1.1 200 O" and "HTTP/1.1 500 Oops" on one line for 200 as the platform's attempts did; only those had been mended.

Change: readHead, for both and for interim answers too. TestHalfALineAhead, -race -count=10, seen to fail without: "Status:200 Final:true".

--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -304,7 +304,7 @@
 // head reads heads up to that of the final answer, or of a change of protocol.
 func (t *relay) head() (*http.Response, error) {
 	for n := 0; ; n++ {
-		resp, err := http.ReadResponse(t.c.r, &t.req)
+		resp, err := readHead(t.c.r, &t.req)
 		if err != nil {
 			if !t.sent.Load() && t.pumped != nil && t.broken.Load() == nil {
 				err = fmt.Errorf("while the body was sent: %w", err)
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"testing"
 
+	"lockflow/control"
 	"lockflow/internal/answer"
 	"lockflow/internal/limits"
 	"lockflow/internal/replay"
@@ -67,3 +68,13 @@
 		})
 	}
 }
+
+// The status of one answer isn't taken with the rest of another.
+func TestHalfALineAhead(t *testing.T) {
+	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
+	p := u.Pool(raw(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), SpeaksHTTP1)
+	q := &Relay{Name: http.MethodGet, Target: "/x", Host: "h", Length: -1, Rules: &answer.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
+	if o := q.Try(t.Context(), t.Context(), u, p); o.Reason != control.ResetByPeer || o.Status != 0 {
+		t.Errorf("%+v", o)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -270,15 +270,12 @@
 // read reads one answer and tells whether the connection can be used again. What
 // isn't whole, well formed and small enough is a reset: the request may have run.
 func (c *conn) read(req *http.Request, most int) (o Outcome, keep bool) {
-	resp, err := http.ReadResponse(c.r, req)
+	resp, err := readHead(c.r, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols { // an interim answer
 		if c.r.Buffered() == 0 {
 			c.in.again()
 		}
-		resp, err = http.ReadResponse(c.r, req)
-	}
-	if err == nil && strings.Contains(resp.Status, "HTTP/") { // else the words of one for the status of another
-		err = fmt.Errorf("half a line ahead: %s", resp.Status)
+		resp, err = readHead(c.r, req)
 	}
 	if err == nil {
 		o.Body, err = body(resp, most)
@@ -294,6 +291,16 @@
 	return o, !resp.Close && !more
 }
 
+// readHead reads an answer's head. Guards against one behind most of another's first line: the status would be
+// the first one's, and all else the second's.
+func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	resp, err := http.ReadResponse(r, req)
+	if err == nil && strings.Contains(resp.Status, "HTTP/") {
+		return nil, fmt.Errorf("half a line ahead: %s", resp.Status)
+	}
+	return resp, err
+}
+
 // body reads the body of an answer. One that doesn't say how long it is ends with its connection, if
 // that isn't reset.
 func body(resp *http.Response, most int) ([]byte, error) {
