Test that each request is answered in its time, whatever the service's state

No server listed, one that hangs, one that is full, all places taken, a loop that is busy for a part of the request's time or far beyond it; 1 us, 20 ms, 0.4 s and 5 s left; safe, keyed and unsafe, in virtual time. Each has one answer by its deadline, or as soon as the loop goes on, is a refusal where nothing was sent, and leaves nothing held.

--- /dev/null
+++ b/internal/service/time_test.go
@@ -0,0 +1,98 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/discovery"
+	"lockflow/internal/upstream"
+)
+
+// Whatever the service's state and however little time a request has, it has one answer, no later than its
+// client waits, or as soon as a loop that was busy for longer goes on. What comes too late to be sent is
+// refused, not sent.
+func TestAnsweredInItsTime(t *testing.T) {
+	const fill = 50
+	hangs := func(ctx context.Context) upstream.Outcome {
+		if !upstream.Commit(ctx) {
+			return upstream.Outcome{Reason: control.Moot}
+		}
+		<-ctx.Done()
+		return upstream.Outcome{Reason: control.TimedOut}
+	}
+	full := func(ctx context.Context) upstream.Outcome {
+		upstream.Commit(ctx)
+		return upstream.Outcome{Reason: control.Full}
+	}
+	for name, tc := range map[string]struct {
+		try  func(context.Context) upstream.Outcome
+		none bool          // no server is listed
+		many bool          // others came before and hang
+		busy time.Duration // for which the loop is
+	}{
+		"no server":      {try: hangs, none: true},
+		"a hanging one":  {try: hangs},
+		"a full one":     {try: full},
+		"places taken":   {try: hangs, many: true},
+		"a busy loop":    {try: hangs, busy: 10 * time.Millisecond},
+		"a loop at rest": {try: hangs, busy: 10 * time.Second},
+	} {
+		for effect, class := range map[string]control.Effect{"safe": control.Free, "keyed": control.Guarded, "unsafe": control.SingleShot} {
+			for _, left := range []time.Duration{time.Microsecond, 20 * time.Millisecond, 400 * time.Millisecond, 5 * time.Second} {
+				t.Run(fmt.Sprint(name, ", ", effect, ", ", left), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						set := settings()
+						set.Classes[0].Effect, set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = class, control.ScopeCell, time.Minute
+						s, _ := started(t, Options{Settings: set})
+						synctest.Wait()
+						if tc.none {
+							s.told(discovery.Listing{All: true})
+						}
+						do := func(id string, left time.Duration, try func(context.Context) upstream.Outcome) chan Answer {
+							x := request(id)
+							x.Deadline, x.Forward = time.Now().Add(left-AnswerAhead), &tries{try: try}
+							x.Req.Units, x.Req.Spread = 1, 1
+							answer := make(chan Answer, 2)
+							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
+							return answer
+						}
+						var others []chan Answer
+						if tc.many {
+							for i := range fill {
+								others = append(others, do(fmt.Sprint("f", i), 5*time.Second, hangs))
+							}
+							synctest.Wait()
+						}
+						if tc.busy > 0 {
+							s.Post(func() { time.Sleep(tc.busy) })
+							synctest.Wait()
+						}
+						begun, sent := time.Now(), 0
+						a := <-do("id-1", left, func(ctx context.Context) upstream.Outcome { sent++; return tc.try(ctx) })
+						if took, by := time.Since(begun), max(left, tc.busy); took > by {
+							t.Errorf("answered after %v", took)
+						}
+						if a.Kind == Served || a.Kind == Failed && sent == 0 || a.Status < 500 {
+							t.Errorf("%+v with %d sent", a, sent)
+						}
+						if tc.none || left < AnswerAhead || tc.busy > left {
+							if sent > 0 || a.Kind != Refused {
+								t.Errorf("%d sent, %+v", sent, a)
+							}
+						}
+						for _, o := range others {
+							<-o
+						}
+						if synctest.Wait(); s.Status().Held != 0 {
+							t.Errorf("%d held", s.Status().Held)
+						}
+					})
+				})
+			}
+		}
+	}
+}
