Test that a client's leaving is noticed however it asked, and long after

HTTP/1.0 with and without a kept connection, Connection: close, no body, a long body, one in pieces, and one that waits for 100 Continue; at once and behind three times the bound on a request's coming. Each is noticed at once, and none that stays is taken to have left. No fault was found. Ruled out by reading and by taking it out: that the read deadline of the request ends net/http's watch of the connection (net/http lifts it itself as it begins that watch). Seen to fail: with the hang-up not posted, all cases.

--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lockflow/control"
@@ -145,3 +146,50 @@
 		})
 	}
 }
+
+// A client that leaves while its request is held is noticed at once however it asked, also long after the
+// time that a request has to come, and one that stays is not taken to have left.
+func TestLeavesHoweverItAsked(t *testing.T) {
+	const get, post = "GET /read?account=0000000000000001 HTTP/1.", "POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers
+	long := strings.Repeat("x", 1<<16)
+	for name, parts := range map[string][]string{
+		"plain":             {get + "1\r\n" + headers + "\r\n"},
+		"HTTP/1.0":          {get + "0\r\n" + headers + "\r\n"},
+		"kept HTTP/1.0":     {get + "0\r\nConnection: keep-alive\r\n" + headers + "\r\n"},
+		"closes":            {get + "1\r\nConnection: close\r\n" + headers + "\r\n"},
+		"no body":           {post + "Content-Length: 0\r\n\r\n"},
+		"a long body":       {post + "Content-Length: 65536\r\n\r\n" + long},
+		"a body in pieces":  {post + "Content-Length: 65536\r\n\r\n" + long[:1], long[1:40000], long[40000:]},
+		"expects to go on":  {post + "Expect: 100-continue\r\nContent-Length: 65536\r\n\r\n", long},
+		"expects, no pause": {post + "Expect: 100-continue\r\nContent-Length: 65536\r\n\r\n" + long},
+	} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", late ", late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m, _, s, stop := serving(t, holds, nil, nil)
+					defer stop()
+					c := m.dial()
+					defer c.Close()
+					go io.Copy(io.Discard, c) // it takes what it is told
+					for _, p := range parts {
+						io.WriteString(c, p)
+						synctest.Wait()
+					}
+					if s.Status().Waiting != 1 {
+						t.Fatalf("%+v", s.Status())
+					}
+					if late {
+						time.Sleep(3 * requestWithin)
+						if s.Status().Waiting != 1 {
+							t.Error("taken to have left")
+						}
+					}
+					c.Close()
+					if synctest.Wait(); s.Status().Waiting != 0 {
+						t.Error("it still waits")
+					}
+				})
+			})
+		}
+	}
+}
