Test clients that leave while the loop's channel is full, and those that take no answer

768 requests come while the loop stands still, three times what its channel holds; every second client leaves, some in the channel, most before it. None of those is sent, the others are all served, nothing stays held. A client that reads nothing of its answer, or five bytes, holds nothing of the service, and its connection goes within the bound on writing. No fault was found.

--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -167,3 +167,29 @@
 		}
 	}
 }
+
+// A client that does not take its answer, or not all of it, keeps nothing of the service, and its connection
+// for a bounded time.
+func TestTakesNoAnswer(t *testing.T) {
+	for _, takes := range []int{0, 5} {
+		t.Run(fmt.Sprint(takes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, f, s, stop := serving(t, refuses, nil, nil)
+				defer stop()
+				c := m.dial()
+				defer c.Close()
+				io.WriteString(c, wholeRequest)
+				io.ReadFull(c, make([]byte, takes))
+				synctest.Wait()
+				if held := s.Status().Held; held != 0 {
+					t.Errorf("the service holds %d", held)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), answerWithin+time.Second)
+				defer cancel()
+				if !f.Gone(ctx) {
+					t.Error("its connection stays")
+				}
+			})
+		})
+	}
+}
--- a/internal/service/time_test.go
+++ b/internal/service/time_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,3 +99,50 @@
 		}
 	}
 }
+
+// More come than the loop's channel holds while the loop stands still, and every second one leaves before it
+// goes on: none of those is sent, whether its request had a place in the channel or not, and each other is served.
+func TestFullChannel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := started(t, Options{Module: func() (Module, error) { return script(sends), nil }})
+		synctest.Wait() // it knows its server
+		hold := make(chan struct{})
+		s.Post(func() { <-hold })
+		synctest.Wait()
+		n := 3 * cap(s.current().events)
+		var sent, served, gone atomic.Int64
+		var all sync.WaitGroup
+		leaving, leave := context.WithCancel(context.Background())
+		for i := range n {
+			x, ctx := request(fmt.Sprint("id-", i)), context.Background()
+			if i%2 == 1 {
+				ctx = leaving
+			}
+			x.Forward = &tries{try: func(try context.Context) upstream.Outcome {
+				if !upstream.Commit(try) {
+					return upstream.Outcome{Reason: control.Moot}
+				}
+				sent.Add(1)
+				return upstream.Outcome{Reason: control.OK, Status: http.StatusOK, Final: true, Header: http.Header{}}
+			}}
+			all.Go(func() {
+				if a, ok := s.Do(ctx, x); !ok {
+					gone.Add(1)
+				} else if a.Status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		if got := len(s.current().events); got != n/3 {
+			t.Fatalf("%d in the channel", got)
+		}
+		leave()
+		synctest.Wait()
+		close(hold)
+		all.Wait()
+		if synctest.Wait(); s.Status().Held != 0 || sent.Load() != int64(n/2) || served.Load() != int64(n/2) || gone.Load() != int64(n/2) {
+			t.Errorf("%d held, %d sent, %d served, %d gone", s.Status().Held, sent.Load(), served.Load(), gone.Load())
+		}
+	})
+}
