Have a node with deadlines below 0.1 s end before SIGKILL may come

Seen, in virtual time: with a longest deadline of 50 ms and a client that says nothing, sends half a request or takes no answer, "it took 800ms, and SIGKILL may come after 750ms"; the same for 1 and 99 ms.

At fault: no step may come before clients stop coming anew (0.5 s), so that for deadlines below 0.1 s the last step is at 0.5 s (config.platformDrain) and only 0.2 s are left, of which drainWrite took 0.3 s. It is 0.2 s now, for all settings; the longer ones have 0.1 s more in hand. The socket has what is written to it already, so only a client that reads less than the socket's buffer holds needs this time at all.

Ruled out: an attempt that is out at the last step can't be both answered as refused and sent: sent becomes true in Attempt.commit only, by one compare-and-swap against Withdraw (TestEndOfWhatIsHeld, "out at the end" and "its connection").

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,8 +22,9 @@
 	"lockflow/internal/service"
 )
 
-// drainWrite is what the answers may take that are given at the end.
-const drainWrite = 300 * time.Millisecond
+// drainWrite is what the answers may take that are given at the end. With the shortest deadlines no more
+// than this is left between the drain's steps and SIGKILL.
+const drainWrite = 200 * time.Millisecond
 
 // Node is an edge node.
 type Node struct {
