--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -297,11 +297,11 @@
 // drain lets go of the clients: they may still come for a while, each answer closes its
 // connection, and the node ends when all that it holds is answered.
 func (n *Node) drain(stop context.CancelFunc) error {
-	slog.Info("draining")
+	n.front.Drain()
+	slog.Info("draining") // each answer from here on closes its connection
 	n.mu.Lock()
 	begun, times := time.Now(), n.cfg.Process.Drain
 	n.mu.Unlock()
-	n.front.Drain()
 	steps := []struct {
 		at time.Duration
 		do func()
