--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,8 +22,9 @@
 	"lockflow/internal/service"
 )
 
-// drainWrite is what the answers may take that are given at the end.
-const drainWrite = 300 * time.Millisecond
+// drainWrite is what the answers may take that are given at the end. With the shortest deadlines no more
+// than this is left between the drain's steps and SIGKILL.
+const drainWrite = 200 * time.Millisecond
 
 // Node is an edge node.
 type Node struct {
@@ -296,11 +297,11 @@
 // drain lets go of the clients: they may still come for a while, each answer closes its
 // connection, and the node ends when all that it holds is answered.
 func (n *Node) drain(stop context.CancelFunc) error {
-	slog.Info("draining")
+	n.front.Drain()
+	slog.Info("draining") // each answer from here on closes its connection
 	n.mu.Lock()
 	begun, times := time.Now(), n.cfg.Process.Drain
 	n.mu.Unlock()
-	n.front.Drain()
 	steps := []struct {
 		at time.Duration
 		do func()
