--- a/control/image.go
+++ b/control/image.go
@@ -12,7 +12,7 @@
 
 // ImageVersion is that of the form of an Image. One of another version can't be resumed: a
 // field may mean something else.
-const ImageVersion = 3
+const ImageVersion = 4
 
 // Image is the whole state of a controller between two events: one that is resumed from it takes
 // every later event as the first would have. It holds no settings; a Checkpoint, in contrast, is
@@ -59,6 +59,7 @@
 // PlanState is a plan's state; Queue are requests.
 type PlanState struct {
 	Share, Credit, LateSum, LateN, Y float64
+	Told, Beyond                     float64
 	Queue                            []int
 }
 
@@ -201,7 +202,7 @@
 		s.Requests = append(s.Requests, w)
 	}
 	for _, p := range c.plans {
-		w := PlanState{Share: p.share, Credit: p.credit, LateSum: p.lateSum, LateN: p.lateN, Y: p.y}
+		w := PlanState{Share: p.share, Credit: p.credit, LateSum: p.lateSum, LateN: p.lateN, Y: p.y, Told: p.told, Beyond: p.beyond}
 		for _, r := range p.queue {
 			w.Queue = append(w.Queue, requests.at(r))
 		}
@@ -385,7 +386,7 @@
 	}
 	for i, w := range s.Plans {
 		p := c.plans[i]
-		p.share, p.credit, p.lateSum, p.lateN, p.y = w.Share, w.Credit, w.LateSum, w.LateN, w.Y
+		p.share, p.credit, p.lateSum, p.lateN, p.y, p.told, p.beyond = w.Share, w.Credit, w.LateSum, w.LateN, w.Y, w.Told, w.Beyond
 		for _, j := range w.Queue {
 			if j < 0 || j >= len(all) {
 				return fmt.Errorf("plan %q: there is no request %d", p.Name, j)
--- a/control/quota.go
+++ b/control/quota.go
@@ -32,6 +32,7 @@
 	askedMean  = 0.8         // and its mean, in parts of the rate: few customers ask for far more
 	burstPart  = 0.5         // part of the depth that the chance grants over toldAge
 	toldAge    = 20.0        // s after which a reading has lost 63% of its weight
+	planTold   = 30.0        // readings of its customers that what is believed of a plan goes by
 	coverLeast = 0.5         // part of the periods told from which the store goes before the chance
 	custKeep   = time.Minute // the longest that an idle customer is remembered, if its stores are full
 	custMost   = 20000       // customers from half of which the idle are forgotten
@@ -155,9 +156,14 @@
 // against old ones where few periods are told: both count less against a prior of the demand.
 func (c *Controller) chanceNow(q *customer) float64 {
 	r := q.plan.Rate
-	if r == 0 || !q.metered {
+	if r == 0 {
 		return q.chance
 	}
+	// Guards against customers that ask far more than their quota, let in as unseen by one gateway after the
+	// other: one not metered here is refused as much as of its plan's use lies beyond quotas.
+	if !q.metered {
+		return math.Min(chanceMax, q.plan.beyond/math.Max(q.plan.told, tiny))
+	}
 	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
 	own := q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/toldAge)
 	seen := math.Min(toldAge, (c.now-c.start).Seconds()) / q.spread
@@ -200,6 +206,11 @@
 	if q.metered && end < q.readEnd+binsPeriod/2 {
 		return
 	}
+	// Only the first reading counts: it tells of those who come unseen, whatever is refused to others.
+	if p := q.plan; !q.metered {
+		p.told += (used - p.told) / planTold
+		p.beyond += (math.Max(0, used-p.Rate*c.set.MeterPeriod.Seconds()) - p.beyond) / planTold
+	}
 	q.metered, q.readEnd = true, end
 	own, charged := q.own.over(end), q.charged.over(end)
 	asked, force := q.asked.over(end), c.chanceNow(q)
