Close a client's connection behind its answer where further bytes of it are unread

Seen: a client with small buffers asks, sends a second request while the first is at the app server, and SIGTERM comes: of the answer's 65,536 bytes 17,177 to 29,729 came, then "connection reset by peer". The answer said Connection: close and net/http closed the socket over the second request's bytes, so that the system dropped what was not delivered yet. The same holds for every close by net/http behind an answer: refusals of requests whose body is not read, bad heads, "Connection: close" of the client's.

At fault: net/http's close (conn.serve), which shuts down and waits only for bodies that it left early, and for that looks for CloseWrite, which our connections don't have. It does so only if bytes are unread, asked by one poll for each close. One that rests is still closed at once, so that a request which crosses the close stays unread and its client may send it again; so is one whose answer has to be seen to be cut off (wire.reset).

Ruled out, for the other closes: idle ones (descriptors, drain, 10 s of rest) have no answer left on the node's side and are not read again; a request that net/http had read is not begun (TestClosedAsARequestComes). Behind a "Connection: close" nothing is read, so nothing can be sent on. Writes are not held back: Go sets TCP_NODELAY on what it accepts, also from inherited listeners, and nothing here unsets it.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -29,7 +29,7 @@
 
 // client is one of them.
 type client struct {
-	conn  net.Conn
+	conn  net.Conn        // below net/http's, where that lingers
 	raw   syscall.RawConn // its socket; nil is none
 	since time.Time       // it has been quiet; zero is while a request is open
 	fresh bool            // it has not sent a whole head yet
@@ -61,6 +61,9 @@
 // begin is http.Server's ConnContext: it has requests find their connection.
 func (s *clients) begin(ctx context.Context, conn net.Conn) context.Context {
 	c := &client{conn: conn, since: time.Now(), fresh: true}
+	if l, ok := conn.(*lingering); ok {
+		c.conn = l.Conn
+	}
 	if tcp := socket(conn); tcp != nil {
 		c.raw, _ = tcp.SyscallConn()
 	}
@@ -89,6 +92,9 @@
 
 // state is http.Server's ConnState. The call that a request is open comes before its handler's.
 func (s *clients) state(conn net.Conn, to http.ConnState) {
+	if l, ok := conn.(*lingering); ok && to != http.StateClosed {
+		l.busy.Store(to == http.StateActive)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.all[conn]
--- /dev/null
+++ b/internal/front/linger_test.go
@@ -0,0 +1,55 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockflow/internal/testkit"
+)
+
+// A connection on which bytes are unread is closed behind its client where that has been answered; one
+// that rests, or whose answer has to be seen to be cut off, is reset at once.
+func TestLingering(t *testing.T) {
+	for name, tc := range map[string]struct {
+		busy, cut bool
+		err       error
+	}{"answered": {true, false, nil}, "cut off": {true, true, syscall.ECONNRESET}, "rests": {false, false, syscall.ECONNRESET}} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			client, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			client.SetDeadline(time.Now().Add(testkit.Patience))
+			c, err := Lingering(Strict(l)).Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(client, "more")
+			testkit.Until(t, "its bytes", func() bool { return unread(socket(c)) })
+			c.(*lingering).busy.Store(tc.busy)
+			if tc.cut {
+				c.(*lingering).Conn.(*wire).reset()
+			}
+			closed := make(chan struct{})
+			go func() { c.Close(); close(closed) }()
+			if tc.err != nil {
+				testkit.Next(t, closed)
+			}
+			if _, err := io.ReadAll(client); !errors.Is(err, tc.err) {
+				t.Errorf("its client sees %v", err)
+			}
+			client.Close()
+			testkit.Next(t, closed)
+		})
+	}
+}
--- a/internal/front/wire.go
+++ b/internal/front/wire.go
@@ -15,6 +15,7 @@
 	net.Conn
 	scan  strict.Scanner
 	wrong atomic.Pointer[error]
+	cut   atomic.Bool // reset was called
 }
 
 // Read is net.Conn's; net/http has one goroutine in it at a time.
@@ -67,6 +68,7 @@
 // reset has the close of the connection tell that what it carried is not whole, to a client that
 // takes its end for the end of an answer.
 func (c *wire) reset() {
+	c.cut.Store(true)
 	if tcp := socket(c.Conn); tcp != nil {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lockflow/internal/config"
 	"lockflow/internal/limits"
 	"lockflow/internal/testkit"
@@ -114,3 +118,60 @@
 		t.Errorf("none that waits: %v, %v", c, err)
 	}
 }
+
+// An answer of which a client has not read all comes whole, also where further requests of the client wait
+// unread behind it as its connection is closed.
+func TestAnswerBeforeFurtherRequests(t *testing.T) {
+	for _, class := range []struct{ method, path string }{{"GET", "/roster-read"}, {"POST", "/visit-update"}} {
+		t.Run(class.path, func(t *testing.T) {
+			r := newRigThatDrains(t, config.Drain{Most: testkit.Patience})
+			rests := r.dial()
+			came, let := make(chan struct{}, 1), make(chan struct{})
+			body := strings.Repeat("x", 64<<10)
+			a := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
+				came <- struct{}{}
+				<-let
+				io.WriteString(w, body)
+			})
+			r.list(target(a, "s-1", 0))
+			// Its segments and its buffer are small: most of the answer is still on the node's side.
+			d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+				return raw.Control(func(fd uintptr) {
+					unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
+					unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 536)
+				})
+			}}
+			c, err := d.Dial("tcp", r.node.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(testkit.Patience))
+			r.call(class.method, class.path, "id-1").Write(c)
+			testkit.Next(t, came)
+			r.call(class.method, class.path, "id-2").Write(c)
+			r.stop()
+			for in := bufio.NewReader(rests); ; { // until it drains
+				io.WriteString(rests, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n")
+				if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close {
+					break
+				}
+			}
+			close(let)
+			resp, err := http.ReadResponse(bufio.NewReaderSize(c, 16), nil)
+			if err != nil || resp.StatusCode != 200 || !resp.Close {
+				t.Fatalf("%v, %v", resp, err)
+			}
+			if got, err := io.ReadAll(resp.Body); err != nil || string(got) != body {
+				t.Errorf("%d bytes, %v", len(got), err)
+			}
+			if err := testkit.Next(t, r.ended); err != nil {
+				t.Error(err)
+			}
+			r.ended <- nil
+			if a.Count() != 1 {
+				t.Errorf("sent on: %q", a.Requests())
+			}
+		})
+	}
+}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -247,7 +247,7 @@
 	}
 	n.parts.Go(func() {
 		defer close(l.over)
-		err := srv.Serve(from)
+		err := srv.Serve(front.Lingering(from))
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return
 		}
