--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -98,13 +98,13 @@
 	})
 }
 
-// unread is a listener whose connections are read only once it is open.
-type unread struct {
+// kept is a listener whose connections are read only once it is open.
+type kept struct {
 	net.Listener
 	open chan struct{}
 }
 
-func (l unread) Accept() (net.Conn, error) {
+func (l kept) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	return heldBack{c, l.open}, err
 }
@@ -129,7 +129,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				l := unread{under, make(chan struct{})}
+				l := kept{under, make(chan struct{})}
 				srv := f.Server()
 				go srv.Serve(l)
 				defer srv.Close()
