Answer a request that is there unread as the node closes resting connections

Seen: a request in the socket of a connection that rests, which net/http had not read yet as the node began to leave: "read: connection reset by peer". And a client with small buffers whose answer was being written as SIGTERM came, with a second request behind it: 29,748 of 65,536 bytes, then a reset, as the connection was closed in the moment in which the answer was written.

At fault: clients.leave and clients.state closed what rests without asking whether anything is unread; the close then resets the connection and drops what its client has not taken of the answer before. PROTOCOL lets the first client send again, but the second has lost its answer. Both now leave such a connection (one poll each): the request is read, and answered with Connection: close.

Not changed: an eviction for want of descriptors closes the connection that has rested longest, which has no answer left to give; to poll all that rest for each new client would cost more than the crossing, which the client sends again.

Seen to fail: TestLeaveAnswersWhatIsUnread without the question in leave, the new cases of TestAnswerBeforeFurtherRequests without that in state. -race -count=10 green; the packages front, node, service, config and ordinarytest with -race, the processes' SIGTERM, SIGHUP and socket tests green.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -105,7 +105,7 @@
 	case http.StateActive:
 		c.since, c.fresh = time.Time{}, false
 	case http.StateIdle:
-		if c.since = time.Now(); s.leaving {
+		if c.since = time.Now(); s.leaving && !c.asked() {
 			c.close()
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -117,6 +117,14 @@
 	}
 }
 
+// asked tells whether a further request, or its client's end, has come on a quiet connection and is about
+// to be read. It is answered: a close would reset the connection, with what its client has not taken yet of
+// the answer before.
+func (c *client) asked() bool {
+	tcp := socket(c.conn)
+	return tcp != nil && unread(tcp)
+}
+
 // close closes a quiet connection; clients.mu is held.
 func (c *client) close() {
 	if !c.shut.Swap(true) {
@@ -144,13 +152,13 @@
 	return true
 }
 
-// leave closes those that are idle, and each that becomes so.
+// leave closes those that are idle, and each that becomes so, unless a request is there already.
 func (s *clients) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
 	for _, c := range s.all {
-		if !c.since.IsZero() && !c.fresh {
+		if !c.since.IsZero() && !c.fresh && !c.asked() {
 			c.close()
 		}
 	}
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"lockflow/control"
+	"lockflow/internal/testkit"
 )
 
 // readThen is a connection that calls after once it has read bytes and before its reader has them.
@@ -94,3 +97,60 @@
 		}
 	})
 }
+
+// restsUnread is a connection whose next request is not read until it is let, once it rests.
+type restsUnread struct {
+	net.Conn
+	rests atomic.Bool
+	let   chan struct{}
+}
+
+func (c *restsUnread) NetConn() net.Conn { return c.Conn }
+
+func (c *restsUnread) SetReadDeadline(t time.Time) error {
+	c.rests.Store(time.Until(t) > clientIdle/2)
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *restsUnread) Read(p []byte) (int, error) {
+	if c.rests.Load() {
+		<-c.let
+	}
+	return c.Conn.Read(p)
+}
+
+// A request that is there, and that nobody has read yet, as the node begins to leave is answered.
+func TestLeaveAnswersWhatIsUnread(t *testing.T) {
+	m, f, _, stop := serving(t, refuses, nil, nil)
+	defer stop()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(testkit.Patience))
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &restsUnread{Conn: server, let: make(chan struct{})}
+	m.conns <- c
+	in := bufio.NewReader(client)
+	for i := range 2 {
+		io.WriteString(client, wholeRequest)
+		if i == 1 {
+			testkit.Until(t, "the request", func() bool { return c.rests.Load() && unread(socket(server)) })
+			f.Drain()
+			f.Leave()
+			close(c.let)
+		}
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close != (i == 1) {
+			t.Fatalf("request %d: %v, %v", i, resp, err)
+		}
+	}
+}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -122,8 +123,11 @@
 // An answer of which a client has not read all comes whole, also where further requests of the client wait
 // unread behind it as its connection is closed.
 func TestAnswerBeforeFurtherRequests(t *testing.T) {
-	for _, class := range []struct{ method, path string }{{"GET", "/roster-read"}, {"POST", "/visit-update"}} {
-		t.Run(class.path, func(t *testing.T) {
+	for _, class := range []struct {
+		method, path string
+		begun        bool // the answer, as the node is told to end
+	}{{"GET", "/roster-read", false}, {"POST", "/visit-update", false}, {"GET", "/roster-read", true}, {"POST", "/visit-update", true}} {
+		t.Run(fmt.Sprint(class), func(t *testing.T) {
 			r := newRigThatDrains(t, config.Drain{Most: testkit.Patience})
 			rests := r.dial()
 			came, let := make(chan struct{}, 1), make(chan struct{})
@@ -150,6 +154,13 @@
 			r.call(class.method, class.path, "id-1").Write(c)
 			testkit.Next(t, came)
 			r.call(class.method, class.path, "id-2").Write(c)
+			in := bufio.NewReaderSize(c, 16)
+			if class.begun {
+				close(let)
+				if _, err := in.Peek(1); err != nil {
+					t.Fatal(err)
+				}
+			}
 			r.stop()
 			for in := bufio.NewReader(rests); ; { // until it drains
 				io.WriteString(rests, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n")
@@ -157,21 +168,28 @@
 					break
 				}
 			}
-			close(let)
-			resp, err := http.ReadResponse(bufio.NewReaderSize(c, 16), nil)
-			if err != nil || resp.StatusCode != 200 || !resp.Close {
+			if !class.begun {
+				close(let)
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != 200 || resp.Close == class.begun {
 				t.Fatalf("%v, %v", resp, err)
 			}
 			if got, err := io.ReadAll(resp.Body); err != nil || string(got) != body {
 				t.Errorf("%d bytes, %v", len(got), err)
 			}
+			if class.begun { // the next one's
+				if resp, err := http.ReadResponse(in, nil); err != nil || !resp.Close {
+					t.Errorf("%v, %v", resp, err)
+				}
+			} else if a.Count() != 1 {
+				t.Errorf("sent on: %q", a.Requests())
+			}
+			c.Close()
 			if err := testkit.Next(t, r.ended); err != nil {
 				t.Error(err)
 			}
 			r.ended <- nil
-			if a.Count() != 1 {
-				t.Errorf("sent on: %q", a.Requests())
-			}
 		})
 	}
 }
