--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -170,7 +170,7 @@
 		}
 		if first == nil || c.fresh && !first.fresh || c.fresh == first.fresh && c.since.Before(first.since) {
 			// Guards against requests that are there and lost: nobody has read them yet.
-			if !c.asked() {
+			if more, gone := c.look(); !more || gone {
 				first = c
 			}
 		}
