--- a/control/quota.go
+++ b/control/quota.go
@@ -156,13 +156,12 @@
 // against old ones where few periods are told: both count less against a prior of the demand.
 func (c *Controller) chanceNow(q *customer) float64 {
 	r := q.plan.Rate
-	if r == 0 {
-		return q.chance
-	}
 	// Guards against customers that ask far more than their quota, let in as unseen by one gateway after the
 	// other: one not metered here is refused as much as of its plan's use lies beyond quotas.
 	if !q.metered {
 		return math.Min(chanceMax, q.plan.beyond/math.Max(q.plan.told, tiny))
+	} else if r == 0 {
+		return q.chance
 	}
 	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
 	own := q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/toldAge)
@@ -208,8 +207,8 @@
 	}
 	// Only the first reading counts: it tells of those who come unseen, whatever is refused to others.
 	if p := q.plan; !q.metered {
-		p.told += (used - p.told) / planTold
-		p.beyond += (math.Max(0, used-p.Rate*c.set.MeterPeriod.Seconds()) - p.beyond) / planTold
+		p.told += (pct/100 - p.told) / planTold
+		p.beyond += (math.Max(0, pct/100-1) - p.beyond) / planTold
 	}
 	q.metered, q.readEnd = true, end
 	own, charged := q.own.over(end), q.charged.over(end)
--- a/control/state.go
+++ b/control/state.go
@@ -19,7 +19,7 @@
 	lateSum       float64 // of latency over aim in this interval
 	lateN         float64
 	y             float64
-	told, beyond  float64  // units of a period by first readings of its customers, and those of them beyond quotas
+	told, beyond  float64  // by first readings of its customers, in quotas: their use, and what of it is beyond
 	next          *request // head of the queue and its server, for one turn
 	to            *server
 }
