--- /dev/null
+++ b/control/unseen_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// A customer not metered here is refused as much as of its plan's use lies beyond quotas by what first readings
+// of others told: where half of them use four times their rate and the others half of it, by two thirds. That
+// holds for no other plan, not before any reading, whatever later readings tell, and after a resume.
+func TestUnseenAreRefusedByTheirPlansUse(t *testing.T) {
+	s := settings()
+	for i := range s.Plans {
+		s.Plans[i].Rate, s.Plans[i].Depth = 4, 20
+	}
+	g := newGate(t, s, on(1, 2, 3)...)
+	n := 0
+	// refused is the part of many new customers that is; their answers tell nothing.
+	refused := func(plan string) float64 {
+		const asks = 500
+		before := len(g.sends)
+		for range asks {
+			n++
+			id := fmt.Sprint("r", n)
+			g.ask(id, "job", plan, fmt.Sprint("new", n))
+			if r, ok := g.ends[id].(Refuse); ok && r.Why != ByChance {
+				t.Fatalf("%s: refused by %v", id, r.Why)
+			} else if !ok {
+				g.pass(10 * ms)
+				g.reply(id, OK, 0)
+			}
+			g.pass(10 * ms)
+		}
+		return 1 - float64(len(g.sends)-before)/asks
+	}
+	read := func(plan int, customer string, pct int) {
+		g.c.now = g.now
+		g.c.meter(g.c.customerOf(g.c.plans[plan], customer, 2), pct+1, 1)
+	}
+	is := func(when, plan string, want float64) {
+		t.Helper()
+		if got := refused(plan); math.Abs(got-want) > 0.05 || want == 0 && got != 0 {
+			t.Errorf("%s: of plan %s %g are refused, not %g", when, plan, got, want)
+		}
+	}
+	is("before any reading", "low", 0)
+	for i := range 200 {
+		read(0, fmt.Sprint("heavy", i), 400)
+		read(0, fmt.Sprint("calm", i), 50)
+	}
+	is("after readings", "low", 3/4.5)
+	is("after readings of another plan", "high", 0)
+	read(1, "one", 400)
+	for range 50 {
+		g.pass(s.MeterPeriod)
+		read(1, "one", 50)
+	}
+	is("after a first reading and others", "high", 3.0/4)
+	resumed, err := Resume(s, g.c.Image())
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.c = resumed
+	is("after a resume", "low", 3/4.5)
+	is("after a resume", "high", 3.0/4)
+}
--- a/internal/fleetsim/quota_day.go
+++ b/internal/fleetsim/quota_day.go
@@ -135,6 +135,16 @@
 	if f == nil {
 		return QuotaReport{}, fmt.Errorf("there is no world of quotas %q; there are %v", o.World, QuotaNames)
 	}
+	p, err := dayOf("calm")
+	if err != nil {
+		return QuotaReport{}, err
+	}
+	_, rep, err := playQuotas(o, f, p)
+	return rep, err
+}
+
+// playQuotas plays a day's script in a world of quotas.
+func playQuotas(o QuotaOptions, f *quotaWorld, p dayPlan) (*quotaDay, QuotaReport, error) {
 	q := &quotaDay{f: f, policy: o.Policy, why: o.Why && o.Policy == ByModule, truth: map[*dayCustomer]*ledger{}, asked: map[*dayCustomer]*ledger{}, rough: map[*dayCustomer]*ledger{}, known: map[place]*known{}}
 	r := stream(o.Seed, 3)
 	q.plans, q.rates = f.terms(r)
@@ -146,18 +156,14 @@
 			q.sees = 2 * time.Second
 		}
 	}
-	p, err := dayOf("calm")
-	if err != nil {
-		return QuotaReport{}, err
-	}
 	p.quotas = q
 	day, err := play(DayOptions{Day: "calm", Instances: o.Instances, Lasts: o.Lasts, Load: o.Load, Seed: o.Seed}, p)
 	if err != nil {
-		return QuotaReport{}, err
+		return nil, QuotaReport{}, err
 	}
 	rep := q.report(day)
 	rep.World, rep.Policy = o.World, o.Policy
-	return rep, nil
+	return q, rep, nil
 }
 
 // settings are what the instances are told.
