Refuse no request that may have run to a client that withheld its repeat

Seen: a keyed class of one cell, its first attempt written and reset by the server, its client with 32 KiB sent behind its request. Without the bytes behind it the same request had 502. At fault: front.go, which worded that answer by Service.Unheard (no module has heard of it). The loop words it now where it notes that the client has left: a refusal where nothing can have run, a failure else, or the server's last real answer; front gives that.

TestWithheldRepeatTellsWhatRan plays a first attempt that is turned away, reset and answered 500, with a safe and a keyed class; it fails with the change to the loop taken out. -race -count=10. internal/service and internal/front pass.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -169,9 +169,9 @@
 	}
 	a, ok := to.Service.Do(r.Context(), x)
 	if c := clientOf(r); !ok && r.Context().Err() == nil && c != nil && c.There() {
-		// It was not sent on only for what has come behind it.
+		// It was not sent on, or not again, only for what has come behind it.
 		w.Header().Set("Connection", "close")
-		a, ok = to.Service.Unheard(), true
+		ok = true
 	}
 	if !ok {
 		// Guards against an answer that nobody made: net/http gives 200 where a handler gives none,
--- a/internal/service/counts.go
+++ b/internal/service/counts.go
@@ -58,7 +58,7 @@
 // status is a client that has left.
 func (a Answer) outcome() int {
 	switch {
-	case a.Status == 0:
+	case a.left || a.Status == 0:
 		return 3
 	case a.Kind == Refused:
 		return 1
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -279,7 +279,13 @@
 		x.unanswered()
 		return
 	}
-	l.finish(x, Answer{left: true})
+	// One that is there all the same, and withheld its request by what it has sent behind it, is told what is
+	// so of the request: trying again is harmless only where nothing of it can have run.
+	own := Answer{Kind: Refused, Status: http.StatusServiceUnavailable, left: true}
+	if x.ran {
+		own.Kind, own.Status = Failed, http.StatusBadGateway
+	}
+	l.giveUp(x, own)
 	l.handle(control.Hangup{ID: x.Req.ID})
 	l.left(x)
 }
@@ -302,7 +308,7 @@
 	switch {
 	case x == nil:
 	case x.said.Status != 0:
-		l.finish(x, Answer{Status: x.said.Status, Header: x.said.Header, Body: x.said.Body})
+		l.finish(x, Answer{Status: x.said.Status, Header: x.said.Header, Body: x.said.Body, left: own.left})
 	default:
 		own.Last = x.last
 		l.finish(x, own)
--- /dev/null
+++ b/internal/service/withheld_test.go
@@ -0,0 +1,69 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/discovery"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+	"lockflow/internal/upstream"
+)
+
+// until is a client that is found to have left from the first request at a server on.
+type until struct{ app *testkit.App }
+
+func (c until) There() bool { return c.app.Count() == 0 }
+
+// A request whose client is found to have left before a further attempt has an answer for who is there all the
+// same: a refusal, by which trying again is harmless, only where the attempt before never ran.
+func TestWithheldRepeatTellsWhatRan(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first  http.HandlerFunc
+		kind   Kind
+		status int
+	}{
+		"turned away": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Unprocessed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, Refused, http.StatusServiceUnavailable},
+		"reset": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Failed, http.StatusBadGateway},
+		"error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, Failed, http.StatusBadGateway},
+	} {
+		for _, class := range []control.Class{{Effect: control.Free}, {Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: time.Hour}} {
+			t.Run(name, func(t *testing.T) {
+				app := testkit.NewApp(t, tc.first)
+				class.Name, class.Aim, class.Deadline, class.Worth = "read", time.Hour, time.Hour, 1
+				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1}}, Classes: []control.Class{class}}
+				var servers []discovery.Target // of one group
+				for _, uid := range []string{"s-1", "s-2"} {
+					servers = append(servers, discovery.Target{UID: uid, Endpoint: app.Addr(), State: "up", Capacity: 1})
+				}
+				ready := make(chan struct{})
+				s, err := New(Options{Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
+					Module:   func() (Module, error) { return control.New(set, 1) },
+					Upstream: upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, stop := context.WithCancel(context.Background())
+				over := make(chan error, 1)
+				go func() { over <- s.Run(ctx) }()
+				defer func() { stop(); <-over }()
+				testkit.Next(t, ready)
+				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
+				x := &Exchange{Req: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Client: until{app}, Forward: &upstream.Whole{Request: q, Body: []byte("body")}}
+				if a, ok := s.Do(t.Context(), x); ok || a.Kind != tc.kind || a.Status != tc.status {
+					t.Errorf("%v, %+v", ok, a)
+				}
+				if n := app.Count(); n != 1 {
+					t.Errorf("sent %d times", n)
+				}
+			})
+		}
+	}
+}
