Use a connection that still rests where no new one comes up

Since connections rest 50 ms behind an answer, a request that comes meanwhile has a new one come up. Where that fails (too many come up, the dial times out or is refused) the attempt ended as could not connect, or as moot, and the request was refused, though the server had a good connection open. Seen by a probe with one dial allowed: the second and third of three requests were turned away; without rest all three were served. At fault: rested in internal/upstream/pool.go. A dial that fails is followed by one more look, without rest unless servers are known to send second answers; the dial's error stands where there is none.

TestRestingServesWhereNoneComesUp fails without the change (nothing comes to the server); -race -count=10 with its neighbours.

--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -154,6 +154,30 @@
 	}
 }
 
+// noDials lets no further connection come up.
+type noDials struct{}
+
+func (noDials) Take() bool { return false }
+func (noDials) Give()      {}
+
+// Where no new connection is to be had a request goes on one that still rests, unless servers are known to send
+// second answers: it would be turned away although its server has a good connection open.
+func TestRestingServesWhereNoneComesUp(t *testing.T) {
+	s := newTeller(t)
+	s.u.Rest = testkit.Patience
+	first := s.begin().from
+	s.end(good)
+	s.u.Dials = noDials{}
+	if from := s.begin().from; from != first {
+		t.Errorf("written to %s, not %s", from, first)
+	}
+	s.end(good)
+	s.u.doubled.Store(true)
+	if o := s.u.Try(t.Context(), s.p, message(t, nil)); o.Reason != control.Moot || o.Err != errNoDial {
+		t.Errorf("%d (%v)", o.Reason, o.Err)
+	}
+}
+
 // A connection that an attempt took and wrote nothing on is as it was: it needs no rest, and grows no younger,
 // as its server's clock of idle connections goes on.
 func TestUnusedConnectionIsAsItWas(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -84,17 +84,24 @@
 func (u *Upstream) get(ctx context.Context, p *Pool) (*conn, error) { return u.rested(ctx, p, 0) }
 
 // rested is get of those that nothing has been asked on for some time, where there may be.
+// Where no new one is to be had, one that still rests does, unless servers are known to send second answers.
 func (u *Upstream) rested(ctx context.Context, p *Pool, rest time.Duration) (*conn, error) {
+	var failed error
 	for {
 		c := u.pop(p, rest)
 		fresh := c == nil
 		if fresh {
+			if failed != nil {
+				return nil, failed
+			}
 			if u.retired(p) {
 				return nil, errGone
 			}
-			var err error
-			if c, err = u.dial(ctx, p.Endpoint); err != nil {
-				return nil, err
+			if c, failed = u.dial(ctx, p.Endpoint); failed != nil {
+				if !u.doubled.Load() {
+					rest = 0
+				}
+				continue
 			}
 		}
 		switch {
