--- a/internal/discovery/pace.go
+++ b/internal/discovery/pace.go
@@ -63,8 +63,8 @@
 // TurnedAway is the wait before the next call after one that a discovery turned away, which it does where
 // its answer would take longer than answerMost; the call lasted for some time, and the watch before was
 // last heard some time ago. Guards against a discovery that turns calls away at once: until what it has
-// is done it does so again, and that is work too. The first after a break or a move may be asked
-// again at once, as a discovery that has just started turns calls away with nothing to do.
+// is done it does so again, and that is work too. The first call of all, and the first after a move, may be
+// made again at once, as a discovery that has just started turns calls away with nothing to do.
 func (p *Pace) TurnedAway(lasted, quiet time.Duration) time.Duration {
 	if p.fails == 0 || p.Group <= 1 {
 		return p.Again(lasted, quiet)
