Choose worlds of quotas by the function that chooses staged changes

simulate_quota.go had written names of simulate_rollout.go again, word for word, as named. One serves both; the messages are the same. The tests of internal/command and docs pass.

--- a/internal/command/simulate_quota.go
+++ b/internal/command/simulate_quota.go
@@ -31,11 +31,11 @@
 		if *seeds < 1 || *seeds > 100 {
 			return true, usage("simulate: seeds: %d is none of 1 to 100", *seeds)
 		}
-		list, err := named("quota", *worlds, fleetsim.QuotaNames)
+		list, err := names("quota", *worlds, fleetsim.QuotaNames)
 		if err != nil {
 			return true, err
 		}
-		policies, err := named("policy", *policy, policyNames())
+		policies, err := names("policy", *policy, policyNames())
 		if err != nil {
 			return true, err
 		}
@@ -76,20 +76,6 @@
 	return names
 }
 
-// named are those of a list that are asked for.
-func named(flag, asked string, all []string) ([]string, error) {
-	if asked == "all" {
-		return all, nil
-	}
-	list := strings.Split(asked, ",")
-	for _, name := range list {
-		if !slices.Contains(all, name) {
-			return nil, usage("simulate: %s: %q is none of %s, all", flag, name, strings.Join(all, ", "))
-		}
-	}
-	return list, nil
-}
-
 // playQuotas plays as many at a time as there are processors; the reports are in the order asked for.
 func playQuotas(ctx context.Context, e *Env, todo []fleetsim.QuotaOptions) ([]fleetsim.QuotaReport, error) {
 	all, errs := make([]fleetsim.QuotaReport, len(todo)), make([]error, len(todo))
