--- a/cmd/lockflow/term_test.go
+++ b/cmd/lockflow/term_test.go
@@ -219,9 +219,14 @@
 }
 
 // sites are short and long deadlines of classes that are safe to repeat, keyed, and unsafe to repeat.
-var sites = []site{{effect: "free", deadline: 400 * time.Millisecond}, {effect: "guarded", deadline: 400 * time.Millisecond},
-	{effect: "single_shot", deadline: 400 * time.Millisecond}, {effect: "free", deadline: 1500 * time.Millisecond},
-	{effect: "guarded", deadline: 1500 * time.Millisecond}, {effect: "single_shot", deadline: 1500 * time.Millisecond}}
+var sites = []site{
+	{effect: "free", deadline: 400 * time.Millisecond},
+	{effect: "guarded", deadline: 400 * time.Millisecond},
+	{effect: "single_shot", deadline: 400 * time.Millisecond},
+	{effect: "free", deadline: 1500 * time.Millisecond},
+	{effect: "guarded", deadline: 1500 * time.Millisecond},
+	{effect: "single_shot", deadline: 1500 * time.Millisecond},
+}
 
 // SIGTERM at each instant at which something is owed to a client: all that was taken is answered, as
 // refused only where it was not sent on, nothing is sent on that gets no answer, and the program ends well.
--- a/control/api.go
+++ b/control/api.go
@@ -262,8 +262,10 @@
 	NoFurther         // an attempt failed and there is to be no other
 )
 
-var causes = [...]string{"unsaid", "unknown", "no_room", "too_late", "yields", "over_ceiling", "over_store", "by_chance",
-	"no_turn", "no_further"}
+var causes = [...]string{
+	"unsaid", "unknown", "no_room", "too_late", "yields", "over_ceiling", "over_store", "by_chance",
+	"no_turn", "no_further",
+}
 
 func (c Cause) String() string {
 	if int(c) < len(causes) {
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -163,9 +163,11 @@
 }
 
 func (c *Controller) checkpoint() Checkpoint {
-	s := Checkpoint{Version: CheckpointVersion, At: c.now, Start: c.start, Slack: c.slack, Portion: c.portion, Bound: c.bound, Usable: c.count((*server).usable),
+	s := Checkpoint{
+		Version: CheckpointVersion, At: c.now, Start: c.start, Slack: c.slack, Portion: c.portion, Bound: c.bound, Usable: c.count((*server).usable),
 		Interval: Interval{c.nextInterval, c.cut, c.pressed, c.latSum, c.secSum, c.latN, c.answers, c.bad, c.served, c.utilSum, c.utilN, c.cutAt}, Latency: c.latency, Idle: c.idle, Seen: c.seen,
-		Served: c.servedRate, Retries: c.retries, NextTry: c.nextTry}
+		Served: c.servedRate, Retries: c.retries, NextTry: c.nextTry,
+	}
 	if c.set.MeterPeriod > 0 {
 		s.Meter = MeterLearned{Period: c.set.MeterPeriod, Phase: c.clock.phase, Lag: c.clock.lag}
 		for i := range c.clock.miss {
@@ -180,9 +182,11 @@
 		s.Shares = append(s.Shares, PlanShare{p.Name, p.share, p.y, p.lateSum, p.lateN})
 	}
 	for _, v := range c.order {
-		one := ServerState{Server: v.Server, CameUp: v.bootTime(), Out: v.inflight, Latency: v.latency, LatencyAt: v.latencyAt,
+		one := ServerState{
+			Server: v.Server, CameUp: v.bootTime(), Out: v.inflight, Latency: v.latency, LatencyAt: v.latencyAt,
 			Strikes: v.strikes, Failing: v.failing, FailingAt: v.failingAt, AsideUntil: v.asideUntil, Aside: v.aside, Tokens: v.tokens,
-			Shut: make(map[string]time.Duration)}
+			Shut: make(map[string]time.Duration),
+		}
 		for _, g := range c.ghosts {
 			if g.srv == v {
 				one.Ghosts = append(one.Ghosts, g.until)
@@ -198,12 +202,14 @@
 	for key, q := range c.custs {
 		c.refill(q)
 		p := q.plan
-		s.Customers = append(s.Customers, Spent{ID: key[len(p.Name)+1:], Plan: p.Name, Spread: q.spread, Depth: p.Depth,
+		s.Customers = append(s.Customers, Spent{
+			ID: key[len(p.Name)+1:], Plan: p.Name, Spread: q.spread, Depth: p.Depth,
 			Burst: p.CeilingBurst, Level: q.level, Ceiling: q.ceiling, Out: q.open + q.foreign, OpenCap: q.openCap, Chance: q.chance,
 			Metered: q.metered, Base: q.base, LastUsed: q.lastUsed, BaseAt: q.baseAt, ToldAt: q.toldAt, Tries: q.tries,
 			TriesAt: q.triesAt, Told: q.told, ToldFor: q.toldFor, Cover: q.cover, ReadEnd: q.readEnd, OwnSum: q.ownSum,
 			AllSum: q.allSum, Smooth: q.smooth, Own: q.own.amounts(), Charged: q.charged.amounts(), Asked: q.asked.amounts(),
-			Refused: q.refused.amounts()})
+			Refused: q.refused.amounts(),
+		})
 	}
 	sort.Slice(s.Customers, func(i, j int) bool { // the latest first: a bound on them drops the oldest
 		a, b := &s.Customers[i], &s.Customers[j]
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -18,12 +18,16 @@
 
 // settings is a small deployment for tests: one free class, two plans.
 func settings() Settings {
-	return Settings{GroupSize: 2, Zone: "z1", SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+	return Settings{
+		GroupSize: 2, Zone: "z1", SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
 		Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2, MeterPeriod: time.Second,
 		MayCancel: true,
 		Classes:   []Class{{Name: "job", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1}},
-		Plans: []Plan{{Name: "low", Price: 0.5, Rate: 1000, Depth: 1000},
-			{Name: "high", Price: 1.5, Rate: 1000, Depth: 1000}}}
+		Plans: []Plan{
+			{Name: "low", Price: 0.5, Rate: 1000, Depth: 1000},
+			{Name: "high", Price: 1.5, Rate: 1000, Depth: 1000},
+		},
+	}
 }
 
 // gate drives one controller by hand and keeps what it was told to do.
@@ -44,8 +48,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{},
-		due: map[uint64]time.Duration{}}
+	g := &gate{
+		t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{},
+		due: map[uint64]time.Duration{},
+	}
 	g.do(List{Kind: Stale, Members: servers})
 	return g
 }
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -20,8 +20,10 @@
 	}
 	now := time.Hour // any clock that only moves forward
 	c.Handle(now, control.List{Kind: control.Whole, Members: []control.Member{{Server: 7, Size: 1}}})
-	for _, a := range c.Handle(now, control.Request{ID: "r1", Class: "submit", Plan: "basic",
-		Customer: "c1", TTL: 3 * time.Second, Units: 1, Spread: 1}) {
+	for _, a := range c.Handle(now, control.Request{
+		ID: "r1", Class: "submit", Plan: "basic",
+		Customer: "c1", TTL: 3 * time.Second, Units: 1, Spread: 1,
+	}) {
 		if s, ok := a.(control.Send); ok {
 			fmt.Println("send", s.ID, "to server", s.Server)
 		}
--- a/control/fast_test.go
+++ b/control/fast_test.go
@@ -12,8 +12,10 @@
 	t.Helper()
 	s := settings()
 	s.GroupSize, s.MeterPeriod = 1, 0
-	s.Classes = []Class{{Name: "cheap", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: cheap},
-		{Name: "dear", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 5}}
+	s.Classes = []Class{
+		{Name: "cheap", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: cheap},
+		{Name: "dear", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 5},
+	}
 	s.Plans = []Plan{{Name: "low", Price: 1, Rate: 1e6, Depth: 1e6}}
 	var servers []Member
 	for i := range 4 {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -176,8 +176,10 @@
 			g.ask(id, "job", "high", fmt.Sprint("x", i))
 			g.pass(1200 * ms)
 			if n := len(g.sends); g.n[id] > 0 {
-				g.do(Response{ID: id, Server: g.sends[n-1].Server, Reason: OK, Done: true,
-					Load: told(1200, k.util)})
+				g.do(Response{
+					ID: id, Server: g.sends[n-1].Server, Reason: OK, Done: true,
+					Load: told(1200, k.util),
+				})
 				g.ends[id] = Refuse{ID: id}
 			}
 		}
--- a/control/gone_test.go
+++ b/control/gone_test.go
@@ -14,8 +14,10 @@
 			for _, deadline := range []time.Duration{400 * ms, 6 * time.Second} {
 				t.Run(fmt.Sprint(condition, scope, deadline), func(t *testing.T) {
 					s := settings()
-					s.Classes = []Class{{Name: "put", Aim: deadline / 2, Deadline: deadline, Worth: 1, Effect: Guarded, KeyScope: scope,
-						RepeatWindow: deadline}}
+					s.Classes = []Class{{
+						Name: "put", Aim: deadline / 2, Deadline: deadline, Worth: 1, Effect: Guarded, KeyScope: scope,
+						RepeatWindow: deadline,
+					}}
 					group := []Member{{Server: 1, Zone: "z1", Cell: 1, Size: 1}, {Server: 2, Zone: "z1", Cell: 1, Size: 1}}
 					others := []Member{{Server: 3, Size: 1}, {Server: 4, Size: 1}, {Server: 5, Size: 1}} // in no zone
 					g := newGate(t, s, group[0])
--- a/control/image.go
+++ b/control/image.go
@@ -144,13 +144,15 @@
 // Image tells the controller's whole state. It shares nothing with it.
 func (c *Controller) Image() Image {
 	random, _ := c.pcg.MarshalBinary() // it gives no error
-	s := Image{Version: ImageVersion, Random: random, Now: c.now, Skipped: c.skipped, Start: c.start, Started: c.started, Following: c.following,
+	s := Image{
+		Version: ImageVersion, Random: random, Now: c.now, Skipped: c.skipped, Start: c.start, Started: c.started, Following: c.following,
 		AskAt: c.askAt, NextTry: c.nextTry, Label: c.label, Slack: c.slack, Portion: c.portion, Inflight: c.inflight, Streams: c.streams,
 		Bound: c.bound, CutAt: c.cutAt, RestUntil: c.restUntil, Latency: c.latency, Idle: c.idle, Seen: c.seen, ServedRate: c.servedRate, Util: c.util, MeanTold: c.meanTold, Reports: c.reports, Intervals: c.intervals,
 		MeanUnits: c.meanUnits, Asks: c.asks,
 		Retries: c.retries, NextTick: c.nextTick, NextInterval: c.nextInterval,
 		Interval: Interval{Cut: c.cut, Pressed: c.pressed, LatSum: c.latSum, SecSum: c.secSum, LatN: c.latN, Answers: c.answers, Bad: c.bad, Served: c.served, UtilSum: c.utilSum, UtilN: c.utilN},
-		Meter:    MeterLearned{Phase: c.clock.phase, Lag: c.clock.lag}}
+		Meter:    MeterLearned{Phase: c.clock.phase, Lag: c.clock.lag},
+	}
 	for i := range c.clock.miss {
 		s.Meter.Miss = append(s.Meter.Miss, c.clock.miss[i][:]...)
 	}
@@ -186,16 +188,20 @@
 	})
 	for _, k := range attempts {
 		a := c.attempts[k]
-		s.Attempts = append(s.Attempts, WholeAttempt{k.id, k.n, requests.at(a.req), servers.at(a.srv), customers.at(a.cust), a.sent,
-			a.bill.units, a.bill.charged, a.bill.level, a.bill.bin})
+		s.Attempts = append(s.Attempts, WholeAttempt{
+			k.id, k.n, requests.at(a.req), servers.at(a.srv), customers.at(a.cust), a.sent,
+			a.bill.units, a.bill.charged, a.bill.level, a.bill.bin,
+		})
 	}
 	for _, g := range c.ghosts {
 		s.Ghosts = append(s.Ghosts, WholeGhost{servers.at(g.srv), g.until})
 	}
 	for _, r := range requests.all {
-		w := WholeRequest{ID: r.id, Kept: c.reqs[r.id] == r, Class: r.class.Name, Plan: r.plan.index, Customer: customers.at(r.cust), Units: r.units,
+		w := WholeRequest{
+			ID: r.id, Kept: c.reqs[r.id] == r, Class: r.class.Name, Plan: r.plan.index, Customer: customers.at(r.cust), Units: r.units,
 			Arrived: r.arrived, Aim: r.aim, GiveUp: r.giveUp, FirstRun: r.firstRun, Queued: r.queued, Streaming: r.streaming, MayRun: r.mayRun,
-			Sends: r.sends, Out: r.out, Tried: slices.Clone(r.tried), Label: r.label}
+			Sends: r.sends, Out: r.out, Tried: slices.Clone(r.tried), Label: r.label,
+		}
 		if r.group != nil {
 			w.Group = servers.at(r.group) + 1
 		}
@@ -209,11 +215,13 @@
 		s.Plans = append(s.Plans, w)
 	}
 	for _, v := range servers.all {
-		w := WholeServer{Member: v.Member, Kept: c.servers[v.Server] == v, Listed: v.listed, Probing: v.probing, ColdRamp: v.coldRamp,
+		w := WholeServer{
+			Member: v.Member, Kept: c.servers[v.Server] == v, Listed: v.listed, Probing: v.probing, ColdRamp: v.coldRamp,
 			Inflight: v.inflight, Ghosts: v.ghosts, Strikes: v.strikes, Latency: v.latency, Failing: v.failing, Tokens: v.tokens,
 			Samples: v.samples, Slow: v.slow, Util: v.util, ToldAt: v.toldAt,
 			LatencyAt: v.latencyAt, Heard: v.heard, FailingAt: v.failingAt, AsideUnto: v.asideUntil, Aside: v.aside, ColdFrom: v.coldFrom,
-			TokensAt: v.tokensAt, Shut: make(map[int]time.Duration, len(v.shut))}
+			TokensAt: v.tokensAt, Shut: make(map[int]time.Duration, len(v.shut)),
+		}
 		for p, until := range v.shut {
 			w.Shut[p.index] = until
 		}
@@ -221,13 +229,15 @@
 	}
 	for _, q := range customers.all {
 		key, kept := keys[q]
-		s.Customers = append(s.Customers, WholeCustomer{Key: key, Kept: kept, Plan: q.plan.index, Spread: q.spread, Level: q.level, Ceiling: q.ceiling,
+		s.Customers = append(s.Customers, WholeCustomer{
+			Key: key, Kept: kept, Plan: q.plan.index, Spread: q.spread, Level: q.level, Ceiling: q.ceiling,
 			Queued: q.queued, OpenCap: q.openCap, Chance: q.chance, Carry: q.carry, Base: q.base, LastUsed: q.lastUsed, Tries: q.tries,
 			Told: q.told, ToldFor: q.toldFor, Cover: q.cover, OwnSum: q.ownSum, AllSum: q.allSum, Smooth: q.smooth, At: q.at,
 			OpenNext: q.openNext, BaseAt: q.baseAt, ToldAt: q.toldAt, TriesAt: q.triesAt, Open: q.open, Foreign: q.foreign,
 			OpenHit: q.openHit, Metered: q.metered, ReadEnd: q.readEnd, OwnLast: q.own.last, ChargedLast: q.charged.last,
 			AskedLast: q.asked.last, RefusedLast: q.refused.last, Own: slices.Clone(q.own.steps), Charged: slices.Clone(q.charged.steps),
-			Asked: slices.Clone(q.asked.steps), Refused: slices.Clone(q.refused.steps)})
+			Asked: slices.Clone(q.asked.steps), Refused: slices.Clone(q.refused.steps),
+		})
 	}
 	return s
 }
@@ -307,11 +317,13 @@
 func (c *Controller) resumeServers(s *Image) ([]*server, error) {
 	var all []*server
 	for _, w := range s.Servers {
-		v := &server{Member: w.Member, listed: w.Listed, probing: w.Probing, coldRamp: w.ColdRamp, inflight: w.Inflight, ghosts: w.Ghosts,
+		v := &server{
+			Member: w.Member, listed: w.Listed, probing: w.Probing, coldRamp: w.ColdRamp, inflight: w.Inflight, ghosts: w.Ghosts,
 			strikes: w.Strikes, latency: w.Latency, failing: w.Failing, tokens: w.Tokens,
 			samples: w.Samples, slow: w.Slow, util: w.Util, toldAt: w.ToldAt, latencyAt: w.LatencyAt, heard: w.Heard,
 			failingAt: w.FailingAt, asideUntil: w.AsideUnto, aside: w.Aside, coldFrom: w.ColdFrom, tokensAt: w.TokensAt,
-			shut: make(map[*plan]time.Duration, len(w.Shut))}
+			shut: make(map[*plan]time.Duration, len(w.Shut)),
+		}
 		for i, until := range w.Shut {
 			if i < 0 || i >= len(c.plans) {
 				return nil, fmt.Errorf("server %d: there is no plan %d", w.Server, i)
@@ -337,16 +349,22 @@
 		if w.Plan < 0 || w.Plan >= len(c.plans) {
 			return nil, fmt.Errorf("customer %q: there is no plan %d", w.Key, w.Plan)
 		}
-		q := &customer{plan: c.plans[w.Plan], spread: w.Spread, level: w.Level, ceiling: w.Ceiling, queued: w.Queued, openCap: w.OpenCap,
+		q := &customer{
+			plan: c.plans[w.Plan], spread: w.Spread, level: w.Level, ceiling: w.Ceiling, queued: w.Queued, openCap: w.OpenCap,
 			chance: w.Chance, carry: w.Carry, base: w.Base, lastUsed: w.LastUsed, tries: w.Tries, told: w.Told, toldFor: w.ToldFor,
 			cover: w.Cover, ownSum: w.OwnSum, allSum: w.AllSum, smooth: w.Smooth, at: w.At, openNext: w.OpenNext, baseAt: w.BaseAt,
-			toldAt: w.ToldAt, triesAt: w.TriesAt, open: w.Open, foreign: w.Foreign, openHit: w.OpenHit, metered: w.Metered, readEnd: w.ReadEnd}
+			toldAt: w.ToldAt, triesAt: w.TriesAt, open: w.Open, foreign: w.Foreign, openHit: w.OpenHit, metered: w.Metered, readEnd: w.ReadEnd,
+		}
 		for _, h := range []struct {
 			to   *history
 			last int64
 			from []Step
-		}{{&q.own, w.OwnLast, w.Own}, {&q.charged, w.ChargedLast, w.Charged}, {&q.asked, w.AskedLast, w.Asked},
-			{&q.refused, w.RefusedLast, w.Refused}} {
+		}{
+			{&q.own, w.OwnLast, w.Own},
+			{&q.charged, w.ChargedLast, w.Charged},
+			{&q.asked, w.AskedLast, w.Asked},
+			{&q.refused, w.RefusedLast, w.Refused},
+		} {
 			if len(h.from) > bins+1 {
 				return nil, fmt.Errorf("customer %q: a history of %d bins", w.Key, len(h.from))
 			}
@@ -371,9 +389,11 @@
 		if k == nil || w.Plan < 0 || w.Plan >= len(c.plans) || w.Customer < 0 || w.Customer >= len(customers) || w.Group < 0 || w.Group > len(servers) {
 			return fmt.Errorf("request %q: it refers to what is not there", w.ID)
 		}
-		r := &request{id: w.ID, class: k, plan: c.plans[w.Plan], cust: customers[w.Customer], units: w.Units, arrived: w.Arrived, aim: w.Aim,
+		r := &request{
+			id: w.ID, class: k, plan: c.plans[w.Plan], cust: customers[w.Customer], units: w.Units, arrived: w.Arrived, aim: w.Aim,
 			giveUp: w.GiveUp, firstRun: w.FirstRun, queued: w.Queued, streaming: w.Streaming, mayRun: w.MayRun, sends: w.Sends, out: w.Out,
-			tried: slices.Clone(w.Tried), label: w.Label}
+			tried: slices.Clone(w.Tried), label: w.Label,
+		}
 		if w.Group > 0 {
 			r.group = servers[w.Group-1]
 		}
@@ -398,8 +418,10 @@
 		if w.Request < 0 || w.Request >= len(all) || w.Server < 0 || w.Server >= len(servers) || w.Customer < 0 || w.Customer >= len(customers) {
 			return fmt.Errorf("attempt %d of %q: it refers to what is not there", w.N, w.ID)
 		}
-		c.attempts[attemptKey{w.ID, w.N}] = &attempt{all[w.Request], servers[w.Server], customers[w.Customer], w.Sent,
-			bill{w.Units, w.Charged, w.Level, w.Bin}}
+		c.attempts[attemptKey{w.ID, w.N}] = &attempt{
+			all[w.Request], servers[w.Server], customers[w.Customer], w.Sent,
+			bill{w.Units, w.Charged, w.Level, w.Bin},
+		}
 	}
 	return nil
 }
--- a/control/odd_test.go
+++ b/control/odd_test.go
@@ -12,16 +12,20 @@
 // long, plans with each kind of quota, with and without meter, cold time and attempt limit.
 func odd(rng *rand.Rand) Settings {
 	some := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
-	s := Settings{GroupSize: []int{1, 2, 7, 300}[rng.IntN(4)], Zone: []string{"", "z1"}[rng.IntN(2)], SendCap: rng.IntN(4),
+	s := Settings{
+		GroupSize: []int{1, 2, 7, 300}[rng.IntN(4)], Zone: []string{"", "z1"}[rng.IntN(2)], SendCap: rng.IntN(4),
 		Cold: seconds(some(0, 2, 10)), ColdFrom: some(0, 0.2, 1), Fall: seconds(some(0, 1)), FallMultiple: some(0, 2),
 		MeterPeriod: seconds(some(0, 0.1, 1)), CostAfter: rng.IntN(2) == 0, OnRequest: rng.IntN(2) == 0,
-		MarksRetry: rng.IntN(2) == 0, MaxRetryAfter: seconds(some(0, 1)), UnitsTop: some(0, 4)}
+		MarksRetry: rng.IntN(2) == 0, MaxRetryAfter: seconds(some(0, 1)), UnitsTop: some(0, 4),
+	}
 	s.SelfIndex = rng.IntN(s.GroupSize)
 	for i := range 1 + rng.IntN(3) {
 		deadline := seconds(some(0.02, 0.1, 0.4, 3, 20))
-		s.Classes = append(s.Classes, Class{Name: fmt.Sprint("c", i), Aim: seconds(deadline.Seconds() * some(0.1, 0.5, 1, 2)),
+		s.Classes = append(s.Classes, Class{
+			Name: fmt.Sprint("c", i), Aim: seconds(deadline.Seconds() * some(0.1, 0.5, 1, 2)),
 			Deadline: deadline, Effect: Effect(rng.IntN(3)), KeyScope: Scope(rng.IntN(3)), Worth: some(0, 1, 9),
-			RepeatWindow: seconds(some(0, 0.1, 30)), Stream: rng.IntN(4) == 0})
+			RepeatWindow: seconds(some(0, 0.1, 30)), Stream: rng.IntN(4) == 0,
+		})
 	}
 	for i := range 1 + rng.IntN(3) {
 		p := Plan{Name: fmt.Sprint("p", i), Price: some(0, 1, 2), Rate: some(0, 0.5, 40), Depth: some(0, 1, 40), Open: rng.IntN(4)}
@@ -78,11 +82,15 @@
 	k, p := w.set.Classes[w.rng.IntN(len(w.set.Classes))], w.set.Plans[w.rng.IntN(len(w.set.Plans))]
 	w.next++
 	id := fmt.Sprint("r", w.next)
-	r := &ask{class: k, plan: p.Name, customer: fmt.Sprint("k", w.rng.IntN(5)), units: []float64{0, 0.1, 1, 4}[w.rng.IntN(4)],
-		end: w.now + 1 + time.Duration(w.rng.Float64()*float64(k.Deadline))}
-	e := Request{ID: id, Class: k.Name, Plan: p.Name, Customer: r.customer, TTL: r.end - w.now, Units: r.units,
+	r := &ask{
+		class: k, plan: p.Name, customer: fmt.Sprint("k", w.rng.IntN(5)), units: []float64{0, 0.1, 1, 4}[w.rng.IntN(4)],
+		end: w.now + 1 + time.Duration(w.rng.Float64()*float64(k.Deadline)),
+	}
+	e := Request{
+		ID: id, Class: k.Name, Plan: p.Name, Customer: r.customer, TTL: r.end - w.now, Units: r.units,
 		Spread: 1 + w.rng.IntN(w.set.GroupSize), Repeat: w.rng.IntN(5) == 0, Open: w.rng.IntN(10) == 0,
-		NoRoom: w.rng.IntN(30) == 0, Over: w.rng.IntN(30) == 0}
+		NoRoom: w.rng.IntN(30) == 0, Over: w.rng.IntN(30) == 0,
+	}
 	w.open[id] = r
 	w.handle(e)
 	if w.rng.IntN(20) == 0 && w.open[id] != nil {
@@ -139,8 +147,10 @@
 func TestAnySettingsAndStrayEventsLeaveNothing(t *testing.T) {
 	for seed := uint64(1); seed <= 300; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 2))
-		w := &world{t: t, rng: rng, set: odd(rng), now: time.Hour, members: map[uint32]*Member{}, toldBad: map[uint32]bool{},
-			open: map[string]*ask{}}
+		w := &world{
+			t: t, rng: rng, set: odd(rng), now: time.Hour, members: map[uint32]*Member{}, toldBad: map[uint32]bool{},
+			open: map[string]*ask{},
+		}
 		w.set.MayCancel, w.set.Probes = false, false
 		var err error
 		if w.c, err = New(w.set, seed); err != nil {
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -52,23 +52,30 @@
 }
 
 func varied(rng *rand.Rand) Settings {
-	s := Settings{GroupSize: []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)], Zone: "z1", SendCap: 1 + rng.IntN(5), RetryAfter: rng.IntN(2) == 0,
+	s := Settings{
+		GroupSize: []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)], Zone: "z1", SendCap: 1 + rng.IntN(5), RetryAfter: rng.IntN(2) == 0,
 		MaxRetryAfter: time.Second, Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2,
 		CostAfter: rng.IntN(2) == 0, OnRequest: rng.IntN(2) == 0, AskWithin: 10 * time.Second,
-		MayCancel: rng.IntN(2) == 0, Probes: rng.IntN(2) == 0, UnitsTop: 4}
+		MayCancel: rng.IntN(2) == 0, Probes: rng.IntN(2) == 0, UnitsTop: 4,
+	}
 	if rng.IntN(4) > 0 {
 		s.MeterPeriod = time.Second
 	}
 	for e := Free; e <= SingleShot; e++ {
 		for k := ScopeAll; k <= ScopeCell; k++ {
-			s.Classes = append(s.Classes, Class{Name: fmt.Sprint("c", e, k), Aim: time.Duration(200+rng.IntN(1500)) * ms,
+			s.Classes = append(s.Classes, Class{
+				Name: fmt.Sprint("c", e, k), Aim: time.Duration(200+rng.IntN(1500)) * ms,
 				Deadline: time.Duration(2000+rng.IntN(4000)) * ms, Effect: e, KeyScope: k, Worth: 1,
-				RepeatWindow: time.Duration(500+rng.IntN(3000)) * ms, Stream: rng.IntN(5) == 0})
+				RepeatWindow: time.Duration(500+rng.IntN(3000)) * ms, Stream: rng.IntN(5) == 0,
+			})
 		}
 	}
-	s.Plans = []Plan{{Name: "rate", Price: 1, Rate: 20, Depth: 40}, {Name: "open", Price: 0.5, Open: 3},
+	s.Plans = []Plan{
+		{Name: "rate", Price: 1, Rate: 20, Depth: 40},
+		{Name: "open", Price: 0.5, Open: 3},
 		{Name: "both", Price: 2, Rate: 10, Depth: 10, Open: 4},
-		{Name: "ceil", Price: 1.5, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4}}
+		{Name: "ceil", Price: 1.5, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4},
+	}
 	return s
 }
 
@@ -196,8 +203,10 @@
 		why = TimedOut
 	}
 	r := w.open[f.id]
-	e := Response{ID: f.id, N: f.n, Server: f.srv, Reason: why, Done: r == nil || why == OK,
-		Used: w.rng.IntN(300), Cost: float64(1 + w.rng.IntN(4)), Load: &Load{Active: 3, CPU: 0.5}}
+	e := Response{
+		ID: f.id, N: f.n, Server: f.srv, Reason: why, Done: r == nil || why == OK,
+		Used: w.rng.IntN(300), Cost: float64(1 + w.rng.IntN(4)), Load: &Load{Active: 3, CPU: 0.5},
+	}
 	if r != nil {
 		r.out--
 		if why == OK {
@@ -259,20 +268,26 @@
 func (w *world) arrive() {
 	w.next++
 	k := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
-	r := &ask{class: k, plan: w.set.Plans[w.rng.IntN(4)].Name, customer: fmt.Sprint("k", w.rng.IntN(6)),
-		units: float64(1 + w.rng.IntN(3)), end: w.now + time.Duration(300+w.rng.IntN(3000))*ms}
+	r := &ask{
+		class: k, plan: w.set.Plans[w.rng.IntN(4)].Name, customer: fmt.Sprint("k", w.rng.IntN(6)),
+		units: float64(1 + w.rng.IntN(3)), end: w.now + time.Duration(300+w.rng.IntN(3000))*ms,
+	}
 	id := fmt.Sprint("r", w.next)
 	w.open[id] = r
-	w.handle(Request{ID: id, Class: k.Name, Plan: r.plan, Customer: r.customer, TTL: r.end - w.now,
-		Units: r.units, Spread: 2 + w.rng.IntN(89)}) // may change within a day; drawCeiling reckons with two at least
+	w.handle(Request{
+		ID: id, Class: k.Name, Plan: r.plan, Customer: r.customer, TTL: r.end - w.now,
+		Units: r.units, Spread: 2 + w.rng.IntN(89),
+	}) // may change within a day; drawCeiling reckons with two at least
 }
 
 func play(t *testing.T, seed uint64, steps int) *world {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	w := &world{t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Member{},
+	w := &world{
+		t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Member{},
 		toldBad: map[uint32]bool{}, open: map[string]*ask{}, ceilings: map[string]float64{},
-		ceilAt: map[string]time.Duration{}}
+		ceilAt: map[string]time.Duration{},
+	}
 	c, err := New(w.set, seed)
 	if err != nil {
 		t.Fatal(err)
--- a/control/restore.go
+++ b/control/restore.go
@@ -46,8 +46,10 @@
 	// ever be learned.
 	if v := s.Interval; trust == Exact && v.Ends > c.now-intervalMore && v.Ends <= c.now+interval {
 		c.nextInterval, c.cutAt = v.Ends, min(v.CutAt, c.now)
-		c.span = span{cut: v.Cut, pressed: v.Pressed, latSum: v.LatSum, secSum: v.SecSum, latN: v.LatN, answers: v.Answers, utilSum: v.UtilSum, utilN: v.UtilN, bad: v.Bad,
-			served: v.Served}
+		c.span = span{
+			cut: v.Cut, pressed: v.Pressed, latSum: v.LatSum, secSum: v.SecSum, latN: v.LatN, answers: v.Answers, utilSum: v.UtilSum, utilN: v.UtilN, bad: v.Bad,
+			served: v.Served,
+		}
 	}
 	if c.slack = 0; trust == Exact {
 		c.start, c.slack = min(c.now, s.Start), math.Min(ceilingStart, math.Max(0, s.Slack))
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -43,8 +43,10 @@
 		asked := 0
 		g.serve(5*time.Minute, time.Duration(k.gap)*time.Second, k.used, func(i int) {
 			asked++
-			g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", TTL: 3 * time.Second,
-				Units: 1, Spread: 60})
+			g.do(Request{
+				ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", TTL: 3 * time.Second,
+				Units: 1, Spread: 60,
+			})
 		})
 		if part := float64(len(g.sends)) / float64(asked); part < k.low || part > k.high {
 			t.Errorf("told %d%%: %.2f of the tries sent on, want %v to %v", k.used-1, part, k.low, k.high)
@@ -223,8 +225,10 @@
 			for i := 0; i < b.N; i++ {
 				now := time.Hour + time.Duration(i)*time.Millisecond
 				id := fmt.Sprint(i)
-				for _, a := range c.Handle(now, Request{ID: id, Class: "job", Plan: "high", Customer: "x",
-					TTL: 5 * time.Second, Units: 1, Spread: 2}) {
+				for _, a := range c.Handle(now, Request{
+					ID: id, Class: "job", Plan: "high", Customer: "x",
+					TTL: 5 * time.Second, Units: 1, Spread: 2,
+				}) {
 					if a, ok := a.(Send); ok {
 						c.Handle(now, Response{ID: id, Server: a.Server, Reason: OK, Done: true, Used: 50})
 						break
--- a/control/settings.go
+++ b/control/settings.go
@@ -23,12 +23,21 @@
 		name  string
 		value float64
 	}
-	fs := []figure{{"cold from", s.ColdFrom}, {"fall multiple", s.FallMultiple}, {"units top", s.UnitsTop},
-		{"inbox per second", s.InboxPerS}, {"cross-zone price", s.CrossZone}, {"cold", s.Cold.Seconds()},
-		{"ask within", s.AskWithin.Seconds()}, {"drain grace", s.DrainGrace.Seconds()},
-		{"fall", s.Fall.Seconds()}, {"meter period", s.MeterPeriod.Seconds()},
-		{"send cap", float64(s.SendCap)}, {"open cap", float64(s.OpenCap)},
-		{"max retry after", s.MaxRetryAfter.Seconds()}}
+	fs := []figure{
+		{"cold from", s.ColdFrom},
+		{"fall multiple", s.FallMultiple},
+		{"units top", s.UnitsTop},
+		{"inbox per second", s.InboxPerS},
+		{"cross-zone price", s.CrossZone},
+		{"cold", s.Cold.Seconds()},
+		{"ask within", s.AskWithin.Seconds()},
+		{"drain grace", s.DrainGrace.Seconds()},
+		{"fall", s.Fall.Seconds()},
+		{"meter period", s.MeterPeriod.Seconds()},
+		{"send cap", float64(s.SendCap)},
+		{"open cap", float64(s.OpenCap)},
+		{"max retry after", s.MaxRetryAfter.Seconds()},
+	}
 	for _, k := range s.Classes {
 		n := "class " + k.Name + ": "
 		fs = append(fs, figure{n + "worth", k.Worth}, figure{n + "late share", k.LateShare},
--- a/control/state.go
+++ b/control/state.go
@@ -329,10 +329,12 @@
 
 func newController(s Settings, seed uint64) *Controller {
 	pcg := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
-	return &Controller{set: s, portion: 1, slack: ceilingStart, pcg: pcg, rng: rand.New(pcg),
+	return &Controller{
+		set: s, portion: 1, slack: ceilingStart, pcg: pcg, rng: rand.New(pcg),
 		classes: map[string]*Class{}, planOf: map[string]*plan{}, reqs: map[string]*request{},
 		usual: map[*Class]*usualTTL{}, labels: map[uint64]*request{}, attempts: map[attemptKey]*attempt{},
-		custs: map[string]*customer{}, servers: map[uint32]*server{}}
+		custs: map[string]*customer{}, servers: map[uint32]*server{},
+	}
 }
 
 // merge brings the servers up to a list event and forgets those that are gone.
--- a/control/turns.go
+++ b/control/turns.go
@@ -40,8 +40,8 @@
 		c.refuse(e.ID, why)
 		return
 	}
-	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now,
-		aim: c.now + k.Aim - waited, giveUp: c.now + e.TTL, streaming: e.Open}
+	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now, streaming: e.Open}
+	r.aim, r.giveUp = c.now+k.Aim-waited, c.now+e.TTL
 	c.reqs[r.id] = r
 	c.retries = math.Min(retryMost, c.retries+retryEarn)
 	c.enqueue(r, false)
--- a/control/unsent_test.go
+++ b/control/unsent_test.go
@@ -37,8 +37,10 @@
 					}
 					look := func() books {
 						b := c.binNow() + 1
-						return books{q.level, q.ceiling, srv.tokens, q.own.over(b), q.charged.over(b), q.queued, q.open, srv.inflight, c.inflight,
-							c.restUntil, q.openNext, srv.probing}
+						return books{
+							q.level, q.ceiling, srv.tokens, q.own.over(b), q.charged.over(b), q.queued, q.open, srv.inflight, c.inflight,
+							c.restUntil, q.openNext, srv.probing,
+						}
 					}
 					before := look()
 					g.ask("a", "job", "high", "c")
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -82,8 +82,10 @@
 		{"the counter is lost, or late by more than the term", over, alone, why},
 		{"the group is split, a counter on each side", over, 0.5, "each side's counter lends the parts of its instances: half, where that is half of them"},
 		{"the counter is replaced by an empty one", over, 1, "it begins with empty stores; what the old one had left is lost, and pledges to that one end first"},
-		{"the counter goes back to an older state as itself", over + c.Burst/(c.Burst+60*c.Rate), 1,
-			"until an instance tells of a later token, an instant later, it may lend again what its stores held: a burst at most, each time"},
+		{
+			"the counter goes back to an older state as itself", over + c.Burst/(c.Burst+60*c.Rate), 1,
+			"until an instance tells of a later token, an instant later, it may lend again what its stores held: a burst at most, each time",
+		},
 		{"an instance is killed, or stopped for long", over, 1 - 1/n, "its part is nobody's once its pledge has ended"},
 		{"the group changes its size", over, alone, "larger parts, and those of new instances, wait until all know of it"},
 	}
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -113,8 +113,10 @@
 // NewHolder makes an instance's holder as it starts. It has no part until what its former self had,
 // and maybe pledged, has ended, and all know of a group that has grown.
 func NewHolder(now time.Duration, r Rules, self string) *Holder {
-	h := &Holder{rules: r, self: self, accounts: make(map[string]*account), n: r.Instances, nBefore: r.Instances,
-		sent: make(map[uint64]time.Duration)}
+	h := &Holder{
+		rules: r, self: self, accounts: make(map[string]*account), n: r.Instances, nBefore: r.Instances,
+		sent: make(map[uint64]time.Duration),
+	}
 	h.ownFrom = now + max(r.Settle, stretch(r.Pledge, r.Drift))
 	h.pledgeFrom = h.ownFrom
 	return h
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -71,8 +71,10 @@
 }
 
 func newWorld(seed uint64, nodes int, r Rules, c Ceiling, w without) *world {
-	x := &world{rng: rand.New(rand.NewPCG(seed, 7)), rules: r, ceiling: c, units: 4, without: w, delay: 0.002,
-		weight: func(int) float64 { return 1 }, worst: math.Inf(-1)}
+	x := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), rules: r, ceiling: c, units: 4, without: w, delay: 0.002,
+		weight: func(int) float64 { return 1 }, worst: math.Inf(-1),
+	}
 	for range 2 {
 		x.places = append(x.places, &place{clock: x.clock()})
 	}
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -22,13 +22,22 @@
 		h      http.Header
 		want   Meaning
 	}{
-		{200, nil, Meaning{control.OK, true}}, {204, nil, Meaning{control.OK, true}}, {304, nil, Meaning{control.OK, true}},
+		{200, nil, Meaning{control.OK, true}},
+		{204, nil, Meaning{control.OK, true}},
+		{304, nil, Meaning{control.OK, true}},
 		{200, with("X-Unprocessed", "1"), Meaning{control.OK, true}},
-		{404, nil, Meaning{control.OK, true}}, {401, nil, Meaning{control.OK, true}}, {429, nil, Meaning{control.Full, false}},
+		{404, nil, Meaning{control.OK, true}},
+		{401, nil, Meaning{control.OK, true}},
+		{429, nil, Meaning{control.Full, false}},
 		{404, with("X-Shed", "yes"), Meaning{control.Full, false}},
-		{500, nil, Meaning{control.Errored, true}}, {501, nil, Meaning{control.OK, true}}, {505, nil, Meaning{control.OK, true}},
-		{502, nil, Meaning{control.Errored, false}}, {503, nil, Meaning{control.Errored, false}}, {504, nil, Meaning{control.Errored, false}},
-		{503, with("X-Unprocessed", "1"), Meaning{control.Full, false}}, {503, with("X-Unprocessed", "0"), Meaning{control.Errored, false}},
+		{500, nil, Meaning{control.Errored, true}},
+		{501, nil, Meaning{control.OK, true}},
+		{505, nil, Meaning{control.OK, true}},
+		{502, nil, Meaning{control.Errored, false}},
+		{503, nil, Meaning{control.Errored, false}},
+		{504, nil, Meaning{control.Errored, false}},
+		{503, with("X-Unprocessed", "1"), Meaning{control.Full, false}},
+		{503, with("X-Unprocessed", "0"), Meaning{control.Errored, false}},
 		{599, nil, Meaning{control.OK, true}},
 	} {
 		if got := rules.Of(tc.status, tc.h); got != tc.want {
--- a/internal/balancesim/sim.go
+++ b/internal/balancesim/sim.go
@@ -266,10 +266,12 @@
 }
 
 func newModule(s *sim) (*module, error) {
-	c, err := control.New(control.Settings{GroupSize: 1, SendCap: attempts, MayCancel: true, RetryAfter: true, MaxRetryAfter: time.Second,
+	c, err := control.New(control.Settings{
+		GroupSize: 1, SendCap: attempts, MayCancel: true, RetryAfter: true, MaxRetryAfter: time.Second,
 		DrainGrace: 2 * time.Second, Cold: 15 * time.Second, ColdFrom: 0.15, Fall: 2 * time.Second, FallMultiple: 2.5,
 		Classes: []control.Class{{Name: "read", Aim: 2 * time.Second, Deadline: deadline, Worth: 1}},
-		Plans:   []control.Plan{{Name: "default", Price: 1}}}, s.o.Seed)
+		Plans:   []control.Plan{{Name: "default", Price: 1}},
+	}, s.o.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("starting the module: %w", err)
 	}
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -27,9 +27,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Hour),
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Hour),
 		NotAfter: ends, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
 	der, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -10,8 +10,10 @@
 
 // Decoder reads CBOR of bounded shape: no indefinite lengths, no key twice.
 var Decoder = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16,
-		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/command/allowance.go
+++ b/internal/command/allowance.go
@@ -13,7 +13,8 @@
 )
 
 func allowanceCommand() command {
-	return command{name: "allowance", group: files, does: "tells what of a plan's ceiling holds, and what of it can be used, when a shared counter lends it",
+	return command{
+		name: "allowance", group: files, does: "tells what of a plan's ceiling holds, and what of it can be used, when a shared counter lends it",
 		args:     "explain --config FILE --plan NAME [--instances N] [--units N] [--spread N] [--term TIME] [--pledge TIME] [--settle TIME] [--drift N] [--json]",
 		examples: []string{"lockflow allowance explain --config /etc/lockflow/lockflow.toml --plan enterprise --instances 40 --units 4"},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
@@ -34,7 +35,8 @@
 				}
 				return x.run(e)
 			}
-		}}
+		},
+	}
 }
 
 type explain struct {
@@ -62,8 +64,10 @@
 			if file.Instances == 0 {
 				file = allowance.Rules{Instances: s.Settings.GroupSize, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
 			}
-			x.rules = allowance.Rules{Instances: cmp.Or(x.rules.Instances, file.Instances), Term: cmp.Or(x.rules.Term, file.Term),
-				Pledge: cmp.Or(x.rules.Pledge, file.Pledge), Settle: cmp.Or(x.rules.Settle, file.Settle), Drift: cmp.Or(x.rules.Drift, file.Drift)}
+			x.rules = allowance.Rules{
+				Instances: cmp.Or(x.rules.Instances, file.Instances), Term: cmp.Or(x.rules.Term, file.Term),
+				Pledge: cmp.Or(x.rules.Pledge, file.Pledge), Settle: cmp.Or(x.rules.Settle, file.Settle), Drift: cmp.Or(x.rules.Drift, file.Drift),
+			}
 		}
 	}
 	switch {
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -18,7 +18,8 @@
 var errTold = errors.New("told")
 
 func checkCommand() command {
-	return command{name: "check", group: files, does: "checks a configuration, or the regions of a fleet against each other",
+	return command{
+		name: "check", group: files, does: "checks a configuration, or the regions of a fleet against each other",
 		args:     "FILE | --fleet FLEET.toml",
 		examples: []string{"lockflow check deploy/lockflow.toml", "lockflow check --fleet deploy/fleet.toml --json   # 0 none, 1 conflicts, 2 unusable input"},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
@@ -33,7 +34,8 @@
 				}
 				return check(e, args[0], *asJSON)
 			}
-		}}
+		},
+	}
 }
 
 func check(e *Env, path string, asJSON bool) error {
@@ -66,10 +68,13 @@
 
 func routeCommand() command {
 	var headers []string
-	return command{name: "route", group: files, does: "tells which service a request is for, and why",
+	return command{
+		name: "route", group: files, does: "tells which service a request is for, and why",
 		args: "--config FILE --host HOST --path PATH [--method METHOD] [--header 'K: V']...",
-		examples: []string{"lockflow route --config deploy/lockflow.toml --host care.example --path /plans/7",
-			"lockflow route --config deploy/lockflow.toml --host care.example --path /visit-update --method POST --json"},
+		examples: []string{
+			"lockflow route --config deploy/lockflow.toml --host care.example --path /plans/7",
+			"lockflow route --config deploy/lockflow.toml --host care.example --path /visit-update --method POST --json",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			path := set.String("config", "", "`FILE` of the configuration")
 			host := set.String("host", "", "`HOST` as the client writes it")
@@ -92,7 +97,8 @@
 				}
 				return findRoute(e, *path, *host, *target, *method, headers, *asJSON)
 			}
-		}}
+		},
+	}
 }
 
 // findRoute prints where a request goes, read as the front reads it.
@@ -139,8 +145,10 @@
 		class = classOf(cfg, won.Service, method, path)
 	}
 	if asJSON {
-		return json.NewEncoder(e.Out).Encode(map[string]any{"service": won.Service, "route": won.Name, "class": class,
-			"host": host, "path": path, "why": matches[0].Conditions})
+		return json.NewEncoder(e.Out).Encode(map[string]any{
+			"service": won.Service, "route": won.Name, "class": class,
+			"host": host, "path": path, "why": matches[0].Conditions,
+		})
 	}
 	w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "service\t%s\nroute\t%s\nclass\t%s\nread as\t%s %s%s\nwhy\t%s\n", won.Service, won.Name, class, method, host,
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -68,8 +68,10 @@
 )
 
 func commands() []command {
-	return []command{serveCommand(), proxyCommand(), statusCommand(), upgradeCommand(), fleetCommand(), checkCommand(), planCommand(), routeCommand(),
-		allowanceCommand(), demoCommand(), replayCommand(), tallyCommand(), simulateCommand(), measureCommand()}
+	return []command{
+		serveCommand(), proxyCommand(), statusCommand(), upgradeCommand(), fleetCommand(), checkCommand(), planCommand(), routeCommand(),
+		allowanceCommand(), demoCommand(), replayCommand(), tallyCommand(), simulateCommand(), measureCommand(),
+	}
 }
 
 // Main runs a command line, without the program's name, and gives its exit code. SIGTERM and
@@ -137,7 +139,8 @@
 	for _, c := range commands() {
 		root.AddCommand(c.cobra(e))
 	}
-	root.SetHelpCommand(&cobra.Command{Use: "help [COMMAND]", Short: "tells more of a command, with examples",
+	root.SetHelpCommand(&cobra.Command{
+		Use: "help [COMMAND]", Short: "tells more of a command, with examples",
 		RunE: func(c *cobra.Command, args []string) error {
 			of, _, err := c.Root().Find(args)
 			if err != nil || of == nil || len(args) > 0 && of == c.Root() {
@@ -145,13 +148,16 @@
 			}
 			of.InitDefaultHelpFlag()
 			return of.Help()
-		}})
+		},
+	})
 	return root
 }
 
 func (c *command) cobra(e *Env) *cobra.Command {
-	cc := &cobra.Command{Use: c.name + " " + c.args, Short: c.does, GroupID: c.group, Args: cobra.ArbitraryArgs, DisableFlagsInUseLine: true,
-		Example: "  " + strings.Join(c.examples, "\n  ")}
+	cc := &cobra.Command{
+		Use: c.name + " " + c.args, Short: c.does, GroupID: c.group, Args: cobra.ArbitraryArgs, DisableFlagsInUseLine: true,
+		Example: "  " + strings.Join(c.examples, "\n  "),
+	}
 	cc.Flags().SortFlags = false
 	run := c.setup(cc.Flags())
 	cc.RunE = func(cc *cobra.Command, args []string) error { return run(cc.Context(), e, args) }
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -13,7 +13,8 @@
 )
 
 func demoCommand() command {
-	return command{name: "demo", group: trying, does: "runs a node of two services between stand-in peers and stalls one of them",
+	return command{
+		name: "demo", group: trying, does: "runs a node of two services between stand-in peers and stalls one of them",
 		args:     "[--for TIME] [--seed N] [--descriptors N] [--json]",
 		examples: []string{"lockflow demo", "lockflow demo --for 30s --descriptors 1024"},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
@@ -28,7 +29,8 @@
 				}
 				return d.run(ctx, e)
 			}
-		}}
+		},
+	}
 }
 
 type demo struct {
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -29,7 +29,8 @@
 }
 
 func fleetCommand() command {
-	return command{name: "fleet", group: running, does: "starts many instances on this machine, asks them, and has a change go over them",
+	return command{
+		name: "fleet", group: running, does: "starts many instances on this machine, asks them, and has a change go over them",
 		args: "run|status|reload|upgrade|drain|serve [--dir DIR | --sockets FILE | --fleet FLEET.toml] [flags]",
 		examples: []string{
 			"lockflow fleet run --config deploy/lockflow.toml --instances 4 --dir /run/lockflow --port 8080",
@@ -37,7 +38,8 @@
 			"lockflow fleet reload --dir /run/lockflow --config new.toml   # in stages; back to the old one where it does worse",
 			"lockflow fleet reload --dir /run/lockflow --resume            # goes on where a coordinator ended",
 			"lockflow fleet upgrade --dir /run/lockflow --program /usr/local/bin/lockflow-next",
-			"lockflow fleet drain --sockets members.txt"},
+			"lockflow fleet drain --sockets members.txt",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			var f fleetFlags
 			set.StringVar(&f.dir, "dir", "", "`DIR` of the instances that fleet run keeps")
@@ -67,7 +69,8 @@
 				}
 				return f.over(ctx, e, args[0])
 			}
-		}}
+		},
+	}
 }
 
 // run runs a fleet until ctx ends.
@@ -79,8 +82,10 @@
 	if err != nil {
 		return fmt.Errorf("finding the program's own file: %w", err)
 	}
-	r, err := fleet.Start(ctx, fleet.Options{Program: program, Config: f.config, Dir: f.dir, Instances: f.instances, Told: f.told,
-		Host: f.host, Port: f.port, Within: f.within})
+	r, err := fleet.Start(ctx, fleet.Options{
+		Program: program, Config: f.config, Dir: f.dir, Instances: f.instances, Told: f.told,
+		Host: f.host, Port: f.port, Within: f.within,
+	})
 	if err != nil {
 		return err
 	}
@@ -213,7 +218,8 @@
 }
 
 func upgradeCommand() command {
-	return command{name: "upgrade", group: running, does: "has a new process take a running daemon's place, without a gap",
+	return command{
+		name: "upgrade", group: running, does: "has a new process take a running daemon's place, without a gap",
 		args:     "--control PATH [--program PATH] [--within TIME]",
 		examples: []string{"lockflow upgrade --control /run/lockflow/control.sock", "lockflow upgrade --control /run/lockflow/control.sock --program /usr/local/bin/lockflow-next"},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
@@ -241,11 +247,13 @@
 				fmt.Fprintf(e.Out, "process %d has taken the place of process %d\n", now.PID, before.PID)
 				return nil
 			}
-		}}
+		},
+	}
 }
 
 func statusCommand() command {
-	return command{name: "status", group: running, does: "tells what a running daemon does",
+	return command{
+		name: "status", group: running, does: "tells what a running daemon does",
 		args:     "--control PATH [--json]",
 		examples: []string{"lockflow status --control /run/lockflow/control.sock --json"},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
@@ -258,5 +266,6 @@
 				}
 				return f.status(ctx, e, []fleet.Member{{Name: *control, Client: manage.Client{Path: *control}}})
 			}
-		}}
+		},
+	}
 }
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -19,9 +19,11 @@
 )
 
 func measureCommand() command {
-	return command{name: "measure", group: trying, does: "repeats a measurement in which two runs are taken in turn",
+	return command{
+		name: "measure", group: trying, does: "repeats a measurement in which two runs are taken in turn",
 		args: "isolation|proxy|servers|bodies|balance|reload|upgrade|fleet|faults|gather|rollout [--rounds N] [--for TIME] [--descriptors N] [--connections N,N...] [--json]",
-		examples: []string{"lockflow measure isolation --descriptors 256    # one pool stalled, the other's service",
+		examples: []string{
+			"lockflow measure isolation --descriptors 256    # one pool stalled, the other's service",
 			"lockflow measure proxy --rounds 5               # beside net/http/httputil.ReverseProxy",
 			"lockflow measure proxy --protocol http          # the same with ordinary HTTP",
 			"lockflow measure servers --connections 1,10,100 # HTTP/2 to servers beside HTTP/1.1",
@@ -34,7 +36,8 @@
 			"lockflow measure fleet --instances 40 --for 10m --seed 1   # reloads, upgrades, ends and kills by chance",
 			"lockflow measure faults --seeds 200 --processes 5 --for 3s   # scripts of faults between processes",
 			"lockflow measure rollout --processes 4   # coordinators of staged changes killed at each write of their journal",
-			"lockflow measure change --seeds 10 --processes 12 --for 3s   # a change over three regions under faults"},
+			"lockflow measure change --seeds 10 --processes 12 --for 3s   # a change over three regions under faults",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			rounds := set.Int("rounds", 3, "`N` pairs of runs")
 			lasts := set.Duration("for", 4*time.Second, "`TIME` of each run")
@@ -90,8 +93,10 @@
 					return measureBodies(ctx, e, measure.BodiesOptions{Workers: *workers, Rounds: *rounds, Lasts: *lasts, MemoryMB: *memory, Progress: e.Err},
 						*sizes, *ways, *asJSON)
 				case what == "reload":
-					return measureReloads(ctx, e, measure.ReloadOptions{Rounds: *rounds, Lasts: *lasts, Every: 150 * time.Millisecond, Clients: 48,
-						Progress: e.Err}, *asJSON)
+					return measureReloads(ctx, e, measure.ReloadOptions{
+						Rounds: *rounds, Lasts: *lasts, Every: 150 * time.Millisecond, Clients: 48,
+						Progress: e.Err,
+					}, *asJSON)
 				case what == "upgrade":
 					return measureUpgrades(ctx, e, measure.UpgradeOptions{Upgrades: *rounds, Every: *lasts, Clients: 16, Progress: e.Err}, *asJSON)
 				case what == "fleet":
@@ -105,12 +110,15 @@
 				case what == "gather":
 					return measureGather(ctx, e, measure.GatherOptions{Rounds: *rounds, Lasts: *lasts}, *asJSON)
 				case what == "isolation":
-					return measureIsolation(ctx, e, measure.IsolationOptions{Descriptors: *descriptors, Rounds: *rounds, Lasts: *lasts, Crowd: *crowd,
-						Progress: e.Err}, *asJSON)
+					return measureIsolation(ctx, e, measure.IsolationOptions{
+						Descriptors: *descriptors, Rounds: *rounds, Lasts: *lasts, Crowd: *crowd,
+						Progress: e.Err,
+					}, *asJSON)
 				}
 				return usage("there is no measurement %q: isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout", what)
 			}
-		}}
+		},
+	}
 }
 
 func measureProxy(ctx context.Context, e *Env, connections, protocol string, rounds int, lasts time.Duration, asJSON bool) error {
--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -10,10 +10,13 @@
 )
 
 func planCommand() command {
-	return command{name: "plan", group: files, does: "tells what a change from one configuration, or fleet file, to another brings",
+	return command{
+		name: "plan", group: files, does: "tells what a change from one configuration, or fleet file, to another brings",
 		args: "[--fleet] OLD NEW [--json]",
-		examples: []string{"lockflow plan /etc/lockflow/lockflow.toml new.toml",
-			"lockflow plan --fleet old/fleet.toml new/fleet.toml --json   # 0 none, 1 conflicts, 2 unusable input"},
+		examples: []string{
+			"lockflow plan /etc/lockflow/lockflow.toml new.toml",
+			"lockflow plan --fleet old/fleet.toml new/fleet.toml --json   # 0 none, 1 conflicts, 2 unusable input",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			asJSON := set.Bool("json", false, "prints it as JSON")
 			fleet := set.Bool("fleet", false, "the files name regions; tells the order in which these may change, and conflicts on the way")
@@ -26,7 +29,8 @@
 				}
 				return plan(e, args[0], args[1], *asJSON)
 			}
-		}}
+		},
+	}
 }
 
 // plan prints the changes; it fails where a reload would be refused.
--- a/internal/command/proxy.go
+++ b/internal/command/proxy.go
@@ -13,10 +13,13 @@
 )
 
 func proxyCommand() command {
-	return command{name: "proxy", group: running, does: "serves ordinary HTTP from some app servers, with no configuration file",
+	return command{
+		name: "proxy", group: running, does: "serves ordinary HTTP from some app servers, with no configuration file",
 		args: "--to ADDRESS[,ADDRESS...] [--listen ADDRESS] [--for TIME] [--print]",
-		examples: []string{"lockflow proxy --listen 127.0.0.1:8080 --to 127.0.0.1:9001,127.0.0.1:9002",
-			"lockflow proxy --to 127.0.0.1:9001 --print > lockflow.toml    # the file that does the same"},
+		examples: []string{
+			"lockflow proxy --listen 127.0.0.1:8080 --to 127.0.0.1:9001,127.0.0.1:9002",
+			"lockflow proxy --to 127.0.0.1:9001 --print > lockflow.toml    # the file that does the same",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			listen := set.String("listen", "127.0.0.1:8080", "`ADDRESS` for clients")
 			to := set.StringSlice("to", nil, "`ADDRESS`es of the app servers")
@@ -36,7 +39,8 @@
 				}
 				return serveProxy(ctx, e, text, *lasts)
 			}
-		}}
+		},
+	}
 }
 
 // proxyConfig is the configuration of a proxy.
--- a/internal/command/regions_test.go
+++ b/internal/command/regions_test.go
@@ -133,8 +133,10 @@
 		"both get a route":    {"", moved("b"), "", "", "north south", ""},
 		"through the smaller": {"RATE=40;BURST=60", "RATE=50;BURST=50", "", "ceiling", "north (intermediate) south (intermediate) north south", "north south"},
 		"both move a route":   {moved("app"), moved("b"), "", "service", "", "north south"},
-		"as is meant": {moved("app"), moved("b"), "[[waivers]]\nkind='service'\nregions=['north', 'south']\nrules=['x']\nreason='moves'\nuntil=2999-01-01", "",
-			"north south", ""},
+		"as is meant": {
+			moved("app"), moved("b"), "[[waivers]]\nkind='service'\nregions=['north', 'south']\nrules=['x']\nreason='moves'\nuntil=2999-01-01", "",
+			"north south", "",
+		},
 	} {
 		old, new := fleetOf(t, tc.old, tc.old, ""), fleetOf(t, tc.new, tc.new, tc.more)
 		code, out, errs := run(t, nil, "plan", "--fleet", old, new, "--json")
--- a/internal/command/replay.go
+++ b/internal/command/replay.go
@@ -17,10 +17,13 @@
 const stepsBefore = 8
 
 func replayCommand() command {
-	return command{name: "replay", group: trying, does: "plays recordings of decisions again and verifies that they come out the same",
+	return command{
+		name: "replay", group: trying, does: "plays recordings of decisions again and verifies that they come out the same",
 		args: "FILE... [--steps] [--id ID] [--json]",
-		examples: []string{"lockflow replay /var/lib/lockflow/record/rosters-*.lfrec",
-			"lockflow replay --steps --id 4f rosters-00001.lfrec    # what became of one request"},
+		examples: []string{
+			"lockflow replay /var/lib/lockflow/record/rosters-*.lfrec",
+			"lockflow replay --steps --id 4f rosters-00001.lfrec    # what became of one request",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			steps := set.Bool("steps", false, "prints each event with the actions that answer it")
 			id := set.String("id", "", "prints the events and actions of the request `ID` only")
@@ -55,7 +58,8 @@
 				}
 				return nil
 			}
-		}}
+		},
+	}
 }
 
 type replayer struct {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -25,11 +25,14 @@
 const tallyKey = "LOCKFLOW_TALLY"
 
 func serveCommand() command {
-	return command{name: "serve", group: running, does: "serves by a configuration; SIGHUP reads it again, SIGUSR2 upgrades, SIGTERM drains",
+	return command{
+		name: "serve", group: running, does: "serves by a configuration; SIGHUP reads it again, SIGUSR2 upgrades, SIGTERM drains",
 		args: "[--config FILE] [--pid-file FILE] [--listen ADDRESS] [--instance N --instances N] [--control PATH] [--state DIR]",
-		examples: []string{"lockflow serve --config deploy/lockflow.toml", "LOCKFLOW_CONFIG=deploy/lockflow.toml lockflow",
+		examples: []string{
+			"lockflow serve --config deploy/lockflow.toml", "LOCKFLOW_CONFIG=deploy/lockflow.toml lockflow",
 			"lockflow serve --config /etc/lockflow/lockflow.toml --pid-file /run/lockflow/pid",
-			"lockflow serve --config lockflow.toml --listen 127.0.0.1:8081 --instances 4 --instance 1 --control /run/lockflow/1.sock"},
+			"lockflow serve --config lockflow.toml --listen 127.0.0.1:8081 --instances 4 --instance 1 --control /run/lockflow/1.sock",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			path := set.String("config", "", "`FILE` of the configuration; LOCKFLOW_CONFIG if it is not given")
 			pid := set.String("pid-file", "", "`FILE` for the process id, which keeps a second daemon out")
@@ -51,7 +54,8 @@
 				}
 				return serveOwn(ctx, e, *path, *pid, o)
 			}
-		}}
+		},
+	}
 }
 
 // serveOwn serves by a file of our own form, as a daemon.
@@ -73,7 +77,8 @@
 	return daemon.Run(ctx, daemon.Options{
 		Load:  func() (config.Config, error) { return over(config.Load(path)) },
 		Parse: func(text []byte) (config.Config, error) { return over(config.Parse(path, text)) },
-		State: o.State, Tune: tune, Config: path, PIDFile: pidFile, Program: program, Args: e.Args, Getenv: e.Getenv, Hup: e.Hup, Usr2: e.Usr2})
+		State: o.State, Tune: tune, Config: path, PIDFile: pidFile, Program: program, Args: e.Args, Getenv: e.Getenv, Hup: e.Hup, Usr2: e.Usr2,
+	})
 }
 
 // serveByEnvironment is what the program does without arguments.
@@ -98,8 +103,10 @@
 	if err != nil {
 		return badConfig(err)
 	}
-	for name, field := range map[string]*string{"NODE_LISTEN": &cfg.Listeners[0],
-		"NODE_DISCOVERY": &cfg.Services[0].Source.Address} {
+	for name, field := range map[string]*string{
+		"NODE_LISTEN":    &cfg.Listeners[0],
+		"NODE_DISCOVERY": &cfg.Services[0].Source.Address,
+	} {
 		if v := e.Getenv(name); v != "" {
 			if err := config.CheckAddress(v); err != nil {
 				return badConfig(fmt.Errorf("%s: %w", name, err))
--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -23,16 +23,19 @@
 )
 
 func simulateCommand() command {
-	return command{name: "simulate", group: trying, does: "plays a fleet in virtual time: a day by its name, a staged change, or one cold server and one ceiling",
+	return command{
+		name: "simulate", group: trying, does: "plays a fleet in virtual time: a day by its name, a staged change, or one cold server and one ceiling",
 		args: "[--day NAME,NAME...|all|mutations] [--instances N,N...] [--told N] [--lag TIME,TIME...] [--uneven] [--per-server N] [--load PART] [--seed N] [--quota NAME,NAME...|all] [--seeds N] [--why] [--rollout] [--json]",
-		examples: []string{"lockflow simulate --day all --instances 2,8,80,300 --seed 7",
+		examples: []string{
+			"lockflow simulate --day all --instances 2,8,80,300 --seed 7",
 			"lockflow simulate --day mutations --instances 40   # each guard taken out in turn; the checker has to find it",
 			"lockflow simulate --instances 40,400,4000 --lag 0s,2s,5s",
 			"lockflow simulate --instances 40 --told 1 --per-server 10 --load 0.95   # the group's size is ignored",
 			"lockflow simulate --rollout --instances 4,40,400 --harm all --runs 100   # how many changes are stopped, where",
 			"lockflow simulate --instances 40 --json > sim.json && lockplot sim.json cold.svg",
 			"lockflow simulate --quota all --instances 300 --seeds 5 --why   # what is let through beyond quotas, and why",
-			"lockflow simulate --gather all --seed 7   # when to answer a scattered query with what has come"},
+			"lockflow simulate --gather all --seed 7   # when to answer a scattered query with what has come",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			var o fleetsim.Options
 			instances := set.String("instances", "40,400", "`N,N...` that there are")
@@ -104,7 +107,8 @@
 				printSimulated(e.Out, all)
 				return nil
 			}
-		}}
+		},
+	}
 }
 
 func printSimulated(w io.Writer, all []fleetsim.Report) {
--- a/internal/command/simulate_rollout.go
+++ b/internal/command/simulate_rollout.go
@@ -86,8 +86,10 @@
 				for _, j := range judges {
 					for _, w := range without {
 						fmt.Fprintf(e.Err, "playing %d rollouts over %d instances, %s traffic, harm: %s\n", p.runs, n, t, h)
-						r, err := rolloutsim.Run(rolloutsim.Options{Instances: n, Traffic: t, Harm: rolloutsim.Harms[slices.Index(harmNames(), h)], Judge: j,
-							Without: w, Rate: p.rate, Runs: p.runs, FaultEvery: p.every, Seed: p.seed})
+						r, err := rolloutsim.Run(rolloutsim.Options{
+							Instances: n, Traffic: t, Harm: rolloutsim.Harms[slices.Index(harmNames(), h)], Judge: j,
+							Without: w, Rate: p.rate, Runs: p.runs, FaultEvery: p.every, Seed: p.seed,
+						})
 						if err != nil {
 							return usage("simulate: %v", err)
 						}
--- a/internal/command/tally.go
+++ b/internal/command/tally.go
@@ -15,10 +15,13 @@
 )
 
 func tallyCommand() command {
-	return command{name: "tally", group: trying, does: "adds up what the instances of a fleet wrote of themselves (LOCKFLOW_TALLY=1)",
+	return command{
+		name: "tally", group: trying, does: "adds up what the instances of a fleet wrote of themselves (LOCKFLOW_TALLY=1)",
 		args: "[--aim TIME] [--servers N] [--json] LOG...",
-		examples: []string{"LOCKFLOW_TALLY=1 lockflow 2>n0.log", "lockflow tally --aim 2s logs/n*.log",
-			"lockflow tally --json logs/n*.log | jq '.servers[0]'"},
+		examples: []string{
+			"LOCKFLOW_TALLY=1 lockflow 2>n0.log", "lockflow tally --aim 2s logs/n*.log",
+			"lockflow tally --json logs/n*.log | jq '.servers[0]'",
+		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
 			aim := set.Duration("aim", 0, "`TIME` within which a served request is in time; any, if it is not given")
 			most := set.Int("servers", 10, "`N` servers shown, the slowest first")
@@ -46,7 +49,8 @@
 				printTally(e.Out, &s, *most)
 				return nil
 			}
-		}}
+		},
+	}
 }
 
 func readTally(a *tally.Adder, path string) error {
--- a/internal/config/divide.go
+++ b/internal/config/divide.go
@@ -15,14 +15,20 @@
 		read  func(tree.Table, string) float64
 		set   func(*Amounts, float64)
 	}{
-		{"descriptors", float64(c.Process.Total.Descriptors - c.Process.Clients), whole(countMost),
-			func(a *Amounts, v float64) { a.Descriptors = int64(v) }},
+		{
+			"descriptors", float64(c.Process.Total.Descriptors - c.Process.Clients), whole(countMost),
+			func(a *Amounts, v float64) { a.Descriptors = int64(v) },
+		},
 		{"held", float64(c.Process.Total.Held), whole(countMost), func(a *Amounts, v float64) { a.Held = int64(v) }},
-		{"bytes", float64(c.Process.Total.Bytes), func(t tree.Table, key string) float64 { return float64(t.Size(key, 0, 0, bytesMost)) },
-			func(a *Amounts, v float64) { a.Bytes = int64(v) }},
+		{
+			"bytes", float64(c.Process.Total.Bytes), func(t tree.Table, key string) float64 { return float64(t.Size(key, 0, 0, bytesMost)) },
+			func(a *Amounts, v float64) { a.Bytes = int64(v) },
+		},
 		{"dials", float64(c.Process.Total.Dials), whole(countMost), func(a *Amounts, v float64) { a.Dials = int64(v) }},
-		{"module_time", c.Process.Total.ModuleTime, func(t tree.Table, key string) float64 { return t.Number(key, 0, 0, 1024) },
-			func(a *Amounts, v float64) { a.ModuleTime = v }},
+		{
+			"module_time", c.Process.Total.ModuleTime, func(t tree.Table, key string) float64 { return t.Number(key, 0, 0, 1024) },
+			func(a *Amounts, v float64) { a.ModuleTime = v },
+		},
 	}
 	if c.Process.Clients > c.Process.Total.Descriptors {
 		process.Wrong("clients", "%d are more than the %d connections that %d descriptors leave", c.Process.Clients,
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -121,10 +121,12 @@
 func (r *reader) process(t tree.Table) Process {
 	p := Process{Shared: true, Cores: t.Number("cores", 0, 0, 1024), MemoryMB: int(t.Integer("memory_mb", 0, 0, countMost))}
 	p.Descriptors = int(t.Integer("descriptors", 1024, 64, countMost))
-	p.Total = Amounts{Descriptors: int64(limits.Connections(p.Descriptors)),
-		Held:  t.Integer("held", 0, 1, countMost),
-		Bytes: t.Size("bytes", 64<<20, 1, bytesMost), Dials: t.Integer("dials", 128, 1, countMost),
-		ModuleTime: t.Number("module_time", 0.5, 0.001, 1024)}
+	p.Total = Amounts{
+		Descriptors: int64(limits.Connections(p.Descriptors)),
+		Held:        t.Integer("held", 0, 1, countMost),
+		Bytes:       t.Size("bytes", 64<<20, 1, bytesMost), Dials: t.Integer("dials", 128, 1, countMost),
+		ModuleTime: t.Number("module_time", 0.5, 0.001, 1024),
+	}
 	p.Clients = t.Integer("clients", p.Total.Descriptors/3, 1, countMost)
 	r.group.size = int(t.Integer("instances", 1, 1, countMost))
 	r.group.index = int(t.Integer("instance", 0, 0, countMost))
@@ -132,8 +134,10 @@
 		t.Wrong("instance", "%d is none of %d, counted from 0", r.group.index, r.group.size)
 	}
 	d := t.Sub("drain")
-	p.Drain = Drain{Idle: d.Span("idle", PlatformDrain.Idle, 0, day), Accept: d.Span("accept", PlatformDrain.Accept, 0, day),
-		Most: d.Span("most", PlatformDrain.Most, 0, day)}
+	p.Drain = Drain{
+		Idle: d.Span("idle", PlatformDrain.Idle, 0, day), Accept: d.Span("accept", PlatformDrain.Accept, 0, day),
+		Most: d.Span("most", PlatformDrain.Most, 0, day),
+	}
 	if p.Drain.Idle > p.Drain.Accept || p.Drain.Accept > p.Drain.Most {
 		d.Wrong("accept", "idle, accept and most come in this order: %v, %v, %v", p.Drain.Idle, p.Drain.Accept, p.Drain.Most)
 	}
@@ -147,8 +151,10 @@
 		t.Wrong("checkpoint", "only with a state directory")
 	}
 	u := t.Sub("upgrade")
-	p.Upgrade = Upgrade{Within: u.Span("within", 15*time.Second, 10*time.Millisecond, day),
-		Probation: u.Span("probation", 2*time.Second, 0, day)}
+	p.Upgrade = Upgrade{
+		Within:    u.Span("within", 15*time.Second, 10*time.Millisecond, day),
+		Probation: u.Span("probation", 2*time.Second, 0, day),
+	}
 	u.Done()
 	t.Done()
 	return p
@@ -191,12 +197,14 @@
 }
 
 func class(name string, t tree.Table) control.Class {
-	k := control.Class{Name: name, Aim: t.Span("aim", 2*time.Second, time.Millisecond, day),
+	k := control.Class{
+		Name: name, Aim: t.Span("aim", 2*time.Second, time.Millisecond, day),
 		Deadline: t.Span("deadline", 0, time.Millisecond, day),
 		Effect:   control.Effect(t.OneOf("repeats", "free", "keyed", "never")),
 		KeyScope: control.Scope(t.OneOf("key_scope", "all", "zone", "group")),
 		Worth:    t.Number("worth", 1, 0, figureMost), LateShare: t.Number("late_share", 0, 0, 1),
-		RepeatWindow: t.Span("repeat_window", 0, 0, day)}
+		RepeatWindow: t.Span("repeat_window", 0, 0, day),
+	}
 	if k.Deadline == 0 {
 		k.Deadline = 4 * k.Aim
 	}
@@ -223,11 +231,13 @@
 }
 
 func plan(name string, t tree.Table) control.Plan {
-	p := control.Plan{Name: name, Price: t.Number("price", 1, 0, figureMost), Rate: t.Number("rate", 0, 0, figureMost),
+	p := control.Plan{
+		Name: name, Price: t.Number("price", 1, 0, figureMost), Rate: t.Number("rate", 0, 0, figureMost),
 		Depth: t.Number("depth", 0, 0, figureMost), Open: int(t.Integer("open", 0, 0, countMost)),
 		OverCost: t.Number("over_cost", 0, 0, figureMost), OverEarns: t.Number("over_earns", 0, 0, 1),
 		CeilingRate:  t.Number("ceiling_rate", 0, 0, figureMost),
-		CeilingBurst: t.Number("ceiling_burst", 0, 0, figureMost), CeilingSlack: t.Number("ceiling_slack", 0, 0, figureMost)}
+		CeilingBurst: t.Number("ceiling_burst", 0, 0, figureMost), CeilingSlack: t.Number("ceiling_slack", 0, 0, figureMost),
+	}
 	if p.Rate > 0 && p.Depth == 0 {
 		t.Wrong("depth", "a rate needs one: units that may be used at once")
 	}
@@ -257,18 +267,22 @@
 	if t.Has("protocol") {
 		speaks = t.OneOf("protocol", protocols...)
 	}
-	s := Service{Name: name, Required: t.Flag("required", true), OnPanic: service.Policy(t.OneOf("on_panic", "end", "restart")),
+	s := Service{
+		Name: name, Required: t.Flag("required", true), OnPanic: service.Policy(t.OneOf("on_panic", "end", "restart")),
 		Connect:   t.Span("connect_timeout", 250*time.Millisecond, time.Millisecond, time.Minute),
 		Keepalive: t.Span("keepalive", 15*time.Second, 100*time.Millisecond, day),
 		Body:      t.Size("body", protocol.BodyMost, 0, bodyMost),
-		Answer:    t.Size("answer", protocol.BodyMost, 1, answerMost)}
-	set := control.Settings{SelfIndex: r.group.index, GroupSize: r.group.size, Zone: t.Str("zone", ""),
+		Answer:    t.Size("answer", protocol.BodyMost, 1, answerMost),
+	}
+	set := control.Settings{
+		SelfIndex: r.group.index, GroupSize: r.group.size, Zone: t.Str("zone", ""),
 		DrainGrace: t.Span("drain_grace", 2*time.Second, 0, day), Cold: t.Span("cold", 15*time.Second, 0, day),
 		ColdFrom: t.Number("cold_from", 0.15, 0, 1), Fall: t.Span("fall", 2*time.Second, 0, day),
 		FallMultiple: t.Number("fall_multiple", 2.5, 0, figureMost), MeterPeriod: t.Span("meter_period", 0, 0, day),
 		CostAfter: t.Flag("cost_after", false), UnitsTop: t.Number("units_top", 0, 0, figureMost),
 		SendCap: int(t.Integer("attempts", 6, 1, 1000)), MayCancel: true, MarksRetry: t.Flag("marks_retry", true),
-		MaxRetryAfter: t.Span("retry_after", time.Second, 0, day)}
+		MaxRetryAfter: t.Span("retry_after", time.Second, 0, day),
+	}
 	set.RetryAfter = set.MaxRetryAfter > 0
 	ordinary := protocols[speaks] == "http"
 	for _, k := range r.named(t, "classes", classes, ordinary) {
@@ -307,11 +321,15 @@
 // counter reads how a service's ceilings are shared. What can't be kept by its figures is wrong here,
 // and not found out in service.
 func (r *reader) counter(t tree.Table, name string, plans []control.Plan) Counter {
-	c := Counter{Addresses: t.Texts("addresses"), Name: t.Str("name", name), Username: t.Str("username", ""), PasswordFile: path(t, "password_file"),
-		Within: t.Span("within", 200*time.Millisecond, time.Millisecond, allowance.CallWithin), Ceilings: make(map[string]allowance.Ceiling)}
-	c.Rules = allowance.Rules{Instances: max(1, r.group.size), Term: t.Span("term", time.Second, 10*time.Millisecond, time.Minute),
+	c := Counter{
+		Addresses: t.Texts("addresses"), Name: t.Str("name", name), Username: t.Str("username", ""), PasswordFile: path(t, "password_file"),
+		Within: t.Span("within", 200*time.Millisecond, time.Millisecond, allowance.CallWithin), Ceilings: make(map[string]allowance.Ceiling),
+	}
+	c.Rules = allowance.Rules{
+		Instances: max(1, r.group.size), Term: t.Span("term", time.Second, 10*time.Millisecond, time.Minute),
 		Pledge: t.Span("pledge", 2*time.Second, 10*time.Millisecond, time.Hour), Settle: t.Span("settle", 10*time.Second, 10*time.Millisecond, day),
-		Drift: t.Number("drift", 0.001, 0, 0.1)}
+		Drift: t.Number("drift", 0.001, 0, 0.1),
+	}
 	most := t.Number("over", 0.05, 0, 1)
 	if len(c.Addresses) == 0 {
 		t.Wrong("addresses", "a counter needs one at least")
@@ -432,9 +450,11 @@
 }
 
 func server(t tree.Table) discovery.Target {
-	s := discovery.Target{UID: t.Str("uid", ""), Endpoint: t.Str("endpoint", ""), Zone: t.Str("zone", ""),
+	s := discovery.Target{
+		UID: t.Str("uid", ""), Endpoint: t.Str("endpoint", ""), Zone: t.Str("zone", ""),
 		Model: t.Str("model", ""), Group: int(t.Integer("group", 0, 0, countMost)),
-		State: []string{"up", "draining"}[t.OneOf("state", "up", "draining")], Capacity: t.Number("capacity", 1, 0.001, figureMost)}
+		State: []string{"up", "draining"}[t.OneOf("state", "up", "draining")], Capacity: t.Number("capacity", 1, 0.001, figureMost),
+	}
 	if s.UID == "" {
 		s.UID = s.Endpoint
 	}
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -74,8 +74,10 @@
 }
 
 func (r *reader) gather(name string, in tree.Table) Gather {
-	g := Gather{Name: name, Body: in.Size("body", 64<<10, 0, bodyMost), TimeHeader: fieldName(in, "time_header"),
-		RetryAfter: in.Span("retry_after", time.Second, 0, day), Classes: make(map[string]control.Class)}
+	g := Gather{
+		Name: name, Body: in.Size("body", 64<<10, 0, bodyMost), TimeHeader: fieldName(in, "time_header"),
+		RetryAfter: in.Span("retry_after", time.Second, 0, day), Classes: make(map[string]control.Class),
+	}
 	if in.Has("protocol") && protocols[in.OneOf("protocol", protocols...)] != "http" || !in.Has("protocol") && protocols[r.speaks] != "http" {
 		in.Wrong("protocol", `a gathering service speaks "http" only`)
 	}
@@ -157,8 +159,10 @@
 
 // gatherShare reads where learned deadlines are shared, by the words of a counter.
 func (r *reader) gatherShare(t tree.Table, name string) GatherShare {
-	s := GatherShare{Addresses: t.Texts("addresses"), Name: t.Str("name", name), Username: t.Str("username", ""),
-		PasswordFile: path(t, "password_file"), Within: t.Span("within", 200*time.Millisecond, time.Millisecond, time.Minute)}
+	s := GatherShare{
+		Addresses: t.Texts("addresses"), Name: t.Str("name", name), Username: t.Str("username", ""),
+		PasswordFile: path(t, "password_file"), Within: t.Span("within", 200*time.Millisecond, time.Millisecond, time.Minute),
+	}
 	if len(s.Addresses) == 0 {
 		t.Wrong("addresses", "sharing needs one at least")
 	}
--- a/internal/config/http.go
+++ b/internal/config/http.go
@@ -59,10 +59,12 @@
 
 // http reads what only ordinary HTTP has, and completes the classes and plans.
 func (r *reader) http(t tree.Table, s *Service) {
-	h := &HTTP{TimeHeader: fieldName(t, "time_header"), SendTime: t.Flag("send_time", false), SendID: t.Flag("send_id", false),
+	h := &HTTP{
+		TimeHeader: fieldName(t, "time_header"), SendTime: t.Flag("send_time", false), SendID: t.Flag("send_id", false),
 		Replay: t.Size("replay", 64<<10, 0, bodyMost), Idle: t.Span("idle", time.Minute, secondsLeast, idleMost),
 		LeastRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: answer.Default(),
-		Tells: hop.Tells(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none"))}
+		Tells: hop.Tells(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none")),
+	}
 	s.HTTP = h
 	if !t.Has("connect_timeout") {
 		s.Connect = ordinaryConnect
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -156,8 +156,10 @@
 }
 
 // keys are the names of fields in a file, where they are not the fields' own.
-var keys = map[string]string{"SendCap": "attempts", "MaxRetryAfter": "retry_after", "Connect": "connect_timeout", "Effect": "repeats",
-	"MemoryMB": "memory_mb", "GroupSize": "instances", "SelfIndex": "instance", "RetryAfter": "retry_after"}
+var keys = map[string]string{
+	"SendCap": "attempts", "MaxRetryAfter": "retry_after", "Connect": "connect_timeout", "Effect": "repeats",
+	"MemoryMB": "memory_mb", "GroupSize": "instances", "SelfIndex": "instance", "RetryAfter": "retry_after",
+}
 
 func keyOf(field string) string {
 	if k, ok := keys[field]; ok {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -48,11 +48,17 @@
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return Config{}, err
 	}
-	s := Service{Source: discovery.Source{Address: file.Discovery}, Required: true,
-		Body: protocol.BodyMost, Answer: protocol.BodyMost}
-	c := Config{Listeners: []string{file.Listen},
-		Process: Process{Cores: file.Limits.Cores, MemoryMB: int(math.Ceil(min(file.Limits.MemoryMB, math.MaxInt32))),
-			Descriptors: int(min(file.Limits.Sockets, math.MaxInt32))}}
+	s := Service{
+		Source: discovery.Source{Address: file.Discovery}, Required: true,
+		Body: protocol.BodyMost, Answer: protocol.BodyMost,
+	}
+	c := Config{
+		Listeners: []string{file.Listen},
+		Process: Process{
+			Cores: file.Limits.Cores, MemoryMB: int(math.Ceil(min(file.Limits.MemoryMB, math.MaxInt32))),
+			Descriptors: int(min(file.Limits.Sockets, math.MaxInt32)),
+		},
+	}
 	if file.Listen == "" || file.Discovery == "" {
 		return c, fmt.Errorf("listen and discovery must both be given")
 	}
--- a/internal/customer/customer_test.go
+++ b/internal/customer/customer_test.go
@@ -32,8 +32,10 @@
 }
 
 func TestOf(t *testing.T) {
-	b := New(Options{DefaultPlan: "basic", Strangers: 10, Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
-		By: []Way{{Kind: Header, Name: "X-Key", Secret: true}, {Kind: Query, Name: "account"}, {Kind: Cookie, Name: "sid"}, {Kind: Address}}})
+	b := New(Options{
+		DefaultPlan: "basic", Strangers: 10, Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+		By: []Way{{Kind: Header, Name: "X-Key", Secret: true}, {Kind: Query, Name: "account"}, {Kind: Cookie, Name: "sid"}, {Kind: Address}},
+	})
 	names, err := Read("f", strings.NewReader("# a comment\nacme, gold\n\"a,b\",basic\nsecret:k-1,gold\n"), any)
 	if err != nil {
 		t.Fatal(err)
@@ -93,8 +95,10 @@
 }
 
 func TestReadBad(t *testing.T) {
-	for text, want := range map[string]string{"a": "f: record on line 1: wrong number", "a,gold\nc": "line 2", "a,gold\na,gold": "f:2: a name that is given twice",
-		",gold": "f:1: a name of no bytes", "ok,gold\nx,lead": `f:2: "lead" is no plan`, "\"a,gold": "f: "} {
+	for text, want := range map[string]string{
+		"a": "f: record on line 1: wrong number", "a,gold\nc": "line 2", "a,gold\na,gold": "f:2: a name that is given twice",
+		",gold": "f:1: a name of no bytes", "ok,gold\nx,lead": `f:2: "lead" is no plan`, "\"a,gold": "f: ",
+	} {
 		_, err := Read("f", strings.NewReader(text), func(p string) bool { return p == "gold" })
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, not %s", text, err, want)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -359,8 +359,10 @@
 	r.t.Helper()
 	for range n {
 		req, _ := http.NewRequest("GET", "http://"+r.addr+"/read?account=00000000b4d65521", nil)
-		for k, v := range map[string]string{"X-Correlation-Id": fmt.Sprintf("%x", rand.Uint64()), "X-Tariff": "enterprise", "X-Time-Left": "2000m",
-			"X-Weight": "units=1,spread=1,first=0"} {
+		for k, v := range map[string]string{
+			"X-Correlation-Id": fmt.Sprintf("%x", rand.Uint64()), "X-Tariff": "enterprise", "X-Time-Left": "2000m",
+			"X-Weight": "units=1,spread=1,first=0",
+		} {
 			req.Header.Set(k, v)
 		}
 		resp, err := http.DefaultClient.Do(req)
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -150,9 +150,11 @@
 
 // Status is manage.Daemon's.
 func (d *daemon) Status() manage.Status {
-	s := manage.Status{PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Started: d.started,
+	s := manage.Status{
+		PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Started: d.started,
 		Generation: d.node.Generation(), Listeners: d.node.Addresses(), Services: d.node.Status(), Gathers: d.node.Gathers(), Older: d.node.Older(),
-		Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list()}
+		Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
+	}
 	s.Instance, s.Instances = d.node.Instance()
 	s.Figures = d.figures()
 	d.seen(func() {
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -74,9 +74,11 @@
 	if s.Generation != 2 || s.Hash != w.Hash || r.file() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.Order != (orders.Done{ID: "s/1", Code: orders.OK}) || s.Wanted.Hash != w.Hash {
 		t.Errorf("%+v", s)
 	}
-	for name, bad := range map[string]orders.Want{"an unknown key": r.want("[plans.standard]", "[plans.standard]\nx = 1"),
+	for name, bad := range map[string]orders.Want{
+		"an unknown key":     r.want("[plans.standard]", "[plans.standard]\nx = 1"),
 		"needs a restart":    r.want("/state\"", "/other\""),
-		"an address in vain": r.want(`address = "127.0.0.1:0"`, `address = "192.0.2.1:9"`)} {
+		"an address in vain": r.want(`address = "127.0.0.1:0"`, `address = "192.0.2.1:9"`),
+	} {
 		for range 2 {
 			r.is(name, r.order(7, "bad/"+name, bad), manage.ErrFailed)
 		}
@@ -161,8 +163,12 @@
 		kept     bool   // the old text was kept
 		replaced bool   // the file was
 		code     string // of the order after the start; "" is cut
-	}{{"written down alone", "# 1", false, false, ""}, {"the old text is kept", "# 2", true, false, ""}, {"the file is replaced", "# 3", true, true, orders.OK},
-		{"can't start", "listeners", true, true, orders.Failed}} {
+	}{
+		{"written down alone", "# 1", false, false, ""},
+		{"the old text is kept", "# 2", true, false, ""},
+		{"the file is replaced", "# 3", true, true, orders.OK},
+		{"can't start", "listeners", true, true, orders.Failed},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			id := fmt.Sprint("s/", i)
 			was := r.status()
--- a/internal/daemon/parked.go
+++ b/internal/daemon/parked.go
@@ -99,8 +99,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := p.d
-	s := manage.Status{PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Life: manage.Drained, Started: d.started,
-		Listeners: []string{}, Services: []node.Status{}, Older: []node.Older{}, Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list()}
+	s := manage.Status{
+		PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Life: manage.Drained, Started: d.started,
+		Listeners: []string{}, Services: []node.Status{}, Older: []node.Older{}, Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
+	}
 	if p.isServing() {
 		s.Life = life.Starting.String()
 	} else {
@@ -239,5 +241,7 @@
 	return d.build()
 }
 
-var _ manage.Daemon = (*parked)(nil)
-var _ manage.Daemon = (*daemon)(nil)
+var (
+	_ manage.Daemon = (*parked)(nil)
+	_ manage.Daemon = (*daemon)(nil)
+)
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -214,8 +214,10 @@
 // A configuration that is read while the watch is in any state, or twice, or that leads back to the old
 // discovery, has the list told 4 s later.
 func TestMovedInTheMiddle(t *testing.T) {
-	for name, old := range map[string]scripted{"beating": beating, "mute": mute, "in its head": cutHead, "behind its head": headOnly, "in a message": cutShort,
-		"in one, with heartbeats": cutNext, "never connected": away, "by the dialer's clock": timedOut, "reset": reset} {
+	for name, old := range map[string]scripted{
+		"beating": beating, "mute": mute, "in its head": cutHead, "behind its head": headOnly, "in a message": cutShort,
+		"in one, with heartbeats": cutNext, "never connected": away, "by the dialer's clock": timedOut, "reset": reset,
+	} {
 		for _, group := range []int{1, 3, 40, 300} {
 			for _, at := range []time.Duration{500 * time.Millisecond, 2500 * time.Millisecond, watchSilence, watchSilence + backoffFirst/2} {
 				for way, to := range map[string][]string{"once": {"discovery:1"}, "twice": {"discovery:1", "discovery:1"}, "and back": {"discovery:1", "old:1"}} {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -41,10 +41,14 @@
 }
 
 func newWatcher(addr string, rev int64, silence time.Duration, pace *Pace, tell func(Listing)) *watcher {
-	return &watcher{pace: pace, url: "http://" + addr + "/v1/servers?watch=1", rev: rev, silence: silence, tell: tell,
+	return &watcher{
+		pace: pace, url: "http://" + addr + "/v1/servers?watch=1", rev: rev, silence: silence, tell: tell,
 		last: time.Now(),
-		client: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: silence}).DialContext,
-			DisableKeepAlives: true, DisableCompression: true}}}
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: silence}).DialContext,
+			DisableKeepAlives: true, DisableCompression: true,
+		}},
+	}
 }
 
 // stay watches at one address until ctx ends, from some time on.
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -279,7 +279,9 @@
 		"\n \r\n" + `{"rev":44,"targets":[{"uid":"s-é","state":"draining"}]}{"rev":45,"targets":[]}` + "\r\n"
 	want := []Listing{
 		{Rev: 43, All: true, Targets: []Target{{UID: "s-é", Endpoint: "127.0.0.1:9", Zone: "Zürich", Model: "ü}", Group: 31, State: "up", BootMS: 1.7e12}}},
-		{Rev: 44, Targets: []Target{{UID: "s-é", State: "draining"}}}, {Rev: 45}}
+		{Rev: 44, Targets: []Target{{UID: "s-é", State: "draining"}}},
+		{Rev: 45},
+	}
 	pieces := map[string]func() io.Reader{"bytes": func() io.Reader { return iotest.OneByteReader(strings.NewReader(says)) }}
 	for i := range says {
 		pieces[strconv.Itoa(i)] = func() io.Reader { return io.MultiReader(strings.NewReader(says[:i]), strings.NewReader(says[i:])) }
--- a/internal/evidence/judge_test.go
+++ b/internal/evidence/judge_test.go
@@ -162,9 +162,11 @@
 		any := rapid.Custom(func(t *rapid.T) figures.Figures {
 			v := rapid.OneOf(rapid.Float64(), rapid.Just(math.NaN()), rapid.Just(math.Inf(1)), rapid.Float64Range(0, 1e6))
 			n := rapid.OneOf(rapid.Uint64(), rapid.Uint64Range(0, 1e6))
-			return figures.Figures{Asked: v.Draw(t, "asked"), Served: v.Draw(t, "served"), Units: v.Draw(t, "units"), Requests: n.Draw(t, "requests"),
+			return figures.Figures{
+				Asked: v.Draw(t, "asked"), Served: v.Draw(t, "served"), Units: v.Draw(t, "units"), Requests: n.Draw(t, "requests"),
 				Failed: n.Draw(t, "failed"), Refused: n.Draw(t, "refused"), Beyond: n.Draw(t, "beyond"), CPU: time.Duration(rapid.Int64().Draw(t, "cpu")),
-				MemoryKB: rapid.Int().Draw(t, "memory"), Began: time.Unix(rapid.Int64Range(0, 2).Draw(t, "began"), 0)}
+				MemoryKB: rapid.Int().Draw(t, "memory"), Began: time.Unix(rapid.Int64Range(0, 2).Draw(t, "began"), 0),
+			}
 		})
 		f.run(5, nil)
 		f.stage(0, 1, 1)
--- a/internal/faultnet/history/history_test.go
+++ b/internal/faultnet/history/history_test.go
@@ -152,8 +152,10 @@
 	x.Saw("m", "h2")
 	x.Saw("m", "h2")
 	got := strings.Join(x.Check(func(why string) bool { return why == "reset" }), "\n")
-	for i, want := range []string{"effect k: 2 times, at [s1 s2]", "member m at", "request 2: 2 final answers: [200 502]", "request 3: answered 200, and broken",
-		"request 4: no final answer", "request 5: asked twice", "request 9: answered, and never asked"} {
+	for i, want := range []string{
+		"effect k: 2 times, at [s1 s2]", "member m at", "request 2: 2 final answers: [200 502]", "request 3: answered 200, and broken",
+		"request 4: no final answer", "request 5: asked twice", "request 9: answered, and never asked",
+	} {
 		if lines := strings.Split(got, "\n"); len(lines) != 7 || !strings.HasPrefix(lines[i], want) {
 			t.Errorf("%d: want %s in\n%s", i, want, got)
 		}
--- a/internal/faultnet/play_test.go
+++ b/internal/faultnet/play_test.go
@@ -87,8 +87,14 @@
 				t.Error(e)
 			}
 		}
-		for i, want := range []struct{ refused, runs, stopped bool }{{true, true, true}, {true, false, false}, {true, false, false}, {false, false, false},
-			{false, true, true}, {false, true, false}}[:cut] {
+		for i, want := range []struct{ refused, runs, stopped bool }{
+			{true, true, true},
+			{true, false, false},
+			{true, false, false},
+			{false, false, false},
+			{false, true, true},
+			{false, true, false},
+		}[:cut] {
 			if !pl.Next() {
 				t.Fatal("there was no step", i)
 			}
--- a/internal/faultnet/process/process_test.go
+++ b/internal/faultnet/process/process_test.go
@@ -47,8 +47,10 @@
 func TestProcess(t *testing.T) {
 	dir := t.TempDir()
 	var told []time.Duration
-	p := &Process{Path: os.Args[0], Args: []string{"-test.run=none"}, Env: []string{"WRITER_STATE=" + dir}, Log: filepath.Join(t.TempDir(), "log"), State: dir,
-		ClockEnv: "WRITER_CLOCK", OnClock: func(d time.Duration) error { told = append(told, d); return nil }}
+	p := &Process{
+		Path: os.Args[0], Args: []string{"-test.run=none"}, Env: []string{"WRITER_STATE=" + dir}, Log: filepath.Join(t.TempDir(), "log"), State: dir,
+		ClockEnv: "WRITER_CLOCK", OnClock: func(d time.Duration) error { told = append(told, d); return nil },
+	}
 	defer p.Kill()
 	must := func(err error) {
 		t.Helper()
--- a/internal/faultnet/script/script_test.go
+++ b/internal/faultnet/script/script_test.go
@@ -16,8 +16,10 @@
 func TestDraw(t *testing.T) {
 	seen := make(map[Kind]bool)
 	rapid.Check(t, func(t *rapid.T) {
-		o := Spec{Links: rapid.IntRange(0, 4).Draw(t, "links"), Procs: rapid.IntRange(0, 4).Draw(t, "procs"),
-			For: time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "for")), Faults: rapid.IntRange(0, 20).Draw(t, "faults"), ProcKinds: every.ProcKinds}
+		o := Spec{
+			Links: rapid.IntRange(0, 4).Draw(t, "links"), Procs: rapid.IntRange(0, 4).Draw(t, "procs"),
+			For: time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "for")), Faults: rapid.IntRange(0, 20).Draw(t, "faults"), ProcKinds: every.ProcKinds,
+		}
 		seed := rapid.Uint64().Draw(t, "seed")
 		s := Draw(seed, o)
 		if err := s.Check(); err != nil {
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -102,8 +102,10 @@
 		return Outcome{}, err
 	}
 	n := len(j.Change.Sockets)
-	c := &carrier{c: j.Change, j: j, r: r, ways: w, judge: w.Judge, began: time.Now(), events: make(chan any, 4*n+16), places: make(chan struct{}, callsMost),
-		asking: make([]bool, n), seen: make([]*manage.Status, n), ordered: make([]bool, n), known: make(programs)}
+	c := &carrier{
+		c: j.Change, j: j, r: r, ways: w, judge: w.Judge, began: time.Now(), events: make(chan any, 4*n+16), places: make(chan struct{}, callsMost),
+		asking: make([]bool, n), seen: make([]*manage.Status, n), ordered: make([]bool, n), known: make(programs),
+	}
 	for _, s := range j.Change.Sockets {
 		c.members = append(c.members, manage.Client{Path: s})
 	}
@@ -115,8 +117,10 @@
 			stages += len(s)
 		}
 		warm := min(30*time.Second, p.Bake/2)
-		c.judge = evidence.NewJudge(evidence.Options{Stages: max(stages, 1), BakeLeast: p.Bake, BakeMost: p.BakeMost, Warm: warm,
-			Onset: min(time.Minute, max(p.Bake/2, time.Second))})
+		c.judge = evidence.NewJudge(evidence.Options{
+			Stages: max(stages, 1), BakeLeast: p.Bake, BakeMost: p.BakeMost, Warm: warm,
+			Onset: min(time.Minute, max(p.Bake/2, time.Second)),
+		})
 	}
 	if w.Progress == nil {
 		c.ways.Progress = io.Discard
@@ -189,8 +193,10 @@
 	}
 	s := h.s
 	up := s.Ready() || c.c.Kind == orders.Settings && s.AsWanted()
-	return rollout.Seen{Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.Doing,
-		Lost: s.Lost, Load: load(s)}
+	return rollout.Seen{
+		Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.Doing,
+		Lost: s.Lost, Load: load(s),
+	}
 }
 
 // load is the share of a member's own bounds that is used, of the fullest: requests that it may hold, bytes,
--- a/internal/fleet/change_test.go
+++ b/internal/fleet/change_test.go
@@ -130,8 +130,11 @@
 	for _, c := range []struct {
 		last rollout.Entry
 		want string
-	}{{rollout.Entry{Kind: rollout.EntryBake}, "it was cut at bake"}, {rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.Done)}, ""},
-		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.Stopped)}, "stopped"}} {
+	}{
+		{rollout.Entry{Kind: rollout.EntryBake}, "it was cut at bake"},
+		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.Done)}, ""},
+		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.Stopped)}, "stopped"},
+	} {
 		j := Journal{Change: &Change{}, Entries: []rollout.Entry{c.last}}
 		if got := j.Unfinished(); got != c.want {
 			t.Errorf("%+v: %q", c.last, got)
--- a/internal/fleetfile/regions.go
+++ b/internal/fleetfile/regions.go
@@ -56,8 +56,10 @@
 
 func service(s config.Service) regions.Service {
 	set := s.Settings
-	v := regions.Service{Name: s.Name, Ordinary: s.HTTP != nil, Classes: set.Classes, Plans: set.Plans,
-		Cold: regions.Cold{For: set.Cold, From: set.ColdFrom, Multiple: set.FallMultiple}}
+	v := regions.Service{
+		Name: s.Name, Ordinary: s.HTTP != nil, Classes: set.Classes, Plans: set.Plans,
+		Cold: regions.Cold{For: set.Cold, From: set.ColdFrom, Multiple: set.FallMultiple},
+	}
 	if s.Counter.Name != "" {
 		// The same name at other counters is counted apart.
 		v.Counter = s.Counter.Name + " at " + strings.Join(slices.Sorted(slices.Values(s.Counter.Addresses)), ",")
--- a/internal/fleetfile/waivers.go
+++ b/internal/fleetfile/waivers.go
@@ -16,8 +16,10 @@
 const WaiverKind regions.Kind = "waiver"
 
 // kinds are those that can be waived.
-var kinds = []regions.Kind{regions.ServiceKind, regions.CoverageKind, regions.TermsKind, regions.CeilingKind, regions.ColdKind,
-	regions.LoopKind, regions.DeadKind}
+var kinds = []regions.Kind{
+	regions.ServiceKind, regions.CoverageKind, regions.TermsKind, regions.CeilingKind, regions.ColdKind,
+	regions.LoopKind, regions.DeadKind,
+}
 
 // Waiver says that conflicts are meant.
 type Waiver struct {
@@ -42,10 +44,14 @@
 		words[i] = string(k)
 	}
 	for _, t := range tables {
-		w := Waiver{Kind: kinds[t.OneOf("kind", words...)], Regions: t.Texts("regions"), Rules: t.Texts("rules"),
-			Reason: strings.TrimSpace(t.Str("reason", "")), Line: t.Node().Line()}
-		for key, lacks := range map[string]bool{"kind": !t.Has("kind"), "regions": len(w.Regions) == 0, "rules": len(w.Rules) == 0,
-			"reason": w.Reason == ""} {
+		w := Waiver{
+			Kind: kinds[t.OneOf("kind", words...)], Regions: t.Texts("regions"), Rules: t.Texts("rules"),
+			Reason: strings.TrimSpace(t.Str("reason", "")), Line: t.Node().Line(),
+		}
+		for key, lacks := range map[string]bool{
+			"kind": !t.Has("kind"), "regions": len(w.Regions) == 0, "rules": len(w.Rules) == 0,
+			"reason": w.Reason == "",
+		} {
 			if lacks {
 				t.Wrong(key, "a waiver needs it")
 			}
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -111,8 +111,10 @@
 
 // New makes a checker.
 func New(t Terms) *Checker {
-	return &Checker{Terms: t, servers: map[uint32]*server{}, requests: map[string]*request{},
-		nodes: map[int]map[uint32]time.Duration{}, stores: map[string]*store{}, counts: map[Rule]int{}}
+	return &Checker{
+		Terms: t, servers: map[uint32]*server{}, requests: map[string]*request{},
+		nodes: map[int]map[uint32]time.Duration{}, stores: map[string]*store{}, counts: map[Rule]int{},
+	}
 }
 
 func (c *Checker) breach(b Breach) {
--- a/internal/fleetsim/clients.go
+++ b/internal/fleetsim/clients.go
@@ -167,8 +167,10 @@
 		w.answer(i, t.id, "refused")
 		return
 	}
-	r := control.Request{ID: t.id, Class: set.Classes[c.class].Name, Plan: set.Plans[c.cust.plan].Name, Customer: c.cust.name,
-		TTL: left, Units: c.units, Spread: c.cust.spread, SetStart: c.cust.first, Repeat: c.tries > 1, Write: c.class == 1}
+	r := control.Request{
+		ID: t.id, Class: set.Classes[c.class].Name, Plan: set.Plans[c.cust.plan].Name, Customer: c.cust.name,
+		TTL: left, Units: c.units, Spread: c.cust.spread, SetStart: c.cust.first, Repeat: c.tries > 1, Write: c.class == 1,
+	}
 	if n.wholeCeiling {
 		r.Spread = 1
 	}
--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -62,7 +62,8 @@
 		w.At(w.part(0.3), func() { w.loseZone(5 * time.Second) })
 		w.At(w.part(0.7), func() { w.cut(3*time.Second, 3) })
 	}},
-	"split": {does: "a fifth of the servers silent, lists late, no meter, answers lost", lost: 0.01, reset: 0.01, late: 2500 * time.Millisecond,
+	"split": {
+		does: "a fifth of the servers silent, lists late, no meter, answers lost", lost: 0.01, reset: 0.01, late: 2500 * time.Millisecond,
 		script: func(w *world) {
 			w.At(w.part(0.3), func() {
 				w.cut(6*time.Second, 5)
@@ -70,12 +71,15 @@
 			})
 			w.At(w.part(0.3)+6*time.Second, func() { w.meterDown = false })
 			w.replace(0.2, 0.4, 0.6)
-		}},
-	"join": {does: "six in ten servers replaced in a quarter of the day; clients leave early or come again at once", spoilt: 0.005, leave: 0.03, eager: true, slowUp: 0.05, lingers: true,
+		},
+	},
+	"join": {
+		does: "six in ten servers replaced in a quarter of the day; clients leave early or come again at once", spoilt: 0.005, leave: 0.03, eager: true, slowUp: 0.05, lingers: true,
 		script: func(w *world) {
 			w.replace(0.6, 0.25, 0.5)
 			w.At(w.part(0.35), w.deafen)
-		}},
+		},
+	},
 	"long": {does: "servers and customers ever new", fresh: true, script: func(w *world) {
 		for k := range 8 {
 			w.replace(0.25, float64(k)/8, float64(k)/8+0.1)
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -12,13 +12,19 @@
 // Instances: their starts, ends and lists.
 
 func (w *world) settings(i int) control.Settings {
-	s := control.Settings{SelfIndex: i % w.o.Told, GroupSize: w.o.Told, SendCap: 6, MaxRetryAfter: time.Second, MayCancel: true, MarksRetry: true,
+	s := control.Settings{
+		SelfIndex: i % w.o.Told, GroupSize: w.o.Told, SendCap: 6, MaxRetryAfter: time.Second, MayCancel: true, MarksRetry: true,
 		DrainGrace: 2 * time.Second, Cold: 15 * time.Second, ColdFrom: 0.15, Fall: 2 * time.Second, FallMultiple: 2.5,
 		MeterPeriod: time.Second, CostAfter: true, UnitsTop: unitsTop,
-		Classes: []control.Class{{Name: "read", Aim: dayAim, Deadline: dayDeadline, Worth: 1, LateShare: 0.2},
-			{Name: "update", Aim: dayAim, Deadline: dayDeadline, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: dayWindow}},
-		Plans: []control.Plan{{Name: "basic", Price: 0.8, Rate: 1.5, Depth: 8, OverCost: 0.6},
-			{Name: "enterprise", Price: 1.4, Rate: 10, Depth: 18, OverCost: 1.2, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4}}}
+		Classes: []control.Class{
+			{Name: "read", Aim: dayAim, Deadline: dayDeadline, Worth: 1, LateShare: 0.2},
+			{Name: "update", Aim: dayAim, Deadline: dayDeadline, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
+		},
+		Plans: []control.Plan{
+			{Name: "basic", Price: 0.8, Rate: 1.5, Depth: 8, OverCost: 0.6},
+			{Name: "enterprise", Price: 1.4, Rate: 10, Depth: 18, OverCost: 1.2, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4},
+		},
+	}
 	w.plan.quotas.settings(&s)
 	return s
 }
--- a/internal/fleetsim/quota_bound_test.go
+++ b/internal/fleetsim/quota_bound_test.go
@@ -71,8 +71,10 @@
 	if instances >= 200 {
 		load = 0.15
 	}
-	plan := quotaPlan{name: "plan", price: 1, overCost: 0.5 + 0.7*r.Float64(), rate: span{rate, rate}, spread: span{1, 1},
-		share: load * (d.heavy + calm) / (d.heavy*d.x + calm) / quotaAsked}
+	plan := quotaPlan{
+		name: "plan", price: 1, overCost: 0.5 + 0.7*r.Float64(), rate: span{rate, rate}, spread: span{1, 1},
+		share: load * (d.heavy + calm) / (d.heavy*d.x + calm) / quotaAsked,
+	}
 	if r.IntN(2) == 0 && d.depth >= f.most*float64(d.spread) { // each may send two of the largest at once
 		plan.ceiling = span{2, 2}
 	}
--- a/internal/fleetsim/quota_judge.go
+++ b/internal/fleetsim/quota_judge.go
@@ -74,8 +74,10 @@
 	case 2*c.spread <= n:
 		width = "to half of the group"
 	}
-	t.cells = []*Cell{q.cell("plan", q.plans[c.plan].Name), q.cell("spread", width), q.cell("customer", string(how)), q.cell("known here", met), q.cell("customer known here", string(how)+": "+met),
-		q.cell("try", turn), q.cell("node", age)}
+	t.cells = []*Cell{
+		q.cell("plan", q.plans[c.plan].Name), q.cell("spread", width), q.cell("customer", string(how)), q.cell("known here", met), q.cell("customer known here", string(how)+": "+met),
+		q.cell("try", turn), q.cell("node", age),
+	}
 	for _, one := range t.cells {
 		one.Tries++
 	}
--- a/internal/fleetsim/quota_test.go
+++ b/internal/fleetsim/quota_test.go
@@ -23,8 +23,10 @@
 	const s = time.Second
 	w := &world{rules: control.Settings{Classes: []control.Class{{Aim: 3 * s, LateShare: 0.5}}}}
 	cust := &dayCustomer{name: "c", spread: 1, demand: &demand{kind: calmKind}}
-	q := &quotaDay{w: w, policy: ByModule, f: &quotaWorld{units: guessed, meter: s}, late: s / 2, known: map[place]*known{}, worth: 100,
-		plans: []control.Plan{{Name: "p", Rate: 2, Depth: 4, Open: 2, OverCost: 0.5}}}
+	q := &quotaDay{
+		w: w, policy: ByModule, f: &quotaWorld{units: guessed, meter: s}, late: s / 2, known: map[place]*known{}, worth: 100,
+		plans: []control.Plan{{Name: "p", Rate: 2, Depth: 4, Open: 2, OverCost: 0.5}},
+	}
 	q.truth = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], s)}
 	q.rough = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], 0)}
 	tried := func(at time.Duration, units, cost, worth float64) *try {
--- a/internal/fleetsim/quota_world.go
+++ b/internal/fleetsim/quota_world.go
@@ -61,39 +61,54 @@
 var QuotaNames = []string{"clinic", "library", "archive", "cableway", "kiosk"}
 
 var quotaWorlds = map[string]*quotaWorld{
-	"clinic": {does: "guessed units, three plans of wide sets and small stores, the dearest with a ceiling", units: guessed, most: 4, guessCV: span{0.35, 0.65},
+	"clinic": {
+		does: "guessed units, three plans of wide sets and small stores, the dearest with a ceiling", units: guessed, most: 4, guessCV: span{0.35, 0.65},
 		use: span{0.2, 0.45}, full: span{0.09, 0.21}, heavy: span{0.08, 0.12}, heavyX: span{2.7, 4.8}, spiky: span{0.12, 0.22}, spikeX: span{4.3, 7.8},
 		spikeLasts: span{0.6, 4.8}, spikeEvery: span{11, 24}, skew: span{0.8, 1.5}, shift: span{3.3, 6.7}, elsewhere: span{0.05, 0.75}, meter: time.Second, late: span{0.6, 1.3},
 		plans: []quotaPlan{
 			{name: "basic", share: 0.25, price: 0.7, overCost: 0.6, rate: span{1.2, 2}, burst: span{4.2, 5.6}, spread: span{0.5, 1}},
 			{name: "standard", share: 0.32, price: 1.1, overCost: 0.8, rate: span{2.7, 4.5}, burst: span{3.2, 5.8}, spread: span{0.5, 1}},
-			{name: "enterprise", share: 0.43, price: 1.4, overCost: 1.2, rate: span{11, 17}, burst: span{1.2, 2.4}, ceiling: span{1.8, 2.5}, spread: span{0.5, 1}}}},
-	"library": {does: "units by size, large rates, one plan with an open limit alone", units: bySize, most: 4,
+			{name: "enterprise", share: 0.43, price: 1.4, overCost: 1.2, rate: span{11, 17}, burst: span{1.2, 2.4}, ceiling: span{1.8, 2.5}, spread: span{0.5, 1}},
+		},
+	},
+	"library": {
+		does: "units by size, large rates, one plan with an open limit alone", units: bySize, most: 4,
 		use: span{0.17, 0.45}, full: span{0.09, 0.21}, heavy: span{0.07, 0.13}, heavyX: span{2.8, 4.8}, spiky: span{0.15, 0.24}, spikeX: span{3, 6.3},
 		spikeLasts: span{1.7, 4.2}, spikeEvery: span{12, 23}, skew: span{0.8, 1.5}, shift: span{3.4, 8.7}, elsewhere: span{0.05, 0.6}, meter: time.Second, late: span{0.6, 1.3},
 		plans: []quotaPlan{
 			{name: "basic", share: 0.25, price: 0.9, overCost: 1.2, rate: span{1.9, 3.1}, burst: span{3.3, 5.6}, spread: span{0.5, 1}},
 			{name: "standard", share: 0.32, price: 1.3, overCost: 1.2, rate: span{9.5, 15}, openOnly: true, open: span{2.2, 3}, spread: span{0.5, 1}},
-			{name: "enterprise", share: 0.43, price: 1.8, overCost: 1.2, rate: span{38, 60}, burst: span{1.3, 2.9}, spread: span{0.5, 1}}}},
-	"archive": {does: "guessed units, one plan with both limits, weights that shift seldom", units: guessed, most: 3, guessCV: span{0.3, 0.6},
+			{name: "enterprise", share: 0.43, price: 1.8, overCost: 1.2, rate: span{38, 60}, burst: span{1.3, 2.9}, spread: span{0.5, 1}},
+		},
+	},
+	"archive": {
+		does: "guessed units, one plan with both limits, weights that shift seldom", units: guessed, most: 3, guessCV: span{0.3, 0.6},
 		use: span{0.2, 0.45}, full: span{0.1, 0.25}, heavy: span{0.05, 0.12}, heavyX: span{2, 4.5}, spiky: span{0.1, 0.22}, spikeX: span{3, 7},
 		spikeLasts: span{0.8, 4.5}, spikeEvery: span{11, 24}, skew: span{0.5, 1.4}, shift: span{4, 12}, elsewhere: span{0.05, 0.7}, meter: time.Second, late: span{0.6, 1.3},
 		plans: []quotaPlan{
 			{name: "basic", share: 0.25, price: 0.8, overCost: 0.6, rate: span{1.5, 2.5}, burst: span{4, 6}, spread: span{0.4, 1}},
 			{name: "standard", share: 0.32, price: 1.2, overCost: 0.9, rate: span{5, 9}, burst: span{2, 4}, open: span{2, 3}, spread: span{0.5, 1}},
-			{name: "enterprise", share: 0.43, price: 1.5, overCost: 1.2, rate: span{16, 26}, burst: span{1.5, 3}, ceiling: span{1.8, 2.5}, spread: span{0.4, 1}}}},
-	"cableway": {does: "units by class, two plans, a meter of 1.5 s", units: byClass, most: 2,
+			{name: "enterprise", share: 0.43, price: 1.5, overCost: 1.2, rate: span{16, 26}, burst: span{1.5, 3}, ceiling: span{1.8, 2.5}, spread: span{0.4, 1}},
+		},
+	},
+	"cableway": {
+		does: "units by class, two plans, a meter of 1.5 s", units: byClass, most: 2,
 		use: span{0.2, 0.5}, full: span{0.1, 0.25}, heavy: span{0.05, 0.1}, heavyX: span{1.8, 4}, spiky: span{0.1, 0.2}, spikeX: span{2, 6},
 		spikeLasts: span{0.5, 4}, spikeEvery: span{10, 25}, skew: span{0.4, 1.2}, shift: span{5, 15}, elsewhere: span{0.1, 0.6}, meter: 1500 * time.Millisecond, late: span{0.6, 1.2},
 		plans: []quotaPlan{
 			{name: "basic", share: 0.4, price: 0.9, overCost: 0.7, rate: span{3, 6}, burst: span{2.5, 5}, spread: span{0.3, 0.8}},
-			{name: "standard", share: 0.6, price: 1.3, overCost: 1, rate: span{14, 24}, burst: span{1.2, 3}, spread: span{0.5, 1}}}},
-	"kiosk": {does: "requests of one unit, sets of some nodes, no meter", units: oneUnit, most: 1,
+			{name: "standard", share: 0.6, price: 1.3, overCost: 1, rate: span{14, 24}, burst: span{1.2, 3}, spread: span{0.5, 1}},
+		},
+	},
+	"kiosk": {
+		does: "requests of one unit, sets of some nodes, no meter", units: oneUnit, most: 1,
 		use: span{0.15, 0.5}, full: span{0.1, 0.3}, heavy: span{0.04, 0.12}, heavyX: span{1.6, 4}, spiky: span{0.1, 0.25}, spikeX: span{2, 6},
 		spikeLasts: span{0.5, 4}, spikeEvery: span{10, 25}, skew: span{0.3, 1}, shift: span{5, 25}, elsewhere: span{0, 0.6},
 		plans: []quotaPlan{
 			{name: "basic", share: 0.5, price: 1, overCost: 0.6, rate: span{3, 5}, burst: span{2, 4}, spread: span{0.01, 0.05}},
-			{name: "standard", share: 0.5, price: 1.3, overCost: 0.9, rate: span{8, 14}, burst: span{1.5, 3}, spread: span{0.02, 0.1}}}},
+			{name: "standard", share: 0.5, price: 1.3, overCost: 0.9, rate: span{8, 14}, burst: span{1.5, 3}, spread: span{0.02, 0.1}},
+		},
+	},
 }
 
 // QuotaHelp says what a world is.
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -161,11 +161,15 @@
 }
 
 func settings(o Options, i int) control.Settings {
-	return control.Settings{SelfIndex: i % o.Told, GroupSize: o.Told, SendCap: 3, RetryAfter: true, MaxRetryAfter: time.Second, MayCancel: true,
+	return control.Settings{
+		SelfIndex: i % o.Told, GroupSize: o.Told, SendCap: 3, RetryAfter: true, MaxRetryAfter: time.Second, MayCancel: true,
 		DrainGrace: 2 * time.Second, Cold: coldTime, ColdFrom: coldFrom, Fall: fall, FallMultiple: multiple,
 		Classes: []control.Class{{Name: "read", Aim: aim, Deadline: deadline, Worth: 1}},
-		Plans: []control.Plan{{Name: "standard", Price: 1},
-			{Name: "enterprise", Price: 1.5, CeilingRate: ceilRate, CeilingBurst: ceilBurst, CeilingSlack: ceilSlack}}}
+		Plans: []control.Plan{
+			{Name: "standard", Price: 1},
+			{Name: "enterprise", Price: 1.5, CeilingRate: ceilRate, CeilingBurst: ceilBurst, CeilingSlack: ceilSlack},
+		},
+	}
 }
 
 // tell brings an event to an instance and does what it answers.
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -252,11 +252,15 @@
 		def(&o.Lasts, 120*time.Second)
 	}
 	def(&o.Lasts, 25*time.Second)
-	w := &world{o: o, plan: p, rng: stream(o.Seed, 1), ask: stream(o.Seed, 2), byID: map[uint32]*host{},
-		stores: map[string]*quota{}, used: map[string]*meter{}, customers: map[*dayCustomer]*worthOf{}}
+	w := &world{
+		o: o, plan: p, rng: stream(o.Seed, 1), ask: stream(o.Seed, 2), byID: map[uint32]*host{},
+		stores: map[string]*quota{}, used: map[string]*meter{}, customers: map[*dayCustomer]*worthOf{},
+	}
 	w.rules = w.settings(0)
-	w.check = fleetrules.New(fleetrules.Terms{AnswerGrace: 55 * time.Millisecond, DrainGrace: 2050 * time.Millisecond,
-		Fall: 2 * time.Second, FallMultiple: 2.5, MeanWork: dayWork})
+	w.check = fleetrules.New(fleetrules.Terms{
+		AnswerGrace: 55 * time.Millisecond, DrainGrace: 2050 * time.Millisecond,
+		Fall: 2 * time.Second, FallMultiple: 2.5, MeanWork: dayWork,
+	})
 	for i := range max(4, int(perNode*float64(o.Instances))) {
 		h := w.newHost(fmt.Sprintf("z%d", i%dayZones), i/dayCellSize, -time.Hour)
 		h.bad = w.rng.Float64() < p.bad
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -103,12 +103,14 @@
 // Server is the HTTP server of the clients. An answer or a close is owed to each soon after
 // it has connected, so a request has to come whole in time; ServeHTTP then lifts the limit.
 func (f *Front) Server() *http.Server {
-	return &http.Server{Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.clients.state,
+	return &http.Server{
+		Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.clients.state,
 		ReadHeaderTimeout: requestWithin, ReadTimeout: requestWithin,
 		ConnContext: f.clients.begin,
 		// Guards against an answer 200 to OPTIONS * that no app server made.
 		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn)}
+		ErrorLog:                     slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn),
+	}
 }
 
 // Evict closes a client connection that has said nothing for too long, else the one that
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -70,11 +70,17 @@
 // serving is a front over one service with a scripted module, until stop is called.
 func serving(t *testing.T, module script, parts service.Parts, router *route.Router) (m *memory, f *Front, s *service.Service, stop func()) {
 	t.Helper()
-	settings := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
-		Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 20 * time.Second},
-			{Name: "write", Aim: time.Second, Deadline: 20 * time.Second, Effect: control.Guarded}}}
-	s, err := service.New(service.Options{Settings: settings, Parts: parts, Upstream: upstream.Options{Sockets: limits.NewSockets(100)},
-		Source: discovery.Source{Kind: discovery.Static}, Module: func() (service.Module, error) { return module, nil }})
+	settings := control.Settings{
+		GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
+		Classes: []control.Class{
+			{Name: "read", Aim: time.Second, Deadline: 20 * time.Second},
+			{Name: "write", Aim: time.Second, Deadline: 20 * time.Second, Effect: control.Guarded},
+		},
+	}
+	s, err := service.New(service.Options{
+		Settings: settings, Parts: parts, Upstream: upstream.Options{Sockets: limits.NewSockets(100)},
+		Source: discovery.Source{Kind: discovery.Static}, Module: func() (service.Module, error) { return module, nil },
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,8 +155,10 @@
 			return refuses(r)
 		}, noRoom{}, nil)
 		defer stop()
-		for _, head := range []string{"GET /read?account=0000000000000001 HTTP/1.1\r\n" + headers + "\r\n",
-			"POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers + "Content-Length: 9\r\n\r\nhalf"} {
+		for _, head := range []string{
+			"GET /read?account=0000000000000001 HTTP/1.1\r\n" + headers + "\r\n",
+			"POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers + "Content-Length: 9\r\n\r\nhalf",
+		} {
 			c, begun := m.dial(), time.Now()
 			go io.WriteString(c, head)
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -28,9 +28,11 @@
 func TestLeftBehindFurtherRequests(t *testing.T) {
 	const stays = "stays" // and is told that it was refused
 	for _, class := range []control.Class{{Effect: control.Free}, {Effect: control.Guarded, RepeatWindow: time.Minute}, {Effect: control.SingleShot}} {
-		for how, leave := range map[string]func(*net.TCPConn){"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		for how, leave := range map[string]func(*net.TCPConn){
+			"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
 			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, "floods and closes": func(c *net.TCPConn) { flood(c); c.Close() },
-			"floods and half-closes": func(c *net.TCPConn) { flood(c); c.CloseWrite() }, "floods and " + stays: flood} {
+			"floods and half-closes": func(c *net.TCPConn) { flood(c); c.CloseWrite() }, "floods and " + stays: flood,
+		} {
 			t.Run(fmt.Sprint(how, " effect ", class.Effect), func(t *testing.T) {
 				let := make(chan struct{})
 				open := sync.OnceFunc(func() { close(let) })
@@ -43,10 +45,12 @@
 				t.Cleanup(open) // before the server's end, which waits for it
 				class.Name, class.Aim, class.Deadline, class.Worth = "job", time.Minute, time.Minute, 1
 				ready := make(chan struct{})
-				s, err := service.New(service.Options{AnyMethod: true, OnReady: func() { close(ready) },
+				s, err := service.New(service.Options{
+					AnyMethod: true, OnReady: func() { close(ready) },
 					Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}}, Classes: []control.Class{class}},
 					Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up", Capacity: 1}}},
-					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(100)}})
+					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(100)},
+				})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -141,8 +141,10 @@
 		peer.Addr = a.Addr()
 		peer.Trusted = hop.Trusted(peer.Addr, o.Trusted)
 	}
-	*q = upstream.Relay{Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hop.Request(r.Header, peer, o.Tells, o.Underscores),
-		Length: r.ContentLength, Rules: &o.Rules, Hold: o.Hold, Idle: o.Idle, Wait: wait, Tell: o.SendTime}
+	*q = upstream.Relay{
+		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hop.Request(r.Header, peer, o.Tells, o.Underscores),
+		Length: r.ContentLength, Rules: &o.Rules, Hold: o.Hold, Idle: o.Idle, Wait: wait, Tell: o.SendTime,
+	}
 	if o.SendID && len(q.Header[headerRequest]) == 0 {
 		q.Header[headerRequest] = []string{newID()}
 	}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -51,8 +51,10 @@
 			return nil, bad(http.StatusBadRequest, "%s: given twice", name)
 		}
 	}
-	e := control.Request{ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, Spread: 1,
-		Repeat: r.Header.Get(protocol.HeaderRepeat) == "1", Write: r.Method != http.MethodGet}
+	e := control.Request{
+		ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, Spread: 1,
+		Repeat: r.Header.Get(protocol.HeaderRepeat) == "1", Write: r.Method != http.MethodGet,
+	}
 	if e.ID == "" || len(e.ID) > idMost {
 		return nil, bad(http.StatusBadRequest, "%s: none, or too long", protocol.HeaderID)
 	}
@@ -164,8 +166,10 @@
 	if target.Opaque, _, _ = strings.Cut(originForm(r.RequestURI), "?"); strings.HasPrefix(target.Opaque, "//") {
 		target.Opaque, target.Path, target.RawPath = "", r.URL.Path, r.URL.RawPath // it would be taken for an authority
 	}
-	out := &http.Request{Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: &target,
-		Header: make(http.Header, len(r.Header)+2)}
+	out := &http.Request{
+		Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: &target,
+		Header: make(http.Header, len(r.Header)+2),
+	}
 	for k, v := range r.Header {
 		if !protocol.OwnHeader(k) {
 			out.Header[k] = v
--- a/internal/gather/model.go
+++ b/internal/gather/model.go
@@ -110,8 +110,10 @@
 	if o.Explore == 0 {
 		o.Explore = exploreShare
 	}
-	return &Model{s: s, o: o, rng: rand.New(rand.NewPCG(o.Seed, 0x6761746865720000)), sketch: make(map[Key]*learned),
-		classes: make(map[string]*class)}
+	return &Model{
+		s: s, o: o, rng: rand.New(rand.NewPCG(o.Seed, 0x6761746865720000)), sketch: make(map[Key]*learned),
+		classes: make(map[string]*class),
+	}
 }
 
 func loadBucket(load float64) int { return max(0, min(Loads-1, int(load*Loads))) }
--- a/internal/gather/query_test.go
+++ b/internal/gather/query_test.go
@@ -133,14 +133,20 @@
 	f := func(common, sigma float64, all ...time.Duration) *Forecast { return lognormal(common, sigma, all...) }
 	for name, tc := range map[string]struct{ less, more time.Duration }{
 		"a slow part is waited for less than a fast one": {stop(s, f(0, .3, 50*ms, 3000*ms), 0, 50*ms, -1), stop(s, f(0, .3, 50*ms, 300*ms), 0, 50*ms, -1)},
-		"a light one less than a heavy one": {stop(parted(.5, 4, 1), f(0, 1, 50*ms, 500*ms), 0, 50*ms, -1),
-			stop(parted(.1, 1, 4), f(0, 1, 50*ms, 500*ms), 0, 50*ms, -1)},
-		"a part that took long is waited for longer where all are slow at once": {stop(even, f(0, 1, 100*ms, 100*ms, 100*ms, 100*ms), 0, 400*ms, 400*ms, 400*ms, -1),
-			stop(even, f(.9, 1, 100*ms, 100*ms, 100*ms, 100*ms), 0, 400*ms, 400*ms, 400*ms, -1)},
+		"a light one less than a heavy one": {
+			stop(parted(.5, 4, 1), f(0, 1, 50*ms, 500*ms), 0, 50*ms, -1),
+			stop(parted(.1, 1, 4), f(0, 1, 50*ms, 500*ms), 0, 50*ms, -1),
+		},
+		"a part that took long is waited for longer where all are slow at once": {
+			stop(even, f(0, 1, 100*ms, 100*ms, 100*ms, 100*ms), 0, 400*ms, 400*ms, 400*ms, -1),
+			stop(even, f(.9, 1, 100*ms, 100*ms, 100*ms, 100*ms), 0, 400*ms, 400*ms, 400*ms, -1),
+		},
 		"one far later than fits the others is not waited for to the end": {stop(even, f(.9, 1, 100*ms, 100*ms, 100*ms, 100*ms), 0, 40*ms, 40*ms, 40*ms, -1), time.Second},
 		"the client's time goes before":                                   {stop(s, f(0, .3, 50*ms, 300*ms), 200*ms, 50*ms, -1), 191 * ms},
-		"what is left behind counts": {stop(s, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1),
-			stop(&Settings{Parts: s.Parts, Least: .5, HalfLife: 800 * ms, Left: 1}, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1)},
+		"what is left behind counts": {
+			stop(s, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1),
+			stop(&Settings{Parts: s.Parts, Least: .5, HalfLife: 800 * ms, Left: 1}, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1),
+		},
 	} {
 		if tc.less >= tc.more {
 			t.Errorf("%s: %v and %v", name, tc.less, tc.more)
--- a/internal/gather/share/share.go
+++ b/internal/gather/share/share.go
@@ -100,8 +100,10 @@
 	if o.Log == nil {
 		o.Log = slog.Default()
 	}
-	s := &Sharer{o: o, log: o.Log, m: m, rng: rand.New(rand.NewPCG(o.Seed, 0x7368617265)), failed: make([]error, len(o.Stores)), begun: time.Now(),
-		pool: pool.New(pool.Options{Self: o.Self, Life: lives * o.Every, Every: o.Every})}
+	s := &Sharer{
+		o: o, log: o.Log, m: m, rng: rand.New(rand.NewPCG(o.Seed, 0x7368617265)), failed: make([]error, len(o.Stores)), begun: time.Now(),
+		pool: pool.New(pool.Options{Self: o.Self, Life: lives * o.Every, Every: o.Every}),
+	}
 	for _, at := range o.Stores {
 		s.clients = append(s.clients, redis.NewClient(&redis.Options{
 			Addr: at.Address, Username: at.Username, Password: at.Password, Protocol: 2, DisableIdentity: true,
--- a/internal/gather/share/share_test.go
+++ b/internal/gather/share/share_test.go
@@ -92,8 +92,10 @@
 	if q := f.Quantile(0, 0.5); !f.Known() || q < 80*ms || q > 130*ms {
 		t.Fatalf("knows %v: half within %v; %+v", f.Known(), q, all[0].Status())
 	}
-	for name, fault := range map[string]func(){"dark": func() { s.Set(0, "", true) }, "refuses": func() { s.Set(0, "LOADING x", false) },
-		"cut": s.Cut, "replaced": s.Replace} {
+	for name, fault := range map[string]func(){
+		"dark": func() { s.Set(0, "", true) }, "refuses": func() { s.Set(0, "LOADING x", false) },
+		"cut": s.Cut, "replaced": s.Replace,
+	} {
 		fault()
 		short, cancel := context.WithTimeout(ctx, 200*ms) // the dark one says nothing
 		all[0].Exchange(short)
--- a/internal/gathersim/world.go
+++ b/internal/gathersim/world.go
@@ -45,57 +45,75 @@
 var medians = [parts]float64{100, 130, 160, 200, 260}
 
 var worlds = []world{
-	{name: "lognormal", help: "medians 100 to 260 ms, sigma 0.7",
-		delay: func(p int, _, s float64) time.Duration { return lognormal(medians[p], 0.7, s) }},
-	{name: "pareto", help: "least 60 to 156 ms, tail index 1.1",
+	{
+		name: "lognormal", help: "medians 100 to 260 ms, sigma 0.7",
+		delay: func(p int, _, s float64) time.Duration { return lognormal(medians[p], 0.7, s) },
+	},
+	{
+		name: "pareto", help: "least 60 to 156 ms, tail index 1.1",
 		delay: func(p int, _, s float64) time.Duration {
 			return ms(0.6 * medians[p] * math.Pow(max(1e-12, upper(s)), -1/1.1))
-		}},
-	{name: "humps", help: "one of seven takes 1.4 s instead of 0.1 to 0.26",
+		},
+	},
+	{
+		name: "humps", help: "one of seven takes 1.4 s instead of 0.1 to 0.26",
 		delay: func(p int, _, s float64) time.Duration {
 			if u := upper(s); u < 1.0/7 {
 				return lognormal(1400, 0.15, quantile(1-7*u))
 			} else {
 				return lognormal(medians[p], 0.2, quantile(min(1-1e-12, (1-u)*7/6)))
 			}
-		}},
-	{name: "uneven", help: "one part weighs half of all and is slow: 500 ms, sigma 0.9; the others as in lognormal",
+		},
+	},
+	{
+		name: "uneven", help: "one part weighs half of all and is slow: 500 ms, sigma 0.9; the others as in lognormal",
 		weights: []float64{1, 1, 1, 1, 4},
 		delay: func(p int, _, s float64) time.Duration {
 			if p == parts-1 {
 				return lognormal(500, 0.9, s)
 			}
 			return lognormal(medians[p], 0.7, s)
-		}},
-	{name: "stalled", help: "as lognormal, one part in 20 calls never answers, another part never does",
+		},
+	},
+	{
+		name: "stalled", help: "as lognormal, one part in 20 calls never answers, another part never does",
 		delay: func(p int, _, s float64) time.Duration {
 			if u := upper(s); p == 4 || p == 0 && u < 0.05 {
 				return never
 			}
 			return lognormal(medians[p], 0.7, s)
-		}},
-	{name: "correlated", help: "as lognormal with sigma 1.4, correlation 0.85: all are slow at once", common: 0.85,
-		delay: func(p int, _, s float64) time.Duration { return lognormal(medians[p], 1.4, s) }},
-	{name: "drift", help: "as lognormal, medians go by three times to and fro, two rounds", moves: true,
+		},
+	},
+	{
+		name: "correlated", help: "as lognormal with sigma 1.4, correlation 0.85: all are slow at once", common: 0.85,
+		delay: func(p int, _, s float64) time.Duration { return lognormal(medians[p], 1.4, s) },
+	},
+	{
+		name: "drift", help: "as lognormal, medians go by three times to and fro, two rounds", moves: true,
 		delay: func(p int, at, s float64) time.Duration {
 			return lognormal(medians[p]*math.Pow(3, 1-math.Cos(4*math.Pi*at)), 0.5, s)
-		}},
-	{name: "step", help: "two parts become eight times as slow a third on, one of them heals at two thirds", moves: true,
+		},
+	},
+	{
+		name: "step", help: "two parts become eight times as slow a third on, one of them heals at two thirds", moves: true,
 		delay: func(p int, at, s float64) time.Duration {
 			m := medians[p]
 			if p == 1 && at >= 1.0/3 || p == 3 && at >= 1.0/3 && at < 2.0/3 {
 				m *= 8
 			}
 			return lognormal(m, 0.5, s)
-		}},
-	{name: "turns", help: "another part is six times as slow in each tenth of the time", moves: true,
+		},
+	},
+	{
+		name: "turns", help: "another part is six times as slow in each tenth of the time", moves: true,
 		delay: func(p int, at, s float64) time.Duration {
 			m := medians[p]
 			if int(at*10)%parts == p {
 				m *= 6
 			}
 			return lognormal(m, 0.5, s)
-		}},
+		},
+	},
 }
 
 // Worlds are the names and what they stand for.
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -63,8 +63,10 @@
 // connection that fails is closed.
 func Start(ctx context.Context, nc net.Conn, o Options) (*Conn, error) {
 	now := time.Now()
-	c := &Conn{o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]waiter), blocked: make(map[*Stream]bool), heard: now, idle: now,
-		wake: make(chan struct{}, 1), greeted: make(chan struct{}), done: make(chan struct{})}
+	c := &Conn{
+		o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]waiter), blocked: make(map[*Stream]bool), heard: now, idle: now,
+		wake: make(chan struct{}, 1), greeted: make(chan struct{}), done: make(chan struct{}),
+	}
 	c.flushed = sync.NewCond(&c.mu)
 	if under, ok := socket(nc); ok {
 		c.raw, _ = under.SyscallConn()
--- a/internal/h2/machine.go
+++ b/internal/h2/machine.go
@@ -178,8 +178,10 @@
 
 // New makes the machine of a connection just made; what it has to say is in Out.
 func New(l Limits) *Machine {
-	m := &Machine{Limits: l.orDefault(), next: 1, streams: make(map[uint32]*stream), allowed: 1<<32 - 1,
-		window: windowDefault, initial: windowDefault, frameMost: frameDefault, lastID: idMost}
+	m := &Machine{
+		Limits: l.orDefault(), next: 1, streams: make(map[uint32]*stream), allowed: 1<<32 - 1,
+		window: windowDefault, initial: windowDefault, frameMost: frameDefault, lastID: idMost,
+	}
 	m.frames = http2.NewFramer(&m.out, nil)
 	m.encoder = hpack.NewEncoder(&m.block)
 	m.out.WriteString(preface)
--- a/internal/h2/machine_test.go
+++ b/internal/h2/machine_test.go
@@ -120,8 +120,10 @@
 
 func (p *peer) open(body string) uint32 {
 	p.t.Helper()
-	id, err := p.m.OpenStream(&Request{Method: "POST", Scheme: "http", Authority: "a", Path: "/p",
-		Header: http.Header{"X-One": {"1"}, "Connection": {"close"}, "Te": {"gzip"}}, Body: []byte(body)})
+	id, err := p.m.OpenStream(&Request{
+		Method: "POST", Scheme: "http", Authority: "a", Path: "/p",
+		Header: http.Header{"X-One": {"1"}, "Connection": {"close"}, "Te": {"gzip"}}, Body: []byte(body),
+	})
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/h2/sending.go
+++ b/internal/h2/sending.go
@@ -35,8 +35,10 @@
 	for f := range fields {
 		m.encoder.WriteField(f)
 	}
-	s := &stream{id: m.next, window: m.initial, body: r.Body, more: r.More, flow: r.Flow, expect: -1,
-		first: m.offset(), isHead: r.Method == http.MethodHead}
+	s := &stream{
+		id: m.next, window: m.initial, body: r.Body, more: r.More, flow: r.Flow, expect: -1,
+		first: m.offset(), isHead: r.Method == http.MethodHead,
+	}
 	bare := len(r.Body) == 0 && !r.More // the head is all of the request
 	m.next += 2
 	m.streams[s.id] = s
@@ -108,8 +110,12 @@
 // fields are those of a request's head.
 func (m *Machine) fields(r *Request) iter.Seq[hpack.HeaderField] {
 	return func(yield func(hpack.HeaderField) bool) {
-		for _, f := range [...]hpack.HeaderField{{Name: ":method", Value: r.Method}, {Name: ":scheme", Value: r.Scheme},
-			{Name: ":authority", Value: r.Authority}, {Name: ":path", Value: r.Path}} {
+		for _, f := range [...]hpack.HeaderField{
+			{Name: ":method", Value: r.Method},
+			{Name: ":scheme", Value: r.Scheme},
+			{Name: ":authority", Value: r.Authority},
+			{Name: ":path", Value: r.Path},
+		} {
 			if !yield(f) {
 				return
 			}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -8,10 +8,12 @@
 )
 
 func TestRequest(t *testing.T) {
-	in := http.Header{"Accept": {"a", "b"}, "Connection": {"close, x-own", "keep-alive"}, "X-Own": {"1"}, "Keep-Alive": {"1"},
+	in := http.Header{
+		"Accept": {"a", "b"}, "Connection": {"close, x-own", "keep-alive"}, "X-Own": {"1"}, "Keep-Alive": {"1"},
 		"Te": {"gzip, Trailers"}, "Upgrade": {"h2c"}, "Content-Length": {"3"}, "Transfer_encoding": {"chunked"},
 		"X-Forwarded-For": {"1.1.1.1"}, "X-Forwarded-Host": {"forged"}, "Forwarded": {"for=1.1.1.1"}, "Via": {"1.0 old"},
-		"Proxy-Authorization": {"secret"}, "Expect": {"100-continue"}}
+		"Proxy-Authorization": {"secret"}, "Expect": {"100-continue"},
+	}
 	peer := Peer{Addr: netip.MustParseAddr("::ffff:127.0.0.1"), Host: "h:1", Proto: "http"}
 	base := func(h http.Header) http.Header {
 		h["Accept"], h["Te"], h["Via"] = []string{"a", "b"}, []string{"trailers"}, []string{"1.0 old", "1.1 lockflow"}
@@ -30,8 +32,10 @@
 		want  http.Header
 	}{
 		"a stranger": {peer, XForwarded, own()},
-		"a proxy": {trusted, XForwarded, base(http.Header{"X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"},
-			"X-Forwarded-Proto": {"http"}, "Forwarded": {"for=1.1.1.1"}})},
+		"a proxy": {trusted, XForwarded, base(http.Header{
+			"X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"},
+			"X-Forwarded-Proto": {"http"}, "Forwarded": {"for=1.1.1.1"},
+		})},
 		"RFC 7239":           {peer, Forwarded, base(http.Header{"Forwarded": {`for=127.0.0.1;proto=http;host="h:1"`}})},
 		"RFC 7239, a proxy":  {trusted, Both, base(http.Header{"Forwarded": {"for=1.1.1.1", `for=127.0.0.1;proto=http;host="h:1"`}, "X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"}, "X-Forwarded-Proto": {"http"}})},
 		"RFC 7239 over IPv6": {six, Forwarded, base(http.Header{"Forwarded": {`for="[fe80::1]";proto=http;host="h:1"`}})},
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -22,12 +22,16 @@
 	pods := []*standin.Group{{Window: 15 * time.Second}, {Window: 15 * time.Second}}
 	var rosters, documents []standin.Server
 	for i := range 4 {
-		rosters = append(rosters, standin.Server{UID: fmt.Sprint("roster-", i+1), Place: i % 2, Group: pods[i%2],
-			Work: 10 * time.Millisecond, Cores: 4, Queue: 64, Seed: seed + uint64(i)})
+		rosters = append(rosters, standin.Server{
+			UID: fmt.Sprint("roster-", i+1), Place: i % 2, Group: pods[i%2],
+			Work: 10 * time.Millisecond, Cores: 4, Queue: 64, Seed: seed + uint64(i),
+		})
 	}
 	for i := range 3 {
-		documents = append(documents, standin.Server{UID: fmt.Sprint("document-", i+1),
-			Work: 20 * time.Millisecond, Cores: 4, Queue: 256, Seed: seed + 100 + uint64(i)})
+		documents = append(documents, standin.Server{
+			UID:  fmt.Sprint("document-", i+1),
+			Work: 20 * time.Millisecond, Cores: 4, Queue: 256, Seed: seed + 100 + uint64(i),
+		})
 	}
 	return map[string][]standin.Server{"rosters": rosters, "documents": documents}
 }
@@ -35,8 +39,10 @@
 // RosterCall makes a call to the roster service of Demo: a read or an update with a key of
 // its own.
 func RosterCall(rng *rand.Rand) standin.Call {
-	c := standin.Call{Kind: "rosters", Host: "care.example", Method: "GET", Path: "/roster-read/week",
-		Customer: rng.Uint64N(200), Plan: "standard", Deadline: 2 * time.Second}
+	c := standin.Call{
+		Kind: "rosters", Host: "care.example", Method: "GET", Path: "/roster-read/week",
+		Customer: rng.Uint64N(200), Plan: "standard", Deadline: 2 * time.Second,
+	}
 	if rng.IntN(2) == 0 {
 		c.Method, c.Path, c.Body, c.Key = "POST", "/visit-update", "swap", strconv.FormatUint(rng.Uint64(), 16)
 	}
@@ -45,8 +51,10 @@
 
 // DocumentCall makes a call to the document service of Demo.
 func DocumentCall(rng *rand.Rand) standin.Call {
-	return standin.Call{Kind: "documents", Host: "care.example", Method: "GET", Path: "/docs/plan-" + strconv.Itoa(rng.IntN(1000)),
-		Customer: rng.Uint64N(200), Plan: "standard", Deadline: 2 * time.Second}
+	return standin.Call{
+		Kind: "documents", Host: "care.example", Method: "GET", Path: "/docs/plan-" + strconv.Itoa(rng.IntN(1000)),
+		Customer: rng.Uint64N(200), Plan: "standard", Deadline: 2 * time.Second,
+	}
 }
 
 // WithDescriptors is Demo for another number of descriptors.
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -71,8 +71,10 @@
 				q.Counter = "another"
 			}
 			for range rng.IntN(3) {
-				q.Wants = append(q.Wants, allowance.Want{Key: fmt.Sprint("k ", rng.IntN(3)), Ceiling: allowance.Ceiling{Rate: 30, Burst: 60},
-					Units: rng.Float64() * 20, Need: rng.Float64() * 4})
+				q.Wants = append(q.Wants, allowance.Want{
+					Key: fmt.Sprint("k ", rng.IntN(3)), Ceiling: allowance.Ceiling{Rate: 30, Burst: 60},
+					Units: rng.Float64() * 20, Need: rng.Float64() * 4,
+				})
 			}
 			for range rng.IntN(3) {
 				if len(grants) > 0 {
@@ -132,8 +134,10 @@
 	if err != nil || a.Counter == "" || a.Seq != 7 || a.Lends || s.Calls() != 1 {
 		t.Fatalf("%+v, %v, %d calls", a, err, s.Calls())
 	}
-	for _, text := range []string{"LOADING Redis is loading the dataset in memory", "READONLY You can't write against a read only replica.",
-		"MOVED 3999 127.0.0.1:6381", "NOAUTH Authentication required.", "OOM command not allowed when used memory > 'maxmemory'."} {
+	for _, text := range []string{
+		"LOADING Redis is loading the dataset in memory", "READONLY You can't write against a read only replica.",
+		"MOVED 3999 127.0.0.1:6381", "NOAUTH Authentication required.", "OOM command not allowed when used memory > 'maxmemory'.",
+	} {
 		s.Set(0, text, false)
 		if _, err := call(); err == nil || !strings.Contains(err.Error(), strings.Fields(text)[0]) {
 			t.Errorf("%s: %v", text, err)
--- a/internal/limits/shared.go
+++ b/internal/limits/shared.go
@@ -171,8 +171,10 @@
 	s := a.shared
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Use{Used: s.ledger.Used(a.owner), Guaranteed: s.ledger.Guaranteed(a.owner), Total: s.ledger.Total(),
-		Denied: a.denied.Load()}
+	return Use{
+		Used: s.ledger.Used(a.owner), Guaranteed: s.ledger.Guaranteed(a.owner), Total: s.ledger.Total(),
+		Denied: a.denied.Load(),
+	}
 }
 
 // Pace shares the modules' time among services. It is safe for concurrent use.
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -21,10 +21,12 @@
 	f.told <- "reload"
 	return errors.New("c.toml:3: x: unknown key")
 }
+
 func (f fake) Upgrade(_ context.Context, program string) error {
 	f.told <- "upgrade " + program
 	return nil
 }
+
 func (f fake) Drain(keep bool) error {
 	f.told <- fmt.Sprint("drain ", keep)
 	return nil
@@ -36,6 +38,7 @@
 	}
 	return nil
 }
+
 func (f fake) Order(_ context.Context, o Order) error {
 	f.told <- fmt.Sprint(o.ID, " ", o.Want.Kind, " ", len(o.Want.Text))
 	return nil
--- a/internal/measure/bodies.go
+++ b/internal/measure/bodies.go
@@ -109,8 +109,10 @@
 }
 
 func middleFlow(all []Flow) Flow {
-	m := Flow{MBs: median(all, func(f Flow) float64 { return f.MBs }), CPU: median(all, func(f Flow) float64 { return f.CPU }),
-		Memory: median(all, func(f Flow) float64 { return f.Memory })}
+	m := Flow{
+		MBs: median(all, func(f Flow) float64 { return f.MBs }), CPU: median(all, func(f Flow) float64 { return f.CPU }),
+		Memory: median(all, func(f Flow) float64 { return f.Memory }),
+	}
 	for _, f := range all {
 		m.Bad += f.Bad
 		m.Bodies += f.Bodies
--- a/internal/measure/change.go
+++ b/internal/measure/change.go
@@ -162,8 +162,10 @@
 	var mu sync.Mutex
 	var all []standin.Answer
 	clients := standin.Clients{Addr: run.Addr(0), Workers: o.Clients, Call: func(rng *rand.Rand) standin.Call {
-		return standin.Call{Kind: "x", Host: "care.example", Method: "POST", Path: "/visit-update", Plan: "standard", Body: "swap",
-			Key: strconv.FormatUint(rng.Uint64(), 16), Customer: rng.Uint64N(500), Deadline: 3 * time.Second}
+		return standin.Call{
+			Kind: "x", Host: "care.example", Method: "POST", Path: "/visit-update", Plan: "standard", Body: "swap",
+			Key: strconv.FormatUint(rng.Uint64(), 16), Customer: rng.Uint64N(500), Deadline: 3 * time.Second,
+		}
 	}, Seen: func(a standin.Answer) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -79,7 +79,8 @@
 // overSeeds tries the scripts of seeds, or the one that was given, until one has something wrong, and
 // shortens that. What each left is kept where it failed.
 func overSeeds[R any](ctx context.Context, o FaultsOptions, what string, draw func(seed uint64) faultnet.Script,
-	run func(dir string, s faultnet.Script) (R, []string, error), place func(link int) string) (rows []R, least, failing string, err error) {
+	run func(dir string, s faultnet.Script) (R, []string, error), place func(link int) string,
+) (rows []R, least, failing string, err error) {
 	tries := 0
 	try := func(s faultnet.Script) (got R, wrong []string, err error) {
 		tries++
@@ -126,8 +127,10 @@
 
 // FaultsScript is the script of a seed.
 func FaultsScript(o FaultsOptions, seed uint64) faultnet.Script {
-	return faultnet.Draw(seed, faultnet.Spec{Links: trial.Links(o.Processes, o.Servers), Procs: o.Processes, For: o.Lasts, Faults: o.Faults,
-		ProcKinds: []script.Kind{script.Kill, script.Pause, script.Full, script.ReadOnly}})
+	return faultnet.Draw(seed, faultnet.Spec{
+		Links: trial.Links(o.Processes, o.Servers), Procs: o.Processes, For: o.Lasts, Faults: o.Faults,
+		ProcKinds: []script.Kind{script.Kill, script.Pause, script.Full, script.ReadOnly},
+	})
 }
 
 // Legend is a script with remarks on what its links are; Parse reads it.
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -104,8 +104,10 @@
 // Fleet runs a fleet of real processes under load, disturbs it by chance and holds what comes of
 // it to the rules.
 func Fleet(ctx context.Context, o FleetOptions) (*FleetReport, error) {
-	r := &fleetRig{o: o, tally: &standin.Tally{}, group: &standin.Group{Window: 15 * time.Second}, away: make(map[int]bool), killed: make(map[string][]time.Time), busy: make(map[int]bool),
-		limit: &standin.Ceiling{Rate: ceilingRate, Burst: ceilingBurst, From: enterpriseFrom}}
+	r := &fleetRig{
+		o: o, tally: &standin.Tally{}, group: &standin.Group{Window: 15 * time.Second}, away: make(map[int]bool), killed: make(map[string][]time.Time), busy: make(map[int]bool),
+		limit: &standin.Ceiling{Rate: ceilingRate, Burst: ceilingBurst, From: enterpriseFrom},
+	}
 	r.rep = &FleetReport{Instances: o.Instances, Told: o.Told, Slack: ceilingSlack, P50: map[string]float64{}, P99: map[string]float64{}}
 	if o.Told == 0 {
 		r.rep.Told = o.Instances
@@ -130,8 +132,10 @@
 		return nil, fmt.Errorf("measuring a fleet: %w", err)
 	}
 	r.tell("%d instances start", o.Instances)
-	r.run, err = fleet.Start(ctx, fleet.Options{Program: o.Program, Env: o.Env, Config: file, Dir: o.Dir, Instances: o.Instances, Told: o.Told,
-		Host: "127.0.0.1", Within: time.Minute})
+	r.run, err = fleet.Start(ctx, fleet.Options{
+		Program: o.Program, Env: o.Env, Config: file, Dir: o.Dir, Instances: o.Instances, Told: o.Told,
+		Host: "127.0.0.1", Within: time.Minute,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -203,8 +207,10 @@
 	ctx, cancel := context.WithTimeout(ctx, r.o.Lasts)
 	defer cancel()
 	begun := time.Now()
-	run := standin.Clients{Seed: r.o.Seed, Every: time.Second / time.Duration(r.o.Rate), Workers: min(r.o.Rate, 600), Retries: 3, Pause: 100 * time.Millisecond, Within: retryWithin,
-		Call: fleetCall(r.rep.Told), Pick: r.pick, Excused: r.excused}.Start(ctx)
+	run := standin.Clients{
+		Seed: r.o.Seed, Every: time.Second / time.Duration(r.o.Rate), Workers: min(r.o.Rate, 600), Retries: 3, Pause: 100 * time.Millisecond, Within: retryWithin,
+		Call: fleetCall(r.rep.Told), Pick: r.pick, Excused: r.excused,
+	}.Start(ctx)
 	var all sync.WaitGroup
 	rng := rand.New(rand.NewPCG(r.o.Seed, 11))
 	if r.o.ColdEvery > 0 {
@@ -236,8 +242,10 @@
 // fleetCall makes calls of many customers, each of which comes through a few instances.
 func fleetCall(told int) func(*rand.Rand) standin.Call {
 	return func(rng *rand.Rand) standin.Call {
-		c := standin.Call{Host: "care.example", Method: "GET", Path: "/roster-read/week", Kind: "roster-read", Plan: "standard",
-			Customer: rng.Uint64N(500), Deadline: 3 * time.Second, Spread: min(spread, told)}
+		c := standin.Call{
+			Host: "care.example", Method: "GET", Path: "/roster-read/week", Kind: "roster-read", Plan: "standard",
+			Customer: rng.Uint64N(500), Deadline: 3 * time.Second, Spread: min(spread, told),
+		}
 		if rng.IntN(3) == 0 { // a few that ask for more than their ceiling
 			c.Customer, c.Plan = enterpriseFrom+rng.Uint64N(4), "enterprise"
 		}
@@ -292,8 +300,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.made++
-	s, err := standin.Server{UID: fmt.Sprint("visits-", r.made), Group: r.group, Tally: r.tally, Ceiling: r.limit,
-		Work: r.o.Work, Cores: fleetCores, Queue: 64, Cold: cold, ColdFrom: 0.15, Fall: 2 * time.Second, Multiple: 2.5}.Start()
+	s, err := standin.Server{
+		UID: fmt.Sprint("visits-", r.made), Group: r.group, Tally: r.tally, Ceiling: r.limit,
+		Work: r.o.Work, Cores: fleetCores, Queue: 64, Cold: cold, ColdFrom: 0.15, Fall: 2 * time.Second, Multiple: 2.5,
+	}.Start()
 	if err != nil {
 		return err
 	}
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -64,8 +64,10 @@
 }
 
 func middle(all []Served) Served {
-	m := Served{Share: median(all, func(s Served) float64 { return s.Share }), P50: median(all, func(s Served) float64 { return s.P50 }),
-		P99: median(all, func(s Served) float64 { return s.P99 })}
+	m := Served{
+		Share: median(all, func(s Served) float64 { return s.Share }), P50: median(all, func(s Served) float64 { return s.P50 }),
+		P99: median(all, func(s Served) float64 { return s.P99 }),
+	}
 	for _, s := range all {
 		m.Lost += s.Lost
 	}
--- a/internal/measure/proxy.go
+++ b/internal/measure/proxy.go
@@ -150,8 +150,10 @@
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func middleSide(all []Side) Side {
-	m := Side{CPU: median(all, func(s Side) float64 { return s.CPU }), Rate: median(all, func(s Side) float64 { return s.Rate }),
-		P50: median(all, func(s Side) float64 { return s.P50 }), P99: median(all, func(s Side) float64 { return s.P99 })}
+	m := Side{
+		CPU: median(all, func(s Side) float64 { return s.CPU }), Rate: median(all, func(s Side) float64 { return s.Rate }),
+		P50: median(all, func(s Side) float64 { return s.P50 }), P99: median(all, func(s Side) float64 { return s.P99 }),
+	}
 	for _, s := range all {
 		m.Refused += s.Refused
 		m.Lost += s.Lost
@@ -170,8 +172,10 @@
 	defer cmd.Wait()
 	defer cmd.Process.Kill()
 	call := func(rng *rand.Rand) standin.Call {
-		c := standin.Call{Kind: "x", Host: "h", Method: "GET", Path: "/roster-read/week", Customer: rng.Uint64N(1000), Plan: "standard",
-			Deadline: 7 * time.Second}
+		c := standin.Call{
+			Kind: "x", Host: "h", Method: "GET", Path: "/roster-read/week", Customer: rng.Uint64N(1000), Plan: "standard",
+			Deadline: 7 * time.Second,
+		}
 		if rng.IntN(2) == 0 {
 			c.Method, c.Path, c.Key, c.Body = "POST", "/visit-update", strconv.FormatUint(rng.Uint64(), 16), "swap"
 		}
@@ -209,8 +213,10 @@
 	if r == nil || r.Served == 0 {
 		return Side{}, fmt.Errorf("%s served nothing", args[0])
 	}
-	return Side{CPU: float64((after - before).Microseconds()) / float64(r.Tries), Rate: float64(r.Served) / took.Seconds(),
-		P50: ms(r.P(0.5)), P99: ms(r.P(0.99)), Refused: r.Refused, Lost: r.Lost + r.Failed}, nil
+	return Side{
+		CPU: float64((after - before).Microseconds()) / float64(r.Tries), Rate: float64(r.Served) / took.Seconds(),
+		P50: ms(r.P(0.5)), P99: ms(r.P(0.99)), Refused: r.Refused, Lost: r.Lost + r.Failed,
+	}, nil
 }
 
 // launch starts the program on one core and waits until it serves; it tells where.
@@ -293,7 +299,8 @@
 		Rewrite: func(r *httputil.ProxyRequest) {
 			r.SetURL(&url.URL{Scheme: "http", Host: servers[next.Add(1)%uint64(len(servers))]})
 		},
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true},
+	}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/healthz" {
 			return
--- a/internal/measure/servers.go
+++ b/internal/measure/servers.go
@@ -70,8 +70,10 @@
 	for _, s := range all {
 		sides = append(sides, s.Side)
 	}
-	return ServersSide{Side: middleSide(sides), Dials: median(all, func(s ServersSide) float64 { return s.Dials }),
-		Most: median(all, func(s ServersSide) float64 { return s.Most }), Beside: median(all, func(s ServersSide) float64 { return s.Beside })}
+	return ServersSide{
+		Side: middleSide(sides), Dials: median(all, func(s ServersSide) float64 { return s.Dials }),
+		Most: median(all, func(s ServersSide) float64 { return s.Most }), Beside: median(all, func(s ServersSide) float64 { return s.Beside }),
+	}
 }
 
 // serversRun has a node of its own ask servers of its own, so that connections are those of one run.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -228,8 +228,10 @@
 
 // Serve answers scrapes on a listener until ctx ends.
 func Serve(ctx context.Context, l net.Listener, of Source) error {
-	srv := &http.Server{Handler: Handler(of), ReadHeaderTimeout: scrapeWithin, ReadTimeout: scrapeWithin, WriteTimeout: 2 * scrapeWithin,
-		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	srv := &http.Server{
+		Handler: Handler(of), ReadHeaderTimeout: scrapeWithin, ReadTimeout: scrapeWithin, WriteTimeout: 2 * scrapeWithin,
+		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+	}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -122,8 +122,10 @@
 // One of several services, behind 50 routes and with parts, without and with metrics, and
 // with the figures that a control socket tells.
 func BenchmarkSeveralServices(b *testing.B) {
-	for name, metrics := range map[string]string{"plain": "", "metrics": "[metrics]\naddress = \"127.0.0.1:0\"\n",
-		"figures": "[process]\ncontrol = \"/nowhere/control.sock\"\n"} {
+	for name, metrics := range map[string]string{
+		"plain": "", "metrics": "[metrics]\naddress = \"127.0.0.1:0\"\n",
+		"figures": "[process]\ncontrol = \"/nowhere/control.sock\"\n",
+	} {
 		b.Run(name, func(b *testing.B) { severalServices(b, metrics) })
 	}
 }
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -79,8 +79,10 @@
 var shareBooks = func(cfg *config.Config, f *front.Front) books { return newSharedBooks(cfg, f) }
 
 func newSharedBooks(cfg *config.Config, f *front.Front) *sharedBooks {
-	b := &sharedBooks{descriptors: limits.NewShared(0), held: limits.NewShared(0), bytes: limits.NewShared(0),
-		dials: limits.NewShared(0), pace: limits.NewPace(cfg.Process.Total.ModuleTime)}
+	b := &sharedBooks{
+		descriptors: limits.NewShared(0), held: limits.NewShared(0), bytes: limits.NewShared(0),
+		dials: limits.NewShared(0), pace: limits.NewPace(cfg.Process.Total.ModuleTime),
+	}
 	b.client = b.descriptors.Open(f.Evict)
 	return b
 }
@@ -126,14 +128,22 @@
 		of     func(*account) *limits.Account
 		part   func(config.Amounts) int64
 	}{
-		{"descriptors", b.descriptors, cfg.Process.Total.Descriptors, func(a *account) *limits.Account { return a.descriptors },
-			func(p config.Amounts) int64 { return p.Descriptors }},
-		{"held", b.held, cfg.Process.Total.Held, func(a *account) *limits.Account { return a.requests.Held },
-			func(p config.Amounts) int64 { return p.Held }},
-		{"bytes", b.bytes, cfg.Process.Total.Bytes, func(a *account) *limits.Account { return a.requests.Bytes },
-			func(p config.Amounts) int64 { return p.Bytes }},
-		{"dials", b.dials, cfg.Process.Total.Dials, func(a *account) *limits.Account { return a.dials },
-			func(p config.Amounts) int64 { return p.Dials }},
+		{
+			"descriptors", b.descriptors, cfg.Process.Total.Descriptors, func(a *account) *limits.Account { return a.descriptors },
+			func(p config.Amounts) int64 { return p.Descriptors },
+		},
+		{
+			"held", b.held, cfg.Process.Total.Held, func(a *account) *limits.Account { return a.requests.Held },
+			func(p config.Amounts) int64 { return p.Held },
+		},
+		{
+			"bytes", b.bytes, cfg.Process.Total.Bytes, func(a *account) *limits.Account { return a.requests.Bytes },
+			func(p config.Amounts) int64 { return p.Bytes },
+		},
+		{
+			"dials", b.dials, cfg.Process.Total.Dials, func(a *account) *limits.Account { return a.dials },
+			func(p config.Amounts) int64 { return p.Dials },
+		},
 	}
 	divisions := make([]map[*limits.Account]int64, len(things))
 	for i, thing := range things {
@@ -167,8 +177,10 @@
 
 func (a *account) use() *Parts {
 	r := &a.requests
-	return &Parts{Descriptors: a.descriptors.Use(), Held: r.Held.Use(), Bytes: r.Bytes.Use(), Dials: a.dials.Use(),
-		ModuleTime: r.Pace.Used(r.Owner)}
+	return &Parts{
+		Descriptors: a.descriptors.Use(), Held: r.Held.Use(), Bytes: r.Bytes.Use(), Dials: a.dials.Use(),
+		ModuleTime: r.Pace.Used(r.Owner),
+	}
 }
 
 // spent books the time of a service's module.
--- a/internal/node/drawn_test.go
+++ b/internal/node/drawn_test.go
@@ -102,9 +102,11 @@
 	order := rapid.Permutation(names).Draw(t, "names")
 	classes, plans := []any{}, []any{}
 	for i := range rapid.IntRange(1, 3).Draw(t, "classes") {
-		classes = append(classes, obj{"name": order[i], "effect": some("effect", "free", "guarded", "single_shot"), "key-scope": some("scope", "all", "zone", "cell"),
+		classes = append(classes, obj{
+			"name": order[i], "effect": some("effect", "free", "guarded", "single_shot"), "key-scope": some("scope", "all", "zone", "cell"),
 			"deadline": some("deadline", 1, 20, 300.5, 3000, 3600e3), "aim": some("aim", 1, 200, 2000, 3600e3), "repeat-window": some("window", 0, 1, 500, 3600e3),
-			"worth": some("worth", 0, 1, 5), "late-share": some("late", 0, 1)})
+			"worth": some("worth", 0, 1, 5), "late-share": some("late", 0, 1),
+		})
 	}
 	for i := range rapid.IntRange(0, 3).Draw(t, "plans") {
 		p := obj{"name": order[len(order)-1-i], "value-factor": some("price", 0, 1.5)}
@@ -129,8 +131,10 @@
 	for i, a := range apps.all {
 		targets = append(targets, obj{"uid": fmt.Sprint("s/", i), "endpoint": a.Addr(), "az": drawnZones[i], "pod_group": drawnCells[i], "state": "up"})
 	}
-	return obj{"name": "n 1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
-		"known": obj{"rev": 3, "all": true, "targets": targets}, "settings": set}
+	return obj{
+		"name": "n 1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
+		"known": obj{"rev": 3, "all": true, "targets": targets}, "settings": set,
+	}
 }
 
 // drawnAsk is one request, what its client gets wrong, and what servers do with it.
@@ -160,9 +164,11 @@
 		set := cfg.Services[0].Settings
 		var asks []drawnAsk
 		for range rapid.IntRange(1, 8).Draw(rt, "requests") {
-			a := drawnAsk{class: rapid.IntRange(0, len(set.Classes)-1).Draw(rt, "class"), plan: rapid.IntRange(0, len(set.Plans)-1).Draw(rt, "plan"),
+			a := drawnAsk{
+				class: rapid.IntRange(0, len(set.Classes)-1).Draw(rt, "class"), plan: rapid.IntRange(0, len(set.Plans)-1).Draw(rt, "plan"),
 				key: rapid.Bool().Draw(rt, "key"), method: rapid.SampledFrom([]string{"", "", "", "GET", "POST"}).Draw(rt, "method"),
-				spread: rapid.IntRange(1, set.GroupSize).Draw(rt, "spread"), first: rapid.IntRange(0, set.GroupSize-1).Draw(rt, "first")}
+				spread: rapid.IntRange(1, set.GroupSize).Draw(rt, "spread"), first: rapid.IntRange(0, set.GroupSize-1).Draw(rt, "first"),
+			}
 			most := turnsAway
 			if set.Classes[a.class].Deadline < time.Second {
 				most = stays
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -132,8 +132,10 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	for k, v := range map[string]string{protocol.HeaderID: id, protocol.HeaderPlan: "enterprise", protocol.HeaderTimeLeft: "7000m",
-		protocol.HeaderWeight: "units=1,spread=1,first=0"} {
+	for k, v := range map[string]string{
+		protocol.HeaderID: id, protocol.HeaderPlan: "enterprise", protocol.HeaderTimeLeft: "7000m",
+		protocol.HeaderWeight: "units=1,spread=1,first=0",
+	} {
 		req.Header.Set(k, v)
 	}
 	if method == http.MethodPost {
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -17,8 +17,10 @@
 // updates are clients that send keyed updates of various lengths, as fast as they are answered.
 func updates(addr string, seed uint64, workers int) standin.Clients {
 	return standin.Clients{Addr: addr, Seed: seed, Workers: workers, Call: func(rng *rand.Rand) standin.Call {
-		return standin.Call{Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
-			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second}
+		return standin.Call{
+			Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
+			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second,
+		}
 	}}
 }
 
@@ -85,8 +87,10 @@
 	var servers [3]*standin.Running
 	begin := func(i int, addr string, speaks bool) {
 		t.Helper()
-		s, err := standin.Server{UID: fmt.Sprint("s", i), Tally: tally, Group: group, HTTP2: speaks, Listen: addr, Seed: uint64(i),
-			Work: 4 * time.Millisecond, Cores: 1}.Start()
+		s, err := standin.Server{
+			UID: fmt.Sprint("s", i), Tally: tally, Group: group, HTTP2: speaks, Listen: addr, Seed: uint64(i),
+			Work: 4 * time.Millisecond, Cores: 1,
+		}.Start()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -20,13 +20,15 @@
 	l.Pools["documents"].Stall(stall)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	documents := standin.Clients{Addr: l.Node.Addr(), Seed: 11, Workers: 500,
+	documents := standin.Clients{
+		Addr: l.Node.Addr(), Seed: 11, Workers: 500,
 		Call: func(rng *rand.Rand) standin.Call {
 			c := lab.DocumentCall(rng)
 			c.Deadline = 20 * time.Second
 			time.Sleep(200 * time.Millisecond) // of a person, or after a refusal
 			return c
-		}}.Start(ctx)
+		},
+	}.Start(ctx)
 	if stall { // the trouble has to be there before it is measured
 		testkit.Until(t, "many held documents", func() bool { return l.Node.Status()[0].Waiting >= 40 })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,8 +80,10 @@
 // NewInheriting is New with listeners that the supervisor has passed on, by name; of which it
 // uses those that the configuration names (config.Inherited).
 func NewInheriting(cfg config.Config, inherited map[string]net.Listener) (*Node, error) {
-	n := &Node{inherited: inherited, changed: make(chan struct{}, 1), served: make(chan struct{}), cfg: cfg, generation: 1,
-		services: make(map[string]*running), older: make(map[*service.Service]*older), failed: make(chan error, 1), broken: make(chan error, 1)}
+	n := &Node{
+		inherited: inherited, changed: make(chan struct{}, 1), served: make(chan struct{}), cfg: cfg, generation: 1,
+		services: make(map[string]*running), older: make(map[*service.Service]*older), failed: make(chan error, 1), broken: make(chan error, 1),
+	}
 	n.fewer = sync.NewCond(&n.mu)
 	n.front = front.New(&front.Table{}, n.ready)
 	if cfg.Process.Shared {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -171,11 +171,17 @@
 		a.close()
 		return nil, err
 	}
-	o := service.Options{Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
+	o := service.Options{
+		Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
 		OnReady: n.tellChanged,
-		Upstream: upstream.Options{Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a), Rest: upstream.AnswerGap,
-			HTTP2: upstream.HTTP2{Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age, Again: c.Servers.Again,
-				Whole: speaks == nil}}}
+		Upstream: upstream.Options{
+			Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a), Rest: upstream.AnswerGap,
+			HTTP2: upstream.HTTP2{
+				Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age, Again: c.Servers.Again,
+				Whole: speaks == nil,
+			},
+		},
+	}
 	if c.Servers.TLS.On && !share {
 		if o.Upstream.TLS, err = certs.Load(c.Servers.TLS); err != nil {
 			a.close()
@@ -273,9 +279,11 @@
 	if err := book.Load(planOf(c)); err != nil {
 		return nil, err
 	}
-	return front.NewOrdinary(front.Options{Customers: book, Safe: config.ClassRead, Other: config.ClassWrite, Once: h.Once,
+	return front.NewOrdinary(front.Options{
+		Customers: book, Safe: config.ClassRead, Other: config.ClassWrite, Once: h.Once,
 		TimeHeader: h.TimeHeader, SendTime: h.SendTime, SendID: h.SendID, Replay: int(h.Replay), Hold: int(c.Answer), Idle: h.Idle,
-		LeastRate: h.LeastRate, Rules: h.Rules, Underscores: h.Underscores, Tells: h.Tells, Trusted: h.Customers.Trusted}), nil
+		LeastRate: h.LeastRate, Rules: h.Rules, Underscores: h.Underscores, Tells: h.Tells, Trusted: h.Customers.Trusted,
+	}), nil
 }
 
 // planOf tells whether a service has a plan.
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -51,8 +51,10 @@
 	all := make(map[string][]standin.Server)
 	for _, name := range []string{"a", "b"} {
 		for i := range 2 {
-			all[name] = append(all[name], standin.Server{UID: fmt.Sprint(name, i), Work: work, Place: i,
-				Group: &standin.Group{Window: 15 * time.Second}})
+			all[name] = append(all[name], standin.Server{
+				UID: fmt.Sprint(name, i), Work: work, Place: i,
+				Group: &standin.Group{Window: 15 * time.Second},
+			})
 		}
 	}
 	return all
@@ -130,8 +132,10 @@
 			var runs []*standin.Run
 			for i, path := range []string{"/one/x", "/two", "/one/third/y"} {
 				runs = append(runs, standin.Clients{Addr: l.Node.Addr(), Seed: seed*10 + uint64(i), Workers: 8, Call: func(rng *rand.Rand) standin.Call {
-					c := standin.Call{Kind: path, Host: "care.example", Method: "GET", Path: path, Plan: "standard",
-						Customer: rng.Uint64N(100), Deadline: 5 * time.Second}
+					c := standin.Call{
+						Kind: path, Host: "care.example", Method: "GET", Path: path, Plan: "standard",
+						Customer: rng.Uint64N(100), Deadline: 5 * time.Second,
+					}
 					if path == "/two" {
 						c.Method, c.Key, c.Body = "POST", fmt.Sprint("k", rng.Uint64()), strings.Repeat("x", rng.IntN(2000))
 					}
--- a/internal/node/shared_test.go
+++ b/internal/node/shared_test.go
@@ -84,11 +84,13 @@
 		addrs[i] = n.Node.Addr()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	run := standin.Clients{Seed: 1, Workers: 3 * len(addrs), Every: time.Second / 300,
+	run := standin.Clients{
+		Seed: 1, Workers: 3 * len(addrs), Every: time.Second / 300,
 		Pick: func(rng *rand.Rand, _ standin.Call, _ string) string { return addrs[rng.IntN(len(addrs))] },
 		Call: func(rng *rand.Rand) standin.Call {
 			return standin.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "enterprise", Customer: 7, Units: 1 + rng.IntN(4), Deadline: 3 * time.Second}
-		}}.Start(ctx)
+		},
+	}.Start(ctx)
 	t.Cleanup(func() {
 		stop()
 		if r := run.Wait()["r"]; r.Lost+r.Wrong > 0 {
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -125,8 +125,12 @@
 	}
 	set := o["settings"].(obj)
 	delete(set["domain"].(obj), "units-top")
-	set["tariffs"] = []any{obj{"name": "stored", "quota-rate": 0.1, "depth": 8}, obj{"name": "small", "quota-rate": 0.1, "depth": 0.5},
-		obj{"name": "counted", "open": 9}, obj{"name": "capped", "cap-rate": 9.5, "hard-burst": 30, "ceiling-slack": 30}}
+	set["tariffs"] = []any{
+		obj{"name": "stored", "quota-rate": 0.1, "depth": 8},
+		obj{"name": "small", "quota-rate": 0.1, "depth": 0.5},
+		obj{"name": "counted", "open": 9},
+		obj{"name": "capped", "cap-rate": 9.5, "hard-burst": 30, "ceiling-slack": 30},
+	}
 	if raw, err = json.Marshal(o); err != nil {
 		t.Fatal(err)
 	}
@@ -140,10 +144,18 @@
 		plan, weight string
 		status       int
 	}{
-		{"stored", "units=8.1", 400}, {"stored", "units=1e300", 400}, {"stored", "units=3", 200}, {"stored", "units=2", 200},
-		{"small", "units=1.5", 400}, {"small", "", 200}, // one without figures is none of bad form
-		{"counted", "units=1e300", 400}, {"counted", "units=1.5", 200}, {"counted", "units=1e5", 200}, {"counted", "", 200},
-		{"capped", "units=31", 400}, {"capped", "units=5", 200},
+		{"stored", "units=8.1", 400},
+		{"stored", "units=1e300", 400},
+		{"stored", "units=3", 200},
+		{"stored", "units=2", 200},
+		{"small", "units=1.5", 400},
+		{"small", "", 200}, // one without figures is none of bad form
+		{"counted", "units=1e300", 400},
+		{"counted", "units=1.5", 200},
+		{"counted", "units=1e5", 200},
+		{"counted", "", 200},
+		{"capped", "units=31", 400},
+		{"capped", "units=5", 200},
 	} {
 		q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
 		q.Header.Set(protocol.HeaderPlan, tc.plan)
--- a/internal/ordinarytest/differential_test.go
+++ b/internal/ordinarytest/differential_test.go
@@ -75,9 +75,11 @@
 			}
 		}
 	}
-	for _, status := range []int{200, 201, 202, 203, 204, 205, 206, 207, 226, 300, 301, 302, 303, 304, 307, 308, 400, 401, 402, 403, 404, 405,
+	for _, status := range []int{
+		200, 201, 202, 203, 204, 205, 206, 207, 226, 300, 301, 302, 303, 304, 307, 308, 400, 401, 402, 403, 404, 405,
 		406, 407, 408, 409, 410, 411, 412, 413, 414, 415, 416, 417, 418, 421, 422, 423, 425, 426, 428, 429, 431, 451, 500, 501, 502, 503,
-		504, 505, 506, 507, 508, 511, 599} {
+		504, 505, 506, 507, 508, 511, 599,
+	} {
 		for _, m := range []string{"GET", "POST"} {
 			n := 20
 			if status == 304 {
@@ -98,17 +100,21 @@
 			add(exchange{method: "GET", target: target, script: "body=5", old: old})
 		}
 	}
-	for _, s := range []string{"frame=chunked&body=100&trailer=1", "frame=chunked&body=100&trailer=announced", "frame=chunked&body=100000&trailer=1",
+	for _, s := range []string{
+		"frame=chunked&body=100&trailer=1", "frame=chunked&body=100&trailer=announced", "frame=chunked&body=100000&trailer=1",
 		"frame=chunked&body=100&trailer=sent", "interim=103&body=5", "interim=103&interim=103&body=70000", "interim=102&status=404&body=3",
 		"old=1&frame=close&body=900", "old=1&frame=length&body=900", "old=1&frame=close&body=200000", "type=text/html&body=5", "type=text/event-stream&body=300&frame=chunked",
-		"type=text/event-stream&body=300", "body=3000&every=1ms&frame=chunked", "body=100&frame=none", "status=204&interim=103"} {
+		"type=text/event-stream&body=300", "body=3000&every=1ms&frame=chunked", "body=100&frame=none", "status=204&interim=103",
+	} {
 		for _, m := range []string{"GET", "POST", "HEAD"} {
 			add(exchange{method: m, script: s, frame: frameOf(m), body: int64(len(m))})
 		}
 	}
-	for _, f := range []string{"Accept: a\r\nAccept: b", "X-Empty:", "X-Long: " + strings.Repeat("v", 3000), "Cookie: a=b; c=d", "Cookie: a\r\nCookie: b", "Te: trailers",
+	for _, f := range []string{
+		"Accept: a\r\nAccept: b", "X-Empty:", "X-Long: " + strings.Repeat("v", 3000), "Cookie: a=b; c=d", "Cookie: a\r\nCookie: b", "Te: trailers",
 		"If-None-Match: \"x\"", "Range: bytes=0-5", "Authorization: Basic eDp5", "Connection: keep-alive, X-Drop\r\nX-Drop: 1", "X-Latin: caf\xe9",
-		"X-Request-Id: r-1", "Idempotency-Key: k", "User-Agent: u/1", "Accept-Encoding: gzip", "Keep-Alive: timeout=5", "Cache-Control: no-store"} {
+		"X-Request-Id: r-1", "Idempotency-Key: k", "User-Agent: u/1", "Accept-Encoding: gzip", "Keep-Alive: timeout=5", "Cache-Control: no-store",
+	} {
 		add(exchange{method: "GET", fields: []string{f}, script: "body=5"})
 		add(exchange{method: "POST", fields: []string{f}, script: "body=5", frame: "chunked", body: 10, trailer: true})
 	}
--- a/internal/ordinarytest/hard_test.go
+++ b/internal/ordinarytest/hard_test.go
@@ -291,12 +291,16 @@
 		script string
 		status int
 	}{
-		{"twice=1&body=9", 200}, {"body=7", 200}, {"frame=chunked&trailer=announced&body=9", 200},
+		{"twice=1&body=9", 200},
+		{"body=7", 200},
+		{"frame=chunked&trailer=announced&body=9", 200},
 		{"raw=HTTP/1.1 200 OK%0D%0AContent-Length: 5%0D%0ATransfer-Encoding: chunked%0D%0A%0D%0A0%0D%0A%0D%0A", 502},
 		{"raw=HTTP/1.1 200 OK%0D%0AA: b%0D%0A c%0D%0AContent-Length: 0%0D%0A%0D%0A", 502},
 		{"raw=HTTP/1.1 200 OK%0D%0AContent-Length: 5%0D%0AContent-Length: 6%0D%0A%0D%0Ahellox", 502},
 		{"raw=HTTP/1.1 101 Switching Protocols%0D%0AUpgrade: x%0D%0A%0D%0A", 502},
-		{"raw=noise", 502}, {"cut=40&body=10", 502}, {"body=7", 200},
+		{"raw=noise", 502},
+		{"cut=40&body=10", 502},
+		{"body=7", 200},
 	} {
 		ask(c, "POST", strings.ReplaceAll(tc.script, " ", "+"), "Content-Length: 0")
 		r := answered(t, in)
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -97,10 +97,14 @@
 		src.Servers = append(src.Servers, discovery.Target{UID: fmt.Sprint(i), Endpoint: o.Addr(), State: "up", Capacity: 1})
 	}
 	ready := make(chan struct{})
-	s, err := service.New(service.Options{Source: src, AnyMethod: true, OnReady: func() { close(ready) },
-		Settings: control.Settings{GroupSize: 1, SendCap: 4, MaxRetryAfter: time.Second, MayCancel: true, Plans: []control.Plan{{Name: "p", Price: 1}},
-			Classes: []control.Class{{Name: "any", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}},
-		Upstream: upstream.Options{Connect: time.Second, Keepalive: 15 * time.Second, Sockets: limits.NewSockets(1000)}})
+	s, err := service.New(service.Options{
+		Source: src, AnyMethod: true, OnReady: func() { close(ready) },
+		Settings: control.Settings{
+			GroupSize: 1, SendCap: 4, MaxRetryAfter: time.Second, MayCancel: true, Plans: []control.Plan{{Name: "p", Price: 1}},
+			Classes: []control.Class{{Name: "any", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+		},
+		Upstream: upstream.Options{Connect: time.Second, Keepalive: 15 * time.Second, Sockets: limits.NewSockets(1000)},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -125,11 +129,15 @@
 				rng := rand.New(rand.NewPCG(uint64(seed), 22))
 				size, want := int64(rng.IntN(200_000)), int64(100_000+rng.IntN(200_000))
 				from := &shared{r: standin.PatternReader(size)}
-				q := &upstream.Relay{Name: "POST", Target: "/x", Host: "h", Length: -1, Rules: &rules, Hold: 1 << 16, Idle: time.Second, Wait: time.Second,
+				q := &upstream.Relay{
+					Name: "POST", Target: "/x", Host: "h", Length: -1, Rules: &rules, Hold: 1 << 16, Idle: time.Second, Wait: time.Second,
 					Header: http.Header{standin.HeaderScript: {fmt.Sprintf("frame=chunked&body=%d", want)}, "X-Request-Id": {fmt.Sprint(seed)}, "X-Want": {standin.HashOf(size)}},
-					Body:   replay.New(from, 1<<16, nil)}
-				x := &service.Exchange{Forward: service.Forward(q), Deadline: time.Now().Add(2 * time.Second),
-					Req: control.Request{ID: fmt.Sprint(seed), Class: "any", Plan: "p", Customer: "c", Units: 1, Spread: 1, Open: true}}
+					Body:   replay.New(from, 1<<16, nil),
+				}
+				x := &service.Exchange{
+					Forward: service.Forward(q), Deadline: time.Now().Add(2 * time.Second),
+					Req: control.Request{ID: fmt.Sprint(seed), Class: "any", Plan: "p", Customer: "c", Units: 1, Spread: 1, Open: true},
+				}
 				if wrap != nil {
 					x.Forward = wrap(q, from)
 				}
--- a/internal/ordinarytest/tallies_test.go
+++ b/internal/ordinarytest/tallies_test.go
@@ -93,8 +93,10 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(testkit.Patience))
 	go func() {
-		e := exchange{method: ch.method, target: "/x", script: ch.script, body: ch.body,
-			fields: []string{"X-Request-Id: " + id, "X-Want: " + standin.HashOf(ch.body)}}
+		e := exchange{
+			method: ch.method, target: "/x", script: ch.script, body: ch.body,
+			fields: []string{"X-Request-Id: " + id, "X-Want: " + standin.HashOf(ch.body)},
+		}
 		if ch.body > 0 {
 			e.frame = "length"
 			if ch.chunks {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -254,8 +254,10 @@
 }
 
 // kinds are events by the number that a recording has for them, from 1 on.
-var kinds = []func(cbor.RawMessage) (control.Event, error){decode[control.List], decode[control.Request], decode[control.Started],
-	decode[control.Response], decode[control.Hangup], decode[control.Timer], decode[control.ProbeResult], decode[control.PeerMessage], decode[control.Counted]}
+var kinds = []func(cbor.RawMessage) (control.Event, error){
+	decode[control.List], decode[control.Request], decode[control.Started],
+	decode[control.Response], decode[control.Hangup], decode[control.Timer], decode[control.ProbeResult], decode[control.PeerMessage], decode[control.Counted],
+}
 
 func decode[E control.Event](raw cbor.RawMessage) (control.Event, error) {
 	var e E
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -21,10 +21,14 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-var settings = control.Settings{GroupSize: 2, SendCap: 3, RetryAfter: true, MaxRetryAfter: time.Second, MeterPeriod: time.Second, CostAfter: true,
-	Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
-		{Name: "write", Aim: time.Second, Deadline: 3 * time.Second, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: 15 * time.Second}},
-	Plans: []control.Plan{{Name: "a", Price: 1, Rate: 20, Depth: 40}, {Name: "b", Price: 2, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4}}}
+var settings = control.Settings{
+	GroupSize: 2, SendCap: 3, RetryAfter: true, MaxRetryAfter: time.Second, MeterPeriod: time.Second, CostAfter: true,
+	Classes: []control.Class{
+		{Name: "read", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
+		{Name: "write", Aim: time.Second, Deadline: 3 * time.Second, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: 15 * time.Second},
+	},
+	Plans: []control.Plan{{Name: "a", Price: 1, Rate: 20, Depth: 40}, {Name: "b", Price: 2, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4}},
+}
 
 // played has a recorded module take a history by chance, as a service would bring it.
 func played(t testing.TB, seed uint64, steps int, o Options, between func(m *Module, step int)) {
@@ -69,15 +73,19 @@
 			}
 		}
 		if k := rng.IntN(10); k < 5 {
-			tell(control.Request{ID: fmt.Sprint(step), Class: []string{"read", "write"}[k%2], Plan: []string{"a", "b"}[step%2], Customer: fmt.Sprint(rng.IntN(5)),
-				TTL: 3 * time.Second, Units: float64(1 + rng.IntN(3)), Spread: 2, Open: k == 4})
+			tell(control.Request{
+				ID: fmt.Sprint(step), Class: []string{"read", "write"}[k%2], Plan: []string{"a", "b"}[step%2], Customer: fmt.Sprint(rng.IntN(5)),
+				TTL: 3 * time.Second, Units: float64(1 + rng.IntN(3)), Spread: 2, Open: k == 4,
+			})
 		} else if len(out) > 0 {
 			i := rng.IntN(len(out))
 			s := out[i]
 			out = append(out[:i], out[i+1:]...)
 			why := []control.Reason{control.OK, control.OK, control.OK, control.Errored, control.Full, control.ConnectFailed, control.TimedOut}[rng.IntN(7)]
-			tell(control.Response{ID: s.ID, N: n[s.ID], Server: s.Server, Reason: why, Done: why == control.OK, Used: rng.IntN(200), Cost: 1,
-				Delay: time.Millisecond, Load: &control.Load{Active: 2, CPU: 0.5}})
+			tell(control.Response{
+				ID: s.ID, N: n[s.ID], Server: s.Server, Reason: why, Done: why == control.OK, Used: rng.IntN(200), Cost: 1,
+				Delay: time.Millisecond, Load: &control.Load{Active: 2, CPU: 0.5},
+			})
 			n[s.ID]++
 		}
 		if between != nil {
--- a/internal/regions/loop.go
+++ b/internal/regions/loop.go
@@ -52,8 +52,10 @@
 		for _, t := range l.from[r] {
 			c := l.shortest(t)
 			if x.visited > l.limit {
-				return append(all, Conflict{Kind: LoopKind, Severity: Error, Regions: []string{x.regions[r].Name}, Rules: []string{x.attrs.all[t.attr].name},
-					Why: fmt.Sprintf("undecided: too many rules lead to other regions for %d steps", x.work)})
+				return append(all, Conflict{
+					Kind: LoopKind, Severity: Error, Regions: []string{x.regions[r].Name}, Rules: []string{x.attrs.all[t.attr].name},
+					Why: fmt.Sprintf("undecided: too many rules lead to other regions for %d steps", x.work),
+				})
 			}
 			if c == nil {
 				continue
--- a/internal/regions/mixture/mixture.go
+++ b/internal/regions/mixture/mixture.go
@@ -144,8 +144,10 @@
 }
 
 func plan(old, new []regions.Region, check func([]regions.Region) []regions.Conflict) *planner {
-	p := &planner{check: check, old: make(map[string]*regions.Region), new: make(map[string]*regions.Region),
-		ends: make(map[string]bool), many: make(map[string]bool)}
+	p := &planner{
+		check: check, old: make(map[string]*regions.Region), new: make(map[string]*regions.Region),
+		ends: make(map[string]bool), many: make(map[string]bool),
+	}
 	for i := range old {
 		p.old[old[i].Name] = &old[i]
 	}
--- a/internal/regions/mixture/mixture_test.go
+++ b/internal/regions/mixture/mixture_test.go
@@ -31,8 +31,10 @@
 		}
 		for _, b := range all[i+1:] {
 			tell := func(kind regions.Kind, sev regions.Severity, path string, rules ...string) {
-				found = append(found, regions.Conflict{Kind: kind, Severity: sev, Regions: []string{a.Name, b.Name}, Rules: rules,
-					Witness: &regions.Witness{Method: "GET", Path: path}})
+				found = append(found, regions.Conflict{
+					Kind: kind, Severity: sev, Regions: []string{a.Name, b.Name}, Rules: rules,
+					Witness: &regions.Witness{Method: "GET", Path: path},
+				})
 			}
 			for _, r := range a.Routes {
 				o, ok := find(b.Routes, r.Name, func(r regions.Route) string { return r.Name })
@@ -324,8 +326,10 @@
 		if scope, window := draw(0, 2), draw(1, 3); class.Effect == control.Guarded {
 			class.KeyScope, class.RepeatWindow = control.Scope(scope), time.Duration(window)
 		}
-		r.Services = []regions.Service{{Name: "a", Plans: []control.Plan{plan}, Classes: []control.Class{class},
-			Cold: regions.Cold{For: time.Duration(draw(0, 2)) * 4 * time.Second, From: float64(draw(0, 3)) / 4, Multiple: float64(draw(1, 3))}}}
+		r.Services = []regions.Service{{
+			Name: "a", Plans: []control.Plan{plan}, Classes: []control.Class{class},
+			Cold: regions.Cold{For: time.Duration(draw(0, 2)) * 4 * time.Second, From: float64(draw(0, 3)) / 4, Multiple: float64(draw(1, 3))},
+		}}
 		return r, drawn
 	}
 	needed := 0
--- a/internal/regions/regions_test.go
+++ b/internal/regions/regions_test.go
@@ -133,8 +133,10 @@
 	pick := func(what string, of ...string) string { return rapid.SampledFrom(of).Draw(t, what) }
 	r := Region{Name: name, Instances: 1, Listeners: []string{name + ":80"}}
 	class := func(n string) control.Class {
-		return control.Class{Name: n, Deadline: time.Duration(rapid.IntRange(1, 2).Draw(t, "deadline")) * time.Second,
-			Effect: control.Effect(rapid.IntRange(0, 2).Draw(t, "effect")), RepeatWindow: time.Duration(rapid.IntRange(0, 1).Draw(t, "window"))}
+		return control.Class{
+			Name: n, Deadline: time.Duration(rapid.IntRange(1, 2).Draw(t, "deadline")) * time.Second,
+			Effect: control.Effect(rapid.IntRange(0, 2).Draw(t, "effect")), RepeatWindow: time.Duration(rapid.IntRange(0, 1).Draw(t, "window")),
+		}
 	}
 	for i, n := range []string{"s", "t", "u"} {
 		s := Service{Name: n, Ordinary: rapid.Bool().Draw(t, "ordinary")}
--- a/internal/regions/space.go
+++ b/internal/regions/space.go
@@ -57,8 +57,10 @@
 }
 
 func newSpace() *space {
-	return &space{conds: make(map[key]*cond), buckets: make(map[string]*bucket), all: newBucket(""), methods: make(map[string]int),
-		values: make(map[route.Header]int)}
+	return &space{
+		conds: make(map[key]*cond), buckets: make(map[string]*bucket), all: newBucket(""), methods: make(map[string]int),
+		values: make(map[route.Header]int),
+	}
 }
 
 // find gives the conditions of a rule, made where there are none; nil where no router takes them.
--- a/internal/regions/sums_test.go
+++ b/internal/regions/sums_test.go
@@ -14,9 +14,11 @@
 func summed(change func(i int, r *Region), sizes ...[2]int) (told []Conflict) {
 	var all []Region
 	for i, s := range sizes {
-		r := Region{Name: string(rune('a' + i)), Instances: s[0], Members: s[1], Services: []Service{{Name: "s",
+		r := Region{Name: string(rune('a' + i)), Instances: s[0], Members: s[1], Services: []Service{{
+			Name:    "s",
 			Plans:   []control.Plan{{Name: "p", CeilingRate: 100, CeilingBurst: 50, CeilingSlack: 10}},
-			Servers: []string{"1", fmt.Sprint("own", i)}, Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5}}}}
+			Servers: []string{"1", fmt.Sprint("own", i)}, Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5},
+		}}}
 		change(i, &r)
 		all = append(all, r)
 	}
@@ -110,8 +112,11 @@
 	} {
 		var all []Region
 		for i, n := range []string{"a", "b"} {
-			all = append(all, Region{Name: n, Listeners: []string{n}, Routes: tc.routes, Services: []Service{{Name: "own", Ordinary: tc.ordinary},
-				{Name: "peer", Ordinary: tc.ordinary, Leads: []string{[]string{"b", "a"}[i]}}, {Name: "gathers", Ordinary: true, Gather: "peer", Leads: []string{[]string{"b", "a"}[i]}}}})
+			all = append(all, Region{Name: n, Listeners: []string{n}, Routes: tc.routes, Services: []Service{
+				{Name: "own", Ordinary: tc.ordinary},
+				{Name: "peer", Ordinary: tc.ordinary, Leads: []string{[]string{"b", "a"}[i]}},
+				{Name: "gathers", Ordinary: true, Gather: "peer", Leads: []string{[]string{"b", "a"}[i]}},
+			}})
 		}
 		if told := Check(all); len(told) != min(1, len(tc.want)) || len(told) == 1 && (told[0].Kind != LoopKind || told[0].Severity != tc.want) {
 			t.Errorf("%s: %+v", name, told)
--- a/internal/regions/tell.go
+++ b/internal/regions/tell.go
@@ -14,8 +14,10 @@
 // kinds is the order in which conflicts are told.
 var kinds = []Kind{CeilingKind, ColdKind, CoverageKind, DeadKind, LoopKind, ServiceKind, TermsKind}
 
-var severities = map[Kind]Severity{ServiceKind: Error, CoverageKind: Warning, TermsKind: Error, CeilingKind: Error, ColdKind: Error,
-	LoopKind: Error, DeadKind: Warning}
+var severities = map[Kind]Severity{
+	ServiceKind: Error, CoverageKind: Warning, TermsKind: Error, CeilingKind: Error, ColdKind: Error,
+	LoopKind: Error, DeadKind: Warning,
+}
 
 // Conflicts gives all that there are.
 func (x *Index) Conflicts() []Conflict { return x.conflicts(toldMost) }
@@ -75,8 +77,10 @@
 		all = append(all, make([]Conflict, total-len(all))...)
 		for i, count := range counts[kind] {
 			if count > most {
-				all[at[i]+most] = Conflict{Kind: kind, Severity: severities[kind], Regions: x.names(i/n, i%n), Rules: []string{},
-					Why: fmt.Sprintf("%d more of this kind", count-most)}
+				all[at[i]+most] = Conflict{
+					Kind: kind, Severity: severities[kind], Regions: x.names(i/n, i%n), Rules: []string{},
+					Why: fmt.Sprintf("%d more of this kind", count-most),
+				}
 				counts[kind][i] = most
 			}
 		}
--- a/internal/regiontrial/checks_test.go
+++ b/internal/regiontrial/checks_test.go
@@ -81,10 +81,18 @@
 		parts, missing, body string
 		well                 bool
 	}{
-		{"3/3", "", body("south", "north", "east"), true}, {"2/3", "here", body("north", "east"), true}, {"1/3", "here, east", body("north"), true},
-		{"3/3", "", body("south", "north"), false}, {"2/3", "east", body("north", "east"), false}, {"2/3", "", body("north", "east"), false},
-		{"2/3", "east", body("north", "south", "east"), false}, {"3/3", "", body("north", "north", "east"), false}, {"2/2", "", body("north", "south"), false},
-		{"2/3", "west", body("north", "south"), false}, {"2/3", "east", strings.Replace(body("north", "south"), "7", "8", 1), false}, {"2/3", "east", "[", false},
+		{"3/3", "", body("south", "north", "east"), true},
+		{"2/3", "here", body("north", "east"), true},
+		{"1/3", "here, east", body("north"), true},
+		{"3/3", "", body("south", "north"), false},
+		{"2/3", "east", body("north", "east"), false},
+		{"2/3", "", body("north", "east"), false},
+		{"2/3", "east", body("north", "south", "east"), false},
+		{"3/3", "", body("north", "north", "east"), false},
+		{"2/2", "", body("north", "south"), false},
+		{"2/3", "west", body("north", "south"), false},
+		{"2/3", "east", strings.Replace(body("north", "south"), "7", "8", 1), false},
+		{"2/3", "east", "[", false},
 	} {
 		if err := Holds("south", "7", tc.parts, tc.missing, tc.body); (err == nil) != tc.well {
 			t.Errorf("%s without %q, %s: %v", tc.parts, tc.missing, tc.body, err)
--- a/internal/regiontrial/ground.go
+++ b/internal/regiontrial/ground.go
@@ -33,8 +33,10 @@
 		n -= 2 * nodes
 	}
 	region, at := regionNames[n/perRegion], n%perRegion
-	return [...]string{"regions to the first listener of ", "regions to the second listener of ", region + " to app 0 of ", region + " to app 1 of ",
-		region + " to the pool of "}[at] + region
+	return [...]string{
+		"regions to the first listener of ", "regions to the second listener of ", region + " to app 0 of ", region + " to app 1 of ",
+		region + " to the pool of ",
+	}[at] + region
 }
 
 func member(i int) string { return fmt.Sprint("node-", i) }
@@ -63,9 +65,11 @@
 func (g *ground) of(region, at int) *faultnet.Link {
 	return g.links[regionCount*2*g.each+region*perRegion+at]
 }
+
 func (g *ground) entry(region int) []string {
 	return []string{g.of(region, 0).Addr(), g.of(region, 1).Addr()}
 }
+
 func (g *ground) apps(region int) []string {
 	return []string{g.of(region, 2).Addr(), g.of(region, 3).Addr()}
 }
@@ -113,8 +117,10 @@
 	for i := range regionCount * g.each {
 		dir := filepath.Join(g.dir, strconv.Itoa(i))
 		state := filepath.Join(dir, "state")
-		g.procs = append(g.procs, &process.Process{Path: program, Log: filepath.Join(dir, "log"), State: state, Args: []string{"serve", "--config", g.file(i),
-			"--control", g.socket(i), "--state", state}})
+		g.procs = append(g.procs, &process.Process{Path: program, Log: filepath.Join(dir, "log"), State: state, Args: []string{
+			"serve", "--config", g.file(i),
+			"--control", g.socket(i), "--state", state,
+		}})
 		if err := g.procs[i].Start(); err != nil {
 			return err
 		}
@@ -233,6 +239,8 @@
 
 // Draw draws a script for a trial of so many nodes a region.
 func Draw(seed uint64, each, faults int, lasts time.Duration) faultnet.Script {
-	return faultnet.Draw(seed, faultnet.Spec{Links: Links(each), Procs: regionCount * each, For: lasts, Faults: faults,
-		ProcKinds: []script.Kind{script.Kill, script.Pause, script.Full, script.ReadOnly}})
+	return faultnet.Draw(seed, faultnet.Spec{
+		Links: Links(each), Procs: regionCount * each, For: lasts, Faults: faults,
+		ProcKinds: []script.Kind{script.Kill, script.Pause, script.Full, script.ReadOnly},
+	})
 }
--- a/internal/regiontrial/trial.go
+++ b/internal/regiontrial/trial.go
@@ -101,8 +101,10 @@
 
 // Run tries one script. The error is of what could not be tried; what went wrong in it is in the report.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	r := &run{o: o, ground: &ground{each: o.Each, dir: o.Dir}, notes: &history.Exchanges{}, status: make(map[int]int), gens: make(map[string][]string),
-		rng: rand.New(rand.NewPCG(o.Script.Seed, 0xa70ce)), began: time.Now()}
+	r := &run{
+		o: o, ground: &ground{each: o.Each, dir: o.Dir}, notes: &history.Exchanges{}, status: make(map[int]int), gens: make(map[string][]string),
+		rng: rand.New(rand.NewPCG(o.Script.Seed, 0xa70ce)), began: time.Now(),
+	}
 	player, err := faultnet.NewPlayer(o.Script, make([]*faultnet.Link, Links(o.Each)), make([]*faultnet.Process, r.nodes()))
 	if err != nil {
 		return nil, err
@@ -147,7 +149,8 @@
 		for n, handle := range []func(string) (*server, error){
 			func(name string) (*server, error) { return listen(r.notes, r.app(name)) },
 			func(name string) (*server, error) { return listen(r.notes, r.app(name)) },
-			func(name string) (*server, error) { return listen(r.notes, r.pool(name)) }} {
+			func(name string) (*server, error) { return listen(r.notes, r.pool(name)) },
+		} {
 			s, err := handle(name)
 			if err != nil {
 				return nil, nil, err
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -81,9 +81,11 @@
 	w.n++
 	heap.Push(&w.agenda, at{w.now + d, w.n, f})
 }
+
 func (w *world) bad(format string, args ...any) {
 	w.wrong = append(w.wrong, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
 }
+
 func (w *world) late() time.Duration {
 	d := time.Duration(w.rng.IntN(20)) * time.Millisecond
 	if w.rng.Float64() < w.loss/2 {
@@ -259,8 +261,10 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := &world{rng: rng, ordered: map[string]bool{}, owners: map[uint64]string{}, mutated: mutated, lineage: true}
 	n, phases := 1+rng.IntN(9), 1+rng.IntN(3)
-	w.plan = Plan{AtOnce: 1 + rng.IntN(3), Bake: 2 * time.Second, BakeMost: 20 * time.Second, Away: 12 * time.Second, Controls: rng.IntN(2) == 0,
-		Stages: DefaultStages()}
+	w.plan = Plan{
+		AtOnce: 1 + rng.IntN(3), Bake: 2 * time.Second, BakeMost: 20 * time.Second, Away: 12 * time.Second, Controls: rng.IntN(2) == 0,
+		Stages: DefaultStages(),
+	}
 	for i := range n {
 		m := Member{Name: fmt.Sprint("m", i), Region: fmt.Sprint("r", i%3), Zone: fmt.Sprint("z", i%2)}
 		for g := range phases + 1 {
--- a/internal/rolloutsim/sim.go
+++ b/internal/rolloutsim/sim.go
@@ -229,8 +229,10 @@
 }
 
 func report(o *Options, all []outcome) Report {
-	r := Report{Instances: o.Instances, Traffic: o.Traffic, Harm: o.Harm.Name, Judge: o.Judge, Without: o.Without, Runs: len(all),
-		AtStage: make([]int, len(targets(o.Instances)))}
+	r := Report{
+		Instances: o.Instances, Traffic: o.Traffic, Harm: o.Harm.Name, Judge: o.Judge, Without: o.Without, Runs: len(all),
+		AtStage: make([]int, len(targets(o.Instances))),
+	}
 	var took, touched, harmed []float64
 	for _, x := range all {
 		switch x.kind {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -326,8 +326,10 @@
 	pick := func(of ...string) string { return of[rng.IntN(len(of))] }
 	var rules []Rule
 	for i := range n {
-		r := Rule{Name: fmt.Sprint("r", i), Host: pick("", "a.x", "b.x", "*.x", "*.a.x", "x"), Method: pick("", "", "GET", "POST"),
-			Class: pick("", "", "", "a", "b")}
+		r := Rule{
+			Name: fmt.Sprint("r", i), Host: pick("", "a.x", "b.x", "*.x", "*.a.x", "x"), Method: pick("", "", "GET", "POST"),
+			Class: pick("", "", "", "a", "b"),
+		}
 		path := "/" + pick("a", "b", "c")
 		for range rng.IntN(3) {
 			path += "/" + pick("a", "b", "ab")
--- a/internal/scatter/merge_test.go
+++ b/internal/scatter/merge_test.go
@@ -24,11 +24,18 @@
 		{Array, []string{"[]", " [ ] "}, "[]"},
 		{Array, []string{"[1, 2]", "[]", "\n[ {\"a\":[3]} ]\n"}, `[1, 2,{"a":[3]}]`},
 		{Array, []string{`["]", "["]`, `[null]`}, `["]", "[",null]`},
-		{Array, []string{"[1"}, ""}, {Array, []string{"[1,]"}, ""}, {Array, []string{"[1] [2]"}, ""}, {Array, []string{"{}"}, ""},
-		{Array, []string{""}, ""}, {Array, []string{`"[]"`}, ""}, {Array, []string{"[\"\xff\"]"}, ""}, {Array, []string{"\ufeff[]"}, ""},
+		{Array, []string{"[1"}, ""},
+		{Array, []string{"[1,]"}, ""},
+		{Array, []string{"[1] [2]"}, ""},
+		{Array, []string{"{}"}, ""},
+		{Array, []string{""}, ""},
+		{Array, []string{`"[]"`}, ""},
+		{Array, []string{"[\"\xff\"]"}, ""},
+		{Array, []string{"\ufeff[]"}, ""},
 		{Lines, []string{}, ""},
 		{Lines, []string{"{\"a\":1}\n2\n", "", "\r\n3\r\n\r\n"}, "{\"a\":1}\n2\n3\n"},
-		{Lines, []string{"1\n{\n"}, ""}, {Lines, []string{"1 2"}, ""},
+		{Lines, []string{"1\n{\n"}, ""},
+		{Lines, []string{"1 2"}, ""},
 	} {
 		var all [][]byte
 		var err error
@@ -48,9 +55,24 @@
 
 func TestInner(t *testing.T) {
 	for _, c := range []struct{ parts, missing, want string }{
-		{"", "", "1/1 []"}, {"3/3", "", "3/3 []"}, {"2/3", "c", "2/3 [c]"}, {"1/5", "west, b/c", "1/5 [west b/c]"}, {"0/2", "a,b", "0/2 [a b]"},
-		{"3/2", "", ""}, {"-1/2", "a", ""}, {"2/3", "", ""}, {"3/3", "c", ""}, {"2/3", "a,b", ""}, {"2/3", "a b", ""}, {"2/3", ",", ""},
-		{"x", "", ""}, {"1", "", ""}, {"0/0", "", ""}, {"1/99999", "x", ""}, {"", "c", ""}, {"1/2", strings.Repeat("x", missingMost+1), ""},
+		{"", "", "1/1 []"},
+		{"3/3", "", "3/3 []"},
+		{"2/3", "c", "2/3 [c]"},
+		{"1/5", "west, b/c", "1/5 [west b/c]"},
+		{"0/2", "a,b", "0/2 [a b]"},
+		{"3/2", "", ""},
+		{"-1/2", "a", ""},
+		{"2/3", "", ""},
+		{"3/3", "c", ""},
+		{"2/3", "a,b", ""},
+		{"2/3", "a b", ""},
+		{"2/3", ",", ""},
+		{"x", "", ""},
+		{"1", "", ""},
+		{"0/0", "", ""},
+		{"1/99999", "x", ""},
+		{"", "c", ""},
+		{"1/2", strings.Repeat("x", missingMost+1), ""},
 	} {
 		field := func(s string) []string {
 			if s == "" {
@@ -120,8 +142,10 @@
 		root := draw(2)
 		leaves := root.Number()
 		q := Begin(root, len(leaves), 0, func(tree *Tree) Decider {
-			s := &gather.Settings{Least: tree.Least, HalfLife: time.Second, Mode: gather.Fixed,
-				Fixed: time.Duration(rapid.IntRange(1, 50).Draw(t, "fixed")) * time.Millisecond}
+			s := &gather.Settings{
+				Least: tree.Least, HalfLife: time.Second, Mode: gather.Fixed,
+				Fixed: time.Duration(rapid.IntRange(1, 50).Draw(t, "fixed")) * time.Millisecond,
+			}
 			for _, p := range tree.Parts {
 				s.Parts = append(s.Parts, gather.Part{Name: p.Name, Weight: p.Weight})
 			}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -357,7 +357,8 @@
 func (r *Run) ask(ctx context.Context, place int) {
 	c := &r.Calls[place]
 	halfLife := r.By[r.Leaves[place].By.ID].Settings.HalfLife
-	c.Exchange.Gate = &service.Gate{Linger: lingers * halfLife,
+	c.Exchange.Gate = &service.Gate{
+		Linger: lingers * halfLife,
 		Decided: func(taken bool) {
 			if taken {
 				r.tell(ended{place: place, taken: true})
@@ -365,7 +366,8 @@
 		},
 		Late: func(end service.LateEnd, took time.Duration) {
 			r.observe(place, gather.Outcome{Took: took, Censored: end == service.LateUnknown, Failed: end == service.LateFailed})
-		}}
+		},
+	}
 	a, ok := c.Service.Do(ctx, c.Exchange)
 	var result Result
 	if ok {
--- a/internal/service/counts.go
+++ b/internal/service/counts.go
@@ -14,8 +14,10 @@
 // Reasons of attempts' ends, as metrics name them; Attempts of ClassCounts has them in this order.
 var Reasons = [...]string{"ok", "error", "turned_away", "timed_out", "connect_failed", "reset", "cancelled", "not_sent"}
 
-var reasonOf = map[control.Reason]int{control.OK: 0, control.Errored: 1, control.Full: 2, control.TimedOut: 3, control.ConnectFailed: 4,
-	control.ResetByPeer: 5, control.Cancelled: 6, control.Moot: 7}
+var reasonOf = map[control.Reason]int{
+	control.OK: 0, control.Errored: 1, control.Full: 2, control.TimedOut: 3, control.ConnectFailed: 4,
+	control.ResetByPeer: 5, control.Cancelled: 6, control.Moot: 7,
+}
 
 // ClassCounts count what became of one class's requests. They only grow.
 type ClassCounts struct {
--- a/internal/service/left_test.go
+++ b/internal/service/left_test.go
@@ -207,20 +207,24 @@
 	if len(by) > len("relay") && by != "whole" {
 		speaks = upstream.SpeaksHTTP2
 	}
-	set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}},
-		Classes: []control.Class{{Name: "safe", Effect: control.Free}, {Name: "keyed", Effect: control.Guarded, RepeatWindow: time.Minute}, {Name: "unsafe", Effect: control.SingleShot}}}
+	set := control.Settings{
+		GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}},
+		Classes: []control.Class{{Name: "safe", Effect: control.Free}, {Name: "keyed", Effect: control.Guarded, RepeatWindow: time.Minute}, {Name: "unsafe", Effect: control.SingleShot}},
+	}
 	for i := range set.Classes {
 		set.Classes[i].Aim, set.Classes[i].Deadline, set.Classes[i].Worth = deadline, deadline, 1
 	}
 	ready := make(chan struct{})
-	s, err := New(Options{Settings: set, Speaks: speaks, Share: share, AnyMethod: true, OnReady: func() { close(ready) },
+	s, err := New(Options{
+		Settings: set, Speaks: speaks, Share: share, AnyMethod: true, OnReady: func() { close(ready) },
 		Source: discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.app, State: "up", Capacity: 1}}},
 		Module: func() (Module, error) {
 			c, err := control.New(set, 1)
 			r.module = &noted{Controller: c, ended: make(map[string][]control.Response)}
 			return r.module, err
 		},
-		Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: r.slow, HTTP2: upstream.HTTP2{Streams: 10, Conns: 1, Whole: true}}})
+		Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: r.slow, HTTP2: upstream.HTTP2{Streams: 10, Conns: 1, Whole: true}},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -68,11 +68,13 @@
 
 func newLoop(m Module, o *Options, up *upstream.Upstream, log *slog.Logger) *loop {
 	life, end := context.WithCancel(context.Background())
-	l := &loop{life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, speaks: o.Speaks, log: log, start: time.Now(),
+	l := &loop{
+		life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, speaks: o.Speaks, log: log, start: time.Now(),
 		sendCap: o.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan job), ended: make(chan struct{}),
 		exchanges: make(map[string]*Exchange), ids: make(map[string]uint32),
 		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, units: newTerms(o.Settings).Plans,
-		meters: o.Meter, classes: o.Settings.Classes}
+		meters: o.Meter, classes: o.Settings.Classes,
+	}
 	if o.Counts != nil {
 		l.counts = make(map[string]*ClassCounts)
 		for _, k := range o.Settings.Classes {
@@ -374,8 +376,10 @@
 			id = l.lastID
 			l.ids[t.UID] = id
 		}
-		m := control.Member{Server: id, Condition: t.Condition(), Zone: t.Zone, Cell: t.Group, Flavor: t.Model,
-			Size: t.Capacity, HasCameUp: t.BootMS > 0, CameUp: time.Duration(t.BootMS * float64(time.Millisecond))}
+		m := control.Member{
+			Server: id, Condition: t.Condition(), Zone: t.Zone, Cell: t.Group, Flavor: t.Model,
+			Size: t.Capacity, HasCameUp: t.BootMS > 0, CameUp: time.Duration(t.BootMS * float64(time.Millisecond)),
+		}
 		e.Members = append(e.Members, m)
 		listed[t.UID] = m.Condition != control.Off
 		if l.tally != nil {
--- a/internal/service/meter_test.go
+++ b/internal/service/meter_test.go
@@ -42,8 +42,17 @@
 				for _, v := range []struct {
 					name string
 					is   bool
-				}{{"asked", f.Asked == 2.5}, {"served", f.Served == 2.5}, {"refused", f.Refused == 1}, {"beyond", f.Beyond == 1}, {"failed", f.Failed == 1},
-					{"late", f.Late == 1}, {"left", f.Left == 1}, {"breach", f.Breaches == 1}, {"delays", f.Delays.Total() == 1}} {
+				}{
+					{"asked", f.Asked == 2.5},
+					{"served", f.Served == 2.5},
+					{"refused", f.Refused == 1},
+					{"beyond", f.Beyond == 1},
+					{"failed", f.Failed == 1},
+					{"late", f.Late == 1},
+					{"left", f.Left == 1},
+					{"breach", f.Breaches == 1},
+					{"delays", f.Delays.Total() == 1},
+				} {
 					if v.is {
 						got += " " + v.name
 					}
--- a/internal/service/outcomes_test.go
+++ b/internal/service/outcomes_test.go
@@ -119,8 +119,10 @@
 						}()
 					}
 				}()
-				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1}},
-					Classes: []control.Class{{Name: "safe", Effect: control.Free}, {Name: "keyed", Effect: control.Guarded, RepeatWindow: time.Hour}, {Name: "unsafe", Effect: control.SingleShot}}}
+				set := control.Settings{
+					GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1}},
+					Classes: []control.Class{{Name: "safe", Effect: control.Free}, {Name: "keyed", Effect: control.Guarded, RepeatWindow: time.Hour}, {Name: "unsafe", Effect: control.SingleShot}},
+				}
 				for i := range set.Classes {
 					set.Classes[i].Aim, set.Classes[i].Deadline, set.Classes[i].Worth = time.Hour, time.Hour, 1
 				}
@@ -129,9 +131,11 @@
 				for _, uid := range []string{"s-1", "s-2"} {
 					servers = append(servers, discovery.Target{UID: uid, Endpoint: l.Addr().String(), State: "up", Capacity: 1})
 				}
-				s, err := New(Options{Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
+				s, err := New(Options{
+					Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
 					Module:   func() (Module, error) { return control.New(set, 1) },
-					Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: socks}})
+					Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: socks},
+				})
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -144,8 +148,10 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				x := &Exchange{Req: control.Request{ID: "a", Class: class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
-					Forward: &upstream.Whole{Request: q, Body: []byte("body")}}
+				x := &Exchange{
+					Req: control.Request{ID: "a", Class: class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Forward: &upstream.Whole{Request: q, Body: []byte("body")},
+				}
 				sends, status := 2, http.StatusOK
 				switch {
 				case tc.means == served:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -100,8 +100,10 @@
 	if up == nil {
 		up = upstream.New(o.Upstream)
 	}
-	s := &Service{Terms: newTerms(o.Settings), opts: o, log: log, upstream: up,
-		unused: make(chan struct{}), ended: make(chan struct{}), known: make(map[string]discovery.Target)}
+	s := &Service{
+		Terms: newTerms(o.Settings), opts: o, log: log, upstream: up,
+		unused: make(chan struct{}), ended: make(chan struct{}), known: make(map[string]discovery.Target),
+	}
 	s.AnyMethod = o.AnyMethod
 	s.opts.Known = discovery.Listing{}
 	if s.opts.Module == nil {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -21,8 +21,10 @@
 func (s script) Handle(_ time.Duration, e control.Event) []control.Action { return s(e) }
 
 func settings() control.Settings {
-	return control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3,
-		Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 5 * time.Second}}, Plans: []control.Plan{{Name: "p"}}}
+	return control.Settings{
+		GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3,
+		Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 5 * time.Second}}, Plans: []control.Plan{{Name: "p"}},
+	}
 }
 
 // started makes a service and runs it until the test ends.
--- a/internal/service/tally.go
+++ b/internal/service/tally.go
@@ -30,8 +30,10 @@
 
 func newBook(w *tally.Writer, plans []control.Plan) *book {
 	for _, p := range plans {
-		w.Plan(tally.Plan{At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.Rate, Depth: p.Depth, OverCost: p.OverCost,
-			CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst, Slack: p.CeilingSlack})
+		w.Plan(tally.Plan{
+			At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.Rate, Depth: p.Depth, OverCost: p.OverCost,
+			CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst, Slack: p.CeilingSlack,
+		})
 	}
 	return &book{to: w, why: make(map[string]control.Cause), servers: make(map[uint32]booked)}
 }
@@ -57,8 +59,10 @@
 }
 
 func (b *book) ended(x *Exchange, a Answer) {
-	r := tally.Request{At: x.began, Class: x.Req.Class, Plan: x.Req.Plan, Customer: uint32(xxhash.Sum64String(x.Req.Customer)),
-		Spread: x.Req.Spread, Repeat: x.Req.Repeat, Units: x.Req.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.began), Sends: x.sends}
+	r := tally.Request{
+		At: x.began, Class: x.Req.Class, Plan: x.Req.Plan, Customer: uint32(xxhash.Sum64String(x.Req.Customer)),
+		Spread: x.Req.Spread, Repeat: x.Req.Repeat, Units: x.Req.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.began), Sends: x.sends,
+	}
 	if why, ok := b.why[x.Req.ID]; ok {
 		r.Why = why.String()
 	}
@@ -68,8 +72,10 @@
 
 func (b *book) attempt(x *Exchange, n int, server uint32, sent time.Time, o *upstream.Outcome, up bool) {
 	s := b.servers[server]
-	a := tally.Attempt{At: sent, Server: s.uid, Class: x.Req.Class, N: n, Reason: Reasons[reasonOf[o.Reason]], Took: time.Since(sent),
-		Age: -time.Millisecond, Drains: !up, Dialed: o.Dialed, ServiceMS: -1, Util: -1, Queue: -1}
+	a := tally.Attempt{
+		At: sent, Server: s.uid, Class: x.Req.Class, N: n, Reason: Reasons[reasonOf[o.Reason]], Took: time.Since(sent),
+		Age: -time.Millisecond, Drains: !up, Dialed: o.Dialed, ServiceMS: -1, Util: -1, Queue: -1,
+	}
 	if !s.boot.IsZero() {
 		a.Age = sent.Sub(s.boot)
 	}
--- a/internal/service/withheld_test.go
+++ b/internal/service/withheld_test.go
@@ -43,9 +43,11 @@
 					servers = append(servers, discovery.Target{UID: uid, Endpoint: app.Addr(), State: "up", Capacity: 1})
 				}
 				ready := make(chan struct{})
-				s, err := New(Options{Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
+				s, err := New(Options{
+					Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
 					Module:   func() (Module, error) { return control.New(set, 1) },
-					Upstream: upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}})
+					Upstream: upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour},
+				})
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -55,8 +57,10 @@
 				defer func() { stop(); <-over }()
 				testkit.Next(t, ready)
 				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
-				x := &Exchange{Req: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
-					Client: until{app}, Forward: &upstream.Whole{Request: q, Body: []byte("body")}}
+				x := &Exchange{
+					Req: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Client: until{app}, Forward: &upstream.Whole{Request: q, Body: []byte("body")},
+				}
 				if a, ok := s.Do(t.Context(), x); ok || a.Kind != tc.kind || a.Status != tc.status {
 					t.Errorf("%v, %+v", ok, a)
 				}
