--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -19,13 +19,16 @@
 )
 
 func some(customers int) State {
-	c := control.Checkpoint{Version: control.CheckpointVersion, At: time.Hour, Bound: 12.5,
-		Servers: []control.ServerState{{Server: 3, Latency: 0.1, Shut: map[string]time.Duration{"p": time.Second}}}}
+	c := control.Checkpoint{
+		Version: control.CheckpointVersion, At: time.Hour, Bound: 12.5,
+		Servers: []control.ServerState{{Server: 3, Latency: 0.1, Shut: map[string]time.Duration{"p": time.Second}}},
+	}
 	for i := range customers {
 		c.Customers = append(c.Customers, control.Spent{ID: fmt.Sprint(i), Plan: "p", Level: -1.5, Spread: 2, Own: []control.Amount{{Bin: 9, V: 2}}})
 	}
 	return State{Version: Version, At: time.Unix(1e9, 0).UTC(), Generation: 4, Services: map[string]service.State{
-		"a": {Checkpoint: c, Servers: map[uint32]string{3: "s-3"}}}}
+		"a": {Checkpoint: c, Servers: map[uint32]string{3: "s-3"}},
+	}}
 }
 
 func TestThereAndBack(t *testing.T) {
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -44,8 +44,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &teller{t: t, u: newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024)),
-		reqs: make(chan asked), say: make(chan string), ends: make(chan Outcome, 1)}
+	s := &teller{
+		t: t, u: newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024)),
+		reqs: make(chan asked), say: make(chan string), ends: make(chan Outcome, 1),
+	}
 	s.p = s.u.Pool(l.Addr().String(), SpeaksHTTP1)
 	t.Cleanup(func() { s.u.Retire(s.p) })
 	go func() {
@@ -243,8 +245,10 @@
 			t.Cleanup(a.Close)
 			late := &comingUp{}
 			socks := limits.NewSockets(1024)
-			u := New(Options{Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks, Dials: late,
-				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true}})
+			u := New(Options{
+				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks, Dials: late,
+				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
+			})
 			p := u.Pool(a.Addr(), speaks)
 			t.Cleanup(func() { u.Retire(p) })
 			try := func(by time.Time) Outcome {
@@ -415,9 +419,11 @@
 				socks, dials := limits.NewSockets(1024), 0
 				var u *Upstream
 				var p *Pool
-				u = New(Options{Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks,
+				u = New(Options{
+					Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks,
 					Dials: onDial(func() { dials++; u.Retire(p) }),
-					HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true}})
+					HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
+				})
 				p = u.Pool(a.Addr(), speaks)
 				if before {
 					u.Retire(p)
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -91,8 +91,10 @@
 	if t.Expect {
 		set("Expect", "100-continue")
 	}
-	r := &h2.Request{Method: t.Name, Scheme: scheme, Authority: t.Host, Path: t.Target, Header: h, Length: t.Length,
-		Begin: func() bool { return Commit(ctx) }}
+	r := &h2.Request{
+		Method: t.Name, Scheme: scheme, Authority: t.Host, Path: t.Target, Header: h, Length: t.Length,
+		Begin: func() bool { return Commit(ctx) },
+	}
 	if t.Body == nil {
 		return r
 	}
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -92,8 +92,10 @@
 	if until, ends := ctx.Deadline(); ends {
 		tellTime(req, until)
 	}
-	r := &h2.Request{Method: req.Method, Scheme: s.scheme(), Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body,
-		Begin: func() bool { return Commit(ctx) }}
+	r := &h2.Request{
+		Method: req.Method, Scheme: s.scheme(), Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body,
+		Begin: func() bool { return Commit(ctx) },
+	}
 	var e h2.Event
 	o, dialed, ok := s.over(ctx, func(c *h2.Conn) (err error) {
 		e, err = c.Do(ctx, r)
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -378,8 +378,10 @@
 	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
-	q := &Relay{Name: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, Length: 4,
-		Body: replay.New(strings.NewReader("body"), 1000, nil), Rules: &answer.Rules{}, Hold: 1000, Idle: testkit.Patience, Wait: testkit.Patience}
+	q := &Relay{
+		Name: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, Length: 4,
+		Body: replay.New(strings.NewReader("body"), 1000, nil), Rules: &answer.Rules{}, Hold: 1000, Idle: testkit.Patience, Wait: testkit.Patience,
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	f := &flow{Relay: q}
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -36,8 +36,10 @@
 			}()
 			u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 			from, body := io.Pipe()
-			q := &Relay{Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: replay.New(from, 0, nil), Rules: &answer.Rules{},
-				Idle: testkit.Patience, Wait: testkit.Patience}
+			q := &Relay{
+				Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: replay.New(from, 0, nil), Rules: &answer.Rules{},
+				Idle: testkit.Patience, Wait: testkit.Patience,
+			}
 			o := q.Try(context.Background(), context.Background(), u, u.Pool(l.Addr().String(), SpeaksHTTP1))
 			if o.Stream == nil {
 				t.Fatalf("%+v", o)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -146,8 +146,10 @@
 	if o.Answer == 0 {
 		o.Answer = protocol.BodyMost
 	}
-	return &Upstream{Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)),
-		pools: make(map[*Pool]struct{})}
+	return &Upstream{
+		Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)),
+		pools: make(map[*Pool]struct{}),
+	}
 }
 
 // Whole is a request of the platform's protocol: all of it is held, and so is its answer.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -261,8 +261,10 @@
 }
 
 func TestReports(t *testing.T) {
-	o := Outcome{Header: http.Header{protocol.HeaderUsed: {"85"}, protocol.HeaderCost: {"3"},
-		protocol.HeaderLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"}}}
+	o := Outcome{Header: http.Header{
+		protocol.HeaderUsed: {"85"}, protocol.HeaderCost: {"3"},
+		protocol.HeaderLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"},
+	}}
 	if o.Used() != 86 || o.Cost(4) != 3 {
 		t.Errorf("used %d, cost %g", o.Used(), o.Cost(4))
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -22,8 +22,10 @@
 	if err != nil {
 		return Input{}, d.fail("open_instance", err)
 	}
-	in := Input{Who: int(f.integer("who", true)),
-		Open: &Open{Seed: f.unsigned("salt", true), Settings: settings}}
+	in := Input{
+		Who:  int(f.integer("who", true)),
+		Open: &Open{Seed: f.unsigned("salt", true), Settings: settings},
+	}
 	if f.err != nil {
 		return in, d.fail("open_instance", f.err)
 	}
@@ -190,9 +192,11 @@
 }
 
 func (g *facts) class(p string) control.Class {
-	c := control.Class{Name: g.m[p+"name"], Aim: g.ms(p+"aim", false), Deadline: g.ms(p+"deadline", false),
+	c := control.Class{
+		Name: g.m[p+"name"], Aim: g.ms(p+"aim", false), Deadline: g.ms(p+"deadline", false),
 		RepeatWindow: g.ms(p+"repeat-window", false), Worth: g.num(p + "worth"),
-		LateShare: g.num(p + "late-share"), Stream: g.flag(p + "stream")}
+		LateShare: g.num(p + "late-share"), Stream: g.flag(p + "stream"),
+	}
 	switch e := g.m[p+"effect"]; e {
 	case "free":
 		c.Effect = control.Free
@@ -217,8 +221,10 @@
 }
 
 func (g *facts) plan(p string) control.Plan {
-	return control.Plan{Name: g.m[p+"name"], Price: g.num(p + "value-factor"), Rate: g.num(p + "quota-rate"),
+	return control.Plan{
+		Name: g.m[p+"name"], Price: g.num(p + "value-factor"), Rate: g.num(p + "quota-rate"),
 		Depth: g.num(p + "depth"), Open: g.whole(p + "open"), OverCost: g.num(p + "overrun-cost"),
 		OverEarns: g.num(p + "beyond-earns"), CeilingRate: g.num(p + "cap-rate"),
-		CeilingBurst: g.num(p + "hard-burst"), CeilingSlack: g.num(p + "ceiling-slack")}
+		CeilingBurst: g.num(p + "hard-burst"), CeilingSlack: g.num(p + "ceiling-slack"),
+	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -121,8 +121,10 @@
 	case "request":
 		in.Event = request(f)
 	case "started":
-		in.Event = control.Started{ID: f.text("xid", true), N: int(f.integer("n", false)),
-			Server: f.server(), Delay: f.ms("delay-seen", false)}
+		in.Event = control.Started{
+			ID: f.text("xid", true), N: int(f.integer("n", false)),
+			Server: f.server(), Delay: f.ms("delay-seen", false),
+		}
 	case "response":
 		in.Event = response(f)
 	case "hangup":
@@ -130,13 +132,17 @@
 	case "elapsed":
 		in.Event = control.Timer{Label: f.unsigned("label", true)}
 	case "ping_result":
-		in.Event = control.ProbeResult{Server: f.server(), Reason: control.Reason(f.integer("reason", true)),
-			Delay: f.ms("delay-seen", false), Load: load(f)}
+		in.Event = control.ProbeResult{
+			Server: f.server(), Reason: control.Reason(f.integer("reason", true)),
+			Delay: f.ms("delay-seen", false), Load: load(f),
+		}
 	case "peer":
 		in.Event = control.PeerMessage{From: int(f.integer("src", true)), Raw: f.bytes("raw")}
 	case "reckoned":
-		in.Event = control.Counted{Name: f.unsigned("cname", true), Total: f.number("total", false),
-			Delay: f.ms("delay-seen", false), Reason: control.Reason(f.integer("reason", true))}
+		in.Event = control.Counted{
+			Name: f.unsigned("cname", true), Total: f.number("total", false),
+			Delay: f.ms("delay-seen", false), Reason: control.Reason(f.integer("reason", true)),
+		}
 	default:
 		return in, false, nil
 	}
@@ -149,9 +155,11 @@
 
 func request(f *fields) control.Request {
 	bits := f.unsigned("bitmap", false)
-	r := control.Request{ID: f.text("xid", true), Class: f.text("class", true), Plan: f.text("terms", false),
+	r := control.Request{
+		ID: f.text("xid", true), Class: f.text("class", true), Plan: f.text("terms", false),
 		Customer: f.text("client-id", false), TTL: f.ms("ttl", true), Units: 1, Spread: 1,
-		SetStart: int(f.number("set-start", false)), Repeat: bits&2 != 0, Write: bits&4 != 0}
+		SetStart: int(f.number("set-start", false)), Repeat: bits&2 != 0, Write: bits&4 != 0,
+	}
 	if f.has("weight") {
 		r.Units = f.number("weight", true)
 	}
@@ -162,10 +170,12 @@
 }
 
 func response(f *fields) control.Response {
-	return control.Response{ID: f.text("xid", true), N: int(f.integer("n", false)), Server: f.server(),
+	return control.Response{
+		ID: f.text("xid", true), N: int(f.integer("n", false)), Server: f.server(),
 		Reason: control.Reason(f.integer("reason", true)), Done: f.boolean("no-more"),
 		Delay: f.ms("delay-seen", false), Cost: f.number("cost", false),
-		Used: int(f.integer("use-pct", false)), Load: load(f)}
+		Used: int(f.integer("use-pct", false)), Load: load(f),
+	}
 }
 
 func listKind(f *fields) control.ListKind {
@@ -197,8 +207,10 @@
 			return nil, d.fail(name, fmt.Errorf("an item was expected"))
 		}
 		f := parse(rest)
-		m := control.Member{Server: f.server(), Zone: f.text("area", false), Flavor: f.text("flavor", false),
-			Cell: int(f.integer("unit-group", false)), Size: f.number("size", false), CameUp: f.ms("came-up", false)}
+		m := control.Member{
+			Server: f.server(), Zone: f.text("area", false), Flavor: f.text("flavor", false),
+			Cell: int(f.integer("unit-group", false)), Size: f.number("size", false), CameUp: f.ms("came-up", false),
+		}
 		m.HasCameUp = m.CameUp != 0
 		switch c := f.text("condition", true); c {
 		case "on":
@@ -225,8 +237,10 @@
 		return nil
 	}
 	l := &control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
-	into := map[string]*float64{"active": &l.Active, "waiting": &l.Waiting, "cpu": &l.CPU,
-		"avg_ms": &l.AvgMS, "rps": &l.RPS, "err_rps": &l.ErrRPS}
+	into := map[string]*float64{
+		"active": &l.Active, "waiting": &l.Waiting, "cpu": &l.CPU,
+		"avg_ms": &l.AvgMS, "rps": &l.RPS, "err_rps": &l.ErrRPS,
+	}
 	for s != "" {
 		var pair string
 		pair, s, _ = strings.Cut(s, ",")
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -153,9 +153,15 @@
 
 // A quota that makes no sense is named, once; whatever a site may leave out or set to nothing is none.
 func TestDoubts(t *testing.T) {
-	plain := []control.Plan{{Name: "none"}, {Name: "open", Open: 3}, {Name: "open with a store", Open: 1, Depth: 4},
-		{Name: "rate", Rate: 0.1, Depth: 4}, {Name: "both", Rate: 1, Depth: 8, Open: 2}, {Name: "ceiling", CeilingRate: 2, CeilingBurst: 4, CeilingSlack: 0.4},
-		{Name: "all", Rate: 1, Depth: 4, CeilingRate: 2, CeilingBurst: 9}}
+	plain := []control.Plan{
+		{Name: "none"},
+		{Name: "open", Open: 3},
+		{Name: "open with a store", Open: 1, Depth: 4},
+		{Name: "rate", Rate: 0.1, Depth: 4},
+		{Name: "both", Rate: 1, Depth: 8, Open: 2},
+		{Name: "ceiling", CeilingRate: 2, CeilingBurst: 4, CeilingSlack: 0.4},
+		{Name: "all", Rate: 1, Depth: 4, CeilingRate: 2, CeilingBurst: 9},
+	}
 	for name, tc := range map[string]struct {
 		plan  control.Plan
 		tells string
