--- a/control/quota.go
+++ b/control/quota.go
@@ -42,8 +42,8 @@
 	key := p.Name + " " + id
 	q := c.custs[key]
 	if q == nil {
-		q = &customer{plan: p, at: c.now, level: c.portion * p.Depth, carry: c.rng.Float64(), smooth: usePrior * p.Rate}
-		q.spread = math.Max(1, float64(spread))
+		q = &customer{plan: p, at: c.now, level: c.portion * p.Depth, smooth: usePrior * p.Rate}
+		q.spread, q.carry = math.Max(1, float64(spread)), c.rng.Float64()
 		// A gateway just started does not know what its former self has passed on: the
 		// ceiling's store begins with the slack only and fills from the gateway's start, to what it holds.
 		filled := c.slack*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate
