--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -179,7 +179,7 @@
 		s := a.Status
 		up, servers, held, streams := 0, 0, 0, 0
 		for _, one := range s.Services {
-			up, servers, held, streams = up+one.Up, servers+one.Servers, held+one.Held, streams+one.Streams
+			up, servers, held, streams = up+one.AvailableServers, servers+one.Servers, held+one.Requests, streams+one.OpenStreams
 		}
 		older := ""
 		if len(s.Older) > 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,7 +120,7 @@
 	Answer     int64 // and of an answer's
 	Servers    Servers
 	Counter    Counter
-	OnPanic    service.Policy
+	OnPanic    service.PanicPolicy
 	HTTP       *HTTP // what ordinary HTTP needs; nil is the platform's protocol
 	Record     Record
 	Required   bool // the node is ready only once this service is
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -268,7 +268,7 @@
 		speaks = t.OneOf("protocol", protocols...)
 	}
 	s := Service{
-		Name: name, Required: t.Flag("required", true), OnPanic: service.Policy(t.OneOf("on_panic", "end", "restart")),
+		Name: name, Required: t.Flag("required", true), OnPanic: service.PanicPolicy(t.OneOf("on_panic", "end", "restart")),
 		Connect:   t.Span("connect_timeout", 250*time.Millisecond, time.Millisecond, time.Minute),
 		Keepalive: t.Span("keepalive", 15*time.Second, 100*time.Millisecond, day),
 		Body:      t.Size("body", protocol.BodyMost, 0, bodyMost),
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -87,7 +87,7 @@
 		if k.Name != name {
 			continue
 		}
-		if want := service.Method(k); s.HTTP == nil && r.Method != "" && r.Method != want {
+		if want := service.ClassMethod(k); s.HTTP == nil && r.Method != "" && r.Method != want {
 			t.Wrong("method", "can never be served: class %s is asked for by %s", name, want)
 		}
 		return
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -447,7 +447,9 @@
 		}
 		more()
 	}
-	r.until("a counter that lends", func(s manage.Status) bool { return len(s.Services[0].Shared) == 1 && s.Services[0].Shared[0].Lends })
+	r.until("a counter that lends", func(s manage.Status) bool {
+		return len(s.Services[0].HardLimits) == 1 && s.Services[0].HardLimits[0].Lends
+	})
 	worst, units := ceiling.Over()
 	if t.Logf("%.0f units, %.1f beyond the bound", units, worst); worst > 0 || counter.Calls() == 0 {
 		t.Errorf("%.1f units beyond the bound; %d calls", worst, counter.Calls())
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -131,16 +131,16 @@
 		for _, s := range d.node.Status() {
 			what := "size of the group, by the servers of " + s.Name
 			switch {
-			case s.GroupDoubts && !doubted[s.Name]:
-				why := fmt.Sprintf("%d are told, reports speak for %.0f to %.0f", told, s.Group[0], s.Group[1])
+			case s.IsGroupSizeDoubted && !doubted[s.Name]:
+				why := fmt.Sprintf("%d are told, reports speak for %.0f to %.0f", told, s.GroupSizeRange[0], s.GroupSizeRange[1])
 				slog.Warn("the group's size in the settings seems wrong: limits and cold servers are shared by it", "service", s.Name,
-					"told", told, "least", math.Round(s.Group[0]), "most", math.Round(s.Group[1]))
+					"told", told, "least", math.Round(s.GroupSizeRange[0]), "most", math.Round(s.GroupSizeRange[1]))
 				d.doubts.add(what, why)
-			case !s.GroupDoubts && doubted[s.Name]:
+			case !s.IsGroupSizeDoubted && doubted[s.Name]:
 				slog.Info("the group's size is no longer doubted", "service", s.Name, "told", told)
 				d.doubts.clear(what)
 			}
-			doubted[s.Name] = s.GroupDoubts
+			doubted[s.Name] = s.IsGroupSizeDoubted
 		}
 	}
 }
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -182,7 +182,7 @@
 				io.WriteString(c, wholeRequest)
 				io.ReadFull(c, make([]byte, takes))
 				synctest.Wait()
-				if held := s.Status().Held; held != 0 {
+				if held := s.Status().Requests; held != 0 {
 					t.Errorf("the service holds %d", held)
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), answerWithin+time.Second)
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -34,7 +34,7 @@
 // Give gives the client its final answer. A client whose answer breaks off is told by the end of
 // its connection: none takes a part for the whole.
 func (o *Ordinary) Give(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer) {
-	c := x.Forward.(*call)
+	c := x.Forwarder.(*call)
 	c.last()
 	c.given = true
 	if a.Stream != nil {
@@ -75,9 +75,9 @@
 // own is the status and the words of an answer that no server gave.
 func own(a service.Answer) (status int, text string) {
 	status = a.Status
-	if a.Kind == service.Refused {
+	if a.Kind == service.Rejected {
 		text = "The request was not run for want of room; trying again is harmless."
-		switch a.Last { // an attempt was made, so that it isn't this node that is full
+		switch a.LastAttempt { // an attempt was made, so that it isn't this node that is full
 		case control.TimedOut:
 			status, text = http.StatusGatewayTimeout, "No server answered in time; trying again is harmless."
 		case control.ResetByPeer, control.ConnectFailed, control.Errored, control.Cancelled:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -75,7 +75,7 @@
 	if t.Gather != nil {
 		return t.Gather.hold()
 	}
-	return t.Service.Hold()
+	return t.Service.TryAcquire()
 }
 
 // Front is the side to the clients. It is safe for concurrent use.
@@ -158,7 +158,7 @@
 	}
 	x.Client = waiter(r)
 	if to.Service.Admit(x, by.Holds(r)) {
-		defer x.Done()
+		defer x.Release()
 		if wrong := by.Body(w, r, x); wrong != nil {
 			by.Reject(f, w, r, wrong)
 			return
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -68,7 +68,7 @@
 func (noRoom) Admit(int64) (func(), bool) { return nil, false }
 
 // serving is a front over one service with a scripted module, until stop is called.
-func serving(t *testing.T, module script, parts service.Parts, router *route.Router) (m *memory, f *Front, s *service.Service, stop func()) {
+func serving(t *testing.T, module script, parts service.RequestLimiter, router *route.Router) (m *memory, f *Front, s *service.Service, stop func()) {
 	t.Helper()
 	settings := control.Settings{
 		GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
@@ -78,8 +78,8 @@
 		},
 	}
 	s, err := service.New(service.Options{
-		Settings: settings, Parts: parts, Upstream: upstream.Options{Sockets: limits.NewSockets(100)},
-		Source: discovery.Source{Kind: discovery.Static}, Module: func() (service.Module, error) { return module, nil },
+		Settings: settings, Limiter: parts, Upstream: upstream.Options{Sockets: limits.NewSockets(100)},
+		Source: discovery.Source{Kind: discovery.Static}, NewModule: func() (service.Module, error) { return module, nil },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -134,12 +134,12 @@
 		go io.WriteString(c, "POST /write?account=0000000000000001 HTTP/1.1\r\n"+headers+"Content-Length: 4\r\n\r\nswap")
 		time.Sleep(5 * requestWithin)
 		synctest.Wait()
-		if st := s.Status(); st.Waiting != 1 {
+		if st := s.Status(); st.Unanswered != 1 {
 			t.Errorf("%+v", st)
 		}
 		c.Close()
 		synctest.Wait()
-		if st := s.Status(); st.Waiting != 0 || st.Held != 0 {
+		if st := s.Status(); st.Unanswered != 0 || st.Requests != 0 {
 			t.Errorf("after the hang-up: %+v", st)
 		}
 	})
@@ -223,7 +223,7 @@
 	for _, given := range []bool{false, true} {
 		w := httptest.NewRecorder()
 		x := &call{w: w, ctl: http.NewResponseController(w), given: given}
-		x.Forward = x
+		x.Forwarder = x
 		x.Relay.Body = replay.New(strings.NewReader("the rest"), 0, func() {})
 		(&Ordinary{}).Done(&x.Exchange)
 		if w.Flushed != given {
@@ -237,7 +237,7 @@
 	f.Add("480m", "units=2,spread=3,first=1")
 	f.Add("1e3u", "units=0x1p-2,first=2,=,,")
 	f.Add("-0m", "spread=1e0,units=1_0")
-	terms := &service.Terms{Group: 3, Plans: map[string]float64{"": 4}}
+	terms := &service.RequestRules{GroupSize: 3, MaxUnitsByPlan: map[string]float64{"": 4}}
 	f.Fuzz(func(t *testing.T, left, text string) {
 		if d, err := parseTimeLeft(left, time.Second); err == nil && (d < 0 || d > time.Second+timeLeftSlack) {
 			t.Errorf("%q: %v", left, d)
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -40,7 +40,7 @@
 // hold keeps all services of a tree from ending.
 func (g *Gather) hold() bool {
 	for i := range g.Targets {
-		if !g.Targets[i].Service.Hold() {
+		if !g.Targets[i].Service.TryAcquire() {
 			for j := range i {
 				g.Targets[j].Service.Release()
 			}
@@ -149,13 +149,13 @@
 	}
 	if body, wrong := g.body(w, r); wrong != nil {
 		for i := range calls {
-			calls[i].Exchange.Done()
+			calls[i].Exchange.Release()
 		}
 		reject(wrong)
 		return
 	} else if len(body) > 0 {
 		for i := range calls {
-			q := &calls[i].Exchange.Forward.(*call).Relay
+			q := &calls[i].Exchange.Forwarder.(*call).Relay
 			q.Body, q.Length = replay.Of(body), int64(len(body))
 		}
 	}
@@ -187,7 +187,7 @@
 		x, wrong := o.Read(asked, &to, "", arrived)
 		if wrong != nil {
 			for _, c := range calls {
-				c.Exchange.Done()
+				c.Exchange.Release()
 			}
 			return nil, wrong
 		}
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -101,7 +101,7 @@
 				first := []net.Conn{send("f0"), send("f1")} // all places
 				testkit.Until(t, "two at the server", func() bool { return app.Count() == 2 })
 				c := send("left", "behind")
-				testkit.Until(t, "its turn's wait", func() bool { return s.Status().Held == 3 })
+				testkit.Until(t, "its turn's wait", func() bool { return s.Status().Requests == 3 })
 				leave(c)
 				testkit.Until(t, "its end to be there", func() bool {
 					f.clients.mu.Lock()
@@ -120,7 +120,7 @@
 						t.Errorf("one before it: %q", got)
 					}
 				}
-				testkit.Until(t, "its end", func() bool { return s.Status().Held == 0 })
+				testkit.Until(t, "its end", func() bool { return s.Status().Requests == 0 })
 				if got := answered(send("next")); got != "HTTP/1.1 200" {
 					t.Errorf("the next one: %q", got)
 				}
@@ -179,17 +179,17 @@
 						io.WriteString(c, p)
 						synctest.Wait()
 					}
-					if s.Status().Waiting != 1 {
+					if s.Status().Unanswered != 1 {
 						t.Fatalf("%+v", s.Status())
 					}
 					if late {
 						time.Sleep(3 * requestWithin)
-						if s.Status().Waiting != 1 {
+						if s.Status().Unanswered != 1 {
 							t.Error("taken to have left")
 						}
 					}
 					c.Close()
-					if synctest.Wait(); s.Status().Waiting != 0 {
+					if synctest.Wait(); s.Status().Unanswered != 0 {
 						t.Error("it still waits")
 					}
 				})
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -109,11 +109,11 @@
 			wait = min(wait, d)
 		}
 	}
-	e := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, Spread: to.Service.Group, Write: !protocol.Safe(r.Method)}
+	e := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, Spread: to.Service.GroupSize, Write: !protocol.Safe(r.Method)}
 	e.Customer, e.Plan = o.Customers.Of(r, arrived)
 	c := &call{most: to.Body, idle: o.Idle}
 	o.relay(&c.Relay, r, to, wait)
-	c.Exchange = service.Exchange{Req: e, Forward: c, Deadline: arrived.Add(wait)}
+	c.Exchange = service.Exchange{Request: e, Forwarder: c, Deadline: arrived.Add(wait)}
 	return &c.Exchange, nil
 }
 
@@ -225,7 +225,7 @@
 // Body reads a body that is held whole, and makes a way for one that is not. Guards against a
 // server that is taken up by a client which sends a small body slowly.
 func (o *Ordinary) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *badRequest {
-	c := x.Forward.(*call)
+	c := x.Forwarder.(*call)
 	c.w, c.ctl = w, http.NewResponseController(w)
 	if r.ProtoAtLeast(1, 1) {
 		c.Early = c
@@ -239,7 +239,7 @@
 	c.Relay.Body = replay.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
 	if c.Expect || c.Length < 0 || c.Length > int64(o.Replay) {
 		_ = c.ctl.EnableFullDuplex() // an answer may come before all of the body has
-		x.Req.Open = true
+		x.Request.Open = true
 		return nil
 	}
 	if err := c.Relay.Body.Fill(c.Length); err != nil {
@@ -303,7 +303,7 @@
 // Done reads no more of a request. Guards against an answer that the client never reads because its
 // connection was reset while it still sent: what comes for a moment is thrown away.
 func (o *Ordinary) Done(x *service.Exchange) {
-	c := x.Forward.(*call)
+	c := x.Forwarder.(*call)
 	c.last()
 	body := c.Relay.Body
 	if body == nil {
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -40,7 +40,7 @@
 
 // Read reads a client's request but for its body.
 func (platform) Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *badRequest) {
-	terms := &to.Service.Terms
+	terms := &to.Service.RequestRules
 	if wrong := framing(r, to.Body); wrong != nil {
 		wrong.unread = true
 		return nil, wrong
@@ -65,7 +65,7 @@
 	if !ok {
 		return nil, bad(http.StatusNotFound, "unknown class %q", e.Class)
 	}
-	if !terms.Serves(class, r.Method) {
+	if !terms.AllowsMethod(class, r.Method) {
 		return nil, bad(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, e.Class)
 	}
 	if class.Effect == control.Free && r.ContentLength != 0 {
@@ -74,7 +74,7 @@
 	if class.Effect == control.Guarded && r.Header.Get(protocol.HeaderKey) == "" {
 		return nil, bad(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
 	}
-	if terms.Plans[e.Plan] == 0 {
+	if terms.MaxUnitsByPlan[e.Plan] == 0 {
 		return nil, bad(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, e.Plan)
 	}
 	e.Customer = account(r.URL)
@@ -91,8 +91,8 @@
 	held := &struct {
 		service.Exchange
 		upstream.Whole
-	}{service.Exchange{Req: e, Deadline: arrived.Add(left - service.AnswerAhead)}, upstream.Whole{Request: forward(r)}}
-	held.Forward = &held.Whole
+	}{service.Exchange{Request: e, Deadline: arrived.Add(left - service.DeadlineMargin)}, upstream.Whole{Request: forward(r)}}
+	held.Forwarder = &held.Whole
 	return &held.Exchange, nil
 }
 
@@ -107,7 +107,7 @@
 		wrong.unread = true
 		return wrong
 	}
-	x.Forward.(*upstream.Whole).Body = body
+	x.Forwarder.(*upstream.Whole).Body = body
 	if c := clientOf(r); c != nil {
 		x.Client = alone{c}
 	}
@@ -200,7 +200,7 @@
 
 // weight reads the units and the customer's set of edge nodes. Guards against figures that
 // would spoil what the module knows of a customer.
-func weight(terms *service.Terms, e *control.Request, s string) error {
+func weight(terms *service.RequestRules, e *control.Request, s string) error {
 	if s == "" {
 		return nil
 	}
@@ -213,13 +213,13 @@
 		seen[name] = true
 		switch name {
 		case "units":
-			ok = ok && err == nil && v > 0 && v <= terms.Plans[e.Plan]
+			ok = ok && err == nil && v > 0 && v <= terms.MaxUnitsByPlan[e.Plan]
 			e.Units = v
 		case "spread":
-			ok = ok && whole && v >= 1 && v <= float64(terms.Group)
+			ok = ok && whole && v >= 1 && v <= float64(terms.GroupSize)
 			e.Spread = int(v)
 		case "first":
-			ok = ok && whole && v >= 0 && v < float64(terms.Group)
+			ok = ok && whole && v >= 0 && v < float64(terms.GroupSize)
 			e.SetStart = int(v)
 		}
 		if !ok {
--- a/internal/limits/bytes.go
+++ b/internal/limits/bytes.go
@@ -13,7 +13,7 @@
 	return b
 }
 
-// Admit books a request of so many bytes; see service.Parts.
+// Admit books a request of so many bytes; see service.RequestLimiter.
 func (b *Bytes) Admit(bytes int64) (giveBack func(), ok bool) {
 	if b.left.Add(-bytes) < 0 {
 		b.left.Add(bytes)
--- a/internal/limits/shared.go
+++ b/internal/limits/shared.go
@@ -256,7 +256,7 @@
 	Owner       parts.Owner // in Pace
 }
 
-// Admit books a request of so many bytes; see service.Parts.
+// Admit books a request of so many bytes; see service.RequestLimiter.
 func (r *Requests) Admit(bytes int64) (giveBack func(), ok bool) {
 	if !r.Pace.Within(r.Owner) {
 		return nil, false
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,7 +33,7 @@
 	Status() []node.Status
 	Generation() int
 	Older() []node.Older
-	Counts() map[string]*service.Counts
+	Counts() map[string]*service.RequestCounts
 }
 
 // Member is a Source that is a member of a fleet.
@@ -148,19 +148,19 @@
 		p.member(&s)
 	}
 	for _, s := range of.Status() {
-		p.add(&held, float64(s.Held), s.Name)
-		p.add(&out, float64(s.Attempts), s.Name)
-		p.add(&bound, s.Bound, s.Name)
-		p.add(&servers, float64(s.Up), s.Name, "up")
-		p.add(&servers, float64(s.Servers-s.Up), s.Name, "other")
-		p.add(&idle, float64(s.Idle), s.Name)
+		p.add(&held, float64(s.Requests), s.Name)
+		p.add(&out, float64(s.AttemptsInFlight), s.Name)
+		p.add(&bound, s.ConcurrencyLimit, s.Name)
+		p.add(&servers, float64(s.AvailableServers), s.Name, "up")
+		p.add(&servers, float64(s.Servers-s.AvailableServers), s.Name, "other")
+		p.add(&idle, float64(s.IdleConnections), s.Name)
 		p.add(&restarts, float64(s.Restarts), s.Name)
-		for _, c := range s.Shared {
-			p.add(&lends, oneIf(c.Lends), s.Name, c.Counter)
-			p.add(&ownPart, oneIf(c.Own), s.Name, c.Counter)
-			p.add(&borrowed, c.Borrowed, s.Name, c.Counter)
-			p.add(&lendWaits, float64(c.Waiting), s.Name, c.Counter)
-			p.add(&lendCalls, float64(c.Calls), s.Name, c.Counter)
+		for _, c := range s.HardLimits {
+			p.add(&lends, oneIf(c.Lends), s.Name, c.StoreName)
+			p.add(&ownPart, oneIf(c.Own), s.Name, c.StoreName)
+			p.add(&borrowed, c.Borrowed, s.Name, c.StoreName)
+			p.add(&lendWaits, float64(c.Waiting), s.Name, c.StoreName)
+			p.add(&lendCalls, float64(c.Calls), s.Name, c.StoreName)
 		}
 		if h := s.HTTP2; h != nil {
 			p.add(&shared, float64(h.Connections), s.Name)
@@ -190,7 +190,7 @@
 			for i, outcome := range service.Reasons {
 				p.add(&attempts, float64(n.Attempts[i].Load()), name, class, outcome)
 			}
-			noRoom := n.NoRoom.Load()
+			noRoom := n.ResourceLimited.Load()
 			p.add(&refusals, float64(noRoom), name, class, "no_room")
 			p.add(&refusals, float64(max(n.Requests[1].Load(), noRoom)-noRoom), name, class, "decision")
 		})
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -21,7 +21,7 @@
 	// sockets books a service's connections.
 	socketsOf(a *account) limits.Opener
 	// requests books what a service's requests hold.
-	requests(a *account) service.Parts
+	requests(a *account) service.RequestLimiter
 	// divide sets the parts of the services of a configuration. It changes nothing where
 	// they can't be.
 	divide(cfg *config.Config, services map[string]*running) error
@@ -48,7 +48,7 @@
 func (w *wholeBooks) clients() limits.Opener                           { return w.sockets.Clients() }
 func (w *wholeBooks) open() *account                                   { return nil }
 func (w *wholeBooks) socketsOf(*account) limits.Opener                 { return w.sockets }
-func (w *wholeBooks) requests(*account) service.Parts                  { return w.bytes }
+func (w *wholeBooks) requests(*account) service.RequestLimiter         { return w.bytes }
 func (w *wholeBooks) divide(*config.Config, map[string]*running) error { return nil }
 
 // sharedBooks are those of services that share the process by parts.
@@ -104,7 +104,7 @@
 
 func (b *sharedBooks) socketsOf(a *account) limits.Opener { return a.descriptors }
 
-func (b *sharedBooks) requests(a *account) service.Parts { return &a.requests }
+func (b *sharedBooks) requests(a *account) service.RequestLimiter { return &a.requests }
 
 func (b *sharedBooks) open() *account {
 	a := &account{dials: b.dials.Open(nil)}
--- a/internal/node/drawn_test.go
+++ b/internal/node/drawn_test.go
@@ -192,7 +192,7 @@
 					served++
 				}
 			}
-			testkit.Until(t, "nothing held", func() bool { return r.status().Held == 0 })
+			testkit.Until(t, "nothing held", func() bool { return r.status().Requests == 0 })
 		}); !ok {
 			rt.Fatalf("settings %s, requests %+v", raw, asks)
 		}
--- a/internal/node/generations.go
+++ b/internal/node/generations.go
@@ -129,12 +129,12 @@
 
 // countsOf are a service's counts, which go on over its generations; n.mu is held, or nobody knows
 // of n yet. Guards, by beginning anew, against names that come and go without end.
-func (n *Node) countsOf(name string) *service.Counts {
+func (n *Node) countsOf(name string) *service.RequestCounts {
 	if n.counts == nil || len(n.counts) > countedMost {
-		n.counts = make(map[string]*service.Counts)
+		n.counts = make(map[string]*service.RequestCounts)
 	}
 	if n.counts[name] == nil {
-		n.counts[name] = &service.Counts{}
+		n.counts[name] = &service.RequestCounts{}
 	}
 	return n.counts[name]
 }
@@ -143,7 +143,7 @@
 const countedMost = 10000
 
 // Counts are those of all services, by name; empty without metrics.
-func (n *Node) Counts() map[string]*service.Counts {
+func (n *Node) Counts() map[string]*service.RequestCounts {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return maps.Clone(n.counts)
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -94,7 +94,7 @@
 	}
 	r.agent.Tell <- string(line) + "\n"
 	testkit.Until(r.t, "the list", func() bool {
-		known := r.only().Known().Rev == int64(r.rev)
+		known := r.only().Endpoints().Rev == int64(r.rev)
 		if known {
 			r.status() // a round through the loop: what came before has been done
 		}
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -30,14 +30,14 @@
 		},
 	}.Start(ctx)
 	if stall { // the trouble has to be there before it is measured
-		testkit.Until(t, "many held documents", func() bool { return l.Node.Status()[0].Waiting >= 40 })
+		testkit.Until(t, "many held documents", func() bool { return l.Node.Status()[0].Unanswered >= 40 })
 	}
 	rostersDone, stop := context.WithTimeout(ctx, 1200*time.Millisecond)
 	defer stop()
 	rosters := standin.Clients{Addr: l.Node.Addr(), Seed: 12, Call: lab.RosterCall, Every: 8 * time.Millisecond, Workers: 24}.Start(rostersDone)
 	<-rostersDone.Done()
 	for _, s := range l.Node.Status() {
-		t.Logf("%d descriptors, stalled %v: %s: held %d, parts %+v", descriptors, stall, s.Name, s.Held, *s.Parts)
+		t.Logf("%d descriptors, stalled %v: %s: held %d, parts %+v", descriptors, stall, s.Name, s.Requests, *s.Parts)
 		if p := s.Parts; p.Held.Used > p.Held.Total || p.Descriptors.Used > p.Descriptors.Total {
 			t.Errorf("%s is over the process's bounds", s.Name)
 		}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -43,7 +43,7 @@
 				t.Errorf("%d sent on", n)
 			}
 			for _, x := range held {
-				x.Done()
+				x.Release()
 			}
 			if resp, body := r.do(r.call(http.MethodPost, "/visit-update", "room")); resp.StatusCode != http.StatusOK {
 				t.Errorf("where there is room: %s %q", resp.Status, body)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,15 +50,15 @@
 	generation int                         // of the configuration in force, from 1 on
 	older      map[*service.Service]*older // replaced or removed services that still hold something
 	cfg        config.Config
-	services   map[string]*running        // in force, by name
-	gathers    map[string]*gathering      // in force, by name
-	counts     map[string]*service.Counts // of services, also those that are gone; nil without metrics
-	meter      *service.Meter             // of the process; nil where nobody can ask
-	work       context.Context            // of services; nil before Run
-	parts      sync.WaitGroup             // services, also those that were removed
-	failed     chan error                 // the first service that ended the node
-	serving    int                        // services that run, also those that were removed
-	fewer      *sync.Cond                 // serving has become less
+	services   map[string]*running               // in force, by name
+	gathers    map[string]*gathering             // in force, by name
+	counts     map[string]*service.RequestCounts // of services, also those that are gone; nil without metrics
+	meter      *service.StatisticsCollector      // of the process; nil where nobody can ask
+	work       context.Context                   // of services; nil before Run
+	parts      sync.WaitGroup                    // services, also those that were removed
+	failed     chan error                        // the first service that ended the node
+	serving    int                               // services that run, also those that were removed
+	fewer      *sync.Cond                        // serving has become less
 }
 
 // running is a service in force and what it was made from.
@@ -92,7 +92,7 @@
 		n.books = newWholeBooks(&cfg.Process)
 	}
 	if cfg.Process.Shared && cfg.Process.Control != "" {
-		n.meter = &service.Meter{}
+		n.meter = &service.StatisticsCollector{}
 	}
 	next, err := n.prepare(&cfg)
 	if err != nil {
@@ -159,7 +159,7 @@
 }
 
 // Figures are what the services have counted since the process began; nothing without a control socket.
-func (n *Node) Figures() figures.Figures { return n.meter.Figures() }
+func (n *Node) Figures() figures.Figures { return n.meter.Statistics() }
 
 // Status tells what each service is doing, by name.
 func (n *Node) Status() []Status {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,7 +26,7 @@
 	a := testkit.NewApp(t, func(w http.ResponseWriter, req *http.Request) {
 		left, err := strconv.Atoi(strings.TrimSuffix(req.Header.Get(protocol.HeaderTimeLeft), "m"))
 		// The answer's last byte has to be there in time: the edge node waits a little less.
-		if err != nil || left < 1 || left > 7000-int(service.AnswerAhead.Milliseconds()) {
+		if err != nil || left < 1 || left > 7000-int(service.DeadlineMargin.Milliseconds()) {
 			t.Errorf("time left %q", req.Header.Get(protocol.HeaderTimeLeft))
 		}
 		w.Header().Set("Content-Type", "text/x-roster")
@@ -242,9 +242,9 @@
 	if err := testkit.Next(t, left); err == nil {
 		t.Error("the client got an answer")
 	}
-	r.wait("the hang-up", func() bool { s := r.status(); return s.Held == 1 && s.Waiting == 0 })
+	r.wait("the hang-up", func() bool { s := r.status(); return s.Requests == 1 && s.Unanswered == 0 })
 	close(finish)
-	r.wait("the attempt's end", func() bool { return r.status().Held == 0 })
+	r.wait("the attempt's end", func() bool { return r.status().Requests == 0 })
 	go func() { <-held }()
 	if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != 200 {
 		t.Errorf("a free id: %s", resp.Status)
@@ -269,7 +269,7 @@
 	if a.Count() != 1 || b.Count() != 20 {
 		t.Errorf("%d requests to the one that drains, %d to the other", a.Count(), b.Count())
 	}
-	if s := r.status(); s.Up != 1 || s.Idle != b.Dials() {
+	if s := r.status(); s.AvailableServers != 1 || s.IdleConnections != b.Dials() {
 		t.Error("an idle connection to it was kept")
 	}
 }
@@ -320,7 +320,7 @@
 	if s := testkit.Next(t, answered); s != 200 {
 		t.Errorf("what was held: %d", s)
 	}
-	r.wait("the attempt's end", func() bool { return r.status().Held == 0 })
+	r.wait("the attempt's end", func() bool { return r.status().Requests == 0 })
 	r.do(r.call(http.MethodGet, "/roster-read", "after"))
 	if from["after"] == from["before"] || from["after"] == from["held"] {
 		t.Error("a connection to the one that has gone was used")
@@ -338,11 +338,11 @@
 		if resp.StatusCode != 200 {
 			t.Errorf("%s", resp.Status)
 		}
-		r.wait("one app server", func() bool { s := r.status(); return s.Servers == 1 && s.Up == 1 })
+		r.wait("one app server", func() bool { s := r.status(); return s.Servers == 1 && s.AvailableServers == 1 })
 		up.State = "removed"
 		r.list(up)
 	}
-	r.wait("none", func() bool { s := r.status(); return s.Servers == 0 && s.Up == 0 })
+	r.wait("none", func() bool { s := r.status(); return s.Servers == 0 && s.AvailableServers == 0 })
 	if idle, pools := r.only().Upstream().Conns(); idle != 0 || pools != 0 {
 		t.Errorf("%d pools, %d connections", pools, idle)
 	}
@@ -507,7 +507,7 @@
 			t.Errorf("answered %v", got)
 		}
 	}
-	if s := r.status(); s.Idle != a.Dials() {
-		t.Errorf("%d connections to the app server were made, and %d are left: given up for silent clients", a.Dials(), s.Idle)
+	if s := r.status(); s.IdleConnections != a.Dials() {
+		t.Errorf("%d connections to the app server were made, and %d are left: given up for silent clients", a.Dials(), s.IdleConnections)
 	}
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -41,7 +41,7 @@
 		}
 		s := n.services[n.cfg.Services[0].Name]
 		slog.Info("reloading", "discovery", cfg.Services[0].Source.Address)
-		s.Move(cfg.Services[0].Source)
+		s.SetSource(cfg.Services[0].Source)
 		return nil
 	}
 	for _, c := range config.Compare(n.cfg, cfg).Restarts() {
@@ -90,7 +90,7 @@
 			n.replace(was, s)
 		case !was.cfg.Source.Equal(s.cfg.Source):
 			moved++
-			s.Move(s.cfg.Source)
+			s.SetSource(s.cfg.Source)
 		}
 	}
 	n.front.Set(table(&cfg, next, gathers))
@@ -116,11 +116,11 @@
 	if n.work == nil { // neither has begun
 		return
 	}
-	was.HandTo(s.Service)
+	was.ReplaceWith(s.Service)
 	n.start(s)
 	n.parts.Go(func() {
 		<-was.over
-		s.Alone()
+		s.PredecessorEnded()
 	})
 }
 
@@ -172,7 +172,7 @@
 		return nil, err
 	}
 	o := service.Options{
-		Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, Known: c.Known, OnPanic: c.OnPanic,
+		Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, CachedEndpoints: c.Known, OnPanic: c.OnPanic,
 		OnReady: n.tellChanged,
 		Upstream: upstream.Options{
 			Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a), Rest: upstream.AnswerGap,
@@ -188,31 +188,31 @@
 			return nil, fmt.Errorf("service %s: servers.tls: %w", c.Name, err)
 		}
 	}
-	o.Speaks = c.Servers.Protocol
-	o.Parts = n.books.requests(a)
+	o.Protocol = c.Servers.Protocol
+	o.Limiter = n.books.requests(a)
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
 		o.Upstream.Dials = a.dials
 		o.Streams = &a.streams
-		o.ModuleTime = a.spent
-		o.Census = true
-		o.Meter = n.meter
+		o.ObserveModuleTime = a.spent
+		o.EstimateGroupSize = true
+		o.Statistics = n.meter
 		if metrics {
-			o.Counts = n.countsOf(c.Name)
+			o.RequestCounts = n.countsOf(c.Name)
 		}
 	}
 	if n.cfg.Process.Tally {
-		o.Tally = tally.NewWriter(os.Stderr)
+		o.EventLog = tally.NewWriter(os.Stderr)
 	}
 	if c.Record.Dir != "" {
-		o.Module = func() (service.Module, error) { return recorded(c, o.Seed) }
+		o.NewModule = func() (service.Module, error) { return recorded(c, o.Seed) }
 	}
 	if share {
-		o.Share = was.Upstream()
+		o.SharedUpstream = was.Upstream()
 	}
 	var counters []*lender.Client
 	if len(c.Counter.Addresses) > 0 {
-		if o.Shared, counters, err = shared(c.Counter); err != nil {
+		if o.SharedHardLimits, counters, err = shared(c.Counter); err != nil {
 			a.close()
 			return nil, fmt.Errorf("service %s: counter: %w", c.Name, err)
 		}
@@ -223,8 +223,8 @@
 		}
 	}
 	if was != nil {
-		o.Known = was.Known()
-		o.Known.Rev = 0 // of maybe another source
+		o.CachedEndpoints = was.Endpoints()
+		o.CachedEndpoints.Rev = 0 // of maybe another source
 	}
 	s, err := service.New(o)
 	if err != nil {
@@ -242,7 +242,7 @@
 }
 
 // shared makes what a service needs to have its ceilings lent.
-func shared(c config.Counter) (*service.Shared, []*lender.Client, error) {
+func shared(c config.Counter) (*service.SharedHardLimits, []*lender.Client, error) {
 	password := ""
 	if c.PasswordFile != "" {
 		raw, err := os.ReadFile(c.PasswordFile)
@@ -251,11 +251,11 @@
 		}
 		password = strings.TrimRight(string(raw), "\r\n")
 	}
-	s := &service.Shared{Rules: c.Rules, Ceilings: c.Ceilings, Names: c.Addresses}
+	s := &service.SharedHardLimits{Rules: c.Rules, ByPlan: c.Ceilings, StoreNames: c.Addresses}
 	var all []*lender.Client
 	for _, address := range c.Addresses {
 		l := lender.New(lender.Options{Address: address, Username: c.Username, Password: password, Name: c.Name, Within: c.Within, Rules: c.Rules})
-		s.Counters, all = append(s.Counters, l), append(all, l)
+		s.Stores, all = append(s.Stores, l), append(all, l)
 	}
 	return s, all, nil
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -269,7 +269,7 @@
 	write(other, "b.example", "/one", "id-2", "", 0)
 	testkit.Until(t, "both held", func() bool {
 		s := l.Node.Status()
-		return s[0].Waiting == 1 && s[1].Waiting == 1
+		return s[0].Unanswered == 1 && s[1].Unanswered == 1
 	})
 	for _, p := range l.Pools {
 		p.Stall(false)
@@ -293,8 +293,8 @@
 		}
 	}
 	for _, s := range l.Node.Status() {
-		if s.Idle < 1 || s.Parts.Descriptors.Used != int64(s.Idle) {
-			t.Errorf("%s has %d idle connections and %d booked", s.Name, s.Idle, s.Parts.Descriptors.Used)
+		if s.IdleConnections < 1 || s.Parts.Descriptors.Used != int64(s.IdleConnections) {
+			t.Errorf("%s has %d idle connections and %d booked", s.Name, s.IdleConnections, s.Parts.Descriptors.Used)
 		}
 	}
 }
@@ -339,7 +339,7 @@
 			l.Pools["a"].Stall(true)
 			c, in := dial(t, l)
 			write(c, "x", "/one", "held", "", 0)
-			testkit.Until(t, "the held request", func() bool { return l.Node.Status()[0].Attempts == 1 })
+			testkit.Until(t, "the held request", func() bool { return l.Node.Status()[0].AttemptsInFlight == 1 })
 			node.PanicNext(l.Node, "a")
 			if status, _ := answer(t, in); status != http.StatusBadGateway {
 				t.Errorf("what was held: %d", status)
@@ -356,7 +356,7 @@
 			if status, _ := answer(t, otherIn); status != 200 {
 				t.Errorf("the other service: %d", status)
 			}
-			testkit.Until(t, "the new start", func() bool { s := l.Node.Status()[0]; return s.Restarts == 1 && s.Up == 2 })
+			testkit.Until(t, "the new start", func() bool { s := l.Node.Status()[0]; return s.Restarts == 1 && s.AvailableServers == 2 })
 			write(c, "x", "/one", "after", "", 0)
 			if status, body := answer(t, in); status != 200 {
 				t.Errorf("after the new start: %d %q", status, body)
@@ -384,7 +384,7 @@
 	if err := l.Reload(strings.Replace(plain, "@a", second.Addr(), 1)); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Until(t, "the new list", func() bool { return l.Node.Status()[0].Up == 1 })
+	testkit.Until(t, "the new list", func() bool { return l.Node.Status()[0].AvailableServers == 1 })
 	if s := l.Node.Status()[0]; s.Restarts != 0 || node.Serving(l.Node) != 2 {
 		t.Errorf("%+v, %d run", s, node.Serving(l.Node))
 	}
@@ -407,7 +407,7 @@
 	e := drains.Entry()
 	e.State = "draining"
 	l.Pools["a"].Discovery.Tell(e)
-	testkit.Until(t, "the news", func() bool { return l.Node.Status()[0].Up == 1 })
+	testkit.Until(t, "the news", func() bool { return l.Node.Status()[0].AvailableServers == 1 })
 	drains.Drain(0)
 	for i := range 20 {
 		write(c, "x", "/one", fmt.Sprint("id-", i), "", 0)
@@ -493,7 +493,7 @@
 		write(c, "x", "/one", fmt.Sprint("id-", i), "", 0)
 		clients = append(clients, in)
 	}
-	testkit.Until(t, "a request at a server", func() bool { return l.Node.Status()[0].Attempts > 0 })
+	testkit.Until(t, "a request at a server", func() bool { return l.Node.Status()[0].AttemptsInFlight > 0 })
 	reloaded := make(chan error, 1)
 	go func() { reloaded <- l.Reload(strings.Replace(text, `"127.0.0.1:0"`, `"localhost:0"`, 1)) }()
 	testkit.Until(t, "the other address", func() bool { return l.Node.Addr() != first })
@@ -535,7 +535,7 @@
 		if status, _ := answer(t, in); status != 200 {
 			t.Errorf("%d", status)
 		}
-		testkit.Until(t, "a connection", func() bool { return l.Node.Status()[0].Idle == 1 })
+		testkit.Until(t, "a connection", func() bool { return l.Node.Status()[0].IdleConnections == 1 })
 		for i := range 5 {
 			text := plain
 			if i%2 == 0 {
@@ -548,7 +548,7 @@
 		}
 		testkit.Until(t, change, func() bool {
 			s := l.Node.Status()[0]
-			return s.Idle == want && s.Parts.Descriptors.Used == int64(want) && s.Parts.Held.Used == 0
+			return s.IdleConnections == want && s.Parts.Descriptors.Used == int64(want) && s.Parts.Held.Used == 0
 		})
 		write(c, "x", "/one", "id-2", "", 0)
 		if status, _ := answer(t, in); status != 200 {
--- a/internal/node/shared_test.go
+++ b/internal/node/shared_test.go
@@ -116,7 +116,7 @@
 	t.Helper()
 	testkit.Until(t, what, func() bool {
 		for _, n := range f.nodes {
-			for _, s := range n.Node.Status()[0].Shared {
+			for _, s := range n.Node.Status()[0].HardLimits {
 				if !is(s.Status) {
 					return false
 				}
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -274,7 +274,7 @@
 		t.Helper()
 		r.rev++
 		r.agent.Tell <- strings.Replace(line, "REV", fmt.Sprint(r.rev), 1) + "\n"
-		r.wait("the list", func() bool { return r.only().Known().Rev == int64(r.rev) })
+		r.wait("the list", func() bool { return r.only().Endpoints().Rev == int64(r.rev) })
 		r.status()
 	}
 	up := []int{1, 1, 1, 5, 5, 5, 5, 1}
@@ -290,8 +290,8 @@
 		`{"targets":[],"all":false,"all":true,"rev":1,"rev":REV,"targets":[` + good + `]}`,
 	} {
 		tell(line)
-		if s := r.status(); s.Up != up[i] {
-			t.Errorf("behind %s: %d up, not %d", line, s.Up, up[i])
+		if s := r.status(); s.AvailableServers != up[i] {
+			t.Errorf("behind %s: %d up, not %d", line, s.AvailableServers, up[i])
 		}
 		for n := range 8 {
 			if resp, body := r.do(r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i, "-", n))); resp.StatusCode != 200 {
--- a/internal/ordinarytest/hard_test.go
+++ b/internal/ordinarytest/hard_test.go
@@ -54,7 +54,7 @@
 	t.Helper()
 	testkit.Until(t, "nothing is held", func() bool {
 		st := o.Node.Status()[0]
-		return st.Held == 0 && st.Parts.Held.Used == 0 && st.Parts.Bytes.Used == 0 && st.Streams == 0
+		return st.Requests == 0 && st.Parts.Held.Used == 0 && st.Parts.Bytes.Used == 0 && st.OpenStreams == 0
 	})
 	return o.Node.Status()[0]
 }
@@ -389,7 +389,7 @@
 	var seen record
 	o := begin(t, "", &standin.Origin{Seen: seen.saw})
 	c, in := tunnelled(t, o)
-	if st := o.Node.Status()[0]; st.Streams != 1 || st.Attempts != 1 || st.Parts.Held.Used != 1 {
+	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.AttemptsInFlight != 1 || st.Parts.Held.Used != 1 {
 		t.Errorf("%+v", st)
 	}
 	c.(*net.TCPConn).CloseWrite()
@@ -439,8 +439,8 @@
 		}
 		events = append(events, open{c, in})
 	}
-	if st := o.Node.Status()[0]; st.Streams != streams+tunnels {
-		t.Errorf("%d streams", st.Streams)
+	if st := o.Node.Status()[0]; st.OpenStreams != streams+tunnels {
+		t.Errorf("%d streams", st.OpenStreams)
 	}
 	cfg, err := o.Config(process, "attempts = 4", "")
 	if err == nil {
@@ -490,8 +490,8 @@
 			t.Fatal(r.Status, err)
 		}
 	}
-	if st := o.Node.Status()[0]; st.Streams != 1 || st.Parts.Bytes.Used > 1<<20 {
-		t.Errorf("%d streams, %d bytes", st.Streams, st.Parts.Bytes.Used)
+	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.Parts.Bytes.Used > 1<<20 {
+		t.Errorf("%d streams, %d bytes", st.OpenStreams, st.Parts.Bytes.Used)
 	}
 	slow.Close()
 	idle(t, o)
@@ -559,8 +559,8 @@
 		t.Error("all that is the other's own was there: nothing of it was lent")
 	}
 	testkit.Until(t, "the other has all that is its own", func() bool { return served() == 10 })
-	if st := o.Node.Status()[0]; st.Cut == 0 || st.Streams == 0 || st.Streams >= len(open) {
-		t.Errorf("%d of %d streams are left, %d broken off", st.Streams, len(open), st.Cut)
+	if st := o.Node.Status()[0]; st.CutStreams == 0 || st.OpenStreams == 0 || st.OpenStreams >= len(open) {
+		t.Errorf("%d of %d streams are left, %d broken off", st.OpenStreams, len(open), st.CutStreams)
 	}
 }
 
@@ -589,7 +589,7 @@
 		ask(c, "POST", "silent=1", "Transfer-Encoding: chunked")
 		fmt.Fprintf(c, "%x\r\n%s\r\n", 100_000, strings.Repeat("x", 100_000))
 	}
-	testkit.Until(t, "the uploads are held", func() bool { return o.Node.Status()[0].Held > 2 })
+	testkit.Until(t, "the uploads are held", func() bool { return o.Node.Status()[0].Requests > 2 })
 	var all sync.WaitGroup
 	var lost atomic.Int64
 	for range 4 {
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -31,20 +31,20 @@
 	src io.Reader
 }
 
-func (p pastHeld) Again() bool { return true }
+func (p pastHeld) CanRetry() bool { return true }
 
-func (p pastHeld) Try(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
+func (p pastHeld) Attempt(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
 	q := *p.Relay
 	q.Body = replay.New(p.src, 0, nil)
-	return q.Try(ctx, life, u, pool)
+	return q.Attempt(ctx, life, u, pool)
 }
 
 // afterFirstByte is a request that is sent again when an answer breaks that the client has the
 // beginning of: what comes then is put behind it.
 type afterFirstByte struct{ *upstream.Relay }
 
-func (a afterFirstByte) Try(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
-	o := a.Relay.Try(ctx, life, u, pool)
+func (a afterFirstByte) Attempt(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
+	o := a.Relay.Attempt(ctx, life, u, pool)
 	if o.Stream == nil {
 		return o
 	}
@@ -55,7 +55,7 @@
 		return o
 	}
 	for range 20 {
-		next := a.Relay.Try(ctx, life, u, pool)
+		next := a.Relay.Attempt(ctx, life, u, pool)
 		rest := next.Body
 		if next.Stream != nil {
 			rest, err = io.ReadAll(next.Stream)
@@ -84,7 +84,7 @@
 
 // direct plays seeds at a service with no front before it, and gives what was wrong. wrap makes the
 // request that the service sends; nil leaves it as it is.
-func direct(t *testing.T, seeds int, wrap func(*upstream.Relay, io.Reader) service.Forward) (wrong []string, served int) {
+func direct(t *testing.T, seeds int, wrap func(*upstream.Relay, io.Reader) service.Forwarder) (wrong []string, served int) {
 	c := &tally{came: make(map[string]int)}
 	src := discovery.Source{Kind: discovery.Static}
 	var origins []*standin.Origin
@@ -135,11 +135,11 @@
 					Body:   replay.New(from, 1<<16, nil),
 				}
 				x := &service.Exchange{
-					Forward: service.Forward(q), Deadline: time.Now().Add(2 * time.Second),
-					Req: control.Request{ID: fmt.Sprint(seed), Class: "any", Plan: "p", Customer: "c", Units: 1, Spread: 1, Open: true},
+					Forwarder: service.Forwarder(q), Deadline: time.Now().Add(2 * time.Second),
+					Request: control.Request{ID: fmt.Sprint(seed), Class: "any", Plan: "p", Customer: "c", Units: 1, Spread: 1, Open: true},
 				}
 				if wrap != nil {
-					x.Forward = wrap(q, from)
+					x.Forwarder = wrap(q, from)
 				}
 				a, ok := s.Do(ctx, x)
 				if !ok {
@@ -183,9 +183,9 @@
 	if wrong, served := direct(t, 300, nil); len(wrong) > 0 || served < 50 {
 		t.Errorf("%d served, %v", served, wrong)
 	}
-	for name, wrap := range map[string]func(*upstream.Relay, io.Reader) service.Forward{
-		"replay past the held part": func(q *upstream.Relay, src io.Reader) service.Forward { return pastHeld{q, src} },
-		"retry after the first byte": func(q *upstream.Relay, _ io.Reader) service.Forward {
+	for name, wrap := range map[string]func(*upstream.Relay, io.Reader) service.Forwarder{
+		"replay past the held part": func(q *upstream.Relay, src io.Reader) service.Forwarder { return pastHeld{q, src} },
+		"retry after the first byte": func(q *upstream.Relay, _ io.Reader) service.Forwarder {
 			return afterFirstByte{q}
 		},
 	} {
--- a/internal/scatter/call.go
+++ b/internal/scatter/call.go
@@ -13,10 +13,10 @@
 
 // quota tells whether an answer is a module's word that the customer has no more to spend.
 func quota(a service.Answer) bool {
-	if a.Kind != service.Refused {
+	if a.Kind != service.Rejected {
 		return false
 	}
-	switch a.Why {
+	switch a.Cause {
 	case control.OverCeiling, control.OverStore, control.ByChance:
 		return true
 	}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -174,7 +174,7 @@
 		case results[place] != nil: // it ended before it was sent
 			r.query.Came(now, r.Leaves[place], place, results[place].result)
 		case taken[place]:
-			r.Calls[place].Exchange.Go()
+			r.Calls[place].Exchange.OpenGate()
 		default: // its module has not said in time: it is withdrawn
 			giveUp[place]()
 			r.query.Came(now, r.Leaves[place], place, Result{})
@@ -359,12 +359,12 @@
 	halfLife := r.By[r.Leaves[place].By.ID].Settings.HalfLife
 	c.Exchange.Gate = &service.Gate{
 		Linger: lingers * halfLife,
-		Decided: func(taken bool) {
+		OnDecision: func(taken bool) {
 			if taken {
 				r.tell(ended{place: place, taken: true})
 			}
 		},
-		Late: func(end service.LateEnd, took time.Duration) {
+		OnLateEnd: func(end service.LateEnd, took time.Duration) {
 			r.observe(place, gather.Outcome{Took: took, Censored: end == service.LateUnknown, Failed: end == service.LateFailed})
 		},
 	}
@@ -392,7 +392,7 @@
 func (r *Run) free(place int) {
 	if r.kept[place] {
 		r.kept[place] = false
-		r.Calls[place].Exchange.Done()
+		r.Calls[place].Exchange.Release()
 	}
 }
 
@@ -413,7 +413,7 @@
 	r.over = true
 	for place := range r.kept {
 		if !r.asked[place] {
-			r.Calls[place].Exchange.Done()
+			r.Calls[place].Exchange.Release()
 		}
 		r.free(place)
 	}
--- a/internal/scattertest/node_test.go
+++ b/internal/scattertest/node_test.go
@@ -175,7 +175,7 @@
 	r.t.Helper()
 	testkit.Until(r.t, "nothing is held", func() bool {
 		return !slices.ContainsFunc(r.Status(), func(s node.Status) bool {
-			return s.Held != 0 || s.Parts.Held.Used != 0 || s.Parts.Bytes.Used != 0
+			return s.Requests != 0 || s.Parts.Held.Used != 0 || s.Parts.Bytes.Used != 0
 		})
 	})
 }
@@ -337,8 +337,8 @@
 	}
 	// What refuses is asked first: the others have not even heard of most.
 	for _, s := range r.Status() {
-		if s.Held != 0 {
-			t.Errorf("%s holds %d", s.Name, s.Held)
+		if s.Requests != 0 {
+			t.Errorf("%s holds %d", s.Name, s.Requests)
 		}
 	}
 	r.idle()
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -24,7 +24,7 @@
 		until = time.Now().Add(a.Within)
 	}
 	ctx, cancel := l.life, context.CancelFunc(nil)
-	if x.Forward.Open() {
+	if x.Forwarder.IsBodyPending() {
 		ctx, cancel = context.WithCancel(ctx)
 	} else {
 		ctx, cancel = context.WithDeadline(ctx, until)
@@ -46,7 +46,7 @@
 	}
 	x.out++
 	if l.meter != nil {
-		l.meter.sent(x.Req.Units)
+		l.meter.sent(x.Request.Units)
 	}
 	if l.census != nil {
 		l.outAt[a.Server]++
@@ -91,7 +91,7 @@
 func (l *loop) attempt(j job) bool {
 	var o upstream.Outcome
 	if j.try.Open() { // else no connection is made for it either
-		o = j.x.Forward.Try(j.try, l.life, l.upstream, j.to)
+		o = j.x.Forwarder.Attempt(j.try, l.life, l.upstream, j.to)
 	}
 	if o.Stream != nil {
 		return l.streams(j, o)
@@ -128,7 +128,7 @@
 		return
 	}
 	l.finish(j.x, a)
-	l.handle(control.Started{ID: j.x.Req.ID, N: j.n, Server: j.server, Delay: time.Since(j.sent)})
+	l.handle(control.Started{ID: j.x.Request.ID, N: j.n, Server: j.server, Delay: time.Since(j.sent)})
 }
 
 // settle takes in how an attempt ended. The first answer that is good, or that no other attempt
@@ -144,9 +144,9 @@
 	if x.count != nil {
 		x.count.Attempts[reasonOf[o.Reason]].Add(1)
 	}
-	r := control.Response{ID: x.Req.ID, N: n, Server: server, Reason: o.Reason, Delay: time.Since(sent)}
+	r := control.Response{ID: x.Request.ID, N: n, Server: server, Reason: o.Reason, Delay: time.Since(sent)}
 	if o.Header != nil {
-		r.Used, r.Cost, r.Load = o.Used(), o.Cost(l.units[x.Req.Plan]), o.Load()
+		r.Used, r.Cost, r.Load = o.Used(), o.Cost(l.units[x.Request.Plan]), o.Load()
 	}
 	if l.census != nil {
 		l.count(server, r.Load)
@@ -167,7 +167,7 @@
 		if o.Status != 0 {
 			x.said = o
 		}
-		if !x.Forward.Again() { // whatever the module would like: its beginning is gone
+		if !x.Forwarder.CanRetry() { // whatever the module would like: its beginning is gone
 			l.fail(x)
 		}
 	}
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -41,7 +41,7 @@
 				}
 				return nil
 			})
-			o := Options{Settings: settings(), Module: func() (Module, error) { return m, nil }}
+			o := Options{Settings: settings(), NewModule: func() (Module, error) { return m, nil }}
 			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSockets(100), testkit.Patience, testkit.Patience
 			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
 			s, err := New(o)
@@ -55,7 +55,7 @@
 			x := request("id-1")
 			x.Deadline = time.Now().Add(testkit.Patience)
 			req, _ := http.NewRequest(http.MethodGet, "http://origin.svc/read", nil)
-			x.Forward = &upstream.Whole{Request: req}
+			x.Forwarder = &upstream.Whole{Request: req}
 			a, _ := s.Do(context.Background(), x)
 			if n := app.Count() - before; n != tc.want || (a.Status == http.StatusOK) != (n == 1) {
 				t.Errorf("%d were written, answer %d", n, a.Status)
@@ -79,16 +79,16 @@
 				synctest.Test(t, func(t *testing.T) {
 					var before, after []control.Request
 					with := func(e control.Effect, seen *[]control.Request) *Service {
-						o := Options{Settings: settings(), Module: func() (Module, error) { return keeping{seen}, nil }}
+						o := Options{Settings: settings(), NewModule: func() (Module, error) { return keeping{seen}, nil }}
 						o.Settings.Classes[0].Effect, o.Settings.Classes[0].RepeatWindow = e, time.Second
 						s, _ := started(t, o)
 						return s
 					}
 					was, next := with(from, &before), with(to, &after)
-					was.HandTo(next)
+					was.ReplaceWith(next)
 					ctx, leave := context.WithCancel(t.Context())
 					x := request("id-1")
-					x.Forward.(*upstream.Whole).Request.Method = http.MethodPost
+					x.Forwarder.(*upstream.Whole).Request.Method = http.MethodPost
 					go was.Do(ctx, x)
 					synctest.Wait()
 					if stays := from != to && to == control.Guarded; len(before)+len(after) != 1 || len(before) == 1 != stays {
--- a/internal/service/counts.go
+++ b/internal/service/counts.go
@@ -21,21 +21,21 @@
 
 // ClassCounts count what became of one class's requests. They only grow.
 type ClassCounts struct {
-	Requests [len(Outcomes)]atomic.Uint64
-	Attempts [len(Reasons)]atomic.Uint64
-	NoRoom   atomic.Uint64 // of the refused, those that there was no room to hold
+	Requests        [len(Outcomes)]atomic.Uint64
+	Attempts        [len(Reasons)]atomic.Uint64
+	ResourceLimited atomic.Uint64 // of the refused, those that there was no room to hold
 }
 
-// Counts count a service's requests by class, over all its generations. They are safe for
+// RequestCounts count a service's requests by class, over all its generations. They are safe for
 // concurrent use; their zero value is empty.
-type Counts struct {
+type RequestCounts struct {
 	mu      sync.Mutex
 	classes map[string]*ClassCounts
 }
 
 // class gives a class's counts, which begin with the first call. Only classes of a configuration
 // are asked for, so there are few.
-func (c *Counts) class(name string) *ClassCounts {
+func (c *RequestCounts) class(name string) *ClassCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.classes == nil {
@@ -48,7 +48,7 @@
 }
 
 // Each calls f with every class's counts.
-func (c *Counts) Each(f func(class string, n *ClassCounts)) {
+func (c *RequestCounts) Each(f func(class string, n *ClassCounts)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, n := range c.classes {
@@ -62,7 +62,7 @@
 	switch {
 	case a.left || a.Status == 0:
 		return 3
-	case a.Kind == Refused:
+	case a.Kind == Rejected:
 		return 1
 	case a.Kind == Failed || a.Status >= http.StatusInternalServerError:
 		return 2
@@ -75,6 +75,6 @@
 	is := a.outcome()
 	n.Requests[is].Add(1)
 	if is == 1 && noRoom {
-		n.NoRoom.Add(1)
+		n.ResourceLimited.Add(1)
 	}
 }
--- a/internal/service/drained_test.go
+++ b/internal/service/drained_test.go
@@ -37,13 +37,13 @@
 							close(at.open)
 							r.fill()
 							ask()
-							testkit.Until(t, "its place in the queue", func() bool { return r.s.Status().Held == 3 })
+							testkit.Until(t, "its place in the queue", func() bool { return r.s.Status().Requests == 3 })
 						case "its gate":
-							x.Gate = &Gate{Decided: func(bool) { close(at.came) }}
+							x.Gate = &Gate{OnDecision: func(bool) { close(at.came) }}
 							ask()
 							testkit.Next(t, at.came)
 						case "its worker":
-							x.Forward = held{x.Forward, at}
+							x.Forwarder = held{x.Forwarder, at}
 							ask()
 							testkit.Next(t, at.came)
 						case "its connection":
@@ -66,7 +66,7 @@
 						case "its turn":
 							r.empty()
 						case "its gate":
-							x.Go()
+							x.OpenGate()
 						default:
 							close(at.open)
 						}
@@ -99,7 +99,7 @@
 					}
 				}
 				ask("one")
-				up := r.s.Known().Targets[0]
+				up := r.s.Endpoints().Targets[0]
 				up.BootMS = float64(time.Now().Add(when).UnixMilli())
 				r.s.told(discovery.Listing{Rev: 2, Targets: []discovery.Target{up}})
 				ask("two")
--- a/internal/service/drains_test.go
+++ b/internal/service/drains_test.go
@@ -44,7 +44,7 @@
 						}
 						return nil
 					})
-					o := Options{Settings: settings(), Module: func() (Module, error) { return module, nil }}
+					o := Options{Settings: settings(), NewModule: func() (Module, error) { return module, nil }}
 					o.Settings.Classes[0].Effect = effect
 					o.Upstream = upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}
 					o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
@@ -61,7 +61,7 @@
 					ask := func(id string) *Exchange {
 						q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
 						x := request(id)
-						x.Deadline, x.Forward = time.Now().Add(time.Hour), &upstream.Whole{Request: q, Body: []byte("body")}
+						x.Deadline, x.Forwarder = time.Now().Add(time.Hour), &upstream.Whole{Request: q, Body: []byte("body")}
 						return x
 					}
 					if where == "worker, idle connection" {
@@ -77,11 +77,11 @@
 					switch where {
 					case "gate":
 						decided := make(chan bool, 1)
-						x.Gate = &Gate{Decided: func(taken bool) { decided <- taken }}
+						x.Gate = &Gate{OnDecision: func(taken bool) { decided <- taken }}
 						do()
 						testkit.Next(t, decided)
 						tell()
-						x.Go()
+						x.OpenGate()
 					case "channel":
 						b := newBarrier()
 						s.Post(b.pass)
@@ -92,13 +92,13 @@
 						close(b.open)
 					default:
 						b := newBarrier()
-						x.Forward = held{x.Forward, b}
+						x.Forwarder = held{x.Forwarder, b}
 						do()
 						testkit.Next(t, b.came)
 						tell()
 						close(b.open)
 					}
-					if a := testkit.Next(t, answers); a.Kind != Refused {
+					if a := testkit.Next(t, answers); a.Kind != Rejected {
 						t.Errorf("%+v", a)
 					}
 					if e := testkit.Next(t, ended); e.Reason != control.ConnectFailed || e.Done {
--- a/internal/service/end_test.go
+++ b/internal/service/end_test.go
@@ -18,7 +18,7 @@
 	try func(ctx context.Context) upstream.Outcome
 }
 
-func (f *tries) Try(ctx, _ context.Context, _ *upstream.Upstream, _ *upstream.Pool) upstream.Outcome {
+func (f *tries) Attempt(ctx, _ context.Context, _ *upstream.Upstream, _ *upstream.Pool) upstream.Outcome {
 	return f.try(ctx)
 }
 
@@ -51,17 +51,17 @@
 		for _, deadline := range []time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond, 7500 * time.Millisecond} {
 			for name, tc := range map[string]struct {
 				try  func(context.Context) upstream.Outcome // nil has no attempt made
-				kind Kind
+				kind AnswerKind
 			}{
-				"nothing sent":   {nil, Refused},
-				"refused":        {ends(control.Full, http.StatusServiceUnavailable), Refused},
-				"no connection":  {ends(control.ConnectFailed, 0), Refused},
-				"given up":       {ends(control.Moot, 0), Refused},
+				"nothing sent":   {nil, Rejected},
+				"refused":        {ends(control.Full, http.StatusServiceUnavailable), Rejected},
+				"no connection":  {ends(control.ConnectFailed, 0), Rejected},
+				"given up":       {ends(control.Moot, 0), Rejected},
 				"error":          {ends(control.Errored, http.StatusInternalServerError), Failed},
 				"reset":          {ends(control.ResetByPeer, 0), Failed},
 				"timed out":      {ends(control.TimedOut, 0), Failed},
 				"out at the end": {never, Failed},
-				"its connection": {comesUp, Refused},
+				"its connection": {comesUp, Rejected},
 			} {
 				for _, panics := range []bool{false, true} {
 					t.Run(fmt.Sprintf("%s %v %s, panic %v", effect, deadline, name, panics), func(t *testing.T) {
@@ -73,11 +73,11 @@
 							if tc.try != nil {
 								module = sends
 							}
-							s, end := startedUntil(t, Options{Settings: set, Module: func() (Module, error) { return module, nil }})
+							s, end := startedUntil(t, Options{Settings: set, NewModule: func() (Module, error) { return module, nil }})
 							synctest.Wait() // it knows its server
 							x := request("id-1")
 							x.Deadline = time.Now().Add(deadline)
-							x.Forward = &tries{try: tc.try}
+							x.Forwarder = &tries{try: tc.try}
 							answer := make(chan Answer, 1)
 							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
 							synctest.Wait()
@@ -108,14 +108,14 @@
 // Answers that have come when a service ends go to their clients.
 func TestEndWithAnswersUnread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, end := startedUntil(t, Options{Module: func() (Module, error) { return script(sends), nil }})
+		s, end := startedUntil(t, Options{NewModule: func() (Module, error) { return script(sends), nil }})
 		synctest.Wait() // it knows its server
 		const n = 30    // either of two that are there at once may be taken first
 		come := make(chan struct{})
 		served := make(chan Answer, n)
 		do := func(id string) {
 			x := request(id)
-			x.Forward = &tries{try: func(ctx context.Context) upstream.Outcome {
+			x.Forwarder = &tries{try: func(ctx context.Context) upstream.Outcome {
 				select {
 				case <-come:
 				case <-ctx.Done():
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -11,31 +11,31 @@
 	"lockflow/internal/upstream"
 )
 
-// AnswerAhead is how long before a client gives up its attempts are stopped, so that
+// DeadlineMargin is how long before a client gives up its attempts are stopped, so that
 // the last byte of the answer is there in time.
-const AnswerAhead = 15 * time.Millisecond
+const DeadlineMargin = 15 * time.Millisecond
 
-// Forward is a request as attempts send it: one at a time.
-type Forward interface {
+// Forwarder is a request as attempts send it: one at a time.
+type Forwarder interface {
 	// Method is the request's.
 	Method() string
-	// Try makes one attempt at a server: it waits until ctx ends at the most. An answer that
+	// Attempt makes one attempt at a server: it waits until ctx ends at the most. An answer that
 	// streams goes on until life ends.
-	Try(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome
-	// Open tells whether some of the request is still to come from its client: an attempt's time
+	Attempt(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome
+	// IsBodyPending tells whether some of the request is still to come from its client: an attempt's time
 	// then counts from the last of it.
-	Open() bool
-	// Again tells whether a further attempt could send all of it.
-	Again() bool
+	IsBodyPending() bool
+	// CanRetry tells whether a further attempt could send all of it.
+	CanRetry() bool
 }
 
 // Exchange is one client request on its way to its final answer. The front fills in the
 // exported fields before Do and reads none of the others.
 type Exchange struct {
-	Req      control.Request // its TTL is set when the module is told
-	Forward  Forward
-	Deadline time.Time // when attempts for it are stopped
-	Gate     *Gate     // nil is sent on as the module says
+	Request   control.Request // its TTL is set when the module is told
+	Forwarder Forwarder
+	Deadline  time.Time // when attempts for it are stopped
+	Gate      *Gate     // nil is sent on as the module says
 	// Client is asked right before anything is sent on; nil is known to be there until Do's ctx ends.
 	Client upstream.Client
 
@@ -83,13 +83,13 @@
 func (x *Exchange) drop() {
 	if x.kept {
 		x.kept = false
-		x.Done()
+		x.Release()
 	}
 }
 
-// Done has the front let go of what is booked, once the answer is written. The last that
+// Release has the front let go of what is booked, once the answer is written. The last that
 // lets go gives it back. It is owed once after each Admit, whatever came of Do.
-func (x *Exchange) Done() {
+func (x *Exchange) Release() {
 	if x.part != nil && x.holds.Add(-1) == 0 {
 		x.part()
 	}
@@ -104,26 +104,26 @@
 	}
 }
 
-// Kind says whose word an answer is.
-type Kind int8
+// AnswerKind says whose word an answer is.
+type AnswerKind int8
 
 // The kinds of answers.
 const (
-	Served  Kind = iota // a server's
-	Refused             // the node's: not run, safe to try again
-	Failed              // the node's: it promises nothing
+	Served   AnswerKind = iota // a server's
+	Rejected                   // the node's: not run, safe to try again
+	Failed                     // the node's: it promises nothing
 )
 
 // Answer is the final answer of an exchange.
 type Answer struct {
-	Kind       Kind
-	Status     int
-	Header     http.Header // an app server's own; not to be changed
-	Body       []byte
-	Stream     *upstream.Stream // the rest of an answer that is not held; it has to be closed
-	RetryAfter time.Duration    // 0 is no advice
-	Why        control.Cause    // of one that the module refused
-	Last       control.Reason   // how the last attempt ended, of an answer of the node's own; 0 is none was made
+	Kind        AnswerKind
+	Status      int
+	Header      http.Header // an app server's own; not to be changed
+	Body        []byte
+	Stream      *upstream.Stream // the rest of an answer that is not held; it has to be closed
+	RetryAfter  time.Duration    // 0 is no advice
+	Cause       control.Cause    // of one that the module refused
+	LastAttempt control.Reason   // how the last attempt ended, of an answer of the node's own; 0 is none was made
 
 	next *Service // has the answer instead: the request was not begun
 	left bool     // nobody is there to take it
--- a/internal/service/gate.go
+++ b/internal/service/gate.go
@@ -12,12 +12,12 @@
 // and tells what becomes of one that was given up. Its functions are called by the service's own
 // goroutine, and must not wait.
 type Gate struct {
-	// Decided is told once whether the module has taken the request; where it has not, its answer
+	// OnDecision is told once whether the module has taken the request; where it has not, its answer
 	// is there. It need not be called where Do gives an answer at once.
-	Decided func(taken bool)
-	// Late is told once how an attempt ended that went on after the request was given up, with the time
+	OnDecision func(taken bool)
+	// OnLateEnd is told once how an attempt ended that went on after the request was given up, with the time
 	// from the request's beginning; or at once that there is none. It may be nil.
-	Late func(end LateEnd, took time.Duration)
+	OnLateEnd func(end LateEnd, took time.Duration)
 	// Linger is for how long an attempt goes on then at the most.
 	Linger time.Duration
 
@@ -35,7 +35,7 @@
 // The ends.
 const (
 	LateUnknown LateEnd = iota // by the time told it had not come
-	LateCame
+	LateServed
 	LateFailed
 )
 
@@ -45,11 +45,11 @@
 		return
 	}
 	g.told, g.at = true, l
-	g.Decided(taken)
+	g.OnDecision(taken)
 }
 
-// Go has the attempts of a request be made whose module has taken it. It is called after Decided.
-func (x *Exchange) Go() {
+// OpenGate has the attempts of a request be made whose module has taken it. It is called after Decided.
+func (x *Exchange) OpenGate() {
 	l := x.Gate.at
 	l.post(func() {
 		x.Gate.open = true
@@ -107,9 +107,9 @@
 }
 
 func (g *Gate) late(end LateEnd, x *Exchange) {
-	if g != nil && g.Late != nil {
-		g.Late(end, time.Since(x.began))
-		g.Late = nil
+	if g != nil && g.OnLateEnd != nil {
+		g.OnLateEnd(end, time.Since(x.began))
+		g.OnLateEnd = nil
 	}
 }
 
@@ -121,7 +121,7 @@
 	end := LateFailed
 	switch {
 	case o.Final && o.Status == http.StatusOK:
-		end = LateCame
+		end = LateServed
 	case o.Reason == control.TimedOut || o.Reason == control.Cancelled || o.Reason == control.Moot:
 		end = LateUnknown
 	}
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -9,9 +9,9 @@
 	"lockflow/internal/upstream"
 )
 
-// Keeper is a Module that can hand over what it has spent and learned. *control.Controller is
+// StatefulModule is a Module that can hand over what it has spent and learned. *control.Controller is
 // one; a service of another module starts like one that knows nothing.
-type Keeper interface {
+type StatefulModule interface {
 	Module
 	Checkpoint(now time.Duration) control.Checkpoint
 	HandOver(now time.Duration, give float64) control.Checkpoint
@@ -33,17 +33,17 @@
 // this one on the same terms. Guards against repeats with no key: only of a keyed class's request it
 // was seen that it has one.
 func (s *Service) takes(x *Exchange, read []control.Class) bool {
-	k, ok := s.Classes[x.Req.Class]
+	k, ok := s.Classes[x.Request.Class]
 	if ok && k.Effect == control.Guarded {
 		ok = slices.ContainsFunc(read, func(was control.Class) bool { return was.Name == k.Name && was.Effect == k.Effect })
 	}
-	return ok && x.Req.Units <= s.Plans[x.Req.Plan] && s.Serves(k, x.Forward.Method()) && x.Req.Spread <= s.Group
+	return ok && x.Request.Units <= s.MaxUnitsByPlan[x.Request.Plan] && s.AllowsMethod(k, x.Forwarder.Method()) && x.Request.Spread <= s.GroupSize
 }
 
 // keep has the loop's own goroutine use its module, and waits; false where the loop has ended or
 // its module keeps nothing.
-func (l *loop) keep(do func(Keeper)) bool {
-	k, ok := l.module.(Keeper)
+func (l *loop) keep(do func(StatefulModule)) bool {
+	k, ok := l.module.(StatefulModule)
 	if !ok {
 		return false
 	}
@@ -71,7 +71,7 @@
 // Checkpoint tells what the service has spent and learned; false where it has ended.
 func (s *Service) Checkpoint() (st State, ok bool) {
 	l := s.current()
-	ok = l.keep(func(k Keeper) { st = l.state(k.Checkpoint(l.now())) })
+	ok = l.keep(func(k StatefulModule) { st = l.state(k.Checkpoint(l.now())) })
 	return st, ok
 }
 
@@ -79,7 +79,7 @@
 // control.Controller.HandOver.
 func (s *Service) HandOver(give float64) (st State, ok bool) {
 	l := s.current()
-	ok = l.keep(func(k Keeper) {
+	ok = l.keep(func(k StatefulModule) {
 		st = l.state(k.HandOver(l.now(), give))
 		l.resign()
 	})
@@ -90,7 +90,7 @@
 // one has spent nothing of what it was given, given is that.
 func (s *Service) Rejoin(given *State) {
 	l := s.current()
-	l.keep(func(k Keeper) {
+	l.keep(func(k StatefulModule) {
 		l.unresign()
 		if given == nil {
 			k.Rejoin(l.now(), nil)
@@ -117,7 +117,7 @@
 func (s *Service) restoreFrom(from func() (handed, bool), trust control.Trust) {
 	l := s.current()
 	l.post(func() {
-		k, keeps := l.module.(Keeper)
+		k, keeps := l.module.(StatefulModule)
 		st, ok := from()
 		l.takeOver(st.ledger)
 		for uid, p := range st.pools {
@@ -147,22 +147,22 @@
 	return c
 }
 
-// Alone tells the service that the one whose place it took has ended.
-func (s *Service) Alone() { s.current().keep(Keeper.Alone) }
+// PredecessorEnded tells the service that the one whose place it took has ended.
+func (s *Service) PredecessorEnded() { s.current().keep(StatefulModule.Alone) }
 
-// HandTo has a service that has not run yet take this one's place: it begins with all that is
+// ReplaceWith has a service that has not run yet take this one's place: it begins with all that is
 // left to spend and with what was learned. This one goes on with what it has taken. A request
 // that it has not begun by then goes to the other.
-func (s *Service) HandTo(next *Service) {
+func (s *Service) ReplaceWith(next *Service) {
 	// Guards against a service that is retired before its loop has come to hand over: it would end
 	// with what is spent and learned, and the other begin with full ceilings.
-	if !s.Hold() {
+	if !s.TryAcquire() {
 		return
 	}
 	release := sync.OnceFunc(s.Release)
 	gave := make(chan handed, 1)
 	l := s.current()
-	k, ok := l.module.(Keeper)
+	k, ok := l.module.(StatefulModule)
 	ok = ok && l.post(func() {
 		defer release()
 		h := handed{State: l.state(k.HandOver(l.now(), 1))}
@@ -174,7 +174,7 @@
 				}
 			}
 		}
-		h.ledger = l.leave(next, s.Unheard())
+		h.ledger = l.leave(next, s.Unavailable())
 		gave <- h
 		l.next, l.gave = next, h.pools
 	})
--- a/internal/service/left_test.go
+++ b/internal/service/left_test.go
@@ -69,24 +69,24 @@
 
 // held is a request whose worker waits at a barrier before it begins.
 type held struct {
-	Forward
+	Forwarder
 	*barrier
 }
 
-func (h held) Try(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome {
+func (h held) Attempt(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome {
 	h.pass()
-	return h.Forward.Try(ctx, life, u, p)
+	return h.Forwarder.Attempt(ctx, life, u, p)
 }
 
 // watched is a request that tells when an attempt of it is over.
 type watched struct {
-	Forward
+	Forwarder
 	over chan struct{}
 }
 
-func (w watched) Try(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome {
+func (w watched) Attempt(ctx, life context.Context, u *upstream.Upstream, p *upstream.Pool) upstream.Outcome {
 	defer close(w.over)
-	return w.Forward.Try(ctx, life, u, p)
+	return w.Forwarder.Attempt(ctx, life, u, p)
 }
 
 // asked is a client that tells what a test has it tell.
@@ -99,7 +99,7 @@
 func TestLeftIsNotSent(t *testing.T) {
 	rings := map[string]func(r *leaver, x *Exchange){
 		"its turn":       func(r *leaver, x *Exchange) { r.fill(); r.leave(x, nil); r.empty() },
-		"its worker":     func(r *leaver, x *Exchange) { b := newBarrier(); x.Forward = held{x.Forward, b}; r.leave(x, b) },
+		"its worker":     func(r *leaver, x *Exchange) { b := newBarrier(); x.Forwarder = held{x.Forwarder, b}; r.leave(x, b) },
 		"its connection": func(r *leaver, x *Exchange) { b := newBarrier(); r.slow.next = b; r.leave(x, b) },
 		"the last moment": func(r *leaver, x *Exchange) {
 			x.Client = asked(func() bool { r.gone(); r.heard(x); return true })
@@ -112,22 +112,22 @@
 		"the loop's channel": func(r *leaver, x *Exchange) { r.crosses(x, r.s, nil) },
 		"another's place": func(r *leaver, x *Exchange) {
 			next := r.service(r.s.Upstream())
-			r.s.HandTo(next)
+			r.s.ReplaceWith(next)
 			r.crosses(x, next, nil)
 		},
 		"the gate": func(r *leaver, x *Exchange) {
 			decided := make(chan bool, 1)
-			x.Gate = &Gate{Decided: func(taken bool) { decided <- taken }}
+			x.Gate = &Gate{OnDecision: func(taken bool) { decided <- taken }}
 			r.crosses(x, r.s, decided)
 		},
 		"the gate, shut": func(r *leaver, x *Exchange) {
 			decided := newBarrier()
-			x.Gate = &Gate{Decided: func(bool) { close(decided.came) }}
+			x.Gate = &Gate{OnDecision: func(bool) { close(decided.came) }}
 			r.leave(x, decided)
 			if sent := r.module.of("left"); len(sent) != 1 {
 				r.t.Errorf("before the gate opens %+v", sent)
 			}
-			x.Go()
+			x.OpenGate()
 		},
 	}
 	for where, play := range rings {
@@ -137,7 +137,7 @@
 					t.Run(fmt.Sprint(where, " ", class, " ", by, " ", deadline), func(t *testing.T) {
 						r := newLeaver(t, class, by, deadline)
 						play(r, r.request("left"))
-						testkit.Until(t, "its end", func() bool { return r.s.Status().Held == 0 })
+						testkit.Until(t, "its end", func() bool { return r.s.Status().Requests == 0 })
 						sent := r.module.of("left")
 						if where == "its turn" && len(sent) > 0 || where != "its turn" && (len(sent) != 1 || sent[0].Reason != control.Moot || !sent[0].Done) {
 							t.Errorf("its attempts ended %+v", sent)
@@ -216,9 +216,9 @@
 	}
 	ready := make(chan struct{})
 	s, err := New(Options{
-		Settings: set, Speaks: speaks, Share: share, AnyMethod: true, OnReady: func() { close(ready) },
+		Settings: set, Protocol: speaks, SharedUpstream: share, AnyMethod: true, OnReady: func() { close(ready) },
 		Source: discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.app, State: "up", Capacity: 1}}},
-		Module: func() (Module, error) {
+		NewModule: func() (Module, error) {
 			c, err := control.New(set, 1)
 			r.module = &noted{Controller: c, ended: make(map[string][]control.Response)}
 			return r.module, err
@@ -238,17 +238,17 @@
 
 func (r *leaver) request(id string) *Exchange {
 	h := http.Header{"X-Test": {id}}
-	x := &Exchange{Req: control.Request{ID: id, Class: r.class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(r.deadline)}
+	x := &Exchange{Request: control.Request{ID: id, Class: r.class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(r.deadline)}
 	if r.by[0] == 'w' {
 		q, err := http.NewRequest(http.MethodPost, "http://h/x", nil)
 		if err != nil {
 			r.t.Fatal(err)
 		}
 		q.Header = h
-		x.Forward = &upstream.Whole{Request: q, Body: []byte("body")}
+		x.Forwarder = &upstream.Whole{Request: q, Body: []byte("body")}
 		return x
 	}
-	x.Forward = &upstream.Relay{Name: http.MethodGet, Target: "/x", Host: "h", Header: h, Length: -1, Rules: &answer.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
+	x.Forwarder = &upstream.Relay{Name: http.MethodGet, Target: "/x", Host: "h", Header: h, Length: -1, Rules: &answer.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
 	return x
 }
 
@@ -263,7 +263,7 @@
 		testkit.Next(r.t, at.came)
 		cancel()
 	case x.Client == nil:
-		testkit.Until(r.t, "its place in the queue", func() bool { return r.s.Status().Held == 3 })
+		testkit.Until(r.t, "its place in the queue", func() bool { return r.s.Status().Requests == 3 })
 		cancel()
 	}
 	if testkit.Next(r.t, done) {
@@ -280,13 +280,13 @@
 func (r *leaver) crosses(x *Exchange, into *Service, gate chan bool) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	done, over := make(chan bool, 1), make(chan struct{})
-	x.Forward = watched{x.Forward, over}
+	x.Forwarder = watched{x.Forwarder, over}
 	was := r.s
 	enter := func() { go func() { _, ok := was.Do(ctx, x); done <- ok }() }
 	if gate != nil {
 		enter()
 		testkit.Next(r.t, gate)
-		enter = x.Go
+		enter = x.OpenGate
 	}
 	before, after := newBarrier(), newBarrier()
 	into.Post(before.pass)
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -60,7 +60,7 @@
 	counts      map[string]*ClassCounts   // by class; nil where nothing is counted
 	outAt       map[uint32]int            // attempts out by server, for the census
 	meter       *metered                  // nil where nothing is metered
-	meters      *Meter                    // the same
+	meters      *StatisticsCollector      // the same
 	classes     []control.Class
 	tally       *book   // nil where nothing is written
 	ledger      *ledger // of ceilings that are shared; nil where none are
@@ -69,23 +69,23 @@
 func newLoop(m Module, o *Options, up *upstream.Upstream, log *slog.Logger) *loop {
 	life, end := context.WithCancel(context.Background())
 	l := &loop{
-		life: life, end: end, module: m, spent: o.ModuleTime, upstream: up, speaks: o.Speaks, log: log, start: time.Now(),
+		life: life, end: end, module: m, spent: o.ObserveModuleTime, upstream: up, speaks: o.Protocol, log: log, start: time.Now(),
 		sendCap: o.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan job), ended: make(chan struct{}),
 		exchanges: make(map[string]*Exchange), ids: make(map[string]uint32),
-		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, units: newTerms(o.Settings).Plans,
-		meters: o.Meter, classes: o.Settings.Classes,
+		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, units: newTerms(o.Settings).MaxUnitsByPlan,
+		meters: o.Statistics, classes: o.Settings.Classes,
 	}
-	if o.Counts != nil {
+	if o.RequestCounts != nil {
 		l.counts = make(map[string]*ClassCounts)
 		for _, k := range o.Settings.Classes {
-			l.counts[k.Name] = o.Counts.class(k.Name)
+			l.counts[k.Name] = o.RequestCounts.class(k.Name)
 		}
 	}
-	if o.Tally != nil {
-		l.tally = newBook(o.Tally, o.Settings.Plans)
+	if o.EventLog != nil {
+		l.tally = newBook(o.EventLog, o.Settings.Plans)
 	}
-	l.ledger = newLedger(o.Shared)
-	if o.Census {
+	l.ledger = newLedger(o.SharedHardLimits)
+	if o.EstimateGroupSize {
 		l.census, l.outAt = census.New(o.Settings.GroupSize), make(map[uint32]int)
 	}
 	return l
@@ -141,7 +141,7 @@
 				try.Withdraw()
 			}
 			if l.failed == nil && !x.ran && (x.out == 0 || x.unwritten()) { // the request that a module fails by must not be tried again
-				a = Answer{Kind: Refused, Status: http.StatusServiceUnavailable, Last: x.last}
+				a = Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, LastAttempt: x.last}
 			}
 			l.finish(x, a)
 			x.drop() // what is out of it is nobody's concern any more
@@ -227,7 +227,7 @@
 			l.unsent(x)
 		}
 	case control.Refuse:
-		l.giveUp(l.exchanges[a.ID], Answer{Kind: Refused, Status: http.StatusServiceUnavailable, RetryAfter: a.RetryAfter, Why: a.Why})
+		l.giveUp(l.exchanges[a.ID], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: a.RetryAfter, Cause: a.Why})
 	case control.Fail:
 		l.fail(l.exchanges[a.ID])
 	case control.Arm:
@@ -247,15 +247,15 @@
 		x.answer <- Answer{next: l.next}
 		return
 	}
-	if l.exchanges[x.Req.ID] != nil {
+	if l.exchanges[x.Request.ID] != nil {
 		x.answer <- Answer{Kind: Failed, Status: http.StatusConflict}
 		return
 	}
-	l.exchanges[x.Req.ID] = x
+	l.exchanges[x.Request.ID] = x
 	x.began = time.Now()
 	x.keep()
 	if l.counts != nil {
-		x.count = l.counts[x.Req.Class]
+		x.count = l.counts[x.Request.Class]
 	}
 	if l.ask(x) {
 		return
@@ -265,8 +265,8 @@
 
 // tell has the module hear of a request.
 func (l *loop) tell(x *Exchange) {
-	x.Req.TTL = time.Until(x.Deadline)
-	l.handle(x.Req)
+	x.Request.TTL = time.Until(x.Deadline)
+	l.handle(x.Request)
 	if !x.done {
 		x.Gate.tell(l, true)
 	}
@@ -277,18 +277,18 @@
 func (l *loop) hangup(x *Exchange) {
 	// Guards against a second answer, which nobody would take, to one that was answered without
 	// having been begun: it is not this loop's.
-	if x.done || l.exchanges[x.Req.ID] != x {
+	if x.done || l.exchanges[x.Request.ID] != x {
 		x.unanswered()
 		return
 	}
 	// One that is there all the same, and withheld its request by what it has sent behind it, is told what is
 	// so of the request: trying again is harmless only where nothing of it can have run.
-	own := Answer{Kind: Refused, Status: http.StatusServiceUnavailable, left: true}
+	own := Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, left: true}
 	if x.ran {
 		own.Kind, own.Status = Failed, http.StatusBadGateway
 	}
 	l.giveUp(x, own)
-	l.handle(control.Hangup{ID: x.Req.ID})
+	l.handle(control.Hangup{ID: x.Request.ID})
 	l.left(x)
 }
 
@@ -312,7 +312,7 @@
 	case x.said.Status != 0:
 		l.finish(x, Answer{Status: x.said.Status, Header: x.said.Header, Body: x.said.Body, left: own.left})
 	default:
-		own.Last = x.last
+		own.LastAttempt = x.last
 		l.finish(x, own)
 	}
 }
@@ -329,7 +329,7 @@
 		x.Gate.tell(l, false)
 		l.unsent(x)
 		if x.count != nil {
-			x.count.ended(a, x.Req.NoRoom)
+			x.count.ended(a, x.Request.NoRoom)
 		}
 		if l.meter != nil {
 			l.meter.ended(x, a)
@@ -346,7 +346,7 @@
 // can't be mistaken for another's before.
 func (l *loop) release(x *Exchange) {
 	if x.done && x.out == 0 {
-		delete(l.exchanges, x.Req.ID)
+		delete(l.exchanges, x.Request.ID)
 		x.drop()
 	}
 }
--- a/internal/service/meter.go
+++ b/internal/service/meter.go
@@ -10,9 +10,9 @@
 	"lockflow/internal/figures"
 )
 
-// Meter counts what a process's services do, over all their generations. It is safe for concurrent use;
+// StatisticsCollector counts what a process's services do, over all their generations. It is safe for concurrent use;
 // its zero value is empty.
-type Meter struct {
+type StatisticsCollector struct {
 	mu    sync.Mutex
 	gone  figures.Figures // of loops that have ended
 	loops map[*metered]struct{}
@@ -37,7 +37,7 @@
 }
 
 // loop gives a new loop's count.
-func (m *Meter) loop(classes []control.Class) *metered {
+func (m *StatisticsCollector) loop(classes []control.Class) *metered {
 	c := &metered{classes: make(map[string]*meteredClass, len(classes))}
 	for _, k := range classes {
 		c.classes[k.Name] = &meteredClass{worth: k.Worth, aim: k.Aim}
@@ -52,15 +52,15 @@
 }
 
 // end takes in that a loop has ended: nothing more is counted there.
-func (m *Meter) end(c *metered) {
+func (m *StatisticsCollector) end(c *metered) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.loops, c)
 	c.addTo(&m.gone)
 }
 
-// Figures are what was counted until now. What is of the process, and not of services, is left to the caller.
-func (m *Meter) Figures() figures.Figures {
+// Statistics are what was counted until now. What is of the process, and not of services, is left to the caller.
+func (m *StatisticsCollector) Statistics() figures.Figures {
 	if m == nil {
 		return figures.Figures{}
 	}
@@ -99,7 +99,7 @@
 
 // ended counts a request's final answer.
 func (c *metered) ended(x *Exchange, a Answer) {
-	k := c.classes[x.Req.Class]
+	k := c.classes[x.Request.Class]
 	if k == nil { // the module refuses it as unknown
 		return
 	}
@@ -117,7 +117,7 @@
 		}
 	case 1:
 		c.refused.Add(1)
-		if a.Why == control.OverCeiling || a.Why == control.OverStore || a.Why == control.ByChance {
+		if a.Cause == control.OverCeiling || a.Cause == control.OverStore || a.Cause == control.ByChance {
 			c.beyond.Add(1)
 			asked = false
 		}
@@ -129,9 +129,9 @@
 	if asked {
 		k.asked.Add(1)
 	}
-	// The attempts have ended AnswerAhead before; a stream's body and one that is still to come have time
+	// The attempts have ended DeadlineMargin before; a stream's body and one that is still to come have time
 	// of their own.
-	if a.Status != 0 && !x.Req.Open && now.Sub(x.Deadline) > AnswerAhead {
+	if a.Status != 0 && !x.Request.Open && now.Sub(x.Deadline) > DeadlineMargin {
 		c.breaches.Add(1)
 	}
 }
--- a/internal/service/meter_test.go
+++ b/internal/service/meter_test.go
@@ -10,7 +10,7 @@
 // What becomes of a request is counted once, in its place; what is beyond a quota was not asked, and what
 // loops counted that have ended stays.
 func TestMeter(t *testing.T) {
-	var m Meter
+	var m StatisticsCollector
 	const k = "read"
 	for name, c := range map[string]struct {
 		took, left time.Duration // since it began; until its deadline
@@ -24,20 +24,20 @@
 		"the node's own": {0, 0, Answer{Kind: Failed, Status: 504}, 0, "asked failed"},
 		"a server's":     {0, 0, Answer{Status: 500}, 0, "asked failed"},
 		"left":           {0, -time.Second, Answer{}, 0, "asked left"},
-		"no turn":        {0, 0, Answer{Kind: Refused, Status: 503}, control.NoTurn, "asked refused"},
-		"ceiling":        {0, 0, Answer{Kind: Refused, Status: 503}, control.OverCeiling, "refused beyond"},
-		"quota":          {0, 0, Answer{Kind: Refused, Status: 503}, control.ByChance, "refused beyond"},
+		"no turn":        {0, 0, Answer{Kind: Rejected, Status: 503}, control.NoTurn, "asked refused"},
+		"ceiling":        {0, 0, Answer{Kind: Rejected, Status: 503}, control.OverCeiling, "refused beyond"},
+		"quota":          {0, 0, Answer{Kind: Rejected, Status: 503}, control.ByChance, "refused beyond"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			before := m.Figures()
+			before := m.Statistics()
 			c1 := m.loop([]control.Class{{Name: k, Worth: 2.5, Aim: time.Second}})
 			now := time.Now()
-			x := &Exchange{Req: control.Request{Class: k, Units: 1.5}, Deadline: now.Add(c.left), began: now.Add(-c.took)}
-			c1.sent(x.Req.Units)
-			c.answer.Why = c.why
+			x := &Exchange{Request: control.Request{Class: k, Units: 1.5}, Deadline: now.Add(c.left), began: now.Add(-c.took)}
+			c1.sent(x.Request.Units)
+			c.answer.Cause = c.why
 			c1.ended(x, c.answer)
 			for range 2 { // while it runs, and after its end
-				f, ok := m.Figures().Since(before)
+				f, ok := m.Statistics().Since(before)
 				got := ""
 				for _, v := range []struct {
 					name string
@@ -69,18 +69,18 @@
 	c := m.loop(nil)
 	c.over(3, false)
 	c.over(3, true)
-	if f := m.Figures(); f.Breaches != 4 || f.Panics != 1 {
+	if f := m.Statistics(); f.Breaches != 4 || f.Panics != 1 {
 		t.Errorf("%+v", f)
 	}
-	if f := (*Meter)(nil).Figures(); f.Requests != 0 {
+	if f := (*StatisticsCollector)(nil).Statistics(); f.Requests != 0 {
 		t.Errorf("%+v", f)
 	}
 }
 
 func BenchmarkMeter(b *testing.B) {
-	var m Meter
+	var m StatisticsCollector
 	c := m.loop([]control.Class{{Name: "read", Worth: 1, Aim: time.Second}})
-	x := &Exchange{Req: control.Request{Class: "read", Units: 1}, Deadline: time.Now().Add(time.Hour), began: time.Now()}
+	x := &Exchange{Request: control.Request{Class: "read", Units: 1}, Deadline: time.Now().Add(time.Hour), began: time.Now()}
 	b.ReportAllocs()
 	for b.Loop() {
 		c.sent(1)
--- a/internal/service/outcomes_test.go
+++ b/internal/service/outcomes_test.go
@@ -133,8 +133,8 @@
 				}
 				s, err := New(Options{
 					Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
-					Module:   func() (Module, error) { return control.New(set, 1) },
-					Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: socks},
+					NewModule: func() (Module, error) { return control.New(set, 1) },
+					Upstream:  upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: socks},
 				})
 				if err != nil {
 					t.Fatal(err)
@@ -149,8 +149,8 @@
 					t.Fatal(err)
 				}
 				x := &Exchange{
-					Req: control.Request{ID: "a", Class: class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
-					Forward: &upstream.Whole{Request: q, Body: []byte("body")},
+					Request: control.Request{ID: "a", Class: class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
 				}
 				sends, status := 2, http.StatusOK
 				switch {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,14 +20,14 @@
 	"lockflow/internal/upstream"
 )
 
-// Policy says what follows when a service's module panics. All that it held is answered as
+// PanicPolicy says what follows when a service's module panics. All that it held is answered as
 // failed in any case.
-type Policy int
+type PanicPolicy int
 
 // The policies.
 const (
-	EndProcess Policy = iota // the node ends
-	Restart                  // the service starts anew with clean state; others go on
+	EndProcess     PanicPolicy = iota // the node ends
+	RestartService                    // the service starts anew with clean state; others go on
 )
 
 const (
@@ -36,9 +36,9 @@
 	restartCalm  = time.Minute // after which restarts no longer are in a row
 )
 
-// Parts books what a service's requests take of the process: one held request and some
+// RequestLimiter books what a service's requests take of the process: one held request and some
 // bytes each. It is safe for concurrent use.
-type Parts interface {
+type RequestLimiter interface {
 	// Admit books a request of so many bytes. Where there is no room it gives false; else
 	// what gives all of it back, to be called once.
 	Admit(bytes int64) (giveBack func(), ok bool)
@@ -46,33 +46,33 @@
 
 // Options are what a service is made with.
 type Options struct {
-	Name     string
-	Settings control.Settings
-	Seed     uint64 // of the module's random numbers
-	Upstream upstream.Options
-	Speaks   upstream.Speaks    // to servers whose entry says nothing else
-	Share    *upstream.Upstream // connections of a service whose place this one takes; nil has Upstream make them
-	Source   discovery.Source
-	Known    discovery.Listing // the list of servers as it was had last, maybe old
-	OnPanic  Policy
+	Name            string
+	Settings        control.Settings
+	Seed            uint64 // of the module's random numbers
+	Upstream        upstream.Options
+	Protocol        upstream.Speaks    // to servers whose entry says nothing else
+	SharedUpstream  *upstream.Upstream // connections of a service whose place this one takes; nil has Upstream make them
+	Source          discovery.Source
+	CachedEndpoints discovery.Listing // the list of servers as it was had last, maybe old
+	OnPanic         PanicPolicy
 	// AnyMethod has a class's requests come by any method, as in ordinary HTTP.
 	AnyMethod bool
 
-	Parts      Parts                  // nil books nothing
-	Streams    *Streams               // of which answers are under way; nil keeps none
-	Counts     *Counts                // of what becomes of requests; nil counts nothing
-	Meter      *Meter                 // of what the process does; nil counts nothing
-	Tally      *tally.Writer          // of what is done; nil writes nothing
-	Census     bool                   // whether the group's size is estimated by servers' reports
-	OnReady    func()                 // called once, when there is a server to send to; may be nil
-	ModuleTime func(time.Duration)    // told of the module's own time at each event; may be nil
-	Shared     *Shared                // ceilings that are lent by counters; nil has the module hold them
-	Module     func() (Module, error) // makes the module; nil is a control.Controller of Settings
+	Limiter           RequestLimiter         // nil books nothing
+	Streams           *Streams               // of which answers are under way; nil keeps none
+	RequestCounts     *RequestCounts         // of what becomes of requests; nil counts nothing
+	Statistics        *StatisticsCollector   // of what the process does; nil counts nothing
+	EventLog          *tally.Writer          // of what is done; nil writes nothing
+	EstimateGroupSize bool                   // whether the group's size is estimated by servers' reports
+	OnReady           func()                 // called once, when there is a server to send to; may be nil
+	ObserveModuleTime func(time.Duration)    // told of the module's own time at each event; may be nil
+	SharedHardLimits  *SharedHardLimits      // ceilings that are lent by counters; nil has the module hold them
+	NewModule         func() (Module, error) // makes the module; nil is a control.Controller of Settings
 }
 
 // Service is one service. Its methods are safe for concurrent use.
 type Service struct {
-	Terms
+	RequestRules
 	opts     Options
 	log      *slog.Logger
 	upstream *upstream.Upstream
@@ -96,32 +96,32 @@
 	if o.Name != "" {
 		log = log.With("service", o.Name)
 	}
-	up := o.Share
+	up := o.SharedUpstream
 	if up == nil {
 		up = upstream.New(o.Upstream)
 	}
 	s := &Service{
-		Terms: newTerms(o.Settings), opts: o, log: log, upstream: up,
+		RequestRules: newTerms(o.Settings), opts: o, log: log, upstream: up,
 		unused: make(chan struct{}), ended: make(chan struct{}), known: make(map[string]discovery.Target),
 	}
 	s.AnyMethod = o.AnyMethod
-	s.opts.Known = discovery.Listing{}
-	if s.opts.Module == nil {
-		s.opts.Module = func() (Module, error) { return control.New(o.Settings, o.Seed) }
+	s.opts.CachedEndpoints = discovery.Listing{}
+	if s.opts.NewModule == nil {
+		s.opts.NewModule = func() (Module, error) { return control.New(o.Settings, o.Seed) }
 	}
-	m, err := s.opts.Module()
+	m, err := s.opts.NewModule()
 	if err != nil {
 		return nil, err
 	}
 	s.loop = newLoop(m, &s.opts, s.upstream, log)
-	s.merge(o.Known)
+	s.merge(o.CachedEndpoints)
 	// The waits are the network's, and none of the module's draws.
 	pace := discovery.Pace{Group: o.Settings.GroupSize, Rand: rand.New(rand.NewPCG(o.Seed, uint64(o.Settings.SelfIndex)))}
-	s.feed = discovery.NewFeed(o.Source, o.Known.Rev, pace, s.told)
-	s.feed.Known = len(o.Known.Targets) > 0
+	s.feed = discovery.NewFeed(o.Source, o.CachedEndpoints.Rev, pace, s.told)
+	s.feed.Known = len(o.CachedEndpoints.Targets) > 0
 	// Guards against a bound that the module sets by a list of no servers.
-	if len(o.Known.Targets) > 0 {
-		s.learn(s.loop, control.Stale, o.Known)
+	if len(o.CachedEndpoints.Targets) > 0 {
+		s.learn(s.loop, control.Stale, o.CachedEndpoints)
 	}
 	return s, nil
 }
@@ -132,15 +132,15 @@
 // Ready tells whether the service has had a server to send to.
 func (s *Service) Ready() bool { return s.ready.Load() }
 
-// Move has the service follow another source of its servers. What the module has learned of
+// SetSource has the service follow another source of its servers. What the module has learned of
 // servers stays with those that the new source lists under the same uid.
-func (s *Service) Move(src discovery.Source) {
+func (s *Service) SetSource(src discovery.Source) {
 	s.log.Info("server list: another source", "address", src.Address, "file", src.Path)
 	s.feed.Move(src)
 }
 
-// Known is the list of servers as the service has it now.
-func (s *Service) Known() discovery.Listing {
+// Endpoints is the list of servers as the service has it now.
+func (s *Service) Endpoints() discovery.Listing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.listing()
@@ -215,7 +215,7 @@
 	defer stop()
 	parts.Go(func() { s.feed.Run(life) })
 	parts.Go(func() { s.upstream.Sweep(life) })
-	if s.opts.Shared != nil {
+	if s.opts.SharedHardLimits != nil {
 		parts.Go(func() { s.ticks(life) })
 	}
 	parts.Go(func() {
@@ -230,7 +230,7 @@
 		l := s.current()
 		l.run(ctx)
 		s.letGo(l)
-		if l.failed == nil || s.opts.OnPanic != Restart || ctx.Err() != nil {
+		if l.failed == nil || s.opts.OnPanic != RestartService || ctx.Err() != nil {
 			return l.failed
 		}
 		s.log.Error("the service starts anew with clean state", "err", l.failed)
@@ -252,7 +252,7 @@
 
 // renew puts a new module in force, which knows the servers but has learned nothing.
 func (s *Service) renew() error {
-	m, err := s.opts.Module()
+	m, err := s.opts.NewModule()
 	if err != nil {
 		return fmt.Errorf("starting the service anew: %w", err)
 	}
@@ -274,9 +274,9 @@
 	}
 }
 
-// Hold keeps the service from ending, until as many calls of Release; false where it has
+// TryAcquire keeps the service from ending, until as many calls of Release; false where it has
 // been retired and has nothing to do any more.
-func (s *Service) Hold() bool {
+func (s *Service) TryAcquire() bool {
 	for {
 		n := s.users.Load()
 		if n < 0 {
@@ -310,12 +310,12 @@
 // Admit books room for a request with a body of some bytes. Where there is none the module
 // turns it away in Do.
 func (s *Service) Admit(x *Exchange, body int64) (ok bool) {
-	if s.opts.Parts == nil {
+	if s.opts.Limiter == nil {
 		return true
 	}
 	answer := int64(s.upstream.Answer)
-	if x.part, ok = s.opts.Parts.Admit(body + answer); !ok {
-		x.Req.NoRoom = true
+	if x.part, ok = s.opts.Limiter.Admit(body + answer); !ok {
+		x.Request.NoRoom = true
 		return false
 	}
 	x.holds.Store(1)
@@ -328,8 +328,8 @@
 	x.left = ctx
 	a, ok := s.do(ctx, x)
 	for next := a.next; next != nil; next = a.next {
-		if !next.Hold() {
-			return s.Unheard(), true
+		if !next.TryAcquire() {
+			return s.Unavailable(), true
 		}
 		a, ok = next.do(ctx, x)
 		next.Release()
@@ -337,16 +337,16 @@
 	return a, ok
 }
 
-// Unheard is the answer to a request that no module has heard of: trying again is harmless.
-func (s *Service) Unheard() Answer {
-	return Answer{Kind: Refused, Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, s.opts.Settings.MaxRetryAfter)}
+// Unavailable is the answer to a request that no module has heard of: trying again is harmless.
+func (s *Service) Unavailable() Answer {
+	return Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, s.opts.Settings.MaxRetryAfter)}
 }
 
 func (s *Service) do(ctx context.Context, x *Exchange) (Answer, bool) {
 	x.answer = make(chan Answer, 1)
 	l := s.current()
 	if !l.post(func() { l.begin(x) }) {
-		return s.Unheard(), true
+		return s.Unavailable(), true
 	}
 	select {
 	case a := <-x.answer:
@@ -361,7 +361,7 @@
 		case a := <-x.answer:
 			return a, !a.left
 		default: // all that had begun has its answer before the end
-			return s.Unheard(), true
+			return s.Unavailable(), true
 		}
 	}
 }
@@ -393,51 +393,51 @@
 
 // Status is what a service is doing.
 type Status struct {
-	Name     string `json:"name"`
-	Ready    bool   `json:"ready"`
-	Held     int    `json:"held"`     // requests and attempts that are out
-	Waiting  int    `json:"waiting"`  // of the requests, those whose client has no answer yet
-	Attempts int    `json:"attempts"` // out now
-	Servers  int    `json:"servers"`  // listed
-	Up       int    `json:"up"`       // of them, that take new work
-	Idle     int    `json:"idle"`     // connections to servers
-	Restarts int64  `json:"restarts"` // of the module
-	Streams  int    `json:"streams"`  // answers that are under way with no end of their own, and tunnels
-	Cut      int64  `json:"cut"`      // of them, broken off because another service asked for what is its own
+	Name             string `json:"name"`
+	Ready            bool   `json:"ready"`
+	Requests         int    `json:"held"`     // requests and attempts that are out
+	Unanswered       int    `json:"waiting"`  // of the requests, those whose client has no answer yet
+	AttemptsInFlight int    `json:"attempts"` // out now
+	Servers          int    `json:"servers"`  // listed
+	AvailableServers int    `json:"up"`       // of them, that take new work
+	IdleConnections  int    `json:"idle"`     // connections to servers
+	Restarts         int64  `json:"restarts"` // of the module
+	OpenStreams      int    `json:"streams"`  // answers that are under way with no end of their own, and tunnels
+	CutStreams       int64  `json:"cut"`      // of them, broken off because another service asked for what is its own
 	// HTTP2 is what requests share; nil where servers are spoken to by HTTP/1.1 alone.
 	HTTP2 *upstream.Shared `json:"http2,omitempty"`
-	// Shared is what it has of ceilings that counters lend; none where nothing is shared.
-	Shared []SharedStatus `json:"shared,omitempty"`
-	// Bound is how many attempts the module lets out at once; 0 where it doesn't tell.
-	Bound float64 `json:"bound"`
-	// Group is the least and the most that the group's size may be by the servers' reports of
+	// HardLimits is what it has of ceilings that counters lend; none where nothing is shared.
+	HardLimits []HardLimitStatus `json:"shared,omitempty"`
+	// ConcurrencyLimit is how many attempts the module lets out at once; 0 where it doesn't tell.
+	ConcurrencyLimit float64 `json:"bound"`
+	// GroupSizeRange is the least and the most that the group's size may be by the servers' reports of
 	// their load, 0 where they say too little; and whether that speaks against the told one.
-	Group       [2]float64 `json:"group"`
-	GroupDoubts bool       `json:"group_doubts"`
+	GroupSizeRange     [2]float64 `json:"group"`
+	IsGroupSizeDoubted bool       `json:"group_doubts"`
 }
 
 // Status tells what the service is doing. It is empty but for the name where the service
 // has ended.
 func (s *Service) Status() Status {
 	st := Status{Name: s.opts.Name, Ready: s.ready.Load(), Restarts: s.restarts.Load()}
-	st.Idle, _ = s.upstream.Conns()
+	st.IdleConnections, _ = s.upstream.Conns()
 	st.HTTP2 = s.upstream.Shared()
-	st.Streams, st.Cut = s.opts.Streams.Open()
+	st.OpenStreams, st.CutStreams = s.opts.Streams.Stats()
 	l := s.current()
 	seen := make(chan struct{})
 	if l.post(func() {
-		st.Held, st.Servers, st.Up = len(l.exchanges), len(l.ids), len(l.pools)
+		st.Requests, st.Servers, st.AvailableServers = len(l.exchanges), len(l.ids), len(l.pools)
 		for _, x := range l.exchanges {
-			st.Attempts += x.out
+			st.AttemptsInFlight += x.out
 			if !x.done {
-				st.Waiting++
+				st.Unanswered++
 			}
 		}
-		st.Bound = l.bound()
-		st.Shared = l.shared()
+		st.ConcurrencyLimit = l.bound()
+		st.HardLimits = l.shared()
 		if l.census != nil {
-			st.Group[0], st.Group[1], _ = l.census.Seen(l.now())
-			st.GroupDoubts = l.census.Doubts(l.now())
+			st.GroupSizeRange[0], st.GroupSizeRange[1], _ = l.census.Seen(l.now())
+			st.IsGroupSizeDoubted = l.census.Doubts(l.now())
 		}
 		close(seen)
 	}) {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -60,7 +60,7 @@
 }
 
 func request(id string) *Exchange {
-	return &Exchange{Req: control.Request{ID: id, Class: "read", Plan: "p"}, Forward: &upstream.Whole{Request: &http.Request{}}, Deadline: time.Now().Add(5 * time.Second)}
+	return &Exchange{Request: control.Request{ID: id, Class: "read", Plan: "p"}, Forwarder: &upstream.Whole{Request: &http.Request{}}, Deadline: time.Now().Add(5 * time.Second)}
 }
 
 // refuses refuses each request at once.
@@ -76,7 +76,7 @@
 
 func TestRefusalIsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(t, Options{Module: func() (Module, error) { return script(refuses), nil }})
+		s, _ := started(t, Options{NewModule: func() (Module, error) { return script(refuses), nil }})
 		begun := time.Now()
 		a, ok := s.Do(context.Background(), request("id-1"))
 		if !ok || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || time.Since(begun) > 0 {
@@ -88,8 +88,8 @@
 // One that is retired ends once nobody holds it, and not sooner; then it can't be held.
 func TestRetire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, ended := started(t, Options{Module: func() (Module, error) { return script(refuses), nil }})
-		if !s.Hold() || !s.Hold() {
+		s, ended := started(t, Options{NewModule: func() (Module, error) { return script(refuses), nil }})
+		if !s.TryAcquire() || !s.TryAcquire() {
 			t.Fatal("can't be held")
 		}
 		s.Retire()
@@ -107,7 +107,7 @@
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
-		if s.Hold() {
+		if s.TryAcquire() {
 			t.Error("held after its end")
 		}
 		if a, ok := s.Do(context.Background(), request("id-2")); !ok || a.Status != http.StatusServiceUnavailable {
@@ -121,7 +121,7 @@
 func TestRestarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		made := 0
-		s, ended := started(t, Options{OnPanic: Restart, Module: func() (Module, error) {
+		s, ended := started(t, Options{OnPanic: RestartService, NewModule: func() (Module, error) {
 			made++
 			return script(func(e control.Event) []control.Action {
 				if r, ok := e.(control.Request); ok && r.ID == "bad" {
@@ -143,7 +143,7 @@
 			t.Errorf("what was held: %+v", a)
 		}
 		synctest.Wait()
-		if st := s.Status(); st.Restarts != 1 || st.Servers != 1 || st.Held != 0 {
+		if st := s.Status(); st.Restarts != 1 || st.Servers != 1 || st.Requests != 0 {
 			t.Errorf("after the first restart, at once: %+v", st)
 		}
 		s.Do(context.Background(), request("bad"))
@@ -166,7 +166,7 @@
 
 func TestPanicEndsByDefault(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, ended := started(t, Options{Module: func() (Module, error) {
+		s, ended := started(t, Options{NewModule: func() (Module, error) {
 			return script(func(e control.Event) []control.Action {
 				if _, ok := e.(control.Request); ok {
 					panic("no such share")
@@ -203,13 +203,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		parts := &counted{most: 2}
 		var module script = holds
-		s, _ := started(t, Options{Parts: parts, OnPanic: Restart, Module: func() (Module, error) {
+		s, _ := started(t, Options{Limiter: parts, OnPanic: RestartService, NewModule: func() (Module, error) {
 			return script(func(e control.Event) []control.Action { return module(e) }), nil
 		}})
 		do := func(ctx context.Context, id string) (Answer, bool) {
 			x := request(id)
 			if s.Admit(x, 10) {
-				defer x.Done()
+				defer x.Release()
 			}
 			return s.Do(ctx, x)
 		}
@@ -263,7 +263,7 @@
 func TestModuleTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var spent time.Duration
-		s, _ := started(t, Options{ModuleTime: func(d time.Duration) { spent += d }, Module: func() (Module, error) {
+		s, _ := started(t, Options{ObserveModuleTime: func(d time.Duration) { spent += d }, NewModule: func() (Module, error) {
 			return script(func(e control.Event) []control.Action {
 				time.Sleep(time.Millisecond)
 				return refuses(e)
@@ -312,7 +312,7 @@
 	if _, err := New(Options{}); err == nil {
 		t.Error("settings of nothing were taken")
 	}
-	if _, err := New(Options{Module: func() (Module, error) { return nil, errors.New("none") }}); err == nil {
+	if _, err := New(Options{NewModule: func() (Module, error) { return nil, errors.New("none") }}); err == nil {
 		t.Error("no module")
 	}
 }
@@ -325,8 +325,8 @@
 		l, busy := was.current(), make(chan struct{})
 		l.post(func() { <-busy })
 		synctest.Wait()
-		next, _ := started(t, Options{Share: was.Upstream()})
-		was.HandTo(next)
+		next, _ := started(t, Options{SharedUpstream: was.Upstream()})
+		was.ReplaceWith(next)
 		was.Retire()
 		select {
 		case <-was.unused:
@@ -351,7 +351,7 @@
 		next, _ := started(t, Options{})
 		was.Retire()
 		<-ended
-		was.HandTo(next)
+		was.ReplaceWith(next)
 		if n := was.users.Load(); n >= 0 {
 			t.Errorf("held %d times", n)
 		}
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -12,29 +12,29 @@
 	"lockflow/internal/allowance"
 )
 
-// Counter is asked for units of shared ceilings. It is safe for concurrent use.
-type Counter interface {
+// LeaseStore is asked for units of shared ceilings. It is safe for concurrent use.
+type LeaseStore interface {
 	Call(context.Context, *allowance.Call) (allowance.Answer, error)
 }
 
-// Shared has a service's ceilings lent by counters. The module is told of what they refuse, and holds
+// SharedHardLimits has a service's ceilings lent by counters. The module is told of what they refuse, and holds
 // no ceilings of its own.
-type Shared struct {
-	Rules    allowance.Rules
-	Ceilings map[string]allowance.Ceiling // by plan
-	Names    []string                     // of the counters; customers fall to them by these
-	Counters []Counter
+type SharedHardLimits struct {
+	Rules      allowance.Rules
+	ByPlan     map[string]allowance.Ceiling // by plan
+	StoreNames []string                     // of the counters; customers fall to them by these
+	Stores     []LeaseStore
 }
 
-// SharedStatus is what a service has of shared ceilings at one counter.
-type SharedStatus struct {
-	Counter string `json:"counter"` // its name in the configuration
+// HardLimitStatus is what a service has of shared ceilings at one counter.
+type HardLimitStatus struct {
+	StoreName string `json:"counter"` // its name in the configuration
 	allowance.Status
 }
 
 // ledger is the loop's side of Shared. It goes from a service to the one that takes its place.
 type ledger struct {
-	*Shared
+	*SharedHardLimits
 	start   time.Time
 	holders []*allowance.Holder
 	next    uint64
@@ -45,18 +45,18 @@
 	name     []byte // room for a customer's name
 }
 
-func newLedger(o *Shared) *ledger {
-	if o == nil || len(o.Counters) == 0 || len(o.Ceilings) == 0 {
+func newLedger(o *SharedHardLimits) *ledger {
+	if o == nil || len(o.Stores) == 0 || len(o.ByPlan) == 0 {
 		return nil
 	}
-	g := &ledger{Shared: o, start: time.Now(), asked: make(map[uint64]*Exchange), failed: make([]error, len(o.Counters))}
+	g := &ledger{SharedHardLimits: o, start: time.Now(), asked: make(map[uint64]*Exchange), failed: make([]error, len(o.Stores))}
 	g.begin()
 	return g
 }
 
 // begin makes holders that have nothing.
 func (g *ledger) begin() {
-	g.holders = make([]*allowance.Holder, len(g.Counters))
+	g.holders = make([]*allowance.Holder, len(g.Stores))
 	for i := range g.holders {
 		g.holders[i] = allowance.NewHolder(g.now(), g.Rules, fmt.Sprintf("%016x", rand.Uint64()))
 	}
@@ -70,8 +70,8 @@
 	g.name = append(append(append(g.name[:0], plan...), '/'), customer...)
 	n := len(g.name)
 	var most uint64
-	for i := 0; len(g.Names) > 1 && i < len(g.Names); i++ {
-		g.name = append(g.name[:n], g.Names[i]...)
+	for i := 0; len(g.StoreNames) > 1 && i < len(g.StoreNames); i++ {
+		g.name = append(g.name[:n], g.StoreNames[i]...)
 		if sum := xxhash.Sum64(g.name); i == 0 || sum > most {
 			best, most = i, sum
 		}
@@ -82,18 +82,18 @@
 // ask has a request's ceiling decide on it, before the module hears of it; false where it has none.
 func (l *loop) ask(x *Exchange) bool {
 	g := l.ledger
-	if g == nil || x.Req.NoRoom {
+	if g == nil || x.Request.NoRoom {
 		return false
 	}
-	c, ok := g.Ceilings[x.Req.Plan]
+	c, ok := g.ByPlan[x.Request.Plan]
 	if !ok {
 		return false
 	}
 	g.next++
 	g.asked[g.next] = x
-	i, key := g.of(x.Req.Plan, x.Req.Customer)
-	x.lent = lent{at: i, key: key, units: x.Req.Units}
-	l.share(i, g.holders[i].Ask(g.now(), g.next, key, c, x.Req.Units))
+	i, key := g.of(x.Request.Plan, x.Request.Customer)
+	x.lent = lent{at: i, key: key, units: x.Request.Units}
+	l.share(i, g.holders[i].Ask(g.now(), g.next, key, c, x.Request.Units))
 	return true
 }
 
@@ -110,7 +110,7 @@
 	g := l.ledger
 	for _, a := range todo {
 		if a.Kind == allowance.Send {
-			q, c := a.Call, g.Counters[i]
+			q, c := a.Call, g.Stores[i]
 			go func() {
 				r, err := c.Call(l.life, q)
 				l.post(func() { l.heard(g, i, r, err) })
@@ -130,7 +130,7 @@
 		case a.Kind == allowance.Let:
 			x.lent.until = a.Until
 		default:
-			x.Req.Over = true
+			x.Request.Over = true
 		}
 		l.tell(x)
 	}
@@ -143,14 +143,14 @@
 	}
 	if err == nil {
 		if g.failed[i] != nil {
-			l.log.Info("counter: it answers again", "counter", g.Names[i])
+			l.log.Info("counter: it answers again", "counter", g.StoreNames[i])
 		}
 		g.failed[i] = nil
 		l.share(i, g.holders[i].Answered(g.now(), r))
 		return
 	}
 	if g.failed[i] == nil {
-		l.log.Warn("counter: a call failed", "counter", g.Names[i], "err", err)
+		l.log.Warn("counter: a call failed", "counter", g.StoreNames[i], "err", err)
 	}
 	g.failed[i] = err
 	l.share(i, g.holders[i].Lost(g.now()))
@@ -195,7 +195,7 @@
 	for id, x := range g.asked {
 		delete(g.asked, id)
 		if !x.done && next.takes(x, l.classes) {
-			delete(l.exchanges, x.Req.ID)
+			delete(l.exchanges, x.Request.ID)
 			x.drop()
 			x.answer <- Answer{next: next} // from here on it is another loop's
 			continue
@@ -209,7 +209,7 @@
 // same rules at the same counters, if over another number of instances; else that one's parts are let
 // go of, and this one's begin with nothing.
 func (l *loop) takeOver(g *ledger) {
-	if g == nil || l.ledger == nil || !slices.Equal(g.Names, l.ledger.Names) {
+	if g == nil || l.ledger == nil || !slices.Equal(g.StoreNames, l.ledger.StoreNames) {
 		return
 	}
 	old, new := g.Rules, l.ledger.Rules
@@ -219,7 +219,7 @@
 	for _, h := range g.holders {
 		h.Resize(g.now(), new.Instances)
 	}
-	g.Shared = l.ledger.Shared // ceilings may be others
+	g.SharedHardLimits = l.ledger.SharedHardLimits // ceilings may be others
 	l.ledger = g
 }
 
@@ -244,17 +244,17 @@
 	g.begin()
 	for id, x := range g.asked {
 		if delete(g.asked, id); !x.done {
-			x.Req.Over = true
+			x.Request.Over = true
 			l.tell(x)
 		}
 	}
 }
 
 // shared is for Status.
-func (l *loop) shared() (all []SharedStatus) {
+func (l *loop) shared() (all []HardLimitStatus) {
 	if g := l.ledger; g != nil {
 		for i, h := range g.holders {
-			s := SharedStatus{Counter: g.Names[i], Status: h.Status(g.now())}
+			s := HardLimitStatus{StoreName: g.StoreNames[i], Status: h.Status(g.now())}
 			all = append(all, s)
 		}
 	}
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -44,7 +44,7 @@
 	if m.c == nil {
 		m.c, m.begun = allowance.NewCounter(r, "c"), time.Now()
 	}
-	return Options{Shared: &Shared{Rules: r, Ceilings: map[string]allowance.Ceiling{"p": {Rate: 10, Burst: 20}}, Names: []string{"c"}, Counters: []Counter{m}}}
+	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]allowance.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{m}}}
 }
 
 // holdsAll is a module that holds what it lets in, and refuses what a shared ceiling does.
@@ -64,14 +64,14 @@
 // startSharing starts a service with a share in a counter, and notes what its module hears of.
 func startSharing(t *testing.T, m *memory, instances int, seen *[]control.Request) *Service {
 	o := sharing(m, instances)
-	o.Module = holdsAll(seen)
+	o.NewModule = holdsAll(seen)
 	s, _ := started(t, o)
 	return s
 }
 
 func units(id string, n float64) *Exchange {
 	x := request(id)
-	x.Req.Units, x.Req.Customer = n, "k"
+	x.Request.Units, x.Request.Customer = n, "k"
 	return x
 }
 
@@ -86,7 +86,7 @@
 			time.Sleep(time.Second)
 		}
 		synctest.Wait()
-		st := s.Status().Shared
+		st := s.Status().HardLimits
 		if len(st) != 1 || !st[0].Lends || st[0].Own || st[0].Pledged != 1 || st[0].Identity != "c" || st[0].Since < 10 {
 			t.Fatalf("%+v", st)
 		}
@@ -104,12 +104,12 @@
 			t.Fatalf("%+v", seen)
 		}
 		a, ok := s.Do(t.Context(), units("b", 4))
-		if !ok || a.Kind != Refused || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || !seen[5].Over {
+		if !ok || a.Kind != Rejected || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || !seen[5].Over {
 			t.Errorf("%+v, %+v", a, seen)
 		}
 		leave()
 		synctest.Wait()
-		if st := s.Status().Shared[0]; st.Borrowed < 15.9 {
+		if st := s.Status().HardLimits[0]; st.Borrowed < 15.9 {
 			t.Errorf("of 20 units that nobody spent %g are there", st.Borrowed)
 		}
 		again, gone := context.WithCancel(t.Context())
@@ -133,10 +133,10 @@
 		m.mu.Lock()
 		m.away = true
 		m.mu.Unlock()
-		begun := s.Status().Shared[0].Calls
+		begun := s.Status().HardLimits[0].Calls
 		time.Sleep(60 * time.Second)
 		synctest.Wait()
-		st := s.Status().Shared[0]
+		st := s.Status().HardLimits[0]
 		if st.Lends || !st.Own || st.Pledged != 0 || st.Calls-begun > 200 {
 			t.Errorf("%+v, %d calls while it was away", st, st.Calls-begun)
 		}
@@ -168,36 +168,36 @@
 		was, ended := started(t, sharing(m, 2))
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		calls := was.Status().Shared[0].Calls
+		calls := was.Status().HardLimits[0].Calls
 		o := sharing(m, 1)
-		o.Share = was.Upstream()
+		o.SharedUpstream = was.Upstream()
 		next, _ := started(t, o)
-		was.HandTo(next)
+		was.ReplaceWith(next)
 		was.Retire()
 		if err := <-ended; err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
-		st := next.Status().Shared[0]
+		st := next.Status().HardLimits[0]
 		if st.Calls < calls || st.Pledged != 0.5 {
 			t.Errorf("%+v after %d calls", st, calls)
 		}
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
-		if st := next.Status().Shared[0]; st.Pledged != 1 || !st.Lends {
+		if st := next.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
 			t.Errorf("%+v", st)
 		}
-		if x := units("x", 1); was.Upstream() != next.Upstream() || x.Forward.(*upstream.Whole) == nil {
+		if x := units("x", 1); was.Upstream() != next.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
 			t.Error("another upstream")
 		}
 		// A process whose place another is to take has no part any more.
-		st = next.Status().Shared[0]
+		st = next.Status().HardLimits[0]
 		next.Rejoin(nil) // whoever it took the place of has ended: nothing changes
-		if again := next.Status().Shared[0]; again != st {
+		if again := next.Status().HardLimits[0]; again != st {
 			t.Errorf("%+v, not %+v", again, st)
 		}
 		next.HandOver(0.5)
-		if st := next.Status().Shared[0]; st.Own || st.Pledged != 0 {
+		if st := next.Status().HardLimits[0]; st.Own || st.Pledged != 0 {
 			t.Errorf("%+v after it was handed over", st)
 		}
 		// That one fails while a request waits for units here: it is answered, and the part is this
@@ -211,11 +211,11 @@
 			answered <- a
 		}()
 		synctest.Wait()
-		if st := next.Status().Shared[0]; st.Waiting != 1 {
+		if st := next.Status().HardLimits[0]; st.Waiting != 1 {
 			t.Errorf("%+v", st)
 		}
 		next.Rejoin(nil)
-		if a := <-answered; a.Kind != Refused {
+		if a := <-answered; a.Kind != Rejected {
 			t.Errorf("%+v", a)
 		}
 		m.mu.Lock()
@@ -224,7 +224,7 @@
 		m.mu.Unlock()
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
-		if st := next.Status().Shared[0]; st.Pledged != 1 || !st.Lends {
+		if st := next.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
 			t.Errorf("%+v after the other has ended", st)
 		}
 	})
@@ -237,7 +237,7 @@
 		m := &memory{}
 		var before, after []control.Request
 		o := sharing(m, 1)
-		o.Module, o.AnyMethod = func() (Module, error) { return keeping{&before}, nil }, true
+		o.NewModule, o.AnyMethod = func() (Module, error) { return keeping{&before}, nil }, true
 		was, ended := started(t, o)
 		time.Sleep(10 * time.Second)
 		m.mu.Lock()
@@ -250,9 +250,9 @@
 		}
 		synctest.Wait()
 		o = sharing(m, 1)
-		o.Module, o.AnyMethod = func() (Module, error) { return keeping{&after}, nil }, true
+		o.NewModule, o.AnyMethod = func() (Module, error) { return keeping{&after}, nil }, true
 		next, _ := started(t, o)
-		was.HandTo(next)
+		was.ReplaceWith(next)
 		was.Retire()
 		synctest.Wait()
 		m.mu.Lock()
@@ -288,7 +288,7 @@
 // that fall to that one.
 func TestSharedSpread(t *testing.T) {
 	at := func(names ...string) map[string]string {
-		g := newLedger(&Shared{Rules: allowance.Rules{Instances: 1}, Ceilings: map[string]allowance.Ceiling{"p": {}}, Names: names, Counters: make([]Counter, len(names))})
+		g := newLedger(&SharedHardLimits{Rules: allowance.Rules{Instances: 1}, ByPlan: map[string]allowance.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
 		all := make(map[string]string)
 		for i := range 30_000 {
 			n, key := g.of("p", fmt.Sprintf("%016x", i))
@@ -313,17 +313,17 @@
 // What a request's shared ceiling costs beside the request, where nothing has to be asked for.
 func BenchmarkShared(b *testing.B) {
 	o := sharing(&memory{}, 1)
-	o.Shared.Ceilings["p"] = allowance.Ceiling{Rate: 1e9, Burst: 1e9}
-	o.Shared.Rules.Settle = 1
-	l := &loop{ledger: newLedger(o.Shared), module: script(holds)}
+	o.SharedHardLimits.ByPlan["p"] = allowance.Ceiling{Rate: 1e9, Burst: 1e9}
+	o.SharedHardLimits.Rules.Settle = 1
+	l := &loop{ledger: newLedger(o.SharedHardLimits), module: script(holds)}
 	l.ledger.start = l.ledger.start.Add(-time.Minute) // its part is its own
 	xs := make([]*Exchange, 1000)
 	for i := range xs {
 		xs[i] = units("x", 1)
-		xs[i].Req.Customer = fmt.Sprintf("%016x", i)
+		xs[i].Request.Customer = fmt.Sprintf("%016x", i)
 		l.ask(xs[i])
 	}
-	bare := func() { l.handle(xs[0].Req) }
+	bare := func() { l.handle(xs[0].Request) }
 	b.Run("without", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
--- a/internal/service/streams.go
+++ b/internal/service/streams.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Open is how many are under way, and Cut how many were broken off for somebody else.
-func (s *Streams) Open() (open int, cut int64) {
+// Stats is how many are under way, and Cut how many were broken off for somebody else.
+func (s *Streams) Stats() (open int, cut int64) {
 	if s == nil {
 		return 0, 0
 	}
--- a/internal/service/tally.go
+++ b/internal/service/tally.go
@@ -60,10 +60,10 @@
 
 func (b *book) ended(x *Exchange, a Answer) {
 	r := tally.Request{
-		At: x.began, Class: x.Req.Class, Plan: x.Req.Plan, Customer: uint32(xxhash.Sum64String(x.Req.Customer)),
-		Spread: x.Req.Spread, Repeat: x.Req.Repeat, Units: x.Req.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.began), Sends: x.sends,
+		At: x.began, Class: x.Request.Class, Plan: x.Request.Plan, Customer: uint32(xxhash.Sum64String(x.Request.Customer)),
+		Spread: x.Request.Spread, Repeat: x.Request.Repeat, Units: x.Request.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.began), Sends: x.sends,
 	}
-	if why, ok := b.why[x.Req.ID]; ok {
+	if why, ok := b.why[x.Request.ID]; ok {
 		r.Why = why.String()
 	}
 	clear(b.why)
@@ -73,7 +73,7 @@
 func (b *book) attempt(x *Exchange, n int, server uint32, sent time.Time, o *upstream.Outcome, up bool) {
 	s := b.servers[server]
 	a := tally.Attempt{
-		At: sent, Server: s.uid, Class: x.Req.Class, N: n, Reason: Reasons[reasonOf[o.Reason]], Took: time.Since(sent),
+		At: sent, Server: s.uid, Class: x.Request.Class, N: n, Reason: Reasons[reasonOf[o.Reason]], Took: time.Since(sent),
 		Age: -time.Millisecond, Drains: !up, Dialed: o.Dialed, ServiceMS: -1, Util: -1, Queue: -1,
 	}
 	if !s.boot.IsZero() {
--- a/internal/service/terms.go
+++ b/internal/service/terms.go
@@ -6,27 +6,27 @@
 	"lockflow/control"
 )
 
-// Terms are what a request to a service is held to before the module hears of it. They never
+// RequestRules are what a request to a service is held to before the module hears of it. They never
 // change.
-type Terms struct {
-	Classes   map[string]control.Class
-	Plans     map[string]float64 // the most units of a request of each, above 0
-	Group     int                // instances that a customer may come through
-	AnyMethod bool               // a class's requests come by any method
+type RequestRules struct {
+	Classes        map[string]control.Class
+	MaxUnitsByPlan map[string]float64 // the most units of a request of each, above 0
+	GroupSize      int                // instances that a customer may come through
+	AnyMethod      bool               // a class's requests come by any method
 }
 
-// Serves tells whether a class's requests may come by a method.
-func (t *Terms) Serves(k control.Class, method string) bool {
-	return t.AnyMethod || Method(k) == method
+// AllowsMethod tells whether a class's requests may come by a method.
+func (t *RequestRules) AllowsMethod(k control.Class, method string) bool {
+	return t.AnyMethod || ClassMethod(k) == method
 }
 
-func newTerms(s control.Settings) Terms {
-	t := Terms{Classes: make(map[string]control.Class), Plans: make(map[string]float64), Group: s.GroupSize}
+func newTerms(s control.Settings) RequestRules {
+	t := RequestRules{Classes: make(map[string]control.Class), MaxUnitsByPlan: make(map[string]float64), GroupSize: s.GroupSize}
 	for _, k := range s.Classes {
 		t.Classes[k.Name] = k
 	}
 	for _, p := range s.Plans {
-		t.Plans[p.Name] = unitsMost(s.UnitsTop, p)
+		t.MaxUnitsByPlan[p.Name] = unitsMost(s.UnitsTop, p)
 	}
 	return t
 }
@@ -47,9 +47,9 @@
 	return uncounted
 }
 
-// Method is the method that a class's requests come by (PROTOCOL): one that is safe to repeat
+// ClassMethod is the method that a class's requests come by (PROTOCOL): one that is safe to repeat
 // is asked for by GET, any other by POST.
-func Method(k control.Class) string {
+func ClassMethod(k control.Class) string {
 	if k.Effect == control.Free {
 		return http.MethodGet
 	}
--- a/internal/service/time_test.go
+++ b/internal/service/time_test.go
@@ -57,8 +57,8 @@
 						}
 						do := func(id string, left time.Duration, try func(context.Context) upstream.Outcome) chan Answer {
 							x := request(id)
-							x.Deadline, x.Forward = time.Now().Add(left-AnswerAhead), &tries{try: try}
-							x.Req.Units, x.Req.Spread = 1, 1
+							x.Deadline, x.Forwarder = time.Now().Add(left-DeadlineMargin), &tries{try: try}
+							x.Request.Units, x.Request.Spread = 1, 1
 							answer := make(chan Answer, 2)
 							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
 							return answer
@@ -82,16 +82,16 @@
 						if a.Kind == Served || a.Kind == Failed && sent == 0 || a.Status < 500 {
 							t.Errorf("%+v with %d sent", a, sent)
 						}
-						if tc.none || left < AnswerAhead || tc.busy > left {
-							if sent > 0 || a.Kind != Refused {
+						if tc.none || left < DeadlineMargin || tc.busy > left {
+							if sent > 0 || a.Kind != Rejected {
 								t.Errorf("%d sent, %+v", sent, a)
 							}
 						}
 						for _, o := range others {
 							<-o
 						}
-						if synctest.Wait(); s.Status().Held != 0 {
-							t.Errorf("%d held", s.Status().Held)
+						if synctest.Wait(); s.Status().Requests != 0 {
+							t.Errorf("%d held", s.Status().Requests)
 						}
 					})
 				})
@@ -104,7 +104,7 @@
 // goes on: none of those is sent, whether its request had a place in the channel or not, and each other is served.
 func TestFullChannel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(t, Options{Module: func() (Module, error) { return script(sends), nil }})
+		s, _ := started(t, Options{NewModule: func() (Module, error) { return script(sends), nil }})
 		synctest.Wait() // it knows its server
 		hold := make(chan struct{})
 		s.Post(func() { <-hold })
@@ -118,7 +118,7 @@
 			if i%2 == 1 {
 				ctx = leaving
 			}
-			x.Forward = &tries{try: func(try context.Context) upstream.Outcome {
+			x.Forwarder = &tries{try: func(try context.Context) upstream.Outcome {
 				if !upstream.Commit(try) {
 					return upstream.Outcome{Reason: control.Moot}
 				}
@@ -141,8 +141,8 @@
 		synctest.Wait()
 		close(hold)
 		all.Wait()
-		if synctest.Wait(); s.Status().Held != 0 || sent.Load() != int64(n/2) || served.Load() != int64(n/2) || gone.Load() != int64(n/2) {
-			t.Errorf("%d held, %d sent, %d served, %d gone", s.Status().Held, sent.Load(), served.Load(), gone.Load())
+		if synctest.Wait(); s.Status().Requests != 0 || sent.Load() != int64(n/2) || served.Load() != int64(n/2) || gone.Load() != int64(n/2) {
+			t.Errorf("%d held, %d sent, %d served, %d gone", s.Status().Requests, sent.Load(), served.Load(), gone.Load())
 		}
 	})
 }
--- a/internal/service/unbegun_test.go
+++ b/internal/service/unbegun_test.go
@@ -22,7 +22,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var seen []control.Request
-				s, _ := started(t, Options{Module: func() (Module, error) { return keeping{&seen}, nil }})
+				s, _ := started(t, Options{NewModule: func() (Module, error) { return keeping{&seen}, nil }})
 				held := make(chan Answer, 1)
 				go func() {
 					a, _ := s.Do(context.Background(), request("held"))
@@ -31,7 +31,7 @@
 				synctest.Wait()
 				if tc.replaced {
 					next, _ := started(t, Options{})
-					s.HandTo(next)
+					s.ReplaceWith(next)
 					synctest.Wait()
 				}
 				busy := make(chan struct{})
@@ -39,7 +39,7 @@
 				left, leave := context.WithCancel(context.Background())
 				leave()
 				x := request(tc.id)
-				x.Forward = &upstream.Whole{Request: &http.Request{Method: http.MethodGet}}
+				x.Forwarder = &upstream.Whole{Request: &http.Request{Method: http.MethodGet}}
 				if a, ok := s.Do(left, x); ok {
 					t.Errorf("%+v", a)
 				}
@@ -50,8 +50,8 @@
 					t.Fatal("its loop stands still")
 				}
 				l := s.current()
-				s.Post(func() { l.giveUp(l.exchanges["held"], Answer{Kind: Refused, Status: http.StatusServiceUnavailable}) })
-				if a := <-held; a.Kind != Refused || len(seen) != 1 {
+				s.Post(func() { l.giveUp(l.exchanges["held"], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable}) })
+				if a := <-held; a.Kind != Rejected || len(seen) != 1 {
 					t.Errorf("%+v; the module heard of %d", a, len(seen))
 				}
 			})
--- a/internal/service/withheld_test.go
+++ b/internal/service/withheld_test.go
@@ -23,13 +23,13 @@
 func TestWithheldRepeatTellsWhatRan(t *testing.T) {
 	for name, tc := range map[string]struct {
 		first  http.HandlerFunc
-		kind   Kind
+		kind   AnswerKind
 		status int
 	}{
 		"turned away": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Unprocessed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, Refused, http.StatusServiceUnavailable},
+		}, Rejected, http.StatusServiceUnavailable},
 		"reset": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Failed, http.StatusBadGateway},
 		"error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, Failed, http.StatusBadGateway},
 	} {
@@ -45,8 +45,8 @@
 				ready := make(chan struct{})
 				s, err := New(Options{
 					Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
-					Module:   func() (Module, error) { return control.New(set, 1) },
-					Upstream: upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour},
+					NewModule: func() (Module, error) { return control.New(set, 1) },
+					Upstream:  upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour},
 				})
 				if err != nil {
 					t.Fatal(err)
@@ -58,8 +58,8 @@
 				testkit.Next(t, ready)
 				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
 				x := &Exchange{
-					Req: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
-					Client: until{app}, Forward: &upstream.Whole{Request: q, Body: []byte("body")},
+					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Client: until{app}, Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
 				}
 				if a, ok := s.Do(t.Context(), x); ok || a.Kind != tc.kind || a.Status != tc.status {
 					t.Errorf("%v, %+v", ok, a)
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -257,7 +257,7 @@
 				if !by.IsZero() {
 					ctx = BeginBy(ctx, by)
 				}
-				return update("id", "body").Try(ctx, nil, u, p)
+				return update("id", "body").Attempt(ctx, nil, u, p)
 			}
 			late.past = time.Now().Add(10 * time.Millisecond)
 			if o := try(late.past); o.Reason != control.Moot {
@@ -430,7 +430,7 @@
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
-				if o := update("id", "body").Try(ctx, nil, u, p); o.Reason != control.ConnectFailed && o.Reason != control.Moot {
+				if o := update("id", "body").Attempt(ctx, nil, u, p); o.Reason != control.ConnectFailed && o.Reason != control.Moot {
 					t.Errorf("%d (%v)", o.Reason, o.Err)
 				}
 				if one, two := a.Spoken(); one+two != 0 {
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -90,7 +90,7 @@
 			told := 0 // attempts that ran, by what was told of them
 			for try := 0; try < 30; try++ {
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-				o := w.Try(ctx, ctx, u, p)
+				o := w.Attempt(ctx, ctx, u, p)
 				cancel()
 				ran := s.Tally.Runs(id) - told
 				var end *h2.StreamError
@@ -162,7 +162,7 @@
 	var all sync.WaitGroup
 	for i := range 80 {
 		all.Go(func() {
-			if o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Load() == nil {
+			if o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Load() == nil {
 				t.Errorf("%v, %v", o.Reason, o.Err)
 			}
 		})
@@ -183,7 +183,7 @@
 	})
 	u := newHTTP2(HTTP2{})
 	begun := time.Now()
-	o := update("a", "").Try(t.Context(), t.Context(), u, u.Pool(l, SpeaksHTTP2))
+	o := update("a", "").Attempt(t.Context(), t.Context(), u, u.Pool(l, SpeaksHTTP2))
 	if o.Reason != control.Moot || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.Connect/2 {
 		t.Errorf("%v, %v after %v", o.Reason, o.Err, time.Since(begun))
 	}
@@ -195,7 +195,7 @@
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	u.Retire(p)
-	if o := update("a", "").Try(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.Sockets.(*limits.Sockets).Open() != 0 {
+	if o := update("a", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.Sockets.(*limits.Sockets).Open() != 0 {
 		t.Errorf("%v, %v", o.Reason, o.Err)
 	}
 }
@@ -228,7 +228,7 @@
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(app.Addr(), TriesHTTP2)
 	for i := range 3 {
-		if o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK {
+		if o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK {
 			t.Errorf("%v, %v", o.Reason, o.Err)
 		}
 	}
@@ -250,13 +250,13 @@
 		t.Errorf("%d requests", n)
 	}
 	p.shared.plain = time.Now() // the time is over, and the server still as it was
-	if o := update("4", "swap").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || app.Dials() != 3 {
+	if o := update("4", "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || app.Dials() != 3 {
 		t.Errorf("%v, %v; %d connections", o.Reason, o.Err, app.Dials())
 	}
 	if u = newHTTP2(HTTP2{}); u.Shared() != nil {
 		t.Error("connections that nobody asked for")
 	}
-	if o := update("5", "swap").Try(t.Context(), t.Context(), u, u.Pool(app.Addr(), SpeaksHTTP2)); o.Reason != control.ConnectFailed || requests() != 4 {
+	if o := update("5", "swap").Attempt(t.Context(), t.Context(), u, u.Pool(app.Addr(), SpeaksHTTP2)); o.Reason != control.ConnectFailed || requests() != 4 {
 		t.Errorf("%v, %v; %d requests", o.Reason, o.Err, requests())
 	}
 }
@@ -299,11 +299,11 @@
 	p := u.Pool(l, SpeaksHTTP2)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-held; cancel() }()
-	if o := update("late", strings.Repeat("x", 400)).Try(ctx, ctx, u, p); o.Reason != control.Cancelled {
+	if o := update("late", strings.Repeat("x", 400)).Attempt(ctx, ctx, u, p); o.Reason != control.Cancelled {
 		t.Errorf("%v, %v", o.Reason, o.Err)
 	}
 	close(goOn)
-	if o := update("next", "").Try(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Dialed {
+	if o := update("next", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Dialed {
 		t.Errorf("%v, %v, dialed %v", o.Reason, o.Err, o.Dialed)
 	}
 }
@@ -352,7 +352,7 @@
 			u.TLS = book
 			p := u.Pool(s.Listener.Addr().String(), tc.speaks)
 			for i := range 3 {
-				o := update(fmt.Sprint(i), "swap").Try(t.Context(), t.Context(), u, p)
+				o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p)
 				if o.Reason != tc.want || tc.want == control.OK && proto.Load() != tc.proto {
 					t.Errorf("%v, %v over %v", o.Reason, o.Err, proto.Load())
 				}
@@ -364,7 +364,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if o := update("other", "").Try(t.Context(), t.Context(), u, u.Pool(p.Endpoint, tc.speaks)); o.Reason != control.ConnectFailed {
+			if o := update("other", "").Attempt(t.Context(), t.Context(), u, u.Pool(p.Endpoint, tc.speaks)); o.Reason != control.ConnectFailed {
 				t.Errorf("another name: %v, %v", o.Reason, o.Err)
 			}
 			u.Retire(p)
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -56,11 +56,11 @@
 // Method is the request's.
 func (q *Relay) Method() string { return q.Name }
 
-// Open tells whether some of the body is still to come.
-func (q *Relay) Open() bool { return q.Body != nil && !q.Body.Ended() }
+// IsBodyPending tells whether some of the body is still to come.
+func (q *Relay) IsBodyPending() bool { return q.Body != nil && !q.Body.Ended() }
 
-// Again tells whether a further attempt could send all of it.
-func (q *Relay) Again() bool { return q.Body == nil || q.Body.Again() }
+// CanRetry tells whether a further attempt could send all of it.
+func (q *Relay) CanRetry() bool { return q.Body == nil || q.Body.Again() }
 
 // relay is one attempt.
 type relay struct {
@@ -94,9 +94,9 @@
 // Buffers holds *[]byte of a Window, for bodies that go on as they come.
 var Buffers = sync.Pool{New: func() any { b := make([]byte, Window); return &b }}
 
-// Try makes one attempt: it waits for an answer's head until ctx ends at the most. An answer
+// Attempt makes one attempt: it waits for an answer's head until ctx ends at the most. An answer
 // that is not held goes on as a Stream, until life ends.
-func (q *Relay) Try(ctx, life context.Context, u *Upstream, p *Pool) Outcome {
+func (q *Relay) Attempt(ctx, life context.Context, u *Upstream, p *Pool) Outcome {
 	if s := u.sharedOf(p); s != nil {
 		if o, ok := s.relay(ctx, life, q); ok {
 			return o
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -40,7 +40,7 @@
 				Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: replay.New(from, 0, nil), Rules: &answer.Rules{},
 				Idle: testkit.Patience, Wait: testkit.Patience,
 			}
-			o := q.Try(context.Background(), context.Background(), u, u.Pool(l.Addr().String(), SpeaksHTTP1))
+			o := q.Attempt(context.Background(), context.Background(), u, u.Pool(l.Addr().String(), SpeaksHTTP1))
 			if o.Stream == nil {
 				t.Fatalf("%+v", o)
 			}
@@ -76,7 +76,7 @@
 	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 	p := u.Pool(raw(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), SpeaksHTTP1)
 	q := &Relay{Name: http.MethodGet, Target: "/x", Host: "h", Length: -1, Rules: &answer.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
-	if o := q.Try(t.Context(), t.Context(), u, p); o.Reason != control.ResetByPeer || o.Status != 0 {
+	if o := q.Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ResetByPeer || o.Status != 0 {
 		t.Errorf("%+v", o)
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -161,15 +161,15 @@
 // Method is the request's.
 func (w *Whole) Method() string { return w.Request.Method }
 
-// Open is false: nothing of it is still to come.
-func (w *Whole) Open() bool { return false }
+// IsBodyPending is false: nothing of it is still to come.
+func (w *Whole) IsBodyPending() bool { return false }
 
-// Again is true: all of it is held.
-func (w *Whole) Again() bool { return true }
+// CanRetry is true: all of it is held.
+func (w *Whole) CanRetry() bool { return true }
 
-// Try makes one attempt: it waits until ctx ends at the most. It sets headers of its own in the
+// Attempt makes one attempt: it waits until ctx ends at the most. It sets headers of its own in the
 // request, of which no two attempts are out at once.
-func (w *Whole) Try(ctx, _ context.Context, u *Upstream, p *Pool) Outcome {
+func (w *Whole) Attempt(ctx, _ context.Context, u *Upstream, p *Pool) Outcome {
 	if s := u.sharedOf(p); s != nil {
 		if o, ok := s.whole(ctx, w); ok {
 			return o
