--- a/cmd/lockflow/keeper_test.go
+++ b/cmd/lockflow/keeper_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 	"lockflow/internal/testkit"
 )
 
@@ -113,23 +113,23 @@
 	k.fleet("drained", "status")
 	k.fleet("serves", "serve")
 	ctx := context.Background()
-	order := func(id string, w orders.Want) {
+	order := func(id string, w desiredstate.Want) {
 		t.Helper()
-		_, err := k.client(0).Order(ctx, orders.Order{Epoch: 3, Owner: "me", ID: id, Want: w})
+		_, err := k.client(0).Order(ctx, desiredstate.Order{Epoch: 3, Owner: "me", ID: id, Want: w})
 		if err != nil {
 			t.Error(id, err)
 		}
 	}
 	k.until("serving", 0, ready)
 	was[1] = k.until("serving", 1, ready)
-	if _, err := k.client(0).Claim(ctx, orders.Claim{Epoch: 3, Owner: "me"}); err != nil {
+	if _, err := k.client(0).Claim(ctx, desiredstate.Claim{Epoch: 3, Owner: "me"}); err != nil {
 		t.Fatal(err)
 	}
-	order("p", orders.Want{Kind: orders.Program, Path: next})
+	order("p", desiredstate.Want{Kind: desiredstate.Program, Path: next})
 	k.until("the new program alone", 0, func(s manage.Status) bool { return s.Ready() && s.Program == next && s.Order.ID == "p" })
 	ordered := "# ordered\n" + text
-	order("s", orders.Want{Kind: orders.Settings, Text: ordered, Hash: orders.Hash([]byte(ordered))})
-	was[0] = k.until("the settings", 0, func(s manage.Status) bool { return s.Hash == orders.Hash([]byte(ordered)) })
+	order("s", desiredstate.Want{Kind: desiredstate.Settings, Text: ordered, Hash: desiredstate.Hash([]byte(ordered))})
+	was[0] = k.until("the settings", 0, func(s manage.Status) bool { return s.Hash == desiredstate.Hash([]byte(ordered)) })
 
 	k.keeper.Process.Kill()
 	k.keeper.Wait()
@@ -153,7 +153,7 @@
 	syscall.Kill(was[0].PID, syscall.SIGKILL)
 	k.run()
 	k.until("back as ordered", 0, wanted)
-	if s := k.until("as it was", 1, ready); s.PID != was[1].PID || s.Hash != orders.Hash([]byte(text)) {
+	if s := k.until("as it was", 1, ready); s.PID != was[1].PID || s.Hash != desiredstate.Hash([]byte(text)) {
 		t.Errorf("%+v", s)
 	}
 }
--- a/cmd/lockflow/rollout_test.go
+++ b/cmd/lockflow/rollout_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/ledger"
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/rolloutlog"
 	"lockflow/internal/testkit"
 )
 
@@ -210,7 +210,7 @@
 			t.Fatal(err)
 		}
 		testkit.Until(t, "a decision is written", func() bool {
-			records, _, _ := ledger.Read(journal)
+			records, _, _ := rolloutlog.Read(journal)
 			return len(records) >= at && strings.Contains(string(records[0]), fmt.Sprintf("# %d\\n", n))
 		})
 		cmd.Process.Kill()
@@ -223,7 +223,7 @@
 		}
 		over := strings.Contains(said, "the change is over")
 		now := hashes()
-		switch changed := now[orders.Hash([]byte(next))] == 3; {
+		switch changed := now[desiredstate.Hash([]byte(next))] == 3; {
 		case len(now) != 1 || !changed && now[one(was)] != 3:
 			t.Errorf("killed at %d: %v, before %v\n%s", at, now, was, said)
 		case !over && (n%2 == 0 && (code != 0 || !changed) || n%2 == 1 && (code != 1 || changed)):
@@ -282,7 +282,7 @@
 		t.Errorf("exit %d: %s", code, said)
 	}
 	for i, m := range r.status().Members {
-		if m.Status.Hash != orders.Hash([]byte(next)) {
+		if m.Status.Hash != desiredstate.Hash([]byte(next)) {
 			t.Errorf("member %d", i)
 		}
 	}
--- a/internal/parts/parts.go
+++ b/internal/bulkhead/bulkhead.go
@@ -1,4 +1,4 @@
-// Package parts decides how much of one bounded thing (descriptors, held requests, bytes,
+// Package bulkhead decides how much of one bounded thing (descriptors, held requests, bytes,
 // dials) each of several owners may have. It does no I/O and takes the time as an argument.
 //
 // Each owner has a guaranteed part and may borrow what is idle. The promises are these:
@@ -10,7 +10,7 @@
 //     term being the longest that anything lent is kept: until then nothing more is lent;
 //   - no borrower takes all that can be lent: one may have at most twice what it leaves free
 //     (dynamic thresholds, Choudhury and Hahne 1998), so that a newcomer always finds some.
-package parts
+package bulkhead
 
 import (
 	"fmt"
--- a/internal/parts/parts_test.go
+++ b/internal/bulkhead/bulkhead_test.go
@@ -1,4 +1,4 @@
-package parts
+package bulkhead
 
 import (
 	"testing"
--- a/internal/evidence/evidence.go
+++ b/internal/canary/canary.go
@@ -1,13 +1,13 @@
-// Package evidence decides whether the changed side of a fleet does worse than the old one, from what
+// Package canary decides whether the changed side of a fleet does worse than the old one, from what
 // each instance counts of itself. The unit is the instance; bounds hold however often it is asked. It
 // does no I/O and takes time as an argument. A Judge is for one goroutine. Why it is as it is:
 // docs/design/evidence.md.
-package evidence
+package canary
 
 import (
 	"time"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 )
 
 // Side is what a member runs and since when.
@@ -36,7 +36,7 @@
 	Member  string
 	Side    Side
 	Up      bool // answers and serves
-	Figures figures.Figures
+	Figures instancestats.Figures
 	Weight  float64 // part of the traffic that it is meant to get; kept for callers, the judge goes by what came
 }
 
@@ -173,7 +173,7 @@
 func relative(k int) bool { return k >= units }
 
 // ratio is a measure of a span as numerator and denominator.
-func ratio(k int, f *figures.Figures, cut int) (y, d float64) {
+func ratio(k int, f *instancestats.Figures, cut int) (y, d float64) {
 	switch k {
 	case lost:
 		return f.Asked - f.Served, f.Asked
--- a/internal/evidence/compare.go
+++ b/internal/canary/compare.go
@@ -1,4 +1,4 @@
-package evidence
+package canary
 
 import (
 	"math"
--- a/internal/evidence/judge.go
+++ b/internal/canary/judge.go
@@ -1,9 +1,9 @@
-package evidence
+package canary
 
 import (
 	"time"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 )
 
 // Judge watches a rollout's stages. Its zero value isn't ready; NewJudge makes one.
@@ -13,12 +13,12 @@
 	order   []*member // as they were first seen, so that sums don't go by the map's order
 	stage   int
 	begin   time.Duration
-	flip    time.Duration   // the last change of a member's side
-	at      time.Duration   // of the last Observe
-	looks   int             // Observes of this stage
-	cut     int             // bucket of the 99th percentile; -1 is not known
-	took    figures.Figures // of the old side, until the cut is known
-	refused int             // readings for which there was no room
+	flip    time.Duration         // the last change of a member's side
+	at      time.Duration         // of the last Observe
+	looks   int                   // Observes of this stage
+	cut     int                   // bucket of the 99th percentile; -1 is not known
+	took    instancestats.Figures // of the old side, until the cut is known
+	refused int                   // readings for which there was no room
 
 	raw    [2]batch // of this stage as counted: the old side, the new one
 	crash  events
@@ -30,7 +30,7 @@
 
 type span struct {
 	m *member
-	f figures.Figures
+	f instancestats.Figures
 }
 
 // NewJudge makes a judge of one rollout.
@@ -48,7 +48,7 @@
 // told none before the change, and is held to those beside it.
 func (j *Judge) bound() {
 	if j.took.Delays.Total() >= cutLeast {
-		j.cut = figures.Bucket(j.took.Delays.Quantile(0.99)) - 1
+		j.cut = instancestats.Bucket(j.took.Delays.Quantile(0.99)) - 1
 	}
 }
 
@@ -84,7 +84,7 @@
 	}
 	if first {
 		for _, m := range j.order {
-			j.took.Add(figures.Figures{Delays: m.base.Delays})
+			j.took.Add(instancestats.Figures{Delays: m.base.Delays})
 		}
 		j.bound()
 	}
@@ -143,7 +143,7 @@
 	if j.cut < 0 && j.stage > 0 {
 		for i := range j.spans {
 			if j.spans[i].m.side != New {
-				j.took.Add(figures.Figures{Delays: j.spans[i].f.Delays})
+				j.took.Add(instancestats.Figures{Delays: j.spans[i].f.Delays})
 			}
 		}
 		j.bound()
@@ -230,7 +230,7 @@
 }
 
 // backwards tells whether any count has become less; Since looks at some.
-func backwards(f, old *figures.Figures) bool {
+func backwards(f, old *instancestats.Figures) bool {
 	for i := range f.Delays {
 		if f.Delays[i] < old.Delays[i] {
 			return true
--- a/internal/evidence/judge_test.go
+++ b/internal/canary/judge_test.go
@@ -1,4 +1,4 @@
-package evidence
+package canary
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 
 	"pgregory.net/rapid"
 )
@@ -19,13 +19,13 @@
 	now time.Duration
 	all []Reading
 
-	before map[string]figures.Figures // kept by tests that want them
+	before map[string]instancestats.Figures // kept by tests that want them
 }
 
 func newCrew(n int, seed uint64) *crew {
-	c := &crew{j: NewJudge(Options{}), rng: rand.New(rand.NewPCG(seed, 1)), before: make(map[string]figures.Figures)}
+	c := &crew{j: NewJudge(Options{}), rng: rand.New(rand.NewPCG(seed, 1)), before: make(map[string]instancestats.Figures)}
 	for i := range n {
-		c.all = append(c.all, Reading{Member: fmt.Sprint(i), Up: true, Figures: figures.Figures{Began: time.Unix(1, 0)}})
+		c.all = append(c.all, Reading{Member: fmt.Sprint(i), Up: true, Figures: instancestats.Figures{Began: time.Unix(1, 0)}})
 	}
 	return c
 }
@@ -58,7 +58,7 @@
 func (c *crew) stage(from, to, controls int) {
 	c.j.Begin(c.now, c.all)
 	for i := from; i < to+controls; i++ {
-		c.all[i].Side, c.all[i].Figures = New, figures.Figures{Began: time.Unix(2, int64(c.now))}
+		c.all[i].Side, c.all[i].Figures = New, instancestats.Figures{Began: time.Unix(2, int64(c.now))}
 		if i >= to {
 			c.all[i].Side = Control
 		}
@@ -112,17 +112,17 @@
 		}},
 		{"nobody asks the new one", NoEvidence, 400, func(_ *crew, i int, r *Reading) {
 			if r.Side == New {
-				r.Figures = figures.Figures{Began: r.Figures.Began, MemoryKB: 100000}
+				r.Figures = instancestats.Figures{Began: r.Figures.Began, MemoryKB: 100000}
 			}
 		}},
 		{"the new one crashes", Worse, 30, func(c *crew, _ int, r *Reading) {
 			if r.Side == New && c.now%time.Minute == 0 {
-				r.Figures = figures.Figures{Began: time.Unix(3, int64(c.now))}
+				r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
 			}
 		}},
 		{"all crash", Wait, 20, func(c *crew, _ int, r *Reading) {
 			if c.now == 6*time.Minute {
-				r.Figures = figures.Figures{Began: time.Unix(3, int64(c.now))}
+				r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
 			}
 		}},
 		{"others are harmed, and the new one takes more", Worse, 60, func(_ *crew, i int, r *Reading) {
@@ -159,10 +159,10 @@
 func TestNonsenseIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newCrew(4, 2)
-		any := rapid.Custom(func(t *rapid.T) figures.Figures {
+		any := rapid.Custom(func(t *rapid.T) instancestats.Figures {
 			v := rapid.OneOf(rapid.Float64(), rapid.Just(math.NaN()), rapid.Just(math.Inf(1)), rapid.Float64Range(0, 1e6))
 			n := rapid.OneOf(rapid.Uint64(), rapid.Uint64Range(0, 1e6))
-			return figures.Figures{
+			return instancestats.Figures{
 				Asked: v.Draw(t, "asked"), Served: v.Draw(t, "served"), Units: v.Draw(t, "units"), Requests: n.Draw(t, "requests"),
 				Failed: n.Draw(t, "failed"), Refused: n.Draw(t, "refused"), Beyond: n.Draw(t, "beyond"), CPU: time.Duration(rapid.Int64().Draw(t, "cpu")),
 				MemoryKB: rapid.Int().Draw(t, "memory"), Began: time.Unix(rapid.Int64Range(0, 2).Draw(t, "began"), 0),
--- a/internal/evidence/member.go
+++ b/internal/canary/member.go
@@ -1,10 +1,10 @@
-package evidence
+package canary
 
 import (
 	"math"
 	"time"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 )
 
 // Bounds of what is believed and kept.
@@ -30,10 +30,10 @@
 	side    Side
 	up      bool
 	has     bool // last is of the process and side of now
-	last    figures.Figures
+	last    instancestats.Figures
 	at      time.Duration // of last
-	first   figures.Figures
-	base    figures.Figures // what it did before the first stage
+	first   instancestats.Figures
+	base    instancestats.Figures // what it did before the first stage
 	based   bool
 	fresh   bool          // changed sides in this stage
 	young   bool          // a new process since it changed sides
@@ -55,7 +55,7 @@
 }
 
 // sane tells whether figures can be what a process counted in a span; d is zero for figures since it began.
-func sane(f *figures.Figures, d time.Duration) bool {
+func sane(f *instancestats.Figures, d time.Duration) bool {
 	for _, v := range [...]float64{f.Asked, f.Served, f.Units} {
 		if math.IsNaN(v) || v < 0 || v > 1e15 {
 			return false
@@ -74,7 +74,7 @@
 }
 
 // add counts a span. rate is the fleet's of each measure meanwhile, and NaN where it has none.
-func (m *member) add(f *figures.Figures, cut int, rate *[counted]float64) {
+func (m *member) add(f *instancestats.Figures, cut int, rate *[counted]float64) {
 	b := &m.now[m.full]
 	b.n++
 	for k := range counted {
--- a/internal/evidence/short_test.go
+++ b/internal/canary/short_test.go
@@ -1,10 +1,10 @@
-package evidence
+package canary
 
 import (
 	"testing"
 	"time"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 )
 
 // brief is a crew that is watched for a minute at most, a reading each second, as tests and the impatient do.
@@ -50,8 +50,8 @@
 		{"slow, and nothing before", 0, 0, 20 * time.Second, Worse, func(_ *crew, i int, r *Reading) {
 			if r.Side == New {
 				n := r.Figures.Delays.Total()
-				r.Figures.Delays = figures.Delays{}
-				r.Figures.Delays[figures.Bucket(300*time.Millisecond)] = n
+				r.Figures.Delays = instancestats.Delays{}
+				r.Figures.Delays[instancestats.Bucket(300*time.Millisecond)] = n
 			}
 		}},
 		{"a leak that fills memory in the watch", 1, 5, 70 * time.Second, Worse, func(c *crew, _ int, r *Reading) {
--- a/internal/command/allowance.go
+++ b/internal/command/allowance.go
@@ -8,8 +8,8 @@
 	"text/tabwriter"
 	"time"
 
-	"lockflow/internal/allowance"
 	"lockflow/internal/config"
+	"lockflow/internal/quotalease"
 )
 
 func allowanceCommand() command {
@@ -41,7 +41,7 @@
 
 type explain struct {
 	file, plan string
-	rules      allowance.Rules
+	rules      quotalease.Rules
 	units      float64
 	spread     int
 	json       bool
@@ -52,19 +52,19 @@
 	if err != nil {
 		return err
 	}
-	var ceiling allowance.Ceiling
+	var ceiling quotalease.Ceiling
 	found := false
 	for _, s := range cfg.Services {
 		for _, p := range s.Settings.Plans {
 			if p.Name != x.plan {
 				continue
 			}
-			ceiling, found = allowance.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}, true
+			ceiling, found = quotalease.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}, true
 			file := s.Counter.Rules
 			if file.Instances == 0 {
-				file = allowance.Rules{Instances: s.Settings.GroupSize, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
+				file = quotalease.Rules{Instances: s.Settings.GroupSize, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
 			}
-			x.rules = allowance.Rules{
+			x.rules = quotalease.Rules{
 				Instances: cmp.Or(x.rules.Instances, file.Instances), Term: cmp.Or(x.rules.Term, file.Term),
 				Pledge: cmp.Or(x.rules.Pledge, file.Pledge), Settle: cmp.Or(x.rules.Settle, file.Settle), Drift: cmp.Or(x.rules.Drift, file.Drift),
 			}
--- a/internal/command/allowance_test.go
+++ b/internal/command/allowance_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"lockflow/internal/allowance"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/testkit"
 )
 
@@ -41,8 +41,8 @@
 	}
 	_, out, _ := run(t, nil, "allowance", "explain", "--config", file, "--plan", "enterprise", "--instances", "40", "--json")
 	var got struct {
-		Bound    allowance.Ceiling
-		Promises []allowance.Promise
+		Bound    quotalease.Ceiling
+		Promises []quotalease.Promise
 	}
 	if err := json.Unmarshal([]byte(out), &got); err != nil || got.Bound.Burst <= 60 || len(got.Promises) < 6 {
 		t.Errorf("%v: %s", err, out)
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -8,8 +8,8 @@
 	"log/slog"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
 )
 
 func demoCommand() command {
@@ -42,9 +42,9 @@
 
 // phase is a third of the demo.
 type phase struct {
-	Name    string                     `json:"phase"`
-	Results map[string]*standin.Result `json:"results"`
-	P99     map[string]float64         `json:"p99_ms"`
+	Name    string                  `json:"phase"`
+	Results map[string]*fake.Result `json:"results"`
+	P99     map[string]float64      `json:"p99_ms"`
 }
 
 // demoKinds are the kinds of calls, in the order of tables.
@@ -54,7 +54,7 @@
 	old := slog.Default()
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil))) // the table is the report
 	defer slog.SetDefault(old)
-	l, err := lab.Start(lab.WithDescriptors(d.descriptors), lab.DemoServers(d.seed))
+	l, err := testbench.Start(testbench.WithDescriptors(d.descriptors), testbench.DemoServers(d.seed))
 	if err != nil {
 		return err
 	}
@@ -86,14 +86,14 @@
 }
 
 // play sends both services' calls for a third of the time, and prints what each second brings.
-func (d *demo) play(ctx context.Context, l *lab.Lab, begun time.Time, name string, n uint64, say io.Writer) map[string]*standin.Result {
+func (d *demo) play(ctx context.Context, l *testbench.Lab, begun time.Time, name string, n uint64, say io.Writer) map[string]*fake.Result {
 	ctx, cancel := context.WithTimeout(ctx, d.lasts/3)
 	defer cancel()
-	runs := []*standin.Run{
-		standin.Clients{Addr: l.Node.Addr(), Seed: d.seed + 10*n, Call: lab.RosterCall, Every: 5 * time.Millisecond, Workers: 64}.Start(ctx),
-		standin.Clients{Addr: l.Node.Addr(), Seed: d.seed + 10*n + 1, Call: lab.DocumentCall, Every: 10 * time.Millisecond, Workers: 256}.Start(ctx),
+	runs := []*fake.Run{
+		fake.Clients{Addr: l.Node.Addr(), Seed: d.seed + 10*n, Call: testbench.RosterCall, Every: 5 * time.Millisecond, Workers: 64}.Start(ctx),
+		fake.Clients{Addr: l.Node.Addr(), Seed: d.seed + 10*n + 1, Call: testbench.DocumentCall, Every: 10 * time.Millisecond, Workers: 256}.Start(ctx),
 	}
-	last := make(map[string]standin.Result)
+	last := make(map[string]fake.Result)
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for more := true; more; {
@@ -105,7 +105,7 @@
 		if !more {
 			break // the rest of a second is in the summary
 		}
-		now := make(map[string]standin.Result)
+		now := make(map[string]fake.Result)
 		for _, r := range runs {
 			for k, v := range r.SoFar() {
 				now[k] = v
@@ -120,7 +120,7 @@
 		}
 		last = now
 	}
-	all := make(map[string]*standin.Result)
+	all := make(map[string]*fake.Result)
 	for _, r := range runs {
 		for k, v := range r.Wait() {
 			all[k] = v
@@ -130,14 +130,14 @@
 }
 
 // summary prints what came of it all, and fails unless each request had exactly one answer.
-func (d *demo) summary(e *Env, l *lab.Lab, phases []phase, stopped error) error {
+func (d *demo) summary(e *Env, l *testbench.Lab, phases []phase, stopped error) error {
 	fine := stopped == nil
 	for _, p := range phases {
 		for _, r := range p.Results {
 			fine = fine && r.Lost+r.Wrong == 0 && r.Calls > 0
 		}
 	}
-	tallies := make(map[string]standin.Counts)
+	tallies := make(map[string]fake.Counts)
 	for _, k := range demoKinds {
 		tallies[k] = l.Pools[k].Tally.Counts()
 		fine = fine && tallies[k].Twice == 0 && tallies[k].MostAtOne <= 1
--- a/internal/command/measurerollout.go
+++ b/internal/command/measurerollout.go
@@ -9,16 +9,16 @@
 	"slices"
 	"strings"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/measure"
-	"lockflow/internal/orders"
 )
 
 // measureRollout kills coordinators of staged changes at each of their writes.
 func measureRollout(ctx context.Context, e *Env, o measure.RolloutOptions, kinds string, asJSON bool) (err error) {
 	o.Clients, o.Progress = 2, e.Err
 	for k := range strings.SplitSeq(kinds, ",") {
-		if k = strings.TrimSpace(k); k != orders.Settings && k != orders.Program {
-			return usage("measure rollout: kinds: %q is neither %s nor %s", k, orders.Settings, orders.Program)
+		if k = strings.TrimSpace(k); k != desiredstate.Settings && k != desiredstate.Program {
+			return usage("measure rollout: kinds: %q is neither %s nor %s", k, desiredstate.Settings, desiredstate.Program)
 		}
 		o.Kinds = append(o.Kinds, k)
 	}
--- a/internal/command/simulate_gather.go
+++ b/internal/command/simulate_gather.go
@@ -10,13 +10,13 @@
 	"text/tabwriter"
 	"time"
 
-	"lockflow/internal/gathersim"
+	"lockflow/internal/waitpolicysim"
 )
 
 // gatherFlag has simulate play scattered queries. What it gives plays them where the flag is set: the
 // ways to end queries in each world, and, for each number of instances, how fast those learn together.
 func gatherFlag(set flags) func(ctx context.Context, e *Env, instances string, seed uint64, asJSON bool) (played bool, err error) {
-	names, help := gathersim.Worlds()
+	names, help := waitpolicysim.Worlds()
 	worlds := set.String("gather", "", "`NAME,NAME...` of worlds in which scattered queries are ended: "+strings.Join(names, ", ")+"; or all. "+
 		"With --instances, how fast so many learn together")
 	queries := set.Int("queries", 20_000, "`N` queries in each world of --gather")
@@ -38,22 +38,22 @@
 				return true, err
 			}
 		}
-		var all []gathersim.Report
-		var shared []gathersim.ShareReport
+		var all []waitpolicysim.Report
+		var shared []waitpolicysim.ShareReport
 		for _, name := range list {
 			i := slices.Index(names, name)
 			if i < 0 {
 				return true, usage("simulate: gather: %q is none of %s, all", name, strings.Join(names, ", "))
 			}
 			fmt.Fprintf(e.Err, "playing %s: %s\n", name, help[i])
-			r, err := gathersim.Run(gathersim.Options{World: name, Queries: *queries, Seed: seed})
+			r, err := waitpolicysim.Run(waitpolicysim.Options{World: name, Queries: *queries, Seed: seed})
 			if err != nil {
 				return true, err
 			}
 			all = append(all, r)
 			for _, n := range sizes {
 				fmt.Fprintf(e.Err, "playing %s: %d learn together\n", name, n)
-				s, err := gathersim.RunShared(gathersim.ShareOptions{World: name, Instances: n, Seed: seed})
+				s, err := waitpolicysim.RunShared(waitpolicysim.ShareOptions{World: name, Instances: n, Seed: seed})
 				if err != nil {
 					return true, err
 				}
@@ -74,7 +74,7 @@
 	}
 }
 
-func printGathered(w io.Writer, all []gathersim.Report, shared []gathersim.ShareReport) {
+func printGathered(w io.Writer, all []waitpolicysim.Report, shared []waitpolicysim.ShareReport) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "world\toracle earns\tof it: learned\tbest fixed\tat\tp95\tno deadline\tknows all, same plan\tparts in answers\ttook\tlooks\tchanges told\tspent to learn\t")
 	for _, r := range all {
--- a/internal/command/tally.go
+++ b/internal/command/tally.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"lockflow/internal/tally"
+	"lockflow/internal/eventlog"
 )
 
 func tallyCommand() command {
@@ -30,7 +30,7 @@
 				if len(args) == 0 || *aim < 0 || *most < 0 {
 					return usage("tally takes the logs of one instance each; see lockflow tally --help")
 				}
-				a := tally.Adder{AimMS: float64(*aim) / float64(time.Millisecond)}
+				a := eventlog.Adder{AimMS: float64(*aim) / float64(time.Millisecond)}
 				for _, path := range args {
 					if err := readTally(&a, path); err != nil {
 						return err
@@ -53,7 +53,7 @@
 	}
 }
 
-func readTally(a *tally.Adder, path string) error {
+func readTally(a *eventlog.Adder, path string) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return fmt.Errorf("tally: %w", err)
@@ -68,7 +68,7 @@
 // refusals are the causes shown, in the order of their columns.
 var refusals = []string{"no_turn", "no_further", "yields", "over_store", "by_chance", "over_ceiling", "too_late"}
 
-func printTally(w io.Writer, s *tally.Sum, most int) {
+func printTally(w io.Writer, s *eventlog.Sum, most int) {
 	fmt.Fprintf(w, "%d instances; %d lines of theirs can't be read\n\n", s.Instances, s.Skipped)
 	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(t, "s\tserved\tin time\trefused\tfailed\t%s\tattempts\tturned away\ttimed out\tno connection\treset\terror\tdialed\tyoung\tms\tbound\tout\theld\tconns\tup\t\n",
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/allowance"
 	"lockflow/internal/certs"
 	"lockflow/internal/config/tree"
 	"lockflow/internal/discovery"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
@@ -103,8 +103,8 @@
 	Username     string
 	PasswordFile string
 	Within       time.Duration // a call has its answer
-	Rules        allowance.Rules
-	Ceilings     map[string]allowance.Ceiling // by plan
+	Rules        quotalease.Rules
+	Ceilings     map[string]quotalease.Ceiling // by plan
 }
 
 // Service is one service.
--- a/internal/config/counter_test.go
+++ b/internal/config/counter_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/allowance"
+	"lockflow/internal/quotalease"
 )
 
 const withCounter = `
@@ -34,8 +34,8 @@
 		t.Fatal(err)
 	}
 	got := c.Services[0].Counter
-	want := allowance.Rules{Instances: 3, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
-	if got.Rules != want || got.Name != "app" || len(got.Ceilings) != 1 || got.Ceilings["enterprise"] != (allowance.Ceiling{Rate: 30, Burst: 60}) {
+	want := quotalease.Rules{Instances: 3, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
+	if got.Rules != want || got.Name != "app" || len(got.Ceilings) != 1 || got.Ceilings["enterprise"] != (quotalease.Ceiling{Rate: 30, Burst: 60}) {
 		t.Errorf("%+v", got)
 	}
 	for more, wrong := range map[string]string{
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/allowance"
 	"lockflow/internal/certs"
 	"lockflow/internal/config/tree"
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
-	"lockflow/internal/orders"
 	"lockflow/internal/protocol"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
@@ -24,7 +24,7 @@
 
 // Bounds of what a file may say.
 const (
-	fileMost     = orders.TextMost
+	fileMost     = desiredstate.TextMost
 	servicesMost = 5000
 	day          = 24 * time.Hour
 	figureMost   = 1e9
@@ -66,7 +66,7 @@
 	if err := r.Err(); err != nil {
 		return Config{}, err
 	}
-	c.Hash = orders.Hash(raw)
+	c.Hash = desiredstate.Hash(raw)
 	return c, nil
 }
 
@@ -323,9 +323,9 @@
 func (r *reader) counter(t tree.Table, name string, plans []control.Plan) Counter {
 	c := Counter{
 		Addresses: t.Texts("addresses"), Name: t.Str("name", name), Username: t.Str("username", ""), PasswordFile: path(t, "password_file"),
-		Within: t.Span("within", 200*time.Millisecond, time.Millisecond, allowance.CallWithin), Ceilings: make(map[string]allowance.Ceiling),
+		Within: t.Span("within", 200*time.Millisecond, time.Millisecond, quotalease.CallWithin), Ceilings: make(map[string]quotalease.Ceiling),
 	}
-	c.Rules = allowance.Rules{
+	c.Rules = quotalease.Rules{
 		Instances: max(1, r.group.size), Term: t.Span("term", time.Second, 10*time.Millisecond, time.Minute),
 		Pledge: t.Span("pledge", 2*time.Second, 10*time.Millisecond, time.Hour), Settle: t.Span("settle", 10*time.Second, 10*time.Millisecond, day),
 		Drift: t.Number("drift", 0.001, 0, 0.1),
@@ -357,7 +357,7 @@
 		if p.CeilingRate == 0 {
 			continue
 		}
-		of := allowance.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}
+		of := quotalease.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}
 		c.Ceilings[p.Name] = of
 		if over := c.Rules.Over(of, time.Minute); over > most {
 			b := c.Rules.Bound(of)
--- a/internal/config/http.go
+++ b/internal/config/http.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/config/tree"
 	"lockflow/internal/customer"
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
+	"lockflow/internal/responseclass"
 )
 
 // protocols are what a service's clients may speak; the first is what a file means that names none.
@@ -44,9 +44,9 @@
 	Replay      int64
 	Idle        time.Duration
 	LeastRate   int64
-	Rules       answer.Rules
+	Rules       responseclass.Rules
 	Underscores bool
-	Tells       hop.Tells
+	Tells       hopheaders.Tells
 }
 
 // holds is the most bytes that one request can take with its answer.
@@ -62,8 +62,8 @@
 	h := &HTTP{
 		TimeHeader: fieldName(t, "time_header"), SendTime: t.Flag("send_time", false), SendID: t.Flag("send_id", false),
 		Replay: t.Size("replay", 64<<10, 0, bodyMost), Idle: t.Span("idle", time.Minute, secondsLeast, idleMost),
-		LeastRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: answer.Default(),
-		Tells: hop.Tells(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none")),
+		LeastRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: responseclass.Default(),
+		Tells: hopheaders.Tells(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none")),
 	}
 	s.HTTP = h
 	if !t.Has("connect_timeout") {
@@ -84,7 +84,7 @@
 		}
 	}
 	for _, text := range t.Texts("never_ran") {
-		proof, err := answer.ParseProof(text)
+		proof, err := responseclass.ParseProof(text)
 		if err != nil {
 			t.Wrong("never_ran", "%v", err)
 		}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -12,9 +12,9 @@
 	"strings"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
-	"lockflow/internal/orders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/wire"
 )
@@ -29,7 +29,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	c.Hash = orders.Hash(raw)
+	c.Hash = desiredstate.Hash(raw)
 	return c, nil
 }
 
--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -18,7 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
 )
 
 // Anonymous is the customer of a request that names none.
@@ -136,7 +136,7 @@
 	if err != nil {
 		return netip.IPv4Unspecified()
 	}
-	return hop.Client(r.Header, peer.Addr(), b.Trusted)
+	return hopheaders.Client(r.Header, peer.Addr(), b.Trusted)
 }
 
 // stranger is the customer that counts for a name that the file does not have: itself while there
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,7 @@
 
 	"lockflow/control"
 	"lockflow/internal/config"
-	"lockflow/internal/life"
+	"lockflow/internal/lifecycle"
 	"lockflow/internal/manage"
 	"lockflow/internal/node"
 	"lockflow/internal/state"
@@ -55,7 +55,7 @@
 	cfg     config.Config
 	member  *member
 	doing   *underWay // nil while no order is
-	machine life.Machine
+	machine lifecycle.Machine
 	control *manage.Server
 	drain   context.CancelFunc
 
@@ -101,7 +101,7 @@
 		}
 	}
 	if d.pred != nil {
-		d.machine = life.Succeed()
+		d.machine = lifecycle.Succeed()
 	}
 	if err = d.openFiles(); err != nil {
 		d.close()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,13 +17,13 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/allowance"
 	"lockflow/internal/command"
-	"lockflow/internal/lab"
+	"lockflow/internal/fake"
 	"lockflow/internal/manage"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/redistest"
-	"lockflow/internal/standin"
 	"lockflow/internal/state"
+	"lockflow/internal/testbench"
 	"lockflow/internal/testkit"
 	"lockflow/internal/upgrade"
 )
@@ -97,7 +97,7 @@
 type rig struct {
 	t      *testing.T
 	dir    string
-	pool   *lab.Pool
+	pool   *testbench.Pool
 	addr   string
 	client manage.Client
 	first  *exec.Cmd
@@ -128,16 +128,16 @@
 }
 
 // beginWith is begin with servers that watch a ceiling, and a change of the configuration.
-func beginWith(t *testing.T, wrong string, ceiling *standin.Ceiling, old, new string) *rig {
+func beginWith(t *testing.T, wrong string, ceiling *fake.Ceiling, old, new string) *rig {
 	t.Helper()
 	r := &rig{t: t, dir: testkit.ShortDir(t)}
-	var servers []standin.Server
-	group := &standin.Group{Window: 15 * time.Second}
+	var servers []fake.Server
+	group := &fake.Group{Window: 15 * time.Second}
 	for i := range 3 {
-		servers = append(servers, standin.Server{UID: fmt.Sprint("s", i), Group: group, Work: 2 * time.Millisecond, Ceiling: ceiling})
+		servers = append(servers, fake.Server{UID: fmt.Sprint("s", i), Group: group, Work: 2 * time.Millisecond, Ceiling: ceiling})
 	}
 	var err error
-	if r.pool, err = lab.StartPool(servers); err != nil {
+	if r.pool, err = testbench.StartPool(servers); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(r.pool.Close)
@@ -214,9 +214,9 @@
 	return err != nil || strings.Contains(string(raw), ") Z ") && len(threads) <= 1
 }
 
-func (r *rig) load(ctx context.Context, workers int) *standin.Run {
-	return standin.Clients{Addr: r.addr, Seed: 5, Workers: workers, Call: func(rng *rand.Rand) standin.Call {
-		c := standin.Call{Kind: "read", Host: "x", Method: "GET", Path: "/read", Plan: "standard", Customer: rng.Uint64N(50), Deadline: 3 * time.Second}
+func (r *rig) load(ctx context.Context, workers int) *fake.Run {
+	return fake.Clients{Addr: r.addr, Seed: 5, Workers: workers, Call: func(rng *rand.Rand) fake.Call {
+		c := fake.Call{Kind: "read", Host: "x", Method: "GET", Path: "/read", Plan: "standard", Customer: rng.Uint64N(50), Deadline: 3 * time.Second}
 		if rng.IntN(2) == 0 {
 			c.Kind, c.Method, c.Path, c.Key, c.Body = "update", "POST", "/update", fmt.Sprint("k", rng.Uint64()), "swap"
 		}
@@ -224,7 +224,7 @@
 	}}.Start(ctx)
 }
 
-func (r *rig) fine(results map[string]*standin.Result) {
+func (r *rig) fine(results map[string]*fake.Result) {
 	r.t.Helper()
 	for kind, s := range results {
 		if s.Lost+s.Wrong+s.Failed > 0 || s.Served < s.Calls/2 || s.Calls == 0 {
@@ -413,8 +413,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(counter.Close)
-	b := allowance.Rules{Instances: 1, Term: 200 * time.Millisecond, Drift: 0.001}.Bound(allowance.Ceiling{Rate: 50, Burst: 50})
-	ceiling := &standin.Ceiling{Rate: b.Rate, Burst: b.Burst}
+	b := quotalease.Rules{Instances: 1, Term: 200 * time.Millisecond, Drift: 0.001}.Bound(quotalease.Ceiling{Rate: 50, Burst: 50})
+	ceiling := &fake.Ceiling{Rate: b.Rate, Burst: b.Burst}
 	r := beginWith(t, "", ceiling, "[services.a]", fmt.Sprintf("[services.a]\ncounter = { addresses = [%q], term = \"200ms\", pledge = \"400ms\", "+
 		"settle = \"500ms\", over = 0.5 }", counter.Addr()))
 	more := func() {
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 	"lockflow/internal/manage"
 )
 
@@ -189,7 +189,7 @@
 }
 
 // figures are what the process has counted of itself.
-func (d *daemon) figures() figures.Figures {
+func (d *daemon) figures() instancestats.Figures {
 	f := d.node.Figures()
 	f.Began, f.MemoryKB = d.started, memory()
 	var use unix.Rusage
--- a/internal/daemon/live.go
+++ b/internal/daemon/live.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"lockflow/internal/config"
-	"lockflow/internal/life"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
 	"lockflow/internal/manage"
 	"lockflow/internal/metrics"
 	"lockflow/internal/node"
-	"lockflow/internal/orders"
 	"lockflow/internal/supervise"
 )
 
@@ -39,7 +39,7 @@
 	d.parts.Go(func() { d.keep(over) })
 	d.parts.Go(func() { d.watchGroup(over) })
 	d.tellMetrics(over)
-	d.handle(life.Listening{})
+	d.handle(lifecycle.Listening{})
 	stop, served := ctx.Done(), d.node.Served()
 	for {
 		select {
@@ -55,7 +55,7 @@
 				d.opts.Hup = nil
 				continue
 			}
-			d.handle(life.Reload{Cause: "SIGHUP"})
+			d.handle(lifecycle.Reload{Cause: "SIGHUP"})
 		case _, ok := <-d.opts.Usr2:
 			if !ok {
 				d.opts.Usr2 = nil
@@ -65,10 +65,10 @@
 				slog.Warn("SIGUSR2", "err", err)
 				continue
 			}
-			d.handle(life.Upgrade{Cause: "SIGUSR2"})
+			d.handle(lifecycle.Upgrade{Cause: "SIGUSR2"})
 		case <-stop:
 			stop = nil
-			d.handle(life.Stop{Cause: "asked to end"})
+			d.handle(lifecycle.Stop{Cause: "asked to end"})
 		case e := <-d.events:
 			if err := d.take(e); err != nil {
 				drain()
@@ -84,7 +84,7 @@
 				}
 			}
 		case err := <-ended:
-			d.handle(life.Done{Err: err})
+			d.handle(lifecycle.Done{Err: err})
 			d.answerAll(errors.New("the daemon has ended"))
 			return err
 		}
@@ -162,8 +162,8 @@
 		}
 		answer(d.loading, e.err)
 		d.loading = nil
-		d.handle(life.Reloaded{Err: e.err})
-	case life.Event:
+		d.handle(lifecycle.Reloaded{Err: e.err})
+	case lifecycle.Event:
 		d.handle(e)
 	case asked:
 		d.asked(e)
@@ -192,38 +192,38 @@
 
 // serves takes in that every required service can serve.
 func (d *daemon) serves() {
-	d.handle(life.Serves{})
-	if d.doing != nil && d.doing.kind == orders.Serve && !d.doing.inherited {
+	d.handle(lifecycle.Serves{})
+	if d.doing != nil && d.doing.kind == desiredstate.Serve && !d.doing.inherited {
 		d.endOrder(nil)
 	}
 }
 
 // handle tells the machine of an event and does what it says.
-func (d *daemon) handle(e life.Event) {
-	for _, a := range append([]life.Action(nil), d.machine.Handle(e)...) {
+func (d *daemon) handle(e lifecycle.Event) {
+	for _, a := range append([]lifecycle.Action(nil), d.machine.Handle(e)...) {
 		switch a := a.(type) {
-		case life.Log:
+		case lifecycle.Log:
 			slog.Info("life", "from", a.From, "to", a.To, "cause", a.Cause)
-		case life.Load:
+		case lifecycle.Load:
 			d.loading, d.waiting = d.waiting, nil
 			d.parts.Go(d.reload)
-		case life.Spawn:
+		case lifecycle.Spawn:
 			d.spawn()
-		case life.Give:
+		case lifecycle.Give:
 			d.give()
-		case life.Yield:
+		case lifecycle.Yield:
 			d.yield()
-		case life.Resume:
+		case lifecycle.Resume:
 			d.resume()
-		case life.Abandon:
+		case lifecycle.Abandon:
 			d.abandon()
-		case life.Forward:
+		case lifecycle.Forward:
 			d.succ.forward()
-		case life.Drain:
+		case lifecycle.Drain:
 			answer(d.waiting, errors.New("the daemon drains"))
 			d.waiting = nil
 			d.drain()
-		case life.Tell:
+		case lifecycle.Tell:
 			d.tell(a.What)
 		}
 	}
@@ -248,14 +248,14 @@
 }
 
 // tell passes on to the supervisor. One that can't be told doesn't end a daemon that serves.
-func (d *daemon) tell(what life.Told) {
+func (d *daemon) tell(what lifecycle.Told) {
 	var err error
 	switch what {
-	case life.TellReady:
+	case lifecycle.TellReady:
 		err = supervise.Ready(fmt.Sprintf("%d services on %s", d.node.Services(), d.node.Addr()))
-	case life.TellReloading:
+	case lifecycle.TellReloading:
 		err = supervise.Reloading()
-	case life.TellStopping:
+	case lifecycle.TellStopping:
 		err = supervise.Stopping()
 	}
 	if err != nil {
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -7,14 +7,14 @@
 	"os"
 	"reflect"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 )
 
 // member is what this process knows of who may order and what was ordered. One goroutine uses it.
 type member struct {
-	file   *orders.File
-	book   orders.Book
+	file   *desiredstate.File
+	book   desiredstate.Book
 	kept   bool // the book is written as it is
 	doubts *doubts
 }
@@ -24,7 +24,7 @@
 // openMember opens the book in a state directory ("" is none); inherited is that of the old process, which
 // is read later.
 func openMember(dir string, inherited *os.File, d *doubts) (*member, error) {
-	f, err := orders.Open(dir, inherited)
+	f, err := desiredstate.Open(dir, inherited)
 	if err != nil {
 		return nil, err
 	}
@@ -39,7 +39,7 @@
 func (m *member) load() {
 	b, err := m.file.Load()
 	if err != nil {
-		b = orders.Book{Lost: rand.Text()}
+		b = desiredstate.Book{Lost: rand.Text()}
 		slog.Error("the book of orders can't be read: no coordinator is obeyed until it claims anew", "err", err)
 		m.doubts.add(ordersDoubt, err.Error())
 		m.file.SetAside()
@@ -54,13 +54,13 @@
 }
 
 // keep has another book count once it is written.
-func (m *member) keep(next orders.Book) error {
+func (m *member) keep(next desiredstate.Book) error {
 	if m.kept && reflect.DeepEqual(m.book, next) {
 		return nil
 	}
 	if err := m.file.Save(next); err != nil {
 		m.doubts.add(ordersDoubt, err.Error())
-		return &orders.Refusal{Code: orders.Unkept, Text: err.Error()}
+		return &desiredstate.Refusal{Code: desiredstate.Unkept, Text: err.Error()}
 	}
 	m.book, m.kept = next, true
 	if next.Lost == "" {
@@ -71,7 +71,7 @@
 
 // settle has another book count, of what has happened already. Where it can't be written that is told, and
 // a process that finds the one before goes by what it finds done.
-func (m *member) settle(next orders.Book) {
+func (m *member) settle(next desiredstate.Book) {
 	if err := m.keep(next); err != nil {
 		slog.Error("what became of an order can't be written", "err", err)
 		m.book, m.kept = next, false
@@ -79,7 +79,7 @@
 }
 
 // claim grants an epoch or refuses.
-func (m *member) claim(c orders.Claim) error {
+func (m *member) claim(c desiredstate.Claim) error {
 	next, err := m.book.Claim(c)
 	if err != nil {
 		return err
@@ -112,13 +112,13 @@
 }
 
 // outcome is what is answered to an order that has ended.
-func outcome(d orders.Done) error {
-	if d.Code == orders.OK {
+func outcome(d desiredstate.Done) error {
+	if d.Code == desiredstate.OK {
 		return nil
 	}
-	return &orders.Refusal{Code: d.Code, Text: d.Error}
+	return &desiredstate.Refusal{Code: d.Code, Text: d.Error}
 }
 
 func busy(format string, args ...any) error {
-	return &orders.Refusal{Code: orders.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
+	return &desiredstate.Refusal{Code: desiredstate.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -9,8 +9,8 @@
 	"path/filepath"
 
 	"lockflow/internal/config"
-	"lockflow/internal/life"
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
 	"lockflow/internal/state"
 )
 
@@ -24,11 +24,11 @@
 // claimAsked, orderAsked and restAsked are what a coordinator, or the owner's hand, asks live.
 type (
 	claimAsked struct {
-		claim  orders.Claim
+		claim  desiredstate.Claim
 		answer chan error
 	}
 	orderAsked struct {
-		order  orders.Order
+		order  desiredstate.Order
 		answer chan error
 	}
 	restAsked struct {
@@ -67,13 +67,13 @@
 }
 
 // Claim is manage.Daemon's.
-func (d *daemon) Claim(ctx context.Context, c orders.Claim) error {
+func (d *daemon) Claim(ctx context.Context, c desiredstate.Claim) error {
 	answer := make(chan error, 1)
 	return d.ask(ctx, claimAsked{c, answer}, answer)
 }
 
 // Order is manage.Daemon's.
-func (d *daemon) Order(ctx context.Context, o orders.Order) error {
+func (d *daemon) Order(ctx context.Context, o desiredstate.Order) error {
 	answer := make(chan error, 1)
 	return d.ask(ctx, orderAsked{o, answer}, answer)
 }
@@ -92,7 +92,7 @@
 			return err
 		}
 	}
-	d.post(life.Stop{Cause: "control socket"})
+	d.post(lifecycle.Stop{Cause: "control socket"})
 	return nil
 }
 
@@ -106,7 +106,7 @@
 }
 
 // grant takes a claim.
-func (d *daemon) grant(c orders.Claim) error {
+func (d *daemon) grant(c desiredstate.Claim) error {
 	if err := d.owns(); err != nil {
 		return err
 	}
@@ -133,10 +133,10 @@
 	case err != nil:
 		a.answer <- err
 		return
-	case step == orders.Answer:
+	case step == desiredstate.Answer:
 		a.answer <- outcome(done)
 		return
-	case step == orders.Wait:
+	case step == desiredstate.Wait:
 		d.doing.waiting = append(d.doing.waiting, a.answer)
 		return
 	}
@@ -155,27 +155,27 @@
 }
 
 // may tells why an order can't be begun now, or at all.
-func (d *daemon) may(w orders.Want) error {
+func (d *daemon) may(w desiredstate.Want) error {
 	s := d.machine.State()
 	switch w.Kind {
-	case orders.Drain:
+	case desiredstate.Drain:
 		if d.member.file.Forgets() {
-			return &orders.Refusal{Code: orders.Bad, Text: "process.state is not set: started again, it would serve"}
+			return &desiredstate.Refusal{Code: desiredstate.Bad, Text: "process.state is not set: started again, it would serve"}
 		}
-		if s == life.Draining || s == life.Ended {
+		if s == lifecycle.Draining || s == lifecycle.Ended {
 			return busy("the daemon is %v", s)
 		}
-	case orders.Serve:
-		if s == life.Draining || s == life.Ended {
+	case desiredstate.Serve:
+		if s == lifecycle.Draining || s == lifecycle.Ended {
 			return busy("the daemon is %v", s)
 		}
-	case orders.Program:
+	case desiredstate.Program:
 		if err := runs(w.Path); err != nil {
-			return &orders.Refusal{Code: orders.Bad, Text: err.Error()}
+			return &desiredstate.Refusal{Code: desiredstate.Bad, Text: err.Error()}
 		}
 		fallthrough
 	default:
-		if s != life.Ready {
+		if s != lifecycle.Ready {
 			return busy("the daemon is %v", s)
 		}
 	}
@@ -183,10 +183,10 @@
 }
 
 // carryOut begins what d.doing is.
-func (d *daemon) carryOut(w orders.Want) {
+func (d *daemon) carryOut(w desiredstate.Want) {
 	doing := d.doing
 	switch w.Kind {
-	case orders.Settings:
+	case desiredstate.Settings:
 		force := d.cfg
 		d.parts.Go(func() {
 			restored, err := d.putSettings(force, w)
@@ -194,13 +194,13 @@
 				d.post(orderDid{doing, err, restored})
 			}
 		})
-	case orders.Program, orders.Restart:
+	case desiredstate.Program, desiredstate.Restart:
 		path := w.Path
 		if path == "" {
 			path = d.opts.Program
 		}
 		// Its end is the end of the successor's probation, or what comes before.
-		a := asked{life.Upgrade{Cause: programCause + path}, make(chan error, 1), true}
+		a := asked{lifecycle.Upgrade{Cause: programCause + path}, make(chan error, 1), true}
 		d.parts.Go(func() {
 			select {
 			case err := <-a.answer:
@@ -211,11 +211,11 @@
 			}
 		})
 		d.asked(a)
-	case orders.Drain:
+	case desiredstate.Drain:
 		d.endOrder(nil)
-		d.handle(life.Stop{Cause: "order " + doing.id})
-	case orders.Serve:
-		if d.machine.State() != life.Warming {
+		d.handle(lifecycle.Stop{Cause: "order " + doing.id})
+	case desiredstate.Serve:
+		if d.machine.State() != lifecycle.Warming {
 			d.endOrder(nil)
 		} // else once it serves
 	}
@@ -223,7 +223,7 @@
 
 // putSettings replaces the configuration file and has it read. An error leaves the file as it was;
 // restored tells that it was another one meanwhile.
-func (d *daemon) putSettings(force config.Config, w orders.Want) (restored bool, err error) {
+func (d *daemon) putSettings(force config.Config, w desiredstate.Want) (restored bool, err error) {
 	text := []byte(w.Text)
 	next, err := d.opts.Parse(text)
 	if err != nil {
@@ -239,17 +239,17 @@
 	if err := d.member.file.Keep(old); err != nil {
 		return false, err
 	}
-	if err := orders.Replace(d.opts.Config, text); err != nil {
+	if err := desiredstate.Replace(d.opts.Config, text); err != nil {
 		return false, fmt.Errorf("replacing the settings: %w", err)
 	}
 	if force.Hash == w.Hash {
 		return false, nil // in force; the file only was another one
 	}
-	err = d.wish(context.Background(), life.Reload{Cause: "order"})
+	err = d.wish(context.Background(), lifecycle.Reload{Cause: "order"})
 	if err == nil || errors.Is(err, errEnded) {
 		return false, err
 	}
-	if back := orders.Replace(d.opts.Config, old); back != nil {
+	if back := desiredstate.Replace(d.opts.Config, old); back != nil {
 		return false, fmt.Errorf("%w; the old settings can't be put back: %w", err, back)
 	}
 	return true, err
@@ -263,11 +263,11 @@
 	if e.restored {
 		d.doubts.clear("configuration file")
 	}
-	if e.err == nil && e.of.kind == orders.Settings && d.cfg.Hash != e.of.hash {
+	if e.err == nil && e.of.kind == desiredstate.Settings && d.cfg.Hash != e.of.hash {
 		e.err = fmt.Errorf("the file was replaced by another hand: the settings in force have the hash %s", d.cfg.Hash)
 	}
 	d.endOrder(e.err)
-	if e.of.kind == orders.Settings {
+	if e.of.kind == desiredstate.Settings {
 		d.member.file.Forget()
 	}
 }
@@ -276,7 +276,7 @@
 func (d *daemon) endOrder(err error) {
 	was := d.member.book.Doing
 	if was == nil || was.ID != d.doing.id { // another process has written it off
-		d.answerOrder(orders.Done{ID: d.doing.id, Code: orders.Busy, Error: "order " + d.doing.id + " was cut: ask again"})
+		d.answerOrder(desiredstate.Done{ID: d.doing.id, Code: desiredstate.Busy, Error: "order " + d.doing.id + " was cut: ask again"})
 		return
 	}
 	d.member.settle(d.member.book.End(err))
@@ -284,7 +284,7 @@
 }
 
 // answerOrder tells those who asked how the order under way has ended.
-func (d *daemon) answerOrder(done orders.Done) {
+func (d *daemon) answerOrder(done desiredstate.Done) {
 	doing := d.doing
 	d.doing = nil
 	slog.Info("orders: ended", "id", doing.id, "code", done.Code, "err", done.Error)
@@ -310,7 +310,7 @@
 		d.doing = nil
 		return
 	}
-	next := m.book.Recover(orders.Facts{Hash: d.cfg.Hash, Program: d.opts.Program})
+	next := m.book.Recover(desiredstate.Facts{Hash: d.cfg.Hash, Program: d.opts.Program})
 	if next.Doing != nil {
 		if d.doing == nil {
 			d.doing = &underWay{id: was.ID, kind: was.Kind, hash: was.Hash}
@@ -322,7 +322,7 @@
 	last := next.Last()
 	if last.ID != was.ID {
 		slog.Warn("orders: one was cut by the end of the process: nothing of it stays", "id", was.ID, "kind", was.Kind)
-		last = orders.Done{ID: was.ID, Code: orders.Busy, Error: "order " + was.ID + " was cut: ask again"}
+		last = desiredstate.Done{ID: was.ID, Code: desiredstate.Busy, Error: "order " + was.ID + " was cut: ask again"}
 	}
 	if d.doing != nil {
 		d.answerOrder(last)
@@ -341,15 +341,15 @@
 // It tells whether there is something else to start with.
 func rescue(m *member, o Options, hash string, cause error) bool {
 	was := m.book.Doing
-	if was == nil || was.Kind != orders.Settings || hash != "" && was.Hash != hash {
+	if was == nil || was.Kind != desiredstate.Settings || hash != "" && was.Hash != hash {
 		return false
 	}
 	old, err := m.file.Kept()
-	if err == nil && orders.Hash(old) == was.Hash {
+	if err == nil && desiredstate.Hash(old) == was.Hash {
 		return false // they were the same
 	}
 	if err == nil {
-		err = orders.Replace(o.Config, old)
+		err = desiredstate.Replace(o.Config, old)
 	}
 	if err != nil {
 		slog.Error("orders: the old settings can't be put back", "id", was.ID, "err", err)
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -11,29 +11,29 @@
 	"testing"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 	"lockflow/internal/testkit"
 )
 
 // text gives the file's text with a change, and what is wanted with it.
-func (r *rig) want(old, new string) orders.Want {
+func (r *rig) want(old, new string) desiredstate.Want {
 	r.t.Helper()
 	raw, err := os.ReadFile(r.dir + "/c.toml")
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	text := strings.Replace(string(raw), old, new, 1)
-	return orders.Want{Kind: orders.Settings, Text: text, Hash: orders.Hash([]byte(text))}
+	return desiredstate.Want{Kind: desiredstate.Settings, Text: text, Hash: desiredstate.Hash([]byte(text))}
 }
 
 func (r *rig) claim(epoch uint64, owner, after string) error {
-	_, err := r.client.Claim(context.Background(), orders.Claim{Epoch: epoch, Owner: owner, After: after})
+	_, err := r.client.Claim(context.Background(), desiredstate.Claim{Epoch: epoch, Owner: owner, After: after})
 	return err
 }
 
-func (r *rig) order(epoch uint64, id string, w orders.Want) error {
-	_, err := r.client.Order(context.Background(), orders.Order{Epoch: epoch, Owner: "me", ID: id, Want: w})
+func (r *rig) order(epoch uint64, id string, w desiredstate.Want) error {
+	_, err := r.client.Order(context.Background(), desiredstate.Order{Epoch: epoch, Owner: "me", ID: id, Want: w})
 	return err
 }
 
@@ -57,7 +57,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	return orders.Hash(raw)
+	return desiredstate.Hash(raw)
 }
 
 // A member obeys one owner, over a reload, kill -9 and an upgrade, and does an order once, however often
@@ -71,10 +71,10 @@
 		r.is("settings", r.order(7, "s/1", w), nil)
 	}
 	s := r.status()
-	if s.Generation != 2 || s.Hash != w.Hash || r.file() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.Order != (orders.Done{ID: "s/1", Code: orders.OK}) || s.Wanted.Hash != w.Hash {
+	if s.Generation != 2 || s.Hash != w.Hash || r.file() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.Order != (desiredstate.Done{ID: "s/1", Code: desiredstate.OK}) || s.Wanted.Hash != w.Hash {
 		t.Errorf("%+v", s)
 	}
-	for name, bad := range map[string]orders.Want{
+	for name, bad := range map[string]desiredstate.Want{
 		"an unknown key":     r.want("[plans.standard]", "[plans.standard]\nx = 1"),
 		"needs a restart":    r.want("/state\"", "/other\""),
 		"an address in vain": r.want(`address = "127.0.0.1:0"`, `address = "192.0.2.1:9"`),
@@ -86,8 +86,8 @@
 			t.Errorf("%s: %+v", name, s)
 		}
 	}
-	r.is("another act by the same id", r.order(7, "s/1", orders.Want{Kind: orders.Restart}), manage.ErrBad)
-	r.is("a program that is none", r.order(7, "p/0", orders.Want{Kind: orders.Program, Path: r.dir}), manage.ErrBad)
+	r.is("another act by the same id", r.order(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrBad)
+	r.is("a program that is none", r.order(7, "p/0", desiredstate.Want{Kind: desiredstate.Program, Path: r.dir}), manage.ErrBad)
 	r.kill()
 	r.start("")
 	r.is("an old epoch", r.claim(6, "me", ""), manage.ErrStale)
@@ -101,20 +101,20 @@
 	old := r.status().PID
 	answers := make(chan error, 3)
 	for range 3 {
-		go func() { answers <- r.order(7, "c/1", orders.Want{Kind: orders.Restart}) }()
+		go func() { answers <- r.order(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}) }()
 	}
 	served := 0
 	for range 3 {
 		err := <-answers
 		for errors.Is(err, manage.ErrBusy) || err != nil && !errors.As(err, new(manage.Refused)) { // it came between both processes
-			err = r.order(7, "c/1", orders.Want{Kind: orders.Restart})
+			err = r.order(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart})
 		}
 		if r.is("restart", err, nil); err == nil {
 			served++
 		}
 	}
 	r.until("the new process alone", func(s manage.Status) bool {
-		return s.PID != old && gone(old) && s.Order.ID == "c/1" && s.Order.Code == orders.OK
+		return s.PID != old && gone(old) && s.Order.ID == "c/1" && s.Order.Code == desiredstate.OK
 	})
 	if s := r.status(); served != 3 || s.Epoch != 7 || s.Doing != "" || strings.Count(r.log.String(), "a new process starts") != 1 {
 		t.Errorf("%+v", s)
@@ -140,11 +140,11 @@
 			r := beginWith(t, wrong, nil, `probation = "300ms"`, fmt.Sprintf("probation = %q", probation))
 			was := r.status()
 			r.is("a claim", r.claim(7, "me", ""), nil)
-			next := orders.Want{Kind: orders.Program, Path: os.Args[0]}
+			next := desiredstate.Want{Kind: desiredstate.Program, Path: os.Args[0]}
 			for range 2 {
 				r.is("the program", r.order(7, "p/1", next), manage.ErrFailed)
 			}
-			if s := r.status(); s.PID != was.PID || s.Wanted.Program != "" || s.Order.Code != orders.Failed || s.Epoch != 7 || s.Doing != "" {
+			if s := r.status(); s.PID != was.PID || s.Wanted.Program != "" || s.Order.Code != desiredstate.Failed || s.Epoch != 7 || s.Doing != "" {
 				t.Errorf("%+v", s)
 			}
 			r.is("what comes next", r.order(7, "s/1", r.want("rate = 100000", "rate = 90000")), nil)
@@ -166,14 +166,14 @@
 	}{
 		{"written down alone", "# 1", false, false, ""},
 		{"the old text is kept", "# 2", true, false, ""},
-		{"the file is replaced", "# 3", true, true, orders.OK},
-		{"can't start", "listeners", true, true, orders.Failed},
+		{"the file is replaced", "# 3", true, true, desiredstate.OK},
+		{"can't start", "listeners", true, true, desiredstate.Failed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			id := fmt.Sprint("s/", i)
 			was := r.status()
 			r.kill()
-			f, err := orders.Open(r.dir+"/state", nil)
+			f, err := desiredstate.Open(r.dir+"/state", nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -186,7 +186,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if b, _, _, err = b.Order(orders.Order{Epoch: 7, Owner: "me", ID: id, Want: w}); err == nil {
+			if b, _, _, err = b.Order(desiredstate.Order{Epoch: 7, Owner: "me", ID: id, Want: w}); err == nil {
 				err = f.Save(b)
 			}
 			old, _ := os.ReadFile(r.dir + "/c.toml")
@@ -194,7 +194,7 @@
 				err = f.Keep(old)
 			}
 			if c.replaced && err == nil {
-				err = orders.Replace(r.dir+"/c.toml", []byte(w.Text))
+				err = desiredstate.Replace(r.dir+"/c.toml", []byte(w.Text))
 			}
 			if err != nil {
 				t.Fatal(err)
@@ -205,7 +205,7 @@
 				t.Fatalf("%+v", s)
 			}
 			switch c.code {
-			case orders.Failed:
+			case desiredstate.Failed:
 				if s.Hash != was.Hash || r.file() != was.Hash || s.Wanted.Hash != was.Wanted.Hash {
 					t.Errorf("%+v", s)
 				}
@@ -269,7 +269,7 @@
 		t.Errorf("%+v", s)
 	}
 	r.is("an old epoch", r.claim(7, "me", ""), manage.ErrLost)
-	r.is("its order", r.order(7, "s/1", orders.Want{Kind: orders.Restart}), manage.ErrLost)
+	r.is("its order", r.order(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrLost)
 	r.is("a claim that knows", r.claim(10, "me", s.Lost), nil)
 	if s := r.status(); s.Lost != "" || s.Epoch != 10 || strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
 		t.Errorf("%+v", s)
@@ -297,7 +297,7 @@
 	r := begin(t, "")
 	r.is("a claim", r.claim(7, "me", ""), nil)
 	pid := r.status().PID
-	r.is("drain", r.order(7, "d/1", orders.Want{Kind: orders.Drain}), nil)
+	r.is("drain", r.order(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), nil)
 	testkit.Until(t, "the end", func() bool { return gone(pid) })
 	for range 2 {
 		r.run("")
@@ -316,11 +316,11 @@
 	r.until("drained", func(s manage.Status) bool { return s.Life == manage.Drained })
 	r.is("an old epoch", r.claim(6, "me", ""), manage.ErrStale)
 	r.is("a newer one", r.claim(8, "me", ""), nil)
-	r.is("a restart", r.order(8, "c/1", orders.Want{Kind: orders.Restart}), manage.ErrBad)
+	r.is("a restart", r.order(8, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrBad)
 	w := r.want("rate = 100000", "rate = 90000")
 	r.is("settings", r.order(8, "s/1", w), nil)
 	for range 2 {
-		r.is("serve", r.order(8, "v/1", orders.Want{Kind: orders.Serve}), nil)
+		r.is("serve", r.order(8, "v/1", desiredstate.Want{Kind: desiredstate.Serve}), nil)
 	}
 	if s := r.status(); !s.Ready() || s.Hash != w.Hash || s.Wanted.Drained || s.Epoch != 8 || s.Order.ID != "v/1" {
 		t.Errorf("%+v", s)
@@ -343,9 +343,9 @@
 func TestForgetful(t *testing.T) {
 	r := beginWith(t, "", nil, "state = \"DIR/state\"\ncheckpoint = \"20ms\"\n", "")
 	r.is("a claim", r.claim(7, "me", ""), nil)
-	r.is("drain", r.order(7, "d/1", orders.Want{Kind: orders.Drain}), manage.ErrBad)
-	r.is("restart", r.order(7, "c/1", orders.Want{Kind: orders.Restart}), nil)
-	r.until("the new process alone", func(s manage.Status) bool { return s.Order.ID == "c/1" && s.Order.Code == orders.OK })
+	r.is("drain", r.order(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), manage.ErrBad)
+	r.is("restart", r.order(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), nil)
+	r.until("the new process alone", func(s manage.Status) bool { return s.Order.ID == "c/1" && s.Order.Code == desiredstate.OK })
 	if s := r.status(); s.Epoch != 7 || !s.Forgets {
 		t.Errorf("%+v", s)
 	}
--- a/internal/daemon/parked.go
+++ b/internal/daemon/parked.go
@@ -8,10 +8,10 @@
 	"os"
 	"sync"
 
-	"lockflow/internal/life"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
 	"lockflow/internal/manage"
 	"lockflow/internal/node"
-	"lockflow/internal/orders"
 	"lockflow/internal/supervise"
 )
 
@@ -35,7 +35,7 @@
 	if err := d.listenControl(p, false); err != nil {
 		return nil, err
 	}
-	slog.Info("life", "from", life.Starting, "to", manage.Drained, "cause", "it is wanted drained: lockflow fleet serve undoes that")
+	slog.Info("life", "from", lifecycle.Starting, "to", manage.Drained, "cause", "it is wanted drained: lockflow fleet serve undoes that")
 	if err := supervise.Ready("drained, as is wanted"); err != nil {
 		slog.Warn("supervisor", "err", err)
 	}
@@ -104,7 +104,7 @@
 		Listeners: []string{}, Services: []node.Status{}, Older: []node.Older{}, Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
 	}
 	if p.isServing() {
-		s.Life = life.Starting.String()
+		s.Life = lifecycle.Starting.String()
 	} else {
 		s.Hash = d.cfg.Hash
 		d.member.tell(&s)
@@ -151,7 +151,7 @@
 }
 
 // Claim is manage.Daemon's.
-func (p *parked) Claim(ctx context.Context, c orders.Claim) error {
+func (p *parked) Claim(ctx context.Context, c desiredstate.Claim) error {
 	p.mu.Lock()
 	if !p.isServing() {
 		defer p.mu.Unlock()
@@ -165,7 +165,7 @@
 }
 
 // Order is manage.Daemon's. One to serve ends when the daemon does.
-func (p *parked) Order(ctx context.Context, o orders.Order) error {
+func (p *parked) Order(ctx context.Context, o desiredstate.Order) error {
 	p.mu.Lock()
 	if !p.isServing() {
 		wait, err := p.order(o)
@@ -183,27 +183,27 @@
 }
 
 // order carries out what a drained daemon can; wait tells that the rest comes when it serves. p.mu is held.
-func (p *parked) order(o orders.Order) (wait bool, err error) {
+func (p *parked) order(o desiredstate.Order) (wait bool, err error) {
 	m := p.d.member
 	next, step, done, err := m.book.Order(o)
 	switch {
 	case err != nil:
 		return false, err
-	case step == orders.Answer:
+	case step == desiredstate.Answer:
 		return false, outcome(done)
-	case step == orders.Wait:
+	case step == desiredstate.Wait:
 		return false, busy("order %s is under way", o.ID)
-	case o.Want.Kind == orders.Program || o.Want.Kind == orders.Restart:
-		return false, &orders.Refusal{Code: orders.Bad, Text: errDrained.Error()}
+	case o.Want.Kind == desiredstate.Program || o.Want.Kind == desiredstate.Restart:
+		return false, &desiredstate.Refusal{Code: desiredstate.Bad, Text: errDrained.Error()}
 	}
 	if err := m.keep(next); err != nil {
 		return false, err
 	}
 	slog.Info("orders: begun while drained", "id", o.ID, "epoch", o.Epoch, "owner", o.Owner, "kind", o.Want.Kind)
 	switch o.Want.Kind {
-	case orders.Serve:
+	case desiredstate.Serve:
 		return true, nil
-	case orders.Settings:
+	case desiredstate.Settings:
 		err = p.put(o.Want)
 	}
 	m.settle(m.book.End(err))
@@ -211,7 +211,7 @@
 }
 
 // put replaces the settings, which are read when it serves.
-func (p *parked) put(w orders.Want) error {
+func (p *parked) put(w desiredstate.Want) error {
 	d := p.d
 	next, err := d.opts.Parse([]byte(w.Text))
 	if err != nil {
@@ -220,7 +220,7 @@
 	if a, b := d.cfg.Process, next.Process; a.State != b.State || a.Control != b.Control {
 		return fmt.Errorf("process.state and process.control can't change without a restart: %q, %q", b.State, b.Control)
 	}
-	if err := orders.Replace(d.opts.Config, []byte(w.Text)); err != nil {
+	if err := desiredstate.Replace(d.opts.Config, []byte(w.Text)); err != nil {
 		return fmt.Errorf("replacing the settings: %w", err)
 	}
 	d.cfg = next
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/life"
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
 	"lockflow/internal/state"
 	"lockflow/internal/supervise"
 	"lockflow/internal/upgrade"
@@ -56,7 +56,7 @@
 	d.program = ""
 	s, err := d.startSuccessor(program)
 	if err != nil {
-		d.parts.Go(func() { d.post(life.Lost{Err: err}) })
+		d.parts.Go(func() { d.post(lifecycle.Lost{Err: err}) })
 		return
 	}
 	slog.Info("upgrade: a new process starts", "program", program, "pid", s.PID())
@@ -105,23 +105,23 @@
 		}
 	case did.settled:
 		if d.doing != nil { // the successor has it written; there is no way back any more
-			d.answerOrder(orders.Done{ID: d.doing.id, Code: orders.OK})
+			d.answerOrder(desiredstate.Done{ID: d.doing.id, Code: desiredstate.OK})
 		}
-		d.handle(life.Settled{})
+		d.handle(lifecycle.Settled{})
 	case did.event == upgrade.Prepared:
-		d.handle(life.Prepared{})
+		d.handle(lifecycle.Prepared{})
 	case did.event == upgrade.Took:
-		d.handle(life.Took{})
+		d.handle(lifecycle.Took{})
 	case did.event == upgrade.Ended:
 		s.over = true
 		if s.why == nil {
 			s.why = s.Err()
 		}
 		s.late.Stop()
-		if d.machine.State() == life.Draining && s.phase == serving {
+		if d.machine.State() == lifecycle.Draining && s.phase == serving {
 			slog.Error("the successor has ended while this process drains", "err", s.why)
 		}
-		d.handle(life.Lost{Err: s.why})
+		d.handle(lifecycle.Lost{Err: s.why})
 	}
 }
 
@@ -184,7 +184,7 @@
 	if s != nil && s.phase >= endowed {
 		d.inheritOrders(true)
 	}
-	if d.doing != nil && (d.doing.kind == orders.Program || d.doing.kind == orders.Restart) {
+	if d.doing != nil && (d.doing.kind == desiredstate.Program || d.doing.kind == desiredstate.Restart) {
 		d.endOrder(fmt.Errorf("the old process goes on: %w", err))
 	} else if d.doing == nil {
 		d.recoverOrders()
@@ -328,5 +328,5 @@
 		d.node.Rejoin(nil)
 	}
 	d.recoverOrders()
-	d.handle(life.Alone{})
+	d.handle(lifecycle.Alone{})
 }
--- a/internal/daemon/wishes.go
+++ b/internal/daemon/wishes.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"strings"
 
-	"lockflow/internal/life"
+	"lockflow/internal/lifecycle"
 )
 
 // asked is somebody's wish by the control socket.
 type asked struct {
-	event  life.Event
+	event  lifecycle.Event
 	answer chan error // has room for one; nil where nobody waits
 
 	ordered bool // by the order under way
@@ -20,9 +20,9 @@
 // asked takes a wish; whoever waits for it hears when it is done.
 func (d *daemon) asked(a asked) {
 	switch e := a.event.(type) {
-	case life.Reload:
+	case lifecycle.Reload:
 		switch s := d.machine.State(); {
-		case s == life.Draining || s == life.Ended:
+		case s == lifecycle.Draining || s == lifecycle.Ended:
 			a.answer <- fmt.Errorf("no reload: the daemon is %v", s)
 			return
 		case d.succ != nil && d.succ.phase == serving:
@@ -30,8 +30,8 @@
 		default:
 			d.waiting = append(d.waiting, a.answer)
 		}
-	case life.Upgrade:
-		if s := d.machine.State(); s == life.Draining || s == life.HandingOver || s == life.Ended || len(d.upgrading) > 0 {
+	case lifecycle.Upgrade:
+		if s := d.machine.State(); s == lifecycle.Draining || s == lifecycle.HandingOver || s == lifecycle.Ended || len(d.upgrading) > 0 {
 			a.answer <- fmt.Errorf("no upgrade: the daemon is %v", s)
 			return
 		}
@@ -62,14 +62,14 @@
 }
 
 // wish brings a wish to live and waits for what comes of it.
-func (d *daemon) wish(ctx context.Context, e life.Event) error {
+func (d *daemon) wish(ctx context.Context, e lifecycle.Event) error {
 	a := asked{event: e, answer: make(chan error, 1)}
 	return d.ask(ctx, a, a.answer)
 }
 
 // Reload is manage.Daemon's.
 func (d *daemon) Reload(ctx context.Context) error {
-	return d.wish(ctx, life.Reload{Cause: "control socket"})
+	return d.wish(ctx, lifecycle.Reload{Cause: "control socket"})
 }
 
 // Upgrade is manage.Daemon's.
@@ -80,5 +80,5 @@
 	if err := runs(program); err != nil {
 		return err
 	}
-	return d.wish(ctx, life.Upgrade{Cause: programCause + program})
+	return d.wish(ctx, lifecycle.Upgrade{Cause: programCause + program})
 }
--- a/internal/orders/orders.go
+++ b/internal/desiredstate/desiredstate.go
@@ -1,7 +1,7 @@
-// Package orders is a member's side of staged changes: which coordinator it obeys, which orders it has
+// Package desiredstate is a member's side of staged changes: which coordinator it obeys, which orders it has
 // carried out, and what is wanted of it. The decider (Book) does no I/O; File keeps what it decided,
 // written before anything follows from it.
-package orders
+package desiredstate
 
 import (
 	"crypto/sha256"
--- a/internal/orders/keys_test.go
+++ b/internal/desiredstate/keys_test.go
@@ -1,4 +1,4 @@
-package orders
+package desiredstate
 
 import (
 	"testing"
--- a/internal/tally/tally.go
+++ b/internal/eventlog/eventlog.go
@@ -1,7 +1,7 @@
-// Package tally writes what one instance did, a line for each thing, and adds up the lines of many.
+// Package eventlog writes what one instance did, a line for each thing, and adds up the lines of many.
 // No instance sees what a fleet does to a server: only their lines together tell. It is off unless
 // asked for, and is meant for finding a cause, not for good.
-package tally
+package eventlog
 
 import (
 	"io"
--- a/internal/tally/sum.go
+++ b/internal/eventlog/sum.go
@@ -1,4 +1,4 @@
-package tally
+package eventlog
 
 import (
 	"bufio"
--- a/internal/standin/ceiling.go
+++ b/internal/fake/ceiling.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"strconv"
--- a/internal/standin/tally.go
+++ b/internal/fake/tally.go
@@ -1,7 +1,7 @@
-// Package standin plays the peers of a node on loopback addresses: app servers, discovery and
+// Package fake plays the peers of a node on loopback addresses: app servers, discovery and
 // clients, with faults by seed and a tally of all that ran and all that was answered. It is
 // for tests, measurements and the demo; it shares no code with what it judges.
-package standin
+package fake
 
 import (
 	"sync"
--- a/internal/faultnet/trial/clients.go
+++ b/internal/faultnet/trial/clients.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
 )
 
 const (
@@ -143,7 +143,7 @@
 		fmt.Fprintf(out, "Content-Length: %d\r\n", q.body)
 	}
 	io.WriteString(out, "\r\n")
-	io.Copy(out, standin.PatternReader(q.body))
+	io.Copy(out, fake.PatternReader(q.body))
 	if err := out.Flush(); err != nil {
 		return 0, "", err
 	}
@@ -158,7 +158,7 @@
 	}
 	if resp.StatusCode == http.StatusOK {
 		want := crc32.NewIEEE()
-		io.Copy(want, standin.PatternReader(q.answer))
+		io.Copy(want, fake.PatternReader(q.answer))
 		if got := resp.Header.Get(fieldID); got != q.id || n != q.answer || sum.Sum32() != want.Sum32() {
 			c.notes.Wrong("request %s: an answer to %q of %d bytes instead of %d, or with others in it", q.id, got, n, q.answer)
 		}
--- a/internal/faultnet/trial/owners.go
+++ b/internal/faultnet/trial/owners.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/faultnet/history"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 )
 
 // owners is how many coordinators claim the nodes at once.
@@ -144,7 +144,7 @@
 // order orders settings, and asks again by the same id where the answer is lost.
 func (w *owner) order(ctx context.Context, i int, epoch uint64, text string, linked bool) bool {
 	id := fmt.Sprintf("%s/%d/%d", w.name, epoch, w.round)
-	o := manage.Order{Epoch: epoch, Owner: w.name, ID: id, Want: manage.Want{Kind: orders.Settings, Text: text, Hash: orders.Hash([]byte(text))}}
+	o := manage.Order{Epoch: epoch, Owner: w.name, ID: id, Want: manage.Want{Kind: desiredstate.Settings, Text: text, Hash: desiredstate.Hash([]byte(text))}}
 	w.notes.Want(o.Want.Hash)
 	for range 3 {
 		one, cancel := context.WithTimeout(ctx, within(linked))
@@ -177,7 +177,7 @@
 // mayRefuse notes a refusal that no fault of a script explains.
 func (w *owner) mayRefuse(i int, r manage.Refused) {
 	switch r.Code {
-	case orders.Busy, orders.Unkept:
+	case desiredstate.Busy, desiredstate.Unkept:
 	case "": // of no order: it ends, or cannot be read
 	default:
 		w.notes.Wrong("node %d refuses an owner: %s: %s", i, r.Code, r.Text)
@@ -200,8 +200,8 @@
 	for i := range r.o.Nodes {
 		s, err := w.member(i, false).Status(ctx)
 		raw, fileErr := os.ReadFile(filepath.Join(r.dir(i), "lockflow.toml"))
-		if err != nil || fileErr != nil || s.Hash != orders.Hash(raw) || s.Wanted.Hash != s.Hash || s.Owner != w.name {
-			r.notes.Wrong("node %d: runs %s by %s, wants %s, its file is %s; %v, %v", i, s.Hash, s.Owner, s.Wanted.Hash, orders.Hash(raw), err, fileErr)
+		if err != nil || fileErr != nil || s.Hash != desiredstate.Hash(raw) || s.Wanted.Hash != s.Hash || s.Owner != w.name {
+			r.notes.Wrong("node %d: runs %s by %s, wants %s, its file is %s; %v, %v", i, s.Hash, s.Owner, s.Wanted.Hash, desiredstate.Hash(raw), err, fileErr)
 		}
 		r.begunOnce(i)
 	}
--- a/internal/faultnet/trial/servers.go
+++ b/internal/faultnet/trial/servers.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"lockflow/internal/fake"
 	"lockflow/internal/faultnet/history"
-	"lockflow/internal/standin"
 )
 
 // Fields of requests and answers between clients and stand-ins.
@@ -84,7 +84,7 @@
 	h.Set(fieldID, id)
 	h.Set(fieldServer, name)
 	h.Set("Content-Length", strconv.FormatInt(n, 10))
-	io.Copy(w, standin.PatternReader(n))
+	io.Copy(w, fake.PatternReader(n))
 }
 
 // has tells whether a write's effect happened.
--- a/internal/faultnet/trial/trial.go
+++ b/internal/faultnet/trial/trial.go
@@ -19,11 +19,11 @@
 	"sync"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/faultnet"
 	"lockflow/internal/faultnet/history"
 	"lockflow/internal/faultnet/process"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 )
 
 //go:embed config.toml
@@ -212,7 +212,7 @@
 		file := filepath.Join(dir, "lockflow.toml")
 		text := strings.NewReplacer("@servers", strings.Join(list, ", "), "@control", r.control(i), "@state", state).Replace(config)
 		r.texts = append(r.texts, text)
-		r.notes.Want(orders.Hash([]byte(text)))
+		r.notes.Want(desiredstate.Hash([]byte(text)))
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return fmt.Errorf("a trial: %w", err)
 		}
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -14,10 +14,10 @@
 	"strings"
 	"time"
 
-	"lockflow/internal/evidence"
+	"lockflow/internal/canary"
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/limits"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 	"lockflow/internal/rollout"
 )
 
@@ -28,11 +28,11 @@
 	callsMost   = 64 // to members at once
 )
 
-// Judge says whether the changed members do worse. It is evidence.Judge's.
+// Judge says whether the changed members do worse. It is canary.Judge's.
 type Judge interface {
-	Begin(now time.Duration, before []evidence.Reading)
-	Observe(now time.Duration, all []evidence.Reading)
-	Verdict(now time.Duration) evidence.Verdict
+	Begin(now time.Duration, before []canary.Reading)
+	Observe(now time.Duration, all []canary.Reading)
+	Verdict(now time.Duration) canary.Verdict
 }
 
 // Ways are how a change is carried out.
@@ -66,7 +66,7 @@
 	seen    []*manage.Status // the last that each said; nil is no answer
 	ordered []bool
 	known   programs
-	verdict evidence.Verdict
+	verdict canary.Verdict
 	looked  time.Duration
 	told    time.Duration
 	last    string // told last
@@ -117,7 +117,7 @@
 			stages += len(s)
 		}
 		warm := min(30*time.Second, p.Bake/2)
-		c.judge = evidence.NewJudge(evidence.Options{
+		c.judge = canary.NewJudge(canary.Options{
 			Stages: max(stages, 1), BakeLeast: p.Bake, BakeMost: p.BakeMost, Warm: warm,
 			Onset: min(time.Minute, max(p.Bake/2, time.Second)),
 		})
@@ -192,7 +192,7 @@
 		return rollout.Seen{Member: h.i, Asked: h.asked}
 	}
 	s := h.s
-	up := s.Ready() || c.c.Kind == orders.Settings && s.AsWanted()
+	up := s.Ready() || c.c.Kind == desiredstate.Settings && s.AsWanted()
 	return rollout.Seen{
 		Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.Doing,
 		Lost: s.Lost, Load: load(s),
@@ -226,15 +226,15 @@
 	c.judge.Observe(now, c.readings())
 }
 
-func (c *carrier) readings() []evidence.Reading {
-	all := make([]evidence.Reading, 0, len(c.seen))
+func (c *carrier) readings() []canary.Reading {
+	all := make([]canary.Reading, 0, len(c.seen))
 	for i, s := range c.seen {
-		r := evidence.Reading{Member: c.c.Plan.Members[i].Name, Up: s != nil && s.Ready(), Weight: 1}
+		r := canary.Reading{Member: c.c.Plan.Members[i].Name, Up: s != nil && s.Ready(), Weight: 1}
 		switch changed, control := c.r.Side(i); {
 		case changed:
-			r.Side = evidence.New
+			r.Side = canary.New
 		case control:
-			r.Side = evidence.Control
+			r.Side = canary.Control
 		}
 		if s != nil {
 			r.Figures = s.Figures
@@ -273,7 +273,7 @@
 			}
 			c.say(a.Entry)
 		case rollout.Watch:
-			c.verdict = evidence.Verdict{}
+			c.verdict = canary.Verdict{}
 			c.judge.Begin(c.now(), c.readings())
 		case rollout.Claim:
 			c.claim(ctx, a)
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"lockflow/internal/config"
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 	"lockflow/internal/rollout"
 )
 
@@ -25,7 +25,7 @@
 type Change struct {
 	Form     int               `json:"form"`
 	Begun    time.Time         `json:"begun"`
-	Kind     string            `json:"kind"` // orders.Settings or orders.Program
+	Kind     string            `json:"kind"` // desiredstate.Settings or desiredstate.Program
 	Plan     rollout.Plan      `json:"plan"`
 	Sockets  []string          `json:"sockets"`            // of the plan's members, in its order
 	Texts    map[string]string `json:"texts,omitempty"`    // settings by hash
@@ -89,14 +89,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Change{Form: form, Begun: time.Now(), Kind: orders.Settings, Plan: p, Texts: make(map[string]string)}
+	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.Settings, Plan: p, Texts: make(map[string]string)}
 	files := make(map[string]string)
 	for i, s := range now {
 		raw, err := os.ReadFile(s.Config)
 		if err != nil {
 			return nil, fmt.Errorf("member %s: reading its configuration: %w", members[i].Name, err)
 		}
-		files[orders.Hash(raw)] = string(raw)
+		files[desiredstate.Hash(raw)] = string(raw)
 		for k, t := range members[i].Texts {
 			if t == nil {
 				members[i].Texts[k] = raw
@@ -114,7 +114,7 @@
 	for i, s := range now {
 		m := rollout.Member{Name: members[i].Name, Region: members[i].Region, Zone: members[i].Zone}
 		from := s.Hash
-		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return orders.Hash(t) == from }) && old[members[i].Region] != "" {
+		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return desiredstate.Hash(t) == from }) && old[members[i].Region] != "" {
 			from = old[members[i].Region]
 		}
 		m.Gens = append(m.Gens, from)
@@ -124,7 +124,7 @@
 			c.Texts[from] = text
 		}
 		for _, t := range members[i].Texts {
-			h := orders.Hash(t)
+			h := desiredstate.Hash(t)
 			c.Texts[h] = string(t)
 			m.Gens = append(m.Gens, h)
 		}
@@ -145,7 +145,7 @@
 	some := false
 	for i, s := range now {
 		text, ok := files[s.Hash]
-		p := pair{s.Hash, orders.Hash(members[i].Texts[0])}
+		p := pair{s.Hash, desiredstate.Hash(members[i].Texts[0])}
 		if _, known := mids[p]; known || !ok || p.old == p.new {
 			continue
 		}
@@ -160,7 +160,7 @@
 		return nil
 	}
 	for i, s := range now {
-		mid := mids[pair{s.Hash, orders.Hash(members[i].Texts[0])}]
+		mid := mids[pair{s.Hash, desiredstate.Hash(members[i].Texts[0])}]
 		if mid == nil { // it waits for the others
 			if mid = []byte(files[s.Hash]); files[s.Hash] == "" {
 				return fmt.Errorf("member %s runs settings %.12s, which are in no file any more", members[i].Name, s.Hash)
@@ -177,7 +177,7 @@
 	best := make(map[string]string)
 	for i, s := range now {
 		r := members[i].Region
-		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return orders.Hash(t) == s.Hash }) {
+		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return desiredstate.Hash(t) == s.Hash }) {
 			continue
 		}
 		count[[2]string{r, s.Hash}]++
@@ -191,7 +191,7 @@
 // Unknown are members whose settings of the start are in no file: they can't be taken back.
 func (c *Change) Unknown() (names []string) {
 	for _, m := range c.Plan.Members {
-		if _, ok := c.Texts[m.Gens[0]]; !ok && c.Kind == orders.Settings {
+		if _, ok := c.Texts[m.Gens[0]]; !ok && c.Kind == desiredstate.Settings {
 			names = append(names, m.Name)
 		}
 	}
@@ -205,7 +205,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Change{Form: form, Begun: time.Now(), Kind: orders.Program, Plan: p, Programs: make(map[string]string)}
+	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.Program, Plan: p, Programs: make(map[string]string)}
 	files := make(map[string]string) // hashes by path
 	hash := func(path string) (string, error) {
 		if h, ok := files[path]; ok {
@@ -300,13 +300,13 @@
 	switch {
 	case c.Form != form:
 		return fmt.Errorf("the change is of form %d, not %d", c.Form, form)
-	case c.Kind != orders.Settings && c.Kind != orders.Program:
+	case c.Kind != desiredstate.Settings && c.Kind != desiredstate.Program:
 		return fmt.Errorf("the change is of no known kind, %q", c.Kind)
 	case len(c.Sockets) != len(c.Plan.Members):
 		return fmt.Errorf("the change has %d members and %d sockets", len(c.Plan.Members), len(c.Sockets))
 	}
 	for h, text := range c.Texts {
-		if orders.Hash([]byte(text)) != h {
+		if desiredstate.Hash([]byte(text)) != h {
 			return fmt.Errorf("the settings %.12s of the change are not what they were", h)
 		}
 	}
@@ -324,19 +324,19 @@
 	id := c.Plan.Members[i].Gens[gen]
 	switch {
 	case restart:
-		return manage.Want{Kind: orders.Restart}, nil
-	case c.Kind == orders.Settings:
+		return manage.Want{Kind: desiredstate.Restart}, nil
+	case c.Kind == desiredstate.Settings:
 		text, ok := c.Texts[id]
 		if !ok {
 			return manage.Want{}, fmt.Errorf("the settings %.12s are in no file any more", id)
 		}
-		return manage.Want{Kind: orders.Settings, Hash: id, Text: text}, nil
+		return manage.Want{Kind: desiredstate.Settings, Hash: id, Text: text}, nil
 	}
 	path, ok := c.Programs[strings.TrimSuffix(id, again)]
 	if !ok {
 		return manage.Want{}, fmt.Errorf("the program %.12s is in no file any more", id)
 	}
-	return manage.Want{Kind: orders.Program, Path: path}, nil
+	return manage.Want{Kind: desiredstate.Program, Path: path}, nil
 }
 
 // programs hashes what processes run, once for each.
@@ -349,7 +349,7 @@
 
 // runs is what a member says it runs, as Member.Gens has it.
 func (c *Change) runs(s *manage.Status, known programs) string {
-	if c.Kind == orders.Settings {
+	if c.Kind == desiredstate.Settings {
 		return s.Hash
 	}
 	p := process{s.PID, s.Started.UnixNano()}
--- a/internal/fleet/change_test.go
+++ b/internal/fleet/change_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/regions/mixture"
 	"lockflow/internal/rollout"
 )
@@ -103,7 +103,7 @@
 
 // What a journal holds counts only as a whole.
 func TestDecode(t *testing.T) {
-	fine := fmt.Sprintf(`{"form":1,"kind":"settings","plan":{"members":[{"name":"0","gens":["a","b"]}]},"sockets":["/s"],"texts":{%q:"x"}}`, orders.Hash([]byte("x")))
+	fine := fmt.Sprintf(`{"form":1,"kind":"settings","plan":{"members":[{"name":"0","gens":["a","b"]}]},"sockets":["/s"],"texts":{%q:"x"}}`, desiredstate.Hash([]byte("x")))
 	for name, tc := range map[string]struct {
 		records []string
 		want    string
--- a/internal/fleet/journal.go
+++ b/internal/fleet/journal.go
@@ -7,8 +7,8 @@
 	"log/slog"
 	"time"
 
-	"lockflow/internal/ledger"
 	"lockflow/internal/rollout"
+	"lockflow/internal/rolloutlog"
 )
 
 // record is one of a journal's after the first, which is the Change.
@@ -19,7 +19,7 @@
 
 // Journal is a ledger with what it holds of the newest change.
 type Journal struct {
-	Ledger  *ledger.Ledger
+	Ledger  *rolloutlog.Ledger
 	Change  *Change // nil is none
 	Entries []rollout.Entry
 
@@ -45,7 +45,7 @@
 // OpenJournal opens the journal in a directory. One that is damaged is set aside and told: what members
 // say they run is what then counts.
 func OpenJournal(dir string) (*Journal, error) {
-	l, err := ledger.Open(dir)
+	l, err := rolloutlog.Open(dir)
 	if err != nil {
 		return nil, err
 	}
@@ -169,7 +169,7 @@
 // Last reads what the journal of a directory tells of its newest change; nil is none. It may be read while
 // a coordinator writes.
 func Last(dir string) (*Progress, error) {
-	records, note, err := ledger.Read(dir)
+	records, note, err := rolloutlog.Read(dir)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/regional.go
+++ b/internal/fleet/regional.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"lockflow/internal/config"
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/fleetfile"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 	"lockflow/internal/regions"
 	"lockflow/internal/regions/mixture"
 )
@@ -163,7 +163,7 @@
 			return nil, fmt.Errorf("region %s: members %s and %s run different settings, %.12s and %.12s; nothing was changed", r.Name, who, m.Name, hash, h)
 		}
 		hash, who = h, m.Name
-		if raw, err := os.ReadFile(said[i].Config); err == nil && orders.Hash(raw) == h {
+		if raw, err := os.ReadFile(said[i].Config); err == nil && desiredstate.Hash(raw) == h {
 			text = raw
 		}
 	}
--- a/internal/fleetfile/fleetfile.go
+++ b/internal/fleetfile/fleetfile.go
@@ -13,7 +13,7 @@
 
 	"lockflow/internal/config"
 	"lockflow/internal/config/tree"
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
 )
 
 // Bounds of what a file may say.
@@ -211,7 +211,7 @@
 		r.wide = true
 		t.Wrong("", "the configurations up to here have %d bytes together, more than %d", r.bytes, bytesMost)
 	}
-	one.Hash = orders.Hash(one.Text)
+	one.Hash = desiredstate.Hash(one.Text)
 	one.Config.Hash = one.Hash
 	return one
 }
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
 )
@@ -46,7 +46,7 @@
 		return
 	}
 	h := w.Header()
-	hop.Answer(h, a.Header)
+	hopheaders.Answer(h, a.Header)
 	if len(h["Content-Type"]) == 0 {
 		h["Content-Type"] = nil // not to be guessed from the body
 	}
@@ -298,7 +298,7 @@
 			body, h["Content-Type"] = raw, []string{"application/problem+json"}
 		}
 	}
-	h["Via"] = []string{"1.1 " + hop.Alias}
+	h["Via"] = []string{"1.1 " + hopheaders.Alias}
 	if status == http.StatusMethodNotAllowed {
 		h["Allow"] = []string{"GET, HEAD, OPTIONS, POST, PUT, PATCH, DELETE"}
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,7 +17,7 @@
 	"lockflow/control"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
-	"lockflow/internal/replay"
+	"lockflow/internal/retrybuffer"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
@@ -224,7 +224,7 @@
 		w := httptest.NewRecorder()
 		x := &call{w: w, ctl: http.NewResponseController(w), given: given}
 		x.Forwarder = x
-		x.Relay.Body = replay.New(strings.NewReader("the rest"), 0, func() {})
+		x.Relay.Body = retrybuffer.New(strings.NewReader("the rest"), 0, func() {})
 		(&Ordinary{}).Done(&x.Exchange)
 		if w.Flushed != given {
 			t.Errorf("given %v: flushed %v", given, w.Flushed)
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -10,10 +10,10 @@
 	"strings"
 	"time"
 
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
-	"lockflow/internal/replay"
-	"lockflow/internal/scatter"
+	"lockflow/internal/retrybuffer"
+	"lockflow/internal/scattergather"
 	"lockflow/internal/upstream"
 )
 
@@ -26,13 +26,13 @@
 // Gather is a service that asks others and gives their answers as one. It is not changed once it is
 // made.
 type Gather struct {
-	Tree       *scatter.Tree
-	Leaves     []scatter.Leaf
-	By         []*scatter.Gatherer      // by the trees' IDs
-	Targets    []Target                 // by the leaves' places; all speak ordinary HTTP
-	Deadlines  map[string]time.Duration // by class
-	Class      string                   // of requests whose route names none: by GET and HEAD only
-	Body       int64                    // most bytes of a request's body
+	Tree       *scattergather.Tree
+	Leaves     []scattergather.Leaf
+	By         []*scattergather.Gatherer // by the trees' IDs
+	Targets    []Target                  // by the leaves' places; all speak ordinary HTTP
+	Deadlines  map[string]time.Duration  // by class
+	Class      string                    // of requests whose route names none: by GET and HEAD only
+	Body       int64                     // most bytes of a request's body
 	TimeHeader string
 	Load       func() float64 // share of what the parts bear that is in use; nil is not known
 }
@@ -156,10 +156,10 @@
 	} else if len(body) > 0 {
 		for i := range calls {
 			q := &calls[i].Exchange.Forwarder.(*call).Relay
-			q.Body, q.Length = replay.Of(body), int64(len(body))
+			q.Body, q.Length = retrybuffer.Of(body), int64(len(body))
 		}
 	}
-	run := &scatter.Run{Tree: g.Tree, Leaves: g.Leaves, By: g.By, Calls: calls, Class: class, Arrived: arrived, Wait: wait, Release: g.release}
+	run := &scattergather.Run{Tree: g.Tree, Leaves: g.Leaves, By: g.By, Calls: calls, Class: class, Arrived: arrived, Wait: wait, Release: g.release}
 	if g.Load != nil {
 		run.Load = g.Load()
 	}
@@ -170,8 +170,8 @@
 
 // calls makes each part's request, and books room for it. One without room is turned away by its
 // service, and is a part that is missing.
-func (g *Gather) calls(r *http.Request, class string, arrived time.Time, wait time.Duration) ([]scatter.Call, *badRequest) {
-	calls := make([]scatter.Call, 0, len(g.Targets))
+func (g *Gather) calls(r *http.Request, class string, arrived time.Time, wait time.Duration) ([]scattergather.Call, *badRequest) {
+	calls := make([]scattergather.Call, 0, len(g.Targets))
 	booked := int64(0) // for the body, which all parts share: by the first that has room
 	if r.ContentLength != 0 {
 		booked = g.Body
@@ -191,14 +191,14 @@
 			}
 			return nil, wrong
 		}
-		if end := arrived.Add(wait - scatter.Ahead(wait)); x.Deadline.After(end) {
+		if end := arrived.Add(wait - scattergather.Ahead(wait)); x.Deadline.After(end) {
 			x.Deadline = end
 		}
 		x.Client = waiter(r)
 		if to.Service.Admit(x, booked) {
 			booked = 0
 		}
-		calls = append(calls, scatter.Call{Service: to.Service, Exchange: x, Most: o.Hold})
+		calls = append(calls, scattergather.Call{Service: to.Service, Exchange: x, Most: o.Hold})
 	}
 	return calls, nil
 }
@@ -229,14 +229,14 @@
 }
 
 // give gives the client its one answer.
-func (f *Front) give(w http.ResponseWriter, r *http.Request, g *Gather, final scatter.Final) {
+func (f *Front) give(w http.ResponseWriter, r *http.Request, g *Gather, final scattergather.Final) {
 	switch final.Outcome {
-	case scatter.EndedLeft:
+	case scattergather.EndedLeft:
 		panic(http.ErrAbortHandler) // nobody is there
-	case scatter.EndedTooFew:
+	case scattergather.EndedTooFew:
 		say(f, w, r, http.StatusServiceUnavailable, "Too few parts answered in time; trying again is harmless.", min(time.Second, g.By[0].RetryAfter))
 		return
-	case scatter.EndedQuota:
+	case scattergather.EndedQuota:
 		say(f, w, r, http.StatusServiceUnavailable, "The request was not run: the quota of a part, "+final.Part+", has no more; trying again is harmless.",
 			min(final.RetryAfter, g.By[0].RetryAfter))
 		return
@@ -245,11 +245,11 @@
 	h := w.Header()
 	h["Content-Type"] = []string{g.Tree.Merge.ContentType()}
 	h["Content-Length"] = []string{strconv.Itoa(size)}
-	h["Via"] = []string{"1.1 " + hop.Alias}
+	h["Via"] = []string{"1.1 " + hopheaders.Alias}
 	h["Cache-Control"] = []string{"no-store"} // a partial answer must not be somebody's later
-	h[scatter.HeaderParts] = []string{strconv.Itoa(final.Whole.Held) + "/" + strconv.Itoa(final.Whole.Of)}
+	h[scattergather.HeaderParts] = []string{strconv.Itoa(final.Whole.Held) + "/" + strconv.Itoa(final.Whole.Of)}
 	if len(final.Whole.Missing) > 0 {
-		h[scatter.HeaderMissing] = []string{strings.Join(final.Whole.Missing, ", ")}
+		h[scattergather.HeaderMissing] = []string{strings.Join(final.Whole.Missing, ", ")}
 	}
 	if f.draining.Load() {
 		h["Connection"] = []string{"close"}
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -18,11 +18,11 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/customer"
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
-	"lockflow/internal/replay"
+	"lockflow/internal/responseclass"
+	"lockflow/internal/retrybuffer"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
 )
@@ -48,9 +48,9 @@
 	Hold        int    // most bytes of an answer that are held
 	Idle        time.Duration
 	LeastRate   int64 // bytes a second, over a body's whole way, that a client has to read or send; 0 is any
-	Rules       answer.Rules
+	Rules       responseclass.Rules
 	Underscores bool // names of fields may have them
-	Tells       hop.Tells
+	Tells       hopheaders.Tells
 	Trusted     []netip.Prefix
 }
 
@@ -136,13 +136,13 @@
 
 // relay is what goes on of a request.
 func (o *Ordinary) relay(q *upstream.Relay, r *http.Request, to *Target, wait time.Duration) {
-	peer := hop.Peer{Host: r.Host, Proto: "http"}
+	peer := hopheaders.Peer{Host: r.Host, Proto: "http"}
 	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		peer.Addr = a.Addr()
-		peer.Trusted = hop.Trusted(peer.Addr, o.Trusted)
+		peer.Trusted = hopheaders.Trusted(peer.Addr, o.Trusted)
 	}
 	*q = upstream.Relay{
-		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hop.Request(r.Header, peer, o.Tells, o.Underscores),
+		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hopheaders.Request(r.Header, peer, o.Tells, o.Underscores),
 		Length: r.ContentLength, Rules: &o.Rules, Hold: o.Hold, Idle: o.Idle, Wait: wait, Tell: o.SendTime,
 	}
 	if o.SendID && len(q.Header[headerRequest]) == 0 {
@@ -236,7 +236,7 @@
 	}
 	c.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
 	c.pace = pace{idle: o.Idle, least: o.LeastRate}
-	c.Relay.Body = replay.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
+	c.Relay.Body = retrybuffer.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
 	if c.Expect || c.Length < 0 || c.Length > int64(o.Replay) {
 		_ = c.ctl.EnableFullDuplex() // an answer may come before all of the body has
 		x.Request.Open = true
@@ -294,7 +294,7 @@
 		return
 	}
 	h := c.w.Header()
-	hop.Answer(h, from)
+	hopheaders.Answer(h, from)
 	_ = c.ctl.SetWriteDeadline(time.Now().Add(c.idle))
 	c.w.WriteHeader(status)
 	clear(h)
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
@@ -175,7 +175,7 @@
 			out.Header[k] = v
 		}
 	}
-	hop.DropNamed(out.Header, r.Header)
+	hopheaders.DropNamed(out.Header, r.Header)
 	if out.Header.Get("User-Agent") == "" {
 		out.Header["User-Agent"] = []string{""} // none of the library's own
 	}
--- a/internal/front/wire.go
+++ b/internal/front/wire.go
@@ -6,14 +6,14 @@
 	"net/http"
 	"sync/atomic"
 
-	"lockflow/internal/strict"
+	"lockflow/internal/validation"
 )
 
 // wire is a client's connection whose bytes are looked at before net/http reads them, which
 // would mend what two readers may read in two ways.
 type wire struct {
 	net.Conn
-	scan  strict.Scanner
+	scan  validation.Scanner
 	wrong atomic.Pointer[error]
 	cut   atomic.Bool // reset was called
 }
--- a/internal/census/census.go
+++ b/internal/groupsize/groupsize.go
@@ -1,8 +1,8 @@
-// Package census estimates how many instances share a service's servers, from what servers report
+// Package groupsize estimates how many instances share a service's servers, from what servers report
 // of their load: where all instances send alike, a server holds as many times what one of them
 // holds there as there are instances. It is for noticing that the group's size in the settings is
 // wrong; nothing is decided by it. It does no I/O and takes the time as an argument.
-package census
+package groupsize
 
 import (
 	"math"
--- a/internal/census/census_test.go
+++ b/internal/groupsize/groupsize_test.go
@@ -1,4 +1,4 @@
-package census
+package groupsize
 
 import (
 	"math"
--- a/internal/hop/hop.go
+++ b/internal/hopheaders/hopheaders.go
@@ -1,6 +1,6 @@
-// Package hop says which fields of a message go on and which an intermediary sets, drops or
+// Package hopheaders says which fields of a message go on and which an intermediary sets, drops or
 // replaces (RFC 9110, 7.6; RFC 7239). It does no I/O.
-package hop
+package hopheaders
 
 import (
 	"net/http"
--- a/internal/hop/hop_test.go
+++ b/internal/hopheaders/hopheaders_test.go
@@ -1,4 +1,4 @@
-package hop
+package hopheaders
 
 import (
 	"net/http"
--- a/internal/figures/figures.go
+++ b/internal/instancestats/instancestats.go
@@ -1,7 +1,7 @@
-// Package figures is what one instance has counted of its own service since its process began, in a
+// Package instancestats is what one instance has counted of its own service since its process began, in a
 // form that others can compare: all of it only grows, so that what a span of time brought is the
 // difference of two readings. It does no I/O.
-package figures
+package instancestats
 
 import (
 	"math"
--- a/internal/figures/figures_test.go
+++ b/internal/instancestats/instancestats_test.go
@@ -1,4 +1,4 @@
-package figures
+package instancestats
 
 import (
 	"testing"
--- a/internal/lender/counter.lua
+++ b/internal/leasestore/counter.lua
@@ -1,4 +1,4 @@
--- One call of allowance.Counter on a Redis server (internal/allowance has the same in Go, and says
+-- One call of allowance.Counter on a Redis server (internal/quotalease has the same in Go, and says
 -- why). All state is under the server's run id: another process, or a replica that was promoted, has
 -- lent nothing under its own.
 -- KEYS[1]: what the names of all keys begin with, with a hash tag.
--- a/internal/lender/lender.go
+++ b/internal/leasestore/leasestore.go
@@ -1,6 +1,6 @@
-// Package lender carries calls of allowance.Holder to a Redis server, on which a script is the
+// Package leasestore carries calls of quotalease.Holder to a Redis server, on which a script is the
 // counter. It decides nothing, and sends no call twice.
-package lender
+package leasestore
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"github.com/redis/go-redis/v9"
 
-	"lockflow/internal/allowance"
+	"lockflow/internal/quotalease"
 )
 
 //go:embed counter.lua
@@ -27,7 +27,7 @@
 	Password string
 	Name     string // of what is counted there, the same at all instances; keys begin with it
 	Within   time.Duration
-	Rules    allowance.Rules
+	Rules    quotalease.Rules
 }
 
 // Client asks one counter. It is safe for concurrent use.
@@ -52,13 +52,13 @@
 func (c *Client) Close() error { return c.rdb.Close() }
 
 // Call makes one call, within the time that it has at the most.
-func (c *Client) Call(ctx context.Context, q *allowance.Call) (allowance.Answer, error) {
+func (c *Client) Call(ctx context.Context, q *quotalease.Call) (quotalease.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.Within)
 	defer cancel()
 	// Of what it may send twice the first was not run: the server did not know the script.
 	raw, err := script.Run(ctx, c.rdb, c.key, Args(q, c.o.Rules)...).StringSlice()
 	if err != nil {
-		return allowance.Answer{}, fmt.Errorf("counter %s: %w", c.o.Address, err)
+		return quotalease.Answer{}, fmt.Errorf("counter %s: %w", c.o.Address, err)
 	}
 	a, err := Parse(raw)
 	if err != nil {
@@ -71,7 +71,7 @@
 func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
 
 // Args are the script's arguments for a call.
-func Args(q *allowance.Call, r allowance.Rules) []any {
+func Args(q *quotalease.Call, r quotalease.Rules) []any {
 	all := make([]any, 0, 9+5*len(q.Wants)+3*len(q.Gives))
 	all = append(all, q.From, q.Counter, q.Echo.Microseconds(), number(q.Pledge), q.Seen, r.Term.Microseconds(), r.Pledge.Microseconds(), len(q.Wants))
 	for _, w := range q.Wants {
@@ -87,7 +87,7 @@
 var errAnswer = errors.New("its answer can't be read")
 
 // Parse reads the script's answer.
-func Parse(raw []string) (a allowance.Answer, err error) {
+func Parse(raw []string) (a quotalease.Answer, err error) {
 	if len(raw) < 3 || len(raw)%3 != 0 || raw[0] == "" {
 		return a, errAnswer
 	}
@@ -95,9 +95,9 @@
 	if err != nil || now < 0 || now > 1<<52 {
 		return a, fmt.Errorf("%w: time %q", errAnswer, raw[1])
 	}
-	a = allowance.Answer{Counter: raw[0], Now: time.Duration(now) * time.Microsecond, Lends: raw[2] == "1"}
+	a = quotalease.Answer{Counter: raw[0], Now: time.Duration(now) * time.Microsecond, Lends: raw[2] == "1"}
 	for raw = raw[3:]; len(raw) > 0; raw = raw[3:] {
-		g := allowance.Grant{Key: raw[0]}
+		g := quotalease.Grant{Key: raw[0]}
 		if g.Token, err = strconv.ParseUint(raw[1], 10, 53); err != nil {
 			return a, fmt.Errorf("%w: token %q", errAnswer, raw[1])
 		}
--- a/internal/lender/lender_test.go
+++ b/internal/leasestore/leasestore_test.go
@@ -1,4 +1,4 @@
-package lender
+package leasestore
 
 import (
 	"context"
@@ -9,13 +9,13 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/allowance"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/redistest"
 )
 
-var rules = allowance.Rules{Instances: 4, Term: time.Second, Pledge: 2 * time.Second, Settle: 2 * time.Second}
+var rules = quotalease.Rules{Instances: 4, Term: time.Second, Pledge: 2 * time.Second, Settle: 2 * time.Second}
 
-func eval(t *testing.T, s *redistest.Server, q *allowance.Call) allowance.Answer {
+func eval(t *testing.T, s *redistest.Server, q *quotalease.Call) quotalease.Answer {
 	t.Helper()
 	args := []string{"EVAL", source, "1", "{x}"}
 	for _, a := range Args(q, rules) {
@@ -37,7 +37,7 @@
 	return a
 }
 
-// The script answers each call as allowance.Counter does, whatever is asked in whatever order while
+// The script answers each call as quotalease.Counter does, whatever is asked in whatever order while
 // the clock steps, data is forgotten, and returns are made up.
 func TestScriptIsTheCounter(t *testing.T) {
 	lent, returned := 0, 0
@@ -46,10 +46,10 @@
 		now := time.Unix(1_700_000_000, 0)
 		s := redistest.New()
 		s.Clock(func() time.Time { return now })
-		id := eval(t, s, &allowance.Call{From: "x"}).Counter
-		c := allowance.NewCounter(rules, id)
-		c.Handle(time.Duration(now.UnixMicro())*time.Microsecond, allowance.Call{From: "x"})
-		var grants []allowance.Grant
+		id := eval(t, s, &quotalease.Call{From: "x"}).Counter
+		c := quotalease.NewCounter(rules, id)
+		c.Handle(time.Duration(now.UnixMicro())*time.Microsecond, quotalease.Call{From: "x"})
+		var grants []quotalease.Grant
 		var owner []string
 		echo := time.Duration(now.UnixMicro()) * time.Microsecond
 		for step := range 300 {
@@ -60,7 +60,7 @@
 			case 1:
 				now = now.Add(time.Duration(rng.IntN(30)) * time.Second)
 			}
-			q := allowance.Call{From: fmt.Sprint("i", rng.IntN(4)), Counter: id, Echo: echo - time.Duration(rng.IntN(2500))*time.Millisecond}
+			q := quotalease.Call{From: fmt.Sprint("i", rng.IntN(4)), Counter: id, Echo: echo - time.Duration(rng.IntN(2500))*time.Millisecond}
 			if rng.IntN(4) > 0 {
 				q.Pledge = 0.25
 			}
@@ -71,8 +71,8 @@
 				q.Counter = "another"
 			}
 			for range rng.IntN(3) {
-				q.Wants = append(q.Wants, allowance.Want{
-					Key: fmt.Sprint("k ", rng.IntN(3)), Ceiling: allowance.Ceiling{Rate: 30, Burst: 60},
+				q.Wants = append(q.Wants, quotalease.Want{
+					Key: fmt.Sprint("k ", rng.IntN(3)), Ceiling: quotalease.Ceiling{Rate: 30, Burst: 60},
 					Units: rng.Float64() * 20, Need: rng.Float64() * 4,
 				})
 			}
@@ -83,7 +83,7 @@
 					if q.From = owner[i]; rng.IntN(4) == 0 {
 						q.From = "i1"
 					}
-					q.Gives = append(q.Gives, allowance.Give{Key: g.Key, Token: g.Token, Units: g.Units * rng.Float64() * 1.5})
+					q.Gives = append(q.Gives, quotalease.Give{Key: g.Key, Token: g.Token, Units: g.Units * rng.Float64() * 1.5})
 					returned++
 				}
 			}
@@ -127,8 +127,8 @@
 // nothing is sent again.
 func TestCalls(t *testing.T) {
 	s, c := start(t)
-	call := func() (allowance.Answer, error) {
-		return c.Call(context.Background(), &allowance.Call{From: "i", Seq: 7})
+	call := func() (quotalease.Answer, error) {
+		return c.Call(context.Background(), &quotalease.Call{From: "i", Seq: 7})
 	}
 	a, err := call()
 	if err != nil || a.Counter == "" || a.Seq != 7 || a.Lends || s.Calls() != 1 {
@@ -160,7 +160,7 @@
 	s.Set(0, "", true)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	if _, err := c.Call(ctx, &allowance.Call{}); err == nil {
+	if _, err := c.Call(ctx, &quotalease.Call{}); err == nil {
 		t.Error("no answer, and no error")
 	}
 }
@@ -168,12 +168,12 @@
 func TestPassword(t *testing.T) {
 	s, c := start(t)
 	s.Require("secret")
-	if _, err := c.Call(t.Context(), &allowance.Call{}); err == nil || !strings.Contains(err.Error(), "NOAUTH") {
+	if _, err := c.Call(t.Context(), &quotalease.Call{}); err == nil || !strings.Contains(err.Error(), "NOAUTH") {
 		t.Errorf("without: %v", err)
 	}
 	for password, fine := range map[string]bool{"secret": true, "other": false} {
 		c := New(Options{Address: s.Addr(), Password: password, Name: "a", Within: 5 * time.Second, Rules: rules})
-		if _, err := c.Call(t.Context(), &allowance.Call{}); (err == nil) != fine {
+		if _, err := c.Call(t.Context(), &quotalease.Call{}); (err == nil) != fine {
 			t.Errorf("%s: %v", password, err)
 		}
 		c.Close()
--- a/internal/life/life.go
+++ b/internal/lifecycle/lifecycle.go
@@ -1,4 +1,4 @@
-// Package life is the life cycle of a daemon as a state machine: it is fed what happens and
+// Package lifecycle is the life cycle of a daemon as a state machine: it is fed what happens and
 // returns what is to be done. It does no I/O and knows no time.
 //
 //	starting -> warming -> ready <-> reloading
@@ -8,7 +8,7 @@
 // A node that was ready stays so while it reloads: it goes on serving by the old configuration
 // until the new one is in force. It also goes on while it hands over to a successor process, and
 // where that one is lost, at any time before the end of its probation, as if nothing had been.
-package life
+package lifecycle
 
 import "fmt"
 
--- a/internal/life/life_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -1,4 +1,4 @@
-package life
+package lifecycle
 
 import (
 	"errors"
@@ -24,7 +24,7 @@
 		case Tell:
 			w = append(w, []string{"READY", "RELOADING", "STOPPING"}[a.What])
 		default:
-			w = append(w, strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", a), "life.")))
+			w = append(w, strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", a), "lifecycle.")))
 		}
 	}
 	return strings.Join(w, " ")
--- a/internal/limits/shared.go
+++ b/internal/limits/shared.go
@@ -6,23 +6,23 @@
 	"sync/atomic"
 	"time"
 
-	"lockflow/internal/parts"
+	"lockflow/internal/bulkhead"
 )
 
-// Shared is one bounded thing of the process that several owners share by a parts.Ledger. It
+// Shared is one bounded thing of the process that several owners share by a bulkhead.Ledger. It
 // is safe for concurrent use.
 type Shared struct {
 	clock func() time.Duration
 
 	mu       sync.Mutex
-	ledger   *parts.Ledger
+	ledger   *bulkhead.Ledger
 	accounts []*Account
 }
 
 // NewShared makes one of which nothing lent is kept for longer than term.
 func NewShared(term time.Duration) *Shared {
 	start := time.Now()
-	return &Shared{ledger: parts.New(0, term), clock: func() time.Duration { return time.Since(start) }}
+	return &Shared{ledger: bulkhead.New(0, term), clock: func() time.Duration { return time.Since(start) }}
 }
 
 // SetTerm sets for how long anything lent is kept at most.
@@ -35,7 +35,7 @@
 // Account is one owner's side of a Shared. It is an Opener.
 type Account struct {
 	shared *Shared
-	owner  parts.Owner
+	owner  bulkhead.Owner
 	evict  func() bool
 	recall func() // nil is nothing; the Shared's lock is held
 	denied atomic.Int64
@@ -94,7 +94,7 @@
 func (s *Shared) Divide(total int64, guaranteed map[*Account]int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owners := make(map[parts.Owner]int64, len(guaranteed))
+	owners := make(map[bulkhead.Owner]int64, len(guaranteed))
 	for a, g := range guaranteed {
 		owners[a.owner] = g
 	}
@@ -181,19 +181,19 @@
 type Pace struct {
 	clock func() time.Duration
 	mu    sync.Mutex
-	pace  *parts.Pace
-	free  []parts.Owner // that have been closed
-	next  parts.Owner
+	pace  *bulkhead.Pace
+	free  []bulkhead.Owner // that have been closed
+	next  bulkhead.Owner
 }
 
 // NewPace makes one of so many seconds of a second in all.
 func NewPace(total float64) *Pace {
 	start := time.Now()
-	return &Pace{pace: parts.NewPace(total), clock: func() time.Duration { return time.Since(start) }}
+	return &Pace{pace: bulkhead.NewPace(total), clock: func() time.Duration { return time.Since(start) }}
 }
 
 // Open makes an owner with no guaranteed part.
-func (p *Pace) Open() parts.Owner {
+func (p *Pace) Open() bulkhead.Owner {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.next
@@ -207,14 +207,14 @@
 }
 
 // Close ends an owner.
-func (p *Pace) Close(o parts.Owner) {
+func (p *Pace) Close(o bulkhead.Owner) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.free = append(p.free, o)
 }
 
 // Set guarantees an owner a part.
-func (p *Pace) Set(o parts.Owner, guaranteed float64) {
+func (p *Pace) Set(o bulkhead.Owner, guaranteed float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pace.Set(o, guaranteed)
@@ -228,21 +228,21 @@
 }
 
 // Spent notes that an owner has used some time.
-func (p *Pace) Spent(o parts.Owner, took time.Duration) {
+func (p *Pace) Spent(o bulkhead.Owner, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pace.Spent(p.clock(), o, took)
 }
 
 // Within tells whether an owner may go on using time.
-func (p *Pace) Within(o parts.Owner) bool {
+func (p *Pace) Within(o bulkhead.Owner) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.pace.Within(p.clock(), o)
 }
 
 // Used is what an owner used of late, in seconds of a second.
-func (p *Pace) Used(o parts.Owner) float64 {
+func (p *Pace) Used(o bulkhead.Owner) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.pace.Used(p.clock(), o)
@@ -253,7 +253,7 @@
 type Requests struct {
 	Held, Bytes *Account
 	Pace        *Pace
-	Owner       parts.Owner // in Pace
+	Owner       bulkhead.Owner // in Pace
 }
 
 // Admit books a request of so many bytes; see service.RequestLimiter.
--- a/internal/manage/client.go
+++ b/internal/manage/client.go
@@ -10,7 +10,7 @@
 	"net"
 	"net/http"
 
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
 )
 
 // answerMost bounds what a daemon may answer.
@@ -70,13 +70,13 @@
 
 // Kinds of Refused, for errors.Is.
 var (
-	ErrStale  error = Refused{Code: orders.Stale}  // a newer epoch, or this one by another owner, is granted
-	ErrLost   error = Refused{Code: orders.Lost}   // the member has to be claimed anew, with a higher epoch
-	ErrBusy   error = Refused{Code: orders.Busy}   // to be asked again
-	ErrBad    error = Refused{Code: orders.Bad}    // can't be meant
-	ErrUnkept error = Refused{Code: orders.Unkept} // the member can't write down what it would do; nothing was done
+	ErrStale  error = Refused{Code: desiredstate.Stale}  // a newer epoch, or this one by another owner, is granted
+	ErrLost   error = Refused{Code: desiredstate.Lost}   // the member has to be claimed anew, with a higher epoch
+	ErrBusy   error = Refused{Code: desiredstate.Busy}   // to be asked again
+	ErrBad    error = Refused{Code: desiredstate.Bad}    // can't be meant
+	ErrUnkept error = Refused{Code: desiredstate.Unkept} // the member can't write down what it would do; nothing was done
 	// ErrFailed is an order that was carried out and failed: asked again by its id it says the same.
-	ErrFailed error = Refused{Code: orders.Failed}
+	ErrFailed error = Refused{Code: desiredstate.Failed}
 )
 
 // Claim asks for the daemon's obedience to an epoch's owner.
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -8,13 +8,13 @@
 	"net/http"
 	"time"
 
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
 )
 
 const (
 	bodyMost = 16 << 10
 	// orderMost is room for settings, of which a byte may take two in JSON.
-	orderMost   = 2*orders.TextMost + bodyMost
+	orderMost   = 2*desiredstate.TextMost + bodyMost
 	ordersMost  = 2                // whose bodies are read at once
 	orderWithin = 10 * time.Second // of a body
 )
@@ -87,7 +87,7 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return true
 	}
-	answer(w, http.StatusBadRequest, failure{fmt.Sprintf("%s: %v", what, err), orders.Bad})
+	answer(w, http.StatusBadRequest, failure{fmt.Sprintf("%s: %v", what, err), desiredstate.Bad})
 	return false
 }
 
@@ -99,12 +99,12 @@
 func told(w http.ResponseWriter, err error, d Daemon) {
 	if err != nil {
 		f := failure{Error: err.Error()}
-		var r *orders.Refusal
+		var r *desiredstate.Refusal
 		if errors.As(err, &r) {
 			f.Code = r.Code
 		}
 		status := http.StatusConflict
-		if f.Code == orders.Bad {
+		if f.Code == desiredstate.Bad {
 			status = http.StatusBadRequest
 		}
 		answer(w, status, f)
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -6,8 +6,8 @@
 //	POST /v1/upgrade           {"program": PATH}; answers once a new process serves, or can't
 //	POST /v1/drain             {"keep": true}; answers at once; with keep it is not to serve again until serve
 //	POST /v1/serve             undoes a drain that is kept; answers once it is written
-//	POST /v1/claim             orders.Claim: which coordinator is obeyed
-//	POST /v1/order             orders.Order; answers once it is carried out, or why not
+//	POST /v1/claim             desiredstate.Claim: which coordinator is obeyed
+//	POST /v1/order             desiredstate.Order; answers once it is carried out, or why not
 package manage
 
 import (
@@ -22,10 +22,10 @@
 	"syscall"
 	"time"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/instancestats"
 	"lockflow/internal/node"
-	"lockflow/internal/orders"
-	"lockflow/internal/scatter"
+	"lockflow/internal/scattergather"
 )
 
 const (
@@ -53,9 +53,9 @@
 	Beside      int           `json:"beside"`      // pid of the process that takes this one's place; 0 is none
 	Services    []node.Status `json:"services"`
 	// Gathers are the services that gather; none where there are none.
-	Gathers   []scatter.Status `json:"gathers,omitempty"`
-	Older     []node.Older     `json:"older"`     // services of earlier generations that still hold requests
-	Distrusts []string         `json:"distrusts"` // what it does not rely on, and since when
+	Gathers   []scattergather.Status `json:"gathers,omitempty"`
+	Older     []node.Older           `json:"older"`     // services of earlier generations that still hold requests
+	Distrusts []string               `json:"distrusts"` // what it does not rely on, and since when
 
 	Hash    string `json:"hash"`    // of the configuration's text that is in force, SHA-256 in hex
 	Epoch   uint64 `json:"epoch"`   // the newest that was granted; 0 is none
@@ -63,18 +63,18 @@
 	Forgets bool   `json:"forgets"` // epoch, orders and what is wanted don't outlive a crash: there is no state directory
 	// Lost, where it is not empty, says that the member does not know which epochs it had granted. It obeys
 	// nobody until a claim has this in After.
-	Lost    string          `json:"lost,omitempty"`
-	Order   orders.Done     `json:"order"`           // the last one that has ended
-	Doing   string          `json:"doing,omitempty"` // id of the order under way
-	Wanted  orders.Wanted   `json:"wanted"`
-	Figures figures.Figures `json:"figures"`
+	Lost    string                `json:"lost,omitempty"`
+	Order   desiredstate.Done     `json:"order"`           // the last one that has ended
+	Doing   string                `json:"doing,omitempty"` // id of the order under way
+	Wanted  desiredstate.Wanted   `json:"wanted"`
+	Figures instancestats.Figures `json:"figures"`
 }
 
 // What a coordinator says.
 type (
-	Claim = orders.Claim
-	Order = orders.Order
-	Want  = orders.Want
+	Claim = desiredstate.Claim
+	Order = desiredstate.Order
+	Want  = desiredstate.Want
 )
 
 // Drained is the life of a daemon that is wanted not to serve.
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
 )
 
 // fake is a daemon that does what it is told.
@@ -34,7 +34,7 @@
 func (f fake) Serve(context.Context) error { f.told <- "serve"; return nil }
 func (f fake) Claim(_ context.Context, c Claim) error {
 	if c.Epoch < 7 {
-		return &orders.Refusal{Code: orders.Stale, Text: "epoch 7 is granted"}
+		return &desiredstate.Refusal{Code: desiredstate.Stale, Text: "epoch 7 is granted"}
 	}
 	return nil
 }
@@ -60,7 +60,7 @@
 		t.Error(err)
 	}
 	text := strings.Repeat("# \"<\n", 1<<20)
-	if _, err := c.Order(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: orders.Settings, Text: text}}); err != nil || <-f.told != fmt.Sprint("s/1 settings ", len(text)) {
+	if _, err := c.Order(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: desiredstate.Settings, Text: text}}); err != nil || <-f.told != fmt.Sprint("s/1 settings ", len(text)) {
 		t.Errorf("%v", err)
 	}
 	for want, ask := range map[string]func() (Status, error){"drain true": func() (Status, error) { return c.Rest(ctx) }, "serve": func() (Status, error) { return c.Serve(ctx) }} {
--- a/internal/measure/change.go
+++ b/internal/measure/change.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
+	"lockflow/internal/fake"
 	"lockflow/internal/fleet"
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
 )
 
 // ReloadOptions say how reloads are measured.
@@ -58,7 +58,7 @@
 }
 
 func reloadRun(ctx context.Context, o ReloadOptions, every time.Duration, seed uint64) (ReloadRow, error) {
-	l, err := lab.Start(lab.WithDescriptors(512), lab.DemoServers(seed))
+	l, err := testbench.Start(testbench.WithDescriptors(512), testbench.DemoServers(seed))
 	if err != nil {
 		return ReloadRow{}, err
 	}
@@ -71,11 +71,11 @@
 	begun := time.Now()
 	var mu sync.Mutex
 	early := 0
-	run := standin.Clients{Addr: l.Node.Addr(), Seed: seed, Workers: o.Clients, Call: func(rng *rand.Rand) standin.Call {
-		c := lab.RosterCall(rng)
+	run := fake.Clients{Addr: l.Node.Addr(), Seed: seed, Workers: o.Clients, Call: func(rng *rand.Rand) fake.Call {
+		c := testbench.RosterCall(rng)
 		c.Method, c.Path, c.Body, c.Key = "POST", "/visit-update", "swap", strconv.FormatUint(rng.Uint64(), 16)
 		return c
-	}, Seen: func(a standin.Answer) {
+	}, Seen: func(a fake.Answer) {
 		if a.Status == 200 && a.Sent.Add(a.Took).Sub(begun) < o.Lasts/4 {
 			mu.Lock()
 			early++
@@ -89,7 +89,7 @@
 		for more := true; more; {
 			select {
 			case <-t.C:
-				text := lab.WithDescriptors(512)
+				text := testbench.WithDescriptors(512)
 				if row.Reloads%2 == 0 { // a plan and a limit change
 					text = strings.Replace(text, "[services.rosters]", "[services.rosters]\nattempts = 5", 1)
 				}
@@ -143,7 +143,7 @@
 
 // Upgrades measures upgrades of a real process under load.
 func Upgrades(ctx context.Context, o UpgradeOptions) (*UpgradeReport, error) {
-	pool, err := lab.StartPool(lab.DemoServers(1)["rosters"])
+	pool, err := testbench.StartPool(testbench.DemoServers(1)["rosters"])
 	if err != nil {
 		return nil, err
 	}
@@ -161,13 +161,13 @@
 	load, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mu sync.Mutex
-	var all []standin.Answer
-	clients := standin.Clients{Addr: run.Addr(0), Workers: o.Clients, Call: func(rng *rand.Rand) standin.Call {
-		return standin.Call{
+	var all []fake.Answer
+	clients := fake.Clients{Addr: run.Addr(0), Workers: o.Clients, Call: func(rng *rand.Rand) fake.Call {
+		return fake.Call{
 			Kind: "x", Host: "care.example", Method: "POST", Path: "/visit-update", Plan: "standard", Body: "swap",
 			Key: strconv.FormatUint(rng.Uint64(), 16), Customer: rng.Uint64N(500), Deadline: 3 * time.Second,
 		}
-	}, Seen: func(a standin.Answer) {
+	}, Seen: func(a fake.Answer) {
 		mu.Lock()
 		defer mu.Unlock()
 		all = append(all, a)
@@ -198,11 +198,11 @@
 	}
 	time.Sleep(o.Every)
 	cancel()
-	for _, r := range []map[string]*standin.Result{kept.Wait(), fresh.Wait()} {
+	for _, r := range []map[string]*fake.Result{kept.Wait(), fresh.Wait()} {
 		x := r["x"]
 		rep.Calls, rep.Refused, rep.Lost = rep.Calls+x.Calls, rep.Refused+x.Refused, rep.Lost+x.Lost+x.Wrong+x.Failed
 	}
-	var around, quiet standin.Times
+	var around, quiet fake.Times
 	for _, a := range all {
 		if a.NoConn {
 			rep.NoConn++
@@ -218,6 +218,6 @@
 	return rep, nil
 }
 
-func times(t *standin.Times) Times {
+func times(t *fake.Times) Times {
 	return Times{N: t.N(), P50: ms(t.P(0.5)), P99: ms(t.P(0.99)), Max: ms(t.P(1))}
 }
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -14,8 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"lockflow/internal/fake"
 	"lockflow/internal/fleet"
-	"lockflow/internal/standin"
 )
 
 //go:embed fleet.toml
@@ -55,47 +55,47 @@
 
 // FleetReport is what came of it.
 type FleetReport struct {
-	Instances int                        `json:"instances"`
-	Told      int                        `json:"told"`
-	Seconds   float64                    `json:"seconds"`
-	Results   map[string]*standin.Result `json:"results"`
-	P50, P99  map[string]float64         `json:"-"`
-	Servers   standin.Counts             `json:"servers"`
-	Late      int                        `json:"late"`        // requests to a server that drains, 2 s after it was told
-	Cold      int                        `json:"cold"`        // servers that started cold
-	Fallen    int                        `json:"fallen"`      // of them, pushed past their limit
-	Worst     float64                    `json:"worst"`       // most that one was sent, over its limit
-	Over      float64                    `json:"over"`        // units beyond the ceiling of any customer
-	Slack     float64                    `json:"slack"`       // that the ceiling allows
-	Enterp    float64                    `json:"enterprise"`  // units of customers with a ceiling
-	Reloads   int                        `json:"reloads"`     //
-	Upgrades  int                        `json:"upgrades"`    //
-	Ends      int                        `json:"ends"`        // by SIGTERM, with a start after each
-	Kills     int                        `json:"kills"`       // by SIGKILL
-	Failed    []string                   `json:"failed"`      // disturbances that did not end as they should
-	IdleMem   int                        `json:"idle_kb"`     // resident, mean
-	IdleFDs   int                        `json:"idle_fds"`    // mean
-	IdleCPU   float64                    `json:"idle_cpu_ms"` // a second, mean
-	Doubting  int                        `json:"doubting"`    // instances that doubt the group's size at the end
-	Wrong     []string                   `json:"wrong"`       // rules that did not hold
+	Instances int                     `json:"instances"`
+	Told      int                     `json:"told"`
+	Seconds   float64                 `json:"seconds"`
+	Results   map[string]*fake.Result `json:"results"`
+	P50, P99  map[string]float64      `json:"-"`
+	Servers   fake.Counts             `json:"servers"`
+	Late      int                     `json:"late"`        // requests to a server that drains, 2 s after it was told
+	Cold      int                     `json:"cold"`        // servers that started cold
+	Fallen    int                     `json:"fallen"`      // of them, pushed past their limit
+	Worst     float64                 `json:"worst"`       // most that one was sent, over its limit
+	Over      float64                 `json:"over"`        // units beyond the ceiling of any customer
+	Slack     float64                 `json:"slack"`       // that the ceiling allows
+	Enterp    float64                 `json:"enterprise"`  // units of customers with a ceiling
+	Reloads   int                     `json:"reloads"`     //
+	Upgrades  int                     `json:"upgrades"`    //
+	Ends      int                     `json:"ends"`        // by SIGTERM, with a start after each
+	Kills     int                     `json:"kills"`       // by SIGKILL
+	Failed    []string                `json:"failed"`      // disturbances that did not end as they should
+	IdleMem   int                     `json:"idle_kb"`     // resident, mean
+	IdleFDs   int                     `json:"idle_fds"`    // mean
+	IdleCPU   float64                 `json:"idle_cpu_ms"` // a second, mean
+	Doubting  int                     `json:"doubting"`    // instances that doubt the group's size at the end
+	Wrong     []string                `json:"wrong"`       // rules that did not hold
 }
 
 // fleetRig is a fleet that is being tried.
 type fleetRig struct {
 	o     FleetOptions
 	run   *fleet.Run
-	disco *standin.Discovery
-	tally *standin.Tally
-	limit *standin.Ceiling
-	group *standin.Group // all servers drop repeats of a key together, as a client may ask another instance again
+	disco *fake.Discovery
+	tally *fake.Tally
+	limit *fake.Ceiling
+	group *fake.Group // all servers drop repeats of a key together, as a client may ask another instance again
 	rep   *FleetReport
 
 	mu      sync.Mutex
 	away    map[int]bool           // instances that clients leave alone
 	killed  map[string][]time.Time // when, by address
-	servers []*standin.Running
-	cold    []*standin.Running
-	gone    []*standin.Running
+	servers []*fake.Running
+	cold    []*fake.Running
+	gone    []*fake.Running
 	made    int
 	busy    map[int]bool // instances that are being disturbed
 	say     sync.Mutex
@@ -105,15 +105,15 @@
 // it to the rules.
 func Fleet(ctx context.Context, o FleetOptions) (*FleetReport, error) {
 	r := &fleetRig{
-		o: o, tally: &standin.Tally{}, group: &standin.Group{Window: 15 * time.Second}, away: make(map[int]bool), killed: make(map[string][]time.Time), busy: make(map[int]bool),
-		limit: &standin.Ceiling{Rate: ceilingRate, Burst: ceilingBurst, From: enterpriseFrom},
+		o: o, tally: &fake.Tally{}, group: &fake.Group{Window: 15 * time.Second}, away: make(map[int]bool), killed: make(map[string][]time.Time), busy: make(map[int]bool),
+		limit: &fake.Ceiling{Rate: ceilingRate, Burst: ceilingBurst, From: enterpriseFrom},
 	}
 	r.rep = &FleetReport{Instances: o.Instances, Told: o.Told, Slack: ceilingSlack, P50: map[string]float64{}, P99: map[string]float64{}}
 	if o.Told == 0 {
 		r.rep.Told = o.Instances
 	}
 	var err error
-	if r.disco, err = standin.StartDiscovery(); err != nil {
+	if r.disco, err = fake.StartDiscovery(); err != nil {
 		return nil, err
 	}
 	defer r.disco.Close()
@@ -207,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.o.Lasts)
 	defer cancel()
 	begun := time.Now()
-	run := standin.Clients{
+	run := fake.Clients{
 		Seed: r.o.Seed, Every: time.Second / time.Duration(r.o.Rate), Workers: min(r.o.Rate, 600), Retries: 3, Pause: 100 * time.Millisecond, Within: retryWithin,
 		Call: fleetCall(r.rep.Told), Pick: r.pick, Excused: r.excused,
 	}.Start(ctx)
@@ -240,9 +240,9 @@
 }
 
 // fleetCall makes calls of many customers, each of which comes through a few instances.
-func fleetCall(told int) func(*rand.Rand) standin.Call {
-	return func(rng *rand.Rand) standin.Call {
-		c := standin.Call{
+func fleetCall(told int) func(*rand.Rand) fake.Call {
+	return func(rng *rand.Rand) fake.Call {
+		c := fake.Call{
 			Host: "care.example", Method: "GET", Path: "/roster-read/week", Kind: "roster-read", Plan: "standard",
 			Customer: rng.Uint64N(500), Deadline: 3 * time.Second, Spread: min(spread, told),
 		}
@@ -263,7 +263,7 @@
 
 // pick is an instance of the customer's set that is not known to be on its way out, another one
 // than the last where there is one.
-func (r *fleetRig) pick(rng *rand.Rand, c standin.Call, last string) string {
+func (r *fleetRig) pick(rng *rand.Rand, c fake.Call, last string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	addr := ""
@@ -300,7 +300,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.made++
-	s, err := standin.Server{
+	s, err := fake.Server{
 		UID: fmt.Sprint("visits-", r.made), Group: r.group, Tally: r.tally, Ceiling: r.limit,
 		Work: r.o.Work, Cores: fleetCores, Queue: 64, Cold: cold, ColdFrom: 0.15, Fall: 2 * time.Second, Multiple: 2.5,
 	}.Start()
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
 )
 
 // IsolationOptions are what a measurement of a stalled pool is made with.
@@ -75,7 +75,7 @@
 }
 
 func stalledRun(ctx context.Context, o IsolationOptions, stall bool, seed uint64) (s Served, parts []string, err error) {
-	l, err := lab.Start(lab.Patient(o.Descriptors), lab.DemoServers(seed))
+	l, err := testbench.Start(testbench.Patient(o.Descriptors), testbench.DemoServers(seed))
 	if err != nil {
 		return s, nil, err
 	}
@@ -86,16 +86,16 @@
 	l.Pools["documents"].Stall(stall)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	documents := standin.Clients{Addr: l.Node.Addr(), Seed: seed, Workers: o.Crowd, Call: func(rng *rand.Rand) standin.Call {
+	documents := fake.Clients{Addr: l.Node.Addr(), Seed: seed, Workers: o.Crowd, Call: func(rng *rand.Rand) fake.Call {
 		time.Sleep(time.Duration(300+rng.IntN(400)) * time.Millisecond) // of a person, or after a refusal
-		c := lab.DocumentCall(rng)
+		c := testbench.DocumentCall(rng)
 		c.Deadline = 20 * time.Second
 		return c
 	}}.Start(ctx)
 	time.Sleep(2 * time.Second) // for the crowd to gather
 	short, stop := context.WithTimeout(ctx, o.Lasts)
 	defer stop()
-	rosters := standin.Clients{Addr: l.Node.Addr(), Seed: seed + 50, Call: lab.RosterCall, Every: 5 * time.Millisecond, Workers: 32}.Start(short)
+	rosters := fake.Clients{Addr: l.Node.Addr(), Seed: seed + 50, Call: testbench.RosterCall, Every: 5 * time.Millisecond, Workers: 32}.Start(short)
 	r := rosters.Wait()["rosters"]
 	for _, st := range l.Node.Status() {
 		parts = append(parts, fmt.Sprintf("%s: held %d of %d guaranteed, %d in all; connections to servers %d of %d; %.1f MiB; module %.4f s/s; %d turned away",
--- a/internal/measure/proxy.go
+++ b/internal/measure/proxy.go
@@ -20,8 +20,8 @@
 	"sync/atomic"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
 
 	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/gonum/stat"
@@ -89,11 +89,11 @@
 
 // Proxy compares a node with a reverse proxy.
 func Proxy(ctx context.Context, o ProxyOptions) ([]ProxyRow, error) {
-	var servers []standin.Server
+	var servers []fake.Server
 	for i := range 4 {
-		servers = append(servers, standin.Server{UID: fmt.Sprint("s", i), Work: 0, Seed: uint64(i)})
+		servers = append(servers, fake.Server{UID: fmt.Sprint("s", i), Work: 0, Seed: uint64(i)})
 	}
-	pool, err := lab.StartPool(servers)
+	pool, err := testbench.StartPool(servers)
 	if err != nil {
 		return nil, err
 	}
@@ -171,8 +171,8 @@
 	}
 	defer cmd.Wait()
 	defer cmd.Process.Kill()
-	call := func(rng *rand.Rand) standin.Call {
-		c := standin.Call{
+	call := func(rng *rand.Rand) fake.Call {
+		c := fake.Call{
 			Kind: "x", Host: "h", Method: "GET", Path: "/roster-read/week", Customer: rng.Uint64N(1000), Plan: "standard",
 			Deadline: 7 * time.Second,
 		}
@@ -181,9 +181,9 @@
 		}
 		return c
 	}
-	clients := standin.Clients{Addr: addr, Seed: seed, Workers: connections, Call: call}
+	clients := fake.Clients{Addr: addr, Seed: seed, Workers: connections, Call: call}
 	if o.slow > 0 {
-		slow := standin.Clients{Addr: addr, Seed: seed + 7, Workers: o.slow, Call: func(rng *rand.Rand) standin.Call {
+		slow := fake.Clients{Addr: addr, Seed: seed + 7, Workers: o.slow, Call: func(rng *rand.Rand) fake.Call {
 			c := call(rng)
 			c.Kind, c.Units = "slow", slowUnits
 			return c
@@ -192,7 +192,7 @@
 		defer slow.Start(ended).Wait()
 		defer stop()
 	}
-	play := func(lasts time.Duration) *standin.Result {
+	play := func(lasts time.Duration) *fake.Result {
 		ctx, cancel := context.WithTimeout(ctx, lasts)
 		defer cancel()
 		return clients.Start(ctx).Wait()["x"]
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -21,9 +21,9 @@
 	"syscall"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/fleet"
-	"lockflow/internal/ledger"
-	"lockflow/internal/orders"
+	"lockflow/internal/rolloutlog"
 )
 
 // What goes on after a coordinator was killed: another goes on or takes back, and the same with that one
@@ -35,7 +35,7 @@
 	Program string
 	Dir     string // for all files; has to be short and empty
 	Members int
-	Kinds   []string // orders.Settings, orders.Program
+	Kinds   []string // desiredstate.Settings, desiredstate.Program
 	Kills   []int    // a coordinator is killed after write n, or before write -n; nil is each write of a change
 	Ways    []string // nil is all; more than one are taken in turn where Kills are given, and all at each write where not
 	Clients int      // of each member
@@ -252,14 +252,14 @@
 	r.changes++
 	args := []string{"reload", "--config"}
 	text := r.text + fmt.Sprintf("# change %d\n", r.changes)
-	next := orders.Hash([]byte(text))
-	if kind == orders.Program {
+	next := desiredstate.Hash([]byte(text))
+	if kind == desiredstate.Program {
 		args = []string{"upgrade", "--program", r.program[1-r.at]}
 		raw, err := os.ReadFile(r.program[1-r.at])
 		if err != nil {
 			return false, err
 		}
-		next = orders.Hash(raw)
+		next = desiredstate.Hash(raw)
 	} else {
 		args = append(args, filepath.Join(r.o.Dir, "next.toml"))
 		if err := os.WriteFile(args[2], []byte(text), 0o600); err != nil {
@@ -280,7 +280,7 @@
 	if err != nil {
 		return false, err
 	}
-	records, _, err := ledger.Read(r.journal())
+	records, _, err := rolloutlog.Read(r.journal())
 	if err != nil {
 		return false, err
 	}
@@ -308,7 +308,7 @@
 	case now[next] == r.o.Members:
 		row.State = "new"
 		r.at = 1 - r.at
-		if kind != orders.Program {
+		if kind != desiredstate.Program {
 			r.at = 1 - r.at
 		}
 	case now[old[0]] == r.o.Members:
@@ -353,12 +353,12 @@
 			return nil, err
 		}
 		hash := s.Hash
-		if kind == orders.Program {
+		if kind == desiredstate.Program {
 			raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/exe", s.PID))
 			if err != nil {
 				return nil, err
 			}
-			hash = orders.Hash(raw)
+			hash = desiredstate.Hash(raw)
 		}
 		all[hash]++
 	}
--- a/internal/measure/servers.go
+++ b/internal/measure/servers.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
 )
 
 // ServersOptions are what a comparison of HTTP/1.1 and HTTP/2 to servers is made with.
@@ -78,11 +78,11 @@
 
 // serversRun has a node of its own ask servers of its own, so that connections are those of one run.
 func serversRun(ctx context.Context, o ServersOptions, n int, seed uint64, speaks string) (s ServersSide, err error) {
-	var servers []standin.Server
+	var servers []fake.Server
 	for i := range 4 {
-		servers = append(servers, standin.Server{UID: fmt.Sprint("s", i), Work: o.Work, Seed: uint64(i), HTTP2: true})
+		servers = append(servers, fake.Server{UID: fmt.Sprint("s", i), Work: o.Work, Seed: uint64(i), HTTP2: true})
 	}
-	pool, err := lab.StartPool(servers)
+	pool, err := testbench.StartPool(servers)
 	if err != nil {
 		return s, err
 	}
--- a/internal/measure/tap.go
+++ b/internal/measure/tap.go
@@ -10,9 +10,9 @@
 	"net/http"
 	"sync"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/faultnet/history"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
 )
 
 // taps stand between coordinators and the control sockets of members, and note what each has asked and been
@@ -100,7 +100,7 @@
 			case status == http.StatusOK:
 				done(history.Granted)
 				t.granted(c, member)
-			case code(answer) == orders.Stale:
+			case code(answer) == desiredstate.Stale:
 				done(history.Refused)
 			default:
 				done(history.Nothing)
@@ -112,15 +112,15 @@
 		done := t.history.Call(t.number(o.Owner), history.Order{Member: member, Epoch: o.Epoch, Owner: o.Owner, ID: o.ID})
 		return func(status int, answer []byte) {
 			switch c := code(answer); {
-			case status == http.StatusOK || c == orders.Failed:
+			case status == http.StatusOK || c == desiredstate.Failed:
 				done(history.Carried)
 				t.mu.Lock()
 				defer t.mu.Unlock()
 				t.carried++
-				if o.Want.Kind == orders.Restart {
+				if o.Want.Kind == desiredstate.Restart {
 					t.restarts++
 				}
-			case c == orders.Stale:
+			case c == desiredstate.Stale:
 				done(history.Stale)
 			default:
 				done(history.Nothing)
--- a/internal/metrics/gather.go
+++ b/internal/metrics/gather.go
@@ -1,9 +1,9 @@
 package metrics
 
-import "lockflow/internal/scatter"
+import "lockflow/internal/scattergather"
 
 // Gathering is a Source with services that gather; *node.Node is one.
-type Gathering interface{ Gathers() []scatter.Status }
+type Gathering interface{ Gathers() []scattergather.Status }
 
 var (
 	gathered  = family{"gather_queries_total", "counter", "Queries of a gathering service by how they ended.", []string{"service", "outcome"}}
@@ -23,7 +23,7 @@
 // gather tells of services that gather.
 func (p *page) gather(of Gathering) {
 	for _, s := range of.Gathers() {
-		for _, name := range scatter.Outcomes {
+		for _, name := range scattergather.Outcomes {
 			p.add(&gathered, float64(s.Queries[name]), s.Name, name)
 		}
 		p.add(&gathers, float64(s.Open), s.Name)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -13,10 +13,10 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/lab/labtest"
+	"lockflow/internal/fake"
 	"lockflow/internal/redistest"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
+	"lockflow/internal/testbench/labtest"
 	"lockflow/internal/testkit"
 )
 
@@ -54,12 +54,12 @@
 // What is told is what clients and servers have counted, over a reload too; without the setting
 // nothing is counted.
 func TestMetricsAgreeWithTallies(t *testing.T) {
-	text := strings.Replace(lab.WithDescriptors(256), "[process]", "[metrics]\naddress = \"127.0.0.1:0\"\n[process]", 1)
-	l := labtest.Begin(t, text, lab.DemoServers(1))
+	text := strings.Replace(testbench.WithDescriptors(256), "[process]", "[metrics]\naddress = \"127.0.0.1:0\"\n[process]", 1)
+	l := labtest.Begin(t, text, testbench.DemoServers(1))
 	h := Handler(l.Node)
 	ctx, stop := context.WithTimeout(context.Background(), 600*time.Millisecond)
 	defer stop()
-	run := standin.Clients{Addr: l.Node.Addr(), Seed: 1, Workers: 6, Call: lab.RosterCall}.Start(ctx)
+	run := fake.Clients{Addr: l.Node.Addr(), Seed: 1, Workers: 6, Call: testbench.RosterCall}.Start(ctx)
 	if err := l.Reload(strings.Replace(text, "[services.rosters]", "[services.rosters]\nattempts = 5", 1)); err != nil {
 		t.Fatal(err)
 	}
@@ -83,14 +83,14 @@
 	if r.Served == 0 || sum(all["lockflow_attempts_bound"], "service=rosters") <= 0 || sum(all["lockflow_part_guaranteed"], "service=rosters", "limit=held") != 60 {
 		t.Errorf("%d served, %v", r.Served, all["lockflow_attempts_bound"])
 	}
-	if off := labtest.Begin(t, lab.WithDescriptors(256), lab.DemoServers(1)); len(off.Node.Counts()) > 0 {
+	if off := labtest.Begin(t, testbench.WithDescriptors(256), testbench.DemoServers(1)); len(off.Node.Counts()) > 0 {
 		t.Error("counted without being asked")
 	}
 }
 
 // Where servers are spoken to by HTTP/2, its connections and streams are told, and only there.
 func TestSharedConnections(t *testing.T) {
-	app, err := standin.HTTP2Server{UID: "s0", Streams: 7}.Start()
+	app, err := fake.HTTP2Server{UID: "s0", Streams: 7}.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,8 +100,8 @@
 	l := labtest.Begin(t, text, nil)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	run := standin.Clients{Addr: l.Node.Addr(), Seed: 1, Workers: 2, Call: func(*rand.Rand) standin.Call {
-		return standin.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "p", Deadline: 3 * time.Second}
+	run := fake.Clients{Addr: l.Node.Addr(), Seed: 1, Workers: 2, Call: func(*rand.Rand) fake.Call {
+		return fake.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "p", Deadline: 3 * time.Second}
 	}}.Start(ctx)
 	testkit.Until(t, "answers", func() bool { return run.SoFar()["r"].Served > 10 })
 	stop()
@@ -151,7 +151,7 @@
 }
 
 func TestServeEnds(t *testing.T) {
-	l := labtest.Begin(t, lab.WithDescriptors(256), lab.DemoServers(1))
+	l := labtest.Begin(t, testbench.WithDescriptors(256), testbench.DemoServers(1))
 	srv := httptest.NewServer(nil) // only for its listener
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/node/bounds_test.go
+++ b/internal/node/bounds_test.go
@@ -10,28 +10,28 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/lab/labtest"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
+	"lockflow/internal/testbench/labtest"
 	"lockflow/internal/testkit"
 )
 
 // crowd has clients ask for a path without a pause until stop, which gives what came of it.
-func crowd(l *lab.Lab, path string, workers int) (stop func() *standin.Result) {
+func crowd(l *testbench.Lab, path string, workers int) (stop func() *fake.Result) {
 	ctx, cancel := context.WithCancel(context.Background())
-	run := standin.Clients{Addr: l.Node.Addr(), Seed: 77, Workers: workers, Pause: 5 * time.Millisecond, Call: func(rng *rand.Rand) standin.Call {
+	run := fake.Clients{Addr: l.Node.Addr(), Seed: 77, Workers: workers, Pause: 5 * time.Millisecond, Call: func(rng *rand.Rand) fake.Call {
 		time.Sleep(5 * time.Millisecond)
-		return standin.Call{Kind: "x", Host: "h", Method: "GET", Path: path, Plan: "standard", Customer: rng.Uint64N(100), Deadline: 5 * time.Second}
+		return fake.Call{Kind: "x", Host: "h", Method: "GET", Path: path, Plan: "standard", Customer: rng.Uint64N(100), Deadline: 5 * time.Second}
 	}}.Start(ctx)
-	return func() *standin.Result {
+	return func() *fake.Result {
 		cancel()
 		return run.Wait()["x"]
 	}
 }
 
 // served sends some requests to the other service one after another; all have to be served.
-func served(t *testing.T, l *lab.Lab) {
+func served(t *testing.T, l *testbench.Lab) {
 	t.Helper()
 	c, in := dial(t, l)
 	for i := range 20 {
--- a/internal/node/gather.go
+++ b/internal/node/gather.go
@@ -11,13 +11,13 @@
 
 	"lockflow/internal/config"
 	"lockflow/internal/front"
-	"lockflow/internal/gather"
-	"lockflow/internal/scatter"
+	"lockflow/internal/scattergather"
+	"lockflow/internal/waitpolicy"
 )
 
 // gathering is a service in force that gathers, and what it was made from.
 type gathering struct {
-	*scatter.Gatherer
+	*scattergather.Gatherer
 	cfg     config.Gather
 	sharing *sharing // nil shares nothing
 }
@@ -37,11 +37,11 @@
 			next[c.Name] = was
 			continue
 		}
-		g := &gathering{cfg: c, Gatherer: &scatter.Gatherer{Name: c.Name, Settings: settingsOf(c), RetryAfter: c.RetryAfter, Counts: new(scatter.Counts)}}
+		g := &gathering{cfg: c, Gatherer: &scattergather.Gatherer{Name: c.Name, Settings: settingsOf(c), RetryAfter: c.RetryAfter, Counts: new(scattergather.Counts)}}
 		if err := g.Settings.Check(); err != nil {
 			return nil, fmt.Errorf("service %s: gather: %w", c.Name, err)
 		}
-		g.Model = gather.NewModel(g.Settings, gather.Options{Seed: rand.Uint64()})
+		g.Model = waitpolicy.NewModel(g.Settings, waitpolicy.Options{Seed: rand.Uint64()})
 		if was != nil {
 			g.Counts = was.Counts
 			raw, err := was.Model.Encode()
@@ -71,30 +71,30 @@
 	}
 }
 
-func settingsOf(c config.Gather) *gather.Settings {
-	s := &gather.Settings{Least: c.Least, HalfLife: c.HalfLife, Fixed: c.Fixed}
+func settingsOf(c config.Gather) *waitpolicy.Settings {
+	s := &waitpolicy.Settings{Least: c.Least, HalfLife: c.HalfLife, Fixed: c.Fixed}
 	switch c.Deadline {
 	case config.DeadlineNone:
-		s.Mode = gather.None
+		s.Mode = waitpolicy.None
 	case "":
-		s.Mode = gather.Fixed
+		s.Mode = waitpolicy.Fixed
 	}
 	for _, p := range c.Parts {
-		s.Parts = append(s.Parts, gather.Part{Name: p.Name, Weight: p.Weight})
+		s.Parts = append(s.Parts, waitpolicy.Part{Name: p.Name, Weight: p.Weight})
 	}
 	return s
 }
 
 // tree is what a gathering service reaches; by lists its gatherers by the trees' IDs.
-func tree(name string, gathers map[string]*gathering) (t *scatter.Tree, leaves []scatter.Leaf, by []*scatter.Gatherer) {
-	all := make(map[*scatter.Tree]*scatter.Gatherer)
-	var down func(string) *scatter.Tree
-	down = func(name string) *scatter.Tree {
+func tree(name string, gathers map[string]*gathering) (t *scattergather.Tree, leaves []scattergather.Leaf, by []*scattergather.Gatherer) {
+	all := make(map[*scattergather.Tree]*scattergather.Gatherer)
+	var down func(string) *scattergather.Tree
+	down = func(name string) *scattergather.Tree {
 		g := gathers[name]
-		t := &scatter.Tree{Name: name, Merge: scatter.Merges[g.cfg.Merge], Least: g.cfg.Least}
+		t := &scattergather.Tree{Name: name, Merge: scattergather.Merges[g.cfg.Merge], Least: g.cfg.Least}
 		all[t] = g.Gatherer
 		for _, p := range g.cfg.Parts {
-			part := scatter.Part{Name: p.Name, Weight: p.Weight}
+			part := scattergather.Part{Name: p.Name, Weight: p.Weight}
 			if gathers[p.Name] != nil {
 				part.Inner = down(p.Name)
 			}
@@ -104,7 +104,7 @@
 	}
 	t = down(name)
 	leaves = t.Number()
-	by = make([]*scatter.Gatherer, len(all))
+	by = make([]*scattergather.Gatherer, len(all))
 	for t, g := range all {
 		by[t.ID] = g
 	}
@@ -143,7 +143,7 @@
 }
 
 // Gathers tells what each gathering service is doing, by name; none where there are none.
-func (n *Node) Gathers() []scatter.Status {
+func (n *Node) Gathers() []scattergather.Status {
 	n.mu.Lock()
 	var all []*gathering
 	for _, g := range n.gathers {
@@ -151,7 +151,7 @@
 	}
 	n.mu.Unlock()
 	slices.SortFunc(all, func(a, b *gathering) int { return strings.Compare(a.Name, b.Name) })
-	var out []scatter.Status
+	var out []scattergather.Status
 	for _, g := range all {
 		st := g.Status(config.ClassRead)
 		if g.sharing != nil {
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -8,16 +8,16 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/lab/labtest"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench/labtest"
 	"lockflow/internal/testkit"
 )
 
 // updates are clients that send keyed updates of various lengths, as fast as they are answered.
-func updates(addr string, seed uint64, workers int) standin.Clients {
-	return standin.Clients{Addr: addr, Seed: seed, Workers: workers, Call: func(rng *rand.Rand) standin.Call {
-		return standin.Call{
+func updates(addr string, seed uint64, workers int) fake.Clients {
+	return fake.Clients{Addr: addr, Seed: seed, Workers: workers, Call: func(rng *rand.Rand) fake.Call {
+		return fake.Call{
 			Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
 			Key: fmt.Sprint("k", rng.Uint64()), Body: strings.Repeat("x", rng.IntN(1000)), Deadline: 5 * time.Second,
 		}
@@ -28,22 +28,22 @@
 // limits, one of which speaks HTTP/1.1 only, while the node is reloaded: by both sides' counts each
 // has one final answer and none has two effects.
 func TestUpdatesOverHTTP2(t *testing.T) {
-	tally, group := &standin.Tally{}, &standin.Group{Window: 15 * time.Second}
-	faults := standin.HTTP2Faults{Refuse: 0.02, Reset: 0.01, Error: 0.01, Lower: 0.02, GoAway: 0.01, CutRead: 0.2, CutSent: 0.2}
+	tally, group := &fake.Tally{}, &fake.Group{Window: 15 * time.Second}
+	faults := fake.HTTP2Faults{Refuse: 0.02, Reset: 0.01, Error: 0.01, Lower: 0.02, GoAway: 0.01, CutRead: 0.2, CutSent: 0.2}
 	var text strings.Builder
 	text.WriteString(head + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", streams = 16 }\n[services.a.source]\nkind = \"static\"\n")
 	entry := func(uid, addr string) {
 		fmt.Fprintf(&text, "[[services.a.source.servers]]\nuid = %q\nendpoint = %q\ngroup = 1\n", uid, addr)
 	}
 	for i := range 3 {
-		s, err := standin.HTTP2Server{UID: fmt.Sprint("s", i), Tally: tally, Group: group, Faults: faults, Seed: uint64(i), Streams: 10}.Start()
+		s, err := fake.HTTP2Server{UID: fmt.Sprint("s", i), Tally: tally, Group: group, Faults: faults, Seed: uint64(i), Streams: 10}.Start()
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
 		entry(s.UID, s.Addr())
 	}
-	old, err := standin.Server{UID: "old", Tally: tally, Group: group}.Start()
+	old, err := fake.Server{UID: "old", Tally: tally, Group: group}.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,13 +81,13 @@
 // each server is spoken to as it speaks once the time to try again is over. The load keeps all of
 // them busy: while others idle, one that has failed is left alone for long.
 func TestRollingUpgradeOfServers(t *testing.T) {
-	tally, group := &standin.Tally{}, &standin.Group{Window: 15 * time.Second}
+	tally, group := &fake.Tally{}, &fake.Group{Window: 15 * time.Second}
 	var text strings.Builder
 	text.WriteString(head + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", again = \"100ms\" }\n[services.a.source]\nkind = \"static\"\n")
-	var servers [3]*standin.Running
+	var servers [3]*fake.Running
 	begin := func(i int, addr string, speaks bool) {
 		t.Helper()
-		s, err := standin.Server{
+		s, err := fake.Server{
 			UID: fmt.Sprint("s", i), Tally: tally, Group: group, HTTP2: speaks, Listen: addr, Seed: uint64(i),
 			Work: 4 * time.Millisecond, Cores: 1,
 		}.Start()
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -6,24 +6,24 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/lab/labtest"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
+	"lockflow/internal/testbench/labtest"
 	"lockflow/internal/testkit"
 )
 
 // rosterService plays a steady stream of roster calls beside many patient document clients, and
 // tells what became of the rosters.
-func rosterService(t *testing.T, descriptors int, stall bool) *standin.Result {
-	l := labtest.Begin(t, lab.Patient(descriptors), lab.DemoServers(7))
+func rosterService(t *testing.T, descriptors int, stall bool) *fake.Result {
+	l := labtest.Begin(t, testbench.Patient(descriptors), testbench.DemoServers(7))
 	l.Pools["documents"].Stall(stall)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	documents := standin.Clients{
+	documents := fake.Clients{
 		Addr: l.Node.Addr(), Seed: 11, Workers: 500,
-		Call: func(rng *rand.Rand) standin.Call {
-			c := lab.DocumentCall(rng)
+		Call: func(rng *rand.Rand) fake.Call {
+			c := testbench.DocumentCall(rng)
 			c.Deadline = 20 * time.Second
 			time.Sleep(200 * time.Millisecond) // of a person, or after a refusal
 			return c
@@ -34,7 +34,7 @@
 	}
 	rostersDone, stop := context.WithTimeout(ctx, 1200*time.Millisecond)
 	defer stop()
-	rosters := standin.Clients{Addr: l.Node.Addr(), Seed: 12, Call: lab.RosterCall, Every: 8 * time.Millisecond, Workers: 24}.Start(rostersDone)
+	rosters := fake.Clients{Addr: l.Node.Addr(), Seed: 12, Call: testbench.RosterCall, Every: 8 * time.Millisecond, Workers: 24}.Start(rostersDone)
 	<-rostersDone.Done()
 	for _, s := range l.Node.Status() {
 		t.Logf("%d descriptors, stalled %v: %s: held %d, parts %+v", descriptors, stall, s.Name, s.Requests, *s.Parts)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"lockflow/internal/config"
-	"lockflow/internal/figures"
 	"lockflow/internal/front"
-	"lockflow/internal/lender"
+	"lockflow/internal/instancestats"
+	"lockflow/internal/leasestore"
 	"lockflow/internal/limits"
 	"lockflow/internal/service"
 )
@@ -65,10 +65,10 @@
 type running struct {
 	*service.Service
 	cfg        config.Service
-	parts      *account         // nil where nothing is shared
-	speaks     *front.Ordinary  // nil where it speaks the platform's protocol
-	counters   []*lender.Client // that lend its ceilings
-	generation int              // in which it began
+	parts      *account             // nil where nothing is shared
+	speaks     *front.Ordinary      // nil where it speaks the platform's protocol
+	counters   []*leasestore.Client // that lend its ceilings
+	generation int                  // in which it began
 	before     <-chan struct{}
 	stop       func()        // ends it with all that it holds; nil before it runs
 	over       chan struct{} // closed when it has ended, and those whose place it took
@@ -159,7 +159,7 @@
 }
 
 // Figures are what the services have counted since the process began; nothing without a control socket.
-func (n *Node) Figures() figures.Figures { return n.meter.Statistics() }
+func (n *Node) Figures() instancestats.Figures { return n.meter.Statistics() }
 
 // Status tells what each service is doing, by name.
 func (n *Node) Status() []Status {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -13,12 +13,12 @@
 	"lockflow/internal/certs"
 	"lockflow/internal/config"
 	"lockflow/internal/customer"
+	"lockflow/internal/eventlog"
 	"lockflow/internal/front"
-	"lockflow/internal/lender"
+	"lockflow/internal/leasestore"
 	"lockflow/internal/record"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
-	"lockflow/internal/tally"
 	"lockflow/internal/upstream"
 )
 
@@ -202,7 +202,7 @@
 		}
 	}
 	if n.cfg.Process.Tally {
-		o.EventLog = tally.NewWriter(os.Stderr)
+		o.EventLog = eventlog.NewWriter(os.Stderr)
 	}
 	if c.Record.Dir != "" {
 		o.NewModule = func() (service.Module, error) { return recorded(c, o.Seed) }
@@ -210,7 +210,7 @@
 	if share {
 		o.SharedUpstream = was.Upstream()
 	}
-	var counters []*lender.Client
+	var counters []*leasestore.Client
 	if len(c.Counter.Addresses) > 0 {
 		if o.SharedHardLimits, counters, err = shared(c.Counter); err != nil {
 			a.close()
@@ -242,7 +242,7 @@
 }
 
 // shared makes what a service needs to have its ceilings lent.
-func shared(c config.Counter) (*service.SharedHardLimits, []*lender.Client, error) {
+func shared(c config.Counter) (*service.SharedHardLimits, []*leasestore.Client, error) {
 	password := ""
 	if c.PasswordFile != "" {
 		raw, err := os.ReadFile(c.PasswordFile)
@@ -252,9 +252,9 @@
 		password = strings.TrimRight(string(raw), "\r\n")
 	}
 	s := &service.SharedHardLimits{Rules: c.Rules, ByPlan: c.Ceilings, StoreNames: c.Addresses}
-	var all []*lender.Client
+	var all []*leasestore.Client
 	for _, address := range c.Addresses {
-		l := lender.New(lender.Options{Address: address, Username: c.Username, Password: password, Name: c.Name, Within: c.Within, Rules: c.Rules})
+		l := leasestore.New(leasestore.Options{Address: address, Username: c.Username, Password: password, Name: c.Name, Within: c.Within, Rules: c.Rules})
 		s.Stores, all = append(s.Stores, l), append(all, l)
 	}
 	return s, all, nil
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -16,10 +16,10 @@
 	"time"
 
 	"lockflow/internal/config"
-	"lockflow/internal/lab"
-	"lockflow/internal/lab/labtest"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
+	"lockflow/internal/testbench/labtest"
 	"lockflow/internal/testkit"
 )
 
@@ -47,13 +47,13 @@
 `
 
 // pools are two pools of fast servers.
-func pools(work time.Duration) map[string][]standin.Server {
-	all := make(map[string][]standin.Server)
+func pools(work time.Duration) map[string][]fake.Server {
+	all := make(map[string][]fake.Server)
 	for _, name := range []string{"a", "b"} {
 		for i := range 2 {
-			all[name] = append(all[name], standin.Server{
+			all[name] = append(all[name], fake.Server{
 				UID: fmt.Sprint(name, i), Work: work, Place: i,
-				Group: &standin.Group{Window: 15 * time.Second},
+				Group: &fake.Group{Window: 15 * time.Second},
 			})
 		}
 	}
@@ -62,7 +62,7 @@
 
 // variant is a configuration drawn by chance: which service a path leads to, where its servers
 // are told, its parts, its settings, and whether a third one is there.
-func variant(rng *rand.Rand, l *lab.Lab, file string) string {
+func variant(rng *rand.Rand, l *testbench.Lab, file string) string {
 	var b strings.Builder
 	b.WriteString(head)
 	for _, name := range []string{"a", "b"} {
@@ -118,7 +118,7 @@
 			l := labtest.Begin(t, plain, pools(5*time.Millisecond))
 			file := filepath.Join(t.TempDir(), "servers-")
 			for name, p := range l.Pools {
-				var list []standin.Entry
+				var list []fake.Entry
 				for _, s := range p.Servers {
 					list = append(list, s.Entry())
 				}
@@ -129,10 +129,10 @@
 			}
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
-			var runs []*standin.Run
+			var runs []*fake.Run
 			for i, path := range []string{"/one/x", "/two", "/one/third/y"} {
-				runs = append(runs, standin.Clients{Addr: l.Node.Addr(), Seed: seed*10 + uint64(i), Workers: 8, Call: func(rng *rand.Rand) standin.Call {
-					c := standin.Call{
+				runs = append(runs, fake.Clients{Addr: l.Node.Addr(), Seed: seed*10 + uint64(i), Workers: 8, Call: func(rng *rand.Rand) fake.Call {
+					c := fake.Call{
 						Kind: path, Host: "care.example", Method: "GET", Path: path, Plan: "standard",
 						Customer: rng.Uint64N(100), Deadline: 5 * time.Second,
 					}
@@ -208,7 +208,7 @@
 	return resp.StatusCode, string(body)
 }
 
-func dial(t *testing.T, l *lab.Lab) (net.Conn, *bufio.Reader) {
+func dial(t *testing.T, l *testbench.Lab) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", l.Node.Addr())
 	if err != nil {
@@ -330,7 +330,7 @@
 		t.Run(policy, func(t *testing.T) {
 			text := strings.ReplaceAll(plain, "[services.", "[services.\x00")
 			text = strings.Replace(text, "[services.\x00a]\n", "[services.a]\non_panic = \""+policy+"\"\n", 1)
-			l, err := lab.Start(strings.ReplaceAll(text, "\x00", ""), pools(0))
+			l, err := testbench.Start(strings.ReplaceAll(text, "\x00", ""), pools(0))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -375,7 +375,7 @@
 	write(c, "x", "/one", "id-1", "", 0)
 	answer(t, in)
 	before := l.Pools["a"].Tally.Counts().Attempts
-	second, err := standin.StartDiscovery()
+	second, err := fake.StartDiscovery()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -559,7 +559,7 @@
 
 // A reload that comes before the node serves is not lost.
 func TestReloadBeforeRun(t *testing.T) {
-	pool, err := lab.StartPool(pools(0)["a"])
+	pool, err := testbench.StartPool(pools(0)["a"])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/shared_test.go
+++ b/internal/node/shared_test.go
@@ -8,21 +8,21 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/allowance"
-	"lockflow/internal/lab"
-	"lockflow/internal/lab/labtest"
+	"lockflow/internal/fake"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/redistest"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
+	"lockflow/internal/testbench/labtest"
 	"lockflow/internal/testkit"
 )
 
 // sharedFleet is nodes that share an enterprise customer's ceiling by counters.
 type sharedFleet struct {
-	nodes    []*lab.Lab
+	nodes    []*testbench.Lab
 	counter  *redistest.Server // the first of counters
-	ceiling  *standin.Ceiling
+	ceiling  *fake.Ceiling
 	texts    []string
-	allowed  allowance.Ceiling
+	allowed  quotalease.Ceiling
 	sent     func() float64
 	counters []*redistest.Server
 }
@@ -31,11 +31,11 @@
 func beginShared(t *testing.T, nodes int, counters ...int) *sharedFleet {
 	t.Helper()
 	const rate, burst = 100, 50
-	rules := allowance.Rules{Instances: nodes, Term: 200 * time.Millisecond, Pledge: 400 * time.Millisecond, Settle: 500 * time.Millisecond, Drift: 0.001}
-	f := &sharedFleet{allowed: rules.Bound(allowance.Ceiling{Rate: rate, Burst: burst})}
-	f.ceiling = &standin.Ceiling{Rate: f.allowed.Rate, Burst: f.allowed.Burst}
+	rules := quotalease.Rules{Instances: nodes, Term: 200 * time.Millisecond, Pledge: 400 * time.Millisecond, Settle: 500 * time.Millisecond, Drift: 0.001}
+	f := &sharedFleet{allowed: rules.Bound(quotalease.Ceiling{Rate: rate, Burst: burst})}
+	f.ceiling = &fake.Ceiling{Rate: f.allowed.Rate, Burst: f.allowed.Burst}
 	f.sent = func() float64 { _, units := f.ceiling.Over(); return units }
-	app, err := standin.Server{UID: "s", Ceiling: f.ceiling}.Start()
+	app, err := fake.Server{UID: "s", Ceiling: f.ceiling}.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,17 +78,17 @@
 }
 
 // load has one customer ask for far more than its ceiling through all nodes, until the test ends.
-func (f *sharedFleet) load(t *testing.T) *standin.Run {
+func (f *sharedFleet) load(t *testing.T) *fake.Run {
 	addrs := make([]string, len(f.nodes))
 	for i, n := range f.nodes {
 		addrs[i] = n.Node.Addr()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	run := standin.Clients{
+	run := fake.Clients{
 		Seed: 1, Workers: 3 * len(addrs), Every: time.Second / 300,
-		Pick: func(rng *rand.Rand, _ standin.Call, _ string) string { return addrs[rng.IntN(len(addrs))] },
-		Call: func(rng *rand.Rand) standin.Call {
-			return standin.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "enterprise", Customer: 7, Units: 1 + rng.IntN(4), Deadline: 3 * time.Second}
+		Pick: func(rng *rand.Rand, _ fake.Call, _ string) string { return addrs[rng.IntN(len(addrs))] },
+		Call: func(rng *rand.Rand) fake.Call {
+			return fake.Call{Kind: "r", Host: "h", Method: "GET", Path: "/r", Plan: "enterprise", Customer: 7, Units: 1 + rng.IntN(4), Deadline: 3 * time.Second}
 		},
 	}.Start(ctx)
 	t.Cleanup(func() {
@@ -112,7 +112,7 @@
 }
 
 // all waits until each node tells that of shared ceilings.
-func (f *sharedFleet) all(t *testing.T, what string, is func(allowance.Status) bool) {
+func (f *sharedFleet) all(t *testing.T, what string, is func(quotalease.Status) bool) {
 	t.Helper()
 	testkit.Until(t, what, func() bool {
 		for _, n := range f.nodes {
@@ -126,8 +126,8 @@
 	})
 }
 
-func lends(s allowance.Status) bool  { return s.Lends && s.Pledged > 0 }
-func itsOwn(s allowance.Status) bool { return s.Own }
+func lends(s quotalease.Status) bool  { return s.Lends && s.Pledged > 0 }
+func itsOwn(s quotalease.Status) bool { return s.Own }
 
 // Whole nodes over a counter that is lost, late, refuses, goes dark, is replaced by an empty one and
 // restored: by the servers' own count the customer keeps to its ceiling throughout, and goes on
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -8,8 +8,8 @@
 	"strings"
 
 	"lockflow/internal/config"
-	"lockflow/internal/gather"
-	"lockflow/internal/gather/share"
+	"lockflow/internal/waitpolicy"
+	"lockflow/internal/waitpolicy/share"
 )
 
 // sharing is what a gathering service learns on its way to other instances. It goes on over reloads
@@ -19,7 +19,7 @@
 	stop func() // nil before it runs
 }
 
-func newSharing(c config.GatherShare, m *gather.Model) (*sharing, error) {
+func newSharing(c config.GatherShare, m *waitpolicy.Model) (*sharing, error) {
 	password := ""
 	if c.PasswordFile != "" {
 		raw, err := os.ReadFile(c.PasswordFile)
--- a/internal/ordinarytest/differential_test.go
+++ b/internal/ordinarytest/differential_test.go
@@ -19,22 +19,22 @@
 
 	"go.uber.org/goleak"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
 	"lockflow/internal/testkit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // begin starts a node before origins, until the test ends.
-func begin(t testing.TB, service string, origins ...*standin.Origin) *lab.Ordinary {
+func begin(t testing.TB, service string, origins ...*fake.Origin) *testbench.Ordinary {
 	t.Helper()
 	return beginWith(t, `drain = { idle = "0s", accept = "0s", most = "1s" }`, service, "", origins...)
 }
 
-func beginWith(t testing.TB, process, service, more string, origins ...*standin.Origin) *lab.Ordinary {
+func beginWith(t testing.TB, process, service, more string, origins ...*fake.Origin) *testbench.Ordinary {
 	t.Helper()
-	o, err := lab.StartOrdinary(origins, process, service, more)
+	o, err := testbench.StartOrdinary(origins, process, service, more)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,14 +143,14 @@
 	if e.old {
 		version = "1.0"
 	}
-	fmt.Fprintf(w, "%s %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n", e.method, e.target, version, host, standin.HeaderScript, e.script)
+	fmt.Fprintf(w, "%s %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n", e.method, e.target, version, host, fake.HeaderScript, e.script)
 	for _, f := range e.fields {
 		fmt.Fprintf(w, "%s\r\n", f)
 	}
 	switch e.frame {
 	case "length":
 		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", e.body)
-		io.Copy(w, standin.PatternReader(e.body))
+		io.Copy(w, fake.PatternReader(e.body))
 		return
 	case "chunked":
 		if e.trailer {
@@ -158,7 +158,7 @@
 		}
 		io.WriteString(w, "Transfer-Encoding: chunked\r\n\r\n")
 		p := make([]byte, 10000)
-		for src := standin.PatternReader(e.body); ; {
+		for src := fake.PatternReader(e.body); ; {
 			n, err := src.Read(p)
 			if err != nil {
 				break
@@ -194,7 +194,7 @@
 			return v
 		}
 		if r.StatusCode < 200 {
-			v.interims = append(v.interims, fmt.Sprint(r.StatusCode)+"\n"+standin.Fields(r.Header, "Via"))
+			v.interims = append(v.interims, fmt.Sprint(r.StatusCode)+"\n"+fake.Fields(r.Header, "Via"))
 			continue
 		}
 		h := sha256.New()
@@ -202,18 +202,18 @@
 		if err != nil {
 			v.err = err.Error()
 		}
-		v.status, v.fields = fmt.Sprint(r.StatusCode), standin.Fields(r.Header, "Via", "Connection")
-		v.body, v.trailer = fmt.Sprintf("%d bytes %s", n, hex.EncodeToString(h.Sum(nil)[:8])), standin.Fields(r.Trailer)
+		v.status, v.fields = fmt.Sprint(r.StatusCode), fake.Fields(r.Header, "Via", "Connection")
+		v.body, v.trailer = fmt.Sprintf("%d bytes %s", n, hex.EncodeToString(h.Sum(nil)[:8])), fake.Fields(r.Trailer)
 		return v
 	}
 }
 
 // what an origin sees, less what docs/http.md says that the node sets or drops.
-func seenText(r standin.Request) string {
+func seenText(r fake.Request) string {
 	h := r.Header.Clone()
 	without := []string{"Via", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Connection", "Keep-Alive", "X-Drop"}
-	return fmt.Sprintf("%s %s\nHost: %s\n%s\n%s %d %s whole=%v\ntrailer %s", r.Method, r.Target, r.Host, standin.Fields(h, without...),
-		r.Framing, r.Bytes, r.Hash, r.Whole, standin.Fields(r.Trailer))
+	return fmt.Sprintf("%s %s\nHost: %s\n%s\n%s %d %s whole=%v\ntrailer %s", r.Method, r.Target, r.Host, fake.Fields(h, without...),
+		r.Framing, r.Bytes, r.Hash, r.Whole, fake.Fields(r.Trailer))
 }
 
 // alike takes from what a client sees straight what docs/http.md says that the node leaves out.
@@ -226,8 +226,8 @@
 
 // Straight to an origin and through the node a client sees the same, and so does the origin.
 func TestDifferential(t *testing.T) {
-	seen := make(chan standin.Request, 100)
-	origin := &standin.Origin{Seen: func(r standin.Request) { seen <- r }}
+	seen := make(chan fake.Request, 100)
+	origin := &fake.Origin{Seen: func(r fake.Request) { seen <- r }}
 	o := begin(t, "", origin)
 	all := corpus()
 	if len(all) < 300 {
@@ -241,7 +241,7 @@
 		direct := e.send(origin.Addr(), host)
 		atOrigin := testkit.Next(t, seen)
 		through := e.send(o.Node.Addr(), host)
-		var atOrigin2 standin.Request
+		var atOrigin2 fake.Request
 		select {
 		case atOrigin2 = <-seen:
 		case <-time.After(testkit.Patience):
@@ -277,7 +277,7 @@
 
 // why explains in what the standard library's proxy differs from a direct way; what is not
 // explained is given as it is, on several lines.
-func why(e exchange, direct, other view, straight, through standin.Request) map[string]bool {
+func why(e exchange, direct, other view, straight, through fake.Request) map[string]bool {
 	kinds := make(map[string]bool)
 	was, is := direct.fields, other.fields
 	if without := strings.Replace(is, "Content-Type: application/octet-stream\n", "", 1); without != is && !strings.Contains(was, "Content-Type") {
@@ -312,7 +312,7 @@
 		through.Header = through.Header.Clone()
 		through.Header.Set("Content-Length", "0")
 	}
-	if standin.Fields(straight.Trailer) != "" && standin.Fields(through.Trailer) == "" {
+	if fake.Fields(straight.Trailer) != "" && fake.Fields(through.Trailer) == "" {
 		kinds["trailers of a request are dropped"] = true
 		through.Trailer = straight.Trailer
 	}
--- a/internal/ordinarytest/hard_test.go
+++ b/internal/ordinarytest/hard_test.go
@@ -12,14 +12,14 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/lab"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
+	"lockflow/internal/testbench"
 	"lockflow/internal/testkit"
 )
 
 // dial connects to a node until the test ends.
-func dial(t testing.TB, o *lab.Ordinary) (net.Conn, *bufio.Reader) {
+func dial(t testing.TB, o *testbench.Ordinary) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", o.Node.Addr())
 	if err != nil {
@@ -33,7 +33,7 @@
 // ask writes a request's head with a script.
 func ask(c net.Conn, method, script string, fields ...string) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n", method, standin.HeaderScript, script)
+	fmt.Fprintf(&b, "%s /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n", method, fake.HeaderScript, script)
 	for _, f := range fields {
 		b.WriteString(f + "\r\n")
 	}
@@ -50,7 +50,7 @@
 }
 
 // idle waits until the node holds nothing.
-func idle(t testing.TB, o *lab.Ordinary) node.Status {
+func idle(t testing.TB, o *testbench.Ordinary) node.Status {
 	t.Helper()
 	testkit.Until(t, "nothing is held", func() bool {
 		st := o.Node.Status()[0]
@@ -61,27 +61,27 @@
 
 type record struct {
 	mu  sync.Mutex
-	all []standin.Request
+	all []fake.Request
 }
 
-func (r *record) saw(q standin.Request) {
+func (r *record) saw(q fake.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.all = append(r.all, q)
 }
 
-func (r *record) list() []standin.Request {
+func (r *record) list() []fake.Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]standin.Request(nil), r.all...)
+	return append([]fake.Request(nil), r.all...)
 }
 
 // Answers of 404 speak against no server: both go on being asked.
 func TestNotFoundIsNoFailure(t *testing.T) {
 	var at [2]atomic.Int64
-	var origins []*standin.Origin
+	var origins []*fake.Origin
 	for i := range 2 {
-		origins = append(origins, &standin.Origin{Seen: func(standin.Request) { at[i].Add(1) }})
+		origins = append(origins, &fake.Origin{Seen: func(fake.Request) { at[i].Add(1) }})
 	}
 	o := begin(t, "", origins...)
 	c, in := dial(t, o)
@@ -101,11 +101,11 @@
 // A server may answer before it has read the body, and go on reading it.
 func TestEarlyAnswer(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw})
 	c, in := dial(t, o)
 	const n = 1 << 20
 	ask(c, "POST", "early=1&body=100000&frame=chunked", fmt.Sprintf("Content-Length: %d", n))
-	io.CopyN(c, standin.PatternReader(n), n/2)
+	io.CopyN(c, fake.PatternReader(n), n/2)
 	r := answered(t, in)
 	got, err := io.ReadAll(r.Body) // the whole answer, while half of the body is to come
 	if err != nil || r.StatusCode != 200 || len(got) != 100000 {
@@ -117,7 +117,7 @@
 // An answer too long to be held that breaks before any of it is out is 502 to the client, whose
 // connection goes on; one that breaks later ends it.
 func TestLongAnswerBreaksEarly(t *testing.T) {
-	o := begin(t, "", &standin.Origin{})
+	o := begin(t, "", &fake.Origin{})
 	c, in := dial(t, o)
 	for _, cut := range []int{400, 1501, 3000} {
 		ask(c, "POST", fmt.Sprintf("body=200000&cut=%d", cut), "Content-Length: 0")
@@ -139,13 +139,13 @@
 // A final answer that comes while an upload is under way is given at once, and the rest is not read.
 func TestAnswerDuringUpload(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw})
 	for _, status := range []int{413, 401} {
 		c, in := dial(t, o)
 		ask(c, "PUT", fmt.Sprintf("status=%d&body=9&unread=1", status), "Content-Length: 2000000000")
 		sent := make(chan int64)
 		go func() {
-			n, _ := io.Copy(c, standin.PatternReader(2000000000))
+			n, _ := io.Copy(c, fake.PatternReader(2000000000))
 			sent <- n
 		}()
 		r := answered(t, in)
@@ -165,7 +165,7 @@
 // An upload whose client stops half way is never taken for whole, and nothing of it stays.
 func TestUploadStopsHalfWay(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw})
 	for _, tc := range []struct{ framing, body string }{
 		{"Transfer-Encoding: chunked", "5\r\nhello\r\n"},
 		{"Transfer-Encoding: chunked", "5\r\nhello\r\n5\r\nhe"},
@@ -196,7 +196,7 @@
 // the class permits. After less, a request that may run again goes elsewhere.
 func TestResetDuringUpload(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw}, &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw}, &fake.Origin{Seen: seen.saw})
 	for _, tc := range []struct {
 		method   string
 		at       int
@@ -232,7 +232,7 @@
 
 // A deadline counts to an answer's first byte: events go on beyond it, each as it comes.
 func TestEventsBeyondTheDeadline(t *testing.T) {
-	o := beginWith(t, "", "", shortDeadline, &standin.Origin{})
+	o := beginWith(t, "", "", shortDeadline, &fake.Origin{})
 	c, in := dial(t, o)
 	begun := time.Now()
 	ask(c, "GET", "type=text/event-stream&frame=chunked&body=20480&every=50ms")
@@ -255,7 +255,7 @@
 // A body that waits for 100 is sent after a while where the server never says it.
 func TestExpect(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw})
 	for script, want := range map[string]string{"body=5": "100", "never100=1&body=5": "100", "unread=1&status=413&body=0": "413"} {
 		c, in := dial(t, o)
 		ask(c, "PUT", script, "Expect: 100-continue", "Content-Length: 100000")
@@ -266,13 +266,13 @@
 		if r.StatusCode != 100 {
 			continue
 		}
-		io.Copy(c, standin.PatternReader(100000))
+		io.Copy(c, fake.PatternReader(100000))
 		if r = answered(t, in); r.StatusCode != 200 {
 			t.Errorf("%s: then %s", script, r.Status)
 		}
 	}
 	for _, r := range seen.list() {
-		if r.Whole && r.Hash != standin.HashOf(100000) {
+		if r.Whole && r.Hash != fake.HashOf(100000) {
 			t.Errorf("%d bytes", r.Bytes)
 		}
 	}
@@ -285,7 +285,7 @@
 
 // What a server sends beyond its answer belongs to nobody, and what it sends spoilt is no answer.
 func TestUntidyServers(t *testing.T) {
-	o := begin(t, "", &standin.Origin{})
+	o := begin(t, "", &fake.Origin{})
 	c, in := dial(t, o)
 	for i, tc := range []struct {
 		script string
@@ -317,7 +317,7 @@
 // What could mean two things is refused before a server sees anything of it.
 func TestAmbiguousRequests(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw})
 	for _, text := range []string{
 		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -347,7 +347,7 @@
 
 // The node's own answers say what happened, in the form that is asked for, and when to return.
 func TestOwnAnswers(t *testing.T) {
-	gone := &standin.Origin{}
+	gone := &fake.Origin{}
 	o := begin(t, "", gone)
 	gone.Close()
 	for accept, kind := range map[string]string{"*/*": "text/plain; charset=utf-8", "application/json": "application/problem+json"} {
@@ -365,7 +365,7 @@
 }
 
 // tunnelled opens a tunnel and has something go round in it.
-func tunnelled(t testing.TB, o *lab.Ordinary) (net.Conn, *bufio.Reader) {
+func tunnelled(t testing.TB, o *testbench.Ordinary) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, in := dial(t, o)
 	ask(c, "GET", "upgrade=1", "Connection: Upgrade", "Upgrade: echo")
@@ -387,7 +387,7 @@
 
 func TestTunnel(t *testing.T) {
 	var seen record
-	o := begin(t, "", &standin.Origin{Seen: seen.saw})
+	o := begin(t, "", &fake.Origin{Seen: seen.saw})
 	c, in := tunnelled(t, o)
 	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.AttemptsInFlight != 1 || st.Parts.Held.Used != 1 {
 		t.Errorf("%+v", st)
@@ -416,7 +416,7 @@
 	const streams, tunnels = 200, 50
 	// Tunnels are opened first: each counts as one of what the module lets out until it has begun.
 	process := "descriptors = 4096\ndrain = { idle = \"0s\", accept = \"0s\", most = \"700ms\" }\nclients = 800\nbytes = \"256MiB\""
-	o, err := lab.StartOrdinary([]*standin.Origin{{}, {}}, process, "", "")
+	o, err := testbench.StartOrdinary([]*fake.Origin{{}, {}}, process, "", "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -477,7 +477,7 @@
 
 // A client that reads slowly keeps its own window waiting and nobody else.
 func TestSlowReader(t *testing.T) {
-	o := begin(t, "", &standin.Origin{})
+	o := begin(t, "", &fake.Origin{})
 	slow, in := dial(t, o)
 	slow.(*net.TCPConn).SetReadBuffer(4 << 10)
 	ask(slow, "GET", "body=10000000000")
@@ -499,7 +499,7 @@
 
 // Streams of one service that have outlived their time give way where another asks for its own.
 func TestStreamsGiveWay(t *testing.T) {
-	long, short := &standin.Origin{}, &standin.Origin{}
+	long, short := &fake.Origin{}, &fake.Origin{}
 	if err := short.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -546,7 +546,7 @@
 				}
 				defer c.Close()
 				c.SetDeadline(time.Now().Add(testkit.Patience))
-				fmt.Fprintf(c, "GET /other HTTP/1.1\r\nHost: h\r\n%s: wait=50ms&body=1\r\n\r\n", standin.HeaderScript)
+				fmt.Fprintf(c, "GET /other HTTP/1.1\r\nHost: h\r\n%s: wait=50ms&body=1\r\n\r\n", fake.HeaderScript)
 				if r, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && r.StatusCode == 200 {
 					ok.Add(1)
 				}
@@ -567,7 +567,7 @@
 // Uploads that hang at one service's silent servers take nothing that is another's: isolation with
 // streams in place of calls.
 func TestIsolationWithStreams(t *testing.T) {
-	other := &standin.Origin{}
+	other := &fake.Origin{}
 	if err := other.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -583,7 +583,7 @@
 service = "other"
 prefix = "/other"
 `, other.Addr())
-	o := beginWith(t, process, "guaranteed = { held = 60, descriptors = 60 }", more, &standin.Origin{})
+	o := beginWith(t, process, "guaranteed = { held = 60, descriptors = 60 }", more, &fake.Origin{})
 	for range 150 {
 		c, _ := dial(t, o)
 		ask(c, "POST", "silent=1", "Transfer-Encoding: chunked")
@@ -596,7 +596,7 @@
 		all.Go(func() {
 			c, in := dial(t, o)
 			for range 100 {
-				fmt.Fprintf(c, "GET /other HTTP/1.1\r\nHost: h\r\n%s: body=500\r\n\r\n", standin.HeaderScript)
+				fmt.Fprintf(c, "GET /other HTTP/1.1\r\nHost: h\r\n%s: body=500\r\n\r\n", fake.HeaderScript)
 				r, err := http.ReadResponse(in, nil)
 				if err != nil || r.StatusCode != 200 {
 					lost.Add(1)
--- a/internal/ordinarytest/http2_test.go
+++ b/internal/ordinarytest/http2_test.go
@@ -21,8 +21,8 @@
 	"time"
 
 	"lockflow/internal/config"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
 	"lockflow/internal/testkit"
 )
 
@@ -326,12 +326,12 @@
 
 // posts sends requests with effects, of any size and framing, through a node to servers of HTTP/2 that
 // break at any byte; it tells what the servers ran, and how many clients were told of a success.
-func posts(t *testing.T, n int, service string) (c standin.Counts, ok int64) {
-	tally := &standin.Tally{}
-	f := standin.HTTP2Faults{Refuse: 0.05, Reset: 0.03, Error: 0.02, Early: 0.05, Lower: 0.05, GoAway: 0.05, CutRead: 0.4, CutSent: 0.4, Far: 60000}
+func posts(t *testing.T, n int, service string) (c fake.Counts, ok int64) {
+	tally := &fake.Tally{}
+	f := fake.HTTP2Faults{Refuse: 0.05, Reset: 0.03, Error: 0.02, Early: 0.05, Lower: 0.05, GoAway: 0.05, CutRead: 0.4, CutSent: 0.4, Far: 60000}
 	var list []string
 	for i := range 3 {
-		s, err := standin.HTTP2Server{UID: fmt.Sprint("s", i), Tally: tally, Faults: f, Seed: uint64(i), Streams: 10}.Start()
+		s, err := fake.HTTP2Server{UID: fmt.Sprint("s", i), Tally: tally, Faults: f, Seed: uint64(i), Streams: 10}.Start()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -14,12 +14,12 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/discovery"
+	"lockflow/internal/fake"
 	"lockflow/internal/limits"
-	"lockflow/internal/replay"
+	"lockflow/internal/responseclass"
+	"lockflow/internal/retrybuffer"
 	"lockflow/internal/service"
-	"lockflow/internal/standin"
 	"lockflow/internal/testkit"
 	"lockflow/internal/upstream"
 )
@@ -35,7 +35,7 @@
 
 func (p pastHeld) Attempt(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
 	q := *p.Relay
-	q.Body = replay.New(p.src, 0, nil)
+	q.Body = retrybuffer.New(p.src, 0, nil)
 	return q.Attempt(ctx, life, u, pool)
 }
 
@@ -87,9 +87,9 @@
 func direct(t *testing.T, seeds int, wrap func(*upstream.Relay, io.Reader) service.Forwarder) (wrong []string, served int) {
 	c := &tally{came: make(map[string]int)}
 	src := discovery.Source{Kind: discovery.Static}
-	var origins []*standin.Origin
+	var origins []*fake.Origin
 	for i := range 3 {
-		o := &standin.Origin{Seen: c.saw, Fault: faults, Seed: uint64(i)}
+		o := &fake.Origin{Seen: c.saw, Fault: faults, Seed: uint64(i)}
 		if err := o.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -112,7 +112,7 @@
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
 	testkit.Next(t, ready)
-	rules := answer.Default()
+	rules := responseclass.Default()
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	next := 0
@@ -128,11 +128,11 @@
 				}
 				rng := rand.New(rand.NewPCG(uint64(seed), 22))
 				size, want := int64(rng.IntN(200_000)), int64(100_000+rng.IntN(200_000))
-				from := &shared{r: standin.PatternReader(size)}
+				from := &shared{r: fake.PatternReader(size)}
 				q := &upstream.Relay{
 					Name: "POST", Target: "/x", Host: "h", Length: -1, Rules: &rules, Hold: 1 << 16, Idle: time.Second, Wait: time.Second,
-					Header: http.Header{standin.HeaderScript: {fmt.Sprintf("frame=chunked&body=%d", want)}, "X-Request-Id": {fmt.Sprint(seed)}, "X-Want": {standin.HashOf(size)}},
-					Body:   replay.New(from, 1<<16, nil),
+					Header: http.Header{fake.HeaderScript: {fmt.Sprintf("frame=chunked&body=%d", want)}, "X-Request-Id": {fmt.Sprint(seed)}, "X-Want": {fake.HashOf(size)}},
+					Body:   retrybuffer.New(from, 1<<16, nil),
 				}
 				x := &service.Exchange{
 					Forwarder: service.Forwarder(q), Deadline: time.Now().Add(2 * time.Second),
@@ -156,7 +156,7 @@
 				}
 				mu.Lock()
 				if a.Status == http.StatusOK && err == nil {
-					if served++; n != want || hex.EncodeToString(h.Sum(nil)[:8]) != standin.HashOf(want) {
+					if served++; n != want || hex.EncodeToString(h.Sum(nil)[:8]) != fake.HashOf(want) {
 						wrong = append(wrong, fmt.Sprintf("seed %d: %d bytes for the whole %d", seed, n, want))
 					}
 				}
--- a/internal/ordinarytest/tallies_test.go
+++ b/internal/ordinarytest/tallies_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
 	"lockflow/internal/testkit"
 )
 
@@ -28,7 +28,7 @@
 	bad  []string // bodies taken for whole that are not what was sent
 }
 
-func (c *tally) saw(r standin.Request) {
+func (c *tally) saw(r fake.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id := r.Header.Get("X-Request-Id")
@@ -95,7 +95,7 @@
 	go func() {
 		e := exchange{
 			method: ch.method, target: "/x", script: ch.script, body: ch.body,
-			fields: []string{"X-Request-Id: " + id, "X-Want: " + standin.HashOf(ch.body)},
+			fields: []string{"X-Request-Id: " + id, "X-Want: " + fake.HashOf(ch.body)},
 		}
 		if ch.body > 0 {
 			e.frame = "length"
@@ -139,9 +139,9 @@
 // run plays many seeds and gives what was wrong.
 func run(t *testing.T, seeds int, service, more string) (wrong []string, served int64) {
 	c := &tally{came: make(map[string]int)}
-	var origins []*standin.Origin
+	var origins []*fake.Origin
 	for i := range 3 {
-		origins = append(origins, &standin.Origin{Seen: c.saw, Fault: faults, Seed: uint64(i)})
+		origins = append(origins, &fake.Origin{Seen: c.saw, Fault: faults, Seed: uint64(i)})
 	}
 	o := beginWith(t, "drain = { idle = \"0s\", accept = \"0s\", most = \"500ms\" }", service, more, origins...)
 	var mu sync.Mutex
@@ -171,7 +171,7 @@
 				}
 				ok.Add(1)
 				s, _ := url.ParseQuery(ch.script)
-				if want, _ := strconv.ParseInt(s.Get("body"), 10, 64); n != want || hash != standin.HashOf(want) {
+				if want, _ := strconv.ParseInt(s.Get("body"), 10, 64); n != want || hash != fake.HashOf(want) {
 					say("seed %d: a client took %d bytes for the whole %d", seed, n, want)
 				}
 			}
--- a/internal/allowance/allowance.go
+++ b/internal/quotalease/quotalease.go
@@ -1,4 +1,4 @@
-// Package allowance divides a customer's ceiling over a group of instances. Each has one part of it,
+// Package quotalease divides a customer's ceiling over a group of instances. Each has one part of it,
 // which it spends itself or pledges to a counter for a short time; a counter lends out of what is
 // pledged to it, to whoever of the group asks, for a short term. No part is ever in two hands, so
 // that it doesn't matter how many counters there are, what they forget, or who can reach whom.
@@ -10,7 +10,7 @@
 //
 // whatever is lost, late, split, replaced, paused or killed; Rules.Promises tells what is left of the
 // ceiling's use in each case, and the one exception. docs/design/allowance.md derives it.
-package allowance
+package quotalease
 
 import (
 	"fmt"
--- a/internal/allowance/allowance_test.go
+++ b/internal/quotalease/quotalease_test.go
@@ -1,4 +1,4 @@
-package allowance
+package quotalease
 
 import (
 	"math"
--- a/internal/record/keys_test.go
+++ b/internal/record/keys_test.go
@@ -9,8 +9,17 @@
 )
 
 // events has one of each event that recordings hold, in the order of their numbers.
-var events = []any{control.List{}, control.Request{}, control.Started{}, control.Response{}, control.Hangup{}, control.Timer{},
-	control.ProbeResult{}, control.PeerMessage{}, control.Counted{}}
+var events = []any{
+	control.List{},
+	control.Request{},
+	control.Started{},
+	control.Response{},
+	control.Hangup{},
+	control.Timer{},
+	control.ProbeResult{},
+	control.PeerMessage{},
+	control.Counted{},
+}
 
 // Recordings have a written key for every field: of a section's head with its settings and image, and of each event.
 func TestKeysAreWritten(t *testing.T) {
--- a/internal/regions/loop.go
+++ b/internal/regions/loop.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"lockflow/internal/hop"
+	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/route"
 )
@@ -15,7 +15,7 @@
 const loopsMost = 64
 
 // via is what a request that goes round has of the intermediaries it went through.
-var via = []string{"1.1 " + hop.Alias, "1.1 " + hop.Alias}
+var via = []string{"1.1 " + hopheaders.Alias, "1.1 " + hopheaders.Alias}
 
 // transit is a rule whose service leads to listeners of regions.
 type transit struct {
--- a/internal/regiontrial/change.go
+++ b/internal/regiontrial/change.go
@@ -14,10 +14,10 @@
 	"syscall"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/fleet"
-	"lockflow/internal/ledger"
 	"lockflow/internal/manage"
-	"lockflow/internal/orders"
+	"lockflow/internal/rolloutlog"
 )
 
 // Exit codes of a change.
@@ -86,7 +86,7 @@
 
 // journal reads what a coordinator has begun; nil is nothing.
 func (r *run) journal(name string) (*fleet.Change, error) {
-	records, _, err := ledger.Read(filepath.Join(r.o.Dir, name))
+	records, _, err := rolloutlog.Read(filepath.Join(r.o.Dir, name))
 	if err != nil || len(records) == 0 {
 		return nil, err
 	}
@@ -185,8 +185,8 @@
 		s, err := manage.Client{Path: r.ground.socket(i)}.Status(ctx)
 		raw, fileErr := os.ReadFile(r.ground.file(i))
 		told += fmt.Sprintf(" %s %.8s", member(i), s.Hash)
-		if err != nil || fileErr != nil || !s.Ready() || orders.Hash(raw) != s.Hash {
-			told += fmt.Sprintf(" (%s, its file %.8s; %v, %v)", s.Life, orders.Hash(raw), err, fileErr)
+		if err != nil || fileErr != nil || !s.Ready() || desiredstate.Hash(raw) != s.Hash {
+			told += fmt.Sprintf(" (%s, its file %.8s; %v, %v)", s.Life, desiredstate.Hash(raw), err, fileErr)
 			continue
 		}
 		for k, h := range hashes {
--- a/internal/regiontrial/clients.go
+++ b/internal/regiontrial/clients.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
 )
 
 const (
@@ -141,7 +141,7 @@
 		fmt.Fprintf(out, "Content-Length: %d\r\n", q.body)
 	}
 	io.WriteString(out, "\r\n")
-	io.Copy(out, standin.PatternReader(q.body))
+	io.Copy(out, fake.PatternReader(q.body))
 	if err := out.Flush(); err != nil {
 		return nil, "", err
 	}
@@ -181,7 +181,7 @@
 			r.notes.Wrong("request %s: answered 200, and no server has had it", q.id)
 		}
 		var want strings.Builder
-		io.Copy(&want, standin.PatternReader(q.answer))
+		io.Copy(&want, fake.PatternReader(q.answer))
 		if got := resp.Header.Get(fieldID); got != q.id || body != want.String() {
 			r.notes.Wrong("request %s: an answer to %q of %d bytes instead of %d, or with others in it", q.id, got, len(body), q.answer)
 		}
--- a/internal/regiontrial/config.go
+++ b/internal/regiontrial/config.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"lockflow/internal/orders"
+	"lockflow/internal/desiredstate"
 )
 
 //go:embed config.toml
@@ -94,7 +94,7 @@
 	var file strings.Builder
 	for i, region := range regionNames {
 		text := r.text(i, k)
-		hashes = append(hashes, orders.Hash([]byte(text)))
+		hashes = append(hashes, desiredstate.Hash([]byte(text)))
 		if err := os.WriteFile(filepath.Join(dir, region+".toml"), []byte(text), 0o600); err != nil {
 			return "", nil, fmt.Errorf("a trial: %w", err)
 		}
--- a/internal/regiontrial/standins.go
+++ b/internal/regiontrial/standins.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"lockflow/internal/fake"
 	"lockflow/internal/faultnet/history"
-	"lockflow/internal/standin"
 )
 
 // Fields of requests and answers between clients and stand-ins.
@@ -95,7 +95,7 @@
 		n, _ := strconv.ParseInt(q.URL.Query().Get("n"), 10, 64)
 		w.Header().Set(fieldID, id)
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
-		io.Copy(w, standin.PatternReader(n))
+		io.Copy(w, fake.PatternReader(n))
 	}
 }
 
--- a/internal/answer/answer.go
+++ b/internal/responseclass/responseclass.go
@@ -1,4 +1,4 @@
-// Package answer says what an app server's answer to an attempt means under ordinary HTTP: how the
+// Package responseclass says what an app server's answer to an attempt means under ordinary HTTP: how the
 // attempt ended for the decision module, whether it may have run, whether it speaks against the
 // server, and whether it is the client's. It does no I/O.
 //
@@ -18,7 +18,7 @@
 //	what proves never_ran      Full             never         yes         (the same)
 //
 // Entries in parentheses are what follows where the module makes no further attempt.
-package answer
+package responseclass
 
 import (
 	"fmt"
--- a/internal/answer/answer_test.go
+++ b/internal/responseclass/responseclass_test.go
@@ -1,4 +1,4 @@
-package answer
+package responseclass
 
 import (
 	"net/http"
--- a/internal/replay/held.go
+++ b/internal/retrybuffer/body.go
@@ -1,4 +1,4 @@
-package replay
+package retrybuffer
 
 import "io"
 
--- a/internal/replay/replay.go
+++ b/internal/retrybuffer/retrybuffer.go
@@ -1,7 +1,7 @@
-// Package replay holds the first part of a request's body, so that a further attempt can send all
+// Package retrybuffer holds the first part of a request's body, so that a further attempt can send all
 // of it, as long as no attempt has gone beyond that part. What goes on is read once, as fast as it
 // is taken: a body of any size needs no more memory than the part that is held.
-package replay
+package retrybuffer
 
 import (
 	"errors"
--- a/internal/ledger/ledger.go
+++ b/internal/rolloutlog/rolloutlog.go
@@ -1,8 +1,8 @@
-// Package ledger keeps what a coordinator of a change has decided, so that it is on disk before it is done.
+// Package rolloutlog keeps what a coordinator of a change has decided, so that it is on disk before it is done.
 // A ledger is a directory with a database (bbolt) and a lock: one process may write it at a time, others may
 // read. Each record carries a checksum over itself and the one before it: what is damaged or torn is found
 // as such, set aside, and never taken for good.
-package ledger
+package rolloutlog
 
 import (
 	"crypto/sha256"
--- a/internal/ledger/ledger_test.go
+++ b/internal/rolloutlog/rolloutlog_test.go
@@ -1,4 +1,4 @@
-package ledger
+package rolloutlog
 
 import (
 	"errors"
--- a/internal/rolloutsim/draw.go
+++ b/internal/rolloutsim/draw.go
@@ -4,7 +4,7 @@
 	"math"
 	"math/rand/v2"
 
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 
 	"gonum.org/v1/gonum/stat/distuv"
 )
@@ -66,9 +66,9 @@
 	}
 	mu := math.Log(delayMedian) + float64(key)/factorSteps
 	cdf := func(s float64) float64 { return distuv.UnitNormal.CDF((math.Log(s) - mu) / delaySigma) }
-	x := &tail{body: figures.Bucket(seconds(math.Exp(mu))), first: figures.Bucket(seconds(math.Exp(mu + 1.2816*delaySigma))), late: figures.Bucket(seconds(aim))}
+	x := &tail{body: instancestats.Bucket(seconds(math.Exp(mu))), first: instancestats.Bucket(seconds(math.Exp(mu + 1.2816*delaySigma))), late: instancestats.Bucket(seconds(aim))}
 	for i := x.first; ; i++ {
-		lo, hi := cdf(figures.Edge(i-1).Seconds()), cdf(figures.Edge(i).Seconds())
+		lo, hi := cdf(instancestats.Edge(i-1).Seconds()), cdf(instancestats.Edge(i).Seconds())
 		x.part = append(x.part, hi-lo)
 		if 1-hi < 2e-5 {
 			break
@@ -79,7 +79,7 @@
 }
 
 // draw puts n answers into d and tells how many are late.
-func (x *tail) draw(r *rand.Rand, n int, d *figures.Delays) (late int) {
+func (x *tail) draw(r *rand.Rand, n int, d *instancestats.Delays) (late int) {
 	rest := n
 	for i, p := range x.part {
 		c := min(rest, poisson(r, float64(n)*p))
--- a/internal/rolloutsim/plain.go
+++ b/internal/rolloutsim/plain.go
@@ -4,40 +4,40 @@
 	"fmt"
 	"time"
 
-	"lockflow/internal/evidence"
-	"lockflow/internal/figures"
+	"lockflow/internal/canary"
+	"lockflow/internal/instancestats"
 )
 
 // ready is the plain way: what is up is fine.
 type ready struct{}
 
-func (ready) Begin(time.Duration, []evidence.Reading)   {}
-func (ready) Observe(time.Duration, []evidence.Reading) {}
-func (ready) Verdict(time.Duration) evidence.Verdict    { return evidence.Verdict{Kind: evidence.Pass} }
+func (ready) Begin(time.Duration, []canary.Reading)   {}
+func (ready) Observe(time.Duration, []canary.Reading) {}
+func (ready) Verdict(time.Duration) canary.Verdict    { return canary.Verdict{Kind: canary.Pass} }
 
 // threshold compares the sums of both sides, as is often done: a stage is stopped once the new side's
 // is beyond the old one's by a fixed amount, and passes after five minutes. A minute is let go by first.
 type threshold struct {
 	begin time.Duration
-	last  map[string]figures.Figures
-	side  [2]figures.Figures
+	last  map[string]instancestats.Figures
+	side  [2]instancestats.Figures
 	mem   [2]float64
 	n     [2]float64
 	crash int
 }
 
-func (t *threshold) Begin(now time.Duration, _ []evidence.Reading) {
-	t.begin, t.side, t.mem, t.n, t.crash = now, [2]figures.Figures{}, [2]float64{}, [2]float64{}, 0
+func (t *threshold) Begin(now time.Duration, _ []canary.Reading) {
+	t.begin, t.side, t.mem, t.n, t.crash = now, [2]instancestats.Figures{}, [2]float64{}, [2]float64{}, 0
 }
 
-func (t *threshold) Observe(_ time.Duration, all []evidence.Reading) {
+func (t *threshold) Observe(_ time.Duration, all []canary.Reading) {
 	if t.last == nil {
-		t.last = make(map[string]figures.Figures)
+		t.last = make(map[string]instancestats.Figures)
 	}
 	for i := range all {
 		r := &all[i]
 		s := 0
-		if r.Side == evidence.New {
+		if r.Side == canary.New {
 			s = 1
 		}
 		if !r.Up {
@@ -52,13 +52,13 @@
 	}
 }
 
-func (t *threshold) Verdict(now time.Duration) evidence.Verdict {
+func (t *threshold) Verdict(now time.Duration) canary.Verdict {
 	o, n := &t.side[0], &t.side[1]
 	if now-t.begin < time.Minute || n.Requests == 0 {
-		return evidence.Verdict{}
+		return canary.Verdict{}
 	}
-	part := func(a uint64, f *figures.Figures) float64 { return float64(a) / max(float64(f.Requests), 1) }
-	worse := func(what string) evidence.Verdict { return evidence.Verdict{Kind: evidence.Worse, Why: what} }
+	part := func(a uint64, f *instancestats.Figures) float64 { return float64(a) / max(float64(f.Requests), 1) }
+	worse := func(what string) canary.Verdict { return canary.Verdict{Kind: canary.Worse, Why: what} }
 	switch {
 	case t.crash > 0:
 		return worse("crash")
@@ -77,7 +77,7 @@
 		return worse("memory")
 	}
 	if now-t.begin < 5*time.Minute {
-		return evidence.Verdict{}
+		return canary.Verdict{}
 	}
-	return evidence.Verdict{Kind: evidence.Pass}
+	return canary.Verdict{Kind: canary.Pass}
 }
