--- a/internal/rolloutsim/sim.go
+++ b/internal/rolloutsim/sim.go
@@ -1,5 +1,5 @@
 // Package rolloutsim plays staged changes over fleets in virtual time: instances draw what they count
-// from a model of traffic, coldness and faults of the world, and a judge (internal/evidence, or one of
+// from a model of traffic, coldness and faults of the world, and a judge (internal/canary, or one of
 // those it is held against) says when to go on and when to stop. Everything follows from the seed.
 package rolloutsim
 
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"lockflow/internal/evidence"
+	"lockflow/internal/canary"
 
 	"gonum.org/v1/gonum/stat/distuv"
 )
@@ -22,7 +22,7 @@
 var Judges = []string{"evidence", "readiness", "threshold"}
 
 // Mutations take a part of the judge out.
-var Mutations = map[string]evidence.Guards{
+var Mutations = map[string]canary.Guards{
 	"no slack":         {Slack: true},
 	"one look":         {Sequential: true, Slack: true}, // the slack alone would hide it
 	"request as unit":  {Cluster: true, Slack: true},
@@ -45,7 +45,7 @@
 	FaultEvery time.Duration // between faults of the world: 1 h
 	Runs       int           // 100
 	Seed       uint64
-	Evidence   evidence.Options
+	Evidence   canary.Options
 }
 
 // Report is what came of many rollouts.
@@ -71,13 +71,13 @@
 
 // decider is what a rollout asks.
 type decider interface {
-	Begin(now time.Duration, before []evidence.Reading)
-	Observe(now time.Duration, all []evidence.Reading)
-	Verdict(now time.Duration) evidence.Verdict
+	Begin(now time.Duration, before []canary.Reading)
+	Observe(now time.Duration, all []canary.Reading)
+	Verdict(now time.Duration) canary.Verdict
 }
 
 type outcome struct {
-	kind            evidence.Kind
+	kind            canary.Kind
 	stage           int
 	took            time.Duration
 	touched, harmed float64
@@ -158,7 +158,7 @@
 	case "threshold":
 		j = &threshold{}
 	default:
-		j = evidence.NewJudge(o.Evidence)
+		j = canary.NewJudge(o.Evidence)
 	}
 	turns := w.rng.Perm(o.Instances)
 	for i, t := range turns { // the first is one that gets half the mean or more, as one with few requests tells little
@@ -179,7 +179,7 @@
 		for looks := 1; ; looks++ {
 			for range batch {
 				if changed < target {
-					w.restart(w.all[turns[changed]], evidence.New, 0)
+					w.restart(w.all[turns[changed]], canary.New, 0)
 					if controls > 0 { // at the same time, and in the same zone
 						w.control(w.all[turns[changed]])
 						controls--
@@ -192,10 +192,10 @@
 				continue
 			}
 			v := j.Verdict(w.now)
-			if v.Kind == evidence.Worse || v.Kind == evidence.NoEvidence {
+			if v.Kind == canary.Worse || v.Kind == canary.NoEvidence {
 				return outcome{v.Kind, stage + 1, w.now - begun, w.touched, w.harmed, v.Why}
 			}
-			if v.Kind == evidence.Pass && changed == target {
+			if v.Kind == canary.Pass && changed == target {
 				break
 			}
 		}
@@ -205,7 +205,7 @@
 	for end := w.now + after; w.now < end; {
 		w.step()
 	}
-	return outcome{evidence.Pass, 0, took, w.touched, w.harmed, ""}
+	return outcome{canary.Pass, 0, took, w.touched, w.harmed, ""}
 }
 
 // control restarts an old one beside a changed one: of the same zone where there is one, and with as much traffic.
@@ -219,12 +219,12 @@
 		return d
 	}
 	for _, x := range w.all {
-		if x.side == evidence.Old && (pick == nil || far(x) < far(pick)) {
+		if x.side == canary.Old && (pick == nil || far(x) < far(pick)) {
 			pick = x
 		}
 	}
 	if pick != nil {
-		w.restart(pick, evidence.Control, 0)
+		w.restart(pick, canary.Control, 0)
 	}
 }
 
@@ -236,9 +236,9 @@
 	var took, touched, harmed []float64
 	for _, x := range all {
 		switch x.kind {
-		case evidence.Worse:
+		case canary.Worse:
 			r.Worse++
-		case evidence.NoEvidence:
+		case canary.NoEvidence:
 			r.NoEvidence++
 		default:
 			r.Passed++
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"lockflow/internal/evidence"
-	"lockflow/internal/figures"
+	"lockflow/internal/canary"
+	"lockflow/internal/instancestats"
 )
 
 // What the world is like where no option says otherwise.
@@ -62,8 +62,8 @@
 	drift              float64
 	began              time.Duration
 	upAt               time.Duration
-	side               evidence.Side
-	total              figures.Figures
+	side               canary.Side
+	total              instancestats.Figures
 }
 
 type world struct {
@@ -78,7 +78,7 @@
 	faultZone int // -1 is all
 	faultFail float64
 	faultSlow float64
-	readings  []evidence.Reading
+	readings  []canary.Reading
 	touched   float64 // requests that went to changed instances
 	harmed    float64 // those expected to be lost by the change alone
 	epoch     time.Time
@@ -100,7 +100,7 @@
 	}
 	for _, x := range w.all {
 		x.share *= float64(o.Instances) / sum
-		x.total = figures.Figures{Began: w.epoch.Add(x.began), Requests: uint64(o.Rate * x.share * -x.began.Seconds())}
+		x.total = instancestats.Figures{Began: w.epoch.Add(x.began), Requests: uint64(o.Rate * x.share * -x.began.Seconds())}
 		x.total.Asked, x.total.Served = float64(x.total.Requests), 0.995*float64(x.total.Requests)
 	}
 	return w
@@ -109,13 +109,13 @@
 func (w *world) around(sigma float64) float64 { return math.Exp(sigma * w.rng.NormFloat64()) }
 
 // restart has an instance begin anew on a side.
-func (w *world) restart(x *instance, side evidence.Side, off time.Duration) {
+func (w *world) restart(x *instance, side canary.Side, off time.Duration) {
 	x.side, x.began, x.upAt = side, w.now, w.now+off
-	x.total = figures.Figures{Began: w.epoch.Add(w.now)}
+	x.total = instancestats.Figures{Began: w.epoch.Add(w.now)}
 }
 
 // step plays an interval and tells what every instance says at its end.
-func (w *world) step() []evidence.Reading {
+func (w *world) step() []canary.Reading {
 	w.now += interval
 	if w.now > w.faultEnds && w.rng.Float64() < interval.Seconds()/w.o.FaultEvery.Seconds() {
 		w.faultEnds = w.now + time.Duration((0.5+w.rng.ExpFloat64())*3*float64(time.Minute))
@@ -127,14 +127,14 @@
 	load := 1 + 0.4*math.Sin(w.day+2*math.Pi*w.now.Hours()/24)
 	changed := 0
 	for _, x := range w.all {
-		if x.side == evidence.New {
+		if x.side == canary.New {
 			changed++
 		}
 	}
 	dose := float64(changed) / float64(len(w.all))
 	w.readings = w.readings[:0]
 	for _, x := range w.all {
-		w.readings = append(w.readings, evidence.Reading{Member: x.id, Side: x.side, Up: w.play(x, load, dose), Figures: x.total, Weight: x.share})
+		w.readings = append(w.readings, canary.Reading{Member: x.id, Side: x.side, Up: w.play(x, load, dose), Figures: x.total, Weight: x.share})
 	}
 	return w.readings
 }
@@ -154,7 +154,7 @@
 	}
 	asked := poisson(r, n)
 	if w.now < x.upAt {
-		if x.side == evidence.New && h.Crash > 0 {
+		if x.side == canary.New && h.Crash > 0 {
 			w.touched, w.harmed = w.touched+float64(asked), w.harmed+float64(asked)
 		}
 		return false
@@ -169,7 +169,7 @@
 	}
 	crash := 30 * 24 * time.Hour
 	part, grown, over, costs := 0.0, 1.0, 0.0, 0.0
-	if x.side == evidence.New && age >= h.After && dose >= h.Dose {
+	if x.side == canary.New && age >= h.After && dose >= h.Dose {
 		part, over, costs = h.Fails, h.Ceil, h.Costs
 		if h.Slower > 0 {
 			slower *= h.Slower
@@ -182,7 +182,7 @@
 	// What passes ceilings overloads the servers of all.
 	part += h.Hammer*dose + 0.5*h.Ceil*atCeiling*dose
 	fail += part
-	if x.side == evidence.New {
+	if x.side == canary.New {
 		w.touched += float64(asked)
 	}
 
@@ -194,7 +194,7 @@
 	t := w.tails.of(slower)
 	late := t.draw(r, rest-failed, &f.Delays)
 	w.harmed += float64(rest) * part
-	if h.Slower > 0 && x.side == evidence.New {
+	if h.Slower > 0 && x.side == canary.New {
 		w.harmed += float64(late)
 	}
 	dear := binomial(r, asked-beyond, 0.1) // worth five
--- a/internal/scatter/call.go
+++ b/internal/scattergather/call.go
@@ -1,4 +1,4 @@
-package scatter
+package scattergather
 
 import (
 	"context"
--- a/internal/scatter/merge.go
+++ b/internal/scattergather/merge.go
@@ -1,7 +1,7 @@
-// Package scatter carries a query out over many services and makes one answer of theirs. When to
+// Package scattergather carries a query out over many services and makes one answer of theirs. When to
 // stop waiting is another's decision (package gather): here is what is asked, what of it is held, how it is
 // joined, and that no answer claims a part that it does not hold.
-package scatter
+package scattergather
 
 import (
 	"bytes"
--- a/internal/scatter/merge_test.go
+++ b/internal/scattergather/merge_test.go
@@ -1,4 +1,4 @@
-package scatter
+package scattergather
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 func TestCheckAndJoin(t *testing.T) {
@@ -142,18 +142,18 @@
 		root := draw(2)
 		leaves := root.Number()
 		q := Begin(root, len(leaves), 0, func(tree *Tree) Decider {
-			s := &gather.Settings{
-				Least: tree.Least, HalfLife: time.Second, Mode: gather.Fixed,
+			s := &waitpolicy.Settings{
+				Least: tree.Least, HalfLife: time.Second, Mode: waitpolicy.Fixed,
 				Fixed: time.Duration(rapid.IntRange(1, 50).Draw(t, "fixed")) * time.Millisecond,
 			}
 			for _, p := range tree.Parts {
-				s.Parts = append(s.Parts, gather.Part{Name: p.Name, Weight: p.Weight})
+				s.Parts = append(s.Parts, waitpolicy.Part{Name: p.Name, Weight: p.Weight})
 			}
-			return gather.Begin(s, nil, 0, 0)
+			return waitpolicy.Begin(s, nil, 0, 0)
 		})
 		came := make(map[string]Result)
 		now, step := time.Duration(0), q.Next(0)
-		for i := 0; step.Kind == gather.Wait; i++ {
+		for i := 0; step.Kind == waitpolicy.Wait; i++ {
 			if i > 1000 {
 				t.Fatal("it waits for ever")
 			}
@@ -172,7 +172,7 @@
 		if step != q.Next(now) && q.Next(now+time.Hour).Kind != step.Kind {
 			t.Fatal("what was settled has changed")
 		}
-		if step.Kind == gather.Refuse {
+		if step.Kind == waitpolicy.Refuse {
 			return
 		}
 		w := q.Answer()
--- a/internal/scatter/run.go
+++ b/internal/scattergather/run.go
@@ -1,12 +1,12 @@
-package scatter
+package scattergather
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"lockflow/internal/gather"
 	"lockflow/internal/service"
+	"lockflow/internal/waitpolicy"
 )
 
 const (
@@ -41,7 +41,7 @@
 	Release func()
 
 	query    *Query
-	deciders []*gather.Query // by the trees' IDs
+	deciders []*waitpolicy.Query // by the trees' IDs
 
 	mu    sync.Mutex
 	come  []ended // that the query has not heard of
@@ -189,7 +189,7 @@
 	r.begun = true
 	r.mu.Unlock()
 	now := r.now()
-	r.deciders = make([]*gather.Query, len(r.By))
+	r.deciders = make([]*waitpolicy.Query, len(r.By))
 	depth := make(map[*Tree]time.Duration)
 	r.query = Begin(r.Tree, len(r.Leaves), now, func(t *Tree) Decider {
 		for _, p := range t.Parts {
@@ -197,7 +197,7 @@
 				depth[p.Inner] = depth[t] + 1
 			}
 		}
-		q := new(gather.Query)
+		q := new(waitpolicy.Query)
 		r.By[t.ID].Model.Begin(q, r.Class, r.Load, now, max(r.Wait-depth[t]*Ahead(r.Wait), 1))
 		r.deciders[t.ID] = q
 		return q
@@ -211,12 +211,12 @@
 	for {
 		now := r.now()
 		s := r.query.Next(now)
-		if s.Kind == gather.Wait && now >= r.Wait { // whatever a decider says
-			r.query.end(now, r.query.root, gather.Answer)
+		if s.Kind == waitpolicy.Wait && now >= r.Wait { // whatever a decider says
+			r.query.end(now, r.query.root, waitpolicy.Answer)
 			s = r.query.Next(now)
 		}
 		r.learn()
-		if s.Kind != gather.Wait {
+		if s.Kind != waitpolicy.Wait {
 			return r.settle(s.Kind, now)
 		}
 		timer.Reset(max(0, min(s.Until, r.Wait)-now))
@@ -231,7 +231,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			now = r.now()
-			r.query.end(now, r.query.root, gather.Refuse)
+			r.query.end(now, r.query.root, waitpolicy.Refuse)
 			r.learn()
 			r.settled(now)
 			return r.end(EndedLeft)
@@ -247,11 +247,11 @@
 }
 
 // settle ends a query that is decided.
-func (r *Run) settle(kind gather.Kind, now time.Duration) Final {
+func (r *Run) settle(kind waitpolicy.Kind, now time.Duration) Final {
 	r.settled(now)
 	root := r.query.root
 	r.By[0].Counts.Missing(r.Tree.Name, r.By[0].Settings.Parts, func(part int) bool { return root.share[part] >= 1-leastSlack })
-	if kind != gather.Answer {
+	if kind != waitpolicy.Answer {
 		return r.end(EndedTooFew)
 	}
 	w := r.query.Answer()
@@ -276,7 +276,7 @@
 	r.mu.Unlock()
 	for _, e := range late {
 		if !e.taken {
-			r.observe(e.place, gather.Outcome{Took: r.now(), Failed: e.result.Held == 0})
+			r.observe(e.place, waitpolicy.Outcome{Took: r.now(), Failed: e.result.Held == 0})
 		}
 	}
 	return Final{Outcome: outcome}
@@ -293,12 +293,12 @@
 			r.mu.Unlock()
 			continue
 		}
-		r.By[e.By.ID].observe(r.Class, e.Part, r.Load, gather.Outcome{Took: e.Took, Censored: e.Cut, Failed: !e.Cut && !e.Holds})
+		r.By[e.By.ID].observe(r.Class, e.Part, r.Load, waitpolicy.Outcome{Took: e.Took, Censored: e.Cut, Failed: !e.Cut && !e.Holds})
 	}
 }
 
 // observe tells a model of a service that was given up, once.
-func (r *Run) observe(place int, o gather.Outcome) {
+func (r *Run) observe(place int, o waitpolicy.Outcome) {
 	r.mu.Lock()
 	due := r.cut[place] && r.begun
 	r.cut[place] = false
@@ -314,9 +314,9 @@
 func (r *Run) admits() time.Duration {
 	s, most := r.By[0].Settings, r.Wait/2
 	switch s.Mode {
-	case gather.None:
+	case waitpolicy.None:
 		return most
-	case gather.Fixed:
+	case waitpolicy.Fixed:
 		return min(most, max(admitLeast, s.Fixed/2))
 	}
 	return min(most, max(admitLeast, s.HalfLife/2))
@@ -365,7 +365,7 @@
 			}
 		},
 		OnLateEnd: func(end service.LateEnd, took time.Duration) {
-			r.observe(place, gather.Outcome{Took: took, Censored: end == service.LateUnknown, Failed: end == service.LateFailed})
+			r.observe(place, waitpolicy.Outcome{Took: took, Censored: end == service.LateUnknown, Failed: end == service.LateFailed})
 		},
 	}
 	a, ok := c.Service.Do(ctx, c.Exchange)
@@ -383,7 +383,7 @@
 	}
 	r.mu.Unlock()
 	if ok && !r.tell(ended{place: place, answer: a, result: result}) {
-		r.observe(place, gather.Outcome{Took: r.now(), Censored: ctx.Err() != nil && result.Held == 0, Failed: result.Held == 0})
+		r.observe(place, waitpolicy.Outcome{Took: r.now(), Censored: ctx.Err() != nil && result.Held == 0, Failed: result.Held == 0})
 	}
 	r.leave()
 }
--- a/internal/scatter/run_test.go
+++ b/internal/scattergather/run_test.go
@@ -1,4 +1,4 @@
-package scatter
+package scattergather
 
 import (
 	"bytes"
@@ -7,15 +7,15 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // What was learned grows old by one clock over all queries: by half in two hours, whether a part came in
 // time or after it was given up.
 func TestForgets(t *testing.T) {
 	clock := time.Duration(0)
-	s := &gather.Settings{Parts: []gather.Part{{Name: "a"}, {Name: "b"}}, Least: 0.5}
-	g := &Gatherer{Settings: s, Model: gather.NewModel(s, gather.Options{}), Counts: new(Counts), Clock: func() time.Duration { return clock }}
+	s := &waitpolicy.Settings{Parts: []waitpolicy.Part{{Name: "a"}, {Name: "b"}}, Least: 0.5}
+	g := &Gatherer{Settings: s, Model: waitpolicy.NewModel(s, waitpolicy.Options{}), Counts: new(Counts), Clock: func() time.Duration { return clock }}
 	tree := &Tree{Name: "t", Parts: []Part{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}, Least: 0.5}
 	leaves := tree.Number()
 	for range 2 {
@@ -23,10 +23,10 @@
 		r := &Run{Tree: tree, Leaves: leaves, By: []*Gatherer{g}, Calls: make([]Call, 2), Class: "read", Arrived: time.Now(), Wait: time.Hour, cut: make([]bool, 2)}
 		r.begin()
 		r.query.Came(time.Second, leaves[0], 0, Result{Held: 1, Of: 1})
-		r.query.end(time.Second, r.query.root, gather.Answer)
+		r.query.end(time.Second, r.query.root, waitpolicy.Answer)
 		r.learn()
-		r.observe(1, gather.Outcome{Took: 2 * time.Second})
-		r.observe(1, gather.Outcome{Took: 3 * time.Second}) // once only
+		r.observe(1, waitpolicy.Outcome{Took: 2 * time.Second})
+		r.observe(1, waitpolicy.Outcome{Took: 3 * time.Second}) // once only
 	}
 	keys, all := g.Model.Sketches()
 	for i, k := range keys {
@@ -43,14 +43,14 @@
 // loses half of its own time at the most. What came before the time was over is heard, however late.
 func TestAdmits(t *testing.T) {
 	for _, c := range []struct {
-		s          gather.Settings
+		s          waitpolicy.Settings
 		wait, want time.Duration
 	}{
-		{gather.Settings{Mode: gather.None, HalfLife: time.Millisecond}, 8 * time.Second, 4 * time.Second},
-		{gather.Settings{Mode: gather.Fixed, Fixed: 2 * time.Second}, 8 * time.Second, time.Second},
-		{gather.Settings{Mode: gather.Fixed, Fixed: 20 * time.Millisecond}, 8 * time.Second, admitLeast},
-		{gather.Settings{HalfLife: 3 * time.Second}, 8 * time.Second, 1500 * time.Millisecond},
-		{gather.Settings{HalfLife: 3 * time.Second}, 200 * time.Millisecond, 100 * time.Millisecond},
+		{waitpolicy.Settings{Mode: waitpolicy.None, HalfLife: time.Millisecond}, 8 * time.Second, 4 * time.Second},
+		{waitpolicy.Settings{Mode: waitpolicy.Fixed, Fixed: 2 * time.Second}, 8 * time.Second, time.Second},
+		{waitpolicy.Settings{Mode: waitpolicy.Fixed, Fixed: 20 * time.Millisecond}, 8 * time.Second, admitLeast},
+		{waitpolicy.Settings{HalfLife: 3 * time.Second}, 8 * time.Second, 1500 * time.Millisecond},
+		{waitpolicy.Settings{HalfLife: 3 * time.Second}, 200 * time.Millisecond, 100 * time.Millisecond},
 	} {
 		r := &Run{By: []*Gatherer{{Settings: &c.s}}, Wait: c.wait}
 		if got := r.admits(); got != c.want {
@@ -64,11 +64,11 @@
 
 func (hasty) CameShare(time.Duration, int, float64) {}
 
-func (hasty) Next(now time.Duration) gather.Step {
+func (hasty) Next(now time.Duration) waitpolicy.Step {
 	if now >= time.Second {
-		return gather.Step{Kind: gather.Answer}
+		return waitpolicy.Step{Kind: waitpolicy.Answer}
 	}
-	return gather.Step{Until: time.Second}
+	return waitpolicy.Step{Until: time.Second}
 }
 
 // What comes after the answer is settled, or after its gatherer is, is not merged; less than the least is no
@@ -93,7 +93,7 @@
 		if q.Next(2*time.Second).Kind != step.Kind {
 			t.Errorf("%q: it is settled anew", come)
 		}
-		if w := q.Answer(); step.Kind == gather.Answer {
+		if w := q.Answer(); step.Kind == waitpolicy.Answer {
 			got = string(bytes.Join(w.Contents, []byte(" "))) + "/" + strings.Join(w.Missing, " ")
 		}
 		if got != want {
--- a/internal/scatter/service.go
+++ b/internal/scattergather/service.go
@@ -1,4 +1,4 @@
-package scatter
+package scattergather
 
 import (
 	"log/slog"
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"lockflow/internal/gather"
-	"lockflow/internal/gather/share"
+	"lockflow/internal/waitpolicy"
+	"lockflow/internal/waitpolicy/share"
 )
 
 // Gatherer is one gathering service as long as its settings are the same: what its queries are
@@ -15,8 +15,8 @@
 // concurrent use.
 type Gatherer struct {
 	Name       string
-	Settings   *gather.Settings
-	Model      *gather.Model
+	Settings   *waitpolicy.Settings
+	Model      *waitpolicy.Model
 	Counts     *Counts
 	RetryAfter time.Duration // most that a refused client is told to wait; 0 tells none
 	// Clock is that by which what was learned grows old: one for all queries, which only grows. nil is
@@ -31,7 +31,7 @@
 var processBegan = time.Now()
 
 // observe tells what is learned from of a part's outcome, which is known now.
-func (g *Gatherer) observe(class string, part int, load float64, o gather.Outcome) {
+func (g *Gatherer) observe(class string, part int, load float64, o waitpolicy.Outcome) {
 	if g.Clock != nil {
 		o.At = g.Clock()
 	} else {
@@ -86,7 +86,7 @@
 )
 
 // Missing notes of each part whether an answer was without it.
-func (c *Counts) Missing(service string, parts []gather.Part, held func(part int) bool) {
+func (c *Counts) Missing(service string, parts []waitpolicy.Part, held func(part int) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.missing == nil || len(c.missing) > missingKept {
@@ -134,7 +134,7 @@
 	Known    bool              `json:"known"`   // enough is known to decide by it
 	Deadline time.Duration     `json:"deadline_ns"`
 	Usual    []time.Duration   `json:"usual_ns"` // time within which nine of ten answers of each part come; 0 is not known
-	Learned  gather.Stats      `json:"learned"`
+	Learned  waitpolicy.Stats  `json:"learned"`
 	Shared   *share.Status     `json:"shared,omitempty"` // nil shares nothing
 }
 
@@ -163,9 +163,9 @@
 
 // Deadline is for how long one part that does not come is waited for at the most, all others having
 // come as usual: what a learned deadline is now.
-func Deadline(s *gather.Settings, f *gather.Forecast) (longest time.Duration) {
+func Deadline(s *waitpolicy.Settings, f *waitpolicy.Forecast) (longest time.Duration) {
 	for out := range s.Parts {
-		q := gather.Begin(s, f, 0, 0)
+		q := waitpolicy.Begin(s, f, 0, 0)
 		now := time.Duration(0)
 		for i := range s.Parts {
 			if i != out {
@@ -181,7 +181,7 @@
 		}
 		for range deadlineSteps {
 			step := q.Next(now)
-			if step.Kind != gather.Wait {
+			if step.Kind != waitpolicy.Wait {
 				break
 			}
 			now = max(step.Until, now+1)
--- a/internal/scatter/tree.go
+++ b/internal/scattergather/tree.go
@@ -1,9 +1,9 @@
-package scatter
+package scattergather
 
 import (
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // Tree is a gathering service and all that it reaches. It is not changed once it is made.
@@ -59,7 +59,7 @@
 type Decider interface {
 	// CameShare tells that a part has ended, and the share of what it stands for that it holds.
 	CameShare(now time.Duration, part int, share float64)
-	Next(now time.Duration) gather.Step
+	Next(now time.Duration) waitpolicy.Step
 }
 
 // Result is what a service's answer came to. One that holds nothing is a part that is missing.
@@ -97,7 +97,7 @@
 	came  []bool
 	share []float64 // held of each part
 	over  bool
-	kind  gather.Kind
+	kind  waitpolicy.Kind
 }
 
 // Begin begins a query; decider gives each gatherer's own.
@@ -153,10 +153,10 @@
 func (a *asked) enough() bool { h := a.held(); return h > 0 && h >= a.Least-leastSlack }
 
 // Next says what to do. Once it is not to wait, the answer is settled.
-func (q *Query) Next(now time.Duration) gather.Step {
+func (q *Query) Next(now time.Duration) waitpolicy.Step {
 	s := q.next(now, q.root)
-	if q.root.over && q.root.kind == gather.Answer && !q.root.enough() {
-		q.root.kind = gather.Refuse
+	if q.root.over && q.root.kind == waitpolicy.Answer && !q.root.enough() {
+		q.root.kind = waitpolicy.Refuse
 	}
 	if q.root.over {
 		s.Kind = q.root.kind
@@ -164,9 +164,9 @@
 	return s
 }
 
-func (q *Query) next(now time.Duration, a *asked) gather.Step {
+func (q *Query) next(now time.Duration, a *asked) waitpolicy.Step {
 	if a.over {
-		return gather.Step{Kind: a.kind}
+		return waitpolicy.Step{Kind: a.kind}
 	}
 	until := time.Duration(-1)
 	for i, p := range a.Parts {
@@ -175,46 +175,46 @@
 		}
 		in := q.by[p.Inner]
 		s := q.next(now, in)
-		if s.Kind != gather.Wait {
+		if s.Kind != waitpolicy.Wait {
 			q.part(now, a, i, in.worth())
 		} else if until < 0 || s.Until < until {
 			until = s.Until
 		}
 	}
 	s := a.Decider.Next(now)
-	if s.Kind == gather.Wait {
+	if s.Kind == waitpolicy.Wait {
 		if until >= 0 {
 			s.Until = min(s.Until, until)
 		}
 		return s
 	}
 	q.end(now, a, s.Kind)
-	return gather.Step{Kind: a.kind}
+	return waitpolicy.Step{Kind: a.kind}
 }
 
 // worth is what of an inner gatherer's answer its outer one holds: nothing where it is refused.
 func (a *asked) worth() float64 {
-	if a.kind != gather.Answer || !a.enough() {
+	if a.kind != waitpolicy.Answer || !a.enough() {
 		return 0
 	}
 	return a.held()
 }
 
 // end settles a gatherer. An inner one that still waits gives what it has, where that is enough.
-func (q *Query) end(now time.Duration, a *asked, kind gather.Kind) {
+func (q *Query) end(now time.Duration, a *asked, kind waitpolicy.Kind) {
 	for i, p := range a.Parts {
 		if a.came[i] {
 			continue
 		}
 		if p.Inner != nil {
 			in := q.by[p.Inner]
-			q.end(now, in, gather.Answer)
+			q.end(now, in, waitpolicy.Answer)
 			a.share[i] = in.worth()
 		}
 		q.ended = append(q.ended, Ended{a.Tree, i, now - q.began, false, true})
 	}
 	if a.over, a.kind = true, kind; !a.enough() {
-		a.kind = gather.Refuse
+		a.kind = waitpolicy.Refuse
 	}
 }
 
--- a/internal/scattertest/faults_test.go
+++ b/internal/scattergathertest/faults_test.go
@@ -1,4 +1,4 @@
-package scattertest
+package scattergathertest
 
 import (
 	"fmt"
--- a/internal/scattertest/node_test.go
+++ b/internal/scattergathertest/node_test.go
@@ -1,5 +1,5 @@
-// Package scattertest tries gathering services as clients and servers see them.
-package scattertest
+// Package scattergathertest tries gathering services as clients and servers see them.
+package scattergathertest
 
 import (
 	"cmp"
--- a/internal/service/left_test.go
+++ b/internal/service/left_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
+	"lockflow/internal/responseclass"
 	"lockflow/internal/testkit"
 	"lockflow/internal/upstream"
 )
@@ -248,7 +248,7 @@
 		x.Forwarder = &upstream.Whole{Request: q, Body: []byte("body")}
 		return x
 	}
-	x.Forwarder = &upstream.Relay{Name: http.MethodGet, Target: "/x", Host: "h", Header: h, Length: -1, Rules: &answer.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
+	x.Forwarder = &upstream.Relay{Name: http.MethodGet, Target: "/x", Host: "h", Header: h, Length: -1, Rules: &responseclass.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
 	return x
 }
 
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/census"
 	"lockflow/internal/discovery"
+	"lockflow/internal/groupsize"
 	"lockflow/internal/upstream"
 )
 
@@ -56,7 +56,7 @@
 	next        *Service                  // that has taken this one's place; nil while there is none
 	gave        map[string]*upstream.Pool // pools that are next's to close, by uid
 	streamsOpen *Streams                  // nil where nobody asks
-	census      *census.Census            // nil where nobody asks
+	census      *groupsize.Census         // nil where nobody asks
 	counts      map[string]*ClassCounts   // by class; nil where nothing is counted
 	outAt       map[uint32]int            // attempts out by server, for the census
 	meter       *metered                  // nil where nothing is metered
@@ -86,7 +86,7 @@
 	}
 	l.ledger = newLedger(o.SharedHardLimits)
 	if o.EstimateGroupSize {
-		l.census, l.outAt = census.New(o.Settings.GroupSize), make(map[uint32]int)
+		l.census, l.outAt = groupsize.New(o.Settings.GroupSize), make(map[uint32]int)
 	}
 	return l
 }
--- a/internal/service/meter.go
+++ b/internal/service/meter.go
@@ -7,14 +7,14 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/figures"
+	"lockflow/internal/instancestats"
 )
 
 // StatisticsCollector counts what a process's services do, over all their generations. It is safe for concurrent use;
 // its zero value is empty.
 type StatisticsCollector struct {
 	mu    sync.Mutex
-	gone  figures.Figures // of loops that have ended
+	gone  instancestats.Figures // of loops that have ended
 	loops map[*metered]struct{}
 }
 
@@ -25,7 +25,7 @@
 	left, failed, refused, late, breaches atomic.Uint64
 	beyond, panics                        atomic.Uint64
 	units                                 atomic.Uint64 // bits of a float64
-	delays                                [len(figures.Delays{})]atomic.Uint64
+	delays                                [len(instancestats.Delays{})]atomic.Uint64
 }
 
 // meteredClass is one class's count, as its worth is the same for all.
@@ -60,9 +60,9 @@
 }
 
 // Statistics are what was counted until now. What is of the process, and not of services, is left to the caller.
-func (m *StatisticsCollector) Statistics() figures.Figures {
+func (m *StatisticsCollector) Statistics() instancestats.Figures {
 	if m == nil {
-		return figures.Figures{}
+		return instancestats.Figures{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -73,7 +73,7 @@
 	return f
 }
 
-func (c *metered) addTo(f *figures.Figures) {
+func (c *metered) addTo(f *instancestats.Figures) {
 	for _, k := range c.classes {
 		f.Asked += k.worth * float64(k.asked.Load())
 		f.Served += k.worth * float64(k.served.Load())
@@ -109,7 +109,7 @@
 	switch is := a.outcome(); is {
 	case 0:
 		took := now.Sub(x.began)
-		c.delays[figures.Bucket(took)].Add(1)
+		c.delays[instancestats.Bucket(took)].Add(1)
 		if took <= k.aim {
 			k.served.Add(1)
 		} else {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -16,7 +16,7 @@
 
 	"lockflow/control"
 	"lockflow/internal/discovery"
-	"lockflow/internal/tally"
+	"lockflow/internal/eventlog"
 	"lockflow/internal/upstream"
 )
 
@@ -62,7 +62,7 @@
 	Streams           *Streams               // of which answers are under way; nil keeps none
 	RequestCounts     *RequestCounts         // of what becomes of requests; nil counts nothing
 	Statistics        *StatisticsCollector   // of what the process does; nil counts nothing
-	EventLog          *tally.Writer          // of what is done; nil writes nothing
+	EventLog          *eventlog.Writer       // of what is done; nil writes nothing
 	EstimateGroupSize bool                   // whether the group's size is estimated by servers' reports
 	OnReady           func()                 // called once, when there is a server to send to; may be nil
 	ObserveModuleTime func(time.Duration)    // told of the module's own time at each event; may be nil
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -9,34 +9,34 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lockflow/internal/allowance"
+	"lockflow/internal/quotalease"
 )
 
 // LeaseStore is asked for units of shared ceilings. It is safe for concurrent use.
 type LeaseStore interface {
-	Call(context.Context, *allowance.Call) (allowance.Answer, error)
+	Call(context.Context, *quotalease.Call) (quotalease.Answer, error)
 }
 
 // SharedHardLimits has a service's ceilings lent by counters. The module is told of what they refuse, and holds
 // no ceilings of its own.
 type SharedHardLimits struct {
-	Rules      allowance.Rules
-	ByPlan     map[string]allowance.Ceiling // by plan
-	StoreNames []string                     // of the counters; customers fall to them by these
+	Rules      quotalease.Rules
+	ByPlan     map[string]quotalease.Ceiling // by plan
+	StoreNames []string                      // of the counters; customers fall to them by these
 	Stores     []LeaseStore
 }
 
 // HardLimitStatus is what a service has of shared ceilings at one counter.
 type HardLimitStatus struct {
 	StoreName string `json:"counter"` // its name in the configuration
-	allowance.Status
+	quotalease.Status
 }
 
 // ledger is the loop's side of Shared. It goes from a service to the one that takes its place.
 type ledger struct {
 	*SharedHardLimits
 	start   time.Time
-	holders []*allowance.Holder
+	holders []*quotalease.Holder
 	next    uint64
 	asked   map[uint64]*Exchange // of which the holder has not decided
 	failed  []error              // why the last call to each counter did
@@ -56,9 +56,9 @@
 
 // begin makes holders that have nothing.
 func (g *ledger) begin() {
-	g.holders = make([]*allowance.Holder, len(g.Stores))
+	g.holders = make([]*quotalease.Holder, len(g.Stores))
 	for i := range g.holders {
-		g.holders[i] = allowance.NewHolder(g.now(), g.Rules, fmt.Sprintf("%016x", rand.Uint64()))
+		g.holders[i] = quotalease.NewHolder(g.now(), g.Rules, fmt.Sprintf("%016x", rand.Uint64()))
 	}
 }
 
@@ -106,10 +106,10 @@
 }
 
 // share does what a holder wants done.
-func (l *loop) share(i int, todo []allowance.Action) {
+func (l *loop) share(i int, todo []quotalease.Action) {
 	g := l.ledger
 	for _, a := range todo {
-		if a.Kind == allowance.Send {
+		if a.Kind == quotalease.Send {
 			q, c := a.Call, g.Stores[i]
 			go func() {
 				r, err := c.Call(l.life, q)
@@ -123,11 +123,11 @@
 		case x == nil: // another service has it
 			continue
 		case x.done: // its client has left
-			if a.Kind == allowance.Let {
+			if a.Kind == quotalease.Let {
 				g.holders[i].Refund(g.now(), x.lent.key, x.lent.units, a.Until)
 			}
 			continue
-		case a.Kind == allowance.Let:
+		case a.Kind == quotalease.Let:
 			x.lent.until = a.Until
 		default:
 			x.Request.Over = true
@@ -137,7 +137,7 @@
 }
 
 // heard takes a counter's answer. One to a ledger that another service has by now comes too late.
-func (l *loop) heard(g *ledger, i int, r allowance.Answer, err error) {
+func (l *loop) heard(g *ledger, i int, r quotalease.Answer, err error) {
 	if l.ledger != g {
 		return
 	}
@@ -158,7 +158,7 @@
 
 // ticks has the holders do what is due by time, until the service ends.
 func (s *Service) ticks(ctx context.Context) {
-	t := time.NewTicker(allowance.TickEvery)
+	t := time.NewTicker(quotalease.TickEvery)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -11,20 +11,20 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/allowance"
+	"lockflow/internal/quotalease"
 	"lockflow/internal/upstream"
 )
 
 // memory is a counter without a network; it can be away.
 type memory struct {
 	mu    sync.Mutex
-	c     *allowance.Counter
+	c     *quotalease.Counter
 	begun time.Time
 	away  bool
 	hold  chan struct{} // calls wait for it; nil is not at all
 }
 
-func (m *memory) Call(_ context.Context, q *allowance.Call) (allowance.Answer, error) {
+func (m *memory) Call(_ context.Context, q *quotalease.Call) (quotalease.Answer, error) {
 	m.mu.Lock()
 	hold := m.hold
 	m.mu.Unlock()
@@ -34,17 +34,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.away {
-		return allowance.Answer{}, errors.New("away")
+		return quotalease.Answer{}, errors.New("away")
 	}
 	return m.c.Handle(time.Since(m.begun), *q), nil
 }
 
 func sharing(m *memory, instances int) Options {
-	r := allowance.Rules{Instances: instances, Term: time.Second, Pledge: 2 * time.Second, Settle: 3 * time.Second}
+	r := quotalease.Rules{Instances: instances, Term: time.Second, Pledge: 2 * time.Second, Settle: 3 * time.Second}
 	if m.c == nil {
-		m.c, m.begun = allowance.NewCounter(r, "c"), time.Now()
+		m.c, m.begun = quotalease.NewCounter(r, "c"), time.Now()
 	}
-	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]allowance.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{m}}}
+	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]quotalease.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{m}}}
 }
 
 // holdsAll is a module that holds what it lets in, and refuses what a shared ceiling does.
@@ -288,7 +288,7 @@
 // that fall to that one.
 func TestSharedSpread(t *testing.T) {
 	at := func(names ...string) map[string]string {
-		g := newLedger(&SharedHardLimits{Rules: allowance.Rules{Instances: 1}, ByPlan: map[string]allowance.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
+		g := newLedger(&SharedHardLimits{Rules: quotalease.Rules{Instances: 1}, ByPlan: map[string]quotalease.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
 		all := make(map[string]string)
 		for i := range 30_000 {
 			n, key := g.of("p", fmt.Sprintf("%016x", i))
@@ -313,7 +313,7 @@
 // What a request's shared ceiling costs beside the request, where nothing has to be asked for.
 func BenchmarkShared(b *testing.B) {
 	o := sharing(&memory{}, 1)
-	o.SharedHardLimits.ByPlan["p"] = allowance.Ceiling{Rate: 1e9, Burst: 1e9}
+	o.SharedHardLimits.ByPlan["p"] = quotalease.Ceiling{Rate: 1e9, Burst: 1e9}
 	o.SharedHardLimits.Rules.Settle = 1
 	l := &loop{ledger: newLedger(o.SharedHardLimits), module: script(holds)}
 	l.ledger.start = l.ledger.start.Add(-time.Minute) // its part is its own
--- a/internal/service/tally.go
+++ b/internal/service/tally.go
@@ -7,7 +7,7 @@
 
 	"lockflow/control"
 	"lockflow/internal/discovery"
-	"lockflow/internal/tally"
+	"lockflow/internal/eventlog"
 	"lockflow/internal/upstream"
 )
 
@@ -17,7 +17,7 @@
 
 // book has a loop's doings written. It is the loop's own.
 type book struct {
-	to      *tally.Writer
+	to      *eventlog.Writer
 	stated  time.Time
 	why     map[string]control.Cause // of what the module has just given up, by request
 	servers map[uint32]booked        // for as long as they are listed
@@ -28,9 +28,9 @@
 	boot time.Time // zero is long ago
 }
 
-func newBook(w *tally.Writer, plans []control.Plan) *book {
+func newBook(w *eventlog.Writer, plans []control.Plan) *book {
 	for _, p := range plans {
-		w.Plan(tally.Plan{
+		w.Plan(eventlog.Plan{
 			At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.Rate, Depth: p.Depth, OverCost: p.OverCost,
 			CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst, Slack: p.CeilingSlack,
 		})
@@ -59,7 +59,7 @@
 }
 
 func (b *book) ended(x *Exchange, a Answer) {
-	r := tally.Request{
+	r := eventlog.Request{
 		At: x.began, Class: x.Request.Class, Plan: x.Request.Plan, Customer: uint32(xxhash.Sum64String(x.Request.Customer)),
 		Spread: x.Request.Spread, Repeat: x.Request.Repeat, Units: x.Request.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.began), Sends: x.sends,
 	}
@@ -72,7 +72,7 @@
 
 func (b *book) attempt(x *Exchange, n int, server uint32, sent time.Time, o *upstream.Outcome, up bool) {
 	s := b.servers[server]
-	a := tally.Attempt{
+	a := eventlog.Attempt{
 		At: sent, Server: s.uid, Class: x.Request.Class, N: n, Reason: Reasons[reasonOf[o.Reason]], Took: time.Since(sent),
 		Age: -time.Millisecond, Drains: !up, Dialed: o.Dialed, ServiceMS: -1, Util: -1, Queue: -1,
 	}
@@ -95,7 +95,7 @@
 		return
 	}
 	b.stated = now
-	s := tally.State{At: now, Bound: l.bound(), Held: len(l.exchanges), Listed: len(l.ids), Up: len(l.pools)}
+	s := eventlog.State{At: now, Bound: l.bound(), Held: len(l.exchanges), Listed: len(l.ids), Up: len(l.pools)}
 	for _, x := range l.exchanges {
 		s.Out += x.out
 	}
--- a/internal/lab/labtest/labtest.go
+++ b/internal/testbench/labtest/labtest.go
@@ -5,15 +5,15 @@
 	"context"
 	"testing"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
 	"lockflow/internal/testkit"
 )
 
 // Begin starts a lab that the end of a test stops, and waits until its node is ready.
-func Begin(t testing.TB, text string, servers map[string][]standin.Server) *lab.Lab {
+func Begin(t testing.TB, text string, servers map[string][]fake.Server) *testbench.Lab {
 	t.Helper()
-	l, err := lab.Start(text, servers)
+	l, err := testbench.Start(text, servers)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/ordinary.go
+++ b/internal/testbench/ordinary.go
@@ -1,4 +1,4 @@
-package lab
+package testbench
 
 import (
 	"context"
@@ -6,14 +6,14 @@
 	"strings"
 
 	"lockflow/internal/config"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
 )
 
 // Ordinary is a node of one service, app, that serves ordinary HTTP from origins.
 type Ordinary struct {
 	Node    *node.Node
-	Origins []*standin.Origin
+	Origins []*fake.Origin
 
 	stop context.CancelFunc
 	done chan error
@@ -23,7 +23,7 @@
 // StartOrdinary starts origins and a node before them. process and service are further lines of the
 // configuration's [process] and [services.app], more is what stands behind it all; @origins stands
 // for the list of the origins as static servers.
-func StartOrdinary(origins []*standin.Origin, process, service, more string) (*Ordinary, error) {
+func StartOrdinary(origins []*fake.Origin, process, service, more string) (*Ordinary, error) {
 	o := &Ordinary{done: make(chan error, 1), stop: func() {}}
 	for _, one := range origins {
 		if err := one.Start(); err != nil {
--- a/internal/lab/scenario.go
+++ b/internal/testbench/scenario.go
@@ -1,4 +1,4 @@
-package lab
+package testbench
 
 import (
 	_ "embed"
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
 )
 
 // Demo is the configuration of a node with two services, rosters and documents, on one host.
@@ -18,28 +18,28 @@
 var Demo string
 
 // DemoServers are the app servers of Demo: fast ones, so that a few seconds show something.
-func DemoServers(seed uint64) map[string][]standin.Server {
-	pods := []*standin.Group{{Window: 15 * time.Second}, {Window: 15 * time.Second}}
-	var rosters, documents []standin.Server
+func DemoServers(seed uint64) map[string][]fake.Server {
+	pods := []*fake.Group{{Window: 15 * time.Second}, {Window: 15 * time.Second}}
+	var rosters, documents []fake.Server
 	for i := range 4 {
-		rosters = append(rosters, standin.Server{
+		rosters = append(rosters, fake.Server{
 			UID: fmt.Sprint("roster-", i+1), Place: i % 2, Group: pods[i%2],
 			Work: 10 * time.Millisecond, Cores: 4, Queue: 64, Seed: seed + uint64(i),
 		})
 	}
 	for i := range 3 {
-		documents = append(documents, standin.Server{
+		documents = append(documents, fake.Server{
 			UID:  fmt.Sprint("document-", i+1),
 			Work: 20 * time.Millisecond, Cores: 4, Queue: 256, Seed: seed + 100 + uint64(i),
 		})
 	}
-	return map[string][]standin.Server{"rosters": rosters, "documents": documents}
+	return map[string][]fake.Server{"rosters": rosters, "documents": documents}
 }
 
 // RosterCall makes a call to the roster service of Demo: a read or an update with a key of
 // its own.
-func RosterCall(rng *rand.Rand) standin.Call {
-	c := standin.Call{
+func RosterCall(rng *rand.Rand) fake.Call {
+	c := fake.Call{
 		Kind: "rosters", Host: "care.example", Method: "GET", Path: "/roster-read/week",
 		Customer: rng.Uint64N(200), Plan: "standard", Deadline: 2 * time.Second,
 	}
@@ -50,8 +50,8 @@
 }
 
 // DocumentCall makes a call to the document service of Demo.
-func DocumentCall(rng *rand.Rand) standin.Call {
-	return standin.Call{
+func DocumentCall(rng *rand.Rand) fake.Call {
+	return fake.Call{
 		Kind: "documents", Host: "care.example", Method: "GET", Path: "/docs/plan-" + strconv.Itoa(rng.IntN(1000)),
 		Customer: rng.Uint64N(200), Plan: "standard", Deadline: 2 * time.Second,
 	}
--- a/internal/lab/lab.go
+++ b/internal/testbench/testbench.go
@@ -1,6 +1,6 @@
-// Package lab puts a node between stand-in peers on loopback addresses: the demo, tests and
+// Package testbench puts a node between stand-in peers on loopback addresses: the demo, tests and
 // measurements run in it.
-package lab
+package testbench
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"time"
 
 	"lockflow/internal/config"
+	"lockflow/internal/fake"
 	"lockflow/internal/node"
-	"lockflow/internal/standin"
 )
 
 // Lab is a node with the app servers and the discovery of each of its services.
@@ -28,9 +28,9 @@
 
 // Pool is what stands behind one service.
 type Pool struct {
-	Discovery *standin.Discovery
-	Servers   []*standin.Running
-	Tally     *standin.Tally
+	Discovery *fake.Discovery
+	Servers   []*fake.Running
+	Tally     *fake.Tally
 }
 
 // Stall has all servers of the pool hold what they get, or go on.
@@ -55,13 +55,13 @@
 }
 
 // StartPool starts servers and a discovery that lists them. Those without a tally share one.
-func StartPool(servers []standin.Server) (*Pool, error) {
-	p := &Pool{Tally: &standin.Tally{}}
+func StartPool(servers []fake.Server) (*Pool, error) {
+	p := &Pool{Tally: &fake.Tally{}}
 	var err error
-	if p.Discovery, err = standin.StartDiscovery(); err != nil {
+	if p.Discovery, err = fake.StartDiscovery(); err != nil {
 		return nil, err
 	}
-	var list []standin.Entry
+	var list []fake.Entry
 	for _, s := range servers {
 		if s.Tally == nil {
 			s.Tally = p.Tally
@@ -79,7 +79,7 @@
 
 // Start starts servers for each service and a node of the configuration in text, in which
 // @NAME stands for the address of that service's discovery.
-func Start(text string, servers map[string][]standin.Server) (*Lab, error) {
+func Start(text string, servers map[string][]fake.Server) (*Lab, error) {
 	l := &Lab{Pools: make(map[string]*Pool), text: text, done: make(chan error, 1), stop: func() {}}
 	for name, s := range servers {
 		p, err := StartPool(s)
--- a/internal/lab/lab_test.go
+++ b/internal/testbench/testbench_test.go
@@ -1,25 +1,25 @@
-package lab_test
+package testbench_test
 
 import (
 	"context"
 	"testing"
 	"time"
 
-	"lockflow/internal/lab"
-	"lockflow/internal/lab/labtest"
-	"lockflow/internal/standin"
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
+	"lockflow/internal/testbench/labtest"
 )
 
 // play sends calls of both services at a rate for a while.
-func play(l *lab.Lab, lasts time.Duration, clients ...standin.Clients) map[string]*standin.Result {
+func play(l *testbench.Lab, lasts time.Duration, clients ...fake.Clients) map[string]*fake.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), lasts)
 	defer cancel()
-	var runs []*standin.Run
+	var runs []*fake.Run
 	for i, c := range clients {
 		c.Addr, c.Seed = l.Node.Addr(), c.Seed+uint64(i)
 		runs = append(runs, c.Start(ctx))
 	}
-	all := make(map[string]*standin.Result)
+	all := make(map[string]*fake.Result)
 	for _, r := range runs {
 		for k, v := range r.Wait() {
 			all[k] = v
@@ -29,9 +29,9 @@
 }
 
 func TestDemoServes(t *testing.T) {
-	l := labtest.Begin(t, lab.Demo, lab.DemoServers(1))
-	got := play(l, time.Second, standin.Clients{Call: lab.RosterCall, Every: 10 * time.Millisecond, Workers: 32, Seed: 1},
-		standin.Clients{Call: lab.DocumentCall, Every: 20 * time.Millisecond, Workers: 32, Seed: 2})
+	l := labtest.Begin(t, testbench.Demo, testbench.DemoServers(1))
+	got := play(l, time.Second, fake.Clients{Call: testbench.RosterCall, Every: 10 * time.Millisecond, Workers: 32, Seed: 1},
+		fake.Clients{Call: testbench.DocumentCall, Every: 20 * time.Millisecond, Workers: 32, Seed: 2})
 	for kind, r := range got {
 		// Where the cores are busy with other work, calls come in bursts, of which the bound turns some away.
 		if r.Served < r.Calls/4 || r.Calls == 0 || r.Lost+r.Wrong > 0 {
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/fake"
 	"lockflow/internal/limits"
-	"lockflow/internal/standin"
 	"lockflow/internal/testkit"
 )
 
@@ -238,7 +238,7 @@
 func TestConnectionUpBehindTheWindow(t *testing.T) {
 	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
 		t.Run(name, func(t *testing.T) {
-			a, err := standin.Server{UID: "s", HTTP2: true}.Start()
+			a, err := fake.Server{UID: "s", HTTP2: true}.Start()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -411,7 +411,7 @@
 	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
 		for when, before := range map[string]bool{"before": true, "meanwhile": false} {
 			t.Run(name+" "+when, func(t *testing.T) {
-				a, err := standin.Server{UID: "s", HTTP2: true}.Start()
+				a, err := fake.Server{UID: "s", HTTP2: true}.Start()
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -17,7 +17,7 @@
 	"lockflow/control"
 	"lockflow/internal/h2"
 	"lockflow/internal/protocol"
-	"lockflow/internal/replay"
+	"lockflow/internal/retrybuffer"
 )
 
 // flow is one attempt of ordinary HTTP over a stream of HTTP/2.
@@ -208,7 +208,7 @@
 func (t *flow) idle() { t.s.ReadBy(time.Now().Add(t.Idle)) }
 
 // pump sends the body as it comes. What breaks on the client's side ends the attempt.
-func (t *flow) pump(body *replay.Reader) {
+func (t *flow) pump(body *retrybuffer.Reader) {
 	if t.Expect {
 		wait := time.NewTimer(continueWait)
 		select {
@@ -239,7 +239,7 @@
 			break
 		}
 		if err != nil {
-			if !errors.Is(err, replay.ErrGone) && !errors.Is(err, replay.ErrClosed) {
+			if !errors.Is(err, retrybuffer.ErrGone) && !errors.Is(err, retrybuffer.ErrClosed) {
 				t.broken.Store(&err)
 			}
 			t.cutOff()
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -21,13 +21,13 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/certs"
+	"lockflow/internal/fake"
 	"lockflow/internal/h2"
 	"lockflow/internal/limits"
 	"lockflow/internal/protocol"
-	"lockflow/internal/replay"
-	"lockflow/internal/standin"
+	"lockflow/internal/responseclass"
+	"lockflow/internal/retrybuffer"
 	"lockflow/internal/testkit"
 )
 
@@ -53,7 +53,7 @@
 	return &Whole{Request: req, Body: []byte(body)}
 }
 
-func startHTTP2(t *testing.T, s standin.HTTP2Server) *standin.RunningHTTP2 {
+func startHTTP2(t *testing.T, s fake.HTTP2Server) *fake.RunningHTTP2 {
 	t.Helper()
 	r, err := s.Start()
 	if err != nil {
@@ -68,8 +68,8 @@
 // tells what speaks against the rules.
 func closes(t *testing.T, seed uint64, trusting bool) (wrong []string) {
 	rng := rand.New(rand.NewPCG(seed, 77))
-	f := standin.HTTP2Faults{Refuse: 0.1, Reset: 0.05, Error: 0.05, Lower: 0.1, GoAway: 0.1, CutRead: 0.3, CutSent: 0.3}
-	s, err := standin.HTTP2Server{UID: "s", Seed: seed, Faults: f, Streams: uint32(1 + rng.IntN(8))}.Start()
+	f := fake.HTTP2Faults{Refuse: 0.1, Reset: 0.05, Error: 0.05, Lower: 0.1, GoAway: 0.1, CutRead: 0.3, CutSent: 0.3}
+	s, err := fake.HTTP2Server{UID: "s", Seed: seed, Faults: f, Streams: uint32(1 + rng.IntN(8))}.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,7 +156,7 @@
 
 // Many requests at once share few connections, within the server's limit.
 func TestRequestsShare(t *testing.T) {
-	s := startHTTP2(t, standin.HTTP2Server{UID: "s", Streams: 50})
+	s := startHTTP2(t, fake.HTTP2Server{UID: "s", Streams: 50})
 	u := newHTTP2(HTTP2{Streams: 100, Conns: 2})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	var all sync.WaitGroup
@@ -191,7 +191,7 @@
 
 // A server that has left the list is not connected to anew.
 func TestRetiredIsLeft(t *testing.T) {
-	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
+	s := startHTTP2(t, fake.HTTP2Server{UID: "s"})
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	u.Retire(p)
@@ -263,7 +263,7 @@
 
 // A request whose time is up is reset; the connection and the other requests on it go on.
 func TestGivenUp(t *testing.T) {
-	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
+	s := startHTTP2(t, fake.HTTP2Server{UID: "s"})
 	held := make(chan struct{}, 1)
 	goOn := make(chan struct{})
 	l := listen(t, func(c net.Conn) {
@@ -375,12 +375,12 @@
 
 // A body that has come whole just behind the head is sent all the same.
 func TestBodyComesBehindTheHead(t *testing.T) {
-	s := startHTTP2(t, standin.HTTP2Server{UID: "s"})
+	s := startHTTP2(t, fake.HTTP2Server{UID: "s"})
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	q := &Relay{
 		Name: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, Length: 4,
-		Body: replay.New(strings.NewReader("body"), 1000, nil), Rules: &answer.Rules{}, Hold: 1000, Idle: testkit.Patience, Wait: testkit.Patience,
+		Body: retrybuffer.New(strings.NewReader("body"), 1000, nil), Rules: &responseclass.Rules{}, Hold: 1000, Idle: testkit.Patience, Wait: testkit.Patience,
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
-	"lockflow/internal/replay"
-	"lockflow/internal/strict"
+	"lockflow/internal/responseclass"
+	"lockflow/internal/retrybuffer"
+	"lockflow/internal/validation"
 )
 
 const (
@@ -39,12 +39,12 @@
 	Header             http.Header
 	Trailer            func() http.Header // known once all of the body was read; nil is none
 	TrailerNames       []string           // that are announced
-	Body               *replay.Body       // nil is none
+	Body               *retrybuffer.Body  // nil is none
 	Length             int64              // of the body; below zero it goes in chunks
 	Expect             bool               // the body waits for an answer of 100
 	Upgrade            string             // protocol that may be changed to; "" is none
 
-	Rules *answer.Rules
+	Rules *responseclass.Rules
 	Hold  int           // most bytes of an answer's body that are held
 	Idle  time.Duration // for which one window of a body may take to move
 	Wait  time.Duration // from a body's last byte to the answer's first
@@ -71,7 +71,7 @@
 	unhook func() bool // from what ends the attempt
 	req    http.Request
 	resp   *http.Response // whose body is read; nil for a tunnel
-	scan   strict.Scanner
+	scan   validation.Scanner
 	heads  int  // bytes that heads may still have
 	body   bool // what is read now is no head
 	open   bool // no ctx bounds the wait for the answer: it counts from the last of the body
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -8,9 +8,9 @@
 	"testing"
 
 	"lockflow/control"
-	"lockflow/internal/answer"
 	"lockflow/internal/limits"
-	"lockflow/internal/replay"
+	"lockflow/internal/responseclass"
+	"lockflow/internal/retrybuffer"
 	"lockflow/internal/testkit"
 )
 
@@ -37,7 +37,7 @@
 			u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 			from, body := io.Pipe()
 			q := &Relay{
-				Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: replay.New(from, 0, nil), Rules: &answer.Rules{},
+				Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: retrybuffer.New(from, 0, nil), Rules: &responseclass.Rules{},
 				Idle: testkit.Patience, Wait: testkit.Patience,
 			}
 			o := q.Attempt(context.Background(), context.Background(), u, u.Pool(l.Addr().String(), SpeaksHTTP1))
@@ -75,7 +75,7 @@
 func TestHalfALineAhead(t *testing.T) {
 	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
 	p := u.Pool(raw(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), SpeaksHTTP1)
-	q := &Relay{Name: http.MethodGet, Target: "/x", Host: "h", Length: -1, Rules: &answer.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
+	q := &Relay{Name: http.MethodGet, Target: "/x", Host: "h", Length: -1, Rules: &responseclass.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
 	if o := q.Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ResetByPeer || o.Status != 0 {
 		t.Errorf("%+v", o)
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -10,7 +10,7 @@
 
 	"lockflow/control"
 	"lockflow/internal/protocol"
-	"lockflow/internal/replay"
+	"lockflow/internal/retrybuffer"
 )
 
 // send writes the request's head, and its body where all of it is here and small; else another
@@ -96,7 +96,7 @@
 
 // pump sends the body as it comes. What breaks on the client's side ends the attempt; what breaks
 // on the server's is for the answer to tell: it may have come before.
-func (t *relay) pump(body *replay.Reader) {
+func (t *relay) pump(body *retrybuffer.Reader) {
 	defer close(t.pumped)
 	if t.Expect {
 		wait := time.NewTimer(continueWait)
@@ -134,7 +134,7 @@
 			break
 		}
 		if err != nil {
-			if !errors.Is(err, replay.ErrGone) && !errors.Is(err, replay.ErrClosed) {
+			if !errors.Is(err, retrybuffer.ErrGone) && !errors.Is(err, retrybuffer.ErrClosed) {
 				t.broken.Store(&err)
 			}
 			t.c.interrupt()
--- a/internal/strict/strict.go
+++ b/internal/validation/validation.go
@@ -1,8 +1,8 @@
-// Package strict looks for what makes a message of HTTP/1.1 mean two things to two readers, which
+// Package validation looks for what makes a message of HTTP/1.1 mean two things to two readers, which
 // the library that parses it would mend or overlook: a body with two framings (RFC 9112, 6.3), a
 // field that goes on in a further line (5.2), a CR that ends no line (2.2), a Transfer-Encoding
 // in a message of HTTP/1.0 (6.1). It reads along, changes nothing and does no I/O.
-package strict
+package validation
 
 import (
 	"bytes"
--- a/internal/strict/strict_test.go
+++ b/internal/validation/validation_test.go
@@ -1,4 +1,4 @@
-package strict
+package validation
 
 import (
 	"bufio"
--- a/internal/gather/pool/pool.go
+++ b/internal/waitpolicy/pool/pool.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // Bounds.
@@ -47,7 +47,7 @@
 
 type member struct {
 	at      time.Duration // when it told that, by this instance's clock
-	records map[gather.Key]*gather.Record
+	records map[waitpolicy.Key]*waitpolicy.Record
 }
 
 // Stats are what a pool has done, cumulative but for what there is.
@@ -77,7 +77,7 @@
 	if now-at >= p.o.Life || old != nil && old.at >= at {
 		return nil
 	}
-	records, err := gather.DecodeShared(value)
+	records, err := waitpolicy.DecodeShared(value)
 	if err != nil {
 		p.stats.Refused++
 		return fmt.Errorf("gather: member %s: %w", id, err)
@@ -94,7 +94,7 @@
 		}
 		delete(p.members, oldest)
 	}
-	m := &member{at: at, records: make(map[gather.Key]*gather.Record, len(records))}
+	m := &member{at: at, records: make(map[waitpolicy.Key]*waitpolicy.Record, len(records))}
 	for i := range records {
 		m.records[records[i].Key()] = &records[i]
 	}
@@ -109,7 +109,7 @@
 // Merge gives what all others together know, and how far to trust it: trust moves by steps, so that
 // what is found, lost or replaced at once changes no deadline at once. Own sketches count in what
 // stands out, and in nothing else.
-func (p *Pool) Merge(now time.Duration, keys []gather.Key, own []gather.Sketch) (map[gather.Key]*gather.Sketch, float64) {
+func (p *Pool) Merge(now time.Duration, keys []waitpolicy.Key, own []waitpolicy.Sketch) (map[waitpolicy.Key]*waitpolicy.Sketch, float64) {
 	var ids []string
 	for id, m := range p.members {
 		if now-m.at >= p.o.Life {
@@ -120,14 +120,14 @@
 	}
 	slices.Sort(ids)
 	p.step(now, len(ids))
-	all := make(map[gather.Key]*gather.Sketch)
-	mine := make(map[gather.Key]*gather.Sketch, len(keys))
+	all := make(map[waitpolicy.Key]*waitpolicy.Sketch)
+	mine := make(map[waitpolicy.Key]*waitpolicy.Sketch, len(keys))
 	for i, k := range keys {
 		mine[k] = &own[i]
 	}
 	for _, id := range ids {
 		for k := range p.members[id].records {
-			if _, done := all[k]; !done && len(all) < gather.MostSketches {
+			if _, done := all[k]; !done && len(all) < waitpolicy.MostSketches {
 				all[k] = p.one(now, ids, k, mine[k])
 			}
 		}
@@ -151,7 +151,7 @@
 
 // voice is one member's sketch of a key.
 type voice struct {
-	s      gather.Sketch
+	s      waitpolicy.Sketch
 	n      float64 // that it counts
 	weight float64 // what it counts for
 	at     [len(quantiles)]float64
@@ -160,7 +160,7 @@
 	apart  float64 // how far it stands out, of what chance allows
 }
 
-func voiceOf(s gather.Sketch, fresh float64) voice {
+func voiceOf(s waitpolicy.Sketch, fresh float64) voice {
 	n := s.Weight()
 	v := voice{s: s, n: n, weight: min(n, fewWeight) * fresh, judged: n >= judgeFrom}
 	if v.judged {
@@ -176,7 +176,7 @@
 }
 
 // one merges one key.
-func (p *Pool) one(now time.Duration, ids []string, k gather.Key, own *gather.Sketch) *gather.Sketch {
+func (p *Pool) one(now time.Duration, ids []string, k waitpolicy.Key, own *waitpolicy.Sketch) *waitpolicy.Sketch {
 	voices := p.voices[:0]
 	for _, id := range ids {
 		m := p.members[id]
@@ -219,7 +219,7 @@
 		voices[i].weight = 0
 		p.stats.Apart++
 	}
-	all := new(gather.Sketch)
+	all := new(waitpolicy.Sketch)
 	for i := range voices[:others] {
 		if v := &voices[i]; v.weight > 0 {
 			all.Add(&v.s, v.weight/v.n)
--- a/internal/gather/pool/pool_test.go
+++ b/internal/waitpolicy/pool/pool_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 const (
@@ -19,10 +19,10 @@
 // told is what an instance shares that has seen a part take about so long, n times.
 func told(t testing.TB, seed uint64, n int, median time.Duration) []byte {
 	t.Helper()
-	m := gather.NewModel(&gather.Settings{Parts: []gather.Part{{Name: "a"}}}, gather.Options{})
+	m := waitpolicy.NewModel(&waitpolicy.Settings{Parts: []waitpolicy.Part{{Name: "a"}}}, waitpolicy.Options{})
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for range n {
-		m.Observe("c", 0, 0.3, gather.Outcome{Took: time.Duration(float64(median) * math.Exp(0.6*rng.NormFloat64()))})
+		m.Observe("c", 0, 0.3, waitpolicy.Outcome{Took: time.Duration(float64(median) * math.Exp(0.6*rng.NormFloat64()))})
 	}
 	raw, err := m.Shared()
 	if err != nil {
@@ -31,9 +31,9 @@
 	return raw
 }
 
-var key = gather.Key{Class: "c", Part: "a", Load: 1}
+var key = waitpolicy.Key{Class: "c", Part: "a", Load: 1}
 
-func half(all map[gather.Key]*gather.Sketch) float64 {
+func half(all map[waitpolicy.Key]*waitpolicy.Sketch) float64 {
 	if all[key] == nil || all[key].Weight() == 0 {
 		return 0
 	}
--- a/internal/gather/query.go
+++ b/internal/waitpolicy/query.go
@@ -1,4 +1,4 @@
-package gather
+package waitpolicy
 
 import "time"
 
--- a/internal/gather/share/share.go
+++ b/internal/waitpolicy/share/share.go
@@ -16,8 +16,8 @@
 
 	"github.com/redis/go-redis/v9"
 
-	"lockflow/internal/gather"
-	"lockflow/internal/gather/pool"
+	"lockflow/internal/waitpolicy"
+	"lockflow/internal/waitpolicy/pool"
 )
 
 //go:embed share.lua
@@ -52,11 +52,11 @@
 	Log    *slog.Logger // nil is the default
 }
 
-// Model is what learns; a *gather.Model is one.
+// Model is what learns; a *waitpolicy.Model is one.
 type Model interface {
 	Shared() ([]byte, error)
-	Sketches() ([]gather.Key, []gather.Sketch)
-	Fleet(all map[gather.Key]*gather.Sketch, trust float64)
+	Sketches() ([]waitpolicy.Key, []waitpolicy.Sketch)
+	Fleet(all map[waitpolicy.Key]*waitpolicy.Sketch, trust float64)
 }
 
 // Sharer exchanges what a model has learned. Its methods are safe for concurrent use.
--- a/internal/gather/share/share_test.go
+++ b/internal/waitpolicy/share/share_test.go
@@ -11,17 +11,17 @@
 
 	"go.uber.org/goleak"
 
-	"lockflow/internal/gather"
-	"lockflow/internal/gather/pool"
 	"lockflow/internal/redistest"
 	"lockflow/internal/testkit"
+	"lockflow/internal/waitpolicy"
+	"lockflow/internal/waitpolicy/pool"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 const ms = time.Millisecond
 
-var settings = &gather.Settings{Parts: []gather.Part{{Name: "a"}, {Name: "b"}}}
+var settings = &waitpolicy.Settings{Parts: []waitpolicy.Part{{Name: "a"}, {Name: "b"}}}
 
 func store(t *testing.T) *redistest.Server {
 	t.Helper()
@@ -35,7 +35,7 @@
 
 type instance struct {
 	*Sharer
-	m *gather.Model
+	m *waitpolicy.Model
 }
 
 func start(t *testing.T, id string, stores ...*redistest.Server) instance {
@@ -44,7 +44,7 @@
 	for _, s := range stores {
 		o.Stores = append(o.Stores, Store{Address: s.Addr()})
 	}
-	m := gather.NewModel(settings, gather.Options{})
+	m := waitpolicy.NewModel(settings, waitpolicy.Options{})
 	s, err := New(o, m)
 	if err != nil {
 		t.Fatal(err)
@@ -62,7 +62,7 @@
 	rng := rand.New(rand.NewPCG(uint64(n), 1))
 	for range n {
 		for p := range settings.Parts {
-			i.m.Observe("c", p, 0, gather.Outcome{Took: time.Duration(float64(median) * math.Exp(0.5*rng.NormFloat64()))})
+			i.m.Observe("c", p, 0, waitpolicy.Outcome{Took: time.Duration(float64(median) * math.Exp(0.5*rng.NormFloat64()))})
 		}
 	}
 }
@@ -109,7 +109,7 @@
 			t.Errorf("%s, and back: %+v", name, st)
 		}
 	}
-	if st := all[0].Status(); st.Failures < 2 || st.Bytes > gather.MostShared {
+	if st := all[0].Status(); st.Failures < 2 || st.Bytes > waitpolicy.MostShared {
 		t.Errorf("%+v", st)
 	}
 }
--- a/internal/gather/gather.go
+++ b/internal/waitpolicy/waitpolicy.go
@@ -1,7 +1,7 @@
-// Package gather decides for a query that was scattered over parts whether to go on waiting or to
+// Package waitpolicy decides for a query that was scattered over parts whether to go on waiting or to
 // answer with what has come, and learns from each answer, and from each that was not waited for, how
 // long the parts take. It does no I/O; time and randomness are told. docs/design/gather.md derives it.
-package gather
+package waitpolicy
 
 import (
 	"errors"
--- a/internal/gathersim/rules.go
+++ b/internal/waitpolicysim/rules.go
@@ -1,11 +1,11 @@
-package gathersim
+package waitpolicysim
 
 import (
 	"math"
 	"slices"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // ending is how a query ended.
@@ -48,7 +48,7 @@
 // other: each moment and set of parts that are out is worth the better of answering and going on.
 type exact struct {
 	w      *world
-	s      *gather.Settings
+	s      *waitpolicy.Settings
 	shares [parts]float64
 	every  float64 // of the time, after which moving worlds are looked at anew
 	from   float64
@@ -156,11 +156,11 @@
 	return e
 }
 
-// byQuery ends queries by internal/gather, with what forecast tells.
+// byQuery ends queries by internal/waitpolicy, with what forecast tells.
 type byQuery struct {
-	s        *gather.Settings
-	q        gather.Query
-	begin    func(q *gather.Query, at float64, now time.Duration)
+	s        *waitpolicy.Settings
+	q        waitpolicy.Query
+	begin    func(q *waitpolicy.Query, at float64, now time.Duration)
 	now      time.Duration // when the query begins
 	looks    int
 	finished func(e ending, took *[parts]time.Duration, now time.Duration)
@@ -174,9 +174,9 @@
 	for {
 		b.looks++
 		step := b.q.Next(b.now + gone)
-		if step.Kind != gather.Wait {
+		if step.Kind != waitpolicy.Wait {
 			e.at, e.share = gone, step.Share
-			if step.Kind == gather.Refuse {
+			if step.Kind == waitpolicy.Refuse {
 				e.share = 0
 			}
 			break
@@ -207,7 +207,7 @@
 // learner ends queries by a model that learns from them.
 type learner struct {
 	byQuery
-	m        *gather.Model
+	m        *waitpolicy.Model
 	late     float64 // part of the late answers that are seen; the others are cut
 	censored bool    // false takes the censoring out: only what came in time is learned
 	seen     uint64
@@ -215,11 +215,11 @@
 
 const class = "list"
 
-func newLearner(w *world, o gather.Options) *learner {
+func newLearner(w *world, o waitpolicy.Options) *learner {
 	s := normal(w)
 	l := &learner{censored: true}
-	l.s, l.m = s, gather.NewModel(s, o)
-	l.begin = func(q *gather.Query, _ float64, now time.Duration) {
+	l.s, l.m = s, waitpolicy.NewModel(s, o)
+	l.begin = func(q *waitpolicy.Query, _ float64, now time.Duration) {
 		l.m.Begin(q, class, load, now, now+client+time.Millisecond)
 	}
 	l.finished = func(e ending, took *[parts]time.Duration, now time.Duration) {
@@ -229,9 +229,9 @@
 			late := float64(l.seen*0x9e3779b97f4a7c15>>40)/(1<<24) < l.late
 			switch {
 			case t <= e.at || late && t < client:
-				l.m.Observe(class, p, load, gather.Outcome{At: now + t, Took: t})
+				l.m.Observe(class, p, load, waitpolicy.Outcome{At: now + t, Took: t})
 			case l.censored:
-				l.m.Observe(class, p, load, gather.Outcome{At: now + e.at, Took: e.at, Censored: true})
+				l.m.Observe(class, p, load, waitpolicy.Outcome{At: now + e.at, Took: e.at, Censored: true})
 			}
 		}
 	}
--- a/internal/gathersim/sharing.go
+++ b/internal/waitpolicysim/sharing.go
@@ -1,4 +1,4 @@
-package gathersim
+package waitpolicysim
 
 import (
 	"cmp"
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"lockflow/internal/gather"
-	"lockflow/internal/gather/pool"
-	"lockflow/internal/gather/share"
+	"lockflow/internal/waitpolicy"
+	"lockflow/internal/waitpolicy/pool"
+	"lockflow/internal/waitpolicy/share"
 )
 
 // ShareOptions say how many instances learn together. What is zero has a default.
@@ -96,7 +96,7 @@
 func newGroup(w *world, o ShareOptions, seed uint64) *group {
 	g := &group{o: o}
 	for i := range o.Instances {
-		l := newLearner(w, gather.Options{Seed: seed<<10 + uint64(i)})
+		l := newLearner(w, waitpolicy.Options{Seed: seed<<10 + uint64(i)})
 		g.learners = append(g.learners, l)
 		g.pools = append(g.pools, pool.New(pool.Options{Self: fmt.Sprint("i", i), Life: 12 * exchangeEvery, Every: exchangeEvery}))
 	}
@@ -105,7 +105,7 @@
 		lie.delay = func(p int, at, s float64) time.Duration {
 			return ms(float64(w.delay(p, at, s)) / float64(time.Millisecond) * o.Liar)
 		}
-		g.liar = newLearner(&lie, gather.Options{Seed: seed})
+		g.liar = newLearner(&lie, waitpolicy.Options{Seed: seed})
 		rng := rand.New(rand.NewPCG(seed, 0x6c6965))
 		for range 600 {
 			took, common := lie.draw(rng, 0)
--- a/internal/gathersim/sim.go
+++ b/internal/waitpolicysim/sim.go
@@ -1,4 +1,4 @@
-package gathersim
+package waitpolicysim
 
 import (
 	"cmp"
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // Options say what is played. What is zero has a default.
@@ -21,21 +21,21 @@
 
 // Report is what each way earned: the mean worth of a query, 1 for a whole answer at once.
 type Report struct {
-	World   string        `json:"world"`
-	Queries int           `json:"queries"`
-	Moves   bool          `json:"moves"`          // the world changes while it is played
-	Oracle  float64       `json:"oracle"`         // knows the distributions at each moment
-	Learned float64       `json:"learned"`        // and knows nothing at the begin
-	None    float64       `json:"none"`           // waits for all, or the client's time
-	Fixed   float64       `json:"fixed"`          // the best fixed time, chosen afterwards
-	At      time.Duration `json:"at_ns"`          // that time
-	P95     float64       `json:"p95"`            // of the last 500 queries' parts, late ones known too
-	Plan    float64       `json:"plan"`           // as learned, but knows the distributions
-	Told    float64       `json:"told,omitempty"` // knows each query's common factor: no rule can earn more
-	Share   float64       `json:"share"`          // of the parts in learned answers
-	Took    time.Duration `json:"took_ns"`        // mean of learned answers
-	Looks   float64       `json:"looks"`          // a query, at whether to wait
-	Stats   gather.Stats  `json:"stats"`
+	World   string           `json:"world"`
+	Queries int              `json:"queries"`
+	Moves   bool             `json:"moves"`          // the world changes while it is played
+	Oracle  float64          `json:"oracle"`         // knows the distributions at each moment
+	Learned float64          `json:"learned"`        // and knows nothing at the begin
+	None    float64          `json:"none"`           // waits for all, or the client's time
+	Fixed   float64          `json:"fixed"`          // the best fixed time, chosen afterwards
+	At      time.Duration    `json:"at_ns"`          // that time
+	P95     float64          `json:"p95"`            // of the last 500 queries' parts, late ones known too
+	Plan    float64          `json:"plan"`           // as learned, but knows the distributions
+	Told    float64          `json:"told,omitempty"` // knows each query's common factor: no rule can earn more
+	Share   float64          `json:"share"`          // of the parts in learned answers
+	Took    time.Duration    `json:"took_ns"`        // mean of learned answers
+	Looks   float64          `json:"looks"`          // a query, at whether to wait
+	Stats   waitpolicy.Stats `json:"stats"`
 }
 
 // percentile answers at the 95th percentile of what the parts took lately.
@@ -62,23 +62,23 @@
 }
 
 func oracle(w *world) rule {
-	s := w.settings(gather.Learned)
+	s := w.settings(waitpolicy.Learned)
 	if w.common == 0 {
 		return &exact{w: w, s: s, shares: w.shares(), every: 1.0 / 100, given: w.chance}
 	}
 	return planner(w)
 }
 
-// planner ends queries by internal/gather, knowing the distributions.
+// planner ends queries by internal/waitpolicy, knowing the distributions.
 func planner(w *world) *byQuery {
 	s := normal(w)
 	b := &byQuery{s: s}
-	var f *gather.Forecast
+	var f *waitpolicy.Forecast
 	from := 0.0
-	b.begin = func(q *gather.Query, at float64, now time.Duration) {
+	b.begin = func(q *waitpolicy.Query, at float64, now time.Duration) {
 		if f == nil || w.moves && math.Floor(at*100) != math.Floor(from*100) {
 			from = at
-			f = gather.KnownForecast(parts, load, w.common, func(p int, d time.Duration) float64 { return w.chance(p, at, d) })
+			f = waitpolicy.KnownForecast(parts, load, w.common, func(p int, d time.Duration) float64 { return w.chance(p, at, d) })
 		}
 		q.Begin(s, f, now, now+client+time.Millisecond)
 	}
@@ -86,8 +86,8 @@
 }
 
 // normal are settings whose weights are shares.
-func normal(w *world) *gather.Settings {
-	s := w.settings(gather.Learned)
+func normal(w *world) *waitpolicy.Settings {
+	s := w.settings(waitpolicy.Learned)
 	for p, share := range w.shares() {
 		s.Parts[p].Weight = share
 	}
@@ -105,7 +105,7 @@
 	rep := Report{World: w.name, Queries: o.Queries, Moves: w.moves}
 	rng := rand.New(rand.NewPCG(o.Seed, 0x67617468))
 	s, shares := normal(w), w.shares()
-	l := newLearner(w, gather.Options{Seed: o.Seed})
+	l := newLearner(w, waitpolicy.Options{Seed: o.Seed})
 	l.late = o.Late
 	p := planner(w)
 	rules := []rule{oracle(w), l, p, &percentile{shares: shares}}
--- a/internal/gathersim/sim_test.go
+++ b/internal/waitpolicysim/sim_test.go
@@ -1,4 +1,4 @@
-package gathersim
+package waitpolicysim
 
 import (
 	"math/rand/v2"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // What is learned earns within 5% of what is earned by one who knows each distribution, more than no
@@ -44,21 +44,21 @@
 // by that rule itself; it gives the deadlines of a thousand queries each.
 func percentiles(w *world, censored bool) (all []time.Duration) {
 	rng, shares, deadline := rand.New(rand.NewPCG(1, 1)), w.shares(), client
-	var seen gather.Sketch
+	var seen waitpolicy.Sketch
 	for i := range 8000 {
 		took, _ := w.draw(rng, 0)
 		e := fixed(&shares, &took, deadline)
 		for _, d := range took {
 			if d <= e.at {
-				seen.Came[gather.Bucket(d)]++
+				seen.Came[waitpolicy.Bucket(d)]++
 			} else if censored {
-				seen.Cut[gather.Bucket(e.at)]++
+				seen.Cut[waitpolicy.Bucket(e.at)]++
 			}
 		}
 		if i%200 == 199 {
 			deadline = seen.Quantile(0.95)
 			if seen.Weight() > 4000 {
-				var half gather.Sketch
+				var half waitpolicy.Sketch
 				half.Add(&seen, 0.5)
 				seen = half
 			}
@@ -88,7 +88,7 @@
 	for name, least := range map[string]float64{"pareto": 0.99, "stalled": 0.5} {
 		w, _ := find(name)
 		earned := func(censored bool) (sum float64) {
-			l, rng, s := newLearner(w, gather.Options{Seed: 1}), rand.New(rand.NewPCG(1, 2)), normal(w)
+			l, rng, s := newLearner(w, waitpolicy.Options{Seed: 1}), rand.New(rand.NewPCG(1, 2)), normal(w)
 			l.censored = censored
 			for range 3000 {
 				took, c := w.draw(rng, 0)
@@ -140,7 +140,7 @@
 func waits(w *world, l *learner) (mean time.Duration) {
 	const n = 400
 	rng, f := rand.New(rand.NewPCG(5, 1)), l.m.For(class, load)
-	b := byQuery{s: l.s, begin: func(q *gather.Query, _ float64, now time.Duration) { q.Begin(l.s, f, now, now+client) }}
+	b := byQuery{s: l.s, begin: func(q *waitpolicy.Query, _ float64, now time.Duration) { q.Begin(l.s, f, now, now+client) }}
 	for range n {
 		took, c := w.draw(rng, 0)
 		mean += b.end(0, &took, c).at / n
--- a/internal/gathersim/world.go
+++ b/internal/waitpolicysim/world.go
@@ -1,7 +1,7 @@
-// Package gathersim plays scattered queries in virtual time and compares ways to end them: what was
-// learned by internal/gather, an oracle that knows how long the parts take, fixed times, a percentile,
+// Package waitpolicysim plays scattered queries in virtual time and compares ways to end them: what was
+// learned by internal/waitpolicy, an oracle that knows how long the parts take, fixed times, a percentile,
 // and none. Only the parts are a model; everything follows from the seed.
-package gathersim
+package waitpolicysim
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"lockflow/internal/gather"
+	"lockflow/internal/waitpolicy"
 )
 
 // What every world has, where it says nothing else.
@@ -133,10 +133,10 @@
 	return nil, fmt.Errorf("gathersim: there is no world %q", name)
 }
 
-func (w *world) settings(mode gather.Mode) *gather.Settings {
-	s := &gather.Settings{Least: least, HalfLife: halfLife, Mode: mode, Margin: time.Millisecond}
+func (w *world) settings(mode waitpolicy.Mode) *waitpolicy.Settings {
+	s := &waitpolicy.Settings{Least: least, HalfLife: halfLife, Mode: mode, Margin: time.Millisecond}
 	for p := range parts {
-		part := gather.Part{Name: fmt.Sprintf("part-%d", p)}
+		part := waitpolicy.Part{Name: fmt.Sprintf("part-%d", p)}
 		if w.weights != nil {
 			part.Weight = w.weights[p]
 		}
