--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -323,12 +323,29 @@
 			b = binary.AppendUvarint(append(b, 8), math.Float64bits(a.Add))
 		default:
 			b = append(b, 9)
-			text(fmt.Sprintf("%T %+v", a, a))
+			text(rareActionText(a))
 		}
 	}
 	return b
 }
 
+// rareActionText is the text by which Digest tells an action without a form of its own. It is part of
+// what recordings hold, so it stays as it is whatever the types and fields are called.
+func rareActionText(a control.Action) string {
+	switch a := a.(type) {
+	case control.Probe:
+		return fmt.Sprintf("control.Probe {Server:%d}", a.Server)
+	case control.Follow:
+		return fmt.Sprintf("control.Follow {Active:%t}", a.Active)
+	case control.Snapshot:
+		return "control.Snapshot {}"
+	case control.Say:
+		return fmt.Sprintf("control.Say {To:%d Raw:%v}", a.To, a.Raw)
+	default:
+		return fmt.Sprintf("%T %+v", a, a)
+	}
+}
+
 // Reader reads a section.
 type Reader struct {
 	in   io.Reader
