--- a/control/api.go
+++ b/control/api.go
@@ -31,62 +31,62 @@
 
 // Class describes one class of requests.
 type Class struct {
-	Name         string        `cbor:"Name"`
-	Aim          time.Duration `cbor:"Aim"`      // an answer within it has its full worth
-	Deadline     time.Duration `cbor:"Deadline"` // what a client waits at most, over all its tries
-	Effect       Effect        `cbor:"Effect"`
-	KeyScope     Scope         `cbor:"KeyScope"`     // with Guarded
-	RepeatWindow time.Duration `cbor:"RepeatWindow"` // with Guarded: how long repeats are dropped
-	Worth        float64       `cbor:"Worth"`
-	LateShare    float64       `cbor:"LateShare"` // part of the worth left for an answer after Aim
-	Stream       bool          `cbor:"Stream"`    // answers start with a Started event
+	Name         string        `cbor:"Name" plan:"name"`
+	Aim          time.Duration `cbor:"Aim" plan:"aim"`           // an answer within it has its full worth
+	Deadline     time.Duration `cbor:"Deadline" plan:"deadline"` // what a client waits at most, over all its tries
+	Effect       Effect        `cbor:"Effect" plan:"repeats"`
+	KeyScope     Scope         `cbor:"KeyScope" plan:"key_scope"`         // with Guarded
+	RepeatWindow time.Duration `cbor:"RepeatWindow" plan:"repeat_window"` // with Guarded: how long repeats are dropped
+	Worth        float64       `cbor:"Worth" plan:"worth"`
+	LateShare    float64       `cbor:"LateShare" plan:"late_share"` // part of the worth left for an answer after Aim
+	Stream       bool          `cbor:"Stream" plan:"stream"`        // answers start with a Started event
 }
 
 // Plan describes one plan and the quotas it gives each of its customers over
 // all gateways together. A figure of zero means "no such quota".
 type Plan struct {
-	Name         string  `cbor:"Name"`
-	Price        float64 `cbor:"Price"`        // factor on the worth of a request
-	Rate         float64 `cbor:"Rate"`         // units a second
-	Depth        float64 `cbor:"Depth"`        // units the quota's store can hold
-	Open         int     `cbor:"Open"`         // attempts out at once
-	OverCost     float64 `cbor:"OverCost"`     // part of its worth that a try beyond the quota costs
-	OverEarns    float64 `cbor:"OverEarns"`    // part of its worth that a try beyond the quota earns
-	CeilingRate  float64 `cbor:"CeilingRate"`  // units a second of the hard ceiling
-	CeilingBurst float64 `cbor:"CeilingBurst"` // units the ceiling's store can hold
-	CeilingSlack float64 `cbor:"CeilingSlack"` // units by which that store may fall below zero
+	Name         string  `cbor:"Name" plan:"name"`
+	Price        float64 `cbor:"Price" plan:"price"`                // factor on the worth of a request
+	Rate         float64 `cbor:"Rate" plan:"rate"`                  // units a second
+	Depth        float64 `cbor:"Depth" plan:"depth"`                // units the quota's store can hold
+	Open         int     `cbor:"Open" plan:"open"`                  // attempts out at once
+	OverCost     float64 `cbor:"OverCost" plan:"over_cost"`         // part of its worth that a try beyond the quota costs
+	OverEarns    float64 `cbor:"OverEarns" plan:"over_earns"`       // part of its worth that a try beyond the quota earns
+	CeilingRate  float64 `cbor:"CeilingRate" plan:"ceiling_rate"`   // units a second of the hard ceiling
+	CeilingBurst float64 `cbor:"CeilingBurst" plan:"ceiling_burst"` // units the ceiling's store can hold
+	CeilingSlack float64 `cbor:"CeilingSlack" plan:"ceiling_slack"` // units by which that store may fall below zero
 }
 
 // Settings is what a gateway is handed at start.
 type Settings struct {
-	SelfIndex int     `cbor:"SelfIndex"`
-	GroupSize int     `cbor:"GroupSize"`
-	Zone      string  `cbor:"Zone"`
-	Classes   []Class `cbor:"Classes"`
-	Plans     []Plan  `cbor:"Plans"`
-
-	OnRequest     bool          `cbor:"OnRequest"`    // the server list has to be followed or fetched
-	AskWithin     time.Duration `cbor:"AskWithin"`    // longest time between two askings without a subscription
-	DrainGrace    time.Duration `cbor:"DrainGrace"`   // how long sends to a draining server are forgiven
-	Cold          time.Duration `cbor:"Cold"`         // a server is warm this long after its start, at the latest
-	ColdFrom      float64       `cbor:"ColdFrom"`     // part of its capacity that a server starts with, at least
-	Fall          time.Duration `cbor:"Fall"`         // span over which a cold server's load is counted
-	FallMultiple  float64       `cbor:"FallMultiple"` // times its present capacity that it bears over that span
-	MeterPeriod   time.Duration `cbor:"MeterPeriod"`  // period of the use meter; 0 is no meter
-	CostAfter     bool          `cbor:"CostAfter"`    // true units arrive with the answer
-	UnitsTop      float64       `cbor:"UnitsTop"`     // the most units of one request
-	HasCounter    bool          `cbor:"HasCounter"`
-	InboxPerS     float64       `cbor:"InboxPerS"`
-	SendCap       int           `cbor:"SendCap"` // most attempts of one request; 0 is no limit
-	OpenCap       int           `cbor:"OpenCap"` // most requests held at once; 0 is no limit
-	MayCancel     bool          `cbor:"MayCancel"`
-	MarksRetry    bool          `cbor:"MarksRetry"` // clients mark their later tries
-	Probes        bool          `cbor:"Probes"`
-	PeerMessages  bool          `cbor:"PeerMessages"`
-	SecondCopies  bool          `cbor:"SecondCopies"`
-	RetryAfter    bool          `cbor:"RetryAfter"`
-	MaxRetryAfter time.Duration `cbor:"MaxRetryAfter"`
-	CrossZone     float64       `cbor:"CrossZone"` // price of an attempt that leaves the gateway's zone
+	SelfIndex int     `cbor:"SelfIndex" plan:"instance"`
+	GroupSize int     `cbor:"GroupSize" plan:"instances"`
+	Zone      string  `cbor:"Zone" plan:"zone"`
+	Classes   []Class `cbor:"Classes" plan:"classes"`
+	Plans     []Plan  `cbor:"Plans" plan:"plans"`
+
+	OnRequest     bool          `cbor:"OnRequest" plan:"on_request"`       // the server list has to be followed or fetched
+	AskWithin     time.Duration `cbor:"AskWithin" plan:"ask_within"`       // longest time between two askings without a subscription
+	DrainGrace    time.Duration `cbor:"DrainGrace" plan:"drain_grace"`     // how long sends to a draining server are forgiven
+	Cold          time.Duration `cbor:"Cold" plan:"cold"`                  // a server is warm this long after its start, at the latest
+	ColdFrom      float64       `cbor:"ColdFrom" plan:"cold_from"`         // part of its capacity that a server starts with, at least
+	Fall          time.Duration `cbor:"Fall" plan:"fall"`                  // span over which a cold server's load is counted
+	FallMultiple  float64       `cbor:"FallMultiple" plan:"fall_multiple"` // times its present capacity that it bears over that span
+	MeterPeriod   time.Duration `cbor:"MeterPeriod" plan:"meter_period"`   // period of the use meter; 0 is no meter
+	CostAfter     bool          `cbor:"CostAfter" plan:"cost_after"`       // true units arrive with the answer
+	UnitsTop      float64       `cbor:"UnitsTop" plan:"units_top"`         // the most units of one request
+	HasCounter    bool          `cbor:"HasCounter" plan:"has_counter"`
+	InboxPerS     float64       `cbor:"InboxPerS" plan:"inbox_per_s"`
+	SendCap       int           `cbor:"SendCap" plan:"attempts"` // most attempts of one request; 0 is no limit
+	OpenCap       int           `cbor:"OpenCap" plan:"open_cap"` // most requests held at once; 0 is no limit
+	MayCancel     bool          `cbor:"MayCancel" plan:"may_cancel"`
+	MarksRetry    bool          `cbor:"MarksRetry" plan:"marks_retry"` // clients mark their later tries
+	Probes        bool          `cbor:"Probes" plan:"probes"`
+	PeerMessages  bool          `cbor:"PeerMessages" plan:"peer_messages"`
+	SecondCopies  bool          `cbor:"SecondCopies" plan:"second_copies"`
+	RetryAfter    bool          `cbor:"RetryAfter" plan:"retry_after"`
+	MaxRetryAfter time.Duration `cbor:"MaxRetryAfter" plan:"retry_after"`
+	CrossZone     float64       `cbor:"CrossZone" plan:"cross_zone"` // price of an attempt that leaves the gateway's zone
 }
 
 // Condition is a server's state in the list.
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -18,11 +18,11 @@
 
 // Options are where things are. The zero value is no TLS.
 type Options struct {
-	On   bool
-	CA   string // file of authorities in PEM; "" is the system's
-	Cert string // file of this side's certificate, with those between it and its authority; "" is none
-	Key  string // file of its key
-	Name string // that a server's certificate has to be for; "" is the host of its address
+	On   bool   `plan:"on"`
+	CA   string `plan:"c_a"`  // file of authorities in PEM; "" is the system's
+	Cert string `plan:"cert"` // file of this side's certificate, with those between it and its authority; "" is none
+	Key  string `plan:"key"`  // file of its key
+	Name string `plan:"name"` // that a server's certificate has to be for; "" is the host of its address
 }
 
 // Book holds what was read last. It is safe for concurrent use.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,94 +35,94 @@
 
 // Process bounds what the process may use.
 type Process struct {
-	Cores       float64
-	MemoryMB    int
-	Descriptors int
-	Drain       Drain
-	State       string        // directory of what outlives the process; "" is none
-	Checkpoint  time.Duration // how often what was spent and learned is written there
-	Control     string        // Unix socket by which the owner asks and tells; "" is none
-	Upgrade     Upgrade
-	Tally       bool // whether what each service does is written to standard error, a line for each thing
+	Cores       float64       `plan:"cores"`
+	MemoryMB    int           `plan:"memory_mb"`
+	Descriptors int           `plan:"descriptors"`
+	Drain       Drain         `plan:"drain"`
+	State       string        `plan:"state"`      // directory of what outlives the process; "" is none
+	Checkpoint  time.Duration `plan:"checkpoint"` // how often what was spent and learned is written there
+	Control     string        `plan:"control"`    // Unix socket by which the owner asks and tells; "" is none
+	Upgrade     Upgrade       `plan:"upgrade"`
+	Tally       bool          `plan:"tally"` // whether what each service does is written to standard error, a line for each thing
 	// Of a process whose services share; zero where there is one service without parts.
-	Shared bool
-	Total  Amounts
+	Shared bool    `plan:"shared"`
+	Total  Amounts `plan:",inline"`
 	// Clients is how many descriptors are guaranteed to connections of clients.
-	Clients int64
+	Clients int64 `plan:"clients"`
 }
 
 // Drain is when a node that is to end takes its steps, each counted from the signal.
 type Drain struct {
-	Idle   time.Duration // closes idle client connections
-	Accept time.Duration // takes no new ones
-	Most   time.Duration // fails what is still held
+	Idle   time.Duration `plan:"idle"`   // closes idle client connections
+	Accept time.Duration `plan:"accept"` // takes no new ones
+	Most   time.Duration `plan:"most"`   // fails what is still held
 }
 
 // Upgrade bounds the steps by which a new process takes a daemon's place.
 type Upgrade struct {
-	Within    time.Duration // the new process has to be ready
-	Probation time.Duration // for which the old one could still go on where the new one ends
+	Within    time.Duration `plan:"within"`    // the new process has to be ready
+	Probation time.Duration `plan:"probation"` // for which the old one could still go on where the new one ends
 }
 
 // Record is where a service's decisions are recorded.
 type Record struct {
-	Dir   string // "" is nowhere
-	Bytes int64  // of all files, before they are compressed
+	Dir   string `plan:"dir"`   // "" is nowhere
+	Bytes int64  `plan:"bytes"` // of all files, before they are compressed
 }
 
 // Amounts are parts of what a process has.
 type Amounts struct {
-	Descriptors int64 // of connections to servers; in a total, of all connections
-	Held        int64 // requests
-	Bytes       int64 // of bodies and answers
-	Dials       int64 // connections coming up
-	ModuleTime  float64
+	Descriptors int64   `plan:"descriptors"` // of connections to servers; in a total, of all connections
+	Held        int64   `plan:"held"`        // requests
+	Bytes       int64   `plan:"bytes"`       // of bodies and answers
+	Dials       int64   `plan:"dials"`       // connections coming up
+	ModuleTime  float64 `plan:"module_time"`
 }
 
 // Route leads requests to a service.
 type Route struct {
 	route.Rule
-	As      string   // the class that its requests have; "" is for the service's protocol to tell
-	Upgrade []string // protocols that its requests may change to, in lower case
+	As      string   `plan:"as"`      // the class that its requests have; "" is for the service's protocol to tell
+	Upgrade []string `plan:"upgrade"` // protocols that its requests may change to, in lower case
 }
 
 // Servers is how a service's app servers are spoken to.
 type Servers struct {
-	Protocol    upstream.Speaks
-	Streams     int           // open at once on a connection of HTTP/2
-	Connections int           // of HTTP/2 to one server
-	Age         time.Duration // from which on one is replaced; 0 is never
-	Again       time.Duration // until HTTP/2 is tried again at a server that turned out not to speak it
-	TLS         certs.Options
+	Protocol    upstream.Speaks `plan:"protocol"`
+	Streams     int             `plan:"streams"`     // open at once on a connection of HTTP/2
+	Connections int             `plan:"connections"` // of HTTP/2 to one server
+	Age         time.Duration   `plan:"age"`         // from which on one is replaced; 0 is never
+	Again       time.Duration   `plan:"again"`       // until HTTP/2 is tried again at a server that turned out not to speak it
+	TLS         certs.Options   `plan:"t_l_s"`
 }
 
 // Counter is how a service's ceilings are shared over the group; its zero value shares none.
 type Counter struct {
-	Addresses    []string // of Redis servers; customers are spread over them
-	Name         string   // of what is counted there
-	Username     string
-	PasswordFile string
-	Within       time.Duration // a call has its answer
-	Rules        quotalease.Rules
-	Ceilings     map[string]quotalease.Ceiling // by plan
+	Addresses    []string                      `plan:"addresses"` // of Redis servers; customers are spread over them
+	Name         string                        `plan:"name"`      // of what is counted there
+	Username     string                        `plan:"username"`
+	PasswordFile string                        `plan:"password_file"`
+	Within       time.Duration                 `plan:"within"` // a call has its answer
+	Rules        quotalease.Rules              `plan:"rules"`
+	Ceilings     map[string]quotalease.Ceiling `plan:"ceilings"` // by plan
 }
 
 // Service is one service.
 type Service struct {
-	Name       string
-	Seed       uint64
-	Settings   control.Settings
-	Source     discovery.Source
-	Known      discovery.Listing
-	Connect    time.Duration
-	Keepalive  time.Duration
-	Body       int64 // most bytes of a request's body; below zero is any number
-	Answer     int64 // and of an answer's
-	Servers    Servers
-	Counter    Counter
-	OnPanic    service.PanicPolicy
-	HTTP       *HTTP // what ordinary HTTP needs; nil is the platform's protocol
-	Record     Record
-	Required   bool // the node is ready only once this service is
-	Guaranteed Amounts
+	Name       string              `plan:"name"`
+	Seed       uint64              `plan:"seed"`
+	Settings   control.Settings    `plan:",inline"`
+	Source     discovery.Source    `plan:"-"`
+	Known      discovery.Listing   `plan:"-"`
+	Connect    time.Duration       `plan:"connect_timeout"`
+	Keepalive  time.Duration       `plan:"keepalive"`
+	Body       int64               `plan:"body"`   // most bytes of a request's body; below zero is any number
+	Answer     int64               `plan:"answer"` // and of an answer's
+	Servers    Servers             `plan:"servers"`
+	Counter    Counter             `plan:"counter"`
+	OnPanic    service.PanicPolicy `plan:"on_panic"`
+	HTTP       *HTTP               `plan:"h_t_t_p"` // what ordinary HTTP needs; nil is the platform's protocol
+	Record     Record              `plan:"record"`
+	Required   bool                `plan:"required"` // the node is ready only once this service is
+	Guaranteed Amounts             `plan:"guaranteed"`
 }
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -28,34 +28,34 @@
 
 // GatherPart is a service that a gathering one asks.
 type GatherPart struct {
-	Name   string
-	Weight float64
+	Name   string  `plan:"name"`
+	Weight float64 `plan:"weight"`
 }
 
 // GatherShare is where what instances learn is shared; its zero value shares nothing.
 type GatherShare struct {
-	Addresses    []string // of Redis servers
-	Name         string   // of what is shared there
-	Username     string
-	PasswordFile string
-	Within       time.Duration // a call has its answer
+	Addresses    []string      `plan:"addresses"` // of Redis servers
+	Name         string        `plan:"name"`      // of what is shared there
+	Username     string        `plan:"username"`
+	PasswordFile string        `plan:"password_file"`
+	Within       time.Duration `plan:"within"` // a call has its answer
 }
 
 // Gather is a service that asks others and gives their answers as one. It has no servers and no
 // account of its own: all that it takes is its parts'.
 type Gather struct {
-	Name       string
-	Parts      []GatherPart // in the order of the answer
-	Merge      string       // one of Merges
-	Least      float64      // share of the parts' weight below which there is no answer
-	HalfLife   time.Duration
-	Deadline   string                   // DeadlineLearned, DeadlineNone, or "" for Fixed
-	Fixed      time.Duration            // from a query's arrival
-	Classes    map[string]control.Class // that its requests may have: those that are free to repeat
-	Body       int64                    // most bytes of a request's body, which is held whole
-	TimeHeader string                   // by which a client shortens its deadline; "" is none
-	RetryAfter time.Duration            // most that a refused client is told to wait; 0 tells none
-	Share      GatherShare
+	Name       string                   `plan:"name"`
+	Parts      []GatherPart             `plan:"parts"` // in the order of the answer
+	Merge      string                   `plan:"merge"` // one of Merges
+	Least      float64                  `plan:"least"` // share of the parts' weight below which there is no answer
+	HalfLife   time.Duration            `plan:"half_life"`
+	Deadline   string                   `plan:"deadline"`    // DeadlineLearned, DeadlineNone, or "" for Fixed
+	Fixed      time.Duration            `plan:"fixed"`       // from a query's arrival
+	Classes    map[string]control.Class `plan:"classes"`     // that its requests may have: those that are free to repeat
+	Body       int64                    `plan:"body"`        // most bytes of a request's body, which is held whole
+	TimeHeader string                   `plan:"time_header"` // by which a client shortens its deadline; "" is none
+	RetryAfter time.Duration            `plan:"retry_after"` // most that a refused client is told to wait; 0 tells none
+	Share      GatherShare              `plan:"share"`
 }
 
 // gatherers takes the gathering services out of a file's: they have other keys, and no account.
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -6,7 +6,6 @@
 	"reflect"
 	"slices"
 	"strings"
-	"unicode"
 
 	"lockflow/internal/discovery"
 )
@@ -155,24 +154,16 @@
 	return fmt.Sprintf("%d servers listed", len(s.Servers))
 }
 
-// keys are the names of fields in a file, where they are not the fields' own.
-var keys = map[string]string{
-	"SendCap": "attempts", "MaxRetryAfter": "retry_after", "Connect": "connect_timeout", "Effect": "repeats",
-	"MemoryMB": "memory_mb", "GroupSize": "instances", "SelfIndex": "instance", "RetryAfter": "retry_after",
-}
+// A field of a configuration says its key in plans in a tag of its own.
+const (
+	keyTag    = "plan"
+	inlineKey = ",inline" // its fields have the keys that they would have in its place
+	noKey     = "-"       // it is compared elsewhere
+)
 
-func keyOf(field string) string {
-	if k, ok := keys[field]; ok {
-		return k
-	}
-	var b strings.Builder
-	for i, r := range field {
-		if unicode.IsUpper(r) && i > 0 {
-			b.WriteByte('_')
-		}
-		b.WriteRune(unicode.ToLower(r))
-	}
-	return b.String()
+// namedItems tells whether a list's items are known by their names: the first field's key is "name".
+func namedItems(list reflect.Type) bool {
+	return list.Elem().Kind() == reflect.Struct && list.Elem().Field(0).Tag.Get(keyTag) == "name"
 }
 
 // differences lists in what two values of one type differ, by the keys of a file.
@@ -184,15 +175,18 @@
 	case reflect.Struct:
 		for i := range a.NumField() {
 			f := a.Type().Field(i)
-			sub := path + "." + keyOf(f.Name)
-			if f.Anonymous || f.Name == "Settings" || f.Name == "Total" {
-				sub = path
+			sub := path
+			switch key := f.Tag.Get(keyTag); {
+			case key == noKey:
+				continue
+			case key != inlineKey && !f.Anonymous:
+				sub += "." + key
 			}
 			p = append(p, differences(sub, a.Field(i), b.Field(i))...)
 		}
 		return p
 	case reflect.Slice:
-		if a.Type().Elem().Kind() == reflect.Struct && a.Type().Elem().Field(0).Name == "Name" {
+		if namedItems(a.Type()) {
 			return differentItems(path, a, b)
 		}
 	}
--- a/internal/config/plan_test.go
+++ b/internal/config/plan_test.go
@@ -1,8 +1,13 @@
 package config
 
 import (
+	"reflect"
 	"strings"
 	"testing"
+
+	"lockflow/control"
+	"lockflow/internal/quotalease"
+	"lockflow/internal/route"
 )
 
 // Each change of a file is planned as what it takes, by the key that changed.
@@ -83,3 +88,36 @@
 		}
 	}
 }
+
+// Every field that a plan compares says its key: a rename of the field changes no plan.
+func TestPlanKeysAreWritten(t *testing.T) {
+	seen := make(map[reflect.Type]bool)
+	var walk func(of reflect.Type)
+	walk = func(of reflect.Type) {
+		switch {
+		case seen[of]:
+		case of.Kind() == reflect.Slice && namedItems(of):
+			walk(of.Elem())
+		case of.Kind() == reflect.Struct:
+			seen[of] = true
+			for i := range of.NumField() {
+				f := of.Field(i)
+				key := f.Tag.Get(keyTag)
+				if key == "" && !f.Anonymous {
+					t.Errorf("%v.%s has no key in a %s tag", of, f.Name, keyTag)
+				}
+				if key != noKey {
+					walk(f.Type)
+				}
+			}
+		}
+	}
+	for _, root := range []any{Process{}, Service{}, Gather{}, Route{}} {
+		walk(reflect.TypeOf(root))
+	}
+	for _, nested := range []any{Amounts{}, control.Settings{}, control.Class{}, control.Plan{}, quotalease.Rules{}, route.Rule{}, GatherPart{}} {
+		if !seen[reflect.TypeOf(nested)] {
+			t.Errorf("%T was not reached", nested)
+		}
+	}
+}
--- a/internal/quotalease/quotalease.go
+++ b/internal/quotalease/quotalease.go
@@ -27,11 +27,11 @@
 
 // Rules are the same at all instances and counters.
 type Rules struct {
-	Instances int           // that a ceiling is divided over
-	Term      time.Duration // of what is lent, from the moment it was asked for
-	Pledge    time.Duration // for which a part is pledged, from when the counter last told its time
-	Settle    time.Duration // within which all instances know of another number of them, or have ended
-	Drift     float64       // most by which a clock's rate is wrong, as a part; what clocks show may be anything
+	Instances int           `plan:"instances"` // that a ceiling is divided over
+	Term      time.Duration `plan:"term"`      // of what is lent, from the moment it was asked for
+	Pledge    time.Duration `plan:"pledge"`    // for which a part is pledged, from when the counter last told its time
+	Settle    time.Duration `plan:"settle"`    // within which all instances know of another number of them, or have ended
+	Drift     float64       `plan:"drift"`     // most by which a clock's rate is wrong, as a part; what clocks show may be anything
 }
 
 // Check tells what can't be kept.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -32,22 +32,22 @@
 
 // Header is a condition on one header.
 type Header struct {
-	Name  string // in any case
-	Value string // that it has, being given once; with Any it may have any
-	Any   bool   // it is there, be it empty or given more than once
+	Name  string `plan:"name"`  // in any case
+	Value string `plan:"value"` // that it has, being given once; with Any it may have any
+	Any   bool   `plan:"any"`   // it is there, be it empty or given more than once
 }
 
 // Rule leads requests to a service. An empty condition holds for all.
 type Rule struct {
-	Name    string
-	Service string
-
-	Host    string // exact, or "*." and a suffix, which stands for one label or more before it
-	Path    string // exact
-	Prefix  string // of whole segments: /a is one of /a, /a/ and /a/b, not of /ab; not with Path
-	Method  string
-	Class   string // the first segment of the path
-	Headers []Header
+	Name    string `plan:"name"`
+	Service string `plan:"service"`
+
+	Host    string   `plan:"host"`   // exact, or "*." and a suffix, which stands for one label or more before it
+	Path    string   `plan:"path"`   // exact
+	Prefix  string   `plan:"prefix"` // of whole segments: /a is one of /a, /a/ and /a/b, not of /ab; not with Path
+	Method  string   `plan:"method"`
+	Class   string   `plan:"class"` // the first segment of the path
+	Headers []Header `plan:"headers"`
 }
 
 // rule is a compiled one.
