--- a/control/attempts.go
+++ b/control/attempts.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// Tuned figures of attempts and what follows one that failed.
+// Tuned constants of attempts and retries.
 const (
-	failMost   = 0.75             // part from which failures speak against the server as a whole
-	shutFor    = 15 * time.Second // how long a server that refused a plan is not tried for it
-	retryLeast = 0.1              // the least that a further attempt takes of what was earned
-	zombieLife = 2.0              // mean latencies that timed-out work is taken to go on at most
+	maxFailureRate        = 0.75             // failure rate above which errors count toward ejection
+	planRejectionTime     = 15 * time.Second // during which a server that rejected a plan is avoided for it
+	minRetryCost          = 0.1              // of the retry budget
+	maxAbandonedLatencies = 2.0              // mean latencies that an abandoned attempt is presumed to run
 )
 
 func (c *Controller) onStarted(e Started) {
@@ -59,7 +59,7 @@
 	if part := c.bound - c.busyNow(); part > 0 && part < 1 {
 		c.restUntil = c.now + seconds((1/part-1)*c.latency)
 	}
-	if pause := 1/math.Max(a.cust.openCap, tiny) - 1; a.cust.plan.Open > 0 && pause > 0 {
+	if pause := 1/math.Max(a.cust.openCap, epsilon) - 1; a.cust.plan.Open > 0 && pause > 0 {
 		a.cust.openNext = c.now + time.Duration(pause*float64(c.now-a.sent))
 	}
 }
@@ -94,12 +94,12 @@
 		}
 	case Full: // some servers refuse one plan only
 		c.strike(s, 1)
-		s.shut[r.plan] = c.now + shutFor
+		s.shut[r.plan] = c.now + planRejectionTime
 		c.bad++
 	case ConnectFailed:
-		c.strike(s, strikesOut)
+		c.strike(s, ejectionFailures)
 	case ResetByPeer, Errored: // a server that fails at once looks idle and draws the rest
-		if c.fared(s, 1); c.failing(s) > failMost {
+		if c.fared(s, 1); c.failing(s) > maxFailureRate {
 			c.strike(s, 1)
 		}
 		s.probing = false
@@ -115,7 +115,7 @@
 	late := e.Reason == TimedOut || e.Reason == Cancelled
 	if late { // its work may go on
 		s.ghosts++
-		c.ghosts = append(c.ghosts, ghost{s, c.now + seconds(math.Min(took, zombieLife*c.latency))})
+		c.ghosts = append(c.ghosts, ghost{s, c.now + seconds(math.Min(took, maxAbandonedLatencies*c.latency))})
 	}
 	if ran := e.Reason == Errored || e.Reason == ResetByPeer || late; ran && !r.mayRun {
 		r.mayRun, r.firstRun, r.group = true, a.sent, s
@@ -136,7 +136,7 @@
 		return
 	}
 	c.seen++
-	c.latency += math.Max(fleetGain, 1/c.seen) * (math.Min(t, aim) - c.latency)
+	c.latency += math.Max(fleetEstimateGain, 1/c.seen) * (math.Min(t, aim) - c.latency)
 	c.secSum += math.Min(t, aim)
 	c.latSum += math.Min(1, t/aim)
 	c.latN++
@@ -149,7 +149,7 @@
 func (c *Controller) again(r *request, a *attempt, why Reason) {
 	price := 1.0
 	if why == Errored || why == ResetByPeer || why == ConnectFailed {
-		price = math.Min(1, math.Max(retryLeast, (c.now-a.sent).Seconds()/math.Max(c.latency, tiny)))
+		price = math.Min(1, math.Max(minRetryCost, (c.now-a.sent).Seconds()/math.Max(c.latency, epsilon)))
 	}
 	ok := why != Moot && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
 		(c.set.SendCap == 0 || r.sends < c.set.SendCap)
--- a/control/ceiling_test.go
+++ b/control/ceiling_test.go
@@ -23,7 +23,7 @@
 				g.reply("before", OK, 0)
 			}
 			for range 10 {
-				g.pass(custKeep)
+				g.pass(maxAccountIdleTime)
 				g.ask(fmt.Sprint("on", g.now), "job", p.Name, "comes on")
 				g.reply(fmt.Sprint("on", g.now), OK, 0)
 			}
@@ -59,7 +59,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := newGate(t, s, on(list...)...)
 			many := func() {
-				for i := range custMost/2 + 1 {
+				for i := range maxAccounts/2 + 1 {
 					g.c.customerOf(g.c.planOf[p.Name], fmt.Sprint("busy", i), 2).open = 1
 				}
 			}
@@ -74,7 +74,7 @@
 						g.reply(id, OK, 0)
 					}
 				}
-				g.now += interval
+				g.now += windowDuration
 				if g.c.Handle(g.now, Timer{}); g.c.custs[p.Name+" x"] != nil {
 					g.c.sweep()
 				}
@@ -90,7 +90,7 @@
 					many()
 				}
 			}
-			most := (ceilingStart*p.CeilingSlack + (g.now-begun).Seconds()*p.CeilingRate) / 2
+			most := (initialSlackFraction*p.CeilingSlack + (g.now-begun).Seconds()*p.CeilingRate) / 2
 			if n := float64(sent) / 8; forgotten < 10 || n > most+1 {
 				t.Errorf("%g units of %g, forgotten %d times", n, most, forgotten)
 			}
@@ -120,7 +120,7 @@
 	for i, units := range []float64{0.1, 0.2, 0.3} {
 		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "x", TTL: 5 * time.Second, Units: units, Spread: 2})
 	}
-	if g.pass(2 * custKeep); len(g.c.custs) > 0 || len(g.ends) != 3 {
+	if g.pass(2 * maxAccountIdleTime); len(g.c.custs) > 0 || len(g.ends) != 3 {
 		t.Errorf("%d customers remembered, %d requests answered", len(g.c.custs), len(g.ends))
 	}
 }
--- a/control/checkpoint_test.go
+++ b/control/checkpoint_test.go
@@ -127,7 +127,7 @@
 				c.over(0.5)
 			}
 		}
-		if over := c.most(start, 30, 60); over > ceilingStart*6+1 {
+		if over := c.most(start, 30, 60); over > initialSlackFraction*6+1 {
 			t.Errorf("seed %d: %.1f units beyond the ceiling", seed, over)
 		}
 		one := &chain{t: t, set: c.set, rng: rand.New(rand.NewPCG(seed, 4))} // that never hands over
@@ -184,7 +184,7 @@
 	a.c.bound, a.c.latency, a.c.clock.lag, a.c.clock.phase = 37, 0.25, 12, 3
 	a.c.plans[0].share, a.c.plans[1].share = 0.25, 0.75
 	bad := a.c.servers[2]
-	bad.latency, bad.latencyAt, bad.strikes, bad.asideUntil = 3, a.now, strikesOut, a.now+time.Second
+	bad.latency, bad.latencyAt, bad.strikes, bad.asideUntil = 3, a.now, ejectionFailures, a.now+time.Second
 	c := a.c.HandOver(a.now, 1)
 	c.Servers = append(c.Servers, ServerState{Server: 99}) // is not listed any more
 	b := newGate(t, s, append(on(1, 2), Member{Server: 3, HasCameUp: true, CameUp: a.now})...)
--- a/control/choose.go
+++ b/control/choose.go
@@ -5,36 +5,38 @@
 	"time"
 )
 
-// Tuned figures of the choice of server.
+// Tuned constants of the choice of server.
 const (
-	triedCost   = 4.0         // factor on the cost of a server that this request has tried
-	asideCost   = 1e6         // factor on the cost of a server put aside: where there is no other
-	failGain    = 0.15        // gain of the estimate of a server's failures
-	failCost    = 5.0         // factor on a server's cost, times the square of what it is over the gain
-	tieNoise    = 0.02        // random part of a cost, so that gateways do not agree on one server
-	latencyAge  = 5.0         // s after which an estimate unfed has lost 63% against the fleet's
-	sampleNoise = 6.0         // own answers, of late, whose mean weighs as much as the fleet's
-	slowAge     = 40.0        // s after which what a server told of its speed has lost 63%
-	slowLeast   = 1.5         // times the fleet's mean, below which it is as fast as others
-	busyAge     = 2.0         // the same for how busy it is
-	busyCost    = 3.0         // factor on the cost of a busy server, less one
-	strange     = 3.0         // factor on the cost of a server that has told nothing of late
-	knownLeast  = 4           // servers that have, below which others are tried first
-	asideFirst  = time.Second // how long it is put aside at first; doubles
-	asideMost   = 8 * time.Second
+	triedServerPenalty      = 4.0         // factor on the cost of a server that this request has tried
+	ejectedServerPenalty    = 1e6         // factor on the cost of an ejected server, the last choice
+	failureRateGain         = 0.15        // gain of a server's failure rate
+	failureRatePenalty      = 5.0         // weight of the square of the failure rate above one failure's
+	tieBreakNoise           = 0.02        // random part of a cost, so that gateways choose differently
+	latencyDecaySeconds     = 5.0         // time constant of the trust in an estimate without new samples
+	latencyPriorSamples     = 6.0         // recent samples that weigh as much as the fleet's latency
+	slowdownDecaySeconds    = 40.0        // time constant of a reported slowdown
+	minSlowdown             = 1.5         // below it, a server counts as fast as the fleet
+	utilizationDecaySeconds = 2.0         // time constant of a reported utilization
+	utilizationPenalty      = 3.0         // weight of the fourth power of the utilization
+	unknownServerPenalty    = 3.0         // factor on the cost of a server without a recent report
+	minReportingServers     = 4           // with fewer, servers without a report are preferred
+	initialEjectionTime     = time.Second // doubles at each ejection without a success between
+	maxEjectionTime         = 8 * time.Second
 )
 
 func (s *server) usable() bool { return s.listed && s.Condition == On }
 
-func (c *Controller) aside(s *server) bool { return s.strikes >= strikesOut && c.now < s.asideUntil }
+func (c *Controller) aside(s *server) bool {
+	return s.strikes >= ejectionFailures && c.now < s.asideUntil
+}
 
 // pick is the server of least expected wait that the rules allow; nil is to wait.
 func (c *Controller) pick(r *request) *server {
 	var best *server
 	bestCost := math.Inf(1)
-	unknown := strange
-	if c.count(c.known) < knownLeast {
-		unknown = 1 / strange
+	unknown := unknownServerPenalty
+	if c.count(c.known) < minReportingServers {
+		unknown = 1 / unknownServerPenalty
 	}
 	for _, s := range c.order {
 		if !s.usable() || !c.sameGroup(r, s) || !c.coldRoom(s) {
@@ -43,11 +45,11 @@
 		cost := c.cost(s, unknown)
 		for _, t := range r.tried {
 			if t == s.Server {
-				cost *= triedCost
+				cost *= triedServerPenalty
 			}
 		}
 		if c.aside(s) || s.probing || c.now < s.shut[r.plan] {
-			cost *= asideCost
+			cost *= ejectedServerPenalty
 		}
 		if cost < bestCost {
 			best, bestCost = s, cost
@@ -79,35 +81,37 @@
 	base := math.Max(c.latency, 1e-3)
 	lat, slow, busy := base, unknown, c.util
 	if s.samples > 0 {
-		fresh := s.samples * math.Exp(-(c.now-s.latencyAt).Seconds()/latencyAge)
-		lat += (s.latency - base) * fresh / (fresh + sampleNoise)
+		fresh := s.samples * math.Exp(-(c.now-s.latencyAt).Seconds()/latencyDecaySeconds)
+		lat += (s.latency - base) * fresh / (fresh + latencyPriorSamples)
 	}
 	if s.coldRamp { // none has told for long of one, and its budget is below what it can do
 		slow = 1
 	}
 	if s.toldAt > 0 {
 		since := (c.now - s.toldAt).Seconds()
-		slow += (s.slow - slow) * math.Exp(-since/slowAge)
-		busy += (s.util - busy) * math.Exp(-since/busyAge)
+		slow += (s.slow - slow) * math.Exp(-since/slowdownDecaySeconds)
+		busy += (s.util - busy) * math.Exp(-since/utilizationDecaySeconds)
 	}
 	lat = math.Max(lat, base*slow)
 	if s.inflight > 0 { // a server that is silent is at least as slow as its silence
 		lat = math.Max(lat, (c.now - s.heard).Seconds())
 	}
-	lat *= 1 + busyCost*busy*busy*busy*busy
+	lat *= 1 + utilizationPenalty*busy*busy*busy*busy
 	n := float64(s.inflight + s.ghosts)
 	cost := lat * (n + 1)
-	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
-	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
+	f := math.Max(0, c.failing(s)-failureRateGain) // one failure says nothing
+	return cost * (1 + failureRatePenalty*f*f) * (1 + tieBreakNoise*c.rng.Float64())
 }
 
 // known tells whether a server has told of its load of late.
-func (c *Controller) known(s *server) bool { return s.toldAt > 0 && c.now < s.toldAt+seconds(slowAge) }
+func (c *Controller) known(s *server) bool {
+	return s.toldAt > 0 && c.now < s.toldAt+seconds(slowdownDecaySeconds)
+}
 
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
 // as a server that is not chosen has no chance to do better.
 func (c *Controller) failing(s *server) float64 {
-	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/latencyAge)
+	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/latencyDecaySeconds)
 }
 
 // fared takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails
@@ -115,15 +119,15 @@
 // draws the rest.
 func (c *Controller) fared(s *server, failed float64) {
 	f := c.failing(s)
-	s.failing, s.failingAt = f+failGain*(failed-f), c.now
+	s.failing, s.failingAt = f+failureRateGain*(failed-f), c.now
 }
 
 // strike counts a failure that speaks against the server.
 func (c *Controller) strike(s *server, n int) {
 	s.strikes += n
 	s.probing = false
-	if s.strikes >= strikesOut && c.now >= s.asideUntil {
-		s.aside = min(max(asideFirst, 2*s.aside), asideMost)
+	if s.strikes >= ejectionFailures && c.now >= s.asideUntil {
+		s.aside = min(max(initialEjectionTime, 2*s.aside), maxEjectionTime)
 		s.asideUntil = c.now + s.aside
 	}
 }
@@ -132,8 +136,8 @@
 	if s.latency == 0 {
 		s.latency = t
 	}
-	s.latency += latencyGain * (t - s.latency)
-	s.samples = 1 + s.samples*math.Exp(-(c.now-s.latencyAt).Seconds()/latencyAge)
+	s.latency += serverLatencyGain * (t - s.latency)
+	s.samples = 1 + s.samples*math.Exp(-(c.now-s.latencyAt).Seconds()/latencyDecaySeconds)
 	s.latencyAt = c.now
 }
 
@@ -146,11 +150,11 @@
 		return
 	}
 	c.reports++
-	gain := math.Max(fleetGain, 1/c.reports)
+	gain := math.Max(fleetEstimateGain, 1/c.reports)
 	c.util += gain * (math.Min(1, l.CPU) - c.util)
 	c.meanTold += gain * (l.AvgMS/1000 - c.meanTold)
 	own := math.Max(c.latency, 1e-3) / 2
-	if s.slow = (l.AvgMS/1000 + own) / (c.meanTold + own); s.slow < slowLeast {
+	if s.slow = (l.AvgMS/1000 + own) / (c.meanTold + own); s.slow < minSlowdown {
 		s.slow = 1
 	}
 	s.util, s.toldAt = math.Min(1, l.CPU), c.now
--- a/control/cold.go
+++ b/control/cold.go
@@ -2,10 +2,10 @@
 
 import "math"
 
-// Tuned figures of servers that have just started.
+// Tuned constants of slow start.
 const (
-	warmLeast  = 0.1  // the least warmth that is reckoned with
-	coldSafety = 0.32 // part of a cold server's budget that is used
+	minWarmupFraction       = 0.1  // of a server's capacity
+	slowStartBudgetFraction = 0.32 // part of a warming server's budget that is used
 )
 
 // learn takes an entry of the list before it replaces what was listed. A server that started
@@ -38,7 +38,7 @@
 		return 1
 	}
 	x := (c.now - s.coldFrom).Seconds() / c.set.Cold.Seconds()
-	return math.Min(1, math.Max(warmLeast, c.set.ColdFrom)+(1-c.set.ColdFrom)*math.Max(0, x))
+	return math.Min(1, math.Max(minWarmupFraction, c.set.ColdFrom)+(1-c.set.ColdFrom)*math.Max(0, x))
 }
 
 // coldRoom holds a cold server under this gateway's part of its budget: what warm
@@ -53,12 +53,13 @@
 		return true
 	}
 	w := c.warmth(s)
-	if float64(s.inflight+s.ghosts) >= math.Max(1, math.Floor(w*perServer)) {
+	if float64(s.inflight+s.ghosts) >= math.Max(1, math.Floor(w*slotsPerServer)) {
 		return false
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
 	// What is sent may go beyond what was earned and is paid back, so a part below one request flows.
-	rate := c.portion * math.Max(coldSafety*c.set.FallMultiple*w*c.warmRate(), 1/float64(c.set.GroupSize))
+	budget := slowStartBudgetFraction * c.set.FallMultiple * w * c.warmRate()
+	rate := c.portion * math.Max(budget, 1/float64(c.set.GroupSize))
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
 	s.tokens, s.tokensAt = math.Min(s.tokens, rate*c.set.Fall.Seconds()/2), c.now
 	return s.tokens >= 0
@@ -73,7 +74,7 @@
 		switch {
 		case !s.usable() || s.coldRamp:
 			continue
-		case s.strikes >= strikesOut:
+		case s.strikes >= ejectionFailures:
 			dead++
 		case c.known(s):
 			good++
--- a/control/control.go
+++ b/control/control.go
@@ -11,25 +11,25 @@
 	"time"
 )
 
-// Tuned figures that more than one file goes by; each other stands in the file that uses it.
+// Tuned constants that several files use; the others stand in the file that uses them.
 const (
-	tick         = 100 * time.Millisecond // how often held requests are looked at without an event
-	interval     = time.Second            // control interval of shares and bound
-	intervalMore = 4 * time.Second        // by which it may last longer where few answers are in
-	perServer    = 2                      // in-flight bound per ready server, at start and as floor
-	groupFirst   = 8.0                    // per server, that the first bounds of a whole group may sum up to
-	boundUp      = 1.25                   // growth of the bound after an interval without trouble
-	leastAnswers = 5                      // below so many answers an interval the shares stay
-	tiny         = 1e-9                   // keeps a quotient finite; phi' P phi below it teaches nothing
-	retryAfter   = time.Second            // advice in a refusal
-	lagFirst     = 8                      // bins by which a period is taken to be told late until learned
-	bins         = 80                     // history of a customer, in bins of a tenth of the meter period
-	ceilingStart = 0.5                    // part of the slack with which a ceiling's store starts
-	latencyGain  = 0.2                    // gain of a server's latency estimate
-	fleetGain    = 0.02                   // gain of the fleet's latency estimate
-	strikesOut   = 3                      // failures in a row that put a server aside
-	retryMost    = 20.0                   // further attempts saved up at most
-	askAgain     = 2 * time.Second
+	tickPeriod                 = 100 * time.Millisecond // period of the timer that drives windows and watches
+	windowDuration             = time.Second            // control window of shares and concurrency limit
+	maxWindowExtension         = 4 * time.Second        // by which a window with few answers may be longer
+	slotsPerServer             = 2                      // concurrency limit per usable server: initial and floor
+	initialGroupSlotsPerServer = 8.0                    // sum of a replica group's initial limits, per server
+	limitIncreaseFactor        = 1.25                   // growth of the limit after a window without overload
+	minAnswersPerWindow        = 5                      // with fewer answers the shares stay
+	epsilon                    = 1e-9                   // keeps quotients finite
+	rejectRetryAfter           = time.Second            // Retry-After of a rejection
+	initialMeterLagBins        = 8                      // delay of readings assumed until it is learned
+	historyBins                = 80                     // length of an account's histories
+	initialSlackFraction       = 0.5                    // part of the slack that a new hard-limit bucket has
+	serverLatencyGain          = 0.2                    // gain of a server's latency estimate
+	fleetEstimateGain          = 0.02                   // gain of estimates over all servers
+	ejectionFailures           = 3                      // consecutive failures that eject a server
+	maxRetryBudget             = 20.0                   // retries that can be saved up
+	rewatchInterval            = 2 * time.Second        // between two requests to watch the endpoint list
 )
 
 // New makes the controller of one gateway. All randomness comes from seed.
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	c := newController(s, seed)
-	c.retries, c.nextTry, c.clock.lag = retryMost, retryAfter, lagFirst
+	c.retries, c.nextTry, c.clock.lag = maxRetryBudget, rejectRetryAfter, initialMeterLagBins
 	c.meanUnits = (1 + math.Max(1, s.UnitsTop)) / 2 // until requests tell
 	for i := range c.set.Classes {
 		k := &c.set.Classes[i]
@@ -56,18 +56,18 @@
 
 func (c *Controller) begin() {
 	c.started, c.start = true, c.now
-	c.nextInterval = c.now + interval
-	c.act(Arm{After: tick, Label: tickLabel})
+	c.nextInterval = c.now + windowDuration
+	c.act(Arm{After: tickPeriod, Label: tickLabel})
 }
 
 func (c *Controller) onList(e List) {
 	if c.following = c.set.OnRequest && e.Kind != Stale && e.Kind != Broken; e.Kind == Broken {
-		c.askAt = c.now + askAgain/2 + time.Duration(c.rng.Int64N(int64(askAgain)))
+		c.askAt = c.now + rewatchInterval/2 + time.Duration(c.rng.Int64N(int64(rewatchInterval)))
 		return
 	}
 	c.merge(e)
 	if c.bound == 0 {
-		first := math.Min(perServer, groupFirst/float64(c.set.GroupSize))
+		first := math.Min(slotsPerServer, initialGroupSlotsPerServer/float64(c.set.GroupSize))
 		c.bound = math.Max(c.floor(), first*c.count((*server).usable))
 	}
 }
@@ -83,14 +83,15 @@
 }
 
 func (c *Controller) onTick() {
-	c.act(Arm{After: tick, Label: tickLabel})
+	c.act(Arm{After: tickPeriod, Label: tickLabel})
 	if c.set.OnRequest && !c.following && c.now >= c.askAt {
 		c.act(Follow{Active: true})
-		c.askAt = c.now + askAgain
+		c.askAt = c.now + rewatchInterval
 	}
 	// An interval of few answers goes on, as their mean says little.
-	if c.now >= c.nextInterval && (c.answers+c.bad >= leastAnswers || c.now >= c.nextInterval+intervalMore) {
-		c.endInterval((c.now - c.nextInterval + interval).Seconds())
-		c.nextInterval = c.now + interval
+	hasAnswers := c.answers+c.bad >= minAnswersPerWindow
+	if c.now >= c.nextInterval && (hasAnswers || c.now >= c.nextInterval+maxWindowExtension) {
+		c.endInterval((c.now - c.nextInterval + windowDuration).Seconds())
+		c.nextInterval = c.now + windowDuration
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -352,7 +352,7 @@
 		}
 	}
 	for i := 0; i < 6; i++ {
-		if p := l.p.At(i, i); p > 10*firstCov || p <= 0 {
+		if p := l.p.At(i, i); p > 10*initialCovariance || p <= 0 {
 			t.Errorf("covariance %g in direction %d", p, i)
 		}
 	}
@@ -369,7 +369,7 @@
 		l.x.Set(i, i, -1)
 		l.x.Set(i, 2+i, 1)
 	}
-	v := 2 / (1 + shareCost*shareCost)
+	v := 2 / (1 + largeShareCost*largeShareCost)
 	u0, u1 := v-(v-1)/2, -(v-1)/2
 	least := math.Min(0, u1)
 	sum := u0 + u1 - 2*least
@@ -395,7 +395,7 @@
 
 func TestSharesStayWithFewAnswers(t *testing.T) {
 	g := newGate(t, settings(), on(1)...)
-	g.c.plans[0].y, g.c.plans[1].y, g.c.answers = 3, 0.1, leastAnswers-1
+	g.c.plans[0].y, g.c.plans[1].y, g.c.answers = 3, 0.1, minAnswersPerWindow-1
 	g.c.endInterval(1)
 	if g.c.plans[0].share != 0.5 {
 		t.Errorf("share %g after an interval of four answers", g.c.plans[0].share)
@@ -637,7 +637,7 @@
 	}
 	for i := 0; i < 20; i++ {
 		g.now += time.Second
-		if d := read(5000); d < 0 || d > chanceMax {
+		if d := read(5000); d < 0 || d > maxRejectionProbability {
 			t.Fatalf("d = %g", d)
 		}
 	}
--- a/control/history.go
+++ b/control/history.go
@@ -45,7 +45,7 @@
 }
 
 // oldest is the first bin that is still told apart.
-func (h *history) oldest() int64 { return h.last - bins + 1 }
+func (h *history) oldest() int64 { return h.last - historyBins + 1 }
 
 // upTo is the running sum at the end of a bin.
 func (h *history) upTo(b int64) float64 {
@@ -63,14 +63,14 @@
 
 // over is the amount of the period that ends before a bin, which is none to come.
 func (h *history) over(end int64) float64 {
-	lo := max(end-binsPeriod-1, h.oldest())
+	lo := max(end-binsPerPeriod-1, h.oldest())
 	return h.upTo(max(end-1, lo)) - h.upTo(lo)
 }
 
 // window is a history with the sum of each of its latest bins at hand, for many looks.
 type window struct {
 	oldest int64
-	sums   [bins]float64
+	sums   [historyBins]float64
 }
 
 func (h *history) window() window {
@@ -87,7 +87,7 @@
 
 // over is as the history's.
 func (w *window) over(end int64) float64 {
-	lo := max(end-binsPeriod-1, w.oldest)
+	lo := max(end-binsPerPeriod-1, w.oldest)
 	return w.sums[max(end-1, lo)-w.oldest] - w.sums[lo-w.oldest]
 }
 
@@ -107,7 +107,7 @@
 // take fills an empty history, whose bins it shares.
 func (h *history) take(all []Amount, now int64) {
 	for _, a := range all {
-		if a.Bin > now-bins && a.Bin <= now {
+		if a.Bin > now-historyBins && a.Bin <= now {
 			h.roll(a.Bin)
 			h.add(a.V)
 		}
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -9,21 +9,21 @@
 // dense is a history as it was kept before: the running sum of each of the latest bins.
 type dense struct {
 	last int64
-	sum  [bins]float64
+	sum  [historyBins]float64
 }
 
-func (d *dense) at(b int64) int64 { return (b%bins + bins) % bins }
+func (d *dense) at(b int64) int64 { return (b%historyBins + historyBins) % historyBins }
 
 func (d *dense) roll(b int64) {
 	top := d.sum[d.at(d.last)]
-	for i := max(d.last+1, b-bins+1); i <= b; i++ {
+	for i := max(d.last+1, b-historyBins+1); i <= b; i++ {
 		d.sum[d.at(i)] = top
 	}
 	d.last = max(d.last, b)
 }
 
 func (d *dense) over(end int64) float64 {
-	lo := max(end-binsPeriod-1, d.last-bins+1)
+	lo := max(end-binsPerPeriod-1, d.last-historyBins+1)
 	return d.sum[d.at(max(end-1, lo))] - d.sum[d.at(lo)]
 }
 
@@ -52,7 +52,7 @@
 					t.Fatalf("seed %d: %g and %g up to bin %d of %d, want %g", seed, got, also, end, now, want)
 				}
 			}
-			if len(h.steps) > bins+1 {
+			if len(h.steps) > historyBins+1 {
 				t.Fatalf("seed %d: %d steps", seed, len(h.steps))
 			}
 			var again history
--- a/control/image_test.go
+++ b/control/image_test.go
@@ -60,7 +60,7 @@
 		"classes":   func(s *Image) { s.Usual = s.Usual[1:] },
 		"class":     func(s *Image) { s.Usual[0].Class = "another" },
 		"customer":  func(s *Image) { s.Customers[0].Plan = 99 },
-		"history":   func(s *Image) { s.Customers[0].Own = make([]Step, bins+2) },
+		"history":   func(s *Image) { s.Customers[0].Own = make([]Step, historyBins+2) },
 		"request":   func(s *Image) { s.Requests[0].Customer = -1 },
 		"group":     func(s *Image) { s.Requests[0].Group = 1000 },
 		"attempt":   func(s *Image) { s.Attempts[0].Server = 1000 },
--- a/control/law.go
+++ b/control/law.go
@@ -7,14 +7,14 @@
 	"gonum.org/v1/gonum/mat"
 )
 
-// Tuned figures of the share law.
+// Tuned constants of the share controller.
 const (
-	forgetting = 0.95 // lambda of the RLS
-	shareCost  = 0.3  // diagonal of Q: the price of large shares
-	firstCov   = 1.0  // diagonal of P(0)
-	firstGain  = 3.0  // B0(0): lateness that a share above the equal one takes off
-	firstKeep  = 0.9  // A1(0): lateness that stays to the next interval
-	covLimit   = 1e4  // largest entry of P; beyond it the estimate starts anew
+	forgettingFactor           = 0.95 // lambda of the RLS
+	largeShareCost             = 0.3  // diagonal of Q
+	initialCovariance          = 1.0  // diagonal of P(0)
+	initialShareEffect         = 3.0  // B0(0): lateness removed by a share above the equal one
+	initialLatenessPersistence = 0.9  // A1(0): lateness that stays to the next window
+	maxCovarianceNorm          = 1e4  // norm of P or X above which the estimate starts anew
 )
 
 func newShareLaw(prices []float64) *shareLaw {
@@ -31,14 +31,14 @@
 func (l *shareLaw) reset() {
 	l.x, l.p = mat.NewDense(l.n, 2*l.n, nil), mat.NewDense(2*l.n, 2*l.n, nil)
 	for i := 0; i < 2*l.n; i++ {
-		l.p.Set(i, i, firstCov)
+		l.p.Set(i, i, initialCovariance)
 	}
 	for i := 0; i < l.n; i++ {
 		for j := 0; j < l.n; j++ {
-			l.x.Set(i, j, firstGain/float64(l.n))
+			l.x.Set(i, j, initialShareEffect/float64(l.n))
 		}
-		l.x.Set(i, i, firstGain/float64(l.n)-firstGain)
-		l.x.Set(i, l.n+i, firstKeep)
+		l.x.Set(i, i, initialShareEffect/float64(l.n)-initialShareEffect)
+		l.x.Set(i, l.n+i, initialLatenessPersistence)
 	}
 	l.phi = nil
 }
@@ -66,15 +66,15 @@
 	var pphi, e mat.VecDense
 	pphi.MulVec(l.p, l.phi)
 	r := mat.Dot(l.phi, &pphi)
-	if r < tiny {
+	if r < epsilon {
 		return
 	}
 	e.MulVec(l.x, l.phi)
 	e.SubVec(mat.NewVecDense(l.n, y), &e)
-	l.x.RankOne(l.x, 1/(forgetting+r), &e, &pphi)
-	beta := forgetting - (1-forgetting)/r
+	l.x.RankOne(l.x, 1/(forgettingFactor+r), &e, &pphi)
+	beta := forgettingFactor - (1-forgettingFactor)/r
 	l.p.RankOne(l.p, -beta/(1+beta*r), &pphi, &pphi)
-	if !(mat.Norm(l.p, 1) < covLimit) || !(mat.Norm(l.x, 1) < covLimit) {
+	if !(mat.Norm(l.p, 1) < maxCovarianceNorm) || !(mat.Norm(l.x, 1) < maxCovarianceNorm) {
 		l.reset()
 	}
 }
@@ -93,7 +93,7 @@
 		// Guards against slowing a dear plan first, as law (14) would while all plans are
 		// better than their goals: a plan that meets its goal has no error to track.
 		err.SetVec(i, math.Min(0, 1-err.AtVec(i)))
-		m.Set(i, i, m.At(i, i)+shareCost*shareCost)
+		m.Set(i, i, m.At(i, i)+largeShareCost*largeShareCost)
 		ones.SetVec(i, 1)
 	}
 	if s.Inverse(&m) != nil {
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -348,7 +348,7 @@
 	if early > 8 || late > 1.25*early+1 {
 		t.Errorf("%.1f MB after a fifth of %d customers, %.1f MB after all", early, calls, late)
 	}
-	if n := len(g.c.custs); n > custMost {
+	if n := len(g.c.custs); n > maxAccounts {
 		t.Errorf("%d customers remembered", n)
 	}
 	if n := len(g.c.reqs) + len(g.c.labels) + len(g.c.attempts); n > 100 {
--- a/control/quota.go
+++ b/control/quota.go
@@ -5,44 +5,44 @@
 	"time"
 )
 
-// Tuned figures of quotas and ceilings: who is let in.
+// Tuned constants of quotas and hard limits.
 const (
-	chanceMax  = 0.95        // highest chance of refusal
-	lagMost    = 66          // bins of lateness that are considered
-	lagKeep    = 0.99        // what the misfit of a lateness keeps at each answer
-	lagWeak    = 0.5         // weight of sends that are missing against sends that cannot have been
-	lagSwitch  = 0.8         // a new lateness must fit better by this factor
-	binsPeriod = 10          // bins in one meter period
-	shareKeep  = 0.85        // what a customer's learned part keeps at each reading
-	sharePrior = 3.0         // requests' worth of belief in an even spread
-	shareLeast = 0.05        // the least that the learned part can be
-	usePrior   = 0.3         // part of its rate that an unseen customer is taken to use
-	useKeep    = 0.8         // what the smoothed use keeps at each reading
-	surge      = 0.5         // shape of the belief about others' use: small trusts own surges more
-	baseAge    = 4.0         // s after which a told use is taken to have ended by 63%
-	unmetered  = 2.0         // s of use that the meter has not told yet
-	storeHigh  = 0.08        // part of the store above which the chance is not applied
-	storeSpare = 0.5         // part of the store that a repeat too late for its aim must leave
-	worthLow   = 0.5         // part of the dearest class's worth below which a class yields
-	yieldAim   = 0.05        // part of its aim that a turn may take for a class that yields to be let in
-	storeLow   = 0.5         // units of a request that the store must hold for it to be let in
-	openDown   = 0.85        // the most that one reading takes off a part of an open quota
-	toldUnits  = 8.0         // units of quota that the readings behind a chance amount to
-	askedShape = 0.5         // shape of the belief about a customer's demand
-	askedMean  = 0.8         // and its mean, in parts of the rate: few customers ask for far more
-	burstPart  = 0.5         // part of the depth that the chance grants over toldAge
-	toldAge    = 20.0        // s after which a reading has lost 63% of its weight
-	planTold   = 30.0        // readings of its customers that what is believed of a plan goes by
-	coverLeast = 0.5         // part of the periods told from which the store goes before the chance
-	custKeep   = time.Minute // the longest that an idle customer is remembered, if its stores are full
-	custMost   = 20000       // customers from half of which the idle are forgotten
+	maxRejectionProbability = 0.95        // of the metered rule
+	maxMeterLagBins         = 66          // delays of readings that are considered
+	misfitDecay             = 0.99        // part of a delay's misfit that stays at each reading
+	missingSendsWeight      = 0.5         // weight of usage without sends against sends without usage
+	misfitSwitchRatio       = 0.8         // another delay's misfit must be below this part of the present one's
+	binsPerPeriod           = 10          // bins in a meter period
+	localUsageDecay         = 0.85        // part of the local and total usage that stays at each reading
+	localUsagePriorRequests = 3.0         // weight, in requests, of the prior that usage is spread evenly
+	minLocalFraction        = 0.05        // of a customer's usage
+	initialUsageFraction    = 0.3         // part of its rate that an unmetered customer is assumed to use
+	usageRateDecay          = 0.8         // part of the smoothed usage rate that stays at each reading
+	surgeShape              = 0.5         // shape of the prior of remote usage: small trusts local surges more
+	remoteRateDecaySeconds  = 4.0         // time constant with which a reading's remote rate decays
+	unmeteredSeconds        = 2.0         // of usage that readings do not cover yet
+	wellFilledFraction      = 0.08        // filling from which the quota's bucket alone admits
+	spareTokensFraction     = 0.5         // filling that sheddable requests must leave
+	sheddableWeightRatio    = 0.5         // part of the highest priority weight below which a class is sheddable
+	sheddableTurnFraction   = 0.05        // part of its latency objective that a sheddable request may queue
+	minTokensPerUnit        = 0.5         // tokens needed to admit a unit
+	minInFlightLimitFactor  = 0.85        // of an in-flight limit, at one reading
+	readingWindowUnits      = 8.0         // units of quota over which readings are averaged
+	demandPriorShape        = 0.5         // shape of the prior of a customer's demand
+	demandPriorMean         = 0.8         // and its mean, as a part of the quota's rate
+	burstAllowanceFraction  = 0.5         // part of the burst granted over readingDecaySeconds
+	readingDecaySeconds     = 20.0        // time constant with which readings decay
+	planReadingWindow       = 30.0        // first readings over which a plan's estimate is averaged
+	minMeteredFraction      = 0.5         // part of the recent periods that must have been read
+	maxAccountIdleTime      = time.Minute // after which an idle account with full buckets is evicted
+	maxAccounts             = 20000       // above half of it, eviction starts earlier
 )
 
 func (c *Controller) customerOf(p *plan, id string, spread int) *customer {
 	key := p.Name + " " + id
 	q := c.custs[key]
 	if q == nil {
-		q = &customer{plan: p, at: c.now, level: c.portion * p.Depth, smooth: usePrior * p.Rate}
+		q = &customer{plan: p, at: c.now, level: c.portion * p.Depth, smooth: initialUsageFraction * p.Rate}
 		q.spread, q.carry = math.Max(1, float64(spread)), c.rng.Float64()
 		// A gateway just started does not know what its former self has passed on: the
 		// ceiling's store begins with the slack only and fills from the gateway's start, to what it holds.
@@ -62,7 +62,7 @@
 	dt := (c.now - q.at).Seconds()
 	q.at = c.now
 	c.roll(q)
-	elsewhere := dt * q.base * math.Exp(-(c.now-q.baseAt).Seconds()/baseAge)
+	elsewhere := dt * q.base * math.Exp(-(c.now-q.baseAt).Seconds()/remoteRateDecaySeconds)
 	q.charged.add(elsewhere)
 	q.level = math.Min(math.Max(q.level, c.portion*q.plan.Depth), q.level+c.portion*(dt*q.plan.Rate-elsewhere))
 	full := math.Max(q.ceiling, c.portion*q.plan.CeilingBurst/q.spread)
@@ -71,7 +71,8 @@
 
 // part is the learned part of a customer's use that comes through this gateway.
 func (q *customer) part() float64 {
-	return math.Min(1, math.Max(shareLeast, (sharePrior/q.spread+q.ownSum)/(sharePrior+q.allSum)))
+	local := (localUsagePriorRequests/q.spread + q.ownSum) / (localUsagePriorRequests + q.allSum)
+	return math.Min(1, math.Max(minLocalFraction, local))
 }
 
 // others is what the whole group is taken to have sent for a unit sent here.
@@ -80,21 +81,21 @@
 	if !q.metered { // the design's rule for a customer not yet metered
 		return 1 / w
 	}
-	told := math.Min(1, q.base/math.Max(q.plan.Rate, q.base+tiny)) // what refill charges already
-	return 1 + (1-told)*(1-w)/(w+surge/math.Max(q.smooth*unmetered, surge/10))
+	told := math.Min(1, q.base/math.Max(q.plan.Rate, q.base+epsilon)) // what refill charges already
+	return 1 + (1-told)*(1-w)/(w+surgeShape/math.Max(q.smooth*unmeteredSeconds, surgeShape/10))
 }
 
 // admits is the quota's decision on a request at its arrival: why not, or Unsaid where it is let in.
 func (c *Controller) admits(q *customer, k *Class, units float64, late bool) (why Cause) {
 	p := q.plan
 	q.asked.add(1)
-	q.tries = q.tries*math.Exp(-(c.now-q.triesAt).Seconds()/toldAge) + units
+	q.tries = q.tries*math.Exp(-(c.now-q.triesAt).Seconds()/readingDecaySeconds) + units
 	q.triesAt = c.now
 	// Guards against tries that can only be late, or of a class worth far less than the dearest,
 	// taking the units or the turn of others.
-	yields := late || k.Worth < worthLow*c.topWorth
-	full := !c.free() && c.turnTakes() > yieldAim*k.Aim.Seconds()
-	scarce := full || p.Rate > 0 && q.level-q.queued < storeSpare*p.Depth
+	yields := late || k.Worth < sheddableWeightRatio*c.topWorth
+	full := !c.free() && c.turnTakes() > sheddableTurnFraction*k.Aim.Seconds()
+	scarce := full || p.Rate > 0 && q.level-q.queued < spareTokensFraction*p.Depth
 	switch {
 	case late && !c.covered(q):
 		why = TooLate
@@ -129,10 +130,10 @@
 	}
 	if p.Rate > 0 {
 		left := q.level - q.queued
-		if left >= math.Max(storeHigh*p.Depth, units) && c.covered(q) {
+		if left >= math.Max(wellFilledFraction*p.Depth, units) && c.covered(q) {
 			return Unsaid
 		}
-		if left < storeLow*units {
+		if left < minTokensPerUnit*units {
 			return OverStore
 		}
 	}
@@ -147,8 +148,8 @@
 // covered tells whether most periods of a customer's use are told here, of those that could have
 // been since this gateway started.
 func (c *Controller) covered(q *customer) bool {
-	could := toldAge * (1 - math.Exp(-(c.now-c.start).Seconds()/toldAge))
-	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > coverLeast*could
+	could := readingDecaySeconds * (1 - math.Exp(-(c.now-c.start).Seconds()/readingDecaySeconds))
+	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/readingDecaySeconds) > minMeteredFraction*could
 }
 
 // chanceNow is the chance of refusal, 1-(1-d')*100/p with p over the latest readings that amount
@@ -159,15 +160,16 @@
 	// Guards against customers that ask far more than their quota, let in as unseen by one gateway after the
 	// other: one not metered here is refused as much as of its plan's use lies beyond quotas.
 	if !q.metered {
-		return math.Min(chanceMax, (1-1/q.spread)*q.plan.beyond/math.Max(q.plan.told, tiny))
+		return math.Min(maxRejectionProbability, (1-1/q.spread)*q.plan.beyond/math.Max(q.plan.told, epsilon))
 	} else if r == 0 {
 		return q.chance
 	}
-	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
-	own := q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/toldAge)
-	seen := math.Min(toldAge, (c.now-c.start).Seconds()) / q.spread
-	demand := (askedShape + k*q.told + own) / (askedShape/(askedMean*r) + k*q.toldFor + seen)
-	return math.Min(chanceMax, math.Max(0, 1-(r+burstPart*q.plan.Depth/toldAge)/demand))
+	k := math.Exp(-(c.now - q.toldAt).Seconds() / readingDecaySeconds)
+	own := q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/readingDecaySeconds)
+	seen := math.Min(readingDecaySeconds, (c.now-c.start).Seconds()) / q.spread
+	demand := (demandPriorShape + k*q.told + own) / (demandPriorShape/(demandPriorMean*r) + k*q.toldFor + seen)
+	allowed := r + burstAllowanceFraction*q.plan.Depth/readingDecaySeconds
+	return math.Min(maxRejectionProbability, math.Max(0, 1-allowed/demand))
 }
 
 // draw takes a request's first send from the customer's stores, and tells what that was.
@@ -202,7 +204,7 @@
 		c.clock.learn(q, used, units, q.part(), c.binNow())
 	}
 	end := c.clock.end(c.binNow())
-	if q.metered && end < q.readEnd+binsPeriod/2 {
+	if q.metered && end < q.readEnd+binsPerPeriod/2 {
 		return
 	}
 	// Only the first reading counts: it tells of those who come unseen, whatever is refused to others. One
@@ -212,8 +214,8 @@
 		if p.Rate == 0 {
 			one = 1 / float64(p.Open)
 		}
-		p.told += (pct/100 - p.told) / planTold
-		p.beyond += (math.Max(0, pct/100-1-one) - p.beyond) / planTold
+		p.told += (pct/100 - p.told) / planReadingWindow
+		p.beyond += (math.Max(0, pct/100-1-one) - p.beyond) / planReadingWindow
 	}
 	q.metered, q.readEnd = true, end
 	own, charged := q.own.over(end), q.charged.over(end)
@@ -222,21 +224,21 @@
 		force = q.refused.over(end) / asked
 	}
 	period := c.set.MeterPeriod.Seconds()
-	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
+	k := math.Exp(-(c.now - q.toldAt).Seconds() / readingDecaySeconds)
 	q.cover = q.cover*k + period
-	k *= math.Exp(-q.plan.Rate * period / toldUnits)
+	k *= math.Exp(-q.plan.Rate * period / readingWindowUnits)
 	q.told, q.toldFor, q.toldAt = q.told*k+used, q.toldFor*k+(1-force)*period, c.now
 	if q.plan.Rate == 0 {
 		c.meterOpen(q, pct, force, asked)
 		return
 	}
-	q.ownSum = q.ownSum*shareKeep + math.Min(own, used)
-	q.allSum = q.allSum*shareKeep + used
+	q.ownSum = q.ownSum*localUsageDecay + math.Min(own, used)
+	q.allSum = q.allSum*localUsageDecay + used
 	// Guards against periods that no answer told of, where a customer comes through many
 	// gateways: the lower of the last two readings is taken to go on elsewhere.
 	q.base = (1 - q.part()) * math.Min(math.Min(used, q.lastUsed)/c.set.MeterPeriod.Seconds(), q.plan.Rate)
 	q.baseAt, q.lastUsed = c.now, used
-	q.smooth += (1 - useKeep) * (used/c.set.MeterPeriod.Seconds() - q.smooth)
+	q.smooth += (1 - usageRateDecay) * (used/c.set.MeterPeriod.Seconds() - q.smooth)
 	q.level = math.Min(c.portion*q.plan.Depth, math.Max(-q.plan.Depth/2, q.level+c.portion*(charged-used)))
 }
 
@@ -246,18 +248,18 @@
 func (m *meterClock) learn(q *customer, used, units, part float64, now int64) {
 	least, at, lag := math.Inf(1), int64(0), int64(0)
 	sent := q.own.window()
-	for ph := int64(0); ph < binsPeriod; ph++ {
+	for ph := int64(0); ph < binsPerPeriod; ph++ {
 		f := flip(now, ph)
-		for l := int64(0); l < lagMost; l++ {
+		for l := int64(0); l < maxMeterLagBins; l++ {
 			own := sent.over(f - l)
-			miss := math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)
+			miss := math.Max(0, own-used) + missingSendsWeight*math.Max(0, part*used-own)
 			e := &m.miss[ph][l]
-			if *e = *e*lagKeep + miss/(units+used+own); *e < least {
+			if *e = *e*misfitDecay + miss/(units+used+own); *e < least {
 				least, at, lag = *e, ph, l
 			}
 		}
 	}
-	if least < lagSwitch*m.miss[m.phase][m.lag] {
+	if least < misfitSwitchRatio*m.miss[m.phase][m.lag] {
 		m.phase, m.lag = at, lag
 	}
 }
@@ -268,10 +270,10 @@
 	if q.openCap > q.openLeast() {
 		q.chance = 0
 	} else if asked > 0 || pct <= 100 {
-		q.chance = math.Min(chanceMax, math.Max(0, 1-(1-force)*100/math.Max(pct, 1)))
+		q.chance = math.Min(maxRejectionProbability, math.Max(0, 1-(1-force)*100/math.Max(pct, 1)))
 	}
 	if pct > 100 || q.openHit {
-		q.openCap *= math.Max(openDown, math.Min(boundUp, 100/math.Max(pct, 1)))
+		q.openCap *= math.Max(minInFlightLimitFactor, math.Min(limitIncreaseFactor, 100/math.Max(pct, 1)))
 	}
 	most := float64(q.plan.Open)
 	q.openCap, q.openHit = math.Min(most, math.Max(q.openLeast(), q.openCap)), false
@@ -285,12 +287,12 @@
 // is safe then: all stores unseen fill from now.
 func (c *Controller) sweep() {
 	for k, q := range c.custs {
-		if c.now-q.at > custKeep && q.idle() && c.full(q) {
+		if c.now-q.at > maxAccountIdleTime && q.idle() && c.full(q) {
 			delete(c.custs, k)
 		}
 	}
-	keep := custKeep
-	for len(c.custs) > custMost/2 && keep > interval {
+	keep := maxAccountIdleTime
+	for len(c.custs) > maxAccounts/2 && keep > windowDuration {
 		keep /= 2
 		c.start, c.slack = max(c.start, c.now-keep), 0 // each has had its slack
 		for k, q := range c.custs {
@@ -302,12 +304,12 @@
 }
 
 // idle tells whether nothing of a customer's is held; what was queued leaves a rounding error.
-func (q *customer) idle() bool { return q.open == 0 && q.queued < tiny }
+func (q *customer) idle() bool { return q.open == 0 && q.queued < epsilon }
 
 // full tells whether an idle customer's stores have filled again since it was last looked at.
 func (c *Controller) full(q *customer) bool {
 	p, dt := q.plan, (c.now - q.at).Seconds()
-	elsewhere := q.base * math.Exp(-(c.now-q.baseAt).Seconds()/baseAge)
+	elsewhere := q.base * math.Exp(-(c.now-q.baseAt).Seconds()/remoteRateDecaySeconds)
 	return p.Open == 0 && (p.Rate == 0 || q.level+dt*(p.Rate-elsewhere) >= p.Depth) &&
 		(p.CeilingRate == 0 || q.ceiling+dt*p.CeilingRate/q.spread >= p.CeilingBurst/q.spread)
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -34,17 +34,17 @@
 	if trust == Exact {
 		c.portion = math.Min(1, math.Max(0, s.Portion))
 	}
-	fade := math.Exp(-math.Max(0, (now-s.At).Seconds()) / custKeep.Seconds())
-	c.latency, c.idle, c.seen, c.nextTry = s.Latency, s.Idle, s.Seen*fade, max(s.NextTry, tick)
-	c.intervals = 1 / latencyGain // what was learned is not for the first interval to replace
-	c.servedRate, c.retries = s.Served*fade, math.Max(0, math.Min(retryMost, s.Retries))
+	fade := math.Exp(-math.Max(0, (now-s.At).Seconds()) / maxAccountIdleTime.Seconds())
+	c.latency, c.idle, c.seen, c.nextTry = s.Latency, s.Idle, s.Seen*fade, max(s.NextTry, tickPeriod)
+	c.intervals = 1 / serverLatencyGain // what was learned is not for the first interval to replace
+	c.servedRate, c.retries = s.Served*fade, math.Max(0, math.Min(maxRetryBudget, s.Retries))
 	// The bound is one for so many servers; there may be others now.
 	if n := c.count((*server).usable); s.Bound > 0 && s.Usable > 0 && n > 0 {
 		c.bound = math.Max(c.floor(), c.bound+fade*(s.Bound*math.Min(1, n/s.Usable)-c.bound))
 	}
 	// The interval goes on. Guards against reloads faster than an interval, in which nothing would
 	// ever be learned.
-	if v := s.Interval; trust == Exact && v.Ends > c.now-intervalMore && v.Ends <= c.now+interval {
+	if v := s.Interval; trust == Exact && v.Ends > c.now-maxWindowExtension && v.Ends <= c.now+windowDuration {
 		c.nextInterval, c.cutAt = v.Ends, min(v.CutAt, c.now)
 		c.span = span{
 			cut: v.Cut, pressed: v.Pressed, latSum: v.LatSum, secSum: v.SecSum, latN: v.LatN, answers: v.Answers, utilSum: v.UtilSum, utilN: v.UtilN, bad: v.Bad,
@@ -52,12 +52,12 @@
 		}
 	}
 	if c.slack = 0; trust == Exact {
-		c.start, c.slack = min(c.now, s.Start), math.Min(ceilingStart, math.Max(0, s.Slack))
+		c.start, c.slack = min(c.now, s.Start), math.Min(initialSlackFraction, math.Max(0, s.Slack))
 	}
-	if s.Meter.Period == c.set.MeterPeriod && len(s.Meter.Miss) == binsPeriod*lagMost && s.Meter.valid() {
+	if s.Meter.Period == c.set.MeterPeriod && len(s.Meter.Miss) == binsPerPeriod*maxMeterLagBins && s.Meter.valid() {
 		c.clock.phase, c.clock.lag = s.Meter.Phase, s.Meter.Lag
 		for i := range c.clock.miss {
-			copy(c.clock.miss[i][:], s.Meter.Miss[i*lagMost:])
+			copy(c.clock.miss[i][:], s.Meter.Miss[i*maxMeterLagBins:])
 		}
 	}
 	for _, u := range s.Usual {
@@ -71,14 +71,14 @@
 	}
 	slices.SortFunc(c.ghosts, func(a, b ghost) int { return cmp.Compare(a.until, b.until) })
 	for i := range s.Customers {
-		if len(c.custs) < custMost {
+		if len(c.custs) < maxAccounts {
 			c.takeCustomer(&s.Customers[i], s.Meter.Period, trust)
 		}
 	}
 }
 
 func (m *MeterLearned) valid() bool {
-	return m.Phase >= 0 && m.Phase < binsPeriod && m.Lag >= 0 && m.Lag < lagMost
+	return m.Phase >= 0 && m.Phase < binsPerPeriod && m.Lag >= 0 && m.Lag < maxMeterLagBins
 }
 
 // finite tells whether all that a checkpoint says can be reckoned with.
@@ -134,12 +134,12 @@
 	if s == nil || s.bootTime() != v.CameUp {
 		return // another start of it: nothing is known of that
 	}
-	s.samples = sampleNoise // its estimate was one of several answers, most likely
+	s.samples = latencyPriorSamples // its estimate was one of several answers, most likely
 	s.latency, s.latencyAt, s.failing, s.failingAt = v.Latency, v.LatencyAt, v.Failing, v.FailingAt
-	s.strikes, s.asideUntil, s.aside = v.Strikes, min(v.AsideUntil, c.now+asideMost), min(v.Aside, asideMost)
+	s.strikes, s.asideUntil, s.aside = v.Strikes, min(v.AsideUntil, c.now+maxEjectionTime), min(v.Aside, maxEjectionTime)
 	for name, until := range v.Shut {
 		if p := c.planOf[name]; p != nil {
-			s.shut[p] = min(until, c.now+shutFor)
+			s.shut[p] = min(until, c.now+planRejectionTime)
 		}
 	}
 	if trust != Exact {
@@ -151,19 +151,19 @@
 	// What the predecessor has out counts against the bound and a cold server until it is
 	// taken to have ended.
 	until := c.now + seconds(c.latency)
-	for range min(v.Out, ghostsMost) {
+	for range min(v.Out, maxRestoredAbandoned) {
 		c.haunt(s, until)
 	}
-	for i := range min(len(v.Ghosts), ghostsMost) {
+	for i := range min(len(v.Ghosts), maxRestoredAbandoned) {
 		if at := v.Ghosts[i]; at > c.now {
-			c.haunt(s, min(at, c.now+ghostLongest))
+			c.haunt(s, min(at, c.now+maxAbandonedTime))
 		}
 	}
 }
 
 const (
-	ghostsMost   = 10000     // at one server that are taken over
-	ghostLongest = time.Hour // for which they are at most
+	maxRestoredAbandoned = 10000     // at one server that are taken over
+	maxAbandonedTime     = time.Hour // for which they are at most
 )
 
 // haunt has work be taken to go on at a server.
--- a/control/resume.go
+++ b/control/resume.go
@@ -35,7 +35,7 @@
 	if len(s.Plans) != n || len(s.Law.X) != 2*n*n || len(s.Law.P) != 4*n*n || len(s.Law.Phi) != 0 && len(s.Law.Phi) != 2*n {
 		return fmt.Errorf("of %d plans, not %d", len(s.Plans), n)
 	}
-	if len(s.Usual) != len(c.set.Classes) || len(s.Meter.Miss) != binsPeriod*lagMost {
+	if len(s.Usual) != len(c.set.Classes) || len(s.Meter.Miss) != binsPerPeriod*maxMeterLagBins {
 		return fmt.Errorf("of %d classes, not %d, or of another meter", len(s.Usual), len(c.set.Classes))
 	}
 	c.now, c.skipped, c.start, c.started, c.following = s.Now, s.Skipped, s.Start, s.Started, s.Following
@@ -48,7 +48,7 @@
 	c.span = span{cut: i.Cut, pressed: i.Pressed, latSum: i.LatSum, secSum: i.SecSum, latN: i.LatN, answers: i.Answers, bad: i.Bad, served: i.Served, utilSum: i.UtilSum, utilN: i.UtilN}
 	c.clock.phase, c.clock.lag = s.Meter.Phase, s.Meter.Lag
 	for i := range c.clock.miss {
-		copy(c.clock.miss[i][:], s.Meter.Miss[i*lagMost:])
+		copy(c.clock.miss[i][:], s.Meter.Miss[i*maxMeterLagBins:])
 	}
 	c.law.x, c.law.p = mat.NewDense(n, 2*n, slices.Clone(s.Law.X)), mat.NewDense(2*n, 2*n, slices.Clone(s.Law.P))
 	if len(s.Law.Phi) > 0 {
@@ -123,7 +123,7 @@
 			{&q.asked, w.AskedLast, w.Asked},
 			{&q.refused, w.RefusedLast, w.Refused},
 		} {
-			if len(h.from) > bins+1 {
+			if len(h.from) > historyBins+1 {
 				return nil, fmt.Errorf("customer %q: a history of %d bins", w.Key, len(h.from))
 			}
 			for i, s := range h.from {
--- a/control/state.go
+++ b/control/state.go
@@ -193,9 +193,9 @@
 
 func (c *Controller) binLen() time.Duration {
 	if c.set.MeterPeriod > 0 {
-		return c.set.MeterPeriod / binsPeriod
+		return c.set.MeterPeriod / binsPerPeriod
 	}
-	return interval / binsPeriod
+	return windowDuration / binsPerPeriod
 }
 
 func (c *Controller) binNow() int64 { return int64(c.now / c.binLen()) }
@@ -245,7 +245,7 @@
 
 // flip is the latest bin at or before now that lies at a phase of the period.
 func flip(now, phase int64) int64 {
-	return now - ((now-phase)%binsPeriod+binsPeriod)%binsPeriod
+	return now - ((now-phase)%binsPerPeriod+binsPerPeriod)%binsPerPeriod
 }
 
 func (c *Controller) act(a Action) { c.out = append(c.out, a) }
@@ -263,7 +263,7 @@
 
 // meterClock is what is known of the meter; see learn.
 type meterClock struct {
-	miss       [binsPeriod][lagMost]float64
+	miss       [binsPerPeriod][maxMeterLagBins]float64
 	phase, lag int64
 }
 
@@ -330,7 +330,7 @@
 func newController(s Settings, seed uint64) *Controller {
 	pcg := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
 	return &Controller{
-		set: s, portion: 1, slack: ceilingStart, pcg: pcg, rng: rand.New(pcg),
+		set: s, portion: 1, slack: initialSlackFraction, pcg: pcg, rng: rand.New(pcg),
 		classes: map[string]*Class{}, planOf: map[string]*plan{}, reqs: map[string]*request{},
 		usual: map[*Class]*usualTTL{}, labels: map[uint64]*request{}, attempts: map[attemptKey]*attempt{},
 		custs: map[string]*customer{}, servers: map[uint32]*server{},
--- a/control/turns.go
+++ b/control/turns.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Tuned figures of queues and turns.
+// Tuned constants of queues and of the scheduler.
 const (
-	retryEarn = 0.1 // further attempts earned by each request
-	queueAim  = 0.4 // part of the aim that a request may wait in the queue
-	openAim   = 0.7 // the same where an open quota holds requests back
+	retryBudgetPerRequest     = 0.1 // retries that an admitted request earns
+	queueWaitFraction         = 0.4 // part of its latency objective that a request may queue
+	inFlightQuotaWaitFraction = 0.7 // the same for plans with an in-flight quota
 )
 
 func (c *Controller) onRequest(e Request) {
@@ -27,7 +27,7 @@
 		return
 	}
 	c.asks++
-	c.meanUnits += math.Max(fleetGain, 1/c.asks) * (c.work(e.Units) - c.meanUnits)
+	c.meanUnits += math.Max(fleetEstimateGain, 1/c.asks) * (c.work(e.Units) - c.meanUnits)
 	q := c.customerOf(p, e.Customer, e.Spread)
 	waited := c.waited(e, k)
 	late := waited+seconds(c.latency) >= k.Aim
@@ -43,13 +43,13 @@
 	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now, streaming: e.Open}
 	r.aim, r.giveUp = c.now+k.Aim-waited, c.now+e.TTL
 	c.reqs[r.id] = r
-	c.retries = math.Min(retryMost, c.retries+retryEarn)
+	c.retries = math.Min(maxRetryBudget, c.retries+retryBudgetPerRequest)
 	c.enqueue(r, false)
-	part := queueAim
+	part := queueWaitFraction
 	if p.Open > 0 {
-		part = openAim
+		part = inFlightQuotaWaitFraction
 	}
-	c.wake(r, min(time.Duration(part*float64(k.Aim)), e.TTL/2, max(r.aim-c.now-seconds(c.latency), tick)))
+	c.wake(r, min(time.Duration(part*float64(k.Aim)), e.TTL/2, max(r.aim-c.now-seconds(c.latency), tickPeriod)))
 }
 
 // waited is what the client of a try has waited for earlier tries or for this gateway. A
@@ -59,7 +59,7 @@
 func (c *Controller) waited(e Request, k *Class) time.Duration {
 	u := c.usual[k]
 	short := u.ttl - e.TTL
-	odd := short > max(c.skipped, tick) || short < -tick
+	odd := short > max(c.skipped, tickPeriod) || short < -tickPeriod
 	later := e.Repeat || !c.set.MarksRetry && odd && u.seen > 0
 	if !e.Repeat {
 		u.count(e.TTL, odd)
@@ -74,7 +74,7 @@
 }
 
 func (c *Controller) refuse(id string, why Cause) {
-	c.act(Refuse{ID: id, RetryAfter: min(retryAfter, c.set.MaxRetryAfter), Why: why})
+	c.act(Refuse{ID: id, RetryAfter: min(rejectRetryAfter, c.set.MaxRetryAfter), Why: why})
 }
 
 // finish gives the final answer of a request that was not served: a refusal
@@ -177,7 +177,7 @@
 	if s.coldRamp {
 		s.tokens -= c.work(r.units)
 	}
-	if s.strikes >= strikesOut {
+	if s.strikes >= ejectionFailures {
 		s.probing = true
 	}
 	c.record(r, s, b)
--- a/control/unsent_test.go
+++ b/control/unsent_test.go
@@ -28,7 +28,7 @@
 					c.bound, c.seen = 0.5, 1 // a place that rests after each use
 					q := c.customerOf(c.plans[0], "c", 2)
 					q.openCap = 0.5 // likewise
-					srv.strikes = strikesOut
+					srv.strikes = ejectionFailures
 					type books struct {
 						level, ceiling, tokens, own, charged, queued float64
 						open, inflight, out                          int
@@ -77,7 +77,7 @@
 	h.roll(5)
 	h.add(1)
 	h.less(3, 2)
-	if a, b := h.upTo(4), h.upTo(5); a != 0 || math.Abs(b-1) > tiny {
+	if a, b := h.upTo(4), h.upTo(5); a != 0 || math.Abs(b-1) > epsilon {
 		t.Errorf("%v, then %v", a, b)
 	}
 }
@@ -86,14 +86,14 @@
 func TestCancelledProbe(t *testing.T) {
 	g := newGate(t, settings(), on(1)...)
 	s := g.c.servers[1]
-	s.strikes = strikesOut
+	s.strikes = ejectionFailures
 	g.ask("a", "job", "high", "c")
 	if !s.probing {
 		t.Fatal("no probe")
 	}
 	g.do(Hangup{ID: "a"})
 	g.do(Response{ID: "a", Server: 1, Reason: Cancelled, Done: true})
-	if s.probing || s.strikes != strikesOut {
+	if s.probing || s.strikes != ejectionFailures {
 		t.Errorf("probing %v after %d strikes", s.probing, s.strikes)
 	}
 }
