--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -17,7 +17,7 @@
 
 // A repeat that can't be written before its window is over, as its connection came up late, is never
 // written, and the module hears that it was not.
-func TestRepeatBehindItsWindow(t *testing.T) {
+func TestRetryAfterRepeatWindowIsNotSent(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
 	for name, tc := range map[string]struct {
 		begin time.Duration
@@ -27,7 +27,7 @@
 			before := app.Count()
 			reasons := make(chan control.Reason, 1)
 			listed, server := make(chan struct{}, 10), uint32(0)
-			m := script(func(e control.Event) []control.Action {
+			m := moduleFunc(func(e control.Event) []control.Action {
 				switch e := e.(type) {
 				case control.List:
 					server = e.Members[0].Server
@@ -41,7 +41,7 @@
 				}
 				return nil
 			})
-			o := Options{Settings: settings(), NewModule: func() (Module, error) { return m, nil }}
+			o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return m, nil }}
 			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSockets(100), testkit.Patience, testkit.Patience
 			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
 			s, err := New(o)
@@ -52,7 +52,7 @@
 			ended := make(chan error, 1)
 			go func() { ended <- s.Run(ctx) }()
 			testkit.Next(t, listed)
-			x := request("id-1")
+			x := newExchange("id-1")
 			x.Deadline = time.Now().Add(testkit.Patience)
 			req, _ := http.NewRequest(http.MethodGet, "http://origin.svc/read", nil)
 			x.Forwarder = &upstream.Whole{Request: req}
@@ -71,7 +71,7 @@
 
 // A request that a service has not begun when another takes its place goes there, but not as a keyed
 // one where nobody has asked for its key.
-func TestEffectAcrossHandOver(t *testing.T) {
+func TestReplacementTakesUnbegunRequestOnlyWithItsKeyChecked(t *testing.T) {
 	effects := []control.Effect{control.Guarded, control.SingleShot}
 	for _, from := range effects {
 		for _, to := range effects {
@@ -79,15 +79,15 @@
 				synctest.Test(t, func(t *testing.T) {
 					var before, after []control.Request
 					with := func(e control.Effect, seen *[]control.Request) *Service {
-						o := Options{Settings: settings(), NewModule: func() (Module, error) { return keeping{seen}, nil }}
+						o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return statefulRecorder{seen}, nil }}
 						o.Settings.Classes[0].Effect, o.Settings.Classes[0].RepeatWindow = e, time.Second
-						s, _ := started(t, o)
+						s, _ := startService(t, o)
 						return s
 					}
 					was, next := with(from, &before), with(to, &after)
 					was.ReplaceWith(next)
 					ctx, leave := context.WithCancel(t.Context())
-					x := request("id-1")
+					x := newExchange("id-1")
 					x.Forwarder.(*upstream.Whole).Request.Method = http.MethodPost
 					go was.Do(ctx, x)
 					synctest.Wait()
--- a/internal/service/counts.go
+++ b/internal/service/counts.go
@@ -14,7 +14,7 @@
 // Reasons of attempts' ends, as metrics name them; Attempts of ClassCounts has them in this order.
 var Reasons = [...]string{"ok", "error", "turned_away", "timed_out", "connect_failed", "reset", "cancelled", "not_sent"}
 
-var reasonOf = map[control.Reason]int{
+var reasonIndex = map[control.Reason]int{
 	control.OK: 0, control.Errored: 1, control.Full: 2, control.TimedOut: 3, control.ConnectFailed: 4,
 	control.ResetByPeer: 5, control.Cancelled: 6, control.Moot: 7,
 }
@@ -33,9 +33,9 @@
 	classes map[string]*ClassCounts
 }
 
-// class gives a class's counts, which begin with the first call. Only classes of a configuration
+// forClass gives a class's counts, which begin with the first call. Only classes of a configuration
 // are asked for, so there are few.
-func (c *RequestCounts) class(name string) *ClassCounts {
+func (c *RequestCounts) forClass(name string) *ClassCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.classes == nil {
@@ -60,7 +60,7 @@
 // status is a client that has left.
 func (a Answer) outcome() int {
 	switch {
-	case a.left || a.Status == 0:
+	case a.clientHasLeft || a.Status == 0:
 		return 3
 	case a.Kind == Rejected:
 		return 1
@@ -70,11 +70,11 @@
 	return 0
 }
 
-// ended counts a request's final answer.
-func (n *ClassCounts) ended(a Answer, noRoom bool) {
-	is := a.outcome()
-	n.Requests[is].Add(1)
-	if is == 1 && noRoom {
+// requestEnded counts a request's final answer.
+func (n *ClassCounts) requestEnded(a Answer, noRoom bool) {
+	outcome := a.outcome()
+	n.Requests[outcome].Add(1)
+	if outcome == 1 && noRoom {
 		n.ResourceLimited.Add(1)
 	}
 }
--- a/internal/service/drains_test.go
+++ b/internal/service/drains_test.go
@@ -17,7 +17,7 @@
 // A list that tells of a server's drain, or no longer has it, has nothing be begun there any more, wherever
 // the send is then: at the gate, in the loop's channel, or with a worker that has not begun. The module
 // hears once that it never ran, and may send elsewhere.
-func TestDrainToldBeforeTheSend(t *testing.T) {
+func TestAttemptAfterServerRemovalIsNotSent(t *testing.T) {
 	for _, effect := range []control.Effect{control.Free, control.Guarded, control.SingleShot} {
 		for state, news := range map[string]discovery.Listing{
 			"draining": {Targets: []discovery.Target{{UID: "s-1", State: "draining"}}},
@@ -28,7 +28,7 @@
 				t.Run(fmt.Sprint(where, ", ", state, ", effect ", effect), func(t *testing.T) {
 					app := testkit.NewApp(t, testkit.Served)
 					listed, ended, server := make(chan struct{}, 10), make(chan control.Response, 10), uint32(0)
-					module := script(func(e control.Event) []control.Action {
+					module := moduleFunc(func(e control.Event) []control.Action {
 						switch e := e.(type) {
 						case control.List:
 							if server == 0 {
@@ -44,7 +44,7 @@
 						}
 						return nil
 					})
-					o := Options{Settings: settings(), NewModule: func() (Module, error) { return module, nil }}
+					o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return module, nil }}
 					o.Settings.Classes[0].Effect = effect
 					o.Upstream = upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}
 					o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
@@ -60,7 +60,7 @@
 
 					ask := func(id string) *Exchange {
 						q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
-						x := request(id)
+						x := newExchange(id)
 						x.Deadline, x.Forwarder = time.Now().Add(time.Hour), &upstream.Whole{Request: q, Body: []byte("body")}
 						return x
 					}
@@ -73,7 +73,7 @@
 					before, x := app.Count(), ask("id-1")
 					answers := make(chan Answer, 1)
 					do := func() { go func() { a, _ := s.Do(t.Context(), x); answers <- a }() }
-					tell := func() { s.told(news); testkit.Next(t, listed) }
+					tell := func() { s.receiveEndpoints(news); testkit.Next(t, listed) }
 					switch where {
 					case "gate":
 						decided := make(chan bool, 1)
@@ -85,16 +85,16 @@
 					case "channel":
 						b := newBarrier()
 						s.Post(b.pass)
-						testkit.Next(t, b.came)
-						s.told(news)
+						testkit.Next(t, b.arrived)
+						s.receiveEndpoints(news)
 						do()
-						testkit.Until(t, "both in the channel", func() bool { return len(s.current().events) == 2 })
+						testkit.Until(t, "both in the channel", func() bool { return len(s.currentLoop().events) == 2 })
 						close(b.open)
 					default:
 						b := newBarrier()
-						x.Forwarder = held{x.Forwarder, b}
+						x.Forwarder = heldForwarder{x.Forwarder, b}
 						do()
-						testkit.Next(t, b.came)
+						testkit.Next(t, b.arrived)
 						tell()
 						close(b.open)
 					}
--- a/internal/service/end_test.go
+++ b/internal/service/end_test.go
@@ -12,18 +12,18 @@
 	"lockflow/internal/upstream"
 )
 
-// tries is a request whose attempts end as a test says.
-type tries struct {
+// scriptedForwarder is a request whose attempts end as a test says.
+type scriptedForwarder struct {
 	upstream.Whole
-	try func(ctx context.Context) upstream.Outcome
+	attempt func(ctx context.Context) upstream.Outcome
 }
 
-func (f *tries) Attempt(ctx, _ context.Context, _ *upstream.Upstream, _ *upstream.Pool) upstream.Outcome {
-	return f.try(ctx)
+func (f *scriptedForwarder) Attempt(ctx, _ context.Context, _ *upstream.Upstream, _ *upstream.Pool) upstream.Outcome {
+	return f.attempt(ctx)
 }
 
-// sends makes one attempt for each request, at the first server.
-func sends(e control.Event) []control.Action {
+// sendToFirstServer makes one attempt for each request, at the first server.
+func sendToFirstServer(e control.Event) []control.Action {
 	if r, ok := e.(control.Request); ok {
 		return []control.Action{control.Send{ID: r.ID, Server: 1}}
 	}
@@ -32,7 +32,7 @@
 
 // At an orderly end what surely never ran is refused, whatever its class's effect; what may have run
 // is failed. So is all that a module held that has failed.
-func TestEndOfWhatIsHeld(t *testing.T) {
+func TestPendingRequestsAreAnsweredAtEnd(t *testing.T) {
 	ends := func(why control.Reason, status int) func(context.Context) upstream.Outcome {
 		return func(context.Context) upstream.Outcome { return upstream.Outcome{Reason: why, Status: status} }
 	}
@@ -66,18 +66,18 @@
 				for _, panics := range []bool{false, true} {
 					t.Run(fmt.Sprintf("%s %v %s, panic %v", effect, deadline, name, panics), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
-							set := settings()
+							set := testSettings()
 							set.Classes[0].Effect, set.Classes[0].Deadline = class, deadline
 							set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = control.ScopeCell, time.Minute
-							module := script(holds)
+							module := moduleFunc(ignoreAll)
 							if tc.try != nil {
-								module = sends
+								module = sendToFirstServer
 							}
-							s, end := startedUntil(t, Options{Settings: set, NewModule: func() (Module, error) { return module, nil }})
+							s, end := startStoppableService(t, Options{Settings: set, NewModule: func() (Module, error) { return module, nil }})
 							synctest.Wait() // it knows its server
-							x := request("id-1")
+							x := newExchange("id-1")
 							x.Deadline = time.Now().Add(deadline)
-							x.Forwarder = &tries{try: tc.try}
+							x.Forwarder = &scriptedForwarder{attempt: tc.try}
 							answer := make(chan Answer, 1)
 							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
 							synctest.Wait()
@@ -106,16 +106,16 @@
 }
 
 // Answers that have come when a service ends go to their clients.
-func TestEndWithAnswersUnread(t *testing.T) {
+func TestArrivedAnswersAreDeliveredAtEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, end := startedUntil(t, Options{NewModule: func() (Module, error) { return script(sends), nil }})
+		s, end := startStoppableService(t, Options{NewModule: func() (Module, error) { return moduleFunc(sendToFirstServer), nil }})
 		synctest.Wait() // it knows its server
 		const n = 30    // either of two that are there at once may be taken first
 		come := make(chan struct{})
 		served := make(chan Answer, n)
 		do := func(id string) {
-			x := request(id)
-			x.Forwarder = &tries{try: func(ctx context.Context) upstream.Outcome {
+			x := newExchange(id)
+			x.Forwarder = &scriptedForwarder{attempt: func(ctx context.Context) upstream.Outcome {
 				select {
 				case <-come:
 				case <-ctx.Done():
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -39,50 +39,50 @@
 	// Client is asked right before anything is sent on; nil is known to be there until Do's ctx ends.
 	Client upstream.Client
 
-	left   context.Context // of Do: it ends when the client leaves
-	answer chan Answer     // holds the one final answer
-	holds  atomic.Int32
-	part   func() // gives back what is booked for it; nil is nothing
+	clientContext    context.Context // of Do: it ends when the client leaves
+	answer           chan Answer     // holds the one final answer
+	references       atomic.Int32
+	releaseResources func() // gives back what is booked for it; nil is nothing
 
 	// The loop's own.
-	kept  bool // what is booked is held by the loop too
-	began time.Time
-	done  bool // answered, or the client has left
-	sends int
-	out   int                 // attempts outstanding
-	ran   bool                // an attempt may have run; one that is out may too
-	tries []*upstream.Attempt // by number; nil is one that never was
-	last  control.Reason
-	said  upstream.Outcome // the last real answer of a server that was not final
-	count *ClassCounts     // nil where nothing is counted
-	lent  lent             // of a ceiling that is shared
+	isRetained   bool // what is booked is held by the loop too
+	startedAt    time.Time
+	isAnswered   bool // answered, or the client has left
+	attemptCount int
+	inFlight     int                 // attempts outstanding
+	mayHaveRun   bool                // an attempt may have run; one that is out may too
+	attempts     []*upstream.Attempt // by number; nil is one that never was
+	lastReason   control.Reason
+	lastResponse upstream.Outcome // the last real answer of a server that was not final
+	classCounts  *ClassCounts     // nil where nothing is counted
+	charge       hardLimitCharge  // of a ceiling that is shared
 }
 
 // There tells whether the client still waits for the answer. The library tells of one that has left
 // a while later, and not at all where more than this request has come from it.
 func (x *Exchange) There() bool {
-	return x.left.Err() == nil && (x.Client == nil || x.Client.There())
+	return x.clientContext.Err() == nil && (x.Client == nil || x.Client.There())
 }
 
-// unwritten tells whether no attempt was written, nor will be.
-func (x *Exchange) unwritten() bool {
-	return !slices.ContainsFunc(x.tries, (*upstream.Attempt).Sent)
+// isUnwritten tells whether no attempt was written, nor will be.
+func (x *Exchange) isUnwritten() bool {
+	return !slices.ContainsFunc(x.attempts, (*upstream.Attempt).Sent)
 }
 
-// keep has the loop hold what is booked, unless the front, which held it first, has let go.
-func (x *Exchange) keep() {
-	for n := x.holds.Load(); n > 0; n = x.holds.Load() {
-		if x.holds.CompareAndSwap(n, n+1) {
-			x.kept = true
+// retain has the loop hold what is booked, unless the front, which held it first, has let go.
+func (x *Exchange) retain() {
+	for n := x.references.Load(); n > 0; n = x.references.Load() {
+		if x.references.CompareAndSwap(n, n+1) {
+			x.isRetained = true
 			return
 		}
 	}
 }
 
-// drop undoes keep, once.
-func (x *Exchange) drop() {
-	if x.kept {
-		x.kept = false
+// unretain undoes keep, once.
+func (x *Exchange) unretain() {
+	if x.isRetained {
+		x.isRetained = false
 		x.Release()
 	}
 }
@@ -90,16 +90,16 @@
 // Release has the front let go of what is booked, once the answer is written. The last that
 // lets go gives it back. It is owed once after each Admit, whatever came of Do.
 func (x *Exchange) Release() {
-	if x.part != nil && x.holds.Add(-1) == 0 {
-		x.part()
+	if x.releaseResources != nil && x.references.Add(-1) == 0 {
+		x.releaseResources()
 	}
 }
 
-// unanswered lets go of an answer that was given when the client had left.
-func (x *Exchange) unanswered() {
+// discardAnswer lets go of an answer that was given when the client had left.
+func (x *Exchange) discardAnswer() {
 	select {
 	case a := <-x.answer:
-		a.abandon()
+		a.discard()
 	default:
 	}
 }
@@ -125,12 +125,12 @@
 	Cause       control.Cause    // of one that the module refused
 	LastAttempt control.Reason   // how the last attempt ended, of an answer of the node's own; 0 is none was made
 
-	next *Service // has the answer instead: the request was not begun
-	left bool     // nobody is there to take it
+	replacement   *Service // has the answer instead: the request was not begun
+	clientHasLeft bool     // nobody is there to take it
 }
 
-// abandon lets go of an answer that nobody takes.
-func (a Answer) abandon() {
+// discard lets go of an answer that nobody takes.
+func (a Answer) discard() {
 	if a.Stream != nil {
 		go a.Stream.Close() // it tells the loop, which must not wait for itself
 	}
--- a/internal/service/gate.go
+++ b/internal/service/gate.go
@@ -22,11 +22,11 @@
 	Linger time.Duration
 
 	// The loop's own.
-	told  bool
-	open  bool
-	gave  bool           // the request was given up before its end
-	at    *loop          // that has heard of the request
-	waits []control.Send // attempts that are not made yet
+	isNotified   bool
+	isOpen       bool
+	isAbandoned  bool           // the request was given up before its end
+	loop         *loop          // that has heard of the request
+	pendingSends []control.Send // attempts that are not made yet
 }
 
 // LateEnd is what became of a request that was given up.
@@ -39,66 +39,66 @@
 	LateFailed
 )
 
-// tell says what the module has decided, once.
-func (g *Gate) tell(l *loop, taken bool) {
-	if g == nil || g.told {
+// notify says what the module has decided, once.
+func (g *Gate) notify(l *loop, taken bool) {
+	if g == nil || g.isNotified {
 		return
 	}
-	g.told, g.at = true, l
+	g.isNotified, g.loop = true, l
 	g.OnDecision(taken)
 }
 
 // OpenGate has the attempts of a request be made whose module has taken it. It is called after Decided.
 func (x *Exchange) OpenGate() {
-	l := x.Gate.at
+	l := x.Gate.loop
 	l.post(func() {
-		x.Gate.open = true
-		waits := x.Gate.waits
-		x.Gate.waits = nil
+		x.Gate.isOpen = true
+		waits := x.Gate.pendingSends
+		x.Gate.pendingSends = nil
 		for _, a := range waits {
-			l.send(a)
+			l.startAttempt(a)
 		}
-		l.drain()
+		l.processPending()
 	})
 }
 
-// gated keeps an attempt back while the gate is shut.
-func (x *Exchange) gated(a control.Send) bool {
-	if x.Gate == nil || x.Gate.open || x.done {
+// deferSend keeps an attempt back while the gate is shut.
+func (x *Exchange) deferSend(a control.Send) bool {
+	if x.Gate == nil || x.Gate.isOpen || x.isAnswered {
 		return false
 	}
-	x.Gate.waits = append(x.Gate.waits, a)
+	x.Gate.pendingSends = append(x.Gate.pendingSends, a)
 	return true
 }
 
-// unsent tells the module that what waits at the gate was not sent: it is withdrawn, or its request
+// withdrawPendingSends tells the module that what waits at the gate was not sent: it is withdrawn, or its request
 // has ended.
-func (l *loop) unsent(x *Exchange) {
+func (l *loop) withdrawPendingSends(x *Exchange) {
 	if x.Gate == nil {
 		return
 	}
-	for _, a := range x.Gate.waits {
-		l.pending = append(l.pending, control.Response{ID: a.ID, N: x.sends, Server: a.Server, Reason: control.Moot, Done: x.done})
-		x.sends++
-		x.tries = append(x.tries, nil)
+	for _, a := range x.Gate.pendingSends {
+		l.pendingEvents = append(l.pendingEvents, control.Response{ID: a.ID, N: x.attemptCount, Server: a.Server, Reason: control.Moot, Done: x.isAnswered})
+		x.attemptCount++
+		x.attempts = append(x.attempts, nil)
 	}
-	x.Gate.waits = nil
+	x.Gate.pendingSends = nil
 }
 
-// left has the attempts of a request that was given up end in time.
-func (l *loop) left(x *Exchange) {
+// abandonAttempts has the attempts of a request that was given up end in time.
+func (l *loop) abandonAttempts(x *Exchange) {
 	g := x.Gate
 	if g == nil {
 		return
 	}
-	g.gave = true
+	g.isAbandoned = true
 	switch {
-	case x.out == 0:
-		g.late(LateUnknown, x)
+	case x.inFlight == 0:
+		g.reportLateEnd(LateUnknown, x)
 	case g.Linger > 0:
 		time.AfterFunc(g.Linger, func() {
 			l.post(func() {
-				for _, a := range x.tries {
+				for _, a := range x.attempts {
 					a.Stop()
 				}
 			})
@@ -106,16 +106,16 @@
 	}
 }
 
-func (g *Gate) late(end LateEnd, x *Exchange) {
+func (g *Gate) reportLateEnd(end LateEnd, x *Exchange) {
 	if g != nil && g.OnLateEnd != nil {
-		g.OnLateEnd(end, time.Since(x.began))
+		g.OnLateEnd(end, time.Since(x.startedAt))
 		g.OnLateEnd = nil
 	}
 }
 
-// lateEnd tells of an attempt that ended after its request was given up.
-func (x *Exchange) lateEnd(o *upstream.Outcome) {
-	if x.Gate == nil || !x.Gate.gave {
+// endedLate tells of an attempt that ended after its request was given up.
+func (x *Exchange) endedLate(o *upstream.Outcome) {
+	if x.Gate == nil || !x.Gate.isAbandoned {
 		return
 	}
 	end := LateFailed
@@ -125,5 +125,5 @@
 	case o.Reason == control.TimedOut || o.Reason == control.Cancelled || o.Reason == control.Moot:
 		end = LateUnknown
 	}
-	x.Gate.late(end, x)
+	x.Gate.reportLateEnd(end, x)
 }
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -29,20 +29,20 @@
 // Ended is closed when the service has ended.
 func (s *Service) Ended() <-chan struct{} { return s.ended }
 
-// takes tells whether a request that was read by another service's terms, of some classes, is served by
+// accepts tells whether a request that was read by another service's terms, of some classes, is served by
 // this one on the same terms. Guards against repeats with no key: only of a keyed class's request it
 // was seen that it has one.
-func (s *Service) takes(x *Exchange, read []control.Class) bool {
-	k, ok := s.Classes[x.Request.Class]
-	if ok && k.Effect == control.Guarded {
-		ok = slices.ContainsFunc(read, func(was control.Class) bool { return was.Name == k.Name && was.Effect == k.Effect })
+func (s *Service) accepts(x *Exchange, readBy []control.Class) bool {
+	class, ok := s.Classes[x.Request.Class]
+	if ok && class.Effect == control.Guarded {
+		ok = slices.ContainsFunc(readBy, func(was control.Class) bool { return was.Name == class.Name && was.Effect == class.Effect })
 	}
-	return ok && x.Request.Units <= s.MaxUnitsByPlan[x.Request.Plan] && s.AllowsMethod(k, x.Forwarder.Method()) && x.Request.Spread <= s.GroupSize
+	return ok && x.Request.Units <= s.MaxUnitsByPlan[x.Request.Plan] && s.AllowsMethod(class, x.Forwarder.Method()) && x.Request.Spread <= s.GroupSize
 }
 
-// keep has the loop's own goroutine use its module, and waits; false where the loop has ended or
+// useStatefulModule has the loop's own goroutine use its module, and waits; false where the loop has ended or
 // its module keeps nothing.
-func (l *loop) keep(do func(StatefulModule)) bool {
+func (l *loop) useStatefulModule(do func(StatefulModule)) bool {
 	k, ok := l.module.(StatefulModule)
 	if !ok {
 		return false
@@ -59,10 +59,10 @@
 	}
 }
 
-// state adds to a checkpoint how its servers are called; for the loop's own goroutine.
-func (l *loop) state(c control.Checkpoint) State {
-	st := State{Checkpoint: c, Servers: make(map[uint32]string, len(l.ids))}
-	for uid, id := range l.ids {
+// captureState adds to a checkpoint how its servers are called; for the loop's own goroutine.
+func (l *loop) captureState(c control.Checkpoint) State {
+	st := State{Checkpoint: c, Servers: make(map[uint32]string, len(l.serverIDs))}
+	for uid, id := range l.serverIDs {
 		st.Servers[id] = uid
 	}
 	return st
@@ -70,18 +70,18 @@
 
 // Checkpoint tells what the service has spent and learned; false where it has ended.
 func (s *Service) Checkpoint() (st State, ok bool) {
-	l := s.current()
-	ok = l.keep(func(k StatefulModule) { st = l.state(k.Checkpoint(l.now())) })
+	l := s.currentLoop()
+	ok = l.useStatefulModule(func(k StatefulModule) { st = l.captureState(k.Checkpoint(l.now())) })
 	return st, ok
 }
 
 // HandOver is Checkpoint that gives a part (from 0 to 1) of what is left to spend away; see
 // control.Controller.HandOver.
 func (s *Service) HandOver(give float64) (st State, ok bool) {
-	l := s.current()
-	ok = l.keep(func(k StatefulModule) {
-		st = l.state(k.HandOver(l.now(), give))
-		l.resign()
+	l := s.currentLoop()
+	ok = l.useStatefulModule(func(k StatefulModule) {
+		st = l.captureState(k.HandOver(l.now(), give))
+		l.resignLeases()
 	})
 	return st, ok
 }
@@ -89,14 +89,14 @@
 // Rejoin ends what HandOver or Restore began: whoever had the other part has ended. Where that
 // one has spent nothing of what it was given, given is that.
 func (s *Service) Rejoin(given *State) {
-	l := s.current()
-	l.keep(func(k StatefulModule) {
-		l.unresign()
+	l := s.currentLoop()
+	l.useStatefulModule(func(k StatefulModule) {
+		l.reclaimLeases()
 		if given == nil {
 			k.Rejoin(l.now(), nil)
 			return
 		}
-		c := l.translate(*given)
+		c := l.translateServers(*given)
 		k.Rejoin(l.now(), &c)
 	})
 }
@@ -104,42 +104,42 @@
 // Restore has a service take over a state before its first request, which comes later than this
 // call.
 func (s *Service) Restore(st State, trust control.Trust) {
-	s.restoreFrom(func() (handed, bool) { return handed{State: st}, true }, trust)
+	s.restoreFrom(func() (transfer, bool) { return transfer{State: st}, true }, trust)
 }
 
-// handed is what a service hands to the one that takes its place.
-type handed struct {
+// transfer is what a service hands to the one that takes its place.
+type transfer struct {
 	State
-	pools  map[string]*upstream.Pool // by uid; nil where the other has connections of its own
-	ledger *ledger                   // of shared ceilings; nil where none are
+	pools       map[string]*upstream.Pool // by uid; nil where the other has connections of its own
+	hardLimiter *hardLimiter              // of shared ceilings; nil where none are
 }
 
-func (s *Service) restoreFrom(from func() (handed, bool), trust control.Trust) {
-	l := s.current()
+func (s *Service) restoreFrom(from func() (transfer, bool), trust control.Trust) {
+	l := s.currentLoop()
 	l.post(func() {
 		k, keeps := l.module.(StatefulModule)
 		st, ok := from()
-		l.takeOver(st.ledger)
+		l.adoptHardLimiter(st.hardLimiter)
 		for uid, p := range st.pools {
-			if to := l.pools[l.ids[uid]]; to != nil && to.Endpoint == p.Endpoint {
+			if to := l.pools[l.serverIDs[uid]]; to != nil && to.Endpoint == p.Endpoint {
 				l.upstream.Join(p, to)
 			} else {
 				l.upstream.Retire(p)
 			}
 		}
 		if ok && keeps {
-			k.Restore(l.now(), l.translate(st.State), trust)
+			k.Restore(l.now(), l.translateServers(st.State), trust)
 		}
 	})
 }
 
-// translate gives a checkpoint the ids that this loop has for the servers; what it doesn't list
+// translateServers gives a checkpoint the ids that this loop has for the servers; what it doesn't list
 // is left out.
-func (l *loop) translate(st State) control.Checkpoint {
+func (l *loop) translateServers(st State) control.Checkpoint {
 	c := st.Checkpoint
 	c.Servers = nil
 	for _, v := range st.Checkpoint.Servers {
-		if id, ok := l.ids[st.Servers[v.Server]]; ok {
+		if id, ok := l.serverIDs[st.Servers[v.Server]]; ok {
 			v.Server = id
 			c.Servers = append(c.Servers, v)
 		}
@@ -148,7 +148,7 @@
 }
 
 // PredecessorEnded tells the service that the one whose place it took has ended.
-func (s *Service) PredecessorEnded() { s.current().keep(StatefulModule.Alone) }
+func (s *Service) PredecessorEnded() { s.currentLoop().useStatefulModule(StatefulModule.Alone) }
 
 // ReplaceWith has a service that has not run yet take this one's place: it begins with all that is
 // left to spend and with what was learned. This one goes on with what it has taken. A request
@@ -160,40 +160,40 @@
 		return
 	}
 	release := sync.OnceFunc(s.Release)
-	gave := make(chan handed, 1)
-	l := s.current()
+	transferred := make(chan transfer, 1)
+	l := s.currentLoop()
 	k, ok := l.module.(StatefulModule)
 	ok = ok && l.post(func() {
 		defer release()
-		h := handed{State: l.state(k.HandOver(l.now(), 1))}
+		h := transfer{State: l.captureState(k.HandOver(l.now(), 1))}
 		if s.upstream == next.upstream {
 			h.pools = make(map[string]*upstream.Pool, len(l.pools))
-			for uid, id := range l.ids {
+			for uid, id := range l.serverIDs {
 				if p := l.pools[id]; p != nil {
 					h.pools[uid] = p
 				}
 			}
 		}
-		h.ledger = l.leave(next, s.Unavailable())
-		gave <- h
-		l.next, l.gave = next, h.pools
+		h.hardLimiter = l.detachHardLimiter(next, s.Unavailable())
+		transferred <- h
+		l.replacement, l.transferredPools = next, h.pools
 	})
 	if !ok {
 		release()
 		return
 	}
-	next.restoreFrom(func() (handed, bool) {
+	next.restoreFrom(func() (transfer, bool) {
 		defer release()
 		select {
-		case h := <-gave:
+		case h := <-transferred:
 			return h, true
 		case <-l.ended: // it may have handed over before
 		}
 		select {
-		case h := <-gave:
+		case h := <-transferred:
 			return h, true
 		default:
-			return handed{}, false
+			return transfer{}, false
 		}
 	}, control.Exact)
 }
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -24,69 +24,69 @@
 	Handle(now time.Duration, e control.Event) []control.Action
 }
 
-// idlersMost is how many workers wait for attempts at most.
-const idlersMost = 32
+// maxIdleWorkers is how many workers wait for attempts at most.
+const maxIdleWorkers = 32
 
 // loop owns the module and all that it is told of. Only its own goroutine
 // touches it; others send it events.
 type loop struct {
-	module   Module
-	spent    func(time.Duration) // told of the module's own time, where somebody asks
-	upstream *upstream.Upstream
-	speaks   upstream.Speaks // to servers whose entry says nothing else
-	log      *slog.Logger
-	start    time.Time
-	sendCap  int
+	module            Module
+	observeModuleTime func(time.Duration) // told of the module's own time, where somebody asks
+	upstream          *upstream.Upstream
+	defaultProtocol   upstream.Speaks // to servers whose entry says nothing else
+	log               *slog.Logger
+	start             time.Time
+	maxAttempts       int
 
-	life        context.Context // of attempts; ends with run
-	end         context.CancelFunc
-	events      chan func()
-	ended       chan struct{} // closed when run has ended
-	failed      error         // why, once it has
-	ending      bool          // the module is asked for nothing more
-	exchanges   map[string]*Exchange
-	ids         map[string]uint32         // of the listed app servers by uid
-	lastID      uint32                    // no id is given twice
-	pools       map[uint32]*upstream.Pool // of those that are up
-	units       map[string]float64        // the most of one request, by plan
-	timers      timers
-	jobs        chan job                  // to workers that are idle
-	idlers      atomic.Int32              // workers that wait for one
-	pending     []control.Event           // that the node itself caused while it acted
-	next        *Service                  // that has taken this one's place; nil while there is none
-	gave        map[string]*upstream.Pool // pools that are next's to close, by uid
-	streamsOpen *Streams                  // nil where nobody asks
-	census      *groupsize.Census         // nil where nobody asks
-	counts      map[string]*ClassCounts   // by class; nil where nothing is counted
-	outAt       map[uint32]int            // attempts out by server, for the census
-	meter       *metered                  // nil where nothing is metered
-	meters      *StatisticsCollector      // the same
-	classes     []control.Class
-	tally       *book   // nil where nothing is written
-	ledger      *ledger // of ceilings that are shared; nil where none are
+	lifetime           context.Context // of attempts; ends with run
+	cancelLifetime     context.CancelFunc
+	events             chan func()
+	ended              chan struct{} // closed when run has ended
+	err                error         // why, once it has
+	isEnding           bool          // the module is asked for nothing more
+	exchanges          map[string]*Exchange
+	serverIDs          map[string]uint32         // of the listed app servers by uid
+	lastServerID       uint32                    // no id is given twice
+	pools              map[uint32]*upstream.Pool // of those that are up
+	maxUnitsByPlan     map[string]float64        // the most of one request, by plan
+	timers             timerQueue
+	jobs               chan attemptJob           // to workers that are idle
+	idleWorkers        atomic.Int32              // workers that wait for one
+	pendingEvents      []control.Event           // that the node itself caused while it acted
+	replacement        *Service                  // that has taken this one's place; nil while there is none
+	transferredPools   map[string]*upstream.Pool // pools that are next's to close, by uid
+	openStreams        *Streams                  // nil where nobody asks
+	groupSizeEstimator *groupsize.Census         // nil where nobody asks
+	countsByClass      map[string]*ClassCounts   // by class; nil where nothing is counted
+	attemptsInFlight   map[uint32]int            // attempts out by server, for the census
+	statistics         *loopStatistics           // nil where nothing is metered
+	collector          *StatisticsCollector      // the same
+	classes            []control.Class
+	recorder           *eventRecorder // nil where nothing is written
+	hardLimiter        *hardLimiter   // of ceilings that are shared; nil where none are
 }
 
-func newLoop(m Module, o *Options, up *upstream.Upstream, log *slog.Logger) *loop {
+func newLoop(module Module, options *Options, connections *upstream.Upstream, log *slog.Logger) *loop {
 	life, end := context.WithCancel(context.Background())
 	l := &loop{
-		life: life, end: end, module: m, spent: o.ObserveModuleTime, upstream: up, speaks: o.Protocol, log: log, start: time.Now(),
-		sendCap: o.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan job), ended: make(chan struct{}),
-		exchanges: make(map[string]*Exchange), ids: make(map[string]uint32),
-		pools: make(map[uint32]*upstream.Pool), streamsOpen: o.Streams, units: newTerms(o.Settings).MaxUnitsByPlan,
-		meters: o.Statistics, classes: o.Settings.Classes,
+		lifetime: life, cancelLifetime: end, module: module, observeModuleTime: options.ObserveModuleTime, upstream: connections, defaultProtocol: options.Protocol, log: log, start: time.Now(),
+		maxAttempts: options.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan attemptJob), ended: make(chan struct{}),
+		exchanges: make(map[string]*Exchange), serverIDs: make(map[string]uint32),
+		pools: make(map[uint32]*upstream.Pool), openStreams: options.Streams, maxUnitsByPlan: newRequestRules(options.Settings).MaxUnitsByPlan,
+		collector: options.Statistics, classes: options.Settings.Classes,
 	}
-	if o.RequestCounts != nil {
-		l.counts = make(map[string]*ClassCounts)
-		for _, k := range o.Settings.Classes {
-			l.counts[k.Name] = o.RequestCounts.class(k.Name)
+	if options.RequestCounts != nil {
+		l.countsByClass = make(map[string]*ClassCounts)
+		for _, k := range options.Settings.Classes {
+			l.countsByClass[k.Name] = options.RequestCounts.forClass(k.Name)
 		}
 	}
-	if o.EventLog != nil {
-		l.tally = newBook(o.EventLog, o.Settings.Plans)
+	if options.EventLog != nil {
+		l.recorder = newEventRecorder(options.EventLog, options.Settings.Plans)
 	}
-	l.ledger = newLedger(o.SharedHardLimits)
-	if o.EstimateGroupSize {
-		l.census, l.outAt = groupsize.New(o.Settings.GroupSize), make(map[uint32]int)
+	l.hardLimiter = newHardLimiter(options.SharedHardLimits)
+	if options.EstimateGroupSize {
+		l.groupSizeEstimator, l.attemptsInFlight = groupsize.New(options.Settings.GroupSize), make(map[uint32]int)
 	}
 	return l
 }
@@ -97,8 +97,8 @@
 	return time.Duration(l.start.UnixNano()) + time.Since(l.start)
 }
 
-// bound is how many attempts the module lets out at once; 0 where it doesn't tell.
-func (l *loop) bound() float64 {
+// concurrencyLimit is how many attempts the module lets out at once; 0 where it doesn't tell.
+func (l *loop) concurrencyLimit() float64 {
 	if m, ok := l.module.(interface{ Bound() float64 }); ok {
 		return m.Bound()
 	}
@@ -123,32 +123,32 @@
 // run works until ctx ends or the module fails. Whatever is held then is answered: at an orderly
 // end as refused where it surely never ran, else as failed.
 func (l *loop) run(ctx context.Context) {
-	if l.meters != nil { // only now: one that never runs never ends
-		l.meter = l.meters.loop(l.classes)
+	if l.collector != nil { // only now: one that never runs never ends
+		l.statistics = l.collector.addLoop(l.classes)
 	}
 	defer func() {
 		// Guards against requests lost with a module that panics.
 		if p := recover(); p != nil {
-			l.failed = fmt.Errorf("the decision module failed: %v\n%s", p, debug.Stack())
+			l.err = fmt.Errorf("the decision module failed: %v\n%s", p, debug.Stack())
 		}
 		unanswered := 0
 		for _, x := range l.exchanges {
-			if !x.done {
+			if !x.isAnswered {
 				unanswered++
 			}
-			a := Answer{Kind: Failed, Status: http.StatusBadGateway}
-			for _, try := range x.tries {
-				try.Withdraw()
+			answer := Answer{Kind: Failed, Status: http.StatusBadGateway}
+			for _, attempt := range x.attempts {
+				attempt.Withdraw()
 			}
-			if l.failed == nil && !x.ran && (x.out == 0 || x.unwritten()) { // the request that a module fails by must not be tried again
-				a = Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, LastAttempt: x.last}
+			if l.err == nil && !x.mayHaveRun && (x.inFlight == 0 || x.isUnwritten()) { // the request that a module fails by must not be tried again
+				answer = Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, LastAttempt: x.lastReason}
 			}
-			l.finish(x, a)
-			x.drop() // what is out of it is nobody's concern any more
+			l.finish(x, answer)
+			x.unretain() // what is out of it is nobody's concern any more
 		}
-		if l.meter != nil {
-			l.meter.over(unanswered, l.failed != nil)
-			l.meters.end(l.meter)
+		if l.statistics != nil {
+			l.statistics.loopEnded(unanswered, l.err != nil)
+			l.collector.removeLoop(l.statistics)
 		}
 		if c, ok := l.module.(io.Closer); ok {
 			if err := c.Close(); err != nil {
@@ -157,13 +157,13 @@
 		}
 		close(l.ended)
 		l.timers.stop()
-		l.end()
+		l.cancelLifetime()
 	}()
 	for {
 		select {
 		case <-ctx.Done():
 			// Guards against answers that have come and are lost: the end doesn't go before what was there.
-			l.ending = true
+			l.isEnding = true
 			for range len(l.events) {
 				(<-l.events)()
 			}
@@ -172,7 +172,7 @@
 			event()
 		case <-l.timers.fired():
 			for now := time.Now(); ; {
-				label, ok := l.timers.pop(now)
+				label, ok := l.timers.popDue(now)
 				if !ok {
 					break
 				}
@@ -184,56 +184,56 @@
 
 // handle tells the module of an event, and of those that follow from what it does.
 func (l *loop) handle(e control.Event) {
-	l.pending = append(l.pending, e)
-	l.drain()
+	l.pendingEvents = append(l.pendingEvents, e)
+	l.processPending()
 }
 
-// drain tells the module of what has happened, until nothing more follows.
-func (l *loop) drain() {
-	for len(l.pending) > 0 {
-		e := l.pending[0]
-		l.pending = l.pending[1:]
+// processPending tells the module of what has happened, until nothing more follows.
+func (l *loop) processPending() {
+	for len(l.pendingEvents) > 0 {
+		e := l.pendingEvents[0]
+		l.pendingEvents = l.pendingEvents[1:]
 		for _, a := range l.decide(e) {
-			l.act(a)
+			l.execute(a)
 		}
 	}
 }
 
 // decide has the module handle an event, and measures what that takes where it counts.
 func (l *loop) decide(e control.Event) []control.Action {
-	if l.ending {
+	if l.isEnding {
 		return nil
 	}
-	if l.spent == nil {
+	if l.observeModuleTime == nil {
 		return l.module.Handle(l.now(), e)
 	}
 	begun := time.Now()
 	actions := l.module.Handle(l.now(), e)
-	l.spent(time.Since(begun))
+	l.observeModuleTime(time.Since(begun))
 	return actions
 }
 
-func (l *loop) act(a control.Action) {
-	if l.tally != nil {
-		l.tally.decided(a)
+func (l *loop) execute(a control.Action) {
+	if l.recorder != nil {
+		l.recorder.noteCause(a)
 	}
 	switch a := a.(type) {
 	case control.Send:
-		l.send(a)
+		l.startAttempt(a)
 	case control.Withdraw:
-		if x := l.exchanges[a.ID]; x != nil && a.N < len(x.tries) {
-			x.tries[a.N].Stop()
+		if x := l.exchanges[a.ID]; x != nil && a.N < len(x.attempts) {
+			x.attempts[a.N].Stop()
 		} else if x != nil {
-			l.unsent(x)
+			l.withdrawPendingSends(x)
 		}
 	case control.Refuse:
-		l.giveUp(l.exchanges[a.ID], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: a.RetryAfter, Cause: a.Why})
+		l.answerUnserved(l.exchanges[a.ID], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: a.RetryAfter, Cause: a.Why})
 	case control.Fail:
-		l.fail(l.exchanges[a.ID])
+		l.failRequest(l.exchanges[a.ID])
 	case control.Arm:
 		l.timers.arm(time.Now().Add(a.After), a.Label)
 	case control.Disconnect:
-		l.retire(a.Server, true)
+		l.retirePool(a.Server, true)
 	case control.Remark:
 		l.log.Info("module", "remark", a.Text)
 	}
@@ -243,8 +243,8 @@
 // module has not heard goes to the service that has taken this one's place, where that has the
 // request's class and plan too: what is left to spend is there.
 func (l *loop) begin(x *Exchange) {
-	if l.next != nil && l.next.takes(x, l.classes) {
-		x.answer <- Answer{next: l.next}
+	if l.replacement != nil && l.replacement.accepts(x, l.classes) {
+		x.answer <- Answer{replacement: l.replacement}
 		return
 	}
 	if l.exchanges[x.Request.ID] != nil {
@@ -252,107 +252,107 @@
 		return
 	}
 	l.exchanges[x.Request.ID] = x
-	x.began = time.Now()
-	x.keep()
-	if l.counts != nil {
-		x.count = l.counts[x.Request.Class]
+	x.startedAt = time.Now()
+	x.retain()
+	if l.countsByClass != nil {
+		x.classCounts = l.countsByClass[x.Request.Class]
 	}
-	if l.ask(x) {
+	if l.requestHardLimit(x) {
 		return
 	}
-	l.tell(x)
+	l.submit(x)
 }
 
-// tell has the module hear of a request.
-func (l *loop) tell(x *Exchange) {
+// submit has the module hear of a request.
+func (l *loop) submit(x *Exchange) {
 	x.Request.TTL = time.Until(x.Deadline)
 	l.handle(x.Request)
-	if !x.done {
-		x.Gate.tell(l, true)
+	if !x.isAnswered {
+		x.Gate.notify(l, true)
 	}
 }
 
-// hangup notes that the client has left. An attempt that is written goes on: its work
+// clientLeft notes that the client has left. An attempt that is written goes on: its work
 // would not stop, and its outcome teaches.
-func (l *loop) hangup(x *Exchange) {
+func (l *loop) clientLeft(x *Exchange) {
 	// Guards against a second answer, which nobody would take, to one that was answered without
 	// having been begun: it is not this loop's.
-	if x.done || l.exchanges[x.Request.ID] != x {
-		x.unanswered()
+	if x.isAnswered || l.exchanges[x.Request.ID] != x {
+		x.discardAnswer()
 		return
 	}
 	// One that is there all the same, and withheld its request by what it has sent behind it, is told what is
 	// so of the request: trying again is harmless only where nothing of it can have run.
-	own := Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, left: true}
-	if x.ran {
+	own := Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, clientHasLeft: true}
+	if x.mayHaveRun {
 		own.Kind, own.Status = Failed, http.StatusBadGateway
 	}
-	l.giveUp(x, own)
+	l.answerUnserved(x, own)
 	l.handle(control.Hangup{ID: x.Request.ID})
-	l.left(x)
+	l.abandonAttempts(x)
 }
 
-// fail ends a request of which nothing is promised.
-func (l *loop) fail(x *Exchange) {
+// failRequest ends a request of which nothing is promised.
+func (l *loop) failRequest(x *Exchange) {
 	if x == nil {
 		return
 	}
 	status := http.StatusBadGateway
-	if x.last == control.TimedOut {
+	if x.lastReason == control.TimedOut {
 		status = http.StatusGatewayTimeout
 	}
-	l.giveUp(x, Answer{Kind: Failed, Status: status})
+	l.answerUnserved(x, Answer{Kind: Failed, Status: status})
 }
 
-// giveUp gives a request that was not served the last real answer of a server, where there is one,
+// answerUnserved gives a request that was not served the last real answer of a server, where there is one,
 // else the node's own.
-func (l *loop) giveUp(x *Exchange, own Answer) {
+func (l *loop) answerUnserved(x *Exchange, own Answer) {
 	switch {
 	case x == nil:
-	case x.said.Status != 0:
-		l.finish(x, Answer{Status: x.said.Status, Header: x.said.Header, Body: x.said.Body, left: own.left})
+	case x.lastResponse.Status != 0:
+		l.finish(x, Answer{Status: x.lastResponse.Status, Header: x.lastResponse.Header, Body: x.lastResponse.Body, clientHasLeft: own.clientHasLeft})
 	default:
-		own.LastAttempt = x.last
+		own.LastAttempt = x.lastReason
 		l.finish(x, own)
 	}
 }
 
 func (l *loop) finish(x *Exchange, a Answer) {
-	if !x.done {
-		x.done = true
+	if !x.isAnswered {
+		x.isAnswered = true
 		// What is decided and not written is for nobody any more; its outcome gives its place back. Guards,
 		// by coming before the answer, against a client's connection that is asked for another request.
-		for _, a := range x.tries {
+		for _, a := range x.attempts {
 			a.Withdraw()
 		}
 		x.answer <- a
-		x.Gate.tell(l, false)
-		l.unsent(x)
-		if x.count != nil {
-			x.count.ended(a, x.Request.NoRoom)
+		x.Gate.notify(l, false)
+		l.withdrawPendingSends(x)
+		if x.classCounts != nil {
+			x.classCounts.requestEnded(a, x.Request.NoRoom)
 		}
-		if l.meter != nil {
-			l.meter.ended(x, a)
+		if l.statistics != nil {
+			l.statistics.requestEnded(x, a)
 		}
-		if l.tally != nil {
-			l.tally.ended(x, a)
+		if l.recorder != nil {
+			l.recorder.requestEnded(x, a)
 		}
-		l.unspent(x)
+		l.refundUnsent(x)
 	}
-	l.release(x)
+	l.releaseIfEnded(x)
 }
 
-// release forgets a finished request once no attempt of it is out, so that its id
+// releaseIfEnded forgets a finished request once no attempt of it is out, so that its id
 // can't be mistaken for another's before.
-func (l *loop) release(x *Exchange) {
-	if x.done && x.out == 0 {
+func (l *loop) releaseIfEnded(x *Exchange) {
+	if x.isAnswered && x.inFlight == 0 {
 		delete(l.exchanges, x.Request.ID)
-		x.drop()
+		x.unretain()
 	}
 }
 
-// retire lets go of the connections to an app server, and takes new ones where it goes on.
-func (l *loop) retire(server uint32, goesOn bool) {
+// retirePool lets go of the connections to an app server, and takes new ones where it goes on.
+func (l *loop) retirePool(server uint32, goesOn bool) {
 	p := l.pools[server]
 	if p == nil {
 		return
@@ -364,49 +364,49 @@
 	}
 }
 
-// list takes in what discovery tells. What is no longer listed is forgotten.
-func (l *loop) list(kind control.ListKind, news discovery.Listing) {
-	e := control.List{Kind: kind}
+// updateEndpoints takes in what discovery tells. What is no longer listed is forgotten.
+func (l *loop) updateEndpoints(kind control.ListKind, list discovery.Listing) {
+	event := control.List{Kind: kind}
 	listed := make(map[string]bool)
-	for i := range news.Targets {
-		t := &news.Targets[i]
-		id, ok := l.ids[t.UID]
+	for i := range list.Targets {
+		target := &list.Targets[i]
+		id, ok := l.serverIDs[target.UID]
 		if !ok {
-			l.lastID++
-			id = l.lastID
-			l.ids[t.UID] = id
+			l.lastServerID++
+			id = l.lastServerID
+			l.serverIDs[target.UID] = id
 		}
-		m := control.Member{
-			Server: id, Condition: t.Condition(), Zone: t.Zone, Cell: t.Group, Flavor: t.Model,
-			Size: t.Capacity, HasCameUp: t.BootMS > 0, CameUp: time.Duration(t.BootMS * float64(time.Millisecond)),
+		member := control.Member{
+			Server: id, Condition: target.Condition(), Zone: target.Zone, Cell: target.Group, Flavor: target.Model,
+			Size: target.Capacity, HasCameUp: target.BootMS > 0, CameUp: time.Duration(target.BootMS * float64(time.Millisecond)),
 		}
-		e.Members = append(e.Members, m)
-		listed[t.UID] = m.Condition != control.Off
-		if l.tally != nil {
-			l.tally.listed(id, t)
+		event.Members = append(event.Members, member)
+		listed[target.UID] = member.Condition != control.Off
+		if l.recorder != nil {
+			l.recorder.serverListed(id, target)
 		}
-		speaks := l.speaks
-		if t.Protocol != "" {
-			speaks = upstream.Speaks(slices.Index(discovery.Protocols, t.Protocol))
+		serverProtocol := l.defaultProtocol
+		if target.Protocol != "" {
+			serverProtocol = upstream.Speaks(slices.Index(discovery.Protocols, target.Protocol))
 		}
-		if p := l.pools[id]; p != nil && (m.Condition != control.On || p.Endpoint != t.Endpoint || p.Speaks != speaks) {
-			l.retire(id, false)
-		} else if p != nil && m.HasCameUp {
+		if pool := l.pools[id]; pool != nil && (member.Condition != control.On || pool.Endpoint != target.Endpoint || pool.Speaks != serverProtocol) {
+			l.retirePool(id, false)
+		} else if pool != nil && member.HasCameUp {
 			// Guards against connections that were open to a machine as it vanished: none tells of their end.
-			l.upstream.Forget(p, time.UnixMilli(int64(t.BootMS)))
+			l.upstream.Forget(pool, time.UnixMilli(int64(target.BootMS)))
 		}
-		if m.Condition == control.On && l.pools[id] == nil {
-			l.pools[id] = l.upstream.Pool(t.Endpoint, speaks)
+		if member.Condition == control.On && l.pools[id] == nil {
+			l.pools[id] = l.upstream.Pool(target.Endpoint, serverProtocol)
 		}
 	}
-	for uid, id := range l.ids {
+	for uid, id := range l.serverIDs {
 		if is, told := listed[uid]; told && !is || !told && kind != control.Patch {
-			l.retire(id, false)
-			delete(l.ids, uid)
-			if l.tally != nil {
-				l.tally.gone(id)
+			l.retirePool(id, false)
+			delete(l.serverIDs, uid)
+			if l.recorder != nil {
+				l.recorder.serverRemoved(id)
 			}
 		}
 	}
-	l.handle(e)
+	l.handle(event)
 }
--- a/internal/service/meter_test.go
+++ b/internal/service/meter_test.go
@@ -9,7 +9,7 @@
 
 // What becomes of a request is counted once, in its place; what is beyond a quota was not asked, and what
 // loops counted that have ended stays.
-func TestMeter(t *testing.T) {
+func TestStatisticsCountEachOutcomeOnce(t *testing.T) {
 	var m StatisticsCollector
 	const k = "read"
 	for name, c := range map[string]struct {
@@ -30,12 +30,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := m.Statistics()
-			c1 := m.loop([]control.Class{{Name: k, Worth: 2.5, Aim: time.Second}})
+			c1 := m.addLoop([]control.Class{{Name: k, Worth: 2.5, Aim: time.Second}})
 			now := time.Now()
-			x := &Exchange{Request: control.Request{Class: k, Units: 1.5}, Deadline: now.Add(c.left), began: now.Add(-c.took)}
-			c1.sent(x.Request.Units)
+			x := &Exchange{Request: control.Request{Class: k, Units: 1.5}, Deadline: now.Add(c.left), startedAt: now.Add(-c.took)}
+			c1.attemptStarted(x.Request.Units)
 			c.answer.Cause = c.why
-			c1.ended(x, c.answer)
+			c1.requestEnded(x, c.answer)
 			for range 2 { // while it runs, and after its end
 				f, ok := m.Statistics().Since(before)
 				got := ""
@@ -61,14 +61,14 @@
 					t.Errorf("%s, not %s: %+v", got, c.want, f)
 				}
 				if len(m.loops) > 0 {
-					m.end(c1)
+					m.removeLoop(c1)
 				}
 			}
 		})
 	}
-	c := m.loop(nil)
-	c.over(3, false)
-	c.over(3, true)
+	c := m.addLoop(nil)
+	c.loopEnded(3, false)
+	c.loopEnded(3, true)
 	if f := m.Statistics(); f.Breaches != 4 || f.Panics != 1 {
 		t.Errorf("%+v", f)
 	}
@@ -77,13 +77,13 @@
 	}
 }
 
-func BenchmarkMeter(b *testing.B) {
+func BenchmarkStatistics(b *testing.B) {
 	var m StatisticsCollector
-	c := m.loop([]control.Class{{Name: "read", Worth: 1, Aim: time.Second}})
-	x := &Exchange{Request: control.Request{Class: "read", Units: 1}, Deadline: time.Now().Add(time.Hour), began: time.Now()}
+	c := m.addLoop([]control.Class{{Name: "read", Worth: 1, Aim: time.Second}})
+	x := &Exchange{Request: control.Request{Class: "read", Units: 1}, Deadline: time.Now().Add(time.Hour), startedAt: time.Now()}
 	b.ReportAllocs()
 	for b.Loop() {
-		c.sent(1)
-		c.ended(x, Answer{Status: 200})
+		c.attemptStarted(1)
+		c.requestEnded(x, Answer{Status: 200})
 	}
 }
--- a/internal/service/outcomes_test.go
+++ b/internal/service/outcomes_test.go
@@ -16,38 +16,38 @@
 	"lockflow/internal/upstream"
 )
 
-// atOnce books connections and notes how many were open at once.
-type atOnce struct {
-	mu         sync.Mutex
-	open, most int
+// connectionCounter books connections and notes how many were open at once.
+type connectionCounter struct {
+	mu            sync.Mutex
+	open, maxOpen int
 }
 
-func (a *atOnce) Take() bool {
+func (a *connectionCounter) Take() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open++
-	a.most = max(a.most, a.open)
+	a.maxOpen = max(a.maxOpen, a.open)
 	return true
 }
 
-func (a *atOnce) Give() {
+func (a *connectionCounter) Give() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open--
 }
 
 // How a connection goes on behind an answer.
-type goesOn int
+type connectionEnd int
 
 const (
-	open goesOn = iota
-	ended
-	reset
+	staysOpen connectionEnd = iota
+	endsOrderly
+	isReset
 )
 
 // Of each way in which a first attempt can end, and each effect of a class, a request is sent again where it
 // may be and only there, over a connection that comes up once the spoilt one is closed.
-func TestFirstOutcomes(t *testing.T) {
+func TestRetryFollowsOutcomeOfFirstAttempt(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	const (
 		never  = iota // ran: any class goes again
@@ -56,26 +56,26 @@
 	)
 	for name, tc := range map[string]struct {
 		text  string
-		then  goesOn
+		then  connectionEnd
 		means int
 		kept  bool // the connection is, for further requests
 	}{
-		"turned away":                 {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", open, never, true},
-		"turned away, ended":          {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\n\r\nno", ended, never, false},
-		"turned away, reset":          {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\n\r\nno", reset, may, false},
-		"turned away in half a head":  {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n", open, may, false},
-		"503":                         {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", open, may, true},
-		"500 that says it never ran":  {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", open, may, true},
-		"nothing, ended":              {"", ended, may, false},
-		"nothing, reset":              {"", reset, may, false},
-		"a head, reset":               {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", reset, may, false},
-		"half a body, and silence":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", open, may, false},
-		"noise":                       {"noise\r\n" + ok, open, may, false},
-		"no length, and silence":      {"HTTP/1.1 200 OK\r\n\r\nok", open, may, false},
-		"no length, reset":            {"HTTP/1.1 200 OK\r\n\r\nok", reset, may, false},
-		"no length, ended":            {"HTTP/1.1 200 OK\r\n\r\nok", ended, served, false},
-		"whole, reset right behind":   {ok, reset, served, true},
-		"whole, with noise behind it": {ok + "HTTP", open, served, false},
+		"turned away":                 {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", staysOpen, never, true},
+		"turned away, ended":          {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\n\r\nno", endsOrderly, never, false},
+		"turned away, reset":          {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\n\r\nno", isReset, may, false},
+		"turned away in half a head":  {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n", staysOpen, may, false},
+		"503":                         {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", staysOpen, may, true},
+		"500 that says it never ran":  {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", staysOpen, may, true},
+		"nothing, ended":              {"", endsOrderly, may, false},
+		"nothing, reset":              {"", isReset, may, false},
+		"a head, reset":               {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", isReset, may, false},
+		"half a body, and silence":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", staysOpen, may, false},
+		"noise":                       {"noise\r\n" + ok, staysOpen, may, false},
+		"no length, and silence":      {"HTTP/1.1 200 OK\r\n\r\nok", staysOpen, may, false},
+		"no length, reset":            {"HTTP/1.1 200 OK\r\n\r\nok", isReset, may, false},
+		"no length, ended":            {"HTTP/1.1 200 OK\r\n\r\nok", endsOrderly, served, false},
+		"whole, reset right behind":   {ok, isReset, served, true},
+		"whole, with noise behind it": {ok + "HTTP", staysOpen, served, false},
 	} {
 		for _, class := range []string{"safe", "keyed", "unsafe"} {
 			t.Run(name+", "+class, func(t *testing.T) {
@@ -108,10 +108,10 @@
 									io.WriteString(c, ok)
 									continue
 								}
-								if io.WriteString(c, tc.text); tc.then == open {
+								if io.WriteString(c, tc.text); tc.then == staysOpen {
 									continue
 								}
-								if tc.then == reset {
+								if tc.then == isReset {
 									c.(*net.TCPConn).SetLinger(0)
 								}
 								return
@@ -126,7 +126,7 @@
 				for i := range set.Classes {
 					set.Classes[i].Aim, set.Classes[i].Deadline, set.Classes[i].Worth = time.Hour, time.Hour, 1
 				}
-				socks, ready := &atOnce{}, make(chan struct{})
+				socks, ready := &connectionCounter{}, make(chan struct{})
 				var servers []discovery.Target // two, of one group, that share what is asked of them
 				for _, uid := range []string{"s-1", "s-2"} {
 					servers = append(servers, discovery.Target{UID: uid, Endpoint: l.Addr().String(), State: "up", Capacity: 1})
@@ -166,7 +166,7 @@
 				}
 				socks.mu.Lock()
 				defer socks.mu.Unlock()
-				if !tc.kept && socks.most > 1 {
+				if !tc.kept && socks.maxOpen > 1 {
 					t.Error("sent again while the first connection was open")
 				}
 			})
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -31,9 +31,9 @@
 )
 
 const (
-	restartAgain = 200 * time.Millisecond // pause before the second restart in a row; doubles
-	restartMost  = 10 * time.Second
-	restartCalm  = time.Minute // after which restarts no longer are in a row
+	minRestartBackoff   = 200 * time.Millisecond // pause before the second restart in a row; doubles
+	maxRestartBackoff   = 10 * time.Second
+	restartBackoffReset = time.Minute // after which restarts no longer are in a row
 )
 
 // RequestLimiter books what a service's requests take of the process: one held request and some
@@ -73,55 +73,55 @@
 // Service is one service. Its methods are safe for concurrent use.
 type Service struct {
 	RequestRules
-	opts     Options
-	log      *slog.Logger
-	upstream *upstream.Upstream
-	feed     *discovery.Feed
-	ready    atomic.Bool
-	restarts atomic.Int64
-	unused   chan struct{} // closed when it is retired and nothing holds it
-	users    atomic.Int64  // that hold it; retired and unused is below zero
-	retired  atomic.Bool
-	ended    chan struct{} // closed when Run has returned
-
-	mu    sync.Mutex
-	known map[string]discovery.Target // by uid
-	rev   int64
-	loop  *loop
+	opts       Options
+	log        *slog.Logger
+	upstream   *upstream.Upstream
+	feed       *discovery.Feed
+	isReady    atomic.Bool
+	restarts   atomic.Int64
+	unused     chan struct{} // closed when it is retired and nothing holds it
+	references atomic.Int64  // that hold it; retired and unused is below zero
+	isRetired  atomic.Bool
+	ended      chan struct{} // closed when Run has returned
+
+	mu        sync.Mutex
+	endpoints map[string]discovery.Target // by uid
+	revision  int64
+	loop      *loop
 }
 
 // New makes a service that holds nothing yet. Run starts it.
-func New(o Options) (*Service, error) {
+func New(options Options) (*Service, error) {
 	log := slog.Default()
-	if o.Name != "" {
-		log = log.With("service", o.Name)
+	if options.Name != "" {
+		log = log.With("service", options.Name)
 	}
-	up := o.SharedUpstream
-	if up == nil {
-		up = upstream.New(o.Upstream)
+	connections := options.SharedUpstream
+	if connections == nil {
+		connections = upstream.New(options.Upstream)
 	}
 	s := &Service{
-		RequestRules: newTerms(o.Settings), opts: o, log: log, upstream: up,
-		unused: make(chan struct{}), ended: make(chan struct{}), known: make(map[string]discovery.Target),
+		RequestRules: newRequestRules(options.Settings), opts: options, log: log, upstream: connections,
+		unused: make(chan struct{}), ended: make(chan struct{}), endpoints: make(map[string]discovery.Target),
 	}
-	s.AnyMethod = o.AnyMethod
+	s.AnyMethod = options.AnyMethod
 	s.opts.CachedEndpoints = discovery.Listing{}
 	if s.opts.NewModule == nil {
-		s.opts.NewModule = func() (Module, error) { return control.New(o.Settings, o.Seed) }
+		s.opts.NewModule = func() (Module, error) { return control.New(options.Settings, options.Seed) }
 	}
-	m, err := s.opts.NewModule()
+	module, err := s.opts.NewModule()
 	if err != nil {
 		return nil, err
 	}
-	s.loop = newLoop(m, &s.opts, s.upstream, log)
-	s.merge(o.CachedEndpoints)
+	s.loop = newLoop(module, &s.opts, s.upstream, log)
+	s.mergeEndpoints(options.CachedEndpoints)
 	// The waits are the network's, and none of the module's draws.
-	pace := discovery.Pace{Group: o.Settings.GroupSize, Rand: rand.New(rand.NewPCG(o.Seed, uint64(o.Settings.SelfIndex)))}
-	s.feed = discovery.NewFeed(o.Source, o.CachedEndpoints.Rev, pace, s.told)
-	s.feed.Known = len(o.CachedEndpoints.Targets) > 0
+	pace := discovery.Pace{Group: options.Settings.GroupSize, Rand: rand.New(rand.NewPCG(options.Seed, uint64(options.Settings.SelfIndex)))}
+	s.feed = discovery.NewFeed(options.Source, options.CachedEndpoints.Rev, pace, s.receiveEndpoints)
+	s.feed.Known = len(options.CachedEndpoints.Targets) > 0
 	// Guards against a bound that the module sets by a list of no servers.
-	if len(o.CachedEndpoints.Targets) > 0 {
-		s.learn(s.loop, control.Stale, o.CachedEndpoints)
+	if len(options.CachedEndpoints.Targets) > 0 {
+		s.postEndpoints(s.loop, control.Stale, options.CachedEndpoints)
 	}
 	return s, nil
 }
@@ -130,7 +130,7 @@
 func (s *Service) Upstream() *upstream.Upstream { return s.upstream }
 
 // Ready tells whether the service has had a server to send to.
-func (s *Service) Ready() bool { return s.ready.Load() }
+func (s *Service) Ready() bool { return s.isReady.Load() }
 
 // SetSource has the service follow another source of its servers. What the module has learned of
 // servers stays with those that the new source lists under the same uid.
@@ -143,60 +143,60 @@
 func (s *Service) Endpoints() discovery.Listing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listing()
+	return s.endpointList()
 }
 
-func (s *Service) listing() discovery.Listing {
-	l := discovery.Listing{Rev: s.rev, All: true}
-	for _, t := range s.known {
+func (s *Service) endpointList() discovery.Listing {
+	l := discovery.Listing{Rev: s.revision, All: true}
+	for _, t := range s.endpoints {
 		l.Targets = append(l.Targets, t)
 	}
 	return l
 }
 
-// merge brings the list that is kept up to a message.
-func (s *Service) merge(l discovery.Listing) {
-	if l.Odd.N > 0 {
-		s.log.Warn("server list: entries that can't be used are left out", "entries", l.Odd.N, "err", l.Odd.First)
+// mergeEndpoints brings the list that is kept up to a message.
+func (s *Service) mergeEndpoints(list discovery.Listing) {
+	if list.Odd.N > 0 {
+		s.log.Warn("server list: entries that can't be used are left out", "entries", list.Odd.N, "err", list.Odd.First)
 	}
-	if l.All {
-		clear(s.known)
+	if list.All {
+		clear(s.endpoints)
 	}
-	for _, t := range l.Targets {
+	for _, t := range list.Targets {
 		if t.Condition() == control.Off {
-			delete(s.known, t.UID)
+			delete(s.endpoints, t.UID)
 		} else {
-			s.known[t.UID] = t
+			s.endpoints[t.UID] = t
 		}
 	}
-	s.rev = l.Rev
+	s.revision = list.Rev
 }
 
-// told takes in a message of the source. It is kept before the loop that is in force hears
+// receiveEndpoints takes in a message of the source. It is kept before the loop that is in force hears
 // of it, so that one that starts meanwhile knows it either way.
-func (s *Service) told(news discovery.Listing) {
+func (s *Service) receiveEndpoints(list discovery.Listing) {
 	s.mu.Lock()
-	s.merge(news)
+	s.mergeEndpoints(list)
 	l := s.loop
 	s.mu.Unlock()
 	kind := control.Patch
-	if news.All {
+	if list.All {
 		kind = control.Whole
 	}
-	s.learn(l, kind, news)
+	s.postEndpoints(l, kind, list)
 }
 
-// learn tells a loop's module of a list; with a server to send to the service is ready.
-func (s *Service) learn(l *loop, kind control.ListKind, news discovery.Listing) {
+// postEndpoints tells a loop's module of a list; with a server to send to the service is ready.
+func (s *Service) postEndpoints(l *loop, kind control.ListKind, list discovery.Listing) {
 	l.post(func() {
-		l.list(kind, news)
-		if len(l.ids) > 0 && !s.ready.Swap(true) && s.opts.OnReady != nil {
+		l.updateEndpoints(kind, list)
+		if len(l.serverIDs) > 0 && !s.isReady.Swap(true) && s.opts.OnReady != nil {
 			s.opts.OnReady()
 		}
 	})
 }
 
-func (s *Service) current() *loop {
+func (s *Service) currentLoop() *loop {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.loop
@@ -208,50 +208,50 @@
 func (s *Service) Run(ctx context.Context) error {
 	defer close(s.ended)
 	ctx, stop := context.WithCancel(ctx)
-	life, end := context.WithCancel(context.Background())
-	var parts sync.WaitGroup
-	defer parts.Wait()
-	defer end()
+	lifetime, endLifetime := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer endLifetime()
 	defer stop()
-	parts.Go(func() { s.feed.Run(life) })
-	parts.Go(func() { s.upstream.Sweep(life) })
+	tasks.Go(func() { s.feed.Run(lifetime) })
+	tasks.Go(func() { s.upstream.Sweep(lifetime) })
 	if s.opts.SharedHardLimits != nil {
-		parts.Go(func() { s.ticks(life) })
+		tasks.Go(func() { s.tickLeaseHolders(lifetime) })
 	}
-	parts.Go(func() {
+	tasks.Go(func() {
 		select {
 		case <-s.unused:
 			stop()
-		case <-life.Done():
+		case <-lifetime.Done():
 		}
 	})
-	pause, since := time.Duration(0), time.Now()
+	backoff, startedAt := time.Duration(0), time.Now()
 	for {
-		l := s.current()
+		l := s.currentLoop()
 		l.run(ctx)
-		s.letGo(l)
-		if l.failed == nil || s.opts.OnPanic != RestartService || ctx.Err() != nil {
-			return l.failed
+		s.retirePools(l)
+		if l.err == nil || s.opts.OnPanic != RestartService || ctx.Err() != nil {
+			return l.err
 		}
-		s.log.Error("the service starts anew with clean state", "err", l.failed)
-		if time.Since(since) > restartCalm {
-			pause = 0
+		s.log.Error("the service starts anew with clean state", "err", l.err)
+		if time.Since(startedAt) > restartBackoffReset {
+			backoff = 0
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(backoff):
 		case <-ctx.Done():
-			return l.failed
+			return l.err
 		}
-		since = time.Now()
-		pause = min(max(2*pause, restartAgain), restartMost)
-		if err := s.renew(); err != nil {
+		startedAt = time.Now()
+		backoff = min(max(2*backoff, minRestartBackoff), maxRestartBackoff)
+		if err := s.restart(); err != nil {
 			return err
 		}
 	}
 }
 
-// renew puts a new module in force, which knows the servers but has learned nothing.
-func (s *Service) renew() error {
+// restart puts a new module in force, which knows the servers but has learned nothing.
+func (s *Service) restart() error {
 	m, err := s.opts.NewModule()
 	if err != nil {
 		return fmt.Errorf("starting the service anew: %w", err)
@@ -261,14 +261,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loop = l
-	s.learn(l, control.Stale, s.listing())
+	s.postEndpoints(l, control.Stale, s.endpointList())
 	return nil
 }
 
-// letGo closes the connections of a loop that has ended, or will when they come back.
-func (s *Service) letGo(l *loop) {
-	for uid, id := range l.ids {
-		if p := l.pools[id]; p != nil && l.gave[uid] != p {
+// retirePools closes the connections of a loop that has ended, or will when they come back.
+func (s *Service) retirePools(l *loop) {
+	for uid, id := range l.serverIDs {
+		if p := l.pools[id]; p != nil && l.transferredPools[uid] != p {
 			s.upstream.Retire(p)
 		}
 	}
@@ -278,11 +278,11 @@
 // been retired and has nothing to do any more.
 func (s *Service) TryAcquire() bool {
 	for {
-		n := s.users.Load()
+		n := s.references.Load()
 		if n < 0 {
 			return false
 		}
-		if s.users.CompareAndSwap(n, n+1) {
+		if s.references.CompareAndSwap(n, n+1) {
 			return true
 		}
 	}
@@ -290,19 +290,19 @@
 
 // Release undoes one Hold.
 func (s *Service) Release() {
-	if s.users.Add(-1) == 0 && s.retired.Load() {
-		s.closeUnused()
+	if s.references.Add(-1) == 0 && s.isRetired.Load() {
+		s.endIfUnused()
 	}
 }
 
 // Retire has the service end as soon as nobody holds it. What it has taken is still served.
 func (s *Service) Retire() {
-	s.retired.Store(true)
-	s.closeUnused()
+	s.isRetired.Store(true)
+	s.endIfUnused()
 }
 
-func (s *Service) closeUnused() {
-	if s.users.CompareAndSwap(0, math.MinInt64) {
+func (s *Service) endIfUnused() {
+	if s.references.CompareAndSwap(0, math.MinInt64) {
 		close(s.unused)
 	}
 }
@@ -314,24 +314,24 @@
 		return true
 	}
 	answer := int64(s.upstream.Answer)
-	if x.part, ok = s.opts.Limiter.Admit(body + answer); !ok {
+	if x.releaseResources, ok = s.opts.Limiter.Admit(body + answer); !ok {
 		x.Request.NoRoom = true
 		return false
 	}
-	x.holds.Store(1)
+	x.references.Store(1)
 	return true
 }
 
 // Do has the service take a request and waits for its final answer. It gives false where ctx,
 // that of the client, ended before, or the client was found to have left.
 func (s *Service) Do(ctx context.Context, x *Exchange) (Answer, bool) {
-	x.left = ctx
-	a, ok := s.do(ctx, x)
-	for next := a.next; next != nil; next = a.next {
+	x.clientContext = ctx
+	a, ok := s.doOnce(ctx, x)
+	for next := a.replacement; next != nil; next = a.replacement {
 		if !next.TryAcquire() {
 			return s.Unavailable(), true
 		}
-		a, ok = next.do(ctx, x)
+		a, ok = next.doOnce(ctx, x)
 		next.Release()
 	}
 	return a, ok
@@ -342,24 +342,24 @@
 	return Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, s.opts.Settings.MaxRetryAfter)}
 }
 
-func (s *Service) do(ctx context.Context, x *Exchange) (Answer, bool) {
+func (s *Service) doOnce(ctx context.Context, x *Exchange) (Answer, bool) {
 	x.answer = make(chan Answer, 1)
-	l := s.current()
+	l := s.currentLoop()
 	if !l.post(func() { l.begin(x) }) {
 		return s.Unavailable(), true
 	}
 	select {
 	case a := <-x.answer:
-		return a, !a.left
+		return a, !a.clientHasLeft
 	case <-ctx.Done():
-		if !l.post(func() { l.hangup(x) }) {
-			x.unanswered()
+		if !l.post(func() { l.clientLeft(x) }) {
+			x.discardAnswer()
 		}
 		return Answer{}, false
 	case <-l.ended:
 		select {
 		case a := <-x.answer:
-			return a, !a.left
+			return a, !a.clientHasLeft
 		default: // all that had begun has its answer before the end
 			return s.Unavailable(), true
 		}
@@ -368,12 +368,12 @@
 
 // Post has the service's own goroutine do something between two events; false where the
 // service has ended. What panics there is taken for a panic of the module.
-func (s *Service) Post(do func()) bool { return s.current().post(do) }
+func (s *Service) Post(do func()) bool { return s.currentLoop().post(do) }
 
 // Alive tells whether the service's own goroutine takes events before ctx ends. One that
 // pauses before it starts anew does.
 func (s *Service) Alive(ctx context.Context) bool {
-	l := s.current()
+	l := s.currentLoop()
 	done := make(chan struct{})
 	select {
 	case l.events <- func() { close(done) }:
@@ -419,25 +419,25 @@
 // Status tells what the service is doing. It is empty but for the name where the service
 // has ended.
 func (s *Service) Status() Status {
-	st := Status{Name: s.opts.Name, Ready: s.ready.Load(), Restarts: s.restarts.Load()}
+	st := Status{Name: s.opts.Name, Ready: s.isReady.Load(), Restarts: s.restarts.Load()}
 	st.IdleConnections, _ = s.upstream.Conns()
 	st.HTTP2 = s.upstream.Shared()
 	st.OpenStreams, st.CutStreams = s.opts.Streams.Stats()
-	l := s.current()
+	l := s.currentLoop()
 	seen := make(chan struct{})
 	if l.post(func() {
-		st.Requests, st.Servers, st.AvailableServers = len(l.exchanges), len(l.ids), len(l.pools)
+		st.Requests, st.Servers, st.AvailableServers = len(l.exchanges), len(l.serverIDs), len(l.pools)
 		for _, x := range l.exchanges {
-			st.AttemptsInFlight += x.out
-			if !x.done {
+			st.AttemptsInFlight += x.inFlight
+			if !x.isAnswered {
 				st.Unanswered++
 			}
 		}
-		st.ConcurrencyLimit = l.bound()
-		st.HardLimits = l.shared()
-		if l.census != nil {
-			st.GroupSizeRange[0], st.GroupSizeRange[1], _ = l.census.Seen(l.now())
-			st.IsGroupSizeDoubted = l.census.Doubts(l.now())
+		st.ConcurrencyLimit = l.concurrencyLimit()
+		st.HardLimits = l.hardLimitStatus()
+		if l.groupSizeEstimator != nil {
+			st.GroupSizeRange[0], st.GroupSizeRange[1], _ = l.groupSizeEstimator.Seen(l.now())
+			st.IsGroupSizeDoubted = l.groupSizeEstimator.Doubts(l.now())
 		}
 		close(seen)
 	}) {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -15,36 +15,36 @@
 	"lockflow/internal/upstream"
 )
 
-// script is a module that does what a test tells it for each event.
-type script func(control.Event) []control.Action
+// moduleFunc is a module that does what a test tells it for each event.
+type moduleFunc func(control.Event) []control.Action
 
-func (s script) Handle(_ time.Duration, e control.Event) []control.Action { return s(e) }
+func (s moduleFunc) Handle(_ time.Duration, e control.Event) []control.Action { return s(e) }
 
-func settings() control.Settings {
+func testSettings() control.Settings {
 	return control.Settings{
 		GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3,
 		Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 5 * time.Second}}, Plans: []control.Plan{{Name: "p"}},
 	}
 }
 
-// started makes a service and runs it until the test ends.
-func started(t *testing.T, o Options) (*Service, <-chan error) {
+// startService makes a service and runs it until the test ends.
+func startService(t *testing.T, o Options) (*Service, <-chan error) {
 	t.Helper()
-	s, end := startedUntil(t, o)
+	s, end := startStoppableService(t, o)
 	return s, end.ended
 }
 
-// ending is how a test ends a service, and the error of that.
-type ending struct {
+// serviceEnd is how a test ends a service, and the error of that.
+type serviceEnd struct {
 	stop  context.CancelFunc
 	ended <-chan error
 }
 
-// startedUntil is started of a service that the test may end before.
-func startedUntil(t *testing.T, o Options) (*Service, ending) {
+// startStoppableService is started of a service that the test may end before.
+func startStoppableService(t *testing.T, o Options) (*Service, serviceEnd) {
 	t.Helper()
 	if o.Settings.GroupSize == 0 {
-		o.Settings = settings()
+		o.Settings = testSettings()
 	}
 	o.Upstream.Sockets = limits.NewSockets(100)
 	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"}}}
@@ -56,29 +56,29 @@
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
 	t.Cleanup(func() { stop(); synctest.Wait() })
-	return s, ending{stop, ended}
+	return s, serviceEnd{stop, ended}
 }
 
-func request(id string) *Exchange {
+func newExchange(id string) *Exchange {
 	return &Exchange{Request: control.Request{ID: id, Class: "read", Plan: "p"}, Forwarder: &upstream.Whole{Request: &http.Request{}}, Deadline: time.Now().Add(5 * time.Second)}
 }
 
-// refuses refuses each request at once.
-func refuses(e control.Event) []control.Action {
+// rejectAll refuses each request at once.
+func rejectAll(e control.Event) []control.Action {
 	if r, ok := e.(control.Request); ok {
 		return []control.Action{control.Refuse{ID: r.ID, RetryAfter: time.Second}}
 	}
 	return nil
 }
 
-// holds holds each request, until its service ends.
-func holds(control.Event) []control.Action { return nil }
+// ignoreAll holds each request, until its service ends.
+func ignoreAll(control.Event) []control.Action { return nil }
 
-func TestRefusalIsAtOnce(t *testing.T) {
+func TestRejectionIsImmediate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(t, Options{NewModule: func() (Module, error) { return script(refuses), nil }})
+		s, _ := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(rejectAll), nil }})
 		begun := time.Now()
-		a, ok := s.Do(context.Background(), request("id-1"))
+		a, ok := s.Do(context.Background(), newExchange("id-1"))
 		if !ok || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || time.Since(begun) > 0 {
 			t.Errorf("%+v, %v after %v", a, ok, time.Since(begun))
 		}
@@ -86,16 +86,16 @@
 }
 
 // One that is retired ends once nobody holds it, and not sooner; then it can't be held.
-func TestRetire(t *testing.T) {
+func TestRetiredServiceEndsWhenReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, ended := started(t, Options{NewModule: func() (Module, error) { return script(refuses), nil }})
+		s, ended := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(rejectAll), nil }})
 		if !s.TryAcquire() || !s.TryAcquire() {
 			t.Fatal("can't be held")
 		}
 		s.Retire()
 		s.Release()
 		synctest.Wait()
-		if a, ok := s.Do(context.Background(), request("id-1")); !ok || a.RetryAfter == 0 {
+		if a, ok := s.Do(context.Background(), newExchange("id-1")); !ok || a.RetryAfter == 0 {
 			t.Errorf("%+v, %v of a service that is held", a, ok)
 		}
 		select {
@@ -110,7 +110,7 @@
 		if s.TryAcquire() {
 			t.Error("held after its end")
 		}
-		if a, ok := s.Do(context.Background(), request("id-2")); !ok || a.Status != http.StatusServiceUnavailable {
+		if a, ok := s.Do(context.Background(), newExchange("id-2")); !ok || a.Status != http.StatusServiceUnavailable {
 			t.Errorf("%+v, %v after its end", a, ok)
 		}
 	})
@@ -118,12 +118,12 @@
 
 // A module that panics again and again is started at a slower pace, and each request has its
 // answer: what was held one that promises nothing, what came between a harmless one.
-func TestRestarts(t *testing.T) {
+func TestRestartsBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		made := 0
-		s, ended := started(t, Options{OnPanic: RestartService, NewModule: func() (Module, error) {
+		s, ended := startService(t, Options{OnPanic: RestartService, NewModule: func() (Module, error) {
 			made++
-			return script(func(e control.Event) []control.Action {
+			return moduleFunc(func(e control.Event) []control.Action {
 				if r, ok := e.(control.Request); ok && r.ID == "bad" {
 					panic("bad")
 				}
@@ -132,11 +132,11 @@
 		}})
 		held := make(chan Answer)
 		go func() {
-			a, _ := s.Do(context.Background(), request("held"))
+			a, _ := s.Do(context.Background(), newExchange("held"))
 			held <- a
 		}()
 		synctest.Wait()
-		if a, _ := s.Do(context.Background(), request("bad")); a.Status != http.StatusBadGateway {
+		if a, _ := s.Do(context.Background(), newExchange("bad")); a.Status != http.StatusBadGateway {
 			t.Errorf("the one at fault: %+v", a)
 		}
 		if a := <-held; a.Status != http.StatusBadGateway {
@@ -146,12 +146,12 @@
 		if st := s.Status(); st.Restarts != 1 || st.Servers != 1 || st.Requests != 0 {
 			t.Errorf("after the first restart, at once: %+v", st)
 		}
-		s.Do(context.Background(), request("bad"))
+		s.Do(context.Background(), newExchange("bad"))
 		synctest.Wait()
-		if a, _ := s.Do(context.Background(), request("between")); a.Status != http.StatusServiceUnavailable || a.RetryAfter == 0 {
+		if a, _ := s.Do(context.Background(), newExchange("between")); a.Status != http.StatusServiceUnavailable || a.RetryAfter == 0 {
 			t.Errorf("while it pauses: %+v", a)
 		}
-		time.Sleep(restartAgain)
+		time.Sleep(minRestartBackoff)
 		synctest.Wait()
 		if st := s.Status(); st.Restarts != 2 || made != 3 {
 			t.Errorf("%+v, %d modules", st, made)
@@ -164,17 +164,17 @@
 	})
 }
 
-func TestPanicEndsByDefault(t *testing.T) {
+func TestPanicEndsServiceByDefault(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, ended := started(t, Options{NewModule: func() (Module, error) {
-			return script(func(e control.Event) []control.Action {
+		s, ended := startService(t, Options{NewModule: func() (Module, error) {
+			return moduleFunc(func(e control.Event) []control.Action {
 				if _, ok := e.(control.Request); ok {
 					panic("no such share")
 				}
 				return nil
 			}), nil
 		}})
-		if a, _ := s.Do(context.Background(), request("x")); a.Status != http.StatusBadGateway {
+		if a, _ := s.Do(context.Background(), newExchange("x")); a.Status != http.StatusBadGateway {
 			t.Errorf("%+v", a)
 		}
 		if err := <-ended; err == nil {
@@ -183,31 +183,31 @@
 	})
 }
 
-// counted books requests and counts what is out.
-type counted struct {
-	out, gave atomic.Int64
-	most      int64
+// countingLimiter books requests and counts what is out.
+type countingLimiter struct {
+	acquired, released atomic.Int64
+	limit              int64
 }
 
-func (c *counted) Admit(int64) (func(), bool) {
-	if c.out.Load() >= c.most {
+func (c *countingLimiter) Admit(int64) (func(), bool) {
+	if c.acquired.Load() >= c.limit {
 		return nil, false
 	}
-	c.out.Add(1)
-	return func() { c.out.Add(-1); c.gave.Add(1) }, true
+	c.acquired.Add(1)
+	return func() { c.acquired.Add(-1); c.released.Add(1) }, true
 }
 
 // What is booked for a request is given back once: when both its client and the service have
 // done with it, whichever is first, and whatever else becomes of it.
-func TestBookedIsGivenBackOnce(t *testing.T) {
+func TestResourcesAreReleasedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		parts := &counted{most: 2}
-		var module script = holds
-		s, _ := started(t, Options{Limiter: parts, OnPanic: RestartService, NewModule: func() (Module, error) {
-			return script(func(e control.Event) []control.Action { return module(e) }), nil
+		parts := &countingLimiter{limit: 2}
+		var module moduleFunc = ignoreAll
+		s, _ := startService(t, Options{Limiter: parts, OnPanic: RestartService, NewModule: func() (Module, error) {
+			return moduleFunc(func(e control.Event) []control.Action { return module(e) }), nil
 		}})
 		do := func(ctx context.Context, id string) (Answer, bool) {
-			x := request(id)
+			x := newExchange(id)
 			if s.Admit(x, 10) {
 				defer x.Release()
 			}
@@ -225,7 +225,7 @@
 			t.Error("a second one of an id has no answer")
 		}
 		synctest.Wait()
-		if n := parts.out.Load(); n != 1 {
+		if n := parts.acquired.Load(); n != 1 {
 			t.Errorf("%d booked", n)
 		}
 		leave()
@@ -233,13 +233,13 @@
 			t.Error("a client that left has an answer")
 		}
 		synctest.Wait()
-		if n := parts.out.Load(); n != 0 {
+		if n := parts.acquired.Load(); n != 0 {
 			t.Errorf("%d booked after the client left", n)
 		}
 		module = func(e control.Event) []control.Action {
 			if r, ok := e.(control.Request); ok {
 				if r.NoRoom {
-					return refuses(e)
+					return rejectAll(e)
 				}
 				panic("bad")
 			}
@@ -249,27 +249,27 @@
 			t.Errorf("%+v", a)
 		}
 		time.Sleep(time.Minute)
-		parts.most = 0
+		parts.limit = 0
 		if a, _ := do(context.Background(), "no room"); a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second {
 			t.Errorf("where there is no room: %+v", a)
 		}
-		if out, gave := parts.out.Load(), parts.gave.Load(); out != 0 || gave != 3 {
+		if out, gave := parts.acquired.Load(), parts.released.Load(); out != 0 || gave != 3 {
 			t.Errorf("%d booked, %d given back", out, gave)
 		}
 	})
 }
 
 // The module's own time is measured where somebody asks.
-func TestModuleTime(t *testing.T) {
+func TestModuleTimeIsObserved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var spent time.Duration
-		s, _ := started(t, Options{ObserveModuleTime: func(d time.Duration) { spent += d }, NewModule: func() (Module, error) {
-			return script(func(e control.Event) []control.Action {
+		s, _ := startService(t, Options{ObserveModuleTime: func(d time.Duration) { spent += d }, NewModule: func() (Module, error) {
+			return moduleFunc(func(e control.Event) []control.Action {
 				time.Sleep(time.Millisecond)
-				return refuses(e)
+				return rejectAll(e)
 			}), nil
 		}})
-		s.Do(context.Background(), request("x"))
+		s.Do(context.Background(), newExchange("x"))
 		s.Status()                       // a round, after what the request caused
 		if spent != 2*time.Millisecond { // of the list and the request
 			t.Errorf("%v", spent)
@@ -278,9 +278,9 @@
 }
 
 // No id of a server is given twice, though its uid comes back.
-func TestServerIDs(t *testing.T) {
+func TestServerIDsAreNeverReused(t *testing.T) {
 	seen := make(map[uint32]bool)
-	l := newLoop(script(func(e control.Event) []control.Action {
+	l := newLoop(moduleFunc(func(e control.Event) []control.Action {
 		if e, ok := e.(control.List); ok {
 			for _, m := range e.Members {
 				if m.Condition == control.On && seen[m.Server] {
@@ -292,23 +292,23 @@
 		return nil
 	}), &Options{}, upstream.New(upstream.Options{}), nil)
 	for range 50 {
-		l.list(control.Patch, discovery.Listing{Targets: []discovery.Target{{UID: "s", Endpoint: "127.0.0.1:1", State: "up"}}})
-		l.list(control.Patch, discovery.Listing{Targets: []discovery.Target{{UID: "s", State: "removed"}}})
+		l.updateEndpoints(control.Patch, discovery.Listing{Targets: []discovery.Target{{UID: "s", Endpoint: "127.0.0.1:1", State: "up"}}})
+		l.updateEndpoints(control.Patch, discovery.Listing{Targets: []discovery.Target{{UID: "s", State: "removed"}}})
 	}
-	if len(l.ids)+len(l.pools) > 0 {
-		t.Errorf("%d ids and %d pools kept", len(l.ids), len(l.pools))
+	if len(l.serverIDs)+len(l.pools) > 0 {
+		t.Errorf("%d ids and %d pools kept", len(l.serverIDs), len(l.pools))
 	}
 }
 
 // The clock is Unix time, so that a server's start before ours maps truly.
-func TestClock(t *testing.T) {
-	l := newLoop(script(holds), &Options{}, nil, nil)
+func TestClockIsUnixTime(t *testing.T) {
+	l := newLoop(moduleFunc(ignoreAll), &Options{}, nil, nil)
 	if d := time.Since(time.Unix(0, int64(l.now()))); d < -time.Minute || d > time.Minute {
 		t.Errorf("%v off", d)
 	}
 }
 
-func TestBadSettings(t *testing.T) {
+func TestNewRejectsBadSettings(t *testing.T) {
 	if _, err := New(Options{}); err == nil {
 		t.Error("settings of nothing were taken")
 	}
@@ -319,13 +319,13 @@
 
 // A service that is retired at once after it was told to hand over does so all the same, however
 // busy it is: what it has spent is not the other's to spend again.
-func TestHandOverThenRetire(t *testing.T) {
+func TestRetiringAfterReplaceStillTransfersState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		was, ended := started(t, Options{})
-		l, busy := was.current(), make(chan struct{})
+		was, ended := startService(t, Options{})
+		l, busy := was.currentLoop(), make(chan struct{})
 		l.post(func() { <-busy })
 		synctest.Wait()
-		next, _ := started(t, Options{SharedUpstream: was.Upstream()})
+		next, _ := startService(t, Options{SharedUpstream: was.Upstream()})
 		was.ReplaceWith(next)
 		was.Retire()
 		select {
@@ -334,8 +334,8 @@
 		default:
 		}
 		close(busy)
-		if err := <-ended; err != nil || l.next != next {
-			t.Errorf("ended with %v, handed to %p, not %p", err, l.next, next)
+		if err := <-ended; err != nil || l.replacement != next {
+			t.Errorf("ended with %v, handed to %p, not %p", err, l.replacement, next)
 		}
 		synctest.Wait()
 		if idle, pools := was.Upstream().Conns(); idle != 0 || pools != 1 {
@@ -345,14 +345,14 @@
 }
 
 // A service whose loop has ended hands nothing over, and is not kept from its end by that.
-func TestHandOverTooLate(t *testing.T) {
+func TestEndedServiceTransfersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		was, ended := started(t, Options{})
-		next, _ := started(t, Options{})
+		was, ended := startService(t, Options{})
+		next, _ := startService(t, Options{})
 		was.Retire()
 		<-ended
 		was.ReplaceWith(next)
-		if n := was.users.Load(); n >= 0 {
+		if n := was.references.Load(); n >= 0 {
 			t.Errorf("held %d times", n)
 		}
 	})
--- a/internal/service/shared.go
+++ b/internal/service/shared.go
@@ -32,56 +32,56 @@
 	quotalease.Status
 }
 
-// ledger is the loop's side of Shared. It goes from a service to the one that takes its place.
-type ledger struct {
+// hardLimiter is the loop's side of Shared. It goes from a service to the one that takes its place.
+type hardLimiter struct {
 	*SharedHardLimits
-	start   time.Time
-	holders []*quotalease.Holder
-	next    uint64
-	asked   map[uint64]*Exchange // of which the holder has not decided
-	failed  []error              // why the last call to each counter did
-	// resigned says that another process is to have the parts.
-	resigned bool
-	name     []byte // room for a customer's name
+	start          time.Time
+	holders        []*quotalease.Holder
+	lastDecisionID uint64
+	undecided      map[uint64]*Exchange // of which the holder has not decided
+	callErrors     []error              // why the last call to each counter did
+	// hasResigned says that another process is to have the parts.
+	hasResigned bool
+	keyBuffer   []byte // room for a customer's name
 }
 
-func newLedger(o *SharedHardLimits) *ledger {
+func newHardLimiter(o *SharedHardLimits) *hardLimiter {
 	if o == nil || len(o.Stores) == 0 || len(o.ByPlan) == 0 {
 		return nil
 	}
-	g := &ledger{SharedHardLimits: o, start: time.Now(), asked: make(map[uint64]*Exchange), failed: make([]error, len(o.Stores))}
-	g.begin()
+	g := &hardLimiter{SharedHardLimits: o, start: time.Now(), undecided: make(map[uint64]*Exchange), callErrors: make([]error, len(o.Stores))}
+	g.resetHolders()
 	return g
 }
 
-// begin makes holders that have nothing.
-func (g *ledger) begin() {
+// resetHolders makes holders that have nothing.
+func (g *hardLimiter) resetHolders() {
 	g.holders = make([]*quotalease.Holder, len(g.Stores))
 	for i := range g.holders {
 		g.holders[i] = quotalease.NewHolder(g.now(), g.Rules, fmt.Sprintf("%016x", rand.Uint64()))
 	}
 }
 
-func (g *ledger) now() time.Duration { return time.Since(g.start) }
+func (g *hardLimiter) now() time.Duration { return time.Since(g.start) }
 
-// of is the counter that a customer falls to, the one whose name and the customer's hash highest
+// storeFor is the counter that a customer falls to, the one whose name and the customer's hash highest
 // together, so that a counter more or less moves the fewest; and the customer's name there.
-func (g *ledger) of(plan, customer string) (best int, key string) {
-	g.name = append(append(append(g.name[:0], plan...), '/'), customer...)
-	n := len(g.name)
-	var most uint64
+func (g *hardLimiter) storeFor(plan, customer string) (index int, key string) {
+	g.keyBuffer = append(append(append(g.keyBuffer[:0], plan...), '/'), customer...)
+	n := len(g.keyBuffer)
+	var maxSum uint64
 	for i := 0; len(g.StoreNames) > 1 && i < len(g.StoreNames); i++ {
-		g.name = append(g.name[:n], g.StoreNames[i]...)
-		if sum := xxhash.Sum64(g.name); i == 0 || sum > most {
-			best, most = i, sum
+		g.keyBuffer = append(g.keyBuffer[:n], g.StoreNames[i]...)
+		if sum := xxhash.Sum64(g.keyBuffer); i == 0 || sum > maxSum {
+			index, maxSum = i, sum
 		}
 	}
-	return best, g.holders[best].Key(g.name[:n])
+	return index, g.holders[index].Key(g.keyBuffer[:n])
 }
 
-// ask has a request's ceiling decide on it, before the module hears of it; false where it has none.
-func (l *loop) ask(x *Exchange) bool {
-	g := l.ledger
+// requestHardLimit has a request's ceiling decide on it, before the module hears of it; false where it has none.
+func (l *loop) requestHardLimit(x *Exchange) bool {
+	g := l.hardLimiter
 	if g == nil || x.Request.NoRoom {
 		return false
 	}
@@ -89,75 +89,75 @@
 	if !ok {
 		return false
 	}
-	g.next++
-	g.asked[g.next] = x
-	i, key := g.of(x.Request.Plan, x.Request.Customer)
-	x.lent = lent{at: i, key: key, units: x.Request.Units}
-	l.share(i, g.holders[i].Ask(g.now(), g.next, key, c, x.Request.Units))
+	g.lastDecisionID++
+	g.undecided[g.lastDecisionID] = x
+	i, key := g.storeFor(x.Request.Plan, x.Request.Customer)
+	x.charge = hardLimitCharge{store: i, key: key, units: x.Request.Units}
+	l.applyLeaseActions(i, g.holders[i].Ask(g.now(), g.lastDecisionID, key, c, x.Request.Units))
 	return true
 }
 
-// lent is what of a shared ceiling a request may spend.
-type lent struct {
-	at    int // number of the counter
-	key   string
-	units float64
-	until time.Duration // by the ledger's clock; 0 is nothing that can be given back
+// hardLimitCharge is what of a shared ceiling a request may spend.
+type hardLimitCharge struct {
+	store           int // number of the counter
+	key             string
+	units           float64
+	refundableUntil time.Duration // by the ledger's clock; 0 is nothing that can be given back
 }
 
-// share does what a holder wants done.
-func (l *loop) share(i int, todo []quotalease.Action) {
-	g := l.ledger
+// applyLeaseActions does what a holder wants done.
+func (l *loop) applyLeaseActions(i int, todo []quotalease.Action) {
+	g := l.hardLimiter
 	for _, a := range todo {
 		if a.Kind == quotalease.Send {
 			q, c := a.Call, g.Stores[i]
 			go func() {
-				r, err := c.Call(l.life, q)
-				l.post(func() { l.heard(g, i, r, err) })
+				r, err := c.Call(l.lifetime, q)
+				l.post(func() { l.leaseStoreAnswered(g, i, r, err) })
 			}()
 			continue
 		}
-		x := g.asked[a.ID]
-		delete(g.asked, a.ID)
+		x := g.undecided[a.ID]
+		delete(g.undecided, a.ID)
 		switch {
 		case x == nil: // another service has it
 			continue
-		case x.done: // its client has left
+		case x.isAnswered: // its client has left
 			if a.Kind == quotalease.Let {
-				g.holders[i].Refund(g.now(), x.lent.key, x.lent.units, a.Until)
+				g.holders[i].Refund(g.now(), x.charge.key, x.charge.units, a.Until)
 			}
 			continue
 		case a.Kind == quotalease.Let:
-			x.lent.until = a.Until
+			x.charge.refundableUntil = a.Until
 		default:
 			x.Request.Over = true
 		}
-		l.tell(x)
+		l.submit(x)
 	}
 }
 
-// heard takes a counter's answer. One to a ledger that another service has by now comes too late.
-func (l *loop) heard(g *ledger, i int, r quotalease.Answer, err error) {
-	if l.ledger != g {
+// leaseStoreAnswered takes a counter's answer. One to a ledger that another service has by now comes too late.
+func (l *loop) leaseStoreAnswered(g *hardLimiter, i int, r quotalease.Answer, err error) {
+	if l.hardLimiter != g {
 		return
 	}
 	if err == nil {
-		if g.failed[i] != nil {
+		if g.callErrors[i] != nil {
 			l.log.Info("counter: it answers again", "counter", g.StoreNames[i])
 		}
-		g.failed[i] = nil
-		l.share(i, g.holders[i].Answered(g.now(), r))
+		g.callErrors[i] = nil
+		l.applyLeaseActions(i, g.holders[i].Answered(g.now(), r))
 		return
 	}
-	if g.failed[i] == nil {
+	if g.callErrors[i] == nil {
 		l.log.Warn("counter: a call failed", "counter", g.StoreNames[i], "err", err)
 	}
-	g.failed[i] = err
-	l.share(i, g.holders[i].Lost(g.now()))
+	g.callErrors[i] = err
+	l.applyLeaseActions(i, g.holders[i].Lost(g.now()))
 }
 
-// ticks has the holders do what is due by time, until the service ends.
-func (s *Service) ticks(ctx context.Context) {
+// tickLeaseHolders has the holders do what is due by time, until the service ends.
+func (s *Service) tickLeaseHolders(ctx context.Context) {
 	t := time.NewTicker(quotalease.TickEvery)
 	defer t.Stop()
 	for {
@@ -166,93 +166,93 @@
 			return
 		case <-t.C:
 		}
-		l := s.current()
+		l := s.currentLoop()
 		l.post(func() {
-			if g := l.ledger; g != nil {
+			if g := l.hardLimiter; g != nil {
 				for i, h := range g.holders {
-					l.share(i, h.Tick(g.now()))
+					l.applyLeaseActions(i, h.Tick(g.now()))
 				}
 			}
 		})
 	}
 }
 
-// unspent gives back what a request was lent that was never sent, nor will be.
-func (l *loop) unspent(x *Exchange) {
-	if g := l.ledger; g != nil && x.lent.until > 0 && x.unwritten() {
-		g.holders[x.lent.at].Refund(g.now(), x.lent.key, x.lent.units, x.lent.until)
+// refundUnsent gives back what a request was lent that was never sent, nor will be.
+func (l *loop) refundUnsent(x *Exchange) {
+	if g := l.hardLimiter; g != nil && x.charge.refundableUntil > 0 && x.isUnwritten() {
+		g.holders[x.charge.store].Refund(g.now(), x.charge.key, x.charge.units, x.charge.refundableUntil)
 	}
-	x.lent.until = 0
+	x.charge.refundableUntil = 0
 }
 
-// leave takes the ledger from a loop whose place another takes. Requests on which it has not
+// detachHardLimiter takes the ledger from a loop whose place another takes. Requests on which it has not
 // decided go to that one, or are answered as unheard of.
-func (l *loop) leave(next *Service, unheard Answer) *ledger {
-	g := l.ledger
-	if l.ledger = nil; g == nil {
+func (l *loop) detachHardLimiter(next *Service, unheard Answer) *hardLimiter {
+	g := l.hardLimiter
+	if l.hardLimiter = nil; g == nil {
 		return nil
 	}
-	for id, x := range g.asked {
-		delete(g.asked, id)
-		if !x.done && next.takes(x, l.classes) {
+	for id, x := range g.undecided {
+		delete(g.undecided, id)
+		if !x.isAnswered && next.accepts(x, l.classes) {
 			delete(l.exchanges, x.Request.ID)
-			x.drop()
-			x.answer <- Answer{next: next} // from here on it is another loop's
+			x.unretain()
+			x.answer <- Answer{replacement: next} // from here on it is another loop's
 			continue
 		}
-		l.giveUp(x, unheard)
+		l.answerUnserved(x, unheard)
 	}
 	return g
 }
 
-// takeOver has a loop go on with the ledger of the one whose place it takes, where it is divided by the
+// adoptHardLimiter has a loop go on with the ledger of the one whose place it takes, where it is divided by the
 // same rules at the same counters, if over another number of instances; else that one's parts are let
 // go of, and this one's begin with nothing.
-func (l *loop) takeOver(g *ledger) {
-	if g == nil || l.ledger == nil || !slices.Equal(g.StoreNames, l.ledger.StoreNames) {
+func (l *loop) adoptHardLimiter(g *hardLimiter) {
+	if g == nil || l.hardLimiter == nil || !slices.Equal(g.StoreNames, l.hardLimiter.StoreNames) {
 		return
 	}
-	old, new := g.Rules, l.ledger.Rules
+	old, new := g.Rules, l.hardLimiter.Rules
 	if old.Instances = new.Instances; old != new {
 		return
 	}
 	for _, h := range g.holders {
 		h.Resize(g.now(), new.Instances)
 	}
-	g.SharedHardLimits = l.ledger.SharedHardLimits // ceilings may be others
-	l.ledger = g
+	g.SharedHardLimits = l.hardLimiter.SharedHardLimits // ceilings may be others
+	l.hardLimiter = g
 }
 
-// resign has the ledger spend no more of its own parts, for another process that is to have them.
-func (l *loop) resign() {
-	if l.ledger != nil {
-		l.ledger.resigned = true
-		for _, h := range l.ledger.holders {
+// resignLeases has the ledger spend no more of its own parts, for another process that is to have them.
+func (l *loop) resignLeases() {
+	if l.hardLimiter != nil {
+		l.hardLimiter.hasResigned = true
+		for _, h := range l.hardLimiter.holders {
 			h.Resign()
 		}
 	}
 }
 
-// unresign has a ledger that resigned begin anew, as the process that was to have its parts has ended:
+// reclaimLeases has a ledger that resigned begin anew, as the process that was to have its parts has ended:
 // those may not have. What waited for units is turned away.
-func (l *loop) unresign() {
-	g := l.ledger
-	if g == nil || !g.resigned {
+func (l *loop) reclaimLeases() {
+	g := l.hardLimiter
+	if g == nil || !g.hasResigned {
 		return
 	}
-	g.resigned = false
-	g.begin()
-	for id, x := range g.asked {
-		if delete(g.asked, id); !x.done {
+	g.hasResigned = false
+	g.resetHolders()
+	for id, x := range g.undecided {
+		if delete(g.undecided, id); !x.isAnswered {
 			x.Request.Over = true
-			l.tell(x)
+			l.submit(x)
 		}
 	}
 }
 
-// shared is for Status.
-func (l *loop) shared() (all []HardLimitStatus) {
-	if g := l.ledger; g != nil {
+// hardLimitStatus is for Status.
+func (l *loop) hardLimitStatus() (all []HardLimitStatus) {
+	if g := l.hardLimiter; g != nil {
 		for i, h := range g.holders {
 			s := HardLimitStatus{StoreName: g.StoreNames[i], Status: h.Status(g.now())}
 			all = append(all, s)
--- a/internal/service/shared_test.go
+++ b/internal/service/shared_test.go
@@ -15,42 +15,42 @@
 	"lockflow/internal/upstream"
 )
 
-// memory is a counter without a network; it can be away.
-type memory struct {
-	mu    sync.Mutex
-	c     *quotalease.Counter
-	begun time.Time
-	away  bool
-	hold  chan struct{} // calls wait for it; nil is not at all
+// memoryLeaseStore is a counter without a network; it can be away.
+type memoryLeaseStore struct {
+	mu        sync.Mutex
+	counter   *quotalease.Counter
+	startedAt time.Time
+	isDown    bool
+	gate      chan struct{} // calls wait for it; nil is not at all
 }
 
-func (m *memory) Call(_ context.Context, q *quotalease.Call) (quotalease.Answer, error) {
+func (m *memoryLeaseStore) Call(_ context.Context, q *quotalease.Call) (quotalease.Answer, error) {
 	m.mu.Lock()
-	hold := m.hold
+	hold := m.gate
 	m.mu.Unlock()
 	if hold != nil {
 		<-hold
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.away {
+	if m.isDown {
 		return quotalease.Answer{}, errors.New("away")
 	}
-	return m.c.Handle(time.Since(m.begun), *q), nil
+	return m.counter.Handle(time.Since(m.startedAt), *q), nil
 }
 
-func sharing(m *memory, instances int) Options {
+func sharedLimitOptions(m *memoryLeaseStore, instances int) Options {
 	r := quotalease.Rules{Instances: instances, Term: time.Second, Pledge: 2 * time.Second, Settle: 3 * time.Second}
-	if m.c == nil {
-		m.c, m.begun = quotalease.NewCounter(r, "c"), time.Now()
+	if m.counter == nil {
+		m.counter, m.startedAt = quotalease.NewCounter(r, "c"), time.Now()
 	}
 	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]quotalease.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{m}}}
 }
 
-// holdsAll is a module that holds what it lets in, and refuses what a shared ceiling does.
-func holdsAll(seen *[]control.Request) func() (Module, error) {
+// rejectOverLimit is a module that holds what it lets in, and refuses what a shared ceiling does.
+func rejectOverLimit(seen *[]control.Request) func() (Module, error) {
 	return func() (Module, error) {
-		return script(func(e control.Event) []control.Action {
+		return moduleFunc(func(e control.Event) []control.Action {
 			if r, ok := e.(control.Request); ok {
 				if *seen = append(*seen, r); r.Over {
 					return []control.Action{control.Refuse{ID: r.ID, RetryAfter: time.Second}}
@@ -61,27 +61,27 @@
 	}
 }
 
-// startSharing starts a service with a share in a counter, and notes what its module hears of.
-func startSharing(t *testing.T, m *memory, instances int, seen *[]control.Request) *Service {
-	o := sharing(m, instances)
-	o.NewModule = holdsAll(seen)
-	s, _ := started(t, o)
+// startSharedLimitService starts a service with a share in a counter, and notes what its module hears of.
+func startSharedLimitService(t *testing.T, m *memoryLeaseStore, instances int, seen *[]control.Request) *Service {
+	o := sharedLimitOptions(m, instances)
+	o.NewModule = rejectOverLimit(seen)
+	s, _ := startService(t, o)
 	return s
 }
 
-func units(id string, n float64) *Exchange {
-	x := request(id)
+func newExchangeOfUnits(id string, n float64) *Exchange {
+	x := newExchange(id)
 	x.Request.Units, x.Request.Customer = n, "k"
 	return x
 }
 
 // A request is heard of by the module once its shared ceiling has decided: with its units, or as one
 // to be turned away. What is lent to a request whose client leaves before it is sent is given back.
-func TestSharedCeiling(t *testing.T) {
+func TestSharedHardLimitDecidesBeforeModule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
-		m := &memory{}
-		s := startSharing(t, m, 1, &seen)
+		m := &memoryLeaseStore{}
+		s := startSharedLimitService(t, m, 1, &seen)
 		for range 20 { // the holder's part is pledged, and the counter's store full
 			time.Sleep(time.Second)
 		}
@@ -93,7 +93,7 @@
 		ctx, leave := context.WithCancel(t.Context())
 		var left []*Exchange
 		for i := range 5 {
-			x := units(fmt.Sprint("a", i), 4)
+			x := newExchangeOfUnits(fmt.Sprint("a", i), 4)
 			left = append(left, x)
 			go s.Do(ctx, x)
 			synctest.Wait()
@@ -103,7 +103,7 @@
 		if len(seen) != 5 || seen[4].Over {
 			t.Fatalf("%+v", seen)
 		}
-		a, ok := s.Do(t.Context(), units("b", 4))
+		a, ok := s.Do(t.Context(), newExchangeOfUnits("b", 4))
 		if !ok || a.Kind != Rejected || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || !seen[5].Over {
 			t.Errorf("%+v, %+v", a, seen)
 		}
@@ -113,7 +113,7 @@
 			t.Errorf("of 20 units that nobody spent %g are there", st.Borrowed)
 		}
 		again, gone := context.WithCancel(t.Context())
-		go s.Do(again, units("c", 4))
+		go s.Do(again, newExchangeOfUnits("c", 4))
 		synctest.Wait()
 		if n := len(seen); n != 7 || seen[6].Over {
 			t.Errorf("%+v", seen[6:])
@@ -124,14 +124,14 @@
 
 // Without its counter a service has its own part, once what it pledged has ended; with a bad one it
 // asks no faster than it should.
-func TestSharedCeilingAlone(t *testing.T) {
+func TestSharedHardLimitWithoutLeaseStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
-		m := &memory{}
-		s := startSharing(t, m, 2, &seen)
+		m := &memoryLeaseStore{}
+		s := startSharedLimitService(t, m, 2, &seen)
 		time.Sleep(10 * time.Second)
 		m.mu.Lock()
-		m.away = true
+		m.isDown = true
 		m.mu.Unlock()
 		begun := s.Status().HardLimits[0].Calls
 		time.Sleep(60 * time.Second)
@@ -143,7 +143,7 @@
 		ctx, leave := context.WithCancel(t.Context())
 		defer leave()
 		for i := range 4 { // half of a burst of 20
-			go s.Do(ctx, units(fmt.Sprint("a", i), 4))
+			go s.Do(ctx, newExchangeOfUnits(fmt.Sprint("a", i), 4))
 			synctest.Wait()
 		}
 		over := 0
@@ -162,16 +162,16 @@
 
 // A ledger goes over with a reload: what is spent stays spent, requests that wait for units are the
 // next service's, and a part that grows waits until all know.
-func TestSharedCeilingHandedOver(t *testing.T) {
+func TestSharedHardLimitMovesToReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &memory{}
-		was, ended := started(t, sharing(m, 2))
+		m := &memoryLeaseStore{}
+		was, ended := startService(t, sharedLimitOptions(m, 2))
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		calls := was.Status().HardLimits[0].Calls
-		o := sharing(m, 1)
+		o := sharedLimitOptions(m, 1)
 		o.SharedUpstream = was.Upstream()
-		next, _ := started(t, o)
+		next, _ := startService(t, o)
 		was.ReplaceWith(next)
 		was.Retire()
 		if err := <-ended; err != nil {
@@ -187,7 +187,7 @@
 		if st := next.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
 			t.Errorf("%+v", st)
 		}
-		if x := units("x", 1); was.Upstream() != next.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
+		if x := newExchangeOfUnits("x", 1); was.Upstream() != next.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
 			t.Error("another upstream")
 		}
 		// A process whose place another is to take has no part any more.
@@ -203,11 +203,11 @@
 		// That one fails while a request waits for units here: it is answered, and the part is this
 		// one's again once the other's has ended.
 		m.mu.Lock()
-		m.hold = make(chan struct{})
+		m.gate = make(chan struct{})
 		m.mu.Unlock()
 		answered := make(chan Answer, 1)
 		go func() {
-			a, _ := next.Do(t.Context(), units("w", 4))
+			a, _ := next.Do(t.Context(), newExchangeOfUnits("w", 4))
 			answered <- a
 		}()
 		synctest.Wait()
@@ -219,8 +219,8 @@
 			t.Errorf("%+v", a)
 		}
 		m.mu.Lock()
-		close(m.hold)
-		m.hold = nil
+		close(m.gate)
+		m.gate = nil
 		m.mu.Unlock()
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
@@ -232,32 +232,32 @@
 
 // A request that waits for units as its service is replaced is decided on by the next one, which is
 // the only one whose module hears of it.
-func TestSharedCeilingWaitsOver(t *testing.T) {
+func TestReplacementDecidesWaitingRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &memory{}
+		m := &memoryLeaseStore{}
 		var before, after []control.Request
-		o := sharing(m, 1)
-		o.NewModule, o.AnyMethod = func() (Module, error) { return keeping{&before}, nil }, true
-		was, ended := started(t, o)
+		o := sharedLimitOptions(m, 1)
+		o.NewModule, o.AnyMethod = func() (Module, error) { return statefulRecorder{&before}, nil }, true
+		was, ended := startService(t, o)
 		time.Sleep(10 * time.Second)
 		m.mu.Lock()
-		m.hold = make(chan struct{})
+		m.gate = make(chan struct{})
 		m.mu.Unlock()
 		ctx, leave := context.WithCancel(t.Context())
 		defer leave()
 		for i := range 3 {
-			go was.Do(ctx, units(fmt.Sprint("a", i), 4))
+			go was.Do(ctx, newExchangeOfUnits(fmt.Sprint("a", i), 4))
 		}
 		synctest.Wait()
-		o = sharing(m, 1)
-		o.NewModule, o.AnyMethod = func() (Module, error) { return keeping{&after}, nil }, true
-		next, _ := started(t, o)
+		o = sharedLimitOptions(m, 1)
+		o.NewModule, o.AnyMethod = func() (Module, error) { return statefulRecorder{&after}, nil }, true
+		next, _ := startService(t, o)
 		was.ReplaceWith(next)
 		was.Retire()
 		synctest.Wait()
 		m.mu.Lock()
-		close(m.hold)
-		m.hold = nil
+		close(m.gate)
+		m.gate = nil
 		m.mu.Unlock()
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -269,29 +269,29 @@
 	})
 }
 
-// keeping is a module that hands over nothing, and notes what it hears of.
-type keeping struct{ seen *[]control.Request }
+// statefulRecorder is a module that hands over nothing, and notes what it hears of.
+type statefulRecorder struct{ requests *[]control.Request }
 
-func (k keeping) Handle(_ time.Duration, e control.Event) []control.Action {
+func (k statefulRecorder) Handle(_ time.Duration, e control.Event) []control.Action {
 	if r, ok := e.(control.Request); ok {
-		*k.seen = append(*k.seen, r)
+		*k.requests = append(*k.requests, r)
 	}
 	return nil
 }
-func (keeping) Checkpoint(time.Duration) (c control.Checkpoint)          { return }
-func (keeping) HandOver(time.Duration, float64) (c control.Checkpoint)   { return }
-func (keeping) Restore(time.Duration, control.Checkpoint, control.Trust) {}
-func (keeping) Rejoin(time.Duration, *control.Checkpoint)                {}
-func (keeping) Alone()                                                   {}
+func (statefulRecorder) Checkpoint(time.Duration) (c control.Checkpoint)          { return }
+func (statefulRecorder) HandOver(time.Duration, float64) (c control.Checkpoint)   { return }
+func (statefulRecorder) Restore(time.Duration, control.Checkpoint, control.Trust) {}
+func (statefulRecorder) Rejoin(time.Duration, *control.Checkpoint)                {}
+func (statefulRecorder) Alone()                                                   {}
 
 // Customers fall to several counters evenly, and stay where they are when one is added, but for those
 // that fall to that one.
-func TestSharedSpread(t *testing.T) {
+func TestCustomersSpreadOverLeaseStores(t *testing.T) {
 	at := func(names ...string) map[string]string {
-		g := newLedger(&SharedHardLimits{Rules: quotalease.Rules{Instances: 1}, ByPlan: map[string]quotalease.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
+		g := newHardLimiter(&SharedHardLimits{Rules: quotalease.Rules{Instances: 1}, ByPlan: map[string]quotalease.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
 		all := make(map[string]string)
 		for i := range 30_000 {
-			n, key := g.of("p", fmt.Sprintf("%016x", i))
+			n, key := g.storeFor("p", fmt.Sprintf("%016x", i))
 			all[key] = names[n]
 		}
 		return all
@@ -311,17 +311,17 @@
 }
 
 // What a request's shared ceiling costs beside the request, where nothing has to be asked for.
-func BenchmarkShared(b *testing.B) {
-	o := sharing(&memory{}, 1)
+func BenchmarkSharedHardLimit(b *testing.B) {
+	o := sharedLimitOptions(&memoryLeaseStore{}, 1)
 	o.SharedHardLimits.ByPlan["p"] = quotalease.Ceiling{Rate: 1e9, Burst: 1e9}
 	o.SharedHardLimits.Rules.Settle = 1
-	l := &loop{ledger: newLedger(o.SharedHardLimits), module: script(holds)}
-	l.ledger.start = l.ledger.start.Add(-time.Minute) // its part is its own
+	l := &loop{hardLimiter: newHardLimiter(o.SharedHardLimits), module: moduleFunc(ignoreAll)}
+	l.hardLimiter.start = l.hardLimiter.start.Add(-time.Minute) // its part is its own
 	xs := make([]*Exchange, 1000)
 	for i := range xs {
-		xs[i] = units("x", 1)
+		xs[i] = newExchangeOfUnits("x", 1)
 		xs[i].Request.Customer = fmt.Sprintf("%016x", i)
-		l.ask(xs[i])
+		l.requestHardLimit(xs[i])
 	}
 	bare := func() { l.handle(xs[0].Request) }
 	b.Run("without", func(b *testing.B) {
@@ -333,7 +333,7 @@
 	b.Run("with", func(b *testing.B) {
 		b.ReportAllocs()
 		for i := 0; b.Loop(); i++ {
-			if !l.ask(xs[i%len(xs)]) {
+			if !l.requestHardLimit(xs[i%len(xs)]) {
 				b.Fatal("not shared")
 			}
 		}
--- a/internal/service/streams.go
+++ b/internal/service/streams.go
@@ -10,31 +10,31 @@
 // Streams are the answers of a service, or of several that share an account, that are under way
 // with no end of their own. The zero value has none. It is safe for concurrent use.
 type Streams struct {
-	mu   sync.Mutex
-	open map[*upstream.Stream]time.Time // and until when each is within its request's time
-	cut  int64
+	mu        sync.Mutex
+	deadlines map[*upstream.Stream]time.Time // and until when each is within its request's time
+	cutCount  int64
 }
 
 // add notes a stream that is within its request's time until some time.
-func (s *Streams) add(one *upstream.Stream, until time.Time) {
+func (s *Streams) add(stream *upstream.Stream, deadline time.Time) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open == nil {
-		s.open = make(map[*upstream.Stream]time.Time)
+	if s.deadlines == nil {
+		s.deadlines = make(map[*upstream.Stream]time.Time)
 	}
-	s.open[one] = until
+	s.deadlines[stream] = deadline
 }
 
-func (s *Streams) remove(one *upstream.Stream) {
+func (s *Streams) remove(stream *upstream.Stream) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, one)
+	delete(s.deadlines, stream)
 }
 
 // CutOverdue breaks off the stream that has outlived its request's time by most, if there is one:
@@ -44,14 +44,14 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	var oldest *upstream.Stream
-	for one, until := range s.open {
-		if until.Before(now) && (oldest == nil || until.Before(s.open[oldest])) {
-			oldest = one
+	for stream, deadline := range s.deadlines {
+		if deadline.Before(now) && (oldest == nil || deadline.Before(s.deadlines[oldest])) {
+			oldest = stream
 		}
 	}
 	if oldest != nil {
-		delete(s.open, oldest)
-		s.cut++
+		delete(s.deadlines, oldest)
+		s.cutCount++
 		oldest.Cut()
 	}
 }
@@ -63,5 +63,5 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.open), s.cut
+	return len(s.deadlines), s.cutCount
 }
--- a/internal/service/terms.go
+++ b/internal/service/terms.go
@@ -20,31 +20,31 @@
 	return t.AnyMethod || ClassMethod(k) == method
 }
 
-func newTerms(s control.Settings) RequestRules {
+func newRequestRules(s control.Settings) RequestRules {
 	t := RequestRules{Classes: make(map[string]control.Class), MaxUnitsByPlan: make(map[string]float64), GroupSize: s.GroupSize}
 	for _, k := range s.Classes {
 		t.Classes[k.Name] = k
 	}
 	for _, p := range s.Plans {
-		t.MaxUnitsByPlan[p.Name] = unitsMost(s.UnitsTop, p)
+		t.MaxUnitsByPlan[p.Name] = maxUnits(s.UnitsTop, p)
 	}
 	return t
 }
 
-// uncounted bounds units where no store does.
-const uncounted = 1 << 20
+// maxUnlimitedUnits bounds units where no store does.
+const maxUnlimitedUnits = 1 << 20
 
-// unitsMost is the most units of a plan's request: what the settings tell, or else what its largest store
+// maxUnits is the most units of a plan's request: what the settings tell, or else what its largest store
 // holds, as of more nothing could ever be inside it. Guards against a figure that spoils the accounts of
 // its customer, who may have other requests.
-func unitsMost(told float64, p control.Plan) float64 {
+func maxUnits(configured float64, plan control.Plan) float64 {
 	switch {
-	case told > 0:
-		return told
-	case p.Rate > 0 || p.CeilingRate > 0: // a request without any figure has one unit
-		return min(max(1, p.Depth, p.CeilingBurst), uncounted)
+	case configured > 0:
+		return configured
+	case plan.Rate > 0 || plan.CeilingRate > 0: // a request without any figure has one unit
+		return min(max(1, plan.Depth, plan.CeilingBurst), maxUnlimitedUnits)
 	}
-	return uncounted
+	return maxUnlimitedUnits
 }
 
 // ClassMethod is the method that a class's requests come by (PROTOCOL): one that is safe to repeat
--- a/internal/service/time_test.go
+++ b/internal/service/time_test.go
@@ -18,7 +18,7 @@
 // Whatever the service's state and however little time a request has, it has one answer, no later than its
 // client waits, or as soon as a loop that was busy for longer goes on. What comes too late to be sent is
 // refused, not sent.
-func TestAnsweredInItsTime(t *testing.T) {
+func TestEveryRequestIsAnsweredByItsDeadline(t *testing.T) {
 	const fill = 50
 	hangs := func(ctx context.Context) upstream.Outcome {
 		if !upstream.Commit(ctx) {
@@ -48,16 +48,16 @@
 			for _, left := range []time.Duration{time.Microsecond, 20 * time.Millisecond, 400 * time.Millisecond, 5 * time.Second} {
 				t.Run(fmt.Sprint(name, ", ", effect, ", ", left), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
-						set := settings()
+						set := testSettings()
 						set.Classes[0].Effect, set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = class, control.ScopeCell, time.Minute
-						s, _ := started(t, Options{Settings: set})
+						s, _ := startService(t, Options{Settings: set})
 						synctest.Wait()
 						if tc.none {
-							s.told(discovery.Listing{All: true})
+							s.receiveEndpoints(discovery.Listing{All: true})
 						}
 						do := func(id string, left time.Duration, try func(context.Context) upstream.Outcome) chan Answer {
-							x := request(id)
-							x.Deadline, x.Forwarder = time.Now().Add(left-DeadlineMargin), &tries{try: try}
+							x := newExchange(id)
+							x.Deadline, x.Forwarder = time.Now().Add(left-DeadlineMargin), &scriptedForwarder{attempt: try}
 							x.Request.Units, x.Request.Spread = 1, 1
 							answer := make(chan Answer, 2)
 							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
@@ -102,23 +102,23 @@
 
 // More come than the loop's channel holds while the loop stands still, and every second one leaves before it
 // goes on: none of those is sent, whether its request had a place in the channel or not, and each other is served.
-func TestFullChannel(t *testing.T) {
+func TestDepartedClientsBeyondEventQueueAreNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(t, Options{NewModule: func() (Module, error) { return script(sends), nil }})
+		s, _ := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(sendToFirstServer), nil }})
 		synctest.Wait() // it knows its server
 		hold := make(chan struct{})
 		s.Post(func() { <-hold })
 		synctest.Wait()
-		n := 3 * cap(s.current().events)
+		n := 3 * cap(s.currentLoop().events)
 		var sent, served, gone atomic.Int64
 		var all sync.WaitGroup
 		leaving, leave := context.WithCancel(context.Background())
 		for i := range n {
-			x, ctx := request(fmt.Sprint("id-", i)), context.Background()
+			x, ctx := newExchange(fmt.Sprint("id-", i)), context.Background()
 			if i%2 == 1 {
 				ctx = leaving
 			}
-			x.Forwarder = &tries{try: func(try context.Context) upstream.Outcome {
+			x.Forwarder = &scriptedForwarder{attempt: func(try context.Context) upstream.Outcome {
 				if !upstream.Commit(try) {
 					return upstream.Outcome{Reason: control.Moot}
 				}
@@ -134,7 +134,7 @@
 			})
 		}
 		synctest.Wait()
-		if got := len(s.current().events); got != n/3 {
+		if got := len(s.currentLoop().events); got != n/3 {
 			t.Fatalf("%d in the channel", got)
 		}
 		leave()
--- a/internal/service/timers.go
+++ b/internal/service/timers.go
@@ -2,95 +2,95 @@
 
 import "time"
 
-// timersApart is the least time between two firings. Guards against a wake-up of the process
+// minFiringInterval is the least time between two firings. Guards against a wake-up of the process
 // for each of thousands of labels a second; one that comes alone is told on time.
-const timersApart = 2 * time.Millisecond
+const minFiringInterval = 2 * time.Millisecond
 
-// timers are what the module has asked to be told of, by time. Most are armed for each request
+// timerQueue are what the module has asked to be told of, by time. Most are armed for each request
 // and of no use any more once it is answered, so they have to be cheap: one runtime timer
 // serves them all. The zero value has none. It is not safe for concurrent use.
-type timers struct {
-	heap []due
-	next *time.Timer // fires at the earliest; nil until there was one
-	at   time.Time   // when next fires, if it is set
-	set  bool
-	last time.Time // when it fired last
+type timerQueue struct {
+	entries     []timerEntry
+	timer       *time.Timer // fires at the earliest; nil until there was one
+	firesAt     time.Time   // when next fires, if it is set
+	isSet       bool
+	lastFiredAt time.Time // when it fired last
 }
 
-type due struct {
+type timerEntry struct {
 	at    time.Time
 	label uint64
 }
 
 // arm notes a label that is due at a time.
-func (t *timers) arm(at time.Time, label uint64) {
-	t.heap = append(t.heap, due{at, label})
-	for i := len(t.heap) - 1; i > 0; {
+func (t *timerQueue) arm(at time.Time, label uint64) {
+	t.entries = append(t.entries, timerEntry{at, label})
+	for i := len(t.entries) - 1; i > 0; {
 		up := (i - 1) / 2
-		if !t.heap[i].at.Before(t.heap[up].at) {
+		if !t.entries[i].at.Before(t.entries[up].at) {
 			break
 		}
-		t.heap[i], t.heap[up] = t.heap[up], t.heap[i]
+		t.entries[i], t.entries[up] = t.entries[up], t.entries[i]
 		i = up
 	}
-	t.start()
+	t.reset()
 }
 
-// start sets the runtime timer to the earliest.
-func (t *timers) start() {
-	if len(t.heap) == 0 || t.set && (!t.heap[0].at.Before(t.at) || t.at.Equal(t.last.Add(timersApart))) {
+// reset sets the runtime timer to the earliest.
+func (t *timerQueue) reset() {
+	if len(t.entries) == 0 || t.isSet && (!t.entries[0].at.Before(t.firesAt) || t.firesAt.Equal(t.lastFiredAt.Add(minFiringInterval))) {
 		return
 	}
-	t.at, t.set = t.heap[0].at, true
-	if soonest := t.last.Add(timersApart); t.at.Before(soonest) {
-		t.at = soonest
+	t.firesAt, t.isSet = t.entries[0].at, true
+	if soonest := t.lastFiredAt.Add(minFiringInterval); t.firesAt.Before(soonest) {
+		t.firesAt = soonest
 	}
-	if t.next == nil {
-		t.next = time.NewTimer(time.Until(t.at))
+	if t.timer == nil {
+		t.timer = time.NewTimer(time.Until(t.firesAt))
 	} else {
-		t.next.Reset(time.Until(t.at))
+		t.timer.Reset(time.Until(t.firesAt))
 	}
 }
 
 // fired is the channel on which the earliest is told; nil where none was ever armed.
-func (t *timers) fired() <-chan time.Time {
-	if t.next == nil {
+func (t *timerQueue) fired() <-chan time.Time {
+	if t.timer == nil {
 		return nil
 	}
-	return t.next.C
+	return t.timer.C
 }
 
-// pop gives a label that is due by a time, the earliest first; the runtime timer, which has
+// popDue gives a label that is due by a time, the earliest first; the runtime timer, which has
 // fired, is set anew once none is left.
-func (t *timers) pop(now time.Time) (label uint64, ok bool) {
-	if len(t.heap) == 0 || t.heap[0].at.After(now) {
-		t.set, t.last = false, now
-		t.start()
+func (t *timerQueue) popDue(now time.Time) (label uint64, ok bool) {
+	if len(t.entries) == 0 || t.entries[0].at.After(now) {
+		t.isSet, t.lastFiredAt = false, now
+		t.reset()
 		return 0, false
 	}
-	label = t.heap[0].label
-	last := len(t.heap) - 1
-	t.heap[0] = t.heap[last]
-	t.heap = t.heap[:last]
+	label = t.entries[0].label
+	last := len(t.entries) - 1
+	t.entries[0] = t.entries[last]
+	t.entries = t.entries[:last]
 	for i := 0; ; {
-		least := i
+		earliest := i
 		for child := 2*i + 1; child <= 2*i+2 && child < last; child++ {
-			if t.heap[child].at.Before(t.heap[least].at) {
-				least = child
+			if t.entries[child].at.Before(t.entries[earliest].at) {
+				earliest = child
 			}
 		}
-		if least == i {
+		if earliest == i {
 			break
 		}
-		t.heap[i], t.heap[least] = t.heap[least], t.heap[i]
-		i = least
+		t.entries[i], t.entries[earliest] = t.entries[earliest], t.entries[i]
+		i = earliest
 	}
 	return label, true
 }
 
 // stop ends the runtime timer.
-func (t *timers) stop() {
-	if t.next != nil {
-		t.next.Stop()
+func (t *timerQueue) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
 	}
 }
--- a/internal/service/timers_test.go
+++ b/internal/service/timers_test.go
@@ -9,12 +9,12 @@
 )
 
 // Whatever the order in which labels are armed, each is told at its time, and in order.
-func TestTimers(t *testing.T) {
+func TestTimerQueueFiresInOrderOnTime(t *testing.T) {
 	for seed := range uint64(50) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
 			start := time.Now()
-			var set timers
+			var set timerQueue
 			var want, got []time.Duration
 			for step := range 200 {
 				for range rng.IntN(4) {
@@ -29,7 +29,7 @@
 				case <-set.fired():
 					for {
 						at := time.Since(start)
-						if _, ok := set.pop(time.Now()); !ok {
+						if _, ok := set.popDue(time.Now()); !ok {
 							break
 						}
 						got = append(got, at)
@@ -37,11 +37,11 @@
 				case <-time.After(time.Duration(rng.IntN(100)) * time.Millisecond):
 				}
 			}
-			for len(set.heap) > 0 {
+			for len(set.entries) > 0 {
 				<-set.fired()
 				for {
 					at := time.Since(start)
-					if _, ok := set.pop(time.Now()); !ok {
+					if _, ok := set.popDue(time.Now()); !ok {
 						break
 					}
 					got = append(got, at)
@@ -60,8 +60,8 @@
 	}
 }
 
-func BenchmarkTimers(b *testing.B) {
-	var set timers
+func BenchmarkTimerQueue(b *testing.B) {
+	var set timerQueue
 	now := time.Now()
 	for i := range 10000 {
 		set.arm(now.Add(time.Duration(i)*time.Microsecond+time.Hour), 1)
@@ -69,6 +69,6 @@
 	b.ReportAllocs()
 	for i := range b.N {
 		set.arm(now.Add(time.Duration(i%10000)*time.Microsecond), 1)
-		set.pop(now.Add(time.Hour))
+		set.popDue(now.Add(time.Hour))
 	}
 }
--- a/internal/service/unbegun_test.go
+++ b/internal/service/unbegun_test.go
@@ -14,7 +14,7 @@
 // A client leaves whose request has an answer without having been begun: one with the id of a
 // request that is held, or one that goes to the service that has taken this one's place. The service
 // goes on, and what it holds has its answer.
-func TestLeavesAsItIsAnsweredUnbegun(t *testing.T) {
+func TestClientLeavesUnbegunRequest(t *testing.T) {
 	for _, tc := range []struct {
 		name, id string
 		replaced bool
@@ -22,15 +22,15 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var seen []control.Request
-				s, _ := started(t, Options{NewModule: func() (Module, error) { return keeping{&seen}, nil }})
+				s, _ := startService(t, Options{NewModule: func() (Module, error) { return statefulRecorder{&seen}, nil }})
 				held := make(chan Answer, 1)
 				go func() {
-					a, _ := s.Do(context.Background(), request("held"))
+					a, _ := s.Do(context.Background(), newExchange("held"))
 					held <- a
 				}()
 				synctest.Wait()
 				if tc.replaced {
-					next, _ := started(t, Options{})
+					next, _ := startService(t, Options{})
 					s.ReplaceWith(next)
 					synctest.Wait()
 				}
@@ -38,7 +38,7 @@
 				s.Post(func() { <-busy })
 				left, leave := context.WithCancel(context.Background())
 				leave()
-				x := request(tc.id)
+				x := newExchange(tc.id)
 				x.Forwarder = &upstream.Whole{Request: &http.Request{Method: http.MethodGet}}
 				if a, ok := s.Do(left, x); ok {
 					t.Errorf("%+v", a)
@@ -49,8 +49,10 @@
 				if !s.Alive(within) {
 					t.Fatal("its loop stands still")
 				}
-				l := s.current()
-				s.Post(func() { l.giveUp(l.exchanges["held"], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable}) })
+				l := s.currentLoop()
+				s.Post(func() {
+					l.answerUnserved(l.exchanges["held"], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable})
+				})
 				if a := <-held; a.Kind != Rejected || len(seen) != 1 {
 					t.Errorf("%+v; the module heard of %d", a, len(seen))
 				}
--- a/internal/service/withheld_test.go
+++ b/internal/service/withheld_test.go
@@ -13,14 +13,14 @@
 	"lockflow/internal/upstream"
 )
 
-// until is a client that is found to have left from the first request at a server on.
-type until struct{ app *testkit.App }
+// clientUntilFirstRequest is a client that is found to have left from the first request at a server on.
+type clientUntilFirstRequest struct{ app *testkit.App }
 
-func (c until) There() bool { return c.app.Count() == 0 }
+func (c clientUntilFirstRequest) There() bool { return c.app.Count() == 0 }
 
 // A request whose client is found to have left before a further attempt has an answer for who is there all the
 // same: a refusal, by which trying again is harmless, only where the attempt before never ran.
-func TestWithheldRepeatTellsWhatRan(t *testing.T) {
+func TestAnswerAfterWithheldRetryTellsWhatRan(t *testing.T) {
 	for name, tc := range map[string]struct {
 		first  http.HandlerFunc
 		kind   AnswerKind
@@ -59,7 +59,7 @@
 				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
 				x := &Exchange{
 					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
-					Client: until{app}, Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
+					Client: clientUntilFirstRequest{app}, Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
 				}
 				if a, ok := s.Do(t.Context(), x); ok || a.Kind != tc.kind || a.Status != tc.status {
 					t.Errorf("%v, %+v", ok, a)
