--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -16,7 +16,7 @@
 
 // Attempt is the time of one attempt, and the one place that says whether it is sent: whoever writes
 // it asks right before the first byte, and whoever takes it back before that has it never be written.
-// It is the ctx of Try, which with any other ctx asks nobody.
+// It is the ctx of a Forwarder's Attempt, which with any other ctx asks nobody.
 type Attempt struct {
 	context.Context
 	end    context.CancelFunc
