Ask a shared discovery again within 6 s of each call that failed; cold limit N + 2 roots

A change of the list counts as told 6 s after discovery had it and could be reached, whatever was allowed behind a failed, refused or given-up call; a cold server falls beyond N + 2 roots of N + 2 (3 before).

Cause (pace.go, Again): once the clock of the last word was over, a call drew its next one from up to 8 s, as if a discovery that nobody reaches had work. Now it comes while an answer to it is in time for what discovery has had since the call that failed (3.7 s).

Calls that a discovery turned away keep their longer waits.

Tests: TestOwnAgentIsAskedAtOnce held that a shared discovery is asked again within 4 to 8 s; it holds 3.3 to 3.7 s now, and TestPaceBounds and TestPaceKeepsTheClock the shorter bound.

--- a/internal/discovery/pace.go
+++ b/internal/discovery/pace.go
@@ -44,7 +44,8 @@
 
 // Again is the wait before the next call after a watch that lived for some time and was last heard
 // some time ago. Guards against one that asks when what it missed has long counted as told: while a
-// call can still be answered in time, it is made in time.
+// call can still be answered in time, it is made in time. Behind that the clock is of what discovery has had
+// since the call that has just failed: a discovery that can be reached again counts as heard 6 s later.
 func (p *Pace) Again(lived, quiet time.Duration) time.Duration {
 	if lived >= livedLong {
 		p.fails = 0
@@ -53,9 +54,11 @@
 	if p.Group > 1 {
 		window = min(callEvery*time.Duration(p.Group)<<min(p.fails, backoffMore), callsMost)
 	}
-	if left := askMost - quiet; left >= backoffFirst || lived >= livedLong {
-		window = min(window, max(left, backoffFirst))
+	left := askMost - quiet
+	if left < backoffFirst && lived < livedLong {
+		left = askMost - lived
 	}
+	window = min(window, max(left, backoffFirst))
 	p.fails++
 	return p.draw(backoffFirst, window)
 }
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -145,6 +145,9 @@
 			if after < backoffFirst || after > callsMost || p.Group == 1 && after > backoffFirst {
 				t.Fatalf("a group of %d asks again after %v", p.Group, after)
 			}
+			if since := min(lived, quiet); since+backoffFirst <= askMost && since+after > askMost {
+				t.Fatalf("after a call that failed in %v, silent for %v, it asks again after %v", lived, quiet, after)
+			}
 			if quiet+backoffFirst <= askMost && quiet+after > askMost {
 				t.Fatalf("silent for %v, it asks again after %v", quiet, after)
 			}
@@ -186,7 +189,7 @@
 			t.Fatalf("moved after %v", d)
 		}
 		for range 4 {
-			if d := p.Again(0, newsWithin); d < backoffFirst || d >= callsMost {
+			if d := p.Again(0, newsWithin); d < backoffFirst || d >= askMost {
 				t.Fatalf("again after %v", d)
 			}
 		}
@@ -207,7 +210,7 @@
 			first, moved, again = max(first, p.First()), max(moved, p.Moved()), max(again, p.Again(0, newsWithin))
 		}
 		if !agent {
-			if first < time.Second || again < callsMost/2 || again > callsMost {
+			if first < time.Second || again < askMost*9/10 || again > askMost {
 				t.Errorf("a shared discovery is asked within %v, and again within %v", first, again)
 			}
 		} else if first > 0 || moved > 0 || again > backoffFirst {
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -281,13 +281,13 @@
 }
 
 // coldLimit is the work at which a cold server falls: beyond what it can do the times that it bears, what
-// chance brings of N requests of mean work, 3 roots of N and 3.
+// chance brings of N requests of mean work, 2 roots of N and 2.
 func (t *Terms) coldLimit(can float64) float64 {
 	work := t.FallMultiple * can * t.Fall.Seconds()
 	if t.MeanWork <= 0 {
 		return work
 	}
-	return work + t.MeanWork*(3*math.Sqrt(work/t.MeanWork)+3)
+	return work + t.MeanWork*(2*math.Sqrt(work/t.MeanWork)+2)
 }
 
 func (s *server) add(work float64, told bool) {
--- a/internal/fleetrules/rules_test.go
+++ b/internal/fleetrules/rules_test.go
@@ -101,15 +101,15 @@
 			c.Arrived(s, 9, 4, true)
 		}},
 		"cold, by untold ones": {"", func(c *Checker) { c.Started(9, Server{Can: cold}); c.Arrived(0, 9, 4, true); c.Arrived(s, 9, 4, false) }},
-		"cold, by chance": {"", func(c *Checker) { // N is 8: 8 + 3 root 8 + 3 requests of 1.25 s make 24.4 s
+		"cold, by chance": {"", func(c *Checker) { // N is 8: 8 + 2 root 8 + 2 requests of 1.25 s make 19.6 s
 			c.Terms.MeanWork, c.Terms.FallMultiple = 1.25, 5
 			c.Started(9, Server{Can: cold})
-			c.Arrived(0, 9, 24.3, true)
+			c.Arrived(0, 9, 19.5, true)
 		}},
 		"cold, beyond chance": {Cold, func(c *Checker) {
 			c.Terms.MeanWork, c.Terms.FallMultiple = 1.25, 5
 			c.Started(9, Server{Can: cold})
-			c.Arrived(0, 9, 24.4, true)
+			c.Arrived(0, 9, 19.6, true)
 		}},
 		"cold, fell by untold ones first": {"", func(c *Checker) {
 			c.Started(9, Server{Can: cold})
--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -16,6 +16,7 @@
 		w.tell(i, control.Response{ID: a.ID, Server: a.Server, Reason: control.Moot, Done: true})
 		return
 	}
+	w.nodes[i].rejectedInRow = 0
 	n := t.sends
 	t.sends++
 	sent := w.Now()
--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lockflow/control"
 	"lockflow/internal/fleetrules"
 )
 
@@ -27,9 +28,11 @@
 	lingers     bool          // some servers drain for long
 	fresh       bool          // customers are ever new
 	quotas      *quotaDay     // customers are those of a world of quotas
+	// settings changes what the settings of this day name; nil leaves the usual ones.
+	settings func(s *control.Settings)
 }
 
-// DayNames are the days that Day plays, in the order of the fleet test.
+// DayNames are the long days that Day plays, in the order of the fleet test. It plays the short day "throng" too.
 var DayNames = []string{"calm", "roll", "herd", "zone", "split", "join", "long"}
 
 // days are the scripts. A part p of the day is w.part(p).
@@ -80,6 +83,21 @@
 			w.At(w.part(0.35), w.deafen)
 		},
 	},
+	"throng": {does: "new servers join and others come back cold under a burst", spoilt: 0.005, script: func(w *world) {
+		for i, h := range w.hosts {
+			if i%4 == 0 {
+				w.At(w.part(0.25), func() { h.state = hostSilent })
+				w.At(w.part(0.35), func() { w.reboot(h) })
+			}
+		}
+		w.At(w.part(0.35), func() {
+			w.asked *= 2
+			for i := range len(w.hosts) / 4 {
+				w.boot(fmt.Sprintf("z%d", i%dayZones), i/dayCellSize)
+			}
+		})
+		w.At(w.part(0.85), func() { w.asked /= 2 })
+	}},
 	"long": {does: "servers and customers ever new", fresh: true, script: func(w *world) {
 		for k := range 8 {
 			w.replace(0.25, float64(k)/8, float64(k)/8+0.1)
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -26,6 +26,9 @@
 		},
 	}
 	w.plan.quotas.settings(&s)
+	if w.plan.settings != nil {
+		w.plan.settings(&s)
+	}
 	return s
 }
 
@@ -42,6 +45,7 @@
 		panic(fmt.Sprintf("the settings of a day: %v", err)) // ours, and the same each time
 	}
 	n.c, n.down, n.closing, n.held, n.knows, n.deafUntil = c, false, false, map[string]*try{}, map[uint32]int{}, 0
+	n.rejectedInRow = 0
 	n.life++
 	var now []listed
 	for _, h := range w.hosts {
@@ -174,7 +178,17 @@
 			w.later(t.call, w.plan.eager)
 		}
 	default:
+		w.rejected(w.nodes[i])
 		w.plan.quotas.refused(i, t)
 		w.later(t.call, w.plan.eager)
 	}
 }
+
+// rejected notes that an instance has rejected a request, and marks one that rejects all that it gets.
+func (w *world) rejected(n *node) {
+	if n.rejectedInRow == 0 {
+		n.rejectsSince = w.Now()
+	}
+	n.rejectedInRow++
+	n.rejectedAll = n.rejectedAll || n.rejectedInRow >= rejectedAllMin && w.Now()-n.rejectsSince >= rejectedAllFor
+}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -40,7 +40,11 @@
 	meterBack    = 2 // periods of a second: the one before the last that ended is told
 	termGrace    = 3 * time.Second
 	unitsTop     = 4
-	firstUse     = time.Hour // on the modules' clock
+
+	rejectedAllMin = 15 // requests rejected in a row, over so long or more, are all that an instance gets
+	rejectedAllFor = 4 * time.Second
+
+	firstUse = time.Hour // on the modules' clock
 )
 
 // DayOptions say what is played.
@@ -66,6 +70,8 @@
 	Served     float64                 `json:"served"`     // part of the worth asked inside quotas that was answered within its aim
 	Classes    map[string]float64      `json:"classes"`    // the same of each class
 	Thirds     [3]float64              `json:"thirds"`     // and of each third of the day
+	Plans      map[string]float64      `json:"plans"`      // and of each plan
+	Rejecting  float64                 `json:"rejecting"`  // part of the instances that rejected all that they got for 4 s
 	Starved    float64                 `json:"starved"`    // part of that worth whose customers were served under a tenth of theirs
 	Beyond     float64                 `json:"beyond"`     // part of the units sent on that were beyond quotas
 	Failed     float64                 `json:"failed"`     // part of the tries
@@ -122,6 +128,10 @@
 	knows        map[uint32]int // the life of each server of which it was told
 	deafSince    time.Duration  // its watch has fallen silent
 	deafUntil    time.Duration  // and is open anew; 0 is never silent
+
+	rejectedInRow int           // requests rejected with no attempt in between
+	rejectsSince  time.Duration // the first of them
+	rejectedAll   bool          // they were rejectedAllMin or more over rejectedAllFor, once
 }
 
 // customer is a client's name with its demand.
@@ -190,6 +200,7 @@
 	meterDown        bool
 	worth            worthOf // of all
 	classes          [2]worthOf
+	plans            []worthOf
 	thirds           [3]worthOf
 	customers        map[*dayCustomer]*worthOf
 	sentUnits        float64
@@ -222,7 +233,7 @@
 		own = &worthOf{}
 		w.customers[c.cust] = own
 	}
-	for _, one := range []*worthOf{&w.worth, &w.classes[c.class], &w.thirds[third], own} {
+	for _, one := range []*worthOf{&w.worth, &w.classes[c.class], &w.plans[c.cust.plan], &w.thirds[third], own} {
 		one.asked += asked
 		one.served += served
 	}
@@ -257,6 +268,7 @@
 		stores: map[string]*quota{}, used: map[string]*meter{}, customers: map[*dayCustomer]*worthOf{},
 	}
 	w.rules = w.settings(0)
+	w.plans = make([]worthOf, len(w.rules.Plans))
 	w.check = fleetrules.New(fleetrules.Terms{
 		AnswerGrace: 55 * time.Millisecond, DrainGrace: 2050 * time.Millisecond,
 		Fall: 2 * time.Second, FallMultiple: 2.5, MeanWork: dayWork,
@@ -282,10 +294,18 @@
 
 func (w *world) report() DayReport {
 	r := w.rep
-	r.Served, r.Classes = w.worth.part(), map[string]float64{}
+	r.Served, r.Classes, r.Plans = w.worth.part(), map[string]float64{}, map[string]float64{}
 	for i := range w.classes {
 		r.Classes[w.rules.Classes[i].Name] = w.classes[i].part()
 	}
+	for i := range w.plans {
+		r.Plans[w.rules.Plans[i].Name] = w.plans[i].part()
+	}
+	for _, n := range w.nodes {
+		if n.rejectedAll {
+			r.Rejecting += 1 / float64(len(w.nodes))
+		}
+	}
 	for i := range w.thirds {
 		r.Thirds[i] = w.thirds[i].part()
 	}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -69,7 +69,7 @@
 		p.Stages = DefaultStages()
 	}
 	if p.AtOnce <= 0 {
-		// What starts anew knows of no cold server. The cold rule gives a group of N a slack of 3 root N:
+		// What starts anew knows of no cold server. The cold rule gives a group of N a slack of 2 root N + 2:
 		// root N such members at once stay inside it.
 		p.AtOnce = max(1, int(math.Sqrt(float64(len(p.Members)))))
 	}
