Check at compile time that the controller has the optional module methods

The loop finds out by type assertions whether a module can transfer its state and report its concurrency limit. A rename in package control would have compiled and silently turned both off. Declarations of the interfaces stand in a file of their own, with an assertion that the controller implements them.

The package's tests pass.

--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -3,23 +3,11 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
 	"lockflow/control"
 	"lockflow/internal/upstream"
 )
 
-// StatefulModule is a Module that can hand over what it has spent and learned. *control.Controller is
-// one; a service of another module starts like one that knows nothing.
-type StatefulModule interface {
-	Module
-	Checkpoint(now time.Duration) control.Checkpoint
-	HandOver(now time.Duration, give float64) control.Checkpoint
-	Restore(now time.Duration, c control.Checkpoint, trust control.Trust)
-	Rejoin(now time.Duration, given *control.Checkpoint)
-	Alone()
-}
-
 // State is what a service has spent and learned. It can be written and read by another process.
 type State struct {
 	Checkpoint control.Checkpoint `cbor:"checkpoint"`
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -17,13 +17,6 @@
 	"lockflow/internal/upstream"
 )
 
-// Module decides for one service. It is fed events and returns what is to be done; the slice
-// holds until the next call. *control.Controller is one. It is used by one goroutine. One that is
-// an io.Closer is closed at its end, also where that is a panic of its own.
-type Module interface {
-	Handle(now time.Duration, e control.Event) []control.Action
-}
-
 // maxIdleWorkers is how many workers wait for attempts at most.
 const maxIdleWorkers = 32
 
@@ -99,7 +92,7 @@
 
 // concurrencyLimit is how many attempts the module lets out at once; 0 where it doesn't tell.
 func (l *loop) concurrencyLimit() float64 {
-	if m, ok := l.module.(interface{ Bound() float64 }); ok {
+	if m, ok := l.module.(concurrencyLimiter); ok {
 		return m.Bound()
 	}
 	return 0
