Wait for both late answers in TestStalled before it asks again

Cause: the test polled until an answer held all three parts, and then expected four queries to be settled, that is one poll. The first of c's two late answers makes its module's latency as long as the latency objective of the class. From then on control.onRequest admits a request only while no attempt is in flight, and refuses any other as too late at once. A poll that came between the two late answers was answered without c, without c being sent anything, and was a query of its own.

The test now waits until no service holds an attempt, which is that event, and asks once: that answer has to hold all parts, three queries have to be settled then (at least three before), and four at the end as before.

--- a/internal/scattergathertest/node_test.go
+++ b/internal/scattergathertest/node_test.go
@@ -269,13 +269,13 @@
 		t.Errorf("asked %d, %d and %d times", r.a.Count(), r.b.Count(), r.c.Count())
 	}
 	before := r.Gathers()[0].Learned
-	r.c.release()                                       // late answers teach, and are nobody's
-	testkit.Until(t, "it is there again", func() bool { // its module has seen it slow
-		a := r.ask("GET", "/x", "")
-		return a.parts == "3/3" && a.body == of("a", "b", "c")
-	})
+	r.c.release() // late answers teach, and are nobody's
+	// The first late answer makes c look as slow as its latency objective. Its module then admits a request only
+	// while no attempt is in flight, so the next query has to wait until both late answers are in.
+	r.idle()
+	r.is(r.ask("GET", "/x", ""), 200, "3/3", "", of("a", "b", "c"))
 	r.idle()
-	if after := r.Gathers()[0].Learned; after.Sketches < before.Sketches || after.Queries < 3 {
+	if after := r.Gathers()[0].Learned; after.Sketches < before.Sketches || after.Queries != 3 {
 		t.Errorf("%+v after %+v", after, before)
 	}
 	// A client that leaves ends all.
