Measure upgrades between another build and this one, in both directions

It fails, and names what was not kept: requests without one final answer, effects twice, updates rejected, a hard limit passed or left unused, tokens, the concurrency limit or latencies not handed over, fields of checkpoints and status that do not survive reading and writing, claims and orders lost. cmd/lockflow's test runs it with this program on both sides.

Trials with a field of the checkpoint renamed failed.

--- /dev/null
+++ b/cmd/lockflow/skew_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"io"
+	"os"
+	"testing"
+
+	"lockflow/internal/testkit"
+	"lockflow/internal/versionskew"
+)
+
+// Two builds take each other's place under load and by their files, and nothing is lost between them; here both
+// are this one. lockflow measure upgrade --previous PATH is the same with another build.
+func TestBuildsTakeEachOthersPlace(t *testing.T) {
+	report, err := versionskew.Run(t.Context(), versionskew.Options{
+		Previous: build(t), Current: build(t), Dir: testkit.ShortDir(t),
+		Env: os.Environ(), Rounds: 1, Clients: 4, Requests: 100, Progress: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	const steps = 6 // upgrades under load, idle upgrades and restarts, each there and back
+	if len(report.Steps) != steps || report.Updates.Served == 0 {
+		t.Errorf("%+v", report)
+	}
+	t.Logf("%+v", report)
+}
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -16,6 +16,7 @@
 
 	"lockflow/internal/balancesim"
 	"lockflow/internal/measure"
+	"lockflow/internal/versionskew"
 )
 
 func measureCommand() command {
@@ -33,6 +34,7 @@
 			"lockflow measure reload --rounds 3 --for 12s    # reloads every 150 ms beside none",
 			"lockflow measure gather --rounds 3                # a scattered query beside the same calls made plainly",
 			"lockflow measure upgrade --rounds 5             # the p99 around upgrades beside quiet seconds",
+			"lockflow measure upgrade --previous /usr/local/bin/lockflow-old --rounds 3   # that build and this one, in both directions",
 			"lockflow measure fleet --instances 40 --for 10m --seed 1   # reloads, upgrades, ends and kills by chance",
 			"lockflow measure faults --seeds 200 --processes 5 --for 3s   # scripts of faults between processes",
 			"lockflow measure rollout --processes 4   # coordinators of staged changes killed at each write of their journal",
@@ -60,6 +62,9 @@
 			set.IntVar(&fl.Servers, "servers", 8, "fleet: `N` app servers of two cores each")
 			set.DurationVar(&fl.Work, "work", 25*time.Millisecond, "fleet: `TIME` of a call on a core")
 			set.Uint64Var(&fl.Seed, "seed", 1, "fleet, faults, change: `N` of the disturbances' chance")
+			var skew versionskew.Options
+			set.StringVar(&skew.Previous, "previous", "", "upgrade: `PATH` of another build, from which and to which is upgraded")
+			set.IntVar(&skew.Requests, "requests", skewRequests, "upgrade, with --previous: `N` answered between two changes")
 			var fa measure.FaultsOptions
 			script := faultFlags(set, &fa)
 			kinds := set.String("kinds", "settings,program", "rollout: `KIND,KIND...` of changes: settings, program")
@@ -97,6 +102,9 @@
 						Rounds: *rounds, Lasts: *lasts, Every: 150 * time.Millisecond, Clients: 48,
 						Progress: e.Err,
 					}, *asJSON)
+				case what == "upgrade" && skew.Previous != "":
+					skew.Rounds = *rounds
+					return measureSkew(ctx, e, skew, *asJSON)
 				case what == "upgrade":
 					return measureUpgrades(ctx, e, measure.UpgradeOptions{Upgrades: *rounds, Every: *lasts, Clients: 16, Progress: e.Err}, *asJSON)
 				case what == "fleet":
--- /dev/null
+++ b/internal/command/measureskew.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"lockflow/internal/versionskew"
+)
+
+// Bounds of measure upgrade --previous.
+const (
+	skewRoundsMax     = 50
+	skewTimeout       = 30 * time.Minute
+	skewClients       = 8
+	skewRequests      = 1000 // answered between two changes, unless --requests says otherwise
+	skewRequestsLimit = 1_000_000
+)
+
+// measureSkew has another build and this program take each other's place under load.
+func measureSkew(ctx context.Context, e *Env, o versionskew.Options, asJSON bool) (err error) {
+	if o.Rounds > skewRoundsMax || o.Requests < 1 || o.Requests > skewRequestsLimit {
+		return usage("measure upgrade --previous takes --rounds from 1 to %d and --requests from 1 to %d", skewRoundsMax, skewRequestsLimit)
+	}
+	if o.Previous, err = filepath.Abs(o.Previous); err != nil {
+		return fmt.Errorf("finding the previous build: %w", err)
+	}
+	if info, err := os.Stat(o.Previous); err != nil || info.IsDir() {
+		return usage("measure upgrade: --previous %s is no program", o.Previous)
+	}
+	if o.Current, err = os.Executable(); err != nil {
+		return fmt.Errorf("finding the program's own file: %w", err)
+	}
+	if o.Dir, err = os.MkdirTemp("", "lockflow-"); err != nil {
+		return fmt.Errorf("trying two builds: %w", err)
+	}
+	o.Env, o.Clients, o.Progress = os.Environ(), skewClients, e.Err
+	ctx, cancel := context.WithTimeout(ctx, skewTimeout)
+	defer cancel()
+	report, err := versionskew.Run(ctx, o)
+	if err != nil {
+		fmt.Fprintf(e.Err, "the daemon's files are left in %s\n", o.Dir)
+		return err
+	}
+	if asJSON {
+		err = json.NewEncoder(e.Out).Encode(report)
+	} else {
+		err = report.Print(e.Out)
+	}
+	if err != nil {
+		return err
+	}
+	if len(report.Violations) > 0 {
+		fmt.Fprintf(e.Err, "the daemon's files are left in %s\n", o.Dir)
+		return errTold
+	}
+	return os.RemoveAll(o.Dir)
+}
--- /dev/null
+++ b/internal/versionskew/compare.go
@@ -0,0 +1,120 @@
+package versionskew
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lockflow/internal/manage"
+	"lockflow/internal/state"
+)
+
+// stateHeader is the length of what precedes the CBOR of a checkpoint file: a magic string and a checksum.
+const stateHeader = len("lockflow state\n") + 4
+
+// checkpointDifferences reads a checkpoint file as this build does and writes it again: the paths whose values
+// did not survive that are fields that this build names, or means, otherwise.
+func checkpointDifferences(raw []byte) (state.State, []string, error) {
+	decoded, err := state.Decode(raw)
+	if err != nil {
+		return state.State{}, nil, err
+	}
+	again, err := state.Encode(decoded)
+	if err != nil {
+		return state.State{}, nil, err
+	}
+	var before, after any
+	if err := cbor.Unmarshal(raw[stateHeader:], &before); err != nil {
+		return state.State{}, nil, fmt.Errorf("reading a checkpoint: %w", err)
+	}
+	if err := cbor.Unmarshal(again[stateHeader:], &after); err != nil {
+		return state.State{}, nil, fmt.Errorf("reading a checkpoint: %w", err)
+	}
+	return decoded, differences(before, after, reflect.DeepEqual), nil
+}
+
+// statusDifferences is checkpointDifferences of the control socket's status.
+func statusDifferences(raw []byte) (manage.Status, []string, error) {
+	var decoded manage.Status
+	if err := json.Unmarshal(raw, &decoded); err != nil {
+		return decoded, nil, fmt.Errorf("reading a status: %w", err)
+	}
+	again, err := json.Marshal(decoded)
+	if err != nil {
+		return decoded, nil, fmt.Errorf("writing a status: %w", err)
+	}
+	paths, err := jsonDifferences(raw, again, reflect.DeepEqual)
+	return decoded, paths, err
+}
+
+// keyDifferences are the paths that only one of two JSON texts has, whatever their values.
+func keyDifferences(a, b []byte) ([]string, error) {
+	return jsonDifferences(a, b, func(any, any) bool { return true })
+}
+
+func jsonDifferences(a, b []byte, equal func(a, b any) bool) ([]string, error) {
+	var trees [2]any
+	for i, raw := range [][]byte{a, b} {
+		decoder := json.NewDecoder(bytes.NewReader(raw))
+		decoder.UseNumber()
+		if err := decoder.Decode(&trees[i]); err != nil {
+			return nil, fmt.Errorf("reading a status: %w", err)
+		}
+	}
+	return differences(trees[0], trees[1], equal), nil
+}
+
+// differences are the paths at which two trees of maps, slices and values differ.
+func differences(a, b any, equal func(a, b any) bool) []string {
+	var paths []string
+	walk("", a, b, equal, &paths)
+	slices.Sort(paths)
+	return slices.Compact(paths)
+}
+
+func walk(path string, a, b any, equal func(a, b any) bool, paths *[]string) {
+	left, right := entries(a), entries(b)
+	if left == nil || right == nil {
+		if (left == nil) != (right == nil) || !equal(a, b) {
+			*paths = append(*paths, path)
+		}
+		return
+	}
+	for key, value := range left {
+		other, ok := right[key]
+		if !ok {
+			*paths = append(*paths, path+"."+key)
+			continue
+		}
+		walk(path+"."+key, value, other, equal, paths)
+	}
+	for key := range right {
+		if _, ok := left[key]; !ok {
+			*paths = append(*paths, path+"."+key)
+		}
+	}
+}
+
+// entries are the children of a map or slice by their keys; nil of any other value.
+func entries(tree any) map[string]any {
+	all := make(map[string]any)
+	switch tree := tree.(type) {
+	case map[string]any:
+		return tree
+	case map[any]any:
+		for key, value := range tree {
+			all[fmt.Sprint(key)] = value
+		}
+	case []any:
+		for i, value := range tree {
+			all[fmt.Sprintf("[%d]", i)] = value
+		}
+	default:
+		return nil
+	}
+	return all
+}
--- /dev/null
+++ b/internal/versionskew/compare_test.go
@@ -0,0 +1,107 @@
+package versionskew
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lockflow/control"
+	"lockflow/internal/codec"
+	"lockflow/internal/manage"
+	"lockflow/internal/service"
+	"lockflow/internal/state"
+)
+
+func exampleCheckpoint(t *testing.T) []byte {
+	t.Helper()
+	raw, err := state.Encode(state.State{At: time.Unix(1e9, 0).UTC(), Services: map[string]service.State{"a": {
+		Checkpoint: control.Checkpoint{
+			Version: control.CheckpointVersion, Bound: 12.5,
+			Servers:   []control.ServerState{{Server: 3, Latency: 0.1}},
+			Customers: []control.Spent{{ID: "1", Plan: reservedPlan, Ceiling: 7, Own: []control.Amount{{Bin: 9, V: 2}}}},
+		},
+		Servers: map[uint32]string{3: "s-3"},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// changed is a checkpoint file whose content was changed by another build.
+func changed(t *testing.T, raw []byte, change func(customer map[any]any)) []byte {
+	t.Helper()
+	var tree map[any]any
+	if err := cbor.Unmarshal(raw[stateHeader:], &tree); err != nil {
+		t.Fatal(err)
+	}
+	checkpoint := tree["services"].(map[any]any)["a"].(map[any]any)["checkpoint"].(map[any]any)
+	change(checkpoint["customers"].([]any)[0].(map[any]any))
+	body, err := cbor.Marshal(tree)
+	if err != nil {
+		t.Fatal(err)
+	}
+	header := binary.BigEndian.AppendUint32(raw[:stateHeader-4:stateHeader-4], codec.Sum(body))
+	return append(header, body...)
+}
+
+func TestCheckpointOfTheSameBuildIsUnderstood(t *testing.T) {
+	decoded, paths, err := checkpointDifferences(exampleCheckpoint(t))
+	if err != nil || len(paths) > 0 {
+		t.Errorf("%v %v", paths, err)
+	}
+	if tokens(decoded) != 7 || limitOf(decoded) != 12.5 || latencies(decoded)["s-3"] != 0.1 {
+		t.Errorf("%+v", decoded)
+	}
+}
+
+// A field that another build writes by another name, or not at all, is told by its path.
+func TestRenamedFieldOfACheckpointIsFound(t *testing.T) {
+	const customer = ".services.a.checkpoint.customers.[0]"
+	for name, tc := range map[string]struct {
+		change func(customer map[any]any)
+		want   []string
+	}{
+		"renamed": {func(c map[any]any) { c["used"] = c["Own"]; delete(c, "Own") }, []string{customer + ".Own", customer + ".used"}},
+		"missing": {func(c map[any]any) { delete(c, "level") }, []string{customer + ".level"}},
+		"more":    {func(c map[any]any) { c["new"] = 1 }, []string{customer + ".new"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, paths, err := checkpointDifferences(changed(t, exampleCheckpoint(t), tc.change))
+			if err != nil || !slices.Equal(paths, tc.want) {
+				t.Errorf("%v %v", paths, err)
+			}
+		})
+	}
+}
+
+func TestRenamedKeyOfAStatusIsFound(t *testing.T) {
+	raw, err := json.Marshal(manage.Status{PID: 7, Listeners: []string{"a"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, paths, err := statusDifferences(raw); err != nil || len(paths) > 0 {
+		t.Errorf("the same build's: %v %v", paths, err)
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(raw, &tree); err != nil {
+		t.Fatal(err)
+	}
+	tree["process"] = tree["pid"]
+	delete(tree, "pid")
+	other, err := json.Marshal(tree)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{".pid", ".process"}
+	if _, paths, err := statusDifferences(other); err != nil || !slices.Equal(paths, want) {
+		t.Errorf("%v %v", paths, err)
+	}
+	if paths, err := keyDifferences(raw, other); err != nil || !slices.Equal(paths, want) {
+		t.Errorf("%v %v", paths, err)
+	}
+}
--- /dev/null
+++ b/internal/versionskew/load.go
@@ -0,0 +1,205 @@
+package versionskew
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lockflow/internal/fake"
+	"lockflow/internal/testbench"
+)
+
+// Figures of the load; rates and bursts are those of config.toml.
+const (
+	requestTimeout = 10 * time.Second
+	serverCount    = 4
+	serverCores    = 4
+	serverWork     = 5 * time.Millisecond
+	keyWindow      = 60 * time.Second
+
+	standardCustomers = 500
+	limitedFrom       = 1 << 20 // first customer of the limited plan
+	limitedCustomers  = 2
+	limitedRate       = 10
+	limitedBurst      = 40
+	limitedSlack      = 8
+	limitedInterval   = 10 * time.Millisecond // between requests: five times what both may send
+	reservedCustomer  = 1 << 19
+)
+
+// Kinds of requests, as the report calls them.
+const (
+	kindUpdate  = "updates"
+	kindRead    = "reads"
+	kindLimited = "limited"
+)
+
+// backends are the app servers with what they watch.
+type backends struct {
+	*testbench.Pool
+	limit *fake.Ceiling
+}
+
+func startBackends() (*backends, error) {
+	limit := &fake.Ceiling{Rate: limitedRate, Burst: limitedBurst, From: limitedFrom}
+	group := &fake.Group{Window: keyWindow}
+	servers := make([]fake.Server, serverCount)
+	for i := range servers {
+		servers[i] = fake.Server{UID: fmt.Sprint("backend-", i+1), Group: group, Ceiling: limit, Work: serverWork, Cores: serverCores, Queue: 256}
+	}
+	pool, err := testbench.StartPool(servers)
+	if err != nil {
+		return nil, err
+	}
+	return &backends{pool, limit}, nil
+}
+
+// source lists the servers as a configuration does.
+func (b *backends) source() string {
+	entries := make([]string, len(b.Servers))
+	for i, server := range b.Servers {
+		entries[i] = fmt.Sprintf("{ uid = %q, endpoint = %q }", server.UID, server.Addr())
+	}
+	return strings.Join(entries, ", ")
+}
+
+// load is clients that send while processes change.
+type load struct {
+	stop    context.CancelFunc
+	begun   time.Time
+	clients []*fake.Run // of the standard plan: with connections that they keep, and with new ones
+	limited *fake.Run
+
+	mu       sync.Mutex
+	answered int
+	changed  chan struct{} // closed at the next answer
+}
+
+// startLoad starts twice n clients within their limits, and some that ask for more than theirs.
+func startLoad(ctx context.Context, addr string, n int) *load {
+	ctx, stop := context.WithCancel(ctx)
+	l := &load{stop: stop, begun: time.Now(), changed: make(chan struct{})}
+	standard := fake.Clients{Addr: addr, Workers: n, Seed: 1, Call: standardCall, Seen: func(fake.Answer) { l.count() }}
+	fresh := standard
+	fresh.Fresh, fresh.Seed = true, 2
+	l.clients = []*fake.Run{standard.Start(ctx), fresh.Start(ctx)}
+	l.limited = fake.Clients{Addr: addr, Workers: 50, Seed: 3, Every: limitedInterval, Call: limitedCall}.Start(ctx)
+	return l
+}
+
+// standardCall is an update, or a read of a class that is shed first.
+func standardCall(rng *rand.Rand) fake.Call {
+	call := fake.Call{
+		Kind: kindRead, Host: "care.example", Method: http.MethodGet, Path: "/roster-read/week", Plan: "standard",
+		Customer: rng.Uint64N(standardCustomers), Deadline: requestTimeout,
+	}
+	if rng.IntN(2) == 0 {
+		call.Kind, call.Method, call.Path, call.Body, call.Key = kindUpdate, http.MethodPost, "/visit-update", "swap",
+			strconv.FormatUint(rng.Uint64(), 16)
+	}
+	return call
+}
+
+func limitedCall(rng *rand.Rand) fake.Call {
+	return fake.Call{
+		Kind: kindLimited, Host: "care.example", Method: http.MethodGet, Path: "/roster-read/week", Plan: "limited",
+		Customer: limitedFrom + rng.Uint64N(limitedCustomers), Deadline: requestTimeout,
+	}
+}
+
+func (l *load) count() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answered++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// seen is the number of answers so far, and a channel that is closed at the next one.
+func (l *load) seen() (int, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answered, l.changed
+}
+
+// await waits for n more answers.
+func (l *load) await(ctx context.Context, n int) error {
+	until, _ := l.seen()
+	until += n
+	for {
+		now, changed := l.seen()
+		if now >= until {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for answers: %w", ctx.Err())
+		}
+	}
+}
+
+// finish ends the load and adds what came of it to a report.
+func (l *load) finish(r *Report, b *backends) {
+	l.stop()
+	for _, run := range l.clients {
+		results := run.Wait()
+		r.Updates.add(results[kindUpdate])
+		r.Reads.add(results[kindRead])
+	}
+	r.Limited.add(l.limited.Wait()[kindLimited])
+	r.Limit.Allowed = time.Since(l.begun).Seconds() * limitedRate * limitedCustomers
+	r.Limit.Excess, r.Limit.Units = b.limit.Over()
+	counts := b.Tally.Counts()
+	r.Servers = ServerReport{DuplicateEffects: counts.Twice, ConcurrentAttempts: counts.MostAtOne}
+}
+
+func (r *Requests) add(result *fake.Result) {
+	if result == nil {
+		return
+	}
+	r.Sent += result.Tries
+	r.Served += result.Served
+	r.Rejected += result.Refused
+	r.Failed += result.Failed
+	r.Unanswered += result.Lost
+	r.Mismatched += result.Wrong
+	r.Disconnected += result.Closed
+	r.P99 = max(r.P99, result.P(0.99))
+}
+
+// spend sends one request of the reserved customer, which takes units of its token bucket.
+func spend(ctx context.Context, addr string, units int) error {
+	url := fmt.Sprintf("http://%s/roster-read/week?account=%016x", addr, reservedCustomer)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("asking as the reserved customer: %w", err)
+	}
+	request.Host = "care.example"
+	id := "reserved-" + strconv.FormatInt(time.Now().UnixNano(), 16)
+	for name, value := range map[string]string{
+		"X-Correlation-Id": id, "X-Tariff": "reserved", "X-Time-Left": "10000m",
+		"X-Weight": fmt.Sprintf("units=%d,spread=1,first=0", units),
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return fmt.Errorf("asking as the reserved customer: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("asking as the reserved customer: %w", err)
+	}
+	if response.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), " "+id) {
+		return fmt.Errorf("asking as the reserved customer: %s: %s", response.Status, body)
+	}
+	return nil
+}
