--- /dev/null
+++ b/control/golden_test.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lockflow/internal/testkit"
+)
+
+// Files of earlier builds; go test ./control -run Golden -update writes them anew.
+const goldenDir = "testdata/golden"
+
+// What is stored of a controller is written, and read, under the keys that earlier builds had.
+func TestGoldenStoredTypes(t *testing.T) {
+	for name, v := range map[string]any{"settings": &Settings{}, "checkpoint": &Checkpoint{}, "image": &Image{}} {
+		testkit.GoldenSample(t, "cbor", filepath.Join(goldenDir, name+".cbor"), v)
+	}
+}
+
+// goldenRun is an image of a run, with the settings that it was taken under.
+type goldenRun struct {
+	Settings Settings `cbor:"settings"`
+	Image    Image    `cbor:"image"`
+}
+
+// A controller that an earlier build has written an image of is resumed, and its image has the same keys and values.
+func TestGoldenImageOfARun(t *testing.T) {
+	var raw []byte
+	if testkit.Updating() {
+		raw = runImage(t)
+	}
+	raw = testkit.GoldenBytes(t, filepath.Join(goldenDir, "run.cbor"), raw)
+	var run goldenRun
+	if err := cbor.Unmarshal(raw, &run); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Resume(run.Settings, run.Image)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := cbor.Marshal(goldenRun{run.Settings, c.Image()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want, got any
+	if err := cbor.Unmarshal(raw, &want); err != nil {
+		t.Fatal(err)
+	}
+	if err := cbor.Unmarshal(again, &got); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("the image of what was resumed is\n%v\nnot\n%v", got, want)
+	}
+}
+
+// runImage is the image of a short run at a moment when something of every kind is in it.
+func runImage(t *testing.T) []byte {
+	w := play(t, 39, 30)
+	s := w.c.Image()
+	for range 1_000 {
+		if len(s.Requests) > 0 && len(s.Attempts) > 0 && len(s.Plans[0].Queue) > 0 && len(s.Ghosts) > 0 {
+			break
+		}
+		w.step()
+		s = w.c.Image()
+	}
+	raw, err := cbor.Marshal(goldenRun{w.set, s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"io"
 	"log/slog"
 	"os"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/spf13/cobra/doc"
+
+	"lockflow/internal/testkit"
 )
 
 const example = "../../deploy/lockflow.toml"
@@ -141,14 +142,12 @@
 	}
 }
 
-var update = flag.Bool("update", false, "writes the golden files anew")
-
 // What each command says of itself is as in the golden files, from which the man page is made too.
 func TestHelp(t *testing.T) {
 	golden := func(name, got string) {
 		t.Helper()
 		path := filepath.Join("testdata", "help", name)
-		if *update {
+		if testkit.Updating() {
 			if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 				t.Fatal(err)
 			}
@@ -174,7 +173,7 @@
 // The man pages under docs/man are those of the commands as they are.
 func TestManPages(t *testing.T) {
 	dir, kept := t.TempDir(), filepath.Join("..", "..", "docs", "man")
-	if *update {
+	if testkit.Updating() {
 		if err := os.MkdirAll(kept, 0o755); err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/config/golden_test.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"lockflow/control"
+	"lockflow/internal/testkit"
+)
+
+// A change of everything that a plan compares is told under the keys that earlier builds told; go test
+// ./internal/config -run Golden -update writes the file anew. What values were and are is left out.
+func TestGoldenPlanKeys(t *testing.T) {
+	var after Config
+	for _, v := range []any{&after.Process, &after.Listeners, &after.Metrics, &after.Routes, &after.Services, &after.Gathers} {
+		testkit.Sample("", v)
+	}
+	was, is := Service{Name: "s"}, &after.Services[0]
+	is.Name = was.Name
+	is.Settings.Classes[0].Name, is.Settings.Plans[0].Name = "c", "p"
+	was.Settings.Classes, was.Settings.Plans = []control.Class{{Name: "c"}}, []control.Plan{{Name: "p"}}
+	after.Gathers[0].Name, after.Gathers[0].Parts[0].Name, after.Routes[0].Name = "g", "part", "r"
+	before := Config{Services: []Service{was}, Gathers: []Gather{{Name: "g", Parts: []GatherPart{{Name: "part"}}}}, Routes: make([]Route, 1)}
+	before.Routes[0].Name = "r"
+	var keys strings.Builder
+	for _, c := range Compare(before, after) {
+		keys.WriteString(string(c.Effect) + " " + c.What + "\n")
+	}
+	testkit.GoldenBytes(t, "testdata/golden/plan.txt", []byte(keys.String()))
+	testkit.GoldenSample(t, "json", "testdata/golden/plan.json", &Plan{})
+}
--- /dev/null
+++ b/internal/fleet/golden_test.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/rollout"
+	"lockflow/internal/rolloutlog"
+	"lockflow/internal/testkit"
+)
+
+// What is kept and printed of a rollout is read and written under the keys of earlier builds; go test
+// ./internal/fleet -run Golden -update writes the files anew.
+func TestGoldenRolloutTypes(t *testing.T) {
+	for name, v := range map[string]any{"change": &Change{}, "record": &record{}, "progress": &Progress{}, "answers": &[]Answer{}} {
+		testkit.GoldenSample(t, "json", "testdata/golden/"+name+".json", v)
+	}
+}
+
+// The journal of an earlier build's coordinator is read, and its records are written to the same bytes again.
+func TestGoldenJournal(t *testing.T) {
+	const path = "testdata/golden/rollout.db.gz"
+	var made []byte
+	if testkit.Updating() {
+		made = makeJournal(t)
+	}
+	dir := unpackJournal(t, testkit.GoldenBytes(t, path, made))
+	j, err := OpenJournal(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	want := sampleRecord()
+	if j.Change == nil || len(j.Entries) != 1 || !reflect.DeepEqual(j.Entries[0], want.Entry) {
+		t.Fatalf("change %v, entries %+v", j.Change, j.Entries)
+	}
+	records := j.Ledger.Records()
+	for i, v := range []any{&Change{}, &record{}} {
+		if err := testkit.RoundTrip("json", records[i], v); err != nil {
+			t.Errorf("record %d: %v", i+1, err)
+		}
+	}
+	if err := testkit.RoundTrip("json", j.Ledger.Note(), &Progress{}); err != nil {
+		t.Error(err)
+	}
+	if p, err := Last(dir); err != nil || p == nil || p.Counts[want.Entry.Kind] != 1 {
+		t.Errorf("%+v, %v", p, err)
+	}
+}
+
+// sampleChange is a sample that a journal takes for a change.
+func sampleChange() Change {
+	var c Change
+	testkit.Sample("json", &c)
+	c.Form, c.Kind = form, desiredstate.Settings
+	c.Texts = map[string]string{desiredstate.Hash([]byte("new")): "new"}
+	p := &c.Plan
+	p.Members[0].Gens = []string{desiredstate.Hash([]byte("old")), desiredstate.Hash([]byte("new"))}
+	p.Order = [][]string{{p.Members[0].Region}}
+	p.Stages = rollout.Stages{{Count: 1}, {Share: 1}}
+	p.BakeMost = p.Bake + 1
+	return c
+}
+
+func sampleRecord() record {
+	var r record
+	testkit.Sample("json", &r)
+	return r
+}
+
+// makeJournal writes a journal as a coordinator does, and packs its file.
+func makeJournal(t *testing.T) []byte {
+	dir := t.TempDir()
+	l, err := rolloutlog.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var note Progress
+	testkit.Sample("json", &note)
+	for _, step := range []struct {
+		do func([]byte) error
+		v  any
+	}{{l.Begin, sampleChange()}, {l.Append, sampleRecord()}, {l.Tell, note}} {
+		raw, err := json.Marshal(step.v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := step.do(raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+	raw, err := os.ReadFile(filepath.Join(dir, "rollout.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	if _, err := z.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return packed.Bytes()
+}
+
+func unpackJournal(t *testing.T, packed []byte) (dir string) {
+	z, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := io.ReadAll(z)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir = t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "rollout.db"), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
--- /dev/null
+++ b/internal/metrics/golden_test.go
@@ -0,0 +1,53 @@
+package metrics
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+
+	"lockflow/internal/manage"
+	"lockflow/internal/node"
+	"lockflow/internal/scattergather"
+	"lockflow/internal/service"
+	"lockflow/internal/testbench/labtest"
+	"lockflow/internal/testkit"
+)
+
+// sampled is a source that tells samples, and the counts of a service that has had no request.
+type sampled struct {
+	status    []node.Status
+	gathering []scattergather.Status
+	member    manage.Status
+	counts    map[string]*service.RequestCounts
+}
+
+func (s *sampled) Status() []node.Status                     { return s.status }
+func (s *sampled) Generation() int                           { return 3 }
+func (s *sampled) Older() []node.Older                       { return make([]node.Older, 2) }
+func (s *sampled) Counts() map[string]*service.RequestCounts { return s.counts }
+func (s *sampled) Gathers() []scattergather.Status           { return s.gathering }
+func (s *sampled) Member() manage.Status                     { return s.member }
+
+// A scrape has the names, kinds, labels and values that it had from earlier builds; go test ./internal/metrics
+// -run Golden -update writes the file anew. Help texts and what the process tells of itself are left out, and
+// lines are sorted.
+func TestGoldenMetrics(t *testing.T) {
+	text := strings.Replace(testkit.Small, "[process]", "[metrics]\naddress = \"127.0.0.1:0\"\n[process]", 1)
+	s := sampled{counts: labtest.Begin(t, text, nil).Node.Counts()}
+	testkit.Sample("json", &s.status)
+	testkit.Sample("json", &s.gathering)
+	testkit.Sample("json", &s.member)
+	var page bytes.Buffer
+	if err := Write(&page, &s); err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for line := range strings.Lines(page.String()) {
+		if strings.HasPrefix(line, "lockflow_") || strings.HasPrefix(line, "# TYPE lockflow_") {
+			lines = append(lines, line)
+		}
+	}
+	slices.Sort(lines)
+	testkit.GoldenBytes(t, "testdata/golden/metrics.txt", []byte(strings.Join(lines, "")))
+}
--- /dev/null
+++ b/internal/testkit/golden.go
@@ -0,0 +1,122 @@
+package testkit
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// update has tests write their golden files anew: go test ./internal/NAME -run Golden -update. What is stored
+// or sent then changes its form: nodes of earlier builds have to be able to read it, or its version goes up.
+// The files under testdata/golden were first written by this command on the build of commit d0af8e2, in which
+// keys still came from names of Go fields.
+var update = flag.Bool("update", false, "writes golden files anew")
+
+// Updating tells whether golden files are to be written anew.
+func Updating() bool { return *update }
+
+// GoldenBytes gives what a golden file holds. With -update it is got that is written there first; without, got may
+// be nil, and is compared to the file where it is not.
+func GoldenBytes(t testing.TB, path string, got []byte) []byte {
+	t.Helper()
+	if *update && got != nil {
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, got, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != nil && !bytes.Equal(got, want) {
+		t.Errorf("%s: what is written is not as it was: %s", path, firstDifference(got, want))
+	}
+	return want
+}
+
+// GoldenSample checks a type against the golden file of its Sample: the sample is written to the same bytes, and
+// what is read from the file, with no key unknown, is written to them again. v is a pointer to a zero value.
+func GoldenSample(t testing.TB, format, path string, v any) {
+	t.Helper()
+	sample := reflect.New(reflect.TypeOf(v).Elem()).Interface()
+	Sample(format, sample)
+	got, err := encode(format, sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := GoldenBytes(t, path, got)
+	if err := RoundTrip(format, want, v); err != nil {
+		t.Errorf("%s: %v", path, err)
+	}
+}
+
+// RoundTrip reads raw into what v points to and writes that again. An error is a key that the type does not know,
+// or one that it drops or changes.
+func RoundTrip(format string, raw []byte, v any) error {
+	if err := decode(format, raw, v); err != nil {
+		return fmt.Errorf("reading %T: %w", v, err)
+	}
+	again, err := encode(format, v)
+	if err != nil {
+		return fmt.Errorf("writing %T again: %w", v, err)
+	}
+	if !bytes.Equal(again, raw) {
+		return fmt.Errorf("%T is not written as it was read: %s", v, firstDifference(again, raw))
+	}
+	return nil
+}
+
+func encode(format string, v any) ([]byte, error) {
+	switch format {
+	case "cbor":
+		return cbor.Marshal(v)
+	case "json":
+		return json.Marshal(v)
+	}
+	return nil, fmt.Errorf("format %q is not known", format)
+}
+
+func decode(format string, raw []byte, v any) error {
+	switch format {
+	case "cbor":
+		mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+		if err != nil {
+			return err
+		}
+		return mode.Unmarshal(raw, v)
+	case "json":
+		d := json.NewDecoder(bytes.NewReader(raw))
+		d.DisallowUnknownFields()
+		if err := d.Decode(v); err != nil {
+			return err
+		}
+		if d.More() {
+			return errors.New("there is more behind it")
+		}
+		return nil
+	}
+	return fmt.Errorf("format %q is not known", format)
+}
+
+// firstDifference shows two texts from a little before the place where they part.
+func firstDifference(got, want []byte) string {
+	const before, shown = 24, 64
+	i := 0
+	for i < len(got) && i < len(want) && got[i] == want[i] {
+		i++
+	}
+	from := max(0, i-before)
+	cut := func(b []byte) []byte { return b[min(from, len(b)):min(i+shown, len(b))] }
+	return fmt.Sprintf("at byte %d %q is %q", i, cut(want), cut(got))
+}
--- /dev/null
+++ b/internal/testkit/golden_test.go
@@ -0,0 +1,77 @@
+package testkit
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+type stored struct {
+	Name  string               `json:"name" cbor:"name"`
+	Times map[string]time.Time `json:"times" cbor:"times"`
+	Inner *inner               `json:"inner" cbor:"inner"`
+	Skip  int                  `json:"-" cbor:"-"`
+}
+
+type inner struct {
+	Count int8    `json:"count" cbor:"count"`
+	Share float64 `json:"share" cbor:"share"`
+}
+
+// renamed is stored with other names in Go and another order: its sample is the same.
+type renamed struct {
+	Nested *struct {
+		Part   float64 `json:"share" cbor:"share"`
+		Number int8    `json:"count" cbor:"count"`
+	} `json:"inner" cbor:"inner"`
+	Label string               `json:"name" cbor:"name"`
+	At    map[string]time.Time `json:"times" cbor:"times"`
+}
+
+func TestSampleFollowsFromKeys(t *testing.T) {
+	var a stored
+	var b renamed
+	Sample("json", &a)
+	Sample("json", &b)
+	if a.Skip != 0 || a.Name == "" || len(a.Times) != 1 || a.Inner.Count == 0 || a.Inner.Share == 0 {
+		t.Errorf("%+v is not a full sample", a)
+	}
+	if a.Name != b.Label || a.Inner.Count != b.Nested.Number || a.Inner.Share != b.Nested.Part {
+		t.Errorf("%+v and %+v differ", a, b)
+	}
+}
+
+// What a reader does not know, and what it drops or changes, is an error.
+func TestRoundTrip(t *testing.T) {
+	var sample stored
+	Sample("json", &sample)
+	for _, format := range []string{"json", "cbor"} {
+		raw, err := encode(format, &sample)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := RoundTrip(format, raw, new(stored)); err != nil {
+			t.Error(err)
+		}
+		// The same length, so that CBOR stays whole.
+		for _, key := range []string{"name", "times", "inner", "count", "share"} {
+			other := strings.Replace(string(raw), key, strings.Repeat("x", len(key)), 1)
+			if other == string(raw) {
+				t.Fatalf("%s: there is no key %s", format, key)
+			}
+			if RoundTrip(format, []byte(other), new(stored)) == nil {
+				t.Errorf("%s: an unknown key in the place of %s is taken", format, key)
+			}
+		}
+	}
+	for raw, why := range map[string]string{
+		`{"name":"a","times":null,"inner":null}{}`:      "more behind",
+		`{"NAME":"a","times":null,"inner":null}`:        "not written as it was read",
+		`{"name":"a","times":null}`:                     "not written as it was read",
+		`{"name":"a","times":null,"inner":{},"more":1}`: "unknown field",
+	} {
+		if err := RoundTrip("json", []byte(raw), new(stored)); err == nil || !strings.Contains(err.Error(), why) {
+			t.Errorf("%s: %v, not %s", raw, err, why)
+		}
+	}
+}
--- /dev/null
+++ b/internal/waitpolicy/golden_test.go
@@ -0,0 +1,59 @@
+package waitpolicy
+
+import (
+	"bytes"
+	"testing"
+
+	"lockflow/internal/testkit"
+)
+
+// Sketches of an earlier build, which go test ./internal/waitpolicy -run Golden -update writes anew, are read, and
+// written to the same bytes again: those that a node stores, and those that it shares with others.
+func TestGoldenSketches(t *testing.T) {
+	for name, c := range map[string]struct {
+		encode func(*Model) ([]byte, error)
+		most   int
+	}{
+		"stored": {(*Model).Encode, MostState},
+		"shared": {(*Model).Shared, MostShared},
+	} {
+		var got []byte
+		if testkit.Updating() {
+			var err error
+			if got, err = c.encode(taught("c")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		raw := testkit.GoldenBytes(t, "testdata/golden/"+name, got)
+		s, err := decode(raw, c.most)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if len(s.Records) == 0 || name == "stored" && len(s.Common) == 0 {
+			t.Errorf("%s: it holds %d sketches and %d common factors", name, len(s.Records), len(s.Common))
+		}
+		if again, err := encode(s); err != nil || !bytes.Equal(again, raw) {
+			t.Errorf("%s: it is not written as it was read: %v", name, err)
+		}
+		const head = len(magic) + 4
+		if err := testkit.RoundTrip("cbor", raw[head:], new(state)); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// A model goes on from what an earlier build has stored.
+func TestGoldenSketchesAreRestored(t *testing.T) {
+	next := NewModel(parted(0.5, 1, 1), Options{})
+	if err := next.Restore(testkit.GoldenBytes(t, "testdata/golden/stored", nil), 0); err != nil {
+		t.Fatal(err)
+	}
+	if n := next.Stats().Sketches; n == 0 {
+		t.Error("nothing was restored")
+	}
+}
+
+// Every key of a sketch, those too that a short run leaves out.
+func TestGoldenSketchKeys(t *testing.T) {
+	testkit.GoldenSample(t, "cbor", "testdata/golden/sketches.cbor", &state{})
+}
