Mend the linter's findings in control, service, upstream, node, front, daemon, state

Errors are compared with errors.Is; what no test or caller reads is no longer a parameter, result or field; a constant block has its comment; front.BadRequest, which an exported interface names, is exported; listeners are opened with a context. Tests that ran a service or node and threw its error away check it (that of an "end" policy after a panic is expected). In the daemon, a node that fails while another error drains it adds its error to that one; it was lost.

go test of control, front, upstream, node, service, daemon, state and discovery passes.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -58,7 +58,7 @@
 }
 
 // do hands over one event and checks what holds for all actions.
-func (g *gate) do(e Event) []Action {
+func (g *gate) do(e Event) {
 	g.t.Helper()
 	acts := append([]Action{}, g.c.Handle(g.now, e)...)
 	for _, a := range acts {
@@ -78,7 +78,6 @@
 		}
 	}
 	g.acts = append(g.acts, acts...)
-	return acts
 }
 
 func (g *gate) end(id string, a Action) {
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -30,17 +30,16 @@
 }
 
 type ask struct {
-	class     Class
-	plan      string
-	customer  string
-	units     float64
-	end       time.Duration
-	sends     int
-	out       int
-	mayRun    bool
-	firstRun  time.Duration
-	firstSrv  uint32
-	cancelled bool
+	class    Class
+	plan     string
+	customer string
+	units    float64
+	end      time.Duration
+	sends    int
+	out      int
+	mayRun   bool
+	firstRun time.Duration
+	firstSrv uint32
 }
 
 type flight struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -249,16 +249,16 @@
 	handed := d.succ != nil && d.succ.phase == serving
 	switch {
 	case handed:
-		d.pid.Leave()
+		_ = d.pid.Leave() // a descriptor of the successor's file, which nothing is written to any more
 	case d.pred != nil && !d.keeper.own.Load(): // never took over
-		d.pid.Leave()
+		_ = d.pid.Leave() // as above, of the predecessor's
 	default:
-		d.pid.Close()
+		_ = d.pid.Close() // a file that stays is unlocked: whoever reads it can tell that nobody has it
 	}
 	if d.member != nil {
 		d.member.file.Close()
 	}
 	if d.store != nil {
-		d.store.Close()
+		_ = d.store.Close() // the lock alone: the state is written with an fsync and a rename
 	}
 }
--- a/internal/daemon/live.go
+++ b/internal/daemon/live.go
@@ -78,8 +78,8 @@
 						if l, ok := e.(drained); ok {
 							close(l.done)
 						}
-					case <-ended:
-						return err
+					case late := <-ended:
+						return errors.Join(err, late)
 					}
 				}
 			}
@@ -105,7 +105,7 @@
 	d.parts.Go(func() {
 		told := false
 		for ctx.Err() == nil {
-			l, err := net.Listen("tcp", addr)
+			l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
 			if err == nil {
 				slog.Info("telling metrics", "listen", l.Addr().String())
 				d.doubts.clear("metrics")
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -370,7 +370,7 @@
 	if err != nil {
 		return false
 	}
-	defer store.Close()
+	defer store.Close() //nolint:errcheck // the lock alone, which ends with its file
 	m, err := openMember(o.State, nil, &doubts{})
 	if err != nil {
 		return false
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -76,7 +76,7 @@
 	}
 	files := make(map[string]*os.File)
 	for addr, f := range sockets {
-		defer f.Close()
+		defer f.Close() //nolint:errcheck // a copy of a socket, which nothing is written to
 		files["listen:"+addr] = f
 	}
 	if f := d.pid.File(); f != nil {
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -50,7 +50,7 @@
 	if len(h["Content-Type"]) == 0 {
 		h["Content-Type"] = nil // not to be guessed from the body
 	}
-	if f.draining.Load() || c.Relay.Body != nil && !c.Relay.Body.Ended() {
+	if f.draining.Load() || c.Body != nil && !c.Body.Ended() {
 		h.Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(o.Idle))
@@ -66,7 +66,7 @@
 		w.WriteHeader(a.Status)
 		_, _ = w.Write(a.Body) // a client that has left is noticed by its context
 	case a.Stream.Tunnel:
-		o.tunnel(w, r, a)
+		o.tunnel(w, a)
 	default:
 		o.deliver(f, w, r, a)
 	}
@@ -111,7 +111,7 @@
 		for n := 0; first < unsent && err == nil; first += n {
 			n, err = s.Read((*room)[first:])
 		}
-		if err != nil && err != io.EOF {
+		if err != nil && !errors.Is(err, io.EOF) {
 			s.Close()
 			status, text := own(service.Answer{Kind: service.Failed, Status: http.StatusBadGateway})
 			keeps := h["Connection"]
@@ -163,7 +163,7 @@
 				err = io.EOF
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
@@ -186,7 +186,7 @@
 
 // tunnel passes bytes both ways until both sides have ended, one of them breaks, or none has sent
 // anything for the idle time.
-func (o *Ordinary) tunnel(w http.ResponseWriter, r *http.Request, a service.Answer) {
+func (o *Ordinary) tunnel(w http.ResponseWriter, a service.Answer) {
 	s := a.Stream
 	client, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -199,7 +199,7 @@
 	_ = client.SetDeadline(time.Time{})
 	_ = client.SetWriteDeadline(time.Now().Add(o.Idle))
 	buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\n")
-	h.Write(buffered)
+	_ = h.Write(buffered) // an error is kept for Flush
 	buffered.WriteString("\r\n")
 	if buffered.Flush() != nil {
 		return
@@ -263,7 +263,7 @@
 		var late net.Error
 		switch {
 		case err == nil:
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return false
 		case errors.As(err, &late) && late.Timeout() && time.Since(time.Unix(0, moved.Load())) < o.Idle:
 		default:
@@ -273,7 +273,7 @@
 }
 
 // Reject tells a client its mistake.
-func (o *Ordinary) Reject(f *Front, w http.ResponseWriter, r *http.Request, wrong *badRequest) {
+func (o *Ordinary) Reject(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest) {
 	if wrong.unread {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -50,17 +50,17 @@
 type Protocol interface {
 	// Read reads a request but for its body; first is the first segment of its path. The module
 	// must not hear of one that is wrong.
-	Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *badRequest)
+	Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest)
 	// Holds is the most bytes that are held of a request while it is served, beside its answer.
 	Holds(r *http.Request) int64
 	// Body reads what has to be there before the module hears of the request.
-	Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *badRequest
+	Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest
 	// Done ends what Body began; nothing of the request is read any more.
 	Done(x *service.Exchange)
 	// Give gives the client its final answer.
 	Give(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer)
 	// Reject tells a client its mistake.
-	Reject(f *Front, w http.ResponseWriter, r *http.Request, wrong *badRequest)
+	Reject(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest)
 }
 
 func (t *Target) speaks() Protocol {
@@ -185,7 +185,7 @@
 
 // find gives the target of a request, whose service is held for it: one that a reload removes
 // still serves what came before.
-func (f *Front) find(r *http.Request) (*Target, string, *badRequest) {
+func (f *Front) find(r *http.Request) (*Target, string, *BadRequest) {
 	for {
 		t := f.table.Load()
 		to, first, wrong := t.find(r)
@@ -196,7 +196,7 @@
 	}
 }
 
-func (t *Table) find(r *http.Request) (to *Target, first string, wrong *badRequest) {
+func (t *Table) find(r *http.Request) (to *Target, first string, wrong *BadRequest) {
 	if t.Router == nil {
 		return &t.Targets[0], firstSegment(r.URL), nil
 	}
@@ -234,7 +234,7 @@
 }
 
 // reject tells a client its mistake.
-func (f *Front) reject(w http.ResponseWriter, wrong *badRequest) {
+func (f *Front) reject(w http.ResponseWriter, wrong *BadRequest) {
 	if wrong.unread {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -87,7 +87,7 @@
 	m = &memory{conns: make(chan net.Conn), closed: make(chan struct{})}
 	f = New(&Table{Router: router, Targets: []Target{{Service: s, Body: 1 << 16}}}, func() bool { return true })
 	ctx, cancel := context.WithCancel(context.Background())
-	go s.Run(ctx)
+	go func() { _ = s.Run(ctx) }() // what the tests look at is what clients get
 	srv := f.Server()
 	go srv.Serve(m)
 	return m, f, s, func() { srv.Close(); cancel() }
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -57,7 +57,7 @@
 }
 
 // read holds a client's request to what can scatter.
-func (g *Gather) read(r *http.Request, class string) (name string, wait time.Duration, wrong *badRequest) {
+func (g *Gather) read(r *http.Request, class string) (name string, wait time.Duration, wrong *BadRequest) {
 	if c := wireOf(r); c != nil && c.bad() != nil {
 		wrong := bad(http.StatusBadRequest, "%v", c.bad())
 		wrong.unread = true
@@ -94,7 +94,7 @@
 	return class, wait, nil
 }
 
-func tooLong(most int64) *badRequest {
+func tooLong(most int64) *BadRequest {
 	wrong := bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", most)
 	wrong.unread = true
 	return wrong
@@ -131,7 +131,7 @@
 			g.release()
 		}
 	}()
-	reject := func(wrong *badRequest) {
+	reject := func(wrong *BadRequest) {
 		if wrong.unread {
 			w.Header().Set("Connection", "close")
 		}
@@ -170,7 +170,7 @@
 
 // calls makes each part's request, and books room for it. One without room is turned away by its
 // service, and is a part that is missing.
-func (g *Gather) calls(r *http.Request, class string, arrived time.Time, wait time.Duration) ([]scattergather.Call, *badRequest) {
+func (g *Gather) calls(r *http.Request, class string, arrived time.Time, wait time.Duration) ([]scattergather.Call, *BadRequest) {
 	calls := make([]scattergather.Call, 0, len(g.Targets))
 	booked := int64(0) // for the body, which all parts share: by the first that has room
 	if r.ContentLength != 0 {
@@ -204,7 +204,7 @@
 }
 
 // body reads a request's body, whole.
-func (g *Gather) body(w http.ResponseWriter, r *http.Request) ([]byte, *badRequest) {
+func (g *Gather) body(w http.ResponseWriter, r *http.Request) ([]byte, *BadRequest) {
 	ctl := http.NewResponseController(w)
 	if r.ContentLength == 0 {
 		_ = ctl.SetReadDeadline(time.Time{}) // net/http goes on reading, to notice a hang-up
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -57,7 +57,12 @@
 				ctx, stop := context.WithCancel(t.Context())
 				ended := make(chan error, 1)
 				go func() { ended <- s.Run(ctx) }()
-				defer func() { stop(); <-ended }()
+				defer func() {
+					stop()
+					if err := <-ended; err != nil {
+						t.Error(err)
+					}
+				}()
 				testkit.Next(t, ready)
 				to := Target{Service: s, Class: "job", Body: 1 << 20}
 				f := New(&Table{Targets: []Target{to}}, func() bool { return true })
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -70,7 +70,7 @@
 }
 
 // Read reads a request but for its body.
-func (o *Ordinary) Read(r *http.Request, to *Target, _ string, arrived time.Time) (*service.Exchange, *badRequest) {
+func (o *Ordinary) Read(r *http.Request, to *Target, _ string, arrived time.Time) (*service.Exchange, *BadRequest) {
 	if c := wireOf(r); c != nil && c.bad() != nil {
 		wrong := bad(http.StatusBadRequest, "%v", c.bad())
 		wrong.unread = true
@@ -224,7 +224,7 @@
 
 // Body reads a body that is held whole, and makes a way for one that is not. Guards against a
 // server that is taken up by a client which sends a small body slowly.
-func (o *Ordinary) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *badRequest {
+func (o *Ordinary) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
 	c := x.Forwarder.(*call)
 	c.w, c.ctl = w, http.NewResponseController(w)
 	if r.ProtoAtLeast(1, 1) {
@@ -279,7 +279,7 @@
 	if in.c.most >= 0 && in.c.pace.bytes > in.c.most {
 		return 0, errBodyMost
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		// The library goes on reading, to notice a hang-up: no bound on the body must end that.
 		_ = in.c.ctl.SetReadDeadline(time.Time{})
 	}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -27,19 +27,19 @@
 // a class by the path, bodies that are held.
 type platform struct{}
 
-// badRequest is a client's mistake and the status that tells it.
-type badRequest struct {
+// BadRequest is a client's mistake and the status that tells it.
+type BadRequest struct {
 	status int
 	text   string
 	unread bool // what follows on the connection can't be told from this request
 }
 
-func bad(status int, format string, args ...any) *badRequest {
-	return &badRequest{status: status, text: fmt.Sprintf(format, args...)}
+func bad(status int, format string, args ...any) *BadRequest {
+	return &BadRequest{status: status, text: fmt.Sprintf(format, args...)}
 }
 
 // Read reads a client's request but for its body.
-func (platform) Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *badRequest) {
+func (platform) Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest) {
 	terms := &to.Service.RequestRules
 	if wrong := framing(r, to.Body); wrong != nil {
 		wrong.unread = true
@@ -100,7 +100,7 @@
 func (platform) Holds(r *http.Request) int64 { return r.ContentLength }
 
 // Body reads a request's body.
-func (platform) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *badRequest {
+func (platform) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
@@ -126,7 +126,7 @@
 }
 
 // Reject tells a client its mistake.
-func (platform) Reject(f *Front, w http.ResponseWriter, _ *http.Request, wrong *badRequest) {
+func (platform) Reject(f *Front, w http.ResponseWriter, _ *http.Request, wrong *BadRequest) {
 	f.reject(w, wrong)
 }
 
@@ -148,7 +148,7 @@
 // framing holds a request to what clients of the protocol send: a length. Guards against a
 // second request in the body of one that also has a Transfer-Encoding, for which net/http
 // drops the length, and against reading what is too long to be passed on.
-func framing(r *http.Request, most int64) *badRequest {
+func framing(r *http.Request, most int64) *BadRequest {
 	switch {
 	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
 		return bad(http.StatusLengthRequired, "a body needs a Content-Length and no Transfer-Encoding")
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -62,7 +62,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(ctx) }()
-	defer func() { stop(); <-ended }()
+	defer func() {
+		stop()
+		if err := <-ended; err != nil {
+			b.Error(err)
+		}
+	}()
 	for !n.ready() {
 		time.Sleep(time.Millisecond)
 	}
@@ -95,14 +100,14 @@
 		ask()
 	}
 	var before, after syscall.Rusage
-	syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	rusage(b, &before)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
 		ask()
 	}
 	b.StopTimer()
-	syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+	rusage(b, &after)
 	cpu := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
 	b.ReportMetric(float64(cpu)/float64(b.N), "cpu-ns/op")
 }
@@ -182,12 +187,22 @@
 		b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/services, "B/service")
 		b.ReportMetric(float64(runtime.NumGoroutine()-routines)/services, "goroutines/service")
 		var from, to syscall.Rusage
-		syscall.Getrusage(syscall.RUSAGE_SELF, &from)
+		rusage(b, &from)
 		time.Sleep(time.Second)
-		syscall.Getrusage(syscall.RUSAGE_SELF, &to)
+		rusage(b, &to)
 		cpu := to.Utime.Nano() + to.Stime.Nano() - from.Utime.Nano() - from.Stime.Nano()
 		b.ReportMetric(float64(cpu)/services/1000, "idle-cpu-us/s/service")
 		stop()
-		<-ended
+		if err := <-ended; err != nil {
+			b.Error(err)
+		}
+	}
+}
+
+// rusage reads what the process has used.
+func rusage(b *testing.B, into *syscall.Rusage) {
+	b.Helper()
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, into); err != nil {
+		b.Fatal(err)
 	}
 }
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -15,9 +15,9 @@
 	all *limits.Sockets
 }
 
-func (b *firstCome) clients() limits.Opener             { return b.all.Clients() }
-func (b *firstCome) socketsOf(a *account) limits.Opener { return b.all }
-func (b *firstCome) divide(cfg *config.Config, services map[string]*running) error {
+func (b *firstCome) clients() limits.Opener           { return b.all.Clients() }
+func (b *firstCome) socketsOf(*account) limits.Opener { return b.all }
+func (b *firstCome) divide(*config.Config, map[string]*running) error {
 	for _, s := range []*limits.Shared{b.held, b.bytes, b.dials} {
 		if err := s.Divide(math.MaxInt32, nil); err != nil {
 			return err
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -26,7 +26,7 @@
 		f, err := passOn(l.under)
 		if err != nil {
 			for _, f := range all {
-				f.Close()
+				_ = f.Close() // a copy of a socket
 			}
 			return nil, fmt.Errorf("passing on the listener of %s: %w", l.addr, err)
 		}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -265,7 +265,7 @@
 	}
 	name, ok := strings.CutPrefix(addr, config.Inherited)
 	if !ok {
-		return net.Listen("tcp", addr)
+		return (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
 	}
 	l := inherited[name]
 	if l == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,11 +234,11 @@
 	case <-ctx.Done():
 	case err := <-n.failed:
 		stop()
-		n.finish(drainWrite)
+		n.finish()
 		return err
 	case err := <-n.broken:
 		stop()
-		n.finish(drainWrite)
+		n.finish()
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return n.drain(stop)
@@ -273,7 +273,7 @@
 		}
 		s.parts.close()
 		for _, c := range s.counters {
-			c.Close()
+			_ = c.Close() // a connection pool
 		}
 		n.mu.Lock()
 		n.serving--
@@ -317,7 +317,7 @@
 			s.do()
 		case err := <-n.failed:
 			stop()
-			n.finish(drainWrite)
+			n.finish()
 			return err
 		}
 	}
@@ -326,7 +326,7 @@
 	}
 	stop() // answers what is still held as failed
 	n.awaitServices()
-	n.finish(drainWrite)
+	n.finish()
 	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
 	select {
 	case err := <-n.failed:
@@ -359,12 +359,12 @@
 }
 
 // finish gives the answers that are under way some time, and to who still waits, and stops listening.
-func (n *Node) finish(within time.Duration) {
+func (n *Node) finish() {
 	n.mu.Lock()
 	n.ended = true
 	n.mu.Unlock()
 	n.leave()
-	n.gone(within)
+	n.gone(drainWrite)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range slices.Concat(n.listeners, n.removed) {
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -334,7 +334,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer l.Stop()
+			defer func() {
+				if err := l.Stop(); (err != nil) != (policy == "end") {
+					t.Error(err)
+				}
+			}()
 			testkit.Until(t, "ready", func() bool { s := l.Node.Status(); return s[0].Ready && s[1].Ready })
 			l.Pools["a"].Stall(true)
 			c, in := dial(t, l)
--- a/internal/node/shared_test.go
+++ b/internal/node/shared_test.go
@@ -78,7 +78,7 @@
 }
 
 // load has one customer ask for far more than its ceiling through all nodes, until the test ends.
-func (f *sharedFleet) load(t *testing.T) *fake.Run {
+func (f *sharedFleet) load(t *testing.T) {
 	addrs := make([]string, len(f.nodes))
 	for i, n := range f.nodes {
 		addrs[i] = n.Node.Addr()
@@ -101,7 +101,6 @@
 			t.Errorf("%.1f units beyond the bound", worst)
 		}
 	})
-	return run
 }
 
 // more waits until the servers have had more units.
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -64,7 +64,9 @@
 				t.Errorf("reason %d", why)
 			}
 			stop()
-			testkit.Next(t, ended)
+			if err := testkit.Next(t, ended); err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -235,7 +235,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
-	t.Cleanup(func() { stop(); <-ended; s.Upstream().Evict(0) })
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		s.Upstream().Evict(0)
+	})
 	testkit.Next(t, ready)
 	return s
 }
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -91,10 +91,8 @@
 			t.Fatalf("%+v", st)
 		}
 		ctx, leave := context.WithCancel(t.Context())
-		var left []*Exchange
 		for i := range 5 {
 			x := newExchangeOfUnits(fmt.Sprint("a", i), 4)
-			left = append(left, x)
 			go s.Do(ctx, x)
 			synctest.Wait()
 			time.Sleep(20 * time.Millisecond)
@@ -261,8 +259,8 @@
 		m.mu.Unlock()
 		time.Sleep(time.Second)
 		synctest.Wait()
-		if <-ended; len(before) != 0 || len(after) != 3 {
-			t.Errorf("heard of %d before and %d after", len(before), len(after))
+		if err := <-ended; err != nil || len(before) != 0 || len(after) != 3 {
+			t.Errorf("heard of %d before and %d after; %v", len(before), len(after), err)
 		}
 		leave()
 		synctest.Wait()
--- a/internal/service/retry_outcomes_test.go
+++ b/internal/service/retry_outcomes_test.go
@@ -142,7 +142,13 @@
 				ctx, stop := context.WithCancel(context.Background())
 				over := make(chan error, 1)
 				go func() { over <- s.Run(ctx) }()
-				defer func() { stop(); <-over; s.Upstream().Evict(0) }()
+				defer func() {
+					stop()
+					if err := <-over; err != nil {
+						t.Error(err)
+					}
+					s.Upstream().Evict(0)
+				}()
 				testkit.Next(t, ready)
 				q, err := http.NewRequest(http.MethodPost, "http://h/x", nil)
 				if err != nil {
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -55,7 +55,12 @@
 					ctx, stop := context.WithCancel(context.Background())
 					over := make(chan error, 1)
 					go func() { over <- s.Run(ctx) }()
-					t.Cleanup(func() { stop(); <-over })
+					t.Cleanup(func() {
+						stop()
+						if err := <-over; err != nil {
+							t.Error(err)
+						}
+					})
 					testkit.Next(t, listed)
 
 					ask := func(id string) *Exchange {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -89,7 +89,7 @@
 func TestRetiredServiceEndsWhenReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, ended := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(rejectAll), nil }})
-		if !s.TryAcquire() || !s.TryAcquire() {
+		if first, second := s.TryAcquire(), s.TryAcquire(); !first || !second {
 			t.Fatal("can't be held")
 		}
 		s.Retire()
@@ -350,7 +350,9 @@
 		was, ended := startService(t, Options{})
 		next, _ := startService(t, Options{})
 		was.Retire()
-		<-ended
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
 		was.ReplaceWith(next)
 		if n := was.references.Load(); n >= 0 {
 			t.Errorf("held %d times", n)
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -141,6 +141,8 @@
 				t.Errorf("an answer that had come: %+v", a)
 			}
 		}
-		<-end.ended
+		if err := <-end.ended; err != nil {
+			t.Error(err)
+		}
 	})
 }
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -54,7 +54,12 @@
 				ctx, stop := context.WithCancel(context.Background())
 				over := make(chan error, 1)
 				go func() { over <- s.Run(ctx) }()
-				defer func() { stop(); <-over }()
+				defer func() {
+					stop()
+					if err := <-over; err != nil {
+						t.Error(err)
+					}
+				}()
 				testkit.Next(t, ready)
 				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
 				x := &Exchange{
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -33,7 +33,7 @@
 		return nil, fmt.Errorf("state directory: %w", err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		defer f.Close()
+		defer f.Close() //nolint:errcheck // nothing was written
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			who, _ := os.ReadFile(path)
 			return nil, fmt.Errorf("state directory %s: another daemon has it: process %s", dir, strings.TrimSpace(string(who)))
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,7 +46,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	s := &teller{
-		t: t, u: newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024)),
+		t: t, u: newTest(2*testkit.Patience, limits.NewSockets(1024)),
 		reqs: make(chan asked), say: make(chan string), ends: make(chan Outcome, 1),
 	}
 	s.p = s.u.Pool(l.Addr().String(), SpeaksHTTP1)
@@ -175,7 +176,7 @@
 	}
 	s.end(good)
 	s.u.doubled.Store(true)
-	if o := s.u.Try(t.Context(), s.p, message(t, nil)); o.Reason != control.Moot || o.Err != errNoDial {
+	if o := s.u.Try(t.Context(), s.p, message(t, nil)); o.Reason != control.Moot || !errors.Is(o.Err, errNoDial) {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -298,7 +299,7 @@
 		}
 		socks := limits.NewSockets(1024)
 		socks.Take()
-		u := newTest(testkit.Patience, testkit.Patience, socks)
+		u := newTest(testkit.Patience, socks)
 		p := u.Pool("", SpeaksHTTP1)
 		c := u.newConn(limits.Own(nc, socks), nil)
 		const left = time.Second
@@ -338,7 +339,7 @@
 					near, far := net.Pipe()
 					socks := limits.NewSockets(1024)
 					socks.Take()
-					u := newTest(testkit.Patience, testkit.Patience, socks)
+					u := newTest(testkit.Patience, socks)
 					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 					defer cancel()
 					ends := make(chan Outcome, 1)
@@ -378,7 +379,7 @@
 				defer far.Close()
 				socks := limits.NewSockets(1024)
 				socks.Take()
-				c := newTest(testkit.Patience, testkit.Patience, socks).newConn(limits.Own(near, socks), nil)
+				c := newTest(testkit.Patience, socks).newConn(limits.Own(near, socks), nil)
 				defer c.Close()
 				begun := time.Now()
 				c.in.start(begun.Add(time.Hour), answerHead)
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -53,7 +53,7 @@
 		return o, ok
 	}
 	t.unhook = context.AfterFunc(ctx, t.cutOff)
-	o, going := t.exchange(ctx)
+	o, going := t.exchange()
 	switch {
 	case going && t.unhook():
 		t.unhook = context.AfterFunc(life, t.cutOff)
@@ -122,7 +122,7 @@
 }
 
 // exchange sends the body and reads the answer up to where it is held; going tells that there is more.
-func (t *flow) exchange(ctx context.Context) (o Outcome, going bool) {
+func (t *flow) exchange() (o Outcome, going bool) {
 	if t.more {
 		if t.Expect {
 			t.proceed = make(chan struct{})
@@ -235,7 +235,7 @@
 				return // how the stream ended is for the answer to tell
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -16,6 +16,7 @@
 // Speaks is what is spoken to app servers.
 type Speaks int
 
+// What may be spoken to app servers.
 const (
 	SpeaksHTTP1 Speaks = iota
 	SpeaksHTTP2        // with prior knowledge (RFC 9113, 3.3)
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -397,7 +397,7 @@
 		t.Fatal(err)
 	}
 	defer context.AfterFunc(ctx, f.cutOff)()
-	if o, _ := f.exchange(ctx); o.Status != 200 || s.Tally.Runs("a") != 1 {
+	if o, _ := f.exchange(); o.Status != 200 || s.Tally.Runs("a") != 1 {
 		t.Errorf("%+v, ran %d times", o, s.Tally.Runs("a"))
 	}
 	u.Retire(p)
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -184,13 +184,13 @@
 	if t.body {
 		t.timed = true
 		t.c.readBy(time.Now().Add(t.Idle))
-		n, err := t.c.Conn.Read(b)
-		if err == io.EOF && t.resp != nil && t.c.wasReset() {
+		n, err := t.c.Read(b)
+		if errors.Is(err, io.EOF) && t.resp != nil && t.c.wasReset() {
 			err = syscall.ECONNRESET
 		}
 		return n, err
 	}
-	n, err := t.c.Conn.Read(b[:min(len(b), t.heads)])
+	n, err := t.c.Read(b[:min(len(b), t.heads)])
 	if t.heads -= n; n > 0 {
 		t.begins()
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -27,7 +27,7 @@
 	w.WriteString(" HTTP/1.1\r\nHost: ")
 	w.WriteString(t.Host)
 	w.WriteString("\r\n")
-	t.Header.Write(w)
+	_ = t.Header.Write(w) // an error is kept for Flush
 	if t.Tell {
 		left := t.Wait
 		if ends {
@@ -130,7 +130,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
@@ -144,7 +144,7 @@
 	if t.Length < 0 {
 		w.WriteString("0\r\n")
 		if t.Trailer != nil {
-			t.Trailer().Write(w)
+			_ = t.Trailer().Write(w) // an error is kept for Flush
 		}
 		w.WriteString("\r\n")
 		if w.Flush() != nil {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -178,12 +178,12 @@
 	}
 	s.ended = true
 	s.mu.Unlock()
-	whole := err == io.EOF && !s.Tunnel
+	whole := errors.Is(err, io.EOF) && !s.Tunnel
 	var timeout net.Error
 	o := Outcome{Reason: control.OK} // also where the client left: the server has answered
 	switch {
-	case err == nil || err == io.EOF || s.clientBroke():
-	case err == ErrCut:
+	case err == nil || errors.Is(err, io.EOF) || s.clientBroke():
+	case errors.Is(err, ErrCut):
 		o = Outcome{Reason: control.Cancelled, Err: err}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		o = Outcome{Reason: control.TimedOut, Err: err}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -272,12 +272,12 @@
 // read reads one answer and tells whether the connection can be used again. What
 // isn't whole, well formed and small enough is a reset: the request may have run.
 func (c *conn) read(req *http.Request, most int) (o Outcome, keep bool) {
-	resp, err := readHead(c.r, req)
+	resp, err := readHead(c.r, req)                                                               //nolint:bodyclose // body closes it
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols { // an interim answer
 		if c.r.Buffered() == 0 {
 			c.in.again()
 		}
-		resp, err = readHead(c.r, req)
+		resp, err = readHead(c.r, req) //nolint:bodyclose // body closes it, and an interim answer has none
 	}
 	if err == nil {
 		o.Body, err = body(resp, most)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -17,8 +17,8 @@
 	"lockflow/internal/testkit"
 )
 
-func newTest(connect, keepalive time.Duration, s *limits.Sockets) *Upstream {
-	u := New(Options{Connect: connect, Keepalive: keepalive, Sockets: s})
+func newTest(keepalive time.Duration, s *limits.Sockets) *Upstream {
+	u := New(Options{Connect: testkit.Patience, Keepalive: keepalive, Sockets: s})
 	s.OnEvict(nil, u.Evict)
 	return u
 }
@@ -111,7 +111,7 @@
 				if reset && tc.reset != 0 {
 					want = tc.reset
 				}
-				u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
+				u := newTest(testkit.Patience, limits.NewSockets(1024))
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
 				if o := u.Try(ctx, u.Pool(endpoint, SpeaksHTTP1), message(t, []byte("body"))); o.Reason != want {
@@ -138,7 +138,7 @@
 			c.Close()
 		}
 	}()
-	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, make([]byte, 64<<20))); o.Reason != control.ConnectFailed {
@@ -163,7 +163,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			socks := limits.NewSockets(1024)
-			u := newTest(testkit.Patience, testkit.Patience, socks)
+			u := newTest(testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, tc.body)); o.Reason != tc.want {
@@ -192,7 +192,7 @@
 
 func TestCancelledAttempt(t *testing.T) {
 	asked := make(chan struct{})
-	a := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+	a := testkit.NewApp(t, func(_ http.ResponseWriter, r *http.Request) {
 		close(asked)
 		<-r.Context().Done() // the edge node closes its connection
 	})
@@ -201,7 +201,7 @@
 		<-asked
 		cancel()
 	}()
-	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSockets(1024))
 	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
@@ -224,7 +224,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
 	socks := limits.NewSockets(1024)
-	u := newTest(testkit.Patience, 2*testkit.Patience, socks)
+	u := newTest(2*testkit.Patience, socks)
 	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	try := func() {
 		t.Helper()
@@ -284,7 +284,7 @@
 	a := testkit.NewApp(t, testkit.Served)
 	socks := limits.NewSockets(0)
 	socks.SetMost(0)
-	u := newTest(testkit.Patience, testkit.Patience, socks)
+	u := newTest(testkit.Patience, socks)
 	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Moot || a.Count() > 0 {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
@@ -296,7 +296,7 @@
 	b := testkit.NewApp(t, testkit.Served)
 	socks := limits.NewSockets(0)
 	socks.SetMost(1)
-	u := newTest(testkit.Patience, 2*testkit.Patience, socks)
+	u := newTest(2*testkit.Patience, socks)
 	for _, x := range []*testkit.App{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 		if o := u.Try(ctx, u.Pool(x.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK {
@@ -329,7 +329,7 @@
 			})
 			t.Cleanup(func() { close(over) })
 			socks := limits.NewSockets(1024)
-			u := newTest(testkit.Patience, testkit.Patience, socks)
+			u := newTest(testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 			defer cancel()
 			o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil))
@@ -346,12 +346,12 @@
 // An interim answer starts no clock: the answer itself may take its time.
 func TestSlowAfterInterim(t *testing.T) {
 	t.Parallel()
-	a := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+	a := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusEarlyHints)
 		time.Sleep(answerRest + answerRest/3) // has to pass
 		io.WriteString(w, "ok")
 	})
-	u := newTest(testkit.Patience, testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
@@ -363,7 +363,7 @@
 func TestClockEndsWithItsAnswer(t *testing.T) {
 	t.Parallel()
 	asked := 0
-	a := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+	a := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
 		if asked++; asked > 1 {
 			time.Sleep(answerRest + answerRest/3) // has to pass
 		}
@@ -371,7 +371,7 @@
 		w.(http.Flusher).Flush() // a chunk of its own, so that there is a rest to wait for
 		io.WriteString(w, "k")
 	})
-	u := newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024))
+	u := newTest(2*testkit.Patience, limits.NewSockets(1024))
 	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
@@ -391,7 +391,7 @@
 	const good, noise = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
 	first := make(chan net.Conn, 1)
 	asked := 0
-	a := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+	a := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
 		if asked++; asked > 1 {
 			io.WriteString(w, "ok")
 			return
@@ -400,7 +400,7 @@
 		io.WriteString(c, good)
 		first <- c
 	})
-	u := newTest(testkit.Patience, 2*testkit.Patience, limits.NewSockets(1024))
+	u := newTest(2*testkit.Patience, limits.NewSockets(1024))
 	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	for i := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
