--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -52,7 +52,7 @@
 			set.IntVar(&f.instances, "instances", 4, "run: `N` of them")
 			set.IntVar(&f.told, "told", 0, "run: `N` that they are told the group has, where it is another")
 			set.DurationVar(&f.within, "within", 30*time.Second, "`TIME` in which an instance has to be ready, or to come back")
-			f.rolloutFlags.flags(set)
+			f.flags(set)
 			set.BoolVar(&f.json, "json", false, "prints JSON")
 			return func(ctx context.Context, e *Env, args []string) error {
 				if len(args) != 1 {
@@ -61,7 +61,7 @@
 				if f.within <= 0 {
 					return usage("fleet: within: %v is off", f.within)
 				}
-				if err := f.rolloutFlags.check(); err != nil {
+				if err := f.check(); err != nil {
 					return err
 				}
 				if args[0] == "run" {
--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -148,7 +148,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, known := b.strangers.Get(name); !known && b.strangers.Len() >= b.Options.Strangers {
+	if _, known := b.strangers.Get(name); !known && b.strangers.Len() >= b.Strangers {
 		if _, seen, ok := b.strangers.GetOldest(); ok && now.Sub(seen) < idleAfter {
 			return crowd(name)
 		}
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -80,7 +80,7 @@
 	case <-c.done:
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.heard == now { // it said nothing before it closed
+		if c.heard.Equal(now) { // it said nothing before it closed
 			return nil, fmt.Errorf("%w: %w", ErrNotSpoken, c.m.Err())
 		}
 		return nil, c.m.Err()
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -155,7 +155,7 @@
 func (m *Module) begin() {
 	m.hand()
 	m.fresh, m.size = false, 0
-	raw, err := cbor.Marshal(head{Version, m.o.Service, time.Now(), m.lost, m.set, m.Controller.Image()})
+	raw, err := cbor.Marshal(head{Version, m.o.Service, time.Now(), m.lost, m.set, m.Image()})
 	if err != nil || !m.post(nil) {
 		m.lose(1)
 		return
--- a/internal/regions/sums.go
+++ b/internal/regions/sums.go
@@ -61,7 +61,7 @@
 	for _, h := range x.regions {
 		for i := range h.Services {
 			s := sharing{h, &h.Services[i]}
-			names := []string{"service " + s.Service.Name}
+			names := []string{"service " + s.Name}
 			if h.Shared && s.Counter != "" {
 				names = append(names, "counter "+s.Counter)
 			}
@@ -131,7 +131,7 @@
 		return nil
 	}
 	slices.SortStableFunc(in, func(a, b part) int {
-		return cmp.Or(strings.Compare(a.held.Name, b.held.Name), strings.Compare(a.Service.Name, b.Service.Name))
+		return cmp.Or(strings.Compare(a.held.Name, b.held.Name), strings.Compare(a.Name, b.Name))
 	})
 	c := &Conflict{Kind: CeilingKind, Severity: Error}
 	var groups, without []string
@@ -144,7 +144,7 @@
 			without = append(without, p.held.Name)
 		}
 	}
-	service := in[0].Service.Name
+	service := in[0].Name
 	switch {
 	case len(without) > 0:
 		c.Why = fmt.Sprintf("plan %q of service %q has a ceiling of %.4g units a second, and none in %s", name, service, rate, strings.Join(without, ", "))
--- a/internal/route/path.go
+++ b/internal/route/path.go
@@ -167,12 +167,12 @@
 	skip := false // in a segment's parameters
 	for i := 0; i < len(raw); i++ {
 		b := raw[i]
-		switch {
-		case b == '/':
+		switch b {
+		case '/':
 			skip = false
-		case b == ';':
+		case ';':
 			skip = true
-		case b == '%':
+		case '%':
 			if i+2 >= len(raw) || !hex(raw[i+1]) || !hex(raw[i+2]) {
 				return "", errEncoding
 			}
--- a/internal/scattergather/tree.go
+++ b/internal/scattergather/tree.go
@@ -135,7 +135,7 @@
 func (q *Query) part(now time.Duration, a *asked, part int, share float64) {
 	a.came[part], a.share[part] = true, share
 	q.ended = append(q.ended, Ended{a.Tree, part, now - q.began, share > 0, false})
-	a.Decider.CameShare(now, part, share)
+	a.CameShare(now, part, share)
 }
 
 // held is the share of the parts' weight that is held.
@@ -181,7 +181,7 @@
 			until = s.Until
 		}
 	}
-	s := a.Decider.Next(now)
+	s := a.Next(now)
 	if s.Kind == waitpolicy.Wait {
 		if until >= 0 {
 			s.Until = min(s.Until, until)
--- a/internal/waitpolicy/sketch.go
+++ b/internal/waitpolicy/sketch.go
@@ -143,7 +143,7 @@
 	}
 	to[i] += float32(m.unit)
 	if m.unit > 1e6 {
-		m.Sketch.scale(1 / m.unit)
+		m.scale(1 / m.unit)
 		m.unit = 1
 	}
 }
