--- /dev/null
+++ b/internal/fleetsim/decisions_amd64_test.go
@@ -0,0 +1,253 @@
+package fleetsim
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/decisiondigest"
+)
+
+// updateDecisions writes the golden file anew:
+//
+//	go test ./internal/fleetsim -run '^TestDecisionsAreUnchanged$' -update-decisions
+//
+// A change of package control that means to decide as before has no cause to do so.
+var updateDecisions = flag.Bool("update-decisions", false, "writes testdata/decisions.golden anew")
+
+const (
+	goldenDecisions = "testdata/decisions.golden"
+	decisionSeeds   = 3
+	decisionLasts   = 8 * time.Second
+	imageEvery      = 256 // events, after which the state of the instance that handled the last one is added
+)
+
+var decisionFleets = []int{2, 80}
+
+// decisionDays are the days whose decisions are pinned, by name. Together they reach what decisionFeatures lists.
+var decisionDays = map[string]func(p *pinnedDay) error{
+	"calm":  (*pinnedDay).playNamed,
+	"roll":  (*pinnedDay).playNamed,
+	"herd":  (*pinnedDay).playNamed,
+	"zone":  (*pinnedDay).playNamed,
+	"split": (*pinnedDay).playNamed,
+	"join":  (*pinnedDay).playNamed,
+	"long":  (*pinnedDay).playNamed,
+	"single-shot": func(p *pinnedDay) error {
+		mutation := &Mutation{settings: func(_ *world, n *node) { n.set.Classes[1].Effect = control.SingleShot }}
+		return p.play(DayOptions{Day: "split", Mutation: mutation, Load: 2}, days["split"])
+	},
+	"hand-over": func(p *pinnedDay) error {
+		return p.play(DayOptions{Day: "hand-over"}, dayPlan{script: p.handOverAll})
+	},
+	"clinic":   (*pinnedDay).playQuotas,
+	"library":  (*pinnedDay).playQuotas,
+	"archive":  (*pinnedDay).playQuotas,
+	"cableway": (*pinnedDay).playQuotas,
+	"kiosk":    (*pinnedDay).playQuotas,
+}
+
+// decisionFeatures are the kinds of decision that the days have to reach, so that the digests hold them.
+var decisionFeatures = []string{
+	"attempt of a free request", "retry of a free request",
+	"attempt of a guarded request", "retry of a guarded request",
+	"attempt of a single-shot request", "retry of a single-shot request",
+	"attempt at a cold server", "failed: no_further", "metered use told",
+	"refused: by_chance", "refused: no_further", "refused: no_turn", "refused: over_ceiling", "refused: over_store",
+	"refused: too_late", "refused: yields",
+	"hand-over", "restored exactly", "restored as learned", "rejoined",
+}
+
+var effectNames = map[control.Effect]string{control.Free: "free", control.Guarded: "guarded", control.SingleShot: "single-shot"}
+
+// pinnedDay is one play of a day, with the digests of what its instances decide.
+type pinnedDay struct {
+	day       string
+	instances int
+	seed      uint64
+
+	events, actions int
+	decided         *decisiondigest.Digest // every action of every instance, in order
+	state           *decisiondigest.Digest // now and then of an instance, of what is handed over, and of every instance at the end
+	world           *world
+	features        map[string]bool
+	err             error // the first one of a digest
+}
+
+// playPinned plays a day.
+func playPinned(day string, instances int, seed uint64) (*pinnedDay, error) {
+	p := &pinnedDay{day: day, instances: instances, seed: seed, decided: decisiondigest.New(), state: decisiondigest.New(),
+		features: make(map[string]bool)}
+	if err := decisionDays[day](p); err != nil {
+		return nil, err
+	}
+	for _, n := range p.world.nodes {
+		p.keep(p.state.AddImage(n.c.Image()))
+	}
+	return p, p.err
+}
+
+func (p *pinnedDay) playNamed() error { return p.play(DayOptions{Day: p.day}, days[p.day]) }
+
+func (p *pinnedDay) play(o DayOptions, plan dayPlan) error {
+	o.Instances, o.Seed, o.Lasts, o.observe = p.instances, p.seed, decisionLasts, p.observe
+	_, err := play(o, plan)
+	return err
+}
+
+func (p *pinnedDay) playQuotas() error {
+	_, err := Quotas(QuotaOptions{World: p.day, Policy: ByModule, Instances: p.instances, Seed: p.seed, Lasts: decisionLasts, observe: p.observe})
+	return err
+}
+
+// observe adds an event's actions to the digest.
+func (p *pinnedDay) observe(w *world, instance int, event control.Event, actions []control.Action) {
+	p.world = w
+	p.events++
+	p.actions += len(actions)
+	p.decided.AddActions(w.Now(), instance, actions)
+	if p.events%imageEvery == 0 {
+		p.keep(p.state.AddImage(w.nodes[instance].c.Image()))
+	}
+	if response, ok := event.(control.Response); ok && response.Used > 0 {
+		p.features["metered use told"] = true
+	}
+	for _, action := range actions {
+		switch a := action.(type) {
+		case control.Send:
+			p.sees(w, instance, a)
+		case control.Refuse:
+			p.features["refused: "+a.Why.String()] = true
+		case control.Fail:
+			p.features["failed: "+a.Why.String()] = true
+		}
+	}
+}
+
+// sees notes what kind of attempt starts.
+func (p *pinnedDay) sees(w *world, instance int, a control.Send) {
+	n := w.nodes[instance]
+	t := n.held[a.ID]
+	if t == nil {
+		return
+	}
+	kind := "attempt"
+	if t.sends > 0 {
+		kind = "retry"
+	}
+	p.features[kind+" of a "+effectNames[n.set.Classes[t.call.class].Effect]+" request"] = true
+	if warmthAt(w.Now()-w.byID[a.Server].bootAt) < 1 {
+		p.features["attempt at a cold server"] = true
+	}
+}
+
+// handOverAll is a day's script: half of the servers start cold while every instance hands over to a
+// successor, one after another.
+func (p *pinnedDay) handOverAll(w *world) {
+	w.replace(0.5, 0.1, 0.5)
+	for i := range w.nodes {
+		w.At(w.part(0.2+0.6*float64(i)/float64(len(w.nodes))), func() { p.handOver(w, i) })
+	}
+}
+
+// handOver has an instance hand half of what it may spend to a successor, and the rest a second later. Every
+// other successor doesn't trust what it is handed to be exact.
+func (p *pinnedDay) handOver(w *world, instance int) {
+	now, old := w.Now()+firstUse, w.nodes[instance].c
+	given := old.HandOver(now, 0.5)
+	p.keep(p.state.AddCheckpoint(given))
+	p.features["hand-over"] = true
+	w.kill(instance)
+	w.start(instance)
+	successor := w.nodes[instance].c
+	if instance%2 == 0 {
+		successor.Restore(now, given, control.Exact)
+		p.features["restored exactly"] = true
+	} else {
+		successor.Restore(now, given, control.Learned)
+		p.features["restored as learned"] = true
+	}
+	w.After(time.Second, func() {
+		rest := old.HandOver(w.Now()+firstUse, 1)
+		p.keep(p.state.AddCheckpoint(rest))
+		successor.Rejoin(w.Now()+firstUse, &rest)
+		p.features["rejoined"] = true
+	})
+}
+
+func (p *pinnedDay) keep(err error) {
+	if p.err == nil {
+		p.err = err
+	}
+}
+
+// line is the play as the golden file has it.
+func (p *pinnedDay) line() string {
+	return fmt.Sprintf("%s instances=%d seed=%d events=%d actions=%d decisions=%s state=%s", p.day, p.instances, p.seed, p.events, p.actions,
+		p.decided.Sum(), p.state.Sum())
+}
+
+// Every controller of every day returns the same actions in the same order as when the golden file was
+// written, and ends in the same state, bit for bit.
+func TestDecisionsAreUnchanged(t *testing.T) {
+	var lock sync.Mutex
+	var lines []string
+	features := make(map[string]bool)
+	t.Run("days", func(t *testing.T) {
+		for day := range decisionDays {
+			for _, instances := range decisionFleets {
+				for seed := uint64(1); seed <= decisionSeeds; seed++ {
+					t.Run(fmt.Sprintf("%s/%d/%d", day, instances, seed), func(t *testing.T) {
+						t.Parallel()
+						p, err := playPinned(day, instances, seed)
+						if err != nil {
+							t.Fatal(err)
+						}
+						lock.Lock()
+						defer lock.Unlock()
+						lines = append(lines, p.line())
+						maps.Copy(features, p.features)
+					})
+				}
+			}
+		}
+	})
+	for _, feature := range decisionFeatures {
+		if !features[feature] {
+			t.Errorf("no day reaches %q", feature)
+		}
+	}
+	slices.Sort(lines)
+	compareGolden(t, lines)
+}
+
+// compareGolden holds the plays against the golden file, or writes it.
+func compareGolden(t *testing.T, lines []string) {
+	t.Helper()
+	if *updateDecisions {
+		if err := os.WriteFile(goldenDecisions, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	raw, err := os.ReadFile(goldenDecisions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden := strings.Split(strings.TrimSuffix(string(raw), "\n"), "\n")
+	if len(golden) != len(lines) {
+		t.Errorf("%d plays, and the golden file has %d", len(lines), len(golden))
+	}
+	for i := range min(len(golden), len(lines)) {
+		if lines[i] != golden[i] {
+			t.Errorf("decided otherwise:\n got %s\nwant %s", lines[i], golden[i])
+		}
+	}
+}
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -122,7 +122,11 @@
 	if n.down {
 		return
 	}
-	for _, a := range slices.Clone(n.c.Handle(w.Now()+firstUse, e)) {
+	actions := slices.Clone(n.c.Handle(w.Now()+firstUse, e))
+	if w.o.observe != nil {
+		w.o.observe(w, i, e, actions)
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case control.Send:
 			w.send(i, a)
--- a/internal/fleetsim/quota_day.go
+++ b/internal/fleetsim/quota_day.go
@@ -42,6 +42,8 @@
 	Load      float64       // times what is asked usually; 1
 	Seed      uint64
 	Why       bool // tells by what the module let a try in, which takes three times as long
+
+	observe observer // nil observes nothing
 }
 
 // QuotaReport is what came of a day in a world of quotas. Worth is counted in parts of what one gateway
@@ -157,7 +159,7 @@
 		}
 	}
 	p.quotas = q
-	day, err := play(DayOptions{Day: "calm", Instances: o.Instances, Lasts: o.Lasts, Load: o.Load, Seed: o.Seed}, p)
+	day, err := play(DayOptions{Day: "calm", Instances: o.Instances, Lasts: o.Lasts, Load: o.Load, Seed: o.Seed, observe: o.observe}, p)
 	if err != nil {
 		return nil, QuotaReport{}, err
 	}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -56,8 +56,13 @@
 	Load      float64       // times what is asked usually, which is half of what the servers can do; 1
 	Seed      uint64
 	Mutation  *Mutation // nil takes no guard out
+
+	observe observer // nil observes nothing
 }
 
+// observer sees each event that an instance's controller handles, and the actions that answer it.
+type observer func(w *world, instance int, event control.Event, actions []control.Action)
+
 // DayReport is what came of a day.
 type DayReport struct {
 	Day        string                  `json:"day"`
