Tell a server over HTTP/2 what is left once its connection is up, not before

Seen: with the new TestAttemptTellsWhatIsLeft (a connection that comes up 100 ms late, two attempts of one request) the first attempt over HTTP/2 told 29,999 ms of 30 s where 29.9 s were left. Cause: shared.whole (http2.go) set the header before it waited for a connection or for a stream. It sets it now as the request is handed to the connection. Ruled out: HTTP/1.1 and what passes over a relay of either protocol, which set it as they write.

New tests beside it: a retry that its server takes in too slowly is given up at the end of its window and never comes whole (TestNotWrittenWholeWithinTheWindow; without the write deadline all 64 MiB came); a node that starts with the list that it had is ready and serves with its discovery down, silent or late (TestReadyBeforeDiscovery).

--- /dev/null
+++ b/internal/node/ready_test.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"lockflow/internal/config"
+	"lockflow/internal/discovery"
+	"lockflow/internal/testkit"
+)
+
+// A node that starts again with the list that it had is ready and serves by it before its discovery has said
+// anything: one that is down, that takes calls and is silent, or that tells late, which counts once it has come.
+func TestReadyBeforeDiscovery(t *testing.T) {
+	listen := func(t *testing.T) net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	for name, address := range map[string]func(t *testing.T) string{
+		"down":   func(t *testing.T) string { l := listen(t); l.Close(); return l.Addr().String() },
+		"silent": func(t *testing.T) string { return listen(t).Addr().String() }, // the system takes the connections
+		"late":   nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := testkit.NewApp(t, testkit.Served)
+			cfg, err := config.LoadPlatform("../config/testdata/config.json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			cfg.Process.Drain = config.Drain{}
+			s := &cfg.Services[0]
+			s.Known = discovery.Listing{Rev: 41, All: true, Targets: []discovery.Target{target(served, "s-1", 0)}}
+			r := idleRigBy(t, cfg)
+			if address != nil {
+				cfg.Services[0].Source.Address = address(t)
+				if r.node, err = New(cfg); err != nil {
+					t.Fatal(err)
+				}
+			}
+			r.run()
+			r.wait("ready", r.node.ready)
+			health, err := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp, _ := r.do(health); resp.StatusCode != http.StatusOK {
+				t.Errorf("healthz: %s", resp.Status)
+			}
+			if resp, body := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
+				t.Errorf("%s %s", resp.Status, body)
+			}
+			if address != nil {
+				return
+			}
+			other := testkit.NewApp(t, testkit.Served)
+			r.rev = 50
+			r.list(discovery.Target{UID: "s-1", State: "draining"}, target(other, "s-2", 0))
+			r.do(r.call(http.MethodGet, "/roster-read", "id-2"))
+			if served.Count() != 1 || other.Count() != 1 {
+				t.Errorf("the first server has %d requests, the one that was told late %d", served.Count(), other.Count())
+			}
+		})
+	}
+}
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -90,15 +90,16 @@
 // HTTP/1.1, and nothing has been sent.
 func (s *shared) whole(ctx context.Context, w *Whole) (Outcome, bool) {
 	req := w.Request
-	if until, ends := ctx.Deadline(); ends {
-		tellTime(req, until)
-	}
 	r := &h2.Request{
 		Method: req.Method, Scheme: s.scheme(), Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body,
 		Begin: func() bool { return Commit(ctx) },
 	}
 	var e h2.Event
 	o, dialed, ok := s.over(ctx, func(c *h2.Conn) (err error) {
+		// Only now, behind the wait for a connection: what is told is what is left to the client.
+		if until, ends := ctx.Deadline(); ends {
+			tellTime(req, until)
+		}
 		e, err = c.Do(ctx, r)
 		return err
 	})
--- /dev/null
+++ b/internal/upstream/timeleft_test.go
@@ -0,0 +1,100 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
+	"lockflow/internal/testkit"
+)
+
+// Each attempt of a request tells its server what is left to the client as it is written: behind a connection
+// that came up late, and once more behind an attempt that took its time.
+func TestAttemptTellsWhatIsLeft(t *testing.T) {
+	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
+		t.Run(name, func(t *testing.T) {
+			const late = 100 * time.Millisecond
+			heard := make(chan string, 2)
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				heard <- r.Header.Get(protocol.HeaderTimeLeft)
+				time.Sleep(late)
+				w.WriteHeader(http.StatusInternalServerError)
+			}))
+			server.Config.Protocols = new(http.Protocols)
+			server.Config.Protocols.SetHTTP1(true)
+			server.Config.Protocols.SetUnencryptedHTTP2(true)
+			server.Start()
+			t.Cleanup(server.Close)
+			connections := &comingUp{past: time.Now().Add(late)}
+			u := New(Options{
+				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: limits.NewSockets(1024), Dials: connections,
+				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
+			})
+			p := u.Pool(server.Listener.Addr().String(), speaks)
+			t.Cleanup(func() { u.Retire(p) })
+			begun := time.Now()
+			deadline := begun.Add(testkit.Patience)
+			ctx, cancel := context.WithDeadline(t.Context(), deadline)
+			defer cancel()
+			request := update("id", "body")
+			for n := 1; n <= 2; n++ {
+				if o := request.Attempt(ctx, nil, u, p); o.Reason != control.Errored {
+					t.Fatalf("attempt %d: %d (%v)", n, o.Reason, o.Err)
+				}
+				text := testkit.Next(t, heard)
+				left, err := strconv.Atoi(strings.TrimSuffix(text, "m"))
+				most := testkit.Patience - time.Duration(n)*late
+				if err != nil || time.Duration(left)*time.Millisecond > most || left < 1 {
+					t.Errorf("attempt %d tells %q, with at most %v left", n, text, most)
+				}
+			}
+		})
+	}
+}
+
+// A repeat that its server takes in too slowly to have come whole within its window is given up at the window's
+// end, and so never comes whole.
+func TestNotWrittenWholeWithinTheWindow(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const size = 64 << 20 // more than what two machines keep for a connection
+	ended, took := make(chan struct{}), make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		select { // it takes nothing until the attempt has ended, or ought to have
+		case <-ended:
+		case <-time.After(2 * time.Second):
+		}
+		n, _ := io.Copy(io.Discard, c)
+		took <- n
+	}()
+	u := newTest(2*testkit.Patience, limits.NewSockets(1024))
+	p := u.Pool(l.Addr().String(), SpeaksHTTP1)
+	t.Cleanup(func() { u.Retire(p) })
+	ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
+	defer cancel()
+	o := update("id", strings.Repeat("x", size)).Attempt(BeginBy(ctx, time.Now().Add(100*time.Millisecond)), nil, u, p)
+	close(ended)
+	if o.Reason != control.ConnectFailed {
+		t.Errorf("%d (%v)", o.Reason, o.Err)
+	}
+	if n := testkit.Next(t, took); n >= size {
+		t.Errorf("%d bytes came", n)
+	}
+}
