--- /dev/null
+++ b/internal/leasestore/golden_test.go
@@ -0,0 +1,54 @@
+package leasestore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/quotalease"
+	"lockflow/internal/redistest"
+	"lockflow/internal/testkit"
+)
+
+// What instances of earlier builds ask a counter, and the keys and fields under which it stores what it lends, are
+// the same: they share one counter with this build. go test ./internal/leasestore -run Golden -update writes the
+// file anew.
+func TestGoldenCounter(t *testing.T) {
+	var text strings.Builder
+	c := New(Options{Address: "127.0.0.1:1", Name: "care"})
+	t.Cleanup(func() { _ = c.Close() })
+	fmt.Fprintln(&text, "key", c.key)
+
+	now := time.Unix(1_700_000_000, 0)
+	s := redistest.New()
+	s.Clock(func() time.Time { return now })
+	id := eval(t, s, &quotalease.Call{From: "x"}).Counter
+	var last quotalease.Call
+	for step := range 5 { // a part that is pledged for a time comes to hold units
+		now = now.Add(time.Second)
+		last = quotalease.Call{From: "x", Counter: id, Echo: time.Duration(now.UnixMicro()) * time.Microsecond, Pledge: 0.5, Seen: 7}
+		if step == 4 {
+			last.Wants = []quotalease.Want{{Key: "p c", Ceiling: quotalease.Ceiling{Rate: 30, Burst: 60}, Units: 4, Need: 1.5}}
+			last.Gives = []quotalease.Give{{Key: "p d", Token: 3, Units: 2.5}}
+		}
+		if a := eval(t, s, &last); step == 4 && len(a.Grants) != 1 {
+			t.Errorf("%+v lends nothing", a)
+		}
+	}
+	fmt.Fprintln(&text, "asked", Args(&last, rules))
+
+	base := "{x}:" + id
+	for _, key := range []string{":m", ":p", ":l:1:8"} {
+		fields, _ := s.Do("HGETALL", base+key).([]any)
+		var pairs []string
+		for i := 0; i+1 < len(fields); i += 2 {
+			pairs = append(pairs, fmt.Sprintf("%v=%v", fields[i], fields[i+1]))
+		}
+		slices.Sort(pairs)
+		fmt.Fprintln(&text, "hash", key, pairs)
+	}
+	fmt.Fprintln(&text, "text :s:1:p c", s.Do("GET", base+":s:1:p c"))
+	testkit.GoldenBytes(t, "testdata/golden/counter.txt", []byte(strings.ReplaceAll(text.String(), id, "ID")))
+}
--- a/internal/manage/golden_test.go
+++ b/internal/manage/golden_test.go
@@ -1,6 +1,9 @@
 package manage
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"lockflow/internal/testkit"
@@ -13,3 +16,26 @@
 		testkit.GoldenSample(t, "json", "testdata/golden/"+name+".json", v)
 	}
 }
+
+// Bodies that clients of earlier builds send are understood, and a key that is not known is refused.
+func TestGoldenBodies(t *testing.T) {
+	f := fake{make(chan string, 1)}
+	h := handler(func() Daemon { return f })
+	for _, c := range []struct{ path, body, does string }{
+		{"upgrade", `{"program":"/bin/new"}`, "upgrade /bin/new"},
+		{"drain", `{"keep":true}`, "drain true"},
+		{"drain", ``, "drain false"},
+		{"upgrade", `{"path":"/bin/new"}`, ""},
+		{"drain", `{"rest":true}`, ""},
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/"+c.path, strings.NewReader(c.body)))
+		did := ""
+		if len(f.told) > 0 {
+			did = <-f.told
+		}
+		if refused := w.Code == http.StatusBadRequest; did != c.does || refused != (c.does == "") {
+			t.Errorf("%s %s: %q, %d %s", c.path, c.body, did, w.Code, w.Body)
+		}
+	}
+}
