--- a/control/attempts.go
+++ b/control/attempts.go
@@ -13,8 +13,8 @@
 	maxAbandonedLatencies = 2.0              // mean latencies that an abandoned attempt is presumed to run
 )
 
-func (c *Controller) onStarted(e Started) {
-	a := c.attempts[attemptKey{e.ID, e.N}]
+func (c *Controller) onStarted(e ResponseStarted) {
+	a := c.attempts[attemptKey{e.ID, e.Attempt}]
 	if a == nil || a.req.streaming {
 		return
 	}
@@ -23,19 +23,19 @@
 	c.answered(a, e.Delay)
 }
 
-func (c *Controller) onResponse(e Response) {
-	a := c.settle(attemptKey{e.ID, e.N})
+func (c *Controller) onResponse(e AttemptResult) {
+	a := c.settle(attemptKey{e.ID, e.Attempt})
 	if a == nil {
 		return
 	}
 	r := a.req
-	if e.Reason == Moot {
+	if e.Reason == NotSent {
 		c.unsent(a)
 	} else {
 		c.rest(a)
 	}
-	if e.Used > 0 && c.set.MeterPeriod > 0 {
-		c.meter(a.cust, e.Used, r.units)
+	if e.QuotaUsage > 0 && c.set.MeterPeriod > 0 {
+		c.meter(a.cust, e.QuotaUsage, r.units)
 	}
 	c.judge(a, e)
 	if e.Load != nil {
@@ -45,7 +45,7 @@
 		return
 	}
 	switch {
-	case e.Done:
+	case e.IsFinal:
 		c.forget(r)
 	case !r.queued && r.out == 0:
 		c.again(r, a, e.Reason)
@@ -59,7 +59,7 @@
 	if part := c.bound - c.busyNow(); part > 0 && part < 1 {
 		c.restUntil = c.now + seconds((1/part-1)*c.latency)
 	}
-	if pause := 1/math.Max(a.cust.openCap, epsilon) - 1; a.cust.plan.Open > 0 && pause > 0 {
+	if pause := 1/math.Max(a.cust.openCap, epsilon) - 1; a.cust.plan.MaxInFlight > 0 && pause > 0 {
 		a.cust.openNext = c.now + time.Duration(pause*float64(c.now-a.sent))
 	}
 }
@@ -75,7 +75,7 @@
 }
 
 // judge takes an outcome's lesson on the server, the bound and the plan.
-func (c *Controller) judge(a *attempt, e Response) {
+func (c *Controller) judge(a *attempt, e AttemptResult) {
 	s, r := a.srv, a.req
 	took := (c.now - a.sent).Seconds()
 	switch e.Reason {
@@ -85,14 +85,14 @@
 		if !s.coldRamp {
 			c.served += c.work(r.units)
 		}
-		if e.Cost > 0 && c.set.CostAfter {
+		if e.ActualUnits > 0 && c.set.UnitsInResponse {
 			c.refill(a.cust)
-			a.cust.level -= e.Cost - r.units
+			a.cust.level -= e.ActualUnits - r.units
 		}
 		if !r.streaming {
 			c.answered(a, c.now-a.sent)
 		}
-	case Full: // some servers refuse one plan only
+	case RejectedByServer: // some servers refuse one plan only
 		c.strike(s, 1)
 		s.shut[r.plan] = c.now + planRejectionTime
 		c.bad++
@@ -103,7 +103,7 @@
 			c.strike(s, 1)
 		}
 		s.probing = false
-	case Moot, Cancelled: // tells nothing of a server that it was to try
+	case NotSent, Cancelled: // tells nothing of a server that it was to try
 		s.probing = false
 	case TimedOut:
 		c.strike(s, 1)
@@ -126,7 +126,7 @@
 func (c *Controller) answered(a *attempt, took time.Duration) {
 	t := took.Seconds()
 	c.sawLatency(a.srv, t)
-	aim := a.req.class.Aim.Seconds()
+	aim := a.req.class.LatencyObjective.Seconds()
 	c.answers++
 	if c.chanceNow(a.cust) == 0 {
 		a.req.plan.saw((c.now - a.req.arrived).Seconds() / aim)
@@ -151,13 +151,13 @@
 	if why == Errored || why == ResetByPeer || why == ConnectFailed {
 		price = math.Min(1, math.Max(minRetryCost, (c.now-a.sent).Seconds()/math.Max(c.latency, epsilon)))
 	}
-	ok := why != Moot && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
-		(c.set.SendCap == 0 || r.sends < c.set.SendCap)
-	if r.mayRun && r.class.Effect != Free {
-		ok = ok && r.class.Effect == Guarded && c.now < r.firstRun+r.class.RepeatWindow
+	ok := why != NotSent && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
+		(c.set.MaxAttempts == 0 || r.sends < c.set.MaxAttempts)
+	if r.mayRun && r.class.Idempotency != Idempotent {
+		ok = ok && r.class.Idempotency == IdempotencyKeyed && c.now < r.firstRun+r.class.RepeatWindow
 	}
 	if !ok {
-		c.finish(r, NoFurther)
+		c.finish(r, CauseNoRetry)
 		return
 	}
 	c.retries -= price
@@ -165,7 +165,7 @@
 	// Guards against a further attempt that waits in the queue beyond the client's time, or beyond
 	// the time for which a repeat of its key is dropped.
 	until := r.giveUp - time.Millisecond
-	if r.mayRun && r.class.Effect == Guarded {
+	if r.mayRun && r.class.Idempotency == IdempotencyKeyed {
 		until = min(until, r.firstRun+r.class.RepeatWindow)
 	}
 	c.wake(r, until-c.now)
--- a/control/ceiling_test.go
+++ b/control/ceiling_test.go
@@ -38,7 +38,7 @@
 				}
 				g.pass(ms)
 			}
-			part := p.CeilingBurst/2 + (g.now-begun).Seconds()*p.CeilingRate/2 // g.ask spreads over two
+			part := p.HardLimitBurst/2 + (g.now-begun).Seconds()*p.HardLimitRate/2 // g.ask spreads over two
 			if n := float64(len(g.sends) - before); n > part+1 {
 				t.Errorf("%g units at once, of a part of %g", n, part)
 			}
@@ -68,14 +68,14 @@
 			for round := range 60 {
 				for i := range 400 {
 					id := fmt.Sprint(round, " ", i)
-					g.do(Request{ID: id, Class: "job", Plan: p.Name, Customer: "x", TTL: 5 * time.Second, Units: 0.125, Spread: 2})
+					g.do(Request{ID: id, Class: "job", Plan: p.Name, Customer: "x", Timeout: 5 * time.Second, Units: 0.125, FanOut: 2})
 					if g.n[id] > 0 {
 						sent++
 						g.reply(id, OK, 0)
 					}
 				}
 				g.now += windowDuration
-				if g.c.Handle(g.now, Timer{}); g.c.custs[p.Name+" x"] != nil {
+				if g.c.Handle(g.now, TimerFired{}); g.c.custs[p.Name+" x"] != nil {
 					g.c.sweep()
 				}
 				if g.c.custs[p.Name+" x"] == nil {
@@ -85,12 +85,12 @@
 					given := g.c.HandOver(g.now, 1)
 					next := newGate(t, s, on(list...)...)
 					next.now = g.now
-					next.c.Restore(g.now, given, Exact)
+					next.c.Restore(g.now, given, TrustAll)
 					g = next
 					many()
 				}
 			}
-			most := (initialSlackFraction*p.CeilingSlack + (g.now-begun).Seconds()*p.CeilingRate) / 2
+			most := (initialSlackFraction*p.HardLimitSlack + (g.now-begun).Seconds()*p.HardLimitRate) / 2
 			if n := float64(sent) / 8; forgotten < 10 || n > most+1 {
 				t.Errorf("%g units of %g, forgotten %d times", n, most, forgotten)
 			}
@@ -107,8 +107,8 @@
 		g.c.Restore(g.now, c, trust)
 		return g.c
 	}
-	crashed := after(newGate(t, s, on(1, 2)...).c.Checkpoint(time.Hour), Learned)
-	next := after(crashed.HandOver(time.Hour, 1), Exact)
+	crashed := after(newGate(t, s, on(1, 2)...).c.Checkpoint(time.Hour), TrustEstimates)
+	next := after(crashed.HandOver(time.Hour, 1), TrustAll)
 	if left := next.customerOf(next.planOf["low"], "x", 1).ceiling; left > 0 {
 		t.Errorf("%g units for a customer of whom nothing is known since a crash", left)
 	}
@@ -118,7 +118,7 @@
 func TestPartsOfUnitsAreForgotten(t *testing.T) {
 	g := newGate(t, settings())
 	for i, units := range []float64{0.1, 0.2, 0.3} {
-		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "x", TTL: 5 * time.Second, Units: units, Spread: 2})
+		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "x", Timeout: 5 * time.Second, Units: units, FanOut: 2})
 	}
 	if g.pass(2 * maxAccountIdleTime); len(g.c.custs) > 0 || len(g.ends) != 3 {
 		t.Errorf("%d customers remembered, %d requests answered", len(g.c.custs), len(g.ends))
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -211,8 +211,8 @@
 		c.refill(q)
 		p := q.plan
 		s.Customers = append(s.Customers, Spent{
-			ID: key[len(p.Name)+1:], Plan: p.Name, Spread: q.spread, Depth: p.Depth,
-			Burst: p.CeilingBurst, Level: q.level, Ceiling: q.ceiling, Out: q.open + q.foreign, OpenCap: q.openCap, Chance: q.chance,
+			ID: key[len(p.Name)+1:], Plan: p.Name, Spread: q.spread, Depth: p.QuotaBurst,
+			Burst: p.HardLimitBurst, Level: q.level, Ceiling: q.ceiling, Out: q.open + q.foreign, OpenCap: q.openCap, Chance: q.chance,
 			Metered: q.metered, Base: q.base, LastUsed: q.lastUsed, BaseAt: q.baseAt, ToldAt: q.toldAt, Tries: q.tries,
 			TriesAt: q.triesAt, Told: q.told, ToldFor: q.toldFor, Cover: q.cover, ReadEnd: q.readEnd, OwnSum: q.ownSum,
 			AllSum: q.allSum, Smooth: q.smooth, Own: q.own.amounts(), Charged: q.charged.amounts(), Asked: q.asked.amounts(),
@@ -231,8 +231,8 @@
 
 // bootTime is when a server started, 0 for long ago.
 func (s *server) bootTime() time.Duration {
-	if !s.HasCameUp {
+	if !s.HasStartedAt {
 		return 0
 	}
-	return s.CameUp
+	return s.StartedAt
 }
--- a/control/checkpoint_test.go
+++ b/control/checkpoint_test.go
@@ -13,7 +13,7 @@
 	s := settings()
 	s.GroupSize, s.MeterPeriod = 1, 0
 	p := &s.Plans[0]
-	p.Rate, p.Depth, p.CeilingRate, p.CeilingBurst, p.CeilingSlack = 0, 0, 30, 60, 6
+	p.QuotaRate, p.QuotaBurst, p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack = 0, 0, 30, 60, 6
 	return s
 }
 
@@ -47,7 +47,7 @@
 func (c *chain) over(give float64) {
 	old := c.newest()
 	next := c.gate(old.now)
-	next.c.Restore(next.now, old.c.HandOver(old.now, give), Exact)
+	next.c.Restore(next.now, old.c.HandOver(old.now, give), TrustAll)
 	c.live = append(c.live, next)
 }
 
@@ -87,7 +87,7 @@
 	if c.rng.Float64() < asks {
 		c.n++
 		g, id := c.live[c.rng.IntN(len(c.live))], fmt.Sprint("r", c.n)
-		g.do(Request{ID: id, Class: "job", Plan: "low", Customer: "x", TTL: 5 * time.Second, Units: 1, Spread: 1})
+		g.do(Request{ID: id, Class: "job", Plan: "low", Customer: "x", Timeout: 5 * time.Second, Units: 1, FanOut: 1})
 		if g.n[id] > 0 {
 			c.sent = append(c.sent, now)
 			c.out = append(c.out, reply{g, id, now + time.Duration(1+c.rng.IntN(40))*ms})
@@ -157,15 +157,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := ceilingSettings()
-			s.Plans[0].Rate, s.Plans[0].Depth = 10, 100
+			s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 10, 100
 			a := newGate(t, s, on(1, 2)...)
 			q := a.c.customerOf(a.c.planOf["low"], "x", 1)
 			q.level, q.ceiling = 60, 20
 			s.Plans = append([]Plan{}, s.Plans...)
-			s.Plans[0].CeilingBurst, s.Plans[0].Depth = tc.burst, tc.depth
+			s.Plans[0].HardLimitBurst, s.Plans[0].QuotaBurst = tc.burst, tc.depth
 			b := newGate(t, s, on(1, 2)...)
 			b.now = a.now
-			b.c.Restore(b.now, a.c.HandOver(a.now, 1), Exact)
+			b.c.Restore(b.now, a.c.HandOver(a.now, 1), TrustAll)
 			got := b.c.custs["low x"]
 			if got.ceiling != tc.wantCeiling || got.level != tc.wantLeft {
 				t.Errorf("ceiling %g, level %g", got.ceiling, got.level)
@@ -187,9 +187,9 @@
 	bad.latency, bad.latencyAt, bad.strikes, bad.asideUntil = 3, a.now, ejectionFailures, a.now+time.Second
 	c := a.c.HandOver(a.now, 1)
 	c.Servers = append(c.Servers, ServerState{Server: 99}) // is not listed any more
-	b := newGate(t, s, append(on(1, 2), Member{Server: 3, HasCameUp: true, CameUp: a.now})...)
+	b := newGate(t, s, append(on(1, 2), Endpoint{Server: 3, HasStartedAt: true, StartedAt: a.now})...)
 	b.now = a.now
-	b.c.Restore(b.now, c, Exact)
+	b.c.Restore(b.now, c, TrustAll)
 	if b.c.latency != 0.25 || b.c.clock.lag != 12 || b.c.clock.phase != 3 || b.c.plans[1].share != 0.75 {
 		t.Errorf("latency %g, lag %d, shares %g", b.c.latency, b.c.clock.lag, b.c.plans[1].share)
 	}
@@ -203,7 +203,7 @@
 	old.At -= time.Hour
 	d := newGate(t, s, on(1, 2, 3)...)
 	first := d.c.bound
-	d.c.Restore(a.now, old, Exact)
+	d.c.Restore(a.now, old, TrustAll)
 	if math.Abs(d.c.bound-first) > 0.01 {
 		t.Errorf("a bound of %g by what is an hour old, not %g", d.c.bound, first)
 	}
@@ -235,9 +235,9 @@
 	for _, customer := range []string{"x", "never seen"} {
 		b := newGate(t, ceilingSettings(), on(1, 2, 3, 4, 5, 6, 7, 8)...)
 		b.now = a.now
-		b.c.Restore(b.now, c, Learned)
+		b.c.Restore(b.now, c, TrustEstimates)
 		for i := range 50 {
-			b.do(Request{ID: fmt.Sprint("r", i), Class: "job", Plan: "low", Customer: customer, TTL: 5 * time.Second, Units: 1, Spread: 1})
+			b.do(Request{ID: fmt.Sprint("r", i), Class: "job", Plan: "low", Customer: customer, Timeout: 5 * time.Second, Units: 1, FanOut: 1})
 		}
 		if len(b.sends) > 0 {
 			t.Errorf("%s: %d units at once", customer, len(b.sends))
@@ -258,7 +258,7 @@
 		c := a.c.Checkpoint(a.now)
 		spoil(&c)
 		b, same := newGate(t, s, on(1, 2)...), newGate(t, s, on(1, 2)...)
-		b.c.Restore(b.now, c, Exact)
+		b.c.Restore(b.now, c, TrustAll)
 		if !reflect.DeepEqual(b.c.custs, same.c.custs) || b.c.bound != same.c.bound {
 			t.Errorf("%s: it was taken over", name)
 		}
--- a/control/choose.go
+++ b/control/choose.go
@@ -24,7 +24,7 @@
 	maxEjectionTime         = 8 * time.Second
 )
 
-func (s *server) usable() bool { return s.listed && s.Condition == On }
+func (s *server) usable() bool { return s.listed && s.State == Active }
 
 func (c *Controller) aside(s *server) bool {
 	return s.strikes >= ejectionFailures && c.now < s.asideUntil
@@ -59,7 +59,7 @@
 }
 
 func (c *Controller) sameGroup(r *request, s *server) bool {
-	if r.group == nil || r.class.Effect != Guarded {
+	if r.group == nil || r.class.Idempotency != IdempotencyKeyed {
 		return true
 	}
 	if c.now >= r.firstRun+r.class.RepeatWindow { // it waited in the queue for too long
@@ -145,19 +145,19 @@
 // that one of many gateways can know. Its mean time follows slowly and begins at nothing: it tells
 // a slow server from others, beside the time that work takes here, but not one that is faster.
 // Guards against a server just started that all find the fastest.
-func (c *Controller) reported(s *server, l *Load) {
-	if l.CPU < 0 || l.AvgMS < 0 {
+func (c *Controller) reported(s *server, l *LoadReport) {
+	if l.Utilization < 0 || l.MeanLatencyMS < 0 {
 		return
 	}
 	c.reports++
 	gain := math.Max(fleetEstimateGain, 1/c.reports)
-	c.util += gain * (math.Min(1, l.CPU) - c.util)
-	c.meanTold += gain * (l.AvgMS/1000 - c.meanTold)
+	c.util += gain * (math.Min(1, l.Utilization) - c.util)
+	c.meanTold += gain * (l.MeanLatencyMS/1000 - c.meanTold)
 	own := math.Max(c.latency, 1e-3) / 2
-	if s.slow = (l.AvgMS/1000 + own) / (c.meanTold + own); s.slow < minSlowdown {
+	if s.slow = (l.MeanLatencyMS/1000 + own) / (c.meanTold + own); s.slow < minSlowdown {
 		s.slow = 1
 	}
-	s.util, s.toldAt = math.Min(1, l.CPU), c.now
+	s.util, s.toldAt = math.Min(1, l.Utilization), c.now
 	c.utilSum += s.util
 	c.utilN++
 }
--- a/control/cold.go
+++ b/control/cold.go
@@ -10,13 +10,13 @@
 
 // learn takes an entry of the list before it replaces what was listed. A server that started
 // anew has no record, and starts cold with nothing to spend.
-func (c *Controller) learn(s *server, m Member) {
-	if m.HasCameUp && (!s.HasCameUp || m.CameUp > s.CameUp) {
+func (c *Controller) learn(s *server, m Endpoint) {
+	if m.HasStartedAt && (!s.HasStartedAt || m.StartedAt > s.StartedAt) {
 		s.latency, s.failing, s.strikes, s.asideUntil, s.aside, s.samples, s.toldAt = 0, 0, 0, 0, 0, 0, 0
 		clear(s.shut)
 	}
-	if m.HasCameUp && c.now < m.CameUp+c.set.Cold {
-		s.coldRamp, s.coldFrom = true, max(m.CameUp, s.coldFrom)
+	if m.HasStartedAt && c.now < m.StartedAt+c.set.WarmupTime {
+		s.coldRamp, s.coldFrom = true, max(m.StartedAt, s.coldFrom)
 		// Guards against a large group that comes with its first requests all at once, or not at all
 		// while the server is cold: what each may send takes it longer to earn than that.
 		s.tokens, s.tokensAt = -c.rng.Float64()*c.meanUnits, c.now
@@ -26,7 +26,7 @@
 // work is what a request counts for in what all share, who go by one mean of it. Guards against any number
 // of units that a client names where the settings name no most.
 func (c *Controller) work(units float64) float64 {
-	if c.set.UnitsTop == 0 {
+	if c.set.MaxUnits == 0 {
 		return 1
 	}
 	return units
@@ -34,11 +34,12 @@
 
 // warmth is the part of its capacity that a server has reached at least.
 func (c *Controller) warmth(s *server) float64 {
-	if c.set.Cold <= 0 {
+	if c.set.WarmupTime <= 0 {
 		return 1
 	}
-	x := (c.now - s.coldFrom).Seconds() / c.set.Cold.Seconds()
-	return math.Min(1, math.Max(minWarmupFraction, c.set.ColdFrom)+(1-c.set.ColdFrom)*math.Max(0, x))
+	x := (c.now - s.coldFrom).Seconds() / c.set.WarmupTime.Seconds()
+	initial := math.Max(minWarmupFraction, c.set.InitialCapacity)
+	return math.Min(1, initial+(1-c.set.InitialCapacity)*math.Max(0, x))
 }
 
 // coldRoom holds a cold server under this gateway's part of its budget: what warm
@@ -48,7 +49,7 @@
 	if !s.coldRamp {
 		return true
 	}
-	if c.now >= s.coldFrom+c.set.Cold {
+	if c.now >= s.coldFrom+c.set.WarmupTime {
 		s.coldRamp = false
 		return true
 	}
@@ -58,10 +59,10 @@
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
 	// What is sent may go beyond what was earned and is paid back, so a part below one request flows.
-	budget := slowStartBudgetFraction * c.set.FallMultiple * w * c.warmRate()
+	budget := slowStartBudgetFraction * c.set.OverloadMultiple * w * c.warmRate()
 	rate := c.portion * math.Max(budget, 1/float64(c.set.GroupSize))
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
-	s.tokens, s.tokensAt = math.Min(s.tokens, rate*c.set.Fall.Seconds()/2), c.now
+	s.tokens, s.tokensAt = math.Min(s.tokens, rate*c.set.OverloadWindow.Seconds()/2), c.now
 	return s.tokens >= 0
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -39,11 +39,11 @@
 	}
 	c := newController(s, seed)
 	c.retries, c.nextTry, c.clock.lag = maxRetryBudget, rejectRetryAfter, initialMeterLagBins
-	c.meanUnits = (1 + math.Max(1, s.UnitsTop)) / 2 // until requests tell
+	c.meanUnits = (1 + math.Max(1, s.MaxUnits)) / 2 // until requests tell
 	for i := range c.set.Classes {
 		k := &c.set.Classes[i]
 		c.classes[k.Name], c.usual[k] = k, &usualTTL{}
-		c.topWorth = math.Max(c.topWorth, k.Worth)
+		c.topWorth = math.Max(c.topWorth, k.PriorityWeight)
 	}
 	prices := make([]float64, len(s.Plans))
 	for i, p := range s.Plans {
@@ -57,11 +57,11 @@
 func (c *Controller) begin() {
 	c.started, c.start = true, c.now
 	c.nextInterval = c.now + windowDuration
-	c.act(Arm{After: tickPeriod, Label: tickLabel})
+	c.act(StartTimer{After: tickPeriod, Label: tickLabel})
 }
 
-func (c *Controller) onList(e List) {
-	if c.following = c.set.OnRequest && e.Kind != Stale && e.Kind != Broken; e.Kind == Broken {
+func (c *Controller) onList(e EndpointList) {
+	if c.following = c.set.ListOnRequest && e.Kind != ListCached && e.Kind != ListFailed; e.Kind == ListFailed {
 		c.askAt = c.now + rewatchInterval/2 + time.Duration(c.rng.Int64N(int64(rewatchInterval)))
 		return
 	}
@@ -77,15 +77,15 @@
 		c.onTick()
 	} else if r := c.labels[label]; r != nil && r.queued {
 		// Guards against a starved plan that looks punctual: one shed counts as its deadline.
-		r.plan.saw(math.Max(1, r.class.Deadline.Seconds()/r.class.Aim.Seconds()))
-		c.finish(r, NoTurn)
+		r.plan.saw(math.Max(1, r.class.Deadline.Seconds()/r.class.LatencyObjective.Seconds()))
+		c.finish(r, CauseQueueTimeout)
 	}
 }
 
 func (c *Controller) onTick() {
-	c.act(Arm{After: tickPeriod, Label: tickLabel})
-	if c.set.OnRequest && !c.following && c.now >= c.askAt {
-		c.act(Follow{Active: true})
+	c.act(StartTimer{After: tickPeriod, Label: tickLabel})
+	if c.set.ListOnRequest && !c.following && c.now >= c.askAt {
+		c.act(WatchEndpoints{Active: true})
 		c.askAt = c.now + rewatchInterval
 	}
 	// An interval of few answers goes on, as their mean says little.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -20,13 +20,13 @@
 // settings is a small deployment for tests: one free class, two plans.
 func settings() Settings {
 	return Settings{
-		GroupSize: 2, Zone: "z1", SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
-		Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2, MeterPeriod: time.Second,
-		MayCancel: true,
-		Classes:   []Class{{Name: "job", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1}},
+		GroupSize: 2, Zone: "z1", MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		WarmupTime: 10 * time.Second, InitialCapacity: 0.2, OverloadWindow: time.Second, OverloadMultiple: 2, MeterPeriod: time.Second,
+		CanCancel: true,
+		Classes:   []Class{{Name: "job", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1}},
 		Plans: []Plan{
-			{Name: "low", Price: 0.5, Rate: 1000, Depth: 1000},
-			{Name: "high", Price: 1.5, Rate: 1000, Depth: 1000},
+			{Name: "low", Price: 0.5, QuotaRate: 1000, QuotaBurst: 1000},
+			{Name: "high", Price: 1.5, QuotaRate: 1000, QuotaBurst: 1000},
 		},
 	}
 }
@@ -43,7 +43,7 @@
 	acts  []Action
 }
 
-func newGate(t *testing.T, s Settings, servers ...Member) *gate {
+func newGate(t *testing.T, s Settings, servers ...Endpoint) *gate {
 	t.Helper()
 	c, err := New(s, 7)
 	if err != nil {
@@ -53,7 +53,7 @@
 		t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{},
 		due: map[uint64]time.Duration{},
 	}
-	g.do(List{Kind: Stale, Members: servers})
+	g.do(EndpointList{Kind: ListCached, Endpoints: servers})
 	return g
 }
 
@@ -69,11 +69,11 @@
 			}
 			g.n[a.ID]++
 			g.sends = append(g.sends, a)
-		case Refuse:
+		case Reject:
 			g.end(a.ID, a)
 		case Fail:
 			g.end(a.ID, a)
-		case Arm:
+		case StartTimer:
 			g.due[a.Label] = g.now + a.After
 		}
 	}
@@ -105,13 +105,13 @@
 		}
 		delete(g.due, label)
 		g.now = max(g.now, at)
-		g.do(Timer{Label: label})
+		g.do(TimerFired{Label: label})
 	}
 }
 
 func (g *gate) ask(id, class, plan, customer string) {
 	g.t.Helper()
-	g.do(Request{ID: id, Class: class, Plan: plan, Customer: customer, TTL: 5 * time.Second, Units: 1, Spread: 2})
+	g.do(Request{ID: id, Class: class, Plan: plan, Customer: customer, Timeout: 5 * time.Second, Units: 1, FanOut: 2})
 }
 
 // reply answers the latest send of a request.
@@ -119,7 +119,7 @@
 	g.t.Helper()
 	for i := len(g.sends) - 1; i >= 0; i-- {
 		if g.sends[i].ID == id {
-			g.do(Response{ID: id, N: g.n[id] - 1, Server: g.sends[i].Server, Reason: why, Done: why == OK, Used: used})
+			g.do(AttemptResult{ID: id, Attempt: g.n[id] - 1, Server: g.sends[i].Server, Reason: why, IsFinal: why == OK, QuotaUsage: used})
 			if why == OK {
 				g.ends[id] = Send{}
 			}
@@ -129,10 +129,10 @@
 	g.t.Fatalf("%s was never sent", id)
 }
 
-func on(ids ...uint32) []Member {
-	var m []Member
+func on(ids ...uint32) []Endpoint {
+	var m []Endpoint
 	for i, id := range ids {
-		m = append(m, Member{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
+		m = append(m, Endpoint{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
 	}
 	return m
 }
@@ -232,10 +232,10 @@
 		"plans":      func(s *Settings) { s.Plans = nil },
 		"self index": func(s *Settings) { s.SelfIndex = 2 },
 		"group size": func(s *Settings) { s.GroupSize = 0 },
-		"rate":       func(s *Settings) { s.Plans[0].Rate = -1 },
+		"rate":       func(s *Settings) { s.Plans[0].QuotaRate = -1 },
 		"price":      func(s *Settings) { s.Plans[1].Price = math.NaN() },
-		"depth":      func(s *Settings) { s.Plans[1].Depth = math.Inf(1) },
-		"aim":        func(s *Settings) { s.Classes[0].Aim = 0 },
+		"depth":      func(s *Settings) { s.Plans[1].QuotaBurst = math.Inf(1) },
+		"aim":        func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
 	} {
 		s := settings()
 		spoil(&s)
@@ -406,24 +406,24 @@
 	g.ask("a", "other", "low", "x")
 	g.ask("b", "job", "other", "x")
 	for _, id := range []string{"a", "b"} {
-		if _, ok := g.ends[id].(Refuse); !ok {
+		if _, ok := g.ends[id].(Reject); !ok {
 			t.Errorf("%s ended with %v", id, g.ends[id])
 		}
 	}
-	g.do(Hangup{ID: "z"})
-	g.do(Response{ID: "z", Server: 9, Reason: OK})
-	g.do(Timer{Label: 999})
-	g.do(ProbeResult{Server: 77})
-	g.do(Counted{Name: 4})
+	g.do(ClientGone{ID: "z"})
+	g.do(AttemptResult{ID: "z", Server: 9, Reason: OK})
+	g.do(TimerFired{Label: 999})
+	g.do(HealthCheckResult{Server: 77})
+	g.do(CounterResult{Name: 4})
 	g.do(PeerMessage{From: 1})
-	g.do(Started{ID: "z"})
+	g.do(ResponseStarted{ID: "z"})
 }
 
 func TestQueuedRequestsAreAnsweredInTime(t *testing.T) {
 	g := newGate(t, settings()) // no server at all
 	g.ask("a", "job", "low", "x")
 	g.pass(5 * time.Second)
-	r, ok := g.ends["a"].(Refuse)
+	r, ok := g.ends["a"].(Reject)
 	if !ok || r.RetryAfter != time.Second {
 		t.Errorf("ended with %#v", g.ends["a"])
 	}
@@ -434,7 +434,7 @@
 	g := newGate(t, settings(), on(1)...)
 	g.ask("a", "job", "low", "x")
 	g.pass(4 * time.Second)
-	g.do(List{Kind: Whole})
+	g.do(EndpointList{Kind: ListComplete})
 	g.reply("a", Errored, 0)
 	g.pass(990 * ms)
 	if g.ends["a"] != nil {
@@ -454,15 +454,15 @@
 		again bool // another attempt is sent
 		end   string
 	}{
-		{"free", Class{Effect: Free}, Errored, true, ""},
-		{"unsafe maybe run", Class{Effect: SingleShot}, Errored, false, "control.Fail"},
-		{"unsafe never ran", Class{Effect: SingleShot}, Full, true, ""},
-		{"keyed in window", Class{Effect: Guarded, KeyScope: ScopeCell, RepeatWindow: time.Minute}, ResetByPeer, true, ""},
-		{"keyed too late", Class{Effect: Guarded, KeyScope: ScopeCell, RepeatWindow: ms}, ResetByPeer, false, "control.Fail"},
-		{"keyed by all, too late", Class{Effect: Guarded, RepeatWindow: ms}, ResetByPeer, false, "control.Refuse"},
+		{"free", Class{Idempotency: Idempotent}, Errored, true, ""},
+		{"unsafe maybe run", Class{Idempotency: NotIdempotent}, Errored, false, "control.Fail"},
+		{"unsafe never ran", Class{Idempotency: NotIdempotent}, RejectedByServer, true, ""},
+		{"keyed in window", Class{Idempotency: IdempotencyKeyed, KeyScope: ScopeCell, RepeatWindow: time.Minute}, ResetByPeer, true, ""},
+		{"keyed too late", Class{Idempotency: IdempotencyKeyed, KeyScope: ScopeCell, RepeatWindow: ms}, ResetByPeer, false, "control.Fail"},
+		{"keyed by all, too late", Class{Idempotency: IdempotencyKeyed, RepeatWindow: ms}, ResetByPeer, false, "control.Reject"},
 	} {
 		s := settings()
-		k.class.Name, k.class.Aim, k.class.Deadline = "job", 2*time.Second, 6*time.Second
+		k.class.Name, k.class.LatencyObjective, k.class.Deadline = "job", 2*time.Second, 6*time.Second
 		s.Classes = []Class{k.class}
 		g := newGate(t, s, on(1, 2, 3, 4)...)
 		g.ask("a", "job", "low", "x")
@@ -478,12 +478,12 @@
 }
 
 func TestKeyedRepeatStaysInItsGroup(t *testing.T) {
-	for scope, same := range map[Scope]func(a, b Member) bool{
-		ScopeCell: func(a, b Member) bool { return a.Cell == b.Cell },
-		ScopeZone: func(a, b Member) bool { return a.Zone == b.Zone },
+	for scope, same := range map[KeyScope]func(a, b Endpoint) bool{
+		ScopeCell: func(a, b Endpoint) bool { return a.Cell == b.Cell },
+		ScopeZone: func(a, b Endpoint) bool { return a.Zone == b.Zone },
 	} {
 		s := settings()
-		s.Classes[0].Effect, s.Classes[0].KeyScope, s.Classes[0].RepeatWindow = Guarded, scope, time.Minute
+		s.Classes[0].Idempotency, s.Classes[0].KeyScope, s.Classes[0].RepeatWindow = IdempotencyKeyed, scope, time.Minute
 		list := on(1, 2, 3, 4, 5, 6)
 		g := newGate(t, s, list...)
 		for i := 0; i < 30; i++ {
@@ -508,20 +508,20 @@
 		if g.n["a"] != i+1 {
 			t.Fatalf("%d attempts after %d failures", g.n["a"], i)
 		}
-		g.reply("a", Full, 0)
+		g.reply("a", RejectedByServer, 0)
 	}
-	if _, ok := g.ends["a"].(Refuse); !ok || g.n["a"] != 3 {
+	if _, ok := g.ends["a"].(Reject); !ok || g.n["a"] != 3 {
 		t.Errorf("%d attempts, ended with %v", g.n["a"], g.ends["a"])
 	}
 }
 
 func TestNothingGoesToADrainingServer(t *testing.T) {
 	g := newGate(t, settings(), on(1, 2)...)
-	g.do(List{Kind: Patch, Members: []Member{{Server: 1, Condition: Fading}}})
+	g.do(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{{Server: 1, State: Draining}}})
 	for i := 0; i < 4; i++ {
 		g.ask(fmt.Sprint(i), "job", "low", "x")
 	}
-	g.do(List{Kind: Whole, Members: on(3)})
+	g.do(EndpointList{Kind: ListComplete, Endpoints: on(3)})
 	g.ask("x", "job", "low", "x")
 	for _, s := range g.sends {
 		if s.Server == 1 || s.ID == "x" && s.Server != 3 {
@@ -533,7 +533,7 @@
 func TestColdServerIsHeldUnderItsBudget(t *testing.T) {
 	s := settings()
 	list := on(1, 2, 3, 4)
-	list[0].CameUp, list[0].HasCameUp = time.Hour-100*ms, true
+	list[0].StartedAt, list[0].HasStartedAt = time.Hour-100*ms, true
 	g := newGate(t, s, list...)
 	cold, busy := 0, 0
 	for i := 0; i < 100; i++ {
@@ -562,7 +562,7 @@
 
 func TestRestartedGatewayStartsItsCeilingEmpty(t *testing.T) {
 	s := settings()
-	s.Plans[0].CeilingRate, s.Plans[0].CeilingBurst, s.Plans[0].CeilingSlack = 10, 40, 4
+	s.Plans[0].HardLimitRate, s.Plans[0].HardLimitBurst, s.Plans[0].HardLimitSlack = 10, 40, 4
 	g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)...)
 	for i := 0; i < 50; i++ {
 		g.ask(fmt.Sprint("s", i), "job", "low", "x")
@@ -590,7 +590,7 @@
 
 func TestUnseenCustomerMaySendItsPartOfTheBurst(t *testing.T) {
 	s := settings()
-	s.Plans[0].Rate, s.Plans[0].Depth = 1, 20
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 1, 20
 	g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)...)
 	for i := 0; i < 60; i++ {
 		g.ask(fmt.Sprint(i), "job", "low", "x")
@@ -602,7 +602,7 @@
 
 func TestChanceFollowsTheFormulaAndReadsAPeriodOnce(t *testing.T) {
 	s := settings()
-	s.Plans[0].Rate, s.Plans[0].Depth = 1000, 20 // enough units for a reading to outweigh the prior
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 1000, 20 // enough units for a reading to outweigh the prior
 	g := newGate(t, s, on(1, 2, 3)...)
 	q := g.c.customerOf(g.c.plans[0], "x", 1000) // own tries tell next to nothing
 	read := func(pct int) float64 {
@@ -645,7 +645,7 @@
 // The meter's period and lateness are learned from our own sends.
 func TestClockLearnsTheLateness(t *testing.T) {
 	s := settings()
-	s.Plans[0].Rate, s.Plans[0].Depth = 10, 1000
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 10, 1000
 	g := newGate(t, s, on(1, 2, 3)...)
 	q := g.c.customerOf(g.c.plans[0], "x", 1)
 	const late = 1300 * ms
@@ -677,7 +677,7 @@
 
 func TestOpenQuotaHoldsBack(t *testing.T) {
 	s := settings()
-	s.Plans[0].Rate, s.Plans[0].Depth, s.Plans[0].Open = 0, 0, 4
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst, s.Plans[0].MaxInFlight = 0, 0, 4
 	g := newGate(t, s, on(1, 2, 3, 4)...)
 	for i := 0; i < 4; i++ {
 		g.ask(fmt.Sprint(i), "job", "low", "x")
@@ -694,12 +694,12 @@
 
 func TestTrueUnitsAreSettled(t *testing.T) {
 	s := settings()
-	s.CostAfter = true
+	s.UnitsInResponse = true
 	g := newGate(t, s, on(1)...)
 	g.ask("a", "job", "low", "x")
 	q := g.c.customerOf(g.c.plans[0], "x", 2)
 	before := q.level
-	g.do(Response{ID: "a", Server: 1, Reason: OK, Done: true, Cost: 4})
+	g.do(AttemptResult{ID: "a", Server: 1, Reason: OK, IsFinal: true, ActualUnits: 4})
 	if got := before - q.level; math.Abs(got-3) > 1e-9 {
 		t.Errorf("settled %g units, guessed 1, true 4", got)
 	}
@@ -728,11 +728,11 @@
 
 func TestListIsAskedForAgainAfterAFailure(t *testing.T) {
 	s := settings()
-	s.OnRequest, s.AskWithin = true, 10*time.Second
+	s.ListOnRequest, s.MaxPollInterval = true, 10*time.Second
 	g := newGate(t, s, on(1)...)
 	follows := func() (n int) {
 		for _, a := range g.acts {
-			if f, ok := a.(Follow); ok && f.Active {
+			if f, ok := a.(WatchEndpoints); ok && f.Active {
 				n++
 			}
 		}
@@ -742,12 +742,12 @@
 	if follows() != 1 {
 		t.Fatalf("%d askings at start", follows())
 	}
-	g.do(List{Kind: Broken})
+	g.do(EndpointList{Kind: ListFailed})
 	g.pass(5 * time.Second)
 	if follows() < 2 {
 		t.Error("no second asking after the first failed")
 	}
-	g.do(List{Kind: Whole, Members: on(1)})
+	g.do(EndpointList{Kind: ListComplete, Endpoints: on(1)})
 	n := follows()
 	g.pass(20 * time.Second)
 	if follows() != n {
@@ -806,7 +806,7 @@
 // aside that still serve half of what they are sent: twelve requests are open at a time.
 func TestStormOfFastErrorsIsRiddenOut(t *testing.T) {
 	s := settings()
-	s.SendCap = 6
+	s.MaxAttempts = 6
 	g := newGate(t, s, on(1, 2, 3, 4)...)
 	rng := rand.New(rand.NewPCG(1, 2))
 	type outcome struct {
@@ -853,8 +853,8 @@
 // full again is kept: forgetting it would open its quota or ceiling anew.
 func TestCustomersThatCameOnceAreForgotten(t *testing.T) {
 	s := settings()
-	s.Plans = append(s.Plans, Plan{Name: "slow", Price: 1, Rate: 0.01, Depth: 10},
-		Plan{Name: "capped", Price: 1, Rate: 1000, Depth: 1000, CeilingRate: 0.01, CeilingBurst: 10, CeilingSlack: 9})
+	s.Plans = append(s.Plans, Plan{Name: "slow", Price: 1, QuotaRate: 0.01, QuotaBurst: 10},
+		Plan{Name: "capped", Price: 1, QuotaRate: 1000, QuotaBurst: 1000, HardLimitRate: 0.01, HardLimitBurst: 10, HardLimitSlack: 9})
 	g := newGate(t, s, on(1, 2)...)
 	for i := 0; i < 100; i++ {
 		for _, plan := range []string{"low", "slow", "capped"} {
@@ -917,7 +917,7 @@
 	s := settings()
 	s.GroupSize = 12
 	list := on(1, 2)
-	list[0].CameUp, list[0].HasCameUp = time.Hour-ms, true
+	list[0].StartedAt, list[0].HasStartedAt = time.Hour-ms, true
 	g := newGate(t, s, list...)
 	cold := 0
 	for i := 0; i < 300; i++ {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -10,19 +10,19 @@
 // A gateway hands over what happens and does what it is told.
 func Example() {
 	c, err := control.New(control.Settings{
-		GroupSize: 1, SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
-		Classes: []control.Class{{Name: "submit", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
-		Plans:   []control.Plan{{Name: "basic", Price: 1, Rate: 2, Depth: 4}},
+		GroupSize: 1, MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		Classes: []control.Class{{Name: "submit", LatencyObjective: time.Second, Deadline: 4 * time.Second, PriorityWeight: 1}},
+		Plans:   []control.Plan{{Name: "basic", Price: 1, QuotaRate: 2, QuotaBurst: 4}},
 	}, 42)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	now := time.Hour // any clock that only moves forward
-	c.Handle(now, control.List{Kind: control.Whole, Members: []control.Member{{Server: 7, Size: 1}}})
+	c.Handle(now, control.EndpointList{Kind: control.ListComplete, Endpoints: []control.Endpoint{{Server: 7, Size: 1}}})
 	for _, a := range c.Handle(now, control.Request{
 		ID: "r1", Class: "submit", Plan: "basic",
-		Customer: "c1", TTL: 3 * time.Second, Units: 1, Spread: 1,
+		Customer: "c1", Timeout: 3 * time.Second, Units: 1, FanOut: 1,
 	}) {
 		if s, ok := a.(control.Send); ok {
 			fmt.Println("send", s.ID, "to server", s.Server)
--- a/control/fast_test.go
+++ b/control/fast_test.go
@@ -13,18 +13,18 @@
 	s := settings()
 	s.GroupSize, s.MeterPeriod = 1, 0
 	s.Classes = []Class{
-		{Name: "cheap", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: cheap},
-		{Name: "dear", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 5},
+		{Name: "cheap", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: cheap},
+		{Name: "dear", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 5},
 	}
-	s.Plans = []Plan{{Name: "low", Price: 1, Rate: 1e6, Depth: 1e6}}
-	var servers []Member
+	s.Plans = []Plan{{Name: "low", Price: 1, QuotaRate: 1e6, QuotaBurst: 1e6}}
+	var servers []Endpoint
 	for i := range 4 {
-		servers = append(servers, Member{Server: uint32(i + 1), Condition: On, Size: 1})
+		servers = append(servers, Endpoint{Server: uint32(i + 1), State: Active, Size: 1})
 	}
 	g := newGate(t, s, servers...)
 	type due struct {
 		at  time.Duration
-		end Response
+		end AttemptResult
 	}
 	var out []due // by time, as all take the same
 	served, refused = make(map[string]int), make(map[string]int)
@@ -36,12 +36,12 @@
 			id := fmt.Sprint(next)
 			classOf[id] = class(next)
 			next++
-			g.do(Request{ID: id, Class: classOf[id], Plan: "low", Customer: id, TTL: 6 * time.Second, Units: 1, Spread: 1})
+			g.do(Request{ID: id, Class: classOf[id], Plan: "low", Customer: id, Timeout: 6 * time.Second, Units: 1, FanOut: 1})
 			if _, ok := g.ends[id]; ok {
 				refused[classOf[id]]++
 			}
 			for ; seen < len(g.sends); seen++ {
-				out = append(out, due{g.now + takes, Response{ID: g.sends[seen].ID, Server: g.sends[seen].Server, Reason: OK, Done: true, Delay: takes}})
+				out = append(out, due{g.now + takes, AttemptResult{ID: g.sends[seen].ID, Server: g.sends[seen].Server, Reason: OK, IsFinal: true, Delay: takes}})
 			}
 		}
 		if len(out) == 0 {
@@ -56,7 +56,7 @@
 		served[classOf[e.ID]]++
 		idle = 1
 		for ; seen < len(g.sends); seen++ {
-			out = append(out, due{g.now + takes, Response{ID: g.sends[seen].ID, Server: g.sends[seen].Server, Reason: OK, Done: true, Delay: takes}})
+			out = append(out, due{g.now + takes, AttemptResult{ID: g.sends[seen].ID, Server: g.sends[seen].Server, Reason: OK, IsFinal: true, Delay: takes}})
 		}
 	}
 	return served, refused
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -9,8 +9,8 @@
 // Tests of what many gateways do together, each of which sees a few requests a second.
 
 // told is a server's report of its mean time, in ms, and how busy it is.
-func told(mean, util float64) *Load {
-	return &Load{AvgMS: mean, CPU: util, Waiting: 0, Active: -1, RPS: -1, ErrRPS: -1}
+func told(mean, util float64) *LoadReport {
+	return &LoadReport{MeanLatencyMS: mean, Utilization: util, Queued: 0, InFlight: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 }
 
 // cohort is a group of controllers that are asked in turn; each attempt is answered after 300 ms.
@@ -18,21 +18,21 @@
 	t     *testing.T
 	gates []*gate
 	sent  map[uint32]int // attempts by server
-	load  func(server uint32) *Load
+	load  func(server uint32) *LoadReport
 }
 
-func newCohort(t *testing.T, n int, members []Member) *cohort {
-	c := &cohort{t: t, sent: map[uint32]int{}, load: func(uint32) *Load { return nil }}
+func newCohort(t *testing.T, n int, members []Endpoint) *cohort {
+	c := &cohort{t: t, sent: map[uint32]int{}, load: func(uint32) *LoadReport { return nil }}
 	for i := range n {
 		s := settings()
 		s.GroupSize, s.SelfIndex = n, i
-		s.Cold, s.ColdFrom, s.Fall, s.FallMultiple = 15*time.Second, 0.15, 2*time.Second, 2.5
+		s.WarmupTime, s.InitialCapacity, s.OverloadWindow, s.OverloadMultiple = 15*time.Second, 0.15, 2*time.Second, 2.5
 		ctl, err := New(s, uint64(100+i))
 		if err != nil {
 			t.Fatal(err)
 		}
 		g := &gate{t: t, c: ctl, now: time.Hour, ends: map[string]Action{}, n: map[string]int{}, due: map[uint64]time.Duration{}}
-		g.do(List{Kind: Stale, Members: members})
+		g.do(EndpointList{Kind: ListCached, Endpoints: members})
 		c.gates = append(c.gates, g)
 	}
 	return c
@@ -50,7 +50,7 @@
 			g.pass(step)
 			for _, a := range g.sends[open:] {
 				c.sent[a.Server]++
-				g.do(Response{ID: a.ID, Server: a.Server, Reason: OK, Done: true, Delay: step, Load: c.load(a.Server)})
+				g.do(AttemptResult{ID: a.ID, Server: a.Server, Reason: OK, IsFinal: true, Delay: step, Load: c.load(a.Server)})
 				g.ends[a.ID] = a
 			}
 		}
@@ -64,9 +64,9 @@
 		list := on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
 		c := newCohort(t, n, list)
 		c.serve(20)
-		fresh := Member{Server: 13, Size: 1, HasCameUp: true, CameUp: c.gates[0].now}
+		fresh := Endpoint{Server: 13, Size: 1, HasStartedAt: true, StartedAt: c.gates[0].now}
 		for _, g := range c.gates {
-			g.do(List{Kind: Patch, Members: []Member{fresh}})
+			g.do(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{fresh}})
 		}
 		clear(c.sent)
 		c.serve(50) // its first 10 s
@@ -89,7 +89,7 @@
 	for _, n := range []int{8, 80, 300} {
 		list := on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
 		for s := uint32(13); s <= 16; s++ {
-			list = append(list, Member{Server: s, Size: 1, HasCameUp: true, CameUp: time.Hour - time.Second})
+			list = append(list, Endpoint{Server: s, Size: 1, HasStartedAt: true, StartedAt: time.Hour - time.Second})
 		}
 		c := newCohort(t, n, list)
 		c.serve(10) // 2 s
@@ -110,7 +110,7 @@
 // begins at nothing.
 func TestServerThatTellsNoTimeDoesNotDrawAll(t *testing.T) {
 	c := newCohort(t, 40, on(1, 2, 3, 4, 5, 6, 7, 8))
-	c.load = func(s uint32) *Load {
+	c.load = func(s uint32) *LoadReport {
 		if s == 1 {
 			return told(1, 0.7)
 		}
@@ -125,7 +125,7 @@
 // Guards against gateways that each learn anew, by a request every few seconds, which servers are slow.
 func TestServerThatTellsItIsSlowIsSentLess(t *testing.T) {
 	c := newCohort(t, 40, on(1, 2, 3, 4, 5, 6, 7, 8))
-	c.load = func(s uint32) *Load {
+	c.load = func(s uint32) *LoadReport {
 		if s == 1 {
 			return told(2000, 0.7)
 		}
@@ -141,10 +141,10 @@
 // room is chosen first.
 func TestBusyServerIsSentLess(t *testing.T) {
 	c := newCohort(t, 40, on(1, 2, 3, 4, 5, 6, 7, 8))
-	c.load = func(s uint32) *Load {
+	c.load = func(s uint32) *LoadReport {
 		l := told(300, 0.5)
 		if s <= 4 {
-			l.CPU = 1
+			l.Utilization = 1
 		}
 		return l
 	}
@@ -176,11 +176,11 @@
 			g.ask(id, "job", "high", fmt.Sprint("x", i))
 			g.pass(1200 * ms)
 			if n := len(g.sends); g.n[id] > 0 {
-				g.do(Response{
-					ID: id, Server: g.sends[n-1].Server, Reason: OK, Done: true,
+				g.do(AttemptResult{
+					ID: id, Server: g.sends[n-1].Server, Reason: OK, IsFinal: true,
 					Load: told(1200, k.util),
 				})
-				g.ends[id] = Refuse{ID: id}
+				g.ends[id] = Reject{ID: id}
 			}
 		}
 		if cut := g.c.Bound() < first; cut != k.cut {
--- a/control/gone_test.go
+++ b/control/gone_test.go
@@ -9,25 +9,25 @@
 // A server that has a request is told to drain, or gone, by an entry that says nothing else of it.
 // A repeat still goes to those that drop repeats of what it ran, or to none.
 func TestGoneServerKeepsItsGroup(t *testing.T) {
-	for _, condition := range []Condition{Fading, Off} {
-		for _, scope := range []Scope{ScopeZone, ScopeCell} {
+	for _, condition := range []EndpointState{Draining, Gone} {
+		for _, scope := range []KeyScope{ScopeZone, ScopeCell} {
 			for _, deadline := range []time.Duration{400 * ms, 6 * time.Second} {
 				t.Run(fmt.Sprint(condition, scope, deadline), func(t *testing.T) {
 					s := settings()
 					s.Classes = []Class{{
-						Name: "put", Aim: deadline / 2, Deadline: deadline, Worth: 1, Effect: Guarded, KeyScope: scope,
+						Name: "put", LatencyObjective: deadline / 2, Deadline: deadline, PriorityWeight: 1, Idempotency: IdempotencyKeyed, KeyScope: scope,
 						RepeatWindow: deadline,
 					}}
-					group := []Member{{Server: 1, Zone: "z1", Cell: 1, Size: 1}, {Server: 2, Zone: "z1", Cell: 1, Size: 1}}
-					others := []Member{{Server: 3, Size: 1}, {Server: 4, Size: 1}, {Server: 5, Size: 1}} // in no zone
+					group := []Endpoint{{Server: 1, Zone: "z1", Cell: 1, Size: 1}, {Server: 2, Zone: "z1", Cell: 1, Size: 1}}
+					others := []Endpoint{{Server: 3, Size: 1}, {Server: 4, Size: 1}, {Server: 5, Size: 1}} // in no zone
 					g := newGate(t, s, group[0])
-					g.do(Request{ID: "r", Class: "put", Plan: "low", Customer: "x", TTL: deadline, Units: 1, Spread: 1})
-					g.do(List{Kind: Patch, Members: append([]Member{{Server: 1, Condition: condition}}, others...)})
+					g.do(Request{ID: "r", Class: "put", Plan: "low", Customer: "x", Timeout: deadline, Units: 1, FanOut: 1})
+					g.do(EndpointList{Kind: ListPatch, Endpoints: append([]Endpoint{{Server: 1, State: condition}}, others...)})
 					g.reply("r", ResetByPeer, 0)
 					if len(g.sends) != 1 {
 						t.Fatalf("sent again to %d", g.sends[1].Server)
 					}
-					g.do(List{Kind: Patch, Members: group[1:]})
+					g.do(EndpointList{Kind: ListPatch, Endpoints: group[1:]})
 					if len(g.sends) != 2 || g.sends[1].Server != 2 {
 						t.Errorf("sent to %v, not again to 2", g.sends)
 					}
--- a/control/image.go
+++ b/control/image.go
@@ -80,7 +80,7 @@
 
 // WholeServer is a server's state. One that is not Kept is gone, and something still refers to it.
 type WholeServer struct {
-	Member
+	Endpoint
 	Kept      bool                  `cbor:"Kept"`
 	Listed    bool                  `cbor:"Listed"`
 	Probing   bool                  `cbor:"Probing"`
@@ -281,7 +281,7 @@
 	}
 	for _, v := range servers.all {
 		w := WholeServer{
-			Member: v.Member, Kept: c.servers[v.Server] == v, Listed: v.listed, Probing: v.probing, ColdRamp: v.coldRamp,
+			Endpoint: v.Endpoint, Kept: c.servers[v.Server] == v, Listed: v.listed, Probing: v.probing, ColdRamp: v.coldRamp,
 			Inflight: v.inflight, Ghosts: v.ghosts, Strikes: v.strikes, Latency: v.latency, Failing: v.failing, Tokens: v.tokens,
 			Samples: v.samples, Slow: v.slow, Util: v.util, ToldAt: v.toldAt,
 			LatencyAt: v.latencyAt, Heard: v.heard, FailingAt: v.failingAt, AsideUnto: v.asideUntil, Aside: v.aside, ColdFrom: v.coldFrom,
--- a/control/odd_test.go
+++ b/control/odd_test.go
@@ -13,24 +13,24 @@
 func odd(rng *rand.Rand) Settings {
 	some := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
 	s := Settings{
-		GroupSize: []int{1, 2, 7, 300}[rng.IntN(4)], Zone: []string{"", "z1"}[rng.IntN(2)], SendCap: rng.IntN(4),
-		Cold: seconds(some(0, 2, 10)), ColdFrom: some(0, 0.2, 1), Fall: seconds(some(0, 1)), FallMultiple: some(0, 2),
-		MeterPeriod: seconds(some(0, 0.1, 1)), CostAfter: rng.IntN(2) == 0, OnRequest: rng.IntN(2) == 0,
-		MarksRetry: rng.IntN(2) == 0, MaxRetryAfter: seconds(some(0, 1)), UnitsTop: some(0, 4),
+		GroupSize: []int{1, 2, 7, 300}[rng.IntN(4)], Zone: []string{"", "z1"}[rng.IntN(2)], MaxAttempts: rng.IntN(4),
+		WarmupTime: seconds(some(0, 2, 10)), InitialCapacity: some(0, 0.2, 1), OverloadWindow: seconds(some(0, 1)), OverloadMultiple: some(0, 2),
+		MeterPeriod: seconds(some(0, 0.1, 1)), UnitsInResponse: rng.IntN(2) == 0, ListOnRequest: rng.IntN(2) == 0,
+		RetriesAreMarked: rng.IntN(2) == 0, MaxRetryAfter: seconds(some(0, 1)), MaxUnits: some(0, 4),
 	}
 	s.SelfIndex = rng.IntN(s.GroupSize)
 	for i := range 1 + rng.IntN(3) {
 		deadline := seconds(some(0.02, 0.1, 0.4, 3, 20))
 		s.Classes = append(s.Classes, Class{
-			Name: fmt.Sprint("c", i), Aim: seconds(deadline.Seconds() * some(0.1, 0.5, 1, 2)),
-			Deadline: deadline, Effect: Effect(rng.IntN(3)), KeyScope: Scope(rng.IntN(3)), Worth: some(0, 1, 9),
-			RepeatWindow: seconds(some(0, 0.1, 30)), Stream: rng.IntN(4) == 0,
+			Name: fmt.Sprint("c", i), LatencyObjective: seconds(deadline.Seconds() * some(0.1, 0.5, 1, 2)),
+			Deadline: deadline, Idempotency: Idempotency(rng.IntN(3)), KeyScope: KeyScope(rng.IntN(3)), PriorityWeight: some(0, 1, 9),
+			RepeatWindow: seconds(some(0, 0.1, 30)), IsStreaming: rng.IntN(4) == 0,
 		})
 	}
 	for i := range 1 + rng.IntN(3) {
-		p := Plan{Name: fmt.Sprint("p", i), Price: some(0, 1, 2), Rate: some(0, 0.5, 40), Depth: some(0, 1, 40), Open: rng.IntN(4)}
+		p := Plan{Name: fmt.Sprint("p", i), Price: some(0, 1, 2), QuotaRate: some(0, 0.5, 40), QuotaBurst: some(0, 1, 40), MaxInFlight: rng.IntN(4)}
 		if rng.IntN(2) == 0 {
-			p.CeilingRate, p.CeilingBurst, p.CeilingSlack = some(1, 50), some(4, 60), some(0, 4)
+			p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack = some(1, 50), some(4, 60), some(0, 4)
 		}
 		s.Plans = append(s.Plans, p)
 	}
@@ -42,39 +42,39 @@
 	id := fmt.Sprint("r", w.rng.IntN(w.next+2))
 	for _, f := range w.out { // not of what is out, which has its own end
 		if f.id == id {
-			return Hangup{ID: "unknown"}
+			return ClientGone{ID: "unknown"}
 		}
 	}
 	n, srv := w.rng.IntN(4), uint32(w.rng.IntN(12))
 	switch w.rng.IntN(7) {
 	case 0:
-		return Response{ID: id, N: n, Server: srv, Reason: OK, Done: true, Used: w.rng.IntN(300), Cost: 2}
+		return AttemptResult{ID: id, Attempt: n, Server: srv, Reason: OK, IsFinal: true, QuotaUsage: w.rng.IntN(300), ActualUnits: 2}
 	case 1:
-		return Started{ID: id, N: n, Server: srv}
+		return ResponseStarted{ID: id, Attempt: n, Server: srv}
 	case 2:
-		return Timer{Label: uint64(1000000 + w.rng.IntN(9))}
+		return TimerFired{Label: uint64(1000000 + w.rng.IntN(9))}
 	case 3:
-		return Response{ID: id, N: -1, Server: srv, Reason: Moot, Load: &Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1}}
+		return AttemptResult{ID: id, Attempt: -1, Server: srv, Reason: NotSent, Load: &LoadReport{InFlight: -1, Queued: -1, Utilization: -1, MeanLatencyMS: -1}}
 	case 4: // all are gone at once
-		l := List{Kind: Patch}
+		l := EndpointList{Kind: ListPatch}
 		for id := range w.members {
 			w.toldBad[id] = true
 		}
 		for id := uint32(1); id <= 8; id++ {
-			l.Members = append(l.Members, Member{Server: id, Condition: Off})
+			l.Endpoints = append(l.Endpoints, Endpoint{Server: id, State: Gone})
 		}
 		return l
 	case 5: // one twice, and nothing else
-		l := List{Kind: Whole}
+		l := EndpointList{Kind: ListComplete}
 		for id := range w.members {
 			w.toldBad[id] = id != 3
 		}
-		m := Member{Server: 3, Zone: "z2", Cell: 1, HasCameUp: true, CameUp: w.now + time.Second}
+		m := Endpoint{Server: 3, Zone: "z2", Cell: 1, HasStartedAt: true, StartedAt: w.now + time.Second}
 		w.members[3] = &m
-		l.Members = []Member{m, m}
+		l.Endpoints = []Endpoint{m, m}
 		return l
 	}
-	return Hangup{ID: "unknown"}
+	return ClientGone{ID: "unknown"}
 }
 
 // come is a request of any kind, or one of an id that is held.
@@ -87,9 +87,9 @@
 		end: w.now + 1 + time.Duration(w.rng.Float64()*float64(k.Deadline)),
 	}
 	e := Request{
-		ID: id, Class: k.Name, Plan: p.Name, Customer: r.customer, TTL: r.end - w.now, Units: r.units,
-		Spread: 1 + w.rng.IntN(w.set.GroupSize), Repeat: w.rng.IntN(5) == 0, Open: w.rng.IntN(10) == 0,
-		NoRoom: w.rng.IntN(30) == 0, Over: w.rng.IntN(30) == 0,
+		ID: id, Class: k.Name, Plan: p.Name, Customer: r.customer, Timeout: r.end - w.now, Units: r.units,
+		FanOut: 1 + w.rng.IntN(w.set.GroupSize), IsRetry: w.rng.IntN(5) == 0, HasPendingBody: w.rng.IntN(10) == 0,
+		IsOverCapacity: w.rng.IntN(30) == 0, IsOverHardLimit: w.rng.IntN(30) == 0,
 	}
 	w.open[id] = r
 	w.handle(e)
@@ -117,7 +117,7 @@
 			w.outcome(i)
 			i = -1
 		} else if r := w.open[f.id]; r != nil && w.rng.IntN(60) == 0 {
-			w.handle(Started{ID: f.id, N: f.n, Server: f.srv, Delay: w.now - f.at})
+			w.handle(ResponseStarted{ID: f.id, Attempt: f.n, Server: f.srv, Delay: w.now - f.at})
 		}
 	}
 	switch k := w.rng.IntN(100); {
@@ -132,7 +132,7 @@
 	case k < 93 && w.next > 0:
 		if id := fmt.Sprint("r", 1+w.rng.IntN(w.next)); w.open[id] != nil {
 			delete(w.open, id)
-			w.handle(Hangup{ID: id})
+			w.handle(ClientGone{ID: id})
 		}
 	}
 	for id, r := range w.open {
@@ -148,16 +148,16 @@
 	for seed := uint64(1); seed <= 300; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		w := &world{
-			t: t, rng: rng, set: odd(rng), now: time.Hour, members: map[uint32]*Member{}, toldBad: map[uint32]bool{},
+			t: t, rng: rng, set: odd(rng), now: time.Hour, members: map[uint32]*Endpoint{}, toldBad: map[uint32]bool{},
 			open: map[string]*ask{},
 		}
-		w.set.MayCancel, w.set.Probes = false, false
+		w.set.CanCancel, w.set.HealthChecks = false, false
 		var err error
 		if w.c, err = New(w.set, seed); err != nil {
 			t.Fatal(err)
 		}
-		if w.set.SendCap == 0 { // no limit; world holds to one
-			w.set.SendCap = math.MaxInt
+		if w.set.MaxAttempts == 0 { // no limit; world holds to one
+			w.set.MaxAttempts = math.MaxInt
 		}
 		for range 600 {
 			w.turn(true)
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -18,11 +18,11 @@
 	c        *Controller
 	now      time.Duration
 	log      []string
-	members  map[uint32]*Member
+	members  map[uint32]*Endpoint
 	toldBad  map[uint32]bool
 	open     map[string]*ask
 	out      []flight
-	timers   []Timer
+	timers   []TimerFired
 	due      []time.Duration
 	next     int
 	ceilings map[string]float64
@@ -52,28 +52,28 @@
 
 func varied(rng *rand.Rand) Settings {
 	s := Settings{
-		GroupSize: []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)], Zone: "z1", SendCap: 1 + rng.IntN(5), RetryAfter: rng.IntN(2) == 0,
-		MaxRetryAfter: time.Second, Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2,
-		CostAfter: rng.IntN(2) == 0, OnRequest: rng.IntN(2) == 0, AskWithin: 10 * time.Second,
-		MayCancel: rng.IntN(2) == 0, Probes: rng.IntN(2) == 0, UnitsTop: 4,
+		GroupSize: []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)], Zone: "z1", MaxAttempts: 1 + rng.IntN(5), SupportsRetryAfter: rng.IntN(2) == 0,
+		MaxRetryAfter: time.Second, WarmupTime: 10 * time.Second, InitialCapacity: 0.2, OverloadWindow: time.Second, OverloadMultiple: 2,
+		UnitsInResponse: rng.IntN(2) == 0, ListOnRequest: rng.IntN(2) == 0, MaxPollInterval: 10 * time.Second,
+		CanCancel: rng.IntN(2) == 0, HealthChecks: rng.IntN(2) == 0, MaxUnits: 4,
 	}
 	if rng.IntN(4) > 0 {
 		s.MeterPeriod = time.Second
 	}
-	for e := Free; e <= SingleShot; e++ {
+	for e := Idempotent; e <= NotIdempotent; e++ {
 		for k := ScopeAll; k <= ScopeCell; k++ {
 			s.Classes = append(s.Classes, Class{
-				Name: fmt.Sprint("c", e, k), Aim: time.Duration(200+rng.IntN(1500)) * ms,
-				Deadline: time.Duration(2000+rng.IntN(4000)) * ms, Effect: e, KeyScope: k, Worth: 1,
-				RepeatWindow: time.Duration(500+rng.IntN(3000)) * ms, Stream: rng.IntN(5) == 0,
+				Name: fmt.Sprint("c", e, k), LatencyObjective: time.Duration(200+rng.IntN(1500)) * ms,
+				Deadline: time.Duration(2000+rng.IntN(4000)) * ms, Idempotency: e, KeyScope: k, PriorityWeight: 1,
+				RepeatWindow: time.Duration(500+rng.IntN(3000)) * ms, IsStreaming: rng.IntN(5) == 0,
 			})
 		}
 	}
 	s.Plans = []Plan{
-		{Name: "rate", Price: 1, Rate: 20, Depth: 40},
-		{Name: "open", Price: 0.5, Open: 3},
-		{Name: "both", Price: 2, Rate: 10, Depth: 10, Open: 4},
-		{Name: "ceil", Price: 1.5, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4},
+		{Name: "rate", Price: 1, QuotaRate: 20, QuotaBurst: 40},
+		{Name: "open", Price: 0.5, MaxInFlight: 3},
+		{Name: "both", Price: 2, QuotaRate: 10, QuotaBurst: 10, MaxInFlight: 4},
+		{Name: "ceil", Price: 1.5, QuotaRate: 20, QuotaBurst: 20, HardLimitRate: 40, HardLimitBurst: 40, HardLimitSlack: 4},
 	}
 	return s
 }
@@ -85,21 +85,21 @@
 		switch a := a.(type) {
 		case Send:
 			w.send(a)
-		case Refuse:
+		case Reject:
 			w.refused(a)
 		case Fail:
 			w.finished(a.ID)
-		case Arm:
-			w.timers, w.due = append(w.timers, Timer{a.Label}), append(w.due, w.now+a.After)
-		case Withdraw:
-			if !w.set.MayCancel {
+		case StartTimer:
+			w.timers, w.due = append(w.timers, TimerFired{a.Label}), append(w.due, w.now+a.After)
+		case CancelAttempt:
+			if !w.set.CanCancel {
 				w.t.Fatal("withdrew where it is not permitted")
 			}
-		case Probe:
-			if !w.set.Probes {
+		case CheckHealth:
+			if !w.set.HealthChecks {
 				w.t.Fatal("probed where it is not permitted")
 			}
-		case Say, Count:
+		case SendPeerMessage, AddToCounter:
 			w.t.Fatalf("%T on the ordinary path", a)
 		}
 	}
@@ -114,28 +114,28 @@
 		w.t.Fatalf("%s went to server %d, which is draining or gone", a.ID, a.Server)
 	case r.out > 0:
 		w.t.Fatalf("%s has two attempts out", a.ID)
-	case r.sends >= w.set.SendCap:
-		w.t.Fatalf("%s was sent more than %d times", a.ID, w.set.SendCap)
+	case r.sends >= w.set.MaxAttempts:
+		w.t.Fatalf("%s was sent more than %d times", a.ID, w.set.MaxAttempts)
 	}
-	if r.mayRun && r.class.Effect == SingleShot {
+	if r.mayRun && r.class.Idempotency == NotIdempotent {
 		w.t.Fatalf("%s may have run and was sent again", a.ID)
 	}
-	if r.mayRun && r.class.Effect == Guarded {
+	if r.mayRun && r.class.Idempotency == IdempotencyKeyed {
 		f, s := w.members[r.firstSrv], w.members[a.Server]
 		if w.now > r.firstRun+r.class.RepeatWindow || r.class.KeyScope == ScopeCell && f.Cell != s.Cell ||
 			r.class.KeyScope == ScopeZone && f.Zone != s.Zone {
 			w.t.Fatalf("%s may have run and was sent again outside its group or window", a.ID)
 		}
-		if a.Begin <= 0 || w.now+a.Begin > r.firstRun+r.class.RepeatWindow {
-			w.t.Fatalf("%s may have run, and be written again %v from now, behind its window", a.ID, a.Begin)
+		if a.WriteWithin <= 0 || w.now+a.WriteWithin > r.firstRun+r.class.RepeatWindow {
+			w.t.Fatalf("%s may have run, and be written again %v from now, behind its window", a.ID, a.WriteWithin)
 		}
 	}
 	if r.sends == 0 && r.plan == "ceil" {
 		w.drawCeiling(r)
 	}
 	till := r.end
-	if a.Within > 0 {
-		till = min(till, w.now+a.Within)
+	if a.Timeout > 0 {
+		till = min(till, w.now+a.Timeout)
 	}
 	w.out = append(w.out, flight{a.ID, r.sends, a.Server, w.now, till})
 	r.sends++
@@ -146,18 +146,18 @@
 func (w *world) drawCeiling(r *ask) {
 	p := w.set.Plans[3]
 	if _, known := w.ceilings[r.customer]; !known {
-		w.ceilings[r.customer], w.ceilAt[r.customer] = p.CeilingSlack/2, time.Hour
+		w.ceilings[r.customer], w.ceilAt[r.customer] = p.HardLimitSlack/2, time.Hour
 	}
-	lv := w.ceilings[r.customer] + (w.now-w.ceilAt[r.customer]).Seconds()*p.CeilingRate/2
-	w.ceilings[r.customer], w.ceilAt[r.customer] = min(lv, p.CeilingBurst/2)-r.units, w.now
+	lv := w.ceilings[r.customer] + (w.now-w.ceilAt[r.customer]).Seconds()*p.HardLimitRate/2
+	w.ceilings[r.customer], w.ceilAt[r.customer] = min(lv, p.HardLimitBurst/2)-r.units, w.now
 	if w.ceilings[r.customer] < -1e-6 {
 		w.t.Fatalf("the part of a ceiling fell to %g", w.ceilings[r.customer])
 	}
 }
 
-func (w *world) refused(a Refuse) {
+func (w *world) refused(a Reject) {
 	if r := w.open[a.ID]; r != nil && (r.mayRun || r.out > 0) {
-		if r.class.Effect == SingleShot || r.class.Effect == Guarded && r.class.KeyScope != ScopeAll {
+		if r.class.Idempotency == NotIdempotent || r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope != ScopeAll {
 			w.t.Fatalf("%s may have run and was refused", a.ID)
 		}
 	}
@@ -172,23 +172,23 @@
 }
 
 // list is the whole list in a fixed order, with a chance of change for each.
-func (w *world) list() List {
-	var l List
-	l.Kind = Whole
+func (w *world) list() EndpointList {
+	var l EndpointList
+	l.Kind = ListComplete
 	for id := uint32(1); id <= 8; id++ {
-		m := &Member{Server: id, Zone: fmt.Sprint("z", 1+id%2), Cell: int(id / 3), Size: 1}
+		m := &Endpoint{Server: id, Zone: fmt.Sprint("z", 1+id%2), Cell: int(id / 3), Size: 1}
 		w.members[id] = m
 		switch w.rng.IntN(6) {
 		case 0:
-			m.Condition = Fading
+			m.State = Draining
 		case 1:
 			w.toldBad[id] = true
 			continue // gone
 		case 2:
-			m.HasCameUp, m.CameUp = true, w.now-ms
+			m.HasStartedAt, m.StartedAt = true, w.now-ms
 		}
-		w.toldBad[id] = m.Condition != On
-		l.Members = append(l.Members, *m)
+		w.toldBad[id] = m.State != Active
+		l.Endpoints = append(l.Endpoints, *m)
 	}
 	return l
 }
@@ -197,20 +197,20 @@
 func (w *world) outcome(i int) {
 	f := w.out[i]
 	w.out = append(w.out[:i], w.out[i+1:]...)
-	why := []Reason{OK, OK, OK, OK, OK, Errored, Full, ConnectFailed, ResetByPeer, []Reason{Moot, Cancelled}[w.rng.IntN(2)]}[w.rng.IntN(10)]
+	why := []Reason{OK, OK, OK, OK, OK, Errored, RejectedByServer, ConnectFailed, ResetByPeer, []Reason{NotSent, Cancelled}[w.rng.IntN(2)]}[w.rng.IntN(10)]
 	if w.now >= f.till {
 		why = TimedOut
 	}
 	r := w.open[f.id]
-	e := Response{
-		ID: f.id, N: f.n, Server: f.srv, Reason: why, Done: r == nil || why == OK,
-		Used: w.rng.IntN(300), Cost: float64(1 + w.rng.IntN(4)), Load: &Load{Active: 3, CPU: 0.5},
+	e := AttemptResult{
+		ID: f.id, Attempt: f.n, Server: f.srv, Reason: why, IsFinal: r == nil || why == OK,
+		QuotaUsage: w.rng.IntN(300), ActualUnits: float64(1 + w.rng.IntN(4)), Load: &LoadReport{InFlight: 3, Utilization: 0.5},
 	}
 	if r != nil {
 		r.out--
 		if why == OK {
 			delete(w.open, f.id)
-		} else if why != Full && why != ConnectFailed && why != Moot && !r.mayRun {
+		} else if why != RejectedByServer && why != ConnectFailed && why != NotSent && !r.mayRun {
 			r.mayRun, r.firstRun, r.firstSrv = true, f.at, f.srv
 		}
 	}
@@ -241,11 +241,11 @@
 	case k < 92:
 		w.handle(w.list())
 	case k < 93:
-		w.handle(List{Kind: Broken})
+		w.handle(EndpointList{Kind: ListFailed})
 	case k < 94:
-		w.handle(Response{ID: "not held", Server: 3, Reason: OK})
+		w.handle(AttemptResult{ID: "not held", Server: 3, Reason: OK})
 	case k < 95:
-		w.handle(ProbeResult{Server: uint32(w.rng.IntN(10)), Reason: OK})
+		w.handle(HealthCheckResult{Server: uint32(w.rng.IntN(10)), Reason: OK})
 	case k < 96:
 		ids := make([]string, 0, len(w.open))
 		for id := range w.open {
@@ -254,7 +254,7 @@
 		if sort.Strings(ids); len(ids) > 0 {
 			id := ids[w.rng.IntN(len(ids))]
 			delete(w.open, id)
-			w.handle(Hangup{ID: id})
+			w.handle(ClientGone{ID: id})
 		}
 	}
 	for id, r := range w.open {
@@ -274,8 +274,8 @@
 	id := fmt.Sprint("r", w.next)
 	w.open[id] = r
 	w.handle(Request{
-		ID: id, Class: k.Name, Plan: r.plan, Customer: r.customer, TTL: r.end - w.now,
-		Units: r.units, Spread: 2 + w.rng.IntN(89),
+		ID: id, Class: k.Name, Plan: r.plan, Customer: r.customer, Timeout: r.end - w.now,
+		Units: r.units, FanOut: 2 + w.rng.IntN(89),
 	}) // may change within a day; drawCeiling reckons with two at least
 }
 
@@ -283,7 +283,7 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	w := &world{
-		t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Member{},
+		t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Endpoint{},
 		toldBad: map[uint32]bool{}, open: map[string]*ask{}, ceilings: map[string]float64{},
 		ceilAt: map[string]time.Duration{},
 	}
@@ -293,7 +293,7 @@
 	}
 	w.c = c
 	l := w.list()
-	l.Kind = Stale
+	l.Kind = ListCached
 	w.handle(l)
 	for i := 0; i < steps; i++ {
 		w.step()
@@ -334,7 +334,7 @@
 		}
 		g.pass(4 * ms)
 		if i%100 == 0 {
-			g.do(List{Kind: Whole, Members: on(uint32(i+1), uint32(i+2))})
+			g.do(EndpointList{Kind: ListComplete, Endpoints: on(uint32(i+1), uint32(i+2))})
 			g.sends, g.acts = nil, nil
 			clear(g.ends)
 			clear(g.n)
--- a/control/quota.go
+++ b/control/quota.go
@@ -42,13 +42,14 @@
 	key := p.Name + " " + id
 	q := c.custs[key]
 	if q == nil {
-		q = &customer{plan: p, at: c.now, level: c.portion * p.Depth, smooth: initialUsageFraction * p.Rate}
+		q = &customer{plan: p, at: c.now, level: c.portion * p.QuotaBurst}
+		q.smooth = initialUsageFraction * p.QuotaRate
 		q.spread, q.carry = math.Max(1, float64(spread)), c.rng.Float64()
 		// A gateway just started does not know what its former self has passed on: the
 		// ceiling's store begins with the slack only and fills from the gateway's start, to what it holds.
-		filled := c.slack*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate
-		q.ceiling = c.portion * math.Min(p.CeilingBurst, filled) / q.spread
-		q.openCap = float64(p.Open) / q.spread
+		filled := c.slack*p.HardLimitSlack + (c.now-c.start).Seconds()*p.HardLimitRate
+		q.ceiling = c.portion * math.Min(p.HardLimitBurst, filled) / q.spread
+		q.openCap = float64(p.MaxInFlight) / q.spread
 		c.custs[key] = q
 	}
 	q.spread = math.Max(q.spread, float64(spread))
@@ -64,9 +65,10 @@
 	c.roll(q)
 	elsewhere := dt * q.base * math.Exp(-(c.now-q.baseAt).Seconds()/remoteRateDecaySeconds)
 	q.charged.add(elsewhere)
-	q.level = math.Min(math.Max(q.level, c.portion*q.plan.Depth), q.level+c.portion*(dt*q.plan.Rate-elsewhere))
-	full := math.Max(q.ceiling, c.portion*q.plan.CeilingBurst/q.spread)
-	q.ceiling = math.Min(full, q.ceiling+c.portion*dt*q.plan.CeilingRate/q.spread)
+	burst := math.Max(q.level, c.portion*q.plan.QuotaBurst)
+	q.level = math.Min(burst, q.level+c.portion*(dt*q.plan.QuotaRate-elsewhere))
+	full := math.Max(q.ceiling, c.portion*q.plan.HardLimitBurst/q.spread)
+	q.ceiling = math.Min(full, q.ceiling+c.portion*dt*q.plan.HardLimitRate/q.spread)
 }
 
 // part is the learned part of a customer's use that comes through this gateway.
@@ -81,7 +83,7 @@
 	if !q.metered { // the design's rule for a customer not yet metered
 		return 1 / w
 	}
-	told := math.Min(1, q.base/math.Max(q.plan.Rate, q.base+epsilon)) // what refill charges already
+	told := math.Min(1, q.base/math.Max(q.plan.QuotaRate, q.base+epsilon)) // what refill charges already
 	return 1 + (1-told)*(1-w)/(w+surgeShape/math.Max(q.smooth*unmeteredSeconds, surgeShape/10))
 }
 
@@ -93,18 +95,18 @@
 	q.triesAt = c.now
 	// Guards against tries that can only be late, or of a class worth far less than the dearest,
 	// taking the units or the turn of others.
-	yields := late || k.Worth < sheddableWeightRatio*c.topWorth
-	full := !c.free() && c.turnTakes() > sheddableTurnFraction*k.Aim.Seconds()
-	scarce := full || p.Rate > 0 && q.level-q.queued < spareTokensFraction*p.Depth
+	yields := late || k.PriorityWeight < sheddableWeightRatio*c.topWorth
+	full := !c.free() && c.turnTakes() > sheddableTurnFraction*k.LatencyObjective.Seconds()
+	scarce := full || p.QuotaRate > 0 && q.level-q.queued < spareTokensFraction*p.QuotaBurst
 	switch {
 	case late && !c.covered(q):
-		why = TooLate
+		why = CauseTooLate
 	case yields && scarce:
-		why = Yields
+		why = CauseShed
 	default:
 		why = c.passes(q, units)
 	}
-	if why != Unsaid {
+	if why != CauseNone {
 		q.refused.add(1)
 	}
 	return why
@@ -125,24 +127,24 @@
 // where the store is not empty (a surge not told yet), nor well filled and told of most periods.
 func (c *Controller) passes(q *customer, units float64) Cause {
 	p := q.plan
-	if p.CeilingRate > 0 && q.ceiling-q.queued < units {
-		return OverCeiling
+	if p.HardLimitRate > 0 && q.ceiling-q.queued < units {
+		return CauseHardLimit
 	}
-	if p.Rate > 0 {
+	if p.QuotaRate > 0 {
 		left := q.level - q.queued
-		if left >= math.Max(wellFilledFraction*p.Depth, units) && c.covered(q) {
-			return Unsaid
+		if left >= math.Max(wellFilledFraction*p.QuotaBurst, units) && c.covered(q) {
+			return CauseNone
 		}
 		if left < minTokensPerUnit*units {
-			return OverStore
+			return CauseQuota
 		}
 	}
 	// The chance is drawn by carrying its remainder on, which keeps it exact over few tries.
 	if q.carry += 1 - c.chanceNow(q); q.carry >= 1 {
 		q.carry--
-		return Unsaid
+		return CauseNone
 	}
-	return ByChance
+	return CauseProbability
 }
 
 // covered tells whether most periods of a customer's use are told here, of those that could have
@@ -156,7 +158,7 @@
 // to some units and over own tries. Guards against readings of few requests, which are noise, and
 // against old ones where few periods are told: both count less against a prior of the demand.
 func (c *Controller) chanceNow(q *customer) float64 {
-	r := q.plan.Rate
+	r := q.plan.QuotaRate
 	// Guards against customers that ask far more than their quota, let in as unseen by one gateway after the
 	// other: one not metered here is refused as much as of its plan's use lies beyond quotas.
 	if !q.metered {
@@ -168,7 +170,7 @@
 	own := q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/readingDecaySeconds)
 	seen := math.Min(readingDecaySeconds, (c.now-c.start).Seconds()) / q.spread
 	demand := (demandPriorShape + k*q.told + own) / (demandPriorShape/(demandPriorMean*r) + k*q.toldFor + seen)
-	allowed := r + burstAllowanceFraction*q.plan.Depth/readingDecaySeconds
+	allowed := r + burstAllowanceFraction*q.plan.QuotaBurst/readingDecaySeconds
 	return math.Min(maxRejectionProbability, math.Max(0, 1-allowed/demand))
 }
 
@@ -178,7 +180,7 @@
 	q.ceiling -= units
 	f := units * c.others(q)
 	b := bill{units: units, charged: f, level: q.level, bin: c.binNow()}
-	q.level = math.Max(-q.plan.Depth, q.level-f)
+	q.level = math.Max(-q.plan.QuotaBurst, q.level-f)
 	b.level -= q.level
 	q.own.add(units)
 	q.charged.add(f)
@@ -199,8 +201,8 @@
 func (c *Controller) meter(q *customer, told int, units float64) {
 	c.refill(q)
 	pct := float64(told - 1)
-	used := pct / 100 * q.plan.Rate * c.set.MeterPeriod.Seconds()
-	if q.plan.Rate > 0 {
+	used := pct / 100 * q.plan.QuotaRate * c.set.MeterPeriod.Seconds()
+	if q.plan.QuotaRate > 0 {
 		c.clock.learn(q, used, units, q.part(), c.binNow())
 	}
 	end := c.clock.end(c.binNow())
@@ -210,9 +212,9 @@
 	// Only the first reading counts: it tells of those who come unseen, whatever is refused to others. One
 	// request above a quota is not beyond: in a small one a single request may be.
 	if p := q.plan; !q.metered {
-		one := units / (p.Rate * c.set.MeterPeriod.Seconds())
-		if p.Rate == 0 {
-			one = 1 / float64(p.Open)
+		one := units / (p.QuotaRate * c.set.MeterPeriod.Seconds())
+		if p.QuotaRate == 0 {
+			one = 1 / float64(p.MaxInFlight)
 		}
 		p.told += (pct/100 - p.told) / planReadingWindow
 		p.beyond += (math.Max(0, pct/100-1-one) - p.beyond) / planReadingWindow
@@ -226,9 +228,9 @@
 	period := c.set.MeterPeriod.Seconds()
 	k := math.Exp(-(c.now - q.toldAt).Seconds() / readingDecaySeconds)
 	q.cover = q.cover*k + period
-	k *= math.Exp(-q.plan.Rate * period / readingWindowUnits)
+	k *= math.Exp(-q.plan.QuotaRate * period / readingWindowUnits)
 	q.told, q.toldFor, q.toldAt = q.told*k+used, q.toldFor*k+(1-force)*period, c.now
-	if q.plan.Rate == 0 {
+	if q.plan.QuotaRate == 0 {
 		c.meterOpen(q, pct, force, asked)
 		return
 	}
@@ -236,10 +238,11 @@
 	q.allSum = q.allSum*localUsageDecay + used
 	// Guards against periods that no answer told of, where a customer comes through many
 	// gateways: the lower of the last two readings is taken to go on elsewhere.
-	q.base = (1 - q.part()) * math.Min(math.Min(used, q.lastUsed)/c.set.MeterPeriod.Seconds(), q.plan.Rate)
+	q.base = (1 - q.part()) * math.Min(math.Min(used, q.lastUsed)/c.set.MeterPeriod.Seconds(), q.plan.QuotaRate)
 	q.baseAt, q.lastUsed = c.now, used
 	q.smooth += (1 - usageRateDecay) * (used/c.set.MeterPeriod.Seconds() - q.smooth)
-	q.level = math.Min(c.portion*q.plan.Depth, math.Max(-q.plan.Depth/2, q.level+c.portion*(charged-used)))
+	corrected := math.Max(-q.plan.QuotaBurst/2, q.level+c.portion*(charged-used))
+	q.level = math.Min(c.portion*q.plan.QuotaBurst, corrected)
 }
 
 // learn finds when the meter's periods end and how late they are told: the pair under
@@ -275,12 +278,12 @@
 	if pct > 100 || q.openHit {
 		q.openCap *= math.Max(minInFlightLimitFactor, math.Min(limitIncreaseFactor, 100/math.Max(pct, 1)))
 	}
-	most := float64(q.plan.Open)
+	most := float64(q.plan.MaxInFlight)
 	q.openCap, q.openHit = math.Min(most, math.Max(q.openLeast(), q.openCap)), false
 }
 
 // openLeast is half of an even part of an open quota.
-func (q *customer) openLeast() float64 { return float64(q.plan.Open) / q.spread / 2 }
+func (q *customer) openLeast() float64 { return float64(q.plan.MaxInFlight) / q.spread / 2 }
 
 // sweep forgets customers that have been idle for long and are as good as new ones; where
 // there are many it forgets sooner, and all that are idle. A ceiling's store that was not full
@@ -310,6 +313,6 @@
 func (c *Controller) full(q *customer) bool {
 	p, dt := q.plan, (c.now - q.at).Seconds()
 	elsewhere := q.base * math.Exp(-(c.now-q.baseAt).Seconds()/remoteRateDecaySeconds)
-	return p.Open == 0 && (p.Rate == 0 || q.level+dt*(p.Rate-elsewhere) >= p.Depth) &&
-		(p.CeilingRate == 0 || q.ceiling+dt*p.CeilingRate/q.spread >= p.CeilingBurst/q.spread)
+	return p.MaxInFlight == 0 && (p.QuotaRate == 0 || q.level+dt*(p.QuotaRate-elsewhere) >= p.QuotaBurst) &&
+		(p.HardLimitRate == 0 || q.ceiling+dt*p.HardLimitRate/q.spread >= p.HardLimitBurst/q.spread)
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -13,10 +13,10 @@
 // The degrees of trust.
 const (
 	// Exact: nothing was spent elsewhere since the checkpoint was taken.
-	Exact Trust = iota
+	TrustAll Trust = iota
 	// Learned: what was spent since is not known, as after a crash. What was learned counts;
 	// stores of ceilings begin empty, as slack that each start anew grants would add up.
-	Learned
+	TrustEstimates
 )
 
 // Restore takes over a checkpoint, with the portion of the rates that it names until Rejoin. It is
@@ -31,7 +31,7 @@
 	if !c.started {
 		c.begin()
 	}
-	if trust == Exact {
+	if trust == TrustAll {
 		c.portion = math.Min(1, math.Max(0, s.Portion))
 	}
 	fade := math.Exp(-math.Max(0, (now-s.At).Seconds()) / maxAccountIdleTime.Seconds())
@@ -44,14 +44,14 @@
 	}
 	// The interval goes on. Guards against reloads faster than an interval, in which nothing would
 	// ever be learned.
-	if v := s.Interval; trust == Exact && v.Ends > c.now-maxWindowExtension && v.Ends <= c.now+windowDuration {
+	if v := s.Interval; trust == TrustAll && v.Ends > c.now-maxWindowExtension && v.Ends <= c.now+windowDuration {
 		c.nextInterval, c.cutAt = v.Ends, min(v.CutAt, c.now)
 		c.span = span{
 			cut: v.Cut, pressed: v.Pressed, latSum: v.LatSum, secSum: v.SecSum, latN: v.LatN, answers: v.Answers, utilSum: v.UtilSum, utilN: v.UtilN, bad: v.Bad,
 			served: v.Served,
 		}
 	}
-	if c.slack = 0; trust == Exact {
+	if c.slack = 0; trust == TrustAll {
 		c.start, c.slack = min(c.now, s.Start), math.Min(initialSlackFraction, math.Max(0, s.Slack))
 	}
 	if s.Meter.Period == c.set.MeterPeriod && len(s.Meter.Miss) == binsPerPeriod*maxMeterLagBins && s.Meter.valid() {
@@ -142,7 +142,7 @@
 			s.shut[p] = min(until, c.now+planRejectionTime)
 		}
 	}
-	if trust != Exact {
+	if trust != TrustAll {
 		return
 	}
 	if s.coldRamp {
@@ -178,9 +178,9 @@
 		return
 	}
 	q := c.customerOf(p, v.ID, int(v.Spread))
-	q.openCap, q.chance, q.metered = math.Min(v.OpenCap, float64(p.Open)), v.Chance, v.Metered
-	if v.OpenCap == 0 && p.Open > 0 {
-		q.openCap = float64(p.Open) / q.spread
+	q.openCap, q.chance, q.metered = math.Min(v.OpenCap, float64(p.MaxInFlight)), v.Chance, v.Metered
+	if v.OpenCap == 0 && p.MaxInFlight > 0 {
+		q.openCap = float64(p.MaxInFlight) / q.spread
 	}
 	q.base, q.lastUsed, q.baseAt, q.toldAt = v.Base, v.LastUsed, v.BaseAt, v.ToldAt
 	q.tries, q.triesAt, q.told, q.toldFor, q.cover = v.Tries, v.TriesAt, v.Told, v.ToldFor, v.Cover
@@ -196,13 +196,13 @@
 		}
 		c.roll(q)
 	}
-	if trust != Exact {
+	if trust != TrustAll {
 		return
 	}
 	// What is missing in a store was spent, whatever the store holds now.
-	q.level = math.Max(-p.Depth, c.portion*p.Depth-(c.portion*v.Depth-v.Level))
-	if v.Burst > 0 && p.CeilingRate > 0 {
-		q.ceiling = c.portion*p.CeilingBurst/q.spread - (c.portion*v.Burst/v.Spread - v.Ceiling)
+	q.level = math.Max(-p.QuotaBurst, c.portion*p.QuotaBurst-(c.portion*v.Depth-v.Level))
+	if v.Burst > 0 && p.HardLimitRate > 0 {
+		q.ceiling = c.portion*p.HardLimitBurst/q.spread - (c.portion*v.Burst/v.Spread - v.Ceiling)
 	}
 	q.foreign = v.Out
 }
@@ -219,8 +219,8 @@
 				continue
 			}
 			q := c.customerOf(p, v.ID, int(v.Spread)) // also one that only the other has seen
-			q.level = math.Min(p.Depth, q.level+v.Level)
-			q.ceiling = math.Min(p.CeilingBurst/q.spread, q.ceiling+v.Ceiling)
+			q.level = math.Min(p.QuotaBurst, q.level+v.Level)
+			q.ceiling = math.Min(p.HardLimitBurst/q.spread, q.ceiling+v.Ceiling)
 		}
 		for _, v := range given.Servers {
 			if s := c.servers[v.Server]; s != nil && s.coldRamp && s.bootTime() == v.CameUp {
--- a/control/resume.go
+++ b/control/resume.go
@@ -76,7 +76,7 @@
 	var all []*server
 	for _, w := range s.Servers {
 		v := &server{
-			Member: w.Member, listed: w.Listed, probing: w.Probing, coldRamp: w.ColdRamp, inflight: w.Inflight, ghosts: w.Ghosts,
+			Endpoint: w.Endpoint, listed: w.Listed, probing: w.Probing, coldRamp: w.ColdRamp, inflight: w.Inflight, ghosts: w.Ghosts,
 			strikes: w.Strikes, latency: w.Latency, failing: w.Failing, tokens: w.Tokens,
 			samples: w.Samples, slow: w.Slow, util: w.Util, toldAt: w.ToldAt, latencyAt: w.LatencyAt, heard: w.Heard,
 			failingAt: w.FailingAt, asideUntil: w.AsideUnto, aside: w.Aside, coldFrom: w.ColdFrom, tokensAt: w.TokensAt,
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -12,7 +12,7 @@
 func large() Settings {
 	s := settings()
 	s.GroupSize = 300
-	s.Plans[0].Rate, s.Plans[0].Depth = 1, 4
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 1, 4
 	return s
 }
 
@@ -44,8 +44,8 @@
 		g.serve(5*time.Minute, time.Duration(k.gap)*time.Second, k.used, func(i int) {
 			asked++
 			g.do(Request{
-				ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", TTL: 3 * time.Second,
-				Units: 1, Spread: 60,
+				ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", Timeout: 3 * time.Second,
+				Units: 1, FanOut: 60,
 			})
 		})
 		if part := float64(len(g.sends)) / float64(asked); part < k.low || part > k.high {
@@ -62,10 +62,10 @@
 		want      bool
 	}{{time.Second, 5 * time.Second, true}, {time.Second, time.Minute, true}, {4 * time.Second, 40 * time.Second, false}} {
 		s := settings()
-		s.Plans[0].Rate, s.Plans[0].Depth = 2, 8
+		s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 2, 8
 		g := newGate(t, s, on(1, 2, 3, 4)...)
 		g.serve(k.life, k.gap, 151, func(i int) { // half as much again as its rate, for a while
-			g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", TTL: 3 * time.Second, Units: 1, Spread: 4})
+			g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", Timeout: 3 * time.Second, Units: 1, FanOut: 4})
 		})
 		if got := g.c.covered(g.c.custs["low c"]); got != k.want {
 			t.Errorf("a reading each %v for %v: covered %v", k.gap, k.life, got)
@@ -99,23 +99,23 @@
 	g := newGate(t, s, on(1, 2)...)
 	k := &g.c.set.Classes[0]
 	for i := 0; i < 3; i++ {
-		if w := g.c.waited(Request{TTL: 3 * time.Second}, k); w != 0 {
+		if w := g.c.waited(Request{Timeout: 3 * time.Second}, k); w != 0 {
 			t.Fatalf("a first try has waited %v", w)
 		}
 	}
 	g.c.skipped = 1500 * ms
-	if w := g.c.waited(Request{TTL: 2 * time.Second}, k); w != time.Second {
+	if w := g.c.waited(Request{Timeout: 2 * time.Second}, k); w != time.Second {
 		t.Errorf("a first try that lay for 1 s through a stall has waited %v", w)
 	}
 	g.c.skipped = 4 * ms
-	if w := g.c.waited(Request{TTL: 2 * time.Second}, k); w != 4*time.Second {
+	if w := g.c.waited(Request{Timeout: 2 * time.Second}, k); w != 4*time.Second {
 		t.Errorf("a later try with 2 s of 6 s left has waited %v", w)
 	}
-	if w := g.c.waited(Request{TTL: 5 * time.Second}, k); w != time.Second {
+	if w := g.c.waited(Request{Timeout: 5 * time.Second}, k); w != time.Second {
 		t.Errorf("a last try, with all the rest of the time, has waited %v", w)
 	}
-	g.c.set.MarksRetry = true
-	if w := g.c.waited(Request{TTL: 5 * time.Second}, k); w != 0 {
+	g.c.set.RetriesAreMarked = true
+	if w := g.c.waited(Request{Timeout: 5 * time.Second}, k); w != 0 {
 		t.Errorf("a try without the mark of a later one has waited %v", w)
 	}
 }
@@ -166,7 +166,7 @@
 				}
 				if p == "low" && last.Server <= 2 {
 					refusals++
-					g.reply(id, Full, 0)
+					g.reply(id, RejectedByServer, 0)
 				} else {
 					g.reply(id, OK, 0)
 				}
@@ -185,11 +185,11 @@
 // Shares move by the law where a gateway sees two answers a second: the interval lasts longer.
 func TestSharesMoveAtAFewRequestsASecond(t *testing.T) {
 	s := large()
-	s.Plans[0].Rate, s.Plans[0].Depth = 1000, 1000
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 1000, 1000
 	g := newGate(t, s, on(1, 2, 3, 4)...)
 	g.serve(40*time.Second, 500*ms, 0, func(i int) {
 		p := s.Plans[i%2]
-		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: p.Name, Customer: "c", TTL: 3 * time.Second, Units: 1, Spread: 9})
+		g.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: p.Name, Customer: "c", Timeout: 3 * time.Second, Units: 1, FanOut: 9})
 		g.c.plans[1].saw(1.8) // the dear plan is late
 	})
 	if u := g.c.plans[1].share; math.Abs(u-0.5) < 0.05 || u < 0.5 {
@@ -200,8 +200,8 @@
 // A class worth far less leaves the lower half of the store to the others.
 func TestCheapClassYieldsTheStore(t *testing.T) {
 	s := settings()
-	s.Classes = append(s.Classes, Class{Name: "cheap", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 0.2})
-	s.Plans[0].Rate, s.Plans[0].Depth = 1, 10
+	s.Classes = append(s.Classes, Class{Name: "cheap", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 0.2})
+	s.Plans[0].QuotaRate, s.Plans[0].QuotaBurst = 1, 10
 	g := newGate(t, s, on(1, 2)...)
 	g.c.customerOf(g.c.plans[0], "x", 2).level = 4
 	g.ask("cheap", "cheap", "low", "x")
@@ -217,20 +217,20 @@
 		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
 			s := settings()
 			c, _ := New(s, 1)
-			var ms []Member
+			var ms []Endpoint
 			for i := uint32(1); i <= n; i++ {
-				ms = append(ms, Member{Server: i, Zone: "z1"})
+				ms = append(ms, Endpoint{Server: i, Zone: "z1"})
 			}
-			c.Handle(time.Hour, List{Kind: Stale, Members: ms})
+			c.Handle(time.Hour, EndpointList{Kind: ListCached, Endpoints: ms})
 			for i := 0; i < b.N; i++ {
 				now := time.Hour + time.Duration(i)*time.Millisecond
 				id := fmt.Sprint(i)
 				for _, a := range c.Handle(now, Request{
 					ID: id, Class: "job", Plan: "high", Customer: "x",
-					TTL: 5 * time.Second, Units: 1, Spread: 2,
+					Timeout: 5 * time.Second, Units: 1, FanOut: 2,
 				}) {
 					if a, ok := a.(Send); ok {
-						c.Handle(now, Response{ID: id, Server: a.Server, Reason: OK, Done: true, Used: 50})
+						c.Handle(now, AttemptResult{ID: id, Server: a.Server, Reason: OK, IsFinal: true, QuotaUsage: 50})
 						break
 					}
 				}
--- a/control/settings.go
+++ b/control/settings.go
@@ -24,34 +24,34 @@
 		value float64
 	}
 	fs := []figure{
-		{"cold from", s.ColdFrom},
-		{"fall multiple", s.FallMultiple},
-		{"units top", s.UnitsTop},
-		{"inbox per second", s.InboxPerS},
-		{"cross-zone price", s.CrossZone},
-		{"cold", s.Cold.Seconds()},
-		{"ask within", s.AskWithin.Seconds()},
+		{"cold from", s.InitialCapacity},
+		{"fall multiple", s.OverloadMultiple},
+		{"units top", s.MaxUnits},
+		{"inbox per second", s.PeerMessagesPerSecond},
+		{"cross-zone price", s.CrossZonePrice},
+		{"cold", s.WarmupTime.Seconds()},
+		{"ask within", s.MaxPollInterval.Seconds()},
 		{"drain grace", s.DrainGrace.Seconds()},
-		{"fall", s.Fall.Seconds()},
+		{"fall", s.OverloadWindow.Seconds()},
 		{"meter period", s.MeterPeriod.Seconds()},
-		{"send cap", float64(s.SendCap)},
-		{"open cap", float64(s.OpenCap)},
+		{"send cap", float64(s.MaxAttempts)},
+		{"open cap", float64(s.MaxRequests)},
 		{"max retry after", s.MaxRetryAfter.Seconds()},
 	}
 	for _, k := range s.Classes {
 		n := "class " + k.Name + ": "
-		fs = append(fs, figure{n + "worth", k.Worth}, figure{n + "late share", k.LateShare},
+		fs = append(fs, figure{n + "worth", k.PriorityWeight}, figure{n + "late share", k.LateWeightFraction},
 			figure{n + "repeat window", k.RepeatWindow.Seconds()})
-		if k.Aim <= 0 || k.Deadline <= 0 {
-			return fmt.Errorf("settings: %saim and deadline: %v and %v are not both positive", n, k.Aim, k.Deadline)
+		if k.LatencyObjective <= 0 || k.Deadline <= 0 {
+			return fmt.Errorf("settings: %saim and deadline: %v and %v are not both positive", n, k.LatencyObjective, k.Deadline)
 		}
 	}
 	for _, p := range s.Plans {
 		n := "plan " + p.Name + ": "
-		fs = append(fs, figure{n + "price", p.Price}, figure{n + "rate", p.Rate}, figure{n + "depth", p.Depth},
-			figure{n + "open", float64(p.Open)}, figure{n + "over cost", p.OverCost},
-			figure{n + "over earns", p.OverEarns}, figure{n + "ceiling rate", p.CeilingRate},
-			figure{n + "ceiling burst", p.CeilingBurst}, figure{n + "ceiling slack", p.CeilingSlack})
+		fs = append(fs, figure{n + "price", p.Price}, figure{n + "rate", p.QuotaRate}, figure{n + "depth", p.QuotaBurst},
+			figure{n + "open", float64(p.MaxInFlight)}, figure{n + "over cost", p.OverQuotaCost},
+			figure{n + "over earns", p.OverQuotaGain}, figure{n + "ceiling rate", p.HardLimitRate},
+			figure{n + "ceiling burst", p.HardLimitBurst}, figure{n + "ceiling slack", p.HardLimitSlack})
 	}
 	for _, f := range fs {
 		if math.IsNaN(f.value) || math.IsInf(f.value, 0) || f.value < 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -112,7 +112,7 @@
 }
 
 type server struct {
-	Member
+	Endpoint
 	listed            bool
 	inflight          int
 	ghosts            int     // attempts given up whose work is taken to go on
@@ -256,7 +256,7 @@
 		r.label = c.label
 		c.labels[r.label] = r
 	}
-	c.act(Arm{After: max(after, 0), Label: r.label})
+	c.act(StartTimer{After: max(after, 0), Label: r.label})
 }
 
 const tickLabel = 0
@@ -308,19 +308,19 @@
 		c.begin()
 	}
 	switch e := e.(type) {
-	case List:
+	case EndpointList:
 		c.onList(e)
 	case Request:
 		c.onRequest(e)
-	case Started:
+	case ResponseStarted:
 		c.onStarted(e)
-	case Response:
+	case AttemptResult:
 		c.onResponse(e)
-	case Hangup:
+	case ClientGone:
 		if r := c.reqs[e.ID]; r != nil {
 			c.forget(r)
 		}
-	case Timer:
+	case TimerFired:
 		c.onTimer(e.Label)
 	}
 	c.pump()
@@ -338,23 +338,23 @@
 }
 
 // merge brings the servers up to a list event and forgets those that are gone.
-func (c *Controller) merge(e List) {
+func (c *Controller) merge(e EndpointList) {
 	for _, s := range c.order {
-		s.listed = s.listed && e.Kind == Patch
+		s.listed = s.listed && e.Kind == ListPatch
 	}
-	for _, m := range e.Members {
+	for _, m := range e.Endpoints {
 		s := c.servers[m.Server]
 		if s == nil {
 			s = &server{shut: map[*plan]time.Duration{}}
 			c.servers[m.Server], c.order = s, append(c.order, s)
-		} else if m.Condition != On {
+		} else if m.State != Active {
 			// Guards against an entry that tells no more than that: where the server was says who
 			// drops repeats of what it may have run.
-			s.Condition, s.listed = m.Condition, m.Condition != Off
+			s.State, s.listed = m.State, m.State != Gone
 			continue
 		}
 		c.learn(s, m)
-		s.Member, s.listed = m, m.Condition != Off
+		s.Endpoint, s.listed = m, m.State != Gone
 	}
 	sort.Slice(c.order, func(i, j int) bool { return c.order[i].Server < c.order[j].Server })
 	c.prune()
--- a/control/sure_test.go
+++ b/control/sure_test.go
@@ -32,8 +32,8 @@
 					srv = a.Server
 				}
 			}
-			g.do(Response{ID: id, Server: srv, Reason: OK, Done: true, Load: told(10, 0.3)})
-			g.ends[id] = Refuse{ID: id}
+			g.do(AttemptResult{ID: id, Server: srv, Reason: OK, IsFinal: true, Load: told(10, 0.3)})
+			g.ends[id] = Reject{ID: id}
 		}
 		g.pass(time.Second)
 	}
--- a/control/turns.go
+++ b/control/turns.go
@@ -16,40 +16,42 @@
 	k, p := c.classes[e.Class], c.planOf[e.Plan]
 	if c.reqs[e.ID] != nil {
 		return
-	} else if e.NoRoom {
-		c.refuse(e.ID, NoRoom)
+	} else if e.IsOverCapacity {
+		c.refuse(e.ID, CauseOverCapacity)
 		return
-	} else if e.Over {
-		c.refuse(e.ID, OverCeiling)
+	} else if e.IsOverHardLimit {
+		c.refuse(e.ID, CauseHardLimit)
 		return
-	} else if k == nil || p == nil || !(e.Units >= 0) || e.TTL <= 0 {
-		c.refuse(e.ID, Unknown)
+	} else if k == nil || p == nil || !(e.Units >= 0) || e.Timeout <= 0 {
+		c.refuse(e.ID, CauseInvalid)
 		return
 	}
 	c.asks++
 	c.meanUnits += math.Max(fleetEstimateGain, 1/c.asks) * (c.work(e.Units) - c.meanUnits)
-	q := c.customerOf(p, e.Customer, e.Spread)
+	q := c.customerOf(p, e.Customer, e.FanOut)
 	waited := c.waited(e, k)
-	late := waited+seconds(c.latency) >= k.Aim
+	late := waited+seconds(c.latency) >= k.LatencyObjective
 	// Guards against refusing all for good after one slow answer: where every try is taken to be late,
 	// only an attempt can tell otherwise, so one goes out whenever there is none.
-	if seconds(c.latency) >= k.Aim && waited < k.Aim && c.inflight == 0 {
+	if seconds(c.latency) >= k.LatencyObjective && waited < k.LatencyObjective && c.inflight == 0 {
 		late = false
 	}
-	if why := c.admits(q, k, e.Units, late); why != Unsaid {
+	if why := c.admits(q, k, e.Units, late); why != CauseNone {
 		c.refuse(e.ID, why)
 		return
 	}
-	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now, streaming: e.Open}
-	r.aim, r.giveUp = c.now+k.Aim-waited, c.now+e.TTL
+	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now}
+	r.streaming = e.HasPendingBody
+	r.aim, r.giveUp = c.now+k.LatencyObjective-waited, c.now+e.Timeout
 	c.reqs[r.id] = r
 	c.retries = math.Min(maxRetryBudget, c.retries+retryBudgetPerRequest)
 	c.enqueue(r, false)
 	part := queueWaitFraction
-	if p.Open > 0 {
+	if p.MaxInFlight > 0 {
 		part = inFlightQuotaWaitFraction
 	}
-	c.wake(r, min(time.Duration(part*float64(k.Aim)), e.TTL/2, max(r.aim-c.now-seconds(c.latency), tickPeriod)))
+	longest := time.Duration(part * float64(k.LatencyObjective))
+	c.wake(r, min(longest, e.Timeout/2, max(r.aim-c.now-seconds(c.latency), tickPeriod)))
 }
 
 // waited is what the client of a try has waited for earlier tries or for this gateway. A
@@ -58,23 +60,23 @@
 // late: they lack no more than its own clock has skipped.
 func (c *Controller) waited(e Request, k *Class) time.Duration {
 	u := c.usual[k]
-	short := u.ttl - e.TTL
+	short := u.ttl - e.Timeout
 	odd := short > max(c.skipped, tickPeriod) || short < -tickPeriod
-	later := e.Repeat || !c.set.MarksRetry && odd && u.seen > 0
-	if !e.Repeat {
-		u.count(e.TTL, odd)
+	later := e.IsRetry || !c.set.RetriesAreMarked && odd && u.seen > 0
+	if !e.IsRetry {
+		u.count(e.Timeout, odd)
 	}
 	if !later {
 		return min(max(short, 0), c.skipped)
 	} else if !odd { // as long as a first try's: not the last of its client
-		return min(c.nextTry, k.Deadline-e.TTL)
+		return min(c.nextTry, k.Deadline-e.Timeout)
 	}
-	c.nextTry = min(c.nextTry, k.Deadline-e.TTL)
-	return k.Deadline - e.TTL
+	c.nextTry = min(c.nextTry, k.Deadline-e.Timeout)
+	return k.Deadline - e.Timeout
 }
 
 func (c *Controller) refuse(id string, why Cause) {
-	c.act(Refuse{ID: id, RetryAfter: min(rejectRetryAfter, c.set.MaxRetryAfter), Why: why})
+	c.act(Reject{ID: id, RetryAfter: min(rejectRetryAfter, c.set.MaxRetryAfter), Cause: why})
 }
 
 // finish gives the final answer of a request that was not served: a refusal
@@ -83,14 +85,14 @@
 	if c.harmless(r) {
 		c.refuse(r.id, why)
 	} else {
-		c.act(Fail{ID: r.id, Why: why})
+		c.act(Fail{ID: r.id, Cause: why})
 	}
 	c.forget(r)
 }
 
 func (c *Controller) harmless(r *request) bool {
-	return r.class.Effect == Free || !r.mayRun && r.out == 0 ||
-		r.class.Effect == Guarded && r.class.KeyScope == ScopeAll
+	return r.class.Idempotency == Idempotent || !r.mayRun && r.out == 0 ||
+		r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope == ScopeAll
 }
 
 // pump gives turns to the plans while the bound allows.
@@ -147,7 +149,7 @@
 // One that waits for its open quota or for its own group lets the next pass.
 func (c *Controller) head(p *plan) (*request, *server) {
 	for _, r := range p.queue {
-		if p.Open > 0 && r.sends == 0 && (c.now < r.cust.openNext ||
+		if p.MaxInFlight > 0 && r.sends == 0 && (c.now < r.cust.openNext ||
 			float64(r.cust.open+r.cust.foreign) >= math.Max(1, math.Floor(r.cust.openCap))) {
 			r.cust.openHit = true
 			continue
@@ -168,7 +170,7 @@
 	if r.sends == 0 {
 		b = c.draw(r.cust, r.units)
 	}
-	if r.group == nil && r.class.Effect == Guarded {
+	if r.group == nil && r.class.Idempotency == IdempotencyKeyed {
 		r.firstRun = c.now
 	}
 	if s.inflight == 0 {
@@ -182,8 +184,8 @@
 	}
 	c.record(r, s, b)
 	a := Send{ID: r.id, Server: s.Server}
-	if r.mayRun && r.class.Effect == Guarded { // its connection may come up when repeats run again
-		a.Begin = r.firstRun + r.class.RepeatWindow - c.now
+	if r.mayRun && r.class.Idempotency == IdempotencyKeyed { // its connection may come up when repeats run again
+		a.WriteWithin = r.firstRun + r.class.RepeatWindow - c.now
 	}
 	c.act(a)
 }
--- a/control/units_test.go
+++ b/control/units_test.go
@@ -11,24 +11,24 @@
 	type shared struct{ mean, done, tokens float64 }
 	play := func(units float64, refused bool) shared {
 		s := settings()
-		s.UnitsTop = 0
-		s.Plans = []Plan{{Name: "open", Price: 1, Open: 50}, {Name: "rate", Price: 1, Rate: 10, Depth: 10}}
+		s.MaxUnits = 0
+		s.Plans = []Plan{{Name: "open", Price: 1, MaxInFlight: 50}, {Name: "rate", Price: 1, QuotaRate: 10, QuotaBurst: 10}}
 		g := newGate(t, s, on(1, 2)...)
 		plan := "open"
 		if refused {
 			plan = "rate"
 		}
 		ask := func(id string, units float64) {
-			g.do(Request{ID: id, Class: "job", Plan: plan, Customer: id, Units: units, Spread: 1, TTL: 6 * time.Second})
+			g.do(Request{ID: id, Class: "job", Plan: plan, Customer: id, Units: units, FanOut: 1, Timeout: 6 * time.Second})
 			if n := len(g.sends); n > 0 && g.sends[n-1].ID == id {
 				g.now += 10 * ms
-				g.do(Response{ID: id, Server: g.sends[n-1].Server, Reason: OK, Done: true, Delay: 10 * ms})
+				g.do(AttemptResult{ID: id, Server: g.sends[n-1].Server, Reason: OK, IsFinal: true, Delay: 10 * ms})
 			}
 		}
 		ask("odd", units)
 		g.pass(2 * time.Second)
-		cold := Member{Server: 3, Zone: "z1", HasCameUp: true, CameUp: g.now - time.Second}
-		g.do(List{Kind: Patch, Members: []Member{cold, {Server: 1, Condition: Off}, {Server: 2, Condition: Off}}})
+		cold := Endpoint{Server: 3, Zone: "z1", HasStartedAt: true, StartedAt: g.now - time.Second}
+		g.do(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{cold, {Server: 1, State: Gone}, {Server: 2, State: Gone}}})
 		srv := g.c.servers[3]
 		srv.tokens = 0
 		plan = "open"
--- a/control/unseen_test.go
+++ b/control/unseen_test.go
@@ -13,7 +13,7 @@
 func TestUnseenAreRefusedByTheirPlansUse(t *testing.T) {
 	s := settings()
 	for i := range s.Plans {
-		s.Plans[i].Rate, s.Plans[i].Depth = 4, 20
+		s.Plans[i].QuotaRate, s.Plans[i].QuotaBurst = 4, 20
 	}
 	g := newGate(t, s, on(1, 2, 3)...)
 	n := 0
@@ -25,8 +25,8 @@
 			n++
 			id := fmt.Sprint("r", n)
 			g.ask(id, "job", plan, fmt.Sprint("new", n))
-			if r, ok := g.ends[id].(Refuse); ok && r.Why != ByChance {
-				t.Fatalf("%s: refused by %v", id, r.Why)
+			if r, ok := g.ends[id].(Reject); ok && r.Cause != CauseProbability {
+				t.Fatalf("%s: refused by %v", id, r.Cause)
 			} else if !ok {
 				g.pass(10 * ms)
 				g.reply(id, OK, 0)
--- a/control/unsent_test.go
+++ b/control/unsent_test.go
@@ -9,20 +9,20 @@
 // What was decided and never sent leaves nothing behind, whether its client has left before or the
 // node could not send it: no place, no turn, no charge, no word on the server.
 func TestUnsentGivesAllBack(t *testing.T) {
-	for name, k := range map[string]Class{"safe": {Effect: Free}, "keyed": {Effect: Guarded, RepeatWindow: time.Minute}, "unsafe": {Effect: SingleShot}} {
+	for name, k := range map[string]Class{"safe": {Idempotency: Idempotent}, "keyed": {Idempotency: IdempotencyKeyed, RepeatWindow: time.Minute}, "unsafe": {Idempotency: NotIdempotent}} {
 		for what, leaves := range map[string]bool{"left": true, "not sent": false} {
 			for what2, cold := range map[string]bool{"warm": false, "cold": true} {
 				t.Run(name+" "+what+" "+what2, func(t *testing.T) {
 					s := settings()
-					k.Name, k.Aim, k.Deadline, k.Worth = "job", 2*time.Second, 6*time.Second, 1
+					k.Name, k.LatencyObjective, k.Deadline, k.PriorityWeight = "job", 2*time.Second, 6*time.Second, 1
 					s.Classes = []Class{k}
-					s.Plans = []Plan{{Name: "high", Price: 1, Rate: 10, Depth: 10, CeilingRate: 10, CeilingBurst: 10, CeilingSlack: 10, Open: 4}}
+					s.Plans = []Plan{{Name: "high", Price: 1, QuotaRate: 10, QuotaBurst: 10, HardLimitRate: 10, HardLimitBurst: 10, HardLimitSlack: 10, MaxInFlight: 4}}
 					m := on(1)
 					g := newGate(t, s)
 					if cold {
-						m[0].HasCameUp, m[0].CameUp = true, g.now-time.Second
+						m[0].HasStartedAt, m[0].StartedAt = true, g.now-time.Second
 					}
-					g.do(List{Kind: Whole, Members: m})
+					g.do(EndpointList{Kind: ListComplete, Endpoints: m})
 					c, srv := g.c, g.c.servers[1]
 					srv.tokens = 0.125
 					c.bound, c.seen = 0.5, 1 // a place that rests after each use
@@ -48,15 +48,15 @@
 						t.Fatalf("%d sends, %+v", len(g.sends), look())
 					}
 					if leaves {
-						g.do(Hangup{ID: "a"})
+						g.do(ClientGone{ID: "a"})
 					}
-					r := Response{ID: "a", Server: 1, Reason: Moot, Done: leaves}
+					r := AttemptResult{ID: "a", Server: 1, Reason: NotSent, IsFinal: leaves}
 					g.do(r)
 					g.do(r) // a second one is no attempt's
 					if after := look(); after != before {
 						t.Errorf("before %+v, after %+v", before, after)
 					}
-					if end, ok := g.ends["a"].(Refuse); !leaves && (!ok || end.Why != NoFurther) || leaves && g.ends["a"] != nil {
+					if end, ok := g.ends["a"].(Reject); !leaves && (!ok || end.Cause != CauseNoRetry) || leaves && g.ends["a"] != nil {
 						t.Errorf("its end: %+v", g.ends["a"])
 					}
 					g.ask("b", "job", "high", "c")
@@ -91,8 +91,8 @@
 	if !s.probing {
 		t.Fatal("no probe")
 	}
-	g.do(Hangup{ID: "a"})
-	g.do(Response{ID: "a", Server: 1, Reason: Cancelled, Done: true})
+	g.do(ClientGone{ID: "a"})
+	g.do(AttemptResult{ID: "a", Server: 1, Reason: Cancelled, IsFinal: true})
 	if s.probing || s.strikes != ejectionFailures {
 		t.Errorf("probing %v after %d strikes", s.probing, s.strikes)
 	}
--- a/internal/balancesim/sim.go
+++ b/internal/balancesim/sim.go
@@ -267,20 +267,20 @@
 
 func newModule(s *sim) (*module, error) {
 	c, err := control.New(control.Settings{
-		GroupSize: 1, SendCap: attempts, MayCancel: true, RetryAfter: true, MaxRetryAfter: time.Second,
-		DrainGrace: 2 * time.Second, Cold: 15 * time.Second, ColdFrom: 0.15, Fall: 2 * time.Second, FallMultiple: 2.5,
-		Classes: []control.Class{{Name: "read", Aim: 2 * time.Second, Deadline: deadline, Worth: 1}},
+		GroupSize: 1, MaxAttempts: attempts, CanCancel: true, SupportsRetryAfter: true, MaxRetryAfter: time.Second,
+		DrainGrace: 2 * time.Second, WarmupTime: 15 * time.Second, InitialCapacity: 0.15, OverloadWindow: 2 * time.Second, OverloadMultiple: 2.5,
+		Classes: []control.Class{{Name: "read", LatencyObjective: 2 * time.Second, Deadline: deadline, PriorityWeight: 1}},
 		Plans:   []control.Plan{{Name: "default", Price: 1}},
 	}, s.o.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("starting the module: %w", err)
 	}
 	m := &module{s, c}
-	var members []control.Member
+	var members []control.Endpoint
 	for i := range servers {
-		members = append(members, control.Member{Server: uint32(i + 1), Size: 1})
+		members = append(members, control.Endpoint{Server: uint32(i + 1), Size: 1})
 	}
-	s.At(0, func() { m.tell(control.List{Kind: control.Whole, Members: members}) })
+	s.At(0, func() { m.tell(control.EndpointList{Kind: control.ListComplete, Endpoints: members}) })
 	return m, nil
 }
 
@@ -291,12 +291,12 @@
 			if c := m.s.calls[number(a.ID)]; c != nil {
 				m.s.send(c, int(a.Server)-1)
 			}
-		case control.Refuse:
+		case control.Reject:
 			m.giveUp(a.ID)
 		case control.Fail:
 			m.giveUp(a.ID)
-		case control.Arm:
-			m.s.After(a.After, func() { m.tell(control.Timer{Label: a.Label}) })
+		case control.StartTimer:
+			m.s.After(a.After, func() { m.tell(control.TimerFired{Label: a.Label}) })
 		}
 	}
 }
@@ -319,7 +319,7 @@
 }
 
 func (m *module) arrive(id int) {
-	m.tell(control.Request{ID: fmt.Sprint(id), Class: "read", Plan: "default", Customer: "anonymous", TTL: deadline, Units: 1, Spread: 1})
+	m.tell(control.Request{ID: fmt.Sprint(id), Class: "read", Plan: "default", Customer: "anonymous", Timeout: deadline, Units: 1, FanOut: 1})
 }
 
 func (m *module) ended(c *call, to, n int, why control.Reason, final bool) {
@@ -328,5 +328,5 @@
 	} else if final {
 		m.s.finish(c, failed)
 	}
-	m.tell(control.Response{ID: fmt.Sprint(c.id), N: n, Server: uint32(to + 1), Reason: why, Done: final})
+	m.tell(control.AttemptResult{ID: fmt.Sprint(c.id), Attempt: n, Server: uint32(to + 1), Reason: why, IsFinal: final})
 }
--- a/internal/command/allowance.go
+++ b/internal/command/allowance.go
@@ -59,7 +59,7 @@
 			if p.Name != x.plan {
 				continue
 			}
-			ceiling, found = quotalease.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}, true
+			ceiling, found = quotalease.Ceiling{Rate: p.HardLimitRate, Burst: p.HardLimitBurst}, true
 			file := s.Counter.Rules
 			if file.Instances == 0 {
 				file = quotalease.Rules{Instances: s.Settings.GroupSize, Term: time.Second, Pledge: 2 * time.Second, Settle: 10 * time.Second, Drift: 0.001}
--- a/internal/command/replay.go
+++ b/internal/command/replay.go
@@ -137,11 +137,11 @@
 	switch e := s.Event.(type) {
 	case control.Request:
 		return e.ID == id
-	case control.Response:
+	case control.AttemptResult:
 		return e.ID == id
-	case control.Started:
+	case control.ResponseStarted:
 		return e.ID == id
-	case control.Hangup:
+	case control.ClientGone:
 		return e.ID == id
 	}
 	for _, a := range s.Actions {
@@ -150,7 +150,7 @@
 			if a.ID == id {
 				return true
 			}
-		case control.Refuse:
+		case control.Reject:
 			if a.ID == id {
 				return true
 			}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -198,23 +198,23 @@
 
 func class(name string, t tree.Table) control.Class {
 	k := control.Class{
-		Name: name, Aim: t.Span("aim", 2*time.Second, time.Millisecond, day),
-		Deadline: t.Span("deadline", 0, time.Millisecond, day),
-		Effect:   control.Effect(t.OneOf("repeats", "free", "keyed", "never")),
-		KeyScope: control.Scope(t.OneOf("key_scope", "all", "zone", "group")),
-		Worth:    t.Number("worth", 1, 0, figureMost), LateShare: t.Number("late_share", 0, 0, 1),
+		Name: name, LatencyObjective: t.Span("aim", 2*time.Second, time.Millisecond, day),
+		Deadline:       t.Span("deadline", 0, time.Millisecond, day),
+		Idempotency:    control.Idempotency(t.OneOf("repeats", "free", "keyed", "never")),
+		KeyScope:       control.KeyScope(t.OneOf("key_scope", "all", "zone", "group")),
+		PriorityWeight: t.Number("worth", 1, 0, figureMost), LateWeightFraction: t.Number("late_share", 0, 0, 1),
 		RepeatWindow: t.Span("repeat_window", 0, 0, day),
 	}
 	if k.Deadline == 0 {
-		k.Deadline = 4 * k.Aim
+		k.Deadline = 4 * k.LatencyObjective
 	}
-	if k.Deadline < k.Aim {
-		t.Wrong("deadline", "%v is before the aim of %v", k.Deadline, k.Aim)
+	if k.Deadline < k.LatencyObjective {
+		t.Wrong("deadline", "%v is before the aim of %v", k.Deadline, k.LatencyObjective)
 	}
 	if !t.Has("repeats") {
 		t.Wrong("repeats", `it has to be said: "free", "keyed" or "never"`)
 	}
-	keyed := k.Effect == control.Guarded
+	keyed := k.Idempotency == control.IdempotencyKeyed
 	for _, key := range []string{"key_scope", "repeat_window"} {
 		if t.Has(key) && !keyed {
 			t.Wrong(key, `only with repeats = "keyed"`)
@@ -232,31 +232,31 @@
 
 func plan(name string, t tree.Table) control.Plan {
 	p := control.Plan{
-		Name: name, Price: t.Number("price", 1, 0, figureMost), Rate: t.Number("rate", 0, 0, figureMost),
-		Depth: t.Number("depth", 0, 0, figureMost), Open: int(t.Integer("open", 0, 0, countMost)),
-		OverCost: t.Number("over_cost", 0, 0, figureMost), OverEarns: t.Number("over_earns", 0, 0, 1),
-		CeilingRate:  t.Number("ceiling_rate", 0, 0, figureMost),
-		CeilingBurst: t.Number("ceiling_burst", 0, 0, figureMost), CeilingSlack: t.Number("ceiling_slack", 0, 0, figureMost),
+		Name: name, Price: t.Number("price", 1, 0, figureMost), QuotaRate: t.Number("rate", 0, 0, figureMost),
+		QuotaBurst: t.Number("depth", 0, 0, figureMost), MaxInFlight: int(t.Integer("open", 0, 0, countMost)),
+		OverQuotaCost: t.Number("over_cost", 0, 0, figureMost), OverQuotaGain: t.Number("over_earns", 0, 0, 1),
+		HardLimitRate:  t.Number("ceiling_rate", 0, 0, figureMost),
+		HardLimitBurst: t.Number("ceiling_burst", 0, 0, figureMost), HardLimitSlack: t.Number("ceiling_slack", 0, 0, figureMost),
 	}
-	if p.Rate > 0 && p.Depth == 0 {
+	if p.QuotaRate > 0 && p.QuotaBurst == 0 {
 		t.Wrong("depth", "a rate needs one: units that may be used at once")
 	}
-	if t.Has("depth") && p.Rate == 0 {
+	if t.Has("depth") && p.QuotaRate == 0 {
 		t.Wrong("depth", "only with a rate")
 	}
-	if p.CeilingRate > 0 && p.CeilingBurst == 0 {
+	if p.HardLimitRate > 0 && p.HardLimitBurst == 0 {
 		t.Wrong("ceiling_burst", "a ceiling needs one")
 	}
 	for _, key := range []string{"ceiling_burst", "ceiling_slack"} {
-		if t.Has(key) && p.CeilingRate == 0 {
+		if t.Has(key) && p.HardLimitRate == 0 {
 			t.Wrong(key, "only with a ceiling_rate")
 		}
 	}
 	if name == "" {
 		t.Wrong("", "a plan needs a name")
 	}
-	if p.CeilingRate > 0 && p.Rate > p.CeilingRate {
-		t.Wrong("ceiling_rate", "%g is below the rate of %g", p.CeilingRate, p.Rate)
+	if p.HardLimitRate > 0 && p.QuotaRate > p.HardLimitRate {
+		t.Wrong("ceiling_rate", "%g is below the rate of %g", p.HardLimitRate, p.QuotaRate)
 	}
 	t.Done()
 	return p
@@ -276,14 +276,14 @@
 	}
 	set := control.Settings{
 		SelfIndex: r.group.index, GroupSize: r.group.size, Zone: t.Str("zone", ""),
-		DrainGrace: t.Span("drain_grace", 2*time.Second, 0, day), Cold: t.Span("cold", 15*time.Second, 0, day),
-		ColdFrom: t.Number("cold_from", 0.15, 0, 1), Fall: t.Span("fall", 2*time.Second, 0, day),
-		FallMultiple: t.Number("fall_multiple", 2.5, 0, figureMost), MeterPeriod: t.Span("meter_period", 0, 0, day),
-		CostAfter: t.Flag("cost_after", false), UnitsTop: t.Number("units_top", 0, 0, figureMost),
-		SendCap: int(t.Integer("attempts", 6, 1, 1000)), MayCancel: true, MarksRetry: t.Flag("marks_retry", true),
+		DrainGrace: t.Span("drain_grace", 2*time.Second, 0, day), WarmupTime: t.Span("cold", 15*time.Second, 0, day),
+		InitialCapacity: t.Number("cold_from", 0.15, 0, 1), OverloadWindow: t.Span("fall", 2*time.Second, 0, day),
+		OverloadMultiple: t.Number("fall_multiple", 2.5, 0, figureMost), MeterPeriod: t.Span("meter_period", 0, 0, day),
+		UnitsInResponse: t.Flag("cost_after", false), MaxUnits: t.Number("units_top", 0, 0, figureMost),
+		MaxAttempts: int(t.Integer("attempts", 6, 1, 1000)), CanCancel: true, RetriesAreMarked: t.Flag("marks_retry", true),
 		MaxRetryAfter: t.Span("retry_after", time.Second, 0, day),
 	}
-	set.RetryAfter = set.MaxRetryAfter > 0
+	set.SupportsRetryAfter = set.MaxRetryAfter > 0
 	ordinary := protocols[speaks] == "http"
 	for _, k := range r.named(t, "classes", classes, ordinary) {
 		if c, ok := r.classes[k]; ok {
@@ -354,10 +354,10 @@
 		t.Wrong("term", "%v", err)
 	}
 	for _, p := range plans {
-		if p.CeilingRate == 0 {
+		if p.HardLimitRate == 0 {
 			continue
 		}
-		of := quotalease.Ceiling{Rate: p.CeilingRate, Burst: p.CeilingBurst}
+		of := quotalease.Ceiling{Rate: p.HardLimitRate, Burst: p.HardLimitBurst}
 		c.Ceilings[p.Name] = of
 		if over := c.Rules.Over(of, time.Minute); over > most {
 			b := c.Rules.Bound(of)
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -135,15 +135,15 @@
 		byName[s.Name] = s
 	}
 	r, d := byName["rosters"], byName["documents"]
-	if s := r.Settings; s.GroupSize != 4 || s.SelfIndex != 3 || !s.CostAfter || s.UnitsTop != 4 || len(s.Classes) != 2 || len(s.Plans) != 1 ||
-		s.MaxRetryAfter != time.Second || s.MeterPeriod != time.Second || s.SendCap != 6 {
+	if s := r.Settings; s.GroupSize != 4 || s.SelfIndex != 3 || !s.UnitsInResponse || s.MaxUnits != 4 || len(s.Classes) != 2 || len(s.Plans) != 1 ||
+		s.MaxRetryAfter != time.Second || s.MeterPeriod != time.Second || s.MaxAttempts != 6 {
 		t.Errorf("%+v", s)
 	}
-	if k := r.Settings.Classes[1]; k.Effect != control.Guarded || k.KeyScope != control.ScopeCell || k.RepeatWindow != 15*time.Second ||
+	if k := r.Settings.Classes[1]; k.Idempotency != control.IdempotencyKeyed || k.KeyScope != control.ScopeCell || k.RepeatWindow != 15*time.Second ||
 		k.Deadline != 8*time.Second {
 		t.Errorf("%+v", k)
 	}
-	if p := r.Settings.Plans[0]; p.Rate != 12.5 || p.CeilingRate != 25 || p.CeilingSlack != 4 {
+	if p := r.Settings.Plans[0]; p.QuotaRate != 12.5 || p.HardLimitRate != 25 || p.HardLimitSlack != 4 {
 		t.Errorf("%+v", p)
 	}
 	// 288 descriptors are for services, of which 100 are named: the rest is split in two, one
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -81,10 +81,10 @@
 	if in.Has("protocol") && protocols[in.OneOf("protocol", protocols...)] != "http" || !in.Has("protocol") && protocols[r.speaks] != "http" {
 		in.Wrong("protocol", `a gathering service speaks "http" only`)
 	}
-	read := control.Class{Name: ClassRead, Effect: control.Free, Aim: ordinaryAim, Deadline: ordinaryDeadline, Worth: 1}
+	read := control.Class{Name: ClassRead, Idempotency: control.Idempotent, LatencyObjective: ordinaryAim, Deadline: ordinaryDeadline, PriorityWeight: 1}
 	g.Classes[ClassRead] = read
 	for name, k := range r.classes {
-		if k.Effect == control.Free {
+		if k.Idempotency == control.Idempotent {
 			g.Classes[name] = k
 		} else {
 			delete(g.Classes, name)
--- a/internal/config/http.go
+++ b/internal/config/http.go
@@ -101,8 +101,8 @@
 	has := func(name string) bool {
 		return slices.ContainsFunc(set.Classes, func(k control.Class) bool { return k.Name == name })
 	}
-	for _, k := range []control.Class{{Name: ClassRead, Effect: control.Free}, {Name: ClassWrite, Effect: control.SingleShot}} {
-		k.Aim, k.Deadline, k.Worth = ordinaryAim, ordinaryDeadline, 1
+	for _, k := range []control.Class{{Name: ClassRead, Idempotency: control.Idempotent}, {Name: ClassWrite, Idempotency: control.NotIdempotent}} {
+		k.LatencyObjective, k.Deadline, k.PriorityWeight = ordinaryAim, ordinaryDeadline, 1
 		if own, ok := r.classes[k.Name]; ok {
 			k = own
 		}
@@ -111,14 +111,14 @@
 		}
 	}
 	for _, k := range slices.Clone(set.Classes) {
-		if k.Effect != control.Guarded {
+		if k.Idempotency != control.IdempotencyKeyed {
 			continue
 		}
 		if s.HTTP.Once == nil {
 			s.HTTP.Once = make(map[string]string)
 		}
 		once := k
-		once.Name, once.Effect, once.KeyScope, once.RepeatWindow = k.Name+onceSuffix, control.SingleShot, 0, 0
+		once.Name, once.Idempotency, once.KeyScope, once.RepeatWindow = k.Name+onceSuffix, control.NotIdempotent, 0, 0
 		s.HTTP.Once[k.Name] = once.Name
 		set.Classes = append(set.Classes, once)
 	}
--- a/internal/config/http_test.go
+++ b/internal/config/http_test.go
@@ -21,9 +21,9 @@
 		!reflect.DeepEqual(s.HTTP.Rules.Elsewhere, []int{502, 503, 504}) {
 		t.Errorf("%+v, %+v", s, s.HTTP)
 	}
-	for i, want := range []control.Class{{Name: ClassRead, Effect: control.Free}, {Name: ClassWrite, Effect: control.SingleShot}} {
+	for i, want := range []control.Class{{Name: ClassRead, Idempotency: control.Idempotent}, {Name: ClassWrite, Idempotency: control.NotIdempotent}} {
 		k := s.Settings.Classes[i]
-		if k.Name != want.Name || k.Effect != want.Effect || k.Deadline != 30*time.Second {
+		if k.Name != want.Name || k.Idempotency != want.Idempotency || k.Deadline != 30*time.Second {
 			t.Errorf("%+v", k)
 		}
 	}
@@ -43,7 +43,7 @@
 	var names []string
 	for _, k := range s.Settings.Classes {
 		names = append(names, k.Name)
-		if k.Name == once && (k.Effect != control.SingleShot || k.Worth != 5) {
+		if k.Name == once && (k.Idempotency != control.NotIdempotent || k.PriorityWeight != 5) {
 			t.Errorf("%+v", k)
 		}
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -95,8 +95,8 @@
 		return c, fmt.Errorf("settings: %w", err)
 	}
 	// Lists that are pushed lie with an agent of this node's own; what has to be asked for is shared.
-	s.Source.Agent = !s.Settings.OnRequest
-	s.Settings.OnRequest = false // on sockets a watch is always kept; nothing has to be asked for
+	s.Source.Agent = !s.Settings.ListOnRequest
+	s.Settings.ListOnRequest = false // on sockets a watch is always kept; nothing has to be asked for
 	if s.Keepalive, err = millis(paths, "limits.keepalive", 15*time.Second); err != nil {
 		return c, err
 	}
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -21,14 +21,14 @@
 		one.Keepalive != 15*time.Second || one.Connect != 250*time.Millisecond || c.Process.Shared || c.Routes != nil {
 		t.Errorf("%+v", c)
 	}
-	if s.GroupSize != 2 || !s.CostAfter || !s.MarksRetry || s.SendCap != 6 || s.Cold != 15*time.Second ||
+	if s.GroupSize != 2 || !s.UnitsInResponse || !s.RetriesAreMarked || s.MaxAttempts != 6 || s.WarmupTime != 15*time.Second ||
 		len(s.Classes) != 2 || len(s.Plans) != 2 {
 		t.Errorf("settings %+v", s)
 	}
-	if k := s.Classes[1]; k.Effect != control.Guarded || k.KeyScope != control.ScopeCell || k.Aim != 2*time.Second {
+	if k := s.Classes[1]; k.Idempotency != control.IdempotencyKeyed || k.KeyScope != control.ScopeCell || k.LatencyObjective != 2*time.Second {
 		t.Errorf("class %+v", k)
 	}
-	if p := s.Plans[0]; p.Rate != 0.5 || p.Depth != 8 || p.OverCost != 0.6 {
+	if p := s.Plans[0]; p.QuotaRate != 0.5 || p.QuotaBurst != 8 || p.OverQuotaCost != 0.6 {
 		t.Errorf("plan %+v", p)
 	}
 }
@@ -134,7 +134,7 @@
 			return // the module names it
 		}
 		for _, k := range c.Services[0].Settings.Classes {
-			m.Handle(0, control.Request{ID: "a", Class: k.Name, Plan: c.Services[0].Settings.Plans[0].Name, Units: 1, Spread: 1, TTL: k.Deadline})
+			m.Handle(0, control.Request{ID: "a", Class: k.Name, Plan: c.Services[0].Settings.Plans[0].Name, Units: 1, FanOut: 1, Timeout: k.Deadline})
 		}
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -219,10 +219,10 @@
 		slog.Warn("what was spent last is not known: ceilings begin empty, cold servers as if unseen", "why", why,
 			"state", time.Since(st.At).Round(time.Millisecond))
 		d.doubts.add("what was spent before the start", why)
-		d.node.Restore(st, control.Learned)
+		d.node.Restore(st, control.TrustEstimates)
 	default:
 		slog.Info("going on from the state of the last run", "age", time.Since(st.At).Round(time.Millisecond))
-		d.node.Restore(st, control.Exact)
+		d.node.Restore(st, control.TrustAll)
 	}
 }
 
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -296,7 +296,7 @@
 		err = in.err
 	}
 	if err == nil {
-		d.node.Restore(st, control.Exact)
+		d.node.Restore(st, control.TrustAll)
 	} else {
 		slog.Warn("upgrade: nothing is known of what was spent: this process starts carefully", "err", err)
 		d.doubts.add("what was spent before the start", err.Error())
--- a/internal/decisiondigest/decisiondigest.go
+++ b/internal/decisiondigest/decisiondigest.go
@@ -102,42 +102,42 @@
 	case control.Send:
 		d.begin(tagSend, a.ID)
 		d.integer(int64(a.Server))
-		d.duration(a.Within)
-		d.duration(a.Begin)
-	case control.Withdraw:
+		d.duration(a.Timeout)
+		d.duration(a.WriteWithin)
+	case control.CancelAttempt:
 		d.begin(tagWithdraw, a.ID)
-		d.integer(int64(a.N))
-	case control.Refuse:
+		d.integer(int64(a.Attempt))
+	case control.Reject:
 		d.begin(tagRefuse, a.ID)
 		d.duration(a.RetryAfter)
-		d.text(a.Why.String())
+		d.text(a.Cause.String())
 	case control.Fail:
 		d.begin(tagFail, a.ID)
-		d.text(a.Why.String())
-	case control.Arm:
+		d.text(a.Cause.String())
+	case control.StartTimer:
 		d.begin(tagArm, "")
 		d.duration(a.After)
 		d.unsigned(a.Label)
-	case control.Probe:
+	case control.CheckHealth:
 		d.begin(tagProbe, "")
 		d.integer(int64(a.Server))
 	case control.Disconnect:
 		d.begin(tagDisconnect, "")
 		d.integer(int64(a.Server))
-	case control.Follow:
+	case control.WatchEndpoints:
 		d.begin(tagFollow, fmt.Sprint(a.Active))
-	case control.Snapshot:
+	case control.FetchEndpoints:
 		d.begin(tagSnapshot, "")
-	case control.Say:
+	case control.SendPeerMessage:
 		d.begin(tagSay, "")
 		d.integer(int64(a.To))
 		d.bytes(a.Raw)
-	case control.Count:
+	case control.AddToCounter:
 		d.begin(tagCount, "")
 		d.unsigned(a.Name)
 		d.float(a.Add)
-		d.duration(a.Lives)
-	case control.Remark:
+		d.duration(a.Lifetime)
+	case control.LogLine:
 		d.begin(tagRemark, a.Text)
 	default:
 		panic(fmt.Sprintf("decisiondigest: no canonical form of %T", action))
--- a/internal/discovery/listing.go
+++ b/internal/discovery/listing.go
@@ -112,7 +112,7 @@
 	if t.UID == "" {
 		return errors.New("a target has no uid")
 	}
-	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.Condition() == control.On {
+	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.Condition() == control.Active {
 		return fmt.Errorf("target %s: %w", t.UID, err)
 	}
 	if t.Protocol != "" && !slices.Contains(Protocols, t.Protocol) {
@@ -122,12 +122,12 @@
 }
 
 // Condition reads a state. One that is not known is no place to send new work to.
-func (t *Target) Condition() control.Condition {
+func (t *Target) Condition() control.EndpointState {
 	switch t.State {
 	case "up":
-		return control.On
+		return control.Active
 	case "removed":
-		return control.Off
+		return control.Gone
 	}
-	return control.Fading
+	return control.Draining
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -173,7 +173,7 @@
 	if l.Rev < w.rev && !(l.All && first) {
 		// Guards against a discovery that began to count anew, whose changes don't fit our list, and against
 		// a message that comes late: a server may have drained since. That one is not up is true of any.
-		l.Targets = slices.DeleteFunc(l.Targets, func(t Target) bool { return t.Condition() == control.On })
+		l.Targets = slices.DeleteFunc(l.Targets, func(t Target) bool { return t.Condition() == control.Active })
 		if l.All, w.rev = false, 0; len(l.Targets) > 0 {
 			w.tell(l)
 		}
--- a/internal/fleet/between.go
+++ b/internal/fleet/between.go
@@ -71,8 +71,8 @@
 			if p == was.Plans[k] {
 				continue
 			}
-			for key, v := range map[string]float64{"rate": p.Rate, "ceiling_rate": p.CeilingRate, "ceiling_burst": p.CeilingBurst, "ceiling_slack": p.CeilingSlack} {
-				if v > 0 || p.CeilingRate > 0 && key != "rate" {
+			for key, v := range map[string]float64{"rate": p.QuotaRate, "ceiling_rate": p.HardLimitRate, "ceiling_burst": p.HardLimitBurst, "ceiling_slack": p.HardLimitSlack} {
+				if v > 0 || p.HardLimitRate > 0 && key != "rate" {
 					set(v, "plans", p.Name, key)
 				}
 			}
@@ -82,7 +82,7 @@
 				for key, v := range terms(c) {
 					set(v, "classes", c.Name, key)
 				}
-				if was.Classes[k].Effect == control.Guarded && c.Effect != control.Guarded {
+				if was.Classes[k].Idempotency == control.IdempotencyKeyed && c.Idempotency != control.IdempotencyKeyed {
 					without = append(without, "classes."+c.Name+".key_scope", "classes."+c.Name+".repeat_window")
 				}
 			}
@@ -132,8 +132,8 @@
 }
 
 func terms(c control.Class) map[string]any {
-	t := map[string]any{"repeats": [...]string{"free", "keyed", "never"}[c.Effect], "deadline": c.Deadline.String(), "aim": c.Aim.String()}
-	if c.Effect == control.Guarded {
+	t := map[string]any{"repeats": [...]string{"free", "keyed", "never"}[c.Idempotency], "deadline": c.Deadline.String(), "aim": c.LatencyObjective.String()}
+	if c.Idempotency == control.IdempotencyKeyed {
 		t["key_scope"], t["repeat_window"] = [...]string{"all", "zone", "group"}[c.KeyScope], c.RepeatWindow.String()
 	}
 	return t
--- a/internal/fleetfile/fleetfile_test.go
+++ b/internal/fleetfile/fleetfile_test.go
@@ -108,7 +108,7 @@
 	if north.Instances != 4 || north.Members != 2 || south.Instances != 8 || south.Listeners[0] != "south.example:80" || north.Listeners[0] != "10.0.0.1:80" {
 		t.Errorf("%+v\n%+v", north, south)
 	}
-	if s := south.Services[1]; !s.Ordinary || s.Servers[0] != "a" || s.Leads[0] != "10.1.0.1:80" || s.Source != "" || s.Plans[0].CeilingRate != 30 {
+	if s := south.Services[1]; !s.Ordinary || s.Servers[0] != "a" || s.Leads[0] != "10.1.0.1:80" || s.Source != "" || s.Plans[0].HardLimitRate != 30 {
 		t.Errorf("%+v", s)
 	}
 	var got []string
--- a/internal/fleetfile/intermediate.go
+++ b/internal/fleetfile/intermediate.go
@@ -84,18 +84,18 @@
 }
 
 func writePlan(t map[string]any, p control.Plan) {
-	if p.Rate > 0 {
-		t["rate"] = p.Rate
+	if p.QuotaRate > 0 {
+		t["rate"] = p.QuotaRate
 	}
-	t["ceiling_rate"], t["ceiling_burst"], t["ceiling_slack"] = p.CeilingRate, p.CeilingBurst, p.CeilingSlack
+	t["ceiling_rate"], t["ceiling_burst"], t["ceiling_slack"] = p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack
 }
 
 func writeClass(t map[string]any, c control.Class) {
-	t["aim"], t["deadline"] = c.Aim.String(), c.Deadline.String()
-	t["repeats"] = []string{"free", "keyed", "never"}[c.Effect]
+	t["aim"], t["deadline"] = c.LatencyObjective.String(), c.Deadline.String()
+	t["repeats"] = []string{"free", "keyed", "never"}[c.Idempotency]
 	delete(t, "key_scope")
 	delete(t, "repeat_window")
-	if c.Effect == control.Guarded {
+	if c.Idempotency == control.IdempotencyKeyed {
 		t["key_scope"], t["repeat_window"] = []string{"all", "zone", "group"}[c.KeyScope], c.RepeatWindow.String()
 	}
 }
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -170,7 +170,7 @@
 		c.again(at, node, id, to, r)
 		r.out++
 	}
-	if first && plan.CeilingRate > 0 {
+	if first && plan.HardLimitRate > 0 {
 		c.draw(at, node, id, plan, customer, units)
 	}
 }
@@ -189,9 +189,9 @@
 	}
 	s := c.servers[to]
 	switch k := r.class; {
-	case k.Effect == control.SingleShot:
+	case k.Idempotency == control.NotIdempotent:
 		bad("sent again after an attempt that may have run")
-	case k.Effect != control.Guarded || s == nil:
+	case k.Idempotency != control.IdempotencyKeyed || s == nil:
 	case at > r.first+k.RepeatWindow:
 		bad(fmt.Sprintf("repeated %.2f s after the first that may have run", (at - r.first).Seconds()))
 	case k.KeyScope == control.ScopeCell && s.Cell != r.cell.Cell, k.KeyScope == control.ScopeZone && s.Zone != r.cell.Zone:
@@ -224,7 +224,7 @@
 		c.breach(Breach{Answer, at, node, id, 0, fmt.Sprintf("answered %.3f s past its client's time", (at - r.until).Seconds())})
 	}
 	k := r.class
-	if refused && k.Effect != control.Free && (r.mayRun || r.out > 0) && !(k.Effect == control.Guarded && k.KeyScope == control.ScopeAll) {
+	if refused && k.Idempotency != control.Idempotent && (r.mayRun || r.out > 0) && !(k.Idempotency == control.IdempotencyKeyed && k.KeyScope == control.ScopeAll) {
 		c.breach(Breach{Twice, at, node, id, 0, "refused, as if trying again were harmless, though it may have run"})
 	}
 	r.answered = true
@@ -300,12 +300,12 @@
 func (c *Checker) draw(at time.Duration, node int, id string, p *control.Plan, customer string, units float64) {
 	q := c.stores[customer]
 	if q == nil {
-		q = &store{level: p.CeilingBurst, at: at}
+		q = &store{level: p.HardLimitBurst, at: at}
 		c.stores[customer] = q
 	}
-	q.level = math.Min(p.CeilingBurst, q.level+(at-q.at).Seconds()*p.CeilingRate) - units
+	q.level = math.Min(p.HardLimitBurst, q.level+(at-q.at).Seconds()*p.HardLimitRate) - units
 	q.at = at
-	if q.level < -p.CeilingSlack {
+	if q.level < -p.HardLimitSlack {
 		c.breach(Breach{Ceiling, at, node, id, 0, fmt.Sprintf("customer %s is %.1f units beyond its ceiling", customer, -q.level)})
 	}
 }
--- a/internal/fleetrules/rules_test.go
+++ b/internal/fleetrules/rules_test.go
@@ -12,11 +12,11 @@
 
 // Each history breaks one rule or none.
 func TestRules(t *testing.T) {
-	read := &control.Class{Name: "read", Effect: control.Free}
-	once := &control.Class{Name: "once", Effect: control.SingleShot}
-	keyed := &control.Class{Name: "keyed", Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: 5 * s}
-	any := &control.Class{Name: "any", Effect: control.Guarded, KeyScope: control.ScopeAll, RepeatWindow: 5 * s}
-	free, capped := &control.Plan{}, &control.Plan{CeilingRate: 2, CeilingBurst: 10, CeilingSlack: 1}
+	read := &control.Class{Name: "read", Idempotency: control.Idempotent}
+	once := &control.Class{Name: "once", Idempotency: control.NotIdempotent}
+	keyed := &control.Class{Name: "keyed", Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: 5 * s}
+	any := &control.Class{Name: "any", Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeAll, RepeatWindow: 5 * s}
+	free, capped := &control.Plan{}, &control.Plan{HardLimitRate: 2, HardLimitBurst: 10, HardLimitSlack: 1}
 	send := func(c *Checker, at time.Duration, to uint32, first bool) { c.Sent(at, 1, "a", to, first, free, "x", 1) }
 	cold := func(time.Duration) (float64, bool) { return 1, true }
 	for name, tc := range map[string]struct {
--- a/internal/fleetsim/acceptance_test.go
+++ b/internal/fleetsim/acceptance_test.go
@@ -31,8 +31,8 @@
 // and at least a third of each class and of each plan is served.
 func TestEffectsOfADay(t *testing.T) {
 	for name, set := range map[string]func(k *control.Class){
-		"safe":         func(k *control.Class) { k.Effect = control.Free },
-		"unsafe":       func(k *control.Class) { k.Effect = control.SingleShot },
+		"safe":         func(k *control.Class) { k.Idempotency = control.Idempotent },
+		"unsafe":       func(k *control.Class) { k.Idempotency = control.NotIdempotent },
 		"short window": func(k *control.Class) { k.RepeatWindow = 150 * time.Millisecond },
 		"keyed by all, short window": func(k *control.Class) {
 			k.KeyScope, k.RepeatWindow = control.ScopeAll, 150*time.Millisecond
@@ -62,7 +62,7 @@
 // Taking an unsafe class for a safe one, and a day's short window for the usual one, are found.
 func TestEffectsOfADayAreHeld(t *testing.T) {
 	for name, tc := range map[string]struct{ are, taken func(k *control.Class) }{
-		"unsafe as safe": {func(k *control.Class) { k.Effect = control.SingleShot }, func(k *control.Class) { k.Effect = control.Free }},
+		"unsafe as safe": {func(k *control.Class) { k.Idempotency = control.NotIdempotent }, func(k *control.Class) { k.Idempotency = control.Idempotent }},
 		"the usual window": {
 			func(k *control.Class) { k.RepeatWindow = 150 * time.Millisecond },
 			func(k *control.Class) { k.RepeatWindow = 15 * time.Second },
--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -13,7 +13,7 @@
 func (w *world) send(i int, a control.Send) {
 	t := w.nodes[i].held[a.ID]
 	if t == nil { // its client has left meanwhile
-		w.tell(i, control.Response{ID: a.ID, Server: a.Server, Reason: control.Moot, Done: true})
+		w.tell(i, control.AttemptResult{ID: a.ID, Server: a.Server, Reason: control.NotSent, IsFinal: true})
 		return
 	}
 	w.nodes[i].rejectedInRow = 0
@@ -62,7 +62,7 @@
 	w.arrived(i, h, work)
 	switch {
 	case h.state == hostDraining || h.held >= dayCores+dayQueue:
-		end(after+time.Millisecond, control.Full, false, true)
+		end(after+time.Millisecond, control.RejectedByServer, false, true)
 		return
 	case h.bad && w.plan.failing && w.rng.Float64() < 0.8:
 		end(after+2*time.Millisecond, control.Errored, true, true)
@@ -148,10 +148,10 @@
 }
 
 // load is what a server tells of itself, as of some time ago.
-func (w *world) load(h *host) *control.Load {
+func (w *world) load(h *host) *control.LoadReport {
 	if h.reportAt == 0 || w.Now()-h.reportAt >= reportEvery {
 		h.busy += 0.5 * (math.Min(1, float64(h.held)/dayCores) - h.busy)
-		h.report = control.Load{AvgMS: 1000 * h.mean, CPU: h.busy, Waiting: math.Max(0, float64(h.held-dayCores)), Active: -1, RPS: -1, ErrRPS: -1}
+		h.report = control.LoadReport{MeanLatencyMS: 1000 * h.mean, Utilization: h.busy, Queued: math.Max(0, float64(h.held-dayCores)), InFlight: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 		h.reportAt = w.Now()
 	}
 	l := h.report
@@ -161,16 +161,16 @@
 // ended brings an attempt's end to its instance.
 func (w *world) ended(i int, id string, n int, h *host, why control.Reason) {
 	t := w.nodes[i].held[id]
-	e := control.Response{ID: id, N: n, Server: h.id, Reason: why, Done: t == nil}
-	if why == control.OK || why == control.Full || why == control.Errored {
+	e := control.AttemptResult{ID: id, Attempt: n, Server: h.id, Reason: why, IsFinal: t == nil}
+	if why == control.OK || why == control.RejectedByServer || why == control.Errored {
 		e.Load = w.load(h)
 		if t != nil {
-			e.Used = w.told(i, t.call.cust)
+			e.QuotaUsage = w.told(i, t.call.cust)
 		}
 	}
 	if why == control.OK && t != nil {
-		if e.Cost, e.Done = t.call.cost, true; w.plan.quotas == nil {
-			e.Cost = math.Max(1, t.call.units+float64(w.rng.IntN(3)-1))
+		if e.ActualUnits, e.IsFinal = t.call.cost, true; w.plan.quotas == nil {
+			e.ActualUnits = math.Max(1, t.call.units+float64(w.rng.IntN(3)-1))
 		}
 		w.answer(i, id, "served")
 	}
--- a/internal/fleetsim/clients.go
+++ b/internal/fleetsim/clients.go
@@ -35,9 +35,9 @@
 		case x < 0.25:
 			part = 0.95
 		}
-		rate := part * set.Plans[c.plan].Rate / 2.5 // units of a request, on average
+		rate := part * set.Plans[c.plan].QuotaRate / 2.5 // units of a request, on average
 		sum += rate
-		asked += math.Min(part, 1) * set.Plans[c.plan].Rate / 2.5
+		asked += math.Min(part, 1) * set.Plans[c.plan].QuotaRate / 2.5
 		w.custs, w.sums = append(w.custs, c), append(w.sums, sum)
 	}
 	w.asked = sum * w.o.Load
@@ -57,9 +57,9 @@
 	}
 	c := &call{at: w.Now(), cust: cust, class: w.ask.IntN(2), units: float64(1 + w.ask.IntN(unitsTop))}
 	p := &w.rules.Plans[cust.plan]
-	c.worth = w.rules.Classes[c.class].Worth * p.Price * c.units
+	c.worth = w.rules.Classes[c.class].PriorityWeight * p.Price * c.units
 	q := w.store(cust, p)
-	q.asked = math.Min(p.Depth, q.asked+(w.Now()-q.askedAt).Seconds()*p.Rate)
+	q.asked = math.Min(p.QuotaBurst, q.asked+(w.Now()-q.askedAt).Seconds()*p.QuotaRate)
 	q.askedAt = w.Now()
 	if c.inside = q.asked >= c.units; c.inside {
 		q.asked -= c.units
@@ -73,7 +73,7 @@
 func (w *world) store(c *dayCustomer, p *control.Plan) *quota {
 	q := w.stores[c.name]
 	if q == nil {
-		q = &quota{asked: p.Depth, sent: p.Depth, askedAt: w.Now(), sentAt: w.Now()}
+		q = &quota{asked: p.QuotaBurst, sent: p.QuotaBurst, askedAt: w.Now(), sentAt: w.Now()}
 		w.stores[c.name] = q
 	}
 	return q
@@ -82,7 +82,7 @@
 // spend takes what is sent on from the true quota and meters it.
 func (w *world) spend(c *call, p *control.Plan) {
 	q := w.store(c.cust, p)
-	q.sent = math.Min(p.Depth, q.sent+(w.Now()-q.sentAt).Seconds()*p.Rate)
+	q.sent = math.Min(p.QuotaBurst, q.sent+(w.Now()-q.sentAt).Seconds()*p.QuotaRate)
 	q.sentAt = w.Now()
 	w.sentUnits += c.units
 	if q.sent >= c.units {
@@ -123,7 +123,7 @@
 	if len(m.told) < meterBack {
 		return 0
 	}
-	return 1 + int(math.Round(100*m.told[len(m.told)-meterBack]/w.rules.Plans[c.plan].Rate))
+	return 1 + int(math.Round(100*m.told[len(m.told)-meterBack]/w.rules.Plans[c.plan].QuotaRate))
 }
 
 // place draws the instance that a try comes to.
@@ -169,10 +169,10 @@
 	}
 	r := control.Request{
 		ID: t.id, Class: set.Classes[c.class].Name, Plan: set.Plans[c.cust.plan].Name, Customer: c.cust.name,
-		TTL: left, Units: c.units, Spread: c.cust.spread, SetStart: c.cust.first, Repeat: c.tries > 1, Write: c.class == 1,
+		Timeout: left, Units: c.units, FanOut: c.cust.spread, FirstGateway: c.cust.first, IsRetry: c.tries > 1, IsWrite: c.class == 1,
 	}
 	if n.wholeCeiling {
-		r.Spread = 1
+		r.FanOut = 1
 	}
 	life := n.life
 	if w.ask.Float64() < w.plan.leave {
@@ -180,7 +180,7 @@
 			if n.life == life && !n.down && n.held[t.id] != nil {
 				w.check.Left(t.id)
 				delete(n.held, t.id)
-				w.tell(i, control.Hangup{ID: t.id})
+				w.tell(i, control.ClientGone{ID: t.id})
 			}
 		})
 	}
--- a/internal/fleetsim/decisions_amd64_test.go
+++ b/internal/fleetsim/decisions_amd64_test.go
@@ -41,7 +41,7 @@
 	"join":  (*pinnedDay).playNamed,
 	"long":  (*pinnedDay).playNamed,
 	"single-shot": func(p *pinnedDay) error {
-		mutation := &Mutation{settings: func(_ *world, n *node) { n.set.Classes[1].Effect = control.SingleShot }}
+		mutation := &Mutation{settings: func(_ *world, n *node) { n.set.Classes[1].Idempotency = control.NotIdempotent }}
 		return p.play(DayOptions{Day: "split", Mutation: mutation, Load: 2}, days["split"])
 	},
 	"hand-over": func(p *pinnedDay) error {
@@ -65,7 +65,7 @@
 	"hand-over", "restored exactly", "restored as learned", "rejoined",
 }
 
-var effectNames = map[control.Effect]string{control.Free: "free", control.Guarded: "guarded", control.SingleShot: "single-shot"}
+var effectNames = map[control.Idempotency]string{control.Idempotent: "free", control.IdempotencyKeyed: "guarded", control.NotIdempotent: "single-shot"}
 
 // pinnedDay is one play of a day, with the digests of what its instances decide.
 type pinnedDay struct {
@@ -116,17 +116,17 @@
 	if p.events%imageEvery == 0 {
 		p.keep(p.state.AddImage(w.nodes[instance].c.Image()))
 	}
-	if response, ok := event.(control.Response); ok && response.Used > 0 {
+	if response, ok := event.(control.AttemptResult); ok && response.QuotaUsage > 0 {
 		p.features["metered use told"] = true
 	}
 	for _, action := range actions {
 		switch a := action.(type) {
 		case control.Send:
 			p.sees(w, instance, a)
-		case control.Refuse:
-			p.features["refused: "+a.Why.String()] = true
+		case control.Reject:
+			p.features["refused: "+a.Cause.String()] = true
 		case control.Fail:
-			p.features["failed: "+a.Why.String()] = true
+			p.features["failed: "+a.Cause.String()] = true
 		}
 	}
 }
@@ -142,7 +142,7 @@
 	if t.sends > 0 {
 		kind = "retry"
 	}
-	p.features[kind+" of a "+effectNames[n.set.Classes[t.call.class].Effect]+" request"] = true
+	p.features[kind+" of a "+effectNames[n.set.Classes[t.call.class].Idempotency]+" request"] = true
 	if warmthAt(w.Now()-w.byID[a.Server].bootAt) < 1 {
 		p.features["attempt at a cold server"] = true
 	}
@@ -168,10 +168,10 @@
 	w.start(instance)
 	successor := w.nodes[instance].c
 	if instance%2 == 0 {
-		successor.Restore(now, given, control.Exact)
+		successor.Restore(now, given, control.TrustAll)
 		p.features["restored exactly"] = true
 	} else {
-		successor.Restore(now, given, control.Learned)
+		successor.Restore(now, given, control.TrustEstimates)
 		p.features["restored as learned"] = true
 	}
 	w.After(time.Second, func() {
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -13,16 +13,16 @@
 
 func (w *world) settings(i int) control.Settings {
 	s := control.Settings{
-		SelfIndex: i % w.o.Told, GroupSize: w.o.Told, SendCap: 6, MaxRetryAfter: time.Second, MayCancel: true, MarksRetry: true,
-		DrainGrace: 2 * time.Second, Cold: 15 * time.Second, ColdFrom: 0.15, Fall: 2 * time.Second, FallMultiple: 2.5,
-		MeterPeriod: time.Second, CostAfter: true, UnitsTop: unitsTop,
+		SelfIndex: i % w.o.Told, GroupSize: w.o.Told, MaxAttempts: 6, MaxRetryAfter: time.Second, CanCancel: true, RetriesAreMarked: true,
+		DrainGrace: 2 * time.Second, WarmupTime: 15 * time.Second, InitialCapacity: 0.15, OverloadWindow: 2 * time.Second, OverloadMultiple: 2.5,
+		MeterPeriod: time.Second, UnitsInResponse: true, MaxUnits: unitsTop,
 		Classes: []control.Class{
-			{Name: "read", Aim: dayAim, Deadline: dayDeadline, Worth: 1, LateShare: 0.2},
-			{Name: "update", Aim: dayAim, Deadline: dayDeadline, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
+			{Name: "read", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 1, LateWeightFraction: 0.2},
+			{Name: "update", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 5, Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
 		},
 		Plans: []control.Plan{
-			{Name: "basic", Price: 0.8, Rate: 1.5, Depth: 8, OverCost: 0.6},
-			{Name: "enterprise", Price: 1.4, Rate: 10, Depth: 18, OverCost: 1.2, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4},
+			{Name: "basic", Price: 0.8, QuotaRate: 1.5, QuotaBurst: 8, OverQuotaCost: 0.6},
+			{Name: "enterprise", Price: 1.4, QuotaRate: 10, QuotaBurst: 18, OverQuotaCost: 1.2, HardLimitRate: 20, HardLimitBurst: 40, HardLimitSlack: 4},
 		},
 	}
 	w.plan.quotas.settings(&s)
@@ -61,16 +61,16 @@
 			now = append(now, e)
 		}
 	}
-	w.list(i, control.Whole, now)
+	w.list(i, control.ListComplete, now)
 }
 
 func (w *world) list(i int, kind control.ListKind, m []listed) {
 	if hide := w.o.Mutation.list; hide != nil {
 		m = hide(w, slices.Clone(m))
 	}
-	e := control.List{Kind: kind}
+	e := control.EndpointList{Kind: kind}
 	for _, one := range m {
-		e.Members = append(e.Members, one.Member)
+		e.Endpoints = append(e.Endpoints, one.Endpoint)
 	}
 	w.tell(i, e)
 }
@@ -130,9 +130,9 @@
 		switch a := a.(type) {
 		case control.Send:
 			w.send(i, a)
-		case control.Refuse:
+		case control.Reject:
 			if t := n.held[a.ID]; t != nil {
-				t.why = a.Why
+				t.why = a.Cause
 			}
 			w.answer(i, a.ID, "refused")
 		case control.Fail:
@@ -141,14 +141,14 @@
 			} else {
 				w.answer(i, a.ID, "failed")
 			}
-		case control.Arm:
+		case control.StartTimer:
 			if w.o.Mutation.noTimer && a.Label != 0 {
 				continue
 			}
 			life := n.life
 			w.After(a.After, func() {
 				if n.life == life {
-					w.tell(i, control.Timer{Label: a.Label})
+					w.tell(i, control.TimerFired{Label: a.Label})
 				}
 			})
 		}
--- a/internal/fleetsim/quota_bound_test.go
+++ b/internal/fleetsim/quota_bound_test.go
@@ -95,10 +95,10 @@
 func (d *boundDraw) script(w *world) {
 	q := w.plan.quotas
 	p := &q.plans[0]
-	p.Depth = d.depth
-	if p.CeilingRate > 0 {
-		p.CeilingBurst = 2 * d.depth
-		p.CeilingSlack = math.Max(0.1*p.CeilingBurst, d.world.most)
+	p.QuotaBurst = d.depth
+	if p.HardLimitRate > 0 {
+		p.HardLimitBurst = 2 * d.depth
+		p.HardLimitSlack = math.Max(0.1*p.HardLimitBurst, d.world.most)
 	}
 	w.rules = w.settings(0)
 	for _, c := range w.custs {
--- a/internal/fleetsim/quota_day.go
+++ b/internal/fleetsim/quota_day.go
@@ -173,11 +173,11 @@
 	if q == nil {
 		return
 	}
-	s.Plans, s.MeterPeriod, s.CostAfter, s.UnitsTop = append([]control.Plan(nil), q.plans...), q.f.meter, q.f.units == guessed, q.f.most
+	s.Plans, s.MeterPeriod, s.UnitsInResponse, s.MaxUnits = append([]control.Plan(nil), q.plans...), q.f.meter, q.f.units == guessed, q.f.most
 	if q.policy != ByModule { // the module has no quota to keep then, and hears of none
 		s.MeterPeriod = 0
 		for i := range s.Plans {
-			s.Plans[i].Rate, s.Plans[i].Depth, s.Plans[i].Open = 0, 0, 0
+			s.Plans[i].QuotaRate, s.Plans[i].QuotaBurst, s.Plans[i].MaxInFlight = 0, 0, 0
 		}
 	}
 }
@@ -227,8 +227,8 @@
 // each may send two of the largest requests at once.
 func (q *quotaDay) spread(p *control.Plan, t quotaPlan, r *rand.Rand) int {
 	n := t.spread.draw(r) * float64(q.w.o.Instances)
-	if p.CeilingRate > 0 {
-		n = math.Min(n, p.CeilingBurst/(2*q.f.most))
+	if p.HardLimitRate > 0 {
+		n = math.Min(n, p.HardLimitBurst/(2*q.f.most))
 	}
 	return min(max(int(n), 2), q.w.o.Instances)
 }
@@ -258,7 +258,7 @@
 	c := &call{at: w.Now(), cust: cust, class: d.rng.IntN(2)}
 	c.units, c.cost = q.f.request(c.class, q.cv, d.rng)
 	p := &q.plans[cust.plan]
-	c.worth = w.rules.Classes[c.class].Worth * p.Price * c.cost
+	c.worth = w.rules.Classes[c.class].PriorityWeight * p.Price * c.cost
 	one, took := q.asked[cust], seconds(dayWork*d.rng.ExpFloat64())
 	if c.inside = one.send(w.Now(), c.units); c.inside {
 		one.settle(w.Now(), c.cost-c.units)
--- a/internal/fleetsim/quota_judge.go
+++ b/internal/fleetsim/quota_judge.go
@@ -99,7 +99,7 @@
 		lets = q.luck.Float64() < q.chance(now, c, t.call.units)
 	}
 	q.truth[c].try(now, t.call.units)
-	t.why = control.OverStore
+	t.why = control.CauseQuota
 	return lets
 }
 
@@ -113,7 +113,7 @@
 		was.level -= g.units
 		was.out++
 	}
-	return (plan.Rate == 0 || was.level >= units) && (plan.Open == 0 || was.out < plan.Open)
+	return (plan.QuotaRate == 0 || was.level >= units) && (plan.MaxInFlight == 0 || was.out < plan.MaxInFlight)
 }
 
 // carry is what the module's chance has over of a customer at an instance. A draw changes it.
@@ -147,11 +147,11 @@
 	before := q.truth[c].was(now - q.sees - span)
 	asked, tries := (was.asked-before.asked)/span.Seconds(), float64(was.tries-before.tries)/span.Seconds()
 	p := 1.0
-	if plan.Rate > 0 {
-		p = math.Max(0, plan.Rate+(was.level-units)/(2*span.Seconds())) / math.Max(tinyWorth, asked)
+	if plan.QuotaRate > 0 {
+		p = math.Max(0, plan.QuotaRate+(was.level-units)/(2*span.Seconds())) / math.Max(tinyWorth, asked)
 	}
-	if plan.Open > 0 {
-		p = math.Min(p, 0.5*float64(plan.Open)/math.Max(tinyWorth, tries*dayWork))
+	if plan.MaxInFlight > 0 {
+		p = math.Min(p, 0.5*float64(plan.MaxInFlight)/math.Max(tinyWorth, tries*dayWork))
 	}
 	return p
 }
@@ -174,7 +174,7 @@
 		q.here(i, c.cust).sent = true
 		q.units += c.units
 		if !t.inside {
-			q.price += p.OverCost * c.worth
+			q.price += p.OverQuotaCost * c.worth
 			q.beyond += c.units
 			t.cells = append(t.cells, q.cell("lacks", lacks), q.cell("guesses", rough))
 		}
@@ -184,7 +184,7 @@
 		for _, one := range t.cells {
 			if one.Sent += c.units; !t.inside {
 				one.Beyond += c.units
-				one.Price += p.OverCost * c.worth
+				one.Price += p.OverQuotaCost * c.worth
 			}
 		}
 	}
@@ -210,8 +210,8 @@
 		return
 	}
 	worth := c.worth
-	if q.w.Now()-c.at > k.Aim {
-		worth *= k.LateShare
+	if q.w.Now()-c.at > k.LatencyObjective {
+		worth *= k.LateWeightFraction
 	}
 	q.good += worth
 }
--- a/internal/fleetsim/quota_ledger.go
+++ b/internal/fleetsim/quota_ledger.go
@@ -37,11 +37,11 @@
 }
 
 func newLedger(p *control.Plan, period time.Duration) *ledger {
-	return &ledger{plan: p, level: p.Depth, period: period}
+	return &ledger{plan: p, level: p.QuotaBurst, period: period}
 }
 
 func (l *ledger) fill(now time.Duration) {
-	l.level = math.Min(l.plan.Depth, l.level+(now-l.at).Seconds()*l.plan.Rate)
+	l.level = math.Min(l.plan.QuotaBurst, l.level+(now-l.at).Seconds()*l.plan.QuotaRate)
 	l.at = now
 }
 
@@ -60,7 +60,7 @@
 // them; beyond it takes nothing.
 func (l *ledger) send(now time.Duration, units float64) (inside bool) {
 	l.fill(now)
-	if inside = l.holds(units); inside && l.plan.Rate > 0 {
+	if inside = l.holds(units); inside && l.plan.QuotaRate > 0 {
 		l.level -= units
 	}
 	l.note()
@@ -73,17 +73,17 @@
 // lacks tells what a try that is beyond the quota lacks.
 func (l *ledger) lacks(now time.Duration, units float64) string {
 	l.fill(now)
-	switch open := l.plan.Open > 0 && l.out >= l.plan.Open; {
+	switch open := l.plan.MaxInFlight > 0 && l.out >= l.plan.MaxInFlight; {
 	case !open:
 		return "units"
-	case l.plan.Rate == 0 || l.level >= units:
+	case l.plan.QuotaRate == 0 || l.level >= units:
 		return "a place"
 	}
 	return "both"
 }
 
 func (l *ledger) holds(units float64) bool {
-	return (l.plan.Rate == 0 || l.level >= units) && (l.plan.Open == 0 || l.out < l.plan.Open)
+	return (l.plan.QuotaRate == 0 || l.level >= units) && (l.plan.MaxInFlight == 0 || l.out < l.plan.MaxInFlight)
 }
 
 // began and ended book an attempt of a try, also a further one.
@@ -105,29 +105,29 @@
 
 // settle takes what a try inside the quota cost more than was taken for it, or gives it back.
 func (l *ledger) settle(now time.Duration, more float64) {
-	if l.plan.Rate == 0 {
+	if l.plan.QuotaRate == 0 {
 		return
 	}
 	l.fill(now)
-	l.level = math.Min(l.plan.Depth, l.level-more)
+	l.level = math.Min(l.plan.QuotaBurst, l.level-more)
 	l.note()
 }
 
 // room tells whether half of the quota is unused.
 func (l *ledger) room(now time.Duration) bool {
 	l.fill(now)
-	return (l.plan.Rate == 0 || l.level >= l.plan.Depth/2) && (l.plan.Open == 0 || 2*l.out <= l.plan.Open)
+	return (l.plan.QuotaRate == 0 || l.level >= l.plan.QuotaBurst/2) && (l.plan.MaxInFlight == 0 || 2*l.out <= l.plan.MaxInFlight)
 }
 
 // was is the state as it was at a time; before the start the store was full.
 func (l *ledger) was(at time.Duration) state {
 	for i := len(l.past) - 1; i >= 0; i-- {
 		if s := l.past[i]; s.at <= at {
-			s.level, s.at = math.Min(l.plan.Depth, s.level+(at-s.at).Seconds()*l.plan.Rate), at
+			s.level, s.at = math.Min(l.plan.QuotaBurst, s.level+(at-s.at).Seconds()*l.plan.QuotaRate), at
 			return s
 		}
 	}
-	return state{at: at, level: l.plan.Depth}
+	return state{at: at, level: l.plan.QuotaBurst}
 }
 
 // metered is the period of a time; none without a meter.
@@ -150,10 +150,10 @@
 	}
 	u := l.uses[int((now-late)/l.period)-1]
 	switch {
-	case l.plan.Rate > 0:
-		return 1 + int(math.Round(100*u.units/(l.plan.Rate*l.period.Seconds())))
-	case l.plan.Open > 0:
-		return 1 + int(math.Round(100*float64(u.most)/float64(l.plan.Open)))
+	case l.plan.QuotaRate > 0:
+		return 1 + int(math.Round(100*u.units/(l.plan.QuotaRate*l.period.Seconds())))
+	case l.plan.MaxInFlight > 0:
+		return 1 + int(math.Round(100*float64(u.most)/float64(l.plan.MaxInFlight)))
 	}
 	return 0
 }
--- a/internal/fleetsim/quota_test.go
+++ b/internal/fleetsim/quota_test.go
@@ -21,11 +21,11 @@
 // A history made by hand has the price, the refusals with room and the readings that follow from the terms.
 func TestQuotasAreBooked(t *testing.T) {
 	const s = time.Second
-	w := &world{rules: control.Settings{Classes: []control.Class{{Aim: 3 * s, LateShare: 0.5}}}}
+	w := &world{rules: control.Settings{Classes: []control.Class{{LatencyObjective: 3 * s, LateWeightFraction: 0.5}}}}
 	cust := &dayCustomer{name: "c", spread: 1, demand: &demand{kind: calmKind}}
 	q := &quotaDay{
 		w: w, policy: ByModule, f: &quotaWorld{units: guessed, meter: s}, late: s / 2, known: map[place]*known{}, worth: 100,
-		plans: []control.Plan{{Name: "p", Rate: 2, Depth: 4, Open: 2, OverCost: 0.5}},
+		plans: []control.Plan{{Name: "p", QuotaRate: 2, QuotaBurst: 4, MaxInFlight: 2, OverQuotaCost: 0.5}},
 	}
 	q.truth = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], s)}
 	q.rough = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], 0)}
@@ -65,7 +65,7 @@
 			}
 		})
 	}
-	refused := &try{call: &call{cust: cust}, why: control.ByChance}
+	refused := &try{call: &call{cust: cust}, why: control.CauseProbability}
 	for _, at := range []time.Duration{6 * s, 11 * s, 12 * s} { // two are out, none, none
 		w.At(at, func() { q.refused(0, refused) })
 	}
--- a/internal/fleetsim/quota_world.go
+++ b/internal/fleetsim/quota_world.go
@@ -145,18 +145,18 @@
 func (f *quotaWorld) terms(r *rand.Rand) (plans []control.Plan, rates []float64) {
 	for _, t := range f.plans {
 		rate := t.rate.draw(r)
-		p := control.Plan{Name: t.name, Price: t.price, OverCost: t.overCost}
+		p := control.Plan{Name: t.name, Price: t.price, OverQuotaCost: t.overCost}
 		if t.open != (span{}) {
-			p.Open = max(2, int(math.Ceil(t.open.draw(r)*rate/f.meanCost()*dayWork)))
+			p.MaxInFlight = max(2, int(math.Ceil(t.open.draw(r)*rate/f.meanCost()*dayWork)))
 		}
 		if !t.openOnly {
-			p.Rate, p.Depth = rate, max(2*f.most, rate*t.burst.draw(r))
+			p.QuotaRate, p.QuotaBurst = rate, max(2*f.most, rate*t.burst.draw(r))
 		}
 		if t.ceiling != (span{}) {
 			x := t.ceiling.draw(r)
-			p.Depth = max(p.Depth, 4*f.most)
-			p.CeilingRate, p.CeilingBurst = x*rate, x*p.Depth
-			p.CeilingSlack = max(0.1*p.CeilingBurst, f.most)
+			p.QuotaBurst = max(p.QuotaBurst, 4*f.most)
+			p.HardLimitRate, p.HardLimitBurst = x*rate, x*p.QuotaBurst
+			p.HardLimitSlack = max(0.1*p.HardLimitBurst, f.most)
 		}
 		plans, rates = append(plans, p), append(rates, rate)
 	}
--- a/internal/fleetsim/servers.go
+++ b/internal/fleetsim/servers.go
@@ -60,15 +60,15 @@
 
 func (w *world) entry(h *host) listed {
 	up := h.state == hostUp || h.state == hostSilent
-	m := control.Member{Server: h.id, Condition: control.On, Zone: h.zone, Cell: h.cell, Size: 1}
+	m := control.Endpoint{Server: h.id, State: control.Active, Zone: h.zone, Cell: h.cell, Size: 1}
 	if !up {
-		m.Condition = control.Fading
+		m.State = control.Draining
 		if h.state == hostGone {
-			m.Condition = control.Off
+			m.State = control.Gone
 		}
 	}
 	if h.bootAt > -time.Hour {
-		m.HasCameUp, m.CameUp = true, h.bootAt+firstUse
+		m.HasStartedAt, m.StartedAt = true, h.bootAt+firstUse
 	}
 	return listed{m, up}
 }
@@ -90,7 +90,7 @@
 		w.At(arrives, func() {
 			if n := w.nodes[i]; !n.down {
 				n.knows[h.id] = life
-				w.list(i, control.Patch, []listed{e})
+				w.list(i, control.ListPatch, []listed{e})
 			}
 		})
 	}
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -120,10 +120,10 @@
 	def(&o.Lasts, 30*time.Second)
 	s := &sim{o: o, rng: rand.New(rand.NewPCG(o.Seed, 21)), sent: make(map[int]int), pending: make(map[string]ask), level: ceilBurst}
 	s.rep = Report{Instances: o.Instances, Told: o.Told, Lag: o.Lag, Uneven: o.Uneven}
-	var members []control.Member
+	var members []control.Endpoint
 	for i := range o.Servers {
 		s.servers = append(s.servers, &server{})
-		members = append(members, control.Member{Server: uint32(i + 1), Size: 1})
+		members = append(members, control.Endpoint{Server: uint32(i + 1), Size: 1})
 	}
 	sum := 0.0
 	for i := range o.Instances {
@@ -141,10 +141,10 @@
 	}
 	for g := range s.gates {
 		// They did not all start in the same moment.
-		s.At(time.Duration(s.rng.Int64N(int64(100*time.Millisecond))), func() { s.tell(g, control.List{Kind: control.Whole, Members: members}) })
+		s.At(time.Duration(s.rng.Int64N(int64(100*time.Millisecond))), func() { s.tell(g, control.EndpointList{Kind: control.ListComplete, Endpoints: members}) })
 		learns := joins + time.Duration(float64(o.Lag)*float64(g+1)/float64(o.Instances))
-		cold := control.Member{Server: uint32(o.Servers + 1), Size: 1, HasCameUp: true, CameUp: joins}
-		s.At(learns, func() { s.tell(g, control.List{Kind: control.Patch, Members: []control.Member{cold}}) })
+		cold := control.Endpoint{Server: uint32(o.Servers + 1), Size: 1, HasStartedAt: true, StartedAt: joins}
+		s.At(learns, func() { s.tell(g, control.EndpointList{Kind: control.ListPatch, Endpoints: []control.Endpoint{cold}}) })
 	}
 	s.At(joins, func() { s.servers = append(s.servers, &server{cold: true, since: joins}) })
 	s.At(time.Second, func() { s.arrive(false) })
@@ -162,12 +162,12 @@
 
 func settings(o Options, i int) control.Settings {
 	return control.Settings{
-		SelfIndex: i % o.Told, GroupSize: o.Told, SendCap: 3, RetryAfter: true, MaxRetryAfter: time.Second, MayCancel: true,
-		DrainGrace: 2 * time.Second, Cold: coldTime, ColdFrom: coldFrom, Fall: fall, FallMultiple: multiple,
-		Classes: []control.Class{{Name: "read", Aim: aim, Deadline: deadline, Worth: 1}},
+		SelfIndex: i % o.Told, GroupSize: o.Told, MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: time.Second, CanCancel: true,
+		DrainGrace: 2 * time.Second, WarmupTime: coldTime, InitialCapacity: coldFrom, OverloadWindow: fall, OverloadMultiple: multiple,
+		Classes: []control.Class{{Name: "read", LatencyObjective: aim, Deadline: deadline, PriorityWeight: 1}},
 		Plans: []control.Plan{
 			{Name: "standard", Price: 1},
-			{Name: "enterprise", Price: 1.5, CeilingRate: ceilRate, CeilingBurst: ceilBurst, CeilingSlack: ceilSlack},
+			{Name: "enterprise", Price: 1.5, HardLimitRate: ceilRate, HardLimitBurst: ceilBurst, HardLimitSlack: ceilSlack},
 		},
 	}
 }
@@ -178,34 +178,34 @@
 		switch a := a.(type) {
 		case control.Send:
 			s.send(g, a)
-		case control.Refuse:
+		case control.Reject:
 			delete(s.pending, a.ID)
 		case control.Fail:
 			delete(s.pending, a.ID)
-		case control.Arm:
-			s.At(s.Now()+a.After, func() { s.tell(g, control.Timer{Label: a.Label}) })
+		case control.StartTimer:
+			s.At(s.Now()+a.After, func() { s.tell(g, control.TimerFired{Label: a.Label}) })
 		}
 	}
 }
 
 // shift puts a list on the modules' clock, which is an hour ahead: a start at 0 is long ago.
 func shift(e control.Event) control.Event {
-	l, ok := e.(control.List)
+	l, ok := e.(control.EndpointList)
 	if !ok {
 		return e
 	}
-	members := append([]control.Member(nil), l.Members...)
+	members := append([]control.Endpoint(nil), l.Endpoints...)
 	for i := range members {
-		members[i].CameUp += time.Hour
+		members[i].StartedAt += time.Hour
 	}
-	l.Members = members
+	l.Endpoints = members
 	return l
 }
 
 // arrive has a call come, and the next one of its kind later.
 func (s *sim) arrive(ceiling bool) {
 	rate := s.o.Load * s.o.PerServer * float64(s.o.Servers)
-	r := control.Request{Class: "read", TTL: deadline, Units: 1, Spread: s.o.Told}
+	r := control.Request{Class: "read", Timeout: deadline, Units: 1, FanOut: s.o.Told}
 	if ceiling {
 		rate = s.o.Ceiling * ceilRate
 		r.Plan, r.Customer = "enterprise", "the one"
@@ -293,7 +293,7 @@
 	if why == control.OK && !p.ceiling {
 		s.served++
 	}
-	s.tell(g, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: why, Done: why == control.OK})
+	s.tell(g, control.AttemptResult{ID: a.ID, Attempt: n, Server: a.Server, Reason: why, IsFinal: why == control.OK})
 	if why == control.OK {
 		delete(s.pending, a.ID)
 	}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -111,13 +111,13 @@
 	conns    map[int]time.Duration // last use by instance
 	busy     float64               // smoothed part of its cores
 	mean     float64
-	report   control.Load
+	report   control.LoadReport
 	reportAt time.Duration
 }
 
 // listed is an entry of the list, and whether it says up.
 type listed struct {
-	control.Member
+	control.Endpoint
 	up bool
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -60,7 +60,7 @@
 func holds(control.Request) []control.Action { return nil }
 
 func refuses(r control.Request) []control.Action {
-	return []control.Action{control.Refuse{ID: r.ID, RetryAfter: time.Second}}
+	return []control.Action{control.Reject{ID: r.ID, RetryAfter: time.Second}}
 }
 
 type noRoom struct{}
@@ -73,8 +73,8 @@
 	settings := control.Settings{
 		GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
 		Classes: []control.Class{
-			{Name: "read", Aim: time.Second, Deadline: 20 * time.Second},
-			{Name: "write", Aim: time.Second, Deadline: 20 * time.Second, Effect: control.Guarded},
+			{Name: "read", LatencyObjective: time.Second, Deadline: 20 * time.Second},
+			{Name: "write", LatencyObjective: time.Second, Deadline: 20 * time.Second, Idempotency: control.IdempotencyKeyed},
 		},
 	}
 	s, err := service.New(service.Options{
@@ -149,7 +149,7 @@
 func TestNoRoomIsToldAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _, _, stop := serving(t, func(r control.Request) []control.Action {
-			if !r.NoRoom {
+			if !r.IsOverCapacity {
 				t.Error("the module was not told that there is no room")
 			}
 			return refuses(r)
@@ -242,8 +242,8 @@
 		if d, err := parseTimeLeft(left, time.Second); err == nil && (d < 0 || d > time.Second+timeLeftSlack) {
 			t.Errorf("%q: %v", left, d)
 		}
-		e := control.Request{Units: 1, Spread: 1}
-		if weight(terms, &e, text) == nil && !(e.Units > 0 && e.Units <= 4 && e.Spread >= 1 && e.Spread <= 3 && e.SetStart >= 0 && e.SetStart < 3) {
+		e := control.Request{Units: 1, FanOut: 1}
+		if weight(terms, &e, text) == nil && !(e.Units > 0 && e.Units <= 4 && e.FanOut >= 1 && e.FanOut <= 3 && e.FirstGateway >= 0 && e.FirstGateway < 3) {
 			t.Errorf("%q: %+v", text, e)
 		}
 	})
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -27,13 +27,13 @@
 // same goes for one that has sent as much as the sockets take: its end is not in the node's, which is full.
 func TestLeftBehindFurtherRequests(t *testing.T) {
 	const stays = "stays" // and is told that it was refused
-	for _, class := range []control.Class{{Effect: control.Free}, {Effect: control.Guarded, RepeatWindow: time.Minute}, {Effect: control.SingleShot}} {
+	for _, class := range []control.Class{{Idempotency: control.Idempotent}, {Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute}, {Idempotency: control.NotIdempotent}} {
 		for how, leave := range map[string]func(*net.TCPConn){
 			"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
 			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, "floods and closes": func(c *net.TCPConn) { flood(c); c.Close() },
 			"floods and half-closes": func(c *net.TCPConn) { flood(c); c.CloseWrite() }, "floods and " + stays: flood,
 		} {
-			t.Run(fmt.Sprint(how, " effect ", class.Effect), func(t *testing.T) {
+			t.Run(fmt.Sprint(how, " effect ", class.Idempotency), func(t *testing.T) {
 				let := make(chan struct{})
 				open := sync.OnceFunc(func() { close(let) })
 				app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
@@ -43,11 +43,11 @@
 					io.WriteString(w, "ok")
 				})
 				t.Cleanup(open) // before the server's end, which waits for it
-				class.Name, class.Aim, class.Deadline, class.Worth = "job", time.Minute, time.Minute, 1
+				class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "job", time.Minute, time.Minute, 1
 				ready := make(chan struct{})
 				s, err := service.New(service.Options{
 					AnyMethod: true, OnReady: func() { close(ready) },
-					Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}}, Classes: []control.Class{class}},
+					Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}}, Classes: []control.Class{class}},
 					Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up", Capacity: 1}}},
 					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(100)},
 				})
@@ -85,7 +85,7 @@
 						fmt.Fprintf(&all, "POST /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\n%s: k-%s\r\nContent-Length: 9000\r\n\r\n%s",
 							id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderKey, id, strings.Repeat("x", 9000))
 					}
-					if class.Effect == control.Free { // such come without a body
+					if class.Idempotency == control.Idempotent { // such come without a body
 						all.Reset()
 						for _, id := range ids {
 							fmt.Fprintf(&all, "GET /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\nX-More: %s\r\n\r\n",
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -109,7 +109,7 @@
 			wait = min(wait, d)
 		}
 	}
-	e := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, Spread: to.Service.GroupSize, Write: !protocol.Safe(r.Method)}
+	e := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, FanOut: to.Service.GroupSize, IsWrite: !protocol.Safe(r.Method)}
 	e.Customer, e.Plan = o.Customers.Of(r, arrived)
 	c := &call{most: to.Body, idle: o.Idle}
 	o.relay(&c.Relay, r, to, wait)
@@ -239,7 +239,7 @@
 	c.Relay.Body = retrybuffer.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
 	if c.Expect || c.Length < 0 || c.Length > int64(o.Replay) {
 		_ = c.ctl.EnableFullDuplex() // an answer may come before all of the body has
-		x.Request.Open = true
+		x.Request.HasPendingBody = true
 		return nil
 	}
 	if err := c.Relay.Body.Fill(c.Length); err != nil {
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -52,8 +52,8 @@
 		}
 	}
 	e := control.Request{
-		ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, Spread: 1,
-		Repeat: r.Header.Get(protocol.HeaderRepeat) == "1", Write: r.Method != http.MethodGet,
+		ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, FanOut: 1,
+		IsRetry: r.Header.Get(protocol.HeaderRepeat) == "1", IsWrite: r.Method != http.MethodGet,
 	}
 	if e.ID == "" || len(e.ID) > idMost {
 		return nil, bad(http.StatusBadRequest, "%s: none, or too long", protocol.HeaderID)
@@ -68,10 +68,10 @@
 	if !terms.AllowsMethod(class, r.Method) {
 		return nil, bad(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, e.Class)
 	}
-	if class.Effect == control.Free && r.ContentLength != 0 {
+	if class.Idempotency == control.Idempotent && r.ContentLength != 0 {
 		return nil, bad(http.StatusBadRequest, "a body with %s", r.Method)
 	}
-	if class.Effect == control.Guarded && r.Header.Get(protocol.HeaderKey) == "" {
+	if class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderKey) == "" {
 		return nil, bad(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
 	}
 	if terms.MaxUnitsByPlan[e.Plan] == 0 {
@@ -217,10 +217,10 @@
 			e.Units = v
 		case "spread":
 			ok = ok && whole && v >= 1 && v <= float64(terms.GroupSize)
-			e.Spread = int(v)
+			e.FanOut = int(v)
 		case "first":
 			ok = ok && whole && v >= 0 && v < float64(terms.GroupSize)
-			e.SetStart = int(v)
+			e.FirstGateway = int(v)
 		}
 		if !ok {
 			return fmt.Errorf("%s: %q", name, value)
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -120,7 +120,7 @@
 	}
 	s := &cfg.Services[0]
 	s.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: plainServer(b), State: "up"}}}
-	s.Settings.Plans[1].Rate, s.Settings.Plans[1].Depth = 1e9, 1e9
+	s.Settings.Plans[1].QuotaRate, s.Settings.Plans[1].QuotaBurst = 1e9, 1e9
 	benchmarkRequests(b, cfg)
 }
 
--- a/internal/node/drawn_test.go
+++ b/internal/node/drawn_test.go
@@ -209,11 +209,11 @@
 	apps.does[id] = a.does
 	apps.mu.Unlock()
 	method := http.MethodPost
-	if k.Effect == control.Free {
+	if k.Idempotency == control.Idempotent {
 		method = http.MethodGet
 	}
 	wrong := 0
-	if k.Effect == control.Guarded && !a.key {
+	if k.Idempotency == control.IdempotencyKeyed && !a.key {
 		wrong = http.StatusBadRequest
 	}
 	if a.method != "" && a.method != method {
@@ -244,7 +244,7 @@
 	seen := apps.of(id)
 	ran, first := false, arrival{}
 	for i, s := range seen {
-		if ran && (k.Effect == control.SingleShot || k.Effect == control.Guarded && (k.RepeatWindow == 0 ||
+		if ran && (k.Idempotency == control.NotIdempotent || k.Idempotency == control.IdempotencyKeyed && (k.RepeatWindow == 0 ||
 			k.KeyScope == control.ScopeZone && drawnZones[s.server] != drawnZones[first.server] ||
 			k.KeyScope == control.ScopeCell && drawnCells[s.server] != drawnCells[first.server])) {
 			t.Errorf("%s of %+v was sent again: %+v", id, k, seen)
@@ -252,8 +252,8 @@
 		if s.did != turnsAway && !ran {
 			ran, first = true, s
 		}
-		if set.SendCap > 0 && i >= set.SendCap {
-			t.Errorf("%s was sent more than %d times", id, set.SendCap)
+		if set.MaxAttempts > 0 && i >= set.MaxAttempts {
+			t.Errorf("%s was sent more than %d times", id, set.MaxAttempts)
 		}
 	}
 	good := len(seen) > 0 && seen[len(seen)-1].did == serves
@@ -263,7 +263,7 @@
 			t.Errorf("%s: served %q behind %+v", id, body, seen)
 		}
 	case http.StatusServiceUnavailable:
-		if ran && k.Effect != control.Free && (k.Effect == control.SingleShot || k.KeyScope != control.ScopeAll) {
+		if ran && k.Idempotency != control.Idempotent && (k.Idempotency == control.NotIdempotent || k.KeyScope != control.ScopeAll) {
 			t.Errorf("%s of %+v was refused behind %+v", id, k, seen)
 		}
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -219,7 +219,7 @@
 		o.Settings.Plans = slices.Clone(o.Settings.Plans)
 		for i := range o.Settings.Plans {
 			p := &o.Settings.Plans[i]
-			p.CeilingRate, p.CeilingBurst, p.CeilingSlack = 0, 0, 0 // held before the module
+			p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack = 0, 0, 0 // held before the module
 		}
 	}
 	if was != nil {
--- a/internal/node/sites_test.go
+++ b/internal/node/sites_test.go
@@ -97,7 +97,7 @@
 			s := r.node.services[""].cfg.Settings
 			for i, k := range s.Classes {
 				method := http.MethodPost
-				if k.Effect == 0 {
+				if k.Idempotency == 0 {
 					method = http.MethodGet
 				}
 				q := r.call(method, "/", fmt.Sprint("id-", i))
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -100,8 +100,8 @@
 	s, err := service.New(service.Options{
 		Source: src, AnyMethod: true, OnReady: func() { close(ready) },
 		Settings: control.Settings{
-			GroupSize: 1, SendCap: 4, MaxRetryAfter: time.Second, MayCancel: true, Plans: []control.Plan{{Name: "p", Price: 1}},
-			Classes: []control.Class{{Name: "any", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+			GroupSize: 1, MaxAttempts: 4, MaxRetryAfter: time.Second, CanCancel: true, Plans: []control.Plan{{Name: "p", Price: 1}},
+			Classes: []control.Class{{Name: "any", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
 		},
 		Upstream: upstream.Options{Connect: time.Second, Keepalive: 15 * time.Second, Sockets: limits.NewSockets(1000)},
 	})
@@ -136,7 +136,7 @@
 				}
 				x := &service.Exchange{
 					Forwarder: service.Forwarder(q), Deadline: time.Now().Add(2 * time.Second),
-					Request: control.Request{ID: fmt.Sprint(seed), Class: "any", Plan: "p", Customer: "c", Units: 1, Spread: 1, Open: true},
+					Request: control.Request{ID: fmt.Sprint(seed), Class: "any", Plan: "p", Customer: "c", Units: 1, FanOut: 1, HasPendingBody: true},
 				}
 				if wrap != nil {
 					x.Forwarder = wrap(q, from)
--- a/internal/record/keys_test.go
+++ b/internal/record/keys_test.go
@@ -10,15 +10,15 @@
 
 // events has one of each event that recordings hold, in the order of their numbers.
 var events = []any{
-	control.List{},
+	control.EndpointList{},
 	control.Request{},
-	control.Started{},
-	control.Response{},
-	control.Hangup{},
-	control.Timer{},
-	control.ProbeResult{},
+	control.ResponseStarted{},
+	control.AttemptResult{},
+	control.ClientGone{},
+	control.TimerFired{},
+	control.HealthCheckResult{},
 	control.PeerMessage{},
-	control.Counted{},
+	control.CounterResult{},
 }
 
 // Recordings have a written key for every field: of a section's head with its settings and image, and of each event.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -255,8 +255,8 @@
 
 // kinds are events by the number that a recording has for them, from 1 on.
 var kinds = []func(cbor.RawMessage) (control.Event, error){
-	decode[control.List], decode[control.Request], decode[control.Started],
-	decode[control.Response], decode[control.Hangup], decode[control.Timer], decode[control.ProbeResult], decode[control.PeerMessage], decode[control.Counted],
+	decode[control.EndpointList], decode[control.Request], decode[control.ResponseStarted],
+	decode[control.AttemptResult], decode[control.ClientGone], decode[control.TimerFired], decode[control.HealthCheckResult], decode[control.PeerMessage], decode[control.CounterResult],
 }
 
 func decode[E control.Event](raw cbor.RawMessage) (control.Event, error) {
@@ -267,23 +267,23 @@
 
 func kindOf(e control.Event) uint8 {
 	switch e.(type) {
-	case control.List:
+	case control.EndpointList:
 		return 1
 	case control.Request:
 		return 2
-	case control.Started:
+	case control.ResponseStarted:
 		return 3
-	case control.Response:
+	case control.AttemptResult:
 		return 4
-	case control.Hangup:
+	case control.ClientGone:
 		return 5
-	case control.Timer:
+	case control.TimerFired:
 		return 6
-	case control.ProbeResult:
+	case control.HealthCheckResult:
 		return 7
 	case control.PeerMessage:
 		return 8
-	case control.Counted:
+	case control.CounterResult:
 		return 9
 	}
 	return 0
@@ -300,26 +300,26 @@
 		case control.Send:
 			b = append(b, 1)
 			text(a.ID)
-			b = binary.AppendUvarint(binary.AppendVarint(b, int64(a.Within)), uint64(a.Server))
-		case control.Withdraw:
+			b = binary.AppendUvarint(binary.AppendVarint(b, int64(a.Timeout)), uint64(a.Server))
+		case control.CancelAttempt:
 			b = append(b, 2)
 			text(a.ID)
-			b = binary.AppendVarint(b, int64(a.N))
-		case control.Refuse:
+			b = binary.AppendVarint(b, int64(a.Attempt))
+		case control.Reject:
 			b = append(b, 3)
 			text(a.ID)
 			b = binary.AppendVarint(b, int64(a.RetryAfter))
 		case control.Fail:
 			b = append(b, 4)
 			text(a.ID)
-		case control.Arm:
+		case control.StartTimer:
 			b = binary.AppendUvarint(binary.AppendVarint(append(b, 5), int64(a.After)), a.Label)
 		case control.Disconnect:
 			b = binary.AppendUvarint(append(b, 6), uint64(a.Server))
-		case control.Remark:
+		case control.LogLine:
 			b = append(b, 7)
 			text(a.Text)
-		case control.Count:
+		case control.AddToCounter:
 			b = binary.AppendUvarint(append(b, 8), math.Float64bits(a.Add))
 		default:
 			b = append(b, 9)
@@ -333,13 +333,13 @@
 // what recordings hold, so it stays as it is whatever the types and fields are called.
 func rareActionText(a control.Action) string {
 	switch a := a.(type) {
-	case control.Probe:
+	case control.CheckHealth:
 		return fmt.Sprintf("control.Probe {Server:%d}", a.Server)
-	case control.Follow:
+	case control.WatchEndpoints:
 		return fmt.Sprintf("control.Follow {Active:%t}", a.Active)
-	case control.Snapshot:
+	case control.FetchEndpoints:
 		return "control.Snapshot {}"
-	case control.Say:
+	case control.SendPeerMessage:
 		return fmt.Sprintf("control.Say {To:%d Raw:%v}", a.To, a.Raw)
 	default:
 		return fmt.Sprintf("%T %+v", a, a)
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -22,12 +22,12 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 var settings = control.Settings{
-	GroupSize: 2, SendCap: 3, RetryAfter: true, MaxRetryAfter: time.Second, MeterPeriod: time.Second, CostAfter: true,
+	GroupSize: 2, MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: time.Second, MeterPeriod: time.Second, UnitsInResponse: true,
 	Classes: []control.Class{
-		{Name: "read", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
-		{Name: "write", Aim: time.Second, Deadline: 3 * time.Second, Worth: 5, Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: 15 * time.Second},
+		{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 1},
+		{Name: "write", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 5, Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: 15 * time.Second},
 	},
-	Plans: []control.Plan{{Name: "a", Price: 1, Rate: 20, Depth: 40}, {Name: "b", Price: 2, Rate: 20, Depth: 20, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 4}},
+	Plans: []control.Plan{{Name: "a", Price: 1, QuotaRate: 20, QuotaBurst: 40}, {Name: "b", Price: 2, QuotaRate: 20, QuotaBurst: 20, HardLimitRate: 40, HardLimitBurst: 40, HardLimitSlack: 4}},
 }
 
 // played has a recorded module take a history by chance, as a service would bring it.
@@ -45,21 +45,21 @@
 	now := time.Hour
 	var out []control.Send
 	n := make(map[string]int)
-	var timers []control.Timer
+	var timers []control.TimerFired
 	var due []time.Duration
 	tell := func(e control.Event) {
 		for _, a := range m.Handle(now, e) {
 			switch a := a.(type) {
 			case control.Send:
 				out = append(out, a)
-			case control.Arm:
-				timers, due = append(timers, control.Timer{Label: a.Label}), append(due, now+a.After)
+			case control.StartTimer:
+				timers, due = append(timers, control.TimerFired{Label: a.Label}), append(due, now+a.After)
 			}
 		}
 	}
-	list := control.List{Kind: control.Whole}
+	list := control.EndpointList{Kind: control.ListComplete}
 	for i := range 4 {
-		list.Members = append(list.Members, control.Member{Server: uint32(i + 1), Cell: i % 2, Size: 1, HasCameUp: i == 3, CameUp: now})
+		list.Endpoints = append(list.Endpoints, control.Endpoint{Server: uint32(i + 1), Cell: i % 2, Size: 1, HasStartedAt: i == 3, StartedAt: now})
 	}
 	tell(list)
 	for step := range steps {
@@ -75,16 +75,16 @@
 		if k := rng.IntN(10); k < 5 {
 			tell(control.Request{
 				ID: fmt.Sprint(step), Class: []string{"read", "write"}[k%2], Plan: []string{"a", "b"}[step%2], Customer: fmt.Sprint(rng.IntN(5)),
-				TTL: 3 * time.Second, Units: float64(1 + rng.IntN(3)), Spread: 2, Open: k == 4,
+				Timeout: 3 * time.Second, Units: float64(1 + rng.IntN(3)), FanOut: 2, HasPendingBody: k == 4,
 			})
 		} else if len(out) > 0 {
 			i := rng.IntN(len(out))
 			s := out[i]
 			out = append(out[:i], out[i+1:]...)
-			why := []control.Reason{control.OK, control.OK, control.OK, control.Errored, control.Full, control.ConnectFailed, control.TimedOut}[rng.IntN(7)]
-			tell(control.Response{
-				ID: s.ID, N: n[s.ID], Server: s.Server, Reason: why, Done: why == control.OK, Used: rng.IntN(200), Cost: 1,
-				Delay: time.Millisecond, Load: &control.Load{Active: 2, CPU: 0.5},
+			why := []control.Reason{control.OK, control.OK, control.OK, control.Errored, control.RejectedByServer, control.ConnectFailed, control.TimedOut}[rng.IntN(7)]
+			tell(control.AttemptResult{
+				ID: s.ID, Attempt: n[s.ID], Server: s.Server, Reason: why, IsFinal: why == control.OK, QuotaUsage: rng.IntN(200), ActualUnits: 1,
+				Delay: time.Millisecond, Load: &control.LoadReport{InFlight: 2, Utilization: 0.5},
 			})
 			n[s.ID]++
 		}
@@ -204,8 +204,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.head.Settings.Plans[0].Rate /= 10 // as another build would decide
-	r.head.Settings.Plans[0].Depth /= 10
+	r.head.Settings.Plans[0].QuotaRate /= 10 // as another build would decide
+	r.head.Settings.Plans[0].QuotaBurst /= 10
 	at := 0
 	if _, _, err = r.Play(func(s Step) error {
 		if at++; !s.Same {
@@ -264,14 +264,14 @@
 				handle = m.Handle
 			}
 			now := time.Hour
-			handle(now, control.List{Kind: control.Whole, Members: []control.Member{{Server: 1, Size: 1}, {Server: 2, Size: 1}}})
+			handle(now, control.EndpointList{Kind: control.ListComplete, Endpoints: []control.Endpoint{{Server: 1, Size: 1}, {Server: 2, Size: 1}}})
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now += 10 * time.Millisecond
 				id := strings.Repeat("x", 8) + fmt.Sprint(i)
-				for _, a := range append([]control.Action(nil), handle(now, control.Request{ID: id, Class: "read", Plan: "a", Customer: "c", TTL: time.Second, Units: 1, Spread: 1})...) {
+				for _, a := range append([]control.Action(nil), handle(now, control.Request{ID: id, Class: "read", Plan: "a", Customer: "c", Timeout: time.Second, Units: 1, FanOut: 1})...) {
 					if s, ok := a.(control.Send); ok {
-						handle(now+time.Millisecond, control.Response{ID: id, Server: s.Server, Reason: control.OK, Done: true})
+						handle(now+time.Millisecond, control.AttemptResult{ID: id, Server: s.Server, Reason: control.OK, IsFinal: true})
 					}
 				}
 			}
--- a/internal/regions/bench_test.go
+++ b/internal/regions/bench_test.go
@@ -33,8 +33,8 @@
 	var services []Service
 	for i := range 20 {
 		s := Service{
-			Name: fmt.Sprint("s", i), Ordinary: true, Classes: []control.Class{{Name: "read"}, {Name: "write", Effect: control.SingleShot}},
-			Source: fmt.Sprint("source", i), Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5}, Plans: []control.Plan{{Name: "p", CeilingRate: 9, CeilingBurst: 9}},
+			Name: fmt.Sprint("s", i), Ordinary: true, Classes: []control.Class{{Name: "read"}, {Name: "write", Idempotency: control.NotIdempotent}},
+			Source: fmt.Sprint("source", i), Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5}, Plans: []control.Plan{{Name: "p", HardLimitRate: 9, HardLimitBurst: 9}},
 		}
 		for k := range 20 {
 			s.Servers = append(s.Servers, fmt.Sprint(20*i+k))
--- a/internal/regions/mixture/mixture_test.go
+++ b/internal/regions/mixture/mixture_test.go
@@ -23,9 +23,9 @@
 	for i, a := range all {
 		for _, s := range a.Services {
 			for _, p := range s.Plans {
-				sums[p.Name] += p.CeilingRate * float64(a.Members) / float64(a.Instances)
-				if most[p.Name] == 0 || p.CeilingRate < most[p.Name] {
-					most[p.Name] = p.CeilingRate
+				sums[p.Name] += p.HardLimitRate * float64(a.Members) / float64(a.Instances)
+				if most[p.Name] == 0 || p.HardLimitRate < most[p.Name] {
+					most[p.Name] = p.HardLimitRate
 				}
 			}
 		}
@@ -73,8 +73,8 @@
 	for _, w := range f[2:] {
 		k, v, _ := strings.Cut(w, "=")
 		if !strings.HasPrefix(k, "/") {
-			p := control.Plan{Name: k, CeilingBurst: 1}
-			fmt.Sscan(v, &p.CeilingRate)
+			p := control.Plan{Name: k, HardLimitBurst: 1}
+			fmt.Sscan(v, &p.HardLimitRate)
 			s["app"].Plans = append(s["app"].Plans, p)
 			continue
 		}
@@ -83,7 +83,7 @@
 			s[part[0]] = &regions.Service{Name: part[0], Source: "s" + part[0]}
 		}
 		name, effect, _ := strings.Cut(part[1], ".")
-		class := control.Class{Name: name, Effect: map[string]control.Effect{"": 0, "free": 0, "keyed": 1, "never": 2}[effect], Deadline: time.Second, Aim: time.Second}
+		class := control.Class{Name: name, Idempotency: map[string]control.Idempotency{"": 0, "free": 0, "keyed": 1, "never": 2}[effect], Deadline: time.Second, LatencyObjective: time.Second}
 		if d, err := time.ParseDuration(part[2]); err == nil {
 			class.Deadline = d
 		}
@@ -226,7 +226,7 @@
 	for _, r := range all {
 		for _, s := range r.Services {
 			if p, ok := find(s.Plans, plan, planName); ok {
-				sum += p.CeilingRate * float64(r.Members) / float64(r.Instances)
+				sum += p.HardLimitRate * float64(r.Members) / float64(r.Instances)
 			}
 		}
 	}
@@ -280,7 +280,7 @@
 	all := make(map[string]float64)
 	for _, s := range r.Services {
 		for _, p := range s.Plans {
-			rate, burst, slack := p.CeilingRate, p.CeilingBurst, p.CeilingSlack
+			rate, burst, slack := p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack
 			if rate == 0 {
 				rate, burst, slack = math.Inf(1), math.Inf(1), math.Inf(1)
 			}
@@ -318,13 +318,13 @@
 			return drawn[len(drawn)-1]
 		}
 		r = regions.Region{Instances: draw(1, 6), Members: draw(1, 6)}
-		plan := control.Plan{Name: "g", CeilingRate: float64(draw(0, 3))}
-		if burst, slack := draw(1, 3), draw(1, 3); plan.CeilingRate > 0 {
-			plan.CeilingBurst, plan.CeilingSlack = float64(burst), float64(slack)
+		plan := control.Plan{Name: "g", HardLimitRate: float64(draw(0, 3))}
+		if burst, slack := draw(1, 3), draw(1, 3); plan.HardLimitRate > 0 {
+			plan.HardLimitBurst, plan.HardLimitSlack = float64(burst), float64(slack)
 		}
-		class := control.Class{Name: "k", Effect: control.Effect(draw(0, 2)), Deadline: time.Duration(draw(1, 3)) * time.Second}
-		if scope, window := draw(0, 2), draw(1, 3); class.Effect == control.Guarded {
-			class.KeyScope, class.RepeatWindow = control.Scope(scope), time.Duration(window)
+		class := control.Class{Name: "k", Idempotency: control.Idempotency(draw(0, 2)), Deadline: time.Duration(draw(1, 3)) * time.Second}
+		if scope, window := draw(0, 2), draw(1, 3); class.Idempotency == control.IdempotencyKeyed {
+			class.KeyScope, class.RepeatWindow = control.KeyScope(scope), time.Duration(window)
 		}
 		r.Services = []regions.Service{{
 			Name: "a", Plans: []control.Plan{plan}, Classes: []control.Class{class},
--- a/internal/regions/mixture/settings.go
+++ b/internal/regions/mixture/settings.go
@@ -76,15 +76,15 @@
 // meetPlan has the smaller of each figure of the ceilings; no ceiling is the largest.
 func meetPlan(a, b control.Plan) control.Plan {
 	switch {
-	case b.CeilingRate == 0:
-	case a.CeilingRate == 0:
-		a.CeilingRate, a.CeilingBurst, a.CeilingSlack = b.CeilingRate, b.CeilingBurst, b.CeilingSlack
+	case b.HardLimitRate == 0:
+	case a.HardLimitRate == 0:
+		a.HardLimitRate, a.HardLimitBurst, a.HardLimitSlack = b.HardLimitRate, b.HardLimitBurst, b.HardLimitSlack
 	default:
-		a.CeilingRate, a.CeilingBurst = min(a.CeilingRate, b.CeilingRate), min(a.CeilingBurst, b.CeilingBurst)
-		a.CeilingSlack = min(a.CeilingSlack, b.CeilingSlack)
+		a.HardLimitRate, a.HardLimitBurst = min(a.HardLimitRate, b.HardLimitRate), min(a.HardLimitBurst, b.HardLimitBurst)
+		a.HardLimitSlack = min(a.HardLimitSlack, b.HardLimitSlack)
 	}
-	if a.CeilingRate > 0 {
-		a.Rate = min(a.Rate, a.CeilingRate) // a quota above the ceiling is refused
+	if a.HardLimitRate > 0 {
+		a.QuotaRate = min(a.QuotaRate, a.HardLimitRate) // a quota above the ceiling is refused
 	}
 	return a
 }
@@ -92,15 +92,15 @@
 // meetClass has the stricter of each term.
 func meetClass(a, b control.Class) control.Class {
 	k := a
-	k.Effect, k.Deadline = max(a.Effect, b.Effect), min(a.Deadline, b.Deadline)
-	k.Aim = min(a.Aim, k.Deadline)
+	k.Idempotency, k.Deadline = max(a.Idempotency, b.Idempotency), min(a.Deadline, b.Deadline)
+	k.LatencyObjective = min(a.LatencyObjective, k.Deadline)
 	k.KeyScope, k.RepeatWindow = control.ScopeAll, 0
-	if k.Effect != control.Guarded {
+	if k.Idempotency != control.IdempotencyKeyed {
 		return k
 	}
 	first := true
 	for _, one := range []control.Class{a, b} {
-		if one.Effect != control.Guarded { // free: its repeats go anywhere, at any time
+		if one.Idempotency != control.IdempotencyKeyed { // free: its repeats go anywhere, at any time
 			continue
 		}
 		if first {
@@ -148,19 +148,19 @@
 func part(r regions.Region) float64 { return 1 / float64(max(1, r.Instances)) }
 
 func planAtMost(a, b control.Plan, pa, pb float64) bool {
-	if b.CeilingRate == 0 {
+	if b.HardLimitRate == 0 {
 		return true
 	}
-	return a.CeilingRate > 0 && a.CeilingRate*pa <= b.CeilingRate*pb && a.CeilingBurst*pa <= b.CeilingBurst*pb &&
-		a.CeilingSlack*pa <= b.CeilingSlack*pb
+	return a.HardLimitRate > 0 && a.HardLimitRate*pa <= b.HardLimitRate*pb && a.HardLimitBurst*pa <= b.HardLimitBurst*pb &&
+		a.HardLimitSlack*pa <= b.HardLimitSlack*pb
 }
 
 // stricter tells whether terms allow no repeat that other ones don't.
 func stricter(a, b control.Class) bool {
-	if a.Deadline > b.Deadline || a.Effect < b.Effect {
+	if a.Deadline > b.Deadline || a.Idempotency < b.Idempotency {
 		return false
 	}
-	return a.Effect != control.Guarded || b.Effect != control.Guarded || a.KeyScope >= b.KeyScope && a.RepeatWindow <= b.RepeatWindow
+	return a.Idempotency != control.IdempotencyKeyed || b.Idempotency != control.IdempotencyKeyed || a.KeyScope >= b.KeyScope && a.RepeatWindow <= b.RepeatWindow
 }
 
 // growth is by how much a region's ceilings grow by its change, as a guide to which may go first.
@@ -205,8 +205,8 @@
 			for _, p := range s.Plans {
 				k := ceilingKey{s.Name, p.Name}
 				t := sums[k]
-				t.rate, t.burst, t.slack = t.rate+n*p.CeilingRate, t.burst+n*p.CeilingBurst, t.slack+n*p.CeilingSlack
-				if p.CeilingRate == 0 {
+				t.rate, t.burst, t.slack = t.rate+n*p.HardLimitRate, t.burst+n*p.HardLimitBurst, t.slack+n*p.HardLimitSlack
+				if p.HardLimitRate == 0 {
 					t = ceilingSum{math.Inf(1), math.Inf(1), math.Inf(1)}
 				}
 				sums[k] = t
--- a/internal/regions/outcome.go
+++ b/internal/regions/outcome.go
@@ -15,15 +15,15 @@
 
 // terms are what decides whether, where and until when a request may be repeated.
 type terms struct {
-	effect   control.Effect
-	scope    control.Scope
+	effect   control.Idempotency
+	scope    control.KeyScope
 	window   time.Duration
 	deadline time.Duration
 }
 
 func termsOf(k control.Class) terms {
-	t := terms{effect: k.Effect, deadline: k.Deadline}
-	if k.Effect == control.Guarded {
+	t := terms{effect: k.Idempotency, deadline: k.Deadline}
+	if k.Idempotency == control.IdempotencyKeyed {
 		t.scope, t.window = k.KeyScope, k.RepeatWindow
 	}
 	return t
@@ -31,9 +31,9 @@
 
 func (t terms) String() string {
 	switch t.effect {
-	case control.Free:
+	case control.Idempotent:
 		return fmt.Sprintf("free to repeat, deadline %v", t.deadline)
-	case control.Guarded:
+	case control.IdempotencyKeyed:
 		return fmt.Sprintf("keyed over %s for %v, deadline %v", [...]string{"all", "a zone", "a group"}[t.scope%3], t.window, t.deadline)
 	}
 	return fmt.Sprintf("never repeated, deadline %v", t.deadline)
@@ -226,13 +226,13 @@
 		f.taken = false
 		return f
 	}
-	if o.gather != 0 && f.terms.effect != control.Free {
+	if o.gather != 0 && f.terms.effect != control.Idempotent {
 		f.taken = false
 	}
 	if !o.ordinary {
 		// As the platform's clients ask: by GET for what is free to repeat, else by POST.
 		want := http.MethodPost
-		if f.terms.effect == control.Free {
+		if f.terms.effect == control.Idempotent {
 			want = http.MethodGet
 		}
 		f.taken = w.Method == want
--- a/internal/regions/regions_test.go
+++ b/internal/regions/regions_test.go
@@ -97,11 +97,11 @@
 	}
 	if s.Gather != "" {
 		got.gather = s.Gather
-		got.taken = got.terms == nil || got.terms.Effect == control.Free
+		got.taken = got.terms == nil || got.terms.Idempotency == control.Idempotent
 		got.taken = got.taken && (w.Method == "GET" || w.Method == "HEAD" || one.As != "" && w.Method != "OPTIONS")
 	}
 	if len(s.Classes) > 0 {
-		got.taken = got.taken && got.terms != nil && (s.Ordinary || (got.terms.Effect == control.Free) == (w.Method == "GET") && (w.Method == "GET" || w.Method == "POST"))
+		got.taken = got.taken && got.terms != nil && (s.Ordinary || (got.terms.Idempotency == control.Idempotent) == (w.Method == "GET") && (w.Method == "GET" || w.Method == "POST"))
 	}
 	return got
 }
@@ -116,13 +116,13 @@
 	}
 	if a.terms != nil && b.terms != nil && (a.service == b.service || a.class == b.class) {
 		x, y := *a.terms, *b.terms
-		if x.Effect != control.Guarded {
+		if x.Idempotency != control.IdempotencyKeyed {
 			x.KeyScope, x.RepeatWindow = 0, 0
 		}
-		if y.Effect != control.Guarded {
+		if y.Idempotency != control.IdempotencyKeyed {
 			y.KeyScope, y.RepeatWindow = 0, 0
 		}
-		if x.Effect != y.Effect || x.KeyScope != y.KeyScope || x.RepeatWindow != y.RepeatWindow || x.Deadline != y.Deadline {
+		if x.Idempotency != y.Idempotency || x.KeyScope != y.KeyScope || x.RepeatWindow != y.RepeatWindow || x.Deadline != y.Deadline {
 			kinds = append(kinds, TermsKind)
 		}
 	}
@@ -135,7 +135,7 @@
 	class := func(n string) control.Class {
 		return control.Class{
 			Name: n, Deadline: time.Duration(rapid.IntRange(1, 2).Draw(t, "deadline")) * time.Second,
-			Effect: control.Effect(rapid.IntRange(0, 2).Draw(t, "effect")), RepeatWindow: time.Duration(rapid.IntRange(0, 1).Draw(t, "window")),
+			Idempotency: control.Idempotency(rapid.IntRange(0, 2).Draw(t, "effect")), RepeatWindow: time.Duration(rapid.IntRange(0, 1).Draw(t, "window")),
 		}
 	}
 	for i, n := range []string{"s", "t", "u"} {
--- a/internal/regions/sums.go
+++ b/internal/regions/sums.go
@@ -114,17 +114,17 @@
 				continue
 			}
 			n, known := s.parts()
-			store := max(p.CeilingBurst, ceilingStart*p.CeilingSlack)
-			in = append(in, part{s, p.CeilingRate, store})
-			if p.CeilingRate == 0 {
+			store := max(p.HardLimitBurst, ceilingStart*p.HardLimitSlack)
+			in = append(in, part{s, p.HardLimitRate, store})
+			if p.HardLimitRate == 0 {
 				continue
 			}
 			doubt = doubt || !known
-			sumRate, sumBurst = sumRate+n*p.CeilingRate, sumBurst+n*store
+			sumRate, sumBurst = sumRate+n*p.HardLimitRate, sumBurst+n*store
 			if !limited {
-				rate, burst, slack, limited = p.CeilingRate, p.CeilingBurst, p.CeilingSlack, true
+				rate, burst, slack, limited = p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack, true
 			}
-			rate, burst, slack = min(rate, p.CeilingRate), min(burst, p.CeilingBurst), min(slack, p.CeilingSlack)
+			rate, burst, slack = min(rate, p.HardLimitRate), min(burst, p.HardLimitBurst), min(slack, p.HardLimitSlack)
 		}
 	}
 	if !limited {
--- a/internal/regions/sums_test.go
+++ b/internal/regions/sums_test.go
@@ -16,7 +16,7 @@
 	for i, s := range sizes {
 		r := Region{Name: string(rune('a' + i)), Instances: s[0], Members: s[1], Services: []Service{{
 			Name:    "s",
-			Plans:   []control.Plan{{Name: "p", CeilingRate: 100, CeilingBurst: 50, CeilingSlack: 10}},
+			Plans:   []control.Plan{{Name: "p", HardLimitRate: 100, HardLimitBurst: 50, HardLimitSlack: 10}},
 			Servers: []string{"1", fmt.Sprint("own", i)}, Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5},
 		}}}
 		change(i, &r)
@@ -48,10 +48,10 @@
 		"fewer than told":          {none, [][2]int{{9, 1}, {9, 2}}, ""},
 		"one region, too many":     {none, [][2]int{{4, 5}}, "ceiling error let 125 units"},
 		"members unknown":          {none, [][2]int{{2, 0}, {2, 1}}, "ceiling warning members unknown"},
-		"no ceiling in one":        {plan(func(i int, p *control.Plan) { p.CeilingRate *= float64(i) }), two, "ceiling error none in a"},
-		"the least ceiling counts": {plan(func(i int, p *control.Plan) { p.CeilingRate += float64(10 * i) }), two, "ceiling error let 105 units a second through, the ceiling is 100"},
-		"a burst within the slack": {plan(func(i int, p *control.Plan) { p.CeilingBurst += float64(20 * i) }), two, ""},
-		"a burst beyond it":        {plan(func(i int, p *control.Plan) { p.CeilingBurst += float64(21 * i) }), two, "ceiling error at once"},
+		"no ceiling in one":        {plan(func(i int, p *control.Plan) { p.HardLimitRate *= float64(i) }), two, "ceiling error none in a"},
+		"the least ceiling counts": {plan(func(i int, p *control.Plan) { p.HardLimitRate += float64(10 * i) }), two, "ceiling error let 105 units a second through, the ceiling is 100"},
+		"a burst within the slack": {plan(func(i int, p *control.Plan) { p.HardLimitBurst += float64(20 * i) }), two, ""},
+		"a burst beyond it":        {plan(func(i int, p *control.Plan) { p.HardLimitBurst += float64(21 * i) }), two, "ceiling error at once"},
 		"another service":          {func(i int, r *Region) { r.Services[0].Name = r.Name }, alone, ""},
 		"one counter":              {func(i int, r *Region) { r.Services[0].Name, r.Services[0].Counter, r.Shared = r.Name, "c", true }, alone, "ceiling error let 200"},
 		"counters unshared":        {func(i int, r *Region) { r.Services[0].Name, r.Services[0].Counter = r.Name, "c" }, alone, ""},
--- a/internal/responseclass/responseclass.go
+++ b/internal/responseclass/responseclass.go
@@ -86,7 +86,7 @@
 	}
 	for i := range r.NeverRan {
 		if r.NeverRan[i].holds(status, h) {
-			return Meaning{control.Full, false}
+			return Meaning{control.RejectedByServer, false}
 		}
 	}
 	switch {
--- a/internal/scattergather/call.go
+++ b/internal/scattergather/call.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	switch a.Cause {
-	case control.OverCeiling, control.OverStore, control.ByChance:
+	case control.CauseHardLimit, control.CauseQuota, control.CauseProbability:
 		return true
 	}
 	return false
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -11,7 +11,7 @@
 func (l *loop) startAttempt(a control.Send) {
 	x := l.exchanges[a.ID]
 	if x == nil {
-		l.pendingEvents = append(l.pendingEvents, control.Response{ID: a.ID, Server: a.Server, Reason: control.Moot, Done: true})
+		l.pendingEvents = append(l.pendingEvents, control.AttemptResult{ID: a.ID, Server: a.Server, Reason: control.NotSent, IsFinal: true})
 		return
 	}
 	if x.deferSend(a) {
@@ -20,8 +20,8 @@
 	n, to := x.attemptCount, l.pools[a.Server]
 	x.attemptCount++
 	until := x.Deadline
-	if a.Within > 0 && time.Until(until) > a.Within {
-		until = time.Now().Add(a.Within)
+	if a.Timeout > 0 && time.Until(until) > a.Timeout {
+		until = time.Now().Add(a.Timeout)
 	}
 	ctx, cancel := l.lifetime, context.CancelFunc(nil)
 	if x.Forwarder.IsBodyPending() {
@@ -29,8 +29,8 @@
 	} else {
 		ctx, cancel = context.WithDeadline(ctx, until)
 	}
-	if a.Begin > 0 {
-		ctx = upstream.BeginBy(ctx, time.Now().Add(a.Begin))
+	if a.WriteWithin > 0 {
+		ctx = upstream.BeginBy(ctx, time.Now().Add(a.WriteWithin))
 	}
 	try := upstream.NewAttempt(ctx, cancel, x)
 	x.attempts = append(x.attempts, try)
@@ -39,9 +39,9 @@
 		try.Stop()
 		why := control.ConnectFailed // its server left the list at the gate; another may take it
 		if over {
-			why = control.Moot
+			why = control.NotSent
 		}
-		l.pendingEvents = append(l.pendingEvents, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: why, Done: x.isAnswered})
+		l.pendingEvents = append(l.pendingEvents, control.AttemptResult{ID: a.ID, Attempt: n, Server: a.Server, Reason: why, IsFinal: x.isAnswered})
 		return
 	}
 	x.inFlight++
@@ -128,7 +128,7 @@
 		return
 	}
 	l.finish(j.exchange, a)
-	l.handle(control.Started{ID: j.exchange.Request.ID, N: j.number, Server: j.server, Delay: time.Since(j.startedAt)})
+	l.handle(control.ResponseStarted{ID: j.exchange.Request.ID, Attempt: j.number, Server: j.server, Delay: time.Since(j.startedAt)})
 }
 
 // attemptEnded takes in how an attempt ended. The first answer that is good, or that no other attempt
@@ -136,7 +136,7 @@
 func (l *loop) attemptEnded(x *Exchange, n int, server uint32, sent time.Time, o upstream.Outcome) {
 	x.inFlight--
 	x.lastReason = o.Reason
-	x.mayHaveRun = x.mayHaveRun || o.Reason != control.Full && o.Reason != control.ConnectFailed && o.Reason != control.Moot
+	x.mayHaveRun = x.mayHaveRun || o.Reason != control.RejectedByServer && o.Reason != control.ConnectFailed && o.Reason != control.NotSent
 	if l.recorder != nil {
 		l.recorder.attemptEnded(x, n, server, sent, &o, l.pools[server] != nil)
 		l.recorder.recordState(l)
@@ -144,9 +144,9 @@
 	if x.classCounts != nil {
 		x.classCounts.Attempts[reasonIndex[o.Reason]].Add(1)
 	}
-	r := control.Response{ID: x.Request.ID, N: n, Server: server, Reason: o.Reason, Delay: time.Since(sent)}
+	r := control.AttemptResult{ID: x.Request.ID, Attempt: n, Server: server, Reason: o.Reason, Delay: time.Since(sent)}
 	if o.Header != nil {
-		r.Used, r.Cost, r.Load = o.Used(), o.Cost(l.maxUnitsByPlan[x.Request.Plan]), o.Load()
+		r.QuotaUsage, r.ActualUnits, r.Load = o.Used(), o.Cost(l.maxUnitsByPlan[x.Request.Plan]), o.Load()
 	}
 	if l.groupSizeEstimator != nil {
 		l.observeLoad(server, r.Load)
@@ -171,18 +171,18 @@
 			l.failRequest(x)
 		}
 	}
-	r.Done = x.isAnswered
+	r.IsFinal = x.isAnswered
 	l.releaseIfEnded(x)
 	l.handle(r)
 }
 
 // observeLoad has the census take a report, behind the end of an attempt at a server.
-func (l *loop) observeLoad(server uint32, load *control.Load) {
+func (l *loop) observeLoad(server uint32, load *control.LoadReport) {
 	n := l.attemptsInFlight[server] - 1
 	if l.attemptsInFlight[server] = n; n <= 0 {
 		delete(l.attemptsInFlight, server)
 	}
-	if load != nil && load.Active >= 0 {
-		l.groupSizeEstimator.Saw(l.now(), load.Active, float64(n))
+	if load != nil && load.InFlight >= 0 {
+		l.groupSizeEstimator.Saw(l.now(), load.InFlight, float64(n))
 	}
 }
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -29,14 +29,14 @@
 			listed, server := make(chan struct{}, 10), uint32(0)
 			m := moduleFunc(func(e control.Event) []control.Action {
 				switch e := e.(type) {
-				case control.List:
-					server = e.Members[0].Server
+				case control.EndpointList:
+					server = e.Endpoints[0].Server
 					listed <- struct{}{}
 				case control.Request:
-					return []control.Action{control.Send{ID: e.ID, Server: server, Begin: tc.begin}}
-				case control.Response:
-					if reasons <- e.Reason; !e.Done {
-						return []control.Action{control.Refuse{ID: e.ID}}
+					return []control.Action{control.Send{ID: e.ID, Server: server, WriteWithin: tc.begin}}
+				case control.AttemptResult:
+					if reasons <- e.Reason; !e.IsFinal {
+						return []control.Action{control.Reject{ID: e.ID}}
 					}
 				}
 				return nil
@@ -60,7 +60,7 @@
 			if n := app.Count() - before; n != tc.want || (a.Status == http.StatusOK) != (n == 1) {
 				t.Errorf("%d were written, answer %d", n, a.Status)
 			}
-			if why := testkit.Next(t, reasons); (why == control.Moot) != (tc.want == 0) {
+			if why := testkit.Next(t, reasons); (why == control.NotSent) != (tc.want == 0) {
 				t.Errorf("reason %d", why)
 			}
 			stop()
@@ -74,15 +74,15 @@
 // A request that a service has not begun when another takes its place goes there, but not as a keyed
 // one where nobody has asked for its key.
 func TestReplacementTakesUnbegunRequestOnlyWithItsKeyChecked(t *testing.T) {
-	effects := []control.Effect{control.Guarded, control.SingleShot}
+	effects := []control.Idempotency{control.IdempotencyKeyed, control.NotIdempotent}
 	for _, from := range effects {
 		for _, to := range effects {
 			t.Run(fmt.Sprint(from, to), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					var before, after []control.Request
-					with := func(e control.Effect, seen *[]control.Request) *Service {
+					with := func(e control.Idempotency, seen *[]control.Request) *Service {
 						o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return statefulRecorder{seen}, nil }}
-						o.Settings.Classes[0].Effect, o.Settings.Classes[0].RepeatWindow = e, time.Second
+						o.Settings.Classes[0].Idempotency, o.Settings.Classes[0].RepeatWindow = e, time.Second
 						s, _ := startService(t, o)
 						return s
 					}
@@ -93,7 +93,7 @@
 					x.Forwarder.(*upstream.Whole).Request.Method = http.MethodPost
 					go was.Do(ctx, x)
 					synctest.Wait()
-					if stays := from != to && to == control.Guarded; len(before)+len(after) != 1 || len(before) == 1 != stays {
+					if stays := from != to && to == control.IdempotencyKeyed; len(before)+len(after) != 1 || len(before) == 1 != stays {
 						t.Errorf("heard of %d before, %d after", len(before), len(after))
 					}
 					leave()
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -21,11 +21,11 @@
 type recordingController struct {
 	*control.Controller
 	mu        sync.Mutex
-	responses map[string][]control.Response
+	responses map[string][]control.AttemptResult
 }
 
 func (n *recordingController) Handle(now time.Duration, e control.Event) []control.Action {
-	if r, ok := e.(control.Response); ok {
+	if r, ok := e.(control.AttemptResult); ok {
 		n.mu.Lock()
 		n.responses[r.ID] = append(n.responses[r.ID], r)
 		n.mu.Unlock()
@@ -33,7 +33,7 @@
 	return n.Controller.Handle(now, e)
 }
 
-func (n *recordingController) responsesTo(id string) []control.Response {
+func (n *recordingController) responsesTo(id string) []control.AttemptResult {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.responses[id]
@@ -143,7 +143,7 @@
 						play(r, r.newExchange("left"))
 						testkit.Until(t, "its end", func() bool { return r.service.Status().Requests == 0 })
 						sent := r.module.responsesTo("left")
-						if where == "its turn" && len(sent) > 0 || where != "its turn" && (len(sent) != 1 || sent[0].Reason != control.Moot || !sent[0].Done) {
+						if where == "its turn" && len(sent) > 0 || where != "its turn" && (len(sent) != 1 || sent[0].Reason != control.NotSent || !sent[0].IsFinal) {
 							t.Errorf("its attempts ended %+v", sent)
 						}
 						if a, ok := r.service.Do(t.Context(), r.newExchange("next")); !ok || a.Status != http.StatusOK {
@@ -212,11 +212,11 @@
 		speaks = upstream.SpeaksHTTP2
 	}
 	set := control.Settings{
-		GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1, Open: 2}},
-		Classes: []control.Class{{Name: "safe", Effect: control.Free}, {Name: "keyed", Effect: control.Guarded, RepeatWindow: time.Minute}, {Name: "unsafe", Effect: control.SingleShot}},
+		GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}},
+		Classes: []control.Class{{Name: "safe", Idempotency: control.Idempotent}, {Name: "keyed", Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute}, {Name: "unsafe", Idempotency: control.NotIdempotent}},
 	}
 	for i := range set.Classes {
-		set.Classes[i].Aim, set.Classes[i].Deadline, set.Classes[i].Worth = deadline, deadline, 1
+		set.Classes[i].LatencyObjective, set.Classes[i].Deadline, set.Classes[i].PriorityWeight = deadline, deadline, 1
 	}
 	ready := make(chan struct{})
 	s, err := New(Options{
@@ -224,7 +224,7 @@
 		Source: discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.serverAddress, State: "up", Capacity: 1}}},
 		NewModule: func() (Module, error) {
 			c, err := control.New(set, 1)
-			r.module = &recordingController{Controller: c, responses: make(map[string][]control.Response)}
+			r.module = &recordingController{Controller: c, responses: make(map[string][]control.AttemptResult)}
 			return r.module, err
 		},
 		Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: r.opener, HTTP2: upstream.HTTP2{Streams: 10, Conns: 1, Whole: true}},
@@ -248,7 +248,7 @@
 
 func (r *departureTest) newExchange(id string) *Exchange {
 	h := http.Header{"X-Test": {id}}
-	x := &Exchange{Request: control.Request{ID: id, Class: r.class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(r.deadline)}
+	x := &Exchange{Request: control.Request{ID: id, Class: r.class, Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(r.deadline)}
 	if r.forwarder[0] == 'w' {
 		q, err := http.NewRequest(http.MethodPost, "http://h/x", nil)
 		if err != nil {
