--- a/internal/service/deadlines_test.go
+++ b/internal/service/deadlines_test.go
@@ -22,14 +22,14 @@
 	const fill = 50
 	hangs := func(ctx context.Context) upstream.Outcome {
 		if !upstream.Commit(ctx) {
-			return upstream.Outcome{Reason: control.Moot}
+			return upstream.Outcome{Reason: control.NotSent}
 		}
 		<-ctx.Done()
 		return upstream.Outcome{Reason: control.TimedOut}
 	}
 	full := func(ctx context.Context) upstream.Outcome {
 		upstream.Commit(ctx)
-		return upstream.Outcome{Reason: control.Full}
+		return upstream.Outcome{Reason: control.RejectedByServer}
 	}
 	for name, tc := range map[string]struct {
 		try  func(context.Context) upstream.Outcome
@@ -44,12 +44,12 @@
 		"a busy loop":    {try: hangs, busy: 10 * time.Millisecond},
 		"a loop at rest": {try: hangs, busy: 10 * time.Second},
 	} {
-		for effect, class := range map[string]control.Effect{"safe": control.Free, "keyed": control.Guarded, "unsafe": control.SingleShot} {
+		for effect, class := range map[string]control.Idempotency{"safe": control.Idempotent, "keyed": control.IdempotencyKeyed, "unsafe": control.NotIdempotent} {
 			for _, left := range []time.Duration{time.Microsecond, 20 * time.Millisecond, 400 * time.Millisecond, 5 * time.Second} {
 				t.Run(fmt.Sprint(name, ", ", effect, ", ", left), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						set := testSettings()
-						set.Classes[0].Effect, set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = class, control.ScopeCell, time.Minute
+						set.Classes[0].Idempotency, set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = class, control.ScopeCell, time.Minute
 						s, _ := startService(t, Options{Settings: set})
 						synctest.Wait()
 						if tc.none {
@@ -58,7 +58,7 @@
 						do := func(id string, left time.Duration, try func(context.Context) upstream.Outcome) chan Answer {
 							x := newExchange(id)
 							x.Deadline, x.Forwarder = time.Now().Add(left-DeadlineMargin), &scriptedForwarder{attempt: try}
-							x.Request.Units, x.Request.Spread = 1, 1
+							x.Request.Units, x.Request.FanOut = 1, 1
 							answer := make(chan Answer, 2)
 							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
 							return answer
@@ -120,7 +120,7 @@
 			}
 			x.Forwarder = &scriptedForwarder{attempt: func(try context.Context) upstream.Outcome {
 				if !upstream.Commit(try) {
-					return upstream.Outcome{Reason: control.Moot}
+					return upstream.Outcome{Reason: control.NotSent}
 				}
 				sent.Add(1)
 				return upstream.Outcome{Reason: control.OK, Status: http.StatusOK, Final: true, Header: http.Header{}}
--- a/internal/service/event_recorder.go
+++ b/internal/service/event_recorder.go
@@ -31,8 +31,8 @@
 func newEventRecorder(w *eventlog.Writer, plans []control.Plan) *eventRecorder {
 	for _, p := range plans {
 		w.Plan(eventlog.Plan{
-			At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.Rate, Depth: p.Depth, OverCost: p.OverCost,
-			CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst, Slack: p.CeilingSlack,
+			At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.QuotaRate, Depth: p.QuotaBurst, OverCost: p.OverQuotaCost,
+			CeilingRate: p.HardLimitRate, CeilingBurst: p.HardLimitBurst, Slack: p.HardLimitSlack,
 		})
 	}
 	return &eventRecorder{writer: w, causes: make(map[string]control.Cause), servers: make(map[uint32]listedServer)}
@@ -51,17 +51,17 @@
 // noteCause keeps why a request is given up until its end, which follows at once.
 func (b *eventRecorder) noteCause(a control.Action) {
 	switch a := a.(type) {
-	case control.Refuse:
-		b.causes[a.ID] = a.Why
+	case control.Reject:
+		b.causes[a.ID] = a.Cause
 	case control.Fail:
-		b.causes[a.ID] = a.Why
+		b.causes[a.ID] = a.Cause
 	}
 }
 
 func (b *eventRecorder) requestEnded(x *Exchange, a Answer) {
 	r := eventlog.Request{
 		At: x.startedAt, Class: x.Request.Class, Plan: x.Request.Plan, Customer: uint32(xxhash.Sum64String(x.Request.Customer)),
-		Spread: x.Request.Spread, Repeat: x.Request.Repeat, Units: x.Request.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.startedAt), Sends: x.attemptCount,
+		Spread: x.Request.FanOut, Repeat: x.Request.IsRetry, Units: x.Request.Units, Outcome: Outcomes[a.outcome()], Took: time.Since(x.startedAt), Sends: x.attemptCount,
 	}
 	if why, ok := b.causes[x.Request.ID]; ok {
 		r.Why = why.String()
@@ -82,7 +82,7 @@
 	if o.Header != nil {
 		a.Cost, a.Used = o.Cost(0), o.Used()
 		if l := o.Load(); l != nil {
-			a.ServiceMS, a.Util, a.Queue = l.AvgMS, l.CPU, l.Waiting
+			a.ServiceMS, a.Util, a.Queue = l.MeanLatencyMS, l.Utilization, l.Queued
 		}
 	}
 	b.writer.Attempt(a)
--- a/internal/service/gate.go
+++ b/internal/service/gate.go
@@ -78,7 +78,7 @@
 		return
 	}
 	for _, a := range x.Gate.pendingSends {
-		l.pendingEvents = append(l.pendingEvents, control.Response{ID: a.ID, N: x.attemptCount, Server: a.Server, Reason: control.Moot, Done: x.isAnswered})
+		l.pendingEvents = append(l.pendingEvents, control.AttemptResult{ID: a.ID, Attempt: x.attemptCount, Server: a.Server, Reason: control.NotSent, IsFinal: x.isAnswered})
 		x.attemptCount++
 		x.attempts = append(x.attempts, nil)
 	}
@@ -122,7 +122,7 @@
 	switch {
 	case o.Final && o.Status == http.StatusOK:
 		end = LateServed
-	case o.Reason == control.TimedOut || o.Reason == control.Cancelled || o.Reason == control.Moot:
+	case o.Reason == control.TimedOut || o.Reason == control.Cancelled || o.Reason == control.NotSent:
 		end = LateUnknown
 	}
 	x.Gate.reportLateEnd(end, x)
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -22,10 +22,10 @@
 // was seen that it has one.
 func (s *Service) accepts(x *Exchange, readBy []control.Class) bool {
 	class, ok := s.Classes[x.Request.Class]
-	if ok && class.Effect == control.Guarded {
-		ok = slices.ContainsFunc(readBy, func(was control.Class) bool { return was.Name == class.Name && was.Effect == class.Effect })
+	if ok && class.Idempotency == control.IdempotencyKeyed {
+		ok = slices.ContainsFunc(readBy, func(was control.Class) bool { return was.Name == class.Name && was.Idempotency == class.Idempotency })
 	}
-	return ok && x.Request.Units <= s.MaxUnitsByPlan[x.Request.Plan] && s.AllowsMethod(class, x.Forwarder.Method()) && x.Request.Spread <= s.GroupSize
+	return ok && x.Request.Units <= s.MaxUnitsByPlan[x.Request.Plan] && s.AllowsMethod(class, x.Forwarder.Method()) && x.Request.FanOut <= s.GroupSize
 }
 
 // useStatefulModule has the loop's own goroutine use its module, and waits; false where the loop has ended or
@@ -183,5 +183,5 @@
 		default:
 			return transfer{}, false
 		}
-	}, control.Exact)
+	}, control.TrustAll)
 }
--- a/internal/service/hard_limits.go
+++ b/internal/service/hard_limits.go
@@ -82,7 +82,7 @@
 // requestHardLimit has a request's ceiling decide on it, before the module hears of it; false where it has none.
 func (l *loop) requestHardLimit(x *Exchange) bool {
 	g := l.hardLimiter
-	if g == nil || x.Request.NoRoom {
+	if g == nil || x.Request.IsOverCapacity {
 		return false
 	}
 	c, ok := g.ByPlan[x.Request.Plan]
@@ -130,7 +130,7 @@
 		case a.Kind == quotalease.Let:
 			x.charge.refundableUntil = a.Until
 		default:
-			x.Request.Over = true
+			x.Request.IsOverHardLimit = true
 		}
 		l.submit(x)
 	}
@@ -244,7 +244,7 @@
 	g.resetHolders()
 	for id, x := range g.undecided {
 		if delete(g.undecided, id); !x.isAnswered {
-			x.Request.Over = true
+			x.Request.IsOverHardLimit = true
 			l.submit(x)
 		}
 	}
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -52,8 +52,8 @@
 	return func() (Module, error) {
 		return moduleFunc(func(e control.Event) []control.Action {
 			if r, ok := e.(control.Request); ok {
-				if *seen = append(*seen, r); r.Over {
-					return []control.Action{control.Refuse{ID: r.ID, RetryAfter: time.Second}}
+				if *seen = append(*seen, r); r.IsOverHardLimit {
+					return []control.Action{control.Reject{ID: r.ID, RetryAfter: time.Second}}
 				}
 			}
 			return nil
@@ -98,11 +98,11 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		synctest.Wait()
-		if len(seen) != 5 || seen[4].Over {
+		if len(seen) != 5 || seen[4].IsOverHardLimit {
 			t.Fatalf("%+v", seen)
 		}
 		a, ok := s.Do(t.Context(), newExchangeOfUnits("b", 4))
-		if !ok || a.Kind != Rejected || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || !seen[5].Over {
+		if !ok || a.Kind != Rejected || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || !seen[5].IsOverHardLimit {
 			t.Errorf("%+v, %+v", a, seen)
 		}
 		leave()
@@ -113,7 +113,7 @@
 		again, gone := context.WithCancel(t.Context())
 		go s.Do(again, newExchangeOfUnits("c", 4))
 		synctest.Wait()
-		if n := len(seen); n != 7 || seen[6].Over {
+		if n := len(seen); n != 7 || seen[6].IsOverHardLimit {
 			t.Errorf("%+v", seen[6:])
 		}
 		gone()
@@ -146,7 +146,7 @@
 		}
 		over := 0
 		for _, r := range seen {
-			if r.Over {
+			if r.IsOverHardLimit {
 				over++
 			}
 		}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -63,7 +63,7 @@
 	life, end := context.WithCancel(context.Background())
 	l := &loop{
 		lifetime: life, cancelLifetime: end, module: module, observeModuleTime: options.ObserveModuleTime, upstream: connections, defaultProtocol: options.Protocol, log: log, start: time.Now(),
-		maxAttempts: options.Settings.SendCap, events: make(chan func(), 256), jobs: make(chan attemptJob), ended: make(chan struct{}),
+		maxAttempts: options.Settings.MaxAttempts, events: make(chan func(), 256), jobs: make(chan attemptJob), ended: make(chan struct{}),
 		exchanges: make(map[string]*Exchange), serverIDs: make(map[string]uint32),
 		pools: make(map[uint32]*upstream.Pool), openStreams: options.Streams, maxUnitsByPlan: newRequestRules(options.Settings).MaxUnitsByPlan,
 		collector: options.Statistics, classes: options.Settings.Classes,
@@ -169,7 +169,7 @@
 				if !ok {
 					break
 				}
-				l.handle(control.Timer{Label: label})
+				l.handle(control.TimerFired{Label: label})
 			}
 		}
 	}
@@ -213,21 +213,21 @@
 	switch a := a.(type) {
 	case control.Send:
 		l.startAttempt(a)
-	case control.Withdraw:
-		if x := l.exchanges[a.ID]; x != nil && a.N < len(x.attempts) {
-			x.attempts[a.N].Stop()
+	case control.CancelAttempt:
+		if x := l.exchanges[a.ID]; x != nil && a.Attempt < len(x.attempts) {
+			x.attempts[a.Attempt].Stop()
 		} else if x != nil {
 			l.withdrawPendingSends(x)
 		}
-	case control.Refuse:
-		l.answerUnserved(l.exchanges[a.ID], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: a.RetryAfter, Cause: a.Why})
+	case control.Reject:
+		l.answerUnserved(l.exchanges[a.ID], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, RetryAfter: a.RetryAfter, Cause: a.Cause})
 	case control.Fail:
 		l.failRequest(l.exchanges[a.ID])
-	case control.Arm:
+	case control.StartTimer:
 		l.timers.arm(time.Now().Add(a.After), a.Label)
 	case control.Disconnect:
 		l.retirePool(a.Server, true)
-	case control.Remark:
+	case control.LogLine:
 		l.log.Info("module", "remark", a.Text)
 	}
 }
@@ -258,7 +258,7 @@
 
 // submit has the module hear of a request.
 func (l *loop) submit(x *Exchange) {
-	x.Request.TTL = time.Until(x.Deadline)
+	x.Request.Timeout = time.Until(x.Deadline)
 	l.handle(x.Request)
 	if !x.isAnswered {
 		x.Gate.notify(l, true)
@@ -281,7 +281,7 @@
 		own.Kind, own.Status = Failed, http.StatusBadGateway
 	}
 	l.answerUnserved(x, own)
-	l.handle(control.Hangup{ID: x.Request.ID})
+	l.handle(control.ClientGone{ID: x.Request.ID})
 	l.abandonAttempts(x)
 }
 
@@ -322,7 +322,7 @@
 		x.Gate.notify(l, false)
 		l.withdrawPendingSends(x)
 		if x.classCounts != nil {
-			x.classCounts.requestEnded(a, x.Request.NoRoom)
+			x.classCounts.requestEnded(a, x.Request.IsOverCapacity)
 		}
 		if l.statistics != nil {
 			l.statistics.requestEnded(x, a)
@@ -359,7 +359,7 @@
 
 // updateEndpoints takes in what discovery tells. What is no longer listed is forgotten.
 func (l *loop) updateEndpoints(kind control.ListKind, list discovery.Listing) {
-	event := control.List{Kind: kind}
+	event := control.EndpointList{Kind: kind}
 	listed := make(map[string]bool)
 	for i := range list.Targets {
 		target := &list.Targets[i]
@@ -369,12 +369,12 @@
 			id = l.lastServerID
 			l.serverIDs[target.UID] = id
 		}
-		member := control.Member{
-			Server: id, Condition: target.Condition(), Zone: target.Zone, Cell: target.Group, Flavor: target.Model,
-			Size: target.Capacity, HasCameUp: target.BootMS > 0, CameUp: time.Duration(target.BootMS * float64(time.Millisecond)),
+		member := control.Endpoint{
+			Server: id, State: target.Condition(), Zone: target.Zone, Cell: target.Group, Flavor: target.Model,
+			Size: target.Capacity, HasStartedAt: target.BootMS > 0, StartedAt: time.Duration(target.BootMS * float64(time.Millisecond)),
 		}
-		event.Members = append(event.Members, member)
-		listed[target.UID] = member.Condition != control.Off
+		event.Endpoints = append(event.Endpoints, member)
+		listed[target.UID] = member.State != control.Gone
 		if l.recorder != nil {
 			l.recorder.serverListed(id, target)
 		}
@@ -382,18 +382,18 @@
 		if target.Protocol != "" {
 			serverProtocol = upstream.Speaks(slices.Index(discovery.Protocols, target.Protocol))
 		}
-		if pool := l.pools[id]; pool != nil && (member.Condition != control.On || pool.Endpoint != target.Endpoint || pool.Speaks != serverProtocol) {
+		if pool := l.pools[id]; pool != nil && (member.State != control.Active || pool.Endpoint != target.Endpoint || pool.Speaks != serverProtocol) {
 			l.retirePool(id, false)
-		} else if pool != nil && member.HasCameUp {
+		} else if pool != nil && member.HasStartedAt {
 			// Guards against connections that were open to a machine as it vanished: none tells of their end.
 			l.upstream.Forget(pool, time.UnixMilli(int64(target.BootMS)))
 		}
-		if member.Condition == control.On && l.pools[id] == nil {
+		if member.State == control.Active && l.pools[id] == nil {
 			l.pools[id] = l.upstream.Pool(target.Endpoint, serverProtocol)
 		}
 	}
 	for uid, id := range l.serverIDs {
-		if is, told := listed[uid]; told && !is || !told && kind != control.Patch {
+		if is, told := listed[uid]; told && !is || !told && kind != control.ListPatch {
 			l.retirePool(id, false)
 			delete(l.serverIDs, uid)
 			if l.recorder != nil {
--- a/internal/service/request_counts.go
+++ b/internal/service/request_counts.go
@@ -15,8 +15,8 @@
 var Reasons = [...]string{"ok", "error", "turned_away", "timed_out", "connect_failed", "reset", "cancelled", "not_sent"}
 
 var reasonIndex = map[control.Reason]int{
-	control.OK: 0, control.Errored: 1, control.Full: 2, control.TimedOut: 3, control.ConnectFailed: 4,
-	control.ResetByPeer: 5, control.Cancelled: 6, control.Moot: 7,
+	control.OK: 0, control.Errored: 1, control.RejectedByServer: 2, control.TimedOut: 3, control.ConnectFailed: 4,
+	control.ResetByPeer: 5, control.Cancelled: 6, control.NotSent: 7,
 }
 
 // ClassCounts count what became of one class's requests. They only grow.
--- a/internal/service/request_rules.go
+++ b/internal/service/request_rules.go
@@ -26,7 +26,7 @@
 		t.Classes[k.Name] = k
 	}
 	for _, p := range s.Plans {
-		t.MaxUnitsByPlan[p.Name] = maxUnits(s.UnitsTop, p)
+		t.MaxUnitsByPlan[p.Name] = maxUnits(s.MaxUnits, p)
 	}
 	return t
 }
@@ -41,8 +41,8 @@
 	switch {
 	case configured > 0:
 		return configured
-	case plan.Rate > 0 || plan.CeilingRate > 0: // a request without any figure has one unit
-		return min(max(1, plan.Depth, plan.CeilingBurst), maxUnlimitedUnits)
+	case plan.QuotaRate > 0 || plan.HardLimitRate > 0: // a request without any figure has one unit
+		return min(max(1, plan.QuotaBurst, plan.HardLimitBurst), maxUnlimitedUnits)
 	}
 	return maxUnlimitedUnits
 }
@@ -50,7 +50,7 @@
 // ClassMethod is the method that a class's requests come by (PROTOCOL): one that is safe to repeat
 // is asked for by GET, any other by POST.
 func ClassMethod(k control.Class) string {
-	if k.Effect == control.Free {
+	if k.Idempotency == control.Idempotent {
 		return http.MethodGet
 	}
 	return http.MethodPost
--- a/internal/service/retry_outcomes_test.go
+++ b/internal/service/retry_outcomes_test.go
@@ -120,11 +120,11 @@
 					}
 				}()
 				set := control.Settings{
-					GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1}},
-					Classes: []control.Class{{Name: "safe", Effect: control.Free}, {Name: "keyed", Effect: control.Guarded, RepeatWindow: time.Hour}, {Name: "unsafe", Effect: control.SingleShot}},
+					GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}},
+					Classes: []control.Class{{Name: "safe", Idempotency: control.Idempotent}, {Name: "keyed", Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Hour}, {Name: "unsafe", Idempotency: control.NotIdempotent}},
 				}
 				for i := range set.Classes {
-					set.Classes[i].Aim, set.Classes[i].Deadline, set.Classes[i].Worth = time.Hour, time.Hour, 1
+					set.Classes[i].LatencyObjective, set.Classes[i].Deadline, set.Classes[i].PriorityWeight = time.Hour, time.Hour, 1
 				}
 				socks, ready := &connectionCounter{}, make(chan struct{})
 				var servers []discovery.Target // two, of one group, that share what is asked of them
@@ -155,7 +155,7 @@
 					t.Fatal(err)
 				}
 				x := &Exchange{
-					Request: control.Request{ID: "a", Class: class, Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Request: control.Request{ID: "a", Class: class, Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(testkit.Patience),
 					Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
 				}
 				sends, status := 2, http.StatusOK
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -18,7 +18,7 @@
 // the send is then: at the gate, in the loop's channel, or with a worker that has not begun. The module
 // hears once that it never ran, and may send elsewhere.
 func TestAttemptAfterServerRemovalIsNotSent(t *testing.T) {
-	for _, effect := range []control.Effect{control.Free, control.Guarded, control.SingleShot} {
+	for _, effect := range []control.Idempotency{control.Idempotent, control.IdempotencyKeyed, control.NotIdempotent} {
 		for state, news := range map[string]discovery.Listing{
 			"draining": {Targets: []discovery.Target{{UID: "s-1", State: "draining"}}},
 			"removed":  {Targets: []discovery.Target{{UID: "s-1", State: "removed"}}},
@@ -27,25 +27,25 @@
 			for _, where := range []string{"gate", "channel", "worker", "worker, idle connection"} {
 				t.Run(fmt.Sprint(where, ", ", state, ", effect ", effect), func(t *testing.T) {
 					app := testkit.NewApp(t, testkit.Served)
-					listed, ended, server := make(chan struct{}, 10), make(chan control.Response, 10), uint32(0)
+					listed, ended, server := make(chan struct{}, 10), make(chan control.AttemptResult, 10), uint32(0)
 					module := moduleFunc(func(e control.Event) []control.Action {
 						switch e := e.(type) {
-						case control.List:
+						case control.EndpointList:
 							if server == 0 {
-								server = e.Members[0].Server
+								server = e.Endpoints[0].Server
 							}
 							listed <- struct{}{}
 						case control.Request:
 							return []control.Action{control.Send{ID: e.ID, Server: server}}
-						case control.Response:
-							if ended <- e; !e.Done {
-								return []control.Action{control.Refuse{ID: e.ID}}
+						case control.AttemptResult:
+							if ended <- e; !e.IsFinal {
+								return []control.Action{control.Reject{ID: e.ID}}
 							}
 						}
 						return nil
 					})
 					o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return module, nil }}
-					o.Settings.Classes[0].Effect = effect
+					o.Settings.Classes[0].Idempotency = effect
 					o.Upstream = upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}
 					o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
 					s, err := New(o)
@@ -106,7 +106,7 @@
 					if a := testkit.Next(t, answers); a.Kind != Rejected {
 						t.Errorf("%+v", a)
 					}
-					if e := testkit.Next(t, ended); e.Reason != control.ConnectFailed || e.Done {
+					if e := testkit.Next(t, ended); e.Reason != control.ConnectFailed || e.IsFinal {
 						t.Errorf("its attempt ended %+v", e)
 					}
 					if n := app.Count(); n != before || len(ended) > 0 {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -121,7 +121,7 @@
 	s.feed.Known = len(options.CachedEndpoints.Targets) > 0
 	// Guards against a bound that the module sets by a list of no servers.
 	if len(options.CachedEndpoints.Targets) > 0 {
-		s.postEndpoints(s.loop, control.Stale, options.CachedEndpoints)
+		s.postEndpoints(s.loop, control.ListCached, options.CachedEndpoints)
 	}
 	return s, nil
 }
@@ -163,7 +163,7 @@
 		clear(s.endpoints)
 	}
 	for _, t := range list.Targets {
-		if t.Condition() == control.Off {
+		if t.Condition() == control.Gone {
 			delete(s.endpoints, t.UID)
 		} else {
 			s.endpoints[t.UID] = t
@@ -179,9 +179,9 @@
 	s.mergeEndpoints(list)
 	l := s.loop
 	s.mu.Unlock()
-	kind := control.Patch
+	kind := control.ListPatch
 	if list.All {
-		kind = control.Whole
+		kind = control.ListComplete
 	}
 	s.postEndpoints(l, kind, list)
 }
@@ -261,7 +261,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loop = l
-	s.postEndpoints(l, control.Stale, s.endpointList())
+	s.postEndpoints(l, control.ListCached, s.endpointList())
 	return nil
 }
 
@@ -315,7 +315,7 @@
 	}
 	answer := int64(s.upstream.Answer)
 	if x.releaseResources, ok = s.opts.Limiter.Admit(body + answer); !ok {
-		x.Request.NoRoom = true
+		x.Request.IsOverCapacity = true
 		return false
 	}
 	x.references.Store(1)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -22,8 +22,8 @@
 
 func testSettings() control.Settings {
 	return control.Settings{
-		GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3,
-		Classes: []control.Class{{Name: "read", Aim: time.Second, Deadline: 5 * time.Second}}, Plans: []control.Plan{{Name: "p"}},
+		GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3,
+		Classes: []control.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 5 * time.Second}}, Plans: []control.Plan{{Name: "p"}},
 	}
 }
 
@@ -66,7 +66,7 @@
 // rejectAll refuses each request at once.
 func rejectAll(e control.Event) []control.Action {
 	if r, ok := e.(control.Request); ok {
-		return []control.Action{control.Refuse{ID: r.ID, RetryAfter: time.Second}}
+		return []control.Action{control.Reject{ID: r.ID, RetryAfter: time.Second}}
 	}
 	return nil
 }
@@ -238,7 +238,7 @@
 		}
 		module = func(e control.Event) []control.Action {
 			if r, ok := e.(control.Request); ok {
-				if r.NoRoom {
+				if r.IsOverCapacity {
 					return rejectAll(e)
 				}
 				panic("bad")
@@ -281,9 +281,9 @@
 func TestServerIDsAreNeverReused(t *testing.T) {
 	seen := make(map[uint32]bool)
 	l := newLoop(moduleFunc(func(e control.Event) []control.Action {
-		if e, ok := e.(control.List); ok {
-			for _, m := range e.Members {
-				if m.Condition == control.On && seen[m.Server] {
+		if e, ok := e.(control.EndpointList); ok {
+			for _, m := range e.Endpoints {
+				if m.State == control.Active && seen[m.Server] {
 					t.Errorf("id %d again", m.Server)
 				}
 				seen[m.Server] = true
@@ -292,8 +292,8 @@
 		return nil
 	}), &Options{}, upstream.New(upstream.Options{}), nil)
 	for range 50 {
-		l.updateEndpoints(control.Patch, discovery.Listing{Targets: []discovery.Target{{UID: "s", Endpoint: "127.0.0.1:1", State: "up"}}})
-		l.updateEndpoints(control.Patch, discovery.Listing{Targets: []discovery.Target{{UID: "s", State: "removed"}}})
+		l.updateEndpoints(control.ListPatch, discovery.Listing{Targets: []discovery.Target{{UID: "s", Endpoint: "127.0.0.1:1", State: "up"}}})
+		l.updateEndpoints(control.ListPatch, discovery.Listing{Targets: []discovery.Target{{UID: "s", State: "removed"}}})
 	}
 	if len(l.serverIDs)+len(l.pools) > 0 {
 		t.Errorf("%d ids and %d pools kept", len(l.serverIDs), len(l.pools))
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -42,21 +42,21 @@
 	}
 	never := func(ctx context.Context) upstream.Outcome {
 		if !upstream.Commit(ctx) {
-			return upstream.Outcome{Reason: control.Moot}
+			return upstream.Outcome{Reason: control.NotSent}
 		}
 		<-ctx.Done()
 		return upstream.Outcome{Reason: control.Cancelled}
 	}
-	for effect, class := range map[string]control.Effect{"safe": control.Free, "keyed": control.Guarded, "unsafe": control.SingleShot} {
+	for effect, class := range map[string]control.Idempotency{"safe": control.Idempotent, "keyed": control.IdempotencyKeyed, "unsafe": control.NotIdempotent} {
 		for _, deadline := range []time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond, 7500 * time.Millisecond} {
 			for name, tc := range map[string]struct {
 				try  func(context.Context) upstream.Outcome // nil has no attempt made
 				kind AnswerKind
 			}{
 				"nothing sent":   {nil, Rejected},
-				"refused":        {ends(control.Full, http.StatusServiceUnavailable), Rejected},
+				"refused":        {ends(control.RejectedByServer, http.StatusServiceUnavailable), Rejected},
 				"no connection":  {ends(control.ConnectFailed, 0), Rejected},
-				"given up":       {ends(control.Moot, 0), Rejected},
+				"given up":       {ends(control.NotSent, 0), Rejected},
 				"error":          {ends(control.Errored, http.StatusInternalServerError), Failed},
 				"reset":          {ends(control.ResetByPeer, 0), Failed},
 				"timed out":      {ends(control.TimedOut, 0), Failed},
@@ -67,7 +67,7 @@
 					t.Run(fmt.Sprintf("%s %v %s, panic %v", effect, deadline, name, panics), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
 							set := testSettings()
-							set.Classes[0].Effect, set.Classes[0].Deadline = class, deadline
+							set.Classes[0].Idempotency, set.Classes[0].Deadline = class, deadline
 							set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = control.ScopeCell, time.Minute
 							module := moduleFunc(ignoreAll)
 							if tc.try != nil {
--- a/internal/service/statistics.go
+++ b/internal/service/statistics.go
@@ -40,7 +40,7 @@
 func (m *StatisticsCollector) addLoop(classes []control.Class) *loopStatistics {
 	c := &loopStatistics{classes: make(map[string]*classStatistics, len(classes))}
 	for _, k := range classes {
-		c.classes[k.Name] = &classStatistics{priorityWeight: k.Worth, latencyObjective: k.Aim}
+		c.classes[k.Name] = &classStatistics{priorityWeight: k.PriorityWeight, latencyObjective: k.LatencyObjective}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -117,7 +117,7 @@
 		}
 	case 1:
 		c.rejected.Add(1)
-		if a.Cause == control.OverCeiling || a.Cause == control.OverStore || a.Cause == control.ByChance {
+		if a.Cause == control.CauseHardLimit || a.Cause == control.CauseQuota || a.Cause == control.CauseProbability {
 			c.rejectedByQuota.Add(1)
 			asked = false
 		}
@@ -131,7 +131,7 @@
 	}
 	// The attempts have ended DeadlineMargin before; a stream's body and one that is still to come have time
 	// of their own.
-	if a.Status != 0 && !x.Request.Open && now.Sub(x.Deadline) > DeadlineMargin {
+	if a.Status != 0 && !x.Request.HasPendingBody && now.Sub(x.Deadline) > DeadlineMargin {
 		c.deadlineBreaches.Add(1)
 	}
 }
--- a/internal/service/statistics_test.go
+++ b/internal/service/statistics_test.go
@@ -24,13 +24,13 @@
 		"the node's own": {0, 0, Answer{Kind: Failed, Status: 504}, 0, "asked failed"},
 		"a server's":     {0, 0, Answer{Status: 500}, 0, "asked failed"},
 		"left":           {0, -time.Second, Answer{}, 0, "asked left"},
-		"no turn":        {0, 0, Answer{Kind: Rejected, Status: 503}, control.NoTurn, "asked refused"},
-		"ceiling":        {0, 0, Answer{Kind: Rejected, Status: 503}, control.OverCeiling, "refused beyond"},
-		"quota":          {0, 0, Answer{Kind: Rejected, Status: 503}, control.ByChance, "refused beyond"},
+		"no turn":        {0, 0, Answer{Kind: Rejected, Status: 503}, control.CauseQueueTimeout, "asked refused"},
+		"ceiling":        {0, 0, Answer{Kind: Rejected, Status: 503}, control.CauseHardLimit, "refused beyond"},
+		"quota":          {0, 0, Answer{Kind: Rejected, Status: 503}, control.CauseProbability, "refused beyond"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := m.Statistics()
-			c1 := m.addLoop([]control.Class{{Name: k, Worth: 2.5, Aim: time.Second}})
+			c1 := m.addLoop([]control.Class{{Name: k, PriorityWeight: 2.5, LatencyObjective: time.Second}})
 			now := time.Now()
 			x := &Exchange{Request: control.Request{Class: k, Units: 1.5}, Deadline: now.Add(c.left), startedAt: now.Add(-c.took)}
 			c1.attemptStarted(x.Request.Units)
@@ -79,7 +79,7 @@
 
 func BenchmarkStatistics(b *testing.B) {
 	var m StatisticsCollector
-	c := m.addLoop([]control.Class{{Name: "read", Worth: 1, Aim: time.Second}})
+	c := m.addLoop([]control.Class{{Name: "read", PriorityWeight: 1, LatencyObjective: time.Second}})
 	x := &Exchange{Request: control.Request{Class: "read", Units: 1}, Deadline: time.Now().Add(time.Hour), startedAt: time.Now()}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -33,11 +33,11 @@
 		"reset": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Failed, http.StatusBadGateway},
 		"error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, Failed, http.StatusBadGateway},
 	} {
-		for _, class := range []control.Class{{Effect: control.Free}, {Effect: control.Guarded, KeyScope: control.ScopeCell, RepeatWindow: time.Hour}} {
+		for _, class := range []control.Class{{Idempotency: control.Idempotent}, {Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: time.Hour}} {
 			t.Run(name, func(t *testing.T) {
 				app := testkit.NewApp(t, tc.first)
-				class.Name, class.Aim, class.Deadline, class.Worth = "read", time.Hour, time.Hour, 1
-				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, SendCap: 3, Plans: []control.Plan{{Name: "p", Price: 1}}, Classes: []control.Class{class}}
+				class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "read", time.Hour, time.Hour, 1
+				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}}, Classes: []control.Class{class}}
 				var servers []discovery.Target // of one group
 				for _, uid := range []string{"s-1", "s-2"} {
 					servers = append(servers, discovery.Target{UID: uid, Endpoint: app.Addr(), State: "up", Capacity: 1})
@@ -63,7 +63,7 @@
 				testkit.Next(t, ready)
 				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
 				x := &Exchange{
-					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, Spread: 1}, Deadline: time.Now().Add(testkit.Patience),
+					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(testkit.Patience),
 					Client: clientUntilFirstRequest{app}, Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
 				}
 				if a, ok := s.Do(t.Context(), x); ok || a.Kind != tc.kind || a.Status != tc.status {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -91,7 +91,7 @@
 func (a *Attempt) Ended(o Outcome) Outcome {
 	switch a.state.Load() {
 	case withdrawn, abandoned:
-		return Outcome{Reason: control.Moot, Err: errUnsent, Left: a.state.Load() == abandoned, Dialed: o.Dialed}
+		return Outcome{Reason: control.NotSent, Err: errUnsent, Left: a.state.Load() == abandoned, Dialed: o.Dialed}
 	}
 	return o
 }
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -176,7 +176,7 @@
 	}
 	s.end(good)
 	s.u.doubled.Store(true)
-	if o := s.u.Try(t.Context(), s.p, message(t, nil)); o.Reason != control.Moot || !errors.Is(o.Err, errNoDial) {
+	if o := s.u.Try(t.Context(), s.p, message(t, nil)); o.Reason != control.NotSent || !errors.Is(o.Err, errNoDial) {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -191,7 +191,7 @@
 		t.Helper()
 		ctx, cancel := context.WithTimeout(BeginBy(t.Context(), time.Now()), testkit.Patience)
 		defer cancel()
-		if o := s.u.Try(ctx, s.p, message(t, nil)); o.Reason != control.Moot {
+		if o := s.u.Try(ctx, s.p, message(t, nil)); o.Reason != control.NotSent {
 			t.Fatalf("%d (%v)", o.Reason, o.Err)
 		}
 	}
@@ -261,10 +261,10 @@
 				return update("id", "body").Attempt(ctx, nil, u, p)
 			}
 			late.past = time.Now().Add(10 * time.Millisecond)
-			if o := try(late.past); o.Reason != control.Moot {
+			if o := try(late.past); o.Reason != control.NotSent {
 				t.Errorf("%d (%v) over a new connection", o.Reason, o.Err)
 			}
-			if o := try(time.Now()); o.Reason != control.Moot {
+			if o := try(time.Now()); o.Reason != control.NotSent {
 				t.Errorf("%d (%v) over an idle one", o.Reason, o.Err)
 			}
 			if one, two := a.Spoken(); one+two != 0 {
@@ -431,7 +431,7 @@
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
-				if o := update("id", "body").Attempt(ctx, nil, u, p); o.Reason != control.ConnectFailed && o.Reason != control.Moot {
+				if o := update("id", "body").Attempt(ctx, nil, u, p); o.Reason != control.ConnectFailed && o.Reason != control.NotSent {
 					t.Errorf("%d (%v)", o.Reason, o.Err)
 				}
 				if one, two := a.Spoken(); one+two != 0 {
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -120,18 +120,18 @@
 		case errors.Is(err, h2.ErrNotSpoken) && s.speaks == TriesHTTP2:
 			return o, dialed, false
 		case errors.Is(err, errNoStream):
-			return Outcome{Reason: control.Moot, Err: err}, dialed, true // speaks against no app server
+			return Outcome{Reason: control.NotSent, Err: err}, dialed, true // speaks against no app server
 		case err != nil:
 			return unconnected(err), dialed, true
 		}
 		if tooLate(ctx) {
-			return Outcome{Reason: control.Moot, Err: errLate}, dialed, true
+			return Outcome{Reason: control.NotSent, Err: errLate}, dialed, true
 		}
 		switch err := do(c); {
 		case errors.Is(err, h2.ErrNoStream): // others took the room meanwhile
 			continue
 		case err != nil:
-			return Outcome{Reason: control.Moot, Err: err}, dialed, true
+			return Outcome{Reason: control.NotSent, Err: err}, dialed, true
 		}
 		return o, dialed, true
 	}
@@ -169,7 +169,7 @@
 	switch {
 	case e.Err == nil:
 	case e.Fate == h2.TurnedAway:
-		return control.Full
+		return control.RejectedByServer
 	case e.Fate == h2.NeverRan:
 		return control.ConnectFailed
 	}
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -101,7 +101,7 @@
 						say("%s: %v %q, and it ran %d times", id, o.Reason, o.Body, ran)
 					}
 					return
-				case control.Full, control.ConnectFailed, control.Moot:
+				case control.RejectedByServer, control.ConnectFailed, control.NotSent:
 					if ran != 0 {
 						say("%s: told that it never ran (%v, %v), and it ran", id, o.Reason, o.Err)
 						return
@@ -184,7 +184,7 @@
 	u := newHTTP2(HTTP2{})
 	begun := time.Now()
 	o := update("a", "").Attempt(t.Context(), t.Context(), u, u.Pool(l, SpeaksHTTP2))
-	if o.Reason != control.Moot || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.Connect/2 {
+	if o.Reason != control.NotSent || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.Connect/2 {
 		t.Errorf("%v, %v after %v", o.Reason, o.Err, time.Since(begun))
 	}
 }
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -29,7 +29,7 @@
 	case status == http.StatusOK:
 		o.Reason, o.Status, o.Final = control.OK, http.StatusOK, true
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(protocol.HeaderUnseen) == "1":
-		o.Reason = control.Full
+		o.Reason = control.RejectedByServer
 	default:
 		o.Reason = control.Errored
 	}
@@ -55,8 +55,8 @@
 
 // Load reads the app server's report. The header's words for the figures are not
 // those of the settings; what is not known, or can't be, is skipped.
-func (o *Outcome) Load() *control.Load {
-	none := control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
+func (o *Outcome) Load() *control.LoadReport {
+	none := control.LoadReport{InFlight: -1, Queued: -1, Utilization: -1, MeanLatencyMS: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 	l := none
 	for pair := range strings.SplitSeq(o.Header.Get(protocol.HeaderLoad), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
@@ -66,17 +66,17 @@
 		}
 		switch name {
 		case "inflight", "active":
-			l.Active = v
+			l.InFlight = v
 		case "queue", "waiting":
-			l.Waiting = v
+			l.Queued = v
 		case "util", "cpu":
-			l.CPU = v
+			l.Utilization = v
 		case "latency_ms", "avg_ms":
-			l.AvgMS = v
+			l.MeanLatencyMS = v
 		case "qps", "rps":
-			l.RPS = v
+			l.RequestsPerSecond = v
 		case "eps", "err_rps":
-			l.ErrRPS = v
+			l.ErrorsPerSecond = v
 		}
 	}
 	if l == none {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -161,7 +161,7 @@
 // unsent is the outcome of an attempt that was taken back once it had a connection, which is kept as it was: a
 // server bears few that come up, and its own clock of an idle one goes on.
 func (u *Upstream) unsent(p *Pool, c *conn) Outcome {
-	o := Outcome{Reason: control.Moot, Err: errUnsent, Dialed: c.since.IsZero()}
+	o := Outcome{Reason: control.NotSent, Err: errUnsent, Dialed: c.since.IsZero()}
 	if o.Dialed {
 		c.since = time.Now()
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -368,7 +368,7 @@
 // unconnected is the outcome of an attempt that got no connection.
 func unconnected(err error) Outcome {
 	if errors.Is(err, errNoDescriptor) || errors.Is(err, errNoDial) || errors.Is(err, errLate) { // speaks against no app server
-		return Outcome{Reason: control.Moot, Err: err}
+		return Outcome{Reason: control.NotSent, Err: err}
 	}
 	return Outcome{Reason: control.ConnectFailed, Err: err, Dialed: true}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -69,8 +69,8 @@
 		"not found":                    {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", control.Errored, 0},
 		"503 of no account":            {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", control.Errored, 0},
 		"504 marked otherwise":         {"HTTP/1.1 504 No\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n", control.Errored, 0},
-		"503 turned away":              {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.Full, 0},
-		"504 turned away":              {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.Full, 0},
+		"503 turned away":              {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.RejectedByServer, 0},
+		"504 turned away":              {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.RejectedByServer, 0},
 		"500 marked":                   {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.Errored, 0},
 		"hung up":                      {" ", control.ResetByPeer, 0},
 		"no HTTP":                      {"what?\r\n\r\n", control.ResetByPeer, 0},
@@ -80,7 +80,7 @@
 		"an endless head":              {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 200000), control.ResetByPeer, 0},
 		"no stated length":             {"HTTP/1.1 200 OK\r\n\r\nok", control.OK, control.ResetByPeer},
 		"the same of HTTP/1.0":         {"HTTP/1.0 200 OK\r\n\r\nok", control.OK, control.ResetByPeer},
-		"the same, turned away":        {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n\r\n", control.Full, control.ResetByPeer},
+		"the same, turned away":        {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n\r\n", control.RejectedByServer, control.ResetByPeer},
 		"the same, too large":          {"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 65537), control.ResetByPeer, 0},
 		"turned away, cut":             {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 1\r\n\r\n", control.ResetByPeer, 0},
 		"turned away, cut in its head": {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n", control.ResetByPeer, 0},
@@ -268,7 +268,7 @@
 	if o.Used() != 86 || o.Cost(4) != 3 {
 		t.Errorf("used %d, cost %g", o.Used(), o.Cost(4))
 	}
-	if l := *o.Load(); l != (control.Load{Active: 7, Waiting: 2, CPU: 0.61, AvgMS: 12.5, RPS: -1, ErrRPS: -1}) {
+	if l := *o.Load(); l != (control.LoadReport{InFlight: 7, Queued: 2, Utilization: 0.61, MeanLatencyMS: 12.5, RequestsPerSecond: -1, ErrorsPerSecond: -1}) {
 		t.Errorf("load %+v", l)
 	}
 	for _, odd := range []string{"", "x", "-1", "NaN", "1e400", "1e300", "99999", "inflight=-1,util=NaN", "queue=1e300"} {
@@ -285,7 +285,7 @@
 	socks := limits.NewSockets(0)
 	socks.SetMost(0)
 	u := newTest(testkit.Patience, socks)
-	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Moot || a.Count() > 0 {
+	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.NotSent || a.Count() > 0 {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -24,31 +24,31 @@
 	case control.Send:
 		b = pair(begin(b, "call_out", who), " xid=", a.ID)
 		b = strconv.AppendUint(append(b, " server="...), uint64(a.Server), 10)
-		if a.Within != 0 {
-			b = appendMS(append(b, " within="...), a.Within)
+		if a.Timeout != 0 {
+			b = appendMS(append(b, " within="...), a.Timeout)
 		}
-	case control.Withdraw:
+	case control.CancelAttempt:
 		b = pair(begin(b, "withdraw", who), " xid=", a.ID)
-		b = strconv.AppendInt(append(b, " n="...), int64(a.N), 10)
-	case control.Refuse:
+		b = strconv.AppendInt(append(b, " n="...), int64(a.Attempt), 10)
+	case control.Reject:
 		b = pair(begin(b, "busy", who), " xid=", a.ID)
 		if a.RetryAfter > 0 {
 			b = appendMS(append(b, " backoff="...), a.RetryAfter)
 		}
 	case control.Fail:
 		b = pair(begin(b, "finish_error", who), " xid=", a.ID)
-	case control.Arm:
+	case control.StartTimer:
 		b = appendMS(append(begin(b, "arm", who), " offset="...), a.After)
 		b = strconv.AppendUint(append(b, " label="...), a.Label, 10)
-	case control.Probe:
+	case control.CheckHealth:
 		b = strconv.AppendUint(append(begin(b, "poll", who), " server="...), uint64(a.Server), 10)
 	case control.Disconnect:
 		b = strconv.AppendUint(append(begin(b, "disconnect", who), " server="...), uint64(a.Server), 10)
-	case control.Follow:
+	case control.WatchEndpoints:
 		b = pair(begin(b, "follow", who), " active=", map[bool]string{true: "1", false: "0"}[a.Active])
-	case control.Snapshot:
+	case control.FetchEndpoints:
 		b = begin(b, "snapshot", who)
-	case control.Say:
+	case control.SendPeerMessage:
 		b = append(begin(b, "say", who), " neighbour-id="...)
 		if a.To < 0 {
 			b = append(b, "all"...)
@@ -56,11 +56,11 @@
 			b = strconv.AppendInt(b, int64(a.To), 10)
 		}
 		b = pair(b, " raw=", hexOrDash(a.Raw))
-	case control.Count:
+	case control.AddToCounter:
 		b = strconv.AppendUint(append(begin(b, "incr", who), " cname="...), a.Name, 10)
 		b = strconv.AppendFloat(append(b, " by="...), a.Add, 'f', -1, 64)
-		b = appendMS(append(b, " expire-in="...), a.Lives)
-	case control.Remark:
+		b = appendMS(append(b, " expire-in="...), a.Lifetime)
+	case control.LogLine:
 		return appendText(begin(b, "remark", who), a.Text)
 	default:
 		panic(fmt.Sprintf("wire: no text for action %T", a))
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -52,7 +52,7 @@
 // check names the first setting, by its path, that can't be whatever a module makes of it.
 func (g *facts) check(s *control.Settings) {
 	for i, k := range s.Classes {
-		for name, v := range map[string]time.Duration{"aim": k.Aim, "deadline": k.Deadline} {
+		for name, v := range map[string]time.Duration{"aim": k.LatencyObjective, "deadline": k.Deadline} {
 			if v <= 0 {
 				g.bad(fmt.Sprintf("classes.%d.%s", i, name), fmt.Errorf("class %q: %v is not positive", k.Name, v))
 			}
@@ -67,8 +67,8 @@
 	if s.SelfIndex >= s.GroupSize {
 		g.bad("self-index", fmt.Errorf("%d is outside a group of %d", s.SelfIndex, s.GroupSize))
 	}
-	if s.ColdFrom > 1 {
-		g.bad("contract.cold-from", fmt.Errorf("%g is more than all of a server's capacity", s.ColdFrom))
+	if s.InitialCapacity > 1 {
+		g.bad("contract.cold-from", fmt.Errorf("%g is more than all of a server's capacity", s.InitialCapacity))
 	}
 	// Guards against a request that means the one and is held to the terms of the other.
 	classes, plans := map[string]bool{}, map[string]bool{}
@@ -95,19 +95,19 @@
 	doubt := func(plan int, name, format string, args ...any) {
 		all = append(all, fmt.Errorf("field tariffs.%d.%s: plan %q: %s", plan, name, s.Plans[plan].Name, fmt.Sprintf(format, args...)))
 	}
-	largest := max(1, s.UnitsTop)
+	largest := max(1, s.MaxUnits)
 	for i, p := range s.Plans {
-		if p.Rate > 0 && p.Depth < largest {
-			doubt(i, "depth", "%g units are fewer than the %g of one request", p.Depth, largest)
+		if p.QuotaRate > 0 && p.QuotaBurst < largest {
+			doubt(i, "depth", "%g units are fewer than the %g of one request", p.QuotaBurst, largest)
 		}
-		if p.Rate == 0 && p.Depth > 0 && p.Open == 0 {
-			doubt(i, "quota-rate", "a store of %g units is no quota without one", p.Depth)
+		if p.QuotaRate == 0 && p.QuotaBurst > 0 && p.MaxInFlight == 0 {
+			doubt(i, "quota-rate", "a store of %g units is no quota without one", p.QuotaBurst)
 		}
-		if p.CeilingRate > 0 && p.CeilingBurst < largest {
-			doubt(i, "hard-burst", "%g units are fewer than the %g of one request", p.CeilingBurst, largest)
+		if p.HardLimitRate > 0 && p.HardLimitBurst < largest {
+			doubt(i, "hard-burst", "%g units are fewer than the %g of one request", p.HardLimitBurst, largest)
 		}
-		if p.CeilingRate == 0 && p.CeilingBurst > 0 {
-			doubt(i, "cap-rate", "a store of %g units is no ceiling without one", p.CeilingBurst)
+		if p.HardLimitRate == 0 && p.HardLimitBurst > 0 {
+			doubt(i, "cap-rate", "a store of %g units is no ceiling without one", p.HardLimitBurst)
 		}
 	}
 	return all
@@ -159,18 +159,18 @@
 func (g *facts) settings() control.Settings {
 	s := control.Settings{
 		SelfIndex: g.whole("self-index"), GroupSize: g.whole("group-size"), Zone: g.m["zone"],
-		OnRequest: g.m["discovery"] == "on_request",
-		AskWithin: g.ms("contract.ask-within", false), DrainGrace: g.ms("contract.drain-grace", false),
-		Cold: g.ms("contract.cold", false), ColdFrom: g.num("contract.cold-from"),
-		Fall: g.ms("contract.fall", false), FallMultiple: g.num("contract.fall-multiple"),
-		MeterPeriod: g.ms("domain.meter-period", false), CostAfter: g.flag("domain.cost-after"),
-		UnitsTop: g.num("domain.units-top"), HasCounter: g.flag("domain.has-counter"),
-		InboxPerS: g.num("domain.inbox-per-s"),
-		SendCap:   g.whole("limits.send-cap"), OpenCap: g.whole("limits.open-cap"),
-		MayCancel: g.flag("limits.may-cancel"), MarksRetry: g.flag("clients.marks-retry"), Probes: g.flag("limits.probes"),
-		PeerMessages: g.flag("limits.peer-messages"), SecondCopies: g.flag("limits.second-copies"),
-		RetryAfter: g.flag("limits.retry-after"), MaxRetryAfter: g.ms("limits.max-retry-after", false),
-		CrossZone: g.num("charges.cross-zone"),
+		ListOnRequest:   g.m["discovery"] == "on_request",
+		MaxPollInterval: g.ms("contract.ask-within", false), DrainGrace: g.ms("contract.drain-grace", false),
+		WarmupTime: g.ms("contract.cold", false), InitialCapacity: g.num("contract.cold-from"),
+		OverloadWindow: g.ms("contract.fall", false), OverloadMultiple: g.num("contract.fall-multiple"),
+		MeterPeriod: g.ms("domain.meter-period", false), UnitsInResponse: g.flag("domain.cost-after"),
+		MaxUnits: g.num("domain.units-top"), HasCounter: g.flag("domain.has-counter"),
+		PeerMessagesPerSecond: g.num("domain.inbox-per-s"),
+		MaxAttempts:           g.whole("limits.send-cap"), MaxRequests: g.whole("limits.open-cap"),
+		CanCancel: g.flag("limits.may-cancel"), RetriesAreMarked: g.flag("clients.marks-retry"), HealthChecks: g.flag("limits.probes"),
+		PeerMessages: g.flag("limits.peer-messages"), HedgedRequests: g.flag("limits.second-copies"),
+		SupportsRetryAfter: g.flag("limits.retry-after"), MaxRetryAfter: g.ms("limits.max-retry-after", false),
+		CrossZonePrice: g.num("charges.cross-zone"),
 	}
 	for i := 0; i < g.count("classes"); i++ {
 		s.Classes = append(s.Classes, g.class(fmt.Sprintf("classes.%d.", i)))
@@ -193,17 +193,17 @@
 
 func (g *facts) class(p string) control.Class {
 	c := control.Class{
-		Name: g.m[p+"name"], Aim: g.ms(p+"aim", false), Deadline: g.ms(p+"deadline", false),
-		RepeatWindow: g.ms(p+"repeat-window", false), Worth: g.num(p + "worth"),
-		LateShare: g.num(p + "late-share"), Stream: g.flag(p + "stream"),
+		Name: g.m[p+"name"], LatencyObjective: g.ms(p+"aim", false), Deadline: g.ms(p+"deadline", false),
+		RepeatWindow: g.ms(p+"repeat-window", false), PriorityWeight: g.num(p + "worth"),
+		LateWeightFraction: g.num(p + "late-share"), IsStreaming: g.flag(p + "stream"),
 	}
 	switch e := g.m[p+"effect"]; e {
 	case "free":
-		c.Effect = control.Free
+		c.Idempotency = control.Idempotent
 	case "guarded":
-		c.Effect = control.Guarded
+		c.Idempotency = control.IdempotencyKeyed
 	case "single_shot":
-		c.Effect = control.SingleShot
+		c.Idempotency = control.NotIdempotent
 	default:
 		g.bad(p+"effect", fmt.Errorf("unknown value %q", e))
 	}
@@ -222,9 +222,9 @@
 
 func (g *facts) plan(p string) control.Plan {
 	return control.Plan{
-		Name: g.m[p+"name"], Price: g.num(p + "value-factor"), Rate: g.num(p + "quota-rate"),
-		Depth: g.num(p + "depth"), Open: g.whole(p + "open"), OverCost: g.num(p + "overrun-cost"),
-		OverEarns: g.num(p + "beyond-earns"), CeilingRate: g.num(p + "cap-rate"),
-		CeilingBurst: g.num(p + "hard-burst"), CeilingSlack: g.num(p + "ceiling-slack"),
+		Name: g.m[p+"name"], Price: g.num(p + "value-factor"), QuotaRate: g.num(p + "quota-rate"),
+		QuotaBurst: g.num(p + "depth"), MaxInFlight: g.whole(p + "open"), OverQuotaCost: g.num(p + "overrun-cost"),
+		OverQuotaGain: g.num(p + "beyond-earns"), HardLimitRate: g.num(p + "cap-rate"),
+		HardLimitBurst: g.num(p + "hard-burst"), HardLimitSlack: g.num(p + "ceiling-slack"),
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -116,30 +116,30 @@
 			return in, true, d.fail(name, f.err)
 		}
 		members, err := d.members(count)
-		in.Event = control.List{Kind: kind, Members: members}
+		in.Event = control.EndpointList{Kind: kind, Endpoints: members}
 		return in, true, err
 	case "request":
 		in.Event = request(f)
 	case "started":
-		in.Event = control.Started{
-			ID: f.text("xid", true), N: int(f.integer("n", false)),
+		in.Event = control.ResponseStarted{
+			ID: f.text("xid", true), Attempt: int(f.integer("n", false)),
 			Server: f.server(), Delay: f.ms("delay-seen", false),
 		}
 	case "response":
 		in.Event = response(f)
 	case "hangup":
-		in.Event = control.Hangup{ID: f.text("xid", true)}
+		in.Event = control.ClientGone{ID: f.text("xid", true)}
 	case "elapsed":
-		in.Event = control.Timer{Label: f.unsigned("label", true)}
+		in.Event = control.TimerFired{Label: f.unsigned("label", true)}
 	case "ping_result":
-		in.Event = control.ProbeResult{
+		in.Event = control.HealthCheckResult{
 			Server: f.server(), Reason: control.Reason(f.integer("reason", true)),
 			Delay: f.ms("delay-seen", false), Load: load(f),
 		}
 	case "peer":
 		in.Event = control.PeerMessage{From: int(f.integer("src", true)), Raw: f.bytes("raw")}
 	case "reckoned":
-		in.Event = control.Counted{
+		in.Event = control.CounterResult{
 			Name: f.unsigned("cname", true), Total: f.number("total", false),
 			Delay: f.ms("delay-seen", false), Reason: control.Reason(f.integer("reason", true)),
 		}
@@ -157,46 +157,46 @@
 	bits := f.unsigned("bitmap", false)
 	r := control.Request{
 		ID: f.text("xid", true), Class: f.text("class", true), Plan: f.text("terms", false),
-		Customer: f.text("client-id", false), TTL: f.ms("ttl", true), Units: 1, Spread: 1,
-		SetStart: int(f.number("set-start", false)), Repeat: bits&2 != 0, Write: bits&4 != 0,
+		Customer: f.text("client-id", false), Timeout: f.ms("ttl", true), Units: 1, FanOut: 1,
+		FirstGateway: int(f.number("set-start", false)), IsRetry: bits&2 != 0, IsWrite: bits&4 != 0,
 	}
 	if f.has("weight") {
 		r.Units = f.number("weight", true)
 	}
 	if f.has("spread") {
-		r.Spread = int(f.number("spread", true))
+		r.FanOut = int(f.number("spread", true))
 	}
 	return r
 }
 
-func response(f *fields) control.Response {
-	return control.Response{
-		ID: f.text("xid", true), N: int(f.integer("n", false)), Server: f.server(),
-		Reason: control.Reason(f.integer("reason", true)), Done: f.boolean("no-more"),
-		Delay: f.ms("delay-seen", false), Cost: f.number("cost", false),
-		Used: int(f.integer("use-pct", false)), Load: load(f),
+func response(f *fields) control.AttemptResult {
+	return control.AttemptResult{
+		ID: f.text("xid", true), Attempt: int(f.integer("n", false)), Server: f.server(),
+		Reason: control.Reason(f.integer("reason", true)), IsFinal: f.boolean("no-more"),
+		Delay: f.ms("delay-seen", false), ActualUnits: f.number("cost", false),
+		QuotaUsage: int(f.integer("use-pct", false)), Load: load(f),
 	}
 }
 
 func listKind(f *fields) control.ListKind {
 	switch k := f.text("kind", true); k {
 	case "patch":
-		return control.Patch
+		return control.ListPatch
 	case "whole":
-		return control.Whole
+		return control.ListComplete
 	case "stale_copy":
-		return control.Stale
+		return control.ListCached
 	case "broken":
-		return control.Broken
+		return control.ListFailed
 	default:
 		f.bad("kind", fmt.Errorf("unknown value %q", k))
-		return control.Broken
+		return control.ListFailed
 	}
 }
 
 // members reads the item lines of a discovery event.
-func (d *Decoder) members(count int64) ([]control.Member, error) {
-	var list []control.Member
+func (d *Decoder) members(count int64) ([]control.Endpoint, error) {
+	var list []control.Endpoint
 	for ; count > 0; count-- {
 		s, err := d.next()
 		if err != nil {
@@ -207,18 +207,18 @@
 			return nil, d.fail(name, fmt.Errorf("an item was expected"))
 		}
 		f := parse(rest)
-		m := control.Member{
+		m := control.Endpoint{
 			Server: f.server(), Zone: f.text("area", false), Flavor: f.text("flavor", false),
-			Cell: int(f.integer("unit-group", false)), Size: f.number("size", false), CameUp: f.ms("came-up", false),
+			Cell: int(f.integer("unit-group", false)), Size: f.number("size", false), StartedAt: f.ms("came-up", false),
 		}
-		m.HasCameUp = m.CameUp != 0
+		m.HasStartedAt = m.StartedAt != 0
 		switch c := f.text("condition", true); c {
 		case "on":
-			m.Condition = control.On
+			m.State = control.Active
 		case "fading":
-			m.Condition = control.Fading
+			m.State = control.Draining
 		case "off":
-			m.Condition = control.Off
+			m.State = control.Gone
 		default:
 			f.bad("condition", fmt.Errorf("unknown value %q", c))
 		}
@@ -231,15 +231,15 @@
 }
 
 // load reads the report of a server; names that are not known are skipped.
-func load(f *fields) *control.Load {
+func load(f *fields) *control.LoadReport {
 	s := f.text("pressure", false)
 	if s == "" {
 		return nil
 	}
-	l := &control.Load{Active: -1, Waiting: -1, CPU: -1, AvgMS: -1, RPS: -1, ErrRPS: -1}
+	l := &control.LoadReport{InFlight: -1, Queued: -1, Utilization: -1, MeanLatencyMS: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 	into := map[string]*float64{
-		"active": &l.Active, "waiting": &l.Waiting, "cpu": &l.CPU,
-		"avg_ms": &l.AvgMS, "rps": &l.RPS, "err_rps": &l.ErrRPS,
+		"active": &l.InFlight, "waiting": &l.Queued, "cpu": &l.Utilization,
+		"avg_ms": &l.MeanLatencyMS, "rps": &l.RequestsPerSecond, "err_rps": &l.ErrorsPerSecond,
 	}
 	for s != "" {
 		var pair string
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -34,14 +34,14 @@
 		t.Errorf("%+v", b)
 	}
 	k := s.Classes[0]
-	if k.Effect != control.Guarded || k.KeyScope != control.ScopeCell || k.RepeatWindow != 5*time.Second {
+	if k.Idempotency != control.IdempotencyKeyed || k.KeyScope != control.ScopeCell || k.RepeatWindow != 5*time.Second {
 		t.Errorf("class %+v", k)
 	}
 	p := s.Plans[0]
-	if p.Rate != 0.84 || p.Depth != 4 || p.Open != 2 || p.CeilingRate != 17 {
+	if p.QuotaRate != 0.84 || p.QuotaBurst != 4 || p.MaxInFlight != 2 || p.HardLimitRate != 17 {
 		t.Errorf("plan %+v", p)
 	}
-	if !s.OnRequest || !s.CostAfter || !s.Probes || s.GroupSize != 2 || s.SelfIndex != 1 || s.SendCap != 3 {
+	if !s.ListOnRequest || !s.UnitsInResponse || !s.HealthChecks || s.GroupSize != 2 || s.SelfIndex != 1 || s.MaxAttempts != 3 {
 		t.Errorf("settings %+v", s)
 	}
 }
@@ -63,17 +63,17 @@
 	if len(b.Inputs) != 10 {
 		t.Fatalf("%d inputs", len(b.Inputs))
 	}
-	l := b.Inputs[0].Event.(control.List)
-	if l.Kind != control.Stale || len(l.Members) != 2 || l.Members[1].Condition != control.Fading ||
-		l.Members[1].CameUp != 6100*time.Millisecond || l.Members[0].HasCameUp {
+	l := b.Inputs[0].Event.(control.EndpointList)
+	if l.Kind != control.ListCached || len(l.Endpoints) != 2 || l.Endpoints[1].State != control.Draining ||
+		l.Endpoints[1].StartedAt != 6100*time.Millisecond || l.Endpoints[0].HasStartedAt {
 		t.Errorf("list %+v", l)
 	}
 	r := b.Inputs[1].Event.(control.Request)
-	if r.TTL != 240*time.Millisecond || r.Units != 2 || r.Spread != 3 || !r.Repeat || !r.Write {
+	if r.Timeout != 240*time.Millisecond || r.Units != 2 || r.FanOut != 3 || !r.IsRetry || !r.IsWrite {
 		t.Errorf("request %+v", r)
 	}
-	o := b.Inputs[2].Event.(control.Response)
-	if !o.Done || o.Cost != 3 || o.Used != 86 || o.Reason != control.OK || o.Load.CPU != 0.62 || o.Load.RPS != -1 {
+	o := b.Inputs[2].Event.(control.AttemptResult)
+	if !o.IsFinal || o.ActualUnits != 3 || o.QuotaUsage != 86 || o.Reason != control.OK || o.Load.Utilization != 0.62 || o.Load.RequestsPerSecond != -1 {
 		t.Errorf("response %+v", o)
 	}
 	if !b.Inputs[9].PowerOff {
@@ -114,20 +114,20 @@
 
 func TestActions(t *testing.T) {
 	for want, a := range map[string]control.Action{
-		"call_out who=3 xid=0a server=51 within=80\n": control.Send{ID: "0a", Server: 51, Within: 80 * time.Millisecond},
+		"call_out who=3 xid=0a server=51 within=80\n": control.Send{ID: "0a", Server: 51, Timeout: 80 * time.Millisecond},
 		"call_out who=3 xid=0a server=51\n":           control.Send{ID: "0a", Server: 51},
-		"withdraw who=3 xid=0a n=1\n":                 control.Withdraw{ID: "0a", N: 1},
-		"busy who=3 xid=0a backoff=250.5\n":           control.Refuse{ID: "0a", RetryAfter: 250500 * time.Microsecond},
+		"withdraw who=3 xid=0a n=1\n":                 control.CancelAttempt{ID: "0a", Attempt: 1},
+		"busy who=3 xid=0a backoff=250.5\n":           control.Reject{ID: "0a", RetryAfter: 250500 * time.Microsecond},
 		"finish_error who=3 xid=0a\n":                 control.Fail{ID: "0a"},
-		"arm who=3 offset=500 label=77\n":             control.Arm{After: 500 * time.Millisecond, Label: 77},
-		"poll who=3 server=51\n":                      control.Probe{Server: 51},
+		"arm who=3 offset=500 label=77\n":             control.StartTimer{After: 500 * time.Millisecond, Label: 77},
+		"poll who=3 server=51\n":                      control.CheckHealth{Server: 51},
 		"disconnect who=3 server=51\n":                control.Disconnect{Server: 51},
-		"follow who=3 active=1\n":                     control.Follow{Active: true},
-		"snapshot who=3\n":                            control.Snapshot{},
-		"say who=3 neighbour-id=all raw=6869\n":       control.Say{To: -1, Raw: []byte("hi")},
-		"say who=3 neighbour-id=2 raw=-\n":            control.Say{To: 2},
-		"incr who=3 cname=9 by=-4 expire-in=3000\n":   control.Count{Name: 9, Add: -4, Lives: 3 * time.Second},
-		"remark who=3 body-text=two servers known\n":  control.Remark{Text: "two\nservers known"},
+		"follow who=3 active=1\n":                     control.WatchEndpoints{Active: true},
+		"snapshot who=3\n":                            control.FetchEndpoints{},
+		"say who=3 neighbour-id=all raw=6869\n":       control.SendPeerMessage{To: -1, Raw: []byte("hi")},
+		"say who=3 neighbour-id=2 raw=-\n":            control.SendPeerMessage{To: 2},
+		"incr who=3 cname=9 by=-4 expire-in=3000\n":   control.AddToCounter{Name: 9, Add: -4, Lifetime: 3 * time.Second},
+		"remark who=3 body-text=two servers known\n":  control.LogLine{Text: "two\nservers known"},
 	} {
 		if got := string(AppendAction(nil, 3, a)); got != want {
 			t.Errorf("%#v: %q, not %q", a, got, want)
@@ -155,30 +155,30 @@
 func TestDoubts(t *testing.T) {
 	plain := []control.Plan{
 		{Name: "none"},
-		{Name: "open", Open: 3},
-		{Name: "open with a store", Open: 1, Depth: 4},
-		{Name: "rate", Rate: 0.1, Depth: 4},
-		{Name: "both", Rate: 1, Depth: 8, Open: 2},
-		{Name: "ceiling", CeilingRate: 2, CeilingBurst: 4, CeilingSlack: 0.4},
-		{Name: "all", Rate: 1, Depth: 4, CeilingRate: 2, CeilingBurst: 9},
+		{Name: "open", MaxInFlight: 3},
+		{Name: "open with a store", MaxInFlight: 1, QuotaBurst: 4},
+		{Name: "rate", QuotaRate: 0.1, QuotaBurst: 4},
+		{Name: "both", QuotaRate: 1, QuotaBurst: 8, MaxInFlight: 2},
+		{Name: "ceiling", HardLimitRate: 2, HardLimitBurst: 4, HardLimitSlack: 0.4},
+		{Name: "all", QuotaRate: 1, QuotaBurst: 4, HardLimitRate: 2, HardLimitBurst: 9},
 	}
 	for name, tc := range map[string]struct {
 		plan  control.Plan
 		tells string
 	}{
-		"nothing":              {control.Plan{Price: 1, OverCost: 1}, ""},
-		"no depth":             {control.Plan{Rate: 3}, "tariffs.7.depth: "},
-		"depth below the most": {control.Plan{Rate: 3, Depth: 3.9}, "tariffs.7.depth: "},
-		"no rate":              {control.Plan{Depth: 5}, "tariffs.7.quota-rate: "},
-		"no burst":             {control.Plan{CeilingRate: 3, CeilingSlack: 9}, "tariffs.7.hard-burst: "},
-		"no ceiling rate":      {control.Plan{Rate: 1, Depth: 9, CeilingBurst: 3}, "tariffs.7.cap-rate: "},
+		"nothing":              {control.Plan{Price: 1, OverQuotaCost: 1}, ""},
+		"no depth":             {control.Plan{QuotaRate: 3}, "tariffs.7.depth: "},
+		"depth below the most": {control.Plan{QuotaRate: 3, QuotaBurst: 3.9}, "tariffs.7.depth: "},
+		"no rate":              {control.Plan{QuotaBurst: 5}, "tariffs.7.quota-rate: "},
+		"no burst":             {control.Plan{HardLimitRate: 3, HardLimitSlack: 9}, "tariffs.7.hard-burst: "},
+		"no ceiling rate":      {control.Plan{QuotaRate: 1, QuotaBurst: 9, HardLimitBurst: 3}, "tariffs.7.cap-rate: "},
 	} {
-		all := Doubts(control.Settings{UnitsTop: 4, Plans: append(plain, tc.plan)})
+		all := Doubts(control.Settings{MaxUnits: 4, Plans: append(plain, tc.plan)})
 		if tc.tells == "" && len(all) > 0 || tc.tells != "" && (len(all) != 1 || !strings.Contains(all[0].Error(), tc.tells)) {
 			t.Errorf("%s: %v", name, all)
 		}
 	}
-	if all := Doubts(control.Settings{Plans: []control.Plan{{Rate: 1, Depth: 1}}}); len(all) > 0 {
+	if all := Doubts(control.Settings{Plans: []control.Plan{{QuotaRate: 1, QuotaBurst: 1}}}); len(all) > 0 {
 		t.Errorf("of one unit each: %v", all)
 	}
 }
