--- a/internal/command/measureskew.go
+++ b/internal/command/measureskew.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	report, err := versionskew.Run(ctx, o)
 	if err != nil {
-		fmt.Fprintf(e.Err, "the daemon's files are left in %s\n", o.Dir)
+		_, _ = fmt.Fprintf(e.Err, "the daemon's files are left in %s\n", o.Dir)
 		return err
 	}
 	if asJSON {
@@ -54,7 +54,7 @@
 		return err
 	}
 	if len(report.Violations) > 0 {
-		fmt.Fprintf(e.Err, "the daemon's files are left in %s\n", o.Dir)
+		_, _ = fmt.Fprintf(e.Err, "the daemon's files are left in %s\n", o.Dir)
 		return errTold
 	}
 	return os.RemoveAll(o.Dir)
