--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -28,7 +29,7 @@
 	var buf []byte
 	for {
 		batch, err := dec.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -40,9 +40,9 @@
 
 func check(e *Env, path string, asJSON bool) error {
 	cfg, err := config.Load(path)
-	var problems config.Problems
+	var problems config.FieldErrors
 	if err != nil && !errors.As(err, &problems) {
-		problems = config.Problems{{File: path, Text: err.Error()}}
+		problems = config.FieldErrors{{File: path, Text: err.Error()}}
 	}
 	if asJSON {
 		list := []map[string]any{}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -218,7 +218,7 @@
 		fmt.Fprintf(e.Err, "lockflow: %v\n", err)
 		return Usage
 	}
-	var problems config.Problems
+	var problems config.FieldErrors
 	if errors.As(err, &problems) {
 		fmt.Fprintln(e.Err, problems.Error())
 		if errors.Is(err, errUnusable) {
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	defer l.Stop()
+	defer l.Stop() //nolint:errcheck // what failed is reported while it runs
 	if err := l.Ready(ctx); err != nil {
 		return err
 	}
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -362,7 +362,7 @@
 	if o.Dir, err = os.MkdirTemp("", "lockflow-"); err != nil {
 		return fmt.Errorf("measuring upgrades: %w", err)
 	}
-	defer os.RemoveAll(o.Dir)
+	defer os.RemoveAll(o.Dir) //nolint:errcheck // a temporary directory
 	r, err := measure.Upgrades(ctx, o)
 	if err != nil {
 		return err
--- a/internal/command/regions.go
+++ b/internal/command/regions.go
@@ -15,7 +15,7 @@
 	"lockflow/internal/regions/mixture"
 )
 
-// errUnusable is input that nothing can be told of; what is wrong with it is of type config.Problems.
+// errUnusable is input that nothing can be told of; what is wrong with it is of type config.FieldErrors.
 var errUnusable = errors.New("unusable")
 
 // findings is what is told of a fleet or of its change.
--- a/internal/command/regions_test.go
+++ b/internal/command/regions_test.go
@@ -154,7 +154,7 @@
 				t.Errorf("%s: %+v", name, th)
 			}
 		}
-		if code2, out, _ := run(t, nil, "plan", "--fleet", old, new); code2 != code || got.Order != nil && len(got.Order) > 0 && !strings.Contains(out, "1. "+got.Order[0]) {
+		if code2, out, _ := run(t, nil, "plan", "--fleet", old, new); code2 != code || len(got.Order) > 0 && !strings.Contains(out, "1. "+got.Order[0]) {
 			t.Errorf("%s: exit %d\n%s", name, code2, out)
 		}
 	}
--- a/internal/command/replay.go
+++ b/internal/command/replay.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return replayed{}, fmt.Errorf("replaying: %w", err)
 	}
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // only read
 	r, err := record.Open(f)
 	if err != nil {
 		return replayed{}, fmt.Errorf("replaying %s: %w", path, err)
--- a/internal/command/rollout.go
+++ b/internal/command/rollout.go
@@ -23,12 +23,12 @@
 
 // rolloutFlags are the flags of what changes a fleet.
 type rolloutFlags struct {
-	stages, journal        string
-	batch, atOnce, killAt  int
-	bake, bakeMost, pause  time.Duration
-	resume, takeBack       bool
-	stay, unjudged         bool
-	batchSet, bakeSet, set bool
+	stages, journal       string
+	batch, atOnce, killAt int
+	bake, bakeMost, pause time.Duration
+	resume, takeBack      bool
+	stay, unjudged        bool
+	bakeSet, set          bool
 }
 
 func (f *rolloutFlags) flags(set flags) {
@@ -43,7 +43,7 @@
 	set.IntVar(&f.batch, "batch", 0, "reload, upgrade: the same as at-once")
 	set.DurationVar(&f.pause, "pause", 0, "reload, upgrade: the same as bake")
 	set.IntVar(&f.killAt, "kill-at", 0, "is for tests: the coordinator kills itself after write `N` of its journal, or before write -N")
-	set.MarkHidden("kill-at")
+	_ = set.MarkHidden("kill-at") // fails for a flag that is not there alone
 	set.BoolVar(&f.stay, "no-rollback", false, "reload, upgrade: leaves what was changed where it does worse or fails")
 }
 
@@ -122,7 +122,7 @@
 			return f.change(ctx, e, what, placed, nil)
 		}
 		placed, order, err := fleet.Ordered(ctx, file, time.Now())
-		var c *fleet.Conflicting
+		var c *fleet.ConflictError
 		if errors.As(err, &c) {
 			fmt.Fprintln(e.Err, c.Error())
 			return errTold
@@ -145,8 +145,8 @@
 	if f.killAt != 0 {
 		j.Each = func(n int, kept bool) {
 			if kept && n == f.killAt || !kept && n == -f.killAt {
-				syscall.Kill(os.Getpid(), syscall.SIGKILL)
-				select {} // it comes at once, but not to this line
+				_ = syscall.Kill(os.Getpid(), syscall.SIGKILL) // of itself: it can't fail
+				select {}                                      // it comes at once, but not to this line
 			}
 		}
 	}
--- a/internal/command/tally.go
+++ b/internal/command/tally.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return fmt.Errorf("tally: %w", err)
 	}
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // only read
 	if err := a.Read(strings.TrimSuffix(filepath.Base(path), ".log"), f); err != nil {
 		return fmt.Errorf("tally: %s: %w", path, err)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,10 +15,11 @@
 	"lockflow/internal/upstream"
 )
 
-// Problem and Problems are what is wrong in a file.
 type (
-	Problem  = tree.Problem
-	Problems = tree.Problems
+	// FieldError is one thing that is wrong in a file, and where.
+	FieldError = tree.FieldError
+	// FieldErrors are all that is wrong in a file, by line.
+	FieldErrors = tree.FieldErrors //nolint:errname // a list of errors, which the linter does not see through the alias
 )
 
 // Config is what a process is started with. It is not changed once it is read.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -39,7 +39,7 @@
 // Inherited begins an address that names a socket which the supervisor passes on.
 const Inherited = "systemd:"
 
-// Load reads a file of our own form at path. An error is of type Problems, with every one
+// Load reads a file of our own form at path. An error is of type FieldErrors, with every one
 // found, or tells why the file can't be read.
 func Load(path string) (Config, error) {
 	info, err := os.Stat(path)
@@ -56,7 +56,7 @@
 	return Parse(path, raw)
 }
 
-// Parse reads a file's text; name is told in errors, which are of type Problems.
+// Parse reads a file's text; name is told in errors, which are of type FieldErrors.
 func Parse(name string, raw []byte) (Config, error) {
 	var r tree.Reading
 	var c Config
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -25,15 +25,15 @@
 				t.Fatal(err)
 			}
 			_, err = Parse(path, raw)
-			got, ok := err.(Problems)
+			got, ok := err.(FieldErrors)
 			if !ok {
 				t.Fatalf("%v", err)
 			}
-			var want Problems
+			var want FieldErrors
 			for i, line := range strings.Split(string(raw), "\n") {
 				if _, w, ok := strings.Cut(line, "# want "); ok {
 					key, text, _ := strings.Cut(w, ":")
-					want = append(want, Problem{File: path, Line: i + 1, Key: key, Text: strings.TrimSpace(text)})
+					want = append(want, FieldError{File: path, Line: i + 1, Key: key, Text: strings.TrimSpace(text)})
 				}
 			}
 			for i, p := range got {
@@ -191,7 +191,7 @@
 		if err == nil && (len(c.Services) == 0 || len(c.Routes) == 0 || len(c.Listeners) == 0) {
 			t.Errorf("%+v", c)
 		}
-		if p, ok := err.(Problems); err != nil && (!ok || len(p) == 0) {
+		if p, ok := err.(FieldErrors); err != nil && (!ok || len(p) == 0) {
 			t.Errorf("%T %v", err, err)
 		}
 	})
--- a/internal/config/tree/tree.go
+++ b/internal/config/tree/tree.go
@@ -14,25 +14,25 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// Problem is one thing that is wrong in a file, and where.
-type Problem struct {
+// FieldError is one thing that is wrong in a file, and where.
+type FieldError struct {
 	File string
 	Line int    // from 1
 	Key  string // dotted; "" is the file as a whole
 	Text string
 }
 
-func (p Problem) Error() string {
+func (p FieldError) Error() string {
 	if p.Key == "" {
 		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Text)
 	}
 	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Text)
 }
 
-// Problems are all that is wrong in a file, by line.
-type Problems []Problem
+// FieldErrors are all that is wrong in a file, by line.
+type FieldErrors []FieldError
 
-func (ps Problems) Error() string {
+func (ps FieldErrors) Error() string {
 	lines := make([]string, len(ps))
 	for i, p := range ps {
 		lines[i] = p.Error()
@@ -66,16 +66,16 @@
 
 // Reading collects what is wrong while documents are read. Its zero value is ready.
 type Reading struct {
-	problems Problems
-	told     map[Problem]bool // by place
+	problems FieldErrors
+	told     map[FieldError]bool // by place
 }
 
-// Err is of type Problems, by file and line; nil where nothing is wrong.
+// Err is of type FieldErrors, by file and line; nil where nothing is wrong.
 func (r *Reading) Err() error {
 	if r.problems == nil {
 		return nil
 	}
-	slices.SortStableFunc(r.problems, func(a, b Problem) int {
+	slices.SortStableFunc(r.problems, func(a, b FieldError) int {
 		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
 	})
 	return r.problems
@@ -84,10 +84,10 @@
 // Wrong notes what is wrong at a place; what follows there from the first is not told.
 func (r *Reading) Wrong(file string, line int, key, format string, args ...any) {
 	if r.told == nil {
-		r.told = make(map[Problem]bool)
+		r.told = make(map[FieldError]bool)
 	}
-	p := Problem{file, line, key, fmt.Sprintf(format, args...)}
-	place := Problem{File: file, Line: line, Key: key}
+	p := FieldError{file, line, key, fmt.Sprintf(format, args...)}
+	place := FieldError{File: file, Line: line, Key: key}
 	if key == "" {
 		place = p // a file as a whole may have several things wrong
 	}
--- a/internal/customer/file.go
+++ b/internal/customer/file.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return fmt.Errorf("reading the customers: %w", err)
 	}
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // only read
 	info, err := f.Stat()
 	b.seen = info
 	if err == nil && info.Size() > fileMost {
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -60,7 +60,7 @@
 	}
 	if err := m.file.Save(next); err != nil {
 		m.doubts.add(ordersDoubt, err.Error())
-		return &desiredstate.Refusal{Code: desiredstate.Unkept, Text: err.Error()}
+		return &desiredstate.RejectedError{Code: desiredstate.Unkept, Text: err.Error()}
 	}
 	m.book, m.kept = next, true
 	if next.Lost == "" {
@@ -116,9 +116,9 @@
 	if d.Code == desiredstate.OK {
 		return nil
 	}
-	return &desiredstate.Refusal{Code: d.Code, Text: d.Error}
+	return &desiredstate.RejectedError{Code: d.Code, Text: d.Error}
 }
 
 func busy(format string, args ...any) error {
-	return &desiredstate.Refusal{Code: desiredstate.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
+	return &desiredstate.RejectedError{Code: desiredstate.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -160,7 +160,7 @@
 	switch w.Kind {
 	case desiredstate.Drain:
 		if d.member.file.Forgets() {
-			return &desiredstate.Refusal{Code: desiredstate.Bad, Text: "process.state is not set: started again, it would serve"}
+			return &desiredstate.RejectedError{Code: desiredstate.Bad, Text: "process.state is not set: started again, it would serve"}
 		}
 		if s == lifecycle.Draining || s == lifecycle.Ended {
 			return busy("the daemon is %v", s)
@@ -171,7 +171,7 @@
 		}
 	case desiredstate.Program:
 		if err := runs(w.Path); err != nil {
-			return &desiredstate.Refusal{Code: desiredstate.Bad, Text: err.Error()}
+			return &desiredstate.RejectedError{Code: desiredstate.Bad, Text: err.Error()}
 		}
 		fallthrough
 	default:
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -106,7 +106,7 @@
 	served := 0
 	for range 3 {
 		err := <-answers
-		for errors.Is(err, manage.ErrBusy) || err != nil && !errors.As(err, new(manage.Refused)) { // it came between both processes
+		for errors.Is(err, manage.ErrBusy) || err != nil && !errors.As(err, new(manage.RejectedError)) { // it came between both processes
 			err = r.order(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart})
 		}
 		if r.is("restart", err, nil); err == nil {
--- a/internal/daemon/parked.go
+++ b/internal/daemon/parked.go
@@ -194,7 +194,7 @@
 	case step == desiredstate.Wait:
 		return false, busy("order %s is under way", o.ID)
 	case o.Want.Kind == desiredstate.Program || o.Want.Kind == desiredstate.Restart:
-		return false, &desiredstate.Refusal{Code: desiredstate.Bad, Text: errDrained.Error()}
+		return false, &desiredstate.RejectedError{Code: desiredstate.Bad, Text: errDrained.Error()}
 	}
 	if err := m.keep(next); err != nil {
 		return false, err
--- a/internal/desiredstate/desiredstate.go
+++ b/internal/desiredstate/desiredstate.go
@@ -84,19 +84,19 @@
 	return hex.EncodeToString(sum[:8])
 }
 
-// Refusal is a claim or an order that was not followed.
-type Refusal struct{ Code, Text string }
+// RejectedError is a claim or an order that was not followed.
+type RejectedError struct{ Code, Text string }
 
-func (r *Refusal) Error() string { return r.Text }
+func (r *RejectedError) Error() string { return r.Text }
 
 // Is makes refusals of one code the same to errors.Is.
-func (r *Refusal) Is(target error) bool {
-	var o *Refusal
+func (r *RejectedError) Is(target error) bool {
+	var o *RejectedError
 	return errors.As(target, &o) && o.Text == "" && o.Code == r.Code
 }
 
 func refuse(code, format string, args ...any) error {
-	return &Refusal{code, fmt.Sprintf(format, args...)}
+	return &RejectedError{code, fmt.Sprintf(format, args...)}
 }
 
 // Hash is how settings are known.
--- a/internal/desiredstate/desiredstate_test.go
+++ b/internal/desiredstate/desiredstate_test.go
@@ -51,7 +51,7 @@
 	b, err := w.book.Claim(c)
 	was := w.granted[c.Epoch]
 	if err != nil {
-		if !errors.Is(err, &Refusal{Code: Stale}) || c.Epoch > w.newest || w.book.Epoch != w.newest {
+		if !errors.Is(err, &RejectedError{Code: Stale}) || c.Epoch > w.newest || w.book.Epoch != w.newest {
 			w.t.Fatalf("%+v at %d: %v", c, w.newest, err)
 		}
 		return
@@ -73,7 +73,7 @@
 		if !reflect.DeepEqual(b, before) {
 			w.t.Fatalf("a refusal has changed the book: %v", err)
 		}
-		if errors.Is(err, &Refusal{Code: Stale}) == (o.Epoch == w.newest && o.Owner == w.granted[o.Epoch]) {
+		if errors.Is(err, &RejectedError{Code: Stale}) == (o.Epoch == w.newest && o.Owner == w.granted[o.Epoch]) {
 			w.t.Fatalf("%+v at %d of %q: %v", o, w.newest, w.granted[w.newest], err)
 		}
 		return
@@ -173,7 +173,7 @@
 		"no absolute path":       {order(7, "a", "1", Want{Kind: Program, Path: "new"}), Bad},
 		"more than it takes":     {order(7, "a", "1", Want{Kind: Drain, Path: "/new"}), Bad},
 	} {
-		if after, _, _, err := begun.Order(c.o); !errors.Is(err, &Refusal{Code: c.code}) || !reflect.DeepEqual(after, begun) {
+		if after, _, _, err := begun.Order(c.o); !errors.Is(err, &RejectedError{Code: c.code}) || !reflect.DeepEqual(after, begun) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -218,11 +218,11 @@
 func TestLost(t *testing.T) {
 	b := Book{Lost: "token"}
 	for _, c := range []Claim{{7, "a", ""}, {9, "a", "another"}} {
-		if _, err := b.Claim(c); !errors.Is(err, &Refusal{Code: Lost}) {
+		if _, err := b.Claim(c); !errors.Is(err, &RejectedError{Code: Lost}) {
 			t.Errorf("%+v: %v", c, err)
 		}
 	}
-	if _, _, _, err := b.Order(Order{7, "a", "1", Want{Kind: Serve}}); !errors.Is(err, &Refusal{Code: Lost}) {
+	if _, _, _, err := b.Order(Order{7, "a", "1", Want{Kind: Serve}}); !errors.Is(err, &RejectedError{Code: Lost}) {
 		t.Error(err)
 	}
 	if b, err := b.Claim(Claim{9, "b", "token"}); err != nil || b.Lost != "" || b.Epoch != 9 {
--- a/internal/desiredstate/file.go
+++ b/internal/desiredstate/file.go
@@ -112,7 +112,7 @@
 // Close lets go of the file.
 func (f *File) Close() {
 	if f != nil {
-		f.anon.Close()
+		_ = f.anon.Close() // in memory
 	}
 }
 
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer r.Close()
+	defer r.Close() //nolint:errcheck // only read
 	return io.ReadAll(io.LimitReader(r, most))
 }
 
@@ -200,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	defer d.Close()
+	defer d.Close() //nolint:errcheck // a directory; what was written is for Sync to tell
 	return d.Sync()
 }
 
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -330,7 +330,7 @@
 // exchange writes a request on the worker's connection and reads its answer.
 func (w *worker) exchange(c Call, id string, try int, leaves bool) (resp *http.Response, body string, err error) {
 	if w.conn == nil {
-		if w.conn, err = net.DialTimeout("tcp", w.addr, 5*time.Second); err != nil {
+		if w.conn, err = (&net.Dialer{Timeout: 5 * time.Second}).DialContext(context.Background(), "tcp", w.addr); err != nil {
 			w.conn = nil
 			return nil, "", fmt.Errorf("%w: %w", errNoConn, err)
 		}
--- a/internal/fake/discovery.go
+++ b/internal/fake/discovery.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -55,13 +56,13 @@
 
 // StartDiscovery starts one with an empty list.
 func StartDiscovery() (*Discovery, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("starting discovery: %w", err)
 	}
 	d := &Discovery{listener: l, rev: 1, news: make(chan struct{}), over: make(chan struct{})}
 	d.http = &http.Server{Handler: http.HandlerFunc(d.serve)}
-	go d.http.Serve(l)
+	go d.http.Serve(l) //nolint:errcheck // ends with its listener
 	return d, nil
 }
 
@@ -145,7 +146,7 @@
 
 func (d *Discovery) serve(w http.ResponseWriter, q *http.Request) {
 	from := 0
-	fmt.Sscanf(q.URL.Query().Get("from"), "%d", &from)
+	_, _ = fmt.Sscanf(q.URL.Query().Get("from"), "%d", &from) // 0 where there is none
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	lag := d.late()
--- a/internal/fake/http2.go
+++ b/internal/fake/http2.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -56,7 +57,7 @@
 
 // Start starts the server on a loopback address of its own.
 func (s HTTP2Server) Start() (*RunningHTTP2, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("starting app server %s: %w", s.UID, err)
 	}
--- a/internal/fake/origin.go
+++ b/internal/fake/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -75,7 +76,7 @@
 
 // Start has it listen on a loopback address of its own.
 func (o *Origin) Start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("starting an origin: %w", err)
 	}
@@ -151,7 +152,7 @@
 // HashOf is the hash of a body of n bytes of Pattern, as Request has it.
 func HashOf(n int64) string {
 	h := sha256.New()
-	io.Copy(h, PatternReader(n))
+	_, _ = io.Copy(h, PatternReader(n)) // neither side of it fails
 	return sum(h)
 }
 
@@ -214,7 +215,7 @@
 			if tcp, ok := c.(*net.TCPConn); ok && err == nil { // as servers do that mean to be heard
 				_ = tcp.CloseWrite()
 				_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
-				io.Copy(io.Discard, in)
+				_, _ = io.Copy(io.Discard, in)
 			}
 			return errScripted
 		}
@@ -267,7 +268,7 @@
 		time.Sleep(o.Work)
 	}
 	if s.Has("silent") {
-		io.Copy(io.Discard, in)
+		_, _ = io.Copy(io.Discard, in)
 		return errScripted
 	}
 	var to io.Writer = c
@@ -276,7 +277,7 @@
 		to = &limited{c, cut}
 	}
 	if s.Has("raw") {
-		io.WriteString(to, s.Get("raw"))
+		_, _ = io.WriteString(to, s.Get("raw"))
 		return errScripted
 	}
 	w := bufio.NewWriterSize(to, 8<<10)
@@ -292,7 +293,7 @@
 	case err != nil && cut%2 == 1:
 		reset(c)
 	case err == nil && s.Has("upgrade"):
-		io.Copy(c, in)
+		_, _ = io.Copy(c, in)
 		return errScripted
 	case err == nil && (s.Get("frame") == "close" || s.Get("frame") == "none" || s.Has("old") || r.Close):
 		return errScripted
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -84,7 +85,7 @@
 
 // Start starts the server.
 func (s Server) Start() (*Running, error) {
-	l, err := net.Listen("tcp", cmp.Or(s.Listen, "127.0.0.1:0"))
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", cmp.Or(s.Listen, "127.0.0.1:0"))
 	if err != nil {
 		return nil, fmt.Errorf("starting app server %s: %w", s.UID, err)
 	}
@@ -101,7 +102,7 @@
 		r.http.Protocols.SetHTTP1(true)
 		r.http.Protocols.SetUnencryptedHTTP2(true)
 	}
-	go r.http.Serve(l)
+	go r.http.Serve(l) //nolint:errcheck // ends with its listener
 	return r, nil
 }
 
@@ -321,9 +322,9 @@
 		return
 	case draw < f.Error+f.Reset+f.Spoilt:
 		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nnoise")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nnoise")
 			go func() { // it stays open until the other side closes it
-				io.Copy(io.Discard, c)
+				_, _ = io.Copy(io.Discard, c)
 				c.Close()
 			}()
 		}
--- a/internal/faultnet/link/link.go
+++ b/internal/faultnet/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -87,7 +88,7 @@
 		err = l.open()
 	}
 	if err != nil {
-		l.Close()
+		_ = l.Close() // the error that came first counts
 		return nil, fmt.Errorf("a link to %s: %w", to, err)
 	}
 	return l, nil
@@ -225,7 +226,7 @@
 	var at net.Listener
 	var err error
 	if l.unix() {
-		at, err = net.Listen("unix", l.addr)
+		at, err = (&net.ListenConfig{}).Listen(context.Background(), "unix", l.addr)
 	} else {
 		at, err = listenBeside(l.addr)
 	}
--- a/internal/faultnet/link/port.go
+++ b/internal/faultnet/link/port.go
@@ -25,7 +25,7 @@
 		at, err = unix.Getsockname(fd)
 	}
 	if err != nil {
-		unix.Close(fd)
+		_ = unix.Close(fd) // the error that came first counts
 		return -1, "", fmt.Errorf("a socket that holds a port: %w", err)
 	}
 	return fd, fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port), nil
--- a/internal/faultnet/process/process.go
+++ b/internal/faultnet/process/process.go
@@ -58,7 +58,7 @@
 	if p.runs() {
 		return ErrRuns
 	}
-	cmd := exec.Command(p.Path, p.Args...)
+	cmd := exec.CommandContext(context.Background(), p.Path, p.Args...) // until it is killed
 	cmd.Dir = p.Dir
 	cmd.Env = append(os.Environ(), p.Env...)
 	if p.ClockEnv != "" {
@@ -74,8 +74,7 @@
 	log := io.WriteCloser(discard{})
 	if p.Log != "" {
 		if log, err = os.OpenFile(p.Log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600); err != nil {
-			in.Close()
-			out.Close()
+			_ = errors.Join(in.Close(), out.Close()) // a pipe
 			return fmt.Errorf("starting %s: %w", p.Path, err)
 		}
 	}
@@ -85,16 +84,14 @@
 	} else {
 		err = cmd.Start()
 	}
-	out.Close()
+	_ = out.Close() // a pipe's end, which the process has
 	if err != nil {
-		in.Close()
-		log.Close()
+		_ = errors.Join(in.Close(), log.Close()) // nothing was written
 		return fmt.Errorf("starting %s: %w", p.Path, err)
 	}
 	go func() {
 		_, _ = io.Copy(log, in)
-		in.Close()
-		log.Close()
+		_ = errors.Join(in.Close(), log.Close()) // the log is for people; its process has ended
 	}()
 	done := make(chan struct{})
 	p.cmd, p.done, p.paused = cmd, done, false
--- a/internal/faultnet/trial/clients.go
+++ b/internal/faultnet/trial/clients.go
@@ -128,7 +128,7 @@
 	}
 	if c.conn == nil {
 		c.since = time.Now()
-		if c.conn, err = net.DialTimeout("tcp", c.front(c.node), patienceMost); err != nil {
+		if c.conn, err = (&net.Dialer{Timeout: patienceMost}).DialContext(context.Background(), "tcp", c.front(c.node)); err != nil {
 			return 0, "", err
 		}
 	}
@@ -142,12 +142,12 @@
 	if q.method == http.MethodPost {
 		fmt.Fprintf(out, "Content-Length: %d\r\n", q.body)
 	}
-	io.WriteString(out, "\r\n")
-	io.Copy(out, fake.PatternReader(q.body))
+	out.WriteString("\r\n")
+	_, _ = io.Copy(out, fake.PatternReader(q.body)) // Flush tells
 	if err := out.Flush(); err != nil {
 		return 0, "", err
 	}
-	resp, err := http.ReadResponse(c.in, &http.Request{Method: q.method})
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: q.method}) //nolint:bodyclose // it is read to its end from a connection of our own
 	if err != nil {
 		return 0, "", err
 	}
@@ -158,7 +158,7 @@
 	}
 	if resp.StatusCode == http.StatusOK {
 		want := crc32.NewIEEE()
-		io.Copy(want, fake.PatternReader(q.answer))
+		_, _ = io.Copy(want, fake.PatternReader(q.answer))
 		if got := resp.Header.Get(fieldID); got != q.id || n != q.answer || sum.Sum32() != want.Sum32() {
 			c.notes.Wrong("request %s: an answer to %q of %d bytes instead of %d, or with others in it", q.id, got, n, q.answer)
 		}
--- a/internal/faultnet/trial/owners.go
+++ b/internal/faultnet/trial/owners.go
@@ -126,7 +126,7 @@
 	defer cancel()
 	done := w.ownership.Call(w.number, history.Claim{Member: member(i), Epoch: epoch, Owner: w.name})
 	s, err := w.member(i, linked).Claim(ctx, manage.Claim{Epoch: epoch, Owner: w.name})
-	switch refused := (manage.Refused{}); {
+	switch refused := (manage.RejectedError{}); {
 	case err == nil:
 		w.toldEpoch(max(epoch, s.Epoch))
 		done(history.Granted)
@@ -151,7 +151,7 @@
 		done := w.ownership.Call(w.number, history.Order{Member: member(i), Epoch: epoch, Owner: w.name, ID: id})
 		_, err := w.member(i, linked).Order(one, o)
 		cancel()
-		switch refused := (manage.Refused{}); {
+		switch refused := (manage.RejectedError{}); {
 		case err == nil:
 			done(history.Carried)
 			return true
@@ -175,7 +175,7 @@
 }
 
 // mayRefuse notes a refusal that no fault of a script explains.
-func (w *owner) mayRefuse(i int, r manage.Refused) {
+func (w *owner) mayRefuse(i int, r manage.RejectedError) {
 	switch r.Code {
 	case desiredstate.Busy, desiredstate.Unkept:
 	case "": // of no order: it ends, or cannot be read
--- a/internal/faultnet/trial/servers.go
+++ b/internal/faultnet/trial/servers.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -37,7 +38,7 @@
 func startServers(n int, work time.Duration, notes *history.Exchanges) (*servers, error) {
 	s := &servers{notes: notes, work: work, keys: make(map[string]bool), ran: make(map[string]bool)}
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 		if err != nil {
 			s.close()
 			return nil, fmt.Errorf("a stand-in server: %w", err)
@@ -84,7 +85,7 @@
 	h.Set(fieldID, id)
 	h.Set(fieldServer, name)
 	h.Set("Content-Length", strconv.FormatInt(n, 10))
-	io.Copy(w, fake.PatternReader(n))
+	_, _ = io.Copy(w, fake.PatternReader(n)) // a client that left is its own doing
 }
 
 // has tells whether a write's effect happened.
--- a/internal/faultnet/trial/trial.go
+++ b/internal/faultnet/trial/trial.go
@@ -247,10 +247,10 @@
 
 func (r *run) close() {
 	for _, p := range r.procs {
-		p.Kill()
+		_ = p.Kill() // one that has ended already is well
 	}
 	for _, l := range r.links {
-		l.Close()
+		_ = l.Close() // the trial is over
 	}
 	if r.servers != nil {
 		r.servers.close()
@@ -273,7 +273,7 @@
 		select {
 		case <-time.After(waitEvery):
 		case <-ctx.Done():
-			return fmt.Errorf("it is not up: %w, %v", ctx.Err(), err)
+			return fmt.Errorf("it is not up: %w, %w", ctx.Err(), err)
 		}
 	}
 }
@@ -365,7 +365,7 @@
 			look(history.Seen{Epoch: s.Epoch, Owner: s.Owner})
 			r.toldEpoch(s.Epoch)
 			r.notes.Saw(member(i), s.Hash)
-		} else if refused := (manage.Refused{}); errors.As(err, &refused) && !strings.Contains(refused.Text, "reload") {
+		} else if refused := (manage.RejectedError{}); errors.As(err, &refused) && !strings.Contains(refused.Text, "reload") {
 			r.notes.Wrong("node %d refuses what it is asked: %v", i, err)
 		}
 		select {
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -261,7 +261,7 @@
 	if err != nil {
 		return "", err
 	}
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // only read
 	h := sha256.New()
 	if _, err := io.Copy(h, f); err != nil {
 		return "", err
@@ -279,12 +279,12 @@
 	if err != nil {
 		return "", err
 	}
-	defer in.Close()
+	defer in.Close() //nolint:errcheck // only read
 	out, err := os.CreateTemp(dir, "program")
 	if err != nil {
 		return "", err
 	}
-	defer os.Remove(out.Name())
+	defer os.Remove(out.Name()) //nolint:errcheck // not there any more where all went well
 	_, err = io.Copy(out, in)
 	if err = errors.Join(err, out.Chmod(0o700), out.Sync(), out.Close()); err != nil {
 		return "", err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet file: %w", err)
 	}
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // only read
 	var all []Member
 	lines := bufio.NewScanner(f)
 	for n := 1; lines.Scan(); n++ {
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -28,7 +28,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		f.Close()
+		_ = f.Close() // nothing was written
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			return nil, fmt.Errorf("fleet: another fleet run keeps the instances in %s", dir)
 		}
@@ -92,7 +92,7 @@
 	if err != nil {
 		return 0
 	}
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // only read
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB); !errors.Is(err, syscall.EWOULDBLOCK) {
 		return 0
 	}
--- a/internal/fleet/regional.go
+++ b/internal/fleet/regional.go
@@ -16,13 +16,13 @@
 	"lockflow/internal/regions/mixture"
 )
 
-// Conflicting is a change that would bring conflicts between regions: it is not begun.
-type Conflicting struct {
+// ConflictError is a change that would bring conflicts between regions: it is not begun.
+type ConflictError struct {
 	Why       string
 	Conflicts []regions.Conflict
 }
 
-func (c *Conflicting) Error() string {
+func (c *ConflictError) Error() string {
 	var b strings.Builder
 	b.WriteString(c.Why)
 	for _, one := range c.Conflicts {
@@ -52,7 +52,7 @@
 
 // Ordered makes of a fleet file what its members are to run, one generation after another, and the orders in
 // which the regions change in each phase. What they run now is asked anew, and held against the file's
-// regions: a conflict that the change would bring, at its end or on the way, is a *Conflicting.
+// regions: a conflict that the change would bring, at its end or on the way, is a *ConflictError.
 func Ordered(ctx context.Context, f fleetfile.File, now time.Time) ([]Placed, [][]string, error) {
 	members, err := InRegions(f)
 	if err != nil {
@@ -92,11 +92,11 @@
 		return left
 	}
 	if brought := lacking(check(new), check(old)); len(brought) > 0 {
-		return nil, nil, &Conflicting{"the change would bring conflicts; nothing was changed", brought}
+		return nil, nil, &ConflictError{"the change would bring conflicts; nothing was changed", brought}
 	}
 	res := mixture.Order(old, new, check)
 	if res.Order == nil {
-		return nil, nil, &Conflicting{fmt.Sprintf("there is no order in which the regions can change: %s block each other; nothing was changed",
+		return nil, nil, &ConflictError{fmt.Sprintf("there is no order in which the regions can change: %s block each other; nothing was changed",
 			strings.Join(res.Circle, ", ")), res.Blocked}
 	}
 	order := [][]string{whole(f, res.Order)}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -83,7 +83,7 @@
 		r.Members = append(r.Members, Member{strconv.Itoa(i), manage.Client{Path: filepath.Join(r.dir(i), controlName)}})
 		r.addrs[i] = net.JoinHostPort(o.Host, strconv.Itoa(port(o.Port, i)))
 		if running[i], err = r.prepare(i, raw); err != nil {
-			r.lock.Close()
+			_ = r.lock.Close() // nothing is written to it
 			return nil, fmt.Errorf("fleet: %w", err)
 		}
 	}
@@ -102,7 +102,7 @@
 		case err != nil && running[i]: // what others serve is not ended for it
 			slog.Warn("fleet: an instance that ran already does not serve", "instance", i, "err", err)
 		case err != nil:
-			r.end(time.Second, func(i int) bool { return !running[i] })
+			_ = r.end(time.Second, func(i int) bool { return !running[i] }) // the error that came first counts
 			return nil, fmt.Errorf("fleet: instance %d: %w; its log is %s", i, err, filepath.Join(r.dir(i), "log"))
 		}
 	}
@@ -164,8 +164,8 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	cmd := exec.Command(r.program(i), "serve", "--config", filepath.Join(dir, "lockflow.toml"), "--listen", r.Addr(i),
+	defer log.Close() //nolint:errcheck // the process writes to it, not this one
+	cmd := exec.CommandContext(context.Background(), r.program(i), "serve", "--config", filepath.Join(dir, "lockflow.toml"), "--listen", r.Addr(i),
 		"--instances", strconv.Itoa(r.opts.Told), "--instance", strconv.Itoa(i%r.opts.Told), "--state", filepath.Join(dir, "state"),
 		"--pid-file", filepath.Join(dir, "pid"), "--control", filepath.Join(dir, controlName))
 	env := r.opts.Env
@@ -184,7 +184,7 @@
 	go func() { // one that can't be asked yet is told in this way
 		select {
 		case <-r.ctx.Done():
-			cmd.Process.Signal(syscall.SIGTERM)
+			_ = cmd.Process.Signal(syscall.SIGTERM) // one that has ended needs none
 		case <-done:
 		}
 	}()
@@ -222,13 +222,13 @@
 				if s.PID = r.holder(i); s.PID <= 0 {
 					return
 				}
-				syscall.Kill(s.PID, syscall.SIGTERM)
+				_ = syscall.Kill(s.PID, syscall.SIGTERM) // one that has ended needs none
 			}
 			for !ended(s.PID) {
 				select {
 				case <-time.After(pollEvery):
 				case <-ctx.Done():
-					syscall.Kill(s.PID, syscall.SIGKILL)
+					_ = syscall.Kill(s.PID, syscall.SIGKILL) // as above
 					errs[i] = fmt.Errorf("instance %d did not end within %v and was killed", i, within)
 					return
 				}
@@ -237,6 +237,6 @@
 	}
 	ends.Wait()
 	r.parts.Wait()
-	r.lock.Close()
+	_ = r.lock.Close() // nothing is written to it
 	return errors.Join(errs...)
 }
--- a/internal/fleetfile/fleetfile.go
+++ b/internal/fleetfile/fleetfile.go
@@ -63,11 +63,11 @@
 }
 
 // Load reads the file at path and those that it names, which are relative to it. An error is of type
-// config.Problems, with every one found.
+// config.FieldErrors, with every one found.
 func Load(path string) (File, error) {
 	raw, err := readFile(path)
 	if err != nil {
-		return File{}, config.Problems{{File: path, Line: 1, Text: err.Error()}}
+		return File{}, config.FieldErrors{{File: path, Line: 1, Text: err.Error()}}
 	}
 	return Parse(path, raw, readFile)
 }
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
+	defer f.Close()                                       //nolint:errcheck // only read
 	raw, err := io.ReadAll(io.LimitReader(f, fileMost+1)) // also of a pipe, which has no size
 	if err == nil && len(raw) > fileMost {
 		err = fmt.Errorf("reading %s: more than %d bytes", path, fileMost)
--- a/internal/fleetfile/fleetfile_test.go
+++ b/internal/fleetfile/fleetfile_test.go
@@ -192,7 +192,7 @@
 		"[regions": "FLEET.toml:1: ",
 	} {
 		_, err := Parse("/f/FLEET.toml", []byte(text), files("lost.toml", "without = ['routes.none']", "wrong.toml", "[[routes]]\nname='n'\nservice='nope'\nprefix='/n'"))
-		got, lines := config.Problems(nil), strings.Split(want, "\n")
+		got, lines := config.FieldErrors(nil), strings.Split(want, "\n")
 		if !errors.As(err, &got) || len(got) != len(lines) {
 			t.Errorf("%s\ntold %v\nwant %s", text, err, want)
 			continue
@@ -203,7 +203,7 @@
 			}
 		}
 	}
-	if _, err := Load(t.TempDir() + "/none"); !errors.As(err, new(config.Problems)) {
+	if _, err := Load(t.TempDir() + "/none"); !errors.As(err, new(config.FieldErrors)) {
 		t.Error(err)
 	}
 }
@@ -263,7 +263,7 @@
 	f.Add("base='base.toml'\n[regions.a]\nchange='sub/south.toml'\nmembers=['/a']", "without=['services.app.source.kind','routes.','.']\n[plans.x]\nprice=inf\nd=1979-05-27T07:32:00")
 	f.Fuzz(func(t *testing.T, fleet, changed string) {
 		got, err := Parse("/f/FLEET.toml", []byte(fleet), files("sub/south.toml", changed))
-		if problems := config.Problems(nil); err != nil && (!errors.As(err, &problems) || len(problems) == 0) {
+		if problems := config.FieldErrors(nil); err != nil && (!errors.As(err, &problems) || len(problems) == 0) {
 			t.Errorf("%T %v", err, err)
 		}
 		for _, one := range got.All {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -224,7 +224,7 @@
 		w := httptest.NewRecorder()
 		x := &call{w: w, ctl: http.NewResponseController(w), given: given}
 		x.Forwarder = x
-		x.Relay.Body = retrybuffer.New(strings.NewReader("the rest"), 0, func() {})
+		x.Body = retrybuffer.New(strings.NewReader("the rest"), 0, func() {})
 		(&Ordinary{}).Done(&x.Exchange)
 		if w.Flushed != given {
 			t.Errorf("given %v: flushed %v", given, w.Flushed)
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -236,13 +236,13 @@
 	}
 	c.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
 	c.pace = pace{idle: o.Idle, least: o.LeastRate}
-	c.Relay.Body = retrybuffer.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
+	c.Body = retrybuffer.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
 	if c.Expect || c.Length < 0 || c.Length > int64(o.Replay) {
 		_ = c.ctl.EnableFullDuplex() // an answer may come before all of the body has
 		x.Request.HasPendingBody = true
 		return nil
 	}
-	if err := c.Relay.Body.Fill(c.Length); err != nil {
+	if err := c.Body.Fill(c.Length); err != nil {
 		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
 		var late net.Error
 		if errors.As(err, &late) && late.Timeout() || errors.Is(err, errSlow) {
@@ -305,7 +305,7 @@
 func (o *Ordinary) Done(x *service.Exchange) {
 	c := x.Forwarder.(*call)
 	c.last()
-	body := c.Relay.Body
+	body := c.Body
 	if body == nil {
 		return
 	}
--- a/internal/h2/machine_test.go
+++ b/internal/h2/machine_test.go
@@ -85,7 +85,7 @@
 	p.write()
 	for {
 		f, err := p.r.ReadFrame()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return all
 		}
 		if err != nil {
--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -10,6 +10,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,7 +69,7 @@
 	}
 	var failed error
 	for _, h := range have {
-		out, err := exec.Command("go", "test", "-run", "^"+h.test+"$", h.pack).CombinedOutput()
+		out, err := exec.CommandContext(context.Background(), "go", "test", "-run", "^"+h.test+"$", h.pack).CombinedOutput()
 		result := "passes"
 		if err != nil {
 			result = "fails"
@@ -106,7 +107,7 @@
 
 // list finds the tests whose names match.
 func list(names string) (have []red, err error) {
-	cmd := exec.Command("go", "test", "-json", "-list", names, "./...")
+	cmd := exec.CommandContext(context.Background(), "go", "test", "-json", "-list", names, "./...")
 	var problems bytes.Buffer
 	cmd.Stderr = &problems
 	out, err := cmd.Output()
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -147,7 +147,6 @@
 type Machine struct {
 	state   State
 	serves  bool   // every required service has been able to serve
-	loading bool   // a Load is not answered yet
 	again   string // cause of a reload that waits for its turn; "" is none
 	upgrade string // the same of an upgrade
 	beside  bool   // the process whose place this one took goes on yet
--- a/internal/manage/client.go
+++ b/internal/manage/client.go
@@ -26,7 +26,7 @@
 	return c.ask(ctx, http.MethodGet, "status", nil)
 }
 
-// Reload has it read its configuration again, and waits. An error of type Refused is the
+// Reload has it read its configuration again, and waits. An error of type RejectedError is the
 // daemon's own: it goes on as before.
 func (c Client) Reload(ctx context.Context) (Status, error) {
 	return c.ask(ctx, http.MethodPost, "reload", nil)
@@ -53,30 +53,30 @@
 	return c.ask(ctx, http.MethodPost, "serve", nil)
 }
 
-// Refused is a daemon's answer that it did not do what it was asked. Of a claim or an order Code tells
+// RejectedError is a daemon's answer that it did not do what it was asked. Of a claim or an order Code tells
 // which kind it is: errors.Is(err, ErrStale) and so on.
-type Refused struct {
+type RejectedError struct {
 	Text string
 	Code string // one of package orders; "" of what is no claim or order
 }
 
-func (r Refused) Error() string { return r.Text }
+func (r RejectedError) Error() string { return r.Text }
 
 // Is makes refusals of one code the same to errors.Is.
-func (r Refused) Is(target error) bool {
-	o, ok := target.(Refused)
+func (r RejectedError) Is(target error) bool {
+	o, ok := target.(RejectedError)
 	return ok && o.Text == "" && o.Code == r.Code
 }
 
-// Kinds of Refused, for errors.Is.
+// Kinds of RejectedError, for errors.Is.
 var (
-	ErrStale  error = Refused{Code: desiredstate.Stale}  // a newer epoch, or this one by another owner, is granted
-	ErrLost   error = Refused{Code: desiredstate.Lost}   // the member has to be claimed anew, with a higher epoch
-	ErrBusy   error = Refused{Code: desiredstate.Busy}   // to be asked again
-	ErrBad    error = Refused{Code: desiredstate.Bad}    // can't be meant
-	ErrUnkept error = Refused{Code: desiredstate.Unkept} // the member can't write down what it would do; nothing was done
+	ErrStale  error = RejectedError{Code: desiredstate.Stale}  // a newer epoch, or this one by another owner, is granted
+	ErrLost   error = RejectedError{Code: desiredstate.Lost}   // the member has to be claimed anew, with a higher epoch
+	ErrBusy   error = RejectedError{Code: desiredstate.Busy}   // to be asked again
+	ErrBad    error = RejectedError{Code: desiredstate.Bad}    // can't be meant
+	ErrUnkept error = RejectedError{Code: desiredstate.Unkept} // the member can't write down what it would do; nothing was done
 	// ErrFailed is an order that was carried out and failed: asked again by its id it says the same.
-	ErrFailed error = Refused{Code: desiredstate.Failed}
+	ErrFailed error = RejectedError{Code: desiredstate.Failed}
 )
 
 // Claim asks for the daemon's obedience to an epoch's owner.
@@ -92,7 +92,7 @@
 
 func (c Client) ask(ctx context.Context, method, what string, body any) (s Status, err error) {
 	defer func() {
-		if err != nil && !errors.As(err, new(Refused)) {
+		if err != nil && !errors.As(err, new(RejectedError)) {
 			err = fmt.Errorf("asking the daemon at %s: %w", c.Path, err)
 		}
 	}()
@@ -127,7 +127,7 @@
 		if json.Unmarshal(raw, &f) != nil || f.Error == "" {
 			return s, fmt.Errorf("it answered %s", resp.Status)
 		}
-		return s, Refused{f.Error, f.Code}
+		return s, RejectedError{f.Error, f.Code}
 	}
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return s, fmt.Errorf("reading its answer: %w", err)
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -99,7 +99,7 @@
 func told(w http.ResponseWriter, err error, d Daemon) {
 	if err != nil {
 		f := failure{Error: err.Error()}
-		var r *desiredstate.Refusal
+		var r *desiredstate.RejectedError
 		if errors.As(err, &r) {
 			f.Code = r.Code
 		}
@@ -116,5 +116,5 @@
 func answer(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(v) // whoever has left hears nothing
+	_ = json.NewEncoder(w).Encode(v) // whoever has left hears nothing
 }
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -132,7 +132,7 @@
 	s.http = &http.Server{Handler: handler(func() Daemon { return *s.asks.Load() }), MaxHeaderBytes: headMost, ReadHeaderTimeout: within, IdleTimeout: within}
 	go func() {
 		defer close(s.done)
-		s.http.Serve(&owned{l, make(chan struct{}, connsMost)})
+		_ = s.http.Serve(&owned{l, make(chan struct{}, connsMost)}) // finish ends it
 	}()
 	return s, nil
 }
@@ -152,7 +152,7 @@
 	if info.Mode()&os.ModeSocket == 0 {
 		return fmt.Errorf("%s is there, and is no socket", path)
 	}
-	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+	if c, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "unix", path); err == nil {
 		if c.Close(); !takeOver {
 			return fmt.Errorf("%s: another daemon serves it", path)
 		}
@@ -170,7 +170,7 @@
 	s.http.Close()
 	<-s.done
 	if s.Own() {
-		os.Remove(s.path)
+		_ = os.Remove(s.path) // one that stays is taken over: nobody answers on it
 	}
 }
 
@@ -189,7 +189,7 @@
 func (s *Server) finish(within time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	s.http.Shutdown(ctx)
+	_ = s.http.Shutdown(ctx) // what is not answered in time is ended by Close
 }
 
 // owned takes connections of the socket's owner, a few at a time.
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -34,7 +34,7 @@
 func (f fake) Serve(context.Context) error { f.told <- "serve"; return nil }
 func (f fake) Claim(_ context.Context, c Claim) error {
 	if c.Epoch < 7 {
-		return &desiredstate.Refusal{Code: desiredstate.Stale, Text: "epoch 7 is granted"}
+		return &desiredstate.RejectedError{Code: desiredstate.Stale, Text: "epoch 7 is granted"}
 	}
 	return nil
 }
@@ -87,7 +87,7 @@
 	if st, err := c.Status(ctx); err != nil || st.PID != 7 || st.Generation != 3 || !st.Ready() {
 		t.Errorf("%+v, %v", st, err)
 	}
-	var refused Refused
+	var refused RejectedError
 	if _, err := c.Reload(ctx); !errors.As(err, &refused) || refused.Text != "c.toml:3: x: unknown key" {
 		t.Errorf("reload: %v", err)
 	}
--- a/internal/measure/bodies.go
+++ b/internal/measure/bodies.go
@@ -65,12 +65,12 @@
 
 // Bodies compares a node with the standard library's reverse proxy on bodies of some sizes.
 func Bodies(ctx context.Context, o BodiesOptions, ways []string) ([]BodiesRow, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("starting the app server: %w", err)
 	}
 	srv := &http.Server{Handler: http.HandlerFunc(bodyServer)}
-	go srv.Serve(l)
+	go srv.Serve(l) //nolint:errcheck // ends with its listener
 	defer srv.Close()
 	file, err := os.CreateTemp("", "lockflow-*.toml")
 	if err != nil {
@@ -167,7 +167,7 @@
 	if err != nil {
 		return Flow{}, err
 	}
-	defer cmd.Wait()
+	defer cmd.Wait() //nolint:errcheck // it was killed
 	defer cmd.Process.Kill()
 	before, err := cpuOf(cmd.Process.Pid)
 	if err != nil {
@@ -243,7 +243,7 @@
 const refusedFor = 5 * time.Minute
 
 func fetch(c *http.Client, addr string, size int64) (int64, error) {
-	r, err := c.Get("http://" + addr + "/x?n=" + strconv.FormatInt(size, 10))
+	r, err := get(context.Background(), c, "http://"+addr+"/x?n="+strconv.FormatInt(size, 10))
 	if err != nil {
 		return 0, err
 	}
@@ -259,7 +259,7 @@
 }
 
 func send(c *http.Client, addr string, size int64) (int64, error) {
-	q, err := http.NewRequest(http.MethodPost, "http://"+addr+"/x", &zeroReader{size})
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+addr+"/x", &zeroReader{size})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/measure/change.go
+++ b/internal/measure/change.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return ReloadRow{}, err
 	}
-	defer l.Stop()
+	defer l.Stop() //nolint:errcheck // what was measured stands
 	if err := l.Ready(ctx); err != nil {
 		return ReloadRow{}, err
 	}
@@ -157,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer run.Stop(5 * time.Second)
+	defer run.Stop(5 * time.Second) //nolint:errcheck // what was measured stands
 	load, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mu sync.Mutex
--- a/internal/measure/gather.go
+++ b/internal/measure/gather.go
@@ -39,12 +39,12 @@
 
 // Gather measures what a query costs the node beside the same calls made plainly, in turn.
 func Gather(ctx context.Context, o GatherOptions) ([]GatherRow, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("starting a server: %w", err)
 	}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, gatherAnswer) })}
-	go srv.Serve(l)
+	go srv.Serve(l) //nolint:errcheck // ends with its listener
 	defer srv.Close()
 	var rows []GatherRow
 	for _, n := range o.Parts {
@@ -104,11 +104,11 @@
 	if err != nil {
 		return 0, 0, 0, err
 	}
-	defer func() { node.Process.Kill(); node.Wait() }()
+	defer func() { node.Process.Kill(); _ = node.Wait() }() // it was killed
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Workers}}
 	defer client.CloseIdleConnections()
 	ask := func(path string) bool {
-		resp, err := client.Get("http://" + addr + path)
+		resp, err := get(ctx, client, "http://"+addr+path)
 		if err != nil {
 			return false
 		}
--- a/internal/measure/proxy.go
+++ b/internal/measure/proxy.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return Side{}, err
 	}
-	defer cmd.Wait()
+	defer cmd.Wait() //nolint:errcheck // it was killed
 	defer cmd.Process.Kill()
 	call := func(rng *rand.Rand) fake.Call {
 		c := fake.Call{
@@ -235,7 +235,7 @@
 	for addr == "" && lines.Scan() {
 		_, addr, _ = strings.Cut(lines.Text(), "listen=")
 	}
-	go io.Copy(io.Discard, log)
+	go io.Copy(io.Discard, log) //nolint:errcheck // ends with the process
 	if addr == "" {
 		err = fmt.Errorf("%s ended before it listened", args[0])
 	} else {
@@ -243,7 +243,7 @@
 	}
 	if err != nil {
 		cmd.Process.Kill()
-		cmd.Wait()
+		_ = cmd.Wait() // it was killed
 		return nil, "", err
 	}
 	return cmd, addr, nil
@@ -251,7 +251,7 @@
 
 func healthy(ctx context.Context, addr string) error {
 	for {
-		resp, err := http.Get("http://" + addr + "/healthz")
+		resp, err := get(ctx, http.DefaultClient, "http://"+addr+"/healthz")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
@@ -266,6 +266,15 @@
 	}
 }
 
+// get is a client's Get under a context.
+func get(ctx context.Context, c *http.Client, url string) (*http.Response, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.Do(q)
+}
+
 // cpuOf is the processor time that a process has used, from /proc/PID/stat (proc(5)).
 func cpuOf(pid int) (time.Duration, error) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
@@ -290,7 +299,7 @@
 
 // ServeProxy is the other side: the standard library's reverse proxy over servers in turn.
 func ServeProxy(ctx context.Context, servers []string, log io.Writer) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -161,12 +161,12 @@
 			end()
 		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return stop, err
 	}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { io.WriteString(w, q.URL.Path) })}
-	go s.Serve(l)
+	go s.Serve(l) //nolint:errcheck // ends with its listener
 	ends = append(ends, func() { s.Close() })
 	raw, err := os.ReadFile(r.o.Program)
 	if err != nil {
@@ -187,7 +187,7 @@
 	if err != nil {
 		return stop, err
 	}
-	ends = append(ends, func() { r.run.Stop(5 * time.Second) })
+	ends = append(ends, func() { _ = r.run.Stop(5 * time.Second) })
 	var list strings.Builder
 	for i, m := range r.run.Members {
 		path := filepath.Join(r.o.Dir, fmt.Sprint("t", i))
@@ -208,7 +208,7 @@
 	defer c.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		path := "/" + name + "/" + strconv.Itoa(n)
-		resp, err := c.Get("http://" + addr + path)
+		resp, err := get(context.WithoutCancel(ctx), c, "http://"+addr+path)
 		r.requests.Add(1)
 		var body []byte
 		if err == nil {
--- a/internal/measure/tap.go
+++ b/internal/measure/tap.go
@@ -42,7 +42,7 @@
 
 // open puts a tap at a path before a member's socket.
 func (t *taps) open(name, path, to string) (stop func(), err error) {
-	l, err := net.Listen("unix", path)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "unix", path)
 	if err != nil {
 		return nil, fmt.Errorf("a tap: %w", err)
 	}
@@ -50,7 +50,7 @@
 		return (&net.Dialer{}).DialContext(ctx, "unix", to)
 	}}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { t.pass(w, r, name, way) })}
-	go s.Serve(l)
+	go s.Serve(l) //nolint:errcheck // ends with its listener
 	return func() { s.Close() }, nil
 }
 
@@ -86,13 +86,13 @@
 		var f struct {
 			Code string `json:"code"`
 		}
-		json.Unmarshal(answer, &f)
+		_ = json.Unmarshal(answer, &f) // an answer without a code
 		return f.Code
 	}
 	switch path {
 	case "/v1/claim":
 		var c manage.Claim
-		json.Unmarshal(raw, &c)
+		_ = json.Unmarshal(raw, &c) // what is no claim is refused by the member
 		t.trying(c)
 		done := t.history.Call(t.number(c.Owner), history.Claim{Member: member, Epoch: c.Epoch, Owner: c.Owner})
 		return func(status int, answer []byte) {
@@ -108,7 +108,7 @@
 		}
 	case "/v1/order":
 		var o manage.Order
-		json.Unmarshal(raw, &o)
+		_ = json.Unmarshal(raw, &o) // what is no order is refused by the member
 		done := t.history.Call(t.number(o.Owner), history.Order{Member: member, Epoch: o.Epoch, Owner: o.Owner, ID: o.ID})
 		return func(status int, answer []byte) {
 			switch c := code(answer); {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -428,7 +428,7 @@
 	all := xxhash.New()
 	for {
 		raw, err := r.frame()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return n, all.Sum64(), nil
 		}
 		var o one
--- a/internal/redistest/redistest.go
+++ b/internal/redistest/redistest.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha1"
 	"encoding/hex"
 	"errors"
@@ -48,7 +49,7 @@
 
 // Start starts a server on a loopback address of its own.
 func Start() (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("starting a counter's stand-in: %w", err)
 	}
@@ -296,7 +297,7 @@
 			f, err := l.LoadString(args[0])
 			l.Close()
 			if err != nil {
-				return fmt.Errorf("ERR Error compiling script: %v", err)
+				return fmt.Errorf("ERR Error compiling script: %w", err)
 			}
 			s.scripts[sum] = f.Proto
 		}
--- a/internal/regions/area.go
+++ b/internal/regions/area.go
@@ -101,9 +101,6 @@
 	return out, true
 }
 
-// first is the first segment that all of an area's paths have; "" where they differ.
-func (a area) first() string { return route.First(a.path) }
-
 // header is the least that the conditions on headers ask for: what may be absent is, and what may have
 // any value has one that no rule names.
 func (s *space) header(a area) http.Header {
--- a/internal/regions/pairs.go
+++ b/internal/regions/pairs.go
@@ -52,9 +52,10 @@
 // pair holds regions in which d wins against those in which j does; without j, against those in which no
 // rule does, or d itself with another outcome.
 func (x *Index) pair(all []finding, d, j *cond) []finding {
-	a, ok := d.area, true
+	a := d.area
 	attrs := attrsOf(nil, d)
 	if j != nil {
+		var ok bool
 		if a, ok = a.meet(j.area); !ok {
 			return all
 		}
--- a/internal/regions/regions_test.go
+++ b/internal/regions/regions_test.go
@@ -58,7 +58,7 @@
 	for _, one := range r.Routes {
 		rules = append(rules, one.Rule)
 	}
-	var problems []*route.Problem
+	var problems []*route.RuleError
 	if p.router, problems = route.New(rules); problems != nil {
 		t.Fatalf("%v", problems)
 	}
--- a/internal/regiontrial/change.go
+++ b/internal/regiontrial/change.go
@@ -66,7 +66,7 @@
 			}
 		}
 	}
-	cmd.Wait()
+	_ = cmd.Wait() // ProcessState tells how it ended
 	e = ended{cmd.ProcessState.ExitCode(), out.String()}
 	r.mu.Lock()
 	r.decisions += decisions
--- a/internal/regiontrial/clients.go
+++ b/internal/regiontrial/clients.go
@@ -100,7 +100,7 @@
 func (c *client) once(q request) int {
 	c.notes.Asked(q.id)
 	begun := time.Now()
-	resp, body, err := c.exchange(q)
+	resp, body, err := c.exchange(q) //nolint:bodyclose // exchange reads it to its end
 	if err != nil {
 		c.leave()
 		why := "unexplained: "
@@ -126,7 +126,7 @@
 	}
 	if c.conn == nil {
 		c.since = time.Now()
-		if c.conn, err = net.DialTimeout("tcp", c.ground.client(c.node).Addr(), patienceMost); err != nil {
+		if c.conn, err = (&net.Dialer{Timeout: patienceMost}).DialContext(context.Background(), "tcp", c.ground.client(c.node).Addr()); err != nil {
 			return nil, "", err
 		}
 	}
@@ -140,8 +140,8 @@
 	if q.method == http.MethodPost {
 		fmt.Fprintf(out, "Content-Length: %d\r\n", q.body)
 	}
-	io.WriteString(out, "\r\n")
-	io.Copy(out, fake.PatternReader(q.body))
+	out.WriteString("\r\n")
+	_, _ = io.Copy(out, fake.PatternReader(q.body)) // Flush tells
 	if err := out.Flush(); err != nil {
 		return nil, "", err
 	}
@@ -181,7 +181,7 @@
 			r.notes.Wrong("request %s: answered 200, and no server has had it", q.id)
 		}
 		var want strings.Builder
-		io.Copy(&want, fake.PatternReader(q.answer))
+		_, _ = io.Copy(&want, fake.PatternReader(q.answer))
 		if got := resp.Header.Get(fieldID); got != q.id || body != want.String() {
 			r.notes.Wrong("request %s: an answer to %q of %d bytes instead of %d, or with others in it", q.id, got, len(body), q.answer)
 		}
--- a/internal/regiontrial/ground.go
+++ b/internal/regiontrial/ground.go
@@ -135,10 +135,10 @@
 
 func (g *ground) close() {
 	for _, p := range g.procs {
-		p.Kill()
+		_ = p.Kill() // one that has ended already is well
 	}
 	for _, l := range g.links {
-		l.Close()
+		_ = l.Close() // the trial is over
 	}
 }
 
@@ -158,7 +158,7 @@
 		select {
 		case <-time.After(waitEvery):
 		case <-ctx.Done():
-			return fmt.Errorf("%s is not up: %w, %v; %s", member(i), ctx.Err(), err, g.tail(i))
+			return fmt.Errorf("%s is not up: %w, %w; %s", member(i), ctx.Err(), err, g.tail(i))
 		}
 	}
 }
--- a/internal/regiontrial/standins.go
+++ b/internal/regiontrial/standins.go
@@ -1,6 +1,7 @@
 package regiontrial
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -50,7 +51,7 @@
 }
 
 func listen(notes *history.Exchanges, handle http.HandlerFunc) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("a stand-in: %w", err)
 	}
@@ -73,7 +74,7 @@
 func (r *run) pool(region string) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		time.Sleep(serverWork)
-		json.NewEncoder(w).Encode([]element{{region, q.Header.Get(fieldID)}})
+		_ = json.NewEncoder(w).Encode([]element{{region, q.Header.Get(fieldID)}})
 	}
 }
 
@@ -95,7 +96,7 @@
 		n, _ := strconv.ParseInt(q.URL.Query().Get("n"), 10, 64)
 		w.Header().Set(fieldID, id)
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
-		io.Copy(w, fake.PatternReader(n))
+		_, _ = io.Copy(w, fake.PatternReader(n)) // a client that left is its own doing
 	}
 }
 
--- a/internal/retrybuffer/retrybuffer.go
+++ b/internal/retrybuffer/retrybuffer.go
@@ -56,7 +56,7 @@
 	if err == nil {
 		// The library learns of the end only by a read, and looks for a hang-up from then on.
 		var one [1]byte
-		if m, end := b.src.Read(one[:]); m > 0 || end != io.EOF {
+		if m, end := b.src.Read(one[:]); m > 0 || !errors.Is(end, io.EOF) {
 			err = errors.New("more than the length that was told")
 		}
 	}
@@ -73,28 +73,28 @@
 func (b *Body) Whole() ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.held, b.err == io.EOF && !b.lost
+	return b.held, errors.Is(b.err, io.EOF) && !b.lost
 }
 
 // Ended tells whether the body has come to its end.
 func (b *Body) Ended() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.err == io.EOF
+	return errors.Is(b.err, io.EOF)
 }
 
 // Again tells whether a further attempt could send all of it.
 func (b *Body) Again() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.lost && !b.closed && (b.err == nil || b.err == io.EOF)
+	return !b.lost && !b.closed && (b.err == nil || errors.Is(b.err, io.EOF))
 }
 
 // Err is the error with which the body ended early; nil where it has not.
 func (b *Body) Err() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.err == io.EOF {
+	if errors.Is(b.err, io.EOF) {
 		return nil
 	}
 	return b.err
@@ -209,7 +209,7 @@
 			b.moved.Wait()
 			continue
 		}
-		b.read(p)
+		_, _ = b.read(p) // the body keeps its error
 	}
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -79,9 +79,8 @@
 	seq      int           // of orders
 
 	placed   bool // the phase is known by what the members run
-	resumed  bool
-	phase    int // 1 is the first: from generation 0 to 1
-	stage    int // index in the phase
+	phase    int  // 1 is the first: from generation 0 to 1
+	stage    int  // index in the phase
 	watching bool
 	since    time.Duration // of the stage, or of the sweep
 	baking   bool
--- a/internal/rolloutlog/rolloutlog.go
+++ b/internal/rolloutlog/rolloutlog.go
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-		lock.Close()
+		_ = lock.Close() // nothing was written
 		if errors.Is(err, unix.EWOULDBLOCK) {
 			err = ErrBusy
 		}
@@ -105,7 +105,7 @@
 
 // Close lets go of it.
 func (l *Ledger) Close() {
-	l.lock.Close()
+	_ = l.lock.Close() // nothing is written to it
 }
 
 // Records are those of the newest change, the first first; none where there has been none.
@@ -191,8 +191,7 @@
 			return err
 		}
 		if err := db.Update(f); err != nil {
-			db.Close()
-			return err
+			return errors.Join(err, db.Close())
 		}
 		return db.Close()
 	})
@@ -277,7 +276,7 @@
 			}
 			return fmt.Errorf("%w: %w", errDamaged, err)
 		}
-		defer db.Close()
+		defer db.Close() //nolint:errcheck // only read
 		return db.View(func(tx *bbolt.Tx) error {
 			k, _ := tx.Cursor().Last()
 			if k == nil {
--- a/internal/route/form.go
+++ b/internal/route/form.go
@@ -5,11 +5,11 @@
 // Form is a rule in the one form that a Router matches and orders it by. It never changes.
 type Form struct{ c *rule }
 
-// FormOf gives a rule's form; what New would refuse is an error (a *Problem).
+// FormOf gives a rule's form; what New would refuse is an error (a *RuleError).
 func FormOf(given Rule) (Form, error) {
 	c, key, err := compile(given, 0)
 	if err != nil {
-		return Form{}, &Problem{Key: key, Err: err}
+		return Form{}, &RuleError{Key: key, Err: err}
 	}
 	return Form{c}, nil
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -75,22 +75,22 @@
 
 const depthMost = 63
 
-// Problem is a rule that can't be used, and the key of it that is to blame.
-type Problem struct {
+// RuleError is a rule that can't be used, and the key of it that is to blame.
+type RuleError struct {
 	Rule int // its place among those given to New
 	Key  string
 	Err  error
 }
 
-func (p *Problem) Error() string { return fmt.Sprintf("%s: %v", p.Key, p.Err) }
+func (p *RuleError) Error() string { return fmt.Sprintf("%s: %v", p.Key, p.Err) }
 
 // Unwrap gives what is wrong.
-func (p *Problem) Unwrap() error { return p.Err }
+func (p *RuleError) Unwrap() error { return p.Err }
 
 // New compiles rules. It gives all problems there are, not only the first.
-func New(rules []Rule) (*Router, []*Problem) {
+func New(rules []Rule) (*Router, []*RuleError) {
 	r := &Router{exact: make(map[string]*bucket), wild: make(map[string]*bucket), any: newBucket()}
-	var problems []*Problem
+	var problems []*RuleError
 	same := make(map[string]*rule)
 	for i, given := range rules {
 		c, key, err := compile(given, i)
@@ -102,7 +102,7 @@
 			}
 		}
 		if err != nil {
-			problems = append(problems, &Problem{i, key, err})
+			problems = append(problems, &RuleError{i, key, err})
 			continue
 		}
 		r.rules = append(r.rules, c)
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -105,7 +105,7 @@
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		raw := make([]byte, 32)
 		n, _ := f.Read(raw)
-		f.Close()
+		_ = f.Close() // nothing was written
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			return nil, fmt.Errorf("%s: another daemon runs: process %s", path, strings.TrimSpace(string(raw[:n])))
 		}
@@ -113,8 +113,7 @@
 	}
 	p := &PIDFile{file: f, path: path}
 	if err := p.Claim(); err != nil {
-		f.Close()
-		return nil, err
+		return nil, errors.Join(err, f.Close())
 	}
 	return p, nil
 }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -83,7 +83,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { os.RemoveAll(dir) })
+	t.Cleanup(func() {
+		if err := os.RemoveAll(dir); err != nil {
+			t.Error(err)
+		}
+	})
 	return dir
 }
 
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -8,6 +8,7 @@
 package upgrade
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -109,9 +110,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting a successor: %w", err)
 	}
-	defer theirs.Close()
+	defer theirs.Close() //nolint:errcheck // the successor has it
 	in := inherits{Version: version, Conn: 3, Files: make(map[string]int)}
-	cmd := exec.Command(p.Path, p.Args...)
+	cmd := exec.CommandContext(context.Background(), p.Path, p.Args...) // it outlives this process
 	cmd.ExtraFiles = []*os.File{theirs}
 	for name, f := range p.Files {
 		in.Files[name] = 3 + len(cmd.ExtraFiles)
@@ -156,11 +157,10 @@
 		return nil, nil, err
 	}
 	mine := os.NewFile(uintptr(fds[0]), "successor")
-	defer mine.Close()
+	defer mine.Close() //nolint:errcheck // a copy of a socket
 	theirs = os.NewFile(uintptr(fds[1]), "predecessor")
 	if ours, err = net.FileConn(mine); err != nil {
-		theirs.Close()
-		return nil, nil, err
+		return nil, nil, errors.Join(err, theirs.Close())
 	}
 	return ours, theirs, nil
 }
@@ -250,7 +250,7 @@
 	}
 	p := &Predecessor{files: make(map[string]*os.File)}
 	f := os.NewFile(uintptr(in.Conn), "predecessor")
-	defer f.Close()
+	defer f.Close() //nolint:errcheck // a copy of a socket
 	var err error
 	if p.conn, err = net.FileConn(f); err != nil {
 		return nil, fmt.Errorf("%s: %w", Variable, err)
@@ -272,7 +272,7 @@
 // CloseRest closes the inherited files that nobody has asked for.
 func (p *Predecessor) CloseRest() {
 	for name, f := range p.files {
-		f.Close()
+		_ = f.Close() // a socket or a lock that nobody needs
 		delete(p.files, name)
 	}
 }
@@ -288,7 +288,7 @@
 		}
 		f := p.File(name)
 		l, err := net.FileListener(f)
-		f.Close()
+		_ = f.Close() // a copy of a socket
 		if err != nil {
 			return nil, fmt.Errorf("taking over the listener of %s: %w", addr, err)
 		}
--- a/internal/waitpolicy/share/share.go
+++ b/internal/waitpolicy/share/share.go
@@ -125,7 +125,7 @@
 func (s *Sharer) Run(ctx context.Context) {
 	defer func() {
 		for _, c := range s.clients {
-			c.Close()
+			_ = c.Close() // a connection pool
 		}
 	}()
 	timer := time.NewTimer(time.Duration(s.rng.Int64N(int64(s.o.Every))))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -48,7 +49,7 @@
 // next reads a line without its end; io.EOF only where no text was left.
 func (d *Decoder) next() (string, error) {
 	s, err := d.r.ReadString('\n')
-	if err != nil && (err != io.EOF || s == "") {
+	if err != nil && (!errors.Is(err, io.EOF) || s == "") {
 		return "", err
 	}
 	d.line++
@@ -79,7 +80,7 @@
 		return b, d.fail(name, f.err)
 	}
 	for {
-		if s, err = d.next(); err == io.EOF {
+		if s, err = d.next(); errors.Is(err, io.EOF) {
 			return b, fmt.Errorf("line %d: input ended inside a batch", d.line)
 		} else if err != nil {
 			return b, err
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -107,7 +108,7 @@
 			}
 		}
 	}
-	if _, err := NewDecoder(strings.NewReader("")).Next(); err != io.EOF {
+	if _, err := NewDecoder(strings.NewReader("")).Next(); !errors.Is(err, io.EOF) {
 		t.Errorf("empty input: %v", err)
 	}
 }
