Replay golden recordings of an earlier build, and compare digests of their decisions

Eight recordings of four histories, 1.5 to 22 KB each: classes of each effect with streams, hang-ups, lists that fail and requests of all sorts; quotas with a meter, an open limit and ceilings; cold servers; a hand-over between two modules, in five sections.

TestGoldenRecordings replays each, expects no difference to what was recorded, and compares with testdata/recordings.golden the digest that lockflow replay prints, one of all fields of all actions (a recording has neither the causes nor the time by which to begin), and one of the state at the end. It requires that the recordings reach each kind of event and decision that it lists. What played a history by chance in record_test.go is a driver now that both use, with the same draws. docs/recorder.md says which tests hold decisions and how their files are written anew.

--- a/internal/fleetsim/decisions_amd64_test.go
+++ b/internal/fleetsim/decisions_amd64_test.go
@@ -83,13 +83,15 @@
 
 // playPinned plays a day.
 func playPinned(day string, instances int, seed uint64) (*pinnedDay, error) {
-	p := &pinnedDay{day: day, instances: instances, seed: seed, decided: decisiondigest.New(), state: decisiondigest.New(),
-		features: make(map[string]bool)}
+	p := &pinnedDay{
+		day: day, instances: instances, seed: seed, decided: decisiondigest.New(), state: decisiondigest.New(),
+		features: make(map[string]bool),
+	}
 	if err := decisionDays[day](p); err != nil {
 		return nil, err
 	}
 	for _, n := range p.world.nodes {
-		p.keep(p.state.AddImage(n.c.Image()))
+		p.noteError(p.state.AddImage(n.c.Image()))
 	}
 	return p, p.err
 }
@@ -114,7 +116,7 @@
 	p.actions += len(actions)
 	p.decided.AddActions(w.Now(), instance, actions)
 	if p.events%imageEvery == 0 {
-		p.keep(p.state.AddImage(w.nodes[instance].c.Image()))
+		p.noteError(p.state.AddImage(w.nodes[instance].c.Image()))
 	}
 	if response, ok := event.(control.AttemptResult); ok && response.QuotaUsage > 0 {
 		p.features["metered use told"] = true
@@ -122,7 +124,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case control.Send:
-			p.sees(w, instance, a)
+			p.noteAttempt(w, instance, a)
 		case control.Reject:
 			p.features["refused: "+a.Cause.String()] = true
 		case control.Fail:
@@ -131,8 +133,8 @@
 	}
 }
 
-// sees notes what kind of attempt starts.
-func (p *pinnedDay) sees(w *world, instance int, a control.Send) {
+// noteAttempt notes what kind of attempt starts.
+func (p *pinnedDay) noteAttempt(w *world, instance int, a control.Send) {
 	n := w.nodes[instance]
 	t := n.held[a.ID]
 	if t == nil {
@@ -162,7 +164,7 @@
 func (p *pinnedDay) handOver(w *world, instance int) {
 	now, old := w.Now()+firstUse, w.nodes[instance].c
 	given := old.HandOver(now, 0.5)
-	p.keep(p.state.AddCheckpoint(given))
+	p.noteError(p.state.AddCheckpoint(given))
 	p.features["hand-over"] = true
 	w.kill(instance)
 	w.start(instance)
@@ -176,13 +178,13 @@
 	}
 	w.After(time.Second, func() {
 		rest := old.HandOver(w.Now()+firstUse, 1)
-		p.keep(p.state.AddCheckpoint(rest))
+		p.noteError(p.state.AddCheckpoint(rest))
 		successor.Rejoin(w.Now()+firstUse, &rest)
 		p.features["rejoined"] = true
 	})
 }
 
-func (p *pinnedDay) keep(err error) {
+func (p *pinnedDay) noteError(err error) {
 	if p.err == nil {
 		p.err = err
 	}
--- /dev/null
+++ b/internal/record/golden_amd64_test.go
@@ -0,0 +1,405 @@
+package record
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/decisiondigest"
+)
+
+// updateRecordings records the histories anew and writes the golden file:
+//
+//	go test ./internal/record -run '^TestGoldenRecordings$' -update-recordings
+//
+// A build that has to decide as those before it replays the recordings that are there.
+var updateRecordings = flag.Bool("update-recordings", false, "writes the recordings in testdata and their digests anew")
+
+const (
+	recordingsDir     = "testdata/recordings"
+	goldenRecordings  = "testdata/recordings.golden"
+	maxRecordingBytes = 24 << 10
+	historySteps      = 420
+	listedServers     = 4
+)
+
+// recordedFeatures are the kinds of event, state and decision that the recordings have to hold together.
+var recordedFeatures = []string{
+	"attempt of a free request", "retry of a free request",
+	"attempt of a guarded request", "retry of a guarded request",
+	"attempt of a single-shot request",
+	"attempt at a cold server", "failed: no_further", "list followed", "metered use",
+	"refused: by_chance", "refused: no_further", "refused: no_room", "refused: no_turn", "refused: over_ceiling", "refused: over_store",
+	"refused: too_late", "refused: unknown", "refused: yields",
+	"client left", "stream started", "list: patch", "list: complete", "list: stale", "list: failed",
+}
+
+// history is what the services of a recording see.
+type history struct {
+	settings    control.Settings
+	classes     []string         // that are asked, each as often
+	reasons     []control.Reason // that attempts end with, each as often
+	customers   int
+	requestRate float64       // part of the steps that bring a request; else an attempt ends
+	stepTime    time.Duration // the longest that passes between two steps
+	cold        bool          // servers are replaced by cold ones
+}
+
+// mixedReasons are ends of attempts, a third of which failed.
+var mixedReasons = []control.Reason{
+	control.OK, control.OK, control.OK, control.OK, control.OK, control.OK, control.OK, control.OK, control.OK, control.OK, control.OK, control.OK,
+	control.Errored, control.RejectedByServer, control.ConnectFailed, control.TimedOut, control.ResetByPeer, control.Cancelled,
+}
+
+// baseSettings are those of a group of two with a class of each effect.
+func baseSettings() control.Settings {
+	return control.Settings{
+		GroupSize: 2, Zone: "west", MaxAttempts: 4, ListOnRequest: true, CanCancel: true, RetriesAreMarked: true, SupportsRetryAfter: true, MaxRetryAfter: time.Second,
+		DrainGrace: 2 * time.Second, WarmupTime: 10 * time.Second, InitialCapacity: 0.15, OverloadWindow: 2 * time.Second, OverloadMultiple: 2.5, MaxUnits: 4, CrossZonePrice: 0.1,
+		Classes: []control.Class{
+			{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 1, LateWeightFraction: 0.2},
+			{Name: "update", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 5, Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: 2 * time.Second},
+			{Name: "transfer", LatencyObjective: 500 * time.Millisecond, Deadline: 2 * time.Second, PriorityWeight: 8, Idempotency: control.NotIdempotent},
+			{Name: "watch", LatencyObjective: time.Second, Deadline: 5 * time.Second, PriorityWeight: 2, IsStreaming: true},
+		},
+		Plans: []control.Plan{{Name: "basic", Price: 0.8}, {Name: "enterprise", Price: 1.4}},
+	}
+}
+
+// quotaSettings adds metered quotas, open quotas and ceilings.
+func quotaSettings() control.Settings {
+	s := baseSettings()
+	s.MeterPeriod, s.UnitsInResponse = time.Second, true
+	s.Plans = []control.Plan{
+		{Name: "basic", Price: 0.8, QuotaRate: 6, QuotaBurst: 10, OverQuotaCost: 0.6},
+		{Name: "standard", Price: 1.1, MaxInFlight: 3, OverQuotaCost: 0.9},
+		{Name: "enterprise", Price: 1.4, QuotaRate: 12, QuotaBurst: 18, OverQuotaCost: 1.2, HardLimitRate: 14, HardLimitBurst: 20, HardLimitSlack: 4},
+	}
+	return s
+}
+
+// histories are the recordings' by name. Each section of a history is a recording of its own.
+var histories = map[string]history{
+	"effects":   {settings: baseSettings(), classes: []string{"read", "update", "transfer", "watch", "unknown"}, reasons: mixedReasons, customers: 4, requestRate: 0.5, stepTime: 30 * time.Millisecond},
+	"quotas":    {settings: quotaSettings(), classes: []string{"read", "update"}, reasons: mixedReasons, customers: 2, requestRate: 0.55, stepTime: 40 * time.Millisecond},
+	"cold":      {settings: baseSettings(), classes: []string{"read", "update"}, reasons: mixedReasons, customers: 4, requestRate: 0.5, stepTime: 60 * time.Millisecond, cold: true},
+	"hand-over": {settings: quotaSettings(), classes: []string{"read", "update", "transfer"}, reasons: mixedReasons, customers: 3, requestRate: 0.5, stepTime: 30 * time.Millisecond, cold: true},
+}
+
+// historian has recorded modules live through a history.
+type historian struct {
+	*driver
+	t       *testing.T
+	history history
+	dir     string
+	servers uint32 // that there have been; the latest are listed
+	ids     int
+}
+
+func (h *historian) record(seed uint64, name string) *Module {
+	c, err := control.New(h.history.settings, seed)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	m, err := New(c, h.history.settings, Options{Service: name, Dir: h.dir, Bytes: 64 << 20})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return m
+}
+
+// endpoint is a server's entry in the list, in one of two zones and of two cells.
+func (h *historian) endpoint(server uint32, state control.EndpointState) control.Endpoint {
+	return control.Endpoint{Server: server, State: state, Zone: []string{"west", "east"}[server%2], Cell: int(server / 2 % 2), Size: 1}
+}
+
+// list tells the module of all servers.
+func (h *historian) list(kind control.ListKind) {
+	l := control.EndpointList{Kind: kind}
+	for server := h.servers - listedServers + 1; server <= h.servers; server++ {
+		l.Endpoints = append(l.Endpoints, h.endpoint(server, control.Active))
+	}
+	h.handle(l)
+}
+
+// replace has a cold server come and an old one drain.
+func (h *historian) replace() {
+	h.servers++
+	fresh := h.endpoint(h.servers, control.Active)
+	fresh.HasStartedAt, fresh.StartedAt = true, h.now
+	h.handle(control.EndpointList{Kind: control.ListPatch, Endpoints: []control.Endpoint{fresh, h.endpoint(h.servers-listedServers, control.Draining)}})
+}
+
+// step brings a request, the end of an attempt, or other news.
+func (h *historian) step(i int) {
+	h.pass(time.Duration(h.rng.Int64N(int64(h.history.stepTime))))
+	if h.history.cold && i%100 == 50 {
+		h.replace()
+	}
+	switch {
+	case i%140 == 60:
+		h.handle(control.EndpointList{Kind: control.ListFailed})
+	case i%140 == 90:
+		h.list(control.ListCached)
+	case i%140 == 130:
+		h.list(control.ListComplete)
+	case h.rng.Float64() < h.history.requestRate || len(h.sent) == 0:
+		h.request()
+	default:
+		h.respond(h.take(h.rng.IntN(len(h.sent))), h.response())
+	}
+}
+
+func (h *historian) request() {
+	h.ids++
+	plans := h.history.settings.Plans
+	r := control.Request{
+		ID: fmt.Sprint("r", h.ids), Class: h.history.classes[h.rng.IntN(len(h.history.classes))], Plan: plans[h.rng.IntN(len(plans))].Name,
+		Customer: fmt.Sprint("c", h.rng.IntN(h.history.customers)), Timeout: 3 * time.Second, Units: float64(1 + h.rng.IntN(3)), FanOut: 1 + h.rng.IntN(2),
+		IsOverCapacity: h.ids%97 == 0, HasPendingBody: h.ids%13 == 0,
+	}
+	if h.ids%9 == 0 { // a later attempt of its client
+		r.IsRetry, r.Timeout = true, time.Duration(500+h.rng.IntN(2000))*time.Millisecond
+	}
+	h.handle(r)
+	if h.ids%23 == 0 {
+		h.handle(control.ClientGone{ID: r.ID})
+	}
+}
+
+func (h *historian) response() control.AttemptResult {
+	s := h.history.settings
+	r := control.AttemptResult{Reason: h.history.reasons[h.rng.IntN(len(h.history.reasons))], Delay: time.Duration(1+h.rng.IntN(90)) * time.Millisecond}
+	r.IsFinal = r.Reason == control.OK
+	if h.rng.IntN(3) == 0 {
+		r.Load = &control.LoadReport{InFlight: 2, Queued: 1, Utilization: h.rng.Float64(), MeanLatencyMS: 20 + 60*h.rng.Float64(), RequestsPerSecond: -1, ErrorsPerSecond: -1}
+	}
+	if s.MeterPeriod > 0 && r.IsFinal {
+		r.QuotaUsage, r.ActualUnits = 1+h.rng.IntN(120), float64(1+h.rng.IntN(4))
+	}
+	return r
+}
+
+// respond has an answer that streams begin before it ends.
+func (h *historian) respond(s control.Send, r control.AttemptResult) {
+	if r.IsFinal && h.rng.IntN(4) == 0 {
+		h.handle(control.ResponseStarted{ID: s.ID, Attempt: h.attempts[s.ID], Server: s.Server, Delay: r.Delay})
+		h.pass(5 * time.Millisecond)
+	}
+	h.driver.respond(s, r)
+}
+
+// handOver has a successor take half of what the module may spend, and the rest once both have served.
+func (h *historian) handOver(steps int) {
+	predecessor := h.driver
+	next := &historian{
+		t: h.t, history: h.history, dir: h.dir, servers: h.servers, ids: 1000,
+		driver: &driver{module: h.record(2, "successor"), rng: h.rng, now: h.now, attempts: make(map[string]int)},
+	}
+	next.list(control.ListComplete)
+	given := predecessor.module.HandOver(h.now, 0.5)
+	next.module.Restore(next.now, given, control.TrustAll)
+	for i := range steps {
+		h.step(i)
+		next.step(i)
+	}
+	now := max(h.now, next.now)
+	rest := predecessor.module.HandOver(now, 1)
+	next.now = now
+	next.module.Rejoin(now, &rest)
+	for i := range steps {
+		next.step(i)
+	}
+	if err := next.module.Close(); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// recordHistory records a history, and puts its sections where the golden recordings are.
+func recordHistory(t *testing.T, name string) {
+	h := &historian{t: t, history: histories[name], dir: t.TempDir(), servers: listedServers}
+	h.driver = &driver{module: h.record(1, "service"), rng: rand.New(rand.NewPCG(7, 41)), now: time.Hour, attempts: make(map[string]int)}
+	h.list(control.ListComplete)
+	steps := historySteps
+	if name == "hand-over" {
+		steps /= 3
+	}
+	for i := range steps {
+		h.step(i)
+	}
+	if name == "hand-over" {
+		h.handOver(steps)
+	}
+	if err := h.module.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for i, path := range sections(t, h.dir) {
+		service, _, _ := strings.Cut(filepath.Base(path), "-")
+		raw, err := os.ReadFile(path)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(recordingsDir, fmt.Sprintf("%s-%d-%s%s", name, i+1, service, Suffix)), raw, 0o644)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// replayed is a recording that is played again.
+type replayed struct {
+	t        *testing.T
+	path     string
+	reader   *Reader
+	shadow   *control.Controller // takes the same events, to have its state looked at
+	effects  map[string]control.Idempotency
+	sends    map[string]int
+	cold     map[uint32]bool
+	decided  *decisiondigest.Digest
+	features map[string]bool
+	other    int // events that were answered otherwise than recorded
+}
+
+func openRecording(t *testing.T, path string) *replayed {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(raw) > maxRecordingBytes {
+		t.Errorf("%s: %d bytes are more than %d", path, len(raw), maxRecordingBytes)
+	}
+	p := &replayed{
+		t: t, path: path, decided: decisiondigest.New(), features: make(map[string]bool), effects: make(map[string]control.Idempotency),
+		sends: make(map[string]int), cold: make(map[uint32]bool),
+	}
+	if p.reader, err = Open(bytes.NewReader(raw)); err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	if p.shadow, err = control.Resume(p.reader.head.Settings, p.reader.head.Image); err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	return p
+}
+
+// play plays the recording and returns its line of the golden file.
+func (p *replayed) play() string {
+	p.t.Helper()
+	events, sum, err := p.reader.Play(func(s Step) error {
+		if !s.Same {
+			if p.other++; p.other == 1 {
+				p.t.Errorf("%s: at %v %T is answered otherwise than recorded, by %v", p.path, s.Now, s.Event, s.Actions)
+			}
+		}
+		p.decided.AddActions(s.Now, 0, s.Actions)
+		p.noteEvent(s.Event)
+		for _, action := range s.Actions {
+			p.noteAction(action)
+		}
+		p.shadow.Handle(s.Now, s.Event)
+		return nil
+	})
+	if err != nil {
+		p.t.Fatalf("%s: %v", p.path, err)
+	}
+	state := decisiondigest.New()
+	if err := state.AddImage(p.shadow.Image()); err != nil {
+		p.t.Fatal(err)
+	}
+	return fmt.Sprintf("%s events=%d replay=%016x decisions=%s state=%s", filepath.Base(p.path), events, sum, p.decided.Sum(), state.Sum())
+}
+
+var listNames = map[control.ListKind]string{control.ListPatch: "patch", control.ListComplete: "complete", control.ListCached: "stale", control.ListFailed: "failed"}
+
+func (p *replayed) noteEvent(event control.Event) {
+	switch e := event.(type) {
+	case control.Request:
+		for _, class := range p.reader.Settings().Classes {
+			if class.Name == e.Class {
+				p.effects[e.ID] = class.Idempotency
+			}
+		}
+	case control.EndpointList:
+		p.features["list: "+listNames[e.Kind]] = true
+		for _, m := range e.Endpoints {
+			p.cold[m.Server] = m.HasStartedAt
+		}
+	case control.AttemptResult:
+		p.features["metered use"] = p.features["metered use"] || e.QuotaUsage > 0
+	case control.ResponseStarted:
+		p.features["stream started"] = true
+	case control.ClientGone:
+		p.features["client left"] = true
+	}
+}
+
+var effectNames = map[control.Idempotency]string{control.Idempotent: "free", control.IdempotencyKeyed: "guarded", control.NotIdempotent: "single-shot"}
+
+func (p *replayed) noteAction(action control.Action) {
+	switch a := action.(type) {
+	case control.Send:
+		kind := "attempt"
+		if p.sends[a.ID]++; p.sends[a.ID] > 1 {
+			kind = "retry"
+		}
+		if effect, known := p.effects[a.ID]; known {
+			p.features[kind+" of a "+effectNames[effect]+" request"] = true
+		}
+		if p.cold[a.Server] {
+			p.features["attempt at a cold server"] = true
+		}
+	case control.Reject:
+		p.features["refused: "+a.Cause.String()] = true
+	case control.Fail:
+		p.features["failed: "+a.Cause.String()] = true
+	case control.WatchEndpoints:
+		p.features["list followed"] = true
+	}
+}
+
+// Recordings of an earlier build replay without a difference, and their digests are as they were then: of
+// every action with all its fields, of which a recording has some only, and of the state at the end.
+func TestGoldenRecordings(t *testing.T) {
+	if *updateRecordings {
+		for _, name := range slices.Sorted(maps.Keys(histories)) {
+			recordHistory(t, name)
+		}
+	}
+	var lines []string
+	features := make(map[string]bool)
+	paths, err := filepath.Glob(filepath.Join(recordingsDir, "*"+Suffix))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		p := openRecording(t, path)
+		lines = append(lines, p.play())
+		maps.Copy(features, p.features)
+	}
+	for _, feature := range recordedFeatures {
+		if !features[feature] {
+			t.Errorf("no recording holds %q", feature)
+		}
+	}
+	text := strings.Join(lines, "\n") + "\n"
+	if *updateRecordings {
+		if err := os.WriteFile(goldenRecordings, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	golden, err := os.ReadFile(goldenRecordings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text != string(golden) {
+		t.Errorf("replayed:\n%s\ngolden:\n%s", text, golden)
+	}
+}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -41,52 +41,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rng := rand.New(rand.NewPCG(seed, 41))
-	now := time.Hour
-	var out []control.Send
-	n := make(map[string]int)
-	var timers []control.TimerFired
-	var due []time.Duration
-	tell := func(e control.Event) {
-		for _, a := range m.Handle(now, e) {
-			switch a := a.(type) {
-			case control.Send:
-				out = append(out, a)
-			case control.StartTimer:
-				timers, due = append(timers, control.TimerFired{Label: a.Label}), append(due, now+a.After)
-			}
-		}
-	}
+	d := &driver{module: m, rng: rand.New(rand.NewPCG(seed, 41)), now: time.Hour, attempts: make(map[string]int)}
 	list := control.EndpointList{Kind: control.ListComplete}
 	for i := range 4 {
-		list.Endpoints = append(list.Endpoints, control.Endpoint{Server: uint32(i + 1), Cell: i % 2, Size: 1, HasStartedAt: i == 3, StartedAt: now})
+		list.Endpoints = append(list.Endpoints, control.Endpoint{Server: uint32(i + 1), Cell: i % 2, Size: 1, HasStartedAt: i == 3, StartedAt: d.now})
 	}
-	tell(list)
+	d.handle(list)
 	for step := range steps {
-		now += time.Duration(rng.IntN(10)) * time.Millisecond
-		for i := 0; i < len(due); i++ {
-			if due[i] <= now {
-				e := timers[i]
-				timers, due = append(timers[:i], timers[i+1:]...), append(due[:i], due[i+1:]...)
-				tell(e)
-				i = -1
-			}
-		}
-		if k := rng.IntN(10); k < 5 {
-			tell(control.Request{
-				ID: fmt.Sprint(step), Class: []string{"read", "write"}[k%2], Plan: []string{"a", "b"}[step%2], Customer: fmt.Sprint(rng.IntN(5)),
-				Timeout: 3 * time.Second, Units: float64(1 + rng.IntN(3)), FanOut: 2, HasPendingBody: k == 4,
+		d.pass(time.Duration(d.rng.IntN(10)) * time.Millisecond)
+		if k := d.rng.IntN(10); k < 5 {
+			d.handle(control.Request{
+				ID: fmt.Sprint(step), Class: []string{"read", "write"}[k%2], Plan: []string{"a", "b"}[step%2], Customer: fmt.Sprint(d.rng.IntN(5)),
+				Timeout: 3 * time.Second, Units: float64(1 + d.rng.IntN(3)), FanOut: 2, HasPendingBody: k == 4,
 			})
-		} else if len(out) > 0 {
-			i := rng.IntN(len(out))
-			s := out[i]
-			out = append(out[:i], out[i+1:]...)
-			why := []control.Reason{control.OK, control.OK, control.OK, control.Errored, control.RejectedByServer, control.ConnectFailed, control.TimedOut}[rng.IntN(7)]
-			tell(control.AttemptResult{
-				ID: s.ID, Attempt: n[s.ID], Server: s.Server, Reason: why, IsFinal: why == control.OK, QuotaUsage: rng.IntN(200), ActualUnits: 1,
+		} else if len(d.sent) > 0 {
+			s := d.take(d.rng.IntN(len(d.sent)))
+			why := []control.Reason{control.OK, control.OK, control.OK, control.Errored, control.RejectedByServer, control.ConnectFailed, control.TimedOut}[d.rng.IntN(7)]
+			d.respond(s, control.AttemptResult{
+				Reason: why, IsFinal: why == control.OK, QuotaUsage: d.rng.IntN(200), ActualUnits: 1,
 				Delay: time.Millisecond, Load: &control.LoadReport{InFlight: 2, Utilization: 0.5},
 			})
-			n[s.ID]++
 		}
 		if between != nil {
 			between(m, step)
@@ -97,6 +71,59 @@
 	}
 }
 
+// driver has a recorded module take events at its own clock, and brings the timers that it arms.
+type driver struct {
+	module   *Module
+	rng      *rand.Rand
+	now      time.Duration
+	sent     []control.Send // attempts that are out
+	attempts map[string]int // that have ended, by request
+	timers   []pendingTimer
+}
+
+type pendingTimer struct {
+	due   time.Duration
+	timer control.TimerFired
+}
+
+// handle has the module take an event.
+func (d *driver) handle(e control.Event) {
+	for _, a := range d.module.Handle(d.now, e) {
+		switch a := a.(type) {
+		case control.Send:
+			d.sent = append(d.sent, a)
+		case control.StartTimer:
+			d.timers = append(d.timers, pendingTimer{d.now + a.After, control.TimerFired{Label: a.Label}})
+		}
+	}
+}
+
+// pass lets time pass, at whose end all timers come that are due.
+func (d *driver) pass(span time.Duration) {
+	d.now += span
+	for i := 0; i < len(d.timers); i++ {
+		if due := d.timers[i]; due.due <= d.now {
+			d.timers = append(d.timers[:i], d.timers[i+1:]...)
+			d.handle(due.timer)
+			i = -1
+		}
+	}
+}
+
+// take removes an attempt from those that are out.
+func (d *driver) take(i int) control.Send {
+	s := d.sent[i]
+	d.sent = append(d.sent[:i], d.sent[i+1:]...)
+	return s
+}
+
+// respond ends an attempt.
+func (d *driver) respond(s control.Send, r control.AttemptResult) {
+	r.ID, r.Attempt, r.Server = s.ID, d.attempts[s.ID], s.Server
+	d.attempts[s.ID]++
+	d.handle(r)
+}
+
 func sections(t testing.TB, dir string) []string {
 	t.Helper()
 	all, err := filepath.Glob(filepath.Join(dir, "*"+Suffix))
