Report a configuration of a measurement that can't be written in full

measure wrote the node's configuration in four places, each of which threw away the error of Close: on a file system that reports a full disk or quota there, the node was started with half a file. One writeConfig does it now, reports both errors and leaves no file behind. TestWriteConfig limits the size of files.

--- a/internal/measure/bodies.go
+++ b/internal/measure/bodies.go
@@ -72,26 +72,21 @@
 	srv := &http.Server{Handler: http.HandlerFunc(bodyServer)}
 	go srv.Serve(l) //nolint:errcheck // ends with its listener
 	defer srv.Close()
-	file, err := os.CreateTemp("", "lockflow-*.toml")
-	if err != nil {
-		return nil, fmt.Errorf("writing the node's configuration: %w", err)
-	}
-	defer os.Remove(file.Name())
 	var list []string
 	for i := range 8 { // as many servers, of one address: a proxy has no bound on what one gets
 		list = append(list, fmt.Sprintf("{ uid = \"s%d\", endpoint = %q }", i, l.Addr().String()))
 	}
-	_, err = fmt.Fprintf(file, bodiesConfig, o.MemoryMB, strings.Join(list, ", "))
-	file.Close()
+	file, err := writeConfig(fmt.Sprintf(bodiesConfig, o.MemoryMB, strings.Join(list, ", ")))
 	if err != nil {
-		return nil, fmt.Errorf("writing the node's configuration: %w", err)
+		return nil, err
 	}
+	defer os.Remove(file) //nolint:errcheck // a temporary file
 	var rows []BodiesRow
 	for _, size := range o.Sizes {
 		for _, way := range ways {
 			var nodes, proxies []Flow
 			for round := range o.Rounds {
-				a, err := o.flow(ctx, size, way, "serve", "--config", file.Name())
+				a, err := o.flow(ctx, size, way, "serve", "--config", file)
 				if err != nil {
 					return rows, fmt.Errorf("measuring the node: %w", err)
 				}
--- a/internal/measure/gather.go
+++ b/internal/measure/gather.go
@@ -91,16 +91,12 @@
 
 // gatherRun gives the CPU of the node, in us, for a query or for as many plain calls as one has parts.
 func gatherRun(ctx context.Context, o GatherOptions, server string, parts int, gathers bool) (cpu, p50 float64, failed int, err error) {
-	file, err := os.CreateTemp("", "lockflow-*.toml")
+	file, err := writeConfig(gatherText(server, parts))
 	if err != nil {
-		return 0, 0, 0, fmt.Errorf("writing the node's configuration: %w", err)
-	}
-	defer os.Remove(file.Name())
-	_, err = io.WriteString(file, gatherText(server, parts))
-	if file.Close(); err != nil {
-		return 0, 0, 0, fmt.Errorf("writing the node's configuration: %w", err)
+		return 0, 0, 0, err
 	}
-	node, addr, err := launch(ctx, o.Program, "serve", "--config", file.Name())
+	defer os.Remove(file) //nolint:errcheck // a temporary file
+	node, addr, err := launch(ctx, o.Program, "serve", "--config", file)
 	if err != nil {
 		return 0, 0, 0, err
 	}
--- a/internal/measure/proxy.go
+++ b/internal/measure/proxy.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -101,16 +102,11 @@
 	for _, s := range pool.Servers {
 		list, addrs = append(list, fmt.Sprintf("{ uid = %q, endpoint = %q }", s.UID, s.Addr())), append(addrs, s.Addr())
 	}
-	file, err := os.CreateTemp("", "lockflow-*.toml")
-	if err != nil {
-		return nil, fmt.Errorf("writing the node's configuration: %w", err)
-	}
-	defer os.Remove(file.Name())
-	_, err = fmt.Fprintf(file, proxyConfig, o.Protocol, strings.Join(list, ", "))
-	file.Close()
+	file, err := writeConfig(fmt.Sprintf(proxyConfig, o.Protocol, strings.Join(list, ", ")))
 	if err != nil {
-		return nil, fmt.Errorf("writing the node's configuration: %w", err)
+		return nil, err
 	}
+	defer os.Remove(file) //nolint:errcheck // a temporary file
 	var rows []ProxyRow
 	for _, n := range o.Connections {
 		row := ProxyRow{Connections: n}
@@ -118,7 +114,7 @@
 		var ratios []float64
 		for round := range o.Rounds {
 			one := func(args ...string) (Side, error) { return run(ctx, o, n, uint64(round), args...) }
-			a, err := one("serve", "--config", file.Name())
+			a, err := one("serve", "--config", file)
 			if err != nil {
 				return rows, fmt.Errorf("measuring the node: %w", err)
 			}
@@ -266,6 +262,19 @@
 	}
 }
 
+// writeConfig writes a node's configuration to a temporary file, whose path it gives.
+func writeConfig(text string) (path string, err error) {
+	file, err := os.CreateTemp("", "lockflow-*.toml")
+	if err != nil {
+		return "", fmt.Errorf("writing the node's configuration: %w", err)
+	}
+	_, err = file.WriteString(text)
+	if err = errors.Join(err, file.Close()); err != nil {
+		return "", fmt.Errorf("writing the node's configuration: %w", errors.Join(err, os.Remove(file.Name())))
+	}
+	return file.Name(), nil
+}
+
 // get is a client's Get under a context.
 func get(ctx context.Context, c *http.Client, url string) (*http.Response, error) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/measure/servers.go
+++ b/internal/measure/servers.go
@@ -91,20 +91,15 @@
 	for _, one := range pool.Servers {
 		list = append(list, fmt.Sprintf("{ uid = %q, endpoint = %q }", one.UID, one.Addr()))
 	}
-	file, err := os.CreateTemp("", "lockflow-*.toml")
-	if err != nil {
-		return s, fmt.Errorf("writing the node's configuration: %w", err)
-	}
-	defer os.Remove(file.Name())
 	text := strings.Replace(fmt.Sprintf(proxyConfig, "platform", strings.Join(list, ", ")), "[services.rosters]",
 		fmt.Sprintf("[services.rosters]\nservers = { protocol = %q }", speaks), 1)
-	_, err = io.WriteString(file, text)
-	file.Close()
+	file, err := writeConfig(text)
 	if err != nil {
-		return s, fmt.Errorf("writing the node's configuration: %w", err)
+		return s, err
 	}
+	defer os.Remove(file) //nolint:errcheck // a temporary file
 	one := ProxyOptions{Program: o.Program, Lasts: o.Lasts}
-	s.Side, err = run(ctx, one, n, seed, "serve", "--config", file.Name())
+	s.Side, err = run(ctx, one, n, seed, "serve", "--config", file)
 	for _, srv := range pool.Servers {
 		dials, most := srv.Dials()
 		s.Dials += float64(dials)
@@ -114,7 +109,7 @@
 		return s, err
 	}
 	one.slow = 4
-	beside, err := run(ctx, one, n, seed, "serve", "--config", file.Name())
+	beside, err := run(ctx, one, n, seed, "serve", "--config", file)
 	s.Beside = beside.P99
 	return s, err
 }
--- /dev/null
+++ b/internal/measure/writeconfig_test.go
@@ -0,0 +1,51 @@
+package measure
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// A file that can't be written in full is an error, and none is left behind.
+func TestWriteConfig(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv("TMPDIR", dir)
+	path, err := writeConfig("a = 1\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if raw, err := os.ReadFile(path); err != nil || string(raw) != "a = 1\n" {
+		t.Errorf("%q, %v", raw, err)
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	limitFileSize(t, 10)
+	if path, err := writeConfig(strings.Repeat("a = 1\n", 10)); err == nil {
+		t.Errorf("%s was written beyond the limit", path)
+	}
+	if left, err := filepath.Glob(filepath.Join(dir, "*")); err != nil || len(left) > 0 {
+		t.Errorf("%q are left, %v", left, err)
+	}
+}
+
+// limitFileSize bounds what the process can write to a file, until the test ends. Go ignores the signal
+// that comes with it.
+func limitFileSize(t *testing.T, bytes uint64) {
+	t.Helper()
+	var old unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_FSIZE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: bytes, Max: old.Max}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &old); err != nil {
+			t.Error(err)
+		}
+	})
+}
