Check the errors that tests threw away, and drop what no test uses

Set-up that fails (a symbolic link, a renamed directory, an unset variable, a sketch that isn't taken, a figure that isn't read) fails its test in place of changing what is tested. Parameters that have one value and results that nobody reads are gone.

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -31,7 +31,10 @@
 		os.Exit(1)
 	}
 	code := m.Run()
-	os.RemoveAll(programs)
+	if err := os.RemoveAll(programs); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = max(code, 1)
+	}
 	os.Exit(code)
 }
 
--- a/cmd/lockflow/rollout_test.go
+++ b/cmd/lockflow/rollout_test.go
@@ -299,7 +299,9 @@
 		var s struct {
 			Members []struct{ Status *struct{ Life string } }
 		}
-		json.Unmarshal(out, &s)
+		if err := json.Unmarshal(out, &s); err != nil {
+			return nil // it can't tell yet
+		}
 		for _, m := range s.Members {
 			if m.Status != nil {
 				lives = append(lives, m.Status.Life)
--- a/cmd/lockflow/term_test.go
+++ b/cmd/lockflow/term_test.go
@@ -270,7 +270,7 @@
 		"a server that hangs, up to the last step": func(x *crossing) {
 			rests, silent := x.rests(), x.client()
 			x.term()
-			rests.answer()
+			_, _, _, _ = rests.answer() // how it ends is the case's above
 			silent.ask("hang-0", "enterprise")
 			x.answered(silent, "hang-0")
 		},
--- a/internal/bulkhead/bulkhead_test.go
+++ b/internal/bulkhead/bulkhead_test.go
@@ -31,8 +31,8 @@
 }
 
 // most is how many an owner can take one by one.
-func most(l *Ledger, now time.Duration, o Owner) (n int64) {
-	for l.Take(now, o, 1) {
+func most(l *Ledger, o Owner) (n int64) {
+	for l.Take(0, o, 1) {
 		n++
 	}
 	return n
@@ -52,10 +52,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, o := divided(t, tc.total, tc.a, tc.b)
-			if got := most(l, 0, o[0]); got != tc.first {
+			if got := most(l, o[0]); got != tc.first {
 				t.Errorf("the first took %d, not %d", got, tc.first)
 			}
-			if got := most(l, 0, o[1]); got != tc.after {
+			if got := most(l, o[1]); got != tc.after {
 				t.Errorf("the second took %d, not %d", got, tc.after)
 			}
 		})
@@ -73,7 +73,7 @@
 	if l.Guaranteed(o[0]) != 5 || l.Guaranteed(o[1]) != 5 {
 		t.Error("a bad division changed something")
 	}
-	most(l, 0, o[0])
+	most(l, o[0])
 	before := l.Used(o[0])
 	if err := l.Divide(2, map[Owner]int64{o[1]: 2}); err != nil {
 		t.Fatal(err)
@@ -170,7 +170,7 @@
 		const total = 10000
 		l, o := divided(t, total, make([]int64, n)...)
 		for i, each := range o {
-			got := most(l, 0, each)
+			got := most(l, each)
 			if i == 0 && got > total*borrowTimes/(borrowTimes+1)+1 {
 				t.Errorf("the first borrowed %d of %d", got, total)
 			}
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -21,14 +21,14 @@
 )
 
 // self makes a certificate that vouches for itself, and its key.
-func self(t *testing.T, name string, ends time.Time) (cert, key []byte) {
+func self(t *testing.T, ends time.Time) (cert, key []byte) {
 	t.Helper()
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Hour),
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "s"}, DNSNames: []string{"s"}, NotBefore: time.Now().Add(-time.Hour),
 		NotAfter: ends, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
@@ -60,8 +60,8 @@
 // What can't be used is one error that names the file.
 func TestLoad(t *testing.T) {
 	dir := folder(t.TempDir())
-	cert, key := self(t, "s", time.Now().Add(time.Hour))
-	old, oldKey := self(t, "s", time.Now().Add(-time.Minute))
+	cert, key := self(t, time.Now().Add(time.Hour))
+	old, oldKey := self(t, time.Now().Add(-time.Minute))
 	good, goodKey := dir.put(t, "good", cert), dir.put(t, "good.key", key)
 	for name, tc := range map[string]struct {
 		o    Options
@@ -113,8 +113,8 @@
 // anew, those that can't be used leave what was in force.
 func TestFollow(t *testing.T) {
 	dir := folder(t.TempDir())
-	first, firstKey := self(t, "s", time.Now().Add(time.Hour))
-	second, secondKey := self(t, "s", time.Now().Add(time.Hour))
+	first, firstKey := self(t, time.Now().Add(time.Hour))
+	second, secondKey := self(t, time.Now().Add(time.Hour))
 	path := dir.put(t, "ca", first)
 	b, err := Load(Options{CA: path})
 	if err != nil {
--- a/internal/command/rollout.go
+++ b/internal/command/rollout.go
@@ -28,7 +28,6 @@
 	bake, bakeMost, pause time.Duration
 	resume, takeBack      bool
 	stay, unjudged        bool
-	bakeSet, set          bool
 }
 
 func (f *rolloutFlags) flags(set flags) {
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -25,8 +26,8 @@
 				t.Fatal(err)
 			}
 			_, err = Parse(path, raw)
-			got, ok := err.(FieldErrors)
-			if !ok {
+			var got FieldErrors
+			if !errors.As(err, &got) {
 				t.Fatalf("%v", err)
 			}
 			var want FieldErrors
@@ -191,7 +192,7 @@
 		if err == nil && (len(c.Services) == 0 || len(c.Routes) == 0 || len(c.Listeners) == 0) {
 			t.Errorf("%+v", c)
 		}
-		if p, ok := err.(FieldErrors); err != nil && (!ok || len(p) == 0) {
+		if p := FieldErrors(nil); err != nil && (!errors.As(err, &p) || len(p) == 0) {
 			t.Errorf("%T %v", err, err)
 		}
 	})
--- a/internal/desiredstate/desiredstate_test.go
+++ b/internal/desiredstate/desiredstate_test.go
@@ -266,8 +266,9 @@
 		}
 	}
 	path, link := filepath.Join(dir, "c.toml"), filepath.Join(dir, "link")
-	os.WriteFile(path, []byte("old"), 0o640)
-	os.Symlink(path, link)
+	if err := errors.Join(os.WriteFile(path, []byte("old"), 0o640), os.Symlink(path, link)); err != nil {
+		t.Fatal(err)
+	}
 	if err := errors.Join(f.Keep([]byte("old")), Replace(link, []byte("new"))); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/desiredstate/save_test.go
+++ b/internal/desiredstate/save_test.go
@@ -25,7 +25,11 @@
 			if err := os.Rename(f.dir, f.dir+".away"); err != nil {
 				t.Fatal(err)
 			}
-			return func() { os.Rename(f.dir+".away", f.dir) }
+			return func() {
+				if err := os.Rename(f.dir+".away", f.dir); err != nil {
+					t.Fatal(err)
+				}
+			}
 		},
 	} {
 		f, err := Open(filepath.Join(t.TempDir(), "d"), nil)
--- a/internal/faultnet/process/process_test.go
+++ b/internal/faultnet/process/process_test.go
@@ -38,7 +38,9 @@
 		err = renameio.WriteFile(filepath.Join(dir, "state"), raw, 0o600)
 		was, readErr := os.ReadFile(filepath.Join(dir, "state"))
 		fmt.Printf("%s: wrote %v, reads %q %v\n", raw, err, was, readErr)
-		os.Truncate(filepath.Join(dir, "ask"), 0)
+		if err := os.Truncate(filepath.Join(dir, "ask"), 0); err != nil {
+			fmt.Println(err)
+		}
 	}
 }
 
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -156,14 +156,13 @@
 
 // world is what a daemon's surroundings can be in, as far as it bears on which events may come.
 type world struct {
-	m        Machine
-	loading  bool
-	spawned  int // 0 no successor, 1 starts, 2 prepared, 3 was given, 4 takes clients, 5 takes them alone
-	drained  bool
-	paused   bool   // new connections are the successor's
-	given    bool   // the successor has a part of what is left
-	told     string // what the supervisor heard last
-	owedLoad bool
+	m       Machine
+	loading bool
+	spawned int // 0 no successor, 1 starts, 2 prepared, 3 was given, 4 takes clients, 5 takes them alone
+	drained bool
+	paused  bool   // new connections are the successor's
+	given   bool   // the successor has a part of what is left
+	told    string // what the supervisor heard last
 }
 
 // Every state that any order of events can lead to, whole: somebody takes new connections until
--- a/internal/ordinarytest/differential_test.go
+++ b/internal/ordinarytest/differential_test.go
@@ -27,9 +27,9 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // begin starts a node before origins, until the test ends.
-func begin(t testing.TB, service string, origins ...*fake.Origin) *testbench.Ordinary {
+func begin(t testing.TB, origins ...*fake.Origin) *testbench.Ordinary {
 	t.Helper()
-	return beginWith(t, `drain = { idle = "0s", accept = "0s", most = "1s" }`, service, "", origins...)
+	return beginWith(t, `drain = { idle = "0s", accept = "0s", most = "1s" }`, "", "", origins...)
 }
 
 func beginWith(t testing.TB, process, service, more string, origins ...*fake.Origin) *testbench.Ordinary {
@@ -228,7 +228,7 @@
 func TestDifferential(t *testing.T) {
 	seen := make(chan fake.Request, 100)
 	origin := &fake.Origin{Seen: func(r fake.Request) { seen <- r }}
-	o := begin(t, "", origin)
+	o := begin(t, origin)
 	all := corpus()
 	if len(all) < 300 {
 		t.Fatalf("%d exchanges", len(all))
--- a/internal/ordinarytest/hard_test.go
+++ b/internal/ordinarytest/hard_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"lockflow/internal/fake"
-	"lockflow/internal/node"
 	"lockflow/internal/testbench"
 	"lockflow/internal/testkit"
 )
@@ -50,13 +49,12 @@
 }
 
 // idle waits until the node holds nothing.
-func idle(t testing.TB, o *testbench.Ordinary) node.Status {
+func idle(t testing.TB, o *testbench.Ordinary) {
 	t.Helper()
 	testkit.Until(t, "nothing is held", func() bool {
 		st := o.Node.Status()[0]
 		return st.Requests == 0 && st.Parts.Held.Used == 0 && st.Parts.Bytes.Used == 0 && st.OpenStreams == 0
 	})
-	return o.Node.Status()[0]
 }
 
 type record struct {
@@ -83,7 +81,7 @@
 	for i := range 2 {
 		origins = append(origins, &fake.Origin{Seen: func(fake.Request) { at[i].Add(1) }})
 	}
-	o := begin(t, "", origins...)
+	o := begin(t, origins...)
 	c, in := dial(t, o)
 	for range 200 {
 		ask(c, "GET", "status=404&body=3")
@@ -101,7 +99,7 @@
 // A server may answer before it has read the body, and go on reading it.
 func TestEarlyAnswer(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw})
 	c, in := dial(t, o)
 	const n = 1 << 20
 	ask(c, "POST", "early=1&body=100000&frame=chunked", fmt.Sprintf("Content-Length: %d", n))
@@ -117,7 +115,7 @@
 // An answer too long to be held that breaks before any of it is out is 502 to the client, whose
 // connection goes on; one that breaks later ends it.
 func TestLongAnswerBreaksEarly(t *testing.T) {
-	o := begin(t, "", &fake.Origin{})
+	o := begin(t, &fake.Origin{})
 	c, in := dial(t, o)
 	for _, cut := range []int{400, 1501, 3000} {
 		ask(c, "POST", fmt.Sprintf("body=200000&cut=%d", cut), "Content-Length: 0")
@@ -139,7 +137,7 @@
 // A final answer that comes while an upload is under way is given at once, and the rest is not read.
 func TestAnswerDuringUpload(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw})
 	for _, status := range []int{413, 401} {
 		c, in := dial(t, o)
 		ask(c, "PUT", fmt.Sprintf("status=%d&body=9&unread=1", status), "Content-Length: 2000000000")
@@ -165,7 +163,7 @@
 // An upload whose client stops half way is never taken for whole, and nothing of it stays.
 func TestUploadStopsHalfWay(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw})
 	for _, tc := range []struct{ framing, body string }{
 		{"Transfer-Encoding: chunked", "5\r\nhello\r\n"},
 		{"Transfer-Encoding: chunked", "5\r\nhello\r\n5\r\nhe"},
@@ -196,7 +194,7 @@
 // the class permits. After less, a request that may run again goes elsewhere.
 func TestResetDuringUpload(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw}, &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw}, &fake.Origin{Seen: seen.saw})
 	for _, tc := range []struct {
 		method   string
 		at       int
@@ -255,7 +253,7 @@
 // A body that waits for 100 is sent after a while where the server never says it.
 func TestExpect(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw})
 	for script, want := range map[string]string{"body=5": "100", "never100=1&body=5": "100", "unread=1&status=413&body=0": "413"} {
 		c, in := dial(t, o)
 		ask(c, "PUT", script, "Expect: 100-continue", "Content-Length: 100000")
@@ -285,7 +283,7 @@
 
 // What a server sends beyond its answer belongs to nobody, and what it sends spoilt is no answer.
 func TestUntidyServers(t *testing.T) {
-	o := begin(t, "", &fake.Origin{})
+	o := begin(t, &fake.Origin{})
 	c, in := dial(t, o)
 	for i, tc := range []struct {
 		script string
@@ -317,7 +315,7 @@
 // What could mean two things is refused before a server sees anything of it.
 func TestAmbiguousRequests(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw})
 	for _, text := range []string{
 		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -348,7 +346,7 @@
 // The node's own answers say what happened, in the form that is asked for, and when to return.
 func TestOwnAnswers(t *testing.T) {
 	gone := &fake.Origin{}
-	o := begin(t, "", gone)
+	o := begin(t, gone)
 	gone.Close()
 	for accept, kind := range map[string]string{"*/*": "text/plain; charset=utf-8", "application/json": "application/problem+json"} {
 		c, in := dial(t, o)
@@ -387,7 +385,7 @@
 
 func TestTunnel(t *testing.T) {
 	var seen record
-	o := begin(t, "", &fake.Origin{Seen: seen.saw})
+	o := begin(t, &fake.Origin{Seen: seen.saw})
 	c, in := tunnelled(t, o)
 	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.AttemptsInFlight != 1 || st.Parts.Held.Used != 1 {
 		t.Errorf("%+v", st)
@@ -420,7 +418,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer o.Stop()
+	defer func() {
+		if err := o.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
 	testkit.Until(t, "ready", func() bool { return o.Node.Status()[0].Ready })
 	type open struct {
 		c  net.Conn
@@ -477,7 +479,7 @@
 
 // A client that reads slowly keeps its own window waiting and nobody else.
 func TestSlowReader(t *testing.T) {
-	o := begin(t, "", &fake.Origin{})
+	o := begin(t, &fake.Origin{})
 	slow, in := dial(t, o)
 	slow.(*net.TCPConn).SetReadBuffer(4 << 10)
 	ask(slow, "GET", "body=10000000000")
--- a/internal/regions/mixture/mixture_test.go
+++ b/internal/regions/mixture/mixture_test.go
@@ -68,13 +68,17 @@
 func region(text string) regions.Region {
 	f := strings.Fields(text)
 	r := regions.Region{Name: f[0], Listeners: []string{f[0] + ":80"}}
-	fmt.Sscanf(f[1], "%d/%d", &r.Members, &r.Instances)
+	if _, err := fmt.Sscanf(f[1], "%d/%d", &r.Members, &r.Instances); err != nil {
+		panic(err)
+	}
 	s := map[string]*regions.Service{"app": {Name: "app", Source: "s"}}
 	for _, w := range f[2:] {
 		k, v, _ := strings.Cut(w, "=")
 		if !strings.HasPrefix(k, "/") {
 			p := control.Plan{Name: k, HardLimitBurst: 1}
-			fmt.Sscan(v, &p.HardLimitRate)
+			if _, err := fmt.Sscan(v, &p.HardLimitRate); err != nil {
+				panic(err)
+			}
 			s["app"].Plans = append(s["app"].Plans, p)
 			continue
 		}
--- a/internal/regiontrial/trial_test.go
+++ b/internal/regiontrial/trial_test.go
@@ -28,7 +28,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { os.RemoveAll(dir) })
+	t.Cleanup(func() {
+		if err := os.RemoveAll(dir); err != nil {
+			t.Error(err)
+		}
+	})
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -72,7 +72,6 @@
 	shown   bool
 	turned  bool // taking back has begun
 	lineage bool // one coordinator at a time
-	most    int  // executing at once
 	mutated mutation
 	all     []*coordinator
 }
--- a/internal/scattergathertest/node_test.go
+++ b/internal/scattergathertest/node_test.go
@@ -128,7 +128,9 @@
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections()
 		stop()
-		testkit.Next(t, ended)
+		if err := testkit.Next(t, ended); err != nil {
+			t.Error(err)
+		}
 	})
 	testkit.Next(t, r.Served())
 	return r
@@ -382,7 +384,7 @@
 				a := r.ask("GET", "/x", "")
 				var all []any
 				held, n := 0, 0
-				fmt.Sscanf(a.parts, "%d/%d", &held, &n)
+				_, _ = fmt.Sscanf(a.parts, "%d/%d", &held, &n) // 0 and 0 of an answer without parts
 				if err := json.Unmarshal([]byte(a.body), &all); a.status == 503 {
 					continue // busy cores: it is counted below
 				} else if a.status != 200 || err != nil || len(all) != 2*held || (held < n) != (a.missing != "") {
--- a/internal/scattergathertest/process_test.go
+++ b/internal/scattergathertest/process_test.go
@@ -134,7 +134,9 @@
 		p.t.Errorf("%q: %v", body, err)
 	}
 	held, of := 0, 0
-	fmt.Sscanf(resp.Header.Get("Lockflow-Parts"), "%d/%d", &held, &of)
+	if _, err := fmt.Sscanf(resp.Header.Get("Lockflow-Parts"), "%d/%d", &held, &of); err != nil {
+		p.t.Error(err)
+	}
 	missing := strings.FieldsFunc(resp.Header.Get("Lockflow-Missing"), func(c rune) bool { return c == ',' || c == ' ' })
 	if held == of {
 		c.whole++
@@ -270,7 +272,9 @@
 	resp.Body.Close()
 	var names []string
 	held, of := 0, 0
-	fmt.Sscanf(resp.Header.Get("Lockflow-Parts"), "%d/%d", &held, &of)
+	if _, err := fmt.Sscanf(resp.Header.Get("Lockflow-Parts"), "%d/%d", &held, &of); err != nil {
+		t.Error(err)
+	}
 	if err := json.Unmarshal(raw, &names); err != nil || resp.StatusCode != 200 || len(names) != held || of != 10 {
 		t.Errorf("%d %s: %q, %v", resp.StatusCode, resp.Header.Get("Lockflow-Parts"), raw, err)
 	}
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -42,7 +42,9 @@
 	told := testkit.Supervisor(t)
 	t.Setenv("WATCHDOG_USEC", "20000")
 	t.Setenv("WATCHDOG_PID", "")
-	os.Unsetenv("WATCHDOG_PID")
+	if err := os.Unsetenv("WATCHDOG_PID"); err != nil {
+		t.Fatal(err)
+	}
 	var alive atomic.Bool
 	var asked atomic.Int64
 	alive.Store(true)
@@ -72,7 +74,9 @@
 		t.Error(err)
 	}
 	t.Setenv("WATCHDOG_USEC", "")
-	os.Unsetenv("WATCHDOG_USEC")
+	if err := os.Unsetenv("WATCHDOG_USEC"); err != nil {
+		t.Fatal(err)
+	}
 	if err := Watchdog(context.Background(), func(context.Context) bool { t.Error("asked"); return true }); err != nil {
 		t.Error(err)
 	}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -37,7 +37,9 @@
 		p.conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
 		time.Sleep(time.Minute)
 	case "hurries":
-		p.Took()
+		if p.Took() != nil {
+			return 8
+		}
 		time.Sleep(time.Minute)
 	}
 	ls, err := p.Listeners("listen:")
@@ -49,7 +51,9 @@
 		return 5
 	}
 	if r == "panics" {
-		p.Took()
+		if p.Took() != nil {
+			return 8
+		}
 		panic("a second later")
 	}
 	if err := p.Took(); err != nil {
--- a/internal/waitpolicy/pool/pool_test.go
+++ b/internal/waitpolicy/pool/pool_test.go
@@ -50,7 +50,9 @@
 			p, honest := New(Options{Self: "x", Life: life, Every: every}), New(Options{Self: "x", Life: life, Every: every})
 			for i := range n {
 				raw := told(t, uint64(i), 400, 100*ms)
-				honest.Heard(0, fmt.Sprint(i), 0, raw)
+				if err := honest.Heard(0, fmt.Sprint(i), 0, raw); err != nil {
+					t.Fatal(err)
+				}
 				if i == 0 {
 					raw = told(t, 99, lie.n, lie.median)
 				}
@@ -82,7 +84,9 @@
 			p.Answered(now)
 			for i, raw := range raws {
 				if rng.IntN(2) == 0 {
-					p.Heard(now, fmt.Sprint(i), time.Duration(rng.IntN(20))*time.Second, raw)
+					if err := p.Heard(now, fmt.Sprint(i), time.Duration(rng.IntN(20))*time.Second, raw); err != nil {
+						t.Fatal(err)
+					}
 				}
 			}
 		}
@@ -108,8 +112,12 @@
 	for i, seed := range []uint64{0, 1, 2, 3} {
 		p := New(Options{Self: "8", Life: life, Every: every})
 		for _, j := range rand.New(rand.NewPCG(seed, 1)).Perm(len(raws)) {
-			p.Heard(0, fmt.Sprint(j), 0, raws[j])
-			p.Heard(0, fmt.Sprint(j), time.Second, raws[0]) // older than what is known
+			if err := p.Heard(0, fmt.Sprint(j), 0, raws[j]); err != nil {
+				t.Fatal(err)
+			}
+			if err := p.Heard(0, fmt.Sprint(j), time.Second, raws[0]); err != nil { // older than what is known
+				t.Fatal(err)
+			}
 		}
 		all, _ := p.Merge(every, nil, nil)
 		if got := half(all); i == 0 {
@@ -126,14 +134,18 @@
 func TestNonsenseIsRefused(t *testing.T) {
 	p := New(Options{Self: "x", Life: life, Every: every})
 	good := told(t, 1, 100, 100*ms)
-	p.Heard(0, "a", 0, good)
+	if err := p.Heard(0, "a", 0, good); err != nil {
+		t.Fatal(err)
+	}
 	for i, bad := range [][]byte{nil, []byte("x"), good[:len(good)-1], append(good[:len(good):len(good)], 0)} {
 		if p.Heard(time.Second, "a", 0, bad) == nil || p.Heard(time.Second, "", 0, good) == nil {
 			t.Errorf("%d is taken", i)
 		}
 	}
 	for i := range 3 * MostMembers {
-		p.Heard(time.Duration(i)*ms, fmt.Sprint(i), 0, good)
+		if err := p.Heard(time.Duration(i)*ms, fmt.Sprint(i), 0, good); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if s := p.Stats(); s.Members != MostMembers || s.Refused != 8 {
 		t.Errorf("%+v", s)
--- a/internal/waitpolicy/share/share_test.go
+++ b/internal/waitpolicy/share/share_test.go
@@ -58,11 +58,11 @@
 	return instance{s, m}
 }
 
-func (i instance) sees(n int, median time.Duration) {
+func (i instance) sees(n int) {
 	rng := rand.New(rand.NewPCG(uint64(n), 1))
 	for range n {
 		for p := range settings.Parts {
-			i.m.Observe("c", p, 0, waitpolicy.Outcome{Took: time.Duration(float64(median) * math.Exp(0.5*rng.NormFloat64()))})
+			i.m.Observe("c", p, 0, waitpolicy.Outcome{Took: time.Duration(float64(100*ms) * math.Exp(0.5*rng.NormFloat64()))})
 		}
 	}
 }
@@ -76,7 +76,7 @@
 	for i := range 4 {
 		one := start(t, fmt.Sprint("i", i), s)
 		if i > 0 {
-			one.sees(200, 100*ms)
+			one.sees(200)
 		}
 		all = append(all, one)
 	}
@@ -118,8 +118,8 @@
 func TestNonsenseInTheStore(t *testing.T) {
 	s, ctx := store(t), t.Context()
 	a, b, c := start(t, "a", s), start(t, "b", s), start(t, "c", s)
-	b.sees(100, 100*ms)
-	c.sees(100, 100*ms)
+	b.sees(100)
+	c.sees(100)
 	b.Exchange(ctx)
 	c.Exchange(ctx)
 	s.Do("SET", "{lockflow:district}:gather:c", "lockflow gather\nrubbish")
@@ -138,7 +138,7 @@
 	one, two := store(t), store(t)
 	a, b := start(t, "a", one, two), start(t, "b", one, two)
 	one.Set(0, "READONLY x", false)
-	b.sees(100, 100*ms)
+	b.sees(100)
 	b.Exchange(t.Context())
 	a.Exchange(t.Context())
 	if st := a.Status(); st.Members != 1 || len(st.Failing) != 1 || st.Failing[0] != one.Addr() {
@@ -151,7 +151,7 @@
 	s := store(t)
 	a := start(t, "a", s)
 	b := start(t, "b", s)
-	b.sees(50, 100*ms)
+	b.sees(50)
 	raw, _ := b.m.Shared()
 	for i := range 100 {
 		s.Do("SET", fmt.Sprintf("{lockflow:district}:gather:m%d", i), string(raw))
