Close no client's connection over an answer that is still on its way

Seen: a connection closed behind its answer looked for unread bytes once, at the close. A client with a small buffer that sent its next request a moment later had the connection reset, and with it the part of the answer that the system still held: 1,048 of 32,768 bytes arrived (TestRequestBehindTheCloseLeavesTheAnswer). The same of a resting connection closed by Leave (TestLeaveWaitsForTheAnswerOnItsWay). Ruled out: small writes held back (TCP_NODELAY is set on each connection), and the path where the bytes are there before the close, which lingered already.

Cause: lingering.Close and clients.leave (internal/front) asked for unread bytes only, not for bytes that the peer has not acknowledged (SIOCOUTQ). Both ask for both now: the first closes behind its client, the second leaves such a connection to its next answer or to a later step of the drain.

Measured: both tests fail with either condition taken out, pass with -race -count=10.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -131,7 +131,7 @@
 	case http.StateActive:
 		c.since, c.fresh = time.Time{}, false
 	case http.StateIdle:
-		if c.since = time.Now(); s.leaving && !c.asked() {
+		if c.since = time.Now(); s.leaving && !c.asked() && !c.awaitsAnswer() {
 			c.close()
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -151,6 +151,13 @@
 	return tcp != nil && unread(tcp)
 }
 
+// awaitsAnswer tells whether some of the last answer is still on its way to the client. A request that comes
+// behind a close would reset the connection, and that part with it.
+func (c *client) awaitsAnswer() bool {
+	tcp := socket(c.conn)
+	return tcp != nil && unacknowledged(tcp)
+}
+
 // close closes a quiet connection; clients.mu is held.
 func (c *client) close() {
 	if !c.shut.Swap(true) {
@@ -182,13 +189,14 @@
 	return true
 }
 
-// leave closes those that are idle, and each that becomes so, unless a request is there already.
+// leave closes those that are idle, and each that becomes so, unless a request is there already or an answer
+// is still on its way: those are closed by their next answer, or by a later call.
 func (s *clients) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
 	for _, c := range s.all {
-		if !c.since.IsZero() && !c.fresh && !c.asked() {
+		if !c.since.IsZero() && !c.fresh && !c.asked() && !c.awaitsAnswer() {
 			c.close()
 		}
 	}
--- a/internal/front/linger.go
+++ b/internal/front/linger.go
@@ -22,10 +22,11 @@
 	busy atomic.Bool // a request was begun on it and none has ended since with the connection kept
 }
 
-// Close closes the connection, behind the client where it has sent more than was read. One that rests is
-// closed at once: its client has all answers, and a request that crosses the close is not read.
+// Close closes the connection, behind the client where it has sent more than was read, or may do so before it
+// has all of the answer. One that rests is closed at once: its client has all answers, and a request that
+// crosses the close is not read.
 func (c *lingering) Close() error {
-	if tcp := socket(c.Conn); tcp != nil && c.busy.Load() && !c.cut() && unread(tcp) {
+	if tcp := socket(c.Conn); tcp != nil && c.busy.Load() && !c.cut() && (unread(tcp) || unacknowledged(tcp)) {
 		_ = tcp.CloseWrite()
 		_ = tcp.SetReadDeadline(time.Now().Add(lingerMost))
 		_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
@@ -65,6 +66,18 @@
 	return is
 }
 
+// unacknowledged tells whether the peer has not acknowledged all that was written to a socket. A reset drops
+// that part.
+func unacknowledged(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	_ = raw.Control(func(fd uintptr) { waiting, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return waiting > 0
+}
+
 // Lingering has the connections of a listener closed behind their clients. It is put around Strict.
 func Lingering(l net.Listener) net.Listener { return lingeringListener{l} }
 
--- /dev/null
+++ b/internal/front/unacknowledged_test.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lockflow/internal/testkit"
+)
+
+// dialSmall connects a client whose segments and buffer are small: most of a long answer stays on the server's side.
+func dialSmall(t *testing.T, address string) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 536)
+		})
+	}}
+	client, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	client.SetDeadline(time.Now().Add(testkit.Patience))
+	return client
+}
+
+const answerBytes = 32 << 10
+
+// writeAhead writes an answer of which the server's side has room for all.
+func writeAhead(t *testing.T, server *net.TCPConn) {
+	t.Helper()
+	server.SetWriteBuffer(1 << 20)
+	server.SetWriteDeadline(time.Now().Add(testkit.Patience))
+	if _, err := server.Write(make([]byte, answerBytes)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// tcpState tells the state of a socket; unix.BPF_TCP_CLOSE where it is closed.
+func tcpState(raw syscall.RawConn) (state uint8) {
+	state = unix.BPF_TCP_CLOSE
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return state
+}
+
+// A client that sends a further request once its connection is being closed, and before it has all of its
+// answer, gets all of that: the close is behind the client's.
+func TestRequestBehindTheCloseLeavesTheAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client := dialSmall(t, listener.Addr().String())
+	conn, err := Lingering(listener).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeAhead(t, socket(conn))
+	conn.(*lingering).busy.Store(true)
+	raw, err := socket(conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	go func() { conn.Close(); close(closed) }()
+	testkit.Until(t, "the close", func() bool { return tcpState(raw) != unix.BPF_TCP_ESTABLISHED })
+	io.WriteString(client, wholeRequest)
+	if got, err := io.ReadAll(client); err != nil || len(got) != answerBytes {
+		t.Errorf("%d bytes of the answer, %v", len(got), err)
+	}
+	client.Close()
+	testkit.Next(t, closed)
+}
+
+// A node that begins to end closes no connection of which an answer is still on its way, whether it rests by
+// then or begins to: its next request is answered. One that has all of its answer is closed.
+func TestLeaveWaitsForTheAnswerOnItsWay(t *testing.T) {
+	for name, rests := range map[string]bool{"rests": true, "begins to rest": false} {
+		t.Run(name, func(t *testing.T) {
+			_, f, _, stop := serving(t, refuses, nil, nil)
+			defer stop()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			client := dialSmall(t, listener.Addr().String())
+			server, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Close()
+			writeAhead(t, server.(*net.TCPConn))
+			conn := &lingering{Conn: server}
+			f.clients.begin(t.Context(), conn)
+			f.clients.state(conn, http.StateActive)
+			if rests {
+				f.clients.state(conn, http.StateIdle)
+			}
+			f.Leave()
+			if !rests {
+				f.clients.state(conn, http.StateIdle)
+			}
+			if !unacknowledged(server.(*net.TCPConn)) {
+				t.Fatal("its connection is closed, or its client has all of the answer")
+			}
+			io.WriteString(client, wholeRequest)
+			if n, err := io.ReadFull(client, make([]byte, answerBytes)); err != nil {
+				t.Errorf("%d bytes of the answer, %v", n, err)
+			}
+			request, err := http.ReadRequest(bufio.NewReader(server))
+			if err != nil || request.URL.Path != "/read" {
+				t.Errorf("the next request: %v, %v", request, err)
+			}
+			testkit.Until(t, "the client's acknowledgement", func() bool { return !unacknowledged(server.(*net.TCPConn)) })
+			f.Leave()
+			if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+				t.Errorf("behind its answer its client sees %v", err)
+			}
+		})
+	}
+}
