Count the time of a slowly written request from its last byte

Seen: a client that wrote its body over 0.8 s with X-Time-Left 1000m had 185 ms of its second left when the module heard of the request (TestTimeCountsFromTheLastByte); one with less time than its body took was answered as failed unsent.

Cause: platform.Read (internal/front) sets the deadline when the head is read, and platform.Body did not move it. It moves it now by what the body took. Ruled out: a slow head, whose time began at its end already (the test's case passes without the change).

Measured: three of the test's cases fail without the line; all pass with -race -count=10.

--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -99,8 +99,9 @@
 // Holds is the bytes of a request's body, the length of which is told.
 func (platform) Holds(r *http.Request) int64 { return r.ContentLength }
 
-// Body reads a request's body.
+// Body reads a request's body. Its client waits from the body's last byte on (PROTOCOL, "Figures").
 func (platform) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
+	begun := time.Now()
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
@@ -108,6 +109,7 @@
 		return wrong
 	}
 	x.Forwarder.(*upstream.Whole).Body = body
+	x.Deadline = x.Deadline.Add(time.Since(begun)) // guards against a slow writer's time that is over before it begins
 	if c := clientOf(r); c != nil {
 		x.Client = alone{c}
 	}
--- /dev/null
+++ b/internal/front/slow_writer_test.go
@@ -0,0 +1,46 @@
+package front
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/service"
+)
+
+// A client that writes its request slowly has all of its time from the last byte on (PROTOCOL, "Figures").
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	const told = time.Second
+	head := "POST /write?account=0000000000000001 HTTP/1.1\r\n" + strings.Replace(headers, "15000m", "1000m", 1) + "Content-Length: 4\r\n\r\n"
+	for name, pieces := range map[string][]string{
+		"at once":      {head + "body"},
+		"a slow head":  {head[:30], head[30:] + "body"},
+		"a slow body":  {head, "bo", "dy"},
+		"both":         {head[:9], head[9:30], head[30:] + "b", "od", "y"},
+		"its last end": {head + "bod", "y"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var heard []time.Duration
+				m, _, _, stop := serving(t, func(r control.Request) []control.Action { heard = append(heard, r.Timeout); return refuses(r) }, nil, nil)
+				defer stop()
+				client := m.dial()
+				defer client.Close()
+				go io.Copy(io.Discard, client)
+				for i, piece := range pieces {
+					if i > 0 {
+						time.Sleep(400 * time.Millisecond)
+					}
+					io.WriteString(client, piece)
+				}
+				synctest.Wait()
+				if len(heard) != 1 || heard[0] != told-service.DeadlineMargin {
+					t.Errorf("the module heard of %v", heard)
+				}
+			})
+		})
+	}
+}
