Test that no connection holds small writes back, on either side

Package net sets TCP_NODELAY on each connection that it accepts or dials, and nothing held it to that here.

--- /dev/null
+++ b/internal/node/nodelay_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"lockflow/internal/config"
+	"lockflow/internal/testkit"
+)
+
+// acceptedConns is a listener that keeps the connections that it has given.
+type acceptedConns struct {
+	net.Listener
+	mu  sync.Mutex
+	all []*net.TCPConn
+}
+
+func (r *acceptedConns) Accept() (net.Conn, error) {
+	conn, err := r.Listener.Accept()
+	if err == nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.all = append(r.all, conn.(*net.TCPConn))
+	}
+	return conn, err
+}
+
+// heldBack counts the connections on which the system may hold small writes back.
+func (r *acceptedConns) heldBack(t *testing.T) (conns, held int) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.all {
+		raw, err := conn.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = raw.Control(func(fd uintptr) {
+			if on, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY); err != nil || on == 0 {
+				held++
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return len(r.all), held
+}
+
+// Nothing small that is written to a client is held back by the system: a close over unread bytes would drop it.
+func TestClientsAreSentSmallWritesAtOnce(t *testing.T) {
+	for name, shared := range map[string]bool{"one service": false, "services that share": true} {
+		t.Run(name, func(t *testing.T) {
+			cfg, err := config.LoadPlatform("../config/testdata/config.json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			cfg.Process.Drain = config.Drain{Most: testkit.Patience}
+			if cfg.Process.Shared = shared; shared {
+				cfg.Process.Total = config.Amounts{Descriptors: 200, Held: 100, Bytes: 64 << 20, Dials: 100, ModuleTime: 1}
+			}
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listener := &acceptedConns{Listener: tcp}
+			agent := testkit.NewAgent(t)
+			cfg.Services[0].Source.Address = agent.Addr()
+			n, err := NewInheriting(cfg, map[string]net.Listener{cfg.Listeners[0]: listener})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			ctx := t.Context()
+			go func() { ended <- n.Run(ctx) }()
+			t.Cleanup(func() { testkit.Next(t, ended) })
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			in := bufio.NewReader(client)
+			for range 2 {
+				io.WriteString(client, health)
+				if _, err := http.ReadResponse(in, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if conns, held := listener.heldBack(t); conns != 1 || held != 0 {
+				t.Errorf("of %d connections %d hold small writes back", conns, held)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/nodelay_test.go
@@ -0,0 +1,34 @@
+package upstream
+
+import (
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+)
+
+// Nothing small that is written to a server is held back by the system: a request's last byte would come late, and
+// a close over unread bytes would drop it.
+func TestServersAreSentSmallWritesAtOnce(t *testing.T) {
+	app := testkit.NewApp(t, testkit.Served)
+	u := newTest(testkit.Patience, limits.NewSockets(1024))
+	for name, offered := range map[string]string{"HTTP/1.1": protocolHTTP1, "HTTP/2": protocolHTTP2} {
+		t.Run(name, func(t *testing.T) {
+			conn, raw, _, err := u.connect(t.Context(), app.Addr(), offered)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			err = raw.Control(func(fd uintptr) {
+				if on, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY); err != nil || on == 0 {
+					t.Errorf("TCP_NODELAY is %d, %v", on, err)
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
