Name package state's checkpoint and its store by what they are

The package's State, Most, Take and Claim, and its comments, were worded in the withdrawn house style. Tests are renamed by behaviour with all assertions.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -204,7 +204,7 @@
 	if d.store == nil {
 		return
 	}
-	st, found, err := d.store.Take()
+	st, found, err := d.store.Consume()
 	switch {
 	case err != nil && st.Services == nil:
 		slog.Warn("the last state can't be read: ceilings begin with their slack, nothing is known of servers", "err", err)
@@ -217,11 +217,11 @@
 			why = err.Error()
 		}
 		slog.Warn("what was spent last is not known: ceilings begin empty, cold servers as if unseen", "why", why,
-			"state", time.Since(st.At).Round(time.Millisecond))
+			"state", time.Since(st.TakenAt).Round(time.Millisecond))
 		d.doubts.add("what was spent before the start", why)
 		d.node.Restore(st, control.TrustEstimates)
 	default:
-		slog.Info("going on from the state of the last run", "age", time.Since(st.At).Round(time.Millisecond))
+		slog.Info("going on from the state of the last run", "age", time.Since(st.TakenAt).Round(time.Millisecond))
 		d.node.Restore(st, control.TrustAll)
 	}
 }
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -33,7 +33,7 @@
 type succession struct {
 	*upgrade.Successor
 	phase phase
-	gave  *state.State // nil until it was given
+	gave  *state.Checkpoint // nil until it was given
 	late  *time.Timer
 	why   error // it was killed
 	over  bool  // it is not this daemon's concern any more
@@ -84,7 +84,7 @@
 	}
 	files["orders"] = d.member.file.Inheritance()
 	if d.store != nil {
-		files["lock:"+d.store.Dir()] = d.store.Lock()
+		files["lock:"+d.store.Directory()] = d.store.LockFile()
 	}
 	s, err := upgrade.Start(upgrade.Program{Path: program, Args: d.opts.Args, Env: os.Environ(), Files: files})
 	if err != nil {
@@ -211,7 +211,7 @@
 		slog.Warn("process id", "err", err)
 	}
 	if d.store != nil {
-		d.store.Claim()
+		d.store.RecordProcessID()
 	}
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -84,33 +84,33 @@
 }
 
 // gather asks each service in force for its state.
-func (n *Node) gather(ask func(*service.Service) (service.State, bool)) state.State {
-	st := state.State{At: time.Now(), Generation: n.Generation(), Services: make(map[string]service.State)}
+func (n *Node) gather(ask func(*service.Service) (service.State, bool)) state.Checkpoint {
+	st := state.Checkpoint{TakenAt: time.Now(), Generation: n.Generation(), Services: make(map[string]service.State)}
 	for name, s := range n.inForce() {
 		if one, ok := ask(s.Service); ok {
 			st.Services[name] = one
 		}
 	}
-	st.Gathers = n.gathered()
+	st.ScatterGathers = n.gathered()
 	return st
 }
 
 // Checkpoint tells what the node has spent and learned.
-func (n *Node) Checkpoint() state.State { return n.gather((*service.Service).Checkpoint) }
+func (n *Node) Checkpoint() state.Checkpoint { return n.gather((*service.Service).Checkpoint) }
 
 // HandOver is Checkpoint that gives a part (from 0 to 1) of what is left to spend away, until
 // Rejoin.
-func (n *Node) HandOver(give float64) state.State {
+func (n *Node) HandOver(give float64) state.Checkpoint {
 	return n.gather(func(s *service.Service) (service.State, bool) { return s.HandOver(give) })
 }
 
 // Restore takes over what a node has spent and learned. It is to be called before the first
 // client comes.
-func (n *Node) Restore(st state.State, trust control.Trust) {
+func (n *Node) Restore(st state.Checkpoint, trust control.Trust) {
 	n.mu.Lock()
 	n.generation = max(n.generation, st.Generation)
 	n.mu.Unlock()
-	n.restoreGathered(st.Gathers, time.Since(st.At))
+	n.restoreGathered(st.ScatterGathers, time.Since(st.TakenAt))
 	for name, s := range n.inForce() {
 		if one, ok := st.Services[name]; ok {
 			s.Restore(one, trust)
@@ -120,7 +120,7 @@
 
 // Rejoin ends what HandOver or Restore began: the process that had the other part has ended, and
 // left what is given; nil where that is not known.
-func (n *Node) Rejoin(given *state.State) {
+func (n *Node) Rejoin(given *state.Checkpoint) {
 	for name, s := range n.inForce() {
 		var left *service.State
 		if given != nil {
--- a/internal/scattergathertest/node_test.go
+++ b/internal/scattergathertest/node_test.go
@@ -415,7 +415,7 @@
 		t.Errorf("%+v", st)
 	}
 	before := r.Checkpoint()
-	if len(before.Gathers["district"]) == 0 {
+	if len(before.ScatterGathers["district"]) == 0 {
 		t.Error("nothing of what was learned is kept")
 	}
 }
--- a/internal/state/state_test.go
+++ b/internal/state/checkpoint_test.go
@@ -18,7 +18,7 @@
 	"lockflow/internal/service"
 )
 
-func some(customers int) State {
+func sampleCheckpoint(customers int) Checkpoint {
 	c := control.Checkpoint{
 		Version: control.CheckpointVersion, At: time.Hour, Bound: 12.5,
 		Servers: []control.ServerState{{Server: 3, Latency: 0.1, Shut: map[string]time.Duration{"p": time.Second}}},
@@ -26,29 +26,29 @@
 	for i := range customers {
 		c.Customers = append(c.Customers, control.Spent{ID: fmt.Sprint(i), Plan: "p", Level: -1.5, Spread: 2, Own: []control.Amount{{Bin: 9, V: 2}}})
 	}
-	return State{Version: Version, At: time.Unix(1e9, 0).UTC(), Generation: 4, Services: map[string]service.State{
+	return Checkpoint{Version: Version, TakenAt: time.Unix(1e9, 0).UTC(), Generation: 4, Services: map[string]service.State{
 		"a": {Checkpoint: c, Servers: map[uint32]string{3: "s-3"}},
 	}}
 }
 
-func TestThereAndBack(t *testing.T) {
-	want := some(3)
+func TestEncodeDecodeRoundTrip(t *testing.T) {
+	want := sampleCheckpoint(3)
 	raw, err := Encode(want)
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := Decode(raw)
-	if err != nil || !got.At.Equal(want.At) {
-		t.Fatal(got.At, err)
+	if err != nil || !got.TakenAt.Equal(want.TakenAt) {
+		t.Fatal(got.TakenAt, err)
 	}
-	if got.At = want.At; !reflect.DeepEqual(got, want) {
+	if got.TakenAt = want.TakenAt; !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v\nnot %+v", got, want)
 	}
 }
 
-// Whatever is changed, cut or added is told, and nothing of it is taken.
-func TestDamage(t *testing.T) {
-	raw, err := Encode(some(2))
+// Decode rejects a checkpoint with any byte changed, removed or added, and returns nothing of it.
+func TestDecodeRejectsDamagedData(t *testing.T) {
+	raw, err := Encode(sampleCheckpoint(2))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,18 +65,18 @@
 	if _, err := Decode(append(bytes.Clone(raw), 0)); err == nil {
 		t.Error("a byte more")
 	}
-	if _, err := Decode(signed([]byte{0xa1, 0x67, 'v', 'e', 'r', 's', 'i', 'o', 'n', 2})); err == nil || !strings.Contains(err.Error(), "version 2, not 1") {
+	if _, err := Decode(withChecksum([]byte{0xa1, 0x67, 'v', 'e', 'r', 's', 'i', 'o', 'n', 2})); err == nil || !strings.Contains(err.Error(), "version 2, not 1") {
 		t.Errorf("another version: %v", err)
 	}
 }
 
-func signed(body []byte) []byte {
-	return append(binary.BigEndian.AppendUint32([]byte(magic), codec.Sum(body)), body...)
+func withChecksum(body []byte) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte(fileMagic), codec.Sum(body)), body...)
 }
 
-// What is too large loses the customers that asked longest ago.
-func TestTooLarge(t *testing.T) {
-	s := some(0)
+// Encode drops the customers whose last request is the oldest from a checkpoint that is too large.
+func TestEncodeDropsOldestCustomersOfLargeCheckpoint(t *testing.T) {
+	s := sampleCheckpoint(0)
 	c := s.Services["a"]
 	long := strings.Repeat("x", 1<<20)
 	for i := range 40 {
@@ -84,7 +84,7 @@
 	}
 	s.Services["a"] = c
 	raw, err := Encode(s)
-	if err != nil || len(raw) > Most+64 {
+	if err != nil || len(raw) > maxSize+64 {
 		t.Fatal(len(raw), err)
 	}
 	got, err := Decode(raw)
@@ -97,11 +97,11 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	raw, _ := cbor.Marshal(some(2))
+	raw, _ := cbor.Marshal(sampleCheckpoint(2))
 	f.Add(raw)
 	f.Add([]byte{0xbf, 0xff})
 	f.Fuzz(func(t *testing.T, body []byte) {
-		s, err := Decode(signed(body))
+		s, err := Decode(withChecksum(body))
 		if err != nil {
 			return
 		}
@@ -111,7 +111,7 @@
 	})
 }
 
-func TestStore(t *testing.T) {
+func TestStoreLocksDirectoryAndMarksCheckpointConsumed(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "new", "dir")
 	s, err := Open(dir, nil)
 	if err != nil {
@@ -120,16 +120,16 @@
 	if _, err := Open(dir, nil); err == nil || !strings.Contains(err.Error(), fmt.Sprint("another daemon has it: process ", os.Getpid())) {
 		t.Errorf("a second daemon: %v", err)
 	}
-	if _, found, err := s.Take(); found || err != nil {
+	if _, found, err := s.Consume(); found || err != nil {
 		t.Errorf("of nothing: %v, %v", found, err)
 	}
-	clean := some(1)
+	clean := sampleCheckpoint(1)
 	clean.Clean = true
 	if err := s.Save(clean); err != nil {
 		t.Fatal(err)
 	}
 	for i, want := range []bool{true, false} { // the second time as after a crash
-		got, found, err := s.Take()
+		got, found, err := s.Consume()
 		if err != nil || !found || got.Clean != want || got.Generation != 4 {
 			t.Errorf("start %d: %+v, %v, %v", i, got, found, err)
 		}
@@ -137,7 +137,7 @@
 	if err := os.WriteFile(s.path(), []byte("half a sta"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, found, err := s.Take(); !found || err == nil {
+	if _, found, err := s.Consume(); !found || err == nil {
 		t.Errorf("damaged: %v, %v", found, err)
 	}
 	if err := s.Close(); err != nil {
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -7,10 +7,10 @@
 	"lockflow/internal/testkit"
 )
 
-// The file of an earlier build, which go test ./internal/state -run Golden -update writes anew, is read, and
-// written to the same bytes again.
-func TestGoldenState(t *testing.T) {
-	var sample State
+// Encode writes the golden file, which an earlier build wrote, byte for byte, also after Decode has read it.
+// go test ./internal/state -run Golden -update replaces the file.
+func TestGoldenCheckpoint(t *testing.T) {
+	var sample Checkpoint
 	testkit.Sample("cbor", &sample)
 	got, err := Encode(sample)
 	if err != nil {
@@ -24,8 +24,7 @@
 	if again, err := Encode(s); err != nil || !bytes.Equal(again, raw) {
 		t.Errorf("it is not written as it was read: %v", err)
 	}
-	const head = len(magic) + 4
-	if err := testkit.RoundTrip("cbor", raw[head:], new(State)); err != nil {
+	if err := testkit.RoundTrip("cbor", raw[headerSize:], new(Checkpoint)); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/state/keys_test.go
+++ b/internal/state/keys_test.go
@@ -6,5 +6,5 @@
 	"lockflow/internal/testkit"
 )
 
-// The state of a node, with the checkpoints in it, has a written key for every field.
-func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "cbor", State{}) }
+// A node's checkpoint, with the checkpoints of services in it, has an explicit key for every field.
+func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "cbor", Checkpoint{}) }
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -12,78 +12,85 @@
 	"github.com/google/renameio/v2"
 )
 
-// Store is the directory in which a daemon keeps its state. One daemon holds it at a time.
+const (
+	lockName       = "lock"
+	checkpointName = "state"
+)
+
+// Store is a daemon's state directory, locked by it: it holds the checkpoint and the lock file.
+// It is not safe for concurrent use.
 type Store struct {
-	dir  string
-	lock *os.File
+	directory string
+	lock      *os.File
 }
 
-// Open makes the directory where it is missing and locks it. Where another process holds it, it
-// says which. lock, where it is not nil, is that of the process whose place this one takes.
-func Open(dir string, lock *os.File) (*Store, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+// Open creates the directory where it is missing and locks it. Where another process has the lock, the
+// error names it. inheritedLock is the lock file of the predecessor in a binary upgrade, or nil.
+func Open(directory string, inheritedLock *os.File) (*Store, error) {
+	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return nil, fmt.Errorf("state directory: %w", err)
 	}
-	if lock != nil {
-		return &Store{dir, lock}, nil
+	if inheritedLock != nil {
+		return &Store{directory, inheritedLock}, nil
 	}
-	path := filepath.Join(dir, "lock")
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	path := filepath.Join(directory, lockName)
+	lock, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("state directory: %w", err)
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		defer f.Close() //nolint:errcheck // nothing was written
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		defer lock.Close() //nolint:errcheck // nothing was written
 		if errors.Is(err, syscall.EWOULDBLOCK) {
-			who, _ := os.ReadFile(path)
-			return nil, fmt.Errorf("state directory %s: another daemon has it: process %s", dir, strings.TrimSpace(string(who)))
+			owner, _ := os.ReadFile(path)
+			return nil, fmt.Errorf("state directory %s: another daemon has it: process %s", directory, strings.TrimSpace(string(owner)))
 		}
 		return nil, fmt.Errorf("state directory: locking %s: %w", path, err)
 	}
-	s := &Store{dir, f}
-	s.Claim()
+	s := &Store{directory, lock}
+	s.RecordProcessID()
 	return s, nil
 }
 
-// Claim writes this process's id into the lock, for whoever finds it held. A disk that can't be
-// written is no reason not to serve.
-func (s *Store) Claim() {
+// RecordProcessID writes this process's id into the lock file, for the error of a second daemon's Open.
+// A failure is ignored: a disk that can't be written is no reason not to serve.
+func (s *Store) RecordProcessID() {
 	id := fmt.Sprintln(os.Getpid())
 	if s.lock.Truncate(0) == nil {
 		_, _ = s.lock.WriteAt([]byte(id), 0)
 	}
 }
 
-// Dir is the directory.
-func (s *Store) Dir() string { return s.dir }
+// Directory returns the path given to Open.
+func (s *Store) Directory() string { return s.directory }
 
-// Lock is the locked file. The lock lasts as long as any process has it open.
-func (s *Store) Lock() *os.File { return s.lock }
+// LockFile returns the locked file, which remains the store's. The lock lasts as long as any process has
+// the file open.
+func (s *Store) LockFile() *os.File { return s.lock }
 
-// Close lets go of the directory.
+// Close closes the lock file.
 func (s *Store) Close() error { return s.lock.Close() }
 
-func (s *Store) path() string { return filepath.Join(s.dir, "state") }
+func (s *Store) path() string { return filepath.Join(s.directory, checkpointName) }
 
-// Load reads the state that was written last; fs.ErrNotExist where there was none.
-func (s *Store) Load() (State, error) {
+// Load returns the checkpoint that was saved last. The error wraps fs.ErrNotExist where there is none.
+func (s *Store) Load() (Checkpoint, error) {
 	info, err := os.Stat(s.path())
 	if err != nil {
-		return State{}, fmt.Errorf("reading the state: %w", err)
+		return Checkpoint{}, fmt.Errorf("reading the state: %w", err)
 	}
-	if info.Size() > Most+int64(len(magic))+4 {
-		return State{}, fmt.Errorf("reading the state: %s has %d bytes, more than %d", s.path(), info.Size(), Most)
+	if limit := int64(maxSize + headerSize); info.Size() > limit {
+		return Checkpoint{}, fmt.Errorf("reading the state: %s has %d bytes, more than %d", s.path(), info.Size(), limit)
 	}
 	raw, err := os.ReadFile(s.path())
 	if err != nil {
-		return State{}, fmt.Errorf("reading the state: %w", err)
+		return Checkpoint{}, fmt.Errorf("reading the state: %w", err)
 	}
 	return Decode(raw)
 }
 
-// Save writes a state in the place of the last one, whole or not at all.
-func (s *Store) Save(st State) error {
-	raw, err := Encode(st)
+// Save replaces the checkpoint atomically.
+func (s *Store) Save(c Checkpoint) error {
+	raw, err := Encode(c)
 	if err != nil {
 		return err
 	}
@@ -93,24 +100,25 @@
 	return nil
 }
 
-// Take reads the state of the last run and marks it as used, so that a crash before the next
-// Save is not mistaken for a clean end. Clean is true only where that could be written. found is
-// false where nothing was there, as at the very first start.
-func (s *Store) Take() (st State, found bool, err error) {
-	st, err = s.Load()
+// Consume loads the checkpoint of the last run and saves it as not clean, so that a crash before the next
+// Save is not mistaken for a graceful shutdown. The returned checkpoint is Clean only where that save
+// succeeded; where it failed, the error comes with a usable checkpoint. found is false where there is no
+// checkpoint, as at the first start.
+func (s *Store) Consume() (c Checkpoint, found bool, err error) {
+	c, err = s.Load()
 	if errors.Is(err, fs.ErrNotExist) {
-		return State{}, false, nil
+		return Checkpoint{}, false, nil
 	}
 	if err != nil {
-		return State{}, true, err
+		return Checkpoint{}, true, err
 	}
-	if !st.Clean {
-		return st, true, nil
+	if !c.Clean {
+		return c, true, nil
 	}
-	used := st
-	used.Clean = false
-	if err := s.Save(used); err != nil {
-		return used, true, err
+	consumed := c
+	consumed.Clean = false
+	if err := s.Save(consumed); err != nil {
+		return consumed, true, err
 	}
-	return st, true, nil
+	return c, true, nil
 }
--- a/internal/versionskew/compare.go
+++ b/internal/versionskew/compare.go
@@ -18,21 +18,21 @@
 
 // checkpointDifferences reads a checkpoint file as this build does and writes it again: the paths whose values
 // did not survive that are fields that this build names, or means, otherwise.
-func checkpointDifferences(raw []byte) (state.State, []string, error) {
+func checkpointDifferences(raw []byte) (state.Checkpoint, []string, error) {
 	decoded, err := state.Decode(raw)
 	if err != nil {
-		return state.State{}, nil, err
+		return state.Checkpoint{}, nil, err
 	}
 	again, err := state.Encode(decoded)
 	if err != nil {
-		return state.State{}, nil, err
+		return state.Checkpoint{}, nil, err
 	}
 	var before, after any
 	if err := cbor.Unmarshal(raw[stateHeader:], &before); err != nil {
-		return state.State{}, nil, fmt.Errorf("reading a checkpoint: %w", err)
+		return state.Checkpoint{}, nil, fmt.Errorf("reading a checkpoint: %w", err)
 	}
 	if err := cbor.Unmarshal(again[stateHeader:], &after); err != nil {
-		return state.State{}, nil, fmt.Errorf("reading a checkpoint: %w", err)
+		return state.Checkpoint{}, nil, fmt.Errorf("reading a checkpoint: %w", err)
 	}
 	return decoded, differences(before, after, reflect.DeepEqual), nil
 }
--- a/internal/versionskew/compare_test.go
+++ b/internal/versionskew/compare_test.go
@@ -18,7 +18,7 @@
 
 func exampleCheckpoint(t *testing.T) []byte {
 	t.Helper()
-	raw, err := state.Encode(state.State{At: time.Unix(1e9, 0).UTC(), Services: map[string]service.State{"a": {
+	raw, err := state.Encode(state.Checkpoint{TakenAt: time.Unix(1e9, 0).UTC(), Services: map[string]service.State{"a": {
 		Checkpoint: control.Checkpoint{
 			Version: control.CheckpointVersion, Bound: 12.5,
 			Servers:   []control.ServerState{{Server: 3, Latency: 0.1}},
--- a/internal/versionskew/judge.go
+++ b/internal/versionskew/judge.go
@@ -9,7 +9,7 @@
 )
 
 // tokens are what the reserved customer has left of its hard limit; NaN where it is not known.
-func tokens(s state.State) float64 {
+func tokens(s state.Checkpoint) float64 {
 	for _, one := range s.Services {
 		for _, customer := range one.Checkpoint.Customers {
 			if customer.Plan == reservedPlan {
@@ -21,7 +21,7 @@
 }
 
 // limitOf is the concurrency limit that a checkpoint says was learned.
-func limitOf(s state.State) float64 {
+func limitOf(s state.Checkpoint) float64 {
 	for _, one := range s.Services {
 		return one.Checkpoint.Bound
 	}
@@ -37,7 +37,7 @@
 }
 
 // latencies are the learned latencies of servers, by their names.
-func latencies(s state.State) map[string]float64 {
+func latencies(s state.Checkpoint) map[string]float64 {
 	all := make(map[string]float64)
 	for _, one := range s.Services {
 		addLatencies(all, one)
@@ -69,7 +69,7 @@
 }
 
 // compareServers holds an upgrade without load to have handed over what was learned of servers.
-func (t *trial) compareServers(step string, before, after state.State) {
+func (t *trial) compareServers(step string, before, after state.Checkpoint) {
 	old, now := latencies(before), latencies(after)
 	if len(old) != serverCount {
 		t.report.violation("%s: %d servers are known, not %d", step, len(old), serverCount)
--- a/internal/versionskew/trial.go
+++ b/internal/versionskew/trial.go
@@ -338,10 +338,10 @@
 }
 
 // readCheckpoint reads the checkpoint file, which a build has written.
-func (t *trial) readCheckpoint(writer string) (state.State, error) {
+func (t *trial) readCheckpoint(writer string) (state.Checkpoint, error) {
 	raw, err := os.ReadFile(t.daemon.checkpoint())
 	if err != nil {
-		return state.State{}, fmt.Errorf("reading a checkpoint: %w", err)
+		return state.Checkpoint{}, fmt.Errorf("reading a checkpoint: %w", err)
 	}
 	decoded, paths, err := checkpointDifferences(raw)
 	if err != nil || len(paths) > 0 {
@@ -352,7 +352,7 @@
 
 // freshCheckpoint is a checkpoint that was taken after this call: of the files that are written from now on the
 // first may have been begun before.
-func (t *trial) freshCheckpoint(ctx context.Context, writer build) (state.State, error) {
+func (t *trial) freshCheckpoint(ctx context.Context, writer build) (state.Checkpoint, error) {
 	var last time.Time
 	files := 0
 	err := eventually(ctx, func() (bool, error) {
@@ -364,7 +364,7 @@
 		return files > 2, nil
 	})
 	if err != nil {
-		return state.State{}, fmt.Errorf("waiting for a checkpoint of the %s build: %w", writer.name, err)
+		return state.Checkpoint{}, fmt.Errorf("waiting for a checkpoint of the %s build: %w", writer.name, err)
 	}
 	return t.readCheckpoint(writer.name)
 }
