--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -41,21 +41,13 @@
 				}
 				return nil
 			})
-			o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return m, nil }}
+			o := Options{Settings: testSettings(), NewModule: moduleOf(m)}
 			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSockets(100), testkit.Patience, testkit.Patience
 			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
-			s, err := New(o)
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, stop := context.WithCancel(context.Background())
-			ended := make(chan error, 1)
-			go func() { ended <- s.Run(ctx) }()
+			s := runService(t, o)
 			testkit.Next(t, listed)
 			x := newExchange("id-1")
-			x.Deadline = time.Now().Add(testkit.Patience)
-			req, _ := http.NewRequest(http.MethodGet, "http://origin.svc/read", nil)
-			x.Forwarder = &upstream.Whole{Request: req}
+			x.Deadline, x.Forwarder = time.Now().Add(testkit.Patience), newForwarder(t, http.MethodGet, "", nil)
 			a, _ := s.Do(context.Background(), x)
 			if n := app.Count() - before; n != tc.want || (a.Status == http.StatusOK) != (n == 1) {
 				t.Errorf("%d were written, answer %d", n, a.Status)
@@ -63,10 +55,6 @@
 			if why := testkit.Next(t, reasons); (why == control.NotSent) != (tc.want == 0) {
 				t.Errorf("reason %d", why)
 			}
-			stop()
-			if err := testkit.Next(t, ended); err != nil {
-				t.Error(err)
-			}
 		})
 	}
 }
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
 	"lockflow/internal/responseclass"
 	"lockflow/internal/testkit"
@@ -141,20 +140,7 @@
 					t.Run(fmt.Sprint(where, " ", class, " ", by, " ", deadline), func(t *testing.T) {
 						r := newDepartureTest(t, class, by, deadline)
 						play(r, r.newExchange("left"))
-						testkit.Until(t, "its end", func() bool { return r.service.Status().Requests == 0 })
-						sent := r.module.responsesTo("left")
-						if where == "its turn" && len(sent) > 0 || where != "its turn" && (len(sent) != 1 || sent[0].Reason != control.NotSent || !sent[0].IsFinal) {
-							t.Errorf("its attempts ended %+v", sent)
-						}
-						if a, ok := r.service.Do(t.Context(), r.newExchange("next")); !ok || a.Status != http.StatusOK {
-							t.Errorf("the next one: %+v, %v", a, ok)
-						}
-						if r.serverSaw("left") || !r.serverSaw("next") {
-							t.Errorf("the server saw %v", r.requestsSeen)
-						}
-						if where == "its socket's word" && r.connectionCount() != 1 {
-							t.Errorf("%d connections: that of what was not sent is not used", r.connectionCount())
-						}
+						r.checkNotSent(where)
 					})
 				}
 			}
@@ -162,11 +148,30 @@
 	}
 }
 
+// checkNotSent checks that nothing of the request "left" was sent, which its client left at some place, and
+// that the next request is served.
+func (r *departureTest) checkNotSent(where string) {
+	testkit.Until(r.t, "its end", func() bool { return r.service.Status().Requests == 0 })
+	sent := r.module.responsesTo("left")
+	if where == "its turn" && len(sent) > 0 || where != "its turn" && (len(sent) != 1 || sent[0].Reason != control.NotSent || !sent[0].IsFinal) {
+		r.t.Errorf("its attempts ended %+v", sent)
+	}
+	if a, ok := r.service.Do(r.t.Context(), r.newExchange("next")); !ok || a.Status != http.StatusOK {
+		r.t.Errorf("the next one: %+v, %v", a, ok)
+	}
+	if r.serverSaw("left") || !r.serverSaw("next") {
+		r.t.Errorf("the server saw %v", r.requestsSeen)
+	}
+	if where == "its socket's word" && r.connectionCount() != 1 {
+		r.t.Errorf("%d connections: that of what was not sent is not used", r.connectionCount())
+	}
+}
+
 // departureTest is a service with one server, and a client that leaves.
 type departureTest struct {
 	t              *testing.T
 	service        *Service
-	serverAddress  string // the server's address
+	serverAddress  string
 	module         *recordingController
 	opener         *slowOpener
 	class          string
@@ -183,45 +188,34 @@
 
 func newDepartureTest(t *testing.T, class, by string, deadline time.Duration) *departureTest {
 	r := &departureTest{t: t, class: class, forwarder: by, deadline: deadline, opener: &slowOpener{Opener: limits.NewSockets(100)}, releaseFillers: make(chan struct{}), clientAddresses: make(map[string]bool)}
-	app := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		id := q.Header.Get("X-Test")
-		r.mu.Lock()
-		r.requestsSeen = append(r.requestsSeen, id)
-		r.clientAddresses[q.RemoteAddr] = true
-		r.mu.Unlock()
-		if id[:1] == "f" {
-			<-r.releaseFillers
-		}
-		w.Write([]byte("ok"))
-	}))
-	app.Config.Protocols = new(http.Protocols)
-	app.Config.Protocols.SetHTTP1(true)
-	app.Config.Protocols.SetUnencryptedHTTP2(true)
-	app.Start()
-	t.Cleanup(app.Close)
-	r.serverAddress = app.Listener.Addr().String()
+	r.serverAddress = startBothProtocols(t, r.serve)
 	r.service = r.startService(nil)
 	return r
 }
 
-// startService makes and runs one, which has the connections of another where it shares some.
-func (r *departureTest) startService(share *upstream.Upstream) *Service {
-	t, by, deadline := r.t, r.forwarder, r.deadline
-	speaks := upstream.SpeaksHTTP1
-	if len(by) > len("relay") && by != "whole" {
-		speaks = upstream.SpeaksHTTP2
-	}
-	set := control.Settings{
-		GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}},
-		Classes: []control.Class{{Name: "safe", Idempotency: control.Idempotent}, {Name: "keyed", Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute}, {Name: "unsafe", Idempotency: control.NotIdempotent}},
+// serve is the server's handler.
+func (r *departureTest) serve(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("X-Test")
+	r.mu.Lock()
+	r.requestsSeen = append(r.requestsSeen, id)
+	r.clientAddresses[q.RemoteAddr] = true
+	r.mu.Unlock()
+	if id[:1] == "f" {
+		<-r.releaseFillers
 	}
-	for i := range set.Classes {
-		set.Classes[i].LatencyObjective, set.Classes[i].Deadline, set.Classes[i].PriorityWeight = deadline, deadline, 1
+	_, _ = w.Write([]byte("ok"))
+}
+
+// startService starts a service, which has the connections of another where it shares some.
+func (r *departureTest) startService(shared *upstream.Upstream) *Service {
+	protocol := upstream.SpeaksHTTP1
+	if strings.HasSuffix(r.forwarder, "over HTTP/2") {
+		protocol = upstream.SpeaksHTTP2
 	}
-	ready := make(chan struct{})
-	s, err := New(Options{
-		Settings: set, Protocol: speaks, SharedUpstream: share, AnyMethod: true, OnReady: func() { close(ready) },
-		Source: discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.serverAddress, State: "up", Capacity: 1}}},
+	set := threeClassSettings(r.deadline, time.Minute)
+	set.Plans[0].MaxInFlight = 2
+	return runReadyService(r.t, Options{
+		Settings: set, Protocol: protocol, SharedUpstream: shared, AnyMethod: true, Source: staticSource(r.serverAddress, "s-1"),
 		NewModule: func() (Module, error) {
 			c, err := control.New(set, 1)
 			r.module = &recordingController{Controller: c, responses: make(map[string][]control.AttemptResult)}
@@ -229,33 +223,13 @@
 		},
 		Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: r.opener, HTTP2: upstream.HTTP2{Streams: 10, Conns: 1, Whole: true}},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-		s.Upstream().Evict(0)
-	})
-	testkit.Next(t, ready)
-	return s
 }
 
 func (r *departureTest) newExchange(id string) *Exchange {
 	h := http.Header{"X-Test": {id}}
 	x := &Exchange{Request: control.Request{ID: id, Class: r.class, Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(r.deadline)}
-	if r.forwarder[0] == 'w' {
-		q, err := http.NewRequest(http.MethodPost, "http://h/x", nil)
-		if err != nil {
-			r.t.Fatal(err)
-		}
-		q.Header = h
-		x.Forwarder = &upstream.Whole{Request: q, Body: []byte("body")}
+	if strings.HasPrefix(r.forwarder, "whole") {
+		x.Forwarder = newForwarder(r.t, http.MethodPost, "body", h)
 		return x
 	}
 	x.Forwarder = &upstream.Relay{Name: http.MethodGet, Target: "/x", Host: "h", Header: h, Length: -1, Rules: &responseclass.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
--- a/internal/service/deadlines_test.go
+++ b/internal/service/deadlines_test.go
@@ -15,85 +15,100 @@
 	"lockflow/internal/upstream"
 )
 
-// Whatever the service's state and however little time a request has, it has one answer, no later than its
-// client waits, or as soon as a loop that was busy for longer goes on. What comes too late to be sent is
-// refused, not sent.
-func TestEveryRequestIsAnsweredByItsDeadline(t *testing.T) {
-	const fill = 50
-	hangs := func(ctx context.Context) upstream.Outcome {
-		if !upstream.Commit(ctx) {
-			return upstream.Outcome{Reason: control.NotSent}
+// neverAnsweredInTime is an attempt that is written and times out.
+func neverAnsweredInTime(ctx context.Context) upstream.Outcome {
+	if !upstream.Commit(ctx) {
+		return upstream.Outcome{Reason: control.NotSent}
+	}
+	<-ctx.Done()
+	return upstream.Outcome{Reason: control.TimedOut}
+}
+
+// rejectedByServer is an attempt that a server rejects at once.
+func rejectedByServer(ctx context.Context) upstream.Outcome {
+	upstream.Commit(ctx)
+	return upstream.Outcome{Reason: control.RejectedByServer}
+}
+
+// deadlineTest is a service in some state as a request comes.
+type deadlineTest struct {
+	attempt    func(context.Context) upstream.Outcome
+	hasNone    bool          // no server is listed
+	isFull     bool          // others came before and are never answered
+	loopIsBusy time.Duration // from right before the request
+}
+
+// start starts the service and brings it into its state. It returns the answers to the others.
+func (d deadlineTest) start(t *testing.T, idempotency control.Idempotency) (s *Service, others []<-chan Answer) {
+	const otherRequests = 50
+	set := testSettings()
+	set.Classes[0].Idempotency, set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = idempotency, control.ScopeCell, time.Minute
+	s, _ = startService(t, Options{Settings: set})
+	synctest.Wait()
+	if d.hasNone {
+		s.receiveEndpoints(discovery.Listing{All: true})
+	}
+	if d.isFull {
+		for i := range otherRequests {
+			others = append(others, doWithin(s, fmt.Sprint("f", i), 5*time.Second, neverAnsweredInTime))
+		}
+		synctest.Wait()
+	}
+	if d.loopIsBusy > 0 {
+		s.Post(func() { time.Sleep(d.loopIsBusy) })
+		synctest.Wait()
+	}
+	return s, others
+}
+
+// doWithin has a service serve a request whose client waits for some time.
+func doWithin(s *Service, id string, wait time.Duration, attempt func(context.Context) upstream.Outcome) <-chan Answer {
+	x := newExchange(id)
+	x.Deadline, x.Forwarder = time.Now().Add(wait-DeadlineMargin), &scriptedForwarder{attempt: attempt}
+	x.Request.Units, x.Request.FanOut = 1, 1
+	return doInBackground(context.Background(), s, x)
+}
+
+// check has a request come whose client waits for some time.
+func (d deadlineTest) check(t *testing.T, idempotency control.Idempotency, wait time.Duration) {
+	s, others := d.start(t, idempotency)
+	begun, sent := time.Now(), 0
+	a := <-doWithin(s, "id-1", wait, func(ctx context.Context) upstream.Outcome { sent++; return d.attempt(ctx) })
+	if took, by := time.Since(begun), max(wait, d.loopIsBusy); took > by {
+		t.Errorf("answered after %v", took)
+	}
+	if a.Kind == Served || a.Kind == Failed && sent == 0 || a.Status < 500 {
+		t.Errorf("%+v with %d sent", a, sent)
+	}
+	if d.hasNone || wait < DeadlineMargin || d.loopIsBusy > wait {
+		if sent > 0 || a.Kind != Rejected {
+			t.Errorf("%d sent, %+v", sent, a)
 		}
-		<-ctx.Done()
-		return upstream.Outcome{Reason: control.TimedOut}
 	}
-	full := func(ctx context.Context) upstream.Outcome {
-		upstream.Commit(ctx)
-		return upstream.Outcome{Reason: control.RejectedByServer}
+	for _, o := range others {
+		<-o
+	}
+	if synctest.Wait(); s.Status().Requests != 0 {
+		t.Errorf("%d held", s.Status().Requests)
 	}
-	for name, tc := range map[string]struct {
-		try  func(context.Context) upstream.Outcome
-		none bool          // no server is listed
-		many bool          // others came before and hang
-		busy time.Duration // for which the loop is
-	}{
-		"no server":      {try: hangs, none: true},
-		"a hanging one":  {try: hangs},
-		"a full one":     {try: full},
-		"places taken":   {try: hangs, many: true},
-		"a busy loop":    {try: hangs, busy: 10 * time.Millisecond},
-		"a loop at rest": {try: hangs, busy: 10 * time.Second},
+}
+
+// Whatever the service's state and however little time a request has, it has one answer, no later than its
+// client waits, or as soon as a loop that was busy for longer goes on. What comes too late to be sent is
+// rejected, not sent.
+func TestEveryRequestIsAnsweredByItsDeadline(t *testing.T) {
+	for name, test := range map[string]deadlineTest{
+		"no server":      {attempt: neverAnsweredInTime, hasNone: true},
+		"a hanging one":  {attempt: neverAnsweredInTime},
+		"a full one":     {attempt: rejectedByServer},
+		"places taken":   {attempt: neverAnsweredInTime, isFull: true},
+		"a busy loop":    {attempt: neverAnsweredInTime, loopIsBusy: 10 * time.Millisecond},
+		"a loop at rest": {attempt: neverAnsweredInTime, loopIsBusy: 10 * time.Second},
 	} {
-		for effect, class := range map[string]control.Idempotency{"safe": control.Idempotent, "keyed": control.IdempotencyKeyed, "unsafe": control.NotIdempotent} {
-			for _, left := range []time.Duration{time.Microsecond, 20 * time.Millisecond, 400 * time.Millisecond, 5 * time.Second} {
-				t.Run(fmt.Sprint(name, ", ", effect, ", ", left), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						set := testSettings()
-						set.Classes[0].Idempotency, set.Classes[0].KeyScope, set.Classes[0].RepeatWindow = class, control.ScopeCell, time.Minute
-						s, _ := startService(t, Options{Settings: set})
-						synctest.Wait()
-						if tc.none {
-							s.receiveEndpoints(discovery.Listing{All: true})
-						}
-						do := func(id string, left time.Duration, try func(context.Context) upstream.Outcome) chan Answer {
-							x := newExchange(id)
-							x.Deadline, x.Forwarder = time.Now().Add(left-DeadlineMargin), &scriptedForwarder{attempt: try}
-							x.Request.Units, x.Request.FanOut = 1, 1
-							answer := make(chan Answer, 2)
-							go func() { a, _ := s.Do(context.Background(), x); answer <- a }()
-							return answer
-						}
-						var others []chan Answer
-						if tc.many {
-							for i := range fill {
-								others = append(others, do(fmt.Sprint("f", i), 5*time.Second, hangs))
-							}
-							synctest.Wait()
-						}
-						if tc.busy > 0 {
-							s.Post(func() { time.Sleep(tc.busy) })
-							synctest.Wait()
-						}
-						begun, sent := time.Now(), 0
-						a := <-do("id-1", left, func(ctx context.Context) upstream.Outcome { sent++; return tc.try(ctx) })
-						if took, by := time.Since(begun), max(left, tc.busy); took > by {
-							t.Errorf("answered after %v", took)
-						}
-						if a.Kind == Served || a.Kind == Failed && sent == 0 || a.Status < 500 {
-							t.Errorf("%+v with %d sent", a, sent)
-						}
-						if tc.none || left < DeadlineMargin || tc.busy > left {
-							if sent > 0 || a.Kind != Rejected {
-								t.Errorf("%d sent, %+v", sent, a)
-							}
-						}
-						for _, o := range others {
-							<-o
-						}
-						if synctest.Wait(); s.Status().Requests != 0 {
-							t.Errorf("%d held", s.Status().Requests)
-						}
-					})
+		for class, idempotency := range idempotencies {
+			for _, wait := range []time.Duration{time.Microsecond, 20 * time.Millisecond, 400 * time.Millisecond, 5 * time.Second} {
+				t.Run(fmt.Sprint(name, ", ", class, ", ", wait), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { test.check(t, idempotency, wait) })
 				})
 			}
 		}
@@ -104,7 +119,7 @@
 // goes on: none of those is sent, whether its request had a place in the channel or not, and each other is served.
 func TestDepartedClientsBeyondEventQueueAreNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(sendToFirstServer), nil }})
+		s, _ := startService(t, Options{NewModule: moduleOf(moduleFunc(sendToFirstServer))})
 		synctest.Wait() // it knows its server
 		hold := make(chan struct{})
 		s.Post(func() { <-hold })
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -39,6 +39,20 @@
 	return m.counter.Handle(time.Since(m.startedAt), *q), nil
 }
 
+// holdCalls has calls wait until releaseCalls.
+func (m *memoryLeaseStore) holdCalls() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gate = make(chan struct{})
+}
+
+func (m *memoryLeaseStore) releaseCalls() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.gate)
+	m.gate = nil
+}
+
 func sharedLimitOptions(m *memoryLeaseStore, instances int) Options {
 	r := quotalease.Rules{Instances: instances, Term: time.Second, Pledge: 2 * time.Second, Settle: 3 * time.Second}
 	if m.counter == nil {
@@ -200,14 +214,8 @@
 		}
 		// That one fails while a request waits for units here: it is answered, and the part is this
 		// one's again once the other's has ended.
-		m.mu.Lock()
-		m.gate = make(chan struct{})
-		m.mu.Unlock()
-		answered := make(chan Answer, 1)
-		go func() {
-			a, _ := next.Do(t.Context(), newExchangeOfUnits("w", 4))
-			answered <- a
-		}()
+		m.holdCalls()
+		answered := doInBackground(t.Context(), next, newExchangeOfUnits("w", 4))
 		synctest.Wait()
 		if st := next.Status().HardLimits[0]; st.Waiting != 1 {
 			t.Errorf("%+v", st)
@@ -216,10 +224,7 @@
 		if a := <-answered; a.Kind != Rejected {
 			t.Errorf("%+v", a)
 		}
-		m.mu.Lock()
-		close(m.gate)
-		m.gate = nil
-		m.mu.Unlock()
+		m.releaseCalls()
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
 		if st := next.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
@@ -238,9 +243,7 @@
 		o.NewModule, o.AnyMethod = func() (Module, error) { return statefulRecorder{&before}, nil }, true
 		was, ended := startService(t, o)
 		time.Sleep(10 * time.Second)
-		m.mu.Lock()
-		m.gate = make(chan struct{})
-		m.mu.Unlock()
+		m.holdCalls()
 		ctx, leave := context.WithCancel(t.Context())
 		defer leave()
 		for i := range 3 {
@@ -253,10 +256,7 @@
 		was.ReplaceWith(next)
 		was.Retire()
 		synctest.Wait()
-		m.mu.Lock()
-		close(m.gate)
-		m.gate = nil
-		m.mu.Unlock()
+		m.releaseCalls()
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if err := <-ended; err != nil || len(before) != 0 || len(after) != 3 {
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -14,106 +13,140 @@
 	"lockflow/internal/upstream"
 )
 
-// A list that tells of a server's drain, or no longer has it, has nothing be begun there any more, wherever
-// the send is then: at the gate, in the loop's channel, or with a worker that has not begun. The module
-// hears once that it never ran, and may send elsewhere.
-func TestAttemptAfterServerRemovalIsNotSent(t *testing.T) {
-	for _, effect := range []control.Idempotency{control.Idempotent, control.IdempotencyKeyed, control.NotIdempotent} {
-		for state, news := range map[string]discovery.Listing{
-			"draining": {Targets: []discovery.Target{{UID: "s-1", State: "draining"}}},
-			"removed":  {Targets: []discovery.Target{{UID: "s-1", State: "removed"}}},
-			"unlisted": {All: true},
-		} {
-			for _, where := range []string{"gate", "channel", "worker", "worker, idle connection"} {
-				t.Run(fmt.Sprint(where, ", ", state, ", effect ", effect), func(t *testing.T) {
-					app := testkit.NewApp(t, testkit.Served)
-					listed, ended, server := make(chan struct{}, 10), make(chan control.AttemptResult, 10), uint32(0)
-					module := moduleFunc(func(e control.Event) []control.Action {
-						switch e := e.(type) {
-						case control.EndpointList:
-							if server == 0 {
-								server = e.Endpoints[0].Server
-							}
-							listed <- struct{}{}
-						case control.Request:
-							return []control.Action{control.Send{ID: e.ID, Server: server}}
-						case control.AttemptResult:
-							if ended <- e; !e.IsFinal {
-								return []control.Action{control.Reject{ID: e.ID}}
-							}
-						}
-						return nil
-					})
-					o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return module, nil }}
-					o.Settings.Classes[0].Idempotency = effect
-					o.Upstream = upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}
-					o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
-					s, err := New(o)
-					if err != nil {
-						t.Fatal(err)
-					}
-					ctx, stop := context.WithCancel(context.Background())
-					over := make(chan error, 1)
-					go func() { over <- s.Run(ctx) }()
-					t.Cleanup(func() {
-						stop()
-						if err := <-over; err != nil {
-							t.Error(err)
-						}
-					})
-					testkit.Next(t, listed)
+// removalTest is a service with one server, which a list is about to remove.
+type removalTest struct {
+	t       *testing.T
+	service *Service
+	app     *testkit.App
+	server  uint32                     // the module's number of it
+	listed  chan struct{}              // the module has been notified of a list
+	ended   chan control.AttemptResult // as the module has been notified of
+	// sentBefore is how many requests the server has had before the one that waits.
+	sentBefore int
+}
+
+func newRemovalTest(t *testing.T, idempotency control.Idempotency) *removalTest {
+	r := &removalTest{
+		t: t, app: testkit.NewApp(t, testkit.Served), listed: make(chan struct{}, 10), ended: make(chan control.AttemptResult, 10),
+	}
+	o := Options{Settings: testSettings(), NewModule: moduleOf(moduleFunc(r.handle))}
+	o.Settings.Classes[0].Idempotency = idempotency
+	o.Upstream = upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour}
+	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.app.Addr(), State: "up"}}}
+	r.service = runService(t, o)
+	testkit.Next(t, r.listed)
+	return r
+}
+
+// handle is a module that sends each request to the server, and rejects it where that does not answer it.
+func (r *removalTest) handle(e control.Event) []control.Action {
+	switch e := e.(type) {
+	case control.EndpointList:
+		if r.server == 0 {
+			r.server = e.Endpoints[0].Server
+		}
+		r.listed <- struct{}{}
+	case control.Request:
+		return []control.Action{control.Send{ID: e.ID, Server: r.server}}
+	case control.AttemptResult:
+		if r.ended <- e; !e.IsFinal {
+			return []control.Action{control.Reject{ID: e.ID}}
+		}
+	}
+	return nil
+}
+
+func (r *removalTest) newExchange(id string) *Exchange {
+	x := newExchange(id)
+	x.Deadline, x.Forwarder = time.Now().Add(time.Hour), newForwarder(r.t, http.MethodPost, "body", nil)
+	return x
+}
+
+// remove has the list arrive.
+func (r *removalTest) remove(list discovery.Listing) {
+	r.service.receiveEndpoints(list)
+	testkit.Next(r.t, r.listed)
+}
+
+// The places where a request waits as its server is removed, each with how it gets there, what arrives then,
+// and how it goes on.
+
+func (r *removalTest) removeAtGate(x *Exchange, list discovery.Listing) <-chan Answer {
+	decided := make(chan bool, 1)
+	x.Gate = &Gate{OnDecision: func(isAdmitted bool) { decided <- isAdmitted }}
+	answers := doInBackground(r.t.Context(), r.service, x)
+	testkit.Next(r.t, decided)
+	r.remove(list)
+	x.OpenGate()
+	return answers
+}
+
+func (r *removalTest) removeInEventQueue(x *Exchange, list discovery.Listing) <-chan Answer {
+	b := newBarrier()
+	r.service.Post(b.pass)
+	testkit.Next(r.t, b.arrived)
+	r.service.receiveEndpoints(list)
+	answers := doInBackground(r.t.Context(), r.service, x)
+	testkit.Until(r.t, "both in the channel", func() bool { return len(r.service.currentLoop().events) == 2 })
+	close(b.open)
+	return answers
+}
+
+func (r *removalTest) removeAtWorker(x *Exchange, list discovery.Listing) <-chan Answer {
+	b := newBarrier()
+	x.Forwarder = heldForwarder{x.Forwarder, b}
+	answers := doInBackground(r.t.Context(), r.service, x)
+	testkit.Next(r.t, b.arrived)
+	r.remove(list)
+	close(b.open)
+	return answers
+}
+
+func (r *removalTest) removeAtWorkerWithIdleConnection(x *Exchange, list discovery.Listing) <-chan Answer {
+	if a, _ := r.service.Do(r.t.Context(), r.newExchange("before")); a.Status != http.StatusOK {
+		r.t.Fatalf("%+v", a)
+	}
+	testkit.Next(r.t, r.ended)
+	r.sentBefore = r.app.Count()
+	return r.removeAtWorker(x, list)
+}
 
-					ask := func(id string) *Exchange {
-						q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
-						x := newExchange(id)
-						x.Deadline, x.Forwarder = time.Now().Add(time.Hour), &upstream.Whole{Request: q, Body: []byte("body")}
-						return x
-					}
-					if where == "worker, idle connection" {
-						if a, _ := s.Do(t.Context(), ask("before")); a.Status != http.StatusOK {
-							t.Fatalf("%+v", a)
-						}
-						testkit.Next(t, ended)
-					}
-					before, x := app.Count(), ask("id-1")
-					answers := make(chan Answer, 1)
-					do := func() { go func() { a, _ := s.Do(t.Context(), x); answers <- a }() }
-					tell := func() { s.receiveEndpoints(news); testkit.Next(t, listed) }
-					switch where {
-					case "gate":
-						decided := make(chan bool, 1)
-						x.Gate = &Gate{OnDecision: func(taken bool) { decided <- taken }}
-						do()
-						testkit.Next(t, decided)
-						tell()
-						x.OpenGate()
-					case "channel":
-						b := newBarrier()
-						s.Post(b.pass)
-						testkit.Next(t, b.arrived)
-						s.receiveEndpoints(news)
-						do()
-						testkit.Until(t, "both in the channel", func() bool { return len(s.currentLoop().events) == 2 })
-						close(b.open)
-					default:
-						b := newBarrier()
-						x.Forwarder = heldForwarder{x.Forwarder, b}
-						do()
-						testkit.Next(t, b.arrived)
-						tell()
-						close(b.open)
-					}
-					if a := testkit.Next(t, answers); a.Kind != Rejected {
-						t.Errorf("%+v", a)
-					}
-					if e := testkit.Next(t, ended); e.Reason != control.ConnectFailed || e.IsFinal {
-						t.Errorf("its attempt ended %+v", e)
-					}
-					if n := app.Count(); n != before || len(ended) > 0 {
-						t.Errorf("%d sent behind the news; further outcomes %d", n-before, len(ended))
-					}
+// A list that has a server drain, or no longer has it, has nothing be begun there any more, wherever the
+// attempt is then: at the gate, in the loop's channel, or with a worker that has not begun. The module hears
+// once that it never ran, and may send elsewhere.
+func TestAttemptAfterServerRemovalIsNotSent(t *testing.T) {
+	lists := map[string]discovery.Listing{
+		"draining": {Targets: []discovery.Target{{UID: "s-1", State: "draining"}}},
+		"removed":  {Targets: []discovery.Target{{UID: "s-1", State: "removed"}}},
+		"unlisted": {All: true},
+	}
+	places := map[string]func(*removalTest, *Exchange, discovery.Listing) <-chan Answer{
+		"gate":                    (*removalTest).removeAtGate,
+		"channel":                 (*removalTest).removeInEventQueue,
+		"worker":                  (*removalTest).removeAtWorker,
+		"worker, idle connection": (*removalTest).removeAtWorkerWithIdleConnection,
+	}
+	for _, idempotency := range []control.Idempotency{control.Idempotent, control.IdempotencyKeyed, control.NotIdempotent} {
+		for state, list := range lists {
+			for place, removeAt := range places {
+				t.Run(fmt.Sprint(place, ", ", state, ", effect ", idempotency), func(t *testing.T) {
+					newRemovalTest(t, idempotency).check(removeAt, list)
 				})
 			}
 		}
 	}
 }
+
+// check has the server be removed while a request waits somewhere, and checks that it sees nothing of it.
+func (r *removalTest) check(removeAt func(*removalTest, *Exchange, discovery.Listing) <-chan Answer, list discovery.Listing) {
+	answers := removeAt(r, r.newExchange("id-1"), list)
+	if a := testkit.Next(r.t, answers); a.Kind != Rejected {
+		r.t.Errorf("%+v", a)
+	}
+	if e := testkit.Next(r.t, r.ended); e.Reason != control.ConnectFailed || e.IsFinal {
+		r.t.Errorf("its attempt ended %+v", e)
+	}
+	if n := r.app.Count(); n != r.sentBefore || len(r.ended) > 0 {
+		r.t.Errorf("%d sent after the removal; further outcomes %d", n-r.sentBefore, len(r.ended))
+	}
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -11,72 +11,12 @@
 
 	"lockflow/control"
 	"lockflow/internal/discovery"
-	"lockflow/internal/limits"
 	"lockflow/internal/upstream"
 )
 
-// moduleFunc is a module that does what a test tells it for each event.
-type moduleFunc func(control.Event) []control.Action
-
-func (s moduleFunc) Handle(_ time.Duration, e control.Event) []control.Action { return s(e) }
-
-func testSettings() control.Settings {
-	return control.Settings{
-		GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3,
-		Classes: []control.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 5 * time.Second}}, Plans: []control.Plan{{Name: "p"}},
-	}
-}
-
-// startService makes a service and runs it until the test ends.
-func startService(t *testing.T, o Options) (*Service, <-chan error) {
-	t.Helper()
-	s, end := startStoppableService(t, o)
-	return s, end.ended
-}
-
-// serviceEnd is how a test ends a service, and the error of that.
-type serviceEnd struct {
-	stop  context.CancelFunc
-	ended <-chan error
-}
-
-// startStoppableService is started of a service that the test may end before.
-func startStoppableService(t *testing.T, o Options) (*Service, serviceEnd) {
-	t.Helper()
-	if o.Settings.GroupSize == 0 {
-		o.Settings = testSettings()
-	}
-	o.Upstream.Sockets = limits.NewSockets(100)
-	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"}}}
-	s, err := New(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx) }()
-	t.Cleanup(func() { stop(); synctest.Wait() })
-	return s, serviceEnd{stop, ended}
-}
-
-func newExchange(id string) *Exchange {
-	return &Exchange{Request: control.Request{ID: id, Class: "read", Plan: "p"}, Forwarder: &upstream.Whole{Request: &http.Request{}}, Deadline: time.Now().Add(5 * time.Second)}
-}
-
-// rejectAll refuses each request at once.
-func rejectAll(e control.Event) []control.Action {
-	if r, ok := e.(control.Request); ok {
-		return []control.Action{control.Reject{ID: r.ID, RetryAfter: time.Second}}
-	}
-	return nil
-}
-
-// ignoreAll holds each request, until its service ends.
-func ignoreAll(control.Event) []control.Action { return nil }
-
 func TestRejectionIsImmediate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(rejectAll), nil }})
+		s, _ := startService(t, Options{NewModule: moduleOf(moduleFunc(rejectAll))})
 		begun := time.Now()
 		a, ok := s.Do(context.Background(), newExchange("id-1"))
 		if !ok || a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second || time.Since(begun) > 0 {
@@ -88,7 +28,7 @@
 // One that is retired ends once nobody holds it, and not sooner; then it can't be held.
 func TestRetiredServiceEndsWhenReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, ended := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(rejectAll), nil }})
+		s, ended := startService(t, Options{NewModule: moduleOf(moduleFunc(rejectAll))})
 		if first, second := s.TryAcquire(), s.TryAcquire(); !first || !second {
 			t.Fatal("can't be held")
 		}
@@ -197,6 +137,14 @@
 	return func() { c.acquired.Add(-1); c.released.Add(1) }, true
 }
 
+// panicWithinCapacity rejects each request for which there are no resources, and panics at any other.
+func panicWithinCapacity(e control.Event) []control.Action {
+	if r, ok := e.(control.Request); ok && !r.IsOverCapacity {
+		panic("bad")
+	}
+	return rejectAll(e)
+}
+
 // What is booked for a request is given back once: when both its client and the service have
 // done with it, whichever is first, and whatever else becomes of it.
 func TestResourcesAreReleasedOnce(t *testing.T) {
@@ -236,15 +184,7 @@
 		if n := parts.acquired.Load(); n != 0 {
 			t.Errorf("%d booked after the client left", n)
 		}
-		module = func(e control.Event) []control.Action {
-			if r, ok := e.(control.Request); ok {
-				if r.IsOverCapacity {
-					return rejectAll(e)
-				}
-				panic("bad")
-			}
-			return nil
-		}
+		module = panicWithinCapacity
 		if a, _ := do(context.Background(), "bad"); a.Status != http.StatusBadGateway {
 			t.Errorf("%+v", a)
 		}
--- a/internal/service/statistics_test.go
+++ b/internal/service/statistics_test.go
@@ -5,8 +5,32 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/instancestats"
 )
 
+// countedIn names what counts one request of priority weight 2.5.
+func countedIn(f instancestats.Figures) (names string) {
+	for _, v := range []struct {
+		name string
+		is   bool
+	}{
+		{"asked", f.Asked == 2.5},
+		{"served", f.Served == 2.5},
+		{"refused", f.Refused == 1},
+		{"beyond", f.Beyond == 1},
+		{"failed", f.Failed == 1},
+		{"late", f.Late == 1},
+		{"left", f.Left == 1},
+		{"breach", f.Breaches == 1},
+		{"delays", f.Delays.Total() == 1},
+	} {
+		if v.is {
+			names += " " + v.name
+		}
+	}
+	return names
+}
+
 // What becomes of a request is counted once, in its place; what is beyond a quota was not asked, and what
 // loops counted that have ended stays.
 func TestStatisticsCountEachOutcomeOnce(t *testing.T) {
@@ -38,26 +62,7 @@
 			c1.requestEnded(x, c.answer)
 			for range 2 { // while it runs, and after its end
 				f, ok := m.Statistics().Since(before)
-				got := ""
-				for _, v := range []struct {
-					name string
-					is   bool
-				}{
-					{"asked", f.Asked == 2.5},
-					{"served", f.Served == 2.5},
-					{"refused", f.Refused == 1},
-					{"beyond", f.Beyond == 1},
-					{"failed", f.Failed == 1},
-					{"late", f.Late == 1},
-					{"left", f.Left == 1},
-					{"breach", f.Breaches == 1},
-					{"delays", f.Delays.Total() == 1},
-				} {
-					if v.is {
-						got += " " + v.name
-					}
-				}
-				if !ok || got != " "+c.want || f.Requests != 1 || f.Units != 1.5 {
+				if got := countedIn(f); !ok || got != " "+c.want || f.Requests != 1 || f.Units != 1.5 {
 					t.Errorf("%s, not %s: %+v", got, c.want, f)
 				}
 				if len(m.loops) > 0 {
--- a/internal/service/timer_queue_test.go
+++ b/internal/service/timer_queue_test.go
@@ -8,52 +8,64 @@
 	"time"
 )
 
-// Whatever the order in which labels are armed, each is told at its time, and in order.
+// timerTest arms labels of a queue and records when they were due and when they were popped, from its start.
+type timerTest struct {
+	queue       timerQueue
+	start       time.Time
+	due, popped []time.Duration
+}
+
+func (tt *timerTest) arm(after time.Duration, label uint64) {
+	tt.due = append(tt.due, time.Since(tt.start)+after)
+	tt.queue.arm(time.Now().Add(after), label)
+}
+
+// popAll pops what is due after the queue has fired.
+func (tt *timerTest) popAll() {
+	for {
+		at := time.Since(tt.start)
+		if _, ok := tt.queue.popDue(time.Now()); !ok {
+			return
+		}
+		tt.popped = append(tt.popped, at)
+	}
+}
+
+// step arms some labels, and pops what is due if the queue fires within a while.
+func (tt *timerTest) step(rng *rand.Rand, label uint64) {
+	for range rng.IntN(4) {
+		tt.arm(time.Duration(rng.IntN(1000))*time.Millisecond, label)
+	}
+	if tt.queue.fired() == nil {
+		return
+	}
+	select {
+	case <-tt.queue.fired():
+		tt.popAll()
+	case <-time.After(time.Duration(rng.IntN(100)) * time.Millisecond):
+	}
+}
+
+// Whatever the order in which labels are armed, each is popped when it is due, and in order.
 func TestTimerQueueFiresInOrderOnTime(t *testing.T) {
 	for seed := range uint64(50) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			start := time.Now()
-			var set timerQueue
-			var want, got []time.Duration
-			for step := range 200 {
-				for range rng.IntN(4) {
-					after := time.Duration(rng.IntN(1000)) * time.Millisecond
-					want = append(want, time.Since(start)+after)
-					set.arm(time.Now().Add(after), uint64(step))
-				}
-				if set.fired() == nil {
-					continue
-				}
-				select {
-				case <-set.fired():
-					for {
-						at := time.Since(start)
-						if _, ok := set.popDue(time.Now()); !ok {
-							break
-						}
-						got = append(got, at)
-					}
-				case <-time.After(time.Duration(rng.IntN(100)) * time.Millisecond):
-				}
+			tt := &timerTest{start: time.Now()}
+			for step := range uint64(200) {
+				tt.step(rng, step)
 			}
-			for len(set.entries) > 0 {
-				<-set.fired()
-				for {
-					at := time.Since(start)
-					if _, ok := set.popDue(time.Now()); !ok {
-						break
-					}
-					got = append(got, at)
-				}
+			for len(tt.queue.entries) > 0 {
+				<-tt.queue.fired()
+				tt.popAll()
 			}
-			slices.Sort(want)
-			if !slices.IsSorted(got) || len(got) != len(want) {
-				t.Fatalf("seed %d: %d told of %d", seed, len(got), len(want))
+			slices.Sort(tt.due)
+			if !slices.IsSorted(tt.popped) || len(tt.popped) != len(tt.due) {
+				t.Fatalf("seed %d: %d popped of %d", seed, len(tt.popped), len(tt.due))
 			}
-			for i := range want { // told no sooner, and no later than another step of this test
-				if got[i] < want[i] || got[i] > want[i]+100*time.Millisecond {
-					t.Fatalf("seed %d: label due at %v told at %v", seed, want[i], got[i])
+			for i, due := range tt.due { // no sooner, and no later than another step of this test
+				if got := tt.popped[i]; got < due || got > due+100*time.Millisecond {
+					t.Fatalf("seed %d: label due at %v popped at %v", seed, due, got)
 				}
 			}
 		})
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -1,13 +1,11 @@
 package service
 
 import (
-	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"lockflow/control"
-	"lockflow/internal/discovery"
 	"lockflow/internal/limits"
 	"lockflow/internal/testkit"
 	"lockflow/internal/upstream"
@@ -38,33 +36,13 @@
 				app := testkit.NewApp(t, tc.first)
 				class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "read", time.Hour, time.Hour, 1
 				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}}, Classes: []control.Class{class}}
-				var servers []discovery.Target // of one group
-				for _, uid := range []string{"s-1", "s-2"} {
-					servers = append(servers, discovery.Target{UID: uid, Endpoint: app.Addr(), State: "up", Capacity: 1})
-				}
-				ready := make(chan struct{})
-				s, err := New(Options{
-					Settings: set, AnyMethod: true, OnReady: func() { close(ready) }, Source: discovery.Source{Kind: discovery.Static, Servers: servers},
-					NewModule: func() (Module, error) { return control.New(set, 1) },
-					Upstream:  upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour},
+				s := runReadyService(t, Options{
+					Settings: set, Seed: 1, AnyMethod: true, Source: staticSource(app.Addr(), "s-1", "s-2"),
+					Upstream: upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour},
 				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				ctx, stop := context.WithCancel(context.Background())
-				over := make(chan error, 1)
-				go func() { over <- s.Run(ctx) }()
-				defer func() {
-					stop()
-					if err := <-over; err != nil {
-						t.Error(err)
-					}
-				}()
-				testkit.Next(t, ready)
-				q, _ := http.NewRequest(http.MethodPost, "http://h/read", nil)
 				x := &Exchange{
 					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(testkit.Patience),
-					Client: clientUntilFirstRequest{app}, Forwarder: &upstream.Whole{Request: q, Body: []byte("body")},
+					Client: clientUntilFirstRequest{app}, Forwarder: newForwarder(t, http.MethodPost, "body", nil),
 				}
 				if a, ok := s.Do(t.Context(), x); ok || a.Kind != tc.kind || a.Status != tc.status {
 					t.Errorf("%v, %+v", ok, a)
