Say in plain technical English what the tests of package service check

Comments on tests were sentences of the earlier house style, some without a subject; each begins with the test's name now and says the checked behaviour.

--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -15,8 +15,8 @@
 	"lockflow/internal/upstream"
 )
 
-// A repeat that can't be written before its window is over, as its connection came up late, is never
-// written, and the module hears that it was not.
+// TestRetryAfterRepeatWindowIsNotSent checks that a retry whose connection comes up after the repeat window
+// is never written, and the module is notified that it was not sent.
 func TestRetryAfterRepeatWindowIsNotSent(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
 	for name, tc := range map[string]struct {
@@ -59,8 +59,9 @@
 	}
 }
 
-// A request that a service has not begun when another takes its place goes there, but not as a keyed
-// one where nobody has asked for its key.
+// TestReplacementTakesUnbegunRequestOnlyWithItsKeyChecked checks that a request that a service has not begun
+// when it is replaced goes to the replacement, unless its class needs an idempotency key there and did not
+// before.
 func TestReplacementTakesUnbegunRequestOnlyWithItsKeyChecked(t *testing.T) {
 	effects := []control.Idempotency{control.IdempotencyKeyed, control.NotIdempotent}
 	for _, from := range effects {
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -16,7 +16,7 @@
 	"lockflow/internal/upstream"
 )
 
-// recordingController is a controller that notes how attempts ended.
+// recordingController is a controller that records how attempts ended, by request id.
 type recordingController struct {
 	*control.Controller
 	mu        sync.Mutex
@@ -38,7 +38,7 @@
 	return n.responses[id]
 }
 
-// barrier holds whoever comes, once it is set, until it is opened.
+// barrier blocks all who pass it until it is opened; arrived is closed when the first one gets there.
 type barrier struct {
 	arrived, open chan struct{}
 	once          sync.Once
@@ -48,7 +48,7 @@
 
 func (b *barrier) pass() { b.once.Do(func() { close(b.arrived) }); <-b.open }
 
-// slowOpener is an Opener whose next connection waits at a barrier before it is made.
+// slowOpener is an Opener whose next connection waits at a barrier before it is opened.
 type slowOpener struct {
 	limits.Opener
 	mu       sync.Mutex
@@ -77,7 +77,7 @@
 	return h.Forwarder.Attempt(ctx, life, u, p)
 }
 
-// watchedForwarder is a request that tells when an attempt of it is over.
+// watchedForwarder is a request that closes a channel when its attempt has ended.
 type watchedForwarder struct {
 	Forwarder
 	ended chan struct{}
@@ -88,13 +88,14 @@
 	return w.Forwarder.Attempt(ctx, life, u, p)
 }
 
-// clientFunc is a client that tells what a test has it tell.
+// clientFunc is a client that a test says of whether it is there.
 type clientFunc func() bool
 
 func (a clientFunc) There() bool { return a() }
 
-// A client that leaves before its request is written, wherever that is then, has it not be written: the
-// module hears once that it was not sent, and what comes next is served.
+// TestRequestOfDepartedClientIsNotSent checks that a request whose client leaves before it is written,
+// wherever it is then, is not written. The module is notified once that it was not sent, and the next request
+// is served.
 func TestRequestOfDepartedClientIsNotSent(t *testing.T) {
 	rings := map[string]func(r *departureTest, x *Exchange){
 		"its turn": func(r *departureTest, x *Exchange) { r.fillServer(); r.leaveAt(x, nil); r.emptyServer() },
@@ -167,7 +168,7 @@
 	}
 }
 
-// departureTest is a service with one server, and a client that leaves.
+// departureTest is a service with one server, whose client leaves.
 type departureTest struct {
 	t              *testing.T
 	service        *Service
@@ -179,7 +180,7 @@
 	deadline       time.Duration
 	cancelClient   context.CancelFunc
 	fillers        sync.WaitGroup
-	releaseFillers chan struct{} // the server answers what fills it
+	releaseFillers chan struct{} // closed: the server answers the requests that fill it
 
 	mu              sync.Mutex
 	requestsSeen    []string
@@ -187,7 +188,10 @@
 }
 
 func newDepartureTest(t *testing.T, class, by string, deadline time.Duration) *departureTest {
-	r := &departureTest{t: t, class: class, forwarder: by, deadline: deadline, opener: &slowOpener{Opener: limits.NewSockets(100)}, releaseFillers: make(chan struct{}), clientAddresses: make(map[string]bool)}
+	r := &departureTest{
+		t: t, class: class, forwarder: by, deadline: deadline, opener: &slowOpener{Opener: limits.NewSockets(100)},
+		releaseFillers: make(chan struct{}), clientAddresses: make(map[string]bool),
+	}
 	r.serverAddress = startBothProtocols(t, r.serve)
 	r.service = r.startService(nil)
 	return r
@@ -236,7 +240,8 @@
 	return x
 }
 
-// leaveAt has the client leave once its request is at a barrier, which then opens, or held without one.
+// leaveAt has the client leave once its request has arrived at a barrier, which then opens, or, without one,
+// once the service has accepted it.
 func (r *departureTest) leaveAt(x *Exchange, at *barrier) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	r.cancelClient = cancel
@@ -259,8 +264,8 @@
 	}
 }
 
-// leaveBeforeEventRuns has the client leave once its request, or the word that its gate is open, is in a loop's channel,
-// and the loop hear of that only when the attempt which follows is over.
+// leaveBeforeEventRuns has the client leave once its request, or the opening of its gate, is in a loop's event
+// queue; the loop is notified of that only when the attempt that follows has ended.
 func (r *departureTest) leaveBeforeEventRuns(x *Exchange, into *Service, gate chan bool) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	done, over := make(chan bool, 1), make(chan struct{})
@@ -290,7 +295,7 @@
 	r.awaitClientLeft(x)
 }
 
-// awaitClientLeft waits until the loop has heard that the client has left.
+// awaitClientLeft waits until the loop knows that the client has left.
 func (r *departureTest) awaitClientLeft(x *Exchange) {
 	testkit.Until(r.t, "the loop to hear", func() bool {
 		done := make(chan bool)
@@ -298,14 +303,14 @@
 	})
 }
 
-// leaveUnnoticed has the client be found to have left, of which ctx never tells.
+// leaveUnnoticed has the client leave without an end of its context: only Exchange.Client says so.
 func (r *departureTest) leaveUnnoticed(x *Exchange) {
 	if a, ok := r.service.Do(r.t.Context(), x); ok {
 		r.t.Errorf("it has an answer: %+v", a)
 	}
 }
 
-// fillServer has all places be taken; empty gives them back.
+// fillServer uses up the concurrency limit; emptyServer ends that.
 func (r *departureTest) fillServer() {
 	for i := range 2 {
 		r.fillers.Go(func() { r.service.Do(r.t.Context(), r.newExchange(fmt.Sprint("f", i))) })
--- a/internal/service/deadlines_test.go
+++ b/internal/service/deadlines_test.go
@@ -93,9 +93,9 @@
 	}
 }
 
-// Whatever the service's state and however little time a request has, it has one answer, no later than its
-// client waits, or as soon as a loop that was busy for longer goes on. What comes too late to be sent is
-// rejected, not sent.
+// TestEveryRequestIsAnsweredByItsDeadline checks that whatever the service's state and however little time a
+// request has, it gets one answer before its client's deadline, or as soon as a loop that is busy for longer
+// goes on. A request that comes too late to be sent is rejected and not sent.
 func TestEveryRequestIsAnsweredByItsDeadline(t *testing.T) {
 	for name, test := range map[string]deadlineTest{
 		"no server":      {attempt: neverAnsweredInTime, hasNone: true},
@@ -115,8 +115,9 @@
 	}
 }
 
-// More come than the loop's channel holds while the loop stands still, and every second one leaves before it
-// goes on: none of those is sent, whether its request had a place in the channel or not, and each other is served.
+// TestDepartedClientsBeyondEventQueueAreNotSent checks that more requests come than the event queue has space
+// for while the loop is blocked, and every second client leaves before it goes on. No request of those is
+// sent, whether it was in the queue or not, and all others are served.
 func TestDepartedClientsBeyondEventQueueAreNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := startService(t, Options{NewModule: moduleOf(moduleFunc(sendToFirstServer))})
--- a/internal/service/endpoint_changes_test.go
+++ b/internal/service/endpoint_changes_test.go
@@ -10,7 +10,7 @@
 	"lockflow/internal/testkit"
 )
 
-// waitAt has a request get to some place where it waits, and returns what lets it go on and its answer.
+// waitAt starts a request that waits at some place, and returns what lets it go on and its answer.
 func (r *departureTest) waitAt(place string, x *Exchange) (goOn func(), answers <-chan Answer) {
 	at := newBarrier()
 	switch place {
@@ -35,7 +35,7 @@
 	return goOn, answers
 }
 
-// changeOf is a list that has another server in place of s-1, in some way.
+// changeOf is an endpoint list that replaces the server s-1 by another one in some way.
 func changeOf(way, other string) discovery.Listing {
 	up := discovery.Target{UID: "s-2", Endpoint: other, State: "up", Capacity: 1}
 	l := discovery.Listing{Rev: 2, All: way == "whole", Targets: []discovery.Target{up}}
@@ -49,9 +49,10 @@
 	return l
 }
 
-// A server that drains, is gone or is listed at another address while a request for it waits for its turn, at
-// its gate, for its worker or its connection sees nothing of it: it goes to another server, as nothing of it
-// has run, and so does the next.
+// TestServerDrainingOrGoneGetsNoWaitingRequest checks that a server that is draining, is gone or is listed at
+// another address while a request for it waits in the queue, at its gate, for its worker or for its
+// connection gets nothing of it. The request goes to another server, as it has not run, and so does the next
+// one.
 func TestServerDrainingOrGoneGetsNoWaitingRequest(t *testing.T) {
 	check := func(t *testing.T, way, place, class, by string) {
 		r := newDepartureTest(t, class, by, time.Minute)
@@ -81,8 +82,9 @@
 	}
 }
 
-// A server that is listed with a later start has ended in between: a connection that was used last before leads to
-// nobody, though none has told of its end, as where a machine vanished; one that was used since is kept.
+// TestConnectionsToEarlierBootAreNotReused checks that a server that is listed with a later boot time has
+// restarted. An idle connection that was last used before is not reused, though nothing has shown its end, as
+// where a machine vanishes; one that was used since is.
 func TestConnectionsToEarlierBootAreNotReused(t *testing.T) {
 	for _, class := range []string{"safe", "keyed", "unsafe"} {
 		for when, dials := range map[time.Duration]int{time.Hour: 2, -time.Hour: 1} {
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -15,13 +15,13 @@
 	"lockflow/internal/upstream"
 )
 
-// memoryLeaseStore is a counter without a network; it can be away.
+// memoryLeaseStore is a lease store without a network, which can be down.
 type memoryLeaseStore struct {
 	mu        sync.Mutex
 	counter   *quotalease.Counter
 	startedAt time.Time
 	isDown    bool
-	gate      chan struct{} // calls wait for it; nil is not at all
+	gate      chan struct{} // calls wait until it is closed; nil lets them pass
 }
 
 func (m *memoryLeaseStore) Call(_ context.Context, q *quotalease.Call) (quotalease.Answer, error) {
@@ -61,7 +61,7 @@
 	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]quotalease.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{m}}}
 }
 
-// rejectOverLimit is a module that holds what it lets in, and refuses what a shared ceiling does.
+// rejectOverLimit creates modules that reject requests over their shared hard limit and never answer others.
 func rejectOverLimit(seen *[]control.Request) func() (Module, error) {
 	return func() (Module, error) {
 		return moduleFunc(func(e control.Event) []control.Action {
@@ -75,7 +75,7 @@
 	}
 }
 
-// startSharedLimitService starts a service with a share in a counter, and notes what its module hears of.
+// startSharedLimitService starts a service with a shared hard limit, and records its module's requests.
 func startSharedLimitService(t *testing.T, m *memoryLeaseStore, instances int, seen *[]control.Request) *Service {
 	o := sharedLimitOptions(m, instances)
 	o.NewModule = rejectOverLimit(seen)
@@ -89,14 +89,14 @@
 	return x
 }
 
-// A request is heard of by the module once its shared ceiling has decided: with its units, or as one
-// to be turned away. What is lent to a request whose client leaves before it is sent is given back.
+// TestSharedHardLimitDecidesBeforeModule checks that the module gets a request once its shared hard limit has
+// decided on it. The charge of a request whose client leaves before it is sent is refunded.
 func TestSharedHardLimitDecidesBeforeModule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
 		m := &memoryLeaseStore{}
 		s := startSharedLimitService(t, m, 1, &seen)
-		for range 20 { // the holder's part is pledged, and the counter's store full
+		for range 20 { // until the holder's part is reserved, and the store's bucket full
 			time.Sleep(time.Second)
 		}
 		synctest.Wait()
@@ -134,8 +134,8 @@
 	})
 }
 
-// Without its counter a service has its own part, once what it pledged has ended; with a bad one it
-// asks no faster than it should.
+// TestSharedHardLimitWithoutLeaseStore checks that while its lease store is down a service spends its own
+// part, once its reservation has expired, and makes calls no faster than it should.
 func TestSharedHardLimitWithoutLeaseStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
@@ -172,8 +172,8 @@
 	})
 }
 
-// A ledger goes over with a reload: what is spent stays spent, requests that wait for units are the
-// next service's, and a part that grows waits until all know.
+// TestSharedHardLimitMovesToReplacement checks that a replacement gets the leases, so that what is spent
+// stays spent, and a part that grows by it does so only once all instances know.
 func TestSharedHardLimitMovesToReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &memoryLeaseStore{}
@@ -202,9 +202,9 @@
 		if x := newExchangeOfUnits("x", 1); was.Upstream() != next.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
 			t.Error("another upstream")
 		}
-		// A process whose place another is to take has no part any more.
+		// A process that hands over to another has no part any more.
 		st = next.Status().HardLimits[0]
-		next.Rejoin(nil) // whoever it took the place of has ended: nothing changes
+		next.Rejoin(nil) // it has not handed over: nothing changes
 		if again := next.Status().HardLimits[0]; again != st {
 			t.Errorf("%+v, not %+v", again, st)
 		}
@@ -212,8 +212,8 @@
 		if st := next.Status().HardLimits[0]; st.Own || st.Pledged != 0 {
 			t.Errorf("%+v after it was handed over", st)
 		}
-		// That one fails while a request waits for units here: it is answered, and the part is this
-		// one's again once the other's has ended.
+		// The other process fails while a request waits for units here: it is answered, and the part is
+		// this process's again once the other's has expired.
 		m.holdCalls()
 		answered := doInBackground(t.Context(), next, newExchangeOfUnits("w", 4))
 		synctest.Wait()
@@ -233,8 +233,8 @@
 	})
 }
 
-// A request that waits for units as its service is replaced is decided on by the next one, which is
-// the only one whose module hears of it.
+// TestReplacementDecidesWaitingRequests checks that a request that waits for units when its service is
+// replaced is decided on by the replacement, and only that one's module gets it.
 func TestReplacementDecidesWaitingRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &memoryLeaseStore{}
@@ -267,7 +267,7 @@
 	})
 }
 
-// statefulRecorder is a module that hands over nothing, and notes what it hears of.
+// statefulRecorder is a StatefulModule with no state that records its requests and answers none.
 type statefulRecorder struct{ requests *[]control.Request }
 
 func (k statefulRecorder) Handle(_ time.Duration, e control.Event) []control.Action {
@@ -282,8 +282,8 @@
 func (statefulRecorder) Rejoin(time.Duration, *control.Checkpoint)                {}
 func (statefulRecorder) Alone()                                                   {}
 
-// Customers fall to several counters evenly, and stay where they are when one is added, but for those
-// that fall to that one.
+// TestCustomersSpreadOverLeaseStores checks that customers are assigned to lease stores evenly, and when one
+// is added only those move that are assigned to it.
 func TestCustomersSpreadOverLeaseStores(t *testing.T) {
 	at := func(names ...string) map[string]string {
 		g := newHardLimiter(&SharedHardLimits{Rules: quotalease.Rules{Instances: 1}, ByPlan: map[string]quotalease.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
@@ -308,13 +308,13 @@
 	}
 }
 
-// What a request's shared ceiling costs beside the request, where nothing has to be asked for.
+// BenchmarkSharedHardLimit measures what a shared hard limit adds to a request that needs no call.
 func BenchmarkSharedHardLimit(b *testing.B) {
 	o := sharedLimitOptions(&memoryLeaseStore{}, 1)
 	o.SharedHardLimits.ByPlan["p"] = quotalease.Ceiling{Rate: 1e9, Burst: 1e9}
 	o.SharedHardLimits.Rules.Settle = 1
 	l := &loop{hardLimiter: newHardLimiter(o.SharedHardLimits), module: moduleFunc(ignoreAll)}
-	l.hardLimiter.startedAt = l.hardLimiter.startedAt.Add(-time.Minute) // its part is its own
+	l.hardLimiter.startedAt = l.hardLimiter.startedAt.Add(-time.Minute) // its part may be spent
 	xs := make([]*Exchange, 1000)
 	for i := range xs {
 		xs[i] = newExchangeOfUnits("x", 1)
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -62,7 +62,11 @@
 func threeClassSettings(deadline, repeatWindow time.Duration) control.Settings {
 	s := control.Settings{
 		GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}},
-		Classes: []control.Class{{Name: "safe", Idempotency: control.Idempotent}, {Name: "keyed", Idempotency: control.IdempotencyKeyed, RepeatWindow: repeatWindow}, {Name: "unsafe", Idempotency: control.NotIdempotent}},
+		Classes: []control.Class{
+			{Name: "safe", Idempotency: control.Idempotent},
+			{Name: "keyed", Idempotency: control.IdempotencyKeyed, RepeatWindow: repeatWindow},
+			{Name: "unsafe", Idempotency: control.NotIdempotent},
+		},
 	}
 	for i := range s.Classes {
 		s.Classes[i].LatencyObjective, s.Classes[i].Deadline, s.Classes[i].PriorityWeight = deadline, deadline, 1
--- a/internal/service/retry_outcomes_test.go
+++ b/internal/service/retry_outcomes_test.go
@@ -15,7 +15,7 @@
 	"lockflow/internal/upstream"
 )
 
-// connectionCounter books connections and notes how many were open at once.
+// connectionCounter counts open connections and the maximum of them.
 type connectionCounter struct {
 	mu            sync.Mutex
 	open, maxOpen int
@@ -35,7 +35,7 @@
 	a.open--
 }
 
-// How a connection goes on behind an answer.
+// connectionEnd is how a connection goes on after a response.
 type connectionEnd int
 
 const (
@@ -46,7 +46,7 @@
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// scriptedServer answers its first request with some bytes, after which the connection goes on as it is told,
+// scriptedServer answers its first request with some bytes, after which the connection goes on in some way,
 // and all others with okResponse.
 type scriptedServer struct {
 	first string
@@ -114,13 +114,13 @@
 	return s.count
 }
 
-// What the first response says of whether the request ran.
+// firstResponse is what the first response says of whether the request ran.
 type firstResponse int
 
 const (
 	neverRan   firstResponse = iota // any class is sent again
 	mayHaveRan                      // an unsafe class is not
-	isFinal                         // it is the answer
+	isFinal                         // it is the final answer
 )
 
 // firstAttempt is a way in which a first attempt can end.
@@ -142,12 +142,12 @@
 	return 2, http.StatusOK
 }
 
-// check has a request of a class be sent to a server of which the first response is this one.
+// check sends a request of a class to a server whose first response is this one.
 func (f firstAttempt) check(t *testing.T, class string) {
 	server, sockets := &scriptedServer{first: f.text, then: f.then}, &connectionCounter{}
 	s := runReadyService(t, Options{
 		Settings: threeClassSettings(time.Hour, time.Hour), Seed: 1, AnyMethod: true,
-		Source:   staticSource(server.start(t), "s-1", "s-2"), // of one group, that share what is asked of them
+		Source:   staticSource(server.start(t), "s-1", "s-2"), // of one cell, which share one server's script
 		Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: sockets},
 	})
 	x := &Exchange{
@@ -167,8 +167,9 @@
 	}
 }
 
-// Of each way in which a first attempt can end, and each idempotency of a class, a request is sent again
-// where it may be and only there, over a connection that comes up once the spoilt one is closed.
+// TestRetryFollowsOutcomeOfFirstAttempt checks that for each way in which a first attempt can end, and each
+// idempotency of a class, a request is retried where it may be and only there, over a connection that is
+// opened once the unusable one is closed.
 func TestRetryFollowsOutcomeOfFirstAttempt(t *testing.T) {
 	for name, first := range map[string]firstAttempt{
 		"turned away":                 {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", staysOpen, neverRan, true},
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -13,7 +13,7 @@
 	"lockflow/internal/upstream"
 )
 
-// removalTest is a service with one server, which a list is about to remove.
+// removalTest is a service with one server, which an endpoint list removes while a request waits.
 type removalTest struct {
 	t       *testing.T
 	service *Service
@@ -62,15 +62,13 @@
 	return x
 }
 
-// remove has the list arrive.
+// remove has a list arrive, and waits until the module is notified of it.
 func (r *removalTest) remove(list discovery.Listing) {
 	r.service.receiveEndpoints(list)
 	testkit.Next(r.t, r.listed)
 }
 
-// The places where a request waits as its server is removed, each with how it gets there, what arrives then,
-// and how it goes on.
-
+// removeAtGate removes the server while a request waits at its gate.
 func (r *removalTest) removeAtGate(x *Exchange, list discovery.Listing) <-chan Answer {
 	decided := make(chan bool, 1)
 	x.Gate = &Gate{OnDecision: func(isAdmitted bool) { decided <- isAdmitted }}
@@ -81,6 +79,7 @@
 	return answers
 }
 
+// removeInEventQueue removes the server by an event right before that of a request.
 func (r *removalTest) removeInEventQueue(x *Exchange, list discovery.Listing) <-chan Answer {
 	b := newBarrier()
 	r.service.Post(b.pass)
@@ -92,6 +91,7 @@
 	return answers
 }
 
+// removeAtWorker removes the server before a request's worker begins.
 func (r *removalTest) removeAtWorker(x *Exchange, list discovery.Listing) <-chan Answer {
 	b := newBarrier()
 	x.Forwarder = heldForwarder{x.Forwarder, b}
@@ -102,6 +102,7 @@
 	return answers
 }
 
+// removeAtWorkerWithIdleConnection is removeAtWorker where an idle connection to the server exists.
 func (r *removalTest) removeAtWorkerWithIdleConnection(x *Exchange, list discovery.Listing) <-chan Answer {
 	if a, _ := r.service.Do(r.t.Context(), r.newExchange("before")); a.Status != http.StatusOK {
 		r.t.Fatalf("%+v", a)
@@ -111,9 +112,9 @@
 	return r.removeAtWorker(x, list)
 }
 
-// A list that has a server drain, or no longer has it, has nothing be begun there any more, wherever the
-// attempt is then: at the gate, in the loop's channel, or with a worker that has not begun. The module hears
-// once that it never ran, and may send elsewhere.
+// TestAttemptAfterServerRemovalIsNotSent checks that once a list has a server drain, or no longer has it, no
+// attempt begins there, wherever it waits: at the gate, in the event queue, or with a worker that has not
+// begun. The module is notified once that it did not run, and may send the request elsewhere.
 func TestAttemptAfterServerRemovalIsNotSent(t *testing.T) {
 	lists := map[string]discovery.Listing{
 		"draining": {Targets: []discovery.Target{{UID: "s-1", State: "draining"}}},
@@ -137,7 +138,7 @@
 	}
 }
 
-// check has the server be removed while a request waits somewhere, and checks that it sees nothing of it.
+// check removes the server while a request waits at some place, and checks that the server does not get it.
 func (r *removalTest) check(removeAt func(*removalTest, *Exchange, discovery.Listing) <-chan Answer, list discovery.Listing) {
 	answers := removeAt(r, r.newExchange("id-1"), list)
 	if a := testkit.Next(r.t, answers); a.Kind != Rejected {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -25,7 +25,8 @@
 	})
 }
 
-// One that is retired ends once nobody holds it, and not sooner; then it can't be held.
+// TestRetiredServiceEndsWhenReleased checks that a retired service ends once nothing references it, and not
+// sooner; after that TryAcquire fails.
 func TestRetiredServiceEndsWhenReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, ended := startService(t, Options{NewModule: moduleOf(moduleFunc(rejectAll))})
@@ -56,8 +57,8 @@
 	})
 }
 
-// A module that panics again and again is started at a slower pace, and each request has its
-// answer: what was held one that promises nothing, what came between a harmless one.
+// TestRestartsBackOff checks that the pauses before the restarts of a module that panics repeatedly grow, and
+// each request is answered: those that were accepted as failed, those that come during the pause as rejected.
 func TestRestartsBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		made := 0
@@ -123,7 +124,7 @@
 	})
 }
 
-// countingLimiter books requests and counts what is out.
+// countingLimiter admits a limited number of requests and counts what is released.
 type countingLimiter struct {
 	acquired, released atomic.Int64
 	limit              int64
@@ -145,8 +146,8 @@
 	return rejectAll(e)
 }
 
-// What is booked for a request is given back once: when both its client and the service have
-// done with it, whichever is first, and whatever else becomes of it.
+// TestResourcesAreReleasedOnce checks that the resources of a request are released once, when both the caller
+// of Do and the loop have released it, in any order and whatever becomes of the request.
 func TestResourcesAreReleasedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		parts := &countingLimiter{limit: 2}
@@ -163,7 +164,7 @@
 		}
 		ctx, leave := context.WithCancel(context.Background())
 		left := make(chan bool)
-		for range 2 { // the second has the id of one that is held
+		for range 2 { // the second has the id of an accepted one
 			go func() {
 				_, ok := do(ctx, "same")
 				left <- ok
@@ -199,7 +200,8 @@
 	})
 }
 
-// The module's own time is measured where somebody asks.
+// TestModuleTimeIsObserved checks that the time that the module takes is reported to
+// Options.ObserveModuleTime.
 func TestModuleTimeIsObserved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var spent time.Duration
@@ -210,14 +212,14 @@
 			}), nil
 		}})
 		s.Do(context.Background(), newExchange("x"))
-		s.Status()                       // a round, after what the request caused
+		s.Status()                       // waits for what the request caused
 		if spent != 2*time.Millisecond { // of the list and the request
 			t.Errorf("%v", spent)
 		}
 	})
 }
 
-// No id of a server is given twice, though its uid comes back.
+// TestServerIDsAreNeverReused checks that a server that is listed again has a new number.
 func TestServerIDsAreNeverReused(t *testing.T) {
 	seen := make(map[uint32]bool)
 	l := newLoop(moduleFunc(func(e control.Event) []control.Action {
@@ -240,7 +242,7 @@
 	}
 }
 
-// The clock is Unix time, so that a server's start before ours maps truly.
+// TestClockIsUnixTime checks that boot times of servers, also earlier ones, compare with the module's clock.
 func TestClockIsUnixTime(t *testing.T) {
 	l := newLoop(moduleFunc(ignoreAll), &Options{}, nil, nil)
 	if d := time.Since(time.Unix(0, int64(l.now()))); d < -time.Minute || d > time.Minute {
@@ -257,8 +259,8 @@
 	}
 }
 
-// A service that is retired at once after it was told to hand over does so all the same, however
-// busy it is: what it has spent is not the other's to spend again.
+// TestRetiringAfterReplaceStillTransfersState checks that a service that is retired right after ReplaceWith
+// transfers its state all the same, however busy it is, so that its replacement does not spend tokens twice.
 func TestRetiringAfterReplaceStillTransfersState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		was, ended := startService(t, Options{})
@@ -284,7 +286,8 @@
 	})
 }
 
-// A service whose loop has ended hands nothing over, and is not kept from its end by that.
+// TestEndedServiceTransfersNothing checks that ReplaceWith of a service that has ended does nothing, and
+// leaves no reference to it.
 func TestEndedServiceTransfersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		was, ended := startService(t, Options{})
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -38,7 +38,7 @@
 	kind    AnswerKind                             // of the answer at an orderly end
 }
 
-// check has the service end, or its module panic, and checks the request's answer.
+// check ends the service, or has its module panic, and checks the request's answer.
 func (p pendingRequest) check(t *testing.T, idempotency control.Idempotency, deadline time.Duration, panics bool) {
 	set := testSettings()
 	set.Classes[0].Idempotency, set.Classes[0].Deadline = idempotency, deadline
@@ -72,8 +72,9 @@
 	}
 }
 
-// At an orderly end what surely never ran is rejected, whatever its class's idempotency; what may have run
-// is failed. So is all that was accepted where the module has failed.
+// TestPendingRequestsAreAnsweredAtEnd checks that at an orderly end requests that surely never ran are
+// rejected, whatever their class's idempotency, and those that may have run are failed. After a panic all are
+// failed.
 func TestPendingRequestsAreAnsweredAtEnd(t *testing.T) {
 	requests := map[string]pendingRequest{
 		"nothing sent":   {nil, Rejected},
@@ -99,12 +100,13 @@
 	}
 }
 
-// Answers that have come when a service ends go to their clients.
+// TestArrivedAnswersAreDeliveredAtEnd checks that answers that are in the event queue when a service ends
+// reach their clients.
 func TestArrivedAnswersAreDeliveredAtEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, end := startStoppableService(t, Options{NewModule: moduleOf(moduleFunc(sendToFirstServer))})
 		synctest.Wait() // it knows its server
-		const n = 30    // either of two that are there at once may be taken first
+		const n = 30    // enough that a random choice between answers and the end would lose some
 		come := make(chan struct{})
 		served := make(chan Answer, n)
 		do := func(id string) {
@@ -127,7 +129,7 @@
 		s.Post(func() { close(held); <-goOn })
 		<-held
 		close(come)
-		synctest.Wait() // all wait in the channel
+		synctest.Wait() // all are in the event queue
 		end.stop()
 		close(goOn)
 		for range n {
--- a/internal/service/statistics_test.go
+++ b/internal/service/statistics_test.go
@@ -31,8 +31,8 @@
 	return names
 }
 
-// What becomes of a request is counted once, in its place; what is beyond a quota was not asked, and what
-// loops counted that have ended stays.
+// TestStatisticsCountEachOutcomeOnce checks that each outcome of a request is counted once and under its
+// name; a request above a quota is not counted as offered, and the counts of a loop that has ended remain.
 func TestStatisticsCountEachOutcomeOnce(t *testing.T) {
 	var m StatisticsCollector
 	const k = "read"
--- a/internal/service/timer_queue_test.go
+++ b/internal/service/timer_queue_test.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// Whatever the order in which labels are armed, each is popped when it is due, and in order.
+// TestTimerQueueFiresInOrderOnTime checks that in whatever order labels are armed, each is popped when it is
+// due, in order.
 func TestTimerQueueFiresInOrderOnTime(t *testing.T) {
 	for seed := range uint64(50) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/service/unbegun_requests_test.go
+++ b/internal/service/unbegun_requests_test.go
@@ -11,9 +11,9 @@
 	"lockflow/internal/upstream"
 )
 
-// A client leaves whose request has an answer without having been begun: one with the id of a
-// request that is held, or one that goes to the service that has taken this one's place. The service
-// goes on, and what it holds has its answer.
+// TestClientLeavesUnbegunRequest checks that a client leaves whose request was answered without having begun,
+// as another accepted request has its id or as it goes to the service's replacement. The service goes on, and
+// its accepted request is answered.
 func TestClientLeavesUnbegunRequest(t *testing.T) {
 	for _, tc := range []struct {
 		name, id string
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -11,13 +11,14 @@
 	"lockflow/internal/upstream"
 )
 
-// clientUntilFirstRequest is a client that is found to have left from the first request at a server on.
+// clientUntilFirstRequest is a client that has left once the server has had a request.
 type clientUntilFirstRequest struct{ app *testkit.App }
 
 func (c clientUntilFirstRequest) There() bool { return c.app.Count() == 0 }
 
-// A request whose client is found to have left before a further attempt has an answer for who is there all the
-// same: a refusal, by which trying again is harmless, only where the attempt before never ran.
+// TestAnswerAfterWithheldRetryTellsWhatRan checks that a request whose client seems to have left before a
+// retry is still answered, as the client may be there: as rejected, after which a retry is safe, only where
+// the attempt before did not run.
 func TestAnswerAfterWithheldRetryTellsWhatRan(t *testing.T) {
 	for name, tc := range map[string]struct {
 		first  http.HandlerFunc
