Name the exported items of package node in the field's words

Node.Last, Older, Parts, Figures, Gathers, Counts, Services, Served and Files said little to whoever calls them. They are OnDrained, RetiredServices, ResourceUsage, Statistics, GathererStatus, RequestCounts, ServiceCount, Ready and ListenerFiles now; Pause and Resume name the listeners that they are about. Keys of the control socket and names of metrics stay as they are.

--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -116,7 +116,7 @@
 			a, b := last[k], now[k]
 			fmt.Fprintf(say, "%-8s %-8s %-10s %7d %7d %8d %7d %6d %6d of %-3d %12d\n", time.Since(begun).Round(100*time.Millisecond), name, k,
 				b.Calls-a.Calls, b.Served-a.Served, b.Refused-a.Refused, b.Failed-a.Failed, st.Requests,
-				st.Parts.Descriptors.Used, st.Parts.Descriptors.Guaranteed, st.Parts.Bytes.Used)
+				st.Resources.Descriptors.Used, st.Resources.Descriptors.Guaranteed, st.Resources.BufferedBytes.Used)
 		}
 		last = now
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 		}
 	}
 	if d.pred != nil {
-		d.node.Pause() // until the old process has handed over
+		d.node.PauseListeners() // until the old process has handed over
 		return nil
 	}
 	d.recover()
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -152,7 +152,7 @@
 func (d *daemon) Status() manage.Status {
 	s := manage.Status{
 		PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Started: d.started,
-		Generation: d.node.Generation(), Listeners: d.node.Addresses(), Services: d.node.Status(), Gathers: d.node.Gathers(), Older: d.node.Older(),
+		Generation: d.node.Generation(), Listeners: d.node.Addresses(), Services: d.node.Status(), Gathers: d.node.GathererStatus(), Older: d.node.RetiredServices(),
 		Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
 	}
 	s.Instance, s.Instances = d.node.Instance()
@@ -190,7 +190,7 @@
 
 // figures are what the process has counted of itself.
 func (d *daemon) figures() instancestats.Figures {
-	f := d.node.Figures()
+	f := d.node.Statistics()
 	f.Began, f.MemoryKB = d.started, memory()
 	var use unix.Rusage
 	if unix.Getrusage(unix.RUSAGE_SELF, &use) == nil {
--- a/internal/daemon/live.go
+++ b/internal/daemon/live.go
@@ -26,7 +26,7 @@
 	running, drain := context.WithCancel(context.Background())
 	defer drain()
 	d.drain = drain
-	d.node.Last = d.awaitLast
+	d.node.OnDrained = d.awaitLast
 	ended := make(chan error, 1)
 	d.parts.Go(func() { ended <- d.node.Run(running) })
 	d.parts.Go(func() {
@@ -40,7 +40,7 @@
 	d.parts.Go(func() { d.watchGroup(over) })
 	d.tellMetrics(over)
 	d.handle(lifecycle.Listening{})
-	stop, served := ctx.Done(), d.node.Served()
+	stop, served := ctx.Done(), d.node.Ready()
 	for {
 		select {
 		case <-served:
@@ -252,7 +252,7 @@
 	var err error
 	switch what {
 	case lifecycle.TellReady:
-		err = supervise.Ready(fmt.Sprintf("%d services on %s", d.node.Services(), d.node.Addr()))
+		err = supervise.Ready(fmt.Sprintf("%d services on %s", d.node.ServiceCount(), d.node.Addr()))
 	case lifecycle.TellReloading:
 		err = supervise.Reloading()
 	case lifecycle.TellStopping:
--- a/internal/daemon/parked.go
+++ b/internal/daemon/parked.go
@@ -101,7 +101,7 @@
 	d := p.d
 	s := manage.Status{
 		PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Life: manage.Drained, Started: d.started,
-		Listeners: []string{}, Services: []node.Status{}, Older: []node.Older{}, Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
+		Listeners: []string{}, Services: []node.Status{}, Older: []node.RetiredService{}, Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
 	}
 	if p.isServing() {
 		s.Life = lifecycle.Starting.String()
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -70,7 +70,7 @@
 }
 
 func (d *daemon) startSuccessor(program string) (*succession, error) {
-	sockets, err := d.node.Files()
+	sockets, err := d.node.ListenerFiles()
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +150,7 @@
 	s := d.succ
 	s.phase = serving
 	s.late.Stop()
-	d.node.Pause()
+	d.node.PauseListeners()
 	if err := supervise.MainPID(s.PID()); err != nil {
 		slog.Warn("supervisor", "err", err)
 	}
@@ -170,7 +170,7 @@
 		switch s.phase {
 		case serving: // what it was given may be spent
 			d.node.Rejoin(nil)
-			d.node.Resume()
+			d.node.ResumeListeners()
 			if err := supervise.MainPID(os.Getpid()); err != nil {
 				slog.Warn("supervisor", "err", err)
 			}
@@ -310,7 +310,7 @@
 	}
 	d.claimFiles()
 	d.keeper.own.Store(true)
-	d.node.Resume()
+	d.node.ResumeListeners()
 	if err := d.pred.Took(); err != nil {
 		slog.Warn("upgrade: the old process is gone", "err", err)
 	}
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -204,10 +204,10 @@
 func load(s *manage.Status) float64 {
 	most := -1.0
 	for _, one := range s.Services {
-		if one.Parts == nil {
+		if one.Resources == nil {
 			continue
 		}
-		for _, u := range []limits.Use{one.Parts.Held, one.Parts.Bytes, one.Parts.Descriptors} {
+		for _, u := range []limits.Use{one.Resources.Requests, one.Resources.BufferedBytes, one.Resources.Descriptors} {
 			if u.Total > 0 {
 				most = max(most, float64(u.Used)/float64(u.Total))
 			}
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -54,7 +54,7 @@
 	Services    []node.Status `json:"services"`
 	// Gathers are the services that gather; none where there are none.
 	Gathers   []scattergather.Status `json:"gathers,omitempty"`
-	Older     []node.Older           `json:"older"`     // services of earlier generations that still hold requests
+	Older     []node.RetiredService  `json:"older"`     // services of earlier generations that still hold requests
 	Distrusts []string               `json:"distrusts"` // what it does not rely on, and since when
 
 	Hash    string `json:"hash"`    // of the configuration's text that is in force, SHA-256 in hex
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -99,8 +99,8 @@
 	r := rosters.Wait()["rosters"]
 	for _, st := range l.Node.Status() {
 		parts = append(parts, fmt.Sprintf("%s: held %d of %d guaranteed, %d in all; connections to servers %d of %d; %.1f MiB; module %.4f s/s; %d turned away",
-			st.Name, st.Parts.Held.Used, st.Parts.Held.Guaranteed, st.Parts.Held.Total, st.Parts.Descriptors.Used, st.Parts.Descriptors.Guaranteed,
-			float64(st.Parts.Bytes.Used)/(1<<20), st.Parts.ModuleTime, st.Parts.Held.Denied))
+			st.Name, st.Resources.Requests.Used, st.Resources.Requests.Guaranteed, st.Resources.Requests.Total, st.Resources.Descriptors.Used, st.Resources.Descriptors.Guaranteed,
+			float64(st.Resources.BufferedBytes.Used)/(1<<20), st.Resources.ModuleTime, st.Resources.Requests.Denied))
 	}
 	cancel()
 	l.Pools["documents"].Stall(false)
--- a/internal/metrics/gather.go
+++ b/internal/metrics/gather.go
@@ -3,7 +3,7 @@
 import "lockflow/internal/scattergather"
 
 // Gathering is a Source with services that gather; *node.Node is one.
-type Gathering interface{ Gathers() []scattergather.Status }
+type Gathering interface{ GathererStatus() []scattergather.Status }
 
 var (
 	gathered  = family{"gather_queries_total", "counter", "Queries of a gathering service by how they ended.", []string{"service", "outcome"}}
@@ -22,7 +22,7 @@
 
 // gather tells of services that gather.
 func (p *page) gather(of Gathering) {
-	for _, s := range of.Gathers() {
+	for _, s := range of.GathererStatus() {
 		for _, name := range scattergather.Outcomes {
 			p.add(&gathered, float64(s.Queries[name]), s.Name, name)
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -32,8 +32,8 @@
 type Source interface {
 	Status() []node.Status
 	Generation() int
-	Older() []node.Older
-	Counts() map[string]*service.RequestCounts
+	RetiredServices() []node.RetiredService
+	RequestCounts() map[string]*service.RequestCounts
 }
 
 // Member is a Source that is a member of a fleet.
@@ -142,7 +142,7 @@
 func Write(w io.Writer, of Source) error {
 	p := &page{values: make(map[*family]*bytes.Buffer)}
 	p.add(&generation, float64(of.Generation()))
-	p.add(&older, float64(len(of.Older())))
+	p.add(&older, float64(len(of.RetiredServices())))
 	if m, ok := of.(Member); ok {
 		s := m.Member()
 		p.member(&s)
@@ -169,20 +169,20 @@
 			p.add(&streamWait, float64(h.Waiting), s.Name)
 			p.add(&fellBack, float64(h.FellBack), s.Name)
 		}
-		if s.Parts == nil {
+		if s.Resources == nil {
 			continue
 		}
-		p.add(&moduleTime, s.Parts.ModuleTime, s.Name)
+		p.add(&moduleTime, s.Resources.ModuleTime, s.Name)
 		for _, l := range []struct {
 			name string
 			use  limits.Use
-		}{{"descriptors", s.Parts.Descriptors}, {"held", s.Parts.Held}, {"bytes", s.Parts.Bytes}, {"dials", s.Parts.Dials}} {
+		}{{"descriptors", s.Resources.Descriptors}, {"held", s.Resources.Requests}, {"bytes", s.Resources.BufferedBytes}, {"dials", s.Resources.Dials}} {
 			p.add(&partUsed, float64(l.use.Used), s.Name, l.name)
 			p.add(&partOwn, float64(l.use.Guaranteed), s.Name, l.name)
 			p.add(&partDenied, float64(l.use.Denied), s.Name, l.name)
 		}
 	}
-	for name, counts := range of.Counts() {
+	for name, counts := range of.RequestCounts() {
 		counts.Each(func(class string, n *service.ClassCounts) {
 			for i, outcome := range service.Outcomes {
 				p.add(&requests, float64(n.Requests[i].Load()), name, class, outcome)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -83,7 +83,7 @@
 	if r.Served == 0 || sum(all["lockflow_attempts_bound"], "service=rosters") <= 0 || sum(all["lockflow_part_guaranteed"], "service=rosters", "limit=held") != 60 {
 		t.Errorf("%d served, %v", r.Served, all["lockflow_attempts_bound"])
 	}
-	if off := labtest.Begin(t, testbench.WithDescriptors(256), testbench.DemoServers(1)); len(off.Node.Counts()) > 0 {
+	if off := labtest.Begin(t, testbench.WithDescriptors(256), testbench.DemoServers(1)); len(off.Node.RequestCounts()) > 0 {
 		t.Error("counted without being asked")
 	}
 }
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -68,7 +68,7 @@
 			b.Error(err)
 		}
 	}()
-	for !n.ready() {
+	for !n.isReady() {
 		time.Sleep(time.Millisecond)
 	}
 	c, err := net.Dial("tcp", n.Addr())
@@ -179,7 +179,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- n.Run(ctx) }()
-		for !n.ready() {
+		for !n.isReady() {
 			time.Sleep(time.Millisecond)
 		}
 		runtime.GC()
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -175,10 +175,10 @@
 	return nil
 }
 
-func (a *account) use() *Parts {
+func (a *account) use() *ResourceUsage {
 	r := &a.requests
-	return &Parts{
-		Descriptors: a.descriptors.Use(), Held: r.Held.Use(), Bytes: r.Bytes.Use(), Dials: a.dials.Use(),
+	return &ResourceUsage{
+		Descriptors: a.descriptors.Use(), Requests: r.Held.Use(), BufferedBytes: r.Bytes.Use(), Dials: a.dials.Use(),
 		ModuleTime: r.Pace.Used(r.Owner),
 	}
 }
--- a/internal/node/bounds_test.go
+++ b/internal/node/bounds_test.go
@@ -47,9 +47,9 @@
 	l := labtest.Begin(t, strings.Replace(plain, "[process]\n", "[process]\nbytes = \"1MiB\"\n", 1), pools(0)) // 8 requests
 	l.Pools["a"].Stall(true)
 	stop := crowd(l, "/one", 30)
-	testkit.Until(t, "requests turned away", func() bool { return l.Node.Status()[0].Parts.Bytes.Denied > 10 })
+	testkit.Until(t, "requests turned away", func() bool { return l.Node.Status()[0].Resources.BufferedBytes.Denied > 10 })
 	served(t, l)
-	a, b := l.Node.Status()[0].Parts.Bytes, l.Node.Status()[1].Parts.Bytes
+	a, b := l.Node.Status()[0].Resources.BufferedBytes, l.Node.Status()[1].Resources.BufferedBytes
 	if a.Used+b.Used > 1<<20 || a.Used <= a.Guaranteed-1<<17 {
 		t.Errorf("%+v and %+v", a, b)
 	}
@@ -117,8 +117,8 @@
 	}
 	l := labtest.Begin(t, text, pools(0))
 	stop := crowd(l, "/one", 30)
-	testkit.Until(t, "dials refused", func() bool { return l.Node.Status()[0].Parts.Dials.Denied > 0 })
-	if d := l.Node.Status()[0].Parts.Dials; d.Used > d.Total-2 {
+	testkit.Until(t, "dials refused", func() bool { return l.Node.Status()[0].Resources.Dials.Denied > 0 })
+	if d := l.Node.Status()[0].Resources.Dials; d.Used > d.Total-2 {
 		t.Errorf("%+v", d)
 	}
 	served(t, l)
--- a/internal/node/gather.go
+++ b/internal/node/gather.go
@@ -142,8 +142,8 @@
 	return sum / float64(len(parts))
 }
 
-// Gathers tells what each gathering service is doing, by name; none where there are none.
-func (n *Node) Gathers() []scattergather.Status {
+// GathererStatus tells what each gathering service is doing, by name; none where there are none.
+func (n *Node) GathererStatus() []scattergather.Status {
 	n.mu.Lock()
 	var all []*gathering
 	for _, g := range n.gathers {
--- a/internal/node/generations.go
+++ b/internal/node/generations.go
@@ -31,20 +31,20 @@
 	told bool      // that it has outlived its term
 }
 
-// Older is a service that a reload replaced or removed and that still holds requests.
-type Older struct {
+// RetiredService is a service that a reload replaced or removed and that still has requests in flight.
+type RetiredService struct {
 	Service    string        `json:"service"`
 	Generation int           `json:"generation"` // in which it began
-	Since      time.Duration `json:"since_ns"`   // it was replaced or removed
+	RetiredFor time.Duration `json:"since_ns"`   // time since it was replaced or removed
 }
 
-// Older lists the services of earlier generations that have not ended.
-func (n *Node) Older() []Older {
+// RetiredServices lists the services of earlier generations that have not ended (`older` in the status).
+func (n *Node) RetiredServices() []RetiredService {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	all := []Older{}
+	all := []RetiredService{}
 	for _, s := range n.older {
-		all = append(all, Older{s.cfg.Name, s.generation, time.Since(s.at)})
+		all = append(all, RetiredService{s.cfg.Name, s.generation, time.Since(s.at)})
 	}
 	return all
 }
@@ -142,8 +142,8 @@
 // countedMost bounds the services that are counted, also those that are gone.
 const countedMost = 10000
 
-// Counts are those of all services, by name; empty without metrics.
-func (n *Node) Counts() map[string]*service.RequestCounts {
+// RequestCounts are those of all services, by name; empty without metrics.
+func (n *Node) RequestCounts() map[string]*service.RequestCounts {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return maps.Clone(n.counts)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,9 +13,9 @@
 	"lockflow/internal/state"
 )
 
-// Files are the sockets on which clients come, by the addresses of the configuration, for a
+// ListenerFiles are the sockets on which clients come, by the addresses of the configuration, for a
 // process that is to listen on them too. They are the caller's to close.
-func (n *Node) Files() (map[string]*os.File, error) {
+func (n *Node) ListenerFiles() (map[string]*os.File, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	all := make(map[string]*os.File)
@@ -53,9 +53,9 @@
 	return os.NewFile(uintptr(fd), l.Addr().String()), nil
 }
 
-// Pause leaves new connections to whoever else has the listeners' sockets; without anybody they
+// PauseListeners leaves new connections to whoever else has the listeners' sockets; without anybody they
 // wait. Those that were taken go on.
-func (n *Node) Pause() {
+func (n *Node) PauseListeners() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range n.listeners {
@@ -63,8 +63,8 @@
 	}
 }
 
-// Resume ends Pause.
-func (n *Node) Resume() {
+// ResumeListeners ends Pause.
+func (n *Node) ResumeListeners() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range n.listeners {
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -37,8 +37,8 @@
 	rosters := fake.Clients{Addr: l.Node.Addr(), Seed: 12, Call: testbench.RosterCall, Every: 8 * time.Millisecond, Workers: 24}.Start(rostersDone)
 	<-rostersDone.Done()
 	for _, s := range l.Node.Status() {
-		t.Logf("%d descriptors, stalled %v: %s: held %d, parts %+v", descriptors, stall, s.Name, s.Requests, *s.Parts)
-		if p := s.Parts; p.Held.Used > p.Held.Total || p.Descriptors.Used > p.Descriptors.Total {
+		t.Logf("%d descriptors, stalled %v: %s: held %d, parts %+v", descriptors, stall, s.Name, s.Requests, *s.Resources)
+		if p := s.Resources; p.Requests.Used > p.Requests.Total || p.Descriptors.Used > p.Descriptors.Total {
 			t.Errorf("%s is over the process's bounds", s.Name)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,7 @@
 
 	// Last, where it is not nil, is called once in a drain, when nothing more will be spent and
 	// the services can still be asked. It is set before Run.
-	Last func()
+	OnDrained func()
 
 	reload sync.Mutex // held over a whole reload, also while it waits
 
@@ -85,7 +85,7 @@
 		services: make(map[string]*running), older: make(map[*service.Service]*older), failed: make(chan error, 1), broken: make(chan error, 1),
 	}
 	n.fewer = sync.NewCond(&n.mu)
-	n.front = front.New(&front.Table{}, n.ready)
+	n.front = front.New(&front.Table{}, n.isReady)
 	if cfg.Process.Shared {
 		n.books = shareBooks(&cfg, n.front)
 	} else {
@@ -118,9 +118,9 @@
 	return n, nil
 }
 
-// ready tells whether every service that is required has been able to serve. What a later
+// isReady tells whether every service that is required has been able to serve. What a later
 // configuration adds doesn't make the node unready: its other services go on.
-func (n *Node) ready() bool {
+func (n *Node) isReady() bool {
 	if n.wasReady.Load() {
 		return true
 	}
@@ -137,15 +137,15 @@
 	return true
 }
 
-// Services is how many services are in force.
-func (n *Node) Services() int {
+// ServiceCount is how many services are in force.
+func (n *Node) ServiceCount() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.services)
 }
 
-// Served is closed once every service that is required has been able to serve.
-func (n *Node) Served() <-chan struct{} { return n.served }
+// Ready is closed once every service that is required has been able to serve.
+func (n *Node) Ready() <-chan struct{} { return n.served }
 
 // Alive tells whether all services take events before ctx ends.
 func (n *Node) Alive(ctx context.Context) bool {
@@ -158,8 +158,8 @@
 	return !slices.ContainsFunc(all, func(s *running) bool { return !s.Alive(ctx) })
 }
 
-// Figures are what the services have counted since the process began; nothing without a control socket.
-func (n *Node) Figures() instancestats.Figures { return n.meter.Statistics() }
+// Statistics are what the services have counted since the process began; nothing without a control socket.
+func (n *Node) Statistics() instancestats.Figures { return n.meter.Statistics() }
 
 // Status tells what each service is doing, by name.
 func (n *Node) Status() []Status {
@@ -173,7 +173,7 @@
 	for _, s := range all {
 		st := Status{Status: s.Status()}
 		if s.parts != nil {
-			st.Parts = s.parts.use()
+			st.Resources = s.parts.use()
 		}
 		out = append(out, st)
 	}
@@ -184,16 +184,16 @@
 // Status is what a service is doing and what it has of the process.
 type Status struct {
 	service.Status
-	Parts *Parts `json:"parts,omitempty"` // nil where it shares nothing
+	Resources *ResourceUsage `json:"parts,omitempty"` // nil where it shares nothing
 }
 
-// Parts are what a service has of what the process shares.
-type Parts struct {
-	Descriptors limits.Use `json:"descriptors"`
-	Held        limits.Use `json:"held"`
-	Bytes       limits.Use `json:"bytes"`
-	Dials       limits.Use `json:"dials"`
-	ModuleTime  float64    `json:"module_time"` // of late, in seconds of a second
+// ResourceUsage is what a service uses of the limits that the services of a process share (`parts` in the status).
+type ResourceUsage struct {
+	Descriptors   limits.Use `json:"descriptors"`
+	Requests      limits.Use `json:"held"`
+	BufferedBytes limits.Use `json:"bytes"`
+	Dials         limits.Use `json:"dials"`
+	ModuleTime    float64    `json:"module_time"` // recent processor time of its decision module, in seconds per second
 }
 
 // Run serves until ctx ends, then drains. An error is a failure of the node itself.
@@ -213,7 +213,7 @@
 	n.share(nil, n.gathers)
 	n.mu.Unlock()
 	parts.Go(func() {
-		for !n.ready() {
+		for !n.isReady() {
 			select {
 			case <-n.changed:
 			case <-life.Done():
@@ -321,8 +321,8 @@
 			return err
 		}
 	}
-	if n.Last != nil {
-		n.Last()
+	if n.OnDrained != nil {
+		n.OnDrained()
 	}
 	stop() // answers what is still held as failed
 	n.awaitServices()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -59,7 +59,7 @@
 		t.Errorf("%d with no app server known", s)
 	}
 	r.list(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
-	r.wait("ready", r.node.ready)
+	r.wait("ready", r.node.isReady)
 	if s := health(); s != http.StatusOK {
 		t.Errorf("%d with an app server", s)
 	}
@@ -408,7 +408,7 @@
 func TestClientsUnderTheLimit(t *testing.T) {
 	r := newRig(t)
 	r.list(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
-	r.wait("ready", r.node.ready)
+	r.wait("ready", r.node.isReady)
 	r.node.books.(*wholeBooks).sockets.SetMost(limits.SocketsAhead + 2) // one client, and the place for the next
 	for range 3 {
 		c, err := net.Dial("tcp", r.node.Addr())
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -43,7 +43,7 @@
 				}
 			}
 			r.run()
-			r.wait("ready", r.node.ready)
+			r.wait("ready", r.node.isReady)
 			health, err := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -177,8 +177,8 @@
 			}
 			testkit.Until(t, "what was removed has ended", func() bool { return node.Serving(l.Node) == len(l.Node.Status()) })
 			for _, s := range l.Node.Status() {
-				if s.Parts.Held.Used != 0 || s.Parts.Bytes.Used != 0 || s.Parts.Dials.Used != 0 {
-					t.Errorf("%s: something is still booked: %+v", s.Name, *s.Parts)
+				if s.Resources.Requests.Used != 0 || s.Resources.BufferedBytes.Used != 0 || s.Resources.Dials.Used != 0 {
+					t.Errorf("%s: something is still booked: %+v", s.Name, *s.Resources)
 				}
 			}
 		})
@@ -226,7 +226,7 @@
 	c, in := dial(t, l)
 	write(c, "care.example", "/two", "id-1", "half", 8)
 	// Its head has been read once something is booked for it.
-	testkit.Until(t, "the request's head", func() bool { return l.Node.Status()[1].Parts.Held.Used == 1 })
+	testkit.Until(t, "the request's head", func() bool { return l.Node.Status()[1].Resources.Requests.Used == 1 })
 	without := strings.Split(plain, "[services.b]")[0] + "[[routes]]\nservice = \"a\"\nprefix = \"/one\"\nas = \"read\"\n"
 	if err := l.Reload(without); err != nil {
 		t.Fatal(err)
@@ -293,8 +293,8 @@
 		}
 	}
 	for _, s := range l.Node.Status() {
-		if s.IdleConnections < 1 || s.Parts.Descriptors.Used != int64(s.IdleConnections) {
-			t.Errorf("%s has %d idle connections and %d booked", s.Name, s.IdleConnections, s.Parts.Descriptors.Used)
+		if s.IdleConnections < 1 || s.Resources.Descriptors.Used != int64(s.IdleConnections) {
+			t.Errorf("%s has %d idle connections and %d booked", s.Name, s.IdleConnections, s.Resources.Descriptors.Used)
 		}
 	}
 }
@@ -365,8 +365,8 @@
 			if status, body := answer(t, in); status != 200 {
 				t.Errorf("after the new start: %d %q", status, body)
 			}
-			if s := l.Node.Status()[0]; s.Parts.Held.Used > 1 {
-				t.Errorf("still booked: %+v", *s.Parts)
+			if s := l.Node.Status()[0]; s.Resources.Requests.Used > 1 {
+				t.Errorf("still booked: %+v", *s.Resources)
 			}
 		})
 	}
@@ -479,7 +479,7 @@
 	ask(c, in, "id-2")
 	c, in = dial(t, l)
 	ask(c, in, "id-3")
-	if n, g := l.Node.Status()[0].Parts.Descriptors.Total, l.Node.Generation(); n != 600-24 || g != 3 {
+	if n, g := l.Node.Status()[0].Resources.Descriptors.Total, l.Node.Generation(); n != 600-24 || g != 3 {
 		t.Errorf("%d descriptors in generation %d", n, g)
 	}
 }
@@ -552,7 +552,7 @@
 		}
 		testkit.Until(t, change, func() bool {
 			s := l.Node.Status()[0]
-			return s.IdleConnections == want && s.Parts.Descriptors.Used == int64(want) && s.Parts.Held.Used == 0
+			return s.IdleConnections == want && s.Resources.Descriptors.Used == int64(want) && s.Resources.Requests.Used == 0
 		})
 		write(c, "x", "/one", "id-2", "", 0)
 		if status, _ := answer(t, in); status != 200 {
--- a/internal/ordinarytest/hard_test.go
+++ b/internal/ordinarytest/hard_test.go
@@ -53,7 +53,7 @@
 	t.Helper()
 	testkit.Until(t, "nothing is held", func() bool {
 		st := o.Node.Status()[0]
-		return st.Requests == 0 && st.Parts.Held.Used == 0 && st.Parts.Bytes.Used == 0 && st.OpenStreams == 0
+		return st.Requests == 0 && st.Resources.Requests.Used == 0 && st.Resources.BufferedBytes.Used == 0 && st.OpenStreams == 0
 	})
 }
 
@@ -387,7 +387,7 @@
 	var seen record
 	o := begin(t, &fake.Origin{Seen: seen.saw})
 	c, in := tunnelled(t, o)
-	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.AttemptsInFlight != 1 || st.Parts.Held.Used != 1 {
+	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.AttemptsInFlight != 1 || st.Resources.Requests.Used != 1 {
 		t.Errorf("%+v", st)
 	}
 	c.(*net.TCPConn).CloseWrite()
@@ -451,7 +451,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := len(o.Node.Older()); n != 1 {
+	if n := len(o.Node.RetiredServices()); n != 1 {
 		t.Errorf("%d older services", n)
 	}
 	for i, e := range echo {
@@ -492,8 +492,8 @@
 			t.Fatal(r.Status, err)
 		}
 	}
-	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.Parts.Bytes.Used > 1<<20 {
-		t.Errorf("%d streams, %d bytes", st.OpenStreams, st.Parts.Bytes.Used)
+	if st := o.Node.Status()[0]; st.OpenStreams != 1 || st.Resources.BufferedBytes.Used > 1<<20 {
+		t.Errorf("%d streams, %d bytes", st.OpenStreams, st.Resources.BufferedBytes.Used)
 	}
 	slow.Close()
 	idle(t, o)
--- a/internal/ordinarytest/http2_test.go
+++ b/internal/ordinarytest/http2_test.go
@@ -244,8 +244,8 @@
 		}
 		r.Body.Close()
 	}
-	if st := n.Status()[0]; st.OpenStreams != 1 || st.Parts.Descriptors.Used > 8 {
-		t.Errorf("%d streams, %d descriptors", st.OpenStreams, st.Parts.Descriptors.Used)
+	if st := n.Status()[0]; st.OpenStreams != 1 || st.Resources.Descriptors.Used > 8 {
+		t.Errorf("%d streams, %d descriptors", st.OpenStreams, st.Resources.Descriptors.Used)
 	}
 	slow.Close()
 	testkit.Until(t, "the stream is let go", func() bool { return n.Status()[0].OpenStreams == 0 })
--- a/internal/scattergathertest/node_test.go
+++ b/internal/scattergathertest/node_test.go
@@ -132,7 +132,7 @@
 			t.Error(err)
 		}
 	})
-	testkit.Next(t, r.Served())
+	testkit.Next(t, r.Ready())
 	return r
 }
 
@@ -177,7 +177,7 @@
 	r.t.Helper()
 	testkit.Until(r.t, "nothing is held", func() bool {
 		return !slices.ContainsFunc(r.Status(), func(s node.Status) bool {
-			return s.Requests != 0 || s.Parts.Held.Used != 0 || s.Parts.Bytes.Used != 0
+			return s.Requests != 0 || s.Resources.Requests.Used != 0 || s.Resources.BufferedBytes.Used != 0
 		})
 	})
 }
@@ -251,7 +251,7 @@
 	}
 	r.a.says(testkit.Reset)
 	r.is(r.ask("GET", "/x", ""), 503, "", "", "")
-	st := r.Gathers()[0]
+	st := r.GathererStatus()[0]
 	if st.Queries["whole"] != 3 || st.Queries["partial"] != 9 || st.Queries["too_few"] != 1 || st.Missed["b"] != 10 || st.Missed["c"] > 1 {
 		t.Errorf("%+v", st)
 	}
@@ -270,14 +270,14 @@
 	if r.a.Count() != 2 || r.b.Count() != 2 || r.c.Count() < 1 || r.c.Count() > 2 {
 		t.Errorf("asked %d, %d and %d times", r.a.Count(), r.b.Count(), r.c.Count())
 	}
-	before := r.Gathers()[0].Learned
+	before := r.GathererStatus()[0].Learned
 	r.c.release() // late answers teach, and are nobody's
 	// The first late answer makes c look as slow as its latency objective. Its module then admits a request only
 	// while no attempt is in flight, so the next query has to wait until both late answers are in.
 	r.idle()
 	r.is(r.ask("GET", "/x", ""), 200, "3/3", "", of("a", "b", "c"))
 	r.idle()
-	if after := r.Gathers()[0].Learned; after.Sketches < before.Sketches || after.Queries != 3 {
+	if after := r.GathererStatus()[0].Learned; after.Sketches < before.Sketches || after.Queries != 3 {
 		t.Errorf("%+v after %+v", after, before)
 	}
 	// A client that leaves ends all.
@@ -292,11 +292,11 @@
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		resp.Body.Close()
 	}
-	testkit.Until(t, "it has left", func() bool { return r.Gathers()[0].Queries["left"] == 1 })
+	testkit.Until(t, "it has left", func() bool { return r.GathererStatus()[0].Queries["left"] == 1 })
 	r.c.release()
 	r.idle()
-	testkit.Until(t, "nothing is open", func() bool { return r.Gathers()[0].Open == 0 })
-	if n := r.Gathers()[0].Learned.Queries; n != 4 { // else what one that explored may cost is never given back
+	testkit.Until(t, "nothing is open", func() bool { return r.GathererStatus()[0].Open == 0 })
+	if n := r.GathererStatus()[0].Learned.Queries; n != 4 { // else what one that explored may cost is never given back
 		t.Errorf("%d queries are settled", n)
 	}
 }
@@ -334,7 +334,7 @@
 			t.Errorf("%s was sent %d, and %d were served", p.name, p.Count(), served)
 		}
 	}
-	if n := r.Gathers()[0].Queries["quota"]; n != uint64(12-served) {
+	if n := r.GathererStatus()[0].Queries["quota"]; n != uint64(12-served) {
 		t.Errorf("%d refused by quota", n)
 	}
 	// What refuses is asked first: the others have not even heard of most.
@@ -410,7 +410,7 @@
 	}
 	close(stop)
 	clients.Wait()
-	st := r.Gathers()[0]
+	st := r.GathererStatus()[0]
 	if st.Queries["whole"] < 100 || st.Queries["partial"]+st.Queries["too_few"] > st.Queries["whole"]/2 || st.Learned.Sketches == 0 || !st.Known {
 		t.Errorf("%+v", st)
 	}
