--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -11,57 +12,57 @@
 // This file holds what a controller remembers and the bookkeeping of it. It
 // decides nothing: decisions and tuned figures are in the files that the deploy file lists.
 
-type plan struct {
+type planQueue struct {
 	Plan
-	index         int
-	queue         []*request
-	share, credit float64
-	lateSum       float64 // of latency over aim in this interval
-	lateN         float64
-	y             float64
-	told, beyond  float64  // by first readings of its customers, in quotas: their use, and what of it is beyond
-	next          *request // head of the queue and its server, for one turn
-	to            *server
+	index                                 int
+	queue                                 []*request
+	share, deficit                        float64
+	latenessSum                           float64 // of latency over aim in this interval
+	latenessCount                         float64
+	meanLateness                          float64
+	firstReadingUsage, firstReadingExcess float64  // by first readings of its customers, in quotas: their use, and what of it is beyond
+	nextRequest                           *request // head of the queue and its server, for one turn
+	nextServer                            *server
 }
 
 type request struct {
-	id        string
-	class     *Class
-	plan      *plan
-	cust      *customer
-	units     float64
-	arrived   time.Duration
-	aim       time.Duration // an answer by then is in time
-	giveUp    time.Duration
-	queued    bool
-	streaming bool
-	sends     int // attempts started
-	out       int // attempts outstanding
-	tried     []uint32
-	mayRun    bool // an attempt may have run
-	firstRun  time.Duration
-	group     *server // a server of the group that drops its repeats
-	label     uint64
+	id           string
+	class        *Class
+	plan         *planQueue
+	account      *customerAccount
+	units        float64
+	arrivedAt    time.Duration
+	objectiveAt  time.Duration // an answer by then is in time
+	deadline     time.Duration
+	isQueued     bool
+	isStreaming  bool
+	attempts     int // attempts started
+	inFlight     int // attempts outstanding
+	triedServers []uint32
+	mayHaveRun   bool // an attempt may have run
+	firstRunAt   time.Duration
+	repeatGroup  *server // a server of the group that drops its repeats
+	timerLabel   uint64
 }
 
-type attempt struct {
-	req  *request
-	srv  *server
-	cust *customer
-	sent time.Duration
-	bill bill // of the customer's stores; nothing where it is not its request's first
+type pendingAttempt struct {
+	request *request
+	server  *server
+	account *customerAccount
+	sentAt  time.Duration
+	charge  charge // of the customer's stores; nothing where it is not its request's first
 }
 
-// bill is what a send took of a customer's stores.
-type bill struct {
-	units, charged, level float64
-	bin                   int64 // in which it is booked
+// charge is what a send took of a customer's stores.
+type charge struct {
+	units, groupUnits, quotaTokens float64
+	bin                            int64 // in which it is booked
 }
 
-// ghost is work that is taken to go on at a server after its attempt has ended.
-type ghost struct {
-	srv   *server
-	until time.Duration
+// abandonedAttempt is work that is taken to go on at a server after its attempt has ended.
+type abandonedAttempt struct {
+	server *server
+	until  time.Duration
 }
 
 type attemptKey struct {
@@ -69,338 +70,345 @@
 	n  int
 }
 
-type customer struct {
-	plan           *plan
-	spread         float64
-	at             time.Duration // of the levels
-	level, ceiling float64
-	queued         float64       // units in the queue
-	open           int           // attempts out
-	foreign        int           // attempts out of a predecessor that has not ended
-	openCap        float64       // own part of an open quota
-	openNext       time.Duration // pause of a part below one
-	openHit        bool
-	chance, carry  float64
-	metered        bool
-	base, lastUsed float64 // units a second taken to go on elsewhere; units of the last read period
-	baseAt, toldAt time.Duration
-	tries          float64 // units asked here of late
-	triesAt        time.Duration
-	told, toldFor  float64 // units told, and s of full demand that they stand for
-	cover          float64 // s told of late
-	readEnd        int64   // bin in which the last read period ended
-	ownSum, allSum float64 // smoothed units through this gateway, and in all
-	smooth         float64 // smoothed units a second in all
+type customerAccount struct {
+	plan                                         *planQueue
+	fanOut                                       float64
+	updatedAt                                    time.Duration // of the levels
+	quotaTokens, hardLimitTokens                 float64
+	queuedUnits                                  float64       // units in the queue
+	inFlight                                     int           // attempts out
+	predecessorInFlight                          int           // attempts out of a predecessor that has not ended
+	inFlightLimit                                float64       // own part of an open quota
+	nextAttemptAt                                time.Duration // pause of a part below one
+	hitInFlightLimit                             bool
+	openRejectionProbability, admissionRemainder float64
+	isMetered                                    bool
+	remoteRate, lastReadingUnits                 float64 // units a second taken to go on elsewhere; units of the last read period
+	remoteRateAt, readingAt                      time.Duration
+	requestedUnits                               float64 // units asked here of late
+	requestedAt                                  time.Duration
+	meteredUnits, demandSeconds                  float64 // units told, and s of full demand that they stand for
+	meteredSeconds                               float64 // s told of late
+	readingEndBin                                int64   // bin in which the last read period ended
+	localUnits, totalUnits                       float64 // smoothed units through this gateway, and in all
+	usageRate                                    float64 // smoothed units a second in all
 	// Units sent and taken from the level, requests asked and refused, by bin.
-	own, charged, asked, refused history
+	sent, charged, arrivals, rejections history
 }
 
-// usualTTL is the time that most first tries of a class come with.
-type usualTTL struct {
-	ttl  time.Duration
-	seen int // how many tries had it, less those that had not
+// typicalDeadline is the time that most first tries of a class come with.
+type typicalDeadline struct {
+	deadline time.Duration
+	support  int // how many tries had it, less those that had not
 }
 
-// count follows what most of the tries have.
-func (u *usualTTL) count(ttl time.Duration, odd bool) {
-	if odd && u.seen == 0 {
-		u.ttl = ttl
-	} else if odd {
-		u.seen -= 2
+// observe follows what most of the tries have.
+func (u *typicalDeadline) observe(deadline time.Duration, isOutlier bool) {
+	if isOutlier && u.support == 0 {
+		u.deadline = deadline
+	} else if isOutlier {
+		u.support -= 2
 	}
-	u.seen++
+	u.support++
 }
 
 type server struct {
 	Endpoint
-	listed            bool
-	inflight          int
-	ghosts            int     // attempts given up whose work is taken to go on
-	latency           float64 // s
-	latencyAt         time.Duration
-	samples           float64       // answers of late
-	slow, util        float64       // times the fleet's mean time, and part of its cores that is busy, by its report
-	toldAt            time.Duration // of the report; 0 is none
-	heard             time.Duration // last outcome, or first send since it held nothing
-	strikes           int
-	failing           float64 // part of the late attempts that failed
-	failingAt         time.Duration
-	shut              map[*plan]time.Duration // not tried for a plan until then
-	asideUntil, aside time.Duration
-	probing           bool
-	coldFrom          time.Duration // start of the ramp, if coldRamp
-	coldRamp          bool
-	tokens            float64 // of a cold server, in units
-	tokensAt          time.Duration
+	isListed                   bool
+	inFlight                   int
+	abandoned                  int     // attempts given up whose work is taken to go on
+	latency                    float64 // s
+	latencyAt                  time.Duration
+	latencySamples             float64       // answers of late
+	slowdown, utilization      float64       // times the fleet's mean time, and part of its cores that is busy, by its report
+	reportedAt                 time.Duration // of the report; 0 is none
+	lastActivityAt             time.Duration // last outcome, or first send since it held nothing
+	consecutiveFailures        int
+	failureRate                float64 // part of the late attempts that failed
+	failureRateAt              time.Duration
+	planRejectedUntil          map[*planQueue]time.Duration // not tried for a plan until then
+	ejectedUntil, ejectionTime time.Duration
+	isProbing                  bool
+	warmupStart                time.Duration // start of the ramp, if coldRamp
+	isWarmingUp                bool
+	slowStartTokens            float64 // of a cold server, in units
+	slowStartTokensAt          time.Duration
 }
 
-// span is what is counted in one control interval.
-type span struct {
-	cut, pressed         bool
-	latSum, secSum, latN float64 // latency over aim, in s, and their number
-	answers, bad, served float64 // served: units by warm servers
-	utilSum, utilN       float64 // of reports
+// controlWindow is what is counted in one control interval.
+type controlWindow struct {
+	wasCut, limitReached                             bool
+	latencyRatioSum, latencySecondsSum, latencyCount float64 // latency over aim, in s, and their number
+	answers, overloads, servedUnits                  float64 // served: units by warm servers
+	utilizationSum, utilizationCount                 float64 // of reports
 }
 
 // Controller decides for one gateway. It is not safe for concurrent use.
 type Controller struct {
-	set     Settings
-	pcg     *rand.PCG // behind rng
-	rng     *rand.Rand
-	now     time.Duration
-	skipped time.Duration // between the last two times at which anything was told
-	start   time.Duration
-	started bool
-	out     []Action
-
-	classes  map[string]*Class
-	plans    []*plan
-	planOf   map[string]*plan
-	reqs     map[string]*request
-	usual    map[*Class]*usualTTL
-	topWorth float64
-	nextTry  time.Duration // the shortest time seen from a client's first try to a later one
-	labels   map[uint64]*request
-	attempts map[attemptKey]*attempt
-	custs    map[string]*customer
-	servers  map[uint32]*server
-	order    []*server
-	label    uint64
-
-	slack             float64 // part of it with which a ceiling's store starts
-	inflight, streams int
-	portion           float64 // of the rates at which stores fill that is this controller's; see HandOver
-	ghosts            []ghost
-	bound             float64
-	span                      // counts of the interval
-	latency           float64 // s, of answers in the fleet
-	cutAt             time.Duration
-	restUntil         time.Duration // of the part of the bound beyond a whole number
-	idle, seen        float64
-	util, meanTold    float64 // part of the servers' cores that is busy, and their mean time in s, by reports
-	reports           float64
-	servedRate        float64 // units a second by warm servers, smoothed
-	intervals         float64 // that have ended
-	meanUnits, asks   float64 // of the requests asked, and their number
-	retries           float64
-	clock             meterClock
-	nextTick          time.Duration
-	nextInterval      time.Duration
-	law               *shareLaw
-	following         bool
-	askAt             time.Duration
+	settings     Settings
+	pcg          *rand.PCG // behind rng
+	rng          *rand.Rand
+	now          time.Duration
+	clockAdvance time.Duration // between the last two times at which anything was told
+	fillingSince time.Duration
+	isStarted    bool
+	actions      []Action
+
+	classes           map[string]*Class
+	plans             []*planQueue
+	plansByName       map[string]*planQueue
+	requests          map[string]*request
+	typicalDeadlines  map[*Class]*typicalDeadline
+	maxPriorityWeight float64
+	minRetryGap       time.Duration // the shortest time seen from a client's first try to a later one
+	requestsByTimer   map[uint64]*request
+	attempts          map[attemptKey]*pendingAttempt
+	accounts          map[string]*customerAccount
+	servers           map[uint32]*server
+	sortedServers     []*server
+	lastTimerLabel    uint64
+
+	slackFraction                          float64 // part of it with which a ceiling's store starts
+	inFlight, streamingAttempts            int
+	rateFraction                           float64 // of the rates at which stores fill that is this controller's; see HandOver
+	abandoned                              []abandonedAttempt
+	concurrencyLimit                       float64
+	controlWindow                                  // counts of the interval
+	fleetLatency                           float64 // s, of answers in the fleet
+	limitCutAt                             time.Duration
+	fractionalSlotFreeAt                   time.Duration // of the part of the bound beyond a whole number
+	idleLatency, latencySamples            float64
+	fleetUtilization, fleetReportedLatency float64 // part of the servers' cores that is busy, and their mean time in s, by reports
+	reportCount                            float64
+	warmThroughput                         float64 // units a second by warm servers, smoothed
+	windowCount                            float64 // that have ended
+	meanRequestUnits, requestCount         float64 // of the requests asked, and their number
+	retryBudget                            float64
+	meter                                  meterClock
+	nextTick                               time.Duration
+	windowEndsAt                           time.Duration
+	shareController                        *shareController
+	isWatching                             bool
+	nextWatchAt                            time.Duration
 }
 
-func (c *Controller) binLen() time.Duration {
-	if c.set.MeterPeriod > 0 {
-		return c.set.MeterPeriod / binsPerPeriod
+func (c *Controller) binDuration() time.Duration {
+	if c.settings.MeterPeriod > 0 {
+		return c.settings.MeterPeriod / binsPerPeriod
 	}
 	return windowDuration / binsPerPeriod
 }
 
-func (c *Controller) binNow() int64 { return int64(c.now / c.binLen()) }
+func (c *Controller) currentBin() int64 { return int64(c.now / c.binDuration()) }
 
-// roll brings a customer's history up to the present bin.
-func (c *Controller) roll(q *customer) {
-	b := c.binNow()
-	for _, h := range []*history{&q.own, &q.charged, &q.asked, &q.refused} {
-		h.roll(b)
+// advanceHistories brings a customer's history up to the present bin.
+func (c *Controller) advanceHistories(account *customerAccount) {
+	bin := c.currentBin()
+	for _, hist := range []*history{&account.sent, &account.charged, &account.arrivals, &account.rejections} {
+		hist.advance(bin)
 	}
 }
 
-func (c *Controller) enqueue(r *request, front bool) {
-	r.queued = true
-	if r.sends == 0 {
-		r.cust.queued += r.units
+func (c *Controller) enqueue(req *request, front bool) {
+	req.isQueued = true
+	if req.attempts == 0 {
+		req.account.queuedUnits += req.units
 	}
 	if front {
-		r.plan.queue = append([]*request{r}, r.plan.queue...)
+		req.plan.queue = append([]*request{req}, req.plan.queue...)
 	} else {
-		r.plan.queue = append(r.plan.queue, r)
+		req.plan.queue = append(req.plan.queue, req)
 	}
 }
 
 func (c *Controller) dequeue(r *request) {
-	if !r.queued {
+	if !r.isQueued {
 		return
 	}
-	r.queued = false
-	if r.sends == 0 {
-		r.cust.queued -= r.units
+	r.isQueued = false
+	if r.attempts == 0 {
+		r.account.queuedUnits -= r.units
 	}
-	for i, x := range r.plan.queue {
-		if x == r {
+	for i, queued := range r.plan.queue {
+		if queued == r {
 			r.plan.queue = append(r.plan.queue[:i], r.plan.queue[i+1:]...)
 			break
 		}
 	}
 }
 
-// forget drops a request that has its final answer. Attempts still out go on.
-func (c *Controller) forget(r *request) {
-	c.dequeue(r)
-	delete(c.reqs, r.id)
-	delete(c.labels, r.label)
+// removeRequest drops a request that has its final answer. Attempts still out go on.
+func (c *Controller) removeRequest(req *request) {
+	c.dequeue(req)
+	delete(c.requests, req.id)
+	delete(c.requestsByTimer, req.timerLabel)
 }
 
-// flip is the latest bin at or before now that lies at a phase of the period.
-func flip(now, phase int64) int64 {
+// latestBinAtPhase is the latest bin at or before now that lies at a phase of the period.
+func latestBinAtPhase(now, phase int64) int64 {
 	return now - ((now-phase)%binsPerPeriod+binsPerPeriod)%binsPerPeriod
 }
 
-func (c *Controller) act(a Action) { c.out = append(c.out, a) }
+func (c *Controller) emit(action Action) { c.actions = append(c.actions, action) }
 
-func (c *Controller) wake(r *request, after time.Duration) {
-	if r.label == 0 {
-		c.label++
-		r.label = c.label
-		c.labels[r.label] = r
+func (c *Controller) armTimer(req *request, after time.Duration) {
+	if req.timerLabel == 0 {
+		c.lastTimerLabel++
+		req.timerLabel = c.lastTimerLabel
+		c.requestsByTimer[req.timerLabel] = req
 	}
-	c.act(StartTimer{After: max(after, 0), Label: r.label})
+	c.emit(StartTimer{After: max(after, 0), Label: req.timerLabel})
 }
 
-const tickLabel = 0
+const tickTimerLabel = 0
 
 // meterClock is what is known of the meter; see learn.
 type meterClock struct {
-	miss       [binsPerPeriod][maxMeterLagBins]float64
-	phase, lag int64
+	miss              [binsPerPeriod][maxMeterLagBins]float64
+	phaseBin, lagBins int64
 }
 
-// shareLaw estimates y(k+1) = X [u(k); y(k)] by RLS and sets shares by law (14).
-type shareLaw struct {
-	n   int
-	w   *mat.DiagDense
-	x   *mat.Dense    // n by 2n: [B0 A1]
-	p   *mat.Dense    // covariance, 2n by 2n
-	phi *mat.VecDense // nil until shares have been set
+// shareController estimates y(k+1) = X [u(k); y(k)] by RLS and sets shares by law (14).
+type shareController struct {
+	plans      int
+	weights    *mat.DiagDense
+	estimate   *mat.Dense    // n by 2n: [B0 A1]
+	covariance *mat.Dense    // covariance, 2n by 2n
+	regressors *mat.VecDense // nil until shares have been set
 }
 
-// end is the bin in which the period ended that is told now.
-func (m *meterClock) end(now int64) int64 { return flip(now, m.phase) - m.lag }
+// periodEndBin is the bin in which the period ended that is told now.
+func (m *meterClock) periodEndBin(now int64) int64 {
+	return latestBinAtPhase(now, m.phaseBin) - m.lagBins
+}
 
-// prune forgets servers that are gone and hold nothing of ours.
-func (c *Controller) prune() {
-	kept := c.order[:0]
-	for _, s := range c.order {
-		if s.listed || s.inflight > 0 {
-			kept = append(kept, s)
+// removeGoneServers forgets servers that are gone and hold nothing of ours.
+func (c *Controller) removeGoneServers() {
+	kept := c.sortedServers[:0]
+	for _, srv := range c.sortedServers {
+		if srv.isListed || srv.inFlight > 0 {
+			kept = append(kept, srv)
 		} else {
-			delete(c.servers, s.Server)
+			delete(c.servers, srv.Server)
 		}
 	}
-	c.order = kept
+	c.sortedServers = kept
 }
 
-// Bound is how many attempts may be out at once now.
-func (c *Controller) Bound() float64 { return c.bound }
+// ConcurrencyLimit is how many attempts may be out at once now.
+func (c *Controller) ConcurrencyLimit() float64 { return c.concurrencyLimit }
+
+// decayFactor is the part of a quantity that is left after a time in which it decays exponentially.
+func decayFactor(elapsed time.Duration, timeConstantSeconds float64) float64 {
+	return math.Exp(-elapsed.Seconds() / timeConstantSeconds)
+}
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func durationOf(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
 // Handle takes one event and returns what the gateway has to do, in order. The
 // slice is the controller's own and holds until the next call.
-func (c *Controller) Handle(now time.Duration, e Event) []Action {
-	c.out = c.out[:0]
+func (c *Controller) Handle(now time.Duration, event Event) []Action {
+	c.actions = c.actions[:0]
 	if now > c.now {
-		c.now, c.skipped = now, now-c.now
+		c.now, c.clockAdvance = now, now-c.now
 	}
-	if !c.started {
-		c.begin()
+	if !c.isStarted {
+		c.startClock()
 	}
-	switch e := e.(type) {
+	switch e := event.(type) {
 	case EndpointList:
-		c.onList(e)
+		c.handleList(e)
 	case Request:
-		c.onRequest(e)
+		c.handleRequest(e)
 	case ResponseStarted:
-		c.onStarted(e)
+		c.handleStarted(e)
 	case AttemptResult:
-		c.onResponse(e)
+		c.handleResponse(e)
 	case ClientGone:
-		if r := c.reqs[e.ID]; r != nil {
-			c.forget(r)
+		if req := c.requests[e.ID]; req != nil {
+			c.removeRequest(req)
 		}
 	case TimerFired:
-		c.onTimer(e.Label)
+		c.handleTimer(e.Label)
 	}
-	c.pump()
-	return c.out
+	c.dispatch()
+	return c.actions
 }
 
-func newController(s Settings, seed uint64) *Controller {
+func newController(settings Settings, seed uint64) *Controller {
 	pcg := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
 	return &Controller{
-		set: s, portion: 1, slack: initialSlackFraction, pcg: pcg, rng: rand.New(pcg),
-		classes: map[string]*Class{}, planOf: map[string]*plan{}, reqs: map[string]*request{},
-		usual: map[*Class]*usualTTL{}, labels: map[uint64]*request{}, attempts: map[attemptKey]*attempt{},
-		custs: map[string]*customer{}, servers: map[uint32]*server{},
+		settings: settings, rateFraction: 1, slackFraction: initialSlackFraction, pcg: pcg, rng: rand.New(pcg),
+		classes: map[string]*Class{}, plansByName: map[string]*planQueue{}, requests: map[string]*request{},
+		typicalDeadlines: map[*Class]*typicalDeadline{}, requestsByTimer: map[uint64]*request{}, attempts: map[attemptKey]*pendingAttempt{},
+		accounts: map[string]*customerAccount{}, servers: map[uint32]*server{},
 	}
 }
 
-// merge brings the servers up to a list event and forgets those that are gone.
-func (c *Controller) merge(e EndpointList) {
-	for _, s := range c.order {
-		s.listed = s.listed && e.Kind == ListPatch
+// mergeList brings the servers up to a list event and forgets those that are gone.
+func (c *Controller) mergeList(event EndpointList) {
+	for _, srv := range c.sortedServers {
+		srv.isListed = srv.isListed && event.Kind == ListPatch
 	}
-	for _, m := range e.Endpoints {
-		s := c.servers[m.Server]
-		if s == nil {
-			s = &server{shut: map[*plan]time.Duration{}}
-			c.servers[m.Server], c.order = s, append(c.order, s)
-		} else if m.State != Active {
+	for _, endpoint := range event.Endpoints {
+		srv := c.servers[endpoint.Server]
+		if srv == nil {
+			srv = &server{planRejectedUntil: map[*planQueue]time.Duration{}}
+			c.servers[endpoint.Server], c.sortedServers = srv, append(c.sortedServers, srv)
+		} else if endpoint.State != Active {
 			// Guards against an entry that tells no more than that: where the server was says who
 			// drops repeats of what it may have run.
-			s.State, s.listed = m.State, m.State != Gone
+			srv.State, srv.isListed = endpoint.State, endpoint.State != Gone
 			continue
 		}
-		c.learn(s, m)
-		s.Endpoint, s.listed = m, m.State != Gone
+		c.trackRestart(srv, endpoint)
+		srv.Endpoint, srv.isListed = endpoint, endpoint.State != Gone
 	}
-	sort.Slice(c.order, func(i, j int) bool { return c.order[i].Server < c.order[j].Server })
-	c.prune()
+	sort.Slice(c.sortedServers, func(i, j int) bool { return c.sortedServers[i].Server < c.sortedServers[j].Server })
+	c.removeGoneServers()
 }
 
-// record books an attempt that starts now.
-func (c *Controller) record(r *request, s *server, b bill) {
-	c.attempts[attemptKey{r.id, r.sends}] = &attempt{req: r, srv: s, cust: r.cust, sent: c.now, bill: b}
-	r.sends++
-	r.out++
-	r.tried = append(r.tried, s.Server)
-	s.inflight++
-	c.inflight++
-	r.cust.open++
-	if r.streaming { // from the start: its body is still to come
-		c.streams++
+// recordAttemptStart books an attempt that starts now.
+func (c *Controller) recordAttemptStart(req *request, srv *server, charged charge) {
+	c.attempts[attemptKey{req.id, req.attempts}] = &pendingAttempt{request: req, server: srv, account: req.account, sentAt: c.now, charge: charged}
+	req.attempts++
+	req.inFlight++
+	req.triedServers = append(req.triedServers, srv.Server)
+	srv.inFlight++
+	c.inFlight++
+	req.account.inFlight++
+	if req.isStreaming { // from the start: its body is still to come
+		c.streamingAttempts++
 	}
 }
 
-// settle books the end of an attempt; it gives nil where there is none of that name.
-func (c *Controller) settle(key attemptKey) *attempt {
-	a := c.attempts[key]
-	if a == nil {
+// recordAttemptEnd books the end of an attempt; it gives nil where there is none of that name.
+func (c *Controller) recordAttemptEnd(key attemptKey) *pendingAttempt {
+	attempt := c.attempts[key]
+	if attempt == nil {
 		return nil
 	}
 	delete(c.attempts, key)
-	a.req.out--
-	a.srv.inflight--
-	c.inflight--
-	a.cust.open--
-	if a.req.streaming {
-		c.streams--
+	attempt.request.inFlight--
+	attempt.server.inFlight--
+	c.inFlight--
+	attempt.account.inFlight--
+	if attempt.request.isStreaming {
+		c.streamingAttempts--
 	}
-	return a
+	return attempt
 }
 
-// saw takes one lateness over the aim of a plan's requests.
-func (p *plan) saw(late float64) {
-	p.lateSum += late
-	p.lateN++
+// recordLateness takes one lateness over the aim of a plan's requests.
+func (p *planQueue) recordLateness(lateness float64) {
+	p.latenessSum += lateness
+	p.latenessCount++
 }
 
-func (c *Controller) count(is func(*server) bool) float64 {
+func (c *Controller) countServers(matches func(*server) bool) float64 {
 	n := 0.0
-	for _, s := range c.order {
-		if is(s) {
+	for _, srv := range c.sortedServers {
+		if matches(srv) {
 			n++
 		}
 	}
--- a/control/sure_test.go
+++ b/control/sure_test.go
@@ -9,35 +9,35 @@
 // Guards against a bound that grows while many answers come late, because the reports of servers
 // that have just started still tell of room.
 func TestManyLateAnswersCutTheBound(t *testing.T) {
-	s := settings()
-	g := newGate(t, s, on(1, 2, 3, 4)...)
-	g.c.bound = 200
-	g.c.idle, g.c.seen = 0.1, 100
+	settings := settings()
+	gateway := newGate(t, settings, on(1, 2, 3, 4)...)
+	gateway.c.concurrencyLimit = 200
+	gateway.c.idleLatency, gateway.c.latencySamples = 0.1, 100
 	n := 0
 	for range 3 {
 		var ids []string
 		for range 80 {
 			n++
 			id := fmt.Sprint(n)
-			g.ask(id, "job", "high", fmt.Sprint("x", n%20))
-			if g.n[id] > 0 {
+			gateway.ask(id, "job", "high", fmt.Sprint("x", n%20))
+			if gateway.n[id] > 0 {
 				ids = append(ids, id)
 			}
 		}
-		g.now += 1500 * ms
+		gateway.now += 1500 * ms
 		for _, id := range ids {
 			srv := uint32(0)
-			for _, a := range g.sends {
-				if a.ID == id {
-					srv = a.Server
+			for _, send := range gateway.sends {
+				if send.ID == id {
+					srv = send.Server
 				}
 			}
-			g.do(AttemptResult{ID: id, Server: srv, Reason: OK, IsFinal: true, Load: told(10, 0.3)})
-			g.ends[id] = Reject{ID: id}
+			gateway.do(AttemptResult{ID: id, Server: srv, Reason: OK, IsFinal: true, Load: told(10, 0.3)})
+			gateway.ends[id] = Reject{ID: id}
 		}
-		g.pass(time.Second)
+		gateway.pass(time.Second)
 	}
-	if g.c.Bound() >= 200 {
-		t.Errorf("the bound is %g after 200 answers that took 1.5 s of an aim of 2 s", g.c.Bound())
+	if gateway.c.ConcurrencyLimit() >= 200 {
+		t.Errorf("the bound is %g after 200 answers that took 1.5 s of an aim of 2 s", gateway.c.ConcurrencyLimit())
 	}
 }
--- a/control/turns.go
+++ b/control/turns.go
@@ -12,180 +12,185 @@
 	inFlightQuotaWaitFraction = 0.7 // the same for plans with an in-flight quota
 )
 
-func (c *Controller) onRequest(e Request) {
-	k, p := c.classes[e.Class], c.planOf[e.Plan]
-	if c.reqs[e.ID] != nil {
+func (c *Controller) handleRequest(event Request) {
+	class, plan := c.classes[event.Class], c.plansByName[event.Plan]
+	if c.requests[event.ID] != nil {
 		return
-	} else if e.IsOverCapacity {
-		c.refuse(e.ID, CauseOverCapacity)
+	} else if event.IsOverCapacity {
+		c.reject(event.ID, CauseOverCapacity)
 		return
-	} else if e.IsOverHardLimit {
-		c.refuse(e.ID, CauseHardLimit)
+	} else if event.IsOverHardLimit {
+		c.reject(event.ID, CauseHardLimit)
 		return
-	} else if k == nil || p == nil || !(e.Units >= 0) || e.Timeout <= 0 {
-		c.refuse(e.ID, CauseInvalid)
+	} else if class == nil || plan == nil || !(event.Units >= 0) || event.Timeout <= 0 {
+		c.reject(event.ID, CauseInvalid)
 		return
 	}
-	c.asks++
-	c.meanUnits += math.Max(fleetEstimateGain, 1/c.asks) * (c.work(e.Units) - c.meanUnits)
-	q := c.customerOf(p, e.Customer, e.FanOut)
-	waited := c.waited(e, k)
-	late := waited+seconds(c.latency) >= k.LatencyObjective
+	c.requestCount++
+	gain := math.Max(fleetEstimateGain, 1/c.requestCount)
+	c.meanRequestUnits += gain * (c.countedUnits(event.Units) - c.meanRequestUnits)
+	account := c.accountFor(plan, event.Customer, event.FanOut)
+	waited := c.clientWait(event, class)
+	latency := durationOf(c.fleetLatency)
+	isLate := waited+latency >= class.LatencyObjective
 	// Guards against refusing all for good after one slow answer: where every try is taken to be late,
 	// only an attempt can tell otherwise, so one goes out whenever there is none.
-	if seconds(c.latency) >= k.LatencyObjective && waited < k.LatencyObjective && c.inflight == 0 {
-		late = false
+	if latency >= class.LatencyObjective && waited < class.LatencyObjective && c.inFlight == 0 {
+		isLate = false
 	}
-	if why := c.admits(q, k, e.Units, late); why != CauseNone {
-		c.refuse(e.ID, why)
+	if cause := c.admissionCause(account, class, event.Units, isLate); cause != CauseNone {
+		c.reject(event.ID, cause)
 		return
 	}
-	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now}
-	r.streaming = e.HasPendingBody
-	r.aim, r.giveUp = c.now+k.LatencyObjective-waited, c.now+e.Timeout
-	c.reqs[r.id] = r
-	c.retries = math.Min(maxRetryBudget, c.retries+retryBudgetPerRequest)
-	c.enqueue(r, false)
-	part := queueWaitFraction
-	if p.MaxInFlight > 0 {
-		part = inFlightQuotaWaitFraction
-	}
-	longest := time.Duration(part * float64(k.LatencyObjective))
-	c.wake(r, min(longest, e.Timeout/2, max(r.aim-c.now-seconds(c.latency), tickPeriod)))
+	req := &request{id: event.ID, class: class, plan: plan, account: account, units: event.Units}
+	req.arrivedAt, req.isStreaming = c.now, event.HasPendingBody
+	req.objectiveAt, req.deadline = c.now+class.LatencyObjective-waited, c.now+event.Timeout
+	c.requests[req.id] = req
+	c.retryBudget = math.Min(maxRetryBudget, c.retryBudget+retryBudgetPerRequest)
+	c.enqueue(req, false)
+	waitFraction := queueWaitFraction
+	if plan.MaxInFlight > 0 {
+		waitFraction = inFlightQuotaWaitFraction
+	}
+	maxWait := time.Duration(waitFraction * float64(class.LatencyObjective))
+	c.armTimer(req, min(maxWait, event.Timeout/2, max(req.objectiveAt-c.now-latency, tickPeriod)))
 }
 
-// waited is what the client of a try has waited for earlier tries or for this gateway. A
+// clientWait is what the client of a try has waited for earlier tries or for this gateway. A
 // later try is told by its mark, or by a time unlike what is usual for its class; the deadline
 // over all tries then tells. Guards against first tries that a gateway that stood still finds
 // late: they lack no more than its own clock has skipped.
-func (c *Controller) waited(e Request, k *Class) time.Duration {
-	u := c.usual[k]
-	short := u.ttl - e.Timeout
-	odd := short > max(c.skipped, tickPeriod) || short < -tickPeriod
-	later := e.IsRetry || !c.set.RetriesAreMarked && odd && u.seen > 0
-	if !e.IsRetry {
-		u.count(e.Timeout, odd)
-	}
-	if !later {
-		return min(max(short, 0), c.skipped)
-	} else if !odd { // as long as a first try's: not the last of its client
-		return min(c.nextTry, k.Deadline-e.Timeout)
-	}
-	c.nextTry = min(c.nextTry, k.Deadline-e.Timeout)
-	return k.Deadline - e.Timeout
+func (c *Controller) clientWait(event Request, class *Class) time.Duration {
+	typical := c.typicalDeadlines[class]
+	shortfall := typical.deadline - event.Timeout
+	isOutlier := shortfall > max(c.clockAdvance, tickPeriod) || shortfall < -tickPeriod
+	isRetry := event.IsRetry || !c.settings.RetriesAreMarked && isOutlier && typical.support > 0
+	if !event.IsRetry {
+		typical.observe(event.Timeout, isOutlier)
+	}
+	if !isRetry {
+		return min(max(shortfall, 0), c.clockAdvance)
+	} else if !isOutlier { // as long as a first try's: not the last of its client
+		return min(c.minRetryGap, class.Deadline-event.Timeout)
+	}
+	c.minRetryGap = min(c.minRetryGap, class.Deadline-event.Timeout)
+	return class.Deadline - event.Timeout
 }
 
-func (c *Controller) refuse(id string, why Cause) {
-	c.act(Reject{ID: id, RetryAfter: min(rejectRetryAfter, c.set.MaxRetryAfter), Cause: why})
+func (c *Controller) reject(id string, cause Cause) {
+	c.emit(Reject{ID: id, RetryAfter: min(rejectRetryAfter, c.settings.MaxRetryAfter), Cause: cause})
 }
 
-// finish gives the final answer of a request that was not served: a refusal
+// endUnserved gives the final answer of a request that was not served: a refusal
 // where the rules allow one, else a failure.
-func (c *Controller) finish(r *request, why Cause) {
-	if c.harmless(r) {
-		c.refuse(r.id, why)
+func (c *Controller) endUnserved(req *request, cause Cause) {
+	if c.canReject(req) {
+		c.reject(req.id, cause)
 	} else {
-		c.act(Fail{ID: r.id, Cause: why})
+		c.emit(Fail{ID: req.id, Cause: cause})
 	}
-	c.forget(r)
+	c.removeRequest(req)
 }
 
-func (c *Controller) harmless(r *request) bool {
-	return r.class.Idempotency == Idempotent || !r.mayRun && r.out == 0 ||
-		r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope == ScopeAll
+func (c *Controller) canReject(req *request) bool {
+	return req.class.Idempotency == Idempotent || !req.mayHaveRun && req.inFlight == 0 ||
+		req.class.Idempotency == IdempotencyKeyed && req.class.KeyScope == ScopeAll
 }
 
-// pump gives turns to the plans while the bound allows.
-func (c *Controller) pump() {
-	for c.free() {
-		r, s := c.turn()
-		if r == nil {
+// dispatch gives turns to the plans while the bound allows.
+func (c *Controller) dispatch() {
+	for c.hasFreeSlot() {
+		req, srv := c.nextTurn()
+		if req == nil {
 			return
 		}
-		c.send(r, s)
+		c.startAttempt(req, srv)
 	}
-	c.pressed = true
+	c.limitReached = true
 }
 
-// free tells whether the bound has room. The part of it beyond a whole number is a place that
+// hasFreeSlot tells whether the bound has room. The part of it beyond a whole number is a place that
 // rests after each use; so hundreds of gateways may each have less than one request in flight.
-func (c *Controller) free() bool {
-	n := c.busyNow()
-	return n+1 <= c.bound || n < c.bound && c.now >= c.restUntil
+func (c *Controller) hasFreeSlot() bool {
+	n := c.occupiedSlots()
+	return n+1 <= c.concurrencyLimit || n < c.concurrencyLimit && c.now >= c.fractionalSlotFreeAt
 }
 
-// busyNow counts attempts out and timed-out work that is taken to go on.
-func (c *Controller) busyNow() float64 {
-	for len(c.ghosts) > 0 && c.ghosts[0].until <= c.now {
-		c.ghosts[0].srv.ghosts--
-		c.ghosts = c.ghosts[1:]
+// occupiedSlots counts attempts out and timed-out work that is taken to go on.
+func (c *Controller) occupiedSlots() float64 {
+	for len(c.abandoned) > 0 && c.abandoned[0].until <= c.now {
+		c.abandoned[0].server.abandoned--
+		c.abandoned = c.abandoned[1:]
 	}
-	return float64(c.inflight - c.streams + len(c.ghosts))
+	return float64(c.inFlight - c.streamingAttempts + len(c.abandoned))
 }
 
-// turn is one step of the weighted round robin: the plan with the most credit
+// nextTurn is one step of the weighted round robin: the plan with the most credit
 // among those that have a request to send. An empty queue passes its turn.
-func (c *Controller) turn() (*request, *server) {
-	var best *plan
-	total := 0.0
-	for _, p := range c.plans {
-		if p.next, p.to = c.head(p); p.next == nil {
+func (c *Controller) nextTurn() (*request, *server) {
+	var best *planQueue
+	totalShare := 0.0
+	for _, plan := range c.plans {
+		if plan.nextRequest, plan.nextServer = c.nextEligible(plan); plan.nextRequest == nil {
 			continue
 		}
-		p.credit += p.share
-		total += p.share
-		if best == nil || p.credit > best.credit {
-			best = p
+		plan.deficit += plan.share
+		totalShare += plan.share
+		if best == nil || plan.deficit > best.deficit {
+			best = plan
 		}
 	}
 	if best == nil {
 		return nil, nil
 	}
-	best.credit -= total
-	return best.next, best.to
+	best.deficit -= totalShare
+	return best.nextRequest, best.nextServer
 }
 
-// head is the first request of a plan's queue that may go now, and its server.
+// nextEligible is the first request of a plan's queue that may go now, and its server.
 // One that waits for its open quota or for its own group lets the next pass.
-func (c *Controller) head(p *plan) (*request, *server) {
-	for _, r := range p.queue {
-		if p.MaxInFlight > 0 && r.sends == 0 && (c.now < r.cust.openNext ||
-			float64(r.cust.open+r.cust.foreign) >= math.Max(1, math.Floor(r.cust.openCap))) {
-			r.cust.openHit = true
+func (c *Controller) nextEligible(plan *planQueue) (*request, *server) {
+	for _, req := range plan.queue {
+		inFlight := float64(req.account.inFlight + req.account.predecessorInFlight)
+		limit := math.Max(1, math.Floor(req.account.inFlightLimit))
+		isFull := c.now < req.account.nextAttemptAt || inFlight >= limit
+		if plan.MaxInFlight > 0 && req.attempts == 0 && isFull {
+			req.account.hitInFlightLimit = true
 			continue
 		}
-		if s := c.pick(r); s != nil {
-			return r, s
+		if srv := c.chooseServer(req); srv != nil {
+			return req, srv
 		}
-		if r.group == nil {
+		if req.repeatGroup == nil {
 			return nil, nil
 		}
 	}
 	return nil, nil
 }
 
-func (c *Controller) send(r *request, s *server) {
-	c.dequeue(r)
-	var b bill
-	if r.sends == 0 {
-		b = c.draw(r.cust, r.units)
+func (c *Controller) startAttempt(req *request, srv *server) {
+	c.dequeue(req)
+	var charged charge
+	if req.attempts == 0 {
+		charged = c.chargeFirstAttempt(req.account, req.units)
 	}
-	if r.group == nil && r.class.Idempotency == IdempotencyKeyed {
-		r.firstRun = c.now
+	if req.repeatGroup == nil && req.class.Idempotency == IdempotencyKeyed {
+		req.firstRunAt = c.now
 	}
-	if s.inflight == 0 {
-		s.heard = c.now
+	if srv.inFlight == 0 {
+		srv.lastActivityAt = c.now
 	}
-	if s.coldRamp {
-		s.tokens -= c.work(r.units)
+	if srv.isWarmingUp {
+		srv.slowStartTokens -= c.countedUnits(req.units)
 	}
-	if s.strikes >= ejectionFailures {
-		s.probing = true
+	if srv.consecutiveFailures >= ejectionFailures {
+		srv.isProbing = true
 	}
-	c.record(r, s, b)
-	a := Send{ID: r.id, Server: s.Server}
-	if r.mayRun && r.class.Idempotency == IdempotencyKeyed { // its connection may come up when repeats run again
-		a.WriteWithin = r.firstRun + r.class.RepeatWindow - c.now
+	c.recordAttemptStart(req, srv, charged)
+	send := Send{ID: req.id, Server: srv.Server}
+	// Guards against a connection that comes up when repeats run again.
+	if req.mayHaveRun && req.class.Idempotency == IdempotencyKeyed {
+		send.WriteWithin = req.firstRunAt + req.class.RepeatWindow - c.now
 	}
-	c.act(a)
+	c.emit(send)
 }
--- a/control/units_test.go
+++ b/control/units_test.go
@@ -10,30 +10,30 @@
 func TestUnitsOfOneMoveNoOthers(t *testing.T) {
 	type shared struct{ mean, done, tokens float64 }
 	play := func(units float64, refused bool) shared {
-		s := settings()
-		s.MaxUnits = 0
-		s.Plans = []Plan{{Name: "open", Price: 1, MaxInFlight: 50}, {Name: "rate", Price: 1, QuotaRate: 10, QuotaBurst: 10}}
-		g := newGate(t, s, on(1, 2)...)
+		settings := settings()
+		settings.MaxUnits = 0
+		settings.Plans = []Plan{{Name: "open", Price: 1, MaxInFlight: 50}, {Name: "rate", Price: 1, QuotaRate: 10, QuotaBurst: 10}}
+		gateway := newGate(t, settings, on(1, 2)...)
 		plan := "open"
 		if refused {
 			plan = "rate"
 		}
 		ask := func(id string, units float64) {
-			g.do(Request{ID: id, Class: "job", Plan: plan, Customer: id, Units: units, FanOut: 1, Timeout: 6 * time.Second})
-			if n := len(g.sends); n > 0 && g.sends[n-1].ID == id {
-				g.now += 10 * ms
-				g.do(AttemptResult{ID: id, Server: g.sends[n-1].Server, Reason: OK, IsFinal: true, Delay: 10 * ms})
+			gateway.do(Request{ID: id, Class: "job", Plan: plan, Customer: id, Units: units, FanOut: 1, Timeout: 6 * time.Second})
+			if n := len(gateway.sends); n > 0 && gateway.sends[n-1].ID == id {
+				gateway.now += 10 * ms
+				gateway.do(AttemptResult{ID: id, Server: gateway.sends[n-1].Server, Reason: OK, IsFinal: true, Delay: 10 * ms})
 			}
 		}
 		ask("odd", units)
-		g.pass(2 * time.Second)
-		cold := Endpoint{Server: 3, Zone: "z1", HasStartedAt: true, StartedAt: g.now - time.Second}
-		g.do(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{cold, {Server: 1, State: Gone}, {Server: 2, State: Gone}}})
-		srv := g.c.servers[3]
-		srv.tokens = 0
+		gateway.pass(2 * time.Second)
+		cold := Endpoint{Server: 3, Zone: "z1", HasStartedAt: true, StartedAt: gateway.now - time.Second}
+		gateway.do(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{cold, {Server: 1, State: Gone}, {Server: 2, State: Gone}}})
+		srv := gateway.c.servers[3]
+		srv.slowStartTokens = 0
 		plan = "open"
 		ask("odd again", units)
-		return shared{g.c.meanUnits, g.c.served + g.c.servedRate, srv.tokens}
+		return shared{gateway.c.meanRequestUnits, gateway.c.servedUnits + gateway.c.warmThroughput, srv.slowStartTokens}
 	}
 	for name, refused := range map[string]bool{"sent": false, "refused": true} {
 		// Of 30 the store of the second plan can't hold half.
--- a/control/unseen_test.go
+++ b/control/unseen_test.go
@@ -11,33 +11,33 @@
 // one request is a quarter of a period's, by 2.75 of 4.5; half of that where one of two gateways sees them. That
 // holds for no other plan, not before any reading, whatever later readings tell, and after a resume.
 func TestUnseenAreRefusedByTheirPlansUse(t *testing.T) {
-	s := settings()
-	for i := range s.Plans {
-		s.Plans[i].QuotaRate, s.Plans[i].QuotaBurst = 4, 20
+	settings := settings()
+	for i := range settings.Plans {
+		settings.Plans[i].QuotaRate, settings.Plans[i].QuotaBurst = 4, 20
 	}
-	g := newGate(t, s, on(1, 2, 3)...)
+	gateway := newGate(t, settings, on(1, 2, 3)...)
 	n := 0
 	// refused is the part of many new customers that is; their answers tell nothing.
 	refused := func(plan string) float64 {
 		const asks = 500
-		before := len(g.sends)
+		before := len(gateway.sends)
 		for range asks {
 			n++
 			id := fmt.Sprint("r", n)
-			g.ask(id, "job", plan, fmt.Sprint("new", n))
-			if r, ok := g.ends[id].(Reject); ok && r.Cause != CauseProbability {
+			gateway.ask(id, "job", plan, fmt.Sprint("new", n))
+			if r, ok := gateway.ends[id].(Reject); ok && r.Cause != CauseProbability {
 				t.Fatalf("%s: refused by %v", id, r.Cause)
 			} else if !ok {
-				g.pass(10 * ms)
-				g.reply(id, OK, 0)
+				gateway.pass(10 * ms)
+				gateway.reply(id, OK, 0)
 			}
-			g.pass(10 * ms)
+			gateway.pass(10 * ms)
 		}
-		return 1 - float64(len(g.sends)-before)/asks
+		return 1 - float64(len(gateway.sends)-before)/asks
 	}
 	read := func(plan int, customer string, pct int) {
-		g.c.now = g.now
-		g.c.meter(g.c.customerOf(g.c.plans[plan], customer, 2), pct+1, 1)
+		gateway.c.now = gateway.now
+		gateway.c.recordReading(gateway.c.accountFor(gateway.c.plans[plan], customer, 2), pct+1, 1)
 	}
 	is := func(when, plan string, want float64) {
 		t.Helper()
@@ -54,15 +54,15 @@
 	is("after readings of another plan", "high", 0)
 	read(1, "one", 400)
 	for range 50 {
-		g.pass(s.MeterPeriod)
+		gateway.pass(settings.MeterPeriod)
 		read(1, "one", 50)
 	}
 	is("after a first reading and others", "high", 2.75/4/2)
-	resumed, err := Resume(s, g.c.Image())
+	resumed, err := Resume(settings, gateway.c.Image())
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.c = resumed
+	gateway.c = resumed
 	is("after a resume", "low", 2.75/4.5/2)
 	is("after a resume", "high", 2.75/4/2)
 }
--- a/internal/fleetsim/decisions_amd64_test.go
+++ b/internal/fleetsim/decisions_amd64_test.go
@@ -179,7 +179,7 @@
 	w.After(time.Second, func() {
 		rest := old.HandOver(w.Now()+firstUse, 1)
 		p.noteError(p.state.AddCheckpoint(rest))
-		successor.Rejoin(w.Now()+firstUse, &rest)
+		successor.ReclaimRates(w.Now()+firstUse, &rest)
 		p.features["rejoined"] = true
 	})
 }
--- a/internal/fleetsim/quota_judge.go
+++ b/internal/fleetsim/quota_judge.go
@@ -121,7 +121,7 @@
 	key := q.plans[c.plan].Name + " " + c.name
 	for _, one := range q.w.nodes[i].c.Image().Customers {
 		if one.Key == key {
-			return one.Carry
+			return one.AdmissionRemainder
 		}
 	}
 	return -1
--- a/internal/record/golden_amd64_test.go
+++ b/internal/record/golden_amd64_test.go
@@ -215,7 +215,7 @@
 	now := max(h.now, next.now)
 	rest := predecessor.module.HandOver(now, 1)
 	next.now = now
-	next.module.Rejoin(now, &rest)
+	next.module.ReclaimRates(now, &rest)
 	for i := range steps {
 		next.step(i)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -126,9 +126,9 @@
 	m.fresh = true
 }
 
-// Rejoin is the controller's.
-func (m *Module) Rejoin(now time.Duration, given *control.Checkpoint) {
-	m.Controller.Rejoin(now, given)
+// ReclaimRates is the controller's.
+func (m *Module) ReclaimRates(now time.Duration, given *control.Checkpoint) {
+	m.Controller.ReclaimRates(now, given)
 	m.fresh = true
 }
 
@@ -138,9 +138,9 @@
 	return m.Controller.HandOver(now, give)
 }
 
-// Alone is the controller's.
-func (m *Module) Alone() {
-	m.Controller.Alone()
+// PredecessorEnded is the controller's.
+func (m *Module) PredecessorEnded() {
+	m.Controller.PredecessorEnded()
 	m.fresh = true
 }
 
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -157,7 +157,7 @@
 		played(t, seed, 1500, Options{Service: "s", Dir: dir, Bytes: 1 << 20}, func(m *Module, step int) {
 			if step == 700 {
 				given := m.HandOver(time.Hour+time.Duration(step)*5*time.Millisecond, 0.5)
-				m.Rejoin(time.Hour+time.Duration(step)*5*time.Millisecond, &given)
+				m.ReclaimRates(time.Hour+time.Duration(step)*5*time.Millisecond, &given)
 			}
 		})
 		for _, path := range sections(t, dir) {
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -39,11 +39,11 @@
 	l.useStatefulModule(func(m StatefulModule) {
 		l.reclaimLeases()
 		if given == nil {
-			m.Rejoin(l.now(), nil)
+			m.ReclaimRates(l.now(), nil)
 			return
 		}
 		checkpoint := l.translateServers(*given)
-		m.Rejoin(l.now(), &checkpoint)
+		m.ReclaimRates(l.now(), &checkpoint)
 	})
 }
 
@@ -53,7 +53,9 @@
 }
 
 // PredecessorEnded tells the service that the process whose place it has taken has ended.
-func (s *Service) PredecessorEnded() { s.currentLoop().useStatefulModule(StatefulModule.Alone) }
+func (s *Service) PredecessorEnded() {
+	s.currentLoop().useStatefulModule(StatefulModule.PredecessorEnded)
+}
 
 // useStatefulModule calls a function with the module between two events and waits for it; false where the
 // loop has ended or its module is not a StatefulModule.
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -279,8 +279,8 @@
 func (statefulRecorder) Checkpoint(time.Duration) (c control.Checkpoint)          { return }
 func (statefulRecorder) HandOver(time.Duration, float64) (c control.Checkpoint)   { return }
 func (statefulRecorder) Restore(time.Duration, control.Checkpoint, control.Trust) {}
-func (statefulRecorder) Rejoin(time.Duration, *control.Checkpoint)                {}
-func (statefulRecorder) Alone()                                                   {}
+func (statefulRecorder) ReclaimRates(time.Duration, *control.Checkpoint)          {}
+func (statefulRecorder) PredecessorEnded()                                        {}
 
 // TestCustomersSpreadOverLeaseStores checks that customers are assigned to lease stores evenly, and when one
 // is added only those move that are assigned to it.
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -117,7 +117,7 @@
 // concurrencyLimit is how many attempts the module lets be in flight at once; 0 where it does not report it.
 func (l *loop) concurrencyLimit() float64 {
 	if m, ok := l.module.(concurrencyLimiter); ok {
-		return m.Bound()
+		return m.ConcurrencyLimit()
 	}
 	return 0
 }
--- a/internal/service/module.go
+++ b/internal/service/module.go
@@ -21,13 +21,13 @@
 	Checkpoint(now time.Duration) control.Checkpoint
 	HandOver(now time.Duration, give float64) control.Checkpoint
 	Restore(now time.Duration, c control.Checkpoint, trust control.Trust)
-	Rejoin(now time.Duration, given *control.Checkpoint)
-	Alone()
+	ReclaimRates(now time.Duration, given *control.Checkpoint)
+	PredecessorEnded()
 }
 
 // concurrencyLimiter is a Module that reports how many attempts it lets be in flight at once.
 type concurrencyLimiter interface {
-	Bound() float64
+	ConcurrencyLimit() float64
 }
 
 // The loop asks at run time whether a module has these methods; that of the node has to keep them.
--- a/internal/state/checkpoint_test.go
+++ b/internal/state/checkpoint_test.go
@@ -20,11 +20,11 @@
 
 func sampleCheckpoint(customers int) Checkpoint {
 	c := control.Checkpoint{
-		Version: control.CheckpointVersion, At: time.Hour, Bound: 12.5,
-		Servers: []control.ServerState{{Server: 3, Latency: 0.1, Shut: map[string]time.Duration{"p": time.Second}}},
+		Version: control.CheckpointVersion, At: time.Hour, ConcurrencyLimit: 12.5,
+		Servers: []control.ServerCheckpoint{{Server: 3, Latency: 0.1, PlanRejectedUntil: map[string]time.Duration{"p": time.Second}}},
 	}
 	for i := range customers {
-		c.Customers = append(c.Customers, control.Spent{ID: fmt.Sprint(i), Plan: "p", Level: -1.5, Spread: 2, Own: []control.Amount{{Bin: 9, V: 2}}})
+		c.Customers = append(c.Customers, control.CustomerCheckpoint{ID: fmt.Sprint(i), Plan: "p", QuotaTokens: -1.5, FanOut: 2, Sent: []control.BinAmount{{Bin: 9, Amount: 2}}})
 	}
 	return Checkpoint{Version: Version, TakenAt: time.Unix(1e9, 0).UTC(), Generation: 4, Services: map[string]service.State{
 		"a": {Checkpoint: c, Servers: map[uint32]string{3: "s-3"}},
@@ -80,7 +80,7 @@
 	c := s.Services["a"]
 	long := strings.Repeat("x", 1<<20)
 	for i := range 40 {
-		c.Checkpoint.Customers = append(c.Checkpoint.Customers, control.Spent{ID: fmt.Sprint(i, long), Plan: "p"})
+		c.Checkpoint.Customers = append(c.Checkpoint.Customers, control.CustomerCheckpoint{ID: fmt.Sprint(i, long), Plan: "p"})
 	}
 	s.Services["a"] = c
 	raw, err := Encode(s)
--- a/internal/versionskew/compare_test.go
+++ b/internal/versionskew/compare_test.go
@@ -20,9 +20,9 @@
 	t.Helper()
 	raw, err := state.Encode(state.Checkpoint{TakenAt: time.Unix(1e9, 0).UTC(), Services: map[string]service.State{"a": {
 		Checkpoint: control.Checkpoint{
-			Version: control.CheckpointVersion, Bound: 12.5,
-			Servers:   []control.ServerState{{Server: 3, Latency: 0.1}},
-			Customers: []control.Spent{{ID: "1", Plan: reservedPlan, Ceiling: 7, Own: []control.Amount{{Bin: 9, V: 2}}}},
+			Version: control.CheckpointVersion, ConcurrencyLimit: 12.5,
+			Servers:   []control.ServerCheckpoint{{Server: 3, Latency: 0.1}},
+			Customers: []control.CustomerCheckpoint{{ID: "1", Plan: reservedPlan, HardLimitTokens: 7, Sent: []control.BinAmount{{Bin: 9, Amount: 2}}}},
 		},
 		Servers: map[uint32]string{3: "s-3"},
 	}}})
--- a/internal/versionskew/judge.go
+++ b/internal/versionskew/judge.go
@@ -13,7 +13,7 @@
 	for _, one := range s.Services {
 		for _, customer := range one.Checkpoint.Customers {
 			if customer.Plan == reservedPlan {
-				return customer.Ceiling
+				return customer.HardLimitTokens
 			}
 		}
 	}
@@ -23,7 +23,7 @@
 // limitOf is the concurrency limit that a checkpoint says was learned.
 func limitOf(s state.Checkpoint) float64 {
 	for _, one := range s.Services {
-		return one.Checkpoint.Bound
+		return one.Checkpoint.ConcurrencyLimit
 	}
 	return math.NaN()
 }
