--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -75,9 +75,9 @@
 		return cfg, err
 	}
 	return daemon.Run(ctx, daemon.Options{
-		Load:  func() (config.Config, error) { return over(config.Load(path)) },
-		Parse: func(text []byte) (config.Config, error) { return over(config.Parse(path, text)) },
-		State: o.State, Tune: tune, Config: path, PIDFile: pidFile, Program: program, Args: e.Args, Getenv: e.Getenv, Hup: e.Hup, Usr2: e.Usr2,
+		LoadConfig:     func() (config.Config, error) { return over(config.Load(path)) },
+		ParseConfig:    func(text []byte) (config.Config, error) { return over(config.Parse(path, text)) },
+		StateDirectory: o.State, ApplyRuntimeLimits: tune, ConfigPath: path, PIDFilePath: pidFile, Program: program, Args: e.Args, Getenv: e.Getenv, ReloadSignals: e.Hup, UpgradeSignals: e.Usr2,
 	})
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -37,7 +37,7 @@
 	if !ok {
 		os.Exit(m.Run())
 	}
-	if os.Getenv(upgrade.Variable) != "" {
+	if os.Getenv(upgrade.EnvironmentVariable) != "" {
 		switch r {
 		case "dies":
 			os.Exit(7)
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -20,68 +20,68 @@
 	"lockflow/internal/manage"
 )
 
-// doubts are what the daemon does not rely on. It is safe for concurrent use; its zero value has
+// degradedConditions are what the daemon does not rely on. It is safe for concurrent use; its zero value has
 // none.
-type doubts struct {
-	mu  sync.Mutex
-	all map[string]doubt
+type degradedConditions struct {
+	mu     sync.Mutex
+	byName map[string]condition
 }
 
-// doubt is why something is not relied on, and since when.
-type doubt struct {
+// condition is why something is not relied on, and since when.
+type condition struct {
 	since time.Time
-	why   string
+	cause string
 }
 
-func (d *doubts) add(what, why string) {
+func (d *degradedConditions) add(what, why string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.all == nil {
-		d.all = make(map[string]doubt)
+	if d.byName == nil {
+		d.byName = make(map[string]condition)
 	}
-	one, ok := d.all[what]
+	one, ok := d.byName[what]
 	if !ok {
 		one.since = time.Now()
 	}
-	one.why = why
-	d.all[what] = one
+	one.cause = why
+	d.byName[what] = one
 }
 
-func (d *doubts) clear(what string) {
+func (d *degradedConditions) clear(what string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.all, what)
+	delete(d.byName, what)
 }
 
-func (d *doubts) list() []string {
+func (d *degradedConditions) list() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := []string{}
-	for what, one := range d.all {
-		all = append(all, fmt.Sprintf("%s, since %s: %s", what, one.since.UTC().Format(time.RFC3339), one.why))
+	for what, one := range d.byName {
+		all = append(all, fmt.Sprintf("%s, since %s: %s", what, one.since.UTC().Format(time.RFC3339), one.cause))
 	}
 	slices.Sort(all)
 	return all
 }
 
-// keeper writes the state down from time to time.
-type keeper struct {
-	own   atomic.Bool  // the file is this process's to write
-	every atomic.Int64 // the time from one writing to the next
-	mu    sync.Mutex
-	over  bool
+// checkpointer writes the state down from time to time.
+type checkpointer struct {
+	ownsFile  atomic.Bool  // the file is this process's to write
+	interval  atomic.Int64 // the time from one writing to the next
+	mu        sync.Mutex
+	isStopped bool
 }
 
-// end has nothing be written any more.
-func (k *keeper) end() {
+// stop has nothing be written any more.
+func (k *checkpointer) stop() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.over = true
+	k.isStopped = true
 }
 
-// keep writes what was spent and learned until ctx ends, so that a start after a crash knows
+// saveCheckpoints writes what was spent and learned until ctx ends, so that a start after a crash knows
 // what was learned. A disk that is full or read-only is told once, and again once it is mended.
-func (d *daemon) keep(ctx context.Context) {
+func (d *daemon) saveCheckpoints(ctx context.Context) {
 	if d.store == nil {
 		return
 	}
@@ -91,34 +91,34 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(d.keeper.every.Load())):
+		case <-time.After(time.Duration(d.checkpointer.interval.Load())):
 		}
-		d.keeper.mu.Lock()
-		if d.keeper.over {
-			d.keeper.mu.Unlock()
+		d.checkpointer.mu.Lock()
+		if d.checkpointer.isStopped {
+			d.checkpointer.mu.Unlock()
 			return
 		}
 		var err error
-		if d.keeper.own.Load() {
+		if d.checkpointer.ownsFile.Load() {
 			err = d.store.Save(d.node.Checkpoint())
 		}
-		d.keeper.mu.Unlock()
+		d.checkpointer.mu.Unlock()
 		switch {
 		case err != nil && !broken:
 			slog.Error("the state can't be written: a start after a crash will know less", "err", err)
-			d.doubts.add(what, err.Error())
+			d.conditions.add(what, err.Error())
 		case err == nil && broken:
 			slog.Info("the state can be written again")
-			d.doubts.clear(what)
+			d.conditions.clear(what)
 		}
 		broken = err != nil
 	}
 }
 
-// watchGroup tells once where servers' reports speak against the told size of the group, and
+// watchGroupSize tells once where servers' reports speak against the told size of the group, and
 // where they no longer do, until ctx ends.
-func (d *daemon) watchGroup(ctx context.Context) {
-	t := time.NewTicker(groupEvery)
+func (d *daemon) watchGroupSize(ctx context.Context) {
+	t := time.NewTicker(groupSizeInterval)
 	defer t.Stop()
 	doubted := make(map[string]bool)
 	for {
@@ -135,51 +135,51 @@
 				why := fmt.Sprintf("%d are told, reports speak for %.0f to %.0f", told, s.GroupSizeRange[0], s.GroupSizeRange[1])
 				slog.Warn("the group's size in the settings seems wrong: limits and cold servers are shared by it", "service", s.Name,
 					"told", told, "least", math.Round(s.GroupSizeRange[0]), "most", math.Round(s.GroupSizeRange[1]))
-				d.doubts.add(what, why)
+				d.conditions.add(what, why)
 			case !s.IsGroupSizeDoubted && doubted[s.Name]:
 				slog.Info("the group's size is no longer doubted", "service", s.Name, "told", told)
-				d.doubts.clear(what)
+				d.conditions.clear(what)
 			}
 			doubted[s.Name] = s.IsGroupSizeDoubted
 		}
 	}
 }
 
-// groupEvery is how often the group's size is looked at.
-const groupEvery = 2 * time.Second
+// groupSizeInterval is how often the group's size is looked at.
+const groupSizeInterval = 2 * time.Second
 
 // Status is manage.Daemon's.
 func (d *daemon) Status() manage.Status {
 	s := manage.Status{
-		PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.Config, Started: d.started,
+		PID: os.Getpid(), Program: d.opts.Program, Config: d.opts.ConfigPath, Started: d.startedAt,
 		Generation: d.node.Generation(), Listeners: d.node.Addresses(), Services: d.node.Status(), Gathers: d.node.GathererStatus(), Older: d.node.RetiredServices(),
-		Descriptors: descriptors(), MemoryKB: memory(), Distrusts: d.doubts.list(),
+		Descriptors: openDescriptors(), MemoryKB: residentMemoryKB(), Distrusts: d.conditions.list(),
 	}
 	s.Instance, s.Instances = d.node.Instance()
-	s.Figures = d.figures()
-	d.seen(func() {
+	s.Figures = d.instanceStats()
+	d.inLoop(func() {
 		s.Life = d.machine.State().String()
-		if d.succ != nil {
-			s.Beside = d.succ.PID()
+		if d.successor != nil {
+			s.Beside = d.successor.PID()
 		}
-		d.tellMember(&s)
+		d.addMemberStatus(&s)
 	})
 	return s
 }
 
-// tellMember tells what live alone uses.
-func (d *daemon) tellMember(s *manage.Status) {
+// addMemberStatus tells what live alone uses.
+func (d *daemon) addMemberStatus(s *manage.Status) {
 	s.Hash = d.cfg.Hash
-	d.member.tell(s)
+	d.member.addStatus(s)
 }
 
-// seen has live do something, or does it where that has ended, and waits.
-func (d *daemon) seen(do func()) {
+// inLoop has live do something, or does it where that has ended, and waits.
+func (d *daemon) inLoop(do func()) {
 	done := make(chan struct{})
-	d.post(lifeAsked{func() { do(); close(done) }})
+	d.post(loopCall{func() { do(); close(done) }})
 	select {
 	case <-done:
-	case <-d.ended:
+	case <-d.loopEnded:
 		select {
 		case <-done:
 		default:
@@ -188,10 +188,10 @@
 	}
 }
 
-// figures are what the process has counted of itself.
-func (d *daemon) figures() instancestats.Figures {
+// instanceStats are what the process has counted of itself.
+func (d *daemon) instanceStats() instancestats.Figures {
 	f := d.node.Statistics()
-	f.Began, f.MemoryKB = d.started, memory()
+	f.Began, f.MemoryKB = d.startedAt, residentMemoryKB()
 	var use unix.Rusage
 	if unix.Getrusage(unix.RUSAGE_SELF, &use) == nil {
 		f.CPU = time.Duration(use.Utime.Nano() + use.Stime.Nano())
@@ -199,11 +199,11 @@
 	return f
 }
 
-// lifeAsked asks live for what it alone uses.
-type lifeAsked struct{ tell func() }
+// loopCall asks live for what it alone uses.
+type loopCall struct{ call func() }
 
-// descriptors is how many this process has open.
-func descriptors() int {
+// openDescriptors is how many this process has open.
+func openDescriptors() int {
 	all, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
 		return 0
@@ -211,8 +211,8 @@
 	return len(all) - 1 // that of the directory itself
 }
 
-// memory is the resident memory in kB (proc(5)); the runtime's own figure where there is no proc.
-func memory() int {
+// residentMemoryKB is the resident memory in kB (proc(5)); the runtime's own figure where there is no proc.
+func residentMemoryKB() int {
 	raw, err := os.ReadFile("/proc/self/statm")
 	if fields := strings.Fields(string(raw)); err == nil && len(fields) > 1 {
 		if pages, err := strconv.Atoi(fields[1]); err == nil {
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -13,22 +13,22 @@
 
 // member is what this process knows of who may order and what was ordered. One goroutine uses it.
 type member struct {
-	file   *desiredstate.File
-	book   desiredstate.Book
-	kept   bool // the book is written as it is
-	doubts *doubts
+	store      *desiredstate.File
+	book       desiredstate.Book
+	isSaved    bool // the book is written as it is
+	conditions *degradedConditions
 }
 
-const ordersDoubt = "orders"
+const conditionOrders = "orders"
 
 // openMember opens the book in a state directory ("" is none); inherited is that of the old process, which
 // is read later.
-func openMember(dir string, inherited *os.File, d *doubts) (*member, error) {
+func openMember(dir string, inherited *os.File, d *degradedConditions) (*member, error) {
 	f, err := desiredstate.Open(dir, inherited)
 	if err != nil {
 		return nil, err
 	}
-	m := &member{file: f, doubts: d}
+	m := &member{store: f, conditions: d}
 	if inherited == nil {
 		m.load()
 	}
@@ -37,55 +37,55 @@
 
 // load reads the book. One that can't be read is lost: nobody is obeyed before a claim that says it knows.
 func (m *member) load() {
-	b, err := m.file.Load()
+	b, err := m.store.Load()
 	if err != nil {
 		b = desiredstate.Book{Lost: rand.Text()}
 		slog.Error("the book of orders can't be read: no coordinator is obeyed until it claims anew", "err", err)
-		m.doubts.add(ordersDoubt, err.Error())
-		m.file.SetAside()
+		m.conditions.add(conditionOrders, err.Error())
+		m.store.SetAside()
 		m.book = b
-		m.settle(b)
+		m.record(b)
 		return
 	}
-	m.book, m.kept = b, true
+	m.book, m.isSaved = b, true
 	if b.Lost != "" {
-		m.doubts.add(ordersDoubt, "the epochs that were granted are lost")
+		m.conditions.add(conditionOrders, "the epochs that were granted are lost")
 	}
 }
 
-// keep has another book count once it is written.
-func (m *member) keep(next desiredstate.Book) error {
-	if m.kept && reflect.DeepEqual(m.book, next) {
+// save has another book count once it is written.
+func (m *member) save(next desiredstate.Book) error {
+	if m.isSaved && reflect.DeepEqual(m.book, next) {
 		return nil
 	}
-	if err := m.file.Save(next); err != nil {
-		m.doubts.add(ordersDoubt, err.Error())
+	if err := m.store.Save(next); err != nil {
+		m.conditions.add(conditionOrders, err.Error())
 		return &desiredstate.RejectedError{Code: desiredstate.Unkept, Text: err.Error()}
 	}
-	m.book, m.kept = next, true
+	m.book, m.isSaved = next, true
 	if next.Lost == "" {
-		m.doubts.clear(ordersDoubt)
+		m.conditions.clear(conditionOrders)
 	}
 	return nil
 }
 
-// settle has another book count, of what has happened already. Where it can't be written that is told, and
+// record has another book count, of what has happened already. Where it can't be written that is told, and
 // a process that finds the one before goes by what it finds done.
-func (m *member) settle(next desiredstate.Book) {
-	if err := m.keep(next); err != nil {
+func (m *member) record(next desiredstate.Book) {
+	if err := m.save(next); err != nil {
 		slog.Error("what became of an order can't be written", "err", err)
-		m.book, m.kept = next, false
+		m.book, m.isSaved = next, false
 	}
 }
 
-// claim grants an epoch or refuses.
-func (m *member) claim(c desiredstate.Claim) error {
+// grantEpoch grants an epoch or refuses.
+func (m *member) grantEpoch(c desiredstate.Claim) error {
 	next, err := m.book.Claim(c)
 	if err != nil {
 		return err
 	}
 	granted := next.Epoch != m.book.Epoch
-	if err := m.keep(next); err != nil {
+	if err := m.save(next); err != nil {
 		return err
 	}
 	if granted {
@@ -94,31 +94,31 @@
 	return nil
 }
 
-// rest notes by the owner's hand whether the member is to be drained.
-func (m *member) rest(drained bool) error {
-	if m.file.Forgets() && drained {
+// setDrained notes by the owner's hand whether the member is to be drained.
+func (m *member) setDrained(drained bool) error {
+	if m.store.Forgets() && drained {
 		return nil // it is drained; nothing could keep it so
 	}
-	return m.keep(m.book.Rest(drained))
+	return m.save(m.book.Rest(drained))
 }
 
-// tell tells the book in a status.
-func (m *member) tell(s *manage.Status) {
-	s.Epoch, s.Owner, s.Lost, s.Forgets = m.book.Epoch, m.book.Owner, m.book.Lost, m.file.Forgets()
+// addStatus tells the book in a status.
+func (m *member) addStatus(s *manage.Status) {
+	s.Epoch, s.Owner, s.Lost, s.Forgets = m.book.Epoch, m.book.Owner, m.book.Lost, m.store.Forgets()
 	s.Order, s.Wanted = m.book.Last(), m.book.Wanted
 	if d := m.book.Doing; d != nil {
 		s.Doing = d.ID
 	}
 }
 
-// outcome is what is answered to an order that has ended.
-func outcome(d desiredstate.Done) error {
+// outcomeError is what is answered to an order that has ended.
+func outcomeError(d desiredstate.Done) error {
 	if d.Code == desiredstate.OK {
 		return nil
 	}
 	return &desiredstate.RejectedError{Code: d.Code, Text: d.Error}
 }
 
-func busy(format string, args ...any) error {
+func busyError(format string, args ...any) error {
 	return &desiredstate.RejectedError{Code: desiredstate.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -14,47 +14,47 @@
 	"lockflow/internal/state"
 )
 
-// underWay is an order that is carried out.
-type underWay struct {
+// runningCommand is an order that is carried out.
+type runningCommand struct {
 	id, kind, hash string
-	inherited      bool         // the old process has begun it
-	waiting        []chan error // who asked; each has room for one
+	isInherited    bool         // the old process has begun it
+	waiters        []chan error // who asked; each has room for one
 }
 
 // claimAsked, orderAsked and restAsked are what a coordinator, or the owner's hand, asks live.
 type (
-	claimAsked struct {
+	claimRequest struct {
 		claim  desiredstate.Claim
 		answer chan error
 	}
-	orderAsked struct {
-		order  desiredstate.Order
-		answer chan error
-	}
-	restAsked struct {
-		drained bool
+	commandRequest struct {
+		command desiredstate.Order
 		answer  chan error
 	}
+	setDrainedRequest struct {
+		isDrained bool
+		answer    chan error
+	}
 )
 
-// orderDid is the end of an order that was carried out by another goroutine.
-type orderDid struct {
-	of  *underWay
-	err error
-	// restored tells that the settings' file is again what is in force.
-	restored bool
+// commandFinished is the end of an order that was carried out by another goroutine.
+type commandFinished struct {
+	command *runningCommand
+	err     error
+	// isRolledBack tells that the settings' file is again what is in force.
+	isRolledBack bool
 }
 
 // errEnded is the answer of a daemon that has ended. What was under way is told by the next one.
 var errEnded = errors.New("the daemon has ended")
 
-// ask brings something to live and waits for its answer.
-func (d *daemon) ask(ctx context.Context, event any, answer chan error) error {
+// postAndWait brings something to live and waits for its answer.
+func (d *daemon) postAndWait(ctx context.Context, event any, answer chan error) error {
 	d.post(event)
 	select {
 	case err := <-answer:
 		return err
-	case <-d.ended:
+	case <-d.loopEnded:
 		select {
 		case err := <-answer:
 			return err
@@ -69,83 +69,83 @@
 // Claim is manage.Daemon's.
 func (d *daemon) Claim(ctx context.Context, c desiredstate.Claim) error {
 	answer := make(chan error, 1)
-	return d.ask(ctx, claimAsked{c, answer}, answer)
+	return d.postAndWait(ctx, claimRequest{c, answer}, answer)
 }
 
 // Order is manage.Daemon's.
 func (d *daemon) Order(ctx context.Context, o desiredstate.Order) error {
 	answer := make(chan error, 1)
-	return d.ask(ctx, orderAsked{o, answer}, answer)
+	return d.postAndWait(ctx, commandRequest{o, answer}, answer)
 }
 
 // Serve is manage.Daemon's.
 func (d *daemon) Serve(ctx context.Context) error {
 	answer := make(chan error, 1)
-	return d.ask(ctx, restAsked{false, answer}, answer)
+	return d.postAndWait(ctx, setDrainedRequest{false, answer}, answer)
 }
 
 // Drain is manage.Daemon's.
 func (d *daemon) Drain(keep bool) error {
 	if keep {
 		answer := make(chan error, 1)
-		if err := d.ask(context.Background(), restAsked{true, answer}, answer); err != nil {
+		if err := d.postAndWait(context.Background(), setDrainedRequest{true, answer}, answer); err != nil {
 			return err
 		}
 	}
-	d.post(lifecycle.Stop{Cause: "control socket"})
+	d.post(lifecycle.StopRequested{Cause: "control socket"})
 	return nil
 }
 
-// owns tells whether the book is this process's to write: while another process of the member takes over,
+// checkOwnership tells whether the book is this process's to write: while another process of the member takes over,
 // and after that, it is that one's.
-func (d *daemon) owns() error {
-	if !d.keeper.own.Load() {
-		return busy("another process takes this one's place")
+func (d *daemon) checkOwnership() error {
+	if !d.checkpointer.ownsFile.Load() {
+		return busyError("another process takes this one's place")
 	}
 	return nil
 }
 
-// grant takes a claim.
-func (d *daemon) grant(c desiredstate.Claim) error {
-	if err := d.owns(); err != nil {
+// grantEpoch takes a claim.
+func (d *daemon) grantEpoch(c desiredstate.Claim) error {
+	if err := d.checkOwnership(); err != nil {
 		return err
 	}
-	return d.member.claim(c)
+	return d.member.grantEpoch(c)
 }
 
-// wantRest takes the owner's own word on whether the member is to be drained.
-func (d *daemon) wantRest(drained bool) error {
-	if err := d.owns(); err != nil {
+// setDrained takes the owner's own word on whether the member is to be drained.
+func (d *daemon) setDrained(drained bool) error {
+	if err := d.checkOwnership(); err != nil {
 		return err
 	}
-	return d.member.rest(drained)
+	return d.member.setDrained(drained)
 }
 
-// order takes an order; the answer may come later.
-func (d *daemon) order(a orderAsked) {
-	if err := d.owns(); err != nil {
+// handleCommand takes an order; the answer may come later.
+func (d *daemon) handleCommand(a commandRequest) {
+	if err := d.checkOwnership(); err != nil {
 		a.answer <- err
 		return
 	}
-	o := a.order
+	o := a.command
 	next, step, done, err := d.member.book.Order(o)
 	switch {
 	case err != nil:
 		a.answer <- err
 		return
 	case step == desiredstate.Answer:
-		a.answer <- outcome(done)
+		a.answer <- outcomeError(done)
 		return
 	case step == desiredstate.Wait:
-		d.doing.waiting = append(d.doing.waiting, a.answer)
+		d.running.waiters = append(d.running.waiters, a.answer)
 		return
 	}
-	if err := d.may(o.Want); err == nil {
-		err = d.member.keep(next)
+	if err := d.checkCommand(o.Want); err == nil {
+		err = d.member.save(next)
 		if err == nil {
 			slog.Info("orders: begun", "id", o.ID, "epoch", o.Epoch, "owner", o.Owner, "kind", o.Want.Kind)
-			d.doing = &underWay{id: o.ID, kind: o.Want.Kind, hash: o.Want.Hash, waiting: []chan error{a.answer}}
-			d.carryOut(o.Want)
+			d.running = &runningCommand{id: o.ID, kind: o.Want.Kind, hash: o.Want.Hash, waiters: []chan error{a.answer}}
+			d.startCommand(o.Want)
 			return
 		}
 		a.answer <- err
@@ -154,44 +154,44 @@
 	}
 }
 
-// may tells why an order can't be begun now, or at all.
-func (d *daemon) may(w desiredstate.Want) error {
+// checkCommand tells why an order can't be begun now, or at all.
+func (d *daemon) checkCommand(w desiredstate.Want) error {
 	s := d.machine.State()
 	switch w.Kind {
 	case desiredstate.Drain:
-		if d.member.file.Forgets() {
+		if d.member.store.Forgets() {
 			return &desiredstate.RejectedError{Code: desiredstate.Bad, Text: "process.state is not set: started again, it would serve"}
 		}
 		if s == lifecycle.Draining || s == lifecycle.Ended {
-			return busy("the daemon is %v", s)
+			return busyError("the daemon is %v", s)
 		}
 	case desiredstate.Serve:
 		if s == lifecycle.Draining || s == lifecycle.Ended {
-			return busy("the daemon is %v", s)
+			return busyError("the daemon is %v", s)
 		}
 	case desiredstate.Program:
-		if err := runs(w.Path); err != nil {
+		if err := checkExecutable(w.Path); err != nil {
 			return &desiredstate.RejectedError{Code: desiredstate.Bad, Text: err.Error()}
 		}
 		fallthrough
 	default:
 		if s != lifecycle.Ready {
-			return busy("the daemon is %v", s)
+			return busyError("the daemon is %v", s)
 		}
 	}
 	return nil
 }
 
-// carryOut begins what d.doing is.
-func (d *daemon) carryOut(w desiredstate.Want) {
-	doing := d.doing
+// startCommand begins what d.doing is.
+func (d *daemon) startCommand(w desiredstate.Want) {
+	doing := d.running
 	switch w.Kind {
 	case desiredstate.Settings:
 		force := d.cfg
-		d.parts.Go(func() {
-			restored, err := d.putSettings(force, w)
+		d.goroutines.Go(func() {
+			restored, err := d.applySettings(force, w)
 			if !errors.Is(err, errEnded) { // else whoever comes next tells
-				d.post(orderDid{doing, err, restored})
+				d.post(commandFinished{doing, err, restored})
 			}
 		})
 	case desiredstate.Program, desiredstate.Restart:
@@ -200,187 +200,187 @@
 			path = d.opts.Program
 		}
 		// Its end is the end of the successor's probation, or what comes before.
-		a := asked{lifecycle.Upgrade{Cause: programCause + path}, make(chan error, 1), true}
-		d.parts.Go(func() {
+		a := request{lifecycle.UpgradeRequested{Cause: upgradeCausePrefix + path}, make(chan error, 1), true}
+		d.goroutines.Go(func() {
 			select {
 			case err := <-a.answer:
 				if err != nil {
-					d.post(orderDid{doing, err, false})
+					d.post(commandFinished{doing, err, false})
 				}
-			case <-d.ended:
+			case <-d.loopEnded:
 			}
 		})
-		d.asked(a)
+		d.handleRequest(a)
 	case desiredstate.Drain:
-		d.endOrder(nil)
-		d.handle(lifecycle.Stop{Cause: "order " + doing.id})
+		d.finishCommand(nil)
+		d.advance(lifecycle.StopRequested{Cause: "order " + doing.id})
 	case desiredstate.Serve:
 		if d.machine.State() != lifecycle.Warming {
-			d.endOrder(nil)
+			d.finishCommand(nil)
 		} // else once it serves
 	}
 }
 
-// putSettings replaces the configuration file and has it read. An error leaves the file as it was;
+// applySettings replaces the configuration file and has it read. An error leaves the file as it was;
 // restored tells that it was another one meanwhile.
-func (d *daemon) putSettings(force config.Config, w desiredstate.Want) (restored bool, err error) {
+func (d *daemon) applySettings(force config.Config, w desiredstate.Want) (restored bool, err error) {
 	text := []byte(w.Text)
-	next, err := d.opts.Parse(text)
+	next, err := d.opts.ParseConfig(text)
 	if err != nil {
 		return false, err
 	}
 	for _, c := range config.Compare(force, next).Restarts() {
 		return false, fmt.Errorf("%s: %s can't become %s without a restart", c.What, c.From, c.To)
 	}
-	old, err := os.ReadFile(d.opts.Config)
+	old, err := os.ReadFile(d.opts.ConfigPath)
 	if err != nil {
 		return false, fmt.Errorf("reading the old settings: %w", err)
 	}
-	if err := d.member.file.Keep(old); err != nil {
+	if err := d.member.store.Keep(old); err != nil {
 		return false, err
 	}
-	if err := desiredstate.Replace(d.opts.Config, text); err != nil {
+	if err := desiredstate.Replace(d.opts.ConfigPath, text); err != nil {
 		return false, fmt.Errorf("replacing the settings: %w", err)
 	}
 	if force.Hash == w.Hash {
 		return false, nil // in force; the file only was another one
 	}
-	err = d.wish(context.Background(), lifecycle.Reload{Cause: "order"})
+	err = d.submit(context.Background(), lifecycle.ReloadRequested{Cause: "order"})
 	if err == nil || errors.Is(err, errEnded) {
 		return false, err
 	}
-	if back := desiredstate.Replace(d.opts.Config, old); back != nil {
+	if back := desiredstate.Replace(d.opts.ConfigPath, old); back != nil {
 		return false, fmt.Errorf("%w; the old settings can't be put back: %w", err, back)
 	}
 	return true, err
 }
 
-// did takes the end of an order.
-func (d *daemon) did(e orderDid) {
-	if d.doing != e.of {
+// handleCommandFinished takes the end of an order.
+func (d *daemon) handleCommandFinished(e commandFinished) {
+	if d.running != e.command {
 		return
 	}
-	if e.restored {
-		d.doubts.clear("configuration file")
+	if e.isRolledBack {
+		d.conditions.clear("configuration file")
 	}
-	if e.err == nil && e.of.kind == desiredstate.Settings && d.cfg.Hash != e.of.hash {
+	if e.err == nil && e.command.kind == desiredstate.Settings && d.cfg.Hash != e.command.hash {
 		e.err = fmt.Errorf("the file was replaced by another hand: the settings in force have the hash %s", d.cfg.Hash)
 	}
-	d.endOrder(e.err)
-	if e.of.kind == desiredstate.Settings {
-		d.member.file.Forget()
+	d.finishCommand(e.err)
+	if e.command.kind == desiredstate.Settings {
+		d.member.store.Forget()
 	}
 }
 
-// endOrder ends the order under way, written before it is answered.
-func (d *daemon) endOrder(err error) {
+// finishCommand ends the order under way, written before it is answered.
+func (d *daemon) finishCommand(err error) {
 	was := d.member.book.Doing
-	if was == nil || was.ID != d.doing.id { // another process has written it off
-		d.answerOrder(desiredstate.Done{ID: d.doing.id, Code: desiredstate.Busy, Error: "order " + d.doing.id + " was cut: ask again"})
+	if was == nil || was.ID != d.running.id { // another process has written it off
+		d.answerCommand(desiredstate.Done{ID: d.running.id, Code: desiredstate.Busy, Error: "order " + d.running.id + " was cut: ask again"})
 		return
 	}
-	d.member.settle(d.member.book.End(err))
-	d.answerOrder(d.member.book.Last())
+	d.member.record(d.member.book.End(err))
+	d.answerCommand(d.member.book.Last())
 }
 
-// answerOrder tells those who asked how the order under way has ended.
-func (d *daemon) answerOrder(done desiredstate.Done) {
-	doing := d.doing
-	d.doing = nil
+// answerCommand tells those who asked how the order under way has ended.
+func (d *daemon) answerCommand(done desiredstate.Done) {
+	doing := d.running
+	d.running = nil
 	slog.Info("orders: ended", "id", doing.id, "code", done.Code, "err", done.Error)
-	answer(doing.waiting, outcome(done))
+	answerEach(doing.waiters, outcomeError(done))
 }
 
-// inheritOrders reads the book anew: that of the old process at a take-over, or, with back, what a
+// reloadBook reads the book anew: that of the old process at a take-over, or, with back, what a
 // successor has left that did not last.
-func (d *daemon) inheritOrders(back bool) {
+func (d *daemon) reloadBook(back bool) {
 	d.member.load()
-	d.member.settle(d.member.book) // also where the directory is another one
+	d.member.record(d.member.book) // also where the directory is another one
 	if was := d.member.book.Doing; was != nil && !back {
-		d.doing = &underWay{id: was.ID, kind: was.Kind, hash: was.Hash, inherited: true}
+		d.running = &runningCommand{id: was.ID, kind: was.Kind, hash: was.Hash, isInherited: true}
 	}
 }
 
-// recoverOrders goes by what is found in the place of a process that is no more. An order that was cut is
+// recoverCommand goes by what is found in the place of a process that is no more. An order that was cut is
 // done when it is asked for again.
-func (d *daemon) recoverOrders() {
+func (d *daemon) recoverCommand() {
 	m := d.member
 	was := m.book.Doing
 	if was == nil {
-		d.doing = nil
+		d.running = nil
 		return
 	}
 	next := m.book.Recover(desiredstate.Facts{Hash: d.cfg.Hash, Program: d.opts.Program})
 	if next.Doing != nil {
-		if d.doing == nil {
-			d.doing = &underWay{id: was.ID, kind: was.Kind, hash: was.Hash}
+		if d.running == nil {
+			d.running = &runningCommand{id: was.ID, kind: was.Kind, hash: was.Hash}
 		}
 		return
 	}
-	m.settle(next)
-	m.file.Forget()
+	m.record(next)
+	m.store.Forget()
 	last := next.Last()
 	if last.ID != was.ID {
 		slog.Warn("orders: one was cut by the end of the process: nothing of it stays", "id", was.ID, "kind", was.Kind)
 		last = desiredstate.Done{ID: was.ID, Code: desiredstate.Busy, Error: "order " + was.ID + " was cut: ask again"}
 	}
-	if d.doing != nil {
-		d.answerOrder(last)
+	if d.running != nil {
+		d.answerCommand(last)
 	}
 }
 
-// mayUpgrade refuses an upgrade by another hand while an order is under way.
-func (d *daemon) mayUpgrade(ordered bool) error {
-	if d.doing != nil && !d.doing.inherited && !ordered {
-		return fmt.Errorf("no upgrade: order %s is under way", d.doing.id)
+// checkUpgrade refuses an upgrade by another hand while an order is under way.
+func (d *daemon) checkUpgrade(ordered bool) error {
+	if d.running != nil && !d.running.isInherited && !ordered {
+		return fmt.Errorf("no upgrade: order %s is under way", d.running.id)
 	}
 	return nil
 }
 
-// rescue puts the settings back that an order replaced, where the daemon can't start with the new ones.
+// rollBackSettings puts the settings back that an order replaced, where the daemon can't start with the new ones.
 // It tells whether there is something else to start with.
-func rescue(m *member, o Options, hash string, cause error) bool {
+func rollBackSettings(m *member, o Options, hash string, cause error) bool {
 	was := m.book.Doing
 	if was == nil || was.Kind != desiredstate.Settings || hash != "" && was.Hash != hash {
 		return false
 	}
-	old, err := m.file.Kept()
+	old, err := m.store.Kept()
 	if err == nil && desiredstate.Hash(old) == was.Hash {
 		return false // they were the same
 	}
 	if err == nil {
-		err = desiredstate.Replace(o.Config, old)
+		err = desiredstate.Replace(o.ConfigPath, old)
 	}
 	if err != nil {
 		slog.Error("orders: the old settings can't be put back", "id", was.ID, "err", err)
 		return false
 	}
 	slog.Error("orders: the daemon can't start with the settings of an order: the old ones are put back", "id", was.ID, "err", cause)
-	m.settle(m.book.End(fmt.Errorf("the daemon was cut, and could not start with it: %w", cause)))
-	m.file.Forget()
+	m.record(m.book.End(fmt.Errorf("the daemon was cut, and could not start with it: %w", cause)))
+	m.store.Forget()
 	return true
 }
 
-// rescueFile is rescue where the file can't be read at all.
-func rescueFile(o Options, cause error) bool {
-	if o.State == "" {
+// rollBackUnreadableSettings is rescue where the file can't be read at all.
+func rollBackUnreadableSettings(o Options, cause error) bool {
+	if o.StateDirectory == "" {
 		return false
 	}
-	store, err := state.Open(o.State, nil)
+	store, err := state.Open(o.StateDirectory, nil)
 	if err != nil {
 		return false
 	}
 	defer store.Close() //nolint:errcheck // the lock alone, which ends with its file
-	m, err := openMember(o.State, nil, &doubts{})
+	m, err := openMember(o.StateDirectory, nil, &degradedConditions{})
 	if err != nil {
 		return false
 	}
-	defer m.file.Close()
-	return rescue(m, o, "", cause)
+	defer m.store.Close()
+	return rollBackSettings(m, o, "", cause)
 }
 
-// runs tells why a program can't be run.
-func runs(program string) error {
+// checkExecutable tells why a program can't be run.
+func checkExecutable(program string) error {
 	if !filepath.IsAbs(program) {
 		return fmt.Errorf("program %q is no absolute path", program)
 	}
--- a/internal/daemon/wishes.go
+++ b/internal/daemon/wishes.go
@@ -9,67 +9,67 @@
 	"lockflow/internal/lifecycle"
 )
 
-// asked is somebody's wish by the control socket.
-type asked struct {
+// request is somebody's wish by the control socket.
+type request struct {
 	event  lifecycle.Event
 	answer chan error // has room for one; nil where nobody waits
 
-	ordered bool // by the order under way
+	isCommanded bool // by the order under way
 }
 
-// asked takes a wish; whoever waits for it hears when it is done.
-func (d *daemon) asked(a asked) {
+// handleRequest takes a wish; whoever waits for it hears when it is done.
+func (d *daemon) handleRequest(a request) {
 	switch e := a.event.(type) {
-	case lifecycle.Reload:
+	case lifecycle.ReloadRequested:
 		switch s := d.machine.State(); {
 		case s == lifecycle.Draining || s == lifecycle.Ended:
 			a.answer <- fmt.Errorf("no reload: the daemon is %v", s)
 			return
-		case d.succ != nil && d.succ.phase == serving:
+		case d.successor != nil && d.successor.phase == successorServing:
 			a.answer <- errors.New("no reload: a successor has taken over; ask again")
 		default:
-			d.waiting = append(d.waiting, a.answer)
+			d.pendingReloads = append(d.pendingReloads, a.answer)
 		}
-	case lifecycle.Upgrade:
-		if s := d.machine.State(); s == lifecycle.Draining || s == lifecycle.HandingOver || s == lifecycle.Ended || len(d.upgrading) > 0 {
+	case lifecycle.UpgradeRequested:
+		if s := d.machine.State(); s == lifecycle.Draining || s == lifecycle.HandingOver || s == lifecycle.Ended || len(d.pendingUpgrades) > 0 {
 			a.answer <- fmt.Errorf("no upgrade: the daemon is %v", s)
 			return
 		}
-		if err := d.mayUpgrade(a.ordered); err != nil {
+		if err := d.checkUpgrade(a.isCommanded); err != nil {
 			a.answer <- err
 			return
 		}
-		d.upgrading = append(d.upgrading, a.answer)
-		d.program = strings.TrimPrefix(e.Cause, programCause)
+		d.pendingUpgrades = append(d.pendingUpgrades, a.answer)
+		d.nextProgram = strings.TrimPrefix(e.Cause, upgradeCausePrefix)
 	}
-	d.handle(a.event)
+	d.advance(a.event)
 }
 
-// programCause begins the cause of an upgrade to a program that is named.
-const programCause = "control socket: "
+// upgradeCausePrefix begins the cause of an upgrade to a program that is named.
+const upgradeCausePrefix = "control socket: "
 
-func answer(who []chan error, err error) {
+func answerEach(who []chan error, err error) {
 	for _, c := range who {
 		c <- err // has room for one
 	}
 }
 
-func (d *daemon) answerAll(err error) {
-	answer(d.waiting, err)
-	answer(d.loading, err)
-	answer(d.upgrading, err)
-	d.waiting, d.loading, d.upgrading = nil, nil, nil
+func (d *daemon) answerAllRequests(err error) {
+	answerEach(d.pendingReloads, err)
+	answerEach(d.runningReloads, err)
+	answerEach(d.pendingUpgrades, err)
+	d.pendingReloads, d.runningReloads, d.pendingUpgrades = nil, nil, nil
 }
 
-// wish brings a wish to live and waits for what comes of it.
-func (d *daemon) wish(ctx context.Context, e lifecycle.Event) error {
-	a := asked{event: e, answer: make(chan error, 1)}
-	return d.ask(ctx, a, a.answer)
+// submit brings a wish to live and waits for what comes of it.
+func (d *daemon) submit(ctx context.Context, e lifecycle.Event) error {
+	a := request{event: e, answer: make(chan error, 1)}
+	return d.postAndWait(ctx, a, a.answer)
 }
 
 // Reload is manage.Daemon's.
 func (d *daemon) Reload(ctx context.Context) error {
-	return d.wish(ctx, lifecycle.Reload{Cause: "control socket"})
+	return d.submit(ctx, lifecycle.ReloadRequested{Cause: "control socket"})
 }
 
 // Upgrade is manage.Daemon's.
@@ -77,8 +77,8 @@
 	if program == "" {
 		program = d.opts.Program
 	}
-	if err := runs(program); err != nil {
+	if err := checkExecutable(program); err != nil {
 		return err
 	}
-	return d.wish(ctx, lifecycle.Upgrade{Cause: programCause + program})
+	return d.submit(ctx, lifecycle.UpgradeRequested{Cause: upgradeCausePrefix + program})
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -37,136 +37,136 @@
 type Listening struct{}
 
 // Serves: every required service has been able to serve.
-type Serves struct{}
+type ServicesReady struct{}
 
 // Reload: somebody asks for the configuration to be read again.
-type Reload struct{ Cause string }
+type ReloadRequested struct{ Cause string }
 
 // Reloaded: a reload that was begun has ended; Err is nil where it is in force.
-type Reloaded struct{ Err error }
+type ReloadFinished struct{ Err error }
 
 // Upgrade: somebody asks for a new process to take this one's place.
-type Upgrade struct{ Cause string }
+type UpgradeRequested struct{ Cause string }
 
 // Prepared: the successor could serve, and waits for what was spent and learned.
-type Prepared struct{}
+type SuccessorPrepared struct{}
 
 // Took: the successor takes clients.
-type Took struct{}
+type SuccessorTookOver struct{}
 
 // Settled: the successor has taken clients for as long as its probation lasts.
-type Settled struct{}
+type SuccessorConfirmed struct{}
 
 // Lost: the successor has ended or took too long.
-type Lost struct{ Err error }
+type SuccessorLost struct{ Err error }
 
 // Alone: the process whose place this one took has ended.
-type Alone struct{}
+type PredecessorEnded struct{}
 
 // Stop: somebody asks for the end.
-type Stop struct{ Cause string }
+type StopRequested struct{ Cause string }
 
 // Done: all has been let go, or, with Err, the daemon failed.
-type Done struct{ Err error }
-
-func (Listening) isEvent() {}
-func (Serves) isEvent()    {}
-func (Reload) isEvent()    {}
-func (Reloaded) isEvent()  {}
-func (Upgrade) isEvent()   {}
-func (Prepared) isEvent()  {}
-func (Took) isEvent()      {}
-func (Settled) isEvent()   {}
-func (Lost) isEvent()      {}
-func (Alone) isEvent()     {}
-func (Stop) isEvent()      {}
-func (Done) isEvent()      {}
+type Finished struct{ Err error }
+
+func (Listening) isEvent()          {}
+func (ServicesReady) isEvent()      {}
+func (ReloadRequested) isEvent()    {}
+func (ReloadFinished) isEvent()     {}
+func (UpgradeRequested) isEvent()   {}
+func (SuccessorPrepared) isEvent()  {}
+func (SuccessorTookOver) isEvent()  {}
+func (SuccessorConfirmed) isEvent() {}
+func (SuccessorLost) isEvent()      {}
+func (PredecessorEnded) isEvent()   {}
+func (StopRequested) isEvent()      {}
+func (Finished) isEvent()           {}
 
 // Action is something to be done.
 type Action interface{ isAction() }
 
-// Log tells of a transition and its cause, or, where both states are the same, of something
+// LogTransition tells of a transition and its cause, or, where both states are the same, of something
 // that was asked for in vain.
-type Log struct {
+type LogTransition struct {
 	From, To State
 	Cause    string
 }
 
-// Load begins a reload. Its end is owed as a Reloaded; none begins before.
-type Load struct{}
+// StartReload begins a reload. Its end is owed as a Reloaded; none begins before.
+type StartReload struct{}
 
-// Spawn starts a successor. Its fate is owed: Prepared, Took and Settled in this order, or Lost
+// SpawnSuccessor starts a successor. Its fate is owed: Prepared, Took and Settled in this order, or Lost
 // instead of one of them.
-type Spawn struct{}
+type SpawnSuccessor struct{}
 
-// Give gives the successor its part of what is left to spend.
-type Give struct{}
+// SendCheckpoint gives the successor its part of what is left to spend.
+type SendCheckpoint struct{}
 
-// Yield leaves new connections to the successor, which takes them too.
-type Yield struct{}
+// YieldToSuccessor leaves new connections to the successor, which takes them too.
+type YieldToSuccessor struct{}
 
-// Resume goes on without the successor: takes back what it was given and, where it has Yielded,
+// ResumeAlone goes on without the successor: takes back what it was given and, where it has Yielded,
 // new connections.
-type Resume struct{}
+type ResumeAlone struct{}
 
-// Abandon ends the successor; nothing of it is owed any more.
-type Abandon struct{}
+// KillSuccessor ends the successor; nothing of it is owed any more.
+type KillSuccessor struct{}
 
-// Forward has the successor reload: whoever asked this process means the one that goes on.
-type Forward struct{}
+// ForwardReload has the successor reload: whoever asked this process means the one that goes on.
+type ForwardReload struct{}
 
-// Drain begins the drain. Its end is owed as a Done.
-type Drain struct{}
+// StartDrain begins the drain. Its end is owed as a Done.
+type StartDrain struct{}
 
-// Tell tells who supervises the daemon.
-type Tell struct{ What Told }
+// NotifySupervisor tells who supervises the daemon.
+type NotifySupervisor struct{ Notification Notification }
 
-// Told is what a supervisor can be told.
-type Told int
+// Notification is what a supervisor can be told.
+type Notification int
 
 // What can be told.
 const (
-	TellReady     Told = iota // it serves, also again after TellReloading
-	TellReloading             // a reload has begun
-	TellStopping
+	NotifyReady     Notification = iota // it serves, also again after TellReloading
+	NotifyReloading                     // a reload has begun
+	NotifyStopping
 )
 
-func (Log) isAction()     {}
-func (Load) isAction()    {}
-func (Spawn) isAction()   {}
-func (Give) isAction()    {}
-func (Yield) isAction()   {}
-func (Resume) isAction()  {}
-func (Abandon) isAction() {}
-func (Forward) isAction() {}
-func (Drain) isAction()   {}
-func (Tell) isAction()    {}
+func (LogTransition) isAction()    {}
+func (StartReload) isAction()      {}
+func (SpawnSuccessor) isAction()   {}
+func (SendCheckpoint) isAction()   {}
+func (YieldToSuccessor) isAction() {}
+func (ResumeAlone) isAction()      {}
+func (KillSuccessor) isAction()    {}
+func (ForwardReload) isAction()    {}
+func (StartDrain) isAction()       {}
+func (NotifySupervisor) isAction() {}
 
 // Machine is the life of one daemon, from Starting on. It is not safe for concurrent use; its
 // zero value is ready.
 type Machine struct {
-	state   State
-	serves  bool   // every required service has been able to serve
-	again   string // cause of a reload that waits for its turn; "" is none
-	upgrade string // the same of an upgrade
-	beside  bool   // the process whose place this one took goes on yet
-	phase   phase  // of a successor
-	out     []Action
+	state            State
+	areServicesReady bool           // every required service has been able to serve
+	pendingReload    string         // cause of a reload that waits for its turn; "" is none
+	pendingUpgrade   string         // the same of an upgrade
+	hasPredecessor   bool           // the process whose place this one took goes on yet
+	successor        successorPhase // of a successor
+	actions          []Action
 }
 
-// phase is how far a successor has come.
-type phase int
+// successorPhase is how far a successor has come.
+type successorPhase int
 
 const (
-	none phase = iota
-	spawned
-	given
-	took
+	noSuccessor successorPhase = iota
+	successorSpawned
+	successorHasCheckpoint
+	successorServing
 )
 
-// Succeed makes the life of a process that takes another's place: it is upgraded itself only once
+// NewSuccessor makes the life of a process that takes another's place: it is upgraded itself only once
 // it is Alone. Guards against what is left to spend divided among three.
-func Succeed() Machine { return Machine{beside: true} }
+func NewSuccessor() Machine { return Machine{hasPredecessor: true} }
 
 // State is where the daemon is.
 func (m *Machine) State() State { return m.state }
@@ -174,156 +174,156 @@
 // Handle takes an event and returns what is to be done, in order. The slice holds until the
 // next call.
 func (m *Machine) Handle(e Event) []Action {
-	m.out = m.out[:0]
+	m.actions = m.actions[:0]
 	if m.state == Ended {
 		return nil
 	}
 	switch e := e.(type) {
 	case Listening:
 		if m.state == Starting {
-			m.rest("listening")
+			m.enterSteadyState("listening")
 		}
-	case Serves:
-		if m.serves = true; m.state == Warming {
-			m.rest("every required service can serve")
+	case ServicesReady:
+		if m.areServicesReady = true; m.state == Warming {
+			m.enterSteadyState("every required service can serve")
 		}
-	case Reload:
-		m.reload(e.Cause)
-	case Reloaded:
-		m.reloaded(e.Err)
-	case Upgrade:
-		m.askUpgrade(e.Cause)
-	case Prepared:
-		if m.phase == spawned {
-			m.phase = given
-			m.do(Give{})
+	case ReloadRequested:
+		m.requestReload(e.Cause)
+	case ReloadFinished:
+		m.finishReload(e.Err)
+	case UpgradeRequested:
+		m.requestUpgrade(e.Cause)
+	case SuccessorPrepared:
+		if m.successor == successorSpawned {
+			m.successor = successorHasCheckpoint
+			m.emit(SendCheckpoint{})
 		}
-	case Took:
-		if m.phase != given {
+	case SuccessorTookOver:
+		if m.successor != successorHasCheckpoint {
 			break
 		}
-		m.phase = took
-		m.do(Yield{})
-		if m.again != "" { // the successor may have read the file before
-			m.again = ""
-			m.do(Forward{})
+		m.successor = successorServing
+		m.emit(YieldToSuccessor{})
+		if m.pendingReload != "" { // the successor may have read the file before
+			m.pendingReload = ""
+			m.emit(ForwardReload{})
 		}
-	case Settled:
-		if m.phase == took {
-			m.phase = none
-			m.say(Draining, "the successor has proved itself")
-			m.do(Drain{})
+	case SuccessorConfirmed:
+		if m.successor == successorServing {
+			m.successor = noSuccessor
+			m.transition(Draining, "the successor has proved itself")
+			m.emit(StartDrain{})
 		}
-	case Lost:
-		m.lost(e.Err)
-	case Alone:
-		if m.beside = false; m.state == Ready {
-			m.turn()
+	case SuccessorLost:
+		m.successorLost(e.Err)
+	case PredecessorEnded:
+		if m.hasPredecessor = false; m.state == Ready {
+			m.startPending()
 		}
-	case Stop:
-		m.stop(e.Cause)
-	case Done:
+	case StopRequested:
+		m.requestStop(e.Cause)
+	case Finished:
 		cause := "all has been let go"
 		if e.Err != nil {
 			cause = fmt.Sprintf("failed: %v", e.Err)
 		}
-		m.say(Ended, cause)
+		m.transition(Ended, cause)
 	}
-	return m.out
+	return m.actions
 }
 
-// rest goes to where the daemon is while it does nothing in particular, and on to a reload
+// enterSteadyState goes to where the daemon is while it does nothing in particular, and on to a reload
 // that waits.
-func (m *Machine) rest(cause string) {
+func (m *Machine) enterSteadyState(cause string) {
 	to := Warming
-	if m.serves {
+	if m.areServicesReady {
 		to = Ready
 	}
 	was := m.state
-	m.say(to, cause)
+	m.transition(to, cause)
 	if to == Ready && was != Ready && was != HandingOver {
-		m.do(Tell{TellReady})
+		m.emit(NotifySupervisor{NotifyReady})
 	}
-	m.turn()
+	m.startPending()
 }
 
-// turn goes on to a reload or an upgrade that waits.
-func (m *Machine) turn() {
-	if cause := m.again; cause != "" {
-		m.again = ""
-		m.reload(cause)
-	} else if cause := m.upgrade; cause != "" && m.state == Ready && !m.beside {
-		m.upgrade = ""
-		m.askUpgrade(cause)
+// startPending goes on to a reload or an upgrade that waits.
+func (m *Machine) startPending() {
+	if cause := m.pendingReload; cause != "" {
+		m.pendingReload = ""
+		m.requestReload(cause)
+	} else if cause := m.pendingUpgrade; cause != "" && m.state == Ready && !m.hasPredecessor {
+		m.pendingUpgrade = ""
+		m.requestUpgrade(cause)
 	}
 }
 
-func (m *Machine) askUpgrade(cause string) {
+func (m *Machine) requestUpgrade(cause string) {
 	switch {
-	case m.state == Ready && !m.beside:
-		m.say(HandingOver, cause)
-		m.phase = spawned
-		m.do(Spawn{})
+	case m.state == Ready && !m.hasPredecessor:
+		m.transition(HandingOver, cause)
+		m.successor = successorSpawned
+		m.emit(SpawnSuccessor{})
 	case m.state == Draining:
-		m.say(Draining, "no upgrade while draining: "+cause)
+		m.transition(Draining, "no upgrade while draining: "+cause)
 	case m.state == HandingOver:
-		m.say(HandingOver, "one upgrade at a time: "+cause)
+		m.transition(HandingOver, "one upgrade at a time: "+cause)
 	default: // it comes once the daemon is ready and alone
-		m.upgrade = cause
+		m.pendingUpgrade = cause
 	}
 }
 
-func (m *Machine) lost(err error) {
-	if m.phase == none {
+func (m *Machine) successorLost(err error) {
+	if m.successor == noSuccessor {
 		return
 	}
-	m.phase = none
-	m.do(Resume{})
-	m.rest(fmt.Sprintf("goes on: the successor failed: %v", err))
+	m.successor = noSuccessor
+	m.emit(ResumeAlone{})
+	m.enterSteadyState(fmt.Sprintf("goes on: the successor failed: %v", err))
 }
 
-func (m *Machine) stop(cause string) {
+func (m *Machine) requestStop(cause string) {
 	if m.state == Draining {
-		m.say(Draining, "asked to stop again: "+cause)
+		m.transition(Draining, "asked to stop again: "+cause)
 		return
 	}
 	// A successor that takes clients is the daemon by now: it is asked for itself.
-	abandon, goesOn := m.phase == spawned || m.phase == given, m.phase == took
-	m.phase, m.again, m.upgrade = none, "", ""
-	m.say(Draining, cause)
+	abandon, goesOn := m.successor == successorSpawned || m.successor == successorHasCheckpoint, m.successor == successorServing
+	m.successor, m.pendingReload, m.pendingUpgrade = noSuccessor, "", ""
+	m.transition(Draining, cause)
 	if abandon {
-		m.do(Abandon{})
+		m.emit(KillSuccessor{})
 	}
 	if !goesOn {
-		m.do(Tell{TellStopping})
+		m.emit(NotifySupervisor{NotifyStopping})
 	}
-	m.do(Drain{})
+	m.emit(StartDrain{})
 }
 
-func (m *Machine) reload(cause string) {
+func (m *Machine) requestReload(cause string) {
 	switch m.state {
 	case HandingOver:
-		if m.phase == took {
-			m.do(Forward{})
+		if m.successor == successorServing {
+			m.emit(ForwardReload{})
 			return
 		}
-		m.again = cause
+		m.pendingReload = cause
 	case Starting, Reloading:
 		// However many come, one more reload sees what all of them asked for.
-		m.again = cause
+		m.pendingReload = cause
 	case Draining:
-		m.say(Draining, "no reload while draining: "+cause)
+		m.transition(Draining, "no reload while draining: "+cause)
 	default:
 		ready := m.state == Ready
-		m.say(Reloading, cause)
+		m.transition(Reloading, cause)
 		if ready {
-			m.do(Tell{TellReloading})
+			m.emit(NotifySupervisor{NotifyReloading})
 		}
-		m.do(Load{})
+		m.emit(StartReload{})
 	}
 }
 
-func (m *Machine) reloaded(err error) {
+func (m *Machine) finishReload(err error) {
 	if m.state != Reloading {
 		return
 	}
@@ -331,12 +331,12 @@
 	if err != nil {
 		cause = fmt.Sprintf("the old configuration stays: %v", err)
 	}
-	m.rest(cause)
+	m.enterSteadyState(cause)
 }
 
-func (m *Machine) say(to State, cause string) {
-	m.do(Log{m.state, to, cause})
+func (m *Machine) transition(to State, cause string) {
+	m.emit(LogTransition{m.state, to, cause})
 	m.state = to
 }
 
-func (m *Machine) do(a ...Action) { m.out = append(m.out, a...) }
+func (m *Machine) emit(a ...Action) { m.actions = append(m.actions, a...) }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -15,16 +15,28 @@
 	var w []string
 	for _, a := range actions {
 		switch a := a.(type) {
-		case Log:
+		case LogTransition:
 			w = append(w, fmt.Sprintf("%v>%v", a.From, a.To))
-		case Load:
+		case StartReload:
 			w = append(w, "load")
-		case Drain:
+		case StartDrain:
 			w = append(w, "drain")
-		case Tell:
-			w = append(w, []string{"READY", "RELOADING", "STOPPING"}[a.What])
+		case NotifySupervisor:
+			w = append(w, []string{"READY", "RELOADING", "STOPPING"}[a.Notification])
+		case SpawnSuccessor:
+			w = append(w, "spawn")
+		case SendCheckpoint:
+			w = append(w, "give")
+		case YieldToSuccessor:
+			w = append(w, "yield")
+		case ResumeAlone:
+			w = append(w, "resume")
+		case KillSuccessor:
+			w = append(w, "abandon")
+		case ForwardReload:
+			w = append(w, "forward")
 		default:
-			w = append(w, strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", a), "lifecycle.")))
+			w = append(w, fmt.Sprintf("unknown %T", a))
 		}
 	}
 	return strings.Join(w, " ")
@@ -36,82 +48,82 @@
 		e    Event
 		want string
 	}
-	up := []step{{Listening{}, "starting>warming"}, {Serves{}, "warming>ready READY"}}
+	up := []step{{Listening{}, "starting>warming"}, {ServicesReady{}, "warming>ready READY"}}
 	for name, steps := range map[string][]step{
 		"an ordinary life": {
-			{Reload{"SIGHUP"}, "ready>reloading RELOADING load"},
-			{Reloaded{}, "reloading>ready READY"},
-			{Stop{"SIGTERM"}, "ready>draining STOPPING drain"},
-			{Done{}, "draining>ended"},
-			{Stop{"SIGTERM"}, ""},
-			{Reload{"SIGHUP"}, ""},
+			{ReloadRequested{"SIGHUP"}, "ready>reloading RELOADING load"},
+			{ReloadFinished{}, "reloading>ready READY"},
+			{StopRequested{"SIGTERM"}, "ready>draining STOPPING drain"},
+			{Finished{}, "draining>ended"},
+			{StopRequested{"SIGTERM"}, ""},
+			{ReloadRequested{"SIGHUP"}, ""},
 		},
-		"a bad file":   {{Reload{"SIGHUP"}, "ready>reloading RELOADING load"}, {Reloaded{bad}, "reloading>ready READY"}},
-		"many reloads": {{Reload{"1"}, "ready>reloading RELOADING load"}, {Reload{"2"}, ""}, {Reload{"3"}, ""}, {Reloaded{}, "reloading>ready READY ready>reloading RELOADING load"}, {Reloaded{}, "reloading>ready READY"}},
+		"a bad file":   {{ReloadRequested{"SIGHUP"}, "ready>reloading RELOADING load"}, {ReloadFinished{bad}, "reloading>ready READY"}},
+		"many reloads": {{ReloadRequested{"1"}, "ready>reloading RELOADING load"}, {ReloadRequested{"2"}, ""}, {ReloadRequested{"3"}, ""}, {ReloadFinished{}, "reloading>ready READY ready>reloading RELOADING load"}, {ReloadFinished{}, "reloading>ready READY"}},
 		"stop in a reload": {
-			{Reload{"1"}, "ready>reloading RELOADING load"},
-			{Stop{"SIGTERM"}, "reloading>draining STOPPING drain"},
-			{Reloaded{}, ""},
-			{Reload{"2"}, "draining>draining"},
-			{Stop{"again"}, "draining>draining"},
-			{Done{}, "draining>ended"},
+			{ReloadRequested{"1"}, "ready>reloading RELOADING load"},
+			{StopRequested{"SIGTERM"}, "reloading>draining STOPPING drain"},
+			{ReloadFinished{}, ""},
+			{ReloadRequested{"2"}, "draining>draining"},
+			{StopRequested{"again"}, "draining>draining"},
+			{Finished{}, "draining>ended"},
 		},
-		"a failure": {{Done{bad}, "ready>ended"}},
+		"a failure": {{Finished{bad}, "ready>ended"}},
 		"an upgrade": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Prepared{}, "give"},
-			{Took{}, "yield"},
-			{Settled{}, "handing over>draining drain"},
-			{Lost{bad}, ""},
-			{Done{}, "draining>ended"},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{SuccessorPrepared{}, "give"},
+			{SuccessorTookOver{}, "yield"},
+			{SuccessorConfirmed{}, "handing over>draining drain"},
+			{SuccessorLost{bad}, ""},
+			{Finished{}, "draining>ended"},
 		},
 		"a successor that can't": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Lost{bad}, "resume handing over>ready"},
-			{Prepared{}, ""},
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Prepared{}, "give"},
-			{Lost{bad}, "resume handing over>ready"},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{SuccessorLost{bad}, "resume handing over>ready"},
+			{SuccessorPrepared{}, ""},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{SuccessorPrepared{}, "give"},
+			{SuccessorLost{bad}, "resume handing over>ready"},
 		},
 		"ready, then it panics": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Prepared{}, "give"},
-			{Took{}, "yield"},
-			{Lost{bad}, "resume handing over>ready"},
-			{Reload{"x"}, "ready>reloading RELOADING load"},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{SuccessorPrepared{}, "give"},
+			{SuccessorTookOver{}, "yield"},
+			{SuccessorLost{bad}, "resume handing over>ready"},
+			{ReloadRequested{"x"}, "ready>reloading RELOADING load"},
 		},
 		"stop before it took over": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Prepared{}, "give"},
-			{Stop{"SIGTERM"}, "handing over>draining abandon STOPPING drain"},
-			{Took{}, ""},
-			{Settled{}, ""},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{SuccessorPrepared{}, "give"},
+			{StopRequested{"SIGTERM"}, "handing over>draining abandon STOPPING drain"},
+			{SuccessorTookOver{}, ""},
+			{SuccessorConfirmed{}, ""},
 		},
 		"stop after it took over": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Prepared{}, "give"},
-			{Took{}, "yield"},
-			{Stop{"SIGTERM"}, "handing over>draining drain"},
-			{Settled{}, ""},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{SuccessorPrepared{}, "give"},
+			{SuccessorTookOver{}, "yield"},
+			{StopRequested{"SIGTERM"}, "handing over>draining drain"},
+			{SuccessorConfirmed{}, ""},
 		},
 		"reload while it starts": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Reload{"x"}, ""},
-			{Prepared{}, "give"},
-			{Took{}, "yield forward"},
-			{Reload{"x"}, "forward"},
-			{Settled{}, "handing over>draining drain"},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{ReloadRequested{"x"}, ""},
+			{SuccessorPrepared{}, "give"},
+			{SuccessorTookOver{}, "yield forward"},
+			{ReloadRequested{"x"}, "forward"},
+			{SuccessorConfirmed{}, "handing over>draining drain"},
 		},
 		"reload, and it fails": {
-			{Upgrade{"x"}, "ready>handing over spawn"},
-			{Reload{"x"}, ""},
-			{Lost{bad}, "resume handing over>ready ready>reloading RELOADING load"},
+			{UpgradeRequested{"x"}, "ready>handing over spawn"},
+			{ReloadRequested{"x"}, ""},
+			{SuccessorLost{bad}, "resume handing over>ready ready>reloading RELOADING load"},
 		},
 		"upgrade in a reload": {
-			{Reload{"x"}, "ready>reloading RELOADING load"},
-			{Upgrade{"x"}, ""},
-			{Reloaded{}, "reloading>ready READY ready>handing over spawn"},
-			{Upgrade{"y"}, "handing over>handing over"},
+			{ReloadRequested{"x"}, "ready>reloading RELOADING load"},
+			{UpgradeRequested{"x"}, ""},
+			{ReloadFinished{}, "reloading>ready READY ready>handing over spawn"},
+			{UpgradeRequested{"y"}, "handing over>handing over"},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -124,30 +136,30 @@
 		})
 	}
 	var m Machine
-	for i, s := range []step{{Reload{"early"}, ""}, {Serves{}, ""}, {Listening{}, "starting>ready READY ready>reloading RELOADING load"}, {Reloaded{}, "reloading>ready READY"}} {
+	for i, s := range []step{{ReloadRequested{"early"}, ""}, {ServicesReady{}, ""}, {Listening{}, "starting>ready READY ready>reloading RELOADING load"}, {ReloadFinished{}, "reloading>ready READY"}} {
 		if got := words(m.Handle(s.e)); got != s.want {
 			t.Errorf("early step %d: %q, not %q", i+1, got, s.want)
 		}
 	}
 	m = Machine{}
-	for i, s := range []step{{Listening{}, "starting>warming"}, {Reload{"1"}, "warming>reloading load"}, {Serves{}, ""}, {Reloaded{}, "reloading>ready READY"}} {
+	for i, s := range []step{{Listening{}, "starting>warming"}, {ReloadRequested{"1"}, "warming>reloading load"}, {ServicesReady{}, ""}, {ReloadFinished{}, "reloading>ready READY"}} {
 		if got := words(m.Handle(s.e)); got != s.want {
 			t.Errorf("warming step %d: %q, not %q", i+1, got, s.want)
 		}
 	}
 	m = Machine{}
-	if got := words(m.Handle(Stop{"SIGTERM"})); got != "starting>draining STOPPING drain" {
+	if got := words(m.Handle(StopRequested{"SIGTERM"})); got != "starting>draining STOPPING drain" {
 		t.Errorf("stopped while starting: %q", got)
 	}
 }
 
 // An upgrade of an upgrade waits until the first process has ended.
 func TestUpgradeOfAnUpgrade(t *testing.T) {
-	m := Succeed()
+	m := NewSuccessor()
 	for i, s := range []struct {
 		e    Event
 		want string
-	}{{Listening{}, "starting>warming"}, {Serves{}, "warming>ready READY"}, {Upgrade{"x"}, ""}, {Alone{}, "ready>handing over spawn"}} {
+	}{{Listening{}, "starting>warming"}, {ServicesReady{}, "warming>ready READY"}, {UpgradeRequested{"x"}, ""}, {PredecessorEnded{}, "ready>handing over spawn"}} {
 		if got := words(m.Handle(s.e)); got != s.want {
 			t.Errorf("step %d: %q, not %q", i+1, got, s.want)
 		}
@@ -169,9 +181,9 @@
 // the drain; what was given away comes back or its owner goes on; a reload is followed by its
 // end; one drain; nothing after the end.
 func TestEveryState(t *testing.T) {
-	first := []world{{}, {m: Succeed()}}
+	first := []world{{}, {m: NewSuccessor()}}
 	seen := make(map[string]bool)
-	key := func(w world) string { w.m.out = nil; return fmt.Sprintf("%+v", w) }
+	key := func(w world) string { w.m.actions = nil; return fmt.Sprintf("%+v", w) }
 	todo := slices.Clone(first)
 	for len(todo) > 0 {
 		w := todo[0]
@@ -180,23 +192,23 @@
 			continue
 		}
 		seen[key(w)] = true
-		events := []Event{Listening{}, Serves{}, Reload{"x"}, Upgrade{"x"}, Stop{"x"}, Alone{}}
+		events := []Event{Listening{}, ServicesReady{}, ReloadRequested{"x"}, UpgradeRequested{"x"}, StopRequested{"x"}, PredecessorEnded{}}
 		if w.loading {
-			events = append(events, Reloaded{}, Reloaded{errors.New("bad")})
+			events = append(events, ReloadFinished{}, ReloadFinished{errors.New("bad")})
 		}
 		switch w.spawned {
 		case 1:
-			events = append(events, Prepared{})
+			events = append(events, SuccessorPrepared{})
 		case 3:
-			events = append(events, Took{})
+			events = append(events, SuccessorTookOver{})
 		case 4:
-			events = append(events, Settled{})
+			events = append(events, SuccessorConfirmed{})
 		}
 		if w.spawned > 0 {
-			events = append(events, Lost{errors.New("gone")})
+			events = append(events, SuccessorLost{errors.New("gone")})
 		}
 		if w.drained {
-			events = append(events, Done{})
+			events = append(events, Finished{})
 		}
 		for _, e := range events {
 			if n, ok := w.after(t, e); ok {
@@ -217,61 +229,61 @@
 		t.Fatalf("%T in %+v: %s", e, was, fmt.Sprintf(format, args...))
 	}
 	switch e.(type) {
-	case Reloaded:
+	case ReloadFinished:
 		w.loading = false
-	case Prepared, Took:
+	case SuccessorPrepared, SuccessorTookOver:
 		w.spawned++
-	case Settled:
+	case SuccessorConfirmed:
 		w.spawned = 5
-	case Lost:
+	case SuccessorLost:
 		w.spawned = 0
 	}
-	w.m.out = nil
+	w.m.actions = nil
 	ended := w.m.State() == Ended
 	for _, a := range w.m.Handle(e) {
 		switch a := a.(type) {
-		case Load:
+		case StartReload:
 			if w.loading || w.drained || w.spawned > 0 {
 				fail("a reload")
 			}
 			w.loading = true
-		case Spawn:
-			if w.spawned > 0 || w.drained || w.loading || was.m.beside && w.m.beside {
+		case SpawnSuccessor:
+			if w.spawned > 0 || w.drained || w.loading || was.m.hasPredecessor && w.m.hasPredecessor {
 				fail("a successor")
 			}
 			w.spawned = 1
-		case Give:
+		case SendCheckpoint:
 			if w.given || w.spawned != 2 {
 				fail("gave twice")
 			}
 			w.given, w.spawned = true, 3
-		case Yield:
+		case YieldToSuccessor:
 			if w.spawned != 4 {
 				fail("yielded to nobody")
 			}
 			w.paused = true
-		case Resume:
+		case ResumeAlone:
 			if w.spawned != 0 {
 				fail("resumed beside a successor")
 			}
 			w.paused, w.given = false, false
-		case Abandon:
+		case KillSuccessor:
 			w.spawned, w.given = 0, false
-		case Forward:
+		case ForwardReload:
 			if w.spawned != 4 {
 				fail("nobody to reload")
 			}
-		case Drain:
+		case StartDrain:
 			if w.drained {
 				fail("drained twice")
 			}
 			w.drained = true
-		case Tell:
-			w.told = []string{"READY", "RELOADING", "STOPPING"}[a.What]
+		case NotifySupervisor:
+			w.told = []string{"READY", "RELOADING", "STOPPING"}[a.Notification]
 			if was.told == "STOPPING" {
 				fail("told %s", w.told)
 			}
-		case Log:
+		case LogTransition:
 			if ended {
 				fail("said something after the end")
 			}
@@ -304,23 +316,23 @@
 			}
 			for _, a := range actions {
 				switch a := a.(type) {
-				case Load:
+				case StartReload:
 					if loading || drained {
 						t.Fatalf("a reload while loading %v, drained %v", loading, drained)
 					}
 					loading, owed = true, false
-				case Drain:
+				case StartDrain:
 					if drained {
 						t.Fatalf("drained twice")
 					}
 					drained = true
-				case Tell:
+				case NotifySupervisor:
 					now := words([]Action{a})
 					if told == "STOPPING" || told == "RELOADING" && now == "RELOADING" || told == "" && now == "RELOADING" {
 						t.Fatalf("%s after %q", now, told)
 					}
 					told = now
-				case Log:
+				case LogTransition:
 					ended = ended || a.To == Ended
 				}
 			}
@@ -330,22 +342,22 @@
 			case 0:
 				handle(Listening{})
 			case 1, 2:
-				handle(Serves{})
+				handle(ServicesReady{})
 			case 3, 4, 5:
 				owed = owed || !drained && !ended
-				handle(Reload{"x"})
+				handle(ReloadRequested{"x"})
 			case 6, 7, 8, 9:
 				if loading {
 					loading = false
-					handle(Reloaded{})
+					handle(ReloadFinished{})
 				}
 			case 10:
 				if rapid.IntRange(0, 4).Draw(t, "stops") == 0 {
-					handle(Stop{"x"})
+					handle(StopRequested{"x"})
 				}
 			case 11:
 				if drained && rapid.IntRange(0, 2).Draw(t, "ends") == 0 {
-					handle(Done{})
+					handle(Finished{})
 				}
 			}
 		}
@@ -353,7 +365,7 @@
 		for range 3 {
 			if loading {
 				loading = false
-				handle(Reloaded{})
+				handle(ReloadFinished{})
 			}
 		}
 		if !drained && !ended && (owed || m.State() == Reloading || told == "RELOADING") {
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -26,24 +26,24 @@
 	return nil
 }
 
-// Ready tells that the daemon serves, also again after Reloading.
-func Ready(status string) error { return Notify(daemon.SdNotifyReady, "STATUS="+status) }
+// NotifyReady tells that the daemon serves, also again after Reloading.
+func NotifyReady(status string) error { return Notify(daemon.SdNotifyReady, "STATUS="+status) }
 
-// Reloading tells that a reload has begun, and when by the monotonic clock.
-func Reloading() error {
+// NotifyReloading tells that a reload has begun, and when by the monotonic clock.
+func NotifyReloading() error {
 	return Notify(daemon.SdNotifyReloading, daemon.SdNotifyMonotonicUsec())
 }
 
-// MainPID tells which process is the daemon from now on. Only the one that is it may say so.
-func MainPID(pid int) error { return Notify(fmt.Sprint("MAINPID=", pid)) }
+// NotifyMainPID tells which process is the daemon from now on. Only the one that is it may say so.
+func NotifyMainPID(pid int) error { return Notify(fmt.Sprint("MAINPID=", pid)) }
 
-// Stopping tells that the daemon is on its way to its end.
-func Stopping() error { return Notify(daemon.SdNotifyStopping) }
+// NotifyStopping tells that the daemon is on its way to its end.
+func NotifyStopping() error { return Notify(daemon.SdNotifyStopping) }
 
-// Watchdog tells the supervisor that the daemon lives, twice in the time after which it would
+// RunWatchdog tells the supervisor that the daemon lives, twice in the time after which it would
 // be taken for dead (WATCHDOG_USEC), as long as alive says so, until ctx ends. Without a
 // watchdog it returns at once.
-func Watchdog(ctx context.Context, alive func(context.Context) bool) error {
+func RunWatchdog(ctx context.Context, alive func(context.Context) bool) error {
 	within, err := daemon.SdWatchdogEnabled(false)
 	if err != nil {
 		return fmt.Errorf("reading the watchdog's time: %w", err)
@@ -70,9 +70,9 @@
 	}
 }
 
-// Inherited gives the listeners that the supervisor passed on (LISTEN_FDS, LISTEN_FDNAMES), by
+// InheritedListeners gives the listeners that the supervisor passed on (LISTEN_FDS, LISTEN_FDNAMES), by
 // name. Two of one name are an error.
-func Inherited() (map[string]net.Listener, error) {
+func InheritedListeners() (map[string]net.Listener, error) {
 	byName, err := activation.ListenersWithNames()
 	if err != nil {
 		return nil, fmt.Errorf("taking over listeners: %w", err)
@@ -95,9 +95,9 @@
 	path string
 }
 
-// WritePID makes a file with this process's id. Where another process holds the file it says
+// CreatePIDFile makes a file with this process's id. Where another process holds the file it says
 // which.
-func WritePID(path string) (*PIDFile, error) {
+func CreatePIDFile(path string) (*PIDFile, error) {
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("writing the process id: %w", err)
@@ -112,18 +112,18 @@
 		return nil, fmt.Errorf("locking %s: %w", path, err)
 	}
 	p := &PIDFile{file: f, path: path}
-	if err := p.Claim(); err != nil {
+	if err := p.RecordProcessID(); err != nil {
 		return nil, errors.Join(err, f.Close())
 	}
 	return p, nil
 }
 
-// AdoptPID is the file at path of the process whose place this one takes, with its lock; it
+// AdoptPIDFile is the file at path of the process whose place this one takes, with its lock; it
 // names that one until Claim.
-func AdoptPID(f *os.File, path string) *PIDFile { return &PIDFile{file: f, path: path} }
+func AdoptPIDFile(f *os.File, path string) *PIDFile { return &PIDFile{file: f, path: path} }
 
-// Claim writes this process's id; a nil file has none.
-func (p *PIDFile) Claim() error {
+// RecordProcessID writes this process's id; a nil file has none.
+func (p *PIDFile) RecordProcessID() error {
 	if p == nil {
 		return nil
 	}
@@ -145,8 +145,8 @@
 	return p.file
 }
 
-// Leave lets go of the file, which is another process's now.
-func (p *PIDFile) Leave() error {
+// Release lets go of the file, which is another process's now.
+func (p *PIDFile) Release() error {
 	if p == nil {
 		return nil
 	}
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -13,11 +13,11 @@
 
 func TestNotify(t *testing.T) {
 	t.Setenv("NOTIFY_SOCKET", "")
-	if err := Ready("x"); err != nil {
+	if err := NotifyReady("x"); err != nil {
 		t.Errorf("with no supervisor: %v", err)
 	}
 	told := testkit.Supervisor(t)
-	for _, err := range []error{Ready("3 services"), Reloading(), Stopping()} {
+	for _, err := range []error{NotifyReady("3 services"), NotifyReloading(), NotifyStopping()} {
 		if err != nil {
 			t.Error(err)
 		}
@@ -32,7 +32,7 @@
 		t.Errorf("%q", s)
 	}
 	t.Setenv("NOTIFY_SOCKET", filepath.Join(t.TempDir(), "nobody"))
-	if err := Stopping(); err == nil {
+	if err := NotifyStopping(); err == nil {
 		t.Error("nobody listens, and no error")
 	}
 }
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- Watchdog(ctx, func(context.Context) bool { asked.Add(1); return alive.Load() })
+		ended <- RunWatchdog(ctx, func(context.Context) bool { asked.Add(1); return alive.Load() })
 	}()
 	for range 3 {
 		if s := testkit.Next(t, told); s != "WATCHDOG=1" {
@@ -77,22 +77,22 @@
 	if err := os.Unsetenv("WATCHDOG_USEC"); err != nil {
 		t.Fatal(err)
 	}
-	if err := Watchdog(context.Background(), func(context.Context) bool { t.Error("asked"); return true }); err != nil {
+	if err := RunWatchdog(context.Background(), func(context.Context) bool { t.Error("asked"); return true }); err != nil {
 		t.Error(err)
 	}
 	t.Setenv("WATCHDOG_USEC", "soon")
-	if err := Watchdog(context.Background(), nil); err == nil {
+	if err := RunWatchdog(context.Background(), nil); err == nil {
 		t.Error("an odd time was taken")
 	}
 }
 
 func TestPIDFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "pid")
-	p, err := WritePID(path)
+	p, err := CreatePIDFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := WritePID(path); err == nil || !strings.Contains(err.Error(), "another daemon runs: process ") {
+	if _, err := CreatePIDFile(path); err == nil || !strings.Contains(err.Error(), "another daemon runs: process ") {
 		t.Errorf("a second one: %v", err)
 	}
 	if err := p.Close(); err != nil {
@@ -105,14 +105,14 @@
 	if err := os.WriteFile(path, []byte("999999999\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if p, err = WritePID(path); err != nil {
+	if p, err = CreatePIDFile(path); err != nil {
 		t.Fatal(err)
 	}
 	defer p.Close()
 	if raw, _ := os.ReadFile(path); strings.Contains(string(raw), "999999999") {
 		t.Errorf("%q", raw)
 	}
-	if _, err := WritePID(filepath.Join(path, "no")); err == nil {
+	if _, err := CreatePIDFile(filepath.Join(path, "no")); err == nil {
 		t.Error("no such folder, and no error")
 	}
 	if err := (*PIDFile)(nil).Close(); err != nil {
@@ -122,7 +122,7 @@
 
 func TestNothingInherited(t *testing.T) {
 	t.Setenv("LISTEN_FDS", "")
-	if all, err := Inherited(); err != nil || len(all) > 0 {
+	if all, err := InheritedListeners(); err != nil || len(all) > 0 {
 		t.Errorf("%v, %v", all, err)
 	}
 }
--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -10,24 +10,24 @@
 // What a successor is handed at its start is read and written under the keys of earlier builds; go test
 // ./internal/upgrade -run Golden -update writes the files anew.
 func TestGoldenInherits(t *testing.T) {
-	testkit.GoldenSample(t, "json", "testdata/golden/inherits.json", &inherits{})
+	testkit.GoldenSample(t, "json", "testdata/golden/inherits.json", &inheritance{})
 }
 
 // The messages between the two processes are the bytes that earlier builds sent.
 func TestGoldenMessages(t *testing.T) {
 	messages := []struct {
-		kind kind
+		kind messageKind
 		body string
-	}{{prepared, ""}, {given, "a state"}, {took, ""}, {rest, "what is left"}}
+	}{{messagePrepared, ""}, {messageCheckpoint, "a state"}, {messageTookOver, ""}, {messageFinalCheckpoint, "what is left"}}
 	var sent bytes.Buffer
 	for _, m := range messages {
-		if err := write(&sent, m.kind, []byte(m.body)); err != nil {
+		if err := writeMessage(&sent, m.kind, []byte(m.body)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	r := bytes.NewReader(testkit.GoldenBytes(t, "testdata/golden/messages", sent.Bytes()))
 	for _, m := range messages {
-		kind, body, err := read(r)
+		kind, body, err := readMessage(r)
 		if err != nil || kind != m.kind || string(body) != m.body {
 			t.Errorf("%q %q: %v, not %q %q", byte(kind), body, err, byte(m.kind), m.body)
 		}
--- a/internal/upgrade/keys_test.go
+++ b/internal/upgrade/keys_test.go
@@ -7,4 +7,4 @@
 )
 
 // What a successor process is handed has a written key for every field.
-func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", inherits{}) }
+func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", inheritance{}) }
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -22,36 +22,36 @@
 	"syscall"
 )
 
-// Variable is the environment variable that tells a new process what it inherits.
-const Variable = "LOCKFLOW_SUCCEEDS"
+// EnvironmentVariable is the environment variable that tells a new process what it inherits.
+const EnvironmentVariable = "LOCKFLOW_SUCCEEDS"
 
-// version is that of the messages. A new process that speaks another one ends at once, and the
+// protocolVersion is that of the messages. A new process that speaks another one ends at once, and the
 // old one goes on.
-const version = 1
+const protocolVersion = 1
 
-// frameMost bounds what one message may hold.
-const frameMost = 40 << 20
+// maxMessageSize bounds what one message may hold.
+const maxMessageSize = 40 << 20
 
-type kind byte
+type messageKind byte
 
 // The messages. Of the new process: prepared, took; of the old one: state, rest.
 const (
-	prepared kind = 'P' // could serve, waits for the state
-	took     kind = 'T' // takes clients
-	given    kind = 'S' // what was spent and learned
-	rest     kind = 'R' // what was left at the end
+	messagePrepared        messageKind = 'P' // could serve, waits for the state
+	messageTookOver        messageKind = 'T' // takes clients
+	messageCheckpoint      messageKind = 'S' // what was spent and learned
+	messageFinalCheckpoint messageKind = 'R' // what was left at the end
 )
 
-// inherits is what Variable tells, as JSON.
-type inherits struct {
+// inheritance is what Variable tells, as JSON.
+type inheritance struct {
 	Version int            `json:"version"`
 	Conn    int            `json:"conn"`
 	Files   map[string]int `json:"files"` // descriptors by name
 }
 
-func write(w io.Writer, k kind, body []byte) error {
-	if len(body) > frameMost {
-		return fmt.Errorf("a message of %d bytes is more than %d", len(body), frameMost)
+func writeMessage(w io.Writer, k messageKind, body []byte) error {
+	if len(body) > maxMessageSize {
+		return fmt.Errorf("a message of %d bytes is more than %d", len(body), maxMessageSize)
 	}
 	head := binary.BigEndian.AppendUint32([]byte{byte(k)}, uint32(len(body)))
 	if _, err := w.Write(append(head, body...)); err != nil {
@@ -60,20 +60,20 @@
 	return nil
 }
 
-func read(r io.Reader) (kind, []byte, error) {
+func readMessage(r io.Reader) (messageKind, []byte, error) {
 	var head [5]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, nil, err
 	}
 	n := binary.BigEndian.Uint32(head[1:])
-	if n > frameMost {
-		return 0, nil, fmt.Errorf("a message of %d bytes is more than %d", n, frameMost)
+	if n > maxMessageSize {
+		return 0, nil, fmt.Errorf("a message of %d bytes is more than %d", n, maxMessageSize)
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return 0, nil, io.ErrUnexpectedEOF
 	}
-	return kind(head[0]), body, nil
+	return messageKind(head[0]), body, nil
 }
 
 // Program is the new process that is to start.
@@ -91,39 +91,39 @@
 // The events. Ended comes last, and always.
 const (
 	Prepared Event = iota
-	Took
+	TookOver
 	Ended
 )
 
 // Successor is the new process. Its methods are safe for concurrent use.
 type Successor struct {
-	cmd    *exec.Cmd
-	conn   net.Conn
-	events chan Event
-	err    error // why it ended; to be read after Ended
-	once   sync.Once
+	cmd      *exec.Cmd
+	conn     net.Conn
+	events   chan Event
+	endCause error // why it ended; to be read after Ended
+	killOnce sync.Once
 }
 
 // Start starts a new process.
 func Start(p Program) (*Successor, error) {
-	ours, theirs, err := pair()
+	ours, theirs, err := socketPair()
 	if err != nil {
 		return nil, fmt.Errorf("starting a successor: %w", err)
 	}
 	defer theirs.Close() //nolint:errcheck // the successor has it
-	in := inherits{Version: version, Conn: 3, Files: make(map[string]int)}
+	in := inheritance{Version: protocolVersion, Conn: 3, Files: make(map[string]int)}
 	cmd := exec.CommandContext(context.Background(), p.Path, p.Args...) // it outlives this process
 	cmd.ExtraFiles = []*os.File{theirs}
 	for name, f := range p.Files {
 		in.Files[name] = 3 + len(cmd.ExtraFiles)
 		cmd.ExtraFiles = append(cmd.ExtraFiles, f)
 	}
-	told, err := json.Marshal(in)
+	encoded, err := json.Marshal(in)
 	if err != nil {
 		ours.Close()
 		return nil, fmt.Errorf("starting a successor: %w", err)
 	}
-	cmd.Env = append(Environment(p.Env), Variable+"="+string(told))
+	cmd.Env = append(Environment(p.Env), EnvironmentVariable+"="+string(encoded))
 	if cmd.Stdout, cmd.Stderr = p.Log, p.Log; p.Log == nil {
 		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 	}
@@ -132,26 +132,26 @@
 		return nil, fmt.Errorf("starting a successor: %w", err)
 	}
 	s := &Successor{cmd: cmd, conn: ours, events: make(chan Event, 3)}
-	go s.follow()
+	go s.watch()
 	return s, nil
 }
 
 // Environment is env without what was meant for this process alone.
 func Environment(env []string) []string {
-	var kept []string
+	var remaining []string
 	for _, v := range env {
 		name, _, _ := strings.Cut(v, "=")
 		switch name {
-		case Variable, "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES", "WATCHDOG_PID":
+		case EnvironmentVariable, "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES", "WATCHDOG_PID":
 		default:
-			kept = append(kept, v)
+			remaining = append(remaining, v)
 		}
 	}
-	return kept
+	return remaining
 }
 
-// pair makes two connected sockets, the second one to be passed on.
-func pair() (ours net.Conn, theirs *os.File, err error) {
+// socketPair makes two connected sockets, the second one to be passed on.
+func socketPair() (ours net.Conn, theirs *os.File, err error) {
 	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, nil, err
@@ -165,16 +165,16 @@
 	return ours, theirs, nil
 }
 
-// follow tells what the successor does until it has ended.
-func (s *Successor) follow() {
+// watch tells what the successor does until it has ended.
+func (s *Successor) watch() {
 	next := Prepared
 	var wrong error
 	for wrong == nil {
-		k, _, err := read(s.conn)
+		k, _, err := readMessage(s.conn)
 		switch {
 		case err != nil:
 			wrong = err
-		case k == prepared && next == Prepared, k == took && next == Took:
+		case k == messagePrepared && next == Prepared, k == messageTookOver && next == TookOver:
 			s.events <- next
 			next++
 		default:
@@ -187,11 +187,11 @@
 	err := s.cmd.Wait()
 	switch {
 	case err != nil:
-		s.err = fmt.Errorf("process %d: %w", s.PID(), err)
+		s.endCause = fmt.Errorf("process %d: %w", s.PID(), err)
 	case !errors.Is(wrong, io.EOF):
-		s.err = fmt.Errorf("process %d: %w", s.PID(), wrong)
+		s.endCause = fmt.Errorf("process %d: %w", s.PID(), wrong)
 	default:
-		s.err = fmt.Errorf("process %d ended", s.PID())
+		s.endCause = fmt.Errorf("process %d ended", s.PID())
 	}
 	s.conn.Close()
 	s.events <- Ended
@@ -205,16 +205,18 @@
 func (s *Successor) Events() <-chan Event { return s.events }
 
 // Err is why it ended; to be called after Ended.
-func (s *Successor) Err() error { return s.err }
+func (s *Successor) Err() error { return s.endCause }
 
-// Give gives it what was spent and learned.
-func (s *Successor) Give(state []byte) error { return s.say(given, state) }
+// SendCheckpoint gives it what was spent and learned.
+func (s *Successor) SendCheckpoint(state []byte) error { return s.send(messageCheckpoint, state) }
 
-// Leave gives it what is left at this process's end. Whatever comes after that is too late.
-func (s *Successor) Leave(state []byte) error { return s.say(rest, state) }
+// SendFinalCheckpoint gives it what is left at this process's end. Whatever comes after that is too late.
+func (s *Successor) SendFinalCheckpoint(state []byte) error {
+	return s.send(messageFinalCheckpoint, state)
+}
 
-func (s *Successor) say(k kind, body []byte) error {
-	if err := write(s.conn, k, body); err != nil {
+func (s *Successor) send(k messageKind, body []byte) error {
+	if err := writeMessage(s.conn, k, body); err != nil {
 		return fmt.Errorf("telling the successor: %w", err)
 	}
 	return nil
@@ -225,7 +227,7 @@
 
 // Kill ends it at once.
 func (s *Successor) Kill() {
-	s.once.Do(func() { s.cmd.Process.Kill() })
+	s.killOnce.Do(func() { s.cmd.Process.Kill() })
 }
 
 // Predecessor is the old process, as the new one knows it.
@@ -237,23 +239,23 @@
 // Join gives the process whose place this one is to take, by its environment; nil where there is
 // none.
 func Join(getenv func(string) string) (*Predecessor, error) {
-	told := getenv(Variable)
-	if told == "" {
+	encoded := getenv(EnvironmentVariable)
+	if encoded == "" {
 		return nil, nil
 	}
-	var in inherits
-	if err := json.Unmarshal([]byte(told), &in); err != nil {
-		return nil, fmt.Errorf("%s: %w", Variable, err)
+	var in inheritance
+	if err := json.Unmarshal([]byte(encoded), &in); err != nil {
+		return nil, fmt.Errorf("%s: %w", EnvironmentVariable, err)
 	}
-	if in.Version != version {
-		return nil, fmt.Errorf("%s: the old process speaks version %d, this one %d", Variable, in.Version, version)
+	if in.Version != protocolVersion {
+		return nil, fmt.Errorf("%s: the old process speaks version %d, this one %d", EnvironmentVariable, in.Version, protocolVersion)
 	}
 	p := &Predecessor{files: make(map[string]*os.File)}
 	f := os.NewFile(uintptr(in.Conn), "predecessor")
 	defer f.Close() //nolint:errcheck // a copy of a socket
 	var err error
 	if p.conn, err = net.FileConn(f); err != nil {
-		return nil, fmt.Errorf("%s: %w", Variable, err)
+		return nil, fmt.Errorf("%s: %w", EnvironmentVariable, err)
 	}
 	for name, fd := range in.Files {
 		syscall.CloseOnExec(fd)
@@ -262,31 +264,31 @@
 	return p, nil
 }
 
-// File is an inherited file, which becomes the caller's; nil where there is none of that name.
-func (p *Predecessor) File(name string) *os.File {
+// TakeFile is an inherited file, which becomes the caller's; nil where there is none of that name.
+func (p *Predecessor) TakeFile(name string) *os.File {
 	f := p.files[name]
 	delete(p.files, name)
 	return f
 }
 
-// CloseRest closes the inherited files that nobody has asked for.
-func (p *Predecessor) CloseRest() {
+// CloseUnclaimed closes the inherited files that nobody has asked for.
+func (p *Predecessor) CloseUnclaimed() {
 	for name, f := range p.files {
 		_ = f.Close() // a socket or a lock that nobody needs
 		delete(p.files, name)
 	}
 }
 
-// Listeners are the inherited files whose names begin with prefix, as listeners, by the rest of
+// TakeListeners are the inherited files whose names begin with prefix, as listeners, by the rest of
 // their names.
-func (p *Predecessor) Listeners(prefix string) (map[string]net.Listener, error) {
+func (p *Predecessor) TakeListeners(prefix string) (map[string]net.Listener, error) {
 	all := make(map[string]net.Listener)
 	for name := range p.files {
 		addr, ok := strings.CutPrefix(name, prefix)
 		if !ok {
 			continue
 		}
-		f := p.File(name)
+		f := p.TakeFile(name)
 		l, err := net.FileListener(f)
 		_ = f.Close() // a copy of a socket
 		if err != nil {
@@ -297,33 +299,33 @@
 	return all, nil
 }
 
-// Prepared says that this process could serve, and waits for what was spent and learned. An error
+// AwaitCheckpoint says that this process could serve, and waits for what was spent and learned. An error
 // is an old process that has ended: there is nobody to wait for any more.
-func (p *Predecessor) Prepared() ([]byte, error) {
-	err := write(p.conn, prepared, nil)
+func (p *Predecessor) AwaitCheckpoint() ([]byte, error) {
+	err := writeMessage(p.conn, messagePrepared, nil)
 	if err == nil {
-		var k kind
+		var k messageKind
 		var body []byte
-		if k, body, err = read(p.conn); err == nil && k == given {
+		if k, body, err = readMessage(p.conn); err == nil && k == messageCheckpoint {
 			return body, nil
 		}
 	}
 	return nil, fmt.Errorf("taking over: the old process gave nothing: %w", err)
 }
 
-// Took says that this process takes clients.
-func (p *Predecessor) Took() error {
-	if err := write(p.conn, took, nil); err != nil {
+// AnnounceTakeOver says that this process takes clients.
+func (p *Predecessor) AnnounceTakeOver() error {
+	if err := writeMessage(p.conn, messageTookOver, nil); err != nil {
 		return fmt.Errorf("taking over: %w", err)
 	}
 	return nil
 }
 
-// Rest waits for the end of the old process and gives what it left; nil where it said nothing.
-func (p *Predecessor) Rest() []byte {
+// AwaitFinalCheckpoint waits for the end of the old process and gives what it left; nil where it said nothing.
+func (p *Predecessor) AwaitFinalCheckpoint() []byte {
 	defer p.conn.Close()
-	k, body, err := read(p.conn)
-	if err != nil || k != rest {
+	k, body, err := readMessage(p.conn)
+	if err != nil || k != messageFinalCheckpoint {
 		return nil
 	}
 	// It ends with its connection: what it says before is no end yet.
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -37,33 +37,33 @@
 		p.conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
 		time.Sleep(time.Minute)
 	case "hurries":
-		if p.Took() != nil {
+		if p.AnnounceTakeOver() != nil {
 			return 8
 		}
 		time.Sleep(time.Minute)
 	}
-	ls, err := p.Listeners("listen:")
+	ls, err := p.TakeListeners("listen:")
 	if err != nil || len(ls) != 1 {
 		return 4
 	}
-	raw, err := p.Prepared()
+	raw, err := p.AwaitCheckpoint()
 	if err != nil {
 		return 5
 	}
 	if r == "panics" {
-		if p.Took() != nil {
+		if p.AnnounceTakeOver() != nil {
 			return 8
 		}
 		panic("a second later")
 	}
-	if err := p.Took(); err != nil {
+	if err := p.AnnounceTakeOver(); err != nil {
 		return 6
 	}
 	c, err := ls["x"].Accept()
 	if err != nil {
 		return 8
 	}
-	fmt.Fprintf(c, "%s then %s", raw, p.Rest())
+	fmt.Fprintf(c, "%s then %s", raw, p.AwaitFinalCheckpoint())
 	c.Close()
 	return 0
 }
@@ -94,10 +94,10 @@
 		t.Fatal(e, s.Err())
 	}
 	state := strings.Repeat("state", 1<<20)
-	if err := s.Give([]byte(state)); err != nil {
+	if err := s.SendCheckpoint([]byte(state)); err != nil {
 		t.Fatal(err)
 	}
-	if e := testkit.Next(t, s.Events()); e != Took {
+	if e := testkit.Next(t, s.Events()); e != TookOver {
 		t.Fatal(e, s.Err())
 	}
 	l.Close() // the socket stays: the successor has it
@@ -105,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Leave([]byte("rest")); err != nil {
+	if err := s.SendFinalCheckpoint([]byte("rest")); err != nil {
 		t.Fatal(err)
 	}
 	s.conn.(*net.UnixConn).CloseWrite() // as this process's end would
@@ -134,7 +134,7 @@
 			n := 0
 			for e := testkit.Next(t, s.Events()); e != Ended; e = testkit.Next(t, s.Events()) {
 				if n++; e == Prepared {
-					if err := s.Give(nil); err != nil {
+					if err := s.SendCheckpoint(nil); err != nil {
 						t.Error(err)
 					}
 				}
@@ -167,8 +167,8 @@
 	f.Add([]byte("P\x00\x00\x00\x00"))
 	f.Add([]byte("S\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		k, body, err := read(bytes.NewReader(raw))
-		if err == nil && (len(raw) < 5+len(body) || k != kind(raw[0]) || binary.BigEndian.Uint32(raw[1:]) != uint32(len(body))) {
+		k, body, err := readMessage(bytes.NewReader(raw))
+		if err == nil && (len(raw) < 5+len(body) || k != messageKind(raw[0]) || binary.BigEndian.Uint32(raw[1:]) != uint32(len(body))) {
 			t.Errorf("%q: %q %q", raw, k, body)
 		}
 	})
