Name what package front exports in the field's terms

The fields of targets, options and protocols had names that only the house style explained (Speaks, Holds, Give, Once, Tells, Beside). They are now MaxBodyBytes, ReservedBytes, WriteAnswer, ClassWithoutKey, ForwardingHeaders, MaxTimeBeyondDeadline and so on; configuration keys are as they were. A mechanical rename; the tests of front and node pass unchanged but for the names.

--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -36,7 +36,7 @@
 // read that request and has not told so, ends with nothing begun: the client may send it again.
 func TestClosedAsARequestComes(t *testing.T) {
 	for name, close := range map[string]func(*Front){
-		"leaves": (*Front).Leave,
+		"leaves": (*Front).CloseWhenIdle,
 		"evicts": func(f *Front) { f.Evict() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -73,7 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var f *Front
 		m, f, _, stop := serving(t, func(r control.Request) []control.Action {
-			f.Leave()
+			f.CloseWhenIdle()
 			if f.Evict() {
 				t.Error("evicted a connection with an open request")
 			}
@@ -82,10 +82,10 @@
 		defer stop()
 		first, silent := m.dial(), m.dial()
 		f.Drain()
-		f.Leave()
+		f.CloseWhenIdle()
 		for _, c := range []net.Conn{first, silent} {
 			ctx, cancel := context.WithCancel(t.Context())
-			if cancel(); f.Gone(ctx) {
+			if cancel(); f.WaitDisconnected(ctx) {
 				t.Error("gone, with clients connected")
 			}
 			io.WriteString(c, wholeRequest)
@@ -93,7 +93,7 @@
 				t.Errorf("%v, %v", resp, err)
 			}
 		}
-		if !f.Gone(t.Context()) {
+		if !f.WaitDisconnected(t.Context()) {
 			t.Error("not gone")
 		}
 	})
@@ -187,7 +187,7 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), answerWithin+time.Second)
 				defer cancel()
-				if !f.Gone(ctx) {
+				if !f.WaitDisconnected(ctx) {
 					t.Error("its connection stays")
 				}
 			})
@@ -243,7 +243,7 @@
 		if i == 1 {
 			testkit.Until(t, "the request", func() bool { return c.rests.Load() && unread(socket(server)) })
 			f.Drain()
-			f.Leave()
+			f.CloseWhenIdle()
 			close(c.let)
 		}
 		if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close != (i == 1) {
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -31,9 +31,9 @@
 // that costs more than it saves.
 const directLeast = 256 << 10
 
-// Give gives the client its final answer. A client whose answer breaks off is told by the end of
+// WriteAnswer gives the client its final answer. A client whose answer breaks off is told by the end of
 // its connection: none takes a part for the whole.
-func (o *Ordinary) Give(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer) {
+func (o *Ordinary) WriteAnswer(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer) {
 	c := x.Forwarder.(*call)
 	c.last()
 	c.given = true
@@ -53,7 +53,7 @@
 	if f.draining.Load() || c.Body != nil && !c.Body.Ended() {
 		h.Set("Connection", "close")
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(o.Idle))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(o.IdleTimeout))
 	switch {
 	case a.Stream == nil:
 		if r.Method == http.MethodHead || a.Status == http.StatusNotModified {
@@ -134,7 +134,7 @@
 	if s.Length < 0 {
 		_ = ctl.Flush() // an event may take its time
 	}
-	p := pace{idle: o.Idle, least: o.LeastRate}
+	p := pace{idle: o.IdleTimeout, least: o.MinBytesPerSecond}
 	direct, _ := w.(io.ReaderFrom)
 	for n := first; ; n = 0 {
 		if n == 0 && err == nil {
@@ -142,7 +142,7 @@
 		}
 		if n > 0 {
 			// Guards against a client that takes nothing: of itself it keeps the window waiting only.
-			_ = ctl.SetWriteDeadline(time.Now().Add(o.Idle))
+			_ = ctl.SetWriteDeadline(time.Now().Add(o.IdleTimeout))
 			if _, gone := w.Write((*room)[:n]); gone != nil {
 				return
 			}
@@ -154,7 +154,7 @@
 			}
 		}
 		if err == nil && direct != nil && s.Length > directLeast {
-			err = s.CopyTo(direct, func() { _ = ctl.SetWriteDeadline(time.Now().Add(o.Idle)) },
+			err = s.CopyTo(direct, func() { _ = ctl.SetWriteDeadline(time.Now().Add(o.IdleTimeout)) },
 				func(n int64) error { return p.moved(time.Now(), int(n)) })
 			switch {
 			case errors.Is(err, errors.ErrUnsupported): // not yet, or not here
@@ -197,7 +197,7 @@
 	delete(h, "Content-Type")
 	h["Connection"], h["Upgrade"] = []string{"Upgrade"}, a.Header["Upgrade"]
 	_ = client.SetDeadline(time.Time{})
-	_ = client.SetWriteDeadline(time.Now().Add(o.Idle))
+	_ = client.SetWriteDeadline(time.Now().Add(o.IdleTimeout))
 	buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\n")
 	_ = h.Write(buffered) // an error is kept for Flush
 	buffered.WriteString("\r\n")
@@ -209,7 +209,7 @@
 	var both sync.WaitGroup
 	both.Go(func() {
 		broken := o.pass(s, reader(func(p []byte) (int, error) {
-			_ = client.SetReadDeadline(time.Now().Add(o.Idle))
+			_ = client.SetReadDeadline(time.Now().Add(o.IdleTimeout))
 			return buffered.Read(p)
 		}), &moved)
 		if s.CloseWrite(); broken {
@@ -218,7 +218,7 @@
 		}
 	})
 	broken := o.pass(writer(func(p []byte) (int, error) {
-		_ = client.SetWriteDeadline(time.Now().Add(o.Idle))
+		_ = client.SetWriteDeadline(time.Now().Add(o.IdleTimeout))
 		return client.Write(p)
 	}), s, &moved)
 	if broken {
@@ -265,15 +265,15 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			return false
-		case errors.As(err, &late) && late.Timeout() && time.Since(time.Unix(0, moved.Load())) < o.Idle:
+		case errors.As(err, &late) && late.Timeout() && time.Since(time.Unix(0, moved.Load())) < o.IdleTimeout:
 		default:
 			return true
 		}
 	}
 }
 
-// Reject tells a client its mistake.
-func (o *Ordinary) Reject(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest) {
+// WriteBadRequest tells a client its mistake.
+func (o *Ordinary) WriteBadRequest(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest) {
 	if wrong.unread {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,12 +24,12 @@
 	answerWithin  = 2 * time.Second        // of the writing of an answer
 )
 
-// Beside is the longest that a request is held beside its deadline: while it is read, and while
+// MaxTimeBeyondDeadline is the longest that a request is held beside its deadline: while it is read, and while
 // its answer is written.
-const Beside = requestWithin + answerWithin
+const MaxTimeBeyondDeadline = requestWithin + answerWithin
 
-// Table says which service a request is for. It is not changed once a Front has it.
-type Table struct {
+// RoutingTable says which service a request is for. It is not changed once a Front has it.
+type RoutingTable struct {
 	Router *route.Router // nil: all requests are for the first target
 	// Targets are by their place among the router's rules.
 	Targets []Target
@@ -37,43 +37,43 @@
 
 // Target is where a route leads.
 type Target struct {
-	Service *service.Service
-	Class   string   // of its requests; "" is for the protocol to tell
-	Body    int64    // most bytes of a request's body; below zero is any number
-	Speaks  Protocol // of its clients; nil is the platform's
-	Upgrade []string // protocols that its requests may change to, in lower case
-	Gather  *Gather  // of a service that asks others, which has nothing else but a class; nil for any other
+	Service          *service.Service
+	Class            string         // of its requests; "" is for the protocol to tell
+	MaxBodyBytes     int64          // most bytes of a request's body; below zero is any number
+	Protocol         Protocol       // of its clients; nil is the platform's
+	UpgradeProtocols []string       // protocols that its requests may change to, in lower case
+	ScatterGather    *ScatterGather // of a service that asks others, which has nothing else but a class; nil for any other
 }
 
 // Protocol is what differs between the ways in which services are asked: how a request is read,
 // whose it is, and how an answer is given. Each has a file of its own here.
 type Protocol interface {
-	// Read reads a request but for its body; first is the first segment of its path. The module
+	// ReadRequest reads a request but for its body; first is the first segment of its path. The module
 	// must not hear of one that is wrong.
-	Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest)
-	// Holds is the most bytes that are held of a request while it is served, beside its answer.
-	Holds(r *http.Request) int64
-	// Body reads what has to be there before the module hears of the request.
-	Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest
-	// Done ends what Body began; nothing of the request is read any more.
-	Done(x *service.Exchange)
-	// Give gives the client its final answer.
-	Give(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer)
-	// Reject tells a client its mistake.
-	Reject(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest)
+	ReadRequest(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest)
+	// ReservedBytes is the most bytes that are held of a request while it is served, beside its answer.
+	ReservedBytes(r *http.Request) int64
+	// ReadBody reads what has to be there before the module hears of the request.
+	ReadBody(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest
+	// Finish ends what Body began; nothing of the request is read any more.
+	Finish(x *service.Exchange)
+	// WriteAnswer gives the client its final answer.
+	WriteAnswer(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer)
+	// WriteBadRequest tells a client its mistake.
+	WriteBadRequest(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest)
 }
 
 func (t *Target) speaks() Protocol {
-	if t.Speaks == nil {
+	if t.Protocol == nil {
 		return platform{}
 	}
-	return t.Speaks
+	return t.Protocol
 }
 
 // hold keeps what serves a target's requests from ending.
 func (t *Target) hold() bool {
-	if t.Gather != nil {
-		return t.Gather.hold()
+	if t.ScatterGather != nil {
+		return t.ScatterGather.hold()
 	}
 	return t.Service.TryAcquire()
 }
@@ -81,21 +81,21 @@
 // Front is the side to the clients. It is safe for concurrent use.
 type Front struct {
 	ready    func() bool // whether the node may be sent requests
-	table    atomic.Pointer[Table]
+	table    atomic.Pointer[RoutingTable]
 	draining atomic.Bool
 
 	clients clients
 }
 
 // New makes a front; ready tells whether the node may be sent requests.
-func New(t *Table, ready func() bool) *Front {
+func New(t *RoutingTable, ready func() bool) *Front {
 	f := &Front{ready: ready}
 	f.table.Store(t)
 	return f
 }
 
-// Set puts another table in force for requests whose head is read from now on.
-func (f *Front) Set(t *Table) { f.table.Store(t) }
+// SetTable puts another table in force for requests whose head is read from now on.
+func (f *Front) SetTable(t *RoutingTable) { f.table.Store(t) }
 
 // Drain has each answer close its connection from now on.
 func (f *Front) Drain() { f.draining.Store(true) }
@@ -117,14 +117,14 @@
 // has been idle for the longest time.
 func (f *Front) Evict() bool { return f.clients.evict() }
 
-// Leave closes the connections on which no request is open, from now on. It stands in for
+// CloseWhenIdle closes the connections on which no request is open, from now on. It stands in for
 // http.Server's Shutdown and SetKeepAlivesEnabled, which would close some whose request they have
 // read, or drop such a request: after the first of these it may have been sent on.
-func (f *Front) Leave() { f.clients.leave() }
+func (f *Front) CloseWhenIdle() { f.clients.leave() }
 
-// Gone waits until no client is connected, after Leave, and tells whether that came before ctx
+// WaitDisconnected waits until no client is connected, after Leave, and tells whether that came before ctx
 // ended. Connections whose protocol has changed are not waited for.
-func (f *Front) Gone(ctx context.Context) bool { return f.clients.gone(ctx) }
+func (f *Front) WaitDisconnected(ctx context.Context) bool { return f.clients.gone(ctx) }
 
 // ServeHTTP holds a client's request until its final answer.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -145,25 +145,25 @@
 		f.reject(w, wrong)
 		return
 	}
-	if to.Gather != nil {
-		to.Gather.serve(f, w, r, to.Class, arrived)
+	if to.ScatterGather != nil {
+		to.ScatterGather.handle(f, w, r, to.Class, arrived)
 		return
 	}
 	defer to.Service.Release()
 	by := to.speaks()
-	x, wrong := by.Read(r, to, first, arrived)
+	x, wrong := by.ReadRequest(r, to, first, arrived)
 	if wrong != nil {
-		by.Reject(f, w, r, wrong)
+		by.WriteBadRequest(f, w, r, wrong)
 		return
 	}
 	x.Client = waiter(r)
-	if to.Service.Admit(x, by.Holds(r)) {
+	if to.Service.Admit(x, by.ReservedBytes(r)) {
 		defer x.Release()
-		if wrong := by.Body(w, r, x); wrong != nil {
-			by.Reject(f, w, r, wrong)
+		if wrong := by.ReadBody(w, r, x); wrong != nil {
+			by.WriteBadRequest(f, w, r, wrong)
 			return
 		}
-		defer by.Done(x)
+		defer by.Finish(x)
 	} else if r.ContentLength != 0 {
 		// What there is no room for is not read, and turned away by the module. Guards against
 		// a refusal that waits for a slow body: net/http reads it first where the connection stays.
@@ -180,7 +180,7 @@
 		// and a client that has closed one way only would read it.
 		panic(http.ErrAbortHandler)
 	}
-	by.Give(f, w, r, x, a)
+	by.WriteAnswer(f, w, r, x, a)
 }
 
 // find gives the target of a request, whose service is held for it: one that a reload removes
@@ -196,7 +196,7 @@
 	}
 }
 
-func (t *Table) find(r *http.Request) (to *Target, first string, wrong *BadRequest) {
+func (t *RoutingTable) find(r *http.Request) (to *Target, first string, wrong *BadRequest) {
 	if t.Router == nil {
 		return &t.Targets[0], firstSegment(r.URL), nil
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	m = &memory{conns: make(chan net.Conn), closed: make(chan struct{})}
-	f = New(&Table{Router: router, Targets: []Target{{Service: s, Body: 1 << 16}}}, func() bool { return true })
+	f = New(&RoutingTable{Router: router, Targets: []Target{{Service: s, MaxBodyBytes: 1 << 16}}}, func() bool { return true })
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = s.Run(ctx) }() // what the tests look at is what clients get
 	srv := f.Server()
@@ -188,7 +188,7 @@
 				rules[0].Prefix = "/other"
 			}
 			router, _ := route.New(rules)
-			f.Set(&Table{Router: router, Targets: []Target{{Service: s, Body: 1}}})
+			f.SetTable(&RoutingTable{Router: router, Targets: []Target{{Service: s, MaxBodyBytes: 1}}})
 			go fmt.Fprintf(c, "GET /read?account=0000000000000001 HTTP/1.1\r\n%s\r\n", headers)
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
@@ -225,7 +225,7 @@
 		x := &call{w: w, ctl: http.NewResponseController(w), given: given}
 		x.Forwarder = x
 		x.Body = retrybuffer.New(strings.NewReader("the rest"), 0, func() {})
-		(&Ordinary{}).Done(&x.Exchange)
+		(&Ordinary{}).Finish(&x.Exchange)
 		if w.Flushed != given {
 			t.Errorf("given %v: flushed %v", given, w.Flushed)
 		}
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -23,22 +23,22 @@
 // gatherIdle is for how long one window of a merged answer may take to be written.
 const gatherIdle = time.Minute
 
-// Gather is a service that asks others and gives their answers as one. It is not changed once it is
+// ScatterGather is a service that asks others and gives their answers as one. It is not changed once it is
 // made.
-type Gather struct {
-	Tree       *scattergather.Tree
-	Leaves     []scattergather.Leaf
-	By         []*scattergather.Gatherer // by the trees' IDs
-	Targets    []Target                  // by the leaves' places; all speak ordinary HTTP
-	Deadlines  map[string]time.Duration  // by class
-	Class      string                    // of requests whose route names none: by GET and HEAD only
-	Body       int64                     // most bytes of a request's body
-	TimeHeader string
-	Load       func() float64 // share of what the parts bear that is in use; nil is not known
+type ScatterGather struct {
+	Tree          *scattergather.Tree
+	Leaves        []scattergather.Leaf
+	Gatherers     []*scattergather.Gatherer // by the trees' IDs
+	Targets       []Target                  // by the leaves' places; all speak ordinary HTTP
+	Deadlines     map[string]time.Duration  // by class
+	DefaultClass  string                    // of requests whose route names none: by GET and HEAD only
+	MaxBodyBytes  int64                     // most bytes of a request's body
+	TimeoutHeader string
+	Load          func() float64 // share of what the parts bear that is in use; nil is not known
 }
 
 // hold keeps all services of a tree from ending.
-func (g *Gather) hold() bool {
+func (g *ScatterGather) hold() bool {
 	for i := range g.Targets {
 		if !g.Targets[i].Service.TryAcquire() {
 			for j := range i {
@@ -50,14 +50,14 @@
 	return true
 }
 
-func (g *Gather) release() {
+func (g *ScatterGather) release() {
 	for i := range g.Targets {
 		g.Targets[i].Service.Release()
 	}
 }
 
 // read holds a client's request to what can scatter.
-func (g *Gather) read(r *http.Request, class string) (name string, wait time.Duration, wrong *BadRequest) {
+func (g *ScatterGather) read(r *http.Request, class string) (name string, wait time.Duration, wrong *BadRequest) {
 	if c := wireOf(r); c != nil && c.bad() != nil {
 		wrong := bad(http.StatusBadRequest, "%v", c.bad())
 		wrong.unread = true
@@ -67,26 +67,26 @@
 	case r.Method == http.MethodConnect || r.Method == http.MethodTrace || r.Method == http.MethodOptions,
 		class == "" && r.Method != http.MethodGet && r.Method != http.MethodHead:
 		return "", 0, bad(http.StatusMethodNotAllowed, "%s is not served here", r.Method)
-	case r.ContentLength > g.Body:
-		return "", 0, tooLong(g.Body)
+	case r.ContentLength > g.MaxBodyBytes:
+		return "", 0, tooLong(g.MaxBodyBytes)
 	case len(r.Header["Expect"]) > 0 && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
 		return "", 0, bad(http.StatusExpectationFailed, "Expect: %q", r.Header.Get("Expect"))
 	}
 	if class == "" {
-		class = g.Class
+		class = g.DefaultClass
 	}
 	wait, ok := g.Deadlines[class]
 	if !ok {
 		return "", 0, bad(http.StatusNotFound, "no class %q in this service", class)
 	}
-	if g.TimeHeader != "" {
-		if v := r.Header.Get(g.TimeHeader); v != "" {
+	if g.TimeoutHeader != "" {
+		if v := r.Header.Get(g.TimeoutHeader); v != "" {
 			d, err := parseWait(v)
-			if g.TimeHeader == protocol.HeaderTimeLeft { // another node's word, with send_time
+			if g.TimeoutHeader == protocol.HeaderTimeLeft { // another node's word, with send_time
 				d, err = parseTimeLeft(v, timeLeftMost)
 			}
 			if err != nil {
-				return "", 0, bad(http.StatusBadRequest, "%s: %v", g.TimeHeader, err)
+				return "", 0, bad(http.StatusBadRequest, "%s: %v", g.TimeoutHeader, err)
 			}
 			wait = min(wait, d)
 		}
@@ -123,8 +123,8 @@
 	return out
 }
 
-// serve answers one query. Its services are held.
-func (g *Gather) serve(f *Front, w http.ResponseWriter, r *http.Request, class string, arrived time.Time) {
+// handle answers one query. Its services are held.
+func (g *ScatterGather) handle(f *Front, w http.ResponseWriter, r *http.Request, class string, arrived time.Time) {
 	begun := false
 	defer func() {
 		if !begun {
@@ -159,7 +159,7 @@
 			q.Body, q.Length = retrybuffer.Of(body), int64(len(body))
 		}
 	}
-	run := &scattergather.Run{Tree: g.Tree, Leaves: g.Leaves, By: g.By, Calls: calls, Class: class, Arrived: arrived, Wait: wait, Release: g.release}
+	run := &scattergather.Run{Tree: g.Tree, Leaves: g.Leaves, By: g.Gatherers, Calls: calls, Class: class, Arrived: arrived, Wait: wait, Release: g.release}
 	if g.Load != nil {
 		run.Load = g.Load()
 	}
@@ -170,11 +170,11 @@
 
 // calls makes each part's request, and books room for it. One without room is turned away by its
 // service, and is a part that is missing.
-func (g *Gather) calls(r *http.Request, class string, arrived time.Time, wait time.Duration) ([]scattergather.Call, *BadRequest) {
+func (g *ScatterGather) calls(r *http.Request, class string, arrived time.Time, wait time.Duration) ([]scattergather.Call, *BadRequest) {
 	calls := make([]scattergather.Call, 0, len(g.Targets))
 	booked := int64(0) // for the body, which all parts share: by the first that has room
 	if r.ContentLength != 0 {
-		booked = g.Body
+		booked = g.MaxBodyBytes
 		if r.ContentLength > 0 {
 			booked = r.ContentLength
 		}
@@ -183,8 +183,8 @@
 	for i := range g.Targets {
 		to := g.Targets[i]
 		to.Class = class
-		o := to.Speaks.(*Ordinary)
-		x, wrong := o.Read(asked, &to, "", arrived)
+		o := to.Protocol.(*Ordinary)
+		x, wrong := o.ReadRequest(asked, &to, "", arrived)
 		if wrong != nil {
 			for _, c := range calls {
 				c.Exchange.Release()
@@ -198,24 +198,24 @@
 		if to.Service.Admit(x, booked) {
 			booked = 0
 		}
-		calls = append(calls, scattergather.Call{Service: to.Service, Exchange: x, Most: o.Hold})
+		calls = append(calls, scattergather.Call{Service: to.Service, Exchange: x, Most: o.MaxBufferedAnswerBytes})
 	}
 	return calls, nil
 }
 
 // body reads a request's body, whole.
-func (g *Gather) body(w http.ResponseWriter, r *http.Request) ([]byte, *BadRequest) {
+func (g *ScatterGather) body(w http.ResponseWriter, r *http.Request) ([]byte, *BadRequest) {
 	ctl := http.NewResponseController(w)
 	if r.ContentLength == 0 {
 		_ = ctl.SetReadDeadline(time.Time{}) // net/http goes on reading, to notice a hang-up
 		return nil, nil
 	}
 	_ = ctl.SetReadDeadline(time.Now().Add(requestWithin))
-	body, err := io.ReadAll(io.LimitReader(r.Body, g.Body+1))
+	body, err := io.ReadAll(io.LimitReader(r.Body, g.MaxBodyBytes+1))
 	var late net.Error
 	switch {
-	case err == nil && int64(len(body)) > g.Body:
-		return nil, tooLong(g.Body)
+	case err == nil && int64(len(body)) > g.MaxBodyBytes:
+		return nil, tooLong(g.MaxBodyBytes)
 	case err == nil:
 		_ = ctl.SetReadDeadline(time.Time{})
 		return body, nil
@@ -229,16 +229,16 @@
 }
 
 // give gives the client its one answer.
-func (f *Front) give(w http.ResponseWriter, r *http.Request, g *Gather, final scattergather.Final) {
+func (f *Front) give(w http.ResponseWriter, r *http.Request, g *ScatterGather, final scattergather.Final) {
 	switch final.Outcome {
 	case scattergather.EndedLeft:
 		panic(http.ErrAbortHandler) // nobody is there
 	case scattergather.EndedTooFew:
-		say(f, w, r, http.StatusServiceUnavailable, "Too few parts answered in time; trying again is harmless.", min(time.Second, g.By[0].RetryAfter))
+		say(f, w, r, http.StatusServiceUnavailable, "Too few parts answered in time; trying again is harmless.", min(time.Second, g.Gatherers[0].RetryAfter))
 		return
 	case scattergather.EndedQuota:
 		say(f, w, r, http.StatusServiceUnavailable, "The request was not run: the quota of a part, "+final.Part+", has no more; trying again is harmless.",
-			min(final.RetryAfter, g.By[0].RetryAfter))
+			min(final.RetryAfter, g.Gatherers[0].RetryAfter))
 		return
 	}
 	pieces, size := g.Tree.Merge.Join(final.Whole.Contents)
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -64,14 +64,14 @@
 					}
 				}()
 				testkit.Next(t, ready)
-				to := Target{Service: s, Class: "job", Body: 1 << 20}
-				f := New(&Table{Targets: []Target{to}}, func() bool { return true })
+				to := Target{Service: s, Class: "job", MaxBodyBytes: 1 << 20}
+				f := New(&RoutingTable{Targets: []Target{to}}, func() bool { return true })
 				l, err := net.Listen("tcp", "127.0.0.1:0")
 				if err != nil {
 					t.Fatal(err)
 				}
 				srv := f.Server()
-				go srv.Serve(Strict(limits.Listen(ctx, l, limits.NewSockets(100))))
+				go srv.Serve(ValidatingListener(limits.Listen(ctx, l, limits.NewSockets(100))))
 				defer srv.Close()
 
 				send := func(ids ...string) *net.TCPConn {
--- a/internal/front/linger.go
+++ b/internal/front/linger.go
@@ -78,12 +78,12 @@
 	return waiting > 0
 }
 
-// Lingering has the connections of a listener closed behind their clients. It is put around Strict.
-func Lingering(l net.Listener) net.Listener { return lingeringListener{l} }
+// LingeringListener has the connections of a listener closed behind their clients. It is put around Strict.
+func LingeringListener(l net.Listener) net.Listener { return lingerListener{l} }
 
-type lingeringListener struct{ net.Listener }
+type lingerListener struct{ net.Listener }
 
-func (l lingeringListener) Accept() (net.Conn, error) {
+func (l lingerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/front/linger_test.go
+++ b/internal/front/linger_test.go
@@ -30,7 +30,7 @@
 			}
 			defer client.Close()
 			client.SetDeadline(time.Now().Add(testkit.Patience))
-			c, err := Lingering(Strict(l)).Accept()
+			c, err := LingeringListener(ValidatingListener(l)).Accept()
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -32,45 +32,45 @@
 	headerRequest = "X-Request-Id"
 )
 
-// Options are what an Ordinary is made with.
-type Options struct {
+// OrdinaryOptions are what an Ordinary is made with.
+type OrdinaryOptions struct {
 	Customers *customer.Book
-	// Safe and Other are the classes of requests whose route names none: those that may run any
+	// SafeClass and Other are the classes of requests whose route names none: those that may run any
 	// number of times by their method (RFC 9110, 9.2.1), and all others.
-	Safe, Other string
-	// Once names, for a class whose requests carry keys, the one of those that carry none.
-	Once map[string]string
+	SafeClass, UnsafeClass string
+	// ClassWithoutKey names, for a class whose requests carry keys, the one of those that carry none.
+	ClassWithoutKey map[string]string
 
-	TimeHeader  string // by which a client shortens its deadline; "" is none
-	SendTime    bool   // servers are told how long the node will wait
-	SendID      bool   // and a request's id, one that the client sent or one that is made
-	Replay      int    // most bytes of a request's body that are held for a further attempt
-	Hold        int    // most bytes of an answer that are held
-	Idle        time.Duration
-	LeastRate   int64 // bytes a second, over a body's whole way, that a client has to read or send; 0 is any
-	Rules       responseclass.Rules
-	Underscores bool // names of fields may have them
-	Tells       hopheaders.Tells
-	Trusted     []netip.Prefix
+	TimeoutHeader          string // by which a client shortens its deadline; "" is none
+	SendTimeLeft           bool   // servers are told how long the node will wait
+	SendRequestID          bool   // and a request's id, one that the client sent or one that is made
+	RetryBufferBytes       int    // most bytes of a request's body that are held for a further attempt
+	MaxBufferedAnswerBytes int    // most bytes of an answer that are held
+	IdleTimeout            time.Duration
+	MinBytesPerSecond      int64 // bytes a second, over a body's whole way, that a client has to read or send; 0 is any
+	ResponseRules          responseclass.Rules
+	AllowUnderscores       bool // names of fields may have them
+	ForwardingHeaders      hopheaders.Tells
+	TrustedProxies         []netip.Prefix
 }
 
 // Ordinary is HTTP as RFC 9110 and 9112 have it, from any client to any app server. It is safe
 // for concurrent use.
 type Ordinary struct {
-	Options
+	OrdinaryOptions
 	ids atomic.Uint64
 }
 
 // NewOrdinary makes the protocol of one service.
-func NewOrdinary(o Options) *Ordinary {
+func NewOrdinary(o OrdinaryOptions) *Ordinary {
 	if o.Customers == nil {
 		o.Customers = customer.New(customer.Options{})
 	}
-	return &Ordinary{Options: o}
+	return &Ordinary{OrdinaryOptions: o}
 }
 
-// Read reads a request but for its body.
-func (o *Ordinary) Read(r *http.Request, to *Target, _ string, arrived time.Time) (*service.Exchange, *BadRequest) {
+// ReadRequest reads a request but for its body.
+func (o *Ordinary) ReadRequest(r *http.Request, to *Target, _ string, arrived time.Time) (*service.Exchange, *BadRequest) {
 	if c := wireOf(r); c != nil && c.bad() != nil {
 		wrong := bad(http.StatusBadRequest, "%v", c.bad())
 		wrong.unread = true
@@ -79,8 +79,8 @@
 	switch {
 	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
 		return nil, bad(http.StatusMethodNotAllowed, "%s is not served here", r.Method)
-	case to.Body >= 0 && r.ContentLength > to.Body:
-		wrong := bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", to.Body)
+	case to.MaxBodyBytes >= 0 && r.ContentLength > to.MaxBodyBytes:
+		wrong := bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", to.MaxBodyBytes)
 		wrong.unread = true
 		return nil, wrong
 	case len(r.Header["Expect"]) > 0 && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
@@ -88,11 +88,11 @@
 	}
 	class := to.Class
 	if class == "" {
-		if class = o.Other; protocol.Safe(r.Method) {
-			class = o.Safe
+		if class = o.UnsafeClass; protocol.Safe(r.Method) {
+			class = o.SafeClass
 		}
 	}
-	if once, keyed := o.Once[class]; keyed && r.Header.Get(protocol.HeaderKey) == "" {
+	if once, keyed := o.ClassWithoutKey[class]; keyed && r.Header.Get(protocol.HeaderKey) == "" {
 		class = once
 	}
 	k, ok := to.Service.Classes[class]
@@ -100,18 +100,18 @@
 		return nil, bad(http.StatusNotFound, "no class %q in this service", class)
 	}
 	wait := k.Deadline
-	if o.TimeHeader != "" {
-		if v := r.Header.Get(o.TimeHeader); v != "" {
+	if o.TimeoutHeader != "" {
+		if v := r.Header.Get(o.TimeoutHeader); v != "" {
 			d, err := parseWait(v)
 			if err != nil {
-				return nil, bad(http.StatusBadRequest, "%s: %v", o.TimeHeader, err)
+				return nil, bad(http.StatusBadRequest, "%s: %v", o.TimeoutHeader, err)
 			}
 			wait = min(wait, d)
 		}
 	}
 	e := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, FanOut: to.Service.GroupSize, IsWrite: !protocol.Safe(r.Method)}
 	e.Customer, e.Plan = o.Customers.Of(r, arrived)
-	c := &call{most: to.Body, idle: o.Idle}
+	c := &call{most: to.MaxBodyBytes, idle: o.IdleTimeout}
 	o.relay(&c.Relay, r, to, wait)
 	c.Exchange = service.Exchange{Request: e, Forwarder: c, Deadline: arrived.Add(wait)}
 	return &c.Exchange, nil
@@ -139,13 +139,13 @@
 	peer := hopheaders.Peer{Host: r.Host, Proto: "http"}
 	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		peer.Addr = a.Addr()
-		peer.Trusted = hopheaders.Trusted(peer.Addr, o.Trusted)
+		peer.Trusted = hopheaders.Trusted(peer.Addr, o.TrustedProxies)
 	}
 	*q = upstream.Relay{
-		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hopheaders.Request(r.Header, peer, o.Tells, o.Underscores),
-		Length: r.ContentLength, Rules: &o.Rules, Hold: o.Hold, Idle: o.Idle, Wait: wait, Tell: o.SendTime,
+		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hopheaders.Request(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
+		Length: r.ContentLength, Rules: &o.ResponseRules, Hold: o.MaxBufferedAnswerBytes, Idle: o.IdleTimeout, Wait: wait, Tell: o.SendTimeLeft,
 	}
-	if o.SendID && len(q.Header[headerRequest]) == 0 {
+	if o.SendRequestID && len(q.Header[headerRequest]) == 0 {
 		q.Header[headerRequest] = []string{newID()}
 	}
 	if len(r.TransferEncoding) > 0 {
@@ -158,8 +158,8 @@
 	} else if r.ContentLength == 0 && r.Header.Get("Content-Length") == "" {
 		q.Length = -1 // none is told either
 	}
-	if len(to.Upgrade) > 0 && r.ProtoAtLeast(1, 1) && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		q.Upgrade = upgrade(r.Header, to.Upgrade)
+	if len(to.UpgradeProtocols) > 0 && r.ProtoAtLeast(1, 1) && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		q.Upgrade = upgrade(r.Header, to.UpgradeProtocols)
 	}
 }
 
@@ -211,20 +211,20 @@
 	return d, nil
 }
 
-// Holds is the most bytes that are held of a request.
-func (o *Ordinary) Holds(r *http.Request) int64 {
+// ReservedBytes is the most bytes that are held of a request.
+func (o *Ordinary) ReservedBytes(r *http.Request) int64 {
 	switch n := r.ContentLength; {
 	case n == 0:
 		return 0
-	case n > 0 && n <= int64(o.Replay):
+	case n > 0 && n <= int64(o.RetryBufferBytes):
 		return n
 	}
-	return int64(o.Replay) + windows
+	return int64(o.RetryBufferBytes) + windows
 }
 
-// Body reads a body that is held whole, and makes a way for one that is not. Guards against a
+// ReadBody reads a body that is held whole, and makes a way for one that is not. Guards against a
 // server that is taken up by a client which sends a small body slowly.
-func (o *Ordinary) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
+func (o *Ordinary) ReadBody(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
 	c := x.Forwarder.(*call)
 	c.w, c.ctl = w, http.NewResponseController(w)
 	if r.ProtoAtLeast(1, 1) {
@@ -235,9 +235,9 @@
 		return nil
 	}
 	c.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
-	c.pace = pace{idle: o.Idle, least: o.LeastRate}
-	c.Body = retrybuffer.New(&incoming{r.Body, c}, o.Replay, c.beforeRead)
-	if c.Expect || c.Length < 0 || c.Length > int64(o.Replay) {
+	c.pace = pace{idle: o.IdleTimeout, least: o.MinBytesPerSecond}
+	c.Body = retrybuffer.New(&incoming{r.Body, c}, o.RetryBufferBytes, c.beforeRead)
+	if c.Expect || c.Length < 0 || c.Length > int64(o.RetryBufferBytes) {
 		_ = c.ctl.EnableFullDuplex() // an answer may come before all of the body has
 		x.Request.HasPendingBody = true
 		return nil
@@ -300,9 +300,9 @@
 	clear(h)
 }
 
-// Done reads no more of a request. Guards against an answer that the client never reads because its
+// Finish reads no more of a request. Guards against an answer that the client never reads because its
 // connection was reset while it still sent: what comes for a moment is thrown away.
-func (o *Ordinary) Done(x *service.Exchange) {
+func (o *Ordinary) Finish(x *service.Exchange) {
 	c := x.Forwarder.(*call)
 	c.last()
 	body := c.Body
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -38,10 +38,10 @@
 	return &BadRequest{status: status, text: fmt.Sprintf(format, args...)}
 }
 
-// Read reads a client's request but for its body.
-func (platform) Read(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest) {
+// ReadRequest reads a client's request but for its body.
+func (platform) ReadRequest(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest) {
 	terms := &to.Service.RequestRules
-	if wrong := framing(r, to.Body); wrong != nil {
+	if wrong := framing(r, to.MaxBodyBytes); wrong != nil {
 		wrong.unread = true
 		return nil, wrong
 	}
@@ -96,11 +96,11 @@
 	return &held.Exchange, nil
 }
 
-// Holds is the bytes of a request's body, the length of which is told.
-func (platform) Holds(r *http.Request) int64 { return r.ContentLength }
+// ReservedBytes is the bytes of a request's body, the length of which is told.
+func (platform) ReservedBytes(r *http.Request) int64 { return r.ContentLength }
 
-// Body reads a request's body. Its client waits from the body's last byte on (PROTOCOL, "Figures").
-func (platform) Body(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
+// ReadBody reads a request's body. Its client waits from the body's last byte on (PROTOCOL, "Figures").
+func (platform) ReadBody(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
 	begun := time.Now()
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
@@ -119,16 +119,16 @@
 	return nil
 }
 
-// Done has nothing to end.
-func (platform) Done(*service.Exchange) {}
+// Finish has nothing to end.
+func (platform) Finish(*service.Exchange) {}
 
-// Give sends an answer, whatever it is.
-func (platform) Give(f *Front, w http.ResponseWriter, _ *http.Request, _ *service.Exchange, a service.Answer) {
+// WriteAnswer sends an answer, whatever it is.
+func (platform) WriteAnswer(f *Front, w http.ResponseWriter, _ *http.Request, _ *service.Exchange, a service.Answer) {
 	f.write(w, a)
 }
 
-// Reject tells a client its mistake.
-func (platform) Reject(f *Front, w http.ResponseWriter, _ *http.Request, wrong *BadRequest) {
+// WriteBadRequest tells a client its mistake.
+func (platform) WriteBadRequest(f *Front, w http.ResponseWriter, _ *http.Request, wrong *BadRequest) {
 	f.reject(w, wrong)
 }
 
--- a/internal/front/unacknowledged_test.go
+++ b/internal/front/unacknowledged_test.go
@@ -64,7 +64,7 @@
 	}
 	defer listener.Close()
 	client := dialSmall(t, listener.Addr().String())
-	conn, err := Lingering(listener).Accept()
+	conn, err := LingeringListener(listener).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,7 +110,7 @@
 			if rests {
 				f.clients.state(conn, http.StateIdle)
 			}
-			f.Leave()
+			f.CloseWhenIdle()
 			if !rests {
 				f.clients.state(conn, http.StateIdle)
 			}
@@ -126,7 +126,7 @@
 				t.Errorf("the next request: %v, %v", request, err)
 			}
 			testkit.Until(t, "the client's acknowledgement", func() bool { return !unacknowledged(server.(*net.TCPConn)) })
-			f.Leave()
+			f.CloseWhenIdle()
 			if _, err := client.Read(make([]byte, 1)); err != io.EOF {
 				t.Errorf("behind its answer its client sees %v", err)
 			}
--- a/internal/front/wire.go
+++ b/internal/front/wire.go
@@ -74,12 +74,12 @@
 	}
 }
 
-// Strict has the connections of a listener looked at, which a front with ordinary services needs.
-func Strict(l net.Listener) net.Listener { return strictListener{l} }
+// ValidatingListener has the connections of a listener looked at, which a front with ordinary services needs.
+func ValidatingListener(l net.Listener) net.Listener { return validatingConnListener{l} }
 
-type strictListener struct{ net.Listener }
+type validatingConnListener struct{ net.Listener }
 
-func (l strictListener) Accept() (net.Conn, error) {
+func (l validatingConnListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -92,7 +92,7 @@
 func (b *sharedBooks) setTerm(cfg *config.Config) {
 	for _, s := range cfg.Services {
 		for _, k := range s.Settings.Classes {
-			b.term = max(b.term, k.Deadline+front.Beside)
+			b.term = max(b.term, k.Deadline+front.MaxTimeBeyondDeadline)
 		}
 	}
 	for _, s := range []*limits.Shared{b.descriptors, b.held, b.bytes, b.dials} {
--- a/internal/node/gather.go
+++ b/internal/node/gather.go
@@ -112,19 +112,19 @@
 }
 
 // gatherOf is a gathering service as the front serves it.
-func gatherOf(name string, gathers map[string]*gathering, services map[string]*running) *front.Gather {
+func gatherOf(name string, gathers map[string]*gathering, services map[string]*running) *front.ScatterGather {
 	c := gathers[name].cfg
-	g := &front.Gather{Deadlines: make(map[string]time.Duration), Class: config.ClassRead, Body: c.Body, TimeHeader: c.TimeHeader}
-	g.Tree, g.Leaves, g.By = tree(name, gathers)
+	g := &front.ScatterGather{Deadlines: make(map[string]time.Duration), DefaultClass: config.ClassRead, MaxBodyBytes: c.Body, TimeoutHeader: c.TimeHeader}
+	g.Tree, g.Leaves, g.Gatherers = tree(name, gathers)
 	for _, k := range c.Classes {
 		g.Deadlines[k.Name] = k.Deadline
 	}
 	var parts []*account
 	for _, l := range g.Leaves {
 		s := services[l.Name]
-		g.Targets = append(g.Targets, front.Target{Service: s.Service, Body: s.cfg.Body, Speaks: s.speaks})
+		g.Targets = append(g.Targets, front.Target{Service: s.Service, MaxBodyBytes: s.cfg.Body, Protocol: s.speaks})
 		if s.cfg.Body >= 0 {
-			g.Body = min(g.Body, s.cfg.Body)
+			g.MaxBodyBytes = min(g.MaxBodyBytes, s.cfg.Body)
 		}
 		parts = append(parts, s.parts)
 	}
--- a/internal/node/generations.go
+++ b/internal/node/generations.go
@@ -65,7 +65,7 @@
 	for _, k := range s.cfg.Settings.Classes {
 		longest = max(longest, k.Deadline)
 	}
-	return longest + front.Beside
+	return longest + front.MaxTimeBeyondDeadline
 }
 
 // olderGenerations is how many reloads have left services that have not ended; n.mu is held.
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -243,11 +243,11 @@
 	slog.Info("serving", "listen", l.Addr().String())
 	srv, from := n.srv, net.Listener(l)
 	if n.cfg.Process.Shared { // services of ordinary HTTP may come with a reload
-		from = front.Strict(l)
+		from = front.ValidatingListener(l)
 	}
 	n.parts.Go(func() {
 		defer close(l.over)
-		err := srv.Serve(front.Lingering(from))
+		err := srv.Serve(front.LingeringListener(from))
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,7 +85,7 @@
 		services: make(map[string]*running), older: make(map[*service.Service]*older), failed: make(chan error, 1), broken: make(chan error, 1),
 	}
 	n.fewer = sync.NewCond(&n.mu)
-	n.front = front.New(&front.Table{}, n.isReady)
+	n.front = front.New(&front.RoutingTable{}, n.isReady)
 	if cfg.Process.Shared {
 		n.books = shareBooks(&cfg, n.front)
 	} else {
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	n.services = next
-	n.front.Set(table(&cfg, next, n.gathers))
+	n.front.SetTable(table(&cfg, next, n.gathers))
 	if w, ok := n.books.(*wholeBooks); ok {
 		w.sockets.OnEvict(n.front.Evict, next[cfg.Services[0].Name].Upstream().Evict)
 	}
@@ -308,7 +308,7 @@
 		at time.Duration
 		do func()
 	}{
-		{times.Idle, n.front.Leave},
+		{times.Idle, n.front.CloseWhenIdle},
 		{times.Accept, func() { n.leave(); n.gone(times.Most - times.Accept) }},
 	}
 	for _, s := range steps {
@@ -343,7 +343,7 @@
 		l.leave()
 	}
 	n.mu.Unlock()
-	n.front.Leave()
+	n.front.CloseWhenIdle()
 }
 
 // gone waits, after leave, until no client waits or is connected, for some time at the most. What still
@@ -355,7 +355,7 @@
 	all := slices.Concat(n.listeners, n.removed)
 	n.mu.Unlock()
 	await(ctx, all)
-	n.front.Gone(ctx)
+	n.front.WaitDisconnected(ctx)
 }
 
 // finish gives the answers that are under way some time, and to who still waits, and stops listening.
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -93,7 +93,7 @@
 			s.SetSource(s.cfg.Source)
 		}
 	}
-	n.front.Set(table(&cfg, next, gathers))
+	n.front.SetTable(table(&cfg, next, gathers))
 	for name, s := range old {
 		if now := next[name]; now == nil || now.Service != s.Service {
 			if now == nil {
@@ -279,10 +279,10 @@
 	if err := book.Load(planOf(c)); err != nil {
 		return nil, err
 	}
-	return front.NewOrdinary(front.Options{
-		Customers: book, Safe: config.ClassRead, Other: config.ClassWrite, Once: h.Once,
-		TimeHeader: h.TimeHeader, SendTime: h.SendTime, SendID: h.SendID, Replay: int(h.Replay), Hold: int(c.Answer), Idle: h.Idle,
-		LeastRate: h.LeastRate, Rules: h.Rules, Underscores: h.Underscores, Tells: h.Tells, Trusted: h.Customers.Trusted,
+	return front.NewOrdinary(front.OrdinaryOptions{
+		Customers: book, SafeClass: config.ClassRead, UnsafeClass: config.ClassWrite, ClassWithoutKey: h.Once,
+		TimeoutHeader: h.TimeHeader, SendTimeLeft: h.SendTime, SendRequestID: h.SendID, RetryBufferBytes: int(h.Replay), MaxBufferedAnswerBytes: int(c.Answer), IdleTimeout: h.Idle,
+		MinBytesPerSecond: h.LeastRate, ResponseRules: h.Rules, AllowUnderscores: h.Underscores, ForwardingHeaders: h.Tells, TrustedProxies: h.Customers.Trusted,
 	}), nil
 }
 
@@ -302,28 +302,28 @@
 }
 
 // table is where the routes of a configuration lead.
-func table(cfg *config.Config, services map[string]*running, gathers map[string]*gathering) *front.Table {
-	t := &front.Table{}
+func table(cfg *config.Config, services map[string]*running, gathers map[string]*gathering) *front.RoutingTable {
+	t := &front.RoutingTable{}
 	if cfg.Routes == nil {
 		c := cfg.Services[0]
-		t.Targets = []front.Target{{Service: services[c.Name].Service, Body: c.Body}}
+		t.Targets = []front.Target{{Service: services[c.Name].Service, MaxBodyBytes: c.Body}}
 		return t
 	}
 	var rules []route.Rule
-	gather := make(map[string]*front.Gather)
+	gather := make(map[string]*front.ScatterGather)
 	for _, r := range cfg.Routes {
 		rules = append(rules, r.Rule)
 		if gathers[r.Service] != nil {
 			if gather[r.Service] == nil {
 				gather[r.Service] = gatherOf(r.Service, gathers, services)
 			}
-			t.Targets = append(t.Targets, front.Target{Class: r.As, Gather: gather[r.Service]})
+			t.Targets = append(t.Targets, front.Target{Class: r.As, ScatterGather: gather[r.Service]})
 			continue
 		}
 		s := services[r.Service]
-		to := front.Target{Service: s.Service, Class: r.As, Body: s.cfg.Body, Upgrade: r.Upgrade}
+		to := front.Target{Service: s.Service, Class: r.As, MaxBodyBytes: s.cfg.Body, UpgradeProtocols: r.Upgrade}
 		if s.speaks != nil {
-			to.Speaks = s.speaks
+			to.Protocol = s.speaks
 		}
 		t.Targets = append(t.Targets, to)
 	}
