Give exported constants and events their doc comments, and drop unused parameters

Every block of exported constants says what it lists, aliases and events begin with their own name, parameters that are not read are _. measure.MeasureIsolation is RunIsolation. The form of a fault script's head is a constant.

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -189,7 +189,7 @@
 func holding(t *testing.T) (app *httptest.Server, held chan struct{}, finish func()) {
 	held, let := make(chan struct{}), make(chan struct{})
 	finish = sync.OnceFunc(func() { close(let) })
-	app = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	app = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(held)
 		<-let
 		io.WriteString(w, "done")
@@ -225,7 +225,7 @@
 // environment said, and keep what it holds. A file that can't be used changes nothing.
 func TestHup(t *testing.T) {
 	app, held, finish := holding(t)
-	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, "other")
 	}))
 	t.Cleanup(other.Close)
--- a/internal/balancesim/sim.go
+++ b/internal/balancesim/sim.go
@@ -119,7 +119,7 @@
 		}
 		s.by = m
 	case "round robin":
-		s.by = &plain{s: s, pick: func(p *plain, c *call) int { p.next++; return p.next % servers }}
+		s.by = &plain{s: s, pick: func(p *plain, _ *call) int { p.next++; return p.next % servers }}
 	case "least in flight":
 		s.by = &plain{s: s, pick: leastInFlight}
 	default:
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -13,6 +13,7 @@
 // Side is what a member runs and since when.
 type Side int
 
+// The sides of a comparison.
 const (
 	Old     Side = iota // the old program or settings, for long
 	New                 // changed
@@ -22,6 +23,7 @@
 // Kind is what a verdict says.
 type Kind int
 
+// The kinds of verdict.
 const (
 	Wait       Kind = iota // for more evidence
 	Pass                   // harm beyond the margins is ruled out
--- a/internal/canary/judge_test.go
+++ b/internal/canary/judge_test.go
@@ -80,7 +80,7 @@
 	}{
 		{"alike", Pass, 60, nil},
 		{"too early", Wait, 20, nil},
-		{"fails", Worse, 20, func(_ *crew, i int, r *Reading) {
+		{"fails", Worse, 20, func(_ *crew, _ int, r *Reading) {
 			if r.Side == New {
 				fails(r, 20)
 			}
@@ -110,7 +110,7 @@
 				r.Figures.Served = nan
 			}
 		}},
-		{"nobody asks the new one", NoEvidence, 400, func(_ *crew, i int, r *Reading) {
+		{"nobody asks the new one", NoEvidence, 400, func(_ *crew, _ int, r *Reading) {
 			if r.Side == New {
 				r.Figures = instancestats.Figures{Began: r.Figures.Began, MemoryKB: 100000}
 			}
@@ -125,13 +125,13 @@
 				r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
 			}
 		}},
-		{"others are harmed, and the new one takes more", Worse, 60, func(_ *crew, i int, r *Reading) {
+		{"others are harmed, and the new one takes more", Worse, 60, func(_ *crew, _ int, r *Reading) {
 			if r.Side == New {
 				r.Figures.Units += 12
 			}
 			fails(r, 6)
 		}},
-		{"others are harmed, nothing tells by whom", NoEvidence, 400, func(c *crew, _ int, r *Reading) { fails(r, 10) }},
+		{"others are harmed, nothing tells by whom", NoEvidence, 400, func(_ *crew, _ int, r *Reading) { fails(r, 10) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCrew(12, 1)
--- a/internal/canary/short_test.go
+++ b/internal/canary/short_test.go
@@ -47,7 +47,7 @@
 				r.Figures.CPU = idle
 			}
 		}},
-		{"slow, and nothing before", 0, 0, 20 * time.Second, Worse, func(_ *crew, i int, r *Reading) {
+		{"slow, and nothing before", 0, 0, 20 * time.Second, Worse, func(_ *crew, _ int, r *Reading) {
 			if r.Side == New {
 				n := r.Figures.Delays.Total()
 				r.Figures.Delays = instancestats.Delays{}
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -264,7 +264,7 @@
 }
 
 func measureIsolation(ctx context.Context, e *Env, o measure.IsolationOptions, asJSON bool) error {
-	got, err := measure.MeasureIsolation(ctx, o)
+	got, err := measure.RunIsolation(ctx, o)
 	if err != nil {
 		return err
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -94,7 +94,7 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add("tally a 1 s-1 read 0 ok 1 -1 false true 2 3 4 0.5 0\ntally p 1 basic 1 1 3 1 0 0 0\ntally r 1 read basic 7 2 false 2 served - 3 1\n")
-	f.Fuzz(func(t *testing.T, log string) {
+	f.Fuzz(func(_ *testing.T, log string) {
 		a := Adder{}
 		_ = a.Read("n0", strings.NewReader(log))
 		a.Sum()
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -11,14 +11,20 @@
 	"lockflow/internal/faultnet/script"
 )
 
-// The parts by the names that tests use.
 type (
-	Script  = script.Script
-	Spec    = script.Spec
-	Entry   = script.Entry
-	Fault   = script.Fault
-	Link    = link.Link
+	// Script is a list of faults, by time.
+	Script = script.Script
+	// Spec is what scripts are drawn by.
+	Spec = script.Spec
+	// Entry is a fault and its time.
+	Entry = script.Entry
+	// Fault is what is done to a link or a process.
+	Fault = script.Fault
+	// Link passes connections on, and bytes as its faults let it.
+	Link = link.Link
+	// Process is a program that is started, paused and killed.
 	Process = process.Process
+	// History notes calls and what came of them.
 	History = history.History
 )
 
--- a/internal/faultnet/history/history.go
+++ b/internal/faultnet/history/history.go
@@ -133,7 +133,7 @@
 // told bounds what an error lists.
 const told = 60
 
-func describe(m Model, part []porcupine.Operation) string {
+func describe(_ Model, part []porcupine.Operation) string {
 	part = slices.Clone(part)
 	slices.SortStableFunc(part, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
 	var b strings.Builder
--- a/internal/faultnet/script/text.go
+++ b/internal/faultnet/script/text.go
@@ -81,15 +81,18 @@
 		}
 	}
 	if !headed {
-		return s, fmt.Errorf("line %d: no faults seed=.. links=.. procs=.. for=..", n)
+		return s, fmt.Errorf("line %d: no %s", n, headForm)
 	}
 	s.sort()
 	return s, nil
 }
 
+// headForm is how a script begins.
+const headForm = "faults seed=.. links=.. procs=.. for=.."
+
 func (s *Script) head(words []string) (err error) {
 	if words[0] != "faults" || len(words) != 5 {
-		return fmt.Errorf("%q is not faults seed=.. links=.. procs=.. for=..", strings.Join(words, " "))
+		return fmt.Errorf("%q is not %s", strings.Join(words, " "), headForm)
 	}
 	for i, key := range []string{"seed", "links", "procs", "for"} {
 		k, v, _ := strings.Cut(words[i+1], "=")
--- a/internal/fleet/change_test.go
+++ b/internal/fleet/change_test.go
@@ -88,7 +88,7 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"form":1,"kind":"settings","plan":{"members":[{"name":"0","gens":["a","b"]}]},"sockets":["/s"]}`), []byte(`{"entry":{"kind":"epoch"}}`))
-	f.Fuzz(func(t *testing.T, first, second []byte) {
+	f.Fuzz(func(_ *testing.T, first, second []byte) {
 		c, entries, err := decode([][]byte{first, second})
 		if err != nil {
 			return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -152,7 +152,7 @@
 }
 
 // Do upgrades a member. It returns once the old process has ended: until then it could still go on.
-func (u *Upgrade) Do(ctx context.Context, m Member, before manage.Status) error {
+func (u *Upgrade) Do(ctx context.Context, m Member, _ manage.Status) error {
 	old, err := status(ctx, m)
 	if err != nil {
 		return err
--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -204,9 +204,9 @@
 
 // Mutations are the guards that can be taken out, by name.
 var Mutations = []Mutation{
-	{Name: "the group's size is taken as 1", Rule: fleetrules.Cold, Day: "join", Instances: 120, settings: func(w *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
-	{Name: "a cold server is held able to do all from its start", Rule: fleetrules.Cold, Day: "herd", settings: func(w *world, n *node) { n.set.InitialCapacity, n.set.OverloadMultiple = 1, 50 }},
-	{Name: "drains are not heard", Rule: fleetrules.Drain, Day: "join", list: func(w *world, m []listed) []listed {
+	{Name: "the group's size is taken as 1", Rule: fleetrules.Cold, Day: "join", Instances: 120, settings: func(_ *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
+	{Name: "a cold server is held able to do all from its start", Rule: fleetrules.Cold, Day: "herd", settings: func(_ *world, n *node) { n.set.InitialCapacity, n.set.OverloadMultiple = 1, 50 }},
+	{Name: "drains are not heard", Rule: fleetrules.Drain, Day: "join", list: func(_ *world, m []listed) []listed {
 		var kept []listed
 		for _, one := range m {
 			if one.up {
@@ -216,15 +216,15 @@
 		return kept
 	}},
 	{Name: "a silent watch is not opened anew", Rule: fleetrules.Drain, Day: "join", deaf: true},
-	{Name: "a repeat may go to any server", Rule: fleetrules.Twice, Day: "split", settings: func(w *world, n *node) { n.set.Classes[1].KeyScope = 0 }},
-	{Name: "a repeat may go at any time", Rule: fleetrules.Twice, Day: "split", Load: 2, settings: func(w *world, n *node) { n.set.Classes[1].RepeatWindow = time.Hour }},
+	{Name: "a repeat may go to any server", Rule: fleetrules.Twice, Day: "split", settings: func(_ *world, n *node) { n.set.Classes[1].KeyScope = 0 }},
+	{Name: "a repeat may go at any time", Rule: fleetrules.Twice, Day: "split", Load: 2, settings: func(_ *world, n *node) { n.set.Classes[1].RepeatWindow = time.Hour }},
 	{Name: "an attempt goes out twice", Rule: fleetrules.Twice, Day: "calm", twoCopies: true},
 	{Name: "the transport sends again what was reset", Rule: fleetrules.Twice, Day: "split", hidden: true},
 	{Name: "what may have run is refused", Rule: fleetrules.Twice, Day: "split", Load: 3, allFails: true},
-	{Name: "neither ceiling nor quota is looked at", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(w *world, n *node) {
+	{Name: "neither ceiling nor quota is looked at", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(_ *world, n *node) {
 		n.set.Plans[1].HardLimitRate, n.set.Plans[1].QuotaRate = 0, 0
 	}},
-	{Name: "each instance grants the whole ceiling", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(w *world, n *node) { n.wholeCeiling = true }},
+	{Name: "each instance grants the whole ceiling", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(_ *world, n *node) { n.wholeCeiling = true }},
 	{Name: "a request's timers never come", Rule: fleetrules.Answer, Day: "zone", Load: 4, noTimer: true},
 	{Name: "a final answer is given twice", Rule: fleetrules.Answer, Day: "calm", twoEnds: true},
 	{Name: "what is held at an end is dropped", Rule: fleetrules.Answer, Day: "roll", drops: true},
--- a/internal/h2/fate.go
+++ b/internal/h2/fate.go
@@ -9,6 +9,7 @@
 // Moment is how far a request had gone when its stream ended.
 type Moment int
 
+// The moments of a request, in their order.
 const (
 	Unsent   Moment = iota // no byte of it has been written to the socket
 	Begun                  // some have
@@ -21,6 +22,7 @@
 // End is what ended a stream before its answer was whole.
 type End int
 
+// The ends of a stream.
 const (
 	Broke     End = iota // the connection broke, or was ended for an error on it
 	Reset                // the server reset the stream; the error code says more
@@ -37,7 +39,9 @@
 type Fate int
 
 const (
+	// MayHaveRun is a request that the server may have begun.
 	MayHaveRun Fate = iota
+	// NeverRan is one that the server can't have begun.
 	NeverRan
 	// TurnedAway never ran either: the server has said so.
 	TurnedAway
--- a/internal/hopheaders/hopheaders.go
+++ b/internal/hopheaders/hopheaders.go
@@ -73,7 +73,7 @@
 		}
 	}
 	via(out, in)
-	tell(out, in, from, tells)
+	tell(out, from, tells)
 	return out
 }
 
@@ -95,7 +95,7 @@
 var told = []string{"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded"}
 
 // tell says who the client is. What a peer that is not trusted says of it is replaced.
-func tell(out, in http.Header, from Peer, tells Tells) {
+func tell(out http.Header, from Peer, tells Tells) {
 	if !from.Trusted || tells == Nothing {
 		for _, name := range told {
 			delete(out, name)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -33,40 +33,40 @@
 // Event is something that happened.
 type Event interface{ isEvent() }
 
-// Listening: clients can connect.
+// Listening reports that clients can connect.
 type Listening struct{}
 
-// Serves: every required service has been able to serve.
+// ServicesReady reports that every required service has been able to serve.
 type ServicesReady struct{}
 
-// Reload: somebody asks for the configuration to be read again.
+// ReloadRequested asks for the configuration to be read again.
 type ReloadRequested struct{ Cause string }
 
-// Reloaded: a reload that was begun has ended; Err is nil where it is in force.
+// ReloadFinished reports that a reload has ended; Err is nil where the new configuration is in force.
 type ReloadFinished struct{ Err error }
 
-// Upgrade: somebody asks for a new process to take this one's place.
+// UpgradeRequested asks for a new process to take this one's place.
 type UpgradeRequested struct{ Cause string }
 
-// Prepared: the successor could serve, and waits for what was spent and learned.
+// SuccessorPrepared reports that the successor could serve, and waits for the state of this process.
 type SuccessorPrepared struct{}
 
-// Took: the successor takes clients.
+// SuccessorTookOver reports that the successor accepts clients.
 type SuccessorTookOver struct{}
 
-// Settled: the successor has taken clients for as long as its probation lasts.
+// SuccessorConfirmed reports that the successor has served clients for as long as its probation lasts.
 type SuccessorConfirmed struct{}
 
-// Lost: the successor has ended or took too long.
+// SuccessorLost reports that the successor has ended or exceeded its time.
 type SuccessorLost struct{ Err error }
 
-// Alone: the process whose place this one took has ended.
+// PredecessorEnded reports that the process whose place this one took has ended.
 type PredecessorEnded struct{}
 
-// Stop: somebody asks for the end.
+// StopRequested asks for the end.
 type StopRequested struct{ Cause string }
 
-// Done: all has been let go, or, with Err, the daemon failed.
+// Finished reports that everything is released, or, with Err, that the daemon failed.
 type Finished struct{ Err error }
 
 func (Listening) isEvent()          {}
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -24,7 +24,7 @@
 	on := func(pattern string, h func(w http.ResponseWriter, r *http.Request, d Daemon)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { h(w, r, daemon()) })
 	}
-	on("GET /v1/status", func(w http.ResponseWriter, r *http.Request, d Daemon) { answer(w, http.StatusOK, d.Status()) })
+	on("GET /v1/status", func(w http.ResponseWriter, _ *http.Request, d Daemon) { answer(w, http.StatusOK, d.Status()) })
 	on("POST /v1/reload", func(w http.ResponseWriter, r *http.Request, d Daemon) { told(w, d.Reload(r.Context()), d) })
 	on("POST /v1/upgrade", func(w http.ResponseWriter, r *http.Request, d Daemon) {
 		var ask struct {
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -70,11 +70,13 @@
 	Figures instancestats.Figures `json:"figures"`
 }
 
-// What a coordinator says.
 type (
+	// Claim is a coordinator's claim to give orders.
 	Claim = desiredstate.Claim
+	// Order is what a coordinator orders.
 	Order = desiredstate.Order
-	Want  = desiredstate.Want
+	// Want is what an order wants.
+	Want = desiredstate.Want
 )
 
 // Drained is the life of a daemon that is wanted not to serve.
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -38,9 +38,9 @@
 	Lost  int     `json:"lost"` // in all rounds
 }
 
-// MeasureIsolation plays a steady stream of roster calls beside a crowd of document clients,
+// RunIsolation plays a steady stream of roster calls beside a crowd of document clients,
 // with the document servers answering and stalled, in turn.
-func MeasureIsolation(ctx context.Context, o IsolationOptions) (Isolation, error) {
+func RunIsolation(ctx context.Context, o IsolationOptions) (Isolation, error) {
 	out := Isolation{Descriptors: o.Descriptors}
 	var calm, stalled []Served
 	var ratios []float64
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -212,7 +212,7 @@
 func Handler(of Source) http.Handler {
 	places := make(chan struct{}, scrapesMost)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		select {
 		case places <- struct{}{}:
 			defer func() { <-places }()
--- a/internal/quotalease/holder.go
+++ b/internal/quotalease/holder.go
@@ -29,6 +29,7 @@
 // Kind is that of an Action.
 type Kind int
 
+// The kinds of action.
 const (
 	Let  Kind = iota + 1 // a request goes on; its units are spent
 	Deny                 // a request is turned away
--- a/internal/redistest/redistest.go
+++ b/internal/redistest/redistest.go
@@ -201,10 +201,10 @@
 			if known = args[len(args)-1] == auth; known {
 				reply = status("OK")
 			} else {
-				reply = errors.New("WRONGPASS invalid username-password pair or user is disabled.")
+				reply = errors.New("WRONGPASS invalid username-password pair or user is disabled.") //nolint:revive,staticcheck // the text that Redis sends
 			}
 		case auth != "" && !known:
-			reply = errors.New("NOAUTH Authentication required.")
+			reply = errors.New("NOAUTH Authentication required.") //nolint:revive,staticcheck // the text that Redis sends
 		default:
 			reply = s.Do(args...)
 		}
@@ -304,7 +304,7 @@
 	}
 	proto := s.scripts[sum]
 	if proto == nil {
-		return errors.New("NOSCRIPT No matching script. Please use EVAL.")
+		return errors.New("NOSCRIPT No matching script. Please use EVAL.") //nolint:revive,staticcheck // the text that Redis sends
 	}
 	n, err := strconv.Atoi(args[1])
 	if err != nil || n < 0 || n > len(args)-2 {
--- a/internal/regions/sums_test.go
+++ b/internal/regions/sums_test.go
@@ -52,9 +52,9 @@
 		"the least ceiling counts": {plan(func(i int, p *control.Plan) { p.HardLimitRate += float64(10 * i) }), two, "ceiling error let 105 units a second through, the ceiling is 100"},
 		"a burst within the slack": {plan(func(i int, p *control.Plan) { p.HardLimitBurst += float64(20 * i) }), two, ""},
 		"a burst beyond it":        {plan(func(i int, p *control.Plan) { p.HardLimitBurst += float64(21 * i) }), two, "ceiling error at once"},
-		"another service":          {func(i int, r *Region) { r.Services[0].Name = r.Name }, alone, ""},
-		"one counter":              {func(i int, r *Region) { r.Services[0].Name, r.Services[0].Counter, r.Shared = r.Name, "c", true }, alone, "ceiling error let 200"},
-		"counters unshared":        {func(i int, r *Region) { r.Services[0].Name, r.Services[0].Counter = r.Name, "c" }, alone, ""},
+		"another service":          {func(_ int, r *Region) { r.Services[0].Name = r.Name }, alone, ""},
+		"one counter":              {func(_ int, r *Region) { r.Services[0].Name, r.Services[0].Counter, r.Shared = r.Name, "c", true }, alone, "ceiling error let 200"},
+		"counters unshared":        {func(_ int, r *Region) { r.Services[0].Name, r.Services[0].Counter = r.Name, "c" }, alone, ""},
 
 		"three lists":        {cold(func(int, *Service) {}), four[:3], ""},
 		"four lists":         {cold(func(int, *Service) {}), four, "cold error 0.48 of a warm one's work together, it falls at 0.375"},
--- a/internal/regiontrial/ground.go
+++ b/internal/regiontrial/ground.go
@@ -27,11 +27,11 @@
 
 // Place names a link by its number.
 func Place(each, n int) string {
-	if nodes := regionCount * each; n < 2*nodes {
+	nodes := regionCount * each
+	if n < 2*nodes {
 		return []string{"clients to ", "coordinators to "}[n%2] + member(n/2)
-	} else {
-		n -= 2 * nodes
 	}
+	n -= 2 * nodes
 	region, at := regionNames[n/perRegion], n%perRegion
 	return [...]string{
 		"regions to the first listener of ", "regions to the second listener of ", region + " to app 0 of ", region + " to app 1 of ",
--- a/internal/scattergathertest/node_test.go
+++ b/internal/scattergathertest/node_test.go
@@ -226,7 +226,7 @@
 		"an object":     func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, `{"a":[1]}`) },
 		"half an array": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, `[1,2`) },
 		"two arrays":    func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, `[1][2]`) },
-		"cut short": func(w http.ResponseWriter, q *http.Request) {
+		"cut short": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			io.WriteString(w, `[1]`)
 		},
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -204,7 +204,7 @@
 func Never(t testing.TB) http.HandlerFunc {
 	over := make(chan struct{})
 	t.Cleanup(func() { close(over) })
-	return func(w http.ResponseWriter, r *http.Request) {
+	return func(_ http.ResponseWriter, r *http.Request) {
 		select {
 		case <-over:
 		case <-r.Context().Done():
--- a/internal/waitpolicy/forecast.go
+++ b/internal/waitpolicy/forecast.go
@@ -97,7 +97,7 @@
 	return edges[Buckets-2]
 }
 
-// Known forecasts by distributions that somebody knows: came(part, d) is the chance that a part has
+// KnownForecast forecasts by distributions that somebody knows: came(part, d) is the chance that a part has
 // answered after d. It is for simulations.
 func KnownForecast(parts int, load, common float64, came func(part int, d time.Duration) float64) *Forecast {
 	f := &Forecast{load: load, common: common, parts: make([]curve, parts)}
--- a/internal/waitpolicy/query.go
+++ b/internal/waitpolicy/query.go
@@ -5,6 +5,7 @@
 // Kind is what a query has to do.
 type Kind uint8
 
+// The kinds of step.
 const (
 	Wait   Kind = iota // until a part comes, or Step.Until
 	Answer             // with what has come; what is missing is cut
@@ -14,6 +15,7 @@
 // Why says what a step follows from; for logs and counts.
 type Why uint8
 
+// The reasons of a step.
 const (
 	Whole     Why = iota // nothing is out any more
 	Worth                // by expected worth
--- a/internal/waitpolicy/waitpolicy.go
+++ b/internal/waitpolicy/waitpolicy.go
@@ -13,6 +13,7 @@
 // Mode is how long a query waits.
 type Mode uint8
 
+// The modes of waiting.
 const (
 	Learned Mode = iota // as long as waiting is expected to be worth more than answering
 	Fixed               // for a fixed time
--- a/internal/waitpolicysim/world.go
+++ b/internal/waitpolicysim/world.go
@@ -58,11 +58,11 @@
 	{
 		name: "humps", help: "one of seven takes 1.4 s instead of 0.1 to 0.26",
 		delay: func(p int, _, s float64) time.Duration {
-			if u := upper(s); u < 1.0/7 {
+			u := upper(s)
+			if u < 1.0/7 {
 				return lognormal(1400, 0.15, quantile(1-7*u))
-			} else {
-				return lognormal(medians[p], 0.2, quantile(min(1-1e-12, (1-u)*7/6)))
 			}
+			return lognormal(medians[p], 0.2, quantile(min(1-1e-12, (1-u)*7/6)))
 		},
 	},
 	{
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -142,7 +142,7 @@
 	f.Add(batch("discovery who=3 kind=patch serial=4 members=1\nitem condition=on server=5\n"))
 	f.Add(batch("response who=3 xid=0a server=51 reason=100 pressure=cpu:0.6,rps:1\n"))
 	f.Add("clock ts=1e400\nend\n")
-	f.Fuzz(func(t *testing.T, text string) {
+	f.Fuzz(func(_ *testing.T, text string) {
 		d := NewDecoder(strings.NewReader(text))
 		for i := 0; i < 100; i++ {
 			if _, err := d.Next(); err != nil {
