--- a/internal/service/deadlines_test.go
+++ b/internal/service/deadlines_test.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// TestDepartedClientsBeyondEventQueueAreNotSent checks that more requests come than the event queue has space
-// for while the loop is blocked, and every second client leaves before it goes on. No request of those is
+// TestDepartedClientsBeyondEventQueueAreNotSent checks that, where more requests come than the event queue has
+// space for while the loop is blocked and every second client leaves before it goes on, no request of those is
 // sent, whether it was in the queue or not, and all others are served.
 func TestDepartedClientsBeyondEventQueueAreNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/service/unbegun_requests_test.go
+++ b/internal/service/unbegun_requests_test.go
@@ -11,9 +11,9 @@
 	"lockflow/internal/upstream"
 )
 
-// TestClientLeavesUnbegunRequest checks that a client leaves whose request was answered without having begun,
-// as another accepted request has its id or as it goes to the service's replacement. The service goes on, and
-// its accepted request is answered.
+// TestClientLeavesUnbegunRequest checks that a service goes on, and answers its accepted request, where a
+// client leaves whose request was answered without having begun: another accepted request had its id, or it
+// went to the service's replacement.
 func TestClientLeavesUnbegunRequest(t *testing.T) {
 	for _, tc := range []struct {
 		name, id string
