--- a/cmd/lockflow/term_test.go
+++ b/cmd/lockflow/term_test.go
@@ -409,7 +409,7 @@
 		for name, play := range crossings {
 			s := s
 			if s.sockets = 1024; strings.HasPrefix(name, noRoom) {
-				s.sockets = limits.Least
+				s.sockets = limits.MinDescriptors
 			}
 			t.Run(fmt.Sprint(s.effect, " ", s.deadline, " ", name), func(t *testing.T) {
 				t.Parallel()
--- a/internal/bulkhead/bulkhead.go
+++ b/internal/bulkhead/bulkhead.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	reservePart = 4 // one over the part of a guarantee that is never lent
-	borrowTimes = 2 // of what stays free, that one borrower may have
+	reserveDivisor = 4 // one over the part of a guarantee that is never lent
+	maxBorrowRatio = 2 // of what stays free, that one borrower may have
 )
 
 // Owner names one that takes and gives.
@@ -27,58 +27,58 @@
 
 type share struct {
 	guaranteed, used int64
-	known            bool // not removed
+	isActive         bool // not removed
 }
 
 // reserve is what of a guaranteed part must stay free for its owner.
 func (s *share) reserve() int64 {
-	return max(0, (s.guaranteed+reservePart-1)/reservePart-s.used)
+	return max(0, (s.guaranteed+reserveDivisor-1)/reserveDivisor-s.used)
 }
 
-// loan is what an owner has beyond its guaranteed part.
-func (s *share) loan() int64 { return max(0, s.used-s.guaranteed) }
+// borrowed is what an owner has beyond its guaranteed part.
+func (s *share) borrowed() int64 { return max(0, s.used-s.guaranteed) }
 
-// Ledger divides one thing. Its zero value has nothing to divide. It is not safe for
+// Allocator divides one thing. Its zero value has nothing to divide. It is not safe for
 // concurrent use.
-type Ledger struct {
-	total, used int64
-	term        time.Duration
-	shares      []share
-	reserved    int64         // sum of what must stay free
-	lendFrom    time.Duration // nothing is lent before
-	changed     bool          // lendFrom has been set
+type Allocator struct {
+	total, used  int64
+	maxLoanTime  time.Duration
+	shares       []share
+	reserved     int64         // sum of what must stay free
+	lendAfter    time.Duration // nothing is lent before
+	hasLendAfter bool          // lendFrom has been set
 }
 
 // New makes a ledger of so much in all, of which nothing lent is kept longer than term.
-func New(total int64, term time.Duration) *Ledger {
-	return &Ledger{total: total, term: term}
+func New(total int64, maxLoanTime time.Duration) *Allocator {
+	return &Allocator{total: total, maxLoanTime: maxLoanTime}
 }
 
-// SetTerm sets for how long anything lent is kept at most.
-func (l *Ledger) SetTerm(term time.Duration) { l.term = term }
+// SetMaxLoanTime sets for how long anything lent is kept at most.
+func (l *Allocator) SetMaxLoanTime(maxLoanTime time.Duration) { l.maxLoanTime = maxLoanTime }
 
-// Add takes in an owner with no guaranteed part.
-func (l *Ledger) Add() Owner {
+// AddOwner takes in an owner with no guaranteed part.
+func (l *Allocator) AddOwner() Owner {
 	for i := range l.shares {
-		if s := &l.shares[i]; !s.known && s.used == 0 {
-			s.known = true
+		if s := &l.shares[i]; !s.isActive && s.used == 0 {
+			s.isActive = true
 			return Owner(i)
 		}
 	}
-	l.shares = append(l.shares, share{known: true})
+	l.shares = append(l.shares, share{isActive: true})
 	return Owner(len(l.shares) - 1)
 }
 
-// Remove lets go of an owner. What it still has is given back as before; its place goes to
+// RemoveOwner lets go of an owner. What it still has is given back as before; its place goes to
 // another only then.
-func (l *Ledger) Remove(o Owner) {
-	l.set(o, func(s *share) { s.guaranteed, s.known = 0, false })
+func (l *Allocator) RemoveOwner(o Owner) {
+	l.updateOwner(o, func(s *share) { s.guaranteed, s.isActive = 0, false })
 }
 
-// Divide sets how much there is in all and the guaranteed parts; an owner that is not named
+// SetGuarantees sets how much there is in all and the guaranteed parts; an owner that is not named
 // has none. It changes nothing where they sum up to more than there is. What is taken beyond
 // a new bound stays until it is given back.
-func (l *Ledger) Divide(total int64, guaranteed map[Owner]int64) error {
+func (l *Allocator) SetGuarantees(total int64, guaranteed map[Owner]int64) error {
 	sum := int64(0)
 	for o, g := range guaranteed {
 		if g < 0 || int(o) >= len(l.shares) || g > total-sum {
@@ -88,56 +88,56 @@
 	}
 	l.total = total
 	for i := range l.shares {
-		l.set(Owner(i), func(s *share) { s.guaranteed = guaranteed[Owner(i)] })
+		l.updateOwner(Owner(i), func(s *share) { s.guaranteed = guaranteed[Owner(i)] })
 	}
 	return nil
 }
 
-func (l *Ledger) set(o Owner, change func(*share)) {
+func (l *Allocator) updateOwner(o Owner, change func(*share)) {
 	s := &l.shares[o]
 	l.reserved -= s.reserve()
 	change(s)
 	l.reserved += s.reserve()
 }
 
-// Take tries to take n for an owner.
-func (l *Ledger) Take(now time.Duration, o Owner, n int64) bool {
+// TryAcquire tries to take n for an owner.
+func (l *Allocator) TryAcquire(now time.Duration, o Owner, n int64) bool {
 	s := &l.shares[o]
 	after := share{guaranteed: s.guaranteed, used: s.used + n}
 	left := l.total - l.used - n - (l.reserved - s.reserve()) // once the others' reserves are kept
-	own := after.loan() == 0
+	own := after.borrowed() == 0
 	switch {
 	case n < 0 || n > l.total:
 		return false
 	case own && left < 0:
 		// What is its own is lent: nothing more is, until all that is lent has come back.
-		l.lendFrom, l.changed = now+l.term, true
+		l.lendAfter, l.hasLendAfter = now+l.maxLoanTime, true
 		return false
-	case !own && (l.changed && now < l.lendFrom || left < 0 || after.loan() > borrowTimes*(left-after.reserve())):
+	case !own && (l.hasLendAfter && now < l.lendAfter || left < 0 || after.borrowed() > maxBorrowRatio*(left-after.reserve())):
 		return false
 	}
 	l.used += n
-	l.set(o, func(s *share) { s.used += n })
+	l.updateOwner(o, func(s *share) { s.used += n })
 	return true
 }
 
-// Give gives back n that was taken.
-func (l *Ledger) Give(o Owner, n int64) {
+// Release gives back n that was taken.
+func (l *Allocator) Release(o Owner, n int64) {
 	l.used -= n
-	l.set(o, func(s *share) { s.used -= n })
+	l.updateOwner(o, func(s *share) { s.used -= n })
 }
 
 // Used is what an owner has.
-func (l *Ledger) Used(o Owner) int64 { return l.shares[o].used }
+func (l *Allocator) Used(o Owner) int64 { return l.shares[o].used }
 
 // Guaranteed is an owner's guaranteed part.
-func (l *Ledger) Guaranteed(o Owner) int64 { return l.shares[o].guaranteed }
+func (l *Allocator) Guaranteed(o Owner) int64 { return l.shares[o].guaranteed }
 
-// Loan is what an owner has beyond its guaranteed part.
-func (l *Ledger) Loan(o Owner) int64 { return l.shares[o].loan() }
+// Borrowed is what an owner has beyond its guaranteed part.
+func (l *Allocator) Borrowed(o Owner) int64 { return l.shares[o].borrowed() }
 
 // Free is what nobody has.
-func (l *Ledger) Free() int64 { return l.total - l.used }
+func (l *Allocator) Free() int64 { return l.total - l.used }
 
 // Total is what there is in all.
-func (l *Ledger) Total() int64 { return l.total }
+func (l *Allocator) Total() int64 { return l.total }
--- a/internal/bulkhead/bulkhead_test.go
+++ b/internal/bulkhead/bulkhead_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-const term = 10 * time.Second
+const maxLoanTime = 10 * time.Second
 
 // fataler is a test, or one of the many tries of a property.
 type fataler interface {
@@ -15,30 +15,30 @@
 	Fatal(...any)
 }
 
-func divided(t fataler, total int64, guaranteed ...int64) (*Ledger, []Owner) {
+func newAllocator(t fataler, total int64, guaranteed ...int64) (*Allocator, []Owner) {
 	t.Helper()
-	l := New(total, term)
+	l := New(total, maxLoanTime)
 	var owners []Owner
 	parts := make(map[Owner]int64)
 	for _, g := range guaranteed {
-		o := l.Add()
+		o := l.AddOwner()
 		owners, parts[o] = append(owners, o), g
 	}
-	if err := l.Divide(total, parts); err != nil {
+	if err := l.SetGuarantees(total, parts); err != nil {
 		t.Fatal(err)
 	}
 	return l, owners
 }
 
-// most is how many an owner can take one by one.
-func most(l *Ledger, o Owner) (n int64) {
-	for l.Take(0, o, 1) {
+// acquireAll is how many an owner can take one by one.
+func acquireAll(l *Allocator, o Owner) (n int64) {
+	for l.TryAcquire(0, o, 1) {
 		n++
 	}
 	return n
 }
 
-func TestGuaranteed(t *testing.T) {
+func TestOwnersAcquireGuaranteedAndBorrowedParts(t *testing.T) {
 	for name, tc := range map[string]struct {
 		total        int64
 		a, b         int64 // guaranteed
@@ -51,60 +51,60 @@
 		"nothing":         {0, 0, 0, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, o := divided(t, tc.total, tc.a, tc.b)
-			if got := most(l, o[0]); got != tc.first {
+			l, o := newAllocator(t, tc.total, tc.a, tc.b)
+			if got := acquireAll(l, o[0]); got != tc.first {
 				t.Errorf("the first took %d, not %d", got, tc.first)
 			}
-			if got := most(l, o[1]); got != tc.after {
+			if got := acquireAll(l, o[1]); got != tc.after {
 				t.Errorf("the second took %d, not %d", got, tc.after)
 			}
 		})
 	}
 }
 
-func TestDivide(t *testing.T) {
-	l, o := divided(t, 10, 5, 5)
-	if err := l.Divide(10, map[Owner]int64{o[0]: 6, o[1]: 5}); err == nil {
+func TestSetGuaranteesKeepsWhatIsAcquired(t *testing.T) {
+	l, o := newAllocator(t, 10, 5, 5)
+	if err := l.SetGuarantees(10, map[Owner]int64{o[0]: 6, o[1]: 5}); err == nil {
 		t.Error("parts of more than there is")
 	}
-	if err := l.Divide(10, map[Owner]int64{o[0]: -1}); err == nil {
+	if err := l.SetGuarantees(10, map[Owner]int64{o[0]: -1}); err == nil {
 		t.Error("a part below zero")
 	}
 	if l.Guaranteed(o[0]) != 5 || l.Guaranteed(o[1]) != 5 {
 		t.Error("a bad division changed something")
 	}
-	most(l, o[0])
+	acquireAll(l, o[0])
 	before := l.Used(o[0])
-	if err := l.Divide(2, map[Owner]int64{o[1]: 2}); err != nil {
+	if err := l.SetGuarantees(2, map[Owner]int64{o[1]: 2}); err != nil {
 		t.Fatal(err)
 	}
-	if l.Used(o[0]) != before || l.Take(0, o[0], 1) || l.Take(0, o[1], 1) {
+	if l.Used(o[0]) != before || l.TryAcquire(0, o[0], 1) || l.TryAcquire(0, o[1], 1) {
 		t.Error("more was taken than there is now")
 	}
-	l.Give(o[0], before)
-	if !l.Take(0, o[1], 1) {
+	l.Release(o[0], before)
+	if !l.TryAcquire(0, o[1], 1) {
 		t.Error("a guaranteed part is not there")
 	}
-	l.Remove(o[1])
-	if got := l.Add(); got == o[1] {
+	l.RemoveOwner(o[1])
+	if got := l.AddOwner(); got == o[1] {
 		t.Error("a place with something taken went to another owner")
 	}
-	l.Give(o[1], 1)
-	if got := l.Add(); got != o[1] {
+	l.Release(o[1], 1)
+	if got := l.AddOwner(); got != o[1] {
 		t.Errorf("a free place was not used again: %d", got)
 	}
 }
 
-// held is something taken, and when it is given back.
-type held struct {
-	o     Owner
-	n     int64
-	until time.Duration
+// acquisition is something taken, and when it is given back.
+type acquisition struct {
+	owner      Owner
+	n          int64
+	releasedAt time.Duration
 }
 
 // Whatever owners do, in any order: never over the whole; the first quarter at once; the whole
 // guaranteed part within a term of the first refusal, as long as nothing is kept for longer.
-func TestPromises(t *testing.T) {
+func TestAllocatorKeepsItsGuarantees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 7).Draw(t, "owners")
 		total := rapid.Int64Range(20, 2019).Draw(t, "total")
@@ -113,17 +113,17 @@
 			g := rapid.Int64Range(0, left/2).Draw(t, "guaranteed")
 			guaranteed, left = append(guaranteed, g), left-g
 		}
-		l, owners := divided(t, total, guaranteed...)
+		l, owners := newAllocator(t, total, guaranteed...)
 		sizes := rapid.Int64Range(1, 5).Draw(t, "sizes")
-		var out []held
+		var out []acquisition
 		inVain := make(map[Owner]time.Duration)
 		now := time.Duration(0)
 		for range rapid.IntRange(0, 1000).Draw(t, "steps") {
-			now += time.Duration(rapid.Int64Range(0, int64(term/200)).Draw(t, "passes"))
+			now += time.Duration(rapid.Int64Range(0, int64(maxLoanTime/200)).Draw(t, "passes"))
 			kept := out[:0]
 			for _, h := range out {
-				if h.until <= now {
-					l.Give(h.o, h.n)
+				if h.releasedAt <= now {
+					l.Release(h.owner, h.n)
 				} else {
 					kept = append(kept, h)
 				}
@@ -135,9 +135,9 @@
 			}
 			k := rapid.Int64Range(1, sizes).Draw(t, "size")
 			used, g := l.Used(o), l.Guaranteed(o)
-			ok := l.Take(now, o, k)
+			ok := l.TryAcquire(now, o, k)
 			if ok {
-				out = append(out, held{o, k, now + time.Duration(rapid.Int64Range(0, int64(term)-1).Draw(t, "for"))})
+				out = append(out, acquisition{o, k, now + time.Duration(rapid.Int64Range(0, int64(maxLoanTime)-1).Draw(t, "for"))})
 			}
 			sum := int64(0)
 			for _, o := range owners {
@@ -157,7 +157,7 @@
 			}
 			if since, again := inVain[o]; !again {
 				inVain[o] = now
-			} else if now >= since+term {
+			} else if now >= since+maxLoanTime {
 				t.Fatalf("%d more than %d of a guaranteed %d refused for %v", k, used, g, now-since)
 			}
 		}
@@ -168,10 +168,10 @@
 func TestNoBorrowerStarvesTheRest(t *testing.T) {
 	for _, n := range []int{2, 3, 10, 50} {
 		const total = 10000
-		l, o := divided(t, total, make([]int64, n)...)
+		l, o := newAllocator(t, total, make([]int64, n)...)
 		for i, each := range o {
-			got := most(l, each)
-			if i == 0 && got > total*borrowTimes/(borrowTimes+1)+1 {
+			got := acquireAll(l, each)
+			if i == 0 && got > total*maxBorrowRatio/(maxBorrowRatio+1)+1 {
 				t.Errorf("the first borrowed %d of %d", got, total)
 			}
 			if i == 1 && got < total/6 {
@@ -182,13 +182,13 @@
 		for range 20 {
 			for _, each := range o {
 				if back := l.Used(each) / 2; back > 0 {
-					l.Give(each, back)
+					l.Release(each, back)
 				}
 			}
 			for more := true; more; {
 				more = false
 				for _, each := range o {
-					more = l.Take(0, each, 1) || more
+					more = l.TryAcquire(0, each, 1) || more
 				}
 			}
 		}
@@ -200,35 +200,35 @@
 	}
 }
 
-func TestPace(t *testing.T) {
-	p := NewPace(0.5)
-	p.Set(0, 0.2)
-	p.Set(1, 0.2)
+func TestTimeLimiterRestrainsOnlyOwnersBeyondTheirPart(t *testing.T) {
+	p := NewTimeLimiter(0.5)
+	p.SetGuaranteed(0, 0.2)
+	p.SetGuaranteed(1, 0.2)
 	ms := time.Millisecond
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
-		p.Spent(now, 0, 1*ms) // 0.1 s a second
-		p.Spent(now, 1, 9*ms) // 0.9
-		if !p.Within(now, 0) {
+		p.Record(now, 0, 1*ms) // 0.1 s a second
+		p.Record(now, 1, 9*ms) // 0.9
+		if !p.Allows(now, 0) {
 			t.Fatalf("at %v the one within its part was held back", now)
 		}
 	}
-	if p.Within(10*time.Second, 1) {
+	if p.Allows(10*time.Second, 1) {
 		t.Error("the one that uses most is not held back")
 	}
 	if u := p.Used(10*time.Second, 1); u < 0.8 || u > 1 {
 		t.Errorf("used %g", u)
 	}
-	if !p.Within(11*time.Second, 1) || p.Used(20*time.Second, 1) > 0.001 {
+	if !p.Allows(11*time.Second, 1) || p.Used(20*time.Second, 1) > 0.001 {
 		t.Error("what was used long ago still counts")
 	}
 }
 
-func BenchmarkTakeGive(b *testing.B) {
-	l, o := divided(b, 1<<20, make([]int64, 500)...)
+func BenchmarkTryAcquireRelease(b *testing.B) {
+	l, o := newAllocator(b, 1<<20, make([]int64, 500)...)
 	b.ReportAllocs()
 	for i := range b.N {
-		if l.Take(time.Duration(i), o[i%500], 3) {
-			l.Give(o[i%500], 3)
+		if l.TryAcquire(time.Duration(i), o[i%500], 3) {
+			l.Release(o[i%500], 3)
 		}
 	}
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -122,7 +122,7 @@
 	p := Process{Shared: true, Cores: t.Number("cores", 0, 0, 1024), MemoryMB: int(t.Integer("memory_mb", 0, 0, countMost))}
 	p.Descriptors = int(t.Integer("descriptors", 1024, 64, countMost))
 	p.Total = Amounts{
-		Descriptors: int64(limits.Connections(p.Descriptors)),
+		Descriptors: int64(limits.MaxConnections(p.Descriptors)),
 		Held:        t.Integer("held", 0, 1, countMost),
 		Bytes:       t.Size("bytes", 64<<20, 1, bytesMost), Dials: t.Integer("dials", 128, 1, countMost),
 		ModuleTime: t.Number("module_time", 0.5, 0.001, 1024),
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -72,8 +72,8 @@
 		}
 	}
 	// What isn't told has no limit.
-	if l := file.Limits; l.Sockets != 0 && l.Sockets < limits.Least {
-		return c, fmt.Errorf("limits.sockets: %g leaves no room for connections; %d is the least", l.Sockets, limits.Least)
+	if l := file.Limits; l.Sockets != 0 && l.Sockets < limits.MinDescriptors {
+		return c, fmt.Errorf("limits.sockets: %g leaves no room for connections; %d is the least", l.Sockets, limits.MinDescriptors)
 	} else if l.MemoryMB < 0 || l.Cores < 0 {
 		return c, fmt.Errorf("limits: cores and memory_mb: %v and %v, of which one is negative", l.Cores, l.MemoryMB)
 	}
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -207,7 +207,7 @@
 		if one.Resources == nil {
 			continue
 		}
-		for _, u := range []limits.Use{one.Resources.Requests, one.Resources.BufferedBytes, one.Resources.Descriptors} {
+		for _, u := range []limits.Usage{one.Resources.Requests, one.Resources.BufferedBytes, one.Resources.Descriptors} {
 			if u.Total > 0 {
 				most = max(most, float64(u.Used)/float64(u.Total))
 			}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -78,7 +78,7 @@
 		},
 	}
 	s, err := service.New(service.Options{
-		Settings: settings, Limiter: parts, Upstream: upstream.Options{Sockets: limits.NewSockets(100)},
+		Settings: settings, Limiter: parts, Upstream: upstream.Options{Sockets: limits.NewSocketLimiter(100)},
 		Source: discovery.Source{Kind: discovery.Static}, NewModule: func() (service.Module, error) { return module, nil },
 	})
 	if err != nil {
--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -49,7 +49,7 @@
 					AnyMethod: true, OnReady: func() { close(ready) },
 					Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}}, Classes: []control.Class{class}},
 					Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up", Capacity: 1}}},
-					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(100)},
+					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSocketLimiter(100)},
 				})
 				if err != nil {
 					t.Fatal(err)
@@ -71,7 +71,7 @@
 					t.Fatal(err)
 				}
 				srv := f.Server()
-				go srv.Serve(ValidatingListener(limits.Listen(ctx, l, limits.NewSockets(100))))
+				go srv.Serve(ValidatingListener(limits.Listen(ctx, l, limits.NewSocketLimiter(100))))
 				defer srv.Close()
 
 				send := func(ids ...string) *net.TCPConn {
--- a/internal/limits/bytes.go
+++ b/internal/limits/bytes.go
@@ -2,22 +2,22 @@
 
 import "sync/atomic"
 
-// Bytes books the bytes that requests hold, of one service that has the process to itself. It is safe for
+// ByteLimiter books the bytes that requests hold, of one service that has the process to itself. It is safe for
 // concurrent use.
-type Bytes struct{ left atomic.Int64 }
+type ByteLimiter struct{ available atomic.Int64 }
 
-// NewBytes makes one of so many bytes in all.
-func NewBytes(most int64) *Bytes {
-	b := new(Bytes)
-	b.left.Store(most)
+// NewByteLimiter makes one of so many bytes in all.
+func NewByteLimiter(limit int64) *ByteLimiter {
+	b := new(ByteLimiter)
+	b.available.Store(limit)
 	return b
 }
 
 // Admit books a request of so many bytes; see service.RequestLimiter.
-func (b *Bytes) Admit(bytes int64) (giveBack func(), ok bool) {
-	if b.left.Add(-bytes) < 0 {
-		b.left.Add(bytes)
+func (b *ByteLimiter) Admit(bytes int64) (release func(), ok bool) {
+	if b.available.Add(-bytes) < 0 {
+		b.available.Add(bytes)
 		return nil, false
 	}
-	return func() { b.left.Add(bytes) }, true
+	return func() { b.available.Add(bytes) }, true
 }
--- a/internal/limits/close_test.go
+++ b/internal/limits/close_test.go
@@ -5,30 +5,30 @@
 	"testing"
 )
 
-// closes is a connection that tells of its close.
-type closes struct {
+// closeNotifier is a connection that tells of its close.
+type closeNotifier struct {
 	net.Conn
-	at func()
+	onClose func()
 }
 
-func (c closes) Close() error { c.at(); return nil }
+func (c closeNotifier) Close() error { c.onClose(); return nil }
 
 // A place is given back once its descriptor is, not before: others would open one too many.
-func TestPlaceIsGivenBackBehindTheDescriptor(t *testing.T) {
-	s := NewSockets(1024)
-	if !s.Take() {
+func TestConnReleasesAfterClosingItsDescriptor(t *testing.T) {
+	s := NewSocketLimiter(1024)
+	if !s.TryAcquire() {
 		t.Fatal("no room")
 	}
 	during := -1
-	c := Own(closes{at: func() { during = s.Open() }}, s)
+	c := Track(closeNotifier{onClose: func() { during = s.InUse() }}, s)
 	c.Close()
-	if c.Close(); during != 0 || s.Open() != 0 {
-		t.Errorf("%d booked during the second close, %d after it", during, s.Open())
+	if c.Close(); during != 0 || s.InUse() != 0 {
+		t.Errorf("%d booked during the second close, %d after it", during, s.InUse())
 	}
-	if !s.Take() {
+	if !s.TryAcquire() {
 		t.Fatal("no room")
 	}
-	c = Own(closes{at: func() { during = s.Open() }}, s)
+	c = Track(closeNotifier{onClose: func() { during = s.InUse() }}, s)
 	if c.Close(); during != 1 {
 		t.Errorf("%d booked while it closes", during)
 	}
--- a/internal/limits/sockets.go
+++ b/internal/limits/sockets.go
@@ -12,31 +12,31 @@
 )
 
 const (
-	socketsApart = 24 // listener, discovery, log, poller and what the runtime opens
-	roomAgain    = 20 * time.Millisecond
+	processDescriptors   = 24 // listener, discovery, log, poller and what the runtime opens
+	acquireRetryInterval = 20 * time.Millisecond
 
-	// SocketsAhead is what is left to connections to app servers when clients fill the rest.
-	SocketsAhead = 64
+	// ReservedForServers is what is left to connections to app servers when clients fill the rest.
+	ReservedForServers = 64
 
-	// Least is the lowest limit on descriptors that leaves a client and an app server a place.
-	Least = socketsApart + 2
+	// MinDescriptors is the lowest limit on descriptors that leaves a client and an app server a place.
+	MinDescriptors = processDescriptors + 2
 )
 
-// Opener books the descriptors of one owner: a service, or the clients.
-type Opener interface {
-	// Take books a place for one more connection; false where there is none.
-	Take() bool
-	// Give gives a place back.
-	Give()
+// ConnectionLimiter books the descriptors of one owner: a service, or the clients.
+type ConnectionLimiter interface {
+	// TryAcquire books a place for one more connection; false where there is none.
+	TryAcquire() bool
+	// Release gives a place back.
+	Release()
 }
 
-// Sockets holds the connections of all sides together under the limit on
+// SocketLimiter holds the connections of all sides together under the limit on
 // descriptors. Where it is reached, idle connections are closed for new ones. It serves a
 // process of one service; several share by a Ledger.
-type Sockets struct {
-	open  atomic.Int64
-	most  atomic.Int64
-	ahead int64 // SocketsAhead, or half of what a low limit leaves
+type SocketLimiter struct {
+	inUse              atomic.Int64
+	limit              atomic.Int64
+	reservedForServers int64 // SocketsAhead, or half of what a low limit leaves
 
 	// Each closes one connection that nothing waits on, if there is one. That of the app
 	// servers keeps some.
@@ -44,33 +44,33 @@
 	evictServer func(keep int) bool
 }
 
-// NewSockets makes the books for a limit on the process's descriptors.
-func NewSockets(limit int) *Sockets {
-	most := Connections(limit)
-	s := &Sockets{ahead: int64(min(SocketsAhead, most/2)), evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
-	s.most.Store(int64(most))
+// NewSocketLimiter makes the books for a limit on the process's descriptors.
+func NewSocketLimiter(descriptors int) *SocketLimiter {
+	limit := MaxConnections(descriptors)
+	s := &SocketLimiter{reservedForServers: int64(min(ReservedForServers, limit/2)), evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
+	s.limit.Store(int64(limit))
 	return s
 }
 
-// Connections is how many connections a limit on descriptors leaves room for; 0 is a limit that nobody
+// MaxConnections is how many connections a limit on descriptors leaves room for; 0 is a limit that nobody
 // told.
-func Connections(limit int) int {
-	if limit == 0 {
-		return 2 * SocketsAhead
+func MaxConnections(descriptors int) int {
+	if descriptors == 0 {
+		return 2 * ReservedForServers
 	}
-	return max(limit, Least) - socketsApart
+	return max(descriptors, MinDescriptors) - processDescriptors
 }
 
-// SetMost sets how many connections may be open; what is open beyond it stays.
-func (s *Sockets) SetMost(n int) { s.most.Store(int64(n)) }
+// SetLimit sets how many connections may be open; what is open beyond it stays.
+func (s *SocketLimiter) SetLimit(n int) { s.limit.Store(int64(n)) }
 
-// Open is how many connections are booked.
-func (s *Sockets) Open() int { return int(s.open.Load()) }
+// InUse is how many connections are booked.
+func (s *SocketLimiter) InUse() int { return int(s.inUse.Load()) }
 
 // OnEvict sets how a place is made: each closes one idle connection, that of the clients or
 // of the app servers, if there is one (of the latter some are kept). Not for use once
 // connections are taken.
-func (s *Sockets) OnEvict(client func() bool, server func(keep int) bool) {
+func (s *SocketLimiter) OnEvict(client func() bool, server func(keep int) bool) {
 	if client != nil {
 		s.evictClient = client
 	}
@@ -79,38 +79,38 @@
 	}
 }
 
-func (s *Sockets) take(leave int64) bool {
-	for s.open.Add(1) > s.most.Load()-leave {
-		s.open.Add(-1)
+func (s *SocketLimiter) acquire(reserved int64) bool {
+	for s.inUse.Add(1) > s.limit.Load()-reserved {
+		s.inUse.Add(-1)
 		// Guards against silent clients that cost app servers handshakes: a client's place is
 		// given up first, and for a client the idle connections to app servers stay.
-		if !s.evictClient() && !s.evictServer(int(leave)) {
+		if !s.evictClient() && !s.evictServer(int(reserved)) {
 			return false
 		}
 	}
 	return true
 }
 
-// Take books a place for a connection to an app server.
-func (s *Sockets) Take() bool { return s.take(0) }
+// TryAcquire books a place for a connection to an app server.
+func (s *SocketLimiter) TryAcquire() bool { return s.acquire(0) }
 
-// Give gives a place back.
-func (s *Sockets) Give() { s.open.Add(-1) }
+// Release gives a place back.
+func (s *SocketLimiter) Release() { s.inUse.Add(-1) }
 
-// Clients books the places of clients, who leave some to the connections to app servers.
-func (s *Sockets) Clients() Opener { return clientSockets{s} }
+// ForClients books the places of clients, who leave some to the connections to app servers.
+func (s *SocketLimiter) ForClients() ConnectionLimiter { return clientLimiter{s} }
 
-type clientSockets struct{ *Sockets }
+type clientLimiter struct{ *SocketLimiter }
 
-func (s clientSockets) Take() bool { return s.take(s.ahead) }
+func (s clientLimiter) TryAcquire() bool { return s.acquire(s.reservedForServers) }
 
-// wait books a place as soon as there is one.
-func wait(ctx context.Context, o Opener) error {
-	for !o.Take() {
+// acquire books a place as soon as there is one.
+func acquire(ctx context.Context, o ConnectionLimiter) error {
+	for !o.TryAcquire() {
 		select {
 		case <-ctx.Done():
 			return net.ErrClosed
-		case <-time.After(roomAgain):
+		case <-time.After(acquireRetryInterval):
 		}
 	}
 	return nil
@@ -119,43 +119,43 @@
 // Conn is a connection that gives its place back when it is closed.
 type Conn struct {
 	net.Conn
-	opener Opener
-	once   sync.Once
+	limiter ConnectionLimiter
+	once    sync.Once
 }
 
-// Own has a connection, for which a place is booked, give that place back at its end.
-func Own(c net.Conn, o Opener) *Conn { return &Conn{Conn: c, opener: o} }
+// Track has a connection, for which a place is booked, give that place back at its end.
+func Track(c net.Conn, o ConnectionLimiter) *Conn { return &Conn{Conn: c, limiter: o} }
 
 // Close closes the connection; only the first call gives the place back.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(c.opener.Give)
+	c.once.Do(c.limiter.Release)
 	return err
 }
 
 // Listener takes connections only while there is room for them.
 type Listener struct {
 	net.Listener
-	ctx    context.Context
-	opener Opener
+	ctx     context.Context
+	limiter ConnectionLimiter
 }
 
 // Listen wraps a listener; ctx ends the waiting for room.
-func Listen(ctx context.Context, l net.Listener, o Opener) *Listener {
-	return &Listener{Listener: l, ctx: ctx, opener: o}
+func Listen(ctx context.Context, l net.Listener, o ConnectionLimiter) *Listener {
+	return &Listener{Listener: l, ctx: ctx, limiter: o}
 }
 
 // Accept waits for room, then for a connection.
 func (l *Listener) Accept() (net.Conn, error) {
-	if err := wait(l.ctx, l.opener); err != nil {
+	if err := acquire(l.ctx, l.limiter); err != nil {
 		return nil, err
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
-		l.opener.Give()
+		l.limiter.Release()
 		return nil, err
 	}
-	return Own(c, l.opener), nil
+	return Track(c, l.limiter), nil
 }
 
 // NetConn is the connection below.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -175,7 +175,7 @@
 		p.add(&moduleTime, s.Resources.ModuleTime, s.Name)
 		for _, l := range []struct {
 			name string
-			use  limits.Use
+			use  limits.Usage
 		}{{"descriptors", s.Resources.Descriptors}, {"held", s.Resources.Requests}, {"bytes", s.Resources.BufferedBytes}, {"dials", s.Resources.Dials}} {
 			p.add(&partUsed, float64(l.use.Used), s.Name, l.name)
 			p.add(&partOwn, float64(l.use.Guaranteed), s.Name, l.name)
--- a/internal/node/books.go
+++ b/internal/node/books.go
@@ -15,11 +15,11 @@
 
 // books hold what services may take of the process.
 type books interface {
-	clients() limits.Opener
+	clients() limits.ConnectionLimiter
 	// open makes the account of a service that is to be; nil where nothing is shared.
 	open() *account
 	// sockets books a service's connections.
-	socketsOf(a *account) limits.Opener
+	socketsOf(a *account) limits.ConnectionLimiter
 	// requests books what a service's requests hold.
 	requests(a *account) service.RequestLimiter
 	// divide sets the parts of the services of a configuration. It changes nothing where
@@ -29,8 +29,8 @@
 
 // wholeBooks are those of one service that has the process to itself.
 type wholeBooks struct {
-	sockets *limits.Sockets
-	bytes   *limits.Bytes
+	sockets *limits.SocketLimiter
+	bytes   *limits.ByteLimiter
 }
 
 // heldPart is how much of the process's memory requests may hold with their answers.
@@ -42,19 +42,19 @@
 	if p.MemoryMB > 0 {
 		most = int64(heldPart * float64(p.MemoryMB<<20))
 	}
-	return &wholeBooks{limits.NewSockets(p.Descriptors), limits.NewBytes(most)}
+	return &wholeBooks{limits.NewSocketLimiter(p.Descriptors), limits.NewByteLimiter(most)}
 }
 
-func (w *wholeBooks) clients() limits.Opener                           { return w.sockets.Clients() }
+func (w *wholeBooks) clients() limits.ConnectionLimiter                { return w.sockets.ForClients() }
 func (w *wholeBooks) open() *account                                   { return nil }
-func (w *wholeBooks) socketsOf(*account) limits.Opener                 { return w.sockets }
+func (w *wholeBooks) socketsOf(*account) limits.ConnectionLimiter      { return w.sockets }
 func (w *wholeBooks) requests(*account) service.RequestLimiter         { return w.bytes }
 func (w *wholeBooks) divide(*config.Config, map[string]*running) error { return nil }
 
 // sharedBooks are those of services that share the process by parts.
 type sharedBooks struct {
-	descriptors, held, bytes, dials *limits.Shared
-	pace                            *limits.Pace
+	descriptors, held, bytes, dials *limits.SharedResource
+	pace                            *limits.TimeLimiter
 	client                          *limits.Account
 	term                            time.Duration // for which anything lent is kept at most
 }
@@ -63,7 +63,7 @@
 type account struct {
 	descriptors *limits.Account
 	dials       *limits.Account
-	requests    limits.Requests
+	requests    limits.RequestLimiter
 	upstream    atomic.Pointer[upstream.Upstream] // nil until there is a service
 	streams     service.Streams
 	others      atomic.Int32 // services that it is of, beside one
@@ -80,10 +80,10 @@
 
 func newSharedBooks(cfg *config.Config, f *front.Front) *sharedBooks {
 	b := &sharedBooks{
-		descriptors: limits.NewShared(0), held: limits.NewShared(0), bytes: limits.NewShared(0),
-		dials: limits.NewShared(0), pace: limits.NewPace(cfg.Process.Total.ModuleTime),
+		descriptors: limits.NewSharedResource(0), held: limits.NewSharedResource(0), bytes: limits.NewSharedResource(0),
+		dials: limits.NewSharedResource(0), pace: limits.NewTimeLimiter(cfg.Process.Total.ModuleTime),
 	}
-	b.client = b.descriptors.Open(f.Evict)
+	b.client = b.descriptors.OpenAccount(f.Evict)
 	return b
 }
 
@@ -95,25 +95,25 @@
 			b.term = max(b.term, k.Deadline+front.MaxTimeBeyondDeadline)
 		}
 	}
-	for _, s := range []*limits.Shared{b.descriptors, b.held, b.bytes, b.dials} {
-		s.SetTerm(b.term)
+	for _, s := range []*limits.SharedResource{b.descriptors, b.held, b.bytes, b.dials} {
+		s.SetMaxLoanTime(b.term)
 	}
 }
 
-func (b *sharedBooks) clients() limits.Opener { return b.client }
+func (b *sharedBooks) clients() limits.ConnectionLimiter { return b.client }
 
-func (b *sharedBooks) socketsOf(a *account) limits.Opener { return a.descriptors }
+func (b *sharedBooks) socketsOf(a *account) limits.ConnectionLimiter { return a.descriptors }
 
 func (b *sharedBooks) requests(a *account) service.RequestLimiter { return &a.requests }
 
 func (b *sharedBooks) open() *account {
-	a := &account{dials: b.dials.Open(nil)}
-	a.requests = limits.Requests{Held: b.held.Open(nil), Bytes: b.bytes.Open(nil), Pace: b.pace, Owner: b.pace.Open()}
+	a := &account{dials: b.dials.OpenAccount(nil)}
+	a.requests = limits.RequestLimiter{Slots: b.held.OpenAccount(nil), Bytes: b.bytes.OpenAccount(nil), ModuleTime: b.pace, Owner: b.pace.OpenOwner()}
 	// What is lent comes back with a request's end at the latest; an answer that streams has none.
 	recall := func() { a.streams.CutOverdue() }
-	a.requests.Held.OnRecall(recall)
+	a.requests.Slots.OnRecall(recall)
 	a.requests.Bytes.OnRecall(recall)
-	a.descriptors = b.descriptors.Open(func() bool {
+	a.descriptors = b.descriptors.OpenAccount(func() bool {
 		u := a.upstream.Load()
 		return u != nil && u.Evict(0)
 	})
@@ -123,7 +123,7 @@
 func (b *sharedBooks) divide(cfg *config.Config, services map[string]*running) error {
 	things := []struct {
 		name   string
-		shared *limits.Shared
+		shared *limits.SharedResource
 		total  int64
 		of     func(*account) *limits.Account
 		part   func(config.Amounts) int64
@@ -133,7 +133,7 @@
 			func(p config.Amounts) int64 { return p.Descriptors },
 		},
 		{
-			"held", b.held, cfg.Process.Total.Held, func(a *account) *limits.Account { return a.requests.Held },
+			"held", b.held, cfg.Process.Total.Held, func(a *account) *limits.Account { return a.requests.Slots },
 			func(p config.Amounts) int64 { return p.Held },
 		},
 		{
@@ -163,14 +163,14 @@
 		}
 	}
 	for i, thing := range things {
-		if err := thing.shared.Divide(thing.total, divisions[i]); err != nil {
+		if err := thing.shared.SetGuarantees(thing.total, divisions[i]); err != nil {
 			return fmt.Errorf("%s: %w", thing.name, err)
 		}
 	}
 	b.setTerm(cfg)
 	b.pace.SetTotal(cfg.Process.Total.ModuleTime)
 	for _, s := range services {
-		b.pace.Set(s.parts.requests.Owner, s.cfg.Guaranteed.ModuleTime)
+		b.pace.SetGuaranteed(s.parts.requests.Owner, s.cfg.Guaranteed.ModuleTime)
 	}
 	return nil
 }
@@ -178,13 +178,13 @@
 func (a *account) use() *ResourceUsage {
 	r := &a.requests
 	return &ResourceUsage{
-		Descriptors: a.descriptors.Use(), Requests: r.Held.Use(), BufferedBytes: r.Bytes.Use(), Dials: a.dials.Use(),
-		ModuleTime: r.Pace.Used(r.Owner),
+		Descriptors: a.descriptors.Usage(), Requests: r.Slots.Usage(), BufferedBytes: r.Bytes.Usage(), Dials: a.dials.Usage(),
+		ModuleTime: r.ModuleTime.Used(r.Owner),
 	}
 }
 
 // spent books the time of a service's module.
-func (a *account) spent(took time.Duration) { a.requests.Pace.Spent(a.requests.Owner, took) }
+func (a *account) spent(took time.Duration) { a.requests.ModuleTime.Record(a.requests.Owner, took) }
 
 // close ends a service's account, once it is no other's too.
 func (a *account) close() {
@@ -193,9 +193,9 @@
 	}
 	a.descriptors.Close()
 	a.dials.Close()
-	a.requests.Held.Close()
+	a.requests.Slots.Close()
 	a.requests.Bytes.Close()
-	a.requests.Pace.Close(a.requests.Owner)
+	a.requests.ModuleTime.CloseOwner(a.requests.Owner)
 }
 
 // held is how many requests a service's account holds.
@@ -203,5 +203,5 @@
 	if a == nil {
 		return 0
 	}
-	return a.requests.Held.Use().Used
+	return a.requests.Slots.Usage().Used
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Process.Descriptors = limits.Least // one client
+	cfg.Process.Descriptors = limits.MinDescriptors // one client
 	cfg.Process.Drain = config.Drain{}
 	r := newRigBy(t, cfg)
 	answered := r.held()
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -12,14 +12,14 @@
 // firstCome are books with no parts: whoever comes first takes what there is.
 type firstCome struct {
 	*sharedBooks
-	all *limits.Sockets
+	all *limits.SocketLimiter
 }
 
-func (b *firstCome) clients() limits.Opener           { return b.all.Clients() }
-func (b *firstCome) socketsOf(*account) limits.Opener { return b.all }
+func (b *firstCome) clients() limits.ConnectionLimiter           { return b.all.ForClients() }
+func (b *firstCome) socketsOf(*account) limits.ConnectionLimiter { return b.all }
 func (b *firstCome) divide(*config.Config, map[string]*running) error {
-	for _, s := range []*limits.Shared{b.held, b.bytes, b.dials} {
-		if err := s.Divide(math.MaxInt32, nil); err != nil {
+	for _, s := range []*limits.SharedResource{b.held, b.bytes, b.dials} {
+		if err := s.SetGuarantees(math.MaxInt32, nil); err != nil {
 			return err
 		}
 	}
@@ -31,7 +31,7 @@
 func WithoutParts() (undo func()) {
 	old := shareBooks
 	shareBooks = func(cfg *config.Config, f *front.Front) books {
-		b := &firstCome{newSharedBooks(cfg, f), limits.NewSockets(cfg.Process.Descriptors)}
+		b := &firstCome{newSharedBooks(cfg, f), limits.NewSocketLimiter(cfg.Process.Descriptors)}
 		b.all.OnEvict(f.Evict, nil)
 		return b
 	}
--- a/internal/node/gather.go
+++ b/internal/node/gather.go
@@ -136,7 +136,7 @@
 func loadOf(parts []*account) float64 {
 	sum := 0.0
 	for _, a := range parts {
-		u := a.requests.Held.Use()
+		u := a.requests.Slots.Usage()
 		sum += min(1, float64(u.Used)/float64(max(1, u.Guaranteed)))
 	}
 	return sum / float64(len(parts))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,11 +189,11 @@
 
 // ResourceUsage is what a service uses of the limits that the services of a process share (`parts` in the status).
 type ResourceUsage struct {
-	Descriptors   limits.Use `json:"descriptors"`
-	Requests      limits.Use `json:"held"`
-	BufferedBytes limits.Use `json:"bytes"`
-	Dials         limits.Use `json:"dials"`
-	ModuleTime    float64    `json:"module_time"` // recent processor time of its decision module, in seconds per second
+	Descriptors   limits.Usage `json:"descriptors"`
+	Requests      limits.Usage `json:"held"`
+	BufferedBytes limits.Usage `json:"bytes"`
+	Dials         limits.Usage `json:"dials"`
+	ModuleTime    float64      `json:"module_time"` // recent processor time of its decision module, in seconds per second
 }
 
 // Run serves until ctx ends, then drains. An error is a failure of the node itself.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -409,7 +409,7 @@
 	r := newRig(t)
 	r.list(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
 	r.wait("ready", r.node.isReady)
-	r.node.books.(*wholeBooks).sockets.SetMost(limits.SocketsAhead + 2) // one client, and the place for the next
+	r.node.books.(*wholeBooks).sockets.SetLimit(limits.ReservedForServers + 2) // one client, and the place for the next
 	for range 3 {
 		c, err := net.Dial("tcp", r.node.Addr())
 		if err != nil {
@@ -493,7 +493,7 @@
 // the connections to app servers stay.
 func TestSilentClientsMakeRoom(t *testing.T) {
 	r := newRig(t)
-	r.node.books.(*wholeBooks).sockets.SetMost(limits.SocketsAhead + 20)
+	r.node.books.(*wholeBooks).sockets.SetLimit(limits.ReservedForServers + 20)
 	a := testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
 	r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -103,7 +103,7 @@
 			GroupSize: 1, MaxAttempts: 4, MaxRetryAfter: time.Second, CanCancel: true, Plans: []control.Plan{{Name: "p", Price: 1}},
 			Classes: []control.Class{{Name: "any", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
 		},
-		Upstream: upstream.Options{Connect: time.Second, Keepalive: 15 * time.Second, Sockets: limits.NewSockets(1000)},
+		Upstream: upstream.Options{Connect: time.Second, Keepalive: 15 * time.Second, Sockets: limits.NewSocketLimiter(1000)},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -42,7 +42,7 @@
 				return nil
 			})
 			o := Options{Settings: testSettings(), NewModule: moduleOf(m)}
-			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSockets(100), testkit.Patience, testkit.Patience
+			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSocketLimiter(100), testkit.Patience, testkit.Patience
 			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
 			s := runService(t, o)
 			testkit.Next(t, listed)
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -48,14 +48,14 @@
 
 func (b *barrier) pass() { b.once.Do(func() { close(b.arrived) }); <-b.open }
 
-// slowOpener is an Opener whose next connection waits at a barrier before it is opened.
-type slowOpener struct {
-	limits.Opener
+// slowLimiter is an Opener whose next connection waits at a barrier before it is opened.
+type slowLimiter struct {
+	limits.ConnectionLimiter
 	mu       sync.Mutex
 	nextDial *barrier
 }
 
-func (s *slowOpener) Take() bool {
+func (s *slowLimiter) TryAcquire() bool {
 	s.mu.Lock()
 	b := s.nextDial
 	s.nextDial = nil
@@ -63,7 +63,7 @@
 	if b != nil {
 		b.pass()
 	}
-	return s.Opener.Take()
+	return s.ConnectionLimiter.TryAcquire()
 }
 
 // heldForwarder is a request whose worker waits at a barrier before it begins.
@@ -174,7 +174,7 @@
 	service        *Service
 	serverAddress  string
 	module         *recordingController
-	opener         *slowOpener
+	opener         *slowLimiter
 	class          string
 	forwarder      string
 	deadline       time.Duration
@@ -189,7 +189,7 @@
 
 func newDepartureTest(t *testing.T, class, by string, deadline time.Duration) *departureTest {
 	r := &departureTest{
-		t: t, class: class, forwarder: by, deadline: deadline, opener: &slowOpener{Opener: limits.NewSockets(100)},
+		t: t, class: class, forwarder: by, deadline: deadline, opener: &slowLimiter{ConnectionLimiter: limits.NewSocketLimiter(100)},
 		releaseFillers: make(chan struct{}), clientAddresses: make(map[string]bool),
 	}
 	r.serverAddress = startBothProtocols(t, r.serve)
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -103,7 +103,7 @@
 	if o.Settings.GroupSize == 0 {
 		o.Settings = testSettings()
 	}
-	o.Upstream.Sockets = limits.NewSockets(100)
+	o.Upstream.Sockets = limits.NewSocketLimiter(100)
 	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"}}}
 	s, err := New(o)
 	if err != nil {
--- a/internal/service/retry_outcomes_test.go
+++ b/internal/service/retry_outcomes_test.go
@@ -21,7 +21,7 @@
 	open, maxOpen int
 }
 
-func (a *connectionCounter) Take() bool {
+func (a *connectionCounter) TryAcquire() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open++
@@ -29,7 +29,7 @@
 	return true
 }
 
-func (a *connectionCounter) Give() {
+func (a *connectionCounter) Release() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open--
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -39,7 +39,7 @@
 				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}}, Classes: []control.Class{class}}
 				s := runReadyService(t, Options{
 					Settings: set, Seed: 1, AnyMethod: true, Source: staticSource(app.Addr(), "s-1", "s-2"),
-					Upstream: upstream.Options{Sockets: limits.NewSockets(100), Connect: testkit.Patience, Keepalive: time.Hour},
+					Upstream: upstream.Options{Sockets: limits.NewSocketLimiter(100), Connect: testkit.Patience, Keepalive: time.Hour},
 				})
 				x := &Exchange{
 					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(testkit.Patience),
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -46,7 +46,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	s := &teller{
-		t: t, u: newTest(2*testkit.Patience, limits.NewSockets(1024)),
+		t: t, u: newTest(2*testkit.Patience, limits.NewSocketLimiter(1024)),
 		reqs: make(chan asked), say: make(chan string), ends: make(chan Outcome, 1),
 	}
 	s.p = s.u.Pool(l.Addr().String(), SpeaksHTTP1)
@@ -160,8 +160,8 @@
 // noDials lets no further connection come up.
 type noDials struct{}
 
-func (noDials) Take() bool { return false }
-func (noDials) Give()      {}
+func (noDials) TryAcquire() bool { return false }
+func (noDials) Release()         {}
 
 // Where no new connection is to be had a request goes on one that still rests, unless servers are known to send
 // second answers: it would be turned away although its server has a good connection open.
@@ -231,8 +231,8 @@
 // comingUp has connections come up once a time is past.
 type comingUp struct{ past time.Time }
 
-func (c *comingUp) Take() bool { time.Sleep(time.Until(c.past)); return true }
-func (c *comingUp) Give()      {}
+func (c *comingUp) TryAcquire() bool { time.Sleep(time.Until(c.past)); return true }
+func (c *comingUp) Release()         {}
 
 // What has to begin by some time is not written to a connection that comes up later, nor on an idle
 // one: that speaks against no server, and the connection serves the next request.
@@ -245,7 +245,7 @@
 			}
 			t.Cleanup(a.Close)
 			late := &comingUp{}
-			socks := limits.NewSockets(1024)
+			socks := limits.NewSocketLimiter(1024)
 			u := New(Options{
 				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks, Dials: late,
 				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
@@ -275,7 +275,7 @@
 					t.Errorf("%d (%v) in time", o.Reason, o.Err)
 				}
 			}
-			if n := socks.Open(); n != 1 {
+			if n := socks.InUse(); n != 1 {
 				t.Errorf("%d connections", n)
 			}
 		})
@@ -297,11 +297,11 @@
 		if err := nc.Handshake(); err != nil {
 			t.Fatal(err)
 		}
-		socks := limits.NewSockets(1024)
-		socks.Take()
+		socks := limits.NewSocketLimiter(1024)
+		socks.TryAcquire()
 		u := newTest(testkit.Patience, socks)
 		p := u.Pool("", SpeaksHTTP1)
-		c := u.newConn(limits.Own(nc, socks), nil)
+		c := u.newConn(limits.Track(nc, socks), nil)
 		const left = time.Second
 		ctx, cancel := context.WithTimeout(context.Background(), left)
 		defer cancel()
@@ -310,7 +310,7 @@
 		if took := time.Since(begun); took != left || o.Reason != control.ConnectFailed {
 			t.Errorf("%d (%v) after %v", o.Reason, o.Err, took)
 		}
-		if n := socks.Open(); n != 0 {
+		if n := socks.InUse(); n != 0 {
 			t.Errorf("%d connections left open", n)
 		}
 	})
@@ -337,15 +337,15 @@
 			t.Run(fmt.Sprintf("%d bytes, %s", size, tc.name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					near, far := net.Pipe()
-					socks := limits.NewSockets(1024)
-					socks.Take()
+					socks := limits.NewSocketLimiter(1024)
+					socks.TryAcquire()
 					u := newTest(testkit.Patience, socks)
 					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 					defer cancel()
 					ends := make(chan Outcome, 1)
 					req := message(t, make([]byte, size))
 					go func() {
-						ends <- u.try(ctx, u.Pool("", SpeaksHTTP1), u.newConn(limits.Own(near, socks), nil), req)
+						ends <- u.try(ctx, u.Pool("", SpeaksHTTP1), u.newConn(limits.Track(near, socks), nil), req)
 					}()
 					if total == 0 {
 						far.SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -361,7 +361,7 @@
 					if o := <-ends; o.Reason != tc.want {
 						t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
 					}
-					if _, err := far.Write([]byte("x")); err == nil || socks.Open() != 0 {
+					if _, err := far.Write([]byte("x")); err == nil || socks.InUse() != 0 {
 						t.Error("not closed")
 					}
 				})
@@ -377,9 +377,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				near, far := net.Pipe()
 				defer far.Close()
-				socks := limits.NewSockets(1024)
-				socks.Take()
-				c := newTest(testkit.Patience, socks).newConn(limits.Own(near, socks), nil)
+				socks := limits.NewSocketLimiter(1024)
+				socks.TryAcquire()
+				c := newTest(testkit.Patience, socks).newConn(limits.Track(near, socks), nil)
 				defer c.Close()
 				begun := time.Now()
 				c.in.start(begun.Add(time.Hour), answerHead)
@@ -403,8 +403,8 @@
 // onDial does something as a connection is about to come up.
 type onDial func()
 
-func (f onDial) Take() bool { f(); return true }
-func (f onDial) Give()      {}
+func (f onDial) TryAcquire() bool { f(); return true }
+func (f onDial) Release()         {}
 
 // An attempt whose server leaves the list before its connection is up, or before it has one at all, is not
 // written: sends to the server have to have stopped by then, and a connection may take its time.
@@ -417,7 +417,7 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(a.Close)
-				socks, dials := limits.NewSockets(1024), 0
+				socks, dials := limits.NewSocketLimiter(1024), 0
 				var u *Upstream
 				var p *Pool
 				u = New(Options{
@@ -437,7 +437,7 @@
 				if one, two := a.Spoken(); one+two != 0 {
 					t.Errorf("%d were written", one+two)
 				}
-				testkit.Until(t, "the place back", func() bool { return socks.Open() == 0 })
+				testkit.Until(t, "the place back", func() bool { return socks.InUse() == 0 })
 				if before && dials > 0 {
 					t.Errorf("%d connections for a server that has left", dials)
 				}
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -40,7 +40,7 @@
 		o.Streams = 8
 	}
 	o.Whole = true
-	return New(Options{Connect: 5 * time.Second, Keepalive: time.Minute, Sockets: limits.NewSockets(1000), HTTP2: o})
+	return New(Options{Connect: 5 * time.Second, Keepalive: time.Minute, Sockets: limits.NewSocketLimiter(1000), HTTP2: o})
 }
 
 func update(id string, body string) *Whole {
@@ -172,7 +172,7 @@
 		t.Errorf("%d connections, %d at once", n, most)
 	}
 	u.Retire(p)
-	testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.Sockets).Open() == 0 })
+	testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.SocketLimiter).InUse() == 0 })
 }
 
 // Where there is no stream to be had, a request goes back to the module.
@@ -195,7 +195,7 @@
 	u := newHTTP2(HTTP2{})
 	p := u.Pool(s.Addr(), SpeaksHTTP2)
 	u.Retire(p)
-	if o := update("a", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.Sockets.(*limits.Sockets).Open() != 0 {
+	if o := update("a", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.Sockets.(*limits.SocketLimiter).InUse() != 0 {
 		t.Errorf("%v, %v", o.Reason, o.Err)
 	}
 }
@@ -368,7 +368,7 @@
 				t.Errorf("another name: %v, %v", o.Reason, o.Err)
 			}
 			u.Retire(p)
-			testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.Sockets).Open() == 0 })
+			testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.SocketLimiter).InUse() == 0 })
 		})
 	}
 }
--- a/internal/upstream/nodelay_test.go
+++ b/internal/upstream/nodelay_test.go
@@ -13,7 +13,7 @@
 // a close over unread bytes would drop it.
 func TestServersAreSentSmallWritesAtOnce(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
-	u := newTest(testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	for name, offered := range map[string]string{"HTTP/1.1": protocolHTTP1, "HTTP/2": protocolHTTP2} {
 		t.Run(name, func(t *testing.T) {
 			conn, raw, _, err := u.connect(t.Context(), app.Addr(), offered)
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -35,7 +35,7 @@
 				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
 				conns <- c
 			}()
-			u := newTest(testkit.Patience, limits.NewSockets(1024))
+			u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 			from, body := io.Pipe()
 			q := &Relay{
 				Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: retrybuffer.New(from, 0, nil), Rules: &responseclass.Rules{},
@@ -74,7 +74,7 @@
 
 // The status of one answer isn't taken with the rest of another.
 func TestHalfALineAhead(t *testing.T) {
-	u := newTest(testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	p := u.Pool(raw(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), SpeaksHTTP1)
 	q := &Relay{Name: http.MethodGet, Target: "/x", Host: "h", Length: -1, Rules: &responseclass.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
 	if o := q.Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ResetByPeer || o.Status != 0 {
--- a/internal/upstream/timeleft_test.go
+++ b/internal/upstream/timeleft_test.go
@@ -36,7 +36,7 @@
 			t.Cleanup(server.Close)
 			connections := &comingUp{past: time.Now().Add(late)}
 			u := New(Options{
-				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: limits.NewSockets(1024), Dials: connections,
+				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: limits.NewSocketLimiter(1024), Dials: connections,
 				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
 			})
 			p := u.Pool(server.Listener.Addr().String(), speaks)
@@ -84,7 +84,7 @@
 		n, _ := io.Copy(io.Discard, c)
 		took <- n
 	}()
-	u := newTest(2*testkit.Patience, limits.NewSockets(1024))
+	u := newTest(2*testkit.Patience, limits.NewSocketLimiter(1024))
 	p := u.Pool(l.Addr().String(), SpeaksHTTP1)
 	t.Cleanup(func() { u.Retire(p) })
 	ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,12 +43,12 @@
 
 // Options are what an Upstream is made with.
 type Options struct {
-	Connect   time.Duration // most time for a connection to come up
-	Keepalive time.Duration // of the app servers' idle connections
-	Sockets   limits.Opener // books each connection
-	Dials     limits.Opener // books each connection until it is up; nil books none
-	Answer    int           // most bytes of an answer's body; 0 is protocol.BodyMost
-	Rest      time.Duration // of a connection behind an answer, before the next Whole request; 0 is none
+	Connect   time.Duration            // most time for a connection to come up
+	Keepalive time.Duration            // of the app servers' idle connections
+	Sockets   limits.ConnectionLimiter // books each connection
+	Dials     limits.ConnectionLimiter // books each connection until it is up; nil books none
+	Answer    int                      // most bytes of an answer's body; 0 is protocol.BodyMost
+	Rest      time.Duration            // of a connection behind an answer, before the next Whole request; 0 is none
 	HTTP2     HTTP2
 	TLS       *certs.Book // nil speaks in the clear
 }
@@ -402,12 +402,12 @@
 // that was agreed on of those offered, where there is TLS and the server knows of that.
 func (u *Upstream) connect(ctx context.Context, endpoint string, offered ...string) (c *limits.Conn, raw syscall.RawConn, protocol string, err error) {
 	if u.Dials != nil {
-		if !u.Dials.Take() {
+		if !u.Dials.TryAcquire() {
 			return nil, nil, "", errNoDial
 		}
-		defer u.Dials.Give()
+		defer u.Dials.Release()
 	}
-	if !u.Sockets.Take() {
+	if !u.Sockets.TryAcquire() {
 		return nil, nil, "", errNoDescriptor
 	}
 	if u.TLS != nil { // its handshake counts too
@@ -418,7 +418,7 @@
 	d := net.Dialer{Timeout: u.Connect, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", endpoint)
 	if err != nil {
-		u.Sockets.Give()
+		u.Sockets.Release()
 		return nil, nil, "", err
 	}
 	raw, err = nc.(*net.TCPConn).SyscallConn()
@@ -428,7 +428,7 @@
 			nc = s
 		}
 	}
-	if c = limits.Own(nc, u.Sockets); err != nil {
+	if c = limits.Track(nc, u.Sockets); err != nil {
 		c.Close()
 		return nil, nil, "", err
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -17,7 +17,7 @@
 	"lockflow/internal/testkit"
 )
 
-func newTest(keepalive time.Duration, s *limits.Sockets) *Upstream {
+func newTest(keepalive time.Duration, s *limits.SocketLimiter) *Upstream {
 	u := New(Options{Connect: testkit.Patience, Keepalive: keepalive, Sockets: s})
 	s.OnEvict(nil, u.Evict)
 	return u
@@ -111,7 +111,7 @@
 				if reset && tc.reset != 0 {
 					want = tc.reset
 				}
-				u := newTest(testkit.Patience, limits.NewSockets(1024))
+				u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
 				if o := u.Try(ctx, u.Pool(endpoint, SpeaksHTTP1), message(t, []byte("body"))); o.Reason != want {
@@ -138,7 +138,7 @@
 			c.Close()
 		}
 	}()
-	u := newTest(testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, make([]byte, 64<<20))); o.Reason != control.ConnectFailed {
@@ -162,14 +162,14 @@
 		"answers nothing": {[]byte("body"), control.TimedOut},
 	} {
 		t.Run(name, func(t *testing.T) {
-			socks := limits.NewSockets(1024)
+			socks := limits.NewSocketLimiter(1024)
 			u := newTest(testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, tc.body)); o.Reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
 			}
-			if n := socks.Open(); n != 0 {
+			if n := socks.InUse(); n != 0 {
 				t.Errorf("%d connections left open", n)
 			}
 			// What the system had taken comes all the same, once the peer reads: a request that can be begun may yet run.
@@ -201,7 +201,7 @@
 		<-asked
 		cancel()
 	}()
-	u := newTest(testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
@@ -223,7 +223,7 @@
 		conns[r.RemoteAddr] = c
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
-	socks := limits.NewSockets(1024)
+	socks := limits.NewSocketLimiter(1024)
 	u := newTest(2*testkit.Patience, socks)
 	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	try := func() {
@@ -255,7 +255,7 @@
 	if from[3] == from[2] {
 		t.Error("an old connection was used again")
 	}
-	if n := socks.Open(); n != 1 {
+	if n := socks.InUse(); n != 1 {
 		t.Errorf("%d connections open, not the last alone", n)
 	}
 }
@@ -282,8 +282,8 @@
 // A node that is out of descriptors doesn't hold it against the app server.
 func TestNoDescriptorLeft(t *testing.T) {
 	a := testkit.NewApp(t, testkit.Served)
-	socks := limits.NewSockets(0)
-	socks.SetMost(0)
+	socks := limits.NewSocketLimiter(0)
+	socks.SetLimit(0)
 	u := newTest(testkit.Patience, socks)
 	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.NotSent || a.Count() > 0 {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
@@ -294,8 +294,8 @@
 func TestSocketsUnderTheLimit(t *testing.T) {
 	a := testkit.NewApp(t, testkit.Served)
 	b := testkit.NewApp(t, testkit.Served)
-	socks := limits.NewSockets(0)
-	socks.SetMost(1)
+	socks := limits.NewSocketLimiter(0)
+	socks.SetLimit(1)
 	u := newTest(2*testkit.Patience, socks)
 	for _, x := range []*testkit.App{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
@@ -303,7 +303,7 @@
 			t.Errorf("%d (%v)", o.Reason, o.Err)
 		}
 		cancel()
-		if n := socks.Open(); n != 1 {
+		if n := socks.InUse(); n != 1 {
 			t.Errorf("%d connections open", n)
 		}
 	}
@@ -328,7 +328,7 @@
 				<-over
 			})
 			t.Cleanup(func() { close(over) })
-			socks := limits.NewSockets(1024)
+			socks := limits.NewSocketLimiter(1024)
 			u := newTest(testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 			defer cancel()
@@ -336,7 +336,7 @@
 			if o.Reason != control.ResetByPeer || ctx.Err() != nil {
 				t.Errorf("%d (%v)", o.Reason, o.Err)
 			}
-			if n := socks.Open(); n != 0 {
+			if n := socks.InUse(); n != 0 {
 				t.Errorf("%d connections left open", n)
 			}
 		})
@@ -351,7 +351,7 @@
 		time.Sleep(answerRest + answerRest/3) // has to pass
 		io.WriteString(w, "ok")
 	})
-	u := newTest(testkit.Patience, limits.NewSockets(1024))
+	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
@@ -371,7 +371,7 @@
 		w.(http.Flusher).Flush() // a chunk of its own, so that there is a rest to wait for
 		io.WriteString(w, "k")
 	})
-	u := newTest(2*testkit.Patience, limits.NewSockets(1024))
+	u := newTest(2*testkit.Patience, limits.NewSocketLimiter(1024))
 	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
@@ -380,7 +380,7 @@
 		}
 		cancel()
 	}
-	if n := u.Sockets.(*limits.Sockets).Open(); n != 1 {
+	if n := u.Sockets.(*limits.SocketLimiter).InUse(); n != 1 {
 		t.Errorf("%d connections, not the same one", n)
 	}
 }
@@ -400,7 +400,7 @@
 		io.WriteString(c, good)
 		first <- c
 	})
-	u := newTest(2*testkit.Patience, limits.NewSockets(1024))
+	u := newTest(2*testkit.Patience, limits.NewSocketLimiter(1024))
 	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
 	for i := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
