Move the share controller into a package of its own

Its state was laid open to images, which copied matrices field by field. The package sharecontrol owns it, with New, NextShares, State and Restore as its interface; images store a State under the same keys.

--- a/control/bound.go
+++ b/control/bound.go
@@ -66,7 +66,7 @@
 		for i, plan := range c.plans {
 			y[i], shares[i] = plan.meanLateness, plan.share
 		}
-		shares = c.shareController.nextShares(shares, y, !c.wasCut)
+		shares = c.shareController.NextShares(shares, y, !c.wasCut)
 		for i, plan := range c.plans {
 			plan.share = shares[i]
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,8 @@
 import (
 	"math"
 	"time"
+
+	"lockflow/control/sharecontrol"
 )
 
 // Tuned constants that several files use; the others stand in the file that uses them.
@@ -50,7 +52,7 @@
 		queue := &planQueue{Plan: p, index: i, share: 1 / float64(len(settings.Plans))}
 		c.plans, c.plansByName[p.Name], prices[i] = append(c.plans, queue), queue, p.Price
 	}
-	c.shareController = newShareController(prices)
+	c.shareController = sharecontrol.New(prices)
 	return c, nil
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -162,7 +162,7 @@
 
 // bookkeepingFiles hold types, state and its storage, and decide nothing. Each file is either one of them or policy.
 var bookkeepingFiles = []string{
-	"api.go", "checkpoint.go", "history.go", "image.go", "restore.go", "resume.go", "settings.go", "state.go",
+	"api.go", "checkpoint.go", "history.go", "image.go", "restore.go", "resume.go", "settings.go", "sharecontrol/state.go", "state.go",
 }
 
 // The limits of what decides: the files that the deploy file lists, all of them together. Blank lines do not
@@ -312,86 +312,6 @@
 	}
 }
 
-func TestRLSRecoversALinearSystem(t *testing.T) {
-	l := newShareController([]float64{1, 1})
-	want := [][]float64{{-2, 0.5, 0.3, 0}, {0.4, -1, 0, 0.2}}
-	y := []float64{1, 1}
-	for k := 0; k < 400; k++ {
-		u := []float64{0.5 + 0.3*math.Sin(float64(k)*1.7), 0.5 + 0.3*math.Cos(float64(k)*2.9)}
-		l.regressors = newPhi(u, y)
-		next := make([]float64, 2)
-		for i := range next {
-			for j := range want[i] {
-				next[i] += want[i][j] * l.regressors.AtVec(j)
-			}
-		}
-		l.updateEstimate(next)
-		y = next
-	}
-	for i := range want {
-		for j, w := range want[i] {
-			if got := l.estimate.At(i, j); math.Abs(got-w) > 0.02 {
-				t.Errorf("X[%d][%d] = %.3f, the system has %.3f", i, j, got, w)
-			}
-		}
-	}
-}
-
-// Without news in a direction the covariance there must not grow.
-func TestCovarianceDoesNotWindUp(t *testing.T) {
-	l := newShareController([]float64{1, 2, 3})
-	y := []float64{0.1, 0.1, 0.1}
-	u := []float64{1. / 3, 1. / 3, 1. / 3}
-	for k := 0; k < 5000; k++ {
-		u = l.nextShares(u, y, true)
-		for i := range u {
-			if math.IsNaN(u[i]) || u[i] < 0 {
-				t.Fatalf("share %v at step %d", u, k)
-			}
-		}
-	}
-	for i := 0; i < 6; i++ {
-		if p := l.covariance.At(i, i); p > 10*initialCovariance || p <= 0 {
-			t.Errorf("covariance %g in direction %d", p, i)
-		}
-	}
-}
-
-func TestLawMatchesAHandWorkedCase(t *testing.T) {
-	// W = I, B0 = -I, A1 = I, y = (3, 1): error (-2, 0); S = 1/(1+q) I, v = (2, 0)/(1+q),
-	// and (14) moves both by the same amount until the sum is one.
-	l := newShareController([]float64{1, 1})
-	for i := 0; i < 2; i++ {
-		for j := 0; j < 4; j++ {
-			l.estimate.Set(i, j, 0)
-		}
-		l.estimate.Set(i, i, -1)
-		l.estimate.Set(i, 2+i, 1)
-	}
-	v := 2 / (1 + largeShareCost*largeShareCost)
-	u0, u1 := v-(v-1)/2, -(v-1)/2
-	least := math.Min(0, u1)
-	sum := u0 + u1 - 2*least
-	u := l.optimalShares([]float64{3, 1})
-	if math.Abs(u[0]-(u0-least)/sum) > 1e-9 || math.Abs(u[1]-(u1-least)/sum) > 1e-9 {
-		t.Errorf("shares %v, by hand %g %g", u, (u0-least)/sum, (u1-least)/sum)
-	}
-}
-
-func TestDearPlanIsServedFirstUnderScarcity(t *testing.T) {
-	l := newShareController([]float64{0.5, 1.5})
-	u := []float64{0.5, 0.5}
-	for k := 0; k < 5; k++ {
-		u = l.nextShares(u, []float64{2, 2}, true)
-	}
-	if u[1] <= u[0] {
-		t.Errorf("equally late, the dear plan has %.2f and the cheap one %.2f", u[1], u[0])
-	}
-	if u = newShareController([]float64{0.5, 1.5}).nextShares(u, []float64{0.1, 0.1}, true); math.Abs(u[0]-0.5) > 1e-9 {
-		t.Errorf("with both in time the shares are %v", u)
-	}
-}
-
 func TestSharesStayWithFewAnswers(t *testing.T) {
 	gateway := newGate(t, settings(), on(1)...)
 	gateway.c.plans[0].meanLateness, gateway.c.plans[1].meanLateness, gateway.c.answers = 3, 0.1, minAnswersPerWindow-1
--- a/control/image.go
+++ b/control/image.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"lockflow/control/sharecontrol"
 )
 
 // ImageVersion is that of the form of an Image. One of another version can't be resumed: a
@@ -49,7 +51,7 @@
 	Window               WindowState   `cbor:"Interval"`
 
 	Meter            MeterState             `cbor:"Meter"`
-	ShareController  ShareControllerState   `cbor:"Law"`
+	ShareController  sharecontrol.State     `cbor:"Law"`
 	TypicalDeadlines []TypicalDeadlineState `cbor:"Usual"`
 	Plans            []PlanImage            `cbor:"Plans"`
 	Servers          []ServerImage          `cbor:"Servers"`
@@ -59,13 +61,6 @@
 	Abandoned        []AbandonedImage       `cbor:"Ghosts"`
 }
 
-// ShareControllerState is the state of the share law's estimate; matrices are stored by rows.
-type ShareControllerState struct {
-	Estimate   []float64 `cbor:"X"`
-	Covariance []float64 `cbor:"P"`
-	Regressors []float64 `cbor:"Phi"` // empty until shares have been set
-}
-
 // PlanImage is a plan's state; Queue are requests.
 type PlanImage struct {
 	Share              float64 `cbor:"Share"`
@@ -221,10 +216,7 @@
 	for i := range c.meter.miss {
 		image.Meter.Misfit = append(image.Meter.Misfit, c.meter.miss[i][:]...)
 	}
-	image.ShareController = ShareControllerState{Estimate: slices.Clone(c.shareController.estimate.RawMatrix().Data), Covariance: slices.Clone(c.shareController.covariance.RawMatrix().Data)}
-	if c.shareController.regressors != nil {
-		image.ShareController.Regressors = slices.Clone(c.shareController.regressors.RawVector().Data)
-	}
+	image.ShareController = c.shareController.State()
 	for i := range c.settings.Classes {
 		typical := c.typicalDeadlines[&c.settings.Classes[i]]
 		image.TypicalDeadlines = append(image.TypicalDeadlines, TypicalDeadlineState{c.settings.Classes[i].Name, typical.deadline, typical.support})
--- a/control/resume.go
+++ b/control/resume.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"gonum.org/v1/gonum/mat"
 )
 
 // Resume makes a controller of the settings that an image was taken under. An error tells what of
@@ -32,7 +30,7 @@
 	}
 	c.rng = rand.New(c.pcg)
 	n := len(c.plans)
-	if len(image.Plans) != n || len(image.ShareController.Estimate) != 2*n*n || len(image.ShareController.Covariance) != 4*n*n || len(image.ShareController.Regressors) != 0 && len(image.ShareController.Regressors) != 2*n {
+	if len(image.Plans) != n {
 		return fmt.Errorf("of %d plans, not %d", len(image.Plans), n)
 	}
 	if len(image.TypicalDeadlines) != len(c.settings.Classes) || len(image.Meter.Misfit) != binsPerPeriod*maxMeterLagBins {
@@ -50,9 +48,8 @@
 	for i := range c.meter.miss {
 		copy(c.meter.miss[i][:], image.Meter.Misfit[i*maxMeterLagBins:])
 	}
-	c.shareController.estimate, c.shareController.covariance = mat.NewDense(n, 2*n, slices.Clone(image.ShareController.Estimate)), mat.NewDense(2*n, 2*n, slices.Clone(image.ShareController.Covariance))
-	if len(image.ShareController.Regressors) > 0 {
-		c.shareController.regressors = mat.NewVecDense(2*n, slices.Clone(image.ShareController.Regressors))
+	if err := c.shareController.Restore(image.ShareController); err != nil {
+		return err
 	}
 	for _, saved := range image.TypicalDeadlines {
 		class := c.classes[saved.Class]
--- /dev/null
+++ b/control/sharecontrol/sharecontrol.go
@@ -0,0 +1,114 @@
+package sharecontrol
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/floats"
+	"gonum.org/v1/gonum/mat"
+)
+
+// Tuned constants.
+const (
+	forgettingFactor           = 0.95 // lambda of the RLS
+	largeShareCost             = 0.3  // diagonal of Q
+	initialCovariance          = 1.0  // diagonal of P(0)
+	initialShareEffect         = 3.0  // B0(0): lateness removed by a share above the equal one
+	initialLatenessPersistence = 0.9  // A1(0): lateness that stays to the next window
+	maxNorm                    = 1e4  // norm of P or X above which the estimate starts anew
+	minInformation             = 1e-9 // phi' P phi below which a window teaches nothing
+)
+
+// New returns a controller of one share for each price; dearer plans weigh more.
+func New(prices []float64) *Controller {
+	c := &Controller{plans: len(prices), weights: mat.NewDiagDense(len(prices), nil)}
+	for i, price := range prices {
+		c.weights.SetDiag(i, 1)
+		if floats.Sum(prices) > 0 {
+			c.weights.SetDiag(i, price*float64(c.plans)/floats.Sum(prices))
+		}
+	}
+	c.reset()
+	return c
+}
+
+func (c *Controller) reset() {
+	c.estimate, c.covariance = mat.NewDense(c.plans, 2*c.plans, nil), mat.NewDense(2*c.plans, 2*c.plans, nil)
+	for i := 0; i < 2*c.plans; i++ {
+		c.covariance.Set(i, i, initialCovariance)
+	}
+	for i := 0; i < c.plans; i++ {
+		for j := 0; j < c.plans; j++ {
+			c.estimate.Set(i, j, initialShareEffect/float64(c.plans))
+		}
+		c.estimate.Set(i, i, initialShareEffect/float64(c.plans)-initialShareEffect)
+		c.estimate.Set(i, c.plans+i, initialLatenessPersistence)
+	}
+	c.regressors = nil
+}
+
+// NextShares returns the shares of the next window, given those in force during the last one and each plan's
+// lateness at its end. The last window enters the estimate if learn is set.
+func (c *Controller) NextShares(shares, lateness []float64, learn bool) []float64 {
+	if c.regressors != nil && learn {
+		c.updateEstimate(lateness)
+	}
+	next := c.optimalShares(lateness)
+	if !(math.Abs(floats.Sum(next)-1) < 1e-6) { // NaN, or a singular matrix
+		c.reset()
+		return shares
+	}
+	c.regressors = mat.NewVecDense(2*c.plans, append(append([]float64{}, next...), lateness...))
+	return next
+}
+
+// updateEstimate is one RLS step with directional forgetting. The term printed in (4)
+// does not have matching units; this is Kulhavy's form (the paper's [9]), in which
+// the information grows by (lambda - (1-lambda)/r) phi phi', r = phi' P phi, and
+// so is lost only in the direction that new data come from.
+func (c *Controller) updateEstimate(lateness []float64) {
+	var gain, residual mat.VecDense
+	gain.MulVec(c.covariance, c.regressors)
+	information := mat.Dot(c.regressors, &gain)
+	if information < minInformation {
+		return
+	}
+	residual.MulVec(c.estimate, c.regressors)
+	residual.SubVec(mat.NewVecDense(c.plans, lateness), &residual)
+	c.estimate.RankOne(c.estimate, 1/(forgettingFactor+information), &residual, &gain)
+	beta := forgettingFactor - (1-forgettingFactor)/information
+	c.covariance.RankOne(c.covariance, -beta/(1+beta*information), &gain, &gain)
+	if !(mat.Norm(c.covariance, 1) < maxNorm) || !(mat.Norm(c.estimate, 1) < maxNorm) {
+		c.reset()
+	}
+}
+
+// optimalShares is law (14): the shares of least cost that sum to one, then lifted to
+// be no less than zero and normalised. It returns NaN if S is singular.
+func (c *Controller) optimalShares(lateness []float64) []float64 {
+	n := c.plans
+	var effect, normal, inverse mat.Dense // W B0, and S with its inverse
+	var errors, gradient, optimum, direction mat.VecDense
+	effect.Mul(c.weights, c.estimate.Slice(0, n, 0, n))
+	errors.MulVec(c.estimate.Slice(0, n, n, 2*n), mat.NewVecDense(n, lateness))
+	ones := mat.NewVecDense(n, nil)
+	normal.Mul(effect.T(), &effect)
+	for i := 0; i < n; i++ {
+		// Guards against slowing a dear plan first, as law (14) would while all plans are
+		// better than their goals: a plan that meets its goal has no error to track.
+		errors.SetVec(i, math.Min(0, 1-errors.AtVec(i)))
+		normal.Set(i, i, normal.At(i, i)+largeShareCost*largeShareCost)
+		ones.SetVec(i, 1)
+	}
+	if inverse.Inverse(&normal) != nil {
+		return []float64{math.NaN()}
+	}
+	errors.MulVec(c.weights, &errors)
+	gradient.MulVec(effect.T(), &errors)
+	optimum.MulVec(&inverse, &gradient)
+	direction.MulVec(&inverse, ones)
+	optimum.AddScaledVec(&optimum, -(mat.Sum(&optimum)-1)/mat.Sum(&direction), &direction)
+	shares := append([]float64{}, optimum.RawVector().Data...)
+	floats.AddConst(-math.Min(0, floats.Min(shares)), shares)
+	floats.Scale(1/floats.Sum(shares), shares)
+	return shares
+}
--- /dev/null
+++ b/control/sharecontrol/state.go
@@ -0,0 +1,56 @@
+// Package sharecontrol sets the shares that plans have in a scheduler so that each meets its latency objective.
+//
+// A Controller estimates online how shares and lateness move the lateness of the next control window, by recursive
+// least squares (RLS), and sets the shares of least quadratic cost under that estimate (LQR). It is a pure function
+// of what it is given: no clock, no randomness, no I/O. It is not safe for concurrent use.
+package sharecontrol
+
+import (
+	"fmt"
+	"slices"
+
+	"gonum.org/v1/gonum/mat"
+)
+
+// Controller sets shares; see the package. Its estimate is of y(k+1) = X [u(k); y(k)], with shares u and lateness y.
+type Controller struct {
+	plans      int
+	weights    *mat.DiagDense // W
+	estimate   *mat.Dense     // X = [B0 A1], plans by 2*plans
+	covariance *mat.Dense     // P, 2*plans by 2*plans
+	regressors *mat.VecDense  // phi; nil until shares have been set
+}
+
+// State is what a controller has learned; matrices are stored by rows. Its keys are the paper's letters.
+type State struct {
+	Estimate   []float64 `cbor:"X"`
+	Covariance []float64 `cbor:"P"`
+	Regressors []float64 `cbor:"Phi"` // empty until shares have been set
+}
+
+// State returns a copy of the controller's state.
+func (c *Controller) State() State {
+	s := State{
+		Estimate:   slices.Clone(c.estimate.RawMatrix().Data),
+		Covariance: slices.Clone(c.covariance.RawMatrix().Data),
+	}
+	if c.regressors != nil {
+		s.Regressors = slices.Clone(c.regressors.RawVector().Data)
+	}
+	return s
+}
+
+// Restore replaces the controller's state by a copy of s. It fails if s is of another number of plans.
+func (c *Controller) Restore(s State) error {
+	n := c.plans
+	hasRegressors := len(s.Regressors) > 0
+	if len(s.Estimate) != 2*n*n || len(s.Covariance) != 4*n*n || hasRegressors && len(s.Regressors) != 2*n {
+		return fmt.Errorf("the state of a share controller is not of %d plans", n)
+	}
+	c.estimate = mat.NewDense(n, 2*n, slices.Clone(s.Estimate))
+	c.covariance = mat.NewDense(2*n, 2*n, slices.Clone(s.Covariance))
+	if hasRegressors {
+		c.regressors = mat.NewVecDense(2*n, slices.Clone(s.Regressors))
+	}
+	return nil
+}
--- a/control/state.go
+++ b/control/state.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"gonum.org/v1/gonum/mat"
+	"lockflow/control/sharecontrol"
 )
 
 // This file holds what a controller remembers and the bookkeeping of it. It
@@ -187,7 +187,7 @@
 	meter                                  meterClock
 	nextTick                               time.Duration
 	windowEndsAt                           time.Duration
-	shareController                        *shareController
+	shareController                        *sharecontrol.Controller
 	isWatching                             bool
 	nextWatchAt                            time.Duration
 }
@@ -268,15 +268,6 @@
 	phaseBin, lagBins int64
 }
 
-// shareController estimates y(k+1) = X [u(k); y(k)] by RLS and sets shares by law (14).
-type shareController struct {
-	plans      int
-	weights    *mat.DiagDense
-	estimate   *mat.Dense    // n by 2n: [B0 A1]
-	covariance *mat.Dense    // covariance, 2n by 2n
-	regressors *mat.VecDense // nil until shares have been set
-}
-
 // periodEndBin is the bin in which the period ended that is told now.
 func (m *meterClock) periodEndBin(now int64) int64 {
 	return latestBinAtPhase(now, m.phaseBin) - m.lagBins
