--- a/internal/node/steps_test.go
+++ b/internal/node/drain_steps_test.go
@@ -56,7 +56,7 @@
 // A node that is told to end is gone before SIGKILL may come, whatever its clients do and its settings
 // are; who asks until it stops listening is answered, and an answer that is being written at the last
 // step has its time.
-func TestEndsBeforeSIGKILL(t *testing.T) {
+func TestDrainEndsBeforeSIGKILL(t *testing.T) {
 	raw, err := os.ReadFile("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
@@ -100,7 +100,7 @@
 						case "takes no answer", "takes its answer late":
 							asks = health
 						case "asks late":
-							asks, late = health, most+drainWrite/2
+							asks, late = health, most+finalAnswerTime/2
 						}
 						if late = min(late, connect+1500*time.Millisecond); client != "none" {
 							time.AfterFunc(connect, func() {
@@ -108,7 +108,7 @@
 								t.Cleanup(func() { c.Close() })
 								time.AfterFunc(late-connect, func() { io.WriteString(c, asks) })
 								if strings.HasSuffix(client, "late") {
-									time.AfterFunc(most+drainWrite/2-connect, func() { answered(c) })
+									time.AfterFunc(most+finalAnswerTime/2-connect, func() { answered(c) })
 								}
 							})
 						}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -21,10 +21,10 @@
 
 // A client whose connection is up and waits in the socket when the node takes no new ones gets its
 // answer, also of a node that is told to end before it has begun.
-func TestConnectionsThatWaitAtTheEnd(t *testing.T) {
-	old := lastLook
-	lastLook = time.Second
-	t.Cleanup(func() { lastLook = old })
+func TestDrainAnswersConnectionsInTheSocketQueue(t *testing.T) {
+	old := finalAcceptWait
+	finalAcceptWait = time.Second
+	t.Cleanup(func() { finalAcceptWait = old })
 	r := newIdleRig(t, config.Drain{Most: testkit.Patience})
 	var clients []net.Conn
 	for range 60 {
@@ -51,15 +51,15 @@
 
 // Clients that wait in the socket for want of descriptors when the node takes no new ones get their
 // answers once what held the places is answered, at the drain's last step at the latest.
-func TestConnectionsThatWaitForRoomAtTheEnd(t *testing.T) {
+func TestDrainAnswersConnectionsWaitingForDescriptors(t *testing.T) {
 	cfg, err := config.LoadPlatform("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg.Process.Descriptors = limits.MinDescriptors // one client
 	cfg.Process.Drain = config.Drain{}
-	r := newRigBy(t, cfg)
-	answered := r.held()
+	r := newRigWithConfig(t, cfg)
+	answered := r.holdRequest()
 	var waits []net.Conn
 	for range 3 {
 		c := r.dial()
@@ -81,35 +81,35 @@
 	r.ended <- nil
 }
 
-// stalled is a listener that comes to each Accept so late that the time for it is over, for some times.
-type stalled struct {
+// lateListener is a listener that comes to each Accept so late that the time for it is over, for some times.
+type lateListener struct {
 	net.Listener
-	times int
+	delays int
 }
 
-func (s *stalled) Accept() (net.Conn, error) {
-	if s.times--; s.times >= 0 {
-		time.Sleep(2 * lastLook)
+func (s *lateListener) Accept() (net.Conn, error) {
+	if s.delays--; s.delays >= 0 {
+		time.Sleep(2 * finalAcceptWait)
 	}
 	return s.Listener.Accept()
 }
 
 // A node that gets little CPU and so comes late to its last look, also more than once, looks all the same.
-func TestLastLookComesLate(t *testing.T) {
+func TestFinalAcceptAfterItsDeadlineTakesPendingConnection(t *testing.T) {
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &listener{under: tcp.(*net.TCPListener), stop: func() {}}
-	l.Listener = queue{&stalled{tcp, 3}, l}
+	l := &listener{tcp: tcp.(*net.TCPListener), cancel: func() {}}
+	l.Listener = socketQueue{&lateListener{tcp, 3}, l}
 	defer l.close()
 	c, err := net.Dial("tcp", tcp.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	l.leave()
-	l.leave()
+	l.drain()
+	l.drain()
 	if c, err := l.Accept(); err != nil {
 		t.Errorf("one that waits: %v", err)
 	} else {
@@ -122,13 +122,13 @@
 
 // An answer of which a client has not read all comes whole, also where further requests of the client wait
 // unread behind it as its connection is closed.
-func TestAnswerBeforeFurtherRequests(t *testing.T) {
+func TestDrainCompletesAnswerBeforePipelinedRequest(t *testing.T) {
 	for _, class := range []struct {
 		method, path string
 		begun        bool // the answer, as the node is told to end
 	}{{"GET", "/roster-read", false}, {"POST", "/visit-update", false}, {"GET", "/roster-read", true}, {"POST", "/visit-update", true}} {
 		t.Run(fmt.Sprint(class), func(t *testing.T) {
-			r := newRigThatDrains(t, config.Drain{Most: testkit.Patience})
+			r := newRigWithDrain(t, config.Drain{Most: testkit.Patience})
 			rests := r.dial()
 			came, let := make(chan struct{}, 1), make(chan struct{})
 			body := strings.Repeat("x", 64<<10)
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -9,16 +9,16 @@
 	"lockflow/internal/limits"
 )
 
-// firstCome are books with no parts: whoever comes first takes what there is.
-type firstCome struct {
-	*sharedBooks
+// unpartitionedLimiter are books with no parts: whoever comes first takes what there is.
+type unpartitionedLimiter struct {
+	*sharedLimiter
 	all *limits.SocketLimiter
 }
 
-func (b *firstCome) clients() limits.ConnectionLimiter           { return b.all.ForClients() }
-func (b *firstCome) socketsOf(*account) limits.ConnectionLimiter { return b.all }
-func (b *firstCome) divide(*config.Config, map[string]*running) error {
-	for _, s := range []*limits.SharedResource{b.held, b.bytes, b.dials} {
+func (b *unpartitionedLimiter) clientSockets() limits.ConnectionLimiter           { return b.all.ForClients() }
+func (b *unpartitionedLimiter) upstreamSockets(*account) limits.ConnectionLimiter { return b.all }
+func (b *unpartitionedLimiter) setGuarantees(*config.Config, map[string]*runningService) error {
+	for _, s := range []*limits.SharedResource{b.slots, b.bytes, b.dials} {
 		if err := s.SetGuarantees(math.MaxInt32, nil); err != nil {
 			return err
 		}
@@ -26,23 +26,23 @@
 	return nil
 }
 
-// WithoutParts has nodes made until undo is called share without parts: the isolation of
+// WithoutGuarantees has nodes made until undo is called share without parts: the isolation of
 // services is gone.
-func WithoutParts() (undo func()) {
-	old := shareBooks
-	shareBooks = func(cfg *config.Config, f *front.Front) books {
-		b := &firstCome{newSharedBooks(cfg, f), limits.NewSocketLimiter(cfg.Process.Descriptors)}
+func WithoutGuarantees() (undo func()) {
+	old := makeSharedLimiter
+	makeSharedLimiter = func(cfg *config.Config, f *front.Front) resourceLimiter {
+		b := &unpartitionedLimiter{newSharedLimiter(cfg, f), limits.NewSocketLimiter(cfg.Process.Descriptors)}
 		b.all.OnEvict(f.Evict, nil)
 		return b
 	}
-	return func() { shareBooks = old }
+	return func() { makeSharedLimiter = old }
 }
 
-// Serving is how many services run, also those that were removed and still hold something.
-func Serving(n *Node) int {
+// RunningServices is how many services run, also those that were removed and still hold something.
+func RunningServices(n *Node) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.serving
+	return n.runningServices
 }
 
 // PanicNext has the module of a service panic at the next event.
@@ -53,9 +53,9 @@
 	s.Post(func() { panic("no such share") })
 }
 
-// SpendModuleTime books time as that of a service's module.
-func SpendModuleTime(n *Node, name string, took time.Duration) {
+// ChargeModuleTime books time as that of a service's module.
+func ChargeModuleTime(n *Node, name string, took time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.services[name].parts.spent(took)
+	n.services[name].account.chargeModuleTime(took)
 }
--- a/internal/node/gather.go
+++ b/internal/node/gatherers.go
@@ -15,29 +15,29 @@
 	"lockflow/internal/waitpolicy"
 )
 
-// gathering is a service in force that gathers, and what it was made from.
-type gathering struct {
+// gatherer is a service in force that gathers, and what it was made from.
+type gatherer struct {
 	*scattergather.Gatherer
-	cfg     config.Gather
-	sharing *sharing // nil shares nothing
+	cfg    config.Gather
+	sharer *modelSharer // nil shares nothing
 }
 
-// gatherers makes the gathering services of a configuration. One that stays as it was goes on; one
+// prepareGatherers makes the gathering services of a configuration. One that stays as it was goes on; one
 // that changes goes on with what its former self has learned of the parts that both have, and its
 // counts. Queries that have begun end under what they began with. It changes nothing; n.mu is held, or
 // nobody knows of n yet.
-func (n *Node) gatherers(cfg *config.Config) (map[string]*gathering, error) {
+func (n *Node) prepareGatherers(cfg *config.Config) (map[string]*gatherer, error) {
 	if len(cfg.Gathers) == 0 {
 		return nil, nil
 	}
-	next := make(map[string]*gathering, len(cfg.Gathers))
+	next := make(map[string]*gatherer, len(cfg.Gathers))
 	for _, c := range cfg.Gathers {
-		was := n.gathers[c.Name]
+		was := n.gatherers[c.Name]
 		if was != nil && reflect.DeepEqual(was.cfg, c) {
 			next[c.Name] = was
 			continue
 		}
-		g := &gathering{cfg: c, Gatherer: &scattergather.Gatherer{Name: c.Name, Settings: settingsOf(c), RetryAfter: c.RetryAfter, Counts: new(scattergather.Counts)}}
+		g := &gatherer{cfg: c, Gatherer: &scattergather.Gatherer{Name: c.Name, Settings: waitPolicySettings(c), RetryAfter: c.RetryAfter, Counts: new(scattergather.Counts)}}
 		if err := g.Settings.Check(); err != nil {
 			return nil, fmt.Errorf("service %s: gather: %w", c.Name, err)
 		}
@@ -45,13 +45,13 @@
 		if was != nil {
 			g.Counts = was.Counts
 			raw, err := was.Model.Encode()
-			g.learnFrom(raw, 0, err)
+			g.restoreModel(raw, 0, err)
 		}
 		if was != nil && reflect.DeepEqual(was.cfg.Share, c.Share) {
-			g.sharing = was.sharing
+			g.sharer = was.sharer
 		} else if len(c.Share.Addresses) > 0 {
 			var err error
-			if g.sharing, err = newSharing(c.Share, g.Model); err != nil {
+			if g.sharer, err = newModelSharer(c.Share, g.Model); err != nil {
 				return nil, fmt.Errorf("service %s: gather: %w", c.Name, err)
 			}
 		}
@@ -60,9 +60,9 @@
 	return next, nil
 }
 
-// learnFrom takes over what was learned so long ago under other settings, or by another process. What
+// restoreModel takes over what was learned so long ago under other settings, or by another process. What
 // can't be read is told, and nothing of it taken: it is learned anew.
-func (g *gathering) learnFrom(raw []byte, ago time.Duration, err error) {
+func (g *gatherer) restoreModel(raw []byte, ago time.Duration, err error) {
 	if err == nil {
 		err = g.Model.Restore(raw, ago)
 	}
@@ -71,7 +71,7 @@
 	}
 }
 
-func settingsOf(c config.Gather) *waitpolicy.Settings {
+func waitPolicySettings(c config.Gather) *waitpolicy.Settings {
 	s := &waitpolicy.Settings{Least: c.Least, HalfLife: c.HalfLife, Fixed: c.Fixed}
 	switch c.Deadline {
 	case config.DeadlineNone:
@@ -85,8 +85,8 @@
 	return s
 }
 
-// tree is what a gathering service reaches; by lists its gatherers by the trees' IDs.
-func tree(name string, gathers map[string]*gathering) (t *scattergather.Tree, leaves []scattergather.Leaf, by []*scattergather.Gatherer) {
+// buildTree is what a gathering service reaches; by lists its gatherers by the trees' IDs.
+func buildTree(name string, gathers map[string]*gatherer) (t *scattergather.Tree, leaves []scattergather.Leaf, by []*scattergather.Gatherer) {
 	all := make(map[*scattergather.Tree]*scattergather.Gatherer)
 	var down func(string) *scattergather.Tree
 	down = func(name string) *scattergather.Tree {
@@ -111,29 +111,29 @@
 	return t, leaves, by
 }
 
-// gatherOf is a gathering service as the front serves it.
-func gatherOf(name string, gathers map[string]*gathering, services map[string]*running) *front.ScatterGather {
+// gatherTarget is a gathering service as the front serves it.
+func gatherTarget(name string, gathers map[string]*gatherer, services map[string]*runningService) *front.ScatterGather {
 	c := gathers[name].cfg
 	g := &front.ScatterGather{Deadlines: make(map[string]time.Duration), DefaultClass: config.ClassRead, MaxBodyBytes: c.Body, TimeoutHeader: c.TimeHeader}
-	g.Tree, g.Leaves, g.Gatherers = tree(name, gathers)
+	g.Tree, g.Leaves, g.Gatherers = buildTree(name, gathers)
 	for _, k := range c.Classes {
 		g.Deadlines[k.Name] = k.Deadline
 	}
 	var parts []*account
 	for _, l := range g.Leaves {
 		s := services[l.Name]
-		g.Targets = append(g.Targets, front.Target{Service: s.Service, MaxBodyBytes: s.cfg.Body, Protocol: s.speaks})
+		g.Targets = append(g.Targets, front.Target{Service: s.Service, MaxBodyBytes: s.cfg.Body, Protocol: s.ordinary})
 		if s.cfg.Body >= 0 {
 			g.MaxBodyBytes = min(g.MaxBodyBytes, s.cfg.Body)
 		}
-		parts = append(parts, s.parts)
+		parts = append(parts, s.account)
 	}
-	g.Load = func() float64 { return loadOf(parts) }
+	g.Load = func() float64 { return requestLoad(parts) }
 	return g
 }
 
-// loadOf is the mean share that services use of what they are guaranteed of held requests.
-func loadOf(parts []*account) float64 {
+// requestLoad is the mean share that services use of what they are guaranteed of held requests.
+func requestLoad(parts []*account) float64 {
 	sum := 0.0
 	for _, a := range parts {
 		u := a.requests.Slots.Usage()
@@ -145,17 +145,17 @@
 // GathererStatus tells what each gathering service is doing, by name; none where there are none.
 func (n *Node) GathererStatus() []scattergather.Status {
 	n.mu.Lock()
-	var all []*gathering
-	for _, g := range n.gathers {
+	var all []*gatherer
+	for _, g := range n.gatherers {
 		all = append(all, g)
 	}
 	n.mu.Unlock()
-	slices.SortFunc(all, func(a, b *gathering) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(all, func(a, b *gatherer) int { return strings.Compare(a.Name, b.Name) })
 	var out []scattergather.Status
 	for _, g := range all {
 		st := g.Status(config.ClassRead)
-		if g.sharing != nil {
-			shared := g.sharing.Status()
+		if g.sharer != nil {
+			shared := g.sharer.Status()
 			st.Shared = &shared
 		}
 		out = append(out, st)
@@ -163,15 +163,15 @@
 	return out
 }
 
-// gathered is what the gathering services have learned.
-func (n *Node) gathered() map[string][]byte {
+// gathererModels is what the gathering services have learned.
+func (n *Node) gathererModels() map[string][]byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.gathers) == 0 {
+	if len(n.gatherers) == 0 {
 		return nil
 	}
 	all := make(map[string][]byte)
-	for name, g := range n.gathers {
+	for name, g := range n.gatherers {
 		if raw, err := g.Model.Encode(); err == nil {
 			all[name] = raw
 		} else {
@@ -181,13 +181,13 @@
 	return all
 }
 
-// restoreGathered takes over what gathering services had learned so long ago.
-func (n *Node) restoreGathered(all map[string][]byte, ago time.Duration) {
+// restoreGathererModels takes over what gathering services had learned so long ago.
+func (n *Node) restoreGathererModels(all map[string][]byte, ago time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for name, g := range n.gathers {
+	for name, g := range n.gatherers {
 		if raw, ok := all[name]; ok {
-			g.learnFrom(raw, ago, nil)
+			g.restoreModel(raw, ago, nil)
 		}
 	}
 }
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -29,10 +29,10 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	return newRigThatDrains(t, config.Drain{}) // at once
+	return newRigWithDrain(t, config.Drain{}) // at once
 }
 
-func newRigThatDrains(t *testing.T, drain config.Drain) *rig {
+func newRigWithDrain(t *testing.T, drain config.Drain) *rig {
 	r := newIdleRig(t, drain)
 	r.run()
 	return r
@@ -46,18 +46,18 @@
 		t.Fatal(err)
 	}
 	cfg.Process.Drain = drain
-	return idleRigBy(t, cfg)
+	return newIdleRigWithConfig(t, cfg)
 }
 
-// newRigBy is a rig by a configuration of the platform, but for where its discovery is.
-func newRigBy(t *testing.T, cfg config.Config) *rig {
+// newRigWithConfig is a rig by a configuration of the platform, but for where its discovery is.
+func newRigWithConfig(t *testing.T, cfg config.Config) *rig {
 	t.Helper()
-	r := idleRigBy(t, cfg)
+	r := newIdleRigWithConfig(t, cfg)
 	r.run()
 	return r
 }
 
-func idleRigBy(t *testing.T, cfg config.Config) *rig {
+func newIdleRigWithConfig(t *testing.T, cfg config.Config) *rig {
 	t.Helper()
 	r := &rig{t: t, agent: testkit.NewAgent(t), ended: make(chan error, 1), rev: 7}
 	cfg.Services[0].Source.Address = r.agent.Addr()
@@ -94,7 +94,7 @@
 	}
 	r.agent.Tell <- string(line) + "\n"
 	testkit.Until(r.t, "the list", func() bool {
-		known := r.only().Endpoints().Rev == int64(r.rev)
+		known := r.service().Endpoints().Rev == int64(r.rev)
 		if known {
 			r.status() // a round through the loop: what came before has been done
 		}
@@ -102,18 +102,18 @@
 	})
 }
 
-// only is the node's one service.
-func (r *rig) only() *service.Service { return r.node.services[""].Service }
+// service is the node's one service.
+func (r *rig) service() *service.Service { return r.node.services[""].Service }
 
-func (r *rig) status() service.Status { return r.only().Status() }
+func (r *rig) status() service.Status { return r.service().Status() }
 
 func (r *rig) wait(what string, is func() bool) {
 	r.t.Helper()
 	testkit.Until(r.t, what, is)
 }
 
-// draining tells whether the node lets no further client in.
-func (r *rig) draining() bool {
+// isDraining tells whether the node lets no further client in.
+func (r *rig) isDraining() bool {
 	resp, err := http.Get("http://" + r.node.Addr() + "/healthz")
 	if err != nil {
 		r.t.Fatal(err)
@@ -160,9 +160,9 @@
 	return resp, string(body)
 }
 
-// held has the node hold a request that its app server never answers. The status of
+// holdRequest has the node hold a request that its app server never answers. The status of
 // its final answer comes on the channel.
-func (r *rig) held() <-chan int {
+func (r *rig) holdRequest() <-chan int {
 	r.t.Helper()
 	asked := make(chan struct{})
 	silent := testkit.Never(r.t)
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -73,7 +73,7 @@
 	if c := tally.Counts(); c.Twice > 0 || c.MostAtOne > 1 || c.Requests < s.Served {
 		t.Errorf("%+v, served %d", c, s.Served)
 	}
-	testkit.Until(t, "what was replaced has ended", func() bool { return node.Serving(l.Node) == 1 })
+	testkit.Until(t, "what was replaced has ended", func() bool { return node.RunningServices(l.Node) == 1 })
 }
 
 // A rolling upgrade of servers from HTTP/1.1 to HTTP/2 and back, each ended in the middle of a
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -72,7 +72,7 @@
 // The test above finds what it is meant to find: without parts the stalled pool takes the
 // other's service with it.
 func TestStalledPoolWithoutParts(t *testing.T) {
-	defer node.WithoutParts()()
+	defer node.WithoutGuarantees()()
 	if r := rosterService(t, 256, true); r.Share() > servedAnyway {
 		t.Errorf("rosters served %.3f with no isolation at all: the trouble is none", r.Share())
 	}
--- a/internal/node/bounds_test.go
+++ b/internal/node/limiter_test.go
@@ -67,7 +67,7 @@
 	if status, _ := answer(t, in); status != 200 {
 		t.Fatalf("%d", status)
 	}
-	node.SpendModuleTime(l.Node, "a", 20*time.Second)
+	node.ChargeModuleTime(l.Node, "a", 20*time.Second)
 	write(c, "h", "/one", "after", "", 0)
 	if status, _ := answer(t, in); status != 503 {
 		t.Errorf("the one that used all: %d", status)
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -21,41 +21,41 @@
 // listener is one address on which clients come.
 type listener struct {
 	net.Listener
-	addr  string // as the configuration has it
-	under *net.TCPListener
-	stop  context.CancelFunc
-	done  <-chan struct{} // closed by stop
-	over  chan struct{}   // closed when all that it has taken is known to the front
-	gate  gate
+	configuredAddress string // as the configuration has it
+	tcp               *net.TCPListener
+	cancel            context.CancelFunc
+	done              <-chan struct{} // closed by stop
+	serveEnded        chan struct{}   // closed when all that it has taken is known to the front
+	gate              acceptGate
 }
 
-// lastLook is how long a listener that is to end waits for a connection that is there already.
-var lastLook = 20 * time.Millisecond
+// finalAcceptWait is how long a listener that is to end waits for a connection that is there already.
+var finalAcceptWait = 20 * time.Millisecond
 
-// queue is the socket below a listener, with the connections that wait in it.
-type queue struct {
+// socketQueue is the socket below a listener, with the connections that wait in it.
+type socketQueue struct {
 	net.Listener
-	of *listener
+	listener *listener
 }
 
 // Accept takes a connection; once the listener is to end, only while one is there.
-func (q queue) Accept() (net.Conn, error) {
+func (q socketQueue) Accept() (net.Conn, error) {
 	for {
-		last := q.of.looksLast()
+		last := q.listener.beginFinalAccept()
 		c, err := q.Listener.Accept()
 		if ne := net.Error(nil); !last || !errors.As(err, &ne) || !ne.Timeout() {
 			return c, err
 		}
 		// Guards against an Accept that comes so late that it doesn't look any more.
-		if !q.of.waited() {
+		if !q.listener.hasPendingConnection() {
 			return nil, net.ErrClosed
 		}
 	}
 }
 
-// waited tells whether a connection is there.
-func (l *listener) waited() bool {
-	raw, err := l.under.SyscallConn()
+// hasPendingConnection tells whether a connection is there.
+func (l *listener) hasPendingConnection() bool {
+	raw, err := l.tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -68,26 +68,26 @@
 	return is
 }
 
-// gate keeps connections from being taken while it is closed. Its zero value is open.
-type gate struct {
-	mu     sync.Mutex
-	closed chan struct{} // closed when the gate opens again; nil while it is open
-	last   bool          // what waits is still taken, and then nothing more
+// acceptGate keeps connections from being taken while it is closed. Its zero value is open.
+type acceptGate struct {
+	mu       sync.Mutex
+	reopened chan struct{} // closed when the gate opens again; nil while it is open
+	isFinal  bool          // what waits is still taken, and then nothing more
 }
 
-func (g *gate) shut() <-chan struct{} {
+func (g *acceptGate) reopening() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.closed
+	return g.reopened
 }
 
 // pause has connections wait in the socket, whose other holders may take them.
 func (l *listener) pause() {
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
-	if l.gate.closed == nil && l.under != nil {
-		l.gate.closed = make(chan struct{})
-		l.under.SetDeadline(time.Now()) // wakes an Accept
+	if l.gate.reopened == nil && l.tcp != nil {
+		l.gate.reopened = make(chan struct{})
+		l.tcp.SetDeadline(time.Now()) // wakes an Accept
 	}
 }
 
@@ -95,17 +95,17 @@
 func (l *listener) resume() {
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
-	if l.gate.closed != nil {
-		l.under.SetDeadline(time.Time{})
-		close(l.gate.closed)
-		l.gate.closed = nil
+	if l.gate.reopened != nil {
+		l.tcp.SetDeadline(time.Time{})
+		close(l.gate.reopened)
+		l.gate.reopened = nil
 	}
 }
 
 // Accept takes a connection, once the gate is open.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		if shut := l.gate.shut(); shut != nil {
+		if shut := l.gate.reopening(); shut != nil {
 			select {
 			case <-shut:
 			case <-l.done:
@@ -120,41 +120,41 @@
 	}
 }
 
-// leave ends it once it has taken what waits in the socket, unless that is left to others. Guards
+// drain ends it once it has taken what waits in the socket, unless that is left to others. Guards
 // against clients whose connection is up and is reset by the socket's close.
-func (l *listener) leave() {
+func (l *listener) drain() {
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
-	if l.gate.closed != nil || l.under == nil {
+	if l.gate.reopened != nil || l.tcp == nil {
 		l.close()
 		return
 	}
-	l.gate.last = true
-	l.under.SetDeadline(time.Now()) // wakes an Accept
+	l.gate.isFinal = true
+	l.tcp.SetDeadline(time.Now()) // wakes an Accept
 }
 
-// looksLast tells whether leave has been called, and bounds the wait that is then about to begin.
-func (l *listener) looksLast() bool {
+// beginFinalAccept tells whether leave has been called, and bounds the wait that is then about to begin.
+func (l *listener) beginFinalAccept() bool {
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
-	if l.gate.last {
-		l.under.SetDeadline(time.Now().Add(lastLook))
+	if l.gate.isFinal {
+		l.tcp.SetDeadline(time.Now().Add(finalAcceptWait))
 	}
-	return l.gate.last
+	return l.gate.isFinal
 }
 
 // close ends it; connections that it took go on.
 func (l *listener) close() {
-	l.stop()
+	l.cancel()
 	l.Close()
 }
 
-// open listens on those addresses that are not listened on yet. It gives the new ones, or, with
+// openListeners listens on those addresses that are not listened on yet. It gives the new ones, or, with
 // an error, leaves everything as it was. n.mu is held, or nobody knows of n yet.
-func (n *Node) open(addresses []string) ([]*listener, error) {
+func (n *Node) openListeners(addresses []string) ([]*listener, error) {
 	var opened []*listener
 	for _, addr := range addresses {
-		if n.listener(addr) != nil {
+		if n.findListener(addr) != nil {
 			continue
 		}
 		tcp, err := listen(addr, n.inherited)
@@ -166,57 +166,57 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		under, _ := tcp.(*net.TCPListener)
-		l := &listener{addr: addr, under: under, stop: cancel, done: ctx.Done(), over: make(chan struct{})}
-		l.Listener = limits.Listen(ctx, queue{tcp, l}, n.books.clients())
+		l := &listener{configuredAddress: addr, tcp: under, cancel: cancel, done: ctx.Done(), serveEnded: make(chan struct{})}
+		l.Listener = limits.Listen(ctx, socketQueue{tcp, l}, n.limiter.clientSockets())
 		opened = append(opened, l)
 	}
 	return opened, nil
 }
 
-// listener is the one of an address, nil where there is none.
-func (n *Node) listener(addr string) *listener {
+// findListener is the one of an address, nil where there is none.
+func (n *Node) findListener(addr string) *listener {
 	for _, l := range n.listeners {
-		if l.addr == addr {
+		if l.configuredAddress == addr {
 			return l
 		}
 	}
 	return nil
 }
 
-// listenOn puts the addresses of a configuration in force, for which those that are new have
+// setListeners puts the addresses of a configuration in force, for which those that are new have
 // been opened; n.mu is held.
-func (n *Node) listenOn(opened []*listener, addresses []string) {
+func (n *Node) setListeners(opened []*listener, addresses []string) {
 	old := n.listeners
 	n.listeners = append(append([]*listener(nil), old...), opened...)
 	var all []*listener
 	for _, addr := range addresses {
-		all = append(all, n.listener(addr))
+		all = append(all, n.findListener(addr))
 	}
 	n.listeners = all
 	for _, l := range opened {
-		n.serve(l)
+		n.serveListener(l)
 	}
 	for _, l := range old {
-		if n.listener(l.addr) == nil {
+		if n.findListener(l.configuredAddress) == nil {
 			slog.Info("no longer serving", "listen", l.Addr().String())
-			if n.srv == nil {
+			if n.server == nil {
 				l.close()
 				continue
 			}
-			l.leave()
+			l.drain()
 			n.removed = append(n.removed, l)
 		}
 	}
 }
 
-// endRemoved ends the listeners of addresses that are gone, behind those who wait there.
-func (n *Node) endRemoved() {
+// closeRemovedListeners ends the listeners of addresses that are gone, behind those who wait there.
+func (n *Node) closeRemovedListeners() {
 	n.mu.Lock()
-	removed, within := n.removed, max(n.cfg.Process.Drain.Most, drainWrite)
+	removed, within := n.removed, max(n.cfg.Process.Drain.Most, finalAnswerTime)
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	await(ctx, removed)
+	awaitListeners(ctx, removed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range removed {
@@ -225,34 +225,34 @@
 	n.removed = nil
 }
 
-// await waits until listeners that leave are over, or ctx is.
-func await(ctx context.Context, listeners []*listener) {
+// awaitListeners waits until listeners that leave are over, or ctx is.
+func awaitListeners(ctx context.Context, listeners []*listener) {
 	for _, l := range listeners {
 		select {
-		case <-l.over:
+		case <-l.serveEnded:
 		case <-ctx.Done():
 		}
 	}
 }
 
-// serve takes clients of a listener, once the node runs; n.mu is held.
-func (n *Node) serve(l *listener) {
-	if n.srv == nil {
+// serveListener takes clients of a listener, once the node runs; n.mu is held.
+func (n *Node) serveListener(l *listener) {
+	if n.server == nil {
 		return
 	}
 	slog.Info("serving", "listen", l.Addr().String())
-	srv, from := n.srv, net.Listener(l)
+	srv, from := n.server, net.Listener(l)
 	if n.cfg.Process.Shared { // services of ordinary HTTP may come with a reload
 		from = front.ValidatingListener(l)
 	}
-	n.parts.Go(func() {
-		defer close(l.over)
+	n.tasks.Go(func() {
+		defer close(l.serveEnded)
 		err := srv.Serve(front.LingeringListener(from))
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return
 		}
 		select {
-		case n.broken <- err:
+		case n.listenerFailures <- err:
 		default:
 		}
 	})
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -15,7 +15,7 @@
 
 // What requests hold stays under a part of the process's memory, whatever the limit on descriptors: a
 // client beyond it is told so before its body is read, and the next one is served as soon as there is room.
-func TestMemoryBoundsWhatIsHeld(t *testing.T) {
+func TestMemoryLimitBoundsRequestsInFlight(t *testing.T) {
 	for _, mb := range []int{1, 3, 64} {
 		t.Run(fmt.Sprint(mb), func(t *testing.T) {
 			cfg, err := config.LoadPlatform("../config/testdata/config.json")
@@ -23,12 +23,12 @@
 				t.Fatal(err)
 			}
 			cfg.Process.MemoryMB, cfg.Process.Drain = mb, config.Drain{}
-			r := newRigBy(t, cfg)
+			r := newRigWithConfig(t, cfg)
 			a := testkit.NewApp(t, testkit.Served)
 			r.list(target(a, "s-1", 0))
 			most := mb << 20 / 2 / (2 * protocol.BodyMost) // a body and an answer each
 			var held []*service.Exchange
-			for x := new(service.Exchange); len(held) <= most && r.only().Admit(x, protocol.BodyMost); x = new(service.Exchange) {
+			for x := new(service.Exchange); len(held) <= most && r.service().Admit(x, protocol.BodyMost); x = new(service.Exchange) {
 				held = append(held, x)
 			}
 			if len(held) != most {
--- a/internal/node/sharing.go
+++ b/internal/node/model_sharing.go
@@ -12,14 +12,14 @@
 	"lockflow/internal/waitpolicy/share"
 )
 
-// sharing is what a gathering service learns on its way to other instances. It goes on over reloads
+// modelSharer is what a gathering service learns on its way to other instances. It goes on over reloads
 // that leave its stores as they are.
-type sharing struct {
+type modelSharer struct {
 	*share.Sharer
 	stop func() // nil before it runs
 }
 
-func newSharing(c config.GatherShare, m *waitpolicy.Model) (*sharing, error) {
+func newModelSharer(c config.GatherShare, m *waitpolicy.Model) (*modelSharer, error) {
 	password := ""
 	if c.PasswordFile != "" {
 		raw, err := os.ReadFile(c.PasswordFile)
@@ -36,28 +36,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return &sharing{Sharer: s}, nil
+	return &modelSharer{Sharer: s}, nil
 }
 
-// share has the gathering services in force share what they learn, and those no longer that were;
+// shareModels has the gathering services in force share what they learn, and those no longer that were;
 // n.mu is held.
-func (n *Node) share(old, next map[string]*gathering) {
-	used := make(map[*sharing]bool)
+func (n *Node) shareModels(old, next map[string]*gatherer) {
+	used := make(map[*modelSharer]bool)
 	for _, g := range next {
-		s := g.sharing
+		s := g.sharer
 		if s == nil {
 			continue
 		}
 		used[s] = true
 		s.Use(g.Model)
-		if s.stop == nil && n.work != nil {
-			life, end := context.WithCancel(n.work)
+		if s.stop == nil && n.servicesContext != nil {
+			life, end := context.WithCancel(n.servicesContext)
 			s.stop = end
-			n.parts.Go(func() { s.Run(life) })
+			n.tasks.Go(func() { s.Run(life) })
 		}
 	}
 	for _, g := range old {
-		if s := g.sharing; s != nil && !used[s] && s.stop != nil {
+		if s := g.sharer; s != nil && !used[s] && s.stop != nil {
 			s.stop()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,56 +22,56 @@
 	"lockflow/internal/service"
 )
 
-// drainWrite is what the answers may take that are given at the end. With the shortest deadlines no more
+// finalAnswerTime is what the answers may take that are given at the end. With the shortest deadlines no more
 // than this is left between the drain's steps and SIGKILL.
-const drainWrite = 200 * time.Millisecond
+const finalAnswerTime = 200 * time.Millisecond
 
 // Node is an edge node.
 type Node struct {
-	front     *front.Front
-	books     books
-	inherited map[string]net.Listener // that the supervisor passed on
-	changed   chan struct{}           // a service has become ready
-	served    chan struct{}           // closed once the node was ready
-	wasReady  atomic.Bool
+	front        *front.Front
+	limiter      resourceLimiter
+	inherited    map[string]net.Listener // that the supervisor passed on
+	readyChanged chan struct{}           // a service has become ready
+	becameReady  chan struct{}           // closed once the node was ready
+	hasBeenReady atomic.Bool
 
 	// Last, where it is not nil, is called once in a drain, when nothing more will be spent and
 	// the services can still be asked. It is set before Run.
 	OnDrained func()
 
-	reload sync.Mutex // held over a whole reload, also while it waits
+	reloadMu sync.Mutex // held over a whole reload, also while it waits
 
-	mu         sync.Mutex
-	listeners  []*listener                 // in the order of the configuration
-	removed    []*listener                 // by the reload that goes on; they leave
-	ended      bool                        // nothing new begins to listen or to serve
-	srv        *http.Server                // nil before Run
-	broken     chan error                  // the first listener that ended by itself
-	generation int                         // of the configuration in force, from 1 on
-	older      map[*service.Service]*older // replaced or removed services that still hold something
-	cfg        config.Config
-	services   map[string]*running               // in force, by name
-	gathers    map[string]*gathering             // in force, by name
-	counts     map[string]*service.RequestCounts // of services, also those that are gone; nil without metrics
-	meter      *service.StatisticsCollector      // of the process; nil where nobody can ask
-	work       context.Context                   // of services; nil before Run
-	parts      sync.WaitGroup                    // services, also those that were removed
-	failed     chan error                        // the first service that ended the node
-	serving    int                               // services that run, also those that were removed
-	fewer      *sync.Cond                        // serving has become less
+	mu               sync.Mutex
+	listeners        []*listener                          // in the order of the configuration
+	removed          []*listener                          // by the reload that goes on; they leave
+	isShutDown       bool                                 // nothing new begins to listen or to serve
+	server           *http.Server                         // nil before Run
+	listenerFailures chan error                           // the first listener that ended by itself
+	generation       int                                  // of the configuration in force, from 1 on
+	retired          map[*service.Service]*retiredService // replaced or removed services that still hold something
+	cfg              config.Config
+	services         map[string]*runningService        // in force, by name
+	gatherers        map[string]*gatherer              // in force, by name
+	requestCounts    map[string]*service.RequestCounts // of services, also those that are gone; nil without metrics
+	statistics       *service.StatisticsCollector      // of the process; nil where nobody can ask
+	servicesContext  context.Context                   // of services; nil before Run
+	tasks            sync.WaitGroup                    // services, also those that were removed
+	serviceFailures  chan error                        // the first service that ended the node
+	runningServices  int                               // services that run, also those that were removed
+	serviceEnded     *sync.Cond                        // serving has become less
 }
 
-// running is a service in force and what it was made from.
-type running struct {
+// runningService is a service in force and what it was made from.
+type runningService struct {
 	*service.Service
-	cfg        config.Service
-	parts      *account             // nil where nothing is shared
-	speaks     *front.Ordinary      // nil where it speaks the platform's protocol
-	counters   []*leasestore.Client // that lend its ceilings
-	generation int                  // in which it began
-	before     <-chan struct{}
-	stop       func()        // ends it with all that it holds; nil before it runs
-	over       chan struct{} // closed when it has ended, and those whose place it took
+	cfg              config.Service
+	account          *account             // nil where nothing is shared
+	ordinary         *front.Ordinary      // nil where it speaks the platform's protocol
+	leaseStores      []*leasestore.Client // that lend its ceilings
+	generation       int                  // in which it began
+	predecessorEnded <-chan struct{}
+	cancel           func()        // ends it with all that it holds; nil before it runs
+	ended            chan struct{} // closed when it has ended, and those whose place it took
 }
 
 // New makes an edge node and begins to listen.
@@ -81,38 +81,38 @@
 // uses those that the configuration names (config.Inherited).
 func NewInheriting(cfg config.Config, inherited map[string]net.Listener) (*Node, error) {
 	n := &Node{
-		inherited: inherited, changed: make(chan struct{}, 1), served: make(chan struct{}), cfg: cfg, generation: 1,
-		services: make(map[string]*running), older: make(map[*service.Service]*older), failed: make(chan error, 1), broken: make(chan error, 1),
+		inherited: inherited, readyChanged: make(chan struct{}, 1), becameReady: make(chan struct{}), cfg: cfg, generation: 1,
+		services: make(map[string]*runningService), retired: make(map[*service.Service]*retiredService), serviceFailures: make(chan error, 1), listenerFailures: make(chan error, 1),
 	}
-	n.fewer = sync.NewCond(&n.mu)
+	n.serviceEnded = sync.NewCond(&n.mu)
 	n.front = front.New(&front.RoutingTable{}, n.isReady)
 	if cfg.Process.Shared {
-		n.books = shareBooks(&cfg, n.front)
+		n.limiter = makeSharedLimiter(&cfg, n.front)
 	} else {
-		n.books = newWholeBooks(&cfg.Process)
+		n.limiter = newExclusiveLimiter(&cfg.Process)
 	}
 	if cfg.Process.Shared && cfg.Process.Control != "" {
-		n.meter = &service.StatisticsCollector{}
+		n.statistics = &service.StatisticsCollector{}
 	}
-	next, err := n.prepare(&cfg)
+	next, err := n.prepareServices(&cfg)
 	if err != nil {
 		return nil, err
 	}
 	for _, s := range next {
 		s.generation = n.generation
 	}
-	if err := n.books.divide(&cfg, next); err != nil {
+	if err := n.limiter.setGuarantees(&cfg, next); err != nil {
 		return nil, err
 	}
-	if n.gathers, err = n.gatherers(&cfg); err != nil {
+	if n.gatherers, err = n.prepareGatherers(&cfg); err != nil {
 		return nil, err
 	}
 	n.services = next
-	n.front.SetTable(table(&cfg, next, n.gathers))
-	if w, ok := n.books.(*wholeBooks); ok {
+	n.front.SetTable(routeTable(&cfg, next, n.gatherers))
+	if w, ok := n.limiter.(*exclusiveLimiter); ok {
 		w.sockets.OnEvict(n.front.Evict, next[cfg.Services[0].Name].Upstream().Evict)
 	}
-	if n.listeners, err = n.open(cfg.Listeners); err != nil {
+	if n.listeners, err = n.openListeners(cfg.Listeners); err != nil {
 		return nil, err
 	}
 	return n, nil
@@ -121,7 +121,7 @@
 // isReady tells whether every service that is required has been able to serve. What a later
 // configuration adds doesn't make the node unready: its other services go on.
 func (n *Node) isReady() bool {
-	if n.wasReady.Load() {
+	if n.hasBeenReady.Load() {
 		return true
 	}
 	n.mu.Lock()
@@ -131,8 +131,8 @@
 			return false
 		}
 	}
-	if !n.wasReady.Swap(true) {
-		close(n.served)
+	if !n.hasBeenReady.Swap(true) {
+		close(n.becameReady)
 	}
 	return true
 }
@@ -145,26 +145,26 @@
 }
 
 // Ready is closed once every service that is required has been able to serve.
-func (n *Node) Ready() <-chan struct{} { return n.served }
+func (n *Node) Ready() <-chan struct{} { return n.becameReady }
 
 // Alive tells whether all services take events before ctx ends.
 func (n *Node) Alive(ctx context.Context) bool {
 	n.mu.Lock()
-	all := make([]*running, 0, len(n.services))
+	all := make([]*runningService, 0, len(n.services))
 	for _, s := range n.services {
 		all = append(all, s)
 	}
 	n.mu.Unlock()
-	return !slices.ContainsFunc(all, func(s *running) bool { return !s.Alive(ctx) })
+	return !slices.ContainsFunc(all, func(s *runningService) bool { return !s.Alive(ctx) })
 }
 
 // Statistics are what the services have counted since the process began; nothing without a control socket.
-func (n *Node) Statistics() instancestats.Figures { return n.meter.Statistics() }
+func (n *Node) Statistics() instancestats.Figures { return n.statistics.Statistics() }
 
 // Status tells what each service is doing, by name.
 func (n *Node) Status() []Status {
 	n.mu.Lock()
-	all := make([]*running, 0, len(n.services))
+	all := make([]*runningService, 0, len(n.services))
 	for _, s := range n.services {
 		all = append(all, s)
 	}
@@ -172,8 +172,8 @@
 	var out []Status
 	for _, s := range all {
 		st := Status{Status: s.Status()}
-		if s.parts != nil {
-			st.Resources = s.parts.use()
+		if s.account != nil {
+			st.Resources = s.account.usage()
 		}
 		out = append(out, st)
 	}
@@ -201,89 +201,89 @@
 	life, end := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
-	defer n.parts.Wait()
+	defer n.tasks.Wait()
 	defer end()
 	work, stop := context.WithCancel(life)
 	defer stop()
 	n.mu.Lock()
-	n.work = work
+	n.servicesContext = work
 	for _, s := range n.services {
-		n.start(s)
+		n.startService(s)
 	}
-	n.share(nil, n.gathers)
+	n.shareModels(nil, n.gatherers)
 	n.mu.Unlock()
 	parts.Go(func() {
 		for !n.isReady() {
 			select {
-			case <-n.changed:
+			case <-n.readyChanged:
 			case <-life.Done():
 				return
 			}
 		}
 	})
-	parts.Go(func() { n.watchOlder(life) })
+	parts.Go(func() { n.watchRetired(life) })
 	srv := n.front.Server()
 	n.mu.Lock()
-	n.srv = srv
+	n.server = srv
 	for _, l := range n.listeners {
-		n.serve(l)
+		n.serveListener(l)
 	}
 	n.mu.Unlock()
 
 	select {
 	case <-ctx.Done():
-	case err := <-n.failed:
+	case err := <-n.serviceFailures:
 		stop()
-		n.finish()
+		n.shutDown()
 		return err
-	case err := <-n.broken:
+	case err := <-n.listenerFailures:
 		stop()
-		n.finish()
+		n.shutDown()
 		return fmt.Errorf("serving clients: %w", err)
 	}
 	return n.drain(stop)
 }
 
-// start runs a service, unless Run is still to do so; n.mu is held.
-func (n *Node) start(s *running) {
-	if n.work == nil {
+// startService runs a service, unless Run is still to do so; n.mu is held.
+func (n *Node) startService(s *runningService) {
+	if n.servicesContext == nil {
 		return
 	}
-	n.serving++
-	life, end := context.WithCancel(n.work)
-	s.stop = end
-	if s.speaks != nil {
-		n.parts.Go(func() { s.speaks.Customers.Follow(life, planOf(s.cfg)) })
+	n.runningServices++
+	life, end := context.WithCancel(n.servicesContext)
+	s.cancel = end
+	if s.ordinary != nil {
+		n.tasks.Go(func() { s.ordinary.Customers.Follow(life, planChecker(s.cfg)) })
 	}
 	if b := s.Upstream().TLS; b != nil {
-		n.parts.Go(func() {
+		n.tasks.Go(func() {
 			b.Follow(life, time.Second, func(err error) {
 				slog.Warn("TLS to servers: the old files stay in force", "service", s.cfg.Name, "err", err)
 			})
 		})
 	}
-	n.parts.Go(func() {
+	n.tasks.Go(func() {
 		err := s.Run(life)
 		end()
 		if err != nil {
 			select {
-			case n.failed <- err:
+			case n.serviceFailures <- err:
 			default:
 			}
 		}
-		s.parts.close()
-		for _, c := range s.counters {
+		s.account.release()
+		for _, c := range s.leaseStores {
 			_ = c.Close() // a connection pool
 		}
 		n.mu.Lock()
-		n.serving--
-		delete(n.older, s.Service)
-		n.fewer.Broadcast()
+		n.runningServices--
+		delete(n.retired, s.Service)
+		n.serviceEnded.Broadcast()
 		n.mu.Unlock()
-		if s.before != nil {
-			<-s.before
+		if s.predecessorEnded != nil {
+			<-s.predecessorEnded
 		}
-		close(s.over)
+		close(s.ended)
 	})
 }
 
@@ -291,8 +291,8 @@
 func (n *Node) awaitServices() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for n.serving > 0 {
-		n.fewer.Wait()
+	for n.runningServices > 0 {
+		n.serviceEnded.Wait()
 	}
 }
 
@@ -309,15 +309,15 @@
 		do func()
 	}{
 		{times.Idle, n.front.CloseWhenIdle},
-		{times.Accept, func() { n.leave(); n.gone(times.Most - times.Accept) }},
+		{times.Accept, func() { n.drainListeners(); n.awaitClientsGone(times.Most - times.Accept) }},
 	}
 	for _, s := range steps {
 		select {
 		case <-time.After(time.Until(begun.Add(s.at))):
 			s.do()
-		case err := <-n.failed:
+		case err := <-n.serviceFailures:
 			stop()
-			n.finish()
+			n.shutDown()
 			return err
 		}
 	}
@@ -326,45 +326,45 @@
 	}
 	stop() // answers what is still held as failed
 	n.awaitServices()
-	n.finish()
+	n.shutDown()
 	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
 	select {
-	case err := <-n.failed:
+	case err := <-n.serviceFailures:
 		return err
 	default:
 		return nil
 	}
 }
 
-// leave takes the clients that wait in the listeners' sockets and then no more.
-func (n *Node) leave() {
+// drainListeners takes the clients that wait in the listeners' sockets and then no more.
+func (n *Node) drainListeners() {
 	n.mu.Lock()
 	for _, l := range n.listeners {
-		l.leave()
+		l.drain()
 	}
 	n.mu.Unlock()
 	n.front.CloseWhenIdle()
 }
 
-// gone waits, after leave, until no client waits or is connected, for some time at the most. What still
+// awaitClientsGone waits, after leave, until no client waits or is connected, for some time at the most. What still
 // waits in a socket then has no room yet.
-func (n *Node) gone(within time.Duration) {
+func (n *Node) awaitClientsGone(within time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	n.mu.Lock()
 	all := slices.Concat(n.listeners, n.removed)
 	n.mu.Unlock()
-	await(ctx, all)
+	awaitListeners(ctx, all)
 	n.front.WaitDisconnected(ctx)
 }
 
-// finish gives the answers that are under way some time, and to who still waits, and stops listening.
-func (n *Node) finish() {
+// shutDown gives the answers that are under way some time, and to who still waits, and stops listening.
+func (n *Node) shutDown() {
 	n.mu.Lock()
-	n.ended = true
+	n.isShutDown = true
 	n.mu.Unlock()
-	n.leave()
-	n.gone(drainWrite)
+	n.drainListeners()
+	n.awaitClientsGone(finalAnswerTime)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range slices.Concat(n.listeners, n.removed) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,7 +21,7 @@
 	"lockflow/internal/testkit"
 )
 
-func TestServedUnchanged(t *testing.T) {
+func TestRequestAndAnswerAreForwardedUnchanged(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, func(w http.ResponseWriter, req *http.Request) {
 		left, err := strconv.Atoi(strings.TrimSuffix(req.Header.Get(protocol.HeaderTimeLeft), "m"))
@@ -48,7 +48,7 @@
 	}
 }
 
-func TestHealthz(t *testing.T) {
+func TestHealthzReportsReadiness(t *testing.T) {
 	r := newRig(t)
 	health := func() int {
 		req, _ := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
@@ -66,7 +66,7 @@
 }
 
 // What a client got wrong is told as such, and nothing is sent on.
-func TestBadInput(t *testing.T) {
+func TestInvalidRequestsAreRejected(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
@@ -133,7 +133,7 @@
 }
 
 // The module's refusal is given at once and tells when to come again.
-func TestRefusal(t *testing.T) {
+func TestRejectionHasRetryAfter(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
@@ -157,7 +157,7 @@
 }
 
 // A keyed request that may have run goes again within its group only, with its key.
-func TestKeyedAfterReset(t *testing.T) {
+func TestIdempotentRequestIsRetriedWithinItsGroup(t *testing.T) {
 	r := newRig(t)
 	fails := true
 	serve := func(w http.ResponseWriter, q *http.Request) {
@@ -185,7 +185,7 @@
 }
 
 // At the end of the client's time the attempt's connection is closed and the client is told.
-func TestTimeOut(t *testing.T) {
+func TestDeadlineEndsAttempt(t *testing.T) {
 	for class, tc := range map[string]struct {
 		method string
 		want   int
@@ -216,7 +216,7 @@
 }
 
 // A client that leaves is owed nothing; its id is free again when its attempt has ended.
-func TestHangup(t *testing.T) {
+func TestClientDisconnectFreesRequestID(t *testing.T) {
 	r := newRig(t)
 	held, finish := make(chan struct{}), make(chan struct{})
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
@@ -252,7 +252,7 @@
 }
 
 // Nothing new goes to an app server that drains, and its idle connections are closed.
-func TestAppServerDrains(t *testing.T) {
+func TestDrainingServerGetsNoRequests(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	b := testkit.NewApp(t, testkit.Served)
@@ -275,7 +275,7 @@
 }
 
 // An app server may come back under another address.
-func TestAppServerMoves(t *testing.T) {
+func TestServerChangesAddress(t *testing.T) {
 	r := newRig(t)
 	a, b := testkit.NewApp(t, testkit.Served), testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
@@ -289,7 +289,7 @@
 
 // A connection belongs to the app server that it was opened to, not to its address: it is
 // never used for another one there, also where it was in use when the first one went.
-func TestAddressIsReused(t *testing.T) {
+func TestReusedAddressGetsNewConnections(t *testing.T) {
 	r := newRig(t)
 	var mu sync.Mutex
 	from := make(map[string]string)
@@ -328,7 +328,7 @@
 }
 
 // The node keeps nothing of app servers that have come and gone.
-func TestAppServersForgotten(t *testing.T) {
+func TestRemovedServersLeaveNoState(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	for i := range 50 {
@@ -343,15 +343,15 @@
 		r.list(up)
 	}
 	r.wait("none", func() bool { s := r.status(); return s.Servers == 0 && s.AvailableServers == 0 })
-	if idle, pools := r.only().Upstream().Conns(); idle != 0 || pools != 0 {
+	if idle, pools := r.service().Upstream().Conns(); idle != 0 || pools != 0 {
 		t.Errorf("%d pools, %d connections", pools, idle)
 	}
 }
 
 // A draining node answers what it holds, takes what still comes and then ends.
-func TestDrain(t *testing.T) {
+func TestDrainAnswersRequestsInFlight(t *testing.T) {
 	t.Parallel()
-	r := newRigThatDrains(t, config.PlatformDrain)
+	r := newRigWithDrain(t, config.PlatformDrain)
 	held, finish := make(chan struct{}, 2), make(chan struct{})
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 		held <- struct{}{}
@@ -367,7 +367,7 @@
 	go ask("before")
 	testkit.Next(t, held)
 	r.stop()
-	r.wait("draining", r.draining)
+	r.wait("draining", r.isDraining)
 	if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "")); resp.StatusCode != 400 || !resp.Close {
 		t.Errorf("a bad request: %s, close %v", resp.Status, resp.Close)
 	}
@@ -390,10 +390,10 @@
 }
 
 // What an app server doesn't answer while the node drains is answered as failed before the end.
-func TestDrainWithSilentAppServer(t *testing.T) {
+func TestDrainFailsUnansweredRequests(t *testing.T) {
 	t.Parallel()
-	r := newRigThatDrains(t, config.PlatformDrain)
-	answered := r.held()
+	r := newRigWithDrain(t, config.PlatformDrain)
+	answered := r.holdRequest()
 	r.stop()
 	if s := testkit.Next(t, answered); s != http.StatusBadGateway {
 		t.Errorf("%d", s)
@@ -405,11 +405,11 @@
 }
 
 // Near the limit on descriptors an idle client connection goes for a new one.
-func TestClientsUnderTheLimit(t *testing.T) {
+func TestIdleClientIsEvictedAtDescriptorLimit(t *testing.T) {
 	r := newRig(t)
 	r.list(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
 	r.wait("ready", r.node.isReady)
-	r.node.books.(*wholeBooks).sockets.SetLimit(limits.ReservedForServers + 2) // one client, and the place for the next
+	r.node.limiter.(*exclusiveLimiter).sockets.SetLimit(limits.ReservedForServers + 2) // one client, and the place for the next
 	for range 3 {
 		c, err := net.Dial("tcp", r.node.Addr())
 		if err != nil {
@@ -453,15 +453,15 @@
 	}
 }
 
-const goodHead = protocol.HeaderID + ": raw\r\n" + protocol.HeaderPlan + ": enterprise\r\n" + protocol.HeaderTimeLeft + ": 7000m\r\n" + protocol.HeaderKey + ": k\r\n"
+const validHeaders = protocol.HeaderID + ": raw\r\n" + protocol.HeaderPlan + ": enterprise\r\n" + protocol.HeaderTimeLeft + ": 7000m\r\n" + protocol.HeaderKey + ": k\r\n"
 
 // Nothing that hides in a body or behind one that can't be told reaches an app server: the
 // client is answered once and its connection closed.
-func TestNothingHidden(t *testing.T) {
+func TestSmuggledRequestsAreNotForwarded(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
-	const post = "POST /visit-update?account=00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\n" + goodHead
+	const post = "POST /visit-update?account=00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\n" + validHeaders
 	hidden := strings.ReplaceAll(strings.Replace(post, "POST /visit-update", "GET /roster-read", 1), "raw", "hidden") + "\r\n"
 	for name, tc := range map[string]struct {
 		text string
@@ -491,9 +491,9 @@
 
 // Where all places are taken by clients that say nothing, one that asks is still testkit.Served, and
 // the connections to app servers stay.
-func TestSilentClientsMakeRoom(t *testing.T) {
+func TestSilentClientsAreEvicted(t *testing.T) {
 	r := newRig(t)
-	r.node.books.(*wholeBooks).sockets.SetLimit(limits.ReservedForServers + 20)
+	r.node.limiter.(*exclusiveLimiter).sockets.SetLimit(limits.ReservedForServers + 20)
 	a := testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
 	r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
@@ -502,7 +502,7 @@
 	}
 	for id := range 3 {
 		c := r.dial()
-		io.WriteString(c, strings.Replace("GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nConnection: close\r\n"+goodHead+"\r\n", "raw", "after-"+strconv.Itoa(id), 1))
+		io.WriteString(c, strings.Replace("GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nConnection: close\r\n"+validHeaders+"\r\n", "raw", "after-"+strconv.Itoa(id), 1))
 		if got := statuses(t, c); len(got) != 1 || got[0] != 200 {
 			t.Errorf("answered %v", got)
 		}
--- a/internal/node/nodelay_test.go
+++ b/internal/node/nodelay_test.go
@@ -31,8 +31,8 @@
 	return conn, err
 }
 
-// heldBack counts the connections on which the system may hold small writes back.
-func (r *acceptedConns) heldBack(t *testing.T) (conns, held int) {
+// countDelayed counts the connections on which the system may hold small writes back.
+func (r *acceptedConns) countDelayed(t *testing.T) (conns, held int) {
 	t.Helper()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -54,7 +54,7 @@
 }
 
 // Nothing small that is written to a client is held back by the system: a close over unread bytes would drop it.
-func TestClientsAreSentSmallWritesAtOnce(t *testing.T) {
+func TestClientConnectionsHaveNoDelay(t *testing.T) {
 	for name, shared := range map[string]bool{"one service": false, "services that share": true} {
 		t.Run(name, func(t *testing.T) {
 			cfg, err := config.LoadPlatform("../config/testdata/config.json")
@@ -92,7 +92,7 @@
 					t.Fatal(err)
 				}
 			}
-			if conns, held := listener.heldBack(t); conns != 1 || held != 0 {
+			if conns, held := listener.countDelayed(t); conns != 1 || held != 0 {
 				t.Errorf("of %d connections %d hold small writes back", conns, held)
 			}
 		})
--- a/internal/node/sites_test.go
+++ b/internal/node/platform_settings_test.go
@@ -20,9 +20,9 @@
 // obj is an object of a configuration as JSON.
 type obj = map[string]any
 
-// TestOtherSites has a request of each class served by settings of other sites: sparse ones, odd
+// TestOtherPlatformSettings has a request of each class served by settings of other sites: sparse ones, odd
 // figures, and names that have to be escaped.
-func TestOtherSites(t *testing.T) {
+func TestOtherPlatformSettings(t *testing.T) {
 	free := func(o obj) {
 		o["settings"].(obj)["classes"] = []any{obj{"name": "read", "aim": 100.0, "deadline": 400.0, "effect": "free"}}
 	}
@@ -91,7 +91,7 @@
 			if raw, err = json.Marshal(o); err != nil {
 				t.Fatal(err)
 			}
-			r := newRigOf(t, raw)
+			r := newRigWithPlatformConfig(t, raw)
 			a := testkit.NewApp(t, testkit.Served)
 			r.list(target(a, "s-1", 0))
 			s := r.node.services[""].cfg.Settings
@@ -114,7 +114,7 @@
 
 // Where the settings name no most of a request's units, what a plan's store holds bounds them, of what a client
 // tells and of what an app server does: no figure spoils the accounts of whoever asks next.
-func TestUnitsWithoutAMost(t *testing.T) {
+func TestUnitsAreBoundedByTokenBucketWithoutSetting(t *testing.T) {
 	raw, err := os.ReadFile("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
@@ -134,7 +134,7 @@
 	if raw, err = json.Marshal(o); err != nil {
 		t.Fatal(err)
 	}
-	r := newRigOf(t, raw)
+	r := newRigWithPlatformConfig(t, raw)
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set(protocol.HeaderCost, "1e300")
 		testkit.Served(w, q)
@@ -167,7 +167,7 @@
 }
 
 // A plan whose quota makes no sense starts, and nothing but its own customers' requests go by it.
-func TestSenselessQuotas(t *testing.T) {
+func TestInvalidQuotaAffectsOnlyItsPlan(t *testing.T) {
 	raw, err := os.ReadFile("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
@@ -190,7 +190,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			r := newRigOf(t, raw)
+			r := newRigWithPlatformConfig(t, raw)
 			a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 				w.Header().Set(protocol.HeaderUsed, "120")
 				w.Header().Set(protocol.HeaderCost, "3")
@@ -211,8 +211,8 @@
 	}
 }
 
-// TestTargetGoesOnUnchanged sends targets that url.URL would write in another way.
-func TestTargetGoesOnUnchanged(t *testing.T) {
+// TestRequestTargetIsForwardedUnchanged sends targets that url.URL would write in another way.
+func TestRequestTargetIsForwardedUnchanged(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	r.list(target(a, "s-1", 0))
@@ -237,8 +237,8 @@
 	}
 }
 
-// TestNoAnswerToOptions has nobody but an app server answer 200.
-func TestNoAnswerToOptions(t *testing.T) {
+// TestOptionsAsteriskIsRejected has nobody but an app server answer 200.
+func TestOptionsAsteriskIsRejected(t *testing.T) {
 	r := newRig(t)
 	conn, err := net.Dial("tcp", r.node.Addr())
 	if err != nil {
@@ -255,18 +255,18 @@
 	}
 }
 
-// newRigOf is newRig by another configuration.
-func newRigOf(t *testing.T, raw []byte) *rig {
+// newRigWithPlatformConfig is newRig by another configuration.
+func newRigWithPlatformConfig(t *testing.T, raw []byte) *rig {
 	t.Helper()
 	cfg, err := config.ParsePlatform(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newRigBy(t, cfg)
+	return newRigWithConfig(t, cfg)
 }
 
 // Entries of a list that can't be used, or only by their form, take nothing from the others.
-func TestOddListsTakeNothing(t *testing.T) {
+func TestInvalidEndpointEntriesDoNotAffectOthers(t *testing.T) {
 	r := newRig(t)
 	a := testkit.NewApp(t, testkit.Served)
 	good := fmt.Sprintf(`{"uid":"s-1","endpoint":%q,"az":"z1","state":"up","capacity_hint":1.0,"boot_ms":0,"later":{"a":[1]}}`, a.Addr())
@@ -274,7 +274,7 @@
 		t.Helper()
 		r.rev++
 		r.agent.Tell <- strings.Replace(line, "REV", fmt.Sprint(r.rev), 1) + "\n"
-		r.wait("the list", func() bool { return r.only().Endpoints().Rev == int64(r.rev) })
+		r.wait("the list", func() bool { return r.service().Endpoints().Rev == int64(r.rev) })
 		r.status()
 	}
 	up := []int{1, 1, 1, 5, 5, 5, 5, 1}
--- a/internal/node/drawn_test.go
+++ b/internal/node/random_settings_test.go
@@ -148,7 +148,7 @@
 
 // Whatever the settings are, a node starts by them, answers each request once, and sends one that may have run again
 // by the terms of its class alone, whatever the class is called and whichever method it comes by.
-func TestDrawnSettings(t *testing.T) {
+func TestRandomSettingsServeRequests(t *testing.T) {
 	apps := newDrawnApps(t)
 	next, served := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
@@ -177,7 +177,7 @@
 			asks = append(asks, a)
 		}
 		if ok := t.Run("", func(t *testing.T) {
-			r := newRigBy(t, cfg)
+			r := newRigWithConfig(t, cfg)
 			conn, err := net.Dial("tcp", r.node.Addr())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -12,7 +12,7 @@
 
 // A node that starts again with the list that it had is ready and serves by it before its discovery has said
 // anything: one that is down, that takes calls and is silent, or that tells late, which counts once it has come.
-func TestReadyBeforeDiscovery(t *testing.T) {
+func TestCachedEndpointsMakeNodeReadyBeforeDiscovery(t *testing.T) {
 	listen := func(t *testing.T) net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -35,7 +35,7 @@
 			cfg.Process.Drain = config.Drain{}
 			s := &cfg.Services[0]
 			s.Known = discovery.Listing{Rev: 41, All: true, Targets: []discovery.Target{target(served, "s-1", 0)}}
-			r := idleRigBy(t, cfg)
+			r := newIdleRigWithConfig(t, cfg)
 			if address != nil {
 				cfg.Services[0].Source.Address = address(t)
 				if r.node, err = New(cfg); err != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -30,9 +30,9 @@
 // place of discovery is taken over. One reload follows another; each but the platform's makes a
 // generation of its own.
 func (n *Node) Reload(cfg config.Config) error {
-	n.reload.Lock()
-	defer n.reload.Unlock()
-	defer n.endRemoved()
+	n.reloadMu.Lock()
+	defer n.reloadMu.Unlock()
+	defer n.closeRemovedListeners()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.cfg.Process.Shared || !cfg.Process.Shared {
@@ -47,24 +47,24 @@
 	for _, c := range config.Compare(n.cfg, cfg).Restarts() {
 		return fmt.Errorf("%s: %s can't become %s without a restart", c.What, c.From, c.To)
 	}
-	if err := n.awaitOlder(); err != nil {
+	if err := n.awaitRetired(); err != nil {
 		return err
 	}
-	if n.ended {
+	if n.isShutDown {
 		return errors.New("the node has ended")
 	}
-	opened, err := n.open(cfg.Listeners)
+	opened, err := n.openListeners(cfg.Listeners)
 	if err != nil {
 		return err
 	}
-	gathers, err := n.gatherers(&cfg)
-	var next map[string]*running
+	gathers, err := n.prepareGatherers(&cfg)
+	var next map[string]*runningService
 	if err == nil {
-		next, err = n.prepare(&cfg)
+		next, err = n.prepareServices(&cfg)
 	}
 	if err == nil {
-		if err = n.books.divide(&cfg, next); err != nil {
-			n.abandon(next)
+		if err = n.limiter.setGuarantees(&cfg, next); err != nil {
+			n.discardServices(next)
 		}
 	}
 	if err != nil {
@@ -83,17 +83,17 @@
 		case was == nil:
 			added++
 			s.generation = n.generation
-			n.start(s)
+			n.startService(s)
 		case was.Service != s.Service:
 			changed++
 			s.generation = n.generation
-			n.replace(was, s)
+			n.replaceService(was, s)
 		case !was.cfg.Source.Equal(s.cfg.Source):
 			moved++
 			s.SetSource(s.cfg.Source)
 		}
 	}
-	n.front.SetTable(table(&cfg, next, gathers))
+	n.front.SetTable(routeTable(&cfg, next, gathers))
 	for name, s := range old {
 		if now := next[name]; now == nil || now.Service != s.Service {
 			if now == nil {
@@ -102,32 +102,32 @@
 			n.retire(s)
 		}
 	}
-	n.share(n.gathers, gathers)
-	n.services, n.gathers, n.cfg = next, gathers, cfg
-	n.listenOn(opened, cfg.Listeners)
-	n.tellChanged() // the service that was waited for may be gone
+	n.shareModels(n.gatherers, gathers)
+	n.services, n.gatherers, n.cfg = next, gathers, cfg
+	n.setListeners(opened, cfg.Listeners)
+	n.notifyReadyChanged() // the service that was waited for may be gone
 	slog.Info("reloaded", "generation", n.generation, "services", len(next), "added", added, "changed", changed, "moved", moved,
-		"removed", removed, "older", len(n.older))
+		"removed", removed, "older", len(n.retired))
 	return nil
 }
 
-// replace has a service take another's place; n.mu is held.
-func (n *Node) replace(was, s *running) {
-	if n.work == nil { // neither has begun
+// replaceService has a service take another's place; n.mu is held.
+func (n *Node) replaceService(was, s *runningService) {
+	if n.servicesContext == nil { // neither has begun
 		return
 	}
 	was.ReplaceWith(s.Service)
-	n.start(s)
-	n.parts.Go(func() {
-		<-was.over
+	n.startService(s)
+	n.tasks.Go(func() {
+		<-was.ended
 		s.PredecessorEnded()
 	})
 }
 
-// prepare makes what a configuration needs of services that are not in force. It changes
+// prepareServices makes what a configuration needs of services that are not in force. It changes
 // nothing; n.mu is held, or nobody knows of n yet.
-func (n *Node) prepare(cfg *config.Config) (map[string]*running, error) {
-	next := make(map[string]*running, len(cfg.Services))
+func (n *Node) prepareServices(cfg *config.Config) (map[string]*runningService, error) {
+	next := make(map[string]*runningService, len(cfg.Services))
 	for _, c := range cfg.Services {
 		was := n.services[c.Name]
 		if was != nil && !was.cfg.Replaces(c) {
@@ -136,9 +136,9 @@
 			next[c.Name] = &same
 			continue
 		}
-		s, err := n.make(c, was, cfg.Metrics != "")
+		s, err := n.newService(c, was, cfg.Metrics != "")
 		if err != nil {
-			n.abandon(next)
+			n.discardServices(next)
 			return nil, fmt.Errorf("service %s: %w", c.Name, err)
 		}
 		next[c.Name] = s
@@ -146,36 +146,36 @@
 	return next, nil
 }
 
-// abandon lets go of services that were made and will not run.
-func (n *Node) abandon(made map[string]*running) {
+// discardServices lets go of services that were made and will not run.
+func (n *Node) discardServices(made map[string]*runningService) {
 	for name, s := range made {
 		if was := n.services[name]; was == nil || was.Service != s.Service {
-			s.parts.close()
+			s.account.release()
 		}
 	}
 }
 
-// make makes a service; one that takes another's place knows the servers of that one, and has its
+// newService makes a service; one that takes another's place knows the servers of that one, and has its
 // connections where they are made in the same way.
-func (n *Node) make(c config.Service, was *running, metrics bool) (*running, error) {
-	share := was != nil && was.parts != nil && was.cfg.Connect == c.Connect && was.cfg.Keepalive == c.Keepalive && was.cfg.Answer == c.Answer && was.cfg.Servers == c.Servers &&
+func (n *Node) newService(c config.Service, was *runningService, metrics bool) (*runningService, error) {
+	share := was != nil && was.account != nil && was.cfg.Connect == c.Connect && was.cfg.Keepalive == c.Keepalive && was.cfg.Answer == c.Answer && was.cfg.Servers == c.Servers &&
 		(was.cfg.HTTP == nil) == (c.HTTP == nil)
 	var a *account
 	if share { // its connections and all that it holds stay on one account
-		a = was.parts.share()
+		a = was.account.retain()
 	} else {
-		a = n.books.open()
+		a = n.limiter.openAccount()
 	}
-	speaks, err := ordinary(c)
+	speaks, err := newOrdinary(c)
 	if err != nil {
-		a.close()
+		a.release()
 		return nil, err
 	}
 	o := service.Options{
 		Name: c.Name, AnyMethod: speaks != nil, Settings: c.Settings, Seed: c.Seed, Source: c.Source, CachedEndpoints: c.Known, OnPanic: c.OnPanic,
-		OnReady: n.tellChanged,
+		OnReady: n.notifyReadyChanged,
 		Upstream: upstream.Options{
-			Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.books.socketsOf(a), Rest: upstream.AnswerGap,
+			Connect: c.Connect, Keepalive: c.Keepalive, Answer: int(c.Answer), Sockets: n.limiter.upstreamSockets(a), Rest: upstream.AnswerGap,
 			HTTP2: upstream.HTTP2{
 				Streams: c.Servers.Streams, Conns: c.Servers.Connections, Age: c.Servers.Age, Again: c.Servers.Again,
 				Whole: speaks == nil,
@@ -184,36 +184,36 @@
 	}
 	if c.Servers.TLS.On && !share {
 		if o.Upstream.TLS, err = certs.Load(c.Servers.TLS); err != nil {
-			a.close()
+			a.release()
 			return nil, fmt.Errorf("service %s: servers.tls: %w", c.Name, err)
 		}
 	}
 	o.Protocol = c.Servers.Protocol
-	o.Limiter = n.books.requests(a)
+	o.Limiter = n.limiter.requestLimiter(a)
 	if a != nil {
 		o.Seed = rand.Uint64() // the platform tells one; here nobody does
 		o.Upstream.Dials = a.dials
 		o.Streams = &a.streams
-		o.ObserveModuleTime = a.spent
+		o.ObserveModuleTime = a.chargeModuleTime
 		o.EstimateGroupSize = true
-		o.Statistics = n.meter
+		o.Statistics = n.statistics
 		if metrics {
-			o.RequestCounts = n.countsOf(c.Name)
+			o.RequestCounts = n.requestCountsOf(c.Name)
 		}
 	}
 	if n.cfg.Process.Tally {
 		o.EventLog = eventlog.NewWriter(os.Stderr)
 	}
 	if c.Record.Dir != "" {
-		o.NewModule = func() (service.Module, error) { return recorded(c, o.Seed) }
+		o.NewModule = func() (service.Module, error) { return newRecordedModule(c, o.Seed) }
 	}
 	if share {
 		o.SharedUpstream = was.Upstream()
 	}
 	var counters []*leasestore.Client
 	if len(c.Counter.Addresses) > 0 {
-		if o.SharedHardLimits, counters, err = shared(c.Counter); err != nil {
-			a.close()
+		if o.SharedHardLimits, counters, err = openLeaseStores(c.Counter); err != nil {
+			a.release()
 			return nil, fmt.Errorf("service %s: counter: %w", c.Name, err)
 		}
 		o.Settings.Plans = slices.Clone(o.Settings.Plans)
@@ -228,21 +228,21 @@
 	}
 	s, err := service.New(o)
 	if err != nil {
-		a.close()
+		a.release()
 		return nil, err
 	}
 	if a != nil {
 		a.upstream.Store(s.Upstream())
 	}
-	r := &running{Service: s, cfg: c, parts: a, speaks: speaks, counters: counters, over: make(chan struct{})}
+	r := &runningService{Service: s, cfg: c, account: a, ordinary: speaks, leaseStores: counters, ended: make(chan struct{})}
 	if was != nil {
-		r.before = was.over
+		r.predecessorEnded = was.ended
 	}
 	return r, nil
 }
 
-// shared makes what a service needs to have its ceilings lent.
-func shared(c config.Counter) (*service.SharedHardLimits, []*leasestore.Client, error) {
+// openLeaseStores makes what a service needs to have its ceilings lent.
+func openLeaseStores(c config.Counter) (*service.SharedHardLimits, []*leasestore.Client, error) {
 	password := ""
 	if c.PasswordFile != "" {
 		raw, err := os.ReadFile(c.PasswordFile)
@@ -260,8 +260,8 @@
 	return s, all, nil
 }
 
-// recorded is a service's module with a recorder before it.
-func recorded(c config.Service, seed uint64) (service.Module, error) {
+// newRecordedModule is a service's module with a recorder before it.
+func newRecordedModule(c config.Service, seed uint64) (service.Module, error) {
 	m, err := control.New(c.Settings, seed)
 	if err != nil {
 		return nil, err
@@ -269,14 +269,14 @@
 	return record.New(m, c.Settings, record.Options{Service: c.Name, Dir: c.Record.Dir, Bytes: c.Record.Bytes})
 }
 
-// ordinary is the protocol of a service of ordinary HTTP; nil where it speaks the platform's.
-func ordinary(c config.Service) (*front.Ordinary, error) {
+// newOrdinary is the protocol of a service of ordinary HTTP; nil where it speaks the platform's.
+func newOrdinary(c config.Service) (*front.Ordinary, error) {
 	h := c.HTTP
 	if h == nil {
 		return nil, nil
 	}
 	book := customer.New(h.Customers)
-	if err := book.Load(planOf(c)); err != nil {
+	if err := book.Load(planChecker(c)); err != nil {
 		return nil, err
 	}
 	return front.NewOrdinary(front.OrdinaryOptions{
@@ -286,23 +286,23 @@
 	}), nil
 }
 
-// planOf tells whether a service has a plan.
-func planOf(c config.Service) func(string) bool {
+// planChecker tells whether a service has a plan.
+func planChecker(c config.Service) func(string) bool {
 	return func(name string) bool {
 		return slices.ContainsFunc(c.Settings.Plans, func(p control.Plan) bool { return p.Name == name })
 	}
 }
 
-// tellChanged wakes who waits for the node to be ready. It never waits.
-func (n *Node) tellChanged() {
+// notifyReadyChanged wakes who waits for the node to be ready. It never waits.
+func (n *Node) notifyReadyChanged() {
 	select {
-	case n.changed <- struct{}{}:
+	case n.readyChanged <- struct{}{}:
 	default:
 	}
 }
 
-// table is where the routes of a configuration lead.
-func table(cfg *config.Config, services map[string]*running, gathers map[string]*gathering) *front.RoutingTable {
+// routeTable is where the routes of a configuration lead.
+func routeTable(cfg *config.Config, services map[string]*runningService, gathers map[string]*gatherer) *front.RoutingTable {
 	t := &front.RoutingTable{}
 	if cfg.Routes == nil {
 		c := cfg.Services[0]
@@ -315,15 +315,15 @@
 		rules = append(rules, r.Rule)
 		if gathers[r.Service] != nil {
 			if gather[r.Service] == nil {
-				gather[r.Service] = gatherOf(r.Service, gathers, services)
+				gather[r.Service] = gatherTarget(r.Service, gathers, services)
 			}
 			t.Targets = append(t.Targets, front.Target{Class: r.As, ScatterGather: gather[r.Service]})
 			continue
 		}
 		s := services[r.Service]
 		to := front.Target{Service: s.Service, Class: r.As, MaxBodyBytes: s.cfg.Body, UpgradeProtocols: r.Upgrade}
-		if s.speaks != nil {
-			to.Protocol = s.speaks
+		if s.ordinary != nil {
+			to.Protocol = s.ordinary
 		}
 		t.Targets = append(t.Targets, to)
 	}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -175,7 +175,7 @@
 					t.Errorf("servers of %s: %+v", name, c)
 				}
 			}
-			testkit.Until(t, "what was removed has ended", func() bool { return node.Serving(l.Node) == len(l.Node.Status()) })
+			testkit.Until(t, "what was removed has ended", func() bool { return node.RunningServices(l.Node) == len(l.Node.Status()) })
 			for _, s := range l.Node.Status() {
 				if s.Resources.Requests.Used != 0 || s.Resources.BufferedBytes.Used != 0 || s.Resources.Dials.Used != 0 {
 					t.Errorf("%s: something is still booked: %+v", s.Name, *s.Resources)
@@ -231,14 +231,14 @@
 	if err := l.Reload(without); err != nil {
 		t.Fatal(err)
 	}
-	if n := node.Serving(l.Node); n != 2 {
+	if n := node.RunningServices(l.Node); n != 2 {
 		t.Errorf("%d services run while one holds a request", n)
 	}
 	io.WriteString(c, "half")
 	if status, body := answer(t, in); status != 200 || !strings.HasPrefix(body, "b") {
 		t.Errorf("%d %q", status, body)
 	}
-	testkit.Until(t, "the removed service's end", func() bool { return node.Serving(l.Node) == 1 })
+	testkit.Until(t, "the removed service's end", func() bool { return node.RunningServices(l.Node) == 1 })
 	write(c, "care.example", "/two", "id-2", "whole", 5)
 	if status, body := answer(t, in); status != 404 {
 		t.Errorf("%d %q", status, body)
@@ -389,8 +389,8 @@
 		t.Fatal(err)
 	}
 	testkit.Until(t, "the new list", func() bool { return l.Node.Status()[0].AvailableServers == 1 })
-	if s := l.Node.Status()[0]; s.Restarts != 0 || node.Serving(l.Node) != 2 {
-		t.Errorf("%+v, %d run", s, node.Serving(l.Node))
+	if s := l.Node.Status()[0]; s.Restarts != 0 || node.RunningServices(l.Node) != 2 {
+		t.Errorf("%+v, %d run", s, node.RunningServices(l.Node))
 	}
 	for i := range 5 {
 		write(c, "x", "/one", fmt.Sprint("later-", i), "", 0)
@@ -548,7 +548,7 @@
 			if err := l.Reload(text); err != nil {
 				t.Fatal(err)
 			}
-			testkit.Until(t, "the end of the replaced service", func() bool { return node.Serving(l.Node) == 2 })
+			testkit.Until(t, "the end of the replaced service", func() bool { return node.RunningServices(l.Node) == 2 })
 		}
 		testkit.Until(t, change, func() bool {
 			s := l.Node.Status()[0]
@@ -589,7 +589,7 @@
 		s := n.Status()
 		return len(s) == 2 && s[1].Name == "c" && s[0].Ready && s[1].Ready
 	})
-	if got := node.Serving(n); got != 2 {
+	if got := node.RunningServices(n); got != 2 {
 		t.Errorf("%d services run", got)
 	}
 	stop()
@@ -617,7 +617,7 @@
 	if err := l.Reload(many(500, 5000)); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Until(t, "all to serve", func() bool { return node.Serving(l.Node) == 500 })
+	testkit.Until(t, "all to serve", func() bool { return node.RunningServices(l.Node) == 500 })
 	c, in := dial(t, l)
 	write(c, "h17.example", "/p17/x", "id-1", "", 0)
 	if status, body := answer(t, in); status != http.StatusServiceUnavailable && status != http.StatusBadGateway {
@@ -630,7 +630,7 @@
 	if err := l.Reload(plain); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Until(t, "two to serve", func() bool { return node.Serving(l.Node) == 2 })
+	testkit.Until(t, "two to serve", func() bool { return node.RunningServices(l.Node) == 2 })
 	write(c, "x", "/one", "id-3", "", 0)
 	if status, body := answer(t, in); status != 200 {
 		t.Errorf("%d %q", status, body)
--- a/internal/node/handover.go
+++ b/internal/node/state.go
@@ -20,25 +20,25 @@
 	defer n.mu.Unlock()
 	all := make(map[string]*os.File)
 	for _, l := range n.listeners {
-		if l.under == nil {
+		if l.tcp == nil {
 			continue
 		}
-		f, err := passOn(l.under)
+		f, err := duplicateSocket(l.tcp)
 		if err != nil {
 			for _, f := range all {
 				_ = f.Close() // a copy of a socket
 			}
-			return nil, fmt.Errorf("passing on the listener of %s: %w", l.addr, err)
+			return nil, fmt.Errorf("passing on the listener of %s: %w", l.configuredAddress, err)
 		}
-		all[l.addr] = f
+		all[l.configuredAddress] = f
 	}
 	return all, nil
 }
 
-// passOn gives a listener's socket as a file that may be handed to another process. Guards against
+// duplicateSocket gives a listener's socket as a file that may be handed to another process. Guards against
 // File, whose file puts the socket into blocking mode as its descriptor is asked for, in every
 // process that has it: an Accept then waits in the kernel, where neither a deadline nor Close ends it.
-func passOn(l *net.TCPListener) (*os.File, error) {
+func duplicateSocket(l *net.TCPListener) (*os.File, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -72,36 +72,36 @@
 	}
 }
 
-// inForce are the services in force by name.
-func (n *Node) inForce() map[string]*running {
+// currentServices are the services in force by name.
+func (n *Node) currentServices() map[string]*runningService {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	all := make(map[string]*running, len(n.services))
+	all := make(map[string]*runningService, len(n.services))
 	for name, s := range n.services {
 		all[name] = s
 	}
 	return all
 }
 
-// gather asks each service in force for its state.
-func (n *Node) gather(ask func(*service.Service) (service.State, bool)) state.Checkpoint {
+// collectState asks each service in force for its state.
+func (n *Node) collectState(ask func(*service.Service) (service.State, bool)) state.Checkpoint {
 	st := state.Checkpoint{TakenAt: time.Now(), Generation: n.Generation(), Services: make(map[string]service.State)}
-	for name, s := range n.inForce() {
+	for name, s := range n.currentServices() {
 		if one, ok := ask(s.Service); ok {
 			st.Services[name] = one
 		}
 	}
-	st.ScatterGathers = n.gathered()
+	st.ScatterGathers = n.gathererModels()
 	return st
 }
 
 // Checkpoint tells what the node has spent and learned.
-func (n *Node) Checkpoint() state.Checkpoint { return n.gather((*service.Service).Checkpoint) }
+func (n *Node) Checkpoint() state.Checkpoint { return n.collectState((*service.Service).Checkpoint) }
 
 // HandOver is Checkpoint that gives a part (from 0 to 1) of what is left to spend away, until
 // Rejoin.
 func (n *Node) HandOver(give float64) state.Checkpoint {
-	return n.gather(func(s *service.Service) (service.State, bool) { return s.HandOver(give) })
+	return n.collectState(func(s *service.Service) (service.State, bool) { return s.HandOver(give) })
 }
 
 // Restore takes over what a node has spent and learned. It is to be called before the first
@@ -110,8 +110,8 @@
 	n.mu.Lock()
 	n.generation = max(n.generation, st.Generation)
 	n.mu.Unlock()
-	n.restoreGathered(st.ScatterGathers, time.Since(st.TakenAt))
-	for name, s := range n.inForce() {
+	n.restoreGathererModels(st.ScatterGathers, time.Since(st.TakenAt))
+	for name, s := range n.currentServices() {
 		if one, ok := st.Services[name]; ok {
 			s.Restore(one, trust)
 		}
@@ -121,7 +121,7 @@
 // Rejoin ends what HandOver or Restore began: the process that had the other part has ended, and
 // left what is given; nil where that is not known.
 func (n *Node) Rejoin(given *state.Checkpoint) {
-	for name, s := range n.inForce() {
+	for name, s := range n.currentServices() {
 		var left *service.State
 		if given != nil {
 			if one, ok := given.Services[name]; ok {
