Split packages limits and bulkhead by limiter, and document their guarantees

shared.go held four types of two kinds, sockets.go the limiter and the connections; each limiter has a file now, RecordDenial and eviction are split from the choice of whom they concern, and comments are written anew in technical English.

--- a/internal/bulkhead/bulkhead.go
+++ b/internal/bulkhead/bulkhead.go
@@ -1,15 +1,16 @@
-// Package bulkhead decides how much of one bounded thing (descriptors, held requests, bytes,
-// dials) each of several owners may have. It does no I/O and takes the time as an argument.
+// Package bulkhead decides how much of a bounded resource (descriptors, accepted requests, bytes, dials) each
+// of several owners may have. It does no I/O and takes the time as an argument; package limits applies its
+// decisions to the resources of a process.
 //
-// Each owner has a guaranteed part and may borrow what is idle. The promises are these:
+// Each owner has a guaranteed part and may borrow what is unused. An Allocator guarantees that
 //
-//   - never is more taken than there is in all;
-//   - the first quarter of a guaranteed part is never lent: its owner has it at once, whatever
-//     the others do;
-//   - the rest of it is there at the latest a term after its owner first asked in vain, the
-//     term being the longest that anything lent is kept: until then nothing more is lent;
-//   - no borrower takes all that can be lent: one may have at most twice what it leaves free
-//     (dynamic thresholds, Choudhury and Hahne 1998), so that a newcomer always finds some.
+//   - never more than the total is acquired;
+//   - the first quarter of a guaranteed part, the owner's reserve, is never lent: the owner gets it at once,
+//     whatever the others do;
+//   - the owner gets the rest of it within the maximum loan time of its first rejected attempt. That is the
+//     longest time that borrowers keep anything; until it has passed nothing more is lent;
+//   - no borrower gets all that can be lent: one may borrow at most twice what it leaves free (dynamic
+//     thresholds, Choudhury and Hahne 1998), so that another one always finds some.
 package bulkhead
 
 import (
@@ -18,126 +19,136 @@
 )
 
 const (
-	reserveDivisor = 4 // one over the part of a guarantee that is never lent
-	maxBorrowRatio = 2 // of what stays free, that one borrower may have
+	reserveDivisor = 4 // one over the part of a guaranteed part that is never lent
+	maxBorrowRatio = 2 // of what one owner may borrow to what that leaves free
 )
 
-// Owner names one that takes and gives.
+// Owner identifies an owner at one Allocator or TimeLimiter.
 type Owner int
 
+// share is what one owner has.
 type share struct {
 	guaranteed, used int64
 	isActive         bool // not removed
 }
 
-// reserve is what of a guaranteed part must stay free for its owner.
+// reserve is what has to stay free for the owner.
 func (s *share) reserve() int64 {
 	return max(0, (s.guaranteed+reserveDivisor-1)/reserveDivisor-s.used)
 }
 
-// borrowed is what an owner has beyond its guaranteed part.
+// borrowed is what the owner has beyond its guaranteed part.
 func (s *share) borrowed() int64 { return max(0, s.used-s.guaranteed) }
 
-// Allocator divides one thing. Its zero value has nothing to divide. It is not safe for
-// concurrent use.
+// Allocator allocates one resource to owners. The zero value has none of it. It is not safe for concurrent use.
 type Allocator struct {
-	total, used  int64
-	maxLoanTime  time.Duration
-	shares       []share
-	reserved     int64         // sum of what must stay free
-	lendAfter    time.Duration // nothing is lent before
-	hasLendAfter bool          // lendFrom has been set
+	total, used int64 // used is the sum over shares
+	reserved    int64 // the sum of reserves over shares
+	shares      []share
+	maxLoanTime time.Duration
+	// Nothing is lent before lendAfter, if hasLendAfter.
+	lendAfter    time.Duration
+	hasLendAfter bool
 }
 
-// New makes a ledger of so much in all, of which nothing lent is kept longer than term.
+// New creates an allocator of a total, of which no borrower keeps anything for longer than maxLoanTime.
 func New(total int64, maxLoanTime time.Duration) *Allocator {
 	return &Allocator{total: total, maxLoanTime: maxLoanTime}
 }
 
-// SetMaxLoanTime sets for how long anything lent is kept at most.
-func (l *Allocator) SetMaxLoanTime(maxLoanTime time.Duration) { l.maxLoanTime = maxLoanTime }
+// SetMaxLoanTime sets the longest time that borrowers keep anything.
+func (a *Allocator) SetMaxLoanTime(maxLoanTime time.Duration) { a.maxLoanTime = maxLoanTime }
 
-// AddOwner takes in an owner with no guaranteed part.
-func (l *Allocator) AddOwner() Owner {
-	for i := range l.shares {
-		if s := &l.shares[i]; !s.isActive && s.used == 0 {
+// AddOwner adds an owner with no guaranteed part.
+func (a *Allocator) AddOwner() Owner {
+	for i := range a.shares {
+		if s := &a.shares[i]; !s.isActive && s.used == 0 {
 			s.isActive = true
 			return Owner(i)
 		}
 	}
-	l.shares = append(l.shares, share{isActive: true})
-	return Owner(len(l.shares) - 1)
+	a.shares = append(a.shares, share{isActive: true})
+	return Owner(len(a.shares) - 1)
 }
 
-// RemoveOwner lets go of an owner. What it still has is given back as before; its place goes to
-// another only then.
-func (l *Allocator) RemoveOwner(o Owner) {
-	l.updateOwner(o, func(s *share) { s.guaranteed, s.isActive = 0, false })
+// RemoveOwner removes an owner. It releases what it still has as before; until then its number is not used
+// again.
+func (a *Allocator) RemoveOwner(o Owner) {
+	a.update(o, func(s *share) { s.guaranteed, s.isActive = 0, false })
 }
 
-// SetGuarantees sets how much there is in all and the guaranteed parts; an owner that is not named
-// has none. It changes nothing where they sum up to more than there is. What is taken beyond
-// a new bound stays until it is given back.
-func (l *Allocator) SetGuarantees(total int64, guaranteed map[Owner]int64) error {
+// SetGuarantees sets the total and the guaranteed parts; an owner that is not in the map has none. It changes
+// nothing and returns an error where a part is below zero or they add up to more than the total. What is
+// acquired beyond a new limit stays so until it is released.
+func (a *Allocator) SetGuarantees(total int64, guaranteed map[Owner]int64) error {
 	sum := int64(0)
-	for o, g := range guaranteed {
-		if g < 0 || int(o) >= len(l.shares) || g > total-sum {
+	for o, part := range guaranteed {
+		if part < 0 || int(o) >= len(a.shares) || part > total-sum {
 			return fmt.Errorf("guaranteed parts of more than %d in all, or below zero", total)
 		}
-		sum += g
+		sum += part
 	}
-	l.total = total
-	for i := range l.shares {
-		l.updateOwner(Owner(i), func(s *share) { s.guaranteed = guaranteed[Owner(i)] })
+	a.total = total
+	for i := range a.shares {
+		a.update(Owner(i), func(s *share) { s.guaranteed = guaranteed[Owner(i)] })
 	}
 	return nil
 }
 
-func (l *Allocator) updateOwner(o Owner, change func(*share)) {
-	s := &l.shares[o]
-	l.reserved -= s.reserve()
+// update changes an owner's share and keeps reserved in line with it.
+func (a *Allocator) update(o Owner, change func(*share)) {
+	s := &a.shares[o]
+	a.reserved -= s.reserve()
 	change(s)
-	l.reserved += s.reserve()
+	a.reserved += s.reserve()
 }
 
-// TryAcquire tries to take n for an owner.
-func (l *Allocator) TryAcquire(now time.Duration, o Owner, n int64) bool {
-	s := &l.shares[o]
-	after := share{guaranteed: s.guaranteed, used: s.used + n}
-	left := l.total - l.used - n - (l.reserved - s.reserve()) // once the others' reserves are kept
-	own := after.borrowed() == 0
-	switch {
-	case n < 0 || n > l.total:
-		return false
-	case own && left < 0:
-		// What is its own is lent: nothing more is, until all that is lent has come back.
-		l.lendAfter, l.hasLendAfter = now+l.maxLoanTime, true
+// TryAcquire acquires n for an owner, or nothing and returns false.
+func (a *Allocator) TryAcquire(now time.Duration, o Owner, n int64) bool {
+	if n < 0 || n > a.total {
 		return false
-	case !own && (l.hasLendAfter && now < l.lendAfter || left < 0 || after.borrowed() > maxBorrowRatio*(left-after.reserve())):
+	}
+	s := &a.shares[o]
+	after := share{guaranteed: s.guaranteed, used: s.used + n}
+	free := a.total - a.used - n - (a.reserved - s.reserve()) // beside the reserves of others
+	if after.borrowed() == 0 {
+		if free < 0 { // a part of its guaranteed part is lent: nothing more is until all loans have ended
+			a.lendAfter, a.hasLendAfter = now+a.maxLoanTime, true
+			return false
+		}
+	} else if !a.canBorrow(now, &after, free) {
 		return false
 	}
-	l.used += n
-	l.updateOwner(o, func(s *share) { s.used += n })
+	a.used += n
+	a.update(o, func(s *share) { s.used += n })
 	return true
 }
 
-// Release gives back n that was taken.
-func (l *Allocator) Release(o Owner, n int64) {
-	l.used -= n
-	l.updateOwner(o, func(s *share) { s.used -= n })
+// canBorrow reports whether an owner may have a share beyond its guaranteed part, with so much free after that.
+func (a *Allocator) canBorrow(now time.Duration, after *share, free int64) bool {
+	if a.hasLendAfter && now < a.lendAfter || free < 0 {
+		return false
+	}
+	return after.borrowed() <= maxBorrowRatio*(free-after.reserve())
+}
+
+// Release releases n that an owner has acquired.
+func (a *Allocator) Release(o Owner, n int64) {
+	a.used -= n
+	a.update(o, func(s *share) { s.used -= n })
 }
 
-// Used is what an owner has.
-func (l *Allocator) Used(o Owner) int64 { return l.shares[o].used }
+// Used returns what an owner has acquired.
+func (a *Allocator) Used(o Owner) int64 { return a.shares[o].used }
 
-// Guaranteed is an owner's guaranteed part.
-func (l *Allocator) Guaranteed(o Owner) int64 { return l.shares[o].guaranteed }
+// Guaranteed returns an owner's guaranteed part.
+func (a *Allocator) Guaranteed(o Owner) int64 { return a.shares[o].guaranteed }
 
-// Borrowed is what an owner has beyond its guaranteed part.
-func (l *Allocator) Borrowed(o Owner) int64 { return l.shares[o].borrowed() }
+// Borrowed returns what an owner has acquired beyond its guaranteed part.
+func (a *Allocator) Borrowed(o Owner) int64 { return a.shares[o].borrowed() }
 
-// Free is what nobody has.
-func (l *Allocator) Free() int64 { return l.total - l.used }
+// Free returns what no owner has acquired.
+func (a *Allocator) Free() int64 { return a.total - a.used }
 
-// Total is what there is in all.
-func (l *Allocator) Total() int64 { return l.total }
+// Total returns the total.
+func (a *Allocator) Total() int64 { return a.total }
--- a/internal/bulkhead/bulkhead_test.go
+++ b/internal/bulkhead/bulkhead_test.go
@@ -9,7 +9,7 @@
 
 const maxLoanTime = 10 * time.Second
 
-// fataler is a test, or one of the many tries of a property.
+// fataler is a test, or one of the many runs of a property.
 type fataler interface {
 	Helper()
 	Fatal(...any)
@@ -30,7 +30,7 @@
 	return l, owners
 }
 
-// acquireAll is how many an owner can take one by one.
+// acquireAll has an owner acquire one by one until it is rejected, and returns how many it got.
 func acquireAll(l *Allocator, o Owner) (n int64) {
 	for l.TryAcquire(0, o, 1) {
 		n++
@@ -95,82 +95,147 @@
 	}
 }
 
-// acquisition is something taken, and when it is given back.
+// acquisition is something acquired, and when it is released.
 type acquisition struct {
 	owner      Owner
 	n          int64
 	releasedAt time.Duration
 }
 
-// Whatever owners do, in any order: never over the whole; the first quarter at once; the whole
-// guaranteed part within a term of the first refusal, as long as nothing is kept for longer.
+// guaranteeTest has owners acquire and release in any order, and checks an allocator's guarantees.
+type guaranteeTest struct {
+	*Allocator
+	owners []Owner
+	total  int64
+	now    time.Duration
+	out    []acquisition
+	// rejectedSince is when an owner was first rejected within its guaranteed part.
+	rejectedSince map[Owner]time.Duration
+}
+
+func drawGuaranteeTest(t *rapid.T) *guaranteeTest {
+	n := rapid.IntRange(2, 7).Draw(t, "owners")
+	total := rapid.Int64Range(20, 2019).Draw(t, "total")
+	left, guaranteed := total, []int64(nil)
+	for range n {
+		part := rapid.Int64Range(0, left/2).Draw(t, "guaranteed")
+		guaranteed, left = append(guaranteed, part), left-part
+	}
+	a, owners := newAllocator(t, total, guaranteed...)
+	return &guaranteeTest{Allocator: a, owners: owners, total: total, rejectedSince: make(map[Owner]time.Duration)}
+}
+
+// releaseDue releases what is due by now.
+func (g *guaranteeTest) releaseDue() {
+	left := g.out[:0]
+	for _, acquired := range g.out {
+		if acquired.releasedAt <= g.now {
+			g.Release(acquired.owner, acquired.n)
+		} else {
+			left = append(left, acquired)
+		}
+	}
+	g.out = left
+}
+
+// drawOwner draws an owner, the first of them most often.
+func (g *guaranteeTest) drawOwner(t *rapid.T) Owner {
+	o := g.owners[rapid.IntRange(0, len(g.owners)-1).Draw(t, "who")]
+	if rapid.IntRange(0, 2).Draw(t, "greedy") == 0 {
+		o = g.owners[0]
+	}
+	return o
+}
+
+// step passes some time, and has an owner try to acquire something.
+func (g *guaranteeTest) step(t *rapid.T, maxSize int64) {
+	g.now += time.Duration(rapid.Int64Range(0, int64(maxLoanTime/200)).Draw(t, "passes"))
+	g.releaseDue()
+	o := g.drawOwner(t)
+	n := rapid.Int64Range(1, maxSize).Draw(t, "size")
+	used := g.Used(o)
+	ok := g.TryAcquire(g.now, o, n)
+	if ok {
+		g.out = append(g.out, acquisition{o, n, g.now + time.Duration(rapid.Int64Range(0, int64(maxLoanTime)-1).Draw(t, "for"))})
+	}
+	g.checkTotal(t)
+	g.checkGuaranteed(t, o, used, n, ok)
+}
+
+func (g *guaranteeTest) checkTotal(t *rapid.T) {
+	sum := int64(0)
+	for _, o := range g.owners {
+		sum += g.Used(o)
+	}
+	if sum > g.total || sum != g.total-g.Free() {
+		t.Fatalf("%d of %d acquired", sum, g.total)
+	}
+}
+
+// checkGuaranteed checks an attempt of an owner, which had so much, to acquire n.
+func (g *guaranteeTest) checkGuaranteed(t *rapid.T, o Owner, used, n int64, ok bool) {
+	guaranteed := g.Guaranteed(o)
+	isOwn := used+n <= guaranteed
+	if !ok && used+n <= guaranteed/4 {
+		t.Fatalf("%d more than %d of a guaranteed %d were rejected", n, used, guaranteed)
+	}
+	if !isOwn {
+		return
+	}
+	if ok {
+		delete(g.rejectedSince, o)
+		return
+	}
+	if since, again := g.rejectedSince[o]; !again {
+		g.rejectedSince[o] = g.now
+	} else if g.now >= since+maxLoanTime {
+		t.Fatalf("%d more than %d of a guaranteed %d rejected for %v", n, used, guaranteed, g.now-since)
+	}
+}
+
+// TestAllocatorKeepsItsGuarantees checks that, whatever owners do in any order, never more than the total is
+// acquired, each owner gets the first quarter of its guaranteed part at once, and all of it within the maximum
+// loan time of its first rejected attempt.
 func TestAllocatorKeepsItsGuarantees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(2, 7).Draw(t, "owners")
-		total := rapid.Int64Range(20, 2019).Draw(t, "total")
-		left, guaranteed := total, []int64(nil)
-		for range n {
-			g := rapid.Int64Range(0, left/2).Draw(t, "guaranteed")
-			guaranteed, left = append(guaranteed, g), left-g
-		}
-		l, owners := newAllocator(t, total, guaranteed...)
-		sizes := rapid.Int64Range(1, 5).Draw(t, "sizes")
-		var out []acquisition
-		inVain := make(map[Owner]time.Duration)
-		now := time.Duration(0)
+		g := drawGuaranteeTest(t)
+		maxSize := rapid.Int64Range(1, 5).Draw(t, "sizes")
 		for range rapid.IntRange(0, 1000).Draw(t, "steps") {
-			now += time.Duration(rapid.Int64Range(0, int64(maxLoanTime/200)).Draw(t, "passes"))
-			kept := out[:0]
-			for _, h := range out {
-				if h.releasedAt <= now {
-					l.Release(h.owner, h.n)
-				} else {
-					kept = append(kept, h)
-				}
-			}
-			out = kept
-			o := owners[rapid.IntRange(0, n-1).Draw(t, "who")]
-			if rapid.IntRange(0, 2).Draw(t, "greedy") == 0 {
-				o = owners[0] // a greedy one
-			}
-			k := rapid.Int64Range(1, sizes).Draw(t, "size")
-			used, g := l.Used(o), l.Guaranteed(o)
-			ok := l.TryAcquire(now, o, k)
-			if ok {
-				out = append(out, acquisition{o, k, now + time.Duration(rapid.Int64Range(0, int64(maxLoanTime)-1).Draw(t, "for"))})
-			}
-			sum := int64(0)
-			for _, o := range owners {
-				sum += l.Used(o)
-			}
-			if sum > total || sum != total-l.Free() {
-				t.Fatalf("%d of %d taken", sum, total)
-			}
-			if !ok && used+k <= g/4 {
-				t.Fatalf("%d more than %d of a guaranteed %d were refused", k, used, g)
-			}
-			if ok || used+k > g {
-				if ok && used+k <= g {
-					delete(inVain, o)
-				}
-				continue
-			}
-			if since, again := inVain[o]; !again {
-				inVain[o] = now
-			} else if now >= since+maxLoanTime {
-				t.Fatalf("%d more than %d of a guaranteed %d refused for %v", k, used, g, now-since)
-			}
+			g.step(t, maxSize)
 		}
 	})
 }
 
-// However much one borrows, others still find some to borrow.
+// TestNothingIsLentAfterARejectedGuarantee checks that after an owner was rejected within its guaranteed part
+// nothing is lent for the maximum loan time, also where much is released meanwhile.
+func TestNothingIsLentAfterARejectedGuarantee(t *testing.T) {
+	a, owners := newAllocator(t, 100, 0, 50, 0)
+	first, guaranteed, second := owners[0], owners[1], owners[2]
+	lent := acquireAll(a, first)
+	acquireAll(a, second)
+	if n := acquireAll(a, guaranteed); n < 50/reserveDivisor || n >= 50 {
+		t.Fatalf("%d of the guaranteed 50 were free", n)
+	}
+	a.Release(first, lent)
+	if a.TryAcquire(maxLoanTime-1, second, 1) {
+		t.Error("lent within the maximum loan time of the rejection")
+	}
+	if !a.TryAcquire(maxLoanTime-1, guaranteed, 1) {
+		t.Error("what is guaranteed and free was rejected")
+	}
+	if !a.TryAcquire(maxLoanTime, second, 1) {
+		t.Error("not lent after the maximum loan time")
+	}
+}
+
+// TestNoBorrowerStarvesTheRest checks that however much one owner borrows, others still find some to borrow,
+// and that with time all have about the same.
 func TestNoBorrowerStarvesTheRest(t *testing.T) {
+	const total = 10000
 	for _, n := range []int{2, 3, 10, 50} {
-		const total = 10000
-		l, o := newAllocator(t, total, make([]int64, n)...)
-		for i, each := range o {
-			got := acquireAll(l, each)
+		a, owners := newAllocator(t, total, make([]int64, n)...)
+		for i, o := range owners {
+			got := acquireAll(a, o)
 			if i == 0 && got > total*maxBorrowRatio/(maxBorrowRatio+1)+1 {
 				t.Errorf("the first borrowed %d of %d", got, total)
 			}
@@ -178,28 +243,38 @@
 				t.Errorf("the second borrowed %d of %d", got, total)
 			}
 		}
-		// All give back and ask again in turn: what each has evens out.
 		for range 20 {
-			for _, each := range o {
-				if back := l.Used(each) / 2; back > 0 {
-					l.Release(each, back)
-				}
-			}
-			for more := true; more; {
-				more = false
-				for _, each := range o {
-					more = l.TryAcquire(0, each, 1) || more
-				}
-			}
+			releaseHalf(a, owners)
+			acquireInTurn(a, owners)
 		}
-		for i, each := range o {
-			if even := int64(total / n); l.Used(each) < even/2 || l.Used(each) > 2*even {
-				t.Errorf("%d borrowers: number %d has %d, an even part being %d", n, i, l.Used(each), even)
+		even := int64(total / n)
+		for i, o := range owners {
+			if a.Used(o) < even/2 || a.Used(o) > 2*even {
+				t.Errorf("%d borrowers: number %d has %d, an even part being %d", n, i, a.Used(o), even)
 			}
 		}
 	}
 }
 
+// releaseHalf has each owner release half of what it has.
+func releaseHalf(a *Allocator, owners []Owner) {
+	for _, o := range owners {
+		if half := a.Used(o) / 2; half > 0 {
+			a.Release(o, half)
+		}
+	}
+}
+
+// acquireInTurn has owners acquire one each in turn until none can.
+func acquireInTurn(a *Allocator, owners []Owner) {
+	for more := true; more; {
+		more = false
+		for _, o := range owners {
+			more = a.TryAcquire(0, o, 1) || more
+		}
+	}
+}
+
 func TestTimeLimiterRestrainsOnlyOwnersBeyondTheirPart(t *testing.T) {
 	p := NewTimeLimiter(0.5)
 	p.SetGuaranteed(0, 0.2)
--- /dev/null
+++ b/internal/bulkhead/time_limiter.go
@@ -0,0 +1,72 @@
+package bulkhead
+
+import (
+	"math"
+	"time"
+)
+
+// smoothingTime is the time constant by which the use of time is averaged.
+const smoothingTime = time.Second
+
+// TimeLimiter divides processor time: how many seconds of each second each owner may use. It only reports who
+// has to wait, and interrupts nothing. An owner within its guaranteed part never has to, whatever the others
+// use; one beyond it has to only while all together use more than the total. It is not safe for concurrent
+// use.
+type TimeLimiter struct {
+	total  float64
+	owners []timeUse // by Owner
+	all    timeUse
+}
+
+// timeUse is an exponential average of used time, in seconds of a second.
+type timeUse struct {
+	guaranteed float64
+	used       float64
+	updatedAt  time.Duration
+}
+
+func (u *timeUse) decay(now time.Duration) {
+	if now > u.updatedAt {
+		u.used *= math.Exp(-float64(now-u.updatedAt) / float64(smoothingTime))
+		u.updatedAt = now
+	}
+}
+
+func (u *timeUse) add(now, took time.Duration) {
+	u.decay(now)
+	u.used += float64(took) / float64(smoothingTime)
+}
+
+// NewTimeLimiter creates a limiter of a total in seconds of a second.
+func NewTimeLimiter(total float64) *TimeLimiter { return &TimeLimiter{total: total} }
+
+// SetTotal sets the total, in seconds of a second.
+func (l *TimeLimiter) SetTotal(total float64) { l.total = total }
+
+// SetGuaranteed sets an owner's guaranteed part, in seconds of a second. It adds an owner that is new.
+func (l *TimeLimiter) SetGuaranteed(o Owner, guaranteed float64) {
+	for int(o) >= len(l.owners) {
+		l.owners = append(l.owners, timeUse{})
+	}
+	l.owners[o].guaranteed = guaranteed
+}
+
+// Record records that an owner has used some time.
+func (l *TimeLimiter) Record(now time.Duration, o Owner, took time.Duration) {
+	l.owners[o].add(now, took)
+	l.all.add(now, took)
+}
+
+// Allows reports whether an owner may use more time now.
+func (l *TimeLimiter) Allows(now time.Duration, o Owner) bool {
+	owner := &l.owners[o]
+	owner.decay(now)
+	l.all.decay(now)
+	return owner.used <= owner.guaranteed || l.all.used <= l.total
+}
+
+// Used returns the average of what an owner uses, in seconds of a second.
+func (l *TimeLimiter) Used(now time.Duration, o Owner) float64 {
+	l.owners[o].decay(now)
+	return l.owners[o].used
+}
--- a/internal/limits/bytes.go
+++ b/internal/limits/byte_limiter.go
@@ -2,18 +2,17 @@
 
 import "sync/atomic"
 
-// ByteLimiter books the bytes that requests hold, of one service that has the process to itself. It is safe for
-// concurrent use.
+// ByteLimiter limits the bytes of the requests of a service that has the process to itself.
 type ByteLimiter struct{ available atomic.Int64 }
 
-// NewByteLimiter makes one of so many bytes in all.
+// NewByteLimiter creates a limiter of some bytes in all.
 func NewByteLimiter(limit int64) *ByteLimiter {
 	b := new(ByteLimiter)
 	b.available.Store(limit)
 	return b
 }
 
-// Admit books a request of so many bytes; see service.RequestLimiter.
+// Admit reserves bytes for a request; see service.RequestLimiter.
 func (b *ByteLimiter) Admit(bytes int64) (release func(), ok bool) {
 	if b.available.Add(-bytes) < 0 {
 		b.available.Add(bytes)
--- /dev/null
+++ b/internal/limits/conn.go
@@ -0,0 +1,68 @@
+package limits
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// acquireRetryInterval is the time between two attempts to acquire a descriptor for a client.
+const acquireRetryInterval = 20 * time.Millisecond
+
+// Conn is a connection that releases its descriptor when it is closed.
+type Conn struct {
+	net.Conn
+	limiter ConnectionLimiter
+	once    sync.Once
+}
+
+// Track returns a connection, for which a descriptor was acquired, as one that releases it.
+func Track(c net.Conn, limiter ConnectionLimiter) *Conn { return &Conn{Conn: c, limiter: limiter} }
+
+// Close closes the connection and then releases its descriptor, once.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.limiter.Release)
+	return err
+}
+
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Listener accepts connections only while a descriptor can be acquired for them.
+type Listener struct {
+	net.Listener
+	ctx     context.Context // Accept, which net.Listener defines without one, waits until it ends
+	limiter ConnectionLimiter
+}
+
+// Listen wraps a listener. Once ctx has ended, Accept no longer waits for a descriptor.
+func Listen(ctx context.Context, l net.Listener, limiter ConnectionLimiter) *Listener {
+	return &Listener{Listener: l, ctx: ctx, limiter: limiter}
+}
+
+// Accept waits for a descriptor, then for a connection. The error is net.ErrClosed where ctx has ended first.
+func (l *Listener) Accept() (net.Conn, error) {
+	if err := l.acquire(); err != nil {
+		return nil, err
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.limiter.Release()
+		return nil, err
+	}
+	return Track(c, l.limiter), nil
+}
+
+// acquire acquires a descriptor as soon as there is one.
+func (l *Listener) acquire() error {
+	for !l.limiter.TryAcquire() {
+		select {
+		case <-l.ctx.Done():
+			return net.ErrClosed
+		case <-time.After(acquireRetryInterval):
+		}
+	}
+	return nil
+}
--- a/internal/limits/close_test.go
+++ b/internal/limits/conn_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// closeNotifier is a connection that tells of its close.
+// closeNotifier is a connection that calls a function when it is closed.
 type closeNotifier struct {
 	net.Conn
 	onClose func()
@@ -13,7 +13,8 @@
 
 func (c closeNotifier) Close() error { c.onClose(); return nil }
 
-// A place is given back once its descriptor is, not before: others would open one too many.
+// TestConnReleasesAfterClosingItsDescriptor checks that a descriptor is released once it is closed and not
+// before, when another connection would be one too many.
 func TestConnReleasesAfterClosingItsDescriptor(t *testing.T) {
 	s := NewSocketLimiter(1024)
 	if !s.TryAcquire() {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -35,8 +35,8 @@
 	return s, accounts, idle
 }
 
-// What is idle beyond a part goes at once when an owner needs its own; what is idle within a
-// part stays.
+// TestIdleLoansAreEvictedForGuaranteedParts checks that idle units beyond a part are evicted at once when an
+// account needs its guaranteed part, and that idle units within a part stay.
 func TestIdleLoansAreEvictedForGuaranteedParts(t *testing.T) {
 	_, a, idle := newSharedResource(t, 100, 50, 50)
 	taken := 0
@@ -63,7 +63,7 @@
 	}
 }
 
-// A borrower that wants more closes what is idle of its own, and nobody else's.
+// TestBorrowerEvictsOnlyItsOwnIdle checks that a borrower that needs more evicts its own idle units only.
 func TestBorrowerEvictsOnlyItsOwnIdle(t *testing.T) {
 	_, a, idle := newSharedResource(t, 12, 4, 4)
 	n := 0
@@ -78,7 +78,8 @@
 	}
 }
 
-// A closed account's place goes to nobody before all of it is back.
+// TestClosedAccountReleasesToNobody checks that the owner number of a closed account is not used again before
+// it has released everything.
 func TestClosedAccountReleasesToNobody(t *testing.T) {
 	s, a, _ := newSharedResource(t, 10, 5, 5)
 	a[0].TryAcquire()
@@ -154,7 +155,8 @@
 	}
 }
 
-// A listener waits for room in no time of its own, and stops waiting with its context.
+// TestListenerWaitsUntilContextEnds checks that a listener that waits for a descriptor stops with its context,
+// and has acquired none.
 func TestListenerWaitsUntilContextEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := NewSocketLimiter(0)
@@ -177,7 +179,8 @@
 	})
 }
 
-// A low limit on descriptors is kept, and leaves a place to either side.
+// TestLowDescriptorLimitsLeaveBothSidesOne checks that a low limit on descriptors is kept, and leaves at least
+// one connection to either side.
 func TestLowDescriptorLimitsLeaveBothSidesOne(t *testing.T) {
 	for _, limit := range []int{MinDescriptors, 40, 64, 128, 151, 152, 1024} {
 		s := NewSocketLimiter(limit)
