--- a/internal/front/left_test.go
+++ b/internal/front/client_departure_test.go
@@ -25,7 +25,7 @@
 // A client that sends two requests of more than net/http reads ahead at once and goes, while the first
 // waits for its turn, has neither be sent on. net/http sees no more than the first byte of the second. The
 // same goes for one that has sent as much as the sockets take: its end is not in the node's, which is full.
-func TestLeftBehindFurtherRequests(t *testing.T) {
+func TestDepartedClientBehindPipelinedRequestIsNotForwarded(t *testing.T) {
 	const stays = "stays" // and is told that it was refused
 	for _, class := range []control.Class{{Idempotency: control.Idempotent}, {Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute}, {Idempotency: control.NotIdempotent}} {
 		for how, leave := range map[string]func(*net.TCPConn){
@@ -112,8 +112,8 @@
 					f.clients.mu.Lock()
 					defer f.clients.mu.Unlock()
 					n := 0
-					for _, c := range f.clients.all {
-						if (alone{c}).There() {
+					for _, c := range f.clients.connections {
+						if (sequentialClient{c}).There() {
 							n++
 						}
 					}
@@ -158,14 +158,14 @@
 
 // A client that leaves while its request is held is noticed at once however it asked, also long after the
 // time that a request has to come, and one that stays is not taken to have left.
-func TestLeavesHoweverItAsked(t *testing.T) {
-	const get, post = "GET /read?account=0000000000000001 HTTP/1.", "POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers
+func TestClientDepartureIsNoticed(t *testing.T) {
+	const get, post = "GET /read?account=0000000000000001 HTTP/1.", "POST /write?account=0000000000000001 HTTP/1.1\r\n" + requestHeaders
 	long := strings.Repeat("x", 1<<16)
 	for name, parts := range map[string][]string{
-		"plain":             {get + "1\r\n" + headers + "\r\n"},
-		"HTTP/1.0":          {get + "0\r\n" + headers + "\r\n"},
-		"kept HTTP/1.0":     {get + "0\r\nConnection: keep-alive\r\n" + headers + "\r\n"},
-		"closes":            {get + "1\r\nConnection: close\r\n" + headers + "\r\n"},
+		"plain":             {get + "1\r\n" + requestHeaders + "\r\n"},
+		"HTTP/1.0":          {get + "0\r\n" + requestHeaders + "\r\n"},
+		"kept HTTP/1.0":     {get + "0\r\nConnection: keep-alive\r\n" + requestHeaders + "\r\n"},
+		"closes":            {get + "1\r\nConnection: close\r\n" + requestHeaders + "\r\n"},
 		"no body":           {post + "Content-Length: 0\r\n\r\n"},
 		"a long body":       {post + "Content-Length: 65536\r\n\r\n" + long},
 		"a body in pieces":  {post + "Content-Length: 65536\r\n\r\n" + long[:1], long[1:40000], long[40000:]},
@@ -175,7 +175,7 @@
 		for _, late := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, ", late ", late), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					m, _, s, stop := serving(t, holds, nil, nil)
+					m, _, s, stop := startFront(t, keepQueued, nil, nil)
 					defer stop()
 					c := m.dial()
 					defer c.Close()
@@ -188,7 +188,7 @@
 						t.Fatalf("%+v", s.Status())
 					}
 					if late {
-						time.Sleep(3 * requestWithin)
+						time.Sleep(3 * requestReadTimeout)
 						if s.Status().Unanswered != 1 {
 							t.Error("taken to have left")
 						}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,16 +17,16 @@
 )
 
 const (
-	headMost      = 16 << 10
-	clientIdle    = 10 * time.Second
-	requestWithin = 2 * time.Second        // of a request's head and body
-	silentMost    = 250 * time.Millisecond // of a new connection where others want its place
-	answerWithin  = 2 * time.Second        // of the writing of an answer
+	maxHeadBytes       = 16 << 10
+	clientIdleTimeout  = 10 * time.Second
+	requestReadTimeout = 2 * time.Second        // of a request's head and body
+	newConnGracePeriod = 250 * time.Millisecond // of a new connection where others want its place
+	answerWriteTimeout = 2 * time.Second        // of the writing of an answer
 )
 
 // MaxTimeBeyondDeadline is the longest that a request is held beside its deadline: while it is read, and while
 // its answer is written.
-const MaxTimeBeyondDeadline = requestWithin + answerWithin
+const MaxTimeBeyondDeadline = requestReadTimeout + answerWriteTimeout
 
 // RoutingTable says which service a request is for. It is not changed once a Front has it.
 type RoutingTable struct {
@@ -63,50 +63,50 @@
 	WriteBadRequest(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest)
 }
 
-func (t *Target) speaks() Protocol {
+func (t *Target) protocol() Protocol {
 	if t.Protocol == nil {
-		return platform{}
+		return platformProtocol{}
 	}
 	return t.Protocol
 }
 
-// hold keeps what serves a target's requests from ending.
-func (t *Target) hold() bool {
+// tryAcquire keeps what serves a target's requests from ending.
+func (t *Target) tryAcquire() bool {
 	if t.ScatterGather != nil {
-		return t.ScatterGather.hold()
+		return t.ScatterGather.tryAcquire()
 	}
 	return t.Service.TryAcquire()
 }
 
 // Front is the side to the clients. It is safe for concurrent use.
 type Front struct {
-	ready    func() bool // whether the node may be sent requests
-	table    atomic.Pointer[RoutingTable]
-	draining atomic.Bool
+	isReady    func() bool // whether the node may be sent requests
+	table      atomic.Pointer[RoutingTable]
+	isDraining atomic.Bool
 
-	clients clients
+	clients clientRegistry
 }
 
 // New makes a front; ready tells whether the node may be sent requests.
-func New(t *RoutingTable, ready func() bool) *Front {
-	f := &Front{ready: ready}
-	f.table.Store(t)
+func New(table *RoutingTable, isReady func() bool) *Front {
+	f := &Front{isReady: isReady}
+	f.table.Store(table)
 	return f
 }
 
 // SetTable puts another table in force for requests whose head is read from now on.
-func (f *Front) SetTable(t *RoutingTable) { f.table.Store(t) }
+func (f *Front) SetTable(table *RoutingTable) { f.table.Store(table) }
 
 // Drain has each answer close its connection from now on.
-func (f *Front) Drain() { f.draining.Store(true) }
+func (f *Front) Drain() { f.isDraining.Store(true) }
 
 // Server is the HTTP server of the clients. An answer or a close is owed to each soon after
 // it has connected, so a request has to come whole in time; ServeHTTP then lifts the limit.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
-		Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.clients.state,
-		ReadHeaderTimeout: requestWithin, ReadTimeout: requestWithin,
-		ConnContext: f.clients.begin,
+		Handler: f, MaxHeaderBytes: maxHeadBytes, IdleTimeout: clientIdleTimeout, ConnState: f.clients.trackState,
+		ReadHeaderTimeout: requestReadTimeout, ReadTimeout: requestReadTimeout,
+		ConnContext: f.clients.register,
 		// Guards against an answer 200 to OPTIONS * that no app server made.
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn),
@@ -115,62 +115,62 @@
 
 // Evict closes a client connection that has said nothing for too long, else the one that
 // has been idle for the longest time.
-func (f *Front) Evict() bool { return f.clients.evict() }
+func (f *Front) Evict() bool { return f.clients.closeOldestIdle() }
 
 // CloseWhenIdle closes the connections on which no request is open, from now on. It stands in for
 // http.Server's Shutdown and SetKeepAlivesEnabled, which would close some whose request they have
 // read, or drop such a request: after the first of these it may have been sent on.
-func (f *Front) CloseWhenIdle() { f.clients.leave() }
+func (f *Front) CloseWhenIdle() { f.clients.closeWhenIdle() }
 
 // WaitDisconnected waits until no client is connected, after Leave, and tells whether that came before ctx
 // ended. Connections whose protocol has changed are not waited for.
-func (f *Front) WaitDisconnected(ctx context.Context) bool { return f.clients.gone(ctx) }
+func (f *Front) WaitDisconnected(ctx context.Context) bool { return f.clients.waitEmpty(ctx) }
 
 // ServeHTTP holds a client's request until its final answer.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if clientOf(r).closed() {
+	if clientOf(r).isClosed() {
 		panic(http.ErrAbortHandler) // the client asks again, and nothing has been sent on
 	}
 	if r.URL.Path == route.Health {
 		status := http.StatusOK
-		if !f.ready() || f.draining.Load() {
+		if !f.isReady() || f.isDraining.Load() {
 			status = http.StatusServiceUnavailable
 		}
-		f.write(w, service.Answer{Status: status})
+		f.writeAnswer(w, service.Answer{Status: status})
 		return
 	}
-	to, first, wrong := f.find(r)
-	if wrong != nil {
-		f.reject(w, wrong)
+	target, firstSegment, badRequest := f.findTarget(r)
+	if badRequest != nil {
+		f.writeBadRequest(w, badRequest)
 		return
 	}
-	if to.ScatterGather != nil {
-		to.ScatterGather.handle(f, w, r, to.Class, arrived)
+	if target.ScatterGather != nil {
+		target.ScatterGather.handle(f, w, r, target.Class, arrived)
 		return
 	}
-	defer to.Service.Release()
-	by := to.speaks()
-	x, wrong := by.ReadRequest(r, to, first, arrived)
-	if wrong != nil {
-		by.WriteBadRequest(f, w, r, wrong)
+	defer target.Service.Release()
+	clientProtocol := target.protocol()
+	exchange, badRequest := clientProtocol.ReadRequest(r, target, firstSegment, arrived)
+	if badRequest != nil {
+		clientProtocol.WriteBadRequest(f, w, r, badRequest)
 		return
 	}
-	x.Client = waiter(r)
-	if to.Service.Admit(x, by.ReservedBytes(r)) {
-		defer x.Release()
-		if wrong := by.ReadBody(w, r, x); wrong != nil {
-			by.WriteBadRequest(f, w, r, wrong)
+	exchange.Client = waitingClient(r)
+	if target.Service.Admit(exchange, clientProtocol.ReservedBytes(r)) {
+		defer exchange.Release()
+		if badRequest := clientProtocol.ReadBody(w, r, exchange); badRequest != nil {
+			clientProtocol.WriteBadRequest(f, w, r, badRequest)
 			return
 		}
-		defer by.Finish(x)
+		defer clientProtocol.Finish(exchange)
 	} else if r.ContentLength != 0 {
 		// What there is no room for is not read, and turned away by the module. Guards against
 		// a refusal that waits for a slow body: net/http reads it first where the connection stays.
 		w.Header().Set("Connection", "close")
 	}
-	a, ok := to.Service.Do(r.Context(), x)
-	if c := clientOf(r); !ok && r.Context().Err() == nil && c != nil && c.There() {
+	answer, ok := target.Service.Do(r.Context(), exchange)
+	if client := clientOf(r); !ok && r.Context().Err() == nil && client != nil && client.There() {
 		// It was not sent on, or not again, only for what has come behind it.
 		w.Header().Set("Connection", "close")
 		ok = true
@@ -180,51 +180,51 @@
 		// and a client that has closed one way only would read it.
 		panic(http.ErrAbortHandler)
 	}
-	by.WriteAnswer(f, w, r, x, a)
+	clientProtocol.WriteAnswer(f, w, r, exchange, answer)
 }
 
-// find gives the target of a request, whose service is held for it: one that a reload removes
+// findTarget gives the target of a request, whose service is held for it: one that a reload removes
 // still serves what came before.
-func (f *Front) find(r *http.Request) (*Target, string, *BadRequest) {
+func (f *Front) findTarget(r *http.Request) (*Target, string, *BadRequest) {
 	for {
-		t := f.table.Load()
-		to, first, wrong := t.find(r)
-		if wrong != nil || to.hold() {
-			return to, first, wrong
+		table := f.table.Load()
+		target, firstSegment, badRequest := table.findTarget(r)
+		if badRequest != nil || target.tryAcquire() {
+			return target, firstSegment, badRequest
 		}
 		// Its service has ended since the table was read: there is another table by now.
 	}
 }
 
-func (t *RoutingTable) find(r *http.Request) (to *Target, first string, wrong *BadRequest) {
+func (t *RoutingTable) findTarget(r *http.Request) (target *Target, firstSegment string, badRequest *BadRequest) {
 	if t.Router == nil {
-		return &t.Targets[0], firstSegment(r.URL), nil
+		return &t.Targets[0], firstSegmentOf(r.URL), nil
 	}
-	authority, raw, err := route.Target(r.RequestURI)
+	authority, rawPath, err := route.Target(r.RequestURI)
 	if err != nil {
-		return nil, "", bad(http.StatusBadRequest, "target: %v", err)
+		return nil, "", newBadRequest(http.StatusBadRequest, "target: %v", err)
 	}
-	path, err := route.Path(raw)
+	path, err := route.Path(rawPath)
 	if err != nil {
-		return nil, "", bad(http.StatusBadRequest, "path: %v", err)
+		return nil, "", newBadRequest(http.StatusBadRequest, "path: %v", err)
 	}
 	if authority == "" {
 		authority = r.Host
 	}
 	host, err := route.Host(authority)
 	if err != nil {
-		return nil, "", bad(http.StatusBadRequest, "host: %v", err)
+		return nil, "", newBadRequest(http.StatusBadRequest, "host: %v", err)
 	}
-	i, ok := t.Router.Find(host, path, r.Method, r.Header)
+	index, ok := t.Router.Find(host, path, r.Method, r.Header)
 	if !ok {
-		return nil, "", bad(http.StatusNotFound, "no route leads from %s%s to a service", host, path)
+		return nil, "", newBadRequest(http.StatusNotFound, "no route leads from %s%s to a service", host, path)
 	}
-	return &t.Targets[i], route.First(path), nil
+	return &t.Targets[index], route.First(path), nil
 }
 
-// firstSegment is the first segment of a path that is matched with no rule, decoded by itself: what
+// firstSegmentOf is the first segment of a path that is matched with no rule, decoded by itself: what
 // it names may hold a slash.
-func firstSegment(u *url.URL) string {
+func firstSegmentOf(u *url.URL) string {
 	if u.RawPath != "" { // as always where a slash is encoded
 		if first, err := url.PathUnescape(route.First(u.RawPath)); err == nil {
 			return first
@@ -233,36 +233,36 @@
 	return route.First(u.Path)
 }
 
-// reject tells a client its mistake.
-func (f *Front) reject(w http.ResponseWriter, wrong *BadRequest) {
-	if wrong.unread {
+// writeBadRequest tells a client its mistake.
+func (f *Front) writeBadRequest(w http.ResponseWriter, badRequest *BadRequest) {
+	if badRequest.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
-	f.write(w, service.Answer{Status: wrong.status, Body: []byte(wrong.text + "\n")})
+	f.writeAnswer(w, service.Answer{Status: badRequest.status, Body: []byte(badRequest.text + "\n")})
 }
 
-// write sends an answer, whatever it is.
-func (f *Front) write(w http.ResponseWriter, a service.Answer) {
+// writeAnswer sends an answer, whatever it is.
+func (f *Front) writeAnswer(w http.ResponseWriter, answer service.Answer) {
 	// Guards against a client that takes nothing.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
-	h := w.Header()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+	header := w.Header()
 	// Guards against requests that come on a held one's connection after the drain: what
 	// counts is whether the node drains now, not when the request came.
-	if f.draining.Load() {
-		h.Set("Connection", "close")
+	if f.isDraining.Load() {
+		header.Set("Connection", "close")
 	}
-	for k, v := range a.Header {
-		if !protocol.OwnHeader(k) {
-			h[k] = v
+	for name, values := range answer.Header {
+		if !protocol.OwnHeader(name) {
+			header[name] = values
 		}
 	}
-	if h.Get("Content-Type") == "" {
-		h["Content-Type"] = nil // not to be guessed from the body
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // not to be guessed from the body
 	}
-	if a.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
+	if answer.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', -1, 64))
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // a client that has left is noticed by its context
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body) // a client that has left is noticed by its context
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -23,14 +23,14 @@
 	"lockflow/internal/upstream"
 )
 
-// memory is a listener whose connections are pipes, so that a server runs in virtual time.
-type memory struct {
+// pipeListener is a listener whose connections are pipes, so that a server runs in virtual time.
+type pipeListener struct {
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
 }
 
-func (m *memory) Accept() (net.Conn, error) {
+func (m *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-m.conns:
 		return c, nil
@@ -38,37 +38,37 @@
 		return nil, net.ErrClosed
 	}
 }
-func (m *memory) Close() error   { m.once.Do(func() { close(m.closed) }); return nil }
-func (m *memory) Addr() net.Addr { return &net.TCPAddr{} }
+func (m *pipeListener) Close() error   { m.once.Do(func() { close(m.closed) }); return nil }
+func (m *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (m *memory) dial() net.Conn {
+func (m *pipeListener) dial() net.Conn {
 	client, server := net.Pipe()
 	m.conns <- server
 	return client
 }
 
-// script is a module that does what a test tells it for each request.
-type script func(control.Request) []control.Action
+// scriptedModule is a module that does what a test tells it for each request.
+type scriptedModule func(control.Request) []control.Action
 
-func (s script) Handle(_ time.Duration, e control.Event) []control.Action {
+func (s scriptedModule) Handle(_ time.Duration, e control.Event) []control.Action {
 	if r, ok := e.(control.Request); ok {
 		return s(r)
 	}
 	return nil
 }
 
-func holds(control.Request) []control.Action { return nil }
+func keepQueued(control.Request) []control.Action { return nil }
 
-func refuses(r control.Request) []control.Action {
+func rejectRequest(r control.Request) []control.Action {
 	return []control.Action{control.Reject{ID: r.ID, RetryAfter: time.Second}}
 }
 
-type noRoom struct{}
+type fullLimiter struct{}
 
-func (noRoom) Admit(int64) (func(), bool) { return nil, false }
+func (fullLimiter) Admit(int64) (func(), bool) { return nil, false }
 
-// serving is a front over one service with a scripted module, until stop is called.
-func serving(t *testing.T, module script, parts service.RequestLimiter, router *route.Router) (m *memory, f *Front, s *service.Service, stop func()) {
+// startFront is a front over one service with a scripted module, until stop is called.
+func startFront(t *testing.T, module scriptedModule, parts service.RequestLimiter, router *route.Router) (m *pipeListener, f *Front, s *service.Service, stop func()) {
 	t.Helper()
 	settings := control.Settings{
 		GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
@@ -84,7 +84,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m = &memory{conns: make(chan net.Conn), closed: make(chan struct{})}
+	m = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	f = New(&RoutingTable{Router: router, Targets: []Target{{Service: s, MaxBodyBytes: 1 << 16}}}, func() bool { return true })
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = s.Run(ctx) }() // what the tests look at is what clients get
@@ -93,25 +93,25 @@
 	return m, f, s, func() { srv.Close(); cancel() }
 }
 
-const headers = "Host: h\r\nX-Correlation-Id: id-1\r\nX-Tariff: p\r\nX-Time-Left: 15000m\r\nIdempotency-Key: k\r\n"
+const requestHeaders = "Host: h\r\nX-Correlation-Id: id-1\r\nX-Tariff: p\r\nX-Time-Left: 15000m\r\nIdempotency-Key: k\r\n"
 
 // Whoever connects is answered or closed within 3 s, whatever part of a request came.
-func TestSlowClients(t *testing.T) {
+func TestServerDisconnectsSlowClients(t *testing.T) {
 	for name, text := range map[string]string{
 		"silent":      "",
 		"half a head": "POST /write?account=0000000000000001 HTTP/1.1\r\nX-Correlation-Id: x",
-		"half a body": "POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers + "Content-Length: 9\r\n\r\nhalf",
+		"half a body": "POST /write?account=0000000000000001 HTTP/1.1\r\n" + requestHeaders + "Content-Length: 9\r\n\r\nhalf",
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				heard := 0
-				m, _, _, stop := serving(t, func(control.Request) []control.Action { heard++; return nil }, nil, nil)
+				m, _, _, stop := startFront(t, func(control.Request) []control.Action { heard++; return nil }, nil, nil)
 				defer stop()
 				c, begun := m.dial(), time.Now()
 				defer c.Close()
 				go io.WriteString(c, text)
 				raw, _ := io.ReadAll(c) // up to the close
-				if took := time.Since(begun); took > 3*time.Second || took < requestWithin {
+				if took := time.Since(begun); took > 3*time.Second || took < requestReadTimeout {
 					t.Errorf("closed after %v", took)
 				}
 				if text := string(raw); text != "" && !strings.HasPrefix(text, "HTTP/1.1 4") {
@@ -126,13 +126,13 @@
 }
 
 // A request may be held for longer than a client has to send it, and a hang-up is still seen.
-func TestHeldPastReadLimit(t *testing.T) {
+func TestQueuedRequestOutlivesReadTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m, _, s, stop := serving(t, holds, nil, nil)
+		m, _, s, stop := startFront(t, keepQueued, nil, nil)
 		defer stop()
 		c := m.dial()
-		go io.WriteString(c, "POST /write?account=0000000000000001 HTTP/1.1\r\n"+headers+"Content-Length: 4\r\n\r\nswap")
-		time.Sleep(5 * requestWithin)
+		go io.WriteString(c, "POST /write?account=0000000000000001 HTTP/1.1\r\n"+requestHeaders+"Content-Length: 4\r\n\r\nswap")
+		time.Sleep(5 * requestReadTimeout)
 		synctest.Wait()
 		if st := s.Status(); st.Unanswered != 1 {
 			t.Errorf("%+v", st)
@@ -146,18 +146,18 @@
 }
 
 // What there is no room for is refused at once, though its body is still to come.
-func TestNoRoomIsToldAtOnce(t *testing.T) {
+func TestOverCapacityRequestIsRejectedBeforeItsBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m, _, _, stop := serving(t, func(r control.Request) []control.Action {
+		m, _, _, stop := startFront(t, func(r control.Request) []control.Action {
 			if !r.IsOverCapacity {
 				t.Error("the module was not told that there is no room")
 			}
-			return refuses(r)
-		}, noRoom{}, nil)
+			return rejectRequest(r)
+		}, fullLimiter{}, nil)
 		defer stop()
 		for _, head := range []string{
-			"GET /read?account=0000000000000001 HTTP/1.1\r\n" + headers + "\r\n",
-			"POST /write?account=0000000000000001 HTTP/1.1\r\n" + headers + "Content-Length: 9\r\n\r\nhalf",
+			"GET /read?account=0000000000000001 HTTP/1.1\r\n" + requestHeaders + "\r\n",
+			"POST /write?account=0000000000000001 HTTP/1.1\r\n" + requestHeaders + "Content-Length: 9\r\n\r\nhalf",
 		} {
 			c, begun := m.dial(), time.Now()
 			go io.WriteString(c, head)
@@ -174,10 +174,10 @@
 }
 
 // The table may be replaced between two requests of a connection.
-func TestSetBetweenRequests(t *testing.T) {
+func TestSetTableAppliesToNextRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		router, _ := route.New([]route.Rule{{Prefix: "/read"}})
-		m, f, s, stop := serving(t, refuses, nil, router)
+		m, f, s, stop := startFront(t, rejectRequest, nil, router)
 		defer stop()
 		c := m.dial()
 		defer c.Close()
@@ -189,7 +189,7 @@
 			}
 			router, _ := route.New(rules)
 			f.SetTable(&RoutingTable{Router: router, Targets: []Target{{Service: s, MaxBodyBytes: 1}}})
-			go fmt.Fprintf(c, "GET /read?account=0000000000000001 HTTP/1.1\r\n%s\r\n", headers)
+			go fmt.Fprintf(c, "GET /read?account=0000000000000001 HTTP/1.1\r\n%s\r\n", requestHeaders)
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
 				t.Fatal(err)
@@ -202,7 +202,7 @@
 	})
 }
 
-func TestAccount(t *testing.T) {
+func TestCustomerOf(t *testing.T) {
 	for query, want := range map[string]string{
 		"account=00000000B4D65521": "00000000b4d65521", "account=1&x=2": "1", "x=2&account=1": "1", "account=%31": "1",
 		"account=1&account=2": "", "": "", "x=1": "", "account=": "", "accounts=1": "", "account=1;x": "", "account=a+b": "a b",
@@ -211,7 +211,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := account(r.URL); got != want {
+		if got := customerOf(r.URL); got != want {
 			t.Errorf("%q: %q, not %q", query, got, want)
 		}
 	}
@@ -219,10 +219,10 @@
 
 // A client that left in the middle of its body was given no answer: none is begun for it as its
 // body is let go, while an answer that was given goes out before what is left of the body comes.
-func TestNoAnswerOfItself(t *testing.T) {
+func TestOrdinaryFinishFlushesOnlyGivenAnswers(t *testing.T) {
 	for _, given := range []bool{false, true} {
 		w := httptest.NewRecorder()
-		x := &call{w: w, ctl: http.NewResponseController(w), given: given}
+		x := &ordinaryCall{writer: w, controller: http.NewResponseController(w), hasAnswer: given}
 		x.Forwarder = x
 		x.Body = retrybuffer.New(strings.NewReader("the rest"), 0, func() {})
 		(&Ordinary{}).Finish(&x.Exchange)
@@ -233,7 +233,7 @@
 }
 
 // FuzzFigures: what is taken of a client's figures is within what the settings allow.
-func FuzzFigures(f *testing.F) {
+func FuzzParseTimeLeftAndWeight(f *testing.F) {
 	f.Add("480m", "units=2,spread=3,first=1")
 	f.Add("1e3u", "units=0x1p-2,first=2,=,,")
 	f.Add("-0m", "spread=1e0,units=1_0")
@@ -243,7 +243,7 @@
 			t.Errorf("%q: %v", left, d)
 		}
 		e := control.Request{Units: 1, FanOut: 1}
-		if weight(terms, &e, text) == nil && !(e.Units > 0 && e.Units <= 4 && e.FanOut >= 1 && e.FanOut <= 3 && e.FirstGateway >= 0 && e.FirstGateway < 3) {
+		if parseWeight(terms, &e, text) == nil && !(e.Units > 0 && e.Units <= 4 && e.FanOut >= 1 && e.FanOut <= 3 && e.FirstGateway >= 0 && e.FirstGateway < 3) {
 			t.Errorf("%q: %+v", text, e)
 		}
 	})
--- a/internal/front/keys_test.go
+++ b/internal/front/keys_test.go
@@ -7,4 +7,4 @@
 )
 
 // Answers that tell a problem have a written key for every field.
-func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", problem{}) }
+func TestProblemFieldsHaveKeys(t *testing.T) { testkit.RequireKeys(t, "json", problem{}) }
--- a/internal/front/linger_test.go
+++ b/internal/front/lingering_conn_test.go
@@ -13,7 +13,7 @@
 
 // A connection on which bytes are unread is closed behind its client where that has been answered; one
 // that rests, or whose answer has to be seen to be cut off, is reset at once.
-func TestLingering(t *testing.T) {
+func TestLingeringConnClose(t *testing.T) {
 	for name, tc := range map[string]struct {
 		busy, cut bool
 		err       error
@@ -35,10 +35,10 @@
 				t.Fatal(err)
 			}
 			io.WriteString(client, "more")
-			testkit.Until(t, "its bytes", func() bool { return unread(socket(c)) })
-			c.(*lingering).busy.Store(tc.busy)
+			testkit.Until(t, "its bytes", func() bool { return hasUnread(tcpConnOf(c)) })
+			c.(*lingeringConn).isBusy.Store(tc.busy)
 			if tc.cut {
-				c.(*lingering).Conn.(*wire).reset()
+				c.(*lingeringConn).Conn.(*validatingConn).resetOnClose()
 			}
 			closed := make(chan struct{})
 			go func() { c.Close(); close(closed) }()
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -28,8 +28,8 @@
 )
 
 const (
-	lingerFor     = time.Second
-	headerRequest = "X-Request-Id"
+	discardTime     = time.Second
+	requestIDHeader = "X-Request-Id"
 )
 
 // OrdinaryOptions are what an Ordinary is made with.
@@ -70,109 +70,109 @@
 }
 
 // ReadRequest reads a request but for its body.
-func (o *Ordinary) ReadRequest(r *http.Request, to *Target, _ string, arrived time.Time) (*service.Exchange, *BadRequest) {
-	if c := wireOf(r); c != nil && c.bad() != nil {
-		wrong := bad(http.StatusBadRequest, "%v", c.bad())
-		wrong.unread = true
-		return nil, wrong
+func (o *Ordinary) ReadRequest(r *http.Request, target *Target, _ string, arrived time.Time) (*service.Exchange, *BadRequest) {
+	if connection := validatingConnOf(r); connection != nil && connection.validationError() != nil {
+		badRequest := newBadRequest(http.StatusBadRequest, "%v", connection.validationError())
+		badRequest.closeConnection = true
+		return nil, badRequest
 	}
 	switch {
 	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
-		return nil, bad(http.StatusMethodNotAllowed, "%s is not served here", r.Method)
-	case to.MaxBodyBytes >= 0 && r.ContentLength > to.MaxBodyBytes:
-		wrong := bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", to.MaxBodyBytes)
-		wrong.unread = true
-		return nil, wrong
+		return nil, newBadRequest(http.StatusMethodNotAllowed, "%s is not served here", r.Method)
+	case target.MaxBodyBytes >= 0 && r.ContentLength > target.MaxBodyBytes:
+		badRequest := newBadRequest(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", target.MaxBodyBytes)
+		badRequest.closeConnection = true
+		return nil, badRequest
 	case len(r.Header["Expect"]) > 0 && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
-		return nil, bad(http.StatusExpectationFailed, "Expect: %q", r.Header.Get("Expect"))
+		return nil, newBadRequest(http.StatusExpectationFailed, "Expect: %q", r.Header.Get("Expect"))
 	}
-	class := to.Class
+	class := target.Class
 	if class == "" {
 		if class = o.UnsafeClass; protocol.Safe(r.Method) {
 			class = o.SafeClass
 		}
 	}
-	if once, keyed := o.ClassWithoutKey[class]; keyed && r.Header.Get(protocol.HeaderKey) == "" {
-		class = once
+	if nonIdempotent, ok := o.ClassWithoutKey[class]; ok && r.Header.Get(protocol.HeaderKey) == "" {
+		class = nonIdempotent
 	}
-	k, ok := to.Service.Classes[class]
+	classRule, ok := target.Service.Classes[class]
 	if !ok {
-		return nil, bad(http.StatusNotFound, "no class %q in this service", class)
+		return nil, newBadRequest(http.StatusNotFound, "no class %q in this service", class)
 	}
-	wait := k.Deadline
+	deadline := classRule.Deadline
 	if o.TimeoutHeader != "" {
-		if v := r.Header.Get(o.TimeoutHeader); v != "" {
-			d, err := parseWait(v)
+		if value := r.Header.Get(o.TimeoutHeader); value != "" {
+			timeout, err := parseTimeout(value)
 			if err != nil {
-				return nil, bad(http.StatusBadRequest, "%s: %v", o.TimeoutHeader, err)
+				return nil, newBadRequest(http.StatusBadRequest, "%s: %v", o.TimeoutHeader, err)
 			}
-			wait = min(wait, d)
+			deadline = min(deadline, timeout)
 		}
 	}
-	e := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, FanOut: to.Service.GroupSize, IsWrite: !protocol.Safe(r.Method)}
-	e.Customer, e.Plan = o.Customers.Of(r, arrived)
-	c := &call{most: to.MaxBodyBytes, idle: o.IdleTimeout}
-	o.relay(&c.Relay, r, to, wait)
-	c.Exchange = service.Exchange{Request: e, Forwarder: c, Deadline: arrived.Add(wait)}
-	return &c.Exchange, nil
+	request := control.Request{ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1, FanOut: target.Service.GroupSize, IsWrite: !protocol.Safe(r.Method)}
+	request.Customer, request.Plan = o.Customers.Of(r, arrived)
+	connection := &ordinaryCall{maxBodyBytes: target.MaxBodyBytes, idleTimeout: o.IdleTimeout}
+	o.setRelay(&connection.Relay, r, target, deadline)
+	connection.Exchange = service.Exchange{Request: request, Forwarder: connection, Deadline: arrived.Add(deadline)}
+	return &connection.Exchange, nil
 }
 
-// call is one request on its way, with what its body and its early answers need.
-type call struct {
+// ordinaryCall is one request on its way, with what its body and its early answers need.
+type ordinaryCall struct {
 	service.Exchange
 	upstream.Relay
-	most int64 // bytes of its body; below zero is any number
-	idle time.Duration
+	maxBodyBytes int64 // bytes of its body; below zero is any number
+	idleTimeout  time.Duration
 
-	pace  pace         // of the body
-	until atomic.Int64 // Unix time in ns after which the body is not read any more; 0 is never
-	ctl   *http.ResponseController
-	w     http.ResponseWriter
-	given bool // the final answer has begun, or been given
+	bodyRate        rateGuard    // of the body
+	discardDeadline atomic.Int64 // Unix time in ns after which the body is not read any more; 0 is never
+	controller      *http.ResponseController
+	writer          http.ResponseWriter
+	hasAnswer       bool // the final answer has begun, or been given
 
-	mu   sync.Mutex // of writing to the client before the final answer
-	over bool       // the final answer's turn has come, or the client has left
+	mu      sync.Mutex // of writing to the client before the final answer
+	isFinal bool       // the final answer's turn has come, or the client has left
 }
 
-// relay is what goes on of a request.
-func (o *Ordinary) relay(q *upstream.Relay, r *http.Request, to *Target, wait time.Duration) {
+// setRelay is what goes on of a request.
+func (o *Ordinary) setRelay(relay *upstream.Relay, r *http.Request, target *Target, deadline time.Duration) {
 	peer := hopheaders.Peer{Host: r.Host, Proto: "http"}
-	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
-		peer.Addr = a.Addr()
+	if address, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		peer.Addr = address.Addr()
 		peer.Trusted = hopheaders.Trusted(peer.Addr, o.TrustedProxies)
 	}
-	*q = upstream.Relay{
+	*relay = upstream.Relay{
 		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI), Header: hopheaders.Request(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
-		Length: r.ContentLength, Rules: &o.ResponseRules, Hold: o.MaxBufferedAnswerBytes, Idle: o.IdleTimeout, Wait: wait, Tell: o.SendTimeLeft,
+		Length: r.ContentLength, Rules: &o.ResponseRules, Hold: o.MaxBufferedAnswerBytes, Idle: o.IdleTimeout, Wait: deadline, Tell: o.SendTimeLeft,
 	}
-	if o.SendRequestID && len(q.Header[headerRequest]) == 0 {
-		q.Header[headerRequest] = []string{newID()}
+	if o.SendRequestID && len(relay.Header[requestIDHeader]) == 0 {
+		relay.Header[requestIDHeader] = []string{newRequestID()}
 	}
 	if len(r.TransferEncoding) > 0 {
-		q.Length = -1
-		q.Trailer = func() http.Header { return r.Trailer }
+		relay.Length = -1
+		relay.Trailer = func() http.Header { return r.Trailer }
 		for name := range r.Trailer {
-			q.TrailerNames = append(q.TrailerNames, name)
+			relay.TrailerNames = append(relay.TrailerNames, name)
 		}
-		slices.Sort(q.TrailerNames)
+		slices.Sort(relay.TrailerNames)
 	} else if r.ContentLength == 0 && r.Header.Get("Content-Length") == "" {
-		q.Length = -1 // none is told either
+		relay.Length = -1 // none is told either
 	}
-	if len(to.UpgradeProtocols) > 0 && r.ProtoAtLeast(1, 1) && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		q.Upgrade = upgrade(r.Header, to.UpgradeProtocols)
+	if len(target.UpgradeProtocols) > 0 && r.ProtoAtLeast(1, 1) && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		relay.Upgrade = requestedUpgrade(r.Header, target.UpgradeProtocols)
 	}
 }
 
-// upgrade is the protocol that a request wants to change to, where that is allowed (RFC 9110, 7.8).
-func upgrade(h http.Header, allowed []string) string {
-	v := h["Upgrade"]
-	if len(v) != 1 || !slices.Contains(allowed, strings.ToLower(v[0])) {
+// requestedUpgrade is the protocol that a request wants to change to, where that is allowed (RFC 9110, 7.8).
+func requestedUpgrade(header http.Header, allowed []string) string {
+	values := header["Upgrade"]
+	if len(values) != 1 || !slices.Contains(allowed, strings.ToLower(values[0])) {
 		return ""
 	}
-	for _, list := range h["Connection"] {
+	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			if strings.EqualFold(textproto.TrimString(name), "upgrade") {
-				return v[0]
+				return values[0]
 			}
 		}
 	}
@@ -186,29 +186,29 @@
 		return target
 	}
 	_, rest, _ := strings.Cut(target, "://")
-	i := strings.IndexAny(rest, "/?")
+	end := strings.IndexAny(rest, "/?")
 	switch {
-	case i < 0:
+	case end < 0:
 		return "/"
-	case rest[i] == '?':
-		return "/" + rest[i:]
+	case rest[end] == '?':
+		return "/" + rest[end:]
 	}
-	return rest[i:]
+	return rest[end:]
 }
 
-// parseWait reads how long a client waits: a time such as "1.5s" or "800ms", or a number of seconds.
-func parseWait(s string) (time.Duration, error) {
-	d, err := time.ParseDuration(s)
+// parseTimeout reads how long a client waits: a time such as "1.5s" or "800ms", or a number of seconds.
+func parseTimeout(text string) (time.Duration, error) {
+	timeout, err := time.ParseDuration(text)
 	if err != nil {
-		var v float64
-		if v, err = protocol.ParseNumber(s); err == nil && v < math.MaxInt32 {
-			d = time.Duration(v * float64(time.Second))
+		var seconds float64
+		if seconds, err = protocol.ParseNumber(text); err == nil && seconds < math.MaxInt32 {
+			timeout = time.Duration(seconds * float64(time.Second))
 		}
 	}
-	if err != nil || d <= 0 {
-		return 0, fmt.Errorf("%q is no time such as \"1.5s\"", s)
+	if err != nil || timeout <= 0 {
+		return 0, fmt.Errorf("%q is no time such as \"1.5s\"", text)
 	}
-	return d, nil
+	return timeout, nil
 }
 
 // ReservedBytes is the most bytes that are held of a request.
@@ -219,116 +219,116 @@
 	case n > 0 && n <= int64(o.RetryBufferBytes):
 		return n
 	}
-	return int64(o.RetryBufferBytes) + windows
+	return int64(o.RetryBufferBytes) + relayBufferBytes
 }
 
 // ReadBody reads a body that is held whole, and makes a way for one that is not. Guards against a
 // server that is taken up by a client which sends a small body slowly.
-func (o *Ordinary) ReadBody(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
-	c := x.Forwarder.(*call)
-	c.w, c.ctl = w, http.NewResponseController(w)
+func (o *Ordinary) ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest {
+	call := exchange.Forwarder.(*ordinaryCall)
+	call.writer, call.controller = w, http.NewResponseController(w)
 	if r.ProtoAtLeast(1, 1) {
-		c.Early = c
+		call.Early = call
 	}
 	if r.ContentLength == 0 {
-		_ = c.ctl.SetReadDeadline(time.Time{}) // net/http goes on reading, to notice a hang-up
+		_ = call.controller.SetReadDeadline(time.Time{}) // net/http goes on reading, to notice a hang-up
 		return nil
 	}
-	c.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
-	c.pace = pace{idle: o.IdleTimeout, least: o.MinBytesPerSecond}
-	c.Body = retrybuffer.New(&incoming{r.Body, c}, o.RetryBufferBytes, c.beforeRead)
-	if c.Expect || c.Length < 0 || c.Length > int64(o.RetryBufferBytes) {
-		_ = c.ctl.EnableFullDuplex() // an answer may come before all of the body has
-		x.Request.HasPendingBody = true
+	call.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
+	call.bodyRate = rateGuard{gracePeriod: o.IdleTimeout, minBytesPerSecond: o.MinBytesPerSecond}
+	call.Body = retrybuffer.New(&limitedBody{r.Body, call}, o.RetryBufferBytes, call.setReadDeadline)
+	if call.Expect || call.Length < 0 || call.Length > int64(o.RetryBufferBytes) {
+		_ = call.controller.EnableFullDuplex() // an answer may come before all of the body has
+		exchange.Request.HasPendingBody = true
 		return nil
 	}
-	if err := c.Body.Fill(c.Length); err != nil {
-		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
-		var late net.Error
-		if errors.As(err, &late) && late.Timeout() || errors.Is(err, errSlow) {
-			wrong.status = http.StatusRequestTimeout
+	if err := call.Body.Fill(call.Length); err != nil {
+		badRequest := newBadRequest(http.StatusBadRequest, "reading the body: %v", err)
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, errBelowMinRate) {
+			badRequest.status = http.StatusRequestTimeout
 		}
-		wrong.unread = true
-		return wrong
+		badRequest.closeConnection = true
+		return badRequest
 	}
 	return nil
 }
 
-// beforeRead bounds the wait for the next part of a body.
-func (c *call) beforeRead() {
-	by := time.Now().Add(c.idle)
-	if u := c.until.Load(); u != 0 {
-		by = time.Unix(0, u)
+// setReadDeadline bounds the wait for the next part of a body.
+func (c *ordinaryCall) setReadDeadline() {
+	deadline := time.Now().Add(c.idleTimeout)
+	if discardDeadline := c.discardDeadline.Load(); discardDeadline != 0 {
+		deadline = time.Unix(0, discardDeadline)
 	}
-	_ = c.ctl.SetReadDeadline(by)
+	_ = c.controller.SetReadDeadline(deadline)
 }
 
-var errBodyMost = errors.New("a body of too many bytes")
+var errBodyTooLong = errors.New("a body of too many bytes")
 
-// incoming is a request's body as it comes, held to what it may have.
-type incoming struct {
+// limitedBody is a request's body as it comes, held to what it may have.
+type limitedBody struct {
 	io.Reader
-	c *call
+	call *ordinaryCall
 }
 
-func (in *incoming) Read(p []byte) (int, error) {
+func (in *limitedBody) Read(p []byte) (int, error) {
 	n, err := in.Reader.Read(p)
-	if slow := in.c.pace.moved(time.Now(), n); slow != nil && err == nil {
-		err = slow
+	if rateErr := in.call.bodyRate.record(time.Now(), n); rateErr != nil && err == nil {
+		err = rateErr
 	}
-	if in.c.most >= 0 && in.c.pace.bytes > in.c.most {
-		return 0, errBodyMost
+	if in.call.maxBodyBytes >= 0 && in.call.bodyRate.totalBytes > in.call.maxBodyBytes {
+		return 0, errBodyTooLong
 	}
 	if errors.Is(err, io.EOF) {
 		// The library goes on reading, to notice a hang-up: no bound on the body must end that.
-		_ = in.c.ctl.SetReadDeadline(time.Time{})
+		_ = in.call.controller.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
 
 // Interim sends an answer of 1xx, unless the final one's turn has come.
-func (c *call) Interim(status int, from http.Header) {
+func (c *ordinaryCall) Interim(status int, interim http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over {
+	if c.isFinal {
 		return
 	}
-	h := c.w.Header()
-	hopheaders.Answer(h, from)
-	_ = c.ctl.SetWriteDeadline(time.Now().Add(c.idle))
-	c.w.WriteHeader(status)
-	clear(h)
+	header := c.writer.Header()
+	hopheaders.Answer(header, interim)
+	_ = c.controller.SetWriteDeadline(time.Now().Add(c.idleTimeout))
+	c.writer.WriteHeader(status)
+	clear(header)
 }
 
 // Finish reads no more of a request. Guards against an answer that the client never reads because its
 // connection was reset while it still sent: what comes for a moment is thrown away.
-func (o *Ordinary) Finish(x *service.Exchange) {
-	c := x.Forwarder.(*call)
-	c.last()
-	body := c.Body
+func (o *Ordinary) Finish(exchange *service.Exchange) {
+	call := exchange.Forwarder.(*ordinaryCall)
+	call.endInterim()
+	body := call.Body
 	if body == nil {
 		return
 	}
 	// Guards, with the connection's end, against an answer that nobody made: what is flushed before
 	// there is a head is one of 200.
-	if c.given && !body.Ended() && body.Err() == nil {
-		_ = c.ctl.Flush()
-		until := time.Now().Add(lingerFor)
-		c.until.Store(until.UnixNano())
-		_ = c.ctl.SetReadDeadline(until)
+	if call.hasAnswer && !body.Ended() && body.Err() == nil {
+		_ = call.controller.Flush()
+		deadline := time.Now().Add(discardTime)
+		call.discardDeadline.Store(deadline.UnixNano())
+		_ = call.controller.SetReadDeadline(deadline)
 		body.Discard()
 	}
-	body.Close(func() { _ = c.ctl.SetReadDeadline(time.Unix(1, 0)) })
+	body.Close(func() { _ = call.controller.SetReadDeadline(time.Unix(1, 0)) })
 }
 
-// last keeps early answers from the client from now on.
-func (c *call) last() {
+// endInterim keeps early answers from the client from now on.
+func (c *ordinaryCall) endInterim() {
 	c.mu.Lock()
-	c.over = true
+	c.isFinal = true
 	c.mu.Unlock()
 }
 
-// newID is a request's id where the client brings none.
-func newID() string {
+// newRequestID is a request's id where the client brings none.
+func newRequestID() string {
 	return strconv.FormatUint(rand.Uint64(), 16) + strconv.FormatUint(rand.Uint64(), 16)
 }
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -18,100 +18,100 @@
 )
 
 const (
-	idMost        = 128
+	maxIDBytes    = 128
 	timeLeftSlack = 50 * time.Millisecond // over a class's deadline
-	customersMost = 1 << 33
+	customerCount = 1 << 33
 )
 
-// platform is the protocol of the platform (PROTOCOL): headers that name customer, plan and time,
+// platformProtocol is the protocol of the platform (PROTOCOL): headers that name customer, plan and time,
 // a class by the path, bodies that are held.
-type platform struct{}
+type platformProtocol struct{}
 
 // BadRequest is a client's mistake and the status that tells it.
 type BadRequest struct {
-	status int
-	text   string
-	unread bool // what follows on the connection can't be told from this request
+	status          int
+	text            string
+	closeConnection bool // what follows on the connection can't be told from this request
 }
 
-func bad(status int, format string, args ...any) *BadRequest {
+func newBadRequest(status int, format string, args ...any) *BadRequest {
 	return &BadRequest{status: status, text: fmt.Sprintf(format, args...)}
 }
 
 // ReadRequest reads a client's request but for its body.
-func (platform) ReadRequest(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest) {
-	terms := &to.Service.RequestRules
-	if wrong := framing(r, to.MaxBodyBytes); wrong != nil {
-		wrong.unread = true
-		return nil, wrong
+func (platformProtocol) ReadRequest(r *http.Request, target *Target, firstSegment string, arrived time.Time) (*service.Exchange, *BadRequest) {
+	rules := &target.Service.RequestRules
+	if badRequest := checkFraming(r, target.MaxBodyBytes); badRequest != nil {
+		badRequest.closeConnection = true
+		return nil, badRequest
 	}
 	// Guards against app servers that read another one of two values than this node.
-	for _, name := range onceOnly {
+	for _, name := range singleValueHeaders {
 		if len(r.Header[name]) > 1 {
-			return nil, bad(http.StatusBadRequest, "%s: given twice", name)
+			return nil, newBadRequest(http.StatusBadRequest, "%s: given twice", name)
 		}
 	}
-	e := control.Request{
+	request := control.Request{
 		ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, FanOut: 1,
 		IsRetry: r.Header.Get(protocol.HeaderRepeat) == "1", IsWrite: r.Method != http.MethodGet,
 	}
-	if e.ID == "" || len(e.ID) > idMost {
-		return nil, bad(http.StatusBadRequest, "%s: none, or too long", protocol.HeaderID)
+	if request.ID == "" || len(request.ID) > maxIDBytes {
+		return nil, newBadRequest(http.StatusBadRequest, "%s: none, or too long", protocol.HeaderID)
 	}
-	if e.Class = to.Class; e.Class == "" {
-		e.Class = first
+	if request.Class = target.Class; request.Class == "" {
+		request.Class = firstSegment
 	}
-	class, ok := terms.Classes[e.Class]
+	class, ok := rules.Classes[request.Class]
 	if !ok {
-		return nil, bad(http.StatusNotFound, "unknown class %q", e.Class)
+		return nil, newBadRequest(http.StatusNotFound, "unknown class %q", request.Class)
 	}
-	if !terms.AllowsMethod(class, r.Method) {
-		return nil, bad(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, e.Class)
+	if !rules.AllowsMethod(class, r.Method) {
+		return nil, newBadRequest(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, request.Class)
 	}
 	if class.Idempotency == control.Idempotent && r.ContentLength != 0 {
-		return nil, bad(http.StatusBadRequest, "a body with %s", r.Method)
+		return nil, newBadRequest(http.StatusBadRequest, "a body with %s", r.Method)
 	}
 	if class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderKey) == "" {
-		return nil, bad(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
+		return nil, newBadRequest(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
 	}
-	if terms.MaxUnitsByPlan[e.Plan] == 0 {
-		return nil, bad(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, e.Plan)
+	if rules.MaxUnitsByPlan[request.Plan] == 0 {
+		return nil, newBadRequest(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, request.Plan)
 	}
-	e.Customer = account(r.URL)
-	if n, err := strconv.ParseUint(e.Customer, 16, 64); err != nil || len(e.Customer) != 16 || n >= customersMost {
-		return nil, bad(http.StatusBadRequest, "account: %q is none", e.Customer)
+	request.Customer = customerOf(r.URL)
+	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= customerCount {
+		return nil, newBadRequest(http.StatusBadRequest, "account: %q is none", request.Customer)
 	}
-	left, err := parseTimeLeft(r.Header.Get(protocol.HeaderTimeLeft), class.Deadline)
+	timeLeft, err := parseTimeLeft(r.Header.Get(protocol.HeaderTimeLeft), class.Deadline)
 	if err != nil {
-		return nil, bad(http.StatusBadRequest, "%s: %v", protocol.HeaderTimeLeft, err)
+		return nil, newBadRequest(http.StatusBadRequest, "%s: %v", protocol.HeaderTimeLeft, err)
 	}
-	if err := weight(terms, &e, r.Header.Get(protocol.HeaderWeight)); err != nil {
-		return nil, bad(http.StatusBadRequest, "%s: %v", protocol.HeaderWeight, err)
+	if err := parseWeight(rules, &request, r.Header.Get(protocol.HeaderWeight)); err != nil {
+		return nil, newBadRequest(http.StatusBadRequest, "%s: %v", protocol.HeaderWeight, err)
 	}
-	held := &struct {
+	exchange := &struct {
 		service.Exchange
 		upstream.Whole
-	}{service.Exchange{Request: e, Deadline: arrived.Add(left - service.DeadlineMargin)}, upstream.Whole{Request: forward(r)}}
-	held.Forwarder = &held.Whole
-	return &held.Exchange, nil
+	}{service.Exchange{Request: request, Deadline: arrived.Add(timeLeft - service.DeadlineMargin)}, upstream.Whole{Request: forwardedRequest(r)}}
+	exchange.Forwarder = &exchange.Whole
+	return &exchange.Exchange, nil
 }
 
 // ReservedBytes is the bytes of a request's body, the length of which is told.
-func (platform) ReservedBytes(r *http.Request) int64 { return r.ContentLength }
+func (platformProtocol) ReservedBytes(r *http.Request) int64 { return r.ContentLength }
 
 // ReadBody reads a request's body. Its client waits from the body's last byte on (PROTOCOL, "Figures").
-func (platform) ReadBody(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest {
-	begun := time.Now()
+func (platformProtocol) ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest {
+	startedAt := time.Now()
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
-		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
-		wrong.unread = true
-		return wrong
+		badRequest := newBadRequest(http.StatusBadRequest, "reading the body: %v", err)
+		badRequest.closeConnection = true
+		return badRequest
 	}
-	x.Forwarder.(*upstream.Whole).Body = body
-	x.Deadline = x.Deadline.Add(time.Since(begun)) // guards against a slow writer's time that is over before it begins
-	if c := clientOf(r); c != nil {
-		x.Client = alone{c}
+	exchange.Forwarder.(*upstream.Whole).Body = body
+	exchange.Deadline = exchange.Deadline.Add(time.Since(startedAt)) // guards against a slow writer's time that is over before it begins
+	if client := clientOf(r); client != nil {
+		exchange.Client = sequentialClient{client}
 	}
 	// net/http goes on reading while a request is held, to notice a hang-up; the limit on
 	// the request's own time must not end that.
@@ -120,23 +120,23 @@
 }
 
 // Finish has nothing to end.
-func (platform) Finish(*service.Exchange) {}
+func (platformProtocol) Finish(*service.Exchange) {}
 
 // WriteAnswer sends an answer, whatever it is.
-func (platform) WriteAnswer(f *Front, w http.ResponseWriter, _ *http.Request, _ *service.Exchange, a service.Answer) {
-	f.write(w, a)
+func (platformProtocol) WriteAnswer(front *Front, w http.ResponseWriter, _ *http.Request, _ *service.Exchange, answer service.Answer) {
+	front.writeAnswer(w, answer)
 }
 
 // WriteBadRequest tells a client its mistake.
-func (platform) WriteBadRequest(f *Front, w http.ResponseWriter, _ *http.Request, wrong *BadRequest) {
-	f.reject(w, wrong)
+func (platformProtocol) WriteBadRequest(front *Front, w http.ResponseWriter, _ *http.Request, badRequest *BadRequest) {
+	front.writeBadRequest(w, badRequest)
 }
 
-// account is the customer that a query names; "" where it names none, or more than one.
-func account(u *url.URL) string {
+// customerOf is the customer that a query names; "" where it names none, or more than one.
+func customerOf(u *url.URL) string {
 	// What nearly all clients send needs no map of values.
-	if v, ok := strings.CutPrefix(u.RawQuery, "account="); ok && !strings.ContainsAny(v, "&;%+") {
-		return strings.ToLower(v)
+	if account, ok := strings.CutPrefix(u.RawQuery, "account="); ok && !strings.ContainsAny(account, "&;%+") {
+		return strings.ToLower(account)
 	}
 	if accounts := u.Query()["account"]; len(accounts) == 1 {
 		return strings.ToLower(accounts[0])
@@ -144,85 +144,85 @@
 	return ""
 }
 
-// onceOnly are the headers by which a request is told from others.
-var onceOnly = []string{protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRepeat, protocol.HeaderKey}
+// singleValueHeaders are the headers by which a request is told from others.
+var singleValueHeaders = []string{protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRepeat, protocol.HeaderKey}
 
-// framing holds a request to what clients of the protocol send: a length. Guards against a
+// checkFraming holds a request to what clients of the protocol send: a length. Guards against a
 // second request in the body of one that also has a Transfer-Encoding, for which net/http
 // drops the length, and against reading what is too long to be passed on.
-func framing(r *http.Request, most int64) *BadRequest {
+func checkFraming(r *http.Request, maxBodyBytes int64) *BadRequest {
 	switch {
 	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
-		return bad(http.StatusLengthRequired, "a body needs a Content-Length and no Transfer-Encoding")
-	case r.ContentLength > most:
-		return bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", most)
+		return newBadRequest(http.StatusLengthRequired, "a body needs a Content-Length and no Transfer-Encoding")
+	case r.ContentLength > maxBodyBytes:
+		return newBadRequest(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", maxBodyBytes)
 	}
 	return nil
 }
 
-// forward is what goes on of a request.
-func forward(r *http.Request) *http.Request {
+// forwardedRequest is what goes on of a request.
+func forwardedRequest(r *http.Request) *http.Request {
 	target := url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 	// Guards against bytes of a path that package url would write encoded: app servers know a request
 	// by what its client sent.
 	if target.Opaque, _, _ = strings.Cut(originForm(r.RequestURI), "?"); strings.HasPrefix(target.Opaque, "//") {
 		target.Opaque, target.Path, target.RawPath = "", r.URL.Path, r.URL.RawPath // it would be taken for an authority
 	}
-	out := &http.Request{
+	forwarded := &http.Request{
 		Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: &target,
 		Header: make(http.Header, len(r.Header)+2),
 	}
 	for k, v := range r.Header {
 		if !protocol.OwnHeader(k) {
-			out.Header[k] = v
+			forwarded.Header[k] = v
 		}
 	}
-	hopheaders.DropNamed(out.Header, r.Header)
-	if out.Header.Get("User-Agent") == "" {
-		out.Header["User-Agent"] = []string{""} // none of the library's own
+	hopheaders.DropNamed(forwarded.Header, r.Header)
+	if forwarded.Header.Get("User-Agent") == "" {
+		forwarded.Header["User-Agent"] = []string{""} // none of the library's own
 	}
-	return out
+	return forwarded
 }
 
 // parseTimeLeft reads a number with the unit m (milliseconds) or u (microseconds). No client
 // waits for longer than its class has it.
-func parseTimeLeft(s string, most time.Duration) (time.Duration, error) {
+func parseTimeLeft(text string, maxTimeLeft time.Duration) (time.Duration, error) {
 	unit := time.Millisecond
-	number, ok := strings.CutSuffix(s, "m")
+	number, ok := strings.CutSuffix(text, "m")
 	if !ok {
 		unit = time.Microsecond
-		number, ok = strings.CutSuffix(s, "u")
+		number, ok = strings.CutSuffix(text, "u")
 	}
-	v, err := protocol.ParseNumber(number)
-	if d := v * float64(unit); !ok || err != nil || d <= 0 || d > float64(most+timeLeftSlack) {
-		return 0, fmt.Errorf("%q is no time", s)
+	value, err := protocol.ParseNumber(number)
+	if timeLeft := value * float64(unit); !ok || err != nil || timeLeft <= 0 || timeLeft > float64(maxTimeLeft+timeLeftSlack) {
+		return 0, fmt.Errorf("%q is no time", text)
 	}
-	return time.Duration(v * float64(unit)), nil
+	return time.Duration(value * float64(unit)), nil
 }
 
-// weight reads the units and the customer's set of edge nodes. Guards against figures that
+// parseWeight reads the units and the customer's set of edge nodes. Guards against figures that
 // would spoil what the module knows of a customer.
-func weight(terms *service.RequestRules, e *control.Request, s string) error {
-	if s == "" {
+func parseWeight(rules *service.RequestRules, request *control.Request, text string) error {
+	if text == "" {
 		return nil
 	}
 	seen := make(map[string]bool, 3)
-	for pair := range strings.SplitSeq(s, ",") {
+	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := protocol.ParseNumber(value)
-		whole := err == nil && v == math.Trunc(v)
+		number, err := protocol.ParseNumber(value)
+		isInteger := err == nil && number == math.Trunc(number)
 		ok := !seen[name]
 		seen[name] = true
 		switch name {
 		case "units":
-			ok = ok && err == nil && v > 0 && v <= terms.MaxUnitsByPlan[e.Plan]
-			e.Units = v
+			ok = ok && err == nil && number > 0 && number <= rules.MaxUnitsByPlan[request.Plan]
+			request.Units = number
 		case "spread":
-			ok = ok && whole && v >= 1 && v <= float64(terms.GroupSize)
-			e.FanOut = int(v)
+			ok = ok && isInteger && number >= 1 && number <= float64(rules.GroupSize)
+			request.FanOut = int(number)
 		case "first":
-			ok = ok && whole && v >= 0 && v < float64(terms.GroupSize)
-			e.FirstGateway = int(v)
+			ok = ok && isInteger && number >= 0 && number < float64(rules.GroupSize)
+			request.FirstGateway = int(number)
 		}
 		if !ok {
 			return fmt.Errorf("%s: %q", name, value)
--- a/internal/front/slow_writer_test.go
+++ b/internal/front/slow_request_test.go
@@ -12,9 +12,9 @@
 )
 
 // A client that writes its request slowly has all of its time from the last byte on (PROTOCOL, "Figures").
-func TestTimeCountsFromTheLastByte(t *testing.T) {
+func TestDeadlineCountsFromLastByte(t *testing.T) {
 	const told = time.Second
-	head := "POST /write?account=0000000000000001 HTTP/1.1\r\n" + strings.Replace(headers, "15000m", "1000m", 1) + "Content-Length: 4\r\n\r\n"
+	head := "POST /write?account=0000000000000001 HTTP/1.1\r\n" + strings.Replace(requestHeaders, "15000m", "1000m", 1) + "Content-Length: 4\r\n\r\n"
 	for name, pieces := range map[string][]string{
 		"at once":      {head + "body"},
 		"a slow head":  {head[:30], head[30:] + "body"},
@@ -25,7 +25,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var heard []time.Duration
-				m, _, _, stop := serving(t, func(r control.Request) []control.Action { heard = append(heard, r.Timeout); return refuses(r) }, nil, nil)
+				m, _, _, stop := startFront(t, func(r control.Request) []control.Action { heard = append(heard, r.Timeout); return rejectRequest(r) }, nil, nil)
 				defer stop()
 				client := m.dial()
 				defer client.Close()
--- a/internal/front/unacknowledged_test.go
+++ b/internal/front/unacknowledged_answer_test.go
@@ -57,7 +57,7 @@
 
 // A client that sends a further request once its connection is being closed, and before it has all of its
 // answer, gets all of that: the close is behind the client's.
-func TestRequestBehindTheCloseLeavesTheAnswer(t *testing.T) {
+func TestLingeringConnDeliversAnswerBeforeLateRequest(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -68,16 +68,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	writeAhead(t, socket(conn))
-	conn.(*lingering).busy.Store(true)
-	raw, err := socket(conn).SyscallConn()
+	writeAhead(t, tcpConnOf(conn))
+	conn.(*lingeringConn).isBusy.Store(true)
+	raw, err := tcpConnOf(conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
 	closed := make(chan struct{})
 	go func() { conn.Close(); close(closed) }()
 	testkit.Until(t, "the close", func() bool { return tcpState(raw) != unix.BPF_TCP_ESTABLISHED })
-	io.WriteString(client, wholeRequest)
+	io.WriteString(client, completeRequest)
 	if got, err := io.ReadAll(client); err != nil || len(got) != answerBytes {
 		t.Errorf("%d bytes of the answer, %v", len(got), err)
 	}
@@ -87,10 +87,10 @@
 
 // A node that begins to end closes no connection of which an answer is still on its way, whether it rests by
 // then or begins to: its next request is answered. One that has all of its answer is closed.
-func TestLeaveWaitsForTheAnswerOnItsWay(t *testing.T) {
+func TestCloseWhenIdleWaitsForUnacknowledgedAnswer(t *testing.T) {
 	for name, rests := range map[string]bool{"rests": true, "begins to rest": false} {
 		t.Run(name, func(t *testing.T) {
-			_, f, _, stop := serving(t, refuses, nil, nil)
+			_, f, _, stop := startFront(t, rejectRequest, nil, nil)
 			defer stop()
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -104,20 +104,20 @@
 			}
 			defer server.Close()
 			writeAhead(t, server.(*net.TCPConn))
-			conn := &lingering{Conn: server}
-			f.clients.begin(t.Context(), conn)
-			f.clients.state(conn, http.StateActive)
+			conn := &lingeringConn{Conn: server}
+			f.clients.register(t.Context(), conn)
+			f.clients.trackState(conn, http.StateActive)
 			if rests {
-				f.clients.state(conn, http.StateIdle)
+				f.clients.trackState(conn, http.StateIdle)
 			}
 			f.CloseWhenIdle()
 			if !rests {
-				f.clients.state(conn, http.StateIdle)
+				f.clients.trackState(conn, http.StateIdle)
 			}
-			if !unacknowledged(server.(*net.TCPConn)) {
+			if !hasUnacknowledged(server.(*net.TCPConn)) {
 				t.Fatal("its connection is closed, or its client has all of the answer")
 			}
-			io.WriteString(client, wholeRequest)
+			io.WriteString(client, completeRequest)
 			if n, err := io.ReadFull(client, make([]byte, answerBytes)); err != nil {
 				t.Errorf("%d bytes of the answer, %v", n, err)
 			}
@@ -125,7 +125,7 @@
 			if err != nil || request.URL.Path != "/read" {
 				t.Errorf("the next request: %v, %v", request, err)
 			}
-			testkit.Until(t, "the client's acknowledgement", func() bool { return !unacknowledged(server.(*net.TCPConn)) })
+			testkit.Until(t, "the client's acknowledgement", func() bool { return !hasUnacknowledged(server.(*net.TCPConn)) })
 			f.CloseWhenIdle()
 			if _, err := client.Read(make([]byte, 1)); err != io.EOF {
 				t.Errorf("behind its answer its client sees %v", err)
