--- /dev/null
+++ b/internal/daemon/commands.go
@@ -0,0 +1,319 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
+)
+
+// Commands are what a coordinator has a fleet member do once each, by id; the control socket and the stored
+// book call one an order. The book is saved before a command begins and after it has ended.
+
+// runningCommand is a command that has begun and not ended.
+type runningCommand struct {
+	id, kind, hash string
+	isInherited    bool         // the predecessor has begun it
+	waiters        []chan error // each has space for the outcome
+}
+
+// claimRequest is a coordinator's claim of an epoch.
+type claimRequest struct {
+	claim  desiredstate.Claim
+	answer chan error
+}
+
+func (r claimRequest) handle(d *daemon) error {
+	if err := d.checkOwnership(); err != nil {
+		r.answer <- err
+		return nil
+	}
+	r.answer <- d.member.grantEpoch(r.claim)
+	return nil
+}
+
+// setDrainedRequest is the operator's change of the desired state, beside all coordinators.
+type setDrainedRequest struct {
+	isDrained bool
+	answer    chan error
+}
+
+func (r setDrainedRequest) handle(d *daemon) error {
+	if err := d.checkOwnership(); err != nil {
+		r.answer <- err
+		return nil
+	}
+	r.answer <- d.member.setDrained(r.isDrained)
+	return nil
+}
+
+// commandRequest asks for a command; the answer comes when that has ended.
+type commandRequest struct {
+	command desiredstate.Order
+	answer  chan error
+}
+
+func (r commandRequest) handle(d *daemon) error {
+	if err := d.checkOwnership(); err != nil {
+		r.answer <- err
+		return nil
+	}
+	next, step, outcome, err := d.member.desiredState.Order(r.command)
+	switch {
+	case err != nil:
+		r.answer <- err
+	case step == desiredstate.Answer:
+		r.answer <- outcomeError(outcome)
+	case step == desiredstate.Wait:
+		d.running.waiters = append(d.running.waiters, r.answer)
+	default:
+		d.beginCommand(r, next)
+	}
+	return nil
+}
+
+// commandFinished is the end of a command that another goroutine has carried out.
+type commandFinished struct {
+	command      *runningCommand
+	err          error
+	isRolledBack bool // the configuration file is again the one in force
+}
+
+func (f commandFinished) handle(d *daemon) error {
+	if d.running != f.command {
+		return nil
+	}
+	if f.isRolledBack {
+		d.conditions.clear(conditionConfigFile)
+	}
+	isSettings := f.command.kind == desiredstate.Settings
+	if f.err == nil && isSettings && d.cfg.Hash != f.command.hash {
+		f.err = fmt.Errorf("the file was replaced by another hand: the settings in force have the hash %s", d.cfg.Hash)
+	}
+	d.finishCommand(f.err)
+	if isSettings {
+		d.member.store.Forget()
+	}
+	return nil
+}
+
+// Claim implements manage.Daemon.
+func (d *daemon) Claim(ctx context.Context, claim desiredstate.Claim) error {
+	answer := make(chan error, 1)
+	return d.postAndWait(ctx, claimRequest{claim, answer}, answer)
+}
+
+// Order implements manage.Daemon.
+func (d *daemon) Order(ctx context.Context, command desiredstate.Order) error {
+	answer := make(chan error, 1)
+	return d.postAndWait(ctx, commandRequest{command, answer}, answer)
+}
+
+// Serve implements manage.Daemon.
+func (d *daemon) Serve(ctx context.Context) error {
+	return d.requestDrained(ctx, false)
+}
+
+// Drain implements manage.Daemon.
+func (d *daemon) Drain(keep bool) error {
+	if keep {
+		if err := d.requestDrained(context.Background(), true); err != nil {
+			return err
+		}
+	}
+	d.post(lifecycleEvent{lifecycle.StopRequested{Cause: "control socket"}})
+	return nil
+}
+
+func (d *daemon) requestDrained(ctx context.Context, isDrained bool) error {
+	answer := make(chan error, 1)
+	return d.postAndWait(ctx, setDrainedRequest{isDrained, answer}, answer)
+}
+
+// checkOwnership returns an error where the book isn't this process's to change: from when a successor has been
+// sent the checkpoint, and in a successor until it takes over.
+func (d *daemon) checkOwnership() error {
+	if !d.checkpointer.ownsFile.Load() {
+		return busyError("another process takes this one's place")
+	}
+	return nil
+}
+
+// beginCommand saves the book with the command begun in it and starts the command.
+func (d *daemon) beginCommand(r commandRequest, next desiredstate.Book) {
+	c := r.command
+	err := d.checkCommand(c.Want)
+	if err == nil {
+		err = d.member.save(next)
+	}
+	if err != nil {
+		r.answer <- err
+		return
+	}
+	slog.Info("command started", "id", c.ID, "epoch", c.Epoch, "owner", c.Owner, "kind", c.Want.Kind)
+	d.running = &runningCommand{id: c.ID, kind: c.Want.Kind, hash: c.Want.Hash, waiters: []chan error{r.answer}}
+	d.startCommand(c.Want)
+}
+
+// checkCommand returns why a command can't begin now, or at all.
+func (d *daemon) checkCommand(want desiredstate.Want) error {
+	current := d.machine.State()
+	switch want.Kind {
+	case desiredstate.Drain:
+		if d.member.store.Forgets() {
+			return badError("process.state is not set: started again, it would serve")
+		}
+		if current == lifecycle.Draining || current == lifecycle.Ended {
+			return busyError("the daemon is %v", current)
+		}
+	case desiredstate.Serve:
+		if current == lifecycle.Draining || current == lifecycle.Ended {
+			return busyError("the daemon is %v", current)
+		}
+	case desiredstate.Program:
+		if err := checkExecutable(want.Path); err != nil {
+			return badError(err.Error())
+		}
+		fallthrough
+	default:
+		if current != lifecycle.Ready {
+			return busyError("the daemon is %v", current)
+		}
+	}
+	return nil
+}
+
+// startCommand starts d.running.
+func (d *daemon) startCommand(want desiredstate.Want) {
+	running := d.running
+	switch want.Kind {
+	case desiredstate.Settings:
+		inForce := d.cfg
+		d.goroutines.Go(func() {
+			isRolledBack, err := d.applySettings(inForce, want)
+			if !errors.Is(err, errEnded) { // else the next process recovers the command
+				d.post(commandFinished{running, err, isRolledBack})
+			}
+		})
+	case desiredstate.Program, desiredstate.Restart:
+		d.startUpgradeCommand(running, want.Path)
+	case desiredstate.Drain:
+		d.finishCommand(nil)
+		d.advance(lifecycle.StopRequested{Cause: "order " + running.id})
+	case desiredstate.Serve:
+		if d.machine.State() != lifecycle.Warming { // else servicesReady finishes it
+			d.finishCommand(nil)
+		}
+	}
+}
+
+// startUpgradeCommand starts an upgrade to a program (empty for the one that runs). The command succeeds when
+// the successor's probation has ended, and fails here where the upgrade fails before.
+func (d *daemon) startUpgradeCommand(running *runningCommand, program string) {
+	if program == "" {
+		program = d.opts.Program
+	}
+	r := upgradeRequest{program: program, isCommand: true, answer: make(chan error, 1)}
+	d.goroutines.Go(func() {
+		select {
+		case err := <-r.answer:
+			if err != nil {
+				d.post(commandFinished{command: running, err: err})
+			}
+		case <-d.loopEnded:
+		}
+	})
+	_ = r.handle(d) // it answers its errors
+}
+
+// finishCommand ends the running command; its outcome is saved before it is answered.
+func (d *daemon) finishCommand(err error) {
+	stored := d.member.desiredState.Doing
+	if stored == nil || stored.ID != d.running.id { // another process has ended it
+		d.answerCommand(interruptedOutcome(d.running.id))
+		return
+	}
+	d.member.record(d.member.desiredState.End(err))
+	d.answerCommand(d.member.desiredState.Last())
+}
+
+// interruptedOutcome is the outcome of a command of which nothing remains: it begins anew when it is sent
+// again.
+func interruptedOutcome(id string) desiredstate.Done {
+	return desiredstate.Done{ID: id, Code: desiredstate.Busy, Error: "order " + id + " was cut: ask again"}
+}
+
+// answerCommand answers those who wait for the running command.
+func (d *daemon) answerCommand(outcome desiredstate.Done) {
+	running := d.running
+	d.running = nil
+	slog.Info("command ended", "id", running.id, "code", outcome.Code, "err", outcome.Error)
+	answerEach(running.waiters, outcomeError(outcome))
+}
+
+// takeOverDesiredState reads the predecessor's book, and the command that it has begun.
+func (d *daemon) takeOverDesiredState() {
+	d.reloadDesiredState()
+	if running := d.member.desiredState.Doing; running != nil {
+		d.running = &runningCommand{id: running.ID, kind: running.Kind, hash: running.Hash, isInherited: true}
+	}
+}
+
+// reloadDesiredState reads the book that another process may have written, and stores it also where the state
+// directory has changed.
+func (d *daemon) reloadDesiredState() {
+	d.member.load()
+	d.member.record(d.member.desiredState)
+}
+
+// recoverCommand ends the command that the book says is running where the process that ran it has ended: as
+// succeeded where its effect is found, else as interrupted. A command to serve goes on.
+func (d *daemon) recoverCommand() {
+	m := d.member
+	stored := m.desiredState.Doing
+	if stored == nil {
+		d.running = nil
+		return
+	}
+	next := m.desiredState.Recover(desiredstate.Facts{Hash: d.cfg.Hash, Program: d.opts.Program})
+	if next.Doing != nil {
+		if d.running == nil {
+			d.running = &runningCommand{id: stored.ID, kind: stored.Kind, hash: stored.Hash}
+		}
+		return
+	}
+	m.record(next)
+	m.store.Forget()
+	last := next.Last()
+	if last.ID != stored.ID {
+		slog.Warn("command interrupted by the end of its process, nothing of it remains", "id", stored.ID, "kind", stored.Kind)
+		last = interruptedOutcome(stored.ID)
+	}
+	if d.running != nil {
+		d.answerCommand(last)
+	}
+}
+
+// checkUpgrade returns an error where an upgrade that isn't the running command's would interrupt that.
+func (d *daemon) checkUpgrade(isCommand bool) error {
+	if d.running != nil && !d.running.isInherited && !isCommand {
+		return fmt.Errorf("no upgrade: order %s is under way", d.running.id)
+	}
+	return nil
+}
+
+// checkExecutable returns why a program can't be run.
+func checkExecutable(program string) error {
+	if !filepath.IsAbs(program) {
+		return fmt.Errorf("program %q is no absolute path", program)
+	}
+	if info, err := os.Stat(program); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
+		return fmt.Errorf("program %s can't be run", program)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/commands_test.go
@@ -0,0 +1,400 @@
+package daemon_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/manage"
+	"lockflow/internal/testkit"
+)
+
+// changedSettings returns a command for the configuration file with old replaced by new.
+func (r *daemonProcess) changedSettings(old, new string) desiredstate.Want {
+	r.t.Helper()
+	raw, err := os.ReadFile(r.directory + "/c.toml")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	text := strings.Replace(string(raw), old, new, 1)
+	return desiredstate.Want{Kind: desiredstate.Settings, Text: text, Hash: desiredstate.Hash([]byte(text))}
+}
+
+func (r *daemonProcess) claimEpoch(epoch uint64, owner, after string) error {
+	_, err := r.control.Claim(context.Background(), desiredstate.Claim{Epoch: epoch, Owner: owner, After: after})
+	return err
+}
+
+func (r *daemonProcess) sendCommand(epoch uint64, id string, w desiredstate.Want) error {
+	_, err := r.control.Order(context.Background(), desiredstate.Order{Epoch: epoch, Owner: "me", ID: id, Want: w})
+	return err
+}
+
+// checkError checks that err is want, or nil where that is nil.
+func (r *daemonProcess) checkError(what string, err, want error) {
+	r.t.Helper()
+	if !errors.Is(err, want) || want == nil && err != nil {
+		r.t.Errorf("%s: %v, not %v", what, err, want)
+	}
+}
+
+func (r *daemonProcess) killAndWait() {
+	r.t.Helper()
+	pid := r.status().PID
+	syscall.Kill(pid, syscall.SIGKILL)
+	testkit.Until(r.t, "the end", func() bool { return hasEnded(pid) })
+}
+
+func (r *daemonProcess) configHash() string {
+	raw, err := os.ReadFile(r.directory + "/c.toml")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return desiredstate.Hash(raw)
+}
+
+// A member accepts commands of one owner, over a reload, kill -9 and an upgrade, and runs each once, however often
+// it is sent. One that fails leaves the member as it was.
+func TestCommandRunsOnceOverReloadKillAndUpgrade(t *testing.T) {
+	r := startDaemon(t, "")
+	w := r.changedSettings("rate = 100000", "rate = 90000")
+	r.checkError("an order before any claim", r.sendCommand(7, "s/1", w), manage.ErrStale)
+	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
+	for range 3 {
+		r.checkError("settings", r.sendCommand(7, "s/1", w), nil)
+	}
+	s := r.status()
+	if s.Generation != 2 || s.Hash != w.Hash || r.configHash() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.Order != (desiredstate.Done{ID: "s/1", Code: desiredstate.OK}) || s.Wanted.Hash != w.Hash {
+		t.Errorf("%+v", s)
+	}
+	checkFailingCommands(r, w)
+	r.killAndWait()
+	r.start("")
+	r.checkError("an old epoch", r.claimEpoch(6, "me", ""), manage.ErrStale)
+	r.checkError("another owner", r.claimEpoch(7, "you", ""), manage.ErrStale)
+	generation := r.status().Generation
+	r.checkError("once more after kill -9", r.sendCommand(7, "s/1", w), nil)
+	if s := r.status(); s.Generation != generation || s.Hash != w.Hash || s.Wanted.Hash != w.Hash {
+		t.Errorf("%+v", s)
+	}
+	checkRestartCommand(r)
+	// The trials of fleets count these two lines.
+	for line, want := range map[string]int{`msg="command started" id=s/1 epoch=7 owner=me `: 1, `msg="coordinator epoch granted" epoch=7 owner=me` + "\n": 1} {
+		if n := strings.Count(r.log.String(), line); n != want {
+			t.Errorf("%q is logged %d times, not %d", line, n, want)
+		}
+	}
+	r.checkError("a newer epoch", r.claimEpoch(8, "me", ""), nil)
+	r.checkError("the old one", r.sendCommand(7, "s/2", w), manage.ErrStale)
+	// By hand: another hash than the one that is wanted.
+	r.writeConfig("rate = 100000", "rate = 80000")
+	if _, err := r.control.Reload(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if s := r.status(); s.Hash != r.configHash() || s.Wanted.Hash != w.Hash || s.Hash == w.Hash {
+		t.Errorf("drift: %+v", s)
+	}
+}
+
+// checkFailingCommands checks that commands which fail or are rejected leave r with the settings of current.
+func checkFailingCommands(r *daemonProcess, current desiredstate.Want) {
+	r.t.Helper()
+	for name, bad := range map[string]desiredstate.Want{
+		"an unknown key":     r.changedSettings("[plans.standard]", "[plans.standard]\nx = 1"),
+		"needs a restart":    r.changedSettings("/state\"", "/other\""),
+		"an address in vain": r.changedSettings(`address = "127.0.0.1:0"`, `address = "192.0.2.1:9"`),
+	} {
+		for range 2 {
+			r.checkError(name, r.sendCommand(7, "bad/"+name, bad), manage.ErrFailed)
+		}
+		if s := r.status(); s.Generation != 2 || s.Hash != current.Hash || s.Wanted.Hash != current.Hash || r.configHash() != current.Hash || len(s.Distrusts) > 0 {
+			r.t.Errorf("%s: %+v", name, s)
+		}
+	}
+	r.checkError("another act by the same id", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrBad)
+	r.checkError("a program that is none", r.sendCommand(7, "p/0", desiredstate.Want{Kind: desiredstate.Program, Path: r.directory}), manage.ErrBad)
+}
+
+// checkRestartCommand sends a restart three times at once: it runs once, and each sender gets its outcome.
+func checkRestartCommand(r *daemonProcess) {
+	r.t.Helper()
+	old := r.status().PID
+	answers := make(chan error, 3)
+	for range 3 {
+		go func() { answers <- r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}) }()
+	}
+	served := 0
+	for range 3 {
+		err := <-answers
+		for errors.Is(err, manage.ErrBusy) || err != nil && !errors.As(err, new(manage.RejectedError)) { // it came between both processes
+			err = r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart})
+		}
+		if r.checkError("restart", err, nil); err == nil {
+			served++
+		}
+	}
+	r.awaitStatus("the new process alone", func(s manage.Status) bool {
+		return s.PID != old && hasEnded(old) && s.Order.ID == "c/1" && s.Order.Code == desiredstate.OK
+	})
+	if s := r.status(); served != 3 || s.Epoch != 7 || s.Doing != "" || strings.Count(r.log.String(), "upgrade: successor started") != 1 {
+		r.t.Errorf("%+v", s)
+	}
+}
+
+// A command to upgrade fails where the successor can't take over or ends in its probation, and the old process goes
+// on with the newest desired state.
+func TestFailedUpgradeCommandLeavesOldProcessServing(t *testing.T) {
+	for successorFault, probation := range map[string]string{"dies": "300ms", "fails after it took over": "30s"} {
+		t.Run(successorFault, func(t *testing.T) {
+			t.Parallel()
+			r := startDaemonWith(t, successorFault, nil, `probation = "300ms"`, fmt.Sprintf("probation = %q", probation))
+			was := r.status()
+			r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
+			next := desiredstate.Want{Kind: desiredstate.Program, Path: os.Args[0]}
+			for range 2 {
+				r.checkError("the program", r.sendCommand(7, "p/1", next), manage.ErrFailed)
+			}
+			if s := r.status(); s.PID != was.PID || s.Wanted.Program != "" || s.Order.Code != desiredstate.Failed || s.Epoch != 7 || s.Doing != "" {
+				t.Errorf("%+v", s)
+			}
+			r.checkError("what comes next", r.sendCommand(7, "s/1", r.changedSettings("rate = 100000", "rate = 90000")), nil)
+		})
+	}
+}
+
+// A command of settings that was interrupted by kill -9, at each of its steps, is finished by the next start, or runs
+// when it is sent again, or is rolled back where the daemon can't start with it.
+func TestInterruptedSettingsCommandIsRecovered(t *testing.T) {
+	r := startDaemon(t, "")
+	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
+	for i, c := range []interruption{
+		{"written down alone", "# 1", false, false, ""},
+		{"the old text is kept", "# 2", true, false, ""},
+		{"the file is replaced", "# 3", true, true, desiredstate.OK},
+		{"can't start", "listeners", true, true, desiredstate.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			id := fmt.Sprint("s/", i)
+			was := r.status()
+			r.killAndWait()
+			w := r.changedSettings("[plans.standard]", c.change+"\n[plans.standard]")
+			if c.change == "listeners" {
+				w = r.changedSettings(`address = "127.0.0.1:0"`, `address = "192.0.2.1:9"`)
+			}
+			defer c.prepare(t, r, id, w).Close()
+			r.start("")
+			c.checkRecovery(t, r, id, w, was)
+		})
+	}
+}
+
+// interruption is a step of a command of settings after which its process was killed.
+type interruption struct {
+	name       string
+	change     string // of the configuration's text
+	isOldSaved bool   // the old text was saved for a rollback
+	isReplaced bool   // the configuration file was replaced
+	code       string // of the command after the start; empty where it was interrupted
+}
+
+// prepare writes what the killed process would have left of the command id, which wants w.
+func (c interruption) prepare(t *testing.T, r *daemonProcess, id string, w desiredstate.Want) *desiredstate.File {
+	t.Helper()
+	f, err := desiredstate.Open(r.directory+"/state", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := f.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, _, _, err = b.Order(desiredstate.Order{Epoch: 7, Owner: "me", ID: id, Want: w}); err == nil {
+		err = f.Save(b)
+	}
+	old, _ := os.ReadFile(r.directory + "/c.toml")
+	if c.isOldSaved && err == nil {
+		err = f.Keep(old)
+	}
+	if c.isReplaced && err == nil {
+		err = desiredstate.Replace(r.directory+"/c.toml", []byte(w.Text))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// checkRecovery checks the outcome of the command after the start, and what it does when it is sent again; was is
+// the status before.
+func (c interruption) checkRecovery(t *testing.T, r *daemonProcess, id string, w desiredstate.Want, was manage.Status) {
+	t.Helper()
+	s := r.status()
+	if done := s.Order.ID == id; done != (c.code != "") || done && s.Order.Code != c.code || s.Epoch != 7 || s.Doing != "" {
+		t.Fatalf("%+v", s)
+	}
+	switch c.code {
+	case desiredstate.Failed:
+		if s.Hash != was.Hash || r.configHash() != was.Hash || s.Wanted.Hash != was.Wanted.Hash {
+			t.Errorf("%+v", s)
+		}
+		r.checkError("again", r.sendCommand(7, id, w), manage.ErrFailed)
+	default:
+		if s.Wanted.Hash != w.Hash || (s.Hash == w.Hash) != c.isReplaced {
+			t.Errorf("%+v", s)
+		}
+		r.checkError("again", r.sendCommand(7, id, w), nil)
+		if s := r.status(); s.Hash != w.Hash || r.configHash() != w.Hash {
+			t.Errorf("%+v", s)
+		}
+	}
+	if _, err := os.Stat(r.directory + "/state/settings.old"); !os.IsNotExist(err) {
+		t.Errorf("the saved old settings are left: %v", err)
+	}
+}
+
+// A command of settings that is sent again after kill -9 at any moment of it succeeds, and the configuration file, the
+// settings in force and the desired state agree.
+func TestKillDuringSettingsCommandLeavesOneState(t *testing.T) {
+	r := startDaemon(t, "")
+	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
+	for i := range 8 {
+		w := r.changedSettings("depth = 100000", fmt.Sprintf("depth = 100000 # %d", i))
+		pid := r.status().PID
+		late := time.AfterFunc(time.Duration(3*i)*time.Millisecond, func() { syscall.Kill(pid, syscall.SIGKILL) })
+		_ = r.sendCommand(7, fmt.Sprint("s/", i), w) // its answer may be lost
+		late.Stop()
+		syscall.Kill(pid, syscall.SIGKILL)
+		testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
+		r.start("")
+		r.checkError("asked again", r.sendCommand(7, fmt.Sprint("s/", i), w), nil)
+		if s := r.status(); s.Hash != w.Hash || r.configHash() != w.Hash || s.Wanted.Hash != w.Hash || s.Epoch != 7 ||
+			strings.Count(r.log.String(), fmt.Sprintf("ended\" id=s/%d code=ok", i)) > 1 {
+			t.Fatalf("%d: %+v", i, s)
+		}
+	}
+}
+
+// A member that can't read its desired state rejects every coordinator until a claim says that it knows of the loss.
+func TestUnreadableDesiredStateNeedsNewClaim(t *testing.T) {
+	r := startDaemon(t, "")
+	r.checkError("a claim", r.claimEpoch(9, "you", ""), nil)
+	r.killAndWait()
+	path := r.directory + "/state/orders"
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		err = os.WriteFile(path, raw[:len(raw)/2], 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.start("")
+	r.killAndWait() // it does not forget that it has lost it
+	r.start("")
+	s := r.status()
+	if s.Lost == "" || !strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
+		t.Errorf("%+v", s)
+	}
+	r.checkError("an old epoch", r.claimEpoch(7, "me", ""), manage.ErrLost)
+	r.checkError("its order", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrLost)
+	r.checkError("a claim that knows", r.claimEpoch(10, "me", s.Lost), nil)
+	if s := r.status(); s.Lost != "" || s.Epoch != 10 || strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
+		t.Errorf("%+v", s)
+	}
+	// What can't be written is not granted, and not done.
+	if err := os.Rename(r.directory+"/state", r.directory+"/gone"); err != nil {
+		t.Fatal(err)
+	}
+	r.checkError("a claim that can't be kept", r.claimEpoch(11, "me", ""), manage.ErrUnkept)
+	w := r.changedSettings("rate = 100000", "rate = 90000")
+	r.checkError("an order that can't be kept", r.sendCommand(10, "s/1", w), manage.ErrUnkept)
+	if s := r.status(); s.Epoch != 10 || s.Hash == w.Hash || s.Wanted.Hash != "" || r.configHash() != s.Hash || !strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
+		t.Errorf("%+v", s)
+	}
+	if err := os.Rename(r.directory+"/gone", r.directory+"/state"); err != nil {
+		t.Fatal(err)
+	}
+	r.checkError("the same once it can", r.sendCommand(10, "s/1", w), nil)
+	r.checkError("the claim too", r.claimEpoch(11, "me", ""), nil)
+}
+
+// A member whose desired state is drained ends, and started again stays drained: it has no listeners, but accepts
+// claims, settings and the command to serve.
+func TestDrainedDaemonStaysDrainedUntilServe(t *testing.T) {
+	r := startDaemon(t, "")
+	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
+	pid := r.status().PID
+	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), nil)
+	testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
+	for range 2 {
+		r.run("")
+		r.awaitStatus("drained", func(s manage.Status) bool { return s.Life == manage.Drained && s.AsWanted() && s.Order.ID == "d/1" })
+		if c, err := net.Dial("tcp", r.address); err == nil {
+			c.Close()
+			t.Error("it takes clients")
+		}
+		pid := r.status().PID
+		if _, err := r.control.Drain(context.Background()); err != nil {
+			t.Error(err)
+		}
+		testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
+	}
+	r.run("")
+	r.awaitStatus("drained", func(s manage.Status) bool { return s.Life == manage.Drained })
+	r.checkError("an old epoch", r.claimEpoch(6, "me", ""), manage.ErrStale)
+	r.checkError("a newer one", r.claimEpoch(8, "me", ""), nil)
+	r.checkError("a restart", r.sendCommand(8, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrBad)
+	w := r.changedSettings("rate = 100000", "rate = 90000")
+	r.checkError("settings", r.sendCommand(8, "s/1", w), nil)
+	for range 2 {
+		r.checkError("serve", r.sendCommand(8, "v/1", desiredstate.Want{Kind: desiredstate.Serve}), nil)
+	}
+	if s := r.status(); !s.Ready() || s.Hash != w.Hash || s.Wanted.Drained || s.Epoch != 8 || s.Order.ID != "v/1" {
+		t.Errorf("%+v", s)
+	}
+	// The owner's own hand.
+	pid = r.status().PID
+	if _, err := r.control.Rest(context.Background()); err != nil {
+		t.Error(err)
+	}
+	testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
+	r.run("")
+	r.awaitStatus("drained", func(s manage.Status) bool { return s.Life == manage.Drained })
+	if s, err := r.control.Serve(context.Background()); err != nil || s.Life == manage.Drained {
+		t.Errorf("%+v, %v", s, err)
+	}
+	r.awaitStatus("ready", func(s manage.Status) bool { return s.Ready() })
+}
+
+// Without a state directory a member keeps its epoch over an upgrade, reports that a crash loses it, and rejects a
+// command to drain.
+func TestEpochOutlivesUpgradeWithoutStateDirectory(t *testing.T) {
+	r := startDaemonWith(t, "", nil, "state = \"DIR/state\"\ncheckpoint = \"20ms\"\n", "")
+	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
+	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), manage.ErrBad)
+	r.checkError("restart", r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), nil)
+	r.awaitStatus("the new process alone", func(s manage.Status) bool { return s.Order.ID == "c/1" && s.Order.Code == desiredstate.OK })
+	if s := r.status(); s.Epoch != 7 || !s.Forgets {
+		t.Errorf("%+v", s)
+	}
+}
+
+// A member's instance statistics count requests that were served and requests beyond a hard limit.
+func TestInstanceStatsCountServedAndRejected(t *testing.T) {
+	// A rate at which nothing comes back, however long the asking takes.
+	r := startDaemonWith(t, "", nil, "ceiling_rate = 50", "ceiling_rate = 0.01")
+	before := r.status().Figures
+	served := r.sendRequests(60)                                                                                         // of a burst of 50
+	r.awaitStatus("the last is counted", func(s manage.Status) bool { return s.Figures.Requests >= before.Requests+60 }) // it is answered first
+	f, ok := r.status().Figures.Since(before)
+	if !ok || f.Requests != 60 || int(f.Delays.Total()) != served || int(f.Refused) != 60-served || f.Beyond != f.Refused || f.Beyond == 0 ||
+		f.Asked != float64(served) || f.Served != float64(served)-float64(f.Late) || f.Units < float64(served) || f.Failed+f.Breaches+f.Panics > 0 || f.CPU <= 0 || f.MemoryKB <= 0 {
+		t.Errorf("served %d: %+v", served, f)
+	}
+}
--- /dev/null
+++ b/internal/daemon/conditions.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Names of degraded conditions, as the status shows them.
+const (
+	conditionConfigFile     = "configuration file"
+	conditionLastCheckpoint = "state of the last run"
+	conditionLastSpending   = "what was spent before the start"
+	conditionMetrics        = "metrics"
+	conditionOrders         = "orders"
+	conditionStateDirectory = "state directory"
+	// conditionGroupSizePrefix goes before a service's name.
+	conditionGroupSizePrefix = "size of the group, by the servers of "
+)
+
+// degradedConditions are what the daemon can't rely on at present; the status lists them (key distrusts).
+// It is safe for concurrent use; its zero value has none.
+type degradedConditions struct {
+	mu     sync.Mutex
+	byName map[string]condition
+}
+
+// condition is one degraded condition.
+type condition struct {
+	since time.Time
+	cause string
+}
+
+// add adds a condition, or replaces the cause of one that lasts.
+func (d *degradedConditions) add(name, cause string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byName == nil {
+		d.byName = make(map[string]condition)
+	}
+	c, ok := d.byName[name]
+	if !ok {
+		c.since = time.Now()
+	}
+	c.cause = cause
+	d.byName[name] = c
+}
+
+func (d *degradedConditions) clear(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.byName, name)
+}
+
+// list returns the conditions as text, sorted, and never nil.
+func (d *degradedConditions) list() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lines := []string{}
+	for name, c := range d.byName {
+		lines = append(lines, fmt.Sprintf("%s, since %s: %s", name, c.since.UTC().Format(time.RFC3339), c.cause))
+	}
+	slices.Sort(lines)
+	return lines
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,18 +1,21 @@
-// Package daemon runs a node as a daemon: it brings what happens (signals, what its owner asks,
-// what a successor does) to the machine of its life and carries out what that says.
+// Package daemon runs a node as a daemon. Its event loop passes what happens (signals, requests on the
+// control socket, what a successor or predecessor process does) to the state machine of package lifecycle
+// and carries out the actions that this returns: reload, binary upgrade, drain.
+//
+// Package command calls Run. One goroutine, the event loop (loop.go), owns the daemon's mutable state; every
+// other goroutine posts events to it. The control socket's handlers (manage.Daemon) run in goroutines of
+// their own and wait for the loop's answer.
 package daemon
 
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
 	"time"
 
-	"lockflow/control"
 	"lockflow/internal/config"
 	"lockflow/internal/lifecycle"
 	"lockflow/internal/manage"
@@ -24,45 +27,51 @@
 
 // Options are what a daemon is run with.
 type Options struct {
-	LoadConfig         func() (config.Config, error)            // reads the configuration, also for each reload
-	ParseConfig        func(text []byte) (config.Config, error) // the same of a text that is to become the file's
-	ApplyRuntimeLimits func(config.Config)                      // sets the runtime to one that is in force
-	ConfigPath         string                                   // the file's name, to be told
-	PIDFilePath        string                                   // "" is none
-	StateDirectory     string                                   // the state directory, where it is known without the file; else ""
-	Program            string                                   // what an upgrade starts where nothing else is named
-	Args               []string                                 // that it is started with
+	LoadConfig         func() (config.Config, error)            // reads and checks the configuration file, also for each reload
+	ParseConfig        func(text []byte) (config.Config, error) // checks a text that is to replace the file's
+	ApplyRuntimeLimits func(config.Config)                      // sets the Go runtime's limits to those of a configuration in force
+	ConfigPath         string                                   // of the configuration file, for the status and for commands that replace it
+	PIDFilePath        string                                   // empty for none
+	StateDirectory     string                                   // where it is known without the file; else empty
+	Program            string                                   // path of this executable, which an upgrade starts by default
+	Args               []string                                 // of this process, without the program's name; a successor gets the same
 	Getenv             func(string) string
-	ReloadSignals      <-chan os.Signal // asks for a reload each
-	UpgradeSignals     <-chan os.Signal // asks for an upgrade each
+	ReloadSignals      <-chan os.Signal // each requests a reload
+	UpgradeSignals     <-chan os.Signal // each requests an upgrade
 }
 
-// daemon is one run. Only the goroutine of live uses the fields below the line.
+// eventBacklog is how many posted events wait for the event loop before a poster blocks.
+const eventBacklog = 64
+
+// daemon is one run.
 type daemon struct {
 	opts            Options
-	node            *node.Node
-	store           *state.Store // nil is none
-	pidFile         *supervise.PIDFile
-	predecessor     *upgrade.Predecessor // nil where this is no successor
-	events          chan any
-	loopEnded       chan struct{} // closed when nobody takes events any more
+	node            *node.Node           // nil until build
+	store           *state.Store         // nil without a state directory
+	pidFile         *supervise.PIDFile   // nil without one
+	predecessor     *upgrade.Predecessor // nil where this process is no successor
+	events          chan event
+	loopEnded       chan struct{} // closed when the event loop takes no events any more
 	startedAt       time.Time
-	goroutines      sync.WaitGroup
+	goroutines      sync.WaitGroup // those that end with the event loop
 	conditions      degradedConditions
 	checkpointer    checkpointer
 	endWhileDrained chan struct{} // ends a daemon that is drained
 
-	cfg           config.Config
+	// The event loop alone uses the fields below once it runs.
+
+	cfg           config.Config // in force
 	member        *member
-	running       *runningCommand // nil while no order is
+	running       *runningCommand // nil while no command runs
 	machine       lifecycle.Machine
-	controlServer *manage.Server
+	controlServer *manage.Server // nil without a control socket
 	startDrain    context.CancelFunc
 
-	pendingReloads, runningReloads []chan error // who asked for a reload that has not begun, that goes on
-	pendingUpgrades                []chan error // who asked for an upgrade
-	nextProgram                    string       // that the next upgrade starts
-	successor                      *successor   // nil while there is no successor
+	pendingReloads  []chan error // who waits for a reload that has not begun
+	runningReloads  []chan error // who waits for the one that runs
+	pendingUpgrades []chan error // who waits for an upgrade
+	nextProgram     string       // what the next upgrade starts; empty for opts.Program
+	successor       *successor   // nil while there is none
 }
 
 // Run runs a daemon until ctx ends and it has drained, or a successor has taken its place.
@@ -72,12 +81,12 @@
 		return err
 	}
 	defer d.close()
-	if d.predecessor == nil && d.member.book.Wanted.Drained {
-		p, err := d.runDrained(ctx)
-		if p == nil {
+	if d.isToStayDrained() {
+		drained, err := d.runDrained(ctx)
+		if drained == nil {
 			return err
 		}
-		if err := p.resume(); err != nil {
+		if err := drained.resume(); err != nil {
 			return err
 		}
 	} else if err := d.build(); err != nil {
@@ -86,9 +95,21 @@
 	return d.run(ctx)
 }
 
-// prepare reads the configuration and takes hold of the files.
+// isToStayDrained tells whether the desired state is drained. A successor builds first: it was started by
+// a process that serves.
+func (d *daemon) isToStayDrained() bool {
+	return d.predecessor == nil && d.member.desiredState.Wanted.Drained
+}
+
+// prepare reads the configuration and opens the files.
 func prepare(o Options) (d *daemon, err error) {
-	d = &daemon{opts: o, events: make(chan any, 64), loopEnded: make(chan struct{}), startedAt: time.Now(), endWhileDrained: make(chan struct{}, 1)}
+	d = &daemon{
+		opts:            o,
+		events:          make(chan event, eventBacklog),
+		loopEnded:       make(chan struct{}),
+		startedAt:       time.Now(),
+		endWhileDrained: make(chan struct{}, 1),
+	}
 	if d.predecessor, err = upgrade.Join(o.Getenv); err != nil {
 		return nil, err
 	}
@@ -107,35 +128,35 @@
 		d.close()
 		return nil, err
 	}
-	if d.predecessor == nil && d.member.book.Wanted.Drained {
+	if d.isToStayDrained() {
 		d.recoverCommand()
 	}
 	return d, nil
 }
 
-// build makes everything else that can fail before a client comes.
+// build makes everything else that can fail before the first client connects.
 func (d *daemon) build() error {
-	inherited, err := d.inheritListeners()
+	listeners, err := d.inheritListeners()
 	if err != nil {
 		return err
 	}
 	if d.predecessor != nil {
-		d.predecessor.CloseUnclaimed() // of what the configuration no longer has
+		d.predecessor.CloseUnclaimed() // what the configuration no longer has
 	}
 	d.opts.ApplyRuntimeLimits(d.cfg)
-	if d.node, err = node.NewInheriting(d.cfg, inherited); err != nil {
+	if d.node, err = node.NewInheriting(d.cfg, listeners); err != nil {
 		if d.predecessor != nil || !rollBackSettings(d.member, d.opts, d.cfg.Hash, err) {
 			return err
 		}
 		if d.cfg, err = d.opts.LoadConfig(); err != nil {
 			return err
 		}
-		if d.node, err = node.NewInheriting(d.cfg, inherited); err != nil {
+		if d.node, err = node.NewInheriting(d.cfg, listeners); err != nil {
 			return err
 		}
 	}
 	if d.predecessor != nil {
-		d.node.PauseListeners() // until the old process has handed over
+		d.node.PauseListeners() // until takeOver
 		return nil
 	}
 	d.restoreCheckpoint()
@@ -143,122 +164,116 @@
 	return d.listenControl(d, false)
 }
 
-// openFiles locks the process id's file and the state directory.
-func (d *daemon) openFiles() (err error) {
-	var pid, lock *os.File
-	if d.predecessor != nil {
-		pid, lock = d.predecessor.TakeFile("pid"), d.predecessor.TakeFile("lock:"+d.cfg.Process.State)
+// Names of the files that a successor inherits; prefixes go before an address or a directory.
+const (
+	filePID            = "pid"
+	fileDesiredState   = "orders"
+	filePrefixLock     = "lock:"
+	filePrefixListener = "listen:"
+)
+
+// openFiles opens and locks the pid file, the state directory and the member's book, or takes the
+// predecessor's.
+func (d *daemon) openFiles() error {
+	if err := d.openPIDFile(); err != nil {
+		return err
 	}
-	switch {
-	case d.opts.PIDFilePath == "":
-	case pid != nil:
-		d.pidFile = supervise.AdoptPIDFile(pid, d.opts.PIDFilePath)
-	default:
-		if d.pidFile, err = supervise.CreatePIDFile(d.opts.PIDFilePath); err != nil {
+	directory := d.cfg.Process.State
+	if directory != "" {
+		store, err := state.Open(directory, d.inheritedFile(filePrefixLock+directory))
+		if err != nil {
 			return err
 		}
+		d.store = store
 	}
-	if dir := d.cfg.Process.State; dir != "" {
-		if d.store, err = state.Open(dir, lock); err != nil {
-			return err
-		}
+	m, err := openMember(directory, d.inheritedFile(fileDesiredState), &d.conditions)
+	if err != nil {
+		return err
 	}
-	var book *os.File
-	if d.predecessor != nil {
-		book = d.predecessor.TakeFile("orders")
+	d.member = m
+	return nil
+}
+
+func (d *daemon) openPIDFile() (err error) {
+	if d.opts.PIDFilePath == "" {
+		return nil
+	}
+	if inherited := d.inheritedFile(filePID); inherited != nil {
+		d.pidFile = supervise.AdoptPIDFile(inherited, d.opts.PIDFilePath)
+		return nil
 	}
-	d.member, err = openMember(d.cfg.Process.State, book, &d.conditions)
+	d.pidFile, err = supervise.CreatePIDFile(d.opts.PIDFilePath)
 	return err
 }
 
-// inheritListeners gives the listeners of the old process or of the supervisor, by address.
+// inheritedFile takes a file of the predecessor, nil where there is none of that name.
+func (d *daemon) inheritedFile(name string) *os.File {
+	if d.predecessor == nil {
+		return nil
+	}
+	return d.predecessor.TakeFile(name)
+}
+
+// inheritListeners returns the listeners of the predecessor or of the supervisor, by address.
 func (d *daemon) inheritListeners() (map[string]net.Listener, error) {
-	named := make(map[string]bool)
-	for _, addr := range d.cfg.Listeners {
-		named[addr] = true
+	configured := make(map[string]bool)
+	for _, address := range d.cfg.Listeners {
+		configured[address] = true
 	}
 	if d.predecessor != nil {
-		all, err := d.predecessor.TakeListeners("listen:")
-		for addr, l := range all {
-			if !named[addr] { // the configuration has changed meanwhile
+		listeners, err := d.predecessor.TakeListeners(filePrefixListener)
+		for address, l := range listeners {
+			if !configured[address] { // the configuration has changed meanwhile
 				l.Close()
-				delete(all, addr)
+				delete(listeners, address)
 			}
 		}
-		return all, err
+		return listeners, err
 	}
-	byName, err := supervise.InheritedListeners()
+	listeners, err := supervise.InheritedListeners()
 	if err != nil {
 		return nil, err
 	}
-	for name := range byName {
-		if !named[config.Inherited+name] {
+	for name := range listeners {
+		if !configured[config.Inherited+name] {
 			return nil, fmt.Errorf("the supervisor passed a socket %q on that no listener names (address = %q)", name, config.Inherited+name)
 		}
 	}
-	return byName, nil
-}
-
-// restoreCheckpoint goes on from where the last run ended, as far as that is known.
-func (d *daemon) restoreCheckpoint() {
-	if d.store == nil {
-		return
-	}
-	st, found, err := d.store.Consume()
-	switch {
-	case err != nil && st.Services == nil:
-		slog.Warn("the last state can't be read: ceilings begin with their slack, nothing is known of servers", "err", err)
-		d.conditions.add("state of the last run", err.Error())
-	case !found:
-		slog.Info("no state of an earlier run", "dir", d.cfg.Process.State)
-	case err != nil, !st.Clean:
-		why := "the last run did not end in order"
-		if err != nil {
-			why = err.Error()
-		}
-		slog.Warn("what was spent last is not known: ceilings begin empty, cold servers as if unseen", "why", why,
-			"state", time.Since(st.TakenAt).Round(time.Millisecond))
-		d.conditions.add("what was spent before the start", why)
-		d.node.Restore(st, control.TrustEstimates)
-	default:
-		slog.Info("going on from the state of the last run", "age", time.Since(st.TakenAt).Round(time.Millisecond))
-		d.node.Restore(st, control.TrustAll)
-	}
+	return listeners, nil
 }
 
-// listenControl makes the control socket, or has the one that there is ask another of this process.
-func (d *daemon) listenControl(asked manage.Daemon, takeOver bool) (err error) {
+// listenControl opens the control socket and has served answer on it; where it is open already and is not
+// to be taken over, served answers from now on.
+func (d *daemon) listenControl(served manage.Daemon, takeOver bool) (err error) {
 	path := d.cfg.Process.Control
 	if path == "" {
 		return nil
 	}
 	if d.controlServer != nil && !takeOver {
-		d.controlServer.Hand(asked)
+		d.controlServer.Hand(served)
 		return nil
 	}
 	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
 		return fmt.Errorf("control socket: %w", err)
 	}
-	d.controlServer, err = manage.Listen(path, asked, takeOver)
+	d.controlServer, err = manage.Listen(path, served, takeOver)
 	return err
 }
 
-// close lets go of what start has opened.
+// close closes what prepare and build have opened.
 func (d *daemon) close() {
 	d.controlServer.Close()
-	handed := d.successor != nil && d.successor.phase == successorServing
-	switch {
-	case handed:
-		_ = d.pidFile.Release() // a descriptor of the successor's file, which nothing is written to any more
-	case d.predecessor != nil && !d.checkpointer.ownsFile.Load(): // never took over
-		_ = d.pidFile.Release() // as above, of the predecessor's
-	default:
-		_ = d.pidFile.Close() // a file that stays is unlocked: whoever reads it can tell that nobody has it
+	hasHandedOver := d.successor != nil && d.successor.phase == successorServing
+	neverTookOver := d.predecessor != nil && !d.checkpointer.ownsFile.Load()
+	if hasHandedOver || neverTookOver {
+		_ = d.pidFile.Release() // the other process's, which nothing is written to any more
+	} else {
+		_ = d.pidFile.Close() // a file that stays is unlocked: whoever reads it can tell that no process has it
 	}
 	if d.member != nil {
 		d.member.store.Close()
 	}
 	if d.store != nil {
-		_ = d.store.Close() // the lock alone: the state is written with an fsync and a rename
+		_ = d.store.Close() // the lock alone: checkpoints are synced when they are saved
 	}
 }
--- /dev/null
+++ b/internal/daemon/drained.go
@@ -0,0 +1,271 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
+	"lockflow/internal/manage"
+	"lockflow/internal/node"
+	"lockflow/internal/supervise"
+)
+
+// drainedDaemon is a daemon whose desired state is drained: it holds its files and answers on its control socket,
+// so that it can be claimed and commanded, and has no listeners. A supervisor that restarts it finds it the same.
+type drainedDaemon struct {
+	d              *daemon
+	serveRequested chan struct{} // closed, under mu, once it is to serve
+	resumed        chan struct{} // closed once resume has returned
+	resumeErr      error         // its result; read after resumed is closed
+
+	mu sync.Mutex // guards d.member and d.cfg until serveRequested is closed
+}
+
+var (
+	_ manage.Daemon = (*drainedDaemon)(nil)
+	_ manage.Daemon = (*daemon)(nil)
+)
+
+var errIsDrained = errors.New("the daemon is drained: it has to serve first")
+
+// runDrained waits until the daemon is requested to serve. It returns nil where ctx ends before, or the control
+// socket requests the end.
+func (d *daemon) runDrained(ctx context.Context) (*drainedDaemon, error) {
+	if d.cfg.Process.Control == "" {
+		return nil, errors.New("it is wanted drained, and has no control socket by which it could be told to serve")
+	}
+	r := &drainedDaemon{d: d, serveRequested: make(chan struct{}), resumed: make(chan struct{})}
+	if err := d.listenControl(r, false); err != nil {
+		return nil, err
+	}
+	slog.Info("lifecycle transition", "from", lifecycle.Starting, "to", manage.Drained, "cause", "it is wanted drained: lockflow fleet serve undoes that")
+	logSupervisor(supervise.NotifyReady("drained, as is wanted"))
+
+	watchdogContext, endWatchdog := context.WithCancel(ctx)
+	var watchdog sync.WaitGroup
+	watchdog.Go(func() {
+		if err := supervise.RunWatchdog(watchdogContext, func(context.Context) bool { return true }); err != nil {
+			slog.Warn("watchdog notification failed", "err", err)
+		}
+	})
+	defer watchdog.Wait()
+	defer endWatchdog()
+	if r.awaitServeRequest(ctx) {
+		return r, nil
+	}
+	return nil, nil
+}
+
+// awaitServeRequest returns true once the daemon is to serve, false once it is to end. Signals for a reload or an
+// upgrade are ignored: the configuration file is read when it serves.
+func (r *drainedDaemon) awaitServeRequest(ctx context.Context) bool {
+	reloads, upgrades := r.d.opts.ReloadSignals, r.d.opts.UpgradeSignals
+	for {
+		select {
+		case _, ok := <-reloads:
+			if !ok {
+				reloads = nil
+			}
+		case _, ok := <-upgrades:
+			if !ok {
+				upgrades = nil
+			}
+		case <-r.serveRequested:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-r.d.endWhileDrained:
+			return false
+		}
+	}
+}
+
+// resume builds what serves.
+func (r *drainedDaemon) resume() (err error) {
+	defer func() {
+		r.resumeErr = err
+		close(r.resumed)
+	}()
+	d := r.d
+	old := d.cfg.Process
+	if d.cfg, err = d.opts.LoadConfig(); err != nil {
+		return err
+	}
+	if d.cfg.Process.State != old.State || d.cfg.Process.Control != old.Control {
+		return errors.New("process.state or process.control has changed while the daemon was drained: start it again")
+	}
+	return d.build()
+}
+
+// awaitResume waits until resume has returned, and returns its error.
+func (r *drainedDaemon) awaitResume(ctx context.Context) error {
+	select {
+	case <-r.resumed:
+		return r.resumeErr
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *drainedDaemon) isResuming() bool {
+	select {
+	case <-r.serveRequested:
+		return true
+	default:
+		return false
+	}
+}
+
+// Status implements manage.Daemon.
+func (r *drainedDaemon) Status() manage.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.d
+	s := manage.Status{
+		PID:         os.Getpid(),
+		Program:     d.opts.Program,
+		Config:      d.opts.ConfigPath,
+		Life:        manage.Drained,
+		Started:     d.startedAt,
+		Listeners:   []string{},
+		Services:    []node.Status{},
+		Older:       []node.RetiredService{},
+		Descriptors: openDescriptors(),
+		MemoryKB:    residentMemoryKB(),
+		Distrusts:   d.conditions.list(),
+	}
+	if r.isResuming() {
+		s.Life = lifecycle.Starting.String()
+	} else {
+		s.Hash = d.cfg.Hash
+		d.member.addStatus(&s)
+	}
+	s.Figures.Began = d.startedAt
+	return s
+}
+
+// Reload implements manage.Daemon.
+func (r *drainedDaemon) Reload(context.Context) error { return errIsDrained }
+
+// Upgrade implements manage.Daemon.
+func (r *drainedDaemon) Upgrade(context.Context, string) error { return errIsDrained }
+
+// Drain implements manage.Daemon: the process ends. Its supervisor may start it again; it is drained then as
+// long as that is the desired state.
+func (r *drainedDaemon) Drain(bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isResuming() {
+		return busyError("the daemon starts")
+	}
+	select {
+	case r.d.endWhileDrained <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Serve implements manage.Daemon.
+func (r *drainedDaemon) Serve(ctx context.Context) error {
+	if err := r.requestServe(); err != nil {
+		return err
+	}
+	return r.awaitResume(ctx)
+}
+
+func (r *drainedDaemon) requestServe() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isResuming() {
+		return nil
+	}
+	if err := r.d.member.setDrained(false); err != nil {
+		return err
+	}
+	close(r.serveRequested)
+	return nil
+}
+
+// Claim implements manage.Daemon.
+func (r *drainedDaemon) Claim(ctx context.Context, claim desiredstate.Claim) error {
+	r.mu.Lock()
+	if !r.isResuming() {
+		defer r.mu.Unlock()
+		return r.d.member.grantEpoch(claim)
+	}
+	r.mu.Unlock()
+	if err := r.awaitResume(ctx); err != nil {
+		return err
+	}
+	return r.d.Claim(ctx, claim)
+}
+
+// Order implements manage.Daemon. A command to serve ends when the daemon serves.
+func (r *drainedDaemon) Order(ctx context.Context, command desiredstate.Order) error {
+	isComplete, err := r.runCommand(command)
+	if isComplete {
+		return err
+	}
+	if err := r.awaitResume(ctx); err != nil {
+		return err
+	}
+	return r.d.Order(ctx, command)
+}
+
+// runCommand runs what a drained daemon can of a command. Where it returns false, d runs the command once it has
+// resumed.
+func (r *drainedDaemon) runCommand(command desiredstate.Order) (isComplete bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isResuming() {
+		return false, nil
+	}
+	m := r.d.member
+	want := command.Want
+	next, step, outcome, err := m.desiredState.Order(command)
+	switch {
+	case err != nil:
+		return true, err
+	case step == desiredstate.Answer:
+		return true, outcomeError(outcome)
+	case step == desiredstate.Wait:
+		return true, busyError("order %s is under way", command.ID)
+	case want.Kind == desiredstate.Program || want.Kind == desiredstate.Restart:
+		return true, badError(errIsDrained.Error())
+	}
+	if err := m.save(next); err != nil {
+		return true, err
+	}
+	slog.Info("command started while drained", "id", command.ID, "epoch", command.Epoch, "owner", command.Owner, "kind", want.Kind)
+	switch want.Kind {
+	case desiredstate.Serve:
+		close(r.serveRequested)
+		return false, nil
+	case desiredstate.Settings:
+		err = r.replaceSettings(want)
+	}
+	m.record(m.desiredState.End(err))
+	return true, outcomeError(m.desiredState.Last())
+}
+
+// replaceSettings replaces the configuration file, which is read when the daemon resumes.
+func (r *drainedDaemon) replaceSettings(want desiredstate.Want) error {
+	d := r.d
+	next, err := d.opts.ParseConfig([]byte(want.Text))
+	if err != nil {
+		return err
+	}
+	if old := d.cfg.Process; old.State != next.Process.State || old.Control != next.Process.Control {
+		return fmt.Errorf("process.state and process.control can't change without a restart: %q, %q", next.Process.State, next.Process.Control)
+	}
+	if err := desiredstate.Replace(d.opts.ConfigPath, []byte(want.Text)); err != nil {
+		return fmt.Errorf("replacing the settings: %w", err)
+	}
+	d.cfg = next
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/groupsize.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"time"
+)
+
+// groupSizeInterval is the time between two comparisons of the group's size with load reports.
+const groupSizeInterval = 2 * time.Second
+
+// watchGroupSize logs, until ctx ends, where the load reports of a service's servers begin and cease to
+// contradict the configured group size.
+func (d *daemon) watchGroupSize(ctx context.Context) {
+	ticker := time.NewTicker(groupSizeInterval)
+	defer ticker.Stop()
+	wasDoubted := make(map[string]bool) // by service
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		_, configured := d.node.Instance()
+		for _, s := range d.node.Status() {
+			name := conditionGroupSizePrefix + s.Name
+			low, high := s.GroupSizeRange[0], s.GroupSizeRange[1]
+			switch {
+			case s.IsGroupSizeDoubted && !wasDoubted[s.Name]:
+				slog.Warn("configured group size contradicts load reports, limits and slow start depend on it", "service", s.Name,
+					"group_size", configured, "reported_min", math.Round(low), "reported_max", math.Round(high))
+				d.conditions.add(name, fmt.Sprintf("%d are told, reports speak for %.0f to %.0f", configured, low, high))
+			case !s.IsGroupSizeDoubted && wasDoubted[s.Name]:
+				slog.Info("configured group size agrees with load reports again", "service", s.Name, "group_size", configured)
+				d.conditions.clear(name)
+			}
+			wasDoubted[s.Name] = s.IsGroupSizeDoubted
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"lockflow/internal/config"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/lifecycle"
+	"lockflow/internal/supervise"
+)
+
+// event is something that another goroutine has posted for the event loop.
+type event interface {
+	// handle is called by the event loop. An error ends the daemon.
+	handle(d *daemon) error
+}
+
+// post passes an event to the event loop; it is dropped where the loop has ended.
+func (d *daemon) post(e event) {
+	select {
+	case d.events <- e:
+	case <-d.loopEnded:
+	}
+}
+
+// run runs the node and the event loop until the node has ended. The end of ctx begins a drain.
+func (d *daemon) run(ctx context.Context) error {
+	defer d.goroutines.Wait()
+	defer close(d.loopEnded)
+	background, endBackground := context.WithCancel(context.Background())
+	defer endBackground()
+	serving, drain := context.WithCancel(context.Background())
+	defer drain()
+	d.startDrain = drain
+	d.node.OnDrained = d.awaitFinalCheckpoint
+	nodeEnded := make(chan error, 1)
+	d.goroutines.Go(func() { nodeEnded <- d.node.Run(serving) })
+	d.startBackground(background)
+	d.advance(lifecycle.Listening{})
+	return d.loop(ctx, nodeEnded)
+}
+
+// startBackground starts what runs beside the node until ctx ends.
+func (d *daemon) startBackground(ctx context.Context) {
+	d.goroutines.Go(func() {
+		if err := supervise.RunWatchdog(ctx, d.node.Alive); err != nil {
+			slog.Warn("watchdog notification failed", "err", err)
+		}
+	})
+	d.checkpointer.ownsFile.Store(d.predecessor == nil)
+	d.checkpointer.interval.Store(int64(d.cfg.Process.Checkpoint))
+	d.goroutines.Go(func() { d.saveCheckpoints(ctx) })
+	d.goroutines.Go(func() { d.watchGroupSize(ctx) })
+	d.startMetrics(ctx)
+}
+
+// loop handles events until the node has ended.
+func (d *daemon) loop(ctx context.Context, nodeEnded <-chan error) error {
+	stop, ready := ctx.Done(), d.node.Ready()
+	reloads, upgrades := d.opts.ReloadSignals, d.opts.UpgradeSignals
+	for {
+		select {
+		case <-ready:
+			ready = nil
+			d.nodeReady()
+		case _, ok := <-reloads:
+			if !ok {
+				reloads = nil
+				continue
+			}
+			d.advance(lifecycle.ReloadRequested{Cause: "SIGHUP"})
+		case _, ok := <-upgrades:
+			if !ok {
+				upgrades = nil
+				continue
+			}
+			d.handleUpgradeSignal()
+		case <-stop:
+			stop = nil
+			d.advance(lifecycle.StopRequested{Cause: "asked to end"})
+		case e := <-d.events:
+			if err := d.handleEvent(e, nodeEnded); err != nil {
+				return err
+			}
+		case err := <-nodeEnded:
+			d.advance(lifecycle.Finished{Err: err})
+			d.answerAllRequests(errors.New("the daemon has ended"))
+			return err
+		}
+	}
+}
+
+// handleEvent handles one event. Where that fails it drains the node, waits for its end and returns the errors of
+// both.
+func (d *daemon) handleEvent(e event, nodeEnded <-chan error) error {
+	err := e.handle(d)
+	if err == nil {
+		return nil
+	}
+	d.startDrain()
+	for {
+		select {
+		case e := <-d.events:
+			if f, ok := e.(drainFinished); ok {
+				close(f.done) // without a checkpoint: the file is the predecessor's
+			}
+		case nodeErr := <-nodeEnded:
+			return errors.Join(err, nodeErr)
+		}
+	}
+}
+
+// nodeReady is called when every required service can serve for the first time.
+func (d *daemon) nodeReady() {
+	if d.predecessor != nil {
+		go d.requestCheckpoint() // nobody waits for it where this process ends before
+		return
+	}
+	d.servicesReady()
+}
+
+// servicesReady advances to ready and ends a command to serve.
+func (d *daemon) servicesReady() {
+	d.advance(lifecycle.ServicesReady{})
+	if d.running != nil && d.running.kind == desiredstate.Serve && !d.running.isInherited {
+		d.finishCommand(nil)
+	}
+}
+
+func (d *daemon) handleUpgradeSignal() {
+	if err := d.checkUpgrade(false); err != nil {
+		slog.Warn("upgrade signal rejected", "err", err)
+		return
+	}
+	d.advance(lifecycle.UpgradeRequested{Cause: "SIGUSR2"})
+}
+
+// advance passes an event to the state machine and carries out the actions that it returns.
+func (d *daemon) advance(e lifecycle.Event) {
+	// The machine reuses its slice, and an action may advance it again.
+	actions := append([]lifecycle.Action(nil), d.machine.Handle(e)...)
+	for _, a := range actions {
+		d.perform(a)
+	}
+}
+
+func (d *daemon) perform(a lifecycle.Action) {
+	switch a := a.(type) {
+	case lifecycle.LogTransition:
+		slog.Info("lifecycle transition", "from", a.From, "to", a.To, "cause", a.Cause)
+	case lifecycle.StartReload:
+		d.runningReloads, d.pendingReloads = d.pendingReloads, nil
+		d.goroutines.Go(d.reload)
+	case lifecycle.SpawnSuccessor:
+		d.spawnSuccessor()
+	case lifecycle.SendCheckpoint:
+		d.sendCheckpoint()
+	case lifecycle.YieldToSuccessor:
+		d.yieldToSuccessor()
+	case lifecycle.ResumeAlone:
+		d.resumeAlone()
+	case lifecycle.KillSuccessor:
+		d.killSuccessor()
+	case lifecycle.ForwardReload:
+		d.successor.forwardReload()
+	case lifecycle.StartDrain:
+		answerEach(d.pendingReloads, errors.New("the daemon drains"))
+		d.pendingReloads = nil
+		d.startDrain()
+	case lifecycle.NotifySupervisor:
+		d.notifySupervisor(a.Notification)
+	}
+}
+
+// lifecycleEvent is an event for the state machine that another goroutine has posted.
+type lifecycleEvent struct{ lifecycle.Event }
+
+func (e lifecycleEvent) handle(d *daemon) error {
+	d.advance(e.Event)
+	return nil
+}
+
+// loopCall has the event loop call a function, which may use what the loop owns.
+type loopCall struct{ call func() }
+
+func (c loopCall) handle(*daemon) error {
+	c.call()
+	return nil
+}
+
+// inLoop calls do in the event loop, or here where that has ended, and returns after it.
+func (d *daemon) inLoop(do func()) {
+	done := make(chan struct{})
+	d.post(loopCall{func() { do(); close(done) }})
+	select {
+	case <-done:
+	case <-d.loopEnded:
+		select {
+		case <-done:
+		default:
+			do()
+		}
+	}
+}
+
+// reload reads the configuration again and puts it in force.
+func (d *daemon) reload() {
+	cfg, err := d.opts.LoadConfig()
+	if err == nil {
+		err = d.node.Reload(cfg)
+	}
+	if err == nil {
+		d.opts.ApplyRuntimeLimits(cfg)
+	}
+	d.post(reloadFinished{cfg, err})
+}
+
+// reloadFinished is the end of a reload; cfg is in force where err is nil.
+type reloadFinished struct {
+	cfg config.Config
+	err error
+}
+
+func (f reloadFinished) handle(d *daemon) error {
+	if f.err != nil {
+		d.conditions.add(conditionConfigFile, f.err.Error())
+	} else {
+		d.cfg = f.cfg
+		d.checkpointer.interval.Store(int64(f.cfg.Process.Checkpoint))
+		d.conditions.clear(conditionConfigFile)
+	}
+	answerEach(d.runningReloads, f.err)
+	d.runningReloads = nil
+	d.advance(lifecycle.ReloadFinished{Err: f.err})
+	return nil
+}
+
+// notifySupervisor notifies the supervisor. One that can't be notified doesn't end a daemon that serves.
+func (d *daemon) notifySupervisor(n lifecycle.Notification) {
+	var err error
+	switch n {
+	case lifecycle.NotifyReady:
+		err = supervise.NotifyReady(fmt.Sprintf("%d services on %s", d.node.ServiceCount(), d.node.Addr()))
+	case lifecycle.NotifyReloading:
+		err = supervise.NotifyReloading()
+	case lifecycle.NotifyStopping:
+		err = supervise.NotifyStopping()
+	}
+	logSupervisor(err)
+}
+
+// logSupervisor logs that a notification has failed; nil is none.
+func logSupervisor(err error) {
+	if err != nil {
+		slog.Warn("supervisor notification failed", "err", err)
+	}
+}
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -11,114 +11,121 @@
 	"lockflow/internal/manage"
 )
 
-// member is what this process knows of who may order and what was ordered. One goroutine uses it.
+// member is this process's view of the fleet member that it runs: which coordinator's epoch is granted, which
+// commands it has run, and its desired state. One goroutine uses it: the event loop, or until that runs
+// whoever holds drainedDaemon.mu.
 type member struct {
-	store      *desiredstate.File
-	book       desiredstate.Book
-	isSaved    bool // the book is written as it is
-	conditions *degradedConditions
+	store        *desiredstate.File
+	desiredState desiredstate.Book
+	isSaved      bool // the store has book as it is
+	conditions   *degradedConditions
 }
 
-const conditionOrders = "orders"
-
-// openMember opens the book in a state directory ("" is none); inherited is that of the old process, which
-// is read later.
-func openMember(dir string, inherited *os.File, d *degradedConditions) (*member, error) {
-	f, err := desiredstate.Open(dir, inherited)
+// openMember opens the book in a state directory (empty for none). inherited is the predecessor's file, which
+// is read at the take-over; nil where there is none.
+func openMember(directory string, inherited *os.File, conditions *degradedConditions) (*member, error) {
+	store, err := desiredstate.Open(directory, inherited)
 	if err != nil {
 		return nil, err
 	}
-	m := &member{store: f, conditions: d}
+	m := &member{store: store, conditions: conditions}
 	if inherited == nil {
 		m.load()
 	}
 	return m, nil
 }
 
-// load reads the book. One that can't be read is lost: nobody is obeyed before a claim that says it knows.
+// load reads the book. One that can't be read is lost: the member rejects every coordinator until a claim says
+// that it knows of the loss.
 func (m *member) load() {
-	b, err := m.store.Load()
+	loaded, err := m.store.Load()
 	if err != nil {
-		b = desiredstate.Book{Lost: rand.Text()}
-		slog.Error("the book of orders can't be read: no coordinator is obeyed until it claims anew", "err", err)
+		slog.Error("desired state unreadable, commands are rejected until a new claim", "err", err)
 		m.conditions.add(conditionOrders, err.Error())
 		m.store.SetAside()
-		m.book = b
-		m.record(b)
+		m.desiredState = desiredstate.Book{Lost: rand.Text()}
+		m.record(m.desiredState)
 		return
 	}
-	m.book, m.isSaved = b, true
-	if b.Lost != "" {
+	m.desiredState, m.isSaved = loaded, true
+	if loaded.Lost != "" {
 		m.conditions.add(conditionOrders, "the epochs that were granted are lost")
 	}
 }
 
-// save has another book count once it is written.
+// save replaces the book by next once next is stored; where that fails the book stays.
 func (m *member) save(next desiredstate.Book) error {
-	if m.isSaved && reflect.DeepEqual(m.book, next) {
+	if m.isSaved && reflect.DeepEqual(m.desiredState, next) {
 		return nil
 	}
 	if err := m.store.Save(next); err != nil {
 		m.conditions.add(conditionOrders, err.Error())
 		return &desiredstate.RejectedError{Code: desiredstate.Unkept, Text: err.Error()}
 	}
-	m.book, m.isSaved = next, true
+	m.desiredState, m.isSaved = next, true
 	if next.Lost == "" {
 		m.conditions.clear(conditionOrders)
 	}
 	return nil
 }
 
-// record has another book count, of what has happened already. Where it can't be written that is told, and
-// a process that finds the one before goes by what it finds done.
+// record replaces the book by next, which tells what has happened already, also where it can't be stored. A
+// process that then finds the earlier book goes by what it finds done.
 func (m *member) record(next desiredstate.Book) {
 	if err := m.save(next); err != nil {
-		slog.Error("what became of an order can't be written", "err", err)
-		m.book, m.isSaved = next, false
+		slog.Error("command outcome not saved", "err", err)
+		m.desiredState, m.isSaved = next, false
 	}
 }
 
-// grantEpoch grants an epoch or refuses.
-func (m *member) grantEpoch(c desiredstate.Claim) error {
-	next, err := m.book.Claim(c)
+// grantEpoch grants a claim or rejects it.
+func (m *member) grantEpoch(claim desiredstate.Claim) error {
+	next, err := m.desiredState.Claim(claim)
 	if err != nil {
 		return err
 	}
-	granted := next.Epoch != m.book.Epoch
+	isNew := next.Epoch != m.desiredState.Epoch
 	if err := m.save(next); err != nil {
 		return err
 	}
-	if granted {
-		slog.Info("orders: an epoch is granted", "epoch", next.Epoch, "owner", next.Owner)
+	if isNew {
+		slog.Info("coordinator epoch granted", "epoch", next.Epoch, "owner", next.Owner)
 	}
 	return nil
 }
 
-// setDrained notes by the owner's hand whether the member is to be drained.
-func (m *member) setDrained(drained bool) error {
-	if m.store.Forgets() && drained {
-		return nil // it is drained; nothing could keep it so
+// setDrained sets, for the operator and beside all epochs, whether the desired state is drained. Without a
+// state directory it can't be kept: the daemon drains all the same.
+func (m *member) setDrained(isDrained bool) error {
+	if m.store.Forgets() && isDrained {
+		return nil
 	}
-	return m.save(m.book.Rest(drained))
+	return m.save(m.desiredState.Rest(isDrained))
 }
 
-// addStatus tells the book in a status.
+// addStatus fills in the status's part of the book.
 func (m *member) addStatus(s *manage.Status) {
-	s.Epoch, s.Owner, s.Lost, s.Forgets = m.book.Epoch, m.book.Owner, m.book.Lost, m.store.Forgets()
-	s.Order, s.Wanted = m.book.Last(), m.book.Wanted
-	if d := m.book.Doing; d != nil {
-		s.Doing = d.ID
+	s.Epoch, s.Owner, s.Lost, s.Forgets = m.desiredState.Epoch, m.desiredState.Owner, m.desiredState.Lost, m.store.Forgets()
+	s.Order, s.Wanted = m.desiredState.Last(), m.desiredState.Wanted
+	if running := m.desiredState.Doing; running != nil {
+		s.Doing = running.ID
 	}
 }
 
-// outcomeError is what is answered to an order that has ended.
-func outcomeError(d desiredstate.Done) error {
-	if d.Code == desiredstate.OK {
+// outcomeError returns what is answered to a command that has ended: nil where it succeeded.
+func outcomeError(outcome desiredstate.Done) error {
+	if outcome.Code == desiredstate.OK {
 		return nil
 	}
-	return &desiredstate.RejectedError{Code: d.Code, Text: d.Error}
+	return &desiredstate.RejectedError{Code: outcome.Code, Text: outcome.Error}
 }
 
+// busyError returns a rejection after which the caller may retry.
 func busyError(format string, args ...any) error {
 	return &desiredstate.RejectedError{Code: desiredstate.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
 }
+
+// badError returns a rejection that a retry can't change.
+func badError(text string) error {
+	return &desiredstate.RejectedError{Code: desiredstate.Bad, Text: text}
+}
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"lockflow/internal/manage"
+	"lockflow/internal/metrics"
+	"lockflow/internal/node"
+)
+
+// metricsRetryInterval is the pause before the metrics' address is tried again.
+const metricsRetryInterval = 500 * time.Millisecond
+
+// startMetrics serves metrics until ctx ends, where an address is configured. An address that is in use is no
+// reason not to serve clients: during an upgrade the predecessor has it until its end.
+func (d *daemon) startMetrics(ctx context.Context) {
+	address := d.cfg.Metrics
+	if address == "" {
+		return
+	}
+	var source metrics.Source = d.node
+	if d.cfg.Process.Control != "" {
+		source = memberMetrics{d.node, d}
+	}
+	d.goroutines.Go(func() { d.serveMetrics(ctx, address, source) })
+}
+
+func (d *daemon) serveMetrics(ctx context.Context, address string, source metrics.Source) {
+	isFailureLogged := false
+	for ctx.Err() == nil {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err == nil {
+			slog.Info("serving metrics", "listen", l.Addr().String())
+			d.conditions.clear(conditionMetrics)
+			isFailureLogged = false
+			err = metrics.Serve(ctx, l, source)
+		}
+		if err != nil && !isFailureLogged {
+			isFailureLogged = true
+			slog.Warn("serving metrics failed", "err", err)
+			d.conditions.add(conditionMetrics, err.Error())
+		}
+		select {
+		case <-time.After(metricsRetryInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// memberMetrics is the source of the metrics of a node that is a member of a fleet.
+type memberMetrics struct {
+	*node.Node
+	d *daemon
+}
+
+// Member implements metrics.Member.
+func (m memberMetrics) Member() manage.Status {
+	s := manage.Status{Figures: m.d.instanceStats()}
+	m.d.inLoop(func() { m.d.addMemberStatus(&s) })
+	return s
+}
--- /dev/null
+++ b/internal/daemon/predecessor.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"log/slog"
+
+	"lockflow/control"
+	"lockflow/internal/lifecycle"
+	"lockflow/internal/state"
+)
+
+// This file is the new process's side of a binary upgrade: it takes the place of its predecessor.
+
+// receivedCheckpoint is the predecessor's checkpoint, or why there is none.
+type receivedCheckpoint struct {
+	encoded []byte
+	err     error
+}
+
+func (r receivedCheckpoint) handle(d *daemon) error { return d.takeOver(r) }
+
+// receivedFinalCheckpoint is what the predecessor left at its end; nil where that is not known.
+type receivedFinalCheckpoint struct{ encoded []byte }
+
+func (r receivedFinalCheckpoint) handle(d *daemon) error {
+	d.takeFinalCheckpoint(r)
+	return nil
+}
+
+// requestCheckpoint tells the predecessor that this process could serve and waits for its checkpoint.
+func (d *daemon) requestCheckpoint() {
+	encoded, err := d.predecessor.AwaitCheckpoint()
+	d.post(receivedCheckpoint{encoded, err})
+}
+
+// takeOver accepts connections, beside the predecessor until that has drained. An error ends this process, and the
+// predecessor goes on.
+func (d *daemon) takeOver(received receivedCheckpoint) error {
+	checkpoint, err := state.Decode(received.encoded)
+	if received.err != nil {
+		err = received.err
+	}
+	if err == nil {
+		d.node.Restore(checkpoint, control.TrustAll)
+	} else {
+		slog.Warn("upgrade: no checkpoint received, nothing is known of what was spent", "err", err)
+		d.conditions.add(conditionLastSpending, err.Error())
+	}
+	d.takeOverDesiredState()
+	if err := d.listenControl(d, true); err != nil {
+		if received.err == nil { // the predecessor is there, and its socket works
+			return err
+		}
+		logControlSocket(err)
+	}
+	d.recordProcessID()
+	d.checkpointer.ownsFile.Store(true)
+	d.node.ResumeListeners()
+	if err := d.predecessor.AnnounceTakeOver(); err != nil {
+		slog.Warn("upgrade: predecessor has ended", "err", err)
+	}
+	go func() { d.post(receivedFinalCheckpoint{d.predecessor.AwaitFinalCheckpoint()}) }()
+	d.servicesReady()
+	return nil
+}
+
+// takeFinalCheckpoint adds what the predecessor left to this process's part.
+func (d *daemon) takeFinalCheckpoint(received receivedFinalCheckpoint) {
+	if checkpoint, err := state.Decode(received.encoded); err == nil {
+		d.node.Rejoin(&checkpoint)
+	} else {
+		slog.Warn("upgrade: no final checkpoint received, the predecessor's part of quotas is lost", "err", err)
+		d.node.Rejoin(nil)
+	}
+	d.recoverCommand()
+	d.advance(lifecycle.PredecessorEnded{})
+}
--- /dev/null
+++ b/internal/daemon/requests.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"lockflow/internal/lifecycle"
+)
+
+// upgradeCausePrefix goes before the program's path in the cause of an upgrade that was requested by the control
+// socket.
+const upgradeCausePrefix = "control socket: "
+
+// reloadRequest requests a reload; its result goes to answer, which has space for it.
+type reloadRequest struct {
+	cause  string
+	answer chan error
+}
+
+func (r reloadRequest) handle(d *daemon) error {
+	switch s := d.machine.State(); {
+	case s == lifecycle.Draining || s == lifecycle.Ended:
+		r.answer <- fmt.Errorf("no reload: the daemon is %v", s)
+		return nil
+	case d.successor != nil && d.successor.phase == successorServing:
+		r.answer <- errors.New("no reload: a successor has taken over; ask again")
+	default:
+		d.pendingReloads = append(d.pendingReloads, r.answer)
+	}
+	d.advance(lifecycle.ReloadRequested{Cause: r.cause})
+	return nil
+}
+
+// upgradeRequest requests an upgrade to a program; its result goes to answer, which has space for it.
+type upgradeRequest struct {
+	program   string
+	isCommand bool // by the command that runs
+	answer    chan error
+}
+
+func (r upgradeRequest) handle(d *daemon) error {
+	s := d.machine.State()
+	if s == lifecycle.Draining || s == lifecycle.HandingOver || s == lifecycle.Ended || len(d.pendingUpgrades) > 0 {
+		r.answer <- fmt.Errorf("no upgrade: the daemon is %v", s)
+		return nil
+	}
+	if err := d.checkUpgrade(r.isCommand); err != nil {
+		r.answer <- err
+		return nil
+	}
+	d.pendingUpgrades = append(d.pendingUpgrades, r.answer)
+	d.nextProgram = r.program
+	d.advance(lifecycle.UpgradeRequested{Cause: upgradeCausePrefix + r.program})
+	return nil
+}
+
+// Reload implements manage.Daemon.
+func (d *daemon) Reload(ctx context.Context) error {
+	answer := make(chan error, 1)
+	return d.postAndWait(ctx, reloadRequest{"control socket", answer}, answer)
+}
+
+// Upgrade implements manage.Daemon.
+func (d *daemon) Upgrade(ctx context.Context, program string) error {
+	if program == "" {
+		program = d.opts.Program
+	}
+	if err := checkExecutable(program); err != nil {
+		return err
+	}
+	answer := make(chan error, 1)
+	return d.postAndWait(ctx, upgradeRequest{program: program, answer: answer}, answer)
+}
+
+// errEnded is the answer of a daemon that has ended. The next one knows the result of what was running.
+var errEnded = errors.New("the daemon has ended")
+
+// postAndWait posts an event and waits for its answer.
+func (d *daemon) postAndWait(ctx context.Context, e event, answer <-chan error) error {
+	d.post(e)
+	select {
+	case err := <-answer:
+		return err
+	case <-d.loopEnded:
+		select {
+		case err := <-answer:
+			return err
+		default:
+			return errEnded
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// answerEach sends err to each of answers, which have space for it.
+func answerEach(answers []chan error, err error) {
+	for _, answer := range answers {
+		answer <- err
+	}
+}
+
+// answerAllRequests answers whoever waits for a reload or an upgrade.
+func (d *daemon) answerAllRequests(err error) {
+	answerEach(d.pendingReloads, err)
+	answerEach(d.runningReloads, err)
+	answerEach(d.pendingUpgrades, err)
+	d.pendingReloads, d.runningReloads, d.pendingUpgrades = nil, nil, nil
+}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"lockflow/internal/config"
+	"lockflow/internal/desiredstate"
+	"lockflow/internal/state"
+)
+
+// applySettings replaces the configuration file by a command's and reloads it; inForce is the configuration
+// until then. On an error the file is as it was; isRolledBack tells that it was another one meanwhile.
+func (d *daemon) applySettings(inForce config.Config, want desiredstate.Want) (isRolledBack bool, err error) {
+	text := []byte(want.Text)
+	next, err := d.opts.ParseConfig(text)
+	if err != nil {
+		return false, err
+	}
+	for _, c := range config.Compare(inForce, next).Restarts() {
+		return false, fmt.Errorf("%s: %s can't become %s without a restart", c.What, c.From, c.To)
+	}
+	old, err := os.ReadFile(d.opts.ConfigPath)
+	if err != nil {
+		return false, fmt.Errorf("reading the old settings: %w", err)
+	}
+	if err := d.member.store.Keep(old); err != nil {
+		return false, err
+	}
+	if err := desiredstate.Replace(d.opts.ConfigPath, text); err != nil {
+		return false, fmt.Errorf("replacing the settings: %w", err)
+	}
+	if inForce.Hash == want.Hash {
+		return false, nil // the file alone was another one
+	}
+	answer := make(chan error, 1)
+	err = d.postAndWait(context.Background(), reloadRequest{"order", answer}, answer)
+	if err == nil || errors.Is(err, errEnded) {
+		return false, err
+	}
+	if rollbackErr := desiredstate.Replace(d.opts.ConfigPath, old); rollbackErr != nil {
+		return false, fmt.Errorf("%w; the old settings can't be put back: %w", err, rollbackErr)
+	}
+	return true, err
+}
+
+// rollBackSettings restores the configuration file that a command has replaced, where the daemon can't start with
+// the new one. hash is that of the new one, or empty where it could not be read. It returns whether there is
+// another file to start with now.
+func rollBackSettings(m *member, o Options, hash string, cause error) bool {
+	running := m.desiredState.Doing
+	if running == nil || running.Kind != desiredstate.Settings || hash != "" && running.Hash != hash {
+		return false
+	}
+	old, err := m.store.Kept()
+	if err == nil && desiredstate.Hash(old) == running.Hash {
+		return false // they were the same
+	}
+	if err == nil {
+		err = desiredstate.Replace(o.ConfigPath, old)
+	}
+	if err != nil {
+		slog.Error("settings rollback failed", "id", running.ID, "err", err)
+		return false
+	}
+	slog.Error("settings rolled back, the daemon can't start with a command's", "id", running.ID, "err", cause)
+	m.record(m.desiredState.End(fmt.Errorf("the daemon was cut, and could not start with it: %w", cause)))
+	m.store.Forget()
+	return true
+}
+
+// rollBackUnreadableSettings is rollBackSettings where the configuration can't be read at all, so that the state
+// directory is known by the options alone.
+func rollBackUnreadableSettings(o Options, cause error) bool {
+	if o.StateDirectory == "" {
+		return false
+	}
+	store, err := state.Open(o.StateDirectory, nil)
+	if err != nil {
+		return false
+	}
+	defer store.Close() //nolint:errcheck // the lock alone, which ends with its file
+	m, err := openMember(o.StateDirectory, nil, &degradedConditions{})
+	if err != nil {
+		return false
+	}
+	defer m.store.Close()
+	return rollBackSettings(m, o, "", cause)
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lockflow/internal/instancestats"
+	"lockflow/internal/manage"
+)
+
+// Status implements manage.Daemon.
+func (d *daemon) Status() manage.Status {
+	s := manage.Status{
+		PID:         os.Getpid(),
+		Program:     d.opts.Program,
+		Config:      d.opts.ConfigPath,
+		Started:     d.startedAt,
+		Generation:  d.node.Generation(),
+		Listeners:   d.node.Addresses(),
+		Descriptors: openDescriptors(),
+		MemoryKB:    residentMemoryKB(),
+		Services:    d.node.Status(),
+		Gathers:     d.node.GathererStatus(),
+		Older:       d.node.RetiredServices(),
+		Distrusts:   d.conditions.list(),
+		Figures:     d.instanceStats(),
+	}
+	s.Instance, s.Instances = d.node.Instance()
+	d.inLoop(func() {
+		s.Life = d.machine.State().String()
+		if d.successor != nil {
+			s.Beside = d.successor.PID()
+		}
+		d.addMemberStatus(&s)
+	})
+	return s
+}
+
+// addMemberStatus fills in what the event loop owns.
+func (d *daemon) addMemberStatus(s *manage.Status) {
+	s.Hash = d.cfg.Hash
+	d.member.addStatus(s)
+}
+
+// instanceStats returns the process's counts of itself.
+func (d *daemon) instanceStats() instancestats.Figures {
+	stats := d.node.Statistics()
+	stats.Began, stats.MemoryKB = d.startedAt, residentMemoryKB()
+	var usage unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &usage) == nil {
+		stats.CPU = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	}
+	return stats
+}
+
+// openDescriptors returns how many file descriptors this process has open, 0 where /proc is not readable.
+func openDescriptors() int {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return 0
+	}
+	return len(entries) - 1 // without the directory's own
+}
+
+// residentMemoryKB returns the resident memory (proc(5)) in kB, or what the Go runtime has from the system
+// where there is no /proc.
+func residentMemoryKB() int {
+	raw, err := os.ReadFile("/proc/self/statm")
+	if fields := strings.Fields(string(raw)); err == nil && len(fields) > 1 {
+		if pages, err := strconv.Atoi(fields[1]); err == nil {
+			return pages * os.Getpagesize() >> 10
+		}
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.Sys >> 10)
+}
--- a/internal/faultnet/trial/owners.go
+++ b/internal/faultnet/trial/owners.go
@@ -217,7 +217,7 @@
 		r.notes.Wrong("node %d: %v", i, err)
 	}
 	for line := range strings.Lines(string(raw)) {
-		if _, rest, ok := strings.Cut(line, `msg="orders: begun" id=`); ok {
+		if _, rest, ok := strings.Cut(line, `msg="command started" id=`); ok {
 			id, _, _ := strings.Cut(rest, " ")
 			r.notes.Effect(member(i)+" "+id, member(i))
 		}
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -385,7 +385,7 @@
 		}
 		begun := make(map[string]int)
 		for line := range strings.Lines(string(raw)) {
-			if _, rest, ok := strings.Cut(line, `msg="orders: begun" id=`); ok {
+			if _, rest, ok := strings.Cut(line, `msg="command started" id=`); ok {
 				id, _, _ := strings.Cut(rest, " ")
 				begun[id]++
 				p.Begun++
--- a/internal/regiontrial/checks.go
+++ b/internal/regiontrial/checks.go
@@ -103,13 +103,13 @@
 // grant's own line may be lost with the process's end.
 func (g *Log) Read(member, log string, of map[uint64]string) {
 	for line := range strings.Lines(log) {
-		_, rest, ok := strings.Cut(line, `msg="orders: `)
-		if _, id, cut := strings.Cut(rest, "nothing of it stays\" id="); cut {
+		_, rest, ok := strings.Cut(line, `msg="`)
+		if _, id, interrupted := strings.Cut(rest, "nothing of it remains\" id="); interrupted {
 			id, _, _ = strings.Cut(id, " ")
 			delete(g.begun, id) // it may be begun again
 		}
-		grant := strings.HasPrefix(rest, "an epoch is granted")
-		if !ok || !grant && !strings.HasPrefix(rest, "begun") {
+		grant := strings.HasPrefix(rest, "coordinator epoch granted")
+		if !ok || !grant && !strings.HasPrefix(rest, "command started") {
 			continue
 		}
 		var epoch uint64
--- a/internal/regiontrial/checks_test.go
+++ b/internal/regiontrial/checks_test.go
@@ -42,9 +42,9 @@
 		t.Error("owners")
 	}
 	const (
-		grant = `level=INFO msg="orders: an epoch is granted" epoch=%d owner=%s` + "\n"
-		begun = `level=INFO msg="orders: begun" id=%s epoch=%d owner=%s kind=settings` + "\n"
-		cut   = `level=WARN msg="orders: one was cut by the end of the process: nothing of it stays" id=%s kind=settings` + "\n"
+		grant = `level=INFO msg="coordinator epoch granted" epoch=%d owner=%s` + "\n"
+		begun = `level=INFO msg="command started" id=%s epoch=%d owner=%s kind=settings` + "\n"
+		cut   = `level=WARN msg="command interrupted by the end of its process, nothing of it remains" id=%s kind=settings` + "\n"
 	)
 	for want, log := range map[string]string{
 		"":                 fmt.Sprintf(grant+begun+grant+begun+cut+begun, 3, "x", "1", 3, "x", 5, "y", "2", 5, "y", "2", "2", 5, "y"),
