--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -45,7 +45,7 @@
 // play holds a watch on discoveries that answer one call after another by a script, and the calls after
 // with the list, after some time. It gives when the last of the script had been heard, or was
 // called where it said nothing, and when the list was told.
-func play(t *testing.T, f *Feed, script []scripted, answer time.Duration) (silent, told time.Time) {
+func play(t *testing.T, f *Feed, script []scripted) (silent, told time.Time) {
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	var all sync.WaitGroup // of all that the bubble has to see the end of
@@ -83,7 +83,7 @@
 			defer there.Close()
 			http.ReadRequest(bufio.NewReader(there))
 			if last {
-				time.Sleep(answer)
+				time.Sleep(answerMost)
 			}
 			for _, say := range []string{s.says, s.later} {
 				if say != "" {
@@ -148,7 +148,7 @@
 					for seed := range uint64(8) {
 						synctest.Test(t, func(t *testing.T) {
 							f := NewFeed(Source{Address: "discovery:1", Agent: agent}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
-							silent, told := play(t, f, script, answerMost)
+							silent, told := play(t, f, script)
 							if late := told.Sub(silent); late > newsWithin-newsSpare/2 {
 								t.Errorf("told %v after the silence began, of %v", late, newsWithin)
 							}
@@ -171,7 +171,7 @@
 				f.Known = true
 				f.Move(Source{Address: "discovery:1"})
 				moved := time.Now()
-				_, told := play(t, f, nil, answerMost)
+				_, told := play(t, f, nil)
 				if late := told.Sub(moved); late > newsWithin-movedSpent {
 					t.Errorf("group of %d: told %v after the move", group, late)
 				}
@@ -180,7 +180,7 @@
 				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
 				f.Move(Source{Address: "discovery:1"})
 				moved := time.Now()
-				_, told := play(t, f, []scripted{turned}, answerMost)
+				_, told := play(t, f, []scripted{turned})
 				if late := told.Sub(moved); late > newsWithin-movedSpent {
 					t.Errorf("group of %d: told %v after the move, though turned away once", group, late)
 				}
@@ -202,7 +202,7 @@
 					again := time.AfterFunc(later, func() { f.Move(Source{Address: "discovery:1"}) })
 					defer again.Stop()
 				}
-				_, told := play(t, f, nil, answerMost)
+				_, told := play(t, f, nil)
 				if late := told.Sub(moved); late > newsWithin-movedSpent {
 					t.Errorf("group of %d: told %v after the first move", group, late)
 				}
@@ -232,7 +232,7 @@
 								}
 							})
 							defer move.Stop()
-							if _, told := play(t, f, []scripted{old}, answerMost); told.Sub(moved) > newsWithin-movedSpent || told.Before(moved) {
+							if _, told := play(t, f, []scripted{old}); told.Sub(moved) > newsWithin-movedSpent || told.Before(moved) {
 								t.Errorf("told %v after the move", told.Sub(moved))
 							}
 						})
--- a/internal/front/unacknowledged_answer_test.go
+++ b/internal/front/unacknowledged_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -127,7 +128,7 @@
 			}
 			testkit.Until(t, "the client's acknowledgement", func() bool { return !hasUnacknowledged(server.(*net.TCPConn)) })
 			f.CloseWhenIdle()
-			if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+			if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 				t.Errorf("behind its answer its client sees %v", err)
 			}
 		})
--- a/internal/node/nodelay_test.go
+++ b/internal/node/nodelay_test.go
@@ -79,7 +79,11 @@
 			ended := make(chan error, 1)
 			ctx := t.Context()
 			go func() { ended <- n.Run(ctx) }()
-			t.Cleanup(func() { testkit.Next(t, ended) })
+			t.Cleanup(func() {
+				if err := testkit.Next(t, ended); err != nil {
+					t.Error(err)
+				}
+			})
 			client, err := net.Dial("tcp", tcp.Addr().String())
 			if err != nil {
 				t.Fatal(err)
