--- a/control/attempts.go
+++ b/control/attempts.go
@@ -59,13 +59,12 @@
 	if fraction := c.concurrencyLimit - c.occupiedSlots(); fraction > 0 && fraction < 1 {
 		c.fractionalSlotFreeAt = c.now + durationOf((1/fraction-1)*c.fleetLatency)
 	}
-	pause := 1/math.Max(attempt.account.inFlightLimit, epsilon) - 1
-	if attempt.account.plan.MaxInFlight > 0 && pause > 0 {
-		attempt.account.nextAttemptAt = c.now + time.Duration(pause*float64(c.now-attempt.sentAt))
+	if account := attempt.account; account.plan.MaxInFlight > 0 {
+		account.inFlight.pauseAfter(c.now, attempt.sentAt)
 	}
 }
 
-// refundAttempt gives back what an attempt was booked that no server was asked for.
+// refundAttempt returns what was charged for an attempt that was not sent.
 func (c *Controller) refundAttempt(attempt *pendingAttempt) {
 	if attempt.server.isWarmingUp && attempt.sentAt >= attempt.server.warmupStart {
 		attempt.server.slowStartTokens += c.countedUnits(attempt.request.units)
@@ -75,7 +74,7 @@
 	}
 }
 
-// recordOutcome takes an outcome's lesson on the server, the bound and the plan.
+// recordOutcome updates server, window and request by how an attempt ended.
 func (c *Controller) recordOutcome(attempt *pendingAttempt, event AttemptResult) {
 	srv, req := attempt.server, attempt.request
 	elapsed := (c.now - attempt.sentAt).Seconds()
@@ -88,33 +87,33 @@
 		}
 		if event.ActualUnits > 0 && c.settings.UnitsInResponse {
 			c.refill(attempt.account)
-			attempt.account.quotaTokens -= event.ActualUnits - req.units
+			attempt.account.quota.tokens -= event.ActualUnits - req.units
 		}
 		if !req.isStreaming {
 			c.recordAnswer(attempt, c.now-attempt.sentAt)
 		}
-	case RejectedByServer: // some servers refuse one plan only
+	case RejectedByServer: // maybe for this plan only
 		c.recordFailure(srv, 1)
 		srv.planRejectedUntil[req.plan] = c.now + planRejectionTime
 		c.overloads++
 	case ConnectFailed:
 		c.recordFailure(srv, ejectionFailures)
-	case ResetByPeer, Errored: // a server that fails at once looks idle and draws the rest
+	case ResetByPeer, Errored:
 		if c.recordFailureRate(srv, 1); c.currentFailureRate(srv) > maxFailureRate {
 			c.recordFailure(srv, 1)
 		}
 		srv.isProbing = false
-	case NotSent, Cancelled: // tells nothing of a server that it was to try
+	case NotSent, Cancelled: // shows nothing of an ejected server that it was to probe
 		srv.isProbing = false
 	case TimedOut:
 		c.recordFailure(srv, 1)
-		if !req.isStreaming { // else it tells how long a stream was
+		if !req.isStreaming { // else it is the length of the stream
 			c.recordLatency(srv, elapsed)
 		}
 		c.overloads++
 	}
 	mayStillRun := event.Reason == TimedOut || event.Reason == Cancelled
-	if mayStillRun { // its work may go on
+	if mayStillRun {
 		srv.abandoned++
 		runsFor := durationOf(math.Min(elapsed, maxAbandonedLatencies*c.fleetLatency))
 		c.abandoned = append(c.abandoned, abandonedAttempt{srv, c.now + runsFor})
@@ -125,7 +124,7 @@
 	}
 }
 
-// recordAnswer takes the latency of a good answer.
+// recordAnswer takes the latency of a successful answer, or of the start of a streamed one.
 func (c *Controller) recordAnswer(attempt *pendingAttempt, elapsed time.Duration) {
 	seconds := elapsed.Seconds()
 	c.recordLatency(attempt.server, seconds)
@@ -134,7 +133,7 @@
 	if c.rejectionProbability(attempt.account) == 0 {
 		attempt.request.plan.recordLateness((c.now - attempt.request.arrivedAt).Seconds() / objective)
 	}
-	// Guards against a bound that is cut because servers are cold: they are slow with little to do.
+	// Guards against a limit that is cut because servers are warming up: they are slow with little load.
 	if attempt.server.isWarmingUp {
 		return
 	}
@@ -146,10 +145,9 @@
 	c.latencyCount++
 }
 
-// retryOrEnd gives a request a further attempt where the rules, the attempt limit, the
-// retry budget and its time allow one; else it ends it. What failed at once took little of the
-// fleet's work, and little of the budget goes for it. Guards against a storm of errors that uses
-// the budget up while most servers still serve half of what they are sent.
+// retryOrEnd retries a request if idempotency, the attempt limit, the retry budget and the deadline
+// allow it, else ends it. An attempt that failed at once costs little of the budget. Guards against
+// a storm of errors that uses it up while most servers still serve half of their requests.
 func (c *Controller) retryOrEnd(req *request, attempt *pendingAttempt, reason Reason) {
 	cost := 1.0
 	if reason == Errored || reason == ResetByPeer || reason == ConnectFailed {
@@ -168,8 +166,7 @@
 	}
 	c.retryBudget -= cost
 	c.enqueue(req, true)
-	// Guards against a further attempt that waits in the queue beyond the client's time, or beyond
-	// the time for which a repeat of its key is dropped.
+	// Guards against a retry that is queued beyond the client's deadline or its key's repeat window.
 	until := req.deadline - time.Millisecond
 	if req.mayHaveRun && req.class.Idempotency == IdempotencyKeyed {
 		until = min(until, req.firstRunAt+req.class.RepeatWindow)
--- a/control/bound.go
+++ b/control/bound.go
@@ -18,9 +18,8 @@
 	overloadHoldFraction      = 0.03  // part of the outcomes above which the limit does not grow
 )
 
-// minConcurrencyLimit is twice the ready servers, the least that the bound may be, or where the floors of the
-// whole group would sum up to more than a server can use, this gateway's part of that sum. Guards
-// against many gateways that jam the fleet by their floors alone.
+// minConcurrencyLimit is twice the usable servers, or this gateway's part of the replica group's sum.
+// Guards against many gateways whose minimum limits alone overload the servers.
 func (c *Controller) minConcurrencyLimit() float64 {
 	n := c.countServers(func(srv *server) bool {
 		return srv.isUsable() && srv.consecutiveFailures < ejectionFailures
@@ -28,9 +27,8 @@
 	return math.Min(slotsPerServer, minGroupSlotsPerServer/float64(c.settings.GroupSize)) * math.Max(1, n)
 }
 
-// endWindow sets the bound and the shares for the next interval.
+// endWindow sets the concurrency limit and the shares of the next control window.
 func (c *Controller) endWindow(windowSeconds float64) {
-	// The time that an idle server takes is the least seen; it may be far from or near to the aim.
 	c.idleLatency = math.Min(c.idleLatency*idleLatencyDrift, c.fleetLatency)
 	if c.latencySamples < minIdleLatencySamples || c.idleLatency == 0 {
 		c.idleLatency = c.fleetLatency
@@ -38,11 +36,10 @@
 	y := c.latencyRatioSum / math.Max(1, c.latencyCount)
 	isLate := y > latencyCutFraction &&
 		(y > latencyHardCutFraction || c.latencySecondsSum > c.latencyCount*idleLatencyCutFactor*c.idleLatency)
-	// Guards against servers that refuse a plan though they have room: answers are not slow then.
+	// Guards against servers that reject a plan though they have capacity: answers are not slow then.
 	isSlow := c.latencyCount == 0 || c.latencySecondsSum > c.latencyCount*overloadIdleLatencyFactor*c.idleLatency
-	// Guards, in a large group, against a bound that is cut for a few answers that took long by
-	// chance, or at slow servers: no other gateway's attempts are fewer for it.
-	// Where there are many answers they say it themselves, sooner than reports of a server just started.
+	// Guards, in a large group, against cutting for a few answers that are slow by chance or come from
+	// slow servers, to which others send no less; many answers are sure without load reports.
 	serversAreFull := c.latencyCount >= sureAnswerCount || c.utilizationCount == 0 ||
 		c.utilizationSum > c.utilizationCount*fullUtilization
 	overloadFraction := c.overloads / math.Max(1, c.overloads+c.answers)
--- a/control/ceiling_test.go
+++ b/control/ceiling_test.go
@@ -60,7 +60,7 @@
 			gateway := newGate(t, settings, on(list...)...)
 			many := func() {
 				for i := range maxAccounts/2 + 1 {
-					gateway.c.accountFor(gateway.c.plansByName[plan.Name], fmt.Sprint("busy", i), 2).inFlight = 1
+					gateway.c.accountFor(gateway.c.plansByName[plan.Name], fmt.Sprint("busy", i), 2).inFlight.current = 1
 				}
 			}
 			many()
@@ -109,7 +109,7 @@
 	}
 	crashed := after(newGate(t, settings, on(1, 2)...).c.Checkpoint(time.Hour), TrustEstimates)
 	next := after(crashed.HandOver(time.Hour, 1), TrustAll)
-	if left := next.accountFor(next.plansByName["low"], "x", 1).hardLimitTokens; left > 0 {
+	if left := next.accountFor(next.plansByName["low"], "x", 1).hardLimit.tokens; left > 0 {
 		t.Errorf("%g units for a customer of whom nothing is known since a crash", left)
 	}
 }
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -142,8 +142,8 @@
 		saved := &checkpoint.Customers[i]
 		account := c.accounts[saved.Plan+" "+saved.ID]
 		queued += account.queuedUnits
-		saved.QuotaTokens, account.quotaTokens = splitTokens(saved.QuotaTokens, account.queuedUnits, fraction)
-		saved.HardLimitTokens, account.hardLimitTokens = splitTokens(saved.HardLimitTokens, account.queuedUnits, fraction)
+		saved.QuotaTokens, account.quota.tokens = splitTokens(saved.QuotaTokens, account.queuedUnits, fraction)
+		saved.HardLimitTokens, account.hardLimit.tokens = splitTokens(saved.HardLimitTokens, account.queuedUnits, fraction)
 	}
 	for i := range checkpoint.Servers {
 		saved := &checkpoint.Servers[i]
@@ -178,8 +178,8 @@
 	}
 	if c.settings.MeterPeriod > 0 {
 		checkpoint.Meter = MeterState{Period: c.settings.MeterPeriod, PhaseBin: c.meter.phaseBin, LagBins: c.meter.lagBins}
-		for i := range c.meter.miss {
-			checkpoint.Meter.Misfit = append(checkpoint.Meter.Misfit, c.meter.miss[i][:]...)
+		for i := range c.meter.misfit {
+			checkpoint.Meter.Misfit = append(checkpoint.Meter.Misfit, c.meter.misfit[i][:]...)
 		}
 	}
 	for i := range c.settings.Classes {
@@ -209,15 +209,7 @@
 	}
 	for key, account := range c.accounts {
 		c.refill(account)
-		plan := account.plan
-		checkpoint.Customers = append(checkpoint.Customers, CustomerCheckpoint{
-			ID: key[len(plan.Name)+1:], Plan: plan.Name, FanOut: account.fanOut, QuotaBurst: plan.QuotaBurst,
-			HardLimitBurst: plan.HardLimitBurst, QuotaTokens: account.quotaTokens, HardLimitTokens: account.hardLimitTokens, InFlight: account.inFlight + account.predecessorInFlight, InFlightLimit: account.inFlightLimit, OpenRejectionProbability: account.openRejectionProbability,
-			IsMetered: account.isMetered, RemoteRate: account.remoteRate, LastReadingUnits: account.lastReadingUnits, RemoteRateAt: account.remoteRateAt, ReadingAt: account.readingAt, RequestedUnits: account.requestedUnits,
-			RequestedAt: account.requestedAt, MeteredUnits: account.meteredUnits, DemandSeconds: account.demandSeconds, MeteredSeconds: account.meteredSeconds, ReadingEndBin: account.readingEndBin, LocalUnits: account.localUnits,
-			TotalUnits: account.totalUnits, UsageRate: account.usageRate, Sent: account.sent.amounts(), Charged: account.charged.amounts(), Arrivals: account.arrivals.amounts(),
-			Rejections: account.rejections.amounts(),
-		})
+		checkpoint.Customers = append(checkpoint.Customers, account.checkpoint(key))
 	}
 	sort.Slice(checkpoint.Customers, func(i, j int) bool { // the latest first: a bound on them drops the oldest
 		a, b := &checkpoint.Customers[i], &checkpoint.Customers[j]
--- a/control/checkpoint_test.go
+++ b/control/checkpoint_test.go
@@ -160,18 +160,18 @@
 			settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 10, 100
 			a := newGate(t, settings, on(1, 2)...)
 			account := a.c.accountFor(a.c.plansByName["low"], "x", 1)
-			account.quotaTokens, account.hardLimitTokens = 60, 20
+			account.quota.tokens, account.hardLimit.tokens = 60, 20
 			settings.Plans = append([]Plan{}, settings.Plans...)
 			settings.Plans[0].HardLimitBurst, settings.Plans[0].QuotaBurst = tc.burst, tc.depth
 			b := newGate(t, settings, on(1, 2)...)
 			b.now = a.now
 			b.c.Restore(b.now, a.c.HandOver(a.now, 1), TrustAll)
 			got := b.c.accounts["low x"]
-			if got.hardLimitTokens != tc.wantCeiling || got.quotaTokens != tc.wantLeft {
-				t.Errorf("ceiling %g, level %g", got.hardLimitTokens, got.quotaTokens)
+			if got.hardLimit.tokens != tc.wantCeiling || got.quota.tokens != tc.wantLeft {
+				t.Errorf("ceiling %g, level %g", got.hardLimit.tokens, got.quota.tokens)
 			}
-			if account.hardLimitTokens != 0 || account.quotaTokens != 0 {
-				t.Errorf("the old one keeps %g and %g", account.hardLimitTokens, account.quotaTokens)
+			if account.hardLimit.tokens != 0 || account.quota.tokens != 0 {
+				t.Errorf("the old one keeps %g and %g", account.hardLimit.tokens, account.quota.tokens)
 			}
 		})
 	}
@@ -230,7 +230,7 @@
 // After a crash nothing is known of what was spent last: a ceiling's store begins empty.
 func TestCrashStartsCarefully(t *testing.T) {
 	a := newGate(t, ceilingSettings(), on(1, 2, 3, 4, 5, 6, 7, 8)...)
-	a.c.accountFor(a.c.plansByName["low"], "x", 1).hardLimitTokens = 60
+	a.c.accountFor(a.c.plansByName["low"], "x", 1).hardLimit.tokens = 60
 	checkpoint := a.c.Checkpoint(a.now)
 	for _, customer := range []string{"x", "never seen"} {
 		b := newGate(t, ceilingSettings(), on(1, 2, 3, 4, 5, 6, 7, 8)...)
--- a/control/choose.go
+++ b/control/choose.go
@@ -30,7 +30,7 @@
 	return srv.consecutiveFailures >= ejectionFailures && c.now < srv.ejectedUntil
 }
 
-// chooseServer is the server of least expected wait that the rules allow; nil is to wait.
+// chooseServer returns the allowed server of the lowest cost; nil if the request has to wait.
 func (c *Controller) chooseServer(req *request) *server {
 	var best *server
 	bestCost := math.Inf(1)
@@ -58,6 +58,7 @@
 	return best
 }
 
+// dropsRepeats tells whether a server would drop a repeat of what the request may have run.
 func (c *Controller) dropsRepeats(req *request, srv *server) bool {
 	if req.repeatGroup == nil || req.class.Idempotency != IdempotencyKeyed {
 		return true
@@ -72,11 +73,9 @@
 		req.class.KeyScope == ScopeCell && req.repeatGroup.Cell == srv.Cell
 }
 
-// expectedWait is the expected wait at a server: its latency times what it holds of ours, and more the
-// busier it says its cores are. Own answers count by their number, as the work of each is a draw.
-// What is not known is taken to be as with the fleet; a server not seen of late costs unknown times
-// as much. Guards against each of many gateways that tries all servers in turn, and so the slow
-// ones, and opens connections to all.
+// expectedWait is the cost of a server: its latency times the attempts of this gateway there, raised by
+// its reported utilization. Without samples it is the fleet's; without a report it is raised by a
+// penalty. Guards against many gateways that each try all servers, slow ones too, in turn.
 func (c *Controller) expectedWait(srv *server, unknownPenalty float64) float64 {
 	fleetLatency := math.Max(c.fleetLatency, 1e-3)
 	latency, slowdown, busy := fleetLatency, unknownPenalty, c.fleetUtilization
@@ -84,7 +83,7 @@
 		freshSamples := srv.latencySamples * decayFactor(c.now-srv.latencyAt, latencyDecaySeconds)
 		latency += (srv.latency - fleetLatency) * freshSamples / (freshSamples + latencyPriorSamples)
 	}
-	if srv.isWarmingUp { // none has told for long of one, and its budget is below what it can do
+	if srv.isWarmingUp { // it has no reports yet, and its budget is below its capacity
 		slowdown = 1
 	}
 	if srv.reportedAt > 0 {
@@ -93,7 +92,7 @@
 		busy += (srv.utilization - busy) * decayFactor(since, utilizationDecaySeconds)
 	}
 	latency = math.Max(latency, fleetLatency*slowdown)
-	if srv.inFlight > 0 { // a server that is silent is at least as slow as its silence
+	if srv.inFlight > 0 { // a silent server is at least as slow as its silence is long
 		latency = math.Max(latency, (c.now - srv.lastActivityAt).Seconds())
 	}
 	latency *= 1 + utilizationPenalty*busy*busy*busy*busy
@@ -103,26 +102,23 @@
 	return cost * (1 + failureRatePenalty*excess*excess) * (1 + tieBreakNoise*c.rng.Float64())
 }
 
-// hasRecentReport tells whether a server has told of its load of late.
 func (c *Controller) hasRecentReport(srv *server) bool {
 	return srv.reportedAt > 0 && c.now < srv.reportedAt+durationOf(slowdownDecaySeconds)
 }
 
-// currentFailureRate is the part of a server's attempts that is taken to fail. It is forgotten with time,
-// as a server that is not chosen has no chance to do better.
+// currentFailureRate decays, as a server that is not chosen has no chance to do better.
 func (c *Controller) currentFailureRate(srv *server) float64 {
 	return srv.failureRate * decayFactor(c.now-srv.failureRateAt, latencyDecaySeconds)
 }
 
-// recordFailureRate takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails
-// part of its requests at once: never so often in a row as to be put aside, it looks idle and
-// draws the rest.
+// recordFailureRate takes an attempt that failed, 1, or succeeded, 0. Guards against a server that fails
+// part of its requests at once: it is never ejected, looks idle and attracts the others.
 func (c *Controller) recordFailureRate(srv *server, failed float64) {
 	rate := c.currentFailureRate(srv)
 	srv.failureRate, srv.failureRateAt = rate+failureRateGain*(failed-rate), c.now
 }
 
-// recordFailure counts a failure that speaks against the server.
+// recordFailure counts n consecutive failures and ejects the server if they are enough.
 func (c *Controller) recordFailure(srv *server, n int) {
 	srv.consecutiveFailures += n
 	srv.isProbing = false
@@ -141,10 +137,9 @@
 	srv.latencyAt = c.now
 }
 
-// recordLoadReport takes what a server tells of its load, which is of all gateways' requests and so the most
-// that one of many gateways can know. Its mean time follows slowly and begins at nothing: it tells
-// a slow server from others, beside the time that work takes here, but not one that is faster.
-// Guards against a server just started that all find the fastest.
+// recordLoadReport takes a report, which covers the requests of all gateways. Its mean latency starts at
+// zero and follows slowly: it can show that a server is slow, but not that it is fast. Guards against a
+// server just started that all gateways find the fastest.
 func (c *Controller) recordLoadReport(srv *server, report *LoadReport) {
 	if report.Utilization < 0 || report.MeanLatencyMS < 0 {
 		return
--- a/control/cold.go
+++ b/control/cold.go
@@ -8,8 +8,8 @@
 	slowStartBudgetFraction = 0.32 // part of a warming server's budget that is used
 )
 
-// trackRestart takes an entry of the list before it replaces what was listed. A server that started
-// anew has no record, and starts cold with nothing to spend.
+// trackRestart takes a new entry of a server before it replaces the old one. What was known of an
+// earlier incarnation is dropped, and a slow start begins with an empty budget.
 func (c *Controller) trackRestart(srv *server, endpoint Endpoint) {
 	if endpoint.HasStartedAt && (!srv.HasStartedAt || endpoint.StartedAt > srv.StartedAt) {
 		srv.latency, srv.latencySamples, srv.reportedAt = 0, 0, 0
@@ -18,14 +18,14 @@
 	}
 	if endpoint.HasStartedAt && c.now < endpoint.StartedAt+c.settings.WarmupTime {
 		srv.isWarmingUp, srv.warmupStart = true, max(endpoint.StartedAt, srv.warmupStart)
-		// Guards against a large group that comes with its first requests all at once, or not at all
-		// while the server is cold: what each may send takes it longer to earn than that.
+		// Guards against a large group whose first requests come all at once, or not before the slow
+		// start ends, as each gateway takes longer than that to earn one.
 		srv.slowStartTokens, srv.slowStartTokensAt = -c.rng.Float64()*c.meanRequestUnits, c.now
 	}
 }
 
-// countedUnits are the units of a request in estimates over all customers. Guards against any number of units
-// that a client names where the settings have no maximum.
+// countedUnits are a request's units in estimates over all customers. Guards against a client that names
+// any number where the settings have no maximum.
 func (c *Controller) countedUnits(units float64) float64 {
 	if c.settings.MaxUnits == 0 {
 		return 1
@@ -33,7 +33,7 @@
 	return units
 }
 
-// warmupFraction is the part of its capacity that a server has reached at least.
+// warmupFraction is the part of its capacity that a server has at least reached.
 func (c *Controller) warmupFraction(srv *server) float64 {
 	if c.settings.WarmupTime <= 0 {
 		return 1
@@ -43,9 +43,8 @@
 	return math.Min(1, initial+(1-c.settings.InitialCapacity)*math.Max(0, progress))
 }
 
-// allowsSlowStart holds a cold server under this gateway's part of its budget: what warm
-// servers do for this gateway, times the warmth and the multiple; one attempt at a
-// time is never more than it can do.
+// allowsSlowStart limits a warming server to this gateway's part of its budget: the throughput of warm
+// servers times its warmup fraction and the multiple. Below one attempt a second, it still flows.
 func (c *Controller) allowsSlowStart(srv *server) bool {
 	if !srv.isWarmingUp {
 		return true
@@ -58,8 +57,8 @@
 	if float64(srv.inFlight+srv.abandoned) >= math.Max(1, math.Floor(warmup*slotsPerServer)) {
 		return false
 	}
-	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
-	// What is sent may go beyond what was earned and is paid back, so a part below one request flows.
+	// Guards against many gateways with an attempt a second each: a bucket that may go into debt lets a
+	// part of a request a second flow, as a window would not.
 	budget := slowStartBudgetFraction * c.settings.OverloadMultiple * warmup * c.warmServerThroughput()
 	rate := c.rateFraction * math.Max(budget, 1/float64(c.settings.GroupSize))
 	srv.slowStartTokens += rate * (c.now - srv.slowStartTokensAt).Seconds()
@@ -68,9 +67,8 @@
 	return srv.slowStartTokens >= 0
 }
 
-// warmServerThroughput is the units a second that a warm server does for this gateway. Guards against servers
-// that are listed long after they died, among which what the others do would seem little: as many of
-// those listed are taken to be alive as of those lately tried.
+// warmServerThroughput is the units a second that a warm server serves for this gateway. Guards against
+// servers that stay listed after they died: as many of those listed count as of those tried lately.
 func (c *Controller) warmServerThroughput() float64 {
 	warm, reporting, ejected := 0.0, 0.0, 0.0
 	for _, srv := range c.sortedServers {
--- a/control/control.go
+++ b/control/control.go
@@ -1,16 +1,8 @@
-// Package control decides for one gateway what becomes of each request: whether
-// it is let in, when its plan has a turn, which server gets it and what follows
-// a failure. Its interface, that is settings, events and actions, is api.go.
-//
-// The path of a request: quota (metered chance) -> queue of its plan ->
-// weighted round robin by share -> in-flight bound -> choice of server.
 package control
 
 import (
 	"math"
 	"time"
-
-	"lockflow/control/sharecontrol"
 )
 
 // Tuned constants that several files use; the others stand in the file that uses them.
@@ -34,25 +26,18 @@
 	rewatchInterval            = 2 * time.Second        // between two requests to watch the endpoint list
 )
 
-// New makes the controller of one gateway. All randomness comes from seed.
+// New returns the controller of one gateway; all its randomness comes from seed. It fails if a setting
+// makes no sense.
 func New(settings Settings, seed uint64) (*Controller, error) {
 	if err := validate(&settings); err != nil {
 		return nil, err
 	}
 	c := newController(settings, seed)
 	c.retryBudget, c.minRetryGap, c.meter.lagBins = maxRetryBudget, rejectRetryAfter, initialMeterLagBins
-	c.meanRequestUnits = (1 + math.Max(1, settings.MaxUnits)) / 2 // until requests tell
-	for i := range c.settings.Classes {
-		class := &c.settings.Classes[i]
-		c.classes[class.Name], c.typicalDeadlines[class] = class, &typicalDeadline{}
-		c.maxPriorityWeight = math.Max(c.maxPriorityWeight, class.PriorityWeight)
-	}
-	prices := make([]float64, len(settings.Plans))
-	for i, p := range settings.Plans {
-		queue := &planQueue{Plan: p, index: i, share: 1 / float64(len(settings.Plans))}
-		c.plans, c.plansByName[p.Name], prices[i] = append(c.plans, queue), queue, p.Price
+	c.meanRequestUnits = (1 + math.Max(1, settings.MaxUnits)) / 2 // until there are requests
+	for _, plan := range c.plans {
+		plan.share = 1 / float64(len(c.plans))
 	}
-	c.shareController = sharecontrol.New(prices)
 	return c, nil
 }
 
@@ -79,7 +64,7 @@
 	if label == tickTimerLabel {
 		c.handleTick()
 	} else if req := c.requestsByTimer[label]; req != nil && req.isQueued {
-		// Guards against a starved plan that looks punctual: one shed counts as its deadline.
+		// Guards against a starved plan that seems punctual: a request shed counts as late by its deadline.
 		req.plan.recordLateness(math.Max(1, req.class.Deadline.Seconds()/req.class.LatencyObjective.Seconds()))
 		c.endUnserved(req, CauseQueueTimeout)
 	}
@@ -91,7 +76,7 @@
 		c.emit(WatchEndpoints{Active: true})
 		c.nextWatchAt = c.now + rewatchInterval
 	}
-	// An interval of few answers goes on, as their mean says little.
+	// A window of few answers goes on, as their mean says little.
 	hasAnswers := c.answers+c.overloads >= minAnswersPerWindow
 	if c.now >= c.windowEndsAt && (hasAnswers || c.now >= c.windowEndsAt+maxWindowExtension) {
 		c.endWindow((c.now - c.windowEndsAt + windowDuration).Seconds())
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -162,7 +162,7 @@
 
 // bookkeepingFiles hold types, state and its storage, and decide nothing. Each file is either one of them or policy.
 var bookkeepingFiles = []string{
-	"api.go", "checkpoint.go", "history.go", "image.go", "restore.go", "resume.go", "settings.go", "sharecontrol/state.go", "state.go",
+	"account.go", "account_storage.go", "api.go", "checkpoint.go", "doc.go", "history.go", "image.go", "restore.go", "resume.go", "settings.go", "sharecontrol/state.go", "state.go",
 }
 
 // The limits of what decides: the files that the deploy file lists, all of them together. Blank lines do not
@@ -527,7 +527,7 @@
 	account := gateway.c.accountFor(gateway.c.plans[0], "x", 1000) // own tries tell next to nothing
 	read := func(pct int) float64 {
 		gateway.c.now = gateway.now
-		account.quotaTokens = 0 // the store is empty enough for the chance to decide
+		account.quota.tokens = 0 // the store is empty enough for the chance to decide
 		gateway.c.recordReading(account, pct+1, 1)
 		return gateway.c.rejectionProbability(account)
 	}
@@ -535,8 +535,8 @@
 	asks := func(n, refused int) { // what was asked and refused in the second to come
 		gateway.c.now = gateway.now
 		gateway.c.refill(account)
-		account.arrivals.add(float64(n))
-		account.rejections.add(float64(refused))
+		account.history.arrivals.add(float64(n))
+		account.history.rejections.add(float64(refused))
 		gateway.now += 1100 * ms
 	}
 	asks(4000, 0)
@@ -603,7 +603,7 @@
 		gateway.ask(fmt.Sprint(i), "job", "low", "x")
 	}
 	gateway.ask("y", "job", "low", "y")
-	if gateway.c.accountFor(gateway.c.plans[0], "x", 2).inFlight != 2 || gateway.n["y"] != 1 {
+	if gateway.c.accountFor(gateway.c.plans[0], "x", 2).inFlight.current != 2 || gateway.n["y"] != 1 {
 		t.Fatalf("sends %v: two of x are its part of four, y is not held up", gateway.sends)
 	}
 	gateway.reply("0", OK, 0)
@@ -618,9 +618,9 @@
 	gateway := newGate(t, settings, on(1)...)
 	gateway.ask("a", "job", "low", "x")
 	account := gateway.c.accountFor(gateway.c.plans[0], "x", 2)
-	before := account.quotaTokens
+	before := account.quota.tokens
 	gateway.do(AttemptResult{ID: "a", Server: 1, Reason: OK, IsFinal: true, ActualUnits: 4})
-	if got := before - account.quotaTokens; math.Abs(got-3) > 1e-9 {
+	if got := before - account.quota.tokens; math.Abs(got-3) > 1e-9 {
 		t.Errorf("settled %g units, guessed 1, true 4", got)
 	}
 }
--- a/control/history.go
+++ b/control/history.go
@@ -1,6 +1,10 @@
 package control
 
-import "sort"
+import (
+	"fmt"
+	"slices"
+	"sort"
+)
 
 // history holds the running sum of an amount, of the latest bins. It keeps the bins in which the sum
 // changed, so that one of thousands of customers that come once costs what one bin does.
@@ -104,6 +108,20 @@
 	return all
 }
 
+// resume fills an empty history with the running sums of an image.
+func (h *history) resume(currentBin int64, sums []RunningSum) error {
+	if len(sums) > historyBins+1 {
+		return fmt.Errorf("a history of %d bins", len(sums))
+	}
+	for i, sum := range sums {
+		if sum.Bin > currentBin || i > 0 && sum.Bin <= sums[i-1].Bin {
+			return fmt.Errorf("bin %d is out of order", sum.Bin)
+		}
+	}
+	h.currentBin, h.sums = currentBin, slices.Clone(sums)
+	return nil
+}
+
 // restore fills an empty history, whose bins it shares.
 func (h *history) restore(all []BinAmount, now int64) {
 	for _, amount := range all {
--- a/control/image.go
+++ b/control/image.go
@@ -213,8 +213,8 @@
 		Window: WindowState{WasCut: c.wasCut, LimitReached: c.limitReached, LatencyRatioSum: c.latencyRatioSum, LatencySecondsSum: c.latencySecondsSum, LatencyCount: c.latencyCount, Answers: c.answers, Overloads: c.overloads, ServedUnits: c.servedUnits, UtilizationSum: c.utilizationSum, UtilizationCount: c.utilizationCount},
 		Meter:  MeterState{PhaseBin: c.meter.phaseBin, LagBins: c.meter.lagBins},
 	}
-	for i := range c.meter.miss {
-		image.Meter.Misfit = append(image.Meter.Misfit, c.meter.miss[i][:]...)
+	for i := range c.meter.misfit {
+		image.Meter.Misfit = append(image.Meter.Misfit, c.meter.misfit[i][:]...)
 	}
 	image.ShareController = c.shareController.State()
 	for i := range c.settings.Classes {
@@ -285,16 +285,9 @@
 		image.Servers = append(image.Servers, w)
 	}
 	for _, account := range customers.all {
-		key, kept := keys[account]
-		image.Customers = append(image.Customers, CustomerImage{
-			Key: key, IsTracked: kept, Plan: account.plan.index, FanOut: account.fanOut, QuotaTokens: account.quotaTokens, HardLimitTokens: account.hardLimitTokens,
-			QueuedUnits: account.queuedUnits, InFlightLimit: account.inFlightLimit, OpenRejectionProbability: account.openRejectionProbability, AdmissionRemainder: account.admissionRemainder, RemoteRate: account.remoteRate, LastReadingUnits: account.lastReadingUnits, RequestedUnits: account.requestedUnits,
-			MeteredUnits: account.meteredUnits, DemandSeconds: account.demandSeconds, MeteredSeconds: account.meteredSeconds, LocalUnits: account.localUnits, TotalUnits: account.totalUnits, UsageRate: account.usageRate, UpdatedAt: account.updatedAt,
-			NextAttemptAt: account.nextAttemptAt, RemoteRateAt: account.remoteRateAt, ReadingAt: account.readingAt, RequestedAt: account.requestedAt, InFlight: account.inFlight, PredecessorInFlight: account.predecessorInFlight,
-			HitInFlightLimit: account.hitInFlightLimit, IsMetered: account.isMetered, ReadingEndBin: account.readingEndBin, SentBin: account.sent.currentBin, ChargedBin: account.charged.currentBin,
-			ArrivalsBin: account.arrivals.currentBin, RejectionsBin: account.rejections.currentBin, Sent: slices.Clone(account.sent.sums), Charged: slices.Clone(account.charged.sums),
-			Arrivals: slices.Clone(account.arrivals.sums), Rejections: slices.Clone(account.rejections.sums),
-		})
+		customerImage := account.image()
+		customerImage.Key, customerImage.IsTracked = keys[account]
+		image.Customers = append(image.Customers, customerImage)
 	}
 	return image
 }
--- a/control/odd_test.go
+++ b/control/odd_test.go
@@ -178,8 +178,8 @@
 			}
 		}
 		for key, account := range c.accounts {
-			if !account.isIdle() || math.IsNaN(account.quotaTokens+account.hardLimitTokens+account.openRejectionProbability+account.inFlightLimit) {
-				t.Fatalf("seed %d: customer %s has %d open, %g queued, %g and %g left", seed, key, account.inFlight, account.queuedUnits, account.quotaTokens, account.hardLimitTokens)
+			if !account.isIdle() || math.IsNaN(account.quota.tokens+account.hardLimit.tokens+account.inFlight.rejectionProbability+account.inFlight.limit) {
+				t.Fatalf("seed %d: customer %s has %d open, %g queued, %g and %g left", seed, key, account.inFlight.current, account.queuedUnits, account.quota.tokens, account.hardLimit.tokens)
 			}
 		}
 		for _, srv := range c.sortedServers {
--- a/control/restore.go
+++ b/control/restore.go
@@ -56,8 +56,8 @@
 	}
 	if checkpoint.Meter.Period == c.settings.MeterPeriod && len(checkpoint.Meter.Misfit) == binsPerPeriod*maxMeterLagBins && checkpoint.Meter.valid() {
 		c.meter.phaseBin, c.meter.lagBins = checkpoint.Meter.PhaseBin, checkpoint.Meter.LagBins
-		for i := range c.meter.miss {
-			copy(c.meter.miss[i][:], checkpoint.Meter.Misfit[i*maxMeterLagBins:])
+		for i := range c.meter.misfit {
+			copy(c.meter.misfit[i][:], checkpoint.Meter.Misfit[i*maxMeterLagBins:])
 		}
 	}
 	for _, saved := range checkpoint.TypicalDeadlines {
@@ -172,41 +172,6 @@
 	c.abandoned = append(c.abandoned, abandonedAttempt{srv, until})
 }
 
-func (c *Controller) restoreAccount(saved *CustomerCheckpoint, period time.Duration, trust Trust) {
-	plan := c.plansByName[saved.Plan]
-	if plan == nil || !(saved.FanOut >= 1) {
-		return
-	}
-	account := c.accountFor(plan, saved.ID, int(saved.FanOut))
-	account.inFlightLimit, account.openRejectionProbability, account.isMetered = math.Min(saved.InFlightLimit, float64(plan.MaxInFlight)), saved.OpenRejectionProbability, saved.IsMetered
-	if saved.InFlightLimit == 0 && plan.MaxInFlight > 0 {
-		account.inFlightLimit = float64(plan.MaxInFlight) / account.fanOut
-	}
-	account.remoteRate, account.lastReadingUnits, account.remoteRateAt, account.readingAt = saved.RemoteRate, saved.LastReadingUnits, saved.RemoteRateAt, saved.ReadingAt
-	account.requestedUnits, account.requestedAt, account.meteredUnits, account.demandSeconds, account.meteredSeconds = saved.RequestedUnits, saved.RequestedAt, saved.MeteredUnits, saved.DemandSeconds, saved.MeteredSeconds
-	account.localUnits, account.totalUnits, account.usageRate = saved.LocalUnits, saved.TotalUnits, saved.UsageRate
-	if period == c.settings.MeterPeriod {
-		account.readingEndBin = saved.ReadingEndBin
-		for _, h := range []struct {
-			to   *history
-			from []BinAmount
-		}{{&account.sent, saved.Sent}, {&account.charged, saved.Charged}, {&account.arrivals, saved.Arrivals}, {&account.rejections, saved.Rejections}} {
-			*h.to = history{}
-			h.to.restore(h.from, c.currentBin())
-		}
-		c.advanceHistories(account)
-	}
-	if trust != TrustAll {
-		return
-	}
-	// What is missing in a store was spent, whatever the store holds now.
-	account.quotaTokens = math.Max(-plan.QuotaBurst, c.rateFraction*plan.QuotaBurst-(c.rateFraction*saved.QuotaBurst-saved.QuotaTokens))
-	if saved.HardLimitBurst > 0 && plan.HardLimitRate > 0 {
-		account.hardLimitTokens = c.rateFraction*plan.HardLimitBurst/account.fanOut - (c.rateFraction*saved.HardLimitBurst/saved.FanOut - saved.HardLimitTokens)
-	}
-	account.predecessorInFlight = saved.InFlight
-}
-
 // ReclaimRates gives a controller all rates again: whoever had the rest has ended. What that one left,
 // or was given and has not touched, is given, and comes back; nil where that is not known.
 func (c *Controller) ReclaimRates(now time.Duration, given *Checkpoint) {
@@ -219,8 +184,8 @@
 				continue
 			}
 			account := c.accountFor(plan, saved.ID, int(saved.FanOut)) // also one that only the other has seen
-			account.quotaTokens = math.Min(plan.QuotaBurst, account.quotaTokens+saved.QuotaTokens)
-			account.hardLimitTokens = math.Min(plan.HardLimitBurst/account.fanOut, account.hardLimitTokens+saved.HardLimitTokens)
+			account.quota.tokens = math.Min(plan.QuotaBurst, account.quota.tokens+saved.QuotaTokens)
+			account.hardLimit.tokens = math.Min(plan.HardLimitBurst/account.fanOut, account.hardLimit.tokens+saved.HardLimitTokens)
 		}
 		for _, saved := range given.Servers {
 			if srv := c.servers[saved.Server]; srv != nil && srv.isWarmingUp && srv.bootTime() == saved.StartedAt {
@@ -238,6 +203,6 @@
 // PredecessorEnded tells that the controller whose place this one took holds nothing any more.
 func (c *Controller) PredecessorEnded() {
 	for _, account := range c.accounts {
-		account.predecessorInFlight = 0
+		account.inFlight.predecessor = 0
 	}
 }
--- a/control/resume.go
+++ b/control/resume.go
@@ -45,8 +45,8 @@
 	i := image.Window
 	c.controlWindow = controlWindow{wasCut: i.WasCut, limitReached: i.LimitReached, latencyRatioSum: i.LatencyRatioSum, latencySecondsSum: i.LatencySecondsSum, latencyCount: i.LatencyCount, answers: i.Answers, overloads: i.Overloads, servedUnits: i.ServedUnits, utilizationSum: i.UtilizationSum, utilizationCount: i.UtilizationCount}
 	c.meter.phaseBin, c.meter.lagBins = image.Meter.PhaseBin, image.Meter.LagBins
-	for i := range c.meter.miss {
-		copy(c.meter.miss[i][:], image.Meter.Misfit[i*maxMeterLagBins:])
+	for i := range c.meter.misfit {
+		copy(c.meter.misfit[i][:], image.Meter.Misfit[i*maxMeterLagBins:])
 	}
 	if err := c.shareController.Restore(image.ShareController); err != nil {
 		return err
@@ -98,45 +98,6 @@
 	return all, nil
 }
 
-func (c *Controller) resumeCustomers(s *Image) ([]*customerAccount, error) {
-	var all []*customerAccount
-	for _, customerImage := range s.Customers {
-		if customerImage.Plan < 0 || customerImage.Plan >= len(c.plans) {
-			return nil, fmt.Errorf("customer %q: there is no plan %d", customerImage.Key, customerImage.Plan)
-		}
-		account := &customerAccount{
-			plan: c.plans[customerImage.Plan], fanOut: customerImage.FanOut, quotaTokens: customerImage.QuotaTokens, hardLimitTokens: customerImage.HardLimitTokens, queuedUnits: customerImage.QueuedUnits, inFlightLimit: customerImage.InFlightLimit,
-			openRejectionProbability: customerImage.OpenRejectionProbability, admissionRemainder: customerImage.AdmissionRemainder, remoteRate: customerImage.RemoteRate, lastReadingUnits: customerImage.LastReadingUnits, requestedUnits: customerImage.RequestedUnits, meteredUnits: customerImage.MeteredUnits, demandSeconds: customerImage.DemandSeconds,
-			meteredSeconds: customerImage.MeteredSeconds, localUnits: customerImage.LocalUnits, totalUnits: customerImage.TotalUnits, usageRate: customerImage.UsageRate, updatedAt: customerImage.UpdatedAt, nextAttemptAt: customerImage.NextAttemptAt, remoteRateAt: customerImage.RemoteRateAt,
-			readingAt: customerImage.ReadingAt, requestedAt: customerImage.RequestedAt, inFlight: customerImage.InFlight, predecessorInFlight: customerImage.PredecessorInFlight, hitInFlightLimit: customerImage.HitInFlightLimit, isMetered: customerImage.IsMetered, readingEndBin: customerImage.ReadingEndBin,
-		}
-		for _, h := range []struct {
-			to   *history
-			last int64
-			from []RunningSum
-		}{
-			{&account.sent, customerImage.SentBin, customerImage.Sent},
-			{&account.charged, customerImage.ChargedBin, customerImage.Charged},
-			{&account.arrivals, customerImage.ArrivalsBin, customerImage.Arrivals},
-			{&account.rejections, customerImage.RejectionsBin, customerImage.Rejections},
-		} {
-			if len(h.from) > historyBins+1 {
-				return nil, fmt.Errorf("customer %q: a history of %d bins", customerImage.Key, len(h.from))
-			}
-			for i, s := range h.from {
-				if s.Bin > h.last || i > 0 && s.Bin <= h.from[i-1].Bin {
-					return nil, fmt.Errorf("customer %q: bin %d is out of order", customerImage.Key, s.Bin)
-				}
-			}
-			h.to.currentBin, h.to.sums = h.last, slices.Clone(h.from)
-		}
-		if all = append(all, account); customerImage.IsTracked {
-			c.accounts[customerImage.Key] = account
-		}
-	}
-	return all, nil
-}
-
 func (c *Controller) resumeRequests(image *Image, servers []*server, customers []*customerAccount) error {
 	var all []*request
 	for _, w := range image.Requests {
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -67,7 +67,7 @@
 		gateway.serve(k.life, k.gap, 151, func(i int) { // half as much again as its rate, for a while
 			gateway.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", Timeout: 3 * time.Second, Units: 1, FanOut: 4})
 		})
-		if got := gateway.c.isWellMetered(gateway.c.accounts["low c"]); got != k.want {
+		if got := gateway.c.accounts["low c"].demand.isWellMetered(gateway.c.now, gateway.c.fillingSince); got != k.want {
 			t.Errorf("a reading each %v for %v: covered %v", k.gap, k.life, got)
 		}
 	}
@@ -203,7 +203,7 @@
 	settings.Classes = append(settings.Classes, Class{Name: "cheap", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 0.2})
 	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 1, 10
 	gateway := newGate(t, settings, on(1, 2)...)
-	gateway.c.accountFor(gateway.c.plans[0], "x", 2).quotaTokens = 4
+	gateway.c.accountFor(gateway.c.plans[0], "x", 2).quota.tokens = 4
 	gateway.ask("cheap", "cheap", "low", "x")
 	gateway.ask("dear", "job", "low", "x")
 	if gateway.ends["cheap"] == nil || gateway.ends["dear"] != nil {
--- a/control/state.go
+++ b/control/state.go
@@ -53,12 +53,6 @@
 	charge  charge // of the customer's stores; nothing where it is not its request's first
 }
 
-// charge is what a send took of a customer's stores.
-type charge struct {
-	units, groupUnits, quotaTokens float64
-	bin                            int64 // in which it is booked
-}
-
 // abandonedAttempt is work that is taken to go on at a server after its attempt has ended.
 type abandonedAttempt struct {
 	server *server
@@ -70,32 +64,6 @@
 	n  int
 }
 
-type customerAccount struct {
-	plan                                         *planQueue
-	fanOut                                       float64
-	updatedAt                                    time.Duration // of the levels
-	quotaTokens, hardLimitTokens                 float64
-	queuedUnits                                  float64       // units in the queue
-	inFlight                                     int           // attempts out
-	predecessorInFlight                          int           // attempts out of a predecessor that has not ended
-	inFlightLimit                                float64       // own part of an open quota
-	nextAttemptAt                                time.Duration // pause of a part below one
-	hitInFlightLimit                             bool
-	openRejectionProbability, admissionRemainder float64
-	isMetered                                    bool
-	remoteRate, lastReadingUnits                 float64 // units a second taken to go on elsewhere; units of the last read period
-	remoteRateAt, readingAt                      time.Duration
-	requestedUnits                               float64 // units asked here of late
-	requestedAt                                  time.Duration
-	meteredUnits, demandSeconds                  float64 // units told, and s of full demand that they stand for
-	meteredSeconds                               float64 // s told of late
-	readingEndBin                                int64   // bin in which the last read period ended
-	localUnits, totalUnits                       float64 // smoothed units through this gateway, and in all
-	usageRate                                    float64 // smoothed units a second in all
-	// Units sent and taken from the level, requests asked and refused, by bin.
-	sent, charged, arrivals, rejections history
-}
-
 // typicalDeadline is the time that most first tries of a class come with.
 type typicalDeadline struct {
 	deadline time.Duration
@@ -201,14 +169,6 @@
 
 func (c *Controller) currentBin() int64 { return int64(c.now / c.binDuration()) }
 
-// advanceHistories brings a customer's history up to the present bin.
-func (c *Controller) advanceHistories(account *customerAccount) {
-	bin := c.currentBin()
-	for _, hist := range []*history{&account.sent, &account.charged, &account.arrivals, &account.rejections} {
-		hist.advance(bin)
-	}
-}
-
 func (c *Controller) enqueue(req *request, front bool) {
 	req.isQueued = true
 	if req.attempts == 0 {
@@ -264,7 +224,7 @@
 
 // meterClock is what is known of the meter; see learn.
 type meterClock struct {
-	miss              [binsPerPeriod][maxMeterLagBins]float64
+	misfit            [binsPerPeriod][maxMeterLagBins]float64
 	phaseBin, lagBins int64
 }
 
@@ -328,12 +288,33 @@
 
 func newController(settings Settings, seed uint64) *Controller {
 	pcg := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
-	return &Controller{
-		settings: settings, rateFraction: 1, slackFraction: initialSlackFraction, pcg: pcg, rng: rand.New(pcg),
-		classes: map[string]*Class{}, plansByName: map[string]*planQueue{}, requests: map[string]*request{},
-		typicalDeadlines: map[*Class]*typicalDeadline{}, requestsByTimer: map[uint64]*request{}, attempts: map[attemptKey]*pendingAttempt{},
-		accounts: map[string]*customerAccount{}, servers: map[uint32]*server{},
+	c := &Controller{
+		settings:         settings,
+		rateFraction:     1,
+		slackFraction:    initialSlackFraction,
+		pcg:              pcg,
+		rng:              rand.New(pcg),
+		classes:          make(map[string]*Class),
+		plansByName:      make(map[string]*planQueue),
+		requests:         make(map[string]*request),
+		typicalDeadlines: make(map[*Class]*typicalDeadline),
+		requestsByTimer:  make(map[uint64]*request),
+		attempts:         make(map[attemptKey]*pendingAttempt),
+		accounts:         make(map[string]*customerAccount),
+		servers:          make(map[uint32]*server),
+	}
+	for i := range c.settings.Classes {
+		class := &c.settings.Classes[i]
+		c.classes[class.Name], c.typicalDeadlines[class] = class, &typicalDeadline{}
+		c.maxPriorityWeight = math.Max(c.maxPriorityWeight, class.PriorityWeight)
+	}
+	prices := make([]float64, len(settings.Plans))
+	for i, p := range settings.Plans {
+		plan := &planQueue{Plan: p, index: i}
+		c.plans, c.plansByName[p.Name], prices[i] = append(c.plans, plan), plan, p.Price
 	}
+	c.shareController = sharecontrol.New(prices)
+	return c
 }
 
 // mergeList brings the servers up to a list event and forgets those that are gone.
@@ -367,7 +348,7 @@
 	req.triedServers = append(req.triedServers, srv.Server)
 	srv.inFlight++
 	c.inFlight++
-	req.account.inFlight++
+	req.account.inFlight.current++
 	if req.isStreaming { // from the start: its body is still to come
 		c.streamingAttempts++
 	}
@@ -383,7 +364,7 @@
 	attempt.request.inFlight--
 	attempt.server.inFlight--
 	c.inFlight--
-	attempt.account.inFlight--
+	attempt.account.inFlight.current--
 	if attempt.request.isStreaming {
 		c.streamingAttempts--
 	}
--- a/control/turns.go
+++ b/control/turns.go
@@ -16,14 +16,8 @@
 	class, plan := c.classes[event.Class], c.plansByName[event.Plan]
 	if c.requests[event.ID] != nil {
 		return
-	} else if event.IsOverCapacity {
-		c.reject(event.ID, CauseOverCapacity)
-		return
-	} else if event.IsOverHardLimit {
-		c.reject(event.ID, CauseHardLimit)
-		return
-	} else if class == nil || plan == nil || !(event.Units >= 0) || event.Timeout <= 0 {
-		c.reject(event.ID, CauseInvalid)
+	} else if cause := unusableCause(event, class, plan); cause != CauseNone {
+		c.reject(event.ID, cause)
 		return
 	}
 	c.requestCount++
@@ -33,8 +27,8 @@
 	waited := c.clientWait(event, class)
 	latency := durationOf(c.fleetLatency)
 	isLate := waited+latency >= class.LatencyObjective
-	// Guards against refusing all for good after one slow answer: where every try is taken to be late,
-	// only an attempt can tell otherwise, so one goes out whenever there is none.
+	// Guards against rejecting all for good after one slow answer: with nothing in flight, an attempt has to
+	// show whether servers still are slow.
 	if latency >= class.LatencyObjective && waited < class.LatencyObjective && c.inFlight == 0 {
 		isLate = false
 	}
@@ -56,10 +50,22 @@
 	c.armTimer(req, min(maxWait, event.Timeout/2, max(req.objectiveAt-c.now-latency, tickPeriod)))
 }
 
-// clientWait is what the client of a try has waited for earlier tries or for this gateway. A
-// later try is told by its mark, or by a time unlike what is usual for its class; the deadline
-// over all tries then tells. Guards against first tries that a gateway that stood still finds
-// late: they lack no more than its own clock has skipped.
+// unusableCause is why a request is rejected whatever the load; CauseNone is none.
+func unusableCause(event Request, class *Class, plan *planQueue) Cause {
+	switch {
+	case event.IsOverCapacity:
+		return CauseOverCapacity
+	case event.IsOverHardLimit:
+		return CauseHardLimit
+	case class == nil || plan == nil || !(event.Units >= 0) || event.Timeout <= 0:
+		return CauseInvalid
+	}
+	return CauseNone
+}
+
+// clientWait is how long the client has waited, for earlier attempts of its own or for this gateway. A
+// client's retry is marked, or has an outlier deadline. Guards against first attempts that seem late to
+// a gateway that was stalled: they lack no more than its clock has advanced.
 func (c *Controller) clientWait(event Request, class *Class) time.Duration {
 	typical := c.typicalDeadlines[class]
 	shortfall := typical.deadline - event.Timeout
@@ -70,7 +76,7 @@
 	}
 	if !isRetry {
 		return min(max(shortfall, 0), c.clockAdvance)
-	} else if !isOutlier { // as long as a first try's: not the last of its client
+	} else if !isOutlier { // the client does not count down over its attempts
 		return min(c.minRetryGap, class.Deadline-event.Timeout)
 	}
 	c.minRetryGap = min(c.minRetryGap, class.Deadline-event.Timeout)
@@ -81,8 +87,7 @@
 	c.emit(Reject{ID: id, RetryAfter: min(rejectRetryAfter, c.settings.MaxRetryAfter), Cause: cause})
 }
 
-// endUnserved gives the final answer of a request that was not served: a refusal
-// where the rules allow one, else a failure.
+// endUnserved gives the final answer of a request that was not served: a rejection if that is allowed.
 func (c *Controller) endUnserved(req *request, cause Cause) {
 	if c.canReject(req) {
 		c.reject(req.id, cause)
@@ -92,12 +97,13 @@
 	c.removeRequest(req)
 }
 
+// canReject tells whether the client may repeat the request safely, as it does after a rejection.
 func (c *Controller) canReject(req *request) bool {
 	return req.class.Idempotency == Idempotent || !req.mayHaveRun && req.inFlight == 0 ||
 		req.class.Idempotency == IdempotencyKeyed && req.class.KeyScope == ScopeAll
 }
 
-// dispatch gives turns to the plans while the bound allows.
+// dispatch starts attempts of queued requests while the concurrency limit allows.
 func (c *Controller) dispatch() {
 	for c.hasFreeSlot() {
 		req, srv := c.nextTurn()
@@ -109,14 +115,14 @@
 	c.limitReached = true
 }
 
-// hasFreeSlot tells whether the bound has room. The part of it beyond a whole number is a place that
-// rests after each use; so hundreds of gateways may each have less than one request in flight.
+// hasFreeSlot tells whether another attempt is within the limit. A fractional slot pauses after each
+// use, so that hundreds of gateways may each have less than one attempt in flight.
 func (c *Controller) hasFreeSlot() bool {
 	n := c.occupiedSlots()
 	return n+1 <= c.concurrencyLimit || n < c.concurrencyLimit && c.now >= c.fractionalSlotFreeAt
 }
 
-// occupiedSlots counts attempts out and timed-out work that is taken to go on.
+// occupiedSlots counts attempts in flight and abandoned ones that are presumed still running.
 func (c *Controller) occupiedSlots() float64 {
 	for len(c.abandoned) > 0 && c.abandoned[0].until <= c.now {
 		c.abandoned[0].server.abandoned--
@@ -125,8 +131,8 @@
 	return float64(c.inFlight - c.streamingAttempts + len(c.abandoned))
 }
 
-// nextTurn is one step of the weighted round robin: the plan with the most credit
-// among those that have a request to send. An empty queue passes its turn.
+// nextTurn is one step of the weighted round robin among the plans that have an eligible request: the
+// one that is farthest behind its share comes next.
 func (c *Controller) nextTurn() (*request, *server) {
 	var best *planQueue
 	totalShare := 0.0
@@ -147,15 +153,11 @@
 	return best.nextRequest, best.nextServer
 }
 
-// nextEligible is the first request of a plan's queue that may go now, and its server.
-// One that waits for its open quota or for its own group lets the next pass.
+// nextEligible is a plan's first request that may be sent now, and its server. Requests that wait for
+// an in-flight quota or for their repeat group let the next pass.
 func (c *Controller) nextEligible(plan *planQueue) (*request, *server) {
 	for _, req := range plan.queue {
-		inFlight := float64(req.account.inFlight + req.account.predecessorInFlight)
-		limit := math.Max(1, math.Floor(req.account.inFlightLimit))
-		isFull := c.now < req.account.nextAttemptAt || inFlight >= limit
-		if plan.MaxInFlight > 0 && req.attempts == 0 && isFull {
-			req.account.hitInFlightLimit = true
+		if plan.MaxInFlight > 0 && req.attempts == 0 && req.account.inFlight.isFull(c.now) {
 			continue
 		}
 		if srv := c.chooseServer(req); srv != nil {
--- a/control/unsent_test.go
+++ b/control/unsent_test.go
@@ -27,7 +27,7 @@
 					srv.slowStartTokens = 0.125
 					c.concurrencyLimit, c.latencySamples = 0.5, 1 // a place that rests after each use
 					account := c.accountFor(c.plans[0], "c", 2)
-					account.inFlightLimit = 0.5 // likewise
+					account.inFlight.limit = 0.5 // likewise
 					srv.consecutiveFailures = ejectionFailures
 					type books struct {
 						level, ceiling, tokens, own, charged, queued float64
@@ -38,8 +38,8 @@
 					look := func() books {
 						b := c.currentBin() + 1
 						return books{
-							account.quotaTokens, account.hardLimitTokens, srv.slowStartTokens, account.sent.periodSum(b), account.charged.periodSum(b), account.queuedUnits, account.inFlight, srv.inFlight, c.inFlight,
-							c.fractionalSlotFreeAt, account.nextAttemptAt, srv.isProbing,
+							account.quota.tokens, account.hardLimit.tokens, srv.slowStartTokens, account.history.sent.periodSum(b), account.history.charged.periodSum(b), account.queuedUnits, account.inFlight.current, srv.inFlight, c.inFlight,
+							c.fractionalSlotFreeAt, account.inFlight.nextAttemptAt, srv.isProbing,
 						}
 					}
 					before := look()
