Name local variables in the tests of package service by what they are

Tests of replacements called both services was and next, and others had names of one letter over many lines.

--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -69,23 +69,23 @@
 			t.Run(fmt.Sprint(from, to), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					var before, after []control.Request
-					with := func(e control.Idempotency, seen *[]control.Request) *Service {
+					startClass := func(e control.Idempotency, seen *[]control.Request) *Service {
 						o := Options{Settings: testSettings(), NewModule: func() (Module, error) { return statefulRecorder{seen}, nil }}
 						o.Settings.Classes[0].Idempotency, o.Settings.Classes[0].RepeatWindow = e, time.Second
 						s, _ := startService(t, o)
 						return s
 					}
-					was, next := with(from, &before), with(to, &after)
-					was.ReplaceWith(next)
-					ctx, leave := context.WithCancel(t.Context())
+					original, replacement := startClass(from, &before), startClass(to, &after)
+					original.ReplaceWith(replacement)
+					ctx, cancelClient := context.WithCancel(t.Context())
 					x := newExchange("id-1")
 					x.Forwarder.(*upstream.Whole).Request.Method = http.MethodPost
-					go was.Do(ctx, x)
+					go original.Do(ctx, x)
 					synctest.Wait()
 					if stays := from != to && to == control.IdempotencyKeyed; len(before)+len(after) != 1 || len(before) == 1 != stays {
 						t.Errorf("heard of %d before, %d after", len(before), len(after))
 					}
-					leave()
+					cancelClient()
 					synctest.Wait()
 				})
 			})
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -97,7 +97,7 @@
 // wherever it is then, is not written. The module is notified once that it was not sent, and the next request
 // is served.
 func TestRequestOfDepartedClientIsNotSent(t *testing.T) {
-	rings := map[string]func(r *departureTest, x *Exchange){
+	scenarios := map[string]func(r *departureTest, x *Exchange){
 		"its turn": func(r *departureTest, x *Exchange) { r.fillServer(); r.leaveAt(x, nil); r.emptyServer() },
 		"its worker": func(r *departureTest, x *Exchange) {
 			b := newBarrier()
@@ -134,14 +134,14 @@
 			x.OpenGate()
 		},
 	}
-	for where, play := range rings {
+	for place, scenario := range scenarios {
 		for _, class := range []string{"safe", "keyed", "unsafe"} {
 			for _, deadline := range []time.Duration{time.Minute, time.Hour} {
-				for _, by := range []string{"whole", "whole over HTTP/2", "relay", "relay over HTTP/2"} {
-					t.Run(fmt.Sprint(where, " ", class, " ", by, " ", deadline), func(t *testing.T) {
-						r := newDepartureTest(t, class, by, deadline)
-						play(r, r.newExchange("left"))
-						r.checkNotSent(where)
+				for _, forwarder := range []string{"whole", "whole over HTTP/2", "relay", "relay over HTTP/2"} {
+					t.Run(fmt.Sprint(place, " ", class, " ", forwarder, " ", deadline), func(t *testing.T) {
+						r := newDepartureTest(t, class, forwarder, deadline)
+						scenario(r, r.newExchange("left"))
+						r.checkNotSent(place)
 					})
 				}
 			}
@@ -151,10 +151,10 @@
 
 // checkNotSent checks that nothing of the request "left" was sent, which its client left at some place, and
 // that the next request is served.
-func (r *departureTest) checkNotSent(where string) {
+func (r *departureTest) checkNotSent(place string) {
 	testkit.Until(r.t, "its end", func() bool { return r.service.Status().Requests == 0 })
 	sent := r.module.responsesTo("left")
-	if where == "its turn" && len(sent) > 0 || where != "its turn" && (len(sent) != 1 || sent[0].Reason != control.NotSent || !sent[0].IsFinal) {
+	if place == "its turn" && len(sent) > 0 || place != "its turn" && (len(sent) != 1 || sent[0].Reason != control.NotSent || !sent[0].IsFinal) {
 		r.t.Errorf("its attempts ended %+v", sent)
 	}
 	if a, ok := r.service.Do(r.t.Context(), r.newExchange("next")); !ok || a.Status != http.StatusOK {
@@ -163,7 +163,7 @@
 	if r.serverSaw("left") || !r.serverSaw("next") {
 		r.t.Errorf("the server saw %v", r.requestsSeen)
 	}
-	if where == "its socket's word" && r.connectionCount() != 1 {
+	if place == "its socket's word" && r.connectionCount() != 1 {
 		r.t.Errorf("%d connections: that of what was not sent is not used", r.connectionCount())
 	}
 }
@@ -187,9 +187,9 @@
 	clientAddresses map[string]bool
 }
 
-func newDepartureTest(t *testing.T, class, by string, deadline time.Duration) *departureTest {
+func newDepartureTest(t *testing.T, class, forwarder string, deadline time.Duration) *departureTest {
 	r := &departureTest{
-		t: t, class: class, forwarder: by, deadline: deadline, opener: &slowLimiter{ConnectionLimiter: limits.NewSocketLimiter(100)},
+		t: t, class: class, forwarder: forwarder, deadline: deadline, opener: &slowLimiter{ConnectionLimiter: limits.NewSocketLimiter(100)},
 		releaseFillers: make(chan struct{}), clientAddresses: make(map[string]bool),
 	}
 	r.serverAddress = startBothProtocols(t, r.serve)
@@ -242,14 +242,14 @@
 
 // leaveAt has the client leave once its request has arrived at a barrier, which then opens, or, without one,
 // once the service has accepted it.
-func (r *departureTest) leaveAt(x *Exchange, at *barrier) {
+func (r *departureTest) leaveAt(x *Exchange, place *barrier) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	r.cancelClient = cancel
 	done := make(chan bool)
 	go func() { _, ok := r.service.Do(ctx, x); done <- ok }()
 	switch {
-	case at != nil:
-		testkit.Next(r.t, at.arrived)
+	case place != nil:
+		testkit.Next(r.t, place.arrived)
 		cancel()
 	case x.Client == nil:
 		testkit.Until(r.t, "its place in the queue", func() bool { return r.service.Status().Requests == 3 })
@@ -259,30 +259,30 @@
 		r.t.Error("it has an answer")
 	}
 	r.awaitClientLeft(x)
-	if at != nil {
-		close(at.open)
+	if place != nil {
+		close(place.open)
 	}
 }
 
 // leaveBeforeEventRuns has the client leave once its request, or the opening of its gate, is in a loop's event
 // queue; the loop is notified of that only when the attempt that follows has ended.
-func (r *departureTest) leaveBeforeEventRuns(x *Exchange, into *Service, gate chan bool) {
+func (r *departureTest) leaveBeforeEventRuns(x *Exchange, target *Service, gate chan bool) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	done, over := make(chan bool, 1), make(chan struct{})
 	x.Forwarder = watchedForwarder{x.Forwarder, over}
-	was := r.service
-	enter := func() { go func() { _, ok := was.Do(ctx, x); done <- ok }() }
+	original := r.service
+	enter := func() { go func() { _, ok := original.Do(ctx, x); done <- ok }() }
 	if gate != nil {
 		enter()
 		testkit.Next(r.t, gate)
 		enter = x.OpenGate
 	}
 	before, after := newBarrier(), newBarrier()
-	into.Post(before.pass)
+	target.Post(before.pass)
 	testkit.Next(r.t, before.arrived)
 	enter()
-	testkit.Until(r.t, "its event", func() bool { return len(into.currentLoop().events) == 1 })
-	into.Post(after.pass)
+	testkit.Until(r.t, "its event", func() bool { return len(target.currentLoop().events) == 1 })
+	target.Post(after.pass)
 	cancel()
 	if testkit.Next(r.t, done) {
 		r.t.Error("it has an answer")
@@ -291,7 +291,7 @@
 	testkit.Next(r.t, after.arrived)
 	testkit.Next(r.t, over)
 	close(after.open)
-	r.service = into
+	r.service = target
 	r.awaitClientLeft(x)
 }
 
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -53,20 +53,20 @@
 	m.gate = nil
 }
 
-func sharedLimitOptions(m *memoryLeaseStore, instances int) Options {
+func sharedLimitOptions(store *memoryLeaseStore, instances int) Options {
 	r := quotalease.Rules{Instances: instances, Term: time.Second, Pledge: 2 * time.Second, Settle: 3 * time.Second}
-	if m.counter == nil {
-		m.counter, m.startedAt = quotalease.NewCounter(r, "c"), time.Now()
+	if store.counter == nil {
+		store.counter, store.startedAt = quotalease.NewCounter(r, "c"), time.Now()
 	}
-	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]quotalease.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{m}}}
+	return Options{SharedHardLimits: &SharedHardLimits{Rules: r, ByPlan: map[string]quotalease.Ceiling{"p": {Rate: 10, Burst: 20}}, StoreNames: []string{"c"}, Stores: []LeaseStore{store}}}
 }
 
 // rejectOverLimit creates modules that reject requests over their shared hard limit and never answer others.
-func rejectOverLimit(seen *[]control.Request) func() (Module, error) {
+func rejectOverLimit(requests *[]control.Request) func() (Module, error) {
 	return func() (Module, error) {
 		return moduleFunc(func(e control.Event) []control.Action {
 			if r, ok := e.(control.Request); ok {
-				if *seen = append(*seen, r); r.IsOverHardLimit {
+				if *requests = append(*requests, r); r.IsOverHardLimit {
 					return []control.Action{control.Reject{ID: r.ID, RetryAfter: time.Second}}
 				}
 			}
@@ -76,9 +76,9 @@
 }
 
 // startSharedLimitService starts a service with a shared hard limit, and records its module's requests.
-func startSharedLimitService(t *testing.T, m *memoryLeaseStore, instances int, seen *[]control.Request) *Service {
-	o := sharedLimitOptions(m, instances)
-	o.NewModule = rejectOverLimit(seen)
+func startSharedLimitService(t *testing.T, store *memoryLeaseStore, instances int, requests *[]control.Request) *Service {
+	o := sharedLimitOptions(store, instances)
+	o.NewModule = rejectOverLimit(requests)
 	s, _ := startService(t, o)
 	return s
 }
@@ -94,8 +94,8 @@
 func TestSharedHardLimitDecidesBeforeModule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
-		m := &memoryLeaseStore{}
-		s := startSharedLimitService(t, m, 1, &seen)
+		store := &memoryLeaseStore{}
+		s := startSharedLimitService(t, store, 1, &seen)
 		for range 20 { // until the holder's part is reserved, and the store's bucket full
 			time.Sleep(time.Second)
 		}
@@ -139,12 +139,12 @@
 func TestSharedHardLimitWithoutLeaseStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []control.Request
-		m := &memoryLeaseStore{}
-		s := startSharedLimitService(t, m, 2, &seen)
+		store := &memoryLeaseStore{}
+		s := startSharedLimitService(t, store, 2, &seen)
 		time.Sleep(10 * time.Second)
-		m.mu.Lock()
-		m.isDown = true
-		m.mu.Unlock()
+		store.mu.Lock()
+		store.isDown = true
+		store.mu.Unlock()
 		begun := s.Status().HardLimits[0].Calls
 		time.Sleep(60 * time.Second)
 		synctest.Wait()
@@ -176,58 +176,58 @@
 // stays spent, and a part that grows by it does so only once all instances know.
 func TestSharedHardLimitMovesToReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &memoryLeaseStore{}
-		was, ended := startService(t, sharedLimitOptions(m, 2))
+		store := &memoryLeaseStore{}
+		original, ended := startService(t, sharedLimitOptions(store, 2))
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		calls := was.Status().HardLimits[0].Calls
-		o := sharedLimitOptions(m, 1)
-		o.SharedUpstream = was.Upstream()
-		next, _ := startService(t, o)
-		was.ReplaceWith(next)
-		was.Retire()
+		calls := original.Status().HardLimits[0].Calls
+		o := sharedLimitOptions(store, 1)
+		o.SharedUpstream = original.Upstream()
+		replacement, _ := startService(t, o)
+		original.ReplaceWith(replacement)
+		original.Retire()
 		if err := <-ended; err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
-		st := next.Status().HardLimits[0]
+		st := replacement.Status().HardLimits[0]
 		if st.Calls < calls || st.Pledged != 0.5 {
 			t.Errorf("%+v after %d calls", st, calls)
 		}
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
-		if st := next.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
+		if st := replacement.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
 			t.Errorf("%+v", st)
 		}
-		if x := newExchangeOfUnits("x", 1); was.Upstream() != next.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
+		if x := newExchangeOfUnits("x", 1); original.Upstream() != replacement.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
 			t.Error("another upstream")
 		}
 		// A process that hands over to another has no part any more.
-		st = next.Status().HardLimits[0]
-		next.Rejoin(nil) // it has not handed over: nothing changes
-		if again := next.Status().HardLimits[0]; again != st {
+		st = replacement.Status().HardLimits[0]
+		replacement.Rejoin(nil) // it has not handed over: nothing changes
+		if again := replacement.Status().HardLimits[0]; again != st {
 			t.Errorf("%+v, not %+v", again, st)
 		}
-		next.HandOver(0.5)
-		if st := next.Status().HardLimits[0]; st.Own || st.Pledged != 0 {
+		replacement.HandOver(0.5)
+		if st := replacement.Status().HardLimits[0]; st.Own || st.Pledged != 0 {
 			t.Errorf("%+v after it was handed over", st)
 		}
 		// The other process fails while a request waits for units here: it is answered, and the part is
 		// this process's again once the other's has expired.
-		m.holdCalls()
-		answered := doInBackground(t.Context(), next, newExchangeOfUnits("w", 4))
+		store.holdCalls()
+		answered := doInBackground(t.Context(), replacement, newExchangeOfUnits("w", 4))
 		synctest.Wait()
-		if st := next.Status().HardLimits[0]; st.Waiting != 1 {
+		if st := replacement.Status().HardLimits[0]; st.Waiting != 1 {
 			t.Errorf("%+v", st)
 		}
-		next.Rejoin(nil)
+		replacement.Rejoin(nil)
 		if a := <-answered; a.Kind != Rejected {
 			t.Errorf("%+v", a)
 		}
-		m.releaseCalls()
+		store.releaseCalls()
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
-		if st := next.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
+		if st := replacement.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
 			t.Errorf("%+v after the other has ended", st)
 		}
 	})
@@ -237,32 +237,32 @@
 // replaced is decided on by the replacement, and only that one's module gets it.
 func TestReplacementDecidesWaitingRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &memoryLeaseStore{}
+		store := &memoryLeaseStore{}
 		var before, after []control.Request
-		o := sharedLimitOptions(m, 1)
+		o := sharedLimitOptions(store, 1)
 		o.NewModule, o.AnyMethod = func() (Module, error) { return statefulRecorder{&before}, nil }, true
-		was, ended := startService(t, o)
+		original, ended := startService(t, o)
 		time.Sleep(10 * time.Second)
-		m.holdCalls()
-		ctx, leave := context.WithCancel(t.Context())
-		defer leave()
+		store.holdCalls()
+		ctx, cancelClients := context.WithCancel(t.Context())
+		defer cancelClients()
 		for i := range 3 {
-			go was.Do(ctx, newExchangeOfUnits(fmt.Sprint("a", i), 4))
+			go original.Do(ctx, newExchangeOfUnits(fmt.Sprint("a", i), 4))
 		}
 		synctest.Wait()
-		o = sharedLimitOptions(m, 1)
+		o = sharedLimitOptions(store, 1)
 		o.NewModule, o.AnyMethod = func() (Module, error) { return statefulRecorder{&after}, nil }, true
-		next, _ := startService(t, o)
-		was.ReplaceWith(next)
-		was.Retire()
+		replacement, _ := startService(t, o)
+		original.ReplaceWith(replacement)
+		original.Retire()
 		synctest.Wait()
-		m.releaseCalls()
+		store.releaseCalls()
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if err := <-ended; err != nil || len(before) != 0 || len(after) != 3 {
 			t.Errorf("heard of %d before and %d after; %v", len(before), len(after), err)
 		}
-		leave()
+		cancelClients()
 		synctest.Wait()
 	})
 }
@@ -285,7 +285,7 @@
 // TestCustomersSpreadOverLeaseStores checks that customers are assigned to lease stores evenly, and when one
 // is added only those move that are assigned to it.
 func TestCustomersSpreadOverLeaseStores(t *testing.T) {
-	at := func(names ...string) map[string]string {
+	assignments := func(names ...string) map[string]string {
 		g := newHardLimiter(&SharedHardLimits{Rules: quotalease.Rules{Instances: 1}, ByPlan: map[string]quotalease.Ceiling{"p": {}}, StoreNames: names, Stores: make([]LeaseStore, len(names))})
 		all := make(map[string]string)
 		for i := range 30_000 {
@@ -294,7 +294,7 @@
 		}
 		return all
 	}
-	three, four := at("10.0.0.1:6379", "10.0.0.2:6379", "10.0.0.3:6379"), at("10.0.0.1:6379", "10.0.0.2:6379", "10.0.0.3:6379", "10.0.0.4:6379")
+	three, four := assignments("10.0.0.1:6379", "10.0.0.2:6379", "10.0.0.3:6379"), assignments("10.0.0.1:6379", "10.0.0.2:6379", "10.0.0.3:6379", "10.0.0.4:6379")
 	counts := make(map[string]int)
 	for key, name := range three {
 		if counts[name]++; four[key] != name && four[key] != "10.0.0.4:6379" {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -71,16 +71,16 @@
 				return nil
 			}), nil
 		}})
-		held := make(chan Answer)
+		accepted := make(chan Answer)
 		go func() {
 			a, _ := s.Do(context.Background(), newExchange("held"))
-			held <- a
+			accepted <- a
 		}()
 		synctest.Wait()
 		if a, _ := s.Do(context.Background(), newExchange("bad")); a.Status != http.StatusBadGateway {
 			t.Errorf("the one at fault: %+v", a)
 		}
-		if a := <-held; a.Status != http.StatusBadGateway {
+		if a := <-accepted; a.Status != http.StatusBadGateway {
 			t.Errorf("what was held: %+v", a)
 		}
 		synctest.Wait()
@@ -150,9 +150,9 @@
 // of Do and the loop have released it, in any order and whatever becomes of the request.
 func TestResourcesAreReleasedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		parts := &countingLimiter{limit: 2}
+		limiter := &countingLimiter{limit: 2}
 		var module moduleFunc = ignoreAll
-		s, _ := startService(t, Options{Limiter: parts, OnPanic: RestartService, NewModule: func() (Module, error) {
+		s, _ := startService(t, Options{Limiter: limiter, OnPanic: RestartService, NewModule: func() (Module, error) {
 			return moduleFunc(func(e control.Event) []control.Action { return module(e) }), nil
 		}})
 		do := func(ctx context.Context, id string) (Answer, bool) {
@@ -174,7 +174,7 @@
 			t.Error("a second one of an id has no answer")
 		}
 		synctest.Wait()
-		if n := parts.acquired.Load(); n != 1 {
+		if n := limiter.acquired.Load(); n != 1 {
 			t.Errorf("%d booked", n)
 		}
 		leave()
@@ -182,7 +182,7 @@
 			t.Error("a client that left has an answer")
 		}
 		synctest.Wait()
-		if n := parts.acquired.Load(); n != 0 {
+		if n := limiter.acquired.Load(); n != 0 {
 			t.Errorf("%d booked after the client left", n)
 		}
 		module = panicWithinCapacity
@@ -190,11 +190,11 @@
 			t.Errorf("%+v", a)
 		}
 		time.Sleep(time.Minute)
-		parts.limit = 0
+		limiter.limit = 0
 		if a, _ := do(context.Background(), "no room"); a.Status != http.StatusServiceUnavailable || a.RetryAfter != time.Second {
 			t.Errorf("where there is no room: %+v", a)
 		}
-		if out, gave := parts.acquired.Load(), parts.released.Load(); out != 0 || gave != 3 {
+		if out, gave := limiter.acquired.Load(), limiter.released.Load(); out != 0 || gave != 3 {
 			t.Errorf("%d booked, %d given back", out, gave)
 		}
 	})
@@ -263,24 +263,24 @@
 // transfers its state all the same, however busy it is, so that its replacement does not spend tokens twice.
 func TestRetiringAfterReplaceStillTransfersState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		was, ended := startService(t, Options{})
-		l, busy := was.currentLoop(), make(chan struct{})
+		original, ended := startService(t, Options{})
+		l, busy := original.currentLoop(), make(chan struct{})
 		l.post(func() { <-busy })
 		synctest.Wait()
-		next, _ := startService(t, Options{SharedUpstream: was.Upstream()})
-		was.ReplaceWith(next)
-		was.Retire()
+		replacement, _ := startService(t, Options{SharedUpstream: original.Upstream()})
+		original.ReplaceWith(replacement)
+		original.Retire()
 		select {
-		case <-was.unused:
+		case <-original.unused:
 			t.Error("it may end before it has handed over")
 		default:
 		}
 		close(busy)
-		if err := <-ended; err != nil || l.replacement != next {
-			t.Errorf("ended with %v, handed to %p, not %p", err, l.replacement, next)
+		if err := <-ended; err != nil || l.replacement != replacement {
+			t.Errorf("ended with %v, handed to %p, not %p", err, l.replacement, replacement)
 		}
 		synctest.Wait()
-		if idle, pools := was.Upstream().Conns(); idle != 0 || pools != 1 {
+		if idle, pools := original.Upstream().Conns(); idle != 0 || pools != 1 {
 			t.Errorf("%d idle connections in %d pools", idle, pools)
 		}
 	})
@@ -290,14 +290,14 @@
 // leaves no reference to it.
 func TestEndedServiceTransfersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		was, ended := startService(t, Options{})
-		next, _ := startService(t, Options{})
-		was.Retire()
+		original, ended := startService(t, Options{})
+		replacement, _ := startService(t, Options{})
+		original.Retire()
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
-		was.ReplaceWith(next)
-		if n := was.references.Load(); n >= 0 {
+		original.ReplaceWith(replacement)
+		if n := original.references.Load(); n >= 0 {
 			t.Errorf("held %d times", n)
 		}
 	})
--- a/internal/service/statistics_test.go
+++ b/internal/service/statistics_test.go
@@ -34,12 +34,12 @@
 // TestStatisticsCountEachOutcomeOnce checks that each outcome of a request is counted once and under its
 // name; a request above a quota is not counted as offered, and the counts of a loop that has ended remain.
 func TestStatisticsCountEachOutcomeOnce(t *testing.T) {
-	var m StatisticsCollector
-	const k = "read"
-	for name, c := range map[string]struct {
+	var collector StatisticsCollector
+	const class = "read"
+	for name, tc := range map[string]struct {
 		took, left time.Duration // since it began; until its deadline
 		answer     Answer
-		why        control.Cause
+		cause      control.Cause
 		want       string // of asked, served, and the counts that are 1
 	}{
 		"served":         {time.Millisecond, time.Second, Answer{Status: 200}, 0, "asked served delays"},
@@ -53,28 +53,28 @@
 		"quota":          {0, 0, Answer{Kind: Rejected, Status: 503}, control.CauseProbability, "refused beyond"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			before := m.Statistics()
-			c1 := m.addLoop([]control.Class{{Name: k, PriorityWeight: 2.5, LatencyObjective: time.Second}})
+			before := collector.Statistics()
+			loop := collector.addLoop([]control.Class{{Name: class, PriorityWeight: 2.5, LatencyObjective: time.Second}})
 			now := time.Now()
-			x := &Exchange{Request: control.Request{Class: k, Units: 1.5}, Deadline: now.Add(c.left), startedAt: now.Add(-c.took)}
-			c1.attemptStarted(x.Request.Units)
-			c.answer.Cause = c.why
-			c1.requestEnded(x, c.answer)
+			x := &Exchange{Request: control.Request{Class: class, Units: 1.5}, Deadline: now.Add(tc.left), startedAt: now.Add(-tc.took)}
+			loop.attemptStarted(x.Request.Units)
+			tc.answer.Cause = tc.cause
+			loop.requestEnded(x, tc.answer)
 			for range 2 { // while it runs, and after its end
-				f, ok := m.Statistics().Since(before)
-				if got := countedIn(f); !ok || got != " "+c.want || f.Requests != 1 || f.Units != 1.5 {
-					t.Errorf("%s, not %s: %+v", got, c.want, f)
+				f, ok := collector.Statistics().Since(before)
+				if got := countedIn(f); !ok || got != " "+tc.want || f.Requests != 1 || f.Units != 1.5 {
+					t.Errorf("%s, not %s: %+v", got, tc.want, f)
 				}
-				if len(m.loops) > 0 {
-					m.removeLoop(c1)
+				if len(collector.loops) > 0 {
+					collector.removeLoop(loop)
 				}
 			}
 		})
 	}
-	c := m.addLoop(nil)
-	c.loopEnded(3, false)
-	c.loopEnded(3, true)
-	if f := m.Statistics(); f.Breaches != 4 || f.Panics != 1 {
+	tc := collector.addLoop(nil)
+	tc.loopEnded(3, false)
+	tc.loopEnded(3, true)
+	if f := collector.Statistics(); f.Breaches != 4 || f.Panics != 1 {
 		t.Errorf("%+v", f)
 	}
 	if f := (*StatisticsCollector)(nil).Statistics(); f.Requests != 0 {
--- a/internal/service/timer_queue_test.go
+++ b/internal/service/timer_queue_test.go
@@ -52,20 +52,20 @@
 	for seed := range uint64(50) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			tt := &timerTest{start: time.Now()}
+			test := &timerTest{start: time.Now()}
 			for step := range uint64(200) {
-				tt.step(rng, step)
+				test.step(rng, step)
 			}
-			for len(tt.queue.entries) > 0 {
-				<-tt.queue.fired()
-				tt.popAll()
+			for len(test.queue.entries) > 0 {
+				<-test.queue.fired()
+				test.popAll()
 			}
-			slices.Sort(tt.due)
-			if !slices.IsSorted(tt.popped) || len(tt.popped) != len(tt.due) {
-				t.Fatalf("seed %d: %d popped of %d", seed, len(tt.popped), len(tt.due))
+			slices.Sort(test.due)
+			if !slices.IsSorted(test.popped) || len(test.popped) != len(test.due) {
+				t.Fatalf("seed %d: %d popped of %d", seed, len(test.popped), len(test.due))
 			}
-			for i, due := range tt.due { // no sooner, and no later than another step of this test
-				if got := tt.popped[i]; got < due || got > due+100*time.Millisecond {
+			for i, due := range test.due { // no sooner, and no later than another step of this test
+				if got := test.popped[i]; got < due || got > due+100*time.Millisecond {
 					t.Fatalf("seed %d: label due at %v popped at %v", seed, due, got)
 				}
 			}
--- a/internal/service/unbegun_requests_test.go
+++ b/internal/service/unbegun_requests_test.go
@@ -23,10 +23,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				var seen []control.Request
 				s, _ := startService(t, Options{NewModule: func() (Module, error) { return statefulRecorder{&seen}, nil }})
-				held := make(chan Answer, 1)
+				accepted := make(chan Answer, 1)
 				go func() {
 					a, _ := s.Do(context.Background(), newExchange("held"))
-					held <- a
+					accepted <- a
 				}()
 				synctest.Wait()
 				if tc.replaced {
@@ -53,7 +53,7 @@
 				s.Post(func() {
 					l.answerUnserved(l.exchanges["held"], Answer{Kind: Rejected, Status: http.StatusServiceUnavailable})
 				})
-				if a := <-held; a.Kind != Rejected || len(seen) != 1 {
+				if a := <-accepted; a.Kind != Rejected || len(seen) != 1 {
 					t.Errorf("%+v; the module heard of %d", a, len(seen))
 				}
 			})
