Split package lifecycle into machine, events and actions, and its tests into named checks

Comments spoke of life, fate and what is owed; Handle held three transitions inline. Events and actions have files and documented obligations of their own, each transition is a named method, and the comments are in ordinary technical English. States and causes, which operators see, keep their texts.

--- /dev/null
+++ b/internal/lifecycle/machine.go
@@ -0,0 +1,253 @@
+// Package lifecycle is a daemon's life cycle as a state machine: Machine.Handle takes what happened and returns
+// what to do. It does no I/O and knows no time. Package daemon feeds it and carries out its actions.
+//
+//	starting -> warming -> ready <-> reloading
+//	                       ready <-> handing over -> draining
+//	    any of them -> draining -> ended
+//
+// A daemon that was ready serves by the old configuration while it reloads. It serves too while it hands over to a
+// successor process; where that is lost before the end of its probation, the daemon goes on as before.
+package lifecycle
+
+import "fmt"
+
+// State is a state of the daemon. Its text is in the daemon's status and log.
+type State int
+
+// The states.
+const (
+	Starting    State = iota // not listening yet
+	Warming                  // listening; some required service can't serve yet
+	Ready                    // every required service can serve
+	Reloading                // a configuration is being read and put in force
+	HandingOver              // a successor starts, takes over and serves its probation
+	Draining                 // ends what is in flight
+	Ended
+)
+
+func (s State) String() string {
+	return [...]string{"starting", "warming", "ready", "reloading", "handing over", "draining", "ended"}[s]
+}
+
+// Machine is the life cycle of one daemon, from Starting on. Its zero value is a daemon without a predecessor. It
+// is not safe for concurrent use.
+type Machine struct {
+	state            State
+	areServicesReady bool           // every required service has been able to serve
+	pendingReload    string         // cause of a reload that is to start later; empty for none
+	pendingUpgrade   string         // cause of an upgrade that is to start later; empty for none
+	hasPredecessor   bool           // the process whose place this one took still runs
+	successor        successorPhase // noSuccessor unless HandingOver
+	actions          []Action       // that Handle returns
+}
+
+// successorPhase is how far a successor has come.
+type successorPhase int
+
+const (
+	noSuccessor successorPhase = iota
+	successorSpawned
+	successorHasCheckpoint
+	successorServing
+)
+
+// NewSuccessor returns the machine of a process that takes a predecessor's place. It starts no upgrade before
+// PredecessorEnded: what is left to spend is never divided among three processes.
+func NewSuccessor() Machine { return Machine{hasPredecessor: true} }
+
+// State returns the current state.
+func (m *Machine) State() State { return m.state }
+
+// Handle takes an event and returns the actions that follow, in order. The slice is valid until the next call.
+func (m *Machine) Handle(e Event) []Action {
+	m.actions = m.actions[:0]
+	if m.state == Ended {
+		return nil
+	}
+	switch e := e.(type) {
+	case Listening:
+		if m.state == Starting {
+			m.enterSteadyState("listening")
+		}
+	case ServicesReady:
+		m.areServicesReady = true
+		if m.state == Warming {
+			m.enterSteadyState("every required service can serve")
+		}
+	case ReloadRequested:
+		m.requestReload(e.Cause)
+	case ReloadFinished:
+		m.finishReload(e.Err)
+	case UpgradeRequested:
+		m.requestUpgrade(e.Cause)
+	case SuccessorPrepared:
+		m.successorPrepared()
+	case SuccessorTookOver:
+		m.successorTookOver()
+	case SuccessorConfirmed:
+		m.successorConfirmed()
+	case SuccessorLost:
+		m.successorLost(e.Err)
+	case PredecessorEnded:
+		m.hasPredecessor = false
+		if m.state == Ready {
+			m.startPending()
+		}
+	case StopRequested:
+		m.requestStop(e.Cause)
+	case Finished:
+		m.finish(e.Err)
+	}
+	return m.actions
+}
+
+// enterSteadyState enters Warming or Ready, and starts what is pending.
+func (m *Machine) enterSteadyState(cause string) {
+	next := Warming
+	if m.areServicesReady {
+		next = Ready
+	}
+	previous := m.state
+	m.transition(next, cause)
+	if next == Ready && previous != HandingOver {
+		m.emit(NotifySupervisor{NotifyReady})
+	}
+	m.startPending()
+}
+
+// startPending starts a pending reload, or else a pending upgrade.
+func (m *Machine) startPending() {
+	if cause := m.pendingReload; cause != "" {
+		m.pendingReload = ""
+		m.requestReload(cause)
+		return
+	}
+	if cause := m.pendingUpgrade; cause != "" && m.canUpgrade() {
+		m.pendingUpgrade = ""
+		m.requestUpgrade(cause)
+	}
+}
+
+func (m *Machine) canUpgrade() bool { return m.state == Ready && !m.hasPredecessor }
+
+func (m *Machine) requestUpgrade(cause string) {
+	switch {
+	case m.canUpgrade():
+		m.transition(HandingOver, cause)
+		m.successor = successorSpawned
+		m.emit(SpawnSuccessor{})
+	case m.state == Draining:
+		m.transition(Draining, "no upgrade while draining: "+cause)
+	case m.state == HandingOver:
+		m.transition(HandingOver, "one upgrade at a time: "+cause)
+	default:
+		m.pendingUpgrade = cause
+	}
+}
+
+func (m *Machine) successorPrepared() {
+	if m.successor != successorSpawned {
+		return
+	}
+	m.successor = successorHasCheckpoint
+	m.emit(SendCheckpoint{})
+}
+
+func (m *Machine) successorTookOver() {
+	if m.successor != successorHasCheckpoint {
+		return
+	}
+	m.successor = successorServing
+	m.emit(YieldToSuccessor{})
+	if m.pendingReload != "" { // the successor may have read the file before the request
+		m.pendingReload = ""
+		m.emit(ForwardReload{})
+	}
+}
+
+func (m *Machine) successorConfirmed() {
+	if m.successor != successorServing {
+		return
+	}
+	m.successor = noSuccessor
+	m.transition(Draining, "the successor has proved itself")
+	m.emit(StartDrain{})
+}
+
+func (m *Machine) successorLost(err error) {
+	if m.successor == noSuccessor {
+		return
+	}
+	m.successor = noSuccessor
+	m.emit(ResumeAlone{})
+	m.enterSteadyState(fmt.Sprintf("goes on: the successor failed: %v", err))
+}
+
+func (m *Machine) requestReload(cause string) {
+	switch m.state {
+	case HandingOver:
+		if m.successor == successorServing {
+			m.emit(ForwardReload{})
+			return
+		}
+		m.pendingReload = cause
+	case Starting, Reloading:
+		// One more reload serves all requests that come meanwhile.
+		m.pendingReload = cause
+	case Draining:
+		m.transition(Draining, "no reload while draining: "+cause)
+	default:
+		wasReady := m.state == Ready
+		m.transition(Reloading, cause)
+		if wasReady {
+			m.emit(NotifySupervisor{NotifyReloading})
+		}
+		m.emit(StartReload{})
+	}
+}
+
+func (m *Machine) finishReload(err error) {
+	if m.state != Reloading {
+		return
+	}
+	cause := "the new configuration is in force"
+	if err != nil {
+		cause = fmt.Sprintf("the old configuration stays: %v", err)
+	}
+	m.enterSteadyState(cause)
+}
+
+func (m *Machine) requestStop(cause string) {
+	if m.state == Draining {
+		m.transition(Draining, "asked to stop again: "+cause)
+		return
+	}
+	// A successor that serves is the daemon by now: its own end is requested of itself.
+	isSuccessorServing := m.successor == successorServing
+	isSuccessorStarting := m.successor != noSuccessor && !isSuccessorServing
+	m.successor, m.pendingReload, m.pendingUpgrade = noSuccessor, "", ""
+	m.transition(Draining, cause)
+	if isSuccessorStarting {
+		m.emit(KillSuccessor{})
+	}
+	if !isSuccessorServing {
+		m.emit(NotifySupervisor{NotifyStopping})
+	}
+	m.emit(StartDrain{})
+}
+
+func (m *Machine) finish(err error) {
+	cause := "all has been let go"
+	if err != nil {
+		cause = fmt.Sprintf("failed: %v", err)
+	}
+	m.transition(Ended, cause)
+}
+
+// transition enters a state, which may be the current one, and logs it.
+func (m *Machine) transition(next State, cause string) {
+	m.emit(LogTransition{m.state, next, cause})
+	m.state = next
+}
+
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
