--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -14,41 +14,41 @@
 	"lockflow/internal/upstream"
 )
 
-// clientRegistry are the connections of the clients. Its zero value holds none; it is safe for
-// concurrent use.
+// clientRegistry tracks the connections of all clients. Its zero value is empty and ready to use; it
+// is safe for concurrent use.
 //
-// A connection is closed by the node only where no request on it has been begun, and a request on
-// one that was closed is not begun: net/http reads a request before it tells that the connection is
-// no longer idle, so that a close may come between, and what is then sent on has nobody to answer.
+// Invariant: the node closes a connection only while no request on it has started, and a request on a
+// closed connection is never started. net/http reads a request before it reports that the connection
+// is active, so the node may close the connection in between; forwarding that request would run it
+// without anybody to receive the answer.
 type clientRegistry struct {
 	mu          sync.Mutex
 	connections map[net.Conn]*clientConn
 	isDraining  bool
-	empty       chan struct{} // closed when there are none; nil where nobody waits
+	empty       chan struct{} // closed when the last connection is gone; nil if nobody waits for that
 }
 
-// clientConn is one of them.
+// clientConn is the connection of one client.
 type clientConn struct {
-	conn      net.Conn        // below net/http's, where that lingers
-	rawConn   syscall.RawConn // its socket; nil is none
-	idleSince time.Time       // it has been quiet; zero is while a request is open
-	isNew     bool            // it has not sent a whole head yet
-	// isShut says that the node has closed it. It is set before the next request is begun, or not.
-	isShut atomic.Bool
+	conn      net.Conn        // inside the lingeringConn that net/http has, if that is used
+	rawConn   syscall.RawConn // the socket; nil if there is none
+	idleSince time.Time       // zero while a request is open; guarded by clientRegistry.mu
+	isNew     bool            // no complete head has been received yet; guarded by clientRegistry.mu
+	isShut    atomic.Bool     // the node has closed the connection: no further request is started on it
 }
 
-// isClosed tells whether the node has closed the connection.
+// isClosed reports whether the node has closed the connection. It is false for a nil connection.
 func (c *clientConn) isClosed() bool { return c != nil && c.isShut.Load() }
 
-// There tells whether the client has not ended its side of the connection. It is the socket's word, as
-// net/http, which takes that for the client's leaving too, reads no more than one byte beyond a request
-// and sees nothing of what is behind further ones. A socket that can't be asked is taken to be there.
+// There reports whether the client has not closed its side of the connection. It polls the socket,
+// because net/http reads at most one byte beyond a request and misses a close that follows pipelined
+// requests. Without a socket the client is assumed to be there.
 func (c *clientConn) There() bool {
-	_, gone := c.pollSocket()
-	return !gone
+	_, ended := c.pollSocket()
+	return !ended
 }
 
-// pollSocket tells whether there is something to read on the socket, and whether the client has ended its side.
+// pollSocket reports whether the socket has bytes to read, and whether the client has closed its side.
 func (c *clientConn) pollSocket() (readable, ended bool) {
 	if c.rawConn == nil {
 		return false, false
@@ -63,16 +63,16 @@
 	return readable, ended
 }
 
-// maxUnreadBytes is how much a client that sends one request at a time may have sent behind it: less than any
-// usual socket holds unread.
+// maxUnreadBytes is how much a client that sends one request at a time may have sent behind it. It is
+// less than the usual receive buffer of a socket.
 const maxUnreadBytes = 32 << 10
 
-// sequentialClient is a client whose request has come whole, and who by its protocol sends no other before the
-// answer. Guards against one that sends more than the socket holds and goes: the word of that waits
-// behind what nobody reads.
+// sequentialClient is a client that has sent a complete request and whose protocol forbids to send
+// another one before the answer. A client that fills the receive buffer and then closes cannot be
+// seen to close, so a client with much unread input is assumed to have left.
 type sequentialClient struct{ *clientConn }
 
-// There is the client's, and that it keeps to its protocol as far as an end could be seen.
+// There reports whether the client is connected and has not sent so much that a close would be hidden.
 func (c sequentialClient) There() bool {
 	readable, ended := c.pollSocket()
 	unreadBytes := 0
@@ -82,9 +82,11 @@
 	return !ended && unreadBytes < maxUnreadBytes
 }
 
+// clientKey is the context key of a request's *clientConn.
 type clientKey struct{}
 
-// register is http.Server's ConnContext: it has requests find their connection.
+// register is the http.Server's ConnContext. It adds the connection and lets requests find it in their
+// context.
 func (s *clientRegistry) register(ctx context.Context, conn net.Conn) context.Context {
 	client := &clientConn{conn: conn, idleSince: time.Now(), isNew: true}
 	if l, ok := conn.(*lingeringConn); ok {
@@ -102,13 +104,13 @@
 	return context.WithValue(ctx, clientKey{}, client)
 }
 
-// clientOf is a request's connection; nil where it came over none.
+// clientOf returns the connection of a request; nil if it did not arrive over one.
 func clientOf(r *http.Request) *clientConn {
 	c, _ := r.Context().Value(clientKey{}).(*clientConn)
 	return c
 }
 
-// waitingClient is who waits for a request's answer; nil where it came over no connection.
+// waitingClient returns the client that waits for the answer to a request; nil if there is no connection.
 func waitingClient(r *http.Request) upstream.Client {
 	if c := clientOf(r); c != nil {
 		return c
@@ -116,7 +118,13 @@
 	return nil
 }
 
-// trackState is http.Server's ConnState. The call that a request is open comes before its handler's.
+// isStillConnected reports whether the client of a request is there to receive an answer.
+func isStillConnected(r *http.Request) bool {
+	client := clientOf(r)
+	return r.Context().Err() == nil && client != nil && client.There()
+}
+
+// trackState is the http.Server's ConnState. net/http reports StateActive before it calls the handler.
 func (s *clientRegistry) trackState(conn net.Conn, newState http.ConnState) {
 	if l, ok := conn.(*lingeringConn); ok && newState != http.StateClosed {
 		l.isBusy.Store(newState == http.StateActive)
@@ -131,7 +139,8 @@
 	case http.StateActive:
 		client.idleSince, client.isNew = time.Time{}, false
 	case http.StateIdle:
-		if client.idleSince = time.Now(); s.isDraining && !client.hasUnreadInput() && !client.hasUnacknowledgedOutput() {
+		client.idleSince = time.Now()
+		if s.isDraining && client.canCloseCleanly() {
 			client.close()
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -143,43 +152,47 @@
 	}
 }
 
-// hasUnreadInput tells whether a further request, or its client's end, has come on a quiet connection and is about
-// to be read. It is answered: a close would reset the connection, with what its client has not taken yet of
-// the answer before.
+// canCloseCleanly reports whether closing an idle connection loses nothing: neither a request that has
+// arrived and is about to be read, nor a part of the last answer that is still on its way.
+func (c *clientConn) canCloseCleanly() bool {
+	return !c.hasUnreadInput() && !c.hasUnacknowledgedOutput()
+}
+
+// hasUnreadInput reports whether an idle connection has input, or the client's close, that is about to
+// be read. Closing the socket then would reset the connection and drop what the client has not yet
+// read of the answer before.
 func (c *clientConn) hasUnreadInput() bool {
 	tcp := tcpConnOf(c.conn)
 	return tcp != nil && hasUnread(tcp)
 }
 
-// hasUnacknowledgedOutput tells whether some of the last answer is still on its way to the client. A request that comes
-// behind a close would reset the connection, and that part with it.
+// hasUnacknowledgedOutput reports whether a part of the last answer is still on its way to the client.
+// A request that arrives after a close would reset the connection and drop that part.
 func (c *clientConn) hasUnacknowledgedOutput() bool {
 	tcp := tcpConnOf(c.conn)
 	return tcp != nil && hasUnacknowledged(tcp)
 }
 
-// close closes a quiet connection; clients.mu is held.
+// close closes an idle connection. The caller holds clientRegistry.mu.
 func (c *clientConn) close() {
 	if !c.isShut.Swap(true) {
 		c.conn.Close()
 	}
 }
 
-// closeOldestIdle closes the oldest of those that have said nothing for too long, else of those that are idle; none
-// on which something has come that is still to be read.
+// closeOldestIdle closes one connection: the oldest new one whose grace period is over, else the one
+// that has been idle for longest. Connections with unread input are spared, because that may be a
+// request. It returns false if there is nothing to close.
 func (s *clientRegistry) closeOldestIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var oldest *clientConn
 	for _, c := range s.connections {
-		if c.idleSince.IsZero() || c.isClosed() || c.isNew && time.Since(c.idleSince) < newConnGracePeriod {
+		if !c.isEvictable() || oldest != nil && !c.isEvictedBefore(oldest) {
 			continue
 		}
-		if oldest == nil || c.isNew && !oldest.isNew || c.isNew == oldest.isNew && c.idleSince.Before(oldest.idleSince) {
-			// Guards against requests that are there and lost: nobody has read them yet.
-			if readable, ended := c.pollSocket(); !readable || ended {
-				oldest = c
-			}
+		if readable, ended := c.pollSocket(); !readable || ended {
+			oldest = c
 		}
 	}
 	if oldest == nil {
@@ -189,20 +202,36 @@
 	return true
 }
 
-// closeWhenIdle closes those that are idle, and each that becomes so, unless a request is there already or an answer
-// is still on its way: those are closed by their next answer, or by a later call.
+// isEvictable reports whether a connection is idle, and silent beyond the grace period if it is new.
+func (c *clientConn) isEvictable() bool {
+	if c.idleSince.IsZero() || c.isClosed() {
+		return false
+	}
+	return !c.isNew || time.Since(c.idleSince) >= newConnGracePeriod
+}
+
+// isEvictedBefore orders connections for eviction: new ones first, then by the time they became idle.
+func (c *clientConn) isEvictedBefore(other *clientConn) bool {
+	if c.isNew != other.isNew {
+		return c.isNew
+	}
+	return c.idleSince.Before(other.idleSince)
+}
+
+// closeWhenIdle closes the idle connections, and from now on each that becomes idle, unless closing
+// would lose a request or a part of an answer: those are closed by their next answer or a later call.
 func (s *clientRegistry) closeWhenIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isDraining = true
 	for _, c := range s.connections {
-		if !c.idleSince.IsZero() && !c.isNew && !c.hasUnreadInput() && !c.hasUnacknowledgedOutput() {
+		if !c.idleSince.IsZero() && !c.isNew && c.canCloseCleanly() {
 			c.close()
 		}
 	}
 }
 
-// waitEmpty waits until there are none.
+// waitEmpty waits until no connection is left. It returns false if ctx ended first.
 func (s *clientRegistry) waitEmpty(ctx context.Context) bool {
 	s.mu.Lock()
 	if len(s.connections) == 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,5 +1,3 @@
-// Package front takes in what clients ask, finds the service that it is for and gives the
-// clients their answers. It decides nothing but whether a request can be read.
 package front
 
 import (
@@ -19,48 +17,58 @@
 const (
 	maxHeadBytes       = 16 << 10
 	clientIdleTimeout  = 10 * time.Second
-	requestReadTimeout = 2 * time.Second        // of a request's head and body
-	newConnGracePeriod = 250 * time.Millisecond // of a new connection where others want its place
-	answerWriteTimeout = 2 * time.Second        // of the writing of an answer
+	requestReadTimeout = 2 * time.Second // for a request's head and body
+	answerWriteTimeout = 2 * time.Second // for writing a buffered answer
+
+	// newConnGracePeriod is how long a new connection may stay silent before it can be evicted.
+	newConnGracePeriod = 250 * time.Millisecond
 )
 
-// MaxTimeBeyondDeadline is the longest that a request is held beside its deadline: while it is read, and while
-// its answer is written.
+// MaxTimeBeyondDeadline is the longest time that a request can be in the node in addition to its
+// deadline: while it is read and while its answer is written.
 const MaxTimeBeyondDeadline = requestReadTimeout + answerWriteTimeout
 
-// RoutingTable says which service a request is for. It is not changed once a Front has it.
+// RoutingTable maps requests to services. It must not be changed once it has been given to a Front.
 type RoutingTable struct {
-	Router *route.Router // nil: all requests are for the first target
-	// Targets are by their place among the router's rules.
+	// Router matches requests to rules. Nil sends all requests to the first target.
+	Router *route.Router
+	// Targets are in the order of the router's rules.
 	Targets []Target
 }
 
-// Target is where a route leads.
+// Target is the destination of a route.
 type Target struct {
-	Service          *service.Service
-	Class            string         // of its requests; "" is for the protocol to tell
-	MaxBodyBytes     int64          // most bytes of a request's body; below zero is any number
-	Protocol         Protocol       // of its clients; nil is the platform's
-	UpgradeProtocols []string       // protocols that its requests may change to, in lower case
-	ScatterGather    *ScatterGather // of a service that asks others, which has nothing else but a class; nil for any other
+	Service *service.Service
+	// Class of the target's requests. Empty lets the protocol determine it.
+	Class string
+	// MaxBodyBytes limits a request's body. A negative value means no limit.
+	MaxBodyBytes int64
+	// Protocol that clients use. Nil is the platform's protocol.
+	Protocol Protocol
+	// UpgradeProtocols are the protocols that requests may upgrade to, in lower case.
+	UpgradeProtocols []string
+	// ScatterGather is set for a scatter-gather service. Of the other fields such a target uses
+	// Class only.
+	ScatterGather *ScatterGather
 }
 
-// Protocol is what differs between the ways in which services are asked: how a request is read,
-// whose it is, and how an answer is given. Each has a file of its own here.
+// Protocol is what differs between the ways in which clients use services: how a request is read,
+// which customer it belongs to, and how its answer is written.
 type Protocol interface {
-	// ReadRequest reads a request but for its body; first is the first segment of its path. The module
-	// must not hear of one that is wrong.
-	ReadRequest(r *http.Request, to *Target, first string, arrived time.Time) (*service.Exchange, *BadRequest)
-	// ReservedBytes is the most bytes that are held of a request while it is served, beside its answer.
+	// ReadRequest reads all of a request but its body. firstSegment is the first segment of its
+	// path. A request that is not valid must not reach the service.
+	ReadRequest(r *http.Request, target *Target, firstSegment string, arrived time.Time) (*service.Exchange, *BadRequest)
+	// ReservedBytes returns how much memory to reserve for a request while it is served, in
+	// addition to its answer.
 	ReservedBytes(r *http.Request) int64
-	// ReadBody reads what has to be there before the module hears of the request.
-	ReadBody(w http.ResponseWriter, r *http.Request, x *service.Exchange) *BadRequest
-	// Finish ends what Body began; nothing of the request is read any more.
-	Finish(x *service.Exchange)
-	// WriteAnswer gives the client its final answer.
-	WriteAnswer(f *Front, w http.ResponseWriter, r *http.Request, x *service.Exchange, a service.Answer)
-	// WriteBadRequest tells a client its mistake.
-	WriteBadRequest(f *Front, w http.ResponseWriter, r *http.Request, wrong *BadRequest)
+	// ReadBody reads the part of the body that has to be there before the service gets the request.
+	ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest
+	// Finish releases what ReadBody began. The request is not read after it.
+	Finish(exchange *service.Exchange)
+	// WriteAnswer writes the final answer to the client.
+	WriteAnswer(front *Front, w http.ResponseWriter, r *http.Request, exchange *service.Exchange, answer service.Answer)
+	// WriteBadRequest reports a client's mistake to it.
+	WriteBadRequest(front *Front, w http.ResponseWriter, r *http.Request, badRequest *BadRequest)
 }
 
 func (t *Target) protocol() Protocol {
@@ -70,7 +78,8 @@
 	return t.Protocol
 }
 
-// tryAcquire keeps what serves a target's requests from ending.
+// tryAcquire keeps the services behind a target from shutting down until they are released. It
+// returns false if one of them has shut down already.
 func (t *Target) tryAcquire() bool {
 	if t.ScatterGather != nil {
 		return t.ScatterGather.tryAcquire()
@@ -78,66 +87,67 @@
 	return t.Service.TryAcquire()
 }
 
-// Front is the side to the clients. It is safe for concurrent use.
+// Front handles the requests of all clients. It is safe for concurrent use.
 type Front struct {
-	isReady    func() bool // whether the node may be sent requests
+	isReady    func() bool // whether load balancers may send requests to the node
 	table      atomic.Pointer[RoutingTable]
 	isDraining atomic.Bool
 
 	clients clientRegistry
 }
 
-// New makes a front; ready tells whether the node may be sent requests.
+// New returns a Front with a routing table. isReady reports whether the node is ready for requests;
+// the health check depends on it.
 func New(table *RoutingTable, isReady func() bool) *Front {
 	f := &Front{isReady: isReady}
 	f.table.Store(table)
 	return f
 }
 
-// SetTable puts another table in force for requests whose head is read from now on.
+// SetTable replaces the routing table for all requests whose head is read from now on.
 func (f *Front) SetTable(table *RoutingTable) { f.table.Store(table) }
 
-// Drain has each answer close its connection from now on.
+// Drain makes each answer close its connection from now on, and the health check fail.
 func (f *Front) Drain() { f.isDraining.Store(true) }
 
-// Server is the HTTP server of the clients. An answer or a close is owed to each soon after
-// it has connected, so a request has to come whole in time; ServeHTTP then lifts the limit.
+// Server returns the HTTP server for clients. Its timeouts bound how long a client may take to send
+// a request; handlers lift the read timeout once the request is complete.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
-		Handler: f, MaxHeaderBytes: maxHeadBytes, IdleTimeout: clientIdleTimeout, ConnState: f.clients.trackState,
-		ReadHeaderTimeout: requestReadTimeout, ReadTimeout: requestReadTimeout,
-		ConnContext: f.clients.register,
-		// Guards against an answer 200 to OPTIONS * that no app server made.
+		Handler:           f,
+		MaxHeaderBytes:    maxHeadBytes,
+		IdleTimeout:       clientIdleTimeout,
+		ReadHeaderTimeout: requestReadTimeout,
+		ReadTimeout:       requestReadTimeout,
+		ConnState:         f.clients.trackState,
+		ConnContext:       f.clients.register,
+		// Without it net/http would answer OPTIONS * with a 200 that no app server sent.
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(slog.Default().With("from", "net/http").Handler(), slog.LevelWarn),
 	}
 }
 
-// Evict closes a client connection that has said nothing for too long, else the one that
-// has been idle for the longest time.
+// Evict closes one client connection to free its descriptor: the oldest new one that has been silent
+// for too long, else the one that has been idle for longest. It returns false if there is none.
 func (f *Front) Evict() bool { return f.clients.closeOldestIdle() }
 
-// CloseWhenIdle closes the connections on which no request is open, from now on. It stands in for
-// http.Server's Shutdown and SetKeepAlivesEnabled, which would close some whose request they have
-// read, or drop such a request: after the first of these it may have been sent on.
+// CloseWhenIdle closes the connections without an open request, and from now on each that becomes
+// idle. It replaces http.Server's Shutdown and SetKeepAlivesEnabled: Shutdown may close a connection
+// after its request has been read and forwarded, and SetKeepAlivesEnabled may drop such a request.
 func (f *Front) CloseWhenIdle() { f.clients.closeWhenIdle() }
 
-// WaitDisconnected waits until no client is connected, after Leave, and tells whether that came before ctx
-// ended. Connections whose protocol has changed are not waited for.
+// WaitDisconnected waits, after CloseWhenIdle, until no client is connected. It returns false if ctx
+// ended first. Connections that have been upgraded to another protocol are not waited for.
 func (f *Front) WaitDisconnected(ctx context.Context) bool { return f.clients.waitEmpty(ctx) }
 
-// ServeHTTP holds a client's request until its final answer.
+// ServeHTTP handles one client request until its final answer has been written.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if clientOf(r).isClosed() {
-		panic(http.ErrAbortHandler) // the client asks again, and nothing has been sent on
+		panic(http.ErrAbortHandler) // nothing has been forwarded, so the client can safely retry
 	}
 	if r.URL.Path == route.Health {
-		status := http.StatusOK
-		if !f.isReady() || f.isDraining.Load() {
-			status = http.StatusServiceUnavailable
-		}
-		f.writeAnswer(w, service.Answer{Status: status})
+		f.serveHealthCheck(w)
 		return
 	}
 	target, firstSegment, badRequest := f.findTarget(r)
@@ -165,26 +175,36 @@
 		}
 		defer clientProtocol.Finish(exchange)
 	} else if r.ContentLength != 0 {
-		// What there is no room for is not read, and turned away by the module. Guards against
-		// a refusal that waits for a slow body: net/http reads it first where the connection stays.
+		// The decision module will reject this request, so its body is not read. Closing the
+		// connection keeps net/http from reading a slow body before it sends the answer.
 		w.Header().Set("Connection", "close")
 	}
 	answer, ok := target.Service.Do(r.Context(), exchange)
-	if client := clientOf(r); !ok && r.Context().Err() == nil && client != nil && client.There() {
-		// It was not sent on, or not again, only for what has come behind it.
+	if !ok && isStillConnected(r) {
+		// The request was not forwarded because of what the client sent behind it; the client is
+		// there, so it gets the answer.
 		w.Header().Set("Connection", "close")
 		ok = true
 	}
 	if !ok {
-		// Guards against an answer that nobody made: net/http gives 200 where a handler gives none,
-		// and a client that has closed one way only would read it.
+		// If the handler just returned, net/http would send a 200, which a client that has closed
+		// only its sending side would take for the answer.
 		panic(http.ErrAbortHandler)
 	}
 	clientProtocol.WriteAnswer(f, w, r, exchange, answer)
 }
 
-// findTarget gives the target of a request, whose service is held for it: one that a reload removes
-// still serves what came before.
+// serveHealthCheck answers the node's own health check.
+func (f *Front) serveHealthCheck(w http.ResponseWriter) {
+	status := http.StatusOK
+	if !f.isReady() || f.isDraining.Load() {
+		status = http.StatusServiceUnavailable
+	}
+	f.writeAnswer(w, service.Answer{Status: status})
+}
+
+// findTarget returns the target of a request, with its services acquired: a service that a reload
+// removes still serves the requests that came before.
 func (f *Front) findTarget(r *http.Request) (*Target, string, *BadRequest) {
 	for {
 		table := f.table.Load()
@@ -192,7 +212,7 @@
 		if badRequest != nil || target.tryAcquire() {
 			return target, firstSegment, badRequest
 		}
-		// Its service has ended since the table was read: there is another table by now.
+		// The service has shut down since the table was loaded, so there is a newer table.
 	}
 }
 
@@ -222,10 +242,10 @@
 	return &t.Targets[index], route.First(path), nil
 }
 
-// firstSegmentOf is the first segment of a path that is matched with no rule, decoded by itself: what
-// it names may hold a slash.
+// firstSegmentOf returns the first segment of the path of a request that no rules are matched with.
+// It is decoded after the split, because it may contain an encoded slash.
 func firstSegmentOf(u *url.URL) string {
-	if u.RawPath != "" { // as always where a slash is encoded
+	if u.RawPath != "" { // it always is if a slash is encoded
 		if first, err := url.PathUnescape(route.First(u.RawPath)); err == nil {
 			return first
 		}
@@ -233,7 +253,7 @@
 	return route.First(u.Path)
 }
 
-// writeBadRequest tells a client its mistake.
+// writeBadRequest reports a client's mistake in the form of the platform's protocol.
 func (f *Front) writeBadRequest(w http.ResponseWriter, badRequest *BadRequest) {
 	if badRequest.closeConnection {
 		w.Header().Set("Connection", "close")
@@ -241,13 +261,13 @@
 	f.writeAnswer(w, service.Answer{Status: badRequest.status, Body: []byte(badRequest.text + "\n")})
 }
 
-// writeAnswer sends an answer, whatever it is.
+// writeAnswer writes a buffered answer in the form of the platform's protocol.
 func (f *Front) writeAnswer(w http.ResponseWriter, answer service.Answer) {
-	// Guards against a client that takes nothing.
+	// A client that reads nothing must not block the handler forever.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	header := w.Header()
-	// Guards against requests that come on a held one's connection after the drain: what
-	// counts is whether the node drains now, not when the request came.
+	// The node may have begun to drain after this request arrived. Checking now keeps clients from
+	// sending another request on the same connection.
 	if f.isDraining.Load() {
 		header.Set("Connection", "close")
 	}
@@ -257,12 +277,12 @@
 		}
 	}
 	if header.Get("Content-Type") == "" {
-		header["Content-Type"] = nil // not to be guessed from the body
+		header["Content-Type"] = nil // keeps net/http from guessing it from the body
 	}
 	if answer.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', -1, 64))
 	}
 	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body) // a client that has left is noticed by its context
+	_, _ = w.Write(answer.Body) // a departed client is noticed by its context
 }
--- a/internal/front/lingering_conn.go
+++ b/internal/front/lingering_conn.go
@@ -10,21 +10,22 @@
 )
 
 const (
-	maxLingerTime  = 500 * time.Millisecond // for which a client that was answered is listened to
-	maxLingerBytes = 256 << 10              // that are read of it meanwhile
+	maxLingerTime  = 500 * time.Millisecond // how long a closed connection is still read
+	maxLingerBytes = 256 << 10              // how much is read of it meanwhile
 )
 
-// lingeringConn is a client's connection as net/http has it, which closes it behind an answer. Guards against
-// a close over bytes that nobody read, further requests or the rest of a bad one: the socket then drops
-// what the client has not taken of the answer and resets it (RFC 9112, 9.6). What is read is begun by nobody.
+// lingeringConn is a client's connection with a lingering close (RFC 9112, 9.6). If a socket is closed
+// while it has unread input, such as pipelined requests or the rest of a malformed one, the kernel
+// resets the connection and the client may lose the part of the answer that it has not read yet. Input
+// that is read while the connection lingers is discarded.
 type lingeringConn struct {
 	net.Conn
-	isBusy atomic.Bool // a request was begun on it and none has ended since with the connection kept
+	isBusy atomic.Bool // a request has started since the connection was last idle
 }
 
-// Close closes the connection, behind the client where it has sent more than was read, or may do so before it
-// has all of the answer. One that rests is closed at once: its client has all answers, and a request that
-// crosses the close is not read.
+// Close closes the connection. If it is busy and the client has sent more than was read, or has not
+// received all of the answer yet, only the sending side is closed first, and input is discarded until the
+// client closes or the limits are reached. An idle connection is closed at once.
 func (c *lingeringConn) Close() error {
 	if tcp := tcpConnOf(c.Conn); tcp != nil && c.isBusy.Load() && !c.isReset() && (hasUnread(tcp) || hasUnacknowledged(tcp)) {
 		_ = tcp.CloseWrite()
@@ -34,13 +35,13 @@
 	return c.Conn.Close()
 }
 
-// isReset tells whether the client must see a reset.
+// isReset reports whether the close has to reset the connection.
 func (c *lingeringConn) isReset() bool {
-	w, ok := c.Conn.(*validatingConn)
-	return ok && w.isReset.Load()
+	conn, ok := c.Conn.(*validatingConn)
+	return ok && conn.isReset.Load()
 }
 
-// ReadFrom is io.ReaderFrom's, by the connection below where it has one.
+// ReadFrom implements io.ReaderFrom by that of the wrapped connection, if it has one.
 func (c *lingeringConn) ReadFrom(r io.Reader) (int64, error) {
 	if inner, ok := c.Conn.(io.ReaderFrom); ok {
 		return inner.ReadFrom(r)
@@ -48,10 +49,10 @@
 	return io.Copy(struct{ io.Writer }{c.Conn}, r)
 }
 
-// NetConn is the connection below.
+// NetConn returns the wrapped connection.
 func (c *lingeringConn) NetConn() net.Conn { return c.Conn }
 
-// hasUnread tells whether bytes of the peer wait in a socket, or its end.
+// hasUnread reports whether a socket has input, or the peer's close, that has not been read.
 func hasUnread(c *net.TCPConn) bool {
 	rawConn, err := c.SyscallConn()
 	if err != nil {
@@ -66,8 +67,8 @@
 	return readable
 }
 
-// hasUnacknowledged tells whether the peer has not acknowledged all that was written to a socket. A reset drops
-// that part.
+// hasUnacknowledged reports whether the peer has not acknowledged all that was written to a socket. A
+// reset would drop that part.
 func hasUnacknowledged(c *net.TCPConn) bool {
 	rawConn, err := c.SyscallConn()
 	if err != nil {
@@ -78,15 +79,18 @@
 	return unacknowledgedBytes > 0
 }
 
-// LingeringListener has the connections of a listener closed behind their clients. It is put around Strict.
+// LingeringListener wraps a listener so that its connections have a lingering close. It goes around a
+// ValidatingListener, if both are used.
 func LingeringListener(listener net.Listener) net.Listener { return lingerListener{listener} }
 
+// lingerListener accepts connections as *lingeringConn.
 type lingerListener struct{ net.Listener }
 
+// Accept implements net.Listener.
 func (l lingerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &lingeringConn{Conn: c}, nil
+	return &lingeringConn{Conn: conn}, nil
 }
--- /dev/null
+++ b/internal/front/ordinary_answer.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"lockflow/internal/hopheaders"
+	"lockflow/internal/service"
+)
+
+// WriteAnswer writes the final answer to the client. If a streamed answer breaks off, the connection is
+// aborted, so that the client does not take a part for the complete answer.
+func (o *Ordinary) WriteAnswer(front *Front, w http.ResponseWriter, r *http.Request, exchange *service.Exchange, answer service.Answer) {
+	call := exchange.Forwarder.(*ordinaryCall)
+	call.endInterim()
+	call.hasAnswer = true
+	if answer.Stream != nil {
+		defer answer.Stream.Close()
+	}
+	if answer.Header == nil {
+		status, text := nodeAnswer(answer)
+		writeNodeAnswer(front, w, r, status, text, answer.RetryAfter)
+		return
+	}
+	header := w.Header()
+	hopheaders.Answer(header, answer.Header)
+	if len(header["Content-Type"]) == 0 {
+		header["Content-Type"] = nil // keeps net/http from guessing it from the body
+	}
+	if front.isDraining.Load() || call.Body != nil && !call.Body.Ended() {
+		header.Set("Connection", "close")
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(o.IdleTimeout))
+	switch {
+	case answer.Stream == nil:
+		writeBufferedAnswer(w, r, answer)
+	case answer.Stream.Tunnel:
+		o.serveTunnel(w, answer)
+	default:
+		o.streamAnswer(front, w, r, answer)
+	}
+}
+
+// writeBufferedAnswer writes an answer whose body has been read completely.
+func writeBufferedAnswer(w http.ResponseWriter, r *http.Request, answer service.Answer) {
+	header := w.Header()
+	if r.Method == http.MethodHead || answer.Status == http.StatusNotModified {
+		if length := answer.Header["Content-Length"]; len(length) > 0 { // that a GET would get
+			header["Content-Length"] = length
+		}
+	} else if answer.Status != http.StatusNoContent {
+		header["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body) // a departed client is noticed by its context
+}
+
+// WriteBadRequest reports a client's mistake to it.
+func (*Ordinary) WriteBadRequest(front *Front, w http.ResponseWriter, r *http.Request, badRequest *BadRequest) {
+	writeBadRequestAnswer(front, w, r, badRequest)
+}
--- /dev/null
+++ b/internal/front/ordinary_call.go
@@ -0,0 +1,155 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lockflow/internal/hopheaders"
+	"lockflow/internal/retrybuffer"
+	"lockflow/internal/service"
+	"lockflow/internal/upstream"
+)
+
+// relayBufferBytes is the memory for the buffers of a body that is streamed, in both directions.
+const relayBufferBytes = 2 * upstream.Window
+
+// maxDiscardTime is how long the rest of a body is read after the answer.
+const maxDiscardTime = time.Second
+
+var errBodyTooLong = errors.New("a body of too many bytes")
+
+// ordinaryCall is one request of the Ordinary protocol: its exchange with the service, what is
+// forwarded, and the state of its body and its interim responses.
+type ordinaryCall struct {
+	service.Exchange
+	upstream.Relay
+	maxBodyBytes int64 // negative for no limit
+	idleTimeout  time.Duration
+
+	bodyRate rateGuard
+	// discardDeadline is the Unix time in ns after which the body is not read any more; 0 for none.
+	discardDeadline atomic.Int64
+	controller      *http.ResponseController
+	writer          http.ResponseWriter
+	hasAnswer       bool // writing of the final answer has begun
+
+	mu      sync.Mutex // serializes interim responses, and orders them before the final answer
+	isFinal bool       // no more interim responses may be written
+}
+
+var _ upstream.Early = (*ordinaryCall)(nil)
+
+// ReservedBytes returns the memory for a request's body: all of a short one, else the retry buffer and
+// the buffers for streaming.
+func (o *Ordinary) ReservedBytes(r *http.Request) int64 {
+	switch n := r.ContentLength; {
+	case n == 0:
+		return 0
+	case n > 0 && n <= int64(o.RetryBufferBytes):
+		return n
+	}
+	return int64(o.RetryBufferBytes) + relayBufferBytes
+}
+
+// ReadBody buffers a body that fits in the retry buffer, so that a slow client does not occupy a
+// server, and prepares to stream any other.
+func (o *Ordinary) ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest {
+	call := exchange.Forwarder.(*ordinaryCall)
+	call.writer, call.controller = w, http.NewResponseController(w)
+	if r.ProtoAtLeast(1, 1) {
+		call.Early = call
+	}
+	if r.ContentLength == 0 {
+		_ = call.controller.SetReadDeadline(time.Time{}) // net/http keeps reading, to notice when the client leaves
+		return nil
+	}
+	call.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
+	call.bodyRate = rateGuard{gracePeriod: o.IdleTimeout, minBytesPerSecond: o.MinBytesPerSecond}
+	call.Body = retrybuffer.New(&limitedBody{r.Body, call}, o.RetryBufferBytes, call.setReadDeadline)
+	if call.Expect || call.Length < 0 || call.Length > int64(o.RetryBufferBytes) {
+		_ = call.controller.EnableFullDuplex() // the answer may begin before the body has been read
+		exchange.Request.HasPendingBody = true
+		return nil
+	}
+	if err := call.Body.Fill(call.Length); err != nil {
+		return newBodyReadError(err)
+	}
+	return nil
+}
+
+// setReadDeadline limits the next read of the body.
+func (c *ordinaryCall) setReadDeadline() {
+	deadline := time.Now().Add(c.idleTimeout)
+	if discardDeadline := c.discardDeadline.Load(); discardDeadline != 0 {
+		deadline = time.Unix(0, discardDeadline)
+	}
+	_ = c.controller.SetReadDeadline(deadline)
+}
+
+// limitedBody reads a request's body and enforces its maximum length and minimum rate.
+type limitedBody struct {
+	io.Reader
+	call *ordinaryCall
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if rateErr := b.call.bodyRate.record(time.Now(), n); rateErr != nil && err == nil {
+		err = rateErr
+	}
+	if b.call.maxBodyBytes >= 0 && b.call.bodyRate.totalBytes > b.call.maxBodyBytes {
+		return 0, errBodyTooLong
+	}
+	if errors.Is(err, io.EOF) {
+		// net/http keeps reading, to notice when the client leaves: the body's deadline must not end that.
+		_ = b.call.controller.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// Interim writes a 1xx response, unless the final answer is due.
+func (c *ordinaryCall) Interim(status int, interim http.Header) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isFinal {
+		return
+	}
+	header := c.writer.Header()
+	hopheaders.Answer(header, interim)
+	_ = c.controller.SetWriteDeadline(time.Now().Add(c.idleTimeout))
+	c.writer.WriteHeader(status)
+	clear(header)
+}
+
+// Finish stops reading the request. If an answer has been given before the body came to its end, it
+// reads and discards the rest for a moment: closing at once would reset the connection and could drop
+// the answer before the client has read it.
+func (o *Ordinary) Finish(exchange *service.Exchange) {
+	call := exchange.Forwarder.(*ordinaryCall)
+	call.endInterim()
+	body := call.Body
+	if body == nil {
+		return
+	}
+	// Without an answer nothing may be flushed: net/http would write the head of a 200.
+	if call.hasAnswer && !body.Ended() && body.Err() == nil {
+		_ = call.controller.Flush()
+		deadline := time.Now().Add(maxDiscardTime)
+		call.discardDeadline.Store(deadline.UnixNano())
+		_ = call.controller.SetReadDeadline(deadline)
+		body.Discard()
+	}
+	body.Close(func() { _ = call.controller.SetReadDeadline(time.Unix(1, 0)) })
+}
+
+// endInterim ends the writing of interim responses.
+func (c *ordinaryCall) endInterim() {
+	c.mu.Lock()
+	c.isFinal = true
+	c.mu.Unlock()
+}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -18,38 +18,23 @@
 )
 
 const (
-	maxIDBytes    = 128
-	timeLeftSlack = 50 * time.Millisecond // over a class's deadline
-	customerCount = 1 << 33
+	maxIDBytes    = 128                   // limit of a request ID
+	timeLeftSlack = 50 * time.Millisecond // by which a client's time left may exceed its class's deadline
+	customerCount = 1 << 33               // customer numbers are below it
 )
 
-// platformProtocol is the protocol of the platform (PROTOCOL): headers that name customer, plan and time,
-// a class by the path, bodies that are held.
+// platformProtocol is the Protocol of the platform (PROTOCOL): the query and headers name customer, plan
+// and deadline, the path names the class, and bodies are buffered.
 type platformProtocol struct{}
 
-// BadRequest is a client's mistake and the status that tells it.
-type BadRequest struct {
-	status          int
-	text            string
-	closeConnection bool // what follows on the connection can't be told from this request
-}
-
-func newBadRequest(status int, format string, args ...any) *BadRequest {
-	return &BadRequest{status: status, text: fmt.Sprintf(format, args...)}
-}
-
-// ReadRequest reads a client's request but for its body.
+// ReadRequest checks the head of a request and prepares to forward it.
 func (platformProtocol) ReadRequest(r *http.Request, target *Target, firstSegment string, arrived time.Time) (*service.Exchange, *BadRequest) {
 	rules := &target.Service.RequestRules
 	if badRequest := checkFraming(r, target.MaxBodyBytes); badRequest != nil {
-		badRequest.closeConnection = true
-		return nil, badRequest
+		return nil, badRequest.closing()
 	}
-	// Guards against app servers that read another one of two values than this node.
-	for _, name := range singleValueHeaders {
-		if len(r.Header[name]) > 1 {
-			return nil, newBadRequest(http.StatusBadRequest, "%s: given twice", name)
-		}
+	if badRequest := checkSingleValues(r.Header); badRequest != nil {
+		return nil, badRequest
 	}
 	request := control.Request{
 		ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, FanOut: 1,
@@ -65,20 +50,19 @@
 	if !ok {
 		return nil, newBadRequest(http.StatusNotFound, "unknown class %q", request.Class)
 	}
-	if !rules.AllowsMethod(class, r.Method) {
+	switch {
+	case !rules.AllowsMethod(class, r.Method):
 		return nil, newBadRequest(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, request.Class)
-	}
-	if class.Idempotency == control.Idempotent && r.ContentLength != 0 {
+	case class.Idempotency == control.Idempotent && r.ContentLength != 0:
 		return nil, newBadRequest(http.StatusBadRequest, "a body with %s", r.Method)
-	}
-	if class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderKey) == "" {
+	case class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderKey) == "":
 		return nil, newBadRequest(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
 	}
 	if rules.MaxUnitsByPlan[request.Plan] == 0 {
 		return nil, newBadRequest(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, request.Plan)
 	}
 	request.Customer = customerOf(r.URL)
-	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= customerCount {
+	if !isCustomerNumber(request.Customer) {
 		return nil, newBadRequest(http.StatusBadRequest, "account: %q is none", request.Customer)
 	}
 	timeLeft, err := parseTimeLeft(r.Header.Get(protocol.HeaderTimeLeft), class.Deadline)
@@ -96,45 +80,44 @@
 	return &exchange.Exchange, nil
 }
 
-// ReservedBytes is the bytes of a request's body, the length of which is told.
+// ReservedBytes returns the length of a request's body.
 func (platformProtocol) ReservedBytes(r *http.Request) int64 { return r.ContentLength }
 
-// ReadBody reads a request's body. Its client waits from the body's last byte on (PROTOCOL, "Figures").
+// ReadBody reads a request's body. The client's deadline counts from the last byte of the request
+// (PROTOCOL, "Figures"), so it is extended by the time that the body takes.
 func (platformProtocol) ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest {
 	startedAt := time.Now()
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
-		badRequest := newBadRequest(http.StatusBadRequest, "reading the body: %v", err)
-		badRequest.closeConnection = true
-		return badRequest
+		return newBadRequest(http.StatusBadRequest, "reading the body: %v", err).closing()
 	}
 	exchange.Forwarder.(*upstream.Whole).Body = body
-	exchange.Deadline = exchange.Deadline.Add(time.Since(startedAt)) // guards against a slow writer's time that is over before it begins
+	exchange.Deadline = exchange.Deadline.Add(time.Since(startedAt))
 	if client := clientOf(r); client != nil {
 		exchange.Client = sequentialClient{client}
 	}
-	// net/http goes on reading while a request is held, to notice a hang-up; the limit on
-	// the request's own time must not end that.
+	// net/http keeps reading while the request is in the node, to notice when the client leaves: the
+	// read timeout of the request must not end that.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return nil
 }
 
-// Finish has nothing to end.
+// Finish does nothing: the body has been read completely.
 func (platformProtocol) Finish(*service.Exchange) {}
 
-// WriteAnswer sends an answer, whatever it is.
+// WriteAnswer writes the final answer to the client.
 func (platformProtocol) WriteAnswer(front *Front, w http.ResponseWriter, _ *http.Request, _ *service.Exchange, answer service.Answer) {
 	front.writeAnswer(w, answer)
 }
 
-// WriteBadRequest tells a client its mistake.
+// WriteBadRequest reports a client's mistake to it.
 func (platformProtocol) WriteBadRequest(front *Front, w http.ResponseWriter, _ *http.Request, badRequest *BadRequest) {
 	front.writeBadRequest(w, badRequest)
 }
 
-// customerOf is the customer that a query names; "" where it names none, or more than one.
+// customerOf returns the customer that a query names; empty if it names none or several.
 func customerOf(u *url.URL) string {
-	// What nearly all clients send needs no map of values.
+	// The fast path for what nearly all clients send needs no map of values.
 	if account, ok := strings.CutPrefix(u.RawQuery, "account="); ok && !strings.ContainsAny(account, "&;%+") {
 		return strings.ToLower(account)
 	}
@@ -144,29 +127,47 @@
 	return ""
 }
 
-// singleValueHeaders are the headers by which a request is told from others.
-var singleValueHeaders = []string{protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRepeat, protocol.HeaderKey}
+// isCustomerNumber reports whether s is a customer's number: 16 hexadecimal digits below customerCount.
+func isCustomerNumber(s string) bool {
+	n, err := strconv.ParseUint(s, 16, 64)
+	return err == nil && len(s) == 16 && n < customerCount
+}
+
+// singleValueHeaders are the headers of the protocol that may be given only once.
+var singleValueHeaders = []string{
+	protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRepeat, protocol.HeaderKey,
+}
+
+// checkSingleValues rejects a header of the protocol with two values: app servers could use the other one.
+func checkSingleValues(header http.Header) *BadRequest {
+	for _, name := range singleValueHeaders {
+		if len(header[name]) > 1 {
+			return newBadRequest(http.StatusBadRequest, "%s: given twice", name)
+		}
+	}
+	return nil
+}
 
-// checkFraming holds a request to what clients of the protocol send: a length. Guards against a
-// second request in the body of one that also has a Transfer-Encoding, for which net/http
-// drops the length, and against reading what is too long to be passed on.
+// checkFraming rejects a body without a Content-Length, and one that is too long. net/http drops the
+// length of a request that also has a Transfer-Encoding, so accepting one could let a second request
+// be smuggled in the body.
 func checkFraming(r *http.Request, maxBodyBytes int64) *BadRequest {
 	switch {
 	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
 		return newBadRequest(http.StatusLengthRequired, "a body needs a Content-Length and no Transfer-Encoding")
 	case r.ContentLength > maxBodyBytes:
-		return newBadRequest(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", maxBodyBytes)
+		return newBodyTooLong(maxBodyBytes)
 	}
 	return nil
 }
 
-// forwardedRequest is what goes on of a request.
+// forwardedRequest returns the request that app servers get.
 func forwardedRequest(r *http.Request) *http.Request {
 	target := url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
-	// Guards against bytes of a path that package url would write encoded: app servers know a request
-	// by what its client sent.
+	// The path is forwarded byte for byte, because app servers identify a request by what its client sent.
+	// Package url would encode some bytes of it.
 	if target.Opaque, _, _ = strings.Cut(originForm(r.RequestURI), "?"); strings.HasPrefix(target.Opaque, "//") {
-		target.Opaque, target.Path, target.RawPath = "", r.URL.Path, r.URL.RawPath // it would be taken for an authority
+		target.Opaque, target.Path, target.RawPath = "", r.URL.Path, r.URL.RawPath // an opaque // would be taken for an authority
 	}
 	forwarded := &http.Request{
 		Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: &target,
@@ -179,13 +180,13 @@
 	}
 	hopheaders.DropNamed(forwarded.Header, r.Header)
 	if forwarded.Header.Get("User-Agent") == "" {
-		forwarded.Header["User-Agent"] = []string{""} // none of the library's own
+		forwarded.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
 	return forwarded
 }
 
-// parseTimeLeft reads a number with the unit m (milliseconds) or u (microseconds). No client
-// waits for longer than its class has it.
+// parseTimeLeft parses a number with the unit m (milliseconds) or u (microseconds). More than
+// maxTimeLeft and a slack is an error.
 func parseTimeLeft(text string, maxTimeLeft time.Duration) (time.Duration, error) {
 	unit := time.Millisecond
 	number, ok := strings.CutSuffix(text, "m")
@@ -194,14 +195,16 @@
 		number, ok = strings.CutSuffix(text, "u")
 	}
 	value, err := protocol.ParseNumber(number)
-	if timeLeft := value * float64(unit); !ok || err != nil || timeLeft <= 0 || timeLeft > float64(maxTimeLeft+timeLeftSlack) {
+	timeLeft := value * float64(unit)
+	if !ok || err != nil || timeLeft <= 0 || timeLeft > float64(maxTimeLeft+timeLeftSlack) {
 		return 0, fmt.Errorf("%q is no time", text)
 	}
-	return time.Duration(value * float64(unit)), nil
+	return time.Duration(timeLeft), nil
 }
 
-// parseWeight reads the units and the customer's set of edge nodes. Guards against figures that
-// would spoil what the module knows of a customer.
+// parseWeight parses a list of name=number pairs into a request: its units, and the edge nodes that its
+// customer uses. Values out of range are rejected, because they would distort the quota accounting of
+// that customer.
 func parseWeight(rules *service.RequestRules, request *control.Request, text string) error {
 	if text == "" {
 		return nil
--- a/internal/front/rate_guard.go
+++ b/internal/front/rate_guard.go
@@ -5,27 +5,28 @@
 	"time"
 )
 
+// errBelowMinRate reports a body that moves too slowly.
 var errBelowMinRate = errors.New("slower than the least rate")
 
-// rateGuard holds a body that is under way to a least rate, over its whole way. Its zero value allows
-// any.
+// rateGuard enforces a minimum rate on the transfer of a body, as the average over all of it. Its zero
+// value allows any rate. It is not safe for concurrent use.
 type rateGuard struct {
-	gracePeriod       time.Duration // for which it may be slower at first
-	minBytesPerSecond int64         // bytes a second; 0 is any
+	gracePeriod       time.Duration // from the start, in which any rate is allowed
+	minBytesPerSecond int64         // 0 for no limit
 	startedAt         time.Time
 	totalBytes        int64
 }
 
-// record takes in that some bytes have moved by a time.
-func (p *rateGuard) record(now time.Time, n int) error {
-	p.totalBytes += int64(n)
-	if p.minBytesPerSecond == 0 {
+// record counts n bytes that have been transferred by now. It returns errBelowMinRate if that is too slow.
+func (g *rateGuard) record(now time.Time, n int) error {
+	g.totalBytes += int64(n)
+	if g.minBytesPerSecond == 0 {
 		return nil
 	}
-	if p.startedAt.IsZero() {
-		p.startedAt = now
+	if g.startedAt.IsZero() {
+		g.startedAt = now
 	}
-	if elapsed := now.Sub(p.startedAt); elapsed > p.gracePeriod && float64(p.totalBytes) < float64(p.minBytesPerSecond)*elapsed.Seconds() {
+	if elapsed := now.Sub(g.startedAt); elapsed > g.gracePeriod && float64(g.totalBytes) < float64(g.minBytesPerSecond)*elapsed.Seconds() {
 		return errBelowMinRate
 	}
 	return nil
--- a/internal/front/scatter_gather.go
+++ b/internal/front/scatter_gather.go
@@ -1,9 +1,7 @@
 package front
 
 import (
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,27 +15,31 @@
 	"lockflow/internal/upstream"
 )
 
-// maxTimeLeft is more than any class has.
+// maxTimeLeft is longer than the deadline of any class.
 const maxTimeLeft = 24 * time.Hour
 
-// mergedIdleTimeout is for how long one window of a merged answer may take to be written.
+// mergedIdleTimeout limits the writing of one window of a merged answer.
 const mergedIdleTimeout = time.Minute
 
-// ScatterGather is a service that asks others and gives their answers as one. It is not changed once it is
-// made.
+// ScatterGather is a service that sends each request to several services, its parts, and merges their
+// answers into one. It must not be changed once it is in a RoutingTable.
 type ScatterGather struct {
-	Tree          *scattergather.Tree
-	Leaves        []scattergather.Leaf
-	Gatherers     []*scattergather.Gatherer // by the trees' IDs
-	Targets       []Target                  // by the leaves' places; all speak ordinary HTTP
-	Deadlines     map[string]time.Duration  // by class
-	DefaultClass  string                    // of requests whose route names none: by GET and HEAD only
-	MaxBodyBytes  int64                     // most bytes of a request's body
+	Tree      *scattergather.Tree
+	Leaves    []scattergather.Leaf
+	Gatherers []*scattergather.Gatherer // indexed by the IDs of trees
+	Targets   []Target                  // indexed like Leaves; all use the Ordinary protocol
+	Deadlines map[string]time.Duration  // by class
+	// DefaultClass is the class of requests whose route names none; they have to be GET or HEAD.
+	DefaultClass string
+	MaxBodyBytes int64
+	// TimeoutHeader is the request header by which a client shortens its deadline; empty for none.
 	TimeoutHeader string
-	Load          func() float64 // share of what the parts bear that is in use; nil is not known
+	// Load returns the fraction of the parts' capacity that is in use. Nil if that is not known.
+	Load func() float64
 }
 
-// tryAcquire keeps all services of a tree from ending.
+// tryAcquire keeps all services of the tree from shutting down until release. It returns false, with
+// none acquired, if one of them has shut down already.
 func (g *ScatterGather) tryAcquire() bool {
 	for i := range g.Targets {
 		if !g.Targets[i].Service.TryAcquire() {
@@ -50,116 +52,116 @@
 	return true
 }
 
+// release undoes tryAcquire.
 func (g *ScatterGather) release() {
 	for i := range g.Targets {
 		g.Targets[i].Service.Release()
 	}
 }
 
-// readRequest holds a client's request to what can scatter.
-func (g *ScatterGather) readRequest(r *http.Request, class string) (name string, timeout time.Duration, badRequest *BadRequest) {
-	if conn := validatingConnOf(r); conn != nil && conn.validationError() != nil {
-		badRequest := newBadRequest(http.StatusBadRequest, "%v", conn.validationError())
-		badRequest.closeConnection = true
+// readRequest checks the head of a request. routeClass is the class that its route names, which may be
+// empty. It returns the class of the request and its timeout.
+func (g *ScatterGather) readRequest(r *http.Request, routeClass string) (class string, timeout time.Duration, badRequest *BadRequest) {
+	if badRequest := g.checkHead(r, routeClass); badRequest != nil {
 		return "", 0, badRequest
 	}
-	switch {
-	case r.Method == http.MethodConnect || r.Method == http.MethodTrace || r.Method == http.MethodOptions,
-		class == "" && r.Method != http.MethodGet && r.Method != http.MethodHead:
-		return "", 0, newBadRequest(http.StatusMethodNotAllowed, "%s is not served here", r.Method)
-	case r.ContentLength > g.MaxBodyBytes:
-		return "", 0, bodyTooLong(g.MaxBodyBytes)
-	case len(r.Header["Expect"]) > 0 && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
-		return "", 0, newBadRequest(http.StatusExpectationFailed, "Expect: %q", r.Header.Get("Expect"))
-	}
-	if class == "" {
+	if class = routeClass; class == "" {
 		class = g.DefaultClass
 	}
-	timeout, ok := g.Deadlines[class]
+	deadline, ok := g.Deadlines[class]
 	if !ok {
 		return "", 0, newBadRequest(http.StatusNotFound, "no class %q in this service", class)
 	}
-	if g.TimeoutHeader != "" {
-		if value := r.Header.Get(g.TimeoutHeader); value != "" {
-			requested, err := parseTimeout(value)
-			if g.TimeoutHeader == protocol.HeaderTimeLeft { // another node's word, with send_time
-				requested, err = parseTimeLeft(value, maxTimeLeft)
-			}
-			if err != nil {
-				return "", 0, newBadRequest(http.StatusBadRequest, "%s: %v", g.TimeoutHeader, err)
-			}
-			timeout = min(timeout, requested)
-		}
+	timeout, err := g.limitTimeout(r, deadline)
+	if err != nil {
+		return "", 0, newBadRequest(http.StatusBadRequest, "%s: %v", g.TimeoutHeader, err)
 	}
 	return class, timeout, nil
 }
 
-func bodyTooLong(maxBytes int64) *BadRequest {
-	badRequest := newBadRequest(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", maxBytes)
-	badRequest.closeConnection = true
-	return badRequest
+// checkHead rejects requests that cannot be sent to several services.
+func (g *ScatterGather) checkHead(r *http.Request, routeClass string) *BadRequest {
+	if badRequest := checkMessage(r); badRequest != nil {
+		return badRequest
+	}
+	switch {
+	case r.Method == http.MethodConnect || r.Method == http.MethodTrace || r.Method == http.MethodOptions,
+		routeClass == "" && r.Method != http.MethodGet && r.Method != http.MethodHead:
+		return newBadRequest(http.StatusMethodNotAllowed, "%s is not served here", r.Method)
+	case r.ContentLength > g.MaxBodyBytes:
+		return newBodyTooLong(g.MaxBodyBytes).closing()
+	}
+	return checkExpect(r)
+}
+
+// limitTimeout returns the deadline of a class, or the timeout that a client asks for if that is shorter.
+func (g *ScatterGather) limitTimeout(r *http.Request, deadline time.Duration) (time.Duration, error) {
+	if g.TimeoutHeader == "" {
+		return deadline, nil
+	}
+	value := r.Header.Get(g.TimeoutHeader)
+	if value == "" {
+		return deadline, nil
+	}
+	parse := parseTimeout
+	if g.TimeoutHeader == protocol.HeaderTimeLeft { // sent by another node, see OrdinaryOptions.SendTimeLeft
+		parse = func(text string) (time.Duration, error) { return parseTimeLeft(text, maxTimeLeft) }
+	}
+	requested, err := parse(value)
+	return min(deadline, requested), err
 }
 
-// conditionalHeaders are fields that ask for something other than the whole answer as it is now. What a part
-// says to them can't be merged.
+// conditionalHeaders ask for something other than the complete current answer. The answers of the parts
+// to them could not be merged.
 var conditionalHeaders = []string{"If-None-Match", "If-Modified-Since", "If-Match", "If-Unmodified-Since", "If-Range", "Range", "Expect"}
 
-// partRequest is a request as the parts are asked: whole, as it is, and without a body, which is theirs
-// in common.
+// partRequest returns the request that all parts get, without its body, which they share.
 func partRequest(r *http.Request) *http.Request {
 	part := new(http.Request)
 	*part = *r
 	if part.Method == http.MethodHead {
-		part.Method = http.MethodGet // what a merged answer holds shows by its bodies only
+		part.Method = http.MethodGet // the length of the merged answer depends on the bodies
 	}
 	part.Header = r.Header.Clone()
 	for _, name := range conditionalHeaders {
 		delete(part.Header, name)
 	}
 	delete(part.Header, "Content-Length")
-	delete(part.Header, protocol.HeaderTimeLeft) // a part's is another
+	delete(part.Header, protocol.HeaderTimeLeft) // each part gets its own
 	part.Header["Accept-Encoding"] = []string{"identity"}
 	part.ContentLength, part.TransferEncoding, part.Body, part.Trailer = 0, nil, http.NoBody, nil
 	return part
 }
 
-// handle answers one query. Its services are held.
-func (g *ScatterGather) handle(f *Front, w http.ResponseWriter, r *http.Request, class string, arrived time.Time) {
+// handle serves one request. The services have been acquired for it.
+func (g *ScatterGather) handle(f *Front, w http.ResponseWriter, r *http.Request, routeClass string, arrived time.Time) {
 	started := false
 	defer func() {
 		if !started {
 			g.release()
 		}
 	}()
-	reject := func(badRequest *BadRequest) {
-		if badRequest.closeConnection {
-			w.Header().Set("Connection", "close")
-		}
-		writeNodeAnswer(f, w, r, badRequest.status, badRequest.text, 0)
-	}
-	class, timeout, badRequest := g.readRequest(r, class)
+	class, timeout, badRequest := g.readRequest(r, routeClass)
 	if badRequest != nil {
-		reject(badRequest)
+		writeBadRequestAnswer(f, w, r, badRequest)
 		return
 	}
 	calls, badRequest := g.newCalls(r, class, arrived, timeout)
 	if badRequest != nil {
-		reject(badRequest)
+		writeBadRequestAnswer(f, w, r, badRequest)
 		return
 	}
-	if body, badRequest := g.readBody(w, r); badRequest != nil {
-		for i := range calls {
-			calls[i].Exchange.Release()
-		}
-		reject(badRequest)
+	body, badRequest := g.readBody(w, r)
+	if badRequest != nil {
+		releaseCalls(calls)
+		writeBadRequestAnswer(f, w, r, badRequest)
 		return
-	} else if len(body) > 0 {
-		for i := range calls {
-			relay := &calls[i].Exchange.Forwarder.(*ordinaryCall).Relay
-			relay.Body, relay.Length = retrybuffer.Of(body), int64(len(body))
-		}
 	}
-	run := &scattergather.Run{Tree: g.Tree, Leaves: g.Leaves, By: g.Gatherers, Calls: calls, Class: class, Arrived: arrived, Wait: timeout, Release: g.release}
+	setBody(calls, body)
+	run := &scattergather.Run{
+		Tree: g.Tree, Leaves: g.Leaves, By: g.Gatherers, Calls: calls,
+		Class: class, Arrived: arrived, Wait: timeout, Release: g.release,
+	}
 	if g.Load != nil {
 		run.Load = g.Load()
 	}
@@ -168,16 +170,13 @@
 	f.writeMergedAnswer(w, r, g, run.Do(r.Context()))
 }
 
-// newCalls makes each part's request, and books room for it. One without room is turned away by its
-// service, and is a part that is missing.
+// newCalls makes the request of each part and reserves memory for it. A part without capacity rejects
+// its request, so that its answer is missing.
 func (g *ScatterGather) newCalls(r *http.Request, class string, arrived time.Time, timeout time.Duration) ([]scattergather.Call, *BadRequest) {
 	calls := make([]scattergather.Call, 0, len(g.Targets))
-	bodyBytes := int64(0) // for the body, which all parts share: by the first that has room
-	if r.ContentLength != 0 {
+	bodyBytes := r.ContentLength // of the shared body, reserved by the first part that has capacity
+	if bodyBytes < 0 {
 		bodyBytes = g.MaxBodyBytes
-		if r.ContentLength > 0 {
-			bodyBytes = r.ContentLength
-		}
 	}
 	request := partRequest(r)
 	for i := range g.Targets {
@@ -186,9 +185,7 @@
 		ordinary := target.Protocol.(*Ordinary)
 		exchange, badRequest := ordinary.ReadRequest(request, &target, "", arrived)
 		if badRequest != nil {
-			for _, call := range calls {
-				call.Exchange.Release()
-			}
+			releaseCalls(calls)
 			return nil, badRequest
 		}
 		if end := arrived.Add(timeout - scattergather.Ahead(timeout)); exchange.Deadline.After(end) {
@@ -203,41 +200,55 @@
 	return calls, nil
 }
 
-// readBody reads a request's body, whole.
+// releaseCalls releases the memory of calls that will not run.
+func releaseCalls(calls []scattergather.Call) {
+	for _, call := range calls {
+		call.Exchange.Release()
+	}
+}
+
+// setBody makes all calls send the same body, if there is one.
+func setBody(calls []scattergather.Call, body []byte) {
+	if len(body) == 0 {
+		return
+	}
+	for _, call := range calls {
+		relay := &call.Exchange.Forwarder.(*ordinaryCall).Relay
+		relay.Body, relay.Length = retrybuffer.Of(body), int64(len(body))
+	}
+}
+
+// readBody reads all of a request's body.
 func (g *ScatterGather) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *BadRequest) {
 	controller := http.NewResponseController(w)
 	if r.ContentLength == 0 {
-		_ = controller.SetReadDeadline(time.Time{}) // net/http goes on reading, to notice a hang-up
+		_ = controller.SetReadDeadline(time.Time{}) // net/http keeps reading, to notice when the client leaves
 		return nil, nil
 	}
 	_ = controller.SetReadDeadline(time.Now().Add(requestReadTimeout))
 	body, err := io.ReadAll(io.LimitReader(r.Body, g.MaxBodyBytes+1))
-	var timeout net.Error
 	switch {
-	case err == nil && int64(len(body)) > g.MaxBodyBytes:
-		return nil, bodyTooLong(g.MaxBodyBytes)
-	case err == nil:
-		_ = controller.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	badRequest := newBadRequest(http.StatusBadRequest, "reading the body: %v", err)
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		badRequest.status = http.StatusRequestTimeout
+	case err != nil:
+		return nil, newBodyReadError(err)
+	case int64(len(body)) > g.MaxBodyBytes:
+		return nil, newBodyTooLong(g.MaxBodyBytes).closing()
 	}
-	badRequest.closeConnection = true
-	return nil, badRequest
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, nil
 }
 
-// writeMergedAnswer gives the client its one answer.
+// writeMergedAnswer writes the outcome of a scatter-gather run to the client.
 func (f *Front) writeMergedAnswer(w http.ResponseWriter, r *http.Request, gather *ScatterGather, final scattergather.Final) {
 	switch final.Outcome {
 	case scattergather.EndedLeft:
-		panic(http.ErrAbortHandler) // nobody is there
+		panic(http.ErrAbortHandler) // the client has left
 	case scattergather.EndedTooFew:
-		writeNodeAnswer(f, w, r, http.StatusServiceUnavailable, "Too few parts answered in time; trying again is harmless.", min(time.Second, gather.Gatherers[0].RetryAfter))
+		writeNodeAnswer(f, w, r, http.StatusServiceUnavailable, "Too few parts answered in time; trying again is harmless.",
+			min(time.Second, gather.Gatherers[0].RetryAfter))
 		return
 	case scattergather.EndedQuota:
-		writeNodeAnswer(f, w, r, http.StatusServiceUnavailable, "The request was not run: the quota of a part, "+final.Part+", has no more; trying again is harmless.",
+		writeNodeAnswer(f, w, r, http.StatusServiceUnavailable,
+			"The request was not run: the quota of a part, "+final.Part+", has no more; trying again is harmless.",
 			min(final.RetryAfter, gather.Gatherers[0].RetryAfter))
 		return
 	}
@@ -246,7 +257,7 @@
 	header["Content-Type"] = []string{gather.Tree.Merge.ContentType()}
 	header["Content-Length"] = []string{strconv.Itoa(size)}
 	header["Via"] = []string{"1.1 " + hopheaders.Alias}
-	header["Cache-Control"] = []string{"no-store"} // a partial answer must not be somebody's later
+	header["Cache-Control"] = []string{"no-store"} // a partial answer must not be reused
 	header[scattergather.HeaderParts] = []string{strconv.Itoa(final.Whole.Held) + "/" + strconv.Itoa(final.Whole.Of)}
 	if len(final.Whole.Missing) > 0 {
 		header[scattergather.HeaderMissing] = []string{strings.Join(final.Whole.Missing, ", ")}
@@ -261,8 +272,9 @@
 		return
 	}
 	for _, piece := range pieces {
+		// Each window has its own deadline: a client that reads nothing must not block the handler.
 		for window := range slices.Chunk(piece, upstream.Window) {
-			_ = controller.SetWriteDeadline(time.Now().Add(mergedIdleTimeout)) // guards against a client that takes nothing
+			_ = controller.SetWriteDeadline(time.Now().Add(mergedIdleTimeout))
 			if _, err := w.Write(window); err != nil {
 				return // the client has left
 			}
--- a/internal/front/validating_conn.go
+++ b/internal/front/validating_conn.go
@@ -9,29 +9,29 @@
 	"lockflow/internal/validation"
 )
 
-// validatingConn is a client's connection whose bytes are looked at before net/http reads them, which
-// would mend what two readers may read in two ways.
+// validatingConn is a client's connection that scans what net/http reads from it. net/http silently
+// repairs messages that another HTTP parser could read differently, which enables request smuggling.
 type validatingConn struct {
 	net.Conn
-	scanner  validation.Scanner
-	firstErr atomic.Pointer[error]
-	isReset  atomic.Bool // reset was called
+	scanner  validation.Scanner    // used by Read only
+	firstErr atomic.Pointer[error] // of the scanner; nil for none
+	isReset  atomic.Bool           // resetOnClose was called
 }
 
-// Read is net.Conn's; net/http has one goroutine in it at a time.
+// Read implements net.Conn. Only one goroutine of net/http calls it at a time.
 func (c *validatingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.firstErr.Load() == nil {
 		if invalid := c.scanner.Feed(p[:n]); invalid != nil {
-			escaped := invalid // only what is kept is put on the heap
+			escaped := invalid // keeps the common case free of a heap allocation
 			c.firstErr.Store(&escaped)
 		}
 	}
 	return n, err
 }
 
-// ReadFrom is io.ReaderFrom's, by the socket itself where there is one: bytes from another socket
-// then need not come through this process.
+// ReadFrom implements io.ReaderFrom. It uses the TCP socket's own, if there is one, which can copy from
+// another socket inside the kernel.
 func (c *validatingConn) ReadFrom(r io.Reader) (int64, error) {
 	if tcp := tcpConnOf(c.Conn); tcp != nil {
 		return tcp.ReadFrom(r)
@@ -39,7 +39,7 @@
 	return io.Copy(struct{ io.Writer }{c.Conn}, r)
 }
 
-// tcpConnOf is the one below a connection; nil where there is none.
+// tcpConnOf returns the TCP connection inside conn; nil if there is none.
 func tcpConnOf(conn net.Conn) *net.TCPConn {
 	for {
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -53,11 +53,11 @@
 	}
 }
 
-// NetConn is the connection below.
+// NetConn returns the wrapped connection.
 func (c *validatingConn) NetConn() net.Conn { return c.Conn }
 
-// validationError is what is wrong with some request on the connection, one that is read already or one
-// behind it: none is served any more.
+// validationError returns the first violation found on the connection, which may be in a request behind
+// the current one. No request of the connection is served after it.
 func (c *validatingConn) validationError() error {
 	if err := c.firstErr.Load(); err != nil {
 		return *err
@@ -65,8 +65,8 @@
 	return nil
 }
 
-// resetOnClose has the close of the connection tell that what it carried is not whole, to a client that
-// takes its end for the end of an answer.
+// resetOnClose makes Close reset the connection, so that a client that takes the end of the connection
+// for the end of the answer sees that the answer is incomplete.
 func (c *validatingConn) resetOnClose() {
 	c.isReset.Store(true)
 	if tcp := tcpConnOf(c.Conn); tcp != nil {
@@ -74,24 +74,27 @@
 	}
 }
 
-// ValidatingListener has the connections of a listener looked at, which a front with ordinary services needs.
+// ValidatingListener wraps a listener so that its connections are scanned for malformed requests. A
+// Front with a service of the Ordinary protocol needs it.
 func ValidatingListener(listener net.Listener) net.Listener { return validatingConnListener{listener} }
 
+// validatingConnListener accepts connections as *validatingConn.
 type validatingConnListener struct{ net.Listener }
 
+// Accept implements net.Listener.
 func (l validatingConnListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &validatingConn{Conn: c}, nil
+	return &validatingConn{Conn: conn}, nil
 }
 
-// validatingConnOf is a request's connection; nil where it is not looked at.
+// validatingConnOf returns the connection of a request; nil if it is not scanned.
 func validatingConnOf(r *http.Request) *validatingConn {
 	if c := clientOf(r); c != nil {
-		w, _ := c.conn.(*validatingConn)
-		return w
+		conn, _ := c.conn.(*validatingConn)
+		return conn
 	}
 	return nil
 }
