Test that a waiting retry ends with its window; drop a clock that the pace has taken over

- The timer that ends a waiting keyed retry at the end of its window (retryOrEnd): new test, seen to fail without it ("ended with <nil> at the end of its window"), run ten times.
- watcher.stay took a watch that said nothing for one that fell silent as it began.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -366,6 +366,27 @@
 	}
 }
 
+// Guards against a keyed retry that waits in the queue when it can't be forwarded any more: it is answered as its
+// repeat window ends, well before its client's time.
+func TestWaitingRetryIsAnsweredAtTheEndOfItsWindow(t *testing.T) {
+	s := settings()
+	class := &s.Classes[0]
+	class.Idempotency, class.KeyScope, class.RepeatWindow = IdempotencyKeyed, ScopeCell, time.Second
+	gateway := newGate(t, s, on(1)...)
+	gateway.ask("a", "job", "low", "x")
+	gateway.pass(100 * ms)
+	gateway.do(EndpointList{Kind: ListComplete})
+	gateway.reply("a", Errored, 0)
+	gateway.pass(890 * ms)
+	if gateway.ends["a"] != nil {
+		t.Errorf("ended with %#v within its window", gateway.ends["a"])
+	}
+	gateway.pass(10 * ms)
+	if _, failed := gateway.ends["a"].(Fail); !failed {
+		t.Errorf("ended with %#v at the end of its window", gateway.ends["a"])
+	}
+}
+
 func TestRepeatsFollowTheEffect(t *testing.T) {
 	for _, k := range []struct {
 		name  string
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -64,10 +64,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		// A watch that says nothing fell silent as it began, and is opened anew as soon as one that had spoken.
-		if errors.Is(err, errSilent) && w.last.Before(begun) {
-			w.last = begun
-		}
 		next := w.pace.Again
 		if errors.Is(err, errTurned) {
 			next = w.pace.TurnedAway
