Split package upgrade into messages, successor and predecessor, and document its protocol

One file held the wire, both sides of it and the environment. The package comment lists the messages of the protocol; each side has a file; Start is split into the sockets, the command and the watch. What a successor sends out of order is said so.

Wire, environment variable and golden files are unchanged.

--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -7,9 +7,9 @@
 	"lockflow/internal/testkit"
 )
 
-// What a successor is handed at its start is read and written under the keys of earlier builds; go test
-// ./internal/upgrade -run Golden -update writes the files anew.
-func TestGoldenInherits(t *testing.T) {
+// The environment variable of a successor has the keys of earlier builds. go test ./internal/upgrade -run Golden -update
+// replaces the golden files.
+func TestGoldenInheritance(t *testing.T) {
 	testkit.GoldenSample(t, "json", "testdata/golden/inherits.json", &inheritance{})
 }
 
--- a/internal/upgrade/keys_test.go
+++ b/internal/upgrade/keys_test.go
@@ -6,5 +6,5 @@
 	"lockflow/internal/testkit"
 )
 
-// What a successor process is handed has a written key for every field.
+// The environment variable of a successor has an explicit key for every field.
 func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", inheritance{}) }
--- /dev/null
+++ b/internal/upgrade/message.go
@@ -0,0 +1,75 @@
+// Package upgrade replaces a running process by a new one without a gap in service. The new process, the
+// successor, inherits open files; it reports when it could serve, receives what the old process, its predecessor,
+// has spent and learned, reports when it accepts connections, and receives what was left when the predecessor
+// ends. The package carries the messages; package lifecycle decides what follows from them, and package daemon
+// uses both.
+//
+// The processes are connected by a pair of stream sockets. A message is a kind (one byte), a length (four bytes,
+// big endian) and a body of that length:
+//
+//	successor -> predecessor   P prepared            could serve, waits for a checkpoint
+//	predecessor -> successor   S checkpoint          what was spent and learned
+//	successor -> predecessor   T took over           accepts connections
+//	predecessor -> successor   R final checkpoint    what was left at its end
+package upgrade
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+// EnvironmentVariable is the environment variable that describes, as JSON, what a successor inherits.
+const EnvironmentVariable = "LOCKFLOW_SUCCEEDS"
+
+// protocolVersion is the version of the messages. A successor of another version ends at once, and its predecessor
+// goes on.
+const protocolVersion = 1
+
+// maxMessageSize is the largest body of a message, in bytes.
+const maxMessageSize = 40 << 20
+
+// headerSize is the size of a message's kind and length.
+const headerSize = 1 + 4
+
+type messageKind byte
+
+const (
+	messagePrepared        messageKind = 'P'
+	messageTookOver        messageKind = 'T'
+	messageCheckpoint      messageKind = 'S'
+	messageFinalCheckpoint messageKind = 'R'
+)
+
+// inheritance is the value of EnvironmentVariable.
+type inheritance struct {
+	Version    int            `json:"version"`
+	Connection int            `json:"conn"`  // descriptor of the socket to the predecessor
+	Files      map[string]int `json:"files"` // descriptors by name
+}
+
+func writeMessage(w io.Writer, kind messageKind, body []byte) error {
+	if len(body) > maxMessageSize {
+		return fmt.Errorf("a message of %d bytes is more than %d", len(body), maxMessageSize)
+	}
+	header := binary.BigEndian.AppendUint32([]byte{byte(kind)}, uint32(len(body)))
+	_, err := w.Write(append(header, body...))
+	return err
+}
+
+// readMessage reads one message. The error is io.EOF where r ends before it.
+func readMessage(r io.Reader) (messageKind, []byte, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return 0, nil, err
+	}
+	size := binary.BigEndian.Uint32(header[1:])
+	if size > maxMessageSize {
+		return 0, nil, fmt.Errorf("a message of %d bytes is more than %d", size, maxMessageSize)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return messageKind(header[0]), body, nil
+}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/processes_test.go
@@ -14,18 +14,18 @@
 	"lockflow/internal/testkit"
 )
 
-// The test's own program is the successor where this variable says what it is to do.
-const role = "LOCKFLOW_TEST_ROLE"
+// The test's own executable is the successor where roleVariable is set; its value is what it does.
+const roleVariable = "LOCKFLOW_TEST_ROLE"
 
 func TestMain(m *testing.M) {
-	if r := os.Getenv(role); r != "" {
-		os.Exit(successor(r))
+	if r := os.Getenv(roleVariable); r != "" {
+		os.Exit(runSuccessor(r))
 	}
 	os.Exit(m.Run())
 }
 
-// successor is a new process of some kind.
-func successor(r string) int {
+// runSuccessor is the main function of a successor; it returns the exit code.
+func runSuccessor(r string) int {
 	p, err := Join(os.Getenv)
 	if err != nil || p == nil {
 		return 3
@@ -42,8 +42,8 @@
 		}
 		time.Sleep(time.Minute)
 	}
-	ls, err := p.TakeListeners("listen:")
-	if err != nil || len(ls) != 1 {
+	listeners, err := p.TakeListeners("listen:")
+	if err != nil || len(listeners) != 1 {
 		return 4
 	}
 	raw, err := p.AwaitCheckpoint()
@@ -59,7 +59,7 @@
 	if err := p.AnnounceTakeOver(); err != nil {
 		return 6
 	}
-	c, err := ls["x"].Accept()
+	c, err := listeners["x"].Accept()
 	if err != nil {
 		return 8
 	}
@@ -68,14 +68,14 @@
 	return 0
 }
 
-func start(t *testing.T, r string, l net.Listener) *Successor {
+func startTestSuccessor(t *testing.T, r string, l net.Listener) *Successor {
 	t.Helper()
 	f, err := l.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	s, err := Start(Program{Path: os.Args[0], Env: append(os.Environ(), role+"="+r), Files: map[string]*os.File{"listen:x": f}, Log: io.Discard})
+	s, err := Start(Program{Path: os.Args[0], Env: append(os.Environ(), roleVariable+"="+r), Files: map[string]*os.File{"listen:x": f}, Log: io.Discard})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,13 +83,13 @@
 	return s
 }
 
-func TestTakesOver(t *testing.T) {
+func TestSuccessorTakesOver(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	addr := l.Addr().String()
-	s := start(t, "works", l)
+	s := startTestSuccessor(t, "works", l)
 	if e := testkit.Next(t, s.Events()); e != Prepared {
 		t.Fatal(e, s.Err())
 	}
@@ -118,8 +118,8 @@
 	}
 }
 
-// Whatever a successor does wrong, its end is told and nothing of it stays.
-func TestFailures(t *testing.T) {
+// A successor that dies, sends what is no message or out of order, or panics is ended, and Err has the cause.
+func TestFailedSuccessorEnds(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -130,7 +130,7 @@
 		why    string
 	}{"dies": {0, "exit status 7"}, "babbles": {0, "killed"}, "hurries": {0, "killed"}, "panics": {2, "exit status 2"}} {
 		t.Run(r, func(t *testing.T) {
-			s := start(t, r, l)
+			s := startTestSuccessor(t, r, l)
 			n := 0
 			for e := testkit.Next(t, s.Events()); e != Ended; e = testkit.Next(t, s.Events()) {
 				if n++; e == Prepared {
@@ -149,7 +149,7 @@
 	}
 }
 
-func TestJoin(t *testing.T) {
+func TestJoinRejectsBadEnvironment(t *testing.T) {
 	for told, want := range map[string]string{
 		"":                             "",
 		"{":                            "unexpected end",
@@ -163,7 +163,7 @@
 	}
 }
 
-func FuzzRead(f *testing.F) {
+func FuzzReadMessage(f *testing.F) {
 	f.Add([]byte("P\x00\x00\x00\x00"))
 	f.Add([]byte("S\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- /dev/null
+++ b/internal/upgrade/successor.go
@@ -0,0 +1,201 @@
+package upgrade
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// Program is a new process that is to start.
+type Program struct {
+	Path  string
+	Args  []string // without the program's name
+	Env   []string
+	Files map[string]*os.File // that it inherits, by name; they remain the caller's
+	Log   io.Writer           // its standard output and error; nil for this process's
+}
+
+// Event is something that a successor did.
+type Event int
+
+// The events, in the order in which they come. Ended is always the last one.
+const (
+	Prepared Event = iota // it could serve, and waits for a checkpoint
+	TookOver              // it accepts connections
+	Ended
+)
+
+// eventCount is how many events a successor can have; none of them waits for its receiver.
+const eventCount = 3
+
+// Successor is the new process, as its predecessor sees it. Its methods are safe for concurrent use.
+type Successor struct {
+	cmd      *exec.Cmd
+	conn     net.Conn
+	events   chan Event
+	endCause error // written before Ended is sent
+	killOnce sync.Once
+}
+
+// firstInheritedDescriptor is that of the first of exec.Cmd's ExtraFiles.
+const firstInheritedDescriptor = 3
+
+// Start starts a successor. It runs until it ends itself or is killed, also after this process. The caller has to
+// receive its events.
+func Start(p Program) (*Successor, error) {
+	s, err := start(p)
+	if err != nil {
+		return nil, fmt.Errorf("starting a successor: %w", err)
+	}
+	go s.watch()
+	return s, nil
+}
+
+func start(p Program) (*Successor, error) {
+	ours, theirs, err := socketPair()
+	if err != nil {
+		return nil, err
+	}
+	defer theirs.Close() //nolint:errcheck // the successor has a copy
+	cmd, err := command(p, theirs)
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		ours.Close()
+		return nil, err
+	}
+	return &Successor{cmd: cmd, conn: ours, events: make(chan Event, eventCount)}, nil
+}
+
+// command returns the command that starts p with its files and the socket connection.
+func command(p Program, connection *os.File) (*exec.Cmd, error) {
+	cmd := exec.CommandContext(context.Background(), p.Path, p.Args...) // it outlives this process
+	inherited := inheritance{Version: protocolVersion, Connection: firstInheritedDescriptor, Files: make(map[string]int)}
+	cmd.ExtraFiles = []*os.File{connection}
+	for name, f := range p.Files {
+		inherited.Files[name] = firstInheritedDescriptor + len(cmd.ExtraFiles)
+		cmd.ExtraFiles = append(cmd.ExtraFiles, f)
+	}
+	encoded, err := json.Marshal(inherited)
+	if err != nil {
+		return nil, err
+	}
+	cmd.Env = append(Environment(p.Env), EnvironmentVariable+"="+string(encoded))
+	cmd.Stdout, cmd.Stderr = p.Log, p.Log
+	if p.Log == nil {
+		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	}
+	return cmd, nil
+}
+
+// Environment returns env without the variables that are meant for this process alone: EnvironmentVariable and
+// those of systemd's socket activation and watchdog.
+func Environment(env []string) []string {
+	var inherited []string
+	for _, variable := range env {
+		name, _, _ := strings.Cut(variable, "=")
+		switch name {
+		case EnvironmentVariable, "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES", "WATCHDOG_PID":
+		default:
+			inherited = append(inherited, variable)
+		}
+	}
+	return inherited
+}
+
+// socketPair returns two connected sockets; theirs is for the successor.
+func socketPair() (ours net.Conn, theirs *os.File, err error) {
+	descriptors, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	ourFile := os.NewFile(uintptr(descriptors[0]), "successor")
+	defer ourFile.Close() //nolint:errcheck // net.FileConn copies it
+	theirs = os.NewFile(uintptr(descriptors[1]), "predecessor")
+	if ours, err = net.FileConn(ourFile); err != nil {
+		return nil, nil, errors.Join(err, theirs.Close())
+	}
+	return ours, theirs, nil
+}
+
+// watch sends events until the successor has ended.
+func (s *Successor) watch() {
+	connErr := s.receiveEvents()
+	hasClosed := errors.Is(connErr, io.EOF) || errors.Is(connErr, net.ErrClosed)
+	if !hasClosed {
+		s.cmd.Process.Kill() // nothing that it sends can be relied on
+	}
+	err := s.cmd.Wait()
+	switch {
+	case err != nil:
+		s.endCause = fmt.Errorf("process %d: %w", s.PID(), err)
+	case !errors.Is(connErr, io.EOF):
+		s.endCause = fmt.Errorf("process %d: %w", s.PID(), connErr)
+	default:
+		s.endCause = fmt.Errorf("process %d ended", s.PID())
+	}
+	s.conn.Close()
+	s.events <- Ended
+	close(s.events)
+}
+
+// receiveEvents sends the successor's messages as events. It returns why there are no more: io.EOF where the
+// successor has closed its connection, as a process that ends does.
+func (s *Successor) receiveEvents() error {
+	next := Prepared
+	for {
+		kind, _, err := readMessage(s.conn)
+		if err != nil {
+			return err
+		}
+		isInOrder := kind == messagePrepared && next == Prepared || kind == messageTookOver && next == TookOver
+		if !isInOrder {
+			return fmt.Errorf("it sent the message %q out of order", byte(kind))
+		}
+		s.events <- next
+		next++
+	}
+}
+
+// PID returns its process id.
+func (s *Successor) PID() int { return s.cmd.Process.Pid }
+
+// Events returns the channel of its events, which is closed after Ended.
+func (s *Successor) Events() <-chan Event { return s.events }
+
+// Err returns why it ended. It may be called after Ended was received.
+func (s *Successor) Err() error { return s.endCause }
+
+// SendCheckpoint sends what was spent and learned.
+func (s *Successor) SendCheckpoint(checkpoint []byte) error {
+	return s.send(messageCheckpoint, checkpoint)
+}
+
+// SendFinalCheckpoint sends what is left at this process's end. The successor ignores what is sent after it.
+func (s *Successor) SendFinalCheckpoint(checkpoint []byte) error {
+	return s.send(messageFinalCheckpoint, checkpoint)
+}
+
+func (s *Successor) send(kind messageKind, body []byte) error {
+	if err := writeMessage(s.conn, kind, body); err != nil {
+		return fmt.Errorf("sending to the successor: %w", err)
+	}
+	return nil
+}
+
+// Signal sends it a signal.
+func (s *Successor) Signal(sig os.Signal) error { return s.cmd.Process.Signal(sig) }
+
+// Kill kills it; Ended follows.
+func (s *Successor) Kill() {
+	s.killOnce.Do(func() { s.cmd.Process.Kill() })
+}
