Split the long functions of command, config, route, fleetfile and h2 by step

measure's flags are a struct with a method that runs; what simulate plays, replay's loop over files, the reading of a fault script, the check of the platform's file, the division of each guaranteed thing, hosts and wild cards of rules, a final head of HTTP/2, and what a wait plan knows of missing parts are functions of their own. Tests of the packages touched, of regions and upstream pass.

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -41,94 +41,121 @@
 			"lockflow measure change --seeds 10 --processes 12 --for 3s   # a change over three regions under faults",
 		},
 		setup: func(set flags) func(context.Context, *Env, []string) error {
-			rounds := set.Int("rounds", 3, "`N` pairs of runs")
-			lasts := set.Duration("for", 4*time.Second, "`TIME` of each run")
-			descriptors := set.Int("descriptors", 256, "isolation: `N` that the node may hold")
-			crowd := set.Int("crowd", 400, "isolation: `N` clients of the pool that stalls")
-			connections := set.String("connections", "1,8,64,256", "proxy, servers: `N,N...` of clients")
-			protocol := set.String("protocol", "platform", "proxy: `NAME` of what the node speaks: platform or http")
-			sizes := set.String("sizes", "1000000,100000000", "bodies: `N,N...` bytes of one")
-			ways := set.String("ways", "down,up", "bodies: `WAY,WAY...` of them: down, up, both")
-			workers := set.Int("workers", 4, "bodies: `N` at once each way")
-			memory := set.Int("memory", 64, "bodies: `MB` that the node is told it has")
-			loads := set.String("loads", "0.5,0.8", "balance: `PART,PART...` of what all servers can do")
-			serve := set.String("serve", "", "proxy: be the proxy over `ADDRESS,ADDRESS...` (used by the measurement itself)")
-			var fl measure.FleetOptions
-			set.IntVar(&fl.Instances, "instances", 40, "fleet: `N` real processes")
-			set.IntVar(&fl.Told, "told", 0, "fleet: `N` that they are told the group has, where it is another")
-			set.DurationVar(&fl.Every, "every", 400*time.Millisecond, "fleet: `TIME` from one disturbance to the next; 0 is none")
-			set.DurationVar(&fl.ColdEvery, "cold-every", 4*time.Second, "fleet: `TIME` from one cold server to the next; 0 is none")
-			set.IntVar(&fl.Rate, "rate", 400, "fleet: `N` calls a second")
-			set.IntVar(&fl.Servers, "servers", 8, "fleet: `N` app servers of two cores each")
-			set.DurationVar(&fl.Work, "work", 25*time.Millisecond, "fleet: `TIME` of a call on a core")
-			set.Uint64Var(&fl.Seed, "seed", 1, "fleet, faults, change: `N` of the disturbances' chance")
-			var skew versionskew.Options
-			set.StringVar(&skew.Previous, "previous", "", "upgrade: `PATH` of another build, from which and to which is upgraded")
-			set.IntVar(&skew.Requests, "requests", skewRequests, "upgrade, with --previous: `N` answered between two changes")
-			var fa measure.FaultsOptions
-			script := faultFlags(set, &fa)
-			kinds := set.String("kinds", "settings,program", "rollout: `KIND,KIND...` of changes: settings, program")
-			asJSON := set.Bool("json", false, "prints the figures as JSON")
-			return func(ctx context.Context, e *Env, args []string) error {
-				if len(args) != 1 {
-					return usage("measure takes one of isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout")
-				}
-				what := args[0]
-				if *rounds < 1 || *lasts < 100*time.Millisecond ||
-					*crowd < 1 || *crowd > 10000 || *descriptors < 192 || *descriptors > 1<<16 {
-					return usage("measure %s: its flags are off; see lockflow measure --help", what)
-				}
-				old := slog.Default()
-				slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-				defer slog.SetDefault(old)
-				switch {
-				case what == "proxy" && *serve != "":
-					return measure.ServeProxy(ctx, strings.Split(*serve, ","), e.Err)
-				case what == "proxy":
-					if *protocol != "platform" && *protocol != "http" {
-						return usage("protocol: %q is neither platform nor http", *protocol)
-					}
-					return measureProxy(ctx, e, *connections, *protocol, *rounds, *lasts, *asJSON)
-				case what == "servers":
-					return measureServers(ctx, e, measure.ServersOptions{Rounds: *rounds, Lasts: *lasts, Work: time.Millisecond, Progress: e.Err},
-						*connections, *asJSON)
-				case what == "balance":
-					return measureBalance(ctx, e, balancesim.Options{Lasts: *lasts, Seed: fl.Seed}, *loads, *asJSON)
-				case what == "bodies":
-					return measureBodies(ctx, e, measure.BodiesOptions{Workers: *workers, Rounds: *rounds, Lasts: *lasts, MemoryMB: *memory, Progress: e.Err},
-						*sizes, *ways, *asJSON)
-				case what == "reload":
-					return measureReloads(ctx, e, measure.ReloadOptions{
-						Rounds: *rounds, Lasts: *lasts, Every: 150 * time.Millisecond, Clients: 48,
-						Progress: e.Err,
-					}, *asJSON)
-				case what == "upgrade" && skew.Previous != "":
-					skew.Rounds = *rounds
-					return measureSkew(ctx, e, skew, *asJSON)
-				case what == "upgrade":
-					return measureUpgrades(ctx, e, measure.UpgradeOptions{Upgrades: *rounds, Every: *lasts, Clients: 16, Progress: e.Err}, *asJSON)
-				case what == "fleet":
-					fl.Lasts = *lasts
-					return measureFleet(ctx, e, fl, *asJSON)
-				case what == "faults" || what == "change":
-					fa.Lasts, fa.Seed = *lasts, fl.Seed
-					return measureFaults(ctx, e, fa, what == "change", *script, *asJSON)
-				case what == "rollout":
-					return measureRollout(ctx, e, measure.RolloutOptions{Members: fa.Processes, Seed: fl.Seed}, *kinds, *asJSON)
-				case what == "gather":
-					return measureGather(ctx, e, measure.GatherOptions{Rounds: *rounds, Lasts: *lasts}, *asJSON)
-				case what == "isolation":
-					return measureIsolation(ctx, e, measure.IsolationOptions{
-						Descriptors: *descriptors, Rounds: *rounds, Lasts: *lasts, Crowd: *crowd,
-						Progress: e.Err,
-					}, *asJSON)
-				}
-				return usage("there is no measurement %q: isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout", what)
-			}
+			var m measureFlags
+			m.add(set)
+			return m.run
 		},
 	}
 }
 
+// measureFlags are the flags of measure; each says which measurement it is of.
+type measureFlags struct {
+	rounds      int
+	lasts       time.Duration
+	descriptors int
+	crowd       int
+	connections string
+	protocol    string
+	sizes       string
+	ways        string
+	workers     int
+	memory      int
+	loads       string
+	serve       string
+	fleet       measure.FleetOptions
+	skew        versionskew.Options
+	faults      measure.FaultsOptions
+	script      *string
+	kinds       string
+	asJSON      bool
+}
+
+func (m *measureFlags) add(set flags) {
+	set.IntVar(&m.rounds, "rounds", 3, "`N` pairs of runs")
+	set.DurationVar(&m.lasts, "for", 4*time.Second, "`TIME` of each run")
+	set.IntVar(&m.descriptors, "descriptors", 256, "isolation: `N` that the node may hold")
+	set.IntVar(&m.crowd, "crowd", 400, "isolation: `N` clients of the pool that stalls")
+	set.StringVar(&m.connections, "connections", "1,8,64,256", "proxy, servers: `N,N...` of clients")
+	set.StringVar(&m.protocol, "protocol", "platform", "proxy: `NAME` of what the node speaks: platform or http")
+	set.StringVar(&m.sizes, "sizes", "1000000,100000000", "bodies: `N,N...` bytes of one")
+	set.StringVar(&m.ways, "ways", "down,up", "bodies: `WAY,WAY...` of them: down, up, both")
+	set.IntVar(&m.workers, "workers", 4, "bodies: `N` at once each way")
+	set.IntVar(&m.memory, "memory", 64, "bodies: `MB` that the node is told it has")
+	set.StringVar(&m.loads, "loads", "0.5,0.8", "balance: `PART,PART...` of what all servers can do")
+	set.StringVar(&m.serve, "serve", "", "proxy: be the proxy over `ADDRESS,ADDRESS...` (used by the measurement itself)")
+	set.IntVar(&m.fleet.Instances, "instances", 40, "fleet: `N` real processes")
+	set.IntVar(&m.fleet.Told, "told", 0, "fleet: `N` that they are told the group has, where it is another")
+	set.DurationVar(&m.fleet.Every, "every", 400*time.Millisecond, "fleet: `TIME` from one disturbance to the next; 0 is none")
+	set.DurationVar(&m.fleet.ColdEvery, "cold-every", 4*time.Second, "fleet: `TIME` from one cold server to the next; 0 is none")
+	set.IntVar(&m.fleet.Rate, "rate", 400, "fleet: `N` calls a second")
+	set.IntVar(&m.fleet.Servers, "servers", 8, "fleet: `N` app servers of two cores each")
+	set.DurationVar(&m.fleet.Work, "work", 25*time.Millisecond, "fleet: `TIME` of a call on a core")
+	set.Uint64Var(&m.fleet.Seed, "seed", 1, "fleet, faults, change: `N` of the disturbances' chance")
+	set.StringVar(&m.skew.Previous, "previous", "", "upgrade: `PATH` of another build, from which and to which is upgraded")
+	set.IntVar(&m.skew.Requests, "requests", skewRequests, "upgrade, with --previous: `N` answered between two changes")
+	m.script = faultFlags(set, &m.faults)
+	set.StringVar(&m.kinds, "kinds", "settings,program", "rollout: `KIND,KIND...` of changes: settings, program")
+	set.BoolVar(&m.asJSON, "json", false, "prints the figures as JSON")
+}
+
+// run takes the measurement that args name.
+func (m *measureFlags) run(ctx context.Context, e *Env, args []string) error {
+	if len(args) != 1 {
+		return usage("measure takes one of isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout")
+	}
+	what := args[0]
+	if m.rounds < 1 || m.lasts < 100*time.Millisecond ||
+		m.crowd < 1 || m.crowd > 10000 || m.descriptors < 192 || m.descriptors > 1<<16 {
+		return usage("measure %s: its flags are off; see lockflow measure --help", what)
+	}
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	defer slog.SetDefault(old)
+	switch {
+	case what == "proxy" && m.serve != "":
+		return measure.ServeProxy(ctx, strings.Split(m.serve, ","), e.Err)
+	case what == "proxy":
+		if m.protocol != "platform" && m.protocol != "http" {
+			return usage("protocol: %q is neither platform nor http", m.protocol)
+		}
+		return measureProxy(ctx, e, m.connections, m.protocol, m.rounds, m.lasts, m.asJSON)
+	case what == "servers":
+		return measureServers(ctx, e, measure.ServersOptions{Rounds: m.rounds, Lasts: m.lasts, Work: time.Millisecond, Progress: e.Err},
+			m.connections, m.asJSON)
+	case what == "balance":
+		return measureBalance(ctx, e, balancesim.Options{Lasts: m.lasts, Seed: m.fleet.Seed}, m.loads, m.asJSON)
+	case what == "bodies":
+		return measureBodies(ctx, e, measure.BodiesOptions{Workers: m.workers, Rounds: m.rounds, Lasts: m.lasts, MemoryMB: m.memory, Progress: e.Err},
+			m.sizes, m.ways, m.asJSON)
+	case what == "reload":
+		return measureReloads(ctx, e, measure.ReloadOptions{
+			Rounds: m.rounds, Lasts: m.lasts, Every: 150 * time.Millisecond, Clients: 48,
+			Progress: e.Err,
+		}, m.asJSON)
+	case what == "upgrade" && m.skew.Previous != "":
+		m.skew.Rounds = m.rounds
+		return measureSkew(ctx, e, m.skew, m.asJSON)
+	case what == "upgrade":
+		return measureUpgrades(ctx, e, measure.UpgradeOptions{Upgrades: m.rounds, Every: m.lasts, Clients: 16, Progress: e.Err}, m.asJSON)
+	case what == "fleet":
+		m.fleet.Lasts = m.lasts
+		return measureFleet(ctx, e, m.fleet, m.asJSON)
+	case what == "faults" || what == "change":
+		m.faults.Lasts, m.faults.Seed = m.lasts, m.fleet.Seed
+		return measureFaults(ctx, e, m.faults, what == "change", *m.script, m.asJSON)
+	case what == "rollout":
+		return measureRollout(ctx, e, measure.RolloutOptions{Members: m.faults.Processes, Seed: m.fleet.Seed}, m.kinds, m.asJSON)
+	case what == "gather":
+		return measureGather(ctx, e, measure.GatherOptions{Rounds: m.rounds, Lasts: m.lasts}, m.asJSON)
+	case what == "isolation":
+		return measureIsolation(ctx, e, measure.IsolationOptions{
+			Descriptors: m.descriptors, Rounds: m.rounds, Lasts: m.lasts, Crowd: m.crowd,
+			Progress: e.Err,
+		}, m.asJSON)
+	}
+	return usage("there is no measurement %q: isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout", what)
+}
+
 func measureProxy(ctx context.Context, e *Env, connections, protocol string, rounds int, lasts time.Duration, asJSON bool) error {
 	o := measure.ProxyOptions{Protocol: protocol, Rounds: rounds, Lasts: lasts, Progress: e.Err}
 	var err error
--- a/internal/command/measurefaults.go
+++ b/internal/command/measurefaults.go
@@ -35,21 +35,12 @@
 		o.Shrinks < 0 || o.Shrinks > 10_000 {
 		return usage("measure %s: its flags are off; see lockflow measure --help", what)
 	}
+	var err error
 	if file != "" {
-		raw, err := os.ReadFile(file)
-		if err != nil {
-			return fmt.Errorf("reading a script: %w", err)
-		}
-		s, err := faultnet.Parse(string(raw))
-		if err != nil {
-			return usage("%s: %v", file, err)
-		}
-		if s.Procs != o.Processes || s.Links != links {
-			return usage("%s: a script of %d processes and %d links; %d processes have %d", file, s.Procs, s.Links, o.Processes, links)
+		if o.Script, err = faultScript(file, o.Processes, links); err != nil {
+			return err
 		}
-		o.Script = &s
 	}
-	var err error
 	if o.Program, err = os.Executable(); err != nil {
 		return fmt.Errorf("finding the program's own file: %w", err)
 	}
@@ -86,6 +77,22 @@
 	return os.RemoveAll(o.Dir)
 }
 
+// faultScript reads a script for so many processes and links.
+func faultScript(file string, processes, links int) (*faultnet.Script, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("reading a script: %w", err)
+	}
+	s, err := faultnet.Parse(string(raw))
+	if err != nil {
+		return nil, usage("%s: %v", file, err)
+	}
+	if s.Procs != processes || s.Links != links {
+		return nil, usage("%s: a script of %d processes and %d links; %d processes have %d", file, s.Procs, s.Links, processes, links)
+	}
+	return &s, nil
+}
+
 func printChange(w io.Writer, r *measure.ChangeReport) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "seed\tfaults\tnodes killed\tcoordinators' exits\tmore after\tnew at once\tdecisions\tepochs\torders\trequests\tserved\tbroken by the fault\t"+
--- a/internal/command/replay.go
+++ b/internal/command/replay.go
@@ -33,30 +33,7 @@
 					return usage("replay takes files of recordings")
 				}
 				p := &replayer{e: e, steps: *steps || *id != "", id: *id, json: *asJSON}
-				w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', 0)
-				if !p.steps && !p.json {
-					fmt.Fprintln(w, "service\tbegins\tevents\tactions' digest\tlost before\tsame\t")
-				}
-				for _, path := range args {
-					r, err := p.file(ctx, path)
-					if err != nil {
-						return err
-					}
-					if p.json {
-						if err := json.NewEncoder(e.Out).Encode(r); err != nil {
-							return err
-						}
-						continue
-					}
-					fmt.Fprintf(w, "%s\t%s\t%d\t%016x\t%d\t%v\t\n", r.Service, r.At.Format(time.RFC3339), r.Events, r.Digest, r.Lost, r.Same)
-				}
-				if err := w.Flush(); err != nil {
-					return err
-				}
-				if p.differ {
-					return errTold
-				}
-				return nil
+				return p.files(ctx, args)
 			}
 		},
 	}
@@ -83,6 +60,34 @@
 
 var errDiffers = errors.New("other actions than were recorded")
 
+// files replays recordings one after another and prints what came of each; one that differs is an error.
+func (p *replayer) files(ctx context.Context, paths []string) error {
+	w := tabwriter.NewWriter(p.e.Out, 0, 0, 2, ' ', 0)
+	if !p.steps && !p.json {
+		fmt.Fprintln(w, "service\tbegins\tevents\tactions' digest\tlost before\tsame\t")
+	}
+	for _, path := range paths {
+		r, err := p.file(ctx, path)
+		if err != nil {
+			return err
+		}
+		if p.json {
+			if err := json.NewEncoder(p.e.Out).Encode(r); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%016x\t%d\t%v\t\n", r.Service, r.At.Format(time.RFC3339), r.Events, r.Digest, r.Lost, r.Same)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if p.differ {
+		return errTold
+	}
+	return nil
+}
+
 func (p *replayer) file(ctx context.Context, path string) (replayed, error) {
 	f, err := os.Open(path)
 	if err != nil {
--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -53,64 +53,74 @@
 			var r rolloutPlay
 			r.add(set)
 			return func(ctx context.Context, e *Env, args []string) error {
-				if len(args) == 0 {
-					if played, err := scattered(ctx, e, *instances, o.Seed, *asJSON); played {
-						return err
-					}
-					q := fleetsim.QuotaOptions{Seed: o.Seed, Load: o.Load / usualLoad}
-					if o.Lasts != usualLasts {
-						q.Lasts = o.Lasts
-					}
-					if played, err := quotas(ctx, e, *instances, q, *asJSON); played {
-						return err
-					}
+				if len(args) > 0 {
+					return errSimulateUsage
 				}
-				if r.on && *days == "" && len(args) == 0 {
-					r.seed = o.Seed
-					return r.play(ctx, e, *instances, *asJSON)
-				}
-				if *days != "" && !r.on && len(args) == 0 {
-					d := fleetsim.DayOptions{Told: o.Told, Seed: o.Seed, Load: o.Load / usualLoad}
-					if o.Lasts != usualLasts {
-						d.Lasts = o.Lasts
-					}
-					return playDays(ctx, e, *days, *instances, d, *asJSON)
-				}
-				if len(args) > 0 || o.Told < 0 || o.Servers < 1 || o.Servers > 1000 || !(o.PerServer > 0) || !(o.Load > 0) || o.Lasts < 12*time.Second {
-					return usage("simulate: its flags are off; it takes 12 s of play or more")
+				if played, err := scattered(ctx, e, *instances, o.Seed, *asJSON); played {
+					return err
 				}
-				var all []fleetsim.Report
-				sizes, err := groupSizes(*instances)
-				if err != nil {
+				q := fleetsim.QuotaOptions{Seed: o.Seed, Load: o.Load / usualLoad, Lasts: otherThanUsual(o.Lasts)}
+				if played, err := quotas(ctx, e, *instances, q, *asJSON); played {
 					return err
 				}
-				for _, n := range sizes {
-					for field := range strings.SplitSeq(*lags, ",") {
-						lag, err := time.ParseDuration(field)
-						if err != nil || lag < 0 {
-							return usage("simulate: lag: %q is no time", field)
-						}
-						o.Instances, o.Lag = n, lag
-						fmt.Fprintf(e.Err, "playing %d instances, news up to %v late\n", n, lag)
-						r, err := fleetsim.Run(o)
-						if err != nil {
-							return err
-						}
-						if all = append(all, r); ctx.Err() != nil {
-							return ctx.Err()
-						}
-					}
+				if r.on && *days == "" {
+					r.seed = o.Seed
+					return r.play(ctx, e, *instances, *asJSON)
 				}
-				if *asJSON {
-					return json.NewEncoder(e.Out).Encode(all)
+				if *days != "" && !r.on {
+					d := fleetsim.DayOptions{Told: o.Told, Seed: o.Seed, Load: o.Load / usualLoad, Lasts: otherThanUsual(o.Lasts)}
+					return playDays(ctx, e, *days, *instances, d, *asJSON)
 				}
-				printSimulated(e.Out, all)
-				return nil
+				return playFleets(ctx, e, o, *instances, *lags, *asJSON)
 			}
 		},
 	}
 }
 
+var errSimulateUsage = usage("simulate: its flags are off; it takes 12 s of play or more")
+
+// otherThanUsual is a time to play where one was asked for, else 0.
+func otherThanUsual(lasts time.Duration) time.Duration {
+	if lasts == usualLasts {
+		return 0
+	}
+	return lasts
+}
+
+// playFleets plays a cold server and a ceiling for each number of instances and each lag of the news.
+func playFleets(ctx context.Context, e *Env, o fleetsim.Options, instances, lags string, asJSON bool) error {
+	if o.Told < 0 || o.Servers < 1 || o.Servers > 1000 || !(o.PerServer > 0) || !(o.Load > 0) || o.Lasts < 12*time.Second {
+		return errSimulateUsage
+	}
+	var all []fleetsim.Report
+	sizes, err := groupSizes(instances)
+	if err != nil {
+		return err
+	}
+	for _, n := range sizes {
+		for field := range strings.SplitSeq(lags, ",") {
+			lag, err := time.ParseDuration(field)
+			if err != nil || lag < 0 {
+				return usage("simulate: lag: %q is no time", field)
+			}
+			o.Instances, o.Lag = n, lag
+			fmt.Fprintf(e.Err, "playing %d instances, news up to %v late\n", n, lag)
+			r, err := fleetsim.Run(o)
+			if err != nil {
+				return err
+			}
+			if all = append(all, r); ctx.Err() != nil {
+				return ctx.Err()
+			}
+		}
+	}
+	if asJSON {
+		return json.NewEncoder(e.Out).Encode(all)
+	}
+	printSimulated(e.Out, all)
+	return nil
+}
+
 func printSimulated(w io.Writer, all []fleetsim.Report) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "instances\ttold\tnews late\tuneven\tcalls\tserved\tcold: worst of its limit\tof what it could\tceiling: units beyond\tpart of it used\t")
@@ -154,28 +164,9 @@
 	if err != nil {
 		return err
 	}
-	var todo []played
-	var options []fleetsim.DayOptions
-	add := func(o fleetsim.DayOptions, p played) { todo, options = append(todo, p), append(options, o) }
-	for _, n := range sizes {
-		if o.Instances = n; names == "mutations" {
-			for i := range fleetsim.Mutations {
-				m := &fleetsim.Mutations[i]
-				add(m.Options(o), played{Mutation: m.Name, Rule: m.Rule})
-			}
-			continue
-		}
-		list := fleetsim.DayNames
-		if names != "all" {
-			list = strings.Split(names, ",")
-		}
-		for _, name := range list {
-			if !slices.Contains(fleetsim.DayNames, name) {
-				return usage("simulate: day: %q is none of %s, all, mutations", name, strings.Join(fleetsim.DayNames, ", "))
-			}
-			o.Day = name
-			add(o, played{})
-		}
+	todo, options, err := daysToPlay(names, sizes, o)
+	if err != nil {
+		return err
 	}
 	wrong := 0
 	for i, o := range options {
@@ -204,6 +195,31 @@
 	return nil
 }
 
+// daysToPlay lists the days that names ask for at each size, and what they are played with.
+func daysToPlay(names string, sizes []int, o fleetsim.DayOptions) (todo []played, options []fleetsim.DayOptions, err error) {
+	for _, n := range sizes {
+		if o.Instances = n; names == "mutations" {
+			for i := range fleetsim.Mutations {
+				m := &fleetsim.Mutations[i]
+				todo, options = append(todo, played{Mutation: m.Name, Rule: m.Rule}), append(options, m.Options(o))
+			}
+			continue
+		}
+		list := fleetsim.DayNames
+		if names != "all" {
+			list = strings.Split(names, ",")
+		}
+		for _, name := range list {
+			if !slices.Contains(fleetsim.DayNames, name) {
+				return nil, nil, usage("simulate: day: %q is none of %s, all, mutations", name, strings.Join(fleetsim.DayNames, ", "))
+			}
+			o.Day = name
+			todo, options = append(todo, played{}), append(options, o)
+		}
+	}
+	return todo, options, nil
+}
+
 func printDays(w io.Writer, all []played) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "day\tinstances\tservers\tfirst tries\ttries\tattempts\tserved\tbeyond quota\tfailed\thandshakes\tcold: worst of its limit\tbroken\t")
--- a/internal/command/simulate_gather.go
+++ b/internal/command/simulate_gather.go
@@ -51,17 +51,11 @@
 				return true, err
 			}
 			all = append(all, r)
-			for _, n := range sizes {
-				fmt.Fprintf(e.Err, "playing %s: %d learn together\n", name, n)
-				s, err := waitpolicysim.RunShared(waitpolicysim.ShareOptions{World: name, Instances: n, Seed: seed})
-				if err != nil {
-					return true, err
-				}
-				shared = append(shared, s)
-				if ctx.Err() != nil {
-					return true, ctx.Err()
-				}
+			together, err := playShared(ctx, e, name, sizes, seed)
+			if err != nil {
+				return true, err
 			}
+			shared = append(shared, together...)
 			if ctx.Err() != nil {
 				return true, ctx.Err()
 			}
@@ -74,6 +68,21 @@
 	}
 }
 
+// playShared plays how fast so many instances learn together, for each size.
+func playShared(ctx context.Context, e *Env, world string, sizes []int, seed uint64) (all []waitpolicysim.ShareReport, err error) {
+	for _, n := range sizes {
+		fmt.Fprintf(e.Err, "playing %s: %d learn together\n", world, n)
+		r, err := waitpolicysim.RunShared(waitpolicysim.ShareOptions{World: world, Instances: n, Seed: seed})
+		if err != nil {
+			return nil, err
+		}
+		if all = append(all, r); ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return all, nil
+}
+
 func printGathered(w io.Writer, all []waitpolicysim.Report, shared []waitpolicysim.ShareReport) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "world\toracle earns\tof it: learned\tbest fixed\tat\tp95\tno deadline\tknows all, same plan\tparts in answers\ttook\tlooks\tchanges told\tspent to learn\t")
--- a/internal/command/simulate_quota.go
+++ b/internal/command/simulate_quota.go
@@ -43,20 +43,8 @@
 		if err != nil {
 			return true, err
 		}
-		var todo []fleetsim.QuotaOptions
-		first := o.Seed
 		o.Late, o.Why = -1, *why
-		for _, o.World = range list {
-			for _, o.Instances = range sizes {
-				for o.Seed = first; o.Seed < first+uint64(*seeds); o.Seed++ {
-					for _, p := range policies {
-						o.Policy = fleetsim.Policy(p)
-						todo = append(todo, o)
-					}
-				}
-			}
-		}
-		all, err := playQuotas(ctx, e, todo)
+		all, err := playQuotas(ctx, e, quotaPlays(o, list, sizes, *seeds, policies))
 		if err != nil {
 			return true, err
 		}
@@ -68,6 +56,22 @@
 	}
 }
 
+// quotaPlays lists every play: each world at each size with each seed under each policy.
+func quotaPlays(o fleetsim.QuotaOptions, worlds []string, sizes []int, seeds int, policies []string) (all []fleetsim.QuotaOptions) {
+	first := o.Seed
+	for _, o.World = range worlds {
+		for _, o.Instances = range sizes {
+			for o.Seed = first; o.Seed < first+uint64(seeds); o.Seed++ {
+				for _, p := range policies {
+					o.Policy = fleetsim.Policy(p)
+					all = append(all, o)
+				}
+			}
+		}
+	}
+	return all
+}
+
 func policyNames() []string {
 	var names []string
 	for _, p := range fleetsim.Policies {
--- a/internal/config/divide.go
+++ b/internal/config/divide.go
@@ -6,15 +6,42 @@
 	"lockflow/internal/config/tree"
 )
 
+// dividedThing is what services have guaranteed parts of.
+type dividedThing struct {
+	key   string
+	total float64
+	read  func(tree.Table, string) float64
+	set   func(*Amounts, float64)
+}
+
+// divide reads the parts of services that name one, and gives the others an even part of what is left.
+func (d *dividedThing) divide(c *Config, services []tree.Table) {
+	left, unnamed := d.total, []int{}
+	for i, s := range services {
+		t := s.Sub("guaranteed")
+		if !t.Has(d.key) {
+			unnamed = append(unnamed, i)
+			continue
+		}
+		v := d.read(t, d.key)
+		if left -= v; left < 0 && left+v >= 0 {
+			t.Wrong(d.key, "the parts named up to here sum to %g, more than the %g that the process has for services", d.total-left, d.total)
+		}
+		d.set(&c.Services[i].Guaranteed, v)
+	}
+	for _, i := range unnamed {
+		even := math.Max(0, left) / float64(len(unnamed)+1)
+		if d.key != "module_time" {
+			even = math.Floor(even)
+		}
+		d.set(&c.Services[i].Guaranteed, even)
+	}
+}
+
 // divide reads the guaranteed parts. A service that names none of a thing has an even part of
 // what the others leave, as if there were one service more: that one's can only be borrowed.
 func (r *reader) divide(process tree.Table, c *Config, services []tree.Table) {
-	things := []struct {
-		key   string
-		total float64
-		read  func(tree.Table, string) float64
-		set   func(*Amounts, float64)
-	}{
+	things := []dividedThing{
 		{
 			"descriptors", float64(c.Process.Total.Descriptors - c.Process.Clients), whole(countMost),
 			func(a *Amounts, v float64) { a.Descriptors = int64(v) },
@@ -48,27 +75,7 @@
 					c.Process.Total.Held, room)
 			}
 		}
-		left, unnamed := thing.total, []int{}
-		for i, s := range services {
-			t := s.Sub("guaranteed")
-			if !t.Has(thing.key) {
-				unnamed = append(unnamed, i)
-				continue
-			}
-			v := thing.read(t, thing.key)
-			if left -= v; left < 0 && left+v >= 0 {
-				t.Wrong(thing.key, "the parts named up to here sum to %g, more than the %g that the process has for services",
-					thing.total-left, thing.total)
-			}
-			thing.set(&c.Services[i].Guaranteed, v)
-		}
-		for _, i := range unnamed {
-			even := math.Max(0, left) / float64(len(unnamed)+1)
-			if thing.key != "module_time" {
-				even = math.Floor(even)
-			}
-			thing.set(&c.Services[i].Guaranteed, even)
-		}
+		thing.divide(c, services)
 		if i == 0 {
 			room = c.Process.Total.Descriptors
 			for _, s := range c.Services {
@@ -77,6 +84,11 @@
 			room = max(room, 1)
 		}
 	}
+	checkBytes(c, services)
+}
+
+// checkBytes reports services whose parts, or the process's bytes, hold no single request.
+func checkBytes(c *Config, services []tree.Table) {
 	for i, s := range services {
 		t := s.Sub("guaranteed")
 		t.Done()
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -33,22 +33,43 @@
 	return c, nil
 }
 
+// platformFile is the platform's file. It has these keys in small letters; they are read in any case, and errors
+// name them as here.
+type platformFile struct {
+	Name      string `json:"Name"`
+	Listen    string `json:"Listen"`
+	Discovery string `json:"Discovery"`
+	Seed      string `json:"Seed"`
+	Limits    struct {
+		Cores    float64 `json:"Cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"Sockets"`
+	} `json:"Limits"`
+	Known    json.RawMessage `json:"Known"`
+	Settings json.RawMessage `json:"Settings"`
+}
+
+// check reports addresses and limits that can't be used. A limit that is missing is none.
+func (f *platformFile) check() error {
+	if f.Listen == "" || f.Discovery == "" {
+		return fmt.Errorf("listen and discovery must both be given")
+	}
+	for name, addr := range map[string]string{"listen": f.Listen, "discovery": f.Discovery} {
+		if err := CheckAddress(addr); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if l := f.Limits; l.Sockets != 0 && l.Sockets < limits.MinDescriptors {
+		return fmt.Errorf("limits.sockets: %g leaves no room for connections; %d is the least", l.Sockets, limits.MinDescriptors)
+	} else if l.MemoryMB < 0 || l.Cores < 0 {
+		return fmt.Errorf("limits: cores and memory_mb: %v and %v, of which one is negative", l.Cores, l.MemoryMB)
+	}
+	return nil
+}
+
 // ParsePlatform reads the text of such a file.
 func ParsePlatform(raw []byte) (Config, error) {
-	// The file has these keys in small letters; they are read in any case, and errors name them as here.
-	var file struct {
-		Name      string `json:"Name"`
-		Listen    string `json:"Listen"`
-		Discovery string `json:"Discovery"`
-		Seed      string `json:"Seed"`
-		Limits    struct {
-			Cores    float64 `json:"Cores"`
-			MemoryMB float64 `json:"memory_mb"`
-			Sockets  float64 `json:"Sockets"`
-		} `json:"Limits"`
-		Known    json.RawMessage `json:"Known"`
-		Settings json.RawMessage `json:"Settings"`
-	}
+	var file platformFile
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return Config{}, err
 	}
@@ -63,21 +84,10 @@
 			Descriptors: int(min(file.Limits.Sockets, math.MaxInt32)),
 		},
 	}
-	if file.Listen == "" || file.Discovery == "" {
-		return c, fmt.Errorf("listen and discovery must both be given")
-	}
-	for name, addr := range map[string]string{"listen": file.Listen, "discovery": file.Discovery} {
-		if err := CheckAddress(addr); err != nil {
-			return c, fmt.Errorf("%s: %w", name, err)
-		}
-	}
-	// What isn't told has no limit.
-	if l := file.Limits; l.Sockets != 0 && l.Sockets < limits.MinDescriptors {
-		return c, fmt.Errorf("limits.sockets: %g leaves no room for connections; %d is the least", l.Sockets, limits.MinDescriptors)
-	} else if l.MemoryMB < 0 || l.Cores < 0 {
-		return c, fmt.Errorf("limits: cores and memory_mb: %v and %v, of which one is negative", l.Cores, l.MemoryMB)
+	err := file.check()
+	if err != nil {
+		return c, err
 	}
-	var err error
 	if s.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/fleet/regional.go
+++ b/internal/fleet/regional.go
@@ -66,20 +66,9 @@
 	for _, r := range f.All {
 		next[r.Name] = r
 	}
-	var old, new []regions.Region
-	texts := make(map[string][]byte) // what each region runs
-	for _, r := range f.All {
-		text, err := inForce(members, said, r)
-		if err != nil {
-			return nil, nil, err
-		}
-		cfg, err := config.Parse("what region "+r.Name+" runs", text)
-		if err != nil {
-			return nil, nil, err
-		}
-		texts[r.Name] = text
-		old = append(old, fleetfile.Region{Name: r.Name, Listeners: r.Listeners, Instances: r.Instances, Members: r.Members, Config: cfg, Text: text}.Region())
-		new = append(new, r.Region())
+	old, new, texts, err := oldAndNew(f, members, said)
+	if err != nil {
+		return nil, nil, err
 	}
 	waiving, again := f.Waiving(now), mixture.Again()
 	check := func(all []regions.Region) (left []regions.Conflict) {
@@ -123,6 +112,26 @@
 	return members, order, nil
 }
 
+// oldAndNew gives the regions as their members run them now and as the file has them, and the text that each
+// region runs, by its name.
+func oldAndNew(f fleetfile.File, members []Placed, said []manage.Status) (old, new []regions.Region, texts map[string][]byte, err error) {
+	texts = make(map[string][]byte)
+	for _, r := range f.All {
+		text, err := inForce(members, said, r)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		cfg, err := config.Parse("what region "+r.Name+" runs", text)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		texts[r.Name] = text
+		old = append(old, fleetfile.Region{Name: r.Name, Listeners: r.Listeners, Instances: r.Instances, Members: r.Members, Config: cfg, Text: text}.Region())
+		new = append(new, r.Region())
+	}
+	return old, new, texts, nil
+}
+
 // whole is an order with the regions that don't change behind the others.
 func whole(f fleetfile.File, order []string) []string {
 	all := slices.Clone(order)
--- a/internal/fleetfile/intermediate.go
+++ b/internal/fleetfile/intermediate.go
@@ -28,21 +28,7 @@
 		if i >= len(is.Services) || is.Services[i].Name != s.Name {
 			return Region{}, fmt.Errorf("region %s has no service %q there", one.Name, s.Name)
 		}
-		before := is.Services[i]
-		for k, c := range s.Classes {
-			if k < len(before.Classes) && !reflect.DeepEqual(c, before.Classes[k]) && !strings.Contains(c.Name, " ") { // those with a space follow from others
-				writeClass(in(in(doc, "classes"), c.Name), c)
-			}
-		}
-		for k, p := range s.Plans {
-			if k < len(before.Plans) && p != before.Plans[k] {
-				writePlan(in(in(doc, "plans"), p.Name), p)
-			}
-		}
-		if s.Cold != before.Cold {
-			to := in(in(doc, "services"), s.Name)
-			to["cold"], to["cold_from"], to["fall_multiple"] = s.Cold.For.String(), s.Cold.From, s.Cold.Multiple
-		}
+		writeService(doc, is.Services[i], s)
 	}
 	text, err := toml.Marshal(doc)
 	if err != nil {
@@ -62,6 +48,24 @@
 	return one, nil
 }
 
+// writeService writes into doc what a service has otherwise than before.
+func writeService(doc map[string]any, before, s regions.Service) {
+	for k, c := range s.Classes {
+		if k < len(before.Classes) && !reflect.DeepEqual(c, before.Classes[k]) && !strings.Contains(c.Name, " ") { // those with a space follow from others
+			writeClass(in(in(doc, "classes"), c.Name), c)
+		}
+	}
+	for k, p := range s.Plans {
+		if k < len(before.Plans) && p != before.Plans[k] {
+			writePlan(in(in(doc, "plans"), p.Name), p)
+		}
+	}
+	if s.Cold != before.Cold {
+		to := in(in(doc, "services"), s.Name)
+		to["cold"], to["cold_from"], to["fall_multiple"] = s.Cold.For.String(), s.Cold.From, s.Cold.Multiple
+	}
+}
+
 // sorted is services by name, with all that they have by name: a file that is written anew has its own order.
 func sorted(all []regions.Service) []regions.Service {
 	all = slices.SortedFunc(slices.Values(all), func(a, b regions.Service) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/h2/frames.go
+++ b/internal/h2/frames.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 )
 
 // What comes in: frames, and what they mean for streams and the connection.
@@ -226,31 +227,44 @@
 		s.answer.Trailer = h
 		return m.ended(s)
 	}
-	p := f.PseudoFields()
-	if len(p) != 1 || p[0].Name != ":status" || len(p[0].Value) != 3 {
-		return wrong("a head without one :status")
-	}
-	status, err := strconv.ParseUint(p[0].Value, 10, 16)
-	if err != nil || status < 100 || status == http.StatusSwitchingProtocols {
-		return wrong("status %q", p[0].Value)
+	status, err := statusOf(f.PseudoFields())
+	if err != nil {
+		return wrong("%v", err)
 	}
 	if status < 200 {
 		if s.interims++; f.StreamEnded() || s.interims > interimsMost {
 			return wrong("an answer of 1xx that ends the stream, or too many")
 		}
 		if s.flow {
-			return []Event{{ID: s.id, Head: &Answer{Status: int(status), Header: h}}}
+			return []Event{{ID: s.id, Head: &Answer{Status: status, Header: h}}}
 		}
 		return nil
 	}
+	return m.finalHead(s, status, h, f.StreamEnded())
+}
+
+// statusOf reads an answer's pseudo header fields.
+func statusOf(p []hpack.HeaderField) (int, error) {
+	if len(p) != 1 || p[0].Name != ":status" || len(p[0].Value) != 3 {
+		return 0, errors.New("a head without one :status")
+	}
+	status, err := strconv.ParseUint(p[0].Value, 10, 16)
+	if err != nil || status < 100 || status == http.StatusSwitchingProtocols {
+		return 0, fmt.Errorf("status %q", p[0].Value)
+	}
+	return int(status), nil
+}
+
+// finalHead takes the head of a final answer.
+func (m *Machine) finalHead(s *stream, status int, h http.Header, ended bool) []Event {
 	m.noise = 0
 	s.head = true
-	s.answer.Status, s.answer.Header = int(status), h
+	s.answer.Status, s.answer.Header = status, h
 	s.none = s.isHead || status == http.StatusNoContent || status == http.StatusNotModified
 	if v, told := h["Content-Length"]; told {
 		n, err := strconv.ParseUint(v[0], 10, 62)
 		if err != nil || len(v) > 1 {
-			return wrong("Content-Length %q", v)
+			return m.malformed(s.id, http2.ErrCodeProtocol, fmt.Sprintf("Content-Length %q", v))
 		}
 		if s.expect = int64(n); !s.none && !s.flow && s.expect > int64(m.Body) {
 			return m.malformed(s.id, http2.ErrCodeCancel, fmt.Sprintf("a body of %d bytes", n))
@@ -258,9 +272,9 @@
 	}
 	var events []Event
 	if s.flow {
-		events = append(events, Event{ID: s.id, Head: &Answer{Status: int(status), Header: h}})
+		events = append(events, Event{ID: s.id, Head: &Answer{Status: status, Header: h}})
 	}
-	if f.StreamEnded() {
+	if ended {
 		events = append(events, m.ended(s)...)
 	}
 	return events
--- a/internal/h2/sending.go
+++ b/internal/h2/sending.go
@@ -134,18 +134,23 @@
 				}
 			}
 		}
-		length := int64(len(r.Body))
-		if r.More {
-			length = r.Length
-		} else if length == 0 && r.Method != http.MethodPost && r.Method != http.MethodPut && r.Method != http.MethodPatch {
-			return
-		}
-		if length >= 0 {
+		if length := r.contentLength(); length >= 0 {
 			yield(hpack.HeaderField{Name: "content-length", Value: strconv.FormatInt(length, 10)})
 		}
 	}
 }
 
+// contentLength is what the head says of the body's length; below 0 it says nothing.
+func (r *Request) contentLength() int64 {
+	if r.More {
+		return r.Length
+	}
+	if len(r.Body) == 0 && r.Method != http.MethodPost && r.Method != http.MethodPut && r.Method != http.MethodPatch {
+		return -1
+	}
+	return int64(len(r.Body))
+}
+
 // send sends what the windows let go of a request's body.
 func (m *Machine) send(s *stream) {
 	for !s.queued && m.out.Len() < outMost {
--- a/internal/regiontrial/checks.go
+++ b/internal/regiontrial/checks.go
@@ -113,12 +113,7 @@
 			continue
 		}
 		var epoch uint64
-		fields := make(map[string]string)
-		for f := range strings.FieldsSeq(rest) {
-			if k, v, ok := strings.Cut(f, "="); ok {
-				fields[k] = strings.Trim(v, `"`)
-			}
-		}
+		fields := fieldsOf(rest)
 		if _, err := fmt.Sscan(fields["epoch"], &epoch); err != nil || fields["owner"] == "" {
 			continue // cut by a kill
 		}
@@ -134,15 +129,31 @@
 			g.Grants++
 			continue
 		}
-		g.Orders++
-		if g.begun == nil {
-			g.begun = make(map[string]bool)
-		}
-		if g.begun[fields["id"]] {
-			g.Wrong = append(g.Wrong, fmt.Sprintf("%s: order %s is begun twice", member, fields["id"]))
+		g.order(member, fields["id"])
+	}
+}
+
+// order counts an order that is begun; one that was begun before is wrong.
+func (g *Log) order(member, id string) {
+	g.Orders++
+	if g.begun == nil {
+		g.begun = make(map[string]bool)
+	}
+	if g.begun[id] {
+		g.Wrong = append(g.Wrong, fmt.Sprintf("%s: order %s is begun twice", member, id))
+	}
+	g.begun[id] = true
+}
+
+// fieldsOf are the KEY=VALUE fields of a log line.
+func fieldsOf(line string) map[string]string {
+	fields := make(map[string]string)
+	for f := range strings.FieldsSeq(line) {
+		if k, v, ok := strings.Cut(f, "="); ok {
+			fields[k] = strings.Trim(v, `"`)
 		}
-		g.begun[fields["id"]] = true
 	}
+	return fields
 }
 
 // Beyond is by how much the requests of the worst stretch pass a rate and what may come at once. at is sorted.
--- a/internal/route/path.go
+++ b/internal/route/path.go
@@ -48,17 +48,8 @@
 // port, no dot at the end. An empty one stays empty and matches only routes of any host.
 func Host(authority string) (string, error) {
 	h := authority
-	if strings.HasPrefix(h, "[") { // an IPv6 address
-		end := strings.IndexByte(h, ']')
-		if end < 0 || !port(h[end+1:]) {
-			return "", errAuthority
-		}
-		for _, b := range []byte(h[1:end]) {
-			if !hex(b) && b != ':' && b != '.' {
-				return "", errAuthority
-			}
-		}
-		return strings.ToLower(h[:end+1]), nil
+	if strings.HasPrefix(h, "[") {
+		return hostIPv6(h)
 	}
 	if i := strings.IndexByte(h, ':'); i >= 0 {
 		if !port(h[i:]) {
@@ -89,6 +80,20 @@
 	return h, nil
 }
 
+// hostIPv6 is Host of an IPv6 address, which stands in brackets.
+func hostIPv6(h string) (string, error) {
+	end := strings.IndexByte(h, ']')
+	if end < 0 || !port(h[end+1:]) {
+		return "", errAuthority
+	}
+	for _, b := range []byte(h[1:end]) {
+		if !hex(b) && b != ':' && b != '.' {
+			return "", errAuthority
+		}
+	}
+	return strings.ToLower(h[:end+1]), nil
+}
+
 // port tells whether what follows a host is nothing or a port.
 func port(s string) bool {
 	if s == "" {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -117,14 +117,8 @@
 // compile brings a rule into its one form.
 func compile(given Rule, index int) (c *rule, key string, err error) {
 	c = &rule{Rule: given, index: index}
-	if c.Host != "" {
-		host, wild := strings.CutPrefix(c.Host, "*.")
-		if err := canonical(host, Host); err != nil || host == "" {
-			return nil, "host", cmp.Or(err, fmt.Errorf("%q names no host", c.Host))
-		}
-		if wild && strings.HasPrefix(host, "[") {
-			return nil, "host", errors.New("a wildcard before an address")
-		}
+	if err := checkHost(c.Host); err != nil {
+		return nil, "host", err
 	}
 	switch {
 	case c.Path != "" && c.Prefix != "":
@@ -158,6 +152,21 @@
 	return c, "headers", c.headers()
 }
 
+// checkHost reports a rule's host that is not in its one form; "" is any.
+func checkHost(rule string) error {
+	if rule == "" {
+		return nil
+	}
+	host, wild := strings.CutPrefix(rule, "*.")
+	if err := canonical(host, Host); err != nil || host == "" {
+		return cmp.Or(err, fmt.Errorf("%q names no host", rule))
+	}
+	if wild && strings.HasPrefix(host, "[") {
+		return errors.New("a wildcard before an address")
+	}
+	return nil
+}
+
 // headers brings the conditions on headers into their one form.
 func (c *rule) headers() error {
 	byName := make(map[string]Header)
--- a/internal/waitpolicy/plan.go
+++ b/internal/waitpolicy/plan.go
@@ -34,44 +34,16 @@
 // before; now is at once. It is looked at again on the way, as what does not come tells something too.
 func (q *Query) plan(now time.Duration) (until time.Duration, known bool) {
 	t := now - q.begin
-	q.missing = q.missing[:0]
-	if q.f == nil || len(q.f.parts) != len(q.parts) {
+	cutNow, known := q.findMissing(t)
+	if !known {
 		return 0, false
 	}
-	cutNow := 0.0
-	for i := range q.parts {
-		if q.parts[i].is != isOut {
-			continue
-		}
-		c := &q.f.parts[i]
-		if !c.known {
-			return 0, false
-		}
-		cutNow += q.parts[i].weight
-		o := open{c: c, weight: q.parts[i].weight}
-		o.out, o.came = c.at(t)
-		o.low = c.scoreAt(t)
-		o.each = 1 / max(o.out, 1e-12)
-		q.missing = append(q.missing, o)
-	}
 	var means [len(nodes)]float64 // of the common factor
 	var chances [len(nodes)]float64
 	n := q.common(&means, &chances)
 	narrow := 1 / math.Sqrt(1-q.f.common)
 
-	// What all that is out would bring if waited for to its end.
-	mean, variance := q.held, 0.0
-	for i := range q.missing {
-		o := &q.missing[i]
-		p := 0.0
-		if ends := o.out - o.c.out[Buckets-2]; ends > 1e-12 {
-			p = min(1, (o.c.came[Buckets-2]-o.came)/ends)
-		}
-		mean += o.weight * p
-		variance += o.weight * o.weight * p * (1 - p)
-	}
-	whole := squareMean(mean, variance)
-
+	whole := q.worthOfAll()
 	cut := q.s.left() * q.f.load
 	best, at := q.s.fall(t)*value(q.held)-cut*cutNow, t
 	var allBefore, early [len(nodes)]float64
@@ -121,6 +93,46 @@
 	return until, true
 }
 
+// findMissing lists the parts that are out, with what is known of them at a time of the query, and gives their
+// weight; known is false where there is no forecast for one of them.
+func (q *Query) findMissing(t time.Duration) (weight float64, known bool) {
+	q.missing = q.missing[:0]
+	if q.f == nil || len(q.f.parts) != len(q.parts) {
+		return 0, false
+	}
+	for i := range q.parts {
+		if q.parts[i].is != isOut {
+			continue
+		}
+		c := &q.f.parts[i]
+		if !c.known {
+			return 0, false
+		}
+		weight += q.parts[i].weight
+		o := open{c: c, weight: q.parts[i].weight}
+		o.out, o.came = c.at(t)
+		o.low = c.scoreAt(t)
+		o.each = 1 / max(o.out, 1e-12)
+		q.missing = append(q.missing, o)
+	}
+	return weight, true
+}
+
+// worthOfAll is what all that is out would bring if waited for to its end.
+func (q *Query) worthOfAll() float64 {
+	mean, variance := q.held, 0.0
+	for i := range q.missing {
+		o := &q.missing[i]
+		p := 0.0
+		if ends := o.out - o.c.out[Buckets-2]; ends > 1e-12 {
+			p = min(1, (o.c.came[Buckets-2]-o.came)/ends)
+		}
+		mean += o.weight * p
+		variance += o.weight * o.weight * p * (1 - p)
+	}
+	return squareMean(mean, variance)
+}
+
 // look is what there is to know of the part at a time in or at the end of a bucket.
 func (o *open) look(i int, at time.Duration, scored bool) {
 	out, came := o.c.out[i], o.c.came[i]
--- a/internal/waitpolicysim/rules.go
+++ b/internal/waitpolicysim/rules.go
@@ -78,14 +78,7 @@
 			chance[p][j] = x.given(p, at, d)
 		}
 	}
-	var share [1 << parts]float64 // of what is out
-	for set := range share {
-		for p := range parts {
-			if set>>p&1 == 1 {
-				share[set] += x.shares[p]
-			}
-		}
-	}
+	share := x.shareOfSets()
 	now := func(set, j int) float64 {
 		if 1-share[set] < least-1e-9 {
 			return math.Inf(-1)
@@ -104,14 +97,7 @@
 				comes[p] = (chance[p][j+1] - chance[p][j]) / left
 			}
 		}
-		// The mean over what comes of each set, part after part.
-		for p := range parts {
-			for set := len(cur) - 1; set >= 0; set-- {
-				if set>>p&1 == 1 {
-					next[set] = (1-comes[p])*next[set] + comes[p]*next[set&^(1<<p)]
-				}
-			}
-		}
+		meanOver(&next, &comes)
 		for set := range cur {
 			cur[set] = next[set]
 			if n := now(set, j); n >= cur[set] {
@@ -122,6 +108,29 @@
 	}
 }
 
+// shareOfSets is the share of each set of parts.
+func (x *exact) shareOfSets() (share [1 << parts]float64) {
+	for set := range share {
+		for p := range parts {
+			if set>>p&1 == 1 {
+				share[set] += x.shares[p]
+			}
+		}
+	}
+	return share
+}
+
+// meanOver makes of each set's worth the mean over what comes of it, part after part.
+func meanOver(worth *[1 << parts]float64, comes *[parts]float64) {
+	for p := range parts {
+		for set := len(worth) - 1; set >= 0; set-- {
+			if set>>p&1 == 1 {
+				worth[set] = (1-comes[p])*worth[set] + comes[p]*worth[set&^(1<<p)]
+			}
+		}
+	}
+}
+
 func (x *exact) end(at float64, took *[parts]time.Duration, _ float64) ending {
 	if !x.made || x.w.moves && math.Floor(at/x.every) != math.Floor(x.from/x.every) {
 		x.make(at)
--- a/internal/waitpolicysim/sim.go
+++ b/internal/waitpolicysim/sim.go
@@ -145,12 +145,7 @@
 		}
 	}
 	n := float64(counted)
-	best := 0
-	for j := range times {
-		if fixedSums[j] > fixedSums[best] {
-			best = j
-		}
-	}
+	best := slices.Index(fixedSums, slices.Max(fixedSums))
 	rep.Oracle, rep.Learned, rep.Plan, rep.P95 = sums[0]/n, sums[1]/n, sums[2]/n, sums[3]/n
 	if w.common > 0 {
 		rep.Told = sums[4] / n
