--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -11,24 +11,24 @@
 	"lockflow/internal/testkit"
 )
 
-func TestNotify(t *testing.T) {
+func TestNotificationsReachSupervisor(t *testing.T) {
 	t.Setenv("NOTIFY_SOCKET", "")
 	if err := NotifyReady("x"); err != nil {
 		t.Errorf("with no supervisor: %v", err)
 	}
-	told := testkit.Supervisor(t)
+	messages := testkit.Supervisor(t)
 	for _, err := range []error{NotifyReady("3 services"), NotifyReloading(), NotifyStopping()} {
 		if err != nil {
 			t.Error(err)
 		}
 	}
-	if s := testkit.Next(t, told); s != "READY=1\nSTATUS=3 services" {
+	if s := testkit.Next(t, messages); s != "READY=1\nSTATUS=3 services" {
 		t.Errorf("%q", s)
 	}
-	if s := testkit.Next(t, told); !strings.HasPrefix(s, "RELOADING=1\nMONOTONIC_USEC=") || len(s) < len("RELOADING=1\nMONOTONIC_USEC=1") {
+	if s := testkit.Next(t, messages); !strings.HasPrefix(s, "RELOADING=1\nMONOTONIC_USEC=") || len(s) < len("RELOADING=1\nMONOTONIC_USEC=1") {
 		t.Errorf("%q", s)
 	}
-	if s := testkit.Next(t, told); s != "STOPPING=1" {
+	if s := testkit.Next(t, messages); s != "STOPPING=1" {
 		t.Errorf("%q", s)
 	}
 	t.Setenv("NOTIFY_SOCKET", filepath.Join(t.TempDir(), "nobody"))
@@ -37,37 +37,37 @@
 	}
 }
 
-// The watchdog is told of a life only while there is one.
-func TestWatchdog(t *testing.T) {
-	told := testkit.Supervisor(t)
+// The watchdog is notified only while the daemon is alive.
+func TestWatchdogNotifiesWhileAlive(t *testing.T) {
+	messages := testkit.Supervisor(t)
 	t.Setenv("WATCHDOG_USEC", "20000")
 	t.Setenv("WATCHDOG_PID", "")
 	if err := os.Unsetenv("WATCHDOG_PID"); err != nil {
 		t.Fatal(err)
 	}
-	var alive atomic.Bool
-	var asked atomic.Int64
-	alive.Store(true)
+	var isAlive atomic.Bool
+	var checks atomic.Int64
+	isAlive.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- RunWatchdog(ctx, func(context.Context) bool { asked.Add(1); return alive.Load() })
+		ended <- RunWatchdog(ctx, func(context.Context) bool { checks.Add(1); return isAlive.Load() })
 	}()
 	for range 3 {
-		if s := testkit.Next(t, told); s != "WATCHDOG=1" {
+		if s := testkit.Next(t, messages); s != "WATCHDOG=1" {
 			t.Errorf("%q", s)
 		}
 	}
-	alive.Store(false)
-	from := asked.Load()
-	testkit.Until(t, "being asked in vain", func() bool { return asked.Load() > from+3 })
-	for len(told) > 0 { // what came before it died
-		<-told
+	isAlive.Store(false)
+	from := checks.Load()
+	testkit.Until(t, "checks while it is not alive", func() bool { return checks.Load() > from+3 })
+	for len(messages) > 0 { // from before
+		<-messages
 	}
-	from = asked.Load()
-	testkit.Until(t, "being asked in vain again", func() bool { return asked.Load() > from+3 })
-	if len(told) > 0 {
-		t.Errorf("a dead daemon said %q", <-told)
+	from = checks.Load()
+	testkit.Until(t, "more checks while it is not alive", func() bool { return checks.Load() > from+3 })
+	if len(messages) > 0 {
+		t.Errorf("a daemon that is not alive notified %q", <-messages)
 	}
 	cancel()
 	if err := testkit.Next(t, ended); err != nil {
@@ -77,7 +77,7 @@
 	if err := os.Unsetenv("WATCHDOG_USEC"); err != nil {
 		t.Fatal(err)
 	}
-	if err := RunWatchdog(context.Background(), func(context.Context) bool { t.Error("asked"); return true }); err != nil {
+	if err := RunWatchdog(context.Background(), func(context.Context) bool { t.Error("checked"); return true }); err != nil {
 		t.Error(err)
 	}
 	t.Setenv("WATCHDOG_USEC", "soon")
@@ -86,7 +86,7 @@
 	}
 }
 
-func TestPIDFile(t *testing.T) {
+func TestPIDFileIsLockedAndRemoved(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "pid")
 	p, err := CreatePIDFile(path)
 	if err != nil {
@@ -120,7 +120,7 @@
 	}
 }
 
-func TestNothingInherited(t *testing.T) {
+func TestNoListenersWithoutSupervisor(t *testing.T) {
 	t.Setenv("LISTEN_FDS", "")
 	if all, err := InheritedListeners(); err != nil || len(all) > 0 {
 		t.Errorf("%v, %v", all, err)
