--- /dev/null
+++ b/internal/node/flood_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/config"
+	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
+	"lockflow/internal/testkit"
+)
+
+// Requests that a client sends at once are answered each, in their order.
+func TestRequestsSentAtOnceAreAnsweredInOrder(t *testing.T) {
+	const requests = 60
+	r := newRig(t)
+	app := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.WriteString(w, q.Header.Get(protocol.HeaderID)) // what does not arrive is seen by the client
+	})
+	r.list(target(app, "s-1", 0))
+	var text strings.Builder
+	for i := range requests {
+		if err := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i)).Write(&text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client := r.dial()
+	if _, err := io.WriteString(client, text.String()); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(client)
+	for i := range requests {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK || string(body) != fmt.Sprint("id-", i) {
+			t.Fatalf("answer %d: %d %q, %v", i, resp.StatusCode, body, err)
+		}
+	}
+}
+
+// dialTo connects a client that ends with the test.
+func dialTo(t *testing.T, address string) net.Conn {
+	t.Helper()
+	client, err := net.DialTimeout("tcp", address, testkit.Patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	client.SetDeadline(time.Now().Add(testkit.Patience))
+	return client
+}
+
+// healthOver asks for /healthz over a connection, which stays open.
+func healthOver(t *testing.T, client net.Conn) (status int) {
+	t.Helper()
+	if _, err := io.WriteString(client, health); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// restedTooLong is less than a client's connection may rest.
+const restedTooLong = 9 * time.Second
+
+// A node that ends while idle clients hold all of its descriptors starts anew at its address, and is ready though
+// they come again at once and hold all of them: it does not wait until they have rested for too long.
+func TestRestartUnderIdleClients(t *testing.T) {
+	cfg, err := config.LoadPlatform("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Process.Descriptors = limits.MinDescriptors + 20
+	cfg.Process.Drain = config.Drain{}
+	for range 2 {
+		r := newRigWithConfig(t, cfg)
+		cfg.Listeners = []string{r.node.Addr()}
+		var idle []net.Conn
+		begun := time.Now()
+		for range cfg.Process.Descriptors {
+			client := r.dial()
+			healthOver(t, client)
+			idle = append(idle, client)
+		}
+		app := testkit.NewApp(t, testkit.Served)
+		r.list(target(app, "s-1", 0))
+		if status := healthOver(t, dialTo(t, r.node.Addr())); status != http.StatusOK {
+			t.Errorf("ready: %d", status)
+		}
+		if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
+			t.Errorf("a request: %d", resp.StatusCode)
+		}
+		if took := time.Since(begun); took > restedTooLong {
+			t.Errorf("ready after %v", took)
+		}
+		r.stop()
+		if err := testkit.Next(t, r.ended); err != nil {
+			t.Error(err)
+		}
+		r.ended <- nil
+		for _, client := range idle {
+			client.Close()
+		}
+	}
+}
--- a/internal/node/nodelay_test.go
+++ b/internal/node/nodelay_test.go
@@ -1,10 +1,7 @@
 package node
 
 import (
-	"bufio"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"testing"
 
@@ -53,6 +50,30 @@
 	return len(r.all), held
 }
 
+// startRecorded starts a node that ends with the test, and gives the listener of its clients.
+func startRecorded(t *testing.T, cfg config.Config) *acceptedConns {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &acceptedConns{Listener: tcp}
+	cfg.Services[0].Source.Address = testkit.NewAgent(t).Addr()
+	n, err := NewInheriting(cfg, map[string]net.Listener{cfg.Listeners[0]: listener})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	ctx := t.Context()
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		if err := testkit.Next(t, ended); err != nil {
+			t.Error(err)
+		}
+	})
+	return listener
+}
+
 // Nothing small that is written to a client is held back by the system: a close over unread bytes would drop it.
 func TestClientConnectionsHaveNoDelay(t *testing.T) {
 	for name, shared := range map[string]bool{"one service": false, "services that share": true} {
@@ -65,37 +86,9 @@
 			if cfg.Process.Shared = shared; shared {
 				cfg.Process.Total = config.Amounts{Descriptors: 200, Held: 100, Bytes: 64 << 20, Dials: 100, ModuleTime: 1}
 			}
-			tcp, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			listener := &acceptedConns{Listener: tcp}
-			agent := testkit.NewAgent(t)
-			cfg.Services[0].Source.Address = agent.Addr()
-			n, err := NewInheriting(cfg, map[string]net.Listener{cfg.Listeners[0]: listener})
-			if err != nil {
-				t.Fatal(err)
-			}
-			ended := make(chan error, 1)
-			ctx := t.Context()
-			go func() { ended <- n.Run(ctx) }()
-			t.Cleanup(func() {
-				if err := testkit.Next(t, ended); err != nil {
-					t.Error(err)
-				}
-			})
-			client, err := net.Dial("tcp", tcp.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer client.Close()
-			in := bufio.NewReader(client)
-			for range 2 {
-				io.WriteString(client, health)
-				if _, err := http.ReadResponse(in, nil); err != nil {
-					t.Fatal(err)
-				}
-			}
+			listener := startRecorded(t, cfg)
+			client := dialTo(t, listener.Addr().String())
+			healthOver(t, client)
 			if conns, held := listener.countDelayed(t); conns != 1 || held != 0 {
 				t.Errorf("of %d connections %d hold small writes back", conns, held)
 			}
--- /dev/null
+++ b/internal/service/retry_departure_test.go
@@ -0,0 +1,42 @@
+package service
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"lockflow/control"
+	"lockflow/internal/upstream"
+)
+
+// retryAlways makes a further attempt at the first server after each that did not end its request.
+func retryAlways(e control.Event) []control.Action {
+	if r, ok := e.(control.AttemptResult); ok && !r.IsFinal {
+		return []control.Action{control.Send{ID: r.ID, Server: 1}}
+	}
+	return sendToFirstServer(e)
+}
+
+// A further attempt of a request whose client has left since the first one is not written.
+func TestRetryOfDepartedClientIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := startService(t, Options{NewModule: func() (Module, error) { return moduleFunc(retryAlways), nil }})
+		synctest.Wait()
+		written, asked := 0, 0
+		x := newExchange("id-1")
+		x.Client = clientFunc(func() bool { asked++; return asked == 1 })
+		x.Forwarder = &scriptedForwarder{attempt: func(ctx context.Context) upstream.Outcome {
+			if !upstream.Commit(ctx) {
+				return upstream.Outcome{Reason: control.NotSent}
+			}
+			written++
+			return upstream.Outcome{Reason: control.RejectedByServer}
+		}}
+		if a, ok := s.Do(t.Context(), x); ok {
+			t.Errorf("its client is told %+v", a)
+		}
+		if synctest.Wait(); written != 1 || asked != 2 || s.Status().Requests != 0 {
+			t.Errorf("%d attempts were written, its client was asked for %d times, %d requests are held", written, asked, s.Status().Requests)
+		}
+	})
+}
--- /dev/null
+++ b/internal/upstream/late_connection_test.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+)
+
+// fullQueue listens on an address on which no connection comes up any more: its queue is full.
+func fullQueue(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 10 {
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	t.Skip("this system's queue of connections has no end")
+	return ""
+}
+
+// dialCount counts the connections that are coming up.
+type dialCount struct{ open atomic.Int64 }
+
+func (d *dialCount) TryAcquire() bool { d.open.Add(1); return true }
+func (d *dialCount) Release()         { d.open.Add(-1) }
+
+// Connections that never come up are given up by their own time or by their attempt's, whichever is shorter, and
+// leave nothing behind: no descriptor, no dial, no goroutine.
+func TestConnectionsThatNeverComeUpLeaveNothing(t *testing.T) {
+	const short, attempts = 50 * time.Millisecond, 100
+	address := fullQueue(t)
+	for name, within := range map[string]struct{ connect, attempt time.Duration }{
+		"the time of a connection": {short, testkit.Patience},
+		"the time of an attempt":   {testkit.Patience, short},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sockets, dials := limits.NewSocketLimiter(1024), &dialCount{}
+			u := New(Options{Connect: within.connect, Keepalive: testkit.Patience, Sockets: sockets, Dials: dials})
+			pool := u.Pool(address, SpeaksHTTP1)
+			begun := time.Now()
+			var all sync.WaitGroup
+			for range attempts {
+				all.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), within.attempt)
+					defer cancel()
+					if o := u.Try(ctx, pool, message(t, nil)); o.Reason != control.ConnectFailed {
+						t.Errorf("%d (%v)", o.Reason, o.Err)
+					}
+				})
+			}
+			all.Wait()
+			if took := time.Since(begun); took > testkit.Patience/2 {
+				t.Errorf("given up after %v", took)
+			}
+			if descriptors, coming := sockets.InUse(), dials.open.Load(); descriptors != 0 || coming != 0 {
+				t.Errorf("%d descriptors and %d dials are left", descriptors, coming)
+			}
+		})
+	}
+}
