--- a/cmd/lockflow/keeper_test.go
+++ b/cmd/lockflow/keeper_test.go
@@ -101,21 +101,21 @@
 		}
 	})
 	k.run()
-	ready := func(s manage.Status) bool { return s.Ready() }
+	ready := func(s manage.Status) bool { return s.IsReady() }
 	var was [2]manage.Status
 	for i := range was {
 		was[i] = k.until("ready", i, ready)
 	}
 	k.fleet("drains", "drain")
 	for i := range was {
-		was[i] = k.until("drained", i, func(s manage.Status) bool { return s.Life == manage.Drained && s.PID != was[i].PID })
+		was[i] = k.until("drained", i, func(s manage.Status) bool { return s.State == manage.StateDrained && s.PID != was[i].PID })
 	}
 	k.fleet("drained", "status")
 	k.fleet("serves", "serve")
 	ctx := context.Background()
 	order := func(id string, w desiredstate.Want) {
 		t.Helper()
-		_, err := k.client(0).Order(ctx, desiredstate.Order{Epoch: 3, Owner: "me", ID: id, Want: w})
+		_, err := k.client(0).RunCommand(ctx, desiredstate.Order{Epoch: 3, Owner: "me", ID: id, Want: w})
 		if err != nil {
 			t.Error(id, err)
 		}
@@ -126,10 +126,10 @@
 		t.Fatal(err)
 	}
 	order("p", desiredstate.Want{Kind: desiredstate.Program, Path: next})
-	k.until("the new program alone", 0, func(s manage.Status) bool { return s.Ready() && s.Program == next && s.Order.ID == "p" })
+	k.until("the new program alone", 0, func(s manage.Status) bool { return s.IsReady() && s.Program == next && s.LastCommand.ID == "p" })
 	ordered := "# ordered\n" + text
 	order("s", desiredstate.Want{Kind: desiredstate.Settings, Text: ordered, Hash: desiredstate.Hash([]byte(ordered))})
-	was[0] = k.until("the settings", 0, func(s manage.Status) bool { return s.Hash == desiredstate.Hash([]byte(ordered)) })
+	was[0] = k.until("the settings", 0, func(s manage.Status) bool { return s.ConfigHash == desiredstate.Hash([]byte(ordered)) })
 
 	k.keeper.Process.Kill()
 	k.keeper.Wait()
@@ -144,7 +144,7 @@
 	}
 	// One that was killed comes back as it was ordered; also where nobody kept it at that moment.
 	wanted := func(s manage.Status) bool {
-		return s.Ready() && s.PID != was[0].PID && s.Program == next && s.Hash == s.Wanted.Hash && s.Epoch == 3
+		return s.IsReady() && s.PID != was[0].PID && s.Program == next && s.ConfigHash == s.DesiredState.Hash && s.Epoch == 3
 	}
 	syscall.Kill(was[0].PID, syscall.SIGKILL)
 	was[0] = k.until("back as ordered", 0, wanted)
@@ -153,7 +153,7 @@
 	syscall.Kill(was[0].PID, syscall.SIGKILL)
 	k.run()
 	k.until("back as ordered", 0, wanted)
-	if s := k.until("as it was", 1, ready); s.PID != was[1].PID || s.Hash != desiredstate.Hash([]byte(text)) {
+	if s := k.until("as it was", 1, ready); s.PID != was[1].PID || s.ConfigHash != desiredstate.Hash([]byte(text)) {
 		t.Errorf("%+v", s)
 	}
 }
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -144,7 +144,7 @@
 	all := fleet.Ask(ctx, members)
 	fine := true
 	for _, a := range all {
-		fine = fine && a.Status != nil && a.Status.AsWanted()
+		fine = fine && a.Status != nil && a.Status.IsAsDesired()
 	}
 	fleets := count(f.dir, f.sockets, f.file) > 0
 	var change *fleet.Progress
@@ -182,11 +182,11 @@
 			up, servers, held, streams = up+one.AvailableServers, servers+one.Servers, held+one.Requests, streams+one.OpenStreams
 		}
 		older := ""
-		if len(s.Older) > 0 {
-			older = fmt.Sprintf(" (+%d older)", len(s.Older))
+		if len(s.RetiredServices) > 0 {
+			older = fmt.Sprintf(" (+%d older)", len(s.RetiredServices))
 		}
-		fmt.Fprintf(t, "%s\t%d\t%s\t%d%s\t%s\t%d of %d\t%d\t%d\t%d\t%.1f\t%s\n", a.Member, s.PID, s.Life, s.Generation, older,
-			strings.Join(s.Listeners, " "), up, servers, held, streams, s.Descriptors, float64(s.MemoryKB)/1024, strings.Join(s.Distrusts, "; "))
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d%s\t%s\t%d of %d\t%d\t%d\t%d\t%.1f\t%s\n", a.Member, s.PID, s.State, s.Generation, older,
+			strings.Join(s.Listeners, " "), up, servers, held, streams, s.OpenDescriptors, float64(s.MemoryKB)/1024, strings.Join(s.DegradedConditions, "; "))
 	}
 	t.Flush()
 }
@@ -198,7 +198,7 @@
 	for _, m := range members {
 		ask, does := m.Client.Serve, "serves"
 		if drain {
-			ask, does = m.Client.Rest, "drains"
+			ask, does = m.Client.DrainAndStay, "drains"
 		}
 		s, err := ask(ctx)
 		if err != nil {
@@ -206,7 +206,7 @@
 			fmt.Fprintf(e.Err, "%s: %v\n", m.Name, err)
 			continue
 		}
-		if drain && s.Forgets {
+		if drain && s.IsVolatile {
 			does = "drains; without process.state it serves again where it is started again"
 		}
 		fmt.Fprintf(e.Out, "%s: %s\n", m.Name, does)
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -108,8 +108,8 @@
 	return d.postAndWait(ctx, claimRequest{claim, answer}, answer)
 }
 
-// Order implements manage.Daemon.
-func (d *daemon) Order(ctx context.Context, command desiredstate.Order) error {
+// RunCommand implements manage.Daemon.
+func (d *daemon) RunCommand(ctx context.Context, command desiredstate.Order) error {
 	answer := make(chan error, 1)
 	return d.postAndWait(ctx, commandRequest{command, answer}, answer)
 }
--- a/internal/daemon/commands_test.go
+++ b/internal/daemon/commands_test.go
@@ -33,7 +33,7 @@
 }
 
 func (r *daemonProcess) sendCommand(epoch uint64, id string, w desiredstate.Want) error {
-	_, err := r.control.Order(context.Background(), desiredstate.Order{Epoch: epoch, Owner: "me", ID: id, Want: w})
+	_, err := r.control.RunCommand(context.Background(), desiredstate.Order{Epoch: epoch, Owner: "me", ID: id, Want: w})
 	return err
 }
 
@@ -71,7 +71,7 @@
 		r.checkError("settings", r.sendCommand(7, "s/1", w), nil)
 	}
 	s := r.status()
-	if s.Generation != 2 || s.Hash != w.Hash || r.configHash() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.Order != (desiredstate.Done{ID: "s/1", Code: desiredstate.OK}) || s.Wanted.Hash != w.Hash {
+	if s.Generation != 2 || s.ConfigHash != w.Hash || r.configHash() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.LastCommand != (desiredstate.Done{ID: "s/1", Code: desiredstate.OK}) || s.DesiredState.Hash != w.Hash {
 		t.Errorf("%+v", s)
 	}
 	checkFailingCommands(r, w)
@@ -81,7 +81,7 @@
 	r.checkError("another owner", r.claimEpoch(7, "you", ""), manage.ErrStale)
 	generation := r.status().Generation
 	r.checkError("once more after kill -9", r.sendCommand(7, "s/1", w), nil)
-	if s := r.status(); s.Generation != generation || s.Hash != w.Hash || s.Wanted.Hash != w.Hash {
+	if s := r.status(); s.Generation != generation || s.ConfigHash != w.Hash || s.DesiredState.Hash != w.Hash {
 		t.Errorf("%+v", s)
 	}
 	checkRestartCommand(r)
@@ -98,7 +98,7 @@
 	if _, err := r.control.Reload(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	if s := r.status(); s.Hash != r.configHash() || s.Wanted.Hash != w.Hash || s.Hash == w.Hash {
+	if s := r.status(); s.ConfigHash != r.configHash() || s.DesiredState.Hash != w.Hash || s.ConfigHash == w.Hash {
 		t.Errorf("drift: %+v", s)
 	}
 }
@@ -114,12 +114,12 @@
 		for range 2 {
 			r.checkError(name, r.sendCommand(7, "bad/"+name, bad), manage.ErrFailed)
 		}
-		if s := r.status(); s.Generation != 2 || s.Hash != current.Hash || s.Wanted.Hash != current.Hash || r.configHash() != current.Hash || len(s.Distrusts) > 0 {
+		if s := r.status(); s.Generation != 2 || s.ConfigHash != current.Hash || s.DesiredState.Hash != current.Hash || r.configHash() != current.Hash || len(s.DegradedConditions) > 0 {
 			r.t.Errorf("%s: %+v", name, s)
 		}
 	}
-	r.checkError("another act by the same id", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrBad)
-	r.checkError("a program that is none", r.sendCommand(7, "p/0", desiredstate.Want{Kind: desiredstate.Program, Path: r.directory}), manage.ErrBad)
+	r.checkError("another act by the same id", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrInvalid)
+	r.checkError("a program that is none", r.sendCommand(7, "p/0", desiredstate.Want{Kind: desiredstate.Program, Path: r.directory}), manage.ErrInvalid)
 }
 
 // checkRestartCommand sends a restart three times at once: it runs once, and each sender gets its outcome.
@@ -141,9 +141,9 @@
 		}
 	}
 	r.awaitStatus("the new process alone", func(s manage.Status) bool {
-		return s.PID != old && hasEnded(old) && s.Order.ID == "c/1" && s.Order.Code == desiredstate.OK
+		return s.PID != old && hasEnded(old) && s.LastCommand.ID == "c/1" && s.LastCommand.Code == desiredstate.OK
 	})
-	if s := r.status(); served != 3 || s.Epoch != 7 || s.Doing != "" || strings.Count(r.log.String(), "upgrade: successor started") != 1 {
+	if s := r.status(); served != 3 || s.Epoch != 7 || s.RunningCommand != "" || strings.Count(r.log.String(), "upgrade: successor started") != 1 {
 		r.t.Errorf("%+v", s)
 	}
 }
@@ -161,7 +161,7 @@
 			for range 2 {
 				r.checkError("the program", r.sendCommand(7, "p/1", next), manage.ErrFailed)
 			}
-			if s := r.status(); s.PID != was.PID || s.Wanted.Program != "" || s.Order.Code != desiredstate.Failed || s.Epoch != 7 || s.Doing != "" {
+			if s := r.status(); s.PID != was.PID || s.DesiredState.Program != "" || s.LastCommand.Code != desiredstate.Failed || s.Epoch != 7 || s.RunningCommand != "" {
 				t.Errorf("%+v", s)
 			}
 			r.checkError("what comes next", r.sendCommand(7, "s/1", r.changedSettings("rate = 100000", "rate = 90000")), nil)
@@ -236,21 +236,21 @@
 func (c interruption) checkRecovery(t *testing.T, r *daemonProcess, id string, w desiredstate.Want, was manage.Status) {
 	t.Helper()
 	s := r.status()
-	if done := s.Order.ID == id; done != (c.code != "") || done && s.Order.Code != c.code || s.Epoch != 7 || s.Doing != "" {
+	if done := s.LastCommand.ID == id; done != (c.code != "") || done && s.LastCommand.Code != c.code || s.Epoch != 7 || s.RunningCommand != "" {
 		t.Fatalf("%+v", s)
 	}
 	switch c.code {
 	case desiredstate.Failed:
-		if s.Hash != was.Hash || r.configHash() != was.Hash || s.Wanted.Hash != was.Wanted.Hash {
+		if s.ConfigHash != was.ConfigHash || r.configHash() != was.ConfigHash || s.DesiredState.Hash != was.DesiredState.Hash {
 			t.Errorf("%+v", s)
 		}
 		r.checkError("again", r.sendCommand(7, id, w), manage.ErrFailed)
 	default:
-		if s.Wanted.Hash != w.Hash || (s.Hash == w.Hash) != c.isReplaced {
+		if s.DesiredState.Hash != w.Hash || (s.ConfigHash == w.Hash) != c.isReplaced {
 			t.Errorf("%+v", s)
 		}
 		r.checkError("again", r.sendCommand(7, id, w), nil)
-		if s := r.status(); s.Hash != w.Hash || r.configHash() != w.Hash {
+		if s := r.status(); s.ConfigHash != w.Hash || r.configHash() != w.Hash {
 			t.Errorf("%+v", s)
 		}
 	}
@@ -274,7 +274,7 @@
 		testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
 		r.start("")
 		r.checkError("asked again", r.sendCommand(7, fmt.Sprint("s/", i), w), nil)
-		if s := r.status(); s.Hash != w.Hash || r.configHash() != w.Hash || s.Wanted.Hash != w.Hash || s.Epoch != 7 ||
+		if s := r.status(); s.ConfigHash != w.Hash || r.configHash() != w.Hash || s.DesiredState.Hash != w.Hash || s.Epoch != 7 ||
 			strings.Count(r.log.String(), fmt.Sprintf("ended\" id=s/%d code=ok", i)) > 1 {
 			t.Fatalf("%d: %+v", i, s)
 		}
@@ -298,23 +298,23 @@
 	r.killAndWait() // it does not forget that it has lost it
 	r.start("")
 	s := r.status()
-	if s.Lost == "" || !strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
+	if s.LostToken == "" || !strings.Contains(strings.Join(s.DegradedConditions, " "), "orders") {
 		t.Errorf("%+v", s)
 	}
 	r.checkError("an old epoch", r.claimEpoch(7, "me", ""), manage.ErrLost)
 	r.checkError("its order", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrLost)
-	r.checkError("a claim that knows", r.claimEpoch(10, "me", s.Lost), nil)
-	if s := r.status(); s.Lost != "" || s.Epoch != 10 || strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
+	r.checkError("a claim that knows", r.claimEpoch(10, "me", s.LostToken), nil)
+	if s := r.status(); s.LostToken != "" || s.Epoch != 10 || strings.Contains(strings.Join(s.DegradedConditions, " "), "orders") {
 		t.Errorf("%+v", s)
 	}
 	// What can't be written is not granted, and not done.
 	if err := os.Rename(r.directory+"/state", r.directory+"/gone"); err != nil {
 		t.Fatal(err)
 	}
-	r.checkError("a claim that can't be kept", r.claimEpoch(11, "me", ""), manage.ErrUnkept)
+	r.checkError("a claim that can't be kept", r.claimEpoch(11, "me", ""), manage.ErrNotSaved)
 	w := r.changedSettings("rate = 100000", "rate = 90000")
-	r.checkError("an order that can't be kept", r.sendCommand(10, "s/1", w), manage.ErrUnkept)
-	if s := r.status(); s.Epoch != 10 || s.Hash == w.Hash || s.Wanted.Hash != "" || r.configHash() != s.Hash || !strings.Contains(strings.Join(s.Distrusts, " "), "orders") {
+	r.checkError("an order that can't be kept", r.sendCommand(10, "s/1", w), manage.ErrNotSaved)
+	if s := r.status(); s.Epoch != 10 || s.ConfigHash == w.Hash || s.DesiredState.Hash != "" || r.configHash() != s.ConfigHash || !strings.Contains(strings.Join(s.DegradedConditions, " "), "orders") {
 		t.Errorf("%+v", s)
 	}
 	if err := os.Rename(r.directory+"/gone", r.directory+"/state"); err != nil {
@@ -334,7 +334,9 @@
 	testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
 	for range 2 {
 		r.run("")
-		r.awaitStatus("drained", func(s manage.Status) bool { return s.Life == manage.Drained && s.AsWanted() && s.Order.ID == "d/1" })
+		r.awaitStatus("drained", func(s manage.Status) bool {
+			return s.State == manage.StateDrained && s.IsAsDesired() && s.LastCommand.ID == "d/1"
+		})
 		if c, err := net.Dial("tcp", r.address); err == nil {
 			c.Close()
 			t.Error("it takes clients")
@@ -346,30 +348,30 @@
 		testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
 	}
 	r.run("")
-	r.awaitStatus("drained", func(s manage.Status) bool { return s.Life == manage.Drained })
+	r.awaitStatus("drained", func(s manage.Status) bool { return s.State == manage.StateDrained })
 	r.checkError("an old epoch", r.claimEpoch(6, "me", ""), manage.ErrStale)
 	r.checkError("a newer one", r.claimEpoch(8, "me", ""), nil)
-	r.checkError("a restart", r.sendCommand(8, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrBad)
+	r.checkError("a restart", r.sendCommand(8, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrInvalid)
 	w := r.changedSettings("rate = 100000", "rate = 90000")
 	r.checkError("settings", r.sendCommand(8, "s/1", w), nil)
 	for range 2 {
 		r.checkError("serve", r.sendCommand(8, "v/1", desiredstate.Want{Kind: desiredstate.Serve}), nil)
 	}
-	if s := r.status(); !s.Ready() || s.Hash != w.Hash || s.Wanted.Drained || s.Epoch != 8 || s.Order.ID != "v/1" {
+	if s := r.status(); !s.IsReady() || s.ConfigHash != w.Hash || s.DesiredState.Drained || s.Epoch != 8 || s.LastCommand.ID != "v/1" {
 		t.Errorf("%+v", s)
 	}
 	// The owner's own hand.
 	pid = r.status().PID
-	if _, err := r.control.Rest(context.Background()); err != nil {
+	if _, err := r.control.DrainAndStay(context.Background()); err != nil {
 		t.Error(err)
 	}
 	testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
 	r.run("")
-	r.awaitStatus("drained", func(s manage.Status) bool { return s.Life == manage.Drained })
-	if s, err := r.control.Serve(context.Background()); err != nil || s.Life == manage.Drained {
+	r.awaitStatus("drained", func(s manage.Status) bool { return s.State == manage.StateDrained })
+	if s, err := r.control.Serve(context.Background()); err != nil || s.State == manage.StateDrained {
 		t.Errorf("%+v, %v", s, err)
 	}
-	r.awaitStatus("ready", func(s manage.Status) bool { return s.Ready() })
+	r.awaitStatus("ready", func(s manage.Status) bool { return s.IsReady() })
 }
 
 // Without a state directory a member keeps its epoch over an upgrade, reports that a crash loses it, and rejects a
@@ -377,10 +379,10 @@
 func TestEpochOutlivesUpgradeWithoutStateDirectory(t *testing.T) {
 	r := startDaemonWith(t, "", nil, "state = \"DIR/state\"\ncheckpoint = \"20ms\"\n", "")
 	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
-	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), manage.ErrBad)
+	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), manage.ErrInvalid)
 	r.checkError("restart", r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), nil)
-	r.awaitStatus("the new process alone", func(s manage.Status) bool { return s.Order.ID == "c/1" && s.Order.Code == desiredstate.OK })
-	if s := r.status(); s.Epoch != 7 || !s.Forgets {
+	r.awaitStatus("the new process alone", func(s manage.Status) bool { return s.LastCommand.ID == "c/1" && s.LastCommand.Code == desiredstate.OK })
+	if s := r.status(); s.Epoch != 7 || !s.IsVolatile {
 		t.Errorf("%+v", s)
 	}
 }
@@ -389,10 +391,10 @@
 func TestInstanceStatsCountServedAndRejected(t *testing.T) {
 	// A rate at which nothing comes back, however long the asking takes.
 	r := startDaemonWith(t, "", nil, "ceiling_rate = 50", "ceiling_rate = 0.01")
-	before := r.status().Figures
-	served := r.sendRequests(60)                                                                                         // of a burst of 50
-	r.awaitStatus("the last is counted", func(s manage.Status) bool { return s.Figures.Requests >= before.Requests+60 }) // it is answered first
-	f, ok := r.status().Figures.Since(before)
+	before := r.status().Statistics
+	served := r.sendRequests(60)                                                                                            // of a burst of 50
+	r.awaitStatus("the last is counted", func(s manage.Status) bool { return s.Statistics.Requests >= before.Requests+60 }) // it is answered first
+	f, ok := r.status().Statistics.Since(before)
 	if !ok || f.Requests != 60 || int(f.Delays.Total()) != served || int(f.Refused) != 60-served || f.Beyond != f.Refused || f.Beyond == 0 ||
 		f.Asked != float64(served) || f.Served != float64(served)-float64(f.Late) || f.Units < float64(served) || f.Failed+f.Breaches+f.Panics > 0 || f.CPU <= 0 || f.MemoryKB <= 0 {
 		t.Errorf("served %d: %+v", served, f)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -250,7 +250,7 @@
 		return nil
 	}
 	if d.controlServer != nil && !takeOver {
-		d.controlServer.Hand(served)
+		d.controlServer.SetDaemon(served)
 		return nil
 	}
 	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -30,7 +30,7 @@
 		if _, err := r.control.Upgrade(ctx, ""); err != nil {
 			t.Fatal(err)
 		}
-		r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != old.PID && s.Ready() })
+		r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != old.PID && s.IsReady() })
 		testkit.Until(t, "the old one's end", func() bool { return hasEnded(old.PID) })
 		if generation == 0 {
 			r.writeConfig("rate = 100000", "rate = 90000") // reloads go on as before
@@ -44,7 +44,7 @@
 	if raw, _ := os.ReadFile(r.directory + "/pid"); strings.TrimSpace(string(raw)) != fmt.Sprint(r.status().PID) {
 		t.Errorf("the pid file says %q", raw)
 	}
-	if s := r.status(); s.Generation != 2 || len(s.Distrusts) > 0 {
+	if s := r.status(); s.Generation != 2 || len(s.DegradedConditions) > 0 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -57,7 +57,7 @@
 	if _, err := r.control.Upgrade(context.Background(), ""); err != nil {
 		t.Fatal(err)
 	}
-	r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != old.PID && s.Ready() })
+	r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != old.PID && s.IsReady() })
 	raw, err := os.ReadFile(r.directory + "/other/lock")
 	if err != nil || strings.TrimSpace(string(raw)) != fmt.Sprint(r.status().PID) {
 		t.Errorf("the new lock says %q, %v", raw, err)
@@ -98,7 +98,7 @@
 	if why != "" && (err == nil || !strings.Contains(err.Error(), why)) || why == "" && err != nil {
 		t.Errorf("%v", err)
 	}
-	r.awaitStatus("going on", func(s manage.Status) bool { return s.PID == was.PID && s.Ready() && s.Beside == 0 })
+	r.awaitStatus("going on", func(s manage.Status) bool { return s.PID == was.PID && s.IsReady() && s.SuccessorPID == 0 })
 	testkit.Until(t, "more answers", func() bool { return run.SoFar()["read"].Served > 50 })
 	c, err := net.Dial("tcp", r.address)
 	if err != nil {
@@ -129,8 +129,8 @@
 	if err := r.process.Process.Signal(syscall.SIGUSR2); err != nil {
 		t.Fatal(err)
 	}
-	r.awaitStatus("the new process", func(s manage.Status) bool { return s.Beside != 0 })
-	beside := r.status().Beside
+	r.awaitStatus("the new process", func(s manage.Status) bool { return s.SuccessorPID != 0 })
+	beside := r.status().SuccessorPID
 	r.process.Process.Signal(syscall.SIGHUP)
 	r.process.Process.Signal(syscall.SIGTERM)
 	testkit.Until(t, "both ends", func() bool { return hasEnded(old.PID) && hasEnded(beside) })
@@ -158,7 +158,7 @@
 		}
 		testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
 		r.start("")
-		if doubts := r.status().Distrusts; (len(doubts) > 0) != kill {
+		if doubts := r.status().DegradedConditions; (len(doubts) > 0) != kill {
 			t.Errorf("start %d: it distrusts %v", i, doubts)
 		}
 		served += r.sendRequests(60)
@@ -194,7 +194,7 @@
 			if _, err := r.control.Upgrade(context.Background(), ""); err != nil {
 				t.Fatal(err)
 			}
-			r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != pid && s.Ready() })
+			r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != pid && s.IsReady() })
 			if i == 0 { // else the next one comes while the old one drains
 				testkit.Until(t, "the old one's end", func() bool { return hasEnded(pid) })
 			}
@@ -229,7 +229,7 @@
 		t.Fatal(err)
 	}
 	r.awaitStatus("the doubt", func(s manage.Status) bool {
-		return len(s.Distrusts) == 1 && strings.Contains(s.Distrusts[0], "state directory")
+		return len(s.DegradedConditions) == 1 && strings.Contains(s.DegradedConditions[0], "state directory")
 	})
 	if n := r.sendRequests(1); n != 1 {
 		t.Error("it doesn't serve")
@@ -237,14 +237,14 @@
 	if err := os.Mkdir(r.directory+"/state", 0o700); err != nil {
 		t.Fatal(err)
 	}
-	r.awaitStatus("the end of the doubt", func(s manage.Status) bool { return len(s.Distrusts) == 0 })
+	r.awaitStatus("the end of the doubt", func(s manage.Status) bool { return len(s.DegradedConditions) == 0 })
 	if err := os.WriteFile(r.directory+"/c.toml", []byte("x = 1"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := r.control.Reload(context.Background()); err == nil || !strings.Contains(err.Error(), "c.toml:1: x: unknown key") {
 		t.Errorf("a bad reload: %v", err)
 	}
-	if s := r.status(); s.Generation != 1 || len(s.Distrusts) != 1 {
+	if s := r.status(); s.Generation != 1 || len(s.DegradedConditions) != 1 {
 		t.Errorf("%+v", s)
 	}
 }
--- a/internal/daemon/drained.go
+++ b/internal/daemon/drained.go
@@ -43,7 +43,7 @@
 	if err := d.listenControl(r, false); err != nil {
 		return nil, err
 	}
-	slog.Info("lifecycle transition", "from", lifecycle.Starting, "to", manage.Drained, "cause", "it is wanted drained: lockflow fleet serve undoes that")
+	slog.Info("lifecycle transition", "from", lifecycle.Starting, "to", manage.StateDrained, "cause", "it is wanted drained: lockflow fleet serve undoes that")
 	logSupervisor(supervise.NotifyReady("drained, as is wanted"))
 
 	watchdogContext, endWatchdog := context.WithCancel(ctx)
@@ -127,25 +127,25 @@
 	defer r.mu.Unlock()
 	d := r.d
 	s := manage.Status{
-		PID:         os.Getpid(),
-		Program:     d.opts.Program,
-		Config:      d.opts.ConfigPath,
-		Life:        manage.Drained,
-		Started:     d.startedAt,
-		Listeners:   []string{},
-		Services:    []node.Status{},
-		Older:       []node.RetiredService{},
-		Descriptors: openDescriptors(),
-		MemoryKB:    residentMemoryKB(),
-		Distrusts:   d.conditions.list(),
+		PID:                os.Getpid(),
+		Program:            d.opts.Program,
+		ConfigPath:         d.opts.ConfigPath,
+		State:              manage.StateDrained,
+		StartedAt:          d.startedAt,
+		Listeners:          []string{},
+		Services:           []node.Status{},
+		RetiredServices:    []node.RetiredService{},
+		OpenDescriptors:    openDescriptors(),
+		MemoryKB:           residentMemoryKB(),
+		DegradedConditions: d.conditions.list(),
 	}
 	if r.isResuming() {
-		s.Life = lifecycle.Starting.String()
+		s.State = lifecycle.Starting.String()
 	} else {
-		s.Hash = d.cfg.Hash
+		s.ConfigHash = d.cfg.Hash
 		d.member.addStatus(&s)
 	}
-	s.Figures.Began = d.startedAt
+	s.Statistics.Began = d.startedAt
 	return s
 }
 
@@ -205,8 +205,8 @@
 	return r.d.Claim(ctx, claim)
 }
 
-// Order implements manage.Daemon. A command to serve ends when the daemon serves.
-func (r *drainedDaemon) Order(ctx context.Context, command desiredstate.Order) error {
+// RunCommand implements manage.Daemon. A command to serve ends when the daemon serves.
+func (r *drainedDaemon) RunCommand(ctx context.Context, command desiredstate.Order) error {
 	isComplete, err := r.runCommand(command)
 	if isComplete {
 		return err
@@ -214,7 +214,7 @@
 	if err := r.awaitResume(ctx); err != nil {
 		return err
 	}
-	return r.d.Order(ctx, command)
+	return r.d.RunCommand(ctx, command)
 }
 
 // runCommand runs what a drained daemon can of a command. Where it returns false, d runs the command once it has
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -105,10 +105,10 @@
 
 // addStatus fills in the status's part of the book.
 func (m *member) addStatus(s *manage.Status) {
-	s.Epoch, s.Owner, s.Lost, s.Forgets = m.desiredState.Epoch, m.desiredState.Owner, m.desiredState.Lost, m.store.Forgets()
-	s.Order, s.Wanted = m.desiredState.Last(), m.desiredState.Wanted
+	s.Epoch, s.Owner, s.LostToken, s.IsVolatile = m.desiredState.Epoch, m.desiredState.Owner, m.desiredState.Lost, m.store.Forgets()
+	s.LastCommand, s.DesiredState = m.desiredState.Last(), m.desiredState.Wanted
 	if running := m.desiredState.Doing; running != nil {
-		s.Doing = running.ID
+		s.RunningCommand = running.ID
 	}
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -58,7 +58,7 @@
 
 // Member implements metrics.Member.
 func (m memberMetrics) Member() manage.Status {
-	s := manage.Status{Figures: m.d.instanceStats()}
+	s := manage.Status{Statistics: m.d.instanceStats()}
 	m.d.inLoop(func() { m.d.addMemberStatus(&s) })
 	return s
 }
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -43,7 +43,7 @@
 			go func() {
 				control := os.Args[len(os.Args)-1]
 				for {
-					if s, err := (manage.Client{Path: control}).Status(context.Background()); err == nil && s.PID == os.Getpid() && s.Ready() {
+					if s, err := (manage.Client{Path: control}).Status(context.Background()); err == nil && s.PID == os.Getpid() && s.IsReady() {
 						os.Exit(9)
 					}
 					time.Sleep(time.Millisecond)
@@ -167,7 +167,7 @@
 func (r *daemonProcess) start(successorFault string) {
 	r.t.Helper()
 	r.run(successorFault)
-	r.awaitStatus("ready", func(s manage.Status) bool { return s.Ready() })
+	r.awaitStatus("ready", func(s manage.Status) bool { return s.IsReady() })
 	r.address = r.status().Listeners[0]
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -16,25 +16,25 @@
 // Status implements manage.Daemon.
 func (d *daemon) Status() manage.Status {
 	s := manage.Status{
-		PID:         os.Getpid(),
-		Program:     d.opts.Program,
-		Config:      d.opts.ConfigPath,
-		Started:     d.startedAt,
-		Generation:  d.node.Generation(),
-		Listeners:   d.node.Addresses(),
-		Descriptors: openDescriptors(),
-		MemoryKB:    residentMemoryKB(),
-		Services:    d.node.Status(),
-		Gathers:     d.node.GathererStatus(),
-		Older:       d.node.RetiredServices(),
-		Distrusts:   d.conditions.list(),
-		Figures:     d.instanceStats(),
+		PID:                os.Getpid(),
+		Program:            d.opts.Program,
+		ConfigPath:         d.opts.ConfigPath,
+		StartedAt:          d.startedAt,
+		Generation:         d.node.Generation(),
+		Listeners:          d.node.Addresses(),
+		OpenDescriptors:    openDescriptors(),
+		MemoryKB:           residentMemoryKB(),
+		Services:           d.node.Status(),
+		ScatterGathers:     d.node.GathererStatus(),
+		RetiredServices:    d.node.RetiredServices(),
+		DegradedConditions: d.conditions.list(),
+		Statistics:         d.instanceStats(),
 	}
 	s.Instance, s.Instances = d.node.Instance()
 	d.inLoop(func() {
-		s.Life = d.machine.State().String()
+		s.State = d.machine.State().String()
 		if d.successor != nil {
-			s.Beside = d.successor.PID()
+			s.SuccessorPID = d.successor.PID()
 		}
 		d.addMemberStatus(&s)
 	})
@@ -43,7 +43,7 @@
 
 // addMemberStatus fills in what the event loop owns.
 func (d *daemon) addMemberStatus(s *manage.Status) {
-	s.Hash = d.cfg.Hash
+	s.ConfigHash = d.cfg.Hash
 	d.member.addStatus(s)
 }
 
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -208,11 +208,11 @@
 // socket again where the successor had replaced it.
 func (d *daemon) reclaimFiles() {
 	d.recordProcessID()
-	if old := d.controlServer; !old.Own() {
+	if old := d.controlServer; !old.OwnsSocket() {
 		if err := d.listenControl(d, true); err != nil {
 			logControlSocket(err)
 		}
-		go old.Finish() // it still answers who requested the upgrade
+		go old.Shutdown() // it still answers who requested the upgrade
 	}
 }
 
--- a/internal/faultnet/trial/owners.go
+++ b/internal/faultnet/trial/owners.go
@@ -149,7 +149,7 @@
 	for range 3 {
 		one, cancel := context.WithTimeout(ctx, within(linked))
 		done := w.ownership.Call(w.number, history.Order{Member: member(i), Epoch: epoch, Owner: w.name, ID: id})
-		_, err := w.member(i, linked).Order(one, o)
+		_, err := w.member(i, linked).RunCommand(one, o)
 		cancel()
 		switch refused := (manage.RejectedError{}); {
 		case err == nil:
@@ -180,7 +180,7 @@
 	case desiredstate.Busy, desiredstate.Unkept:
 	case "": // of no order: it ends, or cannot be read
 	default:
-		w.notes.Wrong("node %d refuses an owner: %s: %s", i, r.Code, r.Text)
+		w.notes.Wrong("node %d refuses an owner: %s: %s", i, r.Code, r.Message)
 	}
 }
 
@@ -200,8 +200,8 @@
 	for i := range r.o.Nodes {
 		s, err := w.member(i, false).Status(ctx)
 		raw, fileErr := os.ReadFile(filepath.Join(r.dir(i), "lockflow.toml"))
-		if err != nil || fileErr != nil || s.Hash != desiredstate.Hash(raw) || s.Wanted.Hash != s.Hash || s.Owner != w.name {
-			r.notes.Wrong("node %d: runs %s by %s, wants %s, its file is %s; %v, %v", i, s.Hash, s.Owner, s.Wanted.Hash, desiredstate.Hash(raw), err, fileErr)
+		if err != nil || fileErr != nil || s.ConfigHash != desiredstate.Hash(raw) || s.DesiredState.Hash != s.ConfigHash || s.Owner != w.name {
+			r.notes.Wrong("node %d: runs %s by %s, wants %s, its file is %s; %v, %v", i, s.ConfigHash, s.Owner, s.DesiredState.Hash, desiredstate.Hash(raw), err, fileErr)
 		}
 		r.begunOnce(i)
 	}
--- a/internal/faultnet/trial/trial.go
+++ b/internal/faultnet/trial/trial.go
@@ -263,7 +263,7 @@
 	defer cancel()
 	for {
 		s, err := manage.Client{Path: r.control(i)}.Status(ctx)
-		if err == nil && s.PID == r.procs[i].PID() && s.Ready() && len(s.Listeners) > 0 {
+		if err == nil && s.PID == r.procs[i].PID() && s.IsReady() && len(s.Listeners) > 0 {
 			r.link(i, 0).To(s.Listeners[0])
 			return nil
 		}
@@ -364,8 +364,8 @@
 			last = s
 			look(history.Seen{Epoch: s.Epoch, Owner: s.Owner})
 			r.toldEpoch(s.Epoch)
-			r.notes.Saw(member(i), s.Hash)
-		} else if refused := (manage.RejectedError{}); errors.As(err, &refused) && !strings.Contains(refused.Text, "reload") {
+			r.notes.Saw(member(i), s.ConfigHash)
+		} else if refused := (manage.RejectedError{}); errors.As(err, &refused) && !strings.Contains(refused.Message, "reload") {
 			r.notes.Wrong("node %d refuses what it is asked: %v", i, err)
 		}
 		select {
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -192,10 +192,10 @@
 		return rollout.Seen{Member: h.i, Asked: h.asked}
 	}
 	s := h.s
-	up := s.Ready() || c.c.Kind == desiredstate.Settings && s.AsWanted()
+	up := s.IsReady() || c.c.Kind == desiredstate.Settings && s.IsAsDesired()
 	return rollout.Seen{
-		Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.Doing,
-		Lost: s.Lost, Load: load(s),
+		Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.RunningCommand,
+		Lost: s.LostToken, Load: load(s),
 	}
 }
 
@@ -229,7 +229,7 @@
 func (c *carrier) readings() []canary.Reading {
 	all := make([]canary.Reading, 0, len(c.seen))
 	for i, s := range c.seen {
-		r := canary.Reading{Member: c.c.Plan.Members[i].Name, Up: s != nil && s.Ready(), Weight: 1}
+		r := canary.Reading{Member: c.c.Plan.Members[i].Name, Up: s != nil && s.IsReady(), Weight: 1}
 		switch changed, control := c.r.Side(i); {
 		case changed:
 			r.Side = canary.New
@@ -237,9 +237,9 @@
 			r.Side = canary.Control
 		}
 		if s != nil {
-			r.Figures = s.Figures
+			r.Figures = s.Statistics
 		}
-		if s == nil || s.Ready() { // one that is drained is none of either side
+		if s == nil || s.IsReady() { // one that is drained is none of either side
 			all = append(all, r)
 		}
 	}
@@ -311,7 +311,7 @@
 		return
 	}
 	c.call(ctx, c.within, func(ctx context.Context) any {
-		_, err := m.Order(ctx, manage.Order{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Want: want})
+		_, err := m.RunCommand(ctx, manage.Order{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Want: want})
 		e := rollout.Ordered{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Answer: answered(err), Err: err}
 		if e.Answer == rollout.Stale {
 			// A member that has no memory of any epoch is no sign of a newer coordinator.
@@ -332,7 +332,7 @@
 		return rollout.Stale
 	case errors.Is(err, manage.ErrLost):
 		return rollout.Ungranted
-	case errors.Is(err, manage.ErrFailed), errors.Is(err, manage.ErrBad):
+	case errors.Is(err, manage.ErrFailed), errors.Is(err, manage.ErrInvalid):
 		return rollout.Failed
 	case strings.HasSuffix(err.Error(), "404 Not Found"): // a program from before there were orders
 		return rollout.NotFound
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -70,11 +70,11 @@
 		switch {
 		case a.Status == nil:
 			return nil, fmt.Errorf("member %s does not answer, nothing was changed: %s", a.Member, a.Error)
-		case serving && !a.Status.Ready(), !a.Status.AsWanted():
-			return nil, fmt.Errorf("member %s is %s, nothing was changed", a.Member, a.Status.Life)
+		case serving && !a.Status.IsReady(), !a.Status.IsAsDesired():
+			return nil, fmt.Errorf("member %s is %s, nothing was changed", a.Member, a.Status.State)
 		}
 		all[i] = *a.Status
-		forgets = forgets || a.Status.Forgets
+		forgets = forgets || a.Status.IsVolatile
 	}
 	if forgets {
 		slog.Warn("rollout: members without a state directory forget who orders them when they crash")
@@ -92,7 +92,7 @@
 	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.Settings, Plan: p, Texts: make(map[string]string)}
 	files := make(map[string]string)
 	for i, s := range now {
-		raw, err := os.ReadFile(s.Config)
+		raw, err := os.ReadFile(s.ConfigPath)
 		if err != nil {
 			return nil, fmt.Errorf("member %s: reading its configuration: %w", members[i].Name, err)
 		}
@@ -113,7 +113,7 @@
 	same := true
 	for i, s := range now {
 		m := rollout.Member{Name: members[i].Name, Region: members[i].Region, Zone: members[i].Zone}
-		from := s.Hash
+		from := s.ConfigHash
 		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return desiredstate.Hash(t) == from }) && old[members[i].Region] != "" {
 			from = old[members[i].Region]
 		}
@@ -128,7 +128,7 @@
 			c.Texts[h] = string(t)
 			m.Gens = append(m.Gens, h)
 		}
-		same = same && s.Hash == m.Gens[len(m.Gens)-1]
+		same = same && s.ConfigHash == m.Gens[len(m.Gens)-1]
 		c.Plan.Members = append(c.Plan.Members, m)
 		c.Sockets = append(c.Sockets, members[i].Client.Path)
 	}
@@ -144,8 +144,8 @@
 	mids := make(map[pair][]byte)
 	some := false
 	for i, s := range now {
-		text, ok := files[s.Hash]
-		p := pair{s.Hash, desiredstate.Hash(members[i].Texts[0])}
+		text, ok := files[s.ConfigHash]
+		p := pair{s.ConfigHash, desiredstate.Hash(members[i].Texts[0])}
 		if _, known := mids[p]; known || !ok || p.old == p.new {
 			continue
 		}
@@ -160,10 +160,10 @@
 		return nil
 	}
 	for i, s := range now {
-		mid := mids[pair{s.Hash, desiredstate.Hash(members[i].Texts[0])}]
+		mid := mids[pair{s.ConfigHash, desiredstate.Hash(members[i].Texts[0])}]
 		if mid == nil { // it waits for the others
-			if mid = []byte(files[s.Hash]); files[s.Hash] == "" {
-				return fmt.Errorf("member %s runs settings %.12s, which are in no file any more", members[i].Name, s.Hash)
+			if mid = []byte(files[s.ConfigHash]); files[s.ConfigHash] == "" {
+				return fmt.Errorf("member %s runs settings %.12s, which are in no file any more", members[i].Name, s.ConfigHash)
 			}
 		}
 		members[i].Texts = [][]byte{mid, members[i].Texts[0]}
@@ -177,12 +177,12 @@
 	best := make(map[string]string)
 	for i, s := range now {
 		r := members[i].Region
-		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return desiredstate.Hash(t) == s.Hash }) {
+		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return desiredstate.Hash(t) == s.ConfigHash }) {
 			continue
 		}
-		count[[2]string{r, s.Hash}]++
-		if b := best[r]; b == "" || count[[2]string{r, s.Hash}] > count[[2]string{r, b}] {
-			best[r] = s.Hash
+		count[[2]string{r, s.ConfigHash}]++
+		if b := best[r]; b == "" || count[[2]string{r, s.ConfigHash}] > count[[2]string{r, b}] {
+			best[r] = s.ConfigHash
 		}
 	}
 	return best
@@ -350,9 +350,9 @@
 // runs is what a member says it runs, as Member.Gens has it.
 func (c *Change) runs(s *manage.Status, known programs) string {
 	if c.Kind == desiredstate.Settings {
-		return s.Hash
+		return s.ConfigHash
 	}
-	p := process{s.PID, s.Started.UnixNano()}
+	p := process{s.PID, s.StartedAt.UnixNano()}
 	h, ok := known[p]
 	if !ok {
 		var err error
@@ -364,7 +364,7 @@
 		}
 		known[p] = h
 	}
-	if c.Plan.Same && s.Started.After(c.Begun) {
+	if c.Plan.Same && s.StartedAt.After(c.Begun) {
 		h += again
 	}
 	return h
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -135,14 +135,14 @@
 // Do reloads a member that is at before, and returns once it is ready again.
 func (r *Reload) Do(ctx context.Context, m Member, before manage.Status) error {
 	if r.New != nil {
-		if err := renameio.WriteFile(before.Config, r.New, 0o600); err != nil {
+		if err := renameio.WriteFile(before.ConfigPath, r.New, 0o600); err != nil {
 			return fmt.Errorf("replacing the configuration: %w", err)
 		}
 	}
 	if _, err := m.Client.Reload(ctx); err != nil {
 		return err
 	}
-	_, err := await(ctx, m, func(s manage.Status) bool { return s.Ready() })
+	_, err := await(ctx, m, func(s manage.Status) bool { return s.IsReady() })
 	return err
 }
 
@@ -163,8 +163,8 @@
 	back := false
 	now, err := await(ctx, m, func(s manage.Status) bool {
 		// The old one says so itself once it has gone on without the new one.
-		back = s.PID == old.PID && s.Ready() && s.Beside == 0
-		return back || s.PID != old.PID && s.Ready() && ended(old.PID)
+		back = s.PID == old.PID && s.IsReady() && s.SuccessorPID == 0
+		return back || s.PID != old.PID && s.IsReady() && ended(old.PID)
 	})
 	if err == nil && back {
 		return fmt.Errorf("the new process did not last; process %d goes on", now.PID)
@@ -196,7 +196,7 @@
 		case <-time.After(pollEvery):
 		case <-ctx.Done():
 			if err == nil {
-				err = fmt.Errorf("it is %s", s.Life)
+				err = fmt.Errorf("it is %s", s.State)
 			}
 			return s, fmt.Errorf("not ready in time: %w", err)
 		}
--- a/internal/fleet/regional.go
+++ b/internal/fleet/regional.go
@@ -164,7 +164,7 @@
 		if m.Region != r.Name {
 			continue
 		}
-		h := said[i].Hash
+		h := said[i].ConfigHash
 		if h == r.Hash {
 			continue
 		}
@@ -172,7 +172,7 @@
 			return nil, fmt.Errorf("region %s: members %s and %s run different settings, %.12s and %.12s; nothing was changed", r.Name, who, m.Name, hash, h)
 		}
 		hash, who = h, m.Name
-		if raw, err := os.ReadFile(said[i].Config); err == nil && desiredstate.Hash(raw) == h {
+		if raw, err := os.ReadFile(said[i].ConfigPath); err == nil && desiredstate.Hash(raw) == h {
 			text = raw
 		}
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -93,7 +93,7 @@
 	ready, cancel := context.WithTimeout(ctx, o.Within)
 	defer cancel()
 	for i, m := range r.Members {
-		s, err := await(ready, m, func(s manage.Status) bool { return s.AsWanted() })
+		s, err := await(ready, m, func(s manage.Status) bool { return s.IsAsDesired() })
 		switch {
 		case err == nil && len(s.Listeners) > 0:
 			r.mu.Lock()
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	bodyMost = 16 << 10
-	// orderMost is room for settings, of which a byte may take two in JSON.
-	orderMost   = 2*desiredstate.TextMost + bodyMost
-	ordersMost  = 2                // whose bodies are read at once
-	orderWithin = 10 * time.Second // of a body
+	maxBodySize = 16 << 10
+	// maxCommandSize is room for settings, of which a byte may take two in JSON.
+	maxCommandSize     = 2*desiredstate.TextMost + maxBodySize
+	maxCommandReads    = 2                // whose bodies are read at once
+	commandReadTimeout = 10 * time.Second // of a body
 )
 
 func handler(daemon func() Daemon) http.Handler {
@@ -24,37 +24,37 @@
 	on := func(pattern string, h func(w http.ResponseWriter, r *http.Request, d Daemon)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { h(w, r, daemon()) })
 	}
-	on("GET /v1/status", func(w http.ResponseWriter, _ *http.Request, d Daemon) { answer(w, http.StatusOK, d.Status()) })
-	on("POST /v1/reload", func(w http.ResponseWriter, r *http.Request, d Daemon) { told(w, d.Reload(r.Context()), d) })
+	on("GET /v1/status", func(w http.ResponseWriter, _ *http.Request, d Daemon) { writeJSON(w, http.StatusOK, d.Status()) })
+	on("POST /v1/reload", func(w http.ResponseWriter, r *http.Request, d Daemon) { writeResult(w, d.Reload(r.Context()), d) })
 	on("POST /v1/upgrade", func(w http.ResponseWriter, r *http.Request, d Daemon) {
 		var ask struct {
 			Program string `json:"program"`
 		}
-		if body(w, r, "upgrade", bodyMost, &ask) {
-			told(w, d.Upgrade(r.Context(), ask.Program), d)
+		if decodeBody(w, r, "upgrade", maxBodySize, &ask) {
+			writeResult(w, d.Upgrade(r.Context(), ask.Program), d)
 		}
 	})
 	on("POST /v1/drain", func(w http.ResponseWriter, r *http.Request, d Daemon) {
 		var ask struct {
 			Keep bool `json:"keep"`
 		}
-		if !body(w, r, "drain", bodyMost, &ask) {
+		if !decodeBody(w, r, "drain", maxBodySize, &ask) {
 			return
 		}
 		if err := d.Drain(ask.Keep); err != nil {
-			told(w, err, d)
+			writeResult(w, err, d)
 			return
 		}
-		answer(w, http.StatusAccepted, d.Status())
+		writeJSON(w, http.StatusAccepted, d.Status())
 	})
-	on("POST /v1/serve", func(w http.ResponseWriter, r *http.Request, d Daemon) { told(w, d.Serve(r.Context()), d) })
+	on("POST /v1/serve", func(w http.ResponseWriter, r *http.Request, d Daemon) { writeResult(w, d.Serve(r.Context()), d) })
 	on("POST /v1/claim", func(w http.ResponseWriter, r *http.Request, d Daemon) {
 		var c Claim
-		if body(w, r, "claim", bodyMost, &c) {
-			told(w, d.Claim(r.Context(), c), d)
+		if decodeBody(w, r, "claim", maxBodySize, &c) {
+			writeResult(w, d.Claim(r.Context(), c), d)
 		}
 	})
-	places := make(chan struct{}, ordersMost)
+	places := make(chan struct{}, maxCommandReads)
 	on("POST /v1/order", func(w http.ResponseWriter, r *http.Request, d Daemon) {
 		select {
 		case places <- struct{}{}:
@@ -63,19 +63,19 @@
 		}
 		var o Order
 		ctl := http.NewResponseController(w)
-		_ = ctl.SetReadDeadline(time.Now().Add(orderWithin))
-		ok := body(w, r, "order", orderMost, &o)
+		_ = ctl.SetReadDeadline(time.Now().Add(commandReadTimeout))
+		ok := decodeBody(w, r, "order", maxCommandSize, &o)
 		_ = ctl.SetReadDeadline(time.Time{}) // what it asks for may take longer
 		<-places
 		if ok {
-			told(w, d.Order(r.Context(), o), d)
+			writeResult(w, d.RunCommand(r.Context(), o), d)
 		}
 	})
 	return mux
 }
 
-// body reads what is asked; of an empty one nothing. It answers itself where it gives false.
-func body(w http.ResponseWriter, r *http.Request, what string, most int64, into any) bool {
+// decodeBody reads what is asked; of an empty one nothing. It answers itself where it gives false.
+func decodeBody(w http.ResponseWriter, r *http.Request, what string, most int64, into any) bool {
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, most))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(into)
@@ -87,18 +87,18 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return true
 	}
-	answer(w, http.StatusBadRequest, failure{fmt.Sprintf("%s: %v", what, err), desiredstate.Bad})
+	writeJSON(w, http.StatusBadRequest, errorAnswer{fmt.Sprintf("%s: %v", what, err), desiredstate.Bad})
 	return false
 }
 
-type failure struct {
+type errorAnswer struct {
 	Error string `json:"error"`
 	Code  string `json:"code,omitempty"`
 }
 
-func told(w http.ResponseWriter, err error, d Daemon) {
+func writeResult(w http.ResponseWriter, err error, d Daemon) {
 	if err != nil {
-		f := failure{Error: err.Error()}
+		f := errorAnswer{Error: err.Error()}
 		var r *desiredstate.RejectedError
 		if errors.As(err, &r) {
 			f.Code = r.Code
@@ -107,13 +107,13 @@
 		if f.Code == desiredstate.Bad {
 			status = http.StatusBadRequest
 		}
-		answer(w, status, f)
+		writeJSON(w, status, f)
 		return
 	}
-	answer(w, http.StatusOK, d.Status())
+	writeJSON(w, http.StatusOK, d.Status())
 }
 
-func answer(w http.ResponseWriter, status int, v any) {
+func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // whoever has left hears nothing
--- a/internal/manage/keys_test.go
+++ b/internal/manage/keys_test.go
@@ -8,5 +8,5 @@
 
 // All that passes over the control socket has a written key for every field.
 func TestKeysAreWritten(t *testing.T) {
-	testkit.RequireKeys(t, "json", Status{}, Claim{}, Order{}, failure{})
+	testkit.RequireKeys(t, "json", Status{}, Claim{}, Order{}, errorAnswer{})
 }
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -29,45 +29,45 @@
 )
 
 const (
-	headMost  = 4 << 10
-	within    = 2 * time.Second // of a request's head; what it asks for may take longer
-	connsMost = 16
+	maxHeaderSize  = 4 << 10
+	headerTimeout  = 2 * time.Second // of a request's head; what it asks for may take longer
+	maxConnections = 16
 
-	finishWithin = 5 * time.Second
-	answerWithin = time.Second // a small answer over a Unix socket, while the daemon waits to end
+	shutdownTimeout = 5 * time.Second
+	closeTimeout    = time.Second // a small answer over a Unix socket, while the daemon waits to end
 )
 
 // Status is what a daemon tells of itself.
 type Status struct {
-	PID         int           `json:"pid"`
-	Program     string        `json:"program"`
-	Config      string        `json:"config"`
-	Life        string        `json:"life"`
-	Started     time.Time     `json:"started"`
-	Generation  int           `json:"generation"` // of the configuration in force
-	Instance    int           `json:"instance"`
-	Instances   int           `json:"instances"`
-	Listeners   []string      `json:"listeners"`
-	Descriptors int           `json:"descriptors"` // open
-	MemoryKB    int           `json:"memory_kb"`   // resident
-	Beside      int           `json:"beside"`      // pid of the process that takes this one's place; 0 is none
-	Services    []node.Status `json:"services"`
-	// Gathers are the services that gather; none where there are none.
-	Gathers   []scattergather.Status `json:"gathers,omitempty"`
-	Older     []node.RetiredService  `json:"older"`     // services of earlier generations that still hold requests
-	Distrusts []string               `json:"distrusts"` // what it does not rely on, and since when
-
-	Hash    string `json:"hash"`    // of the configuration's text that is in force, SHA-256 in hex
-	Epoch   uint64 `json:"epoch"`   // the newest that was granted; 0 is none
-	Owner   string `json:"owner"`   // to whom
-	Forgets bool   `json:"forgets"` // epoch, orders and what is wanted don't outlive a crash: there is no state directory
+	PID             int           `json:"pid"`
+	Program         string        `json:"program"`
+	ConfigPath      string        `json:"config"`
+	State           string        `json:"life"`
+	StartedAt       time.Time     `json:"started"`
+	Generation      int           `json:"generation"` // of the configuration in force
+	Instance        int           `json:"instance"`
+	Instances       int           `json:"instances"`
+	Listeners       []string      `json:"listeners"`
+	OpenDescriptors int           `json:"descriptors"` // open
+	MemoryKB        int           `json:"memory_kb"`   // resident
+	SuccessorPID    int           `json:"beside"`      // pid of the process that takes this one's place; 0 is none
+	Services        []node.Status `json:"services"`
+	// ScatterGathers are the services that gather; none where there are none.
+	ScatterGathers     []scattergather.Status `json:"gathers,omitempty"`
+	RetiredServices    []node.RetiredService  `json:"older"`     // services of earlier generations that still hold requests
+	DegradedConditions []string               `json:"distrusts"` // what it does not rely on, and since when
+
+	ConfigHash string `json:"hash"`    // of the configuration's text that is in force, SHA-256 in hex
+	Epoch      uint64 `json:"epoch"`   // the newest that was granted; 0 is none
+	Owner      string `json:"owner"`   // to whom
+	IsVolatile bool   `json:"forgets"` // epoch, orders and what is wanted don't outlive a crash: there is no state directory
 	// Lost, where it is not empty, says that the member does not know which epochs it had granted. It obeys
 	// nobody until a claim has this in After.
-	Lost    string                `json:"lost,omitempty"`
-	Order   desiredstate.Done     `json:"order"`           // the last one that has ended
-	Doing   string                `json:"doing,omitempty"` // id of the order under way
-	Wanted  desiredstate.Wanted   `json:"wanted"`
-	Figures instancestats.Figures `json:"figures"`
+	LostToken      string                `json:"lost,omitempty"`
+	LastCommand    desiredstate.Done     `json:"order"`           // the last one that has ended
+	RunningCommand string                `json:"doing,omitempty"` // id of the order under way
+	DesiredState   desiredstate.Wanted   `json:"wanted"`
+	Statistics     instancestats.Figures `json:"figures"`
 }
 
 type (
@@ -79,14 +79,16 @@
 	Want = desiredstate.Want
 )
 
-// Drained is the life of a daemon that is wanted not to serve.
-const Drained = "drained"
+// StateDrained is the life of a daemon that is wanted not to serve.
+const StateDrained = "drained"
 
-// AsWanted tells whether it serves, or is drained because that is wanted of it.
-func (s *Status) AsWanted() bool { return s.Ready() || s.Life == Drained && s.Wanted.Drained }
+// IsAsDesired tells whether it serves, or is drained because that is wanted of it.
+func (s *Status) IsAsDesired() bool {
+	return s.IsReady() || s.State == StateDrained && s.DesiredState.Drained
+}
 
-// Ready tells whether the daemon serves.
-func (s *Status) Ready() bool { return s.Life == "ready" || s.Life == "reloading" }
+// IsReady tells whether the daemon serves.
+func (s *Status) IsReady() bool { return s.State == "ready" || s.State == "reloading" }
 
 // Daemon is what is managed. Its methods are called from many goroutines.
 type Daemon interface {
@@ -98,22 +100,22 @@
 	Drain(keep bool) error
 	Serve(ctx context.Context) error
 	Claim(ctx context.Context, c Claim) error
-	Order(ctx context.Context, o Order) error
+	RunCommand(ctx context.Context, o Order) error
 }
 
 // Server serves one control socket.
 type Server struct {
-	http *http.Server
-	asks atomic.Pointer[Daemon]
-	path string
-	info os.FileInfo // of the socket that is this server's
-	done chan struct{}
+	http       *http.Server
+	daemon     atomic.Pointer[Daemon]
+	path       string
+	socketInfo os.FileInfo // of the socket that is this server's
+	done       chan struct{}
 }
 
 // Listen makes the control socket at path, in the place of one that nobody serves any more, or
 // with takeOver, of the process whose place this one takes.
 func Listen(path string, d Daemon, takeOver bool) (*Server, error) {
-	if err := free(path, takeOver); err != nil {
+	if err := removeStaleSocket(path, takeOver); err != nil {
 		return nil, fmt.Errorf("control socket: %w", err)
 	}
 	// The mode is right from the first moment on: only the owner may connect.
@@ -129,21 +131,21 @@
 		l.Close()
 		return nil, fmt.Errorf("control socket: %w", err)
 	}
-	s := &Server{path: path, info: info, done: make(chan struct{})}
-	s.Hand(d)
-	s.http = &http.Server{Handler: handler(func() Daemon { return *s.asks.Load() }), MaxHeaderBytes: headMost, ReadHeaderTimeout: within, IdleTimeout: within}
+	s := &Server{path: path, socketInfo: info, done: make(chan struct{})}
+	s.SetDaemon(d)
+	s.http = &http.Server{Handler: handler(func() Daemon { return *s.daemon.Load() }), MaxHeaderBytes: maxHeaderSize, ReadHeaderTimeout: headerTimeout, IdleTimeout: headerTimeout}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(&owned{l, make(chan struct{}, connsMost)}) // finish ends it
+		_ = s.http.Serve(&ownerListener{l, make(chan struct{}, maxConnections)}) // finish ends it
 	}()
 	return s, nil
 }
 
-// Hand has another daemon of this process be asked from now on.
-func (s *Server) Hand(d Daemon) { s.asks.Store(&d) }
+// SetDaemon has another daemon of this process be asked from now on.
+func (s *Server) SetDaemon(d Daemon) { s.daemon.Store(&d) }
 
-// free removes a socket that nobody serves.
-func free(path string, takeOver bool) error {
+// removeStaleSocket removes a socket that nobody serves.
+func removeStaleSocket(path string, takeOver bool) error {
 	info, err := os.Lstat(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
@@ -168,56 +170,56 @@
 	if s == nil {
 		return
 	}
-	s.finish(answerWithin)
+	s.shutdown(closeTimeout)
 	s.http.Close()
 	<-s.done
-	if s.Own() {
+	if s.OwnsSocket() {
 		_ = os.Remove(s.path) // one that stays is taken over: nobody answers on it
 	}
 }
 
-// Own tells whether the socket at the path is still this server's; also where there is none to be.
-func (s *Server) Own() bool {
+// OwnsSocket tells whether the socket at the path is still this server's; also where there is none to be.
+func (s *Server) OwnsSocket() bool {
 	if s == nil {
 		return true
 	}
 	info, err := os.Lstat(s.path)
-	return err == nil && os.SameFile(info, s.info)
+	return err == nil && os.SameFile(info, s.socketInfo)
 }
 
-// Finish answers what was asked, takes nothing new, and leaves the path alone.
-func (s *Server) Finish() { s.finish(finishWithin) }
+// Shutdown answers what was asked, takes nothing new, and leaves the path alone.
+func (s *Server) Shutdown() { s.shutdown(shutdownTimeout) }
 
-func (s *Server) finish(within time.Duration) {
+func (s *Server) shutdown(within time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	_ = s.http.Shutdown(ctx) // what is not answered in time is ended by Close
 }
 
-// owned takes connections of the socket's owner, a few at a time.
-type owned struct {
+// ownerListener takes connections of the socket's owner, a few at a time.
+type ownerListener struct {
 	*net.UnixListener
-	places chan struct{}
+	slots chan struct{}
 }
 
-func (o *owned) Accept() (net.Conn, error) {
+func (o *ownerListener) Accept() (net.Conn, error) {
 	for {
-		o.places <- struct{}{}
+		o.slots <- struct{}{}
 		c, err := o.AcceptUnix()
 		if err != nil {
-			<-o.places
+			<-o.slots
 			return nil, err
 		}
-		if uid, err := peer(c); err == nil && (uid == os.Geteuid() || uid == 0) {
-			return &placed{Conn: c, places: o.places}, nil
+		if uid, err := peerUserID(c); err == nil && (uid == os.Geteuid() || uid == 0) {
+			return &slotConn{Conn: c, slots: o.slots}, nil
 		}
 		c.Close()
-		<-o.places
+		<-o.slots
 	}
 }
 
-// peer is the user at the other end (unix(7), SO_PEERCRED).
-func peer(c *net.UnixConn) (uid int, err error) {
+// peerUserID is the user at the other end (unix(7), SO_PEERCRED).
+func peerUserID(c *net.UnixConn) (uid int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, err
@@ -234,14 +236,14 @@
 	return int(cred.Uid), nil
 }
 
-// placed gives its place back when it is closed.
-type placed struct {
+// slotConn gives its place back when it is closed.
+type slotConn struct {
 	net.Conn
-	places chan struct{}
-	once   sync.Once
+	slots chan struct{}
+	once  sync.Once
 }
 
-func (p *placed) Close() error {
-	p.once.Do(func() { <-p.places })
+func (p *slotConn) Close() error {
+	p.once.Do(func() { <-p.slots })
 	return p.Conn.Close()
 }
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -16,7 +16,7 @@
 // fake is a daemon that does what it is told.
 type fake struct{ told chan string }
 
-func (f fake) Status() Status { return Status{PID: 7, Life: "ready", Generation: 3} }
+func (f fake) Status() Status { return Status{PID: 7, State: "ready", Generation: 3} }
 func (f fake) Reload(context.Context) error {
 	f.told <- "reload"
 	return errors.New("c.toml:3: x: unknown key")
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func (f fake) Order(_ context.Context, o Order) error {
+func (f fake) RunCommand(_ context.Context, o Order) error {
 	f.told <- fmt.Sprint(o.ID, " ", o.Want.Kind, " ", len(o.Want.Text))
 	return nil
 }
@@ -60,15 +60,15 @@
 		t.Error(err)
 	}
 	text := strings.Repeat("# \"<\n", 1<<20)
-	if _, err := c.Order(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: desiredstate.Settings, Text: text}}); err != nil || <-f.told != fmt.Sprint("s/1 settings ", len(text)) {
+	if _, err := c.RunCommand(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: desiredstate.Settings, Text: text}}); err != nil || <-f.told != fmt.Sprint("s/1 settings ", len(text)) {
 		t.Errorf("%v", err)
 	}
-	for want, ask := range map[string]func() (Status, error){"drain true": func() (Status, error) { return c.Rest(ctx) }, "serve": func() (Status, error) { return c.Serve(ctx) }} {
+	for want, ask := range map[string]func() (Status, error){"drain true": func() (Status, error) { return c.DrainAndStay(ctx) }, "serve": func() (Status, error) { return c.Serve(ctx) }} {
 		if _, err := ask(); err != nil || <-f.told != want {
 			t.Errorf("%s: %v", want, err)
 		}
 	}
-	if _, err := c.ask(ctx, "POST", "claim", []int{1}); !errors.Is(err, ErrBad) {
+	if _, err := c.call(ctx, "POST", "claim", []int{1}); !errors.Is(err, ErrInvalid) {
 		t.Errorf("no claim: %v", err)
 	}
 }
@@ -84,11 +84,11 @@
 		t.Errorf("others may open it: %v, %v", info.Mode(), err)
 	}
 	ctx, c := context.Background(), Client{path}
-	if st, err := c.Status(ctx); err != nil || st.PID != 7 || st.Generation != 3 || !st.Ready() {
+	if st, err := c.Status(ctx); err != nil || st.PID != 7 || st.Generation != 3 || !st.IsReady() {
 		t.Errorf("%+v, %v", st, err)
 	}
 	var refused RejectedError
-	if _, err := c.Reload(ctx); !errors.As(err, &refused) || refused.Text != "c.toml:3: x: unknown key" {
+	if _, err := c.Reload(ctx); !errors.As(err, &refused) || refused.Message != "c.toml:3: x: unknown key" {
 		t.Errorf("reload: %v", err)
 	}
 	if _, err := c.Upgrade(ctx, "/usr/bin/next"); err != nil {
@@ -102,10 +102,10 @@
 			t.Errorf("%q, not %q", got, want)
 		}
 	}
-	if _, err := c.ask(ctx, "POST", "upgrade", map[string]int{"pid": 1}); !errors.As(err, &refused) || !strings.Contains(refused.Text, `"pid"`) {
+	if _, err := c.call(ctx, "POST", "upgrade", map[string]int{"pid": 1}); !errors.As(err, &refused) || !strings.Contains(refused.Message, `"pid"`) {
 		t.Errorf("an unknown field: %v", err)
 	}
-	if _, err := c.ask(ctx, "GET", "reload", nil); err == nil {
+	if _, err := c.call(ctx, "GET", "reload", nil); err == nil {
 		t.Error("a reload by GET")
 	}
 	if _, err := Listen(path, f, false); err == nil || !strings.Contains(err.Error(), "another daemon") {
--- a/internal/measure/disturb.go
+++ b/internal/measure/disturb.go
@@ -41,7 +41,7 @@
 	count := &r.rep.Reloads
 	switch {
 	case what < 5:
-		raw, _ := os.ReadFile(before.Config)
+		raw, _ := os.ReadFile(before.ConfigPath)
 		changed := strings.Replace(string(raw), "depth = 2000", "depth = 2001", 1)
 		if changed == string(raw) {
 			changed = strings.Replace(string(raw), "depth = 2001", "depth = 2000", 1)
@@ -116,7 +116,7 @@
 // back waits until an instance serves again, by another process.
 func (r *fleetRig) back(ctx context.Context, i, pid int) error {
 	for {
-		if s, err := r.run.Members[i].Client.Status(ctx); err == nil && s.PID != pid && s.Ready() {
+		if s, err := r.run.Members[i].Client.Status(ctx); err == nil && s.PID != pid && s.IsReady() {
 			return nil
 		}
 		select {
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -191,7 +191,7 @@
 		}
 		n++
 		r.rep.IdleMem += a.Status.MemoryKB
-		r.rep.IdleFDs += a.Status.Descriptors
+		r.rep.IdleFDs += a.Status.OpenDescriptors
 		now, err := cpuOf(a.Status.PID)
 		if err != nil {
 			return err
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -352,7 +352,7 @@
 		if err != nil {
 			return nil, err
 		}
-		hash := s.Hash
+		hash := s.ConfigHash
 		if kind == desiredstate.Program {
 			raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/exe", s.PID))
 			if err != nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -92,11 +92,11 @@
 
 // member tells what a member of a fleet tells of itself.
 func (p *page) member(s *manage.Status) {
-	f := &s.Figures
-	p.add(&settings, 1, s.Hash)
-	p.add(&asWanted, oneIf(s.Wanted.Hash == "" || s.Wanted.Hash == s.Hash))
+	f := &s.Statistics
+	p.add(&settings, 1, s.ConfigHash)
+	p.add(&asWanted, oneIf(s.DesiredState.Hash == "" || s.DesiredState.Hash == s.ConfigHash))
 	p.add(&epoch, float64(s.Epoch))
-	p.add(&lost, oneIf(s.Lost != ""))
+	p.add(&lost, oneIf(s.LostToken != ""))
 	p.add(&worth, f.Asked, "asked")
 	p.add(&worth, f.Served, "served")
 	p.add(&units, f.Units)
--- a/internal/regiontrial/change.go
+++ b/internal/regiontrial/change.go
@@ -184,13 +184,13 @@
 	for i := range r.nodes() {
 		s, err := manage.Client{Path: r.ground.socket(i)}.Status(ctx)
 		raw, fileErr := os.ReadFile(r.ground.file(i))
-		told += fmt.Sprintf(" %s %.8s", member(i), s.Hash)
-		if err != nil || fileErr != nil || !s.Ready() || desiredstate.Hash(raw) != s.Hash {
-			told += fmt.Sprintf(" (%s, its file %.8s; %v, %v)", s.Life, desiredstate.Hash(raw), err, fileErr)
+		told += fmt.Sprintf(" %s %.8s", member(i), s.ConfigHash)
+		if err != nil || fileErr != nil || !s.IsReady() || desiredstate.Hash(raw) != s.ConfigHash {
+			told += fmt.Sprintf(" (%s, its file %.8s; %v, %v)", s.State, desiredstate.Hash(raw), err, fileErr)
 			continue
 		}
 		for k, h := range hashes {
-			if h[i/r.o.Each] == s.Hash {
+			if h[i/r.o.Each] == s.ConfigHash {
 				counts[k]++
 			}
 		}
--- a/internal/regiontrial/ground.go
+++ b/internal/regiontrial/ground.go
@@ -148,7 +148,7 @@
 	defer cancel()
 	for {
 		s, err := manage.Client{Path: g.socket(i)}.Status(ctx)
-		if err == nil && s.PID == g.procs[i].PID() && s.Ready() && len(s.Listeners) > 0 {
+		if err == nil && s.PID == g.procs[i].PID() && s.IsReady() && len(s.Listeners) > 0 {
 			g.point(i, s.Listeners[0])
 			return nil
 		}
--- a/internal/regiontrial/trial.go
+++ b/internal/regiontrial/trial.go
@@ -356,10 +356,10 @@
 		to := time.Since(r.began)
 		cancel()
 		if err == nil {
-			r.notes.Saw(member(i), s.Hash)
+			r.notes.Saw(member(i), s.ConfigHash)
 			r.mu.Lock()
 			if len(r.looks) < looksMost {
-				r.looks = append(r.looks, Look{member(i), from, to, s.PID, s.Generation, s.Hash, s.Epoch, s.Owner})
+				r.looks = append(r.looks, Look{member(i), from, to, s.PID, s.Generation, s.ConfigHash, s.Epoch, s.Owner})
 			}
 			r.mu.Unlock()
 		}
--- a/internal/scattergathertest/process_test.go
+++ b/internal/scattergathertest/process_test.go
@@ -65,7 +65,7 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	p.until("ready", func(s manage.Status) bool { return s.Ready() })
+	p.until("ready", func(s manage.Status) bool { return s.IsReady() })
 	addr := p.status().Listeners[0]
 	p.addr.Store(&addr)
 	p.dead.Store(false)
@@ -203,7 +203,7 @@
 		clients.Wait()
 	}
 	wave(60, low...)
-	low[0].until("enough is learned", func(s manage.Status) bool { return s.Gathers[0].Known })
+	low[0].until("enough is learned", func(s manage.Status) bool { return s.ScatterGathers[0].Known })
 	if c.refused+c.lost > 0 || c.whole == 0 {
 		t.Error(c.String())
 	}
@@ -240,20 +240,20 @@
 			}
 		})
 	}
-	learned := low[0].status().Gathers[0].Learned.Sketches
+	learned := low[0].status().ScatterGathers[0].Learned.Sketches
 	low[0].kill()
 	low[0].start()
-	if g := low[0].status().Gathers[0]; !g.Known || g.Learned.Sketches < learned {
+	if g := low[0].status().ScatterGathers[0]; !g.Known || g.Learned.Sketches < learned {
 		t.Errorf("after a kill %+v", g)
 	}
 	old := low[1].status()
 	if _, err := low[1].client.Upgrade(context.Background(), ""); err != nil {
 		t.Fatal(err)
 	}
-	low[1].until("a successor that knows", func(s manage.Status) bool { return s.PID != old.PID && s.Ready() && s.Gathers[0].Known })
+	low[1].until("a successor that knows", func(s manage.Status) bool { return s.PID != old.PID && s.IsReady() && s.ScatterGathers[0].Known })
 	for i := range 4 {
 		low[2].write(strings.Replace(text, `half_life = "400ms"`, fmt.Sprintf(`half_life = "%dms"`, 300+100*i), 1))
-		if s, err := low[2].client.Reload(context.Background()); err != nil || s.Generation != i+2 || !s.Gathers[0].Known {
+		if s, err := low[2].client.Reload(context.Background()); err != nil || s.Generation != i+2 || !s.ScatterGathers[0].Known {
 			t.Errorf("%+v, %v", s, err)
 		}
 	}
@@ -278,6 +278,6 @@
 	if err := json.Unmarshal(raw, &names); err != nil || resp.StatusCode != 200 || len(names) != held || of != 10 {
 		t.Errorf("%d %s: %q, %v", resp.StatusCode, resp.Header.Get("Lockflow-Parts"), raw, err)
 	}
-	low[2].until("what others learned", func(s manage.Status) bool { return s.Gathers[0].Shared.Members > 0 })
+	low[2].until("what others learned", func(s manage.Status) bool { return s.ScatterGathers[0].Shared.Members > 0 })
 	http.DefaultClient.CloseIdleConnections()
 }
--- a/internal/versionskew/judge.go
+++ b/internal/versionskew/judge.go
@@ -86,11 +86,11 @@
 	if before.Epoch == 0 || after.Epoch != before.Epoch || after.Owner != before.Owner {
 		t.report.violation("%s: epoch %d of %q was granted, now it is %d of %q", step, before.Epoch, before.Owner, after.Epoch, after.Owner)
 	}
-	if after.Order != before.Order || after.Wanted != before.Wanted {
-		t.report.violation("%s: order %+v of %+v, now %+v of %+v", step, before.Order, before.Wanted, after.Order, after.Wanted)
+	if after.LastCommand != before.LastCommand || after.DesiredState != before.DesiredState {
+		t.report.violation("%s: order %+v of %+v, now %+v of %+v", step, before.LastCommand, before.DesiredState, after.LastCommand, after.DesiredState)
 	}
-	if after.Hash != before.Hash {
-		t.report.violation("%s: serves by the configuration %s, was %s", step, after.Hash, before.Hash)
+	if after.ConfigHash != before.ConfigHash {
+		t.report.violation("%s: serves by the configuration %s, was %s", step, after.ConfigHash, before.ConfigHash)
 	}
 }
 
--- a/internal/versionskew/process.go
+++ b/internal/versionskew/process.go
@@ -86,7 +86,7 @@
 		}
 		var err error
 		status, err = d.client.Status(ctx)
-		return err == nil && status.PID == cmd.Process.Pid && status.Ready(), nil
+		return err == nil && status.PID == cmd.Process.Pid && status.IsReady(), nil
 	})
 	if err != nil {
 		_ = cmd.Process.Kill()
@@ -113,7 +113,7 @@
 		if err != nil {
 			return
 		}
-		for _, pid := range []int{status.Beside, status.PID} {
+		for _, pid := range []int{status.SuccessorPID, status.PID} {
 			if pid > 0 {
 				_ = syscall.Kill(pid, syscall.SIGKILL)
 			}
--- a/internal/versionskew/trial.go
+++ b/internal/versionskew/trial.go
@@ -252,8 +252,8 @@
 	if err != nil {
 		return err
 	}
-	if status.Hash != status.Wanted.Hash || status.Order.ID == "" {
-		t.report.violation("a coordinator of the %s build: hash %s, wanted %s, order %q", coordinator.name, status.Hash, status.Wanted.Hash, status.Order.ID)
+	if status.ConfigHash != status.DesiredState.Hash || status.LastCommand.ID == "" {
+		t.report.violation("a coordinator of the %s build: hash %s, wanted %s, order %q", coordinator.name, status.ConfigHash, status.DesiredState.Hash, status.LastCommand.ID)
 	}
 	return nil
 }
@@ -275,7 +275,7 @@
 			return err
 		}
 		step := Step{Name: fmt.Sprintf("restart %s to %s", from.name, to.name)}
-		for _, condition := range status.Distrusts {
+		for _, condition := range status.DegradedConditions {
 			t.report.violation("%s: the new process distrusts %s", step.Name, condition)
 		}
 		if err := t.inspect(ctx, to); err != nil {
@@ -330,7 +330,7 @@
 		if paths, err := keyDifferences(raw, printed); err != nil || len(paths) > 0 {
 			t.report.violation("status of the %s build as the %s build prints it: %v %s", serving.name, reader.name, err, strings.Join(paths, " "))
 		}
-		if again, _, err := statusDifferences(printed); err != nil || again.PID != decoded.PID || again.Hash != decoded.Hash || again.Epoch != decoded.Epoch {
+		if again, _, err := statusDifferences(printed); err != nil || again.PID != decoded.PID || again.ConfigHash != decoded.ConfigHash || again.Epoch != decoded.Epoch {
 			t.report.violation("status of the %s build as the %s build prints it: process %d, epoch %d: %v", serving.name, reader.name, again.PID, again.Epoch, err)
 		}
 	}
