--- a/control/admission.go
+++ b/control/admission.go
@@ -5,7 +5,6 @@
 	"time"
 )
 
-// Tuned constants of admission.
 const (
 	maxRejectionProbability = 0.95        // of the metered rule
 	wellFilledFraction      = 0.08        // filling from which the quota's bucket alone admits
@@ -67,7 +66,7 @@
 	// important one, taking the tokens or the turn of others.
 	isSheddable := late || class.PriorityWeight < sheddableWeightRatio*c.maxPriorityWeight
 	maxTurnTime := sheddableTurnFraction * class.LatencyObjective.Seconds()
-	isScarce := !c.hasFreeSlot() && c.expectedTurnTime() > maxTurnTime ||
+	isScarce := !c.limiter.hasFreeSlot(c.now, c.occupiedSlots()) && c.expectedTurnTime() > maxTurnTime ||
 		plan.QuotaRate > 0 && account.quota.tokens-account.queuedUnits < spareTokensFraction*plan.QuotaBurst
 	var cause Cause
 	switch {
@@ -91,7 +90,7 @@
 	for _, plan := range c.plans {
 		queued += len(plan.queue)
 	}
-	return c.fleetLatency * (1 + float64(queued+1)/math.Max(1, c.concurrencyLimit))
+	return c.fleet.latency.mean * (1 + float64(queued+1)/math.Max(1, c.limiter.limit))
 }
 
 // quotaCause checks a request against the hard limit, the quota's bucket and the rejection probability.
--- a/control/attempts.go
+++ b/control/attempts.go
@@ -5,12 +5,9 @@
 	"time"
 )
 
-// Tuned constants of attempts and retries.
 const (
-	maxFailureRate        = 0.75             // failure rate above which errors count toward ejection
-	planRejectionTime     = 15 * time.Second // during which a server that rejected a plan is avoided for it
-	minRetryCost          = 0.1              // of the retry budget
-	maxAbandonedLatencies = 2.0              // mean latencies that an abandoned attempt is presumed to run
+	minRetryCost          = 0.1 // of the retry budget
+	maxAbandonedLatencies = 2.0 // mean latencies that an abandoned attempt is presumed to run
 )
 
 func (c *Controller) handleStarted(event ResponseStarted) {
@@ -41,10 +38,8 @@
 	if event.Load != nil {
 		c.recordLoadReport(attempt.server, event.Load)
 	}
-	if c.requests[req.id] != req {
-		return
-	}
 	switch {
+	case c.requests[req.id] != req: // it has its final answer
 	case event.IsFinal:
 		c.removeRequest(req)
 	case !req.isQueued && req.inFlight == 0:
@@ -56,9 +51,7 @@
 // concurrency limit or an in-flight quota has a fractional slot.
 func (c *Controller) reserveFractionalSlot(attempt *pendingAttempt) {
 	attempt.server.lastActivityAt = c.now
-	if fraction := c.concurrencyLimit - c.occupiedSlots(); fraction > 0 && fraction < 1 {
-		c.fractionalSlotFreeAt = c.now + durationOf((1/fraction-1)*c.fleetLatency)
-	}
+	c.limiter.pauseAfter(c.now, c.occupiedSlots(), c.fleet.latency.mean)
 	if account := attempt.account; account.plan.MaxInFlight > 0 {
 		account.inFlight.pauseAfter(c.now, attempt.sentAt)
 	}
@@ -66,8 +59,8 @@
 
 // refundAttempt returns what was charged for an attempt that was not sent.
 func (c *Controller) refundAttempt(attempt *pendingAttempt) {
-	if attempt.server.isWarmingUp && attempt.sentAt >= attempt.server.warmupStart {
-		attempt.server.slowStartTokens += c.countedUnits(attempt.request.units)
+	if attempt.server.slowStart.isActive && attempt.sentAt >= attempt.server.slowStart.startedAt {
+		attempt.server.slowStart.tokens += c.countedUnits(attempt.request.units)
 	}
 	if attempt.charge.units > 0 {
 		c.refund(attempt.account, attempt.charge)
@@ -78,12 +71,11 @@
 func (c *Controller) recordOutcome(attempt *pendingAttempt, event AttemptResult) {
 	srv, req := attempt.server, attempt.request
 	elapsed := (c.now - attempt.sentAt).Seconds()
+	srv.outlier.recordOutcome(c.now, event.Reason, req.plan)
 	switch event.Reason {
 	case OK:
-		srv.consecutiveFailures, srv.isProbing, srv.ejectionTime = 0, false, 0
-		c.recordFailureRate(srv, 0)
-		if !srv.isWarmingUp {
-			c.servedUnits += c.countedUnits(req.units)
+		if !srv.slowStart.isActive {
+			c.window.servedUnits += c.countedUnits(req.units)
 		}
 		if event.ActualUnits > 0 && c.settings.UnitsInResponse {
 			c.refill(attempt.account)
@@ -92,31 +84,18 @@
 		if !req.isStreaming {
 			c.recordAnswer(attempt, c.now-attempt.sentAt)
 		}
-	case RejectedByServer: // maybe for this plan only
-		c.recordFailure(srv, 1)
-		srv.planRejectedUntil[req.plan] = c.now + planRejectionTime
-		c.overloads++
-	case ConnectFailed:
-		c.recordFailure(srv, ejectionFailures)
-	case ResetByPeer, Errored:
-		if c.recordFailureRate(srv, 1); c.currentFailureRate(srv) > maxFailureRate {
-			c.recordFailure(srv, 1)
-		}
-		srv.isProbing = false
-	case NotSent, Cancelled: // shows nothing of an ejected server that it was to probe
-		srv.isProbing = false
+	case RejectedByServer:
+		c.window.overloads++
 	case TimedOut:
-		c.recordFailure(srv, 1)
 		if !req.isStreaming { // else it is the length of the stream
-			c.recordLatency(srv, elapsed)
+			srv.latency.add(c.now, elapsed)
 		}
-		c.overloads++
+		c.window.overloads++
 	}
 	mayStillRun := event.Reason == TimedOut || event.Reason == Cancelled
 	if mayStillRun {
-		srv.abandoned++
-		runsFor := durationOf(math.Min(elapsed, maxAbandonedLatencies*c.fleetLatency))
-		c.abandoned = append(c.abandoned, abandonedAttempt{srv, c.now + runsFor})
+		runsFor := durationOf(math.Min(elapsed, maxAbandonedLatencies*c.fleet.latency.mean))
+		c.addAbandoned(srv, c.now+runsFor)
 	}
 	mayHaveRun := event.Reason == Errored || event.Reason == ResetByPeer || mayStillRun
 	if mayHaveRun && !req.mayHaveRun {
@@ -127,22 +106,20 @@
 // recordAnswer takes the latency of a successful answer, or of the start of a streamed one.
 func (c *Controller) recordAnswer(attempt *pendingAttempt, elapsed time.Duration) {
 	seconds := elapsed.Seconds()
-	c.recordLatency(attempt.server, seconds)
+	attempt.server.latency.add(c.now, seconds)
 	objective := attempt.request.class.LatencyObjective.Seconds()
-	c.answers++
+	c.window.answers++
 	if c.rejectionProbability(attempt.account) == 0 {
 		attempt.request.plan.recordLateness((c.now - attempt.request.arrivedAt).Seconds() / objective)
 	}
 	// Guards against a limit that is cut because servers are warming up: they are slow with little load.
-	if attempt.server.isWarmingUp {
+	if attempt.server.slowStart.isActive {
 		return
 	}
-	c.latencySamples++
-	gain := math.Max(fleetEstimateGain, 1/c.latencySamples)
-	c.fleetLatency += gain * (math.Min(seconds, objective) - c.fleetLatency)
-	c.latencySecondsSum += math.Min(seconds, objective)
-	c.latencyRatioSum += math.Min(1, seconds/objective)
-	c.latencyCount++
+	c.fleet.latency.add(math.Min(seconds, objective), fleetEstimateGain)
+	c.window.latencySecondsSum += math.Min(seconds, objective)
+	c.window.latencyRatioSum += math.Min(1, seconds/objective)
+	c.window.latencyCount++
 }
 
 // retryOrEnd retries a request if idempotency, the attempt limit, the retry budget and the deadline
@@ -151,16 +128,14 @@
 func (c *Controller) retryOrEnd(req *request, attempt *pendingAttempt, reason Reason) {
 	cost := 1.0
 	if reason == Errored || reason == ResetByPeer || reason == ConnectFailed {
-		cost = (c.now - attempt.sentAt).Seconds() / math.Max(c.fleetLatency, epsilon)
+		cost = (c.now - attempt.sentAt).Seconds() / math.Max(c.fleet.latency.mean, epsilon)
 		cost = math.Min(1, math.Max(minRetryCost, cost))
 	}
 	canRetry := reason != NotSent && c.retryBudget >= cost && c.now < req.deadline-time.Millisecond &&
 		(c.settings.MaxAttempts == 0 || req.attempts < c.settings.MaxAttempts)
-	if req.mayHaveRun && req.class.Idempotency != Idempotent {
-		isKeyed := req.class.Idempotency == IdempotencyKeyed
-		canRetry = canRetry && isKeyed && c.now < req.firstRunAt+req.class.RepeatWindow
-	}
-	if !canRetry {
+	canRepeat := !req.mayHaveRun || req.class.Idempotency == Idempotent ||
+		req.isKeyed() && c.now < req.repeatsDroppedUntil()
+	if !canRetry || !canRepeat {
 		c.endUnserved(req, CauseNoRetry)
 		return
 	}
@@ -168,8 +143,8 @@
 	c.enqueue(req, true)
 	// Guards against a retry that is queued beyond the client's deadline or its key's repeat window.
 	until := req.deadline - time.Millisecond
-	if req.mayHaveRun && req.class.Idempotency == IdempotencyKeyed {
-		until = min(until, req.firstRunAt+req.class.RepeatWindow)
+	if req.mayHaveRun && req.isKeyed() {
+		until = min(until, req.repeatsDroppedUntil())
 	}
 	c.armTimer(req, until-c.now)
 }
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -147,8 +147,8 @@
 	}
 	for i := range checkpoint.Servers {
 		saved := &checkpoint.Servers[i]
-		if srv := c.servers[saved.Server]; srv.isWarmingUp {
-			saved.SlowStartTokens, srv.slowStartTokens = splitTokens(saved.SlowStartTokens, queued, fraction)
+		if srv := c.servers[saved.Server]; srv.slowStart.isActive {
+			saved.SlowStartTokens, srv.slowStart.tokens = splitTokens(saved.SlowStartTokens, queued, fraction)
 		}
 	}
 	checkpoint.RateFraction = c.rateFraction * fraction
@@ -172,9 +172,9 @@
 
 func (c *Controller) takeCheckpoint() Checkpoint {
 	checkpoint := Checkpoint{
-		Version: CheckpointVersion, At: c.now, FillingSince: c.fillingSince, SlackFraction: c.slackFraction, RateFraction: c.rateFraction, ConcurrencyLimit: c.concurrencyLimit, UsableServers: c.countServers((*server).isUsable),
-		Window: WindowState{c.windowEndsAt, c.wasCut, c.limitReached, c.latencyRatioSum, c.latencySecondsSum, c.latencyCount, c.answers, c.overloads, c.servedUnits, c.utilizationSum, c.utilizationCount, c.limitCutAt}, FleetLatency: c.fleetLatency, IdleLatency: c.idleLatency, LatencySamples: c.latencySamples,
-		WarmThroughput: c.warmThroughput, RetryBudget: c.retryBudget, MinRetryGap: c.minRetryGap,
+		Version: CheckpointVersion, At: c.now, FillingSince: c.fillingSince, SlackFraction: c.slackFraction, RateFraction: c.rateFraction, ConcurrencyLimit: c.limiter.limit, UsableServers: c.countServers((*server).isUsable),
+		Window: WindowState{c.windowEndsAt, c.window.wasCut, c.window.limitReached, c.window.latencyRatioSum, c.window.latencySecondsSum, c.window.latencyCount, c.window.answers, c.window.overloads, c.window.servedUnits, c.window.utilizationSum, c.window.utilizationCount, c.limiter.cutAt}, FleetLatency: c.fleet.latency.mean, IdleLatency: c.limiter.idleLatency, LatencySamples: c.fleet.latency.count,
+		WarmThroughput: c.fleet.warmThroughput.mean, RetryBudget: c.retryBudget, MinRetryGap: c.minRetryGap,
 	}
 	if c.settings.MeterPeriod > 0 {
 		checkpoint.Meter = MeterState{Period: c.settings.MeterPeriod, PhaseBin: c.meter.phaseBin, LagBins: c.meter.lagBins}
@@ -190,22 +190,7 @@
 		checkpoint.Plans = append(checkpoint.Plans, PlanCheckpoint{plan.Name, plan.share, plan.meanLateness, plan.latenessSum, plan.latenessCount})
 	}
 	for _, srv := range c.sortedServers {
-		one := ServerCheckpoint{
-			Server: srv.Server, StartedAt: srv.bootTime(), InFlight: srv.inFlight, Latency: srv.latency, LatencyAt: srv.latencyAt,
-			ConsecutiveFailures: srv.consecutiveFailures, FailureRate: srv.failureRate, FailureRateAt: srv.failureRateAt, EjectedUntil: srv.ejectedUntil, EjectionTime: srv.ejectionTime, SlowStartTokens: srv.slowStartTokens,
-			PlanRejectedUntil: make(map[string]time.Duration),
-		}
-		for _, abandoned := range c.abandoned {
-			if abandoned.server == srv {
-				one.AbandonedUntil = append(one.AbandonedUntil, abandoned.until)
-			}
-		}
-		for plan, until := range srv.planRejectedUntil {
-			if until > c.now {
-				one.PlanRejectedUntil[plan.Name] = until
-			}
-		}
-		checkpoint.Servers = append(checkpoint.Servers, one)
+		checkpoint.Servers = append(checkpoint.Servers, c.checkpointServer(srv))
 	}
 	for key, account := range c.accounts {
 		c.refill(account)
@@ -220,11 +205,3 @@
 	})
 	return checkpoint
 }
-
-// bootTime is when a server started, 0 for long ago.
-func (s *server) bootTime() time.Duration {
-	if !s.HasStartedAt {
-		return 0
-	}
-	return s.StartedAt
-}
--- a/control/checkpoint_test.go
+++ b/control/checkpoint_test.go
@@ -181,31 +181,31 @@
 func TestWhatWasLearnedGoesOn(t *testing.T) {
 	settings := settings()
 	a := newGate(t, settings, on(1, 2, 3)...)
-	a.c.concurrencyLimit, a.c.fleetLatency, a.c.meter.lagBins, a.c.meter.phaseBin = 37, 0.25, 12, 3
+	a.c.limiter.limit, a.c.fleet.latency.mean, a.c.meter.lagBins, a.c.meter.phaseBin = 37, 0.25, 12, 3
 	a.c.plans[0].share, a.c.plans[1].share = 0.25, 0.75
 	bad := a.c.servers[2]
-	bad.latency, bad.latencyAt, bad.consecutiveFailures, bad.ejectedUntil = 3, a.now, ejectionFailures, a.now+time.Second
+	bad.latency.seconds, bad.latency.updatedAt, bad.outlier.consecutiveFailures, bad.outlier.ejectedUntil = 3, a.now, ejectionFailures, a.now+time.Second
 	checkpoint := a.c.HandOver(a.now, 1)
 	checkpoint.Servers = append(checkpoint.Servers, ServerCheckpoint{Server: 99}) // is not listed any more
 	b := newGate(t, settings, append(on(1, 2), Endpoint{Server: 3, HasStartedAt: true, StartedAt: a.now})...)
 	b.now = a.now
 	b.c.Restore(b.now, checkpoint, TrustAll)
-	if b.c.fleetLatency != 0.25 || b.c.meter.lagBins != 12 || b.c.meter.phaseBin != 3 || b.c.plans[1].share != 0.75 {
-		t.Errorf("latency %g, lag %d, shares %g", b.c.fleetLatency, b.c.meter.lagBins, b.c.plans[1].share)
+	if b.c.fleet.latency.mean != 0.25 || b.c.meter.lagBins != 12 || b.c.meter.phaseBin != 3 || b.c.plans[1].share != 0.75 {
+		t.Errorf("latency %g, lag %d, shares %g", b.c.fleet.latency.mean, b.c.meter.lagBins, b.c.plans[1].share)
 	}
-	if b.c.concurrencyLimit < 37*0.7 || b.c.concurrencyLimit > 37 {
-		t.Errorf("a bound of %g", b.c.concurrencyLimit)
+	if b.c.limiter.limit < 37*0.7 || b.c.limiter.limit > 37 {
+		t.Errorf("a bound of %g", b.c.limiter.limit)
 	}
-	if !b.c.isEjected(b.c.servers[2]) || b.c.servers[3].latency != 0 {
+	if !b.c.servers[2].outlier.isEjected(b.c.now) || b.c.servers[3].latency.seconds != 0 {
 		t.Error("the servers are not as they were")
 	}
 	old := checkpoint
 	old.At -= time.Hour
 	d := newGate(t, settings, on(1, 2, 3)...)
-	first := d.c.concurrencyLimit
+	first := d.c.limiter.limit
 	d.c.Restore(a.now, old, TrustAll)
-	if math.Abs(d.c.concurrencyLimit-first) > 0.01 {
-		t.Errorf("a bound of %g by what is an hour old, not %g", d.c.concurrencyLimit, first)
+	if math.Abs(d.c.limiter.limit-first) > 0.01 {
+		t.Errorf("a bound of %g by what is an hour old, not %g", d.c.limiter.limit, first)
 	}
 }
 
@@ -214,7 +214,7 @@
 	c := &chain{t: t, set: ceilingSettings(), rng: rand.New(rand.NewPCG(1, 4))}
 	c.set.Plans = []Plan{{Name: "low", Price: 1}}
 	c.live = []*gate{c.gate(time.Hour)}
-	first := c.newest().c.concurrencyLimit
+	first := c.newest().c.limiter.limit
 	for i := range 6000 {
 		c.step(1)
 		if i%150 == 149 {
@@ -222,7 +222,7 @@
 			c.alone()
 		}
 	}
-	if got := c.newest().c.concurrencyLimit; got <= first {
+	if got := c.newest().c.limiter.limit; got <= first {
 		t.Errorf("a bound of %g, at first %g", got, first)
 	}
 }
@@ -259,7 +259,7 @@
 		spoil(&c)
 		b, same := newGate(t, settings, on(1, 2)...), newGate(t, settings, on(1, 2)...)
 		b.c.Restore(b.now, c, TrustAll)
-		if !reflect.DeepEqual(b.c.accounts, same.c.accounts) || b.c.concurrencyLimit != same.c.concurrencyLimit {
+		if !reflect.DeepEqual(b.c.accounts, same.c.accounts) || b.c.limiter.limit != same.c.limiter.limit {
 			t.Errorf("%s: it was taken over", name)
 		}
 	}
--- /dev/null
+++ b/control/concurrency_limit.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	minGroupSlotsPerServer    = 2.0   // sum of a replica group's minimum limits, per server
+	limitDecreaseFactor       = 0.5   // on overload, at most once a window
+	latencyCutFraction        = 0.18  // mean latency, as a part of the objective, that counts as overload
+	latencyHardCutFraction    = 0.33  // the same whatever the idle latency
+	idleLatencyCutFactor      = 2.0   // times the idle latency below which latency is no overload
+	idleLatencyDrift          = 1.005 // growth of the idle latency in a window without a lower one
+	minIdleLatencySamples     = 25    // before an idle latency is kept
+	overloadCutFraction       = 0.1   // part of a window's outcomes that show overload at which the limit is cut
+	overloadIdleLatencyFactor = 1.3   // times the idle latency below which it is not
+	fullUtilization           = 0.9   // mean reported utilization below which servers have spare capacity
+	sureAnswerCount           = 40.0  // answers in a window whose mean alone can cut the limit
+	overloadHoldFraction      = 0.03  // part of the outcomes above which the limit does not grow
+)
+
+// minConcurrencyLimit is twice the usable servers, or this gateway's part of the replica group's sum.
+// Guards against many gateways whose minimum limits alone overload the servers.
+func (c *Controller) minConcurrencyLimit() float64 {
+	n := c.countServers(func(srv *server) bool { return srv.isUsable() && !srv.outlier.hasTripped() })
+	return math.Min(slotsPerServer, minGroupSlotsPerServer/float64(c.settings.GroupSize)) * math.Max(1, n)
+}
+
+// endWindow sets the concurrency limit and the shares of the next control window.
+func (c *Controller) endWindow(windowSeconds float64) {
+	c.limiter.update(c.now, &c.window, c.fleet.latency, c.minConcurrencyLimit())
+	c.updateShares()
+	c.fleet.warmThroughput.add(c.window.servedUnits/windowSeconds, serverLatencyGain)
+	c.window = controlWindow{}
+	c.evictIdleAccounts()
+}
+
+// update cuts the limit on overload in a window, and raises it if there was none and it was reached.
+func (l *concurrencyLimiter) update(
+	now time.Duration, window *controlWindow, latency runningMean, minLimit float64,
+) {
+	l.idleLatency = math.Min(l.idleLatency*idleLatencyDrift, latency.mean)
+	if latency.count < minIdleLatencySamples || l.idleLatency == 0 {
+		l.idleLatency = latency.mean
+	}
+	overloadFraction := window.overloads / math.Max(1, window.overloads+window.answers)
+	if l.isOverloaded(window, overloadFraction) {
+		window.wasCut = true
+		if now >= l.cutAt+durationOf(2*latency.mean) { // the answers are to attempts after the last cut
+			l.cutAt, l.limit = now, l.limit*limitDecreaseFactor
+		}
+	} else if overloadFraction <= overloadHoldFraction && window.limitReached {
+		l.limit *= limitIncreaseFactor
+	}
+	l.limit = math.Max(l.limit, minLimit)
+}
+
+// isOverloaded tells whether a window shows that servers have too much to do.
+func (l *concurrencyLimiter) isOverloaded(window *controlWindow, overloadFraction float64) bool {
+	latencyRatio := window.latencyRatioSum / math.Max(1, window.latencyCount)
+	isLate := latencyRatio > latencyCutFraction && (latencyRatio > latencyHardCutFraction ||
+		window.latencySecondsSum > window.latencyCount*idleLatencyCutFactor*l.idleLatency)
+	// Guards against servers that reject a plan though they have capacity: answers are not slow then.
+	isSlow := window.latencyCount == 0 ||
+		window.latencySecondsSum > window.latencyCount*overloadIdleLatencyFactor*l.idleLatency
+	// Guards, in a large group, against cutting for a few answers that are slow by chance or come from
+	// slow servers, to which others send no less; many answers are sure without load reports.
+	serversAreFull := window.latencyCount >= sureAnswerCount || window.utilizationCount == 0 ||
+		window.utilizationSum > window.utilizationCount*fullUtilization
+	return serversAreFull && (isLate || overloadFraction > overloadCutFraction && isSlow)
+}
+
+// hasFreeSlot tells whether another attempt is within the limit. A fractional slot pauses after each
+// use, so that hundreds of gateways may each have less than one attempt in flight.
+func (l *concurrencyLimiter) hasFreeSlot(now time.Duration, occupied float64) bool {
+	return occupied+1 <= l.limit || occupied < l.limit && now >= l.fractionalSlotFreeAt
+}
+
+// pauseAfter holds the fractional slot back after an attempt that ended.
+func (l *concurrencyLimiter) pauseAfter(now time.Duration, occupied, latencySeconds float64) {
+	if fraction := l.limit - occupied; fraction > 0 && fraction < 1 {
+		l.fractionalSlotFreeAt = now + durationOf((1/fraction-1)*latencySeconds)
+	}
+}
+
+// updateShares has the share controller set the shares by the lateness of each plan.
+func (c *Controller) updateShares() {
+	lateness, shares := make([]float64, len(c.plans)), make([]float64, len(c.plans))
+	for i, plan := range c.plans {
+		if plan.latenessCount > 0 {
+			plan.meanLateness = plan.latenessSum / plan.latenessCount
+		}
+		plan.latenessSum, plan.latenessCount = 0, 0
+		lateness[i], shares[i] = plan.meanLateness, plan.share
+	}
+	if c.window.answers < minAnswersPerWindow {
+		return
+	}
+	for i, share := range c.shareController.NextShares(shares, lateness, !c.window.wasCut) {
+		c.plans[i].share = share
+	}
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -162,7 +162,7 @@
 
 // bookkeepingFiles hold types, state and its storage, and decide nothing. Each file is either one of them or policy.
 var bookkeepingFiles = []string{
-	"account.go", "account_storage.go", "api.go", "checkpoint.go", "doc.go", "history.go", "image.go", "restore.go", "resume.go", "settings.go", "sharecontrol/state.go", "state.go",
+	"account.go", "account_storage.go", "api.go", "checkpoint.go", "doc.go", "fleet.go", "history.go", "image.go", "restore.go", "resume.go", "server.go", "server_storage.go", "settings.go", "sharecontrol/state.go", "state.go",
 }
 
 // The limits of what decides: the files that the deploy file lists, all of them together. Blank lines do not
@@ -283,38 +283,38 @@
 	if len(gateway.sends) != 6 {
 		t.Fatalf("%d in flight with three servers at start", len(gateway.sends))
 	}
-	gateway.c.concurrencyLimit = 40
+	gateway.c.limiter.limit = 40
 	for i := 0; i < 10; i++ { // time-outs and refusals, many in each interval
-		gateway.c.overloads, gateway.c.answers = 5, 5
-		before := gateway.c.concurrencyLimit
+		gateway.c.window.overloads, gateway.c.window.answers = 5, 5
+		before := gateway.c.limiter.limit
 		gateway.c.endWindow(1)
-		if gateway.c.concurrencyLimit < before/2 {
-			t.Errorf("the bound went from %g to %g in one interval", before, gateway.c.concurrencyLimit)
+		if gateway.c.limiter.limit < before/2 {
+			t.Errorf("the bound went from %g to %g in one interval", before, gateway.c.limiter.limit)
 		}
 	}
-	if gateway.c.concurrencyLimit != 3 {
-		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", gateway.c.concurrencyLimit)
+	if gateway.c.limiter.limit != 3 {
+		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", gateway.c.limiter.limit)
 	}
 }
 
 // Guards against a few long requests that pin the bound to its floor.
 func TestOneTimeOutDoesNotCutTheBound(t *testing.T) {
 	gateway := newGate(t, settings(), on(1, 2)...)
-	gateway.c.concurrencyLimit, gateway.c.overloads, gateway.c.answers = 40, 1, 99
+	gateway.c.limiter.limit, gateway.c.window.overloads, gateway.c.window.answers = 40, 1, 99
 	gateway.c.endWindow(1)
-	if gateway.c.concurrencyLimit < 40 {
-		t.Errorf("bound %g after one time-out in a hundred answers", gateway.c.concurrencyLimit)
+	if gateway.c.limiter.limit < 40 {
+		t.Errorf("bound %g after one time-out in a hundred answers", gateway.c.limiter.limit)
 	}
-	gateway.c.overloads, gateway.c.answers = 30, 70
+	gateway.c.window.overloads, gateway.c.window.answers = 30, 70
 	gateway.c.endWindow(1)
-	if gateway.c.concurrencyLimit != 20 {
-		t.Errorf("bound %g after thirty in a hundred", gateway.c.concurrencyLimit)
+	if gateway.c.limiter.limit != 20 {
+		t.Errorf("bound %g after thirty in a hundred", gateway.c.limiter.limit)
 	}
 }
 
 func TestSharesStayWithFewAnswers(t *testing.T) {
 	gateway := newGate(t, settings(), on(1)...)
-	gateway.c.plans[0].meanLateness, gateway.c.plans[1].meanLateness, gateway.c.answers = 3, 0.1, minAnswersPerWindow-1
+	gateway.c.plans[0].meanLateness, gateway.c.plans[1].meanLateness, gateway.c.window.answers = 3, 0.1, minAnswersPerWindow-1
 	gateway.c.endWindow(1)
 	if gateway.c.plans[0].share != 0.5 {
 		t.Errorf("share %g after an interval of four answers", gateway.c.plans[0].share)
--- a/control/control.go
+++ b/control/controller.go
@@ -21,32 +21,24 @@
 	initialSlackFraction       = 0.5                    // part of the slack that a new hard-limit bucket has
 	serverLatencyGain          = 0.2                    // gain of a server's latency estimate
 	fleetEstimateGain          = 0.02                   // gain of estimates over all servers
-	ejectionFailures           = 3                      // consecutive failures that eject a server
 	maxRetryBudget             = 20.0                   // retries that can be saved up
 	rewatchInterval            = 2 * time.Second        // between two requests to watch the endpoint list
 )
 
-// New returns the controller of one gateway; all its randomness comes from seed. It fails if a setting
-// makes no sense.
+// New returns a gateway's controller, whose randomness comes from seed; an error names a bad setting.
 func New(settings Settings, seed uint64) (*Controller, error) {
 	if err := validate(&settings); err != nil {
 		return nil, err
 	}
 	c := newController(settings, seed)
 	c.retryBudget, c.minRetryGap, c.meter.lagBins = maxRetryBudget, rejectRetryAfter, initialMeterLagBins
-	c.meanRequestUnits = (1 + math.Max(1, settings.MaxUnits)) / 2 // until there are requests
+	c.fleet.requestUnits.mean = (1 + math.Max(1, settings.MaxUnits)) / 2 // until there are requests
 	for _, plan := range c.plans {
 		plan.share = 1 / float64(len(c.plans))
 	}
 	return c, nil
 }
 
-func (c *Controller) startClock() {
-	c.isStarted, c.fillingSince = true, c.now
-	c.windowEndsAt = c.now + windowDuration
-	c.emit(StartTimer{After: tickPeriod, Label: tickTimerLabel})
-}
-
 func (c *Controller) handleList(event EndpointList) {
 	c.isWatching = c.settings.ListOnRequest && event.Kind != ListCached && event.Kind != ListFailed
 	if event.Kind == ListFailed {
@@ -54,9 +46,9 @@
 		return
 	}
 	c.mergeList(event)
-	if c.concurrencyLimit == 0 {
+	if c.limiter.limit == 0 {
 		first := math.Min(slotsPerServer, initialGroupSlotsPerServer/float64(c.settings.GroupSize))
-		c.concurrencyLimit = math.Max(c.minConcurrencyLimit(), first*c.countServers((*server).isUsable))
+		c.limiter.limit = math.Max(c.minConcurrencyLimit(), first*c.countServers((*server).isUsable))
 	}
 }
 
@@ -77,7 +69,7 @@
 		c.nextWatchAt = c.now + rewatchInterval
 	}
 	// A window of few answers goes on, as their mean says little.
-	hasAnswers := c.answers+c.overloads >= minAnswersPerWindow
+	hasAnswers := c.window.answers+c.window.overloads >= minAnswersPerWindow
 	if c.now >= c.windowEndsAt && (hasAnswers || c.now >= c.windowEndsAt+maxWindowExtension) {
 		c.endWindow((c.now - c.windowEndsAt + windowDuration).Seconds())
 		c.windowEndsAt = c.now + windowDuration
--- /dev/null
+++ b/control/endpoint_choice.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	triedServerPenalty      = 4.0  // factor on the cost of a server that this request has tried
+	ejectedServerPenalty    = 1e6  // factor on the cost of an ejected server, the last choice
+	tieBreakNoise           = 0.02 // random part of a cost, so that gateways choose differently
+	latencyDecaySeconds     = 5.0  // time constant of the trust in an estimate without new samples
+	latencyPriorSamples     = 6.0  // recent samples that weigh as much as the fleet's latency
+	slowdownDecaySeconds    = 40.0 // time constant of a reported slowdown
+	minSlowdown             = 1.5  // below it, a server counts as fast as the fleet
+	utilizationDecaySeconds = 2.0  // time constant of a reported utilization
+	utilizationPenalty      = 3.0  // weight of the fourth power of the utilization
+	unknownServerPenalty    = 3.0  // factor on the cost of a server without a recent report
+	minReportingServers     = 4    // with fewer, servers without a report are preferred
+)
+
+// chooseServer returns the allowed server of the lowest cost; nil if the request has to wait.
+func (c *Controller) chooseServer(req *request) *server {
+	var best *server
+	bestCost := math.Inf(1)
+	unknownPenalty := unknownServerPenalty
+	if c.countServers(func(srv *server) bool { return srv.load.isRecent(c.now) }) < minReportingServers {
+		unknownPenalty = 1 / unknownServerPenalty
+	}
+	for _, srv := range c.sortedServers {
+		if !srv.isUsable() || !c.dropsRepeats(req, srv) || !c.allowsSlowStart(srv) {
+			continue
+		}
+		cost := c.expectedWait(srv, unknownPenalty)
+		for _, tried := range req.triedServers {
+			if tried == srv.Server {
+				cost *= triedServerPenalty
+			}
+		}
+		if srv.outlier.isAvoided(c.now, req.plan) {
+			cost *= ejectedServerPenalty
+		}
+		if cost < bestCost {
+			best, bestCost = srv, cost
+		}
+	}
+	return best
+}
+
+// dropsRepeats tells whether a server would drop a repeat of what the request may have run.
+func (c *Controller) dropsRepeats(req *request, srv *server) bool {
+	switch {
+	case req.repeatGroup == nil || !req.isKeyed():
+		return true
+	case c.now >= req.repeatsDroppedUntil(): // it was queued for too long
+		return false
+	case req.class.KeyScope == ScopeAll:
+		return true
+	}
+	return req.class.KeyScope == ScopeZone && req.repeatGroup.Zone == srv.Zone ||
+		req.class.KeyScope == ScopeCell && req.repeatGroup.Cell == srv.Cell
+}
+
+// expectedWait is the cost of a server: its latency times the attempts of this gateway there, raised by
+// its reported utilization. Without samples it is the fleet's; without a report it is raised by a
+// penalty. Guards against many gateways that each try all servers, slow ones too, in turn.
+func (c *Controller) expectedWait(srv *server, unknownPenalty float64) float64 {
+	fleetLatency := math.Max(c.fleet.latency.mean, 1e-3)
+	latency, slowdown, busy := fleetLatency, unknownPenalty, c.fleet.utilization.mean
+	if srv.latency.samples > 0 {
+		freshSamples := srv.latency.samples * decayFactor(c.now-srv.latency.updatedAt, latencyDecaySeconds)
+		latency += (srv.latency.seconds - fleetLatency) * freshSamples / (freshSamples + latencyPriorSamples)
+	}
+	if srv.slowStart.isActive { // it has no reports yet, and its budget is below its capacity
+		slowdown = 1
+	}
+	if srv.load.reportedAt > 0 {
+		since := c.now - srv.load.reportedAt
+		slowdown += (srv.load.slowdown - slowdown) * decayFactor(since, slowdownDecaySeconds)
+		busy += (srv.load.utilization - busy) * decayFactor(since, utilizationDecaySeconds)
+	}
+	latency = math.Max(latency, fleetLatency*slowdown)
+	if srv.inFlight > 0 { // a silent server is at least as slow as its silence is long
+		latency = math.Max(latency, (c.now - srv.lastActivityAt).Seconds())
+	}
+	latency *= 1 + utilizationPenalty*busy*busy*busy*busy
+	cost := latency * (float64(srv.inFlight+srv.abandoned) + 1)
+	return cost * srv.outlier.costFactor(c.now) * (1 + tieBreakNoise*c.rng.Float64())
+}
+
+func (l *latencyEstimate) add(now time.Duration, seconds float64) {
+	if l.seconds == 0 {
+		l.seconds = seconds
+	}
+	l.seconds += serverLatencyGain * (seconds - l.seconds)
+	l.samples = 1 + l.samples*decayFactor(now-l.updatedAt, latencyDecaySeconds)
+	l.updatedAt = now
+}
+
+// isRecent tells whether the latest report still counts.
+func (l *loadEstimate) isRecent(now time.Duration) bool {
+	return l.reportedAt > 0 && now < l.reportedAt+durationOf(slowdownDecaySeconds)
+}
+
+// recordLoadReport takes a report, which covers the requests of all gateways. Its mean latency starts at
+// zero and follows slowly: it can show that a server is slow, but not that it is fast. Guards against a
+// server just started that all gateways find the fastest.
+func (c *Controller) recordLoadReport(srv *server, report *LoadReport) {
+	if report.Utilization < 0 || report.MeanLatencyMS < 0 {
+		return
+	}
+	reportedLatency := report.MeanLatencyMS / 1000
+	c.fleet.utilization.add(math.Min(1, report.Utilization), fleetEstimateGain)
+	c.fleet.reportedLatency.add(reportedLatency, fleetEstimateGain)
+	own := math.Max(c.fleet.latency.mean, 1e-3) / 2
+	srv.load.slowdown = (reportedLatency + own) / (c.fleet.reportedLatency.mean + own)
+	if srv.load.slowdown < minSlowdown {
+		srv.load.slowdown = 1
+	}
+	srv.load.utilization, srv.load.reportedAt = math.Min(1, report.Utilization), c.now
+	c.window.utilizationSum += srv.load.utilization
+	c.window.utilizationCount++
+}
--- a/control/image.go
+++ b/control/image.go
@@ -207,10 +207,10 @@
 	image := Image{
 		Version: ImageVersion, Random: random, Now: c.now, ClockAdvance: c.clockAdvance, FillingSince: c.fillingSince, IsStarted: c.isStarted, IsWatching: c.isWatching,
 		NextWatchAt: c.nextWatchAt, MinRetryGap: c.minRetryGap, LastTimerLabel: c.lastTimerLabel, SlackFraction: c.slackFraction, RateFraction: c.rateFraction, InFlight: c.inFlight, StreamingAttempts: c.streamingAttempts,
-		ConcurrencyLimit: c.concurrencyLimit, LimitCutAt: c.limitCutAt, FractionalSlotFreeAt: c.fractionalSlotFreeAt, FleetLatency: c.fleetLatency, IdleLatency: c.idleLatency, LatencySamples: c.latencySamples, WarmThroughput: c.warmThroughput, FleetUtilization: c.fleetUtilization, FleetReportedLatency: c.fleetReportedLatency, ReportCount: c.reportCount, WindowCount: c.windowCount,
-		MeanRequestUnits: c.meanRequestUnits, RequestCount: c.requestCount,
+		ConcurrencyLimit: c.limiter.limit, LimitCutAt: c.limiter.cutAt, FractionalSlotFreeAt: c.limiter.fractionalSlotFreeAt, FleetLatency: c.fleet.latency.mean, IdleLatency: c.limiter.idleLatency, LatencySamples: c.fleet.latency.count, WarmThroughput: c.fleet.warmThroughput.mean, FleetUtilization: c.fleet.utilization.mean, FleetReportedLatency: c.fleet.reportedLatency.mean, ReportCount: c.fleet.utilization.count, WindowCount: c.fleet.warmThroughput.count,
+		MeanRequestUnits: c.fleet.requestUnits.mean, RequestCount: c.fleet.requestUnits.count,
 		RetryBudget: c.retryBudget, NextTick: c.nextTick, WindowEndsAt: c.windowEndsAt,
-		Window: WindowState{WasCut: c.wasCut, LimitReached: c.limitReached, LatencyRatioSum: c.latencyRatioSum, LatencySecondsSum: c.latencySecondsSum, LatencyCount: c.latencyCount, Answers: c.answers, Overloads: c.overloads, ServedUnits: c.servedUnits, UtilizationSum: c.utilizationSum, UtilizationCount: c.utilizationCount},
+		Window: WindowState{WasCut: c.window.wasCut, LimitReached: c.window.limitReached, LatencyRatioSum: c.window.latencyRatioSum, LatencySecondsSum: c.window.latencySecondsSum, LatencyCount: c.window.latencyCount, Answers: c.window.answers, Overloads: c.window.overloads, ServedUnits: c.window.servedUnits, UtilizationSum: c.window.utilizationSum, UtilizationCount: c.window.utilizationCount},
 		Meter:  MeterState{PhaseBin: c.meter.phaseBin, LagBins: c.meter.lagBins},
 	}
 	for i := range c.meter.misfit {
@@ -271,18 +271,10 @@
 		}
 		image.Plans = append(image.Plans, w)
 	}
-	for _, v := range servers.all {
-		w := ServerImage{
-			Endpoint: v.Endpoint, IsTracked: c.servers[v.Server] == v, IsListed: v.isListed, IsProbing: v.isProbing, IsWarmingUp: v.isWarmingUp,
-			InFlight: v.inFlight, Abandoned: v.abandoned, ConsecutiveFailures: v.consecutiveFailures, Latency: v.latency, FailureRate: v.failureRate, SlowStartTokens: v.slowStartTokens,
-			LatencySamples: v.latencySamples, Slowdown: v.slowdown, Utilization: v.utilization, ReportedAt: v.reportedAt,
-			LatencyAt: v.latencyAt, LastActivityAt: v.lastActivityAt, FailureRateAt: v.failureRateAt, EjectedUntil: v.ejectedUntil, EjectionTime: v.ejectionTime, WarmupStart: v.warmupStart,
-			SlowStartTokensAt: v.slowStartTokensAt, PlanRejectedUntil: make(map[int]time.Duration, len(v.planRejectedUntil)),
-		}
-		for plan, until := range v.planRejectedUntil {
-			w.PlanRejectedUntil[plan.index] = until
-		}
-		image.Servers = append(image.Servers, w)
+	for _, srv := range servers.all {
+		serverImage := srv.image()
+		serverImage.IsTracked = c.servers[srv.Server] == srv
+		image.Servers = append(image.Servers, serverImage)
 	}
 	for _, account := range customers.all {
 		customerImage := account.image()
--- a/control/odd_test.go
+++ b/control/odd_test.go
@@ -187,8 +187,8 @@
 				t.Fatalf("seed %d: server %d has %d in flight, %d ghosts", seed, srv.Server, srv.inFlight, srv.abandoned)
 			}
 		}
-		if math.IsNaN(c.concurrencyLimit+c.fleetLatency+c.retryBudget) || c.concurrencyLimit < 0 {
-			t.Fatalf("seed %d: a bound of %g, latency %g", seed, c.concurrencyLimit, c.fleetLatency)
+		if math.IsNaN(c.limiter.limit+c.fleet.latency.mean+c.retryBudget) || c.limiter.limit < 0 {
+			t.Fatalf("seed %d: a bound of %g, latency %g", seed, c.limiter.limit, c.fleet.latency.mean)
 		}
 	}
 }
--- a/control/open_test.go
+++ b/control/open_test.go
@@ -35,12 +35,12 @@
 	if gateway.c.streamingAttempts != 0 || gateway.c.inFlight != 1 {
 		t.Errorf("%d streams, %d in flight", gateway.c.streamingAttempts, gateway.c.inFlight)
 	}
-	if gateway.c.fleetLatency >= settings.Classes[0].LatencyObjective.Seconds() {
-		t.Errorf("the fleet is taken to need %g s", gateway.c.fleetLatency)
+	if gateway.c.fleet.latency.mean >= settings.Classes[0].LatencyObjective.Seconds() {
+		t.Errorf("the fleet is taken to need %g s", gateway.c.fleet.latency.mean)
 	}
 	for _, srv := range gateway.c.sortedServers {
-		if srv.latency > 1 {
-			t.Errorf("server %d is taken to need %g s", srv.Server, srv.latency)
+		if srv.latency.seconds > 1 {
+			t.Errorf("server %d is taken to need %g s", srv.Server, srv.latency.seconds)
 		}
 	}
 }
--- /dev/null
+++ b/control/outlier.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	ejectionFailures    = 3                // consecutive failures that eject a server
+	failureRateGain     = 0.15             // gain of a server's failure rate
+	failureRatePenalty  = 5.0              // weight of the square of the failure rate above one failure's
+	maxFailureRate      = 0.75             // failure rate above which errors count toward ejection
+	planRejectionTime   = 15 * time.Second // during which a server that rejected a plan is avoided for it
+	initialEjectionTime = time.Second      // doubles at each ejection without a success between
+	maxEjectionTime     = 8 * time.Second
+)
+
+func (o *outlierDetector) hasTripped() bool { return o.consecutiveFailures >= ejectionFailures }
+
+func (o *outlierDetector) isEjected(now time.Duration) bool {
+	return o.hasTripped() && now < o.ejectedUntil
+}
+
+// isAvoided tells whether the server is the last choice for a plan.
+func (o *outlierDetector) isAvoided(now time.Duration, plan *planQueue) bool {
+	return o.isEjected(now) || o.isProbing || now < o.planRejectedUntil[plan]
+}
+
+// costFactor raises the cost of a server that fails more often than a single failure explains.
+func (o *outlierDetector) costFactor(now time.Duration) float64 {
+	excess := math.Max(0, o.currentFailureRate(now)-failureRateGain)
+	return 1 + failureRatePenalty*excess*excess
+}
+
+// currentFailureRate decays, as a server that is not chosen has no chance to do better.
+func (o *outlierDetector) currentFailureRate(now time.Duration) float64 {
+	return o.failureRate * decayFactor(now-o.failureRateAt, latencyDecaySeconds)
+}
+
+// recordOutcome takes the end of an attempt. Resets and errors trip the detector by their rate only.
+func (o *outlierDetector) recordOutcome(now time.Duration, reason Reason, plan *planQueue) {
+	switch reason {
+	case OK:
+		o.consecutiveFailures, o.isProbing, o.ejectionTime = 0, false, 0
+		o.updateFailureRate(now, 0)
+	case RejectedByServer: // maybe for this plan only
+		o.recordFailures(now, 1)
+		o.planRejectedUntil[plan] = now + planRejectionTime
+	case ConnectFailed:
+		o.recordFailures(now, ejectionFailures)
+	case ResetByPeer, Errored:
+		o.updateFailureRate(now, 1)
+		if o.currentFailureRate(now) > maxFailureRate {
+			o.recordFailures(now, 1)
+		}
+		o.isProbing = false
+	case NotSent, Cancelled: // shows nothing of an ejected server that it was to probe
+		o.isProbing = false
+	case TimedOut:
+		o.recordFailures(now, 1)
+	}
+}
+
+// updateFailureRate takes an attempt that failed, 1, or succeeded, 0. Guards against a server that fails
+// part of its requests at once: it is never ejected, looks idle and attracts the others.
+func (o *outlierDetector) updateFailureRate(now time.Duration, failed float64) {
+	rate := o.currentFailureRate(now)
+	o.failureRate, o.failureRateAt = rate+failureRateGain*(failed-rate), now
+}
+
+// recordFailures counts n consecutive failures and ejects the server if they are enough.
+func (o *outlierDetector) recordFailures(now time.Duration, n int) {
+	o.consecutiveFailures += n
+	o.isProbing = false
+	if o.hasTripped() && now >= o.ejectedUntil {
+		o.ejectionTime = min(max(initialEjectionTime, 2*o.ejectionTime), maxEjectionTime)
+		o.ejectedUntil = now + o.ejectionTime
+	}
+}
--- a/control/restore.go
+++ b/control/restore.go
@@ -35,18 +35,18 @@
 		c.rateFraction = math.Min(1, math.Max(0, checkpoint.RateFraction))
 	}
 	decay := math.Exp(-math.Max(0, (now-checkpoint.At).Seconds()) / maxAccountIdleTime.Seconds())
-	c.fleetLatency, c.idleLatency, c.latencySamples, c.minRetryGap = checkpoint.FleetLatency, checkpoint.IdleLatency, checkpoint.LatencySamples*decay, max(checkpoint.MinRetryGap, tickPeriod)
-	c.windowCount = 1 / serverLatencyGain // what was learned is not for the first interval to replace
-	c.warmThroughput, c.retryBudget = checkpoint.WarmThroughput*decay, math.Max(0, math.Min(maxRetryBudget, checkpoint.RetryBudget))
+	c.fleet.latency.mean, c.limiter.idleLatency, c.fleet.latency.count, c.minRetryGap = checkpoint.FleetLatency, checkpoint.IdleLatency, checkpoint.LatencySamples*decay, max(checkpoint.MinRetryGap, tickPeriod)
+	c.fleet.warmThroughput.count = 1 / serverLatencyGain // what was learned is not for the first interval to replace
+	c.fleet.warmThroughput.mean, c.retryBudget = checkpoint.WarmThroughput*decay, math.Max(0, math.Min(maxRetryBudget, checkpoint.RetryBudget))
 	// The bound is one for so many servers; there may be others now.
 	if n := c.countServers((*server).isUsable); checkpoint.ConcurrencyLimit > 0 && checkpoint.UsableServers > 0 && n > 0 {
-		c.concurrencyLimit = math.Max(c.minConcurrencyLimit(), c.concurrencyLimit+decay*(checkpoint.ConcurrencyLimit*math.Min(1, n/checkpoint.UsableServers)-c.concurrencyLimit))
+		c.limiter.limit = math.Max(c.minConcurrencyLimit(), c.limiter.limit+decay*(checkpoint.ConcurrencyLimit*math.Min(1, n/checkpoint.UsableServers)-c.limiter.limit))
 	}
 	// The interval goes on. Guards against reloads faster than an interval, in which nothing would
 	// ever be learned.
 	if window := checkpoint.Window; trust == TrustAll && window.EndsAt > c.now-maxWindowExtension && window.EndsAt <= c.now+windowDuration {
-		c.windowEndsAt, c.limitCutAt = window.EndsAt, min(window.CutAt, c.now)
-		c.controlWindow = controlWindow{
+		c.windowEndsAt, c.limiter.cutAt = window.EndsAt, min(window.CutAt, c.now)
+		c.window = controlWindow{
 			wasCut: window.WasCut, limitReached: window.LimitReached, latencyRatioSum: window.LatencyRatioSum, latencySecondsSum: window.LatencySecondsSum, latencyCount: window.LatencyCount, answers: window.Answers, utilizationSum: window.UtilizationSum, utilizationCount: window.UtilizationCount, overloads: window.Overloads,
 			servedUnits: window.ServedUnits,
 		}
@@ -129,49 +129,6 @@
 	}
 }
 
-func (c *Controller) restoreServer(saved *ServerCheckpoint, trust Trust) {
-	srv := c.servers[saved.Server]
-	if srv == nil || srv.bootTime() != saved.StartedAt {
-		return // another start of it: nothing is known of that
-	}
-	srv.latencySamples = latencyPriorSamples // its estimate was one of several answers, most likely
-	srv.latency, srv.latencyAt, srv.failureRate, srv.failureRateAt = saved.Latency, saved.LatencyAt, saved.FailureRate, saved.FailureRateAt
-	srv.consecutiveFailures, srv.ejectedUntil, srv.ejectionTime = saved.ConsecutiveFailures, min(saved.EjectedUntil, c.now+maxEjectionTime), min(saved.EjectionTime, maxEjectionTime)
-	for name, until := range saved.PlanRejectedUntil {
-		if plan := c.plansByName[name]; plan != nil {
-			srv.planRejectedUntil[plan] = min(until, c.now+planRejectionTime)
-		}
-	}
-	if trust != TrustAll {
-		return
-	}
-	if srv.isWarmingUp {
-		srv.slowStartTokens = saved.SlowStartTokens
-	}
-	// What the predecessor has out counts against the bound and a cold server until it is
-	// taken to have ended.
-	until := c.now + durationOf(c.fleetLatency)
-	for range min(saved.InFlight, maxRestoredAbandoned) {
-		c.addAbandoned(srv, until)
-	}
-	for i := range min(len(saved.AbandonedUntil), maxRestoredAbandoned) {
-		if at := saved.AbandonedUntil[i]; at > c.now {
-			c.addAbandoned(srv, min(at, c.now+maxAbandonedTime))
-		}
-	}
-}
-
-const (
-	maxRestoredAbandoned = 10000     // at one server that are taken over
-	maxAbandonedTime     = time.Hour // for which they are at most
-)
-
-// addAbandoned has work be taken to go on at a server.
-func (c *Controller) addAbandoned(srv *server, until time.Duration) {
-	srv.abandoned++
-	c.abandoned = append(c.abandoned, abandonedAttempt{srv, until})
-}
-
 // ReclaimRates gives a controller all rates again: whoever had the rest has ended. What that one left,
 // or was given and has not touched, is given, and comes back; nil where that is not known.
 func (c *Controller) ReclaimRates(now time.Duration, given *Checkpoint) {
@@ -188,8 +145,8 @@
 			account.hardLimit.tokens = math.Min(plan.HardLimitBurst/account.fanOut, account.hardLimit.tokens+saved.HardLimitTokens)
 		}
 		for _, saved := range given.Servers {
-			if srv := c.servers[saved.Server]; srv != nil && srv.isWarmingUp && srv.bootTime() == saved.StartedAt {
-				srv.slowStartTokens += saved.SlowStartTokens
+			if srv := c.servers[saved.Server]; srv != nil && srv.slowStart.isActive && srv.bootTime() == saved.StartedAt {
+				srv.slowStart.tokens += saved.SlowStartTokens
 			}
 		}
 	}
--- a/control/resume.go
+++ b/control/resume.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"time"
 )
 
 // Resume makes a controller of the settings that an image was taken under. An error tells what of
@@ -38,12 +37,13 @@
 	}
 	c.now, c.clockAdvance, c.fillingSince, c.isStarted, c.isWatching = image.Now, image.ClockAdvance, image.FillingSince, image.IsStarted, image.IsWatching
 	c.nextWatchAt, c.minRetryGap, c.lastTimerLabel, c.slackFraction, c.rateFraction, c.inFlight, c.streamingAttempts = image.NextWatchAt, image.MinRetryGap, image.LastTimerLabel, image.SlackFraction, image.RateFraction, image.InFlight, image.StreamingAttempts
-	c.concurrencyLimit, c.limitCutAt, c.fractionalSlotFreeAt, c.fleetLatency, c.idleLatency, c.latencySamples = image.ConcurrencyLimit, image.LimitCutAt, image.FractionalSlotFreeAt, image.FleetLatency, image.IdleLatency, image.LatencySamples
-	c.fleetUtilization, c.fleetReportedLatency, c.reportCount = image.FleetUtilization, image.FleetReportedLatency, image.ReportCount
-	c.windowCount, c.meanRequestUnits, c.requestCount = image.WindowCount, image.MeanRequestUnits, image.RequestCount
-	c.warmThroughput, c.retryBudget, c.nextTick, c.windowEndsAt = image.WarmThroughput, image.RetryBudget, image.NextTick, image.WindowEndsAt
+	c.limiter.limit, c.limiter.cutAt, c.limiter.fractionalSlotFreeAt, c.fleet.latency.mean, c.limiter.idleLatency, c.fleet.latency.count = image.ConcurrencyLimit, image.LimitCutAt, image.FractionalSlotFreeAt, image.FleetLatency, image.IdleLatency, image.LatencySamples
+	c.fleet.utilization = runningMean{image.FleetUtilization, image.ReportCount}
+	c.fleet.reportedLatency = runningMean{image.FleetReportedLatency, image.ReportCount}
+	c.fleet.warmThroughput.count, c.fleet.requestUnits.mean, c.fleet.requestUnits.count = image.WindowCount, image.MeanRequestUnits, image.RequestCount
+	c.fleet.warmThroughput.mean, c.retryBudget, c.nextTick, c.windowEndsAt = image.WarmThroughput, image.RetryBudget, image.NextTick, image.WindowEndsAt
 	i := image.Window
-	c.controlWindow = controlWindow{wasCut: i.WasCut, limitReached: i.LimitReached, latencyRatioSum: i.LatencyRatioSum, latencySecondsSum: i.LatencySecondsSum, latencyCount: i.LatencyCount, answers: i.Answers, overloads: i.Overloads, servedUnits: i.ServedUnits, utilizationSum: i.UtilizationSum, utilizationCount: i.UtilizationCount}
+	c.window = controlWindow{wasCut: i.WasCut, limitReached: i.LimitReached, latencyRatioSum: i.LatencyRatioSum, latencySecondsSum: i.LatencySecondsSum, latencyCount: i.LatencyCount, answers: i.Answers, overloads: i.Overloads, servedUnits: i.ServedUnits, utilizationSum: i.UtilizationSum, utilizationCount: i.UtilizationCount}
 	c.meter.phaseBin, c.meter.lagBins = image.Meter.PhaseBin, image.Meter.LagBins
 	for i := range c.meter.misfit {
 		copy(c.meter.misfit[i][:], image.Meter.Misfit[i*maxMeterLagBins:])
@@ -69,35 +69,6 @@
 	return c.resumeRequests(image, servers, customers)
 }
 
-func (c *Controller) resumeServers(image *Image) ([]*server, error) {
-	var all []*server
-	for _, serverImage := range image.Servers {
-		srv := &server{
-			Endpoint: serverImage.Endpoint, isListed: serverImage.IsListed, isProbing: serverImage.IsProbing, isWarmingUp: serverImage.IsWarmingUp, inFlight: serverImage.InFlight, abandoned: serverImage.Abandoned,
-			consecutiveFailures: serverImage.ConsecutiveFailures, latency: serverImage.Latency, failureRate: serverImage.FailureRate, slowStartTokens: serverImage.SlowStartTokens,
-			latencySamples: serverImage.LatencySamples, slowdown: serverImage.Slowdown, utilization: serverImage.Utilization, reportedAt: serverImage.ReportedAt, latencyAt: serverImage.LatencyAt, lastActivityAt: serverImage.LastActivityAt,
-			failureRateAt: serverImage.FailureRateAt, ejectedUntil: serverImage.EjectedUntil, ejectionTime: serverImage.EjectionTime, warmupStart: serverImage.WarmupStart, slowStartTokensAt: serverImage.SlowStartTokensAt,
-			planRejectedUntil: make(map[*planQueue]time.Duration, len(serverImage.PlanRejectedUntil)),
-		}
-		for i, until := range serverImage.PlanRejectedUntil {
-			if i < 0 || i >= len(c.plans) {
-				return nil, fmt.Errorf("server %d: there is no plan %d", serverImage.Server, i)
-			}
-			srv.planRejectedUntil[c.plans[i]] = until
-		}
-		if all = append(all, srv); serverImage.IsTracked {
-			c.servers[srv.Server], c.sortedServers = srv, append(c.sortedServers, srv)
-		}
-	}
-	for _, abandonedImage := range image.Abandoned {
-		if abandonedImage.Server < 0 || abandonedImage.Server >= len(all) {
-			return nil, fmt.Errorf("there is no server %d", abandonedImage.Server)
-		}
-		c.abandoned = append(c.abandoned, abandonedAttempt{all[abandonedImage.Server], abandonedImage.Until})
-	}
-	return all, nil
-}
-
 func (c *Controller) resumeRequests(image *Image, servers []*server, customers []*customerAccount) error {
 	var all []*request
 	for _, w := range image.Requests {
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -76,7 +76,7 @@
 // Guards against bounds below one that stop the work: a place is used, then rests.
 func TestPartOfAPlaceRestsAndFlows(t *testing.T) {
 	gateway := newGate(t, large(), on(1)...)
-	gateway.c.concurrencyLimit, gateway.c.fleetLatency, gateway.c.idleLatency, gateway.c.latencySamples = 0.25, 0.1, 0.1, 100
+	gateway.c.limiter.limit, gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.25, 0.1, 0.1, 100
 	gateway.ask("a", "job", "high", "x")
 	gateway.ask("b", "job", "high", "y")
 	if len(gateway.sends) != 1 {
@@ -151,8 +151,8 @@
 // Guards against servers that refuse one plan: they cut no bound and are not tried again for it.
 func TestServersThatRefuseOnePlan(t *testing.T) {
 	gateway := newGate(t, settings(), on(1, 2, 3, 4)...)
-	gateway.c.fleetLatency, gateway.c.idleLatency, gateway.c.latencySamples = 0.1, 0.1, 100
-	before := gateway.c.concurrencyLimit
+	gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.1, 0.1, 100
+	before := gateway.c.limiter.limit
 	refusals := 0
 	for i := 0; i < 30; i++ {
 		for _, p := range []string{"low", "high"} {
@@ -177,8 +177,8 @@
 	if refusals > 3 {
 		t.Errorf("two servers refused the plan %d times in 6 s", refusals)
 	}
-	if gateway.c.concurrencyLimit < before {
-		t.Errorf("the bound went from %g to %g on servers with room", before, gateway.c.concurrencyLimit)
+	if gateway.c.limiter.limit < before {
+		t.Errorf("the bound went from %g to %g on servers with room", before, gateway.c.limiter.limit)
 	}
 }
 
@@ -248,21 +248,21 @@
 		gateway.reply(fmt.Sprint(i), OK, 0)
 	}
 	gateway.c.endWindow(1)
-	if gateway.c.idleLatency < 0.015 || gateway.c.idleLatency > 0.03 {
-		t.Errorf("idle time %g s after answers within 20 ms", gateway.c.idleLatency)
+	if gateway.c.limiter.idleLatency < 0.015 || gateway.c.limiter.idleLatency > 0.03 {
+		t.Errorf("idle time %g s after answers within 20 ms", gateway.c.limiter.idleLatency)
 	}
 }
 
 // Guards against a second cut of the bound for answers to sends from before the first.
 func TestBoundIsCutOncePerAnswerTime(t *testing.T) {
 	gateway := newGate(t, settings(), on(1, 2)...)
-	gateway.c.concurrencyLimit, gateway.c.fleetLatency, gateway.c.idleLatency, gateway.c.latencySamples = 80, 1.2, 0.1, 100
+	gateway.c.limiter.limit, gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 80, 1.2, 0.1, 100
 	for i, want := range []float64{40, 40, 40, 20} {
-		gateway.c.latencyCount, gateway.c.answers, gateway.c.latencyRatioSum, gateway.c.latencySecondsSum = 10, 10, 7, 14
+		gateway.c.window.latencyCount, gateway.c.window.answers, gateway.c.window.latencyRatioSum, gateway.c.window.latencySecondsSum = 10, 10, 7, 14
 		gateway.c.now = gateway.now + time.Duration(i)*time.Second
 		gateway.c.endWindow(1)
-		if gateway.c.concurrencyLimit != want {
-			t.Errorf("bound %g after %d late seconds, want %g", gateway.c.concurrencyLimit, i+1, want)
+		if gateway.c.limiter.limit != want {
+			t.Errorf("bound %g after %d late seconds, want %g", gateway.c.limiter.limit, i+1, want)
 		}
 	}
 }
--- a/control/turns.go
+++ b/control/scheduler.go
@@ -5,7 +5,6 @@
 	"time"
 )
 
-// Tuned constants of queues and of the scheduler.
 const (
 	retryBudgetPerRequest     = 0.1 // retries that an admitted request earns
 	queueWaitFraction         = 0.4 // part of its latency objective that a request may queue
@@ -20,12 +19,10 @@
 		c.reject(event.ID, cause)
 		return
 	}
-	c.requestCount++
-	gain := math.Max(fleetEstimateGain, 1/c.requestCount)
-	c.meanRequestUnits += gain * (c.countedUnits(event.Units) - c.meanRequestUnits)
+	c.fleet.requestUnits.add(c.countedUnits(event.Units), fleetEstimateGain)
 	account := c.accountFor(plan, event.Customer, event.FanOut)
 	waited := c.clientWait(event, class)
-	latency := durationOf(c.fleetLatency)
+	latency := durationOf(c.fleet.latency.mean)
 	isLate := waited+latency >= class.LatencyObjective
 	// Guards against rejecting all for good after one slow answer: with nothing in flight, an attempt has to
 	// show whether servers still are slow.
@@ -100,35 +97,19 @@
 // canReject tells whether the client may repeat the request safely, as it does after a rejection.
 func (c *Controller) canReject(req *request) bool {
 	return req.class.Idempotency == Idempotent || !req.mayHaveRun && req.inFlight == 0 ||
-		req.class.Idempotency == IdempotencyKeyed && req.class.KeyScope == ScopeAll
+		req.isKeyed() && req.class.KeyScope == ScopeAll
 }
 
 // dispatch starts attempts of queued requests while the concurrency limit allows.
 func (c *Controller) dispatch() {
-	for c.hasFreeSlot() {
+	for c.limiter.hasFreeSlot(c.now, c.occupiedSlots()) {
 		req, srv := c.nextTurn()
 		if req == nil {
 			return
 		}
 		c.startAttempt(req, srv)
 	}
-	c.limitReached = true
-}
-
-// hasFreeSlot tells whether another attempt is within the limit. A fractional slot pauses after each
-// use, so that hundreds of gateways may each have less than one attempt in flight.
-func (c *Controller) hasFreeSlot() bool {
-	n := c.occupiedSlots()
-	return n+1 <= c.concurrencyLimit || n < c.concurrencyLimit && c.now >= c.fractionalSlotFreeAt
-}
-
-// occupiedSlots counts attempts in flight and abandoned ones that are presumed still running.
-func (c *Controller) occupiedSlots() float64 {
-	for len(c.abandoned) > 0 && c.abandoned[0].until <= c.now {
-		c.abandoned[0].server.abandoned--
-		c.abandoned = c.abandoned[1:]
-	}
-	return float64(c.inFlight - c.streamingAttempts + len(c.abandoned))
+	c.window.limitReached = true
 }
 
 // nextTurn is one step of the weighted round robin among the plans that have an eligible request: the
@@ -176,23 +157,23 @@
 	if req.attempts == 0 {
 		charged = c.chargeFirstAttempt(req.account, req.units)
 	}
-	if req.repeatGroup == nil && req.class.Idempotency == IdempotencyKeyed {
+	if req.repeatGroup == nil && req.isKeyed() {
 		req.firstRunAt = c.now
 	}
 	if srv.inFlight == 0 {
 		srv.lastActivityAt = c.now
 	}
-	if srv.isWarmingUp {
-		srv.slowStartTokens -= c.countedUnits(req.units)
+	if srv.slowStart.isActive {
+		srv.slowStart.tokens -= c.countedUnits(req.units)
 	}
-	if srv.consecutiveFailures >= ejectionFailures {
-		srv.isProbing = true
+	if srv.outlier.hasTripped() {
+		srv.outlier.isProbing = true
 	}
 	c.recordAttemptStart(req, srv, charged)
 	send := Send{ID: req.id, Server: srv.Server}
 	// Guards against a connection that comes up when repeats run again.
-	if req.mayHaveRun && req.class.Idempotency == IdempotencyKeyed {
-		send.WriteWithin = req.firstRunAt + req.class.RepeatWindow - c.now
+	if req.mayHaveRun && req.isKeyed() {
+		send.WriteWithin = req.repeatsDroppedUntil() - c.now
 	}
 	c.emit(send)
 }
--- /dev/null
+++ b/control/server_storage.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"fmt"
+	"time"
+)
+
+// Limits of what is restored of a server.
+const (
+	maxRestoredAbandoned = 10000     // attempts presumed still running
+	maxAbandonedTime     = time.Hour // for which they are
+)
+
+// checkpointServer is the stored form of a server for another controller.
+func (c *Controller) checkpointServer(srv *server) ServerCheckpoint {
+	saved := ServerCheckpoint{
+		Server:              srv.Server,
+		StartedAt:           srv.bootTime(),
+		InFlight:            srv.inFlight,
+		Latency:             srv.latency.seconds,
+		LatencyAt:           srv.latency.updatedAt,
+		ConsecutiveFailures: srv.outlier.consecutiveFailures,
+		FailureRate:         srv.outlier.failureRate,
+		FailureRateAt:       srv.outlier.failureRateAt,
+		EjectedUntil:        srv.outlier.ejectedUntil,
+		EjectionTime:        srv.outlier.ejectionTime,
+		PlanRejectedUntil:   make(map[string]time.Duration),
+		SlowStartTokens:     srv.slowStart.tokens,
+	}
+	for _, abandoned := range c.abandoned {
+		if abandoned.server == srv {
+			saved.AbandonedUntil = append(saved.AbandonedUntil, abandoned.until)
+		}
+	}
+	for plan, until := range srv.outlier.planRejectedUntil {
+		if until > c.now {
+			saved.PlanRejectedUntil[plan.Name] = until
+		}
+	}
+	return saved
+}
+
+// restoreServer takes over the stored form of a server if it is of the same incarnation.
+func (c *Controller) restoreServer(saved *ServerCheckpoint, trust Trust) {
+	srv := c.servers[saved.Server]
+	if srv == nil || srv.bootTime() != saved.StartedAt {
+		return
+	}
+	// The estimate was most likely one of several samples.
+	srv.latency = latencyEstimate{seconds: saved.Latency, updatedAt: saved.LatencyAt, samples: latencyPriorSamples}
+	srv.outlier.failureRate, srv.outlier.failureRateAt = saved.FailureRate, saved.FailureRateAt
+	srv.outlier.consecutiveFailures = saved.ConsecutiveFailures
+	srv.outlier.ejectedUntil = min(saved.EjectedUntil, c.now+maxEjectionTime)
+	srv.outlier.ejectionTime = min(saved.EjectionTime, maxEjectionTime)
+	for name, until := range saved.PlanRejectedUntil {
+		if plan := c.plansByName[name]; plan != nil {
+			srv.outlier.planRejectedUntil[plan] = min(until, c.now+planRejectionTime)
+		}
+	}
+	if trust != TrustAll {
+		return
+	}
+	if srv.slowStart.isActive {
+		srv.slowStart.tokens = saved.SlowStartTokens
+	}
+	// The predecessor's attempts count against the concurrency limit and a slow start until they
+	// are presumed to have ended.
+	until := c.now + durationOf(c.fleet.latency.mean)
+	for range min(saved.InFlight, maxRestoredAbandoned) {
+		c.addAbandoned(srv, until)
+	}
+	for i := range min(len(saved.AbandonedUntil), maxRestoredAbandoned) {
+		if at := saved.AbandonedUntil[i]; at > c.now {
+			c.addAbandoned(srv, min(at, c.now+maxAbandonedTime))
+		}
+	}
+}
+
+// addAbandoned counts an attempt at a server that is presumed still running.
+func (c *Controller) addAbandoned(srv *server, until time.Duration) {
+	srv.abandoned++
+	c.abandoned = append(c.abandoned, abandonedAttempt{srv, until})
+}
+
+// image is the stored form of a server for this controller; whether it is tracked is added.
+func (s *server) image() ServerImage {
+	image := ServerImage{
+		Endpoint:            s.Endpoint,
+		IsListed:            s.isListed,
+		InFlight:            s.inFlight,
+		Abandoned:           s.abandoned,
+		LastActivityAt:      s.lastActivityAt,
+		Latency:             s.latency.seconds,
+		LatencyAt:           s.latency.updatedAt,
+		LatencySamples:      s.latency.samples,
+		Slowdown:            s.load.slowdown,
+		Utilization:         s.load.utilization,
+		ReportedAt:          s.load.reportedAt,
+		ConsecutiveFailures: s.outlier.consecutiveFailures,
+		FailureRate:         s.outlier.failureRate,
+		FailureRateAt:       s.outlier.failureRateAt,
+		EjectedUntil:        s.outlier.ejectedUntil,
+		EjectionTime:        s.outlier.ejectionTime,
+		IsProbing:           s.outlier.isProbing,
+		PlanRejectedUntil:   make(map[int]time.Duration, len(s.outlier.planRejectedUntil)),
+		IsWarmingUp:         s.slowStart.isActive,
+		WarmupStart:         s.slowStart.startedAt,
+		SlowStartTokens:     s.slowStart.tokens,
+		SlowStartTokensAt:   s.slowStart.updatedAt,
+	}
+	for plan, until := range s.outlier.planRejectedUntil {
+		image.PlanRejectedUntil[plan.index] = until
+	}
+	return image
+}
+
+// resumeServers takes the servers of an image, in its order, and the attempts presumed still running there.
+func (c *Controller) resumeServers(image *Image) ([]*server, error) {
+	var all []*server
+	for i := range image.Servers {
+		saved := &image.Servers[i]
+		srv, err := saved.server(c.plans)
+		if err != nil {
+			return nil, fmt.Errorf("server %d: %w", saved.Server, err)
+		}
+		all = append(all, srv)
+		if saved.IsTracked {
+			c.servers[srv.Server], c.sortedServers = srv, append(c.sortedServers, srv)
+		}
+	}
+	for _, saved := range image.Abandoned {
+		if saved.Server < 0 || saved.Server >= len(all) {
+			return nil, fmt.Errorf("there is no server %d", saved.Server)
+		}
+		c.abandoned = append(c.abandoned, abandonedAttempt{all[saved.Server], saved.Until})
+	}
+	return all, nil
+}
+
+func (saved *ServerImage) server(plans []*planQueue) (*server, error) {
+	srv := &server{
+		Endpoint:       saved.Endpoint,
+		isListed:       saved.IsListed,
+		inFlight:       saved.InFlight,
+		abandoned:      saved.Abandoned,
+		lastActivityAt: saved.LastActivityAt,
+		latency: latencyEstimate{
+			seconds: saved.Latency, updatedAt: saved.LatencyAt, samples: saved.LatencySamples,
+		},
+		load: loadEstimate{
+			slowdown: saved.Slowdown, utilization: saved.Utilization, reportedAt: saved.ReportedAt,
+		},
+		outlier: outlierDetector{
+			consecutiveFailures: saved.ConsecutiveFailures,
+			failureRate:         saved.FailureRate, failureRateAt: saved.FailureRateAt,
+			ejectedUntil: saved.EjectedUntil, ejectionTime: saved.EjectionTime, isProbing: saved.IsProbing,
+			planRejectedUntil: make(map[*planQueue]time.Duration, len(saved.PlanRejectedUntil)),
+		},
+		slowStart: slowStart{
+			isActive: saved.IsWarmingUp, startedAt: saved.WarmupStart,
+			tokens: saved.SlowStartTokens, updatedAt: saved.SlowStartTokensAt,
+		},
+	}
+	for i, until := range saved.PlanRejectedUntil {
+		if i < 0 || i >= len(plans) {
+			return nil, fmt.Errorf("there is no plan %d", i)
+		}
+		srv.outlier.planRejectedUntil[plans[i]] = until
+	}
+	return srv, nil
+}
--- a/control/sharecontrol/sharecontrol.go
+++ b/control/sharecontrol/sharecontrol.go
@@ -7,7 +7,6 @@
 	"gonum.org/v1/gonum/mat"
 )
 
-// Tuned constants.
 const (
 	forgettingFactor           = 0.95 // lambda of the RLS
 	largeShareCost             = 0.3  // diagonal of Q
@@ -61,10 +60,9 @@
 	return next
 }
 
-// updateEstimate is one RLS step with directional forgetting. The term printed in (4)
-// does not have matching units; this is Kulhavy's form (the paper's [9]), in which
-// the information grows by (lambda - (1-lambda)/r) phi phi', r = phi' P phi, and
-// so is lost only in the direction that new data come from.
+// updateEstimate is one RLS step with directional forgetting. The units of the term printed in (4) do not
+// match; this is Kulhavy's form (the paper's [9]): the information grows by (lambda - (1-lambda)/r) phi phi',
+// r = phi' P phi, and so is lost only in the direction that new data come from.
 func (c *Controller) updateEstimate(lateness []float64) {
 	var gain, residual mat.VecDense
 	gain.MulVec(c.covariance, c.regressors)
--- a/control/cold.go
+++ b/control/slow_start.go
@@ -2,7 +2,6 @@
 
 import "math"
 
-// Tuned constants of slow start.
 const (
 	minWarmupFraction       = 0.1  // of a server's capacity
 	slowStartBudgetFraction = 0.32 // part of a warming server's budget that is used
@@ -12,15 +11,14 @@
 // earlier incarnation is dropped, and a slow start begins with an empty budget.
 func (c *Controller) trackRestart(srv *server, endpoint Endpoint) {
 	if endpoint.HasStartedAt && (!srv.HasStartedAt || endpoint.StartedAt > srv.StartedAt) {
-		srv.latency, srv.latencySamples, srv.reportedAt = 0, 0, 0
-		srv.failureRate, srv.consecutiveFailures, srv.ejectedUntil, srv.ejectionTime = 0, 0, 0, 0
-		clear(srv.planRejectedUntil)
+		srv.latency.seconds, srv.latency.samples, srv.load.reportedAt = 0, 0, 0
+		srv.outlier.reset()
 	}
 	if endpoint.HasStartedAt && c.now < endpoint.StartedAt+c.settings.WarmupTime {
-		srv.isWarmingUp, srv.warmupStart = true, max(endpoint.StartedAt, srv.warmupStart)
+		srv.slowStart.isActive, srv.slowStart.startedAt = true, max(endpoint.StartedAt, srv.slowStart.startedAt)
 		// Guards against a large group whose first requests come all at once, or not before the slow
 		// start ends, as each gateway takes longer than that to earn one.
-		srv.slowStartTokens, srv.slowStartTokensAt = -c.rng.Float64()*c.meanRequestUnits, c.now
+		srv.slowStart.tokens, srv.slowStart.updatedAt = -c.rng.Float64()*c.fleet.requestUnits.mean, c.now
 	}
 }
 
@@ -38,7 +36,7 @@
 	if c.settings.WarmupTime <= 0 {
 		return 1
 	}
-	progress := (c.now - srv.warmupStart).Seconds() / c.settings.WarmupTime.Seconds()
+	progress := (c.now - srv.slowStart.startedAt).Seconds() / c.settings.WarmupTime.Seconds()
 	initial := math.Max(minWarmupFraction, c.settings.InitialCapacity)
 	return math.Min(1, initial+(1-c.settings.InitialCapacity)*math.Max(0, progress))
 }
@@ -46,11 +44,11 @@
 // allowsSlowStart limits a warming server to this gateway's part of its budget: the throughput of warm
 // servers times its warmup fraction and the multiple. Below one attempt a second, it still flows.
 func (c *Controller) allowsSlowStart(srv *server) bool {
-	if !srv.isWarmingUp {
+	if !srv.slowStart.isActive {
 		return true
 	}
-	if c.now >= srv.warmupStart+c.settings.WarmupTime {
-		srv.isWarmingUp = false
+	if c.now >= srv.slowStart.startedAt+c.settings.WarmupTime {
+		srv.slowStart.isActive = false
 		return true
 	}
 	warmup := c.warmupFraction(srv)
@@ -61,10 +59,10 @@
 	// part of a request a second flow, as a window would not.
 	budget := slowStartBudgetFraction * c.settings.OverloadMultiple * warmup * c.warmServerThroughput()
 	rate := c.rateFraction * math.Max(budget, 1/float64(c.settings.GroupSize))
-	srv.slowStartTokens += rate * (c.now - srv.slowStartTokensAt).Seconds()
-	srv.slowStartTokens = math.Min(srv.slowStartTokens, rate*c.settings.OverloadWindow.Seconds()/2)
-	srv.slowStartTokensAt = c.now
-	return srv.slowStartTokens >= 0
+	srv.slowStart.tokens += rate * (c.now - srv.slowStart.updatedAt).Seconds()
+	srv.slowStart.tokens = math.Min(srv.slowStart.tokens, rate*c.settings.OverloadWindow.Seconds()/2)
+	srv.slowStart.updatedAt = c.now
+	return srv.slowStart.tokens >= 0
 }
 
 // warmServerThroughput is the units a second that a warm server serves for this gateway. Guards against
@@ -73,11 +71,11 @@
 	warm, reporting, ejected := 0.0, 0.0, 0.0
 	for _, srv := range c.sortedServers {
 		switch {
-		case !srv.isUsable() || srv.isWarmingUp:
+		case !srv.isUsable() || srv.slowStart.isActive:
 			continue
-		case srv.consecutiveFailures >= ejectionFailures:
+		case srv.outlier.hasTripped():
 			ejected++
-		case c.hasRecentReport(srv):
+		case srv.load.isRecent(c.now):
 			reporting++
 		}
 		warm++
@@ -85,5 +83,5 @@
 	if ejected > 0 {
 		warm *= (1 + reporting) / (1 + reporting + ejected)
 	}
-	return c.warmThroughput / math.Max(1, warm)
+	return c.fleet.warmThroughput.mean / math.Max(1, warm)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -45,6 +45,11 @@
 	timerLabel   uint64
 }
 
+func (r *request) isKeyed() bool { return r.class.Idempotency == IdempotencyKeyed }
+
+// repeatsDroppedUntil is the end of the time in which the repeat group drops repeats of what may have run.
+func (r *request) repeatsDroppedUntil() time.Duration { return r.firstRunAt + r.class.RepeatWindow }
+
 type pendingAttempt struct {
 	request *request
 	server  *server
@@ -80,27 +85,12 @@
 	u.support++
 }
 
-type server struct {
-	Endpoint
-	isListed                   bool
-	inFlight                   int
-	abandoned                  int     // attempts given up whose work is taken to go on
-	latency                    float64 // s
-	latencyAt                  time.Duration
-	latencySamples             float64       // answers of late
-	slowdown, utilization      float64       // times the fleet's mean time, and part of its cores that is busy, by its report
-	reportedAt                 time.Duration // of the report; 0 is none
-	lastActivityAt             time.Duration // last outcome, or first send since it held nothing
-	consecutiveFailures        int
-	failureRate                float64 // part of the late attempts that failed
-	failureRateAt              time.Duration
-	planRejectedUntil          map[*planQueue]time.Duration // not tried for a plan until then
-	ejectedUntil, ejectionTime time.Duration
-	isProbing                  bool
-	warmupStart                time.Duration // start of the ramp, if coldRamp
-	isWarmingUp                bool
-	slowStartTokens            float64 // of a cold server, in units
-	slowStartTokensAt          time.Duration
+// concurrencyLimiter limits the attempts in flight.
+type concurrencyLimiter struct {
+	limit                float64
+	cutAt                time.Duration // of the latest cut
+	fractionalSlotFreeAt time.Duration // before, the part of the limit beyond a whole number is not used
+	idleLatency          float64       // seconds; latency of answers by servers with little load
 }
 
 // controlWindow is what is counted in one control interval.
@@ -136,28 +126,20 @@
 	sortedServers     []*server
 	lastTimerLabel    uint64
 
-	slackFraction                          float64 // part of it with which a ceiling's store starts
-	inFlight, streamingAttempts            int
-	rateFraction                           float64 // of the rates at which stores fill that is this controller's; see HandOver
-	abandoned                              []abandonedAttempt
-	concurrencyLimit                       float64
-	controlWindow                                  // counts of the interval
-	fleetLatency                           float64 // s, of answers in the fleet
-	limitCutAt                             time.Duration
-	fractionalSlotFreeAt                   time.Duration // of the part of the bound beyond a whole number
-	idleLatency, latencySamples            float64
-	fleetUtilization, fleetReportedLatency float64 // part of the servers' cores that is busy, and their mean time in s, by reports
-	reportCount                            float64
-	warmThroughput                         float64 // units a second by warm servers, smoothed
-	windowCount                            float64 // that have ended
-	meanRequestUnits, requestCount         float64 // of the requests asked, and their number
-	retryBudget                            float64
-	meter                                  meterClock
-	nextTick                               time.Duration
-	windowEndsAt                           time.Duration
-	shareController                        *sharecontrol.Controller
-	isWatching                             bool
-	nextWatchAt                            time.Duration
+	slackFraction               float64 // part of it with which a ceiling's store starts
+	inFlight, streamingAttempts int
+	rateFraction                float64 // of the rates at which stores fill that is this controller's; see HandOver
+	abandoned                   []abandonedAttempt
+	limiter                     concurrencyLimiter
+	window                      controlWindow
+	fleet                       fleetEstimate
+	retryBudget                 float64
+	meter                       meterClock
+	nextTick                    time.Duration
+	windowEndsAt                time.Duration
+	shareController             *sharecontrol.Controller
+	isWatching                  bool
+	nextWatchAt                 time.Duration
 }
 
 func (c *Controller) binDuration() time.Duration {
@@ -247,7 +229,7 @@
 }
 
 // ConcurrencyLimit is how many attempts may be out at once now.
-func (c *Controller) ConcurrencyLimit() float64 { return c.concurrencyLimit }
+func (c *Controller) ConcurrencyLimit() float64 { return c.limiter.limit }
 
 // decayFactor is the part of a quantity that is left after a time in which it decays exponentially.
 func decayFactor(elapsed time.Duration, timeConstantSeconds float64) float64 {
@@ -325,7 +307,7 @@
 	for _, endpoint := range event.Endpoints {
 		srv := c.servers[endpoint.Server]
 		if srv == nil {
-			srv = &server{planRejectedUntil: map[*planQueue]time.Duration{}}
+			srv = &server{outlier: outlierDetector{planRejectedUntil: make(map[*planQueue]time.Duration)}}
 			c.servers[endpoint.Server], c.sortedServers = srv, append(c.sortedServers, srv)
 		} else if endpoint.State != Active {
 			// Guards against an entry that tells no more than that: where the server was says who
@@ -340,6 +322,22 @@
 	c.removeGoneServers()
 }
 
+// startClock begins at the first event.
+func (c *Controller) startClock() {
+	c.isStarted, c.fillingSince = true, c.now
+	c.windowEndsAt = c.now + windowDuration
+	c.emit(StartTimer{After: tickPeriod, Label: tickTimerLabel})
+}
+
+// occupiedSlots counts attempts in flight and abandoned ones that are presumed still running.
+func (c *Controller) occupiedSlots() float64 {
+	for len(c.abandoned) > 0 && c.abandoned[0].until <= c.now {
+		c.abandoned[0].server.abandoned--
+		c.abandoned = c.abandoned[1:]
+	}
+	return float64(c.inFlight - c.streamingAttempts + len(c.abandoned))
+}
+
 // recordAttemptStart books an attempt that starts now.
 func (c *Controller) recordAttemptStart(req *request, srv *server, charged charge) {
 	c.attempts[attemptKey{req.id, req.attempts}] = &pendingAttempt{request: req, server: srv, account: req.account, sentAt: c.now, charge: charged}
--- a/control/sure_test.go
+++ b/control/sure_test.go
@@ -11,8 +11,8 @@
 func TestManyLateAnswersCutTheBound(t *testing.T) {
 	settings := settings()
 	gateway := newGate(t, settings, on(1, 2, 3, 4)...)
-	gateway.c.concurrencyLimit = 200
-	gateway.c.idleLatency, gateway.c.latencySamples = 0.1, 100
+	gateway.c.limiter.limit = 200
+	gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.1, 100
 	n := 0
 	for range 3 {
 		var ids []string
--- a/control/units_test.go
+++ b/control/units_test.go
@@ -30,10 +30,10 @@
 		cold := Endpoint{Server: 3, Zone: "z1", HasStartedAt: true, StartedAt: gateway.now - time.Second}
 		gateway.do(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{cold, {Server: 1, State: Gone}, {Server: 2, State: Gone}}})
 		srv := gateway.c.servers[3]
-		srv.slowStartTokens = 0
+		srv.slowStart.tokens = 0
 		plan = "open"
 		ask("odd again", units)
-		return shared{gateway.c.meanRequestUnits, gateway.c.servedUnits + gateway.c.warmThroughput, srv.slowStartTokens}
+		return shared{gateway.c.fleet.requestUnits.mean, gateway.c.window.servedUnits + gateway.c.fleet.warmThroughput.mean, srv.slowStart.tokens}
 	}
 	for name, refused := range map[string]bool{"sent": false, "refused": true} {
 		// Of 30 the store of the second plan can't hold half.
--- a/control/unsent_test.go
+++ b/control/unsent_test.go
@@ -24,11 +24,11 @@
 					}
 					gateway.do(EndpointList{Kind: ListComplete, Endpoints: m})
 					c, srv := gateway.c, gateway.c.servers[1]
-					srv.slowStartTokens = 0.125
-					c.concurrencyLimit, c.latencySamples = 0.5, 1 // a place that rests after each use
+					srv.slowStart.tokens = 0.125
+					c.limiter.limit, c.fleet.latency.count = 0.5, 1 // a place that rests after each use
 					account := c.accountFor(c.plans[0], "c", 2)
 					account.inFlight.limit = 0.5 // likewise
-					srv.consecutiveFailures = ejectionFailures
+					srv.outlier.consecutiveFailures = ejectionFailures
 					type books struct {
 						level, ceiling, tokens, own, charged, queued float64
 						open, inflight, out                          int
@@ -38,8 +38,8 @@
 					look := func() books {
 						b := c.currentBin() + 1
 						return books{
-							account.quota.tokens, account.hardLimit.tokens, srv.slowStartTokens, account.history.sent.periodSum(b), account.history.charged.periodSum(b), account.queuedUnits, account.inFlight.current, srv.inFlight, c.inFlight,
-							c.fractionalSlotFreeAt, account.inFlight.nextAttemptAt, srv.isProbing,
+							account.quota.tokens, account.hardLimit.tokens, srv.slowStart.tokens, account.history.sent.periodSum(b), account.history.charged.periodSum(b), account.queuedUnits, account.inFlight.current, srv.inFlight, c.inFlight,
+							c.limiter.fractionalSlotFreeAt, account.inFlight.nextAttemptAt, srv.outlier.isProbing,
 						}
 					}
 					before := look()
@@ -86,14 +86,14 @@
 func TestCancelledProbe(t *testing.T) {
 	gateway := newGate(t, settings(), on(1)...)
 	srv := gateway.c.servers[1]
-	srv.consecutiveFailures = ejectionFailures
+	srv.outlier.consecutiveFailures = ejectionFailures
 	gateway.ask("a", "job", "high", "c")
-	if !srv.isProbing {
+	if !srv.outlier.isProbing {
 		t.Fatal("no probe")
 	}
 	gateway.do(ClientGone{ID: "a"})
 	gateway.do(AttemptResult{ID: "a", Server: 1, Reason: Cancelled, IsFinal: true})
-	if srv.isProbing || srv.consecutiveFailures != ejectionFailures {
-		t.Errorf("probing %v after %d strikes", srv.isProbing, srv.consecutiveFailures)
+	if srv.outlier.isProbing || srv.outlier.consecutiveFailures != ejectionFailures {
+		t.Errorf("probing %v after %d strikes", srv.outlier.isProbing, srv.outlier.consecutiveFailures)
 	}
 }
--- a/control/usage.go
+++ b/control/usage.go
@@ -5,7 +5,6 @@
 	"time"
 )
 
-// Tuned constants of the estimates of usage and demand.
 const (
 	binsPerPeriod           = 10   // bins in a meter period
 	maxMeterLagBins         = 66   // delays of readings that are considered
@@ -83,8 +82,7 @@
 	d.readingAt = now
 }
 
-// isWellMetered tells whether most recent periods of the customer's usage have been read, of those
-// that could have been since a time.
+// isWellMetered tells whether most of the recent periods since a time have been read.
 func (d *demandEstimate) isWellMetered(now, since time.Duration) bool {
 	possibleSeconds := readingDecaySeconds * (1 - decayFactor(now-since, readingDecaySeconds))
 	meteredSeconds := d.meteredSeconds * decayFactor(now-d.readingAt, readingDecaySeconds)
@@ -104,9 +102,8 @@
 	return math.Min(maxRejectionProbability, math.Max(0, 1-allowed/demand))
 }
 
-// unmeteredRejectionProbability guards against customers that ask for far more than their quota,
-// admitted as unmetered by one gateway after the other: they are rejected by as much as of the
-// plan's usage lies beyond quotas.
+// unmeteredRejectionProbability guards against customers far above their quota that one gateway after the
+// other admits as unmetered: they are rejected by as much as of the plan's usage lies beyond quotas.
 func (p *planQueue) unmeteredRejectionProbability(fanOut float64) float64 {
 	excess := (1 - 1/fanOut) * p.firstReadingExcess / math.Max(p.firstReadingUsage, epsilon)
 	return math.Min(maxRejectionProbability, excess)
