Split the long functions of regions, measure, metrics, the simulations and the fakes

Each step of a long function is one of its own with a comment: how regions are opposed and what leads in circles, the shrinking of a script, a fake server's faults and answer, one page of metrics by service, a rollout's order of changes, a gathered query's sending. Draws of chance keep their order.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -148,6 +148,11 @@
 		}
 		j.bound()
 	}
+	j.count(now)
+}
+
+// count adds what was read to the sides, to their members and to those not changed.
+func (j *Judge) count(now time.Duration) {
 	var fleet, bystand [counted]struct{ y, d float64 }
 	refs := 0
 	for i := range j.spans {
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -9,27 +10,10 @@
 // Verdict is what the stage has come to by now. It may be asked as often as one likes.
 func (j *Judge) Verdict(now time.Duration) Verdict {
 	var v Verdict
-	old := 0
-	for _, m := range j.order {
-		if m.has && m.side != New {
-			old++
-		}
-	}
 	var worse, thin, lately []string
 	var passes *Measure
 	for k := range measures {
-		m := j.compare(k, false)
-		h := m
-		if k != growth { // a line through few points says nothing
-			h = j.compare(k, true)
-		}
-		// A fault of the world that is over does not keep a stage from passing by what came after it.
-		if h.Enough && !m.Enough && h.High < m.High {
-			m.Enough, m.High = true, h.High
-		}
-		if h.Worse && !m.Worse {
-			m.Worse, m.Low = true, h.Low
-		}
+		m, h := j.both(k)
 		if k == units {
 			passes = &m
 		}
@@ -81,7 +65,7 @@
 		v.Kind, v.Why = j.end(since), whose+"; nothing tells the change from the world"
 	case crash >= 150 || breach >= 150:
 		v.Kind, v.Why = j.end(since), fmt.Sprintf("%d crashes and %d breaches of the new side are too many to go on and too few to blame it", j.crash.n[1], j.breach.n[1])
-	case old == 0:
+	case !j.hasOld():
 		if v.Kind, v.Why = Pass, "all are changed, and the fleet is as it was before the stage"; !j.lives(now) {
 			v.Kind, v.Why = j.end(since), "too few members tell anything"
 		}
@@ -97,6 +81,28 @@
 	return v
 }
 
+// both compares a measure over the stage, mended by what its later half shows, and over that half.
+func (j *Judge) both(k int) (m, half Measure) {
+	m = j.compare(k, false)
+	half = m
+	if k != growth { // a line through few points says nothing
+		half = j.compare(k, true)
+	}
+	// A fault of the world that is over does not keep a stage from passing by what came after it.
+	if half.Enough && !m.Enough && half.High < m.High {
+		m.Enough, m.High = true, half.High
+	}
+	if half.Worse && !m.Worse {
+		m.Worse, m.Low = true, half.Low
+	}
+	return m, half
+}
+
+// hasOld tells whether a member that tells something of itself is not changed.
+func (j *Judge) hasOld() bool {
+	return slices.ContainsFunc(j.order, func(m *member) bool { return m.has && m.side != New })
+}
+
 // end is Wait until a stage may be watched no longer.
 func (j *Judge) end(since time.Duration) Kind {
 	if since >= j.o.BakeMost {
--- a/internal/command/simulate_gather.go
+++ b/internal/command/simulate_gather.go
@@ -16,7 +16,7 @@
 // gatherFlag has simulate play scattered queries. What it gives plays them where the flag is set: the
 // ways to end queries in each world, and, for each number of instances, how fast those learn together.
 func gatherFlag(set flags) func(ctx context.Context, e *Env, instances string, seed uint64, asJSON bool) (played bool, err error) {
-	names, help := waitpolicysim.Worlds()
+	names, _ := waitpolicysim.Worlds()
 	worlds := set.String("gather", "", "`NAME,NAME...` of worlds in which scattered queries are ended: "+strings.Join(names, ", ")+"; or all. "+
 		"With --instances, how fast so many learn together")
 	queries := set.Int("queries", 20_000, "`N` queries in each world of --gather")
@@ -38,27 +38,9 @@
 				return true, err
 			}
 		}
-		var all []waitpolicysim.Report
-		var shared []waitpolicysim.ShareReport
-		for _, name := range list {
-			i := slices.Index(names, name)
-			if i < 0 {
-				return true, usage("simulate: gather: %q is none of %s, all", name, strings.Join(names, ", "))
-			}
-			fmt.Fprintf(e.Err, "playing %s: %s\n", name, help[i])
-			r, err := waitpolicysim.Run(waitpolicysim.Options{World: name, Queries: *queries, Seed: seed})
-			if err != nil {
-				return true, err
-			}
-			all = append(all, r)
-			together, err := playShared(ctx, e, name, sizes, seed)
-			if err != nil {
-				return true, err
-			}
-			shared = append(shared, together...)
-			if ctx.Err() != nil {
-				return true, ctx.Err()
-			}
+		all, shared, err := playWorlds(ctx, e, list, sizes, *queries, seed)
+		if err != nil {
+			return true, err
 		}
 		if asJSON {
 			return true, json.NewEncoder(e.Out).Encode(map[string]any{"worlds": all, "shared": shared})
@@ -68,6 +50,32 @@
 	}
 }
 
+// playWorlds plays the ways to end queries in each world, and how fast so many instances learn together there.
+func playWorlds(ctx context.Context, e *Env, list []string, sizes []int, queries int, seed uint64) (all []waitpolicysim.Report, shared []waitpolicysim.ShareReport, err error) {
+	names, help := waitpolicysim.Worlds()
+	for _, name := range list {
+		i := slices.Index(names, name)
+		if i < 0 {
+			return nil, nil, usage("simulate: gather: %q is none of %s, all", name, strings.Join(names, ", "))
+		}
+		fmt.Fprintf(e.Err, "playing %s: %s\n", name, help[i])
+		r, err := waitpolicysim.Run(waitpolicysim.Options{World: name, Queries: queries, Seed: seed})
+		if err != nil {
+			return nil, nil, err
+		}
+		all = append(all, r)
+		together, err := playShared(ctx, e, name, sizes, seed)
+		if err != nil {
+			return nil, nil, err
+		}
+		shared = append(shared, together...)
+		if ctx.Err() != nil {
+			return nil, nil, ctx.Err()
+		}
+	}
+	return all, shared, nil
+}
+
 // playShared plays how fast so many instances learn together, for each size.
 func playShared(ctx context.Context, e *Env, world string, sizes []int, seed uint64) (all []waitpolicysim.ShareReport, err error) {
 	for _, n := range sizes {
--- a/internal/command/simulate_rollout.go
+++ b/internal/command/simulate_rollout.go
@@ -79,28 +79,31 @@
 	if p.without == "each" {
 		without = append([]string{""}, rolloutsim.MutationNames()...)
 	}
-	var all []rolloutsim.Report
-	for _, n := range sizes {
-		for _, t := range traffics {
+	var todo []rolloutsim.Options
+	o := rolloutsim.Options{Rate: p.rate, Runs: p.runs, FaultEvery: p.every, Seed: p.seed}
+	for _, o.Instances = range sizes {
+		for _, o.Traffic = range traffics {
 			for _, h := range harms {
-				for _, j := range judges {
-					for _, w := range without {
-						fmt.Fprintf(e.Err, "playing %d rollouts over %d instances, %s traffic, harm: %s\n", p.runs, n, t, h)
-						r, err := rolloutsim.Run(rolloutsim.Options{
-							Instances: n, Traffic: t, Harm: rolloutsim.Harms[slices.Index(harmNames(), h)], Judge: j,
-							Without: w, Rate: p.rate, Runs: p.runs, FaultEvery: p.every, Seed: p.seed,
-						})
-						if err != nil {
-							return usage("simulate: %v", err)
-						}
-						if all = append(all, r); ctx.Err() != nil {
-							return ctx.Err()
-						}
+				o.Harm = rolloutsim.Harms[slices.Index(harmNames(), h)]
+				for _, o.Judge = range judges {
+					for _, o.Without = range without {
+						todo = append(todo, o)
 					}
 				}
 			}
 		}
 	}
+	var all []rolloutsim.Report
+	for _, o := range todo {
+		fmt.Fprintf(e.Err, "playing %d rollouts over %d instances, %s traffic, harm: %s\n", o.Runs, o.Instances, o.Traffic, o.Harm.Name)
+		r, err := rolloutsim.Run(o)
+		if err != nil {
+			return usage("simulate: %v", err)
+		}
+		if all = append(all, r); ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
 	if asJSON {
 		return json.NewEncoder(e.Out).Encode(all)
 	}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -311,15 +311,20 @@
 	effect := r.Group.first(key)
 	draw := r.work(units, stall)
 	r.Tally.ran(id, key, effect, units)
-	f := r.Faults
+	if r.Faults.answer(w, draw, left) {
+		return
+	}
+	r.answer(w, q, id, units)
+}
+
+// answer answers in place of the server where what was drawn falls on a fault.
+func (f *Faults) answer(w http.ResponseWriter, draw float64, left func()) (faulty bool) {
 	switch {
 	case draw < f.Error:
 		w.WriteHeader(http.StatusInternalServerError)
-		return
 	case draw < f.Error+f.Reset:
 		left()
 		hangUp(w)
-		return
 	case draw < f.Error+f.Reset+f.Spoilt:
 		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nnoise")
@@ -328,8 +333,14 @@
 				c.Close()
 			}()
 		}
-		return
+	default:
+		return false
 	}
+	return true
+}
+
+// answer writes the answer to a request that was worked on, with the load report.
+func (r *Running) answer(w http.ResponseWriter, q *http.Request, id string, units float64) {
 	h := w.Header()
 	r.mu.Lock()
 	h.Set("X-Backend-Load", fmt.Sprintf("inflight=%d,latency_ms=%.3f,util=%.2f,queue=%d", r.queue+r.working, r.latency,
--- a/internal/faultnet/script/shrink.go
+++ b/internal/faultnet/script/shrink.go
@@ -16,51 +16,70 @@
 // halves before single ones (delta debugging), then those that are left are made shorter and
 // milder.
 func ShrinkWithin(s Script, runs int, fails func(Script) bool) Script {
-	try := func(e []Entry) bool {
-		if runs <= 0 {
-			return false
-		}
-		runs--
-		c := s
-		c.Entries = e
-		if !fails(c) {
-			return false
-		}
-		s = c
-		return true
+	sh := shrinker{s, runs, fails}
+	sh.leaveOut()
+	for sh.runs > 0 && sh.makeMilder() {
+	}
+	sh.s.sort()
+	return sh.s
+}
+
+// shrinker is the least script so far that fails, and how many more may be tried.
+type shrinker struct {
+	s     Script
+	runs  int
+	fails func(Script) bool
+}
+
+// try takes other faults if the script still fails with them.
+func (sh *shrinker) try(e []Entry) bool {
+	if sh.runs <= 0 {
+		return false
 	}
-	for before := -1; before != len(s.Entries) && runs > 0; {
-		before = len(s.Entries)
-		for size := len(s.Entries); size > 0; size /= 2 {
-			for at := 0; at < len(s.Entries); {
-				end := min(at+size, len(s.Entries))
-				if !try(slices.Concat(s.Entries[:at], s.Entries[end:])) {
+	sh.runs--
+	c := sh.s
+	c.Entries = e
+	if !sh.fails(c) {
+		return false
+	}
+	sh.s = c
+	return true
+}
+
+// leaveOut leaves out what it can, until nothing more goes.
+func (sh *shrinker) leaveOut() {
+	for before := -1; before != len(sh.s.Entries) && sh.runs > 0; {
+		before = len(sh.s.Entries)
+		for size := len(sh.s.Entries); size > 0; size /= 2 {
+			for at := 0; at < len(sh.s.Entries); {
+				end := min(at+size, len(sh.s.Entries))
+				if !sh.try(slices.Concat(sh.s.Entries[:at], sh.s.Entries[end:])) {
 					at = end
 				}
 			}
 		}
 	}
-	for milder := true; milder && runs > 0; {
-		milder = false
-		for i := range s.Entries {
-			for _, less := range mild {
-				for runs > 0 {
-					e, ok := less(s.Entries[i])
-					if !ok {
-						break
-					}
-					all := slices.Clone(s.Entries)
-					all[i] = e
-					if !try(all) {
-						break
-					}
-					milder = true
+}
+
+// makeMilder makes each fault as mild as it goes, and tells whether one has become milder.
+func (sh *shrinker) makeMilder() (milder bool) {
+	for i := range sh.s.Entries {
+		for _, less := range mild {
+			for sh.runs > 0 {
+				e, ok := less(sh.s.Entries[i])
+				if !ok {
+					break
+				}
+				all := slices.Clone(sh.s.Entries)
+				all[i] = e
+				if !sh.try(all) {
+					break
 				}
+				milder = true
 			}
 		}
 	}
-	s.sort()
-	return s
+	return milder
 }
 
 // mild are the ways in which one fault can be less. Each falls to an end: times to a step, places
--- a/internal/faultnet/trial/trial.go
+++ b/internal/faultnet/trial/trial.go
@@ -158,6 +158,15 @@
 	}
 	r.judge()
 	r.settle(ctx)
+	r.report(rep)
+	for _, e := range events {
+		rep.Events = append(rep.Events, e.String())
+	}
+	return rep, nil
+}
+
+// report counts what came of the trial.
+func (r *run) report(rep *Report) {
 	rep.Wrong = r.notes.Check(func(why string) bool { return !strings.HasPrefix(why, "unexplained") })
 	rep.Requests, rep.Answered = r.notes.Counts()
 	rep.Effects = r.notes.Effects()
@@ -176,10 +185,6 @@
 		rep.Resets += n.Resets
 		rep.Lost += n.Lost
 	}
-	for _, e := range events {
-		rep.Events = append(rep.Events, e.String())
-	}
-	return rep, nil
 }
 
 func (r *run) client(node, n int) *client {
--- a/internal/h2/sending.go
+++ b/internal/h2/sending.go
@@ -126,7 +126,7 @@
 				continue
 			}
 			for _, v := range vs {
-				if name == "te" && v != "trailers" || name == "user-agent" && v == "" {
+				if unsentField(name, v) {
 					continue
 				}
 				if !yield(hpack.HeaderField{Name: name, Value: v}) {
@@ -140,6 +140,11 @@
 	}
 }
 
+// unsentField tells of a field that says nothing in HTTP/2, or is empty.
+func unsentField(name, value string) bool {
+	return name == "te" && value != "trailers" || name == "user-agent" && value == ""
+}
+
 // contentLength is what the head says of the body's length; below 0 it says nothing.
 func (r *Request) contentLength() int64 {
 	if r.More {
--- a/internal/measure/bodies.go
+++ b/internal/measure/bodies.go
@@ -153,6 +153,27 @@
 	return n, nil
 }
 
+// watchMemory watches a process's resident memory; stop ends that and gives the most there was, in MB.
+func watchMemory(pid int) (stop func() float64) {
+	most, ended, end := 0.0, make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			most = max(most, residentOf(pid))
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-end:
+				return
+			}
+		}
+	}()
+	return func() float64 {
+		close(end)
+		<-ended
+		return most
+	}
+}
+
 // flow has clients send or fetch bodies through a program until the time is over; each goes on to
 // its end.
 func (o BodiesOptions) flow(ctx context.Context, size int64, way string, args ...string) (Flow, error) {
@@ -200,23 +221,10 @@
 			all.Go(func() { work(func() (int64, error) { return send(client, addr, size) }) })
 		}
 	}
-	most, watched := 0.0, make(chan struct{})
-	stop := make(chan struct{})
-	go func() {
-		defer close(watched)
-		for {
-			most = max(most, residentOf(cmd.Process.Pid))
-			select {
-			case <-time.After(20 * time.Millisecond):
-			case <-stop:
-				return
-			}
-		}
-	}()
+	watched := watchMemory(cmd.Process.Pid)
 	all.Wait()
 	took := time.Since(begun)
-	close(stop)
-	<-watched
+	most := watched()
 	after, err := cpuOf(cmd.Process.Pid)
 	if err != nil {
 		return Flow{}, err
--- a/internal/measure/change.go
+++ b/internal/measure/change.go
@@ -202,20 +202,26 @@
 		x := r["x"]
 		rep.Calls, rep.Refused, rep.Lost = rep.Calls+x.Calls, rep.Refused+x.Refused, rep.Lost+x.Lost+x.Wrong+x.Failed
 	}
+	rep.answers(all, at)
+	rep.Upgrades, rep.Twice = len(at), pool.Tally.Counts().Twice
+	return rep, nil
+}
+
+// answers takes the times of answers, around upgrades and of the rest.
+func (r *UpgradeReport) answers(all []fake.Answer, upgrades []time.Time) {
 	var around, quiet fake.Times
 	for _, a := range all {
 		if a.NoConn {
-			rep.NoConn++
+			r.NoConn++
 		}
-		near := slices.ContainsFunc(at, func(t time.Time) bool { d := a.Sent.Sub(t); return d > -time.Second && d < time.Second })
+		near := slices.ContainsFunc(upgrades, func(t time.Time) bool { d := a.Sent.Sub(t); return d > -time.Second && d < time.Second })
 		if near {
 			around.Add(a.Took)
 		} else {
 			quiet.Add(a.Took)
 		}
 	}
-	rep.Upgrades, rep.Around, rep.Quiet, rep.Twice = len(at), times(&around), times(&quiet), pool.Tally.Counts().Twice
-	return rep, nil
+	r.Around, r.Quiet = times(&around), times(&quiet)
 }
 
 func times(t *fake.Times) Times {
--- a/internal/measure/gather.go
+++ b/internal/measure/gather.go
@@ -89,6 +89,29 @@
 		"[[routes]]\nservice = \"all\"\npath = \"/all\"\n"
 }
 
+// rounds has workers do one round after another, and gives how long each took and how many failed.
+func rounds(ctx context.Context, workers int, lasts time.Duration, round func() bool) (took []time.Duration, failed int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	end := time.Now().Add(lasts)
+	for range workers {
+		all.Go(func() {
+			for time.Now().Before(end) && ctx.Err() == nil {
+				begun := time.Now()
+				ok := round()
+				mu.Lock()
+				took = append(took, time.Since(begun))
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	return took, failed
+}
+
 // gatherRun gives the CPU of the node, in us, for a query or for as many plain calls as one has parts.
 func gatherRun(ctx context.Context, o GatherOptions, server string, parts int, gathers bool) (cpu, p50 float64, failed int, err error) {
 	file, err := writeConfig(gatherText(server, parts))
@@ -112,42 +135,23 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		return err == nil && resp.StatusCode == http.StatusOK && (path != "/all" || resp.Header.Get("Lockflow-Parts") == fmt.Sprintf("%d/%d", parts, parts))
 	}
-	var mu sync.Mutex
-	var took []time.Duration
-	rounds := func(lasts time.Duration) (n int) {
-		var workers sync.WaitGroup
-		end := time.Now().Add(lasts)
-		for range o.Workers {
-			workers.Go(func() {
-				for time.Now().Before(end) && ctx.Err() == nil {
-					begun, ok := time.Now(), true
-					if gathers {
-						ok = ask("/all")
-					} else {
-						for i := range parts {
-							ok = ask(fmt.Sprint("/p", i)) && ok
-						}
-					}
-					mu.Lock()
-					n++
-					took = append(took, time.Since(begun))
-					if !ok {
-						failed++
-					}
-					mu.Unlock()
-				}
-			})
+	round := func() bool {
+		if gathers {
+			return ask("/all")
+		}
+		ok := true
+		for i := range parts {
+			ok = ask(fmt.Sprint("/p", i)) && ok
 		}
-		workers.Wait()
-		return n
+		return ok
 	}
-	rounds(o.Lasts / 4) // connections, and what is learned
-	took, failed = nil, 0
+	rounds(ctx, o.Workers, o.Lasts/4, round) // connections, and what is learned
 	before, err := cpuOf(node.Process.Pid)
 	if err != nil {
 		return 0, 0, 0, err
 	}
-	n := rounds(o.Lasts)
+	took, failed := rounds(ctx, o.Workers, o.Lasts, round)
+	n := len(took)
 	after, err := cpuOf(node.Process.Pid)
 	if err == nil && n == 0 {
 		err = fmt.Errorf("nothing was answered")
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -246,25 +246,30 @@
 
 func (r *rolloutRig) journal() string { return filepath.Join(r.o.Dir, "journal") }
 
-// change begins a change whose coordinator is killed, and has it ended. killed tells whether it was.
-func (r *rolloutRig) change(ctx context.Context, kind string, kill int, way string) (killed bool, err error) {
-	begun := time.Now()
-	r.changes++
-	args := []string{"reload", "--config"}
-	text := r.text + fmt.Sprintf("# change %d\n", r.changes)
-	next := desiredstate.Hash([]byte(text))
+// next gives the command's arguments for the next change of a kind, and the hash of what members run after it.
+func (r *rolloutRig) next(kind string) (args []string, hash string, err error) {
 	if kind == desiredstate.Program {
-		args = []string{"upgrade", "--program", r.program[1-r.at]}
 		raw, err := os.ReadFile(r.program[1-r.at])
 		if err != nil {
-			return false, err
-		}
-		next = desiredstate.Hash(raw)
-	} else {
-		args = append(args, filepath.Join(r.o.Dir, "next.toml"))
-		if err := os.WriteFile(args[2], []byte(text), 0o600); err != nil {
-			return false, err
+			return nil, "", err
 		}
+		return []string{"upgrade", "--program", r.program[1-r.at]}, desiredstate.Hash(raw), nil
+	}
+	text := []byte(r.text + fmt.Sprintf("# change %d\n", r.changes))
+	path := filepath.Join(r.o.Dir, "next.toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, "", err
+	}
+	return []string{"reload", "--config", path}, desiredstate.Hash(text), nil
+}
+
+// change begins a change whose coordinator is killed, and has it ended. killed tells whether it was.
+func (r *rolloutRig) change(ctx context.Context, kind string, kill int, way string) (killed bool, err error) {
+	begun := time.Now()
+	r.changes++
+	args, next, err := r.next(kind)
+	if err != nil {
+		return false, err
 	}
 	was, err := r.runs(ctx, kind)
 	if err != nil {
@@ -314,17 +319,18 @@
 	case now[old[0]] == r.o.Members:
 		row.State = "old"
 	}
-	over := strings.Contains(said, "the change is over")
-	wrong := row.State == "mixed"
-	switch {
+	var wrong bool
+	switch over := strings.Contains(said, "the change is over"); {
+	case row.State == "mixed":
+		wrong = true
 	case none:
-		wrong = wrong || row.State != "old"
+		wrong = row.State != "old"
 	case over || !killed:
-		wrong = wrong || !killed && (code != 0 || row.State != "new")
+		wrong = !killed && (code != 0 || row.State != "new")
 	case back:
-		wrong = wrong || row.State != "old" || code != 1
+		wrong = row.State != "old" || code != 1
 	default:
-		wrong = wrong || row.State != "new" || code != 0
+		wrong = row.State != "new" || code != 0
 	}
 	if wrong {
 		r.rep.Wrong = append(r.rep.Wrong, fmt.Sprintf("%s, killed at write %d, then %s: exit %d, members run %v; before %v, next %.12s\n%s", kind, kill, way, code, now, old, next, log))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -148,52 +148,10 @@
 		p.member(&s)
 	}
 	for _, s := range of.Status() {
-		p.add(&held, float64(s.Requests), s.Name)
-		p.add(&out, float64(s.AttemptsInFlight), s.Name)
-		p.add(&bound, s.ConcurrencyLimit, s.Name)
-		p.add(&servers, float64(s.AvailableServers), s.Name, "up")
-		p.add(&servers, float64(s.Servers-s.AvailableServers), s.Name, "other")
-		p.add(&idle, float64(s.IdleConnections), s.Name)
-		p.add(&restarts, float64(s.Restarts), s.Name)
-		for _, c := range s.HardLimits {
-			p.add(&lends, oneIf(c.Lends), s.Name, c.StoreName)
-			p.add(&ownPart, oneIf(c.Own), s.Name, c.StoreName)
-			p.add(&borrowed, c.Borrowed, s.Name, c.StoreName)
-			p.add(&lendWaits, float64(c.Waiting), s.Name, c.StoreName)
-			p.add(&lendCalls, float64(c.Calls), s.Name, c.StoreName)
-		}
-		if h := s.HTTP2; h != nil {
-			p.add(&shared, float64(h.Connections), s.Name)
-			p.add(&streams, float64(h.Streams), s.Name, "open")
-			p.add(&streams, float64(h.Room), s.Name, "room")
-			p.add(&streamWait, float64(h.Waiting), s.Name)
-			p.add(&fellBack, float64(h.FellBack), s.Name)
-		}
-		if s.Resources == nil {
-			continue
-		}
-		p.add(&moduleTime, s.Resources.ModuleTime, s.Name)
-		for _, l := range []struct {
-			name string
-			use  limits.Usage
-		}{{"descriptors", s.Resources.Descriptors}, {"held", s.Resources.Requests}, {"bytes", s.Resources.BufferedBytes}, {"dials", s.Resources.Dials}} {
-			p.add(&partUsed, float64(l.use.Used), s.Name, l.name)
-			p.add(&partOwn, float64(l.use.Guaranteed), s.Name, l.name)
-			p.add(&partDenied, float64(l.use.Denied), s.Name, l.name)
-		}
+		p.service(&s)
 	}
 	for name, counts := range of.RequestCounts() {
-		counts.Each(func(class string, n *service.ClassCounts) {
-			for i, outcome := range service.Outcomes {
-				p.add(&requests, float64(n.Requests[i].Load()), name, class, outcome)
-			}
-			for i, outcome := range service.Reasons {
-				p.add(&attempts, float64(n.Attempts[i].Load()), name, class, outcome)
-			}
-			noRoom := n.ResourceLimited.Load()
-			p.add(&refusals, float64(noRoom), name, class, "no_room")
-			p.add(&refusals, float64(max(n.Requests[1].Load(), noRoom)-noRoom), name, class, "decision")
-		})
+		p.counts(name, counts)
 	}
 	if g, ok := of.(Gathering); ok {
 		p.gather(g)
@@ -208,6 +166,58 @@
 	return nil
 }
 
+// service adds what one service does.
+func (p *page) service(s *node.Status) {
+	p.add(&held, float64(s.Requests), s.Name)
+	p.add(&out, float64(s.AttemptsInFlight), s.Name)
+	p.add(&bound, s.ConcurrencyLimit, s.Name)
+	p.add(&servers, float64(s.AvailableServers), s.Name, "up")
+	p.add(&servers, float64(s.Servers-s.AvailableServers), s.Name, "other")
+	p.add(&idle, float64(s.IdleConnections), s.Name)
+	p.add(&restarts, float64(s.Restarts), s.Name)
+	for _, c := range s.HardLimits {
+		p.add(&lends, oneIf(c.Lends), s.Name, c.StoreName)
+		p.add(&ownPart, oneIf(c.Own), s.Name, c.StoreName)
+		p.add(&borrowed, c.Borrowed, s.Name, c.StoreName)
+		p.add(&lendWaits, float64(c.Waiting), s.Name, c.StoreName)
+		p.add(&lendCalls, float64(c.Calls), s.Name, c.StoreName)
+	}
+	if h := s.HTTP2; h != nil {
+		p.add(&shared, float64(h.Connections), s.Name)
+		p.add(&streams, float64(h.Streams), s.Name, "open")
+		p.add(&streams, float64(h.Room), s.Name, "room")
+		p.add(&streamWait, float64(h.Waiting), s.Name)
+		p.add(&fellBack, float64(h.FellBack), s.Name)
+	}
+	if s.Resources == nil {
+		return
+	}
+	p.add(&moduleTime, s.Resources.ModuleTime, s.Name)
+	for _, l := range []struct {
+		name string
+		use  limits.Usage
+	}{{"descriptors", s.Resources.Descriptors}, {"held", s.Resources.Requests}, {"bytes", s.Resources.BufferedBytes}, {"dials", s.Resources.Dials}} {
+		p.add(&partUsed, float64(l.use.Used), s.Name, l.name)
+		p.add(&partOwn, float64(l.use.Guaranteed), s.Name, l.name)
+		p.add(&partDenied, float64(l.use.Denied), s.Name, l.name)
+	}
+}
+
+// counts adds what came of a service's requests and attempts, by class.
+func (p *page) counts(name string, counts *service.RequestCounts) {
+	counts.Each(func(class string, n *service.ClassCounts) {
+		for i, outcome := range service.Outcomes {
+			p.add(&requests, float64(n.Requests[i].Load()), name, class, outcome)
+		}
+		for i, outcome := range service.Reasons {
+			p.add(&attempts, float64(n.Attempts[i].Load()), name, class, outcome)
+		}
+		noRoom := n.ResourceLimited.Load()
+		p.add(&refusals, float64(noRoom), name, class, "no_room")
+		p.add(&refusals, float64(max(n.Requests[1].Load(), noRoom)-noRoom), name, class, "decision")
+	})
+}
+
 // Handler answers scrapes of a source.
 func Handler(of Source) http.Handler {
 	places := make(chan struct{}, scrapesMost)
--- a/internal/redistest/redistest.go
+++ b/internal/redistest/redistest.go
@@ -421,21 +421,50 @@
 		}
 		return e.text
 	case "SET":
-		e = entry{text: args[1]}
-		if len(args) == 4 && strings.EqualFold(args[2], "PX") {
-			ms, err := strconv.ParseInt(args[3], 10, 64)
-			if err != nil || ms <= 0 {
-				return errors.New("ERR invalid expire time in 'set' command")
-			}
-			e.ends = s.clock().Add(time.Duration(ms) * time.Millisecond)
-		} else if len(args) != 2 {
-			return errors.New("ERR syntax error")
-		}
-		s.db[key] = e
-		return status("OK")
+		return s.set(args)
 	case "DEL":
 		delete(s.db, key)
 		return map[bool]int{true: 1}[is]
+	case "PEXPIRE":
+		return s.pexpire(args, e, is)
+	}
+	return s.runHash(name, args, e, is)
+}
+
+// set is SET KEY VALUE [PX MILLISECONDS].
+func (s *Server) set(args []string) any {
+	e := entry{text: args[1]}
+	if len(args) == 4 && strings.EqualFold(args[2], "PX") {
+		ms, err := strconv.ParseInt(args[3], 10, 64)
+		if err != nil || ms <= 0 {
+			return errors.New("ERR invalid expire time in 'set' command")
+		}
+		e.ends = s.clock().Add(time.Duration(ms) * time.Millisecond)
+	} else if len(args) != 2 {
+		return errors.New("ERR syntax error")
+	}
+	s.db[args[0]] = e
+	return status("OK")
+}
+
+// pexpire is PEXPIRE KEY MILLISECONDS of what the key has, if it is there.
+func (s *Server) pexpire(args []string, e entry, is bool) any {
+	ms, err := strconv.ParseInt(args[1], 10, 64)
+	if err != nil {
+		return errors.New("ERR value is not an integer or out of range")
+	}
+	if !is {
+		return 0
+	}
+	e.ends = s.clock().Add(time.Duration(ms) * time.Millisecond)
+	s.db[args[0]] = e
+	return 1
+}
+
+// runHash runs a command on a hash: what the key has, if it is there.
+func (s *Server) runHash(name string, args []string, e entry, is bool) any {
+	key := args[0]
+	switch name {
 	case "HGET":
 		if v, ok := e.hash[args[1]]; ok {
 			return v
@@ -469,7 +498,7 @@
 		}
 		s.db[key] = e
 		return len(args) / 2
-	case "HDEL":
+	default: // HDEL
 		for _, f := range args[1:] {
 			delete(e.hash, f)
 		}
@@ -478,14 +507,4 @@
 		}
 		return 1
 	}
-	ms, err := strconv.ParseInt(args[1], 10, 64) // PEXPIRE
-	if err != nil {
-		return errors.New("ERR value is not an integer or out of range")
-	}
-	if !is {
-		return 0
-	}
-	e.ends = s.clock().Add(time.Duration(ms) * time.Millisecond)
-	s.db[key] = e
-	return 1
 }
--- a/internal/regions/loop.go
+++ b/internal/regions/loop.go
@@ -75,15 +75,60 @@
 
 // prepare finds the rules that lead on, and whether a circle of regions is there at all.
 func (l *loops) prepare() bool {
-	listens := make(map[string][]int32)
+	listens := l.listeners()
+	on := l.circling(listens)
+	if !slices.Contains(on, true) {
+		return false
+	}
+	to := l.leadTo(listens)
+	l.names = make(map[string]bool)
+	l.from, l.at = make([][]transit, len(on)), make([]map[*cond]int32, len(on))
+	for i, h := range l.regions {
+		l.at[i] = make(map[*cond]int32)
+		for _, r := range h.rules {
+			if r.cond == nil {
+				continue
+			}
+			for _, c := range r.area.headers {
+				l.names[c.Name] = true
+			}
+			if !on[i] {
+				continue
+			}
+			var ahead []int32
+			for _, j := range to[l.attrs.all[r.attr].leads] {
+				if on[j] {
+					ahead = append(ahead, j)
+				}
+			}
+			if len(ahead) > 0 && !once(r.area.headers) {
+				l.from[i] = append(l.from[i], transit{r, ahead})
+			}
+		}
+		slices.SortFunc(l.from[i], func(a, b transit) int { return compare(a.cond, b.cond) })
+		for k, t := range l.from[i] {
+			l.at[i][t.cond] = int32(k)
+		}
+	}
+	return true
+}
+
+// listeners are the regions by the addresses on which they listen.
+func (l *loops) listeners() map[string][]int32 {
+	all := make(map[string][]int32)
 	for i, h := range l.regions {
 		for _, a := range h.Listeners {
-			if !slices.Contains(listens[a], int32(i)) {
-				listens[a] = append(listens[a], int32(i))
+			if !slices.Contains(all[a], int32(i)) {
+				all[a] = append(all[a], int32(i))
 			}
 		}
 	}
-	to := make(map[int32][]int32) // by leads
+	return all
+}
+
+// leadTo are the regions that leads go to, in their order.
+func (l *loops) leadTo(listens map[string][]int32) map[int32][]int32 {
+	to := make(map[int32][]int32)
 	for id, all := range l.leads {
 		for _, a := range all {
 			for _, r := range listens[a] {
@@ -94,7 +139,11 @@
 		}
 		slices.Sort(to[id])
 	}
-	// Regions that lead nowhere, and those that lead to such alone, are in no circle.
+	return to
+}
+
+// circling tells which regions may be in a circle: not those that lead nowhere, or to such alone.
+func (l *loops) circling(listens map[string][]int32) []bool {
 	next := make([][]int32, len(l.regions))
 	for i, h := range l.regions {
 		for _, s := range h.Services {
@@ -115,39 +164,7 @@
 			}
 		}
 	}
-	if !slices.Contains(on, true) {
-		return false
-	}
-	l.names = make(map[string]bool)
-	l.from, l.at = make([][]transit, len(next)), make([]map[*cond]int32, len(next))
-	for i, h := range l.regions {
-		l.at[i] = make(map[*cond]int32)
-		for _, r := range h.rules {
-			if r.cond == nil {
-				continue
-			}
-			for _, c := range r.area.headers {
-				l.names[c.Name] = true
-			}
-			if !on[i] {
-				continue
-			}
-			var ahead []int32
-			for _, j := range to[l.attrs.all[r.attr].leads] {
-				if on[j] {
-					ahead = append(ahead, j)
-				}
-			}
-			if len(ahead) > 0 && !once(r.area.headers) {
-				l.from[i] = append(l.from[i], transit{r, ahead})
-			}
-		}
-		slices.SortFunc(l.from[i], func(a, b transit) int { return compare(a.cond, b.cond) })
-		for k, t := range l.from[i] {
-			l.at[i][t.cond] = int32(k)
-		}
-	}
-	return true
+	return on
 }
 
 // once tells whether conditions ask for a header that never goes on.
@@ -253,17 +270,9 @@
 		o := &l.outs.all[l.attrs.all[t.attr].out]
 		ordinary, platform, gathers = ordinary || o.ordinary, platform || !o.ordinary, gathers || o.gather != 0
 	}
-	var doubts []string
-	for _, h := range a.headers {
-		switch {
-		case h.Name == "Via" && ordinary && !h.Any,
-			platform && protocol.OwnHeader(h.Name) && !protocol.HopHeader(h.Name),
-			gathers && (slices.Contains(notGathered, h.Name) || h.Name == acceptEncoding && !h.Any && h.Value != identity),
-			ordinary && (h.Name == "Proxy-Authenticate" || h.Name == "Proxy-Authorization"):
-			return nil // it doesn't go on as these rules ask for it
-		case protocol.HopHeader(h.Name) || strings.Contains(h.Name, "_") || slices.Contains(setOnTheWay, h.Name):
-			doubts = append(doubts, h.Name)
-		}
+	doubts, passes := passing(a.headers, ordinary, platform, gathers)
+	if !passes {
+		return nil
 	}
 	for _, v := range l.variants(a, attrs) {
 		w := l.request(v)
@@ -290,6 +299,23 @@
 	return nil
 }
 
+// passing tells whether a request goes on with the headers that conditions ask for, through rules some of which
+// are ordinary, of the platform or gather, and of which headers that is not sure.
+func passing(headers []route.Header, ordinary, platform, gathers bool) (doubts []string, passes bool) {
+	for _, h := range headers {
+		switch {
+		case h.Name == "Via" && ordinary && !h.Any,
+			platform && protocol.OwnHeader(h.Name) && !protocol.HopHeader(h.Name),
+			gathers && (slices.Contains(notGathered, h.Name) || h.Name == acceptEncoding && !h.Any && h.Value != identity),
+			ordinary && (h.Name == "Proxy-Authenticate" || h.Name == "Proxy-Authorization"):
+			return nil, false
+		case protocol.HopHeader(h.Name) || strings.Contains(h.Name, "_") || slices.Contains(setOnTheWay, h.Name):
+			doubts = append(doubts, h.Name)
+		}
+	}
+	return doubts, true
+}
+
 // What a gatherer asks its parts for is a whole answer as it is, whatever it was asked for.
 var notGathered = []string{"If-None-Match", "If-Modified-Since", "If-Match", "If-Unmodified-Since", "If-Range", "Range", "Expect", "Content-Length"}
 
--- a/internal/regions/outcome.go
+++ b/internal/regions/outcome.go
@@ -248,22 +248,31 @@
 	return
 }
 
-// variants gives the areas of which one has a request that shows what rules of these outcomes do with
-// the least requests of an area: by each method and class that makes a difference to them.
-func (x *Index) variants(a area, attrs []int32) []area {
+// byClasses gives an area of any path, and those in it of each class that a path names to rules of these outcomes.
+func (x *Index) byClasses(a area, attrs []int32) []area {
 	all := []area{a}
-	if !a.exact && a.path == "" {
-		for _, at := range attrs {
-			if o := &x.outs.all[x.attrs.all[at].out]; o.way == byPath {
-				for class := range x.tables[o.table] {
-					if b, ok := a.meet(area{path: "/" + class}); ok && !slices.ContainsFunc(all, func(c area) bool { return c.path == b.path }) {
-						all = append(all, b)
-					}
-				}
+	if a.exact || a.path != "" {
+		return all
+	}
+	for _, at := range attrs {
+		o := &x.outs.all[x.attrs.all[at].out]
+		if o.way != byPath {
+			continue
+		}
+		for class := range x.tables[o.table] {
+			if b, ok := a.meet(area{path: "/" + class}); ok && !slices.ContainsFunc(all, func(c area) bool { return c.path == b.path }) {
+				all = append(all, b)
 			}
 		}
-		slices.SortFunc(all, func(a, b area) int { return cmp.Compare(a.path, b.path) })
 	}
+	slices.SortFunc(all, func(a, b area) int { return cmp.Compare(a.path, b.path) })
+	return all
+}
+
+// variants gives the areas of which one has a request that shows what rules of these outcomes do with
+// the least requests of an area: by each method and class that makes a difference to them.
+func (x *Index) variants(a area, attrs []int32) []area {
+	all := x.byClasses(a, attrs)
 	if a.method != "" {
 		return all
 	}
--- a/internal/regions/pairs.go
+++ b/internal/regions/pairs.go
@@ -68,48 +68,17 @@
 		if w == nil {
 			continue
 		}
-		x.evaluate(w)
-		x.with, x.against = x.with[:0], x.against[:0]
-		for i, c := range x.chosen {
-			switch {
-			case c.cond == d:
-				x.with = append(x.with, side{int32(i), c.attr})
-			case c.cond == j && j != nil:
-				x.against = append(x.against, side{int32(i), c.attr})
-			case c.cond == nil && j == nil:
-				x.against = append(x.against, side{int32(i), -1})
-			}
-		}
-		if len(x.with) == 0 || j != nil && len(x.against) == 0 {
+		if x.evaluate(w); !x.oppose(d, j) {
 			continue
 		}
-		if j == nil {
-			x.against = append(x.against, x.with...)
-		}
 		for _, kind := range []Kind{ServiceKind, CoverageKind, TermsKind} {
-			var found [][2]uint16
-			last, yes := side{-2, -2}, false // of attrs
-			for _, s := range x.with {
-				for _, o := range x.against {
-					if o.attr >= 0 && j == nil && o.region <= s.region { // both d
-						continue
-					}
-					if now := (side{s.attr, o.attr}); now != last {
-						last, yes = now, x.shows(kind, w, s.attr, o.attr)
-					}
-					if !yes {
-						continue
-					}
-					k := shown{kind, [2]uint16{uint16(min(s.region, o.region)), uint16(max(s.region, o.region))}}
-					if _, twice := seen[k]; twice {
-						continue
-					}
-					if found = append(found, k.pair); len(variants) > 1 {
-						if seen == nil {
-							seen = make(map[shown]struct{})
-						}
-						seen[k] = struct{}{}
-					}
+			found := x.differing(kind, w, j, seen)
+			if len(variants) > 1 && len(found) > 0 {
+				if seen == nil {
+					seen = make(map[shown]struct{})
+				}
+				for _, pair := range found {
+					seen[shown{kind, pair}] = struct{}{}
 				}
 			}
 			if len(found) > 0 {
@@ -124,6 +93,53 @@
 	return all
 }
 
+// oppose sorts the regions into those in which d wins and those that they are held against, by what was
+// evaluated last; false where there are none of one.
+func (x *Index) oppose(d, j *cond) bool {
+	x.with, x.against = x.with[:0], x.against[:0]
+	for i, c := range x.chosen {
+		switch {
+		case c.cond == d:
+			x.with = append(x.with, side{int32(i), c.attr})
+		case c.cond == j && j != nil:
+			x.against = append(x.against, side{int32(i), c.attr})
+		case c.cond == nil && j == nil:
+			x.against = append(x.against, side{int32(i), -1})
+		}
+	}
+	if len(x.with) == 0 || j != nil && len(x.against) == 0 {
+		return false
+	}
+	if j == nil {
+		x.against = append(x.against, x.with...)
+	}
+	return true
+}
+
+// differing lists the pairs of opposed regions that treat a request differently, of one kind, and have no
+// witness yet.
+func (x *Index) differing(kind Kind, w *Witness, j *cond, seen map[shown]struct{}) (found [][2]uint16) {
+	last, yes := side{-2, -2}, false // of attrs
+	for _, s := range x.with {
+		for _, o := range x.against {
+			if o.attr >= 0 && j == nil && o.region <= s.region { // both d
+				continue
+			}
+			if now := (side{s.attr, o.attr}); now != last {
+				last, yes = now, x.shows(kind, w, s.attr, o.attr)
+			}
+			if !yes {
+				continue
+			}
+			pair := [2]uint16{uint16(min(s.region, o.region)), uint16(max(s.region, o.region))}
+			if _, twice := seen[shown{kind, pair}]; !twice {
+				found = append(found, pair)
+			}
+		}
+	}
+	return found
+}
+
 // side is a region and the rule that it chooses; -1 is none.
 type side struct {
 	region int32
--- a/internal/regions/space.go
+++ b/internal/regions/space.go
@@ -286,6 +286,11 @@
 	if a.exact {
 		return true
 	}
+	return b.below(a, all)
+}
+
+// below is meeting of the rules for paths at and below an area's.
+func (b *bucket) below(a area, all func(...[]*cond) bool) bool {
 	if a.path != "" && !all(b.exact[a.path]) {
 		return false
 	}
--- a/internal/regions/sums.go
+++ b/internal/regions/sums.go
@@ -65,22 +65,7 @@
 			if h.Shared && s.Counter != "" {
 				names = append(names, "counter "+s.Counter)
 			}
-			to := -1
-			for _, n := range names {
-				switch g, ok := at[n]; {
-				case !ok || g == to:
-				case to < 0:
-					to = g
-				default:
-					groups[to] = append(groups[to], groups[g]...)
-					groups[g] = nil
-					for k, v := range at {
-						if v == g {
-							at[k] = to
-						}
-					}
-				}
-			}
+			to := join(names, at, groups)
 			if to < 0 {
 				to = len(groups)
 				groups = append(groups, nil)
@@ -94,6 +79,27 @@
 	return groups
 }
 
+// join makes one group of those at which names are, and gives its place; -1 where there are none.
+func join(names []string, at map[string]int, groups [][]sharing) int {
+	to := -1
+	for _, n := range names {
+		switch g, ok := at[n]; {
+		case !ok || g == to:
+		case to < 0:
+			to = g
+		default:
+			groups[to] = append(groups[to], groups[g]...)
+			groups[g] = nil
+			for k, v := range at {
+				if v == g {
+					at[k] = to
+				}
+			}
+		}
+	}
+	return to
+}
+
 // tiny is what sums may be off by rounding, as a part.
 const tiny = 1e-9
 
@@ -181,16 +187,34 @@
 
 // colds holds what regions let cold servers have together against what these bear.
 func (x *Index) colds() (all []Conflict) {
-	known := make(map[string][]string) // servers by source
-	for _, h := range x.regions {
-		for _, s := range h.Services {
-			if s.Source != "" && len(s.Servers) > len(known[s.Source]) {
-				known[s.Source] = s.Servers
+	listers, by := x.listers()
+	same := make(map[string][]string) // servers by who lists them
+	places := make(map[string][]int)
+	for id, at := range by {
+		k := fmt.Sprint(at)
+		same[k], places[k] = append(same[k], id), at
+	}
+	for k, ids := range same {
+		var who []lister
+		for _, i := range places[k] {
+			who = append(who, listers[i])
+		}
+		if c := cold(who); c != nil {
+			slices.Sort(ids)
+			if c.Rules = ids; len(ids) > serversTold {
+				c.Rules = ids[:serversTold]
+				c.Why += fmt.Sprintf("; and of %d more servers", len(ids)-serversTold)
 			}
+			all = append(all, *c)
 		}
 	}
-	var listers []lister
-	by := make(map[string][]int) // places in listers, by server
+	return all
+}
+
+// listers lists the services that send to servers, and their places by server.
+func (x *Index) listers() (listers []lister, by map[string][]int) {
+	known := x.knownServers()
+	by = make(map[string][]int)
 	lists := make(map[string]int)
 	for _, h := range x.regions {
 		for i := range h.Services {
@@ -219,27 +243,20 @@
 			listers = append(listers, lister{h, s, fmt.Sprint(lists[text])})
 		}
 	}
-	same := make(map[string][]string) // servers by who lists them
-	places := make(map[string][]int)
-	for id, at := range by {
-		k := fmt.Sprint(at)
-		same[k], places[k] = append(same[k], id), at
-	}
-	for k, ids := range same {
-		var who []lister
-		for _, i := range places[k] {
-			who = append(who, listers[i])
-		}
-		if c := cold(who); c != nil {
-			slices.Sort(ids)
-			if c.Rules = ids; len(ids) > serversTold {
-				c.Rules = ids[:serversTold]
-				c.Why += fmt.Sprintf("; and of %d more servers", len(ids)-serversTold)
+	return listers, by
+}
+
+// knownServers are the servers of each source, by the region that names the most.
+func (x *Index) knownServers() map[string][]string {
+	known := make(map[string][]string)
+	for _, h := range x.regions {
+		for _, s := range h.Services {
+			if s.Source != "" && len(s.Servers) > len(known[s.Source]) {
+				known[s.Source] = s.Servers
 			}
-			all = append(all, *c)
 		}
 	}
-	return all
+	return known
 }
 
 func cold(who []lister) *Conflict {
--- a/internal/regions/tell.go
+++ b/internal/regions/tell.go
@@ -24,39 +24,7 @@
 
 func (x *Index) conflicts(most int) []Conflict {
 	n := len(x.regions)
-	rest := append(slices.Clone(x.loops), x.sums...)
-	var findings []*finding
-	counts := make(map[Kind][]int) // by two regions
-	for _, found := range []map[*cond][]finding{x.found, x.dead} {
-		conds := make([]*cond, 0, len(found))
-		for c := range found {
-			conds = append(conds, c)
-		}
-		slices.SortFunc(conds, compare)
-		for _, c := range conds {
-			for i := range found[c] {
-				f := &found[c][i]
-				if f.why != "" && f.kind != DeadKind {
-					rest = append(rest, x.undecided(f))
-					continue
-				}
-				findings = append(findings, f)
-				if counts[f.kind] == nil {
-					counts[f.kind] = make([]int, n*n)
-				}
-				in := counts[f.kind]
-				for _, p := range f.pairs {
-					in[int(p[0])*n+int(p[1])]++
-				}
-			}
-		}
-	}
-	slices.SortStableFunc(rest, func(a, b Conflict) int {
-		if c := cmp.Or(slices.Compare(a.Regions, b.Regions), slices.Compare(a.Rules, b.Rules)); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Why, b.Why)
-	})
+	rest, findings, counts := x.collect()
 	// Each two regions have their place in what is told; there it is filled in by precedence.
 	var all []Conflict
 	places := make(map[Kind][]int)
@@ -99,6 +67,45 @@
 	return all
 }
 
+// collect gives the conflicts that are not between two regions' rules, in their order, the findings that are, by
+// precedence, and how many there are of a kind by two regions.
+func (x *Index) collect() (rest []Conflict, findings []*finding, counts map[Kind][]int) {
+	n := len(x.regions)
+	rest = append(slices.Clone(x.loops), x.sums...)
+	counts = make(map[Kind][]int)
+	for _, found := range []map[*cond][]finding{x.found, x.dead} {
+		conds := make([]*cond, 0, len(found))
+		for c := range found {
+			conds = append(conds, c)
+		}
+		slices.SortFunc(conds, compare)
+		for _, c := range conds {
+			for i := range found[c] {
+				f := &found[c][i]
+				if f.why != "" && f.kind != DeadKind {
+					rest = append(rest, x.undecided(f))
+					continue
+				}
+				findings = append(findings, f)
+				if counts[f.kind] == nil {
+					counts[f.kind] = make([]int, n*n)
+				}
+				in := counts[f.kind]
+				for _, p := range f.pairs {
+					in[int(p[0])*n+int(p[1])]++
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b Conflict) int {
+		if c := cmp.Or(slices.Compare(a.Regions, b.Regions), slices.Compare(a.Rules, b.Rules)); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Why, b.Why)
+	})
+	return rest, findings, counts
+}
+
 func (x *Index) names(a, b int) []string {
 	if a == b {
 		return []string{x.regions[a].Name}
--- a/internal/regiontrial/trial.go
+++ b/internal/regiontrial/trial.go
@@ -301,6 +301,11 @@
 			return nil
 		}
 	}
+	return r.harm(ctx, rep, hashes, files)
+}
+
+// harm begins a harmful change, which has to be stopped and taken back, and counts the members that it reached.
+func (r *run) harm(ctx context.Context, rep *Report, hashes map[kind][]string, files map[kind]string) error {
 	for _, h := range hashes[harmful] {
 		r.notes.Want(h)
 	}
--- a/internal/rollout/resume.go
+++ b/internal/rollout/resume.go
@@ -45,6 +45,16 @@
 	return r, nil
 }
 
+// giveUpOrders gives up what was ordered, with the epoch of who did.
+func (r *Rollout) giveUpOrders() {
+	for i := range r.m {
+		if m := &r.m[i]; m.order != nil {
+			m.suspect, m.dropped, m.order = m.suspect || !m.order.restart, m.order.restart, nil
+		}
+	}
+}
+
+// remember takes one entry of the log, as it was written.
 func (r *Rollout) remember(e Entry, index map[string]int) error {
 	member := func() (*member, error) {
 		i, ok := index[e.Member]
@@ -81,11 +91,7 @@
 		}
 	case EntryBack:
 		r.toBack, r.cause, r.gen = true, e.Why, r.phase-1
-		for i := range r.m { // given up, with the epoch
-			if m := &r.m[i]; m.order != nil {
-				m.suspect, m.dropped, m.order = m.suspect || !m.order.restart, m.order.restart, nil
-			}
-		}
+		r.giveUpOrders()
 	case EntrySweep:
 		if e.Gen < 0 || e.Gen >= len(r.phases) {
 			return fmt.Errorf("there is no generation %d in its plan", e.Gen)
--- a/internal/rolloutsim/sim.go
+++ b/internal/rolloutsim/sim.go
@@ -151,22 +151,8 @@
 // one plays a rollout.
 func one(o *Options, seed uint64) outcome {
 	w := newWorld(o, seed)
-	var j decider
-	switch o.Judge {
-	case "readiness":
-		j = ready{}
-	case "threshold":
-		j = &threshold{}
-	default:
-		j = canary.NewJudge(o.Evidence)
-	}
-	turns := w.rng.Perm(o.Instances)
-	for i, t := range turns { // the first is one that gets half the mean or more, as one with few requests tells little
-		if w.all[t].share >= 0.5 {
-			turns[0], turns[i] = turns[i], turns[0]
-			break
-		}
-	}
+	j := judge(o)
+	turns := w.turns()
 	for w.now < watchedBefore {
 		j.Observe(w.now, w.step())
 	}
@@ -208,6 +194,28 @@
 	return outcome{canary.Pass, 0, took, w.touched, w.harmed, ""}
 }
 
+// judge is who decides about a rollout.
+func judge(o *Options) decider {
+	switch o.Judge {
+	case "readiness":
+		return ready{}
+	case "threshold":
+		return &threshold{}
+	default:
+		return canary.NewJudge(o.Evidence)
+	}
+}
+
+// turns is the order in which instances change. The first is one that gets half the mean or more, as one with few
+// requests tells little.
+func (w *world) turns() []int {
+	turns := w.rng.Perm(len(w.all))
+	if i := slices.IndexFunc(turns, func(t int) bool { return w.all[t].share >= 0.5 }); i >= 0 {
+		turns[0], turns[i] = turns[i], turns[0]
+	}
+	return turns
+}
+
 // control restarts an old one beside a changed one: of the same zone where there is one, and with as much traffic.
 func (w *world) control(of *instance) {
 	var pick *instance
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -139,18 +139,23 @@
 	return w.readings
 }
 
+// burst is by how much an instance gets more than usual now.
+func (w *world) burst(x *instance) float64 {
+	if w.now >= x.bursts {
+		x.burst = 1
+		if w.rng.Float64() < interval.Seconds()/600 {
+			x.burst, x.bursts = 2+3*w.rng.Float64(), w.now+time.Duration(w.rng.ExpFloat64()*float64(time.Minute))
+		}
+	}
+	return x.burst
+}
+
 // play has one instance serve for an interval.
 func (w *world) play(x *instance, load, dose float64) bool {
 	h, r := &w.o.Harm, w.rng
 	n := w.o.Rate * interval.Seconds() * load * x.share
 	if w.o.Traffic == "bursty" {
-		if w.now >= x.bursts {
-			x.burst = 1
-			if r.Float64() < interval.Seconds()/600 {
-				x.burst, x.bursts = 2+3*r.Float64(), w.now+time.Duration(r.ExpFloat64()*float64(time.Minute))
-			}
-		}
-		n *= x.burst * w.around(0.3)
+		n *= w.burst(x) * w.around(0.3)
 	}
 	asked := poisson(r, n)
 	if w.now < x.upAt {
--- a/internal/scattergather/run.go
+++ b/internal/scattergather/run.go
@@ -167,6 +167,12 @@
 		f.RetryAfter, f.Part = results[refused].answer.RetryAfter, r.Leaves[refused].Name
 		return f
 	}
+	r.send(results, taken, giveUp)
+	return r.wait(ctx)
+}
+
+// send lets the calls that were admitted go, withdraws those that were not yet, and counts those that have ended.
+func (r *Run) send(results []*ended, taken []bool, giveUp []context.CancelFunc) {
 	r.begin()
 	now := r.now()
 	for place := range r.Calls {
@@ -180,7 +186,6 @@
 			r.query.Came(now, r.Leaves[place], place, Result{})
 		}
 	}
-	return r.wait(ctx)
 }
 
 // begin makes what the query is decided by.
