Split package manage into status, server, handler and client, and document the control socket

Routes were closures in one function, request bodies anonymous structs on one side and maps on the other. Tests are renamed by behaviour with all assertions; TestKeysAreWritten covers the two new types.

--- a/internal/manage/client.go
+++ b/internal/manage/client.go
@@ -13,124 +13,145 @@
 	"lockflow/internal/desiredstate"
 )
 
-// maxAnswerSize bounds what a daemon may answer.
+// maxAnswerSize is as much of a daemon's answer as is read, in bytes.
 const maxAnswerSize = 16 << 20
 
-// Client asks the daemon of one control socket. It is safe for concurrent use.
+// Client sends requests to the daemon of one control socket. It is safe for concurrent use. Its methods wait for the
+// daemon's answer or the end of ctx. An error of type RejectedError is the daemon's answer; any other one leaves open
+// whether the daemon did what was requested.
 type Client struct {
-	Path string
+	Path string // of the socket
 }
 
-// Status asks what the daemon does.
+// Status returns the daemon's status.
 func (c Client) Status(ctx context.Context) (Status, error) {
 	return c.call(ctx, http.MethodGet, "status", nil)
 }
 
-// Reload has it read its configuration again, and waits. An error of type RejectedError is the
-// daemon's own: it goes on as before.
+// Reload has the daemon read its configuration again, and waits until it is in force. After a RejectedError the
+// daemon goes on by the old one.
 func (c Client) Reload(ctx context.Context) (Status, error) {
 	return c.call(ctx, http.MethodPost, "reload", nil)
 }
 
-// Upgrade has a new process of a program ("" is the one that it runs) take its place, and waits.
-// The status is the old process's.
+// Upgrade has a new process of a program (empty for the one that runs) take the daemon's place, and waits until that
+// serves. The status is the old process's.
 func (c Client) Upgrade(ctx context.Context, program string) (Status, error) {
-	return c.call(ctx, http.MethodPost, "upgrade", map[string]string{"program": program})
+	return c.call(ctx, http.MethodPost, "upgrade", upgradeRequest{program})
 }
 
-// Drain has it let go of its clients and end.
+// Drain has the daemon drain and end. It doesn't wait for that.
 func (c Client) Drain(ctx context.Context) (Status, error) {
 	return c.call(ctx, http.MethodPost, "drain", nil)
 }
 
-// DrainAndStay is Drain after which it does not serve again before Serve, also where it is started again.
+// DrainAndStay is Drain after which the daemon doesn't serve again before Serve, also where it is started again.
 func (c Client) DrainAndStay(ctx context.Context) (Status, error) {
-	return c.call(ctx, http.MethodPost, "drain", map[string]bool{"keep": true})
+	return c.call(ctx, http.MethodPost, "drain", drainRequest{Keep: true})
 }
 
-// Serve undoes Rest.
+// Serve undoes DrainAndStay.
 func (c Client) Serve(ctx context.Context) (Status, error) {
 	return c.call(ctx, http.MethodPost, "serve", nil)
 }
 
-// RejectedError is a daemon's answer that it did not do what it was asked. Of a claim or an order Code tells
-// which kind it is: errors.Is(err, ErrStale) and so on.
+// Claim claims an epoch, after which the daemon accepts commands of its owner alone.
+func (c Client) Claim(ctx context.Context, claim Claim) (Status, error) {
+	return c.call(ctx, http.MethodPost, "claim", claim)
+}
+
+// RunCommand has the daemon run a command once, and waits for its outcome. Without an answer the caller sends it again
+// with the same id. After a command that replaces the process the status is the old one's.
+func (c Client) RunCommand(ctx context.Context, command Order) (Status, error) {
+	return c.call(ctx, http.MethodPost, "order", command)
+}
+
+// RejectedError is a daemon's answer that it did not do what was requested. For a claim or a command, errors.Is with
+// ErrStale and so on tells its kind.
 type RejectedError struct {
 	Message string
-	Code    string // one of package orders; "" of what is no claim or order
+	Code    string // of package desiredstate; empty for other requests
 }
 
 func (r RejectedError) Error() string { return r.Message }
 
-// Is makes refusals of one code the same to errors.Is.
+// Is makes the errors below match every RejectedError of their code.
 func (r RejectedError) Is(target error) bool {
-	o, ok := target.(RejectedError)
-	return ok && o.Message == "" && o.Code == r.Code
+	other, ok := target.(RejectedError)
+	return ok && other.Message == "" && other.Code == r.Code
 }
 
 // Kinds of RejectedError, for errors.Is.
 var (
 	ErrStale    error = RejectedError{Code: desiredstate.Stale}  // a newer epoch, or this one by another owner, is granted
-	ErrLost     error = RejectedError{Code: desiredstate.Lost}   // the member has to be claimed anew, with a higher epoch
-	ErrBusy     error = RejectedError{Code: desiredstate.Busy}   // to be asked again
-	ErrInvalid  error = RejectedError{Code: desiredstate.Bad}    // can't be meant
-	ErrNotSaved error = RejectedError{Code: desiredstate.Unkept} // the member can't write down what it would do; nothing was done
-	// ErrFailed is an order that was carried out and failed: asked again by its id it says the same.
+	ErrLost     error = RejectedError{Code: desiredstate.Lost}   // a new claim is needed, with a higher epoch
+	ErrBusy     error = RejectedError{Code: desiredstate.Busy}   // the caller may retry
+	ErrInvalid  error = RejectedError{Code: desiredstate.Bad}    // a retry gets the same answer
+	ErrNotSaved error = RejectedError{Code: desiredstate.Unkept} // the member could not store it; nothing was done
+	// ErrFailed is the outcome of a command that ran and failed: sent again by its id, it has the same outcome.
 	ErrFailed error = RejectedError{Code: desiredstate.Failed}
 )
 
-// Claim asks for the daemon's obedience to an epoch's owner.
-func (c Client) Claim(ctx context.Context, claim Claim) (Status, error) {
-	return c.call(ctx, http.MethodPost, "claim", claim)
-}
-
-// RunCommand has it do something once, and waits. Whoever hears nothing asks again by the same id. Of an
-// order that replaces the process the status is the old one's.
-func (c Client) RunCommand(ctx context.Context, o Order) (Status, error) {
-	return c.call(ctx, http.MethodPost, "order", o)
+// call sends a request, with body as JSON unless that is nil, and returns the status that answers it.
+func (c Client) call(ctx context.Context, method, name string, body any) (Status, error) {
+	s, err := c.roundTrip(ctx, method, name, body)
+	if err != nil && !errors.As(err, new(RejectedError)) {
+		err = fmt.Errorf("asking the daemon at %s: %w", c.Path, err)
+	}
+	return s, err
 }
 
-func (c Client) call(ctx context.Context, method, what string, body any) (s Status, err error) {
-	defer func() {
-		if err != nil && !errors.As(err, new(RejectedError)) {
-			err = fmt.Errorf("asking the daemon at %s: %w", c.Path, err)
-		}
-	}()
-	var raw []byte
-	if body != nil {
-		var b bytes.Buffer
-		enc := json.NewEncoder(&b)
-		enc.SetEscapeHTML(false) // an order's bytes are bounded
-		if err := enc.Encode(body); err != nil {
-			return s, err
-		}
-		raw = b.Bytes()
+func (c Client) roundTrip(ctx context.Context, method, name string, body any) (Status, error) {
+	encoded, err := encodeBody(body)
+	if err != nil {
+		return Status{}, err
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://daemon/v1/"+what, bytes.NewReader(raw))
+	request, err := http.NewRequestWithContext(ctx, method, "http://daemon/v1/"+name, bytes.NewReader(encoded))
 	if err != nil {
-		return s, err
+		return Status{}, err
 	}
-	t := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "unix", c.Path)
 	}}
-	resp, err := t.RoundTrip(req)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return s, err
+		return Status{}, err
+	}
+	defer response.Body.Close()
+	return decodeAnswer(response)
+}
+
+// encodeBody returns body as JSON, nothing for nil. It doesn't escape HTML, which would lengthen settings beyond
+// maxCommandSize.
+func encodeBody(body any) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	var encoded bytes.Buffer
+	encoder := json.NewEncoder(&encoded)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(body); err != nil {
+		return nil, err
 	}
-	defer resp.Body.Close()
-	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
+	return encoded.Bytes(), nil
+}
+
+// decodeAnswer returns the status in a response, or the error as a RejectedError.
+func decodeAnswer(response *http.Response) (Status, error) {
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
 	if err != nil {
-		return s, err
+		return Status{}, err
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		var f errorAnswer
-		if json.Unmarshal(raw, &f) != nil || f.Error == "" {
-			return s, fmt.Errorf("it answered %s", resp.Status)
+	if response.StatusCode >= http.StatusBadRequest {
+		var answer errorAnswer
+		if json.Unmarshal(raw, &answer) != nil || answer.Error == "" {
+			return Status{}, fmt.Errorf("it answered %s", response.Status)
 		}
-		return s, RejectedError{f.Error, f.Code}
+		return Status{}, RejectedError{answer.Error, answer.Code}
 	}
+	var s Status
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return s, fmt.Errorf("reading its answer: %w", err)
+		return Status{}, fmt.Errorf("reading its answer: %w", err)
 	}
 	return s, nil
 }
--- a/internal/manage/golden_test.go
+++ b/internal/manage/golden_test.go
@@ -9,17 +9,17 @@
 	"lockflow/internal/testkit"
 )
 
-// What passes over the control socket is read and written under the keys of earlier builds; go test
-// ./internal/manage -run Golden -update writes the files anew.
+// Bodies on the control socket have the keys of earlier builds. go test ./internal/manage -run Golden -update replaces the
+// golden files.
 func TestGoldenControlSocket(t *testing.T) {
 	for name, v := range map[string]any{"status": &Status{}, "claim": &Claim{}, "order": &Order{}, "failure": &errorAnswer{}} {
 		testkit.GoldenSample(t, "json", "testdata/golden/"+name+".json", v)
 	}
 }
 
-// Bodies that clients of earlier builds send are understood, and a key that is not known is refused.
-func TestGoldenBodies(t *testing.T) {
-	f := fake{make(chan string, 1)}
+// Bodies that clients of earlier builds send are accepted, and an unknown key is rejected.
+func TestBodiesOfEarlierClients(t *testing.T) {
+	f := fakeDaemon{make(chan string, 1)}
 	h := handler(func() Daemon { return f })
 	for _, c := range []struct{ path, body, does string }{
 		{"upgrade", `{"program":"/bin/new"}`, "upgrade /bin/new"},
@@ -31,8 +31,8 @@
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/"+c.path, strings.NewReader(c.body)))
 		did := ""
-		if len(f.told) > 0 {
-			did = <-f.told
+		if len(f.calls) > 0 {
+			did = <-f.calls
 		}
 		if refused := w.Code == http.StatusBadRequest; did != c.does || refused != (c.does == "") {
 			t.Errorf("%s %s: %q, %d %s", c.path, c.body, did, w.Code, w.Body)
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -11,110 +11,144 @@
 	"lockflow/internal/desiredstate"
 )
 
+// Limits of requests.
 const (
-	maxBodySize = 16 << 10
-	// maxCommandSize is room for settings, of which a byte may take two in JSON.
+	maxBodySize = 16 << 10 // of all but commands, in bytes
+	// maxCommandSize has space for settings, of which a byte may take two in JSON.
 	maxCommandSize     = 2*desiredstate.TextMost + maxBodySize
-	maxCommandReads    = 2                // whose bodies are read at once
+	maxCommandReads    = 2                // commands whose bodies are read at once
 	commandReadTimeout = 10 * time.Second // of a body
 )
 
+// handlers are the handlers of a control socket.
+type handlers struct {
+	daemon       func() Daemon // the one that is served now
+	commandReads chan struct{} // slots for bodies of commands
+}
+
 func handler(daemon func() Daemon) http.Handler {
+	h := &handlers{daemon: daemon, commandReads: make(chan struct{}, maxCommandReads)}
 	mux := http.NewServeMux()
-	on := func(pattern string, h func(w http.ResponseWriter, r *http.Request, d Daemon)) {
-		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { h(w, r, daemon()) })
-	}
-	on("GET /v1/status", func(w http.ResponseWriter, _ *http.Request, d Daemon) { writeJSON(w, http.StatusOK, d.Status()) })
-	on("POST /v1/reload", func(w http.ResponseWriter, r *http.Request, d Daemon) { writeResult(w, d.Reload(r.Context()), d) })
-	on("POST /v1/upgrade", func(w http.ResponseWriter, r *http.Request, d Daemon) {
-		var ask struct {
-			Program string `json:"program"`
-		}
-		if decodeBody(w, r, "upgrade", maxBodySize, &ask) {
-			writeResult(w, d.Upgrade(r.Context(), ask.Program), d)
-		}
-	})
-	on("POST /v1/drain", func(w http.ResponseWriter, r *http.Request, d Daemon) {
-		var ask struct {
-			Keep bool `json:"keep"`
-		}
-		if !decodeBody(w, r, "drain", maxBodySize, &ask) {
-			return
-		}
-		if err := d.Drain(ask.Keep); err != nil {
-			writeResult(w, err, d)
-			return
-		}
-		writeJSON(w, http.StatusAccepted, d.Status())
-	})
-	on("POST /v1/serve", func(w http.ResponseWriter, r *http.Request, d Daemon) { writeResult(w, d.Serve(r.Context()), d) })
-	on("POST /v1/claim", func(w http.ResponseWriter, r *http.Request, d Daemon) {
-		var c Claim
-		if decodeBody(w, r, "claim", maxBodySize, &c) {
-			writeResult(w, d.Claim(r.Context(), c), d)
-		}
-	})
-	places := make(chan struct{}, maxCommandReads)
-	on("POST /v1/order", func(w http.ResponseWriter, r *http.Request, d Daemon) {
-		select {
-		case places <- struct{}{}:
-		case <-r.Context().Done():
-			return
-		}
-		var o Order
-		ctl := http.NewResponseController(w)
-		_ = ctl.SetReadDeadline(time.Now().Add(commandReadTimeout))
-		ok := decodeBody(w, r, "order", maxCommandSize, &o)
-		_ = ctl.SetReadDeadline(time.Time{}) // what it asks for may take longer
-		<-places
-		if ok {
-			writeResult(w, d.RunCommand(r.Context(), o), d)
-		}
-	})
+	mux.HandleFunc("GET /v1/status", h.status)
+	mux.HandleFunc("POST /v1/reload", h.reload)
+	mux.HandleFunc("POST /v1/upgrade", h.upgrade)
+	mux.HandleFunc("POST /v1/drain", h.drain)
+	mux.HandleFunc("POST /v1/serve", h.serve)
+	mux.HandleFunc("POST /v1/claim", h.claim)
+	mux.HandleFunc("POST /v1/order", h.command)
 	return mux
 }
 
-// decodeBody reads what is asked; of an empty one nothing. It answers itself where it gives false.
-func decodeBody(w http.ResponseWriter, r *http.Request, what string, most int64, into any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, most))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(into)
-	if err == nil {
-		if _, more := dec.Token(); !errors.Is(more, io.EOF) {
-			err = errors.New("there is more behind it")
-		}
+func (h *handlers) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.daemon().Status())
+}
+
+func (h *handlers) reload(w http.ResponseWriter, r *http.Request) {
+	d := h.daemon()
+	writeResult(w, d.Reload(r.Context()), d)
+}
+
+func (h *handlers) upgrade(w http.ResponseWriter, r *http.Request) {
+	d := h.daemon()
+	var request upgradeRequest
+	if decodeBody(w, r, "upgrade", maxBodySize, &request) {
+		writeResult(w, d.Upgrade(r.Context(), request.Program), d)
 	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return true
+}
+
+func (h *handlers) drain(w http.ResponseWriter, r *http.Request) {
+	d := h.daemon()
+	var request drainRequest
+	if !decodeBody(w, r, "drain", maxBodySize, &request) {
+		return
 	}
-	writeJSON(w, http.StatusBadRequest, errorAnswer{fmt.Sprintf("%s: %v", what, err), desiredstate.Bad})
-	return false
+	if err := d.Drain(request.Keep); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusAccepted, d.Status())
 }
 
-type errorAnswer struct {
-	Error string `json:"error"`
-	Code  string `json:"code,omitempty"`
+func (h *handlers) serve(w http.ResponseWriter, r *http.Request) {
+	d := h.daemon()
+	writeResult(w, d.Serve(r.Context()), d)
 }
 
+func (h *handlers) claim(w http.ResponseWriter, r *http.Request) {
+	d := h.daemon()
+	var claim Claim
+	if decodeBody(w, r, "claim", maxBodySize, &claim) {
+		writeResult(w, d.Claim(r.Context(), claim), d)
+	}
+}
+
+func (h *handlers) command(w http.ResponseWriter, r *http.Request) {
+	d := h.daemon()
+	var command Order
+	if h.readCommand(w, r, &command) {
+		writeResult(w, d.RunCommand(r.Context(), command), d)
+	}
+}
+
+// readCommand reads a command's body, which may be large, once it has a slot. Where it returns false there is nothing
+// more to answer.
+func (h *handlers) readCommand(w http.ResponseWriter, r *http.Request, command *Order) bool {
+	select {
+	case h.commandReads <- struct{}{}:
+	case <-r.Context().Done():
+		return false
+	}
+	defer func() { <-h.commandReads }()
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(time.Now().Add(commandReadTimeout))
+	defer connection.SetReadDeadline(time.Time{}) //nolint:errcheck // as above; the command may take longer
+	return decodeBody(w, r, "order", maxCommandSize, command)
+}
+
+// decodeBody decodes a request's body of at most maxSize bytes into target; an empty one leaves that as it is. Where
+// it returns false it has answered the error. name is the request's in that error.
+func decodeBody(w http.ResponseWriter, r *http.Request, name string, maxSize int64, target any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSize))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(target)
+	if errors.Is(err, io.EOF) {
+		return true
+	}
+	if err == nil {
+		_, endErr := decoder.Token()
+		if errors.Is(endErr, io.EOF) {
+			return true
+		}
+		err = errors.New("there is more behind it")
+	}
+	writeJSON(w, http.StatusBadRequest, errorAnswer{fmt.Sprintf("%s: %v", name, err), desiredstate.Bad})
+	return false
+}
+
+// writeResult answers with err, or where that is nil with the daemon's status.
 func writeResult(w http.ResponseWriter, err error, d Daemon) {
 	if err != nil {
-		f := errorAnswer{Error: err.Error()}
-		var r *desiredstate.RejectedError
-		if errors.As(err, &r) {
-			f.Code = r.Code
-		}
-		status := http.StatusConflict
-		if f.Code == desiredstate.Bad {
-			status = http.StatusBadRequest
-		}
-		writeJSON(w, status, f)
+		writeError(w, err)
 		return
 	}
 	writeJSON(w, http.StatusOK, d.Status())
 }
 
+func writeError(w http.ResponseWriter, err error) {
+	answer := errorAnswer{Error: err.Error()}
+	var rejected *desiredstate.RejectedError
+	if errors.As(err, &rejected) {
+		answer.Code = rejected.Code
+	}
+	status := http.StatusConflict
+	if answer.Code == desiredstate.Bad {
+		status = http.StatusBadRequest
+	}
+	writeJSON(w, status, answer)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v) // whoever has left hears nothing
+	_ = json.NewEncoder(w).Encode(v) // a client that has gone gets nothing
 }
--- a/internal/manage/keys_test.go
+++ b/internal/manage/keys_test.go
@@ -6,7 +6,7 @@
 	"lockflow/internal/testkit"
 )
 
-// All that passes over the control socket has a written key for every field.
+// All bodies on the control socket have an explicit key for every field.
 func TestKeysAreWritten(t *testing.T) {
-	testkit.RequireKeys(t, "json", Status{}, Claim{}, Order{}, errorAnswer{})
+	testkit.RequireKeys(t, "json", Status{}, Claim{}, Order{}, errorAnswer{}, upgradeRequest{}, drainRequest{})
 }
--- /dev/null
+++ b/internal/manage/server.go
@@ -0,0 +1,205 @@
+package manage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Limits of a control socket.
+const (
+	maxHeaderSize   = 4 << 10         // of a request, in bytes
+	headerTimeout   = 2 * time.Second // to receive a request's header; its answer may take longer
+	maxConnections  = 16
+	dialTimeout     = time.Second // to find out whether a socket is served
+	shutdownTimeout = 5 * time.Second
+	closeTimeout    = time.Second // of Close, for which the daemon's end waits
+)
+
+// Daemon is what a Server serves. Its methods are called concurrently.
+type Daemon interface {
+	Status() Status
+	// Reload and Upgrade return once it is done, or why it is not.
+	Reload(ctx context.Context) error
+	Upgrade(ctx context.Context, program string) error
+	// Drain has it end; with keep it doesn't serve again before Serve, also after a restart.
+	Drain(keep bool) error
+	Serve(ctx context.Context) error
+	Claim(ctx context.Context, claim Claim) error
+	// RunCommand returns once the command has ended.
+	RunCommand(ctx context.Context, command Order) error
+}
+
+// Server serves one control socket. A nil Server stands for a daemon without one: OwnsSocket and Close take it.
+type Server struct {
+	http       *http.Server
+	daemon     atomic.Pointer[Daemon]
+	path       string
+	socketInfo os.FileInfo   // of the socket that this server has made
+	done       chan struct{} // closed when http.Serve has returned
+}
+
+// Listen makes the control socket at path and serves d on it. It replaces a socket that no process serves, and with
+// takeOver one that the predecessor serves.
+func Listen(path string, d Daemon, takeOver bool) (*Server, error) {
+	l, info, err := listen(path, takeOver)
+	if err != nil {
+		return nil, fmt.Errorf("control socket: %w", err)
+	}
+	s := &Server{path: path, socketInfo: info, done: make(chan struct{})}
+	s.SetDaemon(d)
+	s.http = &http.Server{
+		Handler:           handler(func() Daemon { return *s.daemon.Load() }),
+		MaxHeaderBytes:    maxHeaderSize,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       headerTimeout,
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(&ownerListener{l, make(chan struct{}, maxConnections)}) // Close ends it
+	}()
+	return s, nil
+}
+
+// SetDaemon has the server serve another daemon of this process from now on.
+func (s *Server) SetDaemon(d Daemon) { s.daemon.Store(&d) }
+
+// Close answers the requests in flight, ends the server and removes the socket, where that is still its own. Requests
+// come first: a drain may have ended the daemon before its own request was answered.
+func (s *Server) Close() {
+	if s == nil {
+		return
+	}
+	s.shutdown(closeTimeout)
+	s.http.Close()
+	<-s.done
+	if s.OwnsSocket() {
+		_ = os.Remove(s.path) // one that stays is replaced by the next daemon: no process serves it
+	}
+}
+
+// OwnsSocket returns whether the socket at the path is the one that this server has made; true for a nil Server.
+func (s *Server) OwnsSocket() bool {
+	if s == nil {
+		return true
+	}
+	info, err := os.Lstat(s.path)
+	return err == nil && os.SameFile(info, s.socketInfo)
+}
+
+// Shutdown answers the requests in flight and accepts no connections any more. It leaves the path alone.
+func (s *Server) Shutdown() { s.shutdown(shutdownTimeout) }
+
+func (s *Server) shutdown(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_ = s.http.Shutdown(ctx) // what is not answered in time is ended by Close
+}
+
+// listen makes the socket at path.
+func listen(path string, takeOver bool) (*net.UnixListener, os.FileInfo, error) {
+	if err := removeStaleSocket(path, takeOver); err != nil {
+		return nil, nil, err
+	}
+	// The umask gives the socket its mode as it is made: the owner alone may ever connect.
+	oldMask := syscall.Umask(0o177)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	syscall.Umask(oldMask)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.SetUnlinkOnClose(false) // the path may be a successor's by then
+	info, err := os.Lstat(path)
+	if err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	return l, info, nil
+}
+
+// removeStaleSocket removes a socket that no process serves, or with takeOver any socket.
+func removeStaleSocket(path string, takeOver bool) error {
+	info, err := os.Lstat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if info.Mode()&os.ModeSocket == 0 {
+		return fmt.Errorf("%s is there, and is no socket", path)
+	}
+	if isServed(path) && !takeOver {
+		return fmt.Errorf("%s: another daemon serves it", path)
+	}
+	return os.Remove(path)
+}
+
+func isServed(path string) bool {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.Background(), "unix", path)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// ownerListener accepts connections of the process's own user and of root, as many at a time as it has slots.
+type ownerListener struct {
+	*net.UnixListener
+	slots chan struct{}
+}
+
+// Accept waits for a slot and then for a connection.
+func (o *ownerListener) Accept() (net.Conn, error) {
+	for {
+		o.slots <- struct{}{}
+		c, err := o.AcceptUnix()
+		if err != nil {
+			<-o.slots
+			return nil, err
+		}
+		if userID, err := peerUserID(c); err == nil && (userID == os.Geteuid() || userID == 0) {
+			return &slotConn{Conn: c, slots: o.slots}, nil
+		}
+		c.Close()
+		<-o.slots
+	}
+}
+
+// peerUserID returns the user at the other end (unix(7), SO_PEERCRED).
+func peerUserID(c *net.UnixConn) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var credentials *syscall.Ucred
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		credentials, optionErr = syscall.GetsockoptUcred(int(descriptor), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	})
+	if err = errors.Join(err, optionErr); err != nil {
+		return 0, err
+	}
+	return int(credentials.Uid), nil
+}
+
+// slotConn frees its slot when it is closed.
+type slotConn struct {
+	net.Conn
+	slots chan struct{}
+	once  sync.Once
+}
+
+// Close closes the connection.
+func (c *slotConn) Close() error {
+	c.once.Do(func() { <-c.slots })
+	return c.Conn.Close()
+}
--- a/internal/manage/manage_test.go
+++ b/internal/manage/server_test.go
@@ -13,40 +13,40 @@
 	"lockflow/internal/desiredstate"
 )
 
-// fake is a daemon that does what it is told.
-type fake struct{ told chan string }
+// fakeDaemon is a daemon that sends what is requested of it to calls.
+type fakeDaemon struct{ calls chan string }
 
-func (f fake) Status() Status { return Status{PID: 7, State: "ready", Generation: 3} }
-func (f fake) Reload(context.Context) error {
-	f.told <- "reload"
+func (f fakeDaemon) Status() Status { return Status{PID: 7, State: "ready", Generation: 3} }
+func (f fakeDaemon) Reload(context.Context) error {
+	f.calls <- "reload"
 	return errors.New("c.toml:3: x: unknown key")
 }
 
-func (f fake) Upgrade(_ context.Context, program string) error {
-	f.told <- "upgrade " + program
+func (f fakeDaemon) Upgrade(_ context.Context, program string) error {
+	f.calls <- "upgrade " + program
 	return nil
 }
 
-func (f fake) Drain(keep bool) error {
-	f.told <- fmt.Sprint("drain ", keep)
+func (f fakeDaemon) Drain(keep bool) error {
+	f.calls <- fmt.Sprint("drain ", keep)
 	return nil
 }
-func (f fake) Serve(context.Context) error { f.told <- "serve"; return nil }
-func (f fake) Claim(_ context.Context, c Claim) error {
+func (f fakeDaemon) Serve(context.Context) error { f.calls <- "serve"; return nil }
+func (f fakeDaemon) Claim(_ context.Context, c Claim) error {
 	if c.Epoch < 7 {
 		return &desiredstate.RejectedError{Code: desiredstate.Stale, Text: "epoch 7 is granted"}
 	}
 	return nil
 }
 
-func (f fake) RunCommand(_ context.Context, o Order) error {
-	f.told <- fmt.Sprint(o.ID, " ", o.Want.Kind, " ", len(o.Want.Text))
+func (f fakeDaemon) RunCommand(_ context.Context, o Order) error {
+	f.calls <- fmt.Sprint(o.ID, " ", o.Want.Kind, " ", len(o.Want.Text))
 	return nil
 }
 
-// What a coordinator says: its refusals are told apart, and an order has room for settings.
-func TestOrders(t *testing.T) {
-	f := fake{make(chan string, 8)}
+// A coordinator can distinguish rejections by kind, and a command has space for settings of 5 MB.
+func TestClaimsAndCommandsOverSocket(t *testing.T) {
+	f := fakeDaemon{make(chan string, 8)}
 	s, err := Listen(filepath.Join(t.TempDir(), "c.sock"), f, false)
 	if err != nil {
 		t.Fatal(err)
@@ -60,11 +60,11 @@
 		t.Error(err)
 	}
 	text := strings.Repeat("# \"<\n", 1<<20)
-	if _, err := c.RunCommand(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: desiredstate.Settings, Text: text}}); err != nil || <-f.told != fmt.Sprint("s/1 settings ", len(text)) {
+	if _, err := c.RunCommand(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: desiredstate.Settings, Text: text}}); err != nil || <-f.calls != fmt.Sprint("s/1 settings ", len(text)) {
 		t.Errorf("%v", err)
 	}
 	for want, ask := range map[string]func() (Status, error){"drain true": func() (Status, error) { return c.DrainAndStay(ctx) }, "serve": func() (Status, error) { return c.Serve(ctx) }} {
-		if _, err := ask(); err != nil || <-f.told != want {
+		if _, err := ask(); err != nil || <-f.calls != want {
 			t.Errorf("%s: %v", want, err)
 		}
 	}
@@ -73,9 +73,9 @@
 	}
 }
 
-func TestControlSocket(t *testing.T) {
+func TestControlSocketServesOneDaemon(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "c.sock")
-	f := fake{make(chan string, 8)}
+	f := fakeDaemon{make(chan string, 8)}
 	s, err := Listen(path, f, false)
 	if err != nil {
 		t.Fatal(err)
@@ -98,7 +98,7 @@
 		t.Error(err)
 	}
 	for _, want := range []string{"reload", "upgrade /usr/bin/next", "drain false"} {
-		if got := <-f.told; got != want {
+		if got := <-f.calls; got != want {
 			t.Errorf("%q, not %q", got, want)
 		}
 	}
@@ -129,8 +129,8 @@
 	}
 }
 
-// One that a killed daemon left is replaced; what is no socket stays.
-func TestStaleSocket(t *testing.T) {
+// Listen replaces a socket that a killed daemon left, and leaves a file that is no socket alone.
+func TestStaleSocketIsReplaced(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "c.sock")
 	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
 	if err != nil {
@@ -138,7 +138,7 @@
 	}
 	l.SetUnlinkOnClose(false)
 	l.Close()
-	s, err := Listen(path, fake{}, false)
+	s, err := Listen(path, fakeDaemon{}, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,43 +146,43 @@
 	if err := os.WriteFile(path, []byte("mine"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Listen(path, fake{}, true); err == nil || !strings.Contains(err.Error(), "no socket") {
+	if _, err := Listen(path, fakeDaemon{}, true); err == nil || !strings.Contains(err.Error(), "no socket") {
 		t.Errorf("a file in its place: %v", err)
 	}
 }
 
-// ending is a daemon that ends as soon as it is told to drain, before it has answered.
-type ending struct {
-	fake
-	server *Server
-	begun  chan struct{} // closed once the server's end has
-	hang   chan struct{} // a reload waits for it
+// endingDaemon is a daemon that ends as soon as a drain is requested, before the request is answered.
+type endingDaemon struct {
+	fakeDaemon
+	server     *Server
+	closeBegun chan struct{} // closed once the server's end has
+	endReload  chan struct{} // a reload waits for it
 }
 
-func (e *ending) Drain(bool) error { go e.server.Close(); return nil }
+func (e *endingDaemon) Drain(bool) error { go e.server.Close(); return nil }
 
-func (e *ending) Status() Status {
-	<-e.begun
-	return e.fake.Status()
+func (e *endingDaemon) Status() Status {
+	<-e.closeBegun
+	return e.fakeDaemon.Status()
 }
 
-func (e *ending) Reload(context.Context) error {
-	close(e.told)
-	<-e.hang
+func (e *endingDaemon) Reload(context.Context) error {
+	close(e.calls)
+	<-e.endReload
 	return nil
 }
 
-// Who asks for the drain is answered even where the daemon has ended by then; who comes later is
-// not, and an answer that never comes doesn't hold the end up for ever.
-func TestAnswerBeforeTheEnd(t *testing.T) {
-	begin := func() (*ending, Client) {
+// Close answers a drain's request even where the daemon has ended by then, accepts no request after that, and doesn't
+// wait for ever for an answer that doesn't come.
+func TestRequestsInFlightAreAnsweredBeforeClose(t *testing.T) {
+	begin := func() (*endingDaemon, Client) {
 		path := filepath.Join(t.TempDir(), "c.sock")
-		e := &ending{fake: fake{make(chan string)}, begun: make(chan struct{}), hang: make(chan struct{})}
+		e := &endingDaemon{fakeDaemon: fakeDaemon{make(chan string)}, closeBegun: make(chan struct{}), endReload: make(chan struct{})}
 		var err error
 		if e.server, err = Listen(path, e, false); err != nil {
 			t.Fatal(err)
 		}
-		e.server.http.RegisterOnShutdown(func() { close(e.begun) })
+		e.server.http.RegisterOnShutdown(func() { close(e.closeBegun) })
 		return e, Client{path}
 	}
 	e, c := begin()
@@ -196,10 +196,10 @@
 	e, c = begin()
 	asked := make(chan error)
 	go func() { _, err := c.Reload(context.Background()); asked <- err }()
-	<-e.told
+	<-e.calls
 	e.server.Close()
 	if err := <-asked; err == nil {
 		t.Error("an answer that never came")
 	}
-	close(e.hang)
+	close(e.endReload)
 }
