Split the interface of package control into settings, events and actions

api.go held all three, with comments in words of the earlier house style. Each is a file of its own now, with comments in the field's terms that name the older word where a key differs. Validation is a method of Settings, with a function for each type's numbers; its messages are as before.

--- a/control/controller.go
+++ b/control/controller.go
@@ -27,7 +27,7 @@
 
 // New returns a gateway's controller, whose randomness comes from seed; an error names a bad setting.
 func New(settings Settings, seed uint64) (*Controller, error) {
-	if err := validate(&settings); err != nil {
+	if err := settings.validate(); err != nil {
 		return nil, err
 	}
 	c := newController(settings, seed)
--- /dev/null
+++ b/control/events.go
@@ -0,0 +1,152 @@
+package control
+
+import "time"
+
+// EndpointState is the state of a server in the endpoint list.
+type EndpointState int
+
+// The states of an endpoint.
+const (
+	Active   EndpointState = iota
+	Draining               // takes no new requests
+	Gone
+)
+
+// Endpoint is one entry of the endpoint list.
+type Endpoint struct {
+	Server       uint32        `cbor:"Server"`
+	State        EndpointState `cbor:"Condition"`
+	Zone         string        `cbor:"Zone"`
+	Cell         int           `cbor:"Cell"`
+	Flavor       string        `cbor:"Flavor"`
+	Size         float64       `cbor:"Size"`
+	StartedAt    time.Duration `cbor:"CameUp"`    // time of the latest start
+	HasStartedAt bool          `cbor:"HasCameUp"` // false: started long ago
+}
+
+// ListKind tells what an EndpointList brings.
+type ListKind int
+
+// The kinds of endpoint list.
+const (
+	ListPatch    ListKind = iota // the entries that changed
+	ListComplete                 // the complete list
+	ListCached                   // the complete list as it was cached, maybe out of date
+	ListFailed                   // a poll failed or a watch ended; no entries
+)
+
+// Reason tells how an attempt, a health check or a call of the counter ended. The numbers are those of the wire.
+type Reason int
+
+// The reasons.
+const (
+	OK               Reason = 100
+	Errored          Reason = 301 // may have run
+	RejectedByServer Reason = 302 // never ran
+	TimedOut         Reason = 303 // may have run, may be running
+	ConnectFailed    Reason = 304 // never ran
+	ResetByPeer      Reason = 305 // may have run
+	Cancelled        Reason = 306 // may have run
+	NotSent          Reason = 307 // never ran
+)
+
+// LoadReport is what a server reports of its load; a negative value was not reported.
+type LoadReport struct {
+	InFlight          float64 `cbor:"Active"`
+	Queued            float64 `cbor:"Waiting"`
+	Utilization       float64 `cbor:"CPU"`
+	MeanLatencyMS     float64 `cbor:"AvgMS"`
+	RequestsPerSecond float64 `cbor:"RPS"`
+	ErrorsPerSecond   float64 `cbor:"ErrRPS"`
+}
+
+// Event is something that happened, for Controller.Handle.
+type Event interface{ isEvent() }
+
+// EndpointList is a change of the endpoint list, or the complete list.
+type EndpointList struct {
+	Kind      ListKind   `cbor:"Kind"`
+	Endpoints []Endpoint `cbor:"Members"`
+}
+
+// Request is a client's request. It is owed exactly one final answer.
+type Request struct {
+	ID              string        `cbor:"ID"`
+	Class           string        `cbor:"Class"`
+	Plan            string        `cbor:"Plan"`
+	Customer        string        `cbor:"Customer"`
+	Timeout         time.Duration `cbor:"TTL"` // time left until the client gives up
+	Units           float64       `cbor:"Units"`
+	FanOut          int           `cbor:"Spread"`   // number of gateways through which this customer may come
+	FirstGateway    int           `cbor:"SetStart"` // index of the first of them
+	IsRetry         bool          `cbor:"Repeat"`
+	IsWrite         bool          `cbor:"Write"`
+	IsOverCapacity  bool          `cbor:"NoRoom"` // the gateway has no capacity for it: it is rejected
+	IsOverHardLimit bool          `cbor:"Over"`   // a hard limit shared with other gateways lacks its units: it is rejected
+	// HasPendingBody tells that the body is still to come. Attempts last as long as the client sends, which shows
+	// nothing of the server; they do not count against the concurrency limit, as streamed answers do not.
+	HasPendingBody bool `cbor:"Open"`
+}
+
+// ResponseStarted tells that a streamed answer has begun.
+type ResponseStarted struct {
+	ID      string        `cbor:"ID"`
+	Attempt int           `cbor:"N"`
+	Server  uint32        `cbor:"Server"`
+	Delay   time.Duration `cbor:"Delay"`
+}
+
+// AttemptResult tells how an attempt ended.
+type AttemptResult struct {
+	ID          string        `cbor:"ID"`
+	Attempt     int           `cbor:"N"`
+	Server      uint32        `cbor:"Server"`
+	Reason      Reason        `cbor:"Reason"`
+	IsFinal     bool          `cbor:"Done"` // it was the final answer of the request
+	Delay       time.Duration `cbor:"Delay"`
+	ActualUnits float64       `cbor:"Cost"` // units that it really used; 0 is not reported
+	QuotaUsage  int           `cbor:"Used"` // 1 + percent of the quota used in the last metered period; 0 is not reported
+	Load        *LoadReport   `cbor:"Load"`
+}
+
+// ClientGone tells that the client of a request has left; it needs no answer.
+type ClientGone struct {
+	ID string `cbor:"ID"`
+}
+
+// TimerFired tells that a timer of StartTimer has fired.
+type TimerFired struct {
+	Label uint64 `cbor:"Label"`
+}
+
+// HealthCheckResult tells how a health check ended.
+type HealthCheckResult struct {
+	Server uint32        `cbor:"Server"`
+	Reason Reason        `cbor:"Reason"`
+	Delay  time.Duration `cbor:"Delay"`
+	Load   *LoadReport   `cbor:"Load"`
+}
+
+// PeerMessage is a message from another gateway.
+type PeerMessage struct {
+	From int    `cbor:"From"`
+	Raw  []byte `cbor:"Raw"`
+}
+
+// CounterResult is the answer to AddToCounter.
+type CounterResult struct {
+	Name   uint64        `cbor:"Name"`
+	Total  float64       `cbor:"Total"`
+	Delay  time.Duration `cbor:"Delay"`
+	Reason Reason        `cbor:"Reason"`
+}
+
+func (EndpointList) isEvent()      {}
+func (Request) isEvent()           {}
+func (ResponseStarted) isEvent()   {}
+func (AttemptResult) isEvent()     {}
+func (ClientGone) isEvent()        {}
+func (TimerFired) isEvent()        {}
+func (HealthCheckResult) isEvent() {}
+func (PeerMessage) isEvent()       {}
+func (CounterResult) isEvent()     {}
--- a/control/settings.go
+++ b/control/settings.go
@@ -1,62 +1,170 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 	"math"
+	"time"
 )
 
-// validate names the first setting that makes no sense.
-func validate(settings *Settings) error {
-	if len(settings.Classes) == 0 {
-		return fmt.Errorf("settings: classes: there are none")
-	}
-	if len(settings.Plans) == 0 {
-		return fmt.Errorf("settings: plans: there are none")
-	}
-	if settings.GroupSize < 1 {
-		return fmt.Errorf("settings: group size: %d is not positive", settings.GroupSize)
-	}
-	if settings.SelfIndex < 0 || settings.SelfIndex >= settings.GroupSize {
-		return fmt.Errorf("settings: self index: %d is outside a group of %d", settings.SelfIndex, settings.GroupSize)
-	}
-	type figure struct {
-		name  string
-		value float64
-	}
-	figures := []figure{
-		{"cold from", settings.InitialCapacity},
-		{"fall multiple", settings.OverloadMultiple},
-		{"units top", settings.MaxUnits},
-		{"inbox per second", settings.PeerMessagesPerSecond},
-		{"cross-zone price", settings.CrossZonePrice},
-		{"cold", settings.WarmupTime.Seconds()},
-		{"ask within", settings.MaxPollInterval.Seconds()},
-		{"drain grace", settings.DrainGrace.Seconds()},
-		{"fall", settings.OverloadWindow.Seconds()},
-		{"meter period", settings.MeterPeriod.Seconds()},
-		{"send cap", float64(settings.MaxAttempts)},
-		{"open cap", float64(settings.MaxRequests)},
-		{"max retry after", settings.MaxRetryAfter.Seconds()},
-	}
-	for _, class := range settings.Classes {
-		n := "class " + class.Name + ": "
-		figures = append(figures, figure{n + "worth", class.PriorityWeight}, figure{n + "late share", class.LateWeightFraction},
-			figure{n + "repeat window", class.RepeatWindow.Seconds()})
+// Idempotency says what a second run of a request would do. Its key in settings is "repeats", in stored data "Effect".
+type Idempotency int
+
+// The kinds of idempotency.
+const (
+	Idempotent       Idempotency = iota // may run any number of times
+	IdempotencyKeyed                    // carries an idempotency key; a group of servers drops repeats for the repeat window
+	NotIdempotent                       // must not run twice
+)
+
+// KeyScope says which servers drop repeats of an idempotency key together.
+type KeyScope int
+
+// The scopes of an idempotency key.
+const (
+	ScopeAll KeyScope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of requests. Worth, late share and effect are older words of its keys.
+type Class struct {
+	Name               string        `cbor:"Name" plan:"name"`
+	LatencyObjective   time.Duration `cbor:"Aim" plan:"aim"`           // an answer within it has its full weight
+	Deadline           time.Duration `cbor:"Deadline" plan:"deadline"` // what a client waits at most, over all attempts of its own
+	Idempotency        Idempotency   `cbor:"Effect" plan:"repeats"`
+	KeyScope           KeyScope      `cbor:"KeyScope" plan:"key_scope"`         // with IdempotencyKeyed
+	RepeatWindow       time.Duration `cbor:"RepeatWindow" plan:"repeat_window"` // with IdempotencyKeyed: how long repeats are dropped
+	PriorityWeight     float64       `cbor:"Worth" plan:"worth"`
+	LateWeightFraction float64       `cbor:"LateShare" plan:"late_share"` // part of the weight left for an answer after the objective
+	IsStreaming        bool          `cbor:"Stream" plan:"stream"`        // answers begin with a ResponseStarted event
+}
+
+// Plan describes one plan and what it grants each of its customers over all gateways together. Zero means that there
+// is no such quota or limit. Depth and ceiling are older words of its keys.
+type Plan struct {
+	Name           string  `cbor:"Name" plan:"name"`
+	Price          float64 `cbor:"Price" plan:"price"`                // factor on the priority weight of a request
+	QuotaRate      float64 `cbor:"Rate" plan:"rate"`                  // units a second
+	QuotaBurst     float64 `cbor:"Depth" plan:"depth"`                // units that the token bucket of the quota holds
+	MaxInFlight    int     `cbor:"Open" plan:"open"`                  // attempts in flight at once
+	OverQuotaCost  float64 `cbor:"OverCost" plan:"over_cost"`         // part of its weight that a request beyond the quota costs
+	OverQuotaGain  float64 `cbor:"OverEarns" plan:"over_earns"`       // part of its weight that a request beyond the quota earns
+	HardLimitRate  float64 `cbor:"CeilingRate" plan:"ceiling_rate"`   // units a second of the hard limit
+	HardLimitBurst float64 `cbor:"CeilingBurst" plan:"ceiling_burst"` // units that the token bucket of the hard limit holds
+	HardLimitSlack float64 `cbor:"CeilingSlack" plan:"ceiling_slack"` // units by which that bucket may fall below zero
+}
+
+// Settings are what a controller is made with. Units, rates and loads are float64.
+type Settings struct {
+	SelfIndex int     `cbor:"SelfIndex" plan:"instance"`
+	GroupSize int     `cbor:"GroupSize" plan:"instances"`
+	Zone      string  `cbor:"Zone" plan:"zone"`
+	Classes   []Class `cbor:"Classes" plan:"classes"`
+	Plans     []Plan  `cbor:"Plans" plan:"plans"`
+
+	ListOnRequest         bool          `cbor:"OnRequest" plan:"on_request"`       // the endpoint list has to be watched or fetched
+	MaxPollInterval       time.Duration `cbor:"AskWithin" plan:"ask_within"`       // longest time between two polls without a watch
+	DrainGrace            time.Duration `cbor:"DrainGrace" plan:"drain_grace"`     // how long attempts at a draining server are tolerated
+	WarmupTime            time.Duration `cbor:"Cold" plan:"cold"`                  // after its start, by which a server has its full capacity
+	InitialCapacity       float64       `cbor:"ColdFrom" plan:"cold_from"`         // part of its capacity that a server has at its start, at least
+	OverloadWindow        time.Duration `cbor:"Fall" plan:"fall"`                  // time over which the load of a server that is warming up is counted
+	OverloadMultiple      float64       `cbor:"FallMultiple" plan:"fall_multiple"` // times its present capacity that it bears over that time
+	MeterPeriod           time.Duration `cbor:"MeterPeriod" plan:"meter_period"`   // period of the usage meter; 0 is no meter
+	UnitsInResponse       bool          `cbor:"CostAfter" plan:"cost_after"`       // the actual units come with the response
+	MaxUnits              float64       `cbor:"UnitsTop" plan:"units_top"`         // of one request; 0 is no limit
+	HasCounter            bool          `cbor:"HasCounter" plan:"has_counter"`
+	PeerMessagesPerSecond float64       `cbor:"InboxPerS" plan:"inbox_per_s"`
+	MaxAttempts           int           `cbor:"SendCap" plan:"attempts"` // of one request; 0 is no limit
+	MaxRequests           int           `cbor:"OpenCap" plan:"open_cap"` // queued and in flight; 0 is no limit
+	CanCancel             bool          `cbor:"MayCancel" plan:"may_cancel"`
+	RetriesAreMarked      bool          `cbor:"MarksRetry" plan:"marks_retry"` // clients mark their retries
+	HealthChecks          bool          `cbor:"Probes" plan:"probes"`
+	PeerMessages          bool          `cbor:"PeerMessages" plan:"peer_messages"`
+	HedgedRequests        bool          `cbor:"SecondCopies" plan:"second_copies"`
+	SupportsRetryAfter    bool          `cbor:"RetryAfter" plan:"retry_after"`
+	MaxRetryAfter         time.Duration `cbor:"MaxRetryAfter" plan:"retry_after"`
+	CrossZonePrice        float64       `cbor:"CrossZone" plan:"cross_zone"` // price of an attempt that leaves the gateway's zone
+}
+
+// validate returns an error that names the first setting that makes no sense, by the words of its key.
+func (s *Settings) validate() error {
+	if len(s.Classes) == 0 {
+		return errors.New("settings: classes: there are none")
+	}
+	if len(s.Plans) == 0 {
+		return errors.New("settings: plans: there are none")
+	}
+	if s.GroupSize < 1 {
+		return fmt.Errorf("settings: group size: %d is not positive", s.GroupSize)
+	}
+	if s.SelfIndex < 0 || s.SelfIndex >= s.GroupSize {
+		return fmt.Errorf("settings: self index: %d is outside a group of %d", s.SelfIndex, s.GroupSize)
+	}
+	numbers := s.numbers()
+	for i := range s.Classes {
+		class := &s.Classes[i]
 		if class.LatencyObjective <= 0 || class.Deadline <= 0 {
-			return fmt.Errorf("settings: %saim and deadline: %v and %v are not both positive", n, class.LatencyObjective, class.Deadline)
+			return fmt.Errorf("settings: class %s: aim and deadline: %v and %v are not both positive",
+				class.Name, class.LatencyObjective, class.Deadline)
 		}
+		numbers = append(numbers, class.numbers()...)
 	}
-	for _, plan := range settings.Plans {
-		n := "plan " + plan.Name + ": "
-		figures = append(figures, figure{n + "price", plan.Price}, figure{n + "rate", plan.QuotaRate}, figure{n + "depth", plan.QuotaBurst},
-			figure{n + "open", float64(plan.MaxInFlight)}, figure{n + "over cost", plan.OverQuotaCost},
-			figure{n + "over earns", plan.OverQuotaGain}, figure{n + "ceiling rate", plan.HardLimitRate},
-			figure{n + "ceiling burst", plan.HardLimitBurst}, figure{n + "ceiling slack", plan.HardLimitSlack})
+	for i := range s.Plans {
+		numbers = append(numbers, s.Plans[i].numbers()...)
 	}
-	for _, f := range figures {
-		if math.IsNaN(f.value) || math.IsInf(f.value, 0) || f.value < 0 {
-			return fmt.Errorf("settings: %s: %g is negative or not finite", f.name, f.value)
+	for _, n := range numbers {
+		if math.IsNaN(n.value) || math.IsInf(n.value, 0) || n.value < 0 {
+			return fmt.Errorf("settings: %s: %g is negative or not finite", n.name, n.value)
 		}
 	}
 	return nil
 }
+
+// namedNumber is a setting that has to be finite and not negative.
+type namedNumber struct {
+	name  string
+	value float64
+}
+
+func (s *Settings) numbers() []namedNumber {
+	return []namedNumber{
+		{"cold from", s.InitialCapacity},
+		{"fall multiple", s.OverloadMultiple},
+		{"units top", s.MaxUnits},
+		{"inbox per second", s.PeerMessagesPerSecond},
+		{"cross-zone price", s.CrossZonePrice},
+		{"cold", s.WarmupTime.Seconds()},
+		{"ask within", s.MaxPollInterval.Seconds()},
+		{"drain grace", s.DrainGrace.Seconds()},
+		{"fall", s.OverloadWindow.Seconds()},
+		{"meter period", s.MeterPeriod.Seconds()},
+		{"send cap", float64(s.MaxAttempts)},
+		{"open cap", float64(s.MaxRequests)},
+		{"max retry after", s.MaxRetryAfter.Seconds()},
+	}
+}
+
+func (c *Class) numbers() []namedNumber {
+	name := "class " + c.Name + ": "
+	return []namedNumber{
+		{name + "worth", c.PriorityWeight},
+		{name + "late share", c.LateWeightFraction},
+		{name + "repeat window", c.RepeatWindow.Seconds()},
+	}
+}
+
+func (p *Plan) numbers() []namedNumber {
+	name := "plan " + p.Name + ": "
+	return []namedNumber{
+		{name + "price", p.Price},
+		{name + "rate", p.QuotaRate},
+		{name + "depth", p.QuotaBurst},
+		{name + "open", float64(p.MaxInFlight)},
+		{name + "over cost", p.OverQuotaCost},
+		{name + "over earns", p.OverQuotaGain},
+		{name + "ceiling rate", p.HardLimitRate},
+		{name + "ceiling burst", p.HardLimitBurst},
+		{name + "ceiling slack", p.HardLimitSlack},
+	}
+}
