--- a/cmd/lockflow/keeper_test.go
+++ b/cmd/lockflow/keeper_test.go
@@ -113,9 +113,9 @@
 	k.fleet("drained", "status")
 	k.fleet("serves", "serve")
 	ctx := context.Background()
-	order := func(id string, w desiredstate.Want) {
+	order := func(id string, w desiredstate.Operation) {
 		t.Helper()
-		_, err := k.client(0).RunCommand(ctx, desiredstate.Order{Epoch: 3, Owner: "me", ID: id, Want: w})
+		_, err := k.client(0).RunCommand(ctx, desiredstate.Command{Epoch: 3, Owner: "me", ID: id, Operation: w})
 		if err != nil {
 			t.Error(id, err)
 		}
@@ -125,10 +125,10 @@
 	if _, err := k.client(0).Claim(ctx, desiredstate.Claim{Epoch: 3, Owner: "me"}); err != nil {
 		t.Fatal(err)
 	}
-	order("p", desiredstate.Want{Kind: desiredstate.Program, Path: next})
+	order("p", desiredstate.Operation{Kind: desiredstate.KindProgram, Path: next})
 	k.until("the new program alone", 0, func(s manage.Status) bool { return s.IsReady() && s.Program == next && s.LastCommand.ID == "p" })
 	ordered := "# ordered\n" + text
-	order("s", desiredstate.Want{Kind: desiredstate.Settings, Text: ordered, Hash: desiredstate.Hash([]byte(ordered))})
+	order("s", desiredstate.Operation{Kind: desiredstate.KindSettings, Text: ordered, Hash: desiredstate.Hash([]byte(ordered))})
 	was[0] = k.until("the settings", 0, func(s manage.Status) bool { return s.ConfigHash == desiredstate.Hash([]byte(ordered)) })
 
 	k.keeper.Process.Kill()
--- a/cmd/lockflow/killed_test.go
+++ b/cmd/lockflow/killed_test.go
@@ -12,7 +12,7 @@
 // to one state, by itself or killed again; all writes are tried by measure rollout. Clients get an
 // answer to each request, also of controls that start again beside a canary.
 func TestCoordinatorKilledAtWrites(t *testing.T) {
-	for kind, kills := range map[string][]int{desiredstate.Settings: {-1, 1, 5, -12}, desiredstate.Program: {7, 9}} {
+	for kind, kills := range map[string][]int{desiredstate.KindSettings: {-1, 1, 5, -12}, desiredstate.KindProgram: {7, 9}} {
 		t.Run(kind, func(t *testing.T) {
 			got, err := measure.Rollout(t.Context(), measure.RolloutOptions{Program: build(t), Dir: testkit.ShortDir(t), Members: 4, Kinds: []string{kind}, Kills: kills, Clients: 2, Seed: 1})
 			if err != nil {
@@ -21,7 +21,7 @@
 			for _, w := range got.Wrong {
 				t.Error(w)
 			}
-			if got.Killed < len(kills) || got.Owned == 0 || got.Requests == 0 || kind == desiredstate.Program && got.Restarts == 0 {
+			if got.Killed < len(kills) || got.Owned == 0 || got.Requests == 0 || kind == desiredstate.KindProgram && got.Restarts == 0 {
 				t.Errorf("%+v", got)
 			}
 			t.Logf("%+v", got)
--- a/internal/command/measurerollout.go
+++ b/internal/command/measurerollout.go
@@ -17,8 +17,8 @@
 func measureRollout(ctx context.Context, e *Env, o measure.RolloutOptions, kinds string, asJSON bool) (err error) {
 	o.Clients, o.Progress = 2, e.Err
 	for k := range strings.SplitSeq(kinds, ",") {
-		if k = strings.TrimSpace(k); k != desiredstate.Settings && k != desiredstate.Program {
-			return usage("measure rollout: kinds: %q is neither %s nor %s", k, desiredstate.Settings, desiredstate.Program)
+		if k = strings.TrimSpace(k); k != desiredstate.KindSettings && k != desiredstate.KindProgram {
+			return usage("measure rollout: kinds: %q is neither %s nor %s", k, desiredstate.KindSettings, desiredstate.KindProgram)
 		}
 		o.Kinds = append(o.Kinds, k)
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -24,7 +24,7 @@
 
 // Bounds of what a file may say.
 const (
-	fileMost     = desiredstate.TextMost
+	fileMost     = desiredstate.MaxSettingsBytes
 	servicesMost = 5000
 	day          = 24 * time.Hour
 	figureMost   = 1e9
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -54,7 +54,7 @@
 
 // commandRequest asks for a command; the answer comes when that has ended.
 type commandRequest struct {
-	command desiredstate.Order
+	command desiredstate.Command
 	answer  chan error
 }
 
@@ -63,13 +63,13 @@
 		r.answer <- err
 		return nil
 	}
-	next, step, outcome, err := d.member.desiredState.Order(r.command)
+	next, step, outcome, err := d.member.desiredState.Accept(r.command)
 	switch {
 	case err != nil:
 		r.answer <- err
-	case step == desiredstate.Answer:
+	case step == desiredstate.StepAnswer:
 		r.answer <- outcomeError(outcome)
-	case step == desiredstate.Wait:
+	case step == desiredstate.StepWait:
 		d.running.waiters = append(d.running.waiters, r.answer)
 	default:
 		d.beginCommand(r, next)
@@ -91,13 +91,13 @@
 	if f.isRolledBack {
 		d.conditions.clear(conditionConfigFile)
 	}
-	isSettings := f.command.kind == desiredstate.Settings
+	isSettings := f.command.kind == desiredstate.KindSettings
 	if f.err == nil && isSettings && d.cfg.Hash != f.command.hash {
 		f.err = fmt.Errorf("the file was replaced by another hand: the settings in force have the hash %s", d.cfg.Hash)
 	}
 	d.finishCommand(f.err)
 	if isSettings {
-		d.member.store.Forget()
+		d.member.store.RemoveOldSettings()
 	}
 	return nil
 }
@@ -109,7 +109,7 @@
 }
 
 // RunCommand implements manage.Daemon.
-func (d *daemon) RunCommand(ctx context.Context, command desiredstate.Order) error {
+func (d *daemon) RunCommand(ctx context.Context, command desiredstate.Command) error {
 	answer := make(chan error, 1)
 	return d.postAndWait(ctx, commandRequest{command, answer}, answer)
 }
@@ -145,9 +145,9 @@
 }
 
 // beginCommand saves the book with the command begun in it and starts the command.
-func (d *daemon) beginCommand(r commandRequest, next desiredstate.Book) {
+func (d *daemon) beginCommand(r commandRequest, next desiredstate.State) {
 	c := r.command
-	err := d.checkCommand(c.Want)
+	err := d.checkCommand(c.Operation)
 	if err == nil {
 		err = d.member.save(next)
 	}
@@ -155,27 +155,27 @@
 		r.answer <- err
 		return
 	}
-	slog.Info("command started", "id", c.ID, "epoch", c.Epoch, "owner", c.Owner, "kind", c.Want.Kind)
-	d.running = &runningCommand{id: c.ID, kind: c.Want.Kind, hash: c.Want.Hash, waiters: []chan error{r.answer}}
-	d.startCommand(c.Want)
+	slog.Info("command started", "id", c.ID, "epoch", c.Epoch, "owner", c.Owner, "kind", c.Operation.Kind)
+	d.running = &runningCommand{id: c.ID, kind: c.Operation.Kind, hash: c.Operation.Hash, waiters: []chan error{r.answer}}
+	d.startCommand(c.Operation)
 }
 
 // checkCommand returns why a command can't begin now, or at all.
-func (d *daemon) checkCommand(want desiredstate.Want) error {
+func (d *daemon) checkCommand(want desiredstate.Operation) error {
 	current := d.machine.State()
 	switch want.Kind {
-	case desiredstate.Drain:
-		if d.member.store.Forgets() {
+	case desiredstate.KindDrain:
+		if d.member.store.IsVolatile() {
 			return badError("process.state is not set: started again, it would serve")
 		}
 		if current == lifecycle.Draining || current == lifecycle.Ended {
 			return busyError("the daemon is %v", current)
 		}
-	case desiredstate.Serve:
+	case desiredstate.KindServe:
 		if current == lifecycle.Draining || current == lifecycle.Ended {
 			return busyError("the daemon is %v", current)
 		}
-	case desiredstate.Program:
+	case desiredstate.KindProgram:
 		if err := checkExecutable(want.Path); err != nil {
 			return badError(err.Error())
 		}
@@ -189,10 +189,10 @@
 }
 
 // startCommand starts d.running.
-func (d *daemon) startCommand(want desiredstate.Want) {
+func (d *daemon) startCommand(want desiredstate.Operation) {
 	running := d.running
 	switch want.Kind {
-	case desiredstate.Settings:
+	case desiredstate.KindSettings:
 		inForce := d.cfg
 		d.goroutines.Go(func() {
 			isRolledBack, err := d.applySettings(inForce, want)
@@ -200,12 +200,12 @@
 				d.post(commandFinished{running, err, isRolledBack})
 			}
 		})
-	case desiredstate.Program, desiredstate.Restart:
+	case desiredstate.KindProgram, desiredstate.KindRestart:
 		d.startUpgradeCommand(running, want.Path)
-	case desiredstate.Drain:
+	case desiredstate.KindDrain:
 		d.finishCommand(nil)
 		d.advance(lifecycle.StopRequested{Cause: "order " + running.id})
-	case desiredstate.Serve:
+	case desiredstate.KindServe:
 		if d.machine.State() != lifecycle.Warming { // else servicesReady finishes it
 			d.finishCommand(nil)
 		}
@@ -233,23 +233,23 @@
 
 // finishCommand ends the running command; its outcome is saved before it is answered.
 func (d *daemon) finishCommand(err error) {
-	stored := d.member.desiredState.Doing
+	stored := d.member.desiredState.Running
 	if stored == nil || stored.ID != d.running.id { // another process has ended it
 		d.answerCommand(interruptedOutcome(d.running.id))
 		return
 	}
-	d.member.record(d.member.desiredState.End(err))
-	d.answerCommand(d.member.desiredState.Last())
+	d.member.record(d.member.desiredState.Finish(err))
+	d.answerCommand(d.member.desiredState.LastOutcome())
 }
 
 // interruptedOutcome is the outcome of a command of which nothing remains: it begins anew when it is sent
 // again.
-func interruptedOutcome(id string) desiredstate.Done {
-	return desiredstate.Done{ID: id, Code: desiredstate.Busy, Error: "order " + id + " was cut: ask again"}
+func interruptedOutcome(id string) desiredstate.Outcome {
+	return desiredstate.Outcome{ID: id, Code: desiredstate.CodeBusy, Error: "order " + id + " was cut: ask again"}
 }
 
 // answerCommand answers those who wait for the running command.
-func (d *daemon) answerCommand(outcome desiredstate.Done) {
+func (d *daemon) answerCommand(outcome desiredstate.Outcome) {
 	running := d.running
 	d.running = nil
 	slog.Info("command ended", "id", running.id, "code", outcome.Code, "err", outcome.Error)
@@ -259,7 +259,7 @@
 // takeOverDesiredState reads the predecessor's book, and the command that it has begun.
 func (d *daemon) takeOverDesiredState() {
 	d.reloadDesiredState()
-	if running := d.member.desiredState.Doing; running != nil {
+	if running := d.member.desiredState.Running; running != nil {
 		d.running = &runningCommand{id: running.ID, kind: running.Kind, hash: running.Hash, isInherited: true}
 	}
 }
@@ -275,21 +275,21 @@
 // succeeded where its effect is found, else as interrupted. A command to serve goes on.
 func (d *daemon) recoverCommand() {
 	m := d.member
-	stored := m.desiredState.Doing
+	stored := m.desiredState.Running
 	if stored == nil {
 		d.running = nil
 		return
 	}
-	next := m.desiredState.Recover(desiredstate.Facts{Hash: d.cfg.Hash, Program: d.opts.Program})
-	if next.Doing != nil {
+	next := m.desiredState.Recover(desiredstate.Observed{Hash: d.cfg.Hash, Program: d.opts.Program})
+	if next.Running != nil {
 		if d.running == nil {
 			d.running = &runningCommand{id: stored.ID, kind: stored.Kind, hash: stored.Hash}
 		}
 		return
 	}
 	m.record(next)
-	m.store.Forget()
-	last := next.Last()
+	m.store.RemoveOldSettings()
+	last := next.LastOutcome()
 	if last.ID != stored.ID {
 		slog.Warn("command interrupted by the end of its process, nothing of it remains", "id", stored.ID, "kind", stored.Kind)
 		last = interruptedOutcome(stored.ID)
--- a/internal/daemon/commands_test.go
+++ b/internal/daemon/commands_test.go
@@ -17,23 +17,23 @@
 )
 
 // changedSettings returns a command for the configuration file with old replaced by new.
-func (r *daemonProcess) changedSettings(old, new string) desiredstate.Want {
+func (r *daemonProcess) changedSettings(old, new string) desiredstate.Operation {
 	r.t.Helper()
 	raw, err := os.ReadFile(r.directory + "/c.toml")
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	text := strings.Replace(string(raw), old, new, 1)
-	return desiredstate.Want{Kind: desiredstate.Settings, Text: text, Hash: desiredstate.Hash([]byte(text))}
+	return desiredstate.Operation{Kind: desiredstate.KindSettings, Text: text, Hash: desiredstate.Hash([]byte(text))}
 }
 
 func (r *daemonProcess) claimEpoch(epoch uint64, owner, after string) error {
-	_, err := r.control.Claim(context.Background(), desiredstate.Claim{Epoch: epoch, Owner: owner, After: after})
+	_, err := r.control.Claim(context.Background(), desiredstate.Claim{Epoch: epoch, Owner: owner, LossToken: after})
 	return err
 }
 
-func (r *daemonProcess) sendCommand(epoch uint64, id string, w desiredstate.Want) error {
-	_, err := r.control.RunCommand(context.Background(), desiredstate.Order{Epoch: epoch, Owner: "me", ID: id, Want: w})
+func (r *daemonProcess) sendCommand(epoch uint64, id string, w desiredstate.Operation) error {
+	_, err := r.control.RunCommand(context.Background(), desiredstate.Command{Epoch: epoch, Owner: "me", ID: id, Operation: w})
 	return err
 }
 
@@ -71,7 +71,7 @@
 		r.checkError("settings", r.sendCommand(7, "s/1", w), nil)
 	}
 	s := r.status()
-	if s.Generation != 2 || s.ConfigHash != w.Hash || r.configHash() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.LastCommand != (desiredstate.Done{ID: "s/1", Code: desiredstate.OK}) || s.DesiredState.Hash != w.Hash {
+	if s.Generation != 2 || s.ConfigHash != w.Hash || r.configHash() != w.Hash || s.Epoch != 7 || s.Owner != "me" || s.LastCommand != (desiredstate.Outcome{ID: "s/1", Code: desiredstate.CodeOK}) || s.DesiredState.Hash != w.Hash {
 		t.Errorf("%+v", s)
 	}
 	checkFailingCommands(r, w)
@@ -104,9 +104,9 @@
 }
 
 // checkFailingCommands checks that commands which fail or are rejected leave r with the settings of current.
-func checkFailingCommands(r *daemonProcess, current desiredstate.Want) {
+func checkFailingCommands(r *daemonProcess, current desiredstate.Operation) {
 	r.t.Helper()
-	for name, bad := range map[string]desiredstate.Want{
+	for name, bad := range map[string]desiredstate.Operation{
 		"an unknown key":     r.changedSettings("[plans.standard]", "[plans.standard]\nx = 1"),
 		"needs a restart":    r.changedSettings("/state\"", "/other\""),
 		"an address in vain": r.changedSettings(`address = "127.0.0.1:0"`, `address = "192.0.2.1:9"`),
@@ -118,8 +118,8 @@
 			r.t.Errorf("%s: %+v", name, s)
 		}
 	}
-	r.checkError("another act by the same id", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrInvalid)
-	r.checkError("a program that is none", r.sendCommand(7, "p/0", desiredstate.Want{Kind: desiredstate.Program, Path: r.directory}), manage.ErrInvalid)
+	r.checkError("another act by the same id", r.sendCommand(7, "s/1", desiredstate.Operation{Kind: desiredstate.KindRestart}), manage.ErrInvalid)
+	r.checkError("a program that is none", r.sendCommand(7, "p/0", desiredstate.Operation{Kind: desiredstate.KindProgram, Path: r.directory}), manage.ErrInvalid)
 }
 
 // checkRestartCommand sends a restart three times at once: it runs once, and each sender gets its outcome.
@@ -128,20 +128,20 @@
 	old := r.status().PID
 	answers := make(chan error, 3)
 	for range 3 {
-		go func() { answers <- r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}) }()
+		go func() { answers <- r.sendCommand(7, "c/1", desiredstate.Operation{Kind: desiredstate.KindRestart}) }()
 	}
 	served := 0
 	for range 3 {
 		err := <-answers
 		for errors.Is(err, manage.ErrBusy) || err != nil && !errors.As(err, new(manage.RejectedError)) { // it came between both processes
-			err = r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart})
+			err = r.sendCommand(7, "c/1", desiredstate.Operation{Kind: desiredstate.KindRestart})
 		}
 		if r.checkError("restart", err, nil); err == nil {
 			served++
 		}
 	}
 	r.awaitStatus("the new process alone", func(s manage.Status) bool {
-		return s.PID != old && hasEnded(old) && s.LastCommand.ID == "c/1" && s.LastCommand.Code == desiredstate.OK
+		return s.PID != old && hasEnded(old) && s.LastCommand.ID == "c/1" && s.LastCommand.Code == desiredstate.CodeOK
 	})
 	if s := r.status(); served != 3 || s.Epoch != 7 || s.RunningCommand != "" || strings.Count(r.log.String(), "upgrade: successor started") != 1 {
 		r.t.Errorf("%+v", s)
@@ -157,11 +157,11 @@
 			r := startDaemonWith(t, successorFault, nil, `probation = "300ms"`, fmt.Sprintf("probation = %q", probation))
 			was := r.status()
 			r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
-			next := desiredstate.Want{Kind: desiredstate.Program, Path: os.Args[0]}
+			next := desiredstate.Operation{Kind: desiredstate.KindProgram, Path: os.Args[0]}
 			for range 2 {
 				r.checkError("the program", r.sendCommand(7, "p/1", next), manage.ErrFailed)
 			}
-			if s := r.status(); s.PID != was.PID || s.DesiredState.Program != "" || s.LastCommand.Code != desiredstate.Failed || s.Epoch != 7 || s.RunningCommand != "" {
+			if s := r.status(); s.PID != was.PID || s.DesiredState.Program != "" || s.LastCommand.Code != desiredstate.CodeFailed || s.Epoch != 7 || s.RunningCommand != "" {
 				t.Errorf("%+v", s)
 			}
 			r.checkError("what comes next", r.sendCommand(7, "s/1", r.changedSettings("rate = 100000", "rate = 90000")), nil)
@@ -177,8 +177,8 @@
 	for i, c := range []interruption{
 		{"written down alone", "# 1", false, false, ""},
 		{"the old text is kept", "# 2", true, false, ""},
-		{"the file is replaced", "# 3", true, true, desiredstate.OK},
-		{"can't start", "listeners", true, true, desiredstate.Failed},
+		{"the file is replaced", "# 3", true, true, desiredstate.CodeOK},
+		{"can't start", "listeners", true, true, desiredstate.CodeFailed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			id := fmt.Sprint("s/", i)
@@ -205,7 +205,7 @@
 }
 
 // prepare writes what the killed process would have left of the command id, which wants w.
-func (c interruption) prepare(t *testing.T, r *daemonProcess, id string, w desiredstate.Want) *desiredstate.File {
+func (c interruption) prepare(t *testing.T, r *daemonProcess, id string, w desiredstate.Operation) *desiredstate.File {
 	t.Helper()
 	f, err := desiredstate.Open(r.directory+"/state", nil)
 	if err != nil {
@@ -215,15 +215,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b, _, _, err = b.Order(desiredstate.Order{Epoch: 7, Owner: "me", ID: id, Want: w}); err == nil {
+	if b, _, _, err = b.Accept(desiredstate.Command{Epoch: 7, Owner: "me", ID: id, Operation: w}); err == nil {
 		err = f.Save(b)
 	}
 	old, _ := os.ReadFile(r.directory + "/c.toml")
 	if c.isOldSaved && err == nil {
-		err = f.Keep(old)
+		err = f.SaveOldSettings(old)
 	}
 	if c.isReplaced && err == nil {
-		err = desiredstate.Replace(r.directory+"/c.toml", []byte(w.Text))
+		err = desiredstate.ReplaceFile(r.directory+"/c.toml", []byte(w.Text))
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -233,14 +233,14 @@
 
 // checkRecovery checks the outcome of the command after the start, and what it does when it is sent again; was is
 // the status before.
-func (c interruption) checkRecovery(t *testing.T, r *daemonProcess, id string, w desiredstate.Want, was manage.Status) {
+func (c interruption) checkRecovery(t *testing.T, r *daemonProcess, id string, w desiredstate.Operation, was manage.Status) {
 	t.Helper()
 	s := r.status()
 	if done := s.LastCommand.ID == id; done != (c.code != "") || done && s.LastCommand.Code != c.code || s.Epoch != 7 || s.RunningCommand != "" {
 		t.Fatalf("%+v", s)
 	}
 	switch c.code {
-	case desiredstate.Failed:
+	case desiredstate.CodeFailed:
 		if s.ConfigHash != was.ConfigHash || r.configHash() != was.ConfigHash || s.DesiredState.Hash != was.DesiredState.Hash {
 			t.Errorf("%+v", s)
 		}
@@ -302,7 +302,7 @@
 		t.Errorf("%+v", s)
 	}
 	r.checkError("an old epoch", r.claimEpoch(7, "me", ""), manage.ErrLost)
-	r.checkError("its order", r.sendCommand(7, "s/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrLost)
+	r.checkError("its order", r.sendCommand(7, "s/1", desiredstate.Operation{Kind: desiredstate.KindRestart}), manage.ErrLost)
 	r.checkError("a claim that knows", r.claimEpoch(10, "me", s.LostToken), nil)
 	if s := r.status(); s.LostToken != "" || s.Epoch != 10 || strings.Contains(strings.Join(s.DegradedConditions, " "), "orders") {
 		t.Errorf("%+v", s)
@@ -330,7 +330,7 @@
 	r := startDaemon(t, "")
 	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
 	pid := r.status().PID
-	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), nil)
+	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Operation{Kind: desiredstate.KindDrain}), nil)
 	testkit.Until(t, "the end", func() bool { return hasEnded(pid) })
 	for range 2 {
 		r.run("")
@@ -351,11 +351,11 @@
 	r.awaitStatus("drained", func(s manage.Status) bool { return s.State == manage.StateDrained })
 	r.checkError("an old epoch", r.claimEpoch(6, "me", ""), manage.ErrStale)
 	r.checkError("a newer one", r.claimEpoch(8, "me", ""), nil)
-	r.checkError("a restart", r.sendCommand(8, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), manage.ErrInvalid)
+	r.checkError("a restart", r.sendCommand(8, "c/1", desiredstate.Operation{Kind: desiredstate.KindRestart}), manage.ErrInvalid)
 	w := r.changedSettings("rate = 100000", "rate = 90000")
 	r.checkError("settings", r.sendCommand(8, "s/1", w), nil)
 	for range 2 {
-		r.checkError("serve", r.sendCommand(8, "v/1", desiredstate.Want{Kind: desiredstate.Serve}), nil)
+		r.checkError("serve", r.sendCommand(8, "v/1", desiredstate.Operation{Kind: desiredstate.KindServe}), nil)
 	}
 	if s := r.status(); !s.IsReady() || s.ConfigHash != w.Hash || s.DesiredState.Drained || s.Epoch != 8 || s.LastCommand.ID != "v/1" {
 		t.Errorf("%+v", s)
@@ -379,9 +379,11 @@
 func TestEpochOutlivesUpgradeWithoutStateDirectory(t *testing.T) {
 	r := startDaemonWith(t, "", nil, "state = \"DIR/state\"\ncheckpoint = \"20ms\"\n", "")
 	r.checkError("a claim", r.claimEpoch(7, "me", ""), nil)
-	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Want{Kind: desiredstate.Drain}), manage.ErrInvalid)
-	r.checkError("restart", r.sendCommand(7, "c/1", desiredstate.Want{Kind: desiredstate.Restart}), nil)
-	r.awaitStatus("the new process alone", func(s manage.Status) bool { return s.LastCommand.ID == "c/1" && s.LastCommand.Code == desiredstate.OK })
+	r.checkError("drain", r.sendCommand(7, "d/1", desiredstate.Operation{Kind: desiredstate.KindDrain}), manage.ErrInvalid)
+	r.checkError("restart", r.sendCommand(7, "c/1", desiredstate.Operation{Kind: desiredstate.KindRestart}), nil)
+	r.awaitStatus("the new process alone", func(s manage.Status) bool {
+		return s.LastCommand.ID == "c/1" && s.LastCommand.Code == desiredstate.CodeOK
+	})
 	if s := r.status(); s.Epoch != 7 || !s.IsVolatile {
 		t.Errorf("%+v", s)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,7 +98,7 @@
 // isToStayDrained tells whether the desired state is drained. A successor builds first: it was started by
 // a process that serves.
 func (d *daemon) isToStayDrained() bool {
-	return d.predecessor == nil && d.member.desiredState.Wanted.Drained
+	return d.predecessor == nil && d.member.desiredState.Target.Drained
 }
 
 // prepare reads the configuration and opens the files.
--- a/internal/daemon/drained.go
+++ b/internal/daemon/drained.go
@@ -206,7 +206,7 @@
 }
 
 // RunCommand implements manage.Daemon. A command to serve ends when the daemon serves.
-func (r *drainedDaemon) RunCommand(ctx context.Context, command desiredstate.Order) error {
+func (r *drainedDaemon) RunCommand(ctx context.Context, command desiredstate.Command) error {
 	isComplete, err := r.runCommand(command)
 	if isComplete {
 		return err
@@ -219,23 +219,23 @@
 
 // runCommand runs what a drained daemon can of a command. Where it returns false, d runs the command once it has
 // resumed.
-func (r *drainedDaemon) runCommand(command desiredstate.Order) (isComplete bool, err error) {
+func (r *drainedDaemon) runCommand(command desiredstate.Command) (isComplete bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isResuming() {
 		return false, nil
 	}
 	m := r.d.member
-	want := command.Want
-	next, step, outcome, err := m.desiredState.Order(command)
+	want := command.Operation
+	next, step, outcome, err := m.desiredState.Accept(command)
 	switch {
 	case err != nil:
 		return true, err
-	case step == desiredstate.Answer:
+	case step == desiredstate.StepAnswer:
 		return true, outcomeError(outcome)
-	case step == desiredstate.Wait:
+	case step == desiredstate.StepWait:
 		return true, busyError("order %s is under way", command.ID)
-	case want.Kind == desiredstate.Program || want.Kind == desiredstate.Restart:
+	case want.Kind == desiredstate.KindProgram || want.Kind == desiredstate.KindRestart:
 		return true, badError(errIsDrained.Error())
 	}
 	if err := m.save(next); err != nil {
@@ -243,18 +243,18 @@
 	}
 	slog.Info("command started while drained", "id", command.ID, "epoch", command.Epoch, "owner", command.Owner, "kind", want.Kind)
 	switch want.Kind {
-	case desiredstate.Serve:
+	case desiredstate.KindServe:
 		close(r.serveRequested)
 		return false, nil
-	case desiredstate.Settings:
+	case desiredstate.KindSettings:
 		err = r.replaceSettings(want)
 	}
-	m.record(m.desiredState.End(err))
-	return true, outcomeError(m.desiredState.Last())
+	m.record(m.desiredState.Finish(err))
+	return true, outcomeError(m.desiredState.LastOutcome())
 }
 
 // replaceSettings replaces the configuration file, which is read when the daemon resumes.
-func (r *drainedDaemon) replaceSettings(want desiredstate.Want) error {
+func (r *drainedDaemon) replaceSettings(want desiredstate.Operation) error {
 	d := r.d
 	next, err := d.opts.ParseConfig([]byte(want.Text))
 	if err != nil {
@@ -263,7 +263,7 @@
 	if old := d.cfg.Process; old.State != next.Process.State || old.Control != next.Process.Control {
 		return fmt.Errorf("process.state and process.control can't change without a restart: %q, %q", next.Process.State, next.Process.Control)
 	}
-	if err := desiredstate.Replace(d.opts.ConfigPath, []byte(want.Text)); err != nil {
+	if err := desiredstate.ReplaceFile(d.opts.ConfigPath, []byte(want.Text)); err != nil {
 		return fmt.Errorf("replacing the settings: %w", err)
 	}
 	d.cfg = next
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -125,7 +125,7 @@
 // servicesReady advances to ready and ends a command to serve.
 func (d *daemon) servicesReady() {
 	d.advance(lifecycle.ServicesReady{})
-	if d.running != nil && d.running.kind == desiredstate.Serve && !d.running.isInherited {
+	if d.running != nil && d.running.kind == desiredstate.KindServe && !d.running.isInherited {
 		d.finishCommand(nil)
 	}
 }
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -16,7 +16,7 @@
 // whoever holds drainedDaemon.mu.
 type member struct {
 	store        *desiredstate.File
-	desiredState desiredstate.Book
+	desiredState desiredstate.State
 	isSaved      bool // the store has book as it is
 	conditions   *degradedConditions
 }
@@ -42,28 +42,28 @@
 	if err != nil {
 		slog.Error("desired state unreadable, commands are rejected until a new claim", "err", err)
 		m.conditions.add(conditionOrders, err.Error())
-		m.store.SetAside()
-		m.desiredState = desiredstate.Book{Lost: rand.Text()}
+		m.store.Quarantine()
+		m.desiredState = desiredstate.State{LossToken: rand.Text()}
 		m.record(m.desiredState)
 		return
 	}
 	m.desiredState, m.isSaved = loaded, true
-	if loaded.Lost != "" {
+	if loaded.LossToken != "" {
 		m.conditions.add(conditionOrders, "the epochs that were granted are lost")
 	}
 }
 
 // save replaces the book by next once next is stored; where that fails the book stays.
-func (m *member) save(next desiredstate.Book) error {
+func (m *member) save(next desiredstate.State) error {
 	if m.isSaved && reflect.DeepEqual(m.desiredState, next) {
 		return nil
 	}
 	if err := m.store.Save(next); err != nil {
 		m.conditions.add(conditionOrders, err.Error())
-		return &desiredstate.RejectedError{Code: desiredstate.Unkept, Text: err.Error()}
+		return &desiredstate.RejectedError{Code: desiredstate.CodeNotSaved, Text: err.Error()}
 	}
 	m.desiredState, m.isSaved = next, true
-	if next.Lost == "" {
+	if next.LossToken == "" {
 		m.conditions.clear(conditionOrders)
 	}
 	return nil
@@ -71,7 +71,7 @@
 
 // record replaces the book by next, which tells what has happened already, also where it can't be stored. A
 // process that then finds the earlier book goes by what it finds done.
-func (m *member) record(next desiredstate.Book) {
+func (m *member) record(next desiredstate.State) {
 	if err := m.save(next); err != nil {
 		slog.Error("command outcome not saved", "err", err)
 		m.desiredState, m.isSaved = next, false
@@ -80,7 +80,7 @@
 
 // grantEpoch grants a claim or rejects it.
 func (m *member) grantEpoch(claim desiredstate.Claim) error {
-	next, err := m.desiredState.Claim(claim)
+	next, err := m.desiredState.Grant(claim)
 	if err != nil {
 		return err
 	}
@@ -97,24 +97,24 @@
 // setDrained sets, for the operator and beside all epochs, whether the desired state is drained. Without a
 // state directory it can't be kept: the daemon drains all the same.
 func (m *member) setDrained(isDrained bool) error {
-	if m.store.Forgets() && isDrained {
+	if m.store.IsVolatile() && isDrained {
 		return nil
 	}
-	return m.save(m.desiredState.Rest(isDrained))
+	return m.save(m.desiredState.SetDrained(isDrained))
 }
 
 // addStatus fills in the status's part of the book.
 func (m *member) addStatus(s *manage.Status) {
-	s.Epoch, s.Owner, s.LostToken, s.IsVolatile = m.desiredState.Epoch, m.desiredState.Owner, m.desiredState.Lost, m.store.Forgets()
-	s.LastCommand, s.DesiredState = m.desiredState.Last(), m.desiredState.Wanted
-	if running := m.desiredState.Doing; running != nil {
+	s.Epoch, s.Owner, s.LostToken, s.IsVolatile = m.desiredState.Epoch, m.desiredState.Owner, m.desiredState.LossToken, m.store.IsVolatile()
+	s.LastCommand, s.DesiredState = m.desiredState.LastOutcome(), m.desiredState.Target
+	if running := m.desiredState.Running; running != nil {
 		s.RunningCommand = running.ID
 	}
 }
 
 // outcomeError returns what is answered to a command that has ended: nil where it succeeded.
-func outcomeError(outcome desiredstate.Done) error {
-	if outcome.Code == desiredstate.OK {
+func outcomeError(outcome desiredstate.Outcome) error {
+	if outcome.Code == desiredstate.CodeOK {
 		return nil
 	}
 	return &desiredstate.RejectedError{Code: outcome.Code, Text: outcome.Error}
@@ -122,10 +122,10 @@
 
 // busyError returns a rejection after which the caller may retry.
 func busyError(format string, args ...any) error {
-	return &desiredstate.RejectedError{Code: desiredstate.Busy, Text: fmt.Sprintf(format, args...) + ": ask again"}
+	return &desiredstate.RejectedError{Code: desiredstate.CodeBusy, Text: fmt.Sprintf(format, args...) + ": ask again"}
 }
 
 // badError returns a rejection that a retry can't change.
 func badError(text string) error {
-	return &desiredstate.RejectedError{Code: desiredstate.Bad, Text: text}
+	return &desiredstate.RejectedError{Code: desiredstate.CodeInvalid, Text: text}
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -14,7 +14,7 @@
 
 // applySettings replaces the configuration file by a command's and reloads it; inForce is the configuration
 // until then. On an error the file is as it was; isRolledBack tells that it was another one meanwhile.
-func (d *daemon) applySettings(inForce config.Config, want desiredstate.Want) (isRolledBack bool, err error) {
+func (d *daemon) applySettings(inForce config.Config, want desiredstate.Operation) (isRolledBack bool, err error) {
 	text := []byte(want.Text)
 	next, err := d.opts.ParseConfig(text)
 	if err != nil {
@@ -27,10 +27,10 @@
 	if err != nil {
 		return false, fmt.Errorf("reading the old settings: %w", err)
 	}
-	if err := d.member.store.Keep(old); err != nil {
+	if err := d.member.store.SaveOldSettings(old); err != nil {
 		return false, err
 	}
-	if err := desiredstate.Replace(d.opts.ConfigPath, text); err != nil {
+	if err := desiredstate.ReplaceFile(d.opts.ConfigPath, text); err != nil {
 		return false, fmt.Errorf("replacing the settings: %w", err)
 	}
 	if inForce.Hash == want.Hash {
@@ -41,7 +41,7 @@
 	if err == nil || errors.Is(err, errEnded) {
 		return false, err
 	}
-	if rollbackErr := desiredstate.Replace(d.opts.ConfigPath, old); rollbackErr != nil {
+	if rollbackErr := desiredstate.ReplaceFile(d.opts.ConfigPath, old); rollbackErr != nil {
 		return false, fmt.Errorf("%w; the old settings can't be put back: %w", err, rollbackErr)
 	}
 	return true, err
@@ -51,24 +51,24 @@
 // the new one. hash is that of the new one, or empty where it could not be read. It returns whether there is
 // another file to start with now.
 func rollBackSettings(m *member, o Options, hash string, cause error) bool {
-	running := m.desiredState.Doing
-	if running == nil || running.Kind != desiredstate.Settings || hash != "" && running.Hash != hash {
+	running := m.desiredState.Running
+	if running == nil || running.Kind != desiredstate.KindSettings || hash != "" && running.Hash != hash {
 		return false
 	}
-	old, err := m.store.Kept()
+	old, err := m.store.OldSettings()
 	if err == nil && desiredstate.Hash(old) == running.Hash {
 		return false // they were the same
 	}
 	if err == nil {
-		err = desiredstate.Replace(o.ConfigPath, old)
+		err = desiredstate.ReplaceFile(o.ConfigPath, old)
 	}
 	if err != nil {
 		slog.Error("settings rollback failed", "id", running.ID, "err", err)
 		return false
 	}
 	slog.Error("settings rolled back, the daemon can't start with a command's", "id", running.ID, "err", cause)
-	m.record(m.desiredState.End(fmt.Errorf("the daemon was cut, and could not start with it: %w", cause)))
-	m.store.Forget()
+	m.record(m.desiredState.Finish(fmt.Errorf("the daemon was cut, and could not start with it: %w", cause)))
+	m.store.RemoveOldSettings()
 	return true
 }
 
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -84,7 +84,7 @@
 	if f := d.pidFile.File(); f != nil {
 		files[filePID] = f
 	}
-	files[fileDesiredState] = d.member.store.Inheritance()
+	files[fileDesiredState] = d.member.store.MemoryFile()
 	if d.store != nil {
 		files[filePrefixLock+d.store.Directory()] = d.store.LockFile()
 	}
@@ -106,7 +106,7 @@
 		}
 	case e.isConfirmed:
 		if d.running != nil { // the successor has saved its outcome, and this process doesn't resume any more
-			d.answerCommand(desiredstate.Done{ID: d.running.id, Code: desiredstate.OK})
+			d.answerCommand(desiredstate.Outcome{ID: d.running.id, Code: desiredstate.CodeOK})
 		}
 		d.advance(lifecycle.SuccessorConfirmed{})
 	case e.event == upgrade.Prepared:
@@ -180,7 +180,7 @@
 		d.reloadDesiredState()
 	}
 	cause = fmt.Errorf("the old process goes on: %w", cause)
-	if d.running != nil && (d.running.kind == desiredstate.Program || d.running.kind == desiredstate.Restart) {
+	if d.running != nil && (d.running.kind == desiredstate.KindProgram || d.running.kind == desiredstate.KindRestart) {
 		d.finishCommand(cause)
 	} else if d.running == nil {
 		d.recoverCommand()
--- a/internal/desiredstate/golden_test.go
+++ b/internal/desiredstate/golden_test.go
@@ -10,10 +10,10 @@
 // The file of an earlier build, which go test ./internal/desiredstate -run Golden -update writes anew, is read, and
 // written to the same bytes again.
 func TestGoldenFile(t *testing.T) {
-	var sample Book
+	var sample State
 	testkit.Sample("json", &sample)
 	sample.Program = "/usr/bin/" + sample.Owner
-	sample.Epoch = sample.Doing.Epoch + 1
+	sample.Epoch = sample.Running.Epoch + 1
 	got, err := Encode(sample)
 	if err != nil {
 		t.Fatal(err)
@@ -31,5 +31,5 @@
 // What coordinators send is read and written under the keys of earlier builds.
 func TestGoldenMessages(t *testing.T) {
 	testkit.GoldenSample(t, "json", "testdata/golden/claim.json", &Claim{})
-	testkit.GoldenSample(t, "json", "testdata/golden/order.json", &Order{})
+	testkit.GoldenSample(t, "json", "testdata/golden/order.json", &Command{})
 }
--- a/internal/desiredstate/keys_test.go
+++ b/internal/desiredstate/keys_test.go
@@ -7,4 +7,6 @@
 )
 
 // The book of orders, and what coordinators say, have a written key for every field.
-func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", Book{}, Claim{}, Order{}) }
+func TestStoredFieldsHaveKeys(t *testing.T) {
+	testkit.RequireKeys(t, "json", State{}, Claim{}, Command{})
+}
--- a/internal/faultnet/trial/owners.go
+++ b/internal/faultnet/trial/owners.go
@@ -144,8 +144,8 @@
 // order orders settings, and asks again by the same id where the answer is lost.
 func (w *owner) order(ctx context.Context, i int, epoch uint64, text string, linked bool) bool {
 	id := fmt.Sprintf("%s/%d/%d", w.name, epoch, w.round)
-	o := manage.Order{Epoch: epoch, Owner: w.name, ID: id, Want: manage.Want{Kind: desiredstate.Settings, Text: text, Hash: desiredstate.Hash([]byte(text))}}
-	w.notes.Want(o.Want.Hash)
+	o := manage.Order{Epoch: epoch, Owner: w.name, ID: id, Operation: manage.Want{Kind: desiredstate.KindSettings, Text: text, Hash: desiredstate.Hash([]byte(text))}}
+	w.notes.Want(o.Operation.Hash)
 	for range 3 {
 		one, cancel := context.WithTimeout(ctx, within(linked))
 		done := w.ownership.Call(w.number, history.Order{Member: member(i), Epoch: epoch, Owner: w.name, ID: id})
@@ -177,7 +177,7 @@
 // mayRefuse notes a refusal that no fault of a script explains.
 func (w *owner) mayRefuse(i int, r manage.RejectedError) {
 	switch r.Code {
-	case desiredstate.Busy, desiredstate.Unkept:
+	case desiredstate.CodeBusy, desiredstate.CodeNotSaved:
 	case "": // of no order: it ends, or cannot be read
 	default:
 		w.notes.Wrong("node %d refuses an owner: %s: %s", i, r.Code, r.Message)
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -192,7 +192,7 @@
 		return rollout.Seen{Member: h.i, Asked: h.asked}
 	}
 	s := h.s
-	up := s.IsReady() || c.c.Kind == desiredstate.Settings && s.IsAsDesired()
+	up := s.IsReady() || c.c.Kind == desiredstate.KindSettings && s.IsAsDesired()
 	return rollout.Seen{
 		Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.RunningCommand,
 		Lost: s.LostToken, Load: load(s),
@@ -290,7 +290,7 @@
 func (c *carrier) claim(ctx context.Context, a rollout.Claim) {
 	m := c.members[a.Member]
 	c.call(ctx, askWithin, func(ctx context.Context) any {
-		_, err := m.Claim(ctx, manage.Claim{Epoch: a.Epoch, Owner: a.Owner, After: a.After})
+		_, err := m.Claim(ctx, manage.Claim{Epoch: a.Epoch, Owner: a.Owner, LossToken: a.After})
 		e := rollout.Claimed{Member: a.Member, Epoch: a.Epoch}
 		if e.Answer = answered(err); e.Answer == rollout.Stale {
 			if s, err := m.Status(ctx); err == nil {
@@ -311,7 +311,7 @@
 		return
 	}
 	c.call(ctx, c.within, func(ctx context.Context) any {
-		_, err := m.RunCommand(ctx, manage.Order{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Want: want})
+		_, err := m.RunCommand(ctx, manage.Order{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Operation: want})
 		e := rollout.Ordered{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Answer: answered(err), Err: err}
 		if e.Answer == rollout.Stale {
 			// A member that has no memory of any epoch is no sign of a newer coordinator.
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.Settings, Plan: p, Texts: make(map[string]string)}
+	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.KindSettings, Plan: p, Texts: make(map[string]string)}
 	files := make(map[string]string)
 	for i, s := range now {
 		raw, err := os.ReadFile(s.ConfigPath)
@@ -191,7 +191,7 @@
 // Unknown are members whose settings of the start are in no file: they can't be taken back.
 func (c *Change) Unknown() (names []string) {
 	for _, m := range c.Plan.Members {
-		if _, ok := c.Texts[m.Gens[0]]; !ok && c.Kind == desiredstate.Settings {
+		if _, ok := c.Texts[m.Gens[0]]; !ok && c.Kind == desiredstate.KindSettings {
 			names = append(names, m.Name)
 		}
 	}
@@ -205,7 +205,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.Program, Plan: p, Programs: make(map[string]string)}
+	c := &Change{Form: form, Begun: time.Now(), Kind: desiredstate.KindProgram, Plan: p, Programs: make(map[string]string)}
 	files := make(map[string]string) // hashes by path
 	hash := func(path string) (string, error) {
 		if h, ok := files[path]; ok {
@@ -300,7 +300,7 @@
 	switch {
 	case c.Form != form:
 		return fmt.Errorf("the change is of form %d, not %d", c.Form, form)
-	case c.Kind != desiredstate.Settings && c.Kind != desiredstate.Program:
+	case c.Kind != desiredstate.KindSettings && c.Kind != desiredstate.KindProgram:
 		return fmt.Errorf("the change is of no known kind, %q", c.Kind)
 	case len(c.Sockets) != len(c.Plan.Members):
 		return fmt.Errorf("the change has %d members and %d sockets", len(c.Plan.Members), len(c.Sockets))
@@ -324,19 +324,19 @@
 	id := c.Plan.Members[i].Gens[gen]
 	switch {
 	case restart:
-		return manage.Want{Kind: desiredstate.Restart}, nil
-	case c.Kind == desiredstate.Settings:
+		return manage.Want{Kind: desiredstate.KindRestart}, nil
+	case c.Kind == desiredstate.KindSettings:
 		text, ok := c.Texts[id]
 		if !ok {
 			return manage.Want{}, fmt.Errorf("the settings %.12s are in no file any more", id)
 		}
-		return manage.Want{Kind: desiredstate.Settings, Hash: id, Text: text}, nil
+		return manage.Want{Kind: desiredstate.KindSettings, Hash: id, Text: text}, nil
 	}
 	path, ok := c.Programs[strings.TrimSuffix(id, again)]
 	if !ok {
 		return manage.Want{}, fmt.Errorf("the program %.12s is in no file any more", id)
 	}
-	return manage.Want{Kind: desiredstate.Program, Path: path}, nil
+	return manage.Want{Kind: desiredstate.KindProgram, Path: path}, nil
 }
 
 // programs hashes what processes run, once for each.
@@ -349,7 +349,7 @@
 
 // runs is what a member says it runs, as Member.Gens has it.
 func (c *Change) runs(s *manage.Status, known programs) string {
-	if c.Kind == desiredstate.Settings {
+	if c.Kind == desiredstate.KindSettings {
 		return s.ConfigHash
 	}
 	p := process{s.PID, s.StartedAt.UnixNano()}
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -59,7 +59,7 @@
 func sampleChange() Change {
 	var c Change
 	testkit.Sample("json", &c)
-	c.Form, c.Kind = form, desiredstate.Settings
+	c.Form, c.Kind = form, desiredstate.KindSettings
 	c.Texts = map[string]string{desiredstate.Hash([]byte("new")): "new"}
 	p := &c.Plan
 	p.Members[0].Gens = []string{desiredstate.Hash([]byte("old")), desiredstate.Hash([]byte("new"))}
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -52,7 +52,7 @@
 	}
 	if err == nil && string(have) != string(text) {
 		b, is := r.book(i), desiredstate.Hash(have)
-		if is == b.Wanted.Hash || b.Doing != nil && is == b.Doing.Before.Hash {
+		if is == b.Target.Hash || b.Running != nil && is == b.Running.Previous.Hash {
 			slog.Info("fleet: an instance keeps the settings that it was ordered", "instance", i, "hash", is)
 			return false, nil
 		}
@@ -62,8 +62,8 @@
 
 // book is what an instance has written of its orders; an empty one where it can't be read: the instance
 // itself tells that.
-func (r *Run) book(i int) desiredstate.Book {
-	b, err := desiredstate.Read(r.state(i))
+func (r *Run) book(i int) desiredstate.State {
+	b, err := desiredstate.ReadState(r.state(i))
 	if err != nil {
 		slog.Warn("fleet: what is wanted of an instance is not known", "instance", i, "err", err)
 	}
--- a/internal/manage/client.go
+++ b/internal/manage/client.go
@@ -83,13 +83,13 @@
 
 // Kinds of RejectedError, for errors.Is.
 var (
-	ErrStale    error = RejectedError{Code: desiredstate.Stale}  // a newer epoch, or this one by another owner, is granted
-	ErrLost     error = RejectedError{Code: desiredstate.Lost}   // a new claim is needed, with a higher epoch
-	ErrBusy     error = RejectedError{Code: desiredstate.Busy}   // the caller may retry
-	ErrInvalid  error = RejectedError{Code: desiredstate.Bad}    // a retry gets the same answer
-	ErrNotSaved error = RejectedError{Code: desiredstate.Unkept} // the member could not store it; nothing was done
+	ErrStale    error = RejectedError{Code: desiredstate.CodeStale}    // a newer epoch, or this one by another owner, is granted
+	ErrLost     error = RejectedError{Code: desiredstate.CodeLost}     // a new claim is needed, with a higher epoch
+	ErrBusy     error = RejectedError{Code: desiredstate.CodeBusy}     // the caller may retry
+	ErrInvalid  error = RejectedError{Code: desiredstate.CodeInvalid}  // a retry gets the same answer
+	ErrNotSaved error = RejectedError{Code: desiredstate.CodeNotSaved} // the member could not store it; nothing was done
 	// ErrFailed is the outcome of a command that ran and failed: sent again by its id, it has the same outcome.
-	ErrFailed error = RejectedError{Code: desiredstate.Failed}
+	ErrFailed error = RejectedError{Code: desiredstate.CodeFailed}
 )
 
 // call sends a request, with body as JSON unless that is nil, and returns the status that answers it.
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -15,7 +15,7 @@
 const (
 	maxBodySize = 16 << 10 // of all but commands, in bytes
 	// maxCommandSize has space for settings, of which a byte may take two in JSON.
-	maxCommandSize     = 2*desiredstate.TextMost + maxBodySize
+	maxCommandSize     = 2*desiredstate.MaxSettingsBytes + maxBodySize
 	maxCommandReads    = 2                // commands whose bodies are read at once
 	commandReadTimeout = 10 * time.Second // of a body
 )
@@ -121,7 +121,7 @@
 		}
 		err = errors.New("there is more behind it")
 	}
-	writeJSON(w, http.StatusBadRequest, errorAnswer{fmt.Sprintf("%s: %v", name, err), desiredstate.Bad})
+	writeJSON(w, http.StatusBadRequest, errorAnswer{fmt.Sprintf("%s: %v", name, err), desiredstate.CodeInvalid})
 	return false
 }
 
@@ -141,7 +141,7 @@
 		answer.Code = rejected.Code
 	}
 	status := http.StatusConflict
-	if answer.Code == desiredstate.Bad {
+	if answer.Code == desiredstate.CodeInvalid {
 		status = http.StatusBadRequest
 	}
 	writeJSON(w, status, answer)
--- a/internal/manage/server_test.go
+++ b/internal/manage/server_test.go
@@ -34,13 +34,13 @@
 func (f fakeDaemon) Serve(context.Context) error { f.calls <- "serve"; return nil }
 func (f fakeDaemon) Claim(_ context.Context, c Claim) error {
 	if c.Epoch < 7 {
-		return &desiredstate.RejectedError{Code: desiredstate.Stale, Text: "epoch 7 is granted"}
+		return &desiredstate.RejectedError{Code: desiredstate.CodeStale, Text: "epoch 7 is granted"}
 	}
 	return nil
 }
 
 func (f fakeDaemon) RunCommand(_ context.Context, o Order) error {
-	f.calls <- fmt.Sprint(o.ID, " ", o.Want.Kind, " ", len(o.Want.Text))
+	f.calls <- fmt.Sprint(o.ID, " ", o.Operation.Kind, " ", len(o.Operation.Text))
 	return nil
 }
 
@@ -60,7 +60,7 @@
 		t.Error(err)
 	}
 	text := strings.Repeat("# \"<\n", 1<<20)
-	if _, err := c.RunCommand(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Want: Want{Kind: desiredstate.Settings, Text: text}}); err != nil || <-f.calls != fmt.Sprint("s/1 settings ", len(text)) {
+	if _, err := c.RunCommand(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Operation: Want{Kind: desiredstate.KindSettings, Text: text}}); err != nil || <-f.calls != fmt.Sprint("s/1 settings ", len(text)) {
 		t.Errorf("%v", err)
 	}
 	for want, ask := range map[string]func() (Status, error){"drain true": func() (Status, error) { return c.DrainAndStay(ctx) }, "serve": func() (Status, error) { return c.Serve(ctx) }} {
--- a/internal/manage/status.go
+++ b/internal/manage/status.go
@@ -50,9 +50,9 @@
 	// LostToken, where it is not empty, means that the member doesn't know which epochs it had granted. It rejects
 	// every coordinator until a claim has this token in After.
 	LostToken      string                `json:"lost,omitempty"`
-	LastCommand    desiredstate.Done     `json:"order"`           // outcome of the command that ended last
+	LastCommand    desiredstate.Outcome  `json:"order"`           // outcome of the command that ended last
 	RunningCommand string                `json:"doing,omitempty"` // id of the command that runs
-	DesiredState   desiredstate.Wanted   `json:"wanted"`
+	DesiredState   desiredstate.Target   `json:"wanted"`
 	Statistics     instancestats.Figures `json:"figures"`
 }
 
@@ -72,9 +72,9 @@
 	// Claim is a coordinator's claim of an epoch.
 	Claim = desiredstate.Claim
 	// Order is a command of an epoch's owner.
-	Order = desiredstate.Order
+	Order = desiredstate.Command
 	// Want is what a command is to reach.
-	Want = desiredstate.Want
+	Want = desiredstate.Operation
 )
 
 // upgradeRequest is the body of /v1/upgrade.
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -248,7 +248,7 @@
 
 // next gives the command's arguments for the next change of a kind, and the hash of what members run after it.
 func (r *rolloutRig) next(kind string) (args []string, hash string, err error) {
-	if kind == desiredstate.Program {
+	if kind == desiredstate.KindProgram {
 		raw, err := os.ReadFile(r.program[1-r.at])
 		if err != nil {
 			return nil, "", err
@@ -313,7 +313,7 @@
 	case now[next] == r.o.Members:
 		row.State = "new"
 		r.at = 1 - r.at
-		if kind != desiredstate.Program {
+		if kind != desiredstate.KindProgram {
 			r.at = 1 - r.at
 		}
 	case now[old[0]] == r.o.Members:
@@ -359,7 +359,7 @@
 			return nil, err
 		}
 		hash := s.ConfigHash
-		if kind == desiredstate.Program {
+		if kind == desiredstate.KindProgram {
 			raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/exe", s.PID))
 			if err != nil {
 				return nil, err
--- a/internal/measure/tap.go
+++ b/internal/measure/tap.go
@@ -100,7 +100,7 @@
 			case status == http.StatusOK:
 				done(history.Granted)
 				t.granted(c, member)
-			case code(answer) == desiredstate.Stale:
+			case code(answer) == desiredstate.CodeStale:
 				done(history.Refused)
 			default:
 				done(history.Nothing)
@@ -112,15 +112,15 @@
 		done := t.history.Call(t.number(o.Owner), history.Order{Member: member, Epoch: o.Epoch, Owner: o.Owner, ID: o.ID})
 		return func(status int, answer []byte) {
 			switch c := code(answer); {
-			case status == http.StatusOK || c == desiredstate.Failed:
+			case status == http.StatusOK || c == desiredstate.CodeFailed:
 				done(history.Carried)
 				t.mu.Lock()
 				defer t.mu.Unlock()
 				t.carried++
-				if o.Want.Kind == desiredstate.Restart {
+				if o.Operation.Kind == desiredstate.KindRestart {
 					t.restarts++
 				}
-			case c == desiredstate.Stale:
+			case c == desiredstate.CodeStale:
 				done(history.Stale)
 			default:
 				done(history.Nothing)
