--- /dev/null
+++ b/internal/node/client_connections_test.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/discovery"
+	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
+	"lockflow/internal/testkit"
+)
+
+// Near the limit on descriptors an idle client connection goes for a new one.
+func TestIdleClientIsEvictedAtDescriptorLimit(t *testing.T) {
+	r := newTestNode(t)
+	r.setEndpoints(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.wait("ready", r.node.isReady)
+	r.node.limiter.(*exclusiveLimiter).sockets.SetLimit(limits.ReservedForServers + 2) // one client, and the place for the next
+	for range 3 {
+		c, err := net.Dial("tcp", r.node.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(testkit.Patience))
+		io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+}
+
+// dial opens a raw connection to the node.
+func (r *testNode) dial() net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.node.Addr())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testkit.Patience))
+	return c
+}
+
+// readStatuses reads all answers on a raw connection until it is closed.
+func readStatuses(t *testing.T, c net.Conn) []int {
+	t.Helper()
+	var got []int
+	for in := bufio.NewReader(c); ; {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() {
+				t.Fatalf("the connection stays open after %v", got)
+			}
+			return got
+		}
+		io.Copy(io.Discard, resp.Body)
+		got = append(got, resp.StatusCode)
+	}
+}
+
+const validHeaders = protocol.HeaderID + ": raw\r\n" + protocol.HeaderPlan + ": enterprise\r\n" + protocol.HeaderTimeLeft + ": 7000m\r\n" + protocol.HeaderKey + ": k\r\n"
+
+// Nothing that hides in a body or behind one that can't be told reaches an app server: the
+// client is answered once and its connection closed.
+func TestSmuggledRequestsAreNotForwarded(t *testing.T) {
+	r := newTestNode(t)
+	a := testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	const post = "POST /visit-update?account=00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\n" + validHeaders
+	hidden := strings.ReplaceAll(strings.Replace(post, "POST /visit-update", "GET /roster-read", 1), "raw", "hidden") + "\r\n"
+	for name, tc := range map[string]struct {
+		text string
+		want int
+	}{
+		"length and chunks": {post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 411},
+		"chunks and length": {post + "Transfer-Encoding: chunked\r\nContent-Length: " + strconv.Itoa(5+len(hidden)) + "\r\n\r\n0\r\n\r\n" + hidden, 411},
+		"chunks":            {post + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 411},
+		"two lengths":       {post + "Content-Length: 5\r\nContent-Length: 0\r\n\r\n" + hidden, 400},
+		"negative length":   {post + "Content-Length: -1\r\n\r\n" + hidden, 400},
+		"huge length":       {post + "Content-Length: 60000000\r\n\r\n" + hidden, 413},
+		"no length at all":  {post + "Content-Length: 99999999999999999999\r\n\r\n" + hidden, 400},
+		"no head":           {"\x00\x01 noise\r\n\r\n" + hidden, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := r.dial()
+			io.WriteString(c, tc.text)
+			if got := readStatuses(t, c); len(got) != 1 || got[0] != tc.want {
+				t.Errorf("answered %v", got)
+			}
+		})
+	}
+	if n := a.Count(); n > 0 {
+		t.Errorf("sent on: %q", a.Requests())
+	}
+}
+
+// Where all places are taken by clients that say nothing, one that asks is still testkit.Served, and
+// the connections to app servers stay.
+func TestSilentClientsAreEvicted(t *testing.T) {
+	r := newTestNode(t)
+	r.node.limiter.(*exclusiveLimiter).sockets.SetLimit(limits.ReservedForServers + 20)
+	a := testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1"))
+	for range 60 {
+		r.dial()
+	}
+	for id := range 3 {
+		c := r.dial()
+		io.WriteString(c, strings.Replace("GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nConnection: close\r\n"+validHeaders+"\r\n", "raw", "after-"+strconv.Itoa(id), 1))
+		if got := readStatuses(t, c); len(got) != 1 || got[0] != 200 {
+			t.Errorf("answered %v", got)
+		}
+	}
+	if s := r.status(); s.IdleConnections != a.Dials() {
+		t.Errorf("%d connections to the app server were made, and %d are left: given up for silent clients", a.Dials(), s.IdleConnections)
+	}
+}
--- /dev/null
+++ b/internal/node/drain_requests_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"lockflow/internal/config"
+	"lockflow/internal/testkit"
+)
+
+// A draining node answers what it holds, takes what still comes and then ends.
+func TestDrainAnswersRequestsInFlight(t *testing.T) {
+	t.Parallel()
+	r := newTestNodeWithDrain(t, config.PlatformDrain)
+	held, finish := make(chan struct{}, 2), make(chan struct{})
+	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+		held <- struct{}{}
+		<-finish
+		testkit.Served(w, q)
+	})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	answers := make(chan *http.Response, 2)
+	ask := func(id string) {
+		resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", id))
+		answers <- resp
+	}
+	go ask("before")
+	testkit.Next(t, held)
+	r.stop()
+	r.wait("draining", r.isDraining)
+	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "")); resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("a bad request: %s, close %v", resp.Status, resp.Close)
+	}
+	go ask("after")
+	testkit.Next(t, held)
+	close(finish)
+	for range 2 {
+		if resp := testkit.Next(t, answers); resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s, close %v", resp.Status, resp.Close)
+		}
+	}
+	if err := testkit.Next(t, r.ended); err != nil {
+		t.Error(err)
+	}
+	r.ended <- nil
+	if c, err := net.Dial("tcp", r.node.Addr()); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
+
+// What an app server doesn't answer while the node drains is answered as failed before the end.
+func TestDrainFailsUnansweredRequests(t *testing.T) {
+	t.Parallel()
+	r := newTestNodeWithDrain(t, config.PlatformDrain)
+	answered := r.holdRequest()
+	r.stop()
+	if s := testkit.Next(t, answered); s != http.StatusBadGateway {
+		t.Errorf("%d", s)
+	}
+	if err := testkit.Next(t, r.ended); err != nil {
+		t.Error(err)
+	}
+	r.ended <- nil
+}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -25,7 +25,7 @@
 	old := finalAcceptWait
 	finalAcceptWait = time.Second
 	t.Cleanup(func() { finalAcceptWait = old })
-	r := newIdleRig(t, config.Drain{Most: testkit.Patience})
+	r := newIdleTestNode(t, config.Drain{Most: testkit.Patience})
 	var clients []net.Conn
 	for range 60 {
 		c := r.dial()
@@ -58,7 +58,7 @@
 	}
 	cfg.Process.Descriptors = limits.MinDescriptors // one client
 	cfg.Process.Drain = config.Drain{}
-	r := newRigWithConfig(t, cfg)
+	r := newTestNodeWithConfig(t, cfg)
 	answered := r.holdRequest()
 	var waits []net.Conn
 	for range 3 {
@@ -120,76 +120,94 @@
 	}
 }
 
-// An answer of which a client has not read all comes whole, also where further requests of the client wait
-// unread behind it as its connection is closed.
+// pipelinedDrain is a request whose answer is being read slowly, with a second one unread behind it, as the node
+// is asked to end.
+type pipelinedDrain struct {
+	method, path string
+	answerBegun  bool // before the node is asked to end
+}
+
+// TestDrainCompletesAnswerBeforePipelinedRequest checks that an answer of which a client has not read all arrives
+// complete, also where further requests of the client wait unread as its connection is closed.
 func TestDrainCompletesAnswerBeforePipelinedRequest(t *testing.T) {
-	for _, class := range []struct {
-		method, path string
-		begun        bool // the answer, as the node is told to end
-	}{{"GET", "/roster-read", false}, {"POST", "/visit-update", false}, {"GET", "/roster-read", true}, {"POST", "/visit-update", true}} {
-		t.Run(fmt.Sprint(class), func(t *testing.T) {
-			r := newRigWithDrain(t, config.Drain{Most: testkit.Patience})
-			rests := r.dial()
-			came, let := make(chan struct{}, 1), make(chan struct{})
-			body := strings.Repeat("x", 64<<10)
-			a := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
-				came <- struct{}{}
-				<-let
-				io.WriteString(w, body)
-			})
-			r.list(target(a, "s-1", 0))
-			// Its segments and its buffer are small: most of the answer is still on the node's side.
-			d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-				return raw.Control(func(fd uintptr) {
-					unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
-					unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 536)
-				})
-			}}
-			c, err := d.Dial("tcp", r.node.Addr())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			c.SetDeadline(time.Now().Add(testkit.Patience))
-			r.call(class.method, class.path, "id-1").Write(c)
-			testkit.Next(t, came)
-			r.call(class.method, class.path, "id-2").Write(c)
-			in := bufio.NewReaderSize(c, 16)
-			if class.begun {
-				close(let)
-				if _, err := in.Peek(1); err != nil {
-					t.Fatal(err)
-				}
-			}
-			r.stop()
-			for in := bufio.NewReader(rests); ; { // until it drains
-				io.WriteString(rests, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n")
-				if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close {
-					break
-				}
-			}
-			if !class.begun {
-				close(let)
-			}
-			resp, err := http.ReadResponse(in, nil)
-			if err != nil || resp.StatusCode != 200 || resp.Close == class.begun {
-				t.Fatalf("%v, %v", resp, err)
-			}
-			if got, err := io.ReadAll(resp.Body); err != nil || string(got) != body {
-				t.Errorf("%d bytes, %v", len(got), err)
-			}
-			if class.begun { // the next one's
-				if resp, err := http.ReadResponse(in, nil); err != nil || !resp.Close {
-					t.Errorf("%v, %v", resp, err)
-				}
-			} else if a.Count() != 1 {
-				t.Errorf("sent on: %q", a.Requests())
-			}
-			c.Close()
-			if err := testkit.Next(t, r.ended); err != nil {
-				t.Error(err)
-			}
-			r.ended <- nil
+	for _, c := range []pipelinedDrain{{"GET", "/roster-read", false}, {"POST", "/visit-update", false}, {"GET", "/roster-read", true}, {"POST", "/visit-update", true}} {
+		t.Run(fmt.Sprint(c), c.check)
+	}
+}
+
+func (p pipelinedDrain) check(t *testing.T) {
+	r := newTestNodeWithDrain(t, config.Drain{Most: testkit.Patience})
+	idle := r.dial()
+	arrived, answer := make(chan struct{}, 1), make(chan struct{})
+	body := strings.Repeat("x", 64<<10)
+	a := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-answer
+		io.WriteString(w, body)
+	})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	c := dialWithSmallBuffers(t, r.node.Addr())
+	r.newRequest(p.method, p.path, "id-1").Write(c)
+	testkit.Next(t, arrived)
+	r.newRequest(p.method, p.path, "id-2").Write(c)
+	in := bufio.NewReaderSize(c, 16)
+	if p.answerBegun {
+		close(answer)
+		if _, err := in.Peek(1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.stop()
+	awaitDraining(idle)
+	if !p.answerBegun {
+		close(answer)
+	}
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != 200 || resp.Close == p.answerBegun {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != body {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	if p.answerBegun { // the second request has an answer too
+		if resp, err := http.ReadResponse(in, nil); err != nil || !resp.Close {
+			t.Errorf("%v, %v", resp, err)
+		}
+	} else if a.Count() != 1 {
+		t.Errorf("forwarded: %q", a.Requests())
+	}
+	c.Close()
+	if err := testkit.Next(t, r.ended); err != nil {
+		t.Error(err)
+	}
+	r.ended <- nil
+}
+
+// dialWithSmallBuffers connects with small segments and a small buffer, so that the greater part of an answer is still on the
+// node's side.
+func dialWithSmallBuffers(t *testing.T, address string) net.Conn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 536)
 		})
+	}}
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testkit.Patience))
+	return c
+}
+
+// awaitDraining asks on an idle connection until an answer closes it.
+func awaitDraining(idle net.Conn) {
+	for in := bufio.NewReader(idle); ; {
+		io.WriteString(idle, healthzRequest)
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close {
+			return
+		}
 	}
 }
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -19,14 +19,14 @@
 // Requests that a client sends at once are answered each, in their order.
 func TestRequestsSentAtOnceAreAnsweredInOrder(t *testing.T) {
 	const requests = 60
-	r := newRig(t)
+	r := newTestNode(t)
 	app := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 		_, _ = io.WriteString(w, q.Header.Get(protocol.HeaderID)) // what does not arrive is seen by the client
 	})
-	r.list(target(app, "s-1", 0))
+	r.setEndpoints(endpointOf(app, "s-1", 0))
 	var text strings.Builder
 	for i := range requests {
-		if err := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i)).Write(&text); err != nil {
+		if err := r.newRequest(http.MethodGet, "/roster-read", fmt.Sprint("id-", i)).Write(&text); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -63,7 +63,7 @@
 // healthOver asks for /healthz over a connection, which stays open.
 func healthOver(t *testing.T, client net.Conn) (status int) {
 	t.Helper()
-	if _, err := io.WriteString(client, health); err != nil {
+	if _, err := io.WriteString(client, healthzRequest); err != nil {
 		t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
@@ -87,7 +87,7 @@
 	cfg.Process.Descriptors = limits.MinDescriptors + 20
 	cfg.Process.Drain = config.Drain{}
 	for range 2 {
-		r := newRigWithConfig(t, cfg)
+		r := newTestNodeWithConfig(t, cfg)
 		cfg.Listeners = []string{r.node.Addr()}
 		var idle []net.Conn
 		begun := time.Now()
@@ -97,11 +97,11 @@
 			idle = append(idle, client)
 		}
 		app := testkit.NewApp(t, testkit.Served)
-		r.list(target(app, "s-1", 0))
+		r.setEndpoints(endpointOf(app, "s-1", 0))
 		if status := healthOver(t, dialTo(t, r.node.Addr())); status != http.StatusOK {
 			t.Errorf("ready: %d", status)
 		}
-		if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
+		if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
 			t.Errorf("a request: %d", resp.StatusCode)
 		}
 		if took := time.Since(begun); took > restedTooLong {
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -15,8 +15,8 @@
 	"lockflow/internal/testkit"
 )
 
-// rig is a node with an agent, and app servers as a test starts them.
-type rig struct {
+// testNode is a node with an agent, and app servers as a test starts them.
+type testNode struct {
 	http.Transport // its own: whoever closes an httptest server cuts connections of the one that all have
 	t              *testing.T
 	agent          *testkit.Agent
@@ -27,39 +27,39 @@
 	rev            int
 }
 
-func newRig(t *testing.T) *rig {
+func newTestNode(t *testing.T) *testNode {
 	t.Helper()
-	return newRigWithDrain(t, config.Drain{}) // at once
+	return newTestNodeWithDrain(t, config.Drain{}) // at once
 }
 
-func newRigWithDrain(t *testing.T, drain config.Drain) *rig {
-	r := newIdleRig(t, drain)
+func newTestNodeWithDrain(t *testing.T, drain config.Drain) *testNode {
+	r := newIdleTestNode(t, drain)
 	r.run()
 	return r
 }
 
-// newIdleRig makes a rig whose node listens, and runs once the test says so.
-func newIdleRig(t *testing.T, drain config.Drain) *rig {
+// newIdleTestNode makes a rig whose node listens, and runs once the test says so.
+func newIdleTestNode(t *testing.T, drain config.Drain) *testNode {
 	t.Helper()
 	cfg, err := config.LoadPlatform("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg.Process.Drain = drain
-	return newIdleRigWithConfig(t, cfg)
+	return newIdleTestNodeWithConfig(t, cfg)
 }
 
-// newRigWithConfig is a rig by a configuration of the platform, but for where its discovery is.
-func newRigWithConfig(t *testing.T, cfg config.Config) *rig {
+// newTestNodeWithConfig is a rig by a configuration of the platform, but for where its discovery is.
+func newTestNodeWithConfig(t *testing.T, cfg config.Config) *testNode {
 	t.Helper()
-	r := newIdleRigWithConfig(t, cfg)
+	r := newIdleTestNodeWithConfig(t, cfg)
 	r.run()
 	return r
 }
 
-func newIdleRigWithConfig(t *testing.T, cfg config.Config) *rig {
+func newIdleTestNodeWithConfig(t *testing.T, cfg config.Config) *testNode {
 	t.Helper()
-	r := &rig{t: t, agent: testkit.NewAgent(t), ended: make(chan error, 1), rev: 7}
+	r := &testNode{t: t, agent: testkit.NewAgent(t), ended: make(chan error, 1), rev: 7}
 	cfg.Services[0].Source.Address = r.agent.Addr()
 	var err error
 	if r.node, err = New(cfg); err != nil {
@@ -70,7 +70,7 @@
 }
 
 // run runs the node until stop, which may have been called.
-func (r *rig) run() {
+func (r *testNode) run() {
 	go func() { r.ended <- r.node.Run(r.running) }()
 	r.t.Cleanup(func() {
 		r.CloseIdleConnections()
@@ -84,8 +84,8 @@
 	})
 }
 
-// list tells the node of changes and returns when the module knows them.
-func (r *rig) list(targets ...discovery.Target) {
+// setEndpoints tells the node of changes and returns when the module knows them.
+func (r *testNode) setEndpoints(targets ...discovery.Target) {
 	r.t.Helper()
 	r.rev++
 	line, err := json.Marshal(discovery.Listing{Rev: int64(r.rev), Targets: targets})
@@ -103,17 +103,17 @@
 }
 
 // service is the node's one service.
-func (r *rig) service() *service.Service { return r.node.services[""].Service }
+func (r *testNode) service() *service.Service { return r.node.services[""].Service }
 
-func (r *rig) status() service.Status { return r.service().Status() }
+func (r *testNode) status() service.Status { return r.service().Status() }
 
-func (r *rig) wait(what string, is func() bool) {
+func (r *testNode) wait(what string, is func() bool) {
 	r.t.Helper()
 	testkit.Until(r.t, what, is)
 }
 
 // isDraining tells whether the node lets no further client in.
-func (r *rig) isDraining() bool {
+func (r *testNode) isDraining() bool {
 	resp, err := http.Get("http://" + r.node.Addr() + "/healthz")
 	if err != nil {
 		r.t.Fatal(err)
@@ -122,12 +122,12 @@
 	return resp.Close
 }
 
-func target(a *testkit.App, uid string, group int) discovery.Target {
+func endpointOf(a *testkit.App, uid string, group int) discovery.Target {
 	return discovery.Target{UID: uid, Endpoint: a.Addr(), Zone: "z1", Group: group, State: "up", Capacity: 1}
 }
 
-// call is a client's request that a test may change before it is sent.
-func (r *rig) call(method, path, id string) *http.Request {
+// newRequest is a client's request that a test may change before it is sent.
+func (r *testNode) newRequest(method, path, id string) *http.Request {
 	req, err := http.NewRequest(method, "http://"+r.node.Addr()+path+"?account=00000000b4d65521", nil)
 	if err != nil {
 		r.t.Fatal(err)
@@ -144,7 +144,7 @@
 	return req
 }
 
-func (r *rig) do(req *http.Request) (*http.Response, string) {
+func (r *testNode) do(req *http.Request) (*http.Response, string) {
 	r.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
@@ -162,15 +162,15 @@
 
 // holdRequest has the node hold a request that its app server never answers. The status of
 // its final answer comes on the channel.
-func (r *rig) holdRequest() <-chan int {
+func (r *testNode) holdRequest() <-chan int {
 	r.t.Helper()
 	asked := make(chan struct{})
 	silent := testkit.Never(r.t)
 	a := testkit.NewApp(r.t, func(w http.ResponseWriter, q *http.Request) { close(asked); silent(w, q) })
-	r.list(target(a, "s-1", 0))
+	r.setEndpoints(endpointOf(a, "s-1", 0))
 	answered := make(chan int, 1)
 	go func() {
-		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+		resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1"))
 		answered <- resp.StatusCode
 	}()
 	testkit.Next(r.t, asked)
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -14,8 +14,8 @@
 	"lockflow/internal/testkit"
 )
 
-// updates are clients that send keyed updates of various lengths, as fast as they are answered.
-func updates(addr string, seed uint64, workers int) fake.Clients {
+// idempotentUpdates are clients that send keyed updates of various lengths, as fast as they are answered.
+func idempotentUpdates(addr string, seed uint64, workers int) fake.Clients {
 	return fake.Clients{Addr: addr, Seed: seed, Workers: workers, Call: func(rng *rand.Rand) fake.Call {
 		return fake.Call{
 			Kind: "update", Host: "h", Method: "POST", Path: "/update", Plan: "standard", Customer: rng.Uint64N(50),
@@ -27,11 +27,11 @@
 // A burst of updates through a whole node at servers that close, refuse, go away and change their
 // limits, one of which speaks HTTP/1.1 only, while the node is reloaded: by both sides' counts each
 // has one final answer and none has two effects.
-func TestUpdatesOverHTTP2(t *testing.T) {
+func TestUpdatesOverFaultyHTTP2RunOnce(t *testing.T) {
 	tally, group := &fake.Tally{}, &fake.Group{Window: 15 * time.Second}
 	faults := fake.HTTP2Faults{Refuse: 0.02, Reset: 0.01, Error: 0.01, Lower: 0.02, GoAway: 0.01, CutRead: 0.2, CutSent: 0.2}
 	var text strings.Builder
-	text.WriteString(head + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", streams = 16 }\n[services.a.source]\nkind = \"static\"\n")
+	text.WriteString(configHeader + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", streams = 16 }\n[services.a.source]\nkind = \"static\"\n")
 	entry := func(uid, addr string) {
 		fmt.Fprintf(&text, "[[services.a.source.servers]]\nuid = %q\nendpoint = %q\ngroup = 1\n", uid, addr)
 	}
@@ -54,7 +54,7 @@
 	l := labtest.Begin(t, text.String(), nil)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	run := updates(l.Node.Addr(), 3, 24).Start(ctx)
+	run := idempotentUpdates(l.Node.Addr(), 3, 24).Start(ctx)
 	served := func() int { return run.SoFar()["update"].Served }
 	for i := range 4 {
 		want := served() + 300
@@ -80,10 +80,10 @@
 // burst and started anew at its address, twice over: no update has two effects or no answer, and
 // each server is spoken to as it speaks once the time to try again is over. The load keeps all of
 // them busy: while others idle, one that has failed is left alone for long.
-func TestRollingUpgradeOfServers(t *testing.T) {
+func TestRollingProtocolUpgradeOfServersRunsUpdatesOnce(t *testing.T) {
 	tally, group := &fake.Tally{}, &fake.Group{Window: 15 * time.Second}
 	var text strings.Builder
-	text.WriteString(head + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", again = \"100ms\" }\n[services.a.source]\nkind = \"static\"\n")
+	text.WriteString(configHeader + "[services.a]\nservers = { protocol = \"http/2 or 1.1\", again = \"100ms\" }\n[services.a.source]\nkind = \"static\"\n")
 	var servers [3]*fake.Running
 	begin := func(i int, addr string, speaks bool) {
 		t.Helper()
@@ -105,7 +105,7 @@
 	l := labtest.Begin(t, text.String(), nil)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	run := updates(l.Node.Addr(), 4, 16).Start(ctx)
+	run := idempotentUpdates(l.Node.Addr(), 4, 16).Start(ctx)
 	testkit.Until(t, "a server that is fallen back on", func() bool { return l.Node.Status()[0].HTTP2.FellBack == len(servers) })
 	for _, speaks := range []bool{true, false, true} {
 		for i, s := range servers {
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -13,9 +13,9 @@
 	"lockflow/internal/testkit"
 )
 
-// rosterService plays a steady stream of roster calls beside many patient document clients, and
+// runRostersBesideDocuments plays a steady stream of roster calls beside many patient document clients, and
 // tells what became of the rosters.
-func rosterService(t *testing.T, descriptors int, stall bool) *fake.Result {
+func runRostersBesideDocuments(t *testing.T, descriptors int, stall bool) *fake.Result {
 	l := labtest.Begin(t, testbench.Patient(descriptors), testbench.DemoServers(7))
 	l.Pools["documents"].Stall(stall)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -52,11 +52,11 @@
 
 // One pool's servers stall on purpose while its clients pile up: the other pool's service stays.
 // Times are measured by lockflow measure isolation, not here.
-func TestStalledPool(t *testing.T) {
+func TestServiceIsIsolatedFromStalledPool(t *testing.T) {
 	const descriptors = 256
-	calm, stalled := rosterService(t, descriptors, false), rosterService(t, descriptors, true)
+	calm, stalled := runRostersBesideDocuments(t, descriptors, false), runRostersBesideDocuments(t, descriptors, true)
 	// Busy cores cost some of both; the same share separates this from the test below.
-	if calm.Share() < servedAnyway || stalled.Share() < servedAnyway {
+	if calm.Share() < minIsolatedShare || stalled.Share() < minIsolatedShare {
 		t.Errorf("rosters served %.3f, with the documents stalled %.3f", calm.Share(), stalled.Share())
 	}
 	// Where descriptors are few a new connection that a busy client leaves silent too long is closed, request or not.
@@ -65,15 +65,15 @@
 	}
 }
 
-// servedAnyway is the share that a service keeps beside a stalled pool, and loses without parts.
+// minIsolatedShare is the share that a service keeps beside a stalled pool, and loses without parts.
 // Seen on cores with 25 times their work: 0.49 with parts; without them 0.2 where cores are idle.
-const servedAnyway = 0.35
+const minIsolatedShare = 0.35
 
 // The test above finds what it is meant to find: without parts the stalled pool takes the
 // other's service with it.
-func TestStalledPoolWithoutParts(t *testing.T) {
+func TestStalledPoolWithoutGuaranteesStarvesOtherService(t *testing.T) {
 	defer node.WithoutGuarantees()()
-	if r := rosterService(t, 256, true); r.Share() > servedAnyway {
+	if r := runRostersBesideDocuments(t, 256, true); r.Share() > minIsolatedShare {
 		t.Errorf("rosters served %.3f with no isolation at all: the trouble is none", r.Share())
 	}
 }
--- a/internal/node/limiter_test.go
+++ b/internal/node/limiter_test.go
@@ -17,8 +17,8 @@
 	"lockflow/internal/testkit"
 )
 
-// crowd has clients ask for a path without a pause until stop, which gives what came of it.
-func crowd(l *testbench.Lab, path string, workers int) (stop func() *fake.Result) {
+// startLoad has clients ask for a path without a pause until stop, which gives what came of it.
+func startLoad(l *testbench.Lab, path string, workers int) (stop func() *fake.Result) {
 	ctx, cancel := context.WithCancel(context.Background())
 	run := fake.Clients{Addr: l.Node.Addr(), Seed: 77, Workers: workers, Pause: 5 * time.Millisecond, Call: func(rng *rand.Rand) fake.Call {
 		time.Sleep(5 * time.Millisecond)
@@ -30,25 +30,25 @@
 	}
 }
 
-// served sends some requests to the other service one after another; all have to be served.
-func served(t *testing.T, l *testbench.Lab) {
+// checkOthersServed sends some requests to the other service one after another; all have to be served.
+func checkOthersServed(t *testing.T, l *testbench.Lab) {
 	t.Helper()
 	c, in := dial(t, l)
 	for i := range 20 {
-		write(c, "h", "/two", fmt.Sprint("two-", i), "x", 1)
-		if status, body := answer(t, in); status != 200 {
+		writeRequest(c, "h", "/two", fmt.Sprint("two-", i), "x", 1)
+		if status, body := readAnswer(t, in); status != 200 {
 			t.Errorf("request %d of the other service: %d %q", i, status, body)
 		}
 	}
 }
 
 // A service that holds all the bytes that it may leaves the other its own.
-func TestBytesAreBounded(t *testing.T) {
-	l := labtest.Begin(t, strings.Replace(plain, "[process]\n", "[process]\nbytes = \"1MiB\"\n", 1), pools(0)) // 8 requests
+func TestBufferedBytesAreBoundedByService(t *testing.T) {
+	l := labtest.Begin(t, strings.Replace(twoServicesConfig, "[process]\n", "[process]\nbytes = \"1MiB\"\n", 1), twoServerPools(0)) // 8 requests
 	l.Pools["a"].Stall(true)
-	stop := crowd(l, "/one", 30)
+	stop := startLoad(l, "/one", 30)
 	testkit.Until(t, "requests turned away", func() bool { return l.Node.Status()[0].Resources.BufferedBytes.Denied > 10 })
-	served(t, l)
+	checkOthersServed(t, l)
 	a, b := l.Node.Status()[0].Resources.BufferedBytes, l.Node.Status()[1].Resources.BufferedBytes
 	if a.Used+b.Used > 1<<20 || a.Used <= a.Guaranteed-1<<17 {
 		t.Errorf("%+v and %+v", a, b)
@@ -60,23 +60,23 @@
 }
 
 // A module that uses up the time of all is held back, and only it.
-func TestModuleTimeIsBounded(t *testing.T) {
-	l := labtest.Begin(t, plain, pools(0))
+func TestModuleTimeIsBoundedByService(t *testing.T) {
+	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
 	c, in := dial(t, l)
-	write(c, "h", "/one", "before", "", 0)
-	if status, _ := answer(t, in); status != 200 {
+	writeRequest(c, "h", "/one", "before", "", 0)
+	if status, _ := readAnswer(t, in); status != 200 {
 		t.Fatalf("%d", status)
 	}
 	node.ChargeModuleTime(l.Node, "a", 20*time.Second)
-	write(c, "h", "/one", "after", "", 0)
-	if status, _ := answer(t, in); status != 503 {
+	writeRequest(c, "h", "/one", "after", "", 0)
+	if status, _ := readAnswer(t, in); status != 503 {
 		t.Errorf("the one that used all: %d", status)
 	}
-	served(t, l)
+	checkOthersServed(t, l)
 }
 
-// full listens on an address on which no connection comes up any more: its queue is full.
-func full(t *testing.T) string {
+// fullBacklogAddress listens on an address on which no connection comes up any more: its queue is full.
+func fullBacklogAddress(t *testing.T) string {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
@@ -107,21 +107,21 @@
 
 // Servers on which no connection comes up hold as many dials as there may be, not those of the
 // other service, and what finds no room has its answer.
-func TestDialsAreBounded(t *testing.T) {
-	text := strings.Replace(plain, "[process]\n", "[process]\ndials = 6\n", 1)
+func TestDialsAreBoundedByService(t *testing.T) {
+	text := strings.Replace(twoServicesConfig, "[process]\n", "[process]\ndials = 6\n", 1)
 	text = strings.Replace(text, "[services.a]\nsource = { kind = \"discovery\", address = \"@a\" }",
 		fmt.Sprintf("[services.a]\nconnect_timeout = \"1s\"\nsource = { kind = \"static\", servers = [%s] }",
-			strings.TrimSuffix(strings.Repeat(fmt.Sprintf("{ uid = \"NAME\", endpoint = %q }, ", full(t)), 8), ", ")), 1)
+			strings.TrimSuffix(strings.Repeat(fmt.Sprintf("{ uid = \"NAME\", endpoint = %q }, ", fullBacklogAddress(t)), 8), ", ")), 1)
 	for i := range 8 {
 		text = strings.Replace(text, "NAME", fmt.Sprint("s", i), 1)
 	}
-	l := labtest.Begin(t, text, pools(0))
-	stop := crowd(l, "/one", 30)
+	l := labtest.Begin(t, text, twoServerPools(0))
+	stop := startLoad(l, "/one", 30)
 	testkit.Until(t, "dials refused", func() bool { return l.Node.Status()[0].Resources.Dials.Denied > 0 })
 	if d := l.Node.Status()[0].Resources.Dials; d.Used > d.Total-2 {
 		t.Errorf("%+v", d)
 	}
-	served(t, l)
+	checkOthersServed(t, l)
 	if r := stop(); r.Refused+r.Failed != r.Tries || r.Lost > 0 {
 		t.Errorf("%+v", *r)
 	}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -23,9 +23,9 @@
 				t.Fatal(err)
 			}
 			cfg.Process.MemoryMB, cfg.Process.Drain = mb, config.Drain{}
-			r := newRigWithConfig(t, cfg)
+			r := newTestNodeWithConfig(t, cfg)
 			a := testkit.NewApp(t, testkit.Served)
-			r.list(target(a, "s-1", 0))
+			r.setEndpoints(endpointOf(a, "s-1", 0))
 			most := mb << 20 / 2 / (2 * protocol.BodyMost) // a body and an answer each
 			var held []*service.Exchange
 			for x := new(service.Exchange); len(held) <= most && r.service().Admit(x, protocol.BodyMost); x = new(service.Exchange) {
@@ -34,7 +34,7 @@
 			if len(held) != most {
 				t.Errorf("%d held, want %d", len(held), most)
 			}
-			full := r.call(http.MethodPost, "/visit-update", "full")
+			full := r.newRequest(http.MethodPost, "/visit-update", "full")
 			full.Body, full.ContentLength = io.NopCloser(strings.NewReader("body")), 4
 			if resp, body := r.do(full); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
 				t.Errorf("where there is no room: %s %q", resp.Status, body)
@@ -45,7 +45,7 @@
 			for _, x := range held {
 				x.Release()
 			}
-			if resp, body := r.do(r.call(http.MethodPost, "/visit-update", "room")); resp.StatusCode != http.StatusOK {
+			if resp, body := r.do(r.newRequest(http.MethodPost, "/visit-update", "room")); resp.StatusCode != http.StatusOK {
 				t.Errorf("where there is room: %s %q", resp.Status, body)
 			}
 		})
--- a/internal/node/platform_settings_test.go
+++ b/internal/node/platform_settings_test.go
@@ -17,54 +17,54 @@
 	"lockflow/internal/testkit"
 )
 
-// obj is an object of a configuration as JSON.
-type obj = map[string]any
+// jsonObject is an object of a configuration as JSON.
+type jsonObject = map[string]any
 
 // TestOtherPlatformSettings has a request of each class served by settings of other sites: sparse ones, odd
 // figures, and names that have to be escaped.
 func TestOtherPlatformSettings(t *testing.T) {
-	free := func(o obj) {
-		o["settings"].(obj)["classes"] = []any{obj{"name": "read", "aim": 100.0, "deadline": 400.0, "effect": "free"}}
+	free := func(o jsonObject) {
+		o["settings"].(jsonObject)["classes"] = []any{jsonObject{"name": "read", "aim": 100.0, "deadline": 400.0, "effect": "free"}}
 	}
-	named := func(name string) func(obj) {
-		return func(o obj) {
-			for _, k := range o["settings"].(obj)["classes"].([]any) {
-				k := k.(obj)
+	named := func(name string) func(jsonObject) {
+		return func(o jsonObject) {
+			for _, k := range o["settings"].(jsonObject)["classes"].([]any) {
+				k := k.(jsonObject)
 				k["name"] = name + k["effect"].(string)
 			}
 		}
 	}
-	set := func(path string, v any) func(obj) {
-		return func(o obj) {
+	set := func(path string, v any) func(jsonObject) {
+		return func(o jsonObject) {
 			keys := strings.Split(path, "/")
 			for _, k := range keys[:len(keys)-1] {
-				o = o[k].(obj)
+				o = o[k].(jsonObject)
 			}
 			if o[keys[len(keys)-1]] = v; v == "gone" {
 				delete(o, keys[len(keys)-1])
 			}
 		}
 	}
-	plan := func(name string) func(obj) { return set("settings/tariffs", []any{obj{"name": name}}) }
-	for name, change := range map[string]func(obj){
-		"as it is":               func(obj) {},
+	plan := func(name string) func(jsonObject) { return set("settings/tariffs", []any{jsonObject{"name": name}}) }
+	for name, change := range map[string]func(jsonObject){
+		"as it is":               func(jsonObject) {},
 		"one class":              free,
 		"no clients":             set("settings/clients", "gone"),
 		"no contract":            set("settings/contract", "gone"),
 		"no domain":              set("settings/domain", nil),
-		"no limits":              set("settings/limits", obj{}),
-		"no zones":               func(o obj) { set("settings/zone", "gone")(o); set("settings/azs", []any{})(o) },
+		"no limits":              set("settings/limits", jsonObject{}),
+		"no zones":               func(o jsonObject) { set("settings/zone", "gone")(o); set("settings/azs", []any{})(o) },
 		"no process limits":      set("limits", "gone"),
 		"none known":             set("known", "gone"),
 		"no meter":               set("settings/domain/meter-period", 0),
-		"figures as text":        func(o obj) { set("settings/domain/units-top", "4.0")(o); set("settings/group-size", "1")(o) },
+		"figures as text":        func(o jsonObject) { set("settings/domain/units-top", "4.0")(o); set("settings/group-size", "1")(o) },
 		"alone":                  set("settings/group-size", 1),
-		"limits in parts":        set("limits", obj{"cores": 0.25, "memory_mb": 76.8, "sockets": json.Number("512.0")}),
+		"limits in parts":        set("limits", jsonObject{"cores": 0.25, "memory_mb": 76.8, "sockets": json.Number("512.0")}),
 		"few sockets":            set("limits/sockets", 64),
 		"connections come late":  set("settings/limits/connect-timeout", 60000),
 		"connections idle short": set("settings/limits/keepalive", 1),
 		"one attempt":            set("settings/limits/send-cap", 1),
-		"nested unknown words":   set("settings/later", []any{obj{"a": []any{1, "b,c d", nil, []any{}}}, nil}),
+		"nested unknown words":   set("settings/later", []any{jsonObject{"a": []any{1, "b,c d", nil, []any{}}}, nil}),
 		"a plan of blanks":       plan("Große Kunden, 50 % mehr"),
 		"a plan without figures": plan("plain"),
 		"no plans":               set("settings/tariffs", []any{}),
@@ -76,42 +76,47 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			raw, err := os.ReadFile("../config/testdata/config.json")
-			if err != nil {
-				t.Fatal(err)
-			}
-			var o obj
-			if err := json.Unmarshal(raw, &o); err != nil {
-				t.Fatal(err)
-			}
-			classes := o["settings"].(obj)["classes"].([]any)
-			o["settings"].(obj)["classes"] = append(classes, obj{"name": "book", "aim": 900, "deadline": 40, "effect": "single_shot", "worth": 1})
-			o["settings"].(obj)["tariffs"] = o["settings"].(obj)["tariffs"].([]any)[1:]
-			change(o)
-			if raw, err = json.Marshal(o); err != nil {
-				t.Fatal(err)
-			}
-			r := newRigWithPlatformConfig(t, raw)
-			a := testkit.NewApp(t, testkit.Served)
-			r.list(target(a, "s-1", 0))
-			s := r.node.services[""].cfg.Settings
-			for i, k := range s.Classes {
-				method := http.MethodPost
-				if k.Idempotency == 0 {
-					method = http.MethodGet
-				}
-				q := r.call(method, "/", fmt.Sprint("id-", i))
-				q.Header.Set(protocol.HeaderPlan, s.Plans[0].Name)
-				q.Header.Set(protocol.HeaderTimeLeft, fmt.Sprint(k.Deadline.Milliseconds(), "m"))
-				q.URL.Path, q.URL.RawPath = "/"+k.Name+"/7", "/"+url.PathEscape(k.Name)+"/7"
-				if resp, body := r.do(q); resp.StatusCode != http.StatusOK && k.Deadline > 100e6 || resp.StatusCode/100 == 4 && resp.StatusCode != 429 {
-					t.Errorf("class %q: %s %s", k.Name, resp.Status, body)
-				}
-			}
+			checkEachClassIsServed(t, change)
 		})
 	}
 }
 
+// checkEachClassIsServed sends a request of each class to a node with changed platform settings.
+func checkEachClassIsServed(t *testing.T, change func(jsonObject)) {
+	raw, err := os.ReadFile("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var o jsonObject
+	if err := json.Unmarshal(raw, &o); err != nil {
+		t.Fatal(err)
+	}
+	classes := o["settings"].(jsonObject)["classes"].([]any)
+	o["settings"].(jsonObject)["classes"] = append(classes, jsonObject{"name": "book", "aim": 900, "deadline": 40, "effect": "single_shot", "worth": 1})
+	o["settings"].(jsonObject)["tariffs"] = o["settings"].(jsonObject)["tariffs"].([]any)[1:]
+	change(o)
+	if raw, err = json.Marshal(o); err != nil {
+		t.Fatal(err)
+	}
+	r := newTestNodeWithPlatformConfig(t, raw)
+	a := testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	s := r.node.services[""].cfg.Settings
+	for i, k := range s.Classes {
+		method := http.MethodPost
+		if k.Idempotency == 0 {
+			method = http.MethodGet
+		}
+		q := r.newRequest(method, "/", fmt.Sprint("id-", i))
+		q.Header.Set(protocol.HeaderPlan, s.Plans[0].Name)
+		q.Header.Set(protocol.HeaderTimeLeft, fmt.Sprint(k.Deadline.Milliseconds(), "m"))
+		q.URL.Path, q.URL.RawPath = "/"+k.Name+"/7", "/"+url.PathEscape(k.Name)+"/7"
+		if resp, body := r.do(q); resp.StatusCode != http.StatusOK && k.Deadline > 100e6 || resp.StatusCode/100 == 4 && resp.StatusCode != 429 {
+			t.Errorf("class %q: %s %s", k.Name, resp.Status, body)
+		}
+	}
+}
+
 // Where the settings name no most of a request's units, what a plan's store holds bounds them, of what a client
 // tells and of what an app server does: no figure spoils the accounts of whoever asks next.
 func TestUnitsAreBoundedByTokenBucketWithoutSetting(t *testing.T) {
@@ -119,27 +124,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var o obj
+	var o jsonObject
 	if err := json.Unmarshal(raw, &o); err != nil {
 		t.Fatal(err)
 	}
-	set := o["settings"].(obj)
-	delete(set["domain"].(obj), "units-top")
+	set := o["settings"].(jsonObject)
+	delete(set["domain"].(jsonObject), "units-top")
 	set["tariffs"] = []any{
-		obj{"name": "stored", "quota-rate": 0.1, "depth": 8},
-		obj{"name": "small", "quota-rate": 0.1, "depth": 0.5},
-		obj{"name": "counted", "open": 9},
-		obj{"name": "capped", "cap-rate": 9.5, "hard-burst": 30, "ceiling-slack": 30},
+		jsonObject{"name": "stored", "quota-rate": 0.1, "depth": 8},
+		jsonObject{"name": "small", "quota-rate": 0.1, "depth": 0.5},
+		jsonObject{"name": "counted", "open": 9},
+		jsonObject{"name": "capped", "cap-rate": 9.5, "hard-burst": 30, "ceiling-slack": 30},
 	}
 	if raw, err = json.Marshal(o); err != nil {
 		t.Fatal(err)
 	}
-	r := newRigWithPlatformConfig(t, raw)
+	r := newTestNodeWithPlatformConfig(t, raw)
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set(protocol.HeaderCost, "1e300")
 		testkit.Served(w, q)
 	})
-	r.list(target(a, "s-1", 0))
+	r.setEndpoints(endpointOf(a, "s-1", 0))
 	for i, tc := range []struct {
 		plan, weight string
 		status       int
@@ -157,7 +162,7 @@
 		{"capped", "units=31", 400},
 		{"capped", "units=5", 200},
 	} {
-		q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
+		q := r.newRequest(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
 		q.Header.Set(protocol.HeaderPlan, tc.plan)
 		q.Header.Set(protocol.HeaderWeight, tc.weight)
 		if resp, body := r.do(q); resp.StatusCode != tc.status {
@@ -172,7 +177,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, odd := range map[string]obj{
+	for name, odd := range map[string]jsonObject{
 		"no depth": {"quota-rate": 5}, "a depth below one": {"quota-rate": 5, "depth": 0.4}, "no rate": {"depth": 5}, "nothing": {},
 		"no burst": {"cap-rate": 5}, "no ceiling's rate": {"hard-burst": 5}, "huge": {"quota-rate": 1e300, "depth": 1e300, "cap-rate": 1e300, "hard-burst": 1e300, "open": 1e9},
 		"tiny": {"quota-rate": 1e-300, "depth": 1e-300, "cap-rate": 1e-300, "hard-burst": 1e-300, "ceiling-slack": 1e-300},
@@ -180,25 +185,25 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var o obj
+			var o jsonObject
 			if err := json.Unmarshal(raw, &o); err != nil {
 				t.Fatal(err)
 			}
 			odd["name"] = "odd"
-			o["settings"].(obj)["tariffs"] = append(o["settings"].(obj)["tariffs"].([]any), odd)
+			o["settings"].(jsonObject)["tariffs"] = append(o["settings"].(jsonObject)["tariffs"].([]any), odd)
 			raw, err := json.Marshal(o)
 			if err != nil {
 				t.Fatal(err)
 			}
-			r := newRigWithPlatformConfig(t, raw)
+			r := newTestNodeWithPlatformConfig(t, raw)
 			a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 				w.Header().Set(protocol.HeaderUsed, "120")
 				w.Header().Set(protocol.HeaderCost, "3")
 				testkit.Served(w, q)
 			})
-			r.list(target(a, "s-1", 0))
+			r.setEndpoints(endpointOf(a, "s-1", 0))
 			for i := range 20 {
-				q := r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
+				q := r.newRequest(http.MethodGet, "/roster-read", fmt.Sprint("id-", i))
 				if i%2 == 0 {
 					q.Header.Set(protocol.HeaderPlan, "odd")
 				}
@@ -213,9 +218,9 @@
 
 // TestRequestTargetIsForwardedUnchanged sends targets that url.URL would write in another way.
 func TestRequestTargetIsForwardedUnchanged(t *testing.T) {
-	r := newRig(t)
+	r := newTestNode(t)
 	a := testkit.NewApp(t, testkit.Served)
-	r.list(target(a, "s-1", 0))
+	r.setEndpoints(endpointOf(a, "s-1", 0))
 	for i, path := range []string{"/roster-read/ä", "/roster-read/a|b^c\"", "/roster-read/%7e%2f%2F//x/../.", "/roster%2dread", "/roster-read/a#b", "/roster-read"} {
 		for _, query := range []string{"?account=00000000b4d65521", "?account=00000000b4d65521&x=ä|%7e"} {
 			conn, err := net.Dial("tcp", r.node.Addr())
@@ -239,7 +244,7 @@
 
 // TestOptionsAsteriskIsRejected has nobody but an app server answer 200.
 func TestOptionsAsteriskIsRejected(t *testing.T) {
-	r := newRig(t)
+	r := newTestNode(t)
 	conn, err := net.Dial("tcp", r.node.Addr())
 	if err != nil {
 		t.Fatal(err)
@@ -255,19 +260,19 @@
 	}
 }
 
-// newRigWithPlatformConfig is newRig by another configuration.
-func newRigWithPlatformConfig(t *testing.T, raw []byte) *rig {
+// newTestNodeWithPlatformConfig is newRig by another configuration.
+func newTestNodeWithPlatformConfig(t *testing.T, raw []byte) *testNode {
 	t.Helper()
 	cfg, err := config.ParsePlatform(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newRigWithConfig(t, cfg)
+	return newTestNodeWithConfig(t, cfg)
 }
 
 // Entries of a list that can't be used, or only by their form, take nothing from the others.
 func TestInvalidEndpointEntriesDoNotAffectOthers(t *testing.T) {
-	r := newRig(t)
+	r := newTestNode(t)
 	a := testkit.NewApp(t, testkit.Served)
 	good := fmt.Sprintf(`{"uid":"s-1","endpoint":%q,"az":"z1","state":"up","capacity_hint":1.0,"boot_ms":0,"later":{"a":[1]}}`, a.Addr())
 	tell := func(line string) {
@@ -294,7 +299,7 @@
 			t.Errorf("behind %s: %d up, not %d", line, s.AvailableServers, up[i])
 		}
 		for n := range 8 {
-			if resp, body := r.do(r.call(http.MethodGet, "/roster-read", fmt.Sprint("id-", i, "-", n))); resp.StatusCode != 200 {
+			if resp, body := r.do(r.newRequest(http.MethodGet, "/roster-read", fmt.Sprint("id-", i, "-", n))); resp.StatusCode != 200 {
 				t.Errorf("behind %s: %s %s", line, resp.Status, body)
 			}
 		}
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -26,44 +26,48 @@
 		"silent": func(t *testing.T) string { return listen(t).Addr().String() }, // the system takes the connections
 		"late":   nil,
 	} {
-		t.Run(name, func(t *testing.T) {
-			served := testkit.NewApp(t, testkit.Served)
-			cfg, err := config.LoadPlatform("../config/testdata/config.json")
-			if err != nil {
-				t.Fatal(err)
-			}
-			cfg.Process.Drain = config.Drain{}
-			s := &cfg.Services[0]
-			s.Known = discovery.Listing{Rev: 41, All: true, Targets: []discovery.Target{target(served, "s-1", 0)}}
-			r := newIdleRigWithConfig(t, cfg)
-			if address != nil {
-				cfg.Services[0].Source.Address = address(t)
-				if r.node, err = New(cfg); err != nil {
-					t.Fatal(err)
-				}
-			}
-			r.run()
-			r.wait("ready", r.node.isReady)
-			health, err := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if resp, _ := r.do(health); resp.StatusCode != http.StatusOK {
-				t.Errorf("healthz: %s", resp.Status)
-			}
-			if resp, body := r.do(r.call(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
-				t.Errorf("%s %s", resp.Status, body)
-			}
-			if address != nil {
-				return
-			}
-			other := testkit.NewApp(t, testkit.Served)
-			r.rev = 50
-			r.list(discovery.Target{UID: "s-1", State: "draining"}, target(other, "s-2", 0))
-			r.do(r.call(http.MethodGet, "/roster-read", "id-2"))
-			if served.Count() != 1 || other.Count() != 1 {
-				t.Errorf("the first server has %d requests, the one that was told late %d", served.Count(), other.Count())
-			}
-		})
+		t.Run(name, func(t *testing.T) { checkReadyFromCachedEndpoints(t, address) })
+	}
+}
+
+// checkReadyFromCachedEndpoints runs a node that knows a server from an earlier run, with its discovery at address;
+// nil is one that reports late.
+func checkReadyFromCachedEndpoints(t *testing.T, address func(*testing.T) string) {
+	served := testkit.NewApp(t, testkit.Served)
+	cfg, err := config.LoadPlatform("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Process.Drain = config.Drain{}
+	s := &cfg.Services[0]
+	s.Known = discovery.Listing{Rev: 41, All: true, Targets: []discovery.Target{endpointOf(served, "s-1", 0)}}
+	r := newIdleTestNodeWithConfig(t, cfg)
+	if address != nil {
+		cfg.Services[0].Source.Address = address(t)
+		if r.node, err = New(cfg); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.run()
+	r.wait("ready", r.node.isReady)
+	health, err := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp, _ := r.do(health); resp.StatusCode != http.StatusOK {
+		t.Errorf("healthz: %s", resp.Status)
+	}
+	if resp, body := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
+		t.Errorf("%s %s", resp.Status, body)
+	}
+	if address != nil {
+		return
+	}
+	other := testkit.NewApp(t, testkit.Served)
+	r.rev = 50
+	r.setEndpoints(discovery.Target{UID: "s-1", State: "draining"}, endpointOf(other, "s-2", 0))
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-2"))
+	if served.Count() != 1 || other.Count() != 1 {
+		t.Errorf("the first server has %d requests, the one that was told late %d", served.Count(), other.Count())
 	}
 }
--- /dev/null
+++ b/internal/node/reload_listeners_test.go
@@ -0,0 +1,92 @@
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lockflow/internal/testbench/labtest"
+	"lockflow/internal/testkit"
+)
+
+// Listeners and what the process may use change in a reload: a new address takes clients, one
+// that is gone takes none, and a connection that came by it goes on.
+func TestReloadChangesListenersAndLimits(t *testing.T) {
+	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
+	first := l.Node.Addr()
+	c, in := dial(t, l)
+	ask := func(c net.Conn, in *bufio.Reader, id string) {
+		t.Helper()
+		writeRequest(c, "x", "/one", id, "", 0)
+		if status, body := readAnswer(t, in); status != 200 {
+			t.Errorf("%s: %d %q", id, status, body)
+		}
+	}
+	ask(c, in, "id-1")
+	more := strings.Replace(twoServicesConfig, `address = "127.0.0.1:0"`, "address = \"127.0.0.1:0\"\n[[listeners]]\naddress = \"localhost:0\"", 1)
+	if err := l.Reload(more); err != nil || l.Node.Addr() != first {
+		t.Fatalf("%v, %s for %s", err, l.Node.Addr(), first)
+	}
+	text := strings.Replace(strings.Replace(twoServicesConfig, `"127.0.0.1:0"`, `"localhost:0"`, 1), "descriptors = 512", "descriptors = 600", 1)
+	if err := l.Reload(text); err != nil {
+		t.Fatal(err)
+	}
+	if d, err := net.Dial("tcp", first); err == nil {
+		d.Close()
+		t.Error("the address that is gone takes connections")
+	}
+	ask(c, in, "id-2")
+	c, in = dial(t, l)
+	ask(c, in, "id-3")
+	if n, g := l.Node.Status()[0].Resources.Descriptors.Total, l.Node.Generation(); n != 600-24 || g != 3 {
+		t.Errorf("%d descriptors in generation %d", n, g)
+	}
+}
+
+// Clients that wait in the socket of an address that a reload removes, for want of descriptors, get their
+// answers as soon as there is room, and then nobody listens there.
+func TestReloadAnswersQueueOfRemovedListener(t *testing.T) {
+	text := strings.NewReplacer("descriptors = 512\nclients = 200", "descriptors = 64\nclients = 4", `most = "1s"`, `most = "30s"`).Replace(twoServicesConfig)
+	l := labtest.Begin(t, text, twoServerPools(0))
+	first := l.Node.Addr()
+	l.Pools["a"].Stall(true)
+	var clients []*bufio.Reader
+	for i := range 60 { // 40 have room at the most
+		c, in := dial(t, l)
+		writeRequest(c, "x", "/one", fmt.Sprint("id-", i), "", 0)
+		clients = append(clients, in)
+	}
+	testkit.Until(t, "a request at a server", func() bool { return l.Node.Status()[0].AttemptsInFlight > 0 })
+	reloaded := make(chan error, 1)
+	go func() { reloaded <- l.Reload(strings.Replace(text, `"127.0.0.1:0"`, `"localhost:0"`, 1)) }()
+	testkit.Until(t, "the other address", func() bool { return l.Node.Addr() != first })
+	l.Pools["a"].Stall(false)
+	for i, in := range clients {
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 {
+			t.Errorf("client %d: %v, %v", i, resp, err)
+		}
+	}
+	if err := testkit.Next(t, reloaded); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", first); err == nil {
+		c.Close()
+		t.Error("the address that is gone takes connections")
+	}
+}
+
+// A reload that comes to its end behind the node's opens no address, where clients would be taken by
+// nobody.
+func TestReloadAfterShutdownOpensNoListener(t *testing.T) {
+	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
+	first := l.Node.Addr()
+	if err := l.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Reload(strings.Replace(twoServicesConfig, `"127.0.0.1:0"`, `"localhost:0"`, 1)); err == nil || l.Node.Addr() != first {
+		t.Errorf("%v, listening on %s", err, l.Node.Addr())
+	}
+}
--- /dev/null
+++ b/internal/node/requests_test.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"lockflow/internal/discovery"
+	"lockflow/internal/protocol"
+	"lockflow/internal/service"
+	"lockflow/internal/testkit"
+)
+
+func TestRequestAndAnswerAreForwardedUnchanged(t *testing.T) {
+	r := newTestNode(t)
+	a := testkit.NewApp(t, func(w http.ResponseWriter, req *http.Request) {
+		left, err := strconv.Atoi(strings.TrimSuffix(req.Header.Get(protocol.HeaderTimeLeft), "m"))
+		// The answer's last byte has to be there in time: the edge node waits a little less.
+		if err != nil || left < 1 || left > 7000-int(service.DeadlineMargin.Milliseconds()) {
+			t.Errorf("time left %q", req.Header.Get(protocol.HeaderTimeLeft))
+		}
+		w.Header().Set("Content-Type", "text/x-roster")
+		w.Header().Set(protocol.HeaderUsed, "85")
+		testkit.Served(w, req)
+	})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	post := r.newRequest(http.MethodPost, "/visit-update/a%2Fb/c", "id-1")
+	post.Body, post.ContentLength = io.NopCloser(strings.NewReader("swap")), 4
+	resp, body := r.do(post)
+	if resp.StatusCode != 200 || body != "served id-1" || resp.Header.Get("Content-Type") != "text/x-roster" {
+		t.Errorf("%s %q %v", resp.Status, body, resp.Header)
+	}
+	if resp.Header.Get(protocol.HeaderUsed) != "" {
+		t.Error("a report for edge nodes went to a client")
+	}
+	if want := "POST /visit-update/a%2Fb/c?account=00000000b4d65521 k-id-1 swap"; a.Requests()[0] != want {
+		t.Errorf("%q, not %q", a.Requests()[0], want)
+	}
+}
+
+func TestHealthzReportsReadiness(t *testing.T) {
+	r := newTestNode(t)
+	health := func() int {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+r.node.Addr()+"/healthz", nil)
+		resp, _ := r.do(req)
+		return resp.StatusCode
+	}
+	if s := health(); s != http.StatusServiceUnavailable {
+		t.Errorf("%d with no app server known", s)
+	}
+	r.setEndpoints(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.wait("ready", r.node.isReady)
+	if s := health(); s != http.StatusOK {
+		t.Errorf("%d with an app server", s)
+	}
+}
+
+// invalidRequests are changes that make a valid request invalid, and the status that each is answered with.
+var invalidRequests = map[string]struct {
+	change func(*http.Request)
+	want   int
+}{
+	"no id":             {func(q *http.Request) { q.Header.Del(protocol.HeaderID) }, 400},
+	"a long id":         {func(q *http.Request) { q.Header.Set(protocol.HeaderID, strings.Repeat("x", 129)) }, 400},
+	"no class":          {func(q *http.Request) { q.URL.Path = "/" }, 404},
+	"unknown class":     {func(q *http.Request) { q.URL.Path = "/checkout" }, 404},
+	"wrong method":      {func(q *http.Request) { q.Method = http.MethodPut }, 405},
+	"no key":            {func(q *http.Request) { q.Header.Del(protocol.HeaderKey) }, 400},
+	"unknown plan":      {func(q *http.Request) { q.Header.Set(protocol.HeaderPlan, "gold") }, 400},
+	"no plan":           {func(q *http.Request) { q.Header.Del(protocol.HeaderPlan) }, 400},
+	"no account":        {func(q *http.Request) { q.URL.RawQuery = "" }, 400},
+	"short account":     {func(q *http.Request) { q.URL.RawQuery = "account=b4d65521" }, 400},
+	"huge account":      {func(q *http.Request) { q.URL.RawQuery = "account=0000000200000000" }, 400},
+	"odd account":       {func(q *http.Request) { q.URL.RawQuery = "account=000000000000000g" }, 400},
+	"no time":           {func(q *http.Request) { q.Header.Del(protocol.HeaderTimeLeft) }, 400},
+	"no unit":           {func(q *http.Request) { q.Header.Set(protocol.HeaderTimeLeft, "480") }, 400},
+	"other unit":        {func(q *http.Request) { q.Header.Set(protocol.HeaderTimeLeft, "4s") }, 400},
+	"no time is left":   {func(q *http.Request) { q.Header.Set(protocol.HeaderTimeLeft, "0m") }, 400},
+	"time without end":  {func(q *http.Request) { q.Header.Set(protocol.HeaderTimeLeft, "1e300m") }, 400},
+	"time past class":   {func(q *http.Request) { q.Header.Set(protocol.HeaderTimeLeft, "7600m") }, 400},
+	"huge units":        {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=1e300") }, 400},
+	"units over most":   {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=4.1") }, 400},
+	"negative units":    {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=-1") }, 400},
+	"units given twice": {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=1,units=2") }, 400},
+	"two ids":           {func(q *http.Request) { q.Header.Add(protocol.HeaderID, "worse") }, 400},
+	"two accounts":      {func(q *http.Request) { q.URL.RawQuery += "&account=00000000b4d65522" }, 400},
+	"odd time":          {func(q *http.Request) { q.Header.Set(protocol.HeaderTimeLeft, "NaNm") }, 400},
+	"no units":          {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=0") }, 400},
+	"odd units":         {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=NaN") }, 400},
+	"wide spread":       {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "units=1,spread=3") }, 400},
+	"odd spread":        {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "spread=1.5") }, 400},
+	"odd first":         {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "first=-1") }, 400},
+	"a large body": {func(q *http.Request) {
+		q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", protocol.BodyMost+1))), protocol.BodyMost+1
+	}, 413},
+}
+
+// TestInvalidRequestsAreRejected checks that a client's error is answered as such and nothing is forwarded.
+func TestInvalidRequestsAreRejected(t *testing.T) {
+	r := newTestNode(t)
+	a := testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	for name, tc := range invalidRequests {
+		t.Run(name, func(t *testing.T) {
+			q := r.newRequest(http.MethodPost, "/visit-update", "bad")
+			tc.change(q)
+			if resp, body := r.do(q); resp.StatusCode != tc.want {
+				t.Errorf("%s %q", resp.Status, body)
+			}
+		})
+	}
+	if resp, _ := r.do(r.newRequest(http.MethodPost, "/roster-read", "bad")); resp.StatusCode != 405 {
+		t.Errorf("a POST to a safe class: %s", resp.Status)
+	}
+	withBody := r.newRequest(http.MethodGet, "/roster-read", "bad")
+	withBody.Body, withBody.ContentLength = io.NopCloser(strings.NewReader("x")), 1
+	if resp, _ := r.do(withBody); resp.StatusCode != 400 {
+		t.Errorf("a GET with a body: %s", resp.Status)
+	}
+	if n := a.Count(); n > 0 {
+		t.Errorf("%d bad requests were sent on", n)
+	}
+	if resp, _ := r.do(r.newRequest(http.MethodPost, "/visit-update", "good")); resp.StatusCode != 200 {
+		t.Errorf("a good one after them: %s", resp.Status)
+	}
+}
+
+// The module's refusal is given at once and tells when to come again.
+func TestRejectionHasRetryAfter(t *testing.T) {
+	r := newTestNode(t)
+	a := testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	for i := range 100 {
+		q := r.newRequest(http.MethodGet, "/roster-read", "id-"+strconv.Itoa(i))
+		q.Header.Set(protocol.HeaderPlan, "basic") // a burst of 8 units
+		resp, _ := r.do(q)
+		if resp.StatusCode == http.StatusOK {
+			continue
+		}
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 {
+			t.Errorf("%s %v", resp.Status, resp.Header)
+		}
+		if a.Count() != i {
+			t.Errorf("%d requests sent on before the first refusal of %d", a.Count(), i)
+		}
+		return
+	}
+	t.Error("none of 100 requests was refused")
+}
--- /dev/null
+++ b/internal/node/servers_test.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"lockflow/internal/protocol"
+	"lockflow/internal/testkit"
+)
+
+// A keyed request that may have run goes again within its group only, with its key.
+func TestIdempotentRequestIsRetriedWithinItsGroup(t *testing.T) {
+	r := newTestNode(t)
+	fails := true
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if fails {
+			fails = false
+			testkit.Reset(w, q)
+			return
+		}
+		testkit.Served(w, q)
+	}
+	a, b := testkit.NewApp(t, serve), testkit.NewApp(t, serve)
+	r.setEndpoints(endpointOf(a, "s-1", 0), endpointOf(b, "s-2", 1))
+	resp, body := r.do(r.newRequest(http.MethodPost, "/visit-update", "id-1"))
+	if resp.StatusCode != 200 || body != "served id-1" {
+		t.Errorf("%s %q", resp.Status, body)
+	}
+	if n := a.Count() * b.Count(); n != 0 || a.Count()+b.Count() != 2 {
+		t.Errorf("attempts %v and %v", a.Requests(), b.Requests())
+	}
+	for _, s := range append(a.Requests(), b.Requests()...) {
+		if !strings.Contains(s, "k-id-1") {
+			t.Errorf("attempt %q has lost its key", s)
+		}
+	}
+}
+
+// At the end of the client's time the attempt's connection is closed and the client is told.
+func TestDeadlineEndsAttempt(t *testing.T) {
+	for class, tc := range map[string]struct {
+		method string
+		want   int
+	}{
+		"/roster-read":  {http.MethodGet, http.StatusServiceUnavailable}, // harmless to try again
+		"/visit-update": {http.MethodPost, http.StatusGatewayTimeout},    // may have run
+	} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			r := newTestNode(t)
+			gone := make(chan struct{})
+			a := testkit.NewApp(t, func(_ http.ResponseWriter, q *http.Request) {
+				<-q.Context().Done()
+				close(gone)
+			})
+			r.setEndpoints(endpointOf(a, "s-1", 0))
+			q := r.newRequest(tc.method, class, "id-1")
+			q.Header.Set(protocol.HeaderTimeLeft, "600000u")
+			if resp, _ := r.do(q); resp.StatusCode != tc.want {
+				t.Errorf("%s", resp.Status)
+			}
+			testkit.Next(t, gone)
+			if n := a.Count(); n != 1 {
+				t.Errorf("%d attempts", n)
+			}
+		})
+	}
+}
+
+// A client that leaves is owed nothing; its id is free again when its attempt has ended.
+func TestClientDisconnectFreesRequestID(t *testing.T) {
+	r := newTestNode(t)
+	held, finish := make(chan struct{}), make(chan struct{})
+	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+		held <- struct{}{}
+		<-finish
+		testkit.Served(w, q)
+	})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		resp, err := r.RoundTrip(r.newRequest(http.MethodGet, "/roster-read", "id-1").WithContext(ctx))
+		if err == nil {
+			resp.Body.Close()
+		}
+		left <- err
+	}()
+	testkit.Next(t, held)
+	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusConflict {
+		t.Errorf("an id in flight was taken again: %s", resp.Status)
+	}
+	leave()
+	if err := testkit.Next(t, left); err == nil {
+		t.Error("the client got an answer")
+	}
+	r.wait("the hang-up", func() bool { s := r.status(); return s.Requests == 1 && s.Unanswered == 0 })
+	close(finish)
+	r.wait("the attempt's end", func() bool { return r.status().Requests == 0 })
+	go func() { <-held }()
+	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != 200 {
+		t.Errorf("a free id: %s", resp.Status)
+	}
+}
+
+// Nothing new goes to an app server that drains, and its idle connections are closed.
+func TestDrainingServerGetsNoRequests(t *testing.T) {
+	r := newTestNode(t)
+	a := testkit.NewApp(t, testkit.Served)
+	b := testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1"))
+	drains := endpointOf(a, "s-1", 0)
+	drains.State = "draining"
+	r.setEndpoints(drains, endpointOf(b, "s-2", 0))
+	for i := range 20 {
+		if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "later-"+strconv.Itoa(i))); resp.StatusCode != 200 {
+			t.Errorf("%s", resp.Status)
+		}
+	}
+	if a.Count() != 1 || b.Count() != 20 {
+		t.Errorf("%d requests to the one that drains, %d to the other", a.Count(), b.Count())
+	}
+	if s := r.status(); s.AvailableServers != 1 || s.IdleConnections != b.Dials() {
+		t.Error("an idle connection to it was kept")
+	}
+}
+
+// An app server may come back under another address.
+func TestServerChangesAddress(t *testing.T) {
+	r := newTestNode(t)
+	a, b := testkit.NewApp(t, testkit.Served), testkit.NewApp(t, testkit.Served)
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1"))
+	r.setEndpoints(endpointOf(b, "s-1", 0))
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-2"))
+	if a.Count() != 1 || b.Count() != 1 {
+		t.Errorf("%d requests to the old address, %d to the new one", a.Count(), b.Count())
+	}
+}
+
+// A connection belongs to the app server that it was opened to, not to its address: it is
+// never used for another one there, also where it was in use when the first one went.
+func TestReusedAddressGetsNewConnections(t *testing.T) {
+	r := newTestNode(t)
+	var mu sync.Mutex
+	from := make(map[string]string)
+	held, finish := make(chan struct{}), make(chan struct{})
+	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
+		id := q.Header.Get(protocol.HeaderID)
+		mu.Lock()
+		from[id] = q.RemoteAddr
+		mu.Unlock()
+		if id == "held" {
+			close(held)
+			<-finish
+		}
+		testkit.Served(w, q)
+	})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	answered := make(chan int, 1)
+	go func() {
+		resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "held"))
+		answered <- resp.StatusCode
+	}()
+	testkit.Next(t, held)
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "before"))
+	gone := endpointOf(a, "s-1", 0)
+	gone.State = "removed"
+	r.setEndpoints(gone, endpointOf(a, "s-2", 0))
+	close(finish)
+	if s := testkit.Next(t, answered); s != 200 {
+		t.Errorf("what was held: %d", s)
+	}
+	r.wait("the attempt's end", func() bool { return r.status().Requests == 0 })
+	r.do(r.newRequest(http.MethodGet, "/roster-read", "after"))
+	if from["after"] == from["before"] || from["after"] == from["held"] {
+		t.Error("a connection to the one that has gone was used")
+	}
+}
+
+// The node keeps nothing of app servers that have come and gone.
+func TestRemovedServersLeaveNoState(t *testing.T) {
+	r := newTestNode(t)
+	a := testkit.NewApp(t, testkit.Served)
+	for i := range 50 {
+		up := endpointOf(a, "s-"+strconv.Itoa(i), 0)
+		r.setEndpoints(up)
+		resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-"+strconv.Itoa(i)))
+		if resp.StatusCode != 200 {
+			t.Errorf("%s", resp.Status)
+		}
+		r.wait("one app server", func() bool { s := r.status(); return s.Servers == 1 && s.AvailableServers == 1 })
+		up.State = "removed"
+		r.setEndpoints(up)
+	}
+	r.wait("none", func() bool { s := r.status(); return s.Servers == 0 && s.AvailableServers == 0 })
+	if idle, pools := r.service().Upstream().Conns(); idle != 0 || pools != 0 {
+		t.Errorf("%d pools, %d connections", pools, idle)
+	}
+}
--- a/internal/node/shared_hard_limits_test.go
+++ b/internal/node/shared_hard_limits_test.go
@@ -18,24 +18,24 @@
 
 // sharedFleet is nodes that share an enterprise customer's ceiling by counters.
 type sharedFleet struct {
-	nodes    []*testbench.Lab
-	counter  *redistest.Server // the first of counters
-	ceiling  *fake.Ceiling
-	texts    []string
-	allowed  quotalease.Ceiling
-	sent     func() float64
-	counters []*redistest.Server
+	nodes       []*testbench.Lab
+	firstStore  *redistest.Server // the first of counters
+	hardLimit   *fake.Ceiling
+	configs     []string
+	allowed     quotalease.Ceiling
+	unitsServed func() float64
+	stores      []*redistest.Server
 }
 
-// beginShared starts nodes with a counter, and further counters that nodes hold to from a number on.
-func beginShared(t *testing.T, nodes int, counters ...int) *sharedFleet {
+// startSharedFleet starts nodes with a counter, and further counters that nodes hold to from a number on.
+func startSharedFleet(t *testing.T, nodes int, counters ...int) *sharedFleet {
 	t.Helper()
 	const rate, burst = 100, 50
 	rules := quotalease.Rules{Instances: nodes, Term: 200 * time.Millisecond, Pledge: 400 * time.Millisecond, Settle: 500 * time.Millisecond, Drift: 0.001}
 	f := &sharedFleet{allowed: rules.Bound(quotalease.Ceiling{Rate: rate, Burst: burst})}
-	f.ceiling = &fake.Ceiling{Rate: f.allowed.Rate, Burst: f.allowed.Burst}
-	f.sent = func() float64 { _, units := f.ceiling.Over(); return units }
-	app, err := fake.Server{UID: "s", Ceiling: f.ceiling}.Start()
+	f.hardLimit = &fake.Ceiling{Rate: f.allowed.Rate, Burst: f.allowed.Burst}
+	f.unitsServed = func() float64 { _, units := f.hardLimit.Over(); return units }
+	app, err := fake.Server{UID: "s", Ceiling: f.hardLimit}.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,9 +46,9 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(c.Close)
-		f.counters = append(f.counters, c)
+		f.stores = append(f.stores, c)
 	}
-	f.counter = f.counters[0]
+	f.firstStore = f.stores[0]
 	for i := range nodes {
 		at := 0
 		for k, first := range counters {
@@ -56,7 +56,7 @@
 				at = k + 1
 			}
 		}
-		text := strings.Replace(head, "[process]\n", fmt.Sprintf("[process]\ninstances = %d\ninstance = %d\n", nodes, i), 1) + fmt.Sprintf(`[plans.enterprise]
+		text := strings.Replace(configHeader, "[process]\n", fmt.Sprintf("[process]\ninstances = %d\ninstance = %d\n", nodes, i), 1) + fmt.Sprintf(`[plans.enterprise]
 ceiling_rate = %d
 ceiling_burst = %d
 [services.a]
@@ -70,15 +70,15 @@
 service = "a"
 prefix = "/"
 as = "read"
-`, rate, burst, f.counters[at].Addr(), app.Addr())
-		f.texts = append(f.texts, text)
+`, rate, burst, f.stores[at].Addr(), app.Addr())
+		f.configs = append(f.configs, text)
 		f.nodes = append(f.nodes, labtest.Begin(t, text, nil))
 	}
 	return f
 }
 
-// load has one customer ask for far more than its ceiling through all nodes, until the test ends.
-func (f *sharedFleet) load(t *testing.T) {
+// startLoad has one customer ask for far more than its ceiling through all nodes, until the test ends.
+func (f *sharedFleet) startLoad(t *testing.T) {
 	addrs := make([]string, len(f.nodes))
 	for i, n := range f.nodes {
 		addrs[i] = n.Node.Addr()
@@ -96,22 +96,22 @@
 		if r := run.Wait()["r"]; r.Lost+r.Wrong > 0 {
 			t.Errorf("%+v", *r)
 		}
-		worst, units := f.ceiling.Over()
+		worst, units := f.hardLimit.Over()
 		if t.Logf("%.0f units; nearest to the bound of %.0f and %.0f a second: %.1f beyond", units, f.allowed.Burst, f.allowed.Rate, worst); worst > 0 {
 			t.Errorf("%.1f units beyond the bound", worst)
 		}
 	})
 }
 
-// more waits until the servers have had more units.
-func (f *sharedFleet) more(t *testing.T, units float64) {
+// awaitUnits waits until the servers have had more units.
+func (f *sharedFleet) awaitUnits(t *testing.T, units float64) {
 	t.Helper()
-	want := f.sent() + units
-	testkit.Until(t, fmt.Sprint(units, " units more"), func() bool { return f.sent() >= want })
+	want := f.unitsServed() + units
+	testkit.Until(t, fmt.Sprint(units, " units more"), func() bool { return f.unitsServed() >= want })
 }
 
-// all waits until each node tells that of shared ceilings.
-func (f *sharedFleet) all(t *testing.T, what string, is func(quotalease.Status) bool) {
+// awaitStatus waits until each node tells that of shared ceilings.
+func (f *sharedFleet) awaitStatus(t *testing.T, what string, is func(quotalease.Status) bool) {
 	t.Helper()
 	testkit.Until(t, what, func() bool {
 		for _, n := range f.nodes {
@@ -125,52 +125,52 @@
 	})
 }
 
-func lends(s quotalease.Status) bool  { return s.Lends && s.Pledged > 0 }
-func itsOwn(s quotalease.Status) bool { return s.Own }
+func leasesUnits(s quotalease.Status) bool  { return s.Lends && s.Pledged > 0 }
+func usesOwnQuota(s quotalease.Status) bool { return s.Own }
 
 // Whole nodes over a counter that is lost, late, refuses, goes dark, is replaced by an empty one and
 // restored: by the servers' own count the customer keeps to its ceiling throughout, and goes on
 // being served: by lent units, or by the nodes' own parts.
-func TestSharedCeiling(t *testing.T) {
+func TestSharedHardLimitHoldsOverStoreFaults(t *testing.T) {
 	t.Parallel()
-	f := beginShared(t, 6)
-	f.load(t)
-	f.all(t, "a counter that lends", lends)
-	f.more(t, 100)
+	f := startSharedFleet(t, 6)
+	f.startLoad(t)
+	f.awaitStatus(t, "a counter that lends", leasesUnits)
+	f.awaitUnits(t, 100)
 	for _, trouble := range []func(){
-		func() { f.counter.Set(0, "", true) },
-		func() { f.counter.Set(0, "LOADING Redis is loading the dataset in memory", false) },
-		func() { f.counter.Set(2*time.Second, "", false) },
+		func() { f.firstStore.Set(0, "", true) },
+		func() { f.firstStore.Set(0, "LOADING Redis is loading the dataset in memory", false) },
+		func() { f.firstStore.Set(2*time.Second, "", false) },
 	} {
 		trouble()
-		f.counter.Cut()
-		f.all(t, "parts of its own", itsOwn)
-		f.more(t, 30)
-		f.counter.Set(0, "", false)
-		f.all(t, "a counter that lends again", lends)
-		f.more(t, 30)
+		f.firstStore.Cut()
+		f.awaitStatus(t, "parts of its own", usesOwnQuota)
+		f.awaitUnits(t, 30)
+		f.firstStore.Set(0, "", false)
+		f.awaitStatus(t, "a counter that lends again", leasesUnits)
+		f.awaitUnits(t, 30)
 	}
 	for range 3 {
-		f.counter.Replace()
-		f.more(t, 30)
+		f.firstStore.Replace()
+		f.awaitUnits(t, 30)
 	}
 	for range 3 {
-		restore := f.counter.Snapshot()
-		f.more(t, 10)
+		restore := f.firstStore.Snapshot()
+		f.awaitUnits(t, 10)
 		restore()
 	}
-	f.all(t, "a counter that lends in the end", lends)
+	f.awaitStatus(t, "a counter that lends in the end", leasesUnits)
 }
 
 // A split in which each half has a counter, which knows nothing of the other: each lends the parts
 // of its own nodes.
-func TestSharedCeilingSplit(t *testing.T) {
+func TestSharedHardLimitHoldsWhileStoresAreSplit(t *testing.T) {
 	t.Parallel()
-	f := beginShared(t, 6, 3)
-	f.load(t)
-	f.all(t, "counters that lend", lends)
-	f.more(t, 200)
-	for _, c := range f.counters {
+	f := startSharedFleet(t, 6, 3)
+	f.startLoad(t)
+	f.awaitStatus(t, "counters that lend", leasesUnits)
+	f.awaitUnits(t, 200)
+	for _, c := range f.stores {
 		if c.Calls() == 0 {
 			t.Error("a counter was not asked")
 		}
@@ -179,25 +179,25 @@
 
 // Reloads, one of them to another counter, open no ceiling anew; a customer that comes through one
 // node only has all of it.
-func TestSharedCeilingReload(t *testing.T) {
+func TestSharedHardLimitHoldsOverReloads(t *testing.T) {
 	t.Parallel()
-	f := beginShared(t, 4, 4) // the second counter is nobody's yet
-	f.load(t)
-	f.all(t, "a counter that lends", lends)
+	f := startSharedFleet(t, 4, 4) // the second counter is nobody's yet
+	f.startLoad(t)
+	f.awaitStatus(t, "a counter that lends", leasesUnits)
 	for i := range 6 {
 		for k, n := range f.nodes {
-			text := strings.Replace(f.texts[k], "[services.a]\n", fmt.Sprintf("[services.a]\nattempts = %d\n", 3+i%2), 1)
+			text := strings.Replace(f.configs[k], "[services.a]\n", fmt.Sprintf("[services.a]\nattempts = %d\n", 3+i%2), 1)
 			if i >= 4 {
-				text = strings.Replace(text, f.counters[0].Addr(), f.counters[1].Addr(), 1)
+				text = strings.Replace(text, f.stores[0].Addr(), f.stores[1].Addr(), 1)
 			}
 			if err := n.Reload(text); err != nil {
 				t.Fatal(err)
 			}
 		}
-		f.more(t, 20)
+		f.awaitUnits(t, 20)
 	}
-	f.all(t, "another counter that lends", lends)
-	if f.counters[1].Calls() == 0 {
+	f.awaitStatus(t, "another counter that lends", leasesUnits)
+	if f.stores[1].Calls() == 0 {
 		t.Error("the other counter was not asked")
 	}
 }
