Split the state of the decision module into a file for each concern

state.go held types and bookkeeping of everything. Requests and attempts with the slots that they occupy, the queue of a plan, endpoints and the meter's clock each have a file, and the controller's fields are grouped by what they belong to. Attempt slots and plan queues own their state. The order of operations and of draws is unchanged.

--- a/control/admission.go
+++ b/control/admission.go
@@ -66,7 +66,7 @@
 	// important one, taking the tokens or the turn of others.
 	isSheddable := late || class.PriorityWeight < sheddableWeightRatio*c.maxPriorityWeight
 	maxTurnTime := sheddableTurnFraction * class.LatencyObjective.Seconds()
-	isScarce := !c.limiter.hasFreeSlot(c.now, c.occupiedSlots()) && c.expectedTurnTime() > maxTurnTime ||
+	isScarce := !c.limiter.hasFreeSlot(c.now, c.slots.occupied(c.now)) && c.expectedTurnTime() > maxTurnTime ||
 		plan.QuotaRate > 0 && account.quota.tokens-account.queuedUnits < spareTokensFraction*plan.QuotaBurst
 	var cause Cause
 	switch {
--- a/control/attempts.go
+++ b/control/attempts.go
@@ -16,7 +16,7 @@
 		return
 	}
 	attempt.request.isStreaming = true
-	c.streamingAttempts++
+	c.slots.streaming++
 	c.recordAnswer(attempt, event.Delay)
 }
 
@@ -51,7 +51,7 @@
 // concurrency limit or an in-flight quota has a fractional slot.
 func (c *Controller) reserveFractionalSlot(attempt *pendingAttempt) {
 	attempt.server.lastActivityAt = c.now
-	c.limiter.pauseAfter(c.now, c.occupiedSlots(), c.fleet.latency.mean)
+	c.limiter.pauseAfter(c.now, c.slots.occupied(c.now), c.fleet.latency.mean)
 	if account := attempt.account; account.plan.MaxInFlight > 0 {
 		account.inFlight.pauseAfter(c.now, attempt.sentAt)
 	}
@@ -95,7 +95,7 @@
 	mayStillRun := event.Reason == TimedOut || event.Reason == Cancelled
 	if mayStillRun {
 		runsFor := durationOf(math.Min(elapsed, maxAbandonedLatencies*c.fleet.latency.mean))
-		c.addAbandoned(srv, c.now+runsFor)
+		c.slots.abandon(srv, c.now+runsFor)
 	}
 	mayHaveRun := event.Reason == Errored || event.Reason == ResetByPeer || mayStillRun
 	if mayHaveRun && !req.mayHaveRun {
@@ -140,7 +140,7 @@
 		return
 	}
 	c.retryBudget -= cost
-	c.enqueue(req, true)
+	req.plan.pushFront(req)
 	// Guards against a retry that is queued beyond the client's deadline or its key's repeat window.
 	until := req.deadline - time.Millisecond
 	if req.mayHaveRun && req.isKeyed() {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -162,7 +162,9 @@
 
 // bookkeepingFiles hold types, state and its storage, and decide nothing. Each file is either one of them or policy.
 var bookkeepingFiles = []string{
-	"account.go", "account_storage.go", "actions.go", "checkpoint.go", "doc.go", "events.go", "fleet.go", "history.go", "image.go", "restore.go", "resume.go", "server.go", "server_storage.go", "settings.go", "sharecontrol/state.go", "state.go",
+	"account.go", "account_storage.go", "actions.go", "checkpoint.go", "doc.go", "endpoints.go", "events.go", "fleet.go",
+	"history.go", "image.go", "meter_clock.go", "plan_queue.go", "request.go", "restore.go", "resume.go", "server.go",
+	"server_storage.go", "settings.go", "sharecontrol/state.go", "state.go",
 }
 
 // The limits of what decides: the files that the deploy file lists, all of them together. Blank lines do not
--- a/control/image.go
+++ b/control/image.go
@@ -206,7 +206,7 @@
 	random, _ := c.pcg.MarshalBinary() // it gives no error
 	image := Image{
 		Version: ImageVersion, Random: random, Now: c.now, ClockAdvance: c.clockAdvance, FillingSince: c.fillingSince, IsStarted: c.isStarted, IsWatching: c.isWatching,
-		NextWatchAt: c.nextWatchAt, MinRetryGap: c.minRetryGap, LastTimerLabel: c.lastTimerLabel, SlackFraction: c.slackFraction, RateFraction: c.rateFraction, InFlight: c.inFlight, StreamingAttempts: c.streamingAttempts,
+		NextWatchAt: c.nextWatchAt, MinRetryGap: c.minRetryGap, LastTimerLabel: c.lastTimerLabel, SlackFraction: c.slackFraction, RateFraction: c.rateFraction, InFlight: c.slots.inFlight, StreamingAttempts: c.slots.streaming,
 		ConcurrencyLimit: c.limiter.limit, LimitCutAt: c.limiter.cutAt, FractionalSlotFreeAt: c.limiter.fractionalSlotFreeAt, FleetLatency: c.fleet.latency.mean, IdleLatency: c.limiter.idleLatency, LatencySamples: c.fleet.latency.count, WarmThroughput: c.fleet.warmThroughput.mean, FleetUtilization: c.fleet.utilization.mean, FleetReportedLatency: c.fleet.reportedLatency.mean, ReportCount: c.fleet.utilization.count, WindowCount: c.fleet.warmThroughput.count,
 		MeanRequestUnits: c.fleet.requestUnits.mean, RequestCount: c.fleet.requestUnits.count,
 		RetryBudget: c.retryBudget, NextTick: c.nextTick, WindowEndsAt: c.windowEndsAt,
@@ -241,16 +241,16 @@
 	}
 	sort.Slice(attempts, func(i, j int) bool {
 		a, b := attempts[i], attempts[j]
-		return a.id < b.id || a.id == b.id && a.n < b.n
+		return a.id < b.id || a.id == b.id && a.number < b.number
 	})
 	for _, k := range attempts {
 		a := c.attempts[k]
 		image.Attempts = append(image.Attempts, AttemptImage{
-			k.id, k.n, requests.at(a.request), servers.at(a.server), customers.at(a.account), a.sentAt,
+			k.id, k.number, requests.at(a.request), servers.at(a.server), customers.at(a.account), a.sentAt,
 			a.charge.units, a.charge.groupUnits, a.charge.quotaTokens, a.charge.bin,
 		})
 	}
-	for _, abandoned := range c.abandoned {
+	for _, abandoned := range c.slots.abandoned {
 		image.Abandoned = append(image.Abandoned, AbandonedImage{servers.at(abandoned.server), abandoned.until})
 	}
 	for _, req := range requests.all {
--- a/control/odd_test.go
+++ b/control/odd_test.go
@@ -168,9 +168,9 @@
 			}
 		}
 		c := w.c
-		if n := len(c.requests) + len(c.requestsByTimer) + len(c.attempts) + c.inFlight + c.streamingAttempts; n != 0 || len(w.out)+len(w.open) != 0 {
+		if n := len(c.requests) + len(c.requestsByTimer) + len(c.attempts) + c.slots.inFlight + c.slots.streaming; n != 0 || len(w.out)+len(w.open) != 0 {
 			t.Fatalf("seed %d: %d requests, %d labels, %d attempts, %d in flight, %d streams are left", seed, len(c.requests), len(c.requestsByTimer),
-				len(c.attempts), c.inFlight, c.streamingAttempts)
+				len(c.attempts), c.slots.inFlight, c.slots.streaming)
 		}
 		for _, plan := range c.plans {
 			if len(plan.queue) > 0 {
--- a/control/open_test.go
+++ b/control/open_test.go
@@ -32,8 +32,8 @@
 		why := []Reason{OK, TimedOut, ResetByPeer}[i%3]
 		gateway.do(AttemptResult{ID: send.ID, Server: send.Server, Reason: why, IsFinal: why == OK, Delay: 10 * time.Second})
 	}
-	if gateway.c.streamingAttempts != 0 || gateway.c.inFlight != 1 {
-		t.Errorf("%d streams, %d in flight", gateway.c.streamingAttempts, gateway.c.inFlight)
+	if gateway.c.slots.streaming != 0 || gateway.c.slots.inFlight != 1 {
+		t.Errorf("%d streams, %d in flight", gateway.c.slots.streaming, gateway.c.slots.inFlight)
 	}
 	if gateway.c.fleet.latency.mean >= settings.Classes[0].LatencyObjective.Seconds() {
 		t.Errorf("the fleet is taken to need %g s", gateway.c.fleet.latency.mean)
--- /dev/null
+++ b/control/request.go
@@ -0,0 +1,138 @@
+package control
+
+import "time"
+
+// request is a request that has been admitted and has no final answer yet, or attempts that go on after it.
+type request struct {
+	id           string
+	class        *Class
+	plan         *planQueue
+	account      *customerAccount
+	units        float64
+	arrivedAt    time.Duration
+	objectiveAt  time.Duration // an answer by then meets the latency objective
+	deadline     time.Duration
+	isQueued     bool
+	isStreaming  bool // its attempts do not count against the concurrency limit
+	attempts     int  // that were started
+	inFlight     int  // attempts
+	triedServers []uint32
+	mayHaveRun   bool // an attempt may have run
+	firstRunAt   time.Duration
+	repeatGroup  *server // a server of the group that drops repeats of its key; nil if it has not run
+	timerLabel   uint64  // 0 is none
+}
+
+func (r *request) isKeyed() bool { return r.class.Idempotency == IdempotencyKeyed }
+
+// repeatsDroppedUntil is the end of the time in which the repeat group drops repeats of what may have run.
+func (r *request) repeatsDroppedUntil() time.Duration { return r.firstRunAt + r.class.RepeatWindow }
+
+// attemptKey names an attempt: the first of a request is number 0.
+type attemptKey struct {
+	id     string
+	number int
+}
+
+// pendingAttempt is an attempt in flight.
+type pendingAttempt struct {
+	request *request
+	server  *server
+	account *customerAccount
+	sentAt  time.Duration
+	charge  charge // zero unless it is its request's first attempt
+}
+
+// abandonedAttempt is one that has ended here and is presumed still running at its server.
+type abandonedAttempt struct {
+	server *server
+	until  time.Duration
+}
+
+// attemptSlots counts the attempts that occupy slots of the concurrency limit.
+type attemptSlots struct {
+	inFlight  int
+	streaming int                // of those in flight, which occupy none
+	abandoned []abandonedAttempt // by their ends
+}
+
+// occupied counts the attempts in flight, without streaming ones, and the abandoned ones that are presumed still running.
+func (s *attemptSlots) occupied(now time.Duration) float64 {
+	for len(s.abandoned) > 0 && s.abandoned[0].until <= now {
+		s.abandoned[0].server.abandoned--
+		s.abandoned = s.abandoned[1:]
+	}
+	return float64(s.inFlight - s.streaming + len(s.abandoned))
+}
+
+// abandon counts an attempt at a server that is presumed still running.
+func (s *attemptSlots) abandon(srv *server, until time.Duration) {
+	srv.abandoned++
+	s.abandoned = append(s.abandoned, abandonedAttempt{srv, until})
+}
+
+// recordAttemptStart counts an attempt that starts now.
+func (c *Controller) recordAttemptStart(req *request, srv *server, charged charge) {
+	c.attempts[attemptKey{req.id, req.attempts}] = &pendingAttempt{
+		request: req, server: srv, account: req.account, sentAt: c.now, charge: charged,
+	}
+	req.attempts++
+	req.inFlight++
+	req.triedServers = append(req.triedServers, srv.Server)
+	srv.inFlight++
+	c.slots.inFlight++
+	req.account.inFlight.current++
+	if req.isStreaming { // from the start: its body is still to come
+		c.slots.streaming++
+	}
+}
+
+// recordAttemptEnd ends an attempt, and returns it; nil if there is none of that key.
+func (c *Controller) recordAttemptEnd(key attemptKey) *pendingAttempt {
+	attempt := c.attempts[key]
+	if attempt == nil {
+		return nil
+	}
+	delete(c.attempts, key)
+	attempt.request.inFlight--
+	attempt.server.inFlight--
+	c.slots.inFlight--
+	attempt.account.inFlight.current--
+	if attempt.request.isStreaming {
+		c.slots.streaming--
+	}
+	return attempt
+}
+
+// removeRequest drops a request that has its final answer. Its attempts in flight go on.
+func (c *Controller) removeRequest(req *request) {
+	req.plan.remove(req)
+	delete(c.requests, req.id)
+	delete(c.requestsByTimer, req.timerLabel)
+}
+
+// armTimer has the request's one timer fire after a time.
+func (c *Controller) armTimer(req *request, after time.Duration) {
+	if req.timerLabel == 0 {
+		c.lastTimerLabel++
+		req.timerLabel = c.lastTimerLabel
+		c.requestsByTimer[req.timerLabel] = req
+	}
+	c.emit(StartTimer{After: max(after, 0), Label: req.timerLabel})
+}
+
+// typicalDeadline is the deadline that most first attempts of a class come with.
+type typicalDeadline struct {
+	deadline time.Duration
+	support  int // requests with it, less those without
+}
+
+// observe follows the majority of the deadlines.
+func (d *typicalDeadline) observe(deadline time.Duration, isOutlier bool) {
+	if isOutlier && d.support == 0 {
+		d.deadline = deadline
+	} else if isOutlier {
+		d.support -= 2
+	}
+	d.support++
+}
--- a/control/resume.go
+++ b/control/resume.go
@@ -36,7 +36,7 @@
 		return fmt.Errorf("of %d classes, not %d, or of another meter", len(image.TypicalDeadlines), len(c.settings.Classes))
 	}
 	c.now, c.clockAdvance, c.fillingSince, c.isStarted, c.isWatching = image.Now, image.ClockAdvance, image.FillingSince, image.IsStarted, image.IsWatching
-	c.nextWatchAt, c.minRetryGap, c.lastTimerLabel, c.slackFraction, c.rateFraction, c.inFlight, c.streamingAttempts = image.NextWatchAt, image.MinRetryGap, image.LastTimerLabel, image.SlackFraction, image.RateFraction, image.InFlight, image.StreamingAttempts
+	c.nextWatchAt, c.minRetryGap, c.lastTimerLabel, c.slackFraction, c.rateFraction, c.slots.inFlight, c.slots.streaming = image.NextWatchAt, image.MinRetryGap, image.LastTimerLabel, image.SlackFraction, image.RateFraction, image.InFlight, image.StreamingAttempts
 	c.limiter.limit, c.limiter.cutAt, c.limiter.fractionalSlotFreeAt, c.fleet.latency.mean, c.limiter.idleLatency, c.fleet.latency.count = image.ConcurrencyLimit, image.LimitCutAt, image.FractionalSlotFreeAt, image.FleetLatency, image.IdleLatency, image.LatencySamples
 	c.fleet.utilization = runningMean{image.FleetUtilization, image.ReportCount}
 	c.fleet.reportedLatency = runningMean{image.FleetReportedLatency, image.ReportCount}
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -26,7 +26,7 @@
 	isLate := waited+latency >= class.LatencyObjective
 	// Guards against rejecting all for good after one slow answer: with nothing in flight, an attempt has to
 	// show whether servers still are slow.
-	if latency >= class.LatencyObjective && waited < class.LatencyObjective && c.inFlight == 0 {
+	if latency >= class.LatencyObjective && waited < class.LatencyObjective && c.slots.inFlight == 0 {
 		isLate = false
 	}
 	if cause := c.admissionCause(account, class, event.Units, isLate); cause != CauseNone {
@@ -38,7 +38,7 @@
 	req.objectiveAt, req.deadline = c.now+class.LatencyObjective-waited, c.now+event.Timeout
 	c.requests[req.id] = req
 	c.retryBudget = math.Min(maxRetryBudget, c.retryBudget+retryBudgetPerRequest)
-	c.enqueue(req, false)
+	plan.pushBack(req)
 	waitFraction := queueWaitFraction
 	if plan.MaxInFlight > 0 {
 		waitFraction = inFlightQuotaWaitFraction
@@ -102,7 +102,7 @@
 
 // dispatch starts attempts of queued requests while the concurrency limit allows.
 func (c *Controller) dispatch() {
-	for c.limiter.hasFreeSlot(c.now, c.occupiedSlots()) {
+	for c.limiter.hasFreeSlot(c.now, c.slots.occupied(c.now)) {
 		req, srv := c.nextTurn()
 		if req == nil {
 			return
@@ -152,7 +152,7 @@
 }
 
 func (c *Controller) startAttempt(req *request, srv *server) {
-	c.dequeue(req)
+	req.plan.remove(req)
 	var charged charge
 	if req.attempts == 0 {
 		charged = c.chargeFirstAttempt(req.account, req.units)
--- a/control/server_storage.go
+++ b/control/server_storage.go
@@ -27,7 +27,7 @@
 		PlanRejectedUntil:   make(map[string]time.Duration),
 		SlowStartTokens:     srv.slowStart.tokens,
 	}
-	for _, abandoned := range c.abandoned {
+	for _, abandoned := range c.slots.abandoned {
 		if abandoned.server == srv {
 			saved.AbandonedUntil = append(saved.AbandonedUntil, abandoned.until)
 		}
@@ -67,21 +67,15 @@
 	// are presumed to have ended.
 	until := c.now + durationOf(c.fleet.latency.mean)
 	for range min(saved.InFlight, maxRestoredAbandoned) {
-		c.addAbandoned(srv, until)
+		c.slots.abandon(srv, until)
 	}
 	for i := range min(len(saved.AbandonedUntil), maxRestoredAbandoned) {
 		if at := saved.AbandonedUntil[i]; at > c.now {
-			c.addAbandoned(srv, min(at, c.now+maxAbandonedTime))
+			c.slots.abandon(srv, min(at, c.now+maxAbandonedTime))
 		}
 	}
 }
 
-// addAbandoned counts an attempt at a server that is presumed still running.
-func (c *Controller) addAbandoned(srv *server, until time.Duration) {
-	srv.abandoned++
-	c.abandoned = append(c.abandoned, abandonedAttempt{srv, until})
-}
-
 // image is the stored form of a server for this controller; whether it is tracked is added.
 func (s *server) image() ServerImage {
 	image := ServerImage{
@@ -132,7 +126,7 @@
 		if saved.Server < 0 || saved.Server >= len(all) {
 			return nil, fmt.Errorf("there is no server %d", saved.Server)
 		}
-		c.abandoned = append(c.abandoned, abandonedAttempt{all[saved.Server], saved.Until})
+		c.slots.abandoned = append(c.slots.abandoned, abandonedAttempt{all[saved.Server], saved.Until})
 	}
 	return all, nil
 }
--- a/control/unsent_test.go
+++ b/control/unsent_test.go
@@ -38,7 +38,7 @@
 					look := func() books {
 						b := c.currentBin() + 1
 						return books{
-							account.quota.tokens, account.hardLimit.tokens, srv.slowStart.tokens, account.history.sent.periodSum(b), account.history.charged.periodSum(b), account.queuedUnits, account.inFlight.current, srv.inFlight, c.inFlight,
+							account.quota.tokens, account.hardLimit.tokens, srv.slowStart.tokens, account.history.sent.periodSum(b), account.history.charged.periodSum(b), account.queuedUnits, account.inFlight.current, srv.inFlight, c.slots.inFlight,
 							c.limiter.fractionalSlotFreeAt, account.inFlight.nextAttemptAt, srv.outlier.isProbing,
 						}
 					}
