--- a/internal/canary/compare.go
+++ b/internal/canary/compare.go
@@ -2,189 +2,224 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 // alpha is a measure's part of what false alarms are allowed: of a window, a stage and a side.
 func (j *Judge) alpha() float64 { return 0.7 * j.o.Alpha / float64(j.o.Stages) / (2 * measures) }
 
+// comparison is that of one measure over a stage, or over its later half.
+type comparison struct {
+	j                   *Judge
+	k                   int // the measure
+	from                int // the measure whose figures are compared: memory's for its growth
+	half                bool
+	margin              float64
+	least, unit         float64 // what differs by less counts as equal; of the denominator that one request is
+	freshControl, elder bool    // there are controls of this stage; changed ones of earlier stages
+	who                 []*member
+	windows             [][]batch // of each of who
+	refs                [][]batch // of those not changed
+	y0, d0              []float64 // what each did before, as numerator and denominator
+	v                   float64   // variance for each unit of a denominator
+	vs                  []float64 // the same of each
+	out                 Measure
+}
+
 // compare sets the sides against each other over a stage, or over its later half.
 func (j *Judge) compare(k int, half bool) Measure {
-	margin := j.o.margin(k)
+	c := &comparison{j: j, k: k, from: min(k, memory), half: half, margin: j.o.margin(k)}
 	if k == growth {
-		margin = j.o.growth(j.at - j.flip)
-	}
-	out := Measure{Name: names[k], Margin: margin, Low: math.Inf(-1), High: math.Inf(1)}
-	from := min(k, memory)
-	raw := func(i int) float64 {
-		if d := j.raw[i].d[from]; d > 0 {
-			return j.raw[i].y[from] / d
-		}
-		return 0
+		c.margin = j.o.growth(j.at - j.flip)
 	}
-	out.Old, out.New = raw(0), raw(1)
+	c.out = Measure{Name: names[k], Margin: c.margin, Low: math.Inf(-1), High: math.Inf(1), Old: c.raw(0), New: c.raw(1)}
 	if !relative(k) { // in a fault of the world what members differ by grows with what they have in common
-		margin = max(margin, out.Old/2)
-		out.Margin = margin
+		c.margin = max(c.margin, c.out.Old/2)
+		c.out.Margin = c.margin
+	}
+	if k == growth && !j.grows() {
+		return c.out
+	}
+	c.choose()
+	if len(c.refs) == 0 || len(c.refs) == len(c.who) {
+		return c.out
 	}
+	c.least, c.unit = c.margin/4, j.unit(k)
+	if !c.variances() {
+		return c.out
+	}
+	if sides, ok := c.sides(); ok {
+		j.contrast(&c.out, sides, half)
+		c.worse()
+	}
+	return c.out
+}
 
-	// Who takes part, with what it did before.
-	freshControl, elder := false, false
-	for _, m := range j.order {
-		freshControl = freshControl || m.fresh && m.side == Control
-		elder = elder || !m.fresh && m.side == New
+// raw is the measure of a side over the stage as it was read.
+func (c *comparison) raw(side int) float64 {
+	if d := c.j.raw[side].d[c.from]; d > 0 {
+		return c.j.raw[side].y[c.from] / d
 	}
-	if k == growth && !j.grows() {
-		return out
+	return 0
+}
+
+// choose finds who takes part, with what it did before.
+func (c *comparison) choose() {
+	for _, m := range c.j.order {
+		c.freshControl = c.freshControl || m.fresh && m.side == Control
+		c.elder = c.elder || !m.fresh && m.side == New
 	}
-	var who []*member
-	var windows [][]batch
-	var y0, d0 []float64
-	for _, m := range j.order {
+	for _, m := range c.j.order {
 		if m.strikes >= strikes {
-			out.Left++
+			c.out.Left++
 			continue
 		}
-		// Without a control new processes of this stage are too cold to be held against anybody, if others are not.
-		if m.side == New && m.fresh && m.young && elder && !freshControl && !j.o.Without.Control {
-			continue
-		}
-		// Memory goes by age: changed ones of this stage are held against controls of this stage alone.
-		if k >= memory && freshControl && m.side != Old && !m.fresh {
-			continue
-		}
-		w := m.window(half)
-		if _, d := sum(w, from); d <= 0 {
+		w := m.window(c.half)
+		if _, d := sum(w, c.from); d <= 0 || c.incomparable(m) {
 			continue
 		}
 		y, d := 0.0, 0.0
-		if m.based && !j.o.Without.Before {
-			if y, d = ratio(from, &m.base, j.cut); k >= memory {
+		if m.based && !c.j.o.Without.Before {
+			if y, d = ratio(c.from, &m.base, c.j.cut); c.k >= memory {
 				y, d = y*batches, d*batches
 			}
 		}
-		who, windows, y0, d0 = append(who, m), append(windows, w), append(y0, y), append(d0, d)
-	}
-	ones := make([]float64, len(who))
-	var refs [][]batch
-	for i, m := range who {
-		if ones[i] = 1; m.side != New {
-			refs = append(refs, windows[i])
+		c.who, c.windows, c.y0, c.d0 = append(c.who, m), append(c.windows, w), append(c.y0, y), append(c.d0, d)
+		if m.side != New {
+			c.refs = append(c.refs, w)
 		}
 	}
-	if len(refs) == 0 || len(refs) == len(who) {
-		return out
+}
+
+// incomparable tells whether a member's age keeps it out.
+func (c *comparison) incomparable(m *member) bool {
+	// Without a control new processes of this stage are too cold to be held against anybody, if others are not.
+	if m.side == New && m.fresh && m.young && c.elder && !c.freshControl && !c.j.o.Without.Control {
+		return true
 	}
-	least := margin / 4
-	unit := j.unit(k)
+	// Memory goes by age: changed ones of this stage are held against controls of this stage alone.
+	return c.k >= memory && c.freshControl && m.side != Old && !m.fresh
+}
+
+// variances estimates by how much members vary, from those not changed; false where these say too little.
+func (c *comparison) variances() bool {
 	var s spread
-	if relative(k) {
-		s = within(refs, ones[:len(refs)], from)
+	if relative(c.k) {
+		s = within(c.refs, slices.Repeat([]float64{1}, len(c.refs)), c.from)
 	} else {
-		s = dispersion(refs, k, unit, least)
+		s = dispersion(c.refs, c.k, c.unit, c.least)
 	}
 	if s.df < 6 {
-		return out
+		return false
 	}
-	v := s.v * (1 + 4/float64(s.df)) * float64(len(who)) / float64(len(who)-1)
-	if j.o.Without.Cluster {
-		v = min(v, 1)
+	c.v = s.v * (1 + 4/float64(s.df)) * float64(len(c.who)) / float64(len(c.who)-1)
+	if c.j.o.Without.Cluster {
+		c.v = min(c.v, 1)
 	}
 	loose := 0.0
-	if relative(k) && !j.o.Without.Cluster {
-		loose = wander(refs, from) * (1 + 4/float64(s.df))
-	}
-	vs := make([]float64, len(who)) // of each, for each unit of its denominator
-	for i := range vs {
-		vs[i] = v
-		if _, d := sum(windows[i], from); relative(k) {
-			n := 0.0
-			for b := range windows[i] {
-				n += windows[i][b].n
-			}
-			vs[i] = max(v, loose*d/max(n, 1))
-		}
-		if !relative(k) {
-			x := 0.0
-			for b := range windows[i] {
-				x += windows[i][b].x[k]
-			}
-			_, d := sum(windows[i], k)
-			vs[i] = v * unit * (x/d + least)
-		}
+	if relative(c.k) && !c.j.o.Without.Cluster {
+		loose = wander(c.refs, c.from) * (1 + 4/float64(s.df))
 	}
-	v0 := v
-	if !relative(k) {
-		then, n := 0.0, 0.0
-		for i := range y0 {
-			then, n = then+y0[i], n+d0[i]
-		}
-		if v0 = v * unit * (raw(0) + least); n > 0 { // before may have been another time
-			v0 = v * unit * (max(then/n, 0) + least)
-		}
+	c.vs = make([]float64, len(c.who))
+	for i, w := range c.windows {
+		c.vs[i] = c.variance(w, loose)
 	}
-	var was float64
-	if relative(k) { // shares of the fleet's rate, as the batches are
-		var sy, sd float64
-		for i := range y0 {
-			sy, sd = sy+y0[i], sd+d0[i]
-		}
-		if was = sy / sd; sd > 0 && was > 0 {
-			for i := range d0 {
-				d0[i] *= was
-			}
-		} else {
-			clear(d0)
-			clear(y0)
+	return true
+}
+
+// variance is that of one member, for each unit of its denominator.
+func (c *comparison) variance(w []batch, loose float64) float64 {
+	if relative(c.k) {
+		_, d := sum(w, c.from)
+		n := 0.0
+		for b := range w {
+			n += w[b].n
 		}
+		return max(c.v, loose*d/max(n, 1))
 	}
-	mean, before := shrink(y0, d0, v0)
-	if relative(k) && mean <= 0 {
-		mean = 1
-		for i := range before {
-			before[i].b = 1
-		}
+	x := 0.0
+	for b := range w {
+		x += w[b].x[c.k]
 	}
-	sides := j.estimates(k, who, windows, before, mean, vs)
+	_, d := sum(w, c.k)
+	return c.v * c.unit * (x/d + c.least)
+}
+
+// sides are what the members of each side say; false where there is nothing to hold them against.
+func (c *comparison) sides() (sides [3][]est, ok bool) {
+	mean, before := c.before()
+	sides = c.j.estimates(c.k, c.who, c.windows, before, mean, c.vs)
 	// A young process's memory grows: without its control's there is nothing to hold it against.
-	if k >= memory && freshControl && !j.o.Without.Control && len(sides[Control]) == 0 {
-		return out
+	if c.k >= memory && c.freshControl && !c.j.o.Without.Control && len(sides[Control]) == 0 {
+		return sides, false
 	}
 	// What was before helps only if members are now as they were then: after a fault of one zone they aren't.
 	// The old ones tell by differing less with it or without.
-	if len(sides[Old]) >= 8 && !relative(k) {
-		flat := make([]level, len(before))
-		for i := range flat {
-			flat[i] = level{mean, 0}
-		}
-		if plain := j.estimates(k, who, windows, flat, mean, vs); vary(plain[Old]) < vary(sides[Old]) {
+	if len(sides[Old]) >= 8 && !relative(c.k) {
+		flat := slices.Repeat([]level{{mean, 0}}, len(before))
+		if plain := c.j.estimates(c.k, c.who, c.windows, flat, mean, c.vs); vary(plain[Old]) < vary(sides[Old]) {
 			sides = plain
 		}
 	}
-	j.contrast(&out, sides, half)
-	if k == growth { // what shows is harm also where the margin of a pass is wider
-		out.Worse = out.Low > j.o.grown()/4
+	return sides, true
+}
+
+// before is what the members did before, in the mean and each.
+func (c *comparison) before() (mean float64, each []level) {
+	var y, d float64
+	for i := range c.y0 {
+		y, d = y+c.y0[i], d+c.d0[i]
 	}
-	if !relative(k) {
-		// Few counts are skewed: the normal's bound lacks z^2/6 of them (Cornish and Fisher), five at our levels.
-		// What a request is worth differs, so that its counts are more skewed than they vary.
-		few := 5.0
-		if k == lost {
-			few = 12
+	if !relative(c.k) {
+		v := c.v * c.unit * (c.raw(0) + c.least)
+		if d > 0 { // before may have been another time
+			v = c.v * c.unit * (max(y/d, 0) + c.least)
 		}
-		n := 0.0
-		for i, m := range who {
-			if m.side == New {
-				_, d := sum(windows[i], k)
-				n += d
-			}
+		return shrink(c.y0, c.d0, v)
+	}
+	if was := y / d; d > 0 && was > 0 { // shares of the fleet's rate, as the batches are
+		for i := range c.d0 {
+			c.d0[i] *= was
 		}
-		if !j.o.Without.Slack {
-			out.Low -= few * v * unit / n
+	} else {
+		clear(c.d0)
+		clear(c.y0)
+	}
+	if mean, each = shrink(c.y0, c.d0, c.v); mean <= 0 {
+		mean = 1
+		for i := range each {
+			each[i].b = 1
 		}
-		out.Worse = out.Low > j.slack(margin)
 	}
-	return out
+	return mean, each
+}
+
+// worse decides whether harm is shown.
+func (c *comparison) worse() {
+	if c.k == growth { // what shows is harm also where the margin of a pass is wider
+		c.out.Worse = c.out.Low > c.j.o.grown()/4
+	}
+	if relative(c.k) {
+		return
+	}
+	// Few counts are skewed: the normal's bound lacks z^2/6 of them (Cornish and Fisher), five at our levels.
+	// What a request is worth differs, so that its counts are more skewed than they vary.
+	few := 5.0
+	if c.k == lost {
+		few = 12
+	}
+	n := 0.0
+	for i, m := range c.who {
+		if m.side == New {
+			_, d := sum(c.windows[i], c.k)
+			n += d
+		}
+	}
+	if !c.j.o.Without.Slack {
+		c.out.Low -= few * c.v * c.unit / n
+	}
+	c.out.Worse = c.out.Low > c.j.slack(c.margin)
 }
 
 // grows tells whether the growth of memory can be compared: that of processes which began with a stage needs
--- a/internal/command/simulate_rollout.go
+++ b/internal/command/simulate_rollout.go
@@ -79,22 +79,8 @@
 	if p.without == "each" {
 		without = append([]string{""}, rolloutsim.MutationNames()...)
 	}
-	var todo []rolloutsim.Options
-	o := rolloutsim.Options{Rate: p.rate, Runs: p.runs, FaultEvery: p.every, Seed: p.seed}
-	for _, o.Instances = range sizes {
-		for _, o.Traffic = range traffics {
-			for _, h := range harms {
-				o.Harm = rolloutsim.Harms[slices.Index(harmNames(), h)]
-				for _, o.Judge = range judges {
-					for _, o.Without = range without {
-						todo = append(todo, o)
-					}
-				}
-			}
-		}
-	}
 	var all []rolloutsim.Report
-	for _, o := range todo {
+	for _, o := range p.options(sizes, traffics, harms, judges, without) {
 		fmt.Fprintf(e.Err, "playing %d rollouts over %d instances, %s traffic, harm: %s\n", o.Runs, o.Instances, o.Traffic, o.Harm.Name)
 		r, err := rolloutsim.Run(o)
 		if err != nil {
@@ -111,6 +97,24 @@
 	return nil
 }
 
+// options lists every play: each size, traffic, harm and judge, without each thing.
+func (p *rolloutPlay) options(sizes []int, traffics, harms, judges, without []string) (all []rolloutsim.Options) {
+	o := rolloutsim.Options{Rate: p.rate, Runs: p.runs, FaultEvery: p.every, Seed: p.seed}
+	for _, o.Instances = range sizes {
+		for _, o.Traffic = range traffics {
+			for _, h := range harms {
+				o.Harm = rolloutsim.Harms[slices.Index(harmNames(), h)]
+				for _, o.Judge = range judges {
+					for _, o.Without = range without {
+						all = append(all, o)
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
 func printRollouts(w io.Writer, all []rolloutsim.Report) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "instances\ttraffic\tharm\tjudge\twithout\truns\tworse\tpart, 95%\tno evidence\tpassed\tat stage\tminutes\treached\tharmed\tharmed, 95%\t")
--- a/internal/fleet/between.go
+++ b/internal/fleet/between.go
@@ -45,49 +45,7 @@
 // meet writes the settings of mixture.Meet as a change of old's text, and holds the result against it.
 func meet(text []byte, old, new regions.Region) ([]byte, error) {
 	want := mixture.Meet(old, new)
-	change := make(map[string]any)
-	set := func(v any, path ...string) {
-		at := change
-		for _, key := range path[:len(path)-1] {
-			if at[key] == nil {
-				at[key] = make(map[string]any)
-			}
-			at = at[key].(map[string]any)
-		}
-		at[path[len(path)-1]] = v
-	}
-	var without []string
-	if want.Instances != old.Instances {
-		set(want.Instances, "process", "instances")
-	}
-	for i, s := range want.Services {
-		was := old.Services[i]
-		if s.Cold != was.Cold {
-			set(s.Cold.For.String(), "services", s.Name, "cold")
-			set(s.Cold.From, "services", s.Name, "cold_from")
-			set(s.Cold.Multiple, "services", s.Name, "fall_multiple")
-		}
-		for k, p := range s.Plans {
-			if p == was.Plans[k] {
-				continue
-			}
-			for key, v := range map[string]float64{"rate": p.QuotaRate, "ceiling_rate": p.HardLimitRate, "ceiling_burst": p.HardLimitBurst, "ceiling_slack": p.HardLimitSlack} {
-				if v > 0 || p.HardLimitRate > 0 && key != "rate" {
-					set(v, "plans", p.Name, key)
-				}
-			}
-		}
-		for k, c := range s.Classes {
-			if c != was.Classes[k] {
-				for key, v := range terms(c) {
-					set(v, "classes", c.Name, key)
-				}
-				if was.Classes[k].Idempotency == control.IdempotencyKeyed && c.Idempotency != control.IdempotencyKeyed {
-					without = append(without, "classes."+c.Name+".key_scope", "classes."+c.Name+".repeat_window")
-				}
-			}
-		}
-	}
+	change, without := changeTo(old, want)
 	var r tree.Reading
 	base, ok := r.Parse("the old settings", text)
 	if !ok {
@@ -131,6 +89,65 @@
 	return out, nil
 }
 
+// changeTo is what of a region's settings has to change to be as wanted, as a document, and the keys to leave out.
+func changeTo(old, want regions.Region) (change map[string]any, without []string) {
+	change = make(map[string]any)
+	set := func(v any, path ...string) {
+		at := change
+		for _, key := range path[:len(path)-1] {
+			if at[key] == nil {
+				at[key] = make(map[string]any)
+			}
+			at = at[key].(map[string]any)
+		}
+		at[path[len(path)-1]] = v
+	}
+	if want.Instances != old.Instances {
+		set(want.Instances, "process", "instances")
+	}
+	for i, s := range want.Services {
+		was := old.Services[i]
+		if s.Cold != was.Cold {
+			set(s.Cold.For.String(), "services", s.Name, "cold")
+			set(s.Cold.From, "services", s.Name, "cold_from")
+			set(s.Cold.Multiple, "services", s.Name, "fall_multiple")
+		}
+		setPlans(set, was.Plans, s.Plans)
+		without = append(without, setClasses(set, was.Classes, s.Classes)...)
+	}
+	return change, without
+}
+
+// setPlans sets what plans have otherwise than before.
+func setPlans(set func(v any, path ...string), was, plans []control.Plan) {
+	for k, p := range plans {
+		if p == was[k] {
+			continue
+		}
+		for key, v := range map[string]float64{"rate": p.QuotaRate, "ceiling_rate": p.HardLimitRate, "ceiling_burst": p.HardLimitBurst, "ceiling_slack": p.HardLimitSlack} {
+			if v > 0 || p.HardLimitRate > 0 && key != "rate" {
+				set(v, "plans", p.Name, key)
+			}
+		}
+	}
+}
+
+// setClasses sets what classes have otherwise than before, and gives the keys that they have no more.
+func setClasses(set func(v any, path ...string), was, classes []control.Class) (without []string) {
+	for k, c := range classes {
+		if c == was[k] {
+			continue
+		}
+		for key, v := range terms(c) {
+			set(v, "classes", c.Name, key)
+		}
+		if was[k].Idempotency == control.IdempotencyKeyed && c.Idempotency != control.IdempotencyKeyed {
+			without = append(without, "classes."+c.Name+".key_scope", "classes."+c.Name+".repeat_window")
+		}
+	}
+	return without
+}
+
 func terms(c control.Class) map[string]any {
 	t := map[string]any{"repeats": [...]string{"free", "keyed", "never"}[c.Idempotency], "deadline": c.Deadline.String(), "aim": c.LatencyObjective.String()}
 	if c.Idempotency == control.IdempotencyKeyed {
--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -22,29 +22,21 @@
 	sent := w.Now()
 	w.rep.Attempts++
 	h, life := w.byID[a.Server], w.nodes[i].life
-	end := func(after time.Duration, why control.Reason, ran, whole bool) {
-		w.After(after, func() {
-			if whole {
-				w.check.Ended(a.ID, sent, h.id, ran)
-				w.plan.quotas.ended(t.call.cust)
-			}
-			if w.nodes[i].life == life && !w.nodes[i].down {
-				w.ended(i, a.ID, n, h, why)
-			}
-		})
+	ended := func(why control.Reason, ran, whole bool) {
+		if whole {
+			w.check.Ended(a.ID, sent, h.id, ran)
+			w.plan.quotas.ended(t.call.cust)
+		}
+		if w.nodes[i].life == life && !w.nodes[i].down {
+			w.ended(i, a.ID, n, h, why)
+		}
 	}
-	switch {
-	case h.state == hostGone:
-		end(time.Millisecond, control.ConnectFailed, false, false)
-		return
-	case h.state == hostSilent || w.Now() < h.cutUntil:
-		end(min(connectTime, t.until-w.Now()), control.ConnectFailed, false, false)
-		return
+	end := func(after time.Duration, why control.Reason, ran, whole bool) {
+		w.After(after, func() { ended(why, ran, whole) })
 	}
-	after := w.connect(i, h)
-	if len(h.conns) > dayConns || after > connectTime { // it is given up, and nothing was written
-		delete(h.conns, i)
-		end(min(after, connectTime), control.ConnectFailed, false, false)
+	after, connected := w.reach(i, h, t.until)
+	if !connected { // nothing was written
+		end(after, control.ConnectFailed, false, false)
 		return
 	}
 	// It has come whole from here on.
@@ -82,21 +74,31 @@
 		end(done, control.ResetByPeer, true, true)
 	default:
 		w.After(done, func() {
-			lost := h.life != hl // its process ended under the request
-			w.check.Ended(a.ID, sent, h.id, true)
-			w.plan.quotas.ended(c.cust)
-			if w.nodes[i].life != life || w.nodes[i].down {
-				return
-			}
 			why := control.OK
-			if lost {
+			if h.life != hl { // its process ended under the request
 				why = control.ResetByPeer
 			}
-			w.ended(i, a.ID, n, h, why)
+			ended(why, true, true)
 		})
 	}
 }
 
+// reach is how long it takes to connect to a server, or until that is given up.
+func (w *world) reach(i int, h *host, until time.Duration) (after time.Duration, connected bool) {
+	switch {
+	case h.state == hostGone:
+		return time.Millisecond, false
+	case h.state == hostSilent || w.Now() < h.cutUntil:
+		return min(connectTime, until-w.Now()), false
+	}
+	after = w.connect(i, h)
+	if len(h.conns) > dayConns || after > connectTime {
+		delete(h.conns, i)
+		return min(after, connectTime), false
+	}
+	return after, true
+}
+
 // connect is how long it takes until a request may be written to a server.
 func (w *world) connect(i int, h *host) time.Duration {
 	last, ok := h.conns[i]
--- a/internal/measure/change.go
+++ b/internal/measure/change.go
@@ -162,12 +162,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var all []fake.Answer
-	clients := fake.Clients{Addr: run.Addr(0), Workers: o.Clients, Call: func(rng *rand.Rand) fake.Call {
-		return fake.Call{
-			Kind: "x", Host: "care.example", Method: "POST", Path: "/visit-update", Plan: "standard", Body: "swap",
-			Key: strconv.FormatUint(rng.Uint64(), 16), Customer: rng.Uint64N(500), Deadline: 3 * time.Second,
-		}
-	}, Seen: func(a fake.Answer) {
+	clients := fake.Clients{Addr: run.Addr(0), Workers: o.Clients, Call: visitUpdate, Seen: func(a fake.Answer) {
 		mu.Lock()
 		defer mu.Unlock()
 		all = append(all, a)
@@ -224,6 +219,14 @@
 	r.Around, r.Quiet = times(&around), times(&quiet)
 }
 
+// visitUpdate is a write with a key of its own.
+func visitUpdate(rng *rand.Rand) fake.Call {
+	return fake.Call{
+		Kind: "x", Host: "care.example", Method: "POST", Path: "/visit-update", Plan: "standard", Body: "swap",
+		Key: strconv.FormatUint(rng.Uint64(), 16), Customer: rng.Uint64N(500), Deadline: 3 * time.Second,
+	}
+}
+
 func times(t *fake.Times) Times {
 	return Times{N: t.N(), P50: ms(t.P(0.5)), P99: ms(t.P(0.99)), Max: ms(t.P(1))}
 }
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -263,6 +263,31 @@
 	return []string{"reload", "--config", path}, desiredstate.Hash(text), nil
 }
 
+// changeEnd is how a change ended.
+type changeEnd struct {
+	none   bool // nothing of it was begun
+	killed bool // its first coordinator was
+	back   bool // it had to be taken back
+	over   bool // the last coordinator found it over
+	code   int  // the last coordinator's
+}
+
+// wrong tells whether members may not be left in a state by it.
+func (e *changeEnd) wrong(state string) bool {
+	switch {
+	case state == "mixed":
+		return true
+	case e.none:
+		return state != "old"
+	case e.over || !e.killed:
+		return !e.killed && (e.code != 0 || state != "new")
+	case e.back:
+		return state != "old" || e.code != 1
+	default:
+		return state != "new" || e.code != 0
+	}
+}
+
 // change begins a change whose coordinator is killed, and has it ended. killed tells whether it was.
 func (r *rolloutRig) change(ctx context.Context, kind string, kill int, way string) (killed bool, err error) {
 	begun := time.Now()
@@ -292,7 +317,6 @@
 	// A coordinator that was killed before its first write has begun nothing.
 	none := kill == -1 || len(records) == 0
 	log := said
-	back := strings.HasPrefix(way, "take-back")
 	flag, again := "--"+strings.SplitN(way, ",", 2)[0], 0
 	if strings.HasSuffix(way, "again") {
 		again = 1 + r.rng.IntN(8)
@@ -319,20 +343,8 @@
 	case now[old[0]] == r.o.Members:
 		row.State = "old"
 	}
-	var wrong bool
-	switch over := strings.Contains(said, "the change is over"); {
-	case row.State == "mixed":
-		wrong = true
-	case none:
-		wrong = row.State != "old"
-	case over || !killed:
-		wrong = !killed && (code != 0 || row.State != "new")
-	case back:
-		wrong = row.State != "old" || code != 1
-	default:
-		wrong = row.State != "new" || code != 0
-	}
-	if wrong {
+	end := changeEnd{none: none, killed: killed, back: strings.HasPrefix(way, "take-back"), over: strings.Contains(said, "the change is over"), code: code}
+	if end.wrong(row.State) {
 		r.rep.Wrong = append(r.rep.Wrong, fmt.Sprintf("%s, killed at write %d, then %s: exit %d, members run %v; before %v, next %.12s\n%s", kind, kill, way, code, now, old, next, log))
 	}
 	if killed {
--- a/internal/regions/loop.go
+++ b/internal/regions/loop.go
@@ -95,12 +95,8 @@
 			if !on[i] {
 				continue
 			}
-			var ahead []int32
-			for _, j := range to[l.attrs.all[r.attr].leads] {
-				if on[j] {
-					ahead = append(ahead, j)
-				}
-			}
+			leads := to[l.attrs.all[r.attr].leads]
+			ahead := slices.DeleteFunc(slices.Clone(leads), func(j int32) bool { return !on[j] })
 			if len(ahead) > 0 && !once(r.area.headers) {
 				l.from[i] = append(l.from[i], transit{r, ahead})
 			}
--- a/internal/regions/pairs.go
+++ b/internal/regions/pairs.go
@@ -73,21 +73,22 @@
 		}
 		for _, kind := range []Kind{ServiceKind, CoverageKind, TermsKind} {
 			found := x.differing(kind, w, j, seen)
-			if len(variants) > 1 && len(found) > 0 {
-				if seen == nil {
-					seen = make(map[shown]struct{})
-				}
+			if len(found) == 0 {
+				continue
+			}
+			if len(variants) > 1 && seen == nil {
+				seen = make(map[shown]struct{})
+			}
+			if len(variants) > 1 {
 				for _, pair := range found {
 					seen[shown{kind, pair}] = struct{}{}
 				}
 			}
-			if len(found) > 0 {
-				f := finding{kind: kind, witness: w, d: d, j: j, pairs: found}
-				for _, s := range x.with {
-					f.with = append(f.with, s.region)
-				}
-				all = append(all, f)
+			f := finding{kind: kind, witness: w, d: d, j: j, pairs: found}
+			for _, s := range x.with {
+				f.with = append(f.with, s.region)
 			}
+			all = append(all, f)
 		}
 	}
 	return all
--- a/internal/regions/sums.go
+++ b/internal/regions/sums.go
@@ -219,12 +219,7 @@
 	for _, h := range x.regions {
 		for i := range h.Services {
 			s := &h.Services[i]
-			servers := s.Servers
-			if len(servers) == 0 && s.Source != "" {
-				if servers = known[s.Source]; len(servers) == 0 {
-					servers = []string{s.Source}
-				}
-			}
+			servers := serversOf(s, known)
 			if len(servers) == 0 {
 				continue
 			}
@@ -246,6 +241,18 @@
 	return listers, by
 }
 
+// serversOf are a service's servers: its own, those known of its source, or else the source itself.
+func serversOf(s *Service, known map[string][]string) []string {
+	switch {
+	case len(s.Servers) > 0 || s.Source == "":
+		return s.Servers
+	case len(known[s.Source]) > 0:
+		return known[s.Source]
+	default:
+		return []string{s.Source}
+	}
+}
+
 // knownServers are the servers of each source, by the region that names the most.
 func (x *Index) knownServers() map[string][]string {
 	known := make(map[string][]string)
--- a/internal/regiontrial/trial.go
+++ b/internal/regiontrial/trial.go
@@ -289,21 +289,29 @@
 		said = append(said, fmt.Sprintf("%s %s: exit %d: %s", way[0], way[1], e.code, e.said[max(len(e.said)-1500, 0):]))
 	}
 	if !rep.Changed {
-		e, err := r.coordinate(ctx, 0, r.flags(files[after], "journal", "--unjudged", "--bake", "100ms", "--bake-most", "5s")...)
-		if err != nil {
-			return err
-		}
-		if err := r.generations("journal"); err != nil {
+		if changed, err := r.changeAgain(ctx, hashes, files); err != nil || !changed {
 			return err
 		}
-		if k, one, told := r.state(ctx, hashes); e.code != exitDone || !one || k != after {
-			r.notes.Wrong("without faults the change ends with %d:%s: %s", e.code, told, e.said[max(len(e.said)-1500, 0):])
-			return nil
-		}
 	}
 	return r.harm(ctx, rep, hashes, files)
 }
 
+// changeAgain makes the change without faults.
+func (r *run) changeAgain(ctx context.Context, hashes map[kind][]string, files map[kind]string) (changed bool, err error) {
+	e, err := r.coordinate(ctx, 0, r.flags(files[after], "journal", "--unjudged", "--bake", "100ms", "--bake-most", "5s")...)
+	if err != nil {
+		return false, err
+	}
+	if err := r.generations("journal"); err != nil {
+		return false, err
+	}
+	if k, one, told := r.state(ctx, hashes); e.code != exitDone || !one || k != after {
+		r.notes.Wrong("without faults the change ends with %d:%s: %s", e.code, told, e.said[max(len(e.said)-1500, 0):])
+		return false, nil
+	}
+	return true, nil
+}
+
 // harm begins a harmful change, which has to be stopped and taken back, and counts the members that it reached.
 func (r *run) harm(ctx context.Context, rep *Report, hashes map[kind][]string, files map[kind]string) error {
 	for _, h := range hashes[harmful] {
--- a/internal/rolloutsim/sim.go
+++ b/internal/rolloutsim/sim.go
@@ -163,15 +163,10 @@
 		controls := min(target-changed, 8, (o.Instances-target+1)/2)
 		batch := max(1, (target-changed+batchesOf-1)/batchesOf)
 		for looks := 1; ; looks++ {
-			for range batch {
-				if changed < target {
-					w.restart(w.all[turns[changed]], canary.New, 0)
-					if controls > 0 { // at the same time, and in the same zone
-						w.control(w.all[turns[changed]])
-						controls--
-					}
-					changed++
-				}
+			for range min(batch, target-changed) {
+				w.change(w.all[turns[changed]], controls > 0)
+				controls--
+				changed++
 			}
 			j.Observe(w.now, w.step())
 			if looks%lookEvery != 0 || looks > 10*lookEvery && looks%(3*lookEvery) != 0 {
@@ -216,6 +211,14 @@
 	return turns
 }
 
+// change restarts an instance with what is new, and a control at the same time and in the same zone.
+func (w *world) change(x *instance, control bool) {
+	w.restart(x, canary.New, 0)
+	if control {
+		w.control(x)
+	}
+}
+
 // control restarts an old one beside a changed one: of the same zone where there is one, and with as much traffic.
 func (w *world) control(of *instance) {
 	var pick *instance
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -1,6 +1,7 @@
 package rolloutsim
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -176,12 +177,8 @@
 	part, grown, over, costs := 0.0, 1.0, 0.0, 0.0
 	if x.side == canary.New && age >= h.After && dose >= h.Dose {
 		part, over, costs = h.Fails, h.Ceil, h.Costs
-		if h.Slower > 0 {
-			slower *= h.Slower
-		}
-		if h.Crash > 0 {
-			crash = h.Crash
-		}
+		slower *= cmp.Or(max(h.Slower, 0), 1)
+		crash = cmp.Or(max(h.Crash, 0), crash)
 		grown += h.Grows * age.Minutes()
 	}
 	// What passes ceilings overloads the servers of all.
