Split the long tests of package front, and hold it to the linter's limits

Their fixtures are functions now (departureNode, dialGated, connectSmall) and their cases tables; every assertion stands as before: 12, 17 and 12 calls of Error and Fatal in the three files, before and after.

--- a/internal/front/client_departure_test.go
+++ b/internal/front/client_departure_test.go
@@ -22,119 +22,55 @@
 	"lockflow/internal/upstream"
 )
 
-// A client that sends two requests of more than net/http reads ahead at once and goes, while the first
-// waits for its turn, has neither be sent on. net/http sees no more than the first byte of the second. The
-// same goes for one that has sent as much as the sockets take: its end is not in the node's, which is full.
-func TestDepartedClientBehindPipelinedRequestIsNotForwarded(t *testing.T) {
-	const stays = "stays" // and is told that it was refused
-	for _, class := range []control.Class{{Idempotency: control.Idempotent}, {Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute}, {Idempotency: control.NotIdempotent}} {
-		for how, leave := range map[string]func(*net.TCPConn){
-			"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
-			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, "floods and closes": func(c *net.TCPConn) { flood(c); c.Close() },
-			"floods and half-closes": func(c *net.TCPConn) { flood(c); c.CloseWrite() }, "floods and " + stays: flood,
-		} {
-			t.Run(fmt.Sprint(how, " effect ", class.Idempotency), func(t *testing.T) {
-				let := make(chan struct{})
-				open := sync.OnceFunc(func() { close(let) })
-				app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
-					if strings.HasPrefix(r.URL.Path, "/job/f") {
-						<-let
-					}
-					io.WriteString(w, "ok")
-				})
-				t.Cleanup(open) // before the server's end, which waits for it
-				class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "job", time.Minute, time.Minute, 1
-				ready := make(chan struct{})
-				s, err := service.New(service.Options{
-					AnyMethod: true, OnReady: func() { close(ready) },
-					Settings: control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}}, Classes: []control.Class{class}},
-					Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up", Capacity: 1}}},
-					Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSocketLimiter(100)},
-				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				ctx, stop := context.WithCancel(t.Context())
-				ended := make(chan error, 1)
-				go func() { ended <- s.Run(ctx) }()
-				defer func() {
-					stop()
-					if err := <-ended; err != nil {
-						t.Error(err)
-					}
-				}()
-				testkit.Next(t, ready)
-				to := Target{Service: s, Class: "job", MaxBodyBytes: 1 << 20}
-				f := New(&RoutingTable{Targets: []Target{to}}, func() bool { return true })
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				srv := f.Server()
-				go srv.Serve(ValidatingListener(limits.Listen(ctx, l, limits.NewSocketLimiter(100))))
-				defer srv.Close()
+// departures are the ways in which a client ends its connection, or fills it without doing so.
+var departures = []struct {
+	name   string
+	depart func(*net.TCPConn)
+	floods bool // the client's close cannot be seen behind what it has sent
+	stays  bool // the client waits for an answer
+}{
+	{name: "closes", depart: func(c *net.TCPConn) { c.Close() }},
+	{name: "half-closes", depart: func(c *net.TCPConn) { c.CloseWrite() }},
+	{name: "resets", depart: func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+	{name: "floods and closes", depart: func(c *net.TCPConn) { flood(c); c.Close() }, floods: true},
+	{name: "floods and half-closes", depart: func(c *net.TCPConn) { flood(c); c.CloseWrite() }, floods: true},
+	{name: "floods and stays", depart: flood, floods: true, stays: true},
+}
 
-				send := func(ids ...string) *net.TCPConn {
-					c, err := net.Dial("tcp", l.Addr().String())
-					if err != nil {
-						t.Fatal(err)
-					}
-					t.Cleanup(func() { c.Close() })
-					var all strings.Builder
-					for _, id := range ids {
-						fmt.Fprintf(&all, "POST /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\n%s: k-%s\r\nContent-Length: 9000\r\n\r\n%s",
-							id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderKey, id, strings.Repeat("x", 9000))
-					}
-					if class.Idempotency == control.Idempotent { // such come without a body
-						all.Reset()
-						for _, id := range ids {
-							fmt.Fprintf(&all, "GET /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\nX-More: %s\r\n\r\n",
-								id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, strings.Repeat("x", 9000))
-						}
-					}
-					if _, err := io.WriteString(c, all.String()); err != nil {
-						t.Fatal(err)
-					}
-					return c.(*net.TCPConn)
-				}
-				answered := func(c net.Conn) string {
-					c.SetDeadline(time.Now().Add(testkit.Patience))
-					b := make([]byte, len("HTTP/1.1 200"))
-					io.ReadFull(c, b)
-					return string(b)
-				}
-				first := []net.Conn{send("f0"), send("f1")} // all places
-				testkit.Until(t, "two at the server", func() bool { return app.Count() == 2 })
-				c := send("left", "behind")
-				testkit.Until(t, "its turn's wait", func() bool { return s.Status().Requests == 3 })
-				leave(c)
-				testkit.Until(t, "its end to be there", func() bool {
-					f.clients.mu.Lock()
-					defer f.clients.mu.Unlock()
-					n := 0
-					for _, c := range f.clients.connections {
-						if (sequentialClient{c}).There() {
-							n++
-						}
-					}
-					return n == 2
-				})
-				open()
-				for _, c := range first {
-					if got := answered(c); got != "HTTP/1.1 200" {
+// A client sends two requests, the first of which is longer than what net/http reads ahead, and leaves while
+// the first is queued. Neither request may be forwarded, although net/http sees no more than the first byte
+// of the second. The same holds for a client that has filled the receive buffer, which hides its close.
+func TestDepartedClientBehindPipelinedRequestIsNotForwarded(t *testing.T) {
+	for _, class := range []control.Class{
+		{Idempotency: control.Idempotent},
+		{Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute},
+		{Idempotency: control.NotIdempotent},
+	} {
+		for _, departure := range departures {
+			t.Run(fmt.Sprint(departure.name, " effect ", class.Idempotency), func(t *testing.T) {
+				node := startDepartureNode(t, class)
+				first := []net.Conn{node.send("f0"), node.send("f1")} // the plan's whole in-flight quota
+				testkit.Until(t, "two at the server", func() bool { return node.app.Count() == 2 })
+				client := node.send("left", "behind")
+				testkit.Until(t, "its place in the queue", func() bool { return node.service.Status().Requests == 3 })
+				departure.depart(client)
+				testkit.Until(t, "its end to be there", func() bool { return node.connectedClients() == 2 })
+				node.openGate()
+				for _, conn := range first {
+					if got := readStatusLine(conn); got != "HTTP/1.1 200" {
 						t.Errorf("one before it: %q", got)
 					}
 				}
-				testkit.Until(t, "its end", func() bool { return s.Status().Requests == 0 })
-				if got := answered(send("next")); got != "HTTP/1.1 200" {
+				testkit.Until(t, "its end", func() bool { return node.service.Status().Requests == 0 })
+				if got := readStatusLine(node.send("next")); got != "HTTP/1.1 200" {
 					t.Errorf("the next one: %q", got)
 				}
-				switch got := answered(c); {
-				case strings.HasSuffix(how, stays) && got != "HTTP/1.1 503",
-					strings.HasPrefix(got, "HTTP") && !strings.HasPrefix(how, "floods"), strings.HasSuffix(got, "200"):
-					t.Errorf("who was not sent on was told %q", got)
+				switch got := readStatusLine(client); {
+				case departure.stays && got != "HTTP/1.1 503",
+					strings.HasPrefix(got, "HTTP") && !departure.floods, strings.HasSuffix(got, "200"):
+					t.Errorf("the client that was not forwarded got %q", got)
 				}
-				if seen := strings.Join(app.Requests(), " "); strings.Contains(seen, "left") || strings.Contains(seen, "behind") {
+				if seen := strings.Join(node.app.Requests(), " "); strings.Contains(seen, "left") || strings.Contains(seen, "behind") {
 					t.Errorf("the server saw %.200s", seen)
 				}
 			})
@@ -142,7 +78,133 @@
 	}
 }
 
-// flood sends as much as the sockets take.
+// departureNode is a front over a service with two places in flight and one server, which answers the
+// requests whose IDs begin with "f" once its gate is open.
+type departureNode struct {
+	t        *testing.T
+	class    control.Class
+	app      *testkit.App
+	openGate func()
+	service  *service.Service
+	front    *Front
+	address  string
+}
+
+func startDepartureNode(t *testing.T, class control.Class) *departureNode {
+	t.Helper()
+	gate := make(chan struct{})
+	n := &departureNode{t: t, openGate: sync.OnceFunc(func() { close(gate) })}
+	n.app = testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/job/f") {
+			<-gate
+		}
+		io.WriteString(w, "ok")
+	})
+	t.Cleanup(n.openGate) // before the server's shutdown, which waits for its handlers
+	class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "job", time.Minute, time.Minute, 1
+	n.class = class
+	n.startService()
+	n.startFront()
+	return n
+}
+
+// startService runs the service until the test ends.
+func (n *departureNode) startService() {
+	n.t.Helper()
+	ready := make(chan struct{})
+	settings := control.Settings{
+		GroupSize: 1, MaxRetryAfter: time.Second,
+		Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}}, Classes: []control.Class{n.class},
+	}
+	server := discovery.Target{UID: "s-1", Endpoint: n.app.Addr(), State: "up", Capacity: 1}
+	s, err := service.New(service.Options{
+		AnyMethod: true, OnReady: func() { close(ready) }, Settings: settings,
+		Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{server}},
+		Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSocketLimiter(100)},
+	})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.service = s
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	n.t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			n.t.Error(err)
+		}
+	})
+	testkit.Next(n.t, ready)
+}
+
+// startFront serves clients until the test ends.
+func (n *departureNode) startFront() {
+	n.t.Helper()
+	target := Target{Service: n.service, Class: "job", MaxBodyBytes: 1 << 20}
+	n.front = New(&RoutingTable{Targets: []Target{target}}, func() bool { return true })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.address = listener.Addr().String()
+	server := n.front.Server()
+	ctx, stop := context.WithCancel(context.Background())
+	go server.Serve(ValidatingListener(limits.Listen(ctx, listener, limits.NewSocketLimiter(100))))
+	n.t.Cleanup(func() { server.Close(); stop() })
+}
+
+// send sends requests with the IDs on a new connection.
+func (n *departureNode) send(ids ...string) *net.TCPConn {
+	n.t.Helper()
+	conn, err := net.Dial("tcp", n.address)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { conn.Close() })
+	var requests strings.Builder
+	for _, id := range ids {
+		requests.WriteString(n.request(id))
+	}
+	if _, err := io.WriteString(conn, requests.String()); err != nil {
+		n.t.Fatal(err)
+	}
+	return conn.(*net.TCPConn)
+}
+
+// request is a request of 9000 bytes and more: in its body, or in a header if its class has no bodies.
+func (n *departureNode) request(id string) string {
+	long := strings.Repeat("x", 9000)
+	if n.class.Idempotency == control.Idempotent {
+		return fmt.Sprintf("GET /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\nX-More: %s\r\n\r\n",
+			id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, long)
+	}
+	return fmt.Sprintf("POST /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\n%s: k-%s\r\nContent-Length: 9000\r\n\r\n%s",
+		id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderKey, id, long)
+}
+
+// connectedClients counts the clients that the front takes to be there.
+func (n *departureNode) connectedClients() int {
+	n.front.clients.mu.Lock()
+	defer n.front.clients.mu.Unlock()
+	count := 0
+	for _, c := range n.front.clients.connections {
+		if (sequentialClient{c}).There() {
+			count++
+		}
+	}
+	return count
+}
+
+// readStatusLine reads the beginning of an answer, as long as "HTTP/1.1 200"; zeros stand for what is missing.
+func readStatusLine(conn net.Conn) string {
+	conn.SetDeadline(time.Now().Add(testkit.Patience))
+	line := make([]byte, len("HTTP/1.1 200"))
+	io.ReadFull(conn, line)
+	return string(line)
+}
+
+// flood sends until the socket buffers are full.
 func flood(c *net.TCPConn) {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -156,8 +218,8 @@
 	}
 }
 
-// A client that leaves while its request is held is noticed at once however it asked, also long after the
-// time that a request has to come, and one that stays is not taken to have left.
+// The departure of a client is noticed at once while its request is queued, whatever the form of the request
+// and also long after the read timeout; a client that stays is not taken to have left.
 func TestClientDepartureIsNoticed(t *testing.T) {
 	const get, post = "GET /read?account=0000000000000001 HTTP/1.", "POST /write?account=0000000000000001 HTTP/1.1\r\n" + requestHeaders
 	long := strings.Repeat("x", 1<<16)
@@ -174,31 +236,34 @@
 	} {
 		for _, late := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, ", late ", late), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					m, _, s, stop := startFront(t, keepQueued, nil, nil)
-					defer stop()
-					c := m.dial()
-					defer c.Close()
-					go io.Copy(io.Discard, c) // it takes what it is told
-					for _, p := range parts {
-						io.WriteString(c, p)
-						synctest.Wait()
-					}
-					if s.Status().Unanswered != 1 {
-						t.Fatalf("%+v", s.Status())
-					}
-					if late {
-						time.Sleep(3 * requestReadTimeout)
-						if s.Status().Unanswered != 1 {
-							t.Error("taken to have left")
-						}
-					}
-					c.Close()
-					if synctest.Wait(); s.Status().Unanswered != 0 {
-						t.Error("it still waits")
-					}
-				})
+				synctest.Test(t, func(t *testing.T) { testDeparture(t, parts, late) })
 			})
 		}
 	}
 }
+
+// testDeparture sends a request in parts, and leaves: at once, or long after the read timeout.
+func testDeparture(t *testing.T, parts []string, late bool) {
+	m, _, s, stop := startFront(t, keepQueued, nil, nil)
+	defer stop()
+	c := m.dial()
+	defer c.Close()
+	go io.Copy(io.Discard, c) // it reads what it is sent
+	for _, p := range parts {
+		io.WriteString(c, p)
+		synctest.Wait()
+	}
+	if s.Status().Unanswered != 1 {
+		t.Fatalf("%+v", s.Status())
+	}
+	if late {
+		time.Sleep(3 * requestReadTimeout)
+		if s.Status().Unanswered != 1 {
+			t.Error("taken to have left")
+		}
+	}
+	c.Close()
+	if synctest.Wait(); s.Status().Unanswered != 0 {
+		t.Error("it still waits")
+	}
+}
--- a/internal/front/client_registry_test.go
+++ b/internal/front/client_registry_test.go
@@ -16,7 +16,7 @@
 	"lockflow/internal/testkit"
 )
 
-// connWithReadHook is a connection that calls after once it has read bytes and before its reader has them.
+// connWithReadHook is a connection that calls afterRead when it has read bytes and before its reader gets them.
 type connWithReadHook struct {
 	net.Conn
 	afterRead func()
@@ -32,12 +32,12 @@
 
 const completeRequest = "GET /read?account=0000000000000001 HTTP/1.1\r\n" + requestHeaders + "\r\n"
 
-// A connection that the node closes as a request comes on it, in the moment in which net/http has
-// read that request and has not told so, ends with nothing begun: the client may send it again.
+// If the node closes a connection after net/http has read a request and before it reports the connection as
+// active, the request is not started: the client can safely retry it.
 func TestServeHTTPBeginsNothingOnClosedConnection(t *testing.T) {
 	for name, close := range map[string]func(*Front){
-		"leaves": (*Front).CloseWhenIdle,
-		"evicts": func(f *Front) { f.Evict() },
+		"closes idle": (*Front).CloseWhenIdle,
+		"evicts":      func(f *Front) { f.Evict() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -67,8 +67,8 @@
 	}
 }
 
-// A request that is open keeps its connection, also where it came on one that had not said
-// anything when the node began to leave; then all are gone.
+// A connection with an open request is not closed, even if it had not sent anything when the node began to
+// shut down. After its answer it is.
 func TestCloseWhenIdleKeepsConnectionsWithOpenRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var f *Front
@@ -118,50 +118,38 @@
 func (c gatedConn) Read(p []byte) (int, error) { <-c.open; return c.Conn.Read(p) }
 func (c gatedConn) NetConn() net.Conn          { return c.Conn }
 
-// A place is made by closing no connection, new or kept, on which a request is there that nobody has read
-// yet: it has its answer. One that says nothing goes, and so does one whose client has gone.
+// Evict spares a connection, new or idle, that has a request which nobody has read yet: it is answered. A
+// silent connection is closed, and so is one whose client has closed its side.
 func TestEvictSparesConnectionsWithUnreadRequests(t *testing.T) {
-	for _, fresh := range []bool{true, false} {
-		for _, does := range []string{"asks", "is silent", "asks and goes"} {
-			t.Run(fmt.Sprint(does, ", new ", fresh), func(t *testing.T) {
-				_, f, _, stop := startFront(t, rejectRequest, nil, nil)
-				defer stop()
-				under, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				l := gatedListener{under, make(chan struct{})}
-				srv := f.Server()
-				go srv.Serve(l)
-				defer srv.Close()
-				client, err := net.Dial("tcp", under.Addr().String())
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer client.Close()
-				if does != "is silent" {
+	for _, isNew := range []bool{true, false} {
+		for _, tc := range []struct {
+			name           string
+			sends, departs bool
+			wantIsAnswered bool
+		}{
+			{name: "asks", sends: true, wantIsAnswered: true},
+			{name: "is silent"},
+			{name: "asks and goes", sends: true, departs: true},
+		} {
+			t.Run(fmt.Sprint(tc.name, ", new ", isNew), func(t *testing.T) {
+				f, client, openGate := dialGated(t)
+				if tc.sends {
 					io.WriteString(client, completeRequest)
 				}
-				if does == "asks and goes" {
-					client.(*net.TCPConn).CloseWrite()
+				if tc.departs {
+					client.CloseWrite()
 				}
 				testkit.Until(t, "its connection and its bytes", func() bool {
-					f.clients.mu.Lock()
-					defer f.clients.mu.Unlock()
-					for _, c := range f.clients.connections {
-						more, gone := c.pollSocket()
-						c.isNew, c.idleSince = fresh, time.Now().Add(-time.Second)
-						return more == (does != "is silent") && gone == (does == "asks and goes")
-					}
-					return false
+					readable, ended := setOnlyConnection(f, isNew, time.Now().Add(-time.Second))
+					return readable == tc.sends && ended == tc.departs
 				})
-				if asks := does == "asks"; f.Evict() == asks {
-					t.Error("evicted one that asks, or none")
+				if f.Evict() == tc.wantIsAnswered {
+					t.Error("evicted a connection with a request, or none")
 				}
-				close(l.open)
+				openGate()
 				client.SetDeadline(time.Now().Add(testkit.Patience))
 				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
-				if does == "asks" && (err != nil || resp.StatusCode != http.StatusServiceUnavailable) || does != "asks" && err == nil {
+				if tc.wantIsAnswered && (err != nil || resp.StatusCode != http.StatusServiceUnavailable) || !tc.wantIsAnswered && err == nil {
 					t.Errorf("%v, %v", resp, err)
 				}
 			})
@@ -169,8 +157,41 @@
 	}
 }
 
-// A client that does not take its answer, or not all of it, keeps nothing of the service, and its connection
-// for a bounded time.
+// dialGated connects a client to a front that reads nothing of it until openGate is called.
+func dialGated(t *testing.T) (f *Front, client *net.TCPConn, openGate func()) {
+	t.Helper()
+	_, f, _, stop := startFront(t, rejectRequest, nil, nil)
+	t.Cleanup(stop)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gated := gatedListener{listener, make(chan struct{})}
+	server := f.Server()
+	go server.Serve(gated)
+	t.Cleanup(func() { server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return f, conn.(*net.TCPConn), func() { close(gated.open) }
+}
+
+// setOnlyConnection sets the state of the front's connection, if there is one yet, and polls its socket. Without
+// one it reports a state that no client is in.
+func setOnlyConnection(f *Front, isNew bool, idleSince time.Time) (readable, ended bool) {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	for _, c := range f.clients.connections {
+		c.isNew, c.idleSince = isNew, idleSince
+		return c.pollSocket()
+	}
+	return false, true
+}
+
+// A client that does not read its answer, or only a part of it, occupies nothing in the service, and its
+// connection for a limited time.
 func TestClientThatReadsNoAnswerIsDisconnected(t *testing.T) {
 	for _, takes := range []int{0, 5} {
 		t.Run(fmt.Sprint(takes), func(t *testing.T) {
@@ -195,7 +216,7 @@
 	}
 }
 
-// idleGatedConn is a connection whose next request is not read until it is let, once it rests.
+// idleGatedConn is a connection whose next request, once it is idle, is not read until resume is closed.
 type idleGatedConn struct {
 	net.Conn
 	isIdle atomic.Bool
@@ -216,7 +237,7 @@
 	return c.Conn.Read(p)
 }
 
-// A request that is there, and that nobody has read yet, as the node begins to leave is answered.
+// A request that has arrived and has not been read when the node begins to shut down is answered.
 func TestCloseWhenIdleAnswersUnreadRequest(t *testing.T) {
 	m, f, _, stop := startFront(t, rejectRequest, nil, nil)
 	defer stop()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -23,7 +23,7 @@
 	"lockflow/internal/upstream"
 )
 
-// pipeListener is a listener whose connections are pipes, so that a server runs in virtual time.
+// pipeListener is a listener whose connections are pipes, so that a server can run in virtual time.
 type pipeListener struct {
 	conns  chan net.Conn
 	closed chan struct{}
@@ -47,7 +47,7 @@
 	return client
 }
 
-// scriptedModule is a module that does what a test tells it for each request.
+// scriptedModule is a decision module that returns a test's actions for each request.
 type scriptedModule func(control.Request) []control.Action
 
 func (s scriptedModule) Handle(_ time.Duration, e control.Event) []control.Action {
@@ -67,7 +67,7 @@
 
 func (fullLimiter) Admit(int64) (func(), bool) { return nil, false }
 
-// startFront is a front over one service with a scripted module, until stop is called.
+// startFront runs a front over one service with a scripted module until stop is called.
 func startFront(t *testing.T, module scriptedModule, parts service.RequestLimiter, router *route.Router) (m *pipeListener, f *Front, s *service.Service, stop func()) {
 	t.Helper()
 	settings := control.Settings{
@@ -95,7 +95,7 @@
 
 const requestHeaders = "Host: h\r\nX-Correlation-Id: id-1\r\nX-Tariff: p\r\nX-Time-Left: 15000m\r\nIdempotency-Key: k\r\n"
 
-// Whoever connects is answered or closed within 3 s, whatever part of a request came.
+// Every client is answered or disconnected within 3 s, whatever part of a request it has sent.
 func TestServerDisconnectsSlowClients(t *testing.T) {
 	for name, text := range map[string]string{
 		"silent":      "",
@@ -125,7 +125,7 @@
 	}
 }
 
-// A request may be held for longer than a client has to send it, and a hang-up is still seen.
+// A request may be queued for longer than the read timeout, and the departure of its client is still noticed.
 func TestQueuedRequestOutlivesReadTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _, s, stop := startFront(t, keepQueued, nil, nil)
@@ -145,7 +145,7 @@
 	})
 }
 
-// What there is no room for is refused at once, though its body is still to come.
+// A request beyond the capacity is rejected at once, even if its body has not arrived.
 func TestOverCapacityRequestIsRejectedBeforeItsBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _, _, stop := startFront(t, func(r control.Request) []control.Action {
@@ -173,7 +173,7 @@
 	})
 }
 
-// The table may be replaced between two requests of a connection.
+// The routing table may be replaced between two requests of a connection.
 func TestSetTableAppliesToNextRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		router, _ := route.New([]route.Rule{{Prefix: "/read"}})
@@ -217,8 +217,7 @@
 	}
 }
 
-// A client that left in the middle of its body was given no answer: none is begun for it as its
-// body is let go, while an answer that was given goes out before what is left of the body comes.
+// Finish flushes an answer that was given before the end of the body, and writes nothing if there was none.
 func TestOrdinaryFinishFlushesOnlyGivenAnswers(t *testing.T) {
 	for _, given := range []bool{false, true} {
 		w := httptest.NewRecorder()
@@ -232,7 +231,7 @@
 	}
 }
 
-// FuzzFigures: what is taken of a client's figures is within what the settings allow.
+// Whatever a client sends, the parsed values are within what the settings allow.
 func FuzzParseTimeLeftAndWeight(f *testing.F) {
 	f.Add("480m", "units=2,spread=3,first=1")
 	f.Add("1e3u", "units=0x1p-2,first=2,=,,")
--- a/internal/front/keys_test.go
+++ b/internal/front/keys_test.go
@@ -6,5 +6,5 @@
 	"lockflow/internal/testkit"
 )
 
-// Answers that tell a problem have a written key for every field.
+// Every field of a problem has an explicit JSON key.
 func TestProblemFieldsHaveKeys(t *testing.T) { testkit.RequireKeys(t, "json", problem{}) }
--- a/internal/front/lingering_conn_test.go
+++ b/internal/front/lingering_conn_test.go
@@ -11,8 +11,8 @@
 	"lockflow/internal/testkit"
 )
 
-// A connection on which bytes are unread is closed behind its client where that has been answered; one
-// that rests, or whose answer has to be seen to be cut off, is reset at once.
+// A busy connection with unread input lingers until its client closes; one that is idle, or whose answer must
+// be seen to be incomplete, is reset at once.
 func TestLingeringConnClose(t *testing.T) {
 	for name, tc := range map[string]struct {
 		busy, cut bool
--- a/internal/front/unacknowledged_answer_test.go
+++ b/internal/front/unacknowledged_answer_test.go
@@ -33,9 +33,26 @@
 	return client
 }
 
+// connectSmall returns both ends of a connection made by dialSmall.
+func connectSmall(t *testing.T) (client net.Conn, server *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client = dialSmall(t, listener.Addr().String())
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return client, conn.(*net.TCPConn)
+}
+
 const answerBytes = 32 << 10
 
-// writeAhead writes an answer of which the server's side has room for all.
+// writeAhead writes an answer that fits in the server's send buffer.
 func writeAhead(t *testing.T, server *net.TCPConn) {
 	t.Helper()
 	server.SetWriteBuffer(1 << 20)
@@ -45,7 +62,7 @@
 	}
 }
 
-// tcpState tells the state of a socket; unix.BPF_TCP_CLOSE where it is closed.
+// tcpState returns the state of a socket; unix.BPF_TCP_CLOSE if it is closed.
 func tcpState(raw syscall.RawConn) (state uint8) {
 	state = unix.BPF_TCP_CLOSE
 	_ = raw.Control(func(fd uintptr) {
@@ -56,8 +73,8 @@
 	return state
 }
 
-// A client that sends a further request once its connection is being closed, and before it has all of its
-// answer, gets all of that: the close is behind the client's.
+// A client that sends another request while its connection is being closed, and before it has read its answer,
+// still gets all of that answer.
 func TestLingeringConnDeliversAnswerBeforeLateRequest(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -86,36 +103,26 @@
 	testkit.Next(t, closed)
 }
 
-// A node that begins to end closes no connection of which an answer is still on its way, whether it rests by
-// then or begins to: its next request is answered. One that has all of its answer is closed.
+// CloseWhenIdle does not close a connection while a part of an answer is on its way, whether the connection is
+// idle already or becomes idle later: its next request is answered. After the complete answer it is closed.
 func TestCloseWhenIdleWaitsForUnacknowledgedAnswer(t *testing.T) {
-	for name, rests := range map[string]bool{"rests": true, "begins to rest": false} {
+	for name, isIdle := range map[string]bool{"is idle": true, "becomes idle": false} {
 		t.Run(name, func(t *testing.T) {
 			_, f, _, stop := startFront(t, rejectRequest, nil, nil)
 			defer stop()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			client := dialSmall(t, listener.Addr().String())
-			server, err := listener.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer server.Close()
-			writeAhead(t, server.(*net.TCPConn))
+			client, server := connectSmall(t)
+			writeAhead(t, server)
 			conn := &lingeringConn{Conn: server}
 			f.clients.register(t.Context(), conn)
 			f.clients.trackState(conn, http.StateActive)
-			if rests {
+			if isIdle {
 				f.clients.trackState(conn, http.StateIdle)
 			}
 			f.CloseWhenIdle()
-			if !rests {
+			if !isIdle {
 				f.clients.trackState(conn, http.StateIdle)
 			}
-			if !hasUnacknowledged(server.(*net.TCPConn)) {
+			if !hasUnacknowledged(server) {
 				t.Fatal("its connection is closed, or its client has all of the answer")
 			}
 			io.WriteString(client, completeRequest)
@@ -126,7 +133,7 @@
 			if err != nil || request.URL.Path != "/read" {
 				t.Errorf("the next request: %v, %v", request, err)
 			}
-			testkit.Until(t, "the client's acknowledgement", func() bool { return !hasUnacknowledged(server.(*net.TCPConn)) })
+			testkit.Until(t, "the client's acknowledgement", func() bool { return !hasUnacknowledged(server) })
 			f.CloseWhenIdle()
 			if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 				t.Errorf("behind its answer its client sees %v", err)
