Type the kinds and codes of package desiredstate, and split it by job

Kinds of operations and codes of outcomes were plain strings, which a caller could mix up; they are the types Kind and Code now, also where manage, fleet, daemon and measure carry them. Accept held the checks, the lookup of an ended command and the start in one function; each is a named step. Stored keys, values, error texts and golden files are unchanged.

--- a/cmd/lockflow/killed_test.go
+++ b/cmd/lockflow/killed_test.go
@@ -12,9 +12,9 @@
 // to one state, by itself or killed again; all writes are tried by measure rollout. Clients get an
 // answer to each request, also of controls that start again beside a canary.
 func TestCoordinatorKilledAtWrites(t *testing.T) {
-	for kind, kills := range map[string][]int{desiredstate.KindSettings: {-1, 1, 5, -12}, desiredstate.KindProgram: {7, 9}} {
-		t.Run(kind, func(t *testing.T) {
-			got, err := measure.Rollout(t.Context(), measure.RolloutOptions{Program: build(t), Dir: testkit.ShortDir(t), Members: 4, Kinds: []string{kind}, Kills: kills, Clients: 2, Seed: 1})
+	for kind, kills := range map[desiredstate.Kind][]int{desiredstate.KindSettings: {-1, 1, 5, -12}, desiredstate.KindProgram: {7, 9}} {
+		t.Run(string(kind), func(t *testing.T) {
+			got, err := measure.Rollout(t.Context(), measure.RolloutOptions{Program: build(t), Dir: testkit.ShortDir(t), Members: 4, Kinds: []desiredstate.Kind{kind}, Kills: kills, Clients: 2, Seed: 1})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/command/measurerollout.go
+++ b/internal/command/measurerollout.go
@@ -16,11 +16,12 @@
 // measureRollout kills coordinators of staged changes at each of their writes.
 func measureRollout(ctx context.Context, e *Env, o measure.RolloutOptions, kinds string, asJSON bool) (err error) {
 	o.Clients, o.Progress = 2, e.Err
-	for k := range strings.SplitSeq(kinds, ",") {
-		if k = strings.TrimSpace(k); k != desiredstate.KindSettings && k != desiredstate.KindProgram {
-			return usage("measure rollout: kinds: %q is neither %s nor %s", k, desiredstate.KindSettings, desiredstate.KindProgram)
+	for word := range strings.SplitSeq(kinds, ",") {
+		kind := desiredstate.Kind(strings.TrimSpace(word))
+		if kind != desiredstate.KindSettings && kind != desiredstate.KindProgram {
+			return usage("measure rollout: kinds: %q is neither %s nor %s", kind, desiredstate.KindSettings, desiredstate.KindProgram)
 		}
-		o.Kinds = append(o.Kinds, k)
+		o.Kinds = append(o.Kinds, kind)
 	}
 	if o.Members < 2 || o.Members > 64 {
 		return usage("measure rollout: processes: %d are none of 2 to 64", o.Members)
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -17,9 +17,10 @@
 
 // runningCommand is a command that has begun and not ended.
 type runningCommand struct {
-	id, kind, hash string
-	isInherited    bool         // the predecessor has begun it
-	waiters        []chan error // each has space for the outcome
+	id, hash    string
+	kind        desiredstate.Kind
+	isInherited bool         // the predecessor has begun it
+	waiters     []chan error // each has space for the outcome
 }
 
 // claimRequest is a coordinator's claim of an epoch.
--- a/internal/daemon/commands_test.go
+++ b/internal/daemon/commands_test.go
@@ -198,10 +198,10 @@
 // interruption is a step of a command of settings after which its process was killed.
 type interruption struct {
 	name       string
-	change     string // of the configuration's text
-	isOldSaved bool   // the old text was saved for a rollback
-	isReplaced bool   // the configuration file was replaced
-	code       string // of the command after the start; empty where it was interrupted
+	change     string            // of the configuration's text
+	isOldSaved bool              // the old text was saved for a rollback
+	isReplaced bool              // the configuration file was replaced
+	code       desiredstate.Code // of the command after the start; empty where it was interrupted
 }
 
 // prepare writes what the killed process would have left of the command id, which wants w.
--- /dev/null
+++ b/internal/desiredstate/encoding_test.go
@@ -0,0 +1,29 @@
+package desiredstate
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func FuzzDecode(f *testing.F) {
+	raw, _ := Encode(State{Epoch: 7, Owner: "a", Running: &RunningCommand{Epoch: 7, ID: "1"}})
+	f.Add(raw)
+	f.Add([]byte(magic))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		// A hash is no protection against whoever can compute it: the body is checked too.
+		if i := strings.IndexByte(string(raw), '\n'); i >= 0 {
+			raw = append([]byte(magic+Hash(raw[i+1:])+"\n"), raw[i+1:]...)
+		}
+		state, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		state.Recover(Observed{}).LastOutcome()
+		if again, err := Encode(state); err == nil {
+			if got, err := Decode(again); err != nil || !reflect.DeepEqual(got, state) {
+				t.Errorf("%+v is read as %+v, %v", state, got, err)
+			}
+		}
+	})
+}
--- a/internal/desiredstate/file_test.go
+++ b/internal/desiredstate/file_test.go
@@ -1,13 +1,15 @@
 package desiredstate
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 )
 
-// A book that could not be written is in neither file, whichever of the two fails: a member that
-// has refused an epoch for that must not have granted it after a crash or an upgrade.
+// A state that could not be saved is in neither file, whichever of the two fails: a member that has rejected an epoch
+// for that must not have granted it after a crash or an upgrade.
 func TestSaveIsAtomic(t *testing.T) {
 	first, second := State{Epoch: 1, Owner: "a"}, State{Epoch: 2, Owner: "b"}
 	for name, breakWrites := range map[string]func(f *File) (restore func()){
@@ -58,3 +60,51 @@
 		}
 	}
 }
+
+// Any byte of a saved state that changes or is missing is detected; old settings and a replaced file are complete.
+func TestFileDetectsDamageAndReplacesCompletely(t *testing.T) {
+	dir := t.TempDir()
+	f, err := Open(dir, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, _ := State{}.Grant(Claim{Epoch: 7, Owner: "a"})
+	state, _, _, _ = state.Accept(Command{7, "a", "1", Operation{Kind: KindRestart}})
+	state = state.Finish(errors.New("no")).SetDrained(true)
+	if got, err := f.Load(); err != nil || got.Epoch != 0 {
+		t.Errorf("nothing: %+v, %v", got, err)
+	}
+	if err := f.Save(state); err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := os.ReadFile(filepath.Join(dir, stateFileName))
+	for i := range raw {
+		damaged := append([]byte(nil), raw...)
+		damaged[i] ^= 1
+		if _, err := Decode(damaged); err == nil {
+			t.Errorf("byte %d is another one", i)
+		}
+		if _, err := Decode(raw[:i]); err == nil {
+			t.Errorf("the first %d bytes", i)
+		}
+	}
+	// A successor loads the newest state, whatever directory it has.
+	next, _ := Open(t.TempDir(), f.MemoryFile())
+	for _, r := range []func() (State, error){f.Load, next.Load, func() (State, error) { return ReadState(dir) }} {
+		if got, err := r(); err != nil || !reflect.DeepEqual(got, state) {
+			t.Errorf("%+v, %v", got, err)
+		}
+	}
+	path, link := filepath.Join(dir, "c.toml"), filepath.Join(dir, "link")
+	if err := errors.Join(os.WriteFile(path, []byte("old"), 0o640), os.Symlink(path, link)); err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(f.SaveOldSettings([]byte("old")), ReplaceFile(link, []byte("new"))); err != nil {
+		t.Fatal(err)
+	}
+	info, _ := os.Lstat(path)
+	oldSettings, _ := f.OldSettings()
+	if got, _ := os.ReadFile(path); string(got) != "new" || info.Mode().Perm() != 0o640 || string(oldSettings) != "old" {
+		t.Errorf("%q, %v, kept %q", got, info.Mode(), oldSettings)
+	}
+}
--- a/internal/desiredstate/golden_test.go
+++ b/internal/desiredstate/golden_test.go
@@ -7,8 +7,7 @@
 	"lockflow/internal/testkit"
 )
 
-// The file of an earlier build, which go test ./internal/desiredstate -run Golden -update writes anew, is read, and
-// written to the same bytes again.
+// The file of an earlier build is decoded, and encoded to the same bytes again. The flag -update writes it.
 func TestGoldenFile(t *testing.T) {
 	var sample State
 	testkit.Sample("json", &sample)
@@ -19,12 +18,12 @@
 		t.Fatal(err)
 	}
 	raw := testkit.GoldenBytes(t, "testdata/golden/orders", got)
-	b, err := Decode(raw) // which refuses keys that it does not know
+	state, err := Decode(raw) // which refuses keys that it does not know
 	if err != nil {
 		t.Fatal(err)
 	}
-	if again, err := Encode(b); err != nil || !bytes.Equal(again, raw) {
-		t.Errorf("it is not written as it was read: %v", err)
+	if again, err := Encode(state); err != nil || !bytes.Equal(again, raw) {
+		t.Errorf("it is not encoded as it was decoded: %v", err)
 	}
 }
 
--- a/internal/desiredstate/keys_test.go
+++ b/internal/desiredstate/keys_test.go
@@ -6,7 +6,7 @@
 	"lockflow/internal/testkit"
 )
 
-// The book of orders, and what coordinators say, have a written key for every field.
+// Each field of a state and of a coordinator's messages has an explicit key.
 func TestStoredFieldsHaveKeys(t *testing.T) {
 	testkit.RequireKeys(t, "json", State{}, Claim{}, Command{})
 }
--- a/internal/desiredstate/state.go
+++ b/internal/desiredstate/state.go
@@ -1,198 +1,230 @@
 package desiredstate
 
-import (
-	"slices"
-)
+import "slices"
 
-// maxOutcomes is how many outcomes a member keeps. Of an order that was forgotten the outcome is told as if
-// it had never been: a coordinator asks again for the last few at the most.
+// maxOutcomes is how many ended commands a member remembers. A coordinator repeats its last few commands at most,
+// so that one which was forgotten is never repeated.
 const maxOutcomes = 64
 
-// RunningCommand is an order that is under way.
+// maxErrorBytes is how much of a failed command's error is stored.
+const maxErrorBytes = 1000
+
+// State is which coordinator a member obeys and what it was commanded. It is a value: each method that changes it
+// returns the next state, which takes effect once it is saved. The zero value has granted no epoch.
+type State struct {
+	Epoch uint64 `json:"epoch"` // the newest that was granted; 0 is none. It only grows while LossToken is empty.
+	Owner string `json:"owner"` // of Epoch; "" if and only if Epoch is 0
+	// LossToken (key "lost"), where it is not empty, says that the epochs that were granted are lost. Claims need it.
+	LossToken string          `json:"lost,omitempty"`
+	Running   *RunningCommand `json:"doing,omitempty"` // nil where none is
+	Target    Target          `json:"wanted"`
+	// Program is the last one that was commanded and has served: a supervisor starts the member with it. "" is none.
+	Program string         `json:"program,omitempty"`
+	Ended   []EndedCommand `json:"done,omitempty"` // up to maxOutcomes, the newest last
+}
+
+// RunningCommand is a command that was accepted and has not ended.
 type RunningCommand struct {
 	Epoch       uint64 `json:"epoch"`
 	ID          string `json:"id"`
-	Fingerprint string `json:"act"`
-	Kind        string `json:"kind"`
+	Fingerprint string `json:"act"` // of its operation
+	Kind        Kind   `json:"kind"`
 	Hash        string `json:"hash,omitempty"`
 	Path        string `json:"path,omitempty"`
-	Previous    Target `json:"before"` // what was wanted until then
+	Previous    Target `json:"before"` // the target that a failure restores
 }
 
-// EndedCommand is an order that has ended.
+// EndedCommand is a command that has ended, with its outcome.
 type EndedCommand struct {
 	Outcome
 	Epoch       uint64 `json:"epoch"`
-	Fingerprint string `json:"act"`
+	Fingerprint string `json:"act"` // of its operation
 }
 
-// State is what a member knows of who may order and what was ordered. It is a value: what changes it gives
-// another one, which counts once it was written down. The zero value has granted nothing.
-type State struct {
-	Epoch     uint64          `json:"epoch"`
-	Owner     string          `json:"owner"`
-	LossToken string          `json:"lost,omitempty"` // token: epochs that were granted are not known
-	Running   *RunningCommand `json:"doing,omitempty"`
-	Target    Target          `json:"wanted"`
-	// Program is the last one that was ordered and has proved itself: whoever starts the member anew
-	// starts that. "" is none.
-	Program string         `json:"program,omitempty"`
-	Ended   []EndedCommand `json:"done,omitempty"` // the newest last
-}
-
-// Step is what follows from an order.
+// Step is what a member does with a command that it accepts.
 type Step int
 
 // The steps.
 const (
-	StepStart  Step = iota // it begins: the book is written, then the order is carried out, then End
-	StepWait               // it is under way: it is answered when it ends
-	StepAnswer             // it has ended before
+	StepStart  Step = iota // save the next state, run the command, then Finish
+	StepWait               // it is running already: answer when it ends
+	StepAnswer             // it has ended already: answer its outcome
 )
 
-// Grant grants an epoch or refuses it with Stale or Lost.
-func (b State) Grant(c Claim) (State, error) {
-	if err := c.Validate(); err != nil {
-		return b, err
+// Grant grants an epoch to its owner. The error is a RejectedError of CodeInvalid, CodeStale or CodeLost, and the
+// state is then unchanged.
+func (s State) Grant(claim Claim) (State, error) {
+	if err := claim.Validate(); err != nil {
+		return s, err
 	}
 	switch {
-	case b.LossToken != "" && c.LossToken != b.LossToken:
-		return b, reject(CodeLost, "the epochs that were granted here are lost: it takes a new epoch, and after = %q", b.LossToken)
-	case c.Epoch < b.Epoch || c.Epoch == b.Epoch && c.Owner != b.Owner:
-		return b, b.staleError(c.Epoch, c.Owner)
+	case s.LossToken != "" && claim.LossToken != s.LossToken:
+		return s, reject(CodeLost, "the epochs that were granted here are lost: it takes a new epoch, and after = %q", s.LossToken)
+	case claim.Epoch < s.Epoch || claim.Epoch == s.Epoch && claim.Owner != s.Owner:
+		return s, s.staleError(claim.Epoch, claim.Owner)
 	}
-	b.Epoch, b.Owner, b.LossToken = c.Epoch, c.Owner, ""
-	return b, nil
+	s.Epoch, s.Owner, s.LossToken = claim.Epoch, claim.Owner, ""
+	return s, nil
 }
 
-func (b State) staleError(epoch uint64, owner string) error {
-	if b.Epoch == 0 {
+func (s State) staleError(epoch uint64, owner string) error {
+	if s.Epoch == 0 {
 		return reject(CodeStale, "epoch %d of %q is not granted here: none is", epoch, owner)
 	}
-	return reject(CodeStale, "epoch %d of %q is not granted here: epoch %d of %q is", epoch, owner, b.Epoch, b.Owner)
+	return reject(CodeStale, "epoch %d of %q is not granted here: epoch %d of %q is", epoch, owner, s.Epoch, s.Owner)
 }
 
-// Accept takes an order. A refusal changes nothing.
-func (b State) Accept(o Command) (State, Step, Outcome, error) {
-	if err := o.Validate(); err != nil {
-		return b, 0, Outcome{}, err
-	}
-	switch {
-	case b.LossToken != "":
-		return b, 0, Outcome{}, reject(CodeLost, "the epochs that were granted here are lost: it has to be claimed anew")
-	case o.Epoch != b.Epoch || o.Owner != b.Owner:
-		return b, 0, Outcome{}, b.staleError(o.Epoch, o.Owner)
+// Accept accepts a command and returns the next state and what to do. The outcome is that of StepAnswer. The error
+// is a RejectedError of CodeInvalid, CodeStale, CodeLost or CodeBusy, and the state is then unchanged.
+func (s State) Accept(command Command) (State, Step, Outcome, error) {
+	if err := s.authorize(&command); err != nil {
+		return s, 0, Outcome{}, err
 	}
-	act := o.Operation.fingerprint()
-	if d := b.Running; d != nil {
+	fingerprint := command.Operation.fingerprint()
+	if running := s.Running; running != nil {
 		switch {
-		case d.ID != o.ID:
-			return b, 0, Outcome{}, reject(CodeBusy, "order %s is under way: ask again", d.ID)
-		case d.Fingerprint != act:
-			return b, 0, Outcome{}, reject(CodeInvalid, "order %s is under way, and is another one", d.ID)
+		case running.ID != command.ID:
+			return s, 0, Outcome{}, reject(CodeBusy, "order %s is under way: ask again", running.ID)
+		case running.Fingerprint != fingerprint:
+			return s, 0, Outcome{}, reject(CodeInvalid, "order %s is under way, and is another one", running.ID)
 		}
-		return b, StepWait, Outcome{}, nil
+		return s, StepWait, Outcome{}, nil
 	}
-	for i, d := range slices.Backward(b.Ended) {
-		// A coordinator that goes on with what another began asks for the last one only. Guards against an
-		// id of an older epoch that happens to be the same.
-		if d.ID != o.ID || d.Epoch != b.Epoch && i != len(b.Ended)-1 {
-			continue
+	if ended, ok := s.findEnded(command.ID); ok {
+		if ended.Fingerprint != fingerprint {
+			return s, 0, Outcome{}, reject(CodeInvalid, "order %s was another one", ended.ID)
 		}
-		if d.Fingerprint != act {
-			return b, 0, Outcome{}, reject(CodeInvalid, "order %s was another one", d.ID)
+		return s, StepAnswer, ended.Outcome, nil
+	}
+	return s.start(&command, fingerprint), StepStart, Outcome{}, nil
+}
+
+// authorize checks that a command is valid and sent by the owner of the epoch that is granted.
+func (s State) authorize(command *Command) error {
+	if err := command.Validate(); err != nil {
+		return err
+	}
+	if s.LossToken != "" {
+		return reject(CodeLost, "the epochs that were granted here are lost: it has to be claimed anew")
+	}
+	if command.Epoch != s.Epoch || command.Owner != s.Owner {
+		return s.staleError(command.Epoch, command.Owner)
+	}
+	return nil
+}
+
+// findEnded finds the newest ended command of an id. A coordinator that resumes another's rollout repeats the last
+// command only: an earlier one of another epoch may have the same id by chance, and does not count.
+func (s State) findEnded(id string) (EndedCommand, bool) {
+	last := len(s.Ended) - 1
+	for i, ended := range slices.Backward(s.Ended) {
+		if ended.ID == id && (ended.Epoch == s.Epoch || i == last) {
+			return ended, true
 		}
-		return b, StepAnswer, d.Outcome, nil
 	}
-	b.Running = &RunningCommand{Epoch: o.Epoch, ID: o.ID, Fingerprint: act, Kind: o.Operation.Kind, Hash: o.Operation.Hash, Path: o.Operation.Path, Previous: b.Target}
-	switch o.Operation.Kind {
+	return EndedCommand{}, false
+}
+
+func (s State) start(command *Command, fingerprint string) State {
+	operation := &command.Operation
+	s.Running = &RunningCommand{
+		Epoch:       command.Epoch,
+		ID:          command.ID,
+		Fingerprint: fingerprint,
+		Kind:        operation.Kind,
+		Hash:        operation.Hash,
+		Path:        operation.Path,
+		Previous:    s.Target,
+	}
+	switch operation.Kind {
 	case KindSettings:
-		b.Target.Hash = o.Operation.Hash
+		s.Target.Hash = operation.Hash
 	case KindProgram:
-		b.Target.Program = o.Operation.Path
+		s.Target.Program = operation.Path
 	case KindDrain:
-		b.Target.Drained = true
+		s.Target.Drained = true
 	case KindServe:
-		b.Target.Drained = false
+		s.Target.Drained = false
+	case KindRestart: // what it runs stays
 	}
-	return b, StepStart, Outcome{}, nil
+	return s
 }
 
-// Finish ends the order under way. One that has failed leaves the member as it was, also what is wanted of it.
-func (b State) Finish(err error) State {
-	d := b.Running
-	if d == nil {
-		return b
+// Finish ends the running command, if there is one. A failure, err not nil, restores the target that the command
+// had replaced.
+func (s State) Finish(err error) State {
+	running := s.Running
+	if running == nil {
+		return s
 	}
-	e := EndedCommand{Outcome{ID: d.ID, Code: CodeOK}, d.Epoch, d.Fingerprint}
+	ended := EndedCommand{Outcome{ID: running.ID, Code: CodeOK}, running.Epoch, running.Fingerprint}
 	if err != nil {
-		e.Code, e.Error = CodeFailed, truncate(err.Error())
-		b.Target = d.Previous
-	} else if d.Kind == KindProgram {
-		b.Program = d.Path
-	}
-	b.Running = nil
-	b.Ended = append(slices.Clone(b.Ended[max(0, len(b.Ended)-maxOutcomes+1):]), e)
-	return b
+		ended.Code, ended.Error = CodeFailed, truncate(err.Error())
+		s.Target = running.Previous
+	} else if running.Kind == KindProgram {
+		s.Program = running.Path
+	}
+	s.Running = nil
+	remembered := s.Ended[max(0, len(s.Ended)-maxOutcomes+1):]
+	s.Ended = append(slices.Clone(remembered), ended) // a copy: other values of State share the old one
+	return s
 }
 
-// maxErrorBytes bounds what is kept of an error, in bytes.
-const maxErrorBytes = 1000
-
-func truncate(s string) string {
-	if len(s) > maxErrorBytes {
-		return s[:maxErrorBytes] + "..."
+func truncate(text string) string {
+	if len(text) > maxErrorBytes {
+		return text[:maxErrorBytes] + "..."
 	}
-	return s
+	return text
 }
 
-// LastOutcome is the order that ended last; the zero Done where there was none.
-func (b State) LastOutcome() Outcome {
-	if len(b.Ended) == 0 {
+// LastOutcome returns the outcome of the command that ended last, or the zero Outcome.
+func (s State) LastOutcome() Outcome {
+	if len(s.Ended) == 0 {
 		return Outcome{}
 	}
-	return b.Ended[len(b.Ended)-1].Outcome
+	return s.Ended[len(s.Ended)-1].Outcome
 }
 
-// Observed are what a process that has just begun finds.
+// Observed is what a process that has just started runs.
 type Observed struct {
 	Hash    string // of the settings in force
-	Program string // that it runs
+	Program string // absolute path
 }
 
-// Recover takes in that the process which carried out an order is no more and this one runs instead. What
-// the facts show to be done has ended well; what they don't was cut, and is done when it is asked for again.
-// What is wanted stays. An order to serve goes on: it ends once the member serves.
-func (b State) Recover(f Observed) State {
-	d := b.Running
-	if d == nil {
-		return b
+// Recover ends the command of a process that is gone. One whose effect is observed has succeeded. Another was
+// interrupted: it is forgotten, and runs again when it is repeated. The target stays in both cases. A command to
+// serve stays running: it ends once the member serves.
+func (s State) Recover(observed Observed) State {
+	running := s.Running
+	if running == nil {
+		return s
 	}
-	done := false
-	switch d.Kind {
+	hasSucceeded := false
+	switch running.Kind {
 	case KindSettings:
-		done = f.Hash == d.Hash
+		hasSucceeded = observed.Hash == running.Hash
 	case KindProgram:
-		done = f.Program == d.Path
+		hasSucceeded = observed.Program == running.Path
 	case KindRestart, KindDrain:
-		done = true
+		hasSucceeded = true
 	case KindServe:
-		return b
+		return s
 	}
-	if done {
-		return b.Finish(nil)
+	if hasSucceeded {
+		return s.Finish(nil)
 	}
-	b.Running = nil
-	return b
+	s.Running = nil
+	return s
 }
 
-// SetDrained notes by the hand of the owner, beside all epochs, whether the member is to be drained.
-func (b State) SetDrained(drained bool) State {
-	b.Target.Drained = drained
-	if d := b.Running; d != nil { // what fails must not undo it
-		after := *d
-		after.Previous.Drained = drained
-		b.Running = &after
+// SetDrained sets whether the member is to stay drained, on behalf of its operator: it needs no epoch, and the
+// failure of a running command does not undo it.
+func (s State) SetDrained(drained bool) State {
+	s.Target.Drained = drained
+	if s.Running != nil {
+		running := *s.Running // a copy: other values of State share the old one
+		running.Previous.Drained = drained
+		s.Running = &running
 	}
-	return b
+	return s
 }
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -25,7 +25,7 @@
 type Change struct {
 	Form     int               `json:"form"`
 	Begun    time.Time         `json:"begun"`
-	Kind     string            `json:"kind"` // desiredstate.Settings or desiredstate.Program
+	Kind     desiredstate.Kind `json:"kind"` // KindSettings or KindProgram
 	Plan     rollout.Plan      `json:"plan"`
 	Sockets  []string          `json:"sockets"`            // of the plan's members, in its order
 	Texts    map[string]string `json:"texts,omitempty"`    // settings by hash
--- a/internal/fleet/journal.go
+++ b/internal/fleet/journal.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"lockflow/internal/desiredstate"
 	"lockflow/internal/rollout"
 	"lockflow/internal/rolloutlog"
 )
@@ -129,22 +130,22 @@
 
 // Progress is what a coordinator tells of a change, and what is left of it after.
 type Progress struct {
-	Begun   time.Time      `json:"begun"`
-	At      time.Time      `json:"at"` // of this
-	Kind    string         `json:"kind"`
-	State   string         `json:"state"`
-	Why     string         `json:"why"`
-	Cause   string         `json:"cause,omitempty"` // of taking back
-	Epoch   uint64         `json:"epoch"`
-	Phase   int            `json:"phase"`
-	Phases  int            `json:"phases"`
-	Stage   int            `json:"stage"`
-	Stages  int            `json:"stages"`
-	Verdict string         `json:"verdict,omitempty"`
-	Told    string         `json:"told,omitempty"` // by the judge
-	Sides   []Compared     `json:"measures,omitempty"`
-	Members []MemberState  `json:"members"`
-	Counts  map[string]int `json:"counts"` // of entries, by kind
+	Begun   time.Time         `json:"begun"`
+	At      time.Time         `json:"at"` // of this
+	Kind    desiredstate.Kind `json:"kind"`
+	State   string            `json:"state"`
+	Why     string            `json:"why"`
+	Cause   string            `json:"cause,omitempty"` // of taking back
+	Epoch   uint64            `json:"epoch"`
+	Phase   int               `json:"phase"`
+	Phases  int               `json:"phases"`
+	Stage   int               `json:"stage"`
+	Stages  int               `json:"stages"`
+	Verdict string            `json:"verdict,omitempty"`
+	Told    string            `json:"told,omitempty"` // by the judge
+	Sides   []Compared        `json:"measures,omitempty"`
+	Members []MemberState     `json:"members"`
+	Counts  map[string]int    `json:"counts"` // of entries, by kind
 }
 
 // Compared is one measure of both sides. What is not known is left out.
--- a/internal/manage/client.go
+++ b/internal/manage/client.go
@@ -70,7 +70,7 @@
 // ErrStale and so on tells its kind.
 type RejectedError struct {
 	Message string
-	Code    string // of package desiredstate; empty for other requests
+	Code    desiredstate.Code // of package desiredstate; empty for other requests
 }
 
 func (r RejectedError) Error() string { return r.Message }
--- a/internal/manage/status.go
+++ b/internal/manage/status.go
@@ -89,6 +89,6 @@
 
 // errorAnswer is the body of an answer with a status of 400 or above.
 type errorAnswer struct {
-	Error string `json:"error"`
-	Code  string `json:"code,omitempty"` // of desiredstate, for a claim or a command
+	Error string            `json:"error"`
+	Code  desiredstate.Code `json:"code,omitempty"` // of desiredstate, for a claim or a command
 }
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -35,10 +35,10 @@
 	Program string
 	Dir     string // for all files; has to be short and empty
 	Members int
-	Kinds   []string // desiredstate.Settings, desiredstate.Program
-	Kills   []int    // a coordinator is killed after write n, or before write -n; nil is each write of a change
-	Ways    []string // nil is all; more than one are taken in turn where Kills are given, and all at each write where not
-	Clients int      // of each member
+	Kinds   []desiredstate.Kind // KindSettings, KindProgram
+	Kills   []int               // a coordinator is killed after write n, or before write -n; nil is each write of a change
+	Ways    []string            // nil is all; more than one are taken in turn where Kills are given, and all at each write where not
+	Clients int                 // of each member
 	Seed    uint64
 	// Progress is told each change; nil is nobody.
 	Progress io.Writer
@@ -46,13 +46,13 @@
 
 // RolloutRow is a change whose coordinator was killed.
 type RolloutRow struct {
-	Kind    string  `json:"kind"`
-	Kill    int     `json:"kill"` // after this write, or before it where it is less than 0
-	Way     string  `json:"way"`
-	Killed  int     `json:"killed"` // coordinators
-	State   string  `json:"state"`  // of all members at the end: new or old
-	Exit    int     `json:"exit"`   // of the last coordinator
-	Seconds float64 `json:"seconds"`
+	Kind    desiredstate.Kind `json:"kind"`
+	Kill    int               `json:"kill"` // after this write, or before it where it is less than 0
+	Way     string            `json:"way"`
+	Killed  int               `json:"killed"` // coordinators
+	State   string            `json:"state"`  // of all members at the end: new or old
+	Exit    int               `json:"exit"`   // of the last coordinator
+	Seconds float64           `json:"seconds"`
 }
 
 // RolloutReport is what came of it.
@@ -134,7 +134,7 @@
 }
 
 // kills kills coordinators of one kind of change, after each write, and before it.
-func (r *rolloutRig) kills(ctx context.Context, kind string) error {
+func (r *rolloutRig) kills(ctx context.Context, kind desiredstate.Kind) error {
 	for i, at := range r.o.Kills {
 		if _, err := r.change(ctx, kind, at, r.o.Ways[i%len(r.o.Ways)]); err != nil {
 			return err
@@ -145,7 +145,7 @@
 			for _, way := range r.o.Ways {
 				killed, err := r.change(ctx, kind, at, way)
 				if err != nil || !killed {
-					r.rep.Writes[kind] = n - 1
+					r.rep.Writes[string(kind)] = n - 1
 					return err
 				}
 			}
@@ -247,7 +247,7 @@
 func (r *rolloutRig) journal() string { return filepath.Join(r.o.Dir, "journal") }
 
 // next gives the command's arguments for the next change of a kind, and the hash of what members run after it.
-func (r *rolloutRig) next(kind string) (args []string, hash string, err error) {
+func (r *rolloutRig) next(kind desiredstate.Kind) (args []string, hash string, err error) {
 	if kind == desiredstate.KindProgram {
 		raw, err := os.ReadFile(r.program[1-r.at])
 		if err != nil {
@@ -289,7 +289,7 @@
 }
 
 // change begins a change whose coordinator is killed, and has it ended. killed tells whether it was.
-func (r *rolloutRig) change(ctx context.Context, kind string, kill int, way string) (killed bool, err error) {
+func (r *rolloutRig) change(ctx context.Context, kind desiredstate.Kind, kill int, way string) (killed bool, err error) {
 	begun := time.Now()
 	r.changes++
 	args, next, err := r.next(kind)
@@ -361,7 +361,7 @@
 }
 
 // runs are the hashes of what members say they run, or of the file that their process is.
-func (r *rolloutRig) runs(ctx context.Context, kind string) (map[string]int, error) {
+func (r *rolloutRig) runs(ctx context.Context, kind desiredstate.Kind) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
 	defer cancel()
 	all := make(map[string]int)
--- a/internal/measure/tap.go
+++ b/internal/measure/tap.go
@@ -82,9 +82,9 @@
 
 // asked notes what is asked; the function that it gives notes the answer.
 func (t *taps) asked(path, member string, raw []byte) func(status int, answer []byte) {
-	code := func(answer []byte) string {
+	code := func(answer []byte) desiredstate.Code {
 		var f struct {
-			Code string `json:"code"`
+			Code desiredstate.Code `json:"code"`
 		}
 		_ = json.Unmarshal(answer, &f) // an answer without a code
 		return f.Code
