--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,12 +89,12 @@
 
 // Servers is how a service's app servers are spoken to.
 type Servers struct {
-	Protocol    upstream.Speaks `plan:"protocol"`
-	Streams     int             `plan:"streams"`     // open at once on a connection of HTTP/2
-	Connections int             `plan:"connections"` // of HTTP/2 to one server
-	Age         time.Duration   `plan:"age"`         // from which on one is replaced; 0 is never
-	Again       time.Duration   `plan:"again"`       // until HTTP/2 is tried again at a server that turned out not to speak it
-	TLS         certs.Options   `plan:"t_l_s"`
+	Protocol    upstream.Protocol `plan:"protocol"`
+	Streams     int               `plan:"streams"`     // open at once on a connection of HTTP/2
+	Connections int               `plan:"connections"` // of HTTP/2 to one server
+	Age         time.Duration     `plan:"age"`         // from which on one is replaced; 0 is never
+	Again       time.Duration     `plan:"again"`       // until HTTP/2 is tried again at a server that turned out not to speak it
+	TLS         certs.Options     `plan:"t_l_s"`
 }
 
 // Counter is how a service's ceilings are shared over the group; its zero value shares none.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -374,7 +374,7 @@
 
 // servers reads how a service's servers are spoken to.
 func servers(t tree.Table) Servers {
-	s := Servers{Protocol: upstream.Speaks(t.OneOf("protocol", discovery.Protocols...))}
+	s := Servers{Protocol: upstream.Protocol(t.OneOf("protocol", discovery.Protocols...))}
 	s.Streams = int(t.Integer("streams", 100, 1, 10000))
 	s.Connections = int(t.Integer("connections", 2, 1, 100))
 	s.Age = t.Span("age", 0, 0, day)
--- a/internal/front/answer_stream.go
+++ b/internal/front/answer_stream.go
@@ -34,8 +34,8 @@
 // streamAnswer writes an answer to the client while its body arrives. It panics with
 // http.ErrAbortHandler if the answer breaks off.
 func (o *Ordinary) streamAnswer(front *Front, w http.ResponseWriter, r *http.Request, answer service.Answer) {
-	buffer := upstream.Buffers.Get().(*[]byte)
-	defer upstream.Buffers.Put(buffer)
+	buffer := upstream.BodyBuffers.Get().(*[]byte)
+	defer upstream.BodyBuffers.Put(buffer)
 	s := &answerStream{
 		source: answer.Stream, writer: w, controller: http.NewResponseController(w), buffer: *buffer, idleTimeout: o.IdleTimeout,
 		rate: rateGuard{gracePeriod: o.IdleTimeout, minBytesPerSecond: o.MinBytesPerSecond},
@@ -57,7 +57,7 @@
 }
 
 // hasLength reports whether the length of the answer is known in advance.
-func (s *answerStream) hasLength() bool { return s.source.Length >= 0 }
+func (s *answerStream) hasLength() bool { return s.source.ContentLength >= 0 }
 
 // readAhead fills the buffer with the beginning of an answer of known length, so that one that breaks
 // off there can still be answered with an error status.
@@ -118,11 +118,11 @@
 				return errClientGone
 			}
 			// If the server has more ready, it is the client that is slow.
-			if rateErr := s.rate.record(time.Now(), n); rateErr != nil && s.source.Ready() {
+			if rateErr := s.rate.record(time.Now(), n); rateErr != nil && s.source.HasBuffered() {
 				err = rateErr
 			}
 		}
-		if err == nil && direct != nil && s.source.Length > minDirectBytes {
+		if err == nil && direct != nil && s.source.ContentLength > minDirectBytes {
 			err = s.copyDirect(direct)
 		}
 		if errors.Is(err, io.EOF) {
@@ -142,7 +142,7 @@
 	if _, err := s.writer.Write(p); err != nil {
 		return false
 	}
-	if !s.hasLength() && !s.source.Ready() {
+	if !s.hasLength() && !s.source.HasBuffered() {
 		return s.controller.Flush() == nil
 	}
 	return true
--- a/internal/front/client_departure_test.go
+++ b/internal/front/client_departure_test.go
@@ -120,7 +120,7 @@
 	s, err := service.New(service.Options{
 		AnyMethod: true, OnReady: func() { close(ready) }, Settings: settings,
 		Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{server}},
-		Upstream: upstream.Options{Connect: time.Second, Keepalive: time.Minute, Sockets: limits.NewSocketLimiter(100)},
+		Upstream: upstream.Options{ConnectTimeout: time.Second, KeepAliveTimeout: time.Minute, SocketLimiter: limits.NewSocketLimiter(100)},
 	})
 	if err != nil {
 		n.t.Fatal(err)
@@ -189,7 +189,7 @@
 	defer n.front.clients.mu.Unlock()
 	count := 0
 	for _, c := range n.front.clients.connections {
-		if (sequentialClient{c}).There() {
+		if (sequentialClient{c}).IsWaiting() {
 			count++
 		}
 	}
--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -40,10 +40,10 @@
 // isClosed reports whether the node has closed the connection. It is false for a nil connection.
 func (c *clientConn) isClosed() bool { return c != nil && c.isShut.Load() }
 
-// There reports whether the client has not closed its side of the connection. It polls the socket,
+// IsWaiting reports whether the client has not closed its side of the connection. It polls the socket,
 // because net/http reads at most one byte beyond a request and misses a close that follows pipelined
 // requests. Without a socket the client is assumed to be there.
-func (c *clientConn) There() bool {
+func (c *clientConn) IsWaiting() bool {
 	_, ended := c.pollSocket()
 	return !ended
 }
@@ -72,8 +72,8 @@
 // seen to close, so a client with much unread input is assumed to have left.
 type sequentialClient struct{ *clientConn }
 
-// There reports whether the client is connected and has not sent so much that a close would be hidden.
-func (c sequentialClient) There() bool {
+// IsWaiting reports whether the client is connected and has not sent so much that a close would be hidden.
+func (c sequentialClient) IsWaiting() bool {
 	readable, ended := c.pollSocket()
 	unreadBytes := 0
 	if readable {
@@ -121,7 +121,7 @@
 // isStillConnected reports whether the client of a request is there to receive an answer.
 func isStillConnected(r *http.Request) bool {
 	client := clientOf(r)
-	return r.Context().Err() == nil && client != nil && client.There()
+	return r.Context().Err() == nil && client != nil && client.IsWaiting()
 }
 
 // trackState is the http.Server's ConnState. net/http reports StateActive before it calls the handler.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -78,7 +78,7 @@
 		},
 	}
 	s, err := service.New(service.Options{
-		Settings: settings, Limiter: parts, Upstream: upstream.Options{Sockets: limits.NewSocketLimiter(100)},
+		Settings: settings, Limiter: parts, Upstream: upstream.Options{SocketLimiter: limits.NewSocketLimiter(100)},
 		Source: discovery.Source{Kind: discovery.Static}, NewModule: func() (service.Module, error) { return module, nil },
 	})
 	if err != nil {
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -92,7 +92,7 @@
 	}
 	request.Customer, request.Plan = o.Customers.Of(r, arrived)
 	call := &ordinaryCall{maxBodyBytes: target.MaxBodyBytes, idleTimeout: o.IdleTimeout}
-	o.setRelay(&call.Relay, r, target, timeout)
+	o.setRelay(&call.RelayedRequest, r, target, timeout)
 	call.Exchange = service.Exchange{Request: request, Forwarder: call, Deadline: arrived.Add(timeout)}
 	return &call.Exchange, nil
 }
@@ -134,33 +134,33 @@
 }
 
 // setRelay fills in what is forwarded of a request.
-func (o *Ordinary) setRelay(relay *upstream.Relay, r *http.Request, target *Target, timeout time.Duration) {
+func (o *Ordinary) setRelay(relay *upstream.RelayedRequest, r *http.Request, target *Target, timeout time.Duration) {
 	peer := hopheaders.Peer{Host: r.Host, Proto: "http"}
 	if address, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		peer.Addr = address.Addr()
 		peer.Trusted = hopheaders.Trusted(peer.Addr, o.TrustedProxies)
 	}
-	*relay = upstream.Relay{
-		Name: r.Method, Host: r.Host, Target: originForm(r.RequestURI),
-		Header: hopheaders.Request(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
-		Length: r.ContentLength, Rules: &o.ResponseRules, Hold: o.MaxBufferedAnswerBytes,
-		Idle: o.IdleTimeout, Wait: timeout, Tell: o.SendTimeLeft,
+	*relay = upstream.RelayedRequest{
+		RequestMethod: r.Method, Host: r.Host, Target: originForm(r.RequestURI),
+		Header:        hopheaders.Request(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
+		ContentLength: r.ContentLength, ResponseRules: &o.ResponseRules, MaxBufferedBytes: o.MaxBufferedAnswerBytes,
+		IdleTimeout: o.IdleTimeout, AnswerTimeout: timeout, SendTimeLeft: o.SendTimeLeft,
 	}
 	if o.SendRequestID && len(relay.Header[requestIDHeader]) == 0 {
 		relay.Header[requestIDHeader] = []string{newRequestID()}
 	}
 	if len(r.TransferEncoding) > 0 {
-		relay.Length = -1
+		relay.ContentLength = -1
 		relay.Trailer = func() http.Header { return r.Trailer }
 		for name := range r.Trailer {
 			relay.TrailerNames = append(relay.TrailerNames, name)
 		}
 		slices.Sort(relay.TrailerNames)
 	} else if r.ContentLength == 0 && r.Header.Get("Content-Length") == "" {
-		relay.Length = -1 // the request has no Content-Length, so none is forwarded
+		relay.ContentLength = -1 // the request has no Content-Length, so none is forwarded
 	}
 	if len(target.UpgradeProtocols) > 0 && r.ProtoAtLeast(1, 1) && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		relay.Upgrade = requestedUpgrade(r.Header, target.UpgradeProtocols)
+		relay.UpgradeProtocol = requestedUpgrade(r.Header, target.UpgradeProtocols)
 	}
 }
 
--- a/internal/front/ordinary_answer.go
+++ b/internal/front/ordinary_answer.go
@@ -35,7 +35,7 @@
 	switch {
 	case answer.Stream == nil:
 		writeBufferedAnswer(w, r, answer)
-	case answer.Stream.Tunnel:
+	case answer.Stream.IsTunnel:
 		o.serveTunnel(w, answer)
 	default:
 		o.streamAnswer(front, w, r, answer)
--- a/internal/front/ordinary_call.go
+++ b/internal/front/ordinary_call.go
@@ -15,7 +15,7 @@
 )
 
 // relayBufferBytes is the memory for the buffers of a body that is streamed, in both directions.
-const relayBufferBytes = 2 * upstream.Window
+const relayBufferBytes = 2 * upstream.BodyWindowBytes
 
 // maxDiscardTime is how long the rest of a body is read after the answer.
 const maxDiscardTime = time.Second
@@ -26,7 +26,7 @@
 // forwarded, and the state of its body and its interim responses.
 type ordinaryCall struct {
 	service.Exchange
-	upstream.Relay
+	upstream.RelayedRequest
 	maxBodyBytes int64 // negative for no limit
 	idleTimeout  time.Duration
 
@@ -41,7 +41,7 @@
 	isFinal bool       // no more interim responses may be written
 }
 
-var _ upstream.Early = (*ordinaryCall)(nil)
+var _ upstream.InterimWriter = (*ordinaryCall)(nil)
 
 // ReservedBytes returns the memory for a request's body: all of a short one, else the retry buffer and
 // the buffers for streaming.
@@ -61,21 +61,21 @@
 	call := exchange.Forwarder.(*ordinaryCall)
 	call.writer, call.controller = w, http.NewResponseController(w)
 	if r.ProtoAtLeast(1, 1) {
-		call.Early = call
+		call.InterimWriter = call
 	}
 	if r.ContentLength == 0 {
 		_ = call.controller.SetReadDeadline(time.Time{}) // net/http keeps reading, to notice when the client leaves
 		return nil
 	}
-	call.Expect = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
+	call.ExpectContinue = len(r.Header["Expect"]) > 0 && r.ProtoAtLeast(1, 1)
 	call.bodyRate = rateGuard{gracePeriod: o.IdleTimeout, minBytesPerSecond: o.MinBytesPerSecond}
 	call.Body = retrybuffer.New(&limitedBody{r.Body, call}, o.RetryBufferBytes, call.setReadDeadline)
-	if call.Expect || call.Length < 0 || call.Length > int64(o.RetryBufferBytes) {
+	if call.ExpectContinue || call.ContentLength < 0 || call.ContentLength > int64(o.RetryBufferBytes) {
 		_ = call.controller.EnableFullDuplex() // the answer may begin before the body has been read
 		exchange.Request.HasPendingBody = true
 		return nil
 	}
-	if err := call.Body.Fill(call.Length); err != nil {
+	if err := call.Body.Fill(call.ContentLength); err != nil {
 		return newBodyReadError(err)
 	}
 	return nil
@@ -112,8 +112,8 @@
 	return n, err
 }
 
-// Interim writes a 1xx response, unless the final answer is due.
-func (c *ordinaryCall) Interim(status int, interim http.Header) {
+// WriteInterim writes a 1xx response, unless the final answer is due.
+func (c *ordinaryCall) WriteInterim(status int, interim http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isFinal {
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -74,9 +74,9 @@
 	}
 	exchange := &struct {
 		service.Exchange
-		upstream.Whole
-	}{service.Exchange{Request: request, Deadline: arrived.Add(timeLeft - service.DeadlineMargin)}, upstream.Whole{Request: forwardedRequest(r)}}
-	exchange.Forwarder = &exchange.Whole
+		upstream.BufferedRequest
+	}{service.Exchange{Request: request, Deadline: arrived.Add(timeLeft - service.DeadlineMargin)}, upstream.BufferedRequest{Request: forwardedRequest(r)}}
+	exchange.Forwarder = &exchange.BufferedRequest
 	return &exchange.Exchange, nil
 }
 
@@ -91,7 +91,7 @@
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return newBadRequest(http.StatusBadRequest, "reading the body: %v", err).closing()
 	}
-	exchange.Forwarder.(*upstream.Whole).Body = body
+	exchange.Forwarder.(*upstream.BufferedRequest).Body = body
 	exchange.Deadline = exchange.Deadline.Add(time.Since(startedAt))
 	if client := clientOf(r); client != nil {
 		exchange.Client = sequentialClient{client}
--- a/internal/front/scatter_gather.go
+++ b/internal/front/scatter_gather.go
@@ -213,8 +213,8 @@
 		return
 	}
 	for _, call := range calls {
-		relay := &call.Exchange.Forwarder.(*ordinaryCall).Relay
-		relay.Body, relay.Length = retrybuffer.Of(body), int64(len(body))
+		relay := &call.Exchange.Forwarder.(*ordinaryCall).RelayedRequest
+		relay.Body, relay.ContentLength = retrybuffer.Of(body), int64(len(body))
 	}
 }
 
@@ -273,7 +273,7 @@
 	}
 	for _, piece := range pieces {
 		// Each window has its own deadline: a client that reads nothing must not block the handler.
-		for window := range slices.Chunk(piece, upstream.Window) {
+		for window := range slices.Chunk(piece, upstream.BodyWindowBytes) {
 			_ = controller.SetWriteDeadline(time.Now().Add(mergedIdleTimeout))
 			if _, err := w.Write(window); err != nil {
 				return // the client has left
--- a/internal/front/tunnel.go
+++ b/internal/front/tunnel.go
@@ -90,8 +90,8 @@
 // copyOneWay copies until source has closed its side, which is no error. A read timeout ends the copy only
 // if the other direction has been idle as well.
 func (t *tunnel) copyOneWay(destination io.Writer, source io.Reader) error {
-	buffer := upstream.Buffers.Get().(*[]byte)
-	defer upstream.Buffers.Put(buffer)
+	buffer := upstream.BodyBuffers.Get().(*[]byte)
+	defer upstream.BodyBuffers.Put(buffer)
 	for {
 		n, err := source.Read(*buffer)
 		if n > 0 {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -185,9 +185,9 @@
 	if h := s.HTTP2; h != nil {
 		p.add(&shared, float64(h.Connections), s.Name)
 		p.add(&streams, float64(h.Streams), s.Name, "open")
-		p.add(&streams, float64(h.Room), s.Name, "room")
+		p.add(&streams, float64(h.FreeStreams), s.Name, "room")
 		p.add(&streamWait, float64(h.Waiting), s.Name)
-		p.add(&fellBack, float64(h.FellBack), s.Name)
+		p.add(&fellBack, float64(h.FallbackServers), s.Name)
 	}
 	if s.Resources == nil {
 		return
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -106,7 +106,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	run := idempotentUpdates(l.Node.Addr(), 4, 16).Start(ctx)
-	testkit.Until(t, "a server that is fallen back on", func() bool { return l.Node.Status()[0].HTTP2.FellBack == len(servers) })
+	testkit.Until(t, "a server that is fallen back on", func() bool { return l.Node.Status()[0].HTTP2.FallbackServers == len(servers) })
 	for _, speaks := range []bool{true, false, true} {
 		for i, s := range servers {
 			s.Close()
@@ -118,7 +118,7 @@
 		}
 		testkit.Until(t, "connections as the servers speak", func() bool {
 			h := l.Node.Status()[0].HTTP2
-			return speaks && h.Connections >= len(servers) && h.FellBack == 0 || !speaks && h.Connections == 0
+			return speaks && h.Connections >= len(servers) && h.FallbackServers == 0 || !speaks && h.Connections == 0
 		})
 	}
 	stop()
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -199,7 +199,7 @@
 		r.setEndpoints(up)
 	}
 	r.wait("none", func() bool { s := r.status(); return s.Servers == 0 && s.AvailableServers == 0 })
-	if idle, pools := r.service().Upstream().Conns(); idle != 0 || pools != 0 {
+	if idle, pools := r.service().Upstream().CountIdle(); idle != 0 || pools != 0 {
 		t.Errorf("%d pools, %d connections", pools, idle)
 	}
 }
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -161,14 +161,14 @@
 func (n *Node) upstreamOptions(r *runningService) upstream.Options {
 	cfg := r.cfg
 	options := upstream.Options{
-		Connect: cfg.Connect, Keepalive: cfg.Keepalive, Answer: int(cfg.Answer), Sockets: n.limiter.upstreamSockets(r.account), Rest: upstream.AnswerGap,
-		HTTP2: upstream.HTTP2{
-			Streams: cfg.Servers.Streams, Conns: cfg.Servers.Connections, Age: cfg.Servers.Age, Again: cfg.Servers.Again,
-			Whole: r.ordinary == nil,
+		ConnectTimeout: cfg.Connect, KeepAliveTimeout: cfg.Keepalive, MaxBodyBytes: int(cfg.Answer), SocketLimiter: n.limiter.upstreamSockets(r.account), QuietPeriod: upstream.SecondAnswerDelay,
+		HTTP2: upstream.HTTP2Options{
+			MaxStreams: cfg.Servers.Streams, MaxConnections: cfg.Servers.Connections, MaxConnectionAge: cfg.Servers.Age, FallbackPeriod: cfg.Servers.Again,
+			StartsAtLastByte: r.ordinary == nil,
 		},
 	}
 	if r.account != nil {
-		options.Dials = r.account.dials
+		options.DialLimiter = r.account.dials
 	}
 	return options
 }
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -27,35 +27,35 @@
 // pastHeld is a request that is sent again though the beginning of its body is gone: a further
 // attempt sends what is left of it.
 type pastHeld struct {
-	*upstream.Relay
+	*upstream.RelayedRequest
 	src io.Reader
 }
 
 func (p pastHeld) CanRetry() bool { return true }
 
 func (p pastHeld) Attempt(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
-	q := *p.Relay
+	q := *p.RelayedRequest
 	q.Body = retrybuffer.New(p.src, 0, nil)
 	return q.Attempt(ctx, life, u, pool)
 }
 
 // afterFirstByte is a request that is sent again when an answer breaks that the client has the
 // beginning of: what comes then is put behind it.
-type afterFirstByte struct{ *upstream.Relay }
+type afterFirstByte struct{ *upstream.RelayedRequest }
 
 func (a afterFirstByte) Attempt(ctx, life context.Context, u *upstream.Upstream, pool *upstream.Pool) upstream.Outcome {
-	o := a.Relay.Attempt(ctx, life, u, pool)
+	o := a.RelayedRequest.Attempt(ctx, life, u, pool)
 	if o.Stream == nil {
 		return o
 	}
 	given, err := io.ReadAll(o.Stream)
 	o.Stream.Close()
-	o.Stream, o.Body, o.Final = nil, given, true
+	o.Stream, o.Body, o.IsFinal = nil, given, true
 	if err == nil {
 		return o
 	}
 	for range 20 {
-		next := a.Relay.Attempt(ctx, life, u, pool)
+		next := a.RelayedRequest.Attempt(ctx, life, u, pool)
 		rest := next.Body
 		if next.Stream != nil {
 			rest, err = io.ReadAll(next.Stream)
@@ -84,7 +84,7 @@
 
 // direct plays seeds at a service with no front before it, and gives what was wrong. wrap makes the
 // request that the service sends; nil leaves it as it is.
-func direct(t *testing.T, seeds int, wrap func(*upstream.Relay, io.Reader) service.Forwarder) (wrong []string, served int) {
+func direct(t *testing.T, seeds int, wrap func(*upstream.RelayedRequest, io.Reader) service.Forwarder) (wrong []string, served int) {
 	c := &tally{came: make(map[string]int)}
 	src := discovery.Source{Kind: discovery.Static}
 	var origins []*fake.Origin
@@ -103,7 +103,7 @@
 			GroupSize: 1, MaxAttempts: 4, MaxRetryAfter: time.Second, CanCancel: true, Plans: []control.Plan{{Name: "p", Price: 1}},
 			Classes: []control.Class{{Name: "any", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
 		},
-		Upstream: upstream.Options{Connect: time.Second, Keepalive: 15 * time.Second, Sockets: limits.NewSocketLimiter(1000)},
+		Upstream: upstream.Options{ConnectTimeout: time.Second, KeepAliveTimeout: 15 * time.Second, SocketLimiter: limits.NewSocketLimiter(1000)},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -129,8 +129,8 @@
 				rng := rand.New(rand.NewPCG(uint64(seed), 22))
 				size, want := int64(rng.IntN(200_000)), int64(100_000+rng.IntN(200_000))
 				from := &shared{r: fake.PatternReader(size)}
-				q := &upstream.Relay{
-					Name: "POST", Target: "/x", Host: "h", Length: -1, Rules: &rules, Hold: 1 << 16, Idle: time.Second, Wait: time.Second,
+				q := &upstream.RelayedRequest{
+					RequestMethod: "POST", Target: "/x", Host: "h", ContentLength: -1, ResponseRules: &rules, MaxBufferedBytes: 1 << 16, IdleTimeout: time.Second, AnswerTimeout: time.Second,
 					Header: http.Header{fake.HeaderScript: {fmt.Sprintf("frame=chunked&body=%d", want)}, "X-Request-Id": {fmt.Sprint(seed)}, "X-Want": {fake.HashOf(size)}},
 					Body:   retrybuffer.New(from, 1<<16, nil),
 				}
@@ -183,9 +183,9 @@
 	if wrong, served := direct(t, 300, nil); len(wrong) > 0 || served < 50 {
 		t.Errorf("%d served, %v", served, wrong)
 	}
-	for name, wrap := range map[string]func(*upstream.Relay, io.Reader) service.Forwarder{
-		"replay past the held part": func(q *upstream.Relay, src io.Reader) service.Forwarder { return pastHeld{q, src} },
-		"retry after the first byte": func(q *upstream.Relay, _ io.Reader) service.Forwarder {
+	for name, wrap := range map[string]func(*upstream.RelayedRequest, io.Reader) service.Forwarder{
+		"replay past the held part": func(q *upstream.RelayedRequest, src io.Reader) service.Forwarder { return pastHeld{q, src} },
+		"retry after the first byte": func(q *upstream.RelayedRequest, _ io.Reader) service.Forwarder {
 			return afterFirstByte{q}
 		},
 	} {
--- a/internal/scattergather/call.go
+++ b/internal/scattergather/call.go
@@ -54,10 +54,10 @@
 
 // readAll reads a stream to its end, until ctx ends.
 func readAll(ctx context.Context, s *upstream.Stream, most int) ([]byte, error) {
-	if s.Tunnel || s.Length > int64(most) {
-		return nil, fmt.Errorf("%d bytes are more than %d", s.Length, most)
+	if s.IsTunnel || s.ContentLength > int64(most) {
+		return nil, fmt.Errorf("%d bytes are more than %d", s.ContentLength, most)
 	}
-	defer context.AfterFunc(ctx, s.Cut)()
+	defer context.AfterFunc(ctx, s.Abort)()
 	body, err := io.ReadAll(io.LimitReader(s, int64(most)+1))
 	if err == nil && len(body) > most {
 		err = fmt.Errorf("more than %d bytes", most)
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -36,7 +36,7 @@
 	x.attempts = append(x.attempts, attempt)
 	isPointless := x.isAnswered || ctx.Err() != nil || l.maxAttempts > 0 && x.attemptCount > l.maxAttempts
 	if pool == nil || isPointless {
-		attempt.Stop()
+		attempt.Cancel()
 		reason := control.ConnectFailed // the server left the list meanwhile: another one may take the request
 		if isPointless {
 			reason = control.NotSent
@@ -68,7 +68,7 @@
 		ctx, cancel = context.WithDeadline(l.lifetime, deadline)
 	}
 	if a.WriteWithin > 0 {
-		ctx = upstream.BeginBy(ctx, time.Now().Add(a.WriteWithin))
+		ctx = upstream.WithWriteDeadline(ctx, time.Now().Add(a.WriteWithin))
 	}
 	return ctx, cancel
 }
@@ -79,7 +79,7 @@
 	switch {
 	case x == nil:
 	case a.Attempt < len(x.attempts):
-		x.attempts[a.Attempt].Stop()
+		x.attempts[a.Attempt].Cancel()
 	default:
 		l.withdrawPendingSends(x)
 	}
@@ -115,14 +115,14 @@
 // its own, so that the outcome is never taken for that of the worker's next job.
 func (l *loop) runAttempt(job attemptJob) bool {
 	var o upstream.Outcome
-	if job.attempt.Open() { // no connection is made for one that was withdrawn
+	if job.attempt.IsPending() { // no connection is made for one that was withdrawn
 		o = job.exchange.Forwarder.Attempt(job.attempt, l.lifetime, l.upstream, job.pool)
 	}
 	if o.Stream != nil {
 		return l.startStream(job, o)
 	}
-	o = job.attempt.Ended(o)
-	job.attempt.Stop()
+	o = job.attempt.FinalOutcome(o)
+	job.attempt.Cancel()
 	return l.post(func() { l.attemptEnded(job, o) })
 }
 
@@ -132,7 +132,7 @@
 	l.openStreams.add(o.Stream, job.exchange.Deadline)
 	o.Stream.OnEnd(func(end upstream.Outcome) {
 		l.openStreams.remove(o.Stream)
-		job.attempt.Stop()
+		job.attempt.Cancel()
 		end.Header = o.Header
 		l.post(func() { l.attemptEnded(job, end) })
 	})
@@ -168,16 +168,16 @@
 		ID: x.Request.ID, Attempt: job.number, Server: job.server, Reason: o.Reason, Delay: time.Since(job.startedAt),
 	}
 	if o.Header != nil {
-		response.QuotaUsage, response.ActualUnits, response.Load = o.Used(), o.Cost(l.maxUnitsByPlan[x.Request.Plan]), o.Load()
+		response.QuotaUsage, response.ActualUnits, response.Load = o.QuotaUsage(), o.ActualUnits(l.maxUnitsByPlan[x.Request.Plan]), o.LoadReport()
 	}
 	l.observeAttemptEnd(job, &o, response.Load)
-	if o.Left && !x.isAnswered {
+	if o.HasClientLeft && !x.isAnswered {
 		l.clientLeft(x)
 	}
 	switch {
 	case x.isAnswered:
 		x.endedLate(&o)
-	case o.Final:
+	case o.IsFinal:
 		a := Answer{Status: o.Status, Header: o.Header, Body: o.Body}
 		if o.Header == nil {
 			a.Kind = Failed
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -42,7 +42,7 @@
 				return nil
 			})
 			o := Options{Settings: testSettings(), NewModule: moduleOf(m)}
-			o.Upstream.Sockets, o.Upstream.Connect, o.Upstream.Keepalive = limits.NewSocketLimiter(100), testkit.Patience, testkit.Patience
+			o.Upstream.SocketLimiter, o.Upstream.ConnectTimeout, o.Upstream.KeepAliveTimeout = limits.NewSocketLimiter(100), testkit.Patience, testkit.Patience
 			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
 			s := runService(t, o)
 			testkit.Next(t, listed)
@@ -79,7 +79,7 @@
 					original.ReplaceWith(replacement)
 					ctx, cancelClient := context.WithCancel(t.Context())
 					x := newExchange("id-1")
-					x.Forwarder.(*upstream.Whole).Request.Method = http.MethodPost
+					x.Forwarder.(*upstream.BufferedRequest).Request.Method = http.MethodPost
 					go original.Do(ctx, x)
 					synctest.Wait()
 					if stays := from != to && to == control.IdempotencyKeyed; len(before)+len(after) != 1 || len(before) == 1 != stays {
--- a/internal/service/client_departure_test.go
+++ b/internal/service/client_departure_test.go
@@ -91,7 +91,7 @@
 // clientFunc is a client that a test says of whether it is there.
 type clientFunc func() bool
 
-func (a clientFunc) There() bool { return a() }
+func (a clientFunc) IsWaiting() bool { return a() }
 
 // TestRequestOfDepartedClientIsNotSent checks that a request whose client leaves before it is written,
 // wherever it is then, is not written. The module is notified once that it was not sent, and the next request
@@ -212,9 +212,9 @@
 
 // startService starts a service, which has the connections of another where it shares some.
 func (r *departureTest) startService(shared *upstream.Upstream) *Service {
-	protocol := upstream.SpeaksHTTP1
+	protocol := upstream.ProtocolHTTP1
 	if strings.HasSuffix(r.forwarder, "over HTTP/2") {
-		protocol = upstream.SpeaksHTTP2
+		protocol = upstream.ProtocolHTTP2
 	}
 	set := threeClassSettings(r.deadline, time.Minute)
 	set.Plans[0].MaxInFlight = 2
@@ -225,7 +225,7 @@
 			r.module = &recordingController{Controller: c, responses: make(map[string][]control.AttemptResult)}
 			return r.module, err
 		},
-		Upstream: upstream.Options{Connect: testkit.Patience, Keepalive: time.Hour, Sockets: r.opener, HTTP2: upstream.HTTP2{Streams: 10, Conns: 1, Whole: true}},
+		Upstream: upstream.Options{ConnectTimeout: testkit.Patience, KeepAliveTimeout: time.Hour, SocketLimiter: r.opener, HTTP2: upstream.HTTP2Options{MaxStreams: 10, MaxConnections: 1, StartsAtLastByte: true}},
 	})
 }
 
@@ -236,7 +236,7 @@
 		x.Forwarder = newForwarder(r.t, http.MethodPost, "body", h)
 		return x
 	}
-	x.Forwarder = &upstream.Relay{Name: http.MethodGet, Target: "/x", Host: "h", Header: h, Length: -1, Rules: &responseclass.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
+	x.Forwarder = &upstream.RelayedRequest{RequestMethod: http.MethodGet, Target: "/x", Host: "h", Header: h, ContentLength: -1, ResponseRules: &responseclass.Rules{}, MaxBufferedBytes: 100, IdleTimeout: testkit.Patience, AnswerTimeout: testkit.Patience}
 	return x
 }
 
--- a/internal/service/deadlines_test.go
+++ b/internal/service/deadlines_test.go
@@ -139,7 +139,7 @@
 					return upstream.Outcome{Reason: control.NotSent}
 				}
 				sent.Add(1)
-				return upstream.Outcome{Reason: control.OK, Status: http.StatusOK, Final: true, Header: http.Header{}}
+				return upstream.Outcome{Reason: control.OK, Status: http.StatusOK, IsFinal: true, Header: http.Header{}}
 			}}
 			all.Go(func() {
 				if a, ok := s.Do(ctx, x); !ok {
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -132,23 +132,23 @@
 	pool := l.pools[id]
 	switch {
 	case pool == nil:
-	case !isAvailable || pool.Endpoint != target.Endpoint || pool.Speaks != protocol:
+	case !isAvailable || pool.Endpoint != target.Endpoint || pool.Protocol != protocol:
 		l.retirePool(id)
 	case endpoint.HasStartedAt:
 		// Connections that were open to a machine as it vanished are not known to have ended.
-		l.upstream.Forget(pool, time.UnixMilli(int64(target.BootMS)))
+		l.upstream.CloseIdleBefore(pool, time.UnixMilli(int64(target.BootMS)))
 	}
 	if isAvailable && l.pools[id] == nil {
-		l.pools[id] = l.upstream.Pool(target.Endpoint, protocol)
+		l.pools[id] = l.upstream.NewPool(target.Endpoint, protocol)
 	}
 }
 
 // protocolOf is the protocol that is spoken to a server.
-func (l *loop) protocolOf(target *discovery.Target) upstream.Speaks {
+func (l *loop) protocolOf(target *discovery.Target) upstream.Protocol {
 	if target.Protocol == "" {
 		return l.defaultProtocol
 	}
-	return upstream.Speaks(slices.Index(discovery.Protocols, target.Protocol))
+	return upstream.Protocol(slices.Index(discovery.Protocols, target.Protocol))
 }
 
 // forgetServer drops what the loop has of a server that is no longer listed. Its id is not used again.
@@ -165,7 +165,7 @@
 func (l *loop) retirePool(server uint32) *upstream.Pool {
 	pool := l.pools[server]
 	if pool != nil {
-		l.upstream.Retire(pool)
+		l.upstream.RetirePool(pool)
 		delete(l.pools, server)
 	}
 	return pool
@@ -174,6 +174,6 @@
 // reconnect replaces the connections to a server by new ones.
 func (l *loop) reconnect(server uint32) {
 	if pool := l.retirePool(server); pool != nil {
-		l.pools[server] = l.upstream.Pool(pool.Endpoint, pool.Speaks)
+		l.pools[server] = l.upstream.NewPool(pool.Endpoint, pool.Protocol)
 	}
 }
--- a/internal/service/event_recorder.go
+++ b/internal/service/event_recorder.go
@@ -84,15 +84,15 @@
 	line := eventlog.Attempt{
 		At: job.startedAt, Server: server.uid, Class: job.exchange.Request.Class, N: job.number,
 		Reason: Reasons[reasonIndex[o.Reason]], Took: time.Since(job.startedAt),
-		Age: unknownAge, Drains: !isAvailable, Dialed: o.Dialed,
+		Age: unknownAge, Drains: !isAvailable, Dialed: o.IsDialed,
 		ServiceMS: unknownReport, Util: unknownReport, Queue: unknownReport,
 	}
 	if !server.bootedAt.IsZero() {
 		line.Age = job.startedAt.Sub(server.bootedAt)
 	}
 	if o.Header != nil {
-		line.Cost, line.Used = o.Cost(0), o.Used()
-		if load := o.Load(); load != nil {
+		line.Cost, line.Used = o.ActualUnits(0), o.QuotaUsage()
+		if load := o.LoadReport(); load != nil {
 			line.ServiceMS, line.Util, line.Queue = load.MeanLatencyMS, load.Utilization, load.Queued
 		}
 	}
@@ -110,6 +110,6 @@
 	for _, x := range l.exchanges {
 		line.Out += x.inFlight
 	}
-	line.Conns, _ = l.upstream.Conns()
+	line.Conns, _ = l.upstream.CountIdle()
 	r.writer.State(line)
 }
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -61,15 +61,15 @@
 	charge       hardLimitCharge
 }
 
-// There reports whether the client still waits for the answer. Package net/http notices a client that has
+// IsWaiting reports whether the client still waits for the answer. Package net/http notices a client that has
 // left with a delay, and not at all where it has sent more than this request; Client tells sooner.
-func (x *Exchange) There() bool {
-	return x.clientContext.Err() == nil && (x.Client == nil || x.Client.There())
+func (x *Exchange) IsWaiting() bool {
+	return x.clientContext.Err() == nil && (x.Client == nil || x.Client.IsWaiting())
 }
 
 // isUnwritten reports whether no attempt was written, nor can be any more once all are withdrawn.
 func (x *Exchange) isUnwritten() bool {
-	return !slices.ContainsFunc(x.attempts, (*upstream.Attempt).Sent)
+	return !slices.ContainsFunc(x.attempts, (*upstream.Attempt).IsSent)
 }
 
 // surelyNeverRan reports whether the request cannot have run at a server. It is asked once all attempts are
--- a/internal/service/gate.go
+++ b/internal/service/gate.go
@@ -111,7 +111,7 @@
 		time.AfterFunc(gate.Linger, func() {
 			l.post(func() {
 				for _, attempt := range x.attempts {
-					attempt.Stop()
+					attempt.Cancel()
 				}
 			})
 		})
@@ -125,7 +125,7 @@
 	}
 	end := LateFailed
 	switch {
-	case o.Final && o.Status == http.StatusOK:
+	case o.IsFinal && o.Status == http.StatusOK:
 		end = LateServed
 	case o.Reason == control.TimedOut || o.Reason == control.Cancelled || o.Reason == control.NotSent:
 		end = LateUnknown
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -183,9 +183,9 @@
 func (l *loop) adoptPools(pools map[string]*upstream.Pool) {
 	for uid, pool := range pools {
 		if own := l.pools[l.serverIDs[uid]]; own != nil && own.Endpoint == pool.Endpoint {
-			l.upstream.Join(pool, own)
+			l.upstream.MergePool(pool, own)
 		} else {
-			l.upstream.Retire(pool)
+			l.upstream.RetirePool(pool)
 		}
 	}
 }
--- a/internal/service/hard_limits_test.go
+++ b/internal/service/hard_limits_test.go
@@ -199,7 +199,7 @@
 		if st := replacement.Status().HardLimits[0]; st.Pledged != 1 || !st.Lends {
 			t.Errorf("%+v", st)
 		}
-		if x := newExchangeOfUnits("x", 1); original.Upstream() != replacement.Upstream() || x.Forwarder.(*upstream.Whole) == nil {
+		if x := newExchangeOfUnits("x", 1); original.Upstream() != replacement.Upstream() || x.Forwarder.(*upstream.BufferedRequest) == nil {
 			t.Error("another upstream")
 		}
 		// A process that hands over to another has no part any more.
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -103,7 +103,7 @@
 	if o.Settings.GroupSize == 0 {
 		o.Settings = testSettings()
 	}
-	o.Upstream.Sockets = limits.NewSocketLimiter(100)
+	o.Upstream.SocketLimiter = limits.NewSocketLimiter(100)
 	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"}}}
 	s, err := New(o)
 	if err != nil {
@@ -148,11 +148,11 @@
 
 // newExchange is a request of class "read".
 func newExchange(id string) *Exchange {
-	return &Exchange{Request: control.Request{ID: id, Class: "read", Plan: "p"}, Forwarder: &upstream.Whole{Request: &http.Request{}}, Deadline: time.Now().Add(5 * time.Second)}
+	return &Exchange{Request: control.Request{ID: id, Class: "read", Plan: "p"}, Forwarder: &upstream.BufferedRequest{Request: &http.Request{}}, Deadline: time.Now().Add(5 * time.Second)}
 }
 
 // newForwarder is a request with some body and header that is sent from memory.
-func newForwarder(t *testing.T, method, body string, header http.Header) *upstream.Whole {
+func newForwarder(t *testing.T, method, body string, header http.Header) *upstream.BufferedRequest {
 	t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), method, "http://h/read", nil)
 	if err != nil {
@@ -161,7 +161,7 @@
 	if header != nil {
 		request.Header = header
 	}
-	forwarder := &upstream.Whole{Request: request}
+	forwarder := &upstream.BufferedRequest{Request: request}
 	if body != "" {
 		forwarder.Body = []byte(body)
 	}
@@ -180,7 +180,7 @@
 
 // scriptedForwarder is a request whose attempts end as a test says.
 type scriptedForwarder struct {
-	upstream.Whole
+	upstream.BufferedRequest
 	attempt func(ctx context.Context) upstream.Outcome
 }
 
--- a/internal/service/lifecycle.go
+++ b/internal/service/lifecycle.go
@@ -90,7 +90,7 @@
 func (s *Service) retirePools(l *loop) {
 	for uid, id := range l.serverIDs {
 		if pool := l.pools[id]; pool != nil && l.transferredPools[uid] != pool {
-			s.upstream.Retire(pool)
+			s.upstream.RetirePool(pool)
 		}
 	}
 }
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -26,7 +26,7 @@
 	module            Module
 	observeModuleTime func(time.Duration) // nil where nobody observes it
 	upstream          *upstream.Upstream
-	defaultProtocol   upstream.Speaks // spoken to servers whose endpoint list entry names none
+	defaultProtocol   upstream.Protocol // spoken to servers whose endpoint list entry names none
 	log               *slog.Logger
 	startedAt         time.Time
 	maxAttempts       int // of a request; 0 is unlimited
--- a/internal/service/options.go
+++ b/internal/service/options.go
@@ -34,7 +34,7 @@
 	Seed     uint64 // for the module's random numbers
 
 	Upstream        upstream.Options
-	Protocol        upstream.Speaks    // spoken to servers whose endpoint list entry names none
+	Protocol        upstream.Protocol  // spoken to servers whose endpoint list entry names none
 	SharedUpstream  *upstream.Upstream // connections of the service that this one replaces; nil creates new ones by Upstream
 	Source          discovery.Source   // of the endpoint list
 	CachedEndpoints discovery.Listing  // the endpoint list as last received, perhaps outdated
--- a/internal/service/requests.go
+++ b/internal/service/requests.go
@@ -12,7 +12,7 @@
 	if s.options.Limiter == nil {
 		return true
 	}
-	answer := int64(s.upstream.Answer)
+	answer := int64(s.upstream.MaxBodyBytes)
 	if x.releaseResources, ok = s.options.Limiter.Admit(body + answer); !ok {
 		x.Request.IsOverCapacity = true
 		return false
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -31,7 +31,7 @@
 	}
 	o := Options{Settings: testSettings(), NewModule: moduleOf(moduleFunc(r.handle))}
 	o.Settings.Classes[0].Idempotency = idempotency
-	o.Upstream = upstream.Options{Sockets: limits.NewSocketLimiter(100), Connect: testkit.Patience, Keepalive: time.Hour}
+	o.Upstream = upstream.Options{SocketLimiter: limits.NewSocketLimiter(100), ConnectTimeout: testkit.Patience, KeepAliveTimeout: time.Hour}
 	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.app.Addr(), State: "up"}}}
 	r.service = runService(t, o)
 	testkit.Next(t, r.listed)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -280,7 +280,7 @@
 			t.Errorf("ended with %v, handed to %p, not %p", err, l.replacement, replacement)
 		}
 		synctest.Wait()
-		if idle, pools := original.Upstream().Conns(); idle != 0 || pools != 1 {
+		if idle, pools := original.Upstream().CountIdle(); idle != 0 || pools != 1 {
 			t.Errorf("%d idle connections in %d pools", idle, pools)
 		}
 	})
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -116,7 +116,7 @@
 				case <-come:
 				case <-ctx.Done():
 				}
-				return upstream.Outcome{Reason: control.OK, Status: http.StatusOK, Final: true, Header: http.Header{}}
+				return upstream.Outcome{Reason: control.OK, Status: http.StatusOK, IsFinal: true, Header: http.Header{}}
 			}}
 			a, _ := s.Do(context.Background(), x)
 			served <- a
--- a/internal/service/status.go
+++ b/internal/service/status.go
@@ -23,7 +23,7 @@
 	OpenStreams int   `json:"streams"`
 	CutStreams  int64 `json:"cut"`
 	// HTTP2 describes the connections that requests share; nil where all servers speak HTTP/1.1.
-	HTTP2 *upstream.Shared `json:"http2,omitempty"`
+	HTTP2 *upstream.HTTP2Status `json:"http2,omitempty"`
 	// HardLimits is the state at each lease store; empty where no hard limit is shared.
 	HardLimits []HardLimitStatus `json:"shared,omitempty"`
 	// ConcurrencyLimit is how many attempts the module lets be in flight at once; 0 where it does not say.
@@ -38,8 +38,8 @@
 // event loop is set.
 func (s *Service) Status() Status {
 	st := Status{Name: s.options.Name, Ready: s.isReady.Load(), Restarts: s.restarts.Load()}
-	st.IdleConnections, _ = s.upstream.Conns()
-	st.HTTP2 = s.upstream.Shared()
+	st.IdleConnections, _ = s.upstream.CountIdle()
+	st.HTTP2 = s.upstream.HTTP2Status()
 	st.OpenStreams, st.CutStreams = s.options.Streams.Stats()
 	l := s.currentLoop()
 	done := make(chan struct{})
--- a/internal/service/streams.go
+++ b/internal/service/streams.go
@@ -52,7 +52,7 @@
 	if oldest != nil {
 		delete(s.deadlines, oldest)
 		s.cutCount++
-		oldest.Cut()
+		oldest.Abort()
 	}
 }
 
--- a/internal/service/unbegun_requests_test.go
+++ b/internal/service/unbegun_requests_test.go
@@ -39,7 +39,7 @@
 				left, leave := context.WithCancel(context.Background())
 				leave()
 				x := newExchange(tc.id)
-				x.Forwarder = &upstream.Whole{Request: &http.Request{Method: http.MethodGet}}
+				x.Forwarder = &upstream.BufferedRequest{Request: &http.Request{Method: http.MethodGet}}
 				if a, ok := s.Do(left, x); ok {
 					t.Errorf("%+v", a)
 				}
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -14,7 +14,7 @@
 // clientUntilFirstRequest is a client that has left once the server has had a request.
 type clientUntilFirstRequest struct{ app *testkit.App }
 
-func (c clientUntilFirstRequest) There() bool { return c.app.Count() == 0 }
+func (c clientUntilFirstRequest) IsWaiting() bool { return c.app.Count() == 0 }
 
 // TestAnswerAfterWithheldRetryTellsWhatRan checks that a request whose client seems to have left before a
 // retry is still answered, as the client may be there: as rejected, after which a retry is safe, only where
@@ -39,7 +39,7 @@
 				set := control.Settings{GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}}, Classes: []control.Class{class}}
 				s := runReadyService(t, Options{
 					Settings: set, Seed: 1, AnyMethod: true, Source: staticSource(app.Addr(), "s-1", "s-2"),
-					Upstream: upstream.Options{Sockets: limits.NewSocketLimiter(100), Connect: testkit.Patience, Keepalive: time.Hour},
+					Upstream: upstream.Options{SocketLimiter: limits.NewSocketLimiter(100), ConnectTimeout: testkit.Patience, KeepAliveTimeout: time.Hour},
 				})
 				x := &Exchange{
 					Request: control.Request{ID: "a", Class: "read", Plan: "p", Customer: "c", Units: 1, FanOut: 1}, Deadline: time.Now().Add(testkit.Patience),
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -10,8 +10,8 @@
 
 // Client is who waits for the answer to a request.
 type Client interface {
-	// There tells whether it still waits. It is asked by an attempt's goroutine, and must not wait.
-	There() bool
+	// IsWaiting tells whether it still waits. It is asked by an attempt's goroutine, and must not wait.
+	IsWaiting() bool
 }
 
 // Attempt is the time of one attempt, and the one place that says whether it is sent: whoever writes
@@ -62,7 +62,7 @@
 	to := committed
 	if a.Err() != nil {
 		to = withdrawn
-	} else if !a.client.There() {
+	} else if !a.client.IsWaiting() {
 		to = abandoned
 	}
 	return a.state.CompareAndSwap(pending, to) && to == committed
@@ -75,26 +75,26 @@
 	}
 }
 
-// Stop ends an attempt, written or not.
-func (a *Attempt) Stop() {
+// Cancel ends an attempt, written or not.
+func (a *Attempt) Cancel() {
 	if a != nil {
 		a.Withdraw()
 		a.end()
 	}
 }
 
-// Sent tells whether some of it was written, or will be.
-func (a *Attempt) Sent() bool { return a != nil && a.state.Load() == committed }
+// IsSent tells whether some of it was written, or will be.
+func (a *Attempt) IsSent() bool { return a != nil && a.state.Load() == committed }
 
-// Ended is how an attempt ended, once Try is over with some outcome: one that was taken back was not
+// FinalOutcome is how an attempt ended, once Try is over with some outcome: one that was taken back was not
 // sent, whatever else went wrong.
-func (a *Attempt) Ended(o Outcome) Outcome {
+func (a *Attempt) FinalOutcome(o Outcome) Outcome {
 	switch a.state.Load() {
 	case withdrawn, abandoned:
-		return Outcome{Reason: control.NotSent, Err: errUnsent, Left: a.state.Load() == abandoned, Dialed: o.Dialed}
+		return Outcome{Reason: control.NotSent, Err: errUnsent, HasClientLeft: a.state.Load() == abandoned, IsDialed: o.IsDialed}
 	}
 	return o
 }
 
-// Open tells whether it may still be sent.
-func (a *Attempt) Open() bool { return a.state.Load() == pending }
+// IsPending tells whether it may still be sent.
+func (a *Attempt) IsPending() bool { return a.state.Load() == pending }
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -49,8 +49,8 @@
 		t: t, u: newTest(2*testkit.Patience, limits.NewSocketLimiter(1024)),
 		reqs: make(chan asked), say: make(chan string), ends: make(chan Outcome, 1),
 	}
-	s.p = s.u.Pool(l.Addr().String(), SpeaksHTTP1)
-	t.Cleanup(func() { s.u.Retire(s.p) })
+	s.p = s.u.NewPool(l.Addr().String(), ProtocolHTTP1)
+	t.Cleanup(func() { s.u.RetirePool(s.p) })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -78,7 +78,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 		defer cancel()
-		s.ends <- s.u.Try(ctx, s.p, message(s.t, nil))
+		s.ends <- s.u.AttemptHTTP1(ctx, s.p, message(s.t, nil))
 	}()
 	return testkit.Next(s.t, s.reqs)
 }
@@ -97,7 +97,7 @@
 	s.t.Helper()
 	testkit.Until(s.t, "what came to idle connections", func() bool {
 		s.u.drop(func(c *conn) bool { return !c.quiet() })
-		idle, _ := s.u.Conns()
+		idle, _ := s.u.CountIdle()
 		return idle == n
 	})
 }
@@ -108,7 +108,7 @@
 	for name, behind := range map[string]bool{"with its answer": true, "some milliseconds later": false} {
 		t.Run(name, func(t *testing.T) {
 			s := newTeller(t)
-			s.u.Rest = testkit.Patience
+			s.u.QuietPeriod = testkit.Patience
 			first := s.begin()
 			s.end(good + map[bool]string{true: noise}[behind])
 			second := s.begin()
@@ -131,7 +131,7 @@
 				s.end(good)
 			}
 			// What has rested is used again.
-			s.u.Rest = 0
+			s.u.QuietPeriod = 0
 			if next := s.begin(); !used[next.from] {
 				t.Error("one that has rested was not used again")
 			}
@@ -144,7 +144,7 @@
 // where the rest was longest.
 func TestSomeConnectionsRest(t *testing.T) {
 	s := newTeller(t)
-	s.u.Rest = testkit.Patience
+	s.u.QuietPeriod = testkit.Patience
 	var from []string
 	for range 2 * restingMost {
 		from = append(from, s.begin().from)
@@ -167,16 +167,16 @@
 // second answers: it would be turned away although its server has a good connection open.
 func TestRestingServesWhereNoneComesUp(t *testing.T) {
 	s := newTeller(t)
-	s.u.Rest = testkit.Patience
+	s.u.QuietPeriod = testkit.Patience
 	first := s.begin().from
 	s.end(good)
-	s.u.Dials = noDials{}
+	s.u.DialLimiter = noDials{}
 	if from := s.begin().from; from != first {
 		t.Errorf("written to %s, not %s", from, first)
 	}
 	s.end(good)
 	s.u.doubled.Store(true)
-	if o := s.u.Try(t.Context(), s.p, message(t, nil)); o.Reason != control.NotSent || !errors.Is(o.Err, errNoDial) {
+	if o := s.u.AttemptHTTP1(t.Context(), s.p, message(t, nil)); o.Reason != control.NotSent || !errors.Is(o.Err, errNoDial) {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -186,12 +186,12 @@
 func TestUnusedConnectionIsAsItWas(t *testing.T) {
 	const age = time.Second
 	s := newTeller(t)
-	s.u.Rest = testkit.Patience
+	s.u.QuietPeriod = testkit.Patience
 	late := func() {
 		t.Helper()
-		ctx, cancel := context.WithTimeout(BeginBy(t.Context(), time.Now()), testkit.Patience)
+		ctx, cancel := context.WithTimeout(WithWriteDeadline(t.Context(), time.Now()), testkit.Patience)
 		defer cancel()
-		if o := s.u.Try(ctx, s.p, message(t, nil)); o.Reason != control.NotSent {
+		if o := s.u.AttemptHTTP1(ctx, s.p, message(t, nil)); o.Reason != control.NotSent {
 			t.Fatalf("%d (%v)", o.Reason, o.Err)
 		}
 	}
@@ -220,8 +220,8 @@
 		s.end(good)
 	}
 	io.WriteString(c, noise)
-	s.u.Rest = AnswerGap
-	time.Sleep(AnswerGap) // has to pass
+	s.u.QuietPeriod = SecondAnswerDelay
+	time.Sleep(SecondAnswerDelay) // has to pass
 	if next := s.begin(); next.from == c.from {
 		t.Error("written where a second answer was still to come")
 	}
@@ -237,7 +237,7 @@
 // What has to begin by some time is not written to a connection that comes up later, nor on an idle
 // one: that speaks against no server, and the connection serves the next request.
 func TestConnectionUpBehindTheWindow(t *testing.T) {
-	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
+	for name, speaks := range map[string]Protocol{"HTTP/1.1": ProtocolHTTP1, "HTTP/2": ProtocolHTTP2} {
 		t.Run(name, func(t *testing.T) {
 			a, err := fake.Server{UID: "s", HTTP2: true}.Start()
 			if err != nil {
@@ -247,16 +247,16 @@
 			late := &comingUp{}
 			socks := limits.NewSocketLimiter(1024)
 			u := New(Options{
-				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks, Dials: late,
-				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
+				ConnectTimeout: testkit.Patience, KeepAliveTimeout: 2 * testkit.Patience, SocketLimiter: socks, DialLimiter: late,
+				HTTP2: HTTP2Options{MaxConnections: 1, MaxStreams: 10, MaxConnectionAge: time.Hour, FallbackPeriod: time.Minute, StartsAtLastByte: true},
 			})
-			p := u.Pool(a.Addr(), speaks)
-			t.Cleanup(func() { u.Retire(p) })
+			p := u.NewPool(a.Addr(), speaks)
+			t.Cleanup(func() { u.RetirePool(p) })
 			try := func(by time.Time) Outcome {
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
 				if !by.IsZero() {
-					ctx = BeginBy(ctx, by)
+					ctx = WithWriteDeadline(ctx, by)
 				}
 				return update("id", "body").Attempt(ctx, nil, u, p)
 			}
@@ -300,7 +300,7 @@
 		socks := limits.NewSocketLimiter(1024)
 		socks.TryAcquire()
 		u := newTest(testkit.Patience, socks)
-		p := u.Pool("", SpeaksHTTP1)
+		p := u.NewPool("", ProtocolHTTP1)
 		c := u.newConn(limits.Track(nc, socks), nil)
 		const left = time.Second
 		ctx, cancel := context.WithTimeout(context.Background(), left)
@@ -345,7 +345,7 @@
 					ends := make(chan Outcome, 1)
 					req := message(t, make([]byte, size))
 					go func() {
-						ends <- u.try(ctx, u.Pool("", SpeaksHTTP1), u.newConn(limits.Track(near, socks), nil), req)
+						ends <- u.try(ctx, u.NewPool("", ProtocolHTTP1), u.newConn(limits.Track(near, socks), nil), req)
 					}()
 					if total == 0 {
 						far.SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -409,7 +409,7 @@
 // An attempt whose server leaves the list before its connection is up, or before it has one at all, is not
 // written: sends to the server have to have stopped by then, and a connection may take its time.
 func TestConnectionUpAsItsServerLeaves(t *testing.T) {
-	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
+	for name, speaks := range map[string]Protocol{"HTTP/1.1": ProtocolHTTP1, "HTTP/2": ProtocolHTTP2} {
 		for when, before := range map[string]bool{"before": true, "meanwhile": false} {
 			t.Run(name+" "+when, func(t *testing.T) {
 				a, err := fake.Server{UID: "s", HTTP2: true}.Start()
@@ -421,13 +421,13 @@
 				var u *Upstream
 				var p *Pool
 				u = New(Options{
-					Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: socks,
-					Dials: onDial(func() { dials++; u.Retire(p) }),
-					HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
+					ConnectTimeout: testkit.Patience, KeepAliveTimeout: 2 * testkit.Patience, SocketLimiter: socks,
+					DialLimiter: onDial(func() { dials++; u.RetirePool(p) }),
+					HTTP2:       HTTP2Options{MaxConnections: 1, MaxStreams: 10, MaxConnectionAge: time.Hour, FallbackPeriod: time.Minute, StartsAtLastByte: true},
 				})
-				p = u.Pool(a.Addr(), speaks)
+				p = u.NewPool(a.Addr(), speaks)
 				if before {
-					u.Retire(p)
+					u.RetirePool(p)
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -22,7 +22,7 @@
 
 // flow is one attempt of ordinary HTTP over a stream of HTTP/2.
 type flow struct {
-	*Relay
+	*RelayedRequest
 	s      *h2.Stream
 	unhook func() bool // from what ends the attempt
 	open   bool        // no ctx bounds the wait for the answer: it counts from the last of the body
@@ -39,17 +39,17 @@
 
 // relay makes an attempt over a connection that others share; false where it has to be made over
 // HTTP/1.1, and nothing has been sent.
-func (s *shared) relay(ctx, life context.Context, q *Relay) (Outcome, bool) {
-	if q.Upgrade != "" && s.speaks == TriesHTTP2 { // there is none in HTTP/2
+func (s *shared) relay(ctx, life context.Context, q *RelayedRequest) (Outcome, bool) {
+	if q.UpgradeProtocol != "" && s.speaks == ProtocolPreferHTTP2 { // there is none in HTTP/2
 		return Outcome{}, false
 	}
-	t := &flow{Relay: q}
+	t := &flow{RelayedRequest: q}
 	o, dialed, ok := s.over(ctx, func(c *h2.Conn) (err error) {
-		t.s, err = c.Open(t.request(ctx, s.scheme()), Window, t.early)
+		t.s, err = c.Open(t.request(ctx, s.scheme()), BodyWindowBytes, t.early)
 		return err
 	})
 	if t.s == nil {
-		o.Dialed = dialed
+		o.IsDialed = dialed
 		return o, ok
 	}
 	t.unhook = context.AfterFunc(ctx, t.cutOff)
@@ -58,7 +58,7 @@
 	case going && t.unhook():
 		t.unhook = context.AfterFunc(life, t.cutOff)
 	case going: // its time was up at this moment
-		o = t.failed(ctx, ErrCut)
+		o = t.failed(ctx, ErrAborted)
 		t.over(false)
 	case o.Err != nil:
 		o = t.failed(ctx, o.Err)
@@ -66,7 +66,7 @@
 	default:
 		t.over(true)
 	}
-	o.Dialed = dialed
+	o.IsDialed = dialed
 	return o, true
 }
 
@@ -81,24 +81,24 @@
 	}
 	until, ends := ctx.Deadline()
 	t.open = !ends
-	if t.Tell {
-		left := t.Wait
+	if t.SendTimeLeft {
+		left := t.AnswerTimeout
 		if ends {
 			left = max(time.Until(until), time.Millisecond)
 		}
 		set(protocol.HeaderTimeLeft, strconv.FormatInt(left.Milliseconds(), 10)+"m")
 	}
-	if t.Expect {
+	if t.ExpectContinue {
 		set("Expect", "100-continue")
 	}
 	r := &h2.Request{
-		Method: t.Name, Scheme: scheme, Authority: t.Host, Path: t.Target, Header: h, Length: t.Length,
+		Method: t.RequestMethod, Scheme: scheme, Authority: t.Host, Path: t.Target, Header: h, Length: t.ContentLength,
 		Begin: func() bool { return Commit(ctx) },
 	}
 	if t.Body == nil {
 		return r
 	}
-	if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.Expect && t.Length >= 0 {
+	if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.ExpectContinue && t.ContentLength >= 0 {
 		r.Body = held
 		return r
 	}
@@ -113,8 +113,8 @@
 func (t *flow) early(status int, h http.Header) {
 	switch {
 	case status != http.StatusContinue:
-		if t.Early != nil {
-			t.Early.Interim(status, h)
+		if t.InterimWriter != nil {
+			t.InterimWriter.WriteInterim(status, h)
 		}
 	case t.proceed != nil:
 		t.goOn.Do(func() { close(t.proceed) })
@@ -124,7 +124,7 @@
 // exchange sends the body and reads the answer up to where it is held; going tells that there is more.
 func (t *flow) exchange() (o Outcome, going bool) {
 	if t.more {
-		if t.Expect {
+		if t.ExpectContinue {
 			t.proceed = make(chan struct{})
 		}
 		go t.pump(t.Body.Reader())
@@ -149,7 +149,7 @@
 	if held, _ := t.hold(&o, reader(t.readOn), n); held {
 		return o, false
 	}
-	o.Stream = &Stream{going: t, Length: n}
+	o.Stream = &Stream{going: t, ContentLength: n}
 	return o, true
 }
 
@@ -176,7 +176,7 @@
 func (t *flow) failed(ctx context.Context, err error) Outcome {
 	o := Outcome{Reason: control.ResetByPeer, Err: err}
 	if wrong := t.broken.Load(); wrong != nil { // the client's side
-		o = Outcome{Reason: control.Cancelled, Err: *wrong, Status: http.StatusBadRequest, Final: true}
+		o = Outcome{Reason: control.Cancelled, Err: *wrong, Status: http.StatusBadRequest, IsFinal: true}
 		if errors.Is(*wrong, os.ErrDeadlineExceeded) {
 			o.Status = http.StatusRequestTimeout
 		}
@@ -200,16 +200,16 @@
 // await bounds the wait for the answer from now on, where nothing else does.
 func (t *flow) await() {
 	if t.open {
-		t.s.ReadBy(time.Now().Add(t.Wait))
+		t.s.ReadBy(time.Now().Add(t.AnswerTimeout))
 	}
 }
 
 // idle bounds each further wait for the answer's body.
-func (t *flow) idle() { t.s.ReadBy(time.Now().Add(t.Idle)) }
+func (t *flow) idle() { t.s.ReadBy(time.Now().Add(t.IdleTimeout)) }
 
 // pump sends the body as it comes. What breaks on the client's side ends the attempt.
 func (t *flow) pump(body *retrybuffer.Reader) {
-	if t.Expect {
+	if t.ExpectContinue {
 		wait := time.NewTimer(continueWait)
 		select {
 		case <-t.proceed:
@@ -221,12 +221,12 @@
 			return
 		}
 	}
-	room := Buffers.Get().(*[]byte)
-	defer Buffers.Put(room)
+	room := BodyBuffers.Get().(*[]byte)
+	defer BodyBuffers.Put(room)
 	for {
 		n, err := body.Read(*room)
 		if n > 0 {
-			t.s.WriteBy(time.Now().Add(t.Idle))
+			t.s.WriteBy(time.Now().Add(t.IdleTimeout))
 			if _, err := t.s.Write((*room)[:n]); err != nil {
 				if errors.Is(err, os.ErrDeadlineExceeded) {
 					t.late.Store(true)
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -13,26 +13,26 @@
 	"lockflow/internal/protocol"
 )
 
-// Speaks is what is spoken to app servers.
-type Speaks int
+// Protocol is what is spoken to app servers.
+type Protocol int
 
 // What may be spoken to app servers.
 const (
-	SpeaksHTTP1 Speaks = iota
-	SpeaksHTTP2        // with prior knowledge (RFC 9113, 3.3)
-	TriesHTTP2         // the same; HTTP/1.1 to servers that turn out not to speak it
+	ProtocolHTTP1       Protocol = iota
+	ProtocolHTTP2                // with prior knowledge (RFC 9113, 3.3)
+	ProtocolPreferHTTP2          // the same; HTTP/1.1 to servers that turn out not to speak it
 )
 
 // quietMost is for a connection with open streams, before it is asked for a sign of life.
 const quietMost = 5 * time.Second
 
-// HTTP2 is how HTTP/2 is spoken.
-type HTTP2 struct {
-	Streams int           // open at once on a connection, whatever the server allows
-	Conns   int           // to one server, beside those that end
-	Age     time.Duration // from which on a connection is replaced; 0 is never
-	Again   time.Duration // until a server that turned out not to speak it is tried again
-	Whole   bool          // servers begin a request with its last byte (PROTOCOL), not with its head
+// HTTP2Options is how HTTP/2 is spoken.
+type HTTP2Options struct {
+	MaxStreams       int           // open at once on a connection, whatever the server allows
+	MaxConnections   int           // to one server, beside those that end
+	MaxConnectionAge time.Duration // from which on a connection is replaced; 0 is never
+	FallbackPeriod   time.Duration // until a server that turned out not to speak it is tried again
+	StartsAtLastByte bool          // servers begin a request with its last byte (PROTOCOL), not with its head
 }
 
 var errNoStream = errors.New("no stream came free")
@@ -41,7 +41,7 @@
 type shared struct {
 	u        *Upstream
 	endpoint string
-	speaks   Speaks
+	speaks   Protocol
 	bell     chan struct{} // rung when there may be room; each that it wakes rings it again
 
 	mu      sync.Mutex
@@ -54,8 +54,8 @@
 	gone    bool
 }
 
-func (u *Upstream) newShared(endpoint string, speaks Speaks) *shared {
-	if speaks == SpeaksHTTP1 {
+func (u *Upstream) newShared(endpoint string, speaks Protocol) *shared {
+	if speaks == ProtocolHTTP1 {
 		return nil
 	}
 	u.sharing.Store(true)
@@ -88,7 +88,7 @@
 
 // whole makes an attempt over a connection that others share; false where the server speaks
 // HTTP/1.1, and nothing has been sent.
-func (s *shared) whole(ctx context.Context, w *Whole) (Outcome, bool) {
+func (s *shared) whole(ctx context.Context, w *BufferedRequest) (Outcome, bool) {
 	req := w.Request
 	r := &h2.Request{
 		Method: req.Method, Scheme: s.scheme(), Authority: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: w.Body,
@@ -106,7 +106,7 @@
 	if ok && o.Err == nil {
 		o = ended(ctx, e)
 	}
-	o.Dialed = dialed
+	o.IsDialed = dialed
 	return o, ok
 }
 
@@ -117,7 +117,7 @@
 		c, made, err := s.take(ctx)
 		dialed = dialed || made
 		switch {
-		case errors.Is(err, h2.ErrNotSpoken) && s.speaks == TriesHTTP2:
+		case errors.Is(err, h2.ErrNotSpoken) && s.speaks == ProtocolPreferHTTP2:
 			return o, dialed, false
 		case errors.Is(err, errNoStream):
 			return Outcome{Reason: control.NotSent, Err: err}, dialed, true // speaks against no app server
@@ -201,7 +201,7 @@
 			views[i] = c.View()
 		}
 		o := &s.u.HTTP2
-		next := h2.Choose(views, s.dialing, s.waiting, h2.Bounds{Conns: max(1, o.Conns), Waiting: max(1, o.Streams), Age: o.Age})
+		next := h2.Choose(views, s.dialing, s.waiting, h2.Bounds{Conns: max(1, o.MaxConnections), Waiting: max(1, o.MaxStreams), Age: o.MaxConnectionAge})
 		if next.Retire >= 0 {
 			s.conns[next.Retire].Retire()
 		}
@@ -221,7 +221,7 @@
 		}
 		if wait == nil {
 			var cancel context.CancelFunc
-			wait, cancel = context.WithTimeout(ctx, s.u.Connect)
+			wait, cancel = context.WithTimeout(ctx, s.u.ConnectTimeout)
 			defer cancel()
 		}
 		s.waiting++
@@ -259,18 +259,18 @@
 	default:
 		s.fails++
 		s.err = err
-		if errors.Is(err, h2.ErrNotSpoken) && s.speaks == TriesHTTP2 {
-			s.plain = time.Now().Add(s.u.HTTP2.Again)
+		if errors.Is(err, h2.ErrNotSpoken) && s.speaks == ProtocolPreferHTTP2 {
+			s.plain = time.Now().Add(s.u.HTTP2.FallbackPeriod)
 		}
 	}
 	s.ring()
 }
 
 func (s *shared) connect() (*h2.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.u.Connect)
+	ctx, cancel := context.WithTimeout(context.Background(), s.u.ConnectTimeout)
 	defer cancel()
 	offered := []string{protocolHTTP2, protocolHTTP1}
-	if s.speaks == SpeaksHTTP2 {
+	if s.speaks == ProtocolHTTP2 {
 		offered = offered[:1]
 	}
 	nc, _, protocol, err := s.u.connect(ctx, s.endpoint, offered...)
@@ -281,7 +281,7 @@
 		nc.Close()
 		return nil, fmt.Errorf("%w: %w", h2.ErrNotSpoken, certs.ErrProtocol)
 	}
-	return h2.Start(ctx, nc, h2.Options{Limits: h2.Limits{Streams: s.u.HTTP2.Streams, Body: s.u.Answer, Whole: s.u.HTTP2.Whole}, Quiet: quietMost, Changed: s.ring})
+	return h2.Start(ctx, nc, h2.Options{Limits: h2.Limits{Streams: s.u.HTTP2.MaxStreams, Body: s.u.MaxBodyBytes, Whole: s.u.HTTP2.StartsAtLastByte}, Quiet: quietMost, Changed: s.ring})
 }
 
 // tidy forgets connections that have ended, and ends those that take no more requests and hold
@@ -309,34 +309,34 @@
 	return n
 }
 
-// Shared is what an Upstream has of connections of HTTP/2.
-type Shared struct {
-	Connections int `json:"connections"`
-	Streams     int `json:"streams"`  // open on them
-	Room        int `json:"room"`     // for further ones, on those that take any
-	Waiting     int `json:"waiting"`  // requests that wait for a stream or a connection
-	FellBack    int `json:"fellback"` // servers that are spoken to by HTTP/1.1 for a time
+// HTTP2Status is what an Upstream has of connections of HTTP/2.
+type HTTP2Status struct {
+	Connections     int `json:"connections"`
+	Streams         int `json:"streams"`  // open on them
+	FreeStreams     int `json:"room"`     // for further ones, on those that take any
+	Waiting         int `json:"waiting"`  // requests that wait for a stream or a connection
+	FallbackServers int `json:"fellback"` // servers that are spoken to by HTTP/1.1 for a time
 }
 
-// Shared counts what requests share; nil where no server is spoken to by HTTP/2.
-func (u *Upstream) Shared() *Shared {
+// HTTP2Status counts what requests share; nil where no server is spoken to by HTTP/2.
+func (u *Upstream) HTTP2Status() *HTTP2Status {
 	if !u.sharing.Load() {
 		return nil
 	}
-	all := &Shared{}
+	all := &HTTP2Status{}
 	u.eachShared(func(s *shared) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		all.Waiting += s.waiting
 		if time.Now().Before(s.plain) {
-			all.FellBack++
+			all.FallbackServers++
 		}
 		for _, c := range s.conns {
 			v := c.View()
 			all.Connections++
 			all.Streams += v.Open
 			if !v.Ending {
-				all.Room += max(0, v.Room)
+				all.FreeStreams += max(0, v.Room)
 			}
 		}
 	})
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -31,26 +31,26 @@
 	"lockflow/internal/testkit"
 )
 
-func newHTTP2(o HTTP2) *Upstream {
-	o.Again = time.Minute
-	if o.Conns == 0 {
-		o.Conns = 2
+func newHTTP2(o HTTP2Options) *Upstream {
+	o.FallbackPeriod = time.Minute
+	if o.MaxConnections == 0 {
+		o.MaxConnections = 2
 	}
-	if o.Streams == 0 {
-		o.Streams = 8
+	if o.MaxStreams == 0 {
+		o.MaxStreams = 8
 	}
-	o.Whole = true
-	return New(Options{Connect: 5 * time.Second, Keepalive: time.Minute, Sockets: limits.NewSocketLimiter(1000), HTTP2: o})
+	o.StartsAtLastByte = true
+	return New(Options{ConnectTimeout: 5 * time.Second, KeepAliveTimeout: time.Minute, SocketLimiter: limits.NewSocketLimiter(1000), HTTP2: o})
 }
 
-func update(id string, body string) *Whole {
+func update(id string, body string) *BufferedRequest {
 	req, err := http.NewRequest(http.MethodPost, "http://origin.svc/visit-update?account=1", nil)
 	if err != nil {
 		panic(err)
 	}
 	req.Header.Set(protocol.HeaderID, id)
 	req.Header.Set(protocol.HeaderKey, "key-"+id)
-	return &Whole{Request: req, Body: []byte(body)}
+	return &BufferedRequest{Request: req, Body: []byte(body)}
 }
 
 func startHTTP2(t *testing.T, s fake.HTTP2Server) *fake.RunningHTTP2 {
@@ -74,8 +74,8 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	u := newHTTP2(HTTP2{Streams: 1 + rng.IntN(8), Conns: 1 + rng.IntN(3)})
-	p := u.Pool(s.Addr(), SpeaksHTTP2)
+	u := newHTTP2(HTTP2Options{MaxStreams: 1 + rng.IntN(8), MaxConnections: 1 + rng.IntN(3)})
+	p := u.NewPool(s.Addr(), ProtocolHTTP2)
 	var mu sync.Mutex
 	say := func(format string, args ...any) {
 		mu.Lock()
@@ -123,7 +123,7 @@
 		})
 	}
 	all.Wait()
-	u.Retire(p)
+	u.RetirePool(p)
 	if c := s.Tally.Counts(); c.Twice > 0 || c.Again > 0 || c.MostAtOne > 1 {
 		say("%+v", c)
 	}
@@ -157,12 +157,12 @@
 // Many requests at once share few connections, within the server's limit.
 func TestRequestsShare(t *testing.T) {
 	s := startHTTP2(t, fake.HTTP2Server{UID: "s", Streams: 50})
-	u := newHTTP2(HTTP2{Streams: 100, Conns: 2})
-	p := u.Pool(s.Addr(), SpeaksHTTP2)
+	u := newHTTP2(HTTP2Options{MaxStreams: 100, MaxConnections: 2})
+	p := u.NewPool(s.Addr(), ProtocolHTTP2)
 	var all sync.WaitGroup
 	for i := range 80 {
 		all.Go(func() {
-			if o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Load() == nil {
+			if o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.LoadReport() == nil {
 				t.Errorf("%v, %v", o.Reason, o.Err)
 			}
 		})
@@ -171,8 +171,8 @@
 	if n, most := s.Dials(); n > 2 || most > 2 {
 		t.Errorf("%d connections, %d at once", n, most)
 	}
-	u.Retire(p)
-	testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.SocketLimiter).InUse() == 0 })
+	u.RetirePool(p)
+	testkit.Until(t, "all descriptors back", func() bool { return u.SocketLimiter.(*limits.SocketLimiter).InUse() == 0 })
 }
 
 // Where there is no stream to be had, a request goes back to the module.
@@ -181,10 +181,10 @@
 		io.WriteString(c, "\x00\x00\x06\x04\x00\x00\x00\x00\x00\x00\x03\x00\x00\x00\x00") // settings: no streams
 		io.Copy(io.Discard, c)
 	})
-	u := newHTTP2(HTTP2{})
+	u := newHTTP2(HTTP2Options{})
 	begun := time.Now()
-	o := update("a", "").Attempt(t.Context(), t.Context(), u, u.Pool(l, SpeaksHTTP2))
-	if o.Reason != control.NotSent || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.Connect/2 {
+	o := update("a", "").Attempt(t.Context(), t.Context(), u, u.NewPool(l, ProtocolHTTP2))
+	if o.Reason != control.NotSent || !errors.Is(o.Err, errNoStream) || time.Since(begun) > u.ConnectTimeout/2 {
 		t.Errorf("%v, %v after %v", o.Reason, o.Err, time.Since(begun))
 	}
 }
@@ -192,10 +192,10 @@
 // A server that has left the list is not connected to anew.
 func TestRetiredIsLeft(t *testing.T) {
 	s := startHTTP2(t, fake.HTTP2Server{UID: "s"})
-	u := newHTTP2(HTTP2{})
-	p := u.Pool(s.Addr(), SpeaksHTTP2)
-	u.Retire(p)
-	if o := update("a", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.Sockets.(*limits.SocketLimiter).InUse() != 0 {
+	u := newHTTP2(HTTP2Options{})
+	p := u.NewPool(s.Addr(), ProtocolHTTP2)
+	u.RetirePool(p)
+	if o := update("a", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ConnectFailed || !errors.Is(o.Err, errGone) || u.SocketLimiter.(*limits.SocketLimiter).InUse() != 0 {
 		t.Errorf("%v, %v", o.Reason, o.Err)
 	}
 }
@@ -225,8 +225,8 @@
 // A server that speaks HTTP/1.1 is spoken to so, for a time, and only where that is allowed.
 func TestFallBack(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
-	u := newHTTP2(HTTP2{})
-	p := u.Pool(app.Addr(), TriesHTTP2)
+	u := newHTTP2(HTTP2Options{})
+	p := u.NewPool(app.Addr(), ProtocolPreferHTTP2)
 	for i := range 3 {
 		if o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK {
 			t.Errorf("%v, %v", o.Reason, o.Err)
@@ -235,7 +235,7 @@
 	if n := app.Dials(); n != 2 {
 		t.Errorf("%d connections: one to try, one to use", n)
 	}
-	if got := u.Shared(); *got != (Shared{FellBack: 1}) {
+	if got := u.HTTP2Status(); *got != (HTTP2Status{FallbackServers: 1}) {
 		t.Errorf("%+v", *got)
 	}
 	requests := func() (n int) {
@@ -253,10 +253,10 @@
 	if o := update("4", "swap").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || app.Dials() != 3 {
 		t.Errorf("%v, %v; %d connections", o.Reason, o.Err, app.Dials())
 	}
-	if u = newHTTP2(HTTP2{}); u.Shared() != nil {
+	if u = newHTTP2(HTTP2Options{}); u.HTTP2Status() != nil {
 		t.Error("connections that nobody asked for")
 	}
-	if o := update("5", "swap").Attempt(t.Context(), t.Context(), u, u.Pool(app.Addr(), SpeaksHTTP2)); o.Reason != control.ConnectFailed || requests() != 4 {
+	if o := update("5", "swap").Attempt(t.Context(), t.Context(), u, u.NewPool(app.Addr(), ProtocolHTTP2)); o.Reason != control.ConnectFailed || requests() != 4 {
 		t.Errorf("%v, %v; %d requests", o.Reason, o.Err, requests())
 	}
 }
@@ -295,16 +295,16 @@
 			}
 		}
 	})
-	u := newHTTP2(HTTP2{Conns: 1})
-	p := u.Pool(l, SpeaksHTTP2)
+	u := newHTTP2(HTTP2Options{MaxConnections: 1})
+	p := u.NewPool(l, ProtocolHTTP2)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-held; cancel() }()
 	if o := update("late", strings.Repeat("x", 400)).Attempt(ctx, ctx, u, p); o.Reason != control.Cancelled {
 		t.Errorf("%v, %v", o.Reason, o.Err)
 	}
 	close(goOn)
-	if o := update("next", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.Dialed {
-		t.Errorf("%v, %v, dialed %v", o.Reason, o.Err, o.Dialed)
+	if o := update("next", "").Attempt(t.Context(), t.Context(), u, p); o.Reason != control.OK || o.IsDialed {
+		t.Errorf("%v, %v, dialed %v", o.Reason, o.Err, o.IsDialed)
 	}
 }
 
@@ -312,17 +312,17 @@
 func TestTLS(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		speaks Speaks
+		speaks Protocol
 		h2     bool // the server's
 		want   control.Reason
 		proto  string
 		dials  int64
 	}{
-		{"HTTP/2", SpeaksHTTP2, true, control.OK, "HTTP/2.0", 1},
-		{"HTTP/2 where there is none", SpeaksHTTP2, false, control.ConnectFailed, "", 3},
-		{"either, HTTP/2", TriesHTTP2, true, control.OK, "HTTP/2.0", 1},
-		{"either, HTTP/1.1", TriesHTTP2, false, control.OK, "HTTP/1.1", 2},
-		{"HTTP/1.1", SpeaksHTTP1, true, control.OK, "HTTP/1.1", 1},
+		{"HTTP/2", ProtocolHTTP2, true, control.OK, "HTTP/2.0", 1},
+		{"HTTP/2 where there is none", ProtocolHTTP2, false, control.ConnectFailed, "", 3},
+		{"either, HTTP/2", ProtocolPreferHTTP2, true, control.OK, "HTTP/2.0", 1},
+		{"either, HTTP/1.1", ProtocolPreferHTTP2, false, control.OK, "HTTP/1.1", 2},
+		{"HTTP/1.1", ProtocolHTTP1, true, control.OK, "HTTP/1.1", 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var dials atomic.Int64
@@ -348,9 +348,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			u := newHTTP2(HTTP2{})
+			u := newHTTP2(HTTP2Options{})
 			u.TLS = book
-			p := u.Pool(s.Listener.Addr().String(), tc.speaks)
+			p := u.NewPool(s.Listener.Addr().String(), tc.speaks)
 			for i := range 3 {
 				o := update(fmt.Sprint(i), "swap").Attempt(t.Context(), t.Context(), u, p)
 				if o.Reason != tc.want || tc.want == control.OK && proto.Load() != tc.proto {
@@ -364,11 +364,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if o := update("other", "").Attempt(t.Context(), t.Context(), u, u.Pool(p.Endpoint, tc.speaks)); o.Reason != control.ConnectFailed {
+			if o := update("other", "").Attempt(t.Context(), t.Context(), u, u.NewPool(p.Endpoint, tc.speaks)); o.Reason != control.ConnectFailed {
 				t.Errorf("another name: %v, %v", o.Reason, o.Err)
 			}
-			u.Retire(p)
-			testkit.Until(t, "all descriptors back", func() bool { return u.Sockets.(*limits.SocketLimiter).InUse() == 0 })
+			u.RetirePool(p)
+			testkit.Until(t, "all descriptors back", func() bool { return u.SocketLimiter.(*limits.SocketLimiter).InUse() == 0 })
 		})
 	}
 }
@@ -376,15 +376,15 @@
 // A body that has come whole just behind the head is sent all the same.
 func TestBodyComesBehindTheHead(t *testing.T) {
 	s := startHTTP2(t, fake.HTTP2Server{UID: "s"})
-	u := newHTTP2(HTTP2{})
-	p := u.Pool(s.Addr(), SpeaksHTTP2)
-	q := &Relay{
-		Name: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, Length: 4,
-		Body: retrybuffer.New(strings.NewReader("body"), 1000, nil), Rules: &responseclass.Rules{}, Hold: 1000, Idle: testkit.Patience, Wait: testkit.Patience,
+	u := newHTTP2(HTTP2Options{})
+	p := u.NewPool(s.Addr(), ProtocolHTTP2)
+	q := &RelayedRequest{
+		RequestMethod: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, ContentLength: 4,
+		Body: retrybuffer.New(strings.NewReader("body"), 1000, nil), ResponseRules: &responseclass.Rules{}, MaxBufferedBytes: 1000, IdleTimeout: testkit.Patience, AnswerTimeout: testkit.Patience,
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	f := &flow{Relay: q}
+	f := &flow{RelayedRequest: q}
 	r := f.request(ctx, "http")
 	if b, err := io.ReadAll(q.Body.Reader()); err != nil || string(b) != "body" || !r.More {
 		t.Fatalf("%q, %v, more %v", b, err, r.More)
@@ -393,12 +393,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if f.s, err = c.Open(r, Window, f.early); err != nil {
+	if f.s, err = c.Open(r, BodyWindowBytes, f.early); err != nil {
 		t.Fatal(err)
 	}
 	defer context.AfterFunc(ctx, f.cutOff)()
 	if o, _ := f.exchange(); o.Status != 200 || s.Tally.Runs("a") != 1 {
 		t.Errorf("%+v, ran %d times", o, s.Tally.Runs("a"))
 	}
-	u.Retire(p)
+	u.RetirePool(p)
 }
--- a/internal/upstream/late_connection_test.go
+++ b/internal/upstream/late_connection_test.go
@@ -62,15 +62,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			sockets, dials := limits.NewSocketLimiter(1024), &dialCount{}
-			u := New(Options{Connect: within.connect, Keepalive: testkit.Patience, Sockets: sockets, Dials: dials})
-			pool := u.Pool(address, SpeaksHTTP1)
+			u := New(Options{ConnectTimeout: within.connect, KeepAliveTimeout: testkit.Patience, SocketLimiter: sockets, DialLimiter: dials})
+			pool := u.NewPool(address, ProtocolHTTP1)
 			begun := time.Now()
 			var all sync.WaitGroup
 			for range attempts {
 				all.Go(func() {
 					ctx, cancel := context.WithTimeout(t.Context(), within.attempt)
 					defer cancel()
-					if o := u.Try(ctx, pool, message(t, nil)); o.Reason != control.ConnectFailed {
+					if o := u.AttemptHTTP1(ctx, pool, message(t, nil)); o.Reason != control.ConnectFailed {
 						t.Errorf("%d (%v)", o.Reason, o.Err)
 					}
 				})
--- a/internal/upstream/pieces_test.go
+++ b/internal/upstream/pieces_test.go
@@ -47,8 +47,8 @@
 			u := newTest(testkit.Patience, sockets)
 			ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
 			defer cancel()
-			pool := u.Pool("", SpeaksHTTP1)
-			defer u.Retire(pool)
+			pool := u.NewPool("", ProtocolHTTP1)
+			defer u.RetirePool(pool)
 			o := u.try(ctx, pool, u.newConn(limits.Track(bytewise{near}, sockets), nil), message(t, nil))
 			if o.Reason != tc.want || tc.want == control.OK && string(o.Body) != "ok" {
 				t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,7 +14,7 @@
 // of an app server that has gone being used for one that is now at its address.
 type Pool struct {
 	Endpoint string
-	Speaks   Speaks
+	Protocol Protocol
 	idle     []*conn // the most recently used last; nil for good once the pool is retired
 	next     *Pool   // that has all connections of this one, also those in use; nil is none
 	shared   *shared // connections of HTTP/2; nil where none is spoken
@@ -28,18 +28,18 @@
 	return p
 }
 
-// Pool makes a pool of connections to an address, of a server that may be spoken to in its own way.
-func (u *Upstream) Pool(endpoint string, speaks Speaks) *Pool {
-	p := &Pool{Endpoint: endpoint, Speaks: speaks, shared: u.newShared(endpoint, speaks)}
+// NewPool makes a pool of connections to an address, of a server that may be spoken to in its own way.
+func (u *Upstream) NewPool(endpoint string, speaks Protocol) *Pool {
+	p := &Pool{Endpoint: endpoint, Protocol: speaks, shared: u.newShared(endpoint, speaks)}
 	u.mu.Lock()
 	u.pools[p] = struct{}{}
 	u.mu.Unlock()
 	return p
 }
 
-// Join has a pool's connections, those in use too, be another one's from now on. Both are of this
+// MergePool has a pool's connections, those in use too, be another one's from now on. Both are of this
 // Upstream and lead to one app server at one address. The first may go on being used.
-func (u *Upstream) Join(p, to *Pool) {
+func (u *Upstream) MergePool(p, to *Pool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p = p.last(); p == to.last() {
@@ -54,8 +54,8 @@
 	to.shared.adopt(p.shared)
 }
 
-// Retire closes a pool's idle connections; those in use are closed when they come back.
-func (u *Upstream) Retire(p *Pool) {
+// RetirePool closes a pool's idle connections; those in use are closed when they come back.
+func (u *Upstream) RetirePool(p *Pool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.pools, p)
@@ -66,8 +66,8 @@
 	p.shared.retire()
 }
 
-// Forget closes a pool's idle connections that were used last before some time.
-func (u *Upstream) Forget(p *Pool, before time.Time) {
+// CloseIdleBefore closes a pool's idle connections that were used last before some time.
+func (u *Upstream) CloseIdleBefore(p *Pool, before time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p = p.last()
@@ -161,8 +161,8 @@
 // unsent is the outcome of an attempt that was taken back once it had a connection, which is kept as it was: a
 // server bears few that come up, and its own clock of an idle one goes on.
 func (u *Upstream) unsent(p *Pool, c *conn) Outcome {
-	o := Outcome{Reason: control.NotSent, Err: errUnsent, Dialed: c.since.IsZero()}
-	if o.Dialed {
+	o := Outcome{Reason: control.NotSent, Err: errUnsent, IsDialed: c.since.IsZero()}
+	if o.IsDialed {
 		c.since = time.Now()
 	}
 	u.keep(p, c)
@@ -195,8 +195,8 @@
 	p.idle = append(p.idle, c)
 }
 
-// Conns counts the idle connections and the pools that are not retired.
-func (u *Upstream) Conns() (idle, pools int) {
+// CountIdle counts the idle connections and the pools that are not retired.
+func (u *Upstream) CountIdle() (idle, pools int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for p := range u.pools {
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -26,45 +26,45 @@
 	headWithin   = 5 * time.Second // from the first byte of an answer's head to its last
 )
 
-// Early is told of answers of 1xx that go on to the client, by an attempt's goroutine.
-type Early interface {
-	Interim(status int, h http.Header)
+// InterimWriter is told of answers of 1xx that go on to the client, by an attempt's goroutine.
+type InterimWriter interface {
+	WriteInterim(status int, h http.Header)
 }
 
-// Relay is a request of ordinary HTTP (RFC 9110, 9112) as attempts send it. Its fields are not
+// RelayedRequest is a request of ordinary HTTP (RFC 9110, 9112) as attempts send it. Its fields are not
 // changed once the first attempt is made; one is out at a time.
-type Relay struct {
+type RelayedRequest struct {
 	// Name, Target and Host go on as they are.
-	Name, Target, Host string
-	Header             http.Header
-	Trailer            func() http.Header // known once all of the body was read; nil is none
-	TrailerNames       []string           // that are announced
-	Body               *retrybuffer.Body  // nil is none
-	Length             int64              // of the body; below zero it goes in chunks
-	Expect             bool               // the body waits for an answer of 100
-	Upgrade            string             // protocol that may be changed to; "" is none
+	RequestMethod, Target, Host string
+	Header                      http.Header
+	Trailer                     func() http.Header // known once all of the body was read; nil is none
+	TrailerNames                []string           // that are announced
+	Body                        *retrybuffer.Body  // nil is none
+	ContentLength               int64              // of the body; below zero it goes in chunks
+	ExpectContinue              bool               // the body waits for an answer of 100
+	UpgradeProtocol             string             // protocol that may be changed to; "" is none
 
-	Rules *responseclass.Rules
-	Hold  int           // most bytes of an answer's body that are held
-	Idle  time.Duration // for which one window of a body may take to move
-	Wait  time.Duration // from a body's last byte to the answer's first
-	Tell  bool          // how long the node will wait
+	ResponseRules    *responseclass.Rules
+	MaxBufferedBytes int           // most bytes of an answer's body that are held
+	IdleTimeout      time.Duration // for which one window of a body may take to move
+	AnswerTimeout    time.Duration // from a body's last byte to the answer's first
+	SendTimeLeft     bool          // how long the node will wait
 
-	Early Early // nil is nobody asks
+	InterimWriter InterimWriter // nil is nobody asks
 }
 
 // Method is the request's.
-func (q *Relay) Method() string { return q.Name }
+func (q *RelayedRequest) Method() string { return q.RequestMethod }
 
 // IsBodyPending tells whether some of the body is still to come.
-func (q *Relay) IsBodyPending() bool { return q.Body != nil && !q.Body.Ended() }
+func (q *RelayedRequest) IsBodyPending() bool { return q.Body != nil && !q.Body.Ended() }
 
 // CanRetry tells whether a further attempt could send all of it.
-func (q *Relay) CanRetry() bool { return q.Body == nil || q.Body.Again() }
+func (q *RelayedRequest) CanRetry() bool { return q.Body == nil || q.Body.Again() }
 
 // relay is one attempt.
 type relay struct {
-	*Relay
+	*RelayedRequest
 	u      *Upstream
 	p      *Pool
 	c      *conn
@@ -88,15 +88,15 @@
 	begun bool       // the answer's head has
 }
 
-// Window is what of a body is under way at once, each way, in bytes.
-const Window = 32 << 10
+// BodyWindowBytes is what of a body is under way at once, each way, in bytes.
+const BodyWindowBytes = 32 << 10
 
-// Buffers holds *[]byte of a Window, for bodies that go on as they come.
-var Buffers = sync.Pool{New: func() any { b := make([]byte, Window); return &b }}
+// BodyBuffers holds *[]byte of a Window, for bodies that go on as they come.
+var BodyBuffers = sync.Pool{New: func() any { b := make([]byte, BodyWindowBytes); return &b }}
 
 // Attempt makes one attempt: it waits for an answer's head until ctx ends at the most. An answer
 // that is not held goes on as a Stream, until life ends.
-func (q *Relay) Attempt(ctx, life context.Context, u *Upstream, p *Pool) Outcome {
+func (q *RelayedRequest) Attempt(ctx, life context.Context, u *Upstream, p *Pool) Outcome {
 	if s := u.sharedOf(p); s != nil {
 		if o, ok := s.relay(ctx, life, q); ok {
 			return o
@@ -109,8 +109,8 @@
 	if !Commit(ctx) {
 		return u.unsent(p, c)
 	}
-	t := &relay{Relay: q, u: u, p: p, c: c, heads: answerHead}
-	t.req.Method = q.Name
+	t := &relay{RelayedRequest: q, u: u, p: p, c: c, heads: answerHead}
+	t.req.Method = q.RequestMethod
 	t.scan.Answers = true
 	c.in.start(time.Time{}, answerHead)
 	c.in.relay = t
@@ -132,7 +132,7 @@
 	var timeout net.Error
 	switch {
 	case t.broken.Load() != nil: // the client's side
-		o = Outcome{Reason: control.Cancelled, Err: *t.broken.Load(), Status: http.StatusBadRequest, Final: true}
+		o = Outcome{Reason: control.Cancelled, Err: *t.broken.Load(), Status: http.StatusBadRequest, IsFinal: true}
 		if errors.As(o.Err, &timeout) && timeout.Timeout() {
 			o.Status = http.StatusRequestTimeout
 		}
@@ -183,7 +183,7 @@
 	}
 	if t.body {
 		t.timed = true
-		t.c.readBy(time.Now().Add(t.Idle))
+		t.c.readBy(time.Now().Add(t.IdleTimeout))
 		n, err := t.c.Read(b)
 		if errors.Is(err, io.EOF) && t.resp != nil && t.c.wasReset() {
 			err = syscall.ECONNRESET
@@ -219,7 +219,7 @@
 		return
 	}
 	if t.sent.Load() {
-		t.c.readBy(time.Now().Add(t.Wait))
+		t.c.readBy(time.Now().Add(t.AnswerTimeout))
 	} else {
 		t.c.readBy(time.Time{}) // the pump has bounds of its own
 	}
@@ -239,8 +239,8 @@
 	t.req.Close = resp.Close
 	o.Status, o.Header = resp.StatusCode, resp.Header
 	if resp.StatusCode == http.StatusSwitchingProtocols {
-		o.Reason, o.Final = control.OK, true
-		o.Stream = &Stream{going: t, t: t, Tunnel: true, Length: -1}
+		o.Reason, o.IsFinal = control.OK, true
+		o.Stream = &Stream{going: t, t: t, IsTunnel: true, ContentLength: -1}
 		return o, true
 	}
 	t.resp = resp
@@ -253,7 +253,7 @@
 		t.req.Close = t.req.Close || cut
 		return o, false
 	}
-	o.Stream = &Stream{going: t, t: t, Length: n}
+	o.Stream = &Stream{going: t, t: t, ContentLength: n}
 	return o, true
 }
 
@@ -273,12 +273,12 @@
 
 // hold says what an answer's head means and holds its body, of n bytes (below zero is not known),
 // where it is to be held; cut says that some of it was left unread.
-func (q *Relay) hold(o *Outcome, body io.Reader, n int64) (held, cut bool) {
-	m := q.Rules.Of(o.Status, o.Header)
-	o.Reason, o.Final = m.Reason, m.Final
+func (q *RelayedRequest) hold(o *Outcome, body io.Reader, n int64) (held, cut bool) {
+	m := q.ResponseRules.Of(o.Status, o.Header)
+	o.Reason, o.IsFinal = m.Reason, m.Final
 	switch {
 	case n == 0:
-	case n > 0 && n <= int64(q.Hold) && !isEvents(o.Header):
+	case n > 0 && n <= int64(q.MaxBufferedBytes) && !isEvents(o.Header):
 		o.Body = make([]byte, n)
 		if _, err := io.ReadFull(body, o.Body); err != nil {
 			*o = Outcome{Reason: control.ResetByPeer, Err: err}
@@ -286,8 +286,8 @@
 	case !m.Final:
 		// What might be tried elsewhere is held for the case that nothing better comes; where it is
 		// too long, the node's own answer has to do.
-		b, err := io.ReadAll(io.LimitReader(body, int64(q.Hold)+1))
-		if o.Body = b; err != nil || len(b) > q.Hold {
+		b, err := io.ReadAll(io.LimitReader(body, int64(q.MaxBufferedBytes)+1))
+		if o.Body = b; err != nil || len(b) > q.MaxBufferedBytes {
 			o.Status, o.Body, cut = 0, nil, true
 		}
 	default:
@@ -312,13 +312,13 @@
 			return nil, err
 		}
 		switch s := resp.StatusCode; {
-		case s == http.StatusSwitchingProtocols && t.Upgrade != "" && t.sent.Load() && strings.EqualFold(resp.Header.Get("Upgrade"), t.Upgrade):
+		case s == http.StatusSwitchingProtocols && t.UpgradeProtocol != "" && t.sent.Load() && strings.EqualFold(resp.Header.Get("Upgrade"), t.UpgradeProtocol):
 			return resp, nil
 		case s < 200 && s != http.StatusSwitchingProtocols && n < interimsMost:
 			if s == http.StatusContinue {
 				t.goOn()
-			} else if t.Early != nil {
-				t.Early.Interim(s, resp.Header)
+			} else if t.InterimWriter != nil {
+				t.InterimWriter.WriteInterim(s, resp.Header)
 			}
 			if t.c.r.Buffered() == 0 { // the next head comes when it comes
 				t.mu.Lock()
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -37,11 +37,11 @@
 			}()
 			u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 			from, body := io.Pipe()
-			q := &Relay{
-				Name: http.MethodPost, Target: "/x", Host: "h", Length: -1, Body: retrybuffer.New(from, 0, nil), Rules: &responseclass.Rules{},
-				Idle: testkit.Patience, Wait: testkit.Patience,
+			q := &RelayedRequest{
+				RequestMethod: http.MethodPost, Target: "/x", Host: "h", ContentLength: -1, Body: retrybuffer.New(from, 0, nil), ResponseRules: &responseclass.Rules{},
+				IdleTimeout: testkit.Patience, AnswerTimeout: testkit.Patience,
 			}
-			o := q.Attempt(context.Background(), context.Background(), u, u.Pool(l.Addr().String(), SpeaksHTTP1))
+			o := q.Attempt(context.Background(), context.Background(), u, u.NewPool(l.Addr().String(), ProtocolHTTP1))
 			if o.Stream == nil {
 				t.Fatalf("%+v", o)
 			}
@@ -75,8 +75,8 @@
 // The status of one answer isn't taken with the rest of another.
 func TestHalfALineAhead(t *testing.T) {
 	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
-	p := u.Pool(raw(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), SpeaksHTTP1)
-	q := &Relay{Name: http.MethodGet, Target: "/x", Host: "h", Length: -1, Rules: &responseclass.Rules{}, Hold: 100, Idle: testkit.Patience, Wait: testkit.Patience}
+	p := u.NewPool(raw(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), ProtocolHTTP1)
+	q := &RelayedRequest{RequestMethod: http.MethodGet, Target: "/x", Host: "h", ContentLength: -1, ResponseRules: &responseclass.Rules{}, MaxBufferedBytes: 100, IdleTimeout: testkit.Patience, AnswerTimeout: testkit.Patience}
 	if o := q.Attempt(t.Context(), t.Context(), u, p); o.Reason != control.ResetByPeer || o.Status != 0 {
 		t.Errorf("%+v", o)
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -19,45 +19,45 @@
 	w := t.c.w
 	until, ends := ctx.Deadline()
 	if t.open = !ends; t.open {
-		t.c.writeBy(time.Now().Add(t.Idle))
+		t.c.writeBy(time.Now().Add(t.IdleTimeout))
 	}
-	w.WriteString(t.Name)
+	w.WriteString(t.RequestMethod)
 	w.WriteByte(' ')
 	w.WriteString(t.Target)
 	w.WriteString(" HTTP/1.1\r\nHost: ")
 	w.WriteString(t.Host)
 	w.WriteString("\r\n")
 	_ = t.Header.Write(w) // an error is kept for Flush
-	if t.Tell {
-		left := t.Wait
+	if t.SendTimeLeft {
+		left := t.AnswerTimeout
 		if ends {
 			left = max(time.Until(until), time.Millisecond)
 		}
 		w.WriteString(protocol.HeaderTimeLeft + ": " + strconv.FormatInt(left.Milliseconds(), 10) + "m\r\n")
 	}
-	if t.Upgrade != "" {
-		w.WriteString("Connection: Upgrade\r\nUpgrade: " + t.Upgrade + "\r\n")
+	if t.UpgradeProtocol != "" {
+		w.WriteString("Connection: Upgrade\r\nUpgrade: " + t.UpgradeProtocol + "\r\n")
 	}
 	var inline []byte
 	switch {
 	case t.Body == nil:
-		if t.Length == 0 { // told by the client, as a POST without a body may
+		if t.ContentLength == 0 { // told by the client, as a POST without a body may
 			w.WriteString("Content-Length: 0\r\n")
 		}
 		t.sent.Store(true)
-	case t.Length < 0:
+	case t.ContentLength < 0:
 		w.WriteString("Transfer-Encoding: chunked\r\n")
 		if len(t.TrailerNames) > 0 {
 			w.WriteString("Trailer: " + strings.Join(t.TrailerNames, ", ") + "\r\n")
 		}
 	default:
-		w.WriteString("Content-Length: " + strconv.FormatInt(t.Length, 10) + "\r\n")
-		if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.Expect {
+		w.WriteString("Content-Length: " + strconv.FormatInt(t.ContentLength, 10) + "\r\n")
+		if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.ExpectContinue {
 			inline = held
 			t.sent.Store(true)
 		}
 	}
-	if t.Expect {
+	if t.ExpectContinue {
 		w.WriteString("Expect: 100-continue\r\n")
 	}
 	w.WriteString("\r\n")
@@ -73,7 +73,7 @@
 	}
 	if !t.sent.Load() {
 		t.pumped = make(chan struct{})
-		if t.Expect {
+		if t.ExpectContinue {
 			t.ended, t.proceed = make(chan struct{}), make(chan struct{})
 		}
 		body := t.Body.Reader() // before anything else can want one
@@ -98,7 +98,7 @@
 // on the server's is for the answer to tell: it may have come before.
 func (t *relay) pump(body *retrybuffer.Reader) {
 	defer close(t.pumped)
-	if t.Expect {
+	if t.ExpectContinue {
 		wait := time.NewTimer(continueWait)
 		select {
 		case <-t.proceed:
@@ -112,18 +112,18 @@
 		default:
 		}
 	}
-	room := Buffers.Get().(*[]byte)
-	defer Buffers.Put(room)
+	room := BodyBuffers.Get().(*[]byte)
+	defer BodyBuffers.Put(room)
 	w := t.c.w
 	for {
 		n, err := body.Read(*room)
 		if n > 0 {
-			t.c.writeBy(time.Now().Add(t.Idle))
-			if t.Length < 0 {
+			t.c.writeBy(time.Now().Add(t.IdleTimeout))
+			if t.ContentLength < 0 {
 				w.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
 			}
 			w.Write((*room)[:n])
-			if t.Length < 0 {
+			if t.ContentLength < 0 {
 				w.WriteString("\r\n")
 			}
 			if w.Flush() != nil {
@@ -141,7 +141,7 @@
 			return
 		}
 	}
-	if t.Length < 0 {
+	if t.ContentLength < 0 {
 		w.WriteString("0\r\n")
 		if t.Trailer != nil {
 			_ = t.Trailer().Write(w) // an error is kept for Flush
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -15,8 +15,8 @@
 // Stream is the rest of an answer, or a tunnel. One goroutine reads it; Close may be called by
 // any.
 type Stream struct {
-	Length int64 // of the body; below zero it is not known
-	Tunnel bool  // the protocol has changed: bytes go both ways
+	ContentLength int64 // of the body; below zero it is not known
+	IsTunnel      bool  // the protocol has changed: bytes go both ways
 
 	going
 	t    *relay // that it is of; nil over HTTP/2
@@ -39,8 +39,8 @@
 	over(whole bool) // lets go of it, once
 }
 
-// ErrCut is the end of a stream that was broken off from this side.
-var ErrCut = errors.New("broken off")
+// ErrAborted is the end of a stream that was broken off from this side.
+var ErrAborted = errors.New("broken off")
 
 // OnEnd sets what is called once, with how the attempt ended, when the stream is closed.
 func (s *Stream) OnEnd(f func(Outcome)) {
@@ -56,7 +56,7 @@
 	s.read += int64(n)
 	if err != nil {
 		if s.isCut() { // else it would look like a silence, which a tunnel may outlast
-			err = ErrCut
+			err = ErrAborted
 		}
 		s.ends(err)
 	}
@@ -64,7 +64,7 @@
 }
 
 const (
-	pieceLeast = Window
+	pieceLeast = BodyWindowBytes
 	pieceMost  = 1 << 20
 	pieceSlow  = time.Second // from which on pieces are made smaller
 )
@@ -78,15 +78,15 @@
 		return errors.ErrUnsupported
 	}
 	tcp, ok := s.t.c.Conn.Conn.(*net.TCPConn)
-	if !ok || s.Length < 0 || s.Ready() {
+	if !ok || s.ContentLength < 0 || s.HasBuffered() {
 		return errors.ErrUnsupported
 	}
-	for piece := int64(pieceLeast); s.read < s.Length; {
+	for piece := int64(pieceLeast); s.read < s.ContentLength; {
 		s.t.timed = true
-		s.t.c.readBy(time.Now().Add(s.t.Idle))
+		s.t.c.readBy(time.Now().Add(s.t.IdleTimeout))
 		ahead()
 		begun := time.Now()
-		want := min(piece, s.Length-s.read)
+		want := min(piece, s.ContentLength-s.read)
 		n, err := w.ReadFrom(&io.LimitedReader{R: tcp, N: want})
 		s.read += n
 		if err == nil && n < want {
@@ -96,7 +96,7 @@
 		}
 		if err != nil {
 			if s.t.c.cut.Load() {
-				err = ErrCut
+				err = ErrAborted
 			}
 			s.ends(err)
 			return err
@@ -130,8 +130,8 @@
 	s.mu.Unlock()
 }
 
-// Ready tells whether more is there without waiting.
-func (s *Stream) Ready() bool { return s.isReady() }
+// HasBuffered tells whether more is there without waiting.
+func (s *Stream) HasBuffered() bool { return s.isReady() }
 
 // TrailerNames are the fields that the server has announced to come behind the body.
 func (s *Stream) TrailerNames() (names []string) {
@@ -146,7 +146,7 @@
 
 // Write sends bytes through a tunnel; each part waits for the attempt's Idle at the most.
 func (s *Stream) Write(p []byte) (int, error) {
-	s.t.c.writeBy(time.Now().Add(s.t.Idle))
+	s.t.c.writeBy(time.Now().Add(s.t.IdleTimeout))
 	return s.t.c.Write(p)
 }
 
@@ -157,9 +157,9 @@
 	}
 }
 
-// Cut breaks the stream off: who reads it gets an error. It never waits. Guards against breaking
+// Abort breaks the stream off: who reads it gets an error. It never waits. Guards against breaking
 // off what goes over the connection next: a stream that has ended is left alone.
-func (s *Stream) Cut() {
+func (s *Stream) Abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ended {
@@ -178,12 +178,12 @@
 	}
 	s.ended = true
 	s.mu.Unlock()
-	whole := errors.Is(err, io.EOF) && !s.Tunnel
+	whole := errors.Is(err, io.EOF) && !s.IsTunnel
 	var timeout net.Error
 	o := Outcome{Reason: control.OK} // also where the client left: the server has answered
 	switch {
 	case err == nil || errors.Is(err, io.EOF) || s.clientBroke():
-	case errors.Is(err, ErrCut):
+	case errors.Is(err, ErrAborted):
 		o = Outcome{Reason: control.Cancelled, Err: err}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		o = Outcome{Reason: control.TimedOut, Err: err}
--- a/internal/upstream/timeleft_test.go
+++ b/internal/upstream/timeleft_test.go
@@ -20,7 +20,7 @@
 // Each attempt of a request tells its server what is left to the client as it is written: behind a connection
 // that came up late, and once more behind an attempt that took its time.
 func TestAttemptTellsWhatIsLeft(t *testing.T) {
-	for name, speaks := range map[string]Speaks{"HTTP/1.1": SpeaksHTTP1, "HTTP/2": SpeaksHTTP2} {
+	for name, speaks := range map[string]Protocol{"HTTP/1.1": ProtocolHTTP1, "HTTP/2": ProtocolHTTP2} {
 		t.Run(name, func(t *testing.T) {
 			const late = 100 * time.Millisecond
 			heard := make(chan string, 2)
@@ -36,11 +36,11 @@
 			t.Cleanup(server.Close)
 			connections := &comingUp{past: time.Now().Add(late)}
 			u := New(Options{
-				Connect: testkit.Patience, Keepalive: 2 * testkit.Patience, Sockets: limits.NewSocketLimiter(1024), Dials: connections,
-				HTTP2: HTTP2{Conns: 1, Streams: 10, Age: time.Hour, Again: time.Minute, Whole: true},
+				ConnectTimeout: testkit.Patience, KeepAliveTimeout: 2 * testkit.Patience, SocketLimiter: limits.NewSocketLimiter(1024), DialLimiter: connections,
+				HTTP2: HTTP2Options{MaxConnections: 1, MaxStreams: 10, MaxConnectionAge: time.Hour, FallbackPeriod: time.Minute, StartsAtLastByte: true},
 			})
-			p := u.Pool(server.Listener.Addr().String(), speaks)
-			t.Cleanup(func() { u.Retire(p) })
+			p := u.NewPool(server.Listener.Addr().String(), speaks)
+			t.Cleanup(func() { u.RetirePool(p) })
 			begun := time.Now()
 			deadline := begun.Add(testkit.Patience)
 			ctx, cancel := context.WithDeadline(t.Context(), deadline)
@@ -85,11 +85,11 @@
 		took <- n
 	}()
 	u := newTest(2*testkit.Patience, limits.NewSocketLimiter(1024))
-	p := u.Pool(l.Addr().String(), SpeaksHTTP1)
-	t.Cleanup(func() { u.Retire(p) })
+	p := u.NewPool(l.Addr().String(), ProtocolHTTP1)
+	t.Cleanup(func() { u.RetirePool(p) })
 	ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
 	defer cancel()
-	o := update("id", strings.Repeat("x", size)).Attempt(BeginBy(ctx, time.Now().Add(100*time.Millisecond)), nil, u, p)
+	o := update("id", strings.Repeat("x", size)).Attempt(WithWriteDeadline(ctx, time.Now().Add(100*time.Millisecond)), nil, u, p)
 	close(ended)
 	if o.Reason != control.ConnectFailed {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,22 +35,22 @@
 	usedMost   = 10000 // per cent; what a meter may tell
 	loadMost   = 1e6   // of any figure in a load report
 
-	// AnswerGap is the time behind an answer in which a second one comes. A server that holds small writes
+	// SecondAnswerDelay is the time behind an answer in which a second one comes. A server that holds small writes
 	// back (no TCP_NODELAY) sends it once the first is acknowledged: 40 ms later, or with the next request.
-	AnswerGap   = 50 * time.Millisecond
-	restingMost = 4 // connections to a server that rest so
+	SecondAnswerDelay = 50 * time.Millisecond
+	restingMost       = 4 // connections to a server that rest so
 )
 
 // Options are what an Upstream is made with.
 type Options struct {
-	Connect   time.Duration            // most time for a connection to come up
-	Keepalive time.Duration            // of the app servers' idle connections
-	Sockets   limits.ConnectionLimiter // books each connection
-	Dials     limits.ConnectionLimiter // books each connection until it is up; nil books none
-	Answer    int                      // most bytes of an answer's body; 0 is protocol.BodyMost
-	Rest      time.Duration            // of a connection behind an answer, before the next Whole request; 0 is none
-	HTTP2     HTTP2
-	TLS       *certs.Book // nil speaks in the clear
+	ConnectTimeout   time.Duration            // most time for a connection to come up
+	KeepAliveTimeout time.Duration            // of the app servers' idle connections
+	SocketLimiter    limits.ConnectionLimiter // books each connection
+	DialLimiter      limits.ConnectionLimiter // books each connection until it is up; nil books none
+	MaxBodyBytes     int                      // most bytes of an answer's body; 0 is protocol.BodyMost
+	QuietPeriod      time.Duration            // of a connection behind an answer, before the next Whole request; 0 is none
+	HTTP2            HTTP2Options
+	TLS              *certs.Book // nil speaks in the clear
 }
 
 // Upstream sends requests to app servers, one at a time on a connection. It never
@@ -143,33 +143,33 @@
 
 // New makes an Upstream that holds no connection yet.
 func New(o Options) *Upstream {
-	if o.Answer == 0 {
-		o.Answer = protocol.BodyMost
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = protocol.BodyMost
 	}
 	return &Upstream{
-		Options: o, idleFor: time.Duration(idlePart * float64(o.Keepalive)),
+		Options: o, idleFor: time.Duration(idlePart * float64(o.KeepAliveTimeout)),
 		pools: make(map[*Pool]struct{}),
 	}
 }
 
-// Whole is a request of the platform's protocol: all of it is held, and so is its answer.
-type Whole struct {
+// BufferedRequest is a request of the platform's protocol: all of it is held, and so is its answer.
+type BufferedRequest struct {
 	Request *http.Request // without its body
 	Body    []byte
 }
 
 // Method is the request's.
-func (w *Whole) Method() string { return w.Request.Method }
+func (w *BufferedRequest) Method() string { return w.Request.Method }
 
 // IsBodyPending is false: nothing of it is still to come.
-func (w *Whole) IsBodyPending() bool { return false }
+func (w *BufferedRequest) IsBodyPending() bool { return false }
 
 // CanRetry is true: all of it is held.
-func (w *Whole) CanRetry() bool { return true }
+func (w *BufferedRequest) CanRetry() bool { return true }
 
 // Attempt makes one attempt: it waits until ctx ends at the most. It sets headers of its own in the
 // request, of which no two attempts are out at once.
-func (w *Whole) Attempt(ctx, _ context.Context, u *Upstream, p *Pool) Outcome {
+func (w *BufferedRequest) Attempt(ctx, _ context.Context, u *Upstream, p *Pool) Outcome {
 	if s := u.sharedOf(p); s != nil {
 		if o, ok := s.whole(ctx, w); ok {
 			return o
@@ -181,12 +181,12 @@
 	if len(w.Body) > 0 {
 		m.Body = io.NopCloser(bytes.NewReader(w.Body))
 	}
-	return u.Try(ctx, p, &m)
+	return u.AttemptHTTP1(ctx, p, &m)
 }
 
-// Try makes one attempt: it waits until ctx ends at the most.
-func (u *Upstream) Try(ctx context.Context, p *Pool, req *http.Request) Outcome {
-	c, err := u.rested(ctx, p, u.Rest)
+// AttemptHTTP1 makes one attempt: it waits until ctx ends at the most.
+func (u *Upstream) AttemptHTTP1(ctx context.Context, p *Pool, req *http.Request) Outcome {
+	c, err := u.rested(ctx, p, u.QuietPeriod)
 	if err != nil {
 		return unconnected(err)
 	}
@@ -195,14 +195,14 @@
 		return u.unsent(p, c)
 	}
 	o := u.try(ctx, p, c, req)
-	o.Dialed = dialed
+	o.IsDialed = dialed
 	return o
 }
 
 // try makes an attempt on a connection.
 func (u *Upstream) try(ctx context.Context, p *Pool, c *conn, req *http.Request) Outcome {
 	until, ends := ctx.Deadline()
-	c.in.start(until, u.Answer+answerHead)
+	c.in.start(until, u.MaxBodyBytes+answerHead)
 	// Guards against a peer that takes or gives nothing: both directions end with ctx.
 	unhook := context.AfterFunc(ctx, c.interrupt)
 	keep := false
@@ -233,7 +233,7 @@
 		c.writeBy(time.Time{})
 	}
 	var o Outcome
-	o, keep = c.read(req, u.Answer)
+	o, keep = c.read(req, u.MaxBodyBytes)
 	if o.Err != nil && ctx.Err() != nil {
 		o.Reason = control.TimedOut
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -245,19 +245,19 @@
 
 type beginKey struct{}
 
-// BeginBy has what is sent with a ctx be written whole by some time, else not at all. An attempt
+// WithWriteDeadline has what is sent with a ctx be written whole by some time, else not at all. An attempt
 // whose connection comes up later is moot.
-func BeginBy(ctx context.Context, t time.Time) context.Context {
+func WithWriteDeadline(ctx context.Context, t time.Time) context.Context {
 	return context.WithValue(ctx, beginKey{}, t)
 }
 
-// beginBy is the time that BeginBy has set; zero is none.
+// beginBy is the time that WithWriteDeadline has set; zero is none.
 func beginBy(ctx context.Context) time.Time {
 	t, _ := ctx.Value(beginKey{}).(time.Time)
 	return t
 }
 
-// tooLate tells whether it is past the time that BeginBy has set.
+// tooLate tells whether it is past the time that WithWriteDeadline has set.
 func tooLate(ctx context.Context) bool {
 	by := beginBy(ctx)
 	return !by.IsZero() && !time.Now().Before(by)
@@ -370,7 +370,7 @@
 	if errors.Is(err, errNoDescriptor) || errors.Is(err, errNoDial) || errors.Is(err, errLate) { // speaks against no app server
 		return Outcome{Reason: control.NotSent, Err: err}
 	}
-	return Outcome{Reason: control.ConnectFailed, Err: err, Dialed: true}
+	return Outcome{Reason: control.ConnectFailed, Err: err, IsDialed: true}
 }
 
 func (u *Upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
@@ -401,24 +401,24 @@
 // connect makes a connection that is booked; raw is its socket, below TLS too. protocol is the one
 // that was agreed on of those offered, where there is TLS and the server knows of that.
 func (u *Upstream) connect(ctx context.Context, endpoint string, offered ...string) (c *limits.Conn, raw syscall.RawConn, protocol string, err error) {
-	if u.Dials != nil {
-		if !u.Dials.TryAcquire() {
+	if u.DialLimiter != nil {
+		if !u.DialLimiter.TryAcquire() {
 			return nil, nil, "", errNoDial
 		}
-		defer u.Dials.Release()
+		defer u.DialLimiter.Release()
 	}
-	if !u.Sockets.TryAcquire() {
+	if !u.SocketLimiter.TryAcquire() {
 		return nil, nil, "", errNoDescriptor
 	}
 	if u.TLS != nil { // its handshake counts too
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, u.Connect)
+		ctx, cancel = context.WithTimeout(ctx, u.ConnectTimeout)
 		defer cancel()
 	}
-	d := net.Dialer{Timeout: u.Connect, KeepAlive: -1}
+	d := net.Dialer{Timeout: u.ConnectTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", endpoint)
 	if err != nil {
-		u.Sockets.Release()
+		u.SocketLimiter.Release()
 		return nil, nil, "", err
 	}
 	raw, err = nc.(*net.TCPConn).SyscallConn()
@@ -428,7 +428,7 @@
 			nc = s
 		}
 	}
-	if c = limits.Track(nc, u.Sockets); err != nil {
+	if c = limits.Track(nc, u.SocketLimiter); err != nil {
 		c.Close()
 		return nil, nil, "", err
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,7 +18,7 @@
 )
 
 func newTest(keepalive time.Duration, s *limits.SocketLimiter) *Upstream {
-	u := New(Options{Connect: testkit.Patience, Keepalive: keepalive, Sockets: s})
+	u := New(Options{ConnectTimeout: testkit.Patience, KeepAliveTimeout: keepalive, SocketLimiter: s})
 	s.OnEvict(nil, u.Evict)
 	return u
 }
@@ -114,7 +114,7 @@
 				u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 				defer cancel()
-				if o := u.Try(ctx, u.Pool(endpoint, SpeaksHTTP1), message(t, []byte("body"))); o.Reason != want {
+				if o := u.AttemptHTTP1(ctx, u.NewPool(endpoint, ProtocolHTTP1), message(t, []byte("body"))); o.Reason != want {
 					t.Errorf("%d (%v), not %d", o.Reason, o.Err, want)
 				} else if o.Reason == control.OK && string(o.Body) != "ok" {
 					t.Errorf("body %q", o.Body)
@@ -141,7 +141,7 @@
 	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
-	if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, make([]byte, 64<<20))); o.Reason != control.ConnectFailed {
+	if o := u.AttemptHTTP1(ctx, u.NewPool(l.Addr().String(), ProtocolHTTP1), message(t, make([]byte, 64<<20))); o.Reason != control.ConnectFailed {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -166,7 +166,7 @@
 			u := newTest(testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			if o := u.Try(ctx, u.Pool(l.Addr().String(), SpeaksHTTP1), message(t, tc.body)); o.Reason != tc.want {
+			if o := u.AttemptHTTP1(ctx, u.NewPool(l.Addr().String(), ProtocolHTTP1), message(t, tc.body)); o.Reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.Reason, o.Err, tc.want)
 			}
 			if n := socks.InUse(); n != 0 {
@@ -202,7 +202,7 @@
 		cancel()
 	}()
 	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
-	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.Cancelled {
+	if o := u.AttemptHTTP1(ctx, u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1), message(t, nil)); o.Reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -225,12 +225,12 @@
 	})
 	socks := limits.NewSocketLimiter(1024)
 	u := newTest(2*testkit.Patience, socks)
-	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
+	p := u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1)
 	try := func() {
 		t.Helper()
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 		defer cancel()
-		if o := u.Try(ctx, p, message(t, nil)); o.Reason != control.OK {
+		if o := u.AttemptHTTP1(ctx, p, message(t, nil)); o.Reason != control.OK {
 			t.Fatalf("%d (%v)", o.Reason, o.Err)
 		}
 	}
@@ -265,16 +265,16 @@
 		protocol.HeaderUsed: {"85"}, protocol.HeaderCost: {"3"},
 		protocol.HeaderLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"},
 	}}
-	if o.Used() != 86 || o.Cost(4) != 3 {
-		t.Errorf("used %d, cost %g", o.Used(), o.Cost(4))
+	if o.QuotaUsage() != 86 || o.ActualUnits(4) != 3 {
+		t.Errorf("used %d, cost %g", o.QuotaUsage(), o.ActualUnits(4))
 	}
-	if l := *o.Load(); l != (control.LoadReport{InFlight: 7, Queued: 2, Utilization: 0.61, MeanLatencyMS: 12.5, RequestsPerSecond: -1, ErrorsPerSecond: -1}) {
+	if l := *o.LoadReport(); l != (control.LoadReport{InFlight: 7, Queued: 2, Utilization: 0.61, MeanLatencyMS: 12.5, RequestsPerSecond: -1, ErrorsPerSecond: -1}) {
 		t.Errorf("load %+v", l)
 	}
 	for _, odd := range []string{"", "x", "-1", "NaN", "1e400", "1e300", "99999", "inflight=-1,util=NaN", "queue=1e300"} {
 		o := Outcome{Header: http.Header{protocol.HeaderUsed: {odd}, protocol.HeaderCost: {odd}, protocol.HeaderLoad: {odd}}}
-		if o.Used() != 0 || o.Cost(4) != 0 || o.Load() != nil {
-			t.Errorf("%q: used %d, cost %g", odd, o.Used(), o.Cost(4))
+		if o.QuotaUsage() != 0 || o.ActualUnits(4) != 0 || o.LoadReport() != nil {
+			t.Errorf("%q: used %d, cost %g", odd, o.QuotaUsage(), o.ActualUnits(4))
 		}
 	}
 }
@@ -285,7 +285,7 @@
 	socks := limits.NewSocketLimiter(0)
 	socks.SetLimit(0)
 	u := newTest(testkit.Patience, socks)
-	if o := u.Try(context.Background(), u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.NotSent || a.Count() > 0 {
+	if o := u.AttemptHTTP1(context.Background(), u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1), message(t, nil)); o.Reason != control.NotSent || a.Count() > 0 {
 		t.Errorf("%d (%v)", o.Reason, o.Err)
 	}
 }
@@ -299,7 +299,7 @@
 	u := newTest(2*testkit.Patience, socks)
 	for _, x := range []*testkit.App{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		if o := u.Try(ctx, u.Pool(x.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK {
+		if o := u.AttemptHTTP1(ctx, u.NewPool(x.Listener.Addr().String(), ProtocolHTTP1), message(t, nil)); o.Reason != control.OK {
 			t.Errorf("%d (%v)", o.Reason, o.Err)
 		}
 		cancel()
@@ -332,7 +332,7 @@
 			u := newTest(testkit.Patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 			defer cancel()
-			o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil))
+			o := u.AttemptHTTP1(ctx, u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1), message(t, nil))
 			if o.Reason != control.ResetByPeer || ctx.Err() != nil {
 				t.Errorf("%d (%v)", o.Reason, o.Err)
 			}
@@ -354,7 +354,7 @@
 	u := newTest(testkit.Patience, limits.NewSocketLimiter(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
-	if o := u.Try(ctx, u.Pool(a.Listener.Addr().String(), SpeaksHTTP1), message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
+	if o := u.AttemptHTTP1(ctx, u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1), message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
 		t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
 	}
 }
@@ -372,15 +372,15 @@
 		io.WriteString(w, "k")
 	})
 	u := newTest(2*testkit.Patience, limits.NewSocketLimiter(1024))
-	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
+	p := u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1)
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		if o := u.Try(ctx, p, message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
+		if o := u.AttemptHTTP1(ctx, p, message(t, nil)); o.Reason != control.OK || string(o.Body) != "ok" {
 			t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
 		}
 		cancel()
 	}
-	if n := u.Sockets.(*limits.SocketLimiter).InUse(); n != 1 {
+	if n := u.SocketLimiter.(*limits.SocketLimiter).InUse(); n != 1 {
 		t.Errorf("%d connections, not the same one", n)
 	}
 }
@@ -401,10 +401,10 @@
 		first <- c
 	})
 	u := newTest(2*testkit.Patience, limits.NewSocketLimiter(1024))
-	p := u.Pool(a.Listener.Addr().String(), SpeaksHTTP1)
+	p := u.NewPool(a.Listener.Addr().String(), ProtocolHTTP1)
 	for i := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		o := u.Try(ctx, p, message(t, nil))
+		o := u.AttemptHTTP1(ctx, p, message(t, nil))
 		cancel()
 		if o.Reason != control.OK || string(o.Body) != "ok" {
 			t.Errorf("%d (%v) %q", o.Reason, o.Err, o.Body)
