Write checkpoints and images of the decision module a field a line, and join their parts

Taking and restoring them were functions of up to a hundred lines with assignments of seven fields each, and the window, the meter and the typical deadlines stood twice. Each part has its conversion once; taking an image, resuming it and restoring a checkpoint are short steps with names. What is stored is the same, under the same keys.

--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -1,31 +1,34 @@
 package control
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 )
 
-// CheckpointVersion is that of the form of a Checkpoint. One of another version is not to be
-// restored: a field may mean something else.
+// CheckpointVersion is the version of a Checkpoint's form. One of another version is not restored, as a field may mean
+// something else.
 const CheckpointVersion = 1
 
-// Checkpoint is what a controller has spent and learned, for one that takes its place: after a
-// reload, in a successor process, after a restart. Times are on the clock of the controllers,
-// which therefore has to be one that both share (Unix time).
+// Checkpoint is what a controller has spent and learned, for one that takes its place: after a reload, in a successor
+// process, or after a restart. Times are on a clock that both controllers share (Unix time). Its keys have older names
+// of the same fields: portion is the rate fraction, bound the concurrency limit, spread the fan-out, level and ceiling the
+// tokens of the quota and of the hard limit, strikes consecutive failures, aside the ejection, told a reading.
 type Checkpoint struct {
 	Version          int                    `cbor:"v"`
 	At               time.Duration          `cbor:"at"`      // when it was taken
-	FillingSince     time.Duration          `cbor:"start"`   // since when the stores of unseen customers fill
-	SlackFraction    float64                `cbor:"slack"`   // part of the slack with which they began
-	RateFraction     float64                `cbor:"portion"` // of the rates at which stores fill, from 0 to 1
+	FillingSince     time.Duration          `cbor:"start"`   // since when the buckets of accounts not opened yet fill
+	SlackFraction    float64                `cbor:"slack"`   // part of the slack with which hard limits were opened
+	RateFraction     float64                `cbor:"portion"` // part of the rates at which buckets fill, from 0 to 1
 	ConcurrencyLimit float64                `cbor:"bound"`
-	UsableServers    float64                `cbor:"usable"` // servers that Bound was for
+	UsableServers    float64                `cbor:"usable"` // servers that the limit was for
 	Window           WindowState            `cbor:"interval"`
 	FleetLatency     float64                `cbor:"lat"`
 	IdleLatency      float64                `cbor:"idle"`
 	LatencySamples   float64                `cbor:"seen"`
-	WarmThroughput   float64                `cbor:"served"` // units a second by warm servers
+	WarmThroughput   float64                `cbor:"served"` // units a second by servers that are not warming up
 	RetryBudget      float64                `cbor:"retries"`
 	MinRetryGap      time.Duration          `cbor:"next"`
 	Meter            MeterState             `cbor:"meter"`
@@ -35,7 +38,7 @@
 	Customers        []CustomerCheckpoint   `cbor:"customers"`
 }
 
-// WindowState is what a control interval that has not ended has counted.
+// WindowState is what a control window that has not ended has counted; see controlWindow.
 type WindowState struct {
 	EndsAt            time.Duration `cbor:"ends"`
 	WasCut            bool          `cbor:"Cut"`
@@ -51,7 +54,7 @@
 	CutAt             time.Duration `cbor:"cut_at"`
 }
 
-// MeterState is what is known of the meter's periods; of use with the same period only.
+// MeterState is what is known of the meter's periods; see meterClock. It is of use with the same period only.
 type MeterState struct {
 	Period   time.Duration `cbor:"period"`
 	PhaseBin int64         `cbor:"Phase"`
@@ -59,28 +62,28 @@
 	Misfit   []float64     `cbor:"miss"`
 }
 
-// TypicalDeadlineState is the time that most first tries of a class come with.
+// TypicalDeadlineState is the deadline that most first attempts of a class come with.
 type TypicalDeadlineState struct {
 	Class    string        `cbor:"class"`
 	Deadline time.Duration `cbor:"ttl"`
 	Support  int           `cbor:"seen"`
 }
 
-// PlanCheckpoint is a plan's share of the turns.
+// PlanCheckpoint is a plan's share in the scheduler, with its lateness.
 type PlanCheckpoint struct {
 	Plan          string  `cbor:"plan"`
 	Share         float64 `cbor:"share"`
 	MeanLateness  float64 `cbor:"y"`
-	LatenessSum   float64 `cbor:"late"` // sum of lateness over aim in this interval
+	LatenessSum   float64 `cbor:"late"` // in this control window
 	LatenessCount float64 `cbor:"late_n"`
 }
 
-// ServerCheckpoint is what is known of a server. It is of use for the same start of the server only.
+// ServerCheckpoint is what is known of one incarnation of a server; see server.
 type ServerCheckpoint struct {
 	Server              uint32                   `cbor:"id"`
 	StartedAt           time.Duration            `cbor:"up"`     // 0 is long ago
-	InFlight            int                      `cbor:"out"`    // attempts out
-	AbandonedUntil      []time.Duration          `cbor:"ghosts"` // until when other work is taken to go on there
+	InFlight            int                      `cbor:"out"`    // attempts
+	AbandonedUntil      []time.Duration          `cbor:"ghosts"` // ends of attempts presumed still running there
 	Latency             float64                  `cbor:"lat"`
 	LatencyAt           time.Duration            `cbor:"lat_at"`
 	ConsecutiveFailures int                      `cbor:"strikes"`
@@ -92,16 +95,16 @@
 	SlowStartTokens     float64                  `cbor:"tokens"`
 }
 
-// CustomerCheckpoint is what a customer has left, and what is known of it.
+// CustomerCheckpoint is what a customer has left to spend, and what is known of it; see customerAccount.
 type CustomerCheckpoint struct {
 	ID                       string        `cbor:"id"`
 	Plan                     string        `cbor:"plan"`
 	FanOut                   float64       `cbor:"spread"`
-	QuotaBurst               float64       `cbor:"depth"` // of the plan that Level was counted under
-	HardLimitBurst           float64       `cbor:"burst"` // of the plan that Ceiling was counted under; 0 is no ceiling
+	QuotaBurst               float64       `cbor:"depth"` // of the plan under which the tokens were counted
+	HardLimitBurst           float64       `cbor:"burst"` // the same; 0 is no hard limit
 	QuotaTokens              float64       `cbor:"level"`
 	HardLimitTokens          float64       `cbor:"ceiling"`
-	InFlight                 int           `cbor:"out"` // attempts out
+	InFlight                 int           `cbor:"out"` // attempts
 	InFlightLimit            float64       `cbor:"open_cap"`
 	OpenRejectionProbability float64       `cbor:"chance"`
 	IsMetered                bool          `cbor:"metered"`
@@ -124,16 +127,21 @@
 	Rejections               []BinAmount   `cbor:"Refused"`
 }
 
-// BinAmount is what a history holds of one bin of time.
+// BinAmount is the amount that a history has in one bin of time.
 type BinAmount struct {
 	Bin    int64   `cbor:"b"`
 	Amount float64 `cbor:"v"`
 }
 
-// HandOver takes a Checkpoint and gives away, with it, the given part (from 0 to 1) of what is
-// left to spend: of each customer's stores beyond what is queued already, of the budgets of
-// cold servers, and of the rates by which both fill. What was given and what is kept sum up to
-// what there was. The controller goes on with the rest, until Rejoin.
+// Checkpoint returns what the controller has spent and learned, and changes nothing.
+func (c *Controller) Checkpoint(now time.Duration) Checkpoint {
+	c.now = max(c.now, now)
+	return c.takeCheckpoint()
+}
+
+// HandOver returns a Checkpoint and gives away, with it, a part (from 0 to 1) of what is left to spend: of the tokens
+// in each bucket beyond what is reserved for queued requests, and of the rates by which buckets fill. What is given and
+// what is retained sum up to what there was. The controller goes on with the rest until ReclaimRates.
 func (c *Controller) HandOver(now time.Duration, fraction float64) Checkpoint {
 	c.now = max(c.now, now)
 	checkpoint := c.takeCheckpoint()
@@ -142,8 +150,8 @@
 		saved := &checkpoint.Customers[i]
 		account := c.accounts[saved.Plan+" "+saved.ID]
 		queued += account.queuedUnits
-		saved.QuotaTokens, account.quota.tokens = splitTokens(saved.QuotaTokens, account.queuedUnits, fraction)
-		saved.HardLimitTokens, account.hardLimit.tokens = splitTokens(saved.HardLimitTokens, account.queuedUnits, fraction)
+		saved.QuotaTokens = account.quota.give(account.queuedUnits, fraction)
+		saved.HardLimitTokens = account.hardLimit.give(account.queuedUnits, fraction)
 	}
 	for i := range checkpoint.Servers {
 		saved := &checkpoint.Servers[i]
@@ -156,38 +164,48 @@
 	return checkpoint
 }
 
-// splitTokens divides what is left of a store: what is promised to queued requests is kept first. A
-// debt goes by the same parts.
+// give takes a part of the tokens out of the bucket.
+func (b *tokenBucket) give(reserved, fraction float64) (given float64) {
+	given, b.tokens = splitTokens(b.tokens, reserved, fraction)
+	return given
+}
+
+// splitTokens divides what a bucket holds: what is reserved for queued requests is retained first. A debt is divided
+// in the same parts.
 func splitTokens(available, reserved, fraction float64) (given, retained float64) {
 	retained = math.Min(math.Max(available, 0), reserved)
 	given = (available - retained) * fraction
 	return given, available - given
 }
 
-// Checkpoint tells what the controller has spent and learned, and changes nothing.
-func (c *Controller) Checkpoint(now time.Duration) Checkpoint {
-	c.now = max(c.now, now)
-	return c.takeCheckpoint()
-}
-
 func (c *Controller) takeCheckpoint() Checkpoint {
 	checkpoint := Checkpoint{
-		Version: CheckpointVersion, At: c.now, FillingSince: c.fillingSince, SlackFraction: c.slackFraction, RateFraction: c.rateFraction, ConcurrencyLimit: c.limiter.limit, UsableServers: c.countServers((*server).isUsable),
-		Window: WindowState{c.windowEndsAt, c.window.wasCut, c.window.limitReached, c.window.latencyRatioSum, c.window.latencySecondsSum, c.window.latencyCount, c.window.answers, c.window.overloads, c.window.servedUnits, c.window.utilizationSum, c.window.utilizationCount, c.limiter.cutAt}, FleetLatency: c.fleet.latency.mean, IdleLatency: c.limiter.idleLatency, LatencySamples: c.fleet.latency.count,
-		WarmThroughput: c.fleet.warmThroughput.mean, RetryBudget: c.retryBudget, MinRetryGap: c.minRetryGap,
+		Version:          CheckpointVersion,
+		At:               c.now,
+		FillingSince:     c.fillingSince,
+		SlackFraction:    c.slackFraction,
+		RateFraction:     c.rateFraction,
+		ConcurrencyLimit: c.limiter.limit,
+		UsableServers:    c.countServers((*server).isUsable),
+		Window:           c.window.state(),
+		FleetLatency:     c.fleet.latency.mean,
+		LatencySamples:   c.fleet.latency.count,
+		IdleLatency:      c.limiter.idleLatency,
+		WarmThroughput:   c.fleet.warmThroughput.mean,
+		RetryBudget:      c.retryBudget,
+		MinRetryGap:      c.minRetryGap,
+		TypicalDeadlines: c.typicalDeadlineStates(),
 	}
+	checkpoint.Window.EndsAt, checkpoint.Window.CutAt = c.windowEndsAt, c.limiter.cutAt
 	if c.settings.MeterPeriod > 0 {
-		checkpoint.Meter = MeterState{Period: c.settings.MeterPeriod, PhaseBin: c.meter.phaseBin, LagBins: c.meter.lagBins}
-		for i := range c.meter.misfit {
-			checkpoint.Meter.Misfit = append(checkpoint.Meter.Misfit, c.meter.misfit[i][:]...)
-		}
-	}
-	for i := range c.settings.Classes {
-		class := &c.settings.Classes[i]
-		checkpoint.TypicalDeadlines = append(checkpoint.TypicalDeadlines, TypicalDeadlineState{class.Name, c.typicalDeadlines[class].deadline, c.typicalDeadlines[class].support})
+		checkpoint.Meter = c.meter.state()
+		checkpoint.Meter.Period = c.settings.MeterPeriod
 	}
 	for _, plan := range c.plans {
-		checkpoint.Plans = append(checkpoint.Plans, PlanCheckpoint{plan.Name, plan.share, plan.meanLateness, plan.latenessSum, plan.latenessCount})
+		checkpoint.Plans = append(checkpoint.Plans, PlanCheckpoint{
+			Plan: plan.Name, Share: plan.share, MeanLateness: plan.meanLateness,
+			LatenessSum: plan.latenessSum, LatenessCount: plan.latenessCount,
+		})
 	}
 	for _, srv := range c.sortedServers {
 		checkpoint.Servers = append(checkpoint.Servers, c.checkpointServer(srv))
@@ -196,12 +214,106 @@
 		c.refill(account)
 		checkpoint.Customers = append(checkpoint.Customers, account.checkpoint(key))
 	}
-	sort.Slice(checkpoint.Customers, func(i, j int) bool { // the latest first: a bound on them drops the oldest
-		a, b := &checkpoint.Customers[i], &checkpoint.Customers[j]
-		if a.RequestedAt != b.RequestedAt {
-			return a.RequestedAt > b.RequestedAt
-		}
-		return a.Plan+" "+a.ID < b.Plan+" "+b.ID
-	})
+	slices.SortFunc(checkpoint.Customers, compareCustomers)
 	return checkpoint
 }
+
+// compareCustomers orders the latest first, so that a limit on their number drops the oldest.
+func compareCustomers(a, b CustomerCheckpoint) int {
+	if order := cmp.Compare(b.RequestedAt, a.RequestedAt); order != 0 {
+		return order
+	}
+	return strings.Compare(a.Plan+" "+a.ID, b.Plan+" "+b.ID)
+}
+
+// state is the stored form of a window, without its end and the latest cut of the limit.
+func (w *controlWindow) state() WindowState {
+	return WindowState{
+		WasCut:            w.wasCut,
+		LimitReached:      w.limitReached,
+		LatencyRatioSum:   w.latencyRatioSum,
+		LatencySecondsSum: w.latencySecondsSum,
+		LatencyCount:      w.latencyCount,
+		Answers:           w.answers,
+		Overloads:         w.overloads,
+		ServedUnits:       w.servedUnits,
+		UtilizationSum:    w.utilizationSum,
+		UtilizationCount:  w.utilizationCount,
+	}
+}
+
+func (s *WindowState) window() controlWindow {
+	return controlWindow{
+		wasCut:            s.WasCut,
+		limitReached:      s.LimitReached,
+		latencyRatioSum:   s.LatencyRatioSum,
+		latencySecondsSum: s.LatencySecondsSum,
+		latencyCount:      s.LatencyCount,
+		answers:           s.Answers,
+		overloads:         s.Overloads,
+		servedUnits:       s.ServedUnits,
+		utilizationSum:    s.UtilizationSum,
+		utilizationCount:  s.UtilizationCount,
+	}
+}
+
+// state is the stored form of a meter clock, without the period.
+func (m *meterClock) state() MeterState {
+	state := MeterState{PhaseBin: m.phaseBin, LagBins: m.lagBins}
+	for i := range m.misfit {
+		state.Misfit = append(state.Misfit, m.misfit[i][:]...)
+	}
+	return state
+}
+
+// restore takes over a stored form of the right size.
+func (m *meterClock) restore(state *MeterState) {
+	m.phaseBin, m.lagBins = state.PhaseBin, state.LagBins
+	for i := range m.misfit {
+		copy(m.misfit[i][:], state.Misfit[i*maxMeterLagBins:])
+	}
+}
+
+func (c *Controller) typicalDeadlineStates() []TypicalDeadlineState {
+	states := make([]TypicalDeadlineState, 0, len(c.settings.Classes))
+	for i := range c.settings.Classes {
+		class := &c.settings.Classes[i]
+		typical := c.typicalDeadlines[class]
+		states = append(states, TypicalDeadlineState{class.Name, typical.deadline, typical.support})
+	}
+	return states
+}
+
+// isFinite tells whether all numbers of a checkpoint are.
+func (c *Checkpoint) isFinite() bool {
+	w := &c.Window
+	sum := c.SlackFraction + c.RateFraction + c.ConcurrencyLimit + c.UsableServers + c.FleetLatency + c.IdleLatency +
+		c.LatencySamples + c.WarmThroughput + c.RetryBudget + w.LatencyRatioSum + w.LatencySecondsSum + w.LatencyCount +
+		w.Answers + w.Overloads + w.ServedUnits + w.UtilizationSum + w.UtilizationCount
+	for _, misfit := range c.Meter.Misfit {
+		sum += misfit
+	}
+	for _, plan := range c.Plans {
+		sum += plan.Share + plan.MeanLateness + plan.LatenessSum + plan.LatenessCount
+	}
+	for i := range c.Servers {
+		sum += c.Servers[i].Latency + c.Servers[i].FailureRate + c.Servers[i].SlowStartTokens
+	}
+	for i := range c.Customers {
+		sum += c.Customers[i].sum()
+	}
+	return !math.IsNaN(sum) && !math.IsInf(sum, 0)
+}
+
+// sum is finite only if all numbers are.
+func (c *CustomerCheckpoint) sum() float64 {
+	sum := c.FanOut + c.QuotaBurst + c.HardLimitBurst + c.QuotaTokens + c.HardLimitTokens + c.InFlightLimit +
+		c.OpenRejectionProbability + c.RemoteRate + c.LastReadingUnits + c.RequestedUnits + c.MeteredUnits +
+		c.DemandSeconds + c.MeteredSeconds + c.LocalUnits + c.TotalUnits + c.UsageRate
+	for _, amounts := range [][]BinAmount{c.Sent, c.Charged, c.Arrivals, c.Rejections} {
+		for _, amount := range amounts {
+			sum += amount.Amount
+		}
+	}
+	return sum
+}
--- a/control/history.go
+++ b/control/history.go
@@ -6,11 +6,11 @@
 	"sort"
 )
 
-// history holds the running sum of an amount, of the latest bins. It keeps the bins in which the sum
-// changed, so that one of thousands of customers that come once costs what one bin does.
+// history is the running sum of an amount over the latest bins of time. Only bins in which the sum changed are stored,
+// so that each of thousands of customers that come once costs one bin.
 type history struct {
-	currentBin int64        // the bin that it has come to
-	sums       []RunningSum // by bin, all different; of those before the latest bins only the last
+	currentBin int64        // up to which it has been advanced
+	sums       []RunningSum // by ascending bin; one at most is before the oldest bin
 }
 
 // RunningSum is a running sum at the end of a bin in which it changed.
@@ -19,10 +19,10 @@
 	Sum float64 `cbor:"s"`
 }
 
-// advance brings a history up to a bin.
+// advance brings the history up to a bin.
 func (h *history) advance(bin int64) { h.currentBin = max(h.currentBin, bin) }
 
-// add books an amount in the bin that the history has come to.
+// add adds an amount in the current bin.
 func (h *history) add(amount float64) {
 	if amount == 0 {
 		return
@@ -35,25 +35,25 @@
 	for old+1 < len(h.sums) && h.sums[old+1].Bin <= h.oldestBin() {
 		old++
 	}
-	if old > 0 { // in place, so that a busy one does not allocate
+	if old > 0 { // in place, to avoid an allocation
 		h.sums = h.sums[:copy(h.sums, h.sums[old:])]
 	}
 	h.sums = append(h.sums, RunningSum{h.currentBin, h.sumUntil(h.currentBin) + amount})
 }
 
-// subtract takes back what was added in a bin.
+// subtract undoes an addition in a bin.
 func (h *history) subtract(bin int64, amount float64) {
 	for i := len(h.sums) - 1; i >= 0 && h.sums[i].Bin >= bin; i-- {
 		h.sums[i].Sum -= amount
 	}
 }
 
-// oldestBin is the first bin that is still told apart.
+// oldestBin is the first bin that is distinguished from earlier ones.
 func (h *history) oldestBin() int64 { return h.currentBin - historyBins + 1 }
 
 // sumUntil is the running sum at the end of a bin.
 func (h *history) sumUntil(bin int64) float64 {
-	if n := len(h.sums); n == 0 || h.sums[n-1].Bin <= bin { // mostly
+	if n := len(h.sums); n == 0 || h.sums[n-1].Bin <= bin { // the common case
 		if n == 0 {
 			return 0
 		}
@@ -65,13 +65,13 @@
 	return 0
 }
 
-// periodSum is the amount of the period that ends before a bin, which is none to come.
+// periodSum is the amount of the meter period that ends before a bin.
 func (h *history) periodSum(end int64) float64 {
 	start := max(end-binsPerPeriod-1, h.oldestBin())
 	return h.sumUntil(max(end-1, start)) - h.sumUntil(start)
 }
 
-// historyWindow is a history with the sum of each of its latest bins at hand, for many looks.
+// historyWindow is a copy of a history with a sum for each of its latest bins, for many lookups.
 type historyWindow struct {
 	oldest int64
 	sums   [historyBins]float64
@@ -89,13 +89,13 @@
 	return latest
 }
 
-// periodSum is as the history's.
+// periodSum is the same as the history's.
 func (w *historyWindow) periodSum(end int64) float64 {
 	start := max(end-binsPerPeriod-1, w.oldest)
 	return w.sums[max(end-1, start)-w.oldest] - w.sums[start-w.oldest]
 }
 
-// amounts are what it holds by bin, without empty ones and without the oldest.
+// amounts are the amounts by bin, without empty bins and without the oldest.
 func (h *history) amounts() []BinAmount {
 	var all []BinAmount
 	previous := 0.0
@@ -122,7 +122,7 @@
 	return nil
 }
 
-// restore fills an empty history, whose bins it shares.
+// restore fills an empty history with amounts of bins up to now.
 func (h *history) restore(all []BinAmount, now int64) {
 	for _, amount := range all {
 		if amount.Bin > now-historyBins && amount.Bin <= now {
--- a/control/resume.go
+++ b/control/resume.go
@@ -6,13 +6,13 @@
 	"slices"
 )
 
-// Resume makes a controller of the settings that an image was taken under. An error tells what of
-// the image is not of these settings, or of no controller.
-func Resume(set Settings, image Image) (*Controller, error) {
+// Resume returns a controller in the state of an image, with the settings that it was taken under. It fails if the
+// image is not one of these settings, or not one of a controller.
+func Resume(settings Settings, image Image) (*Controller, error) {
 	if image.Version != ImageVersion {
 		return nil, fmt.Errorf("image: version %d, not %d", image.Version, ImageVersion)
 	}
-	c, err := New(set, 0)
+	c, err := New(settings, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -28,26 +28,14 @@
 		return fmt.Errorf("random numbers: %w", err)
 	}
 	c.rng = rand.New(c.pcg)
-	n := len(c.plans)
-	if len(image.Plans) != n {
-		return fmt.Errorf("of %d plans, not %d", len(image.Plans), n)
+	if len(image.Plans) != len(c.plans) {
+		return fmt.Errorf("of %d plans, not %d", len(image.Plans), len(c.plans))
 	}
 	if len(image.TypicalDeadlines) != len(c.settings.Classes) || len(image.Meter.Misfit) != binsPerPeriod*maxMeterLagBins {
 		return fmt.Errorf("of %d classes, not %d, or of another meter", len(image.TypicalDeadlines), len(c.settings.Classes))
 	}
-	c.now, c.clockAdvance, c.fillingSince, c.isStarted, c.isWatching = image.Now, image.ClockAdvance, image.FillingSince, image.IsStarted, image.IsWatching
-	c.nextWatchAt, c.minRetryGap, c.lastTimerLabel, c.slackFraction, c.rateFraction, c.slots.inFlight, c.slots.streaming = image.NextWatchAt, image.MinRetryGap, image.LastTimerLabel, image.SlackFraction, image.RateFraction, image.InFlight, image.StreamingAttempts
-	c.limiter.limit, c.limiter.cutAt, c.limiter.fractionalSlotFreeAt, c.fleet.latency.mean, c.limiter.idleLatency, c.fleet.latency.count = image.ConcurrencyLimit, image.LimitCutAt, image.FractionalSlotFreeAt, image.FleetLatency, image.IdleLatency, image.LatencySamples
-	c.fleet.utilization = runningMean{image.FleetUtilization, image.ReportCount}
-	c.fleet.reportedLatency = runningMean{image.FleetReportedLatency, image.ReportCount}
-	c.fleet.warmThroughput.count, c.fleet.requestUnits.mean, c.fleet.requestUnits.count = image.WindowCount, image.MeanRequestUnits, image.RequestCount
-	c.fleet.warmThroughput.mean, c.retryBudget, c.nextTick, c.windowEndsAt = image.WarmThroughput, image.RetryBudget, image.NextTick, image.WindowEndsAt
-	i := image.Window
-	c.window = controlWindow{wasCut: i.WasCut, limitReached: i.LimitReached, latencyRatioSum: i.LatencyRatioSum, latencySecondsSum: i.LatencySecondsSum, latencyCount: i.LatencyCount, answers: i.Answers, overloads: i.Overloads, servedUnits: i.ServedUnits, utilizationSum: i.UtilizationSum, utilizationCount: i.UtilizationCount}
-	c.meter.phaseBin, c.meter.lagBins = image.Meter.PhaseBin, image.Meter.LagBins
-	for i := range c.meter.misfit {
-		copy(c.meter.misfit[i][:], image.Meter.Misfit[i*maxMeterLagBins:])
-	}
+	c.resumeCounters(image)
+	c.meter.restore(&image.Meter)
 	if err := c.shareController.Restore(image.ShareController); err != nil {
 		return err
 	}
@@ -66,49 +54,119 @@
 	if err != nil {
 		return err
 	}
-	return c.resumeRequests(image, servers, customers)
+	requests, err := c.resumeRequests(image, servers, customers)
+	if err != nil {
+		return err
+	}
+	if err := c.resumePlans(image, requests); err != nil {
+		return err
+	}
+	return c.resumeAttempts(image, requests, servers, customers)
+}
+
+// resumeCounters takes over all that refers to nothing else.
+func (c *Controller) resumeCounters(image *Image) {
+	c.now, c.clockAdvance, c.isStarted = image.Now, image.ClockAdvance, image.IsStarted
+	c.isWatching, c.nextWatchAt = image.IsWatching, image.NextWatchAt
+	c.fillingSince, c.slackFraction, c.rateFraction = image.FillingSince, image.SlackFraction, image.RateFraction
+	c.minRetryGap, c.retryBudget, c.lastTimerLabel = image.MinRetryGap, image.RetryBudget, image.LastTimerLabel
+	c.slots.inFlight, c.slots.streaming = image.InFlight, image.StreamingAttempts
+	c.limiter = concurrencyLimiter{
+		limit:                image.ConcurrencyLimit,
+		cutAt:                image.LimitCutAt,
+		fractionalSlotFreeAt: image.FractionalSlotFreeAt,
+		idleLatency:          image.IdleLatency,
+	}
+	c.fleet = fleetEstimate{
+		latency:         runningMean{image.FleetLatency, image.LatencySamples},
+		utilization:     runningMean{image.FleetUtilization, image.ReportCount},
+		reportedLatency: runningMean{image.FleetReportedLatency, image.ReportCount},
+		warmThroughput:  runningMean{image.WarmThroughput, image.WindowCount},
+		requestUnits:    runningMean{image.MeanRequestUnits, image.RequestCount},
+	}
+	c.window, c.windowEndsAt, c.nextTick = image.Window.window(), image.WindowEndsAt, image.NextTick
 }
 
-func (c *Controller) resumeRequests(image *Image, servers []*server, customers []*customerAccount) error {
+// resumeRequests takes over the requests of an image, in its order.
+func (c *Controller) resumeRequests(
+	image *Image, servers []*server, customers []*customerAccount,
+) ([]*request, error) {
 	var all []*request
-	for _, w := range image.Requests {
-		class := c.classes[w.Class]
-		if class == nil || w.Plan < 0 || w.Plan >= len(c.plans) || w.Customer < 0 || w.Customer >= len(customers) || w.RepeatGroup < 0 || w.RepeatGroup > len(servers) {
-			return fmt.Errorf("request %q: it refers to what is not there", w.ID)
+	for i := range image.Requests {
+		saved := &image.Requests[i]
+		class := c.classes[saved.Class]
+		if class == nil || !isIndex(saved.Plan, len(c.plans)) || !isIndex(saved.Customer, len(customers)) ||
+			!isIndex(saved.RepeatGroup, len(servers)+1) {
+			return nil, fmt.Errorf("request %q: it refers to what is not there", saved.ID)
 		}
 		req := &request{
-			id: w.ID, class: class, plan: c.plans[w.Plan], account: customers[w.Customer], units: w.Units, arrivedAt: w.ArrivedAt, objectiveAt: w.ObjectiveAt,
-			deadline: w.Deadline, firstRunAt: w.FirstRunAt, isQueued: w.IsQueued, isStreaming: w.IsStreaming, mayHaveRun: w.MayHaveRun, attempts: w.Attempts, inFlight: w.InFlight,
-			triedServers: slices.Clone(w.TriedServers), timerLabel: w.TimerLabel,
+			id:           saved.ID,
+			class:        class,
+			plan:         c.plans[saved.Plan],
+			account:      customers[saved.Customer],
+			units:        saved.Units,
+			arrivedAt:    saved.ArrivedAt,
+			objectiveAt:  saved.ObjectiveAt,
+			deadline:     saved.Deadline,
+			firstRunAt:   saved.FirstRunAt,
+			isQueued:     saved.IsQueued,
+			isStreaming:  saved.IsStreaming,
+			mayHaveRun:   saved.MayHaveRun,
+			attempts:     saved.Attempts,
+			inFlight:     saved.InFlight,
+			triedServers: slices.Clone(saved.TriedServers),
+			timerLabel:   saved.TimerLabel,
 		}
-		if w.RepeatGroup > 0 {
-			req.repeatGroup = servers[w.RepeatGroup-1]
+		if saved.RepeatGroup > 0 {
+			req.repeatGroup = servers[saved.RepeatGroup-1]
 		}
-		if all = append(all, req); w.IsTracked {
-			c.requests[req.id] = req
-			if req.timerLabel != 0 {
-				c.requestsByTimer[req.timerLabel] = req
-			}
+		all = append(all, req)
+		if !saved.IsTracked {
+			continue
+		}
+		c.requests[req.id] = req
+		if req.timerLabel != 0 {
+			c.requestsByTimer[req.timerLabel] = req
 		}
 	}
-	for i, w := range image.Plans {
-		plan := c.plans[i]
-		plan.share, plan.deficit, plan.latenessSum, plan.latenessCount, plan.meanLateness, plan.firstReadingUsage, plan.firstReadingExcess = w.Share, w.Deficit, w.LatenessSum, w.LatenessCount, w.MeanLateness, w.FirstReadingUsage, w.FirstReadingExcess
-		for _, j := range w.Queue {
-			if j < 0 || j >= len(all) {
-				return fmt.Errorf("plan %q: there is no request %d", plan.Name, j)
+	return all, nil
+}
+
+func (c *Controller) resumePlans(image *Image, requests []*request) error {
+	for i := range image.Plans {
+		saved, plan := &image.Plans[i], c.plans[i]
+		plan.share, plan.deficit = saved.Share, saved.Deficit
+		plan.latenessSum, plan.latenessCount = saved.LatenessSum, saved.LatenessCount
+		plan.meanLateness = saved.MeanLateness
+		plan.firstReadingUsage, plan.firstReadingExcess = saved.FirstReadingUsage, saved.FirstReadingExcess
+		for _, place := range saved.Queue {
+			if !isIndex(place, len(requests)) {
+				return fmt.Errorf("plan %q: there is no request %d", plan.Name, place)
 			}
-			plan.queue = append(plan.queue, all[j])
+			plan.queue = append(plan.queue, requests[place])
 		}
 	}
-	for _, w := range image.Attempts {
-		if w.Request < 0 || w.Request >= len(all) || w.Server < 0 || w.Server >= len(servers) || w.Customer < 0 || w.Customer >= len(customers) {
-			return fmt.Errorf("attempt %d of %q: it refers to what is not there", w.Attempt, w.ID)
+	return nil
+}
+
+func (c *Controller) resumeAttempts(
+	image *Image, requests []*request, servers []*server, customers []*customerAccount,
+) error {
+	for i := range image.Attempts {
+		saved := &image.Attempts[i]
+		if !isIndex(saved.Request, len(requests)) || !isIndex(saved.Server, len(servers)) ||
+			!isIndex(saved.Customer, len(customers)) {
+			return fmt.Errorf("attempt %d of %q: it refers to what is not there", saved.Attempt, saved.ID)
 		}
-		c.attempts[attemptKey{w.ID, w.Attempt}] = &pendingAttempt{
-			all[w.Request], servers[w.Server], customers[w.Customer], w.SentAt,
-			charge{w.Units, w.GroupUnits, w.QuotaTokens, w.Bin},
+		c.attempts[attemptKey{saved.ID, saved.Attempt}] = &pendingAttempt{
+			request: requests[saved.Request],
+			server:  servers[saved.Server],
+			account: customers[saved.Customer],
+			sentAt:  saved.SentAt,
+			charge:  charge{saved.Units, saved.GroupUnits, saved.QuotaTokens, saved.Bin},
 		}
 	}
 	return nil
 }
+
+func isIndex(i, length int) bool { return i >= 0 && i < length }
