Say in plain technical English what the tests of package node check

Comments, messages and local variables of the tests spoke of what is held, told or finds room. They speak of requests in flight, descriptors and answers now. No assertion changes.

internal/node passes.

--- a/internal/node/client_connections_test.go
+++ b/internal/node/client_connections_test.go
@@ -68,7 +68,7 @@
 
 const validHeaders = protocol.HeaderID + ": raw\r\n" + protocol.HeaderPlan + ": enterprise\r\n" + protocol.HeaderTimeLeft + ": 7000m\r\n" + protocol.HeaderKey + ": k\r\n"
 
-// Nothing that hides in a body or behind one that can't be told reaches an app server: the
+// A request that is smuggled in a body, or behind a body whose length is ambiguous, does not reach an app server: the
 // client is answered once and its connection closed.
 func TestSmuggledRequestsAreNotForwarded(t *testing.T) {
 	r := newTestNode(t)
@@ -102,8 +102,8 @@
 	}
 }
 
-// Where all places are taken by clients that say nothing, one that asks is still testkit.Served, and
-// the connections to app servers stay.
+// Where silent clients use all descriptors, a client with a request is still served, and the connections to app
+// servers stay.
 func TestSilentClientsAreEvicted(t *testing.T) {
 	r := newTestNode(t)
 	r.node.limiter.(*exclusiveLimiter).sockets.SetLimit(limits.ReservedForServers + 20)
--- a/internal/node/drain_requests_test.go
+++ b/internal/node/drain_requests_test.go
@@ -9,13 +9,13 @@
 	"lockflow/internal/testkit"
 )
 
-// A draining node answers what it holds, takes what still comes and then ends.
+// A draining node answers its requests in flight, accepts those that still come and then ends.
 func TestDrainAnswersRequestsInFlight(t *testing.T) {
 	t.Parallel()
 	r := newTestNodeWithDrain(t, config.PlatformDrain)
-	held, finish := make(chan struct{}, 2), make(chan struct{})
+	arrived, finish := make(chan struct{}, 2), make(chan struct{})
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
-		held <- struct{}{}
+		arrived <- struct{}{}
 		<-finish
 		testkit.Served(w, q)
 	})
@@ -26,14 +26,14 @@
 		answers <- resp
 	}
 	go ask("before")
-	testkit.Next(t, held)
+	testkit.Next(t, arrived)
 	r.stop()
 	r.wait("draining", r.isDraining)
 	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "")); resp.StatusCode != 400 || !resp.Close {
 		t.Errorf("a bad request: %s, close %v", resp.Status, resp.Close)
 	}
 	go ask("after")
-	testkit.Next(t, held)
+	testkit.Next(t, arrived)
 	close(finish)
 	for range 2 {
 		if resp := testkit.Next(t, answers); resp.StatusCode != 200 || !resp.Close {
@@ -50,7 +50,7 @@
 	}
 }
 
-// What an app server doesn't answer while the node drains is answered as failed before the end.
+// A request that an app server doesn't answer while the node drains is answered as failed before the end.
 func TestDrainFailsUnansweredRequests(t *testing.T) {
 	t.Parallel()
 	r := newTestNodeWithDrain(t, config.PlatformDrain)
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -20,7 +20,7 @@
 )
 
 // A client whose connection is up and waits in the socket when the node takes no new ones gets its
-// answer, also of a node that is told to end before it has begun.
+// answer, also of a node that is stopped before it runs.
 func TestDrainAnswersConnectionsInTheSocketQueue(t *testing.T) {
 	old := finalAcceptWait
 	finalAcceptWait = time.Second
@@ -50,7 +50,7 @@
 }
 
 // Clients that wait in the socket for want of descriptors when the node takes no new ones get their
-// answers once what held the places is answered, at the drain's last step at the latest.
+// answers once the request in flight is answered, at the drain's last step at the latest.
 func TestDrainAnswersConnectionsWaitingForDescriptors(t *testing.T) {
 	cfg, err := config.LoadPlatform("../config/testdata/config.json")
 	if err != nil {
@@ -68,7 +68,7 @@
 	}
 	r.stop()
 	if s := testkit.Next(t, answered); s != http.StatusBadGateway {
-		t.Errorf("the one that is held: %d", s)
+		t.Errorf("the request in flight: %d", s)
 	}
 	for i, c := range waits {
 		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
@@ -128,7 +128,7 @@
 }
 
 // TestDrainCompletesAnswerBeforePipelinedRequest checks that an answer of which a client has not read all arrives
-// complete, also where further requests of the client wait unread as its connection is closed.
+// complete, also where other requests of the client wait unread as its connection is closed.
 func TestDrainCompletesAnswerBeforePipelinedRequest(t *testing.T) {
 	for _, c := range []pipelinedDrain{{"GET", "/roster-read", false}, {"POST", "/visit-update", false}, {"GET", "/roster-read", true}, {"POST", "/visit-update", true}} {
 		t.Run(fmt.Sprint(c), c.check)
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -112,7 +112,7 @@
 	testkit.Until(r.t, what, is)
 }
 
-// isDraining tells whether the node lets no further client in.
+// isDraining tells whether an answer of the node closes its connection.
 func (r *testNode) isDraining() bool {
 	resp, err := http.Get("http://" + r.node.Addr() + "/healthz")
 	if err != nil {
--- a/internal/node/http2_test.go
+++ b/internal/node/http2_test.go
@@ -24,7 +24,7 @@
 	}}
 }
 
-// A burst of updates through a whole node at servers that close, refuse, go away and change their
+// A burst of updates through a node at servers that close, refuse, go away and change their
 // limits, one of which speaks HTTP/1.1 only, while the node is reloaded: by both sides' counts each
 // has one final answer and none has two effects.
 func TestUpdatesOverFaultyHTTP2RunOnce(t *testing.T) {
@@ -59,7 +59,7 @@
 	for i := range 4 {
 		want := served() + 300
 		testkit.Until(t, "more answers", func() bool { return served() >= want })
-		// The third has connections of its own, for others are told of.
+		// Every second configuration has another limit on streams, which takes connections of its own.
 		more := strings.Replace(text.String(), "streams = 16", fmt.Sprint("streams = ", 16+i/2), 1)
 		if err := l.Reload(strings.Replace(more, "[services.a]", fmt.Sprintf("[services.a]\nattempts = %d", 3+i), 1)); err != nil {
 			t.Fatal(err)
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -29,15 +29,15 @@
 			return c
 		},
 	}.Start(ctx)
-	if stall { // the trouble has to be there before it is measured
-		testkit.Until(t, "many held documents", func() bool { return l.Node.Status()[0].Unanswered >= 40 })
+	if stall { // the stall has to show before it is measured
+		testkit.Until(t, "many documents in flight", func() bool { return l.Node.Status()[0].Unanswered >= 40 })
 	}
 	rostersDone, stop := context.WithTimeout(ctx, 1200*time.Millisecond)
 	defer stop()
 	rosters := fake.Clients{Addr: l.Node.Addr(), Seed: 12, Call: testbench.RosterCall, Every: 8 * time.Millisecond, Workers: 24}.Start(rostersDone)
 	<-rostersDone.Done()
 	for _, s := range l.Node.Status() {
-		t.Logf("%d descriptors, stalled %v: %s: held %d, parts %+v", descriptors, stall, s.Name, s.Requests, *s.Resources)
+		t.Logf("%d descriptors, stalled %v: %s: %d requests in flight, resources %+v", descriptors, stall, s.Name, s.Requests, *s.Resources)
 		if p := s.Resources; p.Requests.Used > p.Requests.Total || p.Descriptors.Used > p.Descriptors.Total {
 			t.Errorf("%s is over the process's bounds", s.Name)
 		}
@@ -74,6 +74,6 @@
 func TestStalledPoolWithoutGuaranteesStarvesOtherService(t *testing.T) {
 	defer node.WithoutGuarantees()()
 	if r := runRostersBesideDocuments(t, 256, true); r.Share() > minIsolatedShare {
-		t.Errorf("rosters served %.3f with no isolation at all: the trouble is none", r.Share())
+		t.Errorf("rosters served %.3f without isolation: the stalled pool does no harm", r.Share())
 	}
 }
--- a/internal/node/limiter_test.go
+++ b/internal/node/limiter_test.go
@@ -17,7 +17,7 @@
 	"lockflow/internal/testkit"
 )
 
-// startLoad has clients ask for a path without a pause until stop, which gives what came of it.
+// startLoad has clients request a path without a pause until stop, which returns their results.
 func startLoad(l *testbench.Lab, path string, workers int) (stop func() *fake.Result) {
 	ctx, cancel := context.WithCancel(context.Background())
 	run := fake.Clients{Addr: l.Node.Addr(), Seed: 77, Workers: workers, Pause: 5 * time.Millisecond, Call: func(rng *rand.Rand) fake.Call {
@@ -59,7 +59,7 @@
 	}
 }
 
-// A module that uses up the time of all is held back, and only it.
+// A module that uses up the module time of all services is throttled, and no other is.
 func TestModuleTimeIsBoundedByService(t *testing.T) {
 	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
 	c, in := dial(t, l)
@@ -106,7 +106,7 @@
 }
 
 // Servers on which no connection comes up hold as many dials as there may be, not those of the
-// other service, and what finds no room has its answer.
+// other service, and requests for which no dial is free are answered.
 func TestDialsAreBoundedByService(t *testing.T) {
 	text := strings.Replace(twoServicesConfig, "[process]\n", "[process]\ndials = 6\n", 1)
 	text = strings.Replace(text, "[services.a]\nsource = { kind = \"discovery\", address = \"@a\" }",
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -13,8 +13,8 @@
 	"lockflow/internal/testkit"
 )
 
-// What requests hold stays under a part of the process's memory, whatever the limit on descriptors: a
-// client beyond it is told so before its body is read, and the next one is served as soon as there is room.
+// Requests in flight use no more than a part of the process's memory, whatever the limit on descriptors: a
+// client beyond it is rejected before its body is read, and the next one is served as soon as memory is free.
 func TestMemoryLimitBoundsRequestsInFlight(t *testing.T) {
 	for _, mb := range []int{1, 3, 64} {
 		t.Run(fmt.Sprint(mb), func(t *testing.T) {
@@ -26,27 +26,27 @@
 			r := newTestNodeWithConfig(t, cfg)
 			a := testkit.NewApp(t, testkit.Served)
 			r.setEndpoints(endpointOf(a, "s-1", 0))
-			most := mb << 20 / 2 / (2 * protocol.BodyMost) // a body and an answer each
-			var held []*service.Exchange
-			for x := new(service.Exchange); len(held) <= most && r.service().Admit(x, protocol.BodyMost); x = new(service.Exchange) {
-				held = append(held, x)
+			maxRequests := mb << 20 / 2 / (2 * protocol.BodyMost) // a body and an answer each
+			var admitted []*service.Exchange
+			for x := new(service.Exchange); len(admitted) <= maxRequests && r.service().Admit(x, protocol.BodyMost); x = new(service.Exchange) {
+				admitted = append(admitted, x)
 			}
-			if len(held) != most {
-				t.Errorf("%d held, want %d", len(held), most)
+			if len(admitted) != maxRequests {
+				t.Errorf("%d admitted, want %d", len(admitted), maxRequests)
 			}
 			full := r.newRequest(http.MethodPost, "/visit-update", "full")
 			full.Body, full.ContentLength = io.NopCloser(strings.NewReader("body")), 4
 			if resp, body := r.do(full); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
-				t.Errorf("where there is no room: %s %q", resp.Status, body)
+				t.Errorf("with no memory free: %s %q", resp.Status, body)
 			}
 			if n := a.Count(); n > 0 {
 				t.Errorf("%d sent on", n)
 			}
-			for _, x := range held {
+			for _, x := range admitted {
 				x.Release()
 			}
-			if resp, body := r.do(r.newRequest(http.MethodPost, "/visit-update", "room")); resp.StatusCode != http.StatusOK {
-				t.Errorf("where there is room: %s %q", resp.Status, body)
+			if resp, body := r.do(r.newRequest(http.MethodPost, "/visit-update", "fits")); resp.StatusCode != http.StatusOK {
+				t.Errorf("with memory free: %s %q", resp.Status, body)
 			}
 		})
 	}
--- a/internal/node/nodelay_test.go
+++ b/internal/node/nodelay_test.go
@@ -29,7 +29,7 @@
 }
 
 // countDelayed counts the connections on which the system may hold small writes back.
-func (r *acceptedConns) countDelayed(t *testing.T) (conns, held int) {
+func (r *acceptedConns) countDelayed(t *testing.T) (conns, delayed int) {
 	t.Helper()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,14 +40,14 @@
 		}
 		err = raw.Control(func(fd uintptr) {
 			if on, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY); err != nil || on == 0 {
-				held++
+				delayed++
 			}
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
 	}
-	return len(r.all), held
+	return len(r.all), delayed
 }
 
 // startRecorded starts a node that ends with the test, and gives the listener of its clients.
@@ -89,8 +89,8 @@
 			listener := startRecorded(t, cfg)
 			client := dialTo(t, listener.Addr().String())
 			healthOver(t, client)
-			if conns, held := listener.countDelayed(t); conns != 1 || held != 0 {
-				t.Errorf("of %d connections %d hold small writes back", conns, held)
+			if conns, delayed := listener.countDelayed(t); conns != 1 || delayed != 0 {
+				t.Errorf("of %d connections %d delay small writes", conns, delayed)
 			}
 		})
 	}
--- a/internal/node/platform_settings_test.go
+++ b/internal/node/platform_settings_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Where the settings name no most of a request's units, what a plan's store holds bounds them, of what a client
-// tells and of what an app server does: no figure spoils the accounts of whoever asks next.
+// Where the settings have no maximum of units, the size of the plan's token bucket bounds the units that clients claim
+// and that app servers charge: no figure affects the requests that follow.
 func TestUnitsAreBoundedByTokenBucketWithoutSetting(t *testing.T) {
 	raw, err := os.ReadFile("../config/testdata/config.json")
 	if err != nil {
@@ -171,7 +171,7 @@
 	}
 }
 
-// A plan whose quota makes no sense starts, and nothing but its own customers' requests go by it.
+// A node starts with a plan whose quota is invalid, which affects the requests of its own customers alone.
 func TestInvalidQuotaAffectsOnlyItsPlan(t *testing.T) {
 	raw, err := os.ReadFile("../config/testdata/config.json")
 	if err != nil {
--- a/internal/node/random_settings_test.go
+++ b/internal/node/random_settings_test.go
@@ -24,7 +24,7 @@
 // classNames are of classes, plans and zones; each has to be escaped somewhere, or may be taken for something else.
 var classNames = []string{"read", "a/b", "50%2F%", `Über "x"`, "..", "a+b c", "x;y=1?#&", "日本,語", "healthz", "'", "POST", "0"}
 
-// What an app server does with a request that has come whole; in all but turnsAway it may have run.
+// What an app server does with a request that arrived in full; in all cases but rejectUnseen it may have run.
 const (
 	answerOK = iota
 	answerError
@@ -91,7 +91,7 @@
 	serverCells = [3]int{1, 2, 2}
 )
 
-// drawSettings draws a whole configuration: of few or many figures, any effect for any name.
+// drawSettings draws a configuration of the platform, with few or many settings and any effect for any class.
 func drawSettings(t *rapid.T, apps *scriptedServers) jsonObject {
 	some := func(what string, of ...any) any { return rapid.SampledFrom(of).Draw(t, what) }
 	set := jsonObject{"group-size": rapid.IntRange(1, 300).Draw(t, "group"), "discovery": some("discovery", "pushed", "on_request")}
@@ -169,11 +169,11 @@
 				hasKey: rapid.Bool().Draw(rt, "key"), method: rapid.SampledFrom([]string{"", "", "", "GET", "POST"}).Draw(rt, "method"),
 				spread: rapid.IntRange(1, set.GroupSize).Draw(rt, "spread"), first: rapid.IntRange(0, set.GroupSize-1).Draw(rt, "first"),
 			}
-			most := rejectUnseen
+			lastAction := rejectUnseen
 			if set.Classes[a.class].Deadline < time.Second {
-				most = neverAnswer
+				lastAction = neverAnswer
 			}
-			a.script = rapid.SliceOfN(rapid.IntRange(answerOK, most), 0, 6).Draw(rt, "does")
+			a.script = rapid.SliceOfN(rapid.IntRange(answerOK, lastAction), 0, 6).Draw(rt, "does")
 			asks = append(asks, a)
 		}
 		if ok := t.Run("", func(t *testing.T) {
@@ -192,7 +192,7 @@
 					served++
 				}
 			}
-			testkit.Until(t, "nothing held", func() bool { return r.status().Requests == 0 })
+			testkit.Until(t, "no request in flight", func() bool { return r.status().Requests == 0 })
 		}); !ok {
 			rt.Fatalf("settings %s, requests %+v", raw, asks)
 		}
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -68,6 +68,6 @@
 	r.setEndpoints(discovery.Target{UID: "s-1", State: "draining"}, endpointOf(other, "s-2", 0))
 	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-2"))
 	if served.Count() != 1 || other.Count() != 1 {
-		t.Errorf("the first server has %d requests, the one that was told late %d", served.Count(), other.Count())
+		t.Errorf("the first server has %d requests, the one that was announced late %d", served.Count(), other.Count())
 	}
 }
--- a/internal/node/reload_listeners_test.go
+++ b/internal/node/reload_listeners_test.go
@@ -47,14 +47,14 @@
 }
 
 // Clients that wait in the socket of an address that a reload removes, for want of descriptors, get their
-// answers as soon as there is room, and then nobody listens there.
+// answers as soon as descriptors are free, and then nobody listens there.
 func TestReloadAnswersQueueOfRemovedListener(t *testing.T) {
 	text := strings.NewReplacer("descriptors = 512\nclients = 200", "descriptors = 64\nclients = 4", `most = "1s"`, `most = "30s"`).Replace(twoServicesConfig)
 	l := labtest.Begin(t, text, twoServerPools(0))
 	first := l.Node.Addr()
 	l.Pools["a"].Stall(true)
 	var clients []*bufio.Reader
-	for i := range 60 { // 40 have room at the most
+	for i := range 60 { // more than there are descriptors for
 		c, in := dial(t, l)
 		writeRequest(c, "x", "/one", fmt.Sprint("id-", i), "", 0)
 		clients = append(clients, in)
@@ -78,8 +78,7 @@
 	}
 }
 
-// A reload that comes to its end behind the node's opens no address, where clients would be taken by
-// nobody.
+// A reload after the node's end opens no listener, whose clients nobody would serve.
 func TestReloadAfterShutdownOpensNoListener(t *testing.T) {
 	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
 	first := l.Node.Addr()
--- a/internal/node/reload_load_test.go
+++ b/internal/node/reload_load_test.go
@@ -18,8 +18,8 @@
 	"lockflow/internal/testkit"
 )
 
-// randomConfig is a configuration drawn by chance: which service a path leads to, where its servers
-// are told, its parts, its settings, and whether a third one is there.
+// randomConfig draws a configuration: which service a path leads to, its source of endpoints, its guarantees, its
+// settings, and whether there is a third service.
 func randomConfig(rng *rand.Rand, l *testbench.Lab, file string) string {
 	var b strings.Builder
 	b.WriteString(configHeader)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// What can't change while a node runs is told, and the rest stays too.
+// A reload that can't be done returns an error and changes nothing.
 func TestInvalidReloadChangesNothing(t *testing.T) {
 	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// The module's refusal is given at once and tells when to come again.
+// A rejection by the decision module is answered at once, with a Retry-After.
 func TestRejectionHasRetryAfter(t *testing.T) {
 	r := newTestNode(t)
 	a := testkit.NewApp(t, testkit.Served)
--- a/internal/node/routing_test.go
+++ b/internal/node/routing_test.go
@@ -35,7 +35,7 @@
 	other, otherIn := dial(t, l)
 	writeRequest(c, "a.example", "/one", "id-2", "", 0)
 	writeRequest(other, "b.example", "/one", "id-2", "", 0)
-	testkit.Until(t, "both held", func() bool {
+	testkit.Until(t, "both in flight", func() bool {
 		s := l.Node.Status()
 		return s[0].Unanswered == 1 && s[1].Unanswered == 1
 	})
@@ -67,7 +67,7 @@
 	}
 }
 
-// What has no single meaning as a path or host is told to the client, and reaches no service.
+// A request whose path or host is ambiguous is rejected and reaches no service.
 func TestAmbiguousRequestTargetsAreRejected(t *testing.T) {
 	l := labtest.Begin(t, twoServicesConfig, twoServerPools(0))
 	for target, want := range map[string]int{
@@ -91,7 +91,7 @@
 	}
 }
 
-// A panic in one service's module answers what that service held; the other goes on. By
+// A panic in one service's module fails that service's requests in flight; the other goes on. By
 // configuration the service starts anew, and knows its servers, or the process ends.
 func TestModulePanicIsContainedToItsService(t *testing.T) {
 	for _, policy := range []string{"restart", "end"} {
@@ -116,10 +116,10 @@
 	l.Pools["a"].Stall(true)
 	c, in := dial(t, l)
 	writeRequest(c, "x", "/one", "held", "", 0)
-	testkit.Until(t, "the held request", func() bool { return l.Node.Status()[0].AttemptsInFlight == 1 })
+	testkit.Until(t, "the request in flight", func() bool { return l.Node.Status()[0].AttemptsInFlight == 1 })
 	node.PanicNext(l.Node, "a")
 	if status, _ := readAnswer(t, in); status != http.StatusBadGateway {
-		t.Errorf("what was held: %d", status)
+		t.Errorf("the request in flight: %d", status)
 	}
 	l.Pools["a"].Stall(false)
 	if policy == "end" {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -12,7 +12,7 @@
 	"lockflow/internal/testkit"
 )
 
-// A keyed request that may have run goes again within its group only, with its key.
+// A request with an idempotency key that may have run is retried within its group only, with its key.
 func TestIdempotentRequestIsRetriedWithinItsGroup(t *testing.T) {
 	r := newTestNode(t)
 	fails := true
@@ -40,7 +40,7 @@
 	}
 }
 
-// At the end of the client's time the attempt's connection is closed and the client is told.
+// At the client's deadline the attempt's connection is closed and the client is answered.
 func TestDeadlineEndsAttempt(t *testing.T) {
 	for class, tc := range map[string]struct {
 		method string
@@ -74,9 +74,9 @@
 // A client that leaves is owed nothing; its id is free again when its attempt has ended.
 func TestClientDisconnectFreesRequestID(t *testing.T) {
 	r := newTestNode(t)
-	held, finish := make(chan struct{}), make(chan struct{})
+	arrived, finish := make(chan struct{}), make(chan struct{})
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
-		held <- struct{}{}
+		arrived <- struct{}{}
 		<-finish
 		testkit.Served(w, q)
 	})
@@ -90,7 +90,7 @@
 		}
 		left <- err
 	}()
-	testkit.Next(t, held)
+	testkit.Next(t, arrived)
 	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusConflict {
 		t.Errorf("an id in flight was taken again: %s", resp.Status)
 	}
@@ -101,7 +101,7 @@
 	r.wait("the hang-up", func() bool { s := r.status(); return s.Requests == 1 && s.Unanswered == 0 })
 	close(finish)
 	r.wait("the attempt's end", func() bool { return r.status().Requests == 0 })
-	go func() { <-held }()
+	go func() { <-arrived }()
 	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != 200 {
 		t.Errorf("a free id: %s", resp.Status)
 	}
@@ -149,14 +149,14 @@
 	r := newTestNode(t)
 	var mu sync.Mutex
 	from := make(map[string]string)
-	held, finish := make(chan struct{}), make(chan struct{})
+	arrived, finish := make(chan struct{}), make(chan struct{})
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
 		id := q.Header.Get(protocol.HeaderID)
 		mu.Lock()
 		from[id] = q.RemoteAddr
 		mu.Unlock()
 		if id == "held" {
-			close(held)
+			close(arrived)
 			<-finish
 		}
 		testkit.Served(w, q)
@@ -167,14 +167,14 @@
 		resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "held"))
 		answered <- resp.StatusCode
 	}()
-	testkit.Next(t, held)
+	testkit.Next(t, arrived)
 	r.do(r.newRequest(http.MethodGet, "/roster-read", "before"))
 	gone := endpointOf(a, "s-1", 0)
 	gone.State = "removed"
 	r.setEndpoints(gone, endpointOf(a, "s-2", 0))
 	close(finish)
 	if s := testkit.Next(t, answered); s != 200 {
-		t.Errorf("what was held: %d", s)
+		t.Errorf("the request in flight: %d", s)
 	}
 	r.wait("the attempt's end", func() bool { return r.status().Requests == 0 })
 	r.do(r.newRequest(http.MethodGet, "/roster-read", "after"))
--- a/internal/node/shared_hard_limits_test.go
+++ b/internal/node/shared_hard_limits_test.go
@@ -27,7 +27,7 @@
 	stores      []*redistest.Server
 }
 
-// startSharedFleet starts nodes with a counter, and further counters that nodes hold to from a number on.
+// startSharedFleet starts nodes with a lease store; from each number in counters on, nodes use another store.
 func startSharedFleet(t *testing.T, nodes int, counters ...int) *sharedFleet {
 	t.Helper()
 	const rate, burst = 100, 50
@@ -77,7 +77,7 @@
 	return f
 }
 
-// startLoad has one customer ask for far more than its ceiling through all nodes, until the test ends.
+// startLoad has one customer request far more than its hard limit through all nodes, until the test ends.
 func (f *sharedFleet) startLoad(t *testing.T) {
 	addrs := make([]string, len(f.nodes))
 	for i, n := range f.nodes {
@@ -128,7 +128,7 @@
 func leasesUnits(s quotalease.Status) bool  { return s.Lends && s.Pledged > 0 }
 func usesOwnQuota(s quotalease.Status) bool { return s.Own }
 
-// Whole nodes over a counter that is lost, late, refuses, goes dark, is replaced by an empty one and
+// Nodes over a lease store that is lost, late, refuses, goes dark, is replaced by an empty one and
 // restored: by the servers' own count the customer keeps to its ceiling throughout, and goes on
 // being served: by lent units, or by the nodes' own parts.
 func TestSharedHardLimitHoldsOverStoreFaults(t *testing.T) {
@@ -137,12 +137,12 @@
 	f.startLoad(t)
 	f.awaitStatus(t, "a counter that lends", leasesUnits)
 	f.awaitUnits(t, 100)
-	for _, trouble := range []func(){
+	for _, injectFault := range []func(){
 		func() { f.firstStore.Set(0, "", true) },
 		func() { f.firstStore.Set(0, "LOADING Redis is loading the dataset in memory", false) },
 		func() { f.firstStore.Set(2*time.Second, "", false) },
 	} {
-		trouble()
+		injectFault()
 		f.firstStore.Cut()
 		f.awaitStatus(t, "parts of its own", usesOwnQuota)
 		f.awaitUnits(t, 30)
