--- a/internal/command/proxy.go
+++ b/internal/command/proxy.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.Out, "listening on %s, serving from %d app servers\n", n.Addr(), len(cfg.Services[0].Source.Servers))
+	fmt.Fprintf(e.Out, "listening on %s, serving from %d app servers\n", n.Addr(), len(cfg.Services[0].Source.Endpoints))
 	if lasts > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, lasts)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -110,20 +110,20 @@
 
 // Service is one service.
 type Service struct {
-	Name       string              `plan:"name"`
-	Seed       uint64              `plan:"seed"`
-	Settings   control.Settings    `plan:",inline"`
-	Source     discovery.Source    `plan:"-"`
-	Known      discovery.Listing   `plan:"-"`
-	Connect    time.Duration       `plan:"connect_timeout"`
-	Keepalive  time.Duration       `plan:"keepalive"`
-	Body       int64               `plan:"body"`   // most bytes of a request's body; below zero is any number
-	Answer     int64               `plan:"answer"` // and of an answer's
-	Servers    Servers             `plan:"servers"`
-	Counter    Counter             `plan:"counter"`
-	OnPanic    service.PanicPolicy `plan:"on_panic"`
-	HTTP       *HTTP               `plan:"h_t_t_p"` // what ordinary HTTP needs; nil is the platform's protocol
-	Record     Record              `plan:"record"`
-	Required   bool                `plan:"required"` // the node is ready only once this service is
-	Guaranteed Amounts             `plan:"guaranteed"`
+	Name       string                 `plan:"name"`
+	Seed       uint64                 `plan:"seed"`
+	Settings   control.Settings       `plan:",inline"`
+	Source     discovery.Source       `plan:"-"`
+	Known      discovery.EndpointList `plan:"-"`
+	Connect    time.Duration          `plan:"connect_timeout"`
+	Keepalive  time.Duration          `plan:"keepalive"`
+	Body       int64                  `plan:"body"`   // most bytes of a request's body; below zero is any number
+	Answer     int64                  `plan:"answer"` // and of an answer's
+	Servers    Servers                `plan:"servers"`
+	Counter    Counter                `plan:"counter"`
+	OnPanic    service.PanicPolicy    `plan:"on_panic"`
+	HTTP       *HTTP                  `plan:"h_t_t_p"` // what ordinary HTTP needs; nil is the platform's protocol
+	Record     Record                 `plan:"record"`
+	Required   bool                   `plan:"required"` // the node is ready only once this service is
+	Guaranteed Amounts                `plan:"guaranteed"`
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -423,9 +423,9 @@
 	}
 	src.Address, src.Path = t.Str("address", ""), t.Str("path", "")
 	for i, one := range t.Tables("servers") {
-		src.Servers = append(src.Servers, server(one))
-		for _, s := range src.Servers[:i] {
-			if s.UID == src.Servers[i].UID {
+		src.Endpoints = append(src.Endpoints, server(one))
+		for _, s := range src.Endpoints[:i] {
+			if s.UID == src.Endpoints[i].UID {
 				one.Wrong("uid", "%q is given twice", s.UID)
 			}
 		}
@@ -442,26 +442,26 @@
 	if src.Kind == discovery.Watch && t.Has("address") {
 		checkAddress(t, "address", src.Address)
 	}
-	if src.Kind == discovery.Static && t.Has("servers") && len(src.Servers) == 0 {
+	if src.Kind == discovery.Static && t.Has("servers") && len(src.Endpoints) == 0 {
 		t.Wrong("servers", "there is none")
 	}
 	t.Done()
 	return src
 }
 
-func server(t tree.Table) discovery.Target {
-	s := discovery.Target{
-		UID: t.Str("uid", ""), Endpoint: t.Str("endpoint", ""), Zone: t.Str("zone", ""),
+func server(t tree.Table) discovery.Endpoint {
+	s := discovery.Endpoint{
+		UID: t.Str("uid", ""), Address: t.Str("endpoint", ""), Zone: t.Str("zone", ""),
 		Model: t.Str("model", ""), Group: int(t.Integer("group", 0, 0, countMost)),
 		State: []string{"up", "draining"}[t.OneOf("state", "up", "draining")], Capacity: t.Number("capacity", 1, 0.001, figureMost),
 	}
 	if s.UID == "" {
-		s.UID = s.Endpoint
+		s.UID = s.Address
 	}
 	if t.Has("protocol") {
 		s.Protocol = discovery.Protocols[t.OneOf("protocol", discovery.Protocols...)]
 	}
-	checkAddress(t, "endpoint", s.Endpoint)
+	checkAddress(t, "endpoint", s.Address)
 	t.Done()
 	return s
 }
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -152,8 +152,8 @@
 	if r.Guaranteed.Descriptors != 100 || d.Guaranteed.Descriptors != 94 || r.Guaranteed.Held != 40 || d.Guaranteed.Held != 30 {
 		t.Errorf("%+v, %+v", r.Guaranteed, d.Guaranteed)
 	}
-	if d.OnPanic != service.RestartService || d.Required || d.Answer != 1<<20 || d.Source.Kind != discovery.Static || len(d.Source.Servers) != 2 ||
-		d.Source.Servers[0].UID != "127.0.0.1:9001" || d.Source.Servers[1].State != "draining" {
+	if d.OnPanic != service.RestartService || d.Required || d.Answer != 1<<20 || d.Source.Kind != discovery.Static || len(d.Source.Endpoints) != 2 ||
+		d.Source.Endpoints[0].UID != "127.0.0.1:9001" || d.Source.Endpoints[1].State != "draining" {
 		t.Errorf("%+v", d)
 	}
 	if r := c.Routes[1]; r.As != "roster-read" || r.Headers[0].Name != "X-Kind" || !r.Headers[0].Any || r.Headers[1].Value != "2" {
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -136,7 +136,7 @@
 
 // settled is the service without what can change while it runs.
 func (s Service) settled() Service {
-	s.Source, s.Known, s.Guaranteed, s.Required, s.Seed = discovery.Source{}, discovery.Listing{}, Amounts{}, false, 0
+	s.Source, s.Known, s.Guaranteed, s.Required, s.Seed = discovery.Source{}, discovery.EndpointList{}, Amounts{}, false, 0
 	return s
 }
 
@@ -151,7 +151,7 @@
 	case discovery.File:
 		return "file " + s.Path
 	}
-	return fmt.Sprintf("%d servers listed", len(s.Servers))
+	return fmt.Sprintf("%d servers listed", len(s.Endpoints))
 }
 
 // A field of a configuration says its key in plans in a tag of its own.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -94,7 +94,7 @@
 	// Guards against a node that does not start for a list which it is told anew at once.
 	if len(file.Known) > 0 {
 		if err := json.Unmarshal(file.Known, &s.Known); err != nil {
-			s.Known = discovery.Listing{Odd: discovery.Odd{N: 1, First: fmt.Errorf("known: %w", err)}}
+			s.Known = discovery.EndpointList{Invalid: discovery.InvalidEntries{Count: 1, FirstError: fmt.Errorf("known: %w", err)}}
 		}
 	}
 	paths, err := flatten(file.Settings)
@@ -105,7 +105,7 @@
 		return c, fmt.Errorf("settings: %w", err)
 	}
 	// Lists that are pushed lie with an agent of this node's own; what has to be asked for is shared.
-	s.Source.Agent = !s.Settings.ListOnRequest
+	s.Source.IsOwnAgent = !s.Settings.ListOnRequest
 	s.Settings.ListOnRequest = false // on sockets a watch is always kept; nothing has to be asked for
 	if s.Keepalive, err = millis(paths, "limits.keepalive", 15*time.Second); err != nil {
 		return c, err
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -17,7 +17,7 @@
 	}
 	one := c.Services[0]
 	s := one.Settings
-	if one.Seed != 0x8c1f30d27a5be964 || c.Process.Descriptors != 1024 || c.Process.MemoryMB != 192 || one.Known.Rev != 7 ||
+	if one.Seed != 0x8c1f30d27a5be964 || c.Process.Descriptors != 1024 || c.Process.MemoryMB != 192 || one.Known.Revision != 7 ||
 		one.Keepalive != 15*time.Second || one.Connect != 250*time.Millisecond || c.Process.Shared || c.Routes != nil {
 		t.Errorf("%+v", c)
 	}
@@ -41,7 +41,7 @@
 	}
 	for mode, agent := range map[string]bool{"pushed": true, "on_request": false} {
 		c, err := ParsePlatform([]byte(strings.NewReplacer(`"discovery": "pushed"`, `"discovery": "`+mode+`"`).Replace(string(raw))))
-		if err != nil || c.Services[0].Source.Agent != agent {
+		if err != nil || c.Services[0].Source.IsOwnAgent != agent {
 			t.Errorf("%s: %+v, %v", mode, c.Services[0].Source, err)
 		}
 	}
@@ -70,7 +70,7 @@
 		c, err := ParsePlatform([]byte(text))
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
-		} else if k := c.Services[0].Known; len(k.Targets) != tc.used || k.Odd.N != tc.odd {
+		} else if k := c.Services[0].Known; len(k.Endpoints) != tc.used || k.Invalid.Count != tc.odd {
 			t.Errorf("%s: %+v", name, k)
 		}
 	}
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -31,29 +31,29 @@
 
 // Source is where a service's list of servers comes from.
 type Source struct {
-	Kind    Kind
-	Address string   // with Watch: host and port
-	Agent   bool     // with Watch: it is this instance's own agent, which answers at no cost to others
-	Path    string   // with File
-	Servers []Target // with Static
+	Kind       Kind
+	Address    string     // with Watch: host and port
+	IsOwnAgent bool       // with Watch: it is this instance's own agent, which answers at no cost to others
+	Path       string     // with File
+	Endpoints  []Endpoint // with Static
 }
 
 // Equal tells whether two sources are the same.
 func (s Source) Equal(o Source) bool {
-	return s.Kind == o.Kind && s.Address == o.Address && s.Agent == o.Agent && s.Path == o.Path && slices.Equal(s.Servers, o.Servers)
+	return s.Kind == o.Kind && s.Address == o.Address && s.IsOwnAgent == o.IsOwnAgent && s.Path == o.Path && slices.Equal(s.Endpoints, o.Endpoints)
 }
 
 // Feed follows one source after another and tells what each lists. The list of a further
 // source replaces that of the one before as soon as it is there, and not sooner.
 type Feed struct {
-	tell    func(Listing)
+	tell    func(EndpointList)
 	silence time.Duration     // after which a watch is dead
 	every   time.Duration     // between two looks at a file
-	pace    Pace              // of a shared discovery; see paceOf
+	pace    Pacer             // of a shared discovery; see paceOf
 	through http.RoundTripper // nil is the network; tests have another
 
-	// Known is set before Run where a list is known, so that the first call can wait.
-	Known bool
+	// HasCachedList is set before Run where a list is known, so that the first call can wait.
+	HasCachedList bool
 
 	mu    sync.Mutex
 	src   Source
@@ -65,13 +65,13 @@
 
 // NewFeed makes a feed of a source of which a list of some version is known; 0 is none. Watches are
 // begun at pace's times. tell is called on the goroutine of Run.
-func NewFeed(src Source, rev int64, pace Pace, tell func(Listing)) *Feed {
+func NewFeed(src Source, rev int64, pace Pacer, tell func(EndpointList)) *Feed {
 	return &Feed{src: src, rev: rev, pace: pace, tell: tell, silence: watchSilence, every: fileEvery, leave: func() {}}
 }
 
-// Move has the feed go on with another source, at once. It may be called at any time, from
+// SetSource has the feed go on with another source, at once. It may be called at any time, from
 // any goroutine.
-func (f *Feed) Move(src Source) {
+func (f *Feed) SetSource(src Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// Guards against a call that is broken off again and again, and is answered when its news has long
@@ -94,7 +94,7 @@
 }
 
 // hear tells what a source lists.
-func (f *Feed) hear(l Listing) {
+func (f *Feed) hear(l EndpointList) {
 	f.mu.Lock()
 	f.moves = false
 	f.mu.Unlock()
@@ -114,16 +114,16 @@
 			}
 			after := time.Duration(0)
 			if moved {
-				after = pace.Moved()
+				after = pace.MoveDelay()
 				w.last = w.last.Add(-movedSpent)
-			} else if f.Known {
-				after = pace.First()
+			} else if f.HasCachedList {
+				after = pace.FirstDelay()
 			}
 			w.stay(here, after)
 		case File:
 			f.follow(here, src.Path)
 		case Static:
-			f.hear(Listing{All: true, Targets: src.Servers})
+			f.hear(EndpointList{IsComplete: true, Endpoints: src.Endpoints})
 			<-here.Done()
 		}
 	}
@@ -131,10 +131,10 @@
 
 // paceOf is the pace of calls to a source. Guards against an instance that goes on with an old list
 // while its own agent has the news: nobody else waits for what an agent is asked.
-func (f *Feed) paceOf(src Source) Pace {
+func (f *Feed) paceOf(src Source) Pacer {
 	p := f.pace
-	if src.Agent {
-		p.Group = 1
+	if src.IsOwnAgent {
+		p.GroupSize = 1
 	}
 	return p
 }
@@ -152,8 +152,8 @@
 }
 
 // ReadFile reads a file that holds the whole list as JSON, in discovery's form.
-func ReadFile(path string) (Listing, error) {
-	var l Listing
+func ReadFile(path string) (EndpointList, error) {
+	var l EndpointList
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > fileMost {
 		err = fmt.Errorf("%s: %d bytes are more than %d", path, info.Size(), fileMost)
@@ -168,9 +168,9 @@
 	if err := json.Unmarshal(raw, &l); err != nil {
 		return l, fmt.Errorf("server list %s: %w", path, err)
 	}
-	if err := l.Check(); err != nil {
+	if err := l.Validate(); err != nil {
 		return l, fmt.Errorf("server list %s: %w", path, err)
 	}
-	l.All = true
+	l.IsComplete = true
 	return l, nil
 }
--- a/internal/discovery/keys_test.go
+++ b/internal/discovery/keys_test.go
@@ -7,4 +7,4 @@
 )
 
 // Lists of servers, as they are fetched, have a written key for every field.
-func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", Listing{}, Target{}) }
+func TestKeysAreWritten(t *testing.T) { testkit.RequireKeys(t, "json", EndpointList{}, Endpoint{}) }
--- a/internal/discovery/listing.go
+++ b/internal/discovery/listing.go
@@ -13,29 +13,29 @@
 	"lockflow/control"
 )
 
-// Listing is one message of discovery. Read from JSON it holds the entries that can be used.
-type Listing struct {
-	Rev     int64    `json:"rev"`
-	All     bool     `json:"all"`
-	Targets []Target `json:"targets"`
-	Odd     Odd      `json:"-"`
+// EndpointList is one message of discovery. Read from JSON it holds the entries that can be used.
+type EndpointList struct {
+	Revision   int64          `json:"rev"`
+	IsComplete bool           `json:"all"`
+	Endpoints  []Endpoint     `json:"targets"`
+	Invalid    InvalidEntries `json:"-"`
 }
 
-// Odd is what was left out of a message.
-type Odd struct {
-	N     int   // entries
-	First error // what is wrong with the first of them
+// InvalidEntries is what was left out of a message.
+type InvalidEntries struct {
+	Count      int   // entries
+	FirstError error // what is wrong with the first of them
 }
 
-func (o *Odd) add(err error) {
-	if o.N++; o.First == nil {
-		o.First = err
+func (o *InvalidEntries) record(err error) {
+	if o.Count++; o.FirstError == nil {
+		o.FirstError = err
 	}
 }
 
 // UnmarshalJSON reads a message entry by entry: one that can't be used is left out, and the rest
 // holds. Of an entry that says that its server is not up, no more is needed than which it is.
-func (l *Listing) UnmarshalJSON(raw []byte) error {
+func (l *EndpointList) UnmarshalJSON(raw []byte) error {
 	var m struct {
 		Rev     int64             `json:"rev"`
 		All     bool              `json:"all"`
@@ -44,27 +44,27 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return err
 	}
-	*l = Listing{Rev: m.Rev, All: m.All}
+	*l = EndpointList{Revision: m.Rev, IsComplete: m.All}
 	for i, one := range m.Targets {
-		t, err := readTarget(one)
+		t, err := readEndpoint(one)
 		if err != nil {
-			l.Odd.add(fmt.Errorf("rev %d: entry %d: %w", m.Rev, i, err))
+			l.Invalid.record(fmt.Errorf("rev %d: entry %d: %w", m.Rev, i, err))
 			continue
 		}
-		l.Targets = append(l.Targets, t)
+		l.Endpoints = append(l.Endpoints, t)
 	}
 	// Guards against a whole list of which nothing could be read, taken for a fleet that is gone.
-	if m.All && len(m.Targets) > 0 && len(l.Targets) == 0 {
-		return l.Odd.First
+	if m.All && len(m.Targets) > 0 && len(l.Endpoints) == 0 {
+		return l.Invalid.FirstError
 	}
 	return nil
 }
 
-func readTarget(raw json.RawMessage) (Target, error) {
-	var t Target
+func readEndpoint(raw json.RawMessage) (Endpoint, error) {
+	var t Endpoint
 	err := json.Unmarshal(raw, &t)
 	if err == nil {
-		err = t.check()
+		err = t.validate()
 	}
 	if err == nil {
 		return t, nil
@@ -74,45 +74,45 @@
 		State string `json:"state"`
 	}
 	if json.Unmarshal(raw, &gone) == nil && gone.UID != "" && gone.State != "" && gone.State != "up" {
-		return Target{UID: gone.UID, State: gone.State}, nil
+		return Endpoint{UID: gone.UID, State: gone.State}, nil
 	}
-	return Target{}, err
+	return Endpoint{}, err
 }
 
-// Target is one app server as discovery lists it.
-type Target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Model    string  `json:"model"`
-	Group    int     `json:"pod_group"`
-	State    string  `json:"state"`
-	Capacity float64 `json:"capacity_hint"`
-	BootMS   float64 `json:"boot_ms"`
-	Protocol string  `json:"protocol,omitempty"` // one of Protocols; "" is the service's
+// Endpoint is one app server as discovery lists it.
+type Endpoint struct {
+	UID         string  `json:"uid"`
+	Address     string  `json:"endpoint"`
+	Zone        string  `json:"az"`
+	Model       string  `json:"model"`
+	Group       int     `json:"pod_group"`
+	State       string  `json:"state"`
+	Capacity    float64 `json:"capacity_hint"`
+	StartedAtMS float64 `json:"boot_ms"`
+	Protocol    string  `json:"protocol,omitempty"` // one of Protocols; "" is the service's
 }
 
 // Protocols are what servers may be spoken to in.
 var Protocols = []string{"http/1.1", "http/2", "http/2 or 1.1"}
 
-// Check tells what in a list can't be used, where all of it has to be: one that an operator wrote.
-func (l *Listing) Check() error {
-	if l.Odd.N > 0 {
-		return l.Odd.First
+// Validate tells what in a list can't be used, where all of it has to be: one that an operator wrote.
+func (l *EndpointList) Validate() error {
+	if l.Invalid.Count > 0 {
+		return l.Invalid.FirstError
 	}
-	for i := range l.Targets {
-		if err := l.Targets[i].check(); err != nil {
-			return fmt.Errorf("rev %d: %w", l.Rev, err)
+	for i := range l.Endpoints {
+		if err := l.Endpoints[i].validate(); err != nil {
+			return fmt.Errorf("rev %d: %w", l.Revision, err)
 		}
 	}
 	return nil
 }
 
-func (t *Target) check() error {
+func (t *Endpoint) validate() error {
 	if t.UID == "" {
 		return errors.New("a target has no uid")
 	}
-	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.Condition() == control.Active {
+	if _, _, err := net.SplitHostPort(t.Address); err != nil && t.EndpointState() == control.Active {
 		return fmt.Errorf("target %s: %w", t.UID, err)
 	}
 	if t.Protocol != "" && !slices.Contains(Protocols, t.Protocol) {
@@ -121,8 +121,8 @@
 	return nil
 }
 
-// Condition reads a state. One that is not known is no place to send new work to.
-func (t *Target) Condition() control.EndpointState {
+// EndpointState reads a state. One that is not known is no place to send new work to.
+func (t *Endpoint) EndpointState() control.EndpointState {
 	switch t.State {
 	case "up":
 		return control.Active
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -72,12 +72,12 @@
 		for _, n := range []int{1, 2, 8, 40, 80, 400} {
 			for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
 				each := all / time.Duration(max(40, n))
-				paces := make([]Pace, n)
+				paces := make([]Pacer, n)
 				for i := range paces {
-					paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
+					paces[i] = Pacer{GroupSize: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
 				}
-				most, last, calls := subscribed(n, each, soon, func(i int) time.Duration { return paces[i].First() },
-					func(i int, lasted, now time.Duration) time.Duration { return paces[i].TurnedAway(lasted, now) })
+				most, last, calls := subscribed(n, each, soon, func(i int) time.Duration { return paces[i].FirstDelay() },
+					func(i int, lasted, now time.Duration) time.Duration { return paces[i].RejectionDelay(lasted, now) })
 				bound := all + 3*callEvery*time.Duration(n) + askMost
 				if most == 0 || most > bound {
 					t.Errorf("%d instances, %v for a call of each, turned away %s: nine in ten are told after %v, all after %v, by %d calls", n, all, how, most, last, calls)
@@ -107,13 +107,15 @@
 		for _, n := range []int{1, 3, 40, 300} {
 			for _, all := range []time.Duration{2 * time.Second, 3500 * time.Millisecond, 5 * time.Second, 8 * time.Second} { // that one call of each takes
 				for _, quiet := range []time.Duration{0, watchSilence} {
-					paces := make([]Pace, n)
+					paces := make([]Pacer, n)
 					for i := range paces {
-						paces[i] = Pace{Group: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
+						paces[i] = Pacer{GroupSize: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
 					}
 					// The clock begins as the silence is noticed.
-					most, last, calls := subscribed(n, all/time.Duration(max(40, n)), soonAway, func(i int) time.Duration { return paces[i].Again(time.Minute, quiet) },
-						func(i int, lasted, now time.Duration) time.Duration { return paces[i].TurnedAway(lasted, quiet+now) })
+					most, last, calls := subscribed(n, all/time.Duration(max(40, n)), soonAway, func(i int) time.Duration { return paces[i].RetryDelay(time.Minute, quiet) },
+						func(i int, lasted, now time.Duration) time.Duration {
+							return paces[i].RejectionDelay(lasted, quiet+now)
+						})
 					soon, late, each := all+callsMost, all+callsMost+answerMost, 2
 					switch all {
 					case answerMost: // it can answer them all in time
@@ -137,13 +139,13 @@
 // within what a discovery takes to answer the whole group.
 func TestPaceKeepsTheClock(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := Pace{Group: rapid.IntRange(1, 1000).Draw(t, "group"), Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))}
+		p := Pacer{GroupSize: rapid.IntRange(1, 1000).Draw(t, "group"), Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))}
 		for range rapid.IntRange(1, 12).Draw(t, "calls") {
 			quiet := time.Duration(rapid.Int64Range(0, int64(2*newsWithin)).Draw(t, "quiet"))
 			lived := time.Duration(rapid.Int64Range(0, int64(2*livedLong)).Draw(t, "lived"))
-			after := p.Again(lived, quiet)
-			if after < backoffFirst || after > callsMost || p.Group == 1 && after > backoffFirst {
-				t.Fatalf("a group of %d asks again after %v", p.Group, after)
+			after := p.RetryDelay(lived, quiet)
+			if after < backoffFirst || after > callsMost || p.GroupSize == 1 && after > backoffFirst {
+				t.Fatalf("a group of %d asks again after %v", p.GroupSize, after)
 			}
 			if since := min(lived, quiet); since+backoffFirst <= askMost && since+after > askMost {
 				t.Fatalf("after a call that failed in %v, silent for %v, it asks again after %v", lived, quiet, after)
@@ -158,42 +160,42 @@
 		for range 3 {
 			lasted := time.Duration(rapid.Int64Range(0, int64(answerMost)).Draw(t, "lasted"))
 			first := p.fails == 0
-			after := p.TurnedAway(lasted, newsWithin)
-			if after < backoffFirst || after > callsMost || p.Group == 1 && after > backoffFirst {
-				t.Fatalf("a group of %d, turned away, asks again after %v", p.Group, after)
+			after := p.RejectionDelay(lasted, newsWithin)
+			if after < backoffFirst || after > callsMost || p.GroupSize == 1 && after > backoffFirst {
+				t.Fatalf("a group of %d, turned away, asks again after %v", p.GroupSize, after)
 			}
-			if !first && p.Group >= 20 && lasted+after < answerMost {
+			if !first && p.GroupSize >= 20 && lasted+after < answerMost {
 				t.Fatalf("turned away, it asks again %v after it asked", lasted+after)
 			}
 		}
-		if d := p.First(); d+answerMost > newsWithin {
+		if d := p.FirstDelay(); d+answerMost > newsWithin {
 			t.Fatalf("the first call comes after %v", d)
 		}
-		if d := p.Moved(); d+answerMost > newsWithin-movedSpent {
+		if d := p.MoveDelay(); d+answerMost > newsWithin-movedSpent {
 			t.Fatalf("the first call after a move comes after %v", d)
 		}
 	})
 }
 
 func TestPaceBounds(t *testing.T) {
-	one := Pace{}
-	if one.First() != 0 || one.Moved() != 0 || one.Again(0, 0) != backoffFirst {
+	one := Pacer{}
+	if one.FirstDelay() != 0 || one.MoveDelay() != 0 || one.RetryDelay(0, 0) != backoffFirst {
 		t.Error("one instance waits for others")
 	}
-	p := Pace{Group: 80, Rand: rand.New(rand.NewPCG(1, 2))}
+	p := Pacer{GroupSize: 80, Rand: rand.New(rand.NewPCG(1, 2))}
 	for range 1000 {
-		if d := p.First(); d < 0 || d >= askMost {
+		if d := p.FirstDelay(); d < 0 || d >= askMost {
 			t.Fatalf("first after %v", d)
 		}
-		if d := p.Moved(); d < 0 || d >= moveMost {
+		if d := p.MoveDelay(); d < 0 || d >= moveMost {
 			t.Fatalf("moved after %v", d)
 		}
 		for range 4 {
-			if d := p.Again(0, newsWithin); d < backoffFirst || d >= askMost {
+			if d := p.RetryDelay(0, newsWithin); d < backoffFirst || d >= askMost {
 				t.Fatalf("again after %v", d)
 			}
 		}
-		if p.Again(livedLong, 0); p.fails != 1 {
+		if p.RetryDelay(livedLong, 0); p.fails != 1 {
 			t.Fatalf("%d failures are remembered after a watch that lived", p.fails)
 		}
 	}
@@ -202,12 +204,12 @@
 // One of hundreds whose own agent has the list asks it at once, after each start, move and break: a
 // change counts as told while it waits.
 func TestOwnAgentIsAskedAtOnce(t *testing.T) {
-	f := NewFeed(Source{}, 41, Pace{Group: 300, Rand: rand.New(rand.NewPCG(1, 2))}, nil)
+	f := NewFeed(Source{}, 41, Pacer{GroupSize: 300, Rand: rand.New(rand.NewPCG(1, 2))}, nil)
 	for _, agent := range []bool{true, false} {
 		first, moved, again := time.Duration(0), time.Duration(0), time.Duration(0)
 		for range 100 {
-			p := f.paceOf(Source{Agent: agent})
-			first, moved, again = max(first, p.First()), max(moved, p.Moved()), max(again, p.Again(0, newsWithin))
+			p := f.paceOf(Source{IsOwnAgent: agent})
+			first, moved, again = max(first, p.FirstDelay()), max(moved, p.MoveDelay()), max(again, p.RetryDelay(0, newsWithin))
 		}
 		if !agent {
 			if first < time.Second || again < askMost*9/10 || again > askMost {
--- a/internal/discovery/reach_test.go
+++ b/internal/discovery/reach_test.go
@@ -34,7 +34,7 @@
 	var all sync.WaitGroup
 	defer func() { cancel(); all.Wait() }()
 	returns, told := time.Now().Add(out), make(chan time.Time, 10)
-	f.tell = func(Listing) { told <- time.Now() }
+	f.tell = func(EndpointList) { told <- time.Now() }
 	f.through = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		isOut := time.Now().Before(returns)
 		if isOut && how == refusing {
@@ -90,7 +90,7 @@
 					for _, out := range []time.Duration{300 * time.Millisecond, 4 * time.Second, 8 * time.Second, 13 * time.Second} {
 						for seed := range uint64(10) {
 							synctest.Test(t, func(t *testing.T) {
-								f := NewFeed(Source{Address: "discovery:1", Agent: agent}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+								f := NewFeed(Source{Address: "discovery:1", IsOwnAgent: agent}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
 								if late := back(t, how, out, answer, f); late > most {
 									t.Errorf("out for %v, told %v after the return", out, late)
 								}
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -105,8 +105,8 @@
 		})
 		return here, nil
 	}}
-	f.tell = func(l Listing) {
-		if l.Rev == 45 && told.IsZero() {
+	f.tell = func(l EndpointList) {
+		if l.Revision == 45 && told.IsZero() {
 			told = time.Now()
 			close(done)
 		}
@@ -147,7 +147,7 @@
 				t.Run(fmt.Sprintf("%s/%d/agent=%v", strings.ReplaceAll(name, " ", "_"), group, agent), func(t *testing.T) {
 					for seed := range uint64(8) {
 						synctest.Test(t, func(t *testing.T) {
-							f := NewFeed(Source{Address: "discovery:1", Agent: agent}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+							f := NewFeed(Source{Address: "discovery:1", IsOwnAgent: agent}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
 							silent, told := play(t, f, script)
 							if late := told.Sub(silent); late > newsWithin-newsSpare/2 {
 								t.Errorf("told %v after the silence began, of %v", late, newsWithin)
@@ -167,9 +167,9 @@
 	for _, group := range []int{1, 3, 40, 300} {
 		for seed := range uint64(20) {
 			synctest.Test(t, func(t *testing.T) {
-				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
-				f.Known = true
-				f.Move(Source{Address: "discovery:1"})
+				f := NewFeed(Source{Address: "old:1"}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+				f.HasCachedList = true
+				f.SetSource(Source{Address: "discovery:1"})
 				moved := time.Now()
 				_, told := play(t, f, nil)
 				if late := told.Sub(moved); late > newsWithin-movedSpent {
@@ -177,8 +177,8 @@
 				}
 			})
 			synctest.Test(t, func(t *testing.T) {
-				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
-				f.Move(Source{Address: "discovery:1"})
+				f := NewFeed(Source{Address: "old:1"}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+				f.SetSource(Source{Address: "discovery:1"})
 				moved := time.Now()
 				_, told := play(t, f, []scripted{turned})
 				if late := told.Sub(moved); late > newsWithin-movedSpent {
@@ -195,11 +195,11 @@
 	for _, group := range []int{1, 40, 300} {
 		for seed := range uint64(20) {
 			synctest.Test(t, func(t *testing.T) {
-				f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
-				f.Move(Source{Address: "discovery:1"})
+				f := NewFeed(Source{Address: "old:1"}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
+				f.SetSource(Source{Address: "discovery:1"})
 				moved := time.Now()
 				for _, later := range []time.Duration{0, 900 * time.Millisecond, 1900 * time.Millisecond} {
-					again := time.AfterFunc(later, func() { f.Move(Source{Address: "discovery:1"}) })
+					again := time.AfterFunc(later, func() { f.SetSource(Source{Address: "discovery:1"}) })
 					defer again.Stop()
 				}
 				_, told := play(t, f, nil)
@@ -223,12 +223,12 @@
 				for way, to := range map[string][]string{"once": {"discovery:1"}, "twice": {"discovery:1", "discovery:1"}, "and back": {"discovery:1", "old:1"}} {
 					t.Run(fmt.Sprint(name, " ", group, " ", at, " ", way), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
-							f := NewFeed(Source{Address: "old:1"}, 41, Pace{Group: group, Rand: rand.New(rand.NewPCG(1, 1))}, nil)
+							f := NewFeed(Source{Address: "old:1"}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(1, 1))}, nil)
 							var moved time.Time
 							move := time.AfterFunc(at, func() {
 								moved = time.Now()
 								for _, a := range to {
-									f.Move(Source{Address: a})
+									f.SetSource(Source{Address: a})
 								}
 							})
 							defer move.Stop()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -35,12 +35,12 @@
 	url     string
 	rev     int64
 	silence time.Duration
-	pace    *Pace
-	tell    func(Listing)
+	pace    *Pacer
+	tell    func(EndpointList)
 	last    time.Time // when it was last heard
 }
 
-func newWatcher(addr string, rev int64, silence time.Duration, pace *Pace, tell func(Listing)) *watcher {
+func newWatcher(addr string, rev int64, silence time.Duration, pace *Pacer, tell func(EndpointList)) *watcher {
 	return &watcher{
 		pace: pace, url: "http://" + addr + "/v1/servers?watch=1", rev: rev, silence: silence, tell: tell,
 		last: time.Now(),
@@ -64,9 +64,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		next := w.pace.Again
+		next := w.pace.RetryDelay
 		if errors.Is(err, errTurned) {
-			next = w.pace.TurnedAway
+			next = w.pace.RejectionDelay
 		}
 		after = next(time.Since(begun), time.Since(w.last))
 		if heard {
@@ -104,7 +104,7 @@
 	in := &watched{watcher: w, from: resp.Body, silent: silent}
 	in.dec = json.NewDecoder(in)
 	for first := true; ; first = false {
-		var l Listing
+		var l EndpointList
 		if err := in.dec.Decode(&l); err != nil {
 			if errors.Is(err, io.EOF) {
 				err = nil
@@ -165,17 +165,17 @@
 
 // take takes one message of a watch, of which first begins it. After one that can't be used, a new watch asks again from the last
 // version that was whole.
-func (w *watcher) take(l Listing, first bool) error {
-	if l.Rev < w.rev && !(l.All && first) {
+func (w *watcher) take(l EndpointList, first bool) error {
+	if l.Revision < w.rev && !(l.IsComplete && first) {
 		// Guards against a discovery that began to count anew, whose changes don't fit our list, and against
 		// a message that comes late: a server may have drained since. That one is not up is true of any.
-		l.Targets = slices.DeleteFunc(l.Targets, func(t Target) bool { return t.Condition() == control.Active })
-		if l.All, w.rev = false, 0; len(l.Targets) > 0 {
+		l.Endpoints = slices.DeleteFunc(l.Endpoints, func(t Endpoint) bool { return t.EndpointState() == control.Active })
+		if l.IsComplete, w.rev = false, 0; len(l.Endpoints) > 0 {
 			w.tell(l)
 		}
-		return fmt.Errorf("discovery: version went back to %d", l.Rev)
+		return fmt.Errorf("discovery: version went back to %d", l.Revision)
 	}
-	w.rev = l.Rev
+	w.rev = l.Revision
 	w.tell(l)
 	return nil
 }
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -21,9 +21,9 @@
 	"lockflow/internal/testkit"
 )
 
-func startWatch(t *testing.T, a *testkit.Agent, rev int64, silence time.Duration) (<-chan Listing, *Feed) {
-	told := make(chan Listing, 100)
-	w := NewFeed(Source{Address: a.Addr()}, rev, Pace{}, func(l Listing) { told <- l })
+func startWatch(t *testing.T, a *testkit.Agent, rev int64, silence time.Duration) (<-chan EndpointList, *Feed) {
+	told := make(chan EndpointList, 100)
+	w := NewFeed(Source{Address: a.Addr()}, rev, Pacer{}, func(l EndpointList) { told <- l })
 	w.silence = silence
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -51,7 +51,7 @@
 			}
 			a.Tell <- "\n" // a heartbeat
 			a.Tell <- oneUp
-			if l := testkit.Next(t, told); l.Rev != 43 || l.All || l.Targets[0].Group != 3 || l.Targets[0].BootMS != 1700000000000 {
+			if l := testkit.Next(t, told); l.Revision != 43 || l.IsComplete || l.Endpoints[0].Group != 3 || l.Endpoints[0].StartedAtMS != 1700000000000 {
 				t.Errorf("told %+v", l)
 			}
 			a.Tell <- tc.line
@@ -63,7 +63,7 @@
 				t.Errorf("asked %s", q)
 			}
 			a.Tell <- strings.Replace(oneUp, "43", "45", 1)
-			if l := testkit.Next(t, told); l.Rev != 45 {
+			if l := testkit.Next(t, told); l.Revision != 45 {
 				t.Errorf("told %+v", l)
 			}
 		})
@@ -83,19 +83,19 @@
 		whole bool
 	}{{5, false}, {5, false}, {9, false}, {9, true}, {9, true}, {11, false}} {
 		a.Tell <- fmt.Sprintf(`{"all":%v,"targets":[],"rev":%d}`+"\n", all.whole, all.rev)
-		if l := testkit.Next(t, told); l.Rev != all.rev || l.All != all.whole {
+		if l := testkit.Next(t, told); l.Revision != all.rev || l.IsComplete != all.whole {
 			t.Errorf("told %+v, not %+v", l, all)
 		}
 	}
 	a.Tell <- `{"rev":5,"all":false,"targets":[{"uid":"s-1","state":"removed"}]}` + "\n"
-	if l := testkit.Next(t, told); l.Rev != 5 || len(l.Targets) != 1 {
+	if l := testkit.Next(t, told); l.Revision != 5 || len(l.Endpoints) != 1 {
 		t.Errorf("told %+v", l)
 	}
 	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
 		t.Errorf("asked %s", q)
 	}
 	a.Tell <- `{"rev":2,"all":true,"targets":[]}` + "\n"
-	if l := testkit.Next(t, told); l.Rev != 2 || !l.All {
+	if l := testkit.Next(t, told); l.Revision != 2 || !l.IsComplete {
 		t.Errorf("told %+v", l)
 	}
 }
@@ -116,16 +116,16 @@
 	old, other := testkit.NewAgent(t), testkit.NewAgent(t)
 	told, w := startWatch(t, old, 41, testkit.Patience)
 	testkit.Next(t, old.Asked)
-	w.Move(Source{Address: other.Addr()})
+	w.SetSource(Source{Address: other.Addr()})
 	if q := testkit.Next(t, other.Asked); strings.Contains(q, "from") {
 		t.Errorf("asked %s", q)
 	}
 	other.Tell <- `{"rev":2,"all":true,"targets":[]}` + "\n"
-	if l := testkit.Next(t, told); l.Rev != 2 || !l.All {
+	if l := testkit.Next(t, told); l.Revision != 2 || !l.IsComplete {
 		t.Errorf("told %+v", l)
 	}
-	w.Move(Source{Address: "127.0.0.1:1"}) // nobody listens there
-	w.Move(Source{Address: old.Addr()})
+	w.SetSource(Source{Address: "127.0.0.1:1"}) // nobody listens there
+	w.SetSource(Source{Address: old.Addr()})
 	if q := testkit.Next(t, old.Asked); strings.Contains(q, "from") {
 		t.Errorf("asked %s", q)
 	}
@@ -141,12 +141,12 @@
 		`{"uid":"s-3","endpoint":9,"pod_group":"x","state":"draining"},{"uid":"s-4","state":"removed"},` +
 		`{"uid":"s-1","endpoint":"127.0.0.1:9","state":"up","boot_ms":"soon"},{"uid":"s-5","endpoint":"127.0.0.1:9","state":"up"}]}` + "\n"
 	l := testkit.Next(t, told)
-	if l.Rev != 44 || l.Odd.N != 5 || len(l.Targets) != 3 {
+	if l.Revision != 44 || l.Invalid.Count != 5 || len(l.Endpoints) != 3 {
 		t.Fatalf("%+v", l)
 	}
-	for i, want := range []Target{{UID: "s-3", State: "draining"}, {UID: "s-4", State: "removed"}, {UID: "s-5", Endpoint: "127.0.0.1:9", State: "up"}} {
-		if l.Targets[i] != want {
-			t.Errorf("%+v, want %+v", l.Targets[i], want)
+	for i, want := range []Endpoint{{UID: "s-3", State: "draining"}, {UID: "s-4", State: "removed"}, {UID: "s-5", Address: "127.0.0.1:9", State: "up"}} {
+		if l.Endpoints[i] != want {
+			t.Errorf("%+v, want %+v", l.Endpoints[i], want)
 		}
 	}
 }
@@ -161,7 +161,7 @@
 	testkit.Next(t, told)
 	a.Tell <- `{"rev":42,"targets":[{"uid":"s-2","endpoint":"127.0.0.1:9","state":"up"},{"uid":"s-1","state":"draining"},{"uid":"s-3","state":"removed"}]}` + "\n"
 	l := testkit.Next(t, told)
-	if l.All || len(l.Targets) != 2 || l.Targets[0].UID != "s-1" || l.Targets[1].UID != "s-3" {
+	if l.IsComplete || len(l.Endpoints) != 2 || l.Endpoints[0].UID != "s-1" || l.Endpoints[1].UID != "s-3" {
 		t.Errorf("told %+v", l)
 	}
 	a.Tell <- ""
@@ -179,7 +179,7 @@
 	testkit.Next(t, a.Asked)
 	const older = `{"rev":7,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","state":"up"}]}` + "\n"
 	a.Tell <- older
-	if l := testkit.Next(t, told); l.Rev != 7 || !l.All {
+	if l := testkit.Next(t, told); l.Revision != 7 || !l.IsComplete {
 		t.Errorf("told %+v", l)
 	}
 	a.Tell <- `{"rev":8,"targets":[{"uid":"s-1","state":"draining"}]}` + "\n"
@@ -190,7 +190,7 @@
 		t.Errorf("asked %s", q)
 	}
 	a.Tell <- `{"rev":8,"all":true,"targets":[]}` + "\n"
-	if l := testkit.Next(t, told); l.Rev != 8 || !l.All {
+	if l := testkit.Next(t, told); l.Revision != 8 || !l.IsComplete {
 		t.Errorf("told %+v", l)
 	}
 }
@@ -208,7 +208,7 @@
 	testkit.Next(t, a.Asked)
 	for i := range 3 {
 		a.Tell <- strings.Replace(indented.String(), "43", strconv.Itoa(43+i), 1) + "\n\n"
-		if l := testkit.Next(t, told); l.Rev != int64(43+i) || len(l.Targets) != 1 || l.Odd.N > 0 {
+		if l := testkit.Next(t, told); l.Revision != int64(43+i) || len(l.Endpoints) != 1 || l.Invalid.Count > 0 {
 			t.Errorf("told %+v", l)
 		}
 	}
@@ -225,7 +225,7 @@
 		here, there := net.Pipe()
 		opened := make(chan time.Duration, 10)
 		begun := time.Now()
-		w := newWatcher("agent", 41, watchSilence, &Pace{}, func(Listing) {})
+		w := newWatcher("agent", 41, watchSilence, &Pacer{}, func(EndpointList) {})
 		w.client.Transport = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 			opened <- time.Since(begun)
 			if len(opened) > 1 {
@@ -254,12 +254,12 @@
 	f.Add([]byte(oneUp))
 	f.Add([]byte(`{"rev":1,"all":true,"targets":[null,{"uid":"a","state":"gone"},{"uid":"b","endpoint":"x:1","state":"up"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		var l Listing
+		var l EndpointList
 		if json.Unmarshal(raw, &l) != nil {
 			return
 		}
-		for i := range l.Targets {
-			if err := l.Targets[i].check(); err != nil {
+		for i := range l.Endpoints {
+			if err := l.Endpoints[i].validate(); err != nil {
 				t.Errorf("%q: %v", raw, err)
 			}
 		}
@@ -277,18 +277,18 @@
 func TestWatchCutAnywhere(t *testing.T) {
 	const says = "\r\n\n" + `{"rev":43,"all":true,"more":{"x":[1,2]},"targets":[` + "\r\n" + `  {"uid":"s-é","endpoint":"127.0.0.1:9","az":"Zürich","model":"\u00fc}","pod_group":31,"state":"up","boot_ms":1.7e12}]}` +
 		"\n \r\n" + `{"rev":44,"targets":[{"uid":"s-é","state":"draining"}]}{"rev":45,"targets":[]}` + "\r\n"
-	want := []Listing{
-		{Rev: 43, All: true, Targets: []Target{{UID: "s-é", Endpoint: "127.0.0.1:9", Zone: "Zürich", Model: "ü}", Group: 31, State: "up", BootMS: 1.7e12}}},
-		{Rev: 44, Targets: []Target{{UID: "s-é", State: "draining"}}},
-		{Rev: 45},
+	want := []EndpointList{
+		{Revision: 43, IsComplete: true, Endpoints: []Endpoint{{UID: "s-é", Address: "127.0.0.1:9", Zone: "Zürich", Model: "ü}", Group: 31, State: "up", StartedAtMS: 1.7e12}}},
+		{Revision: 44, Endpoints: []Endpoint{{UID: "s-é", State: "draining"}}},
+		{Revision: 45},
 	}
 	pieces := map[string]func() io.Reader{"bytes": func() io.Reader { return iotest.OneByteReader(strings.NewReader(says)) }}
 	for i := range says {
 		pieces[strconv.Itoa(i)] = func() io.Reader { return io.MultiReader(strings.NewReader(says[:i]), strings.NewReader(says[i:])) }
 	}
 	for name, in := range pieces {
-		var told []Listing
-		w := newWatcher("a:1", 41, testkit.Patience, &Pace{}, func(l Listing) { told = append(told, l) })
+		var told []EndpointList
+		w := newWatcher("a:1", 41, testkit.Patience, &Pacer{}, func(l EndpointList) { told = append(told, l) })
 		w.client.Transport = answering(in)
 		if heard, err := w.watch(t.Context()); !heard || err != nil || w.rev != 45 || !reflect.DeepEqual(told, want) {
 			t.Errorf("cut at %s: %v, %v, told %+v", name, heard, err, told)
--- a/internal/fleetfile/regions.go
+++ b/internal/fleetfile/regions.go
@@ -70,8 +70,8 @@
 	case discovery.File:
 		v.Source = "file " + s.Source.Path
 	}
-	for _, to := range s.Source.Servers {
-		v.Servers, v.Leads = append(v.Servers, to.UID), append(v.Leads, to.Endpoint)
+	for _, to := range s.Source.Endpoints {
+		v.Servers, v.Leads = append(v.Servers, to.UID), append(v.Leads, to.Address)
 	}
 	return v
 }
@@ -86,8 +86,8 @@
 		// The file's classes, which all its services have. Those that can't scatter are there too: that a
 		// class is not free to repeat any more has to show here as with its parts.
 		v.Classes = s.Settings.Classes
-		for _, to := range s.Source.Servers {
-			v.Leads = append(v.Leads, to.Endpoint)
+		for _, to := range s.Source.Endpoints {
+			v.Leads = append(v.Leads, to.Address)
 		}
 	})
 	return v
--- a/internal/front/client_departure_test.go
+++ b/internal/front/client_departure_test.go
@@ -116,10 +116,10 @@
 		GroupSize: 1, MaxRetryAfter: time.Second,
 		Plans: []control.Plan{{Name: "p", Price: 1, MaxInFlight: 2}}, Classes: []control.Class{n.class},
 	}
-	server := discovery.Target{UID: "s-1", Endpoint: n.app.Addr(), State: "up", Capacity: 1}
+	server := discovery.Endpoint{UID: "s-1", Address: n.app.Addr(), State: "up", Capacity: 1}
 	s, err := service.New(service.Options{
 		AnyMethod: true, OnReady: func() { close(ready) }, Settings: settings,
-		Source:   discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{server}},
+		Source:   discovery.Source{Kind: discovery.Static, Endpoints: []discovery.Endpoint{server}},
 		Upstream: upstream.Options{ConnectTimeout: time.Second, KeepAliveTimeout: time.Minute, SocketLimiter: limits.NewSocketLimiter(100)},
 	})
 	if err != nil {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -119,7 +119,7 @@
 		b.Fatal(err)
 	}
 	s := &cfg.Services[0]
-	s.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: plainServer(b), State: "up"}}}
+	s.Source = discovery.Source{Kind: discovery.Static, Endpoints: []discovery.Endpoint{{UID: "s-1", Address: plainServer(b), State: "up"}}}
 	s.Settings.Plans[1].QuotaRate, s.Settings.Plans[1].QuotaBurst = 1e9, 1e9
 	benchmarkRequests(b, cfg)
 }
--- a/internal/node/client_connections_test.go
+++ b/internal/node/client_connections_test.go
@@ -20,7 +20,7 @@
 // Near the limit on descriptors an idle client connection goes for a new one.
 func TestIdleClientIsEvictedAtDescriptorLimit(t *testing.T) {
 	r := newTestNode(t)
-	r.setEndpoints(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.setEndpoints(discovery.Endpoint{UID: "s-1", Address: "127.0.0.1:1", State: "up"})
 	r.wait("ready", r.node.isReady)
 	r.node.limiter.(*exclusiveLimiter).sockets.SetLimit(limits.ReservedForServers + 2) // one client, and the place for the next
 	for range 3 {
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -85,16 +85,16 @@
 }
 
 // setEndpoints tells the node of changes and returns when the module knows them.
-func (r *testNode) setEndpoints(targets ...discovery.Target) {
+func (r *testNode) setEndpoints(targets ...discovery.Endpoint) {
 	r.t.Helper()
 	r.rev++
-	line, err := json.Marshal(discovery.Listing{Rev: int64(r.rev), Targets: targets})
+	line, err := json.Marshal(discovery.EndpointList{Revision: int64(r.rev), Endpoints: targets})
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	r.agent.Tell <- string(line) + "\n"
 	testkit.Until(r.t, "the list", func() bool {
-		known := r.service().Endpoints().Rev == int64(r.rev)
+		known := r.service().Endpoints().Revision == int64(r.rev)
 		if known {
 			r.status() // a round through the loop: what came before has been done
 		}
@@ -122,8 +122,8 @@
 	return resp.Close
 }
 
-func endpointOf(a *testkit.App, uid string, group int) discovery.Target {
-	return discovery.Target{UID: uid, Endpoint: a.Addr(), Zone: "z1", Group: group, State: "up", Capacity: 1}
+func endpointOf(a *testkit.App, uid string, group int) discovery.Endpoint {
+	return discovery.Endpoint{UID: uid, Address: a.Addr(), Zone: "z1", Group: group, State: "up", Capacity: 1}
 }
 
 // newRequest is a client's request that a test may change before it is sent.
--- a/internal/node/platform_settings_test.go
+++ b/internal/node/platform_settings_test.go
@@ -279,7 +279,7 @@
 		t.Helper()
 		r.rev++
 		r.agent.Tell <- strings.Replace(line, "REV", fmt.Sprint(r.rev), 1) + "\n"
-		r.wait("the list", func() bool { return r.service().Endpoints().Rev == int64(r.rev) })
+		r.wait("the list", func() bool { return r.service().Endpoints().Revision == int64(r.rev) })
 		r.status()
 	}
 	up := []int{1, 1, 1, 5, 5, 5, 5, 1}
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -40,7 +40,7 @@
 	}
 	cfg.Process.Drain = config.Drain{}
 	s := &cfg.Services[0]
-	s.Known = discovery.Listing{Rev: 41, All: true, Targets: []discovery.Target{endpointOf(served, "s-1", 0)}}
+	s.Known = discovery.EndpointList{Revision: 41, IsComplete: true, Endpoints: []discovery.Endpoint{endpointOf(served, "s-1", 0)}}
 	r := newIdleTestNodeWithConfig(t, cfg)
 	if address != nil {
 		cfg.Services[0].Source.Address = address(t)
@@ -65,7 +65,7 @@
 	}
 	other := testkit.NewApp(t, testkit.Served)
 	r.rev = 50
-	r.setEndpoints(discovery.Target{UID: "s-1", State: "draining"}, endpointOf(other, "s-2", 0))
+	r.setEndpoints(discovery.Endpoint{UID: "s-1", State: "draining"}, endpointOf(other, "s-2", 0))
 	r.do(r.newRequest(http.MethodGet, "/roster-read", "id-2"))
 	if served.Count() != 1 || other.Count() != 1 {
 		t.Errorf("the first server has %d requests, the one that was announced late %d", served.Count(), other.Count())
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -50,7 +50,7 @@
 	if s := health(); s != http.StatusServiceUnavailable {
 		t.Errorf("%d with no app server known", s)
 	}
-	r.setEndpoints(discovery.Target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.setEndpoints(discovery.Endpoint{UID: "s-1", Address: "127.0.0.1:1", State: "up"})
 	r.wait("ready", r.node.isReady)
 	if s := health(); s != http.StatusOK {
 		t.Errorf("%d with an app server", s)
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -123,7 +123,7 @@
 	}
 	if predecessor != nil {
 		options.CachedEndpoints = predecessor.Endpoints()
-		options.CachedEndpoints.Rev = 0 // it may be of another source
+		options.CachedEndpoints.Revision = 0 // it may be of another source
 	}
 	r.Service, err = service.New(options)
 	return err
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -94,7 +94,7 @@
 			t.Fatal(err)
 		}
 		origins = append(origins, o)
-		src.Servers = append(src.Servers, discovery.Target{UID: fmt.Sprint(i), Endpoint: o.Addr(), State: "up", Capacity: 1})
+		src.Endpoints = append(src.Endpoints, discovery.Endpoint{UID: fmt.Sprint(i), Address: o.Addr(), State: "up", Capacity: 1})
 	}
 	ready := make(chan struct{})
 	s, err := service.New(service.Options{
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -43,7 +43,7 @@
 			})
 			o := Options{Settings: testSettings(), NewModule: moduleOf(m)}
 			o.Upstream.SocketLimiter, o.Upstream.ConnectTimeout, o.Upstream.KeepAliveTimeout = limits.NewSocketLimiter(100), testkit.Patience, testkit.Patience
-			o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: app.Addr(), State: "up"}}}
+			o.Source = discovery.Source{Kind: discovery.Static, Endpoints: []discovery.Endpoint{{UID: "s-1", Address: app.Addr(), State: "up"}}}
 			s := runService(t, o)
 			testkit.Next(t, listed)
 			x := newExchange("id-1")
--- a/internal/service/deadlines_test.go
+++ b/internal/service/deadlines_test.go
@@ -46,7 +46,7 @@
 	s, _ = startService(t, Options{Settings: set})
 	synctest.Wait()
 	if d.hasNone {
-		s.receiveEndpoints(discovery.Listing{All: true})
+		s.receiveEndpoints(discovery.EndpointList{IsComplete: true})
 	}
 	if d.isFull {
 		for i := range otherRequests {
--- a/internal/service/endpoint_changes_test.go
+++ b/internal/service/endpoint_changes_test.go
@@ -36,15 +36,15 @@
 }
 
 // changeOf is an endpoint list that replaces the server s-1 by another one in some way.
-func changeOf(way, other string) discovery.Listing {
-	up := discovery.Target{UID: "s-2", Endpoint: other, State: "up", Capacity: 1}
-	l := discovery.Listing{Rev: 2, All: way == "whole", Targets: []discovery.Target{up}}
+func changeOf(way, other string) discovery.EndpointList {
+	up := discovery.Endpoint{UID: "s-2", Address: other, State: "up", Capacity: 1}
+	l := discovery.EndpointList{Revision: 2, IsComplete: way == "whole", Endpoints: []discovery.Endpoint{up}}
 	switch way {
 	case "draining", "removed":
-		l.Targets = append(l.Targets, discovery.Target{UID: "s-1", State: way})
+		l.Endpoints = append(l.Endpoints, discovery.Endpoint{UID: "s-1", State: way})
 	case "moved":
 		up.UID = "s-1"
-		l.Targets[0] = up
+		l.Endpoints[0] = up
 	}
 	return l
 }
@@ -96,9 +96,9 @@
 					}
 				}
 				ask("one")
-				up := r.service.Endpoints().Targets[0]
-				up.BootMS = float64(time.Now().Add(when).UnixMilli())
-				r.service.receiveEndpoints(discovery.Listing{Rev: 2, Targets: []discovery.Target{up}})
+				up := r.service.Endpoints().Endpoints[0]
+				up.StartedAtMS = float64(time.Now().Add(when).UnixMilli())
+				r.service.receiveEndpoints(discovery.EndpointList{Revision: 2, Endpoints: []discovery.Endpoint{up}})
 				ask("two")
 				if n := r.connectionCount(); n != dials {
 					t.Errorf("%d connections, of %d", n, dials)
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -13,59 +13,59 @@
 // server stays with it if the new source lists the same uid.
 func (s *Service) SetSource(source discovery.Source) {
 	s.log.Info("endpoint list source changed", "address", source.Address, "file", source.Path)
-	s.feed.Move(source)
+	s.feed.SetSource(source)
 }
 
 // Endpoints returns the endpoint list as the service has it now.
-func (s *Service) Endpoints() discovery.Listing {
+func (s *Service) Endpoints() discovery.EndpointList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.endpointList()
 }
 
 // endpointList is Endpoints with s.mu held.
-func (s *Service) endpointList() discovery.Listing {
-	list := discovery.Listing{Rev: s.revision, All: true}
+func (s *Service) endpointList() discovery.EndpointList {
+	list := discovery.EndpointList{Revision: s.revision, IsComplete: true}
 	for _, target := range s.endpoints {
-		list.Targets = append(list.Targets, target)
+		list.Endpoints = append(list.Endpoints, target)
 	}
 	return list
 }
 
 // mergeEndpoints applies a message of the source to the service's endpoint list. It is called with s.mu held.
-func (s *Service) mergeEndpoints(list discovery.Listing) {
-	if list.Odd.N > 0 {
-		s.log.Warn("invalid endpoint list entries ignored", "entries", list.Odd.N, "err", list.Odd.First)
+func (s *Service) mergeEndpoints(list discovery.EndpointList) {
+	if list.Invalid.Count > 0 {
+		s.log.Warn("invalid endpoint list entries ignored", "entries", list.Invalid.Count, "err", list.Invalid.FirstError)
 	}
-	if list.All {
+	if list.IsComplete {
 		clear(s.endpoints)
 	}
-	for _, target := range list.Targets {
-		if target.Condition() == control.Gone {
+	for _, target := range list.Endpoints {
+		if target.EndpointState() == control.Gone {
 			delete(s.endpoints, target.UID)
 		} else {
 			s.endpoints[target.UID] = target
 		}
 	}
-	s.revision = list.Rev
+	s.revision = list.Revision
 }
 
 // receiveEndpoints handles a message of the source. The list is stored before the current loop is notified,
 // so that a loop which is started meanwhile has the message either way.
-func (s *Service) receiveEndpoints(list discovery.Listing) {
+func (s *Service) receiveEndpoints(list discovery.EndpointList) {
 	s.mu.Lock()
 	s.mergeEndpoints(list)
 	l := s.loop
 	s.mu.Unlock()
 	kind := control.ListPatch
-	if list.All {
+	if list.IsComplete {
 		kind = control.ListComplete
 	}
 	s.postEndpoints(l, kind, list)
 }
 
 // postEndpoints notifies a loop of a list. The service is ready once a server is listed.
-func (s *Service) postEndpoints(l *loop, kind control.ListKind, list discovery.Listing) {
+func (s *Service) postEndpoints(l *loop, kind control.ListKind, list discovery.EndpointList) {
 	l.post(func() {
 		l.updateEndpoints(kind, list)
 		if len(l.serverIDs) > 0 && !s.isReady.Swap(true) && s.options.OnReady != nil {
@@ -76,11 +76,11 @@
 
 // updateEndpoints brings ids and connection pools in line with a message of the source and notifies the
 // module of it. Servers that are no longer listed are forgotten.
-func (l *loop) updateEndpoints(kind control.ListKind, list discovery.Listing) {
+func (l *loop) updateEndpoints(kind control.ListKind, list discovery.EndpointList) {
 	event := control.EndpointList{Kind: kind}
 	isListed := make(map[string]bool)
-	for i := range list.Targets {
-		target := &list.Targets[i]
+	for i := range list.Endpoints {
+		target := &list.Endpoints[i]
 		id := l.serverID(target.UID)
 		endpoint := newEndpoint(id, target)
 		event.Endpoints = append(event.Endpoints, endpoint)
@@ -111,40 +111,40 @@
 }
 
 // newEndpoint converts an entry of the endpoint list into the module's form.
-func newEndpoint(id uint32, target *discovery.Target) control.Endpoint {
+func newEndpoint(id uint32, target *discovery.Endpoint) control.Endpoint {
 	return control.Endpoint{
 		Server:       id,
-		State:        target.Condition(),
+		State:        target.EndpointState(),
 		Zone:         target.Zone,
 		Cell:         target.Group,
 		Flavor:       target.Model,
 		Size:         target.Capacity,
-		HasStartedAt: target.BootMS > 0,
-		StartedAt:    time.Duration(target.BootMS * float64(time.Millisecond)),
+		HasStartedAt: target.StartedAtMS > 0,
+		StartedAt:    time.Duration(target.StartedAtMS * float64(time.Millisecond)),
 	}
 }
 
 // updatePool gives a server that takes new requests a connection pool to its current endpoint, and retires
 // the pool of one that does not, or that has moved.
-func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Target) {
+func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Endpoint) {
 	id, isAvailable := endpoint.Server, endpoint.State == control.Active
 	protocol := l.protocolOf(target)
 	pool := l.pools[id]
 	switch {
 	case pool == nil:
-	case !isAvailable || pool.Endpoint != target.Endpoint || pool.Protocol != protocol:
+	case !isAvailable || pool.Endpoint != target.Address || pool.Protocol != protocol:
 		l.retirePool(id)
 	case endpoint.HasStartedAt:
 		// Connections that were open to a machine as it vanished are not known to have ended.
-		l.upstream.CloseIdleBefore(pool, time.UnixMilli(int64(target.BootMS)))
+		l.upstream.CloseIdleBefore(pool, time.UnixMilli(int64(target.StartedAtMS)))
 	}
 	if isAvailable && l.pools[id] == nil {
-		l.pools[id] = l.upstream.NewPool(target.Endpoint, protocol)
+		l.pools[id] = l.upstream.NewPool(target.Address, protocol)
 	}
 }
 
 // protocolOf is the protocol that is spoken to a server.
-func (l *loop) protocolOf(target *discovery.Target) upstream.Protocol {
+func (l *loop) protocolOf(target *discovery.Endpoint) upstream.Protocol {
 	if target.Protocol == "" {
 		return l.defaultProtocol
 	}
--- a/internal/service/event_recorder.go
+++ b/internal/service/event_recorder.go
@@ -44,10 +44,10 @@
 	return &eventRecorder{writer: writer, causes: make(map[string]control.Cause), servers: make(map[uint32]listedServer)}
 }
 
-func (r *eventRecorder) serverListed(id uint32, target *discovery.Target) {
+func (r *eventRecorder) serverListed(id uint32, target *discovery.Endpoint) {
 	server := listedServer{uid: target.UID}
-	if target.BootMS > 0 {
-		server.bootedAt = time.UnixMicro(int64(target.BootMS * 1000))
+	if target.StartedAtMS > 0 {
+		server.bootedAt = time.UnixMicro(int64(target.StartedAtMS * 1000))
 	}
 	r.servers[id] = server
 }
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -78,7 +78,7 @@
 func staticSource(address string, uids ...string) discovery.Source {
 	source := discovery.Source{Kind: discovery.Static}
 	for _, uid := range uids {
-		source.Servers = append(source.Servers, discovery.Target{UID: uid, Endpoint: address, State: "up", Capacity: 1})
+		source.Endpoints = append(source.Endpoints, discovery.Endpoint{UID: uid, Address: address, State: "up", Capacity: 1})
 	}
 	return source
 }
@@ -104,7 +104,7 @@
 		o.Settings = testSettings()
 	}
 	o.Upstream.SocketLimiter = limits.NewSocketLimiter(100)
-	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"}}}
+	o.Source = discovery.Source{Kind: discovery.Static, Endpoints: []discovery.Endpoint{{UID: "s-1", Address: "127.0.0.1:1", State: "up"}}}
 	s, err := New(o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/options.go
+++ b/internal/service/options.go
@@ -34,10 +34,10 @@
 	Seed     uint64 // for the module's random numbers
 
 	Upstream        upstream.Options
-	Protocol        upstream.Protocol  // spoken to servers whose endpoint list entry names none
-	SharedUpstream  *upstream.Upstream // connections of the service that this one replaces; nil creates new ones by Upstream
-	Source          discovery.Source   // of the endpoint list
-	CachedEndpoints discovery.Listing  // the endpoint list as last received, perhaps outdated
+	Protocol        upstream.Protocol      // spoken to servers whose endpoint list entry names none
+	SharedUpstream  *upstream.Upstream     // connections of the service that this one replaces; nil creates new ones by Upstream
+	Source          discovery.Source       // of the endpoint list
+	CachedEndpoints discovery.EndpointList // the endpoint list as last received, perhaps outdated
 
 	OnPanic   PanicPolicy
 	AnyMethod bool // requests of a class may come by any method, as in ordinary HTTP
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -32,7 +32,7 @@
 	o := Options{Settings: testSettings(), NewModule: moduleOf(moduleFunc(r.handle))}
 	o.Settings.Classes[0].Idempotency = idempotency
 	o.Upstream = upstream.Options{SocketLimiter: limits.NewSocketLimiter(100), ConnectTimeout: testkit.Patience, KeepAliveTimeout: time.Hour}
-	o.Source = discovery.Source{Kind: discovery.Static, Servers: []discovery.Target{{UID: "s-1", Endpoint: r.app.Addr(), State: "up"}}}
+	o.Source = discovery.Source{Kind: discovery.Static, Endpoints: []discovery.Endpoint{{UID: "s-1", Address: r.app.Addr(), State: "up"}}}
 	r.service = runService(t, o)
 	testkit.Next(t, r.listed)
 	return r
@@ -63,13 +63,13 @@
 }
 
 // remove has a list arrive, and waits until the module is notified of it.
-func (r *removalTest) remove(list discovery.Listing) {
+func (r *removalTest) remove(list discovery.EndpointList) {
 	r.service.receiveEndpoints(list)
 	testkit.Next(r.t, r.listed)
 }
 
 // removeAtGate removes the server while a request waits at its gate.
-func (r *removalTest) removeAtGate(x *Exchange, list discovery.Listing) <-chan Answer {
+func (r *removalTest) removeAtGate(x *Exchange, list discovery.EndpointList) <-chan Answer {
 	decided := make(chan bool, 1)
 	x.Gate = &Gate{OnDecision: func(isAdmitted bool) { decided <- isAdmitted }}
 	answers := doInBackground(r.t.Context(), r.service, x)
@@ -80,7 +80,7 @@
 }
 
 // removeInEventQueue removes the server by an event right before that of a request.
-func (r *removalTest) removeInEventQueue(x *Exchange, list discovery.Listing) <-chan Answer {
+func (r *removalTest) removeInEventQueue(x *Exchange, list discovery.EndpointList) <-chan Answer {
 	b := newBarrier()
 	r.service.Post(b.pass)
 	testkit.Next(r.t, b.arrived)
@@ -92,7 +92,7 @@
 }
 
 // removeAtWorker removes the server before a request's worker begins.
-func (r *removalTest) removeAtWorker(x *Exchange, list discovery.Listing) <-chan Answer {
+func (r *removalTest) removeAtWorker(x *Exchange, list discovery.EndpointList) <-chan Answer {
 	b := newBarrier()
 	x.Forwarder = heldForwarder{x.Forwarder, b}
 	answers := doInBackground(r.t.Context(), r.service, x)
@@ -103,7 +103,7 @@
 }
 
 // removeAtWorkerWithIdleConnection is removeAtWorker where an idle connection to the server exists.
-func (r *removalTest) removeAtWorkerWithIdleConnection(x *Exchange, list discovery.Listing) <-chan Answer {
+func (r *removalTest) removeAtWorkerWithIdleConnection(x *Exchange, list discovery.EndpointList) <-chan Answer {
 	if a, _ := r.service.Do(r.t.Context(), r.newExchange("before")); a.Status != http.StatusOK {
 		r.t.Fatalf("%+v", a)
 	}
@@ -116,12 +116,12 @@
 // attempt begins there, wherever it waits: at the gate, in the event queue, or with a worker that has not
 // begun. The module is notified once that it did not run, and may send the request elsewhere.
 func TestAttemptAfterServerRemovalIsNotSent(t *testing.T) {
-	lists := map[string]discovery.Listing{
-		"draining": {Targets: []discovery.Target{{UID: "s-1", State: "draining"}}},
-		"removed":  {Targets: []discovery.Target{{UID: "s-1", State: "removed"}}},
-		"unlisted": {All: true},
+	lists := map[string]discovery.EndpointList{
+		"draining": {Endpoints: []discovery.Endpoint{{UID: "s-1", State: "draining"}}},
+		"removed":  {Endpoints: []discovery.Endpoint{{UID: "s-1", State: "removed"}}},
+		"unlisted": {IsComplete: true},
 	}
-	places := map[string]func(*removalTest, *Exchange, discovery.Listing) <-chan Answer{
+	places := map[string]func(*removalTest, *Exchange, discovery.EndpointList) <-chan Answer{
 		"gate":                    (*removalTest).removeAtGate,
 		"channel":                 (*removalTest).removeInEventQueue,
 		"worker":                  (*removalTest).removeAtWorker,
@@ -139,7 +139,7 @@
 }
 
 // check removes the server while a request waits at some place, and checks that the server does not get it.
-func (r *removalTest) check(removeAt func(*removalTest, *Exchange, discovery.Listing) <-chan Answer, list discovery.Listing) {
+func (r *removalTest) check(removeAt func(*removalTest, *Exchange, discovery.EndpointList) <-chan Answer, list discovery.EndpointList) {
 	answers := removeAt(r, r.newExchange("id-1"), list)
 	if a := testkit.Next(r.t, answers); a.Kind != Rejected {
 		r.t.Errorf("%+v", a)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,9 +26,9 @@
 	ended      chan struct{} // closed when Run has returned
 
 	mu        sync.Mutex
-	endpoints map[string]discovery.Target // by uid
-	revision  int64                       // of endpoints
-	loop      *loop                       // the current one; a restart sets another
+	endpoints map[string]discovery.Endpoint // by uid
+	revision  int64                         // of endpoints
+	loop      *loop                         // the current one; a restart sets another
 }
 
 // New creates a service. It accepts requests from now on and answers them once Run is called.
@@ -48,9 +48,9 @@
 		upstream:     connections,
 		unused:       make(chan struct{}),
 		ended:        make(chan struct{}),
-		endpoints:    make(map[string]discovery.Target),
+		endpoints:    make(map[string]discovery.Endpoint),
 	}
-	s.options.CachedEndpoints = discovery.Listing{} // the service has its own copy
+	s.options.CachedEndpoints = discovery.EndpointList{} // the service has its own copy
 	if s.options.NewModule == nil {
 		s.options.NewModule = func() (Module, error) { return control.New(options.Settings, options.Seed) }
 	}
@@ -62,7 +62,7 @@
 	s.mergeEndpoints(options.CachedEndpoints)
 	s.feed = newFeed(&options, s.receiveEndpoints)
 	// An empty list would have the module set its concurrency limit for no servers.
-	if len(options.CachedEndpoints.Targets) > 0 {
+	if len(options.CachedEndpoints.Endpoints) > 0 {
 		s.postEndpoints(s.loop, control.ListCached, options.CachedEndpoints)
 	}
 	return s, nil
@@ -70,13 +70,13 @@
 
 // newFeed creates the feed of a service's endpoint list. Its pauses are drawn apart from the module's random
 // numbers, as they follow the network's timing and the module's decisions have to be reproducible.
-func newFeed(options *Options, receive func(discovery.Listing)) *discovery.Feed {
-	pace := discovery.Pace{
-		Group: options.Settings.GroupSize,
-		Rand:  rand.New(rand.NewPCG(options.Seed, uint64(options.Settings.SelfIndex))),
+func newFeed(options *Options, receive func(discovery.EndpointList)) *discovery.Feed {
+	pace := discovery.Pacer{
+		GroupSize: options.Settings.GroupSize,
+		Rand:      rand.New(rand.NewPCG(options.Seed, uint64(options.Settings.SelfIndex))),
 	}
-	feed := discovery.NewFeed(options.Source, options.CachedEndpoints.Rev, pace, receive)
-	feed.Known = len(options.CachedEndpoints.Targets) > 0
+	feed := discovery.NewFeed(options.Source, options.CachedEndpoints.Revision, pace, receive)
+	feed.HasCachedList = len(options.CachedEndpoints.Endpoints) > 0
 	return feed
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -234,8 +234,8 @@
 		return nil
 	}), &Options{}, upstream.New(upstream.Options{}), nil)
 	for range 50 {
-		l.updateEndpoints(control.ListPatch, discovery.Listing{Targets: []discovery.Target{{UID: "s", Endpoint: "127.0.0.1:1", State: "up"}}})
-		l.updateEndpoints(control.ListPatch, discovery.Listing{Targets: []discovery.Target{{UID: "s", State: "removed"}}})
+		l.updateEndpoints(control.ListPatch, discovery.EndpointList{Endpoints: []discovery.Endpoint{{UID: "s", Address: "127.0.0.1:1", State: "up"}}})
+		l.updateEndpoints(control.ListPatch, discovery.EndpointList{Endpoints: []discovery.Endpoint{{UID: "s", State: "removed"}}})
 	}
 	if len(l.serverIDs)+len(l.pools) > 0 {
 		t.Errorf("%d ids and %d pools kept", len(l.serverIDs), len(l.pools))
