--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -31,19 +31,8 @@
 		}
 		v.Measures = append(v.Measures, m)
 	}
-	// Crashes are rare: one side has had none as a rule. What the world does hits both sides, and then the
-	// relative one is small.
-	crash, breach := j.crash.absolute(j.o.Crash), j.breach.relative()
-	if j.crash.relative() < 3 {
-		crash = 0
-	}
-	if limit := 1 / (0.15 * j.o.Alpha); crash >= limit {
-		worse = append(worse, fmt.Sprintf("crashes: %d in %v of the new, %d in %v of the old", j.crash.n[1], j.crash.time[1].Round(time.Second),
-			j.crash.n[0], j.crash.time[0].Round(time.Second)))
-	}
-	if limit := 1 / (0.05 * j.o.Alpha); breach >= limit {
-		worse = append(worse, fmt.Sprintf("breaches: in %d intervals of the new, %d of the old", j.breach.n[1], j.breach.n[0]))
-	}
+	crash, breach, shown := j.ends()
+	worse = append(worse, shown...)
 	k, again, harmed := j.harmed()
 	whose := ""
 	if harmed {
@@ -81,6 +70,24 @@
 	return v
 }
 
+// ends holds crashes and breaches of both sides against each other, as likelihood ratios, and gives what is shown.
+func (j *Judge) ends() (crash, breach float64, worse []string) {
+	// Crashes are rare: one side has had none as a rule. What the world does hits both sides, and then the
+	// relative one is small.
+	crash, breach = j.crash.absolute(j.o.Crash), j.breach.relative()
+	if j.crash.relative() < 3 {
+		crash = 0
+	}
+	if limit := 1 / (0.15 * j.o.Alpha); crash >= limit {
+		worse = append(worse, fmt.Sprintf("crashes: %d in %v of the new, %d in %v of the old", j.crash.n[1], j.crash.time[1].Round(time.Second),
+			j.crash.n[0], j.crash.time[0].Round(time.Second)))
+	}
+	if limit := 1 / (0.05 * j.o.Alpha); breach >= limit {
+		worse = append(worse, fmt.Sprintf("breaches: in %d intervals of the new, %d of the old", j.breach.n[1], j.breach.n[0]))
+	}
+	return crash, breach, worse
+}
+
 // both compares a measure over the stage, mended by what its later half shows, and over that half.
 func (j *Judge) both(k int) (m, half Measure) {
 	m = j.compare(k, false)
--- a/internal/faultnet/link/conn.go
+++ b/internal/faultnet/link/conn.go
@@ -129,11 +129,19 @@
 	}
 }
 
+// writer is one way of a connection, to its end.
+type writer struct {
+	*conn
+	way    int
+	to     net.Conn
+	of     *rules // in force
+	passed int    // bytes since those are
+	lost   bool   // bytes are: what follows them can't be delivered any more
+}
+
 // write brings one way's bytes to their end as the rules have it, and tells it of the way's end.
 func (c *conn) write(way int, to net.Conn, from <-chan piece) {
-	var passed int // since the rules in force are
-	var of *rules
-	dumb := false // bytes are lost: what follows them can't be delivered any more
+	w := &writer{conn: c, way: way, to: to}
 	for {
 		var p piece
 		select {
@@ -141,81 +149,112 @@
 		case <-c.over:
 			return
 		}
-		for first := true; first || len(p.data) > 0; first = false {
-			r, ok := c.due(way, p.at, len(p.data) > 0)
-			if !ok {
-				return
-			}
-			if r != of {
-				if of == nil || !r.ways[way].reset || !of.ways[way].reset || r.ways[way].after != of.ways[way].after {
-					passed = 0
-				}
-				of = r
-			}
-			w := &r.ways[way]
-			if way == 1 && len(p.data) > 0 && (r.lost || r.mute) && !dumb {
-				c.lose(len(p.data))
-				if r.lost {
-					c.reset()
-					return
-				}
-				dumb = true
-				break
-			}
-			if w.cut || dumb {
-				// The end of a direction vanishes as its bytes do.
-				dumb = true
-				c.lose(len(p.data))
-				break
-			}
-			if len(p.data) == 0 {
-				break
-			}
-			n := len(p.data)
-			if w.limit != nil {
-				n = min(n, burst)
-			}
-			if w.reset {
-				n = min(n, w.after-passed)
-			}
-			if w.limit != nil && n > 0 && !c.wait(r, w, n) {
-				continue
-			}
-			if n > 0 {
-				if _, err := to.Write(p.data[:n]); err != nil {
-					c.end(true)
-					return
-				}
-				p.data = p.data[n:]
-				passed += n
-				c.link.add(func(s *Counts) {
-					if way == 0 {
-						s.Forth += int64(n)
-					} else {
-						s.Back += int64(n)
-					}
-				})
-			}
-			if w.reset && passed >= w.after {
-				c.reset()
-				return
+		if !w.pass(&p) {
+			return
+		}
+		if p.end != nil {
+			w.finish(p.end)
+			return
+		}
+	}
+}
+
+// pass writes a piece, or loses it; false once the connection has ended.
+func (w *writer) pass(p *piece) bool {
+	for first := true; first || len(p.data) > 0; first = false {
+		r, ok := w.due(w.way, p.at, len(p.data) > 0)
+		if !ok {
+			return false
+		}
+		w.follow(r)
+		way := &r.ways[w.way]
+		if w.way == 1 && len(p.data) > 0 && (r.lost || r.mute) && !w.lost {
+			w.lose(len(p.data))
+			if r.lost {
+				w.reset()
+				return false
 			}
+			w.lost = true
+			return true
 		}
-		if p.end == nil {
-			continue
+		if way.cut || w.lost {
+			// The end of a direction vanishes as its bytes do.
+			w.lost = true
+			w.lose(len(p.data))
+			return true
 		}
-		if dumb { // what a stack would tell again and again arrives once the fault is over
-			c.healed()
-			c.end(true)
-			return
+		if len(p.data) == 0 {
+			return true
 		}
-		if half, ok := to.(interface{ CloseWrite() error }); ok && errors.Is(p.end, io.EOF) {
-			_ = half.CloseWrite()
-			return
+		if !w.writeSome(p, r, way) {
+			return false
 		}
-		c.end(true)
+	}
+	return true
+}
+
+// follow takes the rules that are in force now.
+func (w *writer) follow(r *rules) {
+	if r == w.of {
+		return
+	}
+	if w.of == nil || !r.ways[w.way].reset || !w.of.ways[w.way].reset || r.ways[w.way].after != w.of.ways[w.way].after {
+		w.passed = 0
+	}
+	w.of = r
+}
+
+// writeSome writes as much of a piece as a way lets through at once; false once the connection has ended.
+func (w *writer) writeSome(p *piece, r *rules, way *wayRules) bool {
+	n := len(p.data)
+	if way.limit != nil {
+		n = min(n, burst)
+	}
+	if way.reset {
+		n = min(n, way.after-w.passed)
+	}
+	if way.limit != nil && n > 0 && !w.wait(r, way, n) {
+		return true // the rules have changed
+	}
+	if n > 0 {
+		if _, err := w.to.Write(p.data[:n]); err != nil {
+			w.end(true)
+			return false
+		}
+		p.data = p.data[n:]
+		w.passed += n
+		w.count(n)
+	}
+	if way.reset && w.passed >= way.after {
+		w.reset()
+		return false
+	}
+	return true
+}
+
+// count counts bytes that passed.
+func (w *writer) count(n int) {
+	w.link.add(func(s *Counts) {
+		if w.way == 0 {
+			s.Forth += int64(n)
+		} else {
+			s.Back += int64(n)
+		}
+	})
+}
+
+// finish ends the way with what its begin ended with.
+func (w *writer) finish(end error) {
+	if w.lost { // what a stack would tell again and again arrives once the fault is over
+		w.healed()
+		w.end(true)
+		return
+	}
+	if half, ok := w.to.(interface{ CloseWrite() error }); ok && errors.Is(end, io.EOF) {
+		_ = half.CloseWrite()
 		return
 	}
+	w.end(true)
 }
 
 // healed waits until nothing vanishes any more, or the connection has ended.
--- a/internal/regions/pairs.go
+++ b/internal/regions/pairs.go
@@ -63,6 +63,9 @@
 	}
 	var seen map[shown]struct{} // what has a witness
 	variants := x.variants(a, attrs)
+	if len(variants) > 1 {
+		seen = make(map[shown]struct{})
+	}
 	for _, v := range variants {
 		w := x.request(v)
 		if w == nil {
@@ -76,11 +79,8 @@
 			if len(found) == 0 {
 				continue
 			}
-			if len(variants) > 1 && seen == nil {
-				seen = make(map[shown]struct{})
-			}
-			if len(variants) > 1 {
-				for _, pair := range found {
+			for _, pair := range found {
+				if seen != nil {
 					seen[shown{kind, pair}] = struct{}{}
 				}
 			}
--- a/internal/regiontrial/trial.go
+++ b/internal/regiontrial/trial.go
@@ -259,16 +259,17 @@
 		return ctx.Err()
 	}
 	var said []string
+	last := rep.Runs[len(rep.Runs)-1]
 	for tries := 0; ; tries++ {
 		k, one, told := r.state(ctx, hashes)
-		if one && (k == before || k == after) && (tries > 0 || rep.Runs[len(rep.Runs)-1] != exitStuck) {
+		if one && (k == before || k == after) && (tries > 0 || last != exitStuck) {
 			rep.Changed, rep.Again = k == after, tries
-			if tries == 0 && rep.Runs[len(rep.Runs)-1] == exitDone && !rep.Changed {
+			if tries == 0 && last == exitDone && !rep.Changed {
 				r.notes.Wrong("the change ended with %v, and all run the old settings", rep.Runs)
 			}
 			break
 		}
-		if tries == 0 && rep.Runs[len(rep.Runs)-1] != exitStuck {
+		if tries == 0 && last != exitStuck {
 			r.notes.Wrong("the change ended with %v, and members run different settings:%s", rep.Runs, told)
 		}
 		if tries == 4 {
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -151,6 +151,13 @@
 	return x.burst
 }
 
+// missed counts what was asked of an instance that is down.
+func (w *world) missed(x *instance, asked int) {
+	if x.side == canary.New && w.o.Harm.Crash > 0 {
+		w.touched, w.harmed = w.touched+float64(asked), w.harmed+float64(asked)
+	}
+}
+
 // play has one instance serve for an interval.
 func (w *world) play(x *instance, load, dose float64) bool {
 	h, r := &w.o.Harm, w.rng
@@ -160,9 +167,7 @@
 	}
 	asked := poisson(r, n)
 	if w.now < x.upAt {
-		if x.side == canary.New && h.Crash > 0 {
-			w.touched, w.harmed = w.touched+float64(asked), w.harmed+float64(asked)
-		}
+		w.missed(x, asked)
 		return false
 	}
 	age := w.now - x.began
--- a/internal/scattergather/run.go
+++ b/internal/scattergather/run.go
@@ -92,85 +92,105 @@
 	return f
 }
 
+// admission is what the parts' modules say of a query before any of it is sent.
+type admission struct {
+	*Run
+	each           []context.Context
+	giveUp         []context.CancelFunc
+	decided, taken []bool
+	left           int // not decided yet
+	results        []*ended
+	refused        int // the place of the first whose quota refuses; -1 is none
+}
+
 func (r *Run) do(ctx context.Context) Final {
 	n := len(r.Calls)
-	each, giveUp := make([]context.Context, n), make([]context.CancelFunc, n)
+	a := &admission{
+		Run: r, each: make([]context.Context, n), giveUp: make([]context.CancelFunc, n),
+		decided: make([]bool, n), taken: make([]bool, n), left: n, results: make([]*ended, n), refused: -1,
+	}
 	defer func() {
-		for _, stop := range giveUp {
+		for _, stop := range a.giveUp {
 			if stop != nil {
 				stop()
 			}
 		}
 	}()
-	start := func(place int) {
-		each[place], giveUp[place] = context.WithCancel(ctx)
-		r.mu.Lock()
-		r.users++
-		r.asked[place] = true
-		r.mu.Unlock()
-		go r.ask(each[place], place)
-	}
-	decided, taken, left := make([]bool, n), make([]bool, n), n
-	results := make([]*ended, n)
-	refused := -1
-	// hear waits for news of the admission; false once there is no more to wait for.
-	hear := func(until context.Context) bool {
-		select {
-		case <-r.news:
-		case <-until.Done():
-			if r.quiet() { // else it came first: on a process that had no time both are there at once
-				return false
-			}
-		}
-		for _, e := range r.take() {
-			if !decided[e.place] {
-				decided[e.place] = true
-				left--
-			}
-			if e.taken {
-				taken[e.place] = true
-				continue
-			}
-			results[e.place] = &e
-			if quota(e.answer) && refused < 0 {
-				refused = e.place
-			}
-		}
-		return refused < 0
-	}
-	// What refused last is asked alone before the others: their quotas are charged by what they take.
-	if first, ok := r.By[0].Suspect(); ok && first < n {
-		start(first)
-		until, stop := context.WithTimeout(ctx, r.admits()/2)
-		for left == n && hear(until) {
-		}
-		stop()
-		if refused < 0 && decided[first] {
-			r.By[0].Suspects(-1)
-		}
-	}
+	a.askSuspect(ctx)
 	for place := range r.Calls {
-		if each[place] == nil && refused < 0 {
-			start(place)
+		if a.each[place] == nil && a.refused < 0 {
+			a.start(ctx, place)
 		}
 	}
 	until, stop := context.WithTimeout(ctx, r.admits())
-	for left > 0 && refused < 0 && hear(until) {
+	for a.left > 0 && a.refused < 0 && a.hear(until) {
 	}
 	stop()
 	if ctx.Err() != nil {
 		return r.end(EndedLeft)
 	}
-	if refused >= 0 {
-		r.By[0].Suspects(refused)
+	if a.refused >= 0 {
+		r.By[0].Suspects(a.refused)
 		f := r.end(EndedQuota)
-		f.RetryAfter, f.Part = results[refused].answer.RetryAfter, r.Leaves[refused].Name
+		f.RetryAfter, f.Part = a.results[a.refused].answer.RetryAfter, r.Leaves[a.refused].Name
 		return f
 	}
-	r.send(results, taken, giveUp)
+	r.send(a.results, a.taken, a.giveUp)
 	return r.wait(ctx)
 }
 
+// start asks the module of a part.
+func (a *admission) start(ctx context.Context, place int) {
+	a.each[place], a.giveUp[place] = context.WithCancel(ctx)
+	a.mu.Lock()
+	a.users++
+	a.asked[place] = true
+	a.mu.Unlock()
+	go a.ask(a.each[place], place)
+}
+
+// askSuspect asks what refused last alone before the others: their quotas are charged by what they take.
+func (a *admission) askSuspect(ctx context.Context) {
+	first, ok := a.By[0].Suspect()
+	if !ok || first >= len(a.Calls) {
+		return
+	}
+	a.start(ctx, first)
+	until, stop := context.WithTimeout(ctx, a.admits()/2)
+	defer stop()
+	for a.left == len(a.Calls) && a.hear(until) {
+	}
+	if a.refused < 0 && a.decided[first] {
+		a.By[0].Suspects(-1)
+	}
+}
+
+// hear waits for news of the admission; false once there is no more to wait for.
+func (a *admission) hear(until context.Context) bool {
+	select {
+	case <-a.news:
+	case <-until.Done():
+		if a.quiet() { // else it came first: on a process that had no time both are there at once
+			return false
+		}
+	}
+	for _, e := range a.take() {
+		if !a.decided[e.place] {
+			a.decided[e.place] = true
+			a.left--
+		}
+		if e.taken {
+			a.taken[e.place] = true
+			continue
+		}
+		a.results[e.place] = &e
+		if quota(e.answer) && a.refused < 0 {
+			a.refused = e.place
+		}
+	}
+	return a.refused < 0
+}
+
 // send lets the calls that were admitted go, withdraws those that were not yet, and counts those that have ended.
 func (r *Run) send(results []*ended, taken []bool, giveUp []context.CancelFunc) {
 	r.begin()
