--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -107,18 +107,18 @@
 	if err != nil {
 		return err
 	}
-	authority, raw, err := route.Target(target)
+	authority, raw, err := route.SplitTarget(target)
 	if err != nil {
 		return fmt.Errorf("path %q: %w", target, err)
 	}
 	if authority == "" {
 		authority = host
 	}
-	path, err := route.Path(raw)
+	path, err := route.CanonicalPath(raw)
 	if err != nil {
 		return fmt.Errorf("path %q: %w", target, err)
 	}
-	if host, err = route.Host(authority); err != nil {
+	if host, err = route.CanonicalHost(authority); err != nil {
 		return fmt.Errorf("host %q: %w", authority, err)
 	}
 	header := make(http.Header)
@@ -131,7 +131,7 @@
 		rules = append(rules, r.Rule)
 	}
 	router, _ := route.New(rules) // without problems: the file was read with them
-	matches := router.Why(host, path, method, header)
+	matches := router.Explain(host, path, method, header)
 	if len(matches) == 0 {
 		if asJSON {
 			fmt.Fprintln(e.Out, `{"service":null,"route":null}`)
@@ -139,7 +139,7 @@
 		fmt.Fprintln(e.Err, "no route")
 		return errTold
 	}
-	won := cfg.Routes[matches[0].Rule]
+	won := cfg.Routes[matches[0].Index]
 	class := won.As
 	if class == "" {
 		class = classOf(cfg, won.Service, method, path)
@@ -154,7 +154,7 @@
 	fmt.Fprintf(w, "service\t%s\nroute\t%s\nclass\t%s\nread as\t%s %s%s\nwhy\t%s\n", won.Service, won.Name, class, method, host,
 		path, strings.Join(matches[0].Conditions, ", "))
 	for _, m := range matches[1:] {
-		r := cfg.Routes[m.Rule]
+		r := cfg.Routes[m.Index]
 		fmt.Fprintf(w, "before\t%s (%s): %s\n", r.Name, r.Service, strings.Join(m.Conditions, ", "))
 	}
 	return w.Flush()
@@ -165,11 +165,11 @@
 	for _, s := range cfg.Services {
 		switch {
 		case s.Name != service || s.HTTP == nil:
-		case protocol.Safe(method):
+		case protocol.IsSafeMethod(method):
 			return config.ClassRead
 		default:
 			return config.ClassWrite
 		}
 	}
-	return route.First(path)
+	return route.FirstSegment(path)
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -223,7 +223,7 @@
 	if keyed && k.RepeatWindow == 0 {
 		t.Wrong("repeat_window", "a keyed class needs one")
 	}
-	if first := route.First("/" + name); first != name || name == "" {
+	if first := route.FirstSegment("/" + name); first != name || name == "" {
 		t.Wrong("", "%q is no segment of a path", name)
 	}
 	t.Done()
@@ -271,8 +271,8 @@
 		Name: name, Required: t.Flag("required", true), OnPanic: service.PanicPolicy(t.OneOf("on_panic", "end", "restart")),
 		Connect:   t.Span("connect_timeout", 250*time.Millisecond, time.Millisecond, time.Minute),
 		Keepalive: t.Span("keepalive", 15*time.Second, 100*time.Millisecond, day),
-		Body:      t.Size("body", protocol.BodyMost, 0, bodyMost),
-		Answer:    t.Size("answer", protocol.BodyMost, 1, answerMost),
+		Body:      t.Size("body", protocol.MaxBodyBytes, 0, bodyMost),
+		Answer:    t.Size("answer", protocol.MaxBodyBytes, 1, answerMost),
 	}
 	set := control.Settings{
 		SelfIndex: r.group.index, GroupSize: r.group.size, Zone: t.Str("zone", ""),
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -302,7 +302,7 @@
 		} else {
 			key = "service"
 		}
-		if one.Method != "" && !protocol.Safe(one.Method) {
+		if one.Method != "" && !protocol.IsSafeMethod(one.Method) {
 			t.Wrong("method", "%s scatters only where the route names a class that is free to repeat (as = ...)", one.Method)
 			return
 		}
--- a/internal/config/http.go
+++ b/internal/config/http.go
@@ -46,7 +46,7 @@
 	LeastRate   int64
 	Rules       responseclass.Rules
 	Underscores bool
-	Tells       hopheaders.Tells
+	Tells       hopheaders.ForwardingFormat
 }
 
 // holds is the most bytes that one request can take with its answer.
@@ -62,8 +62,8 @@
 	h := &HTTP{
 		TimeHeader: fieldName(t, "time_header"), SendTime: t.Flag("send_time", false), SendID: t.Flag("send_id", false),
 		Replay: t.Size("replay", 64<<10, 0, bodyMost), Idle: t.Span("idle", time.Minute, secondsLeast, idleMost),
-		LeastRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: responseclass.Default(),
-		Tells: hopheaders.Tells(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none")),
+		LeastRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: responseclass.DefaultRules(),
+		Tells: hopheaders.ForwardingFormat(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none")),
 	}
 	s.HTTP = h
 	if !t.Has("connect_timeout") {
@@ -73,14 +73,14 @@
 		s.Body = -1
 	}
 	if t.Has("elsewhere") {
-		h.Rules.Elsewhere = nil
+		h.Rules.RetryStatuses = nil
 		for _, n := range t.List("elsewhere") {
 			v, ok := n.Value().(int64)
-			if !ok || v < 500 || v > 599 || slices.Contains(h.Rules.Elsewhere, int(v)) {
+			if !ok || v < 500 || v > 599 || slices.Contains(h.Rules.RetryStatuses, int(v)) {
 				t.WrongItem(n, "elsewhere", "it has to be a list of statuses from 500 to 599, none twice")
 				continue
 			}
-			h.Rules.Elsewhere = append(h.Rules.Elsewhere, int(v))
+			h.Rules.RetryStatuses = append(h.Rules.RetryStatuses, int(v))
 		}
 	}
 	for _, text := range t.Texts("never_ran") {
@@ -88,7 +88,7 @@
 		if err != nil {
 			t.Wrong("never_ran", "%v", err)
 		}
-		h.Rules.NeverRan = append(h.Rules.NeverRan, proof)
+		h.Rules.RejectionProofs = append(h.Rules.RejectionProofs, proof)
 	}
 	r.complete(s)
 	r.customers(t, s)
@@ -141,10 +141,10 @@
 	if len(s.Settings.Plans) > 1 && !t.Has("default_plan") {
 		t.Wrong("default_plan", "it has to be said which of %d plans whoever has none has", len(s.Settings.Plans))
 	}
-	c.Strangers = int(t.Integer("strangers", 4096, 0, strangersMost))
+	c.MaxUnknown = int(t.Integer("strangers", 4096, 0, strangersMost))
 	for _, one := range t.Tables("by") {
 		if w, ok := way(one); ok {
-			c.By = append(c.By, w)
+			c.Identifiers = append(c.Identifiers, w)
 		}
 		one.Done()
 	}
@@ -157,14 +157,14 @@
 			in.Wrong("trusted_proxies", "%q is neither an address nor a network", text)
 			continue
 		}
-		c.Trusted = append(c.Trusted, p)
+		c.TrustedProxies = append(c.TrustedProxies, p)
 	}
 	t.Done()
 }
 
 // way reads one way to tell a customer: { header = "X-Key" }, query, cookie or address = true.
-func way(t tree.Table) (w customer.Way, ok bool) {
-	w.Secret = t.Flag("secret", false)
+func way(t tree.Table) (w customer.Identifier, ok bool) {
+	w.IsSecret = t.Flag("secret", false)
 	n := 0
 	for kind, key := range []string{"header", "query", "cookie"} {
 		if t.Has(key) {
--- a/internal/config/http_test.go
+++ b/internal/config/http_test.go
@@ -18,7 +18,7 @@
 	}
 	s := c.Services[0]
 	if s.HTTP == nil || s.Body != -1 || len(s.Settings.Plans) != 1 || s.HTTP.Customers.DefaultPlan != PlanDefault ||
-		!reflect.DeepEqual(s.HTTP.Rules.Elsewhere, []int{502, 503, 504}) {
+		!reflect.DeepEqual(s.HTTP.Rules.RetryStatuses, []int{502, 503, 504}) {
 		t.Errorf("%+v, %+v", s, s.HTTP)
 	}
 	for i, want := range []control.Class{{Name: ClassRead, Idempotency: control.Idempotent}, {Name: ClassWrite, Idempotency: control.NotIdempotent}} {
@@ -50,9 +50,9 @@
 	if got := strings.Join(names, ","); got != "read,checkout,write,checkout (no key)" {
 		t.Errorf("classes %s", got)
 	}
-	want := []customer.Way{{Kind: customer.Header, Name: "X-Api-Key", Secret: true}, {Kind: customer.Cookie, Name: "session", Secret: true}, {Kind: customer.Address}}
-	if !reflect.DeepEqual(h.Customers.By, want) || h.TimeHeader != "X-Timeout" || !h.SendID || h.LeastRate != 64 || len(h.Rules.NeverRan) != 1 ||
-		len(h.Customers.Trusted) != 1 || !reflect.DeepEqual(c.Routes[1].Upgrade, []string{"websocket"}) {
+	want := []customer.Identifier{{Kind: customer.Header, Name: "X-Api-Key", IsSecret: true}, {Kind: customer.Cookie, Name: "session", IsSecret: true}, {Kind: customer.Address}}
+	if !reflect.DeepEqual(h.Customers.Identifiers, want) || h.TimeHeader != "X-Timeout" || !h.SendID || h.LeastRate != 64 || len(h.Rules.RejectionProofs) != 1 ||
+		len(h.Customers.TrustedProxies) != 1 || !reflect.DeepEqual(c.Routes[1].Upgrade, []string{"websocket"}) {
 		t.Errorf("%+v", h)
 	}
 }
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -75,7 +75,7 @@
 	}
 	s := Service{
 		Source: discovery.Source{Address: file.Discovery}, Required: true,
-		Body: protocol.BodyMost, Answer: protocol.BodyMost,
+		Body: protocol.MaxBodyBytes, Answer: protocol.MaxBodyBytes,
 	}
 	c := Config{
 		Listeners: []string{file.Listen},
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -53,7 +53,7 @@
 	}
 	_, problems := route.New(rules)
 	for _, p := range problems {
-		tables[p.Rule].Wrong(p.Key, "%v", p.Err)
+		tables[p.Index].Wrong(p.Key, "%v", p.Err)
 	}
 	r.gatherRoutes(root, c, reached)
 	for _, s := range c.Services {
@@ -76,7 +76,7 @@
 		name, key = r.Class, "class"
 	}
 	if name == "" {
-		if name, key = route.First(r.Path+r.Prefix), "prefix"; r.Path != "" {
+		if name, key = route.FirstSegment(r.Path+r.Prefix), "prefix"; r.Path != "" {
 			key = "path"
 		}
 	}
--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -41,17 +41,17 @@
 	Address // of the client; of IPv6 the network of 64 bits
 )
 
-// Way is one way to tell a request's customer.
-type Way struct {
+// Identifier is one way to tell a request's customer.
+type Identifier struct {
 	Kind Kind
 	Name string // of the header, parameter or cookie
-	// Secret has a hash of the value be the customer's name, for values such as keys that must
+	// IsSecret has a hash of the value be the customer's name, for values such as keys that must
 	// not be kept or shown.
-	Secret bool
+	IsSecret bool
 }
 
 // of is the name that a request gives by this way; "" is none.
-func (w Way) of(r *http.Request, client func() netip.Addr) string {
+func (w Identifier) of(r *http.Request, client func() netip.Addr) string {
 	v := ""
 	switch w.Kind {
 	case Header:
@@ -75,29 +75,29 @@
 		}
 		return a.String()
 	}
-	if v != "" && (w.Secret || len(v) > nameMost) {
-		return Hidden(v)
+	if v != "" && (w.IsSecret || len(v) > nameMost) {
+		return HashedName(v)
 	}
 	return v
 }
 
-// Hidden is the name of a customer whose value in a request must not be kept or shown.
-func Hidden(value string) string {
+// HashedName is the name of a customer whose value in a request must not be kept or shown.
+func HashedName(value string) string {
 	sum := sha256.Sum256([]byte(value))
 	return "sha256:" + hex.EncodeToString(sum[:16])
 }
 
 // Options are how a service's customers are told.
 type Options struct {
-	By          []Way // the first that gives a name counts
-	File        string
-	DefaultPlan string // of whoever the file does not name
-	Strangers   int    // most that the file does not name and that are kept apart
-	Trusted     []netip.Prefix
+	Identifiers    []Identifier // the first that gives a name counts
+	File           string
+	DefaultPlan    string // of whoever the file does not name
+	MaxUnknown     int    // most that the file does not name and that are kept apart
+	TrustedProxies []netip.Prefix
 }
 
-// Book tells requests' customers. It is safe for concurrent use.
-type Book struct {
+// Directory tells requests' customers. It is safe for concurrent use.
+type Directory struct {
 	Options
 	names names
 	seen  os.FileInfo // of the file that was loaded last
@@ -107,17 +107,17 @@
 }
 
 // New makes a book that has not read its file yet.
-func New(o Options) *Book {
-	b := &Book{Options: o}
-	if o.Strangers > 0 {
-		b.strangers, _ = simplelru.NewLRU[string, time.Time](o.Strangers, nil) // an error is a size of 0
+func New(o Options) *Directory {
+	b := &Directory{Options: o}
+	if o.MaxUnknown > 0 {
+		b.strangers, _ = simplelru.NewLRU[string, time.Time](o.MaxUnknown, nil) // an error is a size of 0
 	}
 	return b
 }
 
-// Of is a request's customer and its plan.
-func (b *Book) Of(r *http.Request, now time.Time) (name, plan string) {
-	for _, w := range b.By {
+// Identify is a request's customer and its plan.
+func (b *Directory) Identify(r *http.Request, now time.Time) (name, plan string) {
+	for _, w := range b.Identifiers {
 		if name = w.of(r, func() netip.Addr { return b.client(r) }); name != "" {
 			break
 		}
@@ -131,24 +131,24 @@
 	return b.stranger(name, now), b.DefaultPlan
 }
 
-func (b *Book) client(r *http.Request) netip.Addr {
+func (b *Directory) client(r *http.Request) netip.Addr {
 	peer, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
 		return netip.IPv4Unspecified()
 	}
-	return hopheaders.Client(r.Header, peer.Addr(), b.Trusted)
+	return hopheaders.ClientAddr(r.Header, peer.Addr(), b.TrustedProxies)
 }
 
 // stranger is the customer that counts for a name that the file does not have: itself while there
 // is a place for it, else one that it shares. Guards against a flood of invented names that would
 // fill the memory of all that is kept for a customer.
-func (b *Book) stranger(name string, now time.Time) string {
+func (b *Directory) stranger(name string, now time.Time) string {
 	if b.strangers == nil {
 		return crowd(name)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, known := b.strangers.Get(name); !known && b.strangers.Len() >= b.Strangers {
+	if _, known := b.strangers.Get(name); !known && b.strangers.Len() >= b.MaxUnknown {
 		if _, seen, ok := b.strangers.GetOldest(); ok && now.Sub(seen) < idleAfter {
 			return crowd(name)
 		}
--- a/internal/customer/customer_test.go
+++ b/internal/customer/customer_test.go
@@ -33,10 +33,10 @@
 
 func TestOf(t *testing.T) {
 	b := New(Options{
-		DefaultPlan: "basic", Strangers: 10, Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
-		By: []Way{{Kind: Header, Name: "X-Key", Secret: true}, {Kind: Query, Name: "account"}, {Kind: Cookie, Name: "sid"}, {Kind: Address}},
+		DefaultPlan: "basic", MaxUnknown: 10, TrustedProxies: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+		Identifiers: []Identifier{{Kind: Header, Name: "X-Key", IsSecret: true}, {Kind: Query, Name: "account"}, {Kind: Cookie, Name: "sid"}, {Kind: Address}},
 	})
-	names, err := Read("f", strings.NewReader("# a comment\nacme, gold\n\"a,b\",basic\nsecret:k-1,gold\n"), any)
+	names, err := ParseFile("f", strings.NewReader("# a comment\nacme, gold\n\"a,b\",basic\nsecret:k-1,gold\n"), any)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,13 +49,13 @@
 		{request("/?account=a%2Cb"), "a,b", "basic"},
 		{request("/?%61ccount=acme"), "acme", "gold"},
 		{request("/?account=acme&account=other", "Cookie: sid=s1"), "s1", "basic"},
-		{request("/?account=acme", "X-Key: k-1"), Hidden("k-1"), "gold"},
+		{request("/?account=acme", "X-Key: k-1"), HashedName("k-1"), "gold"},
 		{request("/", "X-Forwarded-For: 6.6.6.6, 9.9.9.9"), "9.9.9.9", "basic"},
 		{request("/", "X-Forwarded-For: 2001:db8:1:2:3::4"), "2001:db8:1:2::/64", "basic"},
 		{request("/"), "127.0.0.1", "basic"},
-		{request("/?account=" + strings.Repeat("x", 300)), Hidden(strings.Repeat("x", 300)), "basic"},
+		{request("/?account=" + strings.Repeat("x", 300)), HashedName(strings.Repeat("x", 300)), "basic"},
 	} {
-		name, plan := b.Of(tc.r, time.Now())
+		name, plan := b.Identify(tc.r, time.Now())
 		if name != tc.name || plan != tc.plan {
 			t.Errorf("%s %v: %q, %q, not %q, %q", tc.r.URL, tc.r.Header, name, plan, tc.name, tc.plan)
 		}
@@ -63,7 +63,7 @@
 			t.Error("a secret is shown")
 		}
 	}
-	if name, plan := New(Options{DefaultPlan: "p"}).Of(request("/"), time.Now()); name != Anonymous || plan != "p" {
+	if name, plan := New(Options{DefaultPlan: "p"}).Identify(request("/"), time.Now()); name != Anonymous || plan != "p" {
 		t.Errorf("of no way: %q, %q", name, plan)
 	}
 }
@@ -71,10 +71,10 @@
 // However many names are invented, few are kept apart; those that were here stay, and places of the
 // idle go to others.
 func TestStrangers(t *testing.T) {
-	b := New(Options{By: []Way{{Kind: Header, Name: "X-Name"}}, Strangers: 1000})
+	b := New(Options{Identifiers: []Identifier{{Kind: Header, Name: "X-Name"}}, MaxUnknown: 1000})
 	now := time.Now()
 	of := func(name string) string {
-		got, _ := b.Of(request("/", "X-Name: "+name), now)
+		got, _ := b.Identify(request("/", "X-Name: "+name), now)
 		return got
 	}
 	regular := of("regular")
@@ -99,7 +99,7 @@
 		"a": "f: record on line 1: wrong number", "a,gold\nc": "line 2", "a,gold\na,gold": "f:2: a name that is given twice",
 		",gold": "f:1: a name of no bytes", "ok,gold\nx,lead": `f:2: "lead" is no plan`, "\"a,gold": "f: ",
 	} {
-		_, err := Read("f", strings.NewReader(text), func(p string) bool { return p == "gold" })
+		_, err := ParseFile("f", strings.NewReader(text), func(p string) bool { return p == "gold" })
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, not %s", text, err, want)
 		}
@@ -125,10 +125,10 @@
 	done := make(chan struct{})
 	go func() { b.Follow(ctx, any); close(done) }()
 	write("a,silver\nb,gold\n")
-	testkit.Until(t, "the new file", func() bool { return b.Names() == 2 })
+	testkit.Until(t, "the new file", func() bool { return b.NameCount() == 2 })
 	write("bad line\n")
 	write("a,gold\nb,gold\nc,gold\n") // a bad one in between changes nothing
-	testkit.Until(t, "the last file", func() bool { return b.Names() == 3 })
+	testkit.Until(t, "the last file", func() bool { return b.NameCount() == 3 })
 	cancel()
 	<-done
 }
@@ -136,7 +136,7 @@
 func FuzzRead(f *testing.F) {
 	f.Add("a,gold\n#x\n\"q\"\"\",p\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		all, err := Read("f", strings.NewReader(text), any)
+		all, err := ParseFile("f", strings.NewReader(text), any)
 		if (all == nil) == (err == nil) {
 			t.Errorf("%q: %v, %v", text, all, err)
 		}
@@ -144,11 +144,11 @@
 }
 
 func BenchmarkOf(b *testing.B) {
-	book := New(Options{By: []Way{{Kind: Header, Name: "X-Name"}}, Strangers: 1000, DefaultPlan: "p"})
+	book := New(Options{Identifiers: []Identifier{{Kind: Header, Name: "X-Name"}}, MaxUnknown: 1000, DefaultPlan: "p"})
 	r := request("/", "X-Name: acme")
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		book.Of(r, now)
+		book.Identify(r, now)
 	}
 }
--- a/internal/customer/file.go
+++ b/internal/customer/file.go
@@ -34,10 +34,10 @@
 	return plan, ok
 }
 
-// Read reads a file of lines "NAME,PLAN" (RFC 4180; a line that begins with # is left out). A name
+// ParseFile reads a file of lines "NAME,PLAN" (RFC 4180; a line that begins with # is left out). A name
 // that begins with "secret:" stands for the hash of what follows, as Way.Secret makes it. plan
 // tells whether a plan is known. An error names the file and the line.
-func Read(path string, in io.Reader, plan func(string) bool) (map[string]string, error) {
+func ParseFile(path string, in io.Reader, plan func(string) bool) (map[string]string, error) {
 	r := csv.NewReader(in)
 	r.FieldsPerRecord, r.Comment, r.TrimLeadingSpace, r.ReuseRecord = 2, '#', true, true
 	all := make(map[string]string)
@@ -53,7 +53,7 @@
 		line, _ := r.FieldPos(0)
 		name := f[0]
 		if v, secret := cutSecret(name); secret {
-			name = Hidden(v)
+			name = HashedName(v)
 		}
 		_, twice := all[name]
 		switch {
@@ -86,7 +86,7 @@
 
 // Load reads the book's file, where it has one, and puts it in force; an error leaves the old one.
 // One goroutine at a time loads and follows.
-func (b *Book) Load(plan func(string) bool) error {
+func (b *Directory) Load(plan func(string) bool) error {
 	if b.File == "" {
 		return nil
 	}
@@ -102,7 +102,7 @@
 	}
 	var all map[string]string
 	if err == nil {
-		all, err = Read(b.File, f, plan)
+		all, err = ParseFile(b.File, f, plan)
 	}
 	if err != nil {
 		return fmt.Errorf("reading the customers: %w", err)
@@ -111,8 +111,8 @@
 	return nil
 }
 
-// Names is how many customers the file in force names.
-func (b *Book) Names() int {
+// NameCount is how many customers the file in force names.
+func (b *Directory) NameCount() int {
 	if m := b.names.p.Load(); m != nil {
 		return len(*m)
 	}
@@ -121,14 +121,14 @@
 
 // Follow loads the file again whenever it has changed since Load, until ctx ends. One that can't be used
 // leaves the old one, and that is said once.
-func (b *Book) Follow(ctx context.Context, plan func(string) bool) {
+func (b *Directory) Follow(ctx context.Context, plan func(string) bool) {
 	if b.File == "" {
 		return
 	}
 	filewatch.Follow(ctx, b.File, lookEvery, b.seen, func() error {
 		err := b.Load(plan)
 		if err == nil {
-			slog.Info("customers: read again", "file", b.File, "names", b.Names())
+			slog.Info("customers: read again", "file", b.File, "names", b.NameCount())
 		}
 		return err
 	}, func(err error) { slog.Warn("customers: the old ones stay", "err", err) })
--- a/internal/front/client_departure_test.go
+++ b/internal/front/client_departure_test.go
@@ -180,7 +180,7 @@
 			id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, long)
 	}
 	return fmt.Sprintf("POST /job/%s?account=00000000b4d65521 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: p\r\n%s: 60000m\r\n%s: k-%s\r\nContent-Length: 9000\r\n\r\n%s",
-		id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderKey, id, long)
+		id, protocol.HeaderID, id, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderIdempotencyKey, id, long)
 }
 
 // connectedClients counts the clients that the front takes to be there.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -146,7 +146,7 @@
 	if clientOf(r).isClosed() {
 		panic(http.ErrAbortHandler) // nothing has been forwarded, so the client can safely retry
 	}
-	if r.URL.Path == route.Health {
+	if r.URL.Path == route.HealthPath {
 		f.serveHealthCheck(w)
 		return
 	}
@@ -220,18 +220,18 @@
 	if t.Router == nil {
 		return &t.Targets[0], firstSegmentOf(r.URL), nil
 	}
-	authority, rawPath, err := route.Target(r.RequestURI)
+	authority, rawPath, err := route.SplitTarget(r.RequestURI)
 	if err != nil {
 		return nil, "", newBadRequest(http.StatusBadRequest, "target: %v", err)
 	}
-	path, err := route.Path(rawPath)
+	path, err := route.CanonicalPath(rawPath)
 	if err != nil {
 		return nil, "", newBadRequest(http.StatusBadRequest, "path: %v", err)
 	}
 	if authority == "" {
 		authority = r.Host
 	}
-	host, err := route.Host(authority)
+	host, err := route.CanonicalHost(authority)
 	if err != nil {
 		return nil, "", newBadRequest(http.StatusBadRequest, "host: %v", err)
 	}
@@ -239,18 +239,18 @@
 	if !ok {
 		return nil, "", newBadRequest(http.StatusNotFound, "no route leads from %s%s to a service", host, path)
 	}
-	return &t.Targets[index], route.First(path), nil
+	return &t.Targets[index], route.FirstSegment(path), nil
 }
 
 // firstSegmentOf returns the first segment of the path of a request that no rules are matched with.
 // It is decoded after the split, because it may contain an encoded slash.
 func firstSegmentOf(u *url.URL) string {
 	if u.RawPath != "" { // it always is if a slash is encoded
-		if first, err := url.PathUnescape(route.First(u.RawPath)); err == nil {
+		if first, err := url.PathUnescape(route.FirstSegment(u.RawPath)); err == nil {
 			return first
 		}
 	}
-	return route.First(u.Path)
+	return route.FirstSegment(u.Path)
 }
 
 // writeBadRequest reports a client's mistake in the form of the platform's protocol.
@@ -272,7 +272,7 @@
 		header.Set("Connection", "close")
 	}
 	for name, values := range answer.Header {
-		if !protocol.OwnHeader(name) {
+		if !protocol.IsInternalHeader(name) {
 			header[name] = values
 		}
 	}
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -27,7 +27,7 @@
 // OrdinaryOptions configure the Ordinary protocol of one service.
 type OrdinaryOptions struct {
 	// Customers identifies the customer of a request. Nil treats all as anonymous.
-	Customers *customer.Book
+	Customers *customer.Directory
 	// SafeClass is the class of requests with a safe method (RFC 9110, 9.2.1) and UnsafeClass that
 	// of all others, if the route names no class.
 	SafeClass, UnsafeClass string
@@ -49,7 +49,7 @@
 
 	ResponseRules     responseclass.Rules
 	AllowUnderscores  bool // forward header fields whose names contain underscores
-	ForwardingHeaders hopheaders.Tells
+	ForwardingHeaders hopheaders.ForwardingFormat
 	TrustedProxies    []netip.Prefix
 }
 
@@ -88,9 +88,9 @@
 	}
 	request := control.Request{
 		ID: strconv.FormatUint(o.ids.Add(1), 36), Class: class, Units: 1,
-		FanOut: target.Service.GroupSize, IsWrite: !protocol.Safe(r.Method),
+		FanOut: target.Service.GroupSize, IsWrite: !protocol.IsSafeMethod(r.Method),
 	}
-	request.Customer, request.Plan = o.Customers.Of(r, arrived)
+	request.Customer, request.Plan = o.Customers.Identify(r, arrived)
 	call := &ordinaryCall{maxBodyBytes: target.MaxBodyBytes, idleTimeout: o.IdleTimeout}
 	o.setRelay(&call.RelayedRequest, r, target, timeout)
 	call.Exchange = service.Exchange{Request: request, Forwarder: call, Deadline: arrived.Add(timeout)}
@@ -115,11 +115,11 @@
 func (o *Ordinary) classOf(r *http.Request, target *Target) string {
 	class := target.Class
 	if class == "" {
-		if class = o.UnsafeClass; protocol.Safe(r.Method) {
+		if class = o.UnsafeClass; protocol.IsSafeMethod(r.Method) {
 			class = o.SafeClass
 		}
 	}
-	if withoutKey, ok := o.ClassWithoutKey[class]; ok && r.Header.Get(protocol.HeaderKey) == "" {
+	if withoutKey, ok := o.ClassWithoutKey[class]; ok && r.Header.Get(protocol.HeaderIdempotencyKey) == "" {
 		class = withoutKey
 	}
 	return class
@@ -138,11 +138,11 @@
 	peer := hopheaders.Peer{Host: r.Host, Proto: "http"}
 	if address, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		peer.Addr = address.Addr()
-		peer.Trusted = hopheaders.Trusted(peer.Addr, o.TrustedProxies)
+		peer.IsTrusted = hopheaders.IsTrusted(peer.Addr, o.TrustedProxies)
 	}
 	*relay = upstream.RelayedRequest{
 		RequestMethod: r.Method, Host: r.Host, Target: originForm(r.RequestURI),
-		Header:        hopheaders.Request(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
+		Header:        hopheaders.ForwardRequest(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
 		ContentLength: r.ContentLength, ResponseRules: &o.ResponseRules, MaxBufferedBytes: o.MaxBufferedAnswerBytes,
 		IdleTimeout: o.IdleTimeout, AnswerTimeout: timeout, SendTimeLeft: o.SendTimeLeft,
 	}
--- a/internal/front/ordinary_answer.go
+++ b/internal/front/ordinary_answer.go
@@ -24,11 +24,11 @@
 		return
 	}
 	header := w.Header()
-	hopheaders.Answer(header, answer.Header)
+	hopheaders.ForwardAnswer(header, answer.Header)
 	if len(header["Content-Type"]) == 0 {
 		header["Content-Type"] = nil // keeps net/http from guessing it from the body
 	}
-	if front.isDraining.Load() || call.Body != nil && !call.Body.Ended() {
+	if front.isDraining.Load() || call.Body != nil && !call.Body.HasEnded() {
 		header.Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(o.IdleTimeout))
--- a/internal/front/ordinary_call.go
+++ b/internal/front/ordinary_call.go
@@ -120,7 +120,7 @@
 		return
 	}
 	header := c.writer.Header()
-	hopheaders.Answer(header, interim)
+	hopheaders.ForwardAnswer(header, interim)
 	_ = c.controller.SetWriteDeadline(time.Now().Add(c.idleTimeout))
 	c.writer.WriteHeader(status)
 	clear(header)
@@ -137,7 +137,7 @@
 		return
 	}
 	// Without an answer nothing may be flushed: net/http would write the head of a 200.
-	if call.hasAnswer && !body.Ended() && body.Err() == nil {
+	if call.hasAnswer && !body.HasEnded() && body.Err() == nil {
 		_ = call.controller.Flush()
 		deadline := time.Now().Add(maxDiscardTime)
 		call.discardDeadline.Store(deadline.UnixNano())
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -38,7 +38,7 @@
 	}
 	request := control.Request{
 		ID: r.Header.Get(protocol.HeaderID), Plan: r.Header.Get(protocol.HeaderPlan), Units: 1, FanOut: 1,
-		IsRetry: r.Header.Get(protocol.HeaderRepeat) == "1", IsWrite: r.Method != http.MethodGet,
+		IsRetry: r.Header.Get(protocol.HeaderRetry) == "1", IsWrite: r.Method != http.MethodGet,
 	}
 	if request.ID == "" || len(request.ID) > maxIDBytes {
 		return nil, newBadRequest(http.StatusBadRequest, "%s: none, or too long", protocol.HeaderID)
@@ -55,8 +55,8 @@
 		return nil, newBadRequest(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, request.Class)
 	case class.Idempotency == control.Idempotent && r.ContentLength != 0:
 		return nil, newBadRequest(http.StatusBadRequest, "a body with %s", r.Method)
-	case class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderKey) == "":
-		return nil, newBadRequest(http.StatusBadRequest, "%s: none", protocol.HeaderKey)
+	case class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderIdempotencyKey) == "":
+		return nil, newBadRequest(http.StatusBadRequest, "%s: none", protocol.HeaderIdempotencyKey)
 	}
 	if rules.MaxUnitsByPlan[request.Plan] == 0 {
 		return nil, newBadRequest(http.StatusBadRequest, "%s: unknown plan %q", protocol.HeaderPlan, request.Plan)
@@ -135,7 +135,7 @@
 
 // singleValueHeaders are the headers of the protocol that may be given only once.
 var singleValueHeaders = []string{
-	protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRepeat, protocol.HeaderKey,
+	protocol.HeaderID, protocol.HeaderPlan, protocol.HeaderTimeLeft, protocol.HeaderWeight, protocol.HeaderRetry, protocol.HeaderIdempotencyKey,
 }
 
 // checkSingleValues rejects a header of the protocol with two values: app servers could use the other one.
@@ -174,7 +174,7 @@
 		Header: make(http.Header, len(r.Header)+2),
 	}
 	for k, v := range r.Header {
-		if !protocol.OwnHeader(k) {
+		if !protocol.IsInternalHeader(k) {
 			forwarded.Header[k] = v
 		}
 	}
--- a/internal/front/scatter_gather.go
+++ b/internal/front/scatter_gather.go
@@ -214,7 +214,7 @@
 	}
 	for _, call := range calls {
 		relay := &call.Exchange.Forwarder.(*ordinaryCall).RelayedRequest
-		relay.Body, relay.ContentLength = retrybuffer.Of(body), int64(len(body))
+		relay.Body, relay.ContentLength = retrybuffer.FromBytes(body), int64(len(body))
 	}
 }
 
--- a/internal/hopheaders/hopheaders.go
+++ b/internal/hopheaders/hopheaders.go
@@ -15,23 +15,23 @@
 // Alias is how this intermediary calls itself in Via.
 const Alias = "lockflow"
 
-// Tells is how servers are told of the client.
-type Tells int
+// ForwardingFormat is how servers are told of the client.
+type ForwardingFormat int
 
 // The ways.
 const (
-	XForwarded Tells = iota // X-Forwarded-For, -Host and -Proto
-	Forwarded               // RFC 7239
+	XForwarded ForwardingFormat = iota // X-Forwarded-For, -Host and -Proto
+	Forwarded                          // RFC 7239
 	Both
-	Nothing // and what a client says of it is dropped
+	None // and what a client says of it is dropped
 )
 
 // Peer is whom a request comes from.
 type Peer struct {
-	Addr    netip.Addr // of the connection
-	Trusted bool       // what it says of those before it is believed
-	Host    string     // that it asked for
-	Proto   string     // "http" or "https"
+	Addr      netip.Addr // of the connection
+	IsTrusted bool       // what it says of those before it is believed
+	Host      string     // that it asked for
+	Proto     string     // "http" or "https"
 }
 
 // DropNamed drops what the Connection field of in names as further fields of that connection.
@@ -47,15 +47,15 @@
 func connection(out, in http.Header) {
 	DropNamed(out, in)
 	for k := range out {
-		if protocol.HopHeader(k) || k == "Proxy-Authenticate" || k == "Proxy-Authorization" {
+		if protocol.IsHopHeader(k) || k == "Proxy-Authenticate" || k == "Proxy-Authorization" {
 			delete(out, k)
 		}
 	}
 }
 
-// Request gives the fields of a client's request as they go on. Values are shared with in; those
+// ForwardRequest gives the fields of a client's request as they go on. Values are shared with in; those
 // that are set are not.
-func Request(in http.Header, from Peer, tells Tells, underscores bool) http.Header {
+func ForwardRequest(in http.Header, from Peer, tells ForwardingFormat, underscores bool) http.Header {
 	out := make(http.Header, len(in)+5)
 	for k, v := range in {
 		// Guards against two names that a server which turns fields into variables takes for one.
@@ -77,8 +77,8 @@
 	return out
 }
 
-// Answer copies the fields of a server's answer that go on to a client.
-func Answer(out, in http.Header) {
+// ForwardAnswer copies the fields of a server's answer that go on to a client.
+func ForwardAnswer(out, in http.Header) {
 	for k, v := range in {
 		out[k] = v
 	}
@@ -95,12 +95,12 @@
 var told = []string{"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded"}
 
 // tell says who the client is. What a peer that is not trusted says of it is replaced.
-func tell(out http.Header, from Peer, tells Tells) {
-	if !from.Trusted || tells == Nothing {
+func tell(out http.Header, from Peer, tells ForwardingFormat) {
+	if !from.IsTrusted || tells == None {
 		for _, name := range told {
 			delete(out, name)
 		}
-		if tells == Nothing {
+		if tells == None {
 			return
 		}
 	}
@@ -133,8 +133,8 @@
 	}
 }
 
-// Trusted tells whether an address is within one of some prefixes.
-func Trusted(addr netip.Addr, prefixes []netip.Prefix) bool {
+// IsTrusted tells whether an address is within one of some prefixes.
+func IsTrusted(addr netip.Addr, prefixes []netip.Prefix) bool {
 	addr = addr.Unmap().WithZone("")
 	return slices.ContainsFunc(prefixes, func(p netip.Prefix) bool { return p.Contains(addr) })
 }
@@ -142,12 +142,12 @@
 // chainMost bounds how far back a chain of proxies is followed.
 const chainMost = 32
 
-// Client is the address of the client at the end of the chain that a request tells: from the right
+// ClientAddr is the address of the client at the end of the chain that a request tells: from the right
 // the first that is no trusted proxy. What a proxy that is not trusted says is not believed; where
 // the chain is not to be read, the last trusted one counts.
-func Client(h http.Header, peer netip.Addr, trusted []netip.Prefix) netip.Addr {
+func ClientAddr(h http.Header, peer netip.Addr, trusted []netip.Prefix) netip.Addr {
 	at := peer.Unmap().WithZone("")
-	if len(trusted) == 0 || !Trusted(at, trusted) {
+	if len(trusted) == 0 || !IsTrusted(at, trusted) {
 		return at
 	}
 	chain := chainOf(h)
@@ -156,7 +156,7 @@
 		if !ok {
 			return at
 		}
-		if at = next; !Trusted(at, trusted) {
+		if at = next; !IsTrusted(at, trusted) {
 			return at
 		}
 	}
--- a/internal/hopheaders/hopheaders_test.go
+++ b/internal/hopheaders/hopheaders_test.go
@@ -23,12 +23,12 @@
 		return base(http.Header{"X-Forwarded-For": {"127.0.0.1"}, "X-Forwarded-Host": {"h:1"}, "X-Forwarded-Proto": {"http"}})
 	}
 	trusted := peer
-	trusted.Trusted = true
+	trusted.IsTrusted = true
 	six := peer
 	six.Addr = netip.MustParseAddr("fe80::1%eth0")
 	for name, tc := range map[string]struct {
 		from  Peer
-		tells Tells
+		tells ForwardingFormat
 		want  http.Header
 	}{
 		"a stranger": {peer, XForwarded, own()},
@@ -39,10 +39,10 @@
 		"RFC 7239":           {peer, Forwarded, base(http.Header{"Forwarded": {`for=127.0.0.1;proto=http;host="h:1"`}})},
 		"RFC 7239, a proxy":  {trusted, Both, base(http.Header{"Forwarded": {"for=1.1.1.1", `for=127.0.0.1;proto=http;host="h:1"`}, "X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"}, "X-Forwarded-Proto": {"http"}})},
 		"RFC 7239 over IPv6": {six, Forwarded, base(http.Header{"Forwarded": {`for="[fe80::1]";proto=http;host="h:1"`}})},
-		"nothing":            {trusted, Nothing, base(http.Header{})},
+		"nothing":            {trusted, None, base(http.Header{})},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := Request(in, tc.from, tc.tells, false); !reflect.DeepEqual(got, tc.want) {
+			if got := ForwardRequest(in, tc.from, tc.tells, false); !reflect.DeepEqual(got, tc.want) {
 				t.Errorf("%v\nnot %v", got, tc.want)
 			}
 		})
@@ -50,7 +50,7 @@
 	if len(in["Via"]) != 1 || in["X-Forwarded-For"][0] != "1.1.1.1" {
 		t.Error("the client's own fields were changed")
 	}
-	if got := Request(in, peer, Nothing, true); got["Transfer_encoding"] == nil {
+	if got := ForwardRequest(in, peer, None, true); got["Transfer_encoding"] == nil {
 		t.Error("an underscore that is allowed")
 	}
 }
@@ -72,7 +72,7 @@
 		{"::ffff:127.0.0.1", http.Header{"X-Forwarded-For": {"9.9.9.9:1234"}}, "9.9.9.9"},
 		{"127.0.0.1", http.Header{"X-Forwarded-For": {"fd00::1"}}, "fd00::1"}, // all are proxies: the first of them
 	} {
-		if got := Client(tc.h, netip.MustParseAddr(tc.peer), proxies); got.String() != tc.want {
+		if got := ClientAddr(tc.h, netip.MustParseAddr(tc.peer), proxies); got.String() != tc.want {
 			t.Errorf("%s %v: %v, not %s", tc.peer, tc.h, got, tc.want)
 		}
 	}
@@ -83,10 +83,10 @@
 	f.Fuzz(func(t *testing.T, x, forwarded string) {
 		all := []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0"), netip.MustParsePrefix("::/0")}
 		peer := netip.MustParseAddr("127.0.0.1")
-		if a := Client(http.Header{"X-Forwarded-For": {x}}, peer, all); !a.IsValid() {
+		if a := ClientAddr(http.Header{"X-Forwarded-For": {x}}, peer, all); !a.IsValid() {
 			t.Errorf("%q: no address", x)
 		}
-		if a := Client(http.Header{"Forwarded": {forwarded}}, peer, all); !a.IsValid() {
+		if a := ClientAddr(http.Header{"Forwarded": {forwarded}}, peer, all); !a.IsValid() {
 			t.Errorf("%q: no address", forwarded)
 		}
 	})
--- a/internal/node/client_connections_test.go
+++ b/internal/node/client_connections_test.go
@@ -66,7 +66,7 @@
 	}
 }
 
-const validHeaders = protocol.HeaderID + ": raw\r\n" + protocol.HeaderPlan + ": enterprise\r\n" + protocol.HeaderTimeLeft + ": 7000m\r\n" + protocol.HeaderKey + ": k\r\n"
+const validHeaders = protocol.HeaderID + ": raw\r\n" + protocol.HeaderPlan + ": enterprise\r\n" + protocol.HeaderTimeLeft + ": 7000m\r\n" + protocol.HeaderIdempotencyKey + ": k\r\n"
 
 // A request that is smuggled in a body, or behind a body whose length is ambiguous, does not reach an app server: the
 // client is answered once and its connection closed.
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -139,7 +139,7 @@
 		req.Header.Set(k, v)
 	}
 	if method == http.MethodPost {
-		req.Header.Set(protocol.HeaderKey, "k-"+id)
+		req.Header.Set(protocol.HeaderIdempotencyKey, "k-"+id)
 	}
 	return req
 }
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -26,9 +26,9 @@
 			r := newTestNodeWithConfig(t, cfg)
 			a := testkit.NewApp(t, testkit.Served)
 			r.setEndpoints(endpointOf(a, "s-1", 0))
-			maxRequests := mb << 20 / 2 / (2 * protocol.BodyMost) // a body and an answer each
+			maxRequests := mb << 20 / 2 / (2 * protocol.MaxBodyBytes) // a body and an answer each
 			var admitted []*service.Exchange
-			for x := new(service.Exchange); len(admitted) <= maxRequests && r.service().Admit(x, protocol.BodyMost); x = new(service.Exchange) {
+			for x := new(service.Exchange); len(admitted) <= maxRequests && r.service().Admit(x, protocol.MaxBodyBytes); x = new(service.Exchange) {
 				admitted = append(admitted, x)
 			}
 			if len(admitted) != maxRequests {
--- a/internal/node/platform_settings_test.go
+++ b/internal/node/platform_settings_test.go
@@ -141,7 +141,7 @@
 	}
 	r := newTestNodeWithPlatformConfig(t, raw)
 	a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
-		w.Header().Set(protocol.HeaderCost, "1e300")
+		w.Header().Set(protocol.HeaderTrueCost, "1e300")
 		testkit.Served(w, q)
 	})
 	r.setEndpoints(endpointOf(a, "s-1", 0))
@@ -197,8 +197,8 @@
 			}
 			r := newTestNodeWithPlatformConfig(t, raw)
 			a := testkit.NewApp(t, func(w http.ResponseWriter, q *http.Request) {
-				w.Header().Set(protocol.HeaderUsed, "120")
-				w.Header().Set(protocol.HeaderCost, "3")
+				w.Header().Set(protocol.HeaderQuotaUsed, "120")
+				w.Header().Set(protocol.HeaderTrueCost, "3")
 				testkit.Served(w, q)
 			})
 			r.setEndpoints(endpointOf(a, "s-1", 0))
--- a/internal/node/random_settings_test.go
+++ b/internal/node/random_settings_test.go
@@ -53,14 +53,14 @@
 			case resetConnection:
 				testkit.Reset(w, q)
 			case rejectUnseen:
-				w.Header().Set(protocol.HeaderUnseen, "1")
+				w.Header().Set(protocol.HeaderUnprocessed, "1")
 				w.WriteHeader(http.StatusServiceUnavailable)
 			case neverAnswer:
 				<-q.Context().Done()
 			default:
-				w.Header().Set(protocol.HeaderUsed, "90")
-				w.Header().Set(protocol.HeaderCost, "2")
-				w.Header().Set(protocol.HeaderLoad, "util=0.5,latency_ms=2")
+				w.Header().Set(protocol.HeaderQuotaUsed, "90")
+				w.Header().Set(protocol.HeaderTrueCost, "2")
+				w.Header().Set(protocol.HeaderBackendLoad, "util=0.5,latency_ms=2")
 				testkit.Served(w, q)
 			}
 		})
@@ -265,7 +265,7 @@
 	fmt.Fprintf(&q, "%s /%s/7?account=%016x HTTP/1.1\r\nHost: a\r\n%s: %s\r\n%s: %s\r\n%s: %dm\r\n%s: units=1,spread=%d,first=%d\r\n", method, url.PathEscape(class.Name), 7,
 		protocol.HeaderID, id, protocol.HeaderPlan, plan, protocol.HeaderTimeLeft, class.Deadline.Milliseconds(), protocol.HeaderWeight, a.spread, a.first)
 	if a.hasKey {
-		fmt.Fprintf(&q, "%s: key of %s\r\n", protocol.HeaderKey, id)
+		fmt.Fprintf(&q, "%s: key of %s\r\n", protocol.HeaderIdempotencyKey, id)
 	}
 	if method == http.MethodPost {
 		q.WriteString("Content-Length: 4\r\n\r\nbody")
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -22,7 +22,7 @@
 			t.Errorf("time left %q", req.Header.Get(protocol.HeaderTimeLeft))
 		}
 		w.Header().Set("Content-Type", "text/x-roster")
-		w.Header().Set(protocol.HeaderUsed, "85")
+		w.Header().Set(protocol.HeaderQuotaUsed, "85")
 		testkit.Served(w, req)
 	})
 	r.setEndpoints(endpointOf(a, "s-1", 0))
@@ -32,7 +32,7 @@
 	if resp.StatusCode != 200 || body != "served id-1" || resp.Header.Get("Content-Type") != "text/x-roster" {
 		t.Errorf("%s %q %v", resp.Status, body, resp.Header)
 	}
-	if resp.Header.Get(protocol.HeaderUsed) != "" {
+	if resp.Header.Get(protocol.HeaderQuotaUsed) != "" {
 		t.Error("a report for edge nodes went to a client")
 	}
 	if want := "POST /visit-update/a%2Fb/c?account=00000000b4d65521 k-id-1 swap"; a.Requests()[0] != want {
@@ -67,7 +67,7 @@
 	"no class":          {func(q *http.Request) { q.URL.Path = "/" }, 404},
 	"unknown class":     {func(q *http.Request) { q.URL.Path = "/checkout" }, 404},
 	"wrong method":      {func(q *http.Request) { q.Method = http.MethodPut }, 405},
-	"no key":            {func(q *http.Request) { q.Header.Del(protocol.HeaderKey) }, 400},
+	"no key":            {func(q *http.Request) { q.Header.Del(protocol.HeaderIdempotencyKey) }, 400},
 	"unknown plan":      {func(q *http.Request) { q.Header.Set(protocol.HeaderPlan, "gold") }, 400},
 	"no plan":           {func(q *http.Request) { q.Header.Del(protocol.HeaderPlan) }, 400},
 	"no account":        {func(q *http.Request) { q.URL.RawQuery = "" }, 400},
@@ -93,7 +93,7 @@
 	"odd spread":        {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "spread=1.5") }, 400},
 	"odd first":         {func(q *http.Request) { q.Header.Set(protocol.HeaderWeight, "first=-1") }, 400},
 	"a large body": {func(q *http.Request) {
-		q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", protocol.BodyMost+1))), protocol.BodyMost+1
+		q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", protocol.MaxBodyBytes+1))), protocol.MaxBodyBytes+1
 	}, 413},
 }
 
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -223,7 +223,7 @@
 	}
 	return front.NewOrdinary(front.OrdinaryOptions{
 		Customers: customers, SafeClass: config.ClassRead, UnsafeClass: config.ClassWrite, ClassWithoutKey: http.Once,
-		TimeoutHeader: http.TimeHeader, SendTimeLeft: http.SendTime, SendRequestID: http.SendID, ForwardingHeaders: http.Tells, TrustedProxies: http.Customers.Trusted,
+		TimeoutHeader: http.TimeHeader, SendTimeLeft: http.SendTime, SendRequestID: http.SendID, ForwardingHeaders: http.Tells, TrustedProxies: http.Customers.TrustedProxies,
 		RetryBufferBytes: int(http.Replay), MaxBufferedAnswerBytes: int(cfg.Answer), IdleTimeout: http.Idle, MinBytesPerSecond: http.LeastRate,
 		ResponseRules: http.Rules, AllowUnderscores: http.Underscores,
 	}), nil
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -112,7 +112,7 @@
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
 	testkit.Next(t, ready)
-	rules := responseclass.Default()
+	rules := responseclass.DefaultRules()
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	next := 0
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -9,26 +9,26 @@
 	"strconv"
 )
 
-// BodyMost is the most bytes that the body of any message may have.
-const BodyMost = 64 << 10
+// MaxBodyBytes is the most bytes that the body of any message may have.
+const MaxBodyBytes = 64 << 10
 
 // Headers of the protocol between edge nodes, clients and app servers.
 const (
-	HeaderID       = "X-Correlation-Id"
-	HeaderPlan     = "X-Tariff"
-	HeaderTimeLeft = "X-Time-Left"
-	HeaderWeight   = "X-Weight"
-	HeaderRepeat   = "X-Repeat"
-	HeaderKey      = "Idempotency-Key"
-	HeaderUnseen   = "X-Unprocessed"
-	HeaderUsed     = "X-Allowance-Used"
-	HeaderCost     = "X-True-Cost"
-	HeaderLoad     = "X-Backend-Load"
+	HeaderID             = "X-Correlation-Id"
+	HeaderPlan           = "X-Tariff"
+	HeaderTimeLeft       = "X-Time-Left"
+	HeaderWeight         = "X-Weight"
+	HeaderRetry          = "X-Repeat"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderUnprocessed    = "X-Unprocessed"
+	HeaderQuotaUsed      = "X-Allowance-Used"
+	HeaderTrueCost       = "X-True-Cost"
+	HeaderBackendLoad    = "X-Backend-Load"
 )
 
-// HopHeader tells whether a header, by its canonical name, speaks of one connection or hop only
+// IsHopHeader tells whether a header, by its canonical name, speaks of one connection or hop only
 // (RFC 9110, 7.6.1).
-func HopHeader(name string) bool {
+func IsHopHeader(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 		"Content-Length", "Expect":
@@ -37,17 +37,17 @@
 	return false
 }
 
-// OwnHeader is HopHeader, or true for what only edge nodes and app servers tell each other.
-func OwnHeader(name string) bool {
+// IsInternalHeader is HopHeader, or true for what only edge nodes and app servers tell each other.
+func IsInternalHeader(name string) bool {
 	switch name {
-	case HeaderUsed, HeaderCost, HeaderLoad, HeaderUnseen:
+	case HeaderQuotaUsed, HeaderTrueCost, HeaderBackendLoad, HeaderUnprocessed:
 		return true
 	}
-	return HopHeader(name)
+	return IsHopHeader(name)
 }
 
-// Safe tells whether a method's requests may run any number of times (RFC 9110, 9.2.1).
-func Safe(method string) bool {
+// IsSafeMethod tells whether a method's requests may run any number of times (RFC 9110, 9.2.1).
+func IsSafeMethod(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
--- a/internal/regions/loop.go
+++ b/internal/regions/loop.go
@@ -301,11 +301,11 @@
 	for _, h := range headers {
 		switch {
 		case h.Name == "Via" && ordinary && !h.Any,
-			platform && protocol.OwnHeader(h.Name) && !protocol.HopHeader(h.Name),
+			platform && protocol.IsInternalHeader(h.Name) && !protocol.IsHopHeader(h.Name),
 			gathers && (slices.Contains(notGathered, h.Name) || h.Name == acceptEncoding && !h.Any && h.Value != identity),
 			ordinary && (h.Name == "Proxy-Authenticate" || h.Name == "Proxy-Authorization"):
 			return nil, false
-		case protocol.HopHeader(h.Name) || strings.Contains(h.Name, "_") || slices.Contains(setOnTheWay, h.Name):
+		case protocol.IsHopHeader(h.Name) || strings.Contains(h.Name, "_") || slices.Contains(setOnTheWay, h.Name):
 			doubts = append(doubts, h.Name)
 		}
 	}
--- a/internal/regions/mixture/class.go
+++ b/internal/regions/mixture/class.go
@@ -25,8 +25,8 @@
 	switch {
 	case name != "":
 	case !s.Ordinary:
-		name = route.First(w.Path)
-	case protocol.Safe(w.Method):
+		name = route.FirstSegment(w.Path)
+	case protocol.IsSafeMethod(w.Method):
 		name = config.ClassRead
 	default:
 		name = config.ClassWrite
--- a/internal/regions/outcome.go
+++ b/internal/regions/outcome.go
@@ -138,7 +138,7 @@
 	case o.ordinary:
 		o.way = byMethod
 	default:
-		if o.class = cmp.Or(route.First(r.Path+r.Prefix), r.Class); o.class == "" && r.Path == "" {
+		if o.class = cmp.Or(route.FirstSegment(r.Path+r.Prefix), r.Class); o.class == "" && r.Path == "" {
 			o.way = byPath
 		}
 	}
@@ -206,11 +206,11 @@
 	f := fate{taken: true, service: o.service, class: o.class, gather: o.gather}
 	switch o.way {
 	case byMethod:
-		if f.class = classWrite; protocol.Safe(w.Method) {
+		if f.class = classWrite; protocol.IsSafeMethod(w.Method) {
 			f.class = classRead
 		}
 	case byPath:
-		f.class = route.First(w.Path)
+		f.class = route.FirstSegment(w.Path)
 	}
 	if o.ordinary && w.Method == http.MethodTrace {
 		f.taken = false
--- a/internal/regions/regions_test.go
+++ b/internal/regions/regions_test.go
@@ -88,7 +88,7 @@
 			got.class = "read"
 		}
 	} else if one.As == "" {
-		got.class = route.First(w.Path)
+		got.class = route.FirstSegment(w.Path)
 	}
 	for _, k := range s.Classes {
 		if k.Name == got.class {
@@ -182,7 +182,7 @@
 		if problems == nil {
 			return r
 		}
-		r.Routes = slices.Delete(slices.Clone(r.Routes), problems[0].Rule, problems[0].Rule+1)
+		r.Routes = slices.Delete(slices.Clone(r.Routes), problems[0].Index, problems[0].Index+1)
 	}
 }
 
--- a/internal/regions/space.go
+++ b/internal/regions/space.go
@@ -28,7 +28,7 @@
 
 // cond is conditions in their one form and the rules that have them.
 type cond struct {
-	form    route.Form
+	form    route.CanonicalRule
 	area    area
 	uses    []use // by region
 	differs bool  // not all regions have it with the same outcome
@@ -68,14 +68,14 @@
 	if len(r.Headers) == 0 {
 		// Guards against the form's cost for each of many regions: what is there already is in its form.
 		k := key{host: r.Host, path: r.Path, prefix: strings.TrimSuffix(r.Prefix, "/"), method: r.Method, class: r.Class}
-		if k.class != "" && route.First(k.path+k.prefix) == k.class {
+		if k.class != "" && route.FirstSegment(k.path+k.prefix) == k.class {
 			k.class = ""
 		}
 		if c := s.conds[k]; c != nil {
 			return c
 		}
 	}
-	f, err := route.FormOf(route.Rule{Host: r.Host, Path: r.Path, Prefix: r.Prefix, Method: r.Method, Class: r.Class, Headers: r.Headers})
+	f, err := route.Canonicalize(route.Rule{Host: r.Host, Path: r.Path, Prefix: r.Prefix, Method: r.Method, Class: r.Class, Headers: r.Headers})
 	if err != nil {
 		return nil
 	}
@@ -89,9 +89,9 @@
 	return c
 }
 
-func keyOf(f route.Form) key {
+func keyOf(f route.CanonicalRule) key {
 	r := f.Rule()
-	return key{r.Host, r.Path, r.Prefix, r.Method, r.Class, f.Headers()}
+	return key{r.Host, r.Path, r.Prefix, r.Method, r.Class, f.HeaderConditions()}
 }
 
 func newBucket(host string) *bucket {
@@ -329,7 +329,7 @@
 	try := func(l []*cond) bool {
 		for _, c := range l {
 			s.visited++
-			if c.form.Holds(w.Path, w.Method, w.Headers) && !each(c) {
+			if c.form.MatchesRest(w.Path, w.Method, w.Headers) && !each(c) {
 				more = false
 				return false
 			}
@@ -350,7 +350,7 @@
 		if n := b.nodes[""]; n != nil {
 			root = n.rules
 		}
-		if n := b.nodes["/"+route.First(w.Path)]; n != nil {
+		if n := b.nodes["/"+route.FirstSegment(w.Path)]; n != nil {
 			class = n.class
 		}
 		if len(class) > 0 && len(root) > 0 {
@@ -378,7 +378,7 @@
 		}
 	}
 	free := func(path string) bool {
-		ok := path != route.Health
+		ok := path != route.HealthPath
 		s.chain(host, func(b *bucket) bool {
 			ok = ok && b.exact[path] == nil && (path == a.path || b.nodes[strings.TrimSuffix(path, "/")] == nil || strings.TrimSuffix(path, "/") == a.path)
 			return ok
--- a/internal/responseclass/responseclass.go
+++ b/internal/responseclass/responseclass.go
@@ -66,34 +66,34 @@
 
 // Rules are what a service's answers mean. The zero value has no status tried elsewhere.
 type Rules struct {
-	Elsewhere []int   // statuses of 500 to 599 after which another server may be tried
-	NeverRan  []Proof // of answers of 400 to 599
+	RetryStatuses   []int   // statuses of 500 to 599 after which another server may be tried
+	RejectionProofs []Proof // of answers of 400 to 599
 }
 
-// Default is what a service has that says nothing else.
-func Default() Rules { return Rules{Elsewhere: []int{502, 503, 504}} }
+// DefaultRules is what a service has that says nothing else.
+func DefaultRules() Rules { return Rules{RetryStatuses: []int{502, 503, 504}} }
 
-// Meaning is what an answer means.
-type Meaning struct {
-	Reason control.Reason // how the attempt ended, for the module
-	Final  bool           // it is the client's, whatever else could be tried
+// Classification is what an answer means.
+type Classification struct {
+	Reason  control.Reason // how the attempt ended, for the module
+	IsFinal bool           // it is the client's, whatever else could be tried
 }
 
-// Of tells what a final status with some headers means.
-func (r *Rules) Of(status int, h http.Header) Meaning {
+// Classify tells what a final status with some headers means.
+func (r *Rules) Classify(status int, h http.Header) Classification {
 	if status < 400 {
-		return Meaning{control.OK, true}
+		return Classification{control.OK, true}
 	}
-	for i := range r.NeverRan {
-		if r.NeverRan[i].holds(status, h) {
-			return Meaning{control.RejectedByServer, false}
+	for i := range r.RejectionProofs {
+		if r.RejectionProofs[i].holds(status, h) {
+			return Classification{control.RejectedByServer, false}
 		}
 	}
 	switch {
-	case slices.Contains(r.Elsewhere, status):
-		return Meaning{control.Errored, false}
+	case slices.Contains(r.RetryStatuses, status):
+		return Classification{control.Errored, false}
 	case status == http.StatusInternalServerError:
-		return Meaning{control.Errored, true}
+		return Classification{control.Errored, true}
 	}
-	return Meaning{control.OK, true}
+	return Classification{control.OK, true}
 }
--- a/internal/responseclass/responseclass_test.go
+++ b/internal/responseclass/responseclass_test.go
@@ -8,39 +8,39 @@
 )
 
 func TestOf(t *testing.T) {
-	rules := Default()
+	rules := DefaultRules()
 	for _, p := range []string{"429", "X-Unprocessed: 1", "x-shed"} {
 		proof, err := ParseProof(p)
 		if err != nil {
 			t.Fatal(err)
 		}
-		rules.NeverRan = append(rules.NeverRan, proof)
+		rules.RejectionProofs = append(rules.RejectionProofs, proof)
 	}
 	with := func(name, value string) http.Header { return http.Header{name: {value}} }
 	for _, tc := range []struct {
 		status int
 		h      http.Header
-		want   Meaning
+		want   Classification
 	}{
-		{200, nil, Meaning{control.OK, true}},
-		{204, nil, Meaning{control.OK, true}},
-		{304, nil, Meaning{control.OK, true}},
-		{200, with("X-Unprocessed", "1"), Meaning{control.OK, true}},
-		{404, nil, Meaning{control.OK, true}},
-		{401, nil, Meaning{control.OK, true}},
-		{429, nil, Meaning{control.RejectedByServer, false}},
-		{404, with("X-Shed", "yes"), Meaning{control.RejectedByServer, false}},
-		{500, nil, Meaning{control.Errored, true}},
-		{501, nil, Meaning{control.OK, true}},
-		{505, nil, Meaning{control.OK, true}},
-		{502, nil, Meaning{control.Errored, false}},
-		{503, nil, Meaning{control.Errored, false}},
-		{504, nil, Meaning{control.Errored, false}},
-		{503, with("X-Unprocessed", "1"), Meaning{control.RejectedByServer, false}},
-		{503, with("X-Unprocessed", "0"), Meaning{control.Errored, false}},
-		{599, nil, Meaning{control.OK, true}},
+		{200, nil, Classification{control.OK, true}},
+		{204, nil, Classification{control.OK, true}},
+		{304, nil, Classification{control.OK, true}},
+		{200, with("X-Unprocessed", "1"), Classification{control.OK, true}},
+		{404, nil, Classification{control.OK, true}},
+		{401, nil, Classification{control.OK, true}},
+		{429, nil, Classification{control.RejectedByServer, false}},
+		{404, with("X-Shed", "yes"), Classification{control.RejectedByServer, false}},
+		{500, nil, Classification{control.Errored, true}},
+		{501, nil, Classification{control.OK, true}},
+		{505, nil, Classification{control.OK, true}},
+		{502, nil, Classification{control.Errored, false}},
+		{503, nil, Classification{control.Errored, false}},
+		{504, nil, Classification{control.Errored, false}},
+		{503, with("X-Unprocessed", "1"), Classification{control.RejectedByServer, false}},
+		{503, with("X-Unprocessed", "0"), Classification{control.Errored, false}},
+		{599, nil, Classification{control.OK, true}},
 	} {
-		if got := rules.Of(tc.status, tc.h); got != tc.want {
+		if got := rules.Classify(tc.status, tc.h); got != tc.want {
 			t.Errorf("%d %v: %+v, not %+v", tc.status, tc.h, got, tc.want)
 		}
 	}
--- a/internal/retrybuffer/retrybuffer.go
+++ b/internal/retrybuffer/retrybuffer.go
@@ -69,22 +69,22 @@
 	return err
 }
 
-// Whole is all of the body where it is held; false where some of it has not come or is gone.
-func (b *Body) Whole() ([]byte, bool) {
+// Complete is all of the body where it is held; false where some of it has not come or is gone.
+func (b *Body) Complete() ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.held, errors.Is(b.err, io.EOF) && !b.lost
 }
 
-// Ended tells whether the body has come to its end.
-func (b *Body) Ended() bool {
+// HasEnded tells whether the body has come to its end.
+func (b *Body) HasEnded() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return errors.Is(b.err, io.EOF)
 }
 
-// Again tells whether a further attempt could send all of it.
-func (b *Body) Again() bool {
+// CanRetry tells whether a further attempt could send all of it.
+func (b *Body) CanRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return !b.lost && !b.closed && (b.err == nil || errors.Is(b.err, io.EOF))
@@ -100,8 +100,8 @@
 	return b.err
 }
 
-// Reader gives the whole body, for one attempt. Any Reader before it is of no use any more.
-func (b *Body) Reader() *Reader {
+// NewReader gives the whole body, for one attempt. Any Reader before it is of no use any more.
+func (b *Body) NewReader() *Reader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.present = &Reader{b: b}
--- a/internal/retrybuffer/retrybuffer_test.go
+++ b/internal/retrybuffer/retrybuffer_test.go
@@ -29,11 +29,11 @@
 		}
 		most := 0
 		for range rapid.IntRange(1, 6).Draw(t, "attempts") {
-			again := b.Again()
+			again := b.CanRetry()
 			if again != (most <= keep) {
 				t.Fatalf("%d of %d bytes were read, %d are held: again %v", most, len(body), keep, again)
 			}
-			r := b.Reader()
+			r := b.NewReader()
 			p := make([]byte, rapid.IntRange(0, len(body)+1).Draw(t, "reads"))
 			n, err := io.ReadFull(r, p)
 			if !again {
@@ -48,7 +48,7 @@
 			most = max(most, n)
 		}
 		b.Discard()
-		if !b.Ended() {
+		if !b.HasEnded() {
 			t.Fatal("not ended")
 		}
 	})
@@ -65,9 +65,9 @@
 			n, err := r.Read(p)
 			got <- string(p[:n]) + errText(err)
 		}
-		go read(b.Reader())
+		go read(b.NewReader())
 		synctest.Wait()
-		second := b.Reader()
+		second := b.NewReader()
 		go read(second)
 		synctest.Wait()
 		out.Write([]byte("beyond what is held"))
@@ -82,7 +82,7 @@
 		if s := <-got; s != ErrClosed.Error() && !strings.Contains(s, "closed pipe") {
 			t.Errorf("after Close: %q", s)
 		}
-		if b.Again() {
+		if b.CanRetry() {
 			t.Error("a closed body can't be sent again")
 		}
 	})
@@ -97,7 +97,7 @@
 
 func TestFillCutShort(t *testing.T) {
 	b := New(strings.NewReader("abc"), 100, nil)
-	if err := b.Fill(5); !errors.Is(err, io.ErrUnexpectedEOF) || b.Again() || b.Err() == nil {
-		t.Errorf("%v, again %v", err, b.Again())
+	if err := b.Fill(5); !errors.Is(err, io.ErrUnexpectedEOF) || b.CanRetry() || b.Err() == nil {
+		t.Errorf("%v, again %v", err, b.CanRetry())
 	}
 }
--- a/internal/route/path.go
+++ b/internal/route/path.go
@@ -19,10 +19,10 @@
 
 const hostMost = 255 // bytes of a host (RFC 1035, 2.3.4)
 
-// Target takes a request target (RFC 9112, 3.2) apart: its raw path, without the query, and
+// SplitTarget takes a request target (RFC 9112, 3.2) apart: its raw path, without the query, and
 // for the absolute form its authority, which then goes before the Host header (3.2.2). The
 // authority and asterisk forms name no path and are refused.
-func Target(target string) (authority, path string, err error) {
+func SplitTarget(target string) (authority, path string, err error) {
 	rest := target
 	if !strings.HasPrefix(rest, "/") {
 		scheme, after, ok := strings.Cut(rest, "://")
@@ -44,9 +44,9 @@
 	return authority, path, nil
 }
 
-// Host gives the one form of an authority that routes are matched against: lower case, no
+// CanonicalHost gives the one form of an authority that routes are matched against: lower case, no
 // port, no dot at the end. An empty one stays empty and matches only routes of any host.
-func Host(authority string) (string, error) {
+func CanonicalHost(authority string) (string, error) {
 	h := authority
 	if strings.HasPrefix(h, "[") {
 		return hostIPv6(h)
@@ -110,13 +110,13 @@
 	return true
 }
 
-// Path gives the one form of a raw path that routes are matched against. What a server behind
+// CanonicalPath gives the one form of a raw path that routes are matched against. What a server behind
 // could read as another path than this node is an error, as the path goes on unchanged:
 // encoded slashes and backslashes, dot segments in any spelling, empty segments. In the form
 // encoded unreserved characters are decoded and other encodings are in upper case (RFC 3986,
 // 6.2.2), parameters of a segment (from its first ';') are left out, and the case of letters
 // and a slash at the end stay.
-func Path(raw string) (string, error) {
+func CanonicalPath(raw string) (string, error) {
 	if raw == "" || raw[0] != '/' {
 		return "", errNoPath
 	}
@@ -218,8 +218,8 @@
 	return b - 'a' + 10
 }
 
-// First is the first segment of a path in its one form.
-func First(path string) string {
+// FirstSegment is the first segment of a path in its one form.
+func FirstSegment(path string) string {
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	return first
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -27,8 +27,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Health is the path that the node answers itself on every host.
-const Health = "/healthz"
+// HealthPath is the path that the node answers itself on every host.
+const HealthPath = "/healthz"
 
 // Header is a condition on one header.
 type Header struct {
@@ -77,9 +77,9 @@
 
 // RuleError is a rule that can't be used, and the key of it that is to blame.
 type RuleError struct {
-	Rule int // its place among those given to New
-	Key  string
-	Err  error
+	Index int // its place among those given to New
+	Key   string
+	Err   error
 }
 
 func (p *RuleError) Error() string { return fmt.Sprintf("%s: %v", p.Key, p.Err) }
@@ -124,14 +124,14 @@
 	case c.Path != "" && c.Prefix != "":
 		return nil, "prefix", errors.New("not beside path")
 	case c.Path != "":
-		if err := canonical(c.Path, Path); err != nil {
+		if err := canonical(c.Path, CanonicalPath); err != nil {
 			return nil, "path", err
 		}
-		if c.Path == Health {
-			return nil, "path", fmt.Errorf("can never match: the node itself answers %s", Health)
+		if c.Path == HealthPath {
+			return nil, "path", fmt.Errorf("can never match: the node itself answers %s", HealthPath)
 		}
 	case c.Prefix != "":
-		if err := canonical(c.Prefix, Path); err != nil {
+		if err := canonical(c.Prefix, CanonicalPath); err != nil {
 			return nil, "prefix", err
 		}
 		// /a/ is one of the paths below /a; as a prefix of whole segments it is /a.
@@ -140,13 +140,13 @@
 	if c.Method != "" && !validToken(c.Method) || c.Method == http.MethodConnect {
 		return nil, "method", fmt.Errorf("%q can never match: no method with a path", c.Method)
 	}
-	if first := First(c.Path + c.Prefix); c.Class != "" && first != "" {
+	if first := FirstSegment(c.Path + c.Prefix); c.Class != "" && first != "" {
 		if first != c.Class {
 			return nil, "class", fmt.Errorf("can never match: the path begins with %q, not with class %q", first, c.Class)
 		}
 		c.Class = "" // said twice
 	}
-	if strings.Contains(c.Class, "/") || c.Class != "" && canonical("/"+c.Class, Path) != nil || c.Path == "/" && c.Class != "" {
+	if strings.Contains(c.Class, "/") || c.Class != "" && canonical("/"+c.Class, CanonicalPath) != nil || c.Path == "/" && c.Class != "" {
 		return nil, "class", fmt.Errorf("%q can never match: it is no segment of a path", c.Class)
 	}
 	return c, "headers", c.headers()
@@ -158,7 +158,7 @@
 		return nil
 	}
 	host, wild := strings.CutPrefix(rule, "*.")
-	if err := canonical(host, Host); err != nil || host == "" {
+	if err := canonical(host, CanonicalHost); err != nil || host == "" {
 		return cmp.Or(err, fmt.Errorf("%q names no host", rule))
 	}
 	if wild && strings.HasPrefix(host, "[") {
@@ -337,7 +337,7 @@
 // first is the first rule whose other conditions hold.
 func first(rules []*rule, path, method string, header http.Header) *rule {
 	for _, c := range rules {
-		if (c.Method == "" || c.Method == method) && (c.Class == "" || c.Class == First(path)) && c.holds(header) {
+		if (c.Method == "" || c.Method == method) && (c.Class == "" || c.Class == FirstSegment(path)) && c.holds(header) {
 			return c
 		}
 	}
@@ -367,9 +367,9 @@
 	return hostOK && pathOK && first([]*rule{c}, path, method, header) != nil
 }
 
-// Why tells which rules match a request, the one that wins first, each with its place among
+// Explain tells which rules match a request, the one that wins first, each with its place among
 // those given to New and its conditions in words. It is for people, and slow.
-func (r *Router) Why(host, path, method string, header http.Header) []Match {
+func (r *Router) Explain(host, path, method string, header http.Header) []Match {
 	var all []Match
 	for _, c := range r.rules {
 		if c.matches(host, path, method, header) {
@@ -381,7 +381,7 @@
 
 // Match is a rule that matches a request.
 type Match struct {
-	Rule       int
+	Index      int
 	Conditions []string
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	r, problems := New(rules)
 	for _, p := range problems {
-		t.Fatalf("%s: %v", rules[p.Rule].Name, p)
+		t.Fatalf("%s: %v", rules[p.Index].Name, p)
 	}
 	return r
 }
@@ -95,8 +95,8 @@
 		if !ok || someRules[i].Name != tc.want {
 			t.Errorf("%+v: %q, not %q", tc.ask, someRules[i].Name, tc.want)
 		}
-		if why := r.Why(tc.host, tc.path, method, tc.header()); why[0].Rule != i {
-			t.Errorf("%+v: Why tells %q", tc.ask, someRules[why[0].Rule].Name)
+		if why := r.Explain(tc.host, tc.path, method, tc.header()); why[0].Index != i {
+			t.Errorf("%+v: Why tells %q", tc.ask, someRules[why[0].Index].Name)
 		}
 	}
 	if i, ok := compiled(t, someRules[1:2]).Find("other", "/", "GET", nil); ok {
@@ -165,7 +165,7 @@
 		"//h/a":                 " //h/a",
 		"/a?http://evil.test/b": " /a",
 	} {
-		authority, path, err := Target(in)
+		authority, path, err := SplitTarget(in)
 		if got := authority + " " + path; err == nil && got != want || err != nil && want != "no" {
 			t.Errorf("%q: %q, %v", in, got, err)
 		}
@@ -180,7 +180,7 @@
 		"[::1": "no", "[::1]x": "no", "[a]b:1": "no", ":80": "no", "a:123456": "no", "a%2eb": "no", "ä": "no",
 		strings.Repeat("a", 256): "no",
 	} {
-		if got, err := Host(in); err == nil && got != want || err != nil && want != "no" {
+		if got, err := CanonicalHost(in); err == nil && got != want || err != nil && want != "no" {
 			t.Errorf("%q: %q, %v", in, got, err)
 		}
 	}
@@ -195,12 +195,12 @@
 		"/a%2": "no", "/a%zz": "no", "/a%00": "no", "/a\x00": "no", "/a b": "no", "/\xc3": "no", "/a#b": "no", "": "no", "a": "no",
 		"/a;%2f": "no", "/%7f": "no",
 	} {
-		got, err := Path(in)
+		got, err := CanonicalPath(in)
 		if err == nil && got != want || err != nil && want != "no" {
 			t.Errorf("%q: %q, %v, not %q", in, got, err, want)
 		}
 		if err == nil {
-			if again, err := Path(got); err != nil || again != got {
+			if again, err := CanonicalPath(got); err != nil || again != got {
 				t.Errorf("%q: its form %q has the form %q, %v", in, got, again, err)
 			}
 		}
@@ -214,11 +214,11 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, raw string) {
-		got, err := Path(raw)
+		got, err := CanonicalPath(raw)
 		if err != nil {
 			return
 		}
-		if again, err := Path(got); err != nil || again != got {
+		if again, err := CanonicalPath(got); err != nil || again != got {
 			t.Fatalf("%q: %q, then %q, %v", raw, got, again, err)
 		}
 		for i, s := range strings.Split(got, "/") {
@@ -358,7 +358,7 @@
 		if problems == nil {
 			return rules
 		}
-		rules = slices.Delete(rules, problems[0].Rule, problems[0].Rule+1)
+		rules = slices.Delete(rules, problems[0].Index, problems[0].Index+1)
 	}
 }
 
@@ -425,8 +425,8 @@
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				path, err := Path("/p3/q/some/further/segments")
-				host, err2 := Host(rules[i%n].Host)
+				path, err := CanonicalPath("/p3/q/some/further/segments")
+				host, err2 := CanonicalHost(rules[i%n].Host)
 				if _, ok := r.Find(host, path, "GET", header); err != nil || err2 != nil || !ok {
 					b.Fatal("not found")
 				}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -155,7 +155,7 @@
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
 		a.mu.Lock()
 		a.from[r.RemoteAddr] = true
-		a.seen = append(a.seen, strings.TrimSpace(fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get(protocol.HeaderKey), " ", string(body))))
+		a.seen = append(a.seen, strings.TrimSpace(fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get(protocol.HeaderIdempotencyKey), " ", string(body))))
 		a.mu.Unlock()
 		serve(w, r)
 	}))
--- a/internal/upstream/flow.go
+++ b/internal/upstream/flow.go
@@ -98,7 +98,7 @@
 	if t.Body == nil {
 		return r
 	}
-	if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.ExpectContinue && t.ContentLength >= 0 {
+	if held, ok := t.Body.Complete(); ok && len(held) <= inlineMost && !t.ExpectContinue && t.ContentLength >= 0 {
 		r.Body = held
 		return r
 	}
@@ -127,7 +127,7 @@
 		if t.ExpectContinue {
 			t.proceed = make(chan struct{})
 		}
-		go t.pump(t.Body.Reader())
+		go t.pump(t.Body.NewReader())
 	} else {
 		t.await()
 	}
--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -141,7 +141,7 @@
 func ended(ctx context.Context, e h2.Event) (o Outcome) {
 	if e.Err == nil {
 		h := e.Answer.Header
-		for _, name := range []string{protocol.HeaderLoad, protocol.HeaderUsed, protocol.HeaderCost} { // known behind the body only
+		for _, name := range []string{protocol.HeaderBackendLoad, protocol.HeaderQuotaUsed, protocol.HeaderTrueCost} { // known behind the body only
 			if v := e.Answer.Trailer[name]; len(v) > 0 && len(h[name]) == 0 {
 				h[name] = v
 			}
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/http2_test.go
@@ -49,7 +49,7 @@
 		panic(err)
 	}
 	req.Header.Set(protocol.HeaderID, id)
-	req.Header.Set(protocol.HeaderKey, "key-"+id)
+	req.Header.Set(protocol.HeaderIdempotencyKey, "key-"+id)
 	return &BufferedRequest{Request: req, Body: []byte(body)}
 }
 
@@ -386,7 +386,7 @@
 	defer cancel()
 	f := &flow{RelayedRequest: q}
 	r := f.request(ctx, "http")
-	if b, err := io.ReadAll(q.Body.Reader()); err != nil || string(b) != "body" || !r.More {
+	if b, err := io.ReadAll(q.Body.NewReader()); err != nil || string(b) != "body" || !r.More {
 		t.Fatalf("%q, %v, more %v", b, err, r.More)
 	}
 	c, _, err := u.sharedOf(p).take(ctx)
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -28,7 +28,7 @@
 	switch {
 	case status == http.StatusOK:
 		o.Reason, o.Status, o.IsFinal = control.OK, http.StatusOK, true
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(protocol.HeaderUnseen) == "1":
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(protocol.HeaderUnprocessed) == "1":
 		o.Reason = control.RejectedByServer
 	default:
 		o.Reason = control.Errored
@@ -37,7 +37,7 @@
 
 // QuotaUsage reads the customer's use; the module counts from 1, as 0 is not told.
 func (o *Outcome) QuotaUsage() int {
-	v, err := strconv.Atoi(o.Header.Get(protocol.HeaderUsed))
+	v, err := strconv.Atoi(o.Header.Get(protocol.HeaderQuotaUsed))
 	if err != nil || v < 0 || v > usedMost {
 		return 0
 	}
@@ -46,7 +46,7 @@
 
 // ActualUnits reads the true units, of which a request can have so many at the most.
 func (o *Outcome) ActualUnits(most float64) float64 {
-	v, err := protocol.ParseNumber(o.Header.Get(protocol.HeaderCost))
+	v, err := protocol.ParseNumber(o.Header.Get(protocol.HeaderTrueCost))
 	if err != nil || v < 0 || v > most {
 		return 0
 	}
@@ -58,7 +58,7 @@
 func (o *Outcome) LoadReport() *control.LoadReport {
 	none := control.LoadReport{InFlight: -1, Queued: -1, Utilization: -1, MeanLatencyMS: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 	l := none
-	for pair := range strings.SplitSeq(o.Header.Get(protocol.HeaderLoad), ",") {
+	for pair := range strings.SplitSeq(o.Header.Get(protocol.HeaderBackendLoad), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := protocol.ParseNumber(value)
 		if err != nil || v < 0 || v > loadMost {
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -57,10 +57,10 @@
 func (q *RelayedRequest) Method() string { return q.RequestMethod }
 
 // IsBodyPending tells whether some of the body is still to come.
-func (q *RelayedRequest) IsBodyPending() bool { return q.Body != nil && !q.Body.Ended() }
+func (q *RelayedRequest) IsBodyPending() bool { return q.Body != nil && !q.Body.HasEnded() }
 
 // CanRetry tells whether a further attempt could send all of it.
-func (q *RelayedRequest) CanRetry() bool { return q.Body == nil || q.Body.Again() }
+func (q *RelayedRequest) CanRetry() bool { return q.Body == nil || q.Body.CanRetry() }
 
 // relay is one attempt.
 type relay struct {
@@ -111,7 +111,7 @@
 	}
 	t := &relay{RelayedRequest: q, u: u, p: p, c: c, heads: answerHead}
 	t.req.Method = q.RequestMethod
-	t.scan.Answers = true
+	t.scan.ReadsAnswers = true
 	c.in.start(time.Time{}, answerHead)
 	c.in.relay = t
 	t.unhook = context.AfterFunc(ctx, c.interrupt)
@@ -274,8 +274,8 @@
 // hold says what an answer's head means and holds its body, of n bytes (below zero is not known),
 // where it is to be held; cut says that some of it was left unread.
 func (q *RelayedRequest) hold(o *Outcome, body io.Reader, n int64) (held, cut bool) {
-	m := q.ResponseRules.Of(o.Status, o.Header)
-	o.Reason, o.IsFinal = m.Reason, m.Final
+	m := q.ResponseRules.Classify(o.Status, o.Header)
+	o.Reason, o.IsFinal = m.Reason, m.IsFinal
 	switch {
 	case n == 0:
 	case n > 0 && n <= int64(q.MaxBufferedBytes) && !isEvents(o.Header):
@@ -283,7 +283,7 @@
 		if _, err := io.ReadFull(body, o.Body); err != nil {
 			*o = Outcome{Reason: control.ResetByPeer, Err: err}
 		}
-	case !m.Final:
+	case !m.IsFinal:
 		// What might be tried elsewhere is held for the case that nothing better comes; where it is
 		// too long, the node's own answer has to do.
 		b, err := io.ReadAll(io.LimitReader(body, int64(q.MaxBufferedBytes)+1))
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -52,7 +52,7 @@
 		}
 	default:
 		w.WriteString("Content-Length: " + strconv.FormatInt(t.ContentLength, 10) + "\r\n")
-		if held, ok := t.Body.Whole(); ok && len(held) <= inlineMost && !t.ExpectContinue {
+		if held, ok := t.Body.Complete(); ok && len(held) <= inlineMost && !t.ExpectContinue {
 			inline = held
 			t.sent.Store(true)
 		}
@@ -76,7 +76,7 @@
 		if t.ExpectContinue {
 			t.ended, t.proceed = make(chan struct{}), make(chan struct{})
 		}
-		body := t.Body.Reader() // before anything else can want one
+		body := t.Body.NewReader() // before anything else can want one
 		go t.pump(body)
 	}
 	return Outcome{}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -144,7 +144,7 @@
 // New makes an Upstream that holds no connection yet.
 func New(o Options) *Upstream {
 	if o.MaxBodyBytes == 0 {
-		o.MaxBodyBytes = protocol.BodyMost
+		o.MaxBodyBytes = protocol.MaxBodyBytes
 	}
 	return &Upstream{
 		Options: o, idleFor: time.Duration(idlePart * float64(o.KeepAliveTimeout)),
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -262,8 +262,8 @@
 
 func TestReports(t *testing.T) {
 	o := Outcome{Header: http.Header{
-		protocol.HeaderUsed: {"85"}, protocol.HeaderCost: {"3"},
-		protocol.HeaderLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"},
+		protocol.HeaderQuotaUsed: {"85"}, protocol.HeaderTrueCost: {"3"},
+		protocol.HeaderBackendLoad: {"inflight=7,queue=2, util=0.61,latency_ms=12.5,colour=red,qps=x"},
 	}}
 	if o.QuotaUsage() != 86 || o.ActualUnits(4) != 3 {
 		t.Errorf("used %d, cost %g", o.QuotaUsage(), o.ActualUnits(4))
@@ -272,7 +272,7 @@
 		t.Errorf("load %+v", l)
 	}
 	for _, odd := range []string{"", "x", "-1", "NaN", "1e400", "1e300", "99999", "inflight=-1,util=NaN", "queue=1e300"} {
-		o := Outcome{Header: http.Header{protocol.HeaderUsed: {odd}, protocol.HeaderCost: {odd}, protocol.HeaderLoad: {odd}}}
+		o := Outcome{Header: http.Header{protocol.HeaderQuotaUsed: {odd}, protocol.HeaderTrueCost: {odd}, protocol.HeaderBackendLoad: {odd}}}
 		if o.QuotaUsage() != 0 || o.ActualUnits(4) != 0 || o.LoadReport() != nil {
 			t.Errorf("%q: used %d, cost %g", odd, o.QuotaUsage(), o.ActualUnits(4))
 		}
--- a/internal/validation/validation.go
+++ b/internal/validation/validation.go
@@ -14,13 +14,13 @@
 
 // What a message can be refused for.
 var (
-	ErrFraming = errors.New("both Content-Length and Transfer-Encoding")
-	ErrLength  = errors.New("no single Content-Length")
-	ErrFold    = errors.New("a field that goes on in a further line")
-	ErrCR      = errors.New("a CR that ends no line")
-	ErrOld     = errors.New("a Transfer-Encoding in a message of HTTP/1.0")
-	ErrCoding  = errors.New("a Transfer-Encoding other than chunked")
-	ErrChunk   = errors.New("a chunk with no size")
+	ErrFraming                = errors.New("both Content-Length and Transfer-Encoding")
+	ErrContentLength          = errors.New("no single Content-Length")
+	ErrLineFolding            = errors.New("a field that goes on in a further line")
+	ErrBareCR                 = errors.New("a CR that ends no line")
+	ErrHTTP10TransferEncoding = errors.New("a Transfer-Encoding in a message of HTTP/1.0")
+	ErrTransferEncoding       = errors.New("a Transfer-Encoding other than chunked")
+	ErrChunkSize              = errors.New("a chunk with no size")
 )
 
 // lineKept is how much of a line is looked at: enough for the fields that frame a message.
@@ -39,8 +39,8 @@
 // Scanner reads the bytes of one side of a connection in the order in which they come. Its zero
 // value expects a request's first byte. It is not safe for concurrent use.
 type Scanner struct {
-	// Answers says that it reads answers: it stops behind the head of the first final one, or of a change of protocols.
-	Answers bool
+	// ReadsAnswers says that it reads answers: it stops behind the head of the first final one, or of a change of protocols.
+	ReadsAnswers bool
 
 	err     error
 	state   state
@@ -58,11 +58,11 @@
 	coded   bool
 }
 
-// Off has the scanner look at nothing any more, as behind an upgrade.
-func (s *Scanner) Off() { s.state, s.skip = offState, 0 }
+// Stop has the scanner look at nothing any more, as behind an upgrade.
+func (s *Scanner) Stop() { s.state, s.skip = offState, 0 }
 
 // Reset has it expect a new message.
-func (s *Scanner) Reset() { *s = Scanner{Answers: s.Answers} }
+func (s *Scanner) Reset() { *s = Scanner{ReadsAnswers: s.ReadsAnswers} }
 
 // Feed takes what came. Once it gives an error it goes on giving it: what follows on the
 // connection can't be told from that message.
@@ -95,7 +95,7 @@
 		return
 	}
 	if i := bytes.IndexByte(p, '\r'); s.cr || i >= 0 && i < len(p)-1 {
-		s.err = ErrCR
+		s.err = ErrBareCR
 		return
 	} else if i >= 0 {
 		s.cr = true
@@ -133,19 +133,19 @@
 		s.chunk(line)
 	case dataEndState:
 		if s.state = chunkState; len(line) > 0 {
-			s.err = ErrChunk
+			s.err = ErrChunkSize
 		}
 	case trailerState:
 		if len(line) == 0 {
 			s.next()
 		} else if line[0] == ' ' || line[0] == '\t' {
-			s.err = ErrFold
+			s.err = ErrLineFolding
 		}
 	}
 }
 
 func (s *Scanner) begin(line []byte) {
-	if s.Answers {
+	if s.ReadsAnswers {
 		s.old = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		// Behind a change of protocols (101) comes none of HTTP.
 		s.interim = len(line) > 11 && line[9] == '1' && string(line[9:12]) != "101"
@@ -156,7 +156,7 @@
 
 func (s *Scanner) field(line []byte) {
 	if line[0] == ' ' || line[0] == '\t' {
-		s.err = ErrFold
+		s.err = ErrLineFolding
 		return
 	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
@@ -165,13 +165,13 @@
 	case strings.EqualFold(string(name), "content-length"):
 		n, ok := number(bytes.Trim(value, " \t"))
 		if !ok || s.long || s.lengths > 0 && n != s.length {
-			s.err = ErrLength
+			s.err = ErrContentLength
 		}
 		s.length = n
 		s.lengths++
 	case strings.EqualFold(string(name), "transfer-encoding"):
 		if s.coded || s.long || !strings.EqualFold(string(bytes.Trim(value, " \t")), "chunked") {
-			s.err = ErrCoding
+			s.err = ErrTransferEncoding
 		}
 		s.coded = true
 	}
@@ -193,11 +193,11 @@
 	case s.coded && s.lengths > 0:
 		s.err = ErrFraming
 	case s.coded && s.old:
-		s.err = ErrOld
-	case s.Answers && s.interim:
+		s.err = ErrHTTP10TransferEncoding
+	case s.ReadsAnswers && s.interim:
 		s.next()
-	case s.Answers:
-		s.Off()
+	case s.ReadsAnswers:
+		s.Stop()
 	case s.coded:
 		s.state = chunkState
 	default:
@@ -215,7 +215,7 @@
 	size, _, _ := bytes.Cut(line, []byte(";"))
 	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 63)
 	if err != nil || n > math.MaxInt64/2 {
-		s.err = ErrChunk
+		s.err = ErrChunkSize
 		return
 	}
 	if n == 0 {
--- a/internal/validation/validation_test.go
+++ b/internal/validation/validation_test.go
@@ -24,24 +24,24 @@
 		"same lengths":      {"POST / HTTP/1.1\r\nContent-Length: 1\r\ncontent-length: 1\r\n\r\nx", nil},
 		"both":              {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ErrFraming},
 		"both, late":        {"GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", ErrFraming},
-		"differing":         {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", ErrLength},
-		"list":              {"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\nx", ErrLength},
-		"plus":              {"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx", ErrLength},
-		"negative":          {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\nx", ErrLength},
-		"empty":             {"POST / HTTP/1.1\r\nContent-Length:\r\n\r\nx", ErrLength},
-		"huge":              {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\nx", ErrLength},
-		"fold":              {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", ErrFold},
-		"fold in a trailer": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\tc\r\n\r\n", ErrFold},
-		"CR":                {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", ErrCR},
-		"CR CR LF":          {"GET / HTTP/1.1\r\nA: b\r\r\n\r\n", ErrCR},
-		"CR in the target":  {"GET /\r HTTP/1.1\r\n\r\n", ErrCR},
-		"old":               {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", ErrOld},
-		"old, long target":  {"POST /" + long + " HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", ErrOld},
-		"gzip":              {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", ErrCoding},
-		"twice chunked":     {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", ErrCoding},
-		"long coding":       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked" + strings.Repeat(" ", 300) + "x\r\n\r\n", ErrCoding},
-		"no size":           {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", ErrChunk},
-		"chunk too long":    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", ErrChunk},
+		"differing":         {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", ErrContentLength},
+		"list":              {"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\nx", ErrContentLength},
+		"plus":              {"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx", ErrContentLength},
+		"negative":          {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\nx", ErrContentLength},
+		"empty":             {"POST / HTTP/1.1\r\nContent-Length:\r\n\r\nx", ErrContentLength},
+		"huge":              {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\nx", ErrContentLength},
+		"fold":              {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", ErrLineFolding},
+		"fold in a trailer": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\tc\r\n\r\n", ErrLineFolding},
+		"CR":                {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", ErrBareCR},
+		"CR CR LF":          {"GET / HTTP/1.1\r\nA: b\r\r\n\r\n", ErrBareCR},
+		"CR in the target":  {"GET /\r HTTP/1.1\r\n\r\n", ErrBareCR},
+		"old":               {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", ErrHTTP10TransferEncoding},
+		"old, long target":  {"POST /" + long + " HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", ErrHTTP10TransferEncoding},
+		"gzip":              {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", ErrTransferEncoding},
+		"twice chunked":     {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", ErrTransferEncoding},
+		"long coding":       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked" + strings.Repeat(" ", 300) + "x\r\n\r\n", ErrTransferEncoding},
+		"no size":           {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", ErrChunkSize},
+		"chunk too long":    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", ErrChunkSize},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, size := range []int{1, 3, len(tc.text)} { // however it comes in pieces
@@ -64,10 +64,10 @@
 	for text, want := range map[string]error{
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\r \r":                                                            nil,
 		"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n": ErrFraming,
-		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                                                        ErrOld,
-		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n":                                                                        ErrFold,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                                                        ErrHTTP10TransferEncoding,
+		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n":                                                                        ErrLineFolding,
 	} {
-		s := Scanner{Answers: true}
+		s := Scanner{ReadsAnswers: true}
 		if err := s.Feed([]byte(text)); !errors.Is(err, want) {
 			t.Errorf("%q: %v, not %v", text, err, want)
 		}
