Split package discovery by concern, and name what it declares in the field's words

The feed, the kinds of source, the file source, the pacer, the watcher and the stream of one watch have a file each. Constants say what they limit and from which deadline of the protocol they follow.

--- a/internal/discovery/reach_test.go
+++ b/internal/discovery/outage_test.go
@@ -27,15 +27,15 @@
 	silent   outage = "calls get no answer"
 )
 
-// back gives how long after its return a discovery that was out for some time has told its list, where each
+// notifiedAfterOutage gives how long after its return a discovery that was out for some time has told its list, where each
 // answer takes some time. A call that was not answered meanwhile is answered at the return.
-func back(t *testing.T, how outage, out, answer time.Duration, f *Feed) time.Duration {
+func notifiedAfterOutage(t *testing.T, how outage, out, answer time.Duration, f *Feed) time.Duration {
 	ctx, cancel := context.WithCancel(t.Context())
 	var all sync.WaitGroup
 	defer func() { cancel(); all.Wait() }()
 	returns, told := time.Now().Add(out), make(chan time.Time, 10)
-	f.tell = func(EndpointList) { told <- time.Now() }
-	f.through = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+	f.deliver = func(EndpointList) { told <- time.Now() }
+	f.transport = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		isOut := time.Now().Before(returns)
 		if isOut && how == refusing {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
@@ -48,14 +48,14 @@
 			case isOut && how == breaking:
 				return
 			case isOut && how == ending:
-				io.WriteString(there, scriptedHead+"\n")
+				io.WriteString(there, responseHead+"\n")
 				return
 			case isOut && how == rejects:
 				io.WriteString(there, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 				return
 			}
 			time.Sleep(max(time.Until(returns), 0) + answer)
-			if _, err := io.WriteString(there, scriptedHead+`{"rev":45,"all":true,"targets":[]}`+"\n"); err == nil {
+			if _, err := io.WriteString(there, responseHead+`{"rev":45,"all":true,"targets":[]}`+"\n"); err == nil {
 				io.Copy(io.Discard, there)
 			}
 		})
@@ -74,8 +74,8 @@
 // However a discovery failed, and for however long, what it has at its return is told 6 s later at the latest,
 // for groups of every size; what an agent has then counts at once. A large group that is turned away, by an answer or
 // by an end before one, waits for longer: by shorter waits a discovery that takes a call of each in 8 s tells
-// nobody, as TestGroupThatFallsSilentAtOnceIsTold shows, which holds that case.
-func TestToldInTimeAfterAnOutage(t *testing.T) {
+// nobody, as TestSimultaneousSilenceNotifiesWholeGroup shows, which holds that case.
+func TestEventsArriveInTimeAfterOutage(t *testing.T) {
 	for _, how := range []outage{refusing, breaking, ending, rejects, silent} {
 		for _, group := range []int{1, 3, 24, 300} {
 			for _, agent := range []bool{true, false} {
@@ -83,15 +83,15 @@
 					continue
 				}
 				t.Run(fmt.Sprintf("%s/%d/agent=%v", how, group, agent), func(t *testing.T) {
-					most, answer := newsWithin, answerMost
+					most, answer := missedEventDeadline, maxAnswerTime
 					if agent { // it answers at once
-						most, answer = 2*backoffFirst, 0
+						most, answer = 2*minRetryDelay, 0
 					}
 					for _, out := range []time.Duration{300 * time.Millisecond, 4 * time.Second, 8 * time.Second, 13 * time.Second} {
 						for seed := range uint64(10) {
 							synctest.Test(t, func(t *testing.T) {
 								f := NewFeed(Source{Address: "discovery:1", IsOwnAgent: agent}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
-								if late := back(t, how, out, answer, f); late > most {
+								if late := notifiedAfterOutage(t, how, out, answer, f); late > most {
 									t.Errorf("out for %v, told %v after the return", out, late)
 								}
 							})
--- /dev/null
+++ b/internal/discovery/pacer.go
@@ -0,0 +1,114 @@
+package discovery
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Mean intervals between calls of all instances of a group.
+const (
+	callInterval      = 100 * time.Millisecond
+	firstCallInterval = 50 * time.Millisecond // of first calls, where a list is known
+	moveCallInterval  = 25 * time.Millisecond // of calls to a new discovery
+)
+
+// Deadlines of the protocol, and what follows from them.
+const (
+	missedEventDeadline = 6 * time.Second // an instance has to know a change so long after its watch was last heard
+	moveTimeSpent       = 2 * time.Second // the part of that which is over when an instance moves to another discovery
+	maxAnswerTime       = 2 * time.Second // a discovery answers a call in this time, or rejects it
+	deadlineMargin      = 300 * time.Millisecond
+
+	// maxCallDelay is the latest time, after a watch was last heard, of a call that is answered by the deadline.
+	maxCallDelay = missedEventDeadline - maxAnswerTime - deadlineMargin
+)
+
+// Limits of delays.
+const (
+	minRetryDelay       = 100 * time.Millisecond
+	maxMoveDelay        = time.Second
+	maxWindow           = 8 * time.Second // no group is spread over a longer window, however large
+	maxRejectionSpread  = 2 * time.Second // a window after a rejection has this width where the deadline is met or just missed
+	maxBackoffDoublings = 2
+	stableWatchTime     = 5 * time.Second // a watch that has lived so long resets the backoff
+)
+
+// Pacer delays the calls of one instance so that those of its whole replica group are spread over time. Without it a
+// discovery that all instances call at once rejects the greater part of them, is called by those again at once, and
+// works on calls that have timed out while no instance receives a list. Instances don't communicate: each draws its
+// delay from a window that grows with the size of the group, which gives the group a constant rate.
+//
+// A Pacer is used from one goroutine.
+type Pacer struct {
+	GroupSize int        // instances that call the same discovery; below two is one
+	Rand      *rand.Rand // nil always draws the shortest delay
+	failures  int        // in a row
+}
+
+// FirstDelay is the delay of the first call of an instance that knows a list.
+func (p *Pacer) FirstDelay() time.Duration {
+	return p.drawDelay(0, min(firstCallInterval*p.peers(), maxCallDelay))
+}
+
+// MoveDelay is the delay of the first call to another discovery.
+func (p *Pacer) MoveDelay() time.Duration {
+	p.failures = 0
+	return p.drawDelay(0, min(moveCallInterval*p.peers(), maxMoveDelay))
+}
+
+// RetryDelay is the delay of the next call after a watch, or an attempt at one, that lived for some time. silence is the
+// time since a watch was last heard. As long as a call can be answered by the deadline for missed events, the delay ends
+// in time for that. After it the time of the failed call counts instead: a discovery that can be reached again has
+// another missedEventDeadline from then on.
+func (p *Pacer) RetryDelay(lived, silence time.Duration) time.Duration {
+	if lived >= stableWatchTime {
+		p.failures = 0
+	}
+	window := minRetryDelay
+	if p.GroupSize > 1 {
+		window = min(p.groupTime()<<min(p.failures, maxBackoffDoublings), maxWindow)
+	}
+	left := maxCallDelay - silence
+	if left < minRetryDelay && lived < stableWatchTime {
+		left = maxCallDelay - lived
+	}
+	window = min(window, max(left, minRetryDelay))
+	p.failures++
+	return p.drawDelay(minRetryDelay, window)
+}
+
+// RejectionDelay is the delay of the next call after one that the discovery rejected, because its answer would have
+// taken longer than maxAnswerTime. The call lasted for some time; silence is the time since a watch was last heard. A
+// call before the discovery has worked off what it has would be rejected again, which costs it work too. The first call
+// of all, and the first after a move, are retried as after any other failure: a discovery that has just started rejects
+// calls without being busy.
+func (p *Pacer) RejectionDelay(lasted, silence time.Duration) time.Duration {
+	if p.failures == 0 || p.GroupSize <= 1 {
+		return p.RetryDelay(lasted, silence)
+	}
+	groupTime := p.groupTime()
+	shortest := max(min(maxAnswerTime, groupTime)-lasted, minRetryDelay)
+	longest := min(shortest+min(maxRejectionSpread, groupTime), maxWindow)
+	switch left := maxCallDelay - silence; {
+	case left >= shortest:
+		longest = min(longest, left)
+	case p.failures > 1:
+		longest = min(shortest+groupTime<<min(p.failures, maxBackoffDoublings), maxWindow)
+	}
+	p.failures++
+	return p.drawDelay(shortest, longest)
+}
+
+// groupTime is the time in which each instance of the group may call once.
+func (p *Pacer) groupTime() time.Duration { return callInterval * time.Duration(p.GroupSize) }
+
+// peers is the number of other instances.
+func (p *Pacer) peers() time.Duration { return time.Duration(max(0, p.GroupSize-1)) }
+
+// drawDelay draws a delay between two bounds, the upper one excluded.
+func (p *Pacer) drawDelay(shortest, longest time.Duration) time.Duration {
+	if p.Rand == nil || longest <= shortest {
+		return shortest
+	}
+	return shortest + time.Duration(p.Rand.Int64N(int64(longest-shortest)))
+}
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pacer_test.go
@@ -33,9 +33,9 @@
 	return false, min(r.wait, r.free-r.Now())
 }
 
-// subscribed plays instances that all begin in one moment; it gives when nine in ten, and all, had a
+// simulateGroup plays instances that all begin in one moment; it gives when nine in ten, and all, had a
 // watch, and 0 for never.
-func subscribed(instances int, each time.Duration, soon bool, first func(i int) time.Duration, again func(i int, lasted, now time.Duration) time.Duration) (most, all time.Duration, calls int) {
+func simulateGroup(instances int, each time.Duration, soon bool, first func(i int) time.Duration, again func(i int, lasted, now time.Duration) time.Duration) (most, all time.Duration, calls int) {
 	r := &registry{each: each, wait: 2 * time.Second, soon: soon}
 	n := 0
 	var ask func(i int)
@@ -62,13 +62,13 @@
 	return most, all, calls
 }
 
-// turnsAway is whether a discovery turns calls away at once, or once they have waited.
-var turnsAway = map[string]bool{"at once": true, "late": false}
+// rejections is whether a discovery turns calls away at once, or once they have waited.
+var rejections = map[string]bool{"at once": true, "late": false}
 
 // Guards against a group that starts at once, is turned away for the most part, and asks again at
 // once until nobody is told anything any more.
-func TestGroupThatStartsAtOnceIsTold(t *testing.T) {
-	for how, soon := range turnsAway {
+func TestSimultaneousStartNotifiesWholeGroup(t *testing.T) {
+	for how, soon := range rejections {
 		for _, n := range []int{1, 2, 8, 40, 80, 400} {
 			for _, all := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} { // that one call of each takes
 				each := all / time.Duration(max(40, n))
@@ -76,9 +76,9 @@
 				for i := range paces {
 					paces[i] = Pacer{GroupSize: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
 				}
-				most, last, calls := subscribed(n, each, soon, func(i int) time.Duration { return paces[i].FirstDelay() },
+				most, last, calls := simulateGroup(n, each, soon, func(i int) time.Duration { return paces[i].FirstDelay() },
 					func(i int, lasted, now time.Duration) time.Duration { return paces[i].RejectionDelay(lasted, now) })
-				bound := all + 3*callEvery*time.Duration(n) + askMost
+				bound := all + 3*callInterval*time.Duration(n) + maxCallDelay
 				if most == 0 || most > bound {
 					t.Errorf("%d instances, %v for a call of each, turned away %s: nine in ten are told after %v, all after %v, by %d calls", n, all, how, most, last, calls)
 				}
@@ -87,9 +87,9 @@
 				}
 				// What was before: 100 ms, doubled up to 500 ms, in step.
 				fails := make([]int, n)
-				if before, _, old := subscribed(n, each, soon, func(int) time.Duration { return 0 }, func(i int, _, _ time.Duration) time.Duration {
+				if before, _, old := simulateGroup(n, each, soon, func(int) time.Duration { return 0 }, func(i int, _, _ time.Duration) time.Duration {
 					fails[i]++
-					return min(backoffFirst<<min(fails[i]-1, 3), 500*time.Millisecond)
+					return min(minRetryDelay<<min(fails[i]-1, 3), 500*time.Millisecond)
 				}); before > 0 && before < most {
 					t.Errorf("%d instances, %v, turned away %s: told after %v by %d calls with no pace, %v by %d with it", n, all, how, before, old, most, calls)
 				}
@@ -101,28 +101,28 @@
 // A group whose watches fall silent, or end, in one moment is told in time by a discovery that can answer
 // all of it in time, within the 2 s that sends may take to stop by one that nearly can, and soon by
 // one that can't, for few calls each, whether it turns calls away at once or late.
-func TestGroupThatFallsSilentAtOnceIsTold(t *testing.T) {
+func TestSimultaneousSilenceNotifiesWholeGroup(t *testing.T) {
 	const grace = 2 * time.Second
-	for how, soonAway := range turnsAway {
+	for how, soonAway := range rejections {
 		for _, n := range []int{1, 3, 40, 300} {
 			for _, all := range []time.Duration{2 * time.Second, 3500 * time.Millisecond, 5 * time.Second, 8 * time.Second} { // that one call of each takes
-				for _, quiet := range []time.Duration{0, watchSilence} {
+				for _, quiet := range []time.Duration{0, watchSilenceTimeout} {
 					paces := make([]Pacer, n)
 					for i := range paces {
 						paces[i] = Pacer{GroupSize: n, Rand: rand.New(rand.NewPCG(7, uint64(i)))}
 					}
 					// The clock begins as the silence is noticed.
-					most, last, calls := subscribed(n, all/time.Duration(max(40, n)), soonAway, func(i int) time.Duration { return paces[i].RetryDelay(time.Minute, quiet) },
+					most, last, calls := simulateGroup(n, all/time.Duration(max(40, n)), soonAway, func(i int) time.Duration { return paces[i].RetryDelay(time.Minute, quiet) },
 						func(i int, lasted, now time.Duration) time.Duration {
 							return paces[i].RejectionDelay(lasted, quiet+now)
 						})
-					soon, late, each := all+callsMost, all+callsMost+answerMost, 2
+					soon, late, each := all+maxWindow, all+maxWindow+maxAnswerTime, 2
 					switch all {
-					case answerMost: // it can answer them all in time
-						soon, late = newsWithin-quiet, newsWithin-quiet
+					case maxAnswerTime: // it can answer them all in time
+						soon, late = missedEventDeadline-quiet, missedEventDeadline-quiet
 					case 3500 * time.Millisecond:
-						soon, late = newsWithin+grace-quiet, newsWithin+grace-quiet
-					case callsMost:
+						soon, late = missedEventDeadline+grace-quiet, missedEventDeadline+grace-quiet
+					case maxWindow:
 						each = 3
 					}
 					if most == 0 || most > soon || last > late || calls >= each*n && n > 1 {
@@ -137,85 +137,85 @@
 
 // Whatever has failed before, a call that can still be answered in time comes in time; later ones come
 // within what a discovery takes to answer the whole group.
-func TestPaceKeepsTheClock(t *testing.T) {
+func TestRetryDelayKeepsMissedEventDeadline(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := Pacer{GroupSize: rapid.IntRange(1, 1000).Draw(t, "group"), Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))}
 		for range rapid.IntRange(1, 12).Draw(t, "calls") {
-			quiet := time.Duration(rapid.Int64Range(0, int64(2*newsWithin)).Draw(t, "quiet"))
-			lived := time.Duration(rapid.Int64Range(0, int64(2*livedLong)).Draw(t, "lived"))
+			quiet := time.Duration(rapid.Int64Range(0, int64(2*missedEventDeadline)).Draw(t, "quiet"))
+			lived := time.Duration(rapid.Int64Range(0, int64(2*stableWatchTime)).Draw(t, "lived"))
 			after := p.RetryDelay(lived, quiet)
-			if after < backoffFirst || after > callsMost || p.GroupSize == 1 && after > backoffFirst {
+			if after < minRetryDelay || after > maxWindow || p.GroupSize == 1 && after > minRetryDelay {
 				t.Fatalf("a group of %d asks again after %v", p.GroupSize, after)
 			}
-			if since := min(lived, quiet); since+backoffFirst <= askMost && since+after > askMost {
+			if since := min(lived, quiet); since+minRetryDelay <= maxCallDelay && since+after > maxCallDelay {
 				t.Fatalf("after a call that failed in %v, silent for %v, it asks again after %v", lived, quiet, after)
 			}
-			if quiet+backoffFirst <= askMost && quiet+after > askMost {
+			if quiet+minRetryDelay <= maxCallDelay && quiet+after > maxCallDelay {
 				t.Fatalf("silent for %v, it asks again after %v", quiet, after)
 			}
-			if quiet+backoffFirst > askMost && lived >= livedLong && after > backoffFirst {
+			if quiet+minRetryDelay > maxCallDelay && lived >= stableWatchTime && after > minRetryDelay {
 				t.Fatalf("held up for %v by itself, it asks again after %v", quiet, after)
 			}
 		}
 		for range 3 {
-			lasted := time.Duration(rapid.Int64Range(0, int64(answerMost)).Draw(t, "lasted"))
-			first := p.fails == 0
-			after := p.RejectionDelay(lasted, newsWithin)
-			if after < backoffFirst || after > callsMost || p.GroupSize == 1 && after > backoffFirst {
+			lasted := time.Duration(rapid.Int64Range(0, int64(maxAnswerTime)).Draw(t, "lasted"))
+			first := p.failures == 0
+			after := p.RejectionDelay(lasted, missedEventDeadline)
+			if after < minRetryDelay || after > maxWindow || p.GroupSize == 1 && after > minRetryDelay {
 				t.Fatalf("a group of %d, turned away, asks again after %v", p.GroupSize, after)
 			}
-			if !first && p.GroupSize >= 20 && lasted+after < answerMost {
+			if !first && p.GroupSize >= 20 && lasted+after < maxAnswerTime {
 				t.Fatalf("turned away, it asks again %v after it asked", lasted+after)
 			}
 		}
-		if d := p.FirstDelay(); d+answerMost > newsWithin {
+		if d := p.FirstDelay(); d+maxAnswerTime > missedEventDeadline {
 			t.Fatalf("the first call comes after %v", d)
 		}
-		if d := p.MoveDelay(); d+answerMost > newsWithin-movedSpent {
+		if d := p.MoveDelay(); d+maxAnswerTime > missedEventDeadline-moveTimeSpent {
 			t.Fatalf("the first call after a move comes after %v", d)
 		}
 	})
 }
 
-func TestPaceBounds(t *testing.T) {
+func TestPacerDelaysAreBounded(t *testing.T) {
 	one := Pacer{}
-	if one.FirstDelay() != 0 || one.MoveDelay() != 0 || one.RetryDelay(0, 0) != backoffFirst {
+	if one.FirstDelay() != 0 || one.MoveDelay() != 0 || one.RetryDelay(0, 0) != minRetryDelay {
 		t.Error("one instance waits for others")
 	}
 	p := Pacer{GroupSize: 80, Rand: rand.New(rand.NewPCG(1, 2))}
 	for range 1000 {
-		if d := p.FirstDelay(); d < 0 || d >= askMost {
+		if d := p.FirstDelay(); d < 0 || d >= maxCallDelay {
 			t.Fatalf("first after %v", d)
 		}
-		if d := p.MoveDelay(); d < 0 || d >= moveMost {
+		if d := p.MoveDelay(); d < 0 || d >= maxMoveDelay {
 			t.Fatalf("moved after %v", d)
 		}
 		for range 4 {
-			if d := p.RetryDelay(0, newsWithin); d < backoffFirst || d >= askMost {
+			if d := p.RetryDelay(0, missedEventDeadline); d < minRetryDelay || d >= maxCallDelay {
 				t.Fatalf("again after %v", d)
 			}
 		}
-		if p.RetryDelay(livedLong, 0); p.fails != 1 {
-			t.Fatalf("%d failures are remembered after a watch that lived", p.fails)
+		if p.RetryDelay(stableWatchTime, 0); p.failures != 1 {
+			t.Fatalf("%d failures are remembered after a watch that lived", p.failures)
 		}
 	}
 }
 
 // One of hundreds whose own agent has the list asks it at once, after each start, move and break: a
 // change counts as told while it waits.
-func TestOwnAgentIsAskedAtOnce(t *testing.T) {
+func TestOwnAgentIsCalledWithoutPacing(t *testing.T) {
 	f := NewFeed(Source{}, 41, Pacer{GroupSize: 300, Rand: rand.New(rand.NewPCG(1, 2))}, nil)
 	for _, agent := range []bool{true, false} {
 		first, moved, again := time.Duration(0), time.Duration(0), time.Duration(0)
 		for range 100 {
-			p := f.paceOf(Source{IsOwnAgent: agent})
-			first, moved, again = max(first, p.FirstDelay()), max(moved, p.MoveDelay()), max(again, p.RetryDelay(0, newsWithin))
+			p := f.pacerFor(Source{IsOwnAgent: agent})
+			first, moved, again = max(first, p.FirstDelay()), max(moved, p.MoveDelay()), max(again, p.RetryDelay(0, missedEventDeadline))
 		}
 		if !agent {
-			if first < time.Second || again < askMost*9/10 || again > askMost {
+			if first < time.Second || again < maxCallDelay*9/10 || again > maxCallDelay {
 				t.Errorf("a shared discovery is asked within %v, and again within %v", first, again)
 			}
-		} else if first > 0 || moved > 0 || again > backoffFirst {
+		} else if first > 0 || moved > 0 || again > minRetryDelay {
 			t.Errorf("the own agent is asked after %v, when moved after %v, again after %v", first, moved, again)
 		}
 	}
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -19,7 +19,7 @@
 
 // A watch of a scripted discovery: what it says at once and 2 s later, and whether it ends then or falls
 // silent. A watch of the zero value takes its call and says nothing.
-type scripted struct {
+type scriptedCall struct {
 	says, later string
 	ends        bool
 	beats       bool // goes on with heartbeats instead
@@ -27,25 +27,25 @@
 	dialer      bool // the same, and the dialer's own clock tells so first
 }
 
-const scriptedHead = "HTTP/1.1 200 OK\r\n\r\n"
+const responseHead = "HTTP/1.1 200 OK\r\n\r\n"
 
 var (
-	beating  = scripted{says: scriptedHead + "\n", later: "\n"}
-	mute     = scripted{}
-	headOnly = scripted{says: scriptedHead}
-	cutHead  = scripted{says: "HTTP/1.1 200 OK\r\nX-"}
-	cutShort = scripted{says: scriptedHead + "\n", later: `{"rev":44,"all":fal`}
-	cutLater = scripted{says: scriptedHead + `{"rev":44,"all":fal`, beats: true}
-	cutNext  = scripted{says: scriptedHead + `{"rev":43}` + "\n" + `{"rev":44,`, beats: true}
-	reset    = scripted{says: scriptedHead + "\n", later: "\n", ends: true}
-	away     = scripted{nobody: true}
-	timedOut = scripted{dialer: true}
+	beating  = scriptedCall{says: responseHead + "\n", later: "\n"}
+	mute     = scriptedCall{}
+	headOnly = scriptedCall{says: responseHead}
+	cutHead  = scriptedCall{says: "HTTP/1.1 200 OK\r\nX-"}
+	cutShort = scriptedCall{says: responseHead + "\n", later: `{"rev":44,"all":fal`}
+	cutLater = scriptedCall{says: responseHead + `{"rev":44,"all":fal`, beats: true}
+	cutNext  = scriptedCall{says: responseHead + `{"rev":43}` + "\n" + `{"rev":44,`, beats: true}
+	reset    = scriptedCall{says: responseHead + "\n", later: "\n", ends: true}
+	away     = scriptedCall{nobody: true}
+	timedOut = scriptedCall{dialer: true}
 )
 
-// play holds a watch on discoveries that answer one call after another by a script, and the calls after
+// playScript holds a watch on discoveries that answer one call after another by a script, and the calls after
 // with the list, after some time. It gives when the last of the script had been heard, or was
 // called where it said nothing, and when the list was told.
-func play(t *testing.T, f *Feed, script []scripted) (silent, told time.Time) {
+func playScript(t *testing.T, f *Feed, script []scriptedCall) (silent, told time.Time) {
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	var all sync.WaitGroup // of all that the bubble has to see the end of
@@ -57,10 +57,10 @@
 		defer mu.Unlock()
 		silent = time.Now()
 	}
-	f.through = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+	f.transport = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		all.Add(1)
 		defer all.Done()
-		s := scripted{says: scriptedHead + `{"rev":45,"all":true,"targets":[]}` + "\n"}
+		s := scriptedCall{says: responseHead + `{"rev":45,"all":true,"targets":[]}` + "\n"}
 		mu.Lock()
 		call := n
 		n++
@@ -75,7 +75,7 @@
 			return nil, errors.New("nobody came")
 		}
 		if s.dialer {
-			time.Sleep(watchSilence - time.Nanosecond)
+			time.Sleep(watchSilenceTimeout - time.Nanosecond)
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 		}
 		here, there := net.Pipe()
@@ -83,7 +83,7 @@
 			defer there.Close()
 			http.ReadRequest(bufio.NewReader(there))
 			if last {
-				time.Sleep(answerMost)
+				time.Sleep(maxAnswerTime)
 			}
 			for _, say := range []string{s.says, s.later} {
 				if say != "" {
@@ -105,7 +105,7 @@
 		})
 		return here, nil
 	}}
-	f.tell = func(l EndpointList) {
+	f.deliver = func(l EndpointList) {
 		if l.Revision == 45 && told.IsZero() {
 			told = time.Now()
 			close(done)
@@ -124,8 +124,8 @@
 
 // What a watch misses counts as told 6 s after it fell silent, wherever in its answer that was, for groups of
 // every size: by then another one has brought it, though its answer takes as long as answers may.
-func TestSilentWatchIsOpenedAnewInTime(t *testing.T) {
-	for name, script := range map[string][]scripted{
+func TestSilentWatchIsReopenedInTime(t *testing.T) {
+	for name, script := range map[string][]scriptedCall{
 		"after a heartbeat":         {beating},
 		"from its start":            {mute},
 		"in its head":               {cutHead},
@@ -148,9 +148,9 @@
 					for seed := range uint64(8) {
 						synctest.Test(t, func(t *testing.T) {
 							f := NewFeed(Source{Address: "discovery:1", IsOwnAgent: agent}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
-							silent, told := play(t, f, script)
-							if late := told.Sub(silent); late > newsWithin-newsSpare/2 {
-								t.Errorf("told %v after the silence began, of %v", late, newsWithin)
+							silent, told := playScript(t, f, script)
+							if late := told.Sub(silent); late > missedEventDeadline-deadlineMargin/2 {
+								t.Errorf("told %v after the silence began, of %v", late, missedEventDeadline)
 							}
 						})
 					}
@@ -162,8 +162,8 @@
 
 // After a move news counts as told 4 s later, also where the move comes before the first call, and
 // where the first calls are turned away.
-func TestMovedFeedIsToldInTime(t *testing.T) {
-	turned := scripted{says: "HTTP/1.1 503 Service Unavailable\r\n\r\n"}
+func TestMovedFeedReceivesListInTime(t *testing.T) {
+	turned := scriptedCall{says: "HTTP/1.1 503 Service Unavailable\r\n\r\n"}
 	for _, group := range []int{1, 3, 40, 300} {
 		for seed := range uint64(20) {
 			synctest.Test(t, func(t *testing.T) {
@@ -171,8 +171,8 @@
 				f.HasCachedList = true
 				f.SetSource(Source{Address: "discovery:1"})
 				moved := time.Now()
-				_, told := play(t, f, nil)
-				if late := told.Sub(moved); late > newsWithin-movedSpent {
+				_, told := playScript(t, f, nil)
+				if late := told.Sub(moved); late > missedEventDeadline-moveTimeSpent {
 					t.Errorf("group of %d: told %v after the move", group, late)
 				}
 			})
@@ -180,8 +180,8 @@
 				f := NewFeed(Source{Address: "old:1"}, 41, Pacer{GroupSize: group, Rand: rand.New(rand.NewPCG(seed, 1))}, nil)
 				f.SetSource(Source{Address: "discovery:1"})
 				moved := time.Now()
-				_, told := play(t, f, []scripted{turned})
-				if late := told.Sub(moved); late > newsWithin-movedSpent {
+				_, told := playScript(t, f, []scriptedCall{turned})
+				if late := told.Sub(moved); late > missedEventDeadline-moveTimeSpent {
 					t.Errorf("group of %d: told %v after the move, though turned away once", group, late)
 				}
 			})
@@ -191,7 +191,7 @@
 
 // A configuration that is read again before the new discovery has answered leaves the call to it alone, however
 // often: its news counts from the first.
-func TestMovedAgainBeforeItIsTold(t *testing.T) {
+func TestRepeatedMoveKeepsCallInProgress(t *testing.T) {
 	for _, group := range []int{1, 40, 300} {
 		for seed := range uint64(20) {
 			synctest.Test(t, func(t *testing.T) {
@@ -202,8 +202,8 @@
 					again := time.AfterFunc(later, func() { f.SetSource(Source{Address: "discovery:1"}) })
 					defer again.Stop()
 				}
-				_, told := play(t, f, nil)
-				if late := told.Sub(moved); late > newsWithin-movedSpent {
+				_, told := playScript(t, f, nil)
+				if late := told.Sub(moved); late > missedEventDeadline-moveTimeSpent {
 					t.Errorf("group of %d: told %v after the first move", group, late)
 				}
 			})
@@ -213,13 +213,13 @@
 
 // A configuration that is read while the watch is in any state, or twice, or that leads back to the old
 // discovery, has the list told 4 s later.
-func TestMovedInTheMiddle(t *testing.T) {
-	for name, old := range map[string]scripted{
+func TestMoveDuringWatchReceivesListInTime(t *testing.T) {
+	for name, old := range map[string]scriptedCall{
 		"beating": beating, "mute": mute, "in its head": cutHead, "behind its head": headOnly, "in a message": cutShort,
 		"in one, with heartbeats": cutNext, "never connected": away, "by the dialer's clock": timedOut, "reset": reset,
 	} {
 		for _, group := range []int{1, 3, 40, 300} {
-			for _, at := range []time.Duration{500 * time.Millisecond, 2500 * time.Millisecond, watchSilence, watchSilence + backoffFirst/2} {
+			for _, at := range []time.Duration{500 * time.Millisecond, 2500 * time.Millisecond, watchSilenceTimeout, watchSilenceTimeout + minRetryDelay/2} {
 				for way, to := range map[string][]string{"once": {"discovery:1"}, "twice": {"discovery:1", "discovery:1"}, "and back": {"discovery:1", "old:1"}} {
 					t.Run(fmt.Sprint(name, " ", group, " ", at, " ", way), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
@@ -232,7 +232,7 @@
 								}
 							})
 							defer move.Stop()
-							if _, told := play(t, f, []scripted{old}); told.Sub(moved) > newsWithin-movedSpent || told.Before(moved) {
+							if _, told := playScript(t, f, []scriptedCall{old}); told.Sub(moved) > missedEventDeadline-moveTimeSpent || told.Before(moved) {
 								t.Errorf("told %v after the move", told.Sub(moved))
 							}
 						})
--- /dev/null
+++ b/internal/discovery/source.go
@@ -0,0 +1,28 @@
+package discovery
+
+import "slices"
+
+// Kind is the kind of a source of endpoint lists.
+type Kind int
+
+// The kinds of source.
+const (
+	Watch  Kind = iota // a discovery of the platform's protocol, which is watched
+	File               // a file that holds an EndpointList as JSON, read again as it changes
+	Static             // the configuration itself
+)
+
+// Source is where a service's endpoint list comes from.
+type Source struct {
+	Kind       Kind
+	Address    string     // with Watch: host and port
+	IsOwnAgent bool       // with Watch: this instance's own agent, which no other instance calls
+	Path       string     // with File
+	Endpoints  []Endpoint // with Static
+}
+
+// Equal tells whether two sources are the same.
+func (s Source) Equal(o Source) bool {
+	return s.Kind == o.Kind && s.Address == o.Address && s.IsOwnAgent == o.IsOwnAgent && s.Path == o.Path &&
+		slices.Equal(s.Endpoints, o.Endpoints)
+}
--- /dev/null
+++ b/internal/discovery/watch_stream.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+const maxMessageBytes = 4 << 20
+
+// watchStream reads the body of a watch: JSON objects, which may extend over several lines, with heartbeats, which are
+// empty lines, between them.
+type watchStream struct {
+	*watcher
+	body         io.Reader
+	decoder      *json.Decoder // reads this stream
+	silenceTimer *time.Timer   // ends the watch
+	hasData      bool          // anything has arrived
+	isMidMessage bool          // a message has begun and not ended
+	bytesRead    int64
+}
+
+func newWatchStream(w *watcher, body io.Reader, silenceTimer *time.Timer) *watchStream {
+	s := &watchStream{watcher: w, body: body, silenceTimer: silenceTimer}
+	s.decoder = json.NewDecoder(s)
+	return s
+}
+
+// readMessages applies messages until the watch ends, which is no error, or fails.
+func (s *watchStream) readMessages() error {
+	for isFirst := true; ; isFirst = false {
+		var list EndpointList
+		if err := s.decoder.Decode(&list); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		buffered, _ := io.ReadAll(s.decoder.Buffered())
+		s.isMidMessage = len(bytes.TrimSpace(buffered)) > 0
+		if err := s.apply(list, isFirst); err != nil {
+			return err
+		}
+	}
+}
+
+// Read reads for the decoder. It bounds a message by what arrived since the end of the previous one, and restarts the
+// silence timer. Heartbeats within a message don't restart it: one that was cut off would never end.
+func (s *watchStream) Read(p []byte) (int, error) {
+	if s.bytesRead-s.decoder.InputOffset() > maxMessageBytes {
+		return 0, fmt.Errorf("a message of more than %d bytes", maxMessageBytes)
+	}
+	n, err := s.body.Read(p)
+	if n > 0 {
+		s.bytesRead += int64(n)
+		s.hasData = true
+		if hasText := len(bytes.TrimSpace(p[:n])) > 0; hasText || !s.isMidMessage {
+			s.isMidMessage = hasText
+			s.lastHeard = time.Now()
+			s.silenceTimer.Reset(s.silenceTimeout)
+		}
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/discovery/watcher.go
@@ -0,0 +1,155 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"lockflow/control"
+)
+
+// watchSilenceTimeout is one and a half times the interval of heartbeats, and longer than an answer takes. A watch that
+// is silent for so long is presumed broken.
+const watchSilenceTimeout = 3 * time.Second
+
+// How a call to a discovery failed, where that decides when the next one is made.
+var (
+	errSilent   = errors.New("it fell silent")
+	errRejected = errors.New("discovery rejected the call")
+)
+
+// watcher keeps a watch on the endpoint list at one address, and opens it again when it breaks. It is used from one
+// goroutine.
+type watcher struct {
+	client         *http.Client
+	url            string
+	revision       int64 // of the last message that was applied; 0 asks for a complete list
+	silenceTimeout time.Duration
+	pacer          *Pacer
+	deliver        func(EndpointList)
+	lastHeard      time.Time
+}
+
+func newWatcher(address string, revision int64, silenceTimeout time.Duration, pacer *Pacer, deliver func(EndpointList)) *watcher {
+	return &watcher{
+		pacer: pacer, url: "http://" + address + "/v1/servers?watch=1", revision: revision, silenceTimeout: silenceTimeout, deliver: deliver,
+		lastHeard: time.Now(),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: silenceTimeout}).DialContext,
+			DisableKeepAlives: true, DisableCompression: true,
+		}},
+	}
+}
+
+// run watches until ctx ends, after a first delay.
+func (w *watcher) run(ctx context.Context, delay time.Duration) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+		begun := time.Now()
+		hasData, err := w.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		// A watch that never sent anything fell silent as it began: it is opened again as early as one that had.
+		if errors.Is(err, errSilent) && w.lastHeard.Before(begun) {
+			w.lastHeard = begun
+		}
+		nextDelay := w.pacer.RetryDelay
+		if errors.Is(err, errRejected) {
+			nextDelay = w.pacer.RejectionDelay
+		}
+		delay = nextDelay(time.Since(begun), time.Since(w.lastHeard))
+		if hasData {
+			slog.Warn("discovery watch ended", "rev", w.revision, "err", err)
+		} else {
+			slog.Debug("discovery watch not established", "in", delay, "err", err)
+		}
+	}
+}
+
+// watch opens one watch and reads it until it ends. hasData tells whether anything arrived.
+func (w *watcher) watch(ctx context.Context) (hasData bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// Ends a call whose connection never comes up, and a watch that stops without an end: a heartbeat is due every 2 s.
+	silenceTimer := time.AfterFunc(w.silenceTimeout, func() { cancel(errSilent) })
+	defer silenceTimer.Stop()
+	response, err := w.call(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	silenceTimer.Reset(w.silenceTimeout)
+	stream := newWatchStream(w, response.Body, silenceTimer)
+	err = stream.readMessages()
+	return stream.hasData, err
+}
+
+// call opens a watch from the revision that is known.
+func (w *watcher) call(ctx context.Context) (*http.Response, error) {
+	url := w.url
+	if w.revision > 0 {
+		url += "&from=" + strconv.FormatInt(w.revision, 10)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := w.client.Do(request)
+	if err != nil {
+		return nil, classifyCallError(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, fmt.Errorf("%w: %s", errRejected, response.Status)
+	}
+	return response, nil
+}
+
+// classifyCallError wraps the error of a call without an answer: the discovery could not be reached, which includes the
+// dialer's own timeout, or it was reached and ended the call.
+func classifyCallError(err error) error {
+	opError, ok := errors.AsType[*net.OpError](err)
+	isDial := ok && opError.Op == "dial"
+	switch {
+	case isDial && opError.Timeout():
+		return errSilent
+	case isDial || errors.Is(err, errSilent):
+		return err
+	}
+	return fmt.Errorf("%w: %w", errRejected, err)
+}
+
+// apply delivers one message of a watch. With an error the watch has to be opened again: from the revision of the last
+// message that was applied, or for a complete list.
+func (w *watcher) apply(list EndpointList, isFirst bool) error {
+	if list.Revision < w.revision && !(list.IsComplete && isFirst) {
+		return w.applyOlder(list)
+	}
+	w.revision = list.Revision
+	w.deliver(list)
+	return nil
+}
+
+// applyOlder handles a message of a revision before the one that is known. Either the discovery counts anew, and its
+// changes don't fit the list, or the message is late and its servers may have drained since. That a server is not up
+// holds in either case and is delivered; for the rest a complete list is needed.
+func (w *watcher) applyOlder(list EndpointList) error {
+	w.revision = 0
+	list.IsComplete = false
+	list.Endpoints = slices.DeleteFunc(list.Endpoints, func(e Endpoint) bool { return e.EndpointState() == control.Active })
+	if len(list.Endpoints) > 0 {
+		w.deliver(list)
+	}
+	return fmt.Errorf("discovery: version went back to %d", list.Revision)
+}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watcher_test.go
@@ -24,7 +24,7 @@
 func startWatch(t *testing.T, a *testkit.Agent, rev int64, silence time.Duration) (<-chan EndpointList, *Feed) {
 	told := make(chan EndpointList, 100)
 	w := NewFeed(Source{Address: a.Addr()}, rev, Pacer{}, func(l EndpointList) { told <- l })
-	w.silence = silence
+	w.silenceTimeout = silence
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx) }()
@@ -32,10 +32,10 @@
 	return told, w
 }
 
-const oneUp = `{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","az":"a","model":"m2","pod_group":3,"state":"up","boot_ms":1700000000000}]}` + "\n"
+const activeEndpointMessage = `{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","az":"a","model":"m2","pod_group":3,"state":"up","boot_ms":1700000000000}]}` + "\n"
 
 // After each way in which a watch can break, the next asks from the last whole version.
-func TestWatchComesBack(t *testing.T) {
+func TestWatchResumesFromRevision(t *testing.T) {
 	for name, tc := range map[string]struct{ line, from string }{
 		"ended":             {"", "from=43"},
 		"cut off in a line": {`{"rev":44,"all":fal`, "from=43"},
@@ -50,7 +50,7 @@
 				t.Errorf("asked %s", q)
 			}
 			a.Tell <- "\n" // a heartbeat
-			a.Tell <- oneUp
+			a.Tell <- activeEndpointMessage
 			if l := testkit.Next(t, told); l.Revision != 43 || l.IsComplete || l.Endpoints[0].Group != 3 || l.Endpoints[0].StartedAtMS != 1700000000000 {
 				t.Errorf("told %+v", l)
 			}
@@ -62,7 +62,7 @@
 			if tc.from == "" && strings.Contains(q, "from") || !strings.Contains(q, tc.from) {
 				t.Errorf("asked %s", q)
 			}
-			a.Tell <- strings.Replace(oneUp, "43", "45", 1)
+			a.Tell <- strings.Replace(activeEndpointMessage, "43", "45", 1)
 			if l := testkit.Next(t, told); l.Revision != 45 {
 				t.Errorf("told %+v", l)
 			}
@@ -72,7 +72,7 @@
 
 // Versions may repeat and leave some out; one that goes back has the whole list be asked for, which may be of any version.
 // Changes before any whole list are of the one that is known.
-func TestVersionsInAnyOrder(t *testing.T) {
+func TestRevisionsOutOfOrder(t *testing.T) {
 	a := testkit.NewAgent(t)
 	told, _ := startWatch(t, a, 0, testkit.Patience)
 	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
@@ -101,7 +101,7 @@
 }
 
 // A watch that says nothing is dead, though its connection is open.
-func TestSilentWatch(t *testing.T) {
+func TestSilentWatchIsReopened(t *testing.T) {
 	a := testkit.NewAgent(t)
 	startWatch(t, a, 41, 50*time.Millisecond)
 	testkit.Next(t, a.Asked)
@@ -112,7 +112,7 @@
 
 // After a move the new discovery is asked for its whole list at once, whatever versions
 // the old one had come to, also where the old one is gone and a pause is on.
-func TestWatchMoves(t *testing.T) {
+func TestWatchFollowsNewSource(t *testing.T) {
 	old, other := testkit.NewAgent(t), testkit.NewAgent(t)
 	told, w := startWatch(t, old, 41, testkit.Patience)
 	testkit.Next(t, old.Asked)
@@ -133,7 +133,7 @@
 
 // One entry that can't be used takes nothing from the others, and a drain is heard whatever else its
 // entry holds.
-func TestOddEntriesAreLeftOut(t *testing.T) {
+func TestInvalidEntriesAreIgnored(t *testing.T) {
 	a := testkit.NewAgent(t)
 	told, _ := startWatch(t, a, 41, testkit.Patience)
 	testkit.Next(t, a.Asked)
@@ -153,11 +153,11 @@
 
 // Changes that don't fit the list, of a discovery that began to count anew or told them out of order, are
 // asked for anew; but a drain in them is told as it arrives: by then the next answer may be some seconds off.
-func TestDrainOfAnOlderVersionIsHeard(t *testing.T) {
+func TestDrainingOfOlderRevisionIsApplied(t *testing.T) {
 	a := testkit.NewAgent(t)
 	told, _ := startWatch(t, a, 41, testkit.Patience)
 	testkit.Next(t, a.Asked)
-	a.Tell <- oneUp
+	a.Tell <- activeEndpointMessage
 	testkit.Next(t, told)
 	a.Tell <- `{"rev":42,"targets":[{"uid":"s-2","endpoint":"127.0.0.1:9","state":"up"},{"uid":"s-1","state":"draining"},{"uid":"s-3","state":"removed"}]}` + "\n"
 	l := testkit.Next(t, told)
@@ -173,7 +173,7 @@
 // A whole list of an older version than what the same watch has told is no news of servers that are up: one that
 // has drained since would be sent to again. At the beginning of a watch it is the list of a discovery that
 // counts anew.
-func TestWholeListOutOfOrder(t *testing.T) {
+func TestCompleteListOutOfOrder(t *testing.T) {
 	a := testkit.NewAgent(t)
 	told, _ := startWatch(t, a, 41, testkit.Patience)
 	testkit.Next(t, a.Asked)
@@ -197,9 +197,9 @@
 
 // A message may be indented, so that it goes over many lines, with empty lines between messages; one without
 // end is none.
-func TestIndentedMessages(t *testing.T) {
+func TestIndentedMessagesAreRead(t *testing.T) {
 	var line, indented bytes.Buffer
-	line.WriteString(oneUp)
+	line.WriteString(activeEndpointMessage)
 	if err := json.Indent(&indented, line.Bytes(), "", "  "); err != nil {
 		t.Fatal(err)
 	}
@@ -212,7 +212,7 @@
 			t.Errorf("told %+v", l)
 		}
 	}
-	a.Tell <- `{"rev":46,"targets":[` + strings.Repeat(" ", messageMost+64<<10)
+	a.Tell <- `{"rev":46,"targets":[` + strings.Repeat(" ", maxMessageBytes+64<<10)
 	if q := testkit.Next(t, a.Asked); !strings.Contains(q, "from=45") {
 		t.Errorf("asked %s", q)
 	}
@@ -220,12 +220,12 @@
 
 // What a watch that falls silent misses counts as told 6 s after that: by then it is
 // open anew.
-func TestSilenceIsShort(t *testing.T) {
+func TestSilenceTimeoutLeavesTimeForRetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		here, there := net.Pipe()
 		opened := make(chan time.Duration, 10)
 		begun := time.Now()
-		w := newWatcher("agent", 41, watchSilence, &Pacer{}, func(EndpointList) {})
+		w := newWatcher("agent", 41, watchSilenceTimeout, &Pacer{}, func(EndpointList) {})
 		w.client.Transport = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 			opened <- time.Since(begun)
 			if len(opened) > 1 {
@@ -238,20 +238,20 @@
 			return here, nil
 		}}
 		ctx, cancel := context.WithCancel(t.Context())
-		go w.stay(ctx, 0)
+		go w.run(ctx, 0)
 		time.Sleep(6 * time.Second)
 		cancel()
 		synctest.Wait()
 		there.Close()
 		<-opened
-		if at := <-opened; at != watchSilence+backoffFirst {
+		if at := <-opened; at != watchSilenceTimeout+minRetryDelay {
 			t.Errorf("opened anew after %v", at)
 		}
 	})
 }
 
-func FuzzListing(f *testing.F) {
-	f.Add([]byte(oneUp))
+func FuzzEndpointList(f *testing.F) {
+	f.Add([]byte(activeEndpointMessage))
 	f.Add([]byte(`{"rev":1,"all":true,"targets":[null,{"uid":"a","state":"gone"},{"uid":"b","endpoint":"x:1","state":"up"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var l EndpointList
@@ -266,15 +266,15 @@
 	})
 }
 
-// answering is a transport that gives each call the same answer.
-type answering func() io.Reader
+// bodyTransport is a transport that gives each call the same answer.
+type bodyTransport func() io.Reader
 
-func (a answering) RoundTrip(*http.Request) (*http.Response, error) {
+func (a bodyTransport) RoundTrip(*http.Request) (*http.Response, error) {
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(a())}, nil
 }
 
 // Wherever the network cuts what a watch says (in a character, a number, between CR and LF), the same is told.
-func TestWatchCutAnywhere(t *testing.T) {
+func TestWatchResumesAfterCutAtAnyByte(t *testing.T) {
 	const says = "\r\n\n" + `{"rev":43,"all":true,"more":{"x":[1,2]},"targets":[` + "\r\n" + `  {"uid":"s-é","endpoint":"127.0.0.1:9","az":"Zürich","model":"\u00fc}","pod_group":31,"state":"up","boot_ms":1.7e12}]}` +
 		"\n \r\n" + `{"rev":44,"targets":[{"uid":"s-é","state":"draining"}]}{"rev":45,"targets":[]}` + "\r\n"
 	want := []EndpointList{
@@ -289,8 +289,8 @@
 	for name, in := range pieces {
 		var told []EndpointList
 		w := newWatcher("a:1", 41, testkit.Patience, &Pacer{}, func(l EndpointList) { told = append(told, l) })
-		w.client.Transport = answering(in)
-		if heard, err := w.watch(t.Context()); !heard || err != nil || w.rev != 45 || !reflect.DeepEqual(told, want) {
+		w.client.Transport = bodyTransport(in)
+		if heard, err := w.watch(t.Context()); !heard || err != nil || w.revision != 45 || !reflect.DeepEqual(told, want) {
 			t.Errorf("cut at %s: %v, %v, told %+v", name, heard, err, told)
 		}
 	}
