--- /dev/null
+++ b/control/concurrency_limit_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestConcurrencyLimitStartsAtTwoPerServerAndIsCutOnce(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3)...)
+	for i := 0; i < 20; i++ {
+		gateway.request(fmt.Sprint(i), "job", "low", "x")
+	}
+	if len(gateway.sends) != 6 {
+		t.Fatalf("%d in flight with three servers at start", len(gateway.sends))
+	}
+	gateway.c.limiter.limit = 40
+	for i := 0; i < 10; i++ { // time-outs and refusals, many in each interval
+		gateway.c.window.overloads, gateway.c.window.answers = 5, 5
+		before := gateway.c.limiter.limit
+		gateway.c.endWindow(1)
+		if gateway.c.limiter.limit < before/2 {
+			t.Errorf("the bound went from %g to %g in one interval", before, gateway.c.limiter.limit)
+		}
+	}
+	if gateway.c.limiter.limit != 3 {
+		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", gateway.c.limiter.limit)
+	}
+}
+
+// Guards against a few long requests that pin the bound to its floor.
+func TestOneTimeoutDoesNotCutTheConcurrencyLimit(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
+	gateway.c.limiter.limit, gateway.c.window.overloads, gateway.c.window.answers = 40, 1, 99
+	gateway.c.endWindow(1)
+	if gateway.c.limiter.limit < 40 {
+		t.Errorf("bound %g after one time-out in a hundred answers", gateway.c.limiter.limit)
+	}
+	gateway.c.window.overloads, gateway.c.window.answers = 30, 70
+	gateway.c.endWindow(1)
+	if gateway.c.limiter.limit != 20 {
+		t.Errorf("bound %g after thirty in a hundred", gateway.c.limiter.limit)
+	}
+}
+
+// Guards against many gateways that jam the fleet by their floors alone.
+func TestMinimumLimitsOfALargeGroupAreShared(t *testing.T) {
+	settings := testSettings()
+	settings.GroupSize = 16
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8)...)
+	for i := 0; i < 50; i++ {
+		gateway.request(fmt.Sprint(i), "job", "low", "x")
+	}
+	if per := float64(16*len(gateway.sends)) / 8; per > 8 {
+		t.Errorf("a group of 16 starts with %g requests in each server", per)
+	}
+}
+
+// Guards against bounds below one that stop the work: a place is used, then rests.
+func TestFractionalSlotPausesAndFlows(t *testing.T) {
+	gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1)...)
+	gateway.c.limiter.limit, gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.25, 0.1, 0.1, 100
+	gateway.request("a", "job", "high", "x")
+	gateway.request("b", "job", "high", "y")
+	if len(gateway.sends) != 1 {
+		t.Fatalf("%d sent with a quarter of a place", len(gateway.sends))
+	}
+	gateway.now += 100 * ms
+	gateway.respond("a", OK, 0)
+	if len(gateway.sends) != 1 {
+		t.Fatal("the place did not rest")
+	}
+	gateway.advance(450 * ms)
+	if len(gateway.sends) != 2 {
+		t.Error("the place rests for more than three times its use")
+	}
+}
+
+// Requests whose body is still to come are no part of the bound, however many there are and
+// however long they last, and teach nothing of the servers' speed.
+func TestPendingBodiesAreOutsideTheConcurrencyLimit(t *testing.T) {
+	settings := testSettings()
+	settings.GroupSize, settings.MeterPeriod = 1, 0
+	settings.Classes = []Class{{Name: "write", LatencyObjective: 2 * time.Second, Deadline: 20 * time.Second, Idempotency: NotIdempotent, PriorityWeight: 1}}
+	settings.Plans = []Plan{{Name: "p", Price: 1}}
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2)...)
+	ask := func(id string, open bool) {
+		gateway.handle(Request{ID: id, Class: "write", Plan: "p", Customer: "c", Timeout: 20 * time.Second, Units: 1, FanOut: 1, HasPendingBody: open})
+	}
+	for i := range 200 {
+		ask(fmt.Sprint("up-", i), true)
+	}
+	if len(gateway.sends) != 200 {
+		t.Fatalf("%d of 200 were sent", len(gateway.sends))
+	}
+	gateway.advance(10 * time.Second)
+	ask("small", false)
+	if len(gateway.sends) != 201 {
+		t.Fatal("an ordinary one waits for them")
+	}
+	for i, send := range gateway.sends[:200] {
+		why := []Reason{OK, TimedOut, ResetByPeer}[i%3]
+		gateway.handle(AttemptResult{ID: send.ID, Server: send.Server, Reason: why, IsFinal: why == OK, Delay: 10 * time.Second})
+	}
+	if gateway.c.slots.streaming != 0 || gateway.c.slots.inFlight != 1 {
+		t.Errorf("%d streams, %d in flight", gateway.c.slots.streaming, gateway.c.slots.inFlight)
+	}
+	if gateway.c.fleet.latency.mean >= settings.Classes[0].LatencyObjective.Seconds() {
+		t.Errorf("the fleet is taken to need %g s", gateway.c.fleet.latency.mean)
+	}
+	for _, srv := range gateway.c.sortedServers {
+		if srv.latency.seconds > 1 {
+			t.Errorf("server %d is taken to need %g s", srv.Server, srv.latency.seconds)
+		}
+	}
+}
+
+// Guards against a first interval with many answers that leaves the idle time at nothing.
+func TestIdleLatencyIsKnownFromTheFirstWindow(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
+	for i := 0; i < 60; i++ {
+		gateway.request(fmt.Sprint(i), "job", "high", "x")
+		gateway.now += 20 * ms
+		gateway.respond(fmt.Sprint(i), OK, 0)
+	}
+	gateway.c.endWindow(1)
+	if gateway.c.limiter.idleLatency < 0.015 || gateway.c.limiter.idleLatency > 0.03 {
+		t.Errorf("idle time %g s after answers within 20 ms", gateway.c.limiter.idleLatency)
+	}
+}
+
+// Guards against a second cut of the bound for answers to sends from before the first.
+func TestConcurrencyLimitIsCutOncePerLatency(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
+	gateway.c.limiter.limit, gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 80, 1.2, 0.1, 100
+	for i, want := range []float64{40, 40, 40, 20} {
+		gateway.c.window.latencyCount, gateway.c.window.answers, gateway.c.window.latencyRatioSum, gateway.c.window.latencySecondsSum = 10, 10, 7, 14
+		gateway.c.now = gateway.now + time.Duration(i)*time.Second
+		gateway.c.endWindow(1)
+		if gateway.c.limiter.limit != want {
+			t.Errorf("bound %g after %d late seconds, want %g", gateway.c.limiter.limit, i+1, want)
+		}
+	}
+}
+
+// Guards against a bound that grows while many answers come late, because the reports of servers
+// that have just started still tell of room.
+func TestManyLateAnswersCutTheConcurrencyLimit(t *testing.T) {
+	settings := testSettings()
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4)...)
+	gateway.c.limiter.limit = 200
+	gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.1, 100
+	n := 0
+	for range 3 {
+		var ids []string
+		for range 80 {
+			n++
+			id := fmt.Sprint(n)
+			gateway.request(id, "job", "high", fmt.Sprint("x", n%20))
+			if gateway.attempts[id] > 0 {
+				ids = append(ids, id)
+			}
+		}
+		gateway.now += 1500 * ms
+		for _, id := range ids {
+			srv := uint32(0)
+			for _, send := range gateway.sends {
+				if send.ID == id {
+					srv = send.Server
+				}
+			}
+			gateway.handle(AttemptResult{ID: id, Server: srv, Reason: OK, IsFinal: true, Load: loadReport(10, 0.3)})
+			gateway.finalAnswers[id] = Reject{ID: id}
+		}
+		gateway.advance(time.Second)
+	}
+	if gateway.c.ConcurrencyLimit() >= 200 {
+		t.Errorf("the bound is %g after 200 answers that took 1.5 s of an aim of 2 s", gateway.c.ConcurrencyLimit())
+	}
+}
+
+// Guards against a bound that falls for a few answers that took long, while the servers tell that
+// they have room; where they tell that they have none, it falls.
+func TestConcurrencyLimitIsCutOnlyIfServersAreFull(t *testing.T) {
+	for _, k := range []struct {
+		util float64
+		cut  bool
+	}{{0.5, false}, {1, true}} {
+		gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8)...)
+		first := gateway.c.ConcurrencyLimit()
+		for i := range 40 {
+			id := fmt.Sprint(i)
+			gateway.request(id, "job", "high", fmt.Sprint("x", i))
+			gateway.advance(1200 * ms)
+			if n := len(gateway.sends); gateway.attempts[id] > 0 {
+				gateway.handle(AttemptResult{
+					ID: id, Server: gateway.sends[n-1].Server, Reason: OK, IsFinal: true,
+					Load: loadReport(1200, k.util),
+				})
+				gateway.finalAnswers[id] = Reject{ID: id}
+			}
+		}
+		if cut := gateway.c.ConcurrencyLimit() < first; cut != k.cut {
+			t.Errorf("servers at %.1f: the bound went from %.2f to %.2f", k.util, first, gateway.c.ConcurrencyLimit())
+		}
+	}
+}
--- /dev/null
+++ b/control/endpoints_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestEndpointListIsWatchedAgainAfterAFailure(t *testing.T) {
+	settings := testSettings()
+	settings.ListOnRequest, settings.MaxPollInterval = true, 10*time.Second
+	gateway := newTestGateway(t, settings, activeEndpoints(1)...)
+	follows := func() (n int) {
+		for _, action := range gateway.actions {
+			if f, ok := action.(WatchEndpoints); ok && f.Active {
+				n++
+			}
+		}
+		return n
+	}
+	gateway.advance(200 * ms)
+	if follows() != 1 {
+		t.Fatalf("%d askings at start", follows())
+	}
+	gateway.handle(EndpointList{Kind: ListFailed})
+	gateway.advance(5 * time.Second)
+	if follows() < 2 {
+		t.Error("no second asking after the first failed")
+	}
+	gateway.handle(EndpointList{Kind: ListComplete, Endpoints: activeEndpoints(1)})
+	n := follows()
+	gateway.advance(20 * time.Second)
+	if follows() != n {
+		t.Error("asked again while subscribed")
+	}
+}
+
+// A server that has a request is told to drain, or gone, by an entry that says nothing else of it.
+// A repeat still goes to those that drop repeats of what it ran, or to none.
+func TestGoneServerKeepsItsRepeatGroup(t *testing.T) {
+	for _, condition := range []EndpointState{Draining, Gone} {
+		for _, scope := range []KeyScope{ScopeZone, ScopeCell} {
+			for _, deadline := range []time.Duration{400 * ms, 6 * time.Second} {
+				t.Run(fmt.Sprint(condition, scope, deadline), func(t *testing.T) {
+					settings := testSettings()
+					settings.Classes = []Class{{
+						Name: "put", LatencyObjective: deadline / 2, Deadline: deadline, PriorityWeight: 1, Idempotency: IdempotencyKeyed, KeyScope: scope,
+						RepeatWindow: deadline,
+					}}
+					group := []Endpoint{{Server: 1, Zone: "z1", Cell: 1, Size: 1}, {Server: 2, Zone: "z1", Cell: 1, Size: 1}}
+					others := []Endpoint{{Server: 3, Size: 1}, {Server: 4, Size: 1}, {Server: 5, Size: 1}} // in no zone
+					gateway := newTestGateway(t, settings, group[0])
+					gateway.handle(Request{ID: "r", Class: "put", Plan: "low", Customer: "x", Timeout: deadline, Units: 1, FanOut: 1})
+					gateway.handle(EndpointList{Kind: ListPatch, Endpoints: append([]Endpoint{{Server: 1, State: condition}}, others...)})
+					gateway.respond("r", ResetByPeer, 0)
+					if len(gateway.sends) != 1 {
+						t.Fatalf("sent again to %d", gateway.sends[1].Server)
+					}
+					gateway.handle(EndpointList{Kind: ListPatch, Endpoints: group[1:]})
+					if len(gateway.sends) != 2 || gateway.sends[1].Server != 2 {
+						t.Errorf("sent to %v, not again to 2", gateway.sends)
+					}
+				})
+			}
+		}
+	}
+}
--- a/control/odd_test.go
+++ b/control/extreme_settings_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// odd draws the settings of any customer: few classes or many, of any effect, deadlines short and
+// extremeSettings draws the settings of any customer: few classes or many, of any effect, deadlines short and
 // long, plans with each kind of quota, with and without meter, cold time and attempt limit.
-func odd(rng *rand.Rand) Settings {
+func extremeSettings(rng *rand.Rand) Settings {
 	some := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
 	settings := Settings{
 		GroupSize: []int{1, 2, 7, 300}[rng.IntN(4)], Zone: []string{"", "z1"}[rng.IntN(2)], MaxAttempts: rng.IntN(4),
@@ -37,10 +37,10 @@
 	return settings
 }
 
-// stray is an event that refers to what is not there, or comes twice or too late.
-func (w *world) stray() Event {
-	id := fmt.Sprint("r", w.rng.IntN(w.next+2))
-	for _, f := range w.out { // not of what is out, which has its own end
+// strayEvent is an event that refers to what is not there, or comes twice or too late.
+func (w *world) strayEvent() Event {
+	id := fmt.Sprint("r", w.rng.IntN(w.lastID+2))
+	for _, f := range w.inFlight { // not of what is out, which has its own end
 		if f.id == id {
 			return ClientGone{ID: "unknown"}
 		}
@@ -58,7 +58,7 @@
 	case 4: // all are gone at once
 		event := EndpointList{Kind: ListPatch}
 		for id := range w.members {
-			w.toldBad[id] = true
+			w.isInactive[id] = true
 		}
 		for id := uint32(1); id <= 8; id++ {
 			event.Endpoints = append(event.Endpoints, Endpoint{Server: id, State: Gone})
@@ -67,7 +67,7 @@
 	case 5: // one twice, and nothing else
 		event := EndpointList{Kind: ListComplete}
 		for id := range w.members {
-			w.toldBad[id] = id != 3
+			w.isInactive[id] = id != 3
 		}
 		endpoint := Endpoint{Server: 3, Zone: "z2", Cell: 1, HasStartedAt: true, StartedAt: w.now + time.Second}
 		w.members[3] = &endpoint
@@ -77,12 +77,12 @@
 	return ClientGone{ID: "unknown"}
 }
 
-// come is a request of any kind, or one of an id that is held.
-func (w *world) come() {
+// arriveAny is a request of any kind, or one of an id that is held.
+func (w *world) arriveAny() {
 	class, plan := w.set.Classes[w.rng.IntN(len(w.set.Classes))], w.set.Plans[w.rng.IntN(len(w.set.Plans))]
-	w.next++
-	id := fmt.Sprint("r", w.next)
-	r := &ask{
+	w.lastID++
+	id := fmt.Sprint("r", w.lastID)
+	r := &openRequest{
 		class: class, plan: plan.Name, customer: fmt.Sprint("k", w.rng.IntN(5)), units: []float64{0, 0.1, 1, 4}[w.rng.IntN(4)],
 		end: w.now + 1 + time.Duration(w.rng.Float64()*float64(class.Deadline)),
 	}
@@ -91,15 +91,15 @@
 		FanOut: 1 + w.rng.IntN(w.set.GroupSize), IsRetry: w.rng.IntN(5) == 0, HasPendingBody: w.rng.IntN(10) == 0,
 		IsOverCapacity: w.rng.IntN(30) == 0, IsOverHardLimit: w.rng.IntN(30) == 0,
 	}
-	w.open[id] = r
+	w.requests[id] = r
 	w.handle(event)
-	if w.rng.IntN(20) == 0 && w.open[id] != nil {
+	if w.rng.IntN(20) == 0 && w.requests[id] != nil {
 		w.handle(event) // again, while it is held
 	}
 }
 
-// turn is one step of odd events.
-func (w *world) turn(comes bool) {
+// stepAny is one step of odd events.
+func (w *world) stepAny(comes bool) {
 	w.now += time.Duration(w.rng.IntN(10)) * ms
 	if w.rng.IntN(400) == 0 { // the gateway stood still
 		w.now += time.Duration(w.rng.IntN(3000)) * ms
@@ -112,30 +112,30 @@
 			i = -1
 		}
 	}
-	for i := 0; i < len(w.out); i++ {
-		if f := w.out[i]; w.now >= f.till {
+	for i := 0; i < len(w.inFlight); i++ {
+		if f := w.inFlight[i]; w.now >= f.timesOutAt {
 			w.outcome(i)
 			i = -1
-		} else if r := w.open[f.id]; r != nil && w.rng.IntN(60) == 0 {
-			w.handle(ResponseStarted{ID: f.id, Attempt: f.n, Server: f.srv, Delay: w.now - f.at})
+		} else if r := w.requests[f.id]; r != nil && w.rng.IntN(60) == 0 {
+			w.handle(ResponseStarted{ID: f.id, Attempt: f.number, Server: f.server, Delay: w.now - f.sentAt})
 		}
 	}
 	switch k := w.rng.IntN(100); {
 	case k < 40 && comes:
-		w.come()
-	case k < 80 && len(w.out) > 0:
-		w.outcome(w.rng.IntN(len(w.out)))
+		w.arriveAny()
+	case k < 80 && len(w.inFlight) > 0:
+		w.outcome(w.rng.IntN(len(w.inFlight)))
 	case k < 84 && comes:
 		w.handle(w.list())
 	case k < 90:
-		w.handle(w.stray())
-	case k < 93 && w.next > 0:
-		if id := fmt.Sprint("r", 1+w.rng.IntN(w.next)); w.open[id] != nil {
-			delete(w.open, id)
+		w.handle(w.strayEvent())
+	case k < 93 && w.lastID > 0:
+		if id := fmt.Sprint("r", 1+w.rng.IntN(w.lastID)); w.requests[id] != nil {
+			delete(w.requests, id)
 			w.handle(ClientGone{ID: id})
 		}
 	}
-	for id, r := range w.open {
+	for id, r := range w.requests {
 		if w.now > r.end+16*ms {
 			w.t.Fatalf("%s has no answer %v after its end", id, w.now-r.end)
 		}
@@ -144,12 +144,12 @@
 
 // Whatever the settings are, and whatever comes twice, too late or of what is not there: each request
 // has one answer in time, and once none is left nothing is kept of any: no place, turn or unit.
-func TestAnySettingsAndStrayEventsLeaveNothing(t *testing.T) {
+func TestExtremeSettingsAndStrayEventsLeaveNoState(t *testing.T) {
 	for seed := uint64(1); seed <= 300; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		w := &world{
-			t: t, rng: rng, set: odd(rng), now: time.Hour, members: map[uint32]*Endpoint{}, toldBad: map[uint32]bool{},
-			open: map[string]*ask{},
+			t: t, rng: rng, set: extremeSettings(rng), now: time.Hour, members: map[uint32]*Endpoint{}, isInactive: map[uint32]bool{},
+			requests: map[string]*openRequest{},
 		}
 		w.set.CanCancel, w.set.HealthChecks = false, false
 		var err error
@@ -160,15 +160,15 @@
 			w.set.MaxAttempts = math.MaxInt
 		}
 		for range 600 {
-			w.turn(true)
+			w.stepAny(true)
 		}
 		for range 20000 {
-			if w.turn(false); len(w.out)+len(w.open) == 0 {
+			if w.stepAny(false); len(w.inFlight)+len(w.requests) == 0 {
 				break
 			}
 		}
 		c := w.c
-		if n := len(c.requests) + len(c.requestsByTimer) + len(c.attempts) + c.slots.inFlight + c.slots.streaming; n != 0 || len(w.out)+len(w.open) != 0 {
+		if n := len(c.requests) + len(c.requestsByTimer) + len(c.attempts) + c.slots.inFlight + c.slots.streaming; n != 0 || len(w.inFlight)+len(w.requests) != 0 {
 			t.Fatalf("seed %d: %d requests, %d labels, %d attempts, %d in flight, %d streams are left", seed, len(c.requests), len(c.requestsByTimer),
 				len(c.attempts), c.slots.inFlight, c.slots.streaming)
 		}
--- /dev/null
+++ b/control/gateway_test.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// testSettings is a small deployment for tests: one free class, two plans.
+func testSettings() Settings {
+	return Settings{
+		GroupSize: 2, Zone: "z1", MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		WarmupTime: 10 * time.Second, InitialCapacity: 0.2, OverloadWindow: time.Second, OverloadMultiple: 2, MeterPeriod: time.Second,
+		CanCancel: true,
+		Classes:   []Class{{Name: "job", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1}},
+		Plans: []Plan{
+			{Name: "low", Price: 0.5, QuotaRate: 1000, QuotaBurst: 1000},
+			{Name: "high", Price: 1.5, QuotaRate: 1000, QuotaBurst: 1000},
+		},
+	}
+}
+
+// testGateway drives one controller by hand and keeps what it was told to do.
+type testGateway struct {
+	t            *testing.T
+	c            *Controller
+	now          time.Duration
+	sends        []Send
+	finalAnswers map[string]Action
+	attempts     map[string]int // attempts by request
+	timers       map[uint64]time.Duration
+	actions      []Action
+}
+
+func newTestGateway(t *testing.T, settings Settings, servers ...Endpoint) *testGateway {
+	t.Helper()
+	c, err := New(settings, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway := &testGateway{
+		t: t, c: c, now: time.Hour, finalAnswers: map[string]Action{}, attempts: map[string]int{},
+		timers: map[uint64]time.Duration{},
+	}
+	gateway.handle(EndpointList{Kind: ListCached, Endpoints: servers})
+	return gateway
+}
+
+// handle hands over one event and checks what holds for all actions.
+func (g *testGateway) handle(event Event) {
+	g.t.Helper()
+	acts := append([]Action{}, g.c.Handle(g.now, event)...)
+	for _, action := range acts {
+		switch a := action.(type) {
+		case Send:
+			if g.finalAnswers[a.ID] != nil {
+				g.t.Fatalf("%s was sent after its end", a.ID)
+			}
+			g.attempts[a.ID]++
+			g.sends = append(g.sends, a)
+		case Reject:
+			g.recordFinal(a.ID, a)
+		case Fail:
+			g.recordFinal(a.ID, a)
+		case StartTimer:
+			g.timers[a.Label] = g.now + a.After
+		}
+	}
+	g.actions = append(g.actions, acts...)
+}
+
+func (g *testGateway) recordFinal(id string, action Action) {
+	g.t.Helper()
+	if g.finalAnswers[id] != nil {
+		g.t.Fatalf("%s has two final answers", id)
+	}
+	g.finalAnswers[id] = action
+}
+
+// advance lets time go by, with the timers that come due in it.
+func (g *testGateway) advance(d time.Duration) {
+	g.t.Helper()
+	for end := g.now + d; ; {
+		var label uint64
+		at := end + 1
+		for l, t := range g.timers {
+			if t < at || t == at && l < label {
+				label, at = l, t
+			}
+		}
+		if at > end {
+			g.now = end
+			return
+		}
+		delete(g.timers, label)
+		g.now = max(g.now, at)
+		g.handle(TimerFired{Label: label})
+	}
+}
+
+func (g *testGateway) request(id, class, plan, customer string) {
+	g.t.Helper()
+	g.handle(Request{ID: id, Class: class, Plan: plan, Customer: customer, Timeout: 5 * time.Second, Units: 1, FanOut: 2})
+}
+
+// respond answers the latest send of a request.
+func (g *testGateway) respond(id string, why Reason, used int) {
+	g.t.Helper()
+	for i := len(g.sends) - 1; i >= 0; i-- {
+		if g.sends[i].ID == id {
+			g.handle(AttemptResult{ID: id, Attempt: g.attempts[id] - 1, Server: g.sends[i].Server, Reason: why, IsFinal: why == OK, QuotaUsage: used})
+			if why == OK {
+				g.finalAnswers[id] = Send{}
+			}
+			return
+		}
+	}
+	g.t.Fatalf("%s was never sent", id)
+}
+
+// serve asks every gap for a time d, and answers what is sent after 200 ms.
+func (g *testGateway) serve(d, gap time.Duration, used int, ask func(i int)) {
+	g.t.Helper()
+	next, open := 0, len(g.sends)
+	for i, end := 0, g.now+d; g.now < end; i++ {
+		ask(i)
+		g.advance(200 * ms)
+		for next = open; next < len(g.sends); next++ {
+			g.respond(g.sends[next].ID, OK, used)
+		}
+		open = next
+		g.advance(gap - 200*ms)
+	}
+}
+
+func activeEndpoints(ids ...uint32) []Endpoint {
+	var m []Endpoint
+	for i, id := range ids {
+		m = append(m, Endpoint{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
+	}
+	return m
+}
+
+func largeGroupSettings() Settings {
+	settings := testSettings()
+	settings.GroupSize = 300
+	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 1, 4
+	return settings
+}
+
+func hardLimitSettings() Settings {
+	settings := testSettings()
+	settings.GroupSize, settings.MeterPeriod = 1, 0
+	p := &settings.Plans[0]
+	p.QuotaRate, p.QuotaBurst, p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack = 0, 0, 30, 60, 6
+	return settings
+}
+
+// loadReport is a server's report of its mean time, in ms, and how busy it is.
+func loadReport(mean, util float64) *LoadReport {
+	return &LoadReport{MeanLatencyMS: mean, Utilization: util, Queued: 0, InFlight: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
+}
+
+// gatewayGroup is a group of controllers that are asked in turn; each attempt is answered after 300 ms.
+type gatewayGroup struct {
+	t     *testing.T
+	gates []*testGateway
+	sent  map[uint32]int // attempts by server
+	load  func(server uint32) *LoadReport
+}
+
+func newGatewayGroup(t *testing.T, n int, members []Endpoint) *gatewayGroup {
+	c := &gatewayGroup{t: t, sent: map[uint32]int{}, load: func(uint32) *LoadReport { return nil }}
+	for i := range n {
+		settings := testSettings()
+		settings.GroupSize, settings.SelfIndex = n, i
+		settings.WarmupTime, settings.InitialCapacity, settings.OverloadWindow, settings.OverloadMultiple = 15*time.Second, 0.15, 2*time.Second, 2.5
+		ctl, err := New(settings, uint64(100+i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		gateway := &testGateway{t: t, c: ctl, now: time.Hour, finalAnswers: map[string]Action{}, attempts: map[string]int{}, timers: map[uint64]time.Duration{}}
+		gateway.handle(EndpointList{Kind: ListCached, Endpoints: members})
+		c.gates = append(c.gates, gateway)
+	}
+	return c
+}
+
+// serve has each gateway asked once in each step of 200 ms, for so many steps.
+func (c *gatewayGroup) serve(steps int) {
+	const step = 200 * ms
+	for range steps {
+		for i, gateway := range c.gates {
+			open := len(gateway.sends)
+			for k := range max(1, 16/len(c.gates)) {
+				gateway.request(fmt.Sprint(i, "-", k, "-", gateway.now), "job", "high", fmt.Sprint("x", i))
+			}
+			gateway.advance(step)
+			for _, send := range gateway.sends[open:] {
+				c.sent[send.Server]++
+				gateway.handle(AttemptResult{ID: send.ID, Server: send.Server, Reason: OK, IsFinal: true, Delay: step, Load: c.load(send.Server)})
+				gateway.finalAnswers[send.ID] = send
+			}
+		}
+	}
+}
--- a/control/ceiling_test.go
+++ b/control/hard_limit_test.go
@@ -6,10 +6,38 @@
 	"time"
 )
 
+func TestRestartedGatewayStartsWithEmptyHardLimit(t *testing.T) {
+	settings := testSettings()
+	settings.Plans[0].HardLimitRate, settings.Plans[0].HardLimitBurst, settings.Plans[0].HardLimitSlack = 10, 40, 4
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)...)
+	for i := 0; i < 50; i++ {
+		gateway.request(fmt.Sprint("s", i), "job", "low", "x")
+	}
+	if len(gateway.sends) > 2 { // the slack over two gateways
+		t.Errorf("%d units at once from a gateway that knows nothing", len(gateway.sends))
+	}
+	sent, start := 0, gateway.now
+	for gateway.now < start+20*time.Second {
+		id := fmt.Sprint(gateway.now)
+		gateway.request(id, "job", "low", "x")
+		if gateway.attempts[id] > 0 {
+			sent++
+			gateway.respond(id, OK, 0)
+		}
+		gateway.advance(10 * ms)
+	}
+	if most := 20*5 + 2 + 1; sent > most {
+		t.Errorf("%d units in 20 s, this gateway's part is %d", sent, most)
+	}
+	if sent < 80 {
+		t.Errorf("only %d units in 20 s", sent)
+	}
+}
+
 // A customer that was never seen, or that was forgotten, has no more to spend at once than the
 // ceiling's store can hold, however long the gateway has run.
-func TestUnseenCustomerHasNoMoreThanTheCeilingHolds(t *testing.T) {
-	settings := ceilingSettings()
+func TestNewAccountHoldsNoMoreThanTheHardLimit(t *testing.T) {
+	settings := hardLimitSettings()
 	plan := settings.Plans[0]
 	for name, seen := range map[string]bool{"never seen": false, "forgotten": true} {
 		t.Run(name, func(t *testing.T) {
@@ -17,15 +45,15 @@
 			for id := range uint32(200) {
 				list = append(list, id+1)
 			}
-			gateway := newGate(t, settings, on(list...)...)
+			gateway := newTestGateway(t, settings, activeEndpoints(list...)...)
 			if seen {
-				gateway.ask("before", "job", plan.Name, "x")
-				gateway.reply("before", OK, 0)
+				gateway.request("before", "job", plan.Name, "x")
+				gateway.respond("before", OK, 0)
 			}
 			for range 10 {
-				gateway.pass(maxAccountIdleTime)
-				gateway.ask(fmt.Sprint("on", gateway.now), "job", plan.Name, "comes on")
-				gateway.reply(fmt.Sprint("on", gateway.now), OK, 0)
+				gateway.advance(maxAccountIdleTime)
+				gateway.request(fmt.Sprint("on", gateway.now), "job", plan.Name, "comes on")
+				gateway.respond(fmt.Sprint("on", gateway.now), OK, 0)
 			}
 			if gateway.c.accounts[plan.Name+" x"] != nil {
 				t.Fatal("not forgotten")
@@ -33,10 +61,10 @@
 			before, begun := len(gateway.sends), gateway.now
 			for i := range 400 {
 				id := fmt.Sprint(i)
-				if gateway.ask(id, "job", plan.Name, "x"); gateway.n[id] > 0 {
-					gateway.reply(id, OK, 0)
+				if gateway.request(id, "job", plan.Name, "x"); gateway.attempts[id] > 0 {
+					gateway.respond(id, OK, 0)
 				}
-				gateway.pass(ms)
+				gateway.advance(ms)
 			}
 			part := plan.HardLimitBurst/2 + (gateway.now-begun).Seconds()*plan.HardLimitRate/2 // g.ask spreads over two
 			if n := float64(len(gateway.sends) - before); n > part+1 {
@@ -48,8 +76,8 @@
 
 // A customer that is forgotten before its store is full again, as there are too many, has no more over
 // time than the ceiling gives, however often that happens, and whoever takes the gateway's place.
-func TestForgettingOpensNoCeiling(t *testing.T) {
-	settings := ceilingSettings()
+func TestEvictionDoesNotExceedHardLimits(t *testing.T) {
+	settings := hardLimitSettings()
 	plan := settings.Plans[0]
 	var list []uint32
 	for id := range uint32(200) {
@@ -57,7 +85,7 @@
 	}
 	for name, handsOver := range map[string]bool{"stays": false, "hands over": true} {
 		t.Run(name, func(t *testing.T) {
-			gateway := newGate(t, settings, on(list...)...)
+			gateway := newTestGateway(t, settings, activeEndpoints(list...)...)
 			many := func() {
 				for i := range maxAccounts/2 + 1 {
 					gateway.c.accountFor(gateway.c.plansByName[plan.Name], fmt.Sprint("busy", i), 2).inFlight.current = 1
@@ -68,10 +96,10 @@
 			for round := range 60 {
 				for i := range 400 {
 					id := fmt.Sprint(round, " ", i)
-					gateway.do(Request{ID: id, Class: "job", Plan: plan.Name, Customer: "x", Timeout: 5 * time.Second, Units: 0.125, FanOut: 2})
-					if gateway.n[id] > 0 {
+					gateway.handle(Request{ID: id, Class: "job", Plan: plan.Name, Customer: "x", Timeout: 5 * time.Second, Units: 0.125, FanOut: 2})
+					if gateway.attempts[id] > 0 {
 						sent++
-						gateway.reply(id, OK, 0)
+						gateway.respond(id, OK, 0)
 					}
 				}
 				gateway.now += windowDuration
@@ -83,7 +111,7 @@
 				}
 				if handsOver && round%10 == 0 {
 					given := gateway.c.HandOver(gateway.now, 1)
-					next := newGate(t, settings, on(list...)...)
+					next := newTestGateway(t, settings, activeEndpoints(list...)...)
 					next.now = gateway.now
 					next.c.Restore(gateway.now, given, TrustAll)
 					gateway = next
@@ -100,27 +128,16 @@
 
 // The slack is granted once: not again by each gateway that takes another's place, where that one had
 // none to grant.
-func TestSlackIsNotHandedOverTwice(t *testing.T) {
-	settings := ceilingSettings()
+func TestSlackIsGrantedOnceOverHandOvers(t *testing.T) {
+	settings := hardLimitSettings()
 	after := func(checkpoint Checkpoint, trust Trust) *Controller {
-		gateway := newGate(t, settings, on(1, 2)...)
+		gateway := newTestGateway(t, settings, activeEndpoints(1, 2)...)
 		gateway.c.Restore(gateway.now, checkpoint, trust)
 		return gateway.c
 	}
-	crashed := after(newGate(t, settings, on(1, 2)...).c.Checkpoint(time.Hour), TrustEstimates)
+	crashed := after(newTestGateway(t, settings, activeEndpoints(1, 2)...).c.Checkpoint(time.Hour), TrustEstimates)
 	next := after(crashed.HandOver(time.Hour, 1), TrustAll)
 	if left := next.accountFor(next.plansByName["low"], "x", 1).hardLimit.tokens; left > 0 {
 		t.Errorf("%g units for a customer of whom nothing is known since a crash", left)
 	}
 }
-
-// A customer is forgotten whatever the units of its requests were that waited and were not sent.
-func TestPartsOfUnitsAreForgotten(t *testing.T) {
-	gateway := newGate(t, settings())
-	for i, units := range []float64{0.1, 0.2, 0.3} {
-		gateway.do(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "x", Timeout: 5 * time.Second, Units: units, FanOut: 2})
-	}
-	if gateway.pass(2 * maxAccountIdleTime); len(gateway.c.accounts) > 0 || len(gateway.ends) != 3 {
-		t.Errorf("%d customers remembered, %d requests answered", len(gateway.c.accounts), len(gateway.ends))
-	}
-}
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -6,15 +6,15 @@
 	"testing"
 )
 
-// dense is a history as it was kept before: the running sum of each of the latest bins.
-type dense struct {
+// denseHistory is a history as it was kept before: the running sum of each of the latest bins.
+type denseHistory struct {
 	last int64
 	sum  [historyBins]float64
 }
 
-func (d *dense) at(b int64) int64 { return (b%historyBins + historyBins) % historyBins }
+func (d *denseHistory) at(b int64) int64 { return (b%historyBins + historyBins) % historyBins }
 
-func (d *dense) roll(b int64) {
+func (d *denseHistory) roll(b int64) {
 	top := d.sum[d.at(d.last)]
 	for i := max(d.last+1, b-historyBins+1); i <= b; i++ {
 		d.sum[d.at(i)] = top
@@ -22,18 +22,18 @@
 	d.last = max(d.last, b)
 }
 
-func (d *dense) over(end int64) float64 {
+func (d *denseHistory) over(end int64) float64 {
 	lo := max(end-binsPerPeriod-1, d.last-historyBins+1)
 	return d.sum[d.at(max(end-1, lo))] - d.sum[d.at(lo)]
 }
 
 // Whatever is booked and whenever, a sparse history gives what one with all of its bins does, and
 // never holds more of them.
-func TestHistoryIsAsOneOfAllBins(t *testing.T) {
+func TestHistoryEqualsADenseOne(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 5))
 		var h history
-		var d dense
+		var d denseHistory
 		now := int64(17_000_000_000) + r.Int64N(1000)
 		pause := 1 + r.Int64N(200)
 		for range 400 {
@@ -63,3 +63,16 @@
 		}
 	}
 }
+
+// What is given back is of the bin in which it was booked.
+func TestHistorySubtractsInTheBinOfTheAddition(t *testing.T) {
+	var h history
+	h.advance(3)
+	h.add(2)
+	h.advance(5)
+	h.add(1)
+	h.subtract(3, 2)
+	if a, b := h.sumUntil(4), h.sumUntil(5); a != 0 || math.Abs(b-1) > epsilon {
+		t.Errorf("%v, then %v", a, b)
+	}
+}
--- a/control/image_test.go
+++ b/control/image_test.go
@@ -9,7 +9,7 @@
 
 // However a history went, a controller that is resumed from an image of it takes what follows as
 // the first would have: the same actions to the last.
-func TestResumeGoesOnAlike(t *testing.T) {
+func TestResumedControllerTakesTheSameActions(t *testing.T) {
 	seeds := uint64(300)
 	if testing.Short() {
 		seeds = 100
@@ -47,7 +47,7 @@
 
 // An image that is not of these settings, or of no controller, is refused and named, never
 // resumed in part nor a panic.
-func TestResumeRefuses(t *testing.T) {
+func TestResumeRejectsUnusableImages(t *testing.T) {
 	w := play(t, 5, 600)
 	for image := w.c.Image(); len(image.Requests) == 0 || len(image.Attempts) == 0 || len(image.Plans[0].Queue) == 0; image = w.c.Image() {
 		w.step()
--- /dev/null
+++ b/control/outlier_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestDeadServerIsEjected(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
+	bad := 0
+	for i := 0; i < 200; i++ {
+		id := fmt.Sprint(i)
+		gateway.request(id, "job", "low", "x")
+		for gateway.finalAnswers[id] == nil {
+			if gateway.sends[len(gateway.sends)-1].Server == 2 {
+				bad++
+				gateway.respond(id, ConnectFailed, 0)
+			} else {
+				gateway.now += 50 * ms
+				gateway.respond(id, OK, 0)
+			}
+		}
+	}
+	if bad > 12 {
+		t.Errorf("%d attempts on a server that takes no connection, in 10 s", bad)
+	}
+}
+
+// Guards against a server that fails at once, looks idle and draws all traffic.
+func TestServerThatFailsFastDoesNotAttractTraffic(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
+	bad := 0
+	for i := 0; i < 300; i++ {
+		id := fmt.Sprint(i)
+		gateway.request(id, "job", "low", "x")
+		for gateway.finalAnswers[id] == nil {
+			if gateway.sends[len(gateway.sends)-1].Server == 2 {
+				bad++
+				gateway.now += ms
+				gateway.respond(id, Errored, 0)
+			} else {
+				gateway.now += 50 * ms
+				gateway.respond(id, OK, 0)
+			}
+		}
+	}
+	if bad > 20 {
+		t.Errorf("%d attempts in 15 s on a server that only fails", bad)
+	}
+}
+
+// Guards against servers that fail every second request at once: never put aside, they look
+// idle and draw the traffic.
+func TestServerThatFailsHalfIsChosenLess(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
+	tries := make(map[uint32]int)
+	for i := 0; i < 400; i++ {
+		id := fmt.Sprint(i)
+		gateway.request(id, "job", "low", "x")
+		for gateway.finalAnswers[id] == nil {
+			s := gateway.sends[len(gateway.sends)-1].Server
+			if tries[s]++; s == 2 && tries[s]%2 == 0 {
+				gateway.now += ms
+				gateway.respond(id, Errored, 0)
+			} else {
+				gateway.now += 50 * ms
+				gateway.respond(id, OK, 0)
+			}
+		}
+	}
+	if tries[2] > tries[1]/2 {
+		t.Errorf("tries by server: %v", tries)
+	}
+}
+
+// Guards against servers that refuse one plan: they cut no bound and are not tried again for it.
+func TestServersThatRejectOnePlanAreAvoidedForIt(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
+	gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.1, 0.1, 100
+	before := gateway.c.limiter.limit
+	refusals := 0
+	for i := 0; i < 30; i++ {
+		for _, p := range []string{"low", "high"} {
+			id := fmt.Sprint(p, i)
+			gateway.request(id, "job", p, "x")
+			gateway.now += 100 * ms
+			for gateway.finalAnswers[id] == nil {
+				last := gateway.sends[len(gateway.sends)-1]
+				if last.ID != id {
+					t.Fatalf("%s was held", id)
+				}
+				if p == "low" && last.Server <= 2 {
+					refusals++
+					gateway.respond(id, RejectedByServer, 0)
+				} else {
+					gateway.respond(id, OK, 0)
+				}
+			}
+		}
+		gateway.advance(100 * ms)
+	}
+	if refusals > 3 {
+		t.Errorf("two servers refused the plan %d times in 6 s", refusals)
+	}
+	if gateway.c.limiter.limit < before {
+		t.Errorf("the bound went from %g to %g on servers with room", before, gateway.c.limiter.limit)
+	}
+}
+
+// A probe that its client breaks off says nothing of the server, which is tried again.
+func TestCancelledAttemptEndsTheProbe(t *testing.T) {
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1)...)
+	srv := gateway.c.servers[1]
+	srv.outlier.consecutiveFailures = ejectionFailures
+	gateway.request("a", "job", "high", "c")
+	if !srv.outlier.isProbing {
+		t.Fatal("no probe")
+	}
+	gateway.handle(ClientGone{ID: "a"})
+	gateway.handle(AttemptResult{ID: "a", Server: 1, Reason: Cancelled, IsFinal: true})
+	if srv.outlier.isProbing || srv.outlier.consecutiveFailures != ejectionFailures {
+		t.Errorf("probing %v after %d strikes", srv.outlier.isProbing, srv.outlier.consecutiveFailures)
+	}
+}
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -12,45 +12,45 @@
 
 // world feeds a controller seeded legal events and holds its actions to the rules.
 type world struct {
-	t        *testing.T
-	rng      *rand.Rand
-	set      Settings
-	c        *Controller
-	now      time.Duration
-	log      []string
-	members  map[uint32]*Endpoint
-	toldBad  map[uint32]bool
-	open     map[string]*ask
-	out      []flight
-	timers   []TimerFired
-	due      []time.Duration
-	next     int
-	ceilings map[string]float64
-	ceilAt   map[string]time.Duration
+	t               *testing.T
+	rng             *rand.Rand
+	set             Settings
+	c               *Controller
+	now             time.Duration
+	log             []string
+	members         map[uint32]*Endpoint
+	isInactive      map[uint32]bool
+	requests        map[string]*openRequest
+	inFlight        []openAttempt
+	timers          []TimerFired
+	due             []time.Duration
+	lastID          int
+	hardLimitTokens map[string]float64
+	hardLimitAt     map[string]time.Duration
 }
 
-type ask struct {
-	class    Class
-	plan     string
-	customer string
-	units    float64
-	end      time.Duration
-	sends    int
-	out      int
-	mayRun   bool
-	firstRun time.Duration
-	firstSrv uint32
+type openRequest struct {
+	class       Class
+	plan        string
+	customer    string
+	units       float64
+	end         time.Duration
+	attempts    int
+	inFlight    int
+	mayHaveRun  bool
+	firstRunAt  time.Duration
+	firstServer uint32
 }
 
-type flight struct {
-	id   string
-	n    int
-	srv  uint32
-	at   time.Duration
-	till time.Duration
+type openAttempt struct {
+	id         string
+	number     int
+	server     uint32
+	sentAt     time.Duration
+	timesOutAt time.Duration
 }
 
-func varied(rng *rand.Rand) Settings {
+func randomSettings(rng *rand.Rand) Settings {
 	settings := Settings{
 		GroupSize: []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)], Zone: "z1", MaxAttempts: 1 + rng.IntN(5), SupportsRetryAfter: rng.IntN(2) == 0,
 		MaxRetryAfter: time.Second, WarmupTime: 10 * time.Second, InitialCapacity: 0.2, OverloadWindow: time.Second, OverloadMultiple: 2,
@@ -84,11 +84,11 @@
 		w.log = append(w.log, fmt.Sprintf("  %T%+v", action, action))
 		switch a := action.(type) {
 		case Send:
-			w.send(a)
+			w.recordSend(a)
 		case Reject:
-			w.refused(a)
+			w.checkRejection(a)
 		case Fail:
-			w.finished(a.ID)
+			w.recordFinal(a.ID)
 		case StartTimer:
 			w.timers, w.due = append(w.timers, TimerFired{a.Label}), append(w.due, w.now+a.After)
 		case CancelAttempt:
@@ -105,70 +105,70 @@
 	}
 }
 
-func (w *world) send(send Send) {
-	r := w.open[send.ID]
+func (w *world) recordSend(send Send) {
+	r := w.requests[send.ID]
 	switch {
 	case r == nil:
 		w.t.Fatalf("%s was sent but is not open", send.ID)
-	case w.toldBad[send.Server] || w.members[send.Server] == nil:
+	case w.isInactive[send.Server] || w.members[send.Server] == nil:
 		w.t.Fatalf("%s went to server %d, which is draining or gone", send.ID, send.Server)
-	case r.out > 0:
+	case r.inFlight > 0:
 		w.t.Fatalf("%s has two attempts out", send.ID)
-	case r.sends >= w.set.MaxAttempts:
+	case r.attempts >= w.set.MaxAttempts:
 		w.t.Fatalf("%s was sent more than %d times", send.ID, w.set.MaxAttempts)
 	}
-	if r.mayRun && r.class.Idempotency == NotIdempotent {
+	if r.mayHaveRun && r.class.Idempotency == NotIdempotent {
 		w.t.Fatalf("%s may have run and was sent again", send.ID)
 	}
-	if r.mayRun && r.class.Idempotency == IdempotencyKeyed {
-		f, s := w.members[r.firstSrv], w.members[send.Server]
-		if w.now > r.firstRun+r.class.RepeatWindow || r.class.KeyScope == ScopeCell && f.Cell != s.Cell ||
+	if r.mayHaveRun && r.class.Idempotency == IdempotencyKeyed {
+		f, s := w.members[r.firstServer], w.members[send.Server]
+		if w.now > r.firstRunAt+r.class.RepeatWindow || r.class.KeyScope == ScopeCell && f.Cell != s.Cell ||
 			r.class.KeyScope == ScopeZone && f.Zone != s.Zone {
 			w.t.Fatalf("%s may have run and was sent again outside its group or window", send.ID)
 		}
-		if send.WriteWithin <= 0 || w.now+send.WriteWithin > r.firstRun+r.class.RepeatWindow {
+		if send.WriteWithin <= 0 || w.now+send.WriteWithin > r.firstRunAt+r.class.RepeatWindow {
 			w.t.Fatalf("%s may have run, and be written again %v from now, behind its window", send.ID, send.WriteWithin)
 		}
 	}
-	if r.sends == 0 && r.plan == "ceil" {
-		w.drawCeiling(r)
+	if r.attempts == 0 && r.plan == "ceil" {
+		w.chargeHardLimit(r)
 	}
 	till := r.end
 	if send.Timeout > 0 {
 		till = min(till, w.now+send.Timeout)
 	}
-	w.out = append(w.out, flight{send.ID, r.sends, send.Server, w.now, till})
-	r.sends++
-	r.out++
+	w.inFlight = append(w.inFlight, openAttempt{send.ID, r.attempts, send.Server, w.now, till})
+	r.attempts++
+	r.inFlight++
 }
 
-// drawCeiling holds this gateway to its part of the ceiling with part of the slack.
-func (w *world) drawCeiling(r *ask) {
+// chargeHardLimit holds this gateway to its part of the ceiling with part of the slack.
+func (w *world) chargeHardLimit(r *openRequest) {
 	plan := w.set.Plans[3]
-	if _, known := w.ceilings[r.customer]; !known {
-		w.ceilings[r.customer], w.ceilAt[r.customer] = plan.HardLimitSlack/2, time.Hour
+	if _, known := w.hardLimitTokens[r.customer]; !known {
+		w.hardLimitTokens[r.customer], w.hardLimitAt[r.customer] = plan.HardLimitSlack/2, time.Hour
 	}
-	lv := w.ceilings[r.customer] + (w.now-w.ceilAt[r.customer]).Seconds()*plan.HardLimitRate/2
-	w.ceilings[r.customer], w.ceilAt[r.customer] = min(lv, plan.HardLimitBurst/2)-r.units, w.now
-	if w.ceilings[r.customer] < -1e-6 {
-		w.t.Fatalf("the part of a ceiling fell to %g", w.ceilings[r.customer])
+	lv := w.hardLimitTokens[r.customer] + (w.now-w.hardLimitAt[r.customer]).Seconds()*plan.HardLimitRate/2
+	w.hardLimitTokens[r.customer], w.hardLimitAt[r.customer] = min(lv, plan.HardLimitBurst/2)-r.units, w.now
+	if w.hardLimitTokens[r.customer] < -1e-6 {
+		w.t.Fatalf("the part of a ceiling fell to %g", w.hardLimitTokens[r.customer])
 	}
 }
 
-func (w *world) refused(a Reject) {
-	if r := w.open[a.ID]; r != nil && (r.mayRun || r.out > 0) {
+func (w *world) checkRejection(a Reject) {
+	if r := w.requests[a.ID]; r != nil && (r.mayHaveRun || r.inFlight > 0) {
 		if r.class.Idempotency == NotIdempotent || r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope != ScopeAll {
 			w.t.Fatalf("%s may have run and was refused", a.ID)
 		}
 	}
-	w.finished(a.ID)
+	w.recordFinal(a.ID)
 }
 
-func (w *world) finished(id string) {
-	if w.open[id] == nil {
+func (w *world) recordFinal(id string) {
+	if w.requests[id] == nil {
 		w.t.Fatalf("%s has a second final answer", id)
 	}
-	delete(w.open, id)
+	delete(w.requests, id)
 }
 
 // list is the whole list in a fixed order, with a chance of change for each.
@@ -182,12 +182,12 @@
 		case 0:
 			m.State = Draining
 		case 1:
-			w.toldBad[id] = true
+			w.isInactive[id] = true
 			continue // gone
 		case 2:
 			m.HasStartedAt, m.StartedAt = true, w.now-ms
 		}
-		w.toldBad[id] = m.State != Active
+		w.isInactive[id] = m.State != Active
 		event.Endpoints = append(event.Endpoints, *m)
 	}
 	return event
@@ -195,23 +195,23 @@
 
 // outcome ends the attempt at an index of out.
 func (w *world) outcome(i int) {
-	f := w.out[i]
-	w.out = append(w.out[:i], w.out[i+1:]...)
+	f := w.inFlight[i]
+	w.inFlight = append(w.inFlight[:i], w.inFlight[i+1:]...)
 	why := []Reason{OK, OK, OK, OK, OK, Errored, RejectedByServer, ConnectFailed, ResetByPeer, []Reason{NotSent, Cancelled}[w.rng.IntN(2)]}[w.rng.IntN(10)]
-	if w.now >= f.till {
+	if w.now >= f.timesOutAt {
 		why = TimedOut
 	}
-	r := w.open[f.id]
+	r := w.requests[f.id]
 	event := AttemptResult{
-		ID: f.id, Attempt: f.n, Server: f.srv, Reason: why, IsFinal: r == nil || why == OK,
+		ID: f.id, Attempt: f.number, Server: f.server, Reason: why, IsFinal: r == nil || why == OK,
 		QuotaUsage: w.rng.IntN(300), ActualUnits: float64(1 + w.rng.IntN(4)), Load: &LoadReport{InFlight: 3, Utilization: 0.5},
 	}
 	if r != nil {
-		r.out--
+		r.inFlight--
 		if why == OK {
-			delete(w.open, f.id)
-		} else if why != RejectedByServer && why != ConnectFailed && why != NotSent && !r.mayRun {
-			r.mayRun, r.firstRun, r.firstSrv = true, f.at, f.srv
+			delete(w.requests, f.id)
+		} else if why != RejectedByServer && why != ConnectFailed && why != NotSent && !r.mayHaveRun {
+			r.mayHaveRun, r.firstRunAt, r.firstServer = true, f.sentAt, f.server
 		}
 	}
 	w.handle(event)
@@ -227,8 +227,8 @@
 			i = -1
 		}
 	}
-	for i := 0; i < len(w.out); i++ {
-		if w.now >= w.out[i].till {
+	for i := 0; i < len(w.inFlight); i++ {
+		if w.now >= w.inFlight[i].timesOutAt {
 			w.outcome(i)
 			i = -1
 		}
@@ -236,8 +236,8 @@
 	switch k := w.rng.IntN(100); {
 	case k < 45:
 		w.arrive()
-	case k < 90 && len(w.out) > 0:
-		w.outcome(w.rng.IntN(len(w.out)))
+	case k < 90 && len(w.inFlight) > 0:
+		w.outcome(w.rng.IntN(len(w.inFlight)))
 	case k < 92:
 		w.handle(w.list())
 	case k < 93:
@@ -247,17 +247,17 @@
 	case k < 95:
 		w.handle(HealthCheckResult{Server: uint32(w.rng.IntN(10)), Reason: OK})
 	case k < 96:
-		ids := make([]string, 0, len(w.open))
-		for id := range w.open {
+		ids := make([]string, 0, len(w.requests))
+		for id := range w.requests {
 			ids = append(ids, id)
 		}
 		if sort.Strings(ids); len(ids) > 0 {
 			id := ids[w.rng.IntN(len(ids))]
-			delete(w.open, id)
+			delete(w.requests, id)
 			w.handle(ClientGone{ID: id})
 		}
 	}
-	for id, r := range w.open {
+	for id, r := range w.requests {
 		if w.now > r.end+16*ms {
 			w.t.Fatalf("%s has no answer %v after its end", id, w.now-r.end)
 		}
@@ -265,14 +265,14 @@
 }
 
 func (w *world) arrive() {
-	w.next++
+	w.lastID++
 	class := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
-	r := &ask{
+	r := &openRequest{
 		class: class, plan: w.set.Plans[w.rng.IntN(4)].Name, customer: fmt.Sprint("k", w.rng.IntN(6)),
 		units: float64(1 + w.rng.IntN(3)), end: w.now + time.Duration(300+w.rng.IntN(3000))*ms,
 	}
-	id := fmt.Sprint("r", w.next)
-	w.open[id] = r
+	id := fmt.Sprint("r", w.lastID)
+	w.requests[id] = r
 	w.handle(Request{
 		ID: id, Class: class.Name, Plan: r.plan, Customer: r.customer, Timeout: r.end - w.now,
 		Units: r.units, FanOut: 2 + w.rng.IntN(89),
@@ -283,9 +283,9 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	w := &world{
-		t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Endpoint{},
-		toldBad: map[uint32]bool{}, open: map[string]*ask{}, ceilings: map[string]float64{},
-		ceilAt: map[string]time.Duration{},
+		t: t, rng: rng, set: randomSettings(rng), now: time.Hour, members: map[uint32]*Endpoint{},
+		isInactive: map[uint32]bool{}, requests: map[string]*openRequest{}, hardLimitTokens: map[string]float64{},
+		hardLimitAt: map[string]time.Duration{},
 	}
 	c, err := New(w.set, seed)
 	if err != nil {
@@ -317,7 +317,7 @@
 // Memory for customers, requests and servers stays bounded: a day of ever new ones leaves no more
 // than a few minutes of them did.
 func TestMemoryIsBounded(t *testing.T) {
-	gateway := newGate(t, settings(), on(1, 2, 3)...)
+	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3)...)
 	heap := func() float64 {
 		runtime.GC()
 		var m runtime.MemStats
@@ -328,16 +328,16 @@
 	const calls = 200000
 	for i := 0; i < calls; i++ {
 		id := fmt.Sprint("r", i)
-		gateway.ask(id, "job", "low", fmt.Sprint("once", i))
-		if gateway.n[id] > 0 {
-			gateway.reply(id, OK, 101)
+		gateway.request(id, "job", "low", fmt.Sprint("once", i))
+		if gateway.attempts[id] > 0 {
+			gateway.respond(id, OK, 101)
 		}
-		gateway.pass(4 * ms)
+		gateway.advance(4 * ms)
 		if i%100 == 0 {
-			gateway.do(EndpointList{Kind: ListComplete, Endpoints: on(uint32(i+1), uint32(i+2))})
-			gateway.sends, gateway.acts = nil, nil
-			clear(gateway.ends)
-			clear(gateway.n)
+			gateway.handle(EndpointList{Kind: ListComplete, Endpoints: activeEndpoints(uint32(i+1), uint32(i+2))})
+			gateway.sends, gateway.actions = nil, nil
+			clear(gateway.finalAnswers)
+			clear(gateway.attempts)
 		}
 		if i == calls/5 {
 			early = heap() - empty
--- /dev/null
+++ b/control/slow_start_test.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestSlowStartLimitsAWarmingServer(t *testing.T) {
+	settings := testSettings()
+	list := activeEndpoints(1, 2, 3, 4)
+	list[0].StartedAt, list[0].HasStartedAt = time.Hour-100*ms, true
+	gateway := newTestGateway(t, settings, list...)
+	cold, busy := 0, 0
+	for i := 0; i < 100; i++ {
+		from := len(gateway.sends)
+		for k := 0; k < 8; k++ {
+			gateway.request(fmt.Sprint(i, "-", k), "job", "low", "x")
+		}
+		here := 0
+		for _, send := range gateway.sends[from:] {
+			if send.Server == 1 {
+				here++
+			}
+		}
+		cold, busy = cold+here, max(busy, here)
+		gateway.advance(20 * ms)
+		for k := 0; k < 8; k++ {
+			if id := fmt.Sprint(i, "-", k); gateway.finalAnswers[id] == nil {
+				gateway.respond(id, OK, 0)
+			}
+		}
+	}
+	if cold == 0 || busy > 1 {
+		t.Errorf("%d sends in 2 s to a server just started, %d at once", cold, busy)
+	}
+}
+
+// Guards against a server that has started and is sent nothing while it is cold: each of eighty
+// gateways may send it less than one request in all that time, and no part of one ever goes.
+func TestSlowStartBelowOneRequestASecondFlows(t *testing.T) {
+	for _, n := range []int{2, 8, 80} {
+		list := activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
+		c := newGatewayGroup(t, n, list)
+		c.serve(20)
+		fresh := Endpoint{Server: 13, Size: 1, HasStartedAt: true, StartedAt: c.gates[0].now}
+		for _, gateway := range c.gates {
+			gateway.handle(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{fresh}})
+		}
+		clear(c.sent)
+		c.serve(50) // its first 10 s
+		warm := 0.0
+		for s, k := range c.sent {
+			if s != 13 {
+				warm += float64(k) / 12
+			}
+		}
+		// At its coldest it could do 0.15 of what a warm one does, at 10 s 0.72 of it, by the settings.
+		if part := float64(c.sent[13]) / warm; part < 0.1 || part > 0.72 {
+			t.Errorf("%d gateways: a cold server is sent %.2f of what a warm one is", n, part)
+		}
+	}
+}
+
+// Guards against a release that kills most gateways while servers start: each of those that come
+// back knows nothing yet, and sends each cold server one request for free.
+func TestGatewaysThatStartTogetherRespectSlowStart(t *testing.T) {
+	for _, n := range []int{8, 80, 300} {
+		list := activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
+		for s := uint32(13); s <= 16; s++ {
+			list = append(list, Endpoint{Server: s, Size: 1, HasStartedAt: true, StartedAt: time.Hour - time.Second})
+		}
+		c := newGatewayGroup(t, n, list)
+		c.serve(10) // 2 s
+		cold, all := 0, 0
+		for s, k := range c.sent {
+			if all += k; s >= 13 {
+				cold += k
+			}
+		}
+		// Were the servers evenly used to the full by this, 2.5 times 0.2 of an even part would be the most.
+		if part := float64(cold) / 4 / (float64(all) / 16); all < 100 || part > 0.4 {
+			t.Errorf("%d gateways: of %d requests a cold server is sent %.2f of an even part", n, all, part)
+		}
+	}
+}
+
+// Guards against a just-started server that every gateway of a large group tries at once.
+func TestLargeGroupSharesASlowStart(t *testing.T) {
+	settings := testSettings()
+	settings.GroupSize = 12
+	list := activeEndpoints(1, 2)
+	list[0].StartedAt, list[0].HasStartedAt = time.Hour-ms, true
+	gateway := newTestGateway(t, settings, list...)
+	cold := 0
+	for i := 0; i < 300; i++ {
+		id := fmt.Sprint(i)
+		gateway.request(id, "job", "low", "x")
+		gateway.advance(10 * ms)
+		if gateway.attempts[id] > 0 && gateway.sends[len(gateway.sends)-1].Server == 1 {
+			cold++
+			gateway.respond(id, OK, 0)
+		} // the warm server answers nothing, so its rate is not known
+	}
+	if cold > 1 {
+		t.Errorf("%d sends in 3 s from one of twelve gateways that knows no rate", cold)
+	}
+}
--- /dev/null
+++ b/control/usage_test.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+func TestRejectionProbabilityFollowsTheFormulaOncePerPeriod(t *testing.T) {
+	settings := testSettings()
+	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 1000, 20 // enough units for a reading to outweigh the prior
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
+	account := gateway.c.accountFor(gateway.c.plans[0], "x", 1000) // own tries tell next to nothing
+	read := func(pct int) float64 {
+		gateway.c.now = gateway.now
+		account.quota.tokens = 0 // the store is empty enough for the chance to decide
+		gateway.c.recordReading(account, pct+1, 1)
+		return gateway.c.rejectionProbability(account)
+	}
+	gateway.c.meter.lagBins = 0
+	asks := func(n, refused int) { // what was asked and refused in the second to come
+		gateway.c.now = gateway.now
+		gateway.c.refill(account)
+		account.history.arrivals.add(float64(n))
+		account.history.rejections.add(float64(refused))
+		gateway.now += 1100 * ms
+	}
+	asks(4000, 0)
+	if d := read(400); math.Abs(d-0.75) > 0.01 {
+		t.Fatalf("d = %g after a first reading of 400%%", d)
+	}
+	for i := 0; i < 5; i++ {
+		gateway.now += 20 * ms
+		if d := read(400); math.Abs(d-0.75) > 0.02 {
+			t.Fatalf("d = %g: one period was read again", d)
+		}
+	}
+	gateway.now += 900 * ms
+	asks(4000, 3000) // with three quarters refused, 200% is left
+	if d := read(200); math.Abs(d-0.875) > 0.01 {
+		t.Errorf("d = %g after 200%% let through by a chance of 0.75", d)
+	}
+	for i := 0; i < 20; i++ {
+		gateway.now += time.Second
+		if d := read(5000); d < 0 || d > maxRejectionProbability {
+			t.Fatalf("d = %g", d)
+		}
+	}
+}
+
+// The meter's period and lateness are learned from our own sends.
+func TestMeterClockLearnsTheDelay(t *testing.T) {
+	settings := testSettings()
+	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 10, 1000
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
+	account := gateway.c.accountFor(gateway.c.plans[0], "x", 1)
+	const late = 1300 * ms
+	var sent []time.Duration
+	for i := 0; i < 3000; i++ {
+		gateway.now += 10 * ms
+		gateway.c.now = gateway.now
+		gateway.c.refill(account)
+		if i%7 == 0 && (i/300)%2 == 0 {
+			gateway.c.chargeFirstAttempt(account, 1)
+			sent = append(sent, gateway.now)
+		}
+		end := (gateway.now - late).Truncate(time.Second)
+		n := 0
+		for _, at := range sent {
+			if at >= end-time.Second && at < end {
+				n++
+			}
+		}
+		if i%5 == 0 {
+			gateway.c.recordReading(account, 1+n*10, 1)
+		}
+	}
+	end := gateway.c.meter.periodEndBin(gateway.c.currentBin())
+	if want := int64((gateway.now - late).Truncate(time.Second) / (100 * ms)); end < want-1 || end > want+1 {
+		t.Errorf("the told period is taken to end in bin %d, it ended in %d", end, want)
+	}
+}
+
+// Guards against a heavy customer that each of many gateways takes for a new one: after a few
+// readings, though seconds apart, most of its tries are refused; most of a calm one's are let in,
+// which come so seldom that each alone speaks for more.
+func TestFewReadingsSetTheRejectionProbability(t *testing.T) {
+	for _, k := range []struct {
+		used, gap int
+		low, high float64
+	}{{401, 4, 0, 0.5}, {31, 30, 0.55, 1}} {
+		gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1, 2, 3, 4)...)
+		asked := 0
+		gateway.serve(5*time.Minute, time.Duration(k.gap)*time.Second, k.used, func(i int) {
+			asked++
+			gateway.handle(Request{
+				ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", Timeout: 3 * time.Second,
+				Units: 1, FanOut: 60,
+			})
+		})
+		if part := float64(len(gateway.sends)) / float64(asked); part < k.low || part > k.high {
+			t.Errorf("told %d%%: %.2f of the tries sent on, want %v to %v", k.used-1, part, k.low, k.high)
+		}
+	}
+}
+
+// A customer not metered here is refused as much as of its plan's use lies beyond quotas by what first readings
+// of others told, less a request each: where half of them use four times their rate and the others half of it, and
+// one request is a quarter of a period's, by 2.75 of 4.5; half of that where one of two gateways sees them. That
+// holds for no other plan, not before any reading, whatever later readings tell, and after a resume.
+func TestUnmeteredCustomersAreRejectedByTheirPlansUsage(t *testing.T) {
+	settings := testSettings()
+	for i := range settings.Plans {
+		settings.Plans[i].QuotaRate, settings.Plans[i].QuotaBurst = 4, 20
+	}
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
+	n := 0
+	// refused is the part of many new customers that is; their answers tell nothing.
+	refused := func(plan string) float64 {
+		const asks = 500
+		before := len(gateway.sends)
+		for range asks {
+			n++
+			id := fmt.Sprint("r", n)
+			gateway.request(id, "job", plan, fmt.Sprint("new", n))
+			if r, ok := gateway.finalAnswers[id].(Reject); ok && r.Cause != CauseProbability {
+				t.Fatalf("%s: refused by %v", id, r.Cause)
+			} else if !ok {
+				gateway.advance(10 * ms)
+				gateway.respond(id, OK, 0)
+			}
+			gateway.advance(10 * ms)
+		}
+		return 1 - float64(len(gateway.sends)-before)/asks
+	}
+	read := func(plan int, customer string, pct int) {
+		gateway.c.now = gateway.now
+		gateway.c.recordReading(gateway.c.accountFor(gateway.c.plans[plan], customer, 2), pct+1, 1)
+	}
+	is := func(when, plan string, want float64) {
+		t.Helper()
+		if got := refused(plan); math.Abs(got-want) > 0.05 || want == 0 && got != 0 {
+			t.Errorf("%s: of plan %s %g are refused, not %g", when, plan, got, want)
+		}
+	}
+	is("before any reading", "low", 0)
+	for i := range 200 {
+		read(0, fmt.Sprint("heavy", i), 400)
+		read(0, fmt.Sprint("calm", i), 50)
+	}
+	is("after readings", "low", 2.75/4.5/2)
+	is("after readings of another plan", "high", 0)
+	read(1, "one", 400)
+	for range 50 {
+		gateway.advance(settings.MeterPeriod)
+		read(1, "one", 50)
+	}
+	is("after a first reading and others", "high", 2.75/4/2)
+	resumed, err := Resume(settings, gateway.c.Image())
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway.c = resumed
+	is("after a resume", "low", 2.75/4.5/2)
+	is("after a resume", "high", 2.75/4/2)
+}
+
+func TestInFlightQuotaQueuesRequests(t *testing.T) {
+	settings := testSettings()
+	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst, settings.Plans[0].MaxInFlight = 0, 0, 4
+	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4)...)
+	for i := 0; i < 4; i++ {
+		gateway.request(fmt.Sprint(i), "job", "low", "x")
+	}
+	gateway.request("y", "job", "low", "y")
+	if gateway.c.accountFor(gateway.c.plans[0], "x", 2).inFlight.current != 2 || gateway.attempts["y"] != 1 {
+		t.Fatalf("sends %v: two of x are its part of four, y is not held up", gateway.sends)
+	}
+	gateway.respond("0", OK, 0)
+	if gateway.attempts["2"] != 1 {
+		t.Error("the next of x did not follow")
+	}
+}
