Split the long tests of eleven packages, none of their cases changed

A rollout that is killed counts what it began in one place. Tests of the packages touched pass; of cmd/lockflow TestTerm.

--- a/cmd/lockflow/term_test.go
+++ b/cmd/lockflow/term_test.go
@@ -228,183 +228,185 @@
 	{effect: "single_shot", deadline: 1500 * time.Millisecond},
 }
 
+// crossings are the instants at which SIGTERM comes, by what is owed to a client then.
+var crossings = map[string]func(*crossing){
+	"idle": func(x *crossing) { x.term() },
+	noRoom: func(x *crossing) {
+		first := x.held("hold-0", "enterprise")
+		waits := x.waits()
+		x.term()
+		close(x.app.let)
+		x.answered(first, "hold-0")
+		x.all(waits)
+	},
+	noRoom + " up to the last step": func(x *crossing) {
+		first := x.held("hang-0", "enterprise")
+		waits := x.waits()
+		x.term()
+		x.answered(first, "hang-0")
+		x.all(waits)
+	},
+	"silent, then asks": func(x *crossing) {
+		c, before := x.client(), x.held("hold-0", "enterprise") // taken behind the first
+		x.term()
+		c.ask("a", "enterprise")
+		x.answered(c, "a")
+		close(x.app.let)
+		x.answered(before, "hold-0")
+	},
+	// Those that rest are closed at a step of the drain, which the end of one of them tells.
+	"silent, then asks behind that": func(x *crossing) {
+		rests, silent := x.rests(), x.client()
+		x.term()
+		if status, _, _, err := rests.answer(); status != 0 || err != nil {
+			x.Errorf("%d, %v", status, err)
+		}
+		silent.ask("a", "enterprise")
+		x.answered(silent, "a")
+	},
+	// Its time would be over behind the last step.
+	"a server that hangs, up to the last step": func(x *crossing) {
+		rests, silent := x.rests(), x.client()
+		x.term()
+		_, _, _, _ = rests.answer() // how it ends is the case's above
+		silent.ask("hang-0", "enterprise")
+		x.answered(silent, "hang-0")
+	},
+	"half a head": func(x *crossing) { x.halves(20) },
+	"half a body": func(x *crossing) { x.halves(-4) },
+	"in the module's queue": func(x *crossing) {
+		first := x.held("hold-0", "one")
+		// Of two requests with one id the second is told so by the module's own goroutine once the
+		// other is there.
+		both := []*caller{x.client(), x.client()}
+		for _, c := range both {
+			c.ask("b", "one")
+		}
+		waits := both[x.firstOf(both)^1]
+		x.term()
+		close(x.app.let)
+		x.answered(first, "hold-0")
+		x.answered(waits, "b")
+	},
+	"in the module's queue up to the last step": func(x *crossing) {
+		first := x.held("hang-0", "one")
+		both := []*caller{x.client(), x.client()}
+		for _, c := range both {
+			c.ask("b", "one")
+		}
+		waits := both[x.firstOf(both)^1]
+		x.term()
+		x.answered(first, "hang-0")
+		x.answered(waits, "b")
+	},
+	"a server that hangs": func(x *crossing) {
+		c := x.held("hang-0", "enterprise")
+		x.term()
+		x.answered(c, "hang-0")
+		if n := x.app.times("hang-0"); x.effect != "free" && n != 1 {
+			x.Errorf("sent on %d times", n)
+		}
+	},
+	"asked anew": func(x *crossing) { // by who comes while it drains
+		first := x.held("hold-0", "enterprise")
+		x.term()
+		c := x.client()
+		c.ask("a", "enterprise")
+		x.answered(c, "a")
+		close(x.app.let)
+		x.answered(first, "hold-0")
+	},
+	"twice": func(x *crossing) {
+		c := x.held("hold-0", "enterprise")
+		x.term()
+		x.signal(syscall.SIGTERM)
+		x.signal(syscall.SIGHUP) // behind it, and told of
+		x.until("reloading")
+		close(x.app.let)
+		x.answered(c, "hold-0")
+	},
+	"slow client": func(x *crossing) {
+		// Its segments and its buffer are small, so that the answer isn't in any socket whole.
+		d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
+				unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 536)
+			})
+		}}
+		nc, err := d.Dial("tcp", x.addr)
+		if err != nil {
+			x.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(testkit.Patience))
+		c := &caller{nc.(*net.TCPConn), bufio.NewReaderSize(nc, 16), x.site, nil}
+		c.ask("large-0", "enterprise")
+		if _, err := c.in.Peek(1); err != nil { // it is being written
+			x.Fatal(err)
+		}
+		x.term()
+		if status, body, _, err := c.answer(); status != 200 || len(body) != 64<<10 || err != nil {
+			x.Errorf("%d, %d bytes, %v", status, len(body), err)
+		}
+	},
+	"kept connections, up to their end": func(x *crossing) {
+		// Requests go on coming, from resting ones too, until the program ends each connection. One that
+		// crosses that end is begun neither.
+		const n = 24
+		var wait sync.WaitGroup
+		all := make([]*caller, n)
+		for i := range all {
+			all[i] = x.client()
+			id := fmt.Sprint("w-", i)
+			all[i].ask(id, "enterprise")
+			if status, body, closes, err := all[i].answer(); !x.due(status, body, id) || closes || err != nil {
+				x.Fatalf("%d %q, closes %v, %v", status, body, closes, err)
+			}
+		}
+		x.term()
+		for i, c := range all {
+			wait.Go(func() {
+				time.Sleep(time.Duration(i) * 25 * time.Millisecond) // before, at and behind the end of those that rest
+				id := fmt.Sprint("k-", i)
+				c.ask(id, "enterprise")
+				status, body, closes, err := c.answer()
+				if none := status == 0 && x.app.times(id) == 0; err != nil || !closes || !none && !x.due(status, body, id) {
+					x.Errorf("%s: %d, closes %v, %v; sent on %d times", id, status, closes, err, x.app.times(id))
+				}
+			})
+		}
+		wait.Wait()
+	},
+	"during a reload": func(x *crossing) {
+		c := x.held("hold-0", "enterprise")
+		text, err := os.ReadFile(x.config)
+		if err != nil {
+			x.Fatal(err)
+		}
+		// The program opens a pipe in the file's place, and waits in it.
+		if err := os.Remove(x.config); err != nil {
+			x.Fatal(err)
+		}
+		if err := syscall.Mkfifo(x.config, 0o600); err != nil {
+			x.Fatal(err)
+		}
+		x.signal(syscall.SIGHUP)
+		f, err := os.OpenFile(x.config, os.O_WRONLY, 0) // once it is opened for reading
+		if err != nil {
+			x.Fatal(err)
+		}
+		x.term()
+		f.Write(text)
+		f.Close()
+		x.until("reloading")
+		close(x.app.let)
+		x.answered(c, "hold-0")
+	},
+}
+
 // SIGTERM at each instant at which something is owed to a client: all that was taken is answered, as
 // refused only where it was not sent on, nothing is sent on that gets no answer, and the program ends well.
 func TestTermAtEachInstant(t *testing.T) {
-	crossings := map[string]func(*crossing){
-		"idle": func(x *crossing) { x.term() },
-		noRoom: func(x *crossing) {
-			first := x.held("hold-0", "enterprise")
-			waits := x.waits()
-			x.term()
-			close(x.app.let)
-			x.answered(first, "hold-0")
-			x.all(waits)
-		},
-		noRoom + " up to the last step": func(x *crossing) {
-			first := x.held("hang-0", "enterprise")
-			waits := x.waits()
-			x.term()
-			x.answered(first, "hang-0")
-			x.all(waits)
-		},
-		"silent, then asks": func(x *crossing) {
-			c, before := x.client(), x.held("hold-0", "enterprise") // taken behind the first
-			x.term()
-			c.ask("a", "enterprise")
-			x.answered(c, "a")
-			close(x.app.let)
-			x.answered(before, "hold-0")
-		},
-		// Those that rest are closed at a step of the drain, which the end of one of them tells.
-		"silent, then asks behind that": func(x *crossing) {
-			rests, silent := x.rests(), x.client()
-			x.term()
-			if status, _, _, err := rests.answer(); status != 0 || err != nil {
-				x.Errorf("%d, %v", status, err)
-			}
-			silent.ask("a", "enterprise")
-			x.answered(silent, "a")
-		},
-		// Its time would be over behind the last step.
-		"a server that hangs, up to the last step": func(x *crossing) {
-			rests, silent := x.rests(), x.client()
-			x.term()
-			_, _, _, _ = rests.answer() // how it ends is the case's above
-			silent.ask("hang-0", "enterprise")
-			x.answered(silent, "hang-0")
-		},
-		"half a head": func(x *crossing) { x.halves(20) },
-		"half a body": func(x *crossing) { x.halves(-4) },
-		"in the module's queue": func(x *crossing) {
-			first := x.held("hold-0", "one")
-			// Of two requests with one id the second is told so by the module's own goroutine once the
-			// other is there.
-			both := []*caller{x.client(), x.client()}
-			for _, c := range both {
-				c.ask("b", "one")
-			}
-			waits := both[x.firstOf(both)^1]
-			x.term()
-			close(x.app.let)
-			x.answered(first, "hold-0")
-			x.answered(waits, "b")
-		},
-		"in the module's queue up to the last step": func(x *crossing) {
-			first := x.held("hang-0", "one")
-			both := []*caller{x.client(), x.client()}
-			for _, c := range both {
-				c.ask("b", "one")
-			}
-			waits := both[x.firstOf(both)^1]
-			x.term()
-			x.answered(first, "hang-0")
-			x.answered(waits, "b")
-		},
-		"a server that hangs": func(x *crossing) {
-			c := x.held("hang-0", "enterprise")
-			x.term()
-			x.answered(c, "hang-0")
-			if n := x.app.times("hang-0"); x.effect != "free" && n != 1 {
-				x.Errorf("sent on %d times", n)
-			}
-		},
-		"asked anew": func(x *crossing) { // by who comes while it drains
-			first := x.held("hold-0", "enterprise")
-			x.term()
-			c := x.client()
-			c.ask("a", "enterprise")
-			x.answered(c, "a")
-			close(x.app.let)
-			x.answered(first, "hold-0")
-		},
-		"twice": func(x *crossing) {
-			c := x.held("hold-0", "enterprise")
-			x.term()
-			x.signal(syscall.SIGTERM)
-			x.signal(syscall.SIGHUP) // behind it, and told of
-			x.until("reloading")
-			close(x.app.let)
-			x.answered(c, "hold-0")
-		},
-		"slow client": func(x *crossing) {
-			// Its segments and its buffer are small, so that the answer isn't in any socket whole.
-			d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-				return raw.Control(func(fd uintptr) {
-					unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1)
-					unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 536)
-				})
-			}}
-			nc, err := d.Dial("tcp", x.addr)
-			if err != nil {
-				x.Fatal(err)
-			}
-			defer nc.Close()
-			nc.SetDeadline(time.Now().Add(testkit.Patience))
-			c := &caller{nc.(*net.TCPConn), bufio.NewReaderSize(nc, 16), x.site, nil}
-			c.ask("large-0", "enterprise")
-			if _, err := c.in.Peek(1); err != nil { // it is being written
-				x.Fatal(err)
-			}
-			x.term()
-			if status, body, _, err := c.answer(); status != 200 || len(body) != 64<<10 || err != nil {
-				x.Errorf("%d, %d bytes, %v", status, len(body), err)
-			}
-		},
-		"kept connections, up to their end": func(x *crossing) {
-			// Requests go on coming, from resting ones too, until the program ends each connection. One that
-			// crosses that end is begun neither.
-			const n = 24
-			var wait sync.WaitGroup
-			all := make([]*caller, n)
-			for i := range all {
-				all[i] = x.client()
-				id := fmt.Sprint("w-", i)
-				all[i].ask(id, "enterprise")
-				if status, body, closes, err := all[i].answer(); !x.due(status, body, id) || closes || err != nil {
-					x.Fatalf("%d %q, closes %v, %v", status, body, closes, err)
-				}
-			}
-			x.term()
-			for i, c := range all {
-				wait.Go(func() {
-					time.Sleep(time.Duration(i) * 25 * time.Millisecond) // before, at and behind the end of those that rest
-					id := fmt.Sprint("k-", i)
-					c.ask(id, "enterprise")
-					status, body, closes, err := c.answer()
-					if none := status == 0 && x.app.times(id) == 0; err != nil || !closes || !none && !x.due(status, body, id) {
-						x.Errorf("%s: %d, closes %v, %v; sent on %d times", id, status, closes, err, x.app.times(id))
-					}
-				})
-			}
-			wait.Wait()
-		},
-		"during a reload": func(x *crossing) {
-			c := x.held("hold-0", "enterprise")
-			text, err := os.ReadFile(x.config)
-			if err != nil {
-				x.Fatal(err)
-			}
-			// The program opens a pipe in the file's place, and waits in it.
-			if err := os.Remove(x.config); err != nil {
-				x.Fatal(err)
-			}
-			if err := syscall.Mkfifo(x.config, 0o600); err != nil {
-				x.Fatal(err)
-			}
-			x.signal(syscall.SIGHUP)
-			f, err := os.OpenFile(x.config, os.O_WRONLY, 0) // once it is opened for reading
-			if err != nil {
-				x.Fatal(err)
-			}
-			x.term()
-			f.Write(text)
-			f.Close()
-			x.until("reloading")
-			close(x.app.let)
-			x.answered(c, "hold-0")
-		},
-	}
 	for _, s := range sites {
 		for name, play := range crossings {
 			s := s
--- a/internal/canary/judge_test.go
+++ b/internal/canary/judge_test.go
@@ -70,69 +70,71 @@
 	r.Figures.Served -= float64(n)
 }
 
+// verdicts are what one of twelve does once it is changed, for how many intervals, and what has to come of it.
+var verdicts = []struct {
+	name string
+	want Kind
+	run  int
+	each func(c *crew, i int, r *Reading)
+}{
+	{"alike", Pass, 60, nil},
+	{"too early", Wait, 20, nil},
+	{"fails", Worse, 20, func(_ *crew, _ int, r *Reading) {
+		if r.Side == New {
+			fails(r, 20)
+		}
+	}},
+	{"the world fails", Pass, 60, func(c *crew, _ int, r *Reading) {
+		if c.now > 8*time.Minute {
+			fails(r, 20)
+		}
+	}},
+	{"cold ones fail, control too", Pass, 60, func(c *crew, _ int, r *Reading) {
+		if r.Side != Old && c.now < 7*time.Minute {
+			fails(r, 4)
+		}
+	}},
+	{"nonsense of an old one", Pass, 60, func(c *crew, i int, r *Reading) {
+		switch i {
+		case 5:
+			r.Figures.Asked = math.NaN()
+		case 6:
+			r.Figures.Requests = uint64(c.rng.Int64())
+		case 7:
+			r.Figures.Units = -1
+		}
+	}},
+	{"nonsense of the new one", NoEvidence, 400, func(_ *crew, i int, r *Reading) {
+		if i == 0 && r.Side == New {
+			r.Figures.Served = math.NaN()
+		}
+	}},
+	{"nobody asks the new one", NoEvidence, 400, func(_ *crew, _ int, r *Reading) {
+		if r.Side == New {
+			r.Figures = instancestats.Figures{Began: r.Figures.Began, MemoryKB: 100000}
+		}
+	}},
+	{"the new one crashes", Worse, 30, func(c *crew, _ int, r *Reading) {
+		if r.Side == New && c.now%time.Minute == 0 {
+			r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
+		}
+	}},
+	{"all crash", Wait, 20, func(c *crew, _ int, r *Reading) {
+		if c.now == 6*time.Minute {
+			r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
+		}
+	}},
+	{"others are harmed, and the new one takes more", Worse, 60, func(_ *crew, _ int, r *Reading) {
+		if r.Side == New {
+			r.Figures.Units += 12
+		}
+		fails(r, 6)
+	}},
+	{"others are harmed, nothing tells by whom", NoEvidence, 400, func(_ *crew, _ int, r *Reading) { fails(r, 10) }},
+}
+
 func TestVerdicts(t *testing.T) {
-	nan := math.NaN()
-	for _, c := range []struct {
-		name string
-		want Kind
-		run  int
-		each func(c *crew, i int, r *Reading)
-	}{
-		{"alike", Pass, 60, nil},
-		{"too early", Wait, 20, nil},
-		{"fails", Worse, 20, func(_ *crew, _ int, r *Reading) {
-			if r.Side == New {
-				fails(r, 20)
-			}
-		}},
-		{"the world fails", Pass, 60, func(c *crew, _ int, r *Reading) {
-			if c.now > 8*time.Minute {
-				fails(r, 20)
-			}
-		}},
-		{"cold ones fail, control too", Pass, 60, func(c *crew, _ int, r *Reading) {
-			if r.Side != Old && c.now < 7*time.Minute {
-				fails(r, 4)
-			}
-		}},
-		{"nonsense of an old one", Pass, 60, func(c *crew, i int, r *Reading) {
-			switch i {
-			case 5:
-				r.Figures.Asked = nan
-			case 6:
-				r.Figures.Requests = uint64(c.rng.Int64())
-			case 7:
-				r.Figures.Units = -1
-			}
-		}},
-		{"nonsense of the new one", NoEvidence, 400, func(_ *crew, i int, r *Reading) {
-			if i == 0 && r.Side == New {
-				r.Figures.Served = nan
-			}
-		}},
-		{"nobody asks the new one", NoEvidence, 400, func(_ *crew, _ int, r *Reading) {
-			if r.Side == New {
-				r.Figures = instancestats.Figures{Began: r.Figures.Began, MemoryKB: 100000}
-			}
-		}},
-		{"the new one crashes", Worse, 30, func(c *crew, _ int, r *Reading) {
-			if r.Side == New && c.now%time.Minute == 0 {
-				r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
-			}
-		}},
-		{"all crash", Wait, 20, func(c *crew, _ int, r *Reading) {
-			if c.now == 6*time.Minute {
-				r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
-			}
-		}},
-		{"others are harmed, and the new one takes more", Worse, 60, func(_ *crew, _ int, r *Reading) {
-			if r.Side == New {
-				r.Figures.Units += 12
-			}
-			fails(r, 6)
-		}},
-		{"others are harmed, nothing tells by whom", NoEvidence, 400, func(_ *crew, _ int, r *Reading) { fails(r, 10) }},
-	} {
+	for _, c := range verdicts {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCrew(12, 1)
 			f.run(30, nil)
--- a/internal/faultnet/play_test.go
+++ b/internal/faultnet/play_test.go
@@ -28,13 +28,23 @@
 	return rest[:1]
 }
 
-// Each step has what is in force then befall its link or process, overlaps too; a player that
-// stops half-way leaves nothing in force.
-func TestPlayer(t *testing.T) {
+// isSo tells whether a link refuses, and a process runs and is stopped.
+func isSo(l *Link, p *Process, refused, runs, stopped bool) bool {
+	c, err := net.Dial("tcp", l.Addr())
+	if err == nil {
+		c.Close()
+	}
+	is := state(p)
+	return (err != nil) == refused && (is != "") == runs && (is == "T") == stopped
+}
+
+// echoServer gives the address of a server that sends back what comes, until the test ends.
+func echoServer(t *testing.T) string {
 	echo, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { echo.Close() })
 	go func() {
 		for {
 			c, err := echo.Accept()
@@ -44,8 +54,13 @@
 			go func() { io.Copy(c, c); c.Close() }()
 		}
 	}()
-	defer echo.Close()
-	l, err := Listen(echo.Addr().String())
+	return echo.Addr().String()
+}
+
+// Each step has what is in force then befall its link or process, overlaps too; a player that
+// stops half-way leaves nothing in force.
+func TestPlayer(t *testing.T) {
+	l, err := Listen(echoServer(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,16 +79,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	look := func(step string, refused bool, runs, stopped bool) {
+	look := func(step string, refused, runs, stopped bool) {
 		t.Helper()
-		testkit.Until(t, step, func() bool {
-			c, err := net.Dial("tcp", l.Addr())
-			if err == nil {
-				c.Close()
-			}
-			is := state(p)
-			return (err != nil) == refused && (is != "") == runs && (is == "T") == stopped
-		})
+		testkit.Until(t, step, func() bool { return isSo(l, p, refused, runs, stopped) })
 	}
 	for name, cut := range map[string]int{"whole": 6, "cut short": 2} {
 		pl, err := NewPlayer(s, []*Link{l}, []*Process{p})
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -263,6 +263,14 @@
 	return []string{"reload", "--config", path}, desiredstate.Hash(text), nil
 }
 
+// killed takes a change whose first coordinator was killed into the report; none of it may have begun.
+func (r *rolloutRig) killed(row RolloutRow, none bool) {
+	r.rep.Rows, r.rep.Killed = append(r.rep.Rows, row), r.rep.Killed+row.Killed
+	if none {
+		r.rep.Killed++
+	}
+}
+
 // changeEnd is how a change ended.
 type changeEnd struct {
 	none   bool // nothing of it was begun
@@ -336,8 +344,7 @@
 	switch {
 	case now[next] == r.o.Members:
 		row.State = "new"
-		r.at = 1 - r.at
-		if kind != desiredstate.KindProgram {
+		if kind == desiredstate.KindProgram {
 			r.at = 1 - r.at
 		}
 	case now[old[0]] == r.o.Members:
@@ -348,10 +355,7 @@
 		r.rep.Wrong = append(r.rep.Wrong, fmt.Sprintf("%s, killed at write %d, then %s: exit %d, members run %v; before %v, next %.12s\n%s", kind, kill, way, code, now, old, next, log))
 	}
 	if killed {
-		r.rep.Rows, r.rep.Killed = append(r.rep.Rows, row), r.rep.Killed+row.Killed
-		if none {
-			r.rep.Killed++
-		}
+		r.killed(row, none)
 	}
 	fmt.Fprintf(r.o.Progress, "%s, killed at write %d, %s: %s, exit %d, %.1f s, %d wrong\n", kind, kill, way, row.State, code, row.Seconds, len(r.rep.Wrong))
 	if row.State == "mixed" {
--- a/internal/ordinarytest/mutations_test.go
+++ b/internal/ordinarytest/mutations_test.go
@@ -82,12 +82,9 @@
 	return s.r.Read(p)
 }
 
-// direct plays seeds at a service with no front before it, and gives what was wrong. wrap makes the
-// request that the service sends; nil leaves it as it is.
-func direct(t *testing.T, seeds int, wrap func(*upstream.RelayedRequest, io.Reader) service.Forwarder) (wrong []string, served int) {
-	c := &tally{came: make(map[string]int)}
-	src := discovery.Source{Kind: discovery.Static}
-	var origins []*fake.Origin
+// faultyOrigins starts three origins that draw faults, and lists them.
+func faultyOrigins(t *testing.T, c *tally) (origins []*fake.Origin, src discovery.Source) {
+	src.Kind = discovery.Static
 	for i := range 3 {
 		o := &fake.Origin{Seen: c.saw, Fault: faults, Seed: uint64(i)}
 		if err := o.Start(); err != nil {
@@ -96,6 +93,14 @@
 		origins = append(origins, o)
 		src.Endpoints = append(src.Endpoints, discovery.Endpoint{UID: fmt.Sprint(i), Address: o.Addr(), State: "up", Capacity: 1})
 	}
+	return origins, src
+}
+
+// direct plays seeds at a service with no front before it, and gives what was wrong. wrap makes the
+// request that the service sends; nil leaves it as it is.
+func direct(t *testing.T, seeds int, wrap func(*upstream.RelayedRequest, io.Reader) service.Forwarder) (wrong []string, served int) {
+	c := &tally{came: make(map[string]int)}
+	origins, src := faultyOrigins(t, c)
 	ready := make(chan struct{})
 	s, err := service.New(service.Options{
 		Source: src, AnyMethod: true, OnReady: func() { close(ready) },
@@ -145,18 +150,10 @@
 				if !ok {
 					continue
 				}
-				in := io.Reader(bytes.NewReader(a.Body))
-				if a.Stream != nil {
-					in = a.Stream
-				}
-				h := sha256.New()
-				n, err := io.Copy(h, in)
-				if a.Stream != nil {
-					a.Stream.Close()
-				}
+				n, hash, err := readAnswer(a)
 				mu.Lock()
 				if a.Status == http.StatusOK && err == nil {
-					if served++; n != want || hex.EncodeToString(h.Sum(nil)[:8]) != fake.HashOf(want) {
+					if served++; n != want || hash != fake.HashOf(want) {
 						wrong = append(wrong, fmt.Sprintf("seed %d: %d bytes for the whole %d", seed, n, want))
 					}
 				}
@@ -178,6 +175,18 @@
 	return wrong, served
 }
 
+// readAnswer reads an answer's body to its end, and gives its length and hash.
+func readAnswer(a service.Answer) (n int64, hash string, err error) {
+	in := io.Reader(bytes.NewReader(a.Body))
+	if a.Stream != nil {
+		in = a.Stream
+		defer a.Stream.Close()
+	}
+	h := sha256.New()
+	n, err = io.Copy(h, in)
+	return n, hex.EncodeToString(h.Sum(nil)[:8]), err
+}
+
 // What the tallies hold is held by what they are to hold: taken away, they find it.
 func TestMutationsAreFound(t *testing.T) {
 	if wrong, served := direct(t, 300, nil); len(wrong) > 0 || served < 50 {
--- a/internal/regions/regions_test.go
+++ b/internal/regions/regions_test.go
@@ -203,6 +203,25 @@
 
 func line(k Kind, a, b, ra, rb string) string { return fmt.Sprint(k, " ", a, " ", b, " ", ra, " ", rb) }
 
+// lookAt notes the conflicts that a request shows, and the rules that treat it.
+func lookAt(w *Witness, plains []*plain, want, alive map[string]bool) {
+	var got []treated
+	for _, p := range plains {
+		got = append(got, p.treat(w))
+		alive[p.Name+got[len(got)-1].rule] = true
+	}
+	for i := range got {
+		for j := range i {
+			for _, k := range differ(got[j], got[i]) {
+				want[line(k, plains[j].Name, plains[i].Name, got[j].rule, got[i].rule)] = true
+			}
+		}
+	}
+	for _, l := range plainLoops(plains, w) {
+		want[l] = true
+	}
+}
+
 // TestAgainstReference holds the decider against a look at every request of a small universe: nothing is
 // missed, and nothing told that real routers do not show.
 func TestAgainstReference(t *testing.T) {
@@ -213,23 +232,7 @@
 			plains = append(plains, plainOf(t, r))
 		}
 		want, alive := make(map[string]bool), make(map[string]bool)
-		everyRequest(func(w *Witness) {
-			var got []treated
-			for _, p := range plains {
-				got = append(got, p.treat(w))
-				alive[p.Name+got[len(got)-1].rule] = true
-			}
-			for i := range got {
-				for j := range i {
-					for _, k := range differ(got[j], got[i]) {
-						want[line(k, plains[j].Name, plains[i].Name, got[j].rule, got[i].rule)] = true
-					}
-				}
-			}
-			for _, l := range plainLoops(plains, w) {
-				want[l] = true
-			}
-		})
+		everyRequest(func(w *Witness) { lookAt(w, plains, want, alive) })
 		for _, p := range plains {
 			for _, one := range p.Routes {
 				if !alive[p.Name+one.Name] {
@@ -267,23 +270,28 @@
 			t.Fatalf("missed: %v\n%+v", want, all)
 		}
 
-		// The order of regions means nothing, and one that is replaced by another gives what a look at all gives.
-		told := Check(all)
-		turned := slices.Clone(all)
-		slices.Reverse(turned)
-		if again := Check(turned); !reflect.DeepEqual(told, again) {
-			t.Fatalf("in another order: %v, not %v", again, told)
-		}
-		for range 3 {
-			at := rapid.IntRange(0, len(all)-1).Draw(t, "at")
-			all[at] = drawRegion(t, all[at].Name, all[rapid.IntRange(0, len(all)-1).Draw(t, "from")].Routes)
-			if got, want := x.Replace(all[at]), Check(all); !reflect.DeepEqual(got, want) {
-				t.Fatalf("replaced:\n%v\nnot\n%v", got, want)
-			}
-		}
+		orderAndReplace(t, x, all)
 	})
 }
 
+// orderAndReplace checks that the order of regions means nothing, and that one that is replaced by another gives
+// what a look at all gives.
+func orderAndReplace(t *rapid.T, x *Index, all []Region) {
+	told := Check(all)
+	turned := slices.Clone(all)
+	slices.Reverse(turned)
+	if again := Check(turned); !reflect.DeepEqual(told, again) {
+		t.Fatalf("in another order: %v, not %v", again, told)
+	}
+	for range 3 {
+		at := rapid.IntRange(0, len(all)-1).Draw(t, "at")
+		all[at] = drawRegion(t, all[at].Name, all[rapid.IntRange(0, len(all)-1).Draw(t, "from")].Routes)
+		if got, want := x.Replace(all[at]), Check(all); !reflect.DeepEqual(got, want) {
+			t.Fatalf("replaced:\n%v\nnot\n%v", got, want)
+		}
+	}
+}
+
 // plainLoops gives the least region of each circle that a request goes round in, with its rule there.
 func plainLoops(all []*plain, w *Witness) (found []string) {
 	next := make([][]int, len(all))
--- a/internal/regiontrial/checks_test.go
+++ b/internal/regiontrial/checks_test.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
-// Each check finds what it is for, and nothing where all is well.
-func TestChecksFind(t *testing.T) {
-	const ms = time.Millisecond
+const ms = time.Millisecond
+
+// Each check below finds what it is for, and nothing where all is well: here, neighbours that run settings
+// more than a phase apart.
+func TestNeighboursAreFound(t *testing.T) {
 	gens := map[string][]string{"a": {"a0", "a1", "a2"}, "b": {"b0", "b0", "b2"}, "c": {"c0", "c1", "c2"}}
 	// runs is a member at a hash from one time to another, by looks of 2 ms.
 	runs := func(member, hash string, generation int, from, to time.Duration) (all []Look) {
@@ -35,12 +37,18 @@
 			t.Errorf("%s: %v", name, got)
 		}
 	}
+}
+
+func TestOwnersAreFound(t *testing.T) {
 	owned := func(all ...Look) int { return len(Owners(all)) }
 	if owned(Look{Member: "a", Epoch: 1, Owner: "x"}, Look{Member: "b", Epoch: 2, Owner: "y"}, Look{Member: "a", Epoch: 2, Owner: "y"}) != 0 ||
 		owned(Look{Member: "a", Epoch: 2, Owner: "y"}, Look{Member: "a", Epoch: 1, Owner: "x"}) != 1 ||
 		owned(Look{Member: "a", Epoch: 2, Owner: "y"}, Look{Member: "b", Epoch: 2, Owner: "x"}) != 1 {
 		t.Error("owners")
 	}
+}
+
+func TestLogsAreRead(t *testing.T) {
 	const (
 		grant = `level=INFO msg="coordinator epoch granted" epoch=%d owner=%s` + "\n"
 		begun = `level=INFO msg="command started" id=%s epoch=%d owner=%s kind=settings` + "\n"
@@ -60,6 +68,9 @@
 			t.Errorf("%q: %q", want, all)
 		}
 	}
+}
+
+func TestBeyondIsFound(t *testing.T) {
 	var even []time.Duration
 	for i := range 100 {
 		even = append(even, time.Duration(i)*100*ms)
@@ -70,6 +81,9 @@
 	if v := Beyond(slices.Concat(even[:50], slices.Repeat([]time.Duration{even[50]}, 8), even[50:]), 10, 5); v < 3.9 || v > 4.1 {
 		t.Errorf("%g beyond, with 8 more at once and 5 that may", v)
 	}
+}
+
+func TestClaimsAreHeld(t *testing.T) {
 	body := func(pods ...string) string {
 		var all []string
 		for _, p := range pods {
--- a/internal/regiontrial/trial.go
+++ b/internal/regiontrial/trial.go
@@ -279,15 +279,11 @@
 		// A member that the second coordinator left between two of its own generations runs what the first one's
 		// journal doesn't know: that is told as stuck, and the second one's journal takes it back.
 		way := [][]string{{"journal", "--resume"}, {"second", "--take-back"}, {"journal", "--resume"}, {"journal", "--take-back"}}[tries]
-		if c, err := r.journal(way[0]); err != nil || c == nil {
-			said = append(said, fmt.Sprintf("%s: nothing begun, %v", way[0], err))
-			continue
-		}
-		e, err := r.coordinate(ctx, 0, r.flags(files[after], way[0], way[1])...)
+		what, err := r.goOn(ctx, files[after], way[0], way[1])
 		if err != nil {
 			return err
 		}
-		said = append(said, fmt.Sprintf("%s %s: exit %d: %s", way[0], way[1], e.code, e.said[max(len(e.said)-1500, 0):]))
+		said = append(said, what)
 	}
 	if !rep.Changed {
 		if changed, err := r.changeAgain(ctx, hashes, files); err != nil || !changed {
@@ -297,6 +293,18 @@
 	return r.harm(ctx, rep, hashes, files)
 }
 
+// goOn goes on with the change of a journal in some way, where it has one, and gives what came of it.
+func (r *run) goOn(ctx context.Context, file, journal, way string) (said string, err error) {
+	if c, err := r.journal(journal); err != nil || c == nil {
+		return fmt.Sprintf("%s: nothing begun, %v", journal, err), nil
+	}
+	e, err := r.coordinate(ctx, 0, r.flags(file, journal, way)...)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s %s: exit %d: %s", journal, way, e.code, e.said[max(len(e.said)-1500, 0):]), nil
+}
+
 // changeAgain makes the change without faults.
 func (r *run) changeAgain(ctx context.Context, hashes map[kind][]string, files map[kind]string) (changed bool, err error) {
 	e, err := r.coordinate(ctx, 0, r.flags(files[after], "journal", "--unjudged", "--bake", "100ms", "--bake-most", "5s")...)
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -255,26 +255,9 @@
 	w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, func() { w.disturb(until) })
 }
 
-// play plays one seed to its end.
-func play(seed uint64, mutated mutation) (*world, *coordinator) {
-	rng := rand.New(rand.NewPCG(seed, 7))
-	w := &world{rng: rng, ordered: map[string]bool{}, owners: map[uint64]string{}, mutated: mutated, lineage: true}
-	n, phases := 1+rng.IntN(9), 1+rng.IntN(3)
-	w.plan = Plan{
-		AtOnce: 1 + rng.IntN(3), Bake: 2 * time.Second, BakeMost: 20 * time.Second, Away: 12 * time.Second, Controls: rng.IntN(2) == 0,
-		Stages: DefaultStages(),
-	}
-	for i := range n {
-		m := Member{Name: fmt.Sprint("m", i), Region: fmt.Sprint("r", i%3), Zone: fmt.Sprint("z", i%2)}
-		for g := range phases + 1 {
-			m.Gens = append(m.Gens, fmt.Sprint("g", g))
-		}
-		if phases > 1 && rng.IntN(3) == 0 {
-			m.Gens[1] = m.Gens[0] // a region that this phase leaves alone
-		}
-		w.plan.Members = append(w.plan.Members, m)
-		w.members = append(w.members, &modelMember{i: i, runs: m.Gens[0], up: true, bad: map[string]bool{}, did: map[string]int{}})
-	}
+// drawFaults draws what gets lost, what is judged, which members fail with what, and what befalls them.
+func (w *world) drawFaults(phases int) {
+	rng, n := w.rng, len(w.members)
 	switch rng.IntN(4) {
 	case 0:
 		w.loss = 0.02
@@ -299,6 +282,29 @@
 		w.disturb(60 * time.Second)
 	}
 	w.once = rng.IntN(2) == 0
+}
+
+// play plays one seed to its end.
+func play(seed uint64, mutated mutation) (*world, *coordinator) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := &world{rng: rng, ordered: map[string]bool{}, owners: map[uint64]string{}, mutated: mutated, lineage: true}
+	n, phases := 1+rng.IntN(9), 1+rng.IntN(3)
+	w.plan = Plan{
+		AtOnce: 1 + rng.IntN(3), Bake: 2 * time.Second, BakeMost: 20 * time.Second, Away: 12 * time.Second, Controls: rng.IntN(2) == 0,
+		Stages: DefaultStages(),
+	}
+	for i := range n {
+		m := Member{Name: fmt.Sprint("m", i), Region: fmt.Sprint("r", i%3), Zone: fmt.Sprint("z", i%2)}
+		for g := range phases + 1 {
+			m.Gens = append(m.Gens, fmt.Sprint("g", g))
+		}
+		if phases > 1 && rng.IntN(3) == 0 {
+			m.Gens[1] = m.Gens[0] // a region that this phase leaves alone
+		}
+		w.plan.Members = append(w.plan.Members, m)
+		w.members = append(w.members, &modelMember{i: i, runs: m.Gens[0], up: true, bad: map[string]bool{}, did: map[string]int{}})
+	}
+	w.drawFaults(phases)
 	journal := new([]Entry)
 	dieAt := 0
 	if rng.IntN(2) == 0 {
--- a/internal/scattergather/merge_test.go
+++ b/internal/scattergather/merge_test.go
@@ -120,26 +120,42 @@
 	})
 }
 
+// drawTree draws a tree so many levels deep at most; names counts what is named.
+func drawTree(t *rapid.T, names *int, deep int) *Tree {
+	*names++
+	tree := &Tree{Name: fmt.Sprint("g", *names), Least: rapid.Float64Range(0.01, 1).Draw(t, "least")}
+	for range rapid.IntRange(1, 4).Draw(t, "parts") {
+		*names++
+		p := Part{Name: fmt.Sprint("p", *names), Weight: float64(rapid.IntRange(1, 3).Draw(t, "weight"))}
+		if deep > 0 && rapid.Bool().Draw(t, "inner") {
+			p.Inner = drawTree(t, names, deep-1)
+		}
+		tree.Parts = append(tree.Parts, p)
+	}
+	return tree
+}
+
+// mentions counts how often an answer holds a leaf, names it, or names a gatherer that it is within.
+func (w *Whole) mentions(root *Tree, leaf string) (n int) {
+	for _, c := range w.Contents {
+		if string(c) == leaf {
+			n++
+		}
+	}
+	for _, m := range w.Missing {
+		path := strings.Split(m, "/")
+		if last := path[len(path)-1]; last == leaf || last != "x" && last != "y" && reaches(root, last, leaf) {
+			n++
+		}
+	}
+	return n
+}
+
 // Whatever comes in whatever order, over trees of any form: an answer holds what it claims, counts add
 // up, each part is held or named once, and there is no answer of less than the least.
 func TestClaims(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		names := 0
-		var draw func(deep int) *Tree
-		draw = func(deep int) *Tree {
-			names++
-			tree := &Tree{Name: fmt.Sprint("g", names), Least: rapid.Float64Range(0.01, 1).Draw(t, "least")}
-			for range rapid.IntRange(1, 4).Draw(t, "parts") {
-				names++
-				p := Part{Name: fmt.Sprint("p", names), Weight: float64(rapid.IntRange(1, 3).Draw(t, "weight"))}
-				if deep > 0 && rapid.Bool().Draw(t, "inner") {
-					p.Inner = draw(deep - 1)
-				}
-				tree.Parts = append(tree.Parts, p)
-			}
-			return tree
-		}
-		root := draw(2)
+		root := drawTree(t, new(int), 2)
 		leaves := root.Number()
 		q := Begin(root, len(leaves), 0, func(tree *Tree) Decider {
 			s := &waitpolicy.Settings{
@@ -190,19 +206,7 @@
 		}
 		// Each leaf is held, or named, or within a gatherer that is.
 		for _, l := range leaves {
-			is := 0
-			for _, c := range w.Contents {
-				if string(c) == l.Name {
-					is++
-				}
-			}
-			for _, m := range w.Missing {
-				path := strings.Split(m, "/")
-				if last := path[len(path)-1]; last == l.Name || last != "x" && last != "y" && reaches(root, last, l.Name) {
-					is++
-				}
-			}
-			if is != 1 {
+			if is := w.mentions(root, l.Name); is != 1 {
 				t.Fatalf("%s is there %d times: %q, without %q", l.Name, is, w.Contents, w.Missing)
 			}
 		}
--- a/internal/scattergathertest/faults_test.go
+++ b/internal/scattergathertest/faults_test.go
@@ -99,19 +99,10 @@
 	return all
 }
 
-// Six instances over five pools, the pools and the store that they share in behind links. First one pool
-// falls silent: the others are sent each query once and are in each answer that waits for them. Then a
-// script befalls all links, a step whenever so many more queries have been answered: each query has one
-// answer, which holds what it claims. Once all is healed each instance has whole answers again, and hears
-// from the others.
-func TestFaultsBetween(t *testing.T) {
-	f := newFaulty(t, 5, 6)
-	f.wave(20, f.nodes...)
-	f.each(5, f.asked(), make([]int, 5))
-	if f.c.refused+f.c.lost > 0 || f.c.whole == 0 {
-		t.Error("while nothing was wrong:", f.c.String())
-	}
-
+// silentPool has one pool fall silent: the others are sent each query once and are in each answer that waits for
+// them.
+func (f *faulty) silentPool(t *testing.T) {
+	t.Helper()
 	if err := f.links[4].Set(script.Fault{Kind: script.Cut}); err != nil {
 		t.Fatal(err)
 	}
@@ -133,6 +124,22 @@
 	if err := f.links[4].Heal(); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// Six instances over five pools, the pools and the store that they share in behind links. First one pool
+// falls silent: the others are sent each query once and are in each answer that waits for them. Then a
+// script befalls all links, a step whenever so many more queries have been answered: each query has one
+// answer, which holds what it claims. Once all is healed each instance has whole answers again, and hears
+// from the others.
+func TestFaultsBetween(t *testing.T) {
+	f := newFaulty(t, 5, 6)
+	f.wave(20, f.nodes...)
+	f.each(5, f.asked(), make([]int, 5))
+	if f.c.refused+f.c.lost > 0 || f.c.whole == 0 {
+		t.Error("while nothing was wrong:", f.c.String())
+	}
+
+	f.silentPool(t)
 
 	s := faultnet.Draw(7, faultnet.Spec{Links: len(f.links), For: 4 * time.Second, Faults: 10})
 	t.Cleanup(func() {
--- a/internal/scattergathertest/process_test.go
+++ b/internal/scattergathertest/process_test.go
@@ -156,6 +156,51 @@
 	}
 }
 
+// startPools starts five pools, and gives their services, their names, and the names as TOML has them.
+func startPools(t *testing.T) (pools []*pool, services string, all, quoted []string) {
+	t.Helper()
+	for i := range 5 {
+		p := newPool(t, fmt.Sprint("p", i))
+		p.says(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "[%q]", p.name) })
+		pools = append(pools, p)
+		services += service(p, `plans = ["free"]`)
+		all, quoted = append(all, p.name), append(quoted, fmt.Sprintf("%q", p.name))
+	}
+	return pools, services, all, quoted
+}
+
+// wereAsked checks that pools were sent each of n queries: never twice, and each but for what a node with busy cores
+// does not send in time.
+func wereAsked(t *testing.T, when string, n int, of []*pool) {
+	t.Helper()
+	for _, p := range of {
+		is := p.Count()
+		testkit.Until(t, fmt.Sprintf("%s was asked %d times by %d queries%s", p.name, is, n, when), func() bool { return p.Count() >= n*9/10 })
+		if p.Count() > n {
+			t.Errorf("%s was asked %d times by %d queries%s", p.name, p.Count(), n, when)
+		}
+	}
+}
+
+// bothLevels checks an answer of the upper instance, under whose parts the lower ones' parts are named.
+func bothLevels(t *testing.T, top *proc) {
+	t.Helper()
+	resp, err := http.Get("http://" + *top.addr.Load() + "/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	var names []string
+	held, of := 0, 0
+	if _, err := fmt.Sscanf(resp.Header.Get("Lockflow-Parts"), "%d/%d", &held, &of); err != nil {
+		t.Error(err)
+	}
+	if err := json.Unmarshal(raw, &names); err != nil || resp.StatusCode != 200 || len(names) != held || of != 10 {
+		t.Errorf("%d %s: %q, %v", resp.StatusCode, resp.Header.Get("Lockflow-Parts"), raw, err)
+	}
+}
+
 // Instances of the program over five pools that share what they learn, and one over two of them. A
 // pool stalls, one instance is killed, one gives way to a successor, and one's settings change: each
 // query has one answer, which claims what it holds, and the other pools are asked once for each.
@@ -165,16 +210,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Close)
-	var pools []*pool
-	var services string
-	var all, quoted []string
-	for i := range 5 {
-		p := newPool(t, fmt.Sprint("p", i))
-		p.says(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "[%q]", p.name) })
-		pools = append(pools, p)
-		services += service(p, `plans = ["free"]`)
-		all, quoted = append(all, p.name), append(quoted, fmt.Sprintf("%q", p.name))
-	}
+	pools, services, all, quoted := startPools(t)
 	process := strings.Replace(head, "[process]", "[process]\nstate = \"DIR/state\"\ncheckpoint = \"20ms\"\nupgrade = { probation = \"100ms\" }", 1)
 	gather := "[services.district]\ntime_header = \"X-Time-Left\"\n" + district("parts = ["+strings.Join(quoted, ", ")+
 		"]\nleast = 0.4\nhalf_life = \"400ms\"\ndeadline = \"learned\"\nshare = { addresses = [\""+store.Addr()+"\"] }")
@@ -207,21 +243,10 @@
 	if c.refused+c.lost > 0 || c.whole == 0 {
 		t.Error(c.String())
 	}
-	// Never twice, and each but for what a node with busy cores does not send in time.
-	asked := func(when string, n int, of []*pool) {
-		t.Helper()
-		for _, p := range of {
-			is := p.Count()
-			testkit.Until(t, fmt.Sprintf("%s was asked %d times by %d queries%s", p.name, is, n, when), func() bool { return p.Count() >= n*9/10 })
-			if p.Count() > n {
-				t.Errorf("%s was asked %d times by %d queries%s", p.name, p.Count(), n, when)
-			}
-		}
-	}
-	asked("", c.asked, pools)
+	wereAsked(t, "", c.asked, pools)
 	pools[4].stall()
 	wave(15, low...)
-	asked(", while another stalled", c.asked, pools[:4])
+	wereAsked(t, ", while another stalled", c.asked, pools[:4])
 	if c.refused+c.lost > 0 || c.cut < 45 {
 		t.Error("while a pool stalled:", c.String())
 	}
@@ -263,21 +288,7 @@
 	if c.refused > 0 {
 		t.Error(c.String())
 	}
-	// Two levels: the lower ones' parts are named under the upper one's.
-	resp, err := http.Get("http://" + *top.addr.Load() + "/x")
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, _ := io.ReadAll(resp.Body)
-	resp.Body.Close()
-	var names []string
-	held, of := 0, 0
-	if _, err := fmt.Sscanf(resp.Header.Get("Lockflow-Parts"), "%d/%d", &held, &of); err != nil {
-		t.Error(err)
-	}
-	if err := json.Unmarshal(raw, &names); err != nil || resp.StatusCode != 200 || len(names) != held || of != 10 {
-		t.Errorf("%d %s: %q, %v", resp.StatusCode, resp.Header.Get("Lockflow-Parts"), raw, err)
-	}
+	bothLevels(t, top)
 	low[2].until("what others learned", func(s manage.Status) bool { return s.ScatterGathers[0].Shared.Members > 0 })
 	http.DefaultClient.CloseIdleConnections()
 }
--- a/internal/waitpolicy/query_test.go
+++ b/internal/waitpolicy/query_test.go
@@ -26,6 +26,20 @@
 	})
 }
 
+// answered checks what a query that is over holds: what came, and nothing that comes after.
+func answered(t *rapid.T, q *Query, now time.Duration, told []bool, share []float64) {
+	held, out, missing := q.Share(), q.Out(nil), q.Missing(nil)
+	for i := range told {
+		q.Came(now, i, true)
+		if told[i] && slicesHas(out, i) || slicesHas(missing, i) != (!told[i] || share[i] == 0) {
+			t.Fatalf("part %d: told %v, out %v, missing %v", i, told[i], out, missing)
+		}
+	}
+	if q.Share() != held {
+		t.Fatal("what came after the answer is in it")
+	}
+}
+
 // Whatever comes whenever: one answer, by its last moment, that tells what it holds; refused only where
 // what came is too little; each look leads on in time, and there are boundedly many.
 func TestQueryKeepsItsTime(t *testing.T) {
@@ -70,16 +84,7 @@
 				if (step.Kind == Answer) != enough || now > q.Last() || step.Kind != q.Next(now+ms).Kind {
 					t.Fatalf("%v by %v at %v, %g of %g", step.Kind, step.Why, now-begin, step.Share, s.Least)
 				}
-				out, missing := q.Out(nil), q.Missing(nil)
-				for i := range n {
-					q.Came(now, i, true)
-					if told[i] && slicesHas(out, i) || slicesHas(missing, i) != (!told[i] || share[i] == 0) {
-						t.Fatalf("part %d: told %v, out %v, missing %v", i, told[i], out, missing)
-					}
-				}
-				if q.Share() != step.Share {
-					t.Fatal("what came after the answer is in it")
-				}
+				answered(t, &q, now, told, share)
 				return
 			}
 			if step.Until <= now || step.Until > q.Last() {
