--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -25,9 +25,9 @@
 const Anonymous = "anonymous"
 
 const (
-	nameMost  = 256         // bytes of a name; a longer one is hashed
-	idleAfter = time.Minute // after which a stranger's place may go to another
-	crowds    = 64          // customers that those share for whom there is no place
+	maxNameBytes    = 256         // bytes of a name; a longer one is hashed
+	unknownIdleTime = time.Minute // after which a stranger's place may go to another
+	overflowBuckets = 64          // customers that those share for whom there is no place
 )
 
 // Kind is where a request names its customer.
@@ -50,8 +50,8 @@
 	IsSecret bool
 }
 
-// of is the name that a request gives by this way; "" is none.
-func (w Identifier) of(r *http.Request, client func() netip.Addr) string {
+// nameOf is the name that a request gives by this way; "" is none.
+func (w Identifier) nameOf(r *http.Request, client func() netip.Addr) string {
 	v := ""
 	switch w.Kind {
 	case Header:
@@ -75,7 +75,7 @@
 		}
 		return a.String()
 	}
-	if v != "" && (w.IsSecret || len(v) > nameMost) {
+	if v != "" && (w.IsSecret || len(v) > maxNameBytes) {
 		return HashedName(v)
 	}
 	return v
@@ -99,18 +99,18 @@
 // Directory tells requests' customers. It is safe for concurrent use.
 type Directory struct {
 	Options
-	names names
-	seen  os.FileInfo // of the file that was loaded last
+	plans      planTable
+	loadedFile os.FileInfo // of the file that was loaded last
 
-	mu        sync.Mutex
-	strangers *simplelru.LRU[string, time.Time] // when each was seen last
+	mu      sync.Mutex
+	unknown *simplelru.LRU[string, time.Time] // when each was seen last
 }
 
 // New makes a book that has not read its file yet.
 func New(o Options) *Directory {
 	b := &Directory{Options: o}
 	if o.MaxUnknown > 0 {
-		b.strangers, _ = simplelru.NewLRU[string, time.Time](o.MaxUnknown, nil) // an error is a size of 0
+		b.unknown, _ = simplelru.NewLRU[string, time.Time](o.MaxUnknown, nil) // an error is a size of 0
 	}
 	return b
 }
@@ -118,20 +118,20 @@
 // Identify is a request's customer and its plan.
 func (b *Directory) Identify(r *http.Request, now time.Time) (name, plan string) {
 	for _, w := range b.Identifiers {
-		if name = w.of(r, func() netip.Addr { return b.client(r) }); name != "" {
+		if name = w.nameOf(r, func() netip.Addr { return b.clientAddr(r) }); name != "" {
 			break
 		}
 	}
 	if name == "" {
 		return Anonymous, b.DefaultPlan
 	}
-	if plan, ok := b.names.plan(name); ok {
+	if plan, ok := b.plans.planOf(name); ok {
 		return name, plan
 	}
-	return b.stranger(name, now), b.DefaultPlan
+	return b.nameOfUnknown(name, now), b.DefaultPlan
 }
 
-func (b *Directory) client(r *http.Request) netip.Addr {
+func (b *Directory) clientAddr(r *http.Request) netip.Addr {
 	peer, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
 		return netip.IPv4Unspecified()
@@ -139,24 +139,24 @@
 	return hopheaders.ClientAddr(r.Header, peer.Addr(), b.TrustedProxies)
 }
 
-// stranger is the customer that counts for a name that the file does not have: itself while there
+// nameOfUnknown is the customer that counts for a name that the file does not have: itself while there
 // is a place for it, else one that it shares. Guards against a flood of invented names that would
 // fill the memory of all that is kept for a customer.
-func (b *Directory) stranger(name string, now time.Time) string {
-	if b.strangers == nil {
-		return crowd(name)
+func (b *Directory) nameOfUnknown(name string, now time.Time) string {
+	if b.unknown == nil {
+		return overflowName(name)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, known := b.strangers.Get(name); !known && b.strangers.Len() >= b.MaxUnknown {
-		if _, seen, ok := b.strangers.GetOldest(); ok && now.Sub(seen) < idleAfter {
-			return crowd(name)
+	if _, known := b.unknown.Get(name); !known && b.unknown.Len() >= b.MaxUnknown {
+		if _, seen, ok := b.unknown.GetOldest(); ok && now.Sub(seen) < unknownIdleTime {
+			return overflowName(name)
 		}
 	}
-	b.strangers.Add(name, now)
+	b.unknown.Add(name, now)
 	return name
 }
 
-func crowd(name string) string {
-	return "crowd-" + strconv.FormatUint(xxhash.Sum64String(name)%crowds, 10)
+func overflowName(name string) string {
+	return "crowd-" + strconv.FormatUint(xxhash.Sum64String(name)%overflowBuckets, 10)
 }
--- a/internal/customer/customer_test.go
+++ b/internal/customer/customer_test.go
@@ -31,7 +31,7 @@
 	return r
 }
 
-func TestOf(t *testing.T) {
+func TestIdentify(t *testing.T) {
 	b := New(Options{
 		DefaultPlan: "basic", MaxUnknown: 10, TrustedProxies: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
 		Identifiers: []Identifier{{Kind: Header, Name: "X-Key", IsSecret: true}, {Kind: Query, Name: "account"}, {Kind: Cookie, Name: "sid"}, {Kind: Address}},
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.names.p.Store(&names)
+	b.plans.plans.Store(&names)
 	for _, tc := range []struct {
 		r          *http.Request
 		name, plan string
@@ -70,7 +70,7 @@
 
 // However many names are invented, few are kept apart; those that were here stay, and places of the
 // idle go to others.
-func TestStrangers(t *testing.T) {
+func TestUnknownCustomersAreBounded(t *testing.T) {
 	b := New(Options{Identifiers: []Identifier{{Kind: Header, Name: "X-Name"}}, MaxUnknown: 1000})
 	now := time.Now()
 	of := func(name string) string {
@@ -80,21 +80,21 @@
 	regular := of("regular")
 	seen := make(map[string]bool)
 	for i := range 1_000_000 {
-		seen[b.stranger(fmt.Sprint("invented-", i), now)] = true
+		seen[b.nameOfUnknown(fmt.Sprint("invented-", i), now)] = true
 		if i%5000 == 0 && of("regular") != regular {
 			t.Fatal("a regular one lost its place")
 		}
 	}
-	if len(seen) > 1000+crowds {
+	if len(seen) > 1000+overflowBuckets {
 		t.Errorf("%d customers of a flood", len(seen))
 	}
-	now = now.Add(2 * idleAfter)
+	now = now.Add(2 * unknownIdleTime)
 	if got := of("new"); got != "new" {
 		t.Errorf("after a minute a new one is %q", got)
 	}
 }
 
-func TestReadBad(t *testing.T) {
+func TestParseFileRejectsMalformedFiles(t *testing.T) {
 	for text, want := range map[string]string{
 		"a": "f: record on line 1: wrong number", "a,gold\nc": "line 2", "a,gold\na,gold": "f:2: a name that is given twice",
 		",gold": "f:1: a name of no bytes", "ok,gold\nx,lead": `f:2: "lead" is no plan`, "\"a,gold": "f: ",
@@ -133,7 +133,7 @@
 	<-done
 }
 
-func FuzzRead(f *testing.F) {
+func FuzzParseFile(f *testing.F) {
 	f.Add("a,gold\n#x\n\"q\"\"\",p\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		all, err := ParseFile("f", strings.NewReader(text), any)
@@ -143,7 +143,7 @@
 	})
 }
 
-func BenchmarkOf(b *testing.B) {
+func BenchmarkIdentify(b *testing.B) {
 	book := New(Options{Identifiers: []Identifier{{Kind: Header, Name: "X-Name"}}, MaxUnknown: 1000, DefaultPlan: "p"})
 	r := request("/", "X-Name: acme")
 	now := time.Now()
--- a/internal/customer/file.go
+++ b/internal/customer/file.go
@@ -15,18 +15,18 @@
 )
 
 const (
-	fileMost  = 64 << 20
-	namesMost = 2_000_000
-	lookEvery = time.Second
+	maxFileBytes = 64 << 20
+	maxNames     = 2_000_000
+	pollInterval = time.Second
 )
 
-// names are the customers that a file gives plans to, swapped as one.
-type names struct {
-	p atomic.Pointer[map[string]string]
+// planTable are the customers that a file gives plans to, swapped as one.
+type planTable struct {
+	plans atomic.Pointer[map[string]string]
 }
 
-func (n *names) plan(name string) (string, bool) {
-	m := n.p.Load()
+func (n *planTable) planOf(name string) (string, bool) {
+	m := n.plans.Load()
 	if m == nil {
 		return "", false
 	}
@@ -52,19 +52,19 @@
 		}
 		line, _ := r.FieldPos(0)
 		name := f[0]
-		if v, secret := cutSecret(name); secret {
+		if v, secret := cutSecretMark(name); secret {
 			name = HashedName(v)
 		}
 		_, twice := all[name]
 		switch {
-		case name == "" || len(name) > nameMost:
+		case name == "" || len(name) > maxNameBytes:
 			err = errors.New("a name of no bytes, or of too many")
 		case twice:
 			err = errors.New("a name that is given twice")
 		case !plan(f[1]):
 			err = fmt.Errorf("%q is no plan of the service", f[1])
-		case len(all) >= namesMost:
-			err = fmt.Errorf("more than %d names", namesMost)
+		case len(all) >= maxNames:
+			err = fmt.Errorf("more than %d names", maxNames)
 		}
 		if err != nil {
 			return nil, fmt.Errorf("%s:%d: %w", path, line, err)
@@ -76,7 +76,7 @@
 	}
 }
 
-func cutSecret(name string) (string, bool) {
+func cutSecretMark(name string) (string, bool) {
 	const mark = "secret:"
 	if len(name) > len(mark) && name[:len(mark)] == mark {
 		return name[len(mark):], true
@@ -96,9 +96,9 @@
 	}
 	defer f.Close() //nolint:errcheck // only read
 	info, err := f.Stat()
-	b.seen = info
-	if err == nil && info.Size() > fileMost {
-		err = fmt.Errorf("%s: %d bytes are more than %d", b.File, info.Size(), fileMost)
+	b.loadedFile = info
+	if err == nil && info.Size() > maxFileBytes {
+		err = fmt.Errorf("%s: %d bytes are more than %d", b.File, info.Size(), maxFileBytes)
 	}
 	var all map[string]string
 	if err == nil {
@@ -107,13 +107,13 @@
 	if err != nil {
 		return fmt.Errorf("reading the customers: %w", err)
 	}
-	b.names.p.Store(&all)
+	b.plans.plans.Store(&all)
 	return nil
 }
 
 // NameCount is how many customers the file in force names.
 func (b *Directory) NameCount() int {
-	if m := b.names.p.Load(); m != nil {
+	if m := b.plans.plans.Load(); m != nil {
 		return len(*m)
 	}
 	return 0
@@ -125,7 +125,7 @@
 	if b.File == "" {
 		return
 	}
-	filewatch.Follow(ctx, b.File, lookEvery, b.seen, func() error {
+	filewatch.Follow(ctx, b.File, pollInterval, b.loadedFile, func() error {
 		err := b.Load(plan)
 		if err == nil {
 			slog.Info("customers: read again", "file", b.File, "names", b.NameCount())
--- a/internal/hopheaders/hopheaders.go
+++ b/internal/hopheaders/hopheaders.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// connection drops what speaks of one connection only, and what Connection names.
-func connection(out, in http.Header) {
+// dropConnectionFields drops what speaks of one connection only, and what Connection names.
+func dropConnectionFields(out, in http.Header) {
 	DropNamed(out, in)
 	for k := range out {
 		if protocol.IsHopHeader(k) || k == "Proxy-Authenticate" || k == "Proxy-Authorization" {
@@ -55,7 +55,7 @@
 
 // ForwardRequest gives the fields of a client's request as they go on. Values are shared with in; those
 // that are set are not.
-func ForwardRequest(in http.Header, from Peer, tells ForwardingFormat, underscores bool) http.Header {
+func ForwardRequest(in http.Header, from Peer, format ForwardingFormat, underscores bool) http.Header {
 	out := make(http.Header, len(in)+5)
 	for k, v := range in {
 		// Guards against two names that a server which turns fields into variables takes for one.
@@ -63,7 +63,7 @@
 			out[k] = v
 		}
 	}
-	connection(out, in)
+	dropConnectionFields(out, in)
 	// RFC 9110, 10.1.4: of TE only that trailers are understood can go on.
 	for _, v := range in["Te"] {
 		for part := range strings.SplitSeq(v, ",") {
@@ -72,8 +72,8 @@
 			}
 		}
 	}
-	via(out, in)
-	tell(out, from, tells)
+	addVia(out, in)
+	addForwarding(out, from, format)
 	return out
 }
 
@@ -82,30 +82,30 @@
 	for k, v := range in {
 		out[k] = v
 	}
-	connection(out, in)
-	via(out, in)
+	dropConnectionFields(out, in)
+	addVia(out, in)
 }
 
-// via adds this intermediary; both sides of it speak HTTP/1.1.
-func via(out, in http.Header) {
+// addVia adds this intermediary; both sides of it speak HTTP/1.1.
+func addVia(out, in http.Header) {
 	v := in["Via"]
 	out["Via"] = append(v[:len(v):len(v)], "1.1 "+Alias)
 }
 
-var told = []string{"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded"}
+var forwardingFields = []string{"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded"}
 
-// tell says who the client is. What a peer that is not trusted says of it is replaced.
-func tell(out http.Header, from Peer, tells ForwardingFormat) {
-	if !from.IsTrusted || tells == None {
-		for _, name := range told {
+// addForwarding says who the client is. What a peer that is not trusted says of it is replaced.
+func addForwarding(out http.Header, from Peer, format ForwardingFormat) {
+	if !from.IsTrusted || format == None {
+		for _, name := range forwardingFields {
 			delete(out, name)
 		}
-		if tells == None {
+		if format == None {
 			return
 		}
 	}
 	addr := from.Addr.Unmap().WithZone("").String()
-	if tells != Forwarded {
+	if format != Forwarded {
 		before := out["X-Forwarded-For"]
 		if len(before) > 0 {
 			out["X-Forwarded-For"] = []string{strings.Join(before, ", ") + ", " + addr}
@@ -119,7 +119,7 @@
 			out["X-Forwarded-Proto"] = []string{from.Proto}
 		}
 	}
-	if tells != XForwarded {
+	if format != XForwarded {
 		node := addr
 		if from.Addr.Unmap().Is6() {
 			node = `"[` + addr + `]"`
@@ -139,8 +139,8 @@
 	return slices.ContainsFunc(prefixes, func(p netip.Prefix) bool { return p.Contains(addr) })
 }
 
-// chainMost bounds how far back a chain of proxies is followed.
-const chainMost = 32
+// maxChainLength bounds how far back a chain of proxies is followed.
+const maxChainLength = 32
 
 // ClientAddr is the address of the client at the end of the chain that a request tells: from the right
 // the first that is no trusted proxy. What a proxy that is not trusted says is not believed; where
@@ -150,9 +150,9 @@
 	if len(trusted) == 0 || !IsTrusted(at, trusted) {
 		return at
 	}
-	chain := chainOf(h)
-	for i := len(chain) - 1; i >= 0 && i >= len(chain)-chainMost; i-- {
-		next, ok := nodeAddr(chain[i])
+	chain := proxyChain(h)
+	for i := len(chain) - 1; i >= 0 && i >= len(chain)-maxChainLength; i-- {
+		next, ok := parseNode(chain[i])
 		if !ok {
 			return at
 		}
@@ -163,14 +163,14 @@
 	return at
 }
 
-// chainOf is what a request tells of those before the peer, the nearest last. Forwarded goes first.
-func chainOf(h http.Header) []string {
+// proxyChain is what a request tells of those before the peer, the nearest last. Forwarded goes first.
+func proxyChain(h http.Header) []string {
 	var chain []string
 	if f := h["Forwarded"]; len(f) > 0 {
 		for _, line := range f {
-			for _, element := range split(line, ',') {
+			for _, element := range splitUnquoted(line, ',') {
 				node := ""
-				for _, pair := range split(element, ';') {
+				for _, pair := range splitUnquoted(element, ';') {
 					name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 					if strings.EqualFold(name, "for") {
 						node = strings.Trim(value, `"`)
@@ -189,8 +189,8 @@
 	return chain
 }
 
-// split cuts at a byte that stands outside quotes.
-func split(s string, by byte) []string {
+// splitUnquoted cuts at a byte that stands outside quotes.
+func splitUnquoted(s string, by byte) []string {
 	var all []string
 	quoted, from := false, 0
 	for i := 0; i < len(s); i++ {
@@ -207,9 +207,9 @@
 	return append(all, s[from:])
 }
 
-// nodeAddr reads a node of RFC 7239, 6: an address with or without a port. One that is obfuscated
+// parseNode reads a node of RFC 7239, 6: an address with or without a port. One that is obfuscated
 // or unknown is none.
-func nodeAddr(s string) (netip.Addr, bool) {
+func parseNode(s string) (netip.Addr, bool) {
 	if a, err := netip.ParseAddr(strings.Trim(s, "[]")); err == nil {
 		return a.Unmap().WithZone(""), true
 	}
--- a/internal/hopheaders/hopheaders_test.go
+++ b/internal/hopheaders/hopheaders_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-func TestRequest(t *testing.T) {
+func TestForwardRequest(t *testing.T) {
 	in := http.Header{
 		"Accept": {"a", "b"}, "Connection": {"close, x-own", "keep-alive"}, "X-Own": {"1"}, "Keep-Alive": {"1"},
 		"Te": {"gzip, Trailers"}, "Upgrade": {"h2c"}, "Content-Length": {"3"}, "Transfer_encoding": {"chunked"},
@@ -55,7 +55,7 @@
 	}
 }
 
-func TestClient(t *testing.T) {
+func TestClientAddr(t *testing.T) {
 	proxies := []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8"), netip.MustParsePrefix("fd00::/8")}
 	for _, tc := range []struct {
 		peer string
@@ -78,7 +78,7 @@
 	}
 }
 
-func FuzzClient(f *testing.F) {
+func FuzzClientAddr(f *testing.F) {
 	f.Add("1.1.1.1, 2.2.2.2", `for="[::1]:80";by=x`)
 	f.Fuzz(func(t *testing.T, x, forwarded string) {
 		all := []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0"), netip.MustParsePrefix("::/0")}
--- a/internal/responseclass/responseclass.go
+++ b/internal/responseclass/responseclass.go
@@ -53,7 +53,7 @@
 	return Proof{Header: http.CanonicalHeaderKey(name), Value: strings.TrimSpace(value)}, nil
 }
 
-func (p Proof) holds(status int, h http.Header) bool {
+func (p Proof) matches(status int, h http.Header) bool {
 	if p.Status != 0 && p.Status != status {
 		return false
 	}
@@ -85,7 +85,7 @@
 		return Classification{control.OK, true}
 	}
 	for i := range r.RejectionProofs {
-		if r.RejectionProofs[i].holds(status, h) {
+		if r.RejectionProofs[i].matches(status, h) {
 			return Classification{control.RejectedByServer, false}
 		}
 	}
--- a/internal/responseclass/responseclass_test.go
+++ b/internal/responseclass/responseclass_test.go
@@ -7,7 +7,7 @@
 	"lockflow/control"
 )
 
-func TestOf(t *testing.T) {
+func TestClassify(t *testing.T) {
 	rules := DefaultRules()
 	for _, p := range []string{"429", "X-Unprocessed: 1", "x-shed"} {
 		proof, err := ParseProof(p)
--- a/internal/retrybuffer/retrybuffer.go
+++ b/internal/retrybuffer/retrybuffer.go
@@ -19,50 +19,50 @@
 // read that waits for the client, and what that read brings goes to the present one. It is safe
 // for concurrent use.
 type Body struct {
-	src    io.Reader
-	before func() // called before each read of src; nil is nothing
-	keep   int    // most bytes that are held
-
-	mu      sync.Mutex
-	moved   sync.Cond // something of what follows has changed
-	held    []byte
-	room    *[]byte // that held began in; nil where it has one of its own
-	lost    bool    // more was read than is held
-	total   int64   // read of src
-	err     error   // with which src ended
-	reading bool    // somebody is in a read of src
-	closed  bool
-	present *Reader
+	source     io.Reader
+	beforeRead func() // called before each read of src; nil is nothing
+	limit      int    // most bytes that are held
+
+	mu        sync.Mutex
+	changed   sync.Cond // something of what follows has changed
+	buffered  []byte
+	pooled    *[]byte // that held began in; nil where it has one of its own
+	isDropped bool    // more was read than is held
+	totalRead int64   // read of src
+	err       error   // with which src ended
+	isReading bool    // somebody is in a read of src
+	isClosed  bool
+	current   *Reader
 }
 
 // New makes a body of src of which at most keep bytes are held. before, which may be nil, is
 // called ahead of each read of src.
-func New(src io.Reader, keep int, before func()) *Body {
-	b := &Body{src: src, keep: keep, before: before}
-	b.moved.L = &b.mu
+func New(source io.Reader, limit int, beforeRead func()) *Body {
+	b := &Body{source: source, limit: limit, beforeRead: beforeRead}
+	b.changed.L = &b.mu
 	return b
 }
 
 // Fill reads a body of a known length that fits in what is held, to its end.
 func (b *Body) Fill(length int64) error {
-	if length > int64(b.keep) {
+	if length > int64(b.limit) {
 		return ErrGone
 	}
-	if b.before != nil {
-		b.before()
+	if b.beforeRead != nil {
+		b.beforeRead()
 	}
-	held := make([]byte, length)
-	n, err := io.ReadFull(b.src, held)
+	buffer := make([]byte, length)
+	n, err := io.ReadFull(b.source, buffer)
 	if err == nil {
 		// The library learns of the end only by a read, and looks for a hang-up from then on.
 		var one [1]byte
-		if m, end := b.src.Read(one[:]); m > 0 || !errors.Is(end, io.EOF) {
+		if m, end := b.source.Read(one[:]); m > 0 || !errors.Is(end, io.EOF) {
 			err = errors.New("more than the length that was told")
 		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.held, b.total, b.err = held[:n], int64(n), err
+	b.buffered, b.totalRead, b.err = buffer[:n], int64(n), err
 	if err == nil {
 		b.err = io.EOF
 	}
@@ -73,7 +73,7 @@
 func (b *Body) Complete() ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.held, errors.Is(b.err, io.EOF) && !b.lost
+	return b.buffered, errors.Is(b.err, io.EOF) && !b.isDropped
 }
 
 // HasEnded tells whether the body has come to its end.
@@ -87,7 +87,7 @@
 func (b *Body) CanRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.lost && !b.closed && (b.err == nil || errors.Is(b.err, io.EOF))
+	return !b.isDropped && !b.isClosed && (b.err == nil || errors.Is(b.err, io.EOF))
 }
 
 // Err is the error with which the body ended early; nil where it has not.
@@ -104,94 +104,94 @@
 func (b *Body) NewReader() *Reader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.present = &Reader{b: b}
-	b.moved.Broadcast()
-	return b.present
+	b.current = &Reader{body: b}
+	b.changed.Broadcast()
+	return b.current
 }
 
 // Reader is one reading of a body from its first byte on.
 type Reader struct {
-	b  *Body
-	at int64
+	body   *Body
+	offset int64
 }
 
 // Read is io.Reader's. It gives ErrGone to a Reader that is not the present one.
 func (r *Reader) Read(p []byte) (int, error) {
-	b := r.b
+	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for {
 		switch {
-		case b.closed:
+		case b.isClosed:
 			return 0, ErrClosed
-		case b.present != r:
+		case b.current != r:
 			return 0, ErrGone
-		case !b.lost && r.at < int64(len(b.held)):
-			n := copy(p, b.held[r.at:])
-			r.at += int64(n)
+		case !b.isDropped && r.offset < int64(len(b.buffered)):
+			n := copy(p, b.buffered[r.offset:])
+			r.offset += int64(n)
 			return n, nil
-		case r.at != b.total:
+		case r.offset != b.totalRead:
 			return 0, ErrGone
 		case b.err != nil:
 			return 0, b.err
-		case b.reading:
-			b.moved.Wait()
+		case b.isReading:
+			b.changed.Wait()
 			continue
 		}
-		n, err := b.read(p)
-		if r != b.present { // what came is held for the one that is
+		n, err := b.readSource(p)
+		if r != b.current { // what came is held for the one that is
 			continue
 		}
-		r.at += int64(n)
+		r.offset += int64(n)
 		return n, err
 	}
 }
 
-// read takes the next bytes of src; mu is held, but not while src is read.
-func (b *Body) read(p []byte) (int, error) {
-	by := b.present
-	b.reading = true
+// readSource takes the next bytes of src; mu is held, but not while src is read.
+func (b *Body) readSource(p []byte) (int, error) {
+	reader := b.current
+	b.isReading = true
 	b.mu.Unlock()
-	if b.before != nil {
-		b.before()
+	if b.beforeRead != nil {
+		b.beforeRead()
 	}
-	n, err := b.src.Read(p)
+	n, err := b.source.Read(p)
 	b.mu.Lock()
-	b.reading = false
-	b.total += int64(n)
+	b.isReading = false
+	b.totalRead += int64(n)
 	// What a Reader brings that has been left meanwhile is held beyond the bound: one read's worth.
-	if !b.lost {
-		if len(b.held)+n <= b.keep || by != b.present {
-			b.hold(p[:n])
+	if !b.isDropped {
+		if len(b.buffered)+n <= b.limit || reader != b.current {
+			b.appendBuffered(p[:n])
 		} else {
-			b.lose()
+			b.dropBuffered()
 		}
 	}
 	b.err = err
-	b.moved.Broadcast()
+	b.changed.Broadcast()
 	return n, err
 }
 
-const roomSize = 64 << 10
+const pooledBytes = 64 << 10
 
-// rooms are what most bodies are held in: one that is long leaves its room for the next.
-var rooms = sync.Pool{New: func() any { b := make([]byte, 0, roomSize); return &b }}
+// bufferPool are what most bodies are held in: one that is long leaves its room for the next.
+var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, pooledBytes); return &b }}
 
-// hold keeps some more bytes; mu is held.
-func (b *Body) hold(p []byte) {
-	if b.room == nil && b.held == nil && b.keep <= roomSize {
-		b.room = rooms.Get().(*[]byte)
-		b.held = (*b.room)[:0]
+// appendBuffered keeps some more bytes; mu is held.
+func (b *Body) appendBuffered(p []byte) {
+	if b.pooled == nil && b.buffered == nil && b.limit <= pooledBytes {
+		b.pooled = bufferPool.Get().(*[]byte)
+		b.buffered = (*b.pooled)[:0]
 	}
-	b.held = append(b.held, p...)
+	b.buffered = append(b.buffered, p...)
 }
 
-// lose lets go of what is held; mu is held.
-func (b *Body) lose() {
-	b.lost, b.held = true, nil
-	if b.room != nil {
-		rooms.Put(b.room)
-		b.room = nil
+// dropBuffered lets go of what is held; mu is held.
+func (b *Body) dropBuffered() {
+	b.isDropped, b.buffered = true, nil
+	if b.pooled != nil {
+		bufferPool.Put(b.pooled)
+		b.pooled = nil
 	}
 }
 
@@ -200,16 +200,16 @@
 func (b *Body) Discard() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.present = &Reader{b: b}
-	b.moved.Broadcast()
-	b.lose()
+	b.current = &Reader{body: b}
+	b.changed.Broadcast()
+	b.dropBuffered()
 	p := make([]byte, 16<<10)
-	for b.err == nil && !b.closed {
-		if b.reading {
-			b.moved.Wait()
+	for b.err == nil && !b.isClosed {
+		if b.isReading {
+			b.changed.Wait()
 			continue
 		}
-		_, _ = b.read(p) // the body keeps its error
+		_, _ = b.readSource(p) // the body keeps its error
 	}
 }
 
@@ -218,15 +218,15 @@
 func (b *Body) Close(interrupt func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.closed = true
-	b.moved.Broadcast()
-	if b.reading && interrupt != nil {
+	b.isClosed = true
+	b.changed.Broadcast()
+	if b.isReading && interrupt != nil {
 		b.mu.Unlock()
 		interrupt()
 		b.mu.Lock()
 	}
-	for b.reading {
-		b.moved.Wait()
+	for b.isReading {
+		b.changed.Wait()
 	}
-	b.lose()
+	b.dropBuffered()
 }
--- a/internal/retrybuffer/retrybuffer_test.go
+++ b/internal/retrybuffer/retrybuffer_test.go
@@ -17,26 +17,26 @@
 
 // However attempts begin and stop, each reads the body from its first byte, or learns that it is
 // gone; and it is gone only once an attempt has gone beyond the part that is held.
-func TestAttempts(t *testing.T) {
+func TestEachReaderReadsFromFirstByte(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		body := rapid.SliceOfN(rapid.Byte(), 0, 400).Draw(t, "body")
-		keep := rapid.IntRange(0, 300).Draw(t, "keep")
-		b := New(iotest.OneByteReader(bytes.NewReader(body)), keep, nil)
-		if rapid.Bool().Draw(t, "fill") && len(body) <= keep {
+		limit := rapid.IntRange(0, 300).Draw(t, "keep")
+		b := New(iotest.OneByteReader(bytes.NewReader(body)), limit, nil)
+		if rapid.Bool().Draw(t, "fill") && len(body) <= limit {
 			if err := b.Fill(int64(len(body))); err != nil {
 				t.Fatal(err)
 			}
 		}
-		most := 0
+		maxRead := 0
 		for range rapid.IntRange(1, 6).Draw(t, "attempts") {
-			again := b.CanRetry()
-			if again != (most <= keep) {
-				t.Fatalf("%d of %d bytes were read, %d are held: again %v", most, len(body), keep, again)
+			canRetry := b.CanRetry()
+			if canRetry != (maxRead <= limit) {
+				t.Fatalf("%d of %d bytes were read, %d are held: again %v", maxRead, len(body), limit, canRetry)
 			}
 			r := b.NewReader()
 			p := make([]byte, rapid.IntRange(0, len(body)+1).Draw(t, "reads"))
 			n, err := io.ReadFull(r, p)
-			if !again {
+			if !canRetry {
 				if n > 0 || !errors.Is(err, ErrGone) && len(p) > 0 {
 					t.Fatalf("%d bytes, %v, of a body that is gone", n, err)
 				}
@@ -45,7 +45,7 @@
 			if !bytes.Equal(p[:n], body[:n]) || n != min(len(p), len(body)) {
 				t.Fatalf("read %q of %q", p[:n], body)
 			}
-			most = max(most, n)
+			maxRead = max(maxRead, n)
 		}
 		b.Discard()
 		if !b.HasEnded() {
@@ -55,7 +55,7 @@
 }
 
 // An attempt that ends while it waits for the client leaves what comes to the next one.
-func TestReadLeft(t *testing.T) {
+func TestAbandonedReadIsLeftToNextReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in, out := io.Pipe()
 		b := New(in, 4, nil)
@@ -95,7 +95,7 @@
 	return err.Error()
 }
 
-func TestFillCutShort(t *testing.T) {
+func TestFillOfTruncatedBody(t *testing.T) {
 	b := New(strings.NewReader("abc"), 100, nil)
 	if err := b.Fill(5); !errors.Is(err, io.ErrUnexpectedEOF) || b.CanRetry() || b.Err() == nil {
 		t.Errorf("%v, again %v", err, b.CanRetry())
--- a/internal/route/path.go
+++ b/internal/route/path.go
@@ -8,16 +8,16 @@
 
 // Errors of a target or host that has no single meaning. All are a client's mistake.
 var (
-	errNoPath    = errors.New("the target is no path")
-	errByte      = errors.New("a byte that no path may hold")
-	errEncoding  = errors.New("a % with no two hex digits behind it")
-	errSlash     = errors.New("an encoded slash or a backslash")
-	errDots      = errors.New("a dot segment")
-	errEmpty     = errors.New("an empty segment")
-	errAuthority = errors.New("the authority is no host with an optional port")
+	errNoPath       = errors.New("the target is no path")
+	errInvalidByte  = errors.New("a byte that no path may hold")
+	errEncoding     = errors.New("a % with no two hex digits behind it")
+	errEncodedSlash = errors.New("an encoded slash or a backslash")
+	errDotSegment   = errors.New("a dot segment")
+	errEmptySegment = errors.New("an empty segment")
+	errAuthority    = errors.New("the authority is no host with an optional port")
 )
 
-const hostMost = 255 // bytes of a host (RFC 1035, 2.3.4)
+const maxHostBytes = 255 // bytes of a host (RFC 1035, 2.3.4)
 
 // SplitTarget takes a request target (RFC 9112, 3.2) apart: its raw path, without the query, and
 // for the absolute form its authority, which then goes before the Host header (3.2.2). The
@@ -52,7 +52,7 @@
 		return hostIPv6(h)
 	}
 	if i := strings.IndexByte(h, ':'); i >= 0 {
-		if !port(h[i:]) {
+		if !isOptionalPort(h[i:]) {
 			return "", errAuthority
 		}
 		if h = h[:i]; h == "" {
@@ -60,7 +60,7 @@
 		}
 	}
 	h = strings.TrimSuffix(h, ".")
-	if len(h) > hostMost || h == "" && authority != "" {
+	if len(h) > maxHostBytes || h == "" && authority != "" {
 		return "", errAuthority
 	}
 	upper := false
@@ -83,19 +83,19 @@
 // hostIPv6 is Host of an IPv6 address, which stands in brackets.
 func hostIPv6(h string) (string, error) {
 	end := strings.IndexByte(h, ']')
-	if end < 0 || !port(h[end+1:]) {
+	if end < 0 || !isOptionalPort(h[end+1:]) {
 		return "", errAuthority
 	}
 	for _, b := range []byte(h[1:end]) {
-		if !hex(b) && b != ':' && b != '.' {
+		if !isHexDigit(b) && b != ':' && b != '.' {
 			return "", errAuthority
 		}
 	}
 	return strings.ToLower(h[:end+1]), nil
 }
 
-// port tells whether what follows a host is nothing or a port.
-func port(s string) bool {
+// isOptionalPort tells whether what follows a host is nothing or a port.
+func isOptionalPort(s string) bool {
 	if s == "" {
 		return true
 	}
@@ -126,32 +126,32 @@
 		case b == '%' || b == ';':
 			plain = false
 		case b == '\\':
-			return "", errSlash
+			return "", errEncodedSlash
 		case b <= ' ' || b >= 0x7f || b == '#':
-			return "", errByte
+			return "", errInvalidByte
 		case b == '/' && i > 0 && raw[i-1] == '/':
-			return "", errEmpty
+			return "", errEmptySegment
 		}
 	}
 	path := raw
 	if !plain {
 		var err error
-		if path, err = decode(raw); err != nil {
+		if path, err = decodePath(raw); err != nil {
 			return "", err
 		}
 	}
-	return path, segments(path)
+	return path, checkSegments(path)
 }
 
-// segments looks for dot segments, and for empty ones, that parameters hid.
-func segments(path string) error {
+// checkSegments looks for dot segments, and for empty ones, that parameters hid.
+func checkSegments(path string) error {
 	for i := 0; i < len(path); i++ {
 		if path[i] != '/' {
 			continue
 		}
 		rest := path[i+1:]
 		if strings.HasPrefix(rest, "/") {
-			return errEmpty
+			return errEmptySegment
 		}
 		if !strings.HasPrefix(rest, ".") {
 			continue
@@ -160,13 +160,13 @@
 			rest = rest[:end]
 		}
 		if rest == "." || rest == ".." {
-			return errDots
+			return errDotSegment
 		}
 	}
 	return nil
 }
 
-func decode(raw string) (string, error) {
+func decodePath(raw string) (string, error) {
 	const upper = "0123456789ABCDEF"
 	out := make([]byte, 0, len(raw))
 	skip := false // in a segment's parameters
@@ -178,16 +178,16 @@
 		case ';':
 			skip = true
 		case '%':
-			if i+2 >= len(raw) || !hex(raw[i+1]) || !hex(raw[i+2]) {
+			if i+2 >= len(raw) || !isHexDigit(raw[i+1]) || !isHexDigit(raw[i+2]) {
 				return "", errEncoding
 			}
-			v := value(raw[i+1])<<4 | value(raw[i+2])
+			v := hexValue(raw[i+1])<<4 | hexValue(raw[i+2])
 			i += 2
 			switch {
 			case v == '/' || v == '\\':
-				return "", errSlash
+				return "", errEncodedSlash
 			case v < ' ' || v == 0x7f:
-				return "", errByte
+				return "", errInvalidByte
 			case skip:
 			case 'a' <= v && v <= 'z' || 'A' <= v && v <= 'Z' || '0' <= v && v <= '9' ||
 				v == '-' || v == '.' || v == '_' || v == '~':
@@ -204,11 +204,11 @@
 	return string(out), nil
 }
 
-func hex(b byte) bool {
+func isHexDigit(b byte) bool {
 	return '0' <= b && b <= '9' || 'a' <= b && b <= 'f' || 'A' <= b && b <= 'F'
 }
 
-func value(b byte) byte {
+func hexValue(b byte) byte {
 	switch {
 	case b <= '9':
 		return b - '0'
@@ -224,8 +224,8 @@
 	return first
 }
 
-// canonical tells whether a path or host of a rule is in its one form already.
-func canonical(given string, form func(string) (string, error)) error {
+// checkCanonical tells whether a path or host of a rule is in its one form already.
+func checkCanonical(given string, form func(string) (string, error)) error {
 	got, err := form(given)
 	if err != nil {
 		return fmt.Errorf("%q: %w", given, err)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,30 +50,30 @@
 	Headers []Header `plan:"headers"`
 }
 
-// rule is a compiled one.
-type rule struct {
+// compiledRule is a compiled one.
+type compiledRule struct {
 	Rule
-	index int
-	text  string // of the headers' conditions
-	equal int    // of them that name a value
+	index           int
+	headerText      string // of the headers' conditions
+	valueConditions int    // of them that name a value
 }
 
 // Router finds rules.
 type Router struct {
-	rules []*rule // by precedence
-	exact map[string]*bucket
-	wild  map[string]*bucket // by what follows the star, from its dot on
-	any   *bucket
+	rules    []*compiledRule // by precedence
+	exact    map[string]*bucket
+	wildcard map[string]*bucket // by what follows the star, from its dot on
+	anyHost  *bucket
 }
 
 // bucket holds the rules of one host.
 type bucket struct {
-	exact  map[string][]*rule
-	prefix map[string][]*rule // without a slash at the end; "" is any path
-	depths uint64             // bit n: there are prefixes of n segments; the last stands for more
+	exact        map[string][]*compiledRule
+	prefix       map[string][]*compiledRule // without a slash at the end; "" is any path
+	prefixDepths uint64                     // bit n: there are prefixes of n segments; the last stands for more
 }
 
-const depthMost = 63
+const maxDepth = 63
 
 // RuleError is a rule that can't be used, and the key of it that is to blame.
 type RuleError struct {
@@ -89,9 +89,9 @@
 
 // New compiles rules. It gives all problems there are, not only the first.
 func New(rules []Rule) (*Router, []*RuleError) {
-	r := &Router{exact: make(map[string]*bucket), wild: make(map[string]*bucket), any: newBucket()}
+	r := &Router{exact: make(map[string]*bucket), wildcard: make(map[string]*bucket), anyHost: newBucket()}
 	var problems []*RuleError
-	same := make(map[string]*rule)
+	same := make(map[string]*compiledRule)
 	for i, given := range rules {
 		c, key, err := compile(given, i)
 		if err == nil {
@@ -115,8 +115,8 @@
 }
 
 // compile brings a rule into its one form.
-func compile(given Rule, index int) (c *rule, key string, err error) {
-	c = &rule{Rule: given, index: index}
+func compile(given Rule, index int) (c *compiledRule, key string, err error) {
+	c = &compiledRule{Rule: given, index: index}
 	if err := checkHost(c.Host); err != nil {
 		return nil, "host", err
 	}
@@ -124,14 +124,14 @@
 	case c.Path != "" && c.Prefix != "":
 		return nil, "prefix", errors.New("not beside path")
 	case c.Path != "":
-		if err := canonical(c.Path, CanonicalPath); err != nil {
+		if err := checkCanonical(c.Path, CanonicalPath); err != nil {
 			return nil, "path", err
 		}
 		if c.Path == HealthPath {
 			return nil, "path", fmt.Errorf("can never match: the node itself answers %s", HealthPath)
 		}
 	case c.Prefix != "":
-		if err := canonical(c.Prefix, CanonicalPath); err != nil {
+		if err := checkCanonical(c.Prefix, CanonicalPath); err != nil {
 			return nil, "prefix", err
 		}
 		// /a/ is one of the paths below /a; as a prefix of whole segments it is /a.
@@ -146,7 +146,7 @@
 		}
 		c.Class = "" // said twice
 	}
-	if strings.Contains(c.Class, "/") || c.Class != "" && canonical("/"+c.Class, CanonicalPath) != nil || c.Path == "/" && c.Class != "" {
+	if strings.Contains(c.Class, "/") || c.Class != "" && checkCanonical("/"+c.Class, CanonicalPath) != nil || c.Path == "/" && c.Class != "" {
 		return nil, "class", fmt.Errorf("%q can never match: it is no segment of a path", c.Class)
 	}
 	return c, "headers", c.headers()
@@ -158,7 +158,7 @@
 		return nil
 	}
 	host, wild := strings.CutPrefix(rule, "*.")
-	if err := canonical(host, CanonicalHost); err != nil || host == "" {
+	if err := checkCanonical(host, CanonicalHost); err != nil || host == "" {
 		return cmp.Or(err, fmt.Errorf("%q names no host", rule))
 	}
 	if wild && strings.HasPrefix(host, "[") {
@@ -168,7 +168,7 @@
 }
 
 // headers brings the conditions on headers into their one form.
-func (c *rule) headers() error {
+func (c *compiledRule) headers() error {
 	byName := make(map[string]Header)
 	for _, h := range c.Headers {
 		h.Name = textproto.CanonicalMIMEHeaderKey(h.Name)
@@ -191,14 +191,14 @@
 	for _, h := range byName {
 		c.Headers = append(c.Headers, h)
 		if !h.Any {
-			c.equal++
+			c.valueConditions++
 		}
 	}
 	slices.SortFunc(c.Headers, func(a, b Header) int { return strings.Compare(a.text(), b.text()) })
 	for _, h := range c.Headers {
 		texts = append(texts, h.text())
 	}
-	c.text = strings.Join(texts, "\n")
+	c.headerText = strings.Join(texts, "\n")
 	return nil
 }
 
@@ -212,44 +212,44 @@
 func validToken(s string) bool { return httpguts.ValidHeaderFieldName(s) } // RFC 9110, 5.6.2
 
 // key is the same for rules of the same conditions only.
-func (c *rule) key() string {
-	return strings.Join([]string{c.Host, c.Path, c.Prefix, c.Method, c.Class, c.text}, "\x00")
+func (c *compiledRule) key() string {
+	return strings.Join([]string{c.Host, c.Path, c.Prefix, c.Method, c.Class, c.headerText}, "\x00")
 }
 
 // precedence orders rules, the most specific first.
-func precedence(a, b *rule) int {
+func precedence(a, b *compiledRule) int {
 	if c := cmp.Or(
 		cmp.Compare(b.hostRank(), a.hostRank()),
 		cmp.Compare(b.pathRank(), a.pathRank()),
-		cmp.Compare(b2i(a.Method == ""), b2i(b.Method == "")),
-		cmp.Compare(b2i(a.Class == ""), b2i(b.Class == "")),
+		cmp.Compare(toInt(a.Method == ""), toInt(b.Method == "")),
+		cmp.Compare(toInt(a.Class == ""), toInt(b.Class == "")),
 		cmp.Compare(len(b.Headers), len(a.Headers)),
-		cmp.Compare(b.equal, a.equal),
-		cmp.Compare(a.text, b.text),
+		cmp.Compare(b.valueConditions, a.valueConditions),
+		cmp.Compare(a.headerText, b.headerText),
 	); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.key(), b.key()) // such rules never match one request
 }
 
-func b2i(b bool) int {
+func toInt(b bool) int {
 	if b {
 		return 1
 	}
 	return 0
 }
 
-func (c *rule) hostRank() int {
+func (c *compiledRule) hostRank() int {
 	switch {
 	case c.Host == "":
 		return 0
 	case strings.HasPrefix(c.Host, "*."):
 		return len(c.Host)
 	}
-	return hostMost + 3
+	return maxHostBytes + 3
 }
 
-func (c *rule) pathRank() int {
+func (c *compiledRule) pathRank() int {
 	if c.Path != "" {
 		return 1 << 30
 	}
@@ -257,17 +257,17 @@
 }
 
 func newBucket() *bucket {
-	return &bucket{exact: make(map[string][]*rule), prefix: make(map[string][]*rule)}
+	return &bucket{exact: make(map[string][]*compiledRule), prefix: make(map[string][]*compiledRule)}
 }
 
 // bucket is that of a rule's host, made where there is none.
 func (r *Router) bucket(host string) *bucket {
 	if host == "" {
-		return r.any
+		return r.anyHost
 	}
 	in, name := r.exact, host
 	if suffix, ok := strings.CutPrefix(host, "*"); ok {
-		in, name = r.wild, suffix
+		in, name = r.wildcard, suffix
 	}
 	if in[name] == nil {
 		in[name] = newBucket()
@@ -276,13 +276,13 @@
 }
 
 // add takes in a rule; those of one path come by precedence.
-func (b *bucket) add(c *rule) {
+func (b *bucket) add(c *compiledRule) {
 	if c.Path != "" {
 		b.exact[c.Path] = append(b.exact[c.Path], c)
 		return
 	}
 	b.prefix[c.Prefix] = append(b.prefix[c.Prefix], c)
-	b.depths |= 1 << min(strings.Count(c.Prefix, "/"), depthMost)
+	b.prefixDepths |= 1 << min(strings.Count(c.Prefix, "/"), maxDepth)
 }
 
 // Find gives the place, among the rules given to New, of the one that a request leads to.
@@ -294,9 +294,9 @@
 				return c.index, true
 			}
 		}
-		if len(r.wild) > 0 {
+		if len(r.wildcard) > 0 {
 			for i := strings.IndexByte(host, '.'); i > 0; {
-				if b := r.wild[host[i:]]; b != nil {
+				if b := r.wildcard[host[i:]]; b != nil {
 					if c := b.find(path, method, header); c != nil {
 						return c.index, true
 					}
@@ -309,21 +309,21 @@
 			}
 		}
 	}
-	if c := r.any.find(path, method, header); c != nil {
+	if c := r.anyHost.find(path, method, header); c != nil {
 		return c.index, true
 	}
 	return 0, false
 }
 
-func (b *bucket) find(path, method string, header http.Header) *rule {
-	if c := first(b.exact[path], path, method, header); c != nil {
+func (b *bucket) find(path, method string, header http.Header) *compiledRule {
+	if c := firstMatch(b.exact[path], path, method, header); c != nil {
 		return c
 	}
 	prefix := strings.TrimSuffix(path, "/")
 	for depth := strings.Count(prefix, "/"); ; depth-- {
 		// Guards against a look-up for each of a path's many segments.
-		if b.depths&(1<<min(depth, depthMost)) != 0 {
-			if c := first(b.prefix[prefix], path, method, header); c != nil {
+		if b.prefixDepths&(1<<min(depth, maxDepth)) != 0 {
+			if c := firstMatch(b.prefix[prefix], path, method, header); c != nil {
 				return c
 			}
 		}
@@ -334,17 +334,17 @@
 	}
 }
 
-// first is the first rule whose other conditions hold.
-func first(rules []*rule, path, method string, header http.Header) *rule {
+// firstMatch is the first rule whose other conditions hold.
+func firstMatch(rules []*compiledRule, path, method string, header http.Header) *compiledRule {
 	for _, c := range rules {
-		if (c.Method == "" || c.Method == method) && (c.Class == "" || c.Class == FirstSegment(path)) && c.holds(header) {
+		if (c.Method == "" || c.Method == method) && (c.Class == "" || c.Class == FirstSegment(path)) && c.headersMatch(header) {
 			return c
 		}
 	}
 	return nil
 }
 
-func (c *rule) holds(header http.Header) bool {
+func (c *compiledRule) headersMatch(header http.Header) bool {
 	for i := range c.Headers {
 		h := &c.Headers[i]
 		given := header[h.Name]
@@ -356,7 +356,7 @@
 }
 
 // matches tells whether all conditions of a rule hold, one by one.
-func (c *rule) matches(host, path, method string, header http.Header) bool {
+func (c *compiledRule) matches(host, path, method string, header http.Header) bool {
 	suffix, wild := strings.CutPrefix(c.Host, "*")
 	hostOK := c.Host == "" || !wild && c.Host == host ||
 		wild && len(host) > len(suffix) && strings.HasSuffix(host, suffix)
@@ -364,7 +364,7 @@
 	if c.Path == "" {
 		pathOK = c.Prefix == "" || path == c.Prefix || strings.HasPrefix(path, c.Prefix+"/")
 	}
-	return hostOK && pathOK && first([]*rule{c}, path, method, header) != nil
+	return hostOK && pathOK && firstMatch([]*compiledRule{c}, path, method, header) != nil
 }
 
 // Explain tells which rules match a request, the one that wins first, each with its place among
@@ -373,7 +373,7 @@
 	var all []Match
 	for _, c := range r.rules {
 		if c.matches(host, path, method, header) {
-			all = append(all, Match{c.index, c.words()})
+			all = append(all, Match{c.index, c.describe()})
 		}
 	}
 	return all
@@ -385,8 +385,8 @@
 	Conditions []string
 }
 
-// words are a rule's conditions, by precedence.
-func (c *rule) words() []string {
+// describe are a rule's conditions, by precedence.
+func (c *compiledRule) describe() []string {
 	var w []string
 	add := func(has bool, format string, args ...any) {
 		if has {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -250,8 +250,8 @@
 	return string(out), nil
 }
 
-// slow finds a rule by looking at all of them, by the words of the package's page.
-func slow(rules []Rule, host, path, method string, header http.Header) int {
+// referenceFind finds a rule by looking at all of them, by the words of the package's page.
+func referenceFind(rules []Rule, host, path, method string, header http.Header) int {
 	split := func(p string) []string { return strings.Split(strings.Trim(p, "/"), "/") }
 	best, bestRank := -1, []string(nil)
 	for i, r := range rules {
@@ -362,7 +362,7 @@
 	}
 }
 
-func randomAsk(rng *rand.Rand) (host, path, method string, header http.Header) {
+func randomRequest(rng *rand.Rand) (host, path, method string, header http.Header) {
 	pick := func(of ...string) string { return of[rng.IntN(len(of))] }
 	path = "/"
 	for i := range rng.IntN(5) {
@@ -391,9 +391,9 @@
 	rng.Shuffle(len(turned), func(i, j int) { turned[i], turned[j] = turned[j], turned[i] })
 	other := compiled(t, turned)
 	for range 60 {
-		host, path, method, header := randomAsk(rng)
+		host, path, method, header := randomRequest(rng)
 		got, ok := r.Find(host, path, method, header)
-		if want := slow(rules, host, path, method, header); !ok && want >= 0 || ok && got != want {
+		if want := referenceFind(rules, host, path, method, header); !ok && want >= 0 || ok && got != want {
 			t.Fatalf("seed %d: %s %s%s %v: rule %d, not %d of %+v", seed, method, host, path, header, got, want, rules)
 		}
 		// The order of the file means nothing.
--- a/internal/validation/validation.go
+++ b/internal/validation/validation.go
@@ -23,17 +23,17 @@
 	ErrChunkSize              = errors.New("a chunk with no size")
 )
 
-// lineKept is how much of a line is looked at: enough for the fields that frame a message.
-const lineKept = 96
+// maxLineBytes is how much of a line is looked at: enough for the fields that frame a message.
+const maxLineBytes = 96
 
 type state int
 
 const (
-	headState    state = iota // in a head
-	chunkState                // in the line of a chunk's size
-	dataEndState              // in the line that ends a chunk
-	trailerState              // in the fields behind the last chunk
-	offState                  // what comes is not looked at
+	inHead      state = iota // in a head
+	inChunkSize              // in the line of a chunk's size
+	inChunkEnd               // in the line that ends a chunk
+	inTrailer                // in the fields behind the last chunk
+	stopped                  // what comes is not looked at
 )
 
 // Scanner reads the bytes of one side of a connection in the order in which they come. Its zero
@@ -42,24 +42,24 @@
 	// ReadsAnswers says that it reads answers: it stops behind the head of the first final one, or of a change of protocols.
 	ReadsAnswers bool
 
-	err     error
-	state   state
-	skip    int64 // bytes of a body or chunk that are still to come
-	line    [lineKept]byte
-	kept    int  // bytes in line
-	long    bool // the line has more
-	end     [8]byte
-	cr      bool // the last byte was a CR
-	first   bool // the head's first line has been read
-	old     bool // the message is of HTTP/1.0
-	interim bool // the answer is
-	length  int64
-	lengths int // fields of Content-Length
-	coded   bool
+	err                error
+	state              state
+	bytesToSkip        int64 // bytes of a body or chunk that are still to come
+	line               [maxLineBytes]byte
+	lineLength         int  // bytes in line
+	isTruncated        bool // the line has more
+	lineEnd            [8]byte
+	endsWithCR         bool // the last byte was a CR
+	hasStartLine       bool // the head's first line has been read
+	isHTTP10           bool // the message is of HTTP/1.0
+	isInterim          bool // the answer is
+	contentLength      int64
+	contentLengthCount int // fields of Content-Length
+	isChunked          bool
 }
 
 // Stop has the scanner look at nothing any more, as behind an upgrade.
-func (s *Scanner) Stop() { s.state, s.skip = offState, 0 }
+func (s *Scanner) Stop() { s.state, s.bytesToSkip = stopped, 0 }
 
 // Reset has it expect a new message.
 func (s *Scanner) Reset() { *s = Scanner{ReadsAnswers: s.ReadsAnswers} }
@@ -67,94 +67,94 @@
 // Feed takes what came. Once it gives an error it goes on giving it: what follows on the
 // connection can't be told from that message.
 func (s *Scanner) Feed(p []byte) error {
-	for len(p) > 0 && s.err == nil && s.state != offState {
-		if s.skip > 0 {
-			n := min(s.skip, int64(len(p)))
-			s.skip -= n
+	for len(p) > 0 && s.err == nil && s.state != stopped {
+		if s.bytesToSkip > 0 {
+			n := min(s.bytesToSkip, int64(len(p)))
+			s.bytesToSkip -= n
 			p = p[n:]
 			continue
 		}
 		i := bytes.IndexByte(p, '\n')
 		if i < 0 {
-			s.part(p)
+			s.appendToLine(p)
 			break
 		}
-		s.part(p[:i])
+		s.appendToLine(p[:i])
 		p = p[i+1:]
 		if s.err == nil {
-			s.whole()
+			s.endLine()
 		}
-		s.kept, s.long, s.cr = 0, false, false
+		s.lineLength, s.isTruncated, s.endsWithCR = 0, false, false
 	}
 	return s.err
 }
 
-// part takes some of a line. A CR within it is none that ends it.
-func (s *Scanner) part(p []byte) {
+// appendToLine takes some of a line. A CR within it is none that ends it.
+func (s *Scanner) appendToLine(p []byte) {
 	if len(p) == 0 {
 		return
 	}
-	if i := bytes.IndexByte(p, '\r'); s.cr || i >= 0 && i < len(p)-1 {
+	if i := bytes.IndexByte(p, '\r'); s.endsWithCR || i >= 0 && i < len(p)-1 {
 		s.err = ErrBareCR
 		return
 	} else if i >= 0 {
-		s.cr = true
+		s.endsWithCR = true
 		p = p[:i]
 	}
-	n := copy(s.line[s.kept:], p)
-	s.kept += n
-	s.long = s.long || n < len(p)
-	if len(p) >= len(s.end) {
-		copy(s.end[:], p[len(p)-len(s.end):])
+	n := copy(s.line[s.lineLength:], p)
+	s.lineLength += n
+	s.isTruncated = s.isTruncated || n < len(p)
+	if len(p) >= len(s.lineEnd) {
+		copy(s.lineEnd[:], p[len(p)-len(s.lineEnd):])
 	} else {
-		copy(s.end[:], s.end[len(p):])
-		copy(s.end[len(s.end)-len(p):], p)
+		copy(s.lineEnd[:], s.lineEnd[len(p):])
+		copy(s.lineEnd[len(s.lineEnd)-len(p):], p)
 	}
 }
 
-// whole reads a line that has ended.
-func (s *Scanner) whole() {
-	line := s.line[:s.kept]
+// endLine reads a line that has ended.
+func (s *Scanner) endLine() {
+	line := s.line[:s.lineLength]
 	switch s.state {
-	case headState:
+	case inHead:
 		switch {
-		case !s.first:
+		case !s.hasStartLine:
 			if len(line) == 0 { // RFC 9112, 2.2: an empty line ahead of a message may be ignored
 				return
 			}
-			s.first = true
-			s.begin(line)
+			s.hasStartLine = true
+			s.readStartLine(line)
 		case len(line) == 0:
-			s.headEnds()
+			s.endHead()
 		default:
-			s.field(line)
+			s.readField(line)
 		}
-	case chunkState:
-		s.chunk(line)
-	case dataEndState:
-		if s.state = chunkState; len(line) > 0 {
+	case inChunkSize:
+		s.readChunkSize(line)
+	case inChunkEnd:
+		if s.state = inChunkSize; len(line) > 0 {
 			s.err = ErrChunkSize
 		}
-	case trailerState:
+	case inTrailer:
 		if len(line) == 0 {
-			s.next()
+			s.endMessage()
 		} else if line[0] == ' ' || line[0] == '\t' {
 			s.err = ErrLineFolding
 		}
 	}
 }
 
-func (s *Scanner) begin(line []byte) {
+func (s *Scanner) readStartLine(line []byte) {
 	if s.ReadsAnswers {
-		s.old = bytes.HasPrefix(line, []byte("HTTP/1.0"))
+		s.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		// Behind a change of protocols (101) comes none of HTTP.
-		s.interim = len(line) > 11 && line[9] == '1' && string(line[9:12]) != "101"
+		s.isInterim = len(line) > 11 && line[9] == '1' && string(line[9:12]) != "101"
 		return
 	}
-	s.old = string(s.end[:7]) != "HTTP/1." || s.end[7] == '0'
+	s.isHTTP10 = string(s.lineEnd[:7]) != "HTTP/1." || s.lineEnd[7] == '0'
 }
 
-func (s *Scanner) field(line []byte) {
+func (s *Scanner) readField(line []byte) {
 	if line[0] == ' ' || line[0] == '\t' {
 		s.err = ErrLineFolding
 		return
@@ -163,22 +163,22 @@
 	switch {
 	case !ok || len(name) != len("content-length") && len(name) != len("transfer-encoding"):
 	case strings.EqualFold(string(name), "content-length"):
-		n, ok := number(bytes.Trim(value, " \t"))
-		if !ok || s.long || s.lengths > 0 && n != s.length {
+		n, ok := parseDigits(bytes.Trim(value, " \t"))
+		if !ok || s.isTruncated || s.contentLengthCount > 0 && n != s.contentLength {
 			s.err = ErrContentLength
 		}
-		s.length = n
-		s.lengths++
+		s.contentLength = n
+		s.contentLengthCount++
 	case strings.EqualFold(string(name), "transfer-encoding"):
-		if s.coded || s.long || !strings.EqualFold(string(bytes.Trim(value, " \t")), "chunked") {
+		if s.isChunked || s.isTruncated || !strings.EqualFold(string(bytes.Trim(value, " \t")), "chunked") {
 			s.err = ErrTransferEncoding
 		}
-		s.coded = true
+		s.isChunked = true
 	}
 }
 
-// number reads digits and nothing else, with no allocation.
-func number(digits []byte) (n int64, ok bool) {
+// parseDigits reads digits and nothing else, with no allocation.
+func parseDigits(digits []byte) (n int64, ok bool) {
 	for _, d := range digits {
 		if d < '0' || d > '9' || n > (math.MaxInt64-9)/10 {
 			return 0, false
@@ -188,30 +188,30 @@
 	return n, len(digits) > 0
 }
 
-func (s *Scanner) headEnds() {
+func (s *Scanner) endHead() {
 	switch {
-	case s.coded && s.lengths > 0:
+	case s.isChunked && s.contentLengthCount > 0:
 		s.err = ErrFraming
-	case s.coded && s.old:
+	case s.isChunked && s.isHTTP10:
 		s.err = ErrHTTP10TransferEncoding
-	case s.ReadsAnswers && s.interim:
-		s.next()
+	case s.ReadsAnswers && s.isInterim:
+		s.endMessage()
 	case s.ReadsAnswers:
 		s.Stop()
-	case s.coded:
-		s.state = chunkState
+	case s.isChunked:
+		s.state = inChunkSize
 	default:
-		s.skip = s.length
-		s.next()
+		s.bytesToSkip = s.contentLength
+		s.endMessage()
 	}
 }
 
-// next expects another message.
-func (s *Scanner) next() {
-	s.state, s.first, s.old, s.interim, s.length, s.lengths, s.coded = headState, false, false, false, 0, 0, false
+// endMessage expects another message.
+func (s *Scanner) endMessage() {
+	s.state, s.hasStartLine, s.isHTTP10, s.isInterim, s.contentLength, s.contentLengthCount, s.isChunked = inHead, false, false, false, 0, 0, false
 }
 
-func (s *Scanner) chunk(line []byte) {
+func (s *Scanner) readChunkSize(line []byte) {
 	size, _, _ := bytes.Cut(line, []byte(";"))
 	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 63)
 	if err != nil || n > math.MaxInt64/2 {
@@ -219,8 +219,8 @@
 		return
 	}
 	if n == 0 {
-		s.state = trailerState
+		s.state = inTrailer
 		return
 	}
-	s.skip, s.state = int64(n), dataEndState
+	s.bytesToSkip, s.state = int64(n), inChunkEnd
 }
--- a/internal/validation/validation_test.go
+++ b/internal/validation/validation_test.go
@@ -10,7 +10,7 @@
 	"testing"
 )
 
-func TestRequests(t *testing.T) {
+func TestScannerOfRequests(t *testing.T) {
 	long := strings.Repeat("x", 300)
 	for name, tc := range map[string]struct {
 		text string
@@ -60,7 +60,7 @@
 	}
 }
 
-func TestAnswers(t *testing.T) {
+func TestScannerOfAnswers(t *testing.T) {
 	for text, want := range map[string]error{
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\r \r":                                                            nil,
 		"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n": ErrFraming,
@@ -76,7 +76,7 @@
 
 // Of what passes the scanner, the library finds the same messages: as many, and the next one
 // begins at the same byte.
-func FuzzRequests(f *testing.F) {
+func FuzzScannerAgreesWithNetHTTP(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 	f.Add([]byte("POST / HTTP/1.0\r\nContent-Length: 0\r\ntransfer-encoding : chunked\r\n\r\n"))
@@ -99,14 +99,14 @@
 			if s.Feed(raw[:at()]) != nil {
 				return // refused
 			}
-			if s.state != headState || s.first || s.skip > 0 {
-				t.Fatalf("the library ends a message at %d of %q; the scanner is in state %d, %d bytes to come", at(), raw, s.state, s.skip)
+			if s.state != inHead || s.hasStartLine || s.bytesToSkip > 0 {
+				t.Fatalf("the library ends a message at %d of %q; the scanner is in state %d, %d bytes to come", at(), raw, s.state, s.bytesToSkip)
 			}
 		}
 	})
 }
 
-func BenchmarkFeed(b *testing.B) {
+func BenchmarkScannerFeed(b *testing.B) {
 	head := []byte("POST /roster/week?x=1 HTTP/1.1\r\nContent-Length: 0\r\nHost: care.example\r\nUser-Agent: curl/8\r\nAccept: */*\r\nCookie: " +
 		strings.Repeat("c", 200) + "\r\n\r\n")
 	b.ReportAllocs()
