Let attempts use more than eight HTTP/2 connections to one server

Seen: with connections = 20 and servers that allow one stream each, the tenth concurrent request ended the process: "makeslice: cap out of range" (TestAttemptsUseEveryAllowedConnection). Configuration allows 100; connections that end with their last stream count too.

Cause: sharedConnections.acquire made its list of views with the number of connections as length and a fixed capacity of 8, which keeps it off the heap. It is made empty and appended to now; up to 8 connections nothing is allocated, as before.

Measured: the test panics without the change and passes with it, -race -count=5; the package's tests pass.

--- a/internal/upstream/http2.go
+++ b/internal/upstream/http2.go
@@ -26,6 +26,9 @@
 // pingAfterSilence is for a connection with open streams, before it is asked for a sign of life.
 const pingAfterSilence = 5 * time.Second
 
+// usualConnections is the number of connections to one server up to which acquire needs no memory from the heap.
+const usualConnections = 8
+
 // HTTP2Options is how HTTP/2 is spoken.
 type HTTP2Options struct {
 	MaxStreams       int           // open at once on a connection, whatever the server allows
@@ -196,9 +199,9 @@
 			return nil, true, s.lastDialErr
 		}
 		s.removeEnded()
-		views := make([]h2.View, len(s.connections), 8)
-		for i, conn := range s.connections {
-			views[i] = conn.View()
+		views := make([]h2.View, 0, usualConnections)
+		for _, conn := range s.connections {
+			views = append(views, conn.View())
 		}
 		options := &s.upstream.HTTP2
 		next := h2.Choose(views, s.dialing, s.waiting, h2.Bounds{Conns: max(1, options.MaxConnections), Waiting: max(1, options.MaxStreams), Age: options.MaxConnectionAge})
