Name package rolloutlog's types, limits and tests in the field's terms

The rollout log was a Ledger that keeps changes, tells notes and puts a damaged file aside: it is a Log of rollouts with records and a note, and a damaged file is quarantined. Limits name quantity and unit, files and tests what they hold. Keys in the database, file names and error texts are unchanged.

--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -389,7 +389,7 @@
 	c.told, c.last = now, what
 	raw, err := json.Marshal(c.progress())
 	if err == nil {
-		err = c.j.Ledger.Tell(raw)
+		err = c.j.Ledger.SetNote(raw)
 	}
 	if err != nil {
 		slog.Warn("rollout: what it is at can't be told", "err", err)
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -87,7 +87,7 @@
 	for _, step := range []struct {
 		do func([]byte) error
 		v  any
-	}{{l.Begin, sampleChange()}, {l.Append, sampleRecord()}, {l.Tell, note}} {
+	}{{l.Begin, sampleChange()}, {l.Append, sampleRecord()}, {l.SetNote, note}} {
 		raw, err := json.Marshal(step.v)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fleet/journal.go
+++ b/internal/fleet/journal.go
@@ -20,7 +20,7 @@
 
 // Journal is a ledger with what it holds of the newest change.
 type Journal struct {
-	Ledger  *rolloutlog.Ledger
+	Ledger  *rolloutlog.Log
 	Change  *Change // nil is none
 	Entries []rollout.Entry
 
@@ -51,8 +51,8 @@
 		return nil, err
 	}
 	j := &Journal{Ledger: l}
-	if l.Why != nil {
-		slog.Error("rollout: the journal is damaged and set aside; members tell what they run", "err", l.Why, "aside", l.Aside)
+	if l.DamageError != nil {
+		slog.Error("rollout: the journal is damaged and set aside; members tell what they run", "err", l.DamageError, "aside", l.QuarantinedPath)
 	}
 	if j.Change, j.Entries, err = decode(l.Records()); err != nil {
 		// Its checksums hold: another program has written it.
--- a/internal/rolloutlog/rolloutlog.go
+++ b/internal/rolloutlog/log.go
@@ -20,44 +20,44 @@
 )
 
 const (
-	fileName = "rollout.db"
-	lockName = "rollout.lock"
-	within   = 2 * time.Second // of another process's look at the file
+	fileName    = "rollout.db"
+	lockName    = "rollout.lock"
+	openTimeout = 2 * time.Second // of another process's look at the file
 
-	// changesMost bounds how many changes are kept: the last ones.
-	changesMost = 8
-	// recordMost and recordsMost bound what one change may write.
-	recordMost  = 64 << 20
-	recordsMost = 1 << 20
-	asideMost   = 4 // damaged files that are kept for their owner
+	// maxRollouts bounds how many changes are kept: the last ones.
+	maxRollouts = 8
+	// maxRecordBytes and recordsMost bound what one change may write.
+	maxRecordBytes = 64 << 20
+	maxRecords     = 1 << 20
+	maxQuarantined = 4 // damaged files that are kept for their owner
 )
 
-// ErrBusy is another process that writes the same ledger.
-var ErrBusy = errors.New("another coordinator writes it")
+// ErrLocked is another process that writes the same ledger.
+var ErrLocked = errors.New("another coordinator writes it")
 
-// Ledger is open for writing. It is not safe for concurrent use.
-type Ledger struct {
-	// Aside is where a damaged file was put; "" is none.
-	Aside string
-	// Why tells what was wrong with it.
-	Why error
+// Log is open for writing. It is not safe for concurrent use.
+type Log struct {
+	// QuarantinedPath is where a damaged file was put; "" is none.
+	QuarantinedPath string
+	// DamageError tells what was wrong with it.
+	DamageError error
 
-	dir  string
-	lock *os.File
-	now  change // the newest
+	directory string
+	lockFile  *os.File
+	newest    rollout // the newest
 }
 
-// change is what is in the file of one change.
-type change struct {
-	id      uint64 // bucket; 0 is none
-	n       uint64 // records
-	last    [sha256.Size]byte
-	records [][]byte
-	note    []byte
+// rollout is what is in the file of one change.
+type rollout struct {
+	id           uint64 // bucket; 0 is none
+	count        uint64 // records
+	lastChecksum [sha256.Size]byte
+	records      [][]byte
+	note         []byte
 }
 
 // Open opens the ledger of a directory and makes it where there is none.
-func Open(dir string) (*Ledger, error) {
+func Open(dir string) (*Log, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -68,32 +68,32 @@
 	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
 		_ = lock.Close() // nothing was written
 		if errors.Is(err, unix.EWOULDBLOCK) {
-			err = ErrBusy
+			err = ErrLocked
 		}
 		return nil, fmt.Errorf("journal %s: %w", dir, err)
 	}
-	l := &Ledger{dir: dir, lock: lock}
+	l := &Log{directory: dir, lockFile: lock}
 	path := filepath.Join(dir, fileName)
-	if l.now, err = read(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if l.newest, err = readNewest(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		if !errors.Is(err, errDamaged) {
 			l.Close()
 			return nil, err
 		}
-		l.Why = err
-		if l.Aside, err = setAside(path); err != nil {
+		l.DamageError = err
+		if l.QuarantinedPath, err = quarantine(path); err != nil {
 			l.Close()
 			return nil, err
 		}
-		l.now = change{}
+		l.newest = rollout{}
 	}
 	return l, nil
 }
 
-// setAside moves a damaged file out of the way.
-func setAside(path string) (string, error) {
+// quarantine moves a damaged file out of the way.
+func quarantine(path string) (string, error) {
 	for i := 1; ; i++ {
 		to := fmt.Sprintf("%s.damaged-%d", path, i)
-		if _, err := os.Lstat(to); i < asideMost && err == nil {
+		if _, err := os.Lstat(to); i < maxQuarantined && err == nil {
 			continue
 		}
 		if err := os.Rename(path, to); err != nil {
@@ -104,20 +104,20 @@
 }
 
 // Close lets go of it.
-func (l *Ledger) Close() {
-	_ = l.lock.Close() // nothing is written to it
+func (l *Log) Close() {
+	_ = l.lockFile.Close() // nothing is written to it
 }
 
 // Records are those of the newest change, the first first; none where there has been none.
-func (l *Ledger) Records() [][]byte { return l.now.records }
+func (l *Log) Records() [][]byte { return l.newest.records }
 
 // Note is what Tell has last kept with the newest change.
-func (l *Ledger) Note() []byte { return l.now.note }
+func (l *Log) Note() []byte { return l.newest.note }
 
 // Read reads the newest change's records and note without a lock, also while another writes. No error and
 // no records: there has been none.
 func Read(dir string) (records [][]byte, note []byte, err error) {
-	c, err := read(filepath.Join(dir, fileName))
+	c, err := readNewest(filepath.Join(dir, fileName))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil, nil
 	}
@@ -125,18 +125,18 @@
 }
 
 // Begin begins a change's records with its first. The oldest changes are forgotten.
-func (l *Ledger) Begin(first []byte) error {
-	next := change{id: l.now.id + 1}
+func (l *Log) Begin(first []byte) error {
+	next := rollout{id: l.newest.id + 1}
 	err := l.update(func(tx *bbolt.Tx) error {
-		b, err := tx.CreateBucket(key(next.id))
+		b, err := tx.CreateBucket(encodeKey(next.id))
 		if err != nil {
 			return err
 		}
-		if err := next.put(b, first); err != nil {
+		if err := next.append(b, first); err != nil {
 			return err
 		}
-		if next.id > changesMost {
-			if err := tx.DeleteBucket(key(next.id - changesMost)); err != nil && !errors.Is(err, bolterrors.ErrBucketNotFound) {
+		if next.id > maxRollouts {
+			if err := tx.DeleteBucket(encodeKey(next.id - maxRollouts)); err != nil && !errors.Is(err, bolterrors.ErrBucketNotFound) {
 				return err
 			}
 		}
@@ -144,49 +144,49 @@
 	})
 	if err == nil {
 		next.records = [][]byte{first}
-		l.now = next
+		l.newest = next
 	}
 	return err
 }
 
 // Append keeps a record. It is on disk once this returns.
-func (l *Ledger) Append(record []byte) error {
-	if l.now.id == 0 {
+func (l *Log) Append(record []byte) error {
+	if l.newest.id == 0 {
 		return errors.New("journal: no change has begun")
 	}
-	next := l.now
+	next := l.newest
 	err := l.update(func(tx *bbolt.Tx) error {
-		b := tx.Bucket(key(next.id))
+		b := tx.Bucket(encodeKey(next.id))
 		if b == nil {
 			return fmt.Errorf("%w: change %d is gone", errDamaged, next.id)
 		}
-		return next.put(b, record)
+		return next.append(b, record)
 	})
 	if err == nil {
 		next.records = append(next.records, record)
-		l.now = next
+		l.newest = next
 	}
 	return err
 }
 
-// Tell keeps a note in the place of the last one: what whoever looks is told.
-func (l *Ledger) Tell(note []byte) error {
-	if l.now.id == 0 {
+// SetNote keeps a note in the place of the last one: what whoever looks is told.
+func (l *Log) SetNote(note []byte) error {
+	if l.newest.id == 0 {
 		return errors.New("journal: no change has begun")
 	}
 	return l.update(func(tx *bbolt.Tx) error {
-		b := tx.Bucket(key(l.now.id))
+		b := tx.Bucket(encodeKey(l.newest.id))
 		if b == nil {
-			return fmt.Errorf("%w: change %d is gone", errDamaged, l.now.id)
+			return fmt.Errorf("%w: change %d is gone", errDamaged, l.newest.id)
 		}
-		return b.Put(noteKey, sealed([sha256.Size]byte{}, 0, note))
+		return b.Put(noteKey, seal([sha256.Size]byte{}, 0, note))
 	})
 }
 
 // update opens the file for one write: others may look in between.
-func (l *Ledger) update(f func(*bbolt.Tx) error) error {
-	err := guarded(func() error {
-		db, err := bbolt.Open(filepath.Join(l.dir, fileName), 0o600, options(false))
+func (l *Log) update(f func(*bbolt.Tx) error) error {
+	err := catchDamage(func() error {
+		db, err := bbolt.Open(filepath.Join(l.directory, fileName), 0o600, options(false))
 		if err != nil {
 			return err
 		}
@@ -196,14 +196,14 @@
 		return db.Close()
 	})
 	if err != nil {
-		return fmt.Errorf("journal: writing %s: %w", filepath.Join(l.dir, fileName), err)
+		return fmt.Errorf("journal: writing %s: %w", filepath.Join(l.directory, fileName), err)
 	}
 	return nil
 }
 
 func options(readOnly bool) *bbolt.Options {
 	// The list of free pages is not kept but found: one thing less that can be damaged.
-	return &bbolt.Options{Timeout: within, ReadOnly: readOnly, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType}
+	return &bbolt.Options{Timeout: openTimeout, ReadOnly: readOnly, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType}
 }
 
 var (
@@ -211,8 +211,8 @@
 	noteKey    = []byte("note")
 )
 
-// guarded turns what a damaged file has the database do (panics, reads beyond the file's end) into errors.
-func guarded(f func() error) (err error) {
+// catchDamage turns what a damaged file has the database do (panics, reads beyond the file's end) into errors.
+func catchDamage(f func() error) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if p := recover(); p != nil {
@@ -222,50 +222,50 @@
 	return f()
 }
 
-func key(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+func encodeKey(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
-// put adds a record to a bucket and to what is known of it.
-func (c *change) put(b *bbolt.Bucket, record []byte) error {
-	if len(record) > recordMost || c.n >= recordsMost {
-		return fmt.Errorf("record %d of %d bytes is beyond the bounds", c.n+1, len(record))
+// append adds a record to a bucket and to what is known of it.
+func (c *rollout) append(b *bbolt.Bucket, record []byte) error {
+	if len(record) > maxRecordBytes || c.count >= maxRecords {
+		return fmt.Errorf("record %d of %d bytes is beyond the bounds", c.count+1, len(record))
 	}
-	raw := sealed(c.last, c.n+1, record)
-	if err := b.Put(key(c.n+1), raw); err != nil {
+	raw := seal(c.lastChecksum, c.count+1, record)
+	if err := b.Put(encodeKey(c.count+1), raw); err != nil {
 		return err
 	}
-	c.n++
-	copy(c.last[:], raw)
+	c.count++
+	copy(c.lastChecksum[:], raw)
 	return nil
 }
 
-// sealed is a record behind its checksum, which is over the one before it and its number too.
-func sealed(last [sha256.Size]byte, n uint64, record []byte) []byte {
+// seal is a record behind its checksum, which is over the one before it and its number too.
+func seal(last [sha256.Size]byte, n uint64, record []byte) []byte {
 	h := sha256.New()
 	h.Write(last[:])
-	h.Write(key(n))
+	h.Write(encodeKey(n))
 	h.Write(record)
 	return append(h.Sum(nil), record...)
 }
 
-// open gives a record that is what was sealed.
-func open(last [sha256.Size]byte, n uint64, raw []byte) ([]byte, error) {
+// unseal gives a record that is what was sealed.
+func unseal(last [sha256.Size]byte, n uint64, raw []byte) ([]byte, error) {
 	if len(raw) < sha256.Size {
 		return nil, fmt.Errorf("%w: record %d is cut", errDamaged, n)
 	}
 	record := raw[sha256.Size:]
-	if string(sealed(last, n, record)) != string(raw) {
+	if string(seal(last, n, record)) != string(raw) {
 		return nil, fmt.Errorf("%w: record %d is not what was written", errDamaged, n)
 	}
 	return append([]byte(nil), record...), nil
 }
 
-// read reads the newest change of a file.
-func read(path string) (c change, err error) {
+// readNewest reads the newest change of a file.
+func readNewest(path string) (c rollout, err error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return c, err
 	}
-	err = guarded(func() error {
+	err = catchDamage(func() error {
 		if info.Size() == 0 {
 			return fmt.Errorf("%w: it is empty", errDamaged)
 		}
@@ -291,27 +291,27 @@
 		})
 	})
 	if err != nil {
-		return change{}, fmt.Errorf("journal %s: %w", path, err)
+		return rollout{}, fmt.Errorf("journal %s: %w", path, err)
 	}
 	return c, nil
 }
 
-func (c *change) load(b *bbolt.Bucket) error {
+func (c *rollout) load(b *bbolt.Bucket) error {
 	return b.ForEach(func(k, raw []byte) error {
 		if string(k) == string(noteKey) {
-			note, err := open([sha256.Size]byte{}, 0, raw)
+			note, err := unseal([sha256.Size]byte{}, 0, raw)
 			c.note = note
 			return err
 		}
-		if len(k) != 8 || binary.BigEndian.Uint64(k) != c.n+1 {
-			return fmt.Errorf("%w: record %d is missing", errDamaged, c.n+1)
+		if len(k) != 8 || binary.BigEndian.Uint64(k) != c.count+1 {
+			return fmt.Errorf("%w: record %d is missing", errDamaged, c.count+1)
 		}
-		record, err := open(c.last, c.n+1, raw)
+		record, err := unseal(c.lastChecksum, c.count+1, raw)
 		if err != nil {
 			return err
 		}
-		c.n++
-		copy(c.last[:], raw)
+		c.count++
+		copy(c.lastChecksum[:], raw)
 		c.records = append(c.records, record)
 		return nil
 	})
--- a/internal/rolloutlog/rolloutlog_test.go
+++ b/internal/rolloutlog/log_test.go
@@ -18,8 +18,8 @@
 	return s
 }
 
-// must opens a ledger and writes to it.
-func must(t *testing.T, dir string, records ...string) *Ledger {
+// openAndWrite opens a ledger and writes to it.
+func openAndWrite(t *testing.T, dir string, records ...string) *Log {
 	t.Helper()
 	l, err := Open(dir)
 	if err != nil {
@@ -38,17 +38,17 @@
 	return l
 }
 
-func TestKeeps(t *testing.T) {
+func TestLogKeepsNewestRollouts(t *testing.T) {
 	dir := t.TempDir()
 	if r, _, err := Read(dir); len(r) > 0 || err != nil {
 		t.Fatal(r, err)
 	}
-	l := must(t, dir, "plan", "one", "")
-	if _, err := Open(dir); !errors.Is(err, ErrBusy) {
+	l := openAndWrite(t, dir, "plan", "one", "")
+	if _, err := Open(dir); !errors.Is(err, ErrLocked) {
 		t.Errorf("a second writer: %v", err)
 	}
 	for _, note := range []string{"n1", "n2"} {
-		if err := l.Tell([]byte(note)); err != nil {
+		if err := l.SetNote([]byte(note)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -57,11 +57,11 @@
 		t.Errorf("%q, %q, %v", got, note, err)
 	}
 	l.Close()
-	l = must(t, dir)
+	l = openAndWrite(t, dir)
 	if err := l.Append([]byte("two")); err != nil || len(l.Records()) != 4 || string(l.Note()) != "n2" {
 		t.Errorf("%q, %v", l.Records(), err)
 	}
-	for i := range changesMost + 3 {
+	for i := range maxRollouts + 3 {
 		if err := l.Begin(fmt.Appendf(nil, "plan %d", i)); err != nil {
 			t.Fatal(err)
 		}
@@ -74,21 +74,21 @@
 
 // Whatever is cut from the file or turned over in it: what is read is what was written, or a damage that is
 // told, and the file is set aside.
-func TestDamage(t *testing.T) {
+func TestDamagedFileIsDetectedAndQuarantined(t *testing.T) {
 	dir := t.TempDir()
 	var want []string
 	for i := range 40 {
 		want = append(want, fmt.Sprint(i, strings.Repeat("x", 200*(i%5))))
 	}
-	must(t, dir, want...).Close()
-	whole, err := os.ReadFile(filepath.Join(dir, fileName))
+	openAndWrite(t, dir, want...).Close()
+	complete, err := os.ReadFile(filepath.Join(dir, fileName))
 	if err != nil {
 		t.Fatal(err)
 	}
 	rng := rand.New(rand.NewPCG(3, 4))
-	damaged, fine := 0, 0
+	damaged, intact := 0, 0
 	for i := range 150 {
-		raw := slices.Clone(whole)
+		raw := slices.Clone(complete)
 		if i%3 == 0 {
 			raw = raw[:rng.IntN(len(raw))]
 		} else {
@@ -105,9 +105,9 @@
 			t.Fatal(err)
 		}
 		switch got := texts(l.Records()); {
-		case l.Why != nil:
+		case l.DamageError != nil:
 			damaged++
-			if _, err := os.Stat(l.Aside); err != nil || len(got) > 0 {
+			if _, err := os.Stat(l.QuarantinedPath); err != nil || len(got) > 0 {
 				t.Errorf("%v, %d records", err, len(got))
 			}
 			if err := l.Begin([]byte("anew")); err != nil {
@@ -116,27 +116,27 @@
 		case !slices.Equal(got, want) && !slices.Equal(got, want[:len(want)-1]): // the other of its two heads
 			t.Errorf("taken for good: %d records", len(got))
 		default:
-			fine++
+			intact++
 		}
 		l.Close()
 	}
-	if t.Logf("%d damaged, %d as written", damaged, fine); damaged == 0 || fine == 0 {
+	if t.Logf("%d damaged, %d as written", damaged, intact); damaged == 0 || intact == 0 {
 		t.Error("one of both was never met")
 	}
 }
 
-func FuzzOpen(f *testing.F) {
+func FuzzUnsealDetectsDamage(f *testing.F) {
 	f.Add([]byte("a record"), uint64(1), 3)
 	f.Fuzz(func(t *testing.T, record []byte, n uint64, at int) {
 		var last [32]byte
-		raw := sealed(last, n, record)
-		if got, err := open(last, n, raw); err != nil || string(got) != string(record) {
+		raw := seal(last, n, record)
+		if got, err := unseal(last, n, raw); err != nil || string(got) != string(record) {
 			t.Fatal(err)
 		}
 		if at = (at%len(raw) + len(raw)) % len(raw); len(raw) > 0 {
 			raw[at] ^= 1
 		}
-		if _, err := open(last, n, raw); err == nil {
+		if _, err := unseal(last, n, raw); err == nil {
 			t.Fatal("a damaged record is taken")
 		}
 	})
