--- a/internal/rolloutlog/log_test.go
+++ b/internal/rolloutlog/log_test.go
@@ -11,14 +11,14 @@
 	"testing"
 )
 
-func texts(raw [][]byte) (s []string) {
-	for _, r := range raw {
-		s = append(s, string(r))
+func texts(records [][]byte) (all []string) {
+	for _, record := range records {
+		all = append(all, string(record))
 	}
-	return s
+	return all
 }
 
-// openAndWrite opens a ledger and writes to it.
+// openAndWrite opens a log and writes a rollout of the given records.
 func openAndWrite(t *testing.T, dir string, records ...string) *Log {
 	t.Helper()
 	l, err := Open(dir)
@@ -72,8 +72,8 @@
 	l.Close()
 }
 
-// Whatever is cut from the file or turned over in it: what is read is what was written, or a damage that is
-// told, and the file is set aside.
+// Whatever is cut from the file or overwritten in it: what is read is what was written, or the damage is detected and
+// the file quarantined.
 func TestDamagedFileIsDetectedAndQuarantined(t *testing.T) {
 	dir := t.TempDir()
 	var want []string
@@ -113,15 +113,15 @@
 			if err := l.Begin([]byte("anew")); err != nil {
 				t.Error(err)
 			}
-		case !slices.Equal(got, want) && !slices.Equal(got, want[:len(want)-1]): // the other of its two heads
-			t.Errorf("taken for good: %d records", len(got))
+		case !slices.Equal(got, want) && !slices.Equal(got, want[:len(want)-1]): // the older of the two meta pages
+			t.Errorf("taken for valid: %d records", len(got))
 		default:
 			intact++
 		}
 		l.Close()
 	}
 	if t.Logf("%d damaged, %d as written", damaged, intact); damaged == 0 || intact == 0 {
-		t.Error("one of both was never met")
+		t.Error("one of both never occurred")
 	}
 }
 
@@ -137,7 +137,7 @@
 			raw[at] ^= 1
 		}
 		if _, err := unseal(last, n, raw); err == nil {
-			t.Fatal("a damaged record is taken")
+			t.Fatal("a damaged record is taken for valid")
 		}
 	})
 }
--- /dev/null
+++ b/internal/rolloutlog/seal.go
@@ -0,0 +1,31 @@
+package rolloutlog
+
+import (
+	"crypto/sha256"
+	"fmt"
+)
+
+// checksum is a record's SHA-256, chained to the record before it.
+type checksum [sha256.Size]byte
+
+// seal returns a record behind its checksum, which is over the previous record's checksum, the record's number and
+// the record. A note is sealed with the zero checksum and number.
+func seal(previous checksum, number uint64, record []byte) []byte {
+	hash := sha256.New()
+	hash.Write(previous[:])
+	hash.Write(encodeKey(number))
+	hash.Write(record)
+	return append(hash.Sum(nil), record...)
+}
+
+// unseal returns a copy of the record that seal returned sealed for. The error wraps errDamaged.
+func unseal(previous checksum, number uint64, sealed []byte) ([]byte, error) {
+	if len(sealed) < len(checksum{}) {
+		return nil, fmt.Errorf("%w: record %d is cut", errDamaged, number)
+	}
+	record := sealed[len(checksum{}):]
+	if string(seal(previous, number, record)) != string(sealed) {
+		return nil, fmt.Errorf("%w: record %d is not what was written", errDamaged, number)
+	}
+	return append([]byte(nil), record...), nil
+}
