--- a/internal/fleet/between.go
+++ b/internal/fleet/between.go
@@ -79,7 +79,7 @@
 	}
 	for i, s := range want.Services {
 		g := got.Services[i]
-		if g.Cold != s.Cold || !reflect.DeepEqual(g.Plans, s.Plans) || !reflect.DeepEqual(g.Classes, s.Classes) || got.Instances != want.Instances {
+		if g.SlowStart != s.SlowStart || !reflect.DeepEqual(g.Plans, s.Plans) || !reflect.DeepEqual(g.Classes, s.Classes) || got.Instances != want.Instances {
 			return nil, fmt.Errorf("the settings that have to come between can't be written for service %s: change them in two steps, the stricter first", s.Name)
 		}
 	}
@@ -107,10 +107,10 @@
 	}
 	for i, s := range want.Services {
 		was := old.Services[i]
-		if s.Cold != was.Cold {
-			set(s.Cold.For.String(), "services", s.Name, "cold")
-			set(s.Cold.From, "services", s.Name, "cold_from")
-			set(s.Cold.Multiple, "services", s.Name, "fall_multiple")
+		if s.SlowStart != was.SlowStart {
+			set(s.SlowStart.For.String(), "services", s.Name, "cold")
+			set(s.SlowStart.From, "services", s.Name, "cold_from")
+			set(s.SlowStart.Multiple, "services", s.Name, "fall_multiple")
 		}
 		setPlans(set, was.Plans, s.Plans)
 		without = append(without, setClasses(set, was.Classes, s.Classes)...)
--- a/internal/fleetfile/intermediate.go
+++ b/internal/fleetfile/intermediate.go
@@ -60,9 +60,9 @@
 			writePlan(in(in(doc, "plans"), p.Name), p)
 		}
 	}
-	if s.Cold != before.Cold {
+	if s.SlowStart != before.SlowStart {
 		to := in(in(doc, "services"), s.Name)
-		to["cold"], to["cold_from"], to["fall_multiple"] = s.Cold.For.String(), s.Cold.From, s.Cold.Multiple
+		to["cold"], to["cold_from"], to["fall_multiple"] = s.SlowStart.For.String(), s.SlowStart.From, s.SlowStart.Multiple
 	}
 }
 
--- a/internal/fleetfile/regions.go
+++ b/internal/fleetfile/regions.go
@@ -58,7 +58,7 @@
 	set := s.Settings
 	v := regions.Service{
 		Name: s.Name, Ordinary: s.HTTP != nil, Classes: set.Classes, Plans: set.Plans,
-		Cold: regions.Cold{For: set.WarmupTime, From: set.InitialCapacity, Multiple: set.OverloadMultiple},
+		SlowStart: regions.SlowStart{For: set.WarmupTime, From: set.InitialCapacity, Multiple: set.OverloadMultiple},
 	}
 	if s.Counter.Name != "" {
 		// The same name at other counters is counted apart.
--- a/internal/fleetfile/waivers.go
+++ b/internal/fleetfile/waivers.go
@@ -17,7 +17,7 @@
 
 // kinds are those that can be waived.
 var kinds = []regions.Kind{
-	regions.ServiceKind, regions.CoverageKind, regions.TermsKind, regions.CeilingKind, regions.ColdKind,
+	regions.ServiceKind, regions.CoverageKind, regions.TermsKind, regions.HardLimitKind, regions.SlowStartKind,
 	regions.LoopKind, regions.DeadKind,
 }
 
--- a/internal/front/scatter_gather.go
+++ b/internal/front/scatter_gather.go
@@ -195,7 +195,7 @@
 		if target.Service.Admit(exchange, bodyBytes) {
 			bodyBytes = 0
 		}
-		calls = append(calls, scattergather.Call{Service: target.Service, Exchange: exchange, Most: ordinary.MaxBufferedAnswerBytes})
+		calls = append(calls, scattergather.Call{Service: target.Service, Exchange: exchange, MaxBytes: ordinary.MaxBufferedAnswerBytes})
 	}
 	return calls, nil
 }
@@ -258,7 +258,7 @@
 	header["Content-Length"] = []string{strconv.Itoa(size)}
 	header["Via"] = []string{"1.1 " + hopheaders.Alias}
 	header["Cache-Control"] = []string{"no-store"} // a partial answer must not be reused
-	header[scattergather.HeaderParts] = []string{strconv.Itoa(final.Whole.Held) + "/" + strconv.Itoa(final.Whole.Of)}
+	header[scattergather.HeaderParts] = []string{strconv.Itoa(final.Whole.Present) + "/" + strconv.Itoa(final.Whole.Of)}
 	if len(final.Whole.Missing) > 0 {
 		header[scattergather.HeaderMissing] = []string{strings.Join(final.Whole.Missing, ", ")}
 	}
--- a/internal/measure/bodies.go
+++ b/internal/measure/bodies.go
@@ -155,11 +155,11 @@
 
 // watchMemory watches a process's resident memory; stop ends that and gives the most there was, in MB.
 func watchMemory(pid int) (stop func() float64) {
-	most, ended, end := 0.0, make(chan struct{}), make(chan struct{})
+	peakMB, ended, end := 0.0, make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
 		for {
-			most = max(most, residentOf(pid))
+			peakMB = max(peakMB, residentOf(pid))
 			select {
 			case <-time.After(20 * time.Millisecond):
 			case <-end:
@@ -170,7 +170,7 @@
 	return func() float64 {
 		close(end)
 		<-ended
-		return most
+		return peakMB
 	}
 }
 
--- a/internal/measure/disturb.go
+++ b/internal/measure/disturb.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if r.o.ColdEvery > 0 {
-		if err := r.serverComes(fleetCold); err != nil {
+		if err := r.serverComes(fleetWarmup); err != nil {
 			r.fail("a server: %v", err)
 		}
 	}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -24,13 +24,13 @@
 // Figures of the fleet's surroundings.
 const (
 	fleetCores     = 2
-	fleetCold      = 6 * time.Second // as in fleet.toml
+	fleetWarmup    = 6 * time.Second // as in fleet.toml
 	fleetLag       = 1500 * time.Millisecond
-	drainTold      = 2 * time.Second // after which a draining server is sent nothing new
+	drainNotified  = 2 * time.Second // after which a draining server is sent nothing new
 	enterpriseFrom = 1 << 20
-	ceilingRate    = 20 // as in fleet.toml
-	ceilingBurst   = 40
-	ceilingSlack   = 8
+	hardLimitRate  = 20 // as in fleet.toml
+	hardLimitBurst = 40
+	hardLimitSlack = 8
 	spread         = 4
 	retryWithin    = 8 * time.Second        // of a client's first try: well within the window in which a key is dropped
 	leadTime       = 150 * time.Millisecond // from when clients leave an instance until it is told to end
@@ -106,9 +106,9 @@
 func Fleet(ctx context.Context, o FleetOptions) (*FleetReport, error) {
 	r := &fleetRig{
 		o: o, tally: &fake.Tally{}, group: &fake.Group{Window: 15 * time.Second}, away: make(map[int]bool), killed: make(map[string][]time.Time), busy: make(map[int]bool),
-		limit: &fake.Ceiling{Rate: ceilingRate, Burst: ceilingBurst, From: enterpriseFrom},
+		limit: &fake.Ceiling{Rate: hardLimitRate, Burst: hardLimitBurst, From: enterpriseFrom},
 	}
-	r.rep = &FleetReport{Instances: o.Instances, Told: o.Told, Slack: ceilingSlack, P50: map[string]float64{}, P99: map[string]float64{}}
+	r.rep = &FleetReport{Instances: o.Instances, Told: o.Told, Slack: hardLimitSlack, P50: map[string]float64{}, P99: map[string]float64{}}
 	if o.Told == 0 {
 		r.rep.Told = o.Instances
 	}
@@ -240,16 +240,16 @@
 }
 
 // fleetCall makes calls of many customers, each of which comes through a few instances.
-func fleetCall(told int) func(*rand.Rand) fake.Call {
+func fleetCall(instances int) func(*rand.Rand) fake.Call {
 	return func(rng *rand.Rand) fake.Call {
 		c := fake.Call{
 			Host: "care.example", Method: "GET", Path: "/roster-read/week", Kind: "roster-read", Plan: "standard",
-			Customer: rng.Uint64N(500), Deadline: 3 * time.Second, Spread: min(spread, told),
+			Customer: rng.Uint64N(500), Deadline: 3 * time.Second, Spread: min(spread, instances),
 		}
 		if rng.IntN(3) == 0 { // a few that ask for more than their ceiling
 			c.Customer, c.Plan = enterpriseFrom+rng.Uint64N(4), "enterprise"
 		}
-		c.First = int(c.Customer) * 7 % told
+		c.First = int(c.Customer) * 7 % instances
 		switch rng.IntN(4) {
 		case 0, 1:
 			c.Kind, c.Method, c.Path, c.Body, c.Key = "visit-update", "POST", "/visit-update", "swap", strconv.FormatUint(rng.Uint64(), 16)
@@ -320,7 +320,7 @@
 	t := time.NewTicker(r.o.ColdEvery)
 	defer t.Stop()
 	for {
-		if err := r.serverComes(fleetCold); err != nil {
+		if err := r.serverComes(fleetWarmup); err != nil {
 			r.fail("a server: %v", err)
 			return
 		}
@@ -331,9 +331,9 @@
 		r.mu.Unlock()
 		e := old.Entry()
 		e.State = "draining"
-		old.Drain(fleetLag + drainTold) // told to the last instance by then
+		old.Drain(fleetLag + drainNotified) // told to the last instance by then
 		r.disco.Tell(e)
-		time.AfterFunc(fleetLag+drainTold+2*time.Second, func() {
+		time.AfterFunc(fleetLag+drainNotified+2*time.Second, func() {
 			e.State = "removed"
 			r.disco.Tell(e)
 		})
--- a/internal/measure/tap.go
+++ b/internal/measure/tap.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return // it was cut before the member heard of it
 	}
-	note := t.asked(r.URL.Path, name, raw)
+	note := t.recordRequest(r.URL.Path, name, raw)
 	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://daemon"+r.URL.Path, bytes.NewReader(raw))
 	var resp *http.Response
 	if err == nil {
@@ -80,8 +80,8 @@
 	w.Write(answer)
 }
 
-// asked notes what is asked; the function that it gives notes the answer.
-func (t *taps) asked(path, member string, raw []byte) func(status int, answer []byte) {
+// recordRequest notes what is asked; the function that it gives notes the answer.
+func (t *taps) recordRequest(path, member string, raw []byte) func(status int, answer []byte) {
 	code := func(answer []byte) desiredstate.Code {
 		var f struct {
 			Code desiredstate.Code `json:"code"`
--- a/internal/regions/area.go
+++ b/internal/regions/area.go
@@ -121,5 +121,5 @@
 // nowhere tells whether no request can have a condition's host or path: the path would hold what begins a
 // query, or the wildcard has no room for a label.
 func (c *cond) nowhere() bool {
-	return strings.Contains(c.area.path, "?") || c.area.host != "" && c.area.host[0] == '*' && len(c.area.host) > hostMost
+	return strings.Contains(c.area.path, "?") || c.area.host != "" && c.area.host[0] == '*' && len(c.area.host) > maxHostBytes
 }
--- a/internal/regions/bench_test.go
+++ b/internal/regions/bench_test.go
@@ -34,7 +34,7 @@
 	for i := range 20 {
 		s := Service{
 			Name: fmt.Sprint("s", i), Ordinary: true, Classes: []control.Class{{Name: "read"}, {Name: "write", Idempotency: control.NotIdempotent}},
-			Source: fmt.Sprint("source", i), Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5}, Plans: []control.Plan{{Name: "p", HardLimitRate: 9, HardLimitBurst: 9}},
+			Source: fmt.Sprint("source", i), SlowStart: SlowStart{For: 15 * time.Second, From: 0.15, Multiple: 2.5}, Plans: []control.Plan{{Name: "p", HardLimitRate: 9, HardLimitBurst: 9}},
 		}
 		for k := range 20 {
 			s.Servers = append(s.Servers, fmt.Sprint(20*i+k))
--- a/internal/regions/index.go
+++ b/internal/regions/index.go
@@ -64,7 +64,7 @@
 func Check(all []Region) []Conflict { return NewIndex(all).Conflicts() }
 
 // NewIndex looks at all regions.
-func NewIndex(all []Region) *Index { return newIndex(all, workMost) }
+func NewIndex(all []Region) *Index { return newIndex(all, maxWork) }
 
 func newIndex(all []Region, work int) *Index {
 	x := &Index{work: work, space: newSpace(), book: newBook(), watch: make(map[*cond]struct{}), found: make(map[*cond][]finding), dead: make(map[*cond][]finding)}
--- a/internal/regions/loop.go
+++ b/internal/regions/loop.go
@@ -11,8 +11,8 @@
 	"lockflow/internal/route"
 )
 
-// loopsMost is the most loops that are told.
-const loopsMost = 64
+// maxLoops is the most loops that are told.
+const maxLoops = 64
 
 // via is what a request that goes round has of the intermediaries it went through.
 var via = []string{"1.1 " + hopheaders.Alias, "1.1 " + hopheaders.Alias}
@@ -60,7 +60,7 @@
 			if c == nil {
 				continue
 			}
-			if len(all) == loopsMost {
+			if len(all) == maxLoops {
 				more++
 				continue
 			}
--- a/internal/regions/mixture/class.go
+++ b/internal/regions/mixture/class.go
@@ -52,7 +52,7 @@
 	u.Instances, u.Members, u.Shared, u.Services = 0, 0, false, slices.Clone(r.Services)
 	for i := range u.Services {
 		s := &u.Services[i]
-		s.Plans, s.Counter, s.Cold = nil, "", regions.Cold{}
+		s.Plans, s.Counter, s.SlowStart = nil, "", regions.SlowStart{}
 	}
 	return &u
 }
--- a/internal/regions/mixture/mixture.go
+++ b/internal/regions/mixture/mixture.go
@@ -185,7 +185,7 @@
 // key is what makes two conflicts the same: what they are about, not the request that shows it.
 func key(c regions.Conflict) string {
 	c = Plain(c)
-	if c.Kind == regions.CeilingKind || c.Kind == regions.ColdKind {
+	if c.Kind == regions.HardLimitKind || c.Kind == regions.SlowStartKind {
 		// A sum that passes is the same one however many regions it is over.
 		return string(c.Kind) + "\x01" + strings.Join(slices.Compact(slices.Sorted(slices.Values(c.Rules))), "\x00")
 	}
--- a/internal/regions/mixture/mixture_test.go
+++ b/internal/regions/mixture/mixture_test.go
@@ -58,7 +58,7 @@
 	}
 	for plan, sum := range sums {
 		if sum > most[plan]*1.0001 {
-			found = append(found, regions.Conflict{Kind: regions.CeilingKind, Severity: regions.Error, Rules: []string{plan}})
+			found = append(found, regions.Conflict{Kind: regions.HardLimitKind, Severity: regions.Error, Rules: []string{plan}})
 		}
 	}
 	return found
@@ -260,7 +260,7 @@
 					if ends[key(c)] || c.Severity != regions.Error || c.Kind == regions.ServiceKind && len(Plain(c).Regions) == 1 {
 						continue
 					}
-					if c.Kind == regions.CeilingKind && (total(all, c.Rules[0]) <= total(whole[0], c.Rules[0])*1.0001 || total(all, c.Rules[0]) <= total(whole[1], c.Rules[0])*1.0001) {
+					if c.Kind == regions.HardLimitKind && (total(all, c.Rules[0]) <= total(whole[0], c.Rules[0])*1.0001 || total(all, c.Rules[0]) <= total(whole[1], c.Rules[0])*1.0001) {
 						continue
 					}
 					if c.Kind == regions.TermsKind {
@@ -296,9 +296,9 @@
 		}
 		for _, at := range []time.Duration{0, time.Second, 5 * time.Second, 9 * time.Second} {
 			budget := math.Inf(1)
-			if at < s.Cold.For {
-				w := s.Cold.From + (1-s.Cold.From)*float64(at)/float64(s.Cold.For)
-				budget = max(0.32*w*s.Cold.Multiple, 1/float64(r.Instances))
+			if at < s.SlowStart.For {
+				w := s.SlowStart.From + (1-s.SlowStart.From)*float64(at)/float64(s.SlowStart.For)
+				budget = max(0.32*w*s.SlowStart.Multiple, 1/float64(r.Instances))
 			}
 			if members == 0 {
 				budget = 0
@@ -332,7 +332,7 @@
 		}
 		r.Services = []regions.Service{{
 			Name: "a", Plans: []control.Plan{plan}, Classes: []control.Class{class},
-			Cold: regions.Cold{For: time.Duration(draw(0, 2)) * 4 * time.Second, From: float64(draw(0, 3)) / 4, Multiple: float64(draw(1, 3))},
+			SlowStart: regions.SlowStart{For: time.Duration(draw(0, 2)) * 4 * time.Second, From: float64(draw(0, 3)) / 4, Multiple: float64(draw(1, 3))},
 		}}
 		return r, drawn
 	}
--- a/internal/regions/mixture/search.go
+++ b/internal/regions/mixture/search.go
@@ -207,7 +207,7 @@
 func sameSums(a, b *regions.Region) bool {
 	return a.Members == b.Members && a.Instances == b.Instances && a.Shared == b.Shared &&
 		slices.EqualFunc(a.Services, b.Services, func(s, o regions.Service) bool {
-			return s.Name == o.Name && s.Cold == o.Cold && s.Source == o.Source && s.Counter == o.Counter &&
+			return s.Name == o.Name && s.SlowStart == o.SlowStart && s.Source == o.Source && s.Counter == o.Counter &&
 				slices.Equal(s.Plans, o.Plans) && slices.Equal(s.Servers, o.Servers)
 		})
 }
--- a/internal/regions/mixture/settings.go
+++ b/internal/regions/mixture/settings.go
@@ -69,7 +69,7 @@
 		}
 		a.Plans = append(a.Plans, p)
 	}
-	a.Cold = regions.Cold{For: max(a.Cold.For, b.Cold.For), From: min(a.Cold.From, b.Cold.From), Multiple: min(a.Cold.Multiple, b.Cold.Multiple)}
+	a.SlowStart = regions.SlowStart{For: max(a.SlowStart.For, b.SlowStart.For), From: min(a.SlowStart.From, b.SlowStart.From), Multiple: min(a.SlowStart.Multiple, b.SlowStart.Multiple)}
 	return a
 }
 
@@ -132,7 +132,7 @@
 				return false
 			}
 		}
-		if !coldAtMost(s.Cold, o.Cold, part(a), part(b)) {
+		if !coldAtMost(s.SlowStart, o.SlowStart, part(a), part(b)) {
 			return false
 		}
 	}
@@ -140,7 +140,7 @@
 }
 
 // coldAtMost compares the cold budgets of two members; the floor of one goes by the group's size alone.
-func coldAtMost(a, b regions.Cold, pa, pb float64) bool {
+func coldAtMost(a, b regions.SlowStart, pa, pb float64) bool {
 	return a.For >= b.For && a.From <= b.From && a.Multiple*pa <= b.Multiple*pb && pa <= pb
 }
 
@@ -221,7 +221,7 @@
 // while a limit goes over the fleet, the mixture is held to that of the end which lets more through.
 func (p *planner) within(c regions.Conflict, mixture []regions.Region) bool {
 	for _, end := range []map[string]*regions.Region{p.first, p.last} {
-		if c.Kind == regions.CeilingKind && ceilingsWithin(c.Rules, mixture, end) || c.Kind == regions.ColdKind && coldWithin(mixture, end) {
+		if c.Kind == regions.HardLimitKind && ceilingsWithin(c.Rules, mixture, end) || c.Kind == regions.SlowStartKind && coldWithin(mixture, end) {
 			return true
 		}
 	}
@@ -254,7 +254,7 @@
 			return false
 		}
 		for _, s := range r.Services {
-			if o, ok := find(e.Services, s.Name, serviceName); !ok || !coldAtMost(s.Cold, o.Cold, part(r), part(*e)) {
+			if o, ok := find(e.Services, s.Name, serviceName); !ok || !coldAtMost(s.SlowStart, o.SlowStart, part(r), part(*e)) {
 				return false
 			}
 		}
--- a/internal/regions/pairs.go
+++ b/internal/regions/pairs.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// workMost bounds the look at one condition, and that for loops, in conditions tried: some seconds.
-const workMost = 1 << 26
+// maxWork bounds the look at one condition, and that for loops, in conditions tried: some seconds.
+const maxWork = 1 << 26
 
 // pairs finds the requests that lead to condition d in one region and elsewhere in another. Of two rules
 // that treat a request differently the more specific one is not in both regions, or not with the same
--- a/internal/regions/space.go
+++ b/internal/regions/space.go
@@ -369,7 +369,7 @@
 	if suffix, wild := strings.CutPrefix(a.host, "*"); wild || host == "" {
 		for i := 0; ; i++ {
 			host = fresh(i) + suffix
-			if len(host) > hostMost {
+			if len(host) > maxHostBytes {
 				return "", "", false
 			}
 			if s.buckets[host] == nil {
@@ -402,7 +402,7 @@
 	}
 }
 
-const hostMost = 255 // bytes of a host, as in route
+const maxHostBytes = 255 // bytes of a host, as in route
 
 // fresh is the i-th of names that are as good as any, the shortest first.
 func fresh(i int) string {
--- a/internal/regions/sums.go
+++ b/internal/regions/sums.go
@@ -46,7 +46,7 @@
 			}
 		}
 		for _, name := range slices.Sorted(maps.Keys(names)) {
-			if c := ceiling(name, group); c != nil {
+			if c := hardLimitConflict(name, group); c != nil {
 				all = append(all, *c)
 			}
 		}
@@ -103,29 +103,29 @@
 // tiny is what sums may be off by rounding, as a part.
 const tiny = 1e-9
 
-// ceilingStart is the part of the slack with which control begins a ceiling's store.
-const ceilingStart = 0.5
+// hardLimitStartFraction is the part of the slack with which control begins a ceiling's store.
+const hardLimitStartFraction = 0.5
 
-func ceiling(name string, group []sharing) *Conflict {
+func hardLimitConflict(name string, group []sharing) *Conflict {
 	type part struct {
 		sharing
 		rate, burst float64
 	}
 	var in []part
 	var rate, burst, slack, sumRate, sumBurst float64
-	limited, doubt := false, false
+	limited, isUncertain := false, false
 	for _, s := range group {
 		for _, p := range s.Plans {
 			if p.Name != name {
 				continue
 			}
 			n, known := s.parts()
-			store := max(p.HardLimitBurst, ceilingStart*p.HardLimitSlack)
+			store := max(p.HardLimitBurst, hardLimitStartFraction*p.HardLimitSlack)
 			in = append(in, part{s, p.HardLimitRate, store})
 			if p.HardLimitRate == 0 {
 				continue
 			}
-			doubt = doubt || !known
+			isUncertain = isUncertain || !known
 			sumRate, sumBurst = sumRate+n*p.HardLimitRate, sumBurst+n*store
 			if !limited {
 				rate, burst, slack, limited = p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack, true
@@ -139,7 +139,7 @@
 	slices.SortStableFunc(in, func(a, b part) int {
 		return cmp.Or(strings.Compare(a.held.Name, b.held.Name), strings.Compare(a.Name, b.Name))
 	})
-	c := &Conflict{Kind: CeilingKind, Severity: Error}
+	c := &Conflict{Kind: HardLimitKind, Severity: Error}
 	var groups, without []string
 	for _, p := range in {
 		if len(c.Regions) == 0 || c.Regions[len(c.Regions)-1] != p.held.Name {
@@ -163,19 +163,19 @@
 	default:
 		return nil
 	}
-	if doubt && len(without) == 0 {
+	if isUncertain && len(without) == 0 {
 		c.Severity = Warning
 	}
 	return c
 }
 
 const (
-	// coldSafety is the part of a cold server's budget that control uses.
-	coldSafety = 0.32
-	// warmLeast is the least warmth that control reckons with.
-	warmLeast = 0.1
-	// serversTold is the most servers that a conflict names.
-	serversTold = 8
+	// slowStartBudgetFraction is the part of a cold server's budget that control uses.
+	slowStartBudgetFraction = 0.32
+	// minWarmupFraction is the least warmth that control reckons with.
+	minWarmupFraction = 0.1
+	// maxReportedServers is the most servers that a conflict names.
+	maxReportedServers = 8
 )
 
 // lister is a region's service that sends to a server.
@@ -199,11 +199,11 @@
 		for _, i := range places[k] {
 			who = append(who, listers[i])
 		}
-		if c := cold(who); c != nil {
+		if c := slowStartConflict(who); c != nil {
 			slices.Sort(ids)
-			if c.Rules = ids; len(ids) > serversTold {
-				c.Rules = ids[:serversTold]
-				c.Why += fmt.Sprintf("; and of %d more servers", len(ids)-serversTold)
+			if c.Rules = ids; len(ids) > maxReportedServers {
+				c.Rules = ids[:maxReportedServers]
+				c.Why += fmt.Sprintf("; and of %d more servers", len(ids)-maxReportedServers)
 			}
 			all = append(all, *c)
 		}
@@ -266,24 +266,24 @@
 	return known
 }
 
-func cold(who []lister) *Conflict {
-	c := &Conflict{Kind: ColdKind, Severity: Error}
-	floor, most, doubt := 0.0, 0.0, false
+func slowStartConflict(who []lister) *Conflict {
+	c := &Conflict{Kind: SlowStartKind, Severity: Error}
+	floor, maxGroup, isUncertain := 0.0, 0.0, false
 	var groups []string
 	for _, l := range who {
 		if len(c.Regions) == 0 || c.Regions[len(c.Regions)-1] != l.held.Name {
 			c.Regions, groups = append(c.Regions, l.held.Name), append(groups, l.group())
 		}
-		if n, known := l.parts(); l.Cold.For > 0 {
-			floor, most, doubt = floor+n, max(most, n), doubt || !known
+		if n, known := l.parts(); l.SlowStart.For > 0 {
+			floor, maxGroup, isUncertain = floor+n, max(maxGroup, n), isUncertain || !known
 		}
 	}
-	if len(c.Regions) < 2 && most <= 1 {
+	if len(c.Regions) < 2 && maxGroup <= 1 {
 		return nil
 	}
-	if floor*coldSafety > 1+tiny {
+	if floor*slowStartBudgetFraction > 1+tiny {
 		c.Why = fmt.Sprintf("instances send a cold server %.3g requests a second at the least, where a group's one is meant: %s", floor, strings.Join(groups, ", "))
-		if doubt {
+		if isUncertain {
 			c.Severity = Warning
 		}
 		return c
@@ -304,12 +304,12 @@
 func budgets(who []lister) (worst, sum, limit float64) {
 	times := []float64{0}
 	for _, l := range who {
-		from, span := l.Cold.From, l.Cold.For.Seconds()
+		from, span := l.SlowStart.From, l.SlowStart.For.Seconds()
 		times = append(times, span)
 		// Where its warmth is all there is, and where its budget is: between such moments all is linear, but
 		// for the limit, which as the least of several is worst at an end too.
-		for _, w := range []float64{1, 1 / (coldSafety * l.Cold.Multiple)} {
-			if t := span * (w - max(warmLeast, from)) / (1 - from); t > 0 && t < span {
+		for _, w := range []float64{1, 1 / (slowStartBudgetFraction * l.SlowStart.Multiple)} {
+			if t := span * (w - max(minWarmupFraction, from)) / (1 - from); t > 0 && t < span {
 				times = append(times, t)
 			}
 		}
@@ -330,12 +330,12 @@
 func moment(who []lister, t float64, after bool) (sum, limit float64) {
 	budget := make(map[string]float64) // by list: a warm server's work is divided among those of one
 	for _, l := range who {
-		span := l.Cold.For.Seconds()
+		span := l.SlowStart.For.Seconds()
 		b := 1.0 // as any warm server
 		if t < span || !after && t == span && span > 0 {
-			warmth := min(1, max(warmLeast, l.Cold.From)+(1-l.Cold.From)*t/span)
-			b = min(1, coldSafety*l.Cold.Multiple*warmth)
-			if bears := l.Cold.Multiple * warmth; bears > 0 && (limit == 0 || bears < limit) {
+			warmth := min(1, max(minWarmupFraction, l.SlowStart.From)+(1-l.SlowStart.From)*t/span)
+			b = min(1, slowStartBudgetFraction*l.SlowStart.Multiple*warmth)
+			if bears := l.SlowStart.Multiple * warmth; bears > 0 && (limit == 0 || bears < limit) {
 				limit = bears
 			}
 		}
--- a/internal/regions/sums_test.go
+++ b/internal/regions/sums_test.go
@@ -17,7 +17,7 @@
 		r := Region{Name: string(rune('a' + i)), Instances: s[0], Members: s[1], Services: []Service{{
 			Name:    "s",
 			Plans:   []control.Plan{{Name: "p", HardLimitRate: 100, HardLimitBurst: 50, HardLimitSlack: 10}},
-			Servers: []string{"1", fmt.Sprint("own", i)}, Cold: Cold{For: 15 * time.Second, From: 0.15, Multiple: 2.5},
+			Servers: []string{"1", fmt.Sprint("own", i)}, SlowStart: SlowStart{For: 15 * time.Second, From: 0.15, Multiple: 2.5},
 		}}}
 		change(i, &r)
 		all = append(all, r)
@@ -60,11 +60,11 @@
 		"four lists":         {cold(func(int, *Service) {}), four, "cold error 0.48 of a warm one's work together, it falls at 0.375"},
 		"one list":           {cold(func(_ int, s *Service) { s.Servers = []string{"1", "2"} }), four, ""},
 		"one source":         {cold(func(_ int, s *Service) { s.Servers, s.Source = nil, "agent" }), four, ""},
-		"one does not ramp":  {cold(func(i int, s *Service) { s.Cold.For *= time.Duration(i) }), two, "cold error it falls at 0.375"},
+		"one does not ramp":  {cold(func(i int, s *Service) { s.SlowStart.For *= time.Duration(i) }), two, "cold error it falls at 0.375"},
 		"told of one each":   {cold(func(int, *Service) {}), [][2]int{{1, 2}, {1, 2}}, "cold error 4 requests a second"},
 		"one region alone":   {cold(func(int, *Service) {}), [][2]int{{1, 4}}, "cold error 4 requests a second"},
-		"nothing falls":      {cold(func(_ int, s *Service) { s.Cold.Multiple = 0 }), four, ""},
-		"another view of it": {cold(func(i int, s *Service) { s.Cold.From += 0.85 * float64(i) }), two, "cold error it falls at 0.375"},
+		"nothing falls":      {cold(func(_ int, s *Service) { s.SlowStart.Multiple = 0 }), four, ""},
+		"another view of it": {cold(func(i int, s *Service) { s.SlowStart.From += 0.85 * float64(i) }), two, "cold error it falls at 0.375"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			told := summed(tc.change, tc.sizes...)
@@ -127,14 +127,14 @@
 // TestBounds holds that what is cut off, or not looked at, is told.
 func TestBounds(t *testing.T) {
 	all := []Region{{Name: "a"}, {Name: "b"}}
-	for i := range toldMost + 5 {
+	for i := range maxReported + 5 {
 		r := Route{Rule: route.Rule{Name: fmt.Sprint(i), Service: "s", Headers: []route.Header{{Name: fmt.Sprint("H", i), Any: true}}}}
 		all[0].Routes = append(all[0].Routes, r)
 		r.Service = "t"
 		all[1].Routes = append(all[1].Routes, r)
 	}
 	told := Check(all)
-	if last := told[len(told)-1]; len(told) != toldMost+1 || last.Why == "" || len(last.Rules) != 0 || last.Severity != Error || !strings.HasSuffix(last.Why, " more of this kind") {
+	if last := told[len(told)-1]; len(told) != maxReported+1 || last.Why == "" || len(last.Rules) != 0 || last.Severity != Error || !strings.HasSuffix(last.Why, " more of this kind") {
 		t.Errorf("%d: %+v", len(told), last)
 	}
 	if told := newIndex(all, 1000).Conflicts(); !strings.HasPrefix(told[0].Why, "undecided") || told[0].Severity != Error || len(told[0].Regions) != 2 {
--- a/internal/regions/tell.go
+++ b/internal/regions/tell.go
@@ -7,22 +7,22 @@
 	"strings"
 )
 
-// toldMost is the most conflicts of one kind that are told of two regions. That there are more is told by
+// maxReported is the most conflicts of one kind that are told of two regions. That there are more is told by
 // one without rules, which no waiver of a rule can hide.
-const toldMost = 100
+const maxReported = 100
 
 // kinds is the order in which conflicts are told.
-var kinds = []Kind{CeilingKind, ColdKind, CoverageKind, DeadKind, LoopKind, ServiceKind, TermsKind}
+var kinds = []Kind{HardLimitKind, SlowStartKind, CoverageKind, DeadKind, LoopKind, ServiceKind, TermsKind}
 
 var severities = map[Kind]Severity{
-	ServiceKind: Error, CoverageKind: Warning, TermsKind: Error, CeilingKind: Error, ColdKind: Error,
+	ServiceKind: Error, CoverageKind: Warning, TermsKind: Error, HardLimitKind: Error, SlowStartKind: Error,
 	LoopKind: Error, DeadKind: Warning,
 }
 
 // Conflicts gives all that there are.
-func (x *Index) Conflicts() []Conflict { return x.conflicts(toldMost) }
+func (x *Index) Conflicts() []Conflict { return x.conflicts(maxReported) }
 
-func (x *Index) conflicts(most int) []Conflict {
+func (x *Index) conflicts(limit int) []Conflict {
 	n := len(x.regions)
 	rest, findings, counts := x.collect()
 	// Each two regions have their place in what is told; there it is filled in by precedence.
@@ -38,18 +38,18 @@
 		total := len(all)
 		for i, count := range counts[kind] {
 			at[i] = total
-			if total += min(count, most); count > most {
+			if total += min(count, limit); count > limit {
 				total++
 			}
 		}
 		all = append(all, make([]Conflict, total-len(all))...)
 		for i, count := range counts[kind] {
-			if count > most {
-				all[at[i]+most] = Conflict{
+			if count > limit {
+				all[at[i]+limit] = Conflict{
 					Kind: kind, Severity: severities[kind], Regions: x.names(i/n, i%n), Rules: []string{},
-					Why: fmt.Sprintf("%d more of this kind", count-most),
+					Why: fmt.Sprintf("%d more of this kind", count-limit),
 				}
-				counts[kind][i] = most
+				counts[kind][i] = limit
 			}
 		}
 		places[kind] = at
--- a/internal/regions/types.go
+++ b/internal/regions/types.go
@@ -32,23 +32,23 @@
 
 // Service is what matters of a service beyond its region.
 type Service struct {
-	Name     string
-	Ordinary bool // HTTP: a route without a class means read or write by method; else the path's first segment
-	Classes  []control.Class
-	Plans    []control.Plan
-	Counter  string   // name of what is counted at shared counters; "" is none
-	Servers  []string // uids of app servers that its configuration lists or its source names; see Source
-	Source   string   // of its servers, for equality: two services of one source have the same servers
-	Leads    []string // host:port of servers listed in the file: where its requests go on
-	Cold     Cold
+	Name      string
+	Ordinary  bool // HTTP: a route without a class means read or write by method; else the path's first segment
+	Classes   []control.Class
+	Plans     []control.Plan
+	Counter   string   // name of what is counted at shared counters; "" is none
+	Servers   []string // uids of app servers that its configuration lists or its source names; see Source
+	Source    string   // of its servers, for equality: two services of one source have the same servers
+	Leads     []string // host:port of servers listed in the file: where its requests go on
+	SlowStart SlowStart
 	// Gather is of a service that asks others and gives their answers as one: whom, how it joins them and
 	// what is enough of them, for equality; "" is none. Leads are then those of all that it reaches. It is
 	// ordinary, takes no more than what is free to repeat, and asks by GET where it is asked by HEAD.
 	Gather string
 }
 
-// Cold is what a service lets a cold server have, over the whole group that its instances believe in.
-type Cold struct {
+// SlowStart is what a service lets a cold server have, over the whole group that its instances believe in.
+type SlowStart struct {
 	For      time.Duration // that a server counts as cold; 0 is never
 	From     float64       // share of a warm server's work at the start
 	Multiple float64       // of what it may have at which a server falls; 0 is none
@@ -59,13 +59,13 @@
 
 // The kinds.
 const (
-	ServiceKind  Kind = "service"  // one request, two services
-	CoverageKind Kind = "coverage" // one region takes it, another does not
-	TermsKind    Kind = "terms"    // same class, other repeat terms
-	CeilingKind  Kind = "ceiling"  // the regions' parts pass a plan's ceiling and slack
-	ColdKind     Kind = "cold"     // the regions' cold budgets pass a server's limit
-	LoopKind     Kind = "loop"     // a request that goes round
-	DeadKind     Kind = "dead"     // a rule that no request reaches
+	ServiceKind   Kind = "service"  // one request, two services
+	CoverageKind  Kind = "coverage" // one region takes it, another does not
+	TermsKind     Kind = "terms"    // same class, other repeat terms
+	HardLimitKind Kind = "ceiling"  // the regions' parts pass a plan's ceiling and slack
+	SlowStartKind Kind = "cold"     // the regions' cold budgets pass a server's limit
+	LoopKind      Kind = "loop"     // a request that goes round
+	DeadKind      Kind = "dead"     // a rule that no request reaches
 )
 
 // Severity says whether a conflict stops a change.
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -152,9 +152,9 @@
 }
 
 // missed counts what was asked of an instance that is down.
-func (w *world) missed(x *instance, asked int) {
+func (w *world) missed(x *instance, requests int) {
 	if x.side == canary.New && w.o.Harm.Crash > 0 {
-		w.touched, w.harmed = w.touched+float64(asked), w.harmed+float64(asked)
+		w.touched, w.harmed = w.touched+float64(requests), w.harmed+float64(requests)
 	}
 }
 
@@ -165,9 +165,9 @@
 	if w.o.Traffic == "bursty" {
 		n *= w.burst(x) * w.around(0.3)
 	}
-	asked := poisson(r, n)
+	requests := poisson(r, n)
 	if w.now < x.upAt {
-		w.missed(x, asked)
+		w.missed(x, requests)
 		return false
 	}
 	age := w.now - x.began
@@ -190,13 +190,13 @@
 	part += h.Hammer*dose + 0.5*h.Ceil*atCeiling*dose
 	fail += part
 	if x.side == canary.New {
-		w.touched += float64(asked)
+		w.touched += float64(requests)
 	}
 
 	f := &x.total
-	beyond := binomial(r, asked, 0.05*(0.75+0.25*x.burst)) // a burst is one of many customers'
-	turned := binomial(r, asked-beyond, baseTurns*(1+2*cold))
-	rest := asked - beyond - turned
+	beyond := binomial(r, requests, 0.05*(0.75+0.25*x.burst)) // a burst is one of many customers'
+	turned := binomial(r, requests-beyond, baseTurns*(1+2*cold))
+	rest := requests - beyond - turned
 	failed := binomial(r, rest, fail)
 	t := w.tails.of(slower)
 	late := t.draw(r, rest-failed, &f.Delays)
@@ -204,18 +204,18 @@
 	if h.Slower > 0 && x.side == canary.New {
 		w.harmed += float64(late)
 	}
-	dear := binomial(r, asked-beyond, 0.1) // worth five
-	lostDear := binomial(r, dear, float64(turned+failed+late)/float64(max(asked-beyond, 1)))
-	worth := float64(asked - beyond + 4*dear)
+	dear := binomial(r, requests-beyond, 0.1) // worth five
+	lostDear := binomial(r, dear, float64(turned+failed+late)/float64(max(requests-beyond, 1)))
+	worth := float64(requests - beyond + 4*dear)
 	f.Asked += worth
 	f.Served += worth - float64(turned+failed+late+4*lostDear)
-	f.Requests += uint64(asked)
+	f.Requests += uint64(requests)
 	f.Refused += uint64(turned + beyond)
 	f.Beyond += uint64(beyond)
 	f.Failed += uint64(failed)
 	f.Late += uint64(late)
 	f.Units += float64(rest) * (1 + atCeiling*over) * (1 + 0.02*r.NormFloat64())
-	f.CPU += time.Duration(float64(asked) * 2e6 * x.cost * (1 + 0.3*cold + costs) * w.around(0.08))
+	f.CPU += time.Duration(float64(requests) * 2e6 * x.cost * (1 + 0.3*cold + costs) * w.around(0.08))
 	f.MemoryKB = int(memoryKB * x.holds * grown * (1 - 0.4*math.Exp(-age.Seconds()/300)) * (0.95 + 0.05*load) * w.around(0.02))
 	if r.Float64() < interval.Seconds()/crash.Seconds() {
 		w.restart(x, x.side, down)
--- a/internal/scattergather/call.go
+++ b/internal/scattergather/call.go
@@ -41,7 +41,7 @@
 	}
 	body := a.Body
 	if s != nil {
-		if body, err = readAll(ctx, s, c.Most); err != nil {
+		if body, err = readAll(ctx, s, c.MaxBytes); err != nil {
 			return Result{}, err
 		}
 	}
@@ -49,18 +49,18 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return Result{Content: content, Held: held, Of: of, Without: without}, nil
+	return Result{Content: content, Present: held, Of: of, Without: without}, nil
 }
 
 // readAll reads a stream to its end, until ctx ends.
-func readAll(ctx context.Context, s *upstream.Stream, most int) ([]byte, error) {
-	if s.IsTunnel || s.ContentLength > int64(most) {
-		return nil, fmt.Errorf("%d bytes are more than %d", s.ContentLength, most)
+func readAll(ctx context.Context, s *upstream.Stream, maxBytes int) ([]byte, error) {
+	if s.IsTunnel || s.ContentLength > int64(maxBytes) {
+		return nil, fmt.Errorf("%d bytes are more than %d", s.ContentLength, maxBytes)
 	}
 	defer context.AfterFunc(ctx, s.Abort)()
-	body, err := io.ReadAll(io.LimitReader(s, int64(most)+1))
-	if err == nil && len(body) > most {
-		err = fmt.Errorf("more than %d bytes", most)
+	body, err := io.ReadAll(io.LimitReader(s, int64(maxBytes)+1))
+	if err == nil && len(body) > maxBytes {
+		err = fmt.Errorf("more than %d bytes", maxBytes)
 	}
 	return body, err
 }
--- a/internal/scattergather/merge.go
+++ b/internal/scattergather/merge.go
@@ -99,13 +99,13 @@
 )
 
 const (
-	innerMost   = 10000   // parts that an answer may say it is of
-	missingMost = 8 << 10 // bytes of the names of those that it misses
+	maxInnerParts   = 10000   // parts that an answer may say it is of
+	maxMissingBytes = 8 << 10 // bytes of the names of those that it misses
 )
 
 // Inner reads what an answer says that it holds which another gatherer made; held equals of where it
 // says nothing. An error is one that can't be relied on.
-func Inner(parts, missing []string) (held, of int, without []string, err error) {
+func Inner(parts, missing []string) (present, of int, without []string, err error) {
 	if len(parts) == 0 && len(missing) == 0 {
 		return 1, 1, nil, nil
 	}
@@ -113,13 +113,13 @@
 		return 0, 0, nil, fmt.Errorf("%s: given %d times, and %s %d times", HeaderParts, len(parts), HeaderMissing, len(missing))
 	}
 	a, b, ok := strings.Cut(parts[0], "/")
-	held, e1 := strconv.Atoi(a)
+	present, e1 := strconv.Atoi(a)
 	of, e2 := strconv.Atoi(b)
-	if !ok || e1 != nil || e2 != nil || held < 0 || of < 1 || held > of || of > innerMost {
+	if !ok || e1 != nil || e2 != nil || present < 0 || of < 1 || present > of || of > maxInnerParts {
 		return 0, 0, nil, fmt.Errorf("%s: %q", HeaderParts, parts[0])
 	}
 	if len(missing) == 1 && strings.Trim(missing[0], space) != "" {
-		if len(missing[0]) > missingMost {
+		if len(missing[0]) > maxMissingBytes {
 			return 0, 0, nil, fmt.Errorf("%s: %d bytes", HeaderMissing, len(missing[0]))
 		}
 		for name := range strings.SplitSeq(missing[0], ",") {
@@ -131,8 +131,8 @@
 		}
 	}
 	// One name may stand for a whole gatherer of many parts, but none stands for nothing.
-	if (held < of) != (len(without) > 0) || len(without) > of-held {
+	if (present < of) != (len(without) > 0) || len(without) > of-present {
 		return 0, 0, nil, fmt.Errorf("%s: %s with %d missing by name", HeaderParts, parts[0], len(without))
 	}
-	return held, of, without, nil
+	return present, of, without, nil
 }
--- a/internal/scattergather/merge_test.go
+++ b/internal/scattergather/merge_test.go
@@ -72,7 +72,7 @@
 		{"0/0", "", ""},
 		{"1/99999", "x", ""},
 		{"", "c", ""},
-		{"1/2", strings.Repeat("x", missingMost+1), ""},
+		{"1/2", strings.Repeat("x", maxMissingBytes+1), ""},
 	} {
 		field := func(s string) []string {
 			if s == "" {
@@ -123,7 +123,7 @@
 // drawTree draws a tree so many levels deep at most; names counts what is named.
 func drawTree(t *rapid.T, names *int, deep int) *Tree {
 	*names++
-	tree := &Tree{Name: fmt.Sprint("g", *names), Least: rapid.Float64Range(0.01, 1).Draw(t, "least")}
+	tree := &Tree{Name: fmt.Sprint("g", *names), MinShare: rapid.Float64Range(0.01, 1).Draw(t, "least")}
 	for range rapid.IntRange(1, 4).Draw(t, "parts") {
 		*names++
 		p := Part{Name: fmt.Sprint("p", *names), Weight: float64(rapid.IntRange(1, 3).Draw(t, "weight"))}
@@ -136,7 +136,7 @@
 }
 
 // mentions counts how often an answer holds a leaf, names it, or names a gatherer that it is within.
-func (w *Whole) mentions(root *Tree, leaf string) (n int) {
+func (w *Response) mentions(root *Tree, leaf string) (n int) {
 	for _, c := range w.Contents {
 		if string(c) == leaf {
 			n++
@@ -159,7 +159,7 @@
 		leaves := root.Number()
 		q := Begin(root, len(leaves), 0, func(tree *Tree) Decider {
 			s := &waitpolicy.Settings{
-				Least: tree.Least, HalfLife: time.Second, Mode: waitpolicy.Fixed,
+				MinShare: tree.MinShare, HalfLife: time.Second, Mode: waitpolicy.Fixed,
 				Fixed: time.Duration(rapid.IntRange(1, 50).Draw(t, "fixed")) * time.Millisecond,
 			}
 			for _, p := range tree.Parts {
@@ -174,8 +174,8 @@
 				t.Fatal("it waits for ever")
 			}
 			if place := rapid.IntRange(0, 2*len(leaves)).Draw(t, "who"); place < len(leaves) && came[leaves[place].Name].Of == 0 {
-				r := Result{Content: []byte(leaves[place].Name), Of: 1, Held: rapid.IntRange(0, 1).Draw(t, "holds")}
-				if rapid.IntRange(0, 3).Draw(t, "remote") == 0 && r.Held == 1 {
+				r := Result{Content: []byte(leaves[place].Name), Of: 1, Present: rapid.IntRange(0, 1).Draw(t, "holds")}
+				if rapid.IntRange(0, 3).Draw(t, "remote") == 0 && r.Present == 1 {
 					r.Of, r.Without = 3, []string{"x", "y"}
 				}
 				q.Came(now, leaves[place], place, r)
@@ -195,14 +195,14 @@
 		all := len(leaves)
 		for _, c := range w.Contents {
 			r, ok := came[string(c)]
-			if !ok || r.Held == 0 {
+			if !ok || r.Present == 0 {
 				t.Fatalf("it claims %s", c)
 			}
 			all += r.Of - 1
-			w.Held -= r.Held
+			w.Present -= r.Present
 		}
-		if w.Held != 0 || w.Of != all {
-			t.Fatalf("it claims %d more than it holds, of %d that are %d", w.Held, w.Of, all)
+		if w.Present != 0 || w.Of != all {
+			t.Fatalf("it claims %d more than it holds, of %d that are %d", w.Present, w.Of, all)
 		}
 		// Each leaf is held, or named, or within a gatherer that is.
 		for _, l := range leaves {
@@ -210,7 +210,7 @@
 				t.Fatalf("%s is there %d times: %q, without %q", l.Name, is, w.Contents, w.Missing)
 			}
 		}
-		if share := q.root.held(); share < root.Least-leastSlack {
+		if share := q.root.presentShare(); share < root.MinShare-shareEpsilon {
 			t.Fatalf("an answer of %g", share)
 		}
 	})
--- a/internal/scattergather/run.go
+++ b/internal/scattergather/run.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// admitLeast is how long all parts' modules may take at the least to say whether they take a query,
+	// minAdmissionWait is how long all parts' modules may take at the least to say whether they take a query,
 	// where its client has the time: see admits.
-	admitLeast = 250 * time.Millisecond
+	minAdmissionWait = 250 * time.Millisecond
 	// lingers is for how many half-lives a part is still listened to that was given up.
 	lingers = 4
 	// Ahead is how long before a query's end its parts' attempts are stopped; of a short one a part.
@@ -24,7 +24,7 @@
 type Call struct {
 	Service  *service.Service
 	Exchange *service.Exchange // admitted, or marked as having no room
-	Most     int               // bytes of its answer
+	MaxBytes int               // bytes of its answer
 }
 
 // Run is one query over a tree. It is made anew for each.
@@ -43,15 +43,15 @@
 	query    *Query
 	deciders []*waitpolicy.Query // by the trees' IDs
 
-	mu    sync.Mutex
-	come  []ended // that the query has not heard of
-	news  chan struct{}
-	begun bool   // something may have been sent
-	over  bool   // nobody listens any more
-	cut   []bool // by leaf: it was given up
-	asked []bool // by leaf
-	kept  []bool // by leaf: what is booked for it is until Done
-	users int    // that hold the services
+	mu         sync.Mutex
+	come       []ended // that the query has not heard of
+	arrived    chan struct{}
+	begun      bool   // something may have been sent
+	over       bool   // nobody listens any more
+	cut        []bool // by leaf: it was given up
+	wasCalled  []bool // by leaf
+	isReserved []bool // by leaf: what is booked for it is until Done
+	users      int    // that hold the services
 }
 
 // ended is what the query hears of a part's service.
@@ -65,7 +65,7 @@
 // Final is what became of a query.
 type Final struct {
 	Outcome    int // one of those of Outcomes
-	Whole      Whole
+	Whole      Response
 	RetryAfter time.Duration // with EndedQuota
 	Part       string        // whose quota refused, with EndedQuota
 }
@@ -83,8 +83,8 @@
 	root.Counts.Open.Add(1)
 	defer root.Counts.Open.Add(-1)
 	n := len(r.Calls)
-	r.news, r.cut, r.kept, r.users = make(chan struct{}, 1), make([]bool, n), make([]bool, n), 1
-	r.asked = make([]bool, n)
+	r.arrived, r.cut, r.isReserved, r.users = make(chan struct{}, 1), make([]bool, n), make([]bool, n), 1
+	r.wasCalled = make([]bool, n)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop() // gives up what is still out
 	f := r.do(ctx)
@@ -116,7 +116,7 @@
 			}
 		}
 	}()
-	a.askSuspect(ctx)
+	a.callSuspect(ctx)
 	for place := range r.Calls {
 		if a.each[place] == nil && a.refused < 0 {
 			a.start(ctx, place)
@@ -144,13 +144,13 @@
 	a.each[place], a.giveUp[place] = context.WithCancel(ctx)
 	a.mu.Lock()
 	a.users++
-	a.asked[place] = true
+	a.wasCalled[place] = true
 	a.mu.Unlock()
-	go a.ask(a.each[place], place)
+	go a.call(a.each[place], place)
 }
 
-// askSuspect asks what refused last alone before the others: their quotas are charged by what they take.
-func (a *admission) askSuspect(ctx context.Context) {
+// callSuspect asks what refused last alone before the others: their quotas are charged by what they take.
+func (a *admission) callSuspect(ctx context.Context) {
 	first, ok := a.By[0].Suspect()
 	if !ok || first >= len(a.Calls) {
 		return
@@ -168,7 +168,7 @@
 // hear waits for news of the admission; false once there is no more to wait for.
 func (a *admission) hear(until context.Context) bool {
 	select {
-	case <-a.news:
+	case <-a.arrived:
 	case <-until.Done():
 		if a.quiet() { // else it came first: on a process that had no time both are there at once
 			return false
@@ -246,7 +246,7 @@
 		}
 		timer.Reset(max(0, min(s.Until, r.Wait)-now))
 		select {
-		case <-r.news:
+		case <-r.arrived:
 			now = r.now()
 			for _, e := range r.take() {
 				if !e.taken {
@@ -275,13 +275,13 @@
 func (r *Run) settle(kind waitpolicy.Kind, now time.Duration) Final {
 	r.settled(now)
 	root := r.query.root
-	r.By[0].Counts.Missing(r.Tree.Name, r.By[0].Settings.Parts, func(part int) bool { return root.share[part] >= 1-leastSlack })
+	r.By[0].Counts.Missing(r.Tree.Name, r.By[0].Settings.Parts, func(part int) bool { return root.share[part] >= 1-shareEpsilon })
 	if kind != waitpolicy.Answer {
 		return r.end(EndedTooFew)
 	}
 	w := r.query.Answer()
-	outcome := EndedWhole
-	if w.Held < w.Of {
+	outcome := EndedComplete
+	if w.Present < w.Of {
 		outcome = EndedPartial
 	}
 	f := r.end(outcome)
@@ -301,7 +301,7 @@
 	r.mu.Unlock()
 	for _, e := range late {
 		if !e.taken {
-			r.observe(e.place, waitpolicy.Outcome{Took: r.now(), Failed: e.result.Held == 0})
+			r.observe(e.place, waitpolicy.Outcome{Took: r.now(), Failed: e.result.Present == 0})
 		}
 	}
 	return Final{Outcome: outcome}
@@ -337,14 +337,14 @@
 // ceiling costs whose counter does not answer: half of what the query waits for its parts by itself, so
 // that one without a deadline of its own loses no part to a process that is short of time.
 func (r *Run) admits() time.Duration {
-	s, most := r.By[0].Settings, r.Wait/2
+	s, maxWait := r.By[0].Settings, r.Wait/2
 	switch s.Mode {
 	case waitpolicy.None:
-		return most
+		return maxWait
 	case waitpolicy.Fixed:
-		return min(most, max(admitLeast, s.Fixed/2))
+		return min(maxWait, max(minAdmissionWait, s.Fixed/2))
 	}
-	return min(most, max(admitLeast, s.HalfLife/2))
+	return min(maxWait, max(minAdmissionWait, s.HalfLife/2))
 }
 
 // quiet tells whether nothing has come that was not taken.
@@ -372,14 +372,14 @@
 	}
 	r.come = append(r.come, e)
 	select {
-	case r.news <- struct{}{}:
+	case r.arrived <- struct{}{}:
 	default:
 	}
 	return true
 }
 
-// ask has one service take its part, and waits for its answer.
-func (r *Run) ask(ctx context.Context, place int) {
+// call has one service take its part, and waits for its answer.
+func (r *Run) call(ctx context.Context, place int) {
 	c := &r.Calls[place]
 	halfLife := r.By[r.Leaves[place].By.ID].Settings.HalfLife
 	c.Exchange.Gate = &service.Gate{
@@ -402,21 +402,21 @@
 		}
 	}
 	r.mu.Lock()
-	r.kept[place] = true
-	if result.Held == 0 || r.over {
+	r.isReserved[place] = true
+	if result.Present == 0 || r.over {
 		r.free(place)
 	}
 	r.mu.Unlock()
 	if ok && !r.tell(ended{place: place, answer: a, result: result}) {
-		r.observe(place, waitpolicy.Outcome{Took: r.now(), Censored: ctx.Err() != nil && result.Held == 0, Failed: result.Held == 0})
+		r.observe(place, waitpolicy.Outcome{Took: r.now(), Censored: ctx.Err() != nil && result.Present == 0, Failed: result.Present == 0})
 	}
 	r.leave()
 }
 
 // free gives back what is booked for a part; r.mu is held.
 func (r *Run) free(place int) {
-	if r.kept[place] {
-		r.kept[place] = false
+	if r.isReserved[place] {
+		r.isReserved[place] = false
 		r.Calls[place].Exchange.Release()
 	}
 }
@@ -436,8 +436,8 @@
 func (r *Run) Done() {
 	r.mu.Lock()
 	r.over = true
-	for place := range r.kept {
-		if !r.asked[place] {
+	for place := range r.isReserved {
+		if !r.wasCalled[place] {
 			r.Calls[place].Exchange.Release()
 		}
 		r.free(place)
--- a/internal/scattergather/run_test.go
+++ b/internal/scattergather/run_test.go
@@ -14,15 +14,15 @@
 // time or after it was given up.
 func TestForgets(t *testing.T) {
 	clock := time.Duration(0)
-	s := &waitpolicy.Settings{Parts: []waitpolicy.Part{{Name: "a"}, {Name: "b"}}, Least: 0.5}
+	s := &waitpolicy.Settings{Parts: []waitpolicy.Part{{Name: "a"}, {Name: "b"}}, MinShare: 0.5}
 	g := &Gatherer{Settings: s, Model: waitpolicy.NewModel(s, waitpolicy.Options{}), Counts: new(Counts), Clock: func() time.Duration { return clock }}
-	tree := &Tree{Name: "t", Parts: []Part{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}, Least: 0.5}
+	tree := &Tree{Name: "t", Parts: []Part{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}, MinShare: 0.5}
 	leaves := tree.Number()
 	for range 2 {
 		clock += 4 * time.Hour
 		r := &Run{Tree: tree, Leaves: leaves, By: []*Gatherer{g}, Calls: make([]Call, 2), Class: "read", Arrived: time.Now(), Wait: time.Hour, cut: make([]bool, 2)}
 		r.begin()
-		r.query.Came(time.Second, leaves[0], 0, Result{Held: 1, Of: 1})
+		r.query.Came(time.Second, leaves[0], 0, Result{Present: 1, Of: 1})
 		r.query.end(time.Second, r.query.root, waitpolicy.Answer)
 		r.learn()
 		r.observe(1, waitpolicy.Outcome{Took: 2 * time.Second})
@@ -48,7 +48,7 @@
 	}{
 		{waitpolicy.Settings{Mode: waitpolicy.None, HalfLife: time.Millisecond}, 8 * time.Second, 4 * time.Second},
 		{waitpolicy.Settings{Mode: waitpolicy.Fixed, Fixed: 2 * time.Second}, 8 * time.Second, time.Second},
-		{waitpolicy.Settings{Mode: waitpolicy.Fixed, Fixed: 20 * time.Millisecond}, 8 * time.Second, admitLeast},
+		{waitpolicy.Settings{Mode: waitpolicy.Fixed, Fixed: 20 * time.Millisecond}, 8 * time.Second, minAdmissionWait},
 		{waitpolicy.Settings{HalfLife: 3 * time.Second}, 8 * time.Second, 1500 * time.Millisecond},
 		{waitpolicy.Settings{HalfLife: 3 * time.Second}, 200 * time.Millisecond, 100 * time.Millisecond},
 	} {
@@ -75,14 +75,14 @@
 // answer, and an inner gatherer's less than its own least is none of its outer one's.
 func TestSettled(t *testing.T) {
 	for come, want := range map[string]string{"a b c d": "a b c d/", "a b c": "a b c/d", "b c": "/", "b c d": "b c d/a", "a": "a/in d", "a b": "a/in d", "": "/"} {
-		in := &Tree{Name: "in", Least: 0.9, Parts: []Part{{Name: "b", Weight: 1}, {Name: "c", Weight: 1}}}
-		tree := &Tree{Name: "t", Least: 0.5, Parts: []Part{{Name: "a", Weight: 2}, {Name: "in", Weight: 1, Inner: in}, {Name: "d", Weight: 1}}}
+		in := &Tree{Name: "in", MinShare: 0.9, Parts: []Part{{Name: "b", Weight: 1}, {Name: "c", Weight: 1}}}
+		tree := &Tree{Name: "t", MinShare: 0.5, Parts: []Part{{Name: "a", Weight: 2}, {Name: "in", Weight: 1, Inner: in}, {Name: "d", Weight: 1}}}
 		leaves := tree.Number()
 		q := Begin(tree, len(leaves), 0, func(*Tree) Decider { return hasty{} })
 		tell := func(now time.Duration, late bool) {
 			for place, l := range leaves {
 				if strings.Contains(come, l.Name) != late {
-					q.Came(now, l, place, Result{Content: []byte(l.Name), Held: 1, Of: 1})
+					q.Came(now, l, place, Result{Content: []byte(l.Name), Present: 1, Of: 1})
 				}
 			}
 		}
--- a/internal/scattergather/service.go
+++ b/internal/scattergather/service.go
@@ -55,11 +55,11 @@
 
 // Outcomes of queries.
 const (
-	EndedWhole   = iota
-	EndedPartial // with some parts missing
-	EndedTooFew  // with so many missing that there is no answer
-	EndedQuota   // refused by a part's quota before anything was sent
-	EndedLeft    // its client has left
+	EndedComplete = iota
+	EndedPartial  // with some parts missing
+	EndedTooFew   // with so many missing that there is no answer
+	EndedQuota    // refused by a part's quota before anything was sent
+	EndedLeft     // its client has left
 )
 
 // Counts count a gathering service's queries over all its generations. Their zero value is empty;
@@ -74,22 +74,22 @@
 
 // missed counts of one part the answers that were without it.
 type missed struct {
-	n    uint64
-	row  int // one after another, of late
-	told bool
+	n        uint64
+	row      int // one after another, of late
+	isLogged bool
 }
 
 // Of what is missing in so many answers one after another the log tells.
 const (
-	rowTold     = 32
-	missingKept = 4096 // names, of all generations
+	missesToLog     = 32
+	maxMissingNames = 4096 // names, of all generations
 )
 
 // Missing notes of each part whether an answer was without it.
-func (c *Counts) Missing(service string, parts []waitpolicy.Part, held func(part int) bool) {
+func (c *Counts) Missing(service string, parts []waitpolicy.Part, holds func(part int) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.missing == nil || len(c.missing) > missingKept {
+	if c.missing == nil || len(c.missing) > maxMissingNames {
 		c.missing = make(map[string]*missed)
 	}
 	for i, p := range parts {
@@ -98,16 +98,16 @@
 			m = new(missed)
 			c.missing[p.Name] = m
 		}
-		if held(i) {
-			if m.told {
+		if holds(i) {
+			if m.isLogged {
 				slog.Info("gather: a part is there again", "service", service, "part", p.Name)
 			}
-			m.row, m.told = 0, false
+			m.row, m.isLogged = 0, false
 			continue
 		}
 		m.n++
-		if m.row++; m.row >= rowTold && !m.told {
-			m.told = true
+		if m.row++; m.row >= missesToLog && !m.isLogged {
+			m.isLogged = true
 			slog.Warn("gather: a part is missing in each answer", "service", service, "part", p.Name, "answers", m.row)
 		}
 	}
--- a/internal/scattergather/tree.go
+++ b/internal/scattergather/tree.go
@@ -8,11 +8,11 @@
 
 // Tree is a gathering service and all that it reaches. It is not changed once it is made.
 type Tree struct {
-	Name  string
-	Parts []Part
-	Merge Merge
-	Least float64 // share of the parts' weight below which there is no answer
-	ID    int     // place among the gatherers of the whole tree, from 0 at its root
+	Name     string
+	Parts    []Part
+	Merge    Merge
+	MinShare float64 // share of the parts' weight below which there is no answer
+	ID       int     // place among the gatherers of the whole tree, from 0 at its root
 }
 
 // Part is what a gatherer asks: a service with servers, or another gatherer.
@@ -64,9 +64,9 @@
 
 // Result is what a service's answer came to. One that holds nothing is a part that is missing.
 type Result struct {
-	Content  []byte   // checked
-	Held, Of int      // parts that it says it holds, where it is of another gatherer; else 1 of 1
-	Without  []string // those that it doesn't
+	Content     []byte   // checked
+	Present, Of int      // parts that it says it holds, where it is of another gatherer; else 1 of 1
+	Without     []string // those that it doesn't
 }
 
 // Ended is a part that has ended, or was given up, in the time of its gatherer's query.
@@ -81,18 +81,18 @@
 // Query is one query over a tree: what has come, and whether to wait on. It does no I/O, and is used
 // by one goroutine. Time counts from any moment.
 type Query struct {
-	root    *asked
-	by      map[*Tree]*asked
+	root    *gathererState
+	by      map[*Tree]*gathererState
 	results []Result
 	began   time.Duration
 	ended   []Ended
 }
 
-// asked is one gatherer in a query.
-type asked struct {
+// gathererState is one gatherer in a query.
+type gathererState struct {
 	*Tree
 	Decider
-	up    *asked
+	up    *gathererState
 	place int // in up
 	came  []bool
 	share []float64 // held of each part
@@ -102,10 +102,10 @@
 
 // Begin begins a query; decider gives each gatherer's own.
 func Begin(t *Tree, leaves int, now time.Duration, decider func(*Tree) Decider) *Query {
-	q := &Query{by: make(map[*Tree]*asked), results: make([]Result, leaves), began: now}
-	var down func(*Tree, *asked, int) *asked
-	down = func(t *Tree, up *asked, place int) *asked {
-		a := &asked{Tree: t, Decider: decider(t), up: up, place: place, came: make([]bool, len(t.Parts)), share: make([]float64, len(t.Parts))}
+	q := &Query{by: make(map[*Tree]*gathererState), results: make([]Result, leaves), began: now}
+	var down func(*Tree, *gathererState, int) *gathererState
+	down = func(t *Tree, up *gathererState, place int) *gathererState {
+		a := &gathererState{Tree: t, Decider: decider(t), up: up, place: place, came: make([]bool, len(t.Parts)), share: make([]float64, len(t.Parts))}
 		q.by[t] = a
 		for i, p := range t.Parts {
 			if p.Inner != nil {
@@ -127,30 +127,33 @@
 	q.results[place] = r
 	share := 0.0
 	if r.Of > 0 {
-		share = float64(r.Held) / float64(r.Of)
+		share = float64(r.Present) / float64(r.Of)
 	}
 	q.part(now, a, leaf.Part, share)
 }
 
-func (q *Query) part(now time.Duration, a *asked, part int, share float64) {
+func (q *Query) part(now time.Duration, a *gathererState, part int, share float64) {
 	a.came[part], a.share[part] = true, share
 	q.ended = append(q.ended, Ended{a.Tree, part, now - q.began, share > 0, false})
 	a.CameShare(now, part, share)
 }
 
-// held is the share of the parts' weight that is held.
-func (a *asked) held() float64 {
-	held, all := 0.0, 0.0
+// presentShare is the share of the parts' weight that is held.
+func (a *gathererState) presentShare() float64 {
+	present, all := 0.0, 0.0
 	for i, p := range a.Parts {
-		held, all = held+p.Weight*a.share[i], all+p.Weight
+		present, all = present+p.Weight*a.share[i], all+p.Weight
 	}
-	return held / all
+	return present / all
 }
 
-// leastSlack is what sums of weights may be off by.
-const leastSlack = 1e-9
+// shareEpsilon is what sums of weights may be off by.
+const shareEpsilon = 1e-9
 
-func (a *asked) enough() bool { h := a.held(); return h > 0 && h >= a.Least-leastSlack }
+func (a *gathererState) enough() bool {
+	h := a.presentShare()
+	return h > 0 && h >= a.MinShare-shareEpsilon
+}
 
 // Next says what to do. Once it is not to wait, the answer is settled.
 func (q *Query) Next(now time.Duration) waitpolicy.Step {
@@ -164,7 +167,7 @@
 	return s
 }
 
-func (q *Query) next(now time.Duration, a *asked) waitpolicy.Step {
+func (q *Query) next(now time.Duration, a *gathererState) waitpolicy.Step {
 	if a.over {
 		return waitpolicy.Step{Kind: a.kind}
 	}
@@ -176,7 +179,7 @@
 		in := q.by[p.Inner]
 		s := q.next(now, in)
 		if s.Kind != waitpolicy.Wait {
-			q.part(now, a, i, in.worth())
+			q.part(now, a, i, in.contributedShare())
 		} else if until < 0 || s.Until < until {
 			until = s.Until
 		}
@@ -192,16 +195,16 @@
 	return waitpolicy.Step{Kind: a.kind}
 }
 
-// worth is what of an inner gatherer's answer its outer one holds: nothing where it is refused.
-func (a *asked) worth() float64 {
+// contributedShare is what of an inner gatherer's answer its outer one holds: nothing where it is refused.
+func (a *gathererState) contributedShare() float64 {
 	if a.kind != waitpolicy.Answer || !a.enough() {
 		return 0
 	}
-	return a.held()
+	return a.presentShare()
 }
 
 // end settles a gatherer. An inner one that still waits gives what it has, where that is enough.
-func (q *Query) end(now time.Duration, a *asked, kind waitpolicy.Kind) {
+func (q *Query) end(now time.Duration, a *gathererState, kind waitpolicy.Kind) {
 	for i, p := range a.Parts {
 		if a.came[i] {
 			continue
@@ -209,7 +212,7 @@
 		if p.Inner != nil {
 			in := q.by[p.Inner]
 			q.end(now, in, waitpolicy.Answer)
-			a.share[i] = in.worth()
+			a.share[i] = in.contributedShare()
 		}
 		q.ended = append(q.ended, Ended{a.Tree, i, now - q.began, false, true})
 	}
@@ -225,20 +228,20 @@
 	return all
 }
 
-// Whole is what a settled query's answer is made of.
-type Whole struct {
-	Contents [][]byte
-	Held, Of int
-	Missing  []string
+// Response is what a settled query's answer is made of.
+type Response struct {
+	Contents    [][]byte
+	Present, Of int
+	Missing     []string
 }
 
 // Answer gives what a query holds that has been settled with one.
-func (q *Query) Answer() (w Whole) {
+func (q *Query) Answer() (w Response) {
 	q.collect(q.root, "", &w)
 	return w
 }
 
-func (q *Query) collect(a *asked, under string, w *Whole) {
+func (q *Query) collect(a *gathererState, under string, w *Response) {
 	for i, p := range a.Parts {
 		switch {
 		case a.share[i] == 0:
@@ -249,7 +252,7 @@
 		default:
 			r := &q.results[p.Leaf]
 			w.Contents = append(w.Contents, r.Content)
-			w.Held, w.Of = w.Held+r.Held, w.Of+r.Of
+			w.Present, w.Of = w.Present+r.Present, w.Of+r.Of
 			for _, name := range r.Without {
 				w.Missing = append(w.Missing, under+p.Name+"/"+name)
 			}
--- a/internal/waitpolicy/encode.go
+++ b/internal/waitpolicy/encode.go
@@ -19,14 +19,14 @@
 
 // Bounds of what is written: a model's state, and what one instance shares with others.
 const (
-	MostState  = 4 << 20
-	MostShared = 64 << 10
+	MaxStateBytes  = 4 << 20
+	MaxSharedBytes = 64 << 10
 )
 
 const (
 	magic     = "lockflow gather\n"
 	countUnit = 64 // a count is written in parts of one, up to mostCount
-	mostCount = math.MaxUint16 / countUnit
+	maxCount  = math.MaxUint16 / countUnit
 )
 
 // Record is a sketch as it is written: of each of its counts the buckets that hold some, a byte for
@@ -84,7 +84,7 @@
 // Sketch gives what was written.
 func (r *Record) Sketch() (s Sketch, err error) {
 	switch {
-	case r.Class == "" || len(r.Class) > MostName || r.Part == "" || len(r.Part) > MostName:
+	case r.Class == "" || len(r.Class) > MaxNameBytes || r.Part == "" || len(r.Part) > MaxNameBytes:
 		return s, errors.New("a name that can't be")
 	case r.Load < 0 || r.Load > AllLoads:
 		return s, fmt.Errorf("load %d", r.Load)
@@ -111,12 +111,12 @@
 	return signed(raw), nil
 }
 
-func decode(raw []byte, most int) (s state, err error) {
+func decode(raw []byte, maxBytes int) (s state, err error) {
 	if len(raw) < len(magic)+4 || string(raw[:len(magic)]) != magic {
 		return s, errors.New("reading sketches: they are none")
 	}
-	if len(raw) > most {
-		return s, fmt.Errorf("reading sketches: %d bytes are more than %d", len(raw), most)
+	if len(raw) > maxBytes {
+		return s, fmt.Errorf("reading sketches: %d bytes are more than %d", len(raw), maxBytes)
 	}
 	body := raw[len(magic)+4:]
 	if binary.BigEndian.Uint32(raw[len(magic):]) != codec.Sum(body) {
@@ -128,7 +128,7 @@
 	if s.Version != Version {
 		return state{}, fmt.Errorf("reading sketches: they are of version %d, not %d", s.Version, Version)
 	}
-	if len(s.Records) > MostSketches || len(s.Common) > MostClasses {
+	if len(s.Records) > MaxSketches || len(s.Common) > MaxClasses {
 		return state{}, fmt.Errorf("reading sketches: %d of %d classes are too many", len(s.Records), len(s.Common))
 	}
 	seen := make(map[Key]bool, len(s.Records))
@@ -143,7 +143,7 @@
 		seen[r.Key()] = true
 	}
 	for i, c := range s.Common {
-		if c.Class == "" || len(c.Class) > MostName || !(c.Squares >= 0 && c.Squares < 1e6) || !(math.Abs(c.Pairs) <= c.Squares*(1+hair)) {
+		if c.Class == "" || len(c.Class) > MaxNameBytes || !(c.Squares >= 0 && c.Squares < 1e6) || !(math.Abs(c.Pairs) <= c.Squares*(1+hair)) {
 			return state{}, fmt.Errorf("reading sketches: common factor number %d can't be", i)
 		}
 	}
@@ -165,7 +165,7 @@
 	for _, i := range order {
 		r := record(keys[i], &all[i])
 		size += len(r.Class) + len(r.Part) + len(r.Came) + len(r.Failed) + len(r.Cut) + 32
-		if size > MostShared {
+		if size > MaxSharedBytes {
 			break
 		}
 		s.Records = append(s.Records, r)
@@ -175,7 +175,7 @@
 
 // DecodeShared reads what another has shared; the whole of it or nothing.
 func DecodeShared(raw []byte) ([]Record, error) {
-	s, err := decode(raw, MostShared)
+	s, err := decode(raw, MaxSharedBytes)
 	return s.Records, err
 }
 
@@ -195,8 +195,8 @@
 	m.mu.Unlock()
 	slices.SortFunc(s.Common, func(a, b Common) int { return cmp.Compare(a.Class, b.Class) })
 	raw, err := encode(s)
-	if err == nil && len(raw) > MostState {
-		return nil, fmt.Errorf("writing sketches: %d bytes are more than %d", len(raw), MostState)
+	if err == nil && len(raw) > MaxStateBytes {
+		return nil, fmt.Errorf("writing sketches: %d bytes are more than %d", len(raw), MaxStateBytes)
 	}
 	return raw, err
 }
@@ -204,7 +204,7 @@
 // Restore takes over what Encode wrote so long ago, of parts that there still are; what the model has
 // learned itself of one it keeps. An error changes nothing.
 func (m *Model) Restore(raw []byte, ago time.Duration) error {
-	s, err := decode(raw, MostState)
+	s, err := decode(raw, MaxStateBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/waitpolicy/forecast.go
+++ b/internal/waitpolicy/forecast.go
@@ -116,11 +116,11 @@
 	return f
 }
 
-const mostScore = 4.0
+const maxScore = 4.0
 
 // normalScore is the standard normal's quantile, bounded.
 func normalScore(p float64) float64 {
-	return max(-mostScore, min(mostScore, math.Sqrt2*math.Erfinv(2*p-1)))
+	return max(-maxScore, min(maxScore, math.Sqrt2*math.Erfinv(2*p-1)))
 }
 
 // phi is the standard normal's distribution, by a table: an error below 1e-4.
--- a/internal/waitpolicy/golden_test.go
+++ b/internal/waitpolicy/golden_test.go
@@ -14,8 +14,8 @@
 		encode func(*Model) ([]byte, error)
 		most   int
 	}{
-		"stored": {(*Model).Encode, MostState},
-		"shared": {(*Model).Shared, MostShared},
+		"stored": {(*Model).Encode, MaxStateBytes},
+		"shared": {(*Model).Shared, MaxSharedBytes},
 	} {
 		var got []byte
 		if testkit.Updating() {
--- a/internal/waitpolicy/model.go
+++ b/internal/waitpolicy/model.go
@@ -11,9 +11,9 @@
 
 // Bounds of what a model keeps. One that asked longest ago makes room for a new one.
 const (
-	MostClasses  = 32
-	MostName     = 128 // bytes of a class's or a part's name
-	MostSketches = 2048
+	MaxClasses   = 32
+	MaxNameBytes = 128 // bytes of a class's or a part's name
+	MaxSketches  = 2048
 	Loads        = 4 // of a load from 0 to 1, evenly; what is above 1 counts with the last
 )
 
@@ -123,14 +123,14 @@
 	if class == "" {
 		return "-"
 	}
-	return class[:min(len(class), MostName)]
+	return class[:min(len(class), MaxNameBytes)]
 }
 
 func (m *Model) class(name string) *class {
 	m.used++
 	c := m.classes[name]
 	if c == nil {
-		if len(m.classes) >= MostClasses {
+		if len(m.classes) >= MaxClasses {
 			oldest := ""
 			for n, o := range m.classes {
 				if oldest == "" || o.used < m.classes[oldest].used {
@@ -168,13 +168,13 @@
 // forecast makes one anew, and tells for how many observations it is good.
 func (m *Model) forecast(name string, c *class, load int) (*Forecast, int) {
 	f := &Forecast{load: (float64(load) + 0.5) / Loads, common: c.common(), parts: make([]curve, len(m.s.Parts))}
-	least := float64(longMemory)
+	minWeight := float64(longMemory)
 	for i := range m.s.Parts {
 		s, own := m.blend(Key{name, m.s.Parts[i].Name, load})
 		f.parts[i].estimate(&s)
-		least = min(least, own)
+		minWeight = min(minWeight, own)
 	}
-	return f, len(m.s.Parts) * max(1, int(least/24))
+	return f, len(m.s.Parts) * max(1, int(minWeight/24))
 }
 
 // blend is all that is known of one part: its own sketch at a load, a little of its own at any, and
@@ -186,9 +186,9 @@
 		own = all.Weight()
 		wary = l.wary > 0
 	}
-	add := func(s *Sketch, times, most float64) {
+	add := func(s *Sketch, times, maxWeight float64) {
 		if n := s.Weight() * times; n > 0 {
-			all.Add(s, times*min(1, most/n))
+			all.Add(s, times*min(1, maxWeight/n))
 		}
 	}
 	any := k
@@ -245,8 +245,8 @@
 func (m *Model) at(k Key) *learned {
 	l := m.sketch[k]
 	if l == nil {
-		if len(m.sketch) >= MostSketches {
-			m.makeRoom()
+		if len(m.sketch) >= MaxSketches {
+			m.evictOldest()
 		}
 		l = new(learned)
 		m.sketch[k] = l
@@ -255,9 +255,9 @@
 	return l
 }
 
-// makeRoom leaves out the eighth of all sketches that were used longest ago: many at once, as finding
+// evictOldest leaves out the eighth of all sketches that were used longest ago: many at once, as finding
 // them costs as much as finding one.
-func (m *Model) makeRoom() {
+func (m *Model) evictOldest() {
 	all := make([]uint64, 0, len(m.sketch))
 	for _, l := range m.sketch {
 		all = append(all, l.used)
@@ -265,7 +265,7 @@
 	slices.Sort(all)
 	until := all[len(all)/8]
 	for k, l := range m.sketch {
-		if l.used <= until && len(m.sketch) > MostSketches*7/8 {
+		if l.used <= until && len(m.sketch) > MaxSketches*7/8 {
 			delete(m.sketch, k)
 			m.stats.Dropped++
 		}
@@ -307,7 +307,7 @@
 	}
 	stays := 1 - phi(s)
 	if stays < 1e-4 {
-		return mostScore
+		return maxScore
 	}
 	return math.Exp(-s*s/2) / math.Sqrt(2*math.Pi) / stays
 }
--- a/internal/waitpolicy/model_test.go
+++ b/internal/waitpolicy/model_test.go
@@ -180,10 +180,10 @@
 		m.Observe(name, -1, 0, Outcome{Took: ms})
 		m.For(name, 7)
 	}
-	if st := m.Stats(); st.Classes > MostClasses || st.Sketches > MostSketches {
+	if st := m.Stats(); st.Classes > MaxClasses || st.Sketches > MaxSketches {
 		t.Errorf("%+v", st)
 	}
-	if raw, err := m.Shared(); err != nil || len(raw) > MostShared {
+	if raw, err := m.Shared(); err != nil || len(raw) > MaxSharedBytes {
 		t.Errorf("%d bytes are shared: %v", len(raw), err)
 	}
 }
@@ -240,7 +240,7 @@
 	raw, _ := taught("c").Encode()
 	f.Add(raw[len(magic)+4:])
 	f.Fuzz(func(t *testing.T, body []byte) {
-		s, err := decode(signed(body), MostState)
+		s, err := decode(signed(body), MaxStateBytes)
 		m := NewModel(parted(0.5, 1, 1), Options{})
 		if (m.Restore(signed(body), 0) == nil) != (err == nil) {
 			t.Fatal("read once, and once not")
--- a/internal/waitpolicy/plan.go
+++ b/internal/waitpolicy/plan.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	leastCommon = 0.04 // correlation below which parts count as independent
+	minCorrelation = 0.04 // correlation below which parts count as independent
 	// alone is the chance that a part goes its own way in a query, whatever the others do: without it
 	// one that is far later than fits the others would be expected at each next moment.
 	alone = 0.02
@@ -43,9 +43,9 @@
 	n := q.common(&means, &chances)
 	narrow := 1 / math.Sqrt(1-q.f.common)
 
-	whole := q.worthOfAll()
+	valueOfAll := q.valueOfAll()
 	cut := q.s.left() * q.f.load
-	best, at := q.s.fall(t)*value(q.held)-cut*cutNow, t
+	best, at := q.s.fall(t)*value(q.arrivedShare)-cut*cutNow, t
 	var allBefore, early [len(nodes)]float64
 	latest, before, fallBefore := q.last-q.begin, t, q.s.fall(t)
 	stride := 1 + len(q.missing)/32
@@ -62,9 +62,9 @@
 		for j := range q.missing {
 			q.missing[j].look(i, end, n > 1)
 		}
-		worth := 0.0
+		expectedValue := 0.0
 		for k := range n {
-			mean, variance, all, still := q.held, 0.0, 1.0, 0.0
+			mean, variance, all, still := q.arrivedShare, 0.0, 1.0, 0.0
 			for j := range q.missing {
 				o := &q.missing[j]
 				ended := o.ended
@@ -77,12 +77,12 @@
 				all *= ended
 				still += o.weight * (1 - ended)
 			}
-			early[k] += (all - allBefore[k]) * between * whole
+			early[k] += (all - allBefore[k]) * between * valueOfAll
 			allBefore[k] = all
-			worth += chances[k] * (early[k] + fall*(squareMean(mean, variance)-all*whole) - cut*still)
+			expectedValue += chances[k] * (early[k] + fall*(squareMean(mean, variance)-all*valueOfAll) - cut*still)
 		}
-		if worth > best+hair {
-			best, at = worth, end
+		if expectedValue > best+hair {
+			best, at = expectedValue, end
 		}
 		before, fallBefore = end, fall
 	}
@@ -118,9 +118,9 @@
 	return weight, true
 }
 
-// worthOfAll is what all that is out would bring if waited for to its end.
-func (q *Query) worthOfAll() float64 {
-	mean, variance := q.held, 0.0
+// valueOfAll is what all that is out would bring if waited for to its end.
+func (q *Query) valueOfAll() float64 {
+	mean, variance := q.arrivedShare, 0.0
 	for i := range q.missing {
 		o := &q.missing[i]
 		p := 0.0
@@ -155,7 +155,7 @@
 // the scores of what has come, and after what is still out.
 func (q *Query) common(means, chances *[len(nodes)]float64) int {
 	rho := q.f.common
-	if rho < leastCommon || len(q.parts) < 2 {
+	if rho < minCorrelation || len(q.parts) < 2 {
 		chances[0] = 1
 		return 1
 	}
--- a/internal/waitpolicy/pool/pool.go
+++ b/internal/waitpolicy/pool/pool.go
@@ -127,7 +127,7 @@
 	}
 	for _, id := range ids {
 		for k := range p.members[id].records {
-			if _, done := all[k]; !done && len(all) < waitpolicy.MostSketches {
+			if _, done := all[k]; !done && len(all) < waitpolicy.MaxSketches {
 				all[k] = p.one(now, ids, k, mine[k])
 			}
 		}
--- a/internal/waitpolicy/query.go
+++ b/internal/waitpolicy/query.go
@@ -17,12 +17,12 @@
 
 // The reasons of a step.
 const (
-	Whole     Why = iota // nothing is out any more
-	Worth                // by expected worth
-	Unknown              // too little is known of a part that is out: it is waited for
-	Exploring            // waits longer than is worth it, to learn
-	Least                // less has come than an answer needs
-	Time                 // the client's time, or the fixed one
+	Complete      Why = iota // nothing is out any more
+	ExpectedValue            // by expected worth
+	Unknown                  // too little is known of a part that is out: it is waited for
+	Exploring                // waits longer than is worth it, to learn
+	BelowMinimum             // less has come than an answer needs
+	Time                     // the client's time, or the fixed one
 )
 
 var whys = [...]string{"whole", "worth", "unknown", "exploring", "least", "time"}
@@ -40,15 +40,15 @@
 // Query is one query, from its begin to its answer. It is not safe for concurrent use. A used one can
 // begin again, which allocates nothing then.
 type Query struct {
-	s     *Settings
-	f     *Forecast
-	begin time.Duration
-	last  time.Duration // by which it has answered
-	fixed time.Duration // by which it answers with what has come, if that is enough
-	total float64       // weight of all parts
-	held  float64       // share that has come
-	open  int           // parts that are out
-	parts []asked
+	s            *Settings
+	f            *Forecast
+	begin        time.Duration
+	last         time.Duration // by which it has answered
+	fixed        time.Duration // by which it answers with what has come, if that is enough
+	total        float64       // weight of all parts
+	arrivedShare float64       // share that has come
+	open         int           // parts that are out
+	parts        []partState
 	// The common factor's evidence: sum and count of the scores of what has come or failed.
 	scores float64
 	scored int
@@ -63,7 +63,7 @@
 	missing  []open // scratch
 }
 
-type asked struct {
+type partState struct {
 	weight float64 // share of the whole
 	got    float64 // share of it that has come
 	took   time.Duration
@@ -97,7 +97,7 @@
 	for i := range s.Parts {
 		w := s.Parts[i].weight()
 		q.total += w
-		parts = append(parts, asked{weight: w})
+		parts = append(parts, partState{weight: w})
 	}
 	for i := range parts {
 		parts[i].weight /= q.total
@@ -147,7 +147,7 @@
 	p.took, p.is = now-q.begin, hasFailed
 	if share > 0 {
 		p.is, p.got = hasCome, min(1, share)
-		q.held += p.weight * p.got
+		q.arrivedShare += p.weight * p.got
 	}
 	q.open--
 	if q.f != nil && part < len(q.f.parts) {
@@ -157,7 +157,7 @@
 }
 
 // Share is how much has come, by weight.
-func (q *Query) Share() float64 { return q.held }
+func (q *Query) Share() float64 { return q.arrivedShare }
 
 // Missing adds to a list the parts without an answer.
 func (q *Query) Missing(to []int) []int {
@@ -184,13 +184,13 @@
 
 const hair = 1e-9 // shares are sums
 
-func (q *Query) enough(share float64) bool { return share > hair && share >= q.s.Least-hair }
+func (q *Query) enough(share float64) bool { return share > hair && share >= q.s.MinShare-hair }
 
 // Next tells what to do at a time. Once it has told Answer or Refuse the query is over, and each
 // later call tells the same.
 func (q *Query) Next(now time.Duration) Step {
 	step := q.next(now)
-	step.Share = q.held
+	step.Share = q.arrivedShare
 	if step.Kind != Wait && !q.done {
 		q.done, q.ended = true, now
 	}
@@ -198,25 +198,25 @@
 }
 
 func (q *Query) next(now time.Duration) Step {
-	could := q.held
+	could := q.arrivedShare
 	for i := range q.parts {
 		if q.parts[i].is == isOut {
 			could += q.parts[i].weight
 		}
 	}
-	switch enough := q.enough(q.held); {
+	switch enough := q.enough(q.arrivedShare); {
 	case q.done && enough:
 		return Step{Kind: Answer}
 	case q.open == 0 && enough:
-		return Step{Kind: Answer, Why: Whole}
+		return Step{Kind: Answer, Why: Complete}
 	case q.done || !q.enough(could):
-		return Step{Kind: Refuse, Why: Least}
+		return Step{Kind: Refuse, Why: BelowMinimum}
 	case now >= q.last && enough:
 		return Step{Kind: Answer, Why: Time}
 	case now >= q.last:
 		return Step{Kind: Refuse, Why: Time}
 	case !enough:
-		return Step{Kind: Wait, Why: Least, Until: q.last}
+		return Step{Kind: Wait, Why: BelowMinimum, Until: q.last}
 	case q.s.Mode == Fixed && now >= q.fixed:
 		return Step{Kind: Answer, Why: Time}
 	case q.s.Mode == Fixed:
@@ -238,12 +238,12 @@
 	case !known:
 		return Step{Kind: Answer, Why: Unknown}
 	case until > now:
-		return Step{Kind: Wait, Why: Worth, Until: until}
+		return Step{Kind: Wait, Why: ExpectedValue, Until: until}
 	case q.explore:
 		q.wouldEnd = max(now, 1)
 		return q.exploring(now)
 	}
-	return Step{Kind: Answer, Why: Worth}
+	return Step{Kind: Answer, Why: ExpectedValue}
 }
 
 // exploring waits on beyond the end by worth, for a time after which an answer would not be worth
--- a/internal/waitpolicy/query_test.go
+++ b/internal/waitpolicy/query_test.go
@@ -12,7 +12,7 @@
 const ms = time.Millisecond
 
 func parted(least float64, weights ...float64) *Settings {
-	s := &Settings{Least: least, HalfLife: 800 * ms, Margin: 10 * ms, Left: -1}
+	s := &Settings{MinShare: least, HalfLife: 800 * ms, Margin: 10 * ms, Left: -1}
 	for i, w := range weights {
 		s.Parts = append(s.Parts, Part{Name: string(rune('a' + i)), Weight: w})
 	}
@@ -80,9 +80,9 @@
 				t.Fatalf("look %d: share %g, %g came", looks, step.Share, held/total)
 			}
 			if step.Kind != Wait {
-				enough := step.Share > 1e-9 && step.Share >= s.Least-1e-9
+				enough := step.Share > 1e-9 && step.Share >= s.MinShare-1e-9
 				if (step.Kind == Answer) != enough || now > q.Last() || step.Kind != q.Next(now+ms).Kind {
-					t.Fatalf("%v by %v at %v, %g of %g", step.Kind, step.Why, now-begin, step.Share, s.Least)
+					t.Fatalf("%v by %v at %v, %g of %g", step.Kind, step.Why, now-begin, step.Share, s.MinShare)
 				}
 				answered(t, &q, now, told, share)
 				return
@@ -150,7 +150,7 @@
 		"the client's time goes before":                                   {stop(s, f(0, .3, 50*ms, 300*ms), 200*ms, 50*ms, -1), 191 * ms},
 		"what is left behind counts": {
 			stop(s, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1),
-			stop(&Settings{Parts: s.Parts, Least: .5, HalfLife: 800 * ms, Left: 1}, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1),
+			stop(&Settings{Parts: s.Parts, MinShare: .5, HalfLife: 800 * ms, Left: 1}, f(0, 1, 50*ms, 800*ms), 0, 50*ms, -1),
 		},
 	} {
 		if tc.less >= tc.more {
@@ -165,7 +165,7 @@
 	q := Begin(s, lognormal(0, .5, 100*ms, 100*ms, 100*ms), 0, 0)
 	q.Came(50*ms, 0, true)
 	q.Came(50*ms, 1, false)
-	if step := q.Next(50 * ms); step.Kind != Wait || step.Why != Least {
+	if step := q.Next(50 * ms); step.Kind != Wait || step.Why != BelowMinimum {
 		t.Errorf("%+v", step)
 	}
 	q.Came(60*ms, 2, false)
@@ -257,7 +257,7 @@
 		at, share := play(u.Below())
 		u.Came(ms, 0, true)
 		u.CameShare(at, 1, share)
-		if step := u.Next(at); at > u.Last() || step.Kind != Answer || step.Why != Whole || math.Abs(step.Share-(0.5+0.5*2/3)) > 1e-9 {
+		if step := u.Next(at); at > u.Last() || step.Kind != Answer || step.Why != Complete || math.Abs(step.Share-(0.5+0.5*2/3)) > 1e-9 {
 			t.Fatalf("the lower one answers at %v of %v: %+v", at, u.Last(), step)
 		}
 		if at, _ := play(client + lower.Margin); at <= u.Last() {
--- a/internal/waitpolicy/share/share_test.go
+++ b/internal/waitpolicy/share/share_test.go
@@ -109,7 +109,7 @@
 			t.Errorf("%s, and back: %+v", name, st)
 		}
 	}
-	if st := all[0].Status(); st.Failures < 2 || st.Bytes > waitpolicy.MostShared {
+	if st := all[0].Status(); st.Failures < 2 || st.Bytes > waitpolicy.MaxSharedBytes {
 		t.Errorf("%+v", st)
 	}
 }
--- a/internal/waitpolicy/sketch.go
+++ b/internal/waitpolicy/sketch.go
@@ -9,14 +9,14 @@
 // Delays fall into buckets of an eighth of a doubling, from 1 ms to a minute: 9 to 12% wide at the
 // most. Bucket i holds those under Edge(i) and not under Edge(i-1), the last all that are longer.
 const (
-	Buckets    = 129
-	perDouble  = 8
-	leastDelay = time.Millisecond
+	Buckets   = 129
+	perDouble = 8
+	minDelay  = time.Millisecond
 )
 
 var edges = func() (all [Buckets]time.Duration) {
 	for i := range all {
-		all[i] = leastDelay << (i / perDouble) * time.Duration(perDouble+i%perDouble) / perDouble
+		all[i] = minDelay << (i / perDouble) * time.Duration(perDouble+i%perDouble) / perDouble
 	}
 	all[Buckets-1] = math.MaxInt64
 	return all
@@ -27,15 +27,15 @@
 
 // Bucket is the one that a delay falls into.
 func Bucket(d time.Duration) int {
-	if d < leastDelay {
+	if d < minDelay {
 		return 0
 	}
-	whole := bits.Len64(uint64(d/leastDelay)) - 1
-	if whole >= Buckets/perDouble {
+	doublings := bits.Len64(uint64(d/minDelay)) - 1
+	if doublings >= Buckets/perDouble {
 		return Buckets - 1
 	}
-	part := int((d - leastDelay<<whole) * perDouble / (leastDelay << whole))
-	return whole*perDouble + part + 1
+	part := int((d - minDelay<<doublings) * perDouble / (minDelay << doublings))
+	return doublings*perDouble + part + 1
 }
 
 // cutBucket is the one before which a part that was cut counts as out of all risk: the nearer end, as
--- a/internal/waitpolicy/waitpolicy.go
+++ b/internal/waitpolicy/waitpolicy.go
@@ -22,8 +22,8 @@
 
 // Bounds of what one gatherer is made of.
 const (
-	MostParts  = 256
-	MostMargin = time.Second
+	MaxParts  = 256
+	MaxMargin = time.Second
 )
 
 // What the settings are where they say nothing.
@@ -42,7 +42,7 @@
 // Settings are of one gatherer. They are read only once a query has begun with them.
 type Settings struct {
 	Parts    []Part
-	Least    float64       // share of the parts, by weight, without which there is no answer
+	MinShare float64       // share of the parts, by weight, without which there is no answer
 	HalfLife time.Duration // in which an answer's worth halves; 0 is DefaultHalfLife
 	Mode     Mode
 	Fixed    time.Duration // with the mode Fixed
@@ -57,26 +57,26 @@
 	switch {
 	case len(s.Parts) == 0:
 		return errors.New("parts: there is none")
-	case len(s.Parts) > MostParts:
-		return fmt.Errorf("parts: %d are more than %d", len(s.Parts), MostParts)
-	case !(s.Least >= 0 && s.Least <= 1):
-		return fmt.Errorf("least: %g is no share from 0 to 1", s.Least)
+	case len(s.Parts) > MaxParts:
+		return fmt.Errorf("parts: %d are more than %d", len(s.Parts), MaxParts)
+	case !(s.MinShare >= 0 && s.MinShare <= 1):
+		return fmt.Errorf("least: %g is no share from 0 to 1", s.MinShare)
 	case s.HalfLife < 0:
 		return fmt.Errorf("half_life: %v is below 0", s.HalfLife)
 	case s.Mode > None:
 		return fmt.Errorf("deadline: there is no mode %d", s.Mode)
 	case s.Mode == Fixed && s.Fixed <= 0:
 		return fmt.Errorf("deadline: a fixed one of %v", s.Fixed)
-	case s.Margin < 0 || s.Margin > MostMargin:
-		return fmt.Errorf("margin: %v is none of 0 to %v", s.Margin, MostMargin)
+	case s.Margin < 0 || s.Margin > MaxMargin:
+		return fmt.Errorf("margin: %v is none of 0 to %v", s.Margin, MaxMargin)
 	case !(s.Left <= 1):
 		return fmt.Errorf("left: %g is above 1", s.Left)
 	}
 	seen := make(map[string]bool, len(s.Parts))
 	for i, p := range s.Parts {
 		switch {
-		case p.Name == "" || len(p.Name) > MostName:
-			return fmt.Errorf("parts.%d: a name of %d bytes; 1 to %d can be", i, len(p.Name), MostName)
+		case p.Name == "" || len(p.Name) > MaxNameBytes:
+			return fmt.Errorf("parts.%d: a name of %d bytes; 1 to %d can be", i, len(p.Name), MaxNameBytes)
 		case seen[p.Name]:
 			return fmt.Errorf("parts.%d: %s is named twice", i, p.Name)
 		case !(p.Weight >= 0 && p.Weight <= 1e6):
@@ -119,9 +119,9 @@
 // list tell more than the last. It is a square, so that its mean needs the share's mean and variance only.
 func value(c float64) float64 { return c * (3 - c) / 2 }
 
-// Worth is what an answer earns that comes after a time, with a share of the parts by weight in it
+// Value is what an answer earns that comes after a time, with a share of the parts by weight in it
 // and another share cut while its servers were still at work, at a load of 0 to 1.
-func (s *Settings) Worth(share, cut, load float64, after time.Duration) float64 {
+func (s *Settings) Value(share, cut, load float64, after time.Duration) float64 {
 	return s.fall(after)*value(share) - s.left()*load*cut
 }
 
--- a/internal/waitpolicysim/rules.go
+++ b/internal/waitpolicysim/rules.go
@@ -26,7 +26,7 @@
 	slices.SortFunc(order[:], func(a, b int) int { return int(min(1, max(-1, took[a]-took[b]))) })
 	e := ending{out: 1}
 	for _, p := range order {
-		if took[p] > after && e.share >= least-1e-9 || took[p] > client {
+		if took[p] > after && e.share >= minShare-1e-9 || took[p] > client {
 			break
 		}
 		e.share += shares[p]
@@ -35,7 +35,7 @@
 	}
 	if e.out > 1e-9 {
 		e.at = max(e.at, min(after, client))
-		if e.share < least-1e-9 {
+		if e.share < minShare-1e-9 {
 			e.at = client
 		}
 	} else {
@@ -80,10 +80,10 @@
 	}
 	share := x.shareOfSets()
 	now := func(set, j int) float64 {
-		if 1-share[set] < least-1e-9 {
+		if 1-share[set] < minShare-1e-9 {
 			return math.Inf(-1)
 		}
-		return x.s.Worth(1-share[set], share[set], load, grid[j])
+		return x.s.Value(1-share[set], share[set], load, grid[j])
 	}
 	var next, cur [1 << parts]float64
 	for set := range next {
@@ -153,7 +153,7 @@
 			e.at = last
 			return e
 		}
-		if x.stop[j][set] && e.share >= least-1e-9 || j == gridSteps {
+		if x.stop[j][set] && e.share >= minShare-1e-9 || j == gridSteps {
 			// What has just come was there before the step's end.
 			e.at = d
 			if j > 0 && last > grid[j-1] {
--- a/internal/waitpolicysim/sharing.go
+++ b/internal/waitpolicysim/sharing.go
@@ -58,9 +58,9 @@
 			for _, l := range group.learners {
 				took, common := w.draw(rng, 0)
 				e := l.end(0, &took, common)
-				rep.Worth[i] += s.Worth(e.share, e.out, load, e.at)
+				rep.Worth[i] += s.Value(e.share, e.out, load, e.at)
 				e = know.end(0, &took, common)
-				best[i] += s.Worth(e.share, e.out, load, e.at)
+				best[i] += s.Value(e.share, e.out, load, e.at)
 			}
 			if o.Instances > 1 && (i+1)%o.Every == 0 {
 				if err := group.exchange(rng, o.Lost == 0 || i < o.Lost); err != nil {
--- a/internal/waitpolicysim/sim.go
+++ b/internal/waitpolicysim/sim.go
@@ -119,7 +119,7 @@
 		if e.share == 0 {
 			return -s.Left * load * e.out
 		}
-		return s.Worth(e.share, e.out, load, e.at)
+		return s.Value(e.share, e.out, load, e.at)
 	}
 	counted := 0
 	for i := range o.Queries {
--- a/internal/waitpolicysim/sim_test.go
+++ b/internal/waitpolicysim/sim_test.go
@@ -93,7 +93,7 @@
 			for range 3000 {
 				took, c := w.draw(rng, 0)
 				e := l.end(0, &took, c)
-				sum += s.Worth(e.share, e.out, load, e.at)
+				sum += s.Value(e.share, e.out, load, e.at)
 			}
 			return sum / 3000
 		}
--- a/internal/waitpolicysim/world.go
+++ b/internal/waitpolicysim/world.go
@@ -15,7 +15,7 @@
 // What every world has, where it says nothing else.
 const (
 	halfLife = 800 * time.Millisecond
-	least    = 0.6
+	minShare = 0.6
 	client   = 5 * time.Second // that a query has
 	load     = 0.5
 	parts    = 5
@@ -134,7 +134,7 @@
 }
 
 func (w *world) settings(mode waitpolicy.Mode) *waitpolicy.Settings {
-	s := &waitpolicy.Settings{Least: least, HalfLife: halfLife, Mode: mode, Margin: time.Millisecond}
+	s := &waitpolicy.Settings{MinShare: minShare, HalfLife: halfLife, Mode: mode, Margin: time.Millisecond}
 	for p := range parts {
 		part := waitpolicy.Part{Name: fmt.Sprintf("part-%d", p)}
 		if w.weights != nil {
