Name the flag of an attempt that was delivered in fleetsim

Splitting a function had given it a second parameter called whole; the naming test told. Its tests were compiled; no decision goes by the name.

--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -22,8 +22,8 @@
 	sent := w.Now()
 	w.rep.Attempts++
 	h, life := w.byID[a.Server], w.nodes[i].life
-	ended := func(why control.Reason, ran, whole bool) {
-		if whole {
+	ended := func(why control.Reason, ran, delivered bool) {
+		if delivered {
 			w.check.Ended(a.ID, sent, h.id, ran)
 			w.plan.quotas.ended(t.call.cust)
 		}
@@ -31,8 +31,8 @@
 			w.ended(i, a.ID, n, h, why)
 		}
 	}
-	end := func(after time.Duration, why control.Reason, ran, whole bool) {
-		w.After(after, func() { ended(why, ran, whole) })
+	end := func(after time.Duration, why control.Reason, ran, delivered bool) {
+		w.After(after, func() { ended(why, ran, delivered) })
 	}
 	after, connected := w.reach(i, h, t.until)
 	if !connected { // nothing was written
