Document packages validation and hopheaders in ordinary English, and split their long functions

Comments were telegraphic, and the heads of Feed's lines, the forwarding fields and the chain of proxies were nested in one function each. They are functions with a name now.

--- a/internal/hopheaders/hopheaders.go
+++ b/internal/hopheaders/hopheaders.go
@@ -1,5 +1,7 @@
-// Package hopheaders says which fields of a message go on and which an intermediary sets, drops or
-// replaces (RFC 9110, 7.6; RFC 7239). It does no I/O.
+// Package hopheaders determines which header fields of a message an intermediary forwards, drops, sets
+// or replaces (RFC 9110, 7.6), and the address of a client behind trusted proxies (RFC 7239). Package
+// front applies it to the requests and answers of the Ordinary protocol. It does no I/O and keeps no
+// state, so all functions are safe for concurrent use.
 package hopheaders
 
 import (
@@ -12,29 +14,30 @@
 	"lockflow/internal/protocol"
 )
 
-// Alias is how this intermediary calls itself in Via.
+// Alias is the name of this intermediary in the Via field.
 const Alias = "lockflow"
 
-// ForwardingFormat is how servers are told of the client.
+// ForwardingFormat selects the header fields that describe the client to servers. Its values are in the
+// order of the configuration key "forwarded".
 type ForwardingFormat int
 
-// The ways.
+// The formats.
 const (
 	XForwarded ForwardingFormat = iota // X-Forwarded-For, -Host and -Proto
-	Forwarded                          // RFC 7239
-	Both
-	None // and what a client says of it is dropped
+	Forwarded                          // Forwarded (RFC 7239)
+	Both                               // the fields of XForwarded and Forwarded
+	None                               // none, and such fields of the client are dropped
 )
 
-// Peer is whom a request comes from.
+// Peer is the other side of the connection that a request arrived on.
 type Peer struct {
-	Addr      netip.Addr // of the connection
-	IsTrusted bool       // what it says of those before it is believed
-	Host      string     // that it asked for
-	Proto     string     // "http" or "https"
+	Addr      netip.Addr
+	IsTrusted bool   // a trusted proxy: its forwarding fields are kept
+	Host      string // the requested host
+	Proto     string // "http" or "https"
 }
 
-// DropNamed drops what the Connection field of in names as further fields of that connection.
+// DropNamed deletes from out the fields that the Connection field of in names (RFC 9110, 7.6.1).
 func DropNamed(out, in http.Header) {
 	for _, list := range in["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
@@ -43,7 +46,7 @@
 	}
 }
 
-// dropConnectionFields drops what speaks of one connection only, and what Connection names.
+// dropConnectionFields deletes from out the fields that apply to a single connection.
 func dropConnectionFields(out, in http.Header) {
 	DropNamed(out, in)
 	for k := range out {
@@ -53,31 +56,39 @@
 	}
 }
 
-// ForwardRequest gives the fields of a client's request as they go on. Values are shared with in; those
-// that are set are not.
+// ForwardRequest returns the header fields with which a request is forwarded. It does not change in, but
+// shares the values of unchanged fields with it. Without underscores, fields whose names contain one are
+// dropped: some servers turn fields into variables and would confuse a_b with a-b.
 func ForwardRequest(in http.Header, from Peer, format ForwardingFormat, underscores bool) http.Header {
 	out := make(http.Header, len(in)+5)
 	for k, v := range in {
-		// Guards against two names that a server which turns fields into variables takes for one.
 		if underscores || strings.IndexByte(k, '_') < 0 {
 			out[k] = v
 		}
 	}
 	dropConnectionFields(out, in)
-	// RFC 9110, 10.1.4: of TE only that trailers are understood can go on.
-	for _, v := range in["Te"] {
-		for part := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(part), "trailers") {
-				out["Te"] = []string{"trailers"}
-			}
-		}
+	if acceptsTrailers(in) {
+		out["Te"] = []string{"trailers"}
 	}
 	addVia(out, in)
 	addForwarding(out, from, format)
 	return out
 }
 
-// ForwardAnswer copies the fields of a server's answer that go on to a client.
+// acceptsTrailers reports whether the TE field allows trailers. Nothing else of TE can be forwarded (RFC
+// 9110, 10.1.4).
+func acceptsTrailers(in http.Header) bool {
+	for _, list := range in["Te"] {
+		for coding := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(coding), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ForwardAnswer sets in out the header fields with which a server's answer is forwarded to the client.
 func ForwardAnswer(out, in http.Header) {
 	for k, v := range in {
 		out[k] = v
@@ -86,15 +97,16 @@
 	addVia(out, in)
 }
 
-// addVia adds this intermediary; both sides of it speak HTTP/1.1.
+// addVia adds this intermediary to the Via field.
 func addVia(out, in http.Header) {
 	v := in["Via"]
 	out["Via"] = append(v[:len(v):len(v)], "1.1 "+Alias)
 }
 
+// forwardingFields are all fields that describe clients.
 var forwardingFields = []string{"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded"}
 
-// addForwarding says who the client is. What a peer that is not trusted says of it is replaced.
+// addForwarding adds the peer to the forwarding fields. Those of an untrusted peer are replaced.
 func addForwarding(out http.Header, from Peer, format ForwardingFormat) {
 	if !from.IsTrusted || format == None {
 		for _, name := range forwardingFields {
@@ -106,109 +118,124 @@
 	}
 	addr := from.Addr.Unmap().WithZone("").String()
 	if format != Forwarded {
-		before := out["X-Forwarded-For"]
-		if len(before) > 0 {
-			out["X-Forwarded-For"] = []string{strings.Join(before, ", ") + ", " + addr}
-		} else {
-			out["X-Forwarded-For"] = []string{addr}
-		}
-		if len(out["X-Forwarded-Host"]) == 0 && from.Host != "" {
-			out["X-Forwarded-Host"] = []string{from.Host}
-		}
-		if len(out["X-Forwarded-Proto"]) == 0 {
-			out["X-Forwarded-Proto"] = []string{from.Proto}
-		}
+		addXForwarded(out, from, addr)
 	}
 	if format != XForwarded {
-		node := addr
-		if from.Addr.Unmap().Is6() {
-			node = `"[` + addr + `]"`
-		}
-		e := "for=" + node + ";proto=" + from.Proto
-		if from.Host != "" && !strings.ContainsAny(from.Host, "\"\\") {
-			e += `;host="` + from.Host + `"`
-		}
-		v := out["Forwarded"]
-		out["Forwarded"] = append(v[:len(v):len(v)], e)
+		addForwarded(out, from, addr)
 	}
 }
 
-// IsTrusted tells whether an address is within one of some prefixes.
+// addXForwarded adds the peer to X-Forwarded-For, and sets the other X-Forwarded fields if there are none.
+func addXForwarded(out http.Header, from Peer, addr string) {
+	before := out["X-Forwarded-For"]
+	if len(before) > 0 {
+		out["X-Forwarded-For"] = []string{strings.Join(before, ", ") + ", " + addr}
+	} else {
+		out["X-Forwarded-For"] = []string{addr}
+	}
+	if len(out["X-Forwarded-Host"]) == 0 && from.Host != "" {
+		out["X-Forwarded-Host"] = []string{from.Host}
+	}
+	if len(out["X-Forwarded-Proto"]) == 0 {
+		out["X-Forwarded-Proto"] = []string{from.Proto}
+	}
+}
+
+// addForwarded adds an element for the peer to the Forwarded field (RFC 7239, 4).
+func addForwarded(out http.Header, from Peer, addr string) {
+	node := addr
+	if from.Addr.Unmap().Is6() {
+		node = `"[` + addr + `]"`
+	}
+	element := "for=" + node + ";proto=" + from.Proto
+	if from.Host != "" && !strings.ContainsAny(from.Host, "\"\\") {
+		element += `;host="` + from.Host + `"`
+	}
+	before := out["Forwarded"]
+	out["Forwarded"] = append(before[:len(before):len(before)], element)
+}
+
+// IsTrusted reports whether one of the prefixes contains an address.
 func IsTrusted(addr netip.Addr, prefixes []netip.Prefix) bool {
 	addr = addr.Unmap().WithZone("")
 	return slices.ContainsFunc(prefixes, func(p netip.Prefix) bool { return p.Contains(addr) })
 }
 
-// maxChainLength bounds how far back a chain of proxies is followed.
+// maxChainLength limits how many proxies are followed back to a client.
 const maxChainLength = 32
 
-// ClientAddr is the address of the client at the end of the chain that a request tells: from the right
-// the first that is no trusted proxy. What a proxy that is not trusted says is not believed; where
-// the chain is not to be read, the last trusted one counts.
+// ClientAddr returns the address of the client of a request that came through proxies: going back from
+// the peer, the first address that is not a trusted proxy. Fields set by an untrusted one are ignored. If
+// an entry of the chain is not an address, the last trusted proxy before it is returned.
 func ClientAddr(h http.Header, peer netip.Addr, trusted []netip.Prefix) netip.Addr {
-	at := peer.Unmap().WithZone("")
-	if len(trusted) == 0 || !IsTrusted(at, trusted) {
-		return at
+	addr := peer.Unmap().WithZone("")
+	if len(trusted) == 0 || !IsTrusted(addr, trusted) {
+		return addr
 	}
 	chain := proxyChain(h)
 	for i := len(chain) - 1; i >= 0 && i >= len(chain)-maxChainLength; i-- {
 		next, ok := parseNode(chain[i])
 		if !ok {
-			return at
+			return addr
 		}
-		if at = next; !IsTrusted(at, trusted) {
-			return at
+		if addr = next; !IsTrusted(addr, trusted) {
+			return addr
 		}
 	}
-	return at
+	return addr
 }
 
-// proxyChain is what a request tells of those before the peer, the nearest last. Forwarded goes first.
+// proxyChain returns the nodes that a request passed before the peer, the nearest last. Forwarded takes
+// precedence over X-Forwarded-For.
 func proxyChain(h http.Header) []string {
 	var chain []string
-	if f := h["Forwarded"]; len(f) > 0 {
-		for _, line := range f {
+	if lines := h["Forwarded"]; len(lines) > 0 {
+		for _, line := range lines {
 			for _, element := range splitUnquoted(line, ',') {
-				node := ""
-				for _, pair := range splitUnquoted(element, ';') {
-					name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-					if strings.EqualFold(name, "for") {
-						node = strings.Trim(value, `"`)
-					}
-				}
-				chain = append(chain, node)
+				chain = append(chain, forNode(element))
 			}
 		}
 		return chain
 	}
 	for _, line := range h["X-Forwarded-For"] {
-		for one := range strings.SplitSeq(line, ",") {
-			chain = append(chain, strings.TrimSpace(one))
+		for node := range strings.SplitSeq(line, ",") {
+			chain = append(chain, strings.TrimSpace(node))
 		}
 	}
 	return chain
 }
 
-// splitUnquoted cuts at a byte that stands outside quotes.
-func splitUnquoted(s string, by byte) []string {
-	var all []string
-	quoted, from := false, 0
+// forNode returns the value of the "for" parameter of an element of Forwarded; empty if there is none.
+func forNode(element string) (node string) {
+	for _, pair := range splitUnquoted(element, ';') {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if strings.EqualFold(name, "for") {
+			node = strings.Trim(value, `"`)
+		}
+	}
+	return node
+}
+
+// splitUnquoted splits s at the separators outside of quoted strings.
+func splitUnquoted(s string, separator byte) []string {
+	var parts []string
+	quoted, start := false, 0
 	for i := 0; i < len(s); i++ {
 		switch {
 		case s[i] == '\\' && quoted:
 			i++
 		case s[i] == '"':
 			quoted = !quoted
-		case s[i] == by && !quoted:
-			all = append(all, s[from:i])
-			from = i + 1
+		case s[i] == separator && !quoted:
+			parts = append(parts, s[start:i])
+			start = i + 1
 		}
 	}
-	return append(all, s[from:])
+	return append(parts, s[start:])
 }
 
-// parseNode reads a node of RFC 7239, 6: an address with or without a port. One that is obfuscated
-// or unknown is none.
+// parseNode parses a node (RFC 7239, 6): an address with or without a port. It returns false for an
+// obfuscated or unknown node.
 func parseNode(s string) (netip.Addr, bool) {
 	if a, err := netip.ParseAddr(strings.Trim(s, "[]")); err == nil {
 		return a.Unmap().WithZone(""), true
--- a/internal/hopheaders/hopheaders_test.go
+++ b/internal/hopheaders/hopheaders_test.go
@@ -31,15 +31,15 @@
 		tells ForwardingFormat
 		want  http.Header
 	}{
-		"a stranger": {peer, XForwarded, own()},
-		"a proxy": {trusted, XForwarded, base(http.Header{
+		"an untrusted peer": {peer, XForwarded, own()},
+		"a trusted proxy": {trusted, XForwarded, base(http.Header{
 			"X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"},
 			"X-Forwarded-Proto": {"http"}, "Forwarded": {"for=1.1.1.1"},
 		})},
-		"RFC 7239":           {peer, Forwarded, base(http.Header{"Forwarded": {`for=127.0.0.1;proto=http;host="h:1"`}})},
-		"RFC 7239, a proxy":  {trusted, Both, base(http.Header{"Forwarded": {"for=1.1.1.1", `for=127.0.0.1;proto=http;host="h:1"`}, "X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"}, "X-Forwarded-Proto": {"http"}})},
-		"RFC 7239 over IPv6": {six, Forwarded, base(http.Header{"Forwarded": {`for="[fe80::1]";proto=http;host="h:1"`}})},
-		"nothing":            {trusted, None, base(http.Header{})},
+		"RFC 7239":                  {peer, Forwarded, base(http.Header{"Forwarded": {`for=127.0.0.1;proto=http;host="h:1"`}})},
+		"RFC 7239, a trusted proxy": {trusted, Both, base(http.Header{"Forwarded": {"for=1.1.1.1", `for=127.0.0.1;proto=http;host="h:1"`}, "X-Forwarded-For": {"1.1.1.1, 127.0.0.1"}, "X-Forwarded-Host": {"forged"}, "X-Forwarded-Proto": {"http"}})},
+		"RFC 7239 over IPv6":        {six, Forwarded, base(http.Header{"Forwarded": {`for="[fe80::1]";proto=http;host="h:1"`}})},
+		"nothing":                   {trusted, None, base(http.Header{})},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := ForwardRequest(in, tc.from, tc.tells, false); !reflect.DeepEqual(got, tc.want) {
--- a/internal/validation/validation.go
+++ b/internal/validation/validation.go
@@ -1,7 +1,13 @@
-// Package validation looks for what makes a message of HTTP/1.1 mean two things to two readers, which
-// the library that parses it would mend or overlook: a body with two framings (RFC 9112, 6.3), a
-// field that goes on in a further line (5.2), a CR that ends no line (2.2), a Transfer-Encoding
-// in a message of HTTP/1.0 (6.1). It reads along, changes nothing and does no I/O.
+// Package validation detects HTTP/1.1 messages that two parsers could read differently, which enables
+// request smuggling. net/http repairs or overlooks them:
+//
+//   - a body with both Content-Length and Transfer-Encoding, or with several lengths (RFC 9112, 6.3)
+//   - a header field folded over several lines (5.2)
+//   - a CR that does not end a line (2.2)
+//   - a Transfer-Encoding in an HTTP/1.0 message (6.1)
+//
+// A Scanner is fed the bytes of a connection beside net/http; it changes nothing and does no I/O.
+// Packages front and upstream scan the connections of clients and servers with it.
 package validation
 
 import (
@@ -12,7 +18,7 @@
 	"strings"
 )
 
-// What a message can be refused for.
+// Reasons to reject a message. Their texts are sent to clients.
 var (
 	ErrFraming                = errors.New("both Content-Length and Transfer-Encoding")
 	ErrContentLength          = errors.New("no single Content-Length")
@@ -23,49 +29,55 @@
 	ErrChunkSize              = errors.New("a chunk with no size")
 )
 
-// maxLineBytes is how much of a line is looked at: enough for the fields that frame a message.
+// maxLineBytes is how much of a line is buffered. It is enough for the fields that frame a message.
 const maxLineBytes = 96
 
+// state is the part of a message that the next line belongs to.
 type state int
 
 const (
-	inHead      state = iota // in a head
-	inChunkSize              // in the line of a chunk's size
-	inChunkEnd               // in the line that ends a chunk
-	inTrailer                // in the fields behind the last chunk
-	stopped                  // what comes is not looked at
+	inHead      state = iota
+	inChunkSize       // the line with a chunk's size
+	inChunkEnd        // the empty line after a chunk's data
+	inTrailer         // the trailer section after the last chunk
+	stopped           // nothing is scanned any more
 )
 
-// Scanner reads the bytes of one side of a connection in the order in which they come. Its zero
-// value expects a request's first byte. It is not safe for concurrent use.
+// Scanner scans the bytes that one side of a connection sends, in order. Its zero value expects the
+// first byte of a request. It is not safe for concurrent use.
 type Scanner struct {
-	// ReadsAnswers says that it reads answers: it stops behind the head of the first final one, or of a change of protocols.
+	// ReadsAnswers makes it scan answers in place of requests. It stops after the head of the first
+	// final answer, and after an upgrade.
 	ReadsAnswers bool
 
-	err                error
-	state              state
-	bytesToSkip        int64 // bytes of a body or chunk that are still to come
-	line               [maxLineBytes]byte
-	lineLength         int  // bytes in line
-	isTruncated        bool // the line has more
-	lineEnd            [8]byte
-	endsWithCR         bool // the last byte was a CR
-	hasStartLine       bool // the head's first line has been read
-	isHTTP10           bool // the message is of HTTP/1.0
-	isInterim          bool // the answer is
+	err         error // the first violation
+	state       state
+	bytesToSkip int64 // rest of the current body or chunk
+
+	// The current line.
+	line        [maxLineBytes]byte // its beginning, without the line end
+	lineLength  int                // bytes used in line
+	isTruncated bool               // it is longer than maxLineBytes
+	lineEnd     [8]byte            // its last bytes, for the version of a long request line
+	endsWithCR  bool               // its last byte so far is a CR
+
+	// The current message.
+	hasStartLine       bool
+	isHTTP10           bool
+	isInterim          bool // an answer with a 1xx status other than 101
 	contentLength      int64
-	contentLengthCount int // fields of Content-Length
+	contentLengthCount int // Content-Length fields seen
 	isChunked          bool
 }
 
-// Stop has the scanner look at nothing any more, as behind an upgrade.
+// Stop makes the scanner ignore all further bytes, as after an upgrade.
 func (s *Scanner) Stop() { s.state, s.bytesToSkip = stopped, 0 }
 
-// Reset has it expect a new message.
+// Reset makes the scanner expect a new message.
 func (s *Scanner) Reset() { *s = Scanner{ReadsAnswers: s.ReadsAnswers} }
 
-// Feed takes what came. Once it gives an error it goes on giving it: what follows on the
-// connection can't be told from that message.
+// Feed scans the next bytes. After an error it returns the same error for all further bytes, because
+// the end of the malformed message is unknown.
 func (s *Scanner) Feed(p []byte) error {
 	for len(p) > 0 && s.err == nil && s.state != stopped {
 		if s.bytesToSkip > 0 {
@@ -89,7 +101,7 @@
 	return s.err
 }
 
-// appendToLine takes some of a line. A CR within it is none that ends it.
+// appendToLine adds a part of the current line. A CR is valid only as its last byte.
 func (s *Scanner) appendToLine(p []byte) {
 	if len(p) == 0 {
 		return
@@ -112,23 +124,12 @@
 	}
 }
 
-// endLine reads a line that has ended.
+// endLine processes the complete current line.
 func (s *Scanner) endLine() {
 	line := s.line[:s.lineLength]
 	switch s.state {
 	case inHead:
-		switch {
-		case !s.hasStartLine:
-			if len(line) == 0 { // RFC 9112, 2.2: an empty line ahead of a message may be ignored
-				return
-			}
-			s.hasStartLine = true
-			s.readStartLine(line)
-		case len(line) == 0:
-			s.endHead()
-		default:
-			s.readField(line)
-		}
+		s.readHeadLine(line)
 	case inChunkSize:
 		s.readChunkSize(line)
 	case inChunkEnd:
@@ -144,16 +145,31 @@
 	}
 }
 
+// readHeadLine processes a line of a head: its start line, a field, or the empty line that ends it.
+func (s *Scanner) readHeadLine(line []byte) {
+	switch {
+	case s.hasStartLine && len(line) == 0:
+		s.endHead()
+	case s.hasStartLine:
+		s.readField(line)
+	case len(line) > 0: // empty lines before a message are ignored (RFC 9112, 2.2)
+		s.hasStartLine = true
+		s.readStartLine(line)
+	}
+}
+
+// readStartLine determines the HTTP version, and whether an answer is an interim one.
 func (s *Scanner) readStartLine(line []byte) {
 	if s.ReadsAnswers {
 		s.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
-		// Behind a change of protocols (101) comes none of HTTP.
+		// No HTTP message follows a 101 (Switching Protocols).
 		s.isInterim = len(line) > 11 && line[9] == '1' && string(line[9:12]) != "101"
 		return
 	}
 	s.isHTTP10 = string(s.lineEnd[:7]) != "HTTP/1." || s.lineEnd[7] == '0'
 }
 
+// readField checks a header field and notes those that frame the body.
 func (s *Scanner) readField(line []byte) {
 	if line[0] == ' ' || line[0] == '\t' {
 		s.err = ErrLineFolding
@@ -177,7 +193,7 @@
 	}
 }
 
-// parseDigits reads digits and nothing else, with no allocation.
+// parseDigits parses a decimal number without sign. It does not allocate.
 func parseDigits(digits []byte) (n int64, ok bool) {
 	for _, d := range digits {
 		if d < '0' || d > '9' || n > (math.MaxInt64-9)/10 {
@@ -188,6 +204,7 @@
 	return n, len(digits) > 0
 }
 
+// endHead checks the framing of a message and determines what follows its head.
 func (s *Scanner) endHead() {
 	switch {
 	case s.isChunked && s.contentLengthCount > 0:
@@ -206,11 +223,15 @@
 	}
 }
 
-// endMessage expects another message.
+// endMessage expects the head of the next message; a body that is to be skipped comes first.
 func (s *Scanner) endMessage() {
-	s.state, s.hasStartLine, s.isHTTP10, s.isInterim, s.contentLength, s.contentLengthCount, s.isChunked = inHead, false, false, false, 0, 0, false
+	s.state = inHead
+	s.hasStartLine, s.isHTTP10, s.isInterim = false, false, false
+	s.contentLength, s.contentLengthCount = 0, 0
+	s.isChunked = false
 }
 
+// readChunkSize parses the line before a chunk, without its extensions.
 func (s *Scanner) readChunkSize(line []byte) {
 	size, _, _ := bytes.Cut(line, []byte(";"))
 	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 63)
--- a/internal/validation/validation_test.go
+++ b/internal/validation/validation_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// Of what passes the scanner, the library finds the same messages: as many, and the next one
-// begins at the same byte.
+// Of the input that the scanner accepts, net/http finds the same messages: as many, and the next one begins at
+// the same byte.
 func FuzzScannerAgreesWithNetHTTP(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
