Fail the fault and rollout trials where no member's log has a command that started

Both count a command's effects by a log line. The aliases Order and Want of package manage follow package desiredstate (Command, Operation).

--- a/internal/faultnet/trial/owners.go
+++ b/internal/faultnet/trial/owners.go
@@ -144,7 +144,7 @@
 // order orders settings, and asks again by the same id where the answer is lost.
 func (w *owner) order(ctx context.Context, i int, epoch uint64, text string, linked bool) bool {
 	id := fmt.Sprintf("%s/%d/%d", w.name, epoch, w.round)
-	o := manage.Order{Epoch: epoch, Owner: w.name, ID: id, Operation: manage.Want{Kind: desiredstate.KindSettings, Text: text, Hash: desiredstate.Hash([]byte(text))}}
+	o := manage.Command{Epoch: epoch, Owner: w.name, ID: id, Operation: manage.Operation{Kind: desiredstate.KindSettings, Text: text, Hash: desiredstate.Hash([]byte(text))}}
 	w.notes.Want(o.Operation.Hash)
 	for range 3 {
 		one, cancel := context.WithTimeout(ctx, within(linked))
@@ -210,16 +210,22 @@
 	}
 }
 
-// begunOnce counts by a node's log the orders that it has begun: each an effect.
+// begunOnce counts by a node's log the commands that it has begun, each an effect. The last one that settle had it run
+// is among them: a log without any is not understood.
 func (r *run) begunOnce(i int) {
 	raw, err := os.ReadFile(r.procs[i].Log)
 	if err != nil {
 		r.notes.Wrong("node %d: %v", i, err)
 	}
+	begun := 0
 	for line := range strings.Lines(string(raw)) {
 		if _, rest, ok := strings.Cut(line, `msg="command started" id=`); ok {
 			id, _, _ := strings.Cut(rest, " ")
 			r.notes.Effect(member(i)+" "+id, member(i))
+			begun++
 		}
 	}
+	if begun == 0 {
+		r.notes.Wrong("node %d: its log has no command that was started", i)
+	}
 }
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -311,7 +311,7 @@
 		return
 	}
 	c.call(ctx, c.within, func(ctx context.Context) any {
-		_, err := m.RunCommand(ctx, manage.Order{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Operation: want})
+		_, err := m.RunCommand(ctx, manage.Command{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Operation: want})
 		e := rollout.Ordered{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Answer: answered(err), Err: err}
 		if e.Answer == rollout.Stale {
 			// A member that has no memory of any epoch is no sign of a newer coordinator.
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -320,23 +320,23 @@
 }
 
 // want is what a member is ordered at a generation.
-func (c *Change) want(i, gen int, restart bool) (manage.Want, error) {
+func (c *Change) want(i, gen int, restart bool) (manage.Operation, error) {
 	id := c.Plan.Members[i].Gens[gen]
 	switch {
 	case restart:
-		return manage.Want{Kind: desiredstate.KindRestart}, nil
+		return manage.Operation{Kind: desiredstate.KindRestart}, nil
 	case c.Kind == desiredstate.KindSettings:
 		text, ok := c.Texts[id]
 		if !ok {
-			return manage.Want{}, fmt.Errorf("the settings %.12s are in no file any more", id)
+			return manage.Operation{}, fmt.Errorf("the settings %.12s are in no file any more", id)
 		}
-		return manage.Want{Kind: desiredstate.KindSettings, Hash: id, Text: text}, nil
+		return manage.Operation{Kind: desiredstate.KindSettings, Hash: id, Text: text}, nil
 	}
 	path, ok := c.Programs[strings.TrimSuffix(id, again)]
 	if !ok {
-		return manage.Want{}, fmt.Errorf("the program %.12s is in no file any more", id)
+		return manage.Operation{}, fmt.Errorf("the program %.12s is in no file any more", id)
 	}
-	return manage.Want{Kind: desiredstate.KindProgram, Path: path}, nil
+	return manage.Operation{Kind: desiredstate.KindProgram, Path: path}, nil
 }
 
 // programs hashes what processes run, once for each.
--- a/internal/manage/client.go
+++ b/internal/manage/client.go
@@ -62,7 +62,7 @@
 
 // RunCommand has the daemon run a command once, and waits for its outcome. Without an answer the caller sends it again
 // with the same id. After a command that replaces the process the status is the old one's.
-func (c Client) RunCommand(ctx context.Context, command Order) (Status, error) {
+func (c Client) RunCommand(ctx context.Context, command Command) (Status, error) {
 	return c.call(ctx, http.MethodPost, "order", command)
 }
 
--- a/internal/manage/golden_test.go
+++ b/internal/manage/golden_test.go
@@ -12,7 +12,7 @@
 // Bodies on the control socket have the keys of earlier builds. go test ./internal/manage -run Golden -update replaces the
 // golden files.
 func TestGoldenControlSocket(t *testing.T) {
-	for name, v := range map[string]any{"status": &Status{}, "claim": &Claim{}, "order": &Order{}, "failure": &errorAnswer{}} {
+	for name, v := range map[string]any{"status": &Status{}, "claim": &Claim{}, "order": &Command{}, "failure": &errorAnswer{}} {
 		testkit.GoldenSample(t, "json", "testdata/golden/"+name+".json", v)
 	}
 }
--- a/internal/manage/handler.go
+++ b/internal/manage/handler.go
@@ -84,7 +84,7 @@
 
 func (h *handlers) command(w http.ResponseWriter, r *http.Request) {
 	d := h.daemon()
-	var command Order
+	var command Command
 	if h.readCommand(w, r, &command) {
 		writeResult(w, d.RunCommand(r.Context(), command), d)
 	}
@@ -92,7 +92,7 @@
 
 // readCommand reads a command's body, which may be large, once it has a slot. Where it returns false there is nothing
 // more to answer.
-func (h *handlers) readCommand(w http.ResponseWriter, r *http.Request, command *Order) bool {
+func (h *handlers) readCommand(w http.ResponseWriter, r *http.Request, command *Command) bool {
 	select {
 	case h.commandReads <- struct{}{}:
 	case <-r.Context().Done():
--- a/internal/manage/keys_test.go
+++ b/internal/manage/keys_test.go
@@ -8,5 +8,5 @@
 
 // All bodies on the control socket have an explicit key for every field.
 func TestKeysAreWritten(t *testing.T) {
-	testkit.RequireKeys(t, "json", Status{}, Claim{}, Order{}, errorAnswer{}, upgradeRequest{}, drainRequest{})
+	testkit.RequireKeys(t, "json", Status{}, Claim{}, Command{}, errorAnswer{}, upgradeRequest{}, drainRequest{})
 }
--- a/internal/manage/server.go
+++ b/internal/manage/server.go
@@ -34,7 +34,7 @@
 	Serve(ctx context.Context) error
 	Claim(ctx context.Context, claim Claim) error
 	// RunCommand returns once the command has ended.
-	RunCommand(ctx context.Context, command Order) error
+	RunCommand(ctx context.Context, command Command) error
 }
 
 // Server serves one control socket. A nil Server stands for a daemon without one: OwnsSocket and Close take it.
--- a/internal/manage/server_test.go
+++ b/internal/manage/server_test.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func (f fakeDaemon) RunCommand(_ context.Context, o Order) error {
+func (f fakeDaemon) RunCommand(_ context.Context, o Command) error {
 	f.calls <- fmt.Sprint(o.ID, " ", o.Operation.Kind, " ", len(o.Operation.Text))
 	return nil
 }
@@ -60,7 +60,7 @@
 		t.Error(err)
 	}
 	text := strings.Repeat("# \"<\n", 1<<20)
-	if _, err := c.RunCommand(ctx, Order{Epoch: 7, Owner: "a", ID: "s/1", Operation: Want{Kind: desiredstate.KindSettings, Text: text}}); err != nil || <-f.calls != fmt.Sprint("s/1 settings ", len(text)) {
+	if _, err := c.RunCommand(ctx, Command{Epoch: 7, Owner: "a", ID: "s/1", Operation: Operation{Kind: desiredstate.KindSettings, Text: text}}); err != nil || <-f.calls != fmt.Sprint("s/1 settings ", len(text)) {
 		t.Errorf("%v", err)
 	}
 	for want, ask := range map[string]func() (Status, error){"drain true": func() (Status, error) { return c.DrainAndStay(ctx) }, "serve": func() (Status, error) { return c.Serve(ctx) }} {
--- a/internal/manage/status.go
+++ b/internal/manage/status.go
@@ -71,10 +71,10 @@
 type (
 	// Claim is a coordinator's claim of an epoch.
 	Claim = desiredstate.Claim
-	// Order is a command of an epoch's owner.
-	Order = desiredstate.Command
-	// Want is what a command is to reach.
-	Want = desiredstate.Operation
+	// Command is a command of an epoch's owner.
+	Command = desiredstate.Command
+	// Operation is what a command is to reach.
+	Operation = desiredstate.Operation
 )
 
 // upgradeRequest is the body of /v1/upgrade.
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -419,4 +419,7 @@
 			}
 		}
 	}
+	if p.Orders > 0 && p.Begun == 0 {
+		p.Wrong = append(p.Wrong, fmt.Sprintf("%d commands were carried out, and no member's log has one that was started", p.Orders))
+	}
 }
--- a/internal/measure/tap.go
+++ b/internal/measure/tap.go
@@ -107,7 +107,7 @@
 			}
 		}
 	case "/v1/order":
-		var o manage.Order
+		var o manage.Command
 		_ = json.Unmarshal(raw, &o) // what is no order is refused by the member
 		done := t.history.Call(t.number(o.Owner), history.Order{Member: member, Epoch: o.Epoch, Owner: o.Owner, ID: o.ID})
 		return func(status int, answer []byte) {
