Name package rollout's messages, plan and states in the field's terms

A coordinator spoke of what is seen, ordered, taken back, left and waited for; members were asked, given and suspected. They are member statuses, replies, commands, rollbacks and verdicts now, constants carry their type's prefix, limits of the plan are those of the field (MaxUnavailable, MinBake, MaxBake, MemberTimeout), and booleans read as such. Stored keys, kinds, results and states keep their values.

--- a/internal/command/rollout.go
+++ b/internal/command/rollout.go
@@ -69,7 +69,7 @@
 
 func (f *rolloutFlags) plan(away time.Duration) rollout.Plan {
 	stages, _ := rollout.ParseStages(f.stages)
-	return rollout.Plan{Stages: stages, AtOnce: f.atOnce, Bake: f.bake, BakeMost: f.bakeMost, Away: away, Unjudged: f.unjudged, NoBack: f.stay}
+	return rollout.Plan{Stages: stages, MaxUnavailable: f.atOnce, MinBake: f.bake, MaxBake: f.bakeMost, MemberTimeout: away, ReadinessSuffices: f.unjudged, DisableRollback: f.stay}
 }
 
 // journalDir is where what is decided about a fleet is kept.
@@ -161,7 +161,7 @@
 			j.Change.Begun.Format(time.DateTime), at)
 	}
 	p := f.plan(f.within)
-	p.Order = order
+	p.RegionOrder = order
 	var c *fleet.Change
 	if what == "upgrade" {
 		c, err = fleet.Program(ctx, members, p, f.program, f.journalDir())
@@ -204,7 +204,7 @@
 		fmt.Fprintf(e.Out, "the settings are the same; %d read again\n", len(members))
 		return nil
 	}
-	return json.NewEncoder(e.Out).Encode(map[string]any{"result": rollout.Done, "why": "the settings are the same", "members": []string{}})
+	return json.NewEncoder(e.Out).Encode(map[string]any{"result": rollout.ResultDone, "why": "the settings are the same", "members": []string{}})
 }
 
 // carry carries a journal's change out, and tells how it ended.
@@ -213,7 +213,7 @@
 	if f.json {
 		w.Progress = e.Err
 	}
-	if j.Change.Plan.Unjudged {
+	if j.Change.Plan.ReadinessSuffices {
 		fmt.Fprintln(w.Progress, "unjudged: where too little is seen to judge by, readiness is enough")
 	}
 	out, err := fleet.Carry(ctx, j, w)
@@ -230,11 +230,11 @@
 		counts[m.State]++
 	}
 	tell := e.Err
-	if out.Result == rollout.Done {
+	if out.Result == rollout.ResultDone {
 		tell = e.Out
 	}
-	if !f.json || out.Result != rollout.Done {
-		if out.Result != rollout.Done {
+	if !f.json || out.Result != rollout.ResultDone {
+		if out.Result != rollout.ResultDone {
 			fmt.Fprintf(tell, "lockflow: %s: %s\n", out.Result, out.Why)
 		}
 		for _, s := range []string{"changed", "changing", "taken back", "untouched", "between", "not taken back", "away"} {
@@ -244,9 +244,9 @@
 		}
 	}
 	switch {
-	case out.Result == rollout.Done:
+	case out.Result == rollout.ResultDone:
 		return nil
-	case out.Result == rollout.TakenBack || !out.Touched:
+	case out.Result == rollout.ResultRolledBack || !out.Touched:
 		return errTold
 	}
 	fmt.Fprintln(tell, "not all is taken back: see `lockflow fleet status`, then --resume or --take-back")
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -110,16 +110,16 @@
 		c.members = append(c.members, manage.Client{Path: s})
 	}
 	p := r.Plan()
-	c.within = p.Away * 2 / 3
+	c.within = p.MemberTimeout * 2 / 3
 	if c.judge == nil {
 		stages := 0
-		for _, s := range r.Sizes() {
+		for _, s := range r.StageSizes() {
 			stages += len(s)
 		}
-		warm := min(30*time.Second, p.Bake/2)
+		warm := min(30*time.Second, p.MinBake/2)
 		c.judge = canary.NewJudge(canary.Options{
-			Stages: max(stages, 1), BakeLeast: p.Bake, BakeMost: p.BakeMost, Warm: warm,
-			Onset: min(time.Minute, max(p.Bake/2, time.Second)),
+			Stages: max(stages, 1), BakeLeast: p.MinBake, BakeMost: p.MaxBake, Warm: warm,
+			Onset: min(time.Minute, max(p.MinBake/2, time.Second)),
 		})
 	}
 	if w.Progress == nil {
@@ -153,7 +153,7 @@
 		c.tell()
 	}
 	c.tell()
-	return Outcome{Result: c.end.Result, Why: c.end.Why, Touched: c.r.Touched(), Members: c.states()}, nil
+	return Outcome{Result: c.end.Result, Why: c.end.Reason, Touched: c.r.HasCommanded(), Members: c.states()}, nil
 }
 
 // call does something with a member and brings what came of it.
@@ -189,13 +189,13 @@
 func (c *carrier) hear(h heard) rollout.Event {
 	c.asking[h.i], c.seen[h.i] = false, h.s
 	if h.s == nil {
-		return rollout.Seen{Member: h.i, Asked: h.asked}
+		return rollout.MemberStatus{Member: h.i, PolledAt: h.asked}
 	}
 	s := h.s
 	up := s.IsReady() || c.c.Kind == desiredstate.KindSettings && s.IsAsDesired()
-	return rollout.Seen{
-		Member: h.i, Asked: h.asked, Up: up, Runs: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, Doing: s.RunningCommand,
-		Lost: s.LostToken, Load: load(s),
+	return rollout.MemberStatus{
+		Member: h.i, PolledAt: h.asked, IsServing: up, Version: c.c.runs(s, c.known), Epoch: s.Epoch, Owner: s.Owner, RunningCommand: s.RunningCommand,
+		LossToken: s.LostToken, Load: load(s),
 	}
 }
 
@@ -219,7 +219,7 @@
 // look has the judge look.
 func (c *carrier) look() {
 	now := c.now()
-	if now-c.looked < min(lookEvery, max(c.r.Plan().Bake/8, pollMembers)) {
+	if now-c.looked < min(lookEvery, max(c.r.Plan().MinBake/8, pollMembers)) {
 		return
 	}
 	c.looked = now
@@ -252,9 +252,9 @@
 		return
 	}
 	c.act(ctx, c.r.Handle(c.now(), e))
-	if _, ok := e.(rollout.Tick); ok && c.end == nil && c.r.Baking() {
+	if _, ok := e.(rollout.Tick); ok && c.end == nil && c.r.IsBaking() {
 		c.verdict = c.judge.Verdict(c.now())
-		c.act(ctx, c.r.Handle(c.now(), rollout.Judged{Kind: rollout.Kind(c.verdict.Kind), Why: c.verdict.Why}))
+		c.act(ctx, c.r.Handle(c.now(), rollout.StageJudged{Verdict: rollout.Verdict(c.verdict.Kind), Reason: c.verdict.Why}))
 	}
 }
 
@@ -264,7 +264,7 @@
 		case rollout.Write:
 			if err := c.j.add(a.Entry); err != nil {
 				slog.Error("rollout: a decision can't be written", "kind", a.Entry.Kind, "err", err)
-				for _, a := range c.r.Handle(c.now(), rollout.Unwritten{Err: err}) {
+				for _, a := range c.r.Handle(c.now(), rollout.WriteFailed{Err: err}) {
 					if end, ok := a.(rollout.End); ok {
 						c.end = &end
 					}
@@ -277,8 +277,8 @@
 			c.judge.Begin(c.now(), c.readings())
 		case rollout.Claim:
 			c.claim(ctx, a)
-		case rollout.Order:
-			c.ordered[a.Member] = c.ordered[a.Member] || !a.Restart
+		case rollout.Command:
+			c.ordered[a.Member] = c.ordered[a.Member] || !a.IsRestart
 			c.order(ctx, a)
 		case rollout.End:
 			c.end = &a
@@ -290,33 +290,33 @@
 func (c *carrier) claim(ctx context.Context, a rollout.Claim) {
 	m := c.members[a.Member]
 	c.call(ctx, askWithin, func(ctx context.Context) any {
-		_, err := m.Claim(ctx, manage.Claim{Epoch: a.Epoch, Owner: a.Owner, LossToken: a.After})
-		e := rollout.Claimed{Member: a.Member, Epoch: a.Epoch}
-		if e.Answer = answered(err); e.Answer == rollout.Stale {
+		_, err := m.Claim(ctx, manage.Claim{Epoch: a.Epoch, Owner: a.Owner, LossToken: a.LossToken})
+		e := rollout.ClaimReplied{Member: a.Member, Epoch: a.Epoch}
+		if e.Reply = answered(err); e.Reply == rollout.ReplyStale {
 			if s, err := m.Status(ctx); err == nil {
-				e.Newest = s.Epoch
+				e.NewestEpoch = s.Epoch
 			}
 		}
 		return e
 	})
 }
 
-func (c *carrier) order(ctx context.Context, a rollout.Order) {
+func (c *carrier) order(ctx context.Context, a rollout.Command) {
 	m := c.members[a.Member]
-	want, err := c.c.want(a.Member, a.Gen, a.Restart)
+	want, err := c.c.want(a.Member, a.Generation, a.IsRestart)
 	if err != nil {
 		c.call(ctx, askWithin, func(context.Context) any {
-			return rollout.Ordered{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Answer: rollout.Failed, Err: err}
+			return rollout.CommandReplied{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Reply: rollout.ReplyFailed, Err: err}
 		})
 		return
 	}
 	c.call(ctx, c.within, func(ctx context.Context) any {
 		_, err := m.RunCommand(ctx, manage.Command{Epoch: a.Epoch, Owner: a.Owner, ID: a.ID, Operation: want})
-		e := rollout.Ordered{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Answer: answered(err), Err: err}
-		if e.Answer == rollout.Stale {
+		e := rollout.CommandReplied{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Reply: answered(err), Err: err}
+		if e.Reply == rollout.ReplyStale {
 			// A member that has no memory of any epoch is no sign of a newer coordinator.
 			if s, err := m.Status(ctx); err == nil && s.Epoch < a.Epoch {
-				e.Answer = rollout.Ungranted
+				e.Reply = rollout.ReplyUngranted
 			}
 		}
 		return e
@@ -324,25 +324,25 @@
 }
 
 // answered tells what a member's answer to a claim or an order means.
-func answered(err error) rollout.Answer {
+func answered(err error) rollout.Reply {
 	switch {
 	case err == nil:
-		return rollout.OK
+		return rollout.ReplyOK
 	case errors.Is(err, manage.ErrStale):
-		return rollout.Stale
+		return rollout.ReplyStale
 	case errors.Is(err, manage.ErrLost):
-		return rollout.Ungranted
+		return rollout.ReplyUngranted
 	case errors.Is(err, manage.ErrFailed), errors.Is(err, manage.ErrInvalid):
-		return rollout.Failed
+		return rollout.ReplyFailed
 	case strings.HasSuffix(err.Error(), "404 Not Found"): // a program from before there were orders
-		return rollout.NotFound
+		return rollout.ReplyUnsupported
 	}
-	return rollout.Lost // also busy: it is asked again
+	return rollout.ReplyUnknown // also busy: it is asked again
 }
 
 // say tells a decision in the log and to whoever watches.
 func (c *carrier) say(e rollout.Entry) {
-	slog.Info("rollout: "+e.Kind, "epoch", e.Epoch, "phase", e.Phase, "stage", e.Stage, "member", e.Member, "id", e.ID, "gen", e.Gen, "outcome", e.Outcome, "why", e.Why)
+	slog.Info("rollout: "+e.Kind, "epoch", e.Epoch, "phase", e.Phase, "stage", e.Stage, "member", e.Member, "id", e.ID, "gen", e.Generation, "outcome", e.Outcome, "why", e.Reason)
 	w := c.ways.Progress
 	switch e.Kind {
 	case rollout.EntryOwned:
@@ -354,18 +354,18 @@
 			phase = fmt.Sprintf("phase %d of %d, ", p, all)
 		}
 		fmt.Fprintf(w, "%sstage %d of %d: %s", phase, at, of, names(e.Members))
-		if len(e.Control) > 0 {
-			fmt.Fprintf(w, "; beside it, started again: %s", names(e.Control))
+		if len(e.Controls) > 0 {
+			fmt.Fprintf(w, "; beside it, started again: %s", names(e.Controls))
 		}
 		fmt.Fprintln(w)
 	case rollout.EntryOutcome:
-		fmt.Fprintf(w, "%s: %s %s\n", e.Member, e.Outcome, e.Why)
+		fmt.Fprintf(w, "%s: %s %s\n", e.Member, e.Outcome, e.Reason)
 	case rollout.EntryVerdict:
-		fmt.Fprintf(w, "stage %d: %s: %s\n", e.Stage, e.Outcome, e.Why)
-	case rollout.EntryBack:
-		fmt.Fprintf(w, "takes back: %s\n", e.Why)
-	case rollout.EntryLeft:
-		fmt.Fprintf(w, "%s: not taken back: %s\n", e.Member, e.Why)
+		fmt.Fprintf(w, "stage %d: %s: %s\n", e.Stage, e.Outcome, e.Reason)
+	case rollout.EntryRollback:
+		fmt.Fprintf(w, "takes back: %s\n", e.Reason)
+	case rollout.EntryAbandoned:
+		fmt.Fprintf(w, "%s: not taken back: %s\n", e.Member, e.Reason)
 	}
 }
 
@@ -379,12 +379,12 @@
 // tell keeps what others are told of it: now and then, and when it changes.
 func (c *carrier) tell() {
 	now := c.now()
-	what := c.r.State() + c.r.Why()
+	what := c.r.State() + c.r.Reason()
 	if c.end == nil && now-c.told < pollMembers || what == c.last && now-c.told < tellEvery && c.end == nil {
 		return
 	}
 	if what != c.last && c.end == nil {
-		slog.Info("rollout: "+c.r.State(), "why", c.r.Why())
+		slog.Info("rollout: "+c.r.State(), "why", c.r.Reason())
 	}
 	c.told, c.last = now, what
 	raw, err := json.Marshal(c.progress())
@@ -397,7 +397,7 @@
 }
 
 func (c *carrier) progress() Progress {
-	p := Progress{Begun: c.c.Begun, At: time.Now(), Kind: c.c.Kind, State: c.r.State(), Why: c.r.Why(), Cause: c.r.Cause(), Epoch: c.r.Epoch(), Members: c.states()}
+	p := Progress{Begun: c.c.Begun, At: time.Now(), Kind: c.c.Kind, State: c.r.State(), Why: c.r.Reason(), Cause: c.r.RollbackCause(), Epoch: c.r.Epoch(), Members: c.states()}
 	p.Phase, p.Phases = c.r.Phase()
 	p.Stage, p.Stages = c.r.Stage()
 	if c.verdict.Why != "" {
@@ -420,7 +420,7 @@
 func (c *carrier) states() []MemberState {
 	all := make([]MemberState, len(c.members))
 	for i, m := range c.c.Plan.Members {
-		all[i] = MemberState{m.Name, c.r.MemberState(i, c.ordered[i]), c.r.Runs(i)}
+		all[i] = MemberState{m.Name, c.r.MemberState(i, c.ordered[i]), c.r.Version(i)}
 	}
 	return all
 }
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -103,7 +103,7 @@
 			}
 		}
 	}
-	if p.Order == nil {
+	if p.RegionOrder == nil {
 		if err := between(now, members, files); err != nil {
 			return nil, err
 		}
@@ -117,7 +117,7 @@
 		if slices.ContainsFunc(members[i].Texts, func(t []byte) bool { return desiredstate.Hash(t) == from }) && old[members[i].Region] != "" {
 			from = old[members[i].Region]
 		}
-		m.Gens = append(m.Gens, from)
+		m.Versions = append(m.Versions, from)
 		if text, ok := files[from]; ok {
 			c.Texts[from] = text
 		} else if text, ok := known[from]; ok {
@@ -126,9 +126,9 @@
 		for _, t := range members[i].Texts {
 			h := desiredstate.Hash(t)
 			c.Texts[h] = string(t)
-			m.Gens = append(m.Gens, h)
+			m.Versions = append(m.Versions, h)
 		}
-		same = same && s.ConfigHash == m.Gens[len(m.Gens)-1]
+		same = same && s.ConfigHash == m.Versions[len(m.Versions)-1]
 		c.Plan.Members = append(c.Plan.Members, m)
 		c.Sockets = append(c.Sockets, members[i].Client.Path)
 	}
@@ -191,7 +191,7 @@
 // Unknown are members whose settings of the start are in no file: they can't be taken back.
 func (c *Change) Unknown() (names []string) {
 	for _, m := range c.Plan.Members {
-		if _, ok := c.Texts[m.Gens[0]]; !ok && c.Kind == desiredstate.KindSettings {
+		if _, ok := c.Texts[m.Versions[0]]; !ok && c.Kind == desiredstate.KindSettings {
 			names = append(names, m.Name)
 		}
 	}
@@ -241,14 +241,14 @@
 			c.Programs[next] = to
 		}
 		same = same && next == running
-		c.Plan.Members = append(c.Plan.Members, rollout.Member{Name: name, Region: members[i].Region, Zone: members[i].Zone, Gens: []string{running, next}})
+		c.Plan.Members = append(c.Plan.Members, rollout.Member{Name: name, Region: members[i].Region, Zone: members[i].Zone, Versions: []string{running, next}})
 		c.Sockets = append(c.Sockets, members[i].Client.Path)
 	}
-	c.Plan.Controls = true
+	c.Plan.HasControls = true
 	if same {
-		c.Plan.Same, c.Plan.Controls = true, false
+		c.Plan.IsRestart, c.Plan.HasControls = true, false
 		for i := range c.Plan.Members {
-			c.Plan.Members[i].Gens[1] += again
+			c.Plan.Members[i].Versions[1] += again
 		}
 	}
 	return c, c.check()
@@ -310,7 +310,7 @@
 			return fmt.Errorf("the settings %.12s of the change are not what they were", h)
 		}
 	}
-	return c.Plan.Check()
+	return c.Plan.Validate()
 }
 
 // Check tells what in settings can't be used, before any member hears of them.
@@ -321,7 +321,7 @@
 
 // want is what a member is ordered at a generation.
 func (c *Change) want(i, gen int, restart bool) (manage.Operation, error) {
-	id := c.Plan.Members[i].Gens[gen]
+	id := c.Plan.Members[i].Versions[gen]
 	switch {
 	case restart:
 		return manage.Operation{Kind: desiredstate.KindRestart}, nil
@@ -364,7 +364,7 @@
 		}
 		known[p] = h
 	}
-	if c.Plan.Same && s.StartedAt.After(c.Begun) {
+	if c.Plan.IsRestart && s.StartedAt.After(c.Begun) {
 		h += again
 	}
 	return h
--- a/internal/fleet/change_test.go
+++ b/internal/fleet/change_test.go
@@ -96,7 +96,7 @@
 		// What was read can be gone on with, or is refused; it breaks nothing.
 		if r, err := rollout.Resume(c.Plan, "o", rand.New(rand.NewPCG(1, 1)), entries, len(first)%2 == 0); err == nil {
 			r.Handle(0, rollout.Tick{})
-			r.Handle(time.Second, rollout.Seen{Up: true, Runs: "a"})
+			r.Handle(time.Second, rollout.MemberStatus{IsServing: true, Version: "a"})
 		}
 	})
 }
@@ -132,8 +132,8 @@
 		want string
 	}{
 		{rollout.Entry{Kind: rollout.EntryBake}, "it was cut at bake"},
-		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.Done)}, ""},
-		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.Stopped)}, "stopped"},
+		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.ResultDone)}, ""},
+		{rollout.Entry{Kind: rollout.EntryEnd, Outcome: string(rollout.ResultStopped)}, "stopped"},
 	} {
 		j := Journal{Change: &Change{}, Entries: []rollout.Entry{c.last}}
 		if got := j.Unfinished(); got != c.want {
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -62,10 +62,10 @@
 	c.Form, c.Kind = form, desiredstate.KindSettings
 	c.Texts = map[string]string{desiredstate.Hash([]byte("new")): "new"}
 	p := &c.Plan
-	p.Members[0].Gens = []string{desiredstate.Hash([]byte("old")), desiredstate.Hash([]byte("new"))}
-	p.Order = [][]string{{p.Members[0].Region}}
+	p.Members[0].Versions = []string{desiredstate.Hash([]byte("old")), desiredstate.Hash([]byte("new"))}
+	p.RegionOrder = [][]string{{p.Members[0].Region}}
 	p.Stages = rollout.Stages{{Count: 1}, {Share: 1}}
-	p.BakeMost = p.Bake + 1
+	p.MaxBake = p.MinBake + 1
 	return c
 }
 
--- a/internal/fleet/journal.go
+++ b/internal/fleet/journal.go
@@ -96,7 +96,7 @@
 	if last.Kind != rollout.EntryEnd {
 		return "it was cut at " + last.Kind
 	}
-	if r := rollout.Result(last.Outcome); !r.Final() {
+	if r := rollout.Result(last.Outcome); !r.IsFinal() {
 		return string(r)
 	}
 	return ""
@@ -189,7 +189,7 @@
 		p.Counts[e.Kind]++
 	}
 	if n := len(entries); n > 0 && entries[n-1].Kind == rollout.EntryEnd {
-		p.State, p.Why = entries[n-1].Outcome, entries[n-1].Why
+		p.State, p.Why = entries[n-1].Outcome, entries[n-1].Reason
 	} else if p.State == "" {
 		p.State = "begun"
 	}
--- a/internal/regiontrial/change.go
+++ b/internal/regiontrial/change.go
@@ -107,10 +107,10 @@
 	defer r.mu.Unlock()
 	for i, m := range c.Plan.Members {
 		// A coordinator that begins in the midst of another's change knows fewer of its generations.
-		if n := member(i); len(m.Gens) > len(r.gens[n]) {
-			r.gens[n] = m.Gens
+		if n := member(i); len(m.Versions) > len(r.gens[n]) {
+			r.gens[n] = m.Versions
 		}
-		for _, h := range m.Gens {
+		for _, h := range m.Versions {
 			r.notes.Want(h)
 		}
 	}
--- a/internal/rollout/layout.go
+++ b/internal/rollout/layout.go
@@ -7,27 +7,27 @@
 
 // phase is the way from one generation to the next: its stages, each with the members that it adds.
 type phase struct {
-	stages [][]int
-	seq    []int // all of them, in order
+	stages  [][]int
+	members []int // all of them, in order
 }
 
 // layout lays out every phase's stages.
 func (p *Plan) layout() ([]phase, error) {
-	all := make([]phase, len(p.Members[0].Gens)-1)
+	all := make([]phase, len(p.Members[0].Versions)-1)
 	for k := range all {
 		var groups [][]int
-		if p.Order == nil {
-			groups = [][]int{p.changing(k, func(Member) bool { return true })}
+		if p.RegionOrder == nil {
+			groups = [][]int{p.changedMembers(k, func(Member) bool { return true })}
 		} else {
-			for _, r := range p.Order[min(k, len(p.Order)-1)] {
-				groups = append(groups, p.changing(k, func(m Member) bool { return m.Region == r }))
+			for _, r := range p.RegionOrder[min(k, len(p.RegionOrder)-1)] {
+				groups = append(groups, p.changedMembers(k, func(m Member) bool { return m.Region == r }))
 			}
 		}
 		for _, g := range groups {
 			g = p.spread(g)
 			done := 0
 			for i, s := range p.Stages {
-				to := s.of(len(g))
+				to := s.size(len(g))
 				if to < done {
 					return nil, fmt.Errorf("stages: stage %d, %s, is %d of %d members, less than the %d of the one before it", i+1, s, to, len(g), done)
 				}
@@ -36,17 +36,17 @@
 				}
 				done = to
 			}
-			all[k].seq = append(all[k].seq, g...)
+			all[k].members = append(all[k].members, g...)
 		}
 	}
 	return all, nil
 }
 
-// changing are the members that phase k changes.
-func (p *Plan) changing(k int, in func(Member) bool) []int {
+// changedMembers are the members that phase k changes.
+func (p *Plan) changedMembers(k int, in func(Member) bool) []int {
 	var all []int
 	for i, m := range p.Members {
-		if in(m) && m.Gens[k] != m.Gens[k+1] {
+		if in(m) && m.Versions[k] != m.Versions[k+1] {
 			all = append(all, i)
 		}
 	}
@@ -58,14 +58,14 @@
 func (p *Plan) spread(members []int) []int {
 	byRegion := func(i int) string { return p.Members[i].Region }
 	byZone := func(i int) string { return p.Members[i].Zone }
-	regions := split(members, byRegion)
+	regions := groupBy(members, byRegion)
 	for i, r := range regions {
-		regions[i] = weave(split(r, byZone))
+		regions[i] = interleave(groupBy(r, byZone))
 	}
-	return weave(regions)
+	return interleave(regions)
 }
 
-func split(members []int, by func(int) string) [][]int {
+func groupBy(members []int, by func(int) string) [][]int {
 	var names []string
 	parts := make(map[string][]int)
 	for _, i := range members {
@@ -82,18 +82,18 @@
 	return all
 }
 
-// weave takes from lists in turn, from each by its length, so that all end together.
-func weave(lists [][]int) []int {
+// interleave takes from lists in turn, from each by its length, so that all end together.
+func interleave(lists [][]int) []int {
 	var all []int
 	taken := make([]int, len(lists))
 	for {
-		next, least := -1, 0.0
+		next, lowest := -1, 0.0
 		for i, l := range lists {
 			if taken[i] == len(l) {
 				continue
 			}
-			if at := float64(taken[i]) / float64(len(l)); next < 0 || at < least {
-				next, least = i, at
+			if at := float64(taken[i]) / float64(len(l)); next < 0 || at < lowest {
+				next, lowest = i, at
 			}
 		}
 		if next < 0 {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -19,64 +19,64 @@
 
 // Member is one instance of the fleet.
 type Member struct {
-	Name   string   `json:"name"`
-	Region string   `json:"region,omitempty"`
-	Zone   string   `json:"zone,omitempty"`
-	Gens   []string `json:"gens"` // what it runs at each generation, as Seen.Runs tells it; neighbours may be equal
+	Name     string   `json:"name"`
+	Region   string   `json:"region,omitempty"`
+	Zone     string   `json:"zone,omitempty"`
+	Versions []string `json:"gens"` // what it runs at each generation, as Seen.Runs tells it; neighbours may be equal
 }
 
 // Plan is how a change goes over a fleet. The zero durations stand for the defaults.
 type Plan struct {
 	Members []Member `json:"members"`
-	// Order has, by phase, the regions that change one after another, each in stages of its own; nil spreads
+	// RegionOrder has, by phase, the regions that change one after another, each in stages of its own; nil spreads
 	// every stage over all regions. The last counts for all phases after it.
-	Order    [][]string    `json:"order,omitempty"`
-	Stages   Stages        `json:"stages"`
-	AtOnce   int           `json:"at_once"`          // members that change or are away at once; 0 is the root of all
-	Bake     time.Duration `json:"bake"`             // least time a stage is watched
-	BakeMost time.Duration `json:"bake_most"`        // most; after it a stage without evidence stops the change
-	Away     time.Duration `json:"away"`             // a member may be away, or owe an answer; then it counts as failed
-	Controls bool          `json:"controls"`         // old members start again beside those that change
-	Unjudged bool          `json:"unjudged"`         // readiness is enough where there is no evidence
-	Same     bool          `json:"same,omitempty"`   // both ends are the same thing, begun again: nothing to take back to
-	NoBack   bool          `json:"noback,omitempty"` // a failed change is left as it is
+	RegionOrder       [][]string    `json:"order,omitempty"`
+	Stages            Stages        `json:"stages"`
+	MaxUnavailable    int           `json:"at_once"`          // members that change or are away at once; 0 is the root of all
+	MinBake           time.Duration `json:"bake"`             // least time a stage is watched
+	MaxBake           time.Duration `json:"bake_most"`        // most; after it a stage without evidence stops the change
+	MemberTimeout     time.Duration `json:"away"`             // a member may be away, or owe an answer; then it counts as failed
+	HasControls       bool          `json:"controls"`         // old members start again beside those that change
+	ReadinessSuffices bool          `json:"unjudged"`         // readiness is enough where there is no evidence
+	IsRestart         bool          `json:"same,omitempty"`   // both ends are the same thing, begun again: nothing to take back to
+	DisableRollback   bool          `json:"noback,omitempty"` // a failed change is left as it is
 }
 
 // Defaults of a plan.
 const (
-	DefaultBake     = 10 * time.Second
-	DefaultBakeMost = 15 * time.Minute
-	DefaultAway     = 30 * time.Second
+	DefaultMinBake       = 10 * time.Second
+	DefaultMaxBake       = 15 * time.Minute
+	DefaultMemberTimeout = 30 * time.Second
 
-	askAgain  = 500 * time.Millisecond // until a lost answer is asked for again
-	triesMost = 3                      // orders for one member in one generation: it may lose what it was given
-	ownTries  = 6                      // epochs tried before another coordinator's are left alone
-	// roomMost is the share of a member's room that the others may fill while some are away.
-	roomMost = 0.9
+	retryInterval            = 500 * time.Millisecond // until a lost answer is asked for again
+	maxCommandsPerGeneration = 3                      // orders for one member in one generation: it may lose what it was given
+	maxClaimAttempts         = 6                      // epochs tried before another coordinator's are left alone
+	// maxUtilization is the share of a member's room that the others may fill while some are away.
+	maxUtilization = 0.9
 )
 
-func (p *Plan) defaults() {
-	if p.Bake <= 0 {
-		p.Bake = DefaultBake
+func (p *Plan) setDefaults() {
+	if p.MinBake <= 0 {
+		p.MinBake = DefaultMinBake
 	}
-	if p.BakeMost <= 0 {
-		p.BakeMost = max(DefaultBakeMost, p.Bake)
+	if p.MaxBake <= 0 {
+		p.MaxBake = max(DefaultMaxBake, p.MinBake)
 	}
-	if p.Away <= 0 {
-		p.Away = DefaultAway
+	if p.MemberTimeout <= 0 {
+		p.MemberTimeout = DefaultMemberTimeout
 	}
 	if len(p.Stages) == 0 {
 		p.Stages = DefaultStages()
 	}
-	if p.AtOnce <= 0 {
+	if p.MaxUnavailable <= 0 {
 		// What starts anew knows of no cold server. The cold rule gives a group of N a slack of 2 root N + 2:
 		// root N such members at once stay inside it.
-		p.AtOnce = max(1, int(math.Sqrt(float64(len(p.Members)))))
+		p.MaxUnavailable = max(1, int(math.Sqrt(float64(len(p.Members)))))
 	}
 }
 
-// Check tells what in a plan can't be carried out.
-func (p *Plan) Check() error {
+// Validate tells what in a plan can't be carried out.
+func (p *Plan) Validate() error {
 	if len(p.Members) == 0 {
 		return errors.New("plan: it has no member")
 	}
@@ -85,18 +85,18 @@
 		switch {
 		case names[m.Name]:
 			return fmt.Errorf("plan: member %s is there twice", m.Name)
-		case len(m.Gens) < 2 || len(m.Gens) != len(p.Members[0].Gens):
-			return fmt.Errorf("plan: member %s has %d generations", m.Name, len(m.Gens))
+		case len(m.Versions) < 2 || len(m.Versions) != len(p.Members[0].Versions):
+			return fmt.Errorf("plan: member %s has %d generations", m.Name, len(m.Versions))
 		}
 		names[p.Members[i].Name] = true
 	}
 	if n := len(p.Stages); n > 0 && p.Stages[n-1].Share != 1 {
 		return fmt.Errorf("plan: the last of its stages is %s, not 100%%", p.Stages[n-1])
 	}
-	if p.BakeMost > 0 && p.BakeMost < p.Bake {
-		return fmt.Errorf("plan: a stage is watched %v at most and %v at least", p.BakeMost, p.Bake)
+	if p.MaxBake > 0 && p.MaxBake < p.MinBake {
+		return fmt.Errorf("plan: a stage is watched %v at most and %v at least", p.MaxBake, p.MinBake)
 	}
-	for _, order := range p.Order {
+	for _, order := range p.RegionOrder {
 		at := make(map[string]bool)
 		for _, r := range order {
 			if at[r] {
@@ -133,7 +133,7 @@
 	return strconv.FormatFloat(100*s.Share, 'f', -1, 64) + "%"
 }
 
-func (s Stage) of(n int) int {
+func (s Stage) size(n int) int {
 	if s.Share == 0 {
 		return min(s.Count, n)
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -13,48 +13,48 @@
 // Whatever is lost, late, paused or ended, and wherever a coordinator ends: everywhere the old or the new
 // state, or it is told; one owner an epoch; two neighbouring generations; not too many at once; an order
 // done once, and written before.
-func TestModel(t *testing.T) {
+func TestModelKeepsInvariantsUnderFaults(t *testing.T) {
 	seeds := uint64(2000)
 	if testing.Short() {
 		seeds = 500
 	}
 	results := map[Result]int{}
 	for seed := range seeds {
-		w, c := play(seed, none)
-		if w.final(c); len(w.wrong) > 0 {
-			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(w.wrong, "\n"), w)
+		w, c := runSeed(seed, noMutation)
+		if w.checkEnd(c); len(w.violations) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(w.violations, "\n"), w)
 		}
-		if c.over == nil {
+		if c.end == nil {
 			t.Fatalf("seed %d: no answer", seed)
 		}
-		results[c.over.Result]++
+		results[c.end.Result]++
 	}
 	t.Log(results)
-	for _, r := range []Result{Done, TakenBack, Left} {
+	for _, r := range []Result{ResultDone, ResultRolledBack, ResultStuck} {
 		if results[r] < int(seeds)/100 {
 			t.Errorf("%s: %d of %d", r, results[r], seeds)
 		}
 	}
 }
 
-func (w *world) String() string {
+func (w *fleetModel) String() string {
 	var b strings.Builder
-	for _, c := range w.all {
-		fmt.Fprintf(&b, "%s: %s, epoch %d, end %v\n", c.name, c.r.State(), c.r.epoch, c.over)
+	for _, c := range w.coordinators {
+		fmt.Fprintf(&b, "%s: %s, epoch %d, end %v\n", c.name, c.rollout.State(), c.rollout.epoch, c.end)
 	}
-	for _, e := range *w.all[0].journal {
+	for _, e := range *w.coordinators[0].log {
 		fmt.Fprintf(&b, "%+v\n", e)
 	}
 	return b.String()
 }
 
 // With a guard taken out something breaks, or the checks above are worth nothing.
-func TestMutations(t *testing.T) {
-	for m, name := range map[mutation]string{noEpoch: "no check of epochs", noWrite: "not written before done", ownMemory: "trust in its own memory"} {
+func TestModelDetectsRemovedGuards(t *testing.T) {
+	for m, name := range map[mutation]string{withoutEpochCheck: "no check of epochs", withoutWrite: "not written before done", trustOwnMemory: "trust in its own memory"} {
 		found := slices.ContainsFunc(slices.Collect(seq(3000)), func(seed uint64) bool {
-			w, c := play(seed, m)
-			w.final(c)
-			return len(w.wrong) > 0
+			w, c := runSeed(seed, m)
+			w.checkEnd(c)
+			return len(w.violations) > 0
 		})
 		if !found {
 			t.Errorf("%s: nothing breaks", name)
@@ -87,14 +87,14 @@
 }
 
 func plan(n, regions int, order [][]string) Plan {
-	p := Plan{Order: order, Stages: DefaultStages()}
+	p := Plan{RegionOrder: order, Stages: DefaultStages()}
 	for i := range n {
-		p.Members = append(p.Members, Member{Name: fmt.Sprint(i), Region: fmt.Sprint("r", i%regions), Zone: fmt.Sprint("z", i/regions%2), Gens: []string{"a", "b"}})
+		p.Members = append(p.Members, Member{Name: fmt.Sprint(i), Region: fmt.Sprint("r", i%regions), Zone: fmt.Sprint("z", i/regions%2), Versions: []string{"a", "b"}})
 	}
 	return p
 }
 
-func TestLayout(t *testing.T) {
+func TestStagesAreSizedAndSpread(t *testing.T) {
 	sizes := func(p Plan) (s []int) {
 		all, err := p.layout()
 		if err != nil {
@@ -115,7 +115,7 @@
 	}
 	p := plan(20, 1, nil)
 	p.Stages = Stages{{Count: 5}, {Share: 0.1}, {Share: 1}}
-	if err := p.Check(); err == nil || !strings.Contains(err.Error(), "stage 2, 10%, is 2 of 20 members, less than the 5") {
+	if err := p.Validate(); err == nil || !strings.Contains(err.Error(), "stage 2, 10%, is 2 of 20 members, less than the 5") {
 		t.Error(err)
 	}
 	// Any beginning is spread over regions and zones.
@@ -123,15 +123,15 @@
 		n, regions := rapid.IntRange(1, 60).Draw(t, "n"), rapid.IntRange(1, 4).Draw(t, "regions")
 		p := plan(n, regions, nil)
 		all, _ := p.layout()
-		if len(all[0].seq) != n {
-			t.Fatalf("%d of %d", len(all[0].seq), n)
+		if len(all[0].members) != n {
+			t.Fatalf("%d of %d", len(all[0].members), n)
 		}
 		counts := map[string]int{}
-		for k, i := range all[0].seq {
+		for k, i := range all[0].members {
 			m := p.Members[i]
 			counts[m.Region]++
 			counts[m.Region+m.Zone]++
-			if k+1 >= regions && len(all[0].seq) >= regions && counts[m.Region] > (k+1)/regions+2 {
+			if k+1 >= regions && len(all[0].members) >= regions && counts[m.Region] > (k+1)/regions+2 {
 				t.Fatalf("after %d: %v", k+1, counts)
 			}
 		}
@@ -139,87 +139,89 @@
 }
 
 // drive feeds a coordinator whose members do all at once, and tells what it does, a word an action.
-type rig struct {
-	r    *Rollout
-	t    *testing.T
-	now  time.Duration
-	runs []string
-	word []string
+type harness struct {
+	rollout  *Rollout
+	t        *testing.T
+	now      time.Duration
+	versions []string
+	words    []string
 }
 
-func (d *rig) feed(e Event) {
-	for _, a := range d.r.Handle(d.now, e) {
+func (d *harness) feed(e Event) {
+	for _, a := range d.rollout.Handle(d.now, e) {
 		switch a := a.(type) {
 		case Claim:
-			defer d.feed(Claimed{Member: a.Member, Epoch: a.Epoch, Answer: OK})
-		case Order:
+			defer d.feed(ClaimReplied{Member: a.Member, Epoch: a.Epoch, Reply: ReplyOK})
+		case Command:
 			what := "+"
-			if a.Restart {
+			if a.IsRestart {
 				what = "~"
-			} else if a.Gen == 0 {
+			} else if a.Generation == 0 {
 				what = "-"
 			}
-			d.word = append(d.word, fmt.Sprint(what, a.Member))
-			if !a.Restart {
-				d.runs[a.Member] = d.r.plan.Members[a.Member].Gens[a.Gen]
+			d.words = append(d.words, fmt.Sprint(what, a.Member))
+			if !a.IsRestart {
+				d.versions[a.Member] = d.rollout.plan.Members[a.Member].Versions[a.Generation]
 			}
-			defer d.feed(Ordered{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Answer: OK})
+			defer d.feed(CommandReplied{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Reply: ReplyOK})
 		case Watch:
-			d.word = append(d.word, "watch")
+			d.words = append(d.words, "watch")
 		case End:
-			d.word = append(d.word, string(a.Result)+": "+a.Why)
+			d.words = append(d.words, string(a.Result)+": "+a.Reason)
 		}
 	}
 }
 
-func (d *rig) run(steps int, load float64, verdict func(stage int) Judged) string {
+func (d *harness) run(steps int, load float64, verdict func(stage int) StageJudged) string {
 	for range steps {
 		d.now += time.Second
-		for i, runs := range d.runs {
-			d.feed(Seen{Member: i, Asked: d.now, Up: true, Runs: runs, Epoch: d.r.epoch, Owner: d.r.owner, Load: load})
+		for i, runs := range d.versions {
+			d.feed(MemberStatus{Member: i, PolledAt: d.now, IsServing: true, Version: runs, Epoch: d.rollout.epoch, Owner: d.rollout.owner, Load: load})
 		}
-		if d.r.Baking() {
-			d.feed(verdict(d.r.stage + 1))
+		if d.rollout.IsBaking() {
+			d.feed(verdict(d.rollout.stage + 1))
 		}
 		d.feed(Tick{})
 	}
-	return strings.Join(d.word, " ")
+	return strings.Join(d.words, " ")
 }
 
-func TestWays(t *testing.T) {
-	always := func(k Kind) func(int) Judged { return func(int) Judged { return Judged{k, "so it is"} } }
+func TestRolloutPaths(t *testing.T) {
+	always := func(k Verdict) func(int) StageJudged {
+		return func(int) StageJudged { return StageJudged{k, "so it is"} }
+	}
 	for name, tc := range map[string]struct {
 		change  func(*Plan)
 		load    float64
-		verdict func(int) Judged
+		verdict func(int) StageJudged
 		runs    string
 		want    string
 	}{
-		"all well":      {nil, 0.3, always(Pass), "", "watch +0 watch +1 watch +2 +3 done: 4 members changed"},
-		"worse":         {nil, 0.3, always(Worse), "", "watch +0 -0 taken back: stage 1 does worse: so it is"},
-		"no evidence":   {nil, 0.3, always(Wait), "", "watch +0 -0 taken back: stage 1 has shown too little in 20s, and no evidence is no pass: so it is"},
-		"unjudged":      {func(p *Plan) { p.Unjudged = true }, 0.3, always(NoEvidence), "", "watch +0 watch +1 watch +2 +3 done: 4 members changed"},
-		"controls":      {func(p *Plan) { p.Controls = true }, 0.3, always(Pass), "", "watch +0 ~1 watch +1 ~2 watch +2 +3 done: 4 members changed"},
-		"no room":       {nil, 0.95, always(Pass), "", "watch refused: the others had no room for a member's work for 20s; nothing was changed"},
-		"left so":       {func(p *Plan) { p.NoBack = true }, 0.3, always(Worse), "", "watch +0 stuck: stage 1 does worse: so it is; it is left so, as was wanted"},
-		"drift":         {nil, 0.3, always(Pass), "a,c,a,a", "refused: member 1 runs c, which is not what was checked; nothing was changed"},
-		"already":       {nil, 0.3, always(Pass), "b,b,b,b", "done: every member runs it already"},
-		"one at a time": {func(p *Plan) { p.AtOnce = 1 }, 0.3, always(Pass), "", "watch +0 watch +1 watch +2 +3 done: 4 members changed"},
-		"fails at half": {nil, 0.3, func(s int) Judged {
+		"all well":      {nil, 0.3, always(VerdictPass), "", "watch +0 watch +1 watch +2 +3 done: 4 members changed"},
+		"worse":         {nil, 0.3, always(VerdictWorse), "", "watch +0 -0 taken back: stage 1 does worse: so it is"},
+		"no evidence":   {nil, 0.3, always(VerdictWait), "", "watch +0 -0 taken back: stage 1 has shown too little in 20s, and no evidence is no pass: so it is"},
+		"unjudged":      {func(p *Plan) { p.ReadinessSuffices = true }, 0.3, always(VerdictNoEvidence), "", "watch +0 watch +1 watch +2 +3 done: 4 members changed"},
+		"controls":      {func(p *Plan) { p.HasControls = true }, 0.3, always(VerdictPass), "", "watch +0 ~1 watch +1 ~2 watch +2 +3 done: 4 members changed"},
+		"no room":       {nil, 0.95, always(VerdictPass), "", "watch refused: the others had no room for a member's work for 20s; nothing was changed"},
+		"left so":       {func(p *Plan) { p.DisableRollback = true }, 0.3, always(VerdictWorse), "", "watch +0 stuck: stage 1 does worse: so it is; it is left so, as was wanted"},
+		"drift":         {nil, 0.3, always(VerdictPass), "a,c,a,a", "refused: member 1 runs c, which is not what was checked; nothing was changed"},
+		"already":       {nil, 0.3, always(VerdictPass), "b,b,b,b", "done: every member runs it already"},
+		"one at a time": {func(p *Plan) { p.MaxUnavailable = 1 }, 0.3, always(VerdictPass), "", "watch +0 watch +1 watch +2 +3 done: 4 members changed"},
+		"fails at half": {nil, 0.3, func(s int) StageJudged {
 			if s == 3 {
-				return Judged{Worse, "late"}
+				return StageJudged{VerdictWorse, "late"}
 			}
-			return Judged{Kind: Pass}
+			return StageJudged{Verdict: VerdictPass}
 		}, "", "watch +0 watch +1 watch +2 +3 -2 -3 -1 -0 taken back: stage 3 does worse: late"},
 		"two phases": {func(p *Plan) {
 			for i := range p.Members {
-				p.Members[i].Gens = []string{"a", "b", "c"}
+				p.Members[i].Versions = []string{"a", "b", "c"}
 			}
-		}, 0.3, always(Pass), "", "watch +0 watch +1 watch +2 +3 watch +0 watch +1 watch +2 +3 done: 4 members changed"},
+		}, 0.3, always(VerdictPass), "", "watch +0 watch +1 watch +2 +3 watch +0 watch +1 watch +2 +3 done: 4 members changed"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := plan(4, 1, nil)
-			p.Bake, p.BakeMost, p.AtOnce = 3*time.Second, 20*time.Second, 2
+			p.MinBake, p.MaxBake, p.MaxUnavailable = 3*time.Second, 20*time.Second, 2
 			if tc.change != nil {
 				tc.change(&p)
 			}
@@ -227,9 +229,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			d := &rig{r: r, t: t, runs: strings.Split("a,a,a,a", ",")}
+			d := &harness{rollout: r, t: t, versions: strings.Split("a,a,a,a", ",")}
 			if tc.runs != "" {
-				d.runs = strings.Split(tc.runs, ",")
+				d.versions = strings.Split(tc.runs, ",")
 			}
 			if got := d.run(120, tc.load, tc.verdict); got != tc.want {
 				t.Errorf("%s\nnot\n%s", got, tc.want)
