--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -1,6 +1,9 @@
-// Package customer says whose request an ordinary one is: by which of its fields, what plan that
-// customer has, and how many that were never seen before are kept apart. It decides with the time
-// as an argument; only Book.Follow reads a file.
+// Package customer identifies the customer of a request of the Ordinary protocol by a header, a query
+// parameter, a cookie or the client's address, and looks up the customer's plan in a file. Customers that
+// the file does not name are limited in number; those beyond the limit share overflow buckets.
+//
+// Package front calls Directory.Identify for each request; package node loads and follows the file. The
+// current time is an argument of all decisions.
 package customer
 
 import (
@@ -13,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,16 +25,16 @@
 	"lockflow/internal/hopheaders"
 )
 
-// Anonymous is the customer of a request that names none.
+// Anonymous is the customer of a request that does not identify one.
 const Anonymous = "anonymous"
 
 const (
-	maxNameBytes    = 256         // bytes of a name; a longer one is hashed
-	unknownIdleTime = time.Minute // after which a stranger's place may go to another
-	overflowBuckets = 64          // customers that those share for whom there is no place
+	maxNameBytes    = 256         // a longer name is hashed
+	unknownIdleTime = time.Minute // after which the place of an unknown customer may go to another
+	overflowBuckets = 64          // that the unknown customers beyond the limit share
 )
 
-// Kind is where a request names its customer.
+// Kind is the part of a request that identifies its customer.
 type Kind int
 
 // The kinds.
@@ -38,125 +42,142 @@
 	Header Kind = iota
 	Query
 	Cookie
-	Address // of the client; of IPv6 the network of 64 bits
+	Address // of the client; for IPv6 its /64 network
 )
 
-// Identifier is one way to tell a request's customer.
+// ipv6CustomerBits is the length of the IPv6 prefix that counts as one customer.
+const ipv6CustomerBits = 64
+
+// Identifier is one way to identify the customer of a request.
 type Identifier struct {
 	Kind Kind
 	Name string // of the header, parameter or cookie
-	// IsSecret has a hash of the value be the customer's name, for values such as keys that must
-	// not be kept or shown.
+	// IsSecret uses a hash of the value as the customer's name, for values such as API keys that must
+	// not be stored or shown.
 	IsSecret bool
 }
 
-// nameOf is the name that a request gives by this way; "" is none.
-func (w Identifier) nameOf(r *http.Request, client func() netip.Addr) string {
-	v := ""
-	switch w.Kind {
+// nameOf returns the customer's name in a request; empty if it has none.
+func (i Identifier) nameOf(r *http.Request, clientAddr func() netip.Addr) string {
+	value := ""
+	switch i.Kind {
 	case Header:
-		v = r.Header.Get(w.Name)
+		value = r.Header.Get(i.Name)
 	case Query:
-		// A value that stands twice could be read as either by the server.
-		if strings.Contains(r.URL.RawQuery, w.Name) || strings.Contains(r.URL.RawQuery, "%") {
-			if q, err := url.ParseQuery(r.URL.RawQuery); err == nil && len(q[w.Name]) == 1 {
-				v = q[w.Name][0]
-			}
-		}
+		value = queryValue(r.URL.RawQuery, i.Name)
 	case Cookie:
-		if c, err := r.Cookie(w.Name); err == nil {
-			v = c.Value
+		if cookie, err := r.Cookie(i.Name); err == nil {
+			value = cookie.Value
 		}
 	case Address:
-		a := client()
-		if a.Is6() {
-			p, _ := a.Prefix(64)
-			return p.String()
-		}
-		return a.String()
+		return addressName(clientAddr())
+	}
+	if value != "" && (i.IsSecret || len(value) > maxNameBytes) {
+		return HashedName(value)
+	}
+	return value
+}
+
+// queryValue returns the value of a query parameter. It is empty if the parameter is given twice, because
+// the server could use either value.
+func queryValue(rawQuery, name string) string {
+	if !strings.Contains(rawQuery, name) && !strings.Contains(rawQuery, "%") {
+		return "" // the common case without parsing
+	}
+	query, err := url.ParseQuery(rawQuery)
+	if err != nil || len(query[name]) != 1 {
+		return ""
 	}
-	if v != "" && (w.IsSecret || len(v) > maxNameBytes) {
-		return HashedName(v)
+	return query[name][0]
+}
+
+// addressName returns the customer's name for an address.
+func addressName(addr netip.Addr) string {
+	if addr.Is6() {
+		prefix, _ := addr.Prefix(ipv6CustomerBits) // the length is valid for IPv6
+		return prefix.String()
 	}
-	return v
+	return addr.String()
 }
 
-// HashedName is the name of a customer whose value in a request must not be kept or shown.
+// HashedName returns the customer's name for a value that must not be stored or shown.
 func HashedName(value string) string {
 	sum := sha256.Sum256([]byte(value))
 	return "sha256:" + hex.EncodeToString(sum[:16])
 }
 
-// Options are how a service's customers are told.
+// Options configure how the customers of a service are identified.
 type Options struct {
-	Identifiers    []Identifier // the first that gives a name counts
-	File           string
-	DefaultPlan    string // of whoever the file does not name
-	MaxUnknown     int    // most that the file does not name and that are kept apart
+	Identifiers    []Identifier // tried in order; the first name counts
+	File           string       // that assigns plans to customers; empty for none
+	DefaultPlan    string       // of customers that the file does not name
+	MaxUnknown     int          // number of customers that are tracked without being in the file
 	TrustedProxies []netip.Prefix
 }
 
-// Directory tells requests' customers. It is safe for concurrent use.
+// Directory identifies the customers of requests. Identify and NameCount are safe for concurrent use; Load
+// and Follow must not be called by several goroutines at a time.
 type Directory struct {
 	Options
-	plans      planTable
-	loadedFile os.FileInfo // of the file that was loaded last
+	plans      atomic.Pointer[map[string]string] // by customer, as the file in force has them; nil before it is loaded
+	loadedFile os.FileInfo                       // of the last Load
 
 	mu      sync.Mutex
-	unknown *simplelru.LRU[string, time.Time] // when each was seen last
+	unknown *simplelru.LRU[string, time.Time] // when each was last seen; nil if MaxUnknown is 0
 }
 
-// New makes a book that has not read its file yet.
+// New returns a Directory that has not loaded its file yet.
 func New(o Options) *Directory {
-	b := &Directory{Options: o}
+	d := &Directory{Options: o}
 	if o.MaxUnknown > 0 {
-		b.unknown, _ = simplelru.NewLRU[string, time.Time](o.MaxUnknown, nil) // an error is a size of 0
+		d.unknown, _ = simplelru.NewLRU[string, time.Time](o.MaxUnknown, nil) // fails for a size of 0 only
 	}
-	return b
+	return d
 }
 
-// Identify is a request's customer and its plan.
-func (b *Directory) Identify(r *http.Request, now time.Time) (name, plan string) {
-	for _, w := range b.Identifiers {
-		if name = w.nameOf(r, func() netip.Addr { return b.clientAddr(r) }); name != "" {
+// Identify returns the customer of a request and the customer's plan.
+func (d *Directory) Identify(r *http.Request, now time.Time) (name, plan string) {
+	for _, identifier := range d.Identifiers {
+		if name = identifier.nameOf(r, func() netip.Addr { return d.clientAddr(r) }); name != "" {
 			break
 		}
 	}
 	if name == "" {
-		return Anonymous, b.DefaultPlan
+		return Anonymous, d.DefaultPlan
 	}
-	if plan, ok := b.plans.planOf(name); ok {
+	if plan, ok := d.planOf(name); ok {
 		return name, plan
 	}
-	return b.nameOfUnknown(name, now), b.DefaultPlan
+	return d.nameOfUnknown(name, now), d.DefaultPlan
 }
 
-func (b *Directory) clientAddr(r *http.Request) netip.Addr {
+// clientAddr returns the address of the client of a request, behind trusted proxies.
+func (d *Directory) clientAddr(r *http.Request) netip.Addr {
 	peer, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
 		return netip.IPv4Unspecified()
 	}
-	return hopheaders.ClientAddr(r.Header, peer.Addr(), b.TrustedProxies)
+	return hopheaders.ClientAddr(r.Header, peer.Addr(), d.TrustedProxies)
 }
 
-// nameOfUnknown is the customer that counts for a name that the file does not have: itself while there
-// is a place for it, else one that it shares. Guards against a flood of invented names that would
-// fill the memory of all that is kept for a customer.
-func (b *Directory) nameOfUnknown(name string, now time.Time) string {
-	if b.unknown == nil {
+// nameOfUnknown returns the customer that a name not in the file counts as: itself while there is a place for
+// it, else an overflow bucket. Otherwise a flood of invented names would exhaust the memory for customers.
+func (d *Directory) nameOfUnknown(name string, now time.Time) string {
+	if d.unknown == nil {
 		return overflowName(name)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if _, known := b.unknown.Get(name); !known && b.unknown.Len() >= b.MaxUnknown {
-		if _, seen, ok := b.unknown.GetOldest(); ok && now.Sub(seen) < unknownIdleTime {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.unknown.Get(name); !known && d.unknown.Len() >= d.MaxUnknown {
+		if _, seen, ok := d.unknown.GetOldest(); ok && now.Sub(seen) < unknownIdleTime {
 			return overflowName(name)
 		}
 	}
-	b.unknown.Add(name, now)
+	d.unknown.Add(name, now)
 	return name
 }
 
+// overflowName returns the overflow bucket of a name.
 func overflowName(name string) string {
 	return "crowd-" + strconv.FormatUint(xxhash.Sum64String(name)%overflowBuckets, 10)
 }
--- a/internal/customer/customer_test.go
+++ b/internal/customer/customer_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.plans.plans.Store(&names)
+	b.plans.Store(&names)
 	for _, tc := range []struct {
 		r          *http.Request
 		name, plan string
@@ -68,8 +68,8 @@
 	}
 }
 
-// However many names are invented, few are kept apart; those that were here stay, and places of the
-// idle go to others.
+// However many names are invented, only a limited number is tracked. Active customers keep their places, and
+// the places of idle ones go to others.
 func TestUnknownCustomersAreBounded(t *testing.T) {
 	b := New(Options{Identifiers: []Identifier{{Kind: Header, Name: "X-Name"}}, MaxUnknown: 1000})
 	now := time.Now()
