--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -13,7 +13,7 @@
 )
 
 // Commands are what a coordinator has a fleet member do once each, by id; the control socket and the stored
-// book call one an order. The book is saved before a command begins and after it has ended.
+// data call one an order. The member's desired state is saved before a command begins and after it has ended.
 
 // runningCommand is a command that has begun and not ended.
 type runningCommand struct {
@@ -136,7 +136,7 @@
 	return d.postAndWait(ctx, setDrainedRequest{isDrained, answer}, answer)
 }
 
-// checkOwnership returns an error where the book isn't this process's to change: from when a successor has been
+// checkOwnership returns an error where the desired state isn't this process's to change: from when a successor has been
 // sent the checkpoint, and in a successor until it takes over.
 func (d *daemon) checkOwnership() error {
 	if !d.checkpointer.ownsFile.Load() {
@@ -145,7 +145,7 @@
 	return nil
 }
 
-// beginCommand saves the book with the command begun in it and starts the command.
+// beginCommand saves the desired state with the command begun in it and starts the command.
 func (d *daemon) beginCommand(r commandRequest, next desiredstate.State) {
 	c := r.command
 	err := d.checkCommand(c.Operation)
@@ -162,12 +162,12 @@
 }
 
 // checkCommand returns why a command can't begin now, or at all.
-func (d *daemon) checkCommand(want desiredstate.Operation) error {
+func (d *daemon) checkCommand(operation desiredstate.Operation) error {
 	current := d.machine.State()
-	switch want.Kind {
+	switch operation.Kind {
 	case desiredstate.KindDrain:
 		if d.member.store.IsVolatile() {
-			return badError("process.state is not set: started again, it would serve")
+			return invalidError("process.state is not set: started again, it would serve")
 		}
 		if current == lifecycle.Draining || current == lifecycle.Ended {
 			return busyError("the daemon is %v", current)
@@ -177,8 +177,8 @@
 			return busyError("the daemon is %v", current)
 		}
 	case desiredstate.KindProgram:
-		if err := checkExecutable(want.Path); err != nil {
-			return badError(err.Error())
+		if err := checkExecutable(operation.Path); err != nil {
+			return invalidError(err.Error())
 		}
 		fallthrough
 	default:
@@ -190,19 +190,19 @@
 }
 
 // startCommand starts d.running.
-func (d *daemon) startCommand(want desiredstate.Operation) {
+func (d *daemon) startCommand(operation desiredstate.Operation) {
 	running := d.running
-	switch want.Kind {
+	switch operation.Kind {
 	case desiredstate.KindSettings:
 		inForce := d.cfg
 		d.goroutines.Go(func() {
-			isRolledBack, err := d.applySettings(inForce, want)
+			isRolledBack, err := d.applySettings(inForce, operation)
 			if !errors.Is(err, errEnded) { // else the next process recovers the command
 				d.post(commandFinished{running, err, isRolledBack})
 			}
 		})
 	case desiredstate.KindProgram, desiredstate.KindRestart:
-		d.startUpgradeCommand(running, want.Path)
+		d.startUpgradeCommand(running, operation.Path)
 	case desiredstate.KindDrain:
 		d.finishCommand(nil)
 		d.advance(lifecycle.StopRequested{Cause: "order " + running.id})
@@ -257,7 +257,7 @@
 	answerEach(running.waiters, outcomeError(outcome))
 }
 
-// takeOverDesiredState reads the predecessor's book, and the command that it has begun.
+// takeOverDesiredState reads the predecessor's desired state, and the command that it has begun.
 func (d *daemon) takeOverDesiredState() {
 	d.reloadDesiredState()
 	if running := d.member.desiredState.Running; running != nil {
@@ -265,14 +265,14 @@
 	}
 }
 
-// reloadDesiredState reads the book that another process may have written, and stores it also where the state
+// reloadDesiredState reads the desired state that another process may have written, and stores it also where the state
 // directory has changed.
 func (d *daemon) reloadDesiredState() {
 	d.member.load()
 	d.member.record(d.member.desiredState)
 }
 
-// recoverCommand ends the command that the book says is running where the process that ran it has ended: as
+// recoverCommand ends the command that the desired state says is running where the process that ran it has ended: as
 // succeeded where its effect is found, else as interrupted. A command to serve goes on.
 func (d *daemon) recoverCommand() {
 	m := d.member
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,7 +172,7 @@
 	filePrefixListener = "listen:"
 )
 
-// openFiles opens and locks the pid file, the state directory and the member's book, or takes the
+// openFiles opens and locks the pid file, the state directory and the member's desired state, or takes the
 // predecessor's.
 func (d *daemon) openFiles() error {
 	if err := d.openPIDFile(); err != nil {
--- a/internal/daemon/drained.go
+++ b/internal/daemon/drained.go
@@ -226,7 +226,7 @@
 		return false, nil
 	}
 	m := r.d.member
-	want := command.Operation
+	operation := command.Operation
 	next, step, outcome, err := m.desiredState.Accept(command)
 	switch {
 	case err != nil:
@@ -235,35 +235,35 @@
 		return true, outcomeError(outcome)
 	case step == desiredstate.StepWait:
 		return true, busyError("order %s is under way", command.ID)
-	case want.Kind == desiredstate.KindProgram || want.Kind == desiredstate.KindRestart:
-		return true, badError(errIsDrained.Error())
+	case operation.Kind == desiredstate.KindProgram || operation.Kind == desiredstate.KindRestart:
+		return true, invalidError(errIsDrained.Error())
 	}
 	if err := m.save(next); err != nil {
 		return true, err
 	}
-	slog.Info("command started while drained", "id", command.ID, "epoch", command.Epoch, "owner", command.Owner, "kind", want.Kind)
-	switch want.Kind {
+	slog.Info("command started while drained", "id", command.ID, "epoch", command.Epoch, "owner", command.Owner, "kind", operation.Kind)
+	switch operation.Kind {
 	case desiredstate.KindServe:
 		close(r.serveRequested)
 		return false, nil
 	case desiredstate.KindSettings:
-		err = r.replaceSettings(want)
+		err = r.replaceSettings(operation)
 	}
 	m.record(m.desiredState.Finish(err))
 	return true, outcomeError(m.desiredState.LastOutcome())
 }
 
 // replaceSettings replaces the configuration file, which is read when the daemon resumes.
-func (r *drainedDaemon) replaceSettings(want desiredstate.Operation) error {
+func (r *drainedDaemon) replaceSettings(operation desiredstate.Operation) error {
 	d := r.d
-	next, err := d.opts.ParseConfig([]byte(want.Text))
+	next, err := d.opts.ParseConfig([]byte(operation.Text))
 	if err != nil {
 		return err
 	}
 	if old := d.cfg.Process; old.State != next.Process.State || old.Control != next.Process.Control {
 		return fmt.Errorf("process.state and process.control can't change without a restart: %q, %q", next.Process.State, next.Process.Control)
 	}
-	if err := desiredstate.ReplaceFile(d.opts.ConfigPath, []byte(want.Text)); err != nil {
+	if err := desiredstate.ReplaceFile(d.opts.ConfigPath, []byte(operation.Text)); err != nil {
 		return fmt.Errorf("replacing the settings: %w", err)
 	}
 	d.cfg = next
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -17,11 +17,11 @@
 type member struct {
 	store        *desiredstate.File
 	desiredState desiredstate.State
-	isSaved      bool // the store has book as it is
+	isSaved      bool // the store has desiredState as it is
 	conditions   *degradedConditions
 }
 
-// openMember opens the book in a state directory (empty for none). inherited is the predecessor's file, which
+// openMember opens the desired state in a state directory (empty for none). inherited is the predecessor's file, which
 // is read at the take-over; nil where there is none.
 func openMember(directory string, inherited *os.File, conditions *degradedConditions) (*member, error) {
 	store, err := desiredstate.Open(directory, inherited)
@@ -35,7 +35,7 @@
 	return m, nil
 }
 
-// load reads the book. One that can't be read is lost: the member rejects every coordinator until a claim says
+// load reads the desired state. One that can't be read is lost: the member rejects every coordinator until a claim says
 // that it knows of the loss.
 func (m *member) load() {
 	loaded, err := m.store.Load()
@@ -53,7 +53,7 @@
 	}
 }
 
-// save replaces the book by next once next is stored; where that fails the book stays.
+// save replaces the desired state by next once next is stored; where that fails it stays as it was.
 func (m *member) save(next desiredstate.State) error {
 	if m.isSaved && reflect.DeepEqual(m.desiredState, next) {
 		return nil
@@ -69,8 +69,8 @@
 	return nil
 }
 
-// record replaces the book by next, which tells what has happened already, also where it can't be stored. A
-// process that then finds the earlier book goes by what it finds done.
+// record replaces the desired state by next, which tells what has happened already, also where it can't be stored. A
+// process that finds the earlier one then recovers by what it observes.
 func (m *member) record(next desiredstate.State) {
 	if err := m.save(next); err != nil {
 		slog.Error("command outcome not saved", "err", err)
@@ -103,7 +103,7 @@
 	return m.save(m.desiredState.SetDrained(isDrained))
 }
 
-// addStatus fills in the status's part of the book.
+// addStatus fills in what the status shows of the member.
 func (m *member) addStatus(s *manage.Status) {
 	s.Epoch, s.Owner, s.LostToken, s.IsVolatile = m.desiredState.Epoch, m.desiredState.Owner, m.desiredState.LossToken, m.store.IsVolatile()
 	s.LastCommand, s.DesiredState = m.desiredState.LastOutcome(), m.desiredState.Target
@@ -125,7 +125,7 @@
 	return &desiredstate.RejectedError{Code: desiredstate.CodeBusy, Text: fmt.Sprintf(format, args...) + ": ask again"}
 }
 
-// badError returns a rejection that a retry can't change.
-func badError(text string) error {
+// invalidError returns a rejection that a retry can't change.
+func invalidError(text string) error {
 	return &desiredstate.RejectedError{Code: desiredstate.CodeInvalid, Text: text}
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -14,8 +14,8 @@
 
 // applySettings replaces the configuration file by a command's and reloads it; inForce is the configuration
 // until then. On an error the file is as it was; isRolledBack tells that it was another one meanwhile.
-func (d *daemon) applySettings(inForce config.Config, want desiredstate.Operation) (isRolledBack bool, err error) {
-	text := []byte(want.Text)
+func (d *daemon) applySettings(inForce config.Config, operation desiredstate.Operation) (isRolledBack bool, err error) {
+	text := []byte(operation.Text)
 	next, err := d.opts.ParseConfig(text)
 	if err != nil {
 		return false, err
@@ -33,7 +33,7 @@
 	if err := desiredstate.ReplaceFile(d.opts.ConfigPath, text); err != nil {
 		return false, fmt.Errorf("replacing the settings: %w", err)
 	}
-	if inForce.Hash == want.Hash {
+	if inForce.Hash == operation.Hash {
 		return false, nil // the file alone was another one
 	}
 	answer := make(chan error, 1)
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -70,7 +70,7 @@
 	}()
 }
 
-// startSuccessor starts a program with copies of this process's listeners, locks and book.
+// startSuccessor starts a program with copies of this process's listeners, locks and desired state.
 func (d *daemon) startSuccessor(program string) (*successor, error) {
 	listeners, err := d.node.ListenerFiles()
 	if err != nil {
--- a/internal/manage/status.go
+++ b/internal/manage/status.go
@@ -7,7 +7,7 @@
 //	POST /v1/drain             {"keep": true}; answers at once; with keep it doesn't serve again until serve
 //	POST /v1/serve             undoes a drain with keep; answers once that is stored
 //	POST /v1/claim             desiredstate.Claim: which coordinator's commands are accepted
-//	POST /v1/order             desiredstate.Order, a command; answers with its outcome
+//	POST /v1/order             desiredstate.Command; answers with its outcome
 //
 // Package daemon serves it (Server) for its Daemon; commands, fleet coordinators and trials call it (Client). Both
 // are safe for concurrent use.
