--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -65,7 +65,7 @@
 	settings.UnitsInResponse = true
 	gateway := newTestGateway(t, settings, activeEndpoints(1)...)
 	gateway.request("a", "job", "low", "x")
-	account := gateway.c.accountFor(gateway.c.plans[0], "x", 2)
+	account := gateway.controller.accountFor(gateway.controller.plans[0], "x", 2)
 	before := account.quota.tokens
 	gateway.handle(AttemptResult{ID: "a", Server: 1, Reason: OK, IsFinal: true, ActualUnits: 4})
 	if got := before - account.quota.tokens; math.Abs(got-3) > 1e-9 {
@@ -96,7 +96,7 @@
 		gateway.respond(id, OK, 0)
 	}
 	kept := make(map[string]int)
-	for _, account := range gateway.c.accounts {
+	for _, account := range gateway.controller.accounts {
 		kept[account.plan.Name]++
 	}
 	if kept["low"] > 2 || kept["slow"] != 100 || kept["capped"] != 100 {
@@ -110,8 +110,8 @@
 	for i, units := range []float64{0.1, 0.2, 0.3} {
 		gateway.handle(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "x", Timeout: 5 * time.Second, Units: units, FanOut: 2})
 	}
-	if gateway.advance(2 * maxAccountIdleTime); len(gateway.c.accounts) > 0 || len(gateway.finalAnswers) != 3 {
-		t.Errorf("%d customers remembered, %d requests answered", len(gateway.c.accounts), len(gateway.finalAnswers))
+	if gateway.advance(2 * maxAccountIdleTime); len(gateway.controller.accounts) > 0 || len(gateway.finalAnswers) != 3 {
+		t.Errorf("%d customers remembered, %d requests answered", len(gateway.controller.accounts), len(gateway.finalAnswers))
 	}
 }
 
@@ -121,7 +121,7 @@
 	settings.Classes = append(settings.Classes, Class{Name: "cheap", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 0.2})
 	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 1, 10
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2)...)
-	gateway.c.accountFor(gateway.c.plans[0], "x", 2).quota.tokens = 4
+	gateway.controller.accountFor(gateway.controller.plans[0], "x", 2).quota.tokens = 4
 	gateway.request("cheap", "cheap", "low", "x")
 	gateway.request("dear", "job", "low", "x")
 	if gateway.finalAnswers["cheap"] == nil || gateway.finalAnswers["dear"] != nil {
@@ -132,18 +132,18 @@
 // Guards against a gateway that has just started and refuses by chance for its first quarter of a
 // minute, though it has been told each period and the store is well filled.
 func TestFilledBucketAdmitsFromTheFirstReadings(t *testing.T) {
-	for _, k := range []struct {
+	for _, tc := range []struct {
 		gap, life time.Duration // between readings, and since the start
 		want      bool
 	}{{time.Second, 5 * time.Second, true}, {time.Second, time.Minute, true}, {4 * time.Second, 40 * time.Second, false}} {
 		settings := testSettings()
 		settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 2, 8
 		gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4)...)
-		gateway.serve(k.life, k.gap, 151, func(i int) { // half as much again as its rate, for a while
+		gateway.serve(tc.life, tc.gap, 151, func(i int) { // half as much again as its rate, for a while
 			gateway.handle(Request{ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", Timeout: 3 * time.Second, Units: 1, FanOut: 4})
 		})
-		if got := gateway.c.accounts["low c"].demand.isWellMetered(gateway.c.now, gateway.c.fillingSince); got != k.want {
-			t.Errorf("a reading each %v for %v: covered %v", k.gap, k.life, got)
+		if got := gateway.controller.accounts["low c"].demand.isWellMetered(gateway.controller.now, gateway.controller.fillingSince); got != tc.want {
+			t.Errorf("a reading each %v for %v: covered %v", tc.gap, tc.life, got)
 		}
 	}
 }
@@ -152,25 +152,25 @@
 func TestStallDoesNotMakeFirstAttemptsLate(t *testing.T) {
 	settings := testSettings()
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2)...)
-	class := &gateway.c.settings.Classes[0]
+	class := &gateway.controller.settings.Classes[0]
 	for i := 0; i < 3; i++ {
-		if w := gateway.c.clientWait(Request{Timeout: 3 * time.Second}, class); w != 0 {
+		if w := gateway.controller.clientWait(Request{Timeout: 3 * time.Second}, class); w != 0 {
 			t.Fatalf("a first try has waited %v", w)
 		}
 	}
-	gateway.c.clockAdvance = 1500 * ms
-	if w := gateway.c.clientWait(Request{Timeout: 2 * time.Second}, class); w != time.Second {
+	gateway.controller.clockAdvance = 1500 * ms
+	if w := gateway.controller.clientWait(Request{Timeout: 2 * time.Second}, class); w != time.Second {
 		t.Errorf("a first try that lay for 1 s through a stall has waited %v", w)
 	}
-	gateway.c.clockAdvance = 4 * ms
-	if w := gateway.c.clientWait(Request{Timeout: 2 * time.Second}, class); w != 4*time.Second {
+	gateway.controller.clockAdvance = 4 * ms
+	if w := gateway.controller.clientWait(Request{Timeout: 2 * time.Second}, class); w != 4*time.Second {
 		t.Errorf("a later try with 2 s of 6 s left has waited %v", w)
 	}
-	if w := gateway.c.clientWait(Request{Timeout: 5 * time.Second}, class); w != time.Second {
+	if w := gateway.controller.clientWait(Request{Timeout: 5 * time.Second}, class); w != time.Second {
 		t.Errorf("a last try, with all the rest of the time, has waited %v", w)
 	}
-	gateway.c.settings.RetriesAreMarked = true
-	if w := gateway.c.clientWait(Request{Timeout: 5 * time.Second}, class); w != 0 {
+	gateway.controller.settings.RetriesAreMarked = true
+	if w := gateway.controller.clientWait(Request{Timeout: 5 * time.Second}, class); w != 0 {
 		t.Errorf("a try without the mark of a later one has waited %v", w)
 	}
 }
@@ -227,11 +227,11 @@
 		gateway.advance(2 * time.Second)
 		cold := Endpoint{Server: 3, Zone: "z1", HasStartedAt: true, StartedAt: gateway.now - time.Second}
 		gateway.handle(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{cold, {Server: 1, State: Gone}, {Server: 2, State: Gone}}})
-		srv := gateway.c.servers[3]
+		srv := gateway.controller.servers[3]
 		srv.slowStart.tokens = 0
 		plan = "open"
 		ask("odd again", units)
-		return shared{gateway.c.fleet.requestUnits.mean, gateway.c.window.servedUnits + gateway.c.fleet.warmThroughput.mean, srv.slowStart.tokens}
+		return shared{gateway.controller.fleet.requestUnits.mean, gateway.controller.window.servedUnits + gateway.controller.fleet.warmThroughput.mean, srv.slowStart.tokens}
 	}
 	for name, refused := range map[string]bool{"sent": false, "refused": true} {
 		// Of 30 the store of the second plan can't hold half.
--- a/control/attempts_test.go
+++ b/control/attempts_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestRetriesFollowIdempotency(t *testing.T) {
-	for _, k := range []struct {
+	for _, tc := range []struct {
 		name  string
 		class Class
 		why   Reason
@@ -24,17 +24,17 @@
 		{"keyed by all, too late", Class{Idempotency: IdempotencyKeyed, RepeatWindow: ms}, ResetByPeer, false, "control.Reject"},
 	} {
 		settings := testSettings()
-		k.class.Name, k.class.LatencyObjective, k.class.Deadline = "job", 2*time.Second, 6*time.Second
-		settings.Classes = []Class{k.class}
+		tc.class.Name, tc.class.LatencyObjective, tc.class.Deadline = "job", 2*time.Second, 6*time.Second
+		settings.Classes = []Class{tc.class}
 		gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4)...)
 		gateway.request("a", "job", "low", "x")
 		gateway.now += 10 * ms
-		gateway.respond("a", k.why, 0)
-		if again := gateway.attempts["a"] == 2; again != k.again {
-			t.Errorf("%s: sent %d times", k.name, gateway.attempts["a"])
+		gateway.respond("a", tc.why, 0)
+		if again := gateway.attempts["a"] == 2; again != tc.again {
+			t.Errorf("%s: sent %d times", tc.name, gateway.attempts["a"])
 		}
-		if got := fmt.Sprintf("%T", gateway.finalAnswers["a"]); k.end != "" && got != k.end {
-			t.Errorf("%s: ended with %s", k.name, got)
+		if got := fmt.Sprintf("%T", gateway.finalAnswers["a"]); tc.end != "" && got != tc.end {
+			t.Errorf("%s: ended with %s", tc.name, got)
 		}
 	}
 }
@@ -152,16 +152,16 @@
 					class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "job", 2*time.Second, 6*time.Second, 1
 					settings.Classes = []Class{class}
 					settings.Plans = []Plan{{Name: "high", Price: 1, QuotaRate: 10, QuotaBurst: 10, HardLimitRate: 10, HardLimitBurst: 10, HardLimitSlack: 10, MaxInFlight: 4}}
-					m := activeEndpoints(1)
+					endpoints := activeEndpoints(1)
 					gateway := newTestGateway(t, settings)
 					if cold {
-						m[0].HasStartedAt, m[0].StartedAt = true, gateway.now-time.Second
+						endpoints[0].HasStartedAt, endpoints[0].StartedAt = true, gateway.now-time.Second
 					}
-					gateway.handle(EndpointList{Kind: ListComplete, Endpoints: m})
-					c, srv := gateway.c, gateway.c.servers[1]
+					gateway.handle(EndpointList{Kind: ListComplete, Endpoints: endpoints})
+					controller, srv := gateway.controller, gateway.controller.servers[1]
 					srv.slowStart.tokens = 0.125
-					c.limiter.limit, c.fleet.latency.count = 0.5, 1 // a place that rests after each use
-					account := c.accountFor(c.plans[0], "c", 2)
+					controller.limiter.limit, controller.fleet.latency.count = 0.5, 1 // a place that rests after each use
+					account := controller.accountFor(controller.plans[0], "c", 2)
 					account.inFlight.limit = 0.5 // likewise
 					srv.outlier.consecutiveFailures = ejectionFailures
 					type books struct {
@@ -171,10 +171,10 @@
 						probing                                      bool
 					}
 					look := func() books {
-						b := c.currentBin() + 1
+						bin := controller.currentBin() + 1
 						return books{
-							account.quota.tokens, account.hardLimit.tokens, srv.slowStart.tokens, account.history.sent.periodSum(b), account.history.charged.periodSum(b), account.queuedUnits, account.inFlight.current, srv.inFlight, c.slots.inFlight,
-							c.limiter.fractionalSlotFreeAt, account.inFlight.nextAttemptAt, srv.outlier.isProbing,
+							account.quota.tokens, account.hardLimit.tokens, srv.slowStart.tokens, account.history.sent.periodSum(bin), account.history.charged.periodSum(bin), account.queuedUnits, account.inFlight.current, srv.inFlight, controller.slots.inFlight,
+							controller.limiter.fractionalSlotFreeAt, account.inFlight.nextAttemptAt, srv.outlier.isProbing,
 						}
 					}
 					before := look()
@@ -207,10 +207,10 @@
 // Guards against a keyed retry that waits in the queue when it can't be forwarded any more: it is answered as its
 // repeat window ends, well before its client's time.
 func TestWaitingRetryIsAnsweredAtTheEndOfItsWindow(t *testing.T) {
-	s := testSettings()
-	class := &s.Classes[0]
+	settings := testSettings()
+	class := &settings.Classes[0]
 	class.Idempotency, class.KeyScope, class.RepeatWindow = IdempotencyKeyed, ScopeCell, time.Second
-	gateway := newTestGateway(t, s, activeEndpoints(1)...)
+	gateway := newTestGateway(t, settings, activeEndpoints(1)...)
 	gateway.request("a", "job", "low", "x")
 	gateway.advance(100 * ms)
 	gateway.handle(EndpointList{Kind: ListComplete})
--- a/control/concurrency_limit_test.go
+++ b/control/concurrency_limit_test.go
@@ -14,32 +14,32 @@
 	if len(gateway.sends) != 6 {
 		t.Fatalf("%d in flight with three servers at start", len(gateway.sends))
 	}
-	gateway.c.limiter.limit = 40
+	gateway.controller.limiter.limit = 40
 	for i := 0; i < 10; i++ { // time-outs and refusals, many in each interval
-		gateway.c.window.overloads, gateway.c.window.answers = 5, 5
-		before := gateway.c.limiter.limit
-		gateway.c.endWindow(1)
-		if gateway.c.limiter.limit < before/2 {
-			t.Errorf("the bound went from %g to %g in one interval", before, gateway.c.limiter.limit)
+		gateway.controller.window.overloads, gateway.controller.window.answers = 5, 5
+		before := gateway.controller.limiter.limit
+		gateway.controller.endWindow(1)
+		if gateway.controller.limiter.limit < before/2 {
+			t.Errorf("the bound went from %g to %g in one interval", before, gateway.controller.limiter.limit)
 		}
 	}
-	if gateway.c.limiter.limit != 3 {
-		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", gateway.c.limiter.limit)
+	if gateway.controller.limiter.limit != 3 {
+		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", gateway.controller.limiter.limit)
 	}
 }
 
 // Guards against a few long requests that pin the bound to its floor.
 func TestOneTimeoutDoesNotCutTheConcurrencyLimit(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
-	gateway.c.limiter.limit, gateway.c.window.overloads, gateway.c.window.answers = 40, 1, 99
-	gateway.c.endWindow(1)
-	if gateway.c.limiter.limit < 40 {
-		t.Errorf("bound %g after one time-out in a hundred answers", gateway.c.limiter.limit)
+	gateway.controller.limiter.limit, gateway.controller.window.overloads, gateway.controller.window.answers = 40, 1, 99
+	gateway.controller.endWindow(1)
+	if gateway.controller.limiter.limit < 40 {
+		t.Errorf("bound %g after one time-out in a hundred answers", gateway.controller.limiter.limit)
 	}
-	gateway.c.window.overloads, gateway.c.window.answers = 30, 70
-	gateway.c.endWindow(1)
-	if gateway.c.limiter.limit != 20 {
-		t.Errorf("bound %g after thirty in a hundred", gateway.c.limiter.limit)
+	gateway.controller.window.overloads, gateway.controller.window.answers = 30, 70
+	gateway.controller.endWindow(1)
+	if gateway.controller.limiter.limit != 20 {
+		t.Errorf("bound %g after thirty in a hundred", gateway.controller.limiter.limit)
 	}
 }
 
@@ -59,7 +59,7 @@
 // Guards against bounds below one that stop the work: a place is used, then rests.
 func TestFractionalSlotPausesAndFlows(t *testing.T) {
 	gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1)...)
-	gateway.c.limiter.limit, gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.25, 0.1, 0.1, 100
+	gateway.controller.limiter.limit, gateway.controller.fleet.latency.mean, gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 0.25, 0.1, 0.1, 100
 	gateway.request("a", "job", "high", "x")
 	gateway.request("b", "job", "high", "y")
 	if len(gateway.sends) != 1 {
@@ -102,13 +102,13 @@
 		why := []Reason{OK, TimedOut, ResetByPeer}[i%3]
 		gateway.handle(AttemptResult{ID: send.ID, Server: send.Server, Reason: why, IsFinal: why == OK, Delay: 10 * time.Second})
 	}
-	if gateway.c.slots.streaming != 0 || gateway.c.slots.inFlight != 1 {
-		t.Errorf("%d streams, %d in flight", gateway.c.slots.streaming, gateway.c.slots.inFlight)
+	if gateway.controller.slots.streaming != 0 || gateway.controller.slots.inFlight != 1 {
+		t.Errorf("%d streams, %d in flight", gateway.controller.slots.streaming, gateway.controller.slots.inFlight)
 	}
-	if gateway.c.fleet.latency.mean >= settings.Classes[0].LatencyObjective.Seconds() {
-		t.Errorf("the fleet is taken to need %g s", gateway.c.fleet.latency.mean)
+	if gateway.controller.fleet.latency.mean >= settings.Classes[0].LatencyObjective.Seconds() {
+		t.Errorf("the fleet is taken to need %g s", gateway.controller.fleet.latency.mean)
 	}
-	for _, srv := range gateway.c.sortedServers {
+	for _, srv := range gateway.controller.sortedServers {
 		if srv.latency.seconds > 1 {
 			t.Errorf("server %d is taken to need %g s", srv.Server, srv.latency.seconds)
 		}
@@ -123,22 +123,22 @@
 		gateway.now += 20 * ms
 		gateway.respond(fmt.Sprint(i), OK, 0)
 	}
-	gateway.c.endWindow(1)
-	if gateway.c.limiter.idleLatency < 0.015 || gateway.c.limiter.idleLatency > 0.03 {
-		t.Errorf("idle time %g s after answers within 20 ms", gateway.c.limiter.idleLatency)
+	gateway.controller.endWindow(1)
+	if gateway.controller.limiter.idleLatency < 0.015 || gateway.controller.limiter.idleLatency > 0.03 {
+		t.Errorf("idle time %g s after answers within 20 ms", gateway.controller.limiter.idleLatency)
 	}
 }
 
 // Guards against a second cut of the bound for answers to sends from before the first.
 func TestConcurrencyLimitIsCutOncePerLatency(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
-	gateway.c.limiter.limit, gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 80, 1.2, 0.1, 100
+	gateway.controller.limiter.limit, gateway.controller.fleet.latency.mean, gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 80, 1.2, 0.1, 100
 	for i, want := range []float64{40, 40, 40, 20} {
-		gateway.c.window.latencyCount, gateway.c.window.answers, gateway.c.window.latencyRatioSum, gateway.c.window.latencySecondsSum = 10, 10, 7, 14
-		gateway.c.now = gateway.now + time.Duration(i)*time.Second
-		gateway.c.endWindow(1)
-		if gateway.c.limiter.limit != want {
-			t.Errorf("bound %g after %d late seconds, want %g", gateway.c.limiter.limit, i+1, want)
+		gateway.controller.window.latencyCount, gateway.controller.window.answers, gateway.controller.window.latencyRatioSum, gateway.controller.window.latencySecondsSum = 10, 10, 7, 14
+		gateway.controller.now = gateway.now + time.Duration(i)*time.Second
+		gateway.controller.endWindow(1)
+		if gateway.controller.limiter.limit != want {
+			t.Errorf("bound %g after %d late seconds, want %g", gateway.controller.limiter.limit, i+1, want)
 		}
 	}
 }
@@ -148,8 +148,8 @@
 func TestManyLateAnswersCutTheConcurrencyLimit(t *testing.T) {
 	settings := testSettings()
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4)...)
-	gateway.c.limiter.limit = 200
-	gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.1, 100
+	gateway.controller.limiter.limit = 200
+	gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 0.1, 100
 	n := 0
 	for range 3 {
 		var ids []string
@@ -174,20 +174,20 @@
 		}
 		gateway.advance(time.Second)
 	}
-	if gateway.c.ConcurrencyLimit() >= 200 {
-		t.Errorf("the bound is %g after 200 answers that took 1.5 s of an aim of 2 s", gateway.c.ConcurrencyLimit())
+	if gateway.controller.ConcurrencyLimit() >= 200 {
+		t.Errorf("the bound is %g after 200 answers that took 1.5 s of an aim of 2 s", gateway.controller.ConcurrencyLimit())
 	}
 }
 
 // Guards against a bound that falls for a few answers that took long, while the servers tell that
 // they have room; where they tell that they have none, it falls.
 func TestConcurrencyLimitIsCutOnlyIfServersAreFull(t *testing.T) {
-	for _, k := range []struct {
+	for _, tc := range []struct {
 		util float64
 		cut  bool
 	}{{0.5, false}, {1, true}} {
 		gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8)...)
-		first := gateway.c.ConcurrencyLimit()
+		first := gateway.controller.ConcurrencyLimit()
 		for i := range 40 {
 			id := fmt.Sprint(i)
 			gateway.request(id, "job", "high", fmt.Sprint("x", i))
@@ -195,13 +195,13 @@
 			if n := len(gateway.sends); gateway.attempts[id] > 0 {
 				gateway.handle(AttemptResult{
 					ID: id, Server: gateway.sends[n-1].Server, Reason: OK, IsFinal: true,
-					Load: loadReport(1200, k.util),
+					Load: loadReport(1200, tc.util),
 				})
 				gateway.finalAnswers[id] = Reject{ID: id}
 			}
 		}
-		if cut := gateway.c.ConcurrencyLimit() < first; cut != k.cut {
-			t.Errorf("servers at %.1f: the bound went from %.2f to %.2f", k.util, first, gateway.c.ConcurrencyLimit())
+		if cut := gateway.controller.ConcurrencyLimit() < first; cut != tc.cut {
+			t.Errorf("servers at %.1f: the bound went from %.2f to %.2f", tc.util, first, gateway.controller.ConcurrencyLimit())
 		}
 	}
 }
--- a/control/endpoint_choice_test.go
+++ b/control/endpoint_choice_test.go
@@ -41,15 +41,15 @@
 
 // Guards against gateways that each learn anew, by a request every few seconds, which servers are slow.
 func TestServerThatReportsHighLatencyIsChosenLess(t *testing.T) {
-	c := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
-	c.load = func(s uint32) *LoadReport {
-		if s == 1 {
+	group := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
+	group.load = func(id uint32) *LoadReport {
+		if id == 1 {
 			return loadReport(2000, 0.7)
 		}
 		return loadReport(300, 0.7)
 	}
-	c.serve(50)
-	if part := float64(c.sent[1]) * 8 / (40 * 50); part > 0.3 {
+	group.serve(50)
+	if part := float64(group.sent[1]) * 8 / (40 * 50); part > 0.3 {
 		t.Errorf("it is sent %.2f of an even part", part)
 	}
 }
@@ -57,15 +57,15 @@
 // Guards against many gateways that find a server the fastest because its mean time, which it tells,
 // begins at nothing.
 func TestServerWithZeroReportedLatencyDoesNotAttractAll(t *testing.T) {
-	c := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
-	c.load = func(s uint32) *LoadReport {
-		if s == 1 {
+	group := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
+	group.load = func(id uint32) *LoadReport {
+		if id == 1 {
 			return loadReport(1, 0.7)
 		}
 		return loadReport(400, 0.7)
 	}
-	c.serve(50)
-	if part := float64(c.sent[1]) * 8 / (40 * 50); part > 2 {
+	group.serve(50)
+	if part := float64(group.sent[1]) * 8 / (40 * 50); part > 2 {
 		t.Errorf("it is sent %.1f times its part", part)
 	}
 }
@@ -73,18 +73,18 @@
 // Guards against a gateway that goes on asking the busiest server: of those it knows, one with
 // room is chosen first.
 func TestBusyServerIsChosenLess(t *testing.T) {
-	c := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
-	c.load = func(s uint32) *LoadReport {
+	group := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
+	group.load = func(id uint32) *LoadReport {
 		report := loadReport(300, 0.5)
-		if s <= 4 {
+		if id <= 4 {
 			report.Utilization = 1
 		}
 		return report
 	}
-	c.serve(50)
+	group.serve(50)
 	full, room := 0, 0
-	for s, n := range c.sent {
-		if s <= 4 {
+	for id, n := range group.sent {
+		if id <= 4 {
 			full += n
 		} else {
 			room += n
--- a/control/endpoints_test.go
+++ b/control/endpoints_test.go
@@ -12,7 +12,7 @@
 	gateway := newTestGateway(t, settings, activeEndpoints(1)...)
 	follows := func() (n int) {
 		for _, action := range gateway.actions {
-			if f, ok := action.(WatchEndpoints); ok && f.Active {
+			if watch, ok := action.(WatchEndpoints); ok && watch.Active {
 				n++
 			}
 		}
--- a/control/extreme_settings_test.go
+++ b/control/extreme_settings_test.go
@@ -40,8 +40,8 @@
 // strayEvent is an event that refers to what is not there, or comes twice or too late.
 func (w *world) strayEvent() Event {
 	id := fmt.Sprint("r", w.rng.IntN(w.lastID+2))
-	for _, f := range w.inFlight { // not of what is out, which has its own end
-		if f.id == id {
+	for _, attempt := range w.inFlight { // not of what is out, which has its own end
+		if attempt.id == id {
 			return ClientGone{ID: "unknown"}
 		}
 	}
@@ -82,16 +82,16 @@
 	class, plan := w.set.Classes[w.rng.IntN(len(w.set.Classes))], w.set.Plans[w.rng.IntN(len(w.set.Plans))]
 	w.lastID++
 	id := fmt.Sprint("r", w.lastID)
-	r := &openRequest{
+	request := &openRequest{
 		class: class, plan: plan.Name, customer: fmt.Sprint("k", w.rng.IntN(5)), units: []float64{0, 0.1, 1, 4}[w.rng.IntN(4)],
 		end: w.now + 1 + time.Duration(w.rng.Float64()*float64(class.Deadline)),
 	}
 	event := Request{
-		ID: id, Class: class.Name, Plan: plan.Name, Customer: r.customer, Timeout: r.end - w.now, Units: r.units,
+		ID: id, Class: class.Name, Plan: plan.Name, Customer: request.customer, Timeout: request.end - w.now, Units: request.units,
 		FanOut: 1 + w.rng.IntN(w.set.GroupSize), IsRetry: w.rng.IntN(5) == 0, HasPendingBody: w.rng.IntN(10) == 0,
 		IsOverCapacity: w.rng.IntN(30) == 0, IsOverHardLimit: w.rng.IntN(30) == 0,
 	}
-	w.requests[id] = r
+	w.requests[id] = request
 	w.handle(event)
 	if w.rng.IntN(20) == 0 && w.requests[id] != nil {
 		w.handle(event) // again, while it is held
@@ -106,18 +106,18 @@
 	}
 	for i := 0; i < len(w.due); i++ {
 		if w.due[i] <= w.now {
-			e := w.timers[i]
+			timer := w.timers[i]
 			w.timers, w.due = append(w.timers[:i], w.timers[i+1:]...), append(w.due[:i], w.due[i+1:]...)
-			w.handle(e)
+			w.handle(timer)
 			i = -1
 		}
 	}
 	for i := 0; i < len(w.inFlight); i++ {
-		if f := w.inFlight[i]; w.now >= f.timesOutAt {
+		if attempt := w.inFlight[i]; w.now >= attempt.timesOutAt {
 			w.outcome(i)
 			i = -1
-		} else if r := w.requests[f.id]; r != nil && w.rng.IntN(60) == 0 {
-			w.handle(ResponseStarted{ID: f.id, Attempt: f.number, Server: f.server, Delay: w.now - f.sentAt})
+		} else if request := w.requests[attempt.id]; request != nil && w.rng.IntN(60) == 0 {
+			w.handle(ResponseStarted{ID: attempt.id, Attempt: attempt.number, Server: attempt.server, Delay: w.now - attempt.sentAt})
 		}
 	}
 	switch k := w.rng.IntN(100); {
@@ -135,9 +135,9 @@
 			w.handle(ClientGone{ID: id})
 		}
 	}
-	for id, r := range w.requests {
-		if w.now > r.end+16*ms {
-			w.t.Fatalf("%s has no answer %v after its end", id, w.now-r.end)
+	for id, request := range w.requests {
+		if w.now > request.end+16*ms {
+			w.t.Fatalf("%s has no answer %v after its end", id, w.now-request.end)
 		}
 	}
 }
@@ -153,7 +153,7 @@
 		}
 		w.set.CanCancel, w.set.HealthChecks = false, false
 		var err error
-		if w.c, err = New(w.set, seed); err != nil {
+		if w.controller, err = New(w.set, seed); err != nil {
 			t.Fatal(err)
 		}
 		if w.set.MaxAttempts == 0 { // no limit; world holds to one
@@ -167,28 +167,28 @@
 				break
 			}
 		}
-		c := w.c
-		if n := len(c.requests) + len(c.requestsByTimer) + len(c.attempts) + c.slots.inFlight + c.slots.streaming; n != 0 || len(w.inFlight)+len(w.requests) != 0 {
-			t.Fatalf("seed %d: %d requests, %d labels, %d attempts, %d in flight, %d streams are left", seed, len(c.requests), len(c.requestsByTimer),
-				len(c.attempts), c.slots.inFlight, c.slots.streaming)
+		controller := w.controller
+		if n := len(controller.requests) + len(controller.requestsByTimer) + len(controller.attempts) + controller.slots.inFlight + controller.slots.streaming; n != 0 || len(w.inFlight)+len(w.requests) != 0 {
+			t.Fatalf("seed %d: %d requests, %d labels, %d attempts, %d in flight, %d streams are left", seed, len(controller.requests), len(controller.requestsByTimer),
+				len(controller.attempts), controller.slots.inFlight, controller.slots.streaming)
 		}
-		for _, plan := range c.plans {
+		for _, plan := range controller.plans {
 			if len(plan.queue) > 0 {
 				t.Fatalf("seed %d: %d wait in the queue of %s", seed, len(plan.queue), plan.Name)
 			}
 		}
-		for key, account := range c.accounts {
+		for key, account := range controller.accounts {
 			if !account.isIdle() || math.IsNaN(account.quota.tokens+account.hardLimit.tokens+account.inFlight.rejectionProbability+account.inFlight.limit) {
 				t.Fatalf("seed %d: customer %s has %d open, %g queued, %g and %g left", seed, key, account.inFlight.current, account.queuedUnits, account.quota.tokens, account.hardLimit.tokens)
 			}
 		}
-		for _, srv := range c.sortedServers {
+		for _, srv := range controller.sortedServers {
 			if srv.inFlight != 0 || srv.abandoned < 0 {
 				t.Fatalf("seed %d: server %d has %d in flight, %d ghosts", seed, srv.Server, srv.inFlight, srv.abandoned)
 			}
 		}
-		if math.IsNaN(c.limiter.limit+c.fleet.latency.mean+c.retryBudget) || c.limiter.limit < 0 {
-			t.Fatalf("seed %d: a bound of %g, latency %g", seed, c.limiter.limit, c.fleet.latency.mean)
+		if math.IsNaN(controller.limiter.limit+controller.fleet.latency.mean+controller.retryBudget) || controller.limiter.limit < 0 {
+			t.Fatalf("seed %d: a bound of %g, latency %g", seed, controller.limiter.limit, controller.fleet.latency.mean)
 		}
 	}
 }
--- a/control/gateway_test.go
+++ b/control/gateway_test.go
@@ -25,7 +25,7 @@
 // testGateway drives one controller by hand and keeps what it was told to do.
 type testGateway struct {
 	t            *testing.T
-	c            *Controller
+	controller   *Controller
 	now          time.Duration
 	sends        []Send
 	finalAnswers map[string]Action
@@ -36,12 +36,12 @@
 
 func newTestGateway(t *testing.T, settings Settings, servers ...Endpoint) *testGateway {
 	t.Helper()
-	c, err := New(settings, 7)
+	controller, err := New(settings, 7)
 	if err != nil {
 		t.Fatal(err)
 	}
 	gateway := &testGateway{
-		t: t, c: c, now: time.Hour, finalAnswers: map[string]Action{}, attempts: map[string]int{},
+		t: t, controller: controller, now: time.Hour, finalAnswers: map[string]Action{}, attempts: map[string]int{},
 		timers: map[uint64]time.Duration{},
 	}
 	gateway.handle(EndpointList{Kind: ListCached, Endpoints: servers})
@@ -51,7 +51,7 @@
 // handle hands over one event and checks what holds for all actions.
 func (g *testGateway) handle(event Event) {
 	g.t.Helper()
-	acts := append([]Action{}, g.c.Handle(g.now, event)...)
+	acts := append([]Action{}, g.controller.Handle(g.now, event)...)
 	for _, action := range acts {
 		switch a := action.(type) {
 		case Send:
@@ -136,11 +136,11 @@
 }
 
 func activeEndpoints(ids ...uint32) []Endpoint {
-	var m []Endpoint
+	var endpoints []Endpoint
 	for i, id := range ids {
-		m = append(m, Endpoint{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
+		endpoints = append(endpoints, Endpoint{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
 	}
-	return m
+	return endpoints
 }
 
 func largeGroupSettings() Settings {
@@ -153,8 +153,8 @@
 func hardLimitSettings() Settings {
 	settings := testSettings()
 	settings.GroupSize, settings.MeterPeriod = 1, 0
-	p := &settings.Plans[0]
-	p.QuotaRate, p.QuotaBurst, p.HardLimitRate, p.HardLimitBurst, p.HardLimitSlack = 0, 0, 30, 60, 6
+	plan := &settings.Plans[0]
+	plan.QuotaRate, plan.QuotaBurst, plan.HardLimitRate, plan.HardLimitBurst, plan.HardLimitSlack = 0, 0, 30, 60, 6
 	return settings
 }
 
@@ -172,7 +172,7 @@
 }
 
 func newGatewayGroup(t *testing.T, n int, members []Endpoint) *gatewayGroup {
-	c := &gatewayGroup{t: t, sent: map[uint32]int{}, load: func(uint32) *LoadReport { return nil }}
+	group := &gatewayGroup{t: t, sent: map[uint32]int{}, load: func(uint32) *LoadReport { return nil }}
 	for i := range n {
 		settings := testSettings()
 		settings.GroupSize, settings.SelfIndex = n, i
@@ -181,11 +181,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		gateway := &testGateway{t: t, c: ctl, now: time.Hour, finalAnswers: map[string]Action{}, attempts: map[string]int{}, timers: map[uint64]time.Duration{}}
+		gateway := &testGateway{t: t, controller: ctl, now: time.Hour, finalAnswers: map[string]Action{}, attempts: map[string]int{}, timers: map[uint64]time.Duration{}}
 		gateway.handle(EndpointList{Kind: ListCached, Endpoints: members})
-		c.gates = append(c.gates, gateway)
+		group.gates = append(group.gates, gateway)
 	}
-	return c
+	return group
 }
 
 // serve has each gateway asked once in each step of 200 ms, for so many steps.
--- a/control/golden_test.go
+++ b/control/golden_test.go
@@ -37,11 +37,11 @@
 	if err := cbor.Unmarshal(raw, &run); err != nil {
 		t.Fatal(err)
 	}
-	c, err := Resume(run.Settings, run.Image)
+	controller, err := Resume(run.Settings, run.Image)
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, err := cbor.Marshal(goldenRun{run.Settings, c.Image()})
+	again, err := cbor.Marshal(goldenRun{run.Settings, controller.Image()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,13 +60,13 @@
 // runImage is the image of a short run at a moment when something of every kind is in it.
 func runImage(t *testing.T) []byte {
 	w := play(t, 39, 30)
-	image := w.c.Image()
+	image := w.controller.Image()
 	for range 1_000 {
 		if len(image.Requests) > 0 && len(image.Attempts) > 0 && len(image.Plans[0].Queue) > 0 && len(image.Abandoned) > 0 {
 			break
 		}
 		w.step()
-		image = w.c.Image()
+		image = w.controller.Image()
 	}
 	raw, err := cbor.Marshal(goldenRun{w.set, image})
 	if err != nil {
--- a/control/hand_over_test.go
+++ b/control/hand_over_test.go
@@ -38,37 +38,37 @@
 func (c *handOverChain) handOver(give float64) {
 	old := c.newest()
 	next := c.newGateway(old.now)
-	next.c.Restore(next.now, old.c.HandOver(old.now, give), TrustAll)
+	next.controller.Restore(next.now, old.controller.HandOver(old.now, give), TrustAll)
 	c.gateways = append(c.gateways, next)
 }
 
 // endPredecessors ends all but the newest.
 func (c *handOverChain) endPredecessors() {
-	for _, r := range c.inFlight {
-		if r.g != c.newest() {
-			r.g.now = c.newest().now
-			r.g.respond(r.id, OK, 0)
+	for _, pending := range c.inFlight {
+		if pending.g != c.newest() {
+			pending.g.now = c.newest().now
+			pending.g.respond(pending.id, OK, 0)
 		}
 	}
 	var kept []reply
-	for _, r := range c.inFlight {
-		if r.g == c.newest() {
-			kept = append(kept, r)
+	for _, pending := range c.inFlight {
+		if pending.g == c.newest() {
+			kept = append(kept, pending)
 		}
 	}
-	rest := c.gateways[0].c.HandOver(c.newest().now, 1)
+	rest := c.gateways[0].controller.HandOver(c.newest().now, 1)
 	c.inFlight, c.gateways = kept, c.gateways[len(c.gateways)-1:]
-	c.newest().c.ReclaimRates(c.newest().now, &rest)
+	c.newest().controller.ReclaimRates(c.newest().now, &rest)
 }
 
 // step lets a millisecond pass, in which the customer asks with the given chance.
 func (c *handOverChain) step(asks float64) {
 	now := c.newest().now + ms
 	for i := 0; i < len(c.inFlight); i++ {
-		if r := c.inFlight[i]; r.at <= now {
+		if pending := c.inFlight[i]; pending.at <= now {
 			c.inFlight = append(c.inFlight[:i], c.inFlight[i+1:]...)
-			r.g.now = max(r.g.now, r.at)
-			r.g.respond(r.id, OK, 0)
+			pending.g.now = max(pending.g.now, pending.at)
+			pending.g.respond(pending.id, OK, 0)
 			i--
 		}
 	}
@@ -101,33 +101,33 @@
 // anew nor is what is due refused.
 func TestHardLimitHoldsOverManyHandOvers(t *testing.T) {
 	for seed := range uint64(40) {
-		c := &handOverChain{t: t, set: hardLimitSettings(), rng: rand.New(rand.NewPCG(seed, 4))}
-		c.gateways = []*testGateway{c.newGateway(time.Hour)}
+		chain := &handOverChain{t: t, set: hardLimitSettings(), rng: rand.New(rand.NewPCG(seed, 4))}
+		chain.gateways = []*testGateway{chain.newGateway(time.Hour)}
 		whole := seed%2 == 0 // each a reload; else an upgrade, with both serving for a while
-		start := c.newest().now
+		start := chain.newest().now
 		for i := range 4000 {
-			c.step([]float64{0.2, 0.2, 0, 0.02}[i/500%4]) // bursts, and pauses in which the store fills
+			chain.step([]float64{0.2, 0.2, 0, 0.02}[i/500%4]) // bursts, and pauses in which the store fills
 			switch {
 			case i%150 != 149:
-			case len(c.gateways) > 1:
-				c.endPredecessors()
+			case len(chain.gateways) > 1:
+				chain.endPredecessors()
 			case whole:
-				c.handOver(1)
-				c.endPredecessors()
+				chain.handOver(1)
+				chain.endPredecessors()
 			default:
-				c.handOver(0.5)
+				chain.handOver(0.5)
 			}
 		}
-		if over := c.maxExcess(start, 30, 60); over > initialSlackFraction*6+1 {
+		if over := chain.maxExcess(start, 30, 60); over > initialSlackFraction*6+1 {
 			t.Errorf("seed %d: %.1f units beyond the ceiling", seed, over)
 		}
-		one := &handOverChain{t: t, set: c.set, rng: rand.New(rand.NewPCG(seed, 4))} // that never hands over
+		one := &handOverChain{t: t, set: chain.set, rng: rand.New(rand.NewPCG(seed, 4))} // that never hands over
 		one.gateways = []*testGateway{one.newGateway(time.Hour)}
 		for i := range 4000 {
 			one.step([]float64{0.2, 0.2, 0, 0.02}[i/500%4])
 		}
-		if part := float64(len(c.sent)) / float64(len(one.sent)); part < 0.97 {
-			t.Errorf("seed %d: %d units, %d without hand-over", seed, len(c.sent), len(one.sent))
+		if part := float64(len(chain.sent)) / float64(len(one.sent)); part < 0.97 {
+			t.Errorf("seed %d: %d units, %d without hand-over", seed, len(chain.sent), len(one.sent))
 		}
 	}
 }
@@ -149,15 +149,15 @@
 		t.Run(name, func(t *testing.T) {
 			settings := hardLimitSettings()
 			settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 10, 100
-			a := newTestGateway(t, settings, activeEndpoints(1, 2)...)
-			account := a.c.accountFor(a.c.plansByName["low"], "x", 1)
+			predecessor := newTestGateway(t, settings, activeEndpoints(1, 2)...)
+			account := predecessor.controller.accountFor(predecessor.controller.plansByName["low"], "x", 1)
 			account.quota.tokens, account.hardLimit.tokens = 60, 20
 			settings.Plans = append([]Plan{}, settings.Plans...)
 			settings.Plans[0].HardLimitBurst, settings.Plans[0].QuotaBurst = tc.burst, tc.depth
-			b := newTestGateway(t, settings, activeEndpoints(1, 2)...)
-			b.now = a.now
-			b.c.Restore(b.now, a.c.HandOver(a.now, 1), TrustAll)
-			got := b.c.accounts["low x"]
+			successor := newTestGateway(t, settings, activeEndpoints(1, 2)...)
+			successor.now = predecessor.now
+			successor.controller.Restore(successor.now, predecessor.controller.HandOver(predecessor.now, 1), TrustAll)
+			got := successor.controller.accounts["low x"]
 			if got.hardLimit.tokens != tc.wantCeiling || got.quota.tokens != tc.wantLeft {
 				t.Errorf("ceiling %g, level %g", got.hardLimit.tokens, got.quota.tokens)
 			}
@@ -171,49 +171,49 @@
 // What a reload must not lose: bound, latencies, who is aside, the meter's lateness, shares.
 func TestEstimatesSurviveAHandOver(t *testing.T) {
 	settings := testSettings()
-	a := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
-	a.c.limiter.limit, a.c.fleet.latency.mean, a.c.meter.lagBins, a.c.meter.phaseBin = 37, 0.25, 12, 3
-	a.c.plans[0].share, a.c.plans[1].share = 0.25, 0.75
-	bad := a.c.servers[2]
-	bad.latency.seconds, bad.latency.updatedAt, bad.outlier.consecutiveFailures, bad.outlier.ejectedUntil = 3, a.now, ejectionFailures, a.now+time.Second
-	checkpoint := a.c.HandOver(a.now, 1)
+	predecessor := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
+	predecessor.controller.limiter.limit, predecessor.controller.fleet.latency.mean, predecessor.controller.meter.lagBins, predecessor.controller.meter.phaseBin = 37, 0.25, 12, 3
+	predecessor.controller.plans[0].share, predecessor.controller.plans[1].share = 0.25, 0.75
+	bad := predecessor.controller.servers[2]
+	bad.latency.seconds, bad.latency.updatedAt, bad.outlier.consecutiveFailures, bad.outlier.ejectedUntil = 3, predecessor.now, ejectionFailures, predecessor.now+time.Second
+	checkpoint := predecessor.controller.HandOver(predecessor.now, 1)
 	checkpoint.Servers = append(checkpoint.Servers, ServerCheckpoint{Server: 99}) // is not listed any more
-	b := newTestGateway(t, settings, append(activeEndpoints(1, 2), Endpoint{Server: 3, HasStartedAt: true, StartedAt: a.now})...)
-	b.now = a.now
-	b.c.Restore(b.now, checkpoint, TrustAll)
-	if b.c.fleet.latency.mean != 0.25 || b.c.meter.lagBins != 12 || b.c.meter.phaseBin != 3 || b.c.plans[1].share != 0.75 {
-		t.Errorf("latency %g, lag %d, shares %g", b.c.fleet.latency.mean, b.c.meter.lagBins, b.c.plans[1].share)
+	successor := newTestGateway(t, settings, append(activeEndpoints(1, 2), Endpoint{Server: 3, HasStartedAt: true, StartedAt: predecessor.now})...)
+	successor.now = predecessor.now
+	successor.controller.Restore(successor.now, checkpoint, TrustAll)
+	if successor.controller.fleet.latency.mean != 0.25 || successor.controller.meter.lagBins != 12 || successor.controller.meter.phaseBin != 3 || successor.controller.plans[1].share != 0.75 {
+		t.Errorf("latency %g, lag %d, shares %g", successor.controller.fleet.latency.mean, successor.controller.meter.lagBins, successor.controller.plans[1].share)
 	}
-	if b.c.limiter.limit < 37*0.7 || b.c.limiter.limit > 37 {
-		t.Errorf("a bound of %g", b.c.limiter.limit)
+	if successor.controller.limiter.limit < 37*0.7 || successor.controller.limiter.limit > 37 {
+		t.Errorf("a bound of %g", successor.controller.limiter.limit)
 	}
-	if !b.c.servers[2].outlier.isEjected(b.c.now) || b.c.servers[3].latency.seconds != 0 {
+	if !successor.controller.servers[2].outlier.isEjected(successor.controller.now) || successor.controller.servers[3].latency.seconds != 0 {
 		t.Error("the servers are not as they were")
 	}
 	old := checkpoint
 	old.At -= time.Hour
-	d := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
-	first := d.c.limiter.limit
-	d.c.Restore(a.now, old, TrustAll)
-	if math.Abs(d.c.limiter.limit-first) > 0.01 {
-		t.Errorf("a bound of %g by what is an hour old, not %g", d.c.limiter.limit, first)
+	later := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
+	first := later.controller.limiter.limit
+	later.controller.Restore(predecessor.now, old, TrustAll)
+	if math.Abs(later.controller.limiter.limit-first) > 0.01 {
+		t.Errorf("a bound of %g by what is an hour old, not %g", later.controller.limiter.limit, first)
 	}
 }
 
 // Reloads that come faster than an interval ends don't keep the bound from growing.
 func TestConcurrencyLimitGrowsOverManyHandOvers(t *testing.T) {
-	c := &handOverChain{t: t, set: hardLimitSettings(), rng: rand.New(rand.NewPCG(1, 4))}
-	c.set.Plans = []Plan{{Name: "low", Price: 1}}
-	c.gateways = []*testGateway{c.newGateway(time.Hour)}
-	first := c.newest().c.limiter.limit
+	chain := &handOverChain{t: t, set: hardLimitSettings(), rng: rand.New(rand.NewPCG(1, 4))}
+	chain.set.Plans = []Plan{{Name: "low", Price: 1}}
+	chain.gateways = []*testGateway{chain.newGateway(time.Hour)}
+	first := chain.newest().controller.limiter.limit
 	for i := range 6000 {
-		c.step(1)
+		chain.step(1)
 		if i%150 == 149 {
-			c.handOver(1)
-			c.endPredecessors()
+			chain.handOver(1)
+			chain.endPredecessors()
 		}
 	}
-	if got := c.newest().c.limiter.limit; got <= first {
+	if got := chain.newest().controller.limiter.limit; got <= first {
 		t.Errorf("a bound of %g, at first %g", got, first)
 	}
 }
--- a/control/hard_limit_test.go
+++ b/control/hard_limit_test.go
@@ -55,7 +55,7 @@
 				gateway.request(fmt.Sprint("on", gateway.now), "job", plan.Name, "comes on")
 				gateway.respond(fmt.Sprint("on", gateway.now), OK, 0)
 			}
-			if gateway.c.accounts[plan.Name+" x"] != nil {
+			if gateway.controller.accounts[plan.Name+" x"] != nil {
 				t.Fatal("not forgotten")
 			}
 			before, begun := len(gateway.sends), gateway.now
@@ -88,7 +88,7 @@
 			gateway := newTestGateway(t, settings, activeEndpoints(list...)...)
 			many := func() {
 				for i := range maxAccounts/2 + 1 {
-					gateway.c.accountFor(gateway.c.plansByName[plan.Name], fmt.Sprint("busy", i), 2).inFlight.current = 1
+					gateway.controller.accountFor(gateway.controller.plansByName[plan.Name], fmt.Sprint("busy", i), 2).inFlight.current = 1
 				}
 			}
 			many()
@@ -103,17 +103,17 @@
 					}
 				}
 				gateway.now += windowDuration
-				if gateway.c.Handle(gateway.now, TimerFired{}); gateway.c.accounts[plan.Name+" x"] != nil {
-					gateway.c.evictIdleAccounts()
+				if gateway.controller.Handle(gateway.now, TimerFired{}); gateway.controller.accounts[plan.Name+" x"] != nil {
+					gateway.controller.evictIdleAccounts()
 				}
-				if gateway.c.accounts[plan.Name+" x"] == nil {
+				if gateway.controller.accounts[plan.Name+" x"] == nil {
 					forgotten++
 				}
 				if handsOver && round%10 == 0 {
-					given := gateway.c.HandOver(gateway.now, 1)
+					given := gateway.controller.HandOver(gateway.now, 1)
 					next := newTestGateway(t, settings, activeEndpoints(list...)...)
 					next.now = gateway.now
-					next.c.Restore(gateway.now, given, TrustAll)
+					next.controller.Restore(gateway.now, given, TrustAll)
 					gateway = next
 					many()
 				}
@@ -132,10 +132,10 @@
 	settings := hardLimitSettings()
 	after := func(checkpoint Checkpoint, trust Trust) *Controller {
 		gateway := newTestGateway(t, settings, activeEndpoints(1, 2)...)
-		gateway.c.Restore(gateway.now, checkpoint, trust)
-		return gateway.c
+		gateway.controller.Restore(gateway.now, checkpoint, trust)
+		return gateway.controller
 	}
-	crashed := after(newTestGateway(t, settings, activeEndpoints(1, 2)...).c.Checkpoint(time.Hour), TrustEstimates)
+	crashed := after(newTestGateway(t, settings, activeEndpoints(1, 2)...).controller.Checkpoint(time.Hour), TrustEstimates)
 	next := after(crashed.HandOver(time.Hour, 1), TrustAll)
 	if left := next.accountFor(next.plansByName["low"], "x", 1).hardLimit.tokens; left > 0 {
 		t.Errorf("%g units for a customer of whom nothing is known since a crash", left)
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -32,33 +32,33 @@
 func TestHistoryEqualsADenseOne(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 5))
-		var h history
-		var d denseHistory
+		var hist history
+		var dense denseHistory
 		now := int64(17_000_000_000) + r.Int64N(1000)
 		pause := 1 + r.Int64N(200)
 		for range 400 {
 			now += r.Int64N(pause)
-			h.advance(now)
-			d.roll(now)
+			hist.advance(now)
+			dense.roll(now)
 			if r.IntN(3) > 0 {
 				v := float64(r.IntN(4)) - 0.5
-				h.add(v)
-				d.sum[d.at(d.last)] += v
+				hist.add(v)
+				dense.sum[dense.at(dense.last)] += v
 			}
-			w := h.window()
+			window := hist.window()
 			for range 5 {
 				end := now - r.Int64N(100)
-				if got, also, want := h.periodSum(end), w.periodSum(end), d.over(end); math.Abs(got-want) > 1e-9 || also != got {
+				if got, also, want := hist.periodSum(end), window.periodSum(end), dense.over(end); math.Abs(got-want) > 1e-9 || also != got {
 					t.Fatalf("seed %d: %g and %g up to bin %d of %d, want %g", seed, got, also, end, now, want)
 				}
 			}
-			if len(h.sums) > historyBins+1 {
-				t.Fatalf("seed %d: %d steps", seed, len(h.sums))
+			if len(hist.sums) > historyBins+1 {
+				t.Fatalf("seed %d: %d steps", seed, len(hist.sums))
 			}
 			var again history
-			again.restore(h.amounts(), now)
-			if again.advance(now); math.Abs(again.periodSum(now)-d.over(now)) > 1e-9 {
-				t.Fatalf("seed %d: taken over, %g of the latest period, want %g", seed, again.periodSum(now), d.over(now))
+			again.restore(hist.amounts(), now)
+			if again.advance(now); math.Abs(again.periodSum(now)-dense.over(now)) > 1e-9 {
+				t.Fatalf("seed %d: taken over, %g of the latest period, want %g", seed, again.periodSum(now), dense.over(now))
 			}
 		}
 	}
@@ -66,13 +66,13 @@
 
 // What is given back is of the bin in which it was booked.
 func TestHistorySubtractsInTheBinOfTheAddition(t *testing.T) {
-	var h history
-	h.advance(3)
-	h.add(2)
-	h.advance(5)
-	h.add(1)
-	h.subtract(3, 2)
-	if a, b := h.sumUntil(4), h.sumUntil(5); a != 0 || math.Abs(b-1) > epsilon {
-		t.Errorf("%v, then %v", a, b)
+	var hist history
+	hist.advance(3)
+	hist.add(2)
+	hist.advance(5)
+	hist.add(1)
+	hist.subtract(3, 2)
+	if before, after := hist.sumUntil(4), hist.sumUntil(5); before != 0 || math.Abs(after-1) > epsilon {
+		t.Errorf("%v, then %v", before, after)
 	}
 }
--- a/control/image_test.go
+++ b/control/image_test.go
@@ -20,7 +20,7 @@
 			steps = 4000 // through sweeps and many intervals
 		}
 		one, other := play(t, seed, steps), play(t, seed, steps)
-		image := other.c.Image()
+		image := other.controller.Image()
 		resumed, err := Resume(other.set, image)
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
@@ -28,7 +28,7 @@
 		if again := resumed.Image(); !reflect.DeepEqual(again, image) {
 			t.Fatalf("seed %d: the image of what was resumed is another", seed)
 		}
-		other.c = resumed
+		other.controller = resumed
 		one.log, other.log = nil, nil
 		for range 200 {
 			one.step()
@@ -49,7 +49,7 @@
 // resumed in part nor a panic.
 func TestResumeRejectsUnusableImages(t *testing.T) {
 	w := play(t, 5, 600)
-	for image := w.c.Image(); len(image.Requests) == 0 || len(image.Attempts) == 0 || len(image.Plans[0].Queue) == 0; image = w.c.Image() {
+	for image := w.controller.Image(); len(image.Requests) == 0 || len(image.Attempts) == 0 || len(image.Plans[0].Queue) == 0; image = w.controller.Image() {
 		w.step()
 	}
 	for name, spoil := range map[string]func(*Image){
@@ -69,9 +69,9 @@
 		"ghost":     func(image *Image) { image.Abandoned = []AbandonedImage{{Server: -1}} },
 		"by chance": func(image *Image) { image.Requests[rand.IntN(len(image.Requests))].Class = "another" },
 	} {
-		image := w.c.Image()
+		image := w.controller.Image()
 		spoil(&image)
-		if c, err := Resume(w.set, image); err == nil || c != nil {
+		if controller, err := Resume(w.set, image); err == nil || controller != nil {
 			t.Errorf("%s: resumed", name)
 		}
 	}
@@ -82,6 +82,6 @@
 	w := play(t, 7, 3000)
 	b.ReportAllocs()
 	for b.Loop() {
-		w.c.Image()
+		w.controller.Image()
 	}
 }
--- a/control/outlier_test.go
+++ b/control/outlier_test.go
@@ -76,20 +76,20 @@
 // Guards against servers that refuse one plan: they cut no bound and are not tried again for it.
 func TestServersThatRejectOnePlanAreAvoidedForIt(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
-	gateway.c.fleet.latency.mean, gateway.c.limiter.idleLatency, gateway.c.fleet.latency.count = 0.1, 0.1, 100
-	before := gateway.c.limiter.limit
+	gateway.controller.fleet.latency.mean, gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 0.1, 0.1, 100
+	before := gateway.controller.limiter.limit
 	refusals := 0
 	for i := 0; i < 30; i++ {
-		for _, p := range []string{"low", "high"} {
-			id := fmt.Sprint(p, i)
-			gateway.request(id, "job", p, "x")
+		for _, plan := range []string{"low", "high"} {
+			id := fmt.Sprint(plan, i)
+			gateway.request(id, "job", plan, "x")
 			gateway.now += 100 * ms
 			for gateway.finalAnswers[id] == nil {
 				last := gateway.sends[len(gateway.sends)-1]
 				if last.ID != id {
 					t.Fatalf("%s was held", id)
 				}
-				if p == "low" && last.Server <= 2 {
+				if plan == "low" && last.Server <= 2 {
 					refusals++
 					gateway.respond(id, RejectedByServer, 0)
 				} else {
@@ -102,15 +102,15 @@
 	if refusals > 3 {
 		t.Errorf("two servers refused the plan %d times in 6 s", refusals)
 	}
-	if gateway.c.limiter.limit < before {
-		t.Errorf("the bound went from %g to %g on servers with room", before, gateway.c.limiter.limit)
+	if gateway.controller.limiter.limit < before {
+		t.Errorf("the bound went from %g to %g on servers with room", before, gateway.controller.limiter.limit)
 	}
 }
 
 // A probe that its client breaks off says nothing of the server, which is tried again.
 func TestCancelledAttemptEndsTheProbe(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1)...)
-	srv := gateway.c.servers[1]
+	srv := gateway.controller.servers[1]
 	srv.outlier.consecutiveFailures = ejectionFailures
 	gateway.request("a", "job", "high", "c")
 	if !srv.outlier.isProbing {
--- a/control/policy_files_test.go
+++ b/control/policy_files_test.go
@@ -27,11 +27,11 @@
 	}
 	lines := 0
 	for _, name := range policy {
-		b, err := os.ReadFile(filepath.Join("..", name))
+		raw, err := os.ReadFile(filepath.Join("..", name))
 		if err != nil {
 			t.Fatal(err)
 		}
-		for i, l := range strings.Split(string(b), "\n") {
+		for i, l := range strings.Split(string(raw), "\n") {
 			if strings.TrimSpace(l) != "" {
 				lines++
 			}
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -15,7 +15,7 @@
 	t               *testing.T
 	rng             *rand.Rand
 	set             Settings
-	c               *Controller
+	controller      *Controller
 	now             time.Duration
 	log             []string
 	members         map[uint32]*Endpoint
@@ -80,7 +80,7 @@
 
 func (w *world) handle(event Event) {
 	w.log = append(w.log, fmt.Sprintf("%v %T", w.now, event))
-	for _, action := range w.c.Handle(w.now, event) {
+	for _, action := range w.controller.Handle(w.now, event) {
 		w.log = append(w.log, fmt.Sprintf("  %T%+v", action, action))
 		switch a := action.(type) {
 		case Send:
@@ -106,62 +106,62 @@
 }
 
 func (w *world) recordSend(send Send) {
-	r := w.requests[send.ID]
+	request := w.requests[send.ID]
 	switch {
-	case r == nil:
+	case request == nil:
 		w.t.Fatalf("%s was sent but is not open", send.ID)
 	case w.isInactive[send.Server] || w.members[send.Server] == nil:
 		w.t.Fatalf("%s went to server %d, which is draining or gone", send.ID, send.Server)
-	case r.inFlight > 0:
+	case request.inFlight > 0:
 		w.t.Fatalf("%s has two attempts out", send.ID)
-	case r.attempts >= w.set.MaxAttempts:
+	case request.attempts >= w.set.MaxAttempts:
 		w.t.Fatalf("%s was sent more than %d times", send.ID, w.set.MaxAttempts)
 	}
-	if r.mayHaveRun && r.class.Idempotency == NotIdempotent {
+	if request.mayHaveRun && request.class.Idempotency == NotIdempotent {
 		w.t.Fatalf("%s may have run and was sent again", send.ID)
 	}
-	if r.mayHaveRun && r.class.Idempotency == IdempotencyKeyed {
-		f, s := w.members[r.firstServer], w.members[send.Server]
-		if w.now > r.firstRunAt+r.class.RepeatWindow || r.class.KeyScope == ScopeCell && f.Cell != s.Cell ||
-			r.class.KeyScope == ScopeZone && f.Zone != s.Zone {
+	if request.mayHaveRun && request.class.Idempotency == IdempotencyKeyed {
+		first, srv := w.members[request.firstServer], w.members[send.Server]
+		if w.now > request.firstRunAt+request.class.RepeatWindow || request.class.KeyScope == ScopeCell && first.Cell != srv.Cell ||
+			request.class.KeyScope == ScopeZone && first.Zone != srv.Zone {
 			w.t.Fatalf("%s may have run and was sent again outside its group or window", send.ID)
 		}
-		if send.WriteWithin <= 0 || w.now+send.WriteWithin > r.firstRunAt+r.class.RepeatWindow {
+		if send.WriteWithin <= 0 || w.now+send.WriteWithin > request.firstRunAt+request.class.RepeatWindow {
 			w.t.Fatalf("%s may have run, and be written again %v from now, behind its window", send.ID, send.WriteWithin)
 		}
 	}
-	if r.attempts == 0 && r.plan == "ceil" {
-		w.chargeHardLimit(r)
+	if request.attempts == 0 && request.plan == "ceil" {
+		w.chargeHardLimit(request)
 	}
-	till := r.end
+	till := request.end
 	if send.Timeout > 0 {
 		till = min(till, w.now+send.Timeout)
 	}
-	w.inFlight = append(w.inFlight, openAttempt{send.ID, r.attempts, send.Server, w.now, till})
-	r.attempts++
-	r.inFlight++
+	w.inFlight = append(w.inFlight, openAttempt{send.ID, request.attempts, send.Server, w.now, till})
+	request.attempts++
+	request.inFlight++
 }
 
 // chargeHardLimit holds this gateway to its part of the ceiling with part of the slack.
-func (w *world) chargeHardLimit(r *openRequest) {
+func (w *world) chargeHardLimit(request *openRequest) {
 	plan := w.set.Plans[3]
-	if _, known := w.hardLimitTokens[r.customer]; !known {
-		w.hardLimitTokens[r.customer], w.hardLimitAt[r.customer] = plan.HardLimitSlack/2, time.Hour
+	if _, known := w.hardLimitTokens[request.customer]; !known {
+		w.hardLimitTokens[request.customer], w.hardLimitAt[request.customer] = plan.HardLimitSlack/2, time.Hour
 	}
-	lv := w.hardLimitTokens[r.customer] + (w.now-w.hardLimitAt[r.customer]).Seconds()*plan.HardLimitRate/2
-	w.hardLimitTokens[r.customer], w.hardLimitAt[r.customer] = min(lv, plan.HardLimitBurst/2)-r.units, w.now
-	if w.hardLimitTokens[r.customer] < -1e-6 {
-		w.t.Fatalf("the part of a ceiling fell to %g", w.hardLimitTokens[r.customer])
+	tokens := w.hardLimitTokens[request.customer] + (w.now-w.hardLimitAt[request.customer]).Seconds()*plan.HardLimitRate/2
+	w.hardLimitTokens[request.customer], w.hardLimitAt[request.customer] = min(tokens, plan.HardLimitBurst/2)-request.units, w.now
+	if w.hardLimitTokens[request.customer] < -1e-6 {
+		w.t.Fatalf("the part of a ceiling fell to %g", w.hardLimitTokens[request.customer])
 	}
 }
 
-func (w *world) checkRejection(a Reject) {
-	if r := w.requests[a.ID]; r != nil && (r.mayHaveRun || r.inFlight > 0) {
-		if r.class.Idempotency == NotIdempotent || r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope != ScopeAll {
-			w.t.Fatalf("%s may have run and was refused", a.ID)
+func (w *world) checkRejection(reject Reject) {
+	if request := w.requests[reject.ID]; request != nil && (request.mayHaveRun || request.inFlight > 0) {
+		if request.class.Idempotency == NotIdempotent || request.class.Idempotency == IdempotencyKeyed && request.class.KeyScope != ScopeAll {
+			w.t.Fatalf("%s may have run and was refused", reject.ID)
 		}
 	}
-	w.recordFinal(a.ID)
+	w.recordFinal(reject.ID)
 }
 
 func (w *world) recordFinal(id string) {
@@ -176,42 +176,42 @@
 	var event EndpointList
 	event.Kind = ListComplete
 	for id := uint32(1); id <= 8; id++ {
-		m := &Endpoint{Server: id, Zone: fmt.Sprint("z", 1+id%2), Cell: int(id / 3), Size: 1}
-		w.members[id] = m
+		endpoint := &Endpoint{Server: id, Zone: fmt.Sprint("z", 1+id%2), Cell: int(id / 3), Size: 1}
+		w.members[id] = endpoint
 		switch w.rng.IntN(6) {
 		case 0:
-			m.State = Draining
+			endpoint.State = Draining
 		case 1:
 			w.isInactive[id] = true
 			continue // gone
 		case 2:
-			m.HasStartedAt, m.StartedAt = true, w.now-ms
+			endpoint.HasStartedAt, endpoint.StartedAt = true, w.now-ms
 		}
-		w.isInactive[id] = m.State != Active
-		event.Endpoints = append(event.Endpoints, *m)
+		w.isInactive[id] = endpoint.State != Active
+		event.Endpoints = append(event.Endpoints, *endpoint)
 	}
 	return event
 }
 
 // outcome ends the attempt at an index of out.
 func (w *world) outcome(i int) {
-	f := w.inFlight[i]
+	attempt := w.inFlight[i]
 	w.inFlight = append(w.inFlight[:i], w.inFlight[i+1:]...)
 	why := []Reason{OK, OK, OK, OK, OK, Errored, RejectedByServer, ConnectFailed, ResetByPeer, []Reason{NotSent, Cancelled}[w.rng.IntN(2)]}[w.rng.IntN(10)]
-	if w.now >= f.timesOutAt {
+	if w.now >= attempt.timesOutAt {
 		why = TimedOut
 	}
-	r := w.requests[f.id]
+	request := w.requests[attempt.id]
 	event := AttemptResult{
-		ID: f.id, Attempt: f.number, Server: f.server, Reason: why, IsFinal: r == nil || why == OK,
+		ID: attempt.id, Attempt: attempt.number, Server: attempt.server, Reason: why, IsFinal: request == nil || why == OK,
 		QuotaUsage: w.rng.IntN(300), ActualUnits: float64(1 + w.rng.IntN(4)), Load: &LoadReport{InFlight: 3, Utilization: 0.5},
 	}
-	if r != nil {
-		r.inFlight--
+	if request != nil {
+		request.inFlight--
 		if why == OK {
-			delete(w.requests, f.id)
-		} else if why != RejectedByServer && why != ConnectFailed && why != NotSent && !r.mayHaveRun {
-			r.mayHaveRun, r.firstRunAt, r.firstServer = true, f.sentAt, f.server
+			delete(w.requests, attempt.id)
+		} else if why != RejectedByServer && why != ConnectFailed && why != NotSent && !request.mayHaveRun {
+			request.mayHaveRun, request.firstRunAt, request.firstServer = true, attempt.sentAt, attempt.server
 		}
 	}
 	w.handle(event)
@@ -221,9 +221,9 @@
 	w.now += time.Duration(w.rng.IntN(12)) * ms
 	for i := 0; i < len(w.due); i++ {
 		if w.due[i] <= w.now {
-			e := w.timers[i]
+			timer := w.timers[i]
 			w.timers, w.due = append(w.timers[:i], w.timers[i+1:]...), append(w.due[:i], w.due[i+1:]...)
-			w.handle(e)
+			w.handle(timer)
 			i = -1
 		}
 	}
@@ -257,9 +257,9 @@
 			w.handle(ClientGone{ID: id})
 		}
 	}
-	for id, r := range w.requests {
-		if w.now > r.end+16*ms {
-			w.t.Fatalf("%s has no answer %v after its end", id, w.now-r.end)
+	for id, request := range w.requests {
+		if w.now > request.end+16*ms {
+			w.t.Fatalf("%s has no answer %v after its end", id, w.now-request.end)
 		}
 	}
 }
@@ -267,15 +267,15 @@
 func (w *world) arrive() {
 	w.lastID++
 	class := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
-	r := &openRequest{
+	request := &openRequest{
 		class: class, plan: w.set.Plans[w.rng.IntN(4)].Name, customer: fmt.Sprint("k", w.rng.IntN(6)),
 		units: float64(1 + w.rng.IntN(3)), end: w.now + time.Duration(300+w.rng.IntN(3000))*ms,
 	}
 	id := fmt.Sprint("r", w.lastID)
-	w.requests[id] = r
+	w.requests[id] = request
 	w.handle(Request{
-		ID: id, Class: class.Name, Plan: r.plan, Customer: r.customer, Timeout: r.end - w.now,
-		Units: r.units, FanOut: 2 + w.rng.IntN(89),
+		ID: id, Class: class.Name, Plan: request.plan, Customer: request.customer, Timeout: request.end - w.now,
+		Units: request.units, FanOut: 2 + w.rng.IntN(89),
 	}) // may change within a day; drawCeiling reckons with two at least
 }
 
@@ -287,11 +287,11 @@
 		isInactive: map[uint32]bool{}, requests: map[string]*openRequest{}, hardLimitTokens: map[string]float64{},
 		hardLimitAt: map[string]time.Duration{},
 	}
-	c, err := New(w.set, seed)
+	controller, err := New(w.set, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.c = c
+	w.controller = controller
 	event := w.list()
 	event.Kind = ListCached
 	w.handle(event)
@@ -304,10 +304,10 @@
 // Any legal sequence of events keeps the rules, and gives the same actions twice.
 func TestAnyLegalSequenceKeepsTheRules(t *testing.T) {
 	for seed := uint64(1); seed <= 60; seed++ {
-		a := play(t, seed, 2500)
+		first := play(t, seed, 2500)
 		if seed <= 10 {
-			b := play(t, seed, 2500)
-			if !reflect.DeepEqual(a.log, b.log) {
+			second := play(t, seed, 2500)
+			if !reflect.DeepEqual(first.log, second.log) {
 				t.Fatalf("seed %d: two runs of the same events differ", seed)
 			}
 		}
@@ -347,14 +347,14 @@
 	if early > 8 || late > 1.25*early+1 {
 		t.Errorf("%.1f MB after a fifth of %d customers, %.1f MB after all", early, calls, late)
 	}
-	if n := len(gateway.c.accounts); n > maxAccounts {
+	if n := len(gateway.controller.accounts); n > maxAccounts {
 		t.Errorf("%d customers remembered", n)
 	}
-	if n := len(gateway.c.requests) + len(gateway.c.requestsByTimer) + len(gateway.c.attempts); n > 100 {
+	if n := len(gateway.controller.requests) + len(gateway.controller.requestsByTimer) + len(gateway.controller.attempts); n > 100 {
 		t.Errorf("%d requests, labels and attempts held", n)
 	}
-	if n := len(gateway.c.servers); n > 10 {
+	if n := len(gateway.controller.servers); n > 10 {
 		t.Errorf("%d servers held, two are listed", n)
 	}
-	t.Logf("%.1f MB, then %.1f; %d customers", early, late, len(gateway.c.accounts))
+	t.Logf("%.1f MB, then %.1f; %d customers", early, late, len(gateway.controller.accounts))
 }
--- a/control/scheduler_test.go
+++ b/control/scheduler_test.go
@@ -9,7 +9,7 @@
 
 func TestSchedulerFollowsShares(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
-	gateway.c.plans[0].share, gateway.c.plans[1].share = 0.25, 0.75
+	gateway.controller.plans[0].share, gateway.controller.plans[1].share = 0.25, 0.75
 	for i := 0; i < 80; i++ {
 		gateway.request(fmt.Sprint("l", i), "job", "low", "a")
 		gateway.request(fmt.Sprint("h", i), "job", "high", "b")
@@ -30,7 +30,7 @@
 
 func TestSchedulerSkipsEmptyQueues(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
-	gateway.c.plans[0].share, gateway.c.plans[1].share = 0, 1
+	gateway.controller.plans[0].share, gateway.controller.plans[1].share = 0, 1
 	gateway.request("a", "job", "low", "x")
 	if len(gateway.sends) != 1 {
 		t.Errorf("%d sends for the only request", len(gateway.sends))
@@ -39,10 +39,10 @@
 
 func TestSharesStayWithFewAnswers(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1)...)
-	gateway.c.plans[0].meanLateness, gateway.c.plans[1].meanLateness, gateway.c.window.answers = 3, 0.1, minAnswersPerWindow-1
-	gateway.c.endWindow(1)
-	if gateway.c.plans[0].share != 0.5 {
-		t.Errorf("share %g after an interval of four answers", gateway.c.plans[0].share)
+	gateway.controller.plans[0].meanLateness, gateway.controller.plans[1].meanLateness, gateway.controller.window.answers = 3, 0.1, minAnswersPerWindow-1
+	gateway.controller.endWindow(1)
+	if gateway.controller.plans[0].share != 0.5 {
+		t.Errorf("share %g after an interval of four answers", gateway.controller.plans[0].share)
 	}
 }
 
@@ -54,10 +54,10 @@
 	gateway.serve(40*time.Second, 500*ms, 0, func(i int) {
 		plan := settings.Plans[i%2]
 		gateway.handle(Request{ID: fmt.Sprint(i), Class: "job", Plan: plan.Name, Customer: "c", Timeout: 3 * time.Second, Units: 1, FanOut: 9})
-		gateway.c.plans[1].recordLateness(1.8) // the dear plan is late
+		gateway.controller.plans[1].recordLateness(1.8) // the dear plan is late
 	})
-	if u := gateway.c.plans[1].share; math.Abs(u-0.5) < 0.05 || u < 0.5 {
-		t.Errorf("the late dear plan has a share of %g", u)
+	if share := gateway.controller.plans[1].share; math.Abs(share-0.5) < 0.05 || share < 0.5 {
+		t.Errorf("the late dear plan has a share of %g", share)
 	}
 }
 
@@ -65,8 +65,8 @@
 	gateway := newTestGateway(t, testSettings()) // no server at all
 	gateway.request("a", "job", "low", "x")
 	gateway.advance(5 * time.Second)
-	r, ok := gateway.finalAnswers["a"].(Reject)
-	if !ok || r.RetryAfter != time.Second {
+	reject, ok := gateway.finalAnswers["a"].(Reject)
+	if !ok || reject.RetryAfter != time.Second {
 		t.Errorf("ended with %#v", gateway.finalAnswers["a"])
 	}
 }
@@ -76,21 +76,21 @@
 	for _, n := range []uint32{10, 30, 90, 300} {
 		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
 			settings := testSettings()
-			c, _ := New(settings, 1)
+			controller, _ := New(settings, 1)
 			var ms []Endpoint
 			for i := uint32(1); i <= n; i++ {
 				ms = append(ms, Endpoint{Server: i, Zone: "z1"})
 			}
-			c.Handle(time.Hour, EndpointList{Kind: ListCached, Endpoints: ms})
+			controller.Handle(time.Hour, EndpointList{Kind: ListCached, Endpoints: ms})
 			for i := 0; i < b.N; i++ {
 				now := time.Hour + time.Duration(i)*time.Millisecond
 				id := fmt.Sprint(i)
-				for _, a := range c.Handle(now, Request{
+				for _, a := range controller.Handle(now, Request{
 					ID: id, Class: "job", Plan: "high", Customer: "x",
 					Timeout: 5 * time.Second, Units: 1, FanOut: 2,
 				}) {
 					if a, ok := a.(Send); ok {
-						c.Handle(now, AttemptResult{ID: id, Server: a.Server, Reason: OK, IsFinal: true, QuotaUsage: 50})
+						controller.Handle(now, AttemptResult{ID: id, Server: a.Server, Reason: OK, IsFinal: true, QuotaUsage: 50})
 						break
 					}
 				}
--- a/control/slow_start_test.go
+++ b/control/slow_start_test.go
@@ -41,22 +41,22 @@
 func TestSlowStartBelowOneRequestASecondFlows(t *testing.T) {
 	for _, n := range []int{2, 8, 80} {
 		list := activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
-		c := newGatewayGroup(t, n, list)
-		c.serve(20)
-		fresh := Endpoint{Server: 13, Size: 1, HasStartedAt: true, StartedAt: c.gates[0].now}
-		for _, gateway := range c.gates {
+		group := newGatewayGroup(t, n, list)
+		group.serve(20)
+		fresh := Endpoint{Server: 13, Size: 1, HasStartedAt: true, StartedAt: group.gates[0].now}
+		for _, gateway := range group.gates {
 			gateway.handle(EndpointList{Kind: ListPatch, Endpoints: []Endpoint{fresh}})
 		}
-		clear(c.sent)
-		c.serve(50) // its first 10 s
+		clear(group.sent)
+		group.serve(50) // its first 10 s
 		warm := 0.0
-		for s, k := range c.sent {
-			if s != 13 {
+		for id, k := range group.sent {
+			if id != 13 {
 				warm += float64(k) / 12
 			}
 		}
 		// At its coldest it could do 0.15 of what a warm one does, at 10 s 0.72 of it, by the settings.
-		if part := float64(c.sent[13]) / warm; part < 0.1 || part > 0.72 {
+		if part := float64(group.sent[13]) / warm; part < 0.1 || part > 0.72 {
 			t.Errorf("%d gateways: a cold server is sent %.2f of what a warm one is", n, part)
 		}
 	}
@@ -67,14 +67,14 @@
 func TestGatewaysThatStartTogetherRespectSlowStart(t *testing.T) {
 	for _, n := range []int{8, 80, 300} {
 		list := activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
-		for s := uint32(13); s <= 16; s++ {
-			list = append(list, Endpoint{Server: s, Size: 1, HasStartedAt: true, StartedAt: time.Hour - time.Second})
+		for id := uint32(13); id <= 16; id++ {
+			list = append(list, Endpoint{Server: id, Size: 1, HasStartedAt: true, StartedAt: time.Hour - time.Second})
 		}
-		c := newGatewayGroup(t, n, list)
-		c.serve(10) // 2 s
+		group := newGatewayGroup(t, n, list)
+		group.serve(10) // 2 s
 		cold, all := 0, 0
-		for s, k := range c.sent {
-			if all += k; s >= 13 {
+		for id, k := range group.sent {
+			if all += k; id >= 13 {
 				cold += k
 			}
 		}
--- a/control/usage_test.go
+++ b/control/usage_test.go
@@ -11,40 +11,40 @@
 	settings := testSettings()
 	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 1000, 20 // enough units for a reading to outweigh the prior
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
-	account := gateway.c.accountFor(gateway.c.plans[0], "x", 1000) // own tries tell next to nothing
+	account := gateway.controller.accountFor(gateway.controller.plans[0], "x", 1000) // own tries tell next to nothing
 	read := func(pct int) float64 {
-		gateway.c.now = gateway.now
+		gateway.controller.now = gateway.now
 		account.quota.tokens = 0 // the store is empty enough for the chance to decide
-		gateway.c.recordReading(account, pct+1, 1)
-		return gateway.c.rejectionProbability(account)
+		gateway.controller.recordReading(account, pct+1, 1)
+		return gateway.controller.rejectionProbability(account)
 	}
-	gateway.c.meter.lagBins = 0
+	gateway.controller.meter.lagBins = 0
 	asks := func(n, refused int) { // what was asked and refused in the second to come
-		gateway.c.now = gateway.now
-		gateway.c.refill(account)
+		gateway.controller.now = gateway.now
+		gateway.controller.refill(account)
 		account.history.arrivals.add(float64(n))
 		account.history.rejections.add(float64(refused))
 		gateway.now += 1100 * ms
 	}
 	asks(4000, 0)
-	if d := read(400); math.Abs(d-0.75) > 0.01 {
-		t.Fatalf("d = %g after a first reading of 400%%", d)
+	if probability := read(400); math.Abs(probability-0.75) > 0.01 {
+		t.Fatalf("d = %g after a first reading of 400%%", probability)
 	}
 	for i := 0; i < 5; i++ {
 		gateway.now += 20 * ms
-		if d := read(400); math.Abs(d-0.75) > 0.02 {
-			t.Fatalf("d = %g: one period was read again", d)
+		if probability := read(400); math.Abs(probability-0.75) > 0.02 {
+			t.Fatalf("d = %g: one period was read again", probability)
 		}
 	}
 	gateway.now += 900 * ms
 	asks(4000, 3000) // with three quarters refused, 200% is left
-	if d := read(200); math.Abs(d-0.875) > 0.01 {
-		t.Errorf("d = %g after 200%% let through by a chance of 0.75", d)
+	if probability := read(200); math.Abs(probability-0.875) > 0.01 {
+		t.Errorf("d = %g after 200%% let through by a chance of 0.75", probability)
 	}
 	for i := 0; i < 20; i++ {
 		gateway.now += time.Second
-		if d := read(5000); d < 0 || d > maxRejectionProbability {
-			t.Fatalf("d = %g", d)
+		if probability := read(5000); probability < 0 || probability > maxRejectionProbability {
+			t.Fatalf("d = %g", probability)
 		}
 	}
 }
@@ -54,15 +54,15 @@
 	settings := testSettings()
 	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 10, 1000
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
-	account := gateway.c.accountFor(gateway.c.plans[0], "x", 1)
+	account := gateway.controller.accountFor(gateway.controller.plans[0], "x", 1)
 	const late = 1300 * ms
 	var sent []time.Duration
 	for i := 0; i < 3000; i++ {
 		gateway.now += 10 * ms
-		gateway.c.now = gateway.now
-		gateway.c.refill(account)
+		gateway.controller.now = gateway.now
+		gateway.controller.refill(account)
 		if i%7 == 0 && (i/300)%2 == 0 {
-			gateway.c.chargeFirstAttempt(account, 1)
+			gateway.controller.chargeFirstAttempt(account, 1)
 			sent = append(sent, gateway.now)
 		}
 		end := (gateway.now - late).Truncate(time.Second)
@@ -73,10 +73,10 @@
 			}
 		}
 		if i%5 == 0 {
-			gateway.c.recordReading(account, 1+n*10, 1)
+			gateway.controller.recordReading(account, 1+n*10, 1)
 		}
 	}
-	end := gateway.c.meter.periodEndBin(gateway.c.currentBin())
+	end := gateway.controller.meter.periodEndBin(gateway.controller.currentBin())
 	if want := int64((gateway.now - late).Truncate(time.Second) / (100 * ms)); end < want-1 || end > want+1 {
 		t.Errorf("the told period is taken to end in bin %d, it ended in %d", end, want)
 	}
@@ -86,21 +86,21 @@
 // readings, though seconds apart, most of its tries are refused; most of a calm one's are let in,
 // which come so seldom that each alone speaks for more.
 func TestFewReadingsSetTheRejectionProbability(t *testing.T) {
-	for _, k := range []struct {
+	for _, tc := range []struct {
 		used, gap int
 		low, high float64
 	}{{401, 4, 0, 0.5}, {31, 30, 0.55, 1}} {
 		gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1, 2, 3, 4)...)
 		asked := 0
-		gateway.serve(5*time.Minute, time.Duration(k.gap)*time.Second, k.used, func(i int) {
+		gateway.serve(5*time.Minute, time.Duration(tc.gap)*time.Second, tc.used, func(i int) {
 			asked++
 			gateway.handle(Request{
 				ID: fmt.Sprint(i), Class: "job", Plan: "low", Customer: "c", Timeout: 3 * time.Second,
 				Units: 1, FanOut: 60,
 			})
 		})
-		if part := float64(len(gateway.sends)) / float64(asked); part < k.low || part > k.high {
-			t.Errorf("told %d%%: %.2f of the tries sent on, want %v to %v", k.used-1, part, k.low, k.high)
+		if part := float64(len(gateway.sends)) / float64(asked); part < tc.low || part > tc.high {
+			t.Errorf("told %d%%: %.2f of the tries sent on, want %v to %v", tc.used-1, part, tc.low, tc.high)
 		}
 	}
 }
@@ -124,8 +124,8 @@
 			n++
 			id := fmt.Sprint("r", n)
 			gateway.request(id, "job", plan, fmt.Sprint("new", n))
-			if r, ok := gateway.finalAnswers[id].(Reject); ok && r.Cause != CauseProbability {
-				t.Fatalf("%s: refused by %v", id, r.Cause)
+			if reject, ok := gateway.finalAnswers[id].(Reject); ok && reject.Cause != CauseProbability {
+				t.Fatalf("%s: refused by %v", id, reject.Cause)
 			} else if !ok {
 				gateway.advance(10 * ms)
 				gateway.respond(id, OK, 0)
@@ -135,8 +135,8 @@
 		return 1 - float64(len(gateway.sends)-before)/asks
 	}
 	read := func(plan int, customer string, pct int) {
-		gateway.c.now = gateway.now
-		gateway.c.recordReading(gateway.c.accountFor(gateway.c.plans[plan], customer, 2), pct+1, 1)
+		gateway.controller.now = gateway.now
+		gateway.controller.recordReading(gateway.controller.accountFor(gateway.controller.plans[plan], customer, 2), pct+1, 1)
 	}
 	is := func(when, plan string, want float64) {
 		t.Helper()
@@ -157,11 +157,11 @@
 		read(1, "one", 50)
 	}
 	is("after a first reading and others", "high", 2.75/4/2)
-	resumed, err := Resume(settings, gateway.c.Image())
+	resumed, err := Resume(settings, gateway.controller.Image())
 	if err != nil {
 		t.Fatal(err)
 	}
-	gateway.c = resumed
+	gateway.controller = resumed
 	is("after a resume", "low", 2.75/4.5/2)
 	is("after a resume", "high", 2.75/4/2)
 }
@@ -174,7 +174,7 @@
 		gateway.request(fmt.Sprint(i), "job", "low", "x")
 	}
 	gateway.request("y", "job", "low", "y")
-	if gateway.c.accountFor(gateway.c.plans[0], "x", 2).inFlight.current != 2 || gateway.attempts["y"] != 1 {
+	if gateway.controller.accountFor(gateway.controller.plans[0], "x", 2).inFlight.current != 2 || gateway.attempts["y"] != 1 {
 		t.Fatalf("sends %v: two of x are its part of four, y is not held up", gateway.sends)
 	}
 	gateway.respond("0", OK, 0)
