Say in plain technical English what the tests of package control check

Comments and failure messages of the tests were in words of the earlier house style. Only comments and messages change.

--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// One slow answer is no verdict for good: with nothing out, a try goes on, and fast answers open the way
-// again.
+// One slow answer must not reject all later requests: with nothing in flight an attempt is started, and fast answers
+// admit requests again.
 func TestOneSlowAnswerDoesNotRejectAllLater(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
 	gateway.request("slow", "job", "low", "")
@@ -26,7 +26,7 @@
 		gateway.advance(200 * ms)
 	}
 	if let < 39 {
-		t.Errorf("%d of 40 are let in", let)
+		t.Errorf("%d of 40 are admitted", let)
 	}
 }
 
@@ -73,8 +73,8 @@
 	}
 }
 
-// Guards against memory that grows with customers who come once. One whose stores are not
-// full again is kept: forgetting it would open its quota or ceiling anew.
+// Guards against memory that grows with customers that come once. An account whose buckets are not full is not
+// evicted, as a new one would grant its quota or hard limit again.
 func TestIdleAccountsAreEvicted(t *testing.T) {
 	settings := testSettings()
 	settings.Plans = append(settings.Plans, Plan{Name: "slow", Price: 1, QuotaRate: 0.01, QuotaBurst: 10},
@@ -104,7 +104,7 @@
 	}
 }
 
-// A customer is forgotten whatever the units of its requests were that waited and were not sent.
+// An account is evicted whatever fractions of units its queued and rejected requests had.
 func TestAccountsWithFractionalUnitsAreEvicted(t *testing.T) {
 	gateway := newTestGateway(t, testSettings())
 	for i, units := range []float64{0.1, 0.2, 0.3} {
@@ -115,7 +115,7 @@
 	}
 }
 
-// A class worth far less leaves the lower half of the store to the others.
+// A class of far lower priority weight leaves the lower half of the bucket to others.
 func TestSheddableClassLeavesTheBucket(t *testing.T) {
 	settings := testSettings()
 	settings.Classes = append(settings.Classes, Class{Name: "cheap", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 0.2})
@@ -125,12 +125,12 @@
 	gateway.request("cheap", "cheap", "low", "x")
 	gateway.request("dear", "job", "low", "x")
 	if gateway.finalAnswers["cheap"] == nil || gateway.finalAnswers["dear"] != nil {
-		t.Error("the cheap class did not yield to the dear one")
+		t.Error("the low-priority class did not yield to the high-priority one")
 	}
 }
 
-// Guards against a gateway that has just started and refuses by chance for its first quarter of a
-// minute, though it has been told each period and the store is well filled.
+// Guards against a gateway just started that applies the rejection probability for its first 15 seconds, though each
+// period is metered and the bucket is well filled.
 func TestFilledBucketAdmitsFromTheFirstReadings(t *testing.T) {
 	for _, tc := range []struct {
 		gap, life time.Duration // between readings, and since the start
@@ -148,7 +148,7 @@
 	}
 }
 
-// Guards against first tries that a gateway finds after a stall being taken for later ones.
+// Guards against first attempts being taken for retries by a gateway that was stalled.
 func TestStallDoesNotMakeFirstAttemptsLate(t *testing.T) {
 	settings := testSettings()
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2)...)
@@ -175,7 +175,7 @@
 	}
 }
 
-// After a stall everything comes at once; whoever can still be served is, all are answered once.
+// After a stall all events come at once: requests that can still be served are, and each has one final answer.
 func TestEventsAllAtOnceAfterAStall(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
 	gateway.request("old", "job", "high", "x")
@@ -203,8 +203,8 @@
 	}
 }
 
-// Where the settings name no most of a request's units, a client that tells any number of them moves nothing
-// that requests of others go by: what servers do, what a cold one may be sent, and what requests take on average.
+// Where the settings have no maximum of units, a client that names any number of them does not move what requests of
+// others depend on: throughput of servers, slow-start budgets and the mean units of a request.
 func TestUnitsOfOneRequestDoNotMoveSharedEstimates(t *testing.T) {
 	type shared struct{ mean, done, tokens float64 }
 	play := func(units float64, refused bool) shared {
@@ -241,8 +241,8 @@
 	}
 }
 
-// closedLoop has clients ask without a pause, of a cheap class and a dear one in turn, of four
-// servers that take a time for each attempt, and counts what is refused.
+// closedLoop has clients send requests without a pause, of a low-priority and a high-priority class in turn, to four
+// servers that take a time for each attempt. It counts what is served and rejected by class.
 func closedLoop(t *testing.T, clients int, takes, lasts time.Duration, cheap float64) (served, refused map[string]int) {
 	t.Helper()
 	settings := testSettings()
@@ -297,19 +297,19 @@
 	return served, refused
 }
 
-// A class worth little is not refused while servers are so fast that its turn takes next to
-// nothing of its aim; it still yields where a turn takes long.
+// A class of low priority weight is not rejected while servers are so fast that a turn takes a small part of its
+// latency objective; it is shed where a turn takes long.
 func TestFastServersRejectNothing(t *testing.T) {
 	for _, clients := range []int{8, 64, 256} {
 		served, refused := closedLoop(t, clients, time.Millisecond, 200*time.Millisecond, 1)
 		if refused["cheap"]+refused["dear"] > 0 || served["cheap"] < served["dear"]/2 || served["cheap"] == 0 {
-			t.Errorf("%d clients: served %v, refused %v", clients, served, refused)
+			t.Errorf("%d clients: served %v, rejected %v", clients, served, refused)
 		}
 	}
 	if _, refused := closedLoop(t, 64, 300*time.Millisecond, 4*time.Second, 1); refused["cheap"] == 0 || refused["dear"] > 0 {
-		t.Errorf("servers that take 300 ms: refused %v", refused)
+		t.Errorf("servers that take 300 ms: rejected %v", refused)
 	}
 	if _, refused := closedLoop(t, 64, time.Millisecond, 200*time.Millisecond, 5); refused["cheap"] > 0 {
-		t.Errorf("of equal worth: refused %v", refused)
+		t.Errorf("of equal worth: rejected %v", refused)
 	}
 }
--- a/control/attempts_test.go
+++ b/control/attempts_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// Guards against a further attempt that waits beyond the client's time.
+// Guards against a retry that is queued beyond the client's deadline.
 func TestQueuedRetryIsAnsweredInTime(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1)...)
 	gateway.request("a", "job", "low", "x")
@@ -94,8 +94,8 @@
 	}
 }
 
-// Guards against a storm of fast errors that uses up the further attempts, or puts servers
-// aside that still serve half of what they are sent: twelve requests are open at a time.
+// Guards against a storm of fast errors that uses up the retry budget, or ejects servers that still serve half of
+// their requests, with twelve requests at a time.
 func TestRetryBudgetOutlastsFastErrors(t *testing.T) {
 	settings := testSettings()
 	settings.MaxAttempts = 6
@@ -137,12 +137,12 @@
 		}
 	}
 	if failed > 60 {
-		t.Errorf("%d of 2000 not served; tries by server: %v", failed, tries)
+		t.Errorf("%d of 2000 not served; requests by server: %v", failed, tries)
 	}
 }
 
-// What was decided and never sent leaves nothing behind, whether its client has left before or the
-// node could not send it: no place, no turn, no charge, no word on the server.
+// An attempt that is not sent leaves nothing behind, whether its client has left before or the node could not send
+// it: no slot, no charge and no failure of the server.
 func TestAttemptNotSentIsRefunded(t *testing.T) {
 	for name, class := range map[string]Class{"safe": {Idempotency: Idempotent}, "keyed": {Idempotency: IdempotencyKeyed, RepeatWindow: time.Minute}, "unsafe": {Idempotency: NotIdempotent}} {
 		for what, leaves := range map[string]bool{"left": true, "not sent": false} {
@@ -204,8 +204,8 @@
 	}
 }
 
-// Guards against a keyed retry that waits in the queue when it can't be forwarded any more: it is answered as its
-// repeat window ends, well before its client's time.
+// Guards against a keyed retry that stays queued when it can not be forwarded any more: it is answered at the end of
+// its repeat window, well before the client's deadline.
 func TestWaitingRetryIsAnsweredAtTheEndOfItsWindow(t *testing.T) {
 	settings := testSettings()
 	class := &settings.Classes[0]
--- a/control/concurrency_limit_test.go
+++ b/control/concurrency_limit_test.go
@@ -20,30 +20,30 @@
 		before := gateway.controller.limiter.limit
 		gateway.controller.endWindow(1)
 		if gateway.controller.limiter.limit < before/2 {
-			t.Errorf("the bound went from %g to %g in one interval", before, gateway.controller.limiter.limit)
+			t.Errorf("the limit went from %g to %g in one window", before, gateway.controller.limiter.limit)
 		}
 	}
 	if gateway.controller.limiter.limit != 3 {
-		t.Errorf("the bound fell to %g, the part of two gateways of two a server is 3", gateway.controller.limiter.limit)
+		t.Errorf("the limit fell to %g, the part of two gateways of two a server is 3", gateway.controller.limiter.limit)
 	}
 }
 
-// Guards against a few long requests that pin the bound to its floor.
+// Guards against a few long requests that keep the limit at its minimum.
 func TestOneTimeoutDoesNotCutTheConcurrencyLimit(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
 	gateway.controller.limiter.limit, gateway.controller.window.overloads, gateway.controller.window.answers = 40, 1, 99
 	gateway.controller.endWindow(1)
 	if gateway.controller.limiter.limit < 40 {
-		t.Errorf("bound %g after one time-out in a hundred answers", gateway.controller.limiter.limit)
+		t.Errorf("limit %g after one timeout in a hundred answers", gateway.controller.limiter.limit)
 	}
 	gateway.controller.window.overloads, gateway.controller.window.answers = 30, 70
 	gateway.controller.endWindow(1)
 	if gateway.controller.limiter.limit != 20 {
-		t.Errorf("bound %g after thirty in a hundred", gateway.controller.limiter.limit)
+		t.Errorf("limit %g after thirty in a hundred", gateway.controller.limiter.limit)
 	}
 }
 
-// Guards against many gateways that jam the fleet by their floors alone.
+// Guards against many gateways that overload the servers by their minimum limits alone.
 func TestMinimumLimitsOfALargeGroupAreShared(t *testing.T) {
 	settings := testSettings()
 	settings.GroupSize = 16
@@ -56,7 +56,7 @@
 	}
 }
 
-// Guards against bounds below one that stop the work: a place is used, then rests.
+// Guards against limits below one that stop all work: the slot is used, and then pauses.
 func TestFractionalSlotPausesAndFlows(t *testing.T) {
 	gateway := newTestGateway(t, largeGroupSettings(), activeEndpoints(1)...)
 	gateway.controller.limiter.limit, gateway.controller.fleet.latency.mean, gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 0.25, 0.1, 0.1, 100
@@ -76,8 +76,8 @@
 	}
 }
 
-// Requests whose body is still to come are no part of the bound, however many there are and
-// however long they last, and teach nothing of the servers' speed.
+// Requests with a pending body do not count against the limit, however many there are and however long they last, and
+// show nothing of the servers' latency.
 func TestPendingBodiesAreOutsideTheConcurrencyLimit(t *testing.T) {
 	settings := testSettings()
 	settings.GroupSize, settings.MeterPeriod = 1, 0
@@ -115,7 +115,7 @@
 	}
 }
 
-// Guards against a first interval with many answers that leaves the idle time at nothing.
+// Guards against a first window with many answers that leaves the idle latency at zero.
 func TestIdleLatencyIsKnownFromTheFirstWindow(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
 	for i := 0; i < 60; i++ {
@@ -129,7 +129,7 @@
 	}
 }
 
-// Guards against a second cut of the bound for answers to sends from before the first.
+// Guards against a second cut for answers to attempts from before the first.
 func TestConcurrencyLimitIsCutOncePerLatency(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2)...)
 	gateway.controller.limiter.limit, gateway.controller.fleet.latency.mean, gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 80, 1.2, 0.1, 100
@@ -138,13 +138,13 @@
 		gateway.controller.now = gateway.now + time.Duration(i)*time.Second
 		gateway.controller.endWindow(1)
 		if gateway.controller.limiter.limit != want {
-			t.Errorf("bound %g after %d late seconds, want %g", gateway.controller.limiter.limit, i+1, want)
+			t.Errorf("limit %g after %d late seconds, want %g", gateway.controller.limiter.limit, i+1, want)
 		}
 	}
 }
 
-// Guards against a bound that grows while many answers come late, because the reports of servers
-// that have just started still tell of room.
+// Guards against a limit that grows while many answers are late, because the load reports of servers just started
+// still show capacity.
 func TestManyLateAnswersCutTheConcurrencyLimit(t *testing.T) {
 	settings := testSettings()
 	gateway := newTestGateway(t, settings, activeEndpoints(1, 2, 3, 4)...)
@@ -175,12 +175,12 @@
 		gateway.advance(time.Second)
 	}
 	if gateway.controller.ConcurrencyLimit() >= 200 {
-		t.Errorf("the bound is %g after 200 answers that took 1.5 s of an aim of 2 s", gateway.controller.ConcurrencyLimit())
+		t.Errorf("the limit is %g after 200 answers that took 1.5 s of an aim of 2 s", gateway.controller.ConcurrencyLimit())
 	}
 }
 
-// Guards against a bound that falls for a few answers that took long, while the servers tell that
-// they have room; where they tell that they have none, it falls.
+// Guards against a limit that is cut for a few slow answers while load reports show capacity; it is cut where they
+// show none.
 func TestConcurrencyLimitIsCutOnlyIfServersAreFull(t *testing.T) {
 	for _, tc := range []struct {
 		util float64
@@ -201,7 +201,7 @@
 			}
 		}
 		if cut := gateway.controller.ConcurrencyLimit() < first; cut != tc.cut {
-			t.Errorf("servers at %.1f: the bound went from %.2f to %.2f", tc.util, first, gateway.controller.ConcurrencyLimit())
+			t.Errorf("servers at %.1f: the limit went from %.2f to %.2f", tc.util, first, gateway.controller.ConcurrencyLimit())
 		}
 	}
 }
--- a/control/endpoint_choice_test.go
+++ b/control/endpoint_choice_test.go
@@ -20,7 +20,7 @@
 	}
 }
 
-// Guards against a server that takes requests and never answers.
+// Guards against a server that accepts requests and never answers.
 func TestSilentServerIsAvoided(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
 	silent := 0
@@ -39,7 +39,7 @@
 	}
 }
 
-// Guards against gateways that each learn anew, by a request every few seconds, which servers are slow.
+// Guards against gateways that each find out by their own requests, one every few seconds, which servers are slow.
 func TestServerThatReportsHighLatencyIsChosenLess(t *testing.T) {
 	group := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
 	group.load = func(id uint32) *LoadReport {
@@ -54,8 +54,8 @@
 	}
 }
 
-// Guards against many gateways that find a server the fastest because its mean time, which it tells,
-// begins at nothing.
+// Guards against many gateways that take a server for the fastest because the mean latency that it reports starts at
+// zero.
 func TestServerWithZeroReportedLatencyDoesNotAttractAll(t *testing.T) {
 	group := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
 	group.load = func(id uint32) *LoadReport {
@@ -70,8 +70,8 @@
 	}
 }
 
-// Guards against a gateway that goes on asking the busiest server: of those it knows, one with
-// room is chosen first.
+// Guards against a gateway that keeps choosing the busiest server: of those with reports, one with capacity is chosen
+// first.
 func TestBusyServerIsChosenLess(t *testing.T) {
 	group := newGatewayGroup(t, 40, activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8))
 	group.load = func(id uint32) *LoadReport {
--- a/control/endpoints_test.go
+++ b/control/endpoints_test.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// A server that has a request is told to drain, or gone, by an entry that says nothing else of it.
-// A repeat still goes to those that drop repeats of what it ran, or to none.
+// A server with a request in flight is listed as draining or gone by an entry that holds nothing else. A retry still
+// goes to servers that drop repeats of what it ran, or to none.
 func TestGoneServerKeepsItsRepeatGroup(t *testing.T) {
 	for _, condition := range []EndpointState{Draining, Gone} {
 		for _, scope := range []KeyScope{ScopeZone, ScopeCell} {
--- a/control/extreme_settings_test.go
+++ b/control/extreme_settings_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// extremeSettings draws the settings of any customer: few classes or many, of any effect, deadlines short and
-// long, plans with each kind of quota, with and without meter, cold time and attempt limit.
+// extremeSettings draws settings of any kind: few classes or many, of any idempotency, with short and long deadlines,
+// plans with each kind of quota, with and without a meter, warmup time and attempt limit.
 func extremeSettings(rng *rand.Rand) Settings {
 	some := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
 	settings := Settings{
@@ -37,7 +37,7 @@
 	return settings
 }
 
-// strayEvent is an event that refers to what is not there, or comes twice or too late.
+// strayEvent is an event that refers to nothing known, or comes twice or too late.
 func (w *world) strayEvent() Event {
 	id := fmt.Sprint("r", w.rng.IntN(w.lastID+2))
 	for _, attempt := range w.inFlight { // not of what is out, which has its own end
@@ -77,7 +77,7 @@
 	return ClientGone{ID: "unknown"}
 }
 
-// arriveAny is a request of any kind, or one of an id that is held.
+// arriveAny is a request of any kind, or one with the ID of another that has no final answer.
 func (w *world) arriveAny() {
 	class, plan := w.set.Classes[w.rng.IntN(len(w.set.Classes))], w.set.Plans[w.rng.IntN(len(w.set.Plans))]
 	w.lastID++
@@ -98,7 +98,7 @@
 	}
 }
 
-// stepAny is one step of odd events.
+// stepAny is one step of such events.
 func (w *world) stepAny(comes bool) {
 	w.now += time.Duration(w.rng.IntN(10)) * ms
 	if w.rng.IntN(400) == 0 { // the gateway stood still
@@ -142,8 +142,9 @@
 	}
 }
 
-// Whatever the settings are, and whatever comes twice, too late or of what is not there: each request
-// has one answer in time, and once none is left nothing is kept of any: no place, turn or unit.
+// Whatever the settings are, and whatever comes twice, too late or with unknown references, each request has one
+// final answer in time, and once all have one no state of them is left: no slot, no queue entry and no reserved
+// units.
 func TestExtremeSettingsAndStrayEventsLeaveNoState(t *testing.T) {
 	for seed := uint64(1); seed <= 300; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 2))
@@ -188,7 +189,7 @@
 			}
 		}
 		if math.IsNaN(controller.limiter.limit+controller.fleet.latency.mean+controller.retryBudget) || controller.limiter.limit < 0 {
-			t.Fatalf("seed %d: a bound of %g, latency %g", seed, controller.limiter.limit, controller.fleet.latency.mean)
+			t.Fatalf("seed %d: a limit of %g, latency %g", seed, controller.limiter.limit, controller.fleet.latency.mean)
 		}
 	}
 }
--- a/control/gateway_test.go
+++ b/control/gateway_test.go
@@ -8,7 +8,7 @@
 
 const ms = time.Millisecond
 
-// testSettings is a small deployment for tests: one free class, two plans.
+// testSettings is a small deployment: one idempotent class, two plans.
 func testSettings() Settings {
 	return Settings{
 		GroupSize: 2, Zone: "z1", MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: 2 * time.Second,
@@ -22,7 +22,7 @@
 	}
 }
 
-// testGateway drives one controller by hand and keeps what it was told to do.
+// testGateway drives one controller by hand and records its actions.
 type testGateway struct {
 	t            *testing.T
 	controller   *Controller
@@ -48,7 +48,7 @@
 	return gateway
 }
 
-// handle hands over one event and checks what holds for all actions.
+// handle feeds one event and checks what holds for all actions.
 func (g *testGateway) handle(event Event) {
 	g.t.Helper()
 	acts := append([]Action{}, g.controller.Handle(g.now, event)...)
@@ -79,7 +79,7 @@
 	g.finalAnswers[id] = action
 }
 
-// advance lets time go by, with the timers that come due in it.
+// advance lets time pass, and fires the timers that are due in it.
 func (g *testGateway) advance(d time.Duration) {
 	g.t.Helper()
 	for end := g.now + d; ; {
@@ -105,7 +105,7 @@
 	g.handle(Request{ID: id, Class: class, Plan: plan, Customer: customer, Timeout: 5 * time.Second, Units: 1, FanOut: 2})
 }
 
-// respond answers the latest send of a request.
+// respond ends the latest attempt of a request.
 func (g *testGateway) respond(id string, why Reason, used int) {
 	g.t.Helper()
 	for i := len(g.sends) - 1; i >= 0; i-- {
@@ -120,7 +120,7 @@
 	g.t.Fatalf("%s was never sent", id)
 }
 
-// serve asks every gap for a time d, and answers what is sent after 200 ms.
+// serve sends a request every gap for a time d, and answers each attempt after 200 ms.
 func (g *testGateway) serve(d, gap time.Duration, used int, ask func(i int)) {
 	g.t.Helper()
 	next, open := 0, len(g.sends)
@@ -158,12 +158,12 @@
 	return settings
 }
 
-// loadReport is a server's report of its mean time, in ms, and how busy it is.
+// loadReport is a report of a server's mean latency, in ms, and of its utilization.
 func loadReport(mean, util float64) *LoadReport {
 	return &LoadReport{MeanLatencyMS: mean, Utilization: util, Queued: 0, InFlight: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 }
 
-// gatewayGroup is a group of controllers that are asked in turn; each attempt is answered after 300 ms.
+// gatewayGroup is a group of controllers that get requests in turn; each attempt is answered after 300 ms.
 type gatewayGroup struct {
 	t     *testing.T
 	gates []*testGateway
@@ -188,7 +188,7 @@
 	return group
 }
 
-// serve has each gateway asked once in each step of 200 ms, for so many steps.
+// serve sends each gateway one request in each step of 200 ms, for a number of steps.
 func (c *gatewayGroup) serve(steps int) {
 	const step = 200 * ms
 	for range steps {
--- a/control/hand_over_test.go
+++ b/control/hand_over_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// handOverChain is a line of controllers, each of which took over from the one before, and the customer
-// "x" of the plan low that sends through all that have not ended.
+// handOverChain is a line of controllers, each of which took over from the one before, and a customer "x" of the plan
+// low that sends requests to all that have not ended.
 type handOverChain struct {
 	t        *testing.T
 	set      Settings
@@ -34,7 +34,7 @@
 	return gateway
 }
 
-// handOver hands over to a new controller; with give below 1 the old one goes on beside it.
+// handOver hands over to a new controller; with a fraction below 1 the old one goes on beside it.
 func (c *handOverChain) handOver(give float64) {
 	old := c.newest()
 	next := c.newGateway(old.now)
@@ -42,7 +42,7 @@
 	c.gateways = append(c.gateways, next)
 }
 
-// endPredecessors ends all but the newest.
+// endPredecessors ends all gateways but the newest.
 func (c *handOverChain) endPredecessors() {
 	for _, pending := range c.inFlight {
 		if pending.g != c.newest() {
@@ -61,7 +61,7 @@
 	c.newest().controller.ReclaimRates(c.newest().now, &rest)
 }
 
-// step lets a millisecond pass, in which the customer asks with the given chance.
+// step lets a millisecond pass, in which the customer sends a request with the given probability.
 func (c *handOverChain) step(asks float64) {
 	now := c.newest().now + ms
 	for i := 0; i < len(c.inFlight); i++ {
@@ -86,7 +86,7 @@
 	}
 }
 
-// maxExcess is the largest excess of what was sent over a store that fills from start on.
+// maxExcess is the largest excess of the units sent over a bucket that fills from start on.
 func (c *handOverChain) maxExcess(start time.Duration, rate, burst float64) float64 {
 	worst, level := math.Inf(-1), 0.0
 	last := start
@@ -97,8 +97,8 @@
 	return worst
 }
 
-// However often what was spent changes hands, whole or by halves, the ceiling is neither opened
-// anew nor is what is due refused.
+// However often what was spent is handed over, completely or by halves, the hard limit is neither exceeded nor are
+// requests within it rejected.
 func TestHardLimitHoldsOverManyHandOvers(t *testing.T) {
 	for seed := range uint64(40) {
 		chain := &handOverChain{t: t, set: hardLimitSettings(), rng: rand.New(rand.NewPCG(seed, 4))}
@@ -119,7 +119,7 @@
 			}
 		}
 		if over := chain.maxExcess(start, 30, 60); over > initialSlackFraction*6+1 {
-			t.Errorf("seed %d: %.1f units beyond the ceiling", seed, over)
+			t.Errorf("seed %d: %.1f units beyond the hard limit", seed, over)
 		}
 		one := &handOverChain{t: t, set: chain.set, rng: rand.New(rand.NewPCG(seed, 4))} // that never hands over
 		one.gateways = []*testGateway{one.newGateway(time.Hour)}
@@ -132,8 +132,8 @@
 	}
 }
 
-// A plan whose figures change in the middle of a burst: what was spent stays spent, and what the
-// new figures give beyond it is there.
+// A plan's quota and hard limit change in the middle of a burst: what was spent stays spent, and what they grant
+// beyond it is available.
 func TestHandOverToChangedPlanKeepsWhatWasSpent(t *testing.T) {
 	for name, tc := range map[string]struct {
 		burst, depth          float64
@@ -159,7 +159,7 @@
 			successor.controller.Restore(successor.now, predecessor.controller.HandOver(predecessor.now, 1), TrustAll)
 			got := successor.controller.accounts["low x"]
 			if got.hardLimit.tokens != tc.wantCeiling || got.quota.tokens != tc.wantLeft {
-				t.Errorf("ceiling %g, level %g", got.hardLimit.tokens, got.quota.tokens)
+				t.Errorf("hard limit %g, level %g", got.hardLimit.tokens, got.quota.tokens)
 			}
 			if account.hardLimit.tokens != 0 || account.quota.tokens != 0 {
 				t.Errorf("the old one keeps %g and %g", account.hardLimit.tokens, account.quota.tokens)
@@ -168,7 +168,7 @@
 	}
 }
 
-// What a reload must not lose: bound, latencies, who is aside, the meter's lateness, shares.
+// A reload must not lose the concurrency limit, latencies, ejections, the meter's delay and shares.
 func TestEstimatesSurviveAHandOver(t *testing.T) {
 	settings := testSettings()
 	predecessor := newTestGateway(t, settings, activeEndpoints(1, 2, 3)...)
@@ -185,7 +185,7 @@
 		t.Errorf("latency %g, lag %d, shares %g", successor.controller.fleet.latency.mean, successor.controller.meter.lagBins, successor.controller.plans[1].share)
 	}
 	if successor.controller.limiter.limit < 37*0.7 || successor.controller.limiter.limit > 37 {
-		t.Errorf("a bound of %g", successor.controller.limiter.limit)
+		t.Errorf("a limit of %g", successor.controller.limiter.limit)
 	}
 	if !successor.controller.servers[2].outlier.isEjected(successor.controller.now) || successor.controller.servers[3].latency.seconds != 0 {
 		t.Error("the servers are not as they were")
@@ -196,11 +196,11 @@
 	first := later.controller.limiter.limit
 	later.controller.Restore(predecessor.now, old, TrustAll)
 	if math.Abs(later.controller.limiter.limit-first) > 0.01 {
-		t.Errorf("a bound of %g by what is an hour old, not %g", later.controller.limiter.limit, first)
+		t.Errorf("a limit of %g by what is an hour old, not %g", later.controller.limiter.limit, first)
 	}
 }
 
-// Reloads that come faster than an interval ends don't keep the bound from growing.
+// Reloads that come faster than control windows end do not keep the limit from growing.
 func TestConcurrencyLimitGrowsOverManyHandOvers(t *testing.T) {
 	chain := &handOverChain{t: t, set: hardLimitSettings(), rng: rand.New(rand.NewPCG(1, 4))}
 	chain.set.Plans = []Plan{{Name: "low", Price: 1}}
@@ -214,6 +214,6 @@
 		}
 	}
 	if got := chain.newest().controller.limiter.limit; got <= first {
-		t.Errorf("a bound of %g, at first %g", got, first)
+		t.Errorf("a limit of %g, at first %g", got, first)
 	}
 }
--- a/control/hard_limit_test.go
+++ b/control/hard_limit_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// A customer that was never seen, or that was forgotten, has no more to spend at once than the
-// ceiling's store can hold, however long the gateway has run.
+// A new or evicted customer has no more to spend at once than the bucket of the hard limit holds, however long the
+// gateway has run.
 func TestNewAccountHoldsNoMoreThanTheHardLimit(t *testing.T) {
 	settings := hardLimitSettings()
 	plan := settings.Plans[0]
@@ -74,8 +74,8 @@
 	}
 }
 
-// A customer that is forgotten before its store is full again, as there are too many, has no more over
-// time than the ceiling gives, however often that happens, and whoever takes the gateway's place.
+// A customer whose account is evicted before its bucket is full, as there are too many, has no more over time than
+// the hard limit grants, however often that happens and whoever takes the gateway's place.
 func TestEvictionDoesNotExceedHardLimits(t *testing.T) {
 	settings := hardLimitSettings()
 	plan := settings.Plans[0]
@@ -126,8 +126,8 @@
 	}
 }
 
-// The slack is granted once: not again by each gateway that takes another's place, where that one had
-// none to grant.
+// The slack is granted once: not again by each gateway that takes another's place, if that one had none left to
+// grant.
 func TestSlackIsGrantedOnceOverHandOvers(t *testing.T) {
 	settings := hardLimitSettings()
 	after := func(checkpoint Checkpoint, trust Trust) *Controller {
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// denseHistory is a history as it was kept before: the running sum of each of the latest bins.
+// denseHistory is the plain form of a history: the running sum of each of the latest bins.
 type denseHistory struct {
 	last int64
 	sum  [historyBins]float64
@@ -27,8 +27,8 @@
 	return d.sum[d.at(max(end-1, lo))] - d.sum[d.at(lo)]
 }
 
-// Whatever is booked and whenever, a sparse history gives what one with all of its bins does, and
-// never holds more of them.
+// Whatever is added and whenever, a history gives the sums of one with all of its bins, and never stores more of
+// them.
 func TestHistoryEqualsADenseOne(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 5))
@@ -64,7 +64,7 @@
 	}
 }
 
-// What is given back is of the bin in which it was booked.
+// A subtraction counts in the bin of the addition.
 func TestHistorySubtractsInTheBinOfTheAddition(t *testing.T) {
 	var hist history
 	hist.advance(3)
--- a/control/image_test.go
+++ b/control/image_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// However a history went, a controller that is resumed from an image of it takes what follows as
-// the first would have: the same actions to the last.
+// However a history went, a controller that is resumed from an image of it takes the same actions on later events as
+// the first.
 func TestResumedControllerTakesTheSameActions(t *testing.T) {
 	seeds := uint64(300)
 	if testing.Short() {
@@ -45,8 +45,8 @@
 	}
 }
 
-// An image that is not of these settings, or of no controller, is refused and named, never
-// resumed in part nor a panic.
+// An image that is not of these settings, or not of a controller, is rejected with an error that names why; it is
+// never resumed in part and causes no panic.
 func TestResumeRejectsUnusableImages(t *testing.T) {
 	w := play(t, 5, 600)
 	for image := w.controller.Image(); len(image.Requests) == 0 || len(image.Attempts) == 0 || len(image.Plans[0].Queue) == 0; image = w.controller.Image() {
--- a/control/outlier_test.go
+++ b/control/outlier_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Guards against a server that fails at once, looks idle and draws all traffic.
+// Guards against a server that fails at once, looks idle and attracts all traffic.
 func TestServerThatFailsFastDoesNotAttractTraffic(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
 	bad := 0
@@ -49,8 +49,8 @@
 	}
 }
 
-// Guards against servers that fail every second request at once: never put aside, they look
-// idle and draw the traffic.
+// Guards against servers that fail every second request at once: never ejected, they look idle and attract the
+// traffic.
 func TestServerThatFailsHalfIsChosenLess(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
 	tries := make(map[uint32]int)
@@ -69,11 +69,12 @@
 		}
 	}
 	if tries[2] > tries[1]/2 {
-		t.Errorf("tries by server: %v", tries)
+		t.Errorf("requests by server: %v", tries)
 	}
 }
 
-// Guards against servers that refuse one plan: they cut no bound and are not tried again for it.
+// Guards against servers that reject one plan: they do not cut the concurrency limit, and are not chosen again for
+// that plan.
 func TestServersThatRejectOnePlanAreAvoidedForIt(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3, 4)...)
 	gateway.controller.fleet.latency.mean, gateway.controller.limiter.idleLatency, gateway.controller.fleet.latency.count = 0.1, 0.1, 100
@@ -100,14 +101,15 @@
 		gateway.advance(100 * ms)
 	}
 	if refusals > 3 {
-		t.Errorf("two servers refused the plan %d times in 6 s", refusals)
+		t.Errorf("two servers rejected the plan %d times in 6 s", refusals)
 	}
 	if gateway.controller.limiter.limit < before {
-		t.Errorf("the bound went from %g to %g on servers with room", before, gateway.controller.limiter.limit)
+		t.Errorf("the limit went from %g to %g on servers with room", before, gateway.controller.limiter.limit)
 	}
 }
 
-// A probe that its client breaks off says nothing of the server, which is tried again.
+// An attempt that probes an ejected server and is cancelled by its client shows nothing of the server, which is
+// probed again.
 func TestCancelledAttemptEndsTheProbe(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1)...)
 	srv := gateway.controller.servers[1]
--- a/control/policy_files_test.go
+++ b/control/policy_files_test.go
@@ -18,8 +18,8 @@
 	"server_storage.go", "settings.go", "sharecontrol/state.go", "state.go",
 }
 
-// The limits of what decides: the files that the deploy file lists, all of them together. Blank lines do not
-// count, comments do, as in the rule.
+// The files that decide, which the deploy file lists, have limits of their lines together and of each line. Blank
+// lines do not count, comments do, as in the rule.
 func TestPolicyFilesStayWithinLimits(t *testing.T) {
 	policy := policyFiles(t, "../deploy/balancer.toml")
 	if tally := policyFiles(t, "../deploy/tally.toml"); !slices.Equal(policy, tally) {
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -142,7 +142,7 @@
 	request.inFlight++
 }
 
-// chargeHardLimit holds this gateway to its part of the ceiling with part of the slack.
+// chargeHardLimit holds this gateway to its part of the hard limit with part of the slack.
 func (w *world) chargeHardLimit(request *openRequest) {
 	plan := w.set.Plans[3]
 	if _, known := w.hardLimitTokens[request.customer]; !known {
@@ -151,14 +151,14 @@
 	tokens := w.hardLimitTokens[request.customer] + (w.now-w.hardLimitAt[request.customer]).Seconds()*plan.HardLimitRate/2
 	w.hardLimitTokens[request.customer], w.hardLimitAt[request.customer] = min(tokens, plan.HardLimitBurst/2)-request.units, w.now
 	if w.hardLimitTokens[request.customer] < -1e-6 {
-		w.t.Fatalf("the part of a ceiling fell to %g", w.hardLimitTokens[request.customer])
+		w.t.Fatalf("the part of a hard limit fell to %g", w.hardLimitTokens[request.customer])
 	}
 }
 
 func (w *world) checkRejection(reject Reject) {
 	if request := w.requests[reject.ID]; request != nil && (request.mayHaveRun || request.inFlight > 0) {
 		if request.class.Idempotency == NotIdempotent || request.class.Idempotency == IdempotencyKeyed && request.class.KeyScope != ScopeAll {
-			w.t.Fatalf("%s may have run and was refused", reject.ID)
+			w.t.Fatalf("%s may have run and was rejected", reject.ID)
 		}
 	}
 	w.recordFinal(reject.ID)
@@ -171,7 +171,7 @@
 	delete(w.requests, id)
 }
 
-// list is the whole list in a fixed order, with a chance of change for each.
+// list is the complete endpoint list in a fixed order, with a chance of change for each entry.
 func (w *world) list() EndpointList {
 	var event EndpointList
 	event.Kind = ListComplete
@@ -193,7 +193,7 @@
 	return event
 }
 
-// outcome ends the attempt at an index of out.
+// outcome ends the attempt at an index of inFlight.
 func (w *world) outcome(i int) {
 	attempt := w.inFlight[i]
 	w.inFlight = append(w.inFlight[:i], w.inFlight[i+1:]...)
@@ -314,8 +314,8 @@
 	}
 }
 
-// Memory for customers, requests and servers stays bounded: a day of ever new ones leaves no more
-// than a few minutes of them did.
+// Memory for customers, requests and servers stays bounded: a day of new ones leaves no more than a few minutes of
+// them did.
 func TestMemoryIsBounded(t *testing.T) {
 	gateway := newTestGateway(t, testSettings(), activeEndpoints(1, 2, 3)...)
 	heap := func() float64 {
--- a/control/restore_test.go
+++ b/control/restore_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// After a crash nothing is known of what was spent last: a ceiling's store begins empty.
+// After a crash it is not known what was spent last: buckets of hard limits begin empty.
 func TestRestoreAfterCrashStartsWithEmptyHardLimits(t *testing.T) {
 	crashed := newTestGateway(t, hardLimitSettings(), activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8)...)
 	crashed.controller.accountFor(crashed.controller.plansByName["low"], "x", 1).hardLimit.tokens = 60
@@ -26,7 +26,7 @@
 	}
 }
 
-// What can't be used changes nothing.
+// An unusable checkpoint changes nothing.
 func TestUnusableCheckpointChangesNothing(t *testing.T) {
 	settings := hardLimitSettings()
 	predecessor := newTestGateway(t, settings, activeEndpoints(1, 2)...)
--- a/control/scheduler_test.go
+++ b/control/scheduler_test.go
@@ -42,11 +42,11 @@
 	gateway.controller.plans[0].meanLateness, gateway.controller.plans[1].meanLateness, gateway.controller.window.answers = 3, 0.1, minAnswersPerWindow-1
 	gateway.controller.endWindow(1)
 	if gateway.controller.plans[0].share != 0.5 {
-		t.Errorf("share %g after an interval of four answers", gateway.controller.plans[0].share)
+		t.Errorf("share %g after a window of four answers", gateway.controller.plans[0].share)
 	}
 }
 
-// Shares move by the law where a gateway sees two answers a second: the interval lasts longer.
+// Shares move where a gateway gets two answers a second: the control window is extended.
 func TestSharesMoveAtFewRequestsASecond(t *testing.T) {
 	settings := largeGroupSettings()
 	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 1000, 1000
@@ -57,7 +57,7 @@
 		gateway.controller.plans[1].recordLateness(1.8) // the dear plan is late
 	})
 	if share := gateway.controller.plans[1].share; math.Abs(share-0.5) < 0.05 || share < 0.5 {
-		t.Errorf("the late dear plan has a share of %g", share)
+		t.Errorf("the late high-priority plan has a share of %g", share)
 	}
 }
 
@@ -71,7 +71,7 @@
 	}
 }
 
-// The CPU for one request over fleets of several sizes.
+// The CPU time of one request with fleets of several sizes.
 func BenchmarkRequest(b *testing.B) {
 	for _, n := range []uint32{10, 30, 90, 300} {
 		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
--- a/control/slow_start_test.go
+++ b/control/slow_start_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Guards against a server that has started and is sent nothing while it is cold: each of eighty
-// gateways may send it less than one request in all that time, and no part of one ever goes.
+// Guards against a server that gets no attempts while it is warming up: each of eighty gateways may send it less than
+// one request in all that time.
 func TestSlowStartBelowOneRequestASecondFlows(t *testing.T) {
 	for _, n := range []int{2, 8, 80} {
 		list := activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
@@ -57,13 +57,13 @@
 		}
 		// At its coldest it could do 0.15 of what a warm one does, at 10 s 0.72 of it, by the settings.
 		if part := float64(group.sent[13]) / warm; part < 0.1 || part > 0.72 {
-			t.Errorf("%d gateways: a cold server is sent %.2f of what a warm one is", n, part)
+			t.Errorf("%d gateways: a warming server is sent %.2f of what a warm one is", n, part)
 		}
 	}
 }
 
-// Guards against a release that kills most gateways while servers start: each of those that come
-// back knows nothing yet, and sends each cold server one request for free.
+// Guards against a release that restarts most gateways while servers start: none of them knows anything yet, and each
+// would send every warming server one request.
 func TestGatewaysThatStartTogetherRespectSlowStart(t *testing.T) {
 	for _, n := range []int{8, 80, 300} {
 		list := activeEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
@@ -80,12 +80,12 @@
 		}
 		// Were the servers evenly used to the full by this, 2.5 times 0.2 of an even part would be the most.
 		if part := float64(cold) / 4 / (float64(all) / 16); all < 100 || part > 0.4 {
-			t.Errorf("%d gateways: of %d requests a cold server is sent %.2f of an even part", n, all, part)
+			t.Errorf("%d gateways: of %d requests a warming server is sent %.2f of an even part", n, all, part)
 		}
 	}
 }
 
-// Guards against a just-started server that every gateway of a large group tries at once.
+// Guards against a server just started that every gateway of a large group tries at once.
 func TestLargeGroupSharesASlowStart(t *testing.T) {
 	settings := testSettings()
 	settings.GroupSize = 12
--- a/control/usage_test.go
+++ b/control/usage_test.go
@@ -39,7 +39,7 @@
 	gateway.now += 900 * ms
 	asks(4000, 3000) // with three quarters refused, 200% is left
 	if probability := read(200); math.Abs(probability-0.875) > 0.01 {
-		t.Errorf("d = %g after 200%% let through by a chance of 0.75", probability)
+		t.Errorf("d = %g after 200%% let through by a probability of 0.75", probability)
 	}
 	for i := 0; i < 20; i++ {
 		gateway.now += time.Second
@@ -49,7 +49,7 @@
 	}
 }
 
-// The meter's period and lateness are learned from our own sends.
+// The meter's periods and their delay are learned from the units sent here.
 func TestMeterClockLearnsTheDelay(t *testing.T) {
 	settings := testSettings()
 	settings.Plans[0].QuotaRate, settings.Plans[0].QuotaBurst = 10, 1000
@@ -82,9 +82,9 @@
 	}
 }
 
-// Guards against a heavy customer that each of many gateways takes for a new one: after a few
-// readings, though seconds apart, most of its tries are refused; most of a calm one's are let in,
-// which come so seldom that each alone speaks for more.
+// Guards against a heavy customer that each of many gateways takes for a new one: after a few readings, even seconds
+// apart, most of its requests are rejected, and most of a calm one's admitted, which come so seldom that each counts
+// for more.
 func TestFewReadingsSetTheRejectionProbability(t *testing.T) {
 	for _, tc := range []struct {
 		used, gap int
@@ -100,15 +100,15 @@
 			})
 		})
 		if part := float64(len(gateway.sends)) / float64(asked); part < tc.low || part > tc.high {
-			t.Errorf("told %d%%: %.2f of the tries sent on, want %v to %v", tc.used-1, part, tc.low, tc.high)
+			t.Errorf("told %d%%: %.2f of the requests sent on, want %v to %v", tc.used-1, part, tc.low, tc.high)
 		}
 	}
 }
 
-// A customer not metered here is refused as much as of its plan's use lies beyond quotas by what first readings
-// of others told, less a request each: where half of them use four times their rate and the others half of it, and
-// one request is a quarter of a period's, by 2.75 of 4.5; half of that where one of two gateways sees them. That
-// holds for no other plan, not before any reading, whatever later readings tell, and after a resume.
+// A customer without a reading here is rejected by as much as of its plan's usage lies beyond quotas by the first
+// readings of others, less a request each: where half of them use four times their rate and the others half of it,
+// and one request is a quarter of a period's, by 2.75 of 4.5; by half of that where one of two gateways sees them.
+// That holds for no other plan, not before any reading, whatever later readings show, and after a resume.
 func TestUnmeteredCustomersAreRejectedByTheirPlansUsage(t *testing.T) {
 	settings := testSettings()
 	for i := range settings.Plans {
@@ -125,7 +125,7 @@
 			id := fmt.Sprint("r", n)
 			gateway.request(id, "job", plan, fmt.Sprint("new", n))
 			if reject, ok := gateway.finalAnswers[id].(Reject); ok && reject.Cause != CauseProbability {
-				t.Fatalf("%s: refused by %v", id, reject.Cause)
+				t.Fatalf("%s: rejected by %v", id, reject.Cause)
 			} else if !ok {
 				gateway.advance(10 * ms)
 				gateway.respond(id, OK, 0)
@@ -141,7 +141,7 @@
 	is := func(when, plan string, want float64) {
 		t.Helper()
 		if got := refused(plan); math.Abs(got-want) > 0.05 || want == 0 && got != 0 {
-			t.Errorf("%s: of plan %s %g are refused, not %g", when, plan, got, want)
+			t.Errorf("%s: of plan %s %g are rejected, not %g", when, plan, got, want)
 		}
 	}
 	is("before any reading", "low", 0)
