Wait for both connections to be accepted before the test of their closing

A dial returns before the front's accept loop has registered its connection; the test went on at once, so that the second could be unknown still when it asks whether any is connected. What it holds is the same.

--- a/internal/front/client_registry_test.go
+++ b/internal/front/client_registry_test.go
@@ -81,6 +81,7 @@
 		}, nil, nil)
 		defer stop()
 		first, silent := m.dial(), m.dial()
+		synctest.Wait() // both are accepted
 		f.Drain()
 		f.CloseWhenIdle()
 		for _, c := range []net.Conn{first, silent} {
