Split package route by concern, and document it in ordinary English

Rules, router, explanation, canonical paths and hosts have a file each, compile and CanonicalHost are steps with names. Texts of errors stay.

--- /dev/null
+++ b/internal/route/canonical_host.go
@@ -0,0 +1,78 @@
+package route
+
+import "strings"
+
+const maxHostBytes = 255 // RFC 1035, 2.3.4
+
+// CanonicalHost returns the form of an authority that routes are matched against: in lower case, without
+// port and without a trailing dot. An empty authority stays empty and matches only rules for any host.
+func CanonicalHost(authority string) (string, error) {
+	if strings.HasPrefix(authority, "[") {
+		return canonicalIPv6Host(authority)
+	}
+	host, err := cutPort(authority)
+	if err != nil {
+		return "", err
+	}
+	host = strings.TrimSuffix(host, ".")
+	if len(host) > maxHostBytes || host == "" && authority != "" {
+		return "", errAuthority
+	}
+	hasUpper := false
+	for i := range len(host) {
+		switch b := host[i]; {
+		case 'a' <= b && b <= 'z' || '0' <= b && b <= '9' || b == '-' || b == '_':
+		case 'A' <= b && b <= 'Z':
+			hasUpper = true
+		case b == '.' && i > 0 && host[i-1] != '.':
+		default:
+			return "", errAuthority
+		}
+	}
+	if hasUpper {
+		host = strings.ToLower(host)
+	}
+	return host, nil
+}
+
+// canonicalIPv6Host returns an IPv6 address in brackets without the port.
+func canonicalIPv6Host(authority string) (string, error) {
+	end := strings.IndexByte(authority, ']')
+	if end < 0 || !isOptionalPort(authority[end+1:]) {
+		return "", errAuthority
+	}
+	for _, b := range []byte(authority[1:end]) {
+		if !isHexDigit(b) && b != ':' && b != '.' {
+			return "", errAuthority
+		}
+	}
+	return strings.ToLower(authority[:end+1]), nil
+}
+
+// cutPort returns the host of an authority that may have a port.
+func cutPort(authority string) (string, error) {
+	colon := strings.IndexByte(authority, ':')
+	if colon < 0 {
+		return authority, nil
+	}
+	if colon == 0 || !isOptionalPort(authority[colon:]) {
+		return "", errAuthority
+	}
+	return authority[:colon], nil
+}
+
+// isOptionalPort reports whether s is empty or a colon and a port.
+func isOptionalPort(s string) bool {
+	if s == "" {
+		return true
+	}
+	if s[0] != ':' || len(s) > 6 {
+		return false
+	}
+	for _, b := range []byte(s[1:]) {
+		if b < '0' || b > '9' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/route/path.go
+++ b/internal/route/canonical_path.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// Errors of a target or host that has no single meaning. All are a client's mistake.
+// Errors of a target or host that is malformed or ambiguous. All are mistakes of a client.
 var (
 	errNoPath       = errors.New("the target is no path")
 	errInvalidByte  = errors.New("a byte that no path may hold")
@@ -17,11 +17,9 @@
 	errAuthority    = errors.New("the authority is no host with an optional port")
 )
 
-const maxHostBytes = 255 // bytes of a host (RFC 1035, 2.3.4)
-
-// SplitTarget takes a request target (RFC 9112, 3.2) apart: its raw path, without the query, and
-// for the absolute form its authority, which then goes before the Host header (3.2.2). The
-// authority and asterisk forms name no path and are refused.
+// SplitTarget splits a request target (RFC 9112, 3.2) into its authority and its raw path without the
+// query. The authority is empty unless the target has the absolute form; otherwise it takes precedence
+// over the Host header (3.2.2). Targets without a path, in authority or asterisk form, are errors.
 func SplitTarget(target string) (authority, path string, err error) {
 	rest := target
 	if !strings.HasPrefix(rest, "/") {
@@ -44,87 +42,21 @@
 	return authority, path, nil
 }
 
-// CanonicalHost gives the one form of an authority that routes are matched against: lower case, no
-// port, no dot at the end. An empty one stays empty and matches only routes of any host.
-func CanonicalHost(authority string) (string, error) {
-	h := authority
-	if strings.HasPrefix(h, "[") {
-		return hostIPv6(h)
-	}
-	if i := strings.IndexByte(h, ':'); i >= 0 {
-		if !isOptionalPort(h[i:]) {
-			return "", errAuthority
-		}
-		if h = h[:i]; h == "" {
-			return "", errAuthority
-		}
-	}
-	h = strings.TrimSuffix(h, ".")
-	if len(h) > maxHostBytes || h == "" && authority != "" {
-		return "", errAuthority
-	}
-	upper := false
-	for i := range len(h) {
-		switch b := h[i]; {
-		case 'a' <= b && b <= 'z' || '0' <= b && b <= '9' || b == '-' || b == '_':
-		case 'A' <= b && b <= 'Z':
-			upper = true
-		case b == '.' && i > 0 && h[i-1] != '.':
-		default:
-			return "", errAuthority
-		}
-	}
-	if upper {
-		h = strings.ToLower(h)
-	}
-	return h, nil
-}
-
-// hostIPv6 is Host of an IPv6 address, which stands in brackets.
-func hostIPv6(h string) (string, error) {
-	end := strings.IndexByte(h, ']')
-	if end < 0 || !isOptionalPort(h[end+1:]) {
-		return "", errAuthority
-	}
-	for _, b := range []byte(h[1:end]) {
-		if !isHexDigit(b) && b != ':' && b != '.' {
-			return "", errAuthority
-		}
-	}
-	return strings.ToLower(h[:end+1]), nil
-}
-
-// isOptionalPort tells whether what follows a host is nothing or a port.
-func isOptionalPort(s string) bool {
-	if s == "" {
-		return true
-	}
-	if s[0] != ':' || len(s) > 6 {
-		return false
-	}
-	for _, b := range []byte(s[1:]) {
-		if b < '0' || b > '9' {
-			return false
-		}
-	}
-	return true
-}
-
-// CanonicalPath gives the one form of a raw path that routes are matched against. What a server behind
-// could read as another path than this node is an error, as the path goes on unchanged:
-// encoded slashes and backslashes, dot segments in any spelling, empty segments. In the form
-// encoded unreserved characters are decoded and other encodings are in upper case (RFC 3986,
-// 6.2.2), parameters of a segment (from its first ';') are left out, and the case of letters
-// and a slash at the end stay.
+// CanonicalPath returns the form of a raw path that routes are matched against. Encoded unreserved
+// characters are decoded and other encodings are in upper case (RFC 3986, 6.2.2); parameters of a segment,
+// from its first ';', are removed. The case of letters and a trailing slash are kept.
+//
+// The raw path is forwarded unchanged, so a path that a server could read differently is an error: one with
+// an encoded slash, a backslash, a dot segment in any spelling, or an empty segment.
 func CanonicalPath(raw string) (string, error) {
 	if raw == "" || raw[0] != '/' {
 		return "", errNoPath
 	}
-	plain := true
+	isCanonical := true // as far as decoding goes
 	for i := range len(raw) {
 		switch b := raw[i]; {
 		case b == '%' || b == ';':
-			plain = false
+			isCanonical = false
 		case b == '\\':
 			return "", errEncodedSlash
 		case b <= ' ' || b >= 0x7f || b == '#':
@@ -134,7 +66,7 @@
 		}
 	}
 	path := raw
-	if !plain {
+	if !isCanonical {
 		var err error
 		if path, err = decodePath(raw); err != nil {
 			return "", err
@@ -143,7 +75,7 @@
 	return path, checkSegments(path)
 }
 
-// checkSegments looks for dot segments, and for empty ones, that parameters hid.
+// checkSegments rejects dot segments, and empty ones that show once parameters are removed.
 func checkSegments(path string) error {
 	for i := 0; i < len(path); i++ {
 		if path[i] != '/' {
@@ -166,17 +98,18 @@
 	return nil
 }
 
+// decodePath decodes a raw path and removes parameters.
 func decodePath(raw string) (string, error) {
 	const upper = "0123456789ABCDEF"
 	out := make([]byte, 0, len(raw))
-	skip := false // in a segment's parameters
+	inParameters := false // of the current segment
 	for i := 0; i < len(raw); i++ {
 		b := raw[i]
 		switch b {
 		case '/':
-			skip = false
+			inParameters = false
 		case ';':
-			skip = true
+			inParameters = true
 		case '%':
 			if i+2 >= len(raw) || !isHexDigit(raw[i+1]) || !isHexDigit(raw[i+2]) {
 				return "", errEncoding
@@ -188,7 +121,7 @@
 				return "", errEncodedSlash
 			case v < ' ' || v == 0x7f:
 				return "", errInvalidByte
-			case skip:
+			case inParameters:
 			case 'a' <= v && v <= 'z' || 'A' <= v && v <= 'Z' || '0' <= v && v <= '9' ||
 				v == '-' || v == '.' || v == '_' || v == '~':
 				out = append(out, v)
@@ -197,17 +130,19 @@
 			}
 			continue
 		}
-		if !skip {
+		if !inParameters {
 			out = append(out, b)
 		}
 	}
 	return string(out), nil
 }
 
+// isHexDigit reports whether b is a hexadecimal digit in either case.
 func isHexDigit(b byte) bool {
 	return '0' <= b && b <= '9' || 'a' <= b && b <= 'f' || 'A' <= b && b <= 'F'
 }
 
+// hexValue returns the value of a hexadecimal digit.
 func hexValue(b byte) byte {
 	switch {
 	case b <= '9':
@@ -218,13 +153,13 @@
 	return b - 'a' + 10
 }
 
-// FirstSegment is the first segment of a path in its one form.
+// FirstSegment returns the first segment of a path.
 func FirstSegment(path string) string {
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	return first
 }
 
-// checkCanonical tells whether a path or host of a rule is in its one form already.
+// checkCanonical rejects a path or host of a rule that is not canonical already.
 func checkCanonical(given string, form func(string) (string, error)) error {
 	got, err := form(given)
 	if err != nil {
--- /dev/null
+++ b/internal/route/explain.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Match is a rule that matches a request.
+type Match struct {
+	Index      int // of the rule among those given to New
+	Conditions []string
+}
+
+// Explain returns the rules that match a request, by precedence, with descriptions of their conditions.
+// It is for people: unlike Find it checks all rules.
+func (r *Router) Explain(host, path, method string, header http.Header) []Match {
+	var all []Match
+	for _, c := range r.rules {
+		if c.matches(host, path, method, header) {
+			all = append(all, Match{c.index, c.describe()})
+		}
+	}
+	return all
+}
+
+// matches reports whether all conditions of a rule match a request.
+func (c *compiledRule) matches(host, path, method string, header http.Header) bool {
+	suffix, wild := strings.CutPrefix(c.Host, "*")
+	hostOK := c.Host == "" || !wild && c.Host == host ||
+		wild && len(host) > len(suffix) && strings.HasSuffix(host, suffix)
+	pathOK := c.Path == path
+	if c.Path == "" {
+		pathOK = c.Prefix == "" || path == c.Prefix || strings.HasPrefix(path, c.Prefix+"/")
+	}
+	return hostOK && pathOK && c.matchesRest(path, method, header)
+}
+
+// describe returns descriptions of a rule's conditions, by precedence.
+func (c *compiledRule) describe() []string {
+	var conditions []string
+	add := func(applies bool, format string, args ...any) {
+		if applies {
+			conditions = append(conditions, fmt.Sprintf(format, args...))
+		}
+	}
+	add(strings.HasPrefix(c.Host, "*"), "host ends in %s", strings.TrimPrefix(c.Host, "*"))
+	add(c.Host != "" && !strings.HasPrefix(c.Host, "*"), "host is %s", c.Host)
+	add(c.Path != "", "path is %s", c.Path)
+	add(c.Prefix != "", "path is %s or below it", c.Prefix)
+	add(c.Method != "", "method is %s", c.Method)
+	add(c.Class != "", "class is %s", c.Class)
+	for _, h := range c.Headers {
+		add(h.Any, "header %s is there", h.Name)
+		add(!h.Any, "header %s is %q", h.Name, h.Value)
+	}
+	if conditions == nil {
+		conditions = []string{"any request"}
+	}
+	return conditions
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -250,78 +250,91 @@
 	return string(out), nil
 }
 
-// referenceFind finds a rule by looking at all of them, by the words of the package's page.
+// referenceFind finds a rule by ranking all of them by the criteria in the package documentation.
 func referenceFind(rules []Rule, host, path, method string, header http.Header) int {
-	split := func(p string) []string { return strings.Split(strings.Trim(p, "/"), "/") }
 	best, bestRank := -1, []string(nil)
 	for i, r := range rules {
-		rank := make([]string, 6)
-		number := func(n int) string { return fmt.Sprintf("%08d", n) }
-		switch {
-		case r.Host == "":
-		case r.Host == host:
-			rank[0] = number(1000)
-		case strings.HasPrefix(r.Host, "*.") && strings.HasSuffix(host, r.Host[1:]) && host != r.Host[1:]:
-			rank[0] = number(len(r.Host))
-		default:
-			continue
-		}
-		switch {
-		case r.Path != "":
-			if r.Path != path {
-				continue
-			}
-			rank[1] = number(1000000)
-		case r.Prefix != "" && r.Prefix != "/":
-			want, have := split(r.Prefix), split(path)
-			if len(have) < len(want) || !slices.Equal(have[:len(want)], want) {
-				continue
-			}
-			rank[1] = number(len(strings.Trim(r.Prefix, "/")))
-		}
-		if r.Method != "" {
-			if r.Method != method {
-				continue
-			}
-			rank[2] = "named"
-		}
-		if r.Class != "" {
-			if r.Class != split(path)[0] {
-				continue
-			}
-			if !strings.HasPrefix(r.Path+r.Prefix, "/"+r.Class) {
-				rank[3] = "named"
-			}
-		}
-		equal, texts, ok := 0, []string{}, true
-		for _, h := range r.Headers {
-			got := header.Values(h.Name)
-			if h.Any {
-				ok = ok && len(got) > 0
-				texts = append(texts, http.CanonicalHeaderKey(h.Name))
-			} else {
-				ok = ok && len(got) == 1 && got[0] == h.Value
-				texts = append(texts, http.CanonicalHeaderKey(h.Name)+": "+h.Value)
-				equal++
-			}
+		rank, ok := referenceRank(r, host, path, method, header)
+		if ok && (best < 0 || slices.Compare(rank, bestRank) > 0) {
+			best, bestRank = i, rank
 		}
-		if !ok {
-			continue
+	}
+	return best
+}
+
+// referenceRank returns the rank of a rule for a request, one string for each criterion, or false if the rule
+// does not match.
+func referenceRank(r Rule, host, path, method string, header http.Header) (rank []string, ok bool) {
+	hostRank, hostOK := referenceHostRank(r, host)
+	pathRank, pathOK := referencePathRank(r, path)
+	headerRank, textRank, headersOK := referenceHeaderRanks(r, header)
+	if !hostOK || !pathOK || !headersOK || r.Method != "" && r.Method != method || r.Class != "" && r.Class != segmentsOf(path)[0] {
+		return nil, false
+	}
+	methodRank, classRank := "", ""
+	if r.Method != "" {
+		methodRank = "named"
+	}
+	if r.Class != "" && !strings.HasPrefix(r.Path+r.Prefix, "/"+r.Class) {
+		classRank = "named"
+	}
+	return []string{hostRank, pathRank, methodRank, classRank, headerRank, textRank}, true
+}
+
+func referenceHostRank(r Rule, host string) (rank string, ok bool) {
+	switch {
+	case r.Host == "":
+		return "", true
+	case r.Host == host:
+		return sortable(1000), true
+	case strings.HasPrefix(r.Host, "*.") && strings.HasSuffix(host, r.Host[1:]) && host != r.Host[1:]:
+		return sortable(len(r.Host)), true
+	}
+	return "", false
+}
+
+func referencePathRank(r Rule, path string) (rank string, ok bool) {
+	switch {
+	case r.Path != "":
+		return sortable(1000000), r.Path == path
+	case r.Prefix != "" && r.Prefix != "/":
+		want, have := segmentsOf(r.Prefix), segmentsOf(path)
+		if len(have) < len(want) || !slices.Equal(have[:len(want)], want) {
+			return "", false
 		}
-		slices.Sort(texts)
-		rank[4] = number(len(texts)) + number(equal)
-		// The first text wins, so a later one has to rank lower.
-		for _, b := range []byte(strings.Join(texts, "\n") + "\x00") {
-			rank[5] += string(rune(0x100 - int(b)))
+		return sortable(len(strings.Trim(r.Prefix, "/"))), true
+	}
+	return "", true
+}
+
+func referenceHeaderRanks(r Rule, header http.Header) (rank, textRank string, ok bool) {
+	withValue, texts := 0, []string{}
+	for _, h := range r.Headers {
+		got := header.Values(h.Name)
+		if h.Any && len(got) == 0 || !h.Any && (len(got) != 1 || got[0] != h.Value) {
+			return "", "", false
 		}
-		if best < 0 || slices.Compare(rank, bestRank) > 0 {
-			best, bestRank = i, rank
+		text := http.CanonicalHeaderKey(h.Name)
+		if !h.Any {
+			text += ": " + h.Value
+			withValue++
 		}
+		texts = append(texts, text)
 	}
-	return best
+	slices.Sort(texts)
+	// The first text wins, so a later one has to rank lower.
+	for _, b := range []byte(strings.Join(texts, "\n") + "\x00") {
+		textRank += string(rune(0x100 - int(b)))
+	}
+	return sortable(len(texts)) + sortable(withValue), textRank, true
 }
 
-// random makes a rule and a request from few words, so that many overlap.
+func segmentsOf(path string) []string { return strings.Split(strings.Trim(path, "/"), "/") }
+
+// sortable formats a number so that strings sort like numbers.
+func sortable(n int) string { return fmt.Sprintf("%08d", n) }
+
+// randomRules makes rules of few words, so that many overlap.
 func randomRules(rng *rand.Rand, n int) []Rule {
 	pick := func(of ...string) string { return of[rng.IntN(len(of))] }
 	var rules []Rule
@@ -352,7 +365,7 @@
 		}
 		rules = append(rules, r)
 	}
-	// What can't be used is left out, as a file with it would not load.
+	// Rules that New rejects are left out.
 	for {
 		_, problems := New(rules)
 		if problems == nil {
@@ -362,6 +375,7 @@
 	}
 }
 
+// randomRequest makes a request of the same words.
 func randomRequest(rng *rand.Rand) (host, path, method string, header http.Header) {
 	pick := func(of ...string) string { return of[rng.IntN(len(of))] }
 	path = "/"
@@ -383,6 +397,7 @@
 	return pick("", "a.x", "b.x", "c.a.x", "d.c.a.x", "x", "y"), path, pick("GET", "POST", "PUT"), header
 }
 
+// compare checks Find against referenceFind on random rules and requests.
 func compare(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	rules := randomRules(rng, 1+rng.IntN(60))
@@ -396,7 +411,7 @@
 		if want := referenceFind(rules, host, path, method, header); !ok && want >= 0 || ok && got != want {
 			t.Fatalf("seed %d: %s %s%s %v: rule %d, not %d of %+v", seed, method, host, path, header, got, want, rules)
 		}
-		// The order of the file means nothing.
+		// The order of the rules does not matter.
 		if i, found := other.Find(host, path, method, header); found != ok || ok && turned[i].Name != rules[got].Name {
 			t.Fatalf("seed %d: %s%s: %s in another order, not %s", seed, host, path, turned[i].Name, rules[got].Name)
 		}
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,152 @@
+package route
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// Router finds the rule for a request.
+type Router struct {
+	rules    []*compiledRule // by precedence
+	exact    map[string]*bucket
+	wildcard map[string]*bucket // by the host without its star, beginning with the dot
+	anyHost  *bucket
+}
+
+// bucket holds the rules of one host.
+type bucket struct {
+	exact        map[string][]*compiledRule // by path; each list by precedence
+	prefix       map[string][]*compiledRule // by prefix without a trailing slash; empty is any path
+	prefixDepths uint64                     // bit n: there are prefixes of n segments; bit maxDepth: or more
+}
+
+const maxDepth = 63
+
+// New returns a Router for rules. It reports all rules that cannot be used, not only the first; the
+// Router has the others.
+func New(rules []Rule) (*Router, []*RuleError) {
+	r := &Router{exact: make(map[string]*bucket), wildcard: make(map[string]*bucket), anyHost: newBucket()}
+	var problems []*RuleError
+	byKey := make(map[string]*compiledRule)
+	for i, given := range rules {
+		c, key, err := compile(given, i)
+		if err != nil {
+			problems = append(problems, &RuleError{i, key, err})
+			continue
+		}
+		if earlier := byKey[c.key()]; earlier != nil {
+			err := fmt.Errorf("can never match: route %q has the same conditions", earlier.Name)
+			problems = append(problems, &RuleError{i, "name", err})
+			continue
+		}
+		byKey[c.key()] = c
+		r.rules = append(r.rules, c)
+	}
+	slices.SortFunc(r.rules, precedence)
+	for _, c := range r.rules {
+		r.bucket(c.Host).add(c)
+	}
+	return r, problems
+}
+
+func newBucket() *bucket {
+	return &bucket{exact: make(map[string][]*compiledRule), prefix: make(map[string][]*compiledRule)}
+}
+
+// bucket returns the bucket of a rule's host. It makes one if there is none.
+func (r *Router) bucket(host string) *bucket {
+	if host == "" {
+		return r.anyHost
+	}
+	in, name := r.exact, host
+	if suffix, ok := strings.CutPrefix(host, "*"); ok {
+		in, name = r.wildcard, suffix
+	}
+	if in[name] == nil {
+		in[name] = newBucket()
+	}
+	return in[name]
+}
+
+// add adds a rule. Rules of the same path must be added by precedence.
+func (b *bucket) add(c *compiledRule) {
+	if c.Path != "" {
+		b.exact[c.Path] = append(b.exact[c.Path], c)
+		return
+	}
+	b.prefix[c.Prefix] = append(b.prefix[c.Prefix], c)
+	b.prefixDepths |= 1 << min(strings.Count(c.Prefix, "/"), maxDepth)
+}
+
+// Find returns the index, among the rules given to New, of the rule for a request. host and path must be
+// canonical. It returns false if no rule matches. It does not allocate.
+func (r *Router) Find(host, path, method string, header http.Header) (index int, ok bool) {
+	c := r.findByHost(host, path, method, header)
+	if c == nil {
+		c = r.anyHost.find(path, method, header)
+	}
+	if c == nil {
+		return 0, false
+	}
+	return c.index, true
+}
+
+// findByHost returns the rule for a request among those with a host; nil if there is none.
+func (r *Router) findByHost(host, path, method string, header http.Header) *compiledRule {
+	if host == "" {
+		return nil
+	}
+	if b := r.exact[host]; b != nil {
+		if c := b.find(path, method, header); c != nil {
+			return c
+		}
+	}
+	if len(r.wildcard) == 0 {
+		return nil
+	}
+	for dot := strings.IndexByte(host, '.'); dot > 0; {
+		if b := r.wildcard[host[dot:]]; b != nil {
+			if c := b.find(path, method, header); c != nil {
+				return c
+			}
+		}
+		next := strings.IndexByte(host[dot+1:], '.')
+		if next < 0 {
+			break
+		}
+		dot += 1 + next
+	}
+	return nil
+}
+
+// find returns the rule for a request among those of one host; nil if there is none.
+func (b *bucket) find(path, method string, header http.Header) *compiledRule {
+	if c := firstMatch(b.exact[path], path, method, header); c != nil {
+		return c
+	}
+	prefix := strings.TrimSuffix(path, "/")
+	for depth := strings.Count(prefix, "/"); ; depth-- {
+		// The bit set saves a lookup for each segment of a long path.
+		if b.prefixDepths&(1<<min(depth, maxDepth)) != 0 {
+			if c := firstMatch(b.prefix[prefix], path, method, header); c != nil {
+				return c
+			}
+		}
+		if depth == 0 {
+			return nil
+		}
+		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
+	}
+}
+
+// firstMatch returns the first of some rules whose conditions other than host and path match.
+func firstMatch(rules []*compiledRule, path, method string, header http.Header) *compiledRule {
+	for _, c := range rules {
+		if c.matchesRest(path, method, header) {
+			return c
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/rule.go
@@ -0,0 +1,245 @@
+package route
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// HealthPath is the path of the node's own health check, on every host.
+const HealthPath = "/healthz"
+
+// Header is a condition on a request header.
+type Header struct {
+	Name  string `plan:"name"`  // in any case
+	Value string `plan:"value"` // the header is given once, with this value; ignored with Any
+	Any   bool   `plan:"any"`   // the header is present with any value, or with several
+}
+
+// Rule routes matching requests to a service. An empty condition matches every request.
+type Rule struct {
+	Name    string `plan:"name"`
+	Service string `plan:"service"`
+
+	Host    string   `plan:"host"`   // exact, or "*." and a suffix; the star stands for one or more labels
+	Path    string   `plan:"path"`   // exact
+	Prefix  string   `plan:"prefix"` // of complete segments: /a matches /a, /a/ and /a/b, but not /ab; not with Path
+	Method  string   `plan:"method"`
+	Class   string   `plan:"class"` // the first segment of the path
+	Headers []Header `plan:"headers"`
+}
+
+// RuleError is a rule that cannot be used, with the configuration key that causes it.
+type RuleError struct {
+	Index int // of the rule among those given to New
+	Key   string
+	Err   error
+}
+
+func (p *RuleError) Error() string { return fmt.Sprintf("%s: %v", p.Key, p.Err) }
+
+// Unwrap returns the cause.
+func (p *RuleError) Unwrap() error { return p.Err }
+
+// Ranks of exact hosts and paths: above those of all wildcards and prefixes.
+const (
+	exactHostRank = maxHostBytes + 3
+	exactPathRank = 1 << 30
+)
+
+// compiledRule is a rule in canonical form, prepared for matching.
+type compiledRule struct {
+	Rule
+	index           int    // among the rules given to New
+	headerText      string // of all conditions on headers; the same for equal conditions only
+	valueConditions int    // number of conditions on headers with a value
+}
+
+// compile brings a rule into its canonical form. An error comes with the key of the rule that causes it.
+func compile(given Rule, index int) (c *compiledRule, key string, err error) {
+	c = &compiledRule{Rule: given, index: index}
+	if err := checkHost(c.Host); err != nil {
+		return nil, "host", err
+	}
+	if key, err := c.compilePath(); err != nil {
+		return nil, key, err
+	}
+	if c.Method != "" && !validToken(c.Method) || c.Method == http.MethodConnect {
+		return nil, "method", fmt.Errorf("%q can never match: no method with a path", c.Method)
+	}
+	if err := c.compileClass(); err != nil {
+		return nil, "class", err
+	}
+	return c, "headers", c.compileHeaders()
+}
+
+// checkHost rejects a host that is not canonical; an empty one is valid.
+func checkHost(rule string) error {
+	if rule == "" {
+		return nil
+	}
+	host, wild := strings.CutPrefix(rule, "*.")
+	if err := checkCanonical(host, CanonicalHost); err != nil || host == "" {
+		return cmp.Or(err, fmt.Errorf("%q names no host", rule))
+	}
+	if wild && strings.HasPrefix(host, "[") {
+		return errors.New("a wildcard before an address")
+	}
+	return nil
+}
+
+// compilePath checks the path or the prefix and makes it canonical.
+func (c *compiledRule) compilePath() (key string, err error) {
+	switch {
+	case c.Path != "" && c.Prefix != "":
+		return "prefix", errors.New("not beside path")
+	case c.Path != "":
+		if err := checkCanonical(c.Path, CanonicalPath); err != nil {
+			return "path", err
+		}
+		if c.Path == HealthPath {
+			return "path", fmt.Errorf("can never match: the node itself answers %s", HealthPath)
+		}
+	case c.Prefix != "":
+		if err := checkCanonical(c.Prefix, CanonicalPath); err != nil {
+			return "prefix", err
+		}
+		// The prefix /a matches whole segments, so it includes the paths below /a/.
+		c.Prefix = strings.TrimSuffix(c.Prefix, "/")
+	}
+	return "", nil
+}
+
+// compileClass checks the class, and drops it if the path names it already.
+func (c *compiledRule) compileClass() error {
+	if c.Class == "" {
+		return nil
+	}
+	if first := FirstSegment(c.Path + c.Prefix); first != "" {
+		if first != c.Class {
+			return fmt.Errorf("can never match: the path begins with %q, not with class %q", first, c.Class)
+		}
+		c.Class = ""
+		return nil
+	}
+	if strings.Contains(c.Class, "/") || checkCanonical("/"+c.Class, CanonicalPath) != nil || c.Path == "/" {
+		return fmt.Errorf("%q can never match: it is no segment of a path", c.Class)
+	}
+	return nil
+}
+
+// compileHeaders makes the conditions on headers canonical: sorted, and one for each name.
+func (c *compiledRule) compileHeaders() error {
+	byName := make(map[string]Header)
+	for _, h := range c.Headers {
+		h.Name = textproto.CanonicalMIMEHeaderKey(h.Name)
+		switch old, twice := byName[h.Name]; {
+		case !validToken(h.Name):
+			return fmt.Errorf("%q is no name of a header", h.Name)
+		case h.Name == "Host" || h.Name == "Transfer-Encoding" || h.Name == "Trailer":
+			return fmt.Errorf("can never match: %s is not among the headers a request is told by", h.Name)
+		case !h.Any && (!httpguts.ValidHeaderFieldValue(h.Value) || strings.Trim(h.Value, " \t") != h.Value):
+			return fmt.Errorf("%s: can never match: %q is no value of a header", h.Name, h.Value)
+		case twice && !old.Any && !h.Any && old.Value != h.Value:
+			return fmt.Errorf("%s: can never match: two values", h.Name)
+		case twice && h.Any: // any other condition implies it
+		default:
+			byName[h.Name] = h
+		}
+	}
+	c.Headers = nil
+	for _, h := range byName {
+		c.Headers = append(c.Headers, h)
+		if !h.Any {
+			c.valueConditions++
+		}
+	}
+	slices.SortFunc(c.Headers, func(a, b Header) int { return strings.Compare(a.text(), b.text()) })
+	texts := make([]string, 0, len(c.Headers))
+	for _, h := range c.Headers {
+		texts = append(texts, h.text())
+	}
+	c.headerText = strings.Join(texts, "\n")
+	return nil
+}
+
+// text returns the condition as "Name" or "Name: value".
+func (h Header) text() string {
+	if h.Any {
+		return h.Name
+	}
+	return h.Name + ": " + h.Value
+}
+
+// validToken reports whether s is a token (RFC 9110, 5.6.2).
+func validToken(s string) bool { return httpguts.ValidHeaderFieldName(s) }
+
+// key returns a string that is the same for rules with the same conditions only.
+func (c *compiledRule) key() string {
+	return strings.Join([]string{c.Host, c.Path, c.Prefix, c.Method, c.Class, c.headerText}, "\x00")
+}
+
+// precedence orders rules by the criteria in the package documentation, the most specific first.
+func precedence(a, b *compiledRule) int {
+	if c := cmp.Or(
+		cmp.Compare(b.hostRank(), a.hostRank()),
+		cmp.Compare(b.pathRank(), a.pathRank()),
+		cmp.Compare(toInt(a.Method == ""), toInt(b.Method == "")),
+		cmp.Compare(toInt(a.Class == ""), toInt(b.Class == "")),
+		cmp.Compare(len(b.Headers), len(a.Headers)),
+		cmp.Compare(b.valueConditions, a.valueConditions),
+		cmp.Compare(a.headerText, b.headerText),
+	); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.key(), b.key()) // a total order, for rules that never match the same request
+}
+
+// toInt returns 1 for true and 0 for false.
+func toInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// hostRank is higher for more specific hosts.
+func (c *compiledRule) hostRank() int {
+	switch {
+	case c.Host == "":
+		return 0
+	case strings.HasPrefix(c.Host, "*."):
+		return len(c.Host)
+	}
+	return exactHostRank
+}
+
+// pathRank is higher for more specific paths.
+func (c *compiledRule) pathRank() int {
+	if c.Path != "" {
+		return exactPathRank
+	}
+	return len(c.Prefix)
+}
+
+// matchesRest reports whether the conditions other than host and path match.
+func (c *compiledRule) matchesRest(path, method string, header http.Header) bool {
+	return (c.Method == "" || c.Method == method) && (c.Class == "" || c.Class == FirstSegment(path)) && c.headersMatch(header)
+}
+
+func (c *compiledRule) headersMatch(header http.Header) bool {
+	for i := range c.Headers {
+		h := &c.Headers[i]
+		given := header[h.Name]
+		if len(given) == 0 || !h.Any && (len(given) != 1 || given[0] != h.Value) {
+			return false
+		}
+	}
+	return true
+}
