--- /dev/null
+++ b/internal/upstream/answer_reader.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"net"
+	"time"
+)
+
+const (
+	// maxHeadBytes is for an answer's head and framing, with the interim answers before it.
+	maxHeadBytes = 32 << 10
+	// answerCompletionTimeout is from the first bytes of an answer to its last.
+	answerCompletionTimeout = 300 * time.Millisecond
+)
+
+// answerReader reads the answer to a BufferedRequest: no more than its limit of bytes, and all of it soon after
+// the first. App servers write such an answer once it is complete, so one that does not end, or stops half way,
+// is a fault that is not waited for. For a RelayedRequest, http1Attempt sets the limits in its place.
+type answerReader struct {
+	net.Conn
+	owner       *serverConn
+	attempt     *http1Attempt // of a RelayedRequest; nil is none
+	bytesLeft   int
+	deadline    time.Time // of the attempt; zero is none
+	hasBegun    bool
+	isBounded   bool // the answer that has begun has a deadline
+	hasDeadline bool // the connection has a read deadline
+}
+
+// Read implements io.Reader.
+func (r *answerReader) Read(b []byte) (int, error) {
+	if r.attempt != nil {
+		return r.attempt.readAnswer(b)
+	}
+	if r.bytesLeft == 0 {
+		return 0, errTooLong
+	}
+	if r.hasBegun && !r.isBounded {
+		completeBy := time.Now().Add(answerCompletionTimeout)
+		if !r.deadline.IsZero() && r.deadline.Before(completeBy) {
+			completeBy = r.deadline
+		}
+		r.owner.readBy(completeBy)
+		r.isBounded, r.hasDeadline = true, true
+	}
+	n, err := r.Conn.Read(b[:min(len(b), r.bytesLeft)])
+	r.bytesLeft -= n
+	r.hasBegun = r.hasBegun || n > 0
+	return n, err
+}
+
+// start prepares for the answer to the next attempt, which ends at deadline.
+func (r *answerReader) start(deadline time.Time, maxBytes int) {
+	if r.hasDeadline {
+		r.SetReadDeadline(time.Time{})
+	}
+	*r = answerReader{Conn: r.Conn, owner: r.owner, bytesLeft: maxBytes, deadline: deadline}
+}
+
+// awaitNext prepares for the answer after an interim one.
+func (r *answerReader) awaitNext() {
+	if r.isBounded {
+		r.owner.readBy(r.deadline)
+	}
+	r.hasBegun, r.isBounded = false, false
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -2,46 +2,44 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 
 	"lockflow/control"
 )
 
-// Client is who waits for the answer to a request.
+// Client waits for the answer to a request.
 type Client interface {
-	// IsWaiting tells whether it still waits. It is asked by an attempt's goroutine, and must not wait.
+	// IsWaiting reports whether the client still waits. It is called on the goroutine of an attempt and must
+	// not block.
 	IsWaiting() bool
 }
 
-// Attempt is the time of one attempt, and the one place that says whether it is sent: whoever writes
-// it asks right before the first byte, and whoever takes it back before that has it never be written.
-// It is the ctx of a Forwarder's Attempt, which with any other ctx asks nobody.
+// Attempt is the context of one attempt, and the one place that decides whether it is sent. Who writes the
+// request calls Commit right before the first byte; who withdraws the attempt earlier can rely on it that no
+// byte is written. It is passed as the ctx of a request's Attempt method; any other ctx is always sent.
 type Attempt struct {
 	context.Context
 	cancel context.CancelFunc
 	client Client
-	state  atomic.Int32
+	state  atomic.Int32 // one of the states below
 }
 
-// The states of an attempt; only the first is left again.
+// The states of an attempt. Only attemptPending is ever left.
 const (
-	attemptPending   int32 = iota // nothing is written
-	attemptCommitted              // some of it is, or will be at once
-	attemptWithdrawn              // nothing will be
-	attemptAbandoned              // the same: the client was not there any more
+	attemptPending   int32 = iota // nothing has been written
+	attemptCommitted              // some of it has been written, or is about to be
+	attemptWithdrawn              // nothing will be written
+	attemptAbandoned              // nothing will be written, as the client no longer waits
 )
 
-var errWithdrawn = errors.New("taken back before it was sent")
-
-// NewAttempt makes one that lasts for as long as ctx, which end ends.
-func NewAttempt(ctx context.Context, end context.CancelFunc, client Client) *Attempt {
-	return &Attempt{Context: ctx, cancel: end, client: client}
+// NewAttempt makes an attempt that lasts as long as ctx, which cancel ends.
+func NewAttempt(ctx context.Context, cancel context.CancelFunc, client Client) *Attempt {
+	return &Attempt{Context: ctx, cancel: cancel, client: client}
 }
 
 type attemptKey struct{}
 
-// Value is context.Context's: below contexts made of it, it is found by this.
+// Value implements context.Context. It lets Commit find the attempt from contexts that are derived from it.
 func (a *Attempt) Value(key any) any {
 	if key == (attemptKey{}) {
 		return a
@@ -49,7 +47,7 @@
 	return a.Context.Value(key)
 }
 
-// Commit tells whether an attempt may be written, which it is then, and only once.
+// Commit reports whether the attempt of ctx may be written, once. From then on it counts as sent.
 func Commit(ctx context.Context) bool {
 	a, ok := ctx.Value(attemptKey{}).(*Attempt)
 	return !ok || a.commit()
@@ -68,14 +66,15 @@
 	return a.state.CompareAndSwap(attemptPending, next) && next == attemptCommitted
 }
 
-// Withdraw has an attempt that is not written yet never be, and ends it; one that is goes on.
+// Withdraw ends an attempt that has not been written, so that it never is. Any other one goes on. A nil attempt
+// is allowed.
 func (a *Attempt) Withdraw() {
 	if a != nil && a.state.CompareAndSwap(attemptPending, attemptWithdrawn) {
 		a.cancel()
 	}
 }
 
-// Cancel ends an attempt, written or not.
+// Cancel ends an attempt, whether it has been written or not. A nil attempt is allowed.
 func (a *Attempt) Cancel() {
 	if a != nil {
 		a.Withdraw()
@@ -83,18 +82,21 @@
 	}
 }
 
-// IsSent tells whether some of it was written, or will be.
+// IsSent reports whether some of the attempt has been written, or is about to be.
 func (a *Attempt) IsSent() bool { return a != nil && a.state.Load() == attemptCommitted }
 
-// FinalOutcome is how an attempt ended, once Try is over with some outcome: one that was taken back was not
-// sent, whatever else went wrong.
+// IsPending reports whether the attempt may still be sent.
+func (a *Attempt) IsPending() bool { return a.state.Load() == attemptPending }
+
+// FinalOutcome returns how the attempt ended, given the outcome of its request's Attempt method: an attempt
+// that was withdrawn or abandoned has not been sent, whatever else went wrong.
 func (a *Attempt) FinalOutcome(outcome Outcome) Outcome {
-	switch a.state.Load() {
+	switch state := a.state.Load(); state {
 	case attemptWithdrawn, attemptAbandoned:
-		return Outcome{Reason: control.NotSent, Err: errWithdrawn, HasClientLeft: a.state.Load() == attemptAbandoned, IsDialed: outcome.IsDialed}
+		return Outcome{
+			Reason: control.NotSent, Err: errWithdrawn,
+			HasClientLeft: state == attemptAbandoned, IsDialed: outcome.IsDialed,
+		}
 	}
 	return outcome
 }
-
-// IsPending tells whether it may still be sent.
-func (a *Attempt) IsPending() bool { return a.state.Load() == attemptPending }
--- /dev/null
+++ b/internal/upstream/buffered_request.go
@@ -0,0 +1,174 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"lockflow/control"
+)
+
+// BufferedRequest is a request of the platform's protocol: it is complete in memory, and so will its answer be.
+// At most one of its attempts runs at a time.
+type BufferedRequest struct {
+	Request *http.Request // without its body
+	Body    []byte
+}
+
+// Method returns the request's method.
+func (r *BufferedRequest) Method() string { return r.Request.Method }
+
+// IsBodyPending reports false: the body is complete.
+func (r *BufferedRequest) IsBodyPending() bool { return false }
+
+// CanRetry reports true: the request is complete in memory.
+func (r *BufferedRequest) CanRetry() bool { return true }
+
+// Attempt makes one attempt and returns when it has ended, at the latest when ctx does. It sets headers of its
+// own in the request.
+func (r *BufferedRequest) Attempt(ctx, _ context.Context, upstream *Upstream, pool *Pool) Outcome {
+	if shared := upstream.sharedConnectionsOf(pool); shared != nil {
+		if outcome, ok := shared.attemptBuffered(ctx, r); ok {
+			return outcome
+		}
+	}
+	message := *r.Request
+	message.ContentLength = int64(len(r.Body))
+	message.Body = http.NoBody
+	if len(r.Body) > 0 {
+		message.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
+	return upstream.AttemptHTTP1(ctx, pool, &message)
+}
+
+// AttemptHTTP1 makes one attempt over HTTP/1.1, whatever the pool's protocol is, and returns when it has ended,
+// at the latest when ctx does.
+func (u *Upstream) AttemptHTTP1(ctx context.Context, pool *Pool, request *http.Request) Outcome {
+	conn, err := u.acquireQuiet(ctx, pool, u.QuietPeriod)
+	if err != nil {
+		return unconnectedOutcome(err)
+	}
+	isDialed := conn.idleSince.IsZero()
+	if !Commit(ctx) {
+		return u.releaseUnused(pool, conn)
+	}
+	outcome := u.attemptOn(ctx, pool, conn, request)
+	outcome.IsDialed = isDialed
+	return outcome
+}
+
+// attemptOn makes an attempt on a connection, and returns that to its pool or closes it.
+func (u *Upstream) attemptOn(ctx context.Context, pool *Pool, conn *serverConn, request *http.Request) Outcome {
+	deadline, hasDeadline := ctx.Deadline()
+	conn.answers.start(deadline, u.MaxBodyBytes+maxHeadBytes)
+	// A peer may neither read nor write: both directions end with ctx.
+	stopWatch := context.AfterFunc(ctx, conn.interrupt)
+	isReusable := false
+	defer func() {
+		if stopWatch() && isReusable {
+			u.release(pool, conn)
+		} else {
+			conn.Close()
+		}
+	}()
+	if hasDeadline {
+		setTimeLeft(request, deadline)
+	}
+	if err := conn.writeRequest(request, writeDeadline(ctx)); err != nil {
+		// An app server begins a request with its last byte: what breaks before has not run.
+		conn.interrupt()
+		return Outcome{Reason: control.ConnectFailed, Err: err}
+	}
+	var outcome Outcome
+	outcome, isReusable = conn.readOutcome(request, u.MaxBodyBytes)
+	if outcome.Err != nil && ctx.Err() != nil {
+		outcome.Reason = control.TimedOut
+		if errors.Is(ctx.Err(), context.Canceled) {
+			outcome.Reason = control.Cancelled
+		}
+	}
+	return outcome
+}
+
+// writeRequest writes a complete request by the deadline; a zero one is none.
+func (c *serverConn) writeRequest(request *http.Request, deadline time.Time) error {
+	if !deadline.IsZero() {
+		c.writeBy(deadline)
+	}
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	if !deadline.IsZero() {
+		c.writeBy(time.Time{})
+	}
+	return nil
+}
+
+// readOutcome reads one answer and reports whether the connection can be used again. An answer that is
+// incomplete, malformed or too long counts as a reset: the request may have run.
+func (c *serverConn) readOutcome(request *http.Request, maxBodyBytes int) (outcome Outcome, isReusable bool) {
+	response, err := readHead(c.reader, request) //nolint:bodyclose // readBody closes it
+	for err == nil && isInterim(response.StatusCode) {
+		if c.reader.Buffered() == 0 {
+			c.answers.awaitNext()
+		}
+		response, err = readHead(c.reader, request) //nolint:bodyclose // readBody closes it, and an interim answer has none
+	}
+	if err == nil {
+		outcome.Body, err = readBody(response, maxBodyBytes)
+	}
+	if err != nil {
+		return Outcome{Reason: control.ResetByPeer, Err: err}, false
+	}
+	outcome.classify(response.StatusCode, response.Header)
+	hasMore := c.reader.Buffered() > 0
+	if hasMore {
+		c.sawSecondAnswer.Store(true)
+	}
+	return outcome, !response.Close && !hasMore
+}
+
+// isInterim reports whether a status is followed by another answer (RFC 9110, 15.2).
+func isInterim(status int) bool {
+	return status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// readHead reads the head of an answer. It rejects a head that follows the beginning of another one's status
+// line: the status would be that of the first answer, and everything else that of the second.
+func readHead(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(reader, request)
+	if err == nil && strings.Contains(response.Status, "HTTP/") {
+		return nil, fmt.Errorf("the answer follows a partial status line: %s", response.Status)
+	}
+	return response, err
+}
+
+// readBody reads the body of an answer and closes it. A body without a stated length ends with its connection,
+// unless that is reset.
+func readBody(response *http.Response, maxBytes int) ([]byte, error) {
+	defer response.Body.Close()
+	switch length := response.ContentLength; {
+	case response.StatusCode < http.StatusOK:
+		return nil, fmt.Errorf("the status was not asked for: %s", response.Status)
+	case length > int64(maxBytes):
+		return nil, fmt.Errorf("the answer has a body of %d bytes, more than %d", length, maxBytes)
+	case length >= 0:
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxBytes)+1))
+	if err == nil && len(body) > maxBytes {
+		err = fmt.Errorf("the answer has a body of more than %d bytes", maxBytes)
+	}
+	return body, err
+}
--- /dev/null
+++ b/internal/upstream/dial.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"syscall"
+
+	"lockflow/internal/certs"
+	"lockflow/internal/limits"
+)
+
+// Names of protocols in TLS (ALPN, RFC 7301).
+const (
+	alpnHTTP1 = "http/1.1"
+	alpnHTTP2 = "h2"
+)
+
+// dial makes a connection that speaks HTTP/1.1.
+func (u *Upstream) dial(ctx context.Context, endpoint string) (*serverConn, error) {
+	conn, rawConn, agreed, err := u.connect(ctx, endpoint, alpnHTTP1)
+	if err != nil {
+		return nil, err
+	}
+	if agreed != "" && agreed != alpnHTTP1 {
+		conn.Close()
+		return nil, certs.ErrProtocol
+	}
+	return u.newConn(conn, rawConn), nil
+}
+
+// connect makes a connection and counts it with both limiters. rawConn is its socket, also below TLS. agreed is
+// the offered protocol that TLS has negotiated; it is empty without TLS, and where the server doesn't negotiate.
+func (u *Upstream) connect(ctx context.Context, endpoint string, offered ...string) (conn *limits.Conn, rawConn syscall.RawConn, agreed string, err error) {
+	if u.DialLimiter != nil {
+		if !u.DialLimiter.TryAcquire() {
+			return nil, nil, "", errDialLimit
+		}
+		defer u.DialLimiter.Release()
+	}
+	if !u.SocketLimiter.TryAcquire() {
+		return nil, nil, "", errNoDescriptor
+	}
+	if u.TLS != nil { // the handshake is part of the time to connect
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, u.ConnectTimeout)
+		defer cancel()
+	}
+	dialer := net.Dialer{Timeout: u.ConnectTimeout, KeepAlive: -1}
+	dialed, err := dialer.DialContext(ctx, "tcp", endpoint)
+	if err != nil {
+		u.SocketLimiter.Release()
+		return nil, nil, "", err
+	}
+	rawConn, err = dialed.(*net.TCPConn).SyscallConn()
+	if u.TLS != nil && err == nil {
+		var secured *tls.Conn
+		if secured, agreed, err = u.TLS.Client(ctx, dialed, endpoint, offered); err == nil {
+			dialed = secured
+		}
+	}
+	if conn = limits.Track(dialed, u.SocketLimiter); err != nil {
+		conn.Close()
+		return nil, nil, "", err
+	}
+	return conn, rawConn, agreed, nil
+}
--- /dev/null
+++ b/internal/upstream/http1_attempt.go
@@ -0,0 +1,265 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/validation"
+)
+
+const (
+	maxInterimAnswers = 32              // to one request
+	headTimeout       = 5 * time.Second // from the first byte of an answer's head to its last, where ctx has no deadline
+)
+
+// http1Attempt is one attempt of a RelayedRequest over HTTP/1.1. The goroutine of the attempt writes the head
+// and reads the answer; a second one sends a body that does not go with the head, and ends with the attempt.
+type http1Attempt struct {
+	*RelayedRequest
+	upstream      *Upstream
+	pool          *Pool
+	conn          *serverConn
+	stopWatch     func() bool // stops waiting for the context that ends the attempt
+	request       http.Request
+	response      *http.Response // whose body is read; nil for a tunnel
+	headScanner   validation.Scanner
+	headBytesLeft int
+	inBody        bool // the heads have been read
+	isUnbounded   bool // ctx has no deadline: the wait for the answer counts from the last byte of the body
+	hasDeadline   bool // the connection has some deadline
+
+	bodyEnded        chan struct{} // closed once no more of the body is sent; nil where it went with the head
+	continueReceived chan struct{} // closed once a body that waits for a 100 may be sent; nil where none does
+	attemptEnded     chan struct{} // closed with the attempt; nil where no body waits for a 100
+	isSent           atomic.Bool   // the complete request is written
+	clientErr        atomic.Pointer[error]
+	releaseOnce      sync.Once
+
+	mu        sync.Mutex // guards headBegun, and the read deadline before it is set
+	headBegun bool
+}
+
+// run makes the attempt.
+func (a *http1Attempt) run(ctx, lifetime context.Context) Outcome {
+	a.request.Method = a.RequestMethod
+	a.headScanner.ReadsAnswers = true
+	a.conn.answers.start(time.Time{}, maxHeadBytes)
+	a.conn.answers.attempt = a
+	a.stopWatch = context.AfterFunc(ctx, a.conn.interrupt)
+	outcome, isStreaming := a.exchange(ctx)
+	switch {
+	case isStreaming && a.stopWatch():
+		a.stopWatch = context.AfterFunc(lifetime, a.conn.interrupt)
+		return outcome
+	case isStreaming: // ctx ended at this moment
+		outcome = Outcome{Err: context.Cause(ctx)}
+	case outcome.Err == nil:
+		a.end(true)
+		return outcome
+	}
+	outcome = a.failedOutcome(ctx, outcome)
+	a.release(false)
+	return outcome
+}
+
+// exchange sends the request and reads the answer as far as it is buffered. isStreaming reports that there is
+// more of it.
+func (a *http1Attempt) exchange(ctx context.Context) (outcome Outcome, isStreaming bool) {
+	if outcome := a.sendRequest(ctx); outcome.Err != nil {
+		return outcome, false
+	}
+	response, err := a.readFinalHead()
+	if err != nil {
+		return Outcome{Reason: control.ResetByPeer, Err: err}, false
+	}
+	a.inBody = true
+	a.request.Close = response.Close
+	outcome.Status, outcome.Header = response.StatusCode, response.Header
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		outcome.Reason, outcome.IsFinal = control.OK, true
+		outcome.Stream = &Stream{streamingAttempt: a, http1: a, IsTunnel: true, ContentLength: -1}
+		return outcome, true
+	}
+	a.response = response
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		response.Body.Close()
+		length = 0
+	}
+	if isBuffered, isTruncated := a.bufferBody(&outcome, response.Body, length); isBuffered {
+		a.request.Close = a.request.Close || isTruncated
+		return outcome, false
+	}
+	outcome.Stream = &Stream{streamingAttempt: a, http1: a, ContentLength: length}
+	return outcome, true
+}
+
+// failedOutcome is the outcome of an attempt without an answer. What ends an attempt from outside shows on the
+// connection as an error of its own kind.
+func (a *http1Attempt) failedOutcome(ctx context.Context, outcome Outcome) Outcome {
+	switch clientErr := a.clientErr.Load(); {
+	case clientErr != nil:
+		return clientFailure(*clientErr, isTimeout(*clientErr))
+	case errors.Is(ctx.Err(), context.Canceled):
+		outcome.Reason = control.Cancelled
+	case ctx.Err() != nil || isTimeout(outcome.Err):
+		outcome.Reason = control.TimedOut
+	}
+	return outcome
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// canReuseConnection reports whether the request is written and nothing else is on the connection.
+func (a *http1Attempt) canReuseConnection() bool {
+	if a.bodyEnded != nil {
+		select {
+		case <-a.bodyEnded:
+		default:
+			return false
+		}
+	}
+	return a.isSent.Load() && a.conn.reader.Buffered() == 0
+}
+
+// release returns the connection to its pool or closes it. Only the first call does anything.
+func (a *http1Attempt) release(canReuse bool) {
+	a.releaseOnce.Do(func() {
+		if a.attemptEnded != nil {
+			close(a.attemptEnded)
+		}
+		isRunning := a.stopWatch()
+		a.conn.answers.attempt = nil
+		if !isRunning || !canReuse {
+			a.conn.Close()
+			return
+		}
+		if a.hasDeadline || a.bodyEnded != nil {
+			a.conn.SetDeadline(time.Time{})
+		}
+		a.upstream.release(a.pool, a.conn)
+	})
+}
+
+// readAnswer reads from the connection for its answerReader.
+func (a *http1Attempt) readAnswer(b []byte) (int, error) {
+	if a.headBytesLeft <= 0 {
+		return 0, errTooLong
+	}
+	if a.inBody {
+		a.hasDeadline = true
+		a.conn.readBy(time.Now().Add(a.IdleTimeout))
+		n, err := a.conn.Read(b)
+		if errors.Is(err, io.EOF) && a.response != nil && a.conn.wasReset() {
+			err = syscall.ECONNRESET
+		}
+		return n, err
+	}
+	n, err := a.conn.Read(b[:min(len(b), a.headBytesLeft)])
+	if a.headBytesLeft -= n; n > 0 {
+		a.beginHead()
+	}
+	if invalid := a.headScanner.Feed(b[:n]); invalid != nil {
+		return 0, fmt.Errorf("the answer's head: %w", invalid)
+	}
+	return n, err
+}
+
+// beginHead bounds the time of a head that has begun, where ctx has no deadline.
+func (a *http1Attempt) beginHead() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isUnbounded && !a.headBegun {
+		a.hasDeadline = true
+		a.conn.readBy(time.Now().Add(headTimeout))
+	}
+	a.headBegun = true
+}
+
+// awaitHead bounds the wait for a head to begin, where ctx has no deadline: it counts from now if the complete
+// request is written.
+func (a *http1Attempt) awaitHead() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.headBegun || !a.isUnbounded {
+		return
+	}
+	if a.isSent.Load() {
+		a.conn.readBy(time.Now().Add(a.AnswerTimeout))
+	} else {
+		a.conn.readBy(time.Time{}) // sendBody has deadlines of its own
+	}
+}
+
+// readFinalHead reads heads up to that of the final answer, or of a switch to another protocol.
+func (a *http1Attempt) readFinalHead() (*http.Response, error) {
+	for interimAnswers := 0; ; interimAnswers++ {
+		response, err := readHead(a.conn.reader, &a.request)
+		if err != nil {
+			if !a.isSent.Load() && a.bodyEnded != nil && a.clientErr.Load() == nil {
+				err = fmt.Errorf("while the body was sent: %w", err)
+			}
+			return nil, err
+		}
+		switch status := response.StatusCode; {
+		case status >= http.StatusOK, a.isUpgrade(response):
+			return response, nil
+		case !isInterim(status) || interimAnswers >= maxInterimAnswers:
+			return nil, fmt.Errorf("the status was not asked for: %s", response.Status)
+		}
+		a.handleInterim(response)
+	}
+}
+
+// isUpgrade reports whether the server switches to the protocol that the request offers.
+func (a *http1Attempt) isUpgrade(response *http.Response) bool {
+	return response.StatusCode == http.StatusSwitchingProtocols && a.UpgradeProtocol != "" && a.isSent.Load() &&
+		strings.EqualFold(response.Header.Get("Upgrade"), a.UpgradeProtocol)
+}
+
+// handleInterim processes an interim answer and prepares for the next one.
+func (a *http1Attempt) handleInterim(response *http.Response) {
+	if response.StatusCode == http.StatusContinue {
+		a.allowBody()
+	} else if a.InterimWriter != nil {
+		a.InterimWriter.WriteInterim(response.StatusCode, response.Header)
+	}
+	if a.conn.reader.Buffered() > 0 {
+		return
+	}
+	a.mu.Lock()
+	a.headBegun, a.headBytesLeft = false, maxHeadBytes
+	a.mu.Unlock()
+	a.awaitHead()
+}
+
+// The methods below implement streamingAttempt.
+
+func (a *http1Attempt) readBody(p []byte) (int, error) {
+	if a.response == nil {
+		return a.conn.reader.Read(p)
+	}
+	return a.response.Body.Read(p)
+}
+
+func (a *http1Attempt) hasBuffered() bool     { return a.conn.reader.Buffered() > 0 }
+func (a *http1Attempt) trailer() http.Header  { return a.response.Trailer }
+func (a *http1Attempt) isAborted() bool       { return a.conn.isInterrupted.Load() }
+func (a *http1Attempt) abort()                { a.conn.interrupt() }
+func (a *http1Attempt) hasClientFailed() bool { return a.clientErr.Load() != nil }
+func (a *http1Attempt) end(isComplete bool) {
+	a.release(isComplete && !a.request.Close && a.canReuseConnection())
+}
--- /dev/null
+++ b/internal/upstream/http1_send.go
@@ -0,0 +1,166 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/protocol"
+	"lockflow/internal/retrybuffer"
+)
+
+// sendRequest writes the request's head, together with a body that is complete and small. Any other body is
+// sent by a goroutine that it starts.
+func (a *http1Attempt) sendRequest(ctx context.Context) Outcome {
+	_, hasDeadline := ctx.Deadline()
+	if a.isUnbounded = !hasDeadline; a.isUnbounded {
+		a.conn.writeBy(time.Now().Add(a.IdleTimeout))
+	}
+	writer := a.conn.writer
+	a.writeRequestLine(writer)
+	_ = a.Header.Write(writer) // Flush returns the error
+	a.writeOwnFields(ctx, writer)
+	inline := a.writeBodyFields(writer)
+	if a.ExpectContinue {
+		writer.WriteString("Expect: 100-continue\r\n")
+	}
+	writer.WriteString("\r\n")
+	writer.Write(inline)
+	before := writer.Buffered()
+	if err := writer.Flush(); err != nil {
+		outcome := Outcome{Reason: control.ResetByPeer, Err: err}
+		// Where the system has taken no byte, the server has seen none.
+		if writer.Buffered() == before && before < connBufferBytes {
+			outcome.Reason = control.ConnectFailed
+		}
+		return outcome
+	}
+	if !a.isSent.Load() {
+		a.startBody()
+	}
+	return Outcome{}
+}
+
+// writeRequestLine writes the request line and the Host field.
+func (a *http1Attempt) writeRequestLine(writer *bufio.Writer) {
+	writer.WriteString(a.RequestMethod)
+	writer.WriteByte(' ')
+	writer.WriteString(a.Target)
+	writer.WriteString(" HTTP/1.1\r\nHost: ")
+	writer.WriteString(a.Host)
+	writer.WriteString("\r\n")
+}
+
+// writeOwnFields writes the fields that are this node's, not the client's.
+func (a *http1Attempt) writeOwnFields(ctx context.Context, writer *bufio.Writer) {
+	if a.SendTimeLeft {
+		writer.WriteString(protocol.HeaderTimeLeft + ": ")
+		writer.WriteString(formatTimeLeft(a.timeLeft(ctx)))
+		writer.WriteString("\r\n")
+	}
+	if a.UpgradeProtocol != "" {
+		writer.WriteString("Connection: Upgrade\r\nUpgrade: ")
+		writer.WriteString(a.UpgradeProtocol)
+		writer.WriteString("\r\n")
+	}
+}
+
+// writeBodyFields writes the fields that frame the body. It returns a body that is to be written with the head,
+// after which the request is complete.
+func (a *http1Attempt) writeBodyFields(writer *bufio.Writer) (inline []byte) {
+	switch {
+	case a.Body == nil:
+		if a.ContentLength == 0 { // stated by the client, as for a POST without a body
+			writer.WriteString("Content-Length: 0\r\n")
+		}
+		a.isSent.Store(true)
+	case a.ContentLength < 0:
+		writer.WriteString("Transfer-Encoding: chunked\r\n")
+		if len(a.TrailerNames) > 0 {
+			writer.WriteString("Trailer: " + strings.Join(a.TrailerNames, ", ") + "\r\n")
+		}
+	default:
+		writer.WriteString("Content-Length: " + strconv.FormatInt(a.ContentLength, 10) + "\r\n")
+		if body, ok := a.inlineBody(); ok {
+			a.isSent.Store(true)
+			return body
+		}
+	}
+	return nil
+}
+
+// startBody starts the goroutine that sends the body.
+func (a *http1Attempt) startBody() {
+	a.bodyEnded = make(chan struct{})
+	if a.ExpectContinue {
+		a.attemptEnded, a.continueReceived = make(chan struct{}), make(chan struct{})
+	}
+	body := a.Body.NewReader() // before anything else can ask for one
+	go a.sendBody(body)
+}
+
+// allowBody lets a body be sent that waits for a 100. Only the goroutine that reads the answer calls it, and
+// only the first call does anything.
+func (a *http1Attempt) allowBody() {
+	if a.continueReceived == nil {
+		return
+	}
+	select {
+	case <-a.continueReceived:
+	default:
+		close(a.continueReceived)
+	}
+}
+
+// sendBody sends the body as it comes. A fault of the client ends the attempt. One of the server is left to the
+// reading of the answer, which may have come before.
+func (a *http1Attempt) sendBody(body *retrybuffer.Reader) {
+	defer close(a.bodyEnded)
+	if a.ExpectContinue && !awaitContinue(a.continueReceived, a.attemptEnded) {
+		return
+	}
+	readErr, writeErr := copyBody(body, a.writePiece)
+	switch {
+	case writeErr != nil:
+		return
+	case readErr != nil:
+		if isClientError(readErr) {
+			a.clientErr.Store(&readErr)
+		}
+		a.conn.interrupt()
+		return
+	}
+	if a.ContentLength < 0 && a.writeLastChunk() != nil {
+		return
+	}
+	a.isSent.Store(true)
+	a.awaitHead()
+}
+
+// writePiece writes one piece of the body, as a chunk where the length is not known.
+func (a *http1Attempt) writePiece(piece []byte) error {
+	writer := a.conn.writer
+	a.conn.writeBy(time.Now().Add(a.IdleTimeout))
+	if a.ContentLength < 0 {
+		writer.WriteString(strconv.FormatInt(int64(len(piece)), 16) + "\r\n")
+	}
+	writer.Write(piece)
+	if a.ContentLength < 0 {
+		writer.WriteString("\r\n")
+	}
+	return writer.Flush()
+}
+
+// writeLastChunk ends a body in chunks, with its trailer.
+func (a *http1Attempt) writeLastChunk() error {
+	writer := a.conn.writer
+	writer.WriteString("0\r\n")
+	if a.Trailer != nil {
+		_ = a.Trailer().Write(writer) // Flush returns the error
+	}
+	writer.WriteString("\r\n")
+	return writer.Flush()
+}
--- a/internal/upstream/flow.go
+++ b/internal/upstream/http2_attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"os"
@@ -20,27 +19,28 @@
 	"lockflow/internal/retrybuffer"
 )
 
-// http2Attempt is one attempt of ordinary HTTP over a stream of HTTP/2.
+// http2Attempt is one attempt of a RelayedRequest over a stream of HTTP/2. The goroutine of the attempt reads
+// the answer; a second one sends a body that does not go with the head, and ends with the stream.
 type http2Attempt struct {
 	*RelayedRequest
 	stream      *h2.Stream
-	stopWatch   func() bool // from what ends the attempt
-	isUnbounded bool        // no ctx bounds the wait for the answer: it counts from the last of the body
-	trailers    http.Header // behind the answer: the names that were announced, then the values
+	stopWatch   func() bool // stops waiting for the context that ends the attempt
+	isUnbounded bool        // ctx has no deadline: the wait for the answer counts from the last byte of the body
+	trailers    http.Header // of the answer: the announced names, and the values once they have come
 
-	streamsBody      bool          // the body, or some of it, goes behind the head
-	continueReceived chan struct{} // closed once a body that waits for 100 may be sent
-	continueOnce     sync.Once     // of proceed
-	endOnce          sync.Once     // of the attempt's end
+	streamsBody      bool          // the body does not go with the head
+	continueReceived chan struct{} // closed once a body that waits for a 100 may be sent; nil where none does
+	continueOnce     sync.Once     // closes continueReceived
+	endOnce          sync.Once
 	clientErr        atomic.Pointer[error]
-	wasAborted       atomic.Bool // from this side
+	wasAborted       atomic.Bool
 	bodyTimedOut     atomic.Bool // the server did not take the body in time
 }
 
-// attemptRelayed makes an attempt over a connection that others share; false where it has to be made over
-// HTTP/1.1, and nothing has been sent.
+// attemptRelayed makes an attempt over a shared connection. It returns false, and has sent nothing, where the
+// attempt has to be made over HTTP/1.1.
 func (s *sharedConnections) attemptRelayed(ctx, lifetime context.Context, request *RelayedRequest) (Outcome, bool) {
-	if request.UpgradeProtocol != "" && s.protocol == ProtocolPreferHTTP2 { // there is none in HTTP/2
+	if request.UpgradeProtocol != "" && s.protocol == ProtocolPreferHTTP2 { // HTTP/2 has no upgrades
 		return Outcome{}, false
 	}
 	attempt := &http2Attempt{RelayedRequest: request}
@@ -52,64 +52,72 @@
 		outcome.IsDialed = isDialed
 		return outcome, ok
 	}
-	attempt.stopWatch = context.AfterFunc(ctx, attempt.abort)
-	outcome, isStreaming := attempt.exchange()
+	outcome = attempt.run(ctx, lifetime)
+	outcome.IsDialed = isDialed
+	return outcome, true
+}
+
+// run makes the attempt on its stream.
+func (a *http2Attempt) run(ctx, lifetime context.Context) Outcome {
+	a.stopWatch = context.AfterFunc(ctx, a.abort)
+	outcome, isStreaming := a.exchange()
 	switch {
-	case isStreaming && attempt.stopWatch():
-		attempt.stopWatch = context.AfterFunc(lifetime, attempt.abort)
-	case isStreaming: // its time was up at this moment
-		outcome = attempt.failedOutcome(ctx, ErrAborted)
-		attempt.end(false)
+	case isStreaming && a.stopWatch():
+		a.stopWatch = context.AfterFunc(lifetime, a.abort)
+	case isStreaming: // ctx ended at this moment
+		outcome = a.failedOutcome(ctx, ErrAborted)
+		a.end(false)
 	case outcome.Err != nil:
-		outcome = attempt.failedOutcome(ctx, outcome.Err)
-		attempt.end(false)
+		outcome = a.failedOutcome(ctx, outcome.Err)
+		a.end(false)
 	default:
-		attempt.end(true)
+		a.end(true)
 	}
-	outcome.IsDialed = isDialed
-	return outcome, true
+	return outcome
 }
 
-// newRequest is what goes on, with as much of the body as is small and here.
+// newRequest makes the request's head, with a body that is complete and small.
 func (a *http2Attempt) newRequest(ctx context.Context, scheme string) *h2.Request {
+	_, hasDeadline := ctx.Deadline()
+	a.isUnbounded = !hasDeadline
+	request := &h2.Request{
+		Method: a.RequestMethod, Scheme: scheme, Authority: a.Host, Path: a.Target, Length: a.ContentLength,
+		Begin: func() bool { return Commit(ctx) },
+	}
+	if a.Body != nil {
+		if body, ok := a.inlineBody(); ok {
+			request.Body = body
+		} else {
+			// Decided once: a body that becomes complete between here and exchange would not be sent at all.
+			a.streamsBody, request.More = true, true
+		}
+	}
+	request.Header = a.requestHeader(ctx)
+	return request
+}
+
+// requestHeader returns the client's header with the fields that are this node's.
+func (a *http2Attempt) requestHeader(ctx context.Context) http.Header {
 	header := a.Header
 	set := func(name, value string) {
-		if a.Header != nil && len(header) == len(a.Header) {
+		if a.Header != nil && len(header) == len(a.Header) { // attempts share the client's header
 			header = maps.Clone(a.Header)
 		}
 		header[name] = []string{value}
 	}
-	deadline, hasDeadline := ctx.Deadline()
-	a.isUnbounded = !hasDeadline
 	if a.SendTimeLeft {
-		left := a.AnswerTimeout
-		if hasDeadline {
-			left = max(time.Until(deadline), time.Millisecond)
-		}
-		set(protocol.HeaderTimeLeft, strconv.FormatInt(left.Milliseconds(), 10)+"m")
+		set(protocol.HeaderTimeLeft, formatTimeLeft(a.timeLeft(ctx)))
 	}
 	if a.ExpectContinue {
 		set("Expect", "100-continue")
 	}
-	request := &h2.Request{
-		Method: a.RequestMethod, Scheme: scheme, Authority: a.Host, Path: a.Target, Header: header, Length: a.ContentLength,
-		Begin: func() bool { return Commit(ctx) },
-	}
-	if a.Body == nil {
-		return request
-	}
-	if body, ok := a.Body.Complete(); ok && len(body) <= maxInlineBodyBytes && !a.ExpectContinue && a.ContentLength >= 0 {
-		request.Body = body
-		return request
-	}
-	if len(a.TrailerNames) > 0 {
+	if a.streamsBody && len(a.TrailerNames) > 0 {
 		set("Trailer", strings.Join(a.TrailerNames, ", "))
 	}
-	// Decided once: a body that comes whole between here and exchange would be sent by neither.
-	a.streamsBody, request.More = true, true
-	return request
+	return header
 }
 
+// handleInterim processes an interim answer.
 func (a *http2Attempt) handleInterim(status int, header http.Header) {
 	switch {
 	case status != http.StatusContinue:
@@ -121,7 +129,8 @@
 	}
 }
 
-// exchange sends the body and reads the answer up to where it is held; going tells that there is more.
+// exchange sends the body and reads the answer as far as it is buffered. isStreaming reports that there is more
+// of it.
 func (a *http2Attempt) exchange() (outcome Outcome, isStreaming bool) {
 	if a.streamsBody {
 		if a.ExpectContinue {
@@ -136,15 +145,7 @@
 		return Outcome{Err: err}, false
 	}
 	outcome.Status, outcome.Header = answer.Status, answer.Header
-	length := int64(-1)
-	if lengths := answer.Header["Content-Length"]; len(lengths) > 0 {
-		length, _ = strconv.ParseInt(lengths[0], 10, 64) // the connection has read it
-	}
-	if event := a.stream.Ended(); event != nil && event.Err == nil && !a.stream.More() { // no body, whatever its head tells of one
-		length = 0
-	} else {
-		a.recordTrailerNames(answer.Header)
-	}
+	length := a.answerLength(answer.Header)
 	a.extendReadDeadline()
 	if isBuffered, _ := a.bufferBody(&outcome, readerFunc(a.readBody), length); isBuffered {
 		return outcome, false
@@ -153,35 +154,51 @@
 	return outcome, true
 }
 
-// recordTrailerNames takes the names of the fields to come behind the body out of a head.
+// answerLength returns the length of the answer's body, below zero where it is not known, and takes the names of
+// its trailer out of the header.
+func (a *http2Attempt) answerLength(header http.Header) int64 {
+	length := int64(-1)
+	if lengths := header["Content-Length"]; len(lengths) > 0 {
+		length, _ = strconv.ParseInt(lengths[0], 10, 64) // the connection has checked it
+	}
+	if event := a.stream.Ended(); event != nil && event.Err == nil && !a.stream.More() {
+		return 0 // there is no body, whatever the header says
+	}
+	a.recordTrailerNames(header)
+	return length
+}
+
+// recordTrailerNames moves the announced names of trailer fields out of a header.
 func (a *http2Attempt) recordTrailerNames(header http.Header) {
-	for _, v := range header["Trailer"] {
-		for name := range strings.SplitSeq(v, ",") {
+	for _, names := range header["Trailer"] {
+		for name := range strings.SplitSeq(names, ",") {
 			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); name != "" {
-				if a.trailers == nil {
-					a.trailers = make(http.Header)
-				}
-				a.trailers[name] = nil
+				a.setTrailer(name, nil)
 			}
 		}
 	}
 	delete(header, "Trailer")
 }
 
+func (a *http2Attempt) setTrailer(name string, values []string) {
+	if a.trailers == nil {
+		a.trailers = make(http.Header)
+	}
+	a.trailers[name] = values
+}
+
+// readerFunc is an io.Reader that calls itself.
 type readerFunc func([]byte) (int, error)
 
+// Read implements io.Reader.
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
-// failedOutcome says what an attempt's end means that brought no answer.
+// failedOutcome is the outcome of an attempt without an answer.
 func (a *http2Attempt) failedOutcome(ctx context.Context, err error) Outcome {
-	outcome := Outcome{Reason: control.ResetByPeer, Err: err}
-	if clientErr := a.clientErr.Load(); clientErr != nil { // the client's side
-		outcome = Outcome{Reason: control.Cancelled, Err: *clientErr, Status: http.StatusBadRequest, IsFinal: true}
-		if errors.Is(*clientErr, os.ErrDeadlineExceeded) {
-			outcome.Status = http.StatusRequestTimeout
-		}
-		return outcome
+	if clientErr := a.clientErr.Load(); clientErr != nil {
+		return clientFailure(*clientErr, errors.Is(*clientErr, os.ErrDeadlineExceeded))
 	}
+	outcome := Outcome{Reason: control.ResetByPeer, Err: err}
 	unprocessed := control.Reason(0)
 	if event := a.stream.Ended(); event != nil {
 		unprocessed = unprocessedReason(*event)
@@ -197,54 +214,36 @@
 	return outcome
 }
 
-// awaitHead bounds the wait for the answer from now on, where nothing else does.
+// awaitHead bounds the wait for the answer from now on, where ctx has no deadline.
 func (a *http2Attempt) awaitHead() {
 	if a.isUnbounded {
 		a.stream.ReadBy(time.Now().Add(a.AnswerTimeout))
 	}
 }
 
-// extendReadDeadline bounds each further wait for the answer's body.
+// extendReadDeadline bounds the next read of the answer's body.
 func (a *http2Attempt) extendReadDeadline() { a.stream.ReadBy(time.Now().Add(a.IdleTimeout)) }
 
-// sendBody sends the body as it comes. What breaks on the client's side ends the attempt.
+// sendBody sends the body as it comes. A fault of the client ends the attempt; one of the server is left to the
+// reading of the answer.
 func (a *http2Attempt) sendBody(body *retrybuffer.Reader) {
-	if a.ExpectContinue {
-		timer := time.NewTimer(continueTimeout)
-		select {
-		case <-a.continueReceived:
-		case <-timer.C:
-		case <-a.stream.Over():
-		}
-		timer.Stop()
-		if a.stream.Ended() != nil {
-			return
-		}
+	if a.ExpectContinue && !awaitContinue(a.continueReceived, a.stream.Over()) {
+		return
 	}
-	buffer := BodyBuffers.Get().(*[]byte)
-	defer BodyBuffers.Put(buffer)
-	for {
-		n, err := body.Read(*buffer)
-		if n > 0 {
-			a.stream.WriteBy(time.Now().Add(a.IdleTimeout))
-			if _, err := a.stream.Write((*buffer)[:n]); err != nil {
-				if errors.Is(err, os.ErrDeadlineExceeded) {
-					a.bodyTimedOut.Store(true)
-					a.abort()
-				}
-				return // how the stream ended is for the answer to tell
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			if !errors.Is(err, retrybuffer.ErrGone) && !errors.Is(err, retrybuffer.ErrClosed) {
-				a.clientErr.Store(&err)
-			}
-			a.abort()
-			return
+	readErr, writeErr := copyBody(body, a.writePiece)
+	switch {
+	case errors.Is(writeErr, os.ErrDeadlineExceeded):
+		a.bodyTimedOut.Store(true)
+		a.abort()
+		return
+	case writeErr != nil:
+		return
+	case readErr != nil:
+		if isClientError(readErr) {
+			a.clientErr.Store(&readErr)
 		}
+		a.abort()
+		return
 	}
 	var trailer http.Header
 	if a.Trailer != nil {
@@ -254,6 +253,15 @@
 	a.awaitHead()
 }
 
+// writePiece writes one piece of the body.
+func (a *http2Attempt) writePiece(piece []byte) error {
+	a.stream.WriteBy(time.Now().Add(a.IdleTimeout))
+	_, err := a.stream.Write(piece)
+	return err
+}
+
+// The methods below implement streamingAttempt.
+
 func (a *http2Attempt) readBody(p []byte) (int, error) {
 	a.extendReadDeadline()
 	return a.stream.Read(p)
@@ -263,10 +271,7 @@
 
 func (a *http2Attempt) trailer() http.Header {
 	for name, values := range a.stream.Trailer() {
-		if a.trailers == nil {
-			a.trailers = make(http.Header)
-		}
-		a.trailers[name] = slices.Clone(values)
+		a.setTrailer(name, slices.Clone(values))
 	}
 	return a.trailers
 }
@@ -275,7 +280,7 @@
 func (a *http2Attempt) abort()                { a.wasAborted.Store(true); a.stream.Cut() }
 func (a *http2Attempt) hasClientFailed() bool { return a.clientErr.Load() != nil }
 
-// end lets go of the stream: one that has not ended is reset.
+// end resets a stream that has not ended, and lets go of it.
 func (a *http2Attempt) end(bool) {
 	a.endOnce.Do(func() {
 		a.stopWatch()
--- /dev/null
+++ b/internal/upstream/http2_send.go
@@ -0,0 +1,116 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+
+	"lockflow/control"
+	"lockflow/internal/h2"
+	"lockflow/internal/protocol"
+)
+
+// reportHeaders are known to a server only at the end of a request, so that it may send them as trailers.
+var reportHeaders = [...]string{protocol.HeaderBackendLoad, protocol.HeaderQuotaUsed, protocol.HeaderTrueCost}
+
+// scheme is the value of the pseudo-header :scheme.
+func (s *sharedConnections) scheme() string {
+	if s.upstream.TLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
+// attemptBuffered makes an attempt over a shared connection. It returns false, and has sent nothing, where the
+// server speaks HTTP/1.1.
+func (s *sharedConnections) attemptBuffered(ctx context.Context, buffered *BufferedRequest) (Outcome, bool) {
+	message := buffered.Request
+	request := &h2.Request{
+		Method: message.Method, Scheme: s.scheme(), Authority: message.Host, Path: message.URL.RequestURI(),
+		Header: message.Header, Body: buffered.Body,
+		Begin: func() bool { return Commit(ctx) },
+	}
+	var event h2.Event
+	outcome, isDialed, ok := s.withConnection(ctx, func(conn *h2.Conn) (err error) {
+		// The time left counts from here: the wait for a connection is over.
+		if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
+			setTimeLeft(message, deadline)
+		}
+		event, err = conn.Do(ctx, request)
+		return err
+	})
+	if ok && outcome.Err == nil {
+		outcome = eventOutcome(ctx, event)
+	}
+	outcome.IsDialed = isDialed
+	return outcome, ok
+}
+
+// withConnection calls send with a connection that has a free stream. Where nothing is sent, the outcome has the
+// error; ok is false where the server speaks HTTP/1.1.
+func (s *sharedConnections) withConnection(ctx context.Context, send func(*h2.Conn) error) (outcome Outcome, isDialed, ok bool) {
+	for {
+		conn, isNew, err := s.acquire(ctx)
+		isDialed = isDialed || isNew
+		switch {
+		case errors.Is(err, h2.ErrNotSpoken) && s.protocol == ProtocolPreferHTTP2:
+			return outcome, isDialed, false
+		case errors.Is(err, errNoStream): // tells nothing about the app server
+			return Outcome{Reason: control.NotSent, Err: err}, isDialed, true
+		case err != nil:
+			return unconnectedOutcome(err), isDialed, true
+		}
+		if isPastWriteDeadline(ctx) {
+			return Outcome{Reason: control.NotSent, Err: errWriteDeadline}, isDialed, true
+		}
+		switch err := send(conn); {
+		case errors.Is(err, h2.ErrNoStream): // other attempts have taken the free streams
+			continue
+		case err != nil:
+			return Outcome{Reason: control.NotSent, Err: err}, isDialed, true
+		}
+		return outcome, isDialed, true
+	}
+}
+
+// eventOutcome is the outcome of an attempt whose stream ended with an event.
+func eventOutcome(ctx context.Context, event h2.Event) (outcome Outcome) {
+	if event.Err == nil {
+		return answeredOutcome(event.Answer)
+	}
+	outcome = Outcome{Reason: control.ResetByPeer, Err: event.Err}
+	switch unprocessed := unprocessedReason(event); {
+	case unprocessed != 0:
+		outcome.Reason = unprocessed
+	case event.Err.End == h2.Cancelled && errors.Is(ctx.Err(), context.Canceled):
+		outcome.Reason = control.Cancelled
+	case event.Err.End == h2.Cancelled:
+		outcome.Reason = control.TimedOut
+	}
+	return outcome
+}
+
+// answeredOutcome is the outcome of an attempt with a complete answer.
+func answeredOutcome(answer *h2.Answer) (outcome Outcome) {
+	for _, name := range reportHeaders {
+		if values := answer.Trailer[name]; len(values) > 0 && len(answer.Header[name]) == 0 {
+			answer.Header[name] = values
+		}
+	}
+	outcome.classify(answer.Status, answer.Header)
+	if outcome.Body = answer.Body; outcome.Body == nil {
+		outcome.Body = []byte{}
+	}
+	return outcome
+}
+
+// unprocessedReason is the reason of an attempt whose request is known not to have run; 0 for any other.
+func unprocessedReason(event h2.Event) control.Reason {
+	switch {
+	case event.Err == nil:
+	case event.Fate == h2.TurnedAway:
+		return control.RejectedByServer
+	case event.Fate == h2.NeverRan:
+		return control.ConnectFailed
+	}
+	return 0
+}
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -9,20 +9,42 @@
 	"lockflow/internal/protocol"
 )
 
+const (
+	maxUsagePercent = 10000 // what a server may report of a customer's quota
+	maxLoadValue    = 1e6   // of any number in a load report
+)
+
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Reason        control.Reason
-	Err           error // why, where there was no answer
-	Status        int   // of the answer that a client could be given; 0 is none
-	IsFinal       bool  // it is the client's, whatever else could be tried
+	Err           error // why there is no answer
+	Status        int   // of an answer that can be forwarded to the client; 0 is none
+	IsFinal       bool  // the answer goes to the client, even if the request could be retried
 	Header        http.Header
 	Body          []byte
-	Stream        *Stream // the rest of an answer that goes on; nil where all of it is here
-	IsDialed      bool    // a connection was made for it, or tried to be
-	HasClientLeft bool    // nothing was sent, as the client was not there any more
+	Stream        *Stream // the rest of an answer that is not buffered, for the caller to close; nil where Body is complete
+	IsDialed      bool    // a connection was made for the attempt, or tried to be
+	HasClientLeft bool    // nothing was sent, as the client no longer waits
+}
+
+// unconnectedOutcome is the outcome of an attempt that got no connection.
+func unconnectedOutcome(err error) Outcome {
+	if isNodeError(err) {
+		return Outcome{Reason: control.NotSent, Err: err}
+	}
+	return Outcome{Reason: control.ConnectFailed, Err: err, IsDialed: true}
+}
+
+// clientFailure is the outcome of an attempt that ended as the client's body could not be read.
+func clientFailure(err error, isTimeout bool) Outcome {
+	outcome := Outcome{Reason: control.Cancelled, Err: err, Status: http.StatusBadRequest, IsFinal: true}
+	if isTimeout {
+		outcome.Status = http.StatusRequestTimeout
+	}
+	return outcome
 }
 
-// classify says what a whole answer of the platform's protocol means.
+// classify sets what a complete answer of the platform's protocol means.
 func (o *Outcome) classify(status int, header http.Header) {
 	o.Header = header
 	switch {
@@ -35,7 +57,8 @@
 	}
 }
 
-// QuotaUsage reads the customer's use; the module counts from 1, as 0 is not told.
+// QuotaUsage returns 1 plus the reported usage of the customer's quota in percent, as the module counts it; 0 is
+// none reported.
 func (o *Outcome) QuotaUsage() int {
 	percent, err := strconv.Atoi(o.Header.Get(protocol.HeaderQuotaUsed))
 	if err != nil || percent < 0 || percent > maxUsagePercent {
@@ -44,17 +67,18 @@
 	return percent + 1
 }
 
-// ActualUnits reads the true units, of which a request can have so many at the most.
-func (o *Outcome) ActualUnits(limit float64) float64 {
+// ActualUnits returns the reported units that the request has used, of which it can have maxUnits; 0 is none
+// reported.
+func (o *Outcome) ActualUnits(maxUnits float64) float64 {
 	units, err := protocol.ParseNumber(o.Header.Get(protocol.HeaderTrueCost))
-	if err != nil || units < 0 || units > limit {
+	if err != nil || units < 0 || units > maxUnits {
 		return 0
 	}
 	return units
 }
 
-// LoadReport reads the app server's report. The header's words for the figures are not
-// those of the settings; what is not known, or can't be, is skipped.
+// LoadReport returns the app server's load report, nil where there is none. Servers use one of two names for
+// each value; unknown names and impossible values are skipped.
 func (o *Outcome) LoadReport() *control.LoadReport {
 	unknown := control.LoadReport{InFlight: -1, Queued: -1, Utilization: -1, MeanLatencyMS: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 	report := unknown
--- /dev/null
+++ b/internal/upstream/server_conn.go
@@ -0,0 +1,98 @@
+package upstream
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lockflow/internal/limits"
+)
+
+const connBufferBytes = 4 << 10
+
+// expired is a deadline that is over.
+var expired = time.Unix(1, 0)
+
+// serverConn is a connection of HTTP/1.1 to an app server. One attempt uses it at a time.
+type serverConn struct {
+	*limits.Conn
+	rawConn         syscall.RawConn
+	isInterrupted   atomic.Bool // everything that waits for it has to end
+	answers         answerReader
+	reader          *bufio.Reader
+	writer          *bufio.Writer
+	idleSince       time.Time    // zero until it has been idle
+	lastAnswer      time.Time    // when its last answer ended; zero is none
+	sawSecondAnswer *atomic.Bool // that of its Upstream
+}
+
+func (u *Upstream) newConn(conn *limits.Conn, rawConn syscall.RawConn) *serverConn {
+	created := &serverConn{Conn: conn, rawConn: rawConn, sawSecondAnswer: &u.sawSecondAnswer}
+	created.answers = answerReader{Conn: conn.Conn, owner: created}
+	created.reader = bufio.NewReaderSize(&created.answers, connBufferBytes)
+	created.writer = bufio.NewWriterSize(conn.Conn, connBufferBytes)
+	return created
+}
+
+// interrupt ends everything that waits for the connection, for good.
+func (c *serverConn) interrupt() {
+	c.isInterrupted.Store(true)
+	c.SetDeadline(expired)
+}
+
+// Close closes the connection. TLS would first send its close_notify, and wait for seconds on a peer that
+// reads nothing: an interrupted connection sends none.
+func (c *serverConn) Close() error {
+	if tlsConn, ok := c.Conn.Conn.(*tls.Conn); ok && c.isInterrupted.Load() {
+		tlsConn.NetConn().Close()
+	}
+	return c.Conn.Close()
+}
+
+// readBy sets when reads time out. It doesn't undo an interrupt that comes at the same time.
+func (c *serverConn) readBy(deadline time.Time) {
+	c.SetReadDeadline(deadline)
+	if c.isInterrupted.Load() {
+		c.SetReadDeadline(expired)
+	}
+}
+
+// writeBy sets when writes time out. It doesn't undo an interrupt that comes at the same time.
+func (c *serverConn) writeBy(deadline time.Time) {
+	c.SetWriteDeadline(deadline)
+	if c.isInterrupted.Load() {
+		c.SetWriteDeadline(expired)
+	}
+}
+
+// isQuiet reports whether an idle connection is open and has nothing to read. A request that is written on a
+// connection that the server has closed would count as reset, and bytes that came after the last answer would
+// be taken for the next one. A server's TLS tickets come before its first answer and are read with it.
+func (c *serverConn) isQuiet() bool {
+	isQuiet := false
+	err := c.rawConn.Control(func(fd uintptr) {
+		var probe [1]byte
+		n, err := syscall.Read(int(fd), probe[:])
+		isQuiet = errors.Is(err, syscall.EAGAIN)
+		if _, isTLS := c.Conn.Conn.(*tls.Conn); n > 0 && !isTLS { // over TLS it may be a record of TLS itself
+			c.sawSecondAnswer.Store(true)
+		}
+	})
+	return err == nil && isQuiet
+}
+
+// wasReset reports whether the connection is closed in both directions, although this side has not closed it.
+// The system reports a reset only once, to whichever side of the attempt reads or writes first; to the other
+// one it looks like the end of the answer.
+func (c *serverConn) wasReset() (isClosed bool) {
+	_ = c.rawConn.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isClosed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return isClosed
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -12,18 +12,18 @@
 	"lockflow/control"
 )
 
-// Stream is the rest of an answer, or a tunnel. One goroutine reads it; Close may be called by
-// any.
+// Stream is the rest of an answer that is not buffered, or a tunnel. One goroutine reads it, and one may write
+// to a tunnel; Abort and Close may be called by any.
 type Stream struct {
 	ContentLength int64 // of the body; below zero it is not known
-	IsTunnel      bool  // the protocol has changed: bytes go both ways
+	IsTunnel      bool  // the connection has switched to another protocol: bytes go in both directions
 
 	streamingAttempt
-	http1     *http1Attempt // that it is of; nil over HTTP/2
-	bytesRead int64         // of the body; the reader's own
+	http1     *http1Attempt // the attempt; nil over HTTP/2
+	bytesRead int64         // of the body; used by the reading goroutine only
 
-	mu      sync.Mutex
-	readErr error // with which reading ended; io.EOF is well
+	mu      sync.Mutex // guards what follows
+	readErr error      // with which reading ended; io.EOF is a complete answer, nil one that goes on
 	isEnded bool
 	onEnd   func(Outcome)
 }
@@ -32,30 +32,27 @@
 type streamingAttempt interface {
 	readBody(p []byte) (int, error)
 	hasBuffered() bool
-	trailer() http.Header // the names that were announced, and the values once all is read
-	isAborted() bool      // it was broken off from this side
+	trailer() http.Header // the announced names, and the values once the body has been read
+	isAborted() bool
 	abort()
 	hasClientFailed() bool
-	end(isComplete bool) // lets go of it, once
+	end(isComplete bool) // lets go of the connection; only the first call does anything
 }
 
-// ErrAborted is the end of a stream that was broken off from this side.
-var ErrAborted = errors.New("broken off")
-
-// OnEnd sets what is called once, with how the attempt ended, when the stream is closed.
+// OnEnd sets a function that is called once, with how the attempt ended, when the stream is closed.
 func (s *Stream) OnEnd(callback func(Outcome)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onEnd = callback
 }
 
-// Read reads on. io.EOF is an answer that is whole, any other error one that is not. Each read
-// waits for the attempt's Idle at the most.
+// Read implements io.Reader. io.EOF is the end of a complete answer; any other error means that it is not
+// complete, ErrAborted that it was aborted here. Each call takes the idle timeout of the request at most.
 func (s *Stream) Read(p []byte) (n int, err error) {
 	n, err = s.readBody(p)
 	s.bytesRead += int64(n)
 	if err != nil {
-		if s.isAborted() { // else it would look like a silence, which a tunnel may outlast
+		if s.isAborted() { // otherwise it would look like a timeout, which a tunnel may survive
 			err = ErrAborted
 		}
 		s.setReadErr(err)
@@ -63,16 +60,17 @@
 	return n, err
 }
 
+// CopyTo sizes its pieces between these, and starts again with the smallest after one that took slowPieceTime.
 const (
 	minPieceBytes = BodyWindowBytes
 	maxPieceBytes = 1 << 20
-	slowPieceTime = time.Second // from which on pieces are made smaller
+	slowPieceTime = time.Second
 )
 
-// CopyTo passes the rest of a body of known length on to a client's connection without its bytes
-// coming through this process, where the system can (splice(2)). ahead is called before each piece
-// moves, which has to have moved within the attempt's Idle, moved after it. An error with which the
-// server has nothing to do is not its failure.
+// CopyTo copies the rest of a body of known length to a client's connection, where the system can do so without
+// copying it through this process (splice(2)); otherwise it returns errors.ErrUnsupported. It calls beforePiece
+// before each piece, which has to be copied within the idle timeout of the request, and afterPiece with its
+// length after it. An error of the client's side does not count as a failure of the server.
 func (s *Stream) CopyTo(destination io.ReaderFrom, beforePiece func(), afterPiece func(n int64) error) error {
 	if s.http1 == nil {
 		return errors.ErrUnsupported
@@ -81,46 +79,54 @@
 	if !ok || s.ContentLength < 0 || s.HasBuffered() {
 		return errors.ErrUnsupported
 	}
-	for piece := int64(minPieceBytes); s.bytesRead < s.ContentLength; {
-		s.http1.hasDeadline = true
-		s.http1.conn.readBy(time.Now().Add(s.http1.IdleTimeout))
+	for pieceBytes := int64(minPieceBytes); s.bytesRead < s.ContentLength; {
 		beforePiece()
-		begun := time.Now()
-		want := min(piece, s.ContentLength-s.bytesRead)
-		n, err := destination.ReadFrom(&io.LimitedReader{R: tcp, N: want})
-		s.bytesRead += n
-		if err == nil && n < want {
-			err = io.ErrUnexpectedEOF
-		} else if err != nil && s.isServerAlive(tcp) {
-			return err
-		}
+		started := time.Now()
+		n, err := s.copyPiece(destination, tcp, min(pieceBytes, s.ContentLength-s.bytesRead))
 		if err != nil {
-			if s.http1.conn.isInterrupted.Load() {
-				err = ErrAborted
-			}
-			s.setReadErr(err)
 			return err
 		}
 		if err := afterPiece(n); err != nil {
 			return err
 		}
-		if piece = min(2*piece, maxPieceBytes); time.Since(begun) > slowPieceTime {
-			piece = minPieceBytes
+		if pieceBytes = min(2*pieceBytes, maxPieceBytes); time.Since(started) > slowPieceTime {
+			pieceBytes = minPieceBytes
 		}
 	}
 	s.setReadErr(io.EOF)
 	return nil
 }
 
-// isServerAlive tells whether the server's side of a copy that failed is well: there is more of its
+// copyPiece copies size bytes. It records an error of the server's side.
+func (s *Stream) copyPiece(destination io.ReaderFrom, tcp *net.TCPConn, size int64) (int64, error) {
+	s.http1.hasDeadline = true
+	s.http1.conn.readBy(time.Now().Add(s.http1.IdleTimeout))
+	n, err := destination.ReadFrom(&io.LimitedReader{R: tcp, N: size})
+	s.bytesRead += n
+	switch {
+	case err == nil && n == size:
+		return n, nil
+	case err == nil:
+		err = io.ErrUnexpectedEOF
+	case s.isServerAlive(tcp):
+		return n, err
+	}
+	if s.isAborted() {
+		err = ErrAborted
+	}
+	s.setReadErr(err)
+	return n, err
+}
+
+// isServerAlive reports, after a copy that failed, whether the server's side is well: there is more of its
 // answer, or may be.
 func (s *Stream) isServerAlive(tcp *net.TCPConn) bool {
-	if s.http1.conn.isInterrupted.Load() {
+	if s.isAborted() {
 		return false
 	}
-	var one [1]byte
+	var probe [1]byte
 	s.http1.conn.readBy(time.Now().Add(time.Millisecond))
-	n, err := tcp.Read(one[:])
+	n, err := tcp.Read(probe[:])
 	return n > 0 || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
@@ -130,10 +136,10 @@
 	s.mu.Unlock()
 }
 
-// HasBuffered tells whether more is there without waiting.
+// HasBuffered reports whether Read returns without waiting.
 func (s *Stream) HasBuffered() bool { return s.hasBuffered() }
 
-// TrailerNames are the fields that the server has announced to come behind the body.
+// TrailerNames returns the names of the trailer fields that the server has announced.
 func (s *Stream) TrailerNames() (names []string) {
 	for name := range s.trailer() {
 		names = append(names, name)
@@ -141,24 +147,24 @@
 	return names
 }
 
-// Trailer are the fields that came behind the body, once Read has given io.EOF.
+// Trailer returns the trailer fields, once Read has returned io.EOF.
 func (s *Stream) Trailer() http.Header { return s.trailer() }
 
-// Write sends bytes through a tunnel; each part waits for the attempt's Idle at the most.
+// Write sends bytes through a tunnel. Each call takes the idle timeout of the request at most.
 func (s *Stream) Write(p []byte) (int, error) {
 	s.http1.conn.writeBy(time.Now().Add(s.http1.IdleTimeout))
 	return s.http1.conn.Write(p)
 }
 
-// CloseWrite ends the client's side of a tunnel.
+// CloseWrite ends the client's direction of a tunnel.
 func (s *Stream) CloseWrite() {
-	if c, ok := s.http1.conn.Conn.Conn.(interface{ CloseWrite() error }); ok { // of TLS too
-		_ = c.CloseWrite() // what is broken shows in reading
+	if conn, ok := s.http1.conn.Conn.Conn.(interface{ CloseWrite() error }); ok { // TCP and TLS
+		_ = conn.CloseWrite() // a broken connection shows in reading
 	}
 }
 
-// Abort breaks the stream off: who reads it gets an error. It never waits. Guards against breaking
-// off what goes over the connection next: a stream that has ended is left alone.
+// Abort ends the stream: its reader gets ErrAborted. It never waits. It does nothing to a stream that has been
+// closed, whose connection may serve the next request.
 func (s *Stream) Abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,31 +173,35 @@
 	}
 }
 
-// Close ends the attempt. A connection whose answer is whole is kept, any other one closed. Only
-// the first call does anything.
+// Close ends the attempt. A connection with a complete answer goes back to its pool, any other one is closed.
+// Only the first call does anything.
 func (s *Stream) Close() {
 	s.mu.Lock()
-	err, onEnd := s.readErr, s.onEnd
+	readErr, onEnd := s.readErr, s.onEnd
 	if s.isEnded {
 		s.mu.Unlock()
 		return
 	}
 	s.isEnded = true
 	s.mu.Unlock()
-	isComplete := errors.Is(err, io.EOF) && !s.IsTunnel
-	var timeout net.Error
-	outcome := Outcome{Reason: control.OK} // also where the client left: the server has answered
-	switch {
-	case err == nil || errors.Is(err, io.EOF) || s.hasClientFailed():
-	case errors.Is(err, ErrAborted):
-		outcome = Outcome{Reason: control.Cancelled, Err: err}
-	case errors.As(err, &timeout) && timeout.Timeout():
-		outcome = Outcome{Reason: control.TimedOut, Err: err}
-	default:
-		outcome = Outcome{Reason: control.ResetByPeer, Err: err}
-	}
-	s.end(isComplete)
+	outcome := s.closedOutcome(readErr)
+	s.end(errors.Is(readErr, io.EOF) && !s.IsTunnel)
 	if onEnd != nil {
 		onEnd(outcome)
 	}
 }
+
+// closedOutcome is the outcome of the attempt. It is a success also where the client has left, as the server has
+// answered.
+func (s *Stream) closedOutcome(readErr error) Outcome {
+	switch {
+	case readErr == nil || errors.Is(readErr, io.EOF) || s.hasClientFailed():
+		return Outcome{Reason: control.OK}
+	case errors.Is(readErr, ErrAborted):
+		return Outcome{Reason: control.Cancelled, Err: readErr}
+	case isTimeout(readErr):
+		return Outcome{Reason: control.TimedOut, Err: readErr}
+	default:
+		return Outcome{Reason: control.ResetByPeer, Err: readErr}
+	}
+}
--- /dev/null
+++ b/internal/upstream/write_deadline.go
@@ -0,0 +1,45 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lockflow/internal/protocol"
+)
+
+type writeDeadlineKey struct{}
+
+// WithWriteDeadline returns a ctx whose attempt is written completely by the deadline or not at all. An attempt
+// whose connection comes up later is not sent.
+func WithWriteDeadline(ctx context.Context, deadline time.Time) context.Context {
+	return context.WithValue(ctx, writeDeadlineKey{}, deadline)
+}
+
+// writeDeadline returns the deadline that WithWriteDeadline has set; zero is none.
+func writeDeadline(ctx context.Context) time.Time {
+	deadline, _ := ctx.Value(writeDeadlineKey{}).(time.Time)
+	return deadline
+}
+
+// isPastWriteDeadline reports whether the deadline that WithWriteDeadline has set is over.
+func isPastWriteDeadline(ctx context.Context) bool {
+	deadline := writeDeadline(ctx)
+	return !deadline.IsZero() && !time.Now().Before(deadline)
+}
+
+// setTimeLeft has a request tell the server how long its answer is waited for.
+func setTimeLeft(request *http.Request, deadline time.Time) {
+	request.Header.Set(protocol.HeaderTimeLeft, formatTimeLeft(timeUntil(deadline)))
+}
+
+// timeUntil is the time left until a deadline, at least one millisecond.
+func timeUntil(deadline time.Time) time.Duration {
+	return max(time.Until(deadline), time.Millisecond)
+}
+
+// formatTimeLeft is the value of protocol.HeaderTimeLeft, in complete milliseconds.
+func formatTimeLeft(left time.Duration) string {
+	return strconv.FormatInt(left.Milliseconds(), 10) + "m"
+}
