Name the keys behind renamed options, and route's tests by behaviour

Options whose configuration keys have other words (strangers, elsewhere, replay, least_rate, forwarded) name them in their comments, and docs and comments follow the renamed identifiers.

--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -111,7 +111,7 @@
 	Identifiers    []Identifier // tried in order; the first name counts
 	File           string       // that assigns plans to customers; empty for none
 	DefaultPlan    string       // of customers that the file does not name
-	MaxUnknown     int          // number of customers that are tracked without being in the file
+	MaxUnknown     int          // customers that are tracked without being in the file (configuration key strangers)
 	TrustedProxies []netip.Prefix
 }
 
--- a/internal/customer/customer_test.go
+++ b/internal/customer/customer_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-func TestFollow(t *testing.T) {
+func TestFollowLoadsChangedFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "customers.csv")
 	write := func(text string) {
 		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
--- a/internal/front/ordinary.go
+++ b/internal/front/ordinary.go
@@ -24,7 +24,8 @@
 
 const requestIDHeader = "X-Request-Id"
 
-// OrdinaryOptions configure the Ordinary protocol of one service.
+// OrdinaryOptions configure the Ordinary protocol of one service. Where a configuration key has another word,
+// the comment names it.
 type OrdinaryOptions struct {
 	// Customers identifies the customer of a request. Nil treats all as anonymous.
 	Customers *customer.Directory
@@ -42,14 +43,14 @@
 	// SendRequestID sends servers a request ID: the client's, or a random one.
 	SendRequestID bool
 
-	RetryBufferBytes       int           // limit of a request body that is buffered for a retry
-	MaxBufferedAnswerBytes int           // limit of an answer that is buffered; a longer one is streamed
+	RetryBufferBytes       int           // limit of a request body that is buffered for a retry (key replay)
+	MaxBufferedAnswerBytes int           // limit of an answer that is buffered, a longer one is streamed (key answer)
 	IdleTimeout            time.Duration // limit for one read or write of a body
-	MinBytesPerSecond      int64         // required of a client on average over a body; 0 for no limit
+	MinBytesPerSecond      int64         // required of a client on average over a body, 0 for no limit (key least_rate)
 
 	ResponseRules     responseclass.Rules
-	AllowUnderscores  bool // forward header fields whose names contain underscores
-	ForwardingHeaders hopheaders.ForwardingFormat
+	AllowUnderscores  bool                        // forward header fields whose names contain underscores
+	ForwardingHeaders hopheaders.ForwardingFormat // describe the client to servers (key forwarded)
 	TrustedProxies    []netip.Prefix
 }
 
--- a/internal/responseclass/responseclass.go
+++ b/internal/responseclass/responseclass.go
@@ -79,8 +79,8 @@
 // Rules determine how the answers of a service are classified. With the zero value no status allows a
 // retry.
 type Rules struct {
-	RetryStatuses   []int   // 5xx statuses that allow a retry
-	RejectionProofs []Proof // for answers with a status from 400 to 599
+	RetryStatuses   []int   // 5xx statuses that allow a retry (configuration key elsewhere)
+	RejectionProofs []Proof // for answers with a status from 400 to 599 (configuration key never_ran)
 }
 
 // DefaultRules returns the rules of a service that does not configure any.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -10,13 +10,13 @@
 	"testing"
 )
 
-// ask is a request as a test words it: host, path, method and headers "K: V".
-type ask struct {
+// testRequest is a request in short form; its headers have the form "Name: value".
+type testRequest struct {
 	host, path, method string
 	headers            []string
 }
 
-func (a ask) header() http.Header {
+func (a testRequest) header() http.Header {
 	h := make(http.Header)
 	for _, line := range a.headers {
 		k, v, _ := strings.Cut(line, ": ")
@@ -25,7 +25,7 @@
 	return h
 }
 
-func compiled(t testing.TB, rules []Rule) *Router {
+func mustCompile(t testing.TB, rules []Rule) *Router {
 	t.Helper()
 	r, problems := New(rules)
 	for _, p := range problems {
@@ -51,41 +51,41 @@
 	{Name: "deep", Prefix: "/x" + strings.Repeat("/y", 80)},
 }
 
-func TestFind(t *testing.T) {
-	r := compiled(t, someRules)
+func TestRouterFind(t *testing.T) {
+	r := mustCompile(t, someRules)
 	for _, tc := range []struct {
-		ask
+		testRequest
 		want string
 	}{
-		{ask{host: "other", path: "/"}, "any"},
-		{ask{host: "", path: "/"}, "any"},
-		{ask{host: "a.example", path: "/"}, "host"},
-		{ask{host: "c.example", path: "/"}, "wild"},
-		{ask{host: "d.c.example", path: "/"}, "wild"},
-		{ask{host: "example", path: "/"}, "any"},
-		{ask{host: "c.b.example", path: "/"}, "wilder"},
-		{ask{host: "b.example", path: "/"}, "wild"},
-		{ask{host: "a.example", path: "/docs"}, "docs"},
-		{ask{host: "a.example", path: "/docs/"}, "docs-index"},
-		{ask{host: "a.example", path: "/docs/x"}, "docs"},
-		{ask{host: "a.example", path: "/docsx"}, "host"},
-		{ask{host: "a.example", path: "/docs/old"}, "docs-old"},
-		{ask{host: "a.example", path: "/docs/old/"}, "docs-old"},
-		{ask{host: "a.example", path: "/docs/old/1"}, "docs-old"},
-		{ask{host: "a.example", path: "/docs/older"}, "docs"},
-		{ask{host: "a.example", path: "/docs", method: "POST"}, "docs-post"},
-		{ask{host: "a.example", path: "/docs", headers: []string{"X-Beta: 1"}}, "docs-beta"},
-		{ask{host: "a.example", path: "/docs", headers: []string{"X-Beta: 2"}}, "docs-beta-2"},
-		{ask{host: "a.example", path: "/docs", headers: []string{"X-Beta: 2", "X-Beta: 2"}}, "docs-beta"},
-		{ask{host: "a.example", path: "/docs", method: "POST", headers: []string{"X-Beta: 2"}}, "docs-post"},
-		{ask{host: "other", path: "/visit-update/7"}, "class"},
-		{ask{host: "other", path: "/visit-update", method: "POST"}, "class-post"},
-		{ask{host: "a.example", path: "/visit-update"}, "host"},
-		{ask{host: "a.example", path: "/notes"}, "host"},
-		{ask{host: "other", path: "/notes/"}, "anywhere-notes"},
-		{ask{host: "other", path: "/Notes"}, "any"},
-		{ask{host: "other", path: "/x" + strings.Repeat("/y", 90)}, "deep"},
-		{ask{host: "other", path: "/x" + strings.Repeat("/y", 79)}, "any"},
+		{testRequest{host: "other", path: "/"}, "any"},
+		{testRequest{host: "", path: "/"}, "any"},
+		{testRequest{host: "a.example", path: "/"}, "host"},
+		{testRequest{host: "c.example", path: "/"}, "wild"},
+		{testRequest{host: "d.c.example", path: "/"}, "wild"},
+		{testRequest{host: "example", path: "/"}, "any"},
+		{testRequest{host: "c.b.example", path: "/"}, "wilder"},
+		{testRequest{host: "b.example", path: "/"}, "wild"},
+		{testRequest{host: "a.example", path: "/docs"}, "docs"},
+		{testRequest{host: "a.example", path: "/docs/"}, "docs-index"},
+		{testRequest{host: "a.example", path: "/docs/x"}, "docs"},
+		{testRequest{host: "a.example", path: "/docsx"}, "host"},
+		{testRequest{host: "a.example", path: "/docs/old"}, "docs-old"},
+		{testRequest{host: "a.example", path: "/docs/old/"}, "docs-old"},
+		{testRequest{host: "a.example", path: "/docs/old/1"}, "docs-old"},
+		{testRequest{host: "a.example", path: "/docs/older"}, "docs"},
+		{testRequest{host: "a.example", path: "/docs", method: "POST"}, "docs-post"},
+		{testRequest{host: "a.example", path: "/docs", headers: []string{"X-Beta: 1"}}, "docs-beta"},
+		{testRequest{host: "a.example", path: "/docs", headers: []string{"X-Beta: 2"}}, "docs-beta-2"},
+		{testRequest{host: "a.example", path: "/docs", headers: []string{"X-Beta: 2", "X-Beta: 2"}}, "docs-beta"},
+		{testRequest{host: "a.example", path: "/docs", method: "POST", headers: []string{"X-Beta: 2"}}, "docs-post"},
+		{testRequest{host: "other", path: "/visit-update/7"}, "class"},
+		{testRequest{host: "other", path: "/visit-update", method: "POST"}, "class-post"},
+		{testRequest{host: "a.example", path: "/visit-update"}, "host"},
+		{testRequest{host: "a.example", path: "/notes"}, "host"},
+		{testRequest{host: "other", path: "/notes/"}, "anywhere-notes"},
+		{testRequest{host: "other", path: "/Notes"}, "any"},
+		{testRequest{host: "other", path: "/x" + strings.Repeat("/y", 90)}, "deep"},
+		{testRequest{host: "other", path: "/x" + strings.Repeat("/y", 79)}, "any"},
 	} {
 		method := tc.method
 		if method == "" {
@@ -93,18 +93,18 @@
 		}
 		i, ok := r.Find(tc.host, tc.path, method, tc.header())
 		if !ok || someRules[i].Name != tc.want {
-			t.Errorf("%+v: %q, not %q", tc.ask, someRules[i].Name, tc.want)
+			t.Errorf("%+v: %q, not %q", tc.testRequest, someRules[i].Name, tc.want)
 		}
 		if why := r.Explain(tc.host, tc.path, method, tc.header()); why[0].Index != i {
-			t.Errorf("%+v: Why tells %q", tc.ask, someRules[why[0].Index].Name)
+			t.Errorf("%+v: Why tells %q", tc.testRequest, someRules[why[0].Index].Name)
 		}
 	}
-	if i, ok := compiled(t, someRules[1:2]).Find("other", "/", "GET", nil); ok {
+	if i, ok := mustCompile(t, someRules[1:2]).Find("other", "/", "GET", nil); ok {
 		t.Errorf("rule %d, not none", i)
 	}
 }
 
-func TestProblems(t *testing.T) {
+func TestNewReportsUnusableRules(t *testing.T) {
 	for name, tc := range map[string]struct {
 		rules []Rule
 		key   string
@@ -149,7 +149,7 @@
 	}
 }
 
-func TestTarget(t *testing.T) {
+func TestSplitTarget(t *testing.T) {
 	for in, want := range map[string]string{
 		"/a?b=/c":               " /a",
 		"/":                     " /",
@@ -172,7 +172,7 @@
 	}
 }
 
-func TestHost(t *testing.T) {
+func TestCanonicalHost(t *testing.T) {
 	for in, want := range map[string]string{
 		"": "", "a.example": "a.example", "A.Example:8080": "a.example", "a.example.": "a.example",
 		"a.example.:80": "a.example", "a:": "a", "127.0.0.1:9": "127.0.0.1", "[::1]:9": "[::1]", "[FE80::1]": "[fe80::1]",
@@ -186,7 +186,7 @@
 	}
 }
 
-func TestPath(t *testing.T) {
+func TestCanonicalPath(t *testing.T) {
 	for in, want := range map[string]string{
 		"/": "/", "/a": "/a", "/a/": "/a/", "/A": "/A", "/%41%7e": "/A~", "/a%20b": "/a%20b", "/%c3%a4": "/%C3%A4",
 		"/a;v=1/b": "/a/b", "/a;x=%2e": "/a", "/a%3Bb": "/a%3Bb", "/...": "/...", "/.a": "/.a", "/a%25b": "/a%25b",
@@ -207,9 +207,9 @@
 	}
 }
 
-// FuzzPath holds the one form to what it promises, whatever the bytes: it is its own form, and
-// a server that decodes it before it splits it finds the same segments.
-func FuzzPath(f *testing.F) {
+// Whatever the bytes, a canonical path is its own canonical form, and a server that decodes the path before it
+// splits it finds the same segments.
+func FuzzCanonicalPath(f *testing.F) {
 	for _, s := range []string{"/a/%2e%2e/b", "/a%2fb", "/a;x/../b", "/%41", "//", "/a%25%32%66"} {
 		f.Add(s)
 	}
@@ -401,10 +401,10 @@
 func compare(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	rules := randomRules(rng, 1+rng.IntN(60))
-	r := compiled(t, rules)
+	r := mustCompile(t, rules)
 	turned := slices.Clone(rules)
 	rng.Shuffle(len(turned), func(i, j int) { turned[i], turned[j] = turned[j], turned[i] })
-	other := compiled(t, turned)
+	other := mustCompile(t, turned)
 	for range 60 {
 		host, path, method, header := randomRequest(rng)
 		got, ok := r.Find(host, path, method, header)
@@ -418,24 +418,24 @@
 	}
 }
 
-func TestAgainstReference(t *testing.T) {
+func TestRouterFindAgreesWithReference(t *testing.T) {
 	for seed := range uint64(300) {
 		compare(t, seed)
 	}
 }
 
-func FuzzAgainstReference(f *testing.F) {
+func FuzzRouterFindAgreesWithReference(f *testing.F) {
 	f.Add(uint64(1))
 	f.Fuzz(compare)
 }
 
-func BenchmarkFind(b *testing.B) {
+func BenchmarkRouterFind(b *testing.B) {
 	for _, n := range []int{10, 500, 5000} {
 		var rules []Rule
 		for i := range n {
 			rules = append(rules, Rule{Host: fmt.Sprintf("h%d.example", i%(n/5)), Prefix: fmt.Sprintf("/p%d/q", i/(n/5))})
 		}
-		r := compiled(b, rules)
+		r := mustCompile(b, rules)
 		header := make(http.Header)
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			b.ReportAllocs()
