--- a/internal/node/limiter_test.go
+++ b/internal/node/limiter_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -75,43 +73,13 @@
 	checkOthersServed(t, l)
 }
 
-// fullBacklogAddress listens on an address on which no connection comes up any more: its queue is full.
-func fullBacklogAddress(t *testing.T) string {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
-	for range 10 {
-		c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond)
-		if err != nil {
-			return addr
-		}
-		t.Cleanup(func() { c.Close() })
-	}
-	t.Skip("this system's queue of connections has no end")
-	return ""
-}
-
 // Servers on which no connection comes up hold as many dials as there may be, not those of the
 // other service, and requests for which no dial is free are answered.
 func TestDialsAreBoundedByService(t *testing.T) {
 	text := strings.Replace(twoServicesConfig, "[process]\n", "[process]\ndials = 6\n", 1)
 	text = strings.Replace(text, "[services.a]\nsource = { kind = \"discovery\", address = \"@a\" }",
 		fmt.Sprintf("[services.a]\nconnect_timeout = \"1s\"\nsource = { kind = \"static\", servers = [%s] }",
-			strings.TrimSuffix(strings.Repeat(fmt.Sprintf("{ uid = \"NAME\", endpoint = %q }, ", fullBacklogAddress(t)), 8), ", ")), 1)
+			strings.TrimSuffix(strings.Repeat(fmt.Sprintf("{ uid = \"NAME\", endpoint = %q }, ", testkit.FullBacklogAddress(t)), 8), ", ")), 1)
 	for i := range 8 {
 		text = strings.Replace(text, "NAME", fmt.Sprint("s", i), 1)
 	}
--- /dev/null
+++ b/internal/testkit/backlog.go
@@ -0,0 +1,41 @@
+package testkit
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// FullBacklogAddress listens on a loopback address on which no further connection comes up: its backlog is
+// full, and nobody accepts from it. It listens until the test ends.
+func FullBacklogAddress(t *testing.T) string {
+	t.Helper()
+	const maxBacklog = 10 // more than any system makes of a backlog of 0
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(descriptor) })
+	if err := syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(descriptor, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(descriptor)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range maxBacklog {
+		connection, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+	}
+	t.Fatalf("%d connections came up on a backlog of 0", maxBacklog)
+	return ""
+}
--- a/internal/upstream/late_connection_test.go
+++ b/internal/upstream/late_connection_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -15,36 +12,6 @@
 	"lockflow/internal/testkit"
 )
 
-// listenWithFullQueue listens on an address on which no connection comes up any more: its queue is full.
-func listenWithFullQueue(t *testing.T) string {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
-	for range 10 {
-		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
-		if err != nil {
-			return address
-		}
-		t.Cleanup(func() { conn.Close() })
-	}
-	t.Skip("this system's queue of connections has no end")
-	return ""
-}
-
 // dialCount counts the connections that are coming up.
 type dialCount struct{ open atomic.Int64 }
 
@@ -55,7 +22,7 @@
 // leave nothing behind: no descriptor, no dial, no goroutine.
 func TestFailedDialsLeaveNothingBehind(t *testing.T) {
 	const short, attempts = 50 * time.Millisecond, 100
-	address := listenWithFullQueue(t)
+	address := testkit.FullBacklogAddress(t)
 	for name, within := range map[string]struct{ connect, attempt time.Duration }{
 		"the time of a connection": {short, testkit.Patience},
 		"the time of an attempt":   {testkit.Patience, short},
