Keep admission, the end of requests and the scheduler of the module apart

scheduler.go held the way of a request from its arrival to its end. Admission and its rejections are in admission.go now, the final answers beside the retries in attempts.go with a retry budget of its own type; what is left is dispatch and weighted round robin. The order of operations is unchanged.

--- a/control/admission.go
+++ b/control/admission.go
@@ -6,16 +6,92 @@
 )
 
 const (
-	maxRejectionProbability = 0.95        // of the metered rule
-	wellFilledFraction      = 0.08        // filling from which the quota's bucket alone admits
-	spareTokensFraction     = 0.5         // filling that sheddable requests must leave
-	sheddableWeightRatio    = 0.5         // part of the highest priority weight below which a class is sheddable
-	sheddableTurnFraction   = 0.05        // part of its latency objective that a sheddable request may queue
-	minTokensPerUnit        = 0.5         // tokens needed to admit a unit
-	maxAccountIdleTime      = time.Minute // after which an idle account with full buckets is evicted
-	maxAccounts             = 20000       // above half of it, eviction starts earlier
+	maxRejectionProbability   = 0.95        // of the metered rule
+	wellFilledFraction        = 0.08        // filling from which the quota's bucket alone admits
+	spareTokensFraction       = 0.5         // filling that sheddable requests must leave
+	sheddableWeightRatio      = 0.5         // part of the highest weight below which a class is sheddable
+	sheddableTurnFraction     = 0.05        // part of its latency objective that a sheddable request may queue
+	minTokensPerUnit          = 0.5         // tokens needed to admit a unit
+	queueWaitFraction         = 0.4         // part of its latency objective that a request may be queued
+	inFlightQuotaWaitFraction = 0.7         // the same for plans with an in-flight quota
+	maxAccountIdleTime        = time.Minute // after which an idle account with full buckets is evicted
+	maxAccounts               = 20000       // above half of it, eviction starts earlier
 )
 
+// handleRequest admits a request to the queue of its plan, or rejects it.
+func (c *Controller) handleRequest(event Request) {
+	class, plan := c.classes[event.Class], c.plansByName[event.Plan]
+	if c.requests[event.ID] != nil {
+		return
+	} else if cause := unusableCause(event, class, plan); cause != CauseNone {
+		c.reject(event.ID, cause)
+		return
+	}
+	c.fleet.requestUnits.add(c.countedUnits(event.Units), fleetEstimateGain)
+	account := c.accountFor(plan, event.Customer, event.FanOut)
+	waited := c.clientWait(event, class)
+	latency := durationOf(c.fleet.latency.mean)
+	isLate := waited+latency >= class.LatencyObjective
+	// Guards against rejecting all for good after one slow answer: with nothing in flight, an attempt has to
+	// show whether servers still are slow.
+	if latency >= class.LatencyObjective && waited < class.LatencyObjective && c.slots.inFlight == 0 {
+		isLate = false
+	}
+	if cause := c.admissionCause(account, class, event.Units, isLate); cause != CauseNone {
+		c.reject(event.ID, cause)
+		return
+	}
+	req := &request{id: event.ID, class: class, plan: plan, account: account, units: event.Units}
+	req.arrivedAt, req.isStreaming = c.now, event.HasPendingBody
+	req.objectiveAt, req.deadline = c.now+class.LatencyObjective-waited, c.now+event.Timeout
+	c.requests[req.id] = req
+	c.retryBudget.earn()
+	plan.pushBack(req)
+	waitFraction := queueWaitFraction
+	if plan.MaxInFlight > 0 {
+		waitFraction = inFlightQuotaWaitFraction
+	}
+	maxWait := time.Duration(waitFraction * float64(class.LatencyObjective))
+	c.armTimer(req, min(maxWait, event.Timeout/2, max(req.objectiveAt-c.now-latency, tickPeriod)))
+}
+
+// unusableCause is why a request is rejected whatever the load; CauseNone is none.
+func unusableCause(event Request, class *Class, plan *planQueue) Cause {
+	switch {
+	case event.IsOverCapacity:
+		return CauseOverCapacity
+	case event.IsOverHardLimit:
+		return CauseHardLimit
+	case class == nil || plan == nil || !(event.Units >= 0) || event.Timeout <= 0:
+		return CauseInvalid
+	}
+	return CauseNone
+}
+
+// clientWait is how long the client has waited, for earlier attempts of its own or for this gateway. A
+// client's retry is marked, or has an outlier deadline. Guards against first attempts that seem late to
+// a gateway that was stalled: they lack no more than its clock has advanced.
+func (c *Controller) clientWait(event Request, class *Class) time.Duration {
+	typical := c.typicalDeadlines[class]
+	shortfall := typical.deadline - event.Timeout
+	isOutlier := shortfall > max(c.clockAdvance, tickPeriod) || shortfall < -tickPeriod
+	isRetry := event.IsRetry || !c.settings.RetriesAreMarked && isOutlier && typical.support > 0
+	if !event.IsRetry {
+		typical.observe(event.Timeout, isOutlier)
+	}
+	if !isRetry {
+		return min(max(shortfall, 0), c.clockAdvance)
+	} else if !isOutlier { // its deadline is that of a first attempt
+		return min(c.minRetryGap, class.Deadline-event.Timeout)
+	}
+	c.minRetryGap = min(c.minRetryGap, class.Deadline-event.Timeout)
+	return class.Deadline - event.Timeout
+}
+
+func (c *Controller) reject(id string, cause Cause) {
+	c.emit(Reject{ID: id, RetryAfter: min(rejectRetryAfter, c.settings.MaxRetryAfter), Cause: cause})
+}
+
 // tokenBucket holds the units that a quota or a hard limit still allows. Below zero it is in debt.
 type tokenBucket struct{ tokens float64 }
 
--- a/control/attempts.go
+++ b/control/attempts.go
@@ -6,6 +6,7 @@
 )
 
 const (
+	retryBudgetPerRequest = 0.1 // retries that an admitted request earns
 	minRetryCost          = 0.1 // of the retry budget
 	maxAbandonedLatencies = 2.0 // mean latencies that an abandoned attempt is presumed to run
 )
@@ -131,7 +132,7 @@
 		cost = (c.now - attempt.sentAt).Seconds() / math.Max(c.fleet.latency.mean, epsilon)
 		cost = math.Min(1, math.Max(minRetryCost, cost))
 	}
-	canRetry := reason != NotSent && c.retryBudget >= cost && c.now < req.deadline-time.Millisecond &&
+	canRetry := reason != NotSent && c.retryBudget.covers(cost) && c.now < req.deadline-time.Millisecond &&
 		(c.settings.MaxAttempts == 0 || req.attempts < c.settings.MaxAttempts)
 	canRepeat := !req.mayHaveRun || req.class.Idempotency == Idempotent ||
 		req.isKeyed() && c.now < req.repeatsDroppedUntil()
@@ -139,7 +140,7 @@
 		c.endUnserved(req, CauseNoRetry)
 		return
 	}
-	c.retryBudget -= cost
+	c.retryBudget.retries -= cost
 	req.plan.pushFront(req)
 	// Guards against a retry that is queued beyond the client's deadline or its key's repeat window.
 	until := req.deadline - time.Millisecond
@@ -148,3 +149,23 @@
 	}
 	c.armTimer(req, until-c.now)
 }
+
+// endUnserved gives the final answer of a request that was not served: a rejection if that is allowed.
+func (c *Controller) endUnserved(req *request, cause Cause) {
+	if c.canReject(req) {
+		c.reject(req.id, cause)
+	} else {
+		c.emit(Fail{ID: req.id, Cause: cause})
+	}
+	c.removeRequest(req)
+}
+
+// canReject tells whether the client may repeat the request safely, as it does after a rejection.
+func (c *Controller) canReject(req *request) bool {
+	return req.class.Idempotency == Idempotent || !req.mayHaveRun && req.inFlight == 0 ||
+		req.isKeyed() && req.class.KeyScope == ScopeAll
+}
+
+func (b *retryBudget) earn() { b.retries = math.Min(maxRetryBudget, b.retries+retryBudgetPerRequest) }
+
+func (b *retryBudget) covers(cost float64) bool { return b.retries >= cost }
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -192,7 +192,7 @@
 		LatencySamples:   c.fleet.latency.count,
 		IdleLatency:      c.limiter.idleLatency,
 		WarmThroughput:   c.fleet.warmThroughput.mean,
-		RetryBudget:      c.retryBudget,
+		RetryBudget:      c.retryBudget.retries,
 		MinRetryGap:      c.minRetryGap,
 		TypicalDeadlines: c.typicalDeadlineStates(),
 	}
--- a/control/controller.go
+++ b/control/controller.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	c := newController(settings, seed)
-	c.retryBudget, c.minRetryGap, c.meter.lagBins = maxRetryBudget, rejectRetryAfter, initialMeterLagBins
+	c.retryBudget.retries, c.minRetryGap, c.meter.lagBins = maxRetryBudget, rejectRetryAfter, initialMeterLagBins
 	c.fleet.requestUnits.mean = (1 + math.Max(1, settings.MaxUnits)) / 2 // until there are requests
 	for _, plan := range c.plans {
 		plan.share = 1 / float64(len(c.plans))
--- a/control/extreme_settings_test.go
+++ b/control/extreme_settings_test.go
@@ -188,7 +188,7 @@
 				t.Fatalf("seed %d: server %d has %d in flight, %d ghosts", seed, srv.Server, srv.inFlight, srv.abandoned)
 			}
 		}
-		if math.IsNaN(controller.limiter.limit+controller.fleet.latency.mean+controller.retryBudget) || controller.limiter.limit < 0 {
+		if math.IsNaN(controller.limiter.limit+controller.fleet.latency.mean+controller.retryBudget.retries) || controller.limiter.limit < 0 {
 			t.Fatalf("seed %d: a limit of %g, latency %g", seed, controller.limiter.limit, controller.fleet.latency.mean)
 		}
 	}
--- a/control/image_take.go
+++ b/control/image_take.go
@@ -38,7 +38,7 @@
 		ReportCount:          c.fleet.utilization.count,
 		MeanRequestUnits:     c.fleet.requestUnits.mean,
 		RequestCount:         c.fleet.requestUnits.count,
-		RetryBudget:          c.retryBudget,
+		RetryBudget:          c.retryBudget.retries,
 		NextTick:             c.nextTick,
 		WindowEndsAt:         c.windowEndsAt,
 		Window:               c.window.state(),
--- a/control/request.go
+++ b/control/request.go
@@ -121,6 +121,9 @@
 	c.emit(StartTimer{After: max(after, 0), Label: req.timerLabel})
 }
 
+// retryBudget is the number of retries that requests have earned and not used.
+type retryBudget struct{ retries float64 }
+
 // typicalDeadline is the deadline that most first attempts of a class come with.
 type typicalDeadline struct {
 	deadline time.Duration
--- a/control/restore.go
+++ b/control/restore.go
@@ -70,7 +70,7 @@
 	c.fleet.warmThroughput = runningMean{checkpoint.WarmThroughput * decay, 1 / serverLatencyGain}
 	c.limiter.idleLatency = checkpoint.IdleLatency
 	c.minRetryGap = max(checkpoint.MinRetryGap, tickPeriod)
-	c.retryBudget = math.Max(0, math.Min(maxRetryBudget, checkpoint.RetryBudget))
+	c.retryBudget.retries = math.Max(0, math.Min(maxRetryBudget, checkpoint.RetryBudget))
 	// The limit is one for so many servers; there may be others now.
 	usable := c.countServers((*server).isUsable)
 	if checkpoint.ConcurrencyLimit > 0 && checkpoint.UsableServers > 0 && usable > 0 {
--- a/control/resume.go
+++ b/control/resume.go
@@ -69,7 +69,7 @@
 	c.now, c.clockAdvance, c.isStarted = image.Now, image.ClockAdvance, image.IsStarted
 	c.isWatching, c.nextWatchAt = image.IsWatching, image.NextWatchAt
 	c.fillingSince, c.slackFraction, c.rateFraction = image.FillingSince, image.SlackFraction, image.RateFraction
-	c.minRetryGap, c.retryBudget, c.lastTimerLabel = image.MinRetryGap, image.RetryBudget, image.LastTimerLabel
+	c.minRetryGap, c.retryBudget.retries, c.lastTimerLabel = image.MinRetryGap, image.RetryBudget, image.LastTimerLabel
 	c.slots.inFlight, c.slots.streaming = image.InFlight, image.StreamingAttempts
 	c.limiter = concurrencyLimiter{
 		limit:                image.ConcurrencyLimit,
--- a/control/state.go
+++ b/control/state.go
@@ -28,7 +28,7 @@
 	lastTimerLabel   uint64
 	attempts         map[attemptKey]*pendingAttempt
 	slots            attemptSlots
-	retryBudget      float64 // retries
+	retryBudget      retryBudget
 	typicalDeadlines map[*Class]*typicalDeadline
 	minRetryGap      time.Duration // shortest observed time from a client's first attempt to its retry
 
