--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -342,7 +342,7 @@
 
 // say tells a decision in the log and to whoever watches.
 func (c *carrier) say(e rollout.Entry) {
-	slog.Info("rollout: "+e.Kind, "epoch", e.Epoch, "phase", e.Phase, "stage", e.Stage, "member", e.Member, "id", e.ID, "gen", e.Generation, "outcome", e.Outcome, "why", e.Reason)
+	slog.Info("rollout: "+string(e.Kind), "epoch", e.Epoch, "phase", e.Phase, "stage", e.Stage, "member", e.Member, "id", e.ID, "gen", e.Generation, "outcome", e.Outcome, "why", e.Reason)
 	w := c.ways.Progress
 	switch e.Kind {
 	case rollout.EntryOwned:
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -50,7 +50,7 @@
 	if err := testkit.RoundTrip("json", j.Ledger.Note(), &Progress{}); err != nil {
 		t.Error(err)
 	}
-	if p, err := Last(dir); err != nil || p == nil || p.Counts[want.Entry.Kind] != 1 {
+	if p, err := Last(dir); err != nil || p == nil || p.Counts[string(want.Entry.Kind)] != 1 {
 		t.Errorf("%+v, %v", p, err)
 	}
 }
--- a/internal/fleet/journal.go
+++ b/internal/fleet/journal.go
@@ -94,7 +94,7 @@
 	}
 	last := j.Entries[len(j.Entries)-1]
 	if last.Kind != rollout.EntryEnd {
-		return "it was cut at " + last.Kind
+		return "it was cut at " + string(last.Kind)
 	}
 	if r := rollout.Result(last.Outcome); !r.IsFinal() {
 		return string(r)
@@ -186,7 +186,7 @@
 	}
 	p.Begun, p.Kind, p.Counts = c.Begun, c.Kind, make(map[string]int)
 	for _, e := range entries {
-		p.Counts[e.Kind]++
+		p.Counts[string(e.Kind)]++
 	}
 	if n := len(entries); n > 0 && entries[n-1].Kind == rollout.EntryEnd {
 		p.State, p.Why = entries[n-1].Outcome, entries[n-1].Reason
--- /dev/null
+++ b/internal/rollout/bake.go
@@ -0,0 +1,49 @@
+package rollout
+
+import "fmt"
+
+// beginBake begins the time for which a stage is watched after all of it has changed.
+func (r *Rollout) beginBake() {
+	r.isBaking, r.bakeStartedAt, r.hasJudgment, r.judgment = true, r.now, false, StageJudged{}
+	r.write(Entry{Kind: EntryBake, Phase: r.phase, Stage: r.stage + 1})
+	r.reason = "is watched"
+}
+
+// evaluateStage passes or fails a stage that bakes. isHealthy says that all of its members run the new version now.
+func (r *Rollout) evaluateStage(isHealthy bool) {
+	baked := r.now - r.bakeStartedAt
+	if r.hasJudgment && r.judgment.Verdict == VerdictWorse {
+		r.writeVerdict(VerdictWorse, r.judgment.Reason)
+		r.fail(fmt.Sprintf("stage %d does worse: %s", r.stage+1, r.judgment.Reason))
+		return
+	}
+	if baked < r.plan.MinBake || !isHealthy || !r.hasJudgment {
+		r.reason = fmt.Sprintf("is watched for %v at least", r.plan.MinBake)
+		if baked >= r.plan.MaxBake+r.plan.MemberTimeout {
+			r.fail(fmt.Sprintf("stage %d did not stay well for %v", r.stage+1, r.plan.MinBake))
+		}
+		return
+	}
+	switch {
+	case r.judgment.Verdict == VerdictPass:
+		r.passStage(r.judgment.Reason)
+	case r.plan.ReadinessSuffices:
+		r.passStage("not judged, only ready: " + r.judgment.Reason)
+	case r.judgment.Verdict == VerdictNoEvidence || baked >= r.plan.MaxBake:
+		r.fail(fmt.Sprintf("stage %d has shown too little in %v, and no evidence is no pass: %s", r.stage+1, baked, r.judgment.Reason))
+	default:
+		r.reason = "is watched: " + r.judgment.Reason
+	}
+}
+
+func (r *Rollout) writeVerdict(verdict Verdict, reason string) {
+	r.write(Entry{Kind: EntryVerdict, Phase: r.phase, Stage: r.stage + 1, Outcome: verdict.String(), Reason: reason})
+}
+
+// passStage goes on to the next stage.
+func (r *Rollout) passStage(reason string) {
+	r.writeVerdict(VerdictPass, reason)
+	r.stage++
+	r.isWatching, r.isBaking = false, false
+	r.rollForward()
+}
--- /dev/null
+++ b/internal/rollout/commands.go
@@ -0,0 +1,132 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// retryInterval is the time until a claim or a command whose reply was lost is sent again.
+	retryInterval = 500 * time.Millisecond
+	// maxCommandsPerGeneration limits the commands that a member gets for one generation: it may lose what it ran.
+	maxCommandsPerGeneration = 3
+)
+
+// sendCommand sends a member a new command.
+func (r *Rollout) sendCommand(i, generation int, isRestart bool) {
+	m := &r.members[i]
+	r.commandCount++
+	m.command = &command{
+		id:          fmt.Sprintf("%d/%d", r.epoch, r.commandCount),
+		generation:  generation,
+		isRestart:   isRestart,
+		sentAt:      r.now,
+		awaitsReply: true,
+	}
+	if !isRestart {
+		m.commandCount++
+	}
+	r.hasCommanded = true
+	r.write(Entry{
+		Kind: EntryOrder, Epoch: r.epoch, Phase: r.phase, Stage: r.stage + 1, Member: r.name(i), ID: m.command.id,
+		Generation: generation, IsRestart: isRestart,
+	})
+	r.emit(r.commandAction(i))
+}
+
+func (r *Rollout) commandAction(i int) Command {
+	command := r.members[i].command
+	return Command{
+		Member:     i,
+		ID:         command.id,
+		Epoch:      r.epoch,
+		Owner:      r.owner,
+		Generation: command.generation,
+		IsRestart:  command.isRestart,
+	}
+}
+
+// resendCommands sends the commands whose replies were lost again, under the same ids: a member runs each once.
+func (r *Rollout) resendCommands() {
+	for i := range r.members {
+		m := &r.members[i]
+		if m.command != nil && !m.command.awaitsReply && m.hasGranted && r.now >= m.command.retryAt {
+			m.command.awaitsReply = true
+			r.emit(r.commandAction(i))
+		}
+	}
+}
+
+// hasRunningCommand reports whether a member may still run a command.
+func (r *Rollout) hasRunningCommand() bool {
+	for i := range r.members {
+		command := r.members[i].command
+		if command != nil && (command.awaitsReply || r.now-command.sentAt < r.plan.MemberTimeout) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Rollout) handleCommandReplied(event CommandReplied) {
+	if !r.isMember(event.Member) || event.Epoch != r.epoch {
+		return // of an epoch that this coordinator has left
+	}
+	m := &r.members[event.Member]
+	if m.command == nil || m.command.id != event.ID {
+		return
+	}
+	m.command.awaitsReply = false
+	switch event.Reply {
+	case ReplyUngranted:
+		m.hasGranted, m.servingSince = false, r.now
+		r.retryCommand(m, r.now)
+	case ReplyUnknown:
+		r.retryCommand(m, r.now+retryInterval)
+	case ReplyStale:
+		r.supersede(event.Member, max(r.newestEpoch, r.epoch))
+	default:
+		r.finishCommand(event)
+	}
+}
+
+func (r *Rollout) retryCommand(m *member, at time.Duration) {
+	m.command.isReplyLost, m.command.retryAt, m.mayHaveCopies = true, at, true
+}
+
+// finishCommand ends a member's command with its outcome.
+func (r *Rollout) finishCommand(event CommandReplied) {
+	hasSucceeded := event.Reply == ReplyOK
+	outcome, reason := outcomeDone, ""
+	if !hasSucceeded {
+		outcome, reason = outcomeFailed, fmt.Sprint(event.Err)
+	}
+	r.write(Entry{Kind: EntryOutcome, Member: r.name(event.Member), ID: event.ID, Outcome: outcome, Reason: reason})
+	m := &r.members[event.Member]
+	isRestart := m.command.isRestart
+	m.command, m.lastReplyAt, m.isUnsettled = nil, r.now, hasSucceeded
+	m.isSuspect = m.isSuspect && !hasSucceeded
+	switch {
+	case isRestart: // one that fails says nothing of the change
+		m.isControl, m.isPlannedControl = m.isControl || hasSucceeded, false
+	case hasSucceeded:
+	case r.state == stateRollback:
+		r.abandon(event.Member, "its taking back failed: "+reason)
+	default:
+		r.fail(fmt.Sprintf("member %s: %s", r.name(event.Member), reason))
+	}
+}
+
+// isLost reports whether a member that something is wanted of has been unavailable, or silent, for too long.
+func (r *Rollout) isLost(i int) bool {
+	m := &r.members[i]
+	timeout := r.plan.MemberTimeout
+	switch {
+	case m.command != nil:
+		return !m.command.awaitsReply && m.command.isReplyLost && r.now-m.command.sentAt >= timeout
+	case m.isServing:
+		return !m.hasGranted && r.now-max(m.servingSince, r.stepStartedAt) >= timeout
+	default:
+		return r.now-max(m.unavailableSince, r.stepStartedAt) >= timeout
+	}
+}
--- a/internal/rollout/forward.go
+++ b/internal/rollout/forward.go
@@ -6,40 +6,29 @@
 	"time"
 )
 
-// maxControls bounds the old members that start again beside a stage.
-const maxControls = 3
+const (
+	// maxControls limits the unchanged members that restart beside a stage.
+	maxControls = 3
+	// maxListedNames is how many members a reason names; of more it names one less, and counts the rest.
+	maxListedNames = 5
+)
 
-// locatePhase finds the phase by what the members run. It tells whether that is known.
+// locatePhase finds the phase by what the members run, and reports whether it is known.
 func (r *Rollout) locatePhase() bool {
 	if r.isPhaseKnown {
 		return true
 	}
-	for i := range r.members {
-		if m := &r.members[i]; !m.isServing || !m.hasGranted || m.isUnsettled {
-			if r.isLost(i) || r.now-r.stepStartedAt > 2*r.plan.MemberTimeout {
-				r.endUnowned(fmt.Sprintf("member %s does not serve, or is at something else", r.plan.Members[i].Name))
-				return false
-			}
-			r.reason = fmt.Sprintf("waits for member %s", r.plan.Members[i].Name)
-			return false
-		}
-	}
-	all := func(fits func(i int) bool) bool {
-		for i := range r.members {
-			if !fits(i) {
-				return false
-			}
-		}
-		return true
+	if !r.areAllSettled() {
+		return false
 	}
 	last := len(r.phases)
-	if all(func(i int) bool { return r.runsGeneration(i, last) }) {
+	if r.allRun(last, last) {
 		r.end(ResultDone, "every member runs it already")
 		return false
 	}
-	for p := 1; p <= last; p++ {
-		if all(func(i int) bool { return r.runsGeneration(i, p-1) || r.runsGeneration(i, p) }) {
-			r.phase, r.isPhaseKnown = p, true
+	for phase := 1; phase <= last; phase++ {
+		if r.allRun(phase-1, phase) {
+			r.phase, r.isPhaseKnown = phase, true
 			return true
 		}
 	}
@@ -47,133 +36,196 @@
 	return false
 }
 
-// endOnDrift tells of a member that runs what was not checked. It looks at generations gen and gen+1.
-func (r *Rollout) endOnDrift(gen int) bool {
+// areAllSettled reports whether every member serves, has granted the epoch and says what it runs. It ends a rollout that
+// has waited too long for that.
+func (r *Rollout) areAllSettled() bool {
 	for i := range r.members {
-		if m := &r.members[i]; r.hasDrifted(i, gen) {
-			why := fmt.Sprintf("member %s runs %.12s, which is not what was checked", r.plan.Members[i].Name, m.version)
-			if !r.hasCommanded {
-				r.end(ResultRefused, why+"; nothing was changed")
-				return true
-			}
-			r.fail(why)
+		m := &r.members[i]
+		if m.isServing && m.hasGranted && !m.isUnsettled {
+			continue
+		}
+		if r.isLost(i) || r.now-r.stepStartedAt > r.claimTimeout() {
+			r.endUnowned(fmt.Sprintf("member %s does not serve, or is at something else", r.name(i)))
+			return false
+		}
+		r.reason = fmt.Sprintf("waits for member %s", r.name(i))
+		return false
+	}
+	return true
+}
+
+// allRun reports whether every member runs one of two generations.
+func (r *Rollout) allRun(first, second int) bool {
+	for i := range r.members {
+		if !r.runsGeneration(i, first) && !r.runsGeneration(i, second) {
+			return false
+		}
+	}
+	return true
+}
+
+// endOnDrift ends the change, or rolls it back, where a member runs neither the given generation nor the next. It
+// reports whether one does.
+func (r *Rollout) endOnDrift(generation int) bool {
+	for i := range r.members {
+		if !r.hasDrifted(i, generation) {
+			continue
+		}
+		reason := fmt.Sprintf("member %s runs %.12s, which is not what was checked", r.name(i), r.members[i].version)
+		if !r.hasCommanded {
+			r.end(ResultRefused, reason+"; nothing was changed")
 			return true
 		}
+		r.fail(reason)
+		return true
 	}
 	return false
 }
 
-func (r *Rollout) hasDrifted(i, gen int) bool {
+func (r *Rollout) hasDrifted(i, generation int) bool {
 	m := &r.members[i]
-	return m.isServing && m.command == nil && !m.isUnsettled && !r.runsGeneration(i, gen) && !r.runsGeneration(i, gen+1)
+	return m.isServing && m.isIdle() && !r.runsGeneration(i, generation) && !r.runsGeneration(i, generation+1)
 }
 
-// rollForward takes the change further.
+// rollForward does what may be done now of the phase.
 func (r *Rollout) rollForward() {
 	if !r.locatePhase() || r.endOnDrift(r.phase-1) {
 		return
 	}
 	p := &r.phases[r.phase-1]
 	if r.stage >= len(p.stages) {
-		r.nextPhase()
+		r.finishPhase()
 		return
 	}
 	if !r.isWatching {
 		r.beginStage(p)
 	}
-	var need []int // members that are to change, or to come back
-	for _, s := range p.stages[:r.stage+1] {
-		for _, i := range s {
-			if m := &r.members[i]; !r.runsGeneration(i, r.phase) || !m.isServing || m.command != nil || m.isUnsettled || m.isSuspect {
-				need = append(need, i)
+	pending := r.pendingMembers(p)
+	if r.failStage(p, pending) || !r.changeMembers(pending, r.phase, r.unavailableLimit(0)) {
+		return
+	}
+	controlsPending := r.restartControls()
+	switch {
+	case r.state != stateForward: // a new epoch is claimed
+	case r.isBaking:
+		r.evaluateStage(len(pending) == 0)
+	case len(pending) == 0 && !controlsPending:
+		r.beginBake()
+	}
+}
+
+// pendingMembers returns the members of the stages up to this one that have to change, or to come back.
+func (r *Rollout) pendingMembers(p *phase) []int {
+	var pending []int
+	for _, stage := range p.stages[:r.stage+1] {
+		for _, i := range stage {
+			m := &r.members[i]
+			if !r.runsGeneration(i, r.phase) || !m.isServing || !m.isIdle() || m.isSuspect {
+				pending = append(pending, i)
 			}
 		}
 	}
-	for _, i := range need {
+	return pending
+}
+
+// failStage fails the change where a pending member is lost, or the stage takes too long to change. It reports whether
+// it did.
+func (r *Rollout) failStage(p *phase, pending []int) bool {
+	for _, i := range pending {
 		if r.isLost(i) {
-			r.fail(fmt.Sprintf("member %s did not come back, or did not answer, within %v", r.plan.Members[i].Name, r.plan.MemberTimeout))
-			return
+			r.fail(fmt.Sprintf("member %s did not come back, or did not answer, within %v", r.name(i), r.plan.MemberTimeout))
+			return true
 		}
 	}
-	if !r.isBaking && r.now-r.stepStartedAt > r.plan.MemberTimeout*time.Duration(4+2*len(p.stages[r.stage])) {
-		r.fail(fmt.Sprintf("stage %d was not changed within %v", r.stage+1, r.now-r.stepStartedAt))
-		return
-	}
-	if !r.changeMembers(need, r.phase, r.unavailableLimit(0)) {
-		return
-	}
-	controls := r.restartControls()
-	switch {
-	case r.state != stateForward: // it claims a new epoch
-	case r.isBaking:
-		r.evaluateStage(len(need) == 0)
-	case len(need) == 0 && !controls:
-		r.isBaking, r.bakeStartedAt, r.hasJudgment, r.judgment = true, r.now, false, StageJudged{}
-		r.write(Entry{Kind: EntryBake, Phase: r.phase, Stage: r.stage + 1})
-		r.reason = "is watched"
+	elapsed := r.now - r.stepStartedAt
+	if !r.isBaking && elapsed > r.stepTimeout(len(p.stages[r.stage])) {
+		r.fail(fmt.Sprintf("stage %d was not changed within %v", r.stage+1, elapsed))
+		return true
 	}
+	return false
+}
+
+// stepTimeout is how long a number of members may take to change, one after another.
+func (r *Rollout) stepTimeout(members int) time.Duration {
+	return r.plan.MemberTimeout * time.Duration(4+2*members)
 }
 
 func (r *Rollout) beginStage(p *phase) {
 	r.isWatching, r.isBaking, r.stepStartedAt, r.waitsForCapacity = true, false, r.now, false
+	r.write(Entry{
+		Kind: EntryStage, Epoch: r.epoch, Phase: r.phase, Stage: r.stage + 1, Members: r.memberNames(p.stages[r.stage]),
+		Controls: r.memberNames(r.chooseControls(p)),
+	})
+	r.emit(Watch{r.phase, r.stage + 1})
+}
+
+// chooseControls chooses members of later stages that restart beside this one, as many as it changes at most.
+func (r *Rollout) chooseControls(p *phase) []int {
 	for i := range r.members {
 		r.members[i].isControl, r.members[i].isPlannedControl = false, false
 	}
-	e := Entry{Kind: EntryStage, Epoch: r.epoch, Phase: r.phase, Stage: r.stage + 1, Members: r.memberNames(p.stages[r.stage])}
-	if r.plan.HasControls {
-		var later []int
-		for _, s := range p.stages[r.stage+1:] {
-			later = append(later, s...)
-		}
-		for _, i := range later {
-			if len(e.Controls) < min(maxControls, len(p.stages[r.stage])) && r.members[i].isServing && r.runsGeneration(i, r.phase-1) {
-				r.members[i].isPlannedControl = true
-				e.Controls = append(e.Controls, r.plan.Members[i].Name)
+	if !r.plan.HasControls {
+		return nil
+	}
+	limit := min(maxControls, len(p.stages[r.stage]))
+	var controls []int
+	for _, stage := range p.stages[r.stage+1:] {
+		for _, i := range stage {
+			m := &r.members[i]
+			if len(controls) < limit && m.isServing && r.runsGeneration(i, r.phase-1) {
+				m.isPlannedControl = true
+				controls = append(controls, i)
 			}
 		}
 	}
-	r.write(e)
-	r.emit(Watch{r.phase, r.stage + 1})
+	return controls
 }
 
-func (r *Rollout) memberNames(of []int) []string {
-	all := make([]string, len(of))
-	for k, i := range of {
-		all[k] = r.plan.Members[i].Name
+// memberNames returns the names of members; nil for none.
+func (r *Rollout) memberNames(members []int) []string {
+	var names []string
+	for _, i := range members {
+		names = append(names, r.name(i))
 	}
-	return all
+	return names
 }
 
-// changeMembers orders members to run a generation, as many as the bound lets. False: it can't go on so.
-func (r *Rollout) changeMembers(need []int, gen, bound int) bool {
-	if len(need) > 0 {
-		r.reason = "changes " + joinNames(r.memberNames(need))
+// changeMembers commands pending members to run a generation, as many as the limit of unavailable members lets. It
+// reports whether the step may go on: it has not failed, and claims no new epoch.
+func (r *Rollout) changeMembers(pending []int, generation, limit int) bool {
+	if len(pending) > 0 {
+		r.reason = "changes " + joinNames(r.memberNames(pending))
 	}
-	waits := false
-	for _, i := range need {
+	for _, i := range pending {
 		m := &r.members[i]
-		if !m.isServing || !m.hasGranted || m.command != nil || m.isUnsettled {
+		if !m.isReady() {
 			continue
 		}
 		if m.commandCount >= maxCommandsPerGeneration {
-			why := fmt.Sprintf("member %s was given it %d times and runs something else", r.plan.Members[i].Name, m.commandCount)
+			reason := fmt.Sprintf("member %s was given it %d times and runs something else", r.name(i), m.commandCount)
 			if r.state == stateRollback {
-				r.abandon(i, why)
+				r.abandon(i, reason)
 				continue
 			}
-			r.fail(why)
+			r.fail(reason)
 			return false
 		}
-		if !m.isSuspect && r.unavailableCount(i) >= bound { // a suspect has its place already
-			waits = bound == 0
-			break
+		if !m.isSuspect && r.unavailableCount(i) >= limit { // a suspect counts as unavailable already
+			return r.waitForSlot(limit)
 		}
 		if r.fence(i) {
 			return false
 		}
-		r.sendCommand(i, gen, false)
+		r.sendCommand(i, generation, false)
 	}
-	if !waits {
+	r.waitsForCapacity = false
+	return true
+}
+
+// waitForSlot waits until fewer members are unavailable or, at a limit of 0, until the others have capacity for one
+// member's work. It reports whether that has not taken too long.
+func (r *Rollout) waitForSlot(limit int) bool {
+	if limit > 0 {
 		r.waitsForCapacity = false
 		return true
 	}
@@ -189,121 +241,54 @@
 }
 
 func joinNames(names []string) string {
-	if len(names) > 5 {
-		return fmt.Sprintf("%s and %d more", strings.Join(names[:4], ", "), len(names)-4)
+	if len(names) > maxListedNames {
+		listed := names[:maxListedNames-1]
+		return fmt.Sprintf("%s and %d more", strings.Join(listed, ", "), len(names)-len(listed))
 	}
 	return strings.Join(names, ", ")
 }
 
-// restartControls starts old members again beside the stage, and tells whether one is still to be waited for.
-// Where one can't, the stage goes on without it.
-func (r *Rollout) restartControls() (wait bool) {
-	bound := r.unavailableLimit(0)
+// restartControls restarts the planned controls, and reports whether one is still to be waited for. The stage goes on
+// without a control that can't restart.
+func (r *Rollout) restartControls() (isPending bool) {
+	limit := r.unavailableLimit(0)
 	for i := range r.members {
 		m := &r.members[i]
+		isRestarting := m.command != nil && m.command.isRestart
 		switch {
-		case m.command != nil && m.command.isRestart && r.isLost(i):
-			m.command, m.isPlannedControl, m.slotReservedUntil = nil, false, r.now+r.plan.MemberTimeout // done late it does no more than that
-		case m.command != nil && m.command.isRestart || m.isControl && m.isUnsettled:
-			wait = true
+		case isRestarting && r.isLost(i):
+			// It may still restart, and does nothing else: its slot stays reserved for that long.
+			m.command, m.isPlannedControl, m.slotReservedUntil = nil, false, r.now+r.plan.MemberTimeout
+		case isRestarting || m.isControl && m.isUnsettled:
+			isPending = true
 		case !m.isPlannedControl:
 		case r.now-r.stepStartedAt >= 2*r.plan.MemberTimeout || !m.isServing && r.isLost(i):
 			m.isPlannedControl = false
-		case m.isServing && m.hasGranted && m.command == nil && r.unavailableCount(i) < bound:
+		case m.isServing && m.hasGranted && m.command == nil && r.unavailableCount(i) < limit:
 			if r.fence(i) {
 				return true
 			}
 			r.sendCommand(i, r.phase-1, true)
-			wait = true
+			isPending = true
 		default:
-			wait = true
+			isPending = true
 		}
 	}
-	return wait
+	return isPending
 }
 
-// unavailableCount counts members that change or don't serve, but for one. While all is taken back those that don't
-// serve are not waited for: they may be what the change has broken.
-func (r *Rollout) unavailableCount(except int) (n int) {
+// finishPhase begins the next phase once every member runs the end of this one.
+func (r *Rollout) finishPhase() {
 	for i := range r.members {
 		m := &r.members[i]
-		if i != except && !m.isAbandoned && (m.command != nil || m.isUnsettled || m.isSuspect || r.now < m.slotReservedUntil || !m.isServing && r.state == stateForward) {
-			n++
-		}
-	}
-	return n
-}
-
-// unavailableLimit is how many members may be away at once: by the plan, and none more than one where the others are
-// full. Changing hands a member's work over, so that one at a time is always borne while there is any room.
-func (r *Rollout) unavailableLimit(minimum int) int {
-	sum, known, up := 0.0, 0, 0
-	for i := range r.members {
-		m := &r.members[i]
-		if !m.isServing {
+		if m.isServing && m.isIdle() && r.runsGeneration(i, r.phase) {
 			continue
 		}
-		up++
-		if m.load >= 0 {
-			sum, known = sum+m.load, known+1
-		}
-	}
-	if known == 0 {
-		return r.plan.MaxUnavailable
-	}
-	mean := sum / float64(known)
-	capacity := int(float64(up) * (1 - mean/maxUtilization))
-	if mean < maxUtilization {
-		capacity = max(capacity, 1)
-	}
-	return min(max(capacity, minimum), r.plan.MaxUnavailable)
-}
-
-// evaluateStage goes by the verdict of a stage that has changed.
-func (r *Rollout) evaluateStage(well bool) {
-	baked := r.now - r.bakeStartedAt
-	next := func(why string) {
-		r.write(Entry{Kind: EntryVerdict, Phase: r.phase, Stage: r.stage + 1, Outcome: VerdictPass.String(), Reason: why})
-		r.stage++
-		r.isWatching, r.isBaking = false, false
-		r.rollForward()
-	}
-	if r.hasJudgment && r.judgment.Verdict == VerdictWorse {
-		r.write(Entry{Kind: EntryVerdict, Phase: r.phase, Stage: r.stage + 1, Outcome: VerdictWorse.String(), Reason: r.judgment.Reason})
-		r.fail(fmt.Sprintf("stage %d does worse: %s", r.stage+1, r.judgment.Reason))
-		return
-	}
-	if baked < r.plan.MinBake || !well || !r.hasJudgment {
-		r.reason = fmt.Sprintf("is watched for %v at least", r.plan.MinBake)
-		if baked >= r.plan.MaxBake+r.plan.MemberTimeout {
-			r.fail(fmt.Sprintf("stage %d did not stay well for %v", r.stage+1, r.plan.MinBake))
-		}
-		return
-	}
-	switch {
-	case r.judgment.Verdict == VerdictPass:
-		next(r.judgment.Reason)
-	case r.plan.ReadinessSuffices:
-		next("not judged, only ready: " + r.judgment.Reason)
-	case r.judgment.Verdict == VerdictNoEvidence || baked >= r.plan.MaxBake:
-		r.fail(fmt.Sprintf("stage %d has shown too little in %v, and no evidence is no pass: %s", r.stage+1, baked, r.judgment.Reason))
-	default:
-		r.reason = "is watched: " + r.judgment.Reason
-	}
-}
-
-// nextPhase begins the next phase once every member runs this one's end.
-func (r *Rollout) nextPhase() {
-	for i := range r.members {
-		m := &r.members[i]
-		if m.isServing && r.runsGeneration(i, r.phase) && m.command == nil && !m.isUnsettled {
-			continue
-		}
-		r.reason = fmt.Sprintf("waits for member %s", r.plan.Members[i].Name)
+		r.reason = fmt.Sprintf("waits for member %s", r.name(i))
 		if r.isLost(i) {
-			r.fail(fmt.Sprintf("member %s did not come back within %v", r.plan.Members[i].Name, r.plan.MemberTimeout))
-		} else if m.isServing && !r.runsGeneration(i, r.phase) && m.command == nil && !m.isUnsettled {
-			r.stage = len(r.phases[r.phase-1].stages) - 1 // it has lost it: changed and watched again
+			r.fail(fmt.Sprintf("member %s did not come back within %v", r.name(i), r.plan.MemberTimeout))
+		} else if m.isServing && m.isIdle() { // it has lost the version: it is changed and watched again
+			r.stage = len(r.phases[r.phase-1].stages) - 1
 		}
 		return
 	}
@@ -312,8 +297,13 @@
 		return
 	}
 	r.phase, r.stage, r.stepStartedAt = r.phase+1, 0, r.now
+	r.resetCommandCounts()
+	r.rollForward()
+}
+
+// resetCommandCounts starts the count of commands for another generation.
+func (r *Rollout) resetCommandCounts() {
 	for i := range r.members {
 		r.members[i].commandCount = 0
 	}
-	r.rollForward()
 }
--- a/internal/rollout/layout.go
+++ b/internal/rollout/layout.go
@@ -5,101 +5,116 @@
 	"slices"
 )
 
-// phase is the way from one generation to the next: its stages, each with the members that it adds.
+// phase is the way from one generation to the next.
 type phase struct {
-	stages  [][]int
-	members []int // all of them, in order
+	stages  [][]int // the members that each stage adds
+	members []int   // those of all stages, in order
 }
 
-// layout lays out every phase's stages.
+// layout lays out every phase's stages. It returns an error where a stage is smaller than the one before it.
 func (p *Plan) layout() ([]phase, error) {
-	all := make([]phase, len(p.Members[0].Versions)-1)
-	for k := range all {
-		var groups [][]int
-		if p.RegionOrder == nil {
-			groups = [][]int{p.changedMembers(k, func(Member) bool { return true })}
-		} else {
-			for _, r := range p.RegionOrder[min(k, len(p.RegionOrder)-1)] {
-				groups = append(groups, p.changedMembers(k, func(m Member) bool { return m.Region == r }))
+	phases := make([]phase, len(p.Members[0].Versions)-1)
+	for k := range phases {
+		for _, group := range p.changedGroups(k) {
+			group = p.spread(group)
+			stages, err := p.divide(group)
+			if err != nil {
+				return nil, err
 			}
+			phases[k].stages = append(phases[k].stages, stages...)
+			phases[k].members = append(phases[k].members, group...)
 		}
-		for _, g := range groups {
-			g = p.spread(g)
-			done := 0
-			for i, s := range p.Stages {
-				to := s.size(len(g))
-				if to < done {
-					return nil, fmt.Errorf("stages: stage %d, %s, is %d of %d members, less than the %d of the one before it", i+1, s, to, len(g), done)
-				}
-				if to > done { // a small fleet has fewer stages
-					all[k].stages = append(all[k].stages, g[done:to])
-				}
-				done = to
-			}
-			all[k].members = append(all[k].members, g...)
-		}
 	}
-	return all, nil
+	return phases, nil
+}
+
+// changedGroups returns the members that phase k changes, in groups that change one after another.
+func (p *Plan) changedGroups(k int) [][]int {
+	if p.RegionOrder == nil {
+		return [][]int{p.changedMembers(k, func(Member) bool { return true })}
+	}
+	var groups [][]int
+	for _, region := range p.RegionOrder[min(k, len(p.RegionOrder)-1)] {
+		groups = append(groups, p.changedMembers(k, func(m Member) bool { return m.Region == region }))
+	}
+	return groups
 }
 
-// changedMembers are the members that phase k changes.
-func (p *Plan) changedMembers(k int, in func(Member) bool) []int {
-	var all []int
+// changedMembers returns the matching members that phase k changes.
+func (p *Plan) changedMembers(k int, matches func(Member) bool) []int {
+	var changed []int
 	for i, m := range p.Members {
-		if in(m) && m.Versions[k] != m.Versions[k+1] {
-			all = append(all, i)
+		if matches(m) && m.Versions[k] != m.Versions[k+1] {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
+// divide divides a group of members into the plan's stages. Stages that would add no member to a small group drop out.
+func (p *Plan) divide(group []int) ([][]int, error) {
+	var stages [][]int
+	end := 0
+	for i, stage := range p.Stages {
+		start := end
+		end = stage.size(len(group))
+		if end < start {
+			return nil, fmt.Errorf("stages: stage %d, %s, is %d of %d members, less than the %d of the one before it", i+1, stage, end, len(group), start)
+		}
+		if end > start {
+			stages = append(stages, group[start:end])
 		}
 	}
-	return all
+	return stages, nil
 }
 
-// spread orders members so that any beginning of the list is spread over regions as evenly as can be,
-// and within each over its zones. Regions and zones keep the order in which they come.
+// spread orders members so that any prefix of the list is spread over regions as evenly as can be, and within each
+// region over its zones. Regions and zones keep the order in which they come.
 func (p *Plan) spread(members []int) []int {
-	byRegion := func(i int) string { return p.Members[i].Region }
-	byZone := func(i int) string { return p.Members[i].Zone }
-	regions := groupBy(members, byRegion)
-	for i, r := range regions {
-		regions[i] = interleave(groupBy(r, byZone))
+	regions := groupBy(members, func(i int) string { return p.Members[i].Region })
+	for k, region := range regions {
+		zones := groupBy(region, func(i int) string { return p.Members[i].Zone })
+		regions[k] = interleave(zones)
 	}
 	return interleave(regions)
 }
 
-func groupBy(members []int, by func(int) string) [][]int {
+// groupBy groups members by a name, in the order in which the names come.
+func groupBy(members []int, nameOf func(int) string) [][]int {
 	var names []string
-	parts := make(map[string][]int)
+	byName := make(map[string][]int)
 	for _, i := range members {
-		n := by(i)
-		if !slices.Contains(names, n) {
-			names = append(names, n)
+		name := nameOf(i)
+		if !slices.Contains(names, name) {
+			names = append(names, name)
 		}
-		parts[n] = append(parts[n], i)
+		byName[name] = append(byName[name], i)
 	}
-	all := make([][]int, len(names))
-	for i, n := range names {
-		all[i] = parts[n]
+	groups := make([][]int, len(names))
+	for k, name := range names {
+		groups[k] = byName[name]
 	}
-	return all
+	return groups
 }
 
-// interleave takes from lists in turn, from each by its length, so that all end together.
+// interleave merges lists so that any prefix has the same share of each, and all end together.
 func interleave(lists [][]int) []int {
-	var all []int
+	var merged []int
 	taken := make([]int, len(lists))
 	for {
-		next, lowest := -1, 0.0
-		for i, l := range lists {
-			if taken[i] == len(l) {
+		next, lowestShare := -1, 0.0
+		for i, list := range lists {
+			if taken[i] == len(list) {
 				continue
 			}
-			if at := float64(taken[i]) / float64(len(l)); next < 0 || at < lowest {
-				next, lowest = i, at
+			if share := float64(taken[i]) / float64(len(list)); next < 0 || share < lowestShare {
+				next, lowestShare = i, share
 			}
 		}
 		if next < 0 {
-			return all
+			return merged
 		}
-		all = append(all, lists[next][taken[next]])
+		merged = append(merged, lists[next][taken[next]])
 		taken[next]++
 	}
 }
--- a/internal/rollout/ownership.go
+++ b/internal/rollout/ownership.go
@@ -5,16 +5,21 @@
 	"time"
 )
 
-// Ownership: an epoch is a number that only grows, granted by each member to one owner. Whoever holds more
-// than half of all members owns the fleet, so an epoch has one owner at most; what it then orders is refused
-// by each member that has granted a newer one.
+// An epoch is a number that only grows, and each member grants it to one owner. A coordinator owns the fleet once a
+// majority of the members has granted its epoch: an epoch has one owner at most, and what an owner commands is
+// rejected by each member that has granted a newer epoch.
 
-// claimOwnership claims an epoch of all members until more than half have granted it.
+// maxClaimAttempts is how many epochs a coordinator claims before it leaves the members to another one.
+const maxClaimAttempts = 6
+
+func (r *Rollout) claimTimeout() time.Duration { return 2 * r.plan.MemberTimeout }
+
+// claimOwnership claims an epoch until a majority has granted it, and then starts what the epoch is for.
 func (r *Rollout) claimOwnership() {
 	r.reason = "asks all members who owns them"
 	for i := range r.members {
 		if !r.members[i].isPolled {
-			return // their epochs are not known
+			return // the epoch that it has granted is not known
 		}
 	}
 	if r.now >= r.claimDeadline {
@@ -29,31 +34,44 @@
 		r.write(Entry{Kind: EntryRollback, Phase: r.phase, Reason: r.rollbackCause})
 	}
 	if r.claimAttempts == 0 || r.nextClaimAt > 0 {
-		r.nextClaimAt = 0
-		r.claimAttempts++
-		r.epoch = max(r.epoch, r.newestEpoch) + 1
-		r.newestEpoch = r.epoch
-		r.write(Entry{Kind: EntryEpoch, Epoch: r.epoch, Owner: r.owner})
-		known := 0
-		for i := range r.members {
-			m := &r.members[i]
-			m.hasGranted, m.isClaiming = false, false
-			if m.isServing && m.lossToken == "" {
-				known++
-			}
-		}
-		r.isMajorityIntact = 2*known > len(r.members)
+		r.chooseEpoch()
 	}
 	r.claimMembers()
-	claiming := false
+	r.reason = fmt.Sprintf("claims epoch %d: %d of %d members have granted it", r.epoch, r.grantCount(), len(r.members))
+	// Every member that can reply has to, so that hardly any is left which an earlier owner could command.
+	if !r.isAnyClaiming() && 2*r.grantCount() > len(r.members) {
+		r.takeOwnership()
+	}
+}
+
+// chooseEpoch chooses an epoch above all that were seen.
+func (r *Rollout) chooseEpoch() {
+	r.nextClaimAt = 0
+	r.claimAttempts++
+	r.epoch = max(r.epoch, r.newestEpoch) + 1
+	r.newestEpoch = r.epoch
+	r.write(Entry{Kind: EntryEpoch, Epoch: r.epoch, Owner: r.owner})
+	intact := 0
 	for i := range r.members {
-		claiming = claiming || r.members[i].isClaiming
+		m := &r.members[i]
+		m.hasGranted, m.isClaiming = false, false
+		if m.isServing && m.lossToken == "" {
+			intact++
+		}
 	}
-	r.reason = fmt.Sprintf("claims epoch %d: %d of %d members have granted it", r.epoch, r.grantCount(), len(r.members))
-	// All that can answer have, so that an owner before it can order hardly anyone any more.
-	if claiming || 2*r.grantCount() <= len(r.members) {
-		return
+	r.isMajorityIntact = 2*intact > len(r.members)
+}
+
+func (r *Rollout) isAnyClaiming() bool {
+	for i := range r.members {
+		if r.members[i].isClaiming {
+			return true
+		}
 	}
+	return false
+}
+
+func (r *Rollout) takeOwnership() {
 	r.hasOwned = true
 	r.write(Entry{Kind: EntryOwned, Epoch: r.epoch, Owner: r.owner})
 	r.stepStartedAt = r.now
@@ -66,29 +84,31 @@
 			m.isRestartDropped, m.slotReservedUntil = false, r.now+r.plan.MemberTimeout
 		}
 	}
+	r.state = stateForward
 	if r.isRollbackWanted {
 		r.state = stateRollback
-		return
 	}
-	r.state = stateForward
 }
 
-func (r *Rollout) grantCount() (n int) {
+func (r *Rollout) grantCount() int {
+	count := 0
 	for i := range r.members {
 		if r.members[i].hasGranted {
-			n++
+			count++
 		}
 	}
-	return n
+	return count
 }
 
-// claimMembers claims members that have not granted the epoch, also those that were away when it was claimed.
+// claimMembers claims the members that have not granted the epoch, also those that were unavailable when it was
+// chosen.
 func (r *Rollout) claimMembers() {
 	for i := range r.members {
 		m := &r.members[i]
 		switch {
 		case !m.isServing || m.hasGranted || m.isClaiming || r.now < m.nextClaimAt:
-		case m.lossToken != "" && !r.isMajorityIntact: // it may have granted a newer one, and too few others can tell
+		case m.lossToken != "" && !r.isMajorityIntact:
+			// It may have granted a newer epoch, and too few others could tell.
 		case m.lossToken != "" && m.lossSeenEpoch >= r.epoch:
 			if r.state != stateClaiming {
 				r.claimNewEpoch()
@@ -101,50 +121,58 @@
 	}
 }
 
-func (r *Rollout) handleClaimReplied(e ClaimReplied) {
-	if !r.isMember(e.Member) || e.Epoch != r.epoch || !r.members[e.Member].isClaiming {
-		return // of an earlier try
+func (r *Rollout) handleClaimReplied(event ClaimReplied) {
+	if !r.isMember(event.Member) || event.Epoch != r.epoch || !r.members[event.Member].isClaiming {
+		return // of an earlier attempt
 	}
-	m := &r.members[e.Member]
+	m := &r.members[event.Member]
 	m.isClaiming, m.nextClaimAt = false, r.now+retryInterval
-	r.newestEpoch = max(r.newestEpoch, e.NewestEpoch)
-	switch e.Reply {
+	r.newestEpoch = max(r.newestEpoch, event.NewestEpoch)
+	switch event.Reply {
 	case ReplyOK:
 		m.hasGranted, m.lossToken = true, ""
-		m.isUnsettled, m.lastReplyAt = true, r.now // what it ran before says nothing: an older order may have been under way
-	case ReplyUngranted: // it has lost what it granted: its token comes with what it says next
+		// A command of an older epoch may be running: what the member ran before says nothing.
+		m.isUnsettled, m.lastReplyAt = true, r.now
 	case ReplyUnsupported:
-		r.endUnowned(fmt.Sprintf("member %s knows of no ownership: it runs a program older than staged changes", r.plan.Members[e.Member].Name))
+		r.endUnowned(fmt.Sprintf("member %s knows of no ownership: it runs a program older than staged changes", r.name(event.Member)))
 	case ReplyStale:
-		if r.hasOwned {
-			r.supersede(e.Member, max(e.NewestEpoch, r.epoch))
-			return
-		}
-		// Nobody is owner yet: a number above all, after a while of chance, so that two don't meet again.
-		if r.claimAttempts >= maxClaimAttempts {
-			r.endUnowned("another coordinator claims the members too")
-			return
-		}
-		if r.nextClaimAt == 0 {
-			r.nextClaimAt = r.now + 1 + time.Duration(r.rng.Int64N(int64(retryInterval)<<r.claimAttempts))
-		}
+		r.handleStaleClaim(event)
+	case ReplyUngranted: // it has lost its state, and its next status has the token
+	case ReplyUnknown, ReplyFailed: // it is claimed again
+	}
+}
+
+// handleStaleClaim ends a coordinator that has owned the fleet. Another claims a newer epoch, after a random time, so
+// that two coordinators do not meet again.
+func (r *Rollout) handleStaleClaim(event ClaimReplied) {
+	if r.hasOwned {
+		r.supersede(event.Member, max(event.NewestEpoch, r.epoch))
+		return
+	}
+	if r.claimAttempts >= maxClaimAttempts {
+		r.endUnowned("another coordinator claims the members too")
+		return
+	}
+	if r.nextClaimAt == 0 {
+		maxBackoff := int64(retryInterval) << r.claimAttempts
+		r.nextClaimAt = r.now + 1 + time.Duration(r.rng.Int64N(maxBackoff))
 	}
 }
 
-// endUnowned ends it: without ownership nothing is ordered.
-func (r *Rollout) endUnowned(why string) {
+// endUnowned ends a coordinator that can't own the fleet, and so may command nothing.
+func (r *Rollout) endUnowned(reason string) {
 	if r.hasCommanded {
-		r.end(ResultStuck, why+"; what was changed stays so")
+		r.end(ResultStuck, reason+"; what was changed stays so")
 		return
 	}
-	r.end(ResultRefused, why+"; nothing was changed")
+	r.end(ResultRefused, reason+"; nothing was changed")
 }
 
-// claimNewEpoch claims a new epoch: what was ordered under this one and is still under way is refused from then on
-// by whoever has granted the new one, and asked again under it where it is still wanted.
+// claimNewEpoch leaves the epoch for a newer one. Commands of this one that still run are rejected by each member
+// that has granted the new one, and sent again under it where they are still wanted.
 func (r *Rollout) claimNewEpoch() {
 	r.reason = "claims a new epoch"
-	r.state, r.claimAttempts, r.nextClaimAt, r.claimDeadline = stateClaiming, 0, 0, r.now+2*r.plan.MemberTimeout
+	r.state, r.claimAttempts, r.nextClaimAt, r.claimDeadline = stateClaiming, 0, 0, r.now+r.claimTimeout()
 	for i := range r.members {
 		m := &r.members[i]
 		m.hasGranted, m.isClaiming, m.nextClaimAt, m.mayHaveCopies = false, false, 0, false
@@ -154,9 +182,9 @@
 	}
 }
 
-// fence claims a new epoch before a member is given another order, where a copy of the last one may still
-// lie somewhere: a member knows only the last order that it did, and would do that copy after the next. It
-// tells whether it had to.
+// fence claims a new epoch before a member gets another command while a copy of its last one may still arrive: a
+// member remembers only the last command that it ran, and would run that copy after the next one. It reports whether
+// it had to.
 func (r *Rollout) fence(i int) bool {
 	if !r.members[i].mayHaveCopies {
 		return false
--- a/internal/rollout/resume.go
+++ b/internal/rollout/resume.go
@@ -6,106 +6,111 @@
 	"math/rand/v2"
 )
 
-// Resume makes a coordinator of a change that another has begun, from what that has written. What the
-// members run is not taken from there: they say it themselves. takeBack takes all back, whatever it was at.
-func Resume(p Plan, owner string, rng *rand.Rand, entries []Entry, takeBack bool) (*Rollout, error) {
-	r, err := New(p, owner, rng)
+// rollbackByOperator is the cause of a rollback that the operator asked for.
+const rollbackByOperator = "taken back by the owner"
+
+// Resume returns a coordinator that goes on with a change from the entries of its rollout log. What the members run
+// is not taken from the log: their statuses tell it. rollBack rolls the change back from wherever it is. It returns
+// an error where the change is over, or the entries do not fit the plan.
+func Resume(plan Plan, owner string, rng *rand.Rand, entries []Entry, rollBack bool) (*Rollout, error) {
+	r, err := New(plan, owner, rng)
 	if err != nil {
 		return nil, err
 	}
-	index := make(map[string]int, len(p.Members))
-	for i, m := range p.Members {
+	index := make(map[string]int, len(plan.Members))
+	for i, m := range plan.Members {
 		index[m.Name] = i
 	}
-	for n, e := range entries {
-		if err := r.replay(e, index); err != nil {
-			return nil, fmt.Errorf("entry %d of the journal, %s: %w", n+1, e.Kind, err)
+	for k, entry := range entries {
+		if err := r.replay(&entry, index); err != nil {
+			return nil, fmt.Errorf("entry %d of the journal, %s: %w", k+1, entry.Kind, err)
 		}
 	}
 	if r.result == ResultDone || r.result == ResultRolledBack || r.result == ResultRefused {
 		return nil, fmt.Errorf("the change is over: %s: %s", r.result, r.reason)
 	}
-	if takeBack && !r.isRollbackWanted {
+	if rollBack && !r.isRollbackWanted {
 		r.isRollbackWanted, r.rollbackGeneration = true, r.phase-1
-		r.rollbackCause, r.isRollbackUnwritten = "taken back by the owner", true
+		r.rollbackCause, r.isRollbackUnwritten = rollbackByOperator, true
 	}
 	r.result, r.reason = "", ""
+	r.restoreCommands()
+	return r, nil
+}
+
+// restoreCommands prepares the commands that have not ended: one that is still wanted is sent again under its id, and
+// the others are dropped.
+func (r *Rollout) restoreCommands() {
+	wanted := r.phase
+	if r.isRollbackWanted {
+		wanted = r.rollbackGeneration
+	}
 	for i := range r.members {
 		m := &r.members[i]
 		if m.command == nil {
 			continue
 		}
-		// What was under way is asked again under its id, where it is still wanted.
 		m.command.isReplyLost = true
-		if wanted := r.phase; m.command.isRestart || r.isRollbackWanted && m.command.generation != r.rollbackGeneration || !r.isRollbackWanted && m.command.generation != wanted {
-			m.isSuspect, m.isRestartDropped = m.isSuspect || !m.command.isRestart, m.command.isRestart
-			m.command = nil
+		if m.command.isRestart || m.command.generation != wanted {
+			m.dropCommand()
 		}
 	}
-	return r, nil
 }
 
-// giveUpOrders gives up what was ordered, with the epoch of who did.
-func (r *Rollout) giveUpOrders() {
-	for i := range r.members {
-		if m := &r.members[i]; m.command != nil {
-			m.isSuspect, m.isRestartDropped, m.command = m.isSuspect || !m.command.isRestart, m.command.isRestart, nil
+// replay takes in one entry of the log. index is the members' by name.
+func (r *Rollout) replay(entry *Entry, index map[string]int) error {
+	switch entry.Kind {
+	case EntryEpoch:
+		r.newestEpoch = max(r.newestEpoch, entry.Epoch)
+	case EntryStage:
+		return r.replayStage(entry)
+	case EntryOrder, EntryOutcome, EntryAbandoned:
+		i, ok := index[entry.Member]
+		if !ok {
+			return fmt.Errorf("there is no member %q in its plan", entry.Member)
+		}
+		return r.replayOfMember(entry, &r.members[i])
+	case EntryRollback:
+		r.isRollbackWanted, r.rollbackCause, r.rollbackGeneration = true, entry.Reason, r.phase-1
+		for i := range r.members {
+			r.members[i].dropCommand()
+		}
+	case EntryRollbackPhase:
+		if entry.Generation < 0 || entry.Generation >= len(r.phases) {
+			return fmt.Errorf("there is no generation %d in its plan", entry.Generation)
 		}
+		r.rollbackGeneration = entry.Generation
+	case EntryEnd:
+		r.result, r.reason = Result(entry.Outcome), entry.Reason
+	case EntryOwned, EntryBake, EntryVerdict: // nothing follows from them
+	default:
+		return errors.New("it is of no known kind")
 	}
+	return nil
 }
 
-// replay takes one entry of the log, as it was written.
-func (r *Rollout) replay(e Entry, index map[string]int) error {
-	member := func() (*member, error) {
-		i, ok := index[e.Member]
-		if !ok {
-			return nil, fmt.Errorf("there is no member %q in its plan", e.Member)
-		}
-		return &r.members[i], nil
+func (r *Rollout) replayStage(entry *Entry) error {
+	isPhase := entry.Phase >= 1 && entry.Phase <= len(r.phases)
+	if !isPhase || entry.Stage < 1 || entry.Stage > len(r.phases[entry.Phase-1].stages) {
+		return fmt.Errorf("there is no stage %d of phase %d in its plan", entry.Stage, entry.Phase)
 	}
-	switch e.Kind {
-	case EntryEpoch:
-		r.newestEpoch = max(r.newestEpoch, e.Epoch)
-	case EntryStage:
-		if e.Phase < 1 || e.Phase > len(r.phases) || e.Stage < 1 || e.Stage > len(r.phases[e.Phase-1].stages) {
-			return fmt.Errorf("there is no stage %d of phase %d in its plan", e.Stage, e.Phase)
-		}
-		r.isPhaseKnown, r.phase, r.stage = true, e.Phase, e.Stage-1
+	r.isPhaseKnown, r.phase, r.stage = true, entry.Phase, entry.Stage-1
+	return nil
+}
+
+func (r *Rollout) replayOfMember(entry *Entry, m *member) error {
+	switch entry.Kind {
 	case EntryOrder:
-		m, err := member()
-		if err != nil {
-			return err
-		}
-		if e.Generation < 0 || e.Generation > len(r.phases) || e.ID == "" {
+		if entry.Generation < 0 || entry.Generation > len(r.phases) || entry.ID == "" {
 			return errors.New("the order is none")
 		}
-		m.command = &command{id: e.ID, generation: e.Generation, isRestart: e.IsRestart}
+		m.command = &command{id: entry.ID, generation: entry.Generation, isRestart: entry.IsRestart}
 		r.hasCommanded = true
 	case EntryOutcome:
-		m, err := member()
-		if err != nil {
-			return err
+		if m.command != nil && m.command.id == entry.ID {
+			m.command, m.isSuspect = nil, m.isSuspect && entry.Outcome != outcomeDone
 		}
-		if m.command != nil && m.command.id == e.ID {
-			m.command, m.isSuspect = nil, m.isSuspect && e.Outcome != outcomeDone
-		}
-	case EntryRollback:
-		r.isRollbackWanted, r.rollbackCause, r.rollbackGeneration = true, e.Reason, r.phase-1
-		r.giveUpOrders()
-	case EntryRollbackPhase:
-		if e.Generation < 0 || e.Generation >= len(r.phases) {
-			return fmt.Errorf("there is no generation %d in its plan", e.Generation)
-		}
-		r.rollbackGeneration = e.Generation
-	case EntryAbandoned:
-		if _, err := member(); err != nil {
-			return err
-		}
-	case EntryEnd:
-		r.result, r.reason = Result(e.Outcome), e.Reason
-	case EntryOwned, EntryBake, EntryVerdict:
-	default:
-		return errors.New("it is of no known kind")
+	default: // an abandoned member is tried again
 	}
 	return nil
 }
--- a/internal/rollout/rollback.go
+++ b/internal/rollout/rollback.go
@@ -1,14 +1,11 @@
 package rollout
 
-import (
-	"fmt"
-	"time"
-)
+import "fmt"
 
-// Taking back goes generation by generation, the last changed first, inside the same bounds. It is not
-// judged: what it leads to has served before.
+// A rollback goes generation by generation, the members that changed last first, and makes as few members unavailable
+// at once as the change did. It is not judged: what it leads to has served before.
 
-// fail takes the change back, for the first cause that there is.
+// fail rolls the change back, for the first cause.
 func (r *Rollout) fail(cause string) {
 	if r.state != stateForward {
 		return
@@ -25,64 +22,77 @@
 	}
 }
 
-// startRollback begins the taking back, under a new epoch: an order that is still under way, or lies at a member
-// that is paused, must not be done after it.
+// startRollback starts the rollback under a new epoch: a command that still runs, or waits at a paused member, must
+// not be done after it.
 func (r *Rollout) startRollback() {
 	for i := range r.members {
-		m := &r.members[i]
-		if m.command != nil {
-			m.isSuspect, m.isRestartDropped = m.isSuspect || !m.command.isRestart, m.command.isRestart
-		}
-		m.command = nil
+		r.members[i].dropCommand()
 	}
 	r.isRollbackWanted, r.rollbackGeneration, r.isRollbackPhaseStarted = true, r.phase-1, false
 	r.isWatching, r.isBaking = false, false
 	r.claimNewEpoch()
 }
 
-// rollBack takes the sweep further.
+// rollBack does what may be done now of the rollback to one generation.
 func (r *Rollout) rollBack() {
 	if !r.isRollbackPhaseStarted {
 		r.isRollbackPhaseStarted, r.stepStartedAt, r.waitsForCapacity = true, r.now, false
-		for i := range r.members {
-			r.members[i].commandCount = 0
-		}
+		r.resetCommandCounts()
 		r.write(Entry{Kind: EntryRollbackPhase, Epoch: r.epoch, Generation: r.rollbackGeneration})
 	}
-	seq := r.phases[r.rollbackGeneration].members
-	late := r.now-r.stepStartedAt > r.plan.MemberTimeout*time.Duration(4+2*len(seq))
-	var need []int
-	for k := len(seq) - 1; k >= 0; k-- {
-		i := seq[k]
-		m := &r.members[i]
-		if m.isAbandoned || r.runsGeneration(i, r.rollbackGeneration) && m.command == nil && !m.isUnsettled && (!m.isSuspect || r.plan.IsRestart) {
-			continue
-		}
+	pending := r.pendingRollback()
+	r.changeMembers(pending, r.rollbackGeneration, r.unavailableLimit(1))
+	if len(pending) > 0 {
+		r.reason = "takes back " + joinNames(r.memberNames(pending)) + ": " + r.rollbackCause
+		return
+	}
+	r.finishRollbackPhase()
+}
+
+// pendingRollback returns the members that have to be changed back, and abandons those that can't be.
+func (r *Rollout) pendingRollback() []int {
+	changed := r.phases[r.rollbackGeneration].members
+	isLate := r.now-r.stepStartedAt > r.stepTimeout(len(changed))
+	var pending []int
+	for k := len(changed) - 1; k >= 0; k-- {
+		i := changed[k]
 		switch {
-		case r.hasDrifted(i, r.rollbackGeneration) && !m.isSuspect:
+		case r.isRolledBack(i):
+		case r.hasDrifted(i, r.rollbackGeneration) && !r.members[i].isSuspect:
 			r.abandon(i, "it runs what nobody ordered")
 		case r.isLost(i):
 			r.abandon(i, fmt.Sprintf("it did not come back, or did not answer, within %v", r.plan.MemberTimeout))
-		case late:
+		case isLate:
 			r.abandon(i, "it took too long")
 		default:
-			need = append(need, i)
+			pending = append(pending, i)
 		}
 	}
-	r.changeMembers(need, r.rollbackGeneration, r.unavailableLimit(1))
-	if len(need) > 0 {
-		r.reason = "takes back " + joinNames(r.memberNames(need)) + ": " + r.rollbackCause
-		return
+	return pending
+}
+
+// isRolledBack reports whether a member needs no more change: it was abandoned, or runs the generation for certain.
+func (r *Rollout) isRolledBack(i int) bool {
+	m := &r.members[i]
+	if m.isAbandoned {
+		return true
 	}
-	var left []int
+	return r.runsGeneration(i, r.rollbackGeneration) && m.isIdle() && (!m.isSuspect || r.plan.IsRestart)
+}
+
+// finishRollbackPhase goes on to the generation before. With an abandoned member it ends instead: two neighbouring
+// generations at most are in force.
+func (r *Rollout) finishRollbackPhase() {
+	var abandoned []int
 	for i := range r.members {
 		if r.members[i].isAbandoned {
-			left = append(left, i)
+			abandoned = append(abandoned, i)
 		}
 	}
 	switch {
-	case len(left) > 0: // also no further: two neighbouring generations at most
-		r.end(ResultStuck, fmt.Sprintf("%s; not taken back: %s; all others run what they ran before this phase", r.rollbackCause, joinNames(r.memberNames(left))))
+	case len(abandoned) > 0:
+		r.end(ResultStuck, fmt.Sprintf("%s; not taken back: %s; all others run what they ran before this phase",
+			r.rollbackCause, joinNames(r.memberNames(abandoned))))
 	case r.rollbackGeneration == 0:
 		r.end(ResultRolledBack, r.rollbackCause)
 	default:
@@ -92,9 +102,9 @@
 	}
 }
 
-// abandon gives a member up: the owner has to look after it. What serves goes on serving.
-func (r *Rollout) abandon(i int, why string) {
+// abandon gives up rolling a member back: the operator has to look after it. While it serves it goes on serving.
+func (r *Rollout) abandon(i int, reason string) {
 	m := &r.members[i]
 	m.isAbandoned, m.command, m.isUnsettled = true, nil, false
-	r.write(Entry{Kind: EntryAbandoned, Member: r.plan.Members[i].Name, Generation: r.rollbackGeneration, Reason: why})
+	r.write(Entry{Kind: EntryAbandoned, Member: r.name(i), Generation: r.rollbackGeneration, Reason: reason})
 }
--- /dev/null
+++ b/internal/rollout/stage.go
@@ -0,0 +1,94 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Stage is how much of a fleet, or of a region, has changed at the end of a stage: a number of members or a share.
+type Stage struct {
+	Count int     `json:"count,omitempty"` // where Share is 0
+	Share float64 `json:"share,omitempty"` // above 0 and up to 1
+}
+
+// Stages are the stages of a phase in their order; the last has a share of 1.
+type Stages []Stage
+
+// What a stage's text can be wrong in; the words follow "stage N".
+var (
+	errShare     = errors.New("is no share above 0% and up to 100%")
+	errCount     = errors.New("is neither a number of members nor a share such as 10%")
+	errAfterLast = errors.New("comes after 100%")
+)
+
+// shareTolerance keeps the rounding of a share's product from adding a member.
+const shareTolerance = 1e-9
+
+// DefaultStages returns the stages one member, a tenth, half, and all.
+func DefaultStages() Stages { return Stages{{Count: 1}, {Share: 0.1}, {Share: 0.5}, {Share: 1}} }
+
+// String returns the stage as ParseStages reads it.
+func (s Stage) String() string {
+	if s.Share == 0 {
+		return strconv.Itoa(s.Count)
+	}
+	return strconv.FormatFloat(100*s.Share, 'f', -1, 64) + "%"
+}
+
+// size returns how many of a number of members have changed at the end of the stage.
+func (s Stage) size(members int) int {
+	if s.Share == 0 {
+		return min(s.Count, members)
+	}
+	return min(max(int(math.Ceil(s.Share*float64(members)-shareTolerance)), 1), members)
+}
+
+// ParseStages parses a list of stages such as "1, 10%, 50%, 100%".
+func ParseStages(text string) (Stages, error) {
+	var stages Stages
+	for i, word := range strings.Split(text, ",") {
+		word = strings.TrimSpace(word)
+		stage, err := parseStage(word)
+		if err == nil && i > 0 {
+			err = stage.checkAfter(stages[i-1])
+		}
+		if err != nil {
+			return nil, fmt.Errorf("stages: stage %d, %q, %w", i+1, word, err)
+		}
+		stages = append(stages, stage)
+	}
+	if last := stages[len(stages)-1]; last.Share != 1 {
+		return nil, fmt.Errorf("stages: the last, %q, is not 100%%", last)
+	}
+	return stages, nil
+}
+
+func parseStage(word string) (Stage, error) {
+	if share, ok := strings.CutSuffix(word, "%"); ok {
+		percent, err := strconv.ParseFloat(strings.TrimSpace(share), 64)
+		if err != nil || !(percent > 0) || percent > 100 { // also not a number
+			return Stage{}, errShare
+		}
+		return Stage{Share: percent / 100}, nil
+	}
+	count, err := strconv.Atoi(word)
+	if err != nil || count < 1 {
+		return Stage{}, errCount
+	}
+	return Stage{Count: count}, nil
+}
+
+// checkAfter checks that a stage is larger than the previous one, as far as that is known before the fleet is.
+func (s Stage) checkAfter(previous Stage) error {
+	isShare, wasShare := s.Share > 0, previous.Share > 0
+	if isShare && wasShare && s.Share <= previous.Share || !isShare && !wasShare && s.Count <= previous.Count {
+		return fmt.Errorf("is no more than the one before it, %s", previous)
+	}
+	if previous.Share == 1 {
+		return errAfterLast
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rollout/status.go
@@ -0,0 +1,91 @@
+package rollout
+
+// Phase returns the current phase, from 1, and how many there are.
+func (r *Rollout) Phase() (current, total int) { return r.phase, len(r.phases) }
+
+// Stage returns the current stage of the phase, from 1, and how many the phase has.
+func (r *Rollout) Stage() (current, total int) {
+	total = len(r.phases[r.phase-1].stages)
+	return min(r.stage+1, total), total
+}
+
+// StageSizes returns the numbers of members that the stages change, by phase.
+func (r *Rollout) StageSizes() [][]int {
+	sizes := make([][]int, len(r.phases))
+	for i, p := range r.phases {
+		for _, stage := range p.stages {
+			sizes[i] = append(sizes[i], len(stage))
+		}
+	}
+	return sizes
+}
+
+// Side returns on which side of the judge's comparison a member is: changed, restarted as a control, or neither.
+func (r *Rollout) Side(i int) (isChanged, isControl bool) {
+	if r.state != stateForward {
+		return false, false
+	}
+	versions := r.plan.Members[i].Versions
+	isChanged = versions[r.phase] != versions[r.phase-1] && r.members[i].version == versions[r.phase]
+	return isChanged, !isChanged && r.members[i].isControl
+}
+
+// IsWatching reports whether a stage has begun that the judge compares.
+func (r *Rollout) IsWatching() bool { return r.state == stateForward && r.isWatching }
+
+// IsBaking reports whether all of the stage have changed, so that the judge's verdict counts.
+func (r *Rollout) IsBaking() bool { return r.state == stateForward && r.isBaking }
+
+// Reason returns what the coordinator waits for, or why it ended.
+func (r *Rollout) Reason() string { return r.reason }
+
+// State returns the name of what the coordinator does, or its result.
+func (r *Rollout) State() string {
+	switch {
+	case r.state == stateClaiming:
+		return "claiming"
+	case r.state == stateRollback:
+		return "taking back"
+	case r.state == stateEnded:
+		return string(r.result)
+	case r.isBaking:
+		return "watching"
+	}
+	return "changing"
+}
+
+// Epoch returns the epoch that the coordinator claims or owns; 0 before its first claim.
+func (r *Rollout) Epoch() uint64 { return r.epoch }
+
+// RollbackCause returns why the change is rolled back; "" where it is not.
+func (r *Rollout) RollbackCause() string { return r.rollbackCause }
+
+// HasCommanded reports whether a member was sent a command, by this coordinator or one before it.
+func (r *Rollout) HasCommanded() bool { return r.hasCommanded }
+
+// Plan returns the plan with its defaults filled in.
+func (r *Rollout) Plan() Plan { return r.plan }
+
+// Version returns what a member said last that it runs; "" where it has not said so yet.
+func (r *Rollout) Version(i int) string { return r.members[i].version }
+
+// MemberState returns the name of a member's state. wasCommanded says that the member was ever sent a command to
+// change.
+func (r *Rollout) MemberState(i int, wasCommanded bool) string {
+	m, versions := &r.members[i], r.plan.Members[i].Versions
+	switch {
+	case m.isAbandoned:
+		return "not taken back"
+	case m.command != nil && !m.command.isRestart:
+		return "changing"
+	case m.version == versions[len(versions)-1]:
+		return "changed"
+	case m.version == versions[0] && wasCommanded:
+		return "taken back"
+	case m.version == versions[0]:
+		return "untouched"
+	case m.version == "":
+		return "away"
+	}
+	return "between"
+}
