--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -39,19 +39,7 @@
 		end(after, control.ConnectFailed, false, false)
 		return
 	}
-	// It has come whole from here on.
-	c := t.call
-	plan := &w.rules.Plans[c.cust.plan]
-	w.check.Sent(w.Now(), i, a.ID, h.id, n == 0, plan, c.cust.name, c.units)
-	if n == 0 && w.plan.quotas == nil {
-		w.spend(c, plan)
-	}
-	w.plan.quotas.sent(i, t)
-	work := dayWork * w.rng.ExpFloat64()
-	if w.o.Mutation.twoCopies {
-		w.check.Sent(w.Now(), i, a.ID, h.id, false, plan, c.cust.name, c.units)
-	}
-	w.arrived(i, h, work)
+	work := w.comes(i, h, t, a.ID, n)
 	switch {
 	case h.state == hostDraining || h.held >= dayCores+dayQueue:
 		end(after+time.Millisecond, control.RejectedByServer, false, true)
@@ -66,7 +54,7 @@
 	case draw < w.plan.reset:
 		end(time.Duration(w.rng.Float64()*float64(min(done, t.until-w.Now()))), control.ResetByPeer, true, true)
 		if w.o.Mutation.hidden {
-			w.check.Sent(w.Now(), i, a.ID, h.id, false, plan, c.cust.name, c.units)
+			w.check.Sent(w.Now(), i, a.ID, h.id, false, &w.rules.Plans[t.call.cust.plan], t.call.cust.name, t.call.units)
 		}
 	case w.Now()+done >= t.until:
 		end(t.until-w.Now(), control.TimedOut, true, true)
@@ -83,6 +71,23 @@
 	}
 }
 
+// comes has a whole attempt come to a server, and draws its work.
+func (w *world) comes(i int, h *host, t *try, id string, n int) (work float64) {
+	c := t.call
+	plan := &w.rules.Plans[c.cust.plan]
+	w.check.Sent(w.Now(), i, id, h.id, n == 0, plan, c.cust.name, c.units)
+	if n == 0 && w.plan.quotas == nil {
+		w.spend(c, plan)
+	}
+	w.plan.quotas.sent(i, t)
+	work = dayWork * w.rng.ExpFloat64()
+	if w.o.Mutation.twoCopies {
+		w.check.Sent(w.Now(), i, id, h.id, false, plan, c.cust.name, c.units)
+	}
+	w.arrived(i, h, work)
+	return work
+}
+
 // reach is how long it takes to connect to a server, or until that is given up.
 func (w *world) reach(i int, h *host, until time.Duration) (after time.Duration, connected bool) {
 	switch {
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -271,6 +271,18 @@
 	}
 }
 
+// state names what the members run now: the old, the new, or a mixture.
+func (r *rolloutRig) state(now map[string]int, old, next string) string {
+	switch r.o.Members {
+	case now[next]:
+		return "new"
+	case now[old]:
+		return "old"
+	default:
+		return "mixed"
+	}
+}
+
 // changeEnd is how a change ended.
 type changeEnd struct {
 	none   bool // nothing of it was begun
@@ -340,15 +352,9 @@
 	if err != nil {
 		return false, err
 	}
-	row.State, row.Exit, row.Seconds = "mixed", code, time.Since(begun).Seconds()
-	switch {
-	case now[next] == r.o.Members:
-		row.State = "new"
-		if kind == desiredstate.KindProgram {
-			r.at = 1 - r.at
-		}
-	case now[old[0]] == r.o.Members:
-		row.State = "old"
+	row.State, row.Exit, row.Seconds = r.state(now, old[0], next), code, time.Since(begun).Seconds()
+	if row.State == "new" && kind == desiredstate.KindProgram {
+		r.at = 1 - r.at
 	}
 	end := changeEnd{none: none, killed: killed, back: strings.HasPrefix(way, "take-back"), over: strings.Contains(said, "the change is over"), code: code}
 	if end.wrong(row.State) {
--- a/internal/scattergathertest/process_test.go
+++ b/internal/scattergathertest/process_test.go
@@ -182,6 +182,17 @@
 	}
 }
 
+// reloads has an instance take other settings four times; it goes on with what it has learned.
+func reloads(t *testing.T, p *proc, text string) {
+	t.Helper()
+	for i := range 4 {
+		p.write(strings.Replace(text, `half_life = "400ms"`, fmt.Sprintf(`half_life = "%dms"`, 300+100*i), 1))
+		if s, err := p.client.Reload(context.Background()); err != nil || s.Generation != i+2 || !s.ScatterGathers[0].Known {
+			t.Errorf("%+v, %v", s, err)
+		}
+	}
+}
+
 // bothLevels checks an answer of the upper instance, under whose parts the lower ones' parts are named.
 func bothLevels(t *testing.T, top *proc) {
 	t.Helper()
@@ -276,12 +287,7 @@
 		t.Fatal(err)
 	}
 	low[1].until("a successor that knows", func(s manage.Status) bool { return s.PID != old.PID && s.IsReady() && s.ScatterGathers[0].Known })
-	for i := range 4 {
-		low[2].write(strings.Replace(text, `half_life = "400ms"`, fmt.Sprintf(`half_life = "%dms"`, 300+100*i), 1))
-		if s, err := low[2].client.Reload(context.Background()); err != nil || s.Generation != i+2 || !s.ScatterGathers[0].Known {
-			t.Errorf("%+v, %v", s, err)
-		}
-	}
+	reloads(t, low[2], text)
 	pools[4].release()
 	close(stop)
 	clients.Wait()
