--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,8 +3,7 @@
 // configuration while the node runs (Reload), hands listeners and state to a successor, and drains. It takes no
 // decision about requests.
 //
-// Packages daemon and command make a Node, and measure and testbench do for trials; manage and metrics read its
-// status. All methods of Node may be called from any goroutine; Run is called once.
+// Packages daemon, command and testbench make a Node; manage and metrics read its status. All methods of Node may be called from any goroutine; Run is called once.
 package node
 
 import (
