--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -143,7 +143,7 @@
 		m.lossToken, m.lossSeenEpoch = status.LossToken, r.epoch
 	}
 	r.newestEpoch = max(r.newestEpoch, status.Epoch)
-	if r.state != stateClaiming && r.isOthers(&status) {
+	if r.state != stateClaiming && r.hasGrantedAnother(&status) {
 		r.supersede(status.Member, status.Epoch)
 		return
 	}
@@ -168,8 +168,8 @@
 	m.isUnsettled = status.RunningCommand != "" && m.command == nil
 }
 
-// isOthers reports whether the member has granted a newer epoch, or this one to another coordinator.
-func (r *Rollout) isOthers(status *MemberStatus) bool {
+// hasGrantedAnother reports whether a member has granted a newer epoch, or this one to another coordinator.
+func (r *Rollout) hasGrantedAnother(status *MemberStatus) bool {
 	if status.Epoch != r.epoch {
 		return status.Epoch > r.epoch
 	}
