--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/answer_test.go
@@ -1,14 +1,13 @@
 package upstream
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"lockflow/control"
@@ -17,40 +16,8 @@
 	"lockflow/internal/testkit"
 )
 
-func newTestUpstream(keepalive time.Duration, sockets *limits.SocketLimiter) *Upstream {
-	upstream := New(Options{ConnectTimeout: testkit.Patience, KeepAliveTimeout: keepalive, SocketLimiter: sockets})
-	sockets.OnEvict(nil, upstream.Evict)
-	return upstream
-}
-
-// idleConnections are the idle connections to app servers.
-func idleConnections(upstream *Upstream) []*serverConn {
-	var all []*serverConn
-	upstream.closeIdleIf(func(conn *serverConn) bool { all = append(all, conn); return false })
-	return all
-}
-
-func newMessage(t *testing.T, body []byte) *http.Request {
-	req, err := http.NewRequest(http.MethodPost, "http://origin.svc/visit-update", bytes.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return req
-}
-
-// startRawServer is an app server that answers each request with the same bytes and ends the connection.
-func startRawServer(t *testing.T, answer string, reset bool) string {
-	app := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
-		conn := testkit.Hijack(w)
-		io.WriteString(conn, answer)
-		if reset {
-			conn.(*net.TCPConn).SetLinger(0)
-		}
-		conn.Close()
-	})
-	return app.Listener.Addr().String()
-}
-
+// TestOutcomeByAnswer checks the outcome of well-formed and malformed answers, with and without a reset of the
+// connection after them.
 func TestOutcomeByAnswer(t *testing.T) {
 	refusing, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -124,142 +91,7 @@
 	}
 }
 
-// What breaks before its last byte is written has not run.
-func TestBrokenWriteHasNotRun(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		if conn, err := listener.Accept(); err == nil {
-			conn.Read(make([]byte, 1))
-			conn.(*net.TCPConn).SetLinger(0)
-			conn.Close()
-		}
-	}()
-	upstream := newTestUpstream(testkit.Patience, limits.NewSocketLimiter(1024))
-	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-	defer cancel()
-	if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(listener.Addr().String(), ProtocolHTTP1), newMessage(t, make([]byte, 64<<20))); outcome.Reason != control.ConnectFailed {
-		t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
-	}
-}
-
-// A peer that takes nothing, or answers nothing, holds an attempt no longer than its time; what is told of the
-// request is what the peer may find of it later.
-func TestAttemptAtSilentServerEndsAtItsDeadline(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel only
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	for name, tc := range map[string]struct {
-		body []byte
-		want control.Reason
-	}{
-		"takes nothing":   {make([]byte, 64<<20), control.ConnectFailed},
-		"answers nothing": {[]byte("body"), control.TimedOut},
-	} {
-		t.Run(name, func(t *testing.T) {
-			sockets := limits.NewSocketLimiter(1024)
-			upstream := newTestUpstream(testkit.Patience, sockets)
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(listener.Addr().String(), ProtocolHTTP1), newMessage(t, tc.body)); outcome.Reason != tc.want {
-				t.Errorf("%d (%v), not %d", outcome.Reason, outcome.Err, tc.want)
-			}
-			if n := sockets.InUse(); n != 0 {
-				t.Errorf("%d connections left open", n)
-			}
-			// What the system had taken comes all the same, once the peer reads: a request that can be begun may yet run.
-			conn, err := listener.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Close()
-			conn.SetReadDeadline(time.Now().Add(testkit.Patience))
-			req, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil {
-				_, err = io.Copy(io.Discard, req.Body)
-			}
-			if isComplete := err == nil; isComplete != (tc.want == control.TimedOut) {
-				t.Errorf("the request came whole: %v (%v)", isComplete, err)
-			}
-		})
-	}
-}
-
-func TestCancelledAttempt(t *testing.T) {
-	received := make(chan struct{})
-	app := testkit.NewApp(t, func(_ http.ResponseWriter, r *http.Request) {
-		close(received)
-		<-r.Context().Done() // the edge node closes its connection
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-received
-		cancel()
-	}()
-	upstream := newTestUpstream(testkit.Patience, limits.NewSocketLimiter(1024))
-	if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1), newMessage(t, nil)); outcome.Reason != control.Cancelled {
-		t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
-	}
-}
-
-// The connection that is used again is an open one: one that the app server has closed
-// while it stood idle would end the next request as a reset.
-func TestIdleConnectionIsReusedWhileOpen(t *testing.T) {
-	var hijack bool
-	var from []string
-	conns := make(map[string]net.Conn)
-	app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
-		from = append(from, r.RemoteAddr)
-		if !hijack {
-			testkit.Served(w, r)
-			return
-		}
-		conn := testkit.Hijack(w)
-		conns[r.RemoteAddr] = conn
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	})
-	sockets := limits.NewSocketLimiter(1024)
-	upstream := newTestUpstream(2*testkit.Patience, sockets)
-	pool := upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1)
-	try := func() {
-		t.Helper()
-		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		defer cancel()
-		if outcome := upstream.AttemptHTTP1(ctx, pool, newMessage(t, nil)); outcome.Reason != control.OK {
-			t.Fatalf("%d (%v)", outcome.Reason, outcome.Err)
-		}
-	}
-	try()
-	hijack = true
-	try()
-	if from[0] != from[1] {
-		t.Error("an open connection was not used again")
-	}
-	idle := pool.idle[0]
-	conns[from[1]].Close()
-	for end := time.Now().Add(testkit.Patience); idle.isQuiet() && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-	hijack = false
-	try()
-	if from[2] == from[1] {
-		t.Error("a closed connection was used again")
-	}
-	upstream.maxIdleTime = 0 // all have idled for too long
-	try()
-	if from[3] == from[2] {
-		t.Error("an old connection was used again")
-	}
-	if n := sockets.InUse(); n != 1 {
-		t.Errorf("%d connections open, not the last alone", n)
-	}
-}
-
+// TestReportHeaders checks what is read from a server's report headers, and that impossible values are skipped.
 func TestReportHeaders(t *testing.T) {
 	outcome := Outcome{Header: http.Header{
 		protocol.HeaderQuotaUsed: {"85"}, protocol.HeaderTrueCost: {"3"},
@@ -279,38 +111,8 @@
 	}
 }
 
-// A node that is out of descriptors doesn't hold it against the app server.
-func TestMissingDescriptorIsNotServerFault(t *testing.T) {
-	app := testkit.NewApp(t, testkit.Served)
-	sockets := limits.NewSocketLimiter(0)
-	sockets.SetLimit(0)
-	upstream := newTestUpstream(testkit.Patience, sockets)
-	if outcome := upstream.AttemptHTTP1(context.Background(), upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1), newMessage(t, nil)); outcome.Reason != control.NotSent || app.Count() > 0 {
-		t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
-	}
-}
-
-// Near the limit an idle connection goes for a new one.
-func TestIdleConnectionIsEvictedAtSocketLimit(t *testing.T) {
-	app := testkit.NewApp(t, testkit.Served)
-	other := testkit.NewApp(t, testkit.Served)
-	sockets := limits.NewSocketLimiter(0)
-	sockets.SetLimit(1)
-	upstream := newTestUpstream(2*testkit.Patience, sockets)
-	for _, next := range []*testkit.App{app, other, app} {
-		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(next.Listener.Addr().String(), ProtocolHTTP1), newMessage(t, nil)); outcome.Reason != control.OK {
-			t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
-		}
-		cancel()
-		if n := sockets.InUse(); n != 1 {
-			t.Errorf("%d connections open", n)
-		}
-	}
-}
-
-// An answer that stops half way, or says that it is too long, is a reset as soon as that is
-// known: the connection stays open and silent, and the attempt must not wait for its time.
+// TestIncompleteAnswerIsReset checks that an answer which stops half way, or states that it is too long, counts as
+// a reset as soon as that is known, although the connection stays open: the attempt doesn't wait for its deadline.
 func TestIncompleteAnswerIsReset(t *testing.T) {
 	for name, text := range map[string]string{
 		"in its head":       "HTTP/1.1 200 OK\r\nContent-Le",
@@ -343,7 +145,7 @@
 	}
 }
 
-// An interim answer starts no clock: the answer itself may take its time.
+// TestInterimAnswerStartsNoTimeout checks that the answer after an interim one may take its time.
 func TestInterimAnswerStartsNoTimeout(t *testing.T) {
 	t.Parallel()
 	app := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -359,7 +161,8 @@
 	}
 }
 
-// The clock of one answer's rest is none of the next attempt's on that connection.
+// TestAnswerTimeoutEndsWithItsAnswer checks that the deadline of an answer doesn't apply to the next attempt on its
+// connection.
 func TestAnswerTimeoutEndsWithItsAnswer(t *testing.T) {
 	t.Parallel()
 	requests := 0
@@ -385,40 +188,47 @@
 	}
 }
 
-// What comes behind an answer, before or after its connection is pooled, is never the next
-// answer.
-func TestExtraBytesAreNotNextAnswer(t *testing.T) {
-	const good, noise = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
-	first := make(chan net.Conn, 1)
-	requests := 0
-	app := testkit.NewApp(t, func(w http.ResponseWriter, _ *http.Request) {
-		if requests++; requests > 1 {
-			io.WriteString(w, "ok")
-			return
-		}
-		conn := testkit.Hijack(w)
-		io.WriteString(conn, good)
-		first <- conn
-	})
-	upstream := newTestUpstream(2*testkit.Patience, limits.NewSocketLimiter(1024))
-	pool := upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1)
-	for i := range 2 {
-		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
-		outcome := upstream.AttemptHTTP1(ctx, pool, newMessage(t, nil))
-		cancel()
-		if outcome.Reason != control.OK || string(outcome.Body) != "ok" {
-			t.Errorf("%d (%v) %q", outcome.Reason, outcome.Err, outcome.Body)
-		}
-		if i > 0 {
-			break
-		}
-		conn := testkit.Next(t, first)
-		defer conn.Close()
-		idle := idleConnections(upstream)[0]
-		io.WriteString(conn, noise)
-		// quiet reads a byte; there has to be one left for try to find.
-		for end := time.Now().Add(testkit.Patience); idle.isQuiet() && time.Now().Before(end); {
-			time.Sleep(time.Millisecond)
-		}
+// oneByteConn is a connection whose reads return one byte each.
+type oneByteConn struct{ net.Conn }
+
+func (c oneByteConn) Read(p []byte) (int, error) { return iotest.OneByteReader(c.Conn).Read(p) }
+
+// TestAnswersInPieces checks that answers in every form of HTTP/1.1 are read however they are cut into pieces.
+func TestAnswersInPieces(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text string
+		want control.Reason
+	}{
+		"a length":            {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.OK},
+		"names in lower case": {"HTTP/1.1 200 OK\r\ncontent-length:2\r\n\r\nok", control.OK},
+		"no reason":           {"HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", control.OK},
+		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", control.OK},
+		"chunk extensions":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n01;a=b\r\no\r\n1\r\nk\r\n000\r\n\r\n", control.OK},
+		"fields behind":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: b\r\n\r\n", control.OK},
+		"behind an interim":   {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", control.OK},
+		"to the end":          {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", control.OK},
+		"HTTP/1.0":            {"HTTP/1.0 200 OK\r\n\r\nok", control.OK},
+		"rejected":            {"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 0\r\n\r\n", control.RejectedByServer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				if _, err := far.Read(make([]byte, connBufferBytes)); err == nil {
+					_, _ = io.WriteString(far, tc.text) // an end that comes early shows in the outcome
+				}
+			}()
+			sockets := limits.NewSocketLimiter(1024)
+			sockets.TryAcquire()
+			upstream := newTestUpstream(testkit.Patience, sockets)
+			ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
+			defer cancel()
+			pool := upstream.NewPool("", ProtocolHTTP1)
+			defer upstream.RetirePool(pool)
+			outcome := upstream.attemptOn(ctx, pool, upstream.newConn(limits.Track(oneByteConn{near}, sockets), nil), newMessage(t, nil))
+			if outcome.Reason != tc.want || tc.want == control.OK && string(outcome.Body) != "ok" {
+				t.Errorf("%d (%v) %q", outcome.Reason, outcome.Err, outcome.Body)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/internal/upstream/faulty_server_test.go
@@ -0,0 +1,110 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/fake"
+	"lockflow/internal/h2"
+)
+
+// playFaultyServer sends updates concurrently to a server with random faults. An update is retried only where
+// its outcome says that it has not run or, if trusting, also where its stream broke. It returns what violates
+// the rules.
+func playFaultyServer(t *testing.T, seed uint64, trusting bool) (wrong []string) {
+	random := rand.New(rand.NewPCG(seed, 77))
+	faults := fake.HTTP2Faults{Refuse: 0.1, Reset: 0.05, Error: 0.05, Lower: 0.1, GoAway: 0.1, CutRead: 0.3, CutSent: 0.3}
+	server, err := fake.HTTP2Server{UID: "s", Seed: seed, Faults: faults, Streams: uint32(1 + random.IntN(8))}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	upstream := newHTTP2Upstream(HTTP2Options{MaxStreams: 1 + random.IntN(8), MaxConnections: 1 + random.IntN(3)})
+	pool := upstream.NewPool(server.Addr(), ProtocolHTTP2)
+	var mu sync.Mutex
+	report := func(format string, args ...any) {
+		mu.Lock()
+		wrong = append(wrong, fmt.Sprintf(format, args...))
+		mu.Unlock()
+	}
+	var all sync.WaitGroup
+	for i := range 12 {
+		id, body := fmt.Sprint("r", i), strings.Repeat("x", random.IntN(400))
+		all.Go(func() {
+			buffered := newUpdate(id, body)
+			knownRuns := 0 // attempts that ran and were reported as possibly run
+			for try := 0; try < 30; try++ {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				outcome := buffered.Attempt(ctx, ctx, upstream, pool)
+				cancel()
+				ran := server.Tally.Runs(id) - knownRuns
+				var end *h2.StreamError
+				errors.As(outcome.Err, &end)
+				switch outcome.Reason {
+				case control.OK, control.Errored:
+					if ran != 1 || outcome.Reason == control.OK && string(outcome.Body) != "s "+id {
+						report("%s: %v %q, and it ran %d times", id, outcome.Reason, outcome.Body, ran)
+					}
+					return
+				case control.RejectedByServer, control.ConnectFailed, control.NotSent:
+					if ran != 0 {
+						report("%s: told that it never ran (%v, %v), and it ran", id, outcome.Reason, outcome.Err)
+						return
+					}
+				case control.ResetByPeer:
+					// Only a request that was sent completely, and got nothing but the end of its connection, may
+					// have run as far as the node knows.
+					if ran == 0 && (end == nil || end.End != h2.Broke || end.Moment != h2.Sent) {
+						report("%s: it never ran, which could be known: %v", id, outcome.Err)
+					}
+					if knownRuns += ran; !trusting {
+						return
+					}
+				default:
+					report("%s: %v, %v", id, outcome.Reason, outcome.Err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	upstream.RetirePool(pool)
+	if counts := server.Tally.Counts(); counts.Twice > 0 || counts.Again > 0 || counts.MostAtOne > 1 {
+		report("%+v", counts)
+	}
+	return wrong
+}
+
+// TestUpdatesRunOnceOnFaultyServer checks that no update runs twice, and that an update which has not run is
+// known not to have, at a server that closes at any byte, refuses streams, goes away and changes its limits.
+func TestUpdatesRunOnceOnFaultyServer(t *testing.T) {
+	seeds := 300
+	if n, err := strconv.Atoi(os.Getenv("LOCKFLOW_SEEDS")); err == nil {
+		seeds = n
+	}
+	for seed := range uint64(seeds) {
+		if wrong := playFaultyServer(t, seed, false); len(wrong) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(wrong, "\n"))
+		}
+	}
+}
+
+// TestFaultyServerFindsRetriesOfBrokenStreams checks that the test above finds a client which retries requests
+// whose stream broke.
+func TestFaultyServerFindsRetriesOfBrokenStreams(t *testing.T) {
+	for seed := range uint64(100) {
+		if len(playFaultyServer(t, seed, true)) > 0 {
+			return
+		}
+	}
+	t.Error("100 seeds, and no update ran twice")
+}
--- /dev/null
+++ b/internal/upstream/idle_test.go
@@ -0,0 +1,126 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+)
+
+// TestUnusedConnectionKeepsItsIdleTime checks that a connection on which an attempt wrote nothing needs no quiet
+// period and keeps its age, as the server's idle timeout goes on.
+func TestUnusedConnectionKeepsItsIdleTime(t *testing.T) {
+	const age = time.Second
+	server := newScriptedServer(t)
+	server.upstream.QuietPeriod = testkit.Patience
+	attemptLate := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(WithWriteDeadline(t.Context(), time.Now()), testkit.Patience)
+		defer cancel()
+		if outcome := server.upstream.AttemptHTTP1(ctx, server.pool, newMessage(t, nil)); outcome.Reason != control.NotSent {
+			t.Fatalf("%d (%v)", outcome.Reason, outcome.Err)
+		}
+	}
+	attemptLate() // over a new one
+	conn := idleConnections(server.upstream)[0]
+	conn.idleSince = conn.idleSince.Add(-age)
+	idleSince := conn.idleSince
+	if attemptLate(); conn.idleSince != idleSince {
+		t.Errorf("%v younger", conn.idleSince.Sub(idleSince))
+	}
+	server.startRequest()
+	server.answerRequest(goodAnswer)
+	if all := idleConnections(server.upstream); len(all) != 1 || all[0] != conn {
+		t.Error("one that nothing was asked on was not used")
+	}
+}
+
+// TestIdleConnectionIsReusedWhileOpen checks that an idle connection is reused, but not one that the server has
+// closed or that is too old: the next request would end as a reset.
+func TestIdleConnectionIsReusedWhileOpen(t *testing.T) {
+	var hijack bool
+	var from []string
+	conns := make(map[string]net.Conn)
+	app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+		from = append(from, r.RemoteAddr)
+		if !hijack {
+			testkit.Served(w, r)
+			return
+		}
+		conn := testkit.Hijack(w)
+		conns[r.RemoteAddr] = conn
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	sockets := limits.NewSocketLimiter(1024)
+	upstream := newTestUpstream(2*testkit.Patience, sockets)
+	pool := upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1)
+	try := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+		defer cancel()
+		if outcome := upstream.AttemptHTTP1(ctx, pool, newMessage(t, nil)); outcome.Reason != control.OK {
+			t.Fatalf("%d (%v)", outcome.Reason, outcome.Err)
+		}
+	}
+	try()
+	hijack = true
+	try()
+	if from[0] != from[1] {
+		t.Error("an open connection was not used again")
+	}
+	idle := pool.idle[0]
+	conns[from[1]].Close()
+	for end := time.Now().Add(testkit.Patience); idle.isQuiet() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	hijack = false
+	try()
+	if from[2] == from[1] {
+		t.Error("a closed connection was used again")
+	}
+	upstream.maxIdleTime = 0 // all have idled for too long
+	try()
+	if from[3] == from[2] {
+		t.Error("an old connection was used again")
+	}
+	if n := sockets.InUse(); n != 1 {
+		t.Errorf("%d connections open, not the last alone", n)
+	}
+}
+
+// TestMissingDescriptorIsNotServerFault checks that an attempt without a descriptor counts as not sent.
+func TestMissingDescriptorIsNotServerFault(t *testing.T) {
+	app := testkit.NewApp(t, testkit.Served)
+	sockets := limits.NewSocketLimiter(0)
+	sockets.SetLimit(0)
+	upstream := newTestUpstream(testkit.Patience, sockets)
+	if outcome := upstream.AttemptHTTP1(context.Background(), upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1), newMessage(t, nil)); outcome.Reason != control.NotSent || app.Count() > 0 {
+		t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
+	}
+}
+
+// TestIdleConnectionIsEvictedAtSocketLimit checks that an idle connection is closed for a new one at the limit of
+// sockets.
+func TestIdleConnectionIsEvictedAtSocketLimit(t *testing.T) {
+	app := testkit.NewApp(t, testkit.Served)
+	other := testkit.NewApp(t, testkit.Served)
+	sockets := limits.NewSocketLimiter(0)
+	sockets.SetLimit(1)
+	upstream := newTestUpstream(2*testkit.Patience, sockets)
+	for _, next := range []*testkit.App{app, other, app} {
+		ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+		if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(next.Listener.Addr().String(), ProtocolHTTP1), newMessage(t, nil)); outcome.Reason != control.OK {
+			t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
+		}
+		cancel()
+		if n := sockets.InUse(); n != 1 {
+			t.Errorf("%d connections open", n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/interrupted_attempt_test.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+)
+
+// TestAttemptOverTLSEndsAtItsDeadline checks that an attempt over TLS ends at its deadline while its server reads
+// nothing: it doesn't wait to send a close_notify.
+func TestAttemptOverTLSEndsAtItsDeadline(t *testing.T) {
+	cert := httptest.NewUnstartedServer(nil)
+	cert.StartTLS()
+	certs := cert.TLS.Certificates
+	cert.Close()
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		go tls.Server(far, &tls.Config{Certificates: certs, SessionTicketsDisabled: true}).Handshake() // and reads no more
+		tlsConn := tls.Client(near, &tls.Config{InsecureSkipVerify: true})
+		if err := tlsConn.Handshake(); err != nil {
+			t.Fatal(err)
+		}
+		sockets := limits.NewSocketLimiter(1024)
+		sockets.TryAcquire()
+		upstream := newTestUpstream(testkit.Patience, sockets)
+		pool := upstream.NewPool("", ProtocolHTTP1)
+		conn := upstream.newConn(limits.Track(tlsConn, sockets), nil)
+		const left = time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), left)
+		defer cancel()
+		begun := time.Now()
+		outcome := upstream.attemptOn(ctx, pool, conn, newMessage(t, make([]byte, 64<<10)))
+		if took := time.Since(begun); took != left || outcome.Reason != control.ConnectFailed {
+			t.Errorf("%d (%v) after %v", outcome.Reason, outcome.Err, took)
+		}
+		if n := sockets.InUse(); n != 0 {
+			t.Errorf("%d connections left open", n)
+		}
+	})
+}
+
+// TestOutcomeByLastByteSent checks that an attempt which ends before the last byte of its request was sent has
+// not run, and that it may have run after that byte, however the request is cut into writes. Its connection is
+// closed by then.
+func TestOutcomeByLastByteSent(t *testing.T) {
+	for _, size := range []int{0, 1, connBufferBytes, 64 << 10} {
+		total := 0
+		for _, tc := range []struct {
+			name   string
+			before int // of the last byte
+			breaks bool
+			want   control.Reason
+		}{
+			{"all", 0, false, control.TimedOut}, // counts the request's bytes too
+			{"broken behind the last", 0, true, control.ResetByPeer},
+			{"broken before the last", 1, true, control.ConnectFailed},
+			{"silent before the last", 1, false, control.ConnectFailed},
+			{"broken in the middle", size/2 + 1, true, control.ConnectFailed},
+			{"silent in the middle", size/2 + 1, false, control.ConnectFailed},
+		} {
+			t.Run(fmt.Sprintf("%d bytes, %s", size, tc.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					near, far := net.Pipe()
+					sockets := limits.NewSocketLimiter(1024)
+					sockets.TryAcquire()
+					upstream := newTestUpstream(testkit.Patience, sockets)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					ends := make(chan Outcome, 1)
+					req := newMessage(t, make([]byte, size))
+					go func() {
+						ends <- upstream.attemptOn(ctx, upstream.NewPool("", ProtocolHTTP1), upstream.newConn(limits.Track(near, sockets), nil), req)
+					}()
+					if total == 0 {
+						far.SetReadDeadline(time.Now().Add(time.Millisecond))
+						n, _ := io.Copy(io.Discard, far)
+						total = int(n)
+						far.SetReadDeadline(time.Time{})
+					} else if _, err := io.CopyN(io.Discard, far, int64(total-tc.before)); err != nil {
+						t.Fatal(err)
+					}
+					if tc.breaks {
+						far.Close()
+					}
+					if outcome := <-ends; outcome.Reason != tc.want {
+						t.Errorf("%d (%v), not %d", outcome.Reason, outcome.Err, tc.want)
+					}
+					if _, err := far.Write([]byte("x")); err == nil || sockets.InUse() != 0 {
+						t.Error("not closed")
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestInterruptOutlastsLaterDeadlines checks that an interrupt between two reads of an answer is not undone by
+// the deadline of that answer.
+func TestInterruptOutlastsLaterDeadlines(t *testing.T) {
+	for name, reads := range map[string]int{"as an answer goes on": 1, "behind an interim one": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer far.Close()
+				sockets := limits.NewSocketLimiter(1024)
+				sockets.TryAcquire()
+				conn := newTestUpstream(testkit.Patience, sockets).newConn(limits.Track(near, sockets), nil)
+				defer conn.Close()
+				begun := time.Now()
+				conn.answers.start(begun.Add(time.Hour), maxHeadBytes)
+				go far.Write([]byte("HT"))
+				for range reads {
+					if _, err := conn.answers.Read(make([]byte, 1)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if conn.interrupt(); reads > 1 {
+					conn.answers.awaitNext()
+				}
+				if _, err := conn.answers.Read(make([]byte, 1)); err == nil || time.Since(begun) > 0 {
+					t.Errorf("%v after %v", err, time.Since(begun))
+				}
+			})
+		})
+	}
+}
+
+// TestBrokenWriteHasNotRun checks that a request whose connection breaks before its last byte counts as not run.
+func TestBrokenWriteHasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			conn.Read(make([]byte, 1))
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	upstream := newTestUpstream(testkit.Patience, limits.NewSocketLimiter(1024))
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+	defer cancel()
+	if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(listener.Addr().String(), ProtocolHTTP1), newMessage(t, make([]byte, 64<<20))); outcome.Reason != control.ConnectFailed {
+		t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
+	}
+}
+
+// TestAttemptAtSilentServerEndsAtItsDeadline checks that a server which reads or answers nothing delays an
+// attempt no longer than its deadline, and that the outcome fits what the server can still read of it.
+func TestAttemptAtSilentServerEndsAtItsDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel only
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	for name, tc := range map[string]struct {
+		body []byte
+		want control.Reason
+	}{
+		"takes nothing":   {make([]byte, 64<<20), control.ConnectFailed},
+		"answers nothing": {[]byte("body"), control.TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sockets := limits.NewSocketLimiter(1024)
+			upstream := newTestUpstream(testkit.Patience, sockets)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(listener.Addr().String(), ProtocolHTTP1), newMessage(t, tc.body)); outcome.Reason != tc.want {
+				t.Errorf("%d (%v), not %d", outcome.Reason, outcome.Err, tc.want)
+			}
+			if n := sockets.InUse(); n != 0 {
+				t.Errorf("%d connections left open", n)
+			}
+			// What the system had taken comes all the same, once the peer reads: a request that can be begun may yet run.
+			conn, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetReadDeadline(time.Now().Add(testkit.Patience))
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, err = io.Copy(io.Discard, req.Body)
+			}
+			if isComplete := err == nil; isComplete != (tc.want == control.TimedOut) {
+				t.Errorf("the request came whole: %v (%v)", isComplete, err)
+			}
+		})
+	}
+}
+
+// TestCancelledAttempt checks the outcome of an attempt that is cancelled while it waits for its answer.
+func TestCancelledAttempt(t *testing.T) {
+	received := make(chan struct{})
+	app := testkit.NewApp(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(received)
+		<-r.Context().Done() // the edge node closes its connection
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		cancel()
+	}()
+	upstream := newTestUpstream(testkit.Patience, limits.NewSocketLimiter(1024))
+	if outcome := upstream.AttemptHTTP1(ctx, upstream.NewPool(app.Listener.Addr().String(), ProtocolHTTP1), newMessage(t, nil)); outcome.Reason != control.Cancelled {
+		t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
+	}
+}
--- a/internal/upstream/late_connection_test.go
+++ b/internal/upstream/late_connection_test.go
@@ -8,18 +8,121 @@
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/fake"
 	"lockflow/internal/limits"
 	"lockflow/internal/testkit"
 )
 
-// dialCount counts the connections that are coming up.
+// delayedDials is a limiter that delays connections until a time.
+type delayedDials struct{ readyAt time.Time }
+
+func (c *delayedDials) TryAcquire() bool { time.Sleep(time.Until(c.readyAt)); return true }
+func (c *delayedDials) Release()         {}
+
+// TestConnectionUpAfterWriteDeadlineIsNotWritten checks that an attempt is not written after its write deadline,
+// neither on a connection that comes up later nor on an idle one. That is no fault of the server, and the
+// connection serves the next request.
+func TestConnectionUpAfterWriteDeadlineIsNotWritten(t *testing.T) {
+	for name, speaks := range map[string]Protocol{"HTTP/1.1": ProtocolHTTP1, "HTTP/2": ProtocolHTTP2} {
+		t.Run(name, func(t *testing.T) {
+			app, err := fake.Server{UID: "s", HTTP2: true}.Start()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(app.Close)
+			dials := &delayedDials{}
+			sockets := limits.NewSocketLimiter(1024)
+			upstream := New(Options{
+				ConnectTimeout: testkit.Patience, KeepAliveTimeout: 2 * testkit.Patience, SocketLimiter: sockets, DialLimiter: dials,
+				HTTP2: HTTP2Options{MaxConnections: 1, MaxStreams: 10, MaxConnectionAge: time.Hour, FallbackPeriod: time.Minute, StartsAtLastByte: true},
+			})
+			pool := upstream.NewPool(app.Addr(), speaks)
+			t.Cleanup(func() { upstream.RetirePool(pool) })
+			try := func(by time.Time) Outcome {
+				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+				defer cancel()
+				if !by.IsZero() {
+					ctx = WithWriteDeadline(ctx, by)
+				}
+				return newUpdate("id", "body").Attempt(ctx, nil, upstream, pool)
+			}
+			dials.readyAt = time.Now().Add(10 * time.Millisecond)
+			if outcome := try(dials.readyAt); outcome.Reason != control.NotSent {
+				t.Errorf("%d (%v) over a new connection", outcome.Reason, outcome.Err)
+			}
+			if outcome := try(time.Now()); outcome.Reason != control.NotSent {
+				t.Errorf("%d (%v) over an idle one", outcome.Reason, outcome.Err)
+			}
+			if one, two := app.Spoken(); one+two != 0 {
+				t.Errorf("%d were written", one+two)
+			}
+			for _, by := range []time.Time{time.Now().Add(time.Hour), {}} {
+				if outcome := try(by); outcome.Reason != control.OK {
+					t.Errorf("%d (%v) in time", outcome.Reason, outcome.Err)
+				}
+			}
+			if n := sockets.InUse(); n != 1 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
+// dialHook is a limiter that calls a function before each new connection.
+type dialHook func()
+
+func (f dialHook) TryAcquire() bool { f(); return true }
+func (f dialHook) Release()         {}
+
+// TestRemovedServerIsNotWrittenTo checks that an attempt is not written if its server is removed before the
+// connection is up, or before it is begun: a connection may take long, and sends to the server have to have
+// stopped.
+func TestRemovedServerIsNotWrittenTo(t *testing.T) {
+	for name, speaks := range map[string]Protocol{"HTTP/1.1": ProtocolHTTP1, "HTTP/2": ProtocolHTTP2} {
+		for when, before := range map[string]bool{"before": true, "meanwhile": false} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				app, err := fake.Server{UID: "s", HTTP2: true}.Start()
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(app.Close)
+				sockets, dials := limits.NewSocketLimiter(1024), 0
+				var upstream *Upstream
+				var pool *Pool
+				upstream = New(Options{
+					ConnectTimeout: testkit.Patience, KeepAliveTimeout: 2 * testkit.Patience, SocketLimiter: sockets,
+					DialLimiter: dialHook(func() { dials++; upstream.RetirePool(pool) }),
+					HTTP2:       HTTP2Options{MaxConnections: 1, MaxStreams: 10, MaxConnectionAge: time.Hour, FallbackPeriod: time.Minute, StartsAtLastByte: true},
+				})
+				pool = upstream.NewPool(app.Addr(), speaks)
+				if before {
+					upstream.RetirePool(pool)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+				defer cancel()
+				if outcome := newUpdate("id", "body").Attempt(ctx, nil, upstream, pool); outcome.Reason != control.ConnectFailed && outcome.Reason != control.NotSent {
+					t.Errorf("%d (%v)", outcome.Reason, outcome.Err)
+				}
+				if one, two := app.Spoken(); one+two != 0 {
+					t.Errorf("%d were written", one+two)
+				}
+				testkit.Until(t, "the place back", func() bool { return sockets.InUse() == 0 })
+				if before && dials > 0 {
+					t.Errorf("%d connections for a server that has left", dials)
+				}
+			})
+		}
+	}
+}
+
+// dialCount is a limiter that counts the connections that are being made.
 type dialCount struct{ open atomic.Int64 }
 
 func (d *dialCount) TryAcquire() bool { d.open.Add(1); return true }
 func (d *dialCount) Release()         { d.open.Add(-1) }
 
-// Connections that never come up are given up by their own time or by their attempt's, whichever is shorter, and
-// leave nothing behind: no descriptor, no dial, no goroutine.
+// TestFailedDialsLeaveNothingBehind checks that connections which never come up end with the connect timeout or
+// the attempt's deadline, whichever is shorter, and leave no descriptor, dial or goroutine behind.
 func TestFailedDialsLeaveNothingBehind(t *testing.T) {
 	const short, attempts = 50 * time.Millisecond, 100
 	address := testkit.FullBacklogAddress(t)
--- a/internal/upstream/leak_test.go
+++ b/internal/upstream/leak_test.go
@@ -6,5 +6,5 @@
 	"go.uber.org/goleak"
 )
 
-// No test leaves a goroutine behind.
+// TestMain checks that no test leaves a goroutine behind.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/upstream/nodelay_test.go
+++ b/internal/upstream/nodelay_test.go
@@ -9,8 +9,8 @@
 	"lockflow/internal/testkit"
 )
 
-// Nothing small that is written to a server is held back by the system: a request's last byte would come late, and
-// a close over unread bytes would drop it.
+// TestServersAreSentSmallWritesAtOnce checks that the system holds no small write back: a request's last byte would
+// come late, and a close over unread bytes would drop it.
 func TestServersAreSentSmallWritesAtOnce(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
 	upstream := newTestUpstream(testkit.Patience, limits.NewSocketLimiter(1024))
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relayed_request_test.go
@@ -6,17 +6,21 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"lockflow/control"
+	"lockflow/internal/fake"
 	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
 	"lockflow/internal/responseclass"
 	"lockflow/internal/retrybuffer"
 	"lockflow/internal/testkit"
 )
 
-// An answer that ends with its connection isn't whole where that is reset, whichever side of the attempt
-// the system tells it to: it tells it once, and here the body's.
+// TestResetIsNotEndOfBody checks that an answer without a length is incomplete if its connection is reset. The
+// system reports the reset once, here to the goroutine that sends the body.
 func TestResetIsNotEndOfBody(t *testing.T) {
 	for name, reset := range map[string]bool{"ended": false, "reset": true} {
 		t.Run(name, func(t *testing.T) {
@@ -72,7 +76,7 @@
 	}
 }
 
-// The status of one answer isn't taken with the rest of another.
+// TestPartialStatusLineIsRejected checks that the status of one answer isn't combined with the rest of another.
 func TestPartialStatusLineIsRejected(t *testing.T) {
 	upstream := newTestUpstream(testkit.Patience, limits.NewSocketLimiter(1024))
 	pool := upstream.NewPool(startRawServer(t, "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", false), ProtocolHTTP1)
@@ -81,3 +85,33 @@
 		t.Errorf("%+v", outcome)
 	}
 }
+
+// TestBodyCompletedAfterHeadIsSent checks that a body is sent that becomes complete just after the head was made.
+func TestBodyCompletedAfterHeadIsSent(t *testing.T) {
+	server := startHTTP2(t, fake.HTTP2Server{UID: "s"})
+	upstream := newHTTP2Upstream(HTTP2Options{})
+	pool := upstream.NewPool(server.Addr(), ProtocolHTTP2)
+	request := &RelayedRequest{
+		RequestMethod: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, ContentLength: 4,
+		Body: retrybuffer.New(strings.NewReader("body"), 1000, nil), ResponseRules: &responseclass.Rules{}, MaxBufferedBytes: 1000, IdleTimeout: testkit.Patience, AnswerTimeout: testkit.Patience,
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	attempt := &http2Attempt{RelayedRequest: request}
+	streamRequest := attempt.newRequest(ctx, "http")
+	if b, err := io.ReadAll(request.Body.NewReader()); err != nil || string(b) != "body" || !streamRequest.More {
+		t.Fatalf("%q, %v, more %v", b, err, streamRequest.More)
+	}
+	conn, _, err := upstream.sharedConnectionsOf(pool).acquire(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if attempt.stream, err = conn.Open(streamRequest, BodyWindowBytes, attempt.handleInterim); err != nil {
+		t.Fatal(err)
+	}
+	defer context.AfterFunc(ctx, attempt.abort)()
+	if outcome, _ := attempt.exchange(); outcome.Status != 200 || server.Tally.Runs("a") != 1 {
+		t.Errorf("%+v, ran %d times", outcome, server.Tally.Runs("a"))
+	}
+	upstream.RetirePool(pool)
+}
--- a/internal/upstream/http2_test.go
+++ b/internal/upstream/shared_connections_test.go
@@ -7,13 +7,11 @@
 	"fmt"
 	"io"
 	"log"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,138 +21,12 @@
 	"lockflow/control"
 	"lockflow/internal/certs"
 	"lockflow/internal/fake"
-	"lockflow/internal/h2"
 	"lockflow/internal/limits"
-	"lockflow/internal/protocol"
-	"lockflow/internal/responseclass"
-	"lockflow/internal/retrybuffer"
 	"lockflow/internal/testkit"
 )
 
-func newHTTP2Upstream(options HTTP2Options) *Upstream {
-	options.FallbackPeriod = time.Minute
-	if options.MaxConnections == 0 {
-		options.MaxConnections = 2
-	}
-	if options.MaxStreams == 0 {
-		options.MaxStreams = 8
-	}
-	options.StartsAtLastByte = true
-	return New(Options{ConnectTimeout: 5 * time.Second, KeepAliveTimeout: time.Minute, SocketLimiter: limits.NewSocketLimiter(1000), HTTP2: options})
-}
-
-func newUpdate(id string, body string) *BufferedRequest {
-	req, err := http.NewRequest(http.MethodPost, "http://origin.svc/visit-update?account=1", nil)
-	if err != nil {
-		panic(err)
-	}
-	req.Header.Set(protocol.HeaderID, id)
-	req.Header.Set(protocol.HeaderIdempotencyKey, "key-"+id)
-	return &BufferedRequest{Request: req, Body: []byte(body)}
-}
-
-func startHTTP2(t *testing.T, settings fake.HTTP2Server) *fake.RunningHTTP2 {
-	t.Helper()
-	server, err := settings.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	return server
-}
-
-// playFaultyServer plays a burst of updates against a server that goes wrong by seed, each tried again only
-// where it is told never to have run, or where trusting is true, also where its stream broke. It
-// tells what speaks against the rules.
-func playFaultyServer(t *testing.T, seed uint64, trusting bool) (wrong []string) {
-	random := rand.New(rand.NewPCG(seed, 77))
-	faults := fake.HTTP2Faults{Refuse: 0.1, Reset: 0.05, Error: 0.05, Lower: 0.1, GoAway: 0.1, CutRead: 0.3, CutSent: 0.3}
-	server, err := fake.HTTP2Server{UID: "s", Seed: seed, Faults: faults, Streams: uint32(1 + random.IntN(8))}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
-	upstream := newHTTP2Upstream(HTTP2Options{MaxStreams: 1 + random.IntN(8), MaxConnections: 1 + random.IntN(3)})
-	pool := upstream.NewPool(server.Addr(), ProtocolHTTP2)
-	var mu sync.Mutex
-	report := func(format string, args ...any) {
-		mu.Lock()
-		wrong = append(wrong, fmt.Sprintf(format, args...))
-		mu.Unlock()
-	}
-	var all sync.WaitGroup
-	for i := range 12 {
-		id, body := fmt.Sprint("r", i), strings.Repeat("x", random.IntN(400))
-		all.Go(func() {
-			buffered := newUpdate(id, body)
-			knownRuns := 0 // attempts that ran, by what was told of them
-			for try := 0; try < 30; try++ {
-				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-				outcome := buffered.Attempt(ctx, ctx, upstream, pool)
-				cancel()
-				ran := server.Tally.Runs(id) - knownRuns
-				var end *h2.StreamError
-				errors.As(outcome.Err, &end)
-				switch outcome.Reason {
-				case control.OK, control.Errored:
-					if ran != 1 || outcome.Reason == control.OK && string(outcome.Body) != "s "+id {
-						report("%s: %v %q, and it ran %d times", id, outcome.Reason, outcome.Body, ran)
-					}
-					return
-				case control.RejectedByServer, control.ConnectFailed, control.NotSent:
-					if ran != 0 {
-						report("%s: told that it never ran (%v, %v), and it ran", id, outcome.Reason, outcome.Err)
-						return
-					}
-				case control.ResetByPeer:
-					// Of what never ran only that is not told which went out whole, where all that came back
-					// is the end of the connection.
-					if ran == 0 && (end == nil || end.End != h2.Broke || end.Moment != h2.Sent) {
-						report("%s: it never ran, which could be known: %v", id, outcome.Err)
-					}
-					if knownRuns += ran; !trusting {
-						return
-					}
-				default:
-					report("%s: %v, %v", id, outcome.Reason, outcome.Err)
-					return
-				}
-			}
-		})
-	}
-	all.Wait()
-	upstream.RetirePool(pool)
-	if counts := server.Tally.Counts(); counts.Twice > 0 || counts.Again > 0 || counts.MostAtOne > 1 {
-		report("%+v", counts)
-	}
-	return wrong
-}
-
-// A server that closes at any byte, refuses, goes away in any way and changes its limits, in the
-// middle of a burst of updates: none runs twice, and what never ran is known to.
-func TestUpdatesRunOnceOnFaultyServer(t *testing.T) {
-	seeds := 300
-	if n, err := strconv.Atoi(os.Getenv("LOCKFLOW_SEEDS")); err == nil {
-		seeds = n
-	}
-	for seed := range uint64(seeds) {
-		if wrong := playFaultyServer(t, seed, false); len(wrong) > 0 {
-			t.Fatalf("seed %d: %s", seed, strings.Join(wrong, "\n"))
-		}
-	}
-}
-
-// Whoever takes a broken stream for one that never ran is found.
-func TestFaultyServerFindsRetriesOfBrokenStreams(t *testing.T) {
-	for seed := range uint64(100) {
-		if len(playFaultyServer(t, seed, true)) > 0 {
-			return
-		}
-	}
-	t.Error("100 seeds, and no update ran twice")
-}
-
-// Many requests at once share few connections, within the server's limit.
+// TestRequestsShareHTTP2Connections checks that many concurrent requests share few connections, within the
+// server's limit of streams.
 func TestRequestsShareHTTP2Connections(t *testing.T) {
 	server := startHTTP2(t, fake.HTTP2Server{UID: "s", Streams: 50})
 	upstream := newHTTP2Upstream(HTTP2Options{MaxStreams: 100, MaxConnections: 2})
@@ -175,7 +47,8 @@
 	testkit.Until(t, "all descriptors back", func() bool { return upstream.SocketLimiter.(*limits.SocketLimiter).InUse() == 0 })
 }
 
-// Where there is no stream to be had, a request goes back to the module.
+// TestAttemptWithoutFreeStreamEndsAtOnce checks that an attempt ends as not sent, without waiting, where the
+// server allows no streams.
 func TestAttemptWithoutFreeStreamEndsAtOnce(t *testing.T) {
 	address := serveConnections(t, func(conn net.Conn) {
 		io.WriteString(conn, "\x00\x00\x06\x04\x00\x00\x00\x00\x00\x00\x03\x00\x00\x00\x00") // settings: no streams
@@ -189,7 +62,7 @@
 	}
 }
 
-// A server that has left the list is not connected to anew.
+// TestRetiredPoolIsNotDialed checks that no connection is made to a server that has been removed.
 func TestRetiredPoolIsNotDialed(t *testing.T) {
 	server := startHTTP2(t, fake.HTTP2Server{UID: "s"})
 	upstream := newHTTP2Upstream(HTTP2Options{})
@@ -200,29 +73,8 @@
 	}
 }
 
-// serveConnections serves each connection, until the test ends.
-func serveConnections(t *testing.T, serve func(net.Conn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var all sync.WaitGroup
-	all.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			stop := context.AfterFunc(t.Context(), func() { conn.Close() })
-			all.Go(func() { serve(conn); conn.Close(); stop() })
-		}
-	})
-	t.Cleanup(func() { listener.Close(); all.Wait() })
-	return listener.Addr().String()
-}
-
-// A server that speaks HTTP/1.1 is spoken to so, for a time, and only where that is allowed.
+// TestFallbackToHTTP1 checks that HTTP/1.1 is spoken for a time to a server that doesn't speak HTTP/2, and only
+// where that is allowed.
 func TestFallbackToHTTP1(t *testing.T) {
 	app := testkit.NewApp(t, testkit.Served)
 	upstream := newHTTP2Upstream(HTTP2Options{})
@@ -261,7 +113,8 @@
 	}
 }
 
-// A request whose time is up is reset; the connection and the other requests on it go on.
+// TestCancelledStreamLeavesConnectionUsable checks that the stream of a cancelled attempt is reset, and that its
+// connection serves the next request.
 func TestCancelledStreamLeavesConnectionUsable(t *testing.T) {
 	server := startHTTP2(t, fake.HTTP2Server{UID: "s"})
 	received := make(chan struct{}, 1)
@@ -308,7 +161,8 @@
 	}
 }
 
-// Over TLS the protocol is agreed on; connections are kept and shared as in the clear.
+// TestProtocolNegotiationOverTLS checks that the protocol is negotiated over TLS, that connections are reused and
+// shared as without it, and that a server with another name is rejected.
 func TestProtocolNegotiationOverTLS(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
@@ -372,33 +226,3 @@
 		})
 	}
 }
-
-// A body that has come whole just behind the head is sent all the same.
-func TestBodyCompletedAfterHeadIsSent(t *testing.T) {
-	server := startHTTP2(t, fake.HTTP2Server{UID: "s"})
-	upstream := newHTTP2Upstream(HTTP2Options{})
-	pool := upstream.NewPool(server.Addr(), ProtocolHTTP2)
-	request := &RelayedRequest{
-		RequestMethod: "POST", Target: "/x", Host: "h", Header: http.Header{protocol.HeaderID: {"a"}}, ContentLength: 4,
-		Body: retrybuffer.New(strings.NewReader("body"), 1000, nil), ResponseRules: &responseclass.Rules{}, MaxBufferedBytes: 1000, IdleTimeout: testkit.Patience, AnswerTimeout: testkit.Patience,
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	attempt := &http2Attempt{RelayedRequest: request}
-	streamRequest := attempt.newRequest(ctx, "http")
-	if b, err := io.ReadAll(request.Body.NewReader()); err != nil || string(b) != "body" || !streamRequest.More {
-		t.Fatalf("%q, %v, more %v", b, err, streamRequest.More)
-	}
-	conn, _, err := upstream.sharedConnectionsOf(pool).acquire(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if attempt.stream, err = conn.Open(streamRequest, BodyWindowBytes, attempt.handleInterim); err != nil {
-		t.Fatal(err)
-	}
-	defer context.AfterFunc(ctx, attempt.abort)()
-	if outcome, _ := attempt.exchange(); outcome.Status != 200 || server.Tally.Runs("a") != 1 {
-		t.Errorf("%+v, ran %d times", outcome, server.Tally.Runs("a"))
-	}
-	upstream.RetirePool(pool)
-}
--- a/internal/upstream/timeleft_test.go
+++ b/internal/upstream/time_left_test.go
@@ -17,8 +17,8 @@
 	"lockflow/internal/testkit"
 )
 
-// Each attempt of a request tells its server what is left to the client as it is written: behind a connection
-// that came up late, and once more behind an attempt that took its time.
+// TestAttemptSendsTimeLeft checks that each attempt tells its server the time that is left when it is written:
+// after a connection that came up late, and after an earlier attempt.
 func TestAttemptSendsTimeLeft(t *testing.T) {
 	for name, speaks := range map[string]Protocol{"HTTP/1.1": ProtocolHTTP1, "HTTP/2": ProtocolHTTP2} {
 		t.Run(name, func(t *testing.T) {
@@ -61,8 +61,8 @@
 	}
 }
 
-// A repeat that its server takes in too slowly to have come whole within its window is given up at the window's
-// end, and so never comes whole.
+// TestRequestWrittenTooSlowlyIsAborted checks that a request which its server reads too slowly is aborted at its
+// write deadline, so that it never arrives completely.
 func TestRequestWrittenTooSlowlyIsAborted(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
