--- a/internal/testkit/backlog.go
+++ b/internal/testkit/backlog.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"syscall"
@@ -30,7 +31,7 @@
 	}
 	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
 	for range maxBacklog {
-		connection, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		connection, err := (&net.Dialer{Timeout: 50 * time.Millisecond}).DialContext(context.Background(), "tcp", address)
 		if err != nil {
 			return address
 		}
