Split the model of package rollout's tests into fleet, member and coordinator

The model's member has a file of its own; claims, rejections, checks, crashes, polls and the run to the end are named. Comments spoke of who is told and given up; they say what the model does now. EntryOrder is EntryCommand, as commands are named everywhere else; its stored kind stays.

All assertions stay: 23 lines that fail a test or note a violation, before and after.

--- a/internal/rollout/commands.go
+++ b/internal/rollout/commands.go
@@ -28,7 +28,7 @@
 	}
 	r.hasCommanded = true
 	r.write(Entry{
-		Kind: EntryOrder, Epoch: r.epoch, Phase: r.phase, Stage: r.stage + 1, Member: r.name(i), ID: m.command.id,
+		Kind: EntryCommand, Epoch: r.epoch, Phase: r.phase, Stage: r.stage + 1, Member: r.name(i), ID: m.command.id,
 		Generation: generation, IsRestart: isRestart,
 	})
 	r.emit(r.commandAction(i))
--- a/internal/rollout/coordinator_model_test.go
+++ b/internal/rollout/coordinator_model_test.go
@@ -2,7 +2,13 @@
 
 import "time"
 
-// coordinator is one of the model's: a decider with its journal, which may end at any of its writes.
+const (
+	modelReplyTimeout = 4 * time.Second
+	modelPollTimeout  = time.Second
+	modelPollInterval = 500 * time.Millisecond
+)
+
+// coordinator is a coordinator of the model: a Rollout with its log, which may crash at any of its writes.
 type coordinator struct {
 	model              *fleetModel
 	rollout            *Rollout
@@ -10,125 +16,140 @@
 	name               string
 	isAlive            bool
 	writes             int
-	crashAtWrite       int // at which write; 0 is none
-	crashAfterWrite    bool
+	crashAtWrite       int  // number of the write; 0 is none
+	crashAfterWrite    bool // or before it
 	end                *End
-	rememberedVersions map[int]string // for the mutation
 	endedAt            time.Duration
+	rememberedVersions map[int]string // for trustOwnMemory
 }
 
-func (c *coordinator) feed(e Event) {
+// feed handles an event and does the actions that it leads to.
+func (c *coordinator) feed(event Event) {
 	if !c.isAlive {
 		return
 	}
-	if o, ok := e.(CommandReplied); ok && c.model.mutation == withoutEpochCheck && o.Reply == ReplyStale {
+	if reply, ok := event.(CommandReplied); ok && c.model.mutation == withoutEpochCheck && reply.Reply == ReplyStale {
 		return
 	}
-	for _, a := range c.rollout.Handle(c.model.now, e) {
-		if c.do(a); !c.isAlive {
+	for _, action := range c.rollout.Handle(c.model.now, event) {
+		if c.do(action); !c.isAlive {
 			return
 		}
 	}
 }
 
-func (c *coordinator) do(a Action) {
-	w := c.model
-	switch a := a.(type) {
+func (c *coordinator) do(action Action) {
+	switch action := action.(type) {
 	case Write:
-		if c.writes++; c.writes == c.crashAtWrite && !c.crashAfterWrite {
-			c.isAlive, c.endedAt = false, w.now
-			return
-		}
-		if w.mutation != withoutWrite || a.Entry.Kind == EntryStage || a.Entry.Kind == EntryEnd {
-			*c.log = append(*c.log, a.Entry)
-		}
-		if a.Entry.Kind == EntryOrder {
-			w.writtenCommands[a.Entry.ID] = true
-		}
-		if c.writes == c.crashAtWrite {
-			c.isAlive, c.endedAt = false, w.now
-		}
+		c.write(action.Entry)
 	case Claim:
-		m := w.members[a.Member]
-		c.request(m, func(answer func(Event)) {
-			e := ClaimReplied{Member: a.Member, Epoch: a.Epoch, Reply: ReplyOK}
-			if m.lossToken != "" && a.LossToken != m.lossToken {
-				e.Reply = ReplyUngranted
-			} else if a.Epoch < m.epoch || a.Epoch == m.epoch && a.Owner != m.owner {
-				e.Reply, e.NewestEpoch = ReplyStale, m.epoch
-			} else {
-				m.epoch, m.owner, m.lossToken = a.Epoch, a.Owner, ""
-			}
-			answer(e)
-		}, ClaimReplied{Member: a.Member, Epoch: a.Epoch})
+		m := c.model.members[action.Member]
+		c.request(m, func(answer func(Event)) { answer(m.claim(action)) }, ClaimReplied{Member: action.Member, Epoch: action.Epoch})
 	case Command:
-		m := w.members[a.Member]
-		w.isRollbackSeen = w.isRollbackSeen || c.rollout.state == stateRollback
-		c.request(m, func(answer func(Event)) {
-			m.execute(w, a, func(ans Reply, err error) {
-				if ans == ReplyOK && !a.IsRestart {
-					c.rememberedVersions[a.Member] = w.plan.Members[a.Member].Versions[a.Generation]
-				}
-				answer(CommandReplied{Member: a.Member, ID: a.ID, Epoch: a.Epoch, Reply: ans, Err: err})
-			})
-		}, CommandReplied{Member: a.Member, ID: a.ID, Epoch: a.Epoch})
+		c.sendCommand(action)
 	case End:
-		c.isAlive, c.end, c.endedAt = false, &a, w.now
+		c.isAlive, c.end, c.endedAt = false, &action, c.model.now
+	}
+}
+
+// write appends an entry to the log, and crashes before or after it where that is planned.
+func (c *coordinator) write(entry Entry) {
+	c.writes++
+	isCrash := c.writes == c.crashAtWrite
+	if isCrash && !c.crashAfterWrite {
+		c.crash()
+		return
+	}
+	if c.model.mutation != withoutWrite || entry.Kind == EntryStage || entry.Kind == EntryEnd {
+		*c.log = append(*c.log, entry)
+	}
+	if entry.Kind == EntryCommand {
+		c.model.writtenCommands[entry.ID] = true
+	}
+	if isCrash {
+		c.crash()
 	}
 }
 
-// request has a member answer; where no answer comes in time it is lost.
-func (c *coordinator) request(m *modelMember, f func(answer func(Event)), lost Event) {
-	answered := false
-	answer := func(e Event) {
-		if !answered {
-			answered = true
-			c.feed(e)
+func (c *coordinator) crash() { c.isAlive, c.endedAt = false, c.model.now }
+
+func (c *coordinator) sendCommand(command Command) {
+	model := c.model
+	model.isRollbackSeen = model.isRollbackSeen || c.rollout.state == stateRollback
+	m := model.members[command.Member]
+	noReply := CommandReplied{Member: command.Member, ID: command.ID, Epoch: command.Epoch}
+	c.request(m, func(answer func(Event)) {
+		m.execute(model, command, func(reply Reply, err error) {
+			if reply == ReplyOK && !command.IsRestart {
+				c.rememberedVersions[command.Member] = model.plan.Members[command.Member].Versions[command.Generation]
+			}
+			answer(CommandReplied{Member: command.Member, ID: command.ID, Epoch: command.Epoch, Reply: reply, Err: err})
+		})
+	}, noReply)
+}
+
+// request has a member handle a request. noReply is the event where no reply comes in time.
+func (c *coordinator) request(m *modelMember, handle func(answer func(Event)), noReply Event) {
+	isAnswered := false
+	feedOnce := func(event Event) {
+		if !isAnswered {
+			isAnswered = true
+			c.feed(event)
 		}
 	}
 	c.model.deliver(m, func() {
-		f(func(e Event) {
+		handle(func(event Event) {
 			if !c.model.isMessageLost() && m.isServing {
-				c.model.after(c.model.delay(), func() { answer(e) })
+				c.model.after(c.model.delay(), func() { feedOnce(event) })
 			}
 		})
 	})
-	c.model.after(4*time.Second, func() { answer(lost) })
+	c.model.after(modelReplyTimeout, func() { feedOnce(noReply) })
 }
 
+// poll polls all members, judges a stage that bakes, and repeats that while the coordinator is alive.
 func (c *coordinator) poll() {
 	if !c.isAlive {
 		return
 	}
 	for _, m := range c.model.members {
-		asked, heard := c.model.now, false
-		c.model.deliver(m, func() {
-			s := MemberStatus{Member: m.index, PolledAt: asked, IsServing: true, Version: m.version, Epoch: m.epoch, Owner: m.owner, RunningCommand: m.running, LossToken: m.lossToken, Load: c.model.rng.Float64()*1.1 - 0.3}
-			if mine, ok := c.rememberedVersions[m.index]; ok && c.model.mutation == trustOwnMemory {
-				s.Version = mine
-			}
-			c.model.after(c.model.delay(), func() {
-				if !heard {
-					heard = true
-					c.feed(s)
-				}
-			})
-		})
-		c.model.after(time.Second, func() {
-			if !heard {
-				heard = true
-				c.feed(MemberStatus{Member: m.index, PolledAt: asked})
-			}
-		})
+		c.pollMember(m)
 	}
 	if c.rollout.IsBaking() {
-		k := c.model.verdicts[c.rollout.stage%len(c.model.verdicts)]
-		if k == VerdictWorse && c.model.faultShown {
-			k = VerdictPass // it does not show twice
-		}
-		c.model.faultShown = c.model.faultShown || k == VerdictWorse && c.model.showsFaultOnce
-		c.feed(StageJudged{Verdict: k})
+		c.feed(StageJudged{Verdict: c.drawVerdict()})
 	}
 	c.feed(Tick{})
-	c.model.after(500*time.Millisecond, c.poll)
+	c.model.after(modelPollInterval, c.poll)
+}
+
+func (c *coordinator) pollMember(m *modelMember) {
+	polledAt, isAnswered := c.model.now, false
+	feedOnce := func(status MemberStatus) {
+		if !isAnswered {
+			isAnswered = true
+			c.feed(status)
+		}
+	}
+	c.model.deliver(m, func() {
+		status := MemberStatus{
+			Member: m.index, PolledAt: polledAt, IsServing: true, Version: m.version, Epoch: m.epoch, Owner: m.owner,
+			RunningCommand: m.running, LossToken: m.lossToken, Load: c.model.rng.Float64()*1.1 - 0.3,
+		}
+		if version, ok := c.rememberedVersions[m.index]; ok && c.model.mutation == trustOwnMemory {
+			status.Version = version
+		}
+		c.model.after(c.model.delay(), func() { feedOnce(status) })
+	})
+	c.model.after(modelPollTimeout, func() { feedOnce(MemberStatus{Member: m.index, PolledAt: polledAt}) })
+}
+
+// drawVerdict returns the judge's verdict on the stage.
+func (c *coordinator) drawVerdict() Verdict {
+	model := c.model
+	verdict := model.verdicts[c.rollout.stage%len(model.verdicts)]
+	if verdict == VerdictWorse && model.faultShown {
+		verdict = VerdictPass
+	}
+	model.faultShown = model.faultShown || verdict == VerdictWorse && model.showsFaultOnce
+	return verdict
 }
--- a/internal/rollout/entry.go
+++ b/internal/rollout/entry.go
@@ -8,7 +8,7 @@
 	EntryEpoch         EntryKind = "epoch"       // an epoch is claimed
 	EntryOwned         EntryKind = "owned"       // a majority has granted it
 	EntryStage         EntryKind = "stage"       // a stage begins
-	EntryOrder         EntryKind = "order"       // a command is sent
+	EntryCommand       EntryKind = "order"       // a command is sent
 	EntryOutcome       EntryKind = "outcome"     // a command has ended
 	EntryBake          EntryKind = "bake"        // all members of the stage have changed
 	EntryVerdict       EntryKind = "verdict"     // the stage has passed or does worse
--- a/internal/rollout/fleet_model_test.go
+++ b/internal/rollout/fleet_model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,15 +9,14 @@
 	"time"
 )
 
-// The model: members, coordinators and what lies between them, in virtual time. Messages are late, lost, or
-// delivered after whoever sent them has given up; members are paused, end and come back; coordinators end
-// at any of their writes, and start again, or two of them run at once.
-
+// scheduledEvent is a function that runs at a virtual time; number orders events of one time.
 type scheduledEvent struct {
 	at     time.Duration
 	number int
 	run    func()
 }
+
+// eventQueue is a heap of events by time.
 type eventQueue []scheduledEvent
 
 func (a eventQueue) Len() int { return len(a) }
@@ -29,6 +27,7 @@
 func (a *eventQueue) Push(v any)   { *a = append(*a, v.(scheduledEvent)) }
 func (a *eventQueue) Pop() any     { v := (*a)[len(*a)-1]; *a = (*a)[:len(*a)-1]; return v }
 
+// mutation is a guard that the model leaves out, to show that its checks find that.
 type mutation int
 
 const (
@@ -38,26 +37,9 @@
 	trustOwnMemory
 )
 
-type modelMember struct {
-	index          int
-	version        string
-	epoch          uint64
-	owner          string
-	lastCommand    string
-	outcome        error
-	isServing      bool
-	isPaused       bool
-	inbox          []func()
-	waiting        []func() // orders wait for the one that is done now
-	running        string
-	isExecuting    bool
-	brokenVersions map[string]bool // what it can't come to run
-	executions     map[string]int
-	lastEpoch      uint64
-	revertedAt     time.Duration // when it fell back
-	lossToken      string        // its book is lost
-}
-
+// fleetModel is a fleet, its coordinators and the network between them, in virtual time. Messages are delayed, lost, or
+// delivered after their sender has timed out; members pause, end and come back; coordinators crash at any of their
+// writes and start again, or two of them run at once.
 type fleetModel struct {
 	rng               *rand.Rand
 	now               time.Duration
@@ -65,43 +47,43 @@
 	scheduledCount    int
 	plan              Plan
 	members           []*modelMember
-	writtenCommands   map[string]bool   // ids that were written
-	ownerByEpoch      map[uint64]string // who had an order done, by epoch
+	writtenCommands   map[string]bool   // ids of commands in a log
+	ownerByEpoch      map[uint64]string // whose commands ran
 	violations        []string
 	lossRate          float64
 	verdicts          []Verdict // by stage
-	showsFaultOnce    bool      // a fault shows once only
+	showsFaultOnce    bool      // the judge sees a fault once only
 	faultShown        bool
-	isRollbackSeen    bool // taking back has begun
-	hasOneCoordinator bool // one coordinator at a time
+	isRollbackSeen    bool
+	hasOneCoordinator bool // at any time
 	mutation          mutation
 	coordinators      []*coordinator
 }
 
-func (w *fleetModel) after(d time.Duration, f func()) {
-	w.scheduledCount++
-	heap.Push(&w.queue, scheduledEvent{w.now + d, w.scheduledCount, f})
+func (model *fleetModel) after(d time.Duration, f func()) {
+	model.scheduledCount++
+	heap.Push(&model.queue, scheduledEvent{model.now + d, model.scheduledCount, f})
 }
 
-func (w *fleetModel) violate(format string, args ...any) {
-	w.violations = append(w.violations, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+func (model *fleetModel) violate(format string, args ...any) {
+	model.violations = append(model.violations, fmt.Sprintf("%v: ", model.now)+fmt.Sprintf(format, args...))
 }
 
-func (w *fleetModel) delay() time.Duration {
-	d := time.Duration(w.rng.IntN(20)) * time.Millisecond
-	if w.rng.Float64() < w.lossRate/2 {
-		d += time.Duration(w.rng.IntN(9000)) * time.Millisecond
+func (model *fleetModel) delay() time.Duration {
+	d := time.Duration(model.rng.IntN(20)) * time.Millisecond
+	if model.rng.Float64() < model.lossRate/2 {
+		d += time.Duration(model.rng.IntN(9000)) * time.Millisecond
 	}
 	return d
 }
-func (w *fleetModel) isMessageLost() bool { return w.rng.Float64() < w.lossRate }
+func (model *fleetModel) isMessageLost() bool { return model.rng.Float64() < model.lossRate }
 
-// deliver has a member take a message; one that is away never does.
-func (w *fleetModel) deliver(m *modelMember, f func()) {
-	if w.isMessageLost() {
+// deliver delivers a message to a member; one that does not serve never gets it.
+func (model *fleetModel) deliver(m *modelMember, f func()) {
+	if model.isMessageLost() {
 		return
 	}
-	w.after(w.delay(), func() {
+	model.after(model.delay(), func() {
 		switch {
 		case m.isPaused:
 			m.inbox = append(m.inbox, f)
@@ -111,131 +93,61 @@
 	})
 }
 
-// checkNeighbouringGenerations checks that what all members run is of two neighbouring generations.
-func (w *fleetModel) checkNeighbouringGenerations() {
-	for p := 1; p < len(w.plan.Members[0].Versions); p++ {
-		if !slices.ContainsFunc(w.members, func(m *modelMember) bool {
-			g := w.plan.Members[m.index].Versions
+// checkNeighbouringGenerations checks that all members run versions of two neighbouring generations.
+func (model *fleetModel) checkNeighbouringGenerations() {
+	for p := 1; p < len(model.plan.Members[0].Versions); p++ {
+		if !slices.ContainsFunc(model.members, func(m *modelMember) bool {
+			g := model.plan.Members[m.index].Versions
 			return m.version != g[p-1] && m.version != g[p]
 		}) {
 			return
 		}
 	}
 	var runs []string
-	for _, m := range w.members {
+	for _, m := range model.members {
 		runs = append(runs, m.version)
 	}
-	w.violate("generations apart: %v", runs)
+	model.violate("generations apart: %v", runs)
 }
 
-func (m *modelMember) execute(w *fleetModel, o Command, answer func(Reply, error)) {
-	if m.lossToken != "" {
-		answer(ReplyUngranted, nil)
-		return
-	}
-	if w.mutation != withoutEpochCheck && (o.Epoch != m.epoch || o.Owner != m.owner) {
-		if o.Epoch > m.epoch {
-			answer(ReplyUngranted, nil)
-		} else {
-			answer(ReplyStale, nil)
-		}
-		return
-	}
-	answerOutcome := func() {
-		if m.outcome != nil {
-			answer(ReplyFailed, m.outcome)
-		} else {
-			answer(ReplyOK, nil)
-		}
-	}
-	if o.ID == m.lastCommand {
-		answerOutcome()
-		return
-	}
-	if m.isExecuting {
-		m.waiting = append(m.waiting, func() { m.execute(w, o, answer) })
-		return
-	}
-	m.isExecuting, m.running = true, o.ID
-	if m.executions[o.ID]++; m.executions[o.ID] > 1 {
-		w.violate("member %d has done %s %d times", m.index, o.ID, m.executions[o.ID])
-	}
-	if !w.writtenCommands[o.ID] && w.mutation != withoutWrite {
-		w.violate("order %s was not written before", o.ID)
-	}
-	if was, ok := w.ownerByEpoch[o.Epoch]; ok && was != o.Owner {
-		w.violate("epoch %d has two owners that act", o.Epoch)
-	}
-	w.ownerByEpoch[o.Epoch] = o.Owner
-	if o.Epoch < m.lastEpoch {
-		w.violate("member %d did an order of epoch %d after one of %d", m.index, o.Epoch, m.lastEpoch)
-	}
-	m.lastEpoch = o.Epoch
-	n := 0
-	for _, x := range w.members {
-		// One that was given up and told may wake with its order at any time.
-		if x.isExecuting && !slices.ContainsFunc(w.coordinators, func(c *coordinator) bool { return c.rollout.members[x.index].isAbandoned }) {
-			n++
-		}
-	}
-	if w.hasOneCoordinator && n > w.plan.MaxUnavailable {
-		w.violate("%d at once", n)
-	}
-	w.after(time.Duration(50+w.rng.IntN(1500))*time.Millisecond, func() {
-		m.isExecuting, m.running = false, ""
-		m.lastCommand, m.outcome = o.ID, nil
-		if want := w.plan.Members[m.index].Versions[o.Generation]; m.brokenVersions[want] && !o.IsRestart {
-			m.outcome = errors.New("it does not start")
-		} else if !o.IsRestart && m.isServing {
-			m.version = want
-			w.checkNeighbouringGenerations()
-		}
-		answerOutcome()
-		if len(m.waiting) > 0 {
-			next := m.waiting[0]
-			m.waiting = m.waiting[1:]
-			next()
-		}
-	})
-}
-
-func (w *fleetModel) startCoordinator(journal *[]Entry, takeBack bool, dieAt int) *coordinator {
-	name := fmt.Sprintf("c%d", len(w.coordinators))
-	rng := rand.New(rand.NewPCG(w.rng.Uint64(), 1))
+// startCoordinator starts a coordinator, which resumes what is in the log.
+func (model *fleetModel) startCoordinator(log *[]Entry, takeBack bool, crashAtWrite int) *coordinator {
+	name := fmt.Sprintf("c%d", len(model.coordinators))
+	rng := rand.New(rand.NewPCG(model.rng.Uint64(), 1))
 	var r *Rollout
 	var err error
-	if len(*journal) > 0 {
-		r, err = Resume(w.plan, name, rng, *journal, takeBack)
+	if len(*log) > 0 {
+		r, err = Resume(model.plan, name, rng, *log, takeBack)
 	} else {
-		r, err = New(w.plan, name, rng)
+		r, err = New(model.plan, name, rng)
 	}
 	if err != nil {
 		if !strings.Contains(err.Error(), "is over") {
-			w.violate("%v", err)
+			model.violate("%v", err)
 		}
 		return nil
 	}
-	c := &coordinator{model: w, rollout: r, log: journal, name: name, isAlive: true, crashAtWrite: dieAt, crashAfterWrite: w.rng.IntN(2) == 0, rememberedVersions: map[int]string{}}
-	w.coordinators = append(w.coordinators, c)
+	c := &coordinator{model: model, rollout: r, log: log, name: name, isAlive: true, crashAtWrite: crashAtWrite, crashAfterWrite: model.rng.IntN(2) == 0, rememberedVersions: map[int]string{}}
+	model.coordinators = append(model.coordinators, c)
 	c.poll()
 	return c
 }
 
-// disturb has members pause, end and come back for a while.
-func (w *fleetModel) disturb(until time.Duration) {
-	if w.now > until {
+// disturb has members pause, end and come back until a time.
+func (model *fleetModel) disturb(until time.Duration) {
+	if model.now > until {
 		return
 	}
-	m := w.members[w.rng.IntN(len(w.members))]
-	long := time.Duration(w.rng.IntN(8000)) * time.Millisecond
-	if w.rng.IntN(12) == 0 {
+	m := model.members[model.rng.IntN(len(model.members))]
+	long := time.Duration(model.rng.IntN(8000)) * time.Millisecond
+	if model.rng.IntN(12) == 0 {
 		long *= 8
 	}
 	switch {
 	case !m.isServing || m.isPaused:
-	case w.rng.IntN(2) == 0:
+	case model.rng.IntN(2) == 0:
 		m.isPaused = true
-		w.after(long, func() {
+		model.after(long, func() {
 			m.isPaused = false
 			all := m.inbox
 			m.inbox = nil
@@ -244,137 +156,169 @@
 			}
 		})
 	default:
-		m.isServing, m.waiting = false, nil // what it was at ends with it
-		if g := w.plan.Members[m.index].Versions; len(g) == 2 && w.rng.IntN(4) == 0 {
-			m.version, m.revertedAt = g[0], w.now // its keeper knows of no other
+		m.isServing, m.waiting = false, nil // they end with its process
+		if g := model.plan.Members[m.index].Versions; len(g) == 2 && model.rng.IntN(4) == 0 {
+			m.version, m.revertedAt = g[0], model.now // its supervisor knows no other version
 		}
-		if w.rng.IntN(6) == 0 {
-			m.epoch, m.owner, m.lastCommand, m.lossToken = 0, "", "", fmt.Sprint("t", w.scheduledCount)
-			clear(m.executions) // it can't know
+		if model.rng.IntN(6) == 0 {
+			m.epoch, m.owner, m.lastCommand, m.lossToken = 0, "", "", fmt.Sprint("t", model.scheduledCount)
+			clear(m.executions) // it has forgotten them
 		}
-		w.after(long, func() { m.isServing = true })
+		model.after(long, func() { m.isServing = true })
 	}
-	w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, func() { w.disturb(until) })
+	model.after(time.Duration(model.rng.IntN(6000))*time.Millisecond, func() { model.disturb(until) })
 }
 
 // drawFaults draws what gets lost, what is judged, which members fail with what, and what befalls them.
-func (w *fleetModel) drawFaults(phases int) {
-	rng, n := w.rng, len(w.members)
+func (model *fleetModel) drawFaults(phases int) {
+	rng, n := model.rng, len(model.members)
 	switch rng.IntN(4) {
 	case 0:
-		w.lossRate = 0.02
+		model.lossRate = 0.02
 	case 1:
-		w.lossRate = 0.15
+		model.lossRate = 0.15
 	}
 	switch rng.IntN(6) {
 	case 0:
-		w.verdicts = []Verdict{VerdictPass, VerdictWorse}
+		model.verdicts = []Verdict{VerdictPass, VerdictWorse}
 	case 1:
-		w.verdicts = []Verdict{VerdictPass, VerdictNoEvidence, VerdictWait}
+		model.verdicts = []Verdict{VerdictPass, VerdictNoEvidence, VerdictWait}
 	default:
-		w.verdicts = []Verdict{VerdictPass}
+		model.verdicts = []Verdict{VerdictPass}
 	}
 	if rng.IntN(4) == 0 {
-		w.members[rng.IntN(n)].brokenVersions[fmt.Sprint("g", 1+rng.IntN(phases))] = true
+		model.members[rng.IntN(n)].brokenVersions[fmt.Sprint("g", 1+rng.IntN(phases))] = true
 	}
 	if rng.IntN(8) == 0 {
-		w.members[rng.IntN(n)].brokenVersions["g0"] = true
+		model.members[rng.IntN(n)].brokenVersions["g0"] = true
 	}
 	if rng.IntN(2) == 0 {
-		w.disturb(60 * time.Second)
+		model.disturb(60 * time.Second)
 	}
-	w.showsFaultOnce = rng.IntN(2) == 0
+	model.showsFaultOnce = rng.IntN(2) == 0
 }
 
-// runSeed plays one seed to its end.
+// Limits of a run of the model.
+const (
+	maxModelTime     = 2 * time.Hour
+	maxModelRestarts = 6 // of coordinators; the last two do not crash by plan
+)
+
+// runSeed runs the model of a seed to its end, and returns it with the coordinator that decided in the end.
 func runSeed(seed uint64, mutated mutation) (*fleetModel, *coordinator) {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	w := &fleetModel{rng: rng, writtenCommands: map[string]bool{}, ownerByEpoch: map[uint64]string{}, mutation: mutated, hasOneCoordinator: true}
-	n, phases := 1+rng.IntN(9), 1+rng.IntN(3)
-	w.plan = Plan{
-		MaxUnavailable: 1 + rng.IntN(3), MinBake: 2 * time.Second, MaxBake: 20 * time.Second, MemberTimeout: 12 * time.Second, HasControls: rng.IntN(2) == 0,
+	model := &fleetModel{rng: rng, writtenCommands: map[string]bool{}, ownerByEpoch: map[uint64]string{}, mutation: mutated, hasOneCoordinator: true}
+	phases := model.drawFleet()
+	model.drawFaults(phases)
+	log := new([]Entry)
+	crashAtWrite := 0
+	if rng.IntN(2) == 0 {
+		crashAtWrite = 1 + rng.IntN(30)
+	}
+	first := model.startCoordinator(log, false, crashAtWrite)
+	if rng.IntN(5) == 0 { // another runs at the same time with a log of its own: a log has one writer
+		model.hasOneCoordinator = false
+		model.after(time.Duration(rng.IntN(30000))*time.Millisecond, func() {
+			model.startCoordinator(new([]Entry), false, 0)
+		})
+	}
+	return model, model.runToEnd(first)
+}
+
+// drawFleet draws the plan and its members, and returns the number of phases.
+func (model *fleetModel) drawFleet() int {
+	count, phases := 1+model.rng.IntN(9), 1+model.rng.IntN(3)
+	model.plan = Plan{
+		MaxUnavailable: 1 + model.rng.IntN(3), MinBake: 2 * time.Second, MaxBake: 20 * time.Second, MemberTimeout: 12 * time.Second, HasControls: model.rng.IntN(2) == 0,
 		Stages: DefaultStages(),
 	}
-	for i := range n {
+	for i := range count {
 		m := Member{Name: fmt.Sprint("m", i), Region: fmt.Sprint("r", i%3), Zone: fmt.Sprint("z", i%2)}
-		for g := range phases + 1 {
-			m.Versions = append(m.Versions, fmt.Sprint("g", g))
+		for generation := range phases + 1 {
+			m.Versions = append(m.Versions, fmt.Sprint("g", generation))
 		}
-		if phases > 1 && rng.IntN(3) == 0 {
-			m.Versions[1] = m.Versions[0] // a region that this phase leaves alone
+		if phases > 1 && model.rng.IntN(3) == 0 {
+			m.Versions[1] = m.Versions[0] // this phase leaves the member alone
 		}
-		w.plan.Members = append(w.plan.Members, m)
-		w.members = append(w.members, &modelMember{index: i, version: m.Versions[0], isServing: true, brokenVersions: map[string]bool{}, executions: map[string]int{}})
+		model.plan.Members = append(model.plan.Members, m)
+		model.members = append(model.members, &modelMember{index: i, version: m.Versions[0], isServing: true, brokenVersions: map[string]bool{}, executions: map[string]int{}})
 	}
-	w.drawFaults(phases)
-	journal := new([]Entry)
-	dieAt := 0
-	if rng.IntN(2) == 0 {
-		dieAt = 1 + rng.IntN(30)
-	}
-	last := w.startCoordinator(journal, false, dieAt)
-	if rng.IntN(5) == 0 { // another beside it, with a journal of its own: one has one lock
-		w.hasOneCoordinator = false
-		w.after(time.Duration(rng.IntN(30000))*time.Millisecond, func() {
-			w.startCoordinator(new([]Entry), false, 0)
-		})
-	}
-	for lives := 0; ; {
-		for len(w.queue) > 0 && w.now < 2*time.Hour {
-			e := heap.Pop(&w.queue).(scheduledEvent)
-			w.now = e.at
-			e.run()
-			if len(w.violations) > 0 {
-				return w, last
-			}
+	return phases
+}
+
+// runToEnd runs the model, and resumes crashed coordinators, until one has ended or a check has failed. It returns the
+// one that decides.
+func (model *fleetModel) runToEnd(decider *coordinator) *coordinator {
+	for restarts := 0; ; {
+		if !model.runQueue() {
+			return decider
 		}
-		if w.now >= 2*time.Hour {
-			w.violate("it has not ended: %s, %s", last.rollout.State(), last.rollout.Reason())
-			return w, last
+		if model.now >= maxModelTime {
+			model.violate("it has not ended: %s, %s", decider.rollout.State(), decider.rollout.Reason())
+			return decider
 		}
-		last = w.coordinators[len(w.coordinators)-1]
-		for _, c := range w.coordinators { // whoever has the newest epoch decides in the end
-			if c.rollout.epoch > last.rollout.epoch {
-				last = c
-			}
+		decider = model.newestOwner()
+		if decider.end != nil || restarts == maxModelRestarts {
+			return decider
+		}
+		restarts++
+		crashAtWrite := 0
+		if model.rng.IntN(3) == 0 && restarts < maxModelRestarts-1 {
+			crashAtWrite = 1 + model.rng.IntN(12)
 		}
-		if last.end != nil || lives == 6 {
-			return w, last
+		if model.startCoordinator(decider.log, model.rng.IntN(4) == 0, crashAtWrite) == nil { // the old one crashed right after it had written its end
+			last := (*decider.log)[len(*decider.log)-1]
+			decider.end = &End{Result(last.Outcome), last.Reason}
+			return decider
 		}
-		lives++
-		at := 0
-		if rng.IntN(3) == 0 && lives < 5 {
-			at = 1 + rng.IntN(12)
+	}
+}
+
+// runQueue runs the scheduled events in order, and reports whether no check has failed.
+func (model *fleetModel) runQueue() bool {
+	for len(model.queue) > 0 && model.now < maxModelTime {
+		event := heap.Pop(&model.queue).(scheduledEvent)
+		model.now = event.at
+		event.run()
+		if len(model.violations) > 0 {
+			return false
 		}
-		if c := w.startCoordinator(last.log, rng.IntN(4) == 0, at); c == nil { // it ended right after it had written so
-			e := (*last.log)[len(*last.log)-1]
-			last.end = &End{Result(e.Outcome), e.Reason}
-			return w, last
+	}
+	return true
+}
+
+// newestOwner returns the coordinator of the newest epoch, which decides; where the last one has that, the last.
+func (model *fleetModel) newestOwner() *coordinator {
+	newest := model.coordinators[len(model.coordinators)-1]
+	for _, c := range model.coordinators {
+		if c.rollout.epoch > newest.rollout.epoch {
+			newest = c
 		}
 	}
+	return newest
 }
 
-// checkEnd checks what a whole play has come to.
-func (w *fleetModel) checkEnd(c *coordinator) {
-	if len(w.violations) > 0 || c.end == nil {
+// checkEnd checks what a complete run has come to.
+func (model *fleetModel) checkEnd(c *coordinator) {
+	if len(model.violations) > 0 || c.end == nil {
 		return
 	}
-	gen := -1
+	generation := -1 // any
 	switch c.end.Result {
 	case ResultDone:
-		gen = len(w.plan.Members[0].Versions) - 1
+		generation = len(model.plan.Members[0].Versions) - 1
 	case ResultRolledBack:
-		gen = 0
+		generation = 0
 	}
-	if c.end.Result == ResultDone && w.isRollbackSeen && w.hasOneCoordinator {
-		w.violate("done, though it was being taken back")
+	if c.end.Result == ResultDone && model.isRollbackSeen && model.hasOneCoordinator {
+		model.violate("done, though it was being taken back")
 	}
-	for _, m := range w.members {
+	for _, m := range model.members {
 		if m.revertedAt > 0 && m.revertedAt > c.endedAt-3*time.Second {
-			continue // nobody could see it any more
+			continue // no coordinator could notice it
 		}
-		if gen >= 0 && m.version != w.plan.Members[m.index].Versions[gen] && m.isServing {
-			w.violate("%s, and member %d runs %s", c.end.Result, m.index, m.version)
+		if generation >= 0 && m.version != model.plan.Members[m.index].Versions[generation] && m.isServing {
+			model.violate("%s, and member %d runs %s", c.end.Result, m.index, m.version)
 		}
 	}
 }
--- /dev/null
+++ b/internal/rollout/member_model_test.go
@@ -0,0 +1,137 @@
+package rollout
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// modelMember is a member of the model: it follows the protocol of claims and commands.
+type modelMember struct {
+	index          int
+	version        string
+	epoch          uint64
+	owner          string
+	lossToken      string // set while it has lost its state
+	lastCommand    string // id of the command that ended last, with its outcome
+	outcome        error
+	isServing      bool
+	isPaused       bool
+	inbox          []func() // messages that came while it was paused
+	waiting        []func() // commands that wait for the running one
+	running        string   // id of the running command
+	isExecuting    bool
+	brokenVersions map[string]bool // that it fails to start
+	executions     map[string]int  // by command id
+	lastEpoch      uint64          // of the commands that it ran
+	revertedAt     time.Duration   // when it lost its version; 0 is never
+}
+
+// claim answers a coordinator's claim.
+func (m *modelMember) claim(claim Claim) ClaimReplied {
+	reply := ClaimReplied{Member: claim.Member, Epoch: claim.Epoch, Reply: ReplyOK}
+	switch {
+	case m.lossToken != "" && claim.LossToken != m.lossToken:
+		reply.Reply = ReplyUngranted
+	case claim.Epoch < m.epoch || claim.Epoch == m.epoch && claim.Owner != m.owner:
+		reply.Reply, reply.NewestEpoch = ReplyStale, m.epoch
+	default:
+		m.epoch, m.owner, m.lossToken = claim.Epoch, claim.Owner, ""
+	}
+	return reply
+}
+
+// execute runs a command, or rejects it, and answers once it has ended.
+func (m *modelMember) execute(model *fleetModel, command Command, answer func(Reply, error)) {
+	if rejection, ok := m.reject(model, command); ok {
+		answer(rejection, nil)
+		return
+	}
+	if command.ID == m.lastCommand {
+		m.answerOutcome(answer)
+		return
+	}
+	if m.isExecuting {
+		m.waiting = append(m.waiting, func() { m.execute(model, command, answer) })
+		return
+	}
+	m.isExecuting, m.running = true, command.ID
+	m.checkStart(model, command)
+	model.checkUnavailable()
+	duration := time.Duration(50+model.rng.IntN(1500)) * time.Millisecond
+	model.after(duration, func() { m.finish(model, command, answer) })
+}
+
+// reject returns the reply to a command that the member may not run.
+func (m *modelMember) reject(model *fleetModel, command Command) (Reply, bool) {
+	switch {
+	case m.lossToken != "":
+		return ReplyUngranted, true
+	case model.mutation == withoutEpochCheck || command.Epoch == m.epoch && command.Owner == m.owner:
+		return ReplyOK, false
+	case command.Epoch > m.epoch:
+		return ReplyUngranted, true
+	default:
+		return ReplyStale, true
+	}
+}
+
+// checkStart checks what must hold of a command that starts.
+func (m *modelMember) checkStart(model *fleetModel, command Command) {
+	if m.executions[command.ID]++; m.executions[command.ID] > 1 {
+		model.violate("member %d has run %s %d times", m.index, command.ID, m.executions[command.ID])
+	}
+	if !model.writtenCommands[command.ID] && model.mutation != withoutWrite {
+		model.violate("command %s was not written before", command.ID)
+	}
+	if owner, ok := model.ownerByEpoch[command.Epoch]; ok && owner != command.Owner {
+		model.violate("epoch %d has two owners that act", command.Epoch)
+	}
+	model.ownerByEpoch[command.Epoch] = command.Owner
+	if command.Epoch < m.lastEpoch {
+		model.violate("member %d ran a command of epoch %d after one of %d", m.index, command.Epoch, m.lastEpoch)
+	}
+	m.lastEpoch = command.Epoch
+}
+
+// finish ends the running command, and starts the next that waits.
+func (m *modelMember) finish(model *fleetModel, command Command, answer func(Reply, error)) {
+	m.isExecuting, m.running = false, ""
+	m.lastCommand, m.outcome = command.ID, nil
+	wanted := model.plan.Members[m.index].Versions[command.Generation]
+	if m.brokenVersions[wanted] && !command.IsRestart {
+		m.outcome = errors.New("it does not start")
+	} else if !command.IsRestart && m.isServing {
+		m.version = wanted
+		model.checkNeighbouringGenerations()
+	}
+	m.answerOutcome(answer)
+	if len(m.waiting) > 0 {
+		next := m.waiting[0]
+		m.waiting = m.waiting[1:]
+		next()
+	}
+}
+
+func (m *modelMember) answerOutcome(answer func(Reply, error)) {
+	if m.outcome != nil {
+		answer(ReplyFailed, m.outcome)
+		return
+	}
+	answer(ReplyOK, nil)
+}
+
+// checkUnavailable checks how many members run a command at once.
+func (model *fleetModel) checkUnavailable() {
+	executing := 0
+	for _, m := range model.members {
+		// An abandoned member that was paused may resume with its command at any time.
+		isAbandoned := slices.ContainsFunc(model.coordinators, func(c *coordinator) bool { return c.rollout.members[m.index].isAbandoned })
+		if m.isExecuting && !isAbandoned {
+			executing++
+		}
+	}
+	if model.hasOneCoordinator && executing > model.plan.MaxUnavailable {
+		model.violate("%d at once", executing)
+	}
+}
--- a/internal/rollout/resume.go
+++ b/internal/rollout/resume.go
@@ -64,7 +64,7 @@
 		r.newestEpoch = max(r.newestEpoch, entry.Epoch)
 	case EntryStage:
 		return r.replayStage(entry)
-	case EntryOrder, EntryOutcome, EntryAbandoned:
+	case EntryCommand, EntryOutcome, EntryAbandoned:
 		i, ok := index[entry.Member]
 		if !ok {
 			return fmt.Errorf("there is no member %q in its plan", entry.Member)
@@ -100,7 +100,7 @@
 
 func (r *Rollout) replayOfMember(entry *Entry, m *member) error {
 	switch entry.Kind {
-	case EntryOrder:
+	case EntryCommand:
 		if entry.Generation < 0 || entry.Generation > len(r.phases) || entry.ID == "" {
 			return errors.New("the order is none")
 		}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 )
 
-// Whatever is lost, late, paused or ended, and wherever a coordinator ends: everywhere the old or the new
-// state, or it is told; one owner an epoch; two neighbouring generations; not too many at once; an order
-// done once, and written before.
+// Whatever is lost, delayed, paused or ended, and wherever a coordinator crashes: all members run the old version or the
+// new one in the end, or the result says that they don't; an epoch has one owner; two neighbouring generations at most
+// are in force; not too many members change at once; a command runs once, and is written before.
 func TestModelKeepsInvariantsUnderFaults(t *testing.T) {
 	seeds := uint64(2000)
 	if testing.Short() {
@@ -37,18 +37,18 @@
 	}
 }
 
-func (w *fleetModel) String() string {
+func (model *fleetModel) String() string {
 	var b strings.Builder
-	for _, c := range w.coordinators {
+	for _, c := range model.coordinators {
 		fmt.Fprintf(&b, "%s: %s, epoch %d, end %v\n", c.name, c.rollout.State(), c.rollout.epoch, c.end)
 	}
-	for _, e := range *w.coordinators[0].log {
+	for _, e := range *model.coordinators[0].log {
 		fmt.Fprintf(&b, "%+v\n", e)
 	}
 	return b.String()
 }
 
-// With a guard taken out something breaks, or the checks above are worth nothing.
+// The checks of the model detect that a guard is left out.
 func TestModelDetectsRemovedGuards(t *testing.T) {
 	for m, name := range map[mutation]string{withoutEpochCheck: "no check of epochs", withoutWrite: "not written before done", trustOwnMemory: "trust in its own memory"} {
 		found := slices.ContainsFunc(slices.Collect(seq(3000)), func(seed uint64) bool {
@@ -118,7 +118,7 @@
 	if err := p.Validate(); err == nil || !strings.Contains(err.Error(), "stage 2, 10%, is 2 of 20 members, less than the 5") {
 		t.Error(err)
 	}
-	// Any beginning is spread over regions and zones.
+	// Any prefix is spread over regions and zones.
 	rapid.Check(t, func(t *rapid.T) {
 		n, regions := rapid.IntRange(1, 60).Draw(t, "n"), rapid.IntRange(1, 4).Draw(t, "regions")
 		p := plan(n, regions, nil)
@@ -138,7 +138,7 @@
 	})
 }
 
-// drive feeds a coordinator whose members do all at once, and tells what it does, a word an action.
+// harness feeds a Rollout whose members do everything at once, and records its actions, a word each.
 type harness struct {
 	rollout  *Rollout
 	t        *testing.T
