--- a/control/attempts.go
+++ b/control/attempts.go
@@ -135,7 +135,7 @@
 	canRetry := reason != NotSent && c.retryBudget.covers(cost) && c.now < req.deadline-time.Millisecond &&
 		(c.settings.MaxAttempts == 0 || req.attempts < c.settings.MaxAttempts)
 	canRepeat := !req.mayHaveRun || req.class.Idempotency == Idempotent ||
-		req.isKeyed() && c.now < req.repeatsDroppedUntil()
+		req.hasIdempotencyKey() && c.now < req.repeatsDroppedUntil()
 	if !canRetry || !canRepeat {
 		c.endUnserved(req, CauseNoRetry)
 		return
@@ -144,7 +144,7 @@
 	req.plan.pushFront(req)
 	// Guards against a retry that is queued beyond the client's deadline or its key's repeat window.
 	until := req.deadline - time.Millisecond
-	if req.mayHaveRun && req.isKeyed() {
+	if req.mayHaveRun && req.hasIdempotencyKey() {
 		until = min(until, req.repeatsDroppedUntil())
 	}
 	c.armTimer(req, until-c.now)
@@ -163,7 +163,7 @@
 // canReject tells whether the client may repeat the request safely, as it does after a rejection.
 func (c *Controller) canReject(req *request) bool {
 	return req.class.Idempotency == Idempotent || !req.mayHaveRun && req.inFlight == 0 ||
-		req.isKeyed() && req.class.KeyScope == ScopeAll
+		req.hasIdempotencyKey() && req.class.KeyScope == ScopeAll
 }
 
 func (b *retryBudget) earn() { b.retries = math.Min(maxRetryBudget, b.retries+retryBudgetPerRequest) }
--- a/control/attempts_test.go
+++ b/control/attempts_test.go
@@ -19,9 +19,9 @@
 		{"free", Class{Idempotency: Idempotent}, Errored, true, ""},
 		{"unsafe maybe run", Class{Idempotency: NotIdempotent}, Errored, false, "control.Fail"},
 		{"unsafe never ran", Class{Idempotency: NotIdempotent}, RejectedByServer, true, ""},
-		{"keyed in window", Class{Idempotency: IdempotencyKeyed, KeyScope: ScopeCell, RepeatWindow: time.Minute}, ResetByPeer, true, ""},
-		{"keyed too late", Class{Idempotency: IdempotencyKeyed, KeyScope: ScopeCell, RepeatWindow: ms}, ResetByPeer, false, "control.Fail"},
-		{"keyed by all, too late", Class{Idempotency: IdempotencyKeyed, RepeatWindow: ms}, ResetByPeer, false, "control.Reject"},
+		{"keyed in window", Class{Idempotency: IdempotentWithKey, KeyScope: ScopeCell, RepeatWindow: time.Minute}, ResetByPeer, true, ""},
+		{"keyed too late", Class{Idempotency: IdempotentWithKey, KeyScope: ScopeCell, RepeatWindow: ms}, ResetByPeer, false, "control.Fail"},
+		{"keyed by all, too late", Class{Idempotency: IdempotentWithKey, RepeatWindow: ms}, ResetByPeer, false, "control.Reject"},
 	} {
 		settings := testSettings()
 		tc.class.Name, tc.class.LatencyObjective, tc.class.Deadline = "job", 2*time.Second, 6*time.Second
@@ -45,7 +45,7 @@
 		ScopeZone: func(a, b Endpoint) bool { return a.Zone == b.Zone },
 	} {
 		settings := testSettings()
-		settings.Classes[0].Idempotency, settings.Classes[0].KeyScope, settings.Classes[0].RepeatWindow = IdempotencyKeyed, scope, time.Minute
+		settings.Classes[0].Idempotency, settings.Classes[0].KeyScope, settings.Classes[0].RepeatWindow = IdempotentWithKey, scope, time.Minute
 		list := activeEndpoints(1, 2, 3, 4, 5, 6)
 		gateway := newTestGateway(t, settings, list...)
 		for i := 0; i < 30; i++ {
@@ -144,7 +144,7 @@
 // An attempt that is not sent leaves nothing behind, whether its client has left before or the node could not send
 // it: no slot, no charge and no failure of the server.
 func TestAttemptNotSentIsRefunded(t *testing.T) {
-	for name, class := range map[string]Class{"safe": {Idempotency: Idempotent}, "keyed": {Idempotency: IdempotencyKeyed, RepeatWindow: time.Minute}, "unsafe": {Idempotency: NotIdempotent}} {
+	for name, class := range map[string]Class{"safe": {Idempotency: Idempotent}, "keyed": {Idempotency: IdempotentWithKey, RepeatWindow: time.Minute}, "unsafe": {Idempotency: NotIdempotent}} {
 		for what, leaves := range map[string]bool{"left": true, "not sent": false} {
 			for what2, cold := range map[string]bool{"warm": false, "cold": true} {
 				t.Run(name+" "+what+" "+what2, func(t *testing.T) {
@@ -209,7 +209,7 @@
 func TestWaitingRetryIsAnsweredAtTheEndOfItsWindow(t *testing.T) {
 	settings := testSettings()
 	class := &settings.Classes[0]
-	class.Idempotency, class.KeyScope, class.RepeatWindow = IdempotencyKeyed, ScopeCell, time.Second
+	class.Idempotency, class.KeyScope, class.RepeatWindow = IdempotentWithKey, ScopeCell, time.Second
 	gateway := newTestGateway(t, settings, activeEndpoints(1)...)
 	gateway.request("a", "job", "low", "x")
 	gateway.advance(100 * ms)
--- a/control/endpoint_choice.go
+++ b/control/endpoint_choice.go
@@ -50,7 +50,7 @@
 // dropsRepeats tells whether a server would drop a repeat of what the request may have run.
 func (c *Controller) dropsRepeats(req *request, srv *server) bool {
 	switch {
-	case req.repeatGroup == nil || !req.isKeyed():
+	case req.repeatGroup == nil || !req.hasIdempotencyKey():
 		return true
 	case c.now >= req.repeatsDroppedUntil(): // it was queued for too long
 		return false
--- a/control/endpoints_test.go
+++ b/control/endpoints_test.go
@@ -44,7 +44,7 @@
 				t.Run(fmt.Sprint(condition, scope, deadline), func(t *testing.T) {
 					settings := testSettings()
 					settings.Classes = []Class{{
-						Name: "put", LatencyObjective: deadline / 2, Deadline: deadline, PriorityWeight: 1, Idempotency: IdempotencyKeyed, KeyScope: scope,
+						Name: "put", LatencyObjective: deadline / 2, Deadline: deadline, PriorityWeight: 1, Idempotency: IdempotentWithKey, KeyScope: scope,
 						RepeatWindow: deadline,
 					}}
 					group := []Endpoint{{Server: 1, Zone: "z1", Cell: 1, Size: 1}, {Server: 2, Zone: "z1", Cell: 1, Size: 1}}
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -120,7 +120,7 @@
 	if request.mayHaveRun && request.class.Idempotency == NotIdempotent {
 		w.t.Fatalf("%s may have run and was sent again", send.ID)
 	}
-	if request.mayHaveRun && request.class.Idempotency == IdempotencyKeyed {
+	if request.mayHaveRun && request.class.Idempotency == IdempotentWithKey {
 		first, srv := w.members[request.firstServer], w.members[send.Server]
 		if w.now > request.firstRunAt+request.class.RepeatWindow || request.class.KeyScope == ScopeCell && first.Cell != srv.Cell ||
 			request.class.KeyScope == ScopeZone && first.Zone != srv.Zone {
@@ -157,7 +157,7 @@
 
 func (w *world) checkRejection(reject Reject) {
 	if request := w.requests[reject.ID]; request != nil && (request.mayHaveRun || request.inFlight > 0) {
-		if request.class.Idempotency == NotIdempotent || request.class.Idempotency == IdempotencyKeyed && request.class.KeyScope != ScopeAll {
+		if request.class.Idempotency == NotIdempotent || request.class.Idempotency == IdempotentWithKey && request.class.KeyScope != ScopeAll {
 			w.t.Fatalf("%s may have run and was rejected", reject.ID)
 		}
 	}
--- a/control/request.go
+++ b/control/request.go
@@ -23,7 +23,7 @@
 	timerLabel   uint64  // 0 is none
 }
 
-func (r *request) isKeyed() bool { return r.class.Idempotency == IdempotencyKeyed }
+func (r *request) hasIdempotencyKey() bool { return r.class.Idempotency == IdempotentWithKey }
 
 // repeatsDroppedUntil is the end of the time in which the repeat group drops repeats of what may have run.
 func (r *request) repeatsDroppedUntil() time.Duration { return r.firstRunAt + r.class.RepeatWindow }
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -58,7 +58,7 @@
 	if req.attempts == 0 {
 		charged = c.chargeFirstAttempt(req.account, req.units)
 	}
-	if req.repeatGroup == nil && req.isKeyed() {
+	if req.repeatGroup == nil && req.hasIdempotencyKey() {
 		req.firstRunAt = c.now
 	}
 	if srv.inFlight == 0 {
@@ -73,7 +73,7 @@
 	c.recordAttemptStart(req, srv, charged)
 	send := Send{ID: req.id, Server: srv.Server}
 	// Guards against a connection that comes up when repeats run again.
-	if req.mayHaveRun && req.isKeyed() {
+	if req.mayHaveRun && req.hasIdempotencyKey() {
 		send.WriteWithin = req.repeatsDroppedUntil() - c.now
 	}
 	c.emit(send)
--- a/control/settings.go
+++ b/control/settings.go
@@ -12,9 +12,9 @@
 
 // The kinds of idempotency.
 const (
-	Idempotent       Idempotency = iota // may run any number of times
-	IdempotencyKeyed                    // carries an idempotency key; a group of servers drops repeats for the repeat window
-	NotIdempotent                       // must not run twice
+	Idempotent        Idempotency = iota // may run any number of times
+	IdempotentWithKey                    // carries an idempotency key; a group of servers drops repeats for the repeat window
+	NotIdempotent                        // must not run twice
 )
 
 // KeyScope says which servers drop repeats of an idempotency key together.
--- a/control/usage.go
+++ b/control/usage.go
@@ -23,7 +23,7 @@
 	readingWindowUnits      = 8.0  // units of quota over which readings are averaged
 	demandPriorShape        = 0.5  // shape of the prior of a customer's demand
 	demandPriorMean         = 0.8  // and its mean, as a part of the quota's rate
-	burstAllowanceFraction  = 0.5  // part of the burst granted over readingDecaySeconds
+	burstGrantFraction      = 0.5  // part of the burst granted over readingDecaySeconds
 	readingDecaySeconds     = 20.0 // time constant with which readings decay
 	planReadingWindow       = 30.0 // first readings over which a plan's estimate is averaged
 	minMeteredFraction      = 0.5  // part of the recent periods that must have been read
@@ -98,7 +98,7 @@
 	observed := math.Min(readingDecaySeconds, (now-since).Seconds()) / fanOut
 	units := demandPriorShape + decay*d.meteredUnits + requested
 	demand := units / (demandPriorShape/(demandPriorMean*plan.QuotaRate) + decay*d.demandSeconds + observed)
-	allowed := plan.QuotaRate + burstAllowanceFraction*plan.QuotaBurst/readingDecaySeconds
+	allowed := plan.QuotaRate + burstGrantFraction*plan.QuotaBurst/readingDecaySeconds
 	return math.Min(maxRejectionProbability, math.Max(0, 1-allowed/demand))
 }
 
--- a/internal/balancesim/sim.go
+++ b/internal/balancesim/sim.go
@@ -121,7 +121,7 @@
 	case "round robin":
 		s.by = &plain{s: s, pick: func(p *plain, _ *call) int { p.next++; return p.next % servers }}
 	case "least in flight":
-		s.by = &plain{s: s, pick: leastInFlight}
+		s.by = &plain{s: s, pick: fewestInFlight}
 	default:
 		return Report{}, fmt.Errorf("there is no policy %q", policy)
 	}
@@ -228,7 +228,7 @@
 	out  [servers]int
 }
 
-func leastInFlight(p *plain, c *call) int {
+func fewestInFlight(p *plain, c *call) int {
 	best, at := -1, p.s.rng.IntN(servers) // ties by chance
 	for i := range servers {
 		k := (at + i) % servers
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -178,7 +178,7 @@
 func ratio(k int, f *instancestats.Figures, cut int) (y, d float64) {
 	switch k {
 	case lost:
-		return f.Asked - f.Served, f.Asked
+		return f.OfferedWeight - f.Served, f.OfferedWeight
 	case failed:
 		return float64(f.Failed), float64(f.Requests)
 	case refused:
--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -241,6 +241,6 @@
 			return true
 		}
 	}
-	return f.Asked < old.Asked || f.Served < old.Served || f.Refused < old.Refused || f.Beyond < old.Beyond || f.Failed < old.Failed ||
+	return f.OfferedWeight < old.OfferedWeight || f.Served < old.Served || f.Refused < old.Refused || f.Beyond < old.Beyond || f.Failed < old.Failed ||
 		f.Late < old.Late || f.Left < old.Left || f.Units < old.Units || f.Breaches < old.Breaches || f.Panics < old.Panics
 }
--- a/internal/canary/judge_test.go
+++ b/internal/canary/judge_test.go
@@ -38,7 +38,7 @@
 			f := &c.all[i].Figures
 			n := 150 + c.rng.IntN(100)
 			f.Requests += uint64(n)
-			f.Asked += float64(n)
+			f.OfferedWeight += float64(n)
 			f.Served += float64(n)
 			f.Units += float64(n)
 			f.CPU += time.Duration(n) * time.Millisecond
@@ -97,7 +97,7 @@
 	{"nonsense of an old one", Pass, 60, func(c *crew, i int, r *Reading) {
 		switch i {
 		case 5:
-			r.Figures.Asked = math.NaN()
+			r.Figures.OfferedWeight = math.NaN()
 		case 6:
 			r.Figures.Requests = uint64(c.rng.Int64())
 		case 7:
@@ -165,7 +165,7 @@
 			v := rapid.OneOf(rapid.Float64(), rapid.Just(math.NaN()), rapid.Just(math.Inf(1)), rapid.Float64Range(0, 1e6))
 			n := rapid.OneOf(rapid.Uint64(), rapid.Uint64Range(0, 1e6))
 			return instancestats.Figures{
-				Asked: v.Draw(t, "asked"), Served: v.Draw(t, "served"), Units: v.Draw(t, "units"), Requests: n.Draw(t, "requests"),
+				OfferedWeight: v.Draw(t, "asked"), Served: v.Draw(t, "served"), Units: v.Draw(t, "units"), Requests: n.Draw(t, "requests"),
 				Failed: n.Draw(t, "failed"), Refused: n.Draw(t, "refused"), Beyond: n.Draw(t, "beyond"), CPU: time.Duration(rapid.Int64().Draw(t, "cpu")),
 				MemoryKB: rapid.Int().Draw(t, "memory"), Began: time.Unix(rapid.Int64Range(0, 2).Draw(t, "began"), 0),
 			}
--- a/internal/canary/member.go
+++ b/internal/canary/member.go
@@ -56,12 +56,12 @@
 
 // sane tells whether figures can be what a process counted in a span; d is zero for figures since it began.
 func sane(f *instancestats.Figures, d time.Duration) bool {
-	for _, v := range [...]float64{f.Asked, f.Served, f.Units} {
+	for _, v := range [...]float64{f.OfferedWeight, f.Served, f.Units} {
 		if math.IsNaN(v) || v < 0 || v > 1e15 {
 			return false
 		}
 	}
-	if f.Served > f.Asked*1.01+1e3 || f.CPU < 0 || f.MemoryKB < 0 || f.Requests > 1<<50 {
+	if f.Served > f.OfferedWeight*1.01+1e3 || f.CPU < 0 || f.MemoryKB < 0 || f.Requests > 1<<50 {
 		return false
 	}
 	if d > 0 && (float64(f.Requests) > fastest*d.Seconds() || f.CPU > cores*d || f.Units > 1e3*fastest*d.Seconds()) {
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -25,16 +25,16 @@
 	Name string `plan:"name"` // that a server's certificate has to be for; "" is the host of its address
 }
 
-// Book holds what was read last. It is safe for concurrent use.
-type Book struct {
+// Store holds what was read last. It is safe for concurrent use.
+type Store struct {
 	Options
 	now  atomic.Pointer[tls.Config]
 	seen map[string]os.FileInfo // the files as Load found them, by path
 }
 
 // Load reads all files.
-func Load(o Options) (*Book, error) {
-	b := &Book{Options: o, seen: make(map[string]os.FileInfo)}
+func Load(o Options) (*Store, error) {
+	b := &Store{Options: o, seen: make(map[string]os.FileInfo)}
 	for _, path := range []string{o.CA, o.Cert, o.Key} {
 		b.seen[path], _ = os.Stat(path) // before it is read: a change from here on is one to follow
 	}
@@ -42,7 +42,7 @@
 }
 
 // read puts what the files say in force, all of it or nothing.
-func (b *Book) read() error {
+func (b *Store) read() error {
 	c := &tls.Config{MinVersion: tls.VersionTLS12}
 	if b.CA != "" {
 		raw, err := os.ReadFile(b.CA)
@@ -74,7 +74,7 @@
 
 // Follow reads the files again as they change, until ctx ends, looking at them every so often.
 // What can't be used is told to wrong, once for each text, and what was in force goes on.
-func (b *Book) Follow(ctx context.Context, every time.Duration, wrong func(error)) {
+func (b *Store) Follow(ctx context.Context, every time.Duration, wrong func(error)) {
 	done := make(chan struct{})
 	files := []string{b.CA, b.Cert, b.Key}
 	for _, path := range files {
@@ -95,7 +95,7 @@
 
 // Client does the handshake of a connection to an address and tells which of the protocols was
 // agreed on (ALPN); "" is a server that knows nothing of that.
-func (b *Book) Client(ctx context.Context, c net.Conn, address string, protocols []string) (*tls.Conn, string, error) {
+func (b *Store) Client(ctx context.Context, c net.Conn, address string, protocols []string) (*tls.Conn, string, error) {
 	t := b.now.Load().Clone()
 	t.NextProtos = protocols
 	if t.ServerName = b.Name; t.ServerName == "" {
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -82,7 +82,7 @@
 }
 
 // hello does a handshake with a server that has a certificate and tells what came of it.
-func hello(b *Book, cert, key []byte, speaks ...string) (string, error) {
+func hello(b *Store, cert, key []byte, speaks ...string) (string, error) {
 	pair, err := tls.X509KeyPair(cert, key)
 	if err != nil {
 		return "", err
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -214,7 +214,7 @@
 	if !t.Has("repeats") {
 		t.Wrong("repeats", `it has to be said: "free", "keyed" or "never"`)
 	}
-	keyed := k.Idempotency == control.IdempotencyKeyed
+	keyed := k.Idempotency == control.IdempotentWithKey
 	for _, key := range []string{"key_scope", "repeat_window"} {
 		if t.Has(key) && !keyed {
 			t.Wrong(key, `only with repeats = "keyed"`)
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -140,7 +140,7 @@
 		s.MaxRetryAfter != time.Second || s.MeterPeriod != time.Second || s.MaxAttempts != 6 {
 		t.Errorf("%+v", s)
 	}
-	if k := r.Settings.Classes[1]; k.Idempotency != control.IdempotencyKeyed || k.KeyScope != control.ScopeCell || k.RepeatWindow != 15*time.Second ||
+	if k := r.Settings.Classes[1]; k.Idempotency != control.IdempotentWithKey || k.KeyScope != control.ScopeCell || k.RepeatWindow != 15*time.Second ||
 		k.Deadline != 8*time.Second {
 		t.Errorf("%+v", k)
 	}
--- a/internal/config/http.go
+++ b/internal/config/http.go
@@ -111,7 +111,7 @@
 		}
 	}
 	for _, k := range slices.Clone(set.Classes) {
-		if k.Idempotency != control.IdempotencyKeyed {
+		if k.Idempotency != control.IdempotentWithKey {
 			continue
 		}
 		if s.HTTP.Once == nil {
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -25,7 +25,7 @@
 		len(s.Classes) != 2 || len(s.Plans) != 2 {
 		t.Errorf("settings %+v", s)
 	}
-	if k := s.Classes[1]; k.Idempotency != control.IdempotencyKeyed || k.KeyScope != control.ScopeCell || k.LatencyObjective != 2*time.Second {
+	if k := s.Classes[1]; k.Idempotency != control.IdempotentWithKey || k.KeyScope != control.ScopeCell || k.LatencyObjective != 2*time.Second {
 		t.Errorf("class %+v", k)
 	}
 	if p := s.Plans[0]; p.QuotaRate != 0.5 || p.QuotaBurst != 8 || p.OverQuotaCost != 0.6 {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -46,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			a := testkit.NewAgent(t)
 			delivered, _ := startWatch(t, a, 41, testkit.Patience)
-			if q := testkit.Next(t, a.Asked); !strings.Contains(q, "watch=1&from=41") {
+			if q := testkit.Next(t, a.Polled); !strings.Contains(q, "watch=1&from=41") {
 				t.Errorf("called %s", q)
 			}
 			a.Tell <- "\n" // a heartbeat
@@ -58,7 +58,7 @@
 			if tc.line != "" {
 				a.Tell <- ""
 			}
-			q := testkit.Next(t, a.Asked)
+			q := testkit.Next(t, a.Polled)
 			if tc.from == "" && strings.Contains(q, "from") || !strings.Contains(q, tc.from) {
 				t.Errorf("called %s", q)
 			}
@@ -75,7 +75,7 @@
 func TestRevisionsOutOfOrder(t *testing.T) {
 	a := testkit.NewAgent(t)
 	delivered, _ := startWatch(t, a, 0, testkit.Patience)
-	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+	if q := testkit.Next(t, a.Polled); strings.Contains(q, "from") {
 		t.Errorf("called %s", q)
 	}
 	for _, all := range []struct {
@@ -91,7 +91,7 @@
 	if l := testkit.Next(t, delivered); l.Revision != 5 || len(l.Endpoints) != 1 {
 		t.Errorf("delivered %+v", l)
 	}
-	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+	if q := testkit.Next(t, a.Polled); strings.Contains(q, "from") {
 		t.Errorf("called %s", q)
 	}
 	a.Tell <- `{"rev":2,"all":true,"targets":[]}` + "\n"
@@ -104,8 +104,8 @@
 func TestSilentWatchIsReopened(t *testing.T) {
 	a := testkit.NewAgent(t)
 	startWatch(t, a, 41, 50*time.Millisecond)
-	testkit.Next(t, a.Asked)
-	if q := testkit.Next(t, a.Asked); !strings.Contains(q, "from=41") {
+	testkit.Next(t, a.Polled)
+	if q := testkit.Next(t, a.Polled); !strings.Contains(q, "from=41") {
 		t.Errorf("called %s", q)
 	}
 }
@@ -115,9 +115,9 @@
 func TestWatchFollowsNewSource(t *testing.T) {
 	old, other := testkit.NewAgent(t), testkit.NewAgent(t)
 	delivered, w := startWatch(t, old, 41, testkit.Patience)
-	testkit.Next(t, old.Asked)
+	testkit.Next(t, old.Polled)
 	w.SetSource(Source{Address: other.Addr()})
-	if q := testkit.Next(t, other.Asked); strings.Contains(q, "from") {
+	if q := testkit.Next(t, other.Polled); strings.Contains(q, "from") {
 		t.Errorf("called %s", q)
 	}
 	other.Tell <- `{"rev":2,"all":true,"targets":[]}` + "\n"
@@ -126,7 +126,7 @@
 	}
 	w.SetSource(Source{Address: "127.0.0.1:1"}) // nobody listens there
 	w.SetSource(Source{Address: old.Addr()})
-	if q := testkit.Next(t, old.Asked); strings.Contains(q, "from") {
+	if q := testkit.Next(t, old.Polled); strings.Contains(q, "from") {
 		t.Errorf("called %s", q)
 	}
 }
@@ -135,7 +135,7 @@
 func TestInvalidEntriesAreIgnored(t *testing.T) {
 	a := testkit.NewAgent(t)
 	delivered, _ := startWatch(t, a, 41, testkit.Patience)
-	testkit.Next(t, a.Asked)
+	testkit.Next(t, a.Polled)
 	a.Tell <- `{"rev":44,"targets":[{"endpoint":"127.0.0.1:9","state":"up"},{"uid":"s-2","state":"up"},7,null,` +
 		`{"uid":"s-3","endpoint":9,"pod_group":"x","state":"draining"},{"uid":"s-4","state":"removed"},` +
 		`{"uid":"s-1","endpoint":"127.0.0.1:9","state":"up","boot_ms":"soon"},{"uid":"s-5","endpoint":"127.0.0.1:9","state":"up"}]}` + "\n"
@@ -155,7 +155,7 @@
 func TestDrainingOfOlderRevisionIsApplied(t *testing.T) {
 	a := testkit.NewAgent(t)
 	delivered, _ := startWatch(t, a, 41, testkit.Patience)
-	testkit.Next(t, a.Asked)
+	testkit.Next(t, a.Polled)
 	a.Tell <- activeEndpointMessage
 	testkit.Next(t, delivered)
 	a.Tell <- `{"rev":42,"targets":[{"uid":"s-2","endpoint":"127.0.0.1:9","state":"up"},{"uid":"s-1","state":"draining"},{"uid":"s-3","state":"removed"}]}` + "\n"
@@ -164,7 +164,7 @@
 		t.Errorf("delivered %+v", l)
 	}
 	a.Tell <- ""
-	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+	if q := testkit.Next(t, a.Polled); strings.Contains(q, "from") {
 		t.Errorf("called %s", q)
 	}
 }
@@ -174,7 +174,7 @@
 func TestCompleteListOutOfOrder(t *testing.T) {
 	a := testkit.NewAgent(t)
 	delivered, _ := startWatch(t, a, 41, testkit.Patience)
-	testkit.Next(t, a.Asked)
+	testkit.Next(t, a.Polled)
 	const older = `{"rev":7,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","state":"up"}]}` + "\n"
 	a.Tell <- older
 	if l := testkit.Next(t, delivered); l.Revision != 7 || !l.IsComplete {
@@ -184,7 +184,7 @@
 	testkit.Next(t, delivered)
 	a.Tell <- older
 	a.Tell <- ""
-	if q := testkit.Next(t, a.Asked); strings.Contains(q, "from") {
+	if q := testkit.Next(t, a.Polled); strings.Contains(q, "from") {
 		t.Errorf("called %s", q)
 	}
 	a.Tell <- `{"rev":8,"all":true,"targets":[]}` + "\n"
@@ -203,7 +203,7 @@
 	}
 	a := testkit.NewAgent(t)
 	delivered, _ := startWatch(t, a, 41, testkit.Patience)
-	testkit.Next(t, a.Asked)
+	testkit.Next(t, a.Polled)
 	for i := range 3 {
 		a.Tell <- strings.Replace(indented.String(), "43", strconv.Itoa(43+i), 1) + "\n\n"
 		if l := testkit.Next(t, delivered); l.Revision != int64(43+i) || len(l.Endpoints) != 1 || l.Invalid.Count > 0 {
@@ -211,7 +211,7 @@
 		}
 	}
 	a.Tell <- `{"rev":46,"targets":[` + strings.Repeat(" ", maxMessageBytes+64<<10)
-	if q := testkit.Next(t, a.Asked); !strings.Contains(q, "from=45") {
+	if q := testkit.Next(t, a.Polled); !strings.Contains(q, "from=45") {
 		t.Errorf("called %s", q)
 	}
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -46,21 +46,21 @@
 
 // State is what an instance has at a time; one is written a second.
 type State struct {
-	At         time.Time
-	Bound      float64
-	Held, Out  int // requests, attempts
-	Conns      int // idle connections to servers
-	Listed, Up int // servers
+	At            time.Time
+	Bound         float64
+	Accepted, Out int // requests, attempts
+	Conns         int // idle connections to servers
+	Listed, Up    int // servers
 }
 
 // Plan is one of the settings, without which use says nothing; each is written at the start.
 type Plan struct {
-	At                  time.Time
-	Name                string
-	Price, Rate, Depth  float64
-	OverCost            float64
-	CeilingRate         float64
-	CeilingBurst, Slack float64
+	At                    time.Time
+	Name                  string
+	Price, Rate, Depth    float64
+	OverCost              float64
+	HardLimitRate         float64
+	HardLimitBurst, Slack float64
 }
 
 // Writer writes lines. A nil one writes nothing. It is safe for concurrent use.
@@ -99,7 +99,7 @@
 	if w == nil {
 		return
 	}
-	w.line('s', unixMS(s.At), s.Bound, s.Held, s.Out, s.Conns, s.Listed, s.Up)
+	w.line('s', unixMS(s.At), s.Bound, s.Accepted, s.Out, s.Conns, s.Listed, s.Up)
 }
 
 // Plan writes one.
@@ -107,7 +107,7 @@
 	if w == nil {
 		return
 	}
-	w.line('p', unixMS(p.At), text(p.Name), p.Price, p.Rate, p.Depth, p.OverCost, p.CeilingRate, p.CeilingBurst, p.Slack)
+	w.line('p', unixMS(p.At), text(p.Name), p.Price, p.Rate, p.Depth, p.OverCost, p.HardLimitRate, p.HardLimitBurst, p.Slack)
 }
 
 // text is a word that holds no space: a word of a peer's must not end a field.
@@ -139,13 +139,13 @@
 	w.err = err != nil
 }
 
-const wordMost = 40
+const maxWordBytes = 40
 
 func appendWord(b []byte, s string) []byte {
 	if s == "" {
 		return append(b, '-')
 	}
-	for i := 0; i < len(s) && i < wordMost; i++ {
+	for i := 0; i < len(s) && i < maxWordBytes; i++ {
 		c := s[i]
 		if c <= ' ' || c >= 0x7f {
 			c = '_'
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -19,7 +19,7 @@
 	w, v := NewWriter(&one), NewWriter(&two)
 	for _, x := range []*Writer{w, v} {
 		x.Plan(Plan{At: base, Name: "basic", Price: 1, Rate: 1, Depth: 3})
-		x.State(State{At: at(100), Bound: 4, Held: 1, Out: 1, Conns: 2, Listed: 5, Up: 4})
+		x.State(State{At: at(100), Bound: 4, Accepted: 1, Out: 1, Conns: 2, Listed: 5, Up: 4})
 	}
 	r := Request{At: base, Class: "read", Plan: "basic", Customer: 7, Spread: 2, Units: 2, Outcome: "served", Took: 300 * time.Millisecond, Sends: 1}
 	w.Request(r)
@@ -66,7 +66,7 @@
 	if s := a.Sum(); s.Skipped != 4 || len(s.Seconds) != 0 {
 		t.Errorf("%+v", s)
 	}
-	if err := a.Read("n0", strings.NewReader(strings.Repeat("x", lineMost+1))); err == nil {
+	if err := a.Read("n0", strings.NewReader(strings.Repeat("x", maxLineBytes+1))); err == nil {
 		t.Error("a line without end was read")
 	}
 }
--- a/internal/eventlog/sum.go
+++ b/internal/eventlog/sum.go
@@ -14,8 +14,8 @@
 // young is the age, in ms, below which a server's process counts as just started.
 const young = 15000
 
-// lineMost is the longest line of a log that is read; a longer one is none of ours.
-const lineMost = 1 << 16
+// maxLineBytes is the longest line of a log that is read; a longer one is none of ours.
+const maxLineBytes = 1 << 16
 
 // Second is what a whole fleet did in one second.
 type Second struct {
@@ -102,7 +102,7 @@
 	}
 	a.names[instance] = true
 	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, lineMost)
+	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
 		_, line, ok := strings.Cut(lines.Text(), Mark)
 		if ok && !a.take(instance, strings.Fields(line)) {
@@ -110,7 +110,7 @@
 		}
 	}
 	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return fmt.Errorf("a line of more than %d bytes", lineMost)
+		return fmt.Errorf("a line of more than %d bytes", maxLineBytes)
 	} else if err != nil {
 		return err
 	}
@@ -236,7 +236,7 @@
 	}
 	var all []ServerSum
 	for name, ts := range by {
-		s := ServerSum{Server: name, Attempts: len(ts), Reasons: make(map[string]int), First: int((ts[0].at - start) / 1000), Most: most(ts), Told: -1, Util: -1}
+		s := ServerSum{Server: name, Attempts: len(ts), Reasons: make(map[string]int), First: int((ts[0].at - start) / 1000), Most: peakInFlight(ts), Told: -1, Util: -1}
 		from := make(map[string]bool)
 		good, told, util, reports := 0.0, 0.0, 0.0, 0.0
 		for _, t := range ts {
@@ -264,8 +264,8 @@
 	return all
 }
 
-// most is how many of a server's attempts were out at once.
-func most(ts []attempt) int {
+// peakInFlight is how many of a server's attempts were out at once.
+func peakInFlight(ts []attempt) int {
 	type end struct {
 		at float64
 		by int
--- a/internal/fleet/between.go
+++ b/internal/fleet/between.go
@@ -141,7 +141,7 @@
 		for key, v := range terms(c) {
 			set(v, "classes", c.Name, key)
 		}
-		if was[k].Idempotency == control.IdempotencyKeyed && c.Idempotency != control.IdempotencyKeyed {
+		if was[k].Idempotency == control.IdempotentWithKey && c.Idempotency != control.IdempotentWithKey {
 			without = append(without, "classes."+c.Name+".key_scope", "classes."+c.Name+".repeat_window")
 		}
 	}
@@ -150,7 +150,7 @@
 
 func terms(c control.Class) map[string]any {
 	t := map[string]any{"repeats": [...]string{"free", "keyed", "never"}[c.Idempotency], "deadline": c.Deadline.String(), "aim": c.LatencyObjective.String()}
-	if c.Idempotency == control.IdempotencyKeyed {
+	if c.Idempotency == control.IdempotentWithKey {
 		t["key_scope"], t["repeat_window"] = [...]string{"all", "zone", "group"}[c.KeyScope], c.RepeatWindow.String()
 	}
 	return t
--- a/internal/fleetfile/intermediate.go
+++ b/internal/fleetfile/intermediate.go
@@ -99,7 +99,7 @@
 	t["repeats"] = []string{"free", "keyed", "never"}[c.Idempotency]
 	delete(t, "key_scope")
 	delete(t, "repeat_window")
-	if c.Idempotency == control.IdempotencyKeyed {
+	if c.Idempotency == control.IdempotentWithKey {
 		t["key_scope"], t["repeat_window"] = []string{"all", "zone", "group"}[c.KeyScope], c.RepeatWindow.String()
 	}
 }
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -191,7 +191,7 @@
 	switch k := r.class; {
 	case k.Idempotency == control.NotIdempotent:
 		bad("sent again after an attempt that may have run")
-	case k.Idempotency != control.IdempotencyKeyed || s == nil:
+	case k.Idempotency != control.IdempotentWithKey || s == nil:
 	case at > r.first+k.RepeatWindow:
 		bad(fmt.Sprintf("repeated %.2f s after the first that may have run", (at - r.first).Seconds()))
 	case k.KeyScope == control.ScopeCell && s.Cell != r.cell.Cell, k.KeyScope == control.ScopeZone && s.Zone != r.cell.Zone:
@@ -224,7 +224,7 @@
 		c.breach(Breach{Answer, at, node, id, 0, fmt.Sprintf("answered %.3f s past its client's time", (at - r.until).Seconds())})
 	}
 	k := r.class
-	if refused && k.Idempotency != control.Idempotent && (r.mayRun || r.out > 0) && !(k.Idempotency == control.IdempotencyKeyed && k.KeyScope == control.ScopeAll) {
+	if refused && k.Idempotency != control.Idempotent && (r.mayRun || r.out > 0) && !(k.Idempotency == control.IdempotentWithKey && k.KeyScope == control.ScopeAll) {
 		c.breach(Breach{Twice, at, node, id, 0, "refused, as if trying again were harmless, though it may have run"})
 	}
 	r.answered = true
--- a/internal/fleetrules/rules_test.go
+++ b/internal/fleetrules/rules_test.go
@@ -14,8 +14,8 @@
 var (
 	readClass  = &control.Class{Name: "read", Idempotency: control.Idempotent}
 	onceClass  = &control.Class{Name: "once", Idempotency: control.NotIdempotent}
-	keyedClass = &control.Class{Name: "keyed", Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: 5 * s}
-	anyClass   = &control.Class{Name: "any", Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeAll, RepeatWindow: 5 * s}
+	keyedClass = &control.Class{Name: "keyed", Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: 5 * s}
+	anyClass   = &control.Class{Name: "any", Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeAll, RepeatWindow: 5 * s}
 
 	freePlan   = &control.Plan{}
 	cappedPlan = &control.Plan{HardLimitRate: 2, HardLimitBurst: 10, HardLimitSlack: 1}
--- a/internal/fleetsim/decisions_amd64_test.go
+++ b/internal/fleetsim/decisions_amd64_test.go
@@ -65,7 +65,7 @@
 	"hand-over", "restored exactly", "restored as learned", "rejoined",
 }
 
-var effectNames = map[control.Idempotency]string{control.Idempotent: "free", control.IdempotencyKeyed: "guarded", control.NotIdempotent: "single-shot"}
+var effectNames = map[control.Idempotency]string{control.Idempotent: "free", control.IdempotentWithKey: "guarded", control.NotIdempotent: "single-shot"}
 
 // pinnedDay is one play of a day, with the digests of what its instances decide.
 type pinnedDay struct {
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -18,7 +18,7 @@
 		MeterPeriod: time.Second, UnitsInResponse: true, MaxUnits: unitsTop,
 		Classes: []control.Class{
 			{Name: "read", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 1, LateWeightFraction: 0.2},
-			{Name: "update", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 5, Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
+			{Name: "update", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 5, Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
 		},
 		Plans: []control.Plan{
 			{Name: "basic", Price: 0.8, QuotaRate: 1.5, QuotaBurst: 8, OverQuotaCost: 0.6},
--- a/internal/front/client_departure_test.go
+++ b/internal/front/client_departure_test.go
@@ -43,7 +43,7 @@
 func TestDepartedClientBehindPipelinedRequestIsNotForwarded(t *testing.T) {
 	for _, class := range []control.Class{
 		{Idempotency: control.Idempotent},
-		{Idempotency: control.IdempotencyKeyed, RepeatWindow: time.Minute},
+		{Idempotency: control.IdempotentWithKey, RepeatWindow: time.Minute},
 		{Idempotency: control.NotIdempotent},
 	} {
 		for _, departure := range departures {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -74,7 +74,7 @@
 		GroupSize: 1, MaxRetryAfter: time.Second, Plans: []control.Plan{{Name: "p"}},
 		Classes: []control.Class{
 			{Name: "read", LatencyObjective: time.Second, Deadline: 20 * time.Second},
-			{Name: "write", LatencyObjective: time.Second, Deadline: 20 * time.Second, Idempotency: control.IdempotencyKeyed},
+			{Name: "write", LatencyObjective: time.Second, Deadline: 20 * time.Second, Idempotency: control.IdempotentWithKey},
 		},
 	}
 	s, err := service.New(service.Options{
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -55,7 +55,7 @@
 		return nil, newBadRequest(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, request.Class)
 	case class.Idempotency == control.Idempotent && r.ContentLength != 0:
 		return nil, newBadRequest(http.StatusBadRequest, "a body with %s", r.Method)
-	case class.Idempotency == control.IdempotencyKeyed && r.Header.Get(protocol.HeaderIdempotencyKey) == "":
+	case class.Idempotency == control.IdempotentWithKey && r.Header.Get(protocol.HeaderIdempotencyKey) == "":
 		return nil, newBadRequest(http.StatusBadRequest, "%s: none", protocol.HeaderIdempotencyKey)
 	}
 	if rules.MaxUnitsByPlan[request.Plan] == 0 {
--- a/internal/front/scatter_gather.go
+++ b/internal/front/scatter_gather.go
@@ -252,15 +252,15 @@
 			min(final.RetryAfter, gather.Gatherers[0].RetryAfter))
 		return
 	}
-	pieces, size := gather.Tree.Merge.Join(final.Whole.Contents)
+	pieces, size := gather.Tree.Merge.Join(final.Response.Contents)
 	header := w.Header()
 	header["Content-Type"] = []string{gather.Tree.Merge.ContentType()}
 	header["Content-Length"] = []string{strconv.Itoa(size)}
 	header["Via"] = []string{"1.1 " + hopheaders.Alias}
 	header["Cache-Control"] = []string{"no-store"} // a partial answer must not be reused
-	header[scattergather.HeaderParts] = []string{strconv.Itoa(final.Whole.Present) + "/" + strconv.Itoa(final.Whole.Of)}
-	if len(final.Whole.Missing) > 0 {
-		header[scattergather.HeaderMissing] = []string{strings.Join(final.Whole.Missing, ", ")}
+	header[scattergather.HeaderParts] = []string{strconv.Itoa(final.Response.Present) + "/" + strconv.Itoa(final.Response.Of)}
+	if len(final.Response.Missing) > 0 {
+		header[scattergather.HeaderMissing] = []string{strings.Join(final.Response.Missing, ", ")}
 	}
 	if f.isDraining.Load() {
 		header["Connection"] = []string{"close"}
--- a/internal/groupsize/groupsize.go
+++ b/internal/groupsize/groupsize.go
@@ -15,21 +15,21 @@
 	beyond   = 1.6             // times, or one over it, from which the told size is doubted
 )
 
-// Census follows one service. It is not safe for concurrent use.
-type Census struct {
-	told   float64
-	active float64 // sum over reports of what the server held
-	own    float64 // and of what this instance held there, beside the attempt that was answered
-	n      float64 // reports
-	at     time.Duration
+// Estimator follows one service. It is not safe for concurrent use.
+type Estimator struct {
+	configured float64
+	active     float64 // sum over reports of what the server held
+	own        float64 // and of what this instance held there, beside the attempt that was answered
+	n          float64 // reports
+	at         time.Duration
 }
 
 // New makes one for a group that is told to have so many instances.
-func New(told int) *Census { return &Census{told: math.Max(1, float64(told))} }
+func New(configured int) *Estimator { return &Estimator{configured: math.Max(1, float64(configured))} }
 
 // Saw takes a report: the server held active requests, of which own are this instance's, the
 // answered one not counted.
-func (c *Census) Saw(now time.Duration, active, own float64) {
+func (c *Estimator) Saw(now time.Duration, active, own float64) {
 	if !(active >= 0) || !(own >= 0) || math.IsInf(active, 0) {
 		return
 	}
@@ -39,7 +39,7 @@
 	c.n++
 }
 
-func (c *Census) fade(now time.Duration) {
+func (c *Estimator) fade(now time.Duration) {
 	if now > c.at {
 		k := math.Exp(-(now - c.at).Seconds() / memory.Seconds())
 		c.active, c.own, c.n, c.at = c.active*k, c.own*k, c.n*k, now
@@ -48,7 +48,7 @@
 
 // Seen is the least and the most that the group's size may be by the reports, which leave open
 // whether a server counts the request that it answers; false while they say too little.
-func (c *Census) Seen(now time.Duration) (least, most float64, ok bool) {
+func (c *Estimator) Seen(now time.Duration) (low, high float64, ok bool) {
 	c.fade(now)
 	if c.own < evidence {
 		return 0, 0, false
@@ -56,8 +56,8 @@
 	return math.Max(1, (c.active-c.n)/c.own), math.Max(1, c.active/c.own), true
 }
 
-// Doubts tells whether the reports speak against the told size.
-func (c *Census) Doubts(now time.Duration) bool {
-	least, most, ok := c.Seen(now)
-	return ok && (least > beyond*c.told || most < c.told/beyond)
+// ContradictsConfiguration tells whether the reports speak against the told size.
+func (c *Estimator) ContradictsConfiguration(now time.Duration) bool {
+	low, high, ok := c.Seen(now)
+	return ok && (low > beyond*c.configured || high < c.configured/beyond)
 }
--- a/internal/groupsize/groupsize_test.go
+++ b/internal/groupsize/groupsize_test.go
@@ -37,7 +37,7 @@
 			if real := float64(tc.real); !ok || least > 1.25*real || most < 0.8*real {
 				t.Errorf("%d instances are taken for %.1f to %.1f, %v", tc.real, least, most, ok)
 			}
-			if doubts := c.Doubts(now); doubts != tc.doubts {
+			if doubts := c.ContradictsConfiguration(now); doubts != tc.doubts {
 				t.Errorf("%d of %d told: doubted %v (%.1f to %.1f)", tc.real, tc.told, doubts, least, most)
 			}
 		}
@@ -52,16 +52,16 @@
 		c.Saw(time.Second, math.Inf(1), 1)
 		c.Saw(time.Second, -1, 1)
 	}
-	if _, most, ok := c.Seen(time.Second); ok || c.Doubts(time.Second) {
+	if _, most, ok := c.Seen(time.Second); ok || c.ContradictsConfiguration(time.Second) {
 		t.Errorf("%g", most)
 	}
 	for range 50 {
 		c.Saw(time.Second, 40, 1)
 	}
-	if !c.Doubts(time.Second) {
+	if !c.ContradictsConfiguration(time.Second) {
 		t.Error("no doubt")
 	}
-	if c.Doubts(time.Hour) {
+	if c.ContradictsConfiguration(time.Hour) {
 		t.Error("doubts by what was an hour ago")
 	}
 }
--- a/internal/instancestats/instancestats.go
+++ b/internal/instancestats/instancestats.go
@@ -16,7 +16,7 @@
 const (
 	delayBuckets = 64
 	delaySteps   = 4 // buckets for each doubling
-	delayLeast   = time.Millisecond
+	minDelay     = time.Millisecond
 )
 
 // Edge is the end of a bucket.
@@ -25,16 +25,16 @@
 		return math.MaxInt64
 	}
 	whole, part := i/delaySteps, i%delaySteps
-	return delayLeast << whole * time.Duration(delaySteps+part) / delaySteps
+	return minDelay << whole * time.Duration(delaySteps+part) / delaySteps
 }
 
 // Bucket is the one that a delay is counted in.
 func Bucket(d time.Duration) int {
-	if d < delayLeast {
+	if d < minDelay {
 		return 0
 	}
-	whole := bits.Len64(uint64(d/delayLeast)) - 1
-	part := int((d - delayLeast<<whole) * delaySteps / (delayLeast << whole))
+	whole := bits.Len64(uint64(d/minDelay)) - 1
+	part := int((d - minDelay<<whole) * delaySteps / (minDelay << whole))
 	return min(whole*delaySteps+part+1, delayBuckets-1)
 }
 
@@ -67,21 +67,21 @@
 
 // Figures are one instance's, cumulative since Began. Worth is by class, as the settings have it.
 type Figures struct {
-	Began    time.Time     `json:"began"`    // of the process; another value says that it has restarted
-	Asked    float64       `json:"asked"`    // worth of what was asked, but for what was beyond quotas
-	Served   float64       `json:"served"`   // worth of what was served within its class's aim
-	Requests uint64        `json:"requests"` // that have ended, whichever way
-	Refused  uint64        `json:"refused"`
-	Beyond   uint64        `json:"beyond"` // of the refused, those that were beyond a quota or ceiling
-	Failed   uint64        `json:"failed"`
-	Late     uint64        `json:"late"`      // served after the aim
-	Left     uint64        `json:"left"`      // clients that hung up
-	Units    float64       `json:"units"`     // sent on, as ceilings count them
-	Breaches uint64        `json:"breaches"`  // of the rules that a node can see of itself
-	Panics   uint64        `json:"panics"`    // of modules
-	CPU      time.Duration `json:"cpu"`       // of the process
-	MemoryKB int           `json:"memory_kb"` // resident now; the one figure that does not only grow
-	Delays   Delays        `json:"delays"`    // of what was served
+	Began         time.Time     `json:"began"`    // of the process; another value says that it has restarted
+	OfferedWeight float64       `json:"asked"`    // worth of what was asked, but for what was beyond quotas
+	Served        float64       `json:"served"`   // worth of what was served within its class's aim
+	Requests      uint64        `json:"requests"` // that have ended, whichever way
+	Refused       uint64        `json:"refused"`
+	Beyond        uint64        `json:"beyond"` // of the refused, those that were beyond a quota or ceiling
+	Failed        uint64        `json:"failed"`
+	Late          uint64        `json:"late"`      // served after the aim
+	Left          uint64        `json:"left"`      // clients that hung up
+	Units         float64       `json:"units"`     // sent on, as ceilings count them
+	Breaches      uint64        `json:"breaches"`  // of the rules that a node can see of itself
+	Panics        uint64        `json:"panics"`    // of modules
+	CPU           time.Duration `json:"cpu"`       // of the process
+	MemoryKB      int           `json:"memory_kb"` // resident now; the one figure that does not only grow
+	Delays        Delays        `json:"delays"`    // of what was served
 }
 
 // Since is what came after an earlier reading of the same process, and false where that is not the same
@@ -91,7 +91,7 @@
 		return Figures{}, false
 	}
 	d := f
-	d.Asked -= old.Asked
+	d.OfferedWeight -= old.OfferedWeight
 	d.Served -= old.Served
 	d.Requests -= old.Requests
 	d.Refused -= old.Refused
@@ -111,7 +111,7 @@
 
 // Add sums what several instances, or several spans, counted. Began and MemoryKB stay.
 func (f *Figures) Add(o Figures) {
-	f.Asked += o.Asked
+	f.OfferedWeight += o.OfferedWeight
 	f.Served += o.Served
 	f.Requests += o.Requests
 	f.Refused += o.Refused
--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	file = "KNOWN-RED.txt"
-	most = 3
+	file           = "KNOWN-RED.txt"
+	maxListedTests = 3
 )
 
 var form = regexp.MustCompile(`^(\S+) ((?:Test|Fuzz|Example)\w*): (.*\w.*) \(issue [1-9][0-9]*\)$`)
@@ -48,7 +48,7 @@
 
 // run runs the listed tests, tells their results, and returns what to skip. It fails where a
 // test does that has a listed one's name in another package, as -skip knows no packages.
-func run(text string, told io.Writer) (string, error) {
+func run(text string, output io.Writer) (string, error) {
 	reds, err := parse(text)
 	if err != nil || len(reds) == 0 {
 		return "", err
@@ -77,9 +77,9 @@
 		i := slices.IndexFunc(reds, func(r red) bool { return r.pack == h.pack && r.test == h.test })
 		switch {
 		case i >= 0:
-			fmt.Fprintf(told, "%s%s: known red, %s: %s\n", out, file, result, reds[i].line)
+			fmt.Fprintf(output, "%s%s: known red, %s: %s\n", out, file, result, reds[i].line)
 		case err != nil:
-			fmt.Fprintf(told, "%s", out)
+			fmt.Fprintf(output, "%s", out)
 			failed = fmt.Errorf("%s of %s fails and %s doesn't list it", h.test, h.pack, file)
 		}
 	}
@@ -92,8 +92,8 @@
 		return nil, nil
 	}
 	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
-	if len(lines) > most {
-		return nil, fmt.Errorf("%s: %d lines, at most %d may be known to fail", file, len(lines), most)
+	if len(lines) > maxListedTests {
+		return nil, fmt.Errorf("%s: %d lines, at most %d may be known to fail", file, len(lines), maxListedTests)
 	}
 	for i, line := range lines {
 		m := form.FindStringSubmatch(line)
--- a/internal/loglimit/logs.go
+++ b/internal/loglimit/logs.go
@@ -14,7 +14,7 @@
 const (
 	perSecond = 1  // lines of one text, once the burst is used up
 	burst     = 20 // lines of one text at once
-	textsMost = 512
+	maxTexts  = 512
 )
 
 // Suppressed is the key under which a line tells how many of its text were left out before it.
@@ -49,7 +49,7 @@
 	defer t.mu.Unlock()
 	one := t.of[key]
 	if one == nil {
-		if len(t.of) >= textsMost {
+		if len(t.of) >= maxTexts {
 			clear(t.of)
 		}
 		one = &text{limit: rate.NewLimiter(perSecond, burst)}
--- a/internal/loglimit/logs_test.go
+++ b/internal/loglimit/logs_test.go
@@ -38,10 +38,10 @@
 		if n := len(lines()); n != burst+103 {
 			t.Errorf("%d lines with 100 of debug", n)
 		}
-		for i := range 3 * textsMost {
+		for i := range 3 * maxTexts {
 			log.Info(strings.Repeat("x", i))
 		}
-		if n := len(log.Handler().(*limited).texts.of); n > textsMost {
+		if n := len(log.Handler().(*limited).texts.of); n > maxTexts {
 			t.Errorf("%d texts are kept", n)
 		}
 	})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,7 +24,7 @@
 
 const (
 	scrapeWithin = 5 * time.Second
-	scrapesMost  = 4 // at once
+	maxScrapes   = 4 // at once
 	contentType  = "text/plain; version=0.0.4; charset=utf-8"
 )
 
@@ -50,44 +50,44 @@
 
 // The metrics, by Prometheus' conventions for names and units.
 var (
-	requests   = family{"requests_total", "counter", "Requests by their final answer.", []string{"service", "class", "outcome"}}
-	refusals   = family{"refusals_total", "counter", "Refused requests by what refused them.", []string{"service", "class", "reason"}}
-	attempts   = family{"attempts_total", "counter", "Attempts at app servers by how they ended.", []string{"service", "class", "outcome"}}
-	held       = family{"requests_held", "gauge", "Requests that are held, and those of which an attempt is out.", []string{"service"}}
-	out        = family{"attempts_out", "gauge", "Attempts that are out.", []string{"service"}}
-	bound      = family{"attempts_bound", "gauge", "Attempts that the decision module lets out at once.", []string{"service"}}
-	servers    = family{"servers", "gauge", "Listed app servers by condition.", []string{"service", "condition"}}
-	idle       = family{"server_connections_idle", "gauge", "Idle connections to app servers.", []string{"service"}}
-	shared     = family{"server_connections_shared", "gauge", "Connections of HTTP/2 to app servers.", []string{"service"}}
-	streams    = family{"server_streams", "gauge", "Streams on connections of HTTP/2: open ones, and the room for more.", []string{"service", "state"}}
-	streamWait = family{"server_stream_waits", "gauge", "Requests that wait for a stream or a connection of HTTP/2.", []string{"service"}}
-	fellBack   = family{"servers_fallen_back", "gauge", "App servers that are spoken to by HTTP/1.1 for a time.", []string{"service"}}
-	lends      = family{"counter_lends", "gauge", "Whether a counter of shared ceilings lends to this instance.", []string{"service", "counter"}}
-	ownPart    = family{"counter_own_part", "gauge", "Whether this instance spends its part of ceilings itself.", []string{"service", "counter"}}
-	borrowed   = family{"counter_units_borrowed", "gauge", "Units that are borrowed and not spent.", []string{"service", "counter"}}
-	lendWaits  = family{"counter_waits", "gauge", "Requests that wait for units.", []string{"service", "counter"}}
-	lendCalls  = family{"counter_calls_total", "counter", "Calls to a counter of shared ceilings.", []string{"service", "counter"}}
-	restarts   = family{"module_restarts_total", "counter", "Starts of the decision module after a fault.", []string{"service"}}
-	moduleTime = family{"module_seconds_per_second", "gauge", "Time of the decision module, of late.", []string{"service"}}
-	partUsed   = family{"part_used", "gauge", "What a service has of a thing of the process.", []string{"service", "limit"}}
-	partOwn    = family{"part_guaranteed", "gauge", "What it is guaranteed of that; more than that is lent to it.", []string{"service", "limit"}}
-	partDenied = family{"part_denied_total", "counter", "Times that it was denied more.", []string{"service", "limit"}}
-	generation = family{"generation", "gauge", "Number of the configuration in force.", nil}
-	older      = family{"older_services", "gauge", "Services of earlier generations that still hold requests.", nil}
+	requests         = family{"requests_total", "counter", "Requests by their final answer.", []string{"service", "class", "outcome"}}
+	refusals         = family{"refusals_total", "counter", "Refused requests by what refused them.", []string{"service", "class", "reason"}}
+	attempts         = family{"attempts_total", "counter", "Attempts at app servers by how they ended.", []string{"service", "class", "outcome"}}
+	acceptedRequests = family{"requests_held", "gauge", "Requests that are held, and those of which an attempt is out.", []string{"service"}}
+	out              = family{"attempts_out", "gauge", "Attempts that are out.", []string{"service"}}
+	bound            = family{"attempts_bound", "gauge", "Attempts that the decision module lets out at once.", []string{"service"}}
+	servers          = family{"servers", "gauge", "Listed app servers by condition.", []string{"service", "condition"}}
+	idle             = family{"server_connections_idle", "gauge", "Idle connections to app servers.", []string{"service"}}
+	shared           = family{"server_connections_shared", "gauge", "Connections of HTTP/2 to app servers.", []string{"service"}}
+	streams          = family{"server_streams", "gauge", "Streams on connections of HTTP/2: open ones, and the room for more.", []string{"service", "state"}}
+	streamWait       = family{"server_stream_waits", "gauge", "Requests that wait for a stream or a connection of HTTP/2.", []string{"service"}}
+	fellBack         = family{"servers_fallen_back", "gauge", "App servers that are spoken to by HTTP/1.1 for a time.", []string{"service"}}
+	lends            = family{"counter_lends", "gauge", "Whether a counter of shared ceilings lends to this instance.", []string{"service", "counter"}}
+	ownPart          = family{"counter_own_part", "gauge", "Whether this instance spends its part of ceilings itself.", []string{"service", "counter"}}
+	borrowed         = family{"counter_units_borrowed", "gauge", "Units that are borrowed and not spent.", []string{"service", "counter"}}
+	lendWaits        = family{"counter_waits", "gauge", "Requests that wait for units.", []string{"service", "counter"}}
+	lendCalls        = family{"counter_calls_total", "counter", "Calls to a counter of shared ceilings.", []string{"service", "counter"}}
+	restarts         = family{"module_restarts_total", "counter", "Starts of the decision module after a fault.", []string{"service"}}
+	moduleTime       = family{"module_seconds_per_second", "gauge", "Time of the decision module, of late.", []string{"service"}}
+	partUsed         = family{"part_used", "gauge", "What a service has of a thing of the process.", []string{"service", "limit"}}
+	partOwn          = family{"part_guaranteed", "gauge", "What it is guaranteed of that; more than that is lent to it.", []string{"service", "limit"}}
+	partDenied       = family{"part_denied_total", "counter", "Times that it was denied more.", []string{"service", "limit"}}
+	generation       = family{"generation", "gauge", "Number of the configuration in force.", nil}
+	older            = family{"older_services", "gauge", "Services of earlier generations that still hold requests.", nil}
 )
 
 // Of a member of a fleet.
 var (
-	settings  = family{"settings_info", "gauge", "The configuration in force, by its hash.", []string{"hash"}}
-	asWanted  = family{"settings_as_wanted", "gauge", "Whether the configuration in force is the one that was ordered last.", nil}
-	epoch     = family{"epoch", "gauge", "Newest epoch of a coordinator that was granted; 0 is none.", nil}
-	lost      = family{"epochs_lost", "gauge", "Whether the epochs that were granted are not known any more.", nil}
-	worth     = family{"worth_total", "counter", "Worth of requests: asked within quotas, and of that served in time.", []string{"state"}}
-	units     = family{"units_sent_total", "counter", "Units of the attempts that were sent.", nil}
-	breaches  = family{"breaches_total", "counter", "Breaches of rules that the node sees of itself.", nil}
-	panics    = family{"module_panics_total", "counter", "Panics of decision modules.", nil}
-	lateTotal = family{"late_total", "counter", "Requests that were served after their class's aim.", nil}
-	beyond    = family{"beyond_total", "counter", "Requests that were refused as beyond a quota or ceiling.", nil}
+	settings       = family{"settings_info", "gauge", "The configuration in force, by its hash.", []string{"hash"}}
+	asWanted       = family{"settings_as_wanted", "gauge", "Whether the configuration in force is the one that was ordered last.", nil}
+	epoch          = family{"epoch", "gauge", "Newest epoch of a coordinator that was granted; 0 is none.", nil}
+	lost           = family{"epochs_lost", "gauge", "Whether the epochs that were granted are not known any more.", nil}
+	priorityWeight = family{"worth_total", "counter", "Worth of requests: asked within quotas, and of that served in time.", []string{"state"}}
+	units          = family{"units_sent_total", "counter", "Units of the attempts that were sent.", nil}
+	breaches       = family{"breaches_total", "counter", "Breaches of rules that the node sees of itself.", nil}
+	panics         = family{"module_panics_total", "counter", "Panics of decision modules.", nil}
+	lateTotal      = family{"late_total", "counter", "Requests that were served after their class's aim.", nil}
+	beyond         = family{"beyond_total", "counter", "Requests that were refused as beyond a quota or ceiling.", nil}
 )
 
 // member tells what a member of a fleet tells of itself.
@@ -97,8 +97,8 @@
 	p.add(&asWanted, oneIf(s.DesiredState.Hash == "" || s.DesiredState.Hash == s.ConfigHash))
 	p.add(&epoch, float64(s.Epoch))
 	p.add(&lost, oneIf(s.LostToken != ""))
-	p.add(&worth, f.Asked, "asked")
-	p.add(&worth, f.Served, "served")
+	p.add(&priorityWeight, f.OfferedWeight, "asked")
+	p.add(&priorityWeight, f.Served, "served")
 	p.add(&units, f.Units)
 	p.add(&breaches, float64(f.Breaches))
 	p.add(&panics, float64(f.Panics))
@@ -168,7 +168,7 @@
 
 // service adds what one service does.
 func (p *page) service(s *node.Status) {
-	p.add(&held, float64(s.Requests), s.Name)
+	p.add(&acceptedRequests, float64(s.Requests), s.Name)
 	p.add(&out, float64(s.AttemptsInFlight), s.Name)
 	p.add(&bound, s.ConcurrencyLimit, s.Name)
 	p.add(&servers, float64(s.AvailableServers), s.Name, "up")
@@ -220,7 +220,7 @@
 
 // Handler answers scrapes of a source.
 func Handler(of Source) http.Handler {
-	places := make(chan struct{}, scrapesMost)
+	places := make(chan struct{}, maxScrapes)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		select {
--- a/internal/node/random_settings_test.go
+++ b/internal/node/random_settings_test.go
@@ -250,7 +250,7 @@
 	if class.Idempotency == control.Idempotent {
 		method = http.MethodGet
 	}
-	if class.Idempotency == control.IdempotencyKeyed && !a.hasKey {
+	if class.Idempotency == control.IdempotentWithKey && !a.hasKey {
 		rejection = http.StatusBadRequest
 	}
 	if a.method != "" && a.method != method {
@@ -299,7 +299,7 @@
 	switch class.Idempotency {
 	case control.NotIdempotent:
 		return false
-	case control.IdempotencyKeyed:
+	case control.IdempotentWithKey:
 		return class.RepeatWindow != 0 &&
 			(class.KeyScope != control.ScopeZone || serverZones[next] == serverZones[first]) &&
 			(class.KeyScope != control.ScopeCell || serverCells[next] == serverCells[first])
--- a/internal/record/golden_amd64_test.go
+++ b/internal/record/golden_amd64_test.go
@@ -67,7 +67,7 @@
 		DrainGrace: 2 * time.Second, WarmupTime: 10 * time.Second, InitialCapacity: 0.15, OverloadWindow: 2 * time.Second, OverloadMultiple: 2.5, MaxUnits: 4, CrossZonePrice: 0.1,
 		Classes: []control.Class{
 			{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 1, LateWeightFraction: 0.2},
-			{Name: "update", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 5, Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: 2 * time.Second},
+			{Name: "update", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 5, Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: 2 * time.Second},
 			{Name: "transfer", LatencyObjective: 500 * time.Millisecond, Deadline: 2 * time.Second, PriorityWeight: 8, Idempotency: control.NotIdempotent},
 			{Name: "watch", LatencyObjective: time.Second, Deadline: 5 * time.Second, PriorityWeight: 2, IsStreaming: true},
 		},
@@ -341,7 +341,7 @@
 	}
 }
 
-var effectNames = map[control.Idempotency]string{control.Idempotent: "free", control.IdempotencyKeyed: "guarded", control.NotIdempotent: "single-shot"}
+var effectNames = map[control.Idempotency]string{control.Idempotent: "free", control.IdempotentWithKey: "guarded", control.NotIdempotent: "single-shot"}
 
 func (p *replayed) noteAction(action control.Action) {
 	switch a := action.(type) {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -31,12 +31,12 @@
 const Suffix = ".lfrec"
 
 const (
-	magic     = "lockflow recording\n"
-	files     = 4        // of a service, among which its bytes are divided
-	batchMost = 64 << 10 // of events that are handed over at once
-	batchAge  = time.Second
-	ahead     = 64        // batches that may wait to be written
-	frameMost = 256 << 20 // of a frame that is read
+	magic         = "lockflow recording\n"
+	files         = 4        // of a service, among which its bytes are divided
+	maxBatchBytes = 64 << 10 // of events that are handed over at once
+	batchAge      = time.Second
+	ahead         = 64        // batches that may wait to be written
+	maxFrameBytes = 256 << 20 // of a frame that is read
 )
 
 // Options are where a service's recordings go.
@@ -108,7 +108,7 @@
 		return actions
 	}
 	m.frame(body)
-	if len(m.batch) > batchMost || time.Since(m.since) > batchAge {
+	if len(m.batch) > maxBatchBytes || time.Since(m.since) > batchAge {
 		m.hand()
 	}
 	if m.size > m.o.Bytes/files {
@@ -388,7 +388,7 @@
 		return nil, io.EOF
 	}
 	n := binary.BigEndian.Uint32(h[:])
-	if n > frameMost {
+	if n > maxFrameBytes {
 		return nil, fmt.Errorf("a frame of %d bytes", n)
 	}
 	raw, err := io.ReadAll(io.LimitReader(r.in, int64(n)))
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -25,7 +25,7 @@
 	GroupSize: 2, MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: time.Second, MeterPeriod: time.Second, UnitsInResponse: true,
 	Classes: []control.Class{
 		{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 1},
-		{Name: "write", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 5, Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: 15 * time.Second},
+		{Name: "write", LatencyObjective: time.Second, Deadline: 3 * time.Second, PriorityWeight: 5, Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: 15 * time.Second},
 	},
 	Plans: []control.Plan{{Name: "a", Price: 1, QuotaRate: 20, QuotaBurst: 40}, {Name: "b", Price: 2, QuotaRate: 20, QuotaBurst: 20, HardLimitRate: 40, HardLimitBurst: 40, HardLimitSlack: 4}},
 }
--- a/internal/redistest/redistest.go
+++ b/internal/redistest/redistest.go
@@ -396,8 +396,8 @@
 // run runs a command on the data.
 func (s *Server) run(args []string) any {
 	name, args := strings.ToUpper(args[0]), args[1:]
-	least := map[string]int{"TIME": 0, "INFO": 0, "GET": 1, "SET": 2, "DEL": 1, "HGET": 2, "HMGET": 2, "HGETALL": 1, "HSET": 3, "HDEL": 2, "PEXPIRE": 2}
-	n, ok := least[name]
+	minArguments := map[string]int{"TIME": 0, "INFO": 0, "GET": 1, "SET": 2, "DEL": 1, "HGET": 2, "HMGET": 2, "HGETALL": 1, "HSET": 3, "HDEL": 2, "PEXPIRE": 2}
+	n, ok := minArguments[name]
 	switch {
 	case !ok:
 		return fmt.Errorf("ERR unknown command '%s'", name)
--- a/internal/regions/mixture/mixture_test.go
+++ b/internal/regions/mixture/mixture_test.go
@@ -327,7 +327,7 @@
 			plan.HardLimitBurst, plan.HardLimitSlack = float64(burst), float64(slack)
 		}
 		class := control.Class{Name: "k", Idempotency: control.Idempotency(draw(0, 2)), Deadline: time.Duration(draw(1, 3)) * time.Second}
-		if scope, window := draw(0, 2), draw(1, 3); class.Idempotency == control.IdempotencyKeyed {
+		if scope, window := draw(0, 2), draw(1, 3); class.Idempotency == control.IdempotentWithKey {
 			class.KeyScope, class.RepeatWindow = control.KeyScope(scope), time.Duration(window)
 		}
 		r.Services = []regions.Service{{
--- a/internal/regions/mixture/settings.go
+++ b/internal/regions/mixture/settings.go
@@ -95,12 +95,12 @@
 	k.Idempotency, k.Deadline = max(a.Idempotency, b.Idempotency), min(a.Deadline, b.Deadline)
 	k.LatencyObjective = min(a.LatencyObjective, k.Deadline)
 	k.KeyScope, k.RepeatWindow = control.ScopeAll, 0
-	if k.Idempotency != control.IdempotencyKeyed {
+	if k.Idempotency != control.IdempotentWithKey {
 		return k
 	}
 	first := true
 	for _, one := range []control.Class{a, b} {
-		if one.Idempotency != control.IdempotencyKeyed { // free: its repeats go anywhere, at any time
+		if one.Idempotency != control.IdempotentWithKey { // free: its repeats go anywhere, at any time
 			continue
 		}
 		if first {
@@ -160,7 +160,7 @@
 	if a.Deadline > b.Deadline || a.Idempotency < b.Idempotency {
 		return false
 	}
-	return a.Idempotency != control.IdempotencyKeyed || b.Idempotency != control.IdempotencyKeyed || a.KeyScope >= b.KeyScope && a.RepeatWindow <= b.RepeatWindow
+	return a.Idempotency != control.IdempotentWithKey || b.Idempotency != control.IdempotentWithKey || a.KeyScope >= b.KeyScope && a.RepeatWindow <= b.RepeatWindow
 }
 
 // growth is by how much a region's ceilings grow by its change, as a guide to which may go first.
--- a/internal/regions/outcome.go
+++ b/internal/regions/outcome.go
@@ -23,7 +23,7 @@
 
 func termsOf(k control.Class) terms {
 	t := terms{effect: k.Idempotency, deadline: k.Deadline}
-	if k.Idempotency == control.IdempotencyKeyed {
+	if k.Idempotency == control.IdempotentWithKey {
 		t.scope, t.window = k.KeyScope, k.RepeatWindow
 	}
 	return t
@@ -33,7 +33,7 @@
 	switch t.effect {
 	case control.Idempotent:
 		return fmt.Sprintf("free to repeat, deadline %v", t.deadline)
-	case control.IdempotencyKeyed:
+	case control.IdempotentWithKey:
 		return fmt.Sprintf("keyed over %s for %v, deadline %v", [...]string{"all", "a zone", "a group"}[t.scope%3], t.window, t.deadline)
 	}
 	return fmt.Sprintf("never repeated, deadline %v", t.deadline)
--- a/internal/regions/regions_test.go
+++ b/internal/regions/regions_test.go
@@ -116,10 +116,10 @@
 	}
 	if a.terms != nil && b.terms != nil && (a.service == b.service || a.class == b.class) {
 		x, y := *a.terms, *b.terms
-		if x.Idempotency != control.IdempotencyKeyed {
+		if x.Idempotency != control.IdempotentWithKey {
 			x.KeyScope, x.RepeatWindow = 0, 0
 		}
-		if y.Idempotency != control.IdempotencyKeyed {
+		if y.Idempotency != control.IdempotentWithKey {
 			y.KeyScope, y.RepeatWindow = 0, 0
 		}
 		if x.Idempotency != y.Idempotency || x.KeyScope != y.KeyScope || x.RepeatWindow != y.RepeatWindow || x.Deadline != y.Deadline {
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -102,7 +102,7 @@
 	for _, x := range w.all {
 		x.share *= float64(o.Instances) / sum
 		x.total = instancestats.Figures{Began: w.epoch.Add(x.began), Requests: uint64(o.Rate * x.share * -x.began.Seconds())}
-		x.total.Asked, x.total.Served = float64(x.total.Requests), 0.995*float64(x.total.Requests)
+		x.total.OfferedWeight, x.total.Served = float64(x.total.Requests), 0.995*float64(x.total.Requests)
 	}
 	return w
 }
@@ -207,7 +207,7 @@
 	dear := binomial(r, requests-beyond, 0.1) // worth five
 	lostDear := binomial(r, dear, float64(turned+failed+late)/float64(max(requests-beyond, 1)))
 	worth := float64(requests - beyond + 4*dear)
-	f.Asked += worth
+	f.OfferedWeight += worth
 	f.Served += worth - float64(turned+failed+late+4*lostDear)
 	f.Requests += uint64(requests)
 	f.Refused += uint64(turned + beyond)
--- a/internal/scattergather/call.go
+++ b/internal/scattergather/call.go
@@ -35,7 +35,7 @@
 	case len(encoding) > 0 && !strings.EqualFold(strings.Join(encoding, ","), "identity"):
 		return Result{}, fmt.Errorf("encoded as %q", encoding)
 	}
-	held, of, without, err := Inner(a.Header[HeaderParts], a.Header[HeaderMissing])
+	present, of, without, err := Inner(a.Header[HeaderParts], a.Header[HeaderMissing])
 	if err != nil {
 		return Result{}, err
 	}
@@ -49,7 +49,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return Result{Content: content, Present: held, Of: of, Without: without}, nil
+	return Result{Content: content, Present: present, Of: of, Without: without}, nil
 }
 
 // readAll reads a stream to its end, until ctx ends.
--- a/internal/scattergather/run.go
+++ b/internal/scattergather/run.go
@@ -65,7 +65,7 @@
 // Final is what became of a query.
 type Final struct {
 	Outcome    int // one of those of Outcomes
-	Whole      Response
+	Response   Response
 	RetryAfter time.Duration // with EndedQuota
 	Part       string        // whose quota refused, with EndedQuota
 }
@@ -285,7 +285,7 @@
 		outcome = EndedPartial
 	}
 	f := r.end(outcome)
-	f.Whole = w
+	f.Response = w
 	return f
 }
 
--- a/internal/service/attempts_test.go
+++ b/internal/service/attempts_test.go
@@ -63,7 +63,7 @@
 // when it is replaced goes to the replacement, unless its class needs an idempotency key there and did not
 // before.
 func TestReplacementTakesUnbegunRequestOnlyWithItsKeyChecked(t *testing.T) {
-	effects := []control.Idempotency{control.IdempotencyKeyed, control.NotIdempotent}
+	effects := []control.Idempotency{control.IdempotentWithKey, control.NotIdempotent}
 	for _, from := range effects {
 		for _, to := range effects {
 			t.Run(fmt.Sprint(from, to), func(t *testing.T) {
@@ -82,7 +82,7 @@
 					x.Forwarder.(*upstream.BufferedRequest).Request.Method = http.MethodPost
 					go original.Do(ctx, x)
 					synctest.Wait()
-					if stays := from != to && to == control.IdempotencyKeyed; len(before)+len(after) != 1 || len(before) == 1 != stays {
+					if stays := from != to && to == control.IdempotentWithKey; len(before)+len(after) != 1 || len(before) == 1 != stays {
 						t.Errorf("heard of %d before, %d after", len(before), len(after))
 					}
 					cancelClient()
--- a/internal/service/event_recorder.go
+++ b/internal/service/event_recorder.go
@@ -38,7 +38,7 @@
 	for _, p := range plans {
 		writer.Plan(eventlog.Plan{
 			At: time.Now(), Name: p.Name, Price: p.Price, Rate: p.QuotaRate, Depth: p.QuotaBurst, OverCost: p.OverQuotaCost,
-			CeilingRate: p.HardLimitRate, CeilingBurst: p.HardLimitBurst, Slack: p.HardLimitSlack,
+			HardLimitRate: p.HardLimitRate, HardLimitBurst: p.HardLimitBurst, Slack: p.HardLimitSlack,
 		})
 	}
 	return &eventRecorder{writer: writer, causes: make(map[string]control.Cause), servers: make(map[uint32]listedServer)}
@@ -106,7 +106,7 @@
 		return
 	}
 	r.lastStateAt = now
-	line := eventlog.State{At: now, Bound: l.concurrencyLimit(), Held: len(l.exchanges), Listed: len(l.serverIDs), Up: len(l.pools)}
+	line := eventlog.State{At: now, Bound: l.concurrencyLimit(), Accepted: len(l.exchanges), Listed: len(l.serverIDs), Up: len(l.pools)}
 	for _, x := range l.exchanges {
 		line.Out += x.inFlight
 	}
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -201,7 +201,7 @@
 	if !s.AllowsMethod(class, x.Forwarder.Method()) {
 		return false
 	}
-	return class.Idempotency != control.IdempotencyKeyed || slices.ContainsFunc(readBy, func(c control.Class) bool {
+	return class.Idempotency != control.IdempotentWithKey || slices.ContainsFunc(readBy, func(c control.Class) bool {
 		return c.Name == class.Name && c.Idempotency == class.Idempotency
 	})
 }
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -46,7 +46,7 @@
 
 // idempotencies are the idempotencies of classes by a name for subtests.
 var idempotencies = map[string]control.Idempotency{
-	"safe": control.Idempotent, "keyed": control.IdempotencyKeyed, "unsafe": control.NotIdempotent,
+	"safe": control.Idempotent, "keyed": control.IdempotentWithKey, "unsafe": control.NotIdempotent,
 }
 
 // testSettings are those of a service with one class, "read", and one plan, "p".
@@ -64,7 +64,7 @@
 		GroupSize: 1, MaxRetryAfter: time.Second, MaxAttempts: 3, Plans: []control.Plan{{Name: "p", Price: 1}},
 		Classes: []control.Class{
 			{Name: "safe", Idempotency: control.Idempotent},
-			{Name: "keyed", Idempotency: control.IdempotencyKeyed, RepeatWindow: repeatWindow},
+			{Name: "keyed", Idempotency: control.IdempotentWithKey, RepeatWindow: repeatWindow},
 			{Name: "unsafe", Idempotency: control.NotIdempotent},
 		},
 	}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -61,7 +61,7 @@
 
 	// What observes the loop; each is nil where nobody asked for it.
 	openStreams        *Streams
-	groupSizeEstimator *groupsize.Census
+	groupSizeEstimator *groupsize.Estimator
 	attemptsInFlight   map[uint32]int // by server, for the estimator
 	countsByClass      map[string]*ClassCounts
 	collector          *StatisticsCollector
--- a/internal/service/server_removal_test.go
+++ b/internal/service/server_removal_test.go
@@ -127,7 +127,7 @@
 		"worker":                  (*removalTest).removeAtWorker,
 		"worker, idle connection": (*removalTest).removeAtWorkerWithIdleConnection,
 	}
-	for _, idempotency := range []control.Idempotency{control.Idempotent, control.IdempotencyKeyed, control.NotIdempotent} {
+	for _, idempotency := range []control.Idempotency{control.Idempotent, control.IdempotentWithKey, control.NotIdempotent} {
 		for state, list := range lists {
 			for place, removeAt := range places {
 				t.Run(fmt.Sprint(place, ", ", state, ", effect ", idempotency), func(t *testing.T) {
--- a/internal/service/statistics.go
+++ b/internal/service/statistics.go
@@ -82,7 +82,7 @@
 
 func (s *loopStatistics) addTo(total *instancestats.Figures) {
 	for _, class := range s.classes {
-		total.Asked += class.priorityWeight * float64(class.offered.Load())
+		total.OfferedWeight += class.priorityWeight * float64(class.offered.Load())
 		total.Served += class.priorityWeight * float64(class.served.Load())
 		total.Requests += class.requests.Load()
 	}
--- a/internal/service/statistics_test.go
+++ b/internal/service/statistics_test.go
@@ -14,7 +14,7 @@
 		name string
 		is   bool
 	}{
-		{"asked", f.Asked == 2.5},
+		{"asked", f.OfferedWeight == 2.5},
 		{"served", f.Served == 2.5},
 		{"refused", f.Refused == 1},
 		{"beyond", f.Beyond == 1},
--- a/internal/service/status.go
+++ b/internal/service/status.go
@@ -65,6 +65,6 @@
 	st.HardLimits = l.hardLimitStatus()
 	if l.groupSizeEstimator != nil {
 		st.GroupSizeRange[0], st.GroupSizeRange[1], _ = l.groupSizeEstimator.Seen(l.now())
-		st.IsGroupSizeDoubted = l.groupSizeEstimator.Doubts(l.now())
+		st.IsGroupSizeDoubted = l.groupSizeEstimator.ContradictsConfiguration(l.now())
 	}
 }
--- a/internal/service/withheld_retry_test.go
+++ b/internal/service/withheld_retry_test.go
@@ -32,7 +32,7 @@
 		"reset": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Failed, http.StatusBadGateway},
 		"error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, Failed, http.StatusBadGateway},
 	} {
-		for _, class := range []control.Class{{Idempotency: control.Idempotent}, {Idempotency: control.IdempotencyKeyed, KeyScope: control.ScopeCell, RepeatWindow: time.Hour}} {
+		for _, class := range []control.Class{{Idempotency: control.Idempotent}, {Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: time.Hour}} {
 			t.Run(name, func(t *testing.T) {
 				app := testkit.NewApp(t, tc.first)
 				class.Name, class.LatencyObjective, class.Deadline, class.PriorityWeight = "read", time.Hour, time.Hour, 1
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -105,16 +105,16 @@
 // Agent is a discovery that tells what a test has it tell.
 type Agent struct {
 	*httptest.Server
-	Asked chan string   // the query of each watch
-	Tell  chan string   // a line each; "" ends the watch
-	quit  chan struct{} // closed at the end of the test
+	Polled chan string   // the query of each watch
+	Tell   chan string   // a line each; "" ends the watch
+	quit   chan struct{} // closed at the end of the test
 }
 
 // NewAgent starts one, until the test ends.
 func NewAgent(t testing.TB) *Agent {
-	a := &Agent{Asked: make(chan string, 100), Tell: make(chan string, 100), quit: make(chan struct{})}
+	a := &Agent{Polled: make(chan string, 100), Tell: make(chan string, 100), quit: make(chan struct{})}
 	a.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		a.Asked <- r.URL.RequestURI()
+		a.Polled <- r.URL.RequestURI()
 		w.WriteHeader(http.StatusOK)
 		w.(http.Flusher).Flush()
 		for {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,7 +22,7 @@
 	MaxBodyBytes     int                      // of an answer's body; 0 is protocol.MaxBodyBytes
 	QuietPeriod      time.Duration            // of a connection after an answer, before the next BufferedRequest; 0 is none
 	HTTP2            HTTP2Options
-	TLS              *certs.Book // nil connects without TLS
+	TLS              *certs.Store // nil connects without TLS
 }
 
 // Protocol is the protocol that is spoken to an app server. The values follow the order of
--- a/internal/waitpolicy/pool/pool.go
+++ b/internal/waitpolicy/pool/pool.go
@@ -14,13 +14,13 @@
 
 // Bounds.
 const (
-	MostMembers  = 64
-	MostID       = 64 // bytes of a member's name
-	memberWeight = 16 // most that one counts for in the whole
-	fewWeight    = 4  // and one that saw too little to be held against the others
-	judgeFrom    = 8  // weight from which a member's quantiles are held against the others'
-	dropMost     = 3  // no more than one of so many is left out
-	trustStep    = 0.25
+	MaxMembers     = 64
+	MaxIDBytes     = 64 // bytes of a member's name
+	memberWeight   = 16 // most that one counts for in the whole
+	fewWeight      = 4  // and one that saw too little to be held against the others
+	judgeFrom      = 8  // weight from which a member's quantiles are held against the others'
+	maxDroppedPart = 3  // no more than one of so many is left out
+	trustStep      = 0.25
 )
 
 // quantiles by which members are held against each other.
@@ -68,7 +68,7 @@
 	if id == p.o.Self {
 		return nil
 	}
-	if id == "" || len(id) > MostID {
+	if id == "" || len(id) > MaxIDBytes {
 		p.stats.Refused++
 		return fmt.Errorf("gather: a member's name of %d bytes", len(id))
 	}
@@ -82,7 +82,7 @@
 		p.stats.Refused++
 		return fmt.Errorf("gather: member %s: %w", id, err)
 	}
-	if old == nil && len(p.members) >= MostMembers {
+	if old == nil && len(p.members) >= MaxMembers {
 		oldest := ""
 		for n, m := range p.members {
 			if oldest == "" || m.at < p.members[oldest].at || m.at == p.members[oldest].at && n < oldest {
@@ -141,12 +141,12 @@
 		steps = float64(now-p.merged) / float64(p.o.Every)
 	}
 	p.merged = now
-	aim := 0.0
+	targetTrust := 0.0
 	if members > 0 && now-p.heard <= p.o.Life/2 {
-		aim = 1
+		targetTrust = 1
 	}
-	most := trustStep * max(0, min(1, steps))
-	p.trust += max(-most, min(most, aim-p.trust))
+	maxStep := trustStep * max(0, min(1, steps))
+	p.trust += max(-maxStep, min(maxStep, targetTrust-p.trust))
 }
 
 // voice is one member's sketch of a key.
@@ -215,7 +215,7 @@
 		}
 		return 1
 	})
-	for _, i := range order[:min(len(order), judged/dropMost)] {
+	for _, i := range order[:min(len(order), judged/maxDroppedPart)] {
 		voices[i].weight = 0
 		p.stats.Apart++
 	}
--- a/internal/waitpolicy/pool/pool_test.go
+++ b/internal/waitpolicy/pool/pool_test.go
@@ -142,12 +142,12 @@
 			t.Errorf("%d is taken", i)
 		}
 	}
-	for i := range 3 * MostMembers {
+	for i := range 3 * MaxMembers {
 		if err := p.Heard(time.Duration(i)*ms, fmt.Sprint(i), 0, good); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if s := p.Stats(); s.Members != MostMembers || s.Refused != 8 {
+	if s := p.Stats(); s.Members != MaxMembers || s.Refused != 8 {
 		t.Errorf("%+v", s)
 	}
 	if all, _ := p.Merge(2*time.Second, nil, nil); half(all) == 0 {
--- a/internal/waitpolicy/share/share.go
+++ b/internal/waitpolicy/share/share.go
@@ -27,11 +27,11 @@
 
 // Bounds and defaults.
 const (
-	MostStores   = 4
-	MostRead     = 16 // members in one exchange; others follow in the next
-	DefaultEvery = 5 * time.Second
-	DefaultTerm  = time.Second
-	lives        = 12 // exchanges after which what was told counts for nothing
+	MaxStores      = 4
+	MaxMembersRead = 16 // members in one exchange; others follow in the next
+	DefaultEvery   = 5 * time.Second
+	DefaultTerm    = time.Second
+	lives          = 12 // exchanges after which what was told counts for nothing
 )
 
 // Store is one server.
@@ -85,11 +85,11 @@
 
 // New makes one that connects once it runs.
 func New(o Options, m Model) (*Sharer, error) {
-	if len(o.Stores) == 0 || len(o.Stores) > MostStores {
-		return nil, fmt.Errorf("gather: %d stores; 1 to %d can be", len(o.Stores), MostStores)
+	if len(o.Stores) == 0 || len(o.Stores) > MaxStores {
+		return nil, fmt.Errorf("gather: %d stores; 1 to %d can be", len(o.Stores), MaxStores)
 	}
-	if o.Self == "" || len(o.Self) > pool.MostID {
-		return nil, fmt.Errorf("gather: an instance's name of %d bytes; 1 to %d can be", len(o.Self), pool.MostID)
+	if o.Self == "" || len(o.Self) > pool.MaxIDBytes {
+		return nil, fmt.Errorf("gather: an instance's name of %d bytes; 1 to %d can be", len(o.Self), pool.MaxIDBytes)
 	}
 	if o.Every <= 0 {
 		o.Every = DefaultEvery
@@ -197,7 +197,7 @@
 	defer cancel()
 	prefix := "{lockflow:" + s.o.Name + "}:gather"
 	raw, err := script.Run(ctx, s.clients[store], []string{prefix, prefix + ":"}, s.o.Self, value,
-		(lives * s.o.Every).Milliseconds(), MostRead, begin).StringSlice()
+		(lives * s.o.Every).Milliseconds(), MaxMembersRead, begin).StringSlice()
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", s.o.Stores[store].Address, err)
 	}
@@ -208,7 +208,7 @@
 
 // heard has the pool take an answer. What one member told that can't be read costs the others nothing.
 func (s *Sharer) heard(now time.Duration, raw []string) error {
-	if len(raw)%3 != 0 || len(raw) > 3*MostRead {
+	if len(raw)%3 != 0 || len(raw) > 3*MaxMembersRead {
 		return fmt.Errorf("%w: %d values", errAnswer, len(raw))
 	}
 	var first error
--- a/internal/waitpolicy/share/share_test.go
+++ b/internal/waitpolicy/share/share_test.go
@@ -158,7 +158,7 @@
 		s.Do("HSET", "{lockflow:district}:gather", fmt.Sprintf("m%d", i), fmt.Sprint(time.Now().UnixMilli()))
 	}
 	a.Exchange(t.Context())
-	if n := a.Status().Members; n != MostRead {
+	if n := a.Status().Members; n != MaxMembersRead {
 		t.Errorf("%d members after one exchange", n)
 	}
 	for range 20 {
--- a/internal/waitpolicysim/sharing.go
+++ b/internal/waitpolicysim/sharing.go
@@ -133,7 +133,7 @@
 		if works {
 			g.pools[i].Answered(g.now)
 			from := rng.IntN(n)
-			for k := range min(n, share.MostRead) {
+			for k := range min(n, share.MaxMembersRead) {
 				j := (from + k) % n
 				if err := g.pools[i].Heard(g.now, fmt.Sprint("i", j), 0, values[j]); err != nil {
 					return err
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -88,9 +88,9 @@
 	}
 }
 
-// Doubts names, by its path, each figure of a quota that makes no sense. They can be served by: their plan's
+// InvalidSettings names, by its path, each figure of a quota that makes no sense. They can be served by: their plan's
 // customers get little or have no quota, and nobody else hears of it.
-func Doubts(s control.Settings) []error {
+func InvalidSettings(s control.Settings) []error {
 	var all []error
 	doubt := func(plan int, name, format string, args ...any) {
 		all = append(all, fmt.Errorf("field tariffs.%d.%s: plan %q: %s", plan, name, s.Plans[plan].Name, fmt.Sprintf(format, args...)))
@@ -145,8 +145,8 @@
 	return v
 }
 
-// whole reads a whole number. Guards against a part of one cut off, which may leave what means no limit.
-func (g *facts) whole(key string) int {
+// integer reads a whole number. Guards against a part of one cut off, which may leave what means no limit.
+func (g *facts) integer(key string) int {
 	v := g.num(key)
 	if g.strict && (v != math.Trunc(v) || v > math.MaxInt32) {
 		g.bad(key, fmt.Errorf("%g is no whole number, or too large", v))
@@ -158,7 +158,7 @@
 
 func (g *facts) settings() control.Settings {
 	s := control.Settings{
-		SelfIndex: g.whole("self-index"), GroupSize: g.whole("group-size"), Zone: g.m["zone"],
+		SelfIndex: g.integer("self-index"), GroupSize: g.integer("group-size"), Zone: g.m["zone"],
 		ListOnRequest:   g.m["discovery"] == "on_request",
 		MaxPollInterval: g.ms("contract.ask-within", false), DrainGrace: g.ms("contract.drain-grace", false),
 		WarmupTime: g.ms("contract.cold", false), InitialCapacity: g.num("contract.cold-from"),
@@ -166,7 +166,7 @@
 		MeterPeriod: g.ms("domain.meter-period", false), UnitsInResponse: g.flag("domain.cost-after"),
 		MaxUnits: g.num("domain.units-top"), HasCounter: g.flag("domain.has-counter"),
 		PeerMessagesPerSecond: g.num("domain.inbox-per-s"),
-		MaxAttempts:           g.whole("limits.send-cap"), MaxRequests: g.whole("limits.open-cap"),
+		MaxAttempts:           g.integer("limits.send-cap"), MaxRequests: g.integer("limits.open-cap"),
 		CanCancel: g.flag("limits.may-cancel"), RetriesAreMarked: g.flag("clients.marks-retry"), HealthChecks: g.flag("limits.probes"),
 		PeerMessages: g.flag("limits.peer-messages"), HedgedRequests: g.flag("limits.second-copies"),
 		SupportsRetryAfter: g.flag("limits.retry-after"), MaxRetryAfter: g.ms("limits.max-retry-after", false),
@@ -201,7 +201,7 @@
 	case "free":
 		c.Idempotency = control.Idempotent
 	case "guarded":
-		c.Idempotency = control.IdempotencyKeyed
+		c.Idempotency = control.IdempotentWithKey
 	case "single_shot":
 		c.Idempotency = control.NotIdempotent
 	default:
@@ -223,7 +223,7 @@
 func (g *facts) plan(p string) control.Plan {
 	return control.Plan{
 		Name: g.m[p+"name"], Price: g.num(p + "value-factor"), QuotaRate: g.num(p + "quota-rate"),
-		QuotaBurst: g.num(p + "depth"), MaxInFlight: g.whole(p + "open"), OverQuotaCost: g.num(p + "overrun-cost"),
+		QuotaBurst: g.num(p + "depth"), MaxInFlight: g.integer(p + "open"), OverQuotaCost: g.num(p + "overrun-cost"),
 		OverQuotaGain: g.num(p + "beyond-earns"), HardLimitRate: g.num(p + "cap-rate"),
 		HardLimitBurst: g.num(p + "hard-burst"), HardLimitSlack: g.num(p + "ceiling-slack"),
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -35,7 +35,7 @@
 		t.Errorf("%+v", b)
 	}
 	k := s.Classes[0]
-	if k.Idempotency != control.IdempotencyKeyed || k.KeyScope != control.ScopeCell || k.RepeatWindow != 5*time.Second {
+	if k.Idempotency != control.IdempotentWithKey || k.KeyScope != control.ScopeCell || k.RepeatWindow != 5*time.Second {
 		t.Errorf("class %+v", k)
 	}
 	p := s.Plans[0]
@@ -174,12 +174,12 @@
 		"no burst":             {control.Plan{HardLimitRate: 3, HardLimitSlack: 9}, "tariffs.7.hard-burst: "},
 		"no ceiling rate":      {control.Plan{QuotaRate: 1, QuotaBurst: 9, HardLimitBurst: 3}, "tariffs.7.cap-rate: "},
 	} {
-		all := Doubts(control.Settings{MaxUnits: 4, Plans: append(plain, tc.plan)})
+		all := InvalidSettings(control.Settings{MaxUnits: 4, Plans: append(plain, tc.plan)})
 		if tc.tells == "" && len(all) > 0 || tc.tells != "" && (len(all) != 1 || !strings.Contains(all[0].Error(), tc.tells)) {
 			t.Errorf("%s: %v", name, all)
 		}
 	}
-	if all := Doubts(control.Settings{Plans: []control.Plan{{QuotaRate: 1, QuotaBurst: 1}}}); len(all) > 0 {
+	if all := InvalidSettings(control.Settings{Plans: []control.Plan{{QuotaRate: 1, QuotaBurst: 1}}}); len(all) > 0 {
 		t.Errorf("of one unit each: %v", all)
 	}
 }
