--- a/internal/knownred/main_test.go
+++ b/internal/knownred/main_test.go
@@ -20,9 +20,11 @@
 	for name, c := range map[string]struct {
 		list     string // without one there is no file
 		one, two string
+		lint     string // what .ci/lint is; nothing is one that finds nothing
 		ok       bool
 		says     string
 	}{
+		"lint finds something":               {one: pass, two: pass, lint: "#!/bin/sh\necho a finding\nexit 1\n", says: "a finding"},
 		"no list and all pass":               {one: pass, two: pass, ok: true, says: "ok"},
 		"no list and one fails":              {one: fail, two: pass, says: "as ever"},
 		"an empty list":                      {list: "\n", one: pass, two: pass, says: bad},
@@ -66,6 +68,10 @@
 				return string(raw)
 			}
 			put(".ci/run", taken("../../.ci/run"), 0o755)
+			if c.lint == "" {
+				c.lint = "#!/bin/sh\n" // the real one takes tools that this module has not
+			}
+			put(".ci/lint", c.lint, 0o755)
 			put("internal/knownred/main.go", taken("main.go"), 0o644)
 			put("deploy/balancer.toml", "build = \"mkdir bin && cp /bin/sh bin/lockflow\"\n", 0o644) // quick, and linked dynamically
 			put("go.mod", "module lockflow\n\ngo 1.26.0\n", 0o644)
