--- a/internal/h2/choose.go
+++ b/internal/h2/choose.go
@@ -4,18 +4,18 @@
 
 // View is a connection as the choice of one sees it.
 type View struct {
-	Open   int // streams
-	Room   int // for further ones
-	Limit  int // of streams at once, by the server
-	Ending bool
-	Age    time.Duration
+	OpenStreams int // streams
+	FreeStreams int // for further ones
+	MaxStreams  int // of streams at once, by the server
+	IsEnding    bool
+	Age         time.Duration
 }
 
 // Bounds are those of all connections to one server.
 type Bounds struct {
-	Conns   int           // at once, beside those that end
-	Waiting int           // requests that wait for a stream or a connection
-	Age     time.Duration // from which on a connection is replaced; 0 is never
+	MaxConnections int           // at once, beside those that end
+	MaxWaiting     int           // requests that wait for a stream or a connection
+	MaxAge         time.Duration // from which on a connection is replaced; 0 is never
 }
 
 // Choice is what becomes of a request.
@@ -30,36 +30,36 @@
 // wait. It takes the connection with the fewest open streams, so that what holds one up holds up
 // few, and has another one made where none has room or where all are due to be replaced: those
 // that are go on meanwhile, and are retired one at a time.
-func Choose(conns []View, dialing, waiting int, b Bounds) Choice {
-	c := Choice{Use: -1, Retire: -1}
-	old := -1 // the oldest of those that are due
-	due := func(v View) bool { return b.Age > 0 && v.Age >= b.Age }
+func Choose(conns []View, dialing, waiting int, bounds Bounds) Choice {
+	choice := Choice{Use: -1, Retire: -1}
+	oldest := -1 // the oldest of those that are due
+	isDue := func(view View) bool { return bounds.MaxAge > 0 && view.Age >= bounds.MaxAge }
 	live, allowed := dialing, 0
-	for i, v := range conns {
-		if v.Ending {
+	for i, view := range conns {
+		if view.IsEnding {
 			continue
 		}
 		live++
-		allowed += v.Limit
-		if due(v) {
-			if old < 0 || v.Age > conns[old].Age {
-				old = i
+		allowed += view.MaxStreams
+		if isDue(view) {
+			if oldest < 0 || view.Age > conns[oldest].Age {
+				oldest = i
 			}
-		} else if v.Room > 0 && (c.Use < 0 || v.Open < conns[c.Use].Open) {
-			c.Use = i
+		} else if view.FreeStreams > 0 && (choice.Use < 0 || view.OpenStreams < conns[choice.Use].OpenStreams) {
+			choice.Use = i
 		}
 	}
 	switch {
-	case c.Use >= 0:
-		c.Retire = old
-		return c
-	case old >= 0 && conns[old].Room > 0:
-		c.Use, c.Dial = old, dialing == 0
-		return c
-	case waiting >= b.Waiting, live > dialing && allowed == 0: // another one would allow none either
-		return c
+	case choice.Use >= 0:
+		choice.Retire = oldest
+		return choice
+	case oldest >= 0 && conns[oldest].FreeStreams > 0:
+		choice.Use, choice.Dial = oldest, dialing == 0
+		return choice
+	case waiting >= bounds.MaxWaiting, live > dialing && allowed == 0: // another one would allow none either
+		return choice
 	}
 	// While one is being made it is not known how many it will take.
-	c.Wait, c.Dial = true, dialing == 0 && live < b.Conns
-	return c
+	choice.Wait, choice.Dial = true, dialing == 0 && live < bounds.MaxConnections
+	return choice
 }
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -15,100 +15,100 @@
 )
 
 const (
-	writeWithin  = 5 * time.Second        // one piece of what is to be written
-	cancelWithin = 250 * time.Millisecond // the reset of a stream that is given up
-	frameRead    = 1 << 20                // of a frame that is read; more is an error of the server's
+	writeTimeout      = 5 * time.Second        // one piece of what is to be written
+	cancelTimeout     = 250 * time.Millisecond // the reset of a stream that is given up
+	maxReadFrameBytes = 1 << 20                // of a frame that is read; more is an error of the server's
 )
 
 // Options are what a connection is made with.
 type Options struct {
 	Limits
-	// Quiet is for how long nothing may come while streams are open, before the server is asked for
+	// PingAfterSilence is for how long nothing may come while streams are open, before the server is asked for
 	// a sign of life; after as long again with none the connection is broken. 0 never asks.
-	Quiet time.Duration
+	PingAfterSilence time.Duration
 	// Changed, which may be nil, is called when there may be room for another stream or the
 	// connection has ended. It must neither wait nor call the connection.
-	Changed func()
+	OnChange func()
 }
 
-// ErrNotSpoken says that a server's first bytes were not HTTP/2's.
-var ErrNotSpoken = errors.New("the server does not speak HTTP/2")
+// ErrNotHTTP2 says that a server's first bytes were not HTTP/2's.
+var ErrNotHTTP2 = errors.New("the server does not speak HTTP/2")
 
 // Conn is a connection over which requests share. Its methods are safe for concurrent use.
 type Conn struct {
-	o     Options
-	c     net.Conn
-	begun time.Time
-
-	mu      sync.Mutex
-	m       *Machine
-	waits   map[uint32]waiter
-	blocked map[*Stream]bool // those whose writer waits for room
-	flushed *sync.Cond       // more was written, or the connection has ended
-	heard   time.Time        // something came
-	idle    time.Time        // no stream is open since then
-	calm    time.Time        // floods are counted from then on
-	closing bool             // no further byte is written once what is pending is
-	watched bool             // a look at how quiet it is will come
-	writing bool             // somebody writes
-	raw     syscall.RawConn  // of a socket; nil where there is none
-
-	wake    chan struct{} // there may be something to write
-	greeted chan struct{} // closed with the server's settings
-	done    chan struct{} // closed when the connection has ended
+	options Options
+	conn    net.Conn
+	started time.Time
+
+	mu             sync.Mutex
+	machine        *Machine
+	receivers      map[uint32]eventReceiver
+	blockedWriters map[*Stream]bool // those whose writer waits for room
+	flushed        *sync.Cond       // more was written, or the connection has ended
+	lastRead       time.Time        // something came
+	idleSince      time.Time        // no stream is open since then
+	noiseReset     time.Time        // floods are counted from then on
+	isClosing      bool             // no further byte is written once what is pending is
+	isWatched      bool             // a look at how quiet it is will come
+	isWriting      bool             // somebody writes
+	rawConn        syscall.RawConn  // of a socket; nil where there is none
+
+	wake        chan struct{} // there may be something to write
+	hasSettings chan struct{} // closed with the server's settings
+	done        chan struct{} // closed when the connection has ended
 }
 
 // Start speaks HTTP/2 on a connection with prior knowledge and waits for the server's settings, so
 // that its limits are known, and that it speaks HTTP/2 at all, before a request is sent. A
 // connection that fails is closed.
-func Start(ctx context.Context, nc net.Conn, o Options) (*Conn, error) {
+func Start(ctx context.Context, conn net.Conn, options Options) (*Conn, error) {
 	now := time.Now()
-	c := &Conn{
-		o: o, c: nc, begun: now, m: New(o.Limits), waits: make(map[uint32]waiter), blocked: make(map[*Stream]bool), heard: now, idle: now,
-		wake: make(chan struct{}, 1), greeted: make(chan struct{}), done: make(chan struct{}),
+	created := &Conn{
+		options: options, conn: conn, started: now, machine: New(options.Limits), receivers: make(map[uint32]eventReceiver), blockedWriters: make(map[*Stream]bool), lastRead: now, idleSince: now,
+		wake: make(chan struct{}, 1), hasSettings: make(chan struct{}), done: make(chan struct{}),
 	}
-	c.flushed = sync.NewCond(&c.mu)
-	if under, ok := socket(nc); ok {
-		c.raw, _ = under.SyscallConn()
+	created.flushed = sync.NewCond(&created.mu)
+	if under, ok := socket(conn); ok {
+		created.rawConn, _ = under.SyscallConn()
 	}
-	c.poke()
-	go c.write()
-	go c.read()
+	created.wakeWriter()
+	go created.write()
+	go created.read()
 	select {
-	case <-c.greeted:
-		return c, nil
-	case <-c.done:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.heard.Equal(now) { // it said nothing before it closed
-			return nil, fmt.Errorf("%w: %w", ErrNotSpoken, c.m.Err())
+	case <-created.hasSettings:
+		return created, nil
+	case <-created.done:
+		created.mu.Lock()
+		defer created.mu.Unlock()
+		if created.lastRead.Equal(now) { // it said nothing before it closed
+			return nil, fmt.Errorf("%w: %w", ErrNotHTTP2, created.machine.Err())
 		}
-		return nil, c.m.Err()
+		return nil, created.machine.Err()
 	case <-ctx.Done():
-		c.Close()
+		created.Close()
 		return nil, fmt.Errorf("waiting for the server's settings: %w", context.Cause(ctx))
 	}
 }
 
 // socket is the one below a connection whose bytes go to it as they are.
-func socket(c net.Conn) (syscall.Conn, bool) {
+func socket(conn net.Conn) (syscall.Conn, bool) {
 	for {
-		if _, ok := c.(*tls.Conn); ok {
+		if _, ok := conn.(*tls.Conn); ok {
 			return nil, false
 		}
-		if s, ok := c.(*net.TCPConn); ok {
+		if s, ok := conn.(*net.TCPConn); ok {
 			return s, true
 		}
-		under, ok := c.(interface{ NetConn() net.Conn })
+		under, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
 			return nil, false
 		}
-		c = under.NetConn()
+		conn = under.NetConn()
 	}
 }
 
-// poke has the writer look for what there is to write.
-func (c *Conn) poke() {
+// wakeWriter has the writer look for what there is to write.
+func (c *Conn) wakeWriter() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -117,36 +117,36 @@
 
 // read takes in frames until the connection ends.
 func (c *Conn) read() {
-	in := &counted{Conn: c.c}
-	frames := http2.NewFramer(nil, in)
-	frames.SetMaxReadFrameSize(frameRead)
+	counted := &countingConn{Conn: c.conn}
+	frames := http2.NewFramer(nil, counted)
+	frames.SetMaxReadFrameSize(maxReadFrameBytes)
 	frames.SetReuseFrames()
-	frames.ReadMetaHeaders = hpack.NewDecoder(tableDefault, nil)
-	frames.MaxHeaderListSize = uint32(c.m.Head)
+	frames.ReadMetaHeaders = hpack.NewDecoder(defaultTableBytes, nil)
+	frames.MaxHeaderListSize = uint32(c.machine.MaxHeadBytes)
 	for first := true; ; first = false {
-		f, err := frames.ReadFrame()
-		if first && in.n > 0 && (err != nil || f.Header().Type != http2.FrameSettings) {
-			err = ErrNotSpoken
+		frame, err := frames.ReadFrame()
+		if first && counted.bytesRead > 0 && (err != nil || frame.Header().Type != http2.FrameSettings) {
+			err = ErrNotHTTP2
 		}
 		c.mu.Lock()
-		if in.n > 0 {
-			c.heard = time.Now()
+		if counted.bytesRead > 0 {
+			c.lastRead = time.Now()
 		}
-		if c.heard.Sub(c.calm) >= time.Second {
-			c.calm = c.heard
-			c.m.Calm()
+		if c.lastRead.Sub(c.noiseReset) >= time.Second {
+			c.noiseReset = c.lastRead
+			c.machine.ResetNoise()
 		}
 		var events []Event
 		if err != nil {
-			events = c.m.Unreadable(err)
+			events = c.machine.Unreadable(err)
 		} else {
-			events = c.m.Handle(f)
+			events = c.machine.Handle(frame)
 		}
-		ended := c.settle(events)
-		say := ended || c.closing || c.m.Says()
+		ended := c.deliver(events)
+		say := ended || c.isClosing || c.machine.HasOutput()
 		c.mu.Unlock()
 		if say {
-			c.poke()
+			c.wakeWriter()
 		}
 		if ended {
 			return
@@ -154,49 +154,49 @@
 	}
 }
 
-// counted tells whether anything was read.
-type counted struct {
+// countingConn tells whether anything was read.
+type countingConn struct {
 	net.Conn
-	n int64
+	bytesRead int64
 }
 
-func (c *counted) Read(b []byte) (int, error) {
+func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.n += int64(n)
+	c.bytesRead += int64(n)
 	return n, err
 }
 
-// waiter is told of a stream's events, in order; Conn.mu is held. It must neither wait nor call back.
-type waiter interface{ tell(Event) }
+// eventReceiver is told of a stream's events, in order; Conn.mu is held. It must neither wait nor call back.
+type eventReceiver interface{ receive(Event) }
 
-// end takes the one event of a stream whose answer is held.
-type end chan Event
+// endReceiver takes the one event of a stream whose answer is held.
+type endReceiver chan Event
 
-func (w end) tell(e Event) { w <- e }
+func (w endReceiver) receive(event Event) { w <- event }
 
-// settle tells those who wait how their streams ended and notes what changed; c.mu is held. ended
+// deliver tells those who wait how their streams ended and notes what changed; c.mu is held. ended
 // tells that the connection has.
-func (c *Conn) settle(events []Event) (ended bool) {
-	for _, e := range events {
-		if w := c.waits[e.ID]; w != nil {
-			if e.ends() {
-				delete(c.waits, e.ID)
+func (c *Conn) deliver(events []Event) (ended bool) {
+	for _, event := range events {
+		if receiver := c.receivers[event.ID]; receiver != nil {
+			if event.ends() {
+				delete(c.receivers, event.ID)
 			}
-			w.tell(e)
+			receiver.receive(event)
 		}
 	}
-	c.unblock()
-	if c.m.Open() == 0 && len(events) > 0 {
-		c.idle = time.Now()
+	c.wakeBlockedWriters()
+	if c.machine.OpenStreams() == 0 && len(events) > 0 {
+		c.idleSince = time.Now()
 	}
-	if c.m.Greeted() {
+	if c.machine.HasSettings() {
 		select {
-		case <-c.greeted:
+		case <-c.hasSettings:
 		default:
-			close(c.greeted)
+			close(c.hasSettings)
 		}
 	}
-	if c.m.Err() != nil {
+	if c.machine.Err() != nil {
 		select {
 		case <-c.done:
 		default:
@@ -204,42 +204,42 @@
 			c.flushed.Broadcast()
 		}
 	}
-	if c.o.Changed != nil {
-		c.o.Changed()
+	if c.options.OnChange != nil {
+		c.options.OnChange()
 	}
-	return c.m.Err() != nil
+	return c.machine.Err() != nil
 }
 
-// push writes what the socket takes at once, which nearly always is all; the writer does the rest.
+// writeNow writes what the socket takes at once, which nearly always is all; the writer does the rest.
 // Guards against waking another goroutine for each request, and against one that waits for a
 // server that takes nothing beyond its own time.
-func (c *Conn) push() {
-	if c.raw == nil {
-		c.poke()
+func (c *Conn) writeNow() {
+	if c.rawConn == nil {
+		c.wakeWriter()
 		return
 	}
 	c.mu.Lock()
-	if c.writing || c.m.Err() != nil {
+	if c.isWriting || c.machine.Err() != nil {
 		c.mu.Unlock()
-		c.poke()
+		c.wakeWriter()
 		return
 	}
-	c.writing = true
-	out := c.m.Out()
+	c.isWriting = true
+	out := c.machine.PendingBytes()
 	c.mu.Unlock()
 	n := 0
 	if len(out) > 0 {
-		_ = c.raw.Write(func(fd uintptr) bool {
+		_ = c.rawConn.Write(func(fd uintptr) bool {
 			n, _ = syscall.Write(int(fd), out)
 			return true
 		})
 	}
 	c.wrote(max(n, 0))
 	c.mu.Lock()
-	more := c.m.Says() || c.closing || c.m.Err() != nil // for all of which the writer did not go on meanwhile
+	more := c.machine.HasOutput() || c.isClosing || c.machine.Err() != nil // for all of which the writer did not go on meanwhile
 	c.mu.Unlock()
 	if more {
-		c.poke()
+		c.wakeWriter()
 	}
 }
 
@@ -247,175 +247,175 @@
 func (c *Conn) wrote(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = false
-	c.m.Wrote(n)
-	c.unblock()
+	c.isWriting = false
+	c.machine.Wrote(n)
+	c.wakeBlockedWriters()
 	c.flushed.Broadcast()
 }
 
-// unblock has those who wait for room look again; c.mu is held.
-func (c *Conn) unblock() {
-	for s := range c.blocked {
-		delete(c.blocked, s)
-		ring(s.sent)
+// wakeBlockedWriters has those who wait for room look again; c.mu is held.
+func (c *Conn) wakeBlockedWriters() {
+	for s := range c.blockedWriters {
+		delete(c.blockedWriters, s)
+		signal(s.writable)
 	}
 }
 
 // write writes what the machine has to say, until the connection has ended and all is said.
 func (c *Conn) write() {
-	defer c.c.Close()
+	defer c.conn.Close()
 	for {
 		c.mu.Lock()
 		var out []byte
-		if !c.writing { // else whoever does pokes
-			out = c.m.Out()
+		if !c.isWriting { // else whoever does pokes
+			out = c.machine.PendingBytes()
 		}
-		over := !c.writing && (c.m.Err() != nil || c.m.Ending() && c.m.Open() == 0 && c.closing)
-		c.writing = c.writing || len(out) > 0
+		over := !c.isWriting && (c.machine.Err() != nil || c.machine.IsEnding() && c.machine.OpenStreams() == 0 && c.isClosing)
+		c.isWriting = c.isWriting || len(out) > 0
 		c.mu.Unlock()
 		if len(out) == 0 {
 			if over {
-				c.broke(net.ErrClosed)
+				c.breakOff(net.ErrClosed)
 				return
 			}
 			<-c.wake
 			continue
 		}
-		_ = c.c.SetWriteDeadline(time.Now().Add(writeWithin))
-		n, err := c.c.Write(out)
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.conn.Write(out)
 		c.wrote(n)
 		if err != nil {
-			c.broke(fmt.Errorf("writing: %w", err))
+			c.breakOff(fmt.Errorf("writing: %w", err))
 			return
 		}
 	}
 }
 
-// broke ends the connection from this side.
-func (c *Conn) broke(why error) {
+// breakOff ends the connection from this side.
+func (c *Conn) breakOff(why error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.settle(c.m.Break(why))
-	c.poke()
+	c.deliver(c.machine.Break(why))
+	c.wakeWriter()
 }
 
 // open opens a stream and sends its request, as far as it is here and goes at once.
-func (c *Conn) open(r *Request, w waiter) (id uint32, err error) {
+func (c *Conn) open(request *Request, receiver eventReceiver) (id uint32, err error) {
 	c.mu.Lock()
-	if id, err = c.m.OpenStream(r); err != nil {
+	if id, err = c.machine.OpenStream(request); err != nil {
 		c.mu.Unlock()
 		return 0, err
 	}
-	if c.m.Open() == 1 {
-		c.heard = time.Now() // the silence that counts begins with the first stream
-		c.watch()
+	if c.machine.OpenStreams() == 1 {
+		c.lastRead = time.Now() // the silence that counts begins with the first stream
+		c.startWatch()
 	}
-	c.waits[id] = w
+	c.receivers[id] = receiver
 	c.mu.Unlock()
-	c.push()
+	c.writeNow()
 	return id, nil
 }
 
-// giveUp resets a stream, and returns once that has gone out or the connection has ended. A stream that
+// cancelStream resets a stream, and returns once that has gone out or the connection has ended. A stream that
 // has ended meanwhile is left alone.
-func (c *Conn) giveUp(id uint32) {
+func (c *Conn) cancelStream(id uint32) {
 	c.mu.Lock()
-	e, ok := c.m.Cancel(id)
+	event, ok := c.machine.Cancel(id)
 	if !ok {
 		c.mu.Unlock()
 		return
 	}
-	c.settle([]Event{e})
-	until := c.m.Pending()
+	c.deliver([]Event{event})
+	until := c.machine.OutputOffset()
 	c.mu.Unlock()
-	c.poke()
-	c.await(until)
+	c.wakeWriter()
+	c.awaitFlush(until)
 }
 
 // Do sends a request and waits for how its stream ends, or until ctx does: it is given up then, and
 // its reset has gone out, or the connection ended, before Do returns. ErrNoStream says that nothing was sent.
-func (c *Conn) Do(ctx context.Context, r *Request) (Event, error) {
-	w := make(end, 1)
-	id, err := c.open(r, w)
+func (c *Conn) Do(ctx context.Context, request *Request) (Event, error) {
+	receiver := make(endReceiver, 1)
+	id, err := c.open(request, receiver)
 	if err != nil {
 		return Event{}, err
 	}
 	select {
-	case e := <-w:
-		return e, nil
+	case event := <-receiver:
+		return event, nil
 	case <-ctx.Done():
 	}
-	c.giveUp(id)
-	return <-w, nil
+	c.cancelStream(id)
+	return <-receiver, nil
 }
 
-// await waits until so much is written. Guards against a request that is still out when another
+// awaitFlush waits until so much is written. Guards against a request that is still out when another
 // server is asked: a connection that takes not even a reset is ended.
-func (c *Conn) await(until int64) {
-	late := time.AfterFunc(cancelWithin, func() { c.Close() })
+func (c *Conn) awaitFlush(until int64) {
+	late := time.AfterFunc(cancelTimeout, func() { c.Close() })
 	defer late.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.m.written < until && c.m.Err() == nil {
+	for c.machine.written < until && c.machine.Err() == nil {
 		c.flushed.Wait()
 	}
 }
 
-// watch asks for signs of life while streams are open; c.mu is held.
-func (c *Conn) watch() {
-	if c.o.Quiet > 0 && !c.watched {
-		c.watched = true
-		time.AfterFunc(c.o.Quiet, c.look)
+// startWatch asks for signs of life while streams are open; c.mu is held.
+func (c *Conn) startWatch() {
+	if c.options.PingAfterSilence > 0 && !c.isWatched {
+		c.isWatched = true
+		time.AfterFunc(c.options.PingAfterSilence, c.checkSilence)
 	}
 }
 
-// look is what watch does after each time of quiet.
-func (c *Conn) look() {
+// checkSilence is what watch does after each time of quiet.
+func (c *Conn) checkSilence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.m.Err() != nil || c.m.Open() == 0 {
-		c.watched = false
+	if c.machine.Err() != nil || c.machine.OpenStreams() == 0 {
+		c.isWatched = false
 		return
 	}
-	switch silent := time.Since(c.heard); {
-	case silent >= 2*c.o.Quiet && c.m.Awaiting():
-		c.settle(c.m.Break(fmt.Errorf("nothing heard for %v", silent)))
-		c.poke()
+	switch silent := time.Since(c.lastRead); {
+	case silent >= 2*c.options.PingAfterSilence && c.machine.IsAwaitingPing():
+		c.deliver(c.machine.Break(fmt.Errorf("nothing heard for %v", silent)))
+		c.wakeWriter()
 		return
-	case silent >= c.o.Quiet:
-		c.m.Ping()
-		c.poke()
+	case silent >= c.options.PingAfterSilence:
+		c.machine.Ping()
+		c.wakeWriter()
 	}
-	time.AfterFunc(c.o.Quiet, c.look)
+	time.AfterFunc(c.options.PingAfterSilence, c.checkSilence)
 }
 
 // View is what the choice of a connection goes by.
 func (c *Conn) View() View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return View{Open: c.m.Open(), Room: c.m.Room(), Limit: c.m.Limit(), Ending: c.m.Ending(), Age: time.Since(c.begun)}
+	return View{OpenStreams: c.machine.OpenStreams(), FreeStreams: c.machine.FreeStreams(), MaxStreams: c.machine.StreamLimit(), IsEnding: c.machine.IsEnding(), Age: time.Since(c.started)}
 }
 
 // Idle is since when no stream has been open; false where one is.
 func (c *Conn) Idle() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, c.m.Open() == 0
+	return c.idleSince, c.machine.OpenStreams() == 0
 }
 
 // Retire has the connection take no more requests, and end with its last stream.
 func (c *Conn) Retire() {
 	c.mu.Lock()
-	c.m.Retire()
-	c.closing = true
+	c.machine.Retire()
+	c.isClosing = true
 	c.mu.Unlock()
-	c.poke()
+	c.wakeWriter()
 }
 
 // Close ends the connection and all streams on it.
 func (c *Conn) Close() {
-	c.broke(net.ErrClosed)
-	c.c.Close()
+	c.breakOff(net.ErrClosed)
+	c.conn.Close()
 }
 
 // Done is closed when the connection has ended.
--- a/internal/h2/fate.go
+++ b/internal/h2/fate.go
@@ -11,10 +11,10 @@
 
 // The moments of a request, in their order.
 const (
-	Unsent   Moment = iota // no byte of it has been written to the socket
-	Begun                  // some have
-	Sent                   // all have
-	Answered               // and some of an answer has come, be it of 1xx
+	MomentUnsent   Moment = iota // no byte of it has been written to the socket
+	MomentBegun                  // some have
+	MomentSent                   // all have
+	MomentAnswered               // and some of an answer has come, be it of 1xx
 )
 
 func (m Moment) String() string { return [...]string{"unsent", "begun", "sent", "answered"}[m] }
@@ -24,47 +24,49 @@
 
 // The ends of a stream.
 const (
-	Broke     End = iota // the connection broke, or was ended for an error on it
-	Reset                // the server reset the stream; the error code says more
-	Above                // the last id of a GOAWAY is below the stream's
-	Cancelled            // this side gave it up
-	Malformed            // what came for it can't be an answer; this side reset it
+	EndBroken    End = iota // the connection broke, or was ended for an error on it
+	EndReset                // the server reset the stream; the error code says more
+	EndGoAway               // the last id of a GOAWAY is below the stream's
+	EndCancelled            // this side gave it up
+	EndMalformed            // what came for it can't be an answer; this side reset it
 )
 
 func (e End) String() string {
 	return [...]string{"broke", "reset", "above goaway", "cancelled", "malformed"}[e]
 }
 
-// Fate is what is known of a request that got no whole answer.
-type Fate int
+// StreamOutcome is what is known of a request that got no whole answer.
+type StreamOutcome int
 
 const (
-	// MayHaveRun is a request that the server may have begun.
-	MayHaveRun Fate = iota
-	// NeverRan is one that the server can't have begun.
-	NeverRan
-	// TurnedAway never ran either: the server has said so.
-	TurnedAway
+	// MayBeProcessed is a request that the server may have begun.
+	MayBeProcessed StreamOutcome = iota
+	// NotProcessed is one that the server can't have begun.
+	NotProcessed
+	// Rejected never ran either: the server has said so.
+	Rejected
 )
 
-func (f Fate) String() string { return [...]string{"may have run", "never ran", "turned away"}[f] }
+func (f StreamOutcome) String() string {
+	return [...]string{"may have run", "never ran", "turned away"}[f]
+}
 
-// FateOf tells what is known of a request, by the table in docs/http2.md. whole says that servers
+// OutcomeOf tells what is known of a request, by the table in docs/http2.md. whole says that servers
 // begin a request with its last byte and not with its head.
 //
 // A server that says that it has not begun a request which it has begun to answer is not believed.
-func FateOf(m Moment, e End, code http2.ErrCode, whole bool) Fate {
+func OutcomeOf(moment Moment, end End, code http2.ErrCode, startsAtLastByte bool) StreamOutcome {
 	switch {
-	case m == Answered:
-		return MayHaveRun
-	case m == Unsent:
-		return NeverRan
-	case e == Above, e == Reset && code == http2.ErrCodeRefusedStream:
-		return TurnedAway
-	case m == Begun && whole:
-		return NeverRan
+	case moment == MomentAnswered:
+		return MayBeProcessed
+	case moment == MomentUnsent:
+		return NotProcessed
+	case end == EndGoAway, end == EndReset && code == http2.ErrCodeRefusedStream:
+		return Rejected
+	case moment == MomentBegun && startsAtLastByte:
+		return NotProcessed
 	}
-	return MayHaveRun
+	return MayBeProcessed
 }
 
 // StreamError is how a stream ended that brought no whole answer.
@@ -72,16 +74,16 @@
 	Moment Moment
 	End    End
 	Code   http2.ErrCode // of a reset, or of the error that ended the connection
-	Why    string
+	Detail string
 }
 
 func (e *StreamError) Error() string {
-	s := fmt.Sprintf("stream %v (request %v)", e.End, e.Moment)
-	if e.End == Reset || e.Code != http2.ErrCodeNo {
-		s += fmt.Sprintf(", %v", e.Code)
+	text := fmt.Sprintf("stream %v (request %v)", e.End, e.Moment)
+	if e.End == EndReset || e.Code != http2.ErrCodeNo {
+		text += fmt.Sprintf(", %v", e.Code)
 	}
-	if e.Why != "" {
-		s += ": " + e.Why
+	if e.Detail != "" {
+		text += ": " + e.Detail
 	}
-	return s
+	return text
 }
--- a/internal/h2/frames.go
+++ b/internal/h2/frames.go
@@ -14,125 +14,125 @@
 
 // Unreadable takes in that no frame could be read: an error of http2.Framer's.
 func (m *Machine) Unreadable(err error) []Event {
-	if m.broken != nil {
+	if m.connErr != nil {
 		return nil
 	}
 	var conn http2.ConnectionError
 	var one http2.StreamError
 	switch {
 	case errors.As(err, &one):
-		if !m.known(one.StreamID) {
+		if !m.isKnownStream(one.StreamID) {
 			return m.fail(http2.ErrCodeProtocol, "a frame on stream %d, which was not opened", one.StreamID)
 		}
-		return m.malformed(one.StreamID, one.Code, err.Error())
+		return m.endMalformed(one.StreamID, one.Code, err.Error())
 	case errors.As(err, &conn):
 		return m.fail(http2.ErrCode(conn), "a frame that can't be")
 	case errors.Is(err, http2.ErrFrameTooLarge):
 		return m.fail(http2.ErrCodeFrameSize, "%v", err)
 	}
-	return m.die(http2.ErrCodeNo, err)
+	return m.endConnection(http2.ErrCodeNo, err)
 }
 
-// known tells whether a stream was opened, be it closed by now.
-func (m *Machine) known(id uint32) bool { return id%2 == 1 && id < m.next }
+// isKnownStream tells whether a stream was opened, be it closed by now.
+func (m *Machine) isKnownStream(id uint32) bool { return id%2 == 1 && id < m.nextID }
 
-// malformed ends a stream whose answer can't be one; other streams go on (RFC 9113, 8.1.1).
-func (m *Machine) malformed(id uint32, code http2.ErrCode, why string) []Event {
-	if m.nothing(); m.noise > noiseMost {
+// endMalformed ends a stream whose answer can't be one; other streams go on (RFC 9113, 8.1.1).
+func (m *Machine) endMalformed(id uint32, code http2.ErrCode, why string) []Event {
+	if m.countNoise(); m.noiseFrames > maxNoiseFrames {
 		return m.fail(http2.ErrCodeEnhanceYourCalm, "too many frames that bring nothing")
 	}
-	s := m.streams[id]
-	if s == nil {
+	stream := m.streams[id]
+	if stream == nil {
 		return nil
 	}
-	e := m.end(s, Malformed, code, why)
+	event := m.endStream(stream, EndMalformed, code, why)
 	m.frames.WriteRSTStream(id, code)
-	return []Event{e}
+	return []Event{event}
 }
 
-// nothing counts a frame that brings no answer on. Guards against floods of pings, settings, resets
+// countNoise counts a frame that brings no answer on. Guards against floods of pings, settings, resets
 // and empty frames, each of which costs this side something.
-func (m *Machine) nothing() { m.noise++ }
+func (m *Machine) countNoise() { m.noiseFrames++ }
 
-// Calm is to be called once a second: what came before counts no more.
-func (m *Machine) Calm() { m.noise = 0 }
+// ResetNoise is to be called once a second: what came before counts no more.
+func (m *Machine) ResetNoise() { m.noiseFrames = 0 }
 
 // Handle takes in a frame, as http2.Framer reads it with ReadMetaHeaders set. Frames behind the
 // connection's end say nothing.
-func (m *Machine) Handle(f http2.Frame) []Event {
-	if m.broken != nil {
+func (m *Machine) Handle(frame http2.Frame) []Event {
+	if m.connErr != nil {
 		return nil
 	}
-	if !m.greeted {
-		if s, ok := f.(*http2.SettingsFrame); !ok || s.IsAck() {
-			return m.fail(http2.ErrCodeProtocol, "%v before any settings", f.Header().Type)
+	if !m.hasSettings {
+		if s, ok := frame.(*http2.SettingsFrame); !ok || s.IsAck() {
+			return m.fail(http2.ErrCodeProtocol, "%v before any settings", frame.Header().Type)
 		}
 	}
-	m.nothing()
+	m.countNoise()
 	var events []Event
-	switch f := f.(type) {
+	switch f := frame.(type) {
 	case *http2.MetaHeadersFrame:
-		events = m.headers(f)
+		events = m.handleHeaders(f)
 	case *http2.DataFrame:
-		events = m.data(f)
+		events = m.handleData(f)
 	case *http2.SettingsFrame:
-		events = m.settings(f)
+		events = m.handleSettings(f)
 	case *http2.RSTStreamFrame:
-		events = m.reset(f)
+		events = m.handleReset(f)
 	case *http2.WindowUpdateFrame:
-		events = m.windowUpdate(f)
+		events = m.handleWindowUpdate(f)
 	case *http2.GoAwayFrame:
-		events = m.goesAway(f)
+		events = m.handleGoAway(f)
 	case *http2.PingFrame:
-		m.ping(f)
+		m.handlePing(f)
 	case *http2.PushPromiseFrame:
 		return m.fail(http2.ErrCodeProtocol, "a push that was declined")
 	}
-	if m.broken == nil && (m.noise > noiseMost || m.out.Len() > 2*outMost) {
+	if m.connErr == nil && (m.noiseFrames > maxNoiseFrames || m.output.Len() > 2*maxOutputBytes) {
 		events = append(events, m.fail(http2.ErrCodeEnhanceYourCalm, "too many frames that bring nothing")...)
 	}
 	return events
 }
 
-func (m *Machine) ping(f *http2.PingFrame) {
-	if !f.IsAck() {
-		m.frames.WritePing(true, f.Data)
+func (m *Machine) handlePing(frame *http2.PingFrame) {
+	if !frame.IsAck() {
+		m.frames.WritePing(true, frame.Data)
 		return
 	}
 	var n uint64
-	for i, b := range f.Data {
+	for i, b := range frame.Data {
 		n |= uint64(b) << (8 * i)
 	}
-	if n == m.awaited {
-		m.awaited = 0
+	if n == m.awaitedPing {
+		m.awaitedPing = 0
 	}
 }
 
-func (m *Machine) settings(f *http2.SettingsFrame) []Event {
-	if f.IsAck() {
+func (m *Machine) handleSettings(frame *http2.SettingsFrame) []Event {
+	if frame.IsAck() {
 		return nil
 	}
-	m.greeted = true
-	before := m.initial
-	if err := f.ForeachSetting(func(s http2.Setting) error {
-		if err := s.Valid(); err != nil {
+	m.hasSettings = true
+	before := m.initialWindow
+	if err := frame.ForeachSetting(func(setting http2.Setting) error {
+		if err := setting.Valid(); err != nil {
 			return err
 		}
-		switch s.ID {
+		switch setting.ID {
 		case http2.SettingEnablePush:
-			if s.Val != 0 { // RFC 9113, 6.5.2
+			if setting.Val != 0 { // RFC 9113, 6.5.2
 				return http2.ConnectionError(http2.ErrCodeProtocol)
 			}
 		case http2.SettingMaxConcurrentStreams:
-			m.allowed = s.Val
+			m.peerMaxStreams = setting.Val
 		case http2.SettingInitialWindowSize:
-			m.initial = int64(s.Val)
+			m.initialWindow = int64(setting.Val)
 		case http2.SettingMaxFrameSize:
-			m.frameMost = int(min(s.Val, 1<<16)) // longer ones would hold others up
+			m.maxFrameBytes = int(min(setting.Val, 1<<16)) // longer ones would hold others up
 		case http2.SettingHeaderTableSize:
-			m.encoder.SetMaxDynamicTableSize(min(s.Val, tableDefault))
+			m.encoder.SetMaxDynamicTableSize(min(setting.Val, defaultTableBytes))
 		case http2.SettingMaxHeaderListSize:
-			m.headMost = s.Val
+			m.peerMaxHeadBytes = setting.Val
 		}
 		return nil
 	}); err != nil {
@@ -142,198 +142,198 @@
 		}
 		return m.fail(code, "a setting that can't be")
 	}
-	for _, s := range m.streams { // it may fall below nothing (6.9.2)
-		if s.window += m.initial - before; s.window > windowMost {
+	for _, stream := range m.streams { // it may fall below nothing (6.9.2)
+		if stream.sendWindow += m.initialWindow - before; stream.sendWindow > maxWindow {
 			return m.fail(http2.ErrCodeFlowControl, "a window of more than 2^31-1")
 		}
 	}
 	m.frames.WriteSettingsAck()
-	m.sendOn()
+	m.sendWaiting()
 	return nil
 }
 
-func (m *Machine) windowUpdate(f *http2.WindowUpdateFrame) []Event {
-	if f.StreamID == 0 {
-		if m.window += int64(f.Increment); m.window > windowMost {
+func (m *Machine) handleWindowUpdate(frame *http2.WindowUpdateFrame) []Event {
+	if frame.StreamID == 0 {
+		if m.sendWindow += int64(frame.Increment); m.sendWindow > maxWindow {
 			return m.fail(http2.ErrCodeFlowControl, "a window of more than 2^31-1")
 		}
-		m.sendOn()
+		m.sendWaiting()
 		return nil
 	}
-	if !m.known(f.StreamID) {
-		return m.fail(http2.ErrCodeProtocol, "a window of stream %d, which was not opened", f.StreamID)
+	if !m.isKnownStream(frame.StreamID) {
+		return m.fail(http2.ErrCodeProtocol, "a window of stream %d, which was not opened", frame.StreamID)
 	}
-	if s := m.streams[f.StreamID]; s != nil {
-		if s.window += int64(f.Increment); s.window > windowMost {
-			return m.malformed(s.id, http2.ErrCodeFlowControl, "a window of more than 2^31-1")
+	if stream := m.streams[frame.StreamID]; stream != nil {
+		if stream.sendWindow += int64(frame.Increment); stream.sendWindow > maxWindow {
+			return m.endMalformed(stream.id, http2.ErrCodeFlowControl, "a window of more than 2^31-1")
 		}
-		m.sendOn()
+		m.sendWaiting()
 	}
 	return nil
 }
 
-func (m *Machine) reset(f *http2.RSTStreamFrame) []Event {
-	if !m.known(f.StreamID) {
-		return m.fail(http2.ErrCodeProtocol, "a reset of stream %d, which was not opened", f.StreamID)
+func (m *Machine) handleReset(frame *http2.RSTStreamFrame) []Event {
+	if !m.isKnownStream(frame.StreamID) {
+		return m.fail(http2.ErrCodeProtocol, "a reset of stream %d, which was not opened", frame.StreamID)
 	}
-	s := m.streams[f.StreamID]
-	if s == nil {
+	stream := m.streams[frame.StreamID]
+	if stream == nil {
 		return nil
 	}
-	return []Event{m.end(s, Reset, f.ErrCode, "")}
+	return []Event{m.endStream(stream, EndReset, frame.ErrCode, "")}
 }
 
-// goesAway ends the streams that the server has not taken. A last id may fall later, never rise
+// handleGoAway ends the streams that the server has not taken. A last id may fall later, never rise
 // (RFC 9113, 6.8): those above the lowest were told to be sent elsewhere.
-func (m *Machine) goesAway(f *http2.GoAwayFrame) (events []Event) {
-	m.goAway = true
-	m.lastID = min(m.lastID, f.LastStreamID)
-	for id, s := range m.streams {
-		if id > m.lastID {
-			events = append(events, m.end(s, Above, f.ErrCode, string(f.DebugData()[:min(len(f.DebugData()), 100)])))
+func (m *Machine) handleGoAway(frame *http2.GoAwayFrame) (events []Event) {
+	m.hasGoAway = true
+	m.lastAcceptedID = min(m.lastAcceptedID, frame.LastStreamID)
+	for id, stream := range m.streams {
+		if id > m.lastAcceptedID {
+			events = append(events, m.endStream(stream, EndGoAway, frame.ErrCode, string(frame.DebugData()[:min(len(frame.DebugData()), 100)])))
 			m.frames.WriteRSTStream(id, http2.ErrCodeCancel)
 		}
 	}
 	return events
 }
 
-func (m *Machine) headers(f *http2.MetaHeadersFrame) []Event {
-	if !m.known(f.StreamID) {
-		return m.fail(http2.ErrCodeProtocol, "a head on stream %d, which was not opened", f.StreamID)
+func (m *Machine) handleHeaders(frame *http2.MetaHeadersFrame) []Event {
+	if !m.isKnownStream(frame.StreamID) {
+		return m.fail(http2.ErrCodeProtocol, "a head on stream %d, which was not opened", frame.StreamID)
 	}
-	s := m.streams[f.StreamID]
-	if s == nil {
+	stream := m.streams[frame.StreamID]
+	if stream == nil {
 		return nil
 	}
-	s.head1 = true
+	stream.hasAnyHead = true
 	wrong := func(format string, args ...any) []Event {
-		return m.malformed(s.id, http2.ErrCodeProtocol, fmt.Sprintf(format, args...))
+		return m.endMalformed(stream.id, http2.ErrCodeProtocol, fmt.Sprintf(format, args...))
 	}
-	if f.Truncated {
-		return wrong("a head of more than %d bytes", m.Head)
+	if frame.Truncated {
+		return wrong("a head of more than %d bytes", m.MaxHeadBytes)
 	}
-	h := make(http.Header, len(f.Fields))
-	for _, field := range f.RegularFields() {
+	header := make(http.Header, len(frame.Fields))
+	for _, field := range frame.RegularFields() {
 		if own[field.Name] && field.Name != "host" {
 			return wrong("a field of HTTP/1.1's connections, %s", field.Name)
 		}
-		name := m.canonical.of(field.Name, http.CanonicalHeaderKey)
-		h[name] = append(h[name], field.Value)
+		name := m.canonicalNames.of(field.Name, http.CanonicalHeaderKey)
+		header[name] = append(header[name], field.Value)
 	}
-	if s.head { // trailers
-		if len(f.PseudoFields()) > 0 || !f.StreamEnded() {
+	if stream.hasFinalHead { // trailers
+		if len(frame.PseudoFields()) > 0 || !frame.StreamEnded() {
 			return wrong("a second head")
 		}
-		s.answer.Trailer = h
-		return m.ended(s)
+		stream.answer.Trailer = header
+		return m.endAnswered(stream)
 	}
-	status, err := statusOf(f.PseudoFields())
+	status, err := statusOf(frame.PseudoFields())
 	if err != nil {
 		return wrong("%v", err)
 	}
 	if status < 200 {
-		if s.interims++; f.StreamEnded() || s.interims > interimsMost {
+		if stream.interimAnswers++; frame.StreamEnded() || stream.interimAnswers > maxInterimAnswers {
 			return wrong("an answer of 1xx that ends the stream, or too many")
 		}
-		if s.flow {
-			return []Event{{ID: s.id, Head: &Answer{Status: status, Header: h}}}
+		if stream.streamsAnswer {
+			return []Event{{ID: stream.id, Head: &Answer{Status: status, Header: header}}}
 		}
 		return nil
 	}
-	return m.finalHead(s, status, h, f.StreamEnded())
+	return m.finalHead(stream, status, header, frame.StreamEnded())
 }
 
 // statusOf reads an answer's pseudo header fields.
-func statusOf(p []hpack.HeaderField) (int, error) {
-	if len(p) != 1 || p[0].Name != ":status" || len(p[0].Value) != 3 {
+func statusOf(fields []hpack.HeaderField) (int, error) {
+	if len(fields) != 1 || fields[0].Name != ":status" || len(fields[0].Value) != 3 {
 		return 0, errors.New("a head without one :status")
 	}
-	status, err := strconv.ParseUint(p[0].Value, 10, 16)
+	status, err := strconv.ParseUint(fields[0].Value, 10, 16)
 	if err != nil || status < 100 || status == http.StatusSwitchingProtocols {
-		return 0, fmt.Errorf("status %q", p[0].Value)
+		return 0, fmt.Errorf("status %q", fields[0].Value)
 	}
 	return int(status), nil
 }
 
 // finalHead takes the head of a final answer.
-func (m *Machine) finalHead(s *stream, status int, h http.Header, ended bool) []Event {
-	m.noise = 0
-	s.head = true
-	s.answer.Status, s.answer.Header = status, h
-	s.none = s.isHead || status == http.StatusNoContent || status == http.StatusNotModified
-	if v, told := h["Content-Length"]; told {
-		n, err := strconv.ParseUint(v[0], 10, 62)
-		if err != nil || len(v) > 1 {
-			return m.malformed(s.id, http2.ErrCodeProtocol, fmt.Sprintf("Content-Length %q", v))
+func (m *Machine) finalHead(stream *stream, status int, header http.Header, ended bool) []Event {
+	m.noiseFrames = 0
+	stream.hasFinalHead = true
+	stream.answer.Status, stream.answer.Header = status, header
+	stream.hasNoBody = stream.isHeadRequest || status == http.StatusNoContent || status == http.StatusNotModified
+	if lengths, isStated := header["Content-Length"]; isStated {
+		n, err := strconv.ParseUint(lengths[0], 10, 62)
+		if err != nil || len(lengths) > 1 {
+			return m.endMalformed(stream.id, http2.ErrCodeProtocol, fmt.Sprintf("Content-Length %q", lengths))
 		}
-		if s.expect = int64(n); !s.none && !s.flow && s.expect > int64(m.Body) {
-			return m.malformed(s.id, http2.ErrCodeCancel, fmt.Sprintf("a body of %d bytes", n))
+		if stream.contentLength = int64(n); !stream.hasNoBody && !stream.streamsAnswer && stream.contentLength > int64(m.MaxBodyBytes) {
+			return m.endMalformed(stream.id, http2.ErrCodeCancel, fmt.Sprintf("a body of %d bytes", n))
 		}
 	}
 	var events []Event
-	if s.flow {
-		events = append(events, Event{ID: s.id, Head: &Answer{Status: status, Header: h}})
+	if stream.streamsAnswer {
+		events = append(events, Event{ID: stream.id, Head: &Answer{Status: status, Header: header}})
 	}
 	if ended {
-		events = append(events, m.ended(s)...)
+		events = append(events, m.endAnswered(stream)...)
 	}
 	return events
 }
 
-func (m *Machine) data(f *http2.DataFrame) []Event {
-	if !m.known(f.StreamID) {
-		return m.fail(http2.ErrCodeProtocol, "data on stream %d, which was not opened", f.StreamID)
+func (m *Machine) handleData(frame *http2.DataFrame) []Event {
+	if !m.isKnownStream(frame.StreamID) {
+		return m.fail(http2.ErrCodeProtocol, "data on stream %d, which was not opened", frame.StreamID)
 	}
-	m.received(f.Length) // with its padding, also where the stream has gone (6.9)
-	s := m.streams[f.StreamID]
-	if s == nil {
+	m.returnWindow(frame.Length) // with its padding, also where the stream has gone (6.9)
+	stream := m.streams[frame.StreamID]
+	if stream == nil {
 		return nil
 	}
-	if !s.head {
-		s.head1 = true
-		return m.malformed(s.id, http2.ErrCodeProtocol, "data before a head")
+	if !stream.hasFinalHead {
+		stream.hasAnyHead = true
+		return m.endMalformed(stream.id, http2.ErrCodeProtocol, "data before a head")
 	}
-	if s.got += int(f.Length); s.got > m.Body+1 {
-		return m.malformed(s.id, http2.ErrCodeFlowControl, "more than its window")
+	if stream.windowBytes += int(frame.Length); stream.windowBytes > m.MaxBodyBytes+1 {
+		return m.endMalformed(stream.id, http2.ErrCodeFlowControl, "more than its window")
 	}
-	b := f.Data()
+	data := frame.Data()
 	var events []Event
-	if len(b) > 0 {
-		m.noise = 0
-		s.came += int64(len(b))
-		if s.none || s.expect >= 0 && s.came > s.expect || !s.flow && s.came > int64(m.Body) {
-			return m.malformed(s.id, http2.ErrCodeProtocol, "a body of too many bytes")
+	if len(data) > 0 {
+		m.noiseFrames = 0
+		stream.bodyBytes += int64(len(data))
+		if stream.hasNoBody || stream.contentLength >= 0 && stream.bodyBytes > stream.contentLength || !stream.streamsAnswer && stream.bodyBytes > int64(m.MaxBodyBytes) {
+			return m.endMalformed(stream.id, http2.ErrCodeProtocol, "a body of too many bytes")
 		}
-		if s.flow {
-			events = append(events, Event{ID: s.id, Data: b})
+		if stream.streamsAnswer {
+			events = append(events, Event{ID: stream.id, Data: data})
 		} else {
-			if s.answer.Body == nil && s.expect > 0 {
-				s.answer.Body = make([]byte, 0, s.expect)
+			if stream.answer.Body == nil && stream.contentLength > 0 {
+				stream.answer.Body = make([]byte, 0, stream.contentLength)
 			}
-			s.answer.Body = append(s.answer.Body, b...)
+			stream.answer.Body = append(stream.answer.Body, data...)
 		}
 	}
 	// Padding takes from the stream's window and brings nothing: it is given back.
-	if pad := int(f.Length) - len(b); pad > 0 && !f.StreamEnded() {
-		s.got -= pad
-		m.frames.WriteWindowUpdate(s.id, uint32(pad))
+	if pad := int(frame.Length) - len(data); pad > 0 && !frame.StreamEnded() {
+		stream.windowBytes -= pad
+		m.frames.WriteWindowUpdate(stream.id, uint32(pad))
 	}
-	if f.StreamEnded() {
-		events = append(events, m.ended(s)...)
+	if frame.StreamEnded() {
+		events = append(events, m.endAnswered(stream)...)
 	}
 	return events
 }
 
-// ended gives a stream's answer. Where the server did not wait for the rest of the request, the
+// endAnswered gives a stream's answer. Where the server did not wait for the rest of the request, the
 // rest is not sent (RFC 9113, 8.1).
-func (m *Machine) ended(s *stream) []Event {
-	if s.expect >= 0 && !s.none && s.came != s.expect {
-		return m.malformed(s.id, http2.ErrCodeProtocol, fmt.Sprintf("a body of %d bytes where %d were told", s.came, s.expect))
+func (m *Machine) endAnswered(stream *stream) []Event {
+	if stream.contentLength >= 0 && !stream.hasNoBody && stream.bodyBytes != stream.contentLength {
+		return m.endMalformed(stream.id, http2.ErrCodeProtocol, fmt.Sprintf("a body of %d bytes where %d were told", stream.bodyBytes, stream.contentLength))
 	}
-	m.noise = 0
-	delete(m.streams, s.id)
-	if !s.queued {
-		m.frames.WriteRSTStream(s.id, http2.ErrCodeCancel)
+	m.noiseFrames = 0
+	delete(m.streams, stream.id)
+	if !stream.isQueued {
+		m.frames.WriteRSTStream(stream.id, http2.ErrCodeCancel)
 	}
-	return []Event{{ID: s.id, Answer: &s.answer}}
+	return []Event{{ID: stream.id, Answer: &stream.answer}}
 }
--- a/internal/h2/machine_test.go
+++ b/internal/h2/machine_test.go
@@ -28,42 +28,42 @@
 	events []Event
 }
 
-func newPeer(t testing.TB, l Limits) *peer {
-	p := &peer{t: t, m: New(l)}
-	p.w, p.toM = http2.NewFramer(&p.in, nil), http2.NewFramer(nil, &p.in)
-	p.toM.ReadMetaHeaders = hpack.NewDecoder(tableDefault, nil)
-	p.toM.MaxHeaderListSize = uint32(p.m.Head)
-	p.w.AllowIllegalWrites, p.w.AllowIllegalReads = true, false
-	p.enc = hpack.NewEncoder(&p.block)
-	p.r = http2.NewFramer(nil, &p.fromM)
-	p.r.ReadMetaHeaders = hpack.NewDecoder(tableDefault, nil)
-	out := p.write()
+func newPeer(t testing.TB, limits Limits) *peer {
+	created := &peer{t: t, m: New(limits)}
+	created.w, created.toM = http2.NewFramer(&created.in, nil), http2.NewFramer(nil, &created.in)
+	created.toM.ReadMetaHeaders = hpack.NewDecoder(defaultTableBytes, nil)
+	created.toM.MaxHeaderListSize = uint32(created.m.MaxHeadBytes)
+	created.w.AllowIllegalWrites, created.w.AllowIllegalReads = true, false
+	created.enc = hpack.NewEncoder(&created.block)
+	created.r = http2.NewFramer(nil, &created.fromM)
+	created.r.ReadMetaHeaders = hpack.NewDecoder(defaultTableBytes, nil)
+	out := created.write()
 	if !strings.HasPrefix(out, preface) {
 		t.Fatalf("it begins with %q", out)
 	}
-	p.fromM.Next(len(preface))
-	return p
+	created.fromM.Next(len(preface))
+	return created
 }
 
 // greeted is a peer whose settings have been taken.
-func greeted(t testing.TB, l Limits, s ...http2.Setting) *peer {
-	p := newPeer(t, l)
-	p.w.WriteSettings(s...)
-	p.feed()
-	p.write()
-	p.frames()
-	return p
+func greeted(t testing.TB, limits Limits, s ...http2.Setting) *peer {
+	ready := newPeer(t, limits)
+	ready.w.WriteSettings(s...)
+	ready.feed()
+	ready.write()
+	ready.frames()
+	return ready
 }
 
 // feed has the machine take in what was written for it.
 func (p *peer) feed() []Event {
 	p.events = nil
 	for p.in.Len() > 0 && p.m.Err() == nil {
-		f, err := p.toM.ReadFrame()
+		frame, err := p.toM.ReadFrame()
 		if err != nil {
 			p.events = append(p.events, p.m.Unreadable(err)...)
 		} else {
-			p.events = append(p.events, p.m.Handle(f)...)
+			p.events = append(p.events, p.m.Handle(frame)...)
 		}
 	}
 	return p.events
@@ -72,7 +72,7 @@
 // write takes all that the machine has to say.
 func (p *peer) write() string {
 	var all []byte
-	for b := p.m.Out(); len(b) > 0; b = p.m.Out() {
+	for b := p.m.PendingBytes(); len(b) > 0; b = p.m.PendingBytes() {
 		all = append(all, b...)
 		p.m.Wrote(len(b))
 	}
@@ -84,14 +84,14 @@
 func (p *peer) frames() (all []string) {
 	p.write()
 	for {
-		f, err := p.r.ReadFrame()
+		frame, err := p.r.ReadFrame()
 		if errors.Is(err, io.EOF) {
 			return all
 		}
 		if err != nil {
 			p.t.Fatalf("the machine wrote what can't be read: %v", err)
 		}
-		switch f := f.(type) {
+		switch f := frame.(type) {
 		case *http2.RSTStreamFrame:
 			all = append(all, fmt.Sprintf("RST %d %v", f.StreamID, f.ErrCode))
 		case *http2.GoAwayFrame:
@@ -141,8 +141,8 @@
 	do            func(p *peer)
 	want          string // "" is nothing: it goes on
 }{
-	{"3.4", "no settings first", func(p *peer) { p.m.greeted = false; p.w.WritePing(false, [8]byte{}) }, goAway(http2.ErrCodeProtocol)},
-	{"3.4", "an ack first", func(p *peer) { p.m.greeted = false; p.w.WriteSettingsAck() }, goAway(http2.ErrCodeProtocol)},
+	{"3.4", "no settings first", func(p *peer) { p.m.hasSettings = false; p.w.WritePing(false, [8]byte{}) }, goAway(http2.ErrCodeProtocol)},
+	{"3.4", "an ack first", func(p *peer) { p.m.hasSettings = false; p.w.WriteSettingsAck() }, goAway(http2.ErrCodeProtocol)},
 	{"4.2", "a frame longer than was allowed", func(p *peer) { p.toM.SetMaxReadFrameSize(100); p.w.WriteData(1, false, make([]byte, 101)) }, goAway(http2.ErrCodeFrameSize)},
 	{"4.3", "a block that can't be decoded", func(p *peer) {
 		p.w.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, EndHeaders: true})
@@ -174,11 +174,11 @@
 	{"6.8", "goaway on a stream", func(p *peer) { p.w.WriteRawFrame(http2.FrameGoAway, 0, 1, make([]byte, 8)) }, goAway(http2.ErrCodeProtocol)},
 	{"6.9", "a window of nothing", func(p *peer) { p.w.WriteRawFrame(http2.FrameWindowUpdate, 0, 0, make([]byte, 4)) }, goAway(http2.ErrCodeProtocol)},
 	{"6.9", "a stream's window of nothing", func(p *peer) { p.w.WriteRawFrame(http2.FrameWindowUpdate, 0, 1, make([]byte, 4)) }, reset(http2.ErrCodeProtocol)},
-	{"6.9.1", "a window beyond 2^31-1", func(p *peer) { p.w.WriteWindowUpdate(0, windowMost) }, goAway(http2.ErrCodeFlowControl)},
-	{"6.9.1", "a stream's window beyond 2^31-1", func(p *peer) { p.w.WriteWindowUpdate(1, windowMost) }, reset(http2.ErrCodeFlowControl)},
+	{"6.9.1", "a window beyond 2^31-1", func(p *peer) { p.w.WriteWindowUpdate(0, maxWindow) }, goAway(http2.ErrCodeFlowControl)},
+	{"6.9.1", "a stream's window beyond 2^31-1", func(p *peer) { p.w.WriteWindowUpdate(1, maxWindow) }, reset(http2.ErrCodeFlowControl)},
 	{"6.9.2", "settings that take a window beyond 2^31-1", func(p *peer) {
-		p.w.WriteWindowUpdate(1, windowMost-windowDefault)
-		p.w.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: windowDefault + 1})
+		p.w.WriteWindowUpdate(1, maxWindow-defaultWindow)
+		p.w.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: defaultWindow + 1})
 	}, goAway(http2.ErrCodeFlowControl)},
 	{"6.9", "more than the stream's window", func(p *peer) {
 		p.head(1, false, ":status: 200")
@@ -220,28 +220,28 @@
 		p.head(1, true, ":status: 200", "x: "+strings.Repeat("y", 2000), "z: "+strings.Repeat("y", 2000))
 	}, reset(http2.ErrCodeProtocol)},
 	{"10.5", "interim answers without an end", func(p *peer) {
-		for range interimsMost + 1 {
+		for range maxInterimAnswers + 1 {
 			p.head(1, false, ":status: 103")
 		}
 	}, reset(http2.ErrCodeProtocol)},
 	{"10.5", "a flood of pings", func(p *peer) {
-		for range noiseMost + 1 {
+		for range maxNoiseFrames + 1 {
 			p.w.WritePing(false, [8]byte{})
 		}
 	}, goAway(http2.ErrCodeEnhanceYourCalm)},
 	{"10.5", "a flood of settings", func(p *peer) {
-		for range noiseMost + 1 {
+		for range maxNoiseFrames + 1 {
 			p.w.WriteSettings()
 		}
 	}, goAway(http2.ErrCodeEnhanceYourCalm)},
 	{"10.5", "a flood of empty data", func(p *peer) {
 		p.head(1, false, ":status: 200")
-		for range noiseMost + 1 {
+		for range maxNoiseFrames + 1 {
 			p.w.WriteData(1, false, nil)
 		}
 	}, goAway(http2.ErrCodeEnhanceYourCalm)},
 	{"10.5", "a flood of resets", func(p *peer) {
-		for range noiseMost + 1 {
+		for range maxNoiseFrames + 1 {
 			p.w.WriteRSTStream(1, 0)
 		}
 	}, goAway(http2.ErrCodeEnhanceYourCalm)},
@@ -255,15 +255,15 @@
 }
 
 // A fault of a server ends what it has to, and nothing else.
-func TestServersFaults(t *testing.T) {
+func TestServerFaults(t *testing.T) {
 	for _, tc := range serversFaults {
 		t.Run(tc.section+" "+tc.name, func(t *testing.T) {
-			p := greeted(t, Limits{Head: 3000, Body: 60 << 10})
-			p.open("")
-			p.frames()
-			tc.do(p)
-			p.feed()
-			said := p.frames()
+			peer := greeted(t, Limits{MaxHeadBytes: 3000, MaxBodyBytes: 60 << 10})
+			peer.open("")
+			peer.frames()
+			tc.do(peer)
+			peer.feed()
+			said := peer.frames()
 			kept := said[:0]
 			for _, f := range said {
 				if strings.HasPrefix(f, "RST") || strings.HasPrefix(f, "GOAWAY") {
@@ -271,23 +271,23 @@
 				}
 			}
 			if got := strings.Join(kept, ", "); got != tc.want {
-				t.Errorf("it says %q, not %q (%v)", got, tc.want, p.m.Err())
+				t.Errorf("it says %q, not %q (%v)", got, tc.want, peer.m.Err())
 			}
 			switch {
 			case strings.HasPrefix(tc.want, "GOAWAY"):
-				if p.m.Err() == nil || p.m.Room() != 0 || p.m.Open() != 0 {
-					t.Errorf("it goes on: %v, %d open", p.m.Err(), p.m.Open())
+				if peer.m.Err() == nil || peer.m.FreeStreams() != 0 || peer.m.OpenStreams() != 0 {
+					t.Errorf("it goes on: %v, %d open", peer.m.Err(), peer.m.OpenStreams())
 				}
 			case tc.want != "": // other streams are not touched
-				if len(p.events) != 1 || p.events[0].Err == nil || p.events[0].Fate != MayHaveRun || p.m.Err() != nil {
-					t.Fatalf("%+v, %v", p.events, p.m.Err())
+				if len(peer.events) != 1 || peer.events[0].Err == nil || peer.events[0].Outcome != MayBeProcessed || peer.m.Err() != nil {
+					t.Fatalf("%+v, %v", peer.events, peer.m.Err())
 				}
 				fallthrough
 			default:
-				id := p.open("")
-				p.head(id, true, ":status: 204")
-				if e := p.feed(); p.m.Err() != nil || len(e) == 0 || e[len(e)-1].Answer == nil {
-					t.Errorf("the next request: %+v, %v", e, p.m.Err())
+				id := peer.open("")
+				peer.head(id, true, ":status: 204")
+				if e := peer.feed(); peer.m.Err() != nil || len(e) == 0 || e[len(e)-1].Answer == nil {
+					t.Errorf("the next request: %+v, %v", e, peer.m.Err())
 				}
 			}
 		})
@@ -295,28 +295,28 @@
 }
 
 // Table of docs/http2.md: what is known of a request, by how far it went and what ended it.
-func TestFates(t *testing.T) {
-	N, A, Y := NeverRan, TurnedAway, MayHaveRun
+func TestOutcomeOf(t *testing.T) {
+	notProcessed, rejected, mayBeProcessed := NotProcessed, Rejected, MayBeProcessed
 	for _, tc := range []struct {
 		how  End
 		code http2.ErrCode
-		want [2][4]Fate // servers begin with the head, with the last byte; by moment
+		want [2][4]StreamOutcome // servers begin with the head, with the last byte; by moment
 	}{
-		{Broke, http2.ErrCodeNo, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Broke, http2.ErrCodeRefusedStream, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Reset, http2.ErrCodeRefusedStream, [2][4]Fate{{N, A, A, Y}, {N, A, A, Y}}},
-		{Reset, http2.ErrCodeNo, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Reset, http2.ErrCodeInternal, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Reset, http2.ErrCodeCancel, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Reset, http2.ErrCodeEnhanceYourCalm, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Above, http2.ErrCodeNo, [2][4]Fate{{N, A, A, Y}, {N, A, A, Y}}},
-		{Above, http2.ErrCodeInternal, [2][4]Fate{{N, A, A, Y}, {N, A, A, Y}}},
-		{Cancelled, http2.ErrCodeCancel, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
-		{Malformed, http2.ErrCodeProtocol, [2][4]Fate{{N, Y, Y, Y}, {N, N, Y, Y}}},
+		{EndBroken, http2.ErrCodeNo, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndBroken, http2.ErrCodeRefusedStream, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndReset, http2.ErrCodeRefusedStream, [2][4]StreamOutcome{{notProcessed, rejected, rejected, mayBeProcessed}, {notProcessed, rejected, rejected, mayBeProcessed}}},
+		{EndReset, http2.ErrCodeNo, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndReset, http2.ErrCodeInternal, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndReset, http2.ErrCodeCancel, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndReset, http2.ErrCodeEnhanceYourCalm, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndGoAway, http2.ErrCodeNo, [2][4]StreamOutcome{{notProcessed, rejected, rejected, mayBeProcessed}, {notProcessed, rejected, rejected, mayBeProcessed}}},
+		{EndGoAway, http2.ErrCodeInternal, [2][4]StreamOutcome{{notProcessed, rejected, rejected, mayBeProcessed}, {notProcessed, rejected, rejected, mayBeProcessed}}},
+		{EndCancelled, http2.ErrCodeCancel, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
+		{EndMalformed, http2.ErrCodeProtocol, [2][4]StreamOutcome{{notProcessed, mayBeProcessed, mayBeProcessed, mayBeProcessed}, {notProcessed, notProcessed, mayBeProcessed, mayBeProcessed}}},
 	} {
 		for whole, by := range tc.want {
 			for m, want := range by {
-				if got := FateOf(Moment(m), tc.how, tc.code, whole == 1); got != want {
+				if got := OutcomeOf(Moment(m), tc.how, tc.code, whole == 1); got != want {
 					t.Errorf("%v, %v, %v, whole %d: %v, not %v", Moment(m), tc.how, tc.code, whole, got, want)
 				}
 			}
@@ -325,60 +325,64 @@
 }
 
 // How a request's moment is known: by bytes that may have been written, and by those that will be.
-func TestMoments(t *testing.T) {
-	one := func(e []Event) *StreamError {
-		if len(e) != 1 || e[0].Err == nil {
-			t.Fatalf("%+v", e)
+func TestMomentOfRequest(t *testing.T) {
+	one := func(event []Event) *StreamError {
+		if len(event) != 1 || event[0].Err == nil {
+			t.Fatalf("%+v", event)
 		}
-		return e[0].Err
+		return event[0].Err
 	}
 	for name, tc := range map[string]struct {
-		do   func(p *peer, id uint32) *StreamError
+		do   func(peer *peer, id uint32) *StreamError
 		want Moment
 	}{
-		"broken before anything is written": {func(p *peer, _ uint32) *StreamError { return one(p.m.Break(io.EOF)) }, Unsent},
-		"broken in the first write": {func(p *peer, _ uint32) *StreamError {
-			p.m.Out() // handed to a write that has not returned
-			return one(p.m.Break(io.EOF))
-		}, Begun},
-		"broken after a part":                          {func(p *peer, _ uint32) *StreamError { p.m.Out(); p.m.Wrote(12); return one(p.m.Break(io.EOF)) }, Begun},
-		"broken once all the window let go is written": {func(p *peer, _ uint32) *StreamError { p.write(); return one(p.m.Break(io.EOF)) }, Begun},
-		"broken after all": {func(p *peer, id uint32) *StreamError {
-			p.write()
-			p.w.WriteWindowUpdate(id, 1000)
-			p.feed()
-			p.write()
-			return one(p.m.Break(io.EOF))
-		}, Sent},
-		"broken with the last bytes unwritten": {func(p *peer, id uint32) *StreamError {
-			p.write()
-			p.w.WriteWindowUpdate(id, 1000)
-			p.feed()
-			n := len(p.m.Out())
-			p.m.Wrote(n - 1) // and no further write begins
-			return one(p.m.Break(io.EOF))
-		}, Begun},
-		"answered in part": {func(p *peer, id uint32) *StreamError {
-			p.write()
-			p.head(id, false, ":status: 103")
-			p.w.WriteRSTStream(id, http2.ErrCodeRefusedStream)
-			return one(p.feed())
-		}, Answered},
-		"given up while its last bytes wait to be written": {func(p *peer, id uint32) *StreamError {
-			p.w.WriteWindowUpdate(id, 1000)
-			p.feed()
-			e, _ := p.m.Cancel(id)
-			return e.Err
-		}, Sent},
-		"given up while it waits for the window": {func(p *peer, id uint32) *StreamError { e, _ := p.m.Cancel(id); return e.Err }, Begun},
+		"broken before anything is written": {func(peer *peer, _ uint32) *StreamError { return one(peer.m.Break(io.EOF)) }, MomentUnsent},
+		"broken in the first write": {func(peer *peer, _ uint32) *StreamError {
+			peer.m.PendingBytes() // handed to a write that has not returned
+			return one(peer.m.Break(io.EOF))
+		}, MomentBegun},
+		"broken after a part": {func(peer *peer, _ uint32) *StreamError {
+			peer.m.PendingBytes()
+			peer.m.Wrote(12)
+			return one(peer.m.Break(io.EOF))
+		}, MomentBegun},
+		"broken once all the window let go is written": {func(peer *peer, _ uint32) *StreamError { peer.write(); return one(peer.m.Break(io.EOF)) }, MomentBegun},
+		"broken after all": {func(peer *peer, id uint32) *StreamError {
+			peer.write()
+			peer.w.WriteWindowUpdate(id, 1000)
+			peer.feed()
+			peer.write()
+			return one(peer.m.Break(io.EOF))
+		}, MomentSent},
+		"broken with the last bytes unwritten": {func(peer *peer, id uint32) *StreamError {
+			peer.write()
+			peer.w.WriteWindowUpdate(id, 1000)
+			peer.feed()
+			n := len(peer.m.PendingBytes())
+			peer.m.Wrote(n - 1) // and no further write begins
+			return one(peer.m.Break(io.EOF))
+		}, MomentBegun},
+		"answered in part": {func(peer *peer, id uint32) *StreamError {
+			peer.write()
+			peer.head(id, false, ":status: 103")
+			peer.w.WriteRSTStream(id, http2.ErrCodeRefusedStream)
+			return one(peer.feed())
+		}, MomentAnswered},
+		"given up while its last bytes wait to be written": {func(peer *peer, id uint32) *StreamError {
+			peer.w.WriteWindowUpdate(id, 1000)
+			peer.feed()
+			event, _ := peer.m.Cancel(id)
+			return event.Err
+		}, MomentSent},
+		"given up while it waits for the window": {func(peer *peer, id uint32) *StreamError { event, _ := peer.m.Cancel(id); return event.Err }, MomentBegun},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := greeted(t, Limits{}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 100})
-			if e := tc.do(p, p.open(strings.Repeat("x", 200))); e.Moment != tc.want {
-				t.Errorf("%v, not %v", e.Moment, tc.want)
+			peer := greeted(t, Limits{}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 100})
+			if event := tc.do(peer, peer.open(strings.Repeat("x", 200))); event.Moment != tc.want {
+				t.Errorf("%v, not %v", event.Moment, tc.want)
 			}
-			if p.m.Err() != nil {
-				if out := string(p.m.Out()); strings.Contains(out, "xxx") && p.m.handed == 0 {
+			if peer.m.Err() != nil {
+				if out := string(peer.m.PendingBytes()); strings.Contains(out, "xxx") && peer.m.offered == 0 {
 					t.Errorf("it goes on writing: %q", out)
 				}
 			}
@@ -387,27 +391,27 @@
 }
 
 // Going away: what is above the last id was not taken, the rest goes on, and the last id never rises.
-func TestGoAway(t *testing.T) {
-	p := greeted(t, Limits{})
+func TestGoAwayEndsLaterStreams(t *testing.T) {
+	peer := greeted(t, Limits{})
 	for range 4 { // 1, 3, 5, 7
-		p.open("body")
+		peer.open("body")
 	}
-	p.write()
-	p.w.WriteGoAway(1<<31-1, 0, nil)
-	if e := p.feed(); len(e) != 0 || p.m.Room() != 0 || !p.m.Ending() {
-		t.Errorf("after the first: %+v, room %d", e, p.m.Room())
+	peer.write()
+	peer.w.WriteGoAway(1<<31-1, 0, nil)
+	if event := peer.feed(); len(event) != 0 || peer.m.FreeStreams() != 0 || !peer.m.IsEnding() {
+		t.Errorf("after the first: %+v, room %d", event, peer.m.FreeStreams())
 	}
-	if _, err := p.m.OpenStream(&Request{Method: "GET"}); !errors.Is(err, ErrNoStream) {
+	if _, err := peer.m.OpenStream(&Request{Method: "GET"}); !errors.Is(err, ErrNoStream) {
 		t.Errorf("%v", err)
 	}
 	for _, step := range []struct {
 		last uint32
 		ends []uint32
 	}{{5, []uint32{7}}, {1000, nil}, {1, []uint32{3, 5}}} {
-		p.w.WriteGoAway(step.last, http2.ErrCodeNo, []byte("why"))
+		peer.w.WriteGoAway(step.last, http2.ErrCodeNo, []byte("why"))
 		got := make(map[uint32]bool)
-		for _, e := range p.feed() {
-			got[e.ID] = e.Fate == TurnedAway && e.Err.End == Above
+		for _, event := range peer.feed() {
+			got[event.ID] = event.Outcome == Rejected && event.Err.End == EndGoAway
 		}
 		if len(got) != len(step.ends) {
 			t.Errorf("last id %d: %v", step.last, got)
@@ -418,21 +422,21 @@
 			}
 		}
 	}
-	p.head(1, false, ":status: 200")
-	p.w.WriteData(1, true, []byte("late"))
-	if e := p.feed(); len(e) != 1 || e[0].Answer == nil || string(e[0].Answer.Body) != "late" {
-		t.Errorf("the one that was taken: %+v", e)
+	peer.head(1, false, ":status: 200")
+	peer.w.WriteData(1, true, []byte("late"))
+	if event := peer.feed(); len(event) != 1 || event[0].Answer == nil || string(event[0].Answer.Body) != "late" {
+		t.Errorf("the one that was taken: %+v", event)
 	}
 }
 
 // Windows: a body goes as far as both let it, may be owed more by settings, and goes on in turn.
-func TestWindows(t *testing.T) {
-	p := greeted(t, Limits{}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 100})
-	a, b := p.open(strings.Repeat("a", 150)), p.open(strings.Repeat("b", 70000))
+func TestFlowControlWindows(t *testing.T) {
+	peer := greeted(t, Limits{}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 100})
+	first, second := peer.open(strings.Repeat("a", 150)), peer.open(strings.Repeat("b", 70000))
 	check := func(want ...string) {
 		t.Helper()
 		var data []string
-		for _, f := range p.frames() {
+		for _, f := range peer.frames() {
 			if strings.HasPrefix(f, "DATA") {
 				data = append(data, f)
 			}
@@ -441,117 +445,117 @@
 			t.Errorf("%v, not %v", data, want)
 		}
 	}
-	check(fmt.Sprintf("DATA %d 100 false", a), fmt.Sprintf("DATA %d 100 false", b))
-	p.w.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 20}) // both owe 80
-	p.w.WriteWindowUpdate(a, 80)
-	p.feed()
+	check(fmt.Sprintf("DATA %d 100 false", first), fmt.Sprintf("DATA %d 100 false", second))
+	peer.w.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 20}) // both owe 80
+	peer.w.WriteWindowUpdate(first, 80)
+	peer.feed()
 	check()
-	p.w.WriteWindowUpdate(a, 50)
-	p.feed()
-	check(fmt.Sprintf("DATA %d 50 true", a))
-	p.w.WriteWindowUpdate(b, 80000) // now the connection's is the less: 65535 - 250
-	p.feed()
-	check(fmt.Sprintf("DATA %d 16384 false", b), fmt.Sprintf("DATA %d 16384 false", b), fmt.Sprintf("DATA %d 16384 false", b), fmt.Sprintf("DATA %d 16133 false", b))
-	p.w.WriteWindowUpdate(0, 1<<20)
-	p.feed()
-	check(fmt.Sprintf("DATA %d 4615 true", b))
+	peer.w.WriteWindowUpdate(first, 50)
+	peer.feed()
+	check(fmt.Sprintf("DATA %d 50 true", first))
+	peer.w.WriteWindowUpdate(second, 80000) // now the connection's is the less: 65535 - 250
+	peer.feed()
+	check(fmt.Sprintf("DATA %d 16384 false", second), fmt.Sprintf("DATA %d 16384 false", second), fmt.Sprintf("DATA %d 16384 false", second), fmt.Sprintf("DATA %d 16133 false", second))
+	peer.w.WriteWindowUpdate(0, 1<<20)
+	peer.feed()
+	check(fmt.Sprintf("DATA %d 4615 true", second))
 	// The answer to one whose body is not out yet is taken, and the rest not sent.
-	c := p.open(strings.Repeat("c", 100))
-	p.head(c, true, ":status: 200")
-	if e := p.feed(); len(e) != 1 || e[0].Answer == nil {
+	third := peer.open(strings.Repeat("c", 100))
+	peer.head(third, true, ":status: 200")
+	if e := peer.feed(); len(e) != 1 || e[0].Answer == nil {
 		t.Errorf("%+v", e)
 	}
-	if got := strings.Join(p.frames(), ", "); !strings.Contains(got, fmt.Sprintf("RST %d CANCEL", c)) {
+	if got := strings.Join(peer.frames(), ", "); !strings.Contains(got, fmt.Sprintf("RST %d CANCEL", third)) {
 		t.Error(got)
 	}
 }
 
 // A limit that falls under what is open cuts nothing and holds from then on.
-func TestLimitFalls(t *testing.T) {
-	p := greeted(t, Limits{Streams: 10}, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 3})
+func TestLowerStreamLimit(t *testing.T) {
+	peer := greeted(t, Limits{MaxStreams: 10}, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 3})
 	for range 3 {
-		p.open("")
+		peer.open("")
 	}
-	p.w.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 1})
-	p.feed()
+	peer.w.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 1})
+	peer.feed()
 	for i, id := range []uint32{1, 3, 5} {
-		if p.m.Room() != 0 || p.m.Open() != 3-i {
-			t.Errorf("room %d, open %d", p.m.Room(), p.m.Open())
+		if peer.m.FreeStreams() != 0 || peer.m.OpenStreams() != 3-i {
+			t.Errorf("room %d, open %d", peer.m.FreeStreams(), peer.m.OpenStreams())
 		}
-		p.head(id, true, ":status: 200")
-		p.feed()
+		peer.head(id, true, ":status: 200")
+		peer.feed()
 	}
-	if p.m.Room() != 1 {
-		t.Errorf("room %d", p.m.Room())
+	if peer.m.FreeStreams() != 1 {
+		t.Errorf("room %d", peer.m.FreeStreams())
 	}
-	p.w.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 0})
-	if p.feed(); p.m.Room() != 0 || p.m.Limit() != 0 {
-		t.Errorf("room %d", p.m.Room())
+	peer.w.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 0})
+	if peer.feed(); peer.m.FreeStreams() != 0 || peer.m.StreamLimit() != 0 {
+		t.Errorf("room %d", peer.m.FreeStreams())
 	}
 }
 
 // A long life: ten thousand streams leave nothing behind; then the ids are used up.
-func TestLongLife(t *testing.T) {
-	p := greeted(t, Limits{Life: 10000})
+func TestConnectionWithoutStreamIDsEnds(t *testing.T) {
+	peer := greeted(t, Limits{MaxLifetimeStreams: 10000})
 	for i := range 10000 {
-		id := p.open("body")
-		p.head(id, false, ":status: 200", "content-length: 4", "x-n: "+fmt.Sprint(i))
-		p.w.WriteData(id, false, []byte("bo"))
-		p.w.WriteDataPadded(id, false, []byte("dy"), make([]byte, 20))
-		p.head(id, true, "x-backend-load: inflight=1")
-		p.w.WriteWindowUpdate(0, 4)
-		e := p.feed()
+		id := peer.open("body")
+		peer.head(id, false, ":status: 200", "content-length: 4", "x-n: "+fmt.Sprint(i))
+		peer.w.WriteData(id, false, []byte("bo"))
+		peer.w.WriteDataPadded(id, false, []byte("dy"), make([]byte, 20))
+		peer.head(id, true, "x-backend-load: inflight=1")
+		peer.w.WriteWindowUpdate(0, 4)
+		e := peer.feed()
 		if len(e) != 1 || e[0].Answer == nil || string(e[0].Answer.Body) != "body" || e[0].Answer.Trailer.Get("X-Backend-Load") == "" {
-			t.Fatalf("%d: %+v, %v", i, e, p.m.Err())
+			t.Fatalf("%d: %+v, %v", i, e, peer.m.Err())
 		}
-		p.frames()
+		peer.frames()
 	}
-	if p.m.Room() != 0 || !p.m.Ending() || p.m.Open() != 0 || len(p.m.waiting) > 0 || p.m.out.Cap() > 1<<16 {
-		t.Errorf("room %d, open %d, buffer %d", p.m.Room(), p.m.Open(), p.m.out.Cap())
+	if peer.m.FreeStreams() != 0 || !peer.m.IsEnding() || peer.m.OpenStreams() != 0 || len(peer.m.waitingStreams) > 0 || peer.m.output.Cap() > 1<<16 {
+		t.Errorf("room %d, open %d, buffer %d", peer.m.FreeStreams(), peer.m.OpenStreams(), peer.m.output.Cap())
 	}
 }
 
 // Pings are answered, and asked; the head of a request is what HTTP/2 has of it.
-func TestPingsAndHead(t *testing.T) {
-	p := greeted(t, Limits{})
-	p.m.Ping()
-	p.m.Ping() // one is awaited
-	if got := p.frames(); len(got) != 1 || !p.m.Awaiting() {
+func TestPingsAndLongHeads(t *testing.T) {
+	peer := greeted(t, Limits{})
+	peer.m.Ping()
+	peer.m.Ping() // one is awaited
+	if got := peer.frames(); len(got) != 1 || !peer.m.IsAwaitingPing() {
 		t.Errorf("%v", got)
 	}
-	p.w.WritePing(true, [8]byte{9})
-	if p.feed(); !p.m.Awaiting() {
+	peer.w.WritePing(true, [8]byte{9})
+	if peer.feed(); !peer.m.IsAwaitingPing() {
 		t.Error("another's answer counts")
 	}
-	p.w.WritePing(true, [8]byte{1})
-	if p.feed(); p.m.Awaiting() {
+	peer.w.WritePing(true, [8]byte{1})
+	if peer.feed(); peer.m.IsAwaitingPing() {
 		t.Error("the answer does not count")
 	}
-	p.open("four")
-	p.write()
-	f, err := p.r.ReadFrame()
-	h, ok := f.(*http2.MetaHeadersFrame)
+	peer.open("four")
+	peer.write()
+	field, err := peer.r.ReadFrame()
+	frame, ok := field.(*http2.MetaHeadersFrame)
 	if err != nil || !ok {
-		t.Fatalf("%v, %v", f, err)
+		t.Fatalf("%v, %v", field, err)
 	}
 	got := make(map[string]string)
-	for _, f := range h.Fields {
-		got[f.Name] = f.Value
+	for _, field := range frame.Fields {
+		got[field.Name] = field.Value
 	}
 	if fmt.Sprint(got) != "map[:authority:a :method:POST :path:/p :scheme:http content-length:4 x-one:1]" {
 		t.Error(got)
 	}
 	small := greeted(t, Limits{}, http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: 50})
-	if _, err := small.m.OpenStream(&Request{Method: "GET", Path: "/"}); !errors.Is(err, ErrHead) || small.m.Open() != 0 {
+	if _, err := small.m.OpenStream(&Request{Method: "GET", Path: "/"}); !errors.Is(err, ErrHeadTooLong) || small.m.OpenStreams() != 0 {
 		t.Errorf("%v", err)
 	}
 }
 
-func TestChoose(t *testing.T) {
-	b := Bounds{Conns: 2, Waiting: 3, Age: time.Hour}
-	v := func(open, room int) View { return View{Open: open, Room: room, Limit: open + room} }
+func TestChooseConnection(t *testing.T) {
+	bounds := Bounds{MaxConnections: 2, MaxWaiting: 3, MaxAge: time.Hour}
+	view := func(open, room int) View { return View{OpenStreams: open, FreeStreams: room, MaxStreams: open + room} }
 	old := func(w View) View { w.Age = 2 * time.Hour; return w }
-	ending := View{Open: 3, Limit: 10, Ending: true}
+	ending := View{OpenStreams: 3, MaxStreams: 10, IsEnding: true}
 	for name, tc := range map[string]struct {
 		conns          []View
 		dialing, waits int
@@ -561,22 +565,22 @@
 	}{
 		"none yet":                       {nil, 0, 0, -1, true, true, -1},
 		"one is coming":                  {nil, 1, 1, -1, true, false, -1},
-		"one with room":                  {[]View{v(3, 1)}, 0, 0, 0, false, false, -1},
-		"the emptier of two":             {[]View{v(3, 1), v(2, 1)}, 0, 0, 1, false, false, -1},
-		"full: another":                  {[]View{v(4, 0)}, 0, 0, -1, true, true, -1},
-		"all full":                       {[]View{v(4, 0), v(4, 0)}, 0, 2, -1, true, false, -1},
-		"no place to wait":               {[]View{v(4, 0), v(4, 0)}, 0, 3, -1, false, false, -1},
-		"one that ends does not count":   {[]View{ending, v(4, 0)}, 0, 0, -1, true, true, -1},
+		"one with room":                  {[]View{view(3, 1)}, 0, 0, 0, false, false, -1},
+		"the emptier of two":             {[]View{view(3, 1), view(2, 1)}, 0, 0, 1, false, false, -1},
+		"full: another":                  {[]View{view(4, 0)}, 0, 0, -1, true, true, -1},
+		"all full":                       {[]View{view(4, 0), view(4, 0)}, 0, 2, -1, true, false, -1},
+		"no place to wait":               {[]View{view(4, 0), view(4, 0)}, 0, 3, -1, false, false, -1},
+		"one that ends does not count":   {[]View{ending, view(4, 0)}, 0, 0, -1, true, true, -1},
 		"only ones that end":             {[]View{ending, ending}, 0, 0, -1, true, true, -1},
-		"the server allows none":         {[]View{v(0, 0)}, 0, 0, -1, false, false, -1},
-		"old, and nothing else":          {[]View{old(v(1, 5))}, 0, 0, 0, false, true, -1},
-		"old, while the next one comes":  {[]View{old(v(1, 5))}, 1, 0, 0, false, false, -1},
-		"old and full":                   {[]View{old(v(5, 0))}, 0, 0, -1, true, true, -1},
-		"old, and a young one":           {[]View{old(v(0, 5)), v(3, 1)}, 0, 0, 1, false, false, 0},
-		"old, and a young one with none": {[]View{old(v(0, 5)), v(3, 0)}, 0, 0, 0, false, true, -1},
+		"the server allows none":         {[]View{view(0, 0)}, 0, 0, -1, false, false, -1},
+		"old, and nothing else":          {[]View{old(view(1, 5))}, 0, 0, 0, false, true, -1},
+		"old, while the next one comes":  {[]View{old(view(1, 5))}, 1, 0, 0, false, false, -1},
+		"old and full":                   {[]View{old(view(5, 0))}, 0, 0, -1, true, true, -1},
+		"old, and a young one":           {[]View{old(view(0, 5)), view(3, 1)}, 0, 0, 1, false, false, 0},
+		"old, and a young one with none": {[]View{old(view(0, 5)), view(3, 0)}, 0, 0, 0, false, true, -1},
 	} {
 		want := Choice{tc.use, tc.wait, tc.dial, tc.retire}
-		if got := Choose(tc.conns, tc.dialing, tc.waits, b); got != want {
+		if got := Choose(tc.conns, tc.dialing, tc.waits, bounds); got != want {
 			t.Errorf("%s: %+v, not %+v", name, got, want)
 		}
 	}
@@ -585,35 +589,35 @@
 // FuzzServer has a machine with open streams read anything from its server: it keeps its bounds,
 // and each stream ends once.
 func FuzzServer(f *testing.F) {
-	p := greeted(f, Limits{})
-	p.head(1, false, ":status: 200", "content-length: 4")
-	p.w.WriteData(1, true, []byte("body"))
-	p.w.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
-	p.w.WriteGoAway(3, 0, []byte("why"))
-	p.w.WriteRSTStream(3, http2.ErrCodeRefusedStream)
-	f.Add(p.in.Bytes())
+	peer := greeted(f, Limits{})
+	peer.head(1, false, ":status: 200", "content-length: 4")
+	peer.w.WriteData(1, true, []byte("body"))
+	peer.w.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	peer.w.WriteGoAway(3, 0, []byte("why"))
+	peer.w.WriteRSTStream(3, http2.ErrCodeRefusedStream)
+	f.Add(peer.in.Bytes())
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		p := greeted(t, Limits{Body: 1000, Head: 1000, Streams: 5})
+		peer := greeted(t, Limits{MaxBodyBytes: 1000, MaxHeadBytes: 1000, MaxStreams: 5})
 		open := make(map[uint32]bool)
 		for range 3 {
-			open[p.open(strings.Repeat("x", 70000))] = true
+			open[peer.open(strings.Repeat("x", 70000))] = true
 		}
-		p.in.Write(raw)
-		events := p.feed()
-		if p.in.Len() == 0 {
-			events = append(events, p.m.Break(io.EOF)...)
+		peer.in.Write(raw)
+		events := peer.feed()
+		if peer.in.Len() == 0 {
+			events = append(events, peer.m.Break(io.EOF)...)
 		}
-		for _, e := range events {
-			if !open[e.ID] || (e.Answer == nil) == (e.Err == nil) || e.Answer != nil && len(e.Answer.Body) > 1000 {
-				t.Errorf("%+v", e)
+		for _, event := range events {
+			if !open[event.ID] || (event.Answer == nil) == (event.Err == nil) || event.Answer != nil && len(event.Answer.Body) > 1000 {
+				t.Errorf("%+v", event)
 			}
-			delete(open, e.ID)
+			delete(open, event.ID)
 		}
-		if p.m.Err() != nil && (p.m.Open() > 0 || len(open) > 0) {
+		if peer.m.Err() != nil && (peer.m.OpenStreams() > 0 || len(open) > 0) {
 			t.Errorf("%d streams without an end", len(open))
 		}
-		if p.m.out.Cap() > 3*outMost {
-			t.Errorf("%d bytes are held", p.m.out.Cap())
+		if peer.m.output.Cap() > 3*maxOutputBytes {
+			t.Errorf("%d bytes are held", peer.m.output.Cap())
 		}
 	})
 }
--- a/internal/h2/sending.go
+++ b/internal/h2/sending.go
@@ -14,48 +14,48 @@
 // What goes out on streams: requests and their bodies, as far as the windows let them.
 
 // OpenStream sends a request, as far as the windows let it go.
-func (m *Machine) OpenStream(r *Request) (uint32, error) {
-	if m.Room() == 0 {
+func (m *Machine) OpenStream(request *Request) (uint32, error) {
+	if m.FreeStreams() == 0 {
 		return 0, ErrNoStream
 	}
-	fields := m.fields(r)
-	if m.headMost > 0 { // before anything of it is in the table that both sides keep
+	fields := m.fields(request)
+	if m.peerMaxHeadBytes > 0 { // before anything of it is in the table that both sides keep
 		size := uint32(0)
-		for f := range fields {
-			size += f.Size()
+		for field := range fields {
+			size += field.Size()
 		}
-		if size > m.headMost {
-			return 0, fmt.Errorf("%w: %d bytes, where the server takes %d", ErrHead, size, m.headMost)
+		if size > m.peerMaxHeadBytes {
+			return 0, fmt.Errorf("%w: %d bytes, where the server takes %d", ErrHeadTooLong, size, m.peerMaxHeadBytes)
 		}
 	}
-	if r.Begin != nil && !r.Begin() {
-		return 0, ErrUnsent
+	if request.MayBegin != nil && !request.MayBegin() {
+		return 0, ErrWithdrawn
 	}
-	m.block.Reset()
-	for f := range fields {
-		m.encoder.WriteField(f)
+	m.headerBlock.Reset()
+	for field := range fields {
+		m.encoder.WriteField(field)
 	}
-	s := &stream{
-		id: m.next, window: m.initial, body: r.Body, more: r.More, flow: r.Flow, expect: -1,
-		first: m.offset(), isHead: r.Method == http.MethodHead,
+	opened := &stream{
+		id: m.nextID, sendWindow: m.initialWindow, unsentBody: request.Body, hasMoreBody: request.HasMoreBody, streamsAnswer: request.StreamsAnswer, contentLength: -1,
+		firstOffset: m.offset(), isHeadRequest: request.Method == http.MethodHead,
 	}
-	bare := len(r.Body) == 0 && !r.More // the head is all of the request
-	m.next += 2
-	m.streams[s.id] = s
-	m.writeBlock(s.id, bare)
+	bare := len(request.Body) == 0 && !request.HasMoreBody // the head is all of the request
+	m.nextID += 2
+	m.streams[opened.id] = opened
+	m.writeBlock(opened.id, bare)
 	if bare {
-		s.queued, s.last = true, m.offset()
+		opened.isQueued, opened.endOffset = true, m.offset()
 	} else {
-		m.send(s)
+		m.send(opened)
 	}
-	return s.id, nil
+	return opened.id, nil
 }
 
 // writeBlock writes the head, or the trailers, that were encoded.
 func (m *Machine) writeBlock(id uint32, end bool) {
-	block := m.block.Bytes()
+	block := m.headerBlock.Bytes()
 	for first := true; first || len(block) > 0; first = false {
-		part := block[:min(len(block), m.frameMost)]
+		part := block[:min(len(block), m.maxFrameBytes)]
 		block = block[len(part):]
 		if first {
 			m.frames.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: part, EndStream: end, EndHeaders: len(block) == 0})
@@ -68,21 +68,21 @@
 // Feed brings more of a request's body; end says that it is the last, which trailers may follow.
 // What can't be sent yet is held: Unsent tells how much that is.
 func (m *Machine) Feed(id uint32, data []byte, end bool, trailer http.Header) {
-	s := m.streams[id]
-	if s == nil || !s.more || m.broken != nil {
+	stream := m.streams[id]
+	if stream == nil || !stream.hasMoreBody || m.connErr != nil {
 		return
 	}
-	s.body = append(s.body, data...)
+	stream.unsentBody = append(stream.unsentBody, data...)
 	if end {
-		s.more, s.trailer = false, trailer
+		stream.hasMoreBody, stream.trailer = false, trailer
 	}
-	m.send(s)
+	m.send(stream)
 }
 
-// Unsent is how much of a request's body waits for the windows, or for the socket.
-func (m *Machine) Unsent(id uint32) int {
-	if s := m.streams[id]; s != nil {
-		return len(s.body)
+// UnsentBytes is how much of a request's body waits for the windows, or for the socket.
+func (m *Machine) UnsentBytes(id uint32) int {
+	if stream := m.streams[id]; stream != nil {
+		return len(stream.unsentBody)
 	}
 	return 0
 }
@@ -90,51 +90,51 @@
 // Consumed tells that so much of an answer that is told as it comes has been taken further: the
 // server may send as much again.
 func (m *Machine) Consumed(id uint32, n int) {
-	s := m.streams[id]
-	if s == nil || m.broken != nil {
+	stream := m.streams[id]
+	if stream == nil || m.connErr != nil {
 		return
 	}
-	if s.owed += n; s.owed > m.Body/2 {
-		s.got -= s.owed
-		m.frames.WriteWindowUpdate(id, uint32(s.owed))
-		s.owed = 0
+	if stream.unreturnedWindow += n; stream.unreturnedWindow > m.MaxBodyBytes/2 {
+		stream.windowBytes -= stream.unreturnedWindow
+		m.frames.WriteWindowUpdate(id, uint32(stream.unreturnedWindow))
+		stream.unreturnedWindow = 0
 	}
 }
 
 // offset is where in all that is ever written the next byte comes.
-func (m *Machine) offset() int64 { return m.written + int64(len(m.flight)+m.out.Len()) }
+func (m *Machine) offset() int64 { return m.written + int64(len(m.writing)+m.output.Len()) }
 
 // own are the fields of one connection only; they say nothing in HTTP/2.
 var own = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "transfer-encoding": true, "upgrade": true, "host": true}
 
 // fields are those of a request's head.
-func (m *Machine) fields(r *Request) iter.Seq[hpack.HeaderField] {
+func (m *Machine) fields(request *Request) iter.Seq[hpack.HeaderField] {
 	return func(yield func(hpack.HeaderField) bool) {
-		for _, f := range [...]hpack.HeaderField{
-			{Name: ":method", Value: r.Method},
-			{Name: ":scheme", Value: r.Scheme},
-			{Name: ":authority", Value: r.Authority},
-			{Name: ":path", Value: r.Path},
+		for _, field := range [...]hpack.HeaderField{
+			{Name: ":method", Value: request.Method},
+			{Name: ":scheme", Value: request.Scheme},
+			{Name: ":authority", Value: request.Authority},
+			{Name: ":path", Value: request.Path},
 		} {
-			if !yield(f) {
+			if !yield(field) {
 				return
 			}
 		}
-		for k, vs := range r.Header {
-			name := m.lower.of(k, strings.ToLower)
+		for k, values := range request.Header {
+			name := m.lowerNames.of(k, strings.ToLower)
 			if own[name] || name == "content-length" {
 				continue
 			}
-			for _, v := range vs {
-				if unsentField(name, v) {
+			for _, value := range values {
+				if unsentField(name, value) {
 					continue
 				}
-				if !yield(hpack.HeaderField{Name: name, Value: v}) {
+				if !yield(hpack.HeaderField{Name: name, Value: value}) {
 					return
 				}
 			}
 		}
-		if length := r.contentLength(); length >= 0 {
+		if length := request.contentLength(); length >= 0 {
 			yield(hpack.HeaderField{Name: "content-length", Value: strconv.FormatInt(length, 10)})
 		}
 	}
@@ -147,8 +147,8 @@
 
 // contentLength is what the head says of the body's length; below 0 it says nothing.
 func (r *Request) contentLength() int64 {
-	if r.More {
-		return r.Length
+	if r.HasMoreBody {
+		return r.ContentLength
 	}
 	if len(r.Body) == 0 && r.Method != http.MethodPost && r.Method != http.MethodPut && r.Method != http.MethodPatch {
 		return -1
@@ -157,39 +157,39 @@
 }
 
 // send sends what the windows let go of a request's body.
-func (m *Machine) send(s *stream) {
-	for !s.queued && m.out.Len() < outMost {
-		n := min(int64(len(s.body)), int64(m.frameMost), s.window, m.window)
-		last := int64(len(s.body)) <= max(n, 0) && !s.more
+func (m *Machine) send(stream *stream) {
+	for !stream.isQueued && m.output.Len() < maxOutputBytes {
+		n := min(int64(len(stream.unsentBody)), int64(m.maxFrameBytes), stream.sendWindow, m.sendWindow)
+		last := int64(len(stream.unsentBody)) <= max(n, 0) && !stream.hasMoreBody
 		if n <= 0 && !last {
 			break
 		}
 		n = max(n, 0)
-		part := s.body[:n]
-		s.body = s.body[n:]
-		s.window -= n
-		m.window -= n
-		s.queued = last
-		m.noise = max(0, m.noise-1-int(n)/noiseWorth)
-		if len(part) > 0 || len(s.trailer) == 0 {
-			m.frames.WriteData(s.id, last && len(s.trailer) == 0, part)
+		part := stream.unsentBody[:n]
+		stream.unsentBody = stream.unsentBody[n:]
+		stream.sendWindow -= n
+		m.sendWindow -= n
+		stream.isQueued = last
+		m.noiseFrames = max(0, m.noiseFrames-1-int(n)/bodyBytesPerNoise)
+		if len(part) > 0 || len(stream.trailer) == 0 {
+			m.frames.WriteData(stream.id, last && len(stream.trailer) == 0, part)
 		}
-		if last && len(s.trailer) > 0 {
-			m.block.Reset()
-			for k, vs := range s.trailer {
+		if last && len(stream.trailer) > 0 {
+			m.headerBlock.Reset()
+			for k, vs := range stream.trailer {
 				for _, v := range vs {
-					m.encoder.WriteField(hpack.HeaderField{Name: m.lower.of(k, strings.ToLower), Value: v})
+					m.encoder.WriteField(hpack.HeaderField{Name: m.lowerNames.of(k, strings.ToLower), Value: v})
 				}
 			}
-			m.writeBlock(s.id, true)
+			m.writeBlock(stream.id, true)
 		}
-		s.last = m.offset()
+		stream.endOffset = m.offset()
 	}
-	if len(s.body) == 0 {
-		s.body = nil // what has been sent is not kept for what comes
+	if len(stream.unsentBody) == 0 {
+		stream.unsentBody = nil // what has been sent is not kept for what comes
 	}
-	if !s.queued && len(s.body) > 0 && !contains(m.waiting, s.id) {
-		m.waiting = append(m.waiting, s.id)
+	if !stream.isQueued && len(stream.unsentBody) > 0 && !contains(m.waitingStreams, stream.id) {
+		m.waitingStreams = append(m.waitingStreams, stream.id)
 	}
 }
 
@@ -203,13 +203,13 @@
 	return false
 }
 
-// sendOn goes on with all bodies that wait, in turn.
-func (m *Machine) sendOn() {
-	waiting := m.waiting
-	m.waiting = nil
+// sendWaiting goes on with all bodies that wait, in turn.
+func (m *Machine) sendWaiting() {
+	waiting := m.waitingStreams
+	m.waitingStreams = nil
 	for _, id := range waiting {
-		if s := m.streams[id]; s != nil && !s.queued {
-			m.send(s)
+		if stream := m.streams[id]; stream != nil && !stream.isQueued {
+			m.send(stream)
 		}
 	}
 }
--- a/internal/upstream/faulty_server_test.go
+++ b/internal/upstream/faulty_server_test.go
@@ -63,7 +63,7 @@
 				case control.ResetByPeer:
 					// Only a request that was sent completely, and got nothing but the end of its connection, may
 					// have run as far as the node knows.
-					if ran == 0 && (end == nil || end.End != h2.Broke || end.Moment != h2.Sent) {
+					if ran == 0 && (end == nil || end.End != h2.EndBroken || end.Moment != h2.MomentSent) {
 						report("%s: it never ran, which could be known: %v", id, outcome.Err)
 					}
 					if knownRuns += ran; !trusting {
--- a/internal/upstream/http2_attempt.go
+++ b/internal/upstream/http2_attempt.go
@@ -81,15 +81,15 @@
 	_, hasDeadline := ctx.Deadline()
 	a.isUnbounded = !hasDeadline
 	request := &h2.Request{
-		Method: a.RequestMethod, Scheme: scheme, Authority: a.Host, Path: a.Target, Length: a.ContentLength,
-		Begin: func() bool { return Commit(ctx) },
+		Method: a.RequestMethod, Scheme: scheme, Authority: a.Host, Path: a.Target, ContentLength: a.ContentLength,
+		MayBegin: func() bool { return Commit(ctx) },
 	}
 	if a.Body != nil {
 		if body, ok := a.inlineBody(); ok {
 			request.Body = body
 		} else {
 			// Decided once: a body that becomes complete between here and exchange would not be sent at all.
-			a.streamsBody, request.More = true, true
+			a.streamsBody, request.HasMoreBody = true, true
 		}
 	}
 	request.Header = a.requestHeader(ctx)
@@ -161,7 +161,7 @@
 	if lengths := header["Content-Length"]; len(lengths) > 0 {
 		length, _ = strconv.ParseInt(lengths[0], 10, 64) // the connection has checked it
 	}
-	if event := a.stream.Ended(); event != nil && event.Err == nil && !a.stream.More() {
+	if event := a.stream.Ended(); event != nil && event.Err == nil && !a.stream.HasMore() {
 		return 0 // there is no body, whatever the header says
 	}
 	a.recordTrailerNames(header)
@@ -227,7 +227,7 @@
 // sendBody sends the body as it comes. A fault of the client ends the attempt; one of the server is left to the
 // reading of the answer.
 func (a *http2Attempt) sendBody(body *retrybuffer.Reader) {
-	if a.ExpectContinue && !awaitContinue(a.continueReceived, a.stream.Over()) {
+	if a.ExpectContinue && !awaitContinue(a.continueReceived, a.stream.Done()) {
 		return
 	}
 	readErr, writeErr := copyBody(body, a.writePiece)
@@ -267,7 +267,7 @@
 	return a.stream.Read(p)
 }
 
-func (a *http2Attempt) hasBuffered() bool { return a.stream.Ready() }
+func (a *http2Attempt) hasBuffered() bool { return a.stream.HasBuffered() }
 
 func (a *http2Attempt) trailer() http.Header {
 	for name, values := range a.stream.Trailer() {
@@ -277,14 +277,14 @@
 }
 
 func (a *http2Attempt) isAborted() bool       { return a.wasAborted.Load() }
-func (a *http2Attempt) abort()                { a.wasAborted.Store(true); a.stream.Cut() }
+func (a *http2Attempt) abort()                { a.wasAborted.Store(true); a.stream.Abort() }
 func (a *http2Attempt) hasClientFailed() bool { return a.clientErr.Load() != nil }
 
 // end resets a stream that has not ended, and lets go of it.
 func (a *http2Attempt) end(bool) {
 	a.endOnce.Do(func() {
 		a.stopWatch()
-		a.stream.Cut()
+		a.stream.Abort()
 		a.stream.Close()
 	})
 }
--- a/internal/upstream/http2_send.go
+++ b/internal/upstream/http2_send.go
@@ -27,7 +27,7 @@
 	request := &h2.Request{
 		Method: message.Method, Scheme: s.scheme(), Authority: message.Host, Path: message.URL.RequestURI(),
 		Header: message.Header, Body: buffered.Body,
-		Begin: func() bool { return Commit(ctx) },
+		MayBegin: func() bool { return Commit(ctx) },
 	}
 	var event h2.Event
 	outcome, isDialed, ok := s.withConnection(ctx, func(conn *h2.Conn) (err error) {
@@ -52,7 +52,7 @@
 		conn, isNew, err := s.acquire(ctx)
 		isDialed = isDialed || isNew
 		switch {
-		case errors.Is(err, h2.ErrNotSpoken) && s.protocol == ProtocolPreferHTTP2:
+		case errors.Is(err, h2.ErrNotHTTP2) && s.protocol == ProtocolPreferHTTP2:
 			return outcome, isDialed, false
 		case errors.Is(err, errNoStream): // tells nothing about the app server
 			return Outcome{Reason: control.NotSent, Err: err}, isDialed, true
@@ -81,9 +81,9 @@
 	switch unprocessed := unprocessedReason(event); {
 	case unprocessed != 0:
 		outcome.Reason = unprocessed
-	case event.Err.End == h2.Cancelled && errors.Is(ctx.Err(), context.Canceled):
+	case event.Err.End == h2.EndCancelled && errors.Is(ctx.Err(), context.Canceled):
 		outcome.Reason = control.Cancelled
-	case event.Err.End == h2.Cancelled:
+	case event.Err.End == h2.EndCancelled:
 		outcome.Reason = control.TimedOut
 	}
 	return outcome
@@ -107,9 +107,9 @@
 func unprocessedReason(event h2.Event) control.Reason {
 	switch {
 	case event.Err == nil:
-	case event.Fate == h2.TurnedAway:
+	case event.Outcome == h2.Rejected:
 		return control.RejectedByServer
-	case event.Fate == h2.NeverRan:
+	case event.Outcome == h2.NotProcessed:
 		return control.ConnectFailed
 	}
 	return 0
--- a/internal/upstream/relayed_request_test.go
+++ b/internal/upstream/relayed_request_test.go
@@ -99,8 +99,8 @@
 	defer cancel()
 	attempt := &http2Attempt{RelayedRequest: request}
 	streamRequest := attempt.newRequest(ctx, "http")
-	if b, err := io.ReadAll(request.Body.NewReader()); err != nil || string(b) != "body" || !streamRequest.More {
-		t.Fatalf("%q, %v, more %v", b, err, streamRequest.More)
+	if b, err := io.ReadAll(request.Body.NewReader()); err != nil || string(b) != "body" || !streamRequest.HasMoreBody {
+		t.Fatalf("%q, %v, more %v", b, err, streamRequest.HasMoreBody)
 	}
 	conn, _, err := upstream.sharedConnectionsOf(pool).acquire(ctx)
 	if err != nil {
--- a/internal/upstream/shared_connections.go
+++ b/internal/upstream/shared_connections.go
@@ -102,7 +102,7 @@
 			return nil, isDialed, errServerRemoved
 		case time.Now().Before(s.http1Until):
 			s.signal()
-			return nil, isDialed, h2.ErrNotSpoken
+			return nil, isDialed, h2.ErrNotHTTP2
 		case s.failedDials > failedBefore && s.dialing == 0 && len(s.connections) == 0:
 			s.signal()
 			return nil, true, s.lastDialErr
@@ -136,7 +136,7 @@
 	}
 	options := &s.upstream.HTTP2
 	choice := h2.Choose(views, s.dialing, s.waiting, h2.Bounds{
-		Conns: max(1, options.MaxConnections), Waiting: max(1, options.MaxStreams), Age: options.MaxConnectionAge,
+		MaxConnections: max(1, options.MaxConnections), MaxWaiting: max(1, options.MaxStreams), MaxAge: options.MaxConnectionAge,
 	})
 	if choice.Retire >= 0 {
 		s.connections[choice.Retire].Retire()
@@ -184,7 +184,7 @@
 	default:
 		s.failedDials++
 		s.lastDialErr = err
-		if errors.Is(err, h2.ErrNotSpoken) && s.protocol == ProtocolPreferHTTP2 {
+		if errors.Is(err, h2.ErrNotHTTP2) && s.protocol == ProtocolPreferHTTP2 {
 			s.http1Until = time.Now().Add(s.upstream.HTTP2.FallbackPeriod)
 		}
 	}
@@ -205,12 +205,12 @@
 	}
 	if s.upstream.TLS != nil && agreed != alpnHTTP2 { // without waiting for the server's first frame
 		conn.Close()
-		return nil, fmt.Errorf("%w: %w", h2.ErrNotSpoken, certs.ErrProtocol)
+		return nil, fmt.Errorf("%w: %w", h2.ErrNotHTTP2, certs.ErrProtocol)
 	}
 	options := &s.upstream.HTTP2
 	return h2.Start(ctx, conn, h2.Options{
-		Limits: h2.Limits{Streams: options.MaxStreams, Body: s.upstream.MaxBodyBytes, Whole: options.StartsAtLastByte},
-		Quiet:  pingAfterSilence, Changed: s.signal,
+		Limits:           h2.Limits{MaxStreams: options.MaxStreams, MaxBodyBytes: s.upstream.MaxBodyBytes, StartsAtLastByte: options.StartsAtLastByte},
+		PingAfterSilence: pingAfterSilence, OnChange: s.signal,
 	})
 }
 
@@ -219,7 +219,7 @@
 func (s *sharedConnections) removeEnded() {
 	active := s.connections[:0]
 	for _, conn := range s.connections {
-		if view := conn.View(); view.Ending && view.Open == 0 {
+		if view := conn.View(); view.IsEnding && view.OpenStreams == 0 {
 			conn.Retire()
 			continue
 		}
@@ -323,9 +323,9 @@
 	for _, conn := range s.connections {
 		view := conn.View()
 		status.Connections++
-		status.Streams += view.Open
-		if !view.Ending {
-			status.FreeStreams += max(0, view.Room)
+		status.Streams += view.OpenStreams
+		if !view.IsEnding {
+			status.FreeStreams += max(0, view.FreeStreams)
 		}
 	}
 }
