--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -15,74 +15,74 @@
 
 // The sides of a comparison.
 const (
-	Old     Side = iota // the old program or settings, for long
-	New                 // changed
-	Control             // old, restarted with the changed ones
+	SideOld     Side = iota // the old program or settings, for long
+	SideNew                 // changed
+	SideControl             // old, restarted with the changed ones
 )
 
-// Kind is what a verdict says.
-type Kind int
+// VerdictKind is what a verdict says.
+type VerdictKind int
 
 // The kinds of verdict.
 const (
-	Wait       Kind = iota // for more evidence
-	Pass                   // harm beyond the margins is ruled out
-	Worse                  // harm is shown
-	NoEvidence             // it was watched for as long as allowed and shows neither; that is no pass
+	KindWait       VerdictKind = iota // for more evidence
+	KindPass                          // harm beyond the margins is ruled out
+	KindWorse                         // harm is shown
+	KindNoEvidence                    // it was watched for as long as allowed and shows neither; that is no pass
 )
 
-func (k Kind) String() string { return [...]string{"wait", "pass", "worse", "no evidence"}[k] }
+func (k VerdictKind) String() string { return [...]string{"wait", "pass", "worse", "no evidence"}[k] }
 
 // Reading is what a member tells of itself. Side is New from when it runs what is new, not from the order on.
 type Reading struct {
-	Member  string
-	Side    Side
-	Up      bool // answers and serves
-	Figures instancestats.Figures
-	Weight  float64 // part of the traffic that it is meant to get; kept for callers, the judge goes by what came
+	Member     string
+	Side       Side
+	IsServing  bool // answers and serves
+	Statistics instancestats.Figures
+	Weight     float64 // part of the traffic that it is meant to get; kept for callers, the judge goes by what came
 }
 
 // Measure is one comparison. Shares are told as they are, costs (units, cpu, memory, growth) as ratios to the
 // member's own before; Low and High bound New - Old, Low at the level for alarms and High at that for passes.
 type Measure struct {
-	Name                   string
-	Old, New               float64
-	Low, High              float64
-	Margin                 float64 // what counts as harm
-	Worse, Enough          bool    // Low is beyond a quarter of the margin; High is under it
-	Members, Against, Left int     // compared, compared with, left out for what they told
+	Name                         string
+	Old, New                     float64
+	Low, High                    float64
+	Margin                       float64 // what counts as harm
+	IsWorse, IsEnough            bool    // Low is beyond a quarter of the margin; High is under it
+	Members, References, LeftOut int     // compared, compared with, left out for what they told
 
 	diff float64
 }
 
 // Verdict is what a stage has come to. Why is one line for people.
 type Verdict struct {
-	Kind     Kind
-	Why      string
+	Kind     VerdictKind
+	Reason   string
 	Measures []Measure
 }
 
 // Options are what counts as harm and how sure to be; zeros take the defaults named.
 type Options struct {
-	Alpha     float64       // part of harmless rollouts that are stopped as worse, at most: 0.01
-	Beta      float64       // part of stages with harm of a whole margin that pass, at most: 0.05
-	Stages    int           // that Alpha is split over: 4
-	BakeLeast time.Duration // from the last member's change to a pass: 5 min
-	BakeMost  time.Duration // from the last member's change to NoEvidence: 1 h
-	Warm      time.Duration // of a process, not compared: 30 s
-	Onset     time.Duration // within which of a stage's steps harm to others shows: 1 min
+	MaxFalseAlarms float64       // part of harmless rollouts that are stopped as worse, at most: 0.01
+	MaxMissedHarm  float64       // part of stages with harm of a whole margin that pass, at most: 0.05
+	Stages         int           // that Alpha is split over: 4
+	MinBake        time.Duration // from the last member's change to a pass: 5 min
+	MaxBake        time.Duration // from the last member's change to NoEvidence: 1 h
+	WarmUp         time.Duration // of a process, not compared: 30 s
+	Onset          time.Duration // within which of a stage's steps harm to others shows: 1 min
 
 	// Margins. Those of shares are half of what the old side has, where that is more.
-	Lost   float64       // of the part of worth asked that is not served in time: 0.01
-	Failed float64       // of requests: 0.01
-	Refus  float64       // refused though inside quotas, of requests: 0.01
-	Late   float64       // of requests: 0.01
-	Slow   float64       // of answers, over what the old side's 99th percentile was: 0.01, twice as many
-	Units  float64       // units sent on for each request asked, relative: 0.1
-	CPU    float64       // for each request, relative: 0.25
-	Memory float64       // relative: 0.25
-	Growth float64       // of memory in an hour, relative to it, beyond the control's: 0.6; more where BakeMost is under 30 min
-	Crash  time.Duration // of one instance between crashes, from which on they are no harm: 240 h
+	LostMargin       float64       // of the part of worth asked that is not served in time: 0.01
+	FailedMargin     float64       // of requests: 0.01
+	RejectedMargin   float64       // refused though inside quotas, of requests: 0.01
+	LateMargin       float64       // of requests: 0.01
+	SlowMargin       float64       // of answers, over what the old side's 99th percentile was: 0.01, twice as many
+	UnitsMargin      float64       // units sent on for each request asked, relative: 0.1
+	CPUMargin        float64       // for each request, relative: 0.25
+	MemoryMargin     float64       // relative: 0.25
+	GrowthMargin     float64       // of memory in an hour, relative to it, beyond the control's: 0.6; more where BakeMost is under 30 min
+	MinCrashInterval time.Duration // of one instance between crashes, from which on they are no harm: 240 h
 
 	// What the simulation takes out to show that it is needed.
 	Without Guards
@@ -97,7 +97,7 @@
 	Before     bool // nothing from before the stage
 }
 
-func (o *Options) fill() {
+func (o *Options) setDefaults() {
 	set := func(v *float64, d float64) {
 		if !(*v > 0) {
 			*v = d
@@ -108,84 +108,84 @@
 			*v = d
 		}
 	}
-	set(&o.Alpha, 0.01)
-	set(&o.Beta, 0.05)
+	set(&o.MaxFalseAlarms, 0.01)
+	set(&o.MaxMissedHarm, 0.05)
 	if o.Stages < 1 {
 		o.Stages = 4
 	}
-	wait(&o.BakeLeast, 5*time.Minute)
-	wait(&o.BakeMost, time.Hour)
-	o.BakeMost = max(o.BakeMost, o.BakeLeast)
-	wait(&o.Warm, 30*time.Second)
+	wait(&o.MinBake, 5*time.Minute)
+	wait(&o.MaxBake, time.Hour)
+	o.MaxBake = max(o.MaxBake, o.MinBake)
+	wait(&o.WarmUp, 30*time.Second)
 	wait(&o.Onset, time.Minute)
-	wait(&o.Crash, 240*time.Hour)
-	for _, v := range []*float64{&o.Lost, &o.Failed, &o.Refus, &o.Late, &o.Slow} {
+	wait(&o.MinCrashInterval, 240*time.Hour)
+	for _, v := range []*float64{&o.LostMargin, &o.FailedMargin, &o.RejectedMargin, &o.LateMargin, &o.SlowMargin} {
 		set(v, 0.01)
 	}
-	set(&o.Units, 0.1)
-	set(&o.CPU, 0.25)
-	set(&o.Memory, 0.25)
-	set(&o.Growth, 0.6)
+	set(&o.UnitsMargin, 0.1)
+	set(&o.CPUMargin, 0.25)
+	set(&o.MemoryMargin, 0.25)
+	set(&o.GrowthMargin, 0.6)
 }
 
 // What is compared, by index.
 const (
-	lost = iota
-	failed
-	refused
-	late
-	slow
-	units
-	cpu
-	memory
-	growth
-	measures
-	counted = growth // those with counts of their own; growth is memory's slope
+	measureLost = iota
+	measureFailed
+	measureRejected
+	measureLate
+	measureSlow
+	measureUnits
+	measureCPU
+	measureMemory
+	measureGrowth
+	measureCount
+	countedMeasures = measureGrowth // those with counts of their own; growth is memory's slope
 )
 
-var names = [measures]string{"lost worth", "failed", "refused", "late", "slow", "units", "cpu", "memory", "growth"}
+var measureNames = [measureCount]string{"lost worth", "failed", "refused", "late", "slow", "units", "cpu", "memory", "growth"}
 
 func (o *Options) margin(k int) float64 {
-	return [measures]float64{o.Lost, o.Failed, o.Refus, o.Late, o.Slow, o.Units, o.CPU, o.Memory, o.Growth}[k]
+	return [measureCount]float64{o.LostMargin, o.FailedMargin, o.RejectedMargin, o.LateMargin, o.SlowMargin, o.UnitsMargin, o.CPUMargin, o.MemoryMargin, o.GrowthMargin}[k]
 }
 
 // Growth is told by the hour, and shows over time: its bound narrows with the span to the power of 3/2.
 const (
-	growthWhole = 30 * time.Minute // from this BakeMost on its margin is Growth; under it that which shows as much
-	growthLeast = 5 * time.Minute  // under this nothing slower than what the memory's own margin shows can be told
+	fullGrowthBake = 30 * time.Minute // from this BakeMost on its margin is Growth; under it that which shows as much
+	minGrowthBake  = 5 * time.Minute  // under this nothing slower than what the memory's own margin shows can be told
 )
 
-// growth is the margin for memory's growth, of a stage watched for so long. Where BakeMost is too short for any
+// growthMargin is the margin for memory's growth, of a stage watched for so long. Where BakeMost is too short for any
 // rate that would be harm by the hour to be ruled out, a pass waits for no more than that of which memory's
 // mean over the span would be over its margin; it is for the memory measure to see less.
-func (o *Options) growth(watched time.Duration) float64 {
-	m := o.grown()
-	if o.BakeMost < growthLeast {
-		m = max(m, 2*o.Memory/max(watched, time.Second).Hours())
+func (o *Options) growthMargin(watched time.Duration) float64 {
+	m := o.hourlyGrowthMargin()
+	if o.MaxBake < minGrowthBake {
+		m = max(m, 2*o.MemoryMargin/max(watched, time.Second).Hours())
 	}
 	return m
 }
 
-// grown is that of which a quarter, where it is shown, is harm.
-func (o *Options) grown() float64 {
-	return o.Growth * max(1, growthWhole.Seconds()/o.BakeMost.Seconds())
+// hourlyGrowthMargin is that of which a quarter, where it is shown, is harm.
+func (o *Options) hourlyGrowthMargin() float64 {
+	return o.GrowthMargin * max(1, fullGrowthBake.Seconds()/o.MaxBake.Seconds())
 }
 
 // relative tells whether a measure is told as a ratio to before.
-func relative(k int) bool { return k >= units }
+func relative(k int) bool { return k >= measureUnits }
 
 // ratio is a measure of a span as numerator and denominator.
 func ratio(k int, f *instancestats.Figures, cut int) (y, d float64) {
 	switch k {
-	case lost:
+	case measureLost:
 		return f.OfferedWeight - f.Served, f.OfferedWeight
-	case failed:
+	case measureFailed:
 		return float64(f.Failed), float64(f.Requests)
-	case refused:
+	case measureRejected:
 		return float64(f.Refused - f.Beyond), float64(f.Requests - f.Beyond)
-	case late:
+	case measureLate:
 		return float64(f.Late), float64(f.Requests)
-	case slow:
+	case measureSlow:
 		if cut < 0 { // what the old side takes is not known yet
 			return 0, 0
 		}
@@ -196,9 +196,9 @@
 			}
 		}
 		return float64(over), float64(all)
-	case units:
+	case measureUnits:
 		return f.Units, float64(f.Requests)
-	case cpu:
+	case measureCPU:
 		return f.CPU.Seconds(), float64(f.Requests)
 	}
 	return float64(f.MemoryKB), 1
--- a/internal/canary/estimate.go
+++ b/internal/canary/estimate.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// est is what one member says of a measure: its change against before, and the variance of that.
-type est struct{ a, v float64 }
+// estimate is what one member says of a measure: its change against before, and the variance of that.
+type estimate struct{ mean, variance float64 }
 
 // level is what a member's before is believed to be, and the variance of that.
 type level struct{ b, v float64 }
@@ -23,10 +23,10 @@
 		return 0, all
 	}
 	mean = sy / sd
-	var list []est
+	var list []estimate
 	for i := range y {
 		if d[i] > 0 {
-			list = append(list, est{y[i] / d[i], v / d[i]})
+			list = append(list, estimate{y[i] / d[i], v / d[i]})
 		}
 	}
 	t := between(list)
@@ -46,18 +46,18 @@
 }
 
 // between is the variance between members beyond that of each (DerSimonian and Laird).
-func between(all []est) float64 {
+func between(all []estimate) float64 {
 	if len(all) < 2 {
 		return 0
 	}
 	var w, wa, w2 float64
 	for _, e := range all {
-		x := 1 / max(e.v, 1e-18)
-		w, wa, w2 = w+x, wa+x*e.a, w2+x*x
+		x := 1 / max(e.variance, 1e-18)
+		w, wa, w2 = w+x, wa+x*e.mean, w2+x*x
 	}
 	q, mean := 0.0, wa/w
 	for _, e := range all {
-		q += (e.a - mean) * (e.a - mean) / max(e.v, 1e-18)
+		q += (e.mean - mean) * (e.mean - mean) / max(e.variance, 1e-18)
 	}
 	c := w - w2/w
 	if c <= 0 {
@@ -67,36 +67,36 @@
 }
 
 // vary is how far members are from each other, with all that makes them so.
-func vary(all []est) float64 {
+func vary(all []estimate) float64 {
 	v := 0.0
 	for _, e := range all {
-		v += e.v
+		v += e.variance
 	}
 	return between(all) + v/float64(max(len(all), 1))
 }
 
 // pooled is the mean of a side and its variance.
-func pooled(all []est, tau2 float64) est {
+func pooled(all []estimate, tau2 float64) estimate {
 	if len(all) == 0 {
-		return est{0, math.Inf(1)}
+		return estimate{0, math.Inf(1)}
 	}
 	var w, wa float64
 	for _, e := range all {
-		x := 1 / max(e.v+tau2, 1e-18)
-		w, wa = w+x, wa+x*e.a
+		x := 1 / max(e.variance+tau2, 1e-18)
+		w, wa = w+x, wa+x*e.mean
 	}
-	return est{wa / w, 1 / w}
+	return estimate{wa / w, 1 / w}
 }
 
 // trim leaves out what is far from all others, where there are enough to tell. More than one in twenty that
 // are far are no liars but how the fleet is (a zone with a fault): then all stay, and widen the bounds.
-func trim(all []est) ([]est, int) {
+func trim(all []estimate) ([]estimate, int) {
 	if len(all) < 8 {
 		return all, 0
 	}
 	a := make([]float64, len(all))
 	for i, e := range all {
-		a[i] = e.a
+		a[i] = e.mean
 	}
 	slices.Sort(a)
 	mid := a[len(a)/2]
@@ -105,14 +105,14 @@
 	}
 	slices.Sort(a)
 	mad := 1.4826 * a[len(a)/2]
-	kept := make([]est, 0, len(all))
+	remaining := make([]estimate, 0, len(all))
 	for _, e := range all {
-		if math.Abs(e.a-mid) <= 8*math.Sqrt(mad*mad+e.v) {
-			kept = append(kept, e)
+		if math.Abs(e.mean-mid) <= 8*math.Sqrt(mad*mad+e.variance) {
+			remaining = append(remaining, e)
 		}
 	}
-	if left := len(all) - len(kept); 20*left <= len(all) {
-		return kept, left
+	if left := len(all) - len(remaining); 20*left <= len(all) {
+		return remaining, left
 	}
 	return all, 0
 }
@@ -187,7 +187,7 @@
 // dispersion is how many times more than Poisson counts the counts of members vary over time, 1 at least:
 // requests come in bursts, fail together and are worth more than one (quasi-Poisson, by Pearson's residuals).
 // least is a part taken to go wrong besides, so that the first one does not weigh all.
-func dispersion(all [][]batch, k int, unit, least float64) spread {
+func dispersion(all [][]batch, k int, unit, minimum float64) spread {
 	var s float64
 	df := 0
 	for _, bs := range all {
@@ -199,7 +199,7 @@
 		for j := range bs {
 			if b := &bs[j]; b.d[k] > 0 {
 				e := b.y[k] - y/d*b.d[k]
-				s += e * e / (unit * (b.x[k] + least*b.d[k]))
+				s += e * e / (unit * (b.x[k] + minimum*b.d[k]))
 				n++
 			}
 		}
@@ -215,11 +215,11 @@
 // batches are off that line by.
 func slope(bs []batch, scale float64) (g, sxx, rest float64, n int) {
 	var x, y, mx, my float64
-	var xs, ys [batches + 1]float64
+	var xs, ys [maxBatches + 1]float64
 	at := 0.0
 	for i := range bs {
-		if d := bs[i].d[memory]; d > 0 {
-			xs[n], ys[n] = at+bs[i].n/2, bs[i].y[memory]/d/scale
+		if d := bs[i].d[measureMemory]; d > 0 {
+			xs[n], ys[n] = at+bs[i].n/2, bs[i].y[measureMemory]/d/scale
 			mx, my = mx+xs[n], my+ys[n]
 			n++
 		}
--- a/internal/canary/judge_test.go
+++ b/internal/canary/judge_test.go
@@ -25,7 +25,7 @@
 func newCrew(n int, seed uint64) *crew {
 	c := &crew{j: NewJudge(Options{}), rng: rand.New(rand.NewPCG(seed, 1)), before: make(map[string]instancestats.Figures)}
 	for i := range n {
-		c.all = append(c.all, Reading{Member: fmt.Sprint(i), Up: true, Figures: instancestats.Figures{Began: time.Unix(1, 0)}})
+		c.all = append(c.all, Reading{Member: fmt.Sprint(i), IsServing: true, Statistics: instancestats.Figures{Began: time.Unix(1, 0)}})
 	}
 	return c
 }
@@ -35,7 +35,7 @@
 	for range intervals {
 		c.now += 10 * time.Second
 		for i := range c.all {
-			f := &c.all[i].Figures
+			f := &c.all[i].Statistics
 			n := 150 + c.rng.IntN(100)
 			f.Requests += uint64(n)
 			f.OfferedWeight += float64(n)
@@ -58,79 +58,79 @@
 func (c *crew) stage(from, to, controls int) {
 	c.j.Begin(c.now, c.all)
 	for i := from; i < to+controls; i++ {
-		c.all[i].Side, c.all[i].Figures = New, instancestats.Figures{Began: time.Unix(2, int64(c.now))}
+		c.all[i].Side, c.all[i].Statistics = SideNew, instancestats.Figures{Began: time.Unix(2, int64(c.now))}
 		if i >= to {
-			c.all[i].Side = Control
+			c.all[i].Side = SideControl
 		}
 	}
 }
 
 func fails(r *Reading, n int) {
-	r.Figures.Failed += uint64(n)
-	r.Figures.Served -= float64(n)
+	r.Statistics.Failed += uint64(n)
+	r.Statistics.Served -= float64(n)
 }
 
 // verdicts are what one of twelve does once it is changed, for how many intervals, and what has to come of it.
 var verdicts = []struct {
 	name string
-	want Kind
+	want VerdictKind
 	run  int
 	each func(c *crew, i int, r *Reading)
 }{
-	{"alike", Pass, 60, nil},
-	{"too early", Wait, 20, nil},
-	{"fails", Worse, 20, func(_ *crew, _ int, r *Reading) {
-		if r.Side == New {
+	{"alike", KindPass, 60, nil},
+	{"too early", KindWait, 20, nil},
+	{"fails", KindWorse, 20, func(_ *crew, _ int, r *Reading) {
+		if r.Side == SideNew {
 			fails(r, 20)
 		}
 	}},
-	{"the world fails", Pass, 60, func(c *crew, _ int, r *Reading) {
+	{"the world fails", KindPass, 60, func(c *crew, _ int, r *Reading) {
 		if c.now > 8*time.Minute {
 			fails(r, 20)
 		}
 	}},
-	{"cold ones fail, control too", Pass, 60, func(c *crew, _ int, r *Reading) {
-		if r.Side != Old && c.now < 7*time.Minute {
+	{"cold ones fail, control too", KindPass, 60, func(c *crew, _ int, r *Reading) {
+		if r.Side != SideOld && c.now < 7*time.Minute {
 			fails(r, 4)
 		}
 	}},
-	{"nonsense of an old one", Pass, 60, func(c *crew, i int, r *Reading) {
+	{"nonsense of an old one", KindPass, 60, func(c *crew, i int, r *Reading) {
 		switch i {
 		case 5:
-			r.Figures.OfferedWeight = math.NaN()
+			r.Statistics.OfferedWeight = math.NaN()
 		case 6:
-			r.Figures.Requests = uint64(c.rng.Int64())
+			r.Statistics.Requests = uint64(c.rng.Int64())
 		case 7:
-			r.Figures.Units = -1
+			r.Statistics.Units = -1
 		}
 	}},
-	{"nonsense of the new one", NoEvidence, 400, func(_ *crew, i int, r *Reading) {
-		if i == 0 && r.Side == New {
-			r.Figures.Served = math.NaN()
+	{"nonsense of the new one", KindNoEvidence, 400, func(_ *crew, i int, r *Reading) {
+		if i == 0 && r.Side == SideNew {
+			r.Statistics.Served = math.NaN()
 		}
 	}},
-	{"nobody asks the new one", NoEvidence, 400, func(_ *crew, _ int, r *Reading) {
-		if r.Side == New {
-			r.Figures = instancestats.Figures{Began: r.Figures.Began, MemoryKB: 100000}
+	{"nobody asks the new one", KindNoEvidence, 400, func(_ *crew, _ int, r *Reading) {
+		if r.Side == SideNew {
+			r.Statistics = instancestats.Figures{Began: r.Statistics.Began, MemoryKB: 100000}
 		}
 	}},
-	{"the new one crashes", Worse, 30, func(c *crew, _ int, r *Reading) {
-		if r.Side == New && c.now%time.Minute == 0 {
-			r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
+	{"the new one crashes", KindWorse, 30, func(c *crew, _ int, r *Reading) {
+		if r.Side == SideNew && c.now%time.Minute == 0 {
+			r.Statistics = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
 		}
 	}},
-	{"all crash", Wait, 20, func(c *crew, _ int, r *Reading) {
+	{"all crash", KindWait, 20, func(c *crew, _ int, r *Reading) {
 		if c.now == 6*time.Minute {
-			r.Figures = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
+			r.Statistics = instancestats.Figures{Began: time.Unix(3, int64(c.now))}
 		}
 	}},
-	{"others are harmed, and the new one takes more", Worse, 60, func(_ *crew, _ int, r *Reading) {
-		if r.Side == New {
-			r.Figures.Units += 12
+	{"others are harmed, and the new one takes more", KindWorse, 60, func(_ *crew, _ int, r *Reading) {
+		if r.Side == SideNew {
+			r.Statistics.Units += 12
 		}
 		fails(r, 6)
 	}},
-	{"others are harmed, nothing tells by whom", NoEvidence, 400, func(_ *crew, _ int, r *Reading) { fails(r, 10) }},
+	{"others are harmed, nothing tells by whom", KindNoEvidence, 400, func(_ *crew, _ int, r *Reading) { fails(r, 10) }},
 }
 
 func TestVerdicts(t *testing.T) {
@@ -146,12 +146,12 @@
 						c.each(f, i, r)
 					}
 				})
-				if last = f.j.Verdict(f.now); last.Kind != Wait {
+				if last = f.j.Verdict(f.now); last.Kind != KindWait {
 					break
 				}
 			}
 			if last.Kind != c.want {
-				t.Errorf("%v (%s) after %v", last.Kind, last.Why, f.now)
+				t.Errorf("%v (%s) after %v", last.Kind, last.Reason, f.now)
 			}
 		})
 	}
@@ -175,11 +175,11 @@
 		for range rapid.IntRange(1, 40).Draw(t, "intervals") {
 			f.now += 10 * time.Second
 			for i := range f.all {
-				f.all[i].Figures = any.Draw(t, "figures")
-				f.all[i].Up = rapid.Bool().Draw(t, "up")
+				f.all[i].Statistics = any.Draw(t, "figures")
+				f.all[i].IsServing = rapid.Bool().Draw(t, "up")
 			}
 			f.j.Observe(f.now, f.all)
-			if v := f.j.Verdict(f.now); v.Kind == Pass {
+			if v := f.j.Verdict(f.now); v.Kind == KindPass {
 				t.Fatalf("%+v", v)
 			}
 		}
--- a/internal/fleet/carry.go
+++ b/internal/fleet/carry.go
@@ -118,7 +118,7 @@
 		}
 		warm := min(30*time.Second, p.MinBake/2)
 		c.judge = canary.NewJudge(canary.Options{
-			Stages: max(stages, 1), BakeLeast: p.MinBake, BakeMost: p.MaxBake, Warm: warm,
+			Stages: max(stages, 1), MinBake: p.MinBake, MaxBake: p.MaxBake, WarmUp: warm,
 			Onset: min(time.Minute, max(p.MinBake/2, time.Second)),
 		})
 	}
@@ -229,15 +229,15 @@
 func (c *carrier) readings() []canary.Reading {
 	all := make([]canary.Reading, 0, len(c.seen))
 	for i, s := range c.seen {
-		r := canary.Reading{Member: c.c.Plan.Members[i].Name, Up: s != nil && s.IsReady(), Weight: 1}
+		r := canary.Reading{Member: c.c.Plan.Members[i].Name, IsServing: s != nil && s.IsReady(), Weight: 1}
 		switch changed, control := c.r.Side(i); {
 		case changed:
-			r.Side = canary.New
+			r.Side = canary.SideNew
 		case control:
-			r.Side = canary.Control
+			r.Side = canary.SideControl
 		}
 		if s != nil {
-			r.Figures = s.Statistics
+			r.Statistics = s.Statistics
 		}
 		if s == nil || s.IsReady() { // one that is drained is none of either side
 			all = append(all, r)
@@ -254,7 +254,7 @@
 	c.act(ctx, c.r.Handle(c.now(), e))
 	if _, ok := e.(rollout.Tick); ok && c.end == nil && c.r.IsBaking() {
 		c.verdict = c.judge.Verdict(c.now())
-		c.act(ctx, c.r.Handle(c.now(), rollout.StageJudged{Verdict: rollout.Verdict(c.verdict.Kind), Reason: c.verdict.Why}))
+		c.act(ctx, c.r.Handle(c.now(), rollout.StageJudged{Verdict: rollout.Verdict(c.verdict.Kind), Reason: c.verdict.Reason}))
 	}
 }
 
@@ -400,11 +400,11 @@
 	p := Progress{Begun: c.c.Begun, At: time.Now(), Kind: c.c.Kind, State: c.r.State(), Why: c.r.Reason(), Cause: c.r.RollbackCause(), Epoch: c.r.Epoch(), Members: c.states()}
 	p.Phase, p.Phases = c.r.Phase()
 	p.Stage, p.Stages = c.r.Stage()
-	if c.verdict.Why != "" {
-		p.Verdict, p.Told = c.verdict.Kind.String(), c.verdict.Why
+	if c.verdict.Reason != "" {
+		p.Verdict, p.Told = c.verdict.Kind.String(), c.verdict.Reason
 	}
 	for _, m := range c.verdict.Measures {
-		p.Sides = append(p.Sides, Compared{m.Name, finite(m.Old), finite(m.New), finite(m.Low), finite(m.High), m.Margin, m.Worse, m.Enough})
+		p.Sides = append(p.Sides, Compared{m.Name, finite(m.Old), finite(m.New), finite(m.Low), finite(m.High), m.Margin, m.IsWorse, m.IsEnough})
 	}
 	return p
 }
--- a/internal/rolloutsim/plain.go
+++ b/internal/rolloutsim/plain.go
@@ -13,7 +13,7 @@
 
 func (ready) Begin(time.Duration, []canary.Reading)   {}
 func (ready) Observe(time.Duration, []canary.Reading) {}
-func (ready) Verdict(time.Duration) canary.Verdict    { return canary.Verdict{Kind: canary.Pass} }
+func (ready) Verdict(time.Duration) canary.Verdict    { return canary.Verdict{Kind: canary.KindPass} }
 
 // threshold compares the sums of both sides, as is often done: a stage is stopped once the new side's
 // is beyond the old one's by a fixed amount, and passes after five minutes. A minute is let go by first.
@@ -37,18 +37,18 @@
 	for i := range all {
 		r := &all[i]
 		s := 0
-		if r.Side == canary.New {
+		if r.Side == canary.SideNew {
 			s = 1
 		}
-		if !r.Up {
+		if !r.IsServing {
 			t.crash += s
 			continue
 		}
-		if d, ok := r.Figures.Since(t.last[r.Member]); ok {
+		if d, ok := r.Statistics.Since(t.last[r.Member]); ok {
 			t.side[s].Add(d)
-			t.mem[s], t.n[s] = t.mem[s]+float64(r.Figures.MemoryKB), t.n[s]+1
+			t.mem[s], t.n[s] = t.mem[s]+float64(r.Statistics.MemoryKB), t.n[s]+1
 		}
-		t.last[r.Member] = r.Figures
+		t.last[r.Member] = r.Statistics
 	}
 }
 
@@ -58,7 +58,7 @@
 		return canary.Verdict{}
 	}
 	part := func(a uint64, f *instancestats.Figures) float64 { return float64(a) / max(float64(f.Requests), 1) }
-	worse := func(what string) canary.Verdict { return canary.Verdict{Kind: canary.Worse, Why: what} }
+	worse := func(what string) canary.Verdict { return canary.Verdict{Kind: canary.KindWorse, Reason: what} }
 	switch {
 	case t.crash > 0:
 		return worse("crash")
@@ -79,5 +79,5 @@
 	if now-t.begin < 5*time.Minute {
 		return canary.Verdict{}
 	}
-	return canary.Verdict{Kind: canary.Pass}
+	return canary.Verdict{Kind: canary.KindPass}
 }
--- a/internal/rolloutsim/sim.go
+++ b/internal/rolloutsim/sim.go
@@ -77,7 +77,7 @@
 }
 
 type outcome struct {
-	kind            canary.Kind
+	kind            canary.VerdictKind
 	stage           int
 	took            time.Duration
 	touched, harmed float64
@@ -173,10 +173,10 @@
 				continue
 			}
 			v := j.Verdict(w.now)
-			if v.Kind == canary.Worse || v.Kind == canary.NoEvidence {
-				return outcome{v.Kind, stage + 1, w.now - begun, w.touched, w.harmed, v.Why}
+			if v.Kind == canary.KindWorse || v.Kind == canary.KindNoEvidence {
+				return outcome{v.Kind, stage + 1, w.now - begun, w.touched, w.harmed, v.Reason}
 			}
-			if v.Kind == canary.Pass && changed == target {
+			if v.Kind == canary.KindPass && changed == target {
 				break
 			}
 		}
@@ -186,7 +186,7 @@
 	for end := w.now + after; w.now < end; {
 		w.step()
 	}
-	return outcome{canary.Pass, 0, took, w.touched, w.harmed, ""}
+	return outcome{canary.KindPass, 0, took, w.touched, w.harmed, ""}
 }
 
 // judge is who decides about a rollout.
@@ -213,7 +213,7 @@
 
 // change restarts an instance with what is new, and a control at the same time and in the same zone.
 func (w *world) change(x *instance, control bool) {
-	w.restart(x, canary.New, 0)
+	w.restart(x, canary.SideNew, 0)
 	if control {
 		w.control(x)
 	}
@@ -230,12 +230,12 @@
 		return d
 	}
 	for _, x := range w.all {
-		if x.side == canary.Old && (pick == nil || far(x) < far(pick)) {
+		if x.side == canary.SideOld && (pick == nil || far(x) < far(pick)) {
 			pick = x
 		}
 	}
 	if pick != nil {
-		w.restart(pick, canary.Control, 0)
+		w.restart(pick, canary.SideControl, 0)
 	}
 }
 
@@ -247,9 +247,9 @@
 	var took, touched, harmed []float64
 	for _, x := range all {
 		switch x.kind {
-		case canary.Worse:
+		case canary.KindWorse:
 			r.Worse++
-		case canary.NoEvidence:
+		case canary.KindNoEvidence:
 			r.NoEvidence++
 		default:
 			r.Passed++
--- a/internal/rolloutsim/world.go
+++ b/internal/rolloutsim/world.go
@@ -128,14 +128,14 @@
 	load := 1 + 0.4*math.Sin(w.day+2*math.Pi*w.now.Hours()/24)
 	changed := 0
 	for _, x := range w.all {
-		if x.side == canary.New {
+		if x.side == canary.SideNew {
 			changed++
 		}
 	}
 	dose := float64(changed) / float64(len(w.all))
 	w.readings = w.readings[:0]
 	for _, x := range w.all {
-		w.readings = append(w.readings, canary.Reading{Member: x.id, Side: x.side, Up: w.play(x, load, dose), Figures: x.total, Weight: x.share})
+		w.readings = append(w.readings, canary.Reading{Member: x.id, Side: x.side, IsServing: w.play(x, load, dose), Statistics: x.total, Weight: x.share})
 	}
 	return w.readings
 }
@@ -153,7 +153,7 @@
 
 // missed counts what was asked of an instance that is down.
 func (w *world) missed(x *instance, requests int) {
-	if x.side == canary.New && w.o.Harm.Crash > 0 {
+	if x.side == canary.SideNew && w.o.Harm.Crash > 0 {
 		w.touched, w.harmed = w.touched+float64(requests), w.harmed+float64(requests)
 	}
 }
@@ -180,7 +180,7 @@
 	}
 	crash := 30 * 24 * time.Hour
 	part, grown, over, costs := 0.0, 1.0, 0.0, 0.0
-	if x.side == canary.New && age >= h.After && dose >= h.Dose {
+	if x.side == canary.SideNew && age >= h.After && dose >= h.Dose {
 		part, over, costs = h.Fails, h.Ceil, h.Costs
 		slower *= cmp.Or(max(h.Slower, 0), 1)
 		crash = cmp.Or(max(h.Crash, 0), crash)
@@ -189,7 +189,7 @@
 	// What passes ceilings overloads the servers of all.
 	part += h.Hammer*dose + 0.5*h.Ceil*atCeiling*dose
 	fail += part
-	if x.side == canary.New {
+	if x.side == canary.SideNew {
 		w.touched += float64(requests)
 	}
 
@@ -201,7 +201,7 @@
 	t := w.tails.of(slower)
 	late := t.draw(r, rest-failed, &f.Delays)
 	w.harmed += float64(rest) * part
-	if h.Slower > 0 && x.side == canary.New {
+	if h.Slower > 0 && x.side == canary.SideNew {
 		w.harmed += float64(late)
 	}
 	dear := binomial(r, requests-beyond, 0.1) // worth five
