Document package h2 in ordinary technical English

Comments were sentences of the earlier house style, and some named what has been renamed (Out, Begin, Cut, Changed). The package comment says what each type is for and who calls it; doc comments of exported items say what they return, block on and allow concurrently. fate.go is stream_outcome.go. Comments only: the tests of h2 and upstream pass.

--- a/internal/h2/choose.go
+++ b/internal/h2/choose.go
@@ -2,34 +2,34 @@
 
 import "time"
 
-// View is a connection as the choice of one sees it.
+// View is what Choose knows of a connection.
 type View struct {
-	OpenStreams int // streams
-	FreeStreams int // for further ones
-	MaxStreams  int // of streams at once, by the server
-	IsEnding    bool
+	OpenStreams int
+	FreeStreams int  // that can be opened now
+	MaxStreams  int  // that the server allows at once
+	IsEnding    bool // takes no more requests
 	Age         time.Duration
 }
 
-// Bounds are those of all connections to one server.
+// Bounds limit all connections to one server.
 type Bounds struct {
-	MaxConnections int           // at once, beside those that end
+	MaxConnections int           // at once, without those that are ending
 	MaxWaiting     int           // requests that wait for a stream or a connection
-	MaxAge         time.Duration // from which on a connection is replaced; 0 is never
+	MaxAge         time.Duration // after which a connection is replaced; 0 is never
 }
 
-// Choice is what becomes of a request.
+// Choice is what a request does, and what is done to the connections.
 type Choice struct {
 	Use    int  // the connection that takes it; -1 none
-	Wait   bool // with none: for a stream, or for a connection that is being made; else there is no place
-	Dial   bool // another connection is to be made
+	Wait   bool // without one, wait for a stream or for a connection that is being made; otherwise fail
+	Dial   bool // make another connection
 	Retire int  // a connection to be replaced now; -1 none
 }
 
-// Choose tells what a request does, where so many connections are being made and so many requests
-// wait. It takes the connection with the fewest open streams, so that what holds one up holds up
-// few, and has another one made where none has room or where all are due to be replaced: those
-// that are go on meanwhile, and are retired one at a time.
+// Choose returns what a request does, given the numbers of connections that are being made and of requests that
+// wait. It takes the connection with the fewest open streams, so that a stalled connection delays few requests.
+// It has another one made where none has a free stream or where all are due to be replaced; those go on meanwhile
+// and are retired one at a time.
 func Choose(conns []View, dialing, waiting int, bounds Bounds) Choice {
 	choice := Choice{Use: -1, Retire: -1}
 	oldest := -1 // the oldest of those that are due
--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -20,21 +20,21 @@
 	maxReadFrameBytes = 1 << 20                // of a frame that is read; more is an error of the server's
 )
 
-// Options are what a connection is made with.
+// Options configure a connection.
 type Options struct {
 	Limits
-	// PingAfterSilence is for how long nothing may come while streams are open, before the server is asked for
-	// a sign of life; after as long again with none the connection is broken. 0 never asks.
+	// PingAfterSilence is how long nothing may be received while streams are open before a ping is sent; the
+	// connection counts as broken after the same time without an answer. 0 never pings.
 	PingAfterSilence time.Duration
-	// Changed, which may be nil, is called when there may be room for another stream or the
-	// connection has ended. It must neither wait nor call the connection.
+	// OnChange, which may be nil, is called when another stream may be free or the connection has ended. It must
+	// neither block nor call the connection.
 	OnChange func()
 }
 
-// ErrNotHTTP2 says that a server's first bytes were not HTTP/2's.
+// ErrNotHTTP2 is the error of a server whose first bytes are not HTTP/2.
 var ErrNotHTTP2 = errors.New("the server does not speak HTTP/2")
 
-// Conn is a connection over which requests share. Its methods are safe for concurrent use.
+// Conn is a connection that requests share. Its methods are safe for concurrent use.
 type Conn struct {
 	options Options
 	conn    net.Conn
@@ -43,14 +43,14 @@
 	mu             sync.Mutex
 	machine        *Machine
 	receivers      map[uint32]eventReceiver
-	blockedWriters map[*Stream]bool // those whose writer waits for room
+	blockedWriters map[*Stream]bool // those whose writer waits for space
 	flushed        *sync.Cond       // more was written, or the connection has ended
 	lastRead       time.Time        // something came
 	idleSince      time.Time        // no stream is open since then
 	noiseReset     time.Time        // floods are counted from then on
 	isClosing      bool             // no further byte is written once what is pending is
-	isWatched      bool             // a look at how quiet it is will come
-	isWriting      bool             // somebody writes
+	isWatched      bool             // checkSilence is scheduled
+	isWriting      bool             // a goroutine is writing to the socket
 	rawConn        syscall.RawConn  // of a socket; nil where there is none
 
 	wake        chan struct{} // there may be something to write
@@ -58,9 +58,8 @@
 	done        chan struct{} // closed when the connection has ended
 }
 
-// Start speaks HTTP/2 on a connection with prior knowledge and waits for the server's settings, so
-// that its limits are known, and that it speaks HTTP/2 at all, before a request is sent. A
-// connection that fails is closed.
+// Start starts HTTP/2 with prior knowledge on a connection and waits for the server's settings: before a request
+// is sent it is known that the server speaks HTTP/2, and what its limits are. A connection that fails is closed.
 func Start(ctx context.Context, conn net.Conn, options Options) (*Conn, error) {
 	now := time.Now()
 	created := &Conn{
@@ -107,7 +106,7 @@
 	}
 }
 
-// wakeWriter has the writer look for what there is to write.
+// wakeWriter wakes the goroutine that writes.
 func (c *Conn) wakeWriter() {
 	select {
 	case c.wake <- struct{}{}:
@@ -115,7 +114,7 @@
 	}
 }
 
-// read takes in frames until the connection ends.
+// read handles frames until the connection ends.
 func (c *Conn) read() {
 	counted := &countingConn{Conn: c.conn}
 	frames := http2.NewFramer(nil, counted)
@@ -154,7 +153,7 @@
 	}
 }
 
-// countingConn tells whether anything was read.
+// countingConn counts the bytes that are read.
 type countingConn struct {
 	net.Conn
 	bytesRead int64
@@ -166,16 +165,16 @@
 	return n, err
 }
 
-// eventReceiver is told of a stream's events, in order; Conn.mu is held. It must neither wait nor call back.
+// eventReceiver receives the events of a stream in order, with Conn.mu locked. It must neither block nor call back.
 type eventReceiver interface{ receive(Event) }
 
-// endReceiver takes the one event of a stream whose answer is held.
+// endReceiver receives the one event of a stream whose answer is buffered.
 type endReceiver chan Event
 
 func (w endReceiver) receive(event Event) { w <- event }
 
-// deliver tells those who wait how their streams ended and notes what changed; c.mu is held. ended
-// tells that the connection has.
+// deliver passes events to their receivers and records what has changed. c.mu is locked. It reports whether the
+// connection has ended.
 func (c *Conn) deliver(events []Event) (ended bool) {
 	for _, event := range events {
 		if receiver := c.receivers[event.ID]; receiver != nil {
@@ -210,9 +209,9 @@
 	return c.machine.Err() != nil
 }
 
-// writeNow writes what the socket takes at once, which nearly always is all; the writer does the rest.
-// Guards against waking another goroutine for each request, and against one that waits for a
-// server that takes nothing beyond its own time.
+// writeNow writes what the socket takes without blocking, which nearly always is everything; the writing goroutine
+// does the rest. So no goroutine is woken for each request, and none blocks past its own deadline on a server that
+// reads nothing.
 func (c *Conn) writeNow() {
 	if c.rawConn == nil {
 		c.wakeWriter()
@@ -243,7 +242,7 @@
 	}
 }
 
-// wrote ends a write that took so many bytes.
+// wrote records that n bytes were written.
 func (c *Conn) wrote(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -253,7 +252,7 @@
 	c.flushed.Broadcast()
 }
 
-// wakeBlockedWriters has those who wait for room look again; c.mu is held.
+// wakeBlockedWriters wakes the streams whose writers wait for space. c.mu is locked.
 func (c *Conn) wakeBlockedWriters() {
 	for s := range c.blockedWriters {
 		delete(c.blockedWriters, s)
@@ -261,13 +260,13 @@
 	}
 }
 
-// write writes what the machine has to say, until the connection has ended and all is said.
+// write writes the machine's output, until the connection has ended and all of it is written.
 func (c *Conn) write() {
 	defer c.conn.Close()
 	for {
 		c.mu.Lock()
 		var out []byte
-		if !c.isWriting { // else whoever does pokes
+		if !c.isWriting { // otherwise whoever writes wakes this goroutine
 			out = c.machine.PendingBytes()
 		}
 		over := !c.isWriting && (c.machine.Err() != nil || c.machine.IsEnding() && c.machine.OpenStreams() == 0 && c.isClosing)
@@ -299,7 +298,7 @@
 	c.wakeWriter()
 }
 
-// open opens a stream and sends its request, as far as it is here and goes at once.
+// open opens a stream and sends as much of its request as is available and can be written without blocking.
 func (c *Conn) open(request *Request, receiver eventReceiver) (id uint32, err error) {
 	c.mu.Lock()
 	if id, err = c.machine.OpenStream(request); err != nil {
@@ -332,8 +331,8 @@
 	c.awaitFlush(until)
 }
 
-// Do sends a request and waits for how its stream ends, or until ctx does: it is given up then, and
-// its reset has gone out, or the connection ended, before Do returns. ErrNoStream says that nothing was sent.
+// Do sends a request and returns how its stream ended. When ctx ends first the stream is cancelled, and its reset
+// is written, or the connection ended, before Do returns. With ErrNoStream nothing was sent.
 func (c *Conn) Do(ctx context.Context, request *Request) (Event, error) {
 	receiver := make(endReceiver, 1)
 	id, err := c.open(request, receiver)
@@ -349,8 +348,8 @@
 	return <-receiver, nil
 }
 
-// awaitFlush waits until so much is written. Guards against a request that is still out when another
-// server is asked: a connection that takes not even a reset is ended.
+// awaitFlush waits until everything before an offset is written. A connection that doesn't even take a reset is
+// ended: the request must not still be running when another server gets it.
 func (c *Conn) awaitFlush(until int64) {
 	late := time.AfterFunc(cancelTimeout, func() { c.Close() })
 	defer late.Stop()
@@ -361,7 +360,7 @@
 	}
 }
 
-// startWatch asks for signs of life while streams are open; c.mu is held.
+// startWatch schedules checkSilence while streams are open. c.mu is locked.
 func (c *Conn) startWatch() {
 	if c.options.PingAfterSilence > 0 && !c.isWatched {
 		c.isWatched = true
@@ -369,7 +368,7 @@
 	}
 }
 
-// checkSilence is what watch does after each time of quiet.
+// checkSilence pings a server that has been silent, and ends the connection if it does not answer.
 func (c *Conn) checkSilence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -389,21 +388,21 @@
 	time.AfterFunc(c.options.PingAfterSilence, c.checkSilence)
 }
 
-// View is what the choice of a connection goes by.
+// View returns what Choose needs to know of the connection.
 func (c *Conn) View() View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return View{OpenStreams: c.machine.OpenStreams(), FreeStreams: c.machine.FreeStreams(), MaxStreams: c.machine.StreamLimit(), IsEnding: c.machine.IsEnding(), Age: time.Since(c.started)}
 }
 
-// Idle is since when no stream has been open; false where one is.
+// Idle returns since when no stream has been open; false where one is.
 func (c *Conn) Idle() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.idleSince, c.machine.OpenStreams() == 0
 }
 
-// Retire has the connection take no more requests, and end with its last stream.
+// Retire lets the connection take no more requests, and end with its last stream.
 func (c *Conn) Retire() {
 	c.mu.Lock()
 	c.machine.Retire()
--- a/internal/h2/frames.go
+++ b/internal/h2/frames.go
@@ -12,7 +12,7 @@
 
 // What comes in: frames, and what they mean for streams and the connection.
 
-// Unreadable takes in that no frame could be read: an error of http2.Framer's.
+// Unreadable handles an error of http2.Framer: no frame could be read.
 func (m *Machine) Unreadable(err error) []Event {
 	if m.connErr != nil {
 		return nil
@@ -33,7 +33,7 @@
 	return m.endConnection(http2.ErrCodeNo, err)
 }
 
-// isKnownStream tells whether a stream was opened, be it closed by now.
+// isKnownStream reports whether a stream has been opened, even if it is closed by now.
 func (m *Machine) isKnownStream(id uint32) bool { return id%2 == 1 && id < m.nextID }
 
 // endMalformed ends a stream whose answer can't be one; other streams go on (RFC 9113, 8.1.1).
@@ -54,11 +54,11 @@
 // and empty frames, each of which costs this side something.
 func (m *Machine) countNoise() { m.noiseFrames++ }
 
-// ResetNoise is to be called once a second: what came before counts no more.
+// ResetNoise resets the count of such frames. It is to be called once a second.
 func (m *Machine) ResetNoise() { m.noiseFrames = 0 }
 
-// Handle takes in a frame, as http2.Framer reads it with ReadMetaHeaders set. Frames behind the
-// connection's end say nothing.
+// Handle handles a frame, as http2.Framer reads it with ReadMetaHeaders set. It ignores frames after the end of
+// the connection.
 func (m *Machine) Handle(frame http2.Frame) []Event {
 	if m.connErr != nil {
 		return nil
--- a/internal/h2/machine.go
+++ b/internal/h2/machine.go
@@ -1,7 +1,10 @@
-// Package h2 is the client's side of HTTP/2 (RFC 9113) to app servers: a connection as a state
-// machine, what is known of a request whose stream ended without an answer, and which connection
-// a request takes. Nothing is ever sent again by it. The machine does no I/O; Conn carries its
-// bytes.
+// Package h2 implements the client's side of HTTP/2 (RFC 9113) for connections to app servers.
+//
+// Machine is one connection as a state machine without I/O: it handles frames and returns events and the bytes to
+// write. Conn runs a Machine on a socket with two goroutines, and is safe for concurrent use; Stream is a request
+// on it whose bodies pass through. OutcomeOf says what is known of a request whose stream ended without an
+// answer, and Choose which connection a request takes. Package upstream is the caller. No request is ever sent
+// again here.
 package h2
 
 import (
@@ -29,10 +32,10 @@
 	maxUnreturnedWindow = 16 << 10 // of the connection's window, before it is given back
 )
 
-// Limits bound what a connection holds.
+// Limits bound what a connection keeps in memory.
 type Limits struct {
 	MaxStreams         int // open at once, whatever the server allows
-	MaxLifetimeStreams int // streams over the connection's whole life; 0 is as many as there are ids
+	MaxLifetimeStreams int // over the connection's lifetime; 0 is as many as there are ids
 	MaxHeadBytes       int // bytes of an answer's head or trailers, each field counted with 32 more
 	MaxBodyBytes       int // bytes of an answer's body
 	// StartsAtLastByte says that servers begin a request with its last byte and not with its head.
@@ -61,18 +64,18 @@
 	Method, Scheme, Authority, Path string
 	Header                          http.Header
 	Body                            []byte
-	// HasMoreBody says that Feed brings more of the body. Length is then that of all of it; below zero it
-	// is not known.
+	// HasMoreBody says that Feed brings more of the body. ContentLength is then that of all of it, below zero
+	// where it is not known.
 	HasMoreBody   bool
 	ContentLength int64
-	// StreamsAnswer says that the answer is told as it comes, by events, and not held: as much of it as its
-	// window has is under way until it is Consumed.
+	// StreamsAnswer says that the answer comes in events and is not buffered: as much of it as its window allows
+	// is in transit until Consumed is called.
 	StreamsAnswer bool
-	// Begin, which may be nil, is asked right before the request is written: one to which it says no is not.
+	// MayBegin, which may be nil, is called right before the request is written and decides whether it is.
 	MayBegin func() bool
 }
 
-// Answer is a whole answer, or the head of one that goes on.
+// Answer is a complete answer, or the head of one that goes on.
 type Answer struct {
 	Status  int
 	Header  http.Header
@@ -80,8 +83,8 @@
 	Body    []byte
 }
 
-// Event is how a stream ended, with an answer or an error, never both; of a stream whose answer
-// is told as it comes also what came. Its end is the last.
+// Event is how a stream ended, with either an answer or an error. For a request with StreamsAnswer it may also be
+// a part of the answer; the end is the last event of a stream.
 type Event struct {
 	ID      uint32
 	Answer  *Answer
@@ -92,7 +95,7 @@
 	Data []byte  // valid until the next frame is read
 }
 
-// ends tells whether the event is a stream's end.
+// ends reports whether the event is the end of a stream.
 func (e *Event) ends() bool { return e.Answer != nil || e.Err != nil }
 
 // Why a request was not sent.
@@ -102,7 +105,7 @@
 	ErrWithdrawn   = errors.New("it is not to begin any more")
 )
 
-// Machine is the client's side of a connection. Its methods must not be called at once.
+// Machine is the client's side of a connection. It is not safe for concurrent use.
 type Machine struct {
 	Limits
 	output      bytes.Buffer
@@ -176,7 +179,7 @@
 	answer           Answer
 }
 
-// New makes the machine of a connection just made; what it has to say is in Out.
+// New makes the machine of a new connection; the first bytes to write are in PendingBytes.
 func New(limits Limits) *Machine {
 	machine := &Machine{
 		Limits: limits.orDefault(), nextID: 1, streams: make(map[uint32]*stream), peerMaxStreams: 1<<32 - 1,
@@ -204,7 +207,7 @@
 	}
 }
 
-// HasSettings tells whether the server's settings have come.
+// HasSettings reports whether the server's settings have come.
 func (m *Machine) HasSettings() bool { return m.hasSettings }
 
 // Err is what ended the connection; nil while it lasts.
@@ -216,7 +219,7 @@
 // StreamLimit is how many streams may be open at once; 0 is a server that allows none.
 func (m *Machine) StreamLimit() int { return int(min(uint32(m.MaxStreams), m.peerMaxStreams)) }
 
-// IsEnding tells that no more streams will be opened.
+// IsEnding reports that no more streams can be opened.
 func (m *Machine) IsEnding() bool {
 	return m.connErr != nil || m.hasGoAway || m.isRetired || m.nextID > uint32(2*m.MaxLifetimeStreams-1)
 }
@@ -229,7 +232,7 @@
 	return max(0, m.StreamLimit()-len(m.streams))
 }
 
-// Retire has no more streams be opened. The connection is of no use once none is open.
+// Retire allows no more streams. The connection is of no use once none is open.
 func (m *Machine) Retire() {
 	if !m.isRetired && m.connErr == nil {
 		m.isRetired = true
@@ -237,8 +240,8 @@
 	}
 }
 
-// PendingBytes is what is to be written next; nil is nothing. It stays as it is until Wrote, also where
-// there is more to be written meanwhile.
+// PendingBytes returns what is to be written next; nil is nothing. It does not change until Wrote is called, even
+// if there is more to write meanwhile.
 func (m *Machine) PendingBytes() []byte {
 	if len(m.writing) == 0 {
 		m.writing = append(m.writing[:0], m.output.Bytes()...)
@@ -248,13 +251,13 @@
 	return m.writing
 }
 
-// HasOutput tells whether there is anything to be written.
+// HasOutput reports whether there is anything to write.
 func (m *Machine) HasOutput() bool { return len(m.writing) > 0 || m.output.Len() > 0 }
 
-// OutputOffset is where the last byte stands that is to be written so far.
+// OutputOffset returns the offset after the last byte that is to be written so far.
 func (m *Machine) OutputOffset() int64 { return m.offset() }
 
-// Wrote tells how many of the bytes of Out the socket has taken.
+// Wrote records that the socket has taken n of PendingBytes.
 func (m *Machine) Wrote(n int) {
 	m.writing = m.writing[n:]
 	m.written += int64(n)
@@ -285,7 +288,7 @@
 	return Event{ID: stream.id, Err: &StreamError{Moment: at, End: how, Code: code, Detail: why}, Outcome: OutcomeOf(at, how, code, m.StartsAtLastByte)}
 }
 
-// Cancel gives a stream up and resets it. It is out until what is Pending then is written.
+// Cancel resets a stream. Its request may still reach the server until everything before OutputOffset is written.
 func (m *Machine) Cancel(id uint32) (Event, bool) {
 	stream := m.streams[id]
 	if stream == nil || m.connErr != nil {
@@ -296,7 +299,7 @@
 	return event, true
 }
 
-// Ping asks the server for a sign of life, unless one is awaited already.
+// Ping sends a ping, unless an answer to one is awaited already.
 func (m *Machine) Ping() {
 	if m.connErr != nil || m.awaitedPing != 0 {
 		return
@@ -310,7 +313,7 @@
 	m.frames.WritePing(false, data)
 }
 
-// IsAwaitingPing tells whether a ping's answer has not come yet.
+// IsAwaitingPing reports whether the answer to a ping is awaited.
 func (m *Machine) IsAwaitingPing() bool { return m.awaitedPing != 0 }
 
 // Break ends the connection: all streams end.
--- a/internal/h2/sending.go
+++ b/internal/h2/sending.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// Feed brings more of a request's body; end says that it is the last, which trailers may follow.
-// What can't be sent yet is held: Unsent tells how much that is.
+// Feed adds to a request's body; end says that this is its last part, which trailers may follow. What can't be sent
+// yet is buffered: UnsentBytes says how much that is.
 func (m *Machine) Feed(id uint32, data []byte, end bool, trailer http.Header) {
 	stream := m.streams[id]
 	if stream == nil || !stream.hasMoreBody || m.connErr != nil {
@@ -79,7 +79,7 @@
 	m.send(stream)
 }
 
-// UnsentBytes is how much of a request's body waits for the windows, or for the socket.
+// UnsentBytes returns how much of a request's body waits for the flow-control windows or for the socket.
 func (m *Machine) UnsentBytes(id uint32) int {
 	if stream := m.streams[id]; stream != nil {
 		return len(stream.unsentBody)
@@ -87,8 +87,8 @@
 	return 0
 }
 
-// Consumed tells that so much of an answer that is told as it comes has been taken further: the
-// server may send as much again.
+// Consumed records that n bytes of an answer with StreamsAnswer have been processed: the server may send as many
+// again.
 func (m *Machine) Consumed(id uint32, n int) {
 	stream := m.streams[id]
 	if stream == nil || m.connErr != nil {
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -10,26 +10,26 @@
 	"time"
 )
 
-// ErrAborted is the end of a stream that was broken off from this side.
+// ErrAborted is the error of a stream that was aborted from this side.
 var ErrAborted = errors.New("broken off")
 
-// Stream is a request whose body may still come and whose answer is told as it comes. One goroutine
-// may be in Head and Read, another in Write and CloseWrite; the others may be called by any.
+// Stream is a request whose body may still come and whose answer is read as it comes. One goroutine may call Head
+// and Read, another one Write and CloseWrite; the other methods may be called by any.
 type Stream struct {
 	conn           *Conn
 	id             uint32
-	maxUnsentBytes int                    // of a body that is held to be sent
-	onInterim      func(int, http.Header) // is told of answers of 1xx by Head's goroutine; may be nil
-	readable       chan struct{}          // rung when something came, or waiting is to end
-	writable       chan struct{}          // the same for who writes
+	maxUnsentBytes int                    // of a body that are buffered
+	onInterim      func(int, http.Header) // called by Head with interim answers (1xx); may be nil
+	readable       chan struct{}          // signalled when there may be something to read, or a wait has to end
+	writable       chan struct{}          // the same for the writer
 	ended          chan struct{}          // closed with the stream's end
-	aborted        chan struct{}          // closed by Cut
-	abortOnce      sync.Once              // of cut
+	aborted        chan struct{}          // closed by Abort
+	abortOnce      sync.Once              // closes aborted
 	deadlines      [2]atomic.Int64        // deadlines, of reading and of writing, as Unix time in ns; 0 is none
 
-	// Under the connection's mu.
-	heads []*Answer // that have not been told
-	data  []byte    // that has not been read
+	// Guarded by the connection's mu.
+	heads []*Answer // that Head has not returned
+	data  []byte    // that Read has not returned
 	end   *Event
 }
 
@@ -38,7 +38,7 @@
 	writing
 )
 
-// Open sends a request. What is held of a body to be sent is at most so many bytes.
+// Open sends a request, and buffers up to maxUnsentBytes of its body.
 func (c *Conn) Open(request *Request, maxUnsentBytes int, onInterim func(int, http.Header)) (*Stream, error) {
 	request.StreamsAnswer = true
 	stream := &Stream{conn: c, maxUnsentBytes: maxUnsentBytes, onInterim: onInterim, readable: make(chan struct{}, 1), writable: make(chan struct{}, 1), aborted: make(chan struct{}), ended: make(chan struct{})}
@@ -71,7 +71,7 @@
 	signal(s.readable)
 }
 
-// ReadBy sets until when each wait of Head and Read lasts, also one that goes on; zero is without an end.
+// ReadBy sets the deadline of Head and Read, also of a call that is waiting; zero is none.
 func (s *Stream) ReadBy(t time.Time) { s.setDeadline(reading, t); signal(s.readable) }
 
 // WriteBy is ReadBy for Write.
@@ -85,7 +85,7 @@
 	}
 }
 
-// wait waits for a bell, or for an end of waiting.
+// wait waits for a signal, the deadline, or the end of the stream.
 func (s *Stream) wait(bell chan struct{}, side int) error {
 	var late <-chan time.Time
 	if t := s.deadlines[side].Load(); t != 0 {
@@ -103,8 +103,8 @@
 	}
 }
 
-// Head waits for the head of the answer; another may have to be waited for behind a time that
-// ended. An error of the stream is a *StreamError.
+// Head waits for the head of the answer. It may be called again after a timeout. An error of the stream is a
+// *StreamError.
 func (s *Stream) Head() (*Answer, error) {
 	for {
 		s.conn.mu.Lock()
@@ -122,7 +122,7 @@
 				s.onInterim(answer.Status, answer.Header)
 			}
 			continue
-		case end != nil: // a whole answer has a head
+		case end != nil: // a complete answer has a head
 			return nil, end.Err
 		}
 		if err := s.wait(s.readable, reading); err != nil {
@@ -131,7 +131,7 @@
 	}
 }
 
-// Read reads on in the answer's body. io.EOF is an answer that is whole.
+// Read reads the answer's body. io.EOF is the end of a complete answer.
 func (s *Stream) Read(p []byte) (int, error) {
 	for {
 		s.conn.mu.Lock()
@@ -163,21 +163,21 @@
 	}
 }
 
-// HasBuffered tells whether Read would not wait.
+// HasBuffered reports whether Read returns without waiting.
 func (s *Stream) HasBuffered() bool {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	return len(s.data) > 0 || s.end != nil
 }
 
-// HasMore tells whether something of the body is there to be read.
+// HasMore reports whether a part of the body can be read.
 func (s *Stream) HasMore() bool {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	return len(s.data) > 0
 }
 
-// Trailer are the fields behind the body, once Read has given io.EOF.
+// Trailer returns the trailer fields, once Read has returned io.EOF.
 func (s *Stream) Trailer() http.Header {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
@@ -190,15 +190,15 @@
 // Done is closed when the stream has ended.
 func (s *Stream) Done() <-chan struct{} { return s.ended }
 
-// Ended tells how the stream ended; nil while it goes on.
+// Ended returns how the stream ended; nil while it goes on.
 func (s *Stream) Ended() *Event {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	return s.end
 }
 
-// Write sends more of the request's body, once there is room for it. Where the stream has ended it
-// gives io.ErrClosedPipe: how it ended is for Head and Read to tell.
+// Write sends more of the request's body, once there is space for it. Where the stream has ended it returns
+// io.ErrClosedPipe; Head and Read return how it ended.
 func (s *Stream) Write(p []byte) (int, error) {
 	for {
 		s.conn.mu.Lock()
@@ -234,8 +234,8 @@
 	s.conn.writeNow()
 }
 
-// Abort ends all waiting, for good. It never waits.
+// Abort ends all calls that wait, for good. It never blocks.
 func (s *Stream) Abort() { s.abortOnce.Do(func() { close(s.aborted) }) }
 
-// Close resets the stream where it has not ended, and returns once that has gone out.
+// Close resets a stream that has not ended, and returns once the reset is written.
 func (s *Stream) Close() { s.conn.cancelStream(s.id) }
--- a/internal/h2/fate.go
+++ b/internal/h2/stream_outcome.go
@@ -19,7 +19,7 @@
 
 func (m Moment) String() string { return [...]string{"unsent", "begun", "sent", "answered"}[m] }
 
-// End is what ended a stream before its answer was whole.
+// End is what ended a stream before its answer was complete.
 type End int
 
 // The ends of a stream.
@@ -35,15 +35,15 @@
 	return [...]string{"broke", "reset", "above goaway", "cancelled", "malformed"}[e]
 }
 
-// StreamOutcome is what is known of a request that got no whole answer.
+// StreamOutcome is what is known of a request that got no complete answer.
 type StreamOutcome int
 
 const (
 	// MayBeProcessed is a request that the server may have begun.
 	MayBeProcessed StreamOutcome = iota
-	// NotProcessed is one that the server can't have begun.
+	// NotProcessed is a request that the server can't have begun.
 	NotProcessed
-	// Rejected never ran either: the server has said so.
+	// Rejected is a request that the server says it has not begun.
 	Rejected
 )
 
@@ -51,10 +51,9 @@
 	return [...]string{"may have run", "never ran", "turned away"}[f]
 }
 
-// OutcomeOf tells what is known of a request, by the table in docs/http2.md. whole says that servers
-// begin a request with its last byte and not with its head.
-//
-// A server that says that it has not begun a request which it has begun to answer is not believed.
+// OutcomeOf returns what is known of a request, by the table in docs/http2.md. startsAtLastByte says that
+// servers begin a request with its last byte and not with its head. A server that has begun to answer a request
+// is not believed if it says that it has not begun it.
 func OutcomeOf(moment Moment, end End, code http2.ErrCode, startsAtLastByte bool) StreamOutcome {
 	switch {
 	case moment == MomentAnswered:
@@ -69,7 +68,7 @@
 	return MayBeProcessed
 }
 
-// StreamError is how a stream ended that brought no whole answer.
+// StreamError is how a stream ended that brought no complete answer.
 type StreamError struct {
 	Moment Moment
 	End    End
