Say in plain English what the tests of package h2 check

Comments on tests were house words without a subject; each begins with its test's name now and says the checked behaviour. Comments only; the tests of h2, upstream, service and front pass.

--- a/internal/h2/conn_test.go
+++ b/internal/h2/conn_test.go
@@ -34,8 +34,8 @@
 
 var get = &Request{Method: "GET", Scheme: "http", Authority: "a", Path: "/"}
 
-// A connection that vanishes without a word is given up after it was asked for a sign of life; one
-// whose server gives such signs is not, however long its answer takes.
+// TestSilentServerIsGivenUp checks that a connection whose server vanishes is ended after a ping without an answer, and that
+// one whose server answers pings is not, however long its answer takes.
 func TestSilentServerIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		begun := time.Now()
@@ -67,8 +67,8 @@
 	})
 }
 
-// A server that takes nothing holds who gives a request up for no longer than a reset may take, and
-// is then no longer spoken to.
+// TestServerThatReadsNothingIsGivenUp checks that a server which reads nothing delays a cancelled request no longer than a
+// reset may take, and that its connection is then ended.
 func TestServerThatReadsNothingIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		stop := make(chan struct{})
@@ -88,7 +88,8 @@
 	})
 }
 
-// A connection that is retired ends with its last stream, and takes no other.
+// TestRetiredConnectionEndsWithItsLastStream checks that a retired connection takes no more requests and ends with its last
+// stream.
 func TestRetiredConnectionEndsWithItsLastStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		answer := make(chan struct{})
--- a/internal/h2/machine_test.go
+++ b/internal/h2/machine_test.go
@@ -254,7 +254,7 @@
 	{"10.5", "a body that is told to be too long", func(p *peer) { p.head(1, false, ":status: 200", "content-length: 3000000000") }, reset(http2.ErrCodeCancel)},
 }
 
-// A fault of a server ends what it has to, and nothing else.
+// TestServerFaults checks that a fault of a server ends its stream or its connection, and nothing else.
 func TestServerFaults(t *testing.T) {
 	for _, tc := range serversFaults {
 		t.Run(tc.section+" "+tc.name, func(t *testing.T) {
@@ -294,7 +294,7 @@
 	}
 }
 
-// Table of docs/http2.md: what is known of a request, by how far it went and what ended it.
+// TestOutcomeOf checks the table of docs/http2.md: what is known of a request by how far it went and what ended it.
 func TestOutcomeOf(t *testing.T) {
 	notProcessed, rejected, mayBeProcessed := NotProcessed, Rejected, MayBeProcessed
 	for _, tc := range []struct {
@@ -324,7 +324,7 @@
 	}
 }
 
-// How a request's moment is known: by bytes that may have been written, and by those that will be.
+// TestMomentOfRequest checks how far a request counts as gone: by bytes that may have been written, and by those that will be.
 func TestMomentOfRequest(t *testing.T) {
 	one := func(event []Event) *StreamError {
 		if len(event) != 1 || event[0].Err == nil {
@@ -390,7 +390,8 @@
 	}
 }
 
-// Going away: what is above the last id was not taken, the rest goes on, and the last id never rises.
+// TestGoAwayEndsLaterStreams checks that streams above the last id of a GOAWAY end, that the others go on, and that the id never
+// rises.
 func TestGoAwayEndsLaterStreams(t *testing.T) {
 	peer := greeted(t, Limits{})
 	for range 4 { // 1, 3, 5, 7
@@ -429,7 +430,8 @@
 	}
 }
 
-// Windows: a body goes as far as both let it, may be owed more by settings, and goes on in turn.
+// TestFlowControlWindows checks that a body is sent as far as both windows allow, also where settings lower them below zero, and
+// that bodies take turns.
 func TestFlowControlWindows(t *testing.T) {
 	peer := greeted(t, Limits{}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 100})
 	first, second := peer.open(strings.Repeat("a", 150)), peer.open(strings.Repeat("b", 70000))
@@ -470,7 +472,7 @@
 	}
 }
 
-// A limit that falls under what is open cuts nothing and holds from then on.
+// TestLowerStreamLimit checks that a limit below the number of open streams ends none of them and holds from then on.
 func TestLowerStreamLimit(t *testing.T) {
 	peer := greeted(t, Limits{MaxStreams: 10}, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 3})
 	for range 3 {
@@ -494,7 +496,8 @@
 	}
 }
 
-// A long life: ten thousand streams leave nothing behind; then the ids are used up.
+// TestConnectionWithoutStreamIDsEnds checks that ten thousand streams leave nothing behind, and that the connection takes no more
+// once the ids are used up.
 func TestConnectionWithoutStreamIDsEnds(t *testing.T) {
 	peer := greeted(t, Limits{MaxLifetimeStreams: 10000})
 	for i := range 10000 {
@@ -515,7 +518,7 @@
 	}
 }
 
-// Pings are answered, and asked; the head of a request is what HTTP/2 has of it.
+// TestPingsAndLongHeads checks that pings are sent and answered, and how the head of a request is encoded.
 func TestPingsAndLongHeads(t *testing.T) {
 	peer := greeted(t, Limits{})
 	peer.m.Ping()
