--- /dev/null
+++ b/internal/config/quota_counter.go
@@ -0,0 +1,66 @@
+package config
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/config/tree"
+	"lockflow/internal/quotalease"
+)
+
+// counter reads how a service's ceilings are shared. What can't be kept by its figures is wrong here,
+// and not found out in service.
+func (r *reader) counter(t tree.Table, name string, plans []control.Plan) Counter {
+	c := Counter{
+		Addresses: t.Texts("addresses"), Name: t.Str("name", name), Username: t.Str("username", ""), PasswordFile: path(t, "password_file"),
+		Within: t.Span("within", 200*time.Millisecond, time.Millisecond, quotalease.CallWithin), Ceilings: make(map[string]quotalease.Ceiling),
+	}
+	c.Rules = quotalease.Rules{
+		Instances: max(1, r.group.size), Term: t.Span("term", time.Second, 10*time.Millisecond, time.Minute),
+		Pledge: t.Span("pledge", 2*time.Second, 10*time.Millisecond, time.Hour), Settle: t.Span("settle", 10*time.Second, 10*time.Millisecond, day),
+		Drift: t.Number("drift", 0.001, 0, 0.1),
+	}
+	most := t.Number("over", 0.05, 0, 1)
+	if len(c.Addresses) == 0 {
+		t.Wrong("addresses", "a counter needs one at least")
+	}
+	for i, a := range c.Addresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			t.Wrong("addresses", "%q: %v", a, err)
+		}
+		if slices.Contains(c.Addresses[:i], a) {
+			t.Wrong("addresses", "%q is there twice", a)
+		}
+	}
+	if c.Name == "" || strings.ContainsAny(c.Name, "{} \t\r\n") {
+		t.Wrong("name", "%q can't be a part of keys", c.Name)
+	}
+	// Guards against two that each have a part of the same ceiling.
+	if r.counted[c.Name] {
+		t.Wrong("name", "another service counts as %q", c.Name)
+	}
+	r.counted[c.Name] = true
+	if err := c.Rules.Check(); err != nil {
+		t.Wrong("term", "%v", err)
+	}
+	for _, p := range plans {
+		if p.HardLimitRate == 0 {
+			continue
+		}
+		of := quotalease.Ceiling{Rate: p.HardLimitRate, Burst: p.HardLimitBurst}
+		c.Ceilings[p.Name] = of
+		if over := c.Rules.Over(of, time.Minute); over > most {
+			b := c.Rules.Bound(of)
+			t.Wrong("over", "plan %s: a minute may hold %.4g + 60*%.4g units, which is %.1f%% more than %.4g + 60*%.4g, and not %.1f%%: its term is too long, or clocks too wrong",
+				p.Name, b.Burst, b.Rate, 100*over, of.Burst, of.Rate, 100*most)
+		}
+	}
+	if len(c.Ceilings) == 0 {
+		t.Wrong("addresses", "no plan of the service has a ceiling")
+	}
+	t.Done()
+	return c
+}
--- /dev/null
+++ b/internal/config/quota_plan.go
@@ -0,0 +1,38 @@
+package config
+
+import (
+	"lockflow/control"
+	"lockflow/internal/config/tree"
+)
+
+func plan(name string, t tree.Table) control.Plan {
+	p := control.Plan{
+		Name: name, Price: t.Number("price", 1, 0, figureMost), QuotaRate: t.Number("rate", 0, 0, figureMost),
+		QuotaBurst: t.Number("depth", 0, 0, figureMost), MaxInFlight: int(t.Integer("open", 0, 0, countMost)),
+		OverQuotaCost: t.Number("over_cost", 0, 0, figureMost), OverQuotaGain: t.Number("over_earns", 0, 0, 1),
+		HardLimitRate:  t.Number("ceiling_rate", 0, 0, figureMost),
+		HardLimitBurst: t.Number("ceiling_burst", 0, 0, figureMost), HardLimitSlack: t.Number("ceiling_slack", 0, 0, figureMost),
+	}
+	if p.QuotaRate > 0 && p.QuotaBurst == 0 {
+		t.Wrong("depth", "a rate needs one: units that may be used at once")
+	}
+	if t.Has("depth") && p.QuotaRate == 0 {
+		t.Wrong("depth", "only with a rate")
+	}
+	if p.HardLimitRate > 0 && p.HardLimitBurst == 0 {
+		t.Wrong("ceiling_burst", "a ceiling needs one")
+	}
+	for _, key := range []string{"ceiling_burst", "ceiling_slack"} {
+		if t.Has(key) && p.HardLimitRate == 0 {
+			t.Wrong(key, "only with a ceiling_rate")
+		}
+	}
+	if name == "" {
+		t.Wrong("", "a plan needs a name")
+	}
+	if p.HardLimitRate > 0 && p.QuotaRate > p.HardLimitRate {
+		t.Wrong("ceiling_rate", "%g is below the rate of %g", p.HardLimitRate, p.QuotaRate)
+	}
+	t.Done()
+	return p
+}
--- /dev/null
+++ b/internal/config/service.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/certs"
+	"lockflow/internal/config/tree"
+	"lockflow/internal/discovery"
+	"lockflow/internal/protocol"
+	"lockflow/internal/service"
+	"lockflow/internal/upstream"
+)
+
+func (r *reader) service(name string, t tree.Table, classes, plans []string) Service {
+	speaks := r.speaks
+	if t.Has("protocol") {
+		speaks = t.OneOf("protocol", protocols...)
+	}
+	s := Service{
+		Name: name, Required: t.Flag("required", true), OnPanic: service.PanicPolicy(t.OneOf("on_panic", "end", "restart")),
+		Connect:   t.Span("connect_timeout", 250*time.Millisecond, time.Millisecond, time.Minute),
+		Keepalive: t.Span("keepalive", 15*time.Second, 100*time.Millisecond, day),
+		Body:      t.Size("body", protocol.MaxBodyBytes, 0, bodyMost),
+		Answer:    t.Size("answer", protocol.MaxBodyBytes, 1, answerMost),
+	}
+	set := control.Settings{
+		SelfIndex: r.group.index, GroupSize: r.group.size, Zone: t.Str("zone", ""),
+		DrainGrace: t.Span("drain_grace", 2*time.Second, 0, day), WarmupTime: t.Span("cold", 15*time.Second, 0, day),
+		InitialCapacity: t.Number("cold_from", 0.15, 0, 1), OverloadWindow: t.Span("fall", 2*time.Second, 0, day),
+		OverloadMultiple: t.Number("fall_multiple", 2.5, 0, figureMost), MeterPeriod: t.Span("meter_period", 0, 0, day),
+		UnitsInResponse: t.Flag("cost_after", false), MaxUnits: t.Number("units_top", 0, 0, figureMost),
+		MaxAttempts: int(t.Integer("attempts", 6, 1, 1000)), CanCancel: true, RetriesAreMarked: t.Flag("marks_retry", true),
+		MaxRetryAfter: t.Span("retry_after", time.Second, 0, day),
+	}
+	set.SupportsRetryAfter = set.MaxRetryAfter > 0
+	ordinary := protocols[speaks] == "http"
+	for _, k := range r.named(t, "classes", classes, ordinary) {
+		if c, ok := r.classes[k]; ok {
+			set.Classes = append(set.Classes, c)
+		}
+	}
+	for _, p := range r.named(t, "plans", plans, ordinary) {
+		if c, ok := r.plans[p]; ok {
+			set.Plans = append(set.Plans, c)
+		}
+	}
+	s.Settings = set
+	s.Servers = servers(t.Sub("servers"))
+	if t.Has("counter") {
+		s.Counter = r.counter(t.Sub("counter"), name, set.Plans)
+	}
+	if ordinary {
+		r.http(t, &s)
+	}
+	s.Source = r.source(t)
+	rec := t.Sub("record")
+	s.Record = Record{Dir: path(rec, "dir"), Bytes: rec.Size("bytes", 64<<20, 1<<20, bytesMost)}
+	if t.Has("record") && s.Record.Dir == "" {
+		rec.Wrong("dir", "it has to be said where the recordings go")
+	}
+	if s.Record.Dir != "" && strings.ContainsAny(name, "/\\*?[") {
+		rec.Wrong("dir", "the service's name %q can't begin a file's", name)
+	}
+	rec.Done()
+	t.Sub("guaranteed") // read by divide, once all are known
+	t.Done()
+	return s
+}
+
+// servers reads how a service's servers are spoken to.
+func servers(t tree.Table) Servers {
+	s := Servers{Protocol: upstream.Protocol(t.OneOf("protocol", discovery.Protocols...))}
+	s.Streams = int(t.Integer("streams", 100, 1, 10000))
+	s.Connections = int(t.Integer("connections", 2, 1, 100))
+	s.Age = t.Span("age", 0, 0, day)
+	s.Again = t.Span("again", time.Minute, 100*time.Millisecond, day)
+	if t.Has("tls") {
+		c := t.Sub("tls")
+		s.TLS = certs.Options{On: true, CA: path(c, "ca"), Cert: path(c, "cert"), Key: path(c, "key"), Name: c.Str("name", "")}
+		if (s.TLS.Cert == "") != (s.TLS.Key == "") {
+			c.Wrong("cert", "a certificate needs its key, and a key its certificate")
+		}
+		c.Done()
+	}
+	t.Done()
+	return s
+}
+
+// named reads which classes or plans a service has; all where it doesn't say, which may be none.
+func (r *reader) named(t tree.Table, key string, all []string, none bool) []string {
+	if !t.Has(key) {
+		if len(all) == 0 && !none {
+			t.Wrong(key, "the file has none")
+		}
+		return all
+	}
+	names := t.Texts(key)
+	if len(names) == 0 {
+		t.Wrong(key, "there is none")
+	}
+	for _, n := range names {
+		if !slices.Contains(all, n) {
+			t.Wrong(key, "%q is none of the file's", n)
+		}
+	}
+	return names
+}
