--- a/cmd/lockplot/main.go
+++ b/cmd/lockplot/main.go
@@ -65,7 +65,7 @@
 		return err
 	}
 	for i, r := range all {
-		name := fmt.Sprintf("%d instances, told %d, news up to %v late", r.Instances, r.Told, r.Lag)
+		name := fmt.Sprintf("%d instances, told %d, news up to %v late", r.Instances, r.GroupSize, r.Lag)
 		if err := line(name, r, func(pt fleetsim.Point) float64 { return pt.Sent }, i+2); err != nil {
 			return err
 		}
--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -40,7 +40,7 @@
 			var o fleetsim.Options
 			instances := set.String("instances", "40,400", "`N,N...` that there are")
 			lags := set.String("lag", "0s,2s", "`TIME,TIME...` by which the last instance learns of the cold server")
-			set.IntVar(&o.Told, "told", 0, "`N` that they are told there are, where it is another")
+			set.IntVar(&o.GroupSize, "told", 0, "`N` that they are told there are, where it is another")
 			set.BoolVar(&o.Uneven, "uneven", false, "some instances get ten times as much as others")
 			set.IntVar(&o.Servers, "servers", 20, "`N` warm ones")
 			set.Float64Var(&o.PerServer, "per-server", 100, "`N` calls a second that a server bears")
@@ -68,7 +68,7 @@
 					return r.play(ctx, e, *instances, *asJSON)
 				}
 				if *days != "" && !r.on {
-					d := fleetsim.DayOptions{Told: o.Told, Seed: o.Seed, Load: o.Load / usualLoad, Lasts: otherThanUsual(o.Lasts)}
+					d := fleetsim.DayOptions{GroupSize: o.GroupSize, Seed: o.Seed, Load: o.Load / usualLoad, Lasts: otherThanUsual(o.Lasts)}
 					return playDays(ctx, e, *days, *instances, d, *asJSON)
 				}
 				return playFleets(ctx, e, o, *instances, *lags, *asJSON)
@@ -89,7 +89,7 @@
 
 // playFleets plays a cold server and a ceiling for each number of instances and each lag of the news.
 func playFleets(ctx context.Context, e *Env, o fleetsim.Options, instances, lags string, asJSON bool) error {
-	if o.Told < 0 || o.Servers < 1 || o.Servers > 1000 || !(o.PerServer > 0) || !(o.Load > 0) || o.Lasts < 12*time.Second {
+	if o.GroupSize < 0 || o.Servers < 1 || o.Servers > 1000 || !(o.PerServer > 0) || !(o.Load > 0) || o.Lasts < 12*time.Second {
 		return errSimulateUsage
 	}
 	var all []fleetsim.Report
@@ -125,7 +125,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "instances\ttold\tnews late\tuneven\tcalls\tserved\tcold: worst of its limit\tof what it could\tceiling: units beyond\tpart of it used\t")
 	for _, r := range all {
-		fmt.Fprintf(t, "%d\t%d\t%v\t%v\t%d\t%.3f\t%.2f\t%.2f\t%.1f\t%.2f\t\n", r.Instances, r.Told, r.Lag, r.Uneven, r.Calls, r.Served, r.Cold, r.ColdShare,
+		fmt.Fprintf(t, "%d\t%d\t%v\t%v\t%d\t%.3f\t%.2f\t%.2f\t%.1f\t%.2f\t\n", r.Instances, r.GroupSize, r.Lag, r.Uneven, r.Calls, r.Served, r.MaxWarmUpOverload, r.WarmUpShare,
 			r.Over, r.Used)
 	}
 	t.Flush()
@@ -230,7 +230,7 @@
 			broken = fmt.Sprint(r.Broken)[len("map"):]
 		}
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.4f\t%.3f\t%.2f\t%s\t\n", r.Day, r.Instances, r.Servers, r.First, r.Tries, r.Attempts,
-			r.Served, r.Beyond, r.Failed, r.Handshakes, r.ColdAt, broken)
+			r.Served, r.Beyond, r.Failed, r.Handshakes, r.MaxWarmUpOverload, broken)
 	}
 	t.Flush()
 	for i := range all {
--- a/internal/command/simulate_quota.go
+++ b/internal/command/simulate_quota.go
@@ -110,7 +110,7 @@
 			more = fmt.Sprintf("%+.3f", over(all[i:i+of]))
 		}
 		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%.2f\t%d\t%d\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", r.World, r.Instances, r.Seed, r.Policy, r.Late, r.First, r.Tries,
-			r.Served, r.Price, more, r.Beyond, r.Refused, r.RoomTries, r.RoomCalls, r.RoomLost)
+			r.Served, r.Price, more, r.Beyond, r.Refused, r.TriesRejectedWithCapacity, r.CallsRejectedWithCapacity, r.CallsLostWithCapacity)
 	}
 	t.Flush()
 	for from := 0; from < len(all); {
@@ -138,7 +138,7 @@
 	sorts := map[string]map[string]*fleetsim.Cell{}
 	for i := 0; i < len(all); i += of {
 		r := &all[i]
-		served, price, more, room = served+r.Served/n, price+r.Price/n, more+over(all[i:i+of])/n, room+r.RoomTries/n
+		served, price, more, room = served+r.Served/n, price+r.Price/n, more+over(all[i:i+of])/n, room+r.TriesRejectedWithCapacity/n
 		for sort, cells := range r.Cells {
 			if sorts[sort] == nil {
 				sorts[sort] = map[string]*fleetsim.Cell{}
@@ -167,7 +167,7 @@
 				}
 				return fmt.Sprintf("%.3f", float64(n)/float64(c.Tries))
 			}
-			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t\n", sort, name, c.Tries, c.Offered, c.Price, c.Beyond/max(1, c.Sent), part(c.Refused), part(c.Room))
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t\n", sort, name, c.Tries, c.Offered, c.Price, c.Beyond/max(1, c.Sent), part(c.Refused), part(c.RejectedWithCapacity))
 		}
 	}
 	t.Flush()
--- a/internal/fleetrules/rules.go
+++ b/internal/fleetrules/rules.go
@@ -17,21 +17,21 @@
 // Rule names one of the five.
 type Rule string
 
-// The rules.
+// The rules. The values are what reports carry: "cold" is a server that is warming up, "ceiling" a hard limit.
 const (
-	Answer  Rule = "answer"  // one final answer each, in time
-	Twice   Rule = "twice"   // no effect twice
-	Drain   Rule = "drain"   // nothing new to a server that drains or is gone
-	Cold    Rule = "cold"    // no cold server pushed over
-	Ceiling Rule = "ceiling" // no customer beyond its ceiling
+	Answer    Rule = "answer"  // one final answer each, in time
+	Twice     Rule = "twice"   // no effect twice
+	Drain     Rule = "drain"   // nothing new to a server that drains or is gone
+	WarmingUp Rule = "cold"    // no server that is warming up overloaded
+	HardLimit Rule = "ceiling" // no customer beyond its hard limit
 )
 
-// toldPart is the part of the work sent to a cold server that must have come from instances that
+// notifiedFraction is the part of the work sent to a server that is warming up that must have come from instances that
 // knew of its start, for the fleet to be at fault.
-const toldPart = 2.0 / 3
+const notifiedFraction = 2.0 / 3
 
-// breachMost is how many breaches are kept; further ones are counted only.
-const breachMost = 100
+// maxBreaches is how many breaches a Checker stores; those after them are only counted.
+const maxBreaches = 100
 
 // Terms are the figures of the rules.
 type Terms struct {
@@ -62,34 +62,34 @@
 	Cell int
 	// Can is the work, in s of one core each second, that it can do at a time, and whether it is
 	// still cold then. Nil is a server that is warm.
-	Can func(at time.Duration) (work float64, cold bool)
+	Can func(at time.Duration) (work float64, warmingUp bool)
 }
 
 // Checker holds a fleet to the rules.
 type Checker struct {
 	Terms Terms
 
-	servers  map[uint32]*server
-	requests map[string]*request
-	nodes    map[int]map[uint32]time.Duration // when each was told that a server drains or is gone
-	stores   map[string]*store
-	counts   map[Rule]int
-	breaches []Breach
-	coldMost float64
+	servers           map[uint32]*server
+	requests          map[string]*request
+	nodes             map[int]map[uint32]time.Duration // when each was told that a server drains or is gone
+	stores            map[string]*store
+	counts            map[Rule]int
+	breaches          []Breach
+	maxWarmUpOverload float64
 }
 
 type server struct {
 	Server
-	work []work // of late, while cold
-	sum  float64
-	told float64 // of the sum, by instances that knew of its start
-	fell bool
+	work         []work // of late, while cold
+	sum          float64
+	notifiedWork float64 // of the sum, by instances that knew of its start
+	fell         bool
 }
 
 type work struct {
-	at   time.Duration
-	s    float64
-	told bool
+	at       time.Duration
+	s        float64
+	notified bool
 }
 
 type request struct {
@@ -118,7 +118,7 @@
 }
 
 func (c *Checker) breach(b Breach) {
-	if c.counts[b.Rule]++; len(c.breaches) < breachMost {
+	if c.counts[b.Rule]++; len(c.breaches) < maxBreaches {
 		c.breaches = append(c.breaches, b)
 	}
 }
@@ -134,15 +134,15 @@
 	return c.breaches
 }
 
-// ColdMost is the most work that a cold server was sent, over its limit.
-func (c *Checker) ColdMost() float64 { return c.coldMost }
+// MaxWarmUpOverload is the largest ratio of the work sent to a server while it was warming up to its limit.
+func (c *Checker) MaxWarmUpOverload() float64 { return c.maxWarmUpOverload }
 
 // Started tells of a server that has started, at a time, or anew.
 func (c *Checker) Started(id uint32, s Server) { c.servers[id] = &server{Server: s} }
 
-// Told notes that an instance was told, or counts as told, that a server drains or is gone; or, where
+// Notified notes that an instance was notified, or counts as notified, that a server drains or is gone; or, where
 // it is up, that it may be sent to.
-func (c *Checker) Told(at time.Duration, node int, id uint32, up bool) {
+func (c *Checker) Notified(at time.Duration, node int, id uint32, up bool) {
 	m := c.nodes[node]
 	if m == nil {
 		m = map[uint32]time.Duration{}
@@ -163,8 +163,8 @@
 // Sent notes an attempt at the moment in which it is sent. first is whether it is the request's first,
 // which draws its units from the customer's ceiling.
 func (c *Checker) Sent(at time.Duration, node int, id string, to uint32, first bool, plan *control.Plan, customer string, units float64) {
-	if told, ok := c.nodes[node][to]; ok && at > told+c.Terms.DrainGrace {
-		c.breach(Breach{Drain, at, node, id, to, fmt.Sprintf("sent %.2f s after it was told that the server drains or is gone", (at - told).Seconds())})
+	if notifiedAt, ok := c.nodes[node][to]; ok && at > notifiedAt+c.Terms.DrainGrace {
+		c.breach(Breach{Drain, at, node, id, to, fmt.Sprintf("sent %.2f s after it was told that the server drains or is gone", (at - notifiedAt).Seconds())})
 	}
 	if r := c.requests[id]; r != nil {
 		c.again(at, node, id, to, r)
@@ -253,36 +253,36 @@
 
 // Arrived notes work that has reached a server, turned away or not, from an instance that had or
 // had not been told of the server's start.
-func (c *Checker) Arrived(at time.Duration, id uint32, s float64, told bool) {
+func (c *Checker) Arrived(at time.Duration, id uint32, s float64, notified bool) {
 	v := c.servers[id]
 	if v == nil || v.Can == nil {
 		return
 	}
-	can, cold := v.Can(at)
-	if !cold {
-		v.work, v.sum, v.told = nil, 0, 0
+	can, warmingUp := v.Can(at)
+	if !warmingUp {
+		v.work, v.sum, v.notifiedWork = nil, 0, 0
 		return
 	}
-	v.work = append(v.work, work{at, s, told})
-	v.add(s, told)
+	v.work = append(v.work, work{at, s, notified})
+	v.add(s, notified)
 	for v.work[0].at <= at-c.Terms.Fall {
-		v.add(-v.work[0].s, v.work[0].told)
+		v.add(-v.work[0].s, v.work[0].notified)
 		v.work = v.work[1:]
 	}
-	limit := c.Terms.coldLimit(can)
-	c.coldMost = math.Max(c.coldMost, v.sum/limit)
+	limit := c.Terms.warmUpLimit(can)
+	c.maxWarmUpOverload = math.Max(c.maxWarmUpOverload, v.sum/limit)
 	if v.sum <= limit || v.fell {
 		return
 	}
 	v.fell = true // the first fall is what counts, whoever it is due to
-	if v.told > toldPart*v.sum {
-		c.breach(Breach{Cold, at, -1, "", id, fmt.Sprintf("sent %.1f times what it can do at that moment", v.sum/(can*c.Terms.Fall.Seconds()))})
+	if v.notifiedWork > notifiedFraction*v.sum {
+		c.breach(Breach{WarmingUp, at, -1, "", id, fmt.Sprintf("sent %.1f times what it can do at that moment", v.sum/(can*c.Terms.Fall.Seconds()))})
 	}
 }
 
-// coldLimit is the work at which a cold server falls: beyond what it can do the times that it bears, what
+// warmUpLimit is the work at which a server that is warming up is overloaded: beyond what it can do the times that it bears, what
 // chance brings of N requests of mean work, 2 roots of N and 2.
-func (t *Terms) coldLimit(can float64) float64 {
+func (t *Terms) warmUpLimit(can float64) float64 {
 	work := t.FallMultiple * can * t.Fall.Seconds()
 	if t.MeanWork <= 0 {
 		return work
@@ -290,9 +290,9 @@
 	return work + t.MeanWork*(2*math.Sqrt(work/t.MeanWork)+2)
 }
 
-func (s *server) add(work float64, told bool) {
-	if s.sum += work; told {
-		s.told += work
+func (s *server) add(work float64, notified bool) {
+	if s.sum += work; notified {
+		s.notifiedWork += work
 	}
 }
 
@@ -306,7 +306,7 @@
 	q.level = math.Min(p.HardLimitBurst, q.level+(at-q.at).Seconds()*p.HardLimitRate) - units
 	q.at = at
 	if q.level < -p.HardLimitSlack {
-		c.breach(Breach{Ceiling, at, node, id, 0, fmt.Sprintf("customer %s is %.1f units beyond its ceiling", customer, -q.level)})
+		c.breach(Breach{HardLimit, at, node, id, 0, fmt.Sprintf("customer %s is %.1f units beyond its ceiling", customer, -q.level)})
 	}
 }
 
--- a/internal/fleetrules/rules_test.go
+++ b/internal/fleetrules/rules_test.go
@@ -103,16 +103,16 @@
 		c.Ended("a", 0, 1, true)
 		c.Answered(0, 1, "a", true)
 	}},
-	"drained, in grace": {"", func(c *Checker) { c.Told(0, 1, 1, false); c.Told(s, 1, 1, false); send(c, 2*s, 1, true) }},
-	"drained, past it":  {Drain, func(c *Checker) { c.Told(0, 1, 1, false); c.Told(s, 1, 1, false); send(c, 3*s, 1, true) }},
-	"drained, back up":  {"", func(c *Checker) { c.Told(0, 1, 1, false); c.Told(s, 1, 1, true); send(c, 3*s, 1, true) }},
-	"another was told":  {"", func(c *Checker) { c.Told(0, 2, 1, false); send(c, 3*s, 1, true) }},
+	"drained, in grace": {"", func(c *Checker) { c.Notified(0, 1, 1, false); c.Notified(s, 1, 1, false); send(c, 2*s, 1, true) }},
+	"drained, past it":  {Drain, func(c *Checker) { c.Notified(0, 1, 1, false); c.Notified(s, 1, 1, false); send(c, 3*s, 1, true) }},
+	"drained, back up":  {"", func(c *Checker) { c.Notified(0, 1, 1, false); c.Notified(s, 1, 1, true); send(c, 3*s, 1, true) }},
+	"another was told":  {"", func(c *Checker) { c.Notified(0, 2, 1, false); send(c, 3*s, 1, true) }},
 	"cold, within": {"", func(c *Checker) {
 		c.Started(9, Server{Can: cold})
 		c.Arrived(0, 9, 4, true)
 		c.Arrived(3*s, 9, 4, true)
 	}},
-	"cold, beyond": {Cold, func(c *Checker) {
+	"cold, beyond": {WarmingUp, func(c *Checker) {
 		c.Started(9, Server{Can: cold})
 		c.Arrived(0, 9, 4, true)
 		c.Arrived(s, 9, 4, true)
@@ -124,7 +124,7 @@
 		c.Started(9, Server{Can: cold})
 		c.Arrived(0, 9, 19.5, true)
 	}},
-	"cold, beyond chance": {Cold, func(c *Checker) {
+	"cold, beyond chance": {WarmingUp, func(c *Checker) {
 		c.Terms.MeanWork, c.Terms.FallMultiple = 1.25, 5
 		c.Started(9, Server{Can: cold})
 		c.Arrived(0, 9, 19.6, true)
@@ -143,7 +143,7 @@
 		c.Sent(0, 1, "a", 1, true, cappedPlan, "x", 10)
 		c.Sent(0, 1, "a", 1, false, cappedPlan, "x", 10)
 	}},
-	"ceiling, passed": {Ceiling, func(c *Checker) {
+	"ceiling, passed": {HardLimit, func(c *Checker) {
 		c.Sent(0, 1, "a", 1, true, cappedPlan, "x", 10)
 		c.Sent(s/2, 2, "b", 1, true, cappedPlan, "x", 3)
 	}},
--- a/internal/fleetsim/acceptance_test.go
+++ b/internal/fleetsim/acceptance_test.go
@@ -19,7 +19,7 @@
 			t.Run(fmt.Sprint(instances, "/", seed), func(t *testing.T) {
 				t.Parallel()
 				r := day(t, DayOptions{Day: "throng", Instances: instances, Lasts: 25 * time.Second, Seed: seed})
-				if len(r.Broken) > 0 || r.ColdAt == 0 || r.Served < 0.5 {
+				if len(r.Broken) > 0 || r.MaxWarmUpOverload == 0 || r.Served < 0.5 {
 					t.Errorf("%+v", r)
 				}
 			})
--- a/internal/fleetsim/attempts.go
+++ b/internal/fleetsim/attempts.go
@@ -11,7 +11,7 @@
 
 // send has an attempt go to its server.
 func (w *world) send(i int, a control.Send) {
-	t := w.nodes[i].held[a.ID]
+	t := w.nodes[i].inFlight[a.ID]
 	if t == nil { // its client has left meanwhile
 		w.tell(i, control.AttemptResult{ID: a.ID, Server: a.Server, Reason: control.NotSent, IsFinal: true})
 		return
@@ -41,7 +41,7 @@
 	}
 	work := w.comes(i, h, t, a.ID, n)
 	switch {
-	case h.state == hostDraining || h.held >= dayCores+dayQueue:
+	case h.state == hostDraining || h.inFlight >= dayCores+dayQueue:
 		end(after+time.Millisecond, control.RejectedByServer, false, true)
 		return
 	case h.bad && w.plan.failing && w.rng.Float64() < 0.8:
@@ -119,7 +119,7 @@
 	}
 	w.arrived(i, h, handshake)
 	if w.plan.slowUp > 0 && w.rng.Float64() < w.plan.slowUp {
-		return time.Duration(w.rng.Float64() * float64(slowUpMost))
+		return time.Duration(w.rng.Float64() * float64(maxSlowConnect))
 	}
 	return 3 * time.Millisecond
 }
@@ -144,11 +144,11 @@
 	from := max(w.Now(), h.free[core])
 	h.free[core] = from + took
 	h.mean += 0.1 * (took.Seconds() - h.mean)
-	h.held++
+	h.inFlight++
 	life := h.life
 	w.At(h.free[core], func() {
 		if h.life == life {
-			h.held--
+			h.inFlight--
 		}
 	})
 	return h.free[core] - w.Now()
@@ -157,8 +157,8 @@
 // load is what a server tells of itself, as of some time ago.
 func (w *world) load(h *host) *control.LoadReport {
 	if h.reportAt == 0 || w.Now()-h.reportAt >= reportEvery {
-		h.busy += 0.5 * (math.Min(1, float64(h.held)/dayCores) - h.busy)
-		h.report = control.LoadReport{MeanLatencyMS: 1000 * h.mean, Utilization: h.busy, Queued: math.Max(0, float64(h.held-dayCores)), InFlight: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
+		h.busy += 0.5 * (math.Min(1, float64(h.inFlight)/dayCores) - h.busy)
+		h.report = control.LoadReport{MeanLatencyMS: 1000 * h.mean, Utilization: h.busy, Queued: math.Max(0, float64(h.inFlight-dayCores)), InFlight: -1, RequestsPerSecond: -1, ErrorsPerSecond: -1}
 		h.reportAt = w.Now()
 	}
 	l := h.report
@@ -167,12 +167,12 @@
 
 // ended brings an attempt's end to its instance.
 func (w *world) ended(i int, id string, n int, h *host, why control.Reason) {
-	t := w.nodes[i].held[id]
+	t := w.nodes[i].inFlight[id]
 	e := control.AttemptResult{ID: id, Attempt: n, Server: h.id, Reason: why, IsFinal: t == nil}
 	if why == control.OK || why == control.RejectedByServer || why == control.Errored {
 		e.Load = w.load(h)
 		if t != nil {
-			e.QuotaUsage = w.told(i, t.call.cust)
+			e.QuotaUsage = w.reportedUsage(i, t.call.cust)
 		}
 	}
 	if why == control.OK && t != nil {
--- a/internal/fleetsim/days.go
+++ b/internal/fleetsim/days.go
@@ -38,8 +38,8 @@
 // days are the scripts. A part p of the day is w.part(p).
 var days = map[string]dayPlan{
 	"calm": {does: "no fault; a burst of half as much again", script: func(w *world) {
-		w.At(w.part(0.4), func() { w.asked *= 1.5 })
-		w.At(w.part(0.6), func() { w.asked /= 1.5 })
+		w.At(w.part(0.4), func() { w.arrivalRate *= 1.5 })
+		w.At(w.part(0.6), func() { w.arrivalRate /= 1.5 })
 	}},
 	"roll": {does: "half of the servers replaced while all instances restart and discovery moves", script: func(w *world) {
 		w.replace(0.5, 0.15, 0.75)
@@ -91,12 +91,12 @@
 			}
 		}
 		w.At(w.part(0.35), func() {
-			w.asked *= 2
+			w.arrivalRate *= 2
 			for i := range len(w.hosts) / 4 {
 				w.boot(fmt.Sprintf("z%d", i%dayZones), i/dayCellSize)
 			}
 		})
-		w.At(w.part(0.85), func() { w.asked /= 2 })
+		w.At(w.part(0.85), func() { w.arrivalRate /= 2 })
 	}},
 	"long": {does: "servers and customers ever new", fresh: true, script: func(w *world) {
 		for k := range 8 {
@@ -204,16 +204,16 @@
 
 // Mutations are the guards that can be taken out, by name.
 var Mutations = []Mutation{
-	{Name: "the group's size is taken as 1", Rule: fleetrules.Cold, Day: "join", Instances: 120, settings: func(_ *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
-	{Name: "a cold server is held able to do all from its start", Rule: fleetrules.Cold, Day: "herd", settings: func(_ *world, n *node) { n.set.InitialCapacity, n.set.OverloadMultiple = 1, 50 }},
+	{Name: "the group's size is taken as 1", Rule: fleetrules.WarmingUp, Day: "join", Instances: 120, settings: func(_ *world, n *node) { n.set.GroupSize, n.set.SelfIndex = 1, 0 }},
+	{Name: "a cold server is held able to do all from its start", Rule: fleetrules.WarmingUp, Day: "herd", settings: func(_ *world, n *node) { n.set.InitialCapacity, n.set.OverloadMultiple = 1, 50 }},
 	{Name: "drains are not heard", Rule: fleetrules.Drain, Day: "join", list: func(_ *world, m []listed) []listed {
-		var kept []listed
+		var up []listed
 		for _, one := range m {
 			if one.up {
-				kept = append(kept, one)
+				up = append(up, one)
 			}
 		}
-		return kept
+		return up
 	}},
 	{Name: "a silent watch is not opened anew", Rule: fleetrules.Drain, Day: "join", deaf: true},
 	{Name: "a repeat may go to any server", Rule: fleetrules.Twice, Day: "split", settings: func(_ *world, n *node) { n.set.Classes[1].KeyScope = 0 }},
@@ -221,10 +221,10 @@
 	{Name: "an attempt goes out twice", Rule: fleetrules.Twice, Day: "calm", twoCopies: true},
 	{Name: "the transport sends again what was reset", Rule: fleetrules.Twice, Day: "split", hidden: true},
 	{Name: "what may have run is refused", Rule: fleetrules.Twice, Day: "split", Load: 3, allFails: true},
-	{Name: "neither ceiling nor quota is looked at", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(_ *world, n *node) {
+	{Name: "neither ceiling nor quota is looked at", Rule: fleetrules.HardLimit, Day: "calm", Load: 2, settings: func(_ *world, n *node) {
 		n.set.Plans[1].HardLimitRate, n.set.Plans[1].QuotaRate = 0, 0
 	}},
-	{Name: "each instance grants the whole ceiling", Rule: fleetrules.Ceiling, Day: "calm", Load: 2, settings: func(_ *world, n *node) { n.wholeCeiling = true }},
+	{Name: "each instance grants the whole ceiling", Rule: fleetrules.HardLimit, Day: "calm", Load: 2, settings: func(_ *world, n *node) { n.grantsFullHardLimit = true }},
 	{Name: "a request's timers never come", Rule: fleetrules.Answer, Day: "zone", Load: 4, noTimer: true},
 	{Name: "a final answer is given twice", Rule: fleetrules.Answer, Day: "calm", twoEnds: true},
 	{Name: "what is held at an end is dropped", Rule: fleetrules.Answer, Day: "roll", drops: true},
--- a/internal/fleetsim/days_test.go
+++ b/internal/fleetsim/days_test.go
@@ -51,7 +51,7 @@
 // Nor where hundreds of instances are killed at once and clients come again and again, in a short form.
 func TestThreeHundredInstancesKeepTheRules(t *testing.T) {
 	r := day(t, DayOptions{Day: "herd", Instances: 300, Lasts: 10 * time.Second, Load: 2, Seed: 4})
-	if len(r.Broken) > 0 || r.Served < 0.5 || r.ColdAt == 0 {
+	if len(r.Broken) > 0 || r.Served < 0.5 || r.MaxWarmUpOverload == 0 {
 		t.Errorf("%+v", r)
 	}
 }
@@ -66,7 +66,7 @@
 	if o.Seed++; reflect.DeepEqual(a, day(t, o)) {
 		t.Error("the seed changes nothing")
 	}
-	for _, o := range []DayOptions{{Day: "none", Instances: 1}, {Day: "calm"}, {Day: "calm", Instances: 1, Told: -1}} {
+	for _, o := range []DayOptions{{Day: "none", Instances: 1}, {Day: "calm"}, {Day: "calm", Instances: 1, GroupSize: -1}} {
 		if _, err := Day(o); err == nil {
 			t.Errorf("%+v was played", o)
 		}
@@ -93,11 +93,11 @@
 
 // A report's sums don't hang on the order of a map.
 func TestSumsAreTheSame(t *testing.T) {
-	w := &world{rules: control.Settings{Classes: make([]control.Class, 2)}, check: fleetrules.New(fleetrules.Terms{}), customers: map[*dayCustomer]*worthOf{}}
+	w := &world{rules: control.Settings{Classes: make([]control.Class, 2)}, check: fleetrules.New(fleetrules.Terms{}), customers: map[*dayCustomer]*weightTotals{}}
 	for i := range 50 {
 		asked := 1 / float64(i+1)
-		w.customers[&dayCustomer{name: fmt.Sprint(i)}] = &worthOf{asked: asked}
-		w.worth.asked += asked
+		w.customers[&dayCustomer{name: fmt.Sprint(i)}] = &weightTotals{offered: asked}
+		w.totalWeight.offered += asked
 	}
 	first := w.report().Starved
 	for range 20 {
--- a/internal/fleetsim/decisions_amd64_test.go
+++ b/internal/fleetsim/decisions_amd64_test.go
@@ -136,7 +136,7 @@
 // noteAttempt notes what kind of attempt starts.
 func (p *pinnedDay) noteAttempt(w *world, instance int, a control.Send) {
 	n := w.nodes[instance]
-	t := n.held[a.ID]
+	t := n.inFlight[a.ID]
 	if t == nil {
 		return
 	}
--- a/internal/fleetsim/hard_test.go
+++ b/internal/fleetsim/hard_test.go
@@ -86,8 +86,8 @@
 	for _, tc := range []struct {
 		instances, told int
 		want            fleetrules.Rule
-	}{{120, 1, fleetrules.Cold}, {40, 40, ""}, {40, 160, ""}} {
-		r := day(t, DayOptions{Day: "join", Instances: tc.instances, Told: tc.told, Lasts: 15 * time.Second, Seed: 4, Load: 2})
+	}{{120, 1, fleetrules.WarmingUp}, {40, 40, ""}, {40, 160, ""}} {
+		r := day(t, DayOptions{Day: "join", Instances: tc.instances, GroupSize: tc.told, Lasts: 15 * time.Second, Seed: 4, Load: 2})
 		if tc.want == "" && len(r.Broken) > 0 || tc.want != "" && r.Broken[tc.want] == 0 || r.Served < 0.4 {
 			t.Errorf("told %d: %+v", tc.told, r)
 		}
--- a/internal/fleetsim/instances.go
+++ b/internal/fleetsim/instances.go
@@ -13,12 +13,12 @@
 
 func (w *world) settings(i int) control.Settings {
 	s := control.Settings{
-		SelfIndex: i % w.o.Told, GroupSize: w.o.Told, MaxAttempts: 6, MaxRetryAfter: time.Second, CanCancel: true, RetriesAreMarked: true,
+		SelfIndex: i % w.o.GroupSize, GroupSize: w.o.GroupSize, MaxAttempts: 6, MaxRetryAfter: time.Second, CanCancel: true, RetriesAreMarked: true,
 		DrainGrace: 2 * time.Second, WarmupTime: 15 * time.Second, InitialCapacity: 0.15, OverloadWindow: 2 * time.Second, OverloadMultiple: 2.5,
 		MeterPeriod: time.Second, UnitsInResponse: true, MaxUnits: unitsTop,
 		Classes: []control.Class{
-			{Name: "read", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 1, LateWeightFraction: 0.2},
-			{Name: "update", LatencyObjective: dayAim, Deadline: dayDeadline, PriorityWeight: 5, Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
+			{Name: "read", LatencyObjective: dayLatencyObjective, Deadline: dayDeadline, PriorityWeight: 1, LateWeightFraction: 0.2},
+			{Name: "update", LatencyObjective: dayLatencyObjective, Deadline: dayDeadline, PriorityWeight: 5, Idempotency: control.IdempotentWithKey, KeyScope: control.ScopeCell, RepeatWindow: dayWindow},
 		},
 		Plans: []control.Plan{
 			{Name: "basic", Price: 0.8, QuotaRate: 1.5, QuotaBurst: 8, OverQuotaCost: 0.6},
@@ -36,7 +36,7 @@
 // present one.
 func (w *world) start(i int) {
 	n := w.nodes[i]
-	n.set, n.wholeCeiling = w.settings(i), false
+	n.set, n.grantsFullHardLimit = w.settings(i), false
 	if m := w.o.Mutation; m.settings != nil {
 		m.settings(w, n)
 	}
@@ -44,7 +44,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("the settings of a day: %v", err)) // ours, and the same each time
 	}
-	n.c, n.down, n.closing, n.held, n.knows, n.deafUntil = c, false, false, map[string]*try{}, map[uint32]int{}, 0
+	n.c, n.down, n.closing, n.inFlight, n.knows, n.deafUntil = c, false, false, map[string]*try{}, map[uint32]int{}, 0
 	n.rejectedInRow = 0
 	n.life++
 	var now []listed
@@ -55,7 +55,7 @@
 		}
 		n.knows[h.id] = h.life
 		if !e.up {
-			w.check.Told(w.Now(), i, h.id, false)
+			w.check.Notified(w.Now(), i, h.id, false)
 		}
 		if h.state != hostGone {
 			now = append(now, e)
@@ -86,10 +86,10 @@
 	w.check.Killed(w.Now(), i, owed)
 	n.down = true
 	n.life++
-	for _, id := range slices.Sorted(maps.Keys(n.held)) {
-		w.later(n.held[id].call, w.plan.eager)
+	for _, id := range slices.Sorted(maps.Keys(n.inFlight)) {
+		w.later(n.inFlight[id].call, w.plan.eager)
 	}
-	n.held = nil
+	n.inFlight = nil
 }
 
 // terminate is a planned restart: requests go on coming for a moment; what is held at the end of the
@@ -107,7 +107,7 @@
 			return
 		}
 		if !drops {
-			for _, id := range slices.Sorted(maps.Keys(n.held)) {
+			for _, id := range slices.Sorted(maps.Keys(n.inFlight)) {
 				w.answer(i, id, "failed")
 			}
 		}
@@ -131,7 +131,7 @@
 		case control.Send:
 			w.send(i, a)
 		case control.Reject:
-			if t := n.held[a.ID]; t != nil {
+			if t := n.inFlight[a.ID]; t != nil {
 				t.why = a.Cause
 			}
 			w.answer(i, a.ID, "refused")
@@ -157,7 +157,7 @@
 
 // answer gives a client its final answer.
 func (w *world) answer(i int, id, how string) {
-	t := w.nodes[i].held[id]
+	t := w.nodes[i].inFlight[id]
 	if t == nil {
 		return
 	}
@@ -165,16 +165,16 @@
 	if w.o.Mutation.twoEnds {
 		w.check.Answered(w.Now(), i, id, how == "refused")
 	}
-	delete(w.nodes[i].held, id)
+	delete(w.nodes[i].inFlight, id)
 	switch how {
 	case "served":
 		w.plan.quotas.answered(t)
 		if c := t.call; !c.done {
 			c.done = true
-			if took := w.Now() - c.at; c.inside && took <= dayAim {
-				w.count(c, 0, c.worth)
+			if took := w.Now() - c.at; c.inside && took <= dayLatencyObjective {
+				w.count(c, 0, c.weight)
 			} else if c.inside && c.class == 0 {
-				w.count(c, 0, 0.2*c.worth)
+				w.count(c, 0, 0.2*c.weight)
 			}
 		}
 	case "failed":
--- a/internal/fleetsim/quota_bound_test.go
+++ b/internal/fleetsim/quota_bound_test.go
@@ -57,8 +57,8 @@
 	}
 	f := &d.world
 	f.units = unitsOf(pick(int(oneUnit), int(byClass), int(bySize), int(guessed)))
-	f.most = map[unitsOf]float64{oneUnit: 1, byClass: 2, bySize: 4, guessed: 4}[f.units]
-	f.guessCV, f.skew, f.shift, f.elsewhere = span{0, 0.6}, span{0, 1}, span{4, 15}, span{0, 0.7}
+	f.maxUnits = map[unitsOf]float64{oneUnit: 1, byClass: 2, bySize: 4, guessed: 4}[f.units]
+	f.guessCV, f.skew, f.shift, f.otherNodeFraction = span{0, 0.6}, span{0, 1}, span{4, 15}, span{0, 0.7}
 	f.use, f.heavy, f.heavyX = span{d.usual, d.usual}, span{d.heavy, d.heavy}, span{d.x, d.x}
 	f.meter = seconds(0.5 + 1.5*r.Float64())
 	late := 0.2 + 1.3*r.Float64()
@@ -66,17 +66,17 @@
 	// All is well within what the servers can do: it is quotas that refuse.
 	can := math.Max(4, perNode*float64(instances)) * dayCores / dayWork
 	rate := math.Min(math.Pow(most, r.Float64()), 0.3*can*f.meanCost()/math.Max(1, d.x))
-	d.depth = f.most + 4*rate*r.Float64()*r.Float64()
+	d.depth = f.maxUnits + 4*rate*r.Float64()*r.Float64()
 	load, calm := 0.25, (1-d.heavy)*d.usual
 	if instances >= 200 {
 		load = 0.15
 	}
 	plan := quotaPlan{
 		name: "plan", price: 1, overCost: 0.5 + 0.7*r.Float64(), rate: span{rate, rate}, spread: span{1, 1},
-		share: load * (d.heavy + calm) / (d.heavy*d.x + calm) / quotaAsked,
+		share: load * (d.heavy + calm) / (d.heavy*d.x + calm) / quotaOffered,
 	}
-	if r.IntN(2) == 0 && d.depth >= f.most*float64(d.spread) { // each may send two of the largest at once
-		plan.ceiling = span{2, 2}
+	if r.IntN(2) == 0 && d.depth >= f.maxUnits*float64(d.spread) { // each may send two of the largest at once
+		plan.hardLimit = span{2, 2}
 	}
 	f.plans = []quotaPlan{plan}
 	d.from = f.meter + seconds(late) + boundLearn
@@ -98,13 +98,13 @@
 	p.QuotaBurst = d.depth
 	if p.HardLimitRate > 0 {
 		p.HardLimitBurst = 2 * d.depth
-		p.HardLimitSlack = math.Max(0.1*p.HardLimitBurst, d.world.most)
+		p.HardLimitSlack = math.Max(0.1*p.HardLimitBurst, d.world.maxUnits)
 	}
 	w.rules = w.settings(0)
 	for _, c := range w.custs {
 		c.spread = d.spread
 		c.demand.shift(q.skew, c.spread)
-		q.truth[c].level, q.asked[c].level, q.rough[c].level = d.depth, d.depth, d.depth
+		q.truth[c].level, q.singleGateway[c].level, q.rough[c].level = d.depth, d.depth, d.depth
 	}
 	w.At(boundAgain, func() {
 		for i := range w.nodes {
@@ -154,7 +154,7 @@
 func (d *boundDraw) most(customers float64) float64 {
 	rate, span := d.world.plans[0].rate[0], (d.to - d.from).Seconds()
 	most := customers * math.Max(mostUnseen(d.x, d.heavy, d.usual)*rate*span, rate*span+d.depth)
-	return most + 3*math.Sqrt(most*d.world.most)
+	return most + 3*math.Sqrt(most*d.world.maxUnits)
 }
 
 // Whatever the plan, the meter and the group, and however its instances began, what a fleet sends on of
@@ -199,7 +199,7 @@
 	if most := d.most(heavy); d.heavy > 0 && (heavy == 0 || sent > most) {
 		t.Errorf("%.0f units of %.0f customers are sent on, not %.0f at most", sent, heavy, most)
 	}
-	if r.Broken[fleetrules.Ceiling] > 0 {
+	if r.Broken[fleetrules.HardLimit] > 0 {
 		t.Errorf("broken: %v", r.Broken)
 	}
 	if r.Served < 0.75 && d.instances > 1 { // one alone serves nothing while it starts again
--- a/internal/fleetsim/quota_day.go
+++ b/internal/fleetsim/quota_day.go
@@ -13,8 +13,8 @@
 // The calm day in a world of quotas: its customers, and what one gateway that saw all would have done.
 
 const (
-	quotaAsked = 0.45 // part of the servers' capacity that is asked for inside quotas
-	dayBurst   = 1.5  // the most by which a day's script raises what is asked
+	quotaOffered = 0.45 // part of the servers' capacity that is asked for inside quotas
+	dayBurst     = 1.5  // the most by which a day's script raises what is asked
 )
 
 // Policy decides on quotas.
@@ -49,35 +49,35 @@
 // QuotaReport is what came of a day in a world of quotas. Worth is counted in parts of what one gateway
 // that saw all first tries would let in.
 type QuotaReport struct {
-	World     string                  `json:"world"`
-	Policy    Policy                  `json:"policy"`
-	Instances int                     `json:"instances"`
-	Seed      uint64                  `json:"seed"`
-	Late      float64                 `json:"late_s"` // of the meter, or of what the late-seeing policy sees
-	First     int                     `json:"first_tries"`
-	Tries     int                     `json:"tries"`
-	Served    float64                 `json:"served"` // worth of tries inside quotas that were answered, with late_share after the aim
-	Price     float64                 `json:"price"`  // over_cost times the worth of the tries beyond
-	Beyond    float64                 `json:"beyond"` // part of the units sent on
-	Excess    float64                 `json:"excess"` // units of first tries beyond what one gateway would let in, over those within
-	Refused   float64                 `json:"refused"`
-	RoomTries float64                 `json:"refused_with_room"`          // part of the tries, refused while half of the quota was unused
-	RoomCalls float64                 `json:"requests_refused_with_room"` // part of the requests with such a try
-	RoomLost  float64                 `json:"requests_lost_with_room"`    // and that were never sent on
-	Broken    map[fleetrules.Rule]int `json:"broken"`
+	World                     string                  `json:"world"`
+	Policy                    Policy                  `json:"policy"`
+	Instances                 int                     `json:"instances"`
+	Seed                      uint64                  `json:"seed"`
+	Late                      float64                 `json:"late_s"` // of the meter, or of what the late-seeing policy sees
+	First                     int                     `json:"first_tries"`
+	Tries                     int                     `json:"tries"`
+	Served                    float64                 `json:"served"` // worth of tries inside quotas that were answered, with late_share after the aim
+	Price                     float64                 `json:"price"`  // over_cost times the worth of the tries beyond
+	Beyond                    float64                 `json:"beyond"` // part of the units sent on
+	Excess                    float64                 `json:"excess"` // units of first tries beyond what one gateway would let in, over those within
+	Refused                   float64                 `json:"refused"`
+	TriesRejectedWithCapacity float64                 `json:"refused_with_room"`          // part of the tries, refused while half of the quota was unused
+	CallsRejectedWithCapacity float64                 `json:"requests_refused_with_room"` // part of the requests with such a try
+	CallsLostWithCapacity     float64                 `json:"requests_lost_with_room"`    // and that were never sent on
+	Broken                    map[fleetrules.Rule]int `json:"broken"`
 	// Cells are the same by plan, by spread and by what was so at a try, in the order of CellNames.
 	Cells map[string]map[string]*Cell `json:"cells"`
 }
 
 // Cell is what came of the tries of a sort.
 type Cell struct {
-	Tries   int     `json:"tries"`
-	Sent    float64 `json:"sent"`   // units
-	Beyond  float64 `json:"beyond"` // units
-	Price   float64 `json:"price"`  // a part of the whole price
-	Refused int     `json:"refused"`
-	Room    int     `json:"refused_with_room"`
-	Offered float64 `json:"offered"` // worth, as a part of all
+	Tries                int     `json:"tries"`
+	Sent                 float64 `json:"sent"`   // units
+	Beyond               float64 `json:"beyond"` // units
+	Price                float64 `json:"price"`  // a part of the whole price
+	Refused              int     `json:"refused"`
+	RejectedWithCapacity int     `json:"refused_with_room"`
+	Offered              float64 `json:"offered"` // worth, as a part of all
 }
 
 // place is a customer at an instance.
@@ -102,32 +102,32 @@
 
 // quotaDay is a day's part that worlds of quotas add. Its methods do nothing on nil.
 type quotaDay struct {
-	w      *world
-	f      *quotaWorld
-	policy Policy
-	why    bool
-	late   time.Duration // of the meter
-	sees   time.Duration // by which the late-seeing policy sees
-	plans  []control.Plan
-	rates  []float64
-	cv     float64
-	skew   float64
-	other  float64 // part of the retries through another node
-	truth  map[*dayCustomer]*ledger
-	rough  map[*dayCustomer]*ledger // as the true ones, of guesses alone
-	asked  map[*dayCustomer]*ledger // of first tries, at one gateway that saw all
-	known  map[place]*known
-	rep    QuotaReport
-	worth  float64 // offered
-	good   float64 // served inside
-	price  float64
-	units  float64 // sent on
-	excess struct{ in, over float64 }
-	luck   *rand.Rand // of the late-seeing policy
-	beyond float64
-	refs   int
-	room   int
-	calls  struct{ room, lost int }
+	w                    *world
+	f                    *quotaWorld
+	policy               Policy
+	why                  bool
+	late                 time.Duration // of the meter
+	sees                 time.Duration // by which the late-seeing policy sees
+	plans                []control.Plan
+	rates                []float64
+	cv                   float64
+	skew                 float64
+	other                float64 // part of the retries through another node
+	truth                map[*dayCustomer]*quotaAccount
+	rough                map[*dayCustomer]*quotaAccount // as the true ones, of guesses alone
+	singleGateway        map[*dayCustomer]*quotaAccount // of first tries, at one gateway that saw all
+	known                map[place]*known
+	rep                  QuotaReport
+	offeredWeight        float64
+	good                 float64 // served inside
+	price                float64
+	units                float64 // sent on
+	excess               struct{ in, over float64 }
+	luck                 *rand.Rand // of the late-seeing policy
+	beyond               float64
+	refs                 int
+	rejectedWithCapacity int
+	calls                struct{ rejectedWithCapacity, lost int }
 }
 
 // Quotas plays the calm day in a world of quotas. The same options give the same report, and two policies
@@ -147,12 +147,12 @@
 
 // playQuotas plays a day's script in a world of quotas.
 func playQuotas(o QuotaOptions, f *quotaWorld, p dayPlan) (*quotaDay, QuotaReport, error) {
-	q := &quotaDay{f: f, policy: o.Policy, why: o.Why && o.Policy == ByModule, truth: map[*dayCustomer]*ledger{}, asked: map[*dayCustomer]*ledger{}, rough: map[*dayCustomer]*ledger{}, known: map[place]*known{}}
+	q := &quotaDay{f: f, policy: o.Policy, why: o.Why && o.Policy == ByModule, truth: map[*dayCustomer]*quotaAccount{}, singleGateway: map[*dayCustomer]*quotaAccount{}, rough: map[*dayCustomer]*quotaAccount{}, known: map[place]*known{}}
 	r := stream(o.Seed, 3)
 	q.plans, q.rates = f.terms(r)
 	q.late = time.Duration(f.late.draw(r) * float64(time.Second))
 	q.luck = stream(o.Seed, 4)
-	q.cv, q.skew, q.other = f.guessCV.draw(r), f.skew.draw(r), f.elsewhere.draw(r)
+	q.cv, q.skew, q.other = f.guessCV.draw(r), f.skew.draw(r), f.otherNodeFraction.draw(r)
 	if q.sees = o.Late; o.Late < 0 {
 		if q.sees = f.meter + q.late; f.meter == 0 {
 			q.sees = 2 * time.Second
@@ -173,7 +173,7 @@
 	if q == nil {
 		return
 	}
-	s.Plans, s.MeterPeriod, s.UnitsInResponse, s.MaxUnits = append([]control.Plan(nil), q.plans...), q.f.meter, q.f.units == guessed, q.f.most
+	s.Plans, s.MeterPeriod, s.UnitsInResponse, s.MaxUnits = append([]control.Plan(nil), q.plans...), q.f.meter, q.f.units == guessed, q.f.maxUnits
 	if q.policy != ByModule { // the module has no quota to keep then, and hears of none
 		s.MeterPeriod = 0
 		for i := range s.Plans {
@@ -185,14 +185,14 @@
 // people draws the customers of each plan until they ask its share.
 func (q *quotaDay) people(w *world) {
 	q.w = w
-	inside := quotaAsked * float64(len(w.hosts)) * dayCores / dayWork
+	inside := quotaOffered * float64(len(w.hosts)) * dayCores / dayWork
 	cost := q.f.meanCost()
-	r := w.ask
+	r := w.clientRand
 	full, heavy, spiky := q.f.full.draw(r), q.f.heavy.draw(r), q.f.spiky.draw(r)
 	n := 0
 	for p, terms := range q.f.plans {
 		rate := q.rates[p] / cost
-		for asked := 0.0; asked < terms.share*inside; n++ {
+		for offered := 0.0; offered < terms.share*inside; n++ {
 			d := &demand{rng: stream(w.o.Seed, uint64(1000+n)), kind: calmKind, usual: q.f.use.draw(r)}
 			part := d.usual
 			switch x := r.Float64(); {
@@ -209,16 +209,16 @@
 					d.spikes = append(d.spikes, [2]time.Duration{seconds(at), seconds(ends)})
 				}
 			}
-			asked += part * rate
+			offered += part * rate
 			d.usual, d.spike = d.usual*rate, d.spike*rate
 			c := &dayCustomer{name: fmt.Sprintf("q%d", n), plan: p, first: r.IntN(w.o.Instances), spread: q.spread(&q.plans[p], terms, r), demand: d}
 			w.custs = append(w.custs, c)
-			q.truth[c], q.asked[c], q.rough[c] = newLedger(&q.plans[p], q.f.meter), newLedger(&q.plans[p], 0), newLedger(&q.plans[p], 0)
+			q.truth[c], q.singleGateway[c], q.rough[c] = newQuotaAccount(&q.plans[p], q.f.meter), newQuotaAccount(&q.plans[p], 0), newQuotaAccount(&q.plans[p], 0)
 			q.shift(c)
 			w.At(200*time.Millisecond, func() { q.arrive(c) })
 		}
 	}
-	w.asked = w.o.Load
+	w.arrivalRate = w.o.Load
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -228,7 +228,7 @@
 func (q *quotaDay) spread(p *control.Plan, t quotaPlan, r *rand.Rand) int {
 	n := t.spread.draw(r) * float64(q.w.o.Instances)
 	if p.HardLimitRate > 0 {
-		n = math.Min(n, p.HardLimitBurst/(2*q.f.most))
+		n = math.Min(n, p.HardLimitBurst/(2*q.f.maxUnits))
 	}
 	return min(max(int(n), 2), q.w.o.Instances)
 }
@@ -245,27 +245,27 @@
 	if w.Now() >= w.o.Lasts {
 		return
 	}
-	most := math.Max(d.usual, d.spike) * dayBurst * w.o.Load
-	if rate, _ := d.at(w.Now()); d.rng.Float64()*most < rate*w.asked {
-		q.ask(c)
+	maxRate := math.Max(d.usual, d.spike) * dayBurst * w.o.Load
+	if rate, _ := d.at(w.Now()); d.rng.Float64()*maxRate < rate*w.arrivalRate {
+		q.firstTry(c)
 	}
-	w.After(seconds(d.rng.ExpFloat64()/most), func() { q.arrive(c) })
+	w.After(seconds(d.rng.ExpFloat64()/maxRate), func() { q.arrive(c) })
 }
 
-// ask is a first try.
-func (q *quotaDay) ask(cust *dayCustomer) {
+// firstTry is a first try.
+func (q *quotaDay) firstTry(cust *dayCustomer) {
 	w, d := q.w, cust.demand
 	c := &call{at: w.Now(), cust: cust, class: d.rng.IntN(2)}
 	c.units, c.cost = q.f.request(c.class, q.cv, d.rng)
 	p := &q.plans[cust.plan]
-	c.worth = w.rules.Classes[c.class].PriorityWeight * p.Price * c.cost
-	one, took := q.asked[cust], seconds(dayWork*d.rng.ExpFloat64())
+	c.weight = w.rules.Classes[c.class].PriorityWeight * p.Price * c.cost
+	one, took := q.singleGateway[cust], seconds(dayWork*d.rng.ExpFloat64())
 	if c.inside = one.send(w.Now(), c.units); c.inside {
 		one.settle(w.Now(), c.cost-c.units)
 		one.began(w.Now())
 		w.After(took, func() { one.ended(w.Now()) })
-		w.count(c, c.worth, 0)
-		q.worth += c.worth
+		w.count(c, c.weight, 0)
+		q.offeredWeight += c.weight
 		q.excess.in += c.units
 	} else {
 		q.excess.over += c.units
@@ -277,15 +277,15 @@
 
 // at is the instance that a try comes to: a retry's mostly the same as before.
 func (q *quotaDay) at(c *call) int {
-	if c.tries > 0 && q.w.ask.Float64() < q.other {
-		c.node = (c.cust.first + c.cust.demand.place(q.w.ask)) % len(q.w.nodes)
+	if c.tries > 0 && q.w.clientRand.Float64() < q.other {
+		c.node = (c.cust.first + c.cust.demand.place(q.w.clientRand)) % len(q.w.nodes)
 	}
 	return c.node
 }
 
 // Add adds another's counts, and its parts as one of n.
 func (c *Cell) Add(o *Cell, n float64) {
-	c.Tries, c.Refused, c.Room = c.Tries+o.Tries, c.Refused+o.Refused, c.Room+o.Room
+	c.Tries, c.Refused, c.RejectedWithCapacity = c.Tries+o.Tries, c.Refused+o.Refused, c.RejectedWithCapacity+o.RejectedWithCapacity
 	c.Sent, c.Beyond = c.Sent+o.Sent, c.Beyond+o.Beyond
 	c.Price, c.Offered = c.Price+o.Price/n, c.Offered+o.Offered/n
 }
--- a/internal/fleetsim/quota_judge.go
+++ b/internal/fleetsim/quota_judge.go
@@ -83,11 +83,11 @@
 	}
 	if c := t.call; c.tries == 1 && c.inside {
 		for _, one := range t.cells {
-			one.Offered += c.worth
+			one.Offered += c.weight
 		}
 	}
 	if q.why && k.read {
-		t.carry, t.read = q.carry(i, c), true
+		t.admissionRemainder, t.read = q.admissionRemainder(i, c), true
 	}
 	lets := true
 	switch q.policy {
@@ -96,7 +96,7 @@
 			k.grants = append(k.grants, grant{t.id, now, t.call.units})
 		}
 	case LateUse:
-		lets = q.luck.Float64() < q.chance(now, c, t.call.units)
+		lets = q.luck.Float64() < q.admissionProbability(now, c, t.call.units)
 	}
 	q.truth[c].try(now, t.call.units)
 	t.why = control.CauseQuota
@@ -116,8 +116,8 @@
 	return (plan.QuotaRate == 0 || was.level >= units) && (plan.MaxInFlight == 0 || was.out < plan.MaxInFlight)
 }
 
-// carry is what the module's chance has over of a customer at an instance. A draw changes it.
-func (q *quotaDay) carry(i int, c *dayCustomer) float64 {
+// admissionRemainder is what the module's chance has over of a customer at an instance. A draw changes it.
+func (q *quotaDay) admissionRemainder(i int, c *dayCustomer) float64 {
 	key := q.plans[c.plan].Name + " " + c.name
 	for _, one := range q.w.nodes[i].c.Image().Customers {
 		if one.Key == key {
@@ -133,25 +133,25 @@
 	switch {
 	case !t.read:
 		return "not read here"
-	case math.Abs(q.carry(i, t.call.cust)-t.carry) < tinyWorth:
+	case math.Abs(q.admissionRemainder(i, t.call.cust)-t.admissionRemainder) < epsilon:
 		return "by the store, or at no chance"
 	}
 	return "by chance"
 }
 
-// chance thins what was asked to the rate and what the store would give over twice the time by which it
+// admissionProbability thins what was asked to the rate and what the store would give over twice the time by which it
 // is seen late; and to half of the open limit, as attempts come by chance.
-func (q *quotaDay) chance(now time.Duration, c *dayCustomer, units float64) float64 {
+func (q *quotaDay) admissionProbability(now time.Duration, c *dayCustomer, units float64) float64 {
 	plan, span := &q.plans[c.plan], max(q.sees, 500*time.Millisecond)
 	was := q.truth[c].was(now - q.sees)
 	before := q.truth[c].was(now - q.sees - span)
-	asked, tries := (was.asked-before.asked)/span.Seconds(), float64(was.tries-before.tries)/span.Seconds()
+	offered, tries := (was.offered-before.offered)/span.Seconds(), float64(was.tries-before.tries)/span.Seconds()
 	p := 1.0
 	if plan.QuotaRate > 0 {
-		p = math.Max(0, plan.QuotaRate+(was.level-units)/(2*span.Seconds())) / math.Max(tinyWorth, asked)
+		p = math.Max(0, plan.QuotaRate+(was.level-units)/(2*span.Seconds())) / math.Max(epsilon, offered)
 	}
 	if plan.MaxInFlight > 0 {
-		p = math.Min(p, 0.5*float64(plan.MaxInFlight)/math.Max(tinyWorth, tries*dayWork))
+		p = math.Min(p, 0.5*float64(plan.MaxInFlight)/math.Max(epsilon, tries*dayWork))
 	}
 	return p
 }
@@ -174,7 +174,7 @@
 		q.here(i, c.cust).sent = true
 		q.units += c.units
 		if !t.inside {
-			q.price += p.OverQuotaCost * c.worth
+			q.price += p.OverQuotaCost * c.weight
 			q.beyond += c.units
 			t.cells = append(t.cells, q.cell("lacks", lacks), q.cell("guesses", rough))
 		}
@@ -184,7 +184,7 @@
 		for _, one := range t.cells {
 			if one.Sent += c.units; !t.inside {
 				one.Beyond += c.units
-				one.Price += p.OverQuotaCost * c.worth
+				one.Price += p.OverQuotaCost * c.weight
 			}
 		}
 	}
@@ -209,11 +209,11 @@
 	if c.done {
 		return
 	}
-	worth := c.worth
+	weight := c.weight
 	if q.w.Now()-c.at > k.LatencyObjective {
-		worth *= k.LateWeightFraction
+		weight *= k.LateWeightFraction
 	}
-	q.good += worth
+	q.good += weight
 }
 
 // refused books a try that is refused.
@@ -229,19 +229,19 @@
 			break
 		}
 	}
-	room := q.truth[t.call.cust].room(q.w.Now())
+	hasCapacity := q.truth[t.call.cust].hasCapacity(q.w.Now())
 	cells := append(t.cells[:len(t.cells):len(t.cells)], q.cell("refused", t.why.String()))
 	for _, one := range cells {
-		if one.Refused++; room {
-			one.Room++
+		if one.Refused++; hasCapacity {
+			one.RejectedWithCapacity++
 		}
 	}
-	if !room {
+	if !hasCapacity {
 		return
 	}
-	if q.room++; !t.call.room {
-		t.call.room = true
-		q.calls.room++
+	if q.rejectedWithCapacity++; !t.call.rejectedWithCapacity {
+		t.call.rejectedWithCapacity = true
+		q.calls.rejectedWithCapacity++
 		q.w.At(q.w.o.Lasts+dayDeadline, func() {
 			if !t.call.sent {
 				q.calls.lost++
@@ -250,12 +250,12 @@
 	}
 }
 
-// told is what an answer tells an instance of a customer's use.
-func (q *quotaDay) told(i int, c *dayCustomer) int {
+// reportedUsage is what an answer tells an instance of a customer's use.
+func (q *quotaDay) reportedUsage(i int, c *dayCustomer) int {
 	if q.policy != ByModule {
 		return 0
 	}
-	used := q.truth[c].told(q.w.Now(), q.late)
+	used := q.truth[c].reportedUsage(q.w.Now(), q.late)
 	if used > 0 {
 		k := q.here(i, c)
 		k.read, k.readAt = true, q.w.Now()
@@ -272,17 +272,17 @@
 		r.Late = 0
 	}
 	per := func(n int, of int) float64 { return float64(n) / math.Max(1, float64(of)) }
-	r.Served, r.Price, r.Beyond = q.good/math.Max(1, q.worth), q.price/math.Max(1, q.worth), q.beyond/math.Max(1, q.units)
+	r.Served, r.Price, r.Beyond = q.good/math.Max(1, q.offeredWeight), q.price/math.Max(1, q.offeredWeight), q.beyond/math.Max(1, q.units)
 	r.Excess = q.excess.over / math.Max(1, q.excess.in)
-	r.Refused, r.RoomTries = per(q.refs, r.Tries), per(q.room, r.Tries)
-	r.RoomCalls, r.RoomLost = per(q.calls.room, r.First), per(q.calls.lost, r.First)
+	r.Refused, r.TriesRejectedWithCapacity = per(q.refs, r.Tries), per(q.rejectedWithCapacity, r.Tries)
+	r.CallsRejectedWithCapacity, r.CallsLostWithCapacity = per(q.calls.rejectedWithCapacity, r.First), per(q.calls.lost, r.First)
 	for _, sort := range r.Cells {
 		for _, c := range sort {
-			c.Price /= math.Max(tinyWorth, q.price)
-			c.Offered /= math.Max(tinyWorth, q.worth)
+			c.Price /= math.Max(epsilon, q.price)
+			c.Offered /= math.Max(epsilon, q.offeredWeight)
 		}
 	}
 	return r
 }
 
-const tinyWorth = 1e-9
+const epsilon = 1e-9
--- a/internal/fleetsim/quota_test.go
+++ b/internal/fleetsim/quota_test.go
@@ -24,13 +24,13 @@
 	w := &world{rules: control.Settings{Classes: []control.Class{{LatencyObjective: 3 * s, LateWeightFraction: 0.5}}}}
 	cust := &dayCustomer{name: "c", spread: 1, demand: &demand{kind: calmKind}}
 	q := &quotaDay{
-		w: w, policy: ByModule, f: &quotaWorld{units: guessed, meter: s}, late: s / 2, known: map[place]*known{}, worth: 100,
+		w: w, policy: ByModule, f: &quotaWorld{units: guessed, meter: s}, late: s / 2, known: map[place]*known{}, offeredWeight: 100,
 		plans: []control.Plan{{Name: "p", QuotaRate: 2, QuotaBurst: 4, MaxInFlight: 2, OverQuotaCost: 0.5}},
 	}
-	q.truth = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], s)}
-	q.rough = map[*dayCustomer]*ledger{cust: newLedger(&q.plans[0], 0)}
+	q.truth = map[*dayCustomer]*quotaAccount{cust: newQuotaAccount(&q.plans[0], s)}
+	q.rough = map[*dayCustomer]*quotaAccount{cust: newQuotaAccount(&q.plans[0], 0)}
 	tried := func(at time.Duration, units, cost, worth float64) *try {
-		tr := &try{call: &call{at: at, cust: cust, units: units, cost: cost, worth: worth, tries: 1}}
+		tr := &try{call: &call{at: at, cust: cust, units: units, cost: cost, weight: worth, tries: 1}}
 		w.At(at, func() {
 			q.tried(0, tr)
 			q.sent(0, tr)
@@ -71,7 +71,7 @@
 	}
 	for at, want := range map[time.Duration]int{s: 0, 3 * s / 2: 1 + 300, 5 * s / 2: 1 + 200, 7 * s: 1 + 100, 8 * s: 1} {
 		w.At(at, func() {
-			if got := q.told(0, cust); got != want {
+			if got := q.reportedUsage(0, cust); got != want {
 				t.Errorf("told at %v: %d, not %d", at, got, want)
 			}
 		})
@@ -79,13 +79,13 @@
 	w.Run(time.Minute)
 	r := q.report(DayReport{First: 6, Tries: 10})
 	want := 0.5 * (40 + 30 + 6) / 100
-	if math.Abs(r.Price-want) > 1e-9 || math.Abs(r.Beyond-5.0/12) > 1e-9 || r.Refused != 0.3 || r.RoomTries != 0.2 || r.RoomCalls != 1.0/6 {
+	if math.Abs(r.Price-want) > 1e-9 || math.Abs(r.Beyond-5.0/12) > 1e-9 || r.Refused != 0.3 || r.TriesRejectedWithCapacity != 0.2 || r.CallsRejectedWithCapacity != 1.0/6 {
 		t.Errorf("%+v", r)
 	}
 	if worth := 20 + 10 + 0.5*10; r.Served != worth/100 { // the last came after its aim
 		t.Errorf("served %v", r.Served)
 	}
-	if c := r.Cells["lacks"]; c["units"].Beyond != 4 || c["a place"].Beyond != 1 || r.Cells["refused"]["by_chance"].Room != 2 {
+	if c := r.Cells["lacks"]; c["units"].Beyond != 4 || c["a place"].Beyond != 1 || r.Cells["refused"]["by_chance"].RejectedWithCapacity != 2 {
 		t.Errorf("%+v", c)
 	}
 	if c := r.Cells["guesses"]; c["inside without settling"].Beyond != 1 || c["beyond too"].Beyond != 4 {
--- a/internal/fleetsim/servers.go
+++ b/internal/fleetsim/servers.go
@@ -39,7 +39,7 @@
 }
 
 func (w *world) reboot(h *host) {
-	h.state, h.bootAt, h.life, h.held = hostUp, w.Now(), h.life+1, 0
+	h.state, h.bootAt, h.life, h.inFlight = hostUp, w.Now(), h.life+1, 0
 	clear(h.conns)
 	h.free = [dayCores]time.Duration{}
 	w.register(h)
@@ -74,18 +74,18 @@
 }
 
 // announce sends a change to every instance's agent, which has it a little later each, or as late as
-// lists are on this day. By toldAtMost it counts as told either way.
+// lists are on this day. By maxNotificationDelay it counts as told either way.
 func (w *world) announce(h *host, up bool) {
 	e, life, seen := w.entry(h), h.life, w.Now()
 	for i := range w.nodes {
 		arrives := seen + time.Duration(w.rng.Int64N(int64(400*time.Millisecond))) + w.plan.late
 		arrives = max(arrives, w.listsSilentUntil, w.nodes[i].deafUntil)
-		told := min(arrives, seen+toldAtMost)
+		notifiedAt := min(arrives, seen+maxNotificationDelay)
 		if n := w.nodes[i]; seen < n.deafUntil {
-			told = min(told, max(seen, n.deafSince+toldAtMost))
+			notifiedAt = min(notifiedAt, max(seen, n.deafSince+maxNotificationDelay))
 		}
 		if !up {
-			w.At(told, func() { w.check.Told(w.Now(), i, h.id, false) })
+			w.At(notifiedAt, func() { w.check.Notified(w.Now(), i, h.id, false) })
 		}
 		w.At(arrives, func() {
 			if n := w.nodes[i]; !n.down {
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -15,47 +15,47 @@
 
 // Figures of the model that no option changes.
 const (
-	aim       = time.Second
-	deadline  = 3 * time.Second
-	coldTime  = 15 * time.Second
-	coldFrom  = 0.15
-	fall      = 2 * time.Second
-	multiple  = 2.5
-	cores     = 4
-	joins     = 10 * time.Second // when the cold server starts
-	customers = 2000             // without a ceiling
-	ceilRate  = 30.0
-	ceilBurst = 60.0
-	ceilSlack = 6.0
+	latencyObjective = time.Second
+	deadline         = 3 * time.Second
+	warmUpTime       = 15 * time.Second
+	warmUpInitial    = 0.15
+	fall             = 2 * time.Second
+	multiple         = 2.5
+	cores            = 4
+	joins            = 10 * time.Second // when the cold server starts
+	customers        = 2000             // without a ceiling
+	ceilRate         = 30.0
+	ceilBurst        = 60.0
+	ceilSlack        = 6.0
 )
 
 // Options say what is played. What is zero has a default.
 type Options struct {
-	Instances int           // that there are
-	Told      int           // that they are told; 0 is as many as there are
-	Lag       time.Duration // by which the last instance learns of the cold server; the others before, evenly
-	Uneven    bool          // some instances get ten times as much as others
-	Servers   int           // warm ones; 20
-	PerServer float64       // calls a second that one bears; 100
-	Load      float64       // part of what all warm servers bear that clients ask for; 0.7
-	Ceiling   float64       // times its ceiling that the customer asks for; 3
-	Lasts     time.Duration // 30 s
-	Seed      uint64
+	Instances     int           // that there are
+	GroupSize     int           // that they are configured with; 0 is as many as there are
+	Lag           time.Duration // by which the last instance learns of the cold server; the others before, evenly
+	Uneven        bool          // some instances get ten times as much as others
+	Servers       int           // warm ones; 20
+	PerServer     float64       // calls a second that one bears; 100
+	Load          float64       // part of what all warm servers bear that clients ask for; 0.7
+	HardLimitLoad float64       // times its ceiling that the customer asks for; 3
+	Lasts         time.Duration // 30 s
+	Seed          uint64
 }
 
 // Report is what came of it.
 type Report struct {
-	Instances int           `json:"instances"`
-	Told      int           `json:"told"`
-	Lag       time.Duration `json:"lag_ns"`
-	Uneven    bool          `json:"uneven"`
-	Calls     int           `json:"calls"`
-	Served    float64       `json:"served"`     // part of the calls without a ceiling
-	Cold      float64       `json:"cold"`       // most that the cold server was sent in 2 s, over its limit
-	ColdShare float64       `json:"cold_share"` // what it was sent while cold, over what it could have done
-	Over      float64       `json:"over"`       // most units of the customer beyond its ceiling
-	Used      float64       `json:"used"`       // units of the customer over what the ceiling gave
-	Trace     []Point       `json:"trace,omitempty"`
+	Instances         int           `json:"instances"`
+	GroupSize         int           `json:"told"`
+	Lag               time.Duration `json:"lag_ns"`
+	Uneven            bool          `json:"uneven"`
+	Calls             int           `json:"calls"`
+	Served            float64       `json:"served"`     // part of the calls without a ceiling
+	MaxWarmUpOverload float64       `json:"cold"`       // most that the cold server was sent in 2 s, over its limit
+	WarmUpShare       float64       `json:"cold_share"` // what it was sent while cold, over what it could have done
+	Over              float64       `json:"over"`       // most units of the customer beyond its ceiling
+	Used              float64       `json:"used"`       // units of the customer over what the ceiling gave
+	Trace             []Point       `json:"trace,omitempty"`
 }
 
 // Point is a second of the cold server's life.
@@ -85,41 +85,41 @@
 	level   float64         // of the customer's true store
 	levelAt time.Duration
 	units   float64
-	pending map[string]ask
+	pending map[string]pendingCall
 }
 
-type ask struct {
-	ceiling bool
-	sends   int
+type pendingCall struct {
+	hasHardLimit bool
+	sends        int
 }
 
 // server is a model of one: cores that work one call after another, at a speed that grows.
 type server struct {
-	free  [cores]time.Duration
-	since time.Duration // when it started, where cold
-	cold  bool
+	free      [cores]time.Duration
+	since     time.Duration // when it started, where cold
+	warmingUp bool
 }
 
 // warmth is the part of its speed that a server has at a time.
 func (s *server) warmth(now time.Duration) float64 {
-	if !s.cold {
+	if !s.warmingUp {
 		return 1
 	}
-	return math.Min(1, coldFrom+(1-coldFrom)*(now-s.since).Seconds()/coldTime.Seconds())
+	return math.Min(1, warmUpInitial+(1-warmUpInitial)*(now-s.since).Seconds()/warmUpTime.Seconds())
 }
 
 // Run plays a fleet.
 func Run(o Options) (Report, error) {
-	if o.Told == 0 {
-		o.Told = o.Instances
+	if o.GroupSize == 0 {
+		o.GroupSize = o.Instances
 	}
 	def(&o.Servers, 20)
 	def(&o.PerServer, 100)
 	def(&o.Load, 0.7)
-	def(&o.Ceiling, 3)
+	def(&o.HardLimitLoad, 3)
 	def(&o.Lasts, 30*time.Second)
-	s := &sim{o: o, rng: rand.New(rand.NewPCG(o.Seed, 21)), sent: make(map[int]int), pending: make(map[string]ask), level: ceilBurst}
-	s.rep = Report{Instances: o.Instances, Told: o.Told, Lag: o.Lag, Uneven: o.Uneven}
+	s := &sim{o: o, rng: rand.New(rand.NewPCG(o.Seed, 21)), sent: make(map[int]int), pending: make(map[string]pendingCall), level: ceilBurst}
+	s.rep = Report{Instances: o.Instances, GroupSize: o.GroupSize, Lag: o.Lag, Uneven: o.Uneven}
 	var members []control.Endpoint
 	for i := range o.Servers {
 		s.servers = append(s.servers, &server{})
@@ -143,10 +143,12 @@
 		// They did not all start in the same moment.
 		s.At(time.Duration(s.rng.Int64N(int64(100*time.Millisecond))), func() { s.tell(g, control.EndpointList{Kind: control.ListComplete, Endpoints: members}) })
 		learns := joins + time.Duration(float64(o.Lag)*float64(g+1)/float64(o.Instances))
-		cold := control.Endpoint{Server: uint32(o.Servers + 1), Size: 1, HasStartedAt: true, StartedAt: joins}
-		s.At(learns, func() { s.tell(g, control.EndpointList{Kind: control.ListPatch, Endpoints: []control.Endpoint{cold}}) })
+		endpoint := control.Endpoint{Server: uint32(o.Servers + 1), Size: 1, HasStartedAt: true, StartedAt: joins}
+		s.At(learns, func() {
+			s.tell(g, control.EndpointList{Kind: control.ListPatch, Endpoints: []control.Endpoint{endpoint}})
+		})
 	}
-	s.At(joins, func() { s.servers = append(s.servers, &server{cold: true, since: joins}) })
+	s.At(joins, func() { s.servers = append(s.servers, &server{warmingUp: true, since: joins}) })
 	s.At(time.Second, func() { s.arrive(false) })
 	s.At(time.Second, func() { s.arrive(true) })
 	s.Run(o.Lasts)
@@ -162,9 +164,9 @@
 
 func settings(o Options, i int) control.Settings {
 	return control.Settings{
-		SelfIndex: i % o.Told, GroupSize: o.Told, MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: time.Second, CanCancel: true,
-		DrainGrace: 2 * time.Second, WarmupTime: coldTime, InitialCapacity: coldFrom, OverloadWindow: fall, OverloadMultiple: multiple,
-		Classes: []control.Class{{Name: "read", LatencyObjective: aim, Deadline: deadline, PriorityWeight: 1}},
+		SelfIndex: i % o.GroupSize, GroupSize: o.GroupSize, MaxAttempts: 3, SupportsRetryAfter: true, MaxRetryAfter: time.Second, CanCancel: true,
+		DrainGrace: 2 * time.Second, WarmupTime: warmUpTime, InitialCapacity: warmUpInitial, OverloadWindow: fall, OverloadMultiple: multiple,
+		Classes: []control.Class{{Name: "read", LatencyObjective: latencyObjective, Deadline: deadline, PriorityWeight: 1}},
 		Plans: []control.Plan{
 			{Name: "standard", Price: 1},
 			{Name: "enterprise", Price: 1.5, HardLimitRate: ceilRate, HardLimitBurst: ceilBurst, HardLimitSlack: ceilSlack},
@@ -203,11 +205,11 @@
 }
 
 // arrive has a call come, and the next one of its kind later.
-func (s *sim) arrive(ceiling bool) {
+func (s *sim) arrive(hasHardLimit bool) {
 	rate := s.o.Load * s.o.PerServer * float64(s.o.Servers)
-	r := control.Request{Class: "read", Timeout: deadline, Units: 1, FanOut: s.o.Told}
-	if ceiling {
-		rate = s.o.Ceiling * ceilRate
+	r := control.Request{Class: "read", Timeout: deadline, Units: 1, FanOut: s.o.GroupSize}
+	if hasHardLimit {
+		rate = s.o.HardLimitLoad * ceilRate
 		r.Plan, r.Customer = "enterprise", "the one"
 	} else {
 		r.Plan, r.Customer = "standard", fmt.Sprint(s.rng.IntN(customers))
@@ -216,9 +218,9 @@
 	s.n++
 	s.rep.Calls++
 	r.ID = fmt.Sprint(s.n)
-	s.pending[r.ID] = ask{ceiling: ceiling}
+	s.pending[r.ID] = pendingCall{hasHardLimit: hasHardLimit}
 	s.tell(s.instance(), r)
-	s.At(s.Now()+time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(ceiling) })
+	s.At(s.Now()+time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(hasHardLimit) })
 }
 
 // instance draws one by its weight.
@@ -241,15 +243,15 @@
 	n := p.sends
 	p.sends++
 	s.pending[a.ID] = p
-	if n == 0 && p.ceiling {
+	if n == 0 && p.hasHardLimit {
 		s.level = math.Min(ceilBurst, s.level+(s.Now()-s.levelAt).Seconds()*ceilRate) - 1
 		s.levelAt = s.Now()
 		s.rep.Over = math.Max(s.rep.Over, -s.level)
 		s.units++
 	}
 	to := s.servers[a.Server-1]
-	if to.cold {
-		s.coldSend(to)
+	if to.warmingUp {
+		s.recordWarmUpSend(to)
 	}
 	core := soonest(to.free[:])
 	work := cores / s.o.PerServer * (0.5 + s.rng.Float64()) / to.warmth(s.Now())
@@ -274,7 +276,7 @@
 	return core
 }
 
-func (s *sim) coldSend(to *server) {
+func (s *sim) recordWarmUpSend(to *server) {
 	s.arrived = append(s.arrived, s.Now())
 	for s.Now()-s.arrived[0] > fall {
 		s.arrived = s.arrived[1:]
@@ -283,14 +285,14 @@
 		s.sent[int((s.Now()-joins).Seconds())]++
 		can := fall.Seconds() * w * s.o.PerServer
 		if len(s.arrived) > 1 { // one is never too much
-			s.rep.Cold = math.Max(s.rep.Cold, float64(len(s.arrived))/(multiple*can))
+			s.rep.MaxWarmUpOverload = math.Max(s.rep.MaxWarmUpOverload, float64(len(s.arrived))/(multiple*can))
 		}
 	}
 }
 
 func (s *sim) end(g int, a control.Send, n int, why control.Reason) {
 	p := s.pending[a.ID]
-	if why == control.OK && !p.ceiling {
+	if why == control.OK && !p.hasHardLimit {
 		s.served++
 	}
 	s.tell(g, control.AttemptResult{ID: a.ID, Attempt: n, Server: a.Server, Reason: why, IsFinal: why == control.OK})
@@ -304,12 +306,12 @@
 	r.Served = float64(s.served) / math.Max(1, float64(s.plain))
 	r.Used = s.units / (ceilRate*(s.o.Lasts-time.Second).Seconds() + 1)
 	sent, can := 0.0, 0.0
-	for second := range int(math.Min(coldTime.Seconds(), (s.o.Lasts - joins).Seconds())) {
-		w := (&server{cold: true, since: joins}).warmth(joins + time.Duration(second)*time.Second + time.Second/2)
+	for second := range int(math.Min(warmUpTime.Seconds(), (s.o.Lasts - joins).Seconds())) {
+		w := (&server{warmingUp: true, since: joins}).warmth(joins + time.Duration(second)*time.Second + time.Second/2)
 		one := Point{Second: float64(second), Sent: float64(s.sent[second]), Can: w * s.o.PerServer, Limit: multiple * w * s.o.PerServer}
 		sent, can = sent+one.Sent, can+one.Can
 		r.Trace = append(r.Trace, one)
 	}
-	r.ColdShare = sent / math.Max(1, can)
+	r.WarmUpShare = sent / math.Max(1, can)
 	return r
 }
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -17,29 +17,29 @@
 // Figures of the days' world that no option changes. Works and aims are those of a service whose
 // calls take a quarter of a second and whose clients wait for ten.
 const (
-	dayWork      = 0.25 // s of one core, on average
-	dayAim       = 3 * time.Second
-	dayDeadline  = 10 * time.Second
-	dayWindow    = time.Second // in which a cell's servers drop repeats
-	dayCores     = 4
-	dayQueue     = 80 // requests that a server holds beyond its cores
-	dayConns     = 400
-	dayCellSize  = 6
-	dayZones     = 3
-	perNode      = 0.6 // servers for each instance
-	perNodeAsked = 0.5 // part of the servers' capacity that is asked for inside quotas
-	handshake    = 1e-3
-	idleConn     = 15 * time.Second
-	connectTime  = 250 * time.Millisecond
-	addNotice    = time.Second             // until a new server is listed
-	goneNotice   = 2 * time.Second         // until a drain or an end is
-	toldAtMost   = 6 * time.Second         // after which news counts as told, from its time or from when a watch fell silent
-	watchSilence = 3200 * time.Millisecond // until a silent watch is noticed and a new one has said what was missed
-	slowUpMost   = time.Second             // until a connection is up that comes up late
-	reportEvery  = 400 * time.Millisecond
-	meterBack    = 2 // periods of a second: the one before the last that ended is told
-	termGrace    = 3 * time.Second
-	unitsTop     = 4
+	dayWork              = 0.25 // s of one core, on average
+	dayLatencyObjective  = 3 * time.Second
+	dayDeadline          = 10 * time.Second
+	dayWindow            = time.Second // in which a cell's servers drop repeats
+	dayCores             = 4
+	dayQueue             = 80 // requests that a server holds beyond its cores
+	dayConns             = 400
+	dayCellSize          = 6
+	dayZones             = 3
+	perNode              = 0.6 // servers for each instance
+	perNodeOffered       = 0.5 // part of the servers' capacity that is asked for inside quotas
+	handshake            = 1e-3
+	idleConn             = 15 * time.Second
+	connectTime          = 250 * time.Millisecond
+	addNotice            = time.Second             // until a new server is listed
+	goneNotice           = 2 * time.Second         // until a drain or an end is
+	maxNotificationDelay = 6 * time.Second         // after which news counts as told, from its time or from when a watch fell silent
+	watchSilence         = 3200 * time.Millisecond // until a silent watch is noticed and a new one has said what was missed
+	maxSlowConnect       = time.Second             // until a connection is up that comes up late
+	reportEvery          = 400 * time.Millisecond
+	meterBack            = 2 // periods of a second: the one before the last that ended is told
+	termGrace            = 3 * time.Second
+	unitsTop             = 4
 
 	rejectedAllMin = 15 // requests rejected in a row, over so long or more, are all that an instance gets
 	rejectedAllFor = 4 * time.Second
@@ -51,7 +51,7 @@
 type DayOptions struct {
 	Day       string
 	Instances int
-	Told      int           // size of the group that they are told; 0 is as many as there are
+	GroupSize int           // size of the group that they are told; 0 is as many as there are
 	Lasts     time.Duration // 25 s; the long day 120 s
 	Load      float64       // times what is asked usually, which is half of what the servers can do; 1
 	Seed      uint64
@@ -65,25 +65,25 @@
 
 // DayReport is what came of a day.
 type DayReport struct {
-	Day        string                  `json:"day"`
-	Instances  int                     `json:"instances"`
-	Servers    int                     `json:"servers"` // at the start
-	Seed       uint64                  `json:"seed"`
-	First      int                     `json:"first_tries"`
-	Tries      int                     `json:"tries"`
-	Attempts   int                     `json:"attempts"`
-	Served     float64                 `json:"served"`     // part of the worth asked inside quotas that was answered within its aim
-	Classes    map[string]float64      `json:"classes"`    // the same of each class
-	Thirds     [3]float64              `json:"thirds"`     // and of each third of the day
-	Plans      map[string]float64      `json:"plans"`      // and of each plan
-	Rejecting  float64                 `json:"rejecting"`  // part of the instances that rejected all that they got for 4 s
-	Starved    float64                 `json:"starved"`    // part of that worth whose customers were served under a tenth of theirs
-	Beyond     float64                 `json:"beyond"`     // part of the units sent on that were beyond quotas
-	Failed     float64                 `json:"failed"`     // part of the tries
-	Handshakes float64                 `json:"handshakes"` // for each first try
-	ColdAt     float64                 `json:"cold"`       // the most a cold server was sent, over its limit
-	Broken     map[fleetrules.Rule]int `json:"broken"`
-	Breaches   []fleetrules.Breach     `json:"breaches,omitempty"`
+	Day               string                  `json:"day"`
+	Instances         int                     `json:"instances"`
+	Servers           int                     `json:"servers"` // at the start
+	Seed              uint64                  `json:"seed"`
+	First             int                     `json:"first_tries"`
+	Tries             int                     `json:"tries"`
+	Attempts          int                     `json:"attempts"`
+	Served            float64                 `json:"served"`     // part of the worth asked inside quotas that was answered within its aim
+	Classes           map[string]float64      `json:"classes"`    // the same of each class
+	Thirds            [3]float64              `json:"thirds"`     // and of each third of the day
+	Plans             map[string]float64      `json:"plans"`      // and of each plan
+	Rejecting         float64                 `json:"rejecting"`  // part of the instances that rejected all that they got for 4 s
+	Starved           float64                 `json:"starved"`    // part of that worth whose customers were served under a tenth of theirs
+	Beyond            float64                 `json:"beyond"`     // part of the units sent on that were beyond quotas
+	Failed            float64                 `json:"failed"`     // part of the tries
+	Handshakes        float64                 `json:"handshakes"` // for each first try
+	MaxWarmUpOverload float64                 `json:"cold"`       // the most a cold server was sent, over its limit
+	Broken            map[fleetrules.Rule]int `json:"broken"`
+	Breaches          []fleetrules.Breach     `json:"breaches,omitempty"`
 }
 
 type hostState int
@@ -107,7 +107,7 @@
 	bootAt   time.Duration // cold since; negative is long ago
 	life     int           // counts its starts: work of an earlier one is lost
 	free     [dayCores]time.Duration
-	held     int
+	inFlight int
 	conns    map[int]time.Duration // last use by instance
 	busy     float64               // smoothed part of its cores
 	mean     float64
@@ -123,16 +123,16 @@
 
 // node is an instance.
 type node struct {
-	c            *control.Controller
-	set          control.Settings
-	wholeCeiling bool
-	life         int // counts its starts
-	down         bool
-	closing      bool
-	held         map[string]*try
-	knows        map[uint32]int // the life of each server of which it was told
-	deafSince    time.Duration  // its watch has fallen silent
-	deafUntil    time.Duration  // and is open anew; 0 is never silent
+	c                   *control.Controller
+	set                 control.Settings
+	grantsFullHardLimit bool
+	life                int // counts its starts
+	down                bool
+	closing             bool
+	inFlight            map[string]*try
+	knows               map[uint32]int // the life of each server of which it was told
+	deafSince           time.Duration  // its watch has fallen silent
+	deafUntil           time.Duration  // and is open anew; 0 is never silent
 
 	rejectedInRow int           // requests rejected with no attempt in between
 	rejectsSince  time.Duration // the first of them
@@ -156,14 +156,14 @@
 	units  float64
 	tries  int
 	inside bool
-	worth  float64
+	weight float64
 	done   bool
 
 	// In a world of quotas: its true units, its instance, whether a try was sent on, and whether one was refused with room.
-	cost float64
-	node int
-	sent bool
-	room bool
+	cost                 float64
+	node                 int
+	sent                 bool
+	rejectedWithCapacity bool
 }
 
 // try is one request at an instance.
@@ -174,40 +174,40 @@
 	sends int
 
 	// In a world of quotas: whether it was sent on, and inside its quota; what sorts it is of; why it is refused.
-	sent, inside bool
-	cells        []*Cell
-	why          control.Cause
-	carry        float64 // what the module's chance had over, where it had read of the customer
-	read         bool
+	sent, inside       bool
+	cells              []*Cell
+	why                control.Cause
+	admissionRemainder float64 // what the module's chance had over, where it had read of the customer
+	read               bool
 }
 
 type world struct {
 	vtime.Clock
-	o      DayOptions
-	plan   dayPlan
-	rules  control.Settings // as they are, whatever a mutation tells an instance
-	rng    *rand.Rand       // of the world; clients have their own, so that two variants see the same arrivals
-	ask    *rand.Rand
-	check  *fleetrules.Checker
-	rep    DayReport
-	nodes  []*node
-	hosts  []*host
-	byID   map[uint32]*host
-	custs  []*dayCustomer
-	sums   []float64 // of customers' demand
-	fresh  int
-	asked  float64 // first tries a second
-	ids    int
-	stores map[string]*quota // true stores of the quotas, of first tries and of what is sent
-	used   map[string]*meter
+	o           DayOptions
+	plan        dayPlan
+	rules       control.Settings // as they are, whatever a mutation tells an instance
+	rng         *rand.Rand       // of the world; clients have their own, so that two variants see the same arrivals
+	clientRand  *rand.Rand
+	check       *fleetrules.Checker
+	rep         DayReport
+	nodes       []*node
+	hosts       []*host
+	byID        map[uint32]*host
+	custs       []*dayCustomer
+	sums        []float64 // of customers' demand
+	fresh       int
+	arrivalRate float64 // first tries a second
+	ids         int
+	stores      map[string]*quota // true stores of the quotas, of first tries and of what is sent
+	used        map[string]*meter
 
 	listsSilentUntil time.Duration
 	meterDown        bool
-	worth            worthOf // of all
-	classes          [2]worthOf
-	plans            []worthOf
-	thirds           [3]worthOf
-	customers        map[*dayCustomer]*worthOf
+	totalWeight      weightTotals // of all
+	classes          [2]weightTotals
+	plans            []weightTotals
+	thirds           [3]weightTotals
+	customers        map[*dayCustomer]*weightTotals
 	sentUnits        float64
 	beyond           float64
 	failed           int
@@ -215,31 +215,31 @@
 }
 
 type quota struct {
-	asked, sent     float64
-	askedAt, sentAt time.Duration
+	offered, sent     float64
+	offeredAt, sentAt time.Duration
 }
 
 type meter struct {
-	period int
-	now    float64
-	told   []float64 // by period, of the last ones
+	period      int
+	now         float64
+	periodUnits []float64 // by period, of the last ones
 }
 
-// worthOf is what was asked inside quotas, and what of it was served in time.
-type worthOf struct{ asked, served float64 }
+// weightTotals is what was asked inside quotas, and what of it was served in time.
+type weightTotals struct{ offered, served float64 }
 
-func (w *worthOf) part() float64 { return w.served / math.Max(1, w.asked) }
+func (w *weightTotals) part() float64 { return w.served / math.Max(1, w.offered) }
 
 // count books a first try's worth, asked or served, wherever it belongs.
-func (w *world) count(c *call, asked, served float64) {
+func (w *world) count(c *call, offered, served float64) {
 	third := min(2, int(3*c.at/w.o.Lasts))
 	own := w.customers[c.cust]
 	if own == nil {
-		own = &worthOf{}
+		own = &weightTotals{}
 		w.customers[c.cust] = own
 	}
-	for _, one := range []*worthOf{&w.worth, &w.classes[c.class], &w.plans[c.cust.plan], &w.thirds[third], own} {
-		one.asked += asked
+	for _, one := range []*weightTotals{&w.totalWeight, &w.classes[c.class], &w.plans[c.cust.plan], &w.thirds[third], own} {
+		one.offered += offered
 		one.served += served
 	}
 }
@@ -256,10 +256,10 @@
 
 // play plays a day's script.
 func play(o DayOptions, p dayPlan) (DayReport, error) {
-	if o.Instances < 1 || o.Told < 0 || o.Load < 0 {
-		return DayReport{}, fmt.Errorf("simulating %q: %d instances, %d told", o.Day, o.Instances, o.Told)
+	if o.Instances < 1 || o.GroupSize < 0 || o.Load < 0 {
+		return DayReport{}, fmt.Errorf("simulating %q: %d instances, %d told", o.Day, o.Instances, o.GroupSize)
 	}
-	def(&o.Told, o.Instances)
+	def(&o.GroupSize, o.Instances)
 	def(&o.Load, 1)
 	if o.Mutation == nil {
 		o.Mutation = &Mutation{}
@@ -269,11 +269,11 @@
 	}
 	def(&o.Lasts, 25*time.Second)
 	w := &world{
-		o: o, plan: p, rng: stream(o.Seed, 1), ask: stream(o.Seed, 2), byID: map[uint32]*host{},
-		stores: map[string]*quota{}, used: map[string]*meter{}, customers: map[*dayCustomer]*worthOf{},
+		o: o, plan: p, rng: stream(o.Seed, 1), clientRand: stream(o.Seed, 2), byID: map[uint32]*host{},
+		stores: map[string]*quota{}, used: map[string]*meter{}, customers: map[*dayCustomer]*weightTotals{},
 	}
 	w.rules = w.settings(0)
-	w.plans = make([]worthOf, len(w.rules.Plans))
+	w.plans = make([]weightTotals, len(w.rules.Plans))
 	w.check = fleetrules.New(fleetrules.Terms{
 		AnswerGrace: 55 * time.Millisecond, DrainGrace: 2050 * time.Millisecond,
 		Fall: 2 * time.Second, FallMultiple: 2.5, MeanWork: dayWork,
@@ -299,7 +299,7 @@
 
 func (w *world) report() DayReport {
 	r := w.rep
-	r.Served, r.Classes, r.Plans = w.worth.part(), map[string]float64{}, map[string]float64{}
+	r.Served, r.Classes, r.Plans = w.totalWeight.part(), map[string]float64{}, map[string]float64{}
 	for i := range w.classes {
 		r.Classes[w.rules.Classes[i].Name] = w.classes[i].part()
 	}
@@ -317,13 +317,13 @@
 	byName := func(a, b *dayCustomer) int { return strings.Compare(a.name, b.name) }
 	for _, cust := range slices.SortedFunc(maps.Keys(w.customers), byName) { // a sum of another order is another in its last digit
 		if c := w.customers[cust]; c.part() < 0.1 {
-			r.Starved += c.asked / math.Max(1, w.worth.asked)
+			r.Starved += c.offered / math.Max(1, w.totalWeight.offered)
 		}
 	}
 	r.Beyond = w.beyond / math.Max(1, w.sentUnits)
 	r.Failed = float64(w.failed) / math.Max(1, float64(r.Tries))
 	r.Handshakes = float64(w.dialed) / math.Max(1, float64(r.First))
-	r.ColdAt = w.check.ColdMost()
+	r.MaxWarmUpOverload = w.check.MaxWarmUpOverload()
 	r.Broken, r.Breaches = w.check.Broken(), w.check.Breaches()
 	return r
 }
