--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -51,7 +51,7 @@
 		return true, nil
 	}
 	if err == nil && string(have) != string(text) {
-		b, is := r.book(i), desiredstate.Hash(have)
+		b, is := r.desiredState(i), desiredstate.Hash(have)
 		if is == b.Target.Hash || b.Running != nil && is == b.Running.Previous.Hash {
 			slog.Info("fleet: an instance keeps the settings that it was ordered", "instance", i, "hash", is)
 			return false, nil
@@ -60,9 +60,9 @@
 	return false, renameio.WriteFile(path, text, 0o600)
 }
 
-// book is what an instance has written of its orders; an empty one where it can't be read: the instance
+// desiredState is what an instance has written of its orders; an empty one where it can't be read: the instance
 // itself tells that.
-func (r *Run) book(i int) desiredstate.State {
+func (r *Run) desiredState(i int) desiredstate.State {
 	b, err := desiredstate.ReadState(r.state(i))
 	if err != nil {
 		slog.Warn("fleet: what is wanted of an instance is not known", "instance", i, "err", err)
@@ -74,7 +74,7 @@
 
 // program is what an instance is started with: the last that it was ordered and that proved itself there.
 func (r *Run) program(i int) string {
-	p := r.book(i).Program
+	p := r.desiredState(i).Program
 	if p == "" || p == r.opts.Program {
 		return r.opts.Program
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -144,7 +144,7 @@
 			pause = 0
 		}
 		was := drained
-		if drained = r.book(i).Target.Drained; drained && !was {
+		if drained = r.desiredState(i).Target.Drained; drained && !was {
 			slog.Info("fleet: an instance is wanted drained, and is kept so", "instance", i)
 			continue
 		}
--- a/internal/regions/mixture/settings.go
+++ b/internal/regions/mixture/settings.go
@@ -132,15 +132,15 @@
 				return false
 			}
 		}
-		if !coldAtMost(s.SlowStart, o.SlowStart, part(a), part(b)) {
+		if !slowStartWithin(s.SlowStart, o.SlowStart, part(a), part(b)) {
 			return false
 		}
 	}
 	return true
 }
 
-// coldAtMost compares the cold budgets of two members; the floor of one goes by the group's size alone.
-func coldAtMost(a, b regions.SlowStart, pa, pb float64) bool {
+// slowStartWithin compares the cold budgets of two members; the floor of one goes by the group's size alone.
+func slowStartWithin(a, b regions.SlowStart, pa, pb float64) bool {
 	return a.For >= b.For && a.From <= b.From && a.Multiple*pa <= b.Multiple*pb && pa <= pb
 }
 
@@ -254,7 +254,7 @@
 			return false
 		}
 		for _, s := range r.Services {
-			if o, ok := find(e.Services, s.Name, serviceName); !ok || !coldAtMost(s.SlowStart, o.SlowStart, part(r), part(*e)) {
+			if o, ok := find(e.Services, s.Name, serviceName); !ok || !slowStartWithin(s.SlowStart, o.SlowStart, part(r), part(*e)) {
 				return false
 			}
 		}
