Name the configuration and fleet file packages in the terms of the glossary

config declared 29 names, config/tree 12 and fleetfile 10 with a plain word (most, least, told, held, tally, room, whole, keyed, doubts). Limits are now max... and min..., Amounts.Held is Requests, Process.Tally EventLog, Config.Doubts Warnings, Gather.Least MinWeightFraction, Drain.Most Max, Waiving.Told Conflicts. Names alone change: the keys stay in the tags and strings.

Measured: tests of config, fleetfile, command, naming, docs and node pass; golden files are unchanged. Assertions are the same.

--- a/internal/command/regions.go
+++ b/internal/command/regions.go
@@ -91,7 +91,7 @@
 	found := findings{Conflicts: left(is)}
 	r := mixture.Order(old.Regions(), is, left)
 	found.Circle, found.Passing = r.Circle, r.Passing
-	found.Conflicts = append(append(found.Conflicts, r.Blocked...), waiving.Told()...)
+	found.Conflicts = append(append(found.Conflicts, r.Blocked...), waiving.Conflicts()...)
 	for _, mid := range r.Through {
 		for _, one := range old.All {
 			if one.Name != mid.Name {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -69,7 +69,7 @@
 	}
 	over := func(cfg config.Config, err error) (config.Config, error) {
 		if err == nil {
-			cfg.Process.Tally = e.Getenv(tallyKey) != ""
+			cfg.Process.EventLog = e.Getenv(tallyKey) != ""
 			err = o.Apply(&cfg)
 		}
 		return cfg, err
@@ -114,7 +114,7 @@
 			*field = v
 		}
 	}
-	cfg.Process.Tally = e.Getenv(tallyKey) != ""
+	cfg.Process.EventLog = e.Getenv(tallyKey) != ""
 	tune(cfg)
 	n, err := node.New(cfg)
 	if err != nil {
@@ -137,7 +137,7 @@
 // loadPlatform reads the platform's configuration and logs what is doubtful in it.
 func loadPlatform(path string) (config.Config, error) {
 	cfg, err := config.LoadPlatform(path)
-	for _, doubt := range cfg.Doubts {
+	for _, doubt := range cfg.Warnings {
 		slog.Warn("settings", "file", path, "err", doubt)
 	}
 	return cfg, err
--- a/internal/config/class.go
+++ b/internal/config/class.go
@@ -14,7 +14,7 @@
 		Deadline:       t.Span("deadline", 0, time.Millisecond, day),
 		Idempotency:    control.Idempotency(t.OneOf("repeats", "free", "keyed", "never")),
 		KeyScope:       control.KeyScope(t.OneOf("key_scope", "all", "zone", "group")),
-		PriorityWeight: t.Number("worth", 1, 0, figureMost), LateWeightFraction: t.Number("late_share", 0, 0, 1),
+		PriorityWeight: t.Number("worth", 1, 0, maxNumber), LateWeightFraction: t.Number("late_share", 0, 0, 1),
 		RepeatWindow: t.Span("repeat_window", 0, 0, day),
 	}
 	if k.Deadline == 0 {
@@ -26,13 +26,13 @@
 	if !t.Has("repeats") {
 		t.Wrong("repeats", `it has to be said: "free", "keyed" or "never"`)
 	}
-	keyed := k.Idempotency == control.IdempotentWithKey
+	needsKey := k.Idempotency == control.IdempotentWithKey
 	for _, key := range []string{"key_scope", "repeat_window"} {
-		if t.Has(key) && !keyed {
+		if t.Has(key) && !needsKey {
 			t.Wrong(key, `only with repeats = "keyed"`)
 		}
 	}
-	if keyed && k.RepeatWindow == 0 {
+	if needsKey && k.RepeatWindow == 0 {
 		t.Wrong("repeat_window", "a keyed class needs one")
 	}
 	if first := route.FirstSegment("/" + name); first != name || name == "" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,7 +31,7 @@
 	Services  []Service
 	Gathers   []Gather // services that ask others; none of their names is a Service's
 	Hash      string   // of the text that it was read from, SHA-256 in hex
-	Doubts    []error  // of the platform's: what makes no sense and can be served by
+	Warnings  []error  // of the platform's: what makes no sense and can be served by
 }
 
 // Process bounds what the process may use.
@@ -44,7 +44,7 @@
 	Checkpoint  time.Duration `plan:"checkpoint"` // how often what was spent and learned is written there
 	Control     string        `plan:"control"`    // Unix socket by which the owner asks and tells; "" is none
 	Upgrade     Upgrade       `plan:"upgrade"`
-	Tally       bool          `plan:"tally"` // whether what each service does is written to standard error, a line for each thing
+	EventLog    bool          `plan:"tally"` // whether what each service does is written to standard error, a line for each thing
 	// Of a process whose services share; zero where there is one service without parts.
 	Shared bool    `plan:"shared"`
 	Total  Amounts `plan:",inline"`
@@ -56,7 +56,7 @@
 type Drain struct {
 	Idle   time.Duration `plan:"idle"`   // closes idle client connections
 	Accept time.Duration `plan:"accept"` // takes no new ones
-	Most   time.Duration `plan:"most"`   // fails what is still held
+	Max    time.Duration `plan:"most"`   // fails what is still held
 }
 
 // Upgrade bounds the steps by which a new process takes a daemon's place.
@@ -74,7 +74,7 @@
 // Amounts are parts of what a process has.
 type Amounts struct {
 	Descriptors int64   `plan:"descriptors"` // of connections to servers; in a total, of all connections
-	Held        int64   `plan:"held"`        // requests
+	Requests    int64   `plan:"held"`        // requests that are taken and not answered
 	Bytes       int64   `plan:"bytes"`       // of bodies and answers
 	Dials       int64   `plan:"dials"`       // connections coming up
 	ModuleTime  float64 `plan:"module_time"`
--- a/internal/config/divide.go
+++ b/internal/config/divide.go
@@ -43,15 +43,15 @@
 func (r *reader) divide(process tree.Table, c *Config, services []tree.Table) {
 	things := []dividedThing{
 		{
-			"descriptors", float64(c.Process.Total.Descriptors - c.Process.Clients), whole(countMost),
+			"descriptors", float64(c.Process.Total.Descriptors - c.Process.Clients), integerReader(maxCount),
 			func(a *Amounts, v float64) { a.Descriptors = int64(v) },
 		},
-		{"held", float64(c.Process.Total.Held), whole(countMost), func(a *Amounts, v float64) { a.Held = int64(v) }},
+		{"held", float64(c.Process.Total.Requests), integerReader(maxCount), func(a *Amounts, v float64) { a.Requests = int64(v) }},
 		{
-			"bytes", float64(c.Process.Total.Bytes), func(t tree.Table, key string) float64 { return float64(t.Size(key, 0, 0, bytesMost)) },
+			"bytes", float64(c.Process.Total.Bytes), func(t tree.Table, key string) float64 { return float64(t.Size(key, 0, 0, maxBytes)) },
 			func(a *Amounts, v float64) { a.Bytes = int64(v) },
 		},
-		{"dials", float64(c.Process.Total.Dials), whole(countMost), func(a *Amounts, v float64) { a.Dials = int64(v) }},
+		{"dials", float64(c.Process.Total.Dials), integerReader(maxCount), func(a *Amounts, v float64) { a.Dials = int64(v) }},
 		{
 			"module_time", c.Process.Total.ModuleTime, func(t tree.Table, key string) float64 { return t.Number(key, 0, 0, 1024) },
 			func(a *Amounts, v float64) { a.ModuleTime = v },
@@ -64,24 +64,24 @@
 	}
 	// Each held request has a connection of its client: more than there is room for beside the
 	// connections to servers would leave none for the clients of other services.
-	room := int64(0)
+	capacity := int64(0)
 	for i, thing := range things {
 		if i == 1 {
-			if c.Process.Total.Held == 0 {
-				c.Process.Total.Held = room
-				thing.total = float64(room)
-			} else if c.Process.Total.Held > room {
+			if c.Process.Total.Requests == 0 {
+				c.Process.Total.Requests = capacity
+				thing.total = float64(capacity)
+			} else if c.Process.Total.Requests > capacity {
 				process.Wrong("held", "%d requests need as many connections of clients; the services' guaranteed connections leave %d",
-					c.Process.Total.Held, room)
+					c.Process.Total.Requests, capacity)
 			}
 		}
 		thing.divide(c, services)
 		if i == 0 {
-			room = c.Process.Total.Descriptors
+			capacity = c.Process.Total.Descriptors
 			for _, s := range c.Services {
-				room -= s.Guaranteed.Descriptors
+				capacity -= s.Guaranteed.Descriptors
 			}
-			room = max(room, 1)
+			capacity = max(capacity, 1)
 		}
 	}
 	checkBytes(c, services)
@@ -102,6 +102,6 @@
 	}
 }
 
-func whole(most int64) func(tree.Table, string) float64 {
-	return func(t tree.Table, key string) float64 { return float64(t.Integer(key, 0, 0, most)) }
+func integerReader(limit int64) func(tree.Table, string) float64 {
+	return func(t tree.Table, key string) float64 { return float64(t.Integer(key, 0, 0, limit)) }
 }
--- a/internal/config/drain.go
+++ b/internal/config/drain.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	goneAhead   = 400 * time.Millisecond // of SIGKILL: the last answers are written and the process ends
-	starved     = 100 * time.Millisecond // by which a node that gets little CPU may take a connection late
-	acceptsMost = time.Second
+	goneAhead = 400 * time.Millisecond // of SIGKILL: the last answers are written and the process ends
+	starved   = 100 * time.Millisecond // by which a node that gets little CPU may take a connection late
+	maxAccept = time.Second
 )
 
 // PlatformDrain fits what PROTOCOL says of planned restarts to any deadlines.
@@ -26,9 +26,9 @@
 // has its time until the last moment from which the process is sure to be gone before SIGKILL.
 func platformDrain(longest time.Duration) Drain {
 	d := Drain{Idle: comeFor + starved}
-	d.Most = max(min(longest, deadlines)+killAfter-goneAhead, d.Idle)
+	d.Max = max(min(longest, deadlines)+killAfter-goneAhead, d.Idle)
 	// Half of what is left is for requests that came last.
-	d.Accept = min(acceptsMost, (d.Idle+d.Most)/2)
+	d.Accept = min(maxAccept, (d.Idle+d.Max)/2)
 	return d
 }
 
--- a/internal/config/drain_test.go
+++ b/internal/config/drain_test.go
@@ -30,12 +30,12 @@
 					t.Fatalf("%+v", k)
 				}
 				d, kill := c.Process.Drain, min(longest, 3*time.Second)+700*time.Millisecond
-				if d.Idle <= 400*time.Millisecond || d.Accept < d.Idle || d.Most < d.Accept {
+				if d.Idle <= 400*time.Millisecond || d.Accept < d.Idle || d.Max < d.Accept {
 					t.Errorf("%+v: clients may come for 0.4 s", d)
 				}
 				// The answers that are given last are written in 0.3 s. With the shortest deadlines that goes
 				// before what may still come.
-				if within := kill - 300*time.Millisecond; d.Most >= within && longest > 100*time.Millisecond || d.Most >= kill {
+				if within := kill - 300*time.Millisecond; d.Max >= within && longest > 100*time.Millisecond || d.Max >= kill {
 					t.Errorf("%+v: SIGKILL may come at %v", d, kill)
 				}
 				if longest >= 3*time.Second && d != (Drain{500 * time.Millisecond, time.Second, 3300 * time.Millisecond}) {
--- a/internal/config/endpoint_source.go
+++ b/internal/config/endpoint_source.go
@@ -46,8 +46,8 @@
 func server(t tree.Table) discovery.Endpoint {
 	s := discovery.Endpoint{
 		UID: t.Str("uid", ""), Address: t.Str("endpoint", ""), Zone: t.Str("zone", ""),
-		Model: t.Str("model", ""), Group: int(t.Integer("group", 0, 0, countMost)),
-		State: []string{"up", "draining"}[t.OneOf("state", "up", "draining")], Capacity: t.Number("capacity", 1, 0.001, figureMost),
+		Model: t.Str("model", ""), Group: int(t.Integer("group", 0, 0, maxCount)),
+		State: []string{"up", "draining"}[t.OneOf("state", "up", "draining")], Capacity: t.Number("capacity", 1, 0.001, maxNumber),
 	}
 	if s.UID == "" {
 		s.UID = s.Address
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -16,16 +16,16 @@
 
 // Bounds of what a file may say.
 const (
-	fileMost     = desiredstate.MaxSettingsBytes
-	servicesMost = 5000
+	maxFileBytes = desiredstate.MaxSettingsBytes
+	maxServices  = 5000
 	day          = 24 * time.Hour
-	figureMost   = 1e9
-	countMost    = 1 << 20
-	bytesMost    = 1 << 40
-	bodyMost     = 16 << 20
+	maxNumber    = 1e9
+	maxCount     = 1 << 20
+	maxBytes     = 1 << 40
+	maxBodyBytes = 16 << 20
 
-	socketPathMost = 107 // unix(7): sun_path with its end
-	answerMost     = 16 << 20
+	maxSocketPath    = 107 // unix(7): sun_path with its end
+	maxResponseBytes = 16 << 20
 )
 
 // Inherited begins an address that names a socket which the supervisor passes on.
@@ -35,8 +35,8 @@
 // found, or tells why the file can't be read.
 func Load(path string) (Config, error) {
 	info, err := os.Stat(path)
-	if err == nil && info.Size() > fileMost {
-		err = fmt.Errorf("%d bytes are more than %d", info.Size(), int64(fileMost))
+	if err == nil && info.Size() > maxFileBytes {
+		err = fmt.Errorf("%d bytes are more than %d", info.Size(), int64(maxFileBytes))
 	}
 	if err != nil {
 		return Config{}, fmt.Errorf("reading the configuration: %w", err)
@@ -97,8 +97,8 @@
 	if len(names) == 0 {
 		t.Wrong("services", "there is none")
 	}
-	if len(names) > servicesMost {
-		t.Wrong("services", "%d are more than %d", len(names), servicesMost)
+	if len(names) > maxServices {
+		t.Wrong("services", "%d are more than %d", len(names), maxServices)
 	}
 	names, services = r.gatherers(&c, names, services)
 	for i, name := range names {
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -149,7 +149,7 @@
 	}
 	// 288 descriptors are for services, of which 100 are named: the rest is split in two, one
 	// half of which nobody owns.
-	if r.Guaranteed.Descriptors != 100 || d.Guaranteed.Descriptors != 94 || r.Guaranteed.Held != 40 || d.Guaranteed.Held != 30 {
+	if r.Guaranteed.Descriptors != 100 || d.Guaranteed.Descriptors != 94 || r.Guaranteed.Requests != 40 || d.Guaranteed.Requests != 30 {
 		t.Errorf("%+v, %+v", r.Guaranteed, d.Guaranteed)
 	}
 	if d.OnPanic != service.RestartService || d.Required || d.Answer != 1<<20 || d.Source.Kind != discovery.Static || len(d.Source.Endpoints) != 2 ||
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -12,9 +12,9 @@
 
 // Bounds of what a gathering service may have.
 const (
-	gatherPartsMost = 256 // of one, and of all that it reaches
-	gatherDepthMost = 4   // gatherers above each other
-	halfLifeMost    = time.Hour
+	maxGatherParts = 256 // of one, and of all that it reaches
+	maxGatherDepth = 4   // gatherers above each other
+	maxHalfLife    = time.Hour
 )
 
 // Merges are the ways in which parts' answers become one.
@@ -44,44 +44,44 @@
 // Gather is a service that asks others and gives their answers as one. It has no servers and no
 // account of its own: all that it takes is its parts'.
 type Gather struct {
-	Name       string                   `plan:"name"`
-	Parts      []GatherPart             `plan:"parts"` // in the order of the answer
-	Merge      string                   `plan:"merge"` // one of Merges
-	Least      float64                  `plan:"least"` // share of the parts' weight below which there is no answer
-	HalfLife   time.Duration            `plan:"half_life"`
-	Deadline   string                   `plan:"deadline"`    // DeadlineLearned, DeadlineNone, or "" for Fixed
-	Fixed      time.Duration            `plan:"fixed"`       // from a query's arrival
-	Classes    map[string]control.Class `plan:"classes"`     // that its requests may have: those that are free to repeat
-	Body       int64                    `plan:"body"`        // most bytes of a request's body, which is held whole
-	TimeHeader string                   `plan:"time_header"` // by which a client shortens its deadline; "" is none
-	RetryAfter time.Duration            `plan:"retry_after"` // most that a refused client is told to wait; 0 tells none
-	Share      GatherShare              `plan:"share"`
+	Name              string                   `plan:"name"`
+	Parts             []GatherPart             `plan:"parts"` // in the order of the answer
+	Merge             string                   `plan:"merge"` // one of Merges
+	MinWeightFraction float64                  `plan:"least"` // share of the parts' weight below which there is no answer
+	HalfLife          time.Duration            `plan:"half_life"`
+	Deadline          string                   `plan:"deadline"`    // DeadlineLearned, DeadlineNone, or "" for Fixed
+	Fixed             time.Duration            `plan:"fixed"`       // from a query's arrival
+	Classes           map[string]control.Class `plan:"classes"`     // that its requests may have: those that are free to repeat
+	Body              int64                    `plan:"body"`        // most bytes of a request's body, which is held whole
+	TimeHeader        string                   `plan:"time_header"` // by which a client shortens its deadline; "" is none
+	RetryAfter        time.Duration            `plan:"retry_after"` // most that a refused client is told to wait; 0 tells none
+	Share             GatherShare              `plan:"share"`
 }
 
 // gatherers takes the gathering services out of a file's: they have other keys, and no account.
-func (r *reader) gatherers(c *Config, names []string, services []tree.Table) (others []string, tables []tree.Table) {
+func (r *reader) gatherers(c *Config, names []string, services []tree.Table) (serviceNames []string, tables []tree.Table) {
 	for i, name := range names {
 		if !services[i].Has("gather") {
-			others, tables = append(others, name), append(tables, services[i])
+			serviceNames, tables = append(serviceNames, name), append(tables, services[i])
 			continue
 		}
 		c.Gathers = append(c.Gathers, r.gather(name, services[i]))
 	}
-	if len(others) == 0 && len(names) > 0 {
+	if len(serviceNames) == 0 && len(names) > 0 {
 		services[0].Wrong("gather", "no service of the file has servers of its own")
 	}
-	return others, tables
+	return serviceNames, tables
 }
 
 func (r *reader) gather(name string, in tree.Table) Gather {
 	g := Gather{
-		Name: name, Body: in.Size("body", 64<<10, 0, bodyMost), TimeHeader: fieldName(in, "time_header"),
+		Name: name, Body: in.Size("body", 64<<10, 0, maxBodyBytes), TimeHeader: fieldName(in, "time_header"),
 		RetryAfter: in.Span("retry_after", time.Second, 0, day), Classes: make(map[string]control.Class),
 	}
 	if in.Has("protocol") && protocols[in.OneOf("protocol", protocols...)] != "http" || !in.Has("protocol") && protocols[r.speaks] != "http" {
 		in.Wrong("protocol", `a gathering service speaks "http" only`)
 	}
-	read := control.Class{Name: ClassRead, Idempotency: control.Idempotent, LatencyObjective: ordinaryAim, Deadline: ordinaryDeadline, PriorityWeight: 1}
+	read := control.Class{Name: ClassRead, Idempotency: control.Idempotent, LatencyObjective: defaultLatencyObjective, Deadline: ordinaryDeadline, PriorityWeight: 1}
 	g.Classes[ClassRead] = read
 	for name, k := range r.classes {
 		if k.Idempotency == control.Idempotent {
@@ -95,10 +95,10 @@
 	if !t.Has("merge") {
 		t.Wrong("merge", "it has to be said: one of %s", strings.Join(Merges, ", "))
 	}
-	if g.Least = t.Number("least", 0.5, 0, 1); g.Least <= 0 {
-		t.Wrong("least", "%g is not above 0: an answer of nothing is none", g.Least)
+	if g.MinWeightFraction = t.Number("least", 0.5, 0, 1); g.MinWeightFraction <= 0 {
+		t.Wrong("least", "%g is not above 0: an answer of nothing is none", g.MinWeightFraction)
 	}
-	g.HalfLife = t.Span("half_life", time.Second, time.Millisecond, halfLifeMost)
+	g.HalfLife = t.Span("half_life", time.Second, time.Millisecond, maxHalfLife)
 	switch v := t.Str("deadline", DeadlineLearned); v {
 	case DeadlineLearned, DeadlineNone:
 		g.Deadline = v
@@ -112,8 +112,8 @@
 	if len(parts) == 0 {
 		t.Wrong("parts", "there is none")
 	}
-	if len(parts) > gatherPartsMost {
-		t.Wrong("parts", "%d are more than %d", len(parts), gatherPartsMost)
+	if len(parts) > maxGatherParts {
+		t.Wrong("parts", "%d are more than %d", len(parts), maxGatherParts)
 	}
 	for _, p := range parts {
 		if strings.ContainsAny(p, ", \t\"/") || !isASCII(p) {
@@ -146,11 +146,11 @@
 	}
 	for i, n := range all {
 		v, ok := n.Value().(float64)
-		if whole, is := n.Value().(int64); is {
-			v, ok = float64(whole), true
+		if integer, is := n.Value().(int64); is {
+			v, ok = float64(integer), true
 		}
-		if !ok || !(v > 0 && v <= figureMost) {
-			t.WrongItem(n, "weights", "item %d has to be a number above 0, at most %g", i+1, figureMost)
+		if !ok || !(v > 0 && v <= maxNumber) {
+			t.WrongItem(n, "weights", "item %d has to be a number above 0, at most %g", i+1, maxNumber)
 			continue
 		}
 		parts[i].Weight = v
@@ -252,12 +252,12 @@
 			w.t.Wrong("parts", "%q is reached twice, through %s and %s: its answer would be there twice", p.Name, by, g.Name)
 		case inner != nil && inner.Merge != g.Merge:
 			w.t.Wrong("parts", "%q merges by %q, and %s by %q", p.Name, inner.Merge, g.Name, g.Merge)
-		case inner != nil && len(above) == gatherDepthMost:
-			w.t.Wrong("parts", "more than %d gatherers above each other: %s", gatherDepthMost, strings.Join(append(above, p.Name), " -> "))
+		case inner != nil && len(above) == maxGatherDepth:
+			w.t.Wrong("parts", "more than %d gatherers above each other: %s", maxGatherDepth, strings.Join(append(above, p.Name), " -> "))
 		case inner == nil && w.c.Services[i].HTTP == nil:
 			w.t.Wrong("parts", `%q does not speak "http"`, p.Name)
-		case len(w.seen) == gatherPartsMost:
-			w.t.Wrong("parts", "it reaches more than %d parts", gatherPartsMost)
+		case len(w.seen) == maxGatherParts:
+			w.t.Wrong("parts", "it reaches more than %d parts", maxGatherParts)
 		default:
 			w.wrong = false
 			w.seen[p.Name] = g.Name
@@ -315,7 +315,7 @@
 		}
 		return
 	}
-	for _, s := range c.leaves(g, gatherDepthMost) {
+	for _, s := range c.leaves(g, maxGatherDepth) {
 		i := slices.IndexFunc(s.Settings.Classes, func(k control.Class) bool { return k.Name == class })
 		if i < 0 && s.HTTP != nil { // else that is told
 			t.Wrong(key, "its part %s has no class %q", s.Name, class)
--- a/internal/config/http.go
+++ b/internal/config/http.go
@@ -26,12 +26,12 @@
 
 	onceSuffix = " (no key)" // of a keyed class, for requests without a key
 
-	ordinaryAim      = 2 * time.Second
-	ordinaryDeadline = 30 * time.Second
-	ordinaryConnect  = time.Second // the platform's networks are one data centre's
-	strangersMost    = 1 << 20
-	idleMost         = time.Hour
-	secondsLeast     = 100 * time.Millisecond
+	defaultLatencyObjective = 2 * time.Second
+	ordinaryDeadline        = 30 * time.Second
+	ordinaryConnect         = time.Second // the platform's networks are one data centre's
+	maxUnknownClients       = 1 << 20
+	maxIdle                 = time.Hour
+	minDuration             = 100 * time.Millisecond
 )
 
 // HTTP is what a service of ordinary HTTP has beside what all have.
@@ -43,7 +43,7 @@
 	SendID      bool
 	Replay      int64
 	Idle        time.Duration
-	LeastRate   int64
+	MinRate     int64
 	Rules       responseclass.Rules
 	Underscores bool
 	Tells       hopheaders.ForwardingFormat
@@ -61,8 +61,8 @@
 func (r *reader) http(t tree.Table, s *Service) {
 	h := &HTTP{
 		TimeHeader: fieldName(t, "time_header"), SendTime: t.Flag("send_time", false), SendID: t.Flag("send_id", false),
-		Replay: t.Size("replay", 64<<10, 0, bodyMost), Idle: t.Span("idle", time.Minute, secondsLeast, idleMost),
-		LeastRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: responseclass.DefaultRules(),
+		Replay: t.Size("replay", 64<<10, 0, maxBodyBytes), Idle: t.Span("idle", time.Minute, minDuration, maxIdle),
+		MinRate: t.Size("least_rate", 0, 0, 1<<30), Underscores: t.Flag("underscores", false), Rules: responseclass.DefaultRules(),
 		Tells: hopheaders.ForwardingFormat(t.OneOf("forwarded", "x-forwarded", "forwarded", "both", "none")),
 	}
 	s.HTTP = h
@@ -102,7 +102,7 @@
 		return slices.ContainsFunc(set.Classes, func(k control.Class) bool { return k.Name == name })
 	}
 	for _, k := range []control.Class{{Name: ClassRead, Idempotency: control.Idempotent}, {Name: ClassWrite, Idempotency: control.NotIdempotent}} {
-		k.LatencyObjective, k.Deadline, k.PriorityWeight = ordinaryAim, ordinaryDeadline, 1
+		k.LatencyObjective, k.Deadline, k.PriorityWeight = defaultLatencyObjective, ordinaryDeadline, 1
 		if own, ok := r.classes[k.Name]; ok {
 			k = own
 		}
@@ -141,7 +141,7 @@
 	if len(s.Settings.Plans) > 1 && !t.Has("default_plan") {
 		t.Wrong("default_plan", "it has to be said which of %d plans whoever has none has", len(s.Settings.Plans))
 	}
-	c.MaxUnknown = int(t.Integer("strangers", 4096, 0, strangersMost))
+	c.MaxUnknown = int(t.Integer("strangers", 4096, 0, maxUnknownClients))
 	for _, one := range t.Tables("by") {
 		if w, ok := way(one); ok {
 			c.Identifiers = append(c.Identifiers, w)
--- a/internal/config/http_test.go
+++ b/internal/config/http_test.go
@@ -51,7 +51,7 @@
 		t.Errorf("classes %s", got)
 	}
 	want := []customer.Identifier{{Kind: customer.Header, Name: "X-Api-Key", IsSecret: true}, {Kind: customer.Cookie, Name: "session", IsSecret: true}, {Kind: customer.Address}}
-	if !reflect.DeepEqual(h.Customers.Identifiers, want) || h.TimeHeader != "X-Timeout" || !h.SendID || h.LeastRate != 64 || len(h.Rules.RejectionProofs) != 1 ||
+	if !reflect.DeepEqual(h.Customers.Identifiers, want) || h.TimeHeader != "X-Timeout" || !h.SendID || h.MinRate != 64 || len(h.Rules.RejectionProofs) != 1 ||
 		len(h.Customers.TrustedProxies) != 1 || !reflect.DeepEqual(c.Routes[1].Upgrade, []string{"websocket"}) {
 		t.Errorf("%+v", h)
 	}
--- a/internal/config/overrides.go
+++ b/internal/config/overrides.go
@@ -27,13 +27,13 @@
 			return fmt.Errorf("%s: %q is no absolute path", name, path)
 		}
 	}
-	if len(o.Control) > socketPathMost {
-		return fmt.Errorf("control: %d bytes are more than the %d that the address of a Unix socket may have", len(o.Control), socketPathMost)
+	if len(o.Control) > maxSocketPath {
+		return fmt.Errorf("control: %d bytes are more than the %d that the address of a Unix socket may have", len(o.Control), maxSocketPath)
 	}
 	switch {
 	case o.Instances == 0 && o.Instance != 0:
 		return errors.New("instance: only with instances")
-	case o.Instances < 0 || o.Instances > countMost || o.Instance < 0 || o.Instances > 0 && o.Instance >= o.Instances:
+	case o.Instances < 0 || o.Instances > maxCount || o.Instance < 0 || o.Instances > 0 && o.Instance >= o.Instances:
 		return fmt.Errorf("instance: %d is none of %d, counted from 0", o.Instance, o.Instances)
 	}
 	return nil
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -114,7 +114,7 @@
 		return c, err
 	}
 	c.Process.Drain = platformDrain(longest(s.Settings))
-	c.Services, c.Doubts = []Service{s}, wire.InvalidSettings(s.Settings)
+	c.Services, c.Warnings = []Service{s}, wire.InvalidSettings(s.Settings)
 	return c, nil
 }
 
--- a/internal/config/quota_counter.go
+++ b/internal/config/quota_counter.go
@@ -23,7 +23,7 @@
 		Pledge: t.Span("pledge", 2*time.Second, 10*time.Millisecond, time.Hour), Settle: t.Span("settle", 10*time.Second, 10*time.Millisecond, day),
 		Drift: t.Number("drift", 0.001, 0, 0.1),
 	}
-	most := t.Number("over", 0.05, 0, 1)
+	maxOver := t.Number("over", 0.05, 0, 1)
 	if len(c.Addresses) == 0 {
 		t.Wrong("addresses", "a counter needs one at least")
 	}
@@ -52,10 +52,10 @@
 		}
 		of := quotalease.Ceiling{Rate: p.HardLimitRate, Burst: p.HardLimitBurst}
 		c.Ceilings[p.Name] = of
-		if over := c.Rules.Over(of, time.Minute); over > most {
+		if over := c.Rules.Over(of, time.Minute); over > maxOver {
 			b := c.Rules.Bound(of)
 			t.Wrong("over", "plan %s: a minute may hold %.4g + 60*%.4g units, which is %.1f%% more than %.4g + 60*%.4g, and not %.1f%%: its term is too long, or clocks too wrong",
-				p.Name, b.Burst, b.Rate, 100*over, of.Burst, of.Rate, 100*most)
+				p.Name, b.Burst, b.Rate, 100*over, of.Burst, of.Rate, 100*maxOver)
 		}
 	}
 	if len(c.Ceilings) == 0 {
--- a/internal/config/quota_plan.go
+++ b/internal/config/quota_plan.go
@@ -7,11 +7,11 @@
 
 func plan(name string, t tree.Table) control.Plan {
 	p := control.Plan{
-		Name: name, Price: t.Number("price", 1, 0, figureMost), QuotaRate: t.Number("rate", 0, 0, figureMost),
-		QuotaBurst: t.Number("depth", 0, 0, figureMost), MaxInFlight: int(t.Integer("open", 0, 0, countMost)),
-		OverQuotaCost: t.Number("over_cost", 0, 0, figureMost), OverQuotaGain: t.Number("over_earns", 0, 0, 1),
-		HardLimitRate:  t.Number("ceiling_rate", 0, 0, figureMost),
-		HardLimitBurst: t.Number("ceiling_burst", 0, 0, figureMost), HardLimitSlack: t.Number("ceiling_slack", 0, 0, figureMost),
+		Name: name, Price: t.Number("price", 1, 0, maxNumber), QuotaRate: t.Number("rate", 0, 0, maxNumber),
+		QuotaBurst: t.Number("depth", 0, 0, maxNumber), MaxInFlight: int(t.Integer("open", 0, 0, maxCount)),
+		OverQuotaCost: t.Number("over_cost", 0, 0, maxNumber), OverQuotaGain: t.Number("over_earns", 0, 0, 1),
+		HardLimitRate:  t.Number("ceiling_rate", 0, 0, maxNumber),
+		HardLimitBurst: t.Number("ceiling_burst", 0, 0, maxNumber), HardLimitSlack: t.Number("ceiling_slack", 0, 0, maxNumber),
 	}
 	if p.QuotaRate > 0 && p.QuotaBurst == 0 {
 		t.Wrong("depth", "a rate needs one: units that may be used at once")
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -23,15 +23,15 @@
 		Name: name, Required: t.Flag("required", true), OnPanic: service.PanicPolicy(t.OneOf("on_panic", "end", "restart")),
 		Connect:   t.Span("connect_timeout", 250*time.Millisecond, time.Millisecond, time.Minute),
 		Keepalive: t.Span("keepalive", 15*time.Second, 100*time.Millisecond, day),
-		Body:      t.Size("body", protocol.MaxBodyBytes, 0, bodyMost),
-		Answer:    t.Size("answer", protocol.MaxBodyBytes, 1, answerMost),
+		Body:      t.Size("body", protocol.MaxBodyBytes, 0, maxBodyBytes),
+		Answer:    t.Size("answer", protocol.MaxBodyBytes, 1, maxResponseBytes),
 	}
 	set := control.Settings{
 		SelfIndex: r.group.index, GroupSize: r.group.size, Zone: t.Str("zone", ""),
 		DrainGrace: t.Span("drain_grace", 2*time.Second, 0, day), WarmupTime: t.Span("cold", 15*time.Second, 0, day),
 		InitialCapacity: t.Number("cold_from", 0.15, 0, 1), OverloadWindow: t.Span("fall", 2*time.Second, 0, day),
-		OverloadMultiple: t.Number("fall_multiple", 2.5, 0, figureMost), MeterPeriod: t.Span("meter_period", 0, 0, day),
-		UnitsInResponse: t.Flag("cost_after", false), MaxUnits: t.Number("units_top", 0, 0, figureMost),
+		OverloadMultiple: t.Number("fall_multiple", 2.5, 0, maxNumber), MeterPeriod: t.Span("meter_period", 0, 0, day),
+		UnitsInResponse: t.Flag("cost_after", false), MaxUnits: t.Number("units_top", 0, 0, maxNumber),
 		MaxAttempts: int(t.Integer("attempts", 6, 1, 1000)), CanCancel: true, RetriesAreMarked: t.Flag("marks_retry", true),
 		MaxRetryAfter: t.Span("retry_after", time.Second, 0, day),
 	}
@@ -57,7 +57,7 @@
 	}
 	s.Source = r.source(t)
 	rec := t.Sub("record")
-	s.Record = Record{Dir: path(rec, "dir"), Bytes: rec.Size("bytes", 64<<20, 1<<20, bytesMost)}
+	s.Record = Record{Dir: path(rec, "dir"), Bytes: rec.Size("bytes", 64<<20, 1<<20, maxBytes)}
 	if t.Has("record") && s.Record.Dir == "" {
 		rec.Wrong("dir", "it has to be said where the recordings go")
 	}
--- a/internal/config/tree/table.go
+++ b/internal/config/tree/table.go
@@ -89,43 +89,43 @@
 }
 
 // Integer reads a whole number within bounds.
-func (t Table) Integer(key string, missing, least, most int64) int64 {
+func (t Table) Integer(key string, missing, lower, upper int64) int64 {
 	v, ok := get[int64](t, key, "a whole number")
 	if !ok {
 		return missing
 	}
-	return within(t, key, v, missing, least, most)
+	return within(t, key, v, missing, lower, upper)
 }
 
 // within gives a value that is within bounds; another one, or none, is wrong.
-func within[T cmp.Ordered](t Table, key string, v, missing, least, most T) T {
-	if !(v >= least && v <= most) { // also of no number
-		t.Wrong(key, "%v is not within %v and %v", v, least, most)
+func within[T cmp.Ordered](t Table, key string, v, missing, lower, upper T) T {
+	if !(v >= lower && v <= upper) { // also of no number
+		t.Wrong(key, "%v is not within %v and %v", v, lower, upper)
 		return missing
 	}
 	return v
 }
 
 // Number reads a number, whole or not, within bounds.
-func (t Table) Number(key string, missing, least, most float64) float64 {
+func (t Table) Number(key string, missing, lower, upper float64) float64 {
 	n := t.node.table[key]
 	if n == nil {
 		return missing
 	}
 	n.read = true
 	v, ok := n.value.(float64)
-	if i, whole := n.value.(int64); whole {
+	if i, isInteger := n.value.(int64); isInteger {
 		v, ok = float64(i), true
 	}
 	if !ok {
 		t.Wrong(key, "it has to be a number")
 		return missing
 	}
-	return within(t, key, v, missing, least, most)
+	return within(t, key, v, missing, lower, upper)
 }
 
 // Span reads a time such as "250ms" within bounds.
-func (t Table) Span(key string, missing, least, most time.Duration) time.Duration {
+func (t Table) Span(key string, missing, lower, upper time.Duration) time.Duration {
 	s, ok := get[string](t, key, `a time such as "250ms"`)
 	if !ok {
 		return missing
@@ -135,7 +135,7 @@
 		t.Wrong(key, `%q is no time such as "250ms"`, s)
 		return missing
 	}
-	return within(t, key, d, missing, least, most)
+	return within(t, key, d, missing, lower, upper)
 }
 
 var sizes = []struct {
@@ -144,7 +144,7 @@
 }{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
 
 // Size reads bytes: a whole number or a text such as "16MiB".
-func (t Table) Size(key string, missing, least, most int64) int64 {
+func (t Table) Size(key string, missing, lower, upper int64) int64 {
 	n := t.node.table[key]
 	if n == nil {
 		return missing
@@ -166,8 +166,8 @@
 		t.Wrong(key, `it has to be a number of bytes or a size such as "16MiB"`)
 		return missing
 	}
-	if v < least || v > most {
-		t.Wrong(key, "%d bytes are not within %d and %d", v, least, most)
+	if v < lower || v > upper {
+		t.Wrong(key, "%d bytes are not within %d and %d", v, lower, upper)
 		return missing
 	}
 	return v
--- a/internal/config/tree/tree.go
+++ b/internal/config/tree/tree.go
@@ -67,7 +67,7 @@
 // Reading collects what is wrong while documents are read. Its zero value is ready.
 type Reading struct {
 	problems FieldErrors
-	told     map[FieldError]bool // by place
+	reported map[FieldError]bool // by place
 }
 
 // Err is of type FieldErrors, by file and line; nil where nothing is wrong.
@@ -83,18 +83,18 @@
 
 // Wrong notes what is wrong at a place; what follows there from the first is not told.
 func (r *Reading) Wrong(file string, line int, key, format string, args ...any) {
-	if r.told == nil {
-		r.told = make(map[FieldError]bool)
+	if r.reported == nil {
+		r.reported = make(map[FieldError]bool)
 	}
 	p := FieldError{file, line, key, fmt.Sprintf(format, args...)}
 	place := FieldError{File: file, Line: line, Key: key}
 	if key == "" {
 		place = p // a file as a whole may have several things wrong
 	}
-	if r.told[place] {
+	if r.reported[place] {
 		return
 	}
-	r.told[place] = true
+	r.reported[place] = true
 	r.problems = append(r.problems, p)
 }
 
--- a/internal/fleetfile/fleetfile.go
+++ b/internal/fleetfile/fleetfile.go
@@ -18,13 +18,13 @@
 
 // Bounds of what a file may say.
 const (
-	regionsMost = 1000
-	membersMost = 20_000 // of all regions
-	waiversMost = 10_000
-	fileMost    = 16 << 20  // bytes of each file
-	bytesMost   = 512 << 20 // of all regions' configurations
-	nameMost    = 64
-	socketMost  = 107 // unix(7): sun_path with its end
+	maxRegions    = 1000
+	maxMembers    = 20_000 // of all regions
+	maxWaivers    = 10_000
+	maxFileBytes  = 16 << 20  // bytes of each file
+	maxBytes      = 512 << 20 // of all regions' configurations
+	maxNameBytes  = 64
+	maxSocketPath = 107 // unix(7): sun_path with its end
 )
 
 // Name of the list that a change merges by name.
@@ -77,10 +77,10 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()                                       //nolint:errcheck // only read
-	raw, err := io.ReadAll(io.LimitReader(f, fileMost+1)) // also of a pipe, which has no size
-	if err == nil && len(raw) > fileMost {
-		err = fmt.Errorf("reading %s: more than %d bytes", path, fileMost)
+	defer f.Close()                                           //nolint:errcheck // only read
+	raw, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1)) // also of a pipe, which has no size
+	if err == nil && len(raw) > maxFileBytes {
+		err = fmt.Errorf("reading %s: more than %d bytes", path, maxFileBytes)
 	}
 	return raw, err
 }
@@ -103,14 +103,14 @@
 	switch {
 	case len(names) == 0:
 		root.Wrong("regions", "there is none")
-	case len(names) > regionsMost:
-		root.Wrong("regions", "%d are more than %d", len(names), regionsMost)
+	case len(names) > maxRegions:
+		root.Wrong("regions", "%d are more than %d", len(names), maxRegions)
 		return File{}, t.Err()
 	}
 	onBase := false
 	for i, name := range names {
 		if !validName(name) {
-			tables[i].Wrong("", "%q is no name: letters, digits, '-' and '_', at most %d", name, nameMost)
+			tables[i].Wrong("", "%q is no name: letters, digits, '-' and '_', at most %d", name, maxNameBytes)
 		}
 		onBase = onBase || !tables[i].Has("config")
 		f.All = append(f.All, r.region(name, tables[i], root.Has("base"), base, hasBase))
@@ -181,13 +181,13 @@
 		}
 	}
 	r.readMembers(name, t, &one)
-	whole, change := t.Has("config"), t.Has("change")
+	hasConfig, change := t.Has("config"), t.Has("change")
 	switch {
-	case whole && change:
+	case hasConfig && change:
 		t.Wrong("change", "not beside config: that is a whole configuration")
 		t.Value("config")
 		t.Value("change")
-	case whole:
+	case hasConfig:
 		if path, raw, ok := r.file(t, "config"); ok {
 			if doc, ok := r.t.Parse(path, raw); ok {
 				one.Text = raw
@@ -207,9 +207,9 @@
 		}
 	}
 	t.Done()
-	if r.bytes += len(one.Text); r.bytes > bytesMost && !r.wide {
+	if r.bytes += len(one.Text); r.bytes > maxBytes && !r.wide {
 		r.wide = true
-		t.Wrong("", "the configurations up to here have %d bytes together, more than %d", r.bytes, bytesMost)
+		t.Wrong("", "the configurations up to here have %d bytes together, more than %d", r.bytes, maxBytes)
 	}
 	one.Hash = desiredstate.Hash(one.Text)
 	one.Config.Hash = one.Hash
@@ -256,14 +256,14 @@
 		switch in, twice := r.members[clean]; {
 		case !filepath.IsAbs(m.Socket):
 			t.WrongItem(n, "members", "%q is no absolute path", m.Socket)
-		case len(m.Socket) > socketMost:
-			t.WrongItem(n, "members", "%d bytes are more than the %d that the address of a Unix socket may have", len(m.Socket), socketMost)
+		case len(m.Socket) > maxSocketPath:
+			t.WrongItem(n, "members", "%d bytes are more than the %d that the address of a Unix socket may have", len(m.Socket), maxSocketPath)
 		case twice && in == name:
 			t.WrongItem(n, "members", "%q is given twice", m.Socket)
 		case twice:
 			t.WrongItem(n, "members", "%q is a member of region %s too", m.Socket, in)
-		case len(r.members) >= membersMost:
-			t.WrongItem(n, "members", "the regions have more than %d members", membersMost)
+		case len(r.members) >= maxMembers:
+			t.WrongItem(n, "members", "the regions have more than %d members", maxMembers)
 			return
 		default:
 			r.members[clean] = name
@@ -277,7 +277,7 @@
 }
 
 func validName(s string) bool {
-	return s != "" && len(s) <= nameMost && strings.IndexFunc(s, func(r rune) bool {
+	return s != "" && len(s) <= maxNameBytes && strings.IndexFunc(s, func(r rune) bool {
 		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_')
 	}) < 0
 }
--- a/internal/fleetfile/regions.go
+++ b/internal/fleetfile/regions.go
@@ -126,5 +126,5 @@
 		}
 		parts = append(parts, text)
 	}
-	return fmt.Sprintf("%s as %s, at least %g", strings.Join(parts, ", "), g.Merge, g.Least)
+	return fmt.Sprintf("%s as %s, at least %g", strings.Join(parts, ", "), g.Merge, g.MinWeightFraction)
 }
--- a/internal/fleetfile/waivers.go
+++ b/internal/fleetfile/waivers.go
@@ -35,8 +35,8 @@
 func waivers(root tree.Table, names []string) []Waiver {
 	var all []Waiver
 	tables := root.Tables("waivers")
-	if len(tables) > waiversMost {
-		root.Wrong("waivers", "%d are more than %d", len(tables), waiversMost)
+	if len(tables) > maxWaivers {
+		root.Wrong("waivers", "%d are more than %d", len(tables), maxWaivers)
 		return nil
 	}
 	words := make([]string, len(kinds))
@@ -138,9 +138,9 @@
 	return left
 }
 
-// Told is what is to be said of the waivers: that one has expired, or that there was nothing which it
+// Conflicts is what is to be said of the waivers: that one has expired, or that there was nothing which it
 // would have waived.
-func (w *Waiving) Told() (told []regions.Conflict) {
+func (w *Waiving) Conflicts() (conflicts []regions.Conflict) {
 	for i, one := range w.file.Waivers {
 		c := regions.Conflict{Kind: WaiverKind, Severity: regions.Warning, Regions: slices.Sorted(slices.Values(one.Regions)), Rules: one.Rules}
 		last := one.Until.AddDate(0, 0, -1).Format(time.DateOnly)
@@ -153,13 +153,13 @@
 		default:
 			continue
 		}
-		told = append(told, c)
+		conflicts = append(conflicts, c)
 	}
-	return told
+	return conflicts
 }
 
 // Waive is Left and Told in one, of all conflicts that there are.
 func (f File) Waive(all []regions.Conflict, now time.Time) []regions.Conflict {
 	w := f.Waiving(now)
-	return append(w.Left(all), w.Told()...)
+	return append(w.Left(all), w.Conflicts()...)
 }
--- a/internal/node/drain_steps_test.go
+++ b/internal/node/drain_steps_test.go
@@ -125,11 +125,11 @@
 	case "half a body":
 		return partialBodyRequest, 0
 	case "takes no answer", "takes its answer late":
-		return healthzRequest, drain.Most - time.Millisecond
+		return healthzRequest, drain.Max - time.Millisecond
 	case "asks late":
-		return healthzRequest, drain.Most + finalAnswerTime/2
+		return healthzRequest, drain.Max + finalAnswerTime/2
 	}
-	return "", drain.Most - time.Millisecond
+	return "", drain.Max - time.Millisecond
 }
 
 // startClient schedules the client of a drain that begins now. It connects at the last moment, as a client that sends
@@ -149,7 +149,7 @@
 		if !c.readsLate() {
 			return
 		}
-		time.AfterFunc(drain.Most+finalAnswerTime/2-connectAt, func() {
+		time.AfterFunc(drain.Max+finalAnswerTime/2-connectAt, func() {
 			defer close(answered)
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -25,7 +25,7 @@
 	old := finalAcceptWait
 	finalAcceptWait = time.Second
 	t.Cleanup(func() { finalAcceptWait = old })
-	r := newIdleTestNode(t, config.Drain{Most: testkit.Patience})
+	r := newIdleTestNode(t, config.Drain{Max: testkit.Patience})
 	var clients []net.Conn
 	for range 60 {
 		c := r.dial()
@@ -136,7 +136,7 @@
 }
 
 func (p pipelinedDrain) check(t *testing.T) {
-	r := newTestNodeWithDrain(t, config.Drain{Most: testkit.Patience})
+	r := newTestNodeWithDrain(t, config.Drain{Max: testkit.Patience})
 	idle := r.dial()
 	arrived, answer := make(chan struct{}, 1), make(chan struct{})
 	body := strings.Repeat("x", 64<<10)
--- a/internal/node/gatherers.go
+++ b/internal/node/gatherers.go
@@ -84,7 +84,7 @@
 }
 
 func waitPolicySettings(cfg config.Gather) *waitpolicy.Settings {
-	settings := &waitpolicy.Settings{MinShare: cfg.Least, HalfLife: cfg.HalfLife, Fixed: cfg.Fixed}
+	settings := &waitpolicy.Settings{MinShare: cfg.MinWeightFraction, HalfLife: cfg.HalfLife, Fixed: cfg.Fixed}
 	switch cfg.Deadline {
 	case config.DeadlineNone:
 		settings.Mode = waitpolicy.None
@@ -110,7 +110,7 @@
 	var build func(string) *scattergather.Tree
 	build = func(name string) *scattergather.Tree {
 		g := gatherers[name]
-		node := &scattergather.Tree{Name: name, Merge: scattergather.Merges[g.cfg.Merge], MinShare: g.cfg.Least}
+		node := &scattergather.Tree{Name: name, Merge: scattergather.Merges[g.cfg.Merge], MinShare: g.cfg.MinWeightFraction}
 		byNode[node] = g.Gatherer
 		for _, p := range g.cfg.Parts {
 			part := scattergather.Part{Name: p.Name, Weight: p.Weight}
--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -119,9 +119,9 @@
 			amountOf:  func(amounts config.Amounts) int64 { return amounts.Descriptors },
 		},
 		{
-			name: "held", resource: s.slots, total: total.Held,
+			name: "held", resource: s.slots, total: total.Requests,
 			accountOf: func(a *account) *limits.Account { return a.requests.Slots },
-			amountOf:  func(amounts config.Amounts) int64 { return amounts.Held },
+			amountOf:  func(amounts config.Amounts) int64 { return amounts.Requests },
 		},
 		{
 			name: "bytes", resource: s.bytes, total: total.Bytes,
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -96,7 +96,7 @@
 // accepted.
 func (n *Node) closeRemovedListeners() {
 	n.mu.Lock()
-	removed, timeout := n.removed, max(n.cfg.Process.Drain.Most, finalAnswerTime)
+	removed, timeout := n.removed, max(n.cfg.Process.Drain.Max, finalAnswerTime)
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
--- a/internal/node/nodelay_test.go
+++ b/internal/node/nodelay_test.go
@@ -82,9 +82,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			cfg.Process.Drain = config.Drain{Most: testkit.Patience}
+			cfg.Process.Drain = config.Drain{Max: testkit.Patience}
 			if cfg.Process.Shared = shared; shared {
-				cfg.Process.Total = config.Amounts{Descriptors: 200, Held: 100, Bytes: 64 << 20, Dials: 100, ModuleTime: 1}
+				cfg.Process.Total = config.Amounts{Descriptors: 200, Requests: 100, Bytes: 64 << 20, Dials: 100, ModuleTime: 1}
 			}
 			listener := startRecorded(t, cfg)
 			client := dialTo(t, listener.Addr().String())
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -88,7 +88,7 @@
 		run func()
 	}{
 		{times.Idle, n.front.CloseWhenIdle},
-		{times.Accept, func() { n.drainListeners(); n.awaitDisconnected(times.Most - times.Accept) }},
+		{times.Accept, func() { n.drainListeners(); n.awaitDisconnected(times.Max - times.Accept) }},
 	}
 	for _, step := range steps {
 		select {
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -147,7 +147,7 @@
 			options.RequestCounts = n.requestCountsOf(cfg.Name)
 		}
 	}
-	if n.cfg.Process.Tally {
+	if n.cfg.Process.EventLog {
 		options.EventLog = eventlog.NewWriter(os.Stderr)
 	}
 	if cfg.Record.Dir != "" {
@@ -224,7 +224,7 @@
 	return front.NewOrdinary(front.OrdinaryOptions{
 		Customers: customers, SafeClass: config.ClassRead, UnsafeClass: config.ClassWrite, ClassWithoutKey: http.Once,
 		TimeoutHeader: http.TimeHeader, SendTimeLeft: http.SendTime, SendRequestID: http.SendID, ForwardingHeaders: http.Tells, TrustedProxies: http.Customers.TrustedProxies,
-		RetryBufferBytes: int(http.Replay), MaxBufferedAnswerBytes: int(cfg.Answer), IdleTimeout: http.Idle, MinBytesPerSecond: http.LeastRate,
+		RetryBufferBytes: int(http.Replay), MaxBufferedAnswerBytes: int(cfg.Answer), IdleTimeout: http.Idle, MinBytesPerSecond: http.MinRate,
 		ResponseRules: http.Rules, AllowUnderscores: http.Underscores,
 	}), nil
 }
