List the packages for the architecture page by the function that checks names

The page's test walked the module for Go packages in 40 lines of its own, beside naming.Packages, which does the same. It calls that now; its assertions are as they were, and a page with a row taken out still fails.

--- a/docs/architecture_test.go
+++ b/docs/architecture_test.go
@@ -1,13 +1,14 @@
 package docs
 
 import (
-	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
 	"testing"
+
+	"lockflow/internal/naming"
 )
 
 // TestArchitectureListsEveryPackage holds docs/architecture.md to the packages of the module: each is on it,
@@ -21,7 +22,10 @@
 			t.Errorf("the page names %s: %v", match[1], err)
 		}
 	}
-	packages := packageDirectories(t)
+	packages, err := naming.Packages("..")
+	if err != nil {
+		t.Fatal(err)
+	}
 	if len(packages) < 40 {
 		t.Fatalf("only %d packages are found", len(packages))
 	}
@@ -75,40 +79,3 @@
 	}
 	return string(text)
 }
-
-// packageDirectories returns the directories of the module that hold Go files, as go list ./... does.
-func packageDirectories(t *testing.T) []string {
-	t.Helper()
-	var directories []string
-	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		if entry.IsDir() {
-			_, module := os.Stat(filepath.Join(path, "go.mod"))
-			isOtherModule := path != ".." && module == nil
-			if isOtherModule || entry.Name() == ".git" || entry.Name() == "testdata" || entry.Name() == "bin" {
-				return filepath.SkipDir
-			}
-			return nil
-		}
-		if directory := filepath.ToSlash(filepath.Dir(path)); strings.HasSuffix(path, ".go") {
-			if directory, err = relativeTo("..", directory); err != nil {
-				return err
-			}
-			if !slices.Contains(directories, directory) {
-				directories = append(directories, directory)
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return directories
-}
-
-func relativeTo(root, path string) (string, error) {
-	relative, err := filepath.Rel(root, path)
-	return filepath.ToSlash(relative), err
-}
