Mend listeners that ended the process after an error of accept

Cause: serveListener in internal/node/listeners.go took each error that http.Server.Serve returns for the listener's end, and Serve goes on after errors alone that call themselves temporary. Now package accept retries below http.Server, with a backoff of 1 to 100 ms that a close ends, until the listener is closed or its deadline passes; it logs one rate-limited line and counts by errno (lockflow_accept_failures_total). The control socket and the metrics listener, of the same class, use it too.

--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,119 @@
+package accept
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// scriptedListener fails with one error after another, then until it is closed with the last one.
+type scriptedListener struct {
+	net.Listener
+	mu     sync.Mutex
+	errs   []error
+	calls  []time.Time
+	closed bool
+}
+
+func (l *scriptedListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, time.Now())
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	err := l.errs[0]
+	if len(l.errs) > 1 {
+		l.errs = l.errs[1:]
+	}
+	if err == nil {
+		conn, other := net.Pipe()
+		return conn, other.Close()
+	}
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+}
+
+func (l *scriptedListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return nil
+}
+
+func (l *scriptedListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// counted returns the failures of the test's listeners so far, by errno.
+func counted() map[string]uint64 {
+	all := make(map[string]uint64)
+	EachFailure(func(purpose Purpose, errno string, count uint64) {
+		if purpose == Metrics {
+			all[errno] = count
+		}
+	})
+	return all
+}
+
+func TestAcceptGoesOnAfterErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errs := []error{syscall.ENETDOWN, syscall.ETIMEDOUT, syscall.ENOBUFS, errors.New("of no number"), nil}
+		inner, before := &scriptedListener{errs: errs}, counted()
+		conn, err := Persistently(inner, Metrics).Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+		if took := inner.calls[4].Sub(inner.calls[0]); took != 15*minBackoff {
+			t.Errorf("four failures took %v", took)
+		}
+		for _, errno := range []string{"ENETDOWN", "ETIMEDOUT", "ENOBUFS", "other"} {
+			if n := counted()[errno] - before[errno]; n != 1 {
+				t.Errorf("%s was counted %d times", errno, n)
+			}
+		}
+	})
+}
+
+func TestBackoffIsBoundedAndEndsWithClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := &scriptedListener{errs: []error{syscall.EMFILE}}
+		l := Persistently(inner, Clients)
+		ended := make(chan error)
+		go func() {
+			_, err := l.Accept()
+			ended <- err
+		}()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		n := len(inner.calls)
+		if last := inner.calls[n-1].Sub(inner.calls[n-2]); last != maxBackoff {
+			t.Errorf("the backoff is %v", last)
+		}
+		closedAt := time.Now()
+		l.Close()
+		if err := <-ended; !errors.Is(err, net.ErrClosed) || time.Since(closedAt) != 0 {
+			t.Errorf("%v after %v", err, time.Since(closedAt))
+		}
+	})
+}
+
+func TestDeadlineOfListenerPassesThrough(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := Persistently(socket, Clients)
+	defer l.Close()
+	socket.(*net.TCPListener).SetDeadline(time.Now())
+	if _, err := l.Accept(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error(err)
+	}
+}
--- a/internal/manage/server.go
+++ b/internal/manage/server.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lockflow/internal/accept"
 )
 
 // Limits of a control socket.
@@ -63,7 +65,7 @@
 	}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(&ownerListener{l, make(chan struct{}, maxConnections)}) // Close ends it
+		_ = s.http.Serve(newOwnerListener(l)) // Close ends it
 	}()
 	return s, nil
 }
@@ -153,20 +155,24 @@
 
 // ownerListener accepts connections of the process's own user and of root, as many at a time as it has slots.
 type ownerListener struct {
-	*net.UnixListener
+	net.Listener
 	slots chan struct{}
 }
 
+func newOwnerListener(l *net.UnixListener) *ownerListener {
+	return &ownerListener{accept.Persistently(l, accept.Control), make(chan struct{}, maxConnections)}
+}
+
 // Accept waits for a slot and then for a connection.
 func (o *ownerListener) Accept() (net.Conn, error) {
 	for {
 		o.slots <- struct{}{}
-		c, err := o.AcceptUnix()
+		c, err := o.Listener.Accept()
 		if err != nil {
 			<-o.slots
 			return nil, err
 		}
-		if userID, err := peerUserID(c); err == nil && (userID == os.Geteuid() || userID == 0) {
+		if userID, err := peerUserID(c.(*net.UnixConn)); err == nil && (userID == os.Geteuid() || userID == 0) {
 			return &slotConn{Conn: c, slots: o.slots}, nil
 		}
 		c.Close()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -16,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"lockflow/internal/accept"
 	"lockflow/internal/limits"
 	"lockflow/internal/manage"
 	"lockflow/internal/node"
@@ -73,6 +74,7 @@
 	partOwn          = family{"part_guaranteed", "gauge", "What it is guaranteed of that; more than that is lent to it.", []string{"service", "limit"}}
 	partDenied       = family{"part_denied_total", "counter", "Times that it was denied more.", []string{"service", "limit"}}
 	generation       = family{"generation", "gauge", "Number of the configuration in force.", nil}
+	acceptFailures   = family{"accept_failures_total", "counter", "Connections that could not be accepted, by the system's error.", []string{"listener", "errno"}}
 	older            = family{"older_services", "gauge", "Services of earlier generations that still hold requests.", nil}
 )
 
@@ -143,6 +145,9 @@
 	p := &page{values: make(map[*family]*bytes.Buffer)}
 	p.add(&generation, float64(of.Generation()))
 	p.add(&older, float64(len(of.RetiredServices())))
+	accept.EachFailure(func(purpose accept.Purpose, errno string, count uint64) {
+		p.add(&acceptFailures, float64(count), string(purpose), errno)
+	})
 	if m, ok := of.(Member); ok {
 		s := m.Member()
 		p.member(&s)
@@ -244,7 +249,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(accept.Persistently(l, accept.Metrics)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("telling metrics: %w", err)
 	}
 	return nil
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -17,7 +17,7 @@
 // listener accepts clients at one address. It may be paused, so that another process with the same socket
 // accepts them, and drained, so that clients in the socket's queue are accepted before it closes.
 type listener struct {
-	net.Listener                         // a limits.Listener over a socketQueue
+	net.Listener                         // a limits.Listener over an accept.Listener over a socketQueue
 	configuredAddress string             // as in the configuration
 	tcp               *net.TCPListener   // nil where it is of another kind: it can't be paused, drained or handed over
 	cancel            context.CancelFunc // closes done
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"lockflow/internal/accept"
 	"lockflow/internal/config"
 	"lockflow/internal/front"
 	"lockflow/internal/limits"
@@ -47,7 +48,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	tcp, _ := socket.(*net.TCPListener)
 	l := &listener{configuredAddress: address, tcp: tcp, cancel: cancel, done: ctx.Done(), serveEnded: make(chan struct{})}
-	l.Listener = limits.Listen(ctx, socketQueue{socket, l}, n.limiter.clientSockets())
+	l.Listener = limits.Listen(ctx, accept.Persistently(socketQueue{socket, l}, accept.Clients), n.limiter.clientSockets())
 	return l, nil
 }
 
