--- /dev/null
+++ b/cmd/lockflow/stepped_clock_test.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockflow/internal/faultnet/faultbuild"
+	"lockflow/internal/testkit"
+)
+
+// clockSteps are how far the wall clock is stepped in the middle of a run.
+var clockSteps = []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour}
+
+var builtWithFaults = sync.OnceValue(func() error {
+	directory, err := os.MkdirTemp(programs, "overlay")
+	if err != nil {
+		return err
+	}
+	return faultbuild.Build(context.Background(), ".", filepath.Join(programs, "lockflow-faults"), directory)
+})
+
+// faultyProgram is a running lockflow whose system calls and wall clock obey a table.
+type faultyProgram struct {
+	*program
+	table *faultbuild.Table
+}
+
+// startFaulty starts `serve` with a configuration, whose first line that is logged with an address is its listener's.
+func startFaulty(t *testing.T, table *faultbuild.Table, config string) *faultyProgram {
+	t.Helper()
+	if err := builtWithFaults(); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "lockflow.toml")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{Cmd: exec.Command(filepath.Join(programs, "lockflow-faults"), "serve", "--config", path), t: t}
+	p.Env = append(os.Environ(), table.Environment())
+	log, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	late := time.AfterFunc(time.Minute, func() { p.Process.Kill() })
+	t.Cleanup(func() { late.Stop(); p.Process.Kill() })
+	p.lines = bufio.NewScanner(log)
+	return &faultyProgram{p, table}
+}
+
+func newFaultTable(t *testing.T) *faultbuild.Table {
+	t.Helper()
+	table, err := faultbuild.NewTable(filepath.Join(t.TempDir(), "faults"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { table.Close() })
+	return table
+}
+
+// end has the program end and discards the rest of its log.
+func (p *faultyProgram) end() {
+	p.t.Helper()
+	p.Process.Signal(syscall.SIGTERM)
+	for p.lines.Scan() {
+	}
+	if err := p.Wait(); err != nil {
+		p.t.Error(err)
+	}
+}
+
+// newTunnelServer starts an app server that answers each request with 101 and is silent then.
+func newTunnelServer(t *testing.T) (address string) {
+	app := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) {
+		conn := testkit.Hijack(w)
+		fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", r.Header.Get("Upgrade"))
+		io.Copy(io.Discard, conn)
+		conn.Close()
+	})
+	return app.Addr()
+}
+
+const tunnelConfig = `
+[process]
+drain = { idle = "0s", accept = "0s", most = "1s" }
+[[listeners]]
+address = "127.0.0.1:0"
+[services.app]
+idle = "500ms"
+[services.app.source]
+kind = "static"
+[[services.app.source.servers]]
+endpoint = "@server"
+[[routes]]
+service = "app"
+upgrade = ["echo"]
+`
+
+// An idle tunnel is closed after its idle timeout, by the monotonic clock, whatever the wall clock does meanwhile.
+func TestClockStepDoesNotMoveTunnelTimeout(t *testing.T) {
+	table := newFaultTable(t)
+	p := startFaulty(t, table, strings.Replace(tunnelConfig, "@server", newTunnelServer(t), 1))
+	p.listens()
+	for _, step := range clockSteps {
+		t.Run(step.String(), func(t *testing.T) {
+			table.StepClock(0)
+			conn, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\n")
+			in := bufio.NewReader(conn)
+			if answer, err := http.ReadResponse(in, nil); err != nil || answer.StatusCode != http.StatusSwitchingProtocols {
+				t.Fatalf("%v, %v", answer, err)
+			}
+			begun := time.Now()
+			table.StepClock(step)
+			conn.SetDeadline(begun.Add(testkit.Patience))
+			if _, err := in.ReadByte(); err == nil || os.IsTimeout(err) {
+				t.Errorf("the tunnel has not ended: %v", err)
+			}
+			if took := time.Since(begun); took < 400*time.Millisecond {
+				t.Errorf("the tunnel ended after %v", took)
+			}
+		})
+	}
+	p.end()
+}
+
+const stateConfig = `
+[process]
+state = "@state"
+drain = { idle = "0s", accept = "0s", most = "1s" }
+[[listeners]]
+address = "127.0.0.1:0"
+[services.app]
+[services.app.source]
+kind = "static"
+[[services.app.source.servers]]
+endpoint = "127.0.0.1:9"
+[[routes]]
+service = "app"
+`
+
+// The age of the last run's checkpoint is a span of real time, whatever the wall clock did between the runs.
+func TestClockStepDoesNotChangeAgeOfCheckpoint(t *testing.T) {
+	for _, step := range clockSteps {
+		t.Run(step.String(), func(t *testing.T) {
+			table := newFaultTable(t)
+			config := strings.Replace(stateConfig, "@state", filepath.Join(t.TempDir(), "state"), 1)
+			first := startFaulty(t, table, config)
+			first.listens()
+			first.end()
+			table.StepClock(step)
+			second := startFaulty(t, table, config)
+			_, text, _ := strings.Cut(second.until("checkpoint restored"), "age=")
+			if age, err := time.ParseDuration(text); err != nil || age < 0 || age > time.Minute {
+				t.Errorf("the checkpoint's age is %q, %v", text, err)
+			}
+			second.listens()
+			second.end()
+		})
+	}
+}
