Mend spans of time that were kept as wall time

Causes, by class: - times stored as Unix time lose their monotonic reading: the tunnel's last byte (front/tunnel.go), deadlines of HTTP/2 streams (h2/stream.go; read, not run), the end of a body's discard (front/ordinary_call.go). - a server's age was the wall time of its boot, as the endpoint list tells it, against the wall time of the loop's start (service/loop.go, endpoints.go). It is taken once now, when the start is first seen, and grows by the monotonic clock (service/server_ages.go). It is no older than the last list that lacked the server or had another boot time; below 0 and above any uptime it has just started. A replacement in a reload shares the starts and the clock of the service that it replaces. - a checkpoint's times were compared with the wall clock of another process.

A figure that can't be a Unix time in ms at all (1e300) tells no start, as before.

--- a/control/meter_clock.go
+++ b/control/meter_clock.go
@@ -20,9 +20,12 @@
 	return now - ((now-phase)%binsPerPeriod+binsPerPeriod)%binsPerPeriod
 }
 
-func (c *Controller) binDuration() time.Duration {
-	if c.settings.MeterPeriod > 0 {
-		return c.settings.MeterPeriod / binsPerPeriod
+func (c *Controller) binDuration() time.Duration { return binDurationOf(c.settings.MeterPeriod) }
+
+// binDurationOf is the length of a bin with a period of the meter; 0 is no meter.
+func binDurationOf(period time.Duration) time.Duration {
+	if period > 0 {
+		return period / binsPerPeriod
 	}
 	return windowDuration / binsPerPeriod
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -143,7 +143,7 @@
 	for i := range given.Servers {
 		saved := &given.Servers[i]
 		srv := c.servers[saved.Server]
-		if srv != nil && srv.slowStart.isActive && srv.bootTime() == saved.StartedAt {
+		if srv != nil && srv.slowStart.isActive && isSameIncarnation(srv.bootTime(), saved.StartedAt) {
 			srv.slowStart.tokens += saved.SlowStartTokens
 		}
 	}
--- a/control/server_storage.go
+++ b/control/server_storage.go
@@ -9,8 +9,17 @@
 const (
 	maxRestoredAbandoned = 10000     // attempts presumed still running
 	maxAbandonedTime     = time.Hour // for which they are
+
+	// maxStartDifference is how far apart two processes may reckon one start of a server: each takes its age by its
+	// own reading of the clocks.
+	maxStartDifference = time.Second
 )
 
+// isSameIncarnation tells whether two start times are of one incarnation of a server; 0 is long ago.
+func isSameIncarnation(a, b time.Duration) bool {
+	return a == b || a != 0 && b != 0 && (a-b).Abs() <= maxStartDifference
+}
+
 // checkpointServer is the stored form of a server for another controller.
 func (c *Controller) checkpointServer(srv *server) ServerCheckpoint {
 	saved := ServerCheckpoint{
@@ -43,7 +52,7 @@
 // restoreServer takes over the stored form of a server if it is of the same incarnation.
 func (c *Controller) restoreServer(saved *ServerCheckpoint, trust Trust) {
 	srv := c.servers[saved.Server]
-	if srv == nil || srv.bootTime() != saved.StartedAt {
+	if srv == nil || !isSameIncarnation(srv.bootTime(), saved.StartedAt) {
 		return
 	}
 	// The estimate was most likely one of several samples.
--- a/internal/daemon/checkpoint.go
+++ b/internal/daemon/checkpoint.go
@@ -75,7 +75,7 @@
 		return
 	}
 	checkpoint, found, err := d.store.Consume()
-	age := time.Since(checkpoint.TakenAt).Round(time.Millisecond)
+	age := checkpoint.Age().Round(time.Millisecond)
 	switch {
 	case err != nil && checkpoint.Services == nil:
 		slog.Warn("checkpoint unreadable, hard limits start with their slack and servers as unknown", "err", err)
--- a/internal/front/ordinary_call.go
+++ b/internal/front/ordinary_call.go
@@ -31,8 +31,8 @@
 	idleTimeout  time.Duration
 
 	bodyRate rateGuard
-	// discardDeadline is the Unix time in ns after which the body is not read any more; 0 for none.
-	discardDeadline atomic.Int64
+	// discardDeadline is the time after which the body is not read any more; nil for none.
+	discardDeadline atomic.Pointer[time.Time]
 	controller      *http.ResponseController
 	writer          http.ResponseWriter
 	hasAnswer       bool // writing of the final answer has begun
@@ -84,8 +84,8 @@
 // setReadDeadline limits the next read of the body.
 func (c *ordinaryCall) setReadDeadline() {
 	deadline := time.Now().Add(c.idleTimeout)
-	if discardDeadline := c.discardDeadline.Load(); discardDeadline != 0 {
-		deadline = time.Unix(0, discardDeadline)
+	if discardDeadline := c.discardDeadline.Load(); discardDeadline != nil {
+		deadline = *discardDeadline
 	}
 	_ = c.controller.SetReadDeadline(deadline)
 }
@@ -140,7 +140,7 @@
 	if call.hasAnswer && !body.HasEnded() && body.Err() == nil {
 		_ = call.controller.Flush()
 		deadline := time.Now().Add(maxDiscardTime)
-		call.discardDeadline.Store(deadline.UnixNano())
+		call.discardDeadline.Store(&deadline)
 		_ = call.controller.SetReadDeadline(deadline)
 		body.Discard()
 	}
--- a/internal/front/tunnel.go
+++ b/internal/front/tunnel.go
@@ -20,7 +20,8 @@
 	fromClient   *bufio.ReadWriter // client, with what net/http has read of it already
 	server       *upstream.Stream
 	idleTimeout  time.Duration
-	lastActivity atomic.Int64 // Unix time in ns of the last read in either direction
+	begunAt      time.Time
+	lastActivity atomic.Int64 // time.Duration since begunAt at the last read in either direction
 }
 
 // serveTunnel takes over the client's connection and copies bytes in both directions until both sides have
@@ -52,7 +53,7 @@
 
 // run copies in both directions until both have ended.
 func (t *tunnel) run() {
-	t.lastActivity.Store(time.Now().UnixNano())
+	t.begunAt = time.Now()
 	var directions sync.WaitGroup
 	directions.Go(t.copyToServer)
 	t.copyToClient()
@@ -95,7 +96,7 @@
 	for {
 		n, err := source.Read(*buffer)
 		if n > 0 {
-			t.lastActivity.Store(time.Now().UnixNano())
+			t.lastActivity.Store(int64(time.Since(t.begunAt)))
 			if _, err := destination.Write((*buffer)[:n]); err != nil {
 				return err
 			}
@@ -113,7 +114,7 @@
 
 // isIdle reports whether neither side has sent anything for the idle timeout.
 func (t *tunnel) isIdle() bool {
-	return time.Since(time.Unix(0, t.lastActivity.Load())) >= t.idleTimeout
+	return time.Since(t.begunAt)-time.Duration(t.lastActivity.Load()) >= t.idleTimeout
 }
 
 // closeWrite closes the sending side of a connection; all of it if it has no TCP socket.
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -25,7 +24,7 @@
 	ended          chan struct{}          // closed with the stream's end
 	aborted        chan struct{}          // closed by Abort
 	abortOnce      sync.Once              // closes aborted
-	deadlines      [2]atomic.Int64        // deadlines, of reading and of writing, as Unix time in ns; 0 is none
+	deadlines      [2]streamDeadline      // of reading and of writing
 
 	// Guarded by the connection's mu.
 	heads []*Answer // that Head has not returned
@@ -77,19 +76,32 @@
 // WriteBy is ReadBy for Write.
 func (s *Stream) WriteBy(t time.Time) { s.setDeadline(writing, t); signal(s.writable) }
 
-func (s *Stream) setDeadline(side int, t time.Time) {
-	if t.IsZero() {
-		s.deadlines[side].Store(0)
-	} else {
-		s.deadlines[side].Store(t.UnixNano())
-	}
+func (s *Stream) setDeadline(side int, t time.Time) { s.deadlines[side].set(t) }
+
+// streamDeadline is a deadline that one goroutine sets and another waits for; its zero value is none. It keeps the
+// monotonic reading of the time, which Unix time has not, without an allocation for each deadline.
+type streamDeadline struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (d *streamDeadline) set(t time.Time) {
+	d.mu.Lock()
+	d.at = t
+	d.mu.Unlock()
+}
+
+func (d *streamDeadline) get() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.at
 }
 
 // wait waits for a signal, the deadline, or the end of the stream.
 func (s *Stream) wait(bell chan struct{}, side int) error {
 	var late <-chan time.Time
-	if t := s.deadlines[side].Load(); t != 0 {
-		timer := time.NewTimer(time.Until(time.Unix(0, t)))
+	if deadline := s.deadlines[side].get(); !deadline.IsZero() {
+		timer := time.NewTimer(time.Until(deadline))
 		defer timer.Stop()
 		late = timer.C
 	}
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -124,6 +124,7 @@
 	if predecessor != nil {
 		options.CachedEndpoints = predecessor.Endpoints()
 		options.CachedEndpoints.Revision = 0 // it may be of another source
+		options.Predecessor = predecessor.Service
 	}
 	r.Service, err = service.New(options)
 	return err
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"lockflow/control"
 	"lockflow/internal/service"
 	"lockflow/internal/state"
@@ -10,7 +8,8 @@
 
 // collectState gets the state of each service in force; capture returns false where there is none.
 func (n *Node) collectState(capture func(*service.Service) (service.State, bool)) state.Checkpoint {
-	checkpoint := state.Checkpoint{TakenAt: time.Now(), Generation: n.Generation(), Services: make(map[string]service.State)}
+	checkpoint := state.Checkpoint{Generation: n.Generation(), Services: make(map[string]service.State)}
+	checkpoint.Stamp()
 	for name, s := range n.currentServices() {
 		if captured, ok := capture(s.Service); ok {
 			checkpoint.Services[name] = captured
@@ -34,10 +33,11 @@
 	n.mu.Lock()
 	n.generation = max(n.generation, checkpoint.Generation)
 	n.mu.Unlock()
-	n.restoreGathererModels(checkpoint.ScatterGathers, time.Since(checkpoint.TakenAt))
+	age := checkpoint.Age()
+	n.restoreGathererModels(checkpoint.ScatterGathers, age)
 	for name, s := range n.currentServices() {
 		if captured, ok := checkpoint.Services[name]; ok {
-			s.Restore(captured, trust)
+			s.Restore(captured, age, trust)
 		}
 	}
 }
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -78,17 +78,18 @@
 // module of it. Servers that are no longer listed are forgotten.
 func (l *loop) updateEndpoints(kind control.ListKind, list discovery.EndpointList) {
 	event := control.EndpointList{Kind: kind}
-	isListed := make(map[string]bool)
+	isListed, now := make(map[string]bool), time.Now()
 	for i := range list.Endpoints {
 		target := &list.Endpoints[i]
 		id := l.serverID(target.UID)
-		endpoint := newEndpoint(id, target)
+		startedAt := l.serverStart(target, now)
+		endpoint := l.newEndpoint(id, target, startedAt)
 		event.Endpoints = append(event.Endpoints, endpoint)
 		isListed[target.UID] = endpoint.State != control.Gone
 		if l.recorder != nil {
-			l.recorder.serverListed(id, target)
+			l.recorder.serverListed(id, target.UID, startedAt)
 		}
-		l.updatePool(endpoint, target)
+		l.updatePool(endpoint, target, startedAt)
 	}
 	for uid, id := range l.serverIDs {
 		listed, isNamed := isListed[uid]
@@ -96,9 +97,20 @@
 			l.forgetServer(uid, id)
 		}
 	}
+	if kind != control.ListCached { // a cached one may be of any age
+		l.starts.listReceived(now, l.serverIDs)
+	}
 	l.handle(event)
 }
 
+// serverStart returns when a listed server started; zero for long ago.
+func (l *loop) serverStart(target *discovery.Endpoint, now time.Time) time.Time {
+	if !(target.StartedAtMS > 0 && target.StartedAtMS < maxBootMS) {
+		return time.Time{}
+	}
+	return l.starts.resolve(target.UID, target.StartedAtMS, now)
+}
+
 // serverID returns the module's number of a server, a new one for a uid that is not listed.
 func (l *loop) serverID(uid string) uint32 {
 	id, ok := l.serverIDs[uid]
@@ -111,22 +123,24 @@
 }
 
 // newEndpoint converts an entry of the endpoint list into the module's form.
-func newEndpoint(id uint32, target *discovery.Endpoint) control.Endpoint {
-	return control.Endpoint{
-		Server:       id,
-		State:        target.EndpointState(),
-		Zone:         target.Zone,
-		Cell:         target.Group,
-		Flavor:       target.Model,
-		Size:         target.Capacity,
-		HasStartedAt: target.StartedAtMS > 0,
-		StartedAt:    time.Duration(target.StartedAtMS * float64(time.Millisecond)),
+func (l *loop) newEndpoint(id uint32, target *discovery.Endpoint, startedAt time.Time) control.Endpoint {
+	endpoint := control.Endpoint{
+		Server: id,
+		State:  target.EndpointState(),
+		Zone:   target.Zone,
+		Cell:   target.Group,
+		Flavor: target.Model,
+		Size:   target.Capacity,
+	}
+	if !startedAt.IsZero() {
+		endpoint.HasStartedAt, endpoint.StartedAt = true, l.clock.at(startedAt)
 	}
+	return endpoint
 }
 
 // updatePool gives a server that takes new requests a connection pool to its current endpoint, and retires
 // the pool of one that does not, or that has moved.
-func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Endpoint) {
+func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Endpoint, startedAt time.Time) {
 	id, isAvailable := endpoint.Server, endpoint.State == control.Active
 	protocol := l.protocolOf(target)
 	pool := l.pools[id]
@@ -136,7 +150,7 @@
 		l.retirePool(id)
 	case endpoint.HasStartedAt:
 		// Connections that were open to a machine as it vanished are not known to have ended.
-		l.upstream.CloseIdleBefore(pool, time.UnixMilli(int64(target.StartedAtMS)))
+		l.upstream.CloseIdleBefore(pool, startedAt)
 	}
 	if isAvailable && l.pools[id] == nil {
 		l.pools[id] = l.upstream.NewPool(target.Address, protocol)
--- a/internal/service/event_recorder.go
+++ b/internal/service/event_recorder.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lockflow/control"
-	"lockflow/internal/discovery"
 	"lockflow/internal/eventlog"
 	"lockflow/internal/upstream"
 )
@@ -44,12 +43,8 @@
 	return &eventRecorder{writer: writer, causes: make(map[string]control.Cause), servers: make(map[uint32]listedServer)}
 }
 
-func (r *eventRecorder) serverListed(id uint32, target *discovery.Endpoint) {
-	server := listedServer{uid: target.UID}
-	if target.StartedAtMS > 0 {
-		server.bootedAt = time.UnixMicro(int64(target.StartedAtMS * 1000))
-	}
-	r.servers[id] = server
+func (r *eventRecorder) serverListed(id uint32, uid string, bootedAt time.Time) {
+	r.servers[id] = listedServer{uid, bootedAt}
 }
 
 func (r *eventRecorder) serverRemoved(id uint32) { delete(r.servers, id) }
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"lockflow/control"
 	"lockflow/internal/upstream"
@@ -12,6 +13,18 @@
 type State struct {
 	Checkpoint control.Checkpoint `cbor:"checkpoint"`
 	Servers    map[uint32]string  `cbor:"servers"` // the uid of each server number in Checkpoint
+	// Starts are when those of the servers started that did so at a known time, by uid.
+	Starts map[string]ServerStart `cbor:"starts,omitempty"`
+}
+
+// shift moves the times of a state, which was taken at some time on the module's clock of now, to that clock.
+func (s *State) shift(takenAt time.Duration) {
+	difference := takenAt - s.Checkpoint.At
+	s.Checkpoint.Shift(difference)
+	for uid, start := range s.Starts {
+		start.StartedAt += difference
+		s.Starts[uid] = start
+	}
 }
 
 // Checkpoint returns what the service has spent and learned; false where it has ended.
@@ -47,8 +60,10 @@
 	})
 }
 
-// Restore has the service start from a state. It is called before the service's first request.
-func (s *Service) Restore(state State, trust control.Trust) {
+// Restore has the service start from a state of another process that was taken some time ago. It is called before the
+// service's first request. The state is the service's from then on.
+func (s *Service) Restore(state State, age time.Duration, trust control.Trust) {
+	state.shift(s.clock.now() - age)
 	s.restoreFrom(func() (transfer, bool) { return transfer{State: state}, true }, trust)
 }
 
@@ -78,7 +93,10 @@
 
 // newState adds the uids of its servers to a checkpoint.
 func (l *loop) newState(checkpoint control.Checkpoint) State {
-	state := State{Checkpoint: checkpoint, Servers: make(map[uint32]string, len(l.serverIDs))}
+	state := State{
+		Checkpoint: checkpoint, Servers: make(map[uint32]string, len(l.serverIDs)),
+		Starts: l.starts.export(l.clock, l.serverIDs),
+	}
 	for uid, id := range l.serverIDs {
 		state.Servers[id] = uid
 	}
@@ -171,6 +189,9 @@
 	l := s.currentLoop()
 	l.post(func() {
 		t, ok := receive()
+		if l.starts.adopt(t.Starts, l.clock) {
+			l.updateEndpoints(control.ListCached, s.Endpoints())
+		}
 		l.adoptHardLimiter(t.hardLimiter)
 		l.adoptPools(t.pools)
 		if module, isStateful := l.module.(StatefulModule); ok && isStateful {
--- a/internal/service/lifecycle.go
+++ b/internal/service/lifecycle.go
@@ -77,7 +77,7 @@
 		return fmt.Errorf("restarting the service: creating its module: %w", err)
 	}
 	s.restarts.Add(1)
-	l := newLoop(module, &s.options, s.upstream, s.log)
+	l := s.newLoop(module)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loop = l
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -28,7 +28,8 @@
 	upstream          *upstream.Upstream
 	defaultProtocol   upstream.Protocol // spoken to servers whose endpoint list entry names none
 	log               *slog.Logger
-	startedAt         time.Time
+	clock             moduleClock
+	starts            *serverStarts
 	maxAttempts       int // of a request; 0 is unlimited
 	classes           []control.Class
 	maxUnitsByPlan    map[string]float64
@@ -71,15 +72,18 @@
 	hardLimiter *hardLimiter // nil where no hard limit is shared
 }
 
-func newLoop(module Module, options *Options, connections *upstream.Upstream, log *slog.Logger) *loop {
+// newLoop returns a loop of a service that has not run.
+func (s *Service) newLoop(module Module) *loop {
+	options := &s.options
 	lifetime, cancelLifetime := context.WithCancel(context.Background())
 	l := &loop{
 		module:            module,
 		observeModuleTime: options.ObserveModuleTime,
-		upstream:          connections,
+		upstream:          s.upstream,
 		defaultProtocol:   options.Protocol,
-		log:               log,
-		startedAt:         time.Now(),
+		log:               s.log,
+		clock:             s.clock,
+		starts:            s.starts,
 		maxAttempts:       options.Settings.MaxAttempts,
 		classes:           options.Settings.Classes,
 		maxUnitsByPlan:    newRequestRules(options.Settings, options.AnyMethod).MaxUnitsByPlan,
@@ -108,11 +112,8 @@
 	return l
 }
 
-// now is the module's clock: Unix time at the start of the loop and monotonic time since. So the boot time of
-// a server, also one before the start, compares with it, and a step of the system clock does not show.
-func (l *loop) now() time.Duration {
-	return time.Duration(l.startedAt.UnixNano()) + time.Since(l.startedAt)
-}
+// now is the module's time.
+func (l *loop) now() time.Duration { return l.clock.now() }
 
 // concurrencyLimit is how many attempts the module lets be in flight at once; 0 where it does not report it.
 func (l *loop) concurrencyLimit() float64 {
--- /dev/null
+++ b/internal/service/server_ages.go
@@ -0,0 +1,115 @@
+package service
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// maxUptime is the highest age of a server that is believed of the first list. What is beyond comes of a wall
+	// clock that was never set.
+	maxUptime = 10 * 365 * 24 * time.Hour
+
+	// maxBootMS bounds what can be a boot time at all; a figure beyond it tells none.
+	maxBootMS = float64(math.MaxInt64 / int64(time.Millisecond))
+
+	// maxUnlistedStarts is how many servers that are not listed any more are remembered beside those that are.
+	maxUnlistedStarts = 1024
+)
+
+// ServerStart is when a server started.
+type ServerStart struct {
+	BootMS    float64       `cbor:"boot"` // Unix time in ms, as the endpoint list tells it
+	StartedAt time.Duration `cbor:"at"`   // on the module's clock
+}
+
+// serverStart is ServerStart by the monotonic clock.
+type serverStart struct {
+	bootMS    float64
+	startedAt time.Time // with a monotonic reading
+}
+
+// serverStarts knows when servers started. The endpoint list tells wall time, and a wall clock may be stepped, so what
+// it tells is turned into an age once, when the start is first seen, and grows by the monotonic clock from then on. It
+// is safe for concurrent use: a service and its replacement share one.
+type serverStarts struct {
+	mu         sync.Mutex
+	byUID      map[string]serverStart
+	lastListAt time.Time // when discovery's latest message was applied; zero before the first
+}
+
+func newServerStarts() *serverStarts { return &serverStarts{byUID: make(map[string]serverStart)} }
+
+// resolve returns when a server started that is listed now with a boot time above 0. A server that was not listed, or
+// was with another boot time, did not start before the last message that did not list it so.
+func (s *serverStarts) resolve(uid string, bootMS float64, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, ok := s.byUID[uid]; ok && known.bootMS == bootMS {
+		return known.startedAt
+	}
+	startedAt := startByWallClock(bootMS, now)
+	if startedAt.Before(s.lastListAt) {
+		startedAt = s.lastListAt
+	}
+	s.byUID[uid] = serverStart{bootMS, startedAt}
+	return startedAt
+}
+
+// startByWallClock is when a server started by the wall clock of now, with a monotonic reading. One that started in the
+// future has started now. So has one that started before any uptime, as far as no list tells more: its wall clock or
+// ours was never set, and a server that warms up for once too often is safe.
+func startByWallClock(bootMS float64, now time.Time) time.Time {
+	const nanosecondsPerMillisecond = float64(time.Millisecond)
+	age := float64(now.UnixNano()) - bootMS*nanosecondsPerMillisecond
+	if !(age >= 0 && age <= float64(maxUptime)) {
+		return now
+	}
+	return now.Add(-time.Duration(age))
+}
+
+// listReceived notes that a message of discovery was applied, behind resolve of its servers, and forgets servers that
+// are not listed where they are too many.
+func (s *serverStarts) listReceived(now time.Time, serverIDs map[string]uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastListAt = now
+	if len(s.byUID) <= len(serverIDs)+maxUnlistedStarts {
+		return
+	}
+	for uid := range s.byUID {
+		if _, isListed := serverIDs[uid]; !isListed {
+			delete(s.byUID, uid)
+		}
+	}
+}
+
+// export returns the starts of the listed servers, by uid, on a module's clock.
+func (s *serverStarts) export(clock moduleClock, serverIDs map[string]uint32) map[string]ServerStart {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starts := make(map[string]ServerStart)
+	for uid, start := range s.byUID {
+		if _, isListed := serverIDs[uid]; isListed {
+			starts[uid] = ServerStart{start.bootMS, clock.at(start.startedAt)}
+		}
+	}
+	return starts
+}
+
+// adopt takes over starts that an earlier process has seen and that are later than this one reckons, and reports
+// whether there are any: either process may have started with a wrong wall clock, and too young is safe.
+func (s *serverStarts) adopt(starts map[string]ServerStart, clock moduleClock) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for uid, start := range starts {
+		known, ok := s.byUID[uid]
+		startedAt := clock.timeOf(start.StartedAt)
+		if ok && known.bootMS == start.BootMS && startedAt.After(known.startedAt) {
+			s.byUID[uid] = serverStart{start.BootMS, startedAt}
+			changed = true
+		}
+	}
+	return changed
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"lockflow/control"
 	"lockflow/internal/discovery"
@@ -22,6 +23,8 @@
 	restarts   atomic.Int64
 	references atomic.Int64 // callers of TryAcquire; below zero once retired and unused
 	isRetired  atomic.Bool
+	clock      moduleClock
+	starts     *serverStarts // shared with the service that this one replaces
 	unused     chan struct{} // closed when the service is retired and has no reference
 	ended      chan struct{} // closed when Run has returned
 
@@ -49,8 +52,14 @@
 		unused:       make(chan struct{}),
 		ended:        make(chan struct{}),
 		endpoints:    make(map[string]discovery.Endpoint),
+		clock:        moduleClock{time.Now()},
+		starts:       newServerStarts(),
 	}
-	s.options.CachedEndpoints = discovery.EndpointList{} // the service has its own copy
+	if p := options.Predecessor; p != nil {
+		s.clock, s.starts = p.clock, p.starts
+	}
+	// The service has its own copy of the one, and keeps nothing of the other alive.
+	s.options.CachedEndpoints, s.options.Predecessor = discovery.EndpointList{}, nil
 	if s.options.NewModule == nil {
 		s.options.NewModule = func() (Module, error) { return control.New(options.Settings, options.Seed) }
 	}
@@ -58,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.loop = newLoop(module, &s.options, s.upstream, log)
+	s.loop = s.newLoop(module)
 	s.mergeEndpoints(options.CachedEndpoints)
 	s.feed = newFeed(&options, s.receiveEndpoints)
 	// An empty list would have the module set its concurrency limit for no servers.
--- a/internal/state/checkpoint.go
+++ b/internal/state/checkpoint.go
@@ -36,11 +36,13 @@
 
 // Checkpoint is what a node has spent and learned.
 type Checkpoint struct {
-	Version    int                      `cbor:"version"`    // equals Version in what Decode returns
-	TakenAt    time.Time                `cbor:"at"`         // wall-clock time
-	Generation int                      `cbor:"generation"` // of the configuration in force
-	Clean      bool                     `cbor:"clean"`      // written at the end of a graceful shutdown: nothing was spent since
-	Services   map[string]service.State `cbor:"services"`   // by service name
+	Version    int                      `cbor:"version"` // equals Version in what Decode returns
+	TakenAt    time.Time                `cbor:"at"`      // wall-clock time; see Age
+	BootID     string                   `cbor:"boot_id,omitempty"`
+	Uptime     time.Duration            `cbor:"uptime,omitempty"` // of the machine since that boot
+	Generation int                      `cbor:"generation"`       // of the configuration in force
+	Clean      bool                     `cbor:"clean"`            // written at the end of a graceful shutdown: nothing was spent since
+	Services   map[string]service.State `cbor:"services"`         // by service name
 	// ScatterGathers (key gathers) holds what the wait policies of scatter-gather services have learned, by
 	// service name, as package waitpolicy encodes it. It is omitted where there are none.
 	ScatterGathers map[string][]byte `cbor:"gathers,omitempty"`
