--- a/internal/faultnet/faultbuild/table.go
+++ b/internal/faultnet/faultbuild/table.go
@@ -32,8 +32,8 @@
 	Open
 )
 
-// ShortTransfer is, in place of an error number, to have reads and writes transfer a part of what was asked for.
-const ShortTransfer = syscall.Errno(1 << 16)
+// ErrShortTransfer is, in place of an error number, to have reads and writes transfer a part of what was asked for.
+const ErrShortTransfer = syscall.Errno(1 << 16)
 
 const (
 	tableBytes   = 4096
@@ -74,7 +74,7 @@
 // StepClock sets by how much the wall clock of the programs is ahead of this machine's; below 0 is behind.
 func (t *Table) StepClock(ahead time.Duration) { atomic.StoreUint64(&t.words[0], uint64(ahead)) }
 
-// Fail has each interval-th call fail from now on, with an error or ShortTransfer.
+// Fail has each interval-th call fail from now on, with an error or ErrShortTransfer.
 func (t *Table) Fail(call Call, errno syscall.Errno, interval int) {
 	words := t.words[int(call)*wordsPerCall:]
 	atomic.StoreUint64(&words[0], uint64(errno))
