Check invariants of sending, retrying, starting and closing while the node runs

Need: rules were kept by the decision module and the code around it, and a break showed only in what a client or a server saw. Now service/guard.go judges each attempt by what the loop itself knows, whatever the module decided by: none beside another, no unsafe retry (by idempotency, repeat window, zone and cell), no more than allowed, none beyond what all nodes together may send a server that warms up. Unsafe and parallel attempts are withheld. Answers half a second late and connections closed over a request that was read are counted too. internal/invariant counts by rule (lockflow_invariant_violations_total, shown once there are any) and logs the request's id; lines of the event log end with it, so a request can be followed. Lines without an id are read as before.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -28,6 +28,7 @@
 	Used   int           // 1 + per cent of the quota's rate; 0 is not told
 	// By the answer's report, below zero where it tells nothing.
 	ServiceMS, Util, Queue float64
+	ID                     string // of the request; "" is left out
 }
 
 // Request is one that has its final answer.
@@ -42,6 +43,7 @@
 	Why         string // "" where it was served
 	Took        time.Duration
 	Sends       int
+	ID          string // "" is left out
 }
 
 // State is what an instance has at a time; one is written a second.
@@ -83,7 +85,7 @@
 	if w == nil {
 		return
 	}
-	w.line('a', unixMS(a.At), text(a.Server), text(a.Class), a.N, text(a.Reason), ms(a.Took), ms(a.Age), a.Drains, a.Dialed, a.Cost, a.Used, a.ServiceMS, a.Util, a.Queue)
+	w.line('a', unixMS(a.At), text(a.Server), text(a.Class), a.N, text(a.Reason), ms(a.Took), ms(a.Age), a.Drains, a.Dialed, a.Cost, a.Used, a.ServiceMS, a.Util, a.Queue, id(a.ID))
 }
 
 // Request writes one.
@@ -91,7 +93,7 @@
 	if w == nil {
 		return
 	}
-	w.line('r', unixMS(r.At), text(r.Class), text(r.Plan), int(r.Customer), r.Spread, r.Repeat, r.Units, text(r.Outcome), text(r.Why), ms(r.Took), r.Sends)
+	w.line('r', unixMS(r.At), text(r.Class), text(r.Plan), int(r.Customer), r.Spread, r.Repeat, r.Units, text(r.Outcome), text(r.Why), ms(r.Took), r.Sends, id(r.ID))
 }
 
 // State writes one.
@@ -110,6 +112,9 @@
 	w.line('p', unixMS(p.At), text(p.Name), p.Price, p.Rate, p.Depth, p.OverCost, p.HardLimitRate, p.HardLimitBurst, p.Slack)
 }
 
+// id is a text that is left out where it is empty, as by builds that knew none.
+type id string
+
 // text is a word that holds no space: a word of a peer's must not end a field.
 type text string
 
@@ -121,6 +126,9 @@
 	}
 	b := append(append(w.buf[:0], Mark...), kind)
 	for _, f := range fields {
+		if f == id("") {
+			continue
+		}
 		b = append(b, ' ')
 		switch f := f.(type) {
 		case float64:
@@ -131,6 +139,8 @@
 			b = strconv.AppendBool(b, f)
 		case text:
 			b = appendWord(b, string(f))
+		case id:
+			b = appendWord(b, string(f))
 		}
 	}
 	w.buf = append(b, '\n')
--- a/internal/eventlog/sum.go
+++ b/internal/eventlog/sum.go
@@ -117,9 +117,12 @@
 	return nil
 }
 
+// hasID tells whether lines of a kind may end with a request's id.
+func hasID(kind string) bool { return kind == "a" || kind == "r" }
+
 func (a *Adder) take(instance string, f []string) bool {
 	want := map[string]int{"a": 15, "r": 12, "s": 8, "p": 10}
-	if len(f) == 0 || len(f) != want[f[0]] {
+	if len(f) == 0 || len(f) != want[f[0]] && !(hasID(f[0]) && len(f) == want[f[0]]+1) {
 		return false
 	}
 	ok := true
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"lockflow/internal/invariant"
 	"lockflow/internal/protocol"
 	"lockflow/internal/route"
 	"lockflow/internal/service"
@@ -144,7 +145,9 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if clientOf(r).isClosed() {
-		panic(http.ErrAbortHandler) // nothing has been forwarded, so the client can safely retry
+		// Nothing has been forwarded, so the client can safely retry; but it has no answer.
+		invariant.Violated(invariant.ClosedUnanswered, r.Header.Get(protocol.HeaderID), "its connection was closed as idle")
+		panic(http.ErrAbortHandler)
 	}
 	if r.URL.Path == route.HealthPath {
 		f.serveHealthCheck(w)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lockflow/internal/accept"
+	"lockflow/internal/invariant"
 	"lockflow/internal/limits"
 	"lockflow/internal/manage"
 	"lockflow/internal/node"
@@ -75,6 +76,7 @@
 	partDenied       = family{"part_denied_total", "counter", "Times that it was denied more.", []string{"service", "limit"}}
 	generation       = family{"generation", "gauge", "Number of the configuration in force.", nil}
 	acceptFailures   = family{"accept_failures_total", "counter", "Connections that could not be accepted, by the system's error.", []string{"listener", "errno"}}
+	violations       = family{"invariant_violations_total", "counter", "Rules that the node has broken, by its own checks.", []string{"rule"}}
 	older            = family{"older_services", "gauge", "Services of earlier generations that still hold requests.", nil}
 )
 
@@ -148,6 +150,11 @@
 	accept.EachFailure(func(purpose accept.Purpose, errno string, count uint64) {
 		p.add(&acceptFailures, float64(count), string(purpose), errno)
 	})
+	invariant.Each(func(rule invariant.Rule, count uint64) {
+		if count > 0 {
+			p.add(&violations, float64(count), rule.String())
+		}
+	})
 	if m, ok := of.(Member); ok {
 		s := m.Member()
 		p.member(&s)
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -29,12 +29,13 @@
 	if x.deferSend(a) {
 		return
 	}
+	isAllowed := l.guardAttempt(x, a, time.Now())
 	number, pool := x.attemptCount, l.pools[a.Server]
 	x.attemptCount++
 	ctx, cancel := l.attemptContext(x, a)
 	attempt := upstream.NewAttempt(ctx, cancel, x)
 	x.attempts = append(x.attempts, attempt)
-	isPointless := x.isAnswered || ctx.Err() != nil || l.maxAttempts > 0 && x.attemptCount > l.maxAttempts
+	isPointless := !isAllowed || x.isAnswered || ctx.Err() != nil || l.maxAttempts > 0 && x.attemptCount > l.maxAttempts
 	if pool == nil || isPointless {
 		attempt.Cancel()
 		reason := control.ConnectFailed // the server left the list meanwhile: another one may take the request
@@ -164,6 +165,7 @@
 	x.inFlight--
 	x.lastReason = o.Reason
 	x.mayHaveRun = x.mayHaveRun || mayHaveRun(o.Reason)
+	x.repeats.attemptEnded(job, o.Reason, l.places[job.server])
 	response := control.AttemptResult{
 		ID: x.Request.ID, Attempt: job.number, Server: job.server, Reason: o.Reason, Delay: time.Since(job.startedAt),
 	}
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -142,6 +142,10 @@
 // the pool of one that does not, or that has moved.
 func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Endpoint, startedAt time.Time) {
 	id, isAvailable := endpoint.Server, endpoint.State == control.Active
+	if isAvailable { // an entry of any other state may hold no more than that
+		l.places[id] = serverPlace{endpoint.Zone, endpoint.Cell}
+		l.warmups.listed(id, startedAt)
+	}
 	protocol := l.protocolOf(target)
 	pool := l.pools[id]
 	switch {
@@ -169,6 +173,8 @@
 func (l *loop) forgetServer(uid string, id uint32) {
 	l.retirePool(id)
 	delete(l.serverIDs, uid)
+	delete(l.places, id)
+	l.warmups.forget(id)
 	if l.recorder != nil {
 		l.recorder.serverRemoved(id)
 	}
--- a/internal/service/event_recorder.go
+++ b/internal/service/event_recorder.go
@@ -64,7 +64,7 @@
 	line := eventlog.Request{
 		At: x.startedAt, Class: x.Request.Class, Plan: x.Request.Plan, Customer: uint32(xxhash.Sum64String(x.Request.Customer)),
 		Spread: x.Request.FanOut, Repeat: x.Request.IsRetry, Units: x.Request.Units, Outcome: Outcomes[a.outcome()],
-		Took: time.Since(x.startedAt), Sends: x.attemptCount,
+		Took: time.Since(x.startedAt), Sends: x.attemptCount, ID: x.Request.ID,
 	}
 	if cause, ok := r.causes[x.Request.ID]; ok {
 		line.Why = cause.String()
@@ -80,7 +80,7 @@
 		At: job.startedAt, Server: server.uid, Class: job.exchange.Request.Class, N: job.number,
 		Reason: Reasons[reasonIndex[o.Reason]], Took: time.Since(job.startedAt),
 		Age: unknownAge, Drains: !isAvailable, Dialed: o.IsDialed,
-		ServiceMS: unknownReport, Util: unknownReport, Queue: unknownReport,
+		ServiceMS: unknownReport, Util: unknownReport, Queue: unknownReport, ID: job.exchange.Request.ID,
 	}
 	if !server.bootedAt.IsZero() {
 		line.Age = job.startedAt.Sub(server.bootedAt)
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -59,6 +59,7 @@
 	lastResponse upstream.Outcome    // the last response of a server that was not final
 	classCounts  *ClassCounts        // nil where nothing is counted
 	charge       hardLimitCharge
+	repeats      repeatGuard
 }
 
 // IsWaiting reports whether the client still waits for the answer. Package net/http notices a client that has
--- /dev/null
+++ b/internal/service/guard.go
@@ -0,0 +1,214 @@
+package service
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/invariant"
+)
+
+// lateAnswerGrace is how long after its deadline a request may be answered before it counts as lost.
+const lateAnswerGrace = 500 * time.Millisecond
+
+// repeatGuard is what the loop itself knows of an exchange's attempts, beside its module, to judge whether another one
+// may begin.
+type repeatGuard struct {
+	firstRunAt time.Time // when the first attempt that may have run was started; zero is none
+	zone       string    // of its server
+	cell       int
+}
+
+// attemptEnded notes an attempt that has ended.
+func (g *repeatGuard) attemptEnded(job attemptJob, reason control.Reason, place serverPlace) {
+	if mayHaveRun(reason) && g.firstRunAt.IsZero() {
+		g.firstRunAt, g.zone, g.cell = job.startedAt, place.zone, place.cell
+	}
+}
+
+// allows tells whether an attempt at a server may follow, and why not.
+func (g *repeatGuard) allows(class *control.Class, place serverPlace, now time.Time) (why string, ok bool) {
+	if g.firstRunAt.IsZero() || class.Idempotency == control.Idempotent {
+		return "", true
+	}
+	if class.Idempotency == control.NotIdempotent {
+		return "it may have run and is not idempotent", false
+	}
+	if since := now.Sub(g.firstRunAt); since > class.RepeatWindow {
+		return fmt.Sprintf("it may have run %v ago, its repeat window is %v", since, class.RepeatWindow), false
+	}
+	switch {
+	case class.KeyScope == control.ScopeZone && place.zone != g.zone:
+		return fmt.Sprintf("it may have run in zone %q, not %q", g.zone, place.zone), false
+	case class.KeyScope == control.ScopeCell && place.cell != g.cell:
+		return fmt.Sprintf("it may have run in cell %d, not %d", g.cell, place.cell), false
+	}
+	return "", true
+}
+
+// serverPlace is where a server drops repeats.
+type serverPlace struct {
+	zone string
+	cell int
+}
+
+// guardAttempt checks an attempt that the module has decided on, whatever it went by. One that could run a request
+// twice or beside itself is not made.
+func (l *loop) guardAttempt(x *Exchange, a control.Send, now time.Time) (ok bool) {
+	if x.isAnswered { // it is not made anyway
+		return true
+	}
+	if x.inFlight > 0 {
+		invariant.Violated(invariant.ParallelAttempt, x.Request.ID, fmt.Sprintf("attempt %d while %d are in flight", x.attemptCount, x.inFlight))
+		return false
+	}
+	if l.maxAttempts > 0 && x.attemptCount >= l.maxAttempts {
+		invariant.Violated(invariant.TooManyAttempts, x.Request.ID, fmt.Sprintf("attempt %d of %d", x.attemptCount+1, l.maxAttempts))
+	}
+	if class := l.classOf(x); class != nil {
+		if why, ok := x.repeats.allows(class, l.places[a.Server], now); !ok {
+			invariant.Violated(invariant.UnsafeRetry, x.Request.ID, why)
+			return false
+		}
+	}
+	if why, ok := l.warmups.attempt(a.Server, now); !ok {
+		invariant.Violated(invariant.SlowStartOverrun, x.Request.ID, why)
+	}
+	return true
+}
+
+func (l *loop) classOf(x *Exchange) *control.Class {
+	for i := range l.classes {
+		if l.classes[i].Name == x.Request.Class {
+			return &l.classes[i]
+		}
+	}
+	return nil
+}
+
+// guardAnswer checks the time of a final answer.
+func (l *loop) guardAnswer(x *Exchange, a Answer) {
+	if a.Status == 0 || a.Stream != nil || x.Request.HasPendingBody {
+		return
+	}
+	if late := time.Since(x.Deadline); late > lateAnswerGrace {
+		invariant.Violated(invariant.LateAnswer, x.Request.ID, fmt.Sprintf("%v after its deadline", late))
+	}
+}
+
+const (
+	warmupBuckets = 4  // of the overload window, in which attempts are counted
+	maxBudgetBase = 30 // attempts from which on the narrower slack holds
+)
+
+// warmupGuard counts the attempts at each server, and holds those at a server that warms up against what all nodes
+// together may send it: the overload multiple of its present capacity over the overload window, reckoned from the busiest
+// warm server of this node, and a slack for chance. This node alone can't break that unless its module is at fault. It is
+// used by the loop's goroutine only.
+type warmupGuard struct {
+	window          time.Duration // 0 counts nothing
+	multiple        float64
+	warmupTime      time.Duration
+	initialCapacity float64
+	servers         map[uint32]*attemptRate
+}
+
+// attemptRate counts attempts at one server over a window.
+type attemptRate struct {
+	startedAt time.Time // zero is long ago
+	bucket    int64
+	counts    [warmupBuckets]float64
+}
+
+func newWarmupGuard(s *control.Settings) warmupGuard {
+	return warmupGuard{
+		window: s.OverloadWindow, multiple: s.OverloadMultiple, warmupTime: s.WarmupTime, initialCapacity: s.InitialCapacity,
+		servers: make(map[uint32]*attemptRate),
+	}
+}
+
+// listed notes a server and when it started.
+func (g *warmupGuard) listed(server uint32, startedAt time.Time) {
+	rate := g.servers[server]
+	if rate == nil {
+		rate = &attemptRate{}
+		g.servers[server] = rate
+	}
+	if !rate.startedAt.Equal(startedAt) {
+		*rate = attemptRate{startedAt: startedAt}
+	}
+}
+
+func (g *warmupGuard) forget(server uint32) { delete(g.servers, server) }
+
+// attempt counts an attempt, and tells whether it stays within the budget, and why not.
+func (g *warmupGuard) attempt(server uint32, now time.Time) (why string, ok bool) {
+	rate := g.servers[server]
+	if rate == nil || g.window <= 0 {
+		return "", true
+	}
+	rate.add(g.bucketOf(now))
+	age := now.Sub(rate.startedAt)
+	if rate.startedAt.IsZero() || age >= g.warmupTime {
+		return "", true
+	}
+	sent := rate.sum(g.bucketOf(now))
+	if sent <= budgetSlack(0) { // the usual case costs no look at the other servers
+		return "", true
+	}
+	fraction := g.initialCapacity + (1-g.initialCapacity)*age.Seconds()/g.warmupTime.Seconds()
+	allowed := g.multiple * fraction * g.busiestWarmServer(now)
+	if limit := allowed + budgetSlack(allowed); sent > limit {
+		return fmt.Sprintf("%.0f attempts within %v at a server that started %v ago, more than %.1f", sent, g.window, age, limit), false
+	}
+	return "", true
+}
+
+// busiestWarmServer is the number of attempts, within the window, at the server that had most of those that do not
+// warm up.
+func (g *warmupGuard) busiestWarmServer(now time.Time) float64 {
+	busiest, bucket := 0.0, g.bucketOf(now)
+	for _, rate := range g.servers {
+		if rate.startedAt.IsZero() || now.Sub(rate.startedAt) >= g.warmupTime {
+			busiest = math.Max(busiest, rate.sum(bucket))
+		}
+	}
+	return busiest
+}
+
+// budgetSlack is what chance may add to a number of attempts.
+func budgetSlack(attempts float64) float64 {
+	if attempts < maxBudgetBase {
+		return 3 * math.Sqrt(attempts+3)
+	}
+	return 2 * math.Sqrt(attempts+2)
+}
+
+func (g *warmupGuard) bucketOf(now time.Time) int64 {
+	return int64(now.Sub(guardEpoch) / max(1, g.window/warmupBuckets))
+}
+
+// guardEpoch is a moment before any attempt, with a monotonic reading.
+var guardEpoch = time.Now()
+
+func (r *attemptRate) add(bucket int64) {
+	r.advance(bucket)
+	r.counts[((bucket%warmupBuckets)+warmupBuckets)%warmupBuckets]++
+}
+
+func (r *attemptRate) sum(bucket int64) (sum float64) {
+	r.advance(bucket)
+	for _, n := range r.counts {
+		sum += n
+	}
+	return sum
+}
+
+// advance drops the counts of buckets that are over.
+func (r *attemptRate) advance(bucket int64) {
+	for steps := min(bucket-r.bucket, warmupBuckets); steps > 0; steps-- {
+		r.counts[(((bucket-steps+1)%warmupBuckets)+warmupBuckets)%warmupBuckets] = 0
+	}
+	r.bucket = max(r.bucket, bucket)
+}
--- /dev/null
+++ b/internal/service/guard_test.go
@@ -0,0 +1,115 @@
+package service
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/invariant"
+)
+
+// A repeat is allowed only where it can't run a request twice, whatever the module goes by.
+func TestRepeatGuard(t *testing.T) {
+	const window = 5 * time.Second
+	begun := time.Now()
+	home, sameZone, elsewhere := serverPlace{"z1", 1}, serverPlace{"z1", 2}, serverPlace{"z2", 3}
+	for _, tc := range []struct {
+		idempotency control.Idempotency
+		scope       control.KeyScope
+		reason      control.Reason
+		after       time.Duration
+		at          serverPlace
+		isAllowed   bool
+	}{
+		{control.Idempotent, 0, control.ResetByPeer, time.Minute, elsewhere, true},
+		{control.NotIdempotent, 0, control.ConnectFailed, 0, elsewhere, true},
+		{control.NotIdempotent, 0, control.RejectedByServer, 0, elsewhere, true},
+		{control.NotIdempotent, 0, control.NotSent, 0, elsewhere, true},
+		{control.NotIdempotent, 0, control.ResetByPeer, 0, home, false},
+		{control.NotIdempotent, 0, control.TimedOut, 0, home, false},
+		{control.NotIdempotent, 0, control.Errored, 0, home, false},
+		{control.NotIdempotent, 0, control.Cancelled, 0, home, false},
+		{control.IdempotentWithKey, control.ScopeAll, control.ResetByPeer, window, elsewhere, true},
+		{control.IdempotentWithKey, control.ScopeAll, control.ResetByPeer, window + 1, home, false},
+		{control.IdempotentWithKey, control.ScopeZone, control.ResetByPeer, 0, sameZone, true},
+		{control.IdempotentWithKey, control.ScopeZone, control.ResetByPeer, 0, elsewhere, false},
+		{control.IdempotentWithKey, control.ScopeCell, control.ResetByPeer, 0, home, true},
+		{control.IdempotentWithKey, control.ScopeCell, control.ResetByPeer, 0, sameZone, false},
+	} {
+		class := control.Class{Idempotency: tc.idempotency, KeyScope: tc.scope, RepeatWindow: window}
+		var g repeatGuard
+		g.attemptEnded(attemptJob{startedAt: begun}, tc.reason, home)
+		g.attemptEnded(attemptJob{startedAt: begun.Add(time.Second)}, control.ResetByPeer, elsewhere) // the first one counts
+		if mayHaveRun(tc.reason) {
+			if why, ok := g.allows(&class, tc.at, begun.Add(tc.after)); ok != tc.isAllowed {
+				t.Errorf("%+v: allowed %v, %s", tc, ok, why)
+			}
+		}
+		g = repeatGuard{}
+		g.attemptEnded(attemptJob{startedAt: begun}, tc.reason, home)
+		if why, ok := g.allows(&class, tc.at, begun.Add(tc.after)); ok != tc.isAllowed {
+			t.Errorf("%+v: allowed %v, %s", tc, ok, why)
+		}
+	}
+}
+
+// An attempt that a module decides on against the rules is not made, and is counted.
+func TestGuardWithholdsUnsafeAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before := invariant.Violations(invariant.ParallelAttempt)
+		sends := 0
+		s, _ := startService(t, Options{NewModule: moduleOf(moduleFunc(func(e control.Event) []control.Action {
+			r, ok := e.(control.Request)
+			if !ok {
+				return nil
+			}
+			sends += 2
+			return []control.Action{control.Send{ID: r.ID, Server: 1}, control.Send{ID: r.ID, Server: 1}}
+		}))})
+		synctest.Wait()
+		go s.Do(t.Context(), newExchange("x"))
+		synctest.Wait()
+		if n := invariant.Violations(invariant.ParallelAttempt) - before; n != 1 || sends != 2 {
+			t.Errorf("%d violations by %d attempts", n, sends)
+		}
+	})
+}
+
+// Attempts at a server that warms up are held against the busiest warm one.
+func TestWarmupGuard(t *testing.T) {
+	settings := control.Settings{OverloadWindow: 2 * time.Second, OverloadMultiple: 2, WarmupTime: 10 * time.Second, InitialCapacity: 0.2}
+	begun := time.Now()
+	for _, tc := range []struct {
+		warm, cold int // attempts
+		age        time.Duration
+		isAllowed  bool
+	}{
+		{0, 5, 0, true},
+		{0, 6, 0, false},
+		{100, 52, 0, true}, // 2 x 0.2 x 100 and 2 x root of 42
+		{100, 53, 0, false},
+		{100, 54, 5 * time.Second, true},
+		{0, 200, 10 * time.Second, true}, // it is warm
+	} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+			g := newWarmupGuard(&settings)
+			g.listed(1, time.Time{})
+			g.listed(2, begun.Add(-tc.age))
+			for range tc.warm {
+				g.attempt(1, begun)
+			}
+			isAllowed := true
+			for range tc.cold {
+				_, isAllowed = g.attempt(2, begun)
+			}
+			if isAllowed != tc.isAllowed {
+				t.Errorf("allowed: %v", isAllowed)
+			}
+			if _, ok := g.attempt(2, begun.Add(3*time.Second)); !ok {
+				t.Error("attempts before the window count")
+			}
+		})
+	}
+}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -51,6 +51,8 @@
 	serverIDs    map[string]uint32
 	lastServerID uint32
 	pools        map[uint32]*upstream.Pool // of the servers that take new requests
+	places       map[uint32]serverPlace    // of the listed servers
+	warmups      warmupGuard
 
 	jobs        chan attemptJob // unbuffered: only an idle worker receives; used by any goroutine
 	idleWorkers atomic.Int32    // used by any goroutine
@@ -94,6 +96,8 @@
 		exchanges:         make(map[string]*Exchange),
 		serverIDs:         make(map[string]uint32),
 		pools:             make(map[uint32]*upstream.Pool),
+		places:            make(map[uint32]serverPlace),
+		warmups:           newWarmupGuard(&options.Settings),
 		jobs:              make(chan attemptJob),
 		openStreams:       options.Streams,
 		collector:         options.Statistics,
--- a/internal/service/loop_requests.go
+++ b/internal/service/loop_requests.go
@@ -99,6 +99,7 @@
 	for _, attempt := range x.attempts {
 		attempt.Withdraw()
 	}
+	l.guardAnswer(x, a)
 	x.answer <- a
 	x.Gate.notify(l, false)
 	l.withdrawPendingSends(x)
