--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	maxPause     = 30 * time.Millisecond  // between two requests of a client
+	maxRest      = 600 * time.Millisecond // of a client that rests now and then
+	badInputTime = 3 * time.Second        // in which a node ends a request that stops in the middle (STANDING)
+	answerWait   = lateSlack + time.Second
+)
+
+// client sends requests to one node, one at a time, over a connection that it keeps.
+type client struct {
+	play   *play
+	node   *node
+	number int
+	rng    *rand.Rand
+	made   int
+
+	conn     net.Conn // nil is none
+	in       *bufio.Reader
+	openedAt time.Time
+	used     int // requests on conn
+}
+
+func newClient(p *play, n *node, number int) *client {
+	return &client{play: p, node: n, number: number, rng: rand.New(rand.NewPCG(p.Seed, uint64(1000+n.index*100+number)))}
+}
+
+// run sends until ctx ends.
+func (c *client) run(ctx context.Context) {
+	defer c.disconnect()
+	for ctx.Err() == nil {
+		switch n := c.rng.IntN(100); {
+		case n < 2:
+			c.stopMidway()
+		case n < 8:
+			c.leave()
+		default:
+			c.request()
+		}
+		pause := time.Duration(c.rng.Int64N(int64(maxPause)))
+		if c.rng.IntN(20) == 0 {
+			pause = time.Duration(c.rng.Int64N(int64(maxRest)))
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (c *client) disconnect() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// draw returns a new request and its bytes.
+func (c *client) draw() (*request, []byte) {
+	c.made++
+	r := &request{
+		id: fmt.Sprintf("%s-c%d-%d", c.node.name, c.number, c.made), node: c.node.name,
+		class: classes[c.rng.IntN(len(classes))], isCapped: c.rng.IntN(8) == 0,
+	}
+	plan, account := "open", fmt.Sprintf("%016x", c.number+1)
+	if r.isCapped {
+		plan, account = "capped", fmt.Sprintf("%016x", 999)
+	}
+	var text strings.Builder
+	method, length := http.MethodGet, 0
+	if r.class.effect != "free" {
+		method, length = http.MethodPost, c.rng.IntN(300)
+		if c.rng.IntN(20) == 0 {
+			length = c.rng.IntN(60 << 10)
+		}
+	}
+	fmt.Fprintf(&text, "%s /%s?account=%s HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: %s\r\nX-Tariff: %s\r\nX-Time-Left: %dm\r\n",
+		method, r.class.name, account, r.id, plan, r.class.deadline.Milliseconds())
+	fmt.Fprintf(&text, "X-Weight: units=1,spread=%d,first=0\r\n", c.play.Nodes)
+	if r.class.effect == "guarded" {
+		fmt.Fprintf(&text, "Idempotency-Key: k-%s\r\n", r.id)
+	}
+	if method == http.MethodPost {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", length)
+	}
+	text.WriteString("\r\n" + strings.Repeat("b", length))
+	return r, []byte(text.String())
+}
+
+// connect opens a connection where there is none. It fails while the node is down or ends.
+func (c *client) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	if ending := c.node.ending(); !ending.IsZero() && time.Since(ending) > newConnections {
+		return false
+	}
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", c.node.address)
+	if err != nil {
+		return false
+	}
+	c.conn, c.in, c.openedAt, c.used = conn, bufio.NewReader(conn), time.Now(), 0
+	return true
+}
+
+// request sends a request and waits for its answer. Where its connection, on which others came before, is closed with
+// no answer, it is sent once more on a new one.
+func (c *client) request() {
+	r, text := c.draw()
+	for range 2 {
+		if !c.connect() {
+			return
+		}
+		if c.exchange(r, text) {
+			return
+		}
+		c.play.journal.resend()
+	}
+}
+
+// exchange sends a request once. It returns false where it is to be sent once more.
+func (c *client) exchange(r *request, text []byte) (done bool) {
+	begun, isFirst := time.Now(), c.used == 0
+	c.used++
+	c.play.journal.sending(r)
+	if err := c.write(r, text); err != nil {
+		c.disconnect()
+		return c.withoutAnswer(r, begun, isFirst, err)
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(r.class.deadline + answerWait))
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.disconnect()
+		return c.withoutAnswer(r, begun, isFirst, err)
+	}
+	body, err := io.ReadAll(response.Body)
+	response.Body.Close()
+	if err != nil {
+		c.disconnect()
+		c.play.journal.unanswered(r, c.node.excuse(begun, time.Now()), fmt.Sprintf("%d is cut behind %d bytes: %v", response.StatusCode, len(body), err))
+		return true
+	}
+	c.play.journal.answered(r, response.StatusCode, string(body), time.Now())
+	if response.Close {
+		c.disconnect()
+	}
+	return true
+}
+
+// write writes a request, in pieces now and then.
+func (c *client) write(r *request, text []byte) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	if c.rng.IntN(20) == 0 {
+		at := c.rng.IntN(len(text))
+		if _, err := c.conn.Write(text[:at]); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(c.rng.Int64N(int64(100 * time.Millisecond))))
+		text = text[at:]
+	}
+	if _, err := c.conn.Write(text); err != nil {
+		return err
+	}
+	c.play.journal.sent(r, time.Now())
+	return nil
+}
+
+// withoutAnswer judges a request whose connection ended, or stayed silent, with no byte of an answer.
+func (c *client) withoutAnswer(r *request, begun time.Time, isFirst bool, err error) (done bool) {
+	j, now := c.play.journal, time.Now()
+	excuse := c.node.excuse(begun, now)
+	var timeout net.Error
+	isSilent := errors.As(err, &timeout) && timeout.Timeout()
+	if !isSilent && !j.wasForwarded(r) && (!isFirst || r.sentAt.IsZero()) {
+		return excuse != "" // it crossed the close of a connection between requests
+	}
+	j.unanswered(r, excuse, fmt.Sprintf("%v after %v, first of its connection %v (opened %v before)",
+		err, now.Sub(begun).Round(time.Millisecond), isFirst, begun.Sub(c.openedAt).Round(time.Millisecond)))
+	return true
+}
+
+// leave sends a request and closes the connection a moment later.
+func (c *client) leave() {
+	if !c.connect() {
+		return
+	}
+	r, text := c.draw()
+	c.play.journal.sending(r)
+	if c.write(r, text) == nil {
+		time.Sleep(time.Duration(c.rng.Int64N(int64(60 * time.Millisecond))))
+	}
+	c.play.journal.leaves(r)
+	c.disconnect()
+}
+
+// stopMidway sends a part of a request and waits until the node ends it.
+func (c *client) stopMidway() {
+	c.disconnect()
+	if !c.connect() {
+		return
+	}
+	defer c.disconnect()
+	begun := time.Now()
+	r, text := c.draw()
+	c.play.journal.sending(r)
+	if _, err := c.conn.Write(text[:c.rng.IntN(len(text)-1)]); err != nil {
+		return
+	}
+	_ = c.conn.SetReadDeadline(begun.Add(badInputTime + judgeSlack))
+	_, err := c.conn.Read(make([]byte, 1))
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && c.node.excuse(begun, time.Now()) == "" {
+		c.play.journal.wrong("%s (%s): it stopped in the middle and has no error after %v", r.id, r.node, time.Since(begun))
+	}
+}
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,294 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lockflow/internal/fake"
+	"lockflow/internal/faultnet"
+	"lockflow/internal/faultnet/faultbuild"
+	"lockflow/internal/faultnet/process"
+)
+
+// node is a real node with its own discovery and its own connections to the app servers.
+type node struct {
+	play        *play
+	index       int
+	name        string
+	address     string
+	dir         string
+	process     *process.Process
+	table       *faultbuild.Table
+	discoveries [2]*fake.Discovery // of which it follows one
+	links       []*faultnet.Link   // to each app server
+
+	mu        sync.Mutex
+	following int       // the discovery that it follows
+	endingAt  time.Time // of SIGTERM to the life that runs; zero is none
+	troubles  []span    // in which its clients may miss an answer
+	lateNews  []span    // in which its watch may be broken or silent
+}
+
+// span is a time with a trouble; a zero end is none yet.
+type span struct {
+	from, to time.Time
+	why      string
+}
+
+func newNode(p *play, index int, dir string) (*node, error) {
+	n := &node{play: p, index: index, name: fmt.Sprint("n", index), dir: dir}
+	var err error
+	if n.table, err = faultbuild.NewTable(filepath.Join(dir, "faults")); err != nil {
+		return nil, err
+	}
+	for _, s := range p.servers {
+		link, err := faultnet.Listen(s.address())
+		if err != nil {
+			return nil, err
+		}
+		n.links = append(n.links, link)
+	}
+	for i := range n.discoveries {
+		if n.discoveries[i], err = fake.StartDiscovery(); err != nil {
+			return nil, err
+		}
+	}
+	if n.address, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	n.process = &process.Process{
+		Path: p.Program, Log: n.logPath(),
+		Env: []string{"NODE_CONFIG=" + n.configPath(), "NODE_LISTEN=" + n.address, "LOCKFLOW_TALLY=1", n.table.Environment()},
+	}
+	for _, s := range p.servers {
+		n.tell(s)
+	}
+	return n, n.writeConfiguration()
+}
+
+// freeAddress returns an address at which nobody listens; the node listens there in all its lives.
+func freeAddress() (string, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (n *node) configPath() string { return filepath.Join(n.dir, "config.json") }
+func (n *node) logPath() string    { return filepath.Join(n.dir, "log") }
+
+func (n *node) writeConfiguration() error {
+	n.mu.Lock()
+	discovery := n.discoveries[n.following].Addr()
+	n.mu.Unlock()
+	return os.WriteFile(n.configPath(), configuration(n.index, n.play.Nodes, discovery), 0o600)
+}
+
+// tell has both discoveries list a server as it is now.
+func (n *node) tell(s *server) {
+	s.mu.Lock()
+	entry := fake.Entry{
+		UID: s.uid, Endpoint: n.linkTo(s).Addr(), Zone: fmt.Sprint("z", s.cell%2), Model: "m", Group: s.cell, State: s.state, Capacity: 1,
+	}
+	if !s.startedAt.IsZero() {
+		entry.BootMS = float64(s.startedAt.UnixMilli())
+	}
+	s.mu.Unlock()
+	for _, d := range n.discoveries {
+		d.Tell(entry)
+	}
+}
+
+func (n *node) linkTo(s *server) *faultnet.Link {
+	for i := range n.play.servers {
+		if n.play.servers[i] == s {
+			return n.links[i]
+		}
+	}
+	panic("no such server")
+}
+
+func (n *node) start() error {
+	n.mu.Lock()
+	n.endingAt = time.Time{}
+	n.mu.Unlock()
+	return n.process.Start()
+}
+
+// awaitReady waits until the node answers its health check.
+func (n *node) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.address+"/healthz", nil)
+		if err != nil {
+			return err
+		}
+		response, err := client.Do(request)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("it is not ready within %v", readyWithin)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// begin notes that a trouble begins that may cost clients an answer; end ends it.
+func (n *node) begin(why string) (end func()) { return n.beginSpan(&n.troubles, why) }
+
+// beginLateNews notes that the node may learn late what discovery lists; end ends it.
+func (n *node) beginLateNews(why string) (end func()) { return n.beginSpan(&n.lateNews, why) }
+
+func (n *node) beginSpan(spans *[]span, why string) (end func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	*spans = append(*spans, span{from: time.Now(), why: why})
+	i := len(*spans) - 1
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		(*spans)[i].to = time.Now()
+	}
+}
+
+// excuse returns the trouble that explains a request without an answer between two times; empty for none.
+func (n *node) excuse(from, to time.Time) string { return n.findSpan(&n.troubles, from, to) }
+
+// hadLateNews tells whether the node's watch may have been broken or silent between two times.
+func (n *node) hadLateNews(from, to time.Time) bool { return n.findSpan(&n.lateNews, from, to) != "" }
+
+func (n *node) findSpan(spans *[]span, from, to time.Time) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range *spans {
+		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+			return s.why
+		}
+	}
+	return ""
+}
+
+// ending returns when the life that runs was told to end; zero is not.
+func (n *node) ending() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.endingAt
+}
+
+// newConnections is for how long after SIGTERM clients open connections (PROTOCOL).
+const newConnections = 250 * time.Millisecond
+
+// terminate ends the node in order and starts it again. A life that is still there when the platform would kill it is
+// killed; what it owes is lost.
+func (n *node) terminate(ctx context.Context) error {
+	n.mu.Lock()
+	n.endingAt = time.Now()
+	n.mu.Unlock()
+	if err := n.process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	ending, cancel := context.WithTimeout(ctx, killDelay)
+	defer cancel()
+	if err := n.process.Gone(ending); err != nil {
+		if err := n.process.Kill(); err != nil {
+			return err
+		}
+	} else if err := n.process.Wait(); err != nil {
+		n.play.journal.wrong("%s ended after SIGTERM with %v", n.name, err)
+	}
+	return n.restart(ctx)
+}
+
+// kill kills the node and starts it again.
+func (n *node) kill(ctx context.Context) error {
+	end := n.begin("killed")
+	defer end()
+	if err := n.process.Kill(); err != nil {
+		return err
+	}
+	return n.restart(ctx)
+}
+
+// restart starts the node again. Nobody is owed an answer until it is ready.
+func (n *node) restart(ctx context.Context) error {
+	end := n.begin("starting")
+	defer end()
+	n.table.StepClock(0)
+	if err := n.start(); err != nil {
+		return err
+	}
+	return n.awaitReady(ctx)
+}
+
+// move has the node follow its other discovery (SIGHUP).
+func (n *node) move() error {
+	defer n.beginLateNews("new discovery")()
+	n.mu.Lock()
+	n.following = 1 - n.following
+	n.mu.Unlock()
+	if err := n.writeConfiguration(); err != nil {
+		return err
+	}
+	return n.process.Signal(syscall.SIGHUP)
+}
+
+func (n *node) injected() (sum int) {
+	for call := faultbuild.Accept; call <= faultbuild.Open; call++ {
+		sum += n.table.Injected(call)
+	}
+	return sum
+}
+
+// finish ends the node and reads its log for what it knows of itself.
+func (n *node) finish() {
+	if !n.process.Runs() {
+		n.play.journal.wrong("%s has ended by itself: %v", n.name, n.process.Wait())
+	} else if err := n.process.Stop(killDelay + time.Second); err != nil && !errors.Is(err, process.ErrNone) {
+		n.play.journal.wrong("%s at the end: %v", n.name, err)
+	}
+	file, err := os.Open(n.logPath())
+	if err != nil {
+		n.play.journal.wrong("%s: %v", n.name, err)
+		return
+	}
+	defer file.Close() //nolint:errcheck // it was read
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		for _, mark := range []string{"invariant violated", "panic", "fatal error", "DATA RACE", "decision module failed"} {
+			if strings.Contains(lines.Text(), mark) {
+				n.play.journal.wrong("%s logs: %s", n.name, lines.Text())
+			}
+		}
+	}
+}
+
+func (n *node) close() {
+	_ = n.process.Kill() // it may have ended
+	for _, d := range n.discoveries {
+		if d != nil {
+			d.Close()
+		}
+	}
+	for _, l := range n.links {
+		_ = l.Close() // of loopback
+	}
+	_ = n.table.Close() // shared memory
+}
--- /dev/null
+++ b/internal/soak/troubles.go
@@ -0,0 +1,259 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"lockflow/internal/faultnet/faultbuild"
+	"lockflow/internal/faultnet/script"
+)
+
+// maxTroubleTime is how long one trouble lasts at most.
+const maxTroubleTime = 1500 * time.Millisecond
+
+// troubles draws troubles and plays them, several at once.
+type troubles struct {
+	play *play
+	rng  *rand.Rand
+
+	mu     sync.Mutex
+	counts map[string]int
+	list   []string
+	busy   map[string]bool // what a trouble has now, and no other may have
+	active sync.WaitGroup
+}
+
+// trouble is one that was drawn: it holds on until ctx ends or its time is over.
+type trouble struct {
+	kind, place string
+	lasts       time.Duration
+	play        func(ctx context.Context, t *trouble) error
+}
+
+func newTroubles(p *play, rng *rand.Rand) *troubles {
+	return &troubles{play: p, rng: rng, counts: make(map[string]int), busy: make(map[string]bool)}
+}
+
+// run begins troubles at random for the time of the play, and returns once all have ended.
+func (t *troubles) run(ctx context.Context) {
+	sleep(ctx, calmTime)
+	playing, cancel := context.WithTimeout(ctx, t.play.Lasts)
+	defer cancel()
+	for playing.Err() == nil {
+		t.begin(ctx, t.draw())
+		sleep(playing, time.Duration(t.rng.Int64N(int64(2*time.Second)/int64(max(1, t.play.Troubles)))))
+	}
+	t.active.Wait()
+}
+
+// begin plays a trouble beside others, unless its place is taken.
+func (t *troubles) begin(ctx context.Context, one trouble) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy[one.place] {
+		return
+	}
+	t.busy[one.place] = true
+	t.counts[one.kind]++
+	t.list = append(t.list, fmt.Sprintf("%v %s at %s for %v", time.Since(t.play.journal.begun).Round(time.Millisecond), one.kind, one.place, one.lasts.Round(time.Millisecond)))
+	t.active.Go(func() {
+		if err := one.play(ctx, &one); err != nil && ctx.Err() == nil {
+			t.play.journal.wrong("the trouble %q at %s: %v", one.kind, one.place, err)
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.busy, one.place)
+	})
+}
+
+func (t *troubles) draw() trouble {
+	lasts := maxTroubleTime/10 + time.Duration(t.rng.Int64N(int64(maxTroubleTime)))
+	n := t.play.nodes[t.rng.IntN(len(t.play.nodes))]
+	s := t.play.servers[t.rng.IntN(len(t.play.servers))]
+	switch t.rng.IntN(8) {
+	case 0, 1:
+		return t.drawOfProcess(n, lasts)
+	case 2:
+		return t.drawOfClock(n, lasts)
+	case 3:
+		return t.drawOfCalls(n, lasts)
+	case 4:
+		return t.drawOfLink(n, s, lasts)
+	case 5:
+		return trouble{"discovery is silent", n.name + " discovery", 2 * lasts, func(ctx context.Context, t *trouble) error {
+			defer n.beginLateNews("discovery is silent")()
+			n.silence(true)
+			sleep(ctx, t.lasts)
+			n.silence(false)
+			return nil
+		}}
+	default:
+		return t.drawOfServer(s, lasts)
+	}
+}
+
+func (t *troubles) drawOfProcess(n *node, lasts time.Duration) trouble {
+	place := n.name + " process"
+	switch t.rng.IntN(6) {
+	case 0:
+		return trouble{"kill", place, 0, func(ctx context.Context, _ *trouble) error { return n.kill(ctx) }}
+	case 1:
+		return trouble{"held up", place, heldUpTime, func(ctx context.Context, t *trouble) error {
+			if err := n.process.Pause(); err != nil {
+				return err
+			}
+			sleep(ctx, t.lasts)
+			return n.process.Continue()
+		}}
+	case 2, 3:
+		return trouble{"new discovery", place, lasts, func(ctx context.Context, t *trouble) error {
+			if err := n.move(); err != nil {
+				return err
+			}
+			sleep(ctx, t.lasts/4)
+			return n.move()
+		}}
+	}
+	return trouble{"end", place, 0, func(ctx context.Context, _ *trouble) error { return n.terminate(ctx) }}
+}
+
+// heldUpTime is for how long a node may be held up (STANDING).
+const heldUpTime = 150 * time.Millisecond
+
+// clockSteps are by how much wall clocks are stepped.
+var clockSteps = []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour}
+
+func (t *troubles) drawOfClock(n *node, lasts time.Duration) trouble {
+	step := clockSteps[t.rng.IntN(len(clockSteps))]
+	return trouble{"clock " + step.String(), n.name + " clock", lasts, func(ctx context.Context, t *trouble) error {
+		n.table.StepClock(step)
+		sleep(ctx, t.lasts)
+		n.table.StepClock(0)
+		return nil
+	}}
+}
+
+// callFault is a system call that fails in one way.
+type callFault struct {
+	name         string
+	call         faultbuild.Call
+	errno        syscall.Errno
+	breaksClient bool // it may break the connection of a client
+}
+
+var callFaults = []callFault{
+	{"accept ENOBUFS", faultbuild.Accept, syscall.ENOBUFS, false},
+	{"accept ENETDOWN", faultbuild.Accept, syscall.ENETDOWN, false},
+	{"accept EMFILE", faultbuild.Accept, syscall.EMFILE, false},
+	{"accept ECONNABORTED", faultbuild.Accept, syscall.ECONNABORTED, false},
+	{"accept EPERM", faultbuild.Accept, syscall.EPERM, false},
+	{"socket ENFILE", faultbuild.Socket, syscall.ENFILE, false},
+	{"socket ENOBUFS", faultbuild.Socket, syscall.ENOBUFS, false},
+	{"connect EADDRNOTAVAIL", faultbuild.Connect, syscall.EADDRNOTAVAIL, false},
+	{"connect ENETUNREACH", faultbuild.Connect, syscall.ENETUNREACH, false},
+	{"connect ETIMEDOUT", faultbuild.Connect, syscall.ETIMEDOUT, false},
+	{"connect EAGAIN", faultbuild.Connect, syscall.EAGAIN, false},
+	{"short reads", faultbuild.SocketRead, faultbuild.ErrShortTransfer, false},
+	{"short writes", faultbuild.SocketWrite, faultbuild.ErrShortTransfer, false},
+	{"read EINTR", faultbuild.SocketRead, syscall.EINTR, false},
+	{"write EINTR", faultbuild.SocketWrite, syscall.EINTR, false},
+	{"read ETIMEDOUT", faultbuild.SocketRead, syscall.ETIMEDOUT, true},
+	{"read EHOSTUNREACH", faultbuild.SocketRead, syscall.EHOSTUNREACH, true},
+	{"write ETIMEDOUT", faultbuild.SocketWrite, syscall.ETIMEDOUT, true},
+	{"write EHOSTUNREACH", faultbuild.SocketWrite, syscall.EHOSTUNREACH, true},
+	{"write ENOBUFS", faultbuild.SocketWrite, syscall.ENOBUFS, true},
+}
+
+func (t *troubles) drawOfCalls(n *node, lasts time.Duration) trouble {
+	fault := callFaults[t.rng.IntN(len(callFaults))]
+	interval := 1 + t.rng.IntN(7)
+	if fault.breaksClient || fault.errno == syscall.EINTR {
+		interval = 5 + t.rng.IntN(40)
+	}
+	return trouble{fault.name, n.name + " calls", lasts, func(ctx context.Context, t *trouble) error {
+		defer n.beginLateNews(fault.name)() // a call to discovery may be what fails
+		if fault.breaksClient {
+			end := n.begin(fault.name)
+			defer end()
+		}
+		n.table.Fail(fault.call, fault.errno, interval)
+		sleep(ctx, t.lasts)
+		n.table.Heal(fault.call)
+		return nil
+	}}
+}
+
+// linkFaults befall the way between a node and an app server. None of them delays bytes, as the judge goes by when
+// they come.
+var linkFaults = []script.Fault{
+	{Kind: script.Cut},
+	{Kind: script.Lost},
+	{Kind: script.Mute},
+	{Kind: script.Refuse},
+	{Kind: script.Reset, Way: script.Forth, Bytes: 100},
+	{Kind: script.Reset, Way: script.Back, Bytes: 30},
+}
+
+func (t *troubles) drawOfLink(n *node, s *server, lasts time.Duration) trouble {
+	fault, link := linkFaults[t.rng.IntN(len(linkFaults))], n.linkTo(s)
+	return trouble{"link " + fault.Kind.String(), n.name + " to " + s.uid, lasts, func(ctx context.Context, t *trouble) error {
+		if err := link.Set(fault); err != nil {
+			return err
+		}
+		sleep(ctx, t.lasts)
+		link.Break()
+		return link.Heal()
+	}}
+}
+
+func (t *troubles) drawOfServer(s *server, lasts time.Duration) trouble {
+	p := t.play
+	switch t.rng.IntN(4) {
+	case 0:
+		state := []string{"draining", "removed"}[t.rng.IntN(2)]
+		return trouble{state, s.uid, 2 * lasts, func(ctx context.Context, t *trouble) error {
+			if err := p.list(s, func() error { s.setState(state, time.Now()); return nil }); err != nil {
+				return err
+			}
+			sleep(ctx, drainGrace+t.lasts)
+			return p.list(s, func() error { s.setState("up", time.Now()); return nil })
+		}}
+	case 1:
+		return trouble{"restart cold", s.uid, coldTime / 3, func(ctx context.Context, t *trouble) error {
+			err := p.list(s, func() error { return s.restart(time.Now()) })
+			sleep(ctx, t.lasts)
+			return err
+		}}
+	}
+	how := 1 + behaviour(t.rng.IntN(int(behaviours)-1))
+	return trouble{"server " + behaviourNames[how], s.uid, lasts, func(ctx context.Context, t *trouble) error {
+		s.how.Store(int32(how))
+		sleep(ctx, t.lasts)
+		s.how.Store(int32(behaves))
+		return nil
+	}}
+}
+
+// list changes an app server and tells all discoveries.
+func (p *play) list(s *server, change func() error) error {
+	if err := change(); err != nil {
+		return err
+	}
+	for _, n := range p.nodes {
+		link := n.linkTo(s)
+		link.To(s.address())
+		n.tell(s)
+	}
+	return nil
+}
+
+// silence has the node's discoveries say nothing, or go on.
+func (n *node) silence(silent bool) {
+	for _, d := range n.discoveries {
+		d.Silence(silent)
+	}
+}
