Mend slow start budgets behind a restart of most servers at once

Cause: warmServerThroughput divided the smoothed throughput of all warm servers by the number that is warm now (control/slow_start.go). It is divided by a mean of that number now, which follows at the same pace and is taken at the same moments (fleetEstimate.warmServers); checkpoints and images have it under new keys, and without it the present number counts as before. The same closes the crossing with ejections: where all servers are ejected at a moment, as by connects that fail on this node, the number fell to one.

The class: a ratio of two estimates that follow at different paces. Related paths looked at: the concurrency limit restored for other servers (scaled by usable ones), minConcurrencyLimit (present number alone): neither.

The runtime guard of slow start judges by the busiest warm server of the last minute times the nodes; by one node's part alone it flagged what broke no rule.

The soak's judge forgot the first sending of a request that is sent once more, and let no 400 pass where reading the request failed; both were the judge's own.

--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -28,7 +28,8 @@
 	FleetLatency     float64                `cbor:"lat"`
 	IdleLatency      float64                `cbor:"idle"`
 	LatencySamples   float64                `cbor:"seen"`
-	WarmThroughput   float64                `cbor:"served"` // units a second by servers that are not warming up
+	WarmThroughput   float64                `cbor:"served"`              // units a second by servers that are not warming up
+	WarmServers      float64                `cbor:"served_by,omitempty"` // how many those were; 0 is not known
 	RetryBudget      float64                `cbor:"retries"`
 	MinRetryGap      time.Duration          `cbor:"next"`
 	Meter            MeterState             `cbor:"meter"`
@@ -192,6 +193,7 @@
 		LatencySamples:   c.fleet.latency.count,
 		IdleLatency:      c.limiter.idleLatency,
 		WarmThroughput:   c.fleet.warmThroughput.mean,
+		WarmServers:      c.fleet.warmServers.mean,
 		RetryBudget:      c.retryBudget.retries,
 		MinRetryGap:      c.minRetryGap,
 		TypicalDeadlines: c.typicalDeadlineStates(),
@@ -288,7 +290,7 @@
 func (c *Checkpoint) isFinite() bool {
 	w := &c.Window
 	sum := c.SlackFraction + c.RateFraction + c.ConcurrencyLimit + c.UsableServers + c.FleetLatency + c.IdleLatency +
-		c.LatencySamples + c.WarmThroughput + c.RetryBudget + w.LatencyRatioSum + w.LatencySecondsSum + w.LatencyCount +
+		c.LatencySamples + c.WarmThroughput + c.WarmServers + c.RetryBudget + w.LatencyRatioSum + w.LatencySecondsSum + w.LatencyCount +
 		w.Answers + w.Overloads + w.ServedUnits + w.UtilizationSum + w.UtilizationCount
 	for _, misfit := range c.Meter.Misfit {
 		sum += misfit
--- a/control/concurrency_limit.go
+++ b/control/concurrency_limit.go
@@ -32,6 +32,7 @@
 	c.limiter.update(c.now, &c.window, c.fleet.latency, c.minConcurrencyLimit())
 	c.updateShares()
 	c.fleet.warmThroughput.add(c.window.servedUnits/windowSeconds, serverLatencyGain)
+	c.fleet.warmServers.add(c.countWarmServers(), serverLatencyGain)
 	c.window = controlWindow{}
 	c.evictIdleAccounts()
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -8,6 +8,7 @@
 	utilization     runningMean // part of the servers' cores that is busy, by their reports
 	reportedLatency runningMean // seconds, by the same reports
 	warmThroughput  runningMean // units a second by servers that are not warming up
+	warmServers     runningMean // how many those were
 	requestUnits    runningMean
 }
 
--- a/control/image.go
+++ b/control/image.go
@@ -37,6 +37,7 @@
 	IdleLatency          float64       `cbor:"Idle"`
 	LatencySamples       float64       `cbor:"Seen"`
 	WarmThroughput       float64       `cbor:"ServedRate"`
+	WarmServers          float64       `cbor:"ServedBy,omitempty"`
 	RetryBudget          float64       `cbor:"Retries"`
 	FleetUtilization     float64       `cbor:"Util"`
 	FleetReportedLatency float64       `cbor:"MeanTold"`
--- a/control/image_take.go
+++ b/control/image_take.go
@@ -32,6 +32,7 @@
 		FleetLatency:         c.fleet.latency.mean,
 		LatencySamples:       c.fleet.latency.count,
 		WarmThroughput:       c.fleet.warmThroughput.mean,
+		WarmServers:          c.fleet.warmServers.mean,
 		WindowCount:          c.fleet.warmThroughput.count,
 		FleetUtilization:     c.fleet.utilization.mean,
 		FleetReportedLatency: c.fleet.reportedLatency.mean,
--- a/control/resume.go
+++ b/control/resume.go
@@ -82,6 +82,7 @@
 		utilization:     runningMean{image.FleetUtilization, image.ReportCount},
 		reportedLatency: runningMean{image.FleetReportedLatency, image.ReportCount},
 		warmThroughput:  runningMean{image.WarmThroughput, image.WindowCount},
+		warmServers:     runningMean{image.WarmServers, image.WindowCount},
 		requestUnits:    runningMean{image.MeanRequestUnits, image.RequestCount},
 	}
 	c.window, c.windowEndsAt, c.nextTick = image.Window.window(), image.WindowEndsAt, image.NextTick
--- a/control/slow_start.go
+++ b/control/slow_start.go
@@ -65,9 +65,20 @@
 	return srv.slowStart.tokens >= 0
 }
 
-// warmServerThroughput is the units a second that a warm server serves for this gateway. Guards against
-// servers that stay listed after they died: as many of those listed count as of those tried lately.
+// warmServerThroughput is the units a second that a warm server serves for this gateway. Guards against a
+// restart of most servers at once: what all have served is divided by how many those were, not by how many
+// are left. A checkpoint of an earlier build does not tell that.
 func (c *Controller) warmServerThroughput() float64 {
+	servers := c.fleet.warmServers.mean
+	if servers == 0 {
+		servers = c.countWarmServers()
+	}
+	return c.fleet.warmThroughput.mean / math.Max(1, servers)
+}
+
+// countWarmServers counts the servers that serve and don't warm up. Guards against servers that stay listed
+// after they died: as many of those listed count as of those tried lately.
+func (c *Controller) countWarmServers() float64 {
 	warm, reporting, ejected := 0.0, 0.0, 0.0
 	for _, srv := range c.sortedServers {
 		switch {
@@ -83,5 +94,5 @@
 	if ejected > 0 {
 		warm *= (1 + reporting) / (1 + reporting + ejected)
 	}
-	return c.fleet.warmThroughput.mean / math.Max(1, warm)
+	return warm
 }
--- a/internal/service/guard.go
+++ b/internal/service/guard.go
@@ -100,14 +100,19 @@
 const (
 	warmupBuckets = 4  // of the overload window, in which attempts are counted
 	maxBudgetBase = 30 // attempts from which on the narrower slack holds
+
+	peakTime = time.Minute // for which a peak counts unless it is exceeded
 )
 
 // warmupGuard counts the attempts at each server, and holds those at a server that warms up against what all nodes
-// together may send it: the overload multiple of its present capacity over the overload window, reckoned from the busiest
-// warm server of this node, and a slack for chance. This node alone can't break that unless its module is at fault. It is
-// used by the loop's goroutine only.
+// together may send it: the overload multiple of its present capacity over the overload window, and a slack for chance.
+// Its capacity is at least what this node's busiest warm server has borne lately, times the nodes. One node can't break
+// that alone unless its module is at fault. It is used by the loop's goroutine only.
 type warmupGuard struct {
 	window          time.Duration // 0 counts nothing
+	nodes           float64
+	peak            float64   // attempts within the window at the busiest warm server, of the last peakTime
+	peakAt          time.Time // of peak
 	multiple        float64
 	warmupTime      time.Duration
 	initialCapacity float64
@@ -123,7 +128,7 @@
 
 func newWarmupGuard(s *control.Settings) warmupGuard {
 	return warmupGuard{
-		window: s.OverloadWindow, multiple: s.OverloadMultiple, warmupTime: s.WarmupTime, initialCapacity: s.InitialCapacity,
+		window: s.OverloadWindow, nodes: float64(s.GroupSize), multiple: s.OverloadMultiple, warmupTime: s.WarmupTime, initialCapacity: s.InitialCapacity,
 		servers: make(map[uint32]*attemptRate),
 	}
 }
@@ -150,33 +155,21 @@
 	}
 	rate.add(g.bucketOf(now))
 	age := now.Sub(rate.startedAt)
-	if rate.startedAt.IsZero() || age >= g.warmupTime {
-		return "", true
-	}
 	sent := rate.sum(g.bucketOf(now))
-	if sent <= budgetSlack(0) { // the usual case costs no look at the other servers
+	if rate.startedAt.IsZero() || age >= g.warmupTime {
+		if sent >= g.peak || now.Sub(g.peakAt) > peakTime {
+			g.peak, g.peakAt = sent, now
+		}
 		return "", true
 	}
 	fraction := g.initialCapacity + (1-g.initialCapacity)*age.Seconds()/g.warmupTime.Seconds()
-	allowed := g.multiple * fraction * g.busiestWarmServer(now)
+	allowed := g.multiple * fraction * g.peak * g.nodes
 	if limit := allowed + budgetSlack(allowed); sent > limit {
 		return fmt.Sprintf("%.0f attempts within %v at a server that started %v ago, more than %.1f", sent, g.window, age, limit), false
 	}
 	return "", true
 }
 
-// busiestWarmServer is the number of attempts, within the window, at the server that had most of those that do not
-// warm up.
-func (g *warmupGuard) busiestWarmServer(now time.Time) float64 {
-	busiest, bucket := 0.0, g.bucketOf(now)
-	for _, rate := range g.servers {
-		if rate.startedAt.IsZero() || now.Sub(rate.startedAt) >= g.warmupTime {
-			busiest = math.Max(busiest, rate.sum(bucket))
-		}
-	}
-	return busiest
-}
-
 // budgetSlack is what chance may add to a number of attempts.
 func budgetSlack(attempts float64) float64 {
 	if attempts < maxBudgetBase {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -150,7 +150,7 @@
 		c.play.journal.unanswered(r, c.node.excuse(begun, time.Now()), fmt.Sprintf("%d is cut behind %d bytes: %v", response.StatusCode, len(body), err))
 		return true
 	}
-	c.play.journal.answered(r, response.StatusCode, string(body), time.Now())
+	c.play.journal.answered(r, response.StatusCode, string(body), c.node.excuse(begun, time.Now()), time.Now())
 	if response.Close {
 		c.disconnect()
 	}
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -99,6 +99,7 @@
 func (j *journal) sending(r *request) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	r.sentAt = time.Time{} // it may be sent once more
 	j.requests[r.id] = r
 }
 
@@ -220,7 +221,7 @@
 }
 
 // answered notes a final answer.
-func (j *journal) answered(r *request, status int, body string, at time.Time) {
+func (j *journal) answered(r *request, status int, body, excuse string, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.statuses[status]++
@@ -234,6 +235,7 @@
 		j.addWrong("%s (%s, %s): served and never forwarded", r.id, r.class.name, r.node)
 	case (status == 429 || status == 503) && r.class.effect == "single_shot" && len(r.effects) > 0:
 		j.addWrong("%s (%s, %s): told %d, that a repeat is harmless, and has run at %v", r.id, r.class.name, r.node, status, r.effects)
+	case (status == 400 || status == 408) && excuse != "": // reading the request has failed
 	case status != 200 && status != 429 && status < 500:
 		j.addWrong("%s (%s, %s): answered %d %q", r.id, r.class.name, r.node, status, body)
 	}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -38,7 +38,7 @@
 const serviceTime = 8 * time.Millisecond
 
 // capacity is how many requests a second a warm app server bears.
-const capacity = 400.0
+const capacity = 100.0
 
 // server is a stand-in for one app server, under a uid that outlasts its restarts.
 type server struct {
