--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -22,7 +22,7 @@
 func measureCommand() command {
 	return command{
 		name: "measure", group: trying, does: "repeats a measurement in which two runs are taken in turn",
-		args: "isolation|proxy|servers|bodies|balance|reload|upgrade|fleet|faults|gather|rollout [--rounds N] [--for TIME] [--descriptors N] [--connections N,N...] [--json]",
+		args: "isolation|proxy|servers|bodies|balance|reload|upgrade|fleet|faults|soak|gather|rollout [--rounds N] [--for TIME] [--descriptors N] [--connections N,N...] [--json]",
 		examples: []string{
 			"lockflow measure isolation --descriptors 256    # one pool stalled, the other's service",
 			"lockflow measure proxy --rounds 5               # beside net/http/httputil.ReverseProxy",
@@ -37,6 +37,7 @@
 			"lockflow measure upgrade --previous /usr/local/bin/lockflow-old --rounds 3   # that build and this one, in both directions",
 			"lockflow measure fleet --instances 40 --for 10m --seed 1   # reloads, upgrades, ends and kills by chance",
 			"lockflow measure faults --seeds 200 --processes 5 --for 3s   # scripts of faults between processes",
+			"lockflow measure soak --seeds 20 --processes 24 --for 10s   # real nodes built with faults, in the repository's directory",
 			"lockflow measure rollout --processes 4   # coordinators of staged changes killed at each write of their journal",
 			"lockflow measure change --seeds 10 --processes 12 --for 3s   # a change over three regions under faults",
 		},
@@ -90,7 +91,7 @@
 	set.IntVar(&m.fleet.Rate, "rate", 400, "fleet: `N` calls a second")
 	set.IntVar(&m.fleet.Servers, "servers", 8, "fleet: `N` app servers of two cores each")
 	set.DurationVar(&m.fleet.Work, "work", 25*time.Millisecond, "fleet: `TIME` of a call on a core")
-	set.Uint64Var(&m.fleet.Seed, "seed", 1, "fleet, faults, change: `N` of the disturbances' chance")
+	set.Uint64Var(&m.fleet.Seed, "seed", 1, "fleet, faults, change, soak: `N` of the disturbances' chance")
 	set.StringVar(&m.skew.Previous, "previous", "", "upgrade: `PATH` of another build, from which and to which is upgraded")
 	set.IntVar(&m.skew.Requests, "requests", skewRequests, "upgrade, with --previous: `N` answered between two changes")
 	m.script = faultFlags(set, &m.faults)
@@ -101,7 +102,7 @@
 // run takes the measurement that args name.
 func (m *measureFlags) run(ctx context.Context, e *Env, args []string) error {
 	if len(args) != 1 {
-		return usage("measure takes one of isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout")
+		return usage("measure takes one of isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, soak, gather, rollout")
 	}
 	what := args[0]
 	if m.rounds < 1 || m.lasts < 100*time.Millisecond ||
@@ -143,6 +144,8 @@
 	case what == "faults" || what == "change":
 		m.faults.Lasts, m.faults.Seed = m.lasts, m.fleet.Seed
 		return measureFaults(ctx, e, m.faults, what == "change", *m.script, m.asJSON)
+	case what == "soak":
+		return measureSoak(ctx, e, soakOptions{nodes: m.faults.Processes, seeds: m.faults.Seeds, seed: m.fleet.Seed, lasts: m.lasts}, m.asJSON)
 	case what == "rollout":
 		return measureRollout(ctx, e, measure.RolloutOptions{Members: m.faults.Processes, Seed: m.fleet.Seed}, m.kinds, m.asJSON)
 	case what == "gather":
@@ -153,7 +156,7 @@
 			Progress: e.Err,
 		}, m.asJSON)
 	}
-	return usage("there is no measurement %q: isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, gather, rollout", what)
+	return usage("there is no measurement %q: isolation, proxy, servers, bodies, balance, reload, upgrade, fleet, faults, change, soak, gather, rollout", what)
 }
 
 func measureProxy(ctx context.Context, e *Env, connections, protocol string, rounds int, lasts time.Duration, asJSON bool) error {
--- a/internal/command/measurefaults.go
+++ b/internal/command/measurefaults.go
@@ -17,8 +17,8 @@
 
 // faultFlags are those of measure faults.
 func faultFlags(set flags, o *measure.FaultsOptions) (file *string) {
-	set.IntVar(&o.Processes, "processes", 3, "faults, change, rollout: `N` nodes; change: a third of them in each of three regions")
-	set.IntVar(&o.Seeds, "seeds", 20, "faults, change: `N` scripts, of --seed and those after it")
+	set.IntVar(&o.Processes, "processes", 3, "faults, change, soak, rollout: `N` nodes; change: a third of them in each of three regions")
+	set.IntVar(&o.Seeds, "seeds", 20, "faults, change, soak: `N` scripts or plays, of --seed and those after it")
 	set.IntVar(&o.Faults, "faults", 0, "faults, change: `N` in a script; 0 is one for each link and process, and one more")
 	set.IntVar(&o.Shrinks, "shrinks", 40, "faults, change: `N` tries to shorten a script that fails")
 	return set.String("script", "", "faults, change: `FILE` of a script that is tried instead of drawn ones")
--- /dev/null
+++ b/internal/command/measuresoak.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"lockflow/internal/faultnet/faultbuild"
+	"lockflow/internal/soak"
+)
+
+// soakPackage is the program that is built with faults, in the repository in which measure soak runs.
+const soakPackage = "lockflow/cmd/lockflow"
+
+// soakOptions are how measure soak plays.
+type soakOptions struct {
+	nodes, seeds int
+	seed         uint64
+	lasts        time.Duration
+}
+
+// measureSoak plays seed after seed, in the repository's directory, and goes on behind one that fails. What each of
+// those left is kept.
+func measureSoak(ctx context.Context, e *Env, o soakOptions, asJSON bool) error {
+	if o.nodes < 1 || o.nodes > 64 || o.seeds < 1 || o.seeds > 100_000 {
+		return usage("measure soak: its flags are off; see lockflow measure --help")
+	}
+	directory, err := os.MkdirTemp("", "lockflow-soak-")
+	if err != nil {
+		return fmt.Errorf("measuring soak: %w", err)
+	}
+	program := filepath.Join(directory, "lockflow")
+	if err := faultbuild.Build(ctx, soakPackage, program, directory); err != nil {
+		return fmt.Errorf("measuring soak, which builds the program anew: %w", err)
+	}
+	hasFailed := false
+	for i := range o.seeds {
+		options := soak.Options{
+			Program: program, Dir: filepath.Join(directory, fmt.Sprint(i)), Nodes: o.nodes, Servers: o.nodes + 1, Clients: 4,
+			Troubles: o.nodes + 2, Lasts: o.lasts, Seed: o.seed + uint64(i),
+		}
+		report, err := playSoak(ctx, options)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", options.Seed, err)
+		}
+		hasFailed = hasFailed || len(report.Wrong) > 0
+		if err := printSoak(e, report, options.Dir, asJSON); err != nil {
+			return err
+		}
+	}
+	if hasFailed {
+		return errTold
+	}
+	return os.RemoveAll(directory)
+}
+
+// playSoak plays one seed, and removes what it left unless something was wrong.
+func playSoak(ctx context.Context, o soak.Options) (*soak.Report, error) {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	report, err := soak.Run(ctx, o)
+	if err == nil && len(report.Wrong) == 0 {
+		err = os.RemoveAll(o.Dir)
+	}
+	return report, err
+}
+
+func printSoak(e *Env, r *soak.Report, directory string, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(e.Out).Encode(r)
+	}
+	troubles := 0
+	for _, n := range r.Troubles {
+		troubles += n
+	}
+	var statuses []string
+	for _, status := range slices.Sorted(maps.Keys(r.Statuses)) {
+		statuses = append(statuses, fmt.Sprintf("%d: %d", status, r.Statuses[status]))
+	}
+	fmt.Fprintf(e.Out, "seed %d: %d requests (%s), %d excused, %d sent again, %d left; %d attempts, %d effects; %d troubles, %d calls failed, %d starts; %d wrong\n",
+		r.Seed, r.Requests, strings.Join(statuses, ", "), r.Excused, r.Resent, r.Left, r.Attempts, r.Effects, troubles, r.Injected, r.Starts, len(r.Wrong))
+	if len(r.Wrong) == 0 {
+		return nil
+	}
+	for _, line := range slices.Concat(r.Wrong, r.TroubleList) {
+		fmt.Fprintln(e.Out, "  "+line)
+	}
+	fmt.Fprintf(e.Err, "the nodes' files are left in %s\n", directory)
+	return nil
+}
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -51,7 +51,6 @@
 	attempts []attempt
 	effects  []string
 	isCapped bool
-	isSent   bool // of its units, one has been drawn
 }
 
 // attempt is one that came to an app server.
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -144,7 +144,7 @@
 			return
 		}
 		defer conn.Close()
-		buffered.Flush()
+		_ = buffered.Flush() // nothing was written yet
 		s.answerRaw(conn, how, body)
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
