--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -7,8 +7,10 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"lockflow/internal/config"
+	"lockflow/internal/protocol"
 	"lockflow/internal/testkit"
 )
 
@@ -37,27 +39,99 @@
 		syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
 		syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.ENOSR,
 	}
+	r := newTestNodeWithListener(t, func(socket net.Listener) net.Listener { return &failingListener{Listener: socket, errs: errs} })
+	a := testkit.NewApp(t, func(http.ResponseWriter, *http.Request) {})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d behind errors of accept", resp.StatusCode)
+	}
+	select {
+	case err := <-r.ended:
+		t.Errorf("the node has ended: %v", err)
+	default:
+	}
+}
+
+// newTestNodeWithListener runs a node whose listener is wrapped.
+func newTestNodeWithListener(t *testing.T, wrap func(net.Listener) net.Listener) *testNode {
+	t.Helper()
 	cfg, err := config.LoadPlatform("../config/testdata/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg.Process.Drain = config.Drain{}
 	r := newIdleTestNodeWithConfig(t, cfg)
-	var socket net.Listener
-	cfg, socket = r.node.cfg, r.node.listeners[0].tcp
-	inherited := map[string]net.Listener{cfg.Listeners[0]: &failingListener{Listener: socket, errs: errs}}
-	if r.node, err = NewInheriting(cfg, inherited); err != nil {
+	cfg, socket := r.node.cfg, r.node.listeners[0].tcp
+	if r.node, err = NewInheriting(cfg, map[string]net.Listener{cfg.Listeners[0]: wrap(socket)}); err != nil {
 		t.Fatal(err)
 	}
 	r.run()
-	a := testkit.NewApp(t, func(http.ResponseWriter, *http.Request) {})
+	return r
+}
+
+// failingUntil is a listener whose calls of Accept fail up to a time.
+type failingUntil struct {
+	net.Listener
+	mu       sync.Mutex
+	until    time.Time
+	failures int
+}
+
+func (l *failingUntil) failFor(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = time.Now().Add(d)
+}
+
+// hasFailed tells whether a call has failed.
+func (l *failingUntil) hasFailed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failures > 0
+}
+
+func (l *failingUntil) Accept() (net.Conn, error) {
+	if err := l.failure(); err != nil {
+		return nil, err
+	}
+	// A call that waits when the failures begin is woken up, so that it does not take the next connection.
+	l.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(time.Millisecond))
+	return l.Listener.Accept()
+}
+
+func (l *failingUntil) failure() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Now().Before(l.until) {
+		l.failures++
+		return &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", syscall.ENOBUFS)}
+	}
+	return nil
+}
+
+// The time that a request has waited in the socket's queue, as its connection could not be accepted, is not left to it:
+// its server is told what is left to the client.
+func TestTimeInAcceptQueueIsNotLeft(t *testing.T) {
+	const queued = 400 * time.Millisecond
+	var socket *failingUntil
+	r := newTestNodeWithListener(t, func(l net.Listener) net.Listener {
+		socket = &failingUntil{Listener: l}
+		return socket
+	})
+	told := make(chan string, 1)
+	a := testkit.NewApp(t, func(_ http.ResponseWriter, q *http.Request) { told <- q.Header.Get(protocol.HeaderTimeLeft) })
 	r.setEndpoints(endpointOf(a, "s-1", 0))
-	if resp, _ := r.do(r.newRequest(http.MethodGet, "/roster-read", "id-1")); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d behind errors of accept", resp.StatusCode)
+	socket.failFor(queued + 100*time.Millisecond)
+	r.wait("a failure of accept", socket.hasFailed)
+	time.Sleep(100 * time.Millisecond) // the request is to come when the listener has failed for some time
+	request := r.newRequest(http.MethodGet, "/roster-read", "id-1")
+	request.Header.Set(protocol.HeaderTimeLeft, "1000m")
+	if resp, _ := r.do(request); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
 	}
-	select {
-	case err := <-r.ended:
-		t.Errorf("the node has ended: %v", err)
-	default:
+	text := testkit.Next(t, told)
+	left, err := time.ParseDuration(text + "s")
+	if err != nil || left > time.Second-queued+50*time.Millisecond || left < 100*time.Millisecond {
+		t.Errorf("%q are left of 1000m after %v in the queue (%v)", text, queued, err)
 	}
 }
