Mend the time left to requests that waited to be accepted

Cause: front.ServeHTTP counted a request's time from its reading. Where connections are not accepted at once (limits.Listener waits for a descriptor, accept.Listener backs off), requests wait in the socket's queue, and their clients' time runs. Now both note from when on nothing was accepted (accept.Backlog); the first request of a connection that may have waited has arrived when its last byte came (TCP_INFO, tcpi_last_data_recv), between that moment and the connection's acceptance. Any other request costs nothing more.

Related paths: later requests of a connection are read at once; a body's time counts from its last byte already.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -34,6 +34,7 @@
 type Listener struct {
 	net.Listener
 	purpose   Purpose
+	backlog   Backlog
 	closed    chan struct{}
 	closeOnce sync.Once
 }
@@ -53,6 +54,7 @@
 		if err == nil || isFinal(err) {
 			return conn, err
 		}
+		l.backlog.Block()
 		failures.add(failure{l.purpose, errnoName(err)})
 		slog.Warn("accepting a connection failed", "listen", l.Addr().String(), "err", err)
 		select {
@@ -64,6 +66,9 @@
 	}
 }
 
+// Backlog tells for how long connections may have waited. Whoever takes the connections unblocks it.
+func (l *Listener) Backlog() *Backlog { return &l.backlog }
+
 // Close closes the listener and ends an Accept that waits.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
--- /dev/null
+++ b/internal/accept/backlog.go
@@ -0,0 +1,46 @@
+package accept
+
+import (
+	"sync"
+	"time"
+)
+
+// Backlog tells for how long connections may have waited in a socket's queue before they were accepted. Its zero value
+// is ready; it is safe for concurrent use.
+type Backlog struct {
+	mu      sync.Mutex
+	blocked Period
+}
+
+// Period is a time from From to To. The zero one is none.
+type Period struct{ From, To time.Time }
+
+// Block notes that connections are not accepted from now on, for want of a descriptor or as accept fails. Further calls
+// before Unblock change nothing.
+func (b *Backlog) Block() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.blocked.From.IsZero() || !b.blocked.To.IsZero() {
+		b.blocked = Period{From: time.Now()}
+	}
+}
+
+// Unblock notes that a connection was accepted. Without a Block before it, it changes nothing.
+func (b *Backlog) Unblock() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.blocked.From.IsZero() && b.blocked.To.IsZero() {
+		b.blocked.To = time.Now()
+	}
+}
+
+// LastBlocked returns the latest time in which connections were not accepted, up to now where that goes on.
+func (b *Backlog) LastBlocked() Period {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last := b.blocked
+	if !last.From.IsZero() && last.To.IsZero() {
+		last.To = time.Now()
+	}
+	return last
+}
--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"lockflow/internal/accept"
+	"lockflow/internal/limits"
 	"lockflow/internal/upstream"
 )
 
@@ -35,6 +38,11 @@
 	idleSince time.Time       // zero while a request is open; guarded by clientRegistry.mu
 	isNew     bool            // no complete head has been received yet; guarded by clientRegistry.mu
 	isShut    atomic.Bool     // the node has closed the connection: no further request is started on it
+
+	// When the connection was accepted, and the time before in which it may have waited for that; used for its first
+	// request only, by the goroutine that serves the connection.
+	acceptedAt time.Time
+	queued     accept.Period
 }
 
 // isClosed reports whether the node has closed the connection. It is false for a nil connection.
@@ -95,6 +103,9 @@
 	if tcp := tcpConnOf(conn); tcp != nil {
 		client.rawConn, _ = tcp.SyscallConn()
 	}
+	if limited := limitedConnOf(conn); limited != nil {
+		client.acceptedAt, client.queued = limited.AcceptedAt, limited.Queued
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.connections == nil {
@@ -104,6 +115,44 @@
 	return context.WithValue(ctx, clientKey{}, client)
 }
 
+// limitedConnOf returns the limits.Conn inside conn; nil if there is none.
+func limitedConnOf(conn net.Conn) *limits.Conn {
+	for {
+		if limited, ok := conn.(*limits.Conn); ok {
+			return limited
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
+// arrivalOf returns when a request arrived that was read now. The first one of a connection that could not be accepted
+// at once may have waited in the socket's queue: its client's time has run since its last byte came.
+func (c *clientConn) arrivalOf(now time.Time) time.Time {
+	queued := c.queued
+	c.queued = accept.Period{}
+	if queued.From.IsZero() || c.rawConn == nil {
+		return now
+	}
+	var info *unix.TCPInfo
+	err := errors.ErrUnsupported
+	_ = c.rawConn.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil {
+		return now
+	}
+	lastByteAt := now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+	if lastByteAt.After(queued.To) || lastByteAt.After(c.acceptedAt) {
+		return now
+	}
+	if lastByteAt.Before(queued.From) {
+		return queued.From
+	}
+	return lastByteAt
+}
+
 // clientOf returns the connection of a request; nil if it did not arrive over one.
 func clientOf(r *http.Request) *clientConn {
 	c, _ := r.Context().Value(clientKey{}).(*clientConn)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -144,11 +144,15 @@
 // ServeHTTP handles one client request until its final answer has been written.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if clientOf(r).isClosed() {
+	client := clientOf(r)
+	if client.isClosed() {
 		// Nothing has been forwarded, so the client can safely retry; but it has no answer.
 		invariant.Violated(invariant.ClosedUnanswered, r.Header.Get(protocol.HeaderID), "its connection was closed as idle")
 		panic(http.ErrAbortHandler)
 	}
+	if client != nil {
+		arrived = client.arrivalOf(arrived)
+	}
 	if r.URL.Path == route.HealthPath {
 		f.serveHealthCheck(w)
 		return
--- a/internal/limits/conn.go
+++ b/internal/limits/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"lockflow/internal/accept"
 )
 
 // acquireRetryInterval is the time between two attempts to acquire a descriptor for a client.
@@ -13,6 +15,10 @@
 // Conn is a connection that releases its descriptor when it is closed.
 type Conn struct {
 	net.Conn
+	// AcceptedAt is when a Listener accepted it, and Queued the time before in which it may have waited for that.
+	AcceptedAt time.Time
+	Queued     accept.Period
+
 	limiter ConnectionLimiter
 	once    sync.Once
 }
@@ -35,11 +41,16 @@
 	net.Listener
 	ctx     context.Context // Accept, which net.Listener defines without one, waits until it ends
 	limiter ConnectionLimiter
+	backlog *accept.Backlog
 }
 
 // Listen wraps a listener. Once ctx has ended, Accept no longer waits for a descriptor.
 func Listen(ctx context.Context, l net.Listener, limiter ConnectionLimiter) *Listener {
-	return &Listener{Listener: l, ctx: ctx, limiter: limiter}
+	backlog := &accept.Backlog{}
+	if persistent, ok := l.(*accept.Listener); ok {
+		backlog = persistent.Backlog()
+	}
+	return &Listener{Listener: l, ctx: ctx, limiter: limiter, backlog: backlog}
 }
 
 // Accept waits for a descriptor, then for a connection. The error is net.ErrClosed where ctx has ended first.
@@ -52,12 +63,16 @@
 		l.limiter.Release()
 		return nil, err
 	}
-	return Track(c, l.limiter), nil
+	l.backlog.Unblock()
+	conn := Track(c, l.limiter)
+	conn.AcceptedAt, conn.Queued = time.Now(), l.backlog.LastBlocked()
+	return conn, nil
 }
 
 // acquire acquires a descriptor as soon as there is one.
 func (l *Listener) acquire() error {
 	for !l.limiter.TryAcquire() {
+		l.backlog.Block()
 		select {
 		case <-l.ctx.Done():
 			return net.ErrClosed
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -171,7 +171,8 @@
 func (t *troubles) drawOfCalls(n *node, lasts time.Duration) trouble {
 	fault := callFaults[t.rng.IntN(len(callFaults))]
 	interval := 1 + t.rng.IntN(7)
-	if fault.breaksClient || fault.errno == syscall.EINTR {
+	// A call that is repeated at once, as behind EINTR, must not fail each time.
+	if fault.breaksClient || fault.errno == syscall.EINTR || fault.errno == syscall.ECONNABORTED {
 		interval = 5 + t.rng.IntN(40)
 	}
 	return trouble{fault.name, n.name + " calls", lasts, func(ctx context.Context, t *trouble) error {
