Take a warm server's capacity by its throughput and utilization

The settings' guide is what other servers carry; what they carry is a part of what they can, which their load reports tell.

Starts that a late list tells hold again, unless the wall clock was stepped since the service began or the start lies over 10 s before the last list: lists that come late are usual, and made servers warm up anew.

--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -30,6 +30,7 @@
 	LatencySamples   float64                `cbor:"seen"`
 	WarmThroughput   float64                `cbor:"served"`              // units a second by servers that are not warming up
 	WarmServers      float64                `cbor:"served_by,omitempty"` // how many those were; 0 is not known
+	PeakThroughput   float64                `cbor:"peak,omitempty"`      // units a second by one of them, at most
 	RetryBudget      float64                `cbor:"retries"`
 	MinRetryGap      time.Duration          `cbor:"next"`
 	Meter            MeterState             `cbor:"meter"`
@@ -194,6 +195,7 @@
 		IdleLatency:      c.limiter.idleLatency,
 		WarmThroughput:   c.fleet.warmThroughput.mean,
 		WarmServers:      c.fleet.warmServers.mean,
+		PeakThroughput:   c.fleet.peakThroughput,
 		RetryBudget:      c.retryBudget.retries,
 		MinRetryGap:      c.minRetryGap,
 		TypicalDeadlines: c.typicalDeadlineStates(),
@@ -290,7 +292,7 @@
 func (c *Checkpoint) isFinite() bool {
 	w := &c.Window
 	sum := c.SlackFraction + c.RateFraction + c.ConcurrencyLimit + c.UsableServers + c.FleetLatency + c.IdleLatency +
-		c.LatencySamples + c.WarmThroughput + c.WarmServers + c.RetryBudget + w.LatencyRatioSum + w.LatencySecondsSum + w.LatencyCount +
+		c.LatencySamples + c.WarmThroughput + c.WarmServers + c.PeakThroughput + c.RetryBudget + w.LatencyRatioSum + w.LatencySecondsSum + w.LatencyCount +
 		w.Answers + w.Overloads + w.ServedUnits + w.UtilizationSum + w.UtilizationCount
 	for _, misfit := range c.Meter.Misfit {
 		sum += misfit
--- a/control/concurrency_limit.go
+++ b/control/concurrency_limit.go
@@ -33,6 +33,7 @@
 	c.updateShares()
 	c.fleet.warmThroughput.add(c.window.servedUnits/windowSeconds, serverLatencyGain)
 	c.fleet.warmServers.add(c.countWarmServers(), serverLatencyGain)
+	c.fleet.updatePeakThroughput(windowSeconds)
 	c.window = controlWindow{}
 	c.evictIdleAccounts()
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -9,6 +9,7 @@
 	reportedLatency runningMean // seconds, by the same reports
 	warmThroughput  runningMean // units a second by servers that are not warming up
 	warmServers     runningMean // how many those were
+	peakThroughput  float64     // the highest of late that one of them could serve, by both means and its utilization
 	requestUnits    runningMean
 }
 
--- a/control/image.go
+++ b/control/image.go
@@ -38,6 +38,7 @@
 	LatencySamples       float64       `cbor:"Seen"`
 	WarmThroughput       float64       `cbor:"ServedRate"`
 	WarmServers          float64       `cbor:"ServedBy,omitempty"`
+	PeakThroughput       float64       `cbor:"Peak,omitempty"`
 	RetryBudget          float64       `cbor:"Retries"`
 	FleetUtilization     float64       `cbor:"Util"`
 	FleetReportedLatency float64       `cbor:"MeanTold"`
--- a/control/image_take.go
+++ b/control/image_take.go
@@ -33,6 +33,7 @@
 		LatencySamples:       c.fleet.latency.count,
 		WarmThroughput:       c.fleet.warmThroughput.mean,
 		WarmServers:          c.fleet.warmServers.mean,
+		PeakThroughput:       c.fleet.peakThroughput,
 		WindowCount:          c.fleet.warmThroughput.count,
 		FleetUtilization:     c.fleet.utilization.mean,
 		FleetReportedLatency: c.fleet.reportedLatency.mean,
--- a/control/restore.go
+++ b/control/restore.go
@@ -69,6 +69,7 @@
 	// The count keeps the first window from replacing the mean.
 	c.fleet.warmThroughput = runningMean{checkpoint.WarmThroughput * decay, 1 / serverLatencyGain}
 	c.fleet.warmServers = runningMean{checkpoint.WarmServers, 1 / serverLatencyGain}
+	c.fleet.peakThroughput = checkpoint.PeakThroughput * decay
 	c.limiter.idleLatency = checkpoint.IdleLatency
 	c.minRetryGap = max(checkpoint.MinRetryGap, tickPeriod)
 	c.retryBudget.retries = math.Max(0, math.Min(maxRetryBudget, checkpoint.RetryBudget))
--- a/control/resume.go
+++ b/control/resume.go
@@ -83,6 +83,7 @@
 		reportedLatency: runningMean{image.FleetReportedLatency, image.ReportCount},
 		warmThroughput:  runningMean{image.WarmThroughput, image.WindowCount},
 		warmServers:     runningMean{image.WarmServers, image.WindowCount},
+		peakThroughput:  image.PeakThroughput,
 		requestUnits:    runningMean{image.MeanRequestUnits, image.RequestCount},
 	}
 	c.window, c.windowEndsAt, c.nextTick = image.Window.window(), image.WindowEndsAt, image.NextTick
--- a/control/slow_start.go
+++ b/control/slow_start.go
@@ -5,6 +5,8 @@
 const (
 	minWarmupFraction       = 0.1  // of a server's capacity
 	slowStartBudgetFraction = 0.32 // part of a warming server's budget that is used
+	peakDecaySeconds        = 60.0 // time constant of a server's highest throughput: it can serve that again
+	minBusyFraction         = 0.5  // below it, reports of utilization say nothing of what a server can serve
 )
 
 // trackRestart takes a new entry of a server before it replaces the old one. What was known of an
@@ -65,15 +67,31 @@
 	return srv.slowStart.tokens >= 0
 }
 
-// warmServerThroughput is the units a second that a warm server serves for this gateway. Guards against a
-// restart of most servers at once: what all have served is divided by how many those were, not by how many
-// are left. A checkpoint of an earlier build does not tell that.
+// warmServerThroughput is the units a second that a warm server can serve for this gateway, by what one of
+// them has served lately. Guards against a restart of most servers at once: what all have served is divided
+// by how many those were, not by how many are left. A checkpoint of an earlier build does not tell that.
 func (c *Controller) warmServerThroughput() float64 {
-	servers := c.fleet.warmServers.mean
-	if servers == 0 {
-		servers = c.countWarmServers()
+	if c.fleet.warmServers.mean == 0 {
+		return c.fleet.warmThroughput.mean / math.Max(1, c.countWarmServers())
 	}
-	return c.fleet.warmThroughput.mean / math.Max(1, servers)
+	return c.fleet.peakThroughput
+}
+
+// updatePeakThroughput follows what one warm server can serve up at once and down slowly: its throughput by
+// the part of its capacity that this was.
+func (f *fleetEstimate) updatePeakThroughput(windowSeconds float64) {
+	decayed := f.peakThroughput * math.Exp(-windowSeconds/peakDecaySeconds)
+	served := f.warmThroughput.mean / math.Max(1, f.warmServers.mean)
+	f.peakThroughput = math.Max(decayed, served/f.busyFraction())
+}
+
+// busyFraction is the part of their capacity that servers report to use, or 1 where they report none.
+// Servers are not believed to be able to serve more than twice what they do.
+func (f *fleetEstimate) busyFraction() float64 {
+	if f.utilization.count == 0 {
+		return 1
+	}
+	return math.Min(1, math.Max(minBusyFraction, f.utilization.mean))
 }
 
 // countWarmServers counts the servers that serve and don't warm up. Guards against servers that stay listed
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -78,7 +78,7 @@
 // module of it. Servers that are no longer listed are forgotten.
 func (l *loop) updateEndpoints(kind control.ListKind, list discovery.EndpointList) {
 	event := control.EndpointList{Kind: kind}
-	isListed, now := make(map[string]bool), time.Now()
+	isListed, now := make(map[string]bool), readClocks()
 	for i := range list.Endpoints {
 		target := &list.Endpoints[i]
 		id := l.serverID(target.UID)
@@ -98,13 +98,13 @@
 		}
 	}
 	if kind != control.ListCached { // a cached one may be of any age
-		l.starts.listReceived(now, l.serverIDs)
+		l.starts.listReceived(now.monotonic, l.serverIDs)
 	}
 	l.handle(event)
 }
 
 // serverStart returns when a listed server started; zero for long ago.
-func (l *loop) serverStart(target *discovery.Endpoint, now time.Time) time.Time {
+func (l *loop) serverStart(target *discovery.Endpoint, now clockReading) time.Time {
 	if !(target.StartedAtMS > 0 && target.StartedAtMS < maxBootMS) {
 		return time.Time{}
 	}
--- a/internal/service/server_age_test.go
+++ b/internal/service/server_age_test.go
@@ -151,3 +151,24 @@
 		})
 	}
 }
+
+// A start that a late list tells holds, unless the wall clock was stepped since the service began.
+func TestStartBeforeLastListHoldsWithoutClockStep(t *testing.T) {
+	begun := readClocks()
+	after := func(d, step time.Duration) clockReading {
+		return clockReading{begun.monotonic.Add(d), begun.wall + d + step}
+	}
+	for _, step := range append([]time.Duration{0}, -time.Hour, -5*time.Second, 5*time.Second, time.Hour) {
+		s := newServerStarts()
+		s.begun = begun
+		s.listReceived(begun.monotonic.Add(9*time.Second), nil)
+		now := after(10*time.Second, step)
+		boot := milliseconds(begun.wall + 6*time.Second) // 4 s ago, 3 s before the last list
+		age := now.monotonic.Sub(s.resolve("s-1", boot, now))
+		if step == 0 && age.Round(time.Millisecond) != 4*time.Second || step != 0 && (age < 0 || age > time.Second) {
+			t.Errorf("a step of %v: the server is %v old", step, age)
+		}
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/service/server_ages.go
+++ b/internal/service/server_ages.go
@@ -11,6 +11,13 @@
 	// clock that was never set.
 	maxUptime = 10 * 365 * 24 * time.Hour
 
+	// maxListDelay is how much later than a server's start a list may first tell of it where lists come in time: a change
+	// counts as told 6 s after discovery has it, and discovery needs time to see it.
+	maxListDelay = 10 * time.Second
+
+	// maxClockDrift is how far wall time and monotonic time may part before that is a step of the wall clock.
+	maxClockDrift = 500 * time.Millisecond
+
 	// maxBootMS bounds what can be a boot time at all; a figure beyond it tells none.
 	maxBootMS = float64(math.MaxInt64 / int64(time.Millisecond))
 
@@ -37,36 +44,60 @@
 	mu         sync.Mutex
 	byUID      map[string]serverStart
 	lastListAt time.Time // when discovery's latest message was applied; zero before the first
+	begun      clockReading
 }
 
-func newServerStarts() *serverStarts { return &serverStarts{byUID: make(map[string]serverStart)} }
+// clockReading is one moment by both clocks.
+type clockReading struct {
+	monotonic time.Time
+	wall      time.Duration // Unix time
+}
+
+func readClocks() clockReading {
+	now := time.Now()
+	return clockReading{now, time.Duration(now.UnixNano())}
+}
+
+func newServerStarts() *serverStarts {
+	return &serverStarts{byUID: make(map[string]serverStart), begun: readClocks()}
+}
 
 // resolve returns when a server started that is listed now with a boot time above 0. A server that was not listed, or
-// was with another boot time, did not start before the last message that did not list it so.
-func (s *serverStarts) resolve(uid string, bootMS float64, now time.Time) time.Time {
+// was with another boot time, did not start before the last message that did not list it so. Lists may be late, and a
+// start that is told may lie before that message; it holds unless the wall clock was stepped or the start lies so far
+// back that it must have been.
+func (s *serverStarts) resolve(uid string, bootMS float64, now clockReading) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if known, ok := s.byUID[uid]; ok && known.bootMS == bootMS {
 		return known.startedAt
 	}
 	startedAt := startByWallClock(bootMS, now)
-	if startedAt.Before(s.lastListAt) {
+	isDoubtful := s.wasStepped(now) || startedAt.Before(s.lastListAt.Add(-maxListDelay))
+	if isDoubtful && startedAt.Before(s.lastListAt) {
 		startedAt = s.lastListAt
 	}
 	s.byUID[uid] = serverStart{bootMS, startedAt}
 	return startedAt
 }
 
+// wasStepped reports whether the wall clock was stepped, and not back, since the process or its predecessor's service
+// began.
+func (s *serverStarts) wasStepped(now clockReading) bool {
+	drift := now.wall - s.begun.wall - now.monotonic.Sub(s.begun.monotonic)
+	return drift.Abs() > maxClockDrift
+}
+
 // startByWallClock is when a server started by the wall clock of now, with a monotonic reading. One that started in the
 // future has started now. So has one that started before any uptime, as far as no list tells more: its wall clock or
 // ours was never set, and a server that warms up for once too often is safe.
-func startByWallClock(bootMS float64, now time.Time) time.Time {
+func startByWallClock(bootMS float64, now clockReading) time.Time {
 	const nanosecondsPerMillisecond = float64(time.Millisecond)
-	age := float64(now.UnixNano()) - bootMS*nanosecondsPerMillisecond
+	age := float64(now.wall) - bootMS*nanosecondsPerMillisecond
 	if !(age >= 0 && age <= float64(maxUptime)) {
-		return now
+		return now.monotonic
 	}
-	return now.Add(-time.Duration(age))
+	return now.monotonic.Add(-time.Duration(age))
 }
 
 // listReceived notes that a message of discovery was applied, behind resolve of its servers, and forgets servers that
