Mend connections that were closed behind a request already read from them

Cause: a drain or an eviction asked the socket for unread bytes, and net/http whether the connection is active; a request that net/http has read and not parsed yet is in neither. Now front.inputConn, below all that looks at the bytes, reads the socket without waiting under a lock that whoever decides to close an idle connection holds too (RawConn.Read), and knows since when bytes of an unreported request were read.

The class: two observers of one byte stream with a gap between them. Related paths: serverConn.isQuiet reads the socket itself; the listener's queue is polled by the kernel's own state; net/http's background read of one byte behind an answer remains (its other bytes are in the socket and seen).

--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -35,6 +35,7 @@
 type clientConn struct {
 	conn      net.Conn        // inside the lingeringConn that net/http has, if that is used
 	rawConn   syscall.RawConn // the socket; nil if there is none
+	input     *inputConn      // inside conn; nil if there is none
 	idleSince time.Time       // zero while a request is open; guarded by clientRegistry.mu
 	isNew     bool            // no complete head has been received yet; guarded by clientRegistry.mu
 	isShut    atomic.Bool     // the node has closed the connection: no further request is started on it
@@ -103,6 +104,7 @@
 	if tcp := tcpConnOf(conn); tcp != nil {
 		client.rawConn, _ = tcp.SyscallConn()
 	}
+	client.input = inputConnOf(conn)
 	if limited := limitedConnOf(conn); limited != nil {
 		client.acceptedAt, client.queued = limited.AcceptedAt, limited.Queued
 	}
@@ -189,8 +191,11 @@
 		client.idleSince, client.isNew = time.Time{}, false
 	case http.StateIdle:
 		client.idleSince = time.Now()
-		if s.isDraining && client.canCloseCleanly() {
-			client.close()
+		if client.input != nil {
+			client.input.becameIdle()
+		}
+		if s.isDraining {
+			client.closeIf(client.canCloseCleanly)
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.connections, conn)
@@ -201,10 +206,27 @@
 	}
 }
 
+// closeIf closes an idle connection if mayClose, which is told when bytes were first read of a request that
+// net/http has not reported (zero for none), allows it. The caller holds clientRegistry.mu.
+func (c *clientConn) closeIf(mayClose func(readAt time.Time) bool) {
+	if c.input != nil {
+		c.input.closeUnlessRead(mayClose, c.close)
+	} else if mayClose(time.Time{}) {
+		c.close()
+	}
+}
+
 // canCloseCleanly reports whether closing an idle connection loses nothing: neither a request that has
-// arrived and is about to be read, nor a part of the last answer that is still on its way.
-func (c *clientConn) canCloseCleanly() bool {
-	return !c.hasUnreadInput() && !c.hasUnacknowledgedOutput()
+// arrived, was read or is about to be, nor a part of the last answer that is still on its way.
+func (c *clientConn) canCloseCleanly(readAt time.Time) bool {
+	return readAt.IsZero() && !c.hasUnreadInput() && !c.hasUnacknowledgedOutput()
+}
+
+// canEvict reports whether closing an idle connection loses no request. One that was begun and not completed for the
+// grace period is none.
+func (c *clientConn) canEvict(readAt time.Time) bool {
+	readable, ended := c.pollSocket()
+	return (!readable || ended) && (readAt.IsZero() || time.Since(readAt) >= newConnGracePeriod)
 }
 
 // hasUnreadInput reports whether an idle connection has input, or the client's close, that is about to
@@ -240,15 +262,15 @@
 		if !c.isEvictable() || oldest != nil && !c.isEvictedBefore(oldest) {
 			continue
 		}
-		if readable, ended := c.pollSocket(); !readable || ended {
+		if c.canEvict(c.input.inputSince()) {
 			oldest = c
 		}
 	}
 	if oldest == nil {
 		return false
 	}
-	oldest.close()
-	return true
+	oldest.closeIf(oldest.canEvict)
+	return oldest.isClosed()
 }
 
 // isEvictable reports whether a connection is idle, and silent beyond the grace period if it is new.
@@ -274,8 +296,8 @@
 	defer s.mu.Unlock()
 	s.isDraining = true
 	for _, c := range s.connections {
-		if !c.idleSince.IsZero() && !c.isNew && c.canCloseCleanly() {
-			c.close()
+		if !c.idleSince.IsZero() && !c.isNew {
+			c.closeIf(c.canCloseCleanly)
 		}
 	}
 }
--- /dev/null
+++ b/internal/front/input_conn.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// inputConn is a client's connection, below all that looks at what is read. Others know of it at each moment whether a
+// request lies in the socket, was read from it, or neither: net/http reports a request only once it has parsed its head.
+// One goroutine at a time calls Read; the other methods are safe for concurrent use.
+type inputConn struct {
+	net.Conn
+	rawConn syscall.RawConn // nil where there is no socket
+	attempt func(fd uintptr) bool
+	// Of the call of Read in progress.
+	buffer []byte
+	count  int
+	err    error
+
+	mu       sync.Mutex // held while bytes go from the socket to the reader, and by who decides to close the connection
+	readAt   time.Time  // when bytes were first read since the connection became idle; zero is none
+	isClosed bool       // nothing more is read
+}
+
+// withInput returns a connection that has an inputConn inside: conn itself where it has one.
+func withInput(conn net.Conn) net.Conn {
+	if inputConnOf(conn) != nil {
+		return conn
+	}
+	c := &inputConn{Conn: conn}
+	if tcp := tcpConnOf(conn); tcp != nil {
+		c.rawConn, _ = tcp.SyscallConn()
+		c.attempt = c.tryRead
+	}
+	return c
+}
+
+// inputConnOf returns the inputConn inside conn; nil if there is none.
+func inputConnOf(conn net.Conn) *inputConn {
+	for {
+		if c, ok := conn.(*inputConn); ok {
+			return c
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
+// NetConn returns the wrapped connection.
+func (c *inputConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *inputConn) Read(p []byte) (int, error) {
+	if c.rawConn == nil || len(p) == 0 {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.mu.Lock()
+			c.noteInput()
+			c.mu.Unlock()
+		}
+		return n, err
+	}
+	c.buffer, c.count, c.err = p, 0, nil
+	err := c.rawConn.Read(c.attempt)
+	c.buffer = nil
+	switch {
+	case err != nil: // a deadline, or the connection is closed
+		return 0, err
+	case c.err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: c.err}
+	case c.count == 0:
+		return 0, io.EOF
+	}
+	return c.count, nil
+}
+
+// tryRead reads what there is, and returns false where that is nothing.
+func (c *inputConn) tryRead(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed {
+		c.err = net.ErrClosed
+		return true
+	}
+	for {
+		n, err := syscall.Read(int(fd), c.buffer)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN):
+			return false
+		case err != nil:
+			c.err = os.NewSyscallError("read", err)
+			return true
+		}
+		if c.count = n; n > 0 {
+			c.noteInput()
+		}
+		return true
+	}
+}
+
+// noteInput notes that bytes were read. The caller holds mu.
+func (c *inputConn) noteInput() {
+	if c.readAt.IsZero() {
+		c.readAt = time.Now()
+	}
+}
+
+// inputSince returns when bytes were first read of a request that has not been reported; zero for none. A nil inputConn
+// has read none.
+func (c *inputConn) inputSince() time.Time {
+	if c == nil {
+		return time.Time{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAt
+}
+
+// becameIdle notes that what was read so far belongs to requests that have ended.
+func (c *inputConn) becameIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAt = time.Time{}
+}
+
+// closeUnlessRead closes the connection unless mayClose, which is told when bytes were first read of a request that has
+// not been reported (zero for none), forbids it. Nothing is read from then on. closeConnection is called with no lock
+// held, as closing a socket waits for its reader.
+func (c *inputConn) closeUnlessRead(mayClose func(readAt time.Time) bool, closeConnection func()) {
+	c.mu.Lock()
+	isClosing := !c.isClosed && mayClose(c.readAt)
+	c.isClosed = c.isClosed || isClosing
+	c.mu.Unlock()
+	if isClosing {
+		closeConnection()
+	}
+}
--- a/internal/front/lingering_conn.go
+++ b/internal/front/lingering_conn.go
@@ -92,5 +92,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &lingeringConn{Conn: conn}, nil
+	return &lingeringConn{Conn: withInput(conn)}, nil
 }
--- a/internal/front/validating_conn.go
+++ b/internal/front/validating_conn.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &validatingConn{Conn: conn}, nil
+	return &validatingConn{Conn: withInput(conn)}, nil
 }
 
 // validatingConnOf returns the connection of a request; nil if it is not scanned.
