Test starts, reloads and connects under a moment's shortage, known to fail

The class, by reading: each call of the system that is made once where a later one would do. A configuration that can't be opened for a moment ends a start too, and leaves a node that was told to follow another discovery with the old one for good; a connect that fails for want of ports, descriptors or buffers of the node's own is taken for the server's fault, which ejects it, and after as many tries as the settings allow, all within a millisecond, the request is refused.

--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -106,18 +106,24 @@
 	t.Helper()
 	p := &program{Cmd: exec.Command(build(t)), t: t}
 	p.Env = append(os.Environ(), "NODE_CONFIG="+config, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+discovery)
+	p.scanLog()
+	return p
+}
+
+// scanLog starts the program and reads its log from now on.
+func (p *program) scanLog() {
+	p.t.Helper()
 	log, err := p.StderrPipe()
 	if err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	if err := p.Start(); err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	// Ends the program where it hangs, and with it all waiting for it.
 	late := time.AfterFunc(time.Minute, func() { p.Process.Kill() })
-	t.Cleanup(func() { late.Stop(); p.Process.Kill() })
+	p.t.Cleanup(func() { late.Stop(); p.Process.Kill() })
 	p.lines = bufio.NewScanner(log)
-	return p
 }
 
 // listens waits until the program takes clients.
--- /dev/null
+++ b/cmd/lockflow/shortage_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockflow/internal/faultnet/faultbuild"
+	"lockflow/internal/testkit"
+)
+
+// shortageTime is how long a shortage lasts in these tests: longer than a call of the system, shorter than a deadline.
+const shortageTime = 150 * time.Millisecond
+
+// startFaultyPlatform starts the platform's node with a configuration whose discovery is that of the file, and waits
+// for nothing.
+func startFaultyPlatform(t *testing.T, table *faultbuild.Table, config string) *faultyProgram {
+	t.Helper()
+	if err := builtWithFaults(); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{Cmd: exec.Command(filepath.Join(programs, "lockflow-faults")), t: t}
+	p.Env = append(os.Environ(), "NODE_CONFIG="+config, "NODE_LISTEN=127.0.0.1:0", table.Environment())
+	p.scanLog()
+	return &faultyProgram{p, table}
+}
+
+// writeConfig writes the platform's configuration with a discovery.
+func writeConfig(t *testing.T, path, discovery string) {
+	t.Helper()
+	raw, err := os.ReadFile(testConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(raw), "127.0.0.1:1\"", discovery+"\"", 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// untilInjected waits until a call has failed more often than before, and then for the rest of a shortage.
+func untilInjected(t *testing.T, table *faultbuild.Table, call faultbuild.Call, before int) {
+	t.Helper()
+	testkit.Until(t, "a call that fails", func() bool { return table.Injected(call) > before })
+	time.Sleep(shortageTime)
+}
+
+// A node starts though the system lacks descriptors or buffers for a moment: no start fails for that.
+func TestStartOutlastsShortage(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		call  faultbuild.Call
+		errno syscall.Errno
+	}{{"listening", faultbuild.Socket, syscall.ENFILE}, {"buffers", faultbuild.Socket, syscall.ENOBUFS}, {"reading its configuration", faultbuild.Open, syscall.ENFILE}} {
+		t.Run(tc.name, func(t *testing.T) {
+			table, config := newFaultTable(t), filepath.Join(t.TempDir(), "config.json")
+			agent := testkit.NewAgent(t)
+			writeConfig(t, config, agent.Addr())
+			table.Fail(tc.call, tc.errno, 1)
+			p := startFaultyPlatform(t, table, config)
+			untilInjected(t, table, tc.call, 0)
+			table.Heal(tc.call)
+			p.listens()
+			p.end()
+		})
+	}
+}
+
+// A node that is told to read its configuration anew does so though it lacks a descriptor for a moment: without that it
+// would follow a discovery that is gone.
+func TestReloadOutlastsShortage(t *testing.T) {
+	table, config := newFaultTable(t), filepath.Join(t.TempDir(), "config.json")
+	first, second := testkit.NewAgent(t), testkit.NewAgent(t)
+	writeConfig(t, config, first.Addr())
+	p := startFaultyPlatform(t, table, config)
+	p.listens()
+	testkit.Next(t, first.Polled)
+	writeConfig(t, config, second.Addr())
+	table.Fail(faultbuild.Open, syscall.EMFILE, 1)
+	p.signal(syscall.SIGHUP)
+	untilInjected(t, table, faultbuild.Open, 0)
+	table.Heal(faultbuild.Open)
+	testkit.Next(t, second.Polled)
+	p.end()
+}
+
+// A request is served though no connection to a server can be made for a moment, for want of descriptors, ports or
+// buffers of the node's own.
+func TestRequestOutlastsShortageOfConnections(t *testing.T) {
+	for _, tc := range []struct {
+		call  faultbuild.Call
+		errno syscall.Errno
+	}{{faultbuild.Socket, syscall.ENFILE}, {faultbuild.Connect, syscall.EADDRNOTAVAIL}, {faultbuild.Connect, syscall.EAGAIN}} {
+		t.Run(tc.errno.Error(), func(t *testing.T) {
+			table := newFaultTable(t)
+			app := testkit.NewApp(t, testkit.Served)
+			p := startFaulty(t, table, strings.Replace(tunnelConfig, "@server", app.Addr(), 1))
+			p.listens()
+			status := make(chan int, 1)
+			table.Fail(tc.call, tc.errno, 1)
+			go func() {
+				resp, err := http.Get("http://" + p.addr + "/")
+				if err != nil {
+					status <- 0
+					return
+				}
+				resp.Body.Close()
+				status <- resp.StatusCode
+			}()
+			untilInjected(t, table, tc.call, 0)
+			table.Heal(tc.call)
+			if got := testkit.Next(t, status); got != http.StatusOK {
+				t.Errorf("status %d", got)
+			}
+			p.end()
+		})
+	}
+}
--- a/cmd/lockflow/stepped_clock_test.go
+++ b/cmd/lockflow/stepped_clock_test.go
@@ -49,16 +49,7 @@
 	}
 	p := &program{Cmd: exec.Command(filepath.Join(programs, "lockflow-faults"), "serve", "--config", path), t: t}
 	p.Env = append(os.Environ(), table.Environment())
-	log, err := p.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	late := time.AfterFunc(time.Minute, func() { p.Process.Kill() })
-	t.Cleanup(func() { late.Stop(); p.Process.Kill() })
-	p.lines = bufio.NewScanner(log)
+	p.scanLog()
 	return &faultyProgram{p, table}
 }
 
--- a/internal/service/guard.go
+++ b/internal/service/guard.go
@@ -92,7 +92,11 @@
 	if a.Status == 0 || a.Stream != nil || x.Request.HasPendingBody {
 		return
 	}
-	if late := time.Since(x.Deadline); late > lateAnswerGrace {
+	dueAt := x.Deadline
+	if x.startedAt.After(dueAt) { // its time was over when it was read
+		dueAt = x.startedAt
+	}
+	if late := time.Since(dueAt); late > lateAnswerGrace {
 		invariant.Violated(invariant.LateAnswer, x.Request.ID, fmt.Sprintf("%v after its deadline", late))
 	}
 }
