Mend starts, reloads and connects that a moment's shortage made fail

Cause: calls of the system made once where a later one would do: net.Listen in node.openListener, os.ReadFile in config.Load and LoadPlatform (at SIGHUP too), DialContext in upstream.connect. package shortage tells such errors (EMFILE, ENFILE, ENOBUFS, ENOMEM, EINTR; of a dial also EADDRNOTAVAIL and EAGAIN) and makes the call again with a backoff of 2 to 50 ms: 10 s at a start, 3 s for a file, 0.2 s for a reload's new address under its lock, and for a dial the connect timeout and the attempt's context. A dial that fails for such an error to its end is the node's own (never sent), and no word against the server.

Ruled out: ENETUNREACH and EHOSTUNREACH stay the server's, as the way to it is; EADDRINUSE and a wrong address stay errors at once.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +13,7 @@
 	"lockflow/control"
 	"lockflow/internal/config/tree"
 	"lockflow/internal/desiredstate"
+	"lockflow/internal/shortage"
 )
 
 // Bounds of what a file may say.
@@ -28,6 +30,10 @@
 	maxResponseBytes = 16 << 20
 )
 
+// maxReadTime is for how long reading a file outlasts a shortage. A platform's node has to follow a new discovery within
+// 4 s of its signal.
+const maxReadTime = 3 * time.Second
+
 // Inherited begins an address that names a socket which the supervisor passes on.
 const Inherited = "systemd:"
 
@@ -41,13 +47,26 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("reading the configuration: %w", err)
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := readFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+		return Config{}, err
 	}
 	return Parse(path, raw)
 }
 
+// readFile reads a configuration's file, and outlasts a shortage of descriptors or memory: a start or a reload would
+// fail for it that nobody repeats.
+func readFile(path string) (raw []byte, err error) {
+	err = shortage.Retry(context.Background(), maxReadTime, shortage.OfResources, func() (err error) {
+		raw, err = os.ReadFile(path)
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	return raw, nil
+}
+
 // Parse reads a file's text; name is told in errors, which are of type FieldErrors.
 func Parse(name string, raw []byte) (Config, error) {
 	var r tree.Reading
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -7,7 +7,6 @@
 	"math"
 	"net"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,9 +20,9 @@
 
 // LoadPlatform reads the platform's JSON file at path (DEPLOY): one service, with no routes.
 func LoadPlatform(path string) (Config, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := readFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+		return Config{}, err
 	}
 	c, err := ParsePlatform(raw)
 	if err != nil {
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -17,17 +18,27 @@
 	"lockflow/internal/config"
 	"lockflow/internal/front"
 	"lockflow/internal/limits"
+	"lockflow/internal/shortage"
 )
 
-// openListeners listens on the addresses that have no listener yet and returns the new ones. With an error
-// nothing has changed. n.mu is held, or n is not shared yet.
-func (n *Node) openListeners(addresses []string) ([]*listener, error) {
+const (
+	startListenTime  = 10 * time.Second       // for which a start outlasts a shortage of descriptors or buffers
+	reloadListenTime = 200 * time.Millisecond // the same of a reload, which holds the node's lock
+)
+
+// openListeners listens on the addresses that have no listener yet and returns the new ones. It outlasts a shortage for
+// retryTime. With an error nothing has changed. n.mu is held, or n is not shared yet.
+func (n *Node) openListeners(addresses []string, retryTime time.Duration) ([]*listener, error) {
 	var opened []*listener
 	for _, address := range addresses {
 		if n.findListener(address) != nil {
 			continue
 		}
-		l, err := n.openListener(address)
+		var l *listener
+		err := shortage.Retry(context.Background(), retryTime, shortage.OfResources, func() (err error) {
+			l, err = n.openListener(address)
+			return err
+		})
 		if err != nil {
 			for _, l := range opened {
 				l.close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 		e.sockets.OnEvict(n.front.Evict, n.services[cfg.Services[0].Name].Upstream().Evict)
 	}
 	var err error
-	if n.listeners, err = n.openListeners(cfg.Listeners); err != nil {
+	if n.listeners, err = n.openListeners(cfg.Listeners, startListenTime); err != nil {
 		return nil, err
 	}
 	return n, nil
--- /dev/null
+++ b/internal/shortage/shortage_test.go
@@ -0,0 +1,60 @@
+package shortage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestOfDial(t *testing.T) {
+	for err, want := range map[error]bool{
+		&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.ENFILE)}:          true,
+		&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EADDRNOTAVAIL)}:  true,
+		fmt.Errorf("reading: %w", &os.PathError{Op: "open", Path: "x", Err: syscall.EMFILE}): true,
+		&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}:   false,
+		&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ENETUNREACH)}:    false,
+		&net.OpError{Op: "listen", Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}:      false,
+		fmt.Errorf("reading: %w", &os.PathError{Op: "open", Path: "x", Err: syscall.ENOENT}): false,
+		fmt.Errorf("waiting: %w", context.DeadlineExceeded):                                  false,
+	} {
+		if OfDial(err) != want {
+			t.Errorf("%v: %v", err, !want)
+		}
+	}
+}
+
+func TestRetryEndsWithShortageLimitOrContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		if err := Retry(t.Context(), time.Second, OfResources, func() error {
+			if calls++; calls < 5 {
+				return syscall.ENFILE
+			}
+			return nil
+		}); err != nil || calls != 5 {
+			t.Errorf("%v after %d calls", err, calls)
+		}
+		other := errors.New("another error")
+		if err := Retry(t.Context(), time.Second, OfResources, func() error { return other }); !errors.Is(err, other) {
+			t.Error(err)
+		}
+		begun := time.Now()
+		if err := Retry(t.Context(), time.Second, OfResources, func() error { return syscall.ENFILE }); !errors.Is(err, syscall.ENFILE) {
+			t.Error(err)
+		}
+		if took := time.Since(begun); took > time.Second || took < time.Second-maxBackoff {
+			t.Errorf("the last call came after %v", took)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		if err := Retry(ctx, time.Second, OfResources, func() error { return syscall.EMFILE }); !errors.Is(err, syscall.EMFILE) {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -76,14 +77,24 @@
 	return n, n.writeConfiguration()
 }
 
-// freeAddress returns an address at which nobody listens; the node listens there in all its lives.
+// Ports of nodes lie below those that the system gives to connections: a node listens at its own in all its lives.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
+// freeAddress returns an address at which nobody listens.
 func freeAddress() (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var lastErr error
+	for range 100 {
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		lastErr = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", lastErr
 }
 
 func (n *node) configPath() string { return filepath.Join(n.dir, "config.json") }
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -8,6 +8,7 @@
 
 	"lockflow/internal/certs"
 	"lockflow/internal/limits"
+	"lockflow/internal/shortage"
 )
 
 // Names of protocols in TLS (ALPN, RFC 7301).
@@ -46,8 +47,7 @@
 		ctx, cancel = context.WithTimeout(ctx, u.ConnectTimeout)
 		defer cancel()
 	}
-	dialer := net.Dialer{Timeout: u.ConnectTimeout, KeepAlive: -1}
-	dialed, err := dialer.DialContext(ctx, "tcp", endpoint)
+	dialed, err := u.dialTCP(ctx, endpoint)
 	if err != nil {
 		u.SocketLimiter.Release()
 		return nil, nil, "", err
@@ -65,3 +65,14 @@
 	}
 	return conn, rawConn, agreed, nil
 }
+
+// dialTCP makes a TCP connection. A shortage of this node's own, of descriptors or ports, says nothing of the server
+// and is outlasted, for no longer than a connection may take.
+func (u *Upstream) dialTCP(ctx context.Context, endpoint string) (conn net.Conn, err error) {
+	dialer := net.Dialer{Timeout: u.ConnectTimeout, KeepAlive: -1}
+	err = shortage.Retry(ctx, u.ConnectTimeout, shortage.OfDial, func() (err error) {
+		conn, err = dialer.DialContext(ctx, "tcp", endpoint)
+		return err
+	})
+	return conn, err
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "errors"
+import (
+	"errors"
+
+	"lockflow/internal/shortage"
+)
 
 // ErrAborted is how a Stream ends that was aborted from this side.
 var ErrAborted = errors.New("aborted")
@@ -19,5 +23,5 @@
 // isNodeError reports whether a connection was missing for a reason that lies with this node: it tells nothing
 // about the app server.
 func isNodeError(err error) bool {
-	return errors.Is(err, errNoDescriptor) || errors.Is(err, errDialLimit) || errors.Is(err, errWriteDeadline)
+	return errors.Is(err, errNoDescriptor) || errors.Is(err, errDialLimit) || errors.Is(err, errWriteDeadline) || shortage.OfDial(err)
 }
