--- /dev/null
+++ b/internal/state/temporary_files_test.go
@@ -0,0 +1,57 @@
+package state
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// A checkpoint is written beside the state, whatever the system's folder for temporary files is: that may be on memory,
+// or full.
+func TestCheckpointIsWrittenBesideState(t *testing.T) {
+	system, directory := t.TempDir(), t.TempDir()
+	t.Setenv("TMPDIR", system)
+	store, err := Open(directory, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	old := time.Now().Add(-time.Hour).Round(time.Second)
+	if err := os.Chtimes(system, old, old); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Save(Checkpoint{}); err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(system); err != nil || !info.ModTime().Equal(old) {
+		t.Errorf("the system's temporary folder was written to: %v, %v", info.ModTime(), err)
+	}
+}
+
+// What a kill in the middle of writing a checkpoint has left is removed at the next start, and nothing else is.
+func TestLeftoversOfKilledWritesAreRemoved(t *testing.T) {
+	directory := t.TempDir()
+	for _, name := range []string{".state123456", ".state7", "state", "other", ".statement"} {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte("x"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store, err := Open(directory, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	left, err := filepath.Glob(filepath.Join(directory, "*"))
+	if err != nil || len(left) != 4 {
+		t.Errorf("%v, %v", left, err)
+	}
+	for _, name := range []string{".state123456", ".state7"} {
+		if _, err := os.Lstat(filepath.Join(directory, name)); !os.IsNotExist(err) {
+			t.Errorf("%s is left: %v", name, err)
+		}
+	}
+	if _, err := os.Lstat(filepath.Join(directory, ".statement")); err != nil {
+		t.Error(err)
+	}
+}
