Mend where files that last are written and what kills leave of them

Cause: renameio's default takes the system's folder for temporary files, nobody removed what a SIGKILL left, and of four users one synced the folder behind the rename. package durable is the one way now: temporary file beside the target, sync, rename, sync of the folder; leftovers of exactly its names are removed when the state directory is locked. Used by checkpoints, the desired state with the settings that a command replaces, and the fleet's configuration files.

--- /dev/null
+++ b/cmd/lockflow/disk_faults_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"lockflow/internal/faultnet/faultbuild"
+	"lockflow/internal/testkit"
+)
+
+// A state directory whose disk fails for a while, in any call by which a checkpoint is written, costs no start and no
+// checkpoint that was there: the node tells it, writes again once the disk works, and the next start finds that.
+func TestCheckpointsOutlastDiskFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		call  faultbuild.Call
+		errno syscall.Errno
+	}{
+		{"full", faultbuild.FileWrite, syscall.ENOSPC},
+		{"broken", faultbuild.FileWrite, syscall.EIO},
+		{"short writes", faultbuild.FileWrite, faultbuild.ErrShortTransfer},
+		{"sync", faultbuild.Fsync, syscall.EIO},
+		{"sync when full", faultbuild.Fsync, syscall.ENOSPC},
+		{"rename", faultbuild.Rename, syscall.ENOSPC},
+		{"open", faultbuild.Open, syscall.EIO},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table, state := newFaultTable(t), filepath.Join(t.TempDir(), "state")
+			config := strings.Replace(stateConfig, "@state\"", state+"\"\ncheckpoint = \"10ms\"", 1)
+			p := startFaulty(t, table, config)
+			p.listens()
+			checkpoint := filepath.Join(state, "state")
+			testkit.Until(t, "a checkpoint", func() bool { _, err := os.Stat(checkpoint); return err == nil })
+			table.Fail(tc.call, tc.errno, 1)
+			if tc.errno == faultbuild.ErrShortTransfer {
+				before := table.Injected(tc.call)
+				testkit.Until(t, "some short writes", func() bool { return table.Injected(tc.call) > before+20 })
+				table.Heal(tc.call)
+			} else {
+				before := table.Injected(tc.call)
+				testkit.Until(t, "a checkpoint that fails", func() bool { return table.Injected(tc.call) > before+2 })
+				table.Heal(tc.call)
+				p.until("checkpoint saved again")
+			}
+			p.end()
+			left, err := filepath.Glob(filepath.Join(state, ".*"))
+			if err != nil || len(left) > 0 {
+				t.Errorf("temporary files are left: %v, %v", left, err)
+			}
+			next := startFaulty(t, table, config)
+			next.until("checkpoint restored")
+			next.listens()
+			next.end()
+		})
+	}
+}
--- a/internal/desiredstate/file.go
+++ b/internal/desiredstate/file.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"log/slog"
 	"os"
 	"path/filepath"
 
-	"github.com/google/renameio/v2"
 	"golang.org/x/sys/unix"
+
+	"lockflow/internal/durable"
 )
 
 // Names of the files in the state directory.
@@ -42,7 +44,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("keeping orders in memory: %w", err)
 	}
-	return &File{directory, os.NewFile(uintptr(descriptor), "orders")}, nil
+	f := &File{directory, os.NewFile(uintptr(descriptor), "orders")}
+	f.removeLeftovers()
+	return f, nil
+}
+
+// removeLeftovers removes temporary files of killed writes, which cost space and nothing else.
+func (f *File) removeLeftovers() {
+	if f.directory == "" {
+		return
+	}
+	for _, name := range []string{stateFileName, oldSettingsFileName} {
+		if err := durable.RemoveLeftovers(filepath.Join(f.directory, name)); err != nil {
+			slog.Warn("temporary files of killed writes are left", "dir", f.directory, "err", err)
+		}
+	}
 }
 
 // IsVolatile reports whether a crash loses the state.
@@ -119,7 +135,7 @@
 	if f.directory == "" {
 		return nil
 	}
-	err = replaceDurably(filepath.Join(f.directory, stateFileName), raw, privateFileMode)
+	err = durable.ReplaceFile(filepath.Join(f.directory, stateFileName), raw, privateFileMode)
 	if err != nil && f.writeMemory(previous) != nil {
 		// With an empty memory file a successor reads the directory.
 		err = errors.Join(err, f.memory.Truncate(0))
@@ -146,7 +162,7 @@
 	if f.directory == "" {
 		return nil
 	}
-	if err := replaceDurably(filepath.Join(f.directory, oldSettingsFileName), text, privateFileMode); err != nil {
+	if err := durable.ReplaceFile(filepath.Join(f.directory, oldSettingsFileName), text, privateFileMode); err != nil {
 		return fmt.Errorf("keeping the old settings: %w", err)
 	}
 	return nil
@@ -178,21 +194,7 @@
 	if err != nil {
 		return err
 	}
-	return replaceDurably(path, text, info.Mode().Perm())
-}
-
-// replaceDurably atomically replaces a file and syncs its directory: a rename that a power failure undoes would
-// bring back an older epoch.
-func replaceDurably(path string, raw []byte, mode os.FileMode) error {
-	if err := renameio.WriteFile(path, raw, mode); err != nil {
-		return err
-	}
-	directory, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	defer directory.Close() //nolint:errcheck // opened to sync; Sync returns what failed
-	return directory.Sync()
+	return durable.ReplaceFile(path, text, info.Mode().Perm())
 }
 
 // readBounded reads the first limit bytes of a file at most.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,8 +18,7 @@
 	"syscall"
 	"time"
 
-	"github.com/google/renameio/v2"
-
+	"lockflow/internal/durable"
 	"lockflow/internal/manage"
 )
 
@@ -135,7 +134,7 @@
 // Do reloads a member that is at before, and returns once it is ready again.
 func (r *Reload) Do(ctx context.Context, m Member, before manage.Status) error {
 	if r.New != nil {
-		if err := renameio.WriteFile(before.ConfigPath, r.New, 0o600); err != nil {
+		if err := durable.ReplaceFile(before.ConfigPath, r.New, 0o600); err != nil {
 			return fmt.Errorf("replacing the configuration: %w", err)
 		}
 	}
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -10,9 +10,8 @@
 	"strings"
 	"syscall"
 
-	"github.com/google/renameio/v2"
-
 	"lockflow/internal/desiredstate"
+	"lockflow/internal/durable"
 )
 
 // What a keeper finds of instances that were started before it: it takes over those that run, and starts
@@ -57,7 +56,7 @@
 			return false, nil
 		}
 	}
-	return false, renameio.WriteFile(path, text, 0o600)
+	return false, durable.ReplaceFile(path, text, 0o600)
 }
 
 // desiredState is what an instance has written of its orders; an empty one where it can't be read: the instance
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -4,12 +4,13 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 
-	"github.com/google/renameio/v2"
+	"lockflow/internal/durable"
 )
 
 const (
@@ -48,6 +49,9 @@
 	}
 	s := &Store{directory, lock}
 	s.RecordProcessID()
+	if err := durable.RemoveLeftovers(s.path()); err != nil { // they cost space, and nothing else
+		slog.Warn("temporary files of killed writes are left", "dir", directory, "err", err)
+	}
 	return s, nil
 }
 
@@ -94,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	if err := renameio.WriteFile(s.path(), raw, 0o600); err != nil {
+	if err := durable.ReplaceFile(s.path(), raw, 0o600); err != nil {
 		return fmt.Errorf("writing the state: %w", err)
 	}
 	return nil
