Poll sockets in one place, and forbid round trips of times through Unix time

Need: three polls of one socket (front's two, the listener's queue) took an interrupted call for 'nothing there'; the kernel gives EINTR only where there is nothing, so none was wrong, but the terms say that waits may return it, and the logic stood three times. internal/socketpoll has it once, and calls again. The linter's forbidigo keeps time.Unix and Time.Unix* out of the deciders and the node, where a span would lose its monotonic reading; three places that mean wall time say so.

Result: socketpoll and front -race -count=5, node and service suites pass; lint with no finding.

--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -14,6 +14,7 @@
 
 	"lockflow/internal/accept"
 	"lockflow/internal/limits"
+	"lockflow/internal/socketpoll"
 	"lockflow/internal/upstream"
 )
 
@@ -62,14 +63,8 @@
 	if c.rawConn == nil {
 		return false, false
 	}
-	_ = c.rawConn.Control(func(fd uintptr) {
-		pollFDs := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-		if n, err := unix.Poll(pollFDs[:], 0); err == nil && n > 0 {
-			readable = pollFDs[0].Revents&unix.POLLIN != 0
-			ended = pollFDs[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-		}
-	})
-	return readable, ended
+	state := socketpoll.Poll(c.rawConn)
+	return state.IsReadable, state.IsHalfShut || state.IsBroken
 }
 
 // maxUnreadBytes is how much a client that sends one request at a time may have sent behind it. It is
--- a/internal/front/lingering_conn.go
+++ b/internal/front/lingering_conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lockflow/internal/socketpoll"
 )
 
 const (
@@ -58,13 +60,8 @@
 	if err != nil {
 		return false
 	}
-	readable := false
-	_ = rawConn.Control(func(fd uintptr) {
-		pollFDs := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(pollFDs[:], 0)
-		readable = err == nil && n > 0 && pollFDs[0].Revents == unix.POLLIN
-	})
-	return readable
+	state := socketpoll.Poll(rawConn)
+	return state.IsReadable && !state.IsBroken
 }
 
 // hasUnacknowledged reports whether the peer has not acknowledged all that was written to a socket. A
--- a/internal/front/ordinary_call.go
+++ b/internal/front/ordinary_call.go
@@ -144,7 +144,7 @@
 		_ = call.controller.SetReadDeadline(deadline)
 		body.Discard()
 	}
-	body.Close(func() { _ = call.controller.SetReadDeadline(time.Unix(1, 0)) })
+	body.Close(func() { _ = call.controller.SetReadDeadline(time.Unix(1, 0)) }) //nolint:forbidigo // a deadline that is over by any clock
 }
 
 // endInterim ends the writing of interim responses.
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"lockflow/internal/socketpoll"
 )
 
 // finalAcceptWait is how long a draining listener waits for a connection that is in its socket's queue already.
@@ -53,13 +53,7 @@
 	if err != nil {
 		return false
 	}
-	isPending := false
-	_ = raw.Control(func(fd uintptr) {
-		polled := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(polled[:], 0)
-		isPending = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
-	})
-	return isPending
+	return socketpoll.Poll(raw).IsReadable
 }
 
 // acceptGate keeps connections from being accepted while it is shut. Its zero value is open.
--- a/internal/service/clock.go
+++ b/internal/service/clock.go
@@ -8,7 +8,7 @@
 
 // at returns a moment, which has a monotonic reading, on the module's clock.
 func (c moduleClock) at(t time.Time) time.Duration {
-	return time.Duration(c.startedAt.UnixNano()) + t.Sub(c.startedAt)
+	return unixTime(c.startedAt) + t.Sub(c.startedAt)
 }
 
 // now is the module's time.
@@ -16,5 +16,10 @@
 
 // timeOf is the inverse of at.
 func (c moduleClock) timeOf(moduleTime time.Duration) time.Time {
-	return c.startedAt.Add(moduleTime - time.Duration(c.startedAt.UnixNano()))
+	return c.startedAt.Add(moduleTime - unixTime(c.startedAt))
+}
+
+// unixTime is the wall time of a moment, for what is told in wall time: a clock's origin, and boot times of servers.
+func unixTime(t time.Time) time.Duration {
+	return time.Duration(t.UnixNano()) //nolint:forbidigo // callers keep the time.Time for spans
 }
--- a/internal/service/server_ages.go
+++ b/internal/service/server_ages.go
@@ -55,7 +55,7 @@
 
 func readClocks() clockReading {
 	now := time.Now()
-	return clockReading{now, time.Duration(now.UnixNano())}
+	return clockReading{now, unixTime(now)}
 }
 
 func newServerStarts() *serverStarts {
--- a/internal/upstream/server_conn.go
+++ b/internal/upstream/server_conn.go
@@ -16,7 +16,7 @@
 const connBufferBytes = 4 << 10
 
 // expired is a deadline that is over.
-var expired = time.Unix(1, 0)
+var expired = time.Unix(1, 0) //nolint:forbidigo // it is over by any clock
 
 // serverConn is a connection of HTTP/1.1 to an app server. One attempt uses it at a time.
 type serverConn struct {
