--- /dev/null
+++ b/internal/durable/durable_test.go
@@ -0,0 +1,44 @@
+package durable
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func TestReplaceFileReplacesAllOrNothing(t *testing.T) {
+	directory := t.TempDir()
+	path := filepath.Join(directory, "file")
+	for _, text := range []string{"first", "second, which is longer"} {
+		if err := ReplaceFile(path, []byte(text), 0o640); err != nil {
+			t.Fatal(err)
+		}
+		raw, err := os.ReadFile(path)
+		if err != nil || string(raw) != text {
+			t.Errorf("%q, %v", raw, err)
+		}
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o640 {
+		t.Errorf("%v, %v", info.Mode(), err)
+	}
+	// A folder can't be replaced by a file: the rename fails, and leaves nothing.
+	occupied := filepath.Join(directory, "folder")
+	if err := os.MkdirAll(filepath.Join(occupied, "x"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := ReplaceFile(occupied, []byte("x"), 0o600); err == nil {
+		t.Error("a folder was replaced")
+	}
+	if entries, err := os.ReadDir(directory); err != nil || len(entries) != 2 {
+		t.Errorf("%v, %v", entries, err)
+	}
+	if err := ReplaceFile(filepath.Join(directory, "none", "file"), nil, 0o600); err == nil {
+		t.Error("a file was made in a folder that is not there")
+	}
+}
+
+func TestRemoveLeftoversOfMissingFolder(t *testing.T) {
+	if err := RemoveLeftovers(filepath.Join(t.TempDir(), "none", "file")); err != nil {
+		t.Error(err)
+	}
+}
