Name what the soak declares in the field's terms, and run a test's script by the shell

The script runs by the shell that its first line names; what it has to print and how it has to end are as before.

--- a/internal/knownred/main_test.go
+++ b/internal/knownred/main_test.go
@@ -80,8 +80,9 @@
 			if c.list != "" {
 				put("KNOWN-RED.txt", c.list, 0o644)
 			}
-			cmd := exec.Command(".ci/run")
-			cmd.Path = filepath.Join(dir, ".ci/run")
+			// By the shell that its first line names: a file that was just written can't be executed while a
+			// process that another test starts has its descriptor.
+			cmd := exec.Command("/bin/sh", filepath.Join(dir, ".ci/run"))
 			cmd.Dir = dir
 			cmd.Env = append(os.Environ(), "GOFLAGS=-count=1", "GOWORK=off")
 			out, err := cmd.CombinedOutput()
--- a/internal/soak/disturbances.go
+++ b/internal/soak/disturbances.go
@@ -85,7 +85,7 @@
 		return t.drawOfLink(n, s, lasts)
 	case 5:
 		return disturbance{"discovery is silent", n.name + " discovery", 2 * lasts, func(ctx context.Context, t *disturbance) error {
-			defer n.beginLateNews("discovery is silent")()
+			defer n.beginMissingListEvents("discovery is silent")()
 			n.silence(true)
 			sleep(ctx, t.lasts)
 			n.silence(false)
@@ -102,7 +102,7 @@
 	case 0:
 		return disturbance{"kill", place, 0, func(ctx context.Context, _ *disturbance) error { return n.kill(ctx) }}
 	case 1:
-		return disturbance{"held up", place, heldUpTime, func(ctx context.Context, t *disturbance) error {
+		return disturbance{"held up", place, suspensionTime, func(ctx context.Context, t *disturbance) error {
 			if err := n.process.Pause(); err != nil {
 				return err
 			}
@@ -121,8 +121,8 @@
 	return disturbance{"end", place, 0, func(ctx context.Context, _ *disturbance) error { return n.terminate(ctx) }}
 }
 
-// heldUpTime is for how long a node may be held up (STANDING).
-const heldUpTime = 150 * time.Millisecond
+// suspensionTime is for how long a node may be held up (STANDING).
+const suspensionTime = 150 * time.Millisecond
 
 // clockSteps are by how much wall clocks are stepped.
 var clockSteps = []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour}
@@ -176,7 +176,7 @@
 		interval = 5 + t.rng.IntN(40)
 	}
 	return disturbance{fault.name, n.name + " calls", lasts, func(ctx context.Context, t *disturbance) error {
-		defer n.beginLateNews(fault.name)() // a call to discovery may be what fails
+		defer n.beginMissingListEvents(fault.name)() // a call to discovery may be what fails
 		if fault.breaksClient {
 			end := n.begin(fault.name)
 			defer end()
@@ -224,7 +224,7 @@
 			return p.list(s, func() error { s.setState("up", time.Now()); return nil })
 		}}
 	case 1:
-		return disturbance{"restart cold", s.uid, coldTime / 3, func(ctx context.Context, t *disturbance) error {
+		return disturbance{"restart cold", s.uid, warmupTime / 3, func(ctx context.Context, t *disturbance) error {
 			err := p.list(s, func() error { return s.restart(time.Now()) })
 			sleep(ctx, t.lasts)
 			return err
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -15,15 +15,15 @@
 	timeSlack    = 150 * time.Millisecond // of the time that an attempt tells, and of a drain's grace (STANDING)
 	goneSlack    = 100 * time.Millisecond // after a client's close, in which an attempt may begin (STANDING)
 	defaultSlack = 150 * time.Millisecond // of the judge's own clock readings
-	lateNewsTime = 6 * time.Second        // after which a change counts as told whatever befell the watch (PROTOCOL)
+	maxListDelay = 6 * time.Second        // after which a change counts as told whatever befell the watch (PROTOCOL)
 	maxWrong     = 40                     // that are told of one play
-	fallBuckets  = 10                     // of the time in which a cold server's load counts
+
 )
 
 // journal notes what clients and app servers saw. It is safe for concurrent use.
 type journal struct {
-	// hadLateNews tells whether a node may have learned late, between two times, what discovery lists.
-	hadLateNews func(node string, from, to time.Time) bool
+	// missedListEvents tells whether a node may have learned late, between two times, what discovery lists.
+	missedListEvents func(node string, from, to time.Time) bool
 
 	slack time.Duration // see Options.Slack
 
@@ -32,7 +32,7 @@
 	requests  map[string]*request
 	keys      map[string]time.Time // when a cell first ran a key; it drops repeats within the window
 	hard      hardLimit
-	slowStart map[*server]*coldLoad
+	slowStart map[*server]*warmupLoad
 	errors    []string
 	excused   int
 	resent    int
@@ -68,8 +68,8 @@
 	at     time.Time
 }
 
-// coldLoad is what came to a server since it started cold.
-type coldLoad struct {
+// warmupLoad is what came to a server since it started cold.
+type warmupLoad struct {
 	startedAt time.Time
 	times     []time.Time
 	reported  bool
@@ -82,7 +82,7 @@
 	return &journal{
 		slack: slack,
 		begun: time.Now(), requests: make(map[string]*request), keys: make(map[string]time.Time),
-		slowStart: make(map[*server]*coldLoad), statuses: make(map[int]int), hard: hardLimit{hardBurst, time.Now()},
+		slowStart: make(map[*server]*warmupLoad), statuses: make(map[int]int), hard: hardLimit{hardBurst, time.Now()},
 	}
 }
 
@@ -143,7 +143,7 @@
 		j.addWrong("%s: an attempt of %q, which no client sent", s.uid, id)
 		return
 	}
-	if !drainedAt.IsZero() && at.Sub(drainedAt) > drainGrace+j.newsDelay(r.node, drainedAt, at)+timeSlack+j.slack {
+	if !drainedAt.IsZero() && at.Sub(drainedAt) > drainGrace+j.listDelay(r.node, drainedAt, at)+timeSlack+j.slack {
 		j.addWrong("%s (%s, %s): sent to %s, which drains since %v", id, r.class.name, r.node, s.uid, at.Sub(drainedAt))
 	}
 	if !r.leftAt.IsZero() && at.Sub(r.leftAt) > goneSlack+j.slack {
@@ -151,8 +151,8 @@
 	}
 	var left float64
 	if _, err := fmt.Sscanf(timeLeft, "%fm", &left); err == nil && !r.sentAt.IsZero() {
-		told := time.Duration(left * float64(time.Millisecond))
-		if more := told - r.deadline.Sub(at); more > timeSlack+j.slack {
+		reported := time.Duration(left * float64(time.Millisecond))
+		if more := reported - r.deadline.Sub(at); more > timeSlack+j.slack {
 			j.addWrong("%s (%s, %s): %s is told %v more than is left", id, r.class.name, r.node, s.uid, more)
 		}
 	}
@@ -163,10 +163,10 @@
 	j.load(s, startedAt, at)
 }
 
-// newsDelay is how much later than discovery has it a change counts as told to a node.
-func (j *journal) newsDelay(node string, from, to time.Time) time.Duration {
-	if j.hadLateNews(node, from.Add(-lateNewsTime), to) {
-		return lateNewsTime
+// listDelay is how much later than discovery has it a change counts as told to a node.
+func (j *journal) listDelay(node string, from, to time.Time) time.Duration {
+	if j.missedListEvents(node, from.Add(-maxListDelay), to) {
+		return maxListDelay
 	}
 	return 0
 }
@@ -182,23 +182,23 @@
 
 // load counts a request at a cold server.
 func (j *journal) load(s *server, startedAt, at time.Time) {
-	if startedAt.IsZero() || at.Sub(startedAt) > coldTime {
+	if startedAt.IsZero() || at.Sub(startedAt) > warmupTime {
 		return
 	}
-	cold := j.slowStart[s]
-	if cold == nil || !cold.startedAt.Equal(startedAt) {
-		cold = &coldLoad{startedAt: startedAt}
-		j.slowStart[s] = cold
+	load := j.slowStart[s]
+	if load == nil || !load.startedAt.Equal(startedAt) {
+		load = &warmupLoad{startedAt: startedAt}
+		j.slowStart[s] = load
 	}
-	cold.times = append(slices.DeleteFunc(cold.times, func(t time.Time) bool { return at.Sub(t) > fallTime }), at)
-	fraction := coldFrom + (1-coldFrom)*at.Sub(startedAt).Seconds()/coldTime.Seconds()
+	load.times = append(slices.DeleteFunc(load.times, func(t time.Time) bool { return at.Sub(t) > fallTime }), at)
+	fraction := initialCapacity + (1-initialCapacity)*at.Sub(startedAt).Seconds()/warmupTime.Seconds()
 	allowed := fallMultiple * fraction * capacity * fallTime.Seconds()
 	limit := allowed + 2*math.Sqrt(allowed+2)
 	if allowed < 30 {
 		limit = allowed + 3*math.Sqrt(allowed+3)
 	}
-	if n := float64(len(cold.times)); n > limit && !cold.reported {
-		cold.reported = true
+	if n := float64(len(load.times)); n > limit && !load.reported {
+		load.reported = true
 		j.addWrong("%s: %v requests within %v, %v after its start, more than %.1f", s.uid, n, fallTime, at.Sub(startedAt), limit)
 	}
 }
@@ -213,7 +213,7 @@
 	}
 	if key != "" {
 		slot := fmt.Sprint(s.cell, " ", key)
-		if first, ok := j.keys[slot]; ok && at.Sub(first) <= keyedClass.window+timeSlack {
+		if first, ok := j.keys[slot]; ok && at.Sub(first) <= idempotencyKeyClass.window+timeSlack {
 			return
 		}
 		j.keys[slot] = at
--- a/internal/soak/journal_test.go
+++ b/internal/soak/journal_test.go
@@ -9,7 +9,7 @@
 // newTestJournal returns a journal, a server, and a request of a class that was sent now.
 func newTestJournal(c class) (*journal, *server, *request) {
 	j := newJournal(0)
-	j.hadLateNews = func(string, time.Time, time.Time) bool { return false }
+	j.missedListEvents = func(string, time.Time, time.Time) bool { return false }
 	r := &request{id: "id-1", class: c, node: "n0"}
 	j.sending(r)
 	j.sent(r, time.Now())
@@ -51,15 +51,15 @@
 		j.effect(s, r.id, "", r.sentAt)
 		j.answered(r, 503, "", "", r.sentAt)
 	}, 1},
-	"key repeated within its window": {keyedClass, func(j *journal, s *server, r *request) {
+	"key repeated within its window": {idempotencyKeyClass, func(j *journal, s *server, r *request) {
 		j.effect(s, r.id, "k", r.sentAt)
-		j.effect(s, r.id, "k", r.sentAt.Add(keyedClass.window))
+		j.effect(s, r.id, "k", r.sentAt.Add(idempotencyKeyClass.window))
 	}, 0},
-	"key repeated behind its window": {keyedClass, func(j *journal, s *server, r *request) {
+	"key repeated behind its window": {idempotencyKeyClass, func(j *journal, s *server, r *request) {
 		j.effect(s, r.id, "k", r.sentAt)
-		j.effect(s, r.id, "k", r.sentAt.Add(keyedClass.window+timeSlack+1))
+		j.effect(s, r.id, "k", r.sentAt.Add(idempotencyKeyClass.window+timeSlack+1))
 	}, 1},
-	"key repeated in another cell": {keyedClass, func(j *journal, s *server, r *request) {
+	"key repeated in another cell": {idempotencyKeyClass, func(j *journal, s *server, r *request) {
 		j.effect(s, r.id, "k", r.sentAt)
 		j.effect(&server{uid: "s-1", cell: 1}, r.id, "k", r.sentAt)
 	}, 1},
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -34,11 +34,11 @@
 	discoveries [2]*fake.Discovery // of which it follows one
 	links       []*faultnet.Link   // to each app server
 
-	mu           sync.Mutex
-	following    int       // the discovery that it follows
-	endingAt     time.Time // of SIGTERM to the life that runs; zero is none
-	disturbances []span    // in which its clients may miss an answer
-	lateNews     []span    // in which its watch may be broken or silent
+	mu                sync.Mutex
+	following         int       // the discovery that it follows
+	endingAt          time.Time // of SIGTERM to the life that runs; zero is none
+	disturbances      []span    // in which its clients may miss an answer
+	missingListEvents []span    // in which its watch may be broken or silent
 }
 
 // span is a time with a disturbance; a zero end is none yet.
@@ -167,8 +167,10 @@
 // begin notes that a disturbance begins that may cost clients an answer; end ends it.
 func (n *node) begin(why string) (end func()) { return n.beginSpan(&n.disturbances, why) }
 
-// beginLateNews notes that the node may learn late what discovery lists; end ends it.
-func (n *node) beginLateNews(why string) (end func()) { return n.beginSpan(&n.lateNews, why) }
+// beginMissingListEvents notes that the node may learn late what discovery lists; end ends it.
+func (n *node) beginMissingListEvents(why string) (end func()) {
+	return n.beginSpan(&n.missingListEvents, why)
+}
 
 func (n *node) beginSpan(spans *[]span, why string) (end func()) {
 	n.mu.Lock()
@@ -185,8 +187,10 @@
 // excuse returns the disturbance that explains a request without an answer between two times; empty for none.
 func (n *node) excuse(from, to time.Time) string { return n.findSpan(&n.disturbances, from, to) }
 
-// hadLateNews tells whether the node's watch may have been broken or silent between two times.
-func (n *node) hadLateNews(from, to time.Time) bool { return n.findSpan(&n.lateNews, from, to) != "" }
+// missedListEvents tells whether the node's watch may have been broken or silent between two times.
+func (n *node) missedListEvents(from, to time.Time) bool {
+	return n.findSpan(&n.missingListEvents, from, to) != ""
+}
 
 func (n *node) findSpan(spans *[]span, from, to time.Time) string {
 	n.mu.Lock()
@@ -253,7 +257,7 @@
 
 // move has the node follow its other discovery (SIGHUP).
 func (n *node) move() error {
-	defer n.beginLateNews("new discovery")()
+	defer n.beginMissingListEvents("new discovery")()
 	n.mu.Lock()
 	n.following = 1 - n.following
 	n.mu.Unlock()
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -13,10 +13,10 @@
 
 // The classes: one that may be repeated at will, one with a key, and one that may not be repeated.
 var (
-	readClass  = class{name: "read", effect: "free", scope: "all", deadline: 600 * time.Millisecond, window: time.Second}
-	keyedClass = class{name: "keyed", effect: "guarded", scope: "cell", deadline: 900 * time.Millisecond, window: 2 * time.Second}
-	onceClass  = class{name: "once", effect: "single_shot", scope: "all", deadline: 700 * time.Millisecond, window: time.Second}
-	classes    = []class{readClass, keyedClass, onceClass}
+	readClass           = class{name: "read", effect: "free", scope: "all", deadline: 600 * time.Millisecond, window: time.Second}
+	idempotencyKeyClass = class{name: "keyed", effect: "guarded", scope: "cell", deadline: 900 * time.Millisecond, window: 2 * time.Second}
+	onceClass           = class{name: "once", effect: "single_shot", scope: "all", deadline: 700 * time.Millisecond, window: time.Second}
+	classes             = []class{readClass, idempotencyKeyClass, onceClass}
 )
 
 // Terms of the settings that the judge needs.
@@ -24,8 +24,8 @@
 	longestDeadline = 900 * time.Millisecond
 	killDelay       = longestDeadline + 700*time.Millisecond // from SIGTERM to SIGKILL at the soonest (PROTOCOL)
 	drainGrace      = time.Second
-	coldTime        = 6 * time.Second
-	coldFrom        = 0.15
+	warmupTime      = 6 * time.Second
+	initialCapacity = 0.15
 	fallTime        = time.Second
 	fallMultiple    = 2.5
 	keepAlive       = 4 * time.Second
@@ -58,7 +58,7 @@
 		},
 		"clients": map[string]any{"marks-retry": false},
 		"contract": map[string]any{
-			"ask-within": 10000.0, "cold": milliseconds(coldTime), "cold-from": coldFrom, "drain-grace": milliseconds(drainGrace),
+			"ask-within": 10000.0, "cold": milliseconds(warmupTime), "cold-from": initialCapacity, "drain-grace": milliseconds(drainGrace),
 			"fall": milliseconds(fallTime), "fall-multiple": fallMultiple, "grace-to-answer": 16.0,
 		},
 		"domain": map[string]any{"meter-period": 0.0, "cost-after": false, "units-top": 4},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -69,7 +69,7 @@
 // Run plays one seed. The error is of what could not be played; what went wrong in it is in the report.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	p := &play{Options: o, journal: newJournal(o.Slack)}
-	p.journal.hadLateNews = p.hadLateNews
+	p.journal.missedListEvents = p.missedListEvents
 	defer p.close()
 	if err := p.start(ctx); err != nil {
 		return nil, err
@@ -131,11 +131,11 @@
 	return nil
 }
 
-// hadLateNews tells whether the watch of a node may have been broken or silent between two times.
-func (p *play) hadLateNews(name string, from, to time.Time) bool {
+// missedListEvents tells whether the watch of a node may have been broken or silent between two times.
+func (p *play) missedListEvents(name string, from, to time.Time) bool {
 	for _, n := range p.nodes {
 		if n.name == name {
-			return n.hadLateNews(from, to)
+			return n.missedListEvents(from, to)
 		}
 	}
 	return false
