--- a/internal/service/guard_test.go
+++ b/internal/service/guard_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lockflow/control"
+	"lockflow/internal/discovery"
 	"lockflow/internal/invariant"
+	"lockflow/internal/limits"
+	"lockflow/internal/testkit"
+	"lockflow/internal/upstream"
 )
 
 // A repeat is allowed only where it can't run a request twice, whatever the module goes by.
@@ -113,3 +118,48 @@
 		})
 	}
 }
+
+// A repeat of what may have run at a server that has left the list meanwhile is judged by where that server was.
+func TestGuardRemembersPlaceOfRemovedServer(t *testing.T) {
+	before := invariant.Violations(invariant.UnsafeRetry)
+	asked, release, repeated := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	first := testkit.NewApp(t, func(w http.ResponseWriter, r *http.Request) { close(asked); <-release; testkit.Reset(w, r) })
+	second := testkit.NewApp(t, func(http.ResponseWriter, *http.Request) { close(repeated) })
+	endpoint := func(uid string, app *testkit.App) discovery.Endpoint {
+		return discovery.Endpoint{UID: uid, Address: app.Addr(), State: "up", Group: 7}
+	}
+	module := moduleFunc(func(e control.Event) []control.Action {
+		switch e := e.(type) {
+		case control.Request:
+			return []control.Action{control.Send{ID: e.ID, Server: 1}}
+		case control.AttemptResult:
+			if e.Reason == control.ResetByPeer {
+				return []control.Action{control.Send{ID: e.ID, Server: 2}}
+			}
+		}
+		return nil
+	})
+	o := Options{Settings: testSettings(), NewModule: moduleOf(module), AnyMethod: true}
+	o.Settings.Classes[0].Idempotency, o.Settings.Classes[0].KeyScope = control.IdempotentWithKey, control.ScopeCell
+	o.Settings.Classes[0].RepeatWindow = time.Minute
+	o.Upstream = upstream.Options{ConnectTimeout: time.Second, KeepAliveTimeout: time.Minute, SocketLimiter: limits.NewSocketLimiter(100), MaxBodyBytes: 1 << 10}
+	o.Source = discovery.Source{Kind: discovery.Static, Endpoints: []discovery.Endpoint{endpoint("s-1", first)}}
+	s := runReadyService(t, o)
+	message, err := http.NewRequest(http.MethodPost, "http://h/read", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := newExchange("x")
+	x.Forwarder = &upstream.BufferedRequest{Request: message}
+	done := make(chan struct{})
+	go func() { s.Do(t.Context(), x); close(done) }()
+	testkit.Next(t, asked)
+	s.receiveEndpoints(discovery.EndpointList{IsComplete: true, Endpoints: []discovery.Endpoint{endpoint("s-2", second)}})
+	s.Status() // a round through the loop
+	close(release)
+	testkit.Next(t, repeated)
+	testkit.Next(t, done)
+	if n := invariant.Violations(invariant.UnsafeRetry) - before; n != 0 {
+		t.Errorf("%d violations by a repeat in the same cell", n)
+	}
+}
