Mend the guard of repeats behind a server's removal

The place of an attempt's server, zone and cell, is taken as the attempt starts and kept with it (attemptJob.place); it was looked up as the attempt ended. A connection's time in the accept queue is looked at for a second behind a time in which nothing was accepted, not for good.

--- a/internal/accept/backlog.go
+++ b/internal/accept/backlog.go
@@ -12,6 +12,9 @@
 	blocked Period
 }
 
+// maxQueueTime is for how long a queue is accepted behind a time in which nothing was.
+const maxQueueTime = time.Second
+
 // Period is a time from From to To. The zero one is none.
 type Period struct{ From, To time.Time }
 
@@ -34,13 +37,13 @@
 	}
 }
 
-// LastBlocked returns the latest time in which connections were not accepted, up to now where that goes on.
-func (b *Backlog) LastBlocked() Period {
+// QueuedDuring returns the time during which a connection that is accepted now may have waited: the latest in which none
+// was, as long as the queue that came of it may not be empty yet.
+func (b *Backlog) QueuedDuring() Period {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	last := b.blocked
-	if !last.From.IsZero() && last.To.IsZero() {
-		last.To = time.Now()
+	if b.blocked.To.IsZero() || time.Since(b.blocked.To) > maxQueueTime {
+		return Period{}
 	}
-	return last
+	return b.blocked
 }
--- a/internal/limits/conn.go
+++ b/internal/limits/conn.go
@@ -65,7 +65,7 @@
 	}
 	l.backlog.Unblock()
 	conn := Track(c, l.limiter)
-	conn.AcceptedAt, conn.Queued = time.Now(), l.backlog.LastBlocked()
+	conn.AcceptedAt, conn.Queued = time.Now(), l.backlog.QueuedDuring()
 	return conn, nil
 }
 
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -13,6 +13,7 @@
 	exchange  *Exchange
 	number    int // among the exchange's attempts
 	server    uint32
+	place     serverPlace // of the server, which may have left the list when the attempt ends
 	pool      *upstream.Pool
 	attempt   *upstream.Attempt
 	startedAt time.Time
@@ -52,7 +53,7 @@
 	if l.groupSizeEstimator != nil {
 		l.attemptsInFlight[a.Server]++
 	}
-	l.dispatch(attemptJob{exchange: x, number: number, server: a.Server, pool: pool, attempt: attempt, startedAt: time.Now()})
+	l.dispatch(attemptJob{exchange: x, number: number, server: a.Server, place: l.places[a.Server], pool: pool, attempt: attempt, startedAt: time.Now()})
 }
 
 // attemptContext returns the context of an attempt. It ends at the exchange's deadline, or sooner if the
@@ -165,7 +166,7 @@
 	x.inFlight--
 	x.lastReason = o.Reason
 	x.mayHaveRun = x.mayHaveRun || mayHaveRun(o.Reason)
-	x.repeats.attemptEnded(job, o.Reason, l.places[job.server])
+	x.repeats.attemptEnded(job, o.Reason)
 	response := control.AttemptResult{
 		ID: x.Request.ID, Attempt: job.number, Server: job.server, Reason: o.Reason, Delay: time.Since(job.startedAt),
 	}
--- a/internal/service/guard.go
+++ b/internal/service/guard.go
@@ -15,15 +15,14 @@
 // repeatGuard is what the loop itself knows of an exchange's attempts, beside its module, to judge whether another one
 // may begin.
 type repeatGuard struct {
-	firstRunAt time.Time // when the first attempt that may have run was started; zero is none
-	zone       string    // of its server
-	cell       int
+	firstRunAt time.Time   // when the first attempt that may have run was started; zero is none
+	place      serverPlace // of its server
 }
 
 // attemptEnded notes an attempt that has ended.
-func (g *repeatGuard) attemptEnded(job attemptJob, reason control.Reason, place serverPlace) {
+func (g *repeatGuard) attemptEnded(job attemptJob, reason control.Reason) {
 	if mayHaveRun(reason) && g.firstRunAt.IsZero() {
-		g.firstRunAt, g.zone, g.cell = job.startedAt, place.zone, place.cell
+		g.firstRunAt, g.place = job.startedAt, job.place
 	}
 }
 
@@ -39,10 +38,10 @@
 		return fmt.Sprintf("it may have run %v ago, its repeat window is %v", since, class.RepeatWindow), false
 	}
 	switch {
-	case class.KeyScope == control.ScopeZone && place.zone != g.zone:
-		return fmt.Sprintf("it may have run in zone %q, not %q", g.zone, place.zone), false
-	case class.KeyScope == control.ScopeCell && place.cell != g.cell:
-		return fmt.Sprintf("it may have run in cell %d, not %d", g.cell, place.cell), false
+	case class.KeyScope == control.ScopeZone && place.zone != g.place.zone:
+		return fmt.Sprintf("it may have run in zone %q, not %q", g.place.zone, place.zone), false
+	case class.KeyScope == control.ScopeCell && place.cell != g.place.cell:
+		return fmt.Sprintf("it may have run in cell %d, not %d", g.place.cell, place.cell), false
 	}
 	return "", true
 }
