Unwrap connections in one place, and count a guarded attempt once

Read again: the loop that finds a connection of a type inside its wrappers stood three times (TCP socket, limits.Conn, inputConn), and is connInside now. The limit of attempts was checked by the guard and once more behind it; the guard withholds them now, with the same outcome (not sent). The slow start guard took an attempt's bucket and sum in two steps. Behaviour stays as it is.

--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -99,8 +99,8 @@
 	if tcp := tcpConnOf(conn); tcp != nil {
 		client.rawConn, _ = tcp.SyscallConn()
 	}
-	client.input = inputConnOf(conn)
-	if limited := limitedConnOf(conn); limited != nil {
+	client.input = connInside[*inputConn](conn)
+	if limited := connInside[*limits.Conn](conn); limited != nil {
 		client.acceptedAt, client.queued = limited.AcceptedAt, limited.Queued
 	}
 	s.mu.Lock()
@@ -112,20 +112,6 @@
 	return context.WithValue(ctx, clientKey{}, client)
 }
 
-// limitedConnOf returns the limits.Conn inside conn; nil if there is none.
-func limitedConnOf(conn net.Conn) *limits.Conn {
-	for {
-		if limited, ok := conn.(*limits.Conn); ok {
-			return limited
-		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		conn = wrapper.NetConn()
-	}
-}
-
 // arrivalOf returns when a request arrived that was read now. The first one of a connection that could not be accepted
 // at once may have waited in the socket's queue: its client's time has run since its last byte came.
 func (c *clientConn) arrivalOf(now time.Time) time.Time {
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -29,7 +29,7 @@
 
 // withInput returns a connection that has an inputConn inside: conn itself where it has one.
 func withInput(conn net.Conn) net.Conn {
-	if inputConnOf(conn) != nil {
+	if connInside[*inputConn](conn) != nil {
 		return conn
 	}
 	c := &inputConn{Conn: conn}
@@ -40,20 +40,6 @@
 	return c
 }
 
-// inputConnOf returns the inputConn inside conn; nil if there is none.
-func inputConnOf(conn net.Conn) *inputConn {
-	for {
-		if c, ok := conn.(*inputConn); ok {
-			return c
-		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		conn = wrapper.NetConn()
-	}
-}
-
 // NetConn returns the wrapped connection.
 func (c *inputConn) NetConn() net.Conn { return c.Conn }
 
--- a/internal/front/validating_conn.go
+++ b/internal/front/validating_conn.go
@@ -39,20 +39,23 @@
 	return io.Copy(struct{ io.Writer }{c.Conn}, r)
 }
 
-// tcpConnOf returns the TCP connection inside conn; nil if there is none.
-func tcpConnOf(conn net.Conn) *net.TCPConn {
+// connInside returns the connection of a type that is conn or is wrapped by it; the type's zero value if there is none.
+func connInside[T net.Conn](conn net.Conn) (none T) {
 	for {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			return tcp
+		if found, ok := conn.(T); ok {
+			return found
 		}
 		wrapper, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			return nil
+			return none
 		}
 		conn = wrapper.NetConn()
 	}
 }
 
+// tcpConnOf returns the TCP connection inside conn; nil if there is none.
+func tcpConnOf(conn net.Conn) *net.TCPConn { return connInside[*net.TCPConn](conn) }
+
 // NetConn returns the wrapped connection.
 func (c *validatingConn) NetConn() net.Conn { return c.Conn }
 
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -36,7 +36,7 @@
 	ctx, cancel := l.attemptContext(x, a)
 	attempt := upstream.NewAttempt(ctx, cancel, x)
 	x.attempts = append(x.attempts, attempt)
-	isPointless := !isAllowed || x.isAnswered || ctx.Err() != nil || l.maxAttempts > 0 && x.attemptCount > l.maxAttempts
+	isPointless := !isAllowed || x.isAnswered || ctx.Err() != nil
 	if pool == nil || isPointless {
 		attempt.Cancel()
 		reason := control.ConnectFailed // the server left the list meanwhile: another one may take the request
--- a/internal/service/guard.go
+++ b/internal/service/guard.go
@@ -53,7 +53,7 @@
 }
 
 // guardAttempt checks an attempt that the module has decided on, whatever it went by. One that could run a request
-// twice or beside itself is not made.
+// twice or beside itself, or is one too many, is not made.
 func (l *loop) guardAttempt(x *Exchange, a control.Send, now time.Time) (ok bool) {
 	if x.isAnswered { // it is not made anyway
 		return true
@@ -64,6 +64,7 @@
 	}
 	if l.maxAttempts > 0 && x.attemptCount >= l.maxAttempts {
 		invariant.Violated(invariant.TooManyAttempts, x.Request.ID, fmt.Sprintf("attempt %d of %d", x.attemptCount+1, l.maxAttempts))
+		return false
 	}
 	if class := l.classOf(x); class != nil {
 		if why, ok := x.repeats.allows(class, l.places[a.Server], now); !ok {
@@ -156,9 +157,7 @@
 	if rate == nil || g.window <= 0 {
 		return "", true
 	}
-	rate.add(g.bucketOf(now))
-	age := now.Sub(rate.startedAt)
-	sent := rate.sum(g.bucketOf(now))
+	age, sent := now.Sub(rate.startedAt), rate.add(g.bucketOf(now))
 	if rate.startedAt.IsZero() || age >= g.warmupTime {
 		if sent >= g.peak || now.Sub(g.peakAt) > peakTime {
 			g.peak, g.peakAt = sent, now
@@ -188,13 +187,10 @@
 // guardEpoch is a moment before any attempt, with a monotonic reading.
 var guardEpoch = time.Now()
 
-func (r *attemptRate) add(bucket int64) {
+// add counts an attempt, and returns how many there were within the window.
+func (r *attemptRate) add(bucket int64) (sum float64) {
 	r.advance(bucket)
 	r.counts[((bucket%warmupBuckets)+warmupBuckets)%warmupBuckets]++
-}
-
-func (r *attemptRate) sum(bucket int64) (sum float64) {
-	r.advance(bucket)
 	for _, n := range r.counts {
 		sum += n
 	}
