Move the eviction of client connections to a file of its own

Need: which client connections may be closed for another client's sake is about to change; it stood in the middle of the registry of connections. Change: the functions move to eviction.go as they are. go test ./internal/front passes.

--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -205,16 +205,6 @@
 	return readAt.IsZero() && !c.hasUnreadInput() && !c.hasUnacknowledgedOutput()
 }
 
-// canEvict reports whether closing an idle connection loses no request. A request that is still incomplete after the
-// grace period may be lost.
-func (c *clientConn) canEvict(readAt time.Time) bool {
-	readable, ended := c.pollSocket()
-	if readable && !ended {
-		return false
-	}
-	return readAt.IsZero() || time.Since(readAt) >= newConnGracePeriod
-}
-
 // hasUnreadInput reports whether an idle connection has input, or the client's close, that is about to
 // be read. Closing the socket then would reset the connection and drop what the client has not yet
 // read of the answer before.
@@ -237,44 +227,6 @@
 	}
 }
 
-// closeOldestIdle closes one connection: the oldest new one whose grace period is over, else the one
-// that has been idle for longest. Connections with unread input are spared, because that may be a
-// request. It returns false if there is nothing to close.
-func (s *clientRegistry) closeOldestIdle() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var oldest *clientConn
-	for _, c := range s.connections {
-		if !c.isEvictable() || oldest != nil && !c.isEvictedBefore(oldest) {
-			continue
-		}
-		if c.canEvict(c.input.inputSince()) {
-			oldest = c
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	oldest.closeIf(oldest.canEvict)
-	return oldest.isClosed()
-}
-
-// isEvictable reports whether a connection is idle, and silent for longer than the grace period if it is new.
-func (c *clientConn) isEvictable() bool {
-	if c.idleSince.IsZero() || c.isClosed() {
-		return false
-	}
-	return !c.isNew || time.Since(c.idleSince) >= newConnGracePeriod
-}
-
-// isEvictedBefore orders connections for eviction: new ones first, then by the time they became idle.
-func (c *clientConn) isEvictedBefore(other *clientConn) bool {
-	if c.isNew != other.isNew {
-		return c.isNew
-	}
-	return c.idleSince.Before(other.idleSince)
-}
-
 // closeWhenIdle closes the idle connections, and from now on each that becomes idle, unless closing
 // would lose a request or a part of an answer: those are closed by their next answer or a later call.
 func (s *clientRegistry) closeWhenIdle() {
--- /dev/null
+++ b/internal/front/eviction.go
@@ -0,0 +1,54 @@
+package front
+
+import "time"
+
+// newConnGracePeriod is how long a new connection may stay silent before it can be evicted.
+const newConnGracePeriod = 250 * time.Millisecond
+
+// closeOldestIdle closes one connection: the oldest new one whose grace period is over, else the one
+// that has been idle for longest. Connections with unread input are spared, because that may be a
+// request. It returns false if there is nothing to close.
+func (s *clientRegistry) closeOldestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *clientConn
+	for _, c := range s.connections {
+		if !c.isEvictable() || oldest != nil && !c.isEvictedBefore(oldest) {
+			continue
+		}
+		if c.canEvict(c.input.inputSince()) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.closeIf(oldest.canEvict)
+	return oldest.isClosed()
+}
+
+// isEvictable reports whether a connection is idle, and silent for longer than the grace period if it is new.
+func (c *clientConn) isEvictable() bool {
+	if c.idleSince.IsZero() || c.isClosed() {
+		return false
+	}
+	return !c.isNew || time.Since(c.idleSince) >= newConnGracePeriod
+}
+
+// canEvict reports whether closing an idle connection loses no request. A request that is still incomplete after the
+// grace period may be lost.
+func (c *clientConn) canEvict(readAt time.Time) bool {
+	readable, ended := c.pollSocket()
+	if readable && !ended {
+		return false
+	}
+	return readAt.IsZero() || time.Since(readAt) >= newConnGracePeriod
+}
+
+// isEvictedBefore orders connections for eviction: new ones first, then by the time they became idle.
+func (c *clientConn) isEvictedBefore(other *clientConn) bool {
+	if c.isNew != other.isNew {
+		return c.isNew
+	}
+	return c.idleSince.Before(other.idleSince)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,9 +20,6 @@
 	clientIdleTimeout  = 10 * time.Second
 	requestReadTimeout = 2 * time.Second // for a request's head and body
 	answerWriteTimeout = 2 * time.Second // for writing a buffered answer
-
-	// newConnGracePeriod is how long a new connection may stay silent before it can be evicted.
-	newConnGracePeriod = 250 * time.Millisecond
 )
 
 // MaxTimeAfterDeadline is the longest time that a request can be in the node in addition to its
