Fix the hash of an unreadable program that later members got without an error

Operators saw, by reading (none has reported it): a change of programs to the file that members were started from, which can no longer be read, was planned with an empty version. Cause: fileHashes cached the empty hash of a failed read, and addRunningProgram, which may ignore that error, is the first to ask. Change: only a computed hash is cached.

TestUnreadableProgramIsReportedForEachMember failed before (m1 and m2: hash "", <nil>), as did TestFileHashIsReadAgainAfterFailure; both pass 10 of 10 now.

--- a/internal/fleet/program_change.go
+++ b/internal/fleet/program_change.go
@@ -85,7 +85,7 @@
 	return running, nil
 }
 
-// fileHashes are hashes of files by path, each computed once.
+// fileHashes are hashes of files by path, each computed once. A file that could not be read has none.
 type fileHashes map[string]string
 
 // hash returns the hash of a file.
@@ -94,8 +94,11 @@
 		return hash, nil
 	}
 	hash, err := hashFile(path)
+	if err != nil {
+		return "", err
+	}
 	f[path] = hash
-	return hash, err
+	return hash, nil
 }
 
 // executablePath is where the kernel has the program of a process, also of a file that was replaced.
