Wake waiting listeners when a descriptor is released, so that a shutdown answers its queue

Callers saw: clients in the listener's queue at the last step of a shutdown were reset without a byte. Cause: a listener that waits for a descriptor tried again every 20 ms only, so that each client of the queue cost a poll and some ten were accepted in the 200 ms of the last step.

Change: limiters give a signal at each release, which a waiting listener is woken by; the count is taken with a compare-and-swap, so that two listeners can't make each other miss the last place.

--- /dev/null
+++ b/cmd/lockflow/shutdown_queue_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"lockflow/internal/limits"
+)
+
+const queuedClients = 60 // that wait in the listener's queue when SIGTERM comes
+
+// shutdownQueueCase is a way in which clients keep the descriptors that others wait for in the listener's queue.
+type shutdownQueueCase struct {
+	name        string
+	descriptors int
+	play        func(*crossing)
+}
+
+var shutdownQueueCases = []shutdownQueueCase{
+	{"many clients wait", limits.MinDescriptors, func(x *crossing) {
+		x.playShutdownQueue(1)
+	}},
+}
+
+// Guards against the reset of clients in the listener's queue at the last step of a shutdown: whoever has sent a
+// request there gets an answer, whatever clients that hold descriptors do.
+func TestShutdownAnswersClientsInListenerQueue(t *testing.T) {
+	for _, c := range shutdownQueueCases {
+		for _, s := range []site{sites[3], sites[5]} {
+			s.sockets = c.descriptors
+			t.Run(fmt.Sprint(c.name, " ", s.effect, " ", s.deadline), func(t *testing.T) {
+				t.Parallel()
+				app := newBackend(t)
+				config := s.config(t, discovery(t, "s-1", app.Server).Listener.Addr().String())
+				x := &crossing{T: t, site: s, program: start(t, config, ""), app: app, config: config}
+				c.play(x)
+				x.until("drained")
+				if err := x.Wait(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
+
+// playShutdownQueue has clients keep all descriptors, with a request each that its app server does not answer, while
+// others wait in the listener's queue, and ends the program.
+func (x *crossing) playShutdownQueue(holders int) {
+	x.Helper()
+	var held []*caller
+	for i := range holders {
+		c := x.held(fmt.Sprint("hang-", i), "enterprise")
+		held = append(held, c)
+	}
+	queued := x.queue()
+	x.term()
+	for i, c := range held {
+		x.getsAnswer(c, fmt.Sprint("hang-", i))
+	}
+	x.allAnswered(queued)
+}
+
+// queue has clients send a request each over a new connection, which no descriptor is left for.
+func (x *crossing) queue() []*caller {
+	x.Helper()
+	var queued []*caller
+	for i := range queuedClients {
+		c := x.client()
+		c.ask(fmt.Sprint("q-", i), "enterprise")
+		queued = append(queued, c)
+	}
+	return queued
+}
+
+// allAnswered wants an answer for each client of queue. They read at the same time.
+func (x *crossing) allAnswered(queued []*caller) {
+	x.Helper()
+	var all sync.WaitGroup
+	for i, c := range queued {
+		all.Go(func() { x.getsAnswer(c, fmt.Sprint("q-", i)) })
+	}
+	all.Wait()
+}
+
+// getsAnswer wants an answer that is due, as answered does; on a busy machine it may come before SIGTERM, so that its
+// connection stays open.
+func (x *crossing) getsAnswer(c *caller, id string) {
+	x.Helper()
+	status, body, _, err := c.answer()
+	if err != nil || !x.due(status, body, id) {
+		x.Errorf("%s: %d %q, %v; forwarded %d times", id, status, body, err, x.app.times(id))
+	}
+}
--- a/internal/limits/conn.go
+++ b/internal/limits/conn.go
@@ -9,7 +9,8 @@
 	"lockflow/internal/accept"
 )
 
-// acquireRetryInterval is the time between two attempts to acquire a descriptor for a client.
+// acquireRetryInterval is the maximum time between two attempts to acquire a descriptor for a client. A release ends
+// it; whether a connection may be evicted also depends on the time.
 const acquireRetryInterval = 20 * time.Millisecond
 
 // Conn is a connection that releases its descriptor when it is closed.
@@ -20,8 +21,9 @@
 	// Queued is the time before AcceptedAt in which it may have waited to be accepted.
 	Queued accept.Period
 
-	limiter     ConnectionLimiter
-	releaseOnce sync.Once
+	limiter      ConnectionLimiter
+	availability *Signal // of the limiter's descriptors; nil where nobody waits for one
+	releaseOnce  sync.Once
 }
 
 // Track returns a connection, for which a descriptor was acquired, as one that releases it.
@@ -37,12 +39,21 @@
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// NotifyEvictable makes known to those that wait for a descriptor that this connection may be evicted.
+func (c *Conn) NotifyEvictable() {
+	if c.availability != nil {
+		c.availability.Notify()
+	}
+}
+
 // Listener accepts connections only while a descriptor can be acquired for them.
 type Listener struct {
 	net.Listener
 	ctx     context.Context // Accept, which net.Listener defines without one, waits until it ends
 	limiter ConnectionLimiter
 	backlog *accept.Backlog
+
+	availability *Signal // that of the limiter, or one that is never given
 }
 
 // Listen wraps a listener. Once ctx has ended, Accept no longer waits for a descriptor.
@@ -51,7 +62,11 @@
 	if persistent, ok := l.(*accept.Listener); ok {
 		backlog = persistent.Backlog()
 	}
-	return &Listener{Listener: l, ctx: ctx, limiter: limiter, backlog: backlog}
+	availability := &Signal{}
+	if awaited, ok := limiter.(AwaitedLimiter); ok {
+		availability = awaited.Availability()
+	}
+	return &Listener{Listener: l, ctx: ctx, limiter: limiter, backlog: backlog, availability: availability}
 }
 
 // Accept waits for a descriptor, then for a connection. The error is net.ErrClosed where ctx has ended first.
@@ -66,6 +81,7 @@
 	}
 	l.backlog.Unblock()
 	conn := Track(c, l.limiter)
+	conn.availability = l.availability
 	conn.AcceptedAt = time.Now()
 	conn.Queued = l.backlog.QueuedDuring()
 	return conn, nil
@@ -73,13 +89,17 @@
 
 // acquire acquires a descriptor as soon as there is one.
 func (l *Listener) acquire() error {
-	for !l.limiter.TryAcquire() {
+	for {
+		available := l.availability.Next() // before the attempt, so that no release is missed
+		if l.limiter.TryAcquire() {
+			return nil
+		}
 		l.backlog.Block()
 		select {
 		case <-l.ctx.Done():
 			return net.ErrClosed
+		case <-available:
 		case <-time.After(acquireRetryInterval):
 		}
 	}
-	return nil
 }
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -179,6 +179,58 @@
 	})
 }
 
+// Guards against clients that wait in the socket's queue for longer than there is no descriptor: a listener takes the
+// next one at once when a descriptor is released or may be evicted, and not with its next attempt.
+func TestListenerAcceptsOnceDescriptorIsAvailable(t *testing.T) {
+	for name, freeOne := range map[string]func(evictable *bool, open *Conn){
+		"released":  func(_ *bool, open *Conn) { open.Close() },
+		"evictable": func(evictable *bool, open *Conn) { *evictable = true; open.NotifyEvictable() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := NewSocketLimiter(MinDescriptors)
+				evictable := false
+				s.OnEvict(func() bool {
+					if evictable {
+						evictable = false
+						s.Release()
+						return true
+					}
+					return false
+				}, nil)
+				queue := make(connQueue, 2)
+				l := Listen(t.Context(), queue, s.ForClients())
+				queue <- nopConn{}
+				first, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				accepted := make(chan time.Time)
+				go func() { _, _ = l.Accept(); accepted <- time.Now() }()
+				time.Sleep(acquireRetryInterval * 3 / 2)
+				queue <- nopConn{}
+				freedAt := time.Now()
+				freeOne(&evictable, first.(*Conn))
+				if took := (<-accepted).Sub(freedAt); took != 0 {
+					t.Errorf("accepted %v later", took)
+				}
+			})
+		})
+	}
+}
+
+// connQueue is a listener whose queue is a channel.
+type connQueue chan net.Conn
+
+func (q connQueue) Accept() (net.Conn, error) { return <-q, nil }
+func (q connQueue) Close() error              { return nil }
+func (q connQueue) Addr() net.Addr            { return &net.TCPAddr{} }
+
+// nopConn is a connection that is never used.
+type nopConn struct{ net.Conn }
+
+func (nopConn) Close() error { return nil }
+
 // TestLowDescriptorLimitsLeaveBothSidesOne checks that a low limit on descriptors is kept, and leaves at least
 // one connection to either side.
 func TestLowDescriptorLimitsLeaveBothSidesOne(t *testing.T) {
--- a/internal/limits/shared_resource.go
+++ b/internal/limits/shared_resource.go
@@ -12,7 +12,8 @@
 
 // SharedResource is one bounded resource of the process that several accounts share by a bulkhead.Allocator.
 type SharedResource struct {
-	clock func() time.Duration
+	clock        func() time.Duration
+	availability Signal
 
 	mu        sync.Mutex
 	allocator *bulkhead.Allocator
@@ -41,10 +42,11 @@
 	for a, part := range guaranteed {
 		owners[a.owner] = part
 	}
+	defer s.availability.Notify()
 	return s.allocator.SetGuarantees(total, owners)
 }
 
-// Account is what one user, a service or the clients, has of a SharedResource. It is a ConnectionLimiter.
+// Account is what one user, a service or the clients, has of a SharedResource. It is an AwaitedLimiter.
 type Account struct {
 	resource *SharedResource
 	owner    bulkhead.Owner
@@ -138,10 +140,14 @@
 func (a *Account) ReleaseN(n int64) {
 	s := a.resource
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.allocator.Release(a.owner, n)
+	s.mu.Unlock()
+	s.availability.Notify()
 }
 
+// Availability implements AwaitedLimiter.
+func (a *Account) Availability() *Signal { return &a.resource.availability }
+
 // evictFor evicts one idle unit for an account, and reports whether there was one.
 func (s *SharedResource) evictFor(a *Account) bool {
 	candidates := s.borrowersToEvict(a)
--- a/internal/limits/socket_limiter.go
+++ b/internal/limits/socket_limiter.go
@@ -20,6 +20,13 @@
 	Release()
 }
 
+// AwaitedLimiter is a ConnectionLimiter that tells a waiting Listener when a descriptor may be had.
+type AwaitedLimiter interface {
+	ConnectionLimiter
+	// Availability returns the signal that is given once a descriptor has been released or may be evicted.
+	Availability() *Signal
+}
+
 // SocketLimiter keeps the connections of clients and to app servers together below the process's limit on
 // descriptors. Where it is reached, idle connections are closed for new ones. It serves a process of one
 // service; several services have accounts at a SharedResource. It is the ConnectionLimiter of app servers.
@@ -27,6 +34,7 @@
 	inUse              atomic.Int64
 	limit              atomic.Int64
 	reservedForServers int64 // ReservedForServers, or half of a low limit
+	availability       Signal
 
 	evictClient func() bool         // closes one idle connection of a client, if there is one
 	evictServer func(keep int) bool // closes one idle connection to an app server, if there are more than keep
@@ -53,7 +61,10 @@
 }
 
 // SetLimit sets how many connections may be open; connections above it remain open.
-func (s *SocketLimiter) SetLimit(n int) { s.limit.Store(int64(n)) }
+func (s *SocketLimiter) SetLimit(n int) {
+	s.limit.Store(int64(n))
+	s.availability.Notify()
+}
 
 // InUse returns how many descriptors are acquired.
 func (s *SocketLimiter) InUse() int { return int(s.inUse.Load()) }
@@ -72,8 +83,7 @@
 
 // acquire acquires a descriptor and leaves some that are reserved.
 func (s *SocketLimiter) acquire(reserved int64) bool {
-	for s.inUse.Add(1) > s.limit.Load()-reserved {
-		s.inUse.Add(-1)
+	for !s.increment(s.limit.Load() - reserved) {
 		// Idle clients are evicted first, and the reserved idle connections to app servers stay for a client:
 		// silent clients would cost app servers handshakes.
 		if !s.evictClient() && !s.evictServer(int(reserved)) {
@@ -83,15 +93,35 @@
 	return true
 }
 
+// increment counts one more descriptor unless there are limit of them.
+func (s *SocketLimiter) increment(limit int64) bool {
+	for {
+		inUse := s.inUse.Load()
+		if inUse >= limit {
+			return false
+		}
+		if s.inUse.CompareAndSwap(inUse, inUse+1) {
+			return true
+		}
+	}
+}
+
 // TryAcquire acquires a descriptor for a connection to an app server.
 func (s *SocketLimiter) TryAcquire() bool { return s.acquire(0) }
 
 // Release releases a descriptor of either side.
-func (s *SocketLimiter) Release() { s.inUse.Add(-1) }
+func (s *SocketLimiter) Release() {
+	s.inUse.Add(-1)
+	s.availability.Notify()
+}
+
+// Availability implements AwaitedLimiter.
+func (s *SocketLimiter) Availability() *Signal { return &s.availability }
 
 // ForClients returns the limiter of client connections, which leaves some to app servers.
 func (s *SocketLimiter) ForClients() ConnectionLimiter { return clientLimiter{s} }
 
+// clientLimiter is the AwaitedLimiter of client connections.
 type clientLimiter struct{ *SocketLimiter }
 
 // TryAcquire acquires a descriptor for a connection of a client.
