Count client and server connections apart, so that idle server connections keep no client out

Callers saw: at a low limit of descriptors clients waited in the listener's queue beside free descriptors until an idle connection to an app server timed out, or to a shutdown's last step, whose 200 ms were not enough on a busy machine. Cause: SocketLimiter held clients below limit minus reserve by the sum of both sides' connections, so that connections to app servers, for which the reserve is, were taken off the clients' part a second time. Of 104 connections with 52 open to app servers there were none for clients; of 2, one to a server left none.

Change: both sides are counted apart. Clients have all but the reserve, servers what clients leave, and of the server connections those beyond the reserve are evicted for a client.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -182,21 +183,20 @@
 // Guards against clients that wait in the socket's queue for longer than there is no descriptor: a listener takes the
 // next one at once when a descriptor is released or may be evicted, and not with its next attempt.
 func TestListenerAcceptsOnceDescriptorIsAvailable(t *testing.T) {
-	for name, freeOne := range map[string]func(evictable *bool, open *Conn){
-		"released":  func(_ *bool, open *Conn) { open.Close() },
-		"evictable": func(evictable *bool, open *Conn) { *evictable = true; open.NotifyEvictable() },
+	for name, freeOne := range map[string]func(evictable *atomic.Bool, open *Conn){
+		"released":  func(_ *atomic.Bool, open *Conn) { open.Close() },
+		"evictable": func(evictable *atomic.Bool, open *Conn) { evictable.Store(true); open.NotifyEvictable() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := NewSocketLimiter(MinDescriptors)
-				evictable := false
+				var evictable atomic.Bool
 				s.OnEvict(func() bool {
-					if evictable {
-						evictable = false
-						s.Release()
-						return true
+					if !evictable.CompareAndSwap(true, false) {
+						return false
 					}
-					return false
+					s.ForClients().Release()
+					return true
 				}, nil)
 				queue := make(connQueue, 2)
 				l := Listen(t.Context(), queue, s.ForClients())
@@ -231,6 +231,39 @@
 
 func (nopConn) Close() error { return nil }
 
+// Guards against clients that wait beside free descriptors: connections to app servers that are open, idle ones too, take
+// the descriptors that are reserved for them, and none of the clients'. Those beyond are evicted for a client.
+func TestOpenServerConnectionsLeaveClientsTheirDescriptors(t *testing.T) {
+	for _, limit := range []int{MinDescriptors, MinDescriptors + 1, 40, 128, 152, 1024} {
+		for _, beyondReserve := range []int{0, 5} {
+			s := NewSocketLimiter(limit)
+			connections := MaxConnections(limit)
+			reserved := min(ReservedForServers, connections/2)
+			servers := 0
+			s.OnEvict(nil, func(keep int) bool {
+				if servers <= keep {
+					return false
+				}
+				servers--
+				s.Release()
+				return true
+			})
+			for range min(reserved+beyondReserve, connections) {
+				if s.TryAcquire() {
+					servers++
+				}
+			}
+			clients := 0
+			for c := s.ForClients(); c.TryAcquire(); {
+				clients++
+			}
+			if clients != connections-reserved || servers != reserved {
+				t.Errorf("of %d: %d clients and %d servers", connections, clients, servers)
+			}
+		}
+	}
+}
+
 // TestLowDescriptorLimitsLeaveBothSidesOne checks that a low limit on descriptors is kept, and leaves at least
 // one connection to either side.
 func TestLowDescriptorLimitsLeaveBothSidesOne(t *testing.T) {
--- a/internal/limits/socket_limiter.go
+++ b/internal/limits/socket_limiter.go
@@ -1,6 +1,6 @@
 package limits
 
-import "sync/atomic"
+import "sync"
 
 const (
 	processDescriptors = 24 // of the process itself: listener, discovery, log, poller and the runtime's
@@ -31,9 +31,11 @@
 // descriptors. Where it is reached, idle connections are closed for new ones. It serves a process of one
 // service; several services have accounts at a SharedResource. It is the ConnectionLimiter of app servers.
 type SocketLimiter struct {
-	inUse              atomic.Int64
-	limit              atomic.Int64
-	reservedForServers int64 // ReservedForServers, or half of a low limit
+	mu                 sync.Mutex
+	limit              int
+	reservedForServers int // connections that clients leave to app servers: ReservedForServers, or half of a low limit
+	clients            int // open connections of clients
+	servers            int // open connections to app servers
 	availability       Signal
 
 	evictClient func() bool         // closes one idle connection of a client, if there is one
@@ -43,13 +45,12 @@
 // NewSocketLimiter creates a limiter for a process's limit on descriptors; 0 is one that is not known.
 func NewSocketLimiter(descriptors int) *SocketLimiter {
 	limit := MaxConnections(descriptors)
-	s := &SocketLimiter{
-		reservedForServers: int64(min(ReservedForServers, limit/2)),
+	return &SocketLimiter{
+		limit:              limit,
+		reservedForServers: min(ReservedForServers, limit/2),
 		evictClient:        func() bool { return false },
 		evictServer:        func(int) bool { return false },
 	}
-	s.limit.Store(int64(limit))
-	return s
 }
 
 // MaxConnections is how many connections a limit on descriptors allows; 0 is a limit that is not known.
@@ -62,12 +63,18 @@
 
 // SetLimit sets how many connections may be open; connections above it remain open.
 func (s *SocketLimiter) SetLimit(n int) {
-	s.limit.Store(int64(n))
+	s.mu.Lock()
+	s.limit = n
+	s.mu.Unlock()
 	s.availability.Notify()
 }
 
 // InUse returns how many descriptors are acquired.
-func (s *SocketLimiter) InUse() int { return int(s.inUse.Load()) }
+func (s *SocketLimiter) InUse() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clients + s.servers
+}
 
 // OnEvict sets the functions that close an idle connection, if there is one, of the clients, and of the app
 // servers but for some that are to be kept. Nil leaves a function as it is. It is called before the first
@@ -81,37 +88,32 @@
 	}
 }
 
-// acquire acquires a descriptor and leaves some that are reserved.
-func (s *SocketLimiter) acquire(reserved int64) bool {
-	for !s.increment(s.limit.Load() - reserved) {
-		// Idle clients are evicted first, and the reserved idle connections to app servers stay for a client:
-		// silent clients would cost app servers handshakes.
-		if !s.evictClient() && !s.evictServer(int(reserved)) {
+// TryAcquire acquires a descriptor for a connection to an app server.
+func (s *SocketLimiter) TryAcquire() bool {
+	for !s.addServer() {
+		if !s.evictClient() && !s.evictServer(0) {
 			return false
 		}
 	}
 	return true
 }
 
-// increment counts one more descriptor unless there are limit of them.
-func (s *SocketLimiter) increment(limit int64) bool {
-	for {
-		inUse := s.inUse.Load()
-		if inUse >= limit {
-			return false
-		}
-		if s.inUse.CompareAndSwap(inUse, inUse+1) {
-			return true
-		}
+// addServer counts one more connection to an app server, if there is a descriptor for it.
+func (s *SocketLimiter) addServer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clients+s.servers >= s.limit {
+		return false
 	}
+	s.servers++
+	return true
 }
 
-// TryAcquire acquires a descriptor for a connection to an app server.
-func (s *SocketLimiter) TryAcquire() bool { return s.acquire(0) }
-
-// Release releases a descriptor of either side.
+// Release releases the descriptor of a connection to an app server.
 func (s *SocketLimiter) Release() {
-	s.inUse.Add(-1)
+	s.mu.Lock()
+	s.servers--
+	s.mu.Unlock()
 	s.availability.Notify()
 }
 
@@ -124,5 +126,42 @@
 // clientLimiter is the AwaitedLimiter of client connections.
 type clientLimiter struct{ *SocketLimiter }
 
-// TryAcquire acquires a descriptor for a connection of a client.
-func (s clientLimiter) TryAcquire() bool { return s.acquire(s.reservedForServers) }
+// TryAcquire acquires a descriptor for a connection of a client. Idle clients are evicted first; of the connections to
+// app servers only those beyond the reserved ones, as silent clients would cost app servers handshakes.
+func (s clientLimiter) TryAcquire() bool {
+	for !s.addClient() {
+		if s.evictClient() {
+			continue
+		}
+		if !s.hasServersBeyondReserve() || !s.evictServer(0) {
+			return false
+		}
+	}
+	return true
+}
+
+// addClient counts one more connection of a client, if there is a descriptor for it beside the reserved ones.
+func (s clientLimiter) addClient() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clients >= s.limit-s.reservedForServers || s.clients+s.servers >= s.limit {
+		return false
+	}
+	s.clients++
+	return true
+}
+
+// hasServersBeyondReserve reports whether clients lack descriptors that app servers have beyond the reserved ones.
+func (s clientLimiter) hasServersBeyondReserve() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers > s.reservedForServers && s.clients < s.limit-s.reservedForServers
+}
+
+// Release releases the descriptor of a client's connection.
+func (s clientLimiter) Release() {
+	s.mu.Lock()
+	s.clients--
+	s.mu.Unlock()
+	s.availability.Notify()
+}
