Evict lingering connections whose answers have arrived, for clients that wait for a descriptor

Callers saw: clients in the listener's queue waited for up to half a second behind answered clients that had sent the beginning of another request and stayed, and at a shutdown's end were reset where that was longer than its last step. Cause: a lingering close keeps its descriptor for up to 500 ms, and no eviction looked at it; net/http's own wait of 500 ms behind a request that it has not read completely kept one too.

Change: a lingering connection is evicted first where a descriptor is lacking, once the client's system has acknowledged all of the answer (a byte for the end of the stream aside).

TestEvictSparesLingering- ConnectionOfUnreceivedAnswer holds that no answer is lost by it.

--- a/cmd/lockflow/shutdown_queue_test.go
+++ b/cmd/lockflow/shutdown_queue_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 
 	"lockflow/internal/limits"
 )
 
-const queuedClients = 60 // that wait in the listener's queue when SIGTERM comes
+const (
+	queuedClients = 60 // that wait in the listener's queue when SIGTERM comes
+
+	// severalConnections is a limit on descriptors that leaves two to clients and two to app servers.
+	severalConnections = limits.MinDescriptors + 2
+)
 
 // shutdownQueueCase is a way in which clients keep the descriptors that others wait for in the listener's queue.
 type shutdownQueueCase struct {
@@ -19,7 +25,16 @@
 
 var shutdownQueueCases = []shutdownQueueCase{
 	{"many clients wait", limits.MinDescriptors, func(x *crossing) {
-		x.playShutdownQueue(1)
+		x.playShutdownQueue(1, nil, nil)
+	}},
+	{"an answered client begins another request and stays", limits.MinDescriptors, func(x *crossing) {
+		x.playShutdownQueue(1, (*caller).beginNextRequest, nil)
+	}},
+	{"several answered clients begin another request and stay", severalConnections, func(x *crossing) {
+		x.playShutdownQueue(2, (*caller).beginNextRequest, nil)
+	}},
+	{"waiting clients begin another request and stay", limits.MinDescriptors, func(x *crossing) {
+		x.playShutdownQueue(1, nil, (*caller).beginNextRequest)
 	}},
 }
 
@@ -45,15 +60,18 @@
 }
 
 // playShutdownQueue has clients keep all descriptors, with a request each that its app server does not answer, while
-// others wait in the listener's queue, and ends the program.
-func (x *crossing) playShutdownQueue(holders int) {
+// others wait in the listener's queue, and ends the program. Each client's preparation follows its request.
+func (x *crossing) playShutdownQueue(holders int, prepareHolder, prepareQueued func(*caller)) {
 	x.Helper()
 	var held []*caller
 	for i := range holders {
 		c := x.held(fmt.Sprint("hang-", i), "enterprise")
+		if prepareHolder != nil {
+			prepareHolder(c)
+		}
 		held = append(held, c)
 	}
-	queued := x.queue()
+	queued := x.queue(prepareQueued)
 	x.term()
 	for i, c := range held {
 		x.getsAnswer(c, fmt.Sprint("hang-", i))
@@ -62,12 +80,15 @@
 }
 
 // queue has clients send a request each over a new connection, which no descriptor is left for.
-func (x *crossing) queue() []*caller {
+func (x *crossing) queue(prepare func(*caller)) []*caller {
 	x.Helper()
 	var queued []*caller
 	for i := range queuedClients {
 		c := x.client()
 		c.ask(fmt.Sprint("q-", i), "enterprise")
+		if prepare != nil {
+			prepare(c)
+		}
 		queued = append(queued, c)
 	}
 	return queued
@@ -92,3 +113,8 @@
 		x.Errorf("%s: %d %q, %v; forwarded %d times", id, status, body, err, x.app.times(id))
 	}
 }
+
+// beginNextRequest sends the beginning of another request, of which the rest never comes.
+func (c *caller) beginNextRequest() {
+	io.WriteString(c, c.text("next", "enterprise")[:20])
+}
--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -35,6 +35,7 @@
 // clientConn is the connection of one client.
 type clientConn struct {
 	conn      net.Conn        // inside the lingeringConn that net/http has, if that is used
+	lingering *lingeringConn  // around conn; nil if it is not used
 	rawConn   syscall.RawConn // the socket; nil if there is none
 	input     *inputConn      // inside conn; nil if there is none
 	idleSince time.Time       // zero while a request is open; guarded by clientRegistry.mu
@@ -95,6 +96,7 @@
 	client := &clientConn{conn: conn, idleSince: time.Now(), isNew: true}
 	if l, ok := conn.(*lingeringConn); ok {
 		client.conn = l.Conn
+		client.lingering = l
 	}
 	if tcp := tcpConnOf(conn); tcp != nil {
 		client.rawConn, _ = tcp.SyscallConn()
@@ -118,16 +120,13 @@
 func (c *clientConn) arrivalOf(now time.Time) time.Time {
 	queued := c.queued
 	c.queued = accept.Period{}
-	if queued.From.IsZero() || c.rawConn == nil {
+	if queued.From.IsZero() {
 		return now
 	}
-	var info *unix.TCPInfo
-	err := errors.ErrUnsupported
-	_ = c.rawConn.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err != nil {
+	lastByteAt, ok := c.lastReceivedAt(now)
+	if !ok {
 		return now
 	}
-	lastByteAt := now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
 	if lastByteAt.After(queued.To) || lastByteAt.After(c.acceptedAt) {
 		return now
 	}
@@ -137,6 +136,21 @@
 	return lastByteAt
 }
 
+// lastReceivedAt returns when the client's last byte arrived; before the first one, when the connection came up. It is
+// false where the system does not tell.
+func (c *clientConn) lastReceivedAt(now time.Time) (time.Time, bool) {
+	if c.rawConn == nil {
+		return time.Time{}, false
+	}
+	var info *unix.TCPInfo
+	err := errors.ErrUnsupported
+	_ = c.rawConn.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil {
+		return time.Time{}, false
+	}
+	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond), true
+}
+
 // clientOf returns the connection of a request; nil if it did not arrive over one.
 func clientOf(r *http.Request) *clientConn {
 	c, _ := r.Context().Value(clientKey{}).(*clientConn)
--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -5,12 +5,32 @@
 // newConnGracePeriod is how long a new connection may stay silent before it can be evicted.
 const newConnGracePeriod = 250 * time.Millisecond
 
+// evict closes one connection, so that another client gets its descriptor: one that lingers and is not needed any more,
+// else an idle one. It returns false if there is none.
+func (s *clientRegistry) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeLingering() || s.closeOldestIdle()
+}
+
+// closeLingering closes one lingering connection that can be closed without loss. The caller holds s.mu.
+func (s *clientRegistry) closeLingering() bool {
+	for _, c := range s.connections {
+		if c.lingering == nil || !c.lingering.canStopLingering() {
+			continue
+		}
+		if !c.isShut.Swap(true) {
+			c.lingering.stopLingering()
+			return true
+		}
+	}
+	return false
+}
+
 // closeOldestIdle closes one connection: the oldest new one whose grace period is over, else the one
 // that has been idle for longest. Connections with unread input are spared, because that may be a
-// request. It returns false if there is nothing to close.
+// request. It returns false if there is nothing to close. The caller holds s.mu.
 func (s *clientRegistry) closeOldestIdle() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var oldest *clientConn
 	for _, c := range s.connections {
 		if !c.isEvictable() || oldest != nil && !c.isEvictedBefore(oldest) {
--- /dev/null
+++ b/internal/front/eviction_test.go
@@ -0,0 +1,104 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lockflow/internal/testsupport/testkit"
+)
+
+// dialTCP connects a client that ends with the test.
+func dialTCP(t *testing.T, address string) net.Conn {
+	t.Helper()
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	client.SetDeadline(time.Now().Add(testkit.WaitTimeout))
+	return client
+}
+
+// lingeringClient is a client whose answer was written, and whose connection the node has begun to close.
+type lingeringClient struct {
+	net.Conn
+	front  *Front
+	closed chan struct{} // closed when the node's end is
+}
+
+// newLingeringClient has a connection linger behind an answer.
+func newLingeringClient(t *testing.T, client net.Conn, server *net.TCPConn, answer int) *lingeringClient {
+	t.Helper()
+	_, f, _, stop := startFront(t, rejectRequest, nil, nil)
+	t.Cleanup(stop)
+	conn := &lingeringConn{Conn: server}
+	f.clients.register(t.Context(), conn)
+	f.clients.trackState(conn, http.StateActive)
+	server.SetWriteBuffer(1 << 20)
+	if _, err := server.Write(make([]byte, answer)); err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	go func() { conn.Close(); close(closed) }()
+	testkit.Until(t, "the lingering close", conn.isLingering.Load)
+	return &lingeringClient{client, f, closed}
+}
+
+// Guards against clients that wait in the listener's queue while a connection lingers whose client has its answer: it is
+// evicted, and its client sees a clean end.
+func TestEvictClosesLingeringConnectionOfReceivedAnswer(t *testing.T) {
+	client, server := connectBy(t, dialTCP)
+	io.WriteString(client, "GET /next")
+	testkit.Until(t, "the beginning of a request", func() bool { return hasUnread(server) })
+	c := newLingeringClient(t, client, server, 100)
+	testkit.Until(t, "the eviction", c.front.Evict)
+	testkit.Next(t, c.closed)
+	if c.front.Evict() {
+		t.Error("evicted twice")
+	}
+	if got, err := io.ReadAll(client); err != nil || len(got) != 100 {
+		t.Errorf("%d bytes of the answer, %v", len(got), err)
+	}
+}
+
+// Guards against the loss of an answer by eviction: a lingering connection whose client has not received all of it stays,
+// and a request that the client sends behind it does no harm.
+func TestEvictSparesLingeringConnectionOfUnreceivedAnswer(t *testing.T) {
+	client, server := connectSmall(t)
+	c := newLingeringClient(t, client, server, answerBytes)
+	if c.front.Evict() {
+		t.Error("evicted")
+	}
+	io.WriteString(client, completeRequest)
+	if got, err := io.ReadAll(client); err != nil || len(got) != answerBytes {
+		t.Errorf("%d bytes of the answer, %v", len(got), err)
+	}
+	client.Close()
+	testkit.Next(t, c.closed)
+}
+
+// Guards against descriptors that net/http keeps for its wait behind a request that it has not read completely.
+func TestEvictClosesConnectionBehindTooLongHead(t *testing.T) {
+	_, f, _, stop := startFront(t, rejectRequest, nil, nil)
+	defer stop()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := f.Server()
+	go server.Serve(LingeringListener(listener))
+	defer server.Close()
+	client := dialTCP(t, listener.Addr().String())
+	io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 2*maxHeadBytes)+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	testkit.Until(t, "the eviction", f.Evict)
+	f.WaitDisconnected(t.Context()) // net/http goes on waiting, without a descriptor
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -125,9 +125,10 @@
 	}
 }
 
-// Evict closes one client connection to free its descriptor: the oldest new one that has been silent
-// for too long, else the one that has been idle for longest. It returns false if there is none.
-func (f *Front) Evict() bool { return f.clients.closeOldestIdle() }
+// Evict closes one client connection to free its descriptor: one that lingers behind an answer that its client
+// has received, else the oldest new one that has been silent for too long, else the one that has been idle for
+// longest. It returns false if there is none.
+func (f *Front) Evict() bool { return f.clients.evict() }
 
 // CloseWhenIdle closes the connections without an open request, and from now on each that becomes
 // idle. It replaces http.Server's Shutdown and SetKeepAlivesEnabled: Shutdown may close a connection
--- a/internal/front/unacknowledged_answer_test.go
+++ b/internal/front/unacknowledged_answer_test.go
@@ -35,13 +35,19 @@
 
 // connectSmall returns both ends of a connection made by dialSmall.
 func connectSmall(t *testing.T) (client net.Conn, server *net.TCPConn) {
+	t.Helper()
+	return connectBy(t, dialSmall)
+}
+
+// connectBy returns both ends of a connection.
+func connectBy(t *testing.T, dial func(t *testing.T, address string) net.Conn) (client net.Conn, server *net.TCPConn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	client = dialSmall(t, listener.Addr().String())
+	client = dial(t, listener.Addr().String())
 	conn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
