Count a request's time in the listener's queue behind other clients too

Cause: accept.Backlog forgot when accepting was blocked first with each accept between, and clientConn.arrivalOf counts a request from there at the earliest.

Change: a block soon after an unblock continues the period.

--- a/internal/accept/backlog.go
+++ b/internal/accept/backlog.go
@@ -22,15 +22,20 @@
 }
 
 // Block records that no connections are accepted from now on, for lack of descriptors or because accept fails. Further
-// calls before Unblock have no effect.
+// calls before Unblock have no effect. Soon after an Unblock it continues the period before, in which connections may be
+// queued that have not been accepted yet.
 func (b *Backlog) Block() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.blocked.From.IsZero() || !b.blocked.To.IsZero() {
-		b.blocked = Period{From: time.Now()}
+	if b.blocked.From.IsZero() || b.isOver() {
+		b.blocked.From = time.Now()
 	}
+	b.blocked.To = time.Time{}
 }
 
+// isOver reports whether the connections queued in the last period have been accepted. The caller holds b.mu.
+func (b *Backlog) isOver() bool { return !b.blocked.To.IsZero() && time.Since(b.blocked.To) > maxQueueTime }
+
 // Unblock records that a connection was accepted. Without a preceding Block it has no effect.
 func (b *Backlog) Unblock() {
 	b.mu.Lock()
@@ -45,7 +50,7 @@
 func (b *Backlog) QueuedDuring() Period {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.blocked.To.IsZero() || time.Since(b.blocked.To) > maxQueueTime {
+	if b.blocked.To.IsZero() || b.isOver() {
 		return Period{}
 	}
 	return b.blocked
--- /dev/null
+++ b/internal/accept/backlog_test.go
@@ -0,0 +1,35 @@
+package accept
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a queue's time that is forgotten with each accept: while connections are accepted one by one, those that
+// remain have been queued since accepting was blocked first.
+func TestBacklogLastsOverSingleAccepts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b Backlog
+		startedAt := time.Now()
+		for range 3 {
+			b.Block()
+			time.Sleep(400 * time.Millisecond)
+			b.Unblock()
+			if got := b.QueuedDuring(); !got.From.Equal(startedAt) || !got.To.Equal(time.Now()) {
+				t.Errorf("queued during %v to %v, blocked since %v", got.From, got.To, startedAt)
+			}
+		}
+		time.Sleep(maxQueueTime + time.Millisecond)
+		if got := b.QueuedDuring(); got != (Period{}) {
+			t.Errorf("queued during %v though nothing was blocked lately", got)
+		}
+		restartedAt := time.Now()
+		b.Block()
+		time.Sleep(time.Millisecond)
+		b.Unblock()
+		if got := b.QueuedDuring(); !got.From.Equal(restartedAt) {
+			t.Errorf("queued since %v, blocked anew at %v", got.From, restartedAt)
+		}
+	})
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -184,9 +184,12 @@
 // next one at once when a descriptor is released or may be evicted, and not with its next attempt.
 func TestListenerAcceptsOnceDescriptorIsAvailable(t *testing.T) {
 	for name, freeOne := range map[string]func(s *SocketLimiter, evictable *atomic.Bool, open *Conn){
-		"released":  func(_ *SocketLimiter, _ *atomic.Bool, open *Conn) { open.Close() },
-		"evictable": func(_ *SocketLimiter, evictable *atomic.Bool, open *Conn) { evictable.Store(true); open.NotifyEvictable() },
-		"allowed":   func(s *SocketLimiter, _ *atomic.Bool, _ *Conn) { s.ReserveForClients() },
+		"released": func(_ *SocketLimiter, _ *atomic.Bool, open *Conn) { open.Close() },
+		"evictable": func(_ *SocketLimiter, evictable *atomic.Bool, open *Conn) {
+			evictable.Store(true)
+			open.NotifyEvictable()
+		},
+		"allowed": func(s *SocketLimiter, _ *atomic.Bool, _ *Conn) { s.ReserveForClients() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/node/queue_time_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"lockflow/internal/config"
+	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
+	"lockflow/internal/testsupport/testkit"
+)
+
+// Guards against servers that are told more time than a client has left: of several clients that wait in the listener's
+// queue for one descriptor, the time of each counts from its request's arrival, not from the accept of the one before.
+func TestTimeBehindOtherClientsInAcceptQueueIsNotLeft(t *testing.T) {
+	const (
+		held    = 400 * time.Millisecond // for which the first client keeps the descriptor
+		waiting = 3
+	)
+	cfg, err := config.LoadPlatform("../config/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Process.Descriptors = limits.MinDescriptors // one client
+	cfg.Process.Drain = config.Drain{}
+	r := newTestNodeWithConfig(t, cfg)
+	arrived := make(chan struct{})
+	release := make(chan struct{})
+	timesLeft := make(chan string, waiting)
+	a := testkit.NewApp(t, func(_ http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(protocol.HeaderID) == "first" {
+			close(arrived)
+			<-release
+			return
+		}
+		timesLeft <- q.Header.Get(protocol.HeaderTimeLeft)
+	})
+	r.setEndpoints(endpointOf(a, "s-1", 0))
+	first := r.dial()
+	r.newRequest(http.MethodGet, "/roster-read", "first").Write(first)
+	testkit.Next(t, arrived)
+	for _, id := range []string{"id-1", "id-2", "id-3"} {
+		client := r.dial()
+		request := r.newRequest(http.MethodGet, "/roster-read", id)
+		request.Header.Set(protocol.HeaderTimeLeft, "2000m")
+		request.Close = true
+		request.Write(client)
+		go func() {
+			if resp, err := http.ReadResponse(bufio.NewReader(client), nil); err == nil {
+				io.Copy(io.Discard, resp.Body)
+				client.Close()
+			}
+		}()
+	}
+	time.Sleep(held) // the requests are to wait in the queue
+	close(release)
+	first.Close()
+	for range waiting {
+		text := testkit.Next(t, timesLeft)
+		left, err := time.ParseDuration(text + "s")
+		if err != nil || left > 2*time.Second-held+50*time.Millisecond {
+			t.Errorf("%q are left of 2000m after %v in the queue (%v)", text, held, err)
+		}
+	}
+}
