Judge a bucket's filling by the part that the process has, during an upgrade

Cause: isScarce compared the tokens of a part with half of the complete bucket. The threshold of a well filled bucket in admitByQuota had the same fault; it made the rejection probability decide where the bucket should.

Change: both go by the part. Outside upgrades the part is 1.

--- a/control/admission.go
+++ b/control/admission.go
@@ -33,6 +33,8 @@
 	units  float64
 	isLate bool // its latency objective can not be met
 	turn   turnEstimate
+
+	handedOver float64 // part of all rates, and of each bucket, that another controller has after HandOver
 }
 
 // turnEstimate is what a request that joins the queues now has to expect.
@@ -53,7 +55,7 @@
 	case a.isSheddable(&req) && isScarce(account, &req):
 		cause = CauseShed
 	default:
-		cause = account.admitByQuota(now, since, req.units)
+		cause = account.admitByQuota(now, since, req.units, req.handedOver)
 	}
 	if cause != CauseNone {
 		account.history.rejections.add(1)
@@ -74,7 +76,17 @@
 		return true
 	}
 	hasQuota := account.plan.QuotaRate > 0
-	return hasQuota && account.availableTokens() < spareTokensFraction*account.plan.QuotaBurst
+	return hasQuota && account.availableTokens() < spareTokensFraction*account.quotaBurst(req.handedOver)
+}
+
+// quotaBurst is how much the quota's bucket holds, of which another controller may have a part.
+func (a *customerAccount) quotaBurst(handedOver float64) float64 {
+	return (1 - handedOver) * a.plan.QuotaBurst
+}
+
+// isWellFilled tells whether the quota's bucket is filled enough to admit units by itself.
+func (a *customerAccount) isWellFilled(units, handedOver float64) bool {
+	return a.availableTokens() >= math.Max(wellFilledFraction*a.quotaBurst(handedOver), units)
 }
 
 // availableTokens are the quota's tokens that are not reserved for queued requests.
@@ -83,18 +95,16 @@
 // admitByQuota checks a request against the hard limit, the quota's bucket and the rejection probability.
 // The last decides unless the bucket is empty (a surge not metered yet), or well filled and well metered.
 // Since is the time from which readings of the meter can be expected.
-func (a *customerAccount) admitByQuota(now, since time.Duration, units float64) Cause {
+func (a *customerAccount) admitByQuota(now, since time.Duration, units, handedOver float64) Cause {
 	plan := a.plan
 	if plan.HardLimitRate > 0 && a.hardLimit.tokens-a.queuedUnits < units {
 		return CauseHardLimit
 	}
 	if plan.QuotaRate > 0 {
-		available := a.availableTokens()
-		isFilled := available >= math.Max(wellFilledFraction*plan.QuotaBurst, units)
-		if isFilled && a.demand.isWellMetered(now, since) {
+		if a.isWellFilled(units, handedOver) && a.demand.isWellMetered(now, since) {
 			return CauseNone
 		}
-		if available < minTokensPerUnit*units {
+		if a.availableTokens() < minTokensPerUnit*units {
 			return CauseQuota
 		}
 	}
--- a/control/arrivals.go
+++ b/control/arrivals.go
@@ -27,6 +27,8 @@
 		units:  event.Units,
 		isLate: c.isExpectedLate(class, waited),
 		turn:   c.nextTurnEstimate(),
+
+		handedOver: 1 - c.accounts.rateFraction,
 	})
 	if cause != CauseNone {
 		c.reject(event.ID, cause)
