Spare idle connections whose answer is on its way from eviction

Callers saw, by reading: at the limit of descriptors an idle connection could be closed for another client while a part of its last answer was still on its way; a request sent then resets the connection, and the rest of the answer is lost. Cause: the eviction looked at the socket's input alone, unlike the drain.

--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -248,6 +248,16 @@
 	return tcp != nil && hasUnacknowledged(tcp)
 }
 
+// hasUndeliveredOutput is hasUnacknowledgedOutput or, if onlyUnsent is set, reports whether a part of the last answer has
+// not been sent to the client yet.
+func (c *clientConn) hasUndeliveredOutput(onlyUnsent bool) bool {
+	if !onlyUnsent {
+		return c.hasUnacknowledgedOutput()
+	}
+	tcp := tcpConnOf(c.conn)
+	return tcp != nil && outputBytes(tcp, unix.SIOCOUTQNSD) > 0
+}
+
 // close closes an idle connection. The caller holds clientRegistry.mu.
 func (c *clientConn) close() {
 	if !c.isShut.Swap(true) {
--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -77,13 +77,17 @@
 	return !c.isNew || time.Since(c.idleSince) >= s.gracePeriod()
 }
 
-// canEvict reports whether closing an idle connection loses no request. A request that is still incomplete after the
-// grace period may be lost. The caller holds s.mu.
+// canEvict reports whether closing an idle connection loses no request and no answer. A request that is still incomplete
+// after the grace period may be lost, and so may an answer that its client has not received for as long as a closed
+// connection would linger. The caller holds s.mu.
 func (s *clientRegistry) canEvict(c *clientConn, readAt time.Time) bool {
 	readable, ended := c.pollSocket()
 	if readable && !ended {
 		return false
 	}
+	if !ended && c.hasUndeliveredOutput(s.isEnding) && time.Since(c.idleSince) < maxLingerTime {
+		return false
+	}
 	return readAt.IsZero() || time.Since(readAt) >= s.gracePeriod()
 }
 
--- a/internal/front/eviction_test.go
+++ b/internal/front/eviction_test.go
@@ -106,3 +106,32 @@
 	testkit.Until(t, "the eviction", f.Evict)
 	f.WaitDisconnected(t.Context()) // net/http goes on waiting, without a descriptor
 }
+
+// Guards against the loss of an answer by eviction: an idle connection whose client has not received all of the last answer
+// stays while a closed one would linger, and a request that the client sends behind it does no harm. After that time it is
+// evicted, so that clients that never read keep no descriptor.
+func TestEvictSparesIdleConnectionOfUnreceivedAnswer(t *testing.T) {
+	for name, idleFor := range map[string]time.Duration{"lately idle": 0, "idle for longer": maxLingerTime} {
+		t.Run(name, func(t *testing.T) {
+			_, f, _, stop := startFront(t, rejectRequest, nil, nil)
+			defer stop()
+			client, server := connectSmall(t)
+			writeAhead(t, server)
+			conn := &lingeringConn{Conn: server}
+			f.clients.register(t.Context(), conn)
+			f.clients.trackState(conn, http.StateActive)
+			f.clients.trackState(conn, http.StateIdle)
+			setOnlyConnection(f, false, time.Now().Add(-idleFor))
+			if isEvicted := f.Evict(); isEvicted != (idleFor > 0) {
+				t.Fatalf("evicted %v", isEvicted)
+			}
+			if idleFor > 0 {
+				return
+			}
+			io.WriteString(client, completeRequest)
+			if n, err := io.ReadFull(client, make([]byte, answerBytes)); err != nil {
+				t.Errorf("%d bytes of the answer, %v", n, err)
+			}
+		})
+	}
+}
