Count the byte that net/http reads in the background as input of the next request

Cause: net/http reads one byte while it handles a request; inputConn took it for the ended request's, and the socket has nothing more to tell of it.

Change: reads into a buffer of one byte are the background's; what they read stays input when the connection becomes idle.

--- /dev/null
+++ b/internal/front/background_read_test.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"lockflow/control"
+	"lockflow/internal/testsupport/testkit"
+)
+
+// Guards against the close of a connection behind the first byte of a request: net/http reads one byte while it handles the
+// request before, to notice a client that leaves. That byte is input of the next request, which gets its answer.
+func TestConnectionIsNotClosedBehindByteReadInBackground(t *testing.T) {
+	for name, closeConnections := range map[string]func(*Front){
+		"drain":    (*Front).CloseWhenIdle,
+		"eviction": func(f *Front) { f.Evict() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			isHandled := make(chan struct{}, 1)
+			answer := make(chan struct{})
+			_, f, _, stop := startFront(t, func(r control.Request) []control.Action {
+				isHandled <- struct{}{}
+				<-answer
+				return rejectRequest(r)
+			}, nil, nil)
+			defer stop()
+			socket, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listener := heldReadListener{LingeringListener(socket), make(chan struct{}, 1), make(chan struct{})}
+			close(listener.release) // nothing is held
+			server := f.Server()
+			go server.Serve(listener)
+			defer server.Close()
+			client := dialTCP(t, socket.Addr().String())
+			in := bufio.NewReader(client)
+			io.WriteString(client, completeRequest)
+			testkit.Next(t, isHandled)
+			testkit.Next(t, listener.wasRead)
+			io.WriteString(client, completeRequest[:1])
+			testkit.Next(t, listener.wasRead) // in the background
+			answer <- struct{}{}
+			if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close {
+				t.Fatalf("%v, %v", resp, err)
+			}
+			testkit.Until(t, "the connection to be idle", func() bool { return hasIdleConnection(f) })
+			closeConnections(f)
+			go func() { <-isHandled; close(answer) }()
+			io.WriteString(client, completeRequest[1:])
+			if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("the next request: %v, %v", resp, err)
+			}
+		})
+	}
+}
+
+// hasIdleConnection reports whether the front's connection is idle.
+func hasIdleConnection(f *Front) bool {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	for _, c := range f.clients.connections {
+		return !c.idleSince.IsZero() && !c.isNew && time.Since(c.idleSince) >= 0
+	}
+	return false
+}
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -25,9 +25,14 @@
 
 	mu       sync.Mutex // held while bytes go from the socket to the reader, and while closing is decided on
 	readAt   time.Time  // when bytes were first read since the connection became idle; zero is none
+	aheadAt  time.Time  // when a byte of the next request was read during the one before; zero is none
 	isClosed bool       // nothing more is read
 }
 
+// backgroundReadBytes is the length of the reads by which net/http notices, while it handles a request, that a client
+// leaves. What they read belongs to the next request; requests themselves are read through a larger buffer.
+const backgroundReadBytes = 1
+
 // withInput returns a connection that has an inputConn inside: conn itself where it has one.
 func withInput(conn net.Conn) net.Conn {
 	if connInside[*inputConn](conn) != nil {
@@ -50,7 +55,7 @@
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.mu.Lock()
-			c.noteInput()
+			c.noteInput(len(p))
 			c.mu.Unlock()
 		}
 		return n, err
@@ -92,17 +97,20 @@
 		}
 		c.count = n
 		if n > 0 {
-			c.noteInput()
+			c.noteInput(len(c.buffer))
 		}
 		return true
 	}
 }
 
-// noteInput records that bytes were read. The caller holds mu.
-func (c *inputConn) noteInput() {
+// noteInput records that bytes were read into a buffer of some length. The caller holds mu.
+func (c *inputConn) noteInput(bufferBytes int) {
 	if c.readAt.IsZero() {
 		c.readAt = time.Now()
 	}
+	if bufferBytes == backgroundReadBytes {
+		c.aheadAt = time.Now()
+	}
 }
 
 // inputSince returns when bytes were first read of a request that has not been reported; zero for none. A nil inputConn
@@ -116,11 +124,12 @@
 	return c.readAt
 }
 
-// becameIdle records that all that was read so far belongs to requests that have ended.
+// becameIdle records that all that was read so far belongs to requests that have ended, but for a byte of the next one.
 func (c *inputConn) becameIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAt = time.Time{}
+	c.readAt = c.aheadAt
+	c.aheadAt = time.Time{}
 }
 
 // closeUnlessRead closes the connection if mayClose allows it, and reads nothing from then on. mayClose gets the time at
