--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -200,6 +200,9 @@
 	case http.StateActive:
 		client.idleSince = time.Time{}
 		client.isNew = false
+		if client.input != nil {
+			client.input.becameActive()
+		}
 	case http.StateIdle:
 		client.idleSince = time.Now()
 		if client.input != nil {
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex // held while bytes go from the socket to the reader, and while closing is decided on
 	readAt   time.Time  // when bytes were first read since the connection became idle; zero is none
 	aheadAt  time.Time  // when a byte of the next request was read during the one before; zero is none
+	isIdle   bool       // no request has been reported since becameIdle
 	isClosed bool       // nothing more is read
 }
 
@@ -51,6 +52,7 @@
 
 // Read implements net.Conn.
 func (c *inputConn) Read(p []byte) (int, error) {
+	c.limitPartialRequest()
 	if c.rawConn == nil || len(p) == 0 {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
@@ -76,6 +78,16 @@
 	return c.count, nil
 }
 
+// limitPartialRequest bounds the time for the rest of a request of which some was read. net/http does so only once it has
+// four bytes, and before that allows as much time as to an idle connection.
+func (c *inputConn) limitPartialRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isIdle && !c.readAt.IsZero() {
+		c.Conn.SetReadDeadline(c.readAt.Add(requestReadTimeout))
+	}
+}
+
 // tryRead reads what the socket has, and returns false where it has nothing.
 func (c *inputConn) tryRead(fd uintptr) bool {
 	c.mu.Lock()
@@ -130,6 +142,14 @@
 	defer c.mu.Unlock()
 	c.readAt = c.aheadAt
 	c.aheadAt = time.Time{}
+	c.isIdle = true
+}
+
+// becameActive records that a request was reported.
+func (c *inputConn) becameActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle = false
 }
 
 // closeUnlessRead closes the connection if mayClose allows it, and reads nothing from then on. mayClose gets the time at
