--- a/internal/accept/backlog.go
+++ b/internal/accept/backlog.go
@@ -34,7 +34,9 @@
 }
 
 // isOver reports whether the connections queued in the last period have been accepted. The caller holds b.mu.
-func (b *Backlog) isOver() bool { return !b.blocked.To.IsZero() && time.Since(b.blocked.To) > maxQueueTime }
+func (b *Backlog) isOver() bool {
+	return !b.blocked.To.IsZero() && time.Since(b.blocked.To) > maxQueueTime
+}
 
 // Unblock records that a connection was accepted. Without a preceding Block it has no effect.
 func (b *Backlog) Unblock() {
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -84,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isIdle && !c.readAt.IsZero() {
-		c.Conn.SetReadDeadline(c.readAt.Add(requestReadTimeout))
+		c.SetReadDeadline(c.readAt.Add(requestReadTimeout))
 	}
 }
 
--- a/internal/trials/soak/client.go
+++ b/internal/trials/soak/client.go
@@ -112,12 +112,12 @@
 )
 
 // connect opens a connection if there is none, and reports whether there is one. It fails while the node is down, and
-// doesn't dial once the node has been shutting down for newConnections.
+// doesn't dial once the node has been shutting down for some time.
 func (c *client) connect() bool {
 	if c.conn != nil {
 		return true
 	}
-	if ending := c.node.ending(); !ending.IsZero() && time.Since(ending) > newConnections {
+	if !c.node.allowsConnections() {
 		return false
 	}
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", c.node.address)
--- /dev/null
+++ b/internal/trials/soak/crowd.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lockflow/internal/limits"
+)
+
+const (
+	// crowdDescriptors is a node's limit on descriptors under a crowd: it leaves six to clients and six to app servers.
+	crowdDescriptors = limits.MinDescriptors + 10
+
+	maxStay          = 1500 * time.Millisecond // for which a client of a crowd keeps its connection at the longest
+	slowReadInterval = 20 * time.Millisecond   // between two reads of a slow reader
+	slowReadBytes    = 64                      // of one read of a slow reader
+	pipelineLength   = 4                       // requests that are sent at once
+	smallSegment     = 536                     // bytes of a slow reader's segments
+)
+
+// crowdBehaviour is what a client of a crowd does with a connection.
+type crowdBehaviour int
+
+// The behaviours. Clients that keep a descriptor in spite of the node, half requests and slow readers, are fewer in a crowd
+// than a node has descriptors for clients.
+const (
+	lingering  crowdBehaviour = iota // begins another request behind its first one, and stays
+	silent                           // sends nothing, and stays
+	leaving                          // sends a request and closes
+	pipelining                       // sends several requests at once
+	halting                          // stops in the middle of a request
+	slow                             // reads its answer slowly
+	crowdBehaviours
+)
+
+// crowdClient is one client of a crowd: it connects again and again. Like client it is used by one goroutine.
+type crowdClient struct {
+	*client
+	behaviour crowdBehaviour
+}
+
+// newCrowdClient creates a client of a crowd by its number in it.
+func newCrowdClient(p *play, n *node, number int) *crowdClient {
+	c := newClient(p, n, p.Clients+number)
+	c.rng = rand.New(rand.NewPCG(p.Seed, uint64(500_000+n.index*1000+number)))
+	return &crowdClient{c, crowdBehaviour(number % int(crowdBehaviours))}
+}
+
+// run opens connections until ctx ends.
+func (c *crowdClient) run(ctx context.Context) {
+	defer c.disconnect()
+	for ctx.Err() == nil {
+		if c.connect() {
+			c.play.journal.crowdConnected()
+			c.use(ctx)
+			c.disconnect()
+		}
+		sleep(ctx, time.Duration(c.rng.Int64N(int64(maxPause))))
+	}
+}
+
+// use behaves on a new connection.
+func (c *crowdClient) use(ctx context.Context) {
+	switch c.behaviour {
+	case lingering:
+		c.linger(ctx)
+	case silent:
+		sleep(ctx, c.stay())
+	case leaving:
+		c.leave()
+	case pipelining:
+		c.pipeline()
+	case halting:
+		c.stopMidway()
+	case slow:
+		c.readSlowly()
+	}
+}
+
+// stay draws how long a connection is kept.
+func (c *crowdClient) stay() time.Duration { return time.Duration(c.rng.Int64N(int64(maxStay))) }
+
+// linger sends a request and the beginning of another one, and stays behind the answer.
+func (c *crowdClient) linger(ctx context.Context) {
+	r, text := c.draw()
+	conn := c.conn
+	c.conn = keptConn{conn}
+	c.exchange(r, append(text, "GET /read?account"...))
+	sleep(ctx, c.stay())
+	conn.Close()
+}
+
+// keptConn is a connection that stays open until its owner closes the inner one.
+type keptConn struct{ net.Conn }
+
+// Close does nothing.
+func (keptConn) Close() error { return nil }
+
+// pipeline sends requests at once and reads what comes. Only the first one is owed an answer, as clients send one request
+// at a time.
+func (c *crowdClient) pipeline() {
+	first, text := c.draw()
+	for range pipelineLength - 1 {
+		next, nextText := c.draw()
+		c.play.journal.sending(next)
+		text = append(text, nextText...)
+	}
+	c.exchange(first, text)
+	if c.conn != nil {
+		_ = c.conn.SetReadDeadline(time.Now().Add(c.stay()))
+		_, _ = io.Copy(io.Discard, c.in) // what follows is not owed
+	}
+}
+
+// readSlowly asks for an answer that its socket can't hold, and reads it in small pieces.
+func (c *crowdClient) readSlowly() {
+	c.disconnect()
+	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1) // as small as the system allows
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, smallSegment)
+		})
+	}}
+	conn, err := dialer.DialContext(context.Background(), "tcp", c.node.address)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	r, text := c.draw()
+	c.play.journal.sending(r)
+	_ = conn.SetDeadline(time.Now().Add(maxStay))
+	if _, err := conn.Write(text); err != nil {
+		return
+	}
+	response, err := http.ReadResponse(bufio.NewReaderSize(slowReader{conn}, slowReadBytes), nil)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body) // whether it gets all of it in time is its own fault
+}
+
+// slowReader reads a few bytes at a time, with pauses.
+type slowReader struct{ net.Conn }
+
+// Read implements io.Reader.
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(slowReadInterval)
+	return r.Conn.Read(p[:min(len(p), slowReadBytes)])
+}
+
+// String returns the behaviour's name.
+func (b crowdBehaviour) String() string {
+	names := [crowdBehaviours]string{"lingering", "silent", "leaving", "pipelining", "halting", "slow"}
+	if b < 0 || b >= crowdBehaviours {
+		return fmt.Sprint(int(b))
+	}
+	return names[b]
+}
--- a/internal/trials/soak/disturbances.go
+++ b/internal/trials/soak/disturbances.go
@@ -129,7 +129,8 @@
 			return n.move()
 		}}
 	}
-	return disturbance{"end", place, 0, func(ctx context.Context, _ *disturbance) error { return n.terminate(ctx) }}
+	plan := drawShutdown(t.rng)
+	return disturbance{"end", place, 0, func(ctx context.Context, _ *disturbance) error { return n.terminate(ctx, plan) }}
 }
 
 // suspensionTime is how long a node is suspended.
--- a/internal/trials/soak/journal.go
+++ b/internal/trials/soak/journal.go
@@ -39,6 +39,9 @@
 	attempts  int         // attempts that reached app servers
 	effects   int         // executions by app servers
 	statuses  map[int]int // number of final answers by HTTP status
+	signals   int         // sent in series around SIGTERM
+	kills     int         // of processes at the earliest SIGKILL
+	crowd     int         // connections of crowds
 }
 
 // request is one request of a client.
@@ -277,6 +280,22 @@
 	j.resent++
 }
 
+// signalSent records a signal of a series.
+func (j *journal) signalSent() { j.count(&j.signals) }
+
+// killSent records that a process still ran at the earliest SIGKILL.
+func (j *journal) killSent() { j.count(&j.kills) }
+
+// crowdConnected records a connection of a crowd.
+func (j *journal) crowdConnected() { j.count(&j.crowd) }
+
+// count adds one to a total.
+func (j *journal) count(total *int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	*total++
+}
+
 // judge returns the totals and violations as a report.
 func (j *journal) judge() *Report {
 	j.mu.Lock()
@@ -289,6 +308,10 @@
 		Left:     j.left,
 		Attempts: j.attempts,
 		Effects:  j.effects,
+		Signals:  j.signals,
+		Kills:    j.kills,
 		Wrong:    slices.Clone(j.errors),
+
+		CrowdConns: j.crowd,
 	}
 }
--- a/internal/trials/soak/node.go
+++ b/internal/trials/soak/node.go
@@ -36,10 +36,11 @@
 	links       []*faultnet.Link   // to each app server
 
 	mu                sync.Mutex
-	following         int       // index of the discovery server that it watches
-	endingAt          time.Time // when SIGTERM was sent to the running process; zero if it was not
-	disturbances      []span    // during which its clients may get no answer
-	missingListEvents []span    // during which its watch may be broken or silent
+	following         int           // index of the discovery server that it watches
+	endingAt          time.Time     // when SIGTERM was sent to the running process; zero if it was not
+	newConnections    time.Duration // after endingAt, for which clients still connect
+	disturbances      []span        // during which its clients may get no answer
+	missingListEvents []span        // during which its watch may be broken or silent
 }
 
 // span is the period of a disturbance.
@@ -110,7 +111,7 @@
 	n.mu.Lock()
 	discovery := n.discoveries[n.following].Addr()
 	n.mu.Unlock()
-	return os.WriteFile(n.configPath(), configuration(n.index, n.play.Nodes, discovery), 0o600)
+	return os.WriteFile(n.configPath(), configuration(n.index, n.play.Nodes, n.play.descriptors(), discovery), 0o600)
 }
 
 // publish updates the entry of an app server in both discovery servers.
@@ -221,35 +222,11 @@
 	return ""
 }
 
-// ending returns when SIGTERM was sent to the running process, or zero if it was not.
-func (n *node) ending() time.Time {
+// allowsConnections reports whether clients open new connections: not once the node has been shutting down for some time.
+func (n *node) allowsConnections() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.endingAt
-}
-
-// newConnections is how long after SIGTERM clients still open connections (PROTOCOL).
-const newConnections = 250 * time.Millisecond
-
-// terminate sends SIGTERM and starts the node again. A process that still runs when the platform would kill it is killed;
-// requests that it has not answered are lost, and count as violations.
-func (n *node) terminate(ctx context.Context) error {
-	n.mu.Lock()
-	n.endingAt = time.Now()
-	n.mu.Unlock()
-	if err := n.process.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	ending, cancel := context.WithTimeout(ctx, killDelay+n.play.Slack)
-	defer cancel()
-	if err := n.process.Gone(ending); err != nil {
-		if err := n.process.Kill(); err != nil {
-			return err
-		}
-	} else if err := n.process.Wait(); err != nil {
-		n.play.journal.wrong("%s ended after SIGTERM with %v", n.name, err)
-	}
-	return n.restart(ctx)
+	return n.endingAt.IsZero() || time.Since(n.endingAt) <= n.newConnections
 }
 
 // kill kills the node and starts it again.
--- a/internal/trials/soak/settings.go
+++ b/internal/trials/soak/settings.go
@@ -73,11 +73,14 @@
 	}
 }
 
+// descriptors is a node's limit on descriptors where there is no crowd.
+const descriptors = 512
+
 // configuration returns the configuration file of a node; discovery is the address of its discovery server.
-func configuration(index, group int, discovery string) []byte {
+func configuration(index, group, descriptors int, discovery string) []byte {
 	raw, err := json.Marshal(map[string]any{
 		"name": "n", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 512},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": descriptors},
 		"known":    map[string]any{"rev": 0, "all": true, "targets": []any{}},
 		"settings": settings(index, group),
 	})
--- a/internal/trials/soak/soak.go
+++ b/internal/trials/soak/soak.go
@@ -25,6 +25,7 @@
 	Nodes        int           // number of nodes
 	Servers      int           // number of app servers
 	Clients      int           // number of clients of each node
+	Crowd        int           // number of further clients of each node that keep its few descriptors; 0 is none
 	Disturbances int           // mean number drawn in a second
 	Duration     time.Duration // during which disturbances begin
 	Seed         uint64
@@ -46,6 +47,9 @@
 	Disturbances    map[string]int `json:"disturbances"` // number by kind
 	Injected        int            `json:"injected"`     // failed system calls
 	Starts          int            `json:"starts"`       // of node processes
+	Signals         int            `json:"signals"`      // sent in series around SIGTERM
+	Kills           int            `json:"kills"`        // of processes that still ran at the earliest SIGKILL
+	CrowdConns      int            `json:"crowd"`        // connections of crowds
 	Wrong           []string       `json:"wrong"`        // violations of the rules
 	DisturbanceList []string       `json:"-"`            // a line for each disturbance, in order of begin
 }
@@ -80,6 +84,10 @@
 			c := newClient(p, n, i)
 			p.tasks.Go(func() { c.run(sending) })
 		}
+		for i := range o.Crowd {
+			c := newCrowdClient(p, n, i)
+			p.tasks.Go(func() { c.run(sending) })
+		}
 	}
 	p.disturbances = newDisturbances(p, rand.New(rand.NewPCG(o.Seed, 1)))
 	p.disturbances.run(ctx)
@@ -130,6 +138,14 @@
 	return nil
 }
 
+// descriptors returns a node's limit on descriptors.
+func (p *play) descriptors() int {
+	if p.Crowd > 0 {
+		return crowdDescriptors
+	}
+	return descriptors
+}
+
 // missedListEvents reports whether a node may have missed endpoint list events between two times.
 func (p *play) missedListEvents(name string, from, to time.Time) bool {
 	for _, n := range p.nodes {
