Let accept fail at every second call at most in the soak

Evidence: the node's log has 17 failed accepts (EPERM) in a row, with no accept between, over the last 1.1 s of the process; both clients had connected in that time and were forwarded 0 times.

--- a/internal/trials/soak/disturbances.go
+++ b/internal/trials/soak/disturbances.go
@@ -195,6 +195,10 @@
 	if fault.breaksClient || fault.isRetriedImmediately() {
 		interval = 5 + t.rng.IntN(40)
 	}
+	// A connection that can't be accepted until the process ends can't be answered.
+	if fault.call == faultbuild.Accept {
+		interval = max(interval, 2)
+	}
 	return disturbance{fault.name, n.name + " calls", duration, func(ctx context.Context, t *disturbance) error {
 		defer n.beginMissingListEvents(fault.name)() // calls to discovery may fail too
 		if fault.breaksClient {
