Restore servers and the concurrency limit once the first endpoint list has come

Callers saw, by reading: after a restart of a daemon with a state directory the concurrency limit began at its least and slow or ejected servers were unknown again. Cause: the state is restored before discovery has listed a server, and what it holds of servers, with the limit that is scaled by them, was dropped.

Change: such a state waits for the first list; Controller.RestoreServers takes the servers and the limit over then. A recording begins another section there, as for Restore. TestStateRestoredBeforeFirstListKeepsServers failed before (latency 0, limit 2, not 0.2 and 50) and passes now; tests of control, service, record, state and daemon pass, no digest changed.

--- a/control/restore.go
+++ b/control/restore.go
@@ -53,10 +53,7 @@
 		}
 	}
 	c.restoreShares(checkpoint.Plans)
-	for i := range checkpoint.Servers {
-		c.restoreServer(&checkpoint.Servers[i], trust)
-	}
-	slices.SortFunc(c.requests.slots.abandoned, func(a, b abandonedAttempt) int { return cmp.Compare(a.until, b.until) })
+	c.restoreServers(&checkpoint, trust)
 	for i := range checkpoint.Customers {
 		if len(c.accounts.byKey) < maxAccounts {
 			c.restoreAccount(&checkpoint.Customers[i], checkpoint.Meter.Period, trust)
@@ -64,9 +61,33 @@
 	}
 }
 
+// RestoreServers takes over what a checkpoint holds of servers, and the concurrency limit for them. It is for a controller
+// that has just been given its first endpoint list, after Restore.
+func (c *Controller) RestoreServers(now time.Duration, checkpoint Checkpoint, trust Trust) {
+	if checkpoint.Version != CheckpointVersion || !checkpoint.isFinite() {
+		return
+	}
+	c.now = max(c.now, now)
+	c.restoreConcurrencyLimit(&checkpoint)
+	c.restoreServers(&checkpoint, trust)
+}
+
+// restoreServers takes over the servers of a checkpoint that are listed.
+func (c *Controller) restoreServers(checkpoint *Checkpoint, trust Trust) {
+	for i := range checkpoint.Servers {
+		c.restoreServer(&checkpoint.Servers[i], trust)
+	}
+	slices.SortFunc(c.requests.slots.abandoned, func(a, b abandonedAttempt) int { return cmp.Compare(a.until, b.until) })
+}
+
+// decayOf is the weight of a checkpoint's estimates by its age.
+func (c *Controller) decayOf(checkpoint *Checkpoint) float64 {
+	return math.Exp(-math.Max(0, (c.now-checkpoint.At).Seconds()) / maxAccountIdleTime.Seconds())
+}
+
 // restoreEstimates takes over what was learned of the fleet, with a weight by its age, and the concurrency limit.
 func (c *Controller) restoreEstimates(checkpoint *Checkpoint) {
-	decay := math.Exp(-math.Max(0, (c.now-checkpoint.At).Seconds()) / maxAccountIdleTime.Seconds())
+	decay := c.decayOf(checkpoint)
 	c.fleet.latency = runningMean{checkpoint.FleetLatency, checkpoint.LatencySamples * decay}
 	// The count keeps the first window from replacing the mean.
 	c.fleet.warmThroughput = runningMean{checkpoint.WarmThroughput * decay, 1 / throughputGain}
@@ -75,11 +96,16 @@
 	c.limiter.idleLatency = checkpoint.IdleLatency
 	c.clientWaits.minRetryGap = max(checkpoint.MinRetryGap, tickPeriod)
 	c.retries.budget.retries = math.Max(0, math.Min(maxRetryBudget, checkpoint.RetryBudget))
-	// The limit was for another number of servers.
+	c.restoreConcurrencyLimit(checkpoint)
+}
+
+// restoreConcurrencyLimit takes over the concurrency limit, which was for another number of servers. Without a server it
+// stays as it is.
+func (c *Controller) restoreConcurrencyLimit(checkpoint *Checkpoint) {
 	usable := c.fleet.countServers((*server).isUsable)
 	if checkpoint.ConcurrencyLimit > 0 && checkpoint.UsableServers > 0 && usable > 0 {
 		limit := checkpoint.ConcurrencyLimit * math.Min(1, usable/checkpoint.UsableServers)
-		c.limiter.limit = math.Max(c.minConcurrencyLimit(), c.limiter.limit+decay*(limit-c.limiter.limit))
+		c.limiter.limit = math.Max(c.minConcurrencyLimit(), c.limiter.limit+c.decayOf(checkpoint)*(limit-c.limiter.limit))
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -124,7 +124,7 @@
 	return cbor.Marshal(recordedEvent{Now: now, Kind: kind, Body: body, Digest: xxhash.Sum64(m.digest)})
 }
 
-// Restore, ReclaimRates, HandOver and PredecessorEnded change the controller without an event. The section can't be
+// Restore, RestoreServers, ReclaimRates, HandOver and PredecessorEnded change the controller without an event. The section can't be
 // replayed past them, so another one begins.
 
 // Restore is Controller.Restore.
@@ -133,6 +133,12 @@
 	m.needsSection = true
 }
 
+// RestoreServers is Controller.RestoreServers.
+func (m *Module) RestoreServers(now time.Duration, checkpoint control.Checkpoint, trust control.Trust) {
+	m.Controller.RestoreServers(now, checkpoint, trust)
+	m.needsSection = true
+}
+
 // ReclaimRates is Controller.ReclaimRates.
 func (m *Module) ReclaimRates(now time.Duration, given *control.Checkpoint) {
 	m.Controller.ReclaimRates(now, given)
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -105,6 +105,7 @@
 		l.starts.listReceived(now.monotonic, l.serverIDs)
 	}
 	l.handle(event)
+	l.restoreListedServers()
 }
 
 // serverStart returns when a listed server started; zero for long ago.
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -202,10 +202,31 @@
 		l.adoptPools(t.pools)
 		if module, isStateful := l.module.(StatefulModule); ok && isStateful {
 			module.Restore(l.now(), l.translateServers(t.State), trust)
+			if len(l.serverIDs) == 0 {
+				l.unlistedState = &unlistedState{t.State, trust}
+			}
 		}
 	})
 }
 
+// unlistedState is a state that was restored before any server was listed.
+type unlistedState struct {
+	State
+	trust control.Trust
+}
+
+// restoreListedServers restores the servers of a state that was restored before the first endpoint list.
+func (l *loop) restoreListedServers() {
+	state := l.unlistedState
+	if state == nil || len(l.serverIDs) == 0 {
+		return
+	}
+	l.unlistedState = nil
+	if module, ok := l.module.(serverRestorer); ok {
+		module.RestoreServers(l.now(), l.translateServers(state.State), state.trust)
+	}
+}
+
 // adoptPools merges transferred connections into the loop's pools of the same endpoints, and closes all other ones.
 func (l *loop) adoptPools(pools map[string]*upstream.Pool) {
 	for uid, pool := range pools {
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -52,7 +52,10 @@
 	lastServerID uint32
 	pools        map[uint32]*upstream.Pool // of the servers that take new requests
 	places       map[uint32]serverPlace    // of the listed servers
-	warmups      warmupGuard
+
+	// unlistedState waits for the first server to be listed; nil is none.
+	unlistedState *unlistedState
+	warmups       warmupGuard
 
 	jobs        chan attemptJob // unbuffered: only an idle worker receives; used by any goroutine
 	idleWorkers atomic.Int32    // used by any goroutine
--- a/internal/service/module.go
+++ b/internal/service/module.go
@@ -25,6 +25,11 @@
 	PredecessorEnded()
 }
 
+// serverRestorer is a StatefulModule that can take over servers after Restore, once it knows them.
+type serverRestorer interface {
+	RestoreServers(now time.Duration, c control.Checkpoint, trust control.Trust)
+}
+
 // concurrencyLimiter is a Module that reports how many attempts it allows in flight at once.
 type concurrencyLimiter interface {
 	ConcurrencyLimit() float64
@@ -33,5 +38,6 @@
 // The loop checks at run time whether a module has these methods; control.Controller must have them.
 var (
 	_ StatefulModule     = (*control.Controller)(nil)
+	_ serverRestorer     = (*control.Controller)(nil)
 	_ concurrencyLimiter = (*control.Controller)(nil)
 )
--- /dev/null
+++ b/internal/service/restored_servers_test.go
@@ -0,0 +1,60 @@
+package service
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"lockflow/control"
+	"lockflow/internal/discovery"
+	"lockflow/internal/limits"
+	"lockflow/internal/upstream"
+)
+
+// Guards against a restart that forgets its servers: a state is restored before discovery has listed any, and what it holds
+// of their latencies, and the concurrency limit, counts once they are listed.
+func TestStateRestoredBeforeFirstListKeepsServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			latency = 0.2 // seconds
+			limit   = 50.0
+		)
+		newModule := func() (Module, error) { return control.New(testSettings(), 1) }
+		predecessor, _ := startService(t, Options{NewModule: newModule})
+		synctest.Wait()
+		state, ok := predecessor.Checkpoint()
+		if !ok || len(state.Checkpoint.Servers) != 1 {
+			t.Fatalf("%+v, %v", state, ok)
+		}
+		state.Checkpoint.ConcurrencyLimit = limit
+		state.Checkpoint.UsableServers = 1
+		state.Checkpoint.Servers[0].Latency = latency
+		state.Checkpoint.Servers[0].LatencyAt = state.Checkpoint.At
+
+		endpoints := []discovery.Endpoint{{UID: "s-1", Address: "127.0.0.1:1", State: "up"}}
+		restarted, err := New(Options{
+			NewModule: newModule,
+			Settings:  testSettings(),
+			Upstream:  upstream.Options{SocketLimiter: limits.NewSocketLimiter(100)},
+			Source:    discovery.Source{Kind: discovery.Static, Endpoints: endpoints},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		restarted.Restore(state, 0, control.TrustAll)
+		ctx, stop := context.WithCancel(context.Background())
+		go func() { _ = restarted.Run(ctx) }()
+		t.Cleanup(func() { stop(); synctest.Wait() })
+		synctest.Wait()
+		got, ok := restarted.Checkpoint()
+		if !ok || len(got.Checkpoint.Servers) != 1 {
+			t.Fatalf("%+v, %v", got, ok)
+		}
+		if server := got.Checkpoint.Servers[0]; server.Latency != latency {
+			t.Errorf("latency %v, not %v", server.Latency, latency)
+		}
+		if got := got.Checkpoint.ConcurrencyLimit; got < limit-1 || got > limit+1 {
+			t.Errorf("concurrency limit %v, not %v", got, limit)
+		}
+	})
+}
