--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -154,6 +154,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range slices.Concat(n.listeners, n.removed) {
+		if l.tcp != nil && l.hasPendingConnection() {
+			slog.Warn("listener closed with clients in its queue, which are reset", "listen", l.Addr().String())
+		}
 		l.close()
 	}
 }
