Let the first client of the queue-time test have its answer before it closes

Cause: the test closed the first client's connection while its answer was on its way; where the node sees the close first, it cancels the attempt, which counts as running for a while, and the module rejects one of the queued requests.

--- a/internal/node/queue_time_test.go
+++ b/internal/node/queue_time_test.go
@@ -57,6 +57,10 @@
 	}
 	time.Sleep(held) // the requests are to wait in the queue
 	close(release)
+	// Its answer is read before it closes: a request whose client leaves is cancelled, and counts as running for a while.
+	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("the first client: %v, %v", resp, err)
+	}
 	first.Close()
 	for range waiting {
 		text := testkit.Next(t, timesLeft)
