--- a/internal/command/measure_soak.go
+++ b/internal/command/measure_soak.go
@@ -18,10 +18,10 @@
 // soakPackage is the program that is built with faults, in the repository in which measure soak runs.
 const soakPackage = "lockflow/cmd/lockflow"
 
-// soakClients is how many clients each node of a soak test has, and soakCrowd how many more each has in every second test.
+// soakClients is how many clients each node of a soak test has, and soakFlood how many more each has in every second test.
 const (
 	soakClients = 4
-	soakCrowd   = 18
+	soakFlood   = 18
 )
 
 // soakOptions are the options of measure soak.
@@ -59,7 +59,7 @@
 			Seed:         o.seed + uint64(i),
 		}
 		if options.Seed%2 == 1 {
-			options.Crowd = soakCrowd
+			options.Flood = soakFlood
 		}
 		report, err := playSoak(ctx, options)
 		if err != nil {
@@ -101,8 +101,8 @@
 	for _, status := range slices.Sorted(maps.Keys(r.Statuses)) {
 		statuses = append(statuses, fmt.Sprintf("%d: %d", status, r.Statuses[status]))
 	}
-	fmt.Fprintf(e.Out, "seed %d: %d requests (%s), %d excused, %d sent again, %d left; %d attempts, %d effects; %d disturbances, %d calls failed, %d starts; %d signals, %d kills, %d of a crowd; %d wrong\n",
-		r.Seed, r.Requests, strings.Join(statuses, ", "), r.Excused, r.Resent, r.Left, r.Attempts, r.Effects, disturbances, r.Injected, r.Starts, r.Signals, r.Kills, r.CrowdConns, len(r.Wrong))
+	fmt.Fprintf(e.Out, "seed %d: %d requests (%s), %d excused, %d sent again, %d left; %d attempts, %d effects; %d disturbances, %d calls failed, %d starts; %d signals, %d kills, %d of a flood; %d wrong\n",
+		r.Seed, r.Requests, strings.Join(statuses, ", "), r.Excused, r.Resent, r.Left, r.Attempts, r.Effects, disturbances, r.Injected, r.Starts, r.Signals, r.Kills, r.FloodConnections, len(r.Wrong))
 	if len(r.Wrong) == 0 {
 		return nil
 	}
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -23,11 +23,11 @@
 	count  int
 	err    error
 
-	mu       sync.Mutex // held while bytes go from the socket to the reader, and while closing is decided on
-	readAt   time.Time  // when bytes were first read since the connection became idle; zero is none
-	aheadAt  time.Time  // when a byte of the next request was read during the one before; zero is none
-	isIdle   bool       // no request has been reported since becameIdle
-	isClosed bool       // nothing more is read
+	mu                sync.Mutex // held while bytes go from the socket to the reader, and while closing is decided on
+	readAt            time.Time  // when bytes were first read since the connection became idle; zero is none
+	nextRequestReadAt time.Time  // when a byte of the next request was read during the one before; zero is none
+	isIdle            bool       // no request has been reported since becameIdle
+	isClosed          bool       // nothing more is read
 }
 
 // backgroundReadBytes is the length of the reads by which net/http notices, while it handles a request, that a client
@@ -121,7 +121,7 @@
 		c.readAt = time.Now()
 	}
 	if bufferBytes == backgroundReadBytes {
-		c.aheadAt = time.Now()
+		c.nextRequestReadAt = time.Now()
 	}
 }
 
@@ -140,8 +140,8 @@
 func (c *inputConn) becameIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAt = c.aheadAt
-	c.aheadAt = time.Time{}
+	c.readAt = c.nextRequestReadAt
+	c.nextRequestReadAt = time.Time{}
 	c.isIdle = true
 }
 
--- a/internal/limits/socket_limiter.go
+++ b/internal/limits/socket_limiter.go
@@ -141,7 +141,7 @@
 		if s.evictClient() {
 			continue
 		}
-		if !s.hasServersBeyondReserve() || !s.evictServer(0) {
+		if !s.hasUnreservedServers() || !s.evictServer(0) {
 			return false
 		}
 	}
@@ -159,8 +159,8 @@
 	return true
 }
 
-// hasServersBeyondReserve reports whether clients lack descriptors that app servers have beyond the reserved ones.
-func (s clientLimiter) hasServersBeyondReserve() bool {
+// hasUnreservedServers reports whether clients lack descriptors that app servers have beyond the reserved ones.
+func (s clientLimiter) hasUnreservedServers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.servers > s.reservedForServers && s.clients < s.limit-s.reservedForServers
--- a/internal/trials/soak/crowd.go
+++ b/internal/trials/soak/flood.go
@@ -17,50 +17,50 @@
 )
 
 const (
-	// crowdDescriptors is a node's limit on descriptors under a crowd: it leaves six to clients and six to app servers.
-	crowdDescriptors = limits.MinDescriptors + 10
+	// floodDescriptors is a node's limit on descriptors under a flood: it leaves six to clients and six to app servers.
+	floodDescriptors = limits.MinDescriptors + 10
 
-	maxStay          = 1500 * time.Millisecond // for which a client of a crowd keeps its connection at the longest
+	maxStay          = 1500 * time.Millisecond // for which a client of a flood keeps its connection at the longest
 	slowReadInterval = 20 * time.Millisecond   // between two reads of a slow reader
 	slowReadBytes    = 64                      // of one read of a slow reader
 	pipelineLength   = 4                       // requests that are sent at once
 	smallSegment     = 536                     // bytes of a slow reader's segments
 )
 
-// crowdBehaviour is what a client of a crowd does with a connection.
-type crowdBehaviour int
+// floodBehaviour is what a client of a flood does with a connection.
+type floodBehaviour int
 
-// The behaviours. Clients that keep a descriptor in spite of the node, half requests and slow readers, are fewer in a crowd
+// The behaviours. Clients that keep a descriptor in spite of the node, half requests and slow readers, are fewer in a flood
 // than a node has descriptors for clients.
 const (
-	lingering  crowdBehaviour = iota // begins another request behind its first one, and stays
+	lingering  floodBehaviour = iota // begins another request behind its first one, and stays
 	silent                           // sends nothing, and stays
 	leaving                          // sends a request and closes
 	pipelining                       // sends several requests at once
 	halting                          // stops in the middle of a request
 	slow                             // reads its answer slowly
-	crowdBehaviours
+	floodBehaviours
 )
 
-// crowdClient is one client of a crowd: it connects again and again. Like client it is used by one goroutine.
-type crowdClient struct {
+// floodClient is one client of a flood: it connects again and again. Like client it is used by one goroutine.
+type floodClient struct {
 	*client
-	behaviour crowdBehaviour
+	behaviour floodBehaviour
 }
 
-// newCrowdClient creates a client of a crowd by its number in it.
-func newCrowdClient(p *play, n *node, number int) *crowdClient {
+// newFloodClient creates a client of a flood by its number in it.
+func newFloodClient(p *play, n *node, number int) *floodClient {
 	c := newClient(p, n, p.Clients+number)
 	c.rng = rand.New(rand.NewPCG(p.Seed, uint64(500_000+n.index*1000+number)))
-	return &crowdClient{c, crowdBehaviour(number % int(crowdBehaviours))}
+	return &floodClient{c, floodBehaviour(number % int(floodBehaviours))}
 }
 
 // run opens connections until ctx ends.
-func (c *crowdClient) run(ctx context.Context) {
+func (c *floodClient) run(ctx context.Context) {
 	defer c.disconnect()
 	for ctx.Err() == nil {
 		if c.connect() {
-			c.play.journal.crowdConnected()
+			c.play.journal.floodConnected()
 			c.use(ctx)
 			c.disconnect()
 		}
@@ -69,7 +69,7 @@
 }
 
 // use behaves on a new connection.
-func (c *crowdClient) use(ctx context.Context) {
+func (c *floodClient) use(ctx context.Context) {
 	switch c.behaviour {
 	case lingering:
 		c.linger(ctx)
@@ -87,27 +87,27 @@
 }
 
 // stay draws how long a connection is kept.
-func (c *crowdClient) stay() time.Duration { return time.Duration(c.rng.Int64N(int64(maxStay))) }
+func (c *floodClient) stay() time.Duration { return time.Duration(c.rng.Int64N(int64(maxStay))) }
 
 // linger sends a request and the beginning of another one, and stays behind the answer.
-func (c *crowdClient) linger(ctx context.Context) {
+func (c *floodClient) linger(ctx context.Context) {
 	r, text := c.draw()
 	conn := c.conn
-	c.conn = keptConn{conn}
+	c.conn = unclosedConn{conn}
 	c.exchange(r, append(text, "GET /read?account"...))
 	sleep(ctx, c.stay())
 	conn.Close()
 }
 
-// keptConn is a connection that stays open until its owner closes the inner one.
-type keptConn struct{ net.Conn }
+// unclosedConn is a connection that stays open until its owner closes the inner one.
+type unclosedConn struct{ net.Conn }
 
 // Close does nothing.
-func (keptConn) Close() error { return nil }
+func (unclosedConn) Close() error { return nil }
 
 // pipeline sends requests at once and reads what comes. Only the first one is owed an answer, as clients send one request
 // at a time.
-func (c *crowdClient) pipeline() {
+func (c *floodClient) pipeline() {
 	first, text := c.draw()
 	for range pipelineLength - 1 {
 		next, nextText := c.draw()
@@ -122,7 +122,7 @@
 }
 
 // readSlowly asks for an answer that its socket can't hold, and reads it in small pieces.
-func (c *crowdClient) readSlowly() {
+func (c *floodClient) readSlowly() {
 	c.disconnect()
 	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -159,9 +159,9 @@
 }
 
 // String returns the behaviour's name.
-func (b crowdBehaviour) String() string {
-	names := [crowdBehaviours]string{"lingering", "silent", "leaving", "pipelining", "halting", "slow"}
-	if b < 0 || b >= crowdBehaviours {
+func (b floodBehaviour) String() string {
+	names := [floodBehaviours]string{"lingering", "silent", "leaving", "pipelining", "halting", "slow"}
+	if b < 0 || b >= floodBehaviours {
 		return fmt.Sprint(int(b))
 	}
 	return names[b]
--- a/internal/trials/soak/journal.go
+++ b/internal/trials/soak/journal.go
@@ -26,22 +26,22 @@
 
 	slack time.Duration // see Options.Slack
 
-	mu        sync.Mutex
-	started   time.Time
-	requests  map[string]*request  // by id
-	keys      map[string]time.Time // by cell and idempotency key: when the cell first ran it; repeats within the window are dropped
-	hard      hardLimit
-	slowStart map[*server]*warmupLoad
-	errors    []string    // the violations, at most maxWrong
-	excused   int         // requests without an answer that a disturbance explains
-	resent    int         // requests sent again
-	left      int         // requests whose client closed early
-	attempts  int         // attempts that reached app servers
-	effects   int         // executions by app servers
-	statuses  map[int]int // number of final answers by HTTP status
-	signals   int         // sent in series around SIGTERM
-	kills     int         // of processes at the earliest SIGKILL
-	crowd     int         // connections of crowds
+	mu               sync.Mutex
+	started          time.Time
+	requests         map[string]*request  // by id
+	keys             map[string]time.Time // by cell and idempotency key: when the cell first ran it; repeats within the window are dropped
+	hard             hardLimit
+	slowStart        map[*server]*warmupLoad
+	errors           []string    // the violations, at most maxWrong
+	excused          int         // requests without an answer that a disturbance explains
+	resent           int         // requests sent again
+	left             int         // requests whose client closed early
+	attempts         int         // attempts that reached app servers
+	effects          int         // executions by app servers
+	statuses         map[int]int // number of final answers by HTTP status
+	signals          int         // sent in series around SIGTERM
+	kills            int         // of processes at the earliest SIGKILL
+	floodConnections int         // connections of floods
 }
 
 // request is one request of a client.
@@ -286,8 +286,8 @@
 // killSent records that a process still ran at the earliest SIGKILL.
 func (j *journal) killSent() { j.count(&j.kills) }
 
-// crowdConnected records a connection of a crowd.
-func (j *journal) crowdConnected() { j.count(&j.crowd) }
+// floodConnected records a connection of a flood.
+func (j *journal) floodConnected() { j.count(&j.floodConnections) }
 
 // count adds one to a total.
 func (j *journal) count(total *int) {
@@ -312,6 +312,6 @@
 		Kills:    j.kills,
 		Wrong:    slices.Clone(j.errors),
 
-		CrowdConns: j.crowd,
+		FloodConnections: j.floodConnections,
 	}
 }
--- a/internal/trials/soak/settings.go
+++ b/internal/trials/soak/settings.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// descriptors is a node's limit on descriptors where there is no crowd.
+// descriptors is a node's limit on descriptors where there is no flood.
 const descriptors = 512
 
 // configuration returns the configuration file of a node; discovery is the address of its discovery server.
--- a/internal/trials/soak/soak.go
+++ b/internal/trials/soak/soak.go
@@ -25,7 +25,7 @@
 	Nodes        int           // number of nodes
 	Servers      int           // number of app servers
 	Clients      int           // number of clients of each node
-	Crowd        int           // number of further clients of each node that keep its few descriptors; 0 is none
+	Flood        int           // number of further clients of each node that keep its few descriptors; 0 is none
 	Disturbances int           // mean number drawn in a second
 	Duration     time.Duration // during which disturbances begin
 	Seed         uint64
@@ -36,22 +36,22 @@
 
 // Report is the result of a run.
 type Report struct {
-	Seed            uint64         `json:"seed"`
-	Requests        int            `json:"requests"`
-	Statuses        map[int]int    `json:"statuses"`     // number of final answers by HTTP status
-	Excused         int            `json:"excused"`      // requests without an answer that a disturbance of their node explains
-	Resent          int            `json:"resent"`       // requests sent again because their connection was closed between requests
-	Left            int            `json:"left"`         // requests whose client closed early
-	Attempts        int            `json:"attempts"`     // attempts that reached app servers
-	Effects         int            `json:"effects"`      // executions by app servers
-	Disturbances    map[string]int `json:"disturbances"` // number by kind
-	Injected        int            `json:"injected"`     // failed system calls
-	Starts          int            `json:"starts"`       // of node processes
-	Signals         int            `json:"signals"`      // sent in series around SIGTERM
-	Kills           int            `json:"kills"`        // of processes that still ran at the earliest SIGKILL
-	CrowdConns      int            `json:"crowd"`        // connections of crowds
-	Wrong           []string       `json:"wrong"`        // violations of the rules
-	DisturbanceList []string       `json:"-"`            // a line for each disturbance, in order of begin
+	Seed             uint64         `json:"seed"`
+	Requests         int            `json:"requests"`
+	Statuses         map[int]int    `json:"statuses"`     // number of final answers by HTTP status
+	Excused          int            `json:"excused"`      // requests without an answer that a disturbance of their node explains
+	Resent           int            `json:"resent"`       // requests sent again because their connection was closed between requests
+	Left             int            `json:"left"`         // requests whose client closed early
+	Attempts         int            `json:"attempts"`     // attempts that reached app servers
+	Effects          int            `json:"effects"`      // executions by app servers
+	Disturbances     map[string]int `json:"disturbances"` // number by kind
+	Injected         int            `json:"injected"`     // failed system calls
+	Starts           int            `json:"starts"`       // of node processes
+	Signals          int            `json:"signals"`      // sent in series around SIGTERM
+	Kills            int            `json:"kills"`        // of processes that still ran at the earliest SIGKILL
+	FloodConnections int            `json:"flood"`        // connections of floods
+	Wrong            []string       `json:"wrong"`        // violations of the rules
+	DisturbanceList  []string       `json:"-"`            // a line for each disturbance, in order of begin
 }
 
 const (
@@ -84,8 +84,8 @@
 			c := newClient(p, n, i)
 			p.tasks.Go(func() { c.run(sending) })
 		}
-		for i := range o.Crowd {
-			c := newCrowdClient(p, n, i)
+		for i := range o.Flood {
+			c := newFloodClient(p, n, i)
 			p.tasks.Go(func() { c.run(sending) })
 		}
 	}
@@ -140,8 +140,8 @@
 
 // descriptors returns a node's limit on descriptors.
 func (p *play) descriptors() int {
-	if p.Crowd > 0 {
-		return crowdDescriptors
+	if p.Flood > 0 {
+		return floodDescriptors
 	}
 	return descriptors
 }
--- a/internal/trials/soak/soak_test.go
+++ b/internal/trials/soak/soak_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Guards against clients that lose their answers while a crowd keeps a node's descriptors, and while signals come in series
+// Guards against clients that lose their answers while a flood keeps a node's descriptors, and while signals come in series
 // around a shutdown: both break no rule.
 func TestCrowdAndSignalSeriesBreakNoRule(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "lockflow")
@@ -51,14 +51,14 @@
 		t.Fatal(err)
 	}
 	report, err := Run(t.Context(), Options{
-		Program: program, Dir: t.TempDir(), Nodes: 3, Servers: 4, Clients: 4, Crowd: 18, Disturbances: 6, Duration: 4 * time.Second, Seed: 1, Slack: busySlack,
+		Program: program, Dir: t.TempDir(), Nodes: 3, Servers: 4, Clients: 4, Flood: 18, Disturbances: 6, Duration: 4 * time.Second, Seed: 1, Slack: busySlack,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("%+v", *report)
-	if report.Signals == 0 || report.CrowdConns == 0 {
-		t.Errorf("%d signals and %d connections of a crowd", report.Signals, report.CrowdConns)
+	if report.Signals == 0 || report.FloodConnections == 0 {
+		t.Errorf("%d signals and %d connections of a flood", report.Signals, report.FloodConnections)
 	}
 	for _, wrong := range report.Wrong {
 		t.Error(wrong)
