Fix heads of answers that take many times the memory of their bytes

An app server's answer to a buffered request could have a head of 96 KB, 16,000 fields of six bytes, some 1 MB once parsed; over HTTP/2 some 900 fields, in frames of up to 1 MB though only 16 KB are allowed.

The scanner measures heads and limits their fields (256); responses have 32 KB of head as documented, and such an attempt counts as reset. TestResponseHeadLimits and TestHeadOfManyFieldsResetsStream fail without the checks (the former waits for a reset that does not come).

--- a/internal/h2/conn_read.go
+++ b/internal/h2/conn_read.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	maxReadFrameBytes = 1 << 20     // limit on the length of a received frame; a longer one is a connection error (FRAME_SIZE_ERROR)
+	// maxReadFrameBytes limits the length of a received frame; a longer one is a connection error (FRAME_SIZE_ERROR). It is
+	// the initial value of SETTINGS_MAX_FRAME_SIZE, which this side does not raise.
+	maxReadFrameBytes = defaultFrameBytes
 	overheadPeriod    = time.Second // period over which overhead frames are counted against maxOverheadFrames
 )
 
--- a/internal/h2/frames.go
+++ b/internal/h2/frames.go
@@ -222,6 +222,9 @@
 	if frame.Truncated {
 		return malformed("the head or trailers exceed %d bytes", m.MaxHeadBytes)
 	}
+	if len(frame.Fields) > maxHeadFields {
+		return malformed("%d fields in the head or trailers, at most %d are allowed", len(frame.Fields), maxHeadFields)
+	}
 	header := make(http.Header, len(frame.Fields))
 	for _, field := range frame.RegularFields() {
 		if connectionFields[field.Name] && field.Name != "host" {
--- a/internal/h2/machine.go
+++ b/internal/h2/machine.go
@@ -25,6 +25,7 @@
 	defaultFrameBytes         = 16 << 10
 	maxStreamID               = 1<<31 - 1
 	defaultTableBytes         = 4096     // size of the header compression table, in each direction
+	maxHeadFields             = 256      // limit on the fields of a head or of trailers
 	maxInterimAnswers         = 32       // limit on interim answers (1xx) to one request
 	maxOverheadFrames         = 1000     // limit on frames per second that contribute neither to an answer nor to sending a body
 	bodyBytesPerOverheadFrame = 1024     // each time this many bytes of a body are sent, one overhead frame is deducted from the count
--- a/internal/h2/server_faults_test.go
+++ b/internal/h2/server_faults_test.go
@@ -178,3 +178,23 @@
 		})
 	}
 }
+
+// Guards against heads of short fields, which take many times the memory of their bytes: the stream is reset, and the
+// connection and its other streams continue.
+func TestHeadOfManyFieldsResetsStream(t *testing.T) {
+	for _, count := range []int{maxHeadFields, maxHeadFields + 1} {
+		peer := newReadyPeer(t, Limits{})
+		peer.open("")
+		peer.frames()
+		head := []string{":status: 200"}
+		for i := range count - 1 {
+			head = append(head, fmt.Sprintf("f%d: v", i))
+		}
+		peer.writeHead(1, false, head...)
+		peer.processInput()
+		isReset := strings.Contains(strings.Join(peer.frames(), " "), reset(http2.ErrCodeProtocol))
+		if want := count > maxHeadFields; isReset != want || peer.machine.Err() != nil {
+			t.Errorf("%d fields: reset %v, want %v; connection error %v", count, isReset, want, peer.machine.Err())
+		}
+	}
+}
--- a/internal/upstream/answer_reader.go
+++ b/internal/upstream/answer_reader.go
@@ -3,11 +3,15 @@
 import (
 	"net"
 	"time"
+
+	"lockflow/internal/validation"
 )
 
 const (
 	// maxHeadBytes limits the head and framing of a response, including interim responses before it.
 	maxHeadBytes = 32 << 10
+	// maxHeadFields limits the fields of the head of a response.
+	maxHeadFields = 256
 	// responseCompletionTimeout is the time limit from the first byte of a response to its last.
 	responseCompletionTimeout = 300 * time.Millisecond
 )
@@ -24,6 +28,7 @@
 	isStarted             bool      // part of the response has arrived
 	hasCompletionDeadline bool      // the read deadline covers the rest of the response
 	hasConnDeadline       bool      // the connection has a read deadline
+	headScanner           validation.Scanner
 }
 
 // Read implements io.Reader.
@@ -46,6 +51,9 @@
 	n, err := r.Conn.Read(b[:min(len(b), r.bytesLeft)])
 	r.bytesLeft -= n
 	r.isStarted = r.isStarted || n > 0
+	if r.headScanner.Feed(b[:n]) != nil || r.headScanner.TotalSize().Bytes > maxHeadBytes {
+		return 0, errResponseTooLong
+	}
 	return n, err
 }
 
@@ -54,7 +62,13 @@
 	if r.hasConnDeadline {
 		r.SetReadDeadline(time.Time{})
 	}
-	*r = responseReader{Conn: r.Conn, owner: r.owner, bytesLeft: maxBytes, deadline: deadline}
+	*r = responseReader{
+		Conn:        r.Conn,
+		owner:       r.owner,
+		bytesLeft:   maxBytes,
+		deadline:    deadline,
+		headScanner: validation.Scanner{ReadsResponses: true, MaxFields: maxHeadFields, MeasuresOnly: true},
+	}
 }
 
 // resetAfterInterim prepares for the response that follows an interim one.
--- a/internal/upstream/http1_attempt.go
+++ b/internal/upstream/http1_attempt.go
@@ -53,6 +53,7 @@
 func (a *http1Attempt) run(ctx, lifetime context.Context) Outcome {
 	a.request.Method = a.RequestMethod
 	a.headScanner.ReadsResponses = true
+	a.headScanner.MaxFields = maxHeadFields
 	a.conn.responses.start(time.Time{}, maxHeadBytes)
 	a.conn.responses.attempt = a
 	a.stopContextWatch = context.AfterFunc(ctx, a.conn.interrupt)
--- a/internal/validation/validation.go
+++ b/internal/validation/validation.go
@@ -7,7 +7,8 @@
 //   - a Transfer-Encoding in an HTTP/1.0 message (6.1)
 //
 // A Scanner is fed the bytes that net/http reads from a connection; it does not change them and does no I/O.
-// Packages front and upstream scan the connections of clients and servers with it.
+// Packages front and upstream scan the connections of clients and servers with it. It also measures the heads that
+// net/http parses, whose fields take many times the memory of their bytes (HeadSize).
 package validation
 
 import (
@@ -27,8 +28,20 @@
 	ErrHTTP10TransferEncoding = errors.New("a Transfer-Encoding in a message of HTTP/1.0")
 	ErrTransferEncoding       = errors.New("a Transfer-Encoding other than chunked")
 	ErrChunkSize              = errors.New("a chunk with no size")
+	ErrTooManyFields          = errors.New("too many fields in a head or trailer")
 )
 
+// HeadSize is the size of heads and trailers. Its bytes include the start lines.
+type HeadSize struct {
+	Bytes  int64
+	Fields int64
+}
+
+// Minus returns the part of a size that follows a smaller one.
+func (s HeadSize) Minus(earlier HeadSize) HeadSize {
+	return HeadSize{Bytes: s.Bytes - earlier.Bytes, Fields: s.Fields - earlier.Fields}
+}
+
 // maxLineBytes is the length up to which a line is buffered. It suffices for the fields that frame a message.
 const maxLineBytes = 96
 
@@ -49,6 +62,14 @@
 	// ReadsResponses makes the Scanner scan responses instead of requests. It stops after the head of the first
 	// final response, and after an upgrade.
 	ReadsResponses bool
+	// MaxFields limits the fields of a message; 0 is no limit.
+	MaxFields int
+	// MeasuresOnly makes the Scanner ignore all violations but ErrTooManyFields.
+	MeasuresOnly bool
+
+	total        HeadSize // of all messages so far
+	messageStart HeadSize // total at the start of the current message
+	messages     int      // messages that have ended
 
 	err         error // the first violation
 	state       state
@@ -76,11 +97,38 @@
 	s.bytesToSkip = 0
 }
 
-// Reset makes the scanner expect a new message.
-func (s *Scanner) Reset() { *s = Scanner{ReadsResponses: s.ReadsResponses} }
+// Reset makes the scanner expect a new message. It keeps the sizes of the earlier ones.
+func (s *Scanner) Reset() {
+	*s = Scanner{
+		ReadsResponses: s.ReadsResponses,
+		MaxFields:      s.MaxFields,
+		MeasuresOnly:   s.MeasuresOnly,
+		total:          s.total,
+		messageStart:   s.total,
+		messages:       s.messages,
+	}
+}
+
+// TotalSize returns the size of the heads of all messages so far.
+func (s *Scanner) TotalSize() HeadSize { return s.total }
+
+// CurrentSize returns the size of the current message's head, as far as it has been read.
+func (s *Scanner) CurrentSize() HeadSize { return s.total.Minus(s.messageStart) }
+
+// Messages returns how many messages have been read completely, but for the body of a message with a Content-Length.
+func (s *Scanner) Messages() int { return s.messages }
+
+// HasViolation reports whether a message was malformed. The ends of messages are unknown from there on.
+func (s *Scanner) HasViolation() bool { return s.err != nil }
 
-// Feed scans the next bytes. After an error it returns the same error for all following bytes, because
-// the end of the malformed message is unknown.
+// IsHeadRead reports whether the head of a message has been read whose body has not: a part of the body is missing, or its
+// end has not been found yet.
+func (s *Scanner) IsHeadRead() bool {
+	return s.bytesToSkip > 0 || s.state == inChunkSize || s.state == inChunkEnd || s.state == inTrailer
+}
+
+// Feed scans the next bytes. After an error it returns an error for all following bytes, because the end of the malformed
+// message is unknown. It is the same error, or ErrTooManyFields once they may hold too many fields.
 func (s *Scanner) Feed(p []byte) error {
 	for len(p) > 0 && s.err == nil && s.state != stopped {
 		if s.bytesToSkip > 0 {
@@ -91,19 +139,58 @@
 		}
 		i := bytes.IndexByte(p, '\n')
 		if i < 0 {
+			s.measure(len(p))
 			s.appendToLine(p)
+			p = nil
 			break
 		}
+		s.measure(i + 1)
 		s.appendToLine(p[:i])
 		p = p[i+1:]
-		if s.err == nil {
+		if s.err == nil || s.canIgnore() {
 			s.endLine()
 		}
 		s.resetLine()
+		if s.canIgnore() {
+			s.err = nil
+		}
+	}
+	if s.err != nil {
+		s.measureUnknown(p)
 	}
 	return s.err
 }
 
+// canIgnore reports whether the violation that was found is ignored.
+func (s *Scanner) canIgnore() bool { return s.MeasuresOnly && !errors.Is(s.err, ErrTooManyFields) }
+
+// measure adds bytes of the current line, unless it frames a chunk: such lines are not kept.
+func (s *Scanner) measure(n int) {
+	if s.state == inHead || s.state == inTrailer {
+		s.total.Bytes += int64(n)
+	}
+}
+
+// measureUnknown measures bytes after a violation. It takes them for fields, which take the most memory.
+func (s *Scanner) measureUnknown(p []byte) {
+	s.total.Bytes += int64(len(p))
+	s.total.Fields += int64(bytes.Count(p, []byte{'\n'}))
+	s.limitFields()
+}
+
+// countField counts a line of a head or trailer as a field.
+func (s *Scanner) countField() {
+	s.total.Fields++
+	s.limitFields()
+}
+
+// limitFields sets ErrTooManyFields if the current message has too many fields.
+func (s *Scanner) limitFields() {
+	if s.MaxFields > 0 && s.CurrentSize().Fields > int64(s.MaxFields) {
+		s.err = ErrTooManyFields
+	}
+}
+
 // resetLine prepares for the next line.
 func (s *Scanner) resetLine() {
 	s.lineLength = 0
@@ -152,7 +239,10 @@
 	case inTrailer:
 		if len(line) == 0 {
 			s.endMessage()
-		} else if line[0] == ' ' || line[0] == '\t' {
+			return
+		}
+		s.countField()
+		if line[0] == ' ' || line[0] == '\t' {
 			s.err = ErrLineFolding
 		}
 	}
@@ -164,6 +254,7 @@
 	case s.hasStartLine && len(line) == 0:
 		s.endHead()
 	case s.hasStartLine:
+		s.countField()
 		s.readField(line)
 	case len(line) > 0: // empty lines before a message are ignored (RFC 9112, 2.2)
 		s.hasStartLine = true
@@ -221,6 +312,8 @@
 // endHead checks the framing of a message and sets the state for what follows its head.
 func (s *Scanner) endHead() {
 	switch {
+	case s.MeasuresOnly && s.ReadsResponses && !s.isInterim:
+		s.Stop()
 	case s.isChunked && s.contentLengthCount > 0:
 		s.err = ErrFraming
 	case s.isChunked && s.isHTTP10:
@@ -239,6 +332,8 @@
 
 // endMessage makes the scanner expect the head of the next message, after any bytes still to be skipped.
 func (s *Scanner) endMessage() {
+	s.messages++
+	s.messageStart = s.total
 	s.state = inHead
 	s.hasStartLine = false
 	s.isHTTP10 = false
