Fix accounts of customers that grow without limit until a window ends

Each new customer's request opens an account of some 425 bytes. Idle ones are evicted at the end of a control window, which lasts up to 5 s while there are few answers: at 10,000 requests a second of ever new customers 50,000 accounts, 21 MB.

The table holds at most Settings.MaxAccounts (20,000 if not set): a new customer beyond it has idle accounts evicted, at most ten times a second, and is else rejected for want of capacity. TestAccountsAreLimited fails before.

--- a/control/account_storage.go
+++ b/control/account_storage.go
@@ -60,6 +60,9 @@
 		return
 	}
 	account := c.accountFor(plan, saved.ID, int(saved.FanOut))
+	if account == nil {
+		return
+	}
 	account.inFlight.rejectionProbability = saved.InFlightRejectionProbability
 	account.inFlight.limit = saved.inFlightLimit(plan, account.fanOut)
 	var image CustomerImage
--- a/control/accounts.go
+++ b/control/accounts.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -9,13 +10,18 @@
 const (
 	initialSlackFraction = 0.5         // fraction of the slack that a new hard-limit bucket starts with
 	maxAccountIdleTime   = time.Minute // idle time after which an account with full buckets is evicted
-	maxAccounts          = 20000       // above half of it, accounts are evicted after a shorter idle time
+	maxAccounts          = 20000       // limit of accounts if the settings have none
+
+	// minEvictionInterval is the time between two evictions that new customers without a place cause.
+	minEvictionInterval = 100 * time.Millisecond
 )
 
 // accountTable holds the accounts of recently active customers.
 type accountTable struct {
 	byKey       map[string]*customerAccount // see accountKey
 	binDuration time.Duration               // length of a bin of the accounts' histories
+	maxAccounts int                         // above half of it, accounts are evicted after a shorter idle time
+	evictAgain  time.Duration               // when a new customer may have accounts evicted again
 
 	refillStart   time.Duration // time from which the buckets of accounts that are not open yet are filled
 	slackFraction float64       // fraction of its slack that a new hard-limit bucket starts with
@@ -26,6 +32,7 @@
 	return accountTable{
 		byKey:         make(map[string]*customerAccount),
 		binDuration:   binDurationOf(settings.MeterPeriod),
+		maxAccounts:   cmp.Or(settings.MaxAccounts, maxAccounts),
 		slackFraction: initialSlackFraction,
 		rateFraction:  1,
 	}
@@ -34,13 +41,17 @@
 // binAt returns the histories' bin that contains the given time.
 func (t *accountTable) binAt(now time.Duration) int64 { return int64(now / t.binDuration) }
 
-// accountFor returns the refilled account of a plan's customer, and opens it if there is none.
+// accountFor returns the refilled account of a plan's customer, and opens it if there is none. It returns nil
+// if there are too many accounts.
 func (t *accountTable) accountFor(
 	now time.Duration, rng *rand.Rand, plan *planQueue, customer string, fanOut int,
 ) *customerAccount {
 	key := accountKey(plan.Name, customer)
 	account := t.byKey[key]
 	if account == nil {
+		if !t.hasPlace(now) {
+			return nil
+		}
 		account = t.openAccount(now, rng, plan, fanOut)
 		t.byKey[key] = account
 	}
@@ -49,6 +60,15 @@
 	return account
 }
 
+// hasPlace reports whether another account may be opened. If there are too many, it evicts idle ones first.
+func (t *accountTable) hasPlace(now time.Duration) bool {
+	if len(t.byKey) >= t.maxAccounts && now >= t.evictAgain {
+		t.evictAgain = now + minEvictionInterval
+		t.evictIdle(now)
+	}
+	return len(t.byKey) < t.maxAccounts
+}
+
 // openAccount returns a new account for a customer.
 func (t *accountTable) openAccount(
 	now time.Duration, rng *rand.Rand, plan *planQueue, fanOut int,
@@ -84,7 +104,7 @@
 		}
 	}
 	maxIdle := maxAccountIdleTime
-	for len(t.byKey) > maxAccounts/2 && maxIdle > windowDuration {
+	for len(t.byKey) > t.maxAccounts/2 && maxIdle > windowDuration {
 		maxIdle /= 2
 		t.refillStart = max(t.refillStart, now-maxIdle)
 		t.slackFraction = 0 // evicted customers have already been granted their slack
--- a/control/accounts_test.go
+++ b/control/accounts_test.go
@@ -33,6 +33,31 @@
 	}
 }
 
+// Guards against memory that grows with ever new customers between two control windows, which are long while there are few
+// answers: beyond the settings' number of accounts new customers are rejected, those with an account are not, and there is a
+// place again once others have been idle.
+func TestAccountsAreLimited(t *testing.T) {
+	settings := testSettings()
+	settings.MaxAccounts = 50
+	gateway := newTestGateway(t, settings, activeEndpoints(1)...)
+	plan := gateway.controller.scheduler.plansByName["low"]
+	for i := range 200 {
+		gateway.controller.accountFor(plan, fmt.Sprint("customer-", i), 1)
+	}
+	if n := len(gateway.controller.accounts.byKey); n != settings.MaxAccounts {
+		t.Errorf("%d accounts, want %d", n, settings.MaxAccounts)
+	}
+	gateway.request("new", "job", "low", "new")
+	gateway.request("known", "job", "low", "customer-0")
+	if len(gateway.sends) != 1 || gateway.sends[0].ID != "known" {
+		t.Errorf("sent %+v, want only the request of the customer with an account", gateway.sends)
+	}
+	gateway.controller.now += 10 * time.Second
+	if gateway.controller.accountFor(plan, "later", 1) == nil {
+		t.Error("a new customer got no account although all others are idle")
+	}
+}
+
 // Memory must not grow with customers that send only one request. An account whose buckets are not full is not
 // evicted, since a new one would grant its quota or hard limit again.
 func TestIdleAccountsAreEvicted(t *testing.T) {
--- a/control/arrivals.go
+++ b/control/arrivals.go
@@ -21,6 +21,10 @@
 	}
 	c.fleet.requestUnits.add(c.countedUnits(event.Units), fleetEstimateGain)
 	account := c.accountFor(plan, event.Customer, event.FanOut)
+	if account == nil {
+		c.reject(event.ID, CauseOverCapacity)
+		return
+	}
 	waited := c.clientWaits.estimate(event, class, c.clockAdvance)
 	cause := c.admission.admit(c.now, c.accounts.refillStart, account, admissionRequest{
 		class:  class,
--- a/control/controller.go
+++ b/control/controller.go
@@ -198,7 +198,8 @@
 	c.accounts.evictIdle(c.now)
 }
 
-// accountFor returns the refilled account of a plan's customer, and opens it if there is none.
+// accountFor returns the refilled account of a plan's customer, and opens it if there is none. It returns nil
+// if there are too many accounts.
 func (c *Controller) accountFor(plan *planQueue, customer string, fanOut int) *customerAccount {
 	return c.accounts.accountFor(c.now, c.rng, plan, customer, fanOut)
 }
--- a/control/restore.go
+++ b/control/restore.go
@@ -55,9 +55,7 @@
 	c.restoreShares(checkpoint.Plans)
 	c.restoreServers(&checkpoint, trust)
 	for i := range checkpoint.Customers {
-		if len(c.accounts.byKey) < maxAccounts {
-			c.restoreAccount(&checkpoint.Customers[i], checkpoint.Meter.Period, trust)
-		}
+		c.restoreAccount(&checkpoint.Customers[i], checkpoint.Meter.Period, trust)
 	}
 }
 
@@ -175,6 +173,9 @@
 			continue
 		}
 		account := c.accountFor(plan, saved.ID, int(saved.FanOut)) // new if only the other controller had it
+		if account == nil {
+			continue
+		}
 		account.quota.tokens = math.Min(plan.QuotaBurst, account.quota.tokens+saved.QuotaTokens)
 		hardLimitTokens := account.hardLimit.tokens + saved.HardLimitTokens
 		account.hardLimit.tokens = math.Min(plan.HardLimitBurst/account.fanOut, hardLimitTokens)
--- a/control/settings.go
+++ b/control/settings.go
@@ -87,6 +87,7 @@
 	SupportsRetryAfter    bool          `cbor:"RetryAfter" plan:"retry_after"`
 	MaxRetryAfter         time.Duration `cbor:"MaxRetryAfter" plan:"retry_after"`
 	CrossZonePrice        float64       `cbor:"CrossZone" plan:"cross_zone"` // price of an attempt that leaves the gateway's zone
+	MaxAccounts           int           `cbor:"-" plan:"-"`                  // maximum accounts of customers; 0 is the default
 }
 
 // validate returns an error that names the first invalid setting, by the words of its key.
