Fix memory that clients make the node hold beyond its limit

Cause: only bodies and answers were accounted. Profile at the limit: 54% the maps that net/http parses heads into (244 KB each), 40% the copy for the forwarded request (175 KB), all in use. Nor were connections counted, nor did a body that was announced and not sent leave the memory for an answer to others.

Bodies grow as they arrive; memory for the answer is reserved behind them. A connection counts until its goroutine has ended. A client that stops in a body is evicted while others wait. The account of a query is found without a map.

--- a/internal/front/bad_request.go
+++ b/internal/front/bad_request.go
@@ -5,14 +5,25 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
+
+	"lockflow/internal/retrybuffer"
 )
 
+// errInputRefused reports that no more of a client's input is read, because its requests take too much memory.
+var errInputRefused = errors.New("the requests of the connection take too much memory")
+
+// overloadRetryAfter is the time after which a client may retry a request for which there was no memory.
+const overloadRetryAfter = time.Second
+
 // BadRequest describes why a request is invalid and how it is answered.
 type BadRequest struct {
 	status          int
 	text            string // explains the error to the client
 	closeConnection bool   // the end of the request is unknown, so the connection cannot be reused
+	retryAfter      time.Duration
 }
 
 func newBadRequest(status int, format string, args ...any) *BadRequest {
@@ -25,12 +36,33 @@
 	return b
 }
 
+// newOverloaded returns the BadRequest for a request for which there is no memory. It is safe to retry.
+func newOverloaded() *BadRequest {
+	badRequest := newBadRequest(http.StatusServiceUnavailable, "the request was not run for want of memory; trying again is harmless")
+	badRequest.retryAfter = overloadRetryAfter
+	return badRequest.withConnectionClose()
+}
+
+// message returns the error answer as it is written to a connection whose request net/http has not read completely.
+func (b *BadRequest) message() []byte {
+	body := b.text + "\n"
+	status := strconv.Itoa(b.status) + " " + http.StatusText(b.status)
+	head := "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\n"
+	if b.retryAfter > 0 {
+		head += "Retry-After: " + strconv.FormatFloat(b.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
+	}
+	return []byte(head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+}
+
 func newBodyTooLong(maxBytes int64) *BadRequest {
 	return newBadRequest(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", maxBytes)
 }
 
 // newBodyReadError returns the BadRequest for a body that could not be read completely.
 func newBodyReadError(err error) *BadRequest {
+	if errors.Is(err, retrybuffer.ErrNoMemory) || errors.Is(err, errInputRefused) {
+		return newOverloaded()
+	}
 	status := http.StatusBadRequest
 	if isTimeout(err) || errors.Is(err, errBelowMinRate) {
 		status = http.StatusRequestTimeout
@@ -38,6 +70,14 @@
 	return newBadRequest(status, "reading the body: %v", err).withConnectionClose()
 }
 
+// checkSize rejects a request on a connection whose requests have too many fields or take too much memory.
+func checkSize(r *http.Request) *BadRequest {
+	if conn := validatingConnOf(r); conn != nil {
+		return conn.refusal.Load()
+	}
+	return nil
+}
+
 // checkMessage rejects a request on a connection whose bytes were not valid HTTP/1.1.
 func checkMessage(r *http.Request) *BadRequest {
 	conn := validatingConnOf(r)
--- a/internal/front/client_conn.go
+++ b/internal/front/client_conn.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"lockflow/internal/accept"
+	"lockflow/internal/limits"
 	"lockflow/internal/socketpoll"
 )
 
@@ -19,6 +20,8 @@
 	lingering    *lingeringConn  // the wrapper around conn; nil if there is none
 	rawConn      syscall.RawConn // the socket; nil if there is none
 	input        *inputConn      // the inputConn wrapped by conn; nil if there is none
+	validating   *validatingConn // the validatingConn that is conn or is wrapped by it; nil if there is none
+	limited      *limits.Conn    // the limits.Conn wrapped by conn; nil if there is none
 	idleSince    time.Time       // zero while a request is open; guarded by clientRegistry.mu
 	isNew        bool            // no complete head has been received yet; guarded by clientRegistry.mu
 	closedByNode atomic.Bool     // the node has closed the connection, so no more requests are started on it
@@ -29,6 +32,25 @@
 	queued     accept.Period
 }
 
+// endServing releases the memory of the connection. It is called when net/http no longer serves it: an eviction closes only
+// the socket.
+func (c *clientConn) endServing() {
+	if c.validating != nil {
+		c.validating.input.close()
+	}
+	if c.limited != nil {
+		c.limited.EndServing()
+	}
+}
+
+// endBody records that the body of the current request has been read, or is read while it is forwarded. It does nothing for
+// a nil connection.
+func (c *clientConn) endBody() {
+	if c != nil && c.input != nil {
+		c.input.endBody()
+	}
+}
+
 // isClosed reports whether the node has closed the connection. It is false for a nil connection.
 func (c *clientConn) isClosed() bool { return c != nil && c.closedByNode.Load() }
 
--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -19,6 +19,8 @@
 // is active, so the node may close the connection in between; if that request were forwarded, it would
 // run without a client to receive the answer.
 type clientRegistry struct {
+	inputMemory InputMemory // nil for no limit; set before the first connection
+
 	mu             sync.Mutex
 	connections    map[net.Conn]*clientConn
 	isDraining     bool
@@ -41,9 +43,14 @@
 		client.rawConn, _ = tcp.SyscallConn()
 	}
 	client.input = findWrappedConn[*inputConn](conn)
+	if client.validating = findWrappedConn[*validatingConn](conn); client.validating != nil {
+		client.validating.input.memory = r.inputMemory
+	}
 	if limited := findWrappedConn[*limits.Conn](conn); limited != nil {
 		client.acceptedAt = limited.AcceptedAt
 		client.queued = limited.Queued
+		client.limited = limited
+		limited.BeginServing()
 		client.idleSince = client.silentSince(client.idleSince)
 	}
 	r.mu.Lock()
@@ -93,15 +100,22 @@
 		if client.input != nil {
 			client.input.becameActive()
 		}
+		if client.validating != nil {
+			client.validating.becameActive()
+		}
 	case http.StateIdle:
 		client.idleSince = time.Now()
 		if client.input != nil {
 			client.input.becameIdle()
 		}
+		if client.validating != nil {
+			client.validating.becameIdle()
+		}
 		if r.isDraining {
 			client.closeIf(client.canCloseWithoutLoss)
 		}
 	case http.StateClosed, http.StateHijacked:
+		client.endServing()
 		delete(r.connections, conn)
 		if len(r.connections) == 0 && r.empty != nil {
 			close(r.empty)
--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// newConnGracePeriod is how long a new connection may send nothing, or a request may stay incomplete, before
-	// the connection can be evicted.
+	// newConnGracePeriod is how long a new connection may send nothing, or a request or its body may stay incomplete,
+	// before the connection can be evicted.
 	newConnGracePeriod = 250 * time.Millisecond
 
 	// shutdownGracePeriod replaces newConnGracePeriod during shutdown, when the clients in the listener's queue have only
@@ -20,11 +20,12 @@
 }
 
 // evict closes one connection, so that another client can use its file descriptor: a lingering connection whose answer
-// has been delivered or, if there is none, an idle connection. It returns false if no connection can be closed.
+// has been delivered or, if there is none, an idle connection or else one whose client has stopped in the middle of a
+// request's body. It returns false if no connection can be closed.
 func (r *clientRegistry) evict() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.closeLingering() || r.closeOldestIdle()
+	return r.closeLingering() || r.closeOldestIdle() || r.closeIncompleteBody()
 }
 
 // closeLingering closes one lingering connection whose answer has been delivered. It returns false if there is none. The
@@ -62,6 +63,32 @@
 	return oldest.isClosed()
 }
 
+// closeIncompleteBody closes the connection that has waited longest for the rest of a request's body, if it has done so for
+// the grace period. The request is not forwarded. It returns false if it closes none. The caller holds r.mu.
+func (r *clientRegistry) closeIncompleteBody() bool {
+	var oldest *clientConn
+	oldestSince := time.Now().Add(-r.gracePeriod())
+	for _, c := range r.connections {
+		if c.isClosed() {
+			continue
+		}
+		since := c.input.incompleteBodySince()
+		if since.IsZero() || since.After(oldestSince) {
+			continue
+		}
+		if readable, peerClosed := c.pollSocket(); readable && !peerClosed {
+			continue
+		}
+		oldest = c
+		oldestSince = since
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.input.closeIncompleteBody(oldestSince, oldest.close)
+	return oldest.isClosed()
+}
+
 // gracePeriod returns how long a new connection may send nothing, or a request may stay incomplete. The caller holds r.mu.
 func (r *clientRegistry) gracePeriod() time.Duration {
 	if r.isShuttingDown {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -59,7 +59,8 @@
 	// ReservedBytes returns how much memory to reserve for a request while it is served, in
 	// addition to its answer.
 	ReservedBytes(r *http.Request) int64
-	// ReadBody reads the part of the body that must be buffered before the service gets the request.
+	// ReadBody reads the part of the body that must be buffered before the service gets the request. Memory for the
+	// answer is reserved afterwards.
 	ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest
 	// Finish releases the resources that ReadBody allocated. The request is not read any more afterwards.
 	Finish(exchange *service.Exchange)
@@ -85,6 +86,17 @@
 	return t.Service.TryAcquire()
 }
 
+// admit reserves the resources of a request at its service, which include the memory of its head. It returns false if they
+// are not available. The caller releases them by Exchange.Release.
+func (t *Target) admit(exchange *service.Exchange, bytes int64, input *inputReservation) bool {
+	headBytes := input.headReservation()
+	if !t.Service.Admit(exchange, bytes+headBytes) {
+		return false
+	}
+	input.admitted(headBytes)
+	return true
+}
+
 // Front handles the requests of all clients. It is safe for concurrent use.
 type Front struct {
 	isReady    func() bool // reports whether load balancers may send requests to the node
@@ -105,6 +117,10 @@
 // SetTable replaces the routing table for all requests that are routed after the call.
 func (f *Front) SetTable(table *RoutingTable) { f.table.Store(table) }
 
+// LimitInput limits the memory of requests that clients are sending. It requires a ValidatingListener, and must be called
+// before the first connection.
+func (f *Front) LimitInput(memory InputMemory) { f.clients.inputMemory = memory }
+
 // Drain makes every following answer close its connection, and makes the health check fail.
 func (f *Front) Drain() { f.isDraining.Store(true) }
 
@@ -160,6 +176,10 @@
 		f.serveHealthCheck(w)
 		return
 	}
+	if badRequest := checkSize(r); badRequest != nil {
+		f.writeBadRequest(w, badRequest)
+		return
+	}
 	target, firstSegment, badRequest := f.findTarget(r)
 	if badRequest != nil {
 		f.writeBadRequest(w, badRequest)
@@ -177,17 +197,32 @@
 		return
 	}
 	exchange.Client = waitingClient(r)
-	if target.Service.Admit(exchange, clientProtocol.ReservedBytes(r)) {
-		defer exchange.Release()
-		if badRequest := clientProtocol.ReadBody(w, r, exchange); badRequest != nil {
+	f.serveExchange(w, r, target, exchange)
+}
+
+// serveExchange reads the body of a request whose head is valid, has its service process it, and writes the answer.
+func (f *Front) serveExchange(w http.ResponseWriter, r *http.Request, target *Target, exchange *service.Exchange) {
+	clientProtocol := target.protocol()
+	reservedBytes := clientProtocol.ReservedBytes(r)
+	hasBody := r.ContentLength != 0
+	if hasBody && !target.Service.Announce(exchange, reservedBytes) {
+		// The decision module will reject this request, so its body is not read. "Connection: close"
+		// keeps net/http from reading a slow body before it sends the answer.
+		w.Header().Set("Connection", "close")
+	} else {
+		badRequest := clientProtocol.ReadBody(w, r, exchange)
+		if hasBody {
+			exchange.Release() // of what Announce has reserved
+		}
+		if badRequest != nil {
 			clientProtocol.WriteBadRequest(f, w, r, badRequest)
 			return
 		}
+		clientOf(r).endBody()
 		defer clientProtocol.Finish(exchange)
-	} else if r.ContentLength != 0 {
-		// The decision module will reject this request, so its body is not read. "Connection: close"
-		// keeps net/http from reading a slow body before it sends the answer.
-		w.Header().Set("Connection", "close")
+		if target.admit(exchange, reservedBytes, inputOf(r)) {
+			defer exchange.Release()
+		}
 	}
 	answer, ok := target.Service.Do(r.Context(), exchange)
 	if !ok && isStillConnected(r) {
@@ -268,7 +303,11 @@
 	if badRequest.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
-	f.writeAnswer(w, service.Answer{Status: badRequest.status, Body: []byte(badRequest.text + "\n")})
+	f.writeAnswer(w, service.Answer{
+		Status:     badRequest.status,
+		Body:       []byte(badRequest.text + "\n"),
+		RetryAfter: badRequest.retryAfter,
+	})
 }
 
 // writeAnswer writes a buffered answer in the format of the platform's protocol.
--- a/internal/front/generic_call.go
+++ b/internal/front/generic_call.go
@@ -20,6 +20,9 @@
 // maxDiscardTime is how long the rest of a body is read and discarded after the answer.
 const maxDiscardTime = time.Second
 
+// expired is a deadline that has already passed.
+var expired = time.Unix(1, 0) //nolint:forbidigo // in the past by any clock
+
 var errBodyTooLong = errors.New("a body of too many bytes")
 
 // genericCall is one request of generic HTTP: its exchange with the service, the request that is
@@ -77,7 +80,7 @@
 		exchange.Request.HasPendingBody = true
 		return nil
 	}
-	if err := call.Body.Fill(call.ContentLength); err != nil {
+	if err := call.Body.FillReserving(call.ContentLength, inputOf(r).setBody); err != nil {
 		return newBodyReadError(err)
 	}
 	return nil
@@ -146,8 +149,7 @@
 		_ = call.controller.SetReadDeadline(deadline)
 		body.Discard()
 	}
-	past := time.Unix(1, 0) //nolint:forbidigo // a deadline in the past by any clock
-	body.Close(func() { _ = call.controller.SetReadDeadline(past) })
+	body.Close(func() { _ = call.controller.SetReadDeadline(expired) })
 }
 
 // closeInterim makes WriteInterim discard all further interim responses.
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -23,11 +23,21 @@
 	count  int
 	err    error
 
-	mu                sync.Mutex // held during reads from the socket and while closeIfAllowed decides
-	firstReadAt       time.Time  // when bytes were first read since the connection became idle; zero if none were
-	nextRequestReadAt time.Time  // when a byte of the next request was read during the current one; zero if none was
-	isIdle            bool       // becameActive has not been called since becameIdle
-	isClosed          bool       // closeIfAllowed has decided to close: nothing more is read
+	mu                sync.Mutex      // held during reads from the socket and while closeIfAllowed decides
+	requests          requestProgress // of the bytes read so far; nil if they are not scanned
+	firstReadAt       time.Time       // when bytes were first read since the connection became idle; zero if none were
+	nextRequestReadAt time.Time       // when a byte of the next request was read during the current one; zero if none was
+	isIdle            bool            // becameActive has not been called since becameIdle
+	isClosed          bool            // closeIfAllowed has decided to close: nothing more is read
+	bodyStartedAt     time.Time       // when the node began to wait for the rest of a request's body; zero if it does not
+}
+
+// requestProgress scans the bytes that are read from a connection. Its methods are called with inputConn.mu held.
+type requestProgress interface {
+	// scan scans the next bytes.
+	scan(p []byte)
+	// isBodyMissing reports whether a part of the body of the request that is served has not been read yet.
+	isBodyMissing() bool
 }
 
 // backgroundReadBytes is the buffer length of the reads with which net/http detects a client's disconnect while it handles
@@ -57,7 +67,7 @@
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.mu.Lock()
-			c.recordInput(len(p))
+			c.recordInput(p, n)
 			c.mu.Unlock()
 		}
 		return n, err
@@ -109,18 +119,21 @@
 		}
 		c.count = n
 		if n > 0 {
-			c.recordInput(len(c.buffer))
+			c.recordInput(c.buffer, n)
 		}
 		return true
 	}
 }
 
-// recordInput records that bytes were read into a buffer of length bufferBytes. The caller holds mu.
-func (c *inputConn) recordInput(bufferBytes int) {
+// recordInput records that n bytes were read into a buffer. The caller holds mu.
+func (c *inputConn) recordInput(buffer []byte, n int) {
+	if c.requests != nil {
+		c.requests.scan(buffer[:n])
+	}
 	if c.firstReadAt.IsZero() {
 		c.firstReadAt = time.Now()
 	}
-	if bufferBytes == backgroundReadBytes {
+	if len(buffer) == backgroundReadBytes {
 		c.nextRequestReadAt = time.Now()
 	}
 }
@@ -136,6 +149,32 @@
 	return c.firstReadAt
 }
 
+// endBody records that the node no longer waits for the body of the current request.
+func (c *inputConn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyStartedAt = time.Time{}
+}
+
+// incompleteBodySince returns when the node began to wait for a body of which a part is still missing; zero if there is
+// none. For a nil inputConn it returns zero.
+func (c *inputConn) incompleteBodySince() time.Time {
+	if c == nil {
+		return time.Time{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.incompleteBodySinceLocked()
+}
+
+// incompleteBodySinceLocked is incompleteBodySince with mu held.
+func (c *inputConn) incompleteBodySinceLocked() time.Time {
+	if c.requests == nil || !c.requests.isBodyMissing() {
+		return time.Time{}
+	}
+	return c.bodyStartedAt
+}
+
 // becameIdle records that the requests read so far have ended. Only a byte that a background read has read belongs to the
 // next request.
 func (c *inputConn) becameIdle() {
@@ -143,6 +182,7 @@
 	defer c.mu.Unlock()
 	c.firstReadAt = c.nextRequestReadAt
 	c.nextRequestReadAt = time.Time{}
+	c.bodyStartedAt = time.Time{}
 	c.isIdle = true
 }
 
@@ -151,6 +191,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isIdle = false
+	c.bodyStartedAt = time.Now()
 }
 
 // closeIfAllowed calls closeConnection if mayClose returns true; nothing more is read then. The argument of mayClose is the
@@ -165,3 +206,16 @@
 		closeConnection()
 	}
 }
+
+// closeIncompleteBody calls closeConnection if the node has waited for the rest of a body at least since a time. Nothing
+// more is read then, so that the request is not forwarded.
+func (c *inputConn) closeIncompleteBody(since time.Time, closeConnection func()) {
+	c.mu.Lock()
+	startedAt := c.incompleteBodySinceLocked()
+	isClosing := !c.isClosed && !startedAt.IsZero() && !startedAt.After(since)
+	c.isClosed = c.isClosed || isClosing
+	c.mu.Unlock()
+	if isClosing {
+		closeConnection()
+	}
+}
--- a/internal/front/node_answer.go
+++ b/internal/front/node_answer.go
@@ -87,5 +87,5 @@
 	if badRequest.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
-	writeNodeAnswer(front, w, r, badRequest.status, badRequest.text, 0)
+	writeNodeAnswer(front, w, r, badRequest.status, badRequest.text, badRequest.retryAfter)
 }
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"net/url"
@@ -14,6 +14,7 @@
 	"lockflow/control"
 	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
+	"lockflow/internal/retrybuffer"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
 )
@@ -100,15 +101,18 @@
 	return nil
 }
 
-// ReservedBytes returns the length of a request's body, which is buffered.
-func (platformProtocol) ReservedBytes(r *http.Request) int64 { return r.ContentLength }
+// ReservedBytes returns the length of a request's body, which is buffered, and the memory of its attempts.
+func (platformProtocol) ReservedBytes(r *http.Request) int64 { return r.ContentLength + requestBytes }
 
 // ReadBody reads a request's body. The client's deadline counts from the last byte of the request
 // (PROTOCOL, "Figures"), so the deadline is extended by the time that reading the body takes.
 func (platformProtocol) ReadBody(w http.ResponseWriter, r *http.Request, exchange *service.Exchange) *BadRequest {
 	startedAt := time.Now()
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
+	body, err := retrybuffer.ReadAll(r.Body, r.ContentLength, inputOf(r).setBody)
+	switch {
+	case errors.Is(err, retrybuffer.ErrNoMemory), errors.Is(err, errInputRefused):
+		return newOverloaded()
+	case err != nil:
 		return newBadRequest(http.StatusBadRequest, "reading the body: %v", err).withConnectionClose()
 	}
 	exchange.Forwarder.(*upstream.BufferedRequest).Body = body
@@ -143,10 +147,35 @@
 	if account, ok := strings.CutPrefix(u.RawQuery, "account="); ok && !strings.ContainsAny(account, "&;%+") {
 		return strings.ToLower(account)
 	}
-	if accounts := u.Query()["account"]; len(accounts) == 1 {
-		return strings.ToLower(accounts[0])
+	customer := ""
+	isFound := false
+	// The parameters are not collected as in url.ParseQuery, whose map takes many times the memory of the query.
+	for parameter := range strings.SplitSeq(u.RawQuery, "&") {
+		name, value, ok := parseParameter(parameter)
+		if !ok || name != "account" {
+			continue
+		}
+		if isFound {
+			return ""
+		}
+		isFound = true
+		customer = strings.ToLower(value)
+	}
+	return customer
+}
+
+// parseParameter decodes a parameter of a query. It returns false for the parameters that url.ParseQuery leaves out.
+func parseParameter(parameter string) (name, value string, ok bool) {
+	if strings.Contains(parameter, ";") {
+		return "", "", false
+	}
+	name, value, _ = strings.Cut(parameter, "=")
+	name, err := url.QueryUnescape(name)
+	if err != nil {
+		return "", "", false
 	}
-	return ""
+	value, err = url.QueryUnescape(value)
+	return name, value, err == nil
 }
 
 // isCustomerNumber reports whether s is a customer number: 16 hexadecimal digits with a value below customerNumberLimit.
--- a/internal/front/scatter_gather.go
+++ b/internal/front/scatter_gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -164,14 +165,14 @@
 		writeBadRequestAnswer(f, w, r, badRequest)
 		return
 	}
-	calls, badRequest := g.newCalls(r, class, arrived, timeout)
+	body, badRequest := g.readBody(w, r)
 	if badRequest != nil {
 		writeBadRequestAnswer(f, w, r, badRequest)
 		return
 	}
-	body, badRequest := g.readBody(w, r)
+	clientOf(r).endBody()
+	calls, badRequest := g.newCalls(r, class, arrived, timeout, int64(len(body)))
 	if badRequest != nil {
-		releaseCalls(calls)
 		writeBadRequestAnswer(f, w, r, badRequest)
 		return
 	}
@@ -195,16 +196,16 @@
 }
 
 // newCalls creates the call to each part and reserves memory for it. A part without capacity rejects its
-// request, so its answer will be missing from the merged answer.
+// request, so its answer will be missing from the merged answer. The first part that has capacity reserves the memory of
+// the shared body and of the head; each part reserves that of its copy of the head.
 func (g *ScatterGather) newCalls(
-	r *http.Request, class string, arrived time.Time, timeout time.Duration,
+	r *http.Request, class string, arrived time.Time, timeout time.Duration, bodyBytes int64,
 ) ([]scattergather.Call, *BadRequest) {
 	calls := make([]scattergather.Call, 0, len(g.Targets))
-	bodyBytes := r.ContentLength // size of the shared body, reserved at the first part that has capacity
-	if bodyBytes < 0 {
-		bodyBytes = g.MaxBodyBytes
-	}
 	request := partRequest(r)
+	input := inputOf(r)
+	copyBytes := int64(len(request.Header)) * copiedFieldBytes
+	isInputReserved := false
 	for i := range g.Targets {
 		target := g.Targets[i]
 		target.Class = class
@@ -218,8 +219,10 @@
 			exchange.Deadline = end
 		}
 		exchange.Client = waitingClient(r)
-		if target.Service.Admit(exchange, bodyBytes) {
-			bodyBytes = 0
+		if isInputReserved {
+			target.Service.Admit(exchange, copyBytes)
+		} else {
+			isInputReserved = target.admit(exchange, bodyBytes+copyBytes, input)
 		}
 		calls = append(calls, scattergather.Call{
 			Service:  target.Service,
@@ -257,11 +260,16 @@
 		return nil, nil
 	}
 	_ = controller.SetReadDeadline(time.Now().Add(requestReadTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, g.MaxBodyBytes+1))
+	maxBytes := r.ContentLength
+	if maxBytes < 0 {
+		maxBytes = g.MaxBodyBytes + 1
+	}
+	body, err := retrybuffer.ReadAll(r.Body, maxBytes, inputOf(r).setBody)
 	switch {
+	case r.ContentLength < 0 && errors.Is(err, io.EOF): // the body is complete
 	case err != nil:
 		return nil, newBodyReadError(err)
-	case int64(len(body)) > g.MaxBodyBytes:
+	case r.ContentLength < 0:
 		return nil, newBodyTooLong(g.MaxBodyBytes).withConnectionClose()
 	}
 	_ = controller.SetReadDeadline(time.Time{})
--- a/internal/limits/conn.go
+++ b/internal/limits/conn.go
@@ -24,6 +24,10 @@
 	limiter      ConnectionLimiter
 	availability *Signal // of the limiter's descriptors; nil if no listener waits for one
 	releaseOnce  sync.Once
+
+	mu       sync.Mutex
+	isServed bool // between BeginServing and EndServing
+	isClosed bool
 }
 
 // Track wraps a connection for which a descriptor has been acquired. Closing the result releases the descriptor.
@@ -32,10 +36,42 @@
 // Close closes the connection and then releases its descriptor, once.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.releaseOnce.Do(c.limiter.Release)
+	c.releaseOnce.Do(func() {
+		c.limiter.Release()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.isClosed = true
+		c.releaseServed()
+	})
 	return err
 }
 
+// BeginServing records that a goroutine serves the connection, whose memory is in use until EndServing is called.
+func (c *Conn) BeginServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isServed = true
+}
+
+// EndServing records that the goroutine that served the connection has ended. It is called once after BeginServing. The
+// connection may still be open, if another user has taken it over.
+func (c *Conn) EndServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isServed = false
+	c.releaseServed()
+}
+
+// releaseServed releases the connection's memory if it is closed and not served. The caller holds mu.
+func (c *Conn) releaseServed() {
+	if !c.isClosed || c.isServed {
+		return
+	}
+	if served, ok := c.limiter.(servedLimiter); ok {
+		served.ReleaseServed()
+	}
+}
+
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
@@ -77,7 +113,7 @@
 	if !l.acquire() {
 		return nil, net.ErrClosed
 	}
-	l.limiter.Release()
+	l.release()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -93,6 +129,14 @@
 	return conn, nil
 }
 
+// release releases a descriptor that was acquired for no connection.
+func (l *Listener) release() {
+	l.limiter.Release()
+	if served, ok := l.limiter.(servedLimiter); ok {
+		served.ReleaseServed()
+	}
+}
+
 // unlimited is a ConnectionLimiter without a limit.
 type unlimited struct{}
 
--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"lockflow/internal/config"
@@ -36,15 +35,9 @@
 	bytes   *limits.ByteLimiter
 }
 
-// requestMemoryFraction is the fraction of the process's memory limit that requests and their answers may use.
-const requestMemoryFraction = 0.5
-
 // newExclusiveLimiter creates a limiter from the limits of the process; a limit of 0 means unlimited.
 func newExclusiveLimiter(process *config.Process) *exclusiveLimiter {
-	maxBytes := int64(math.MaxInt64)
-	if process.MemoryMB > 0 {
-		maxBytes = int64(requestMemoryFraction * float64(process.MemoryMB<<20))
-	}
+	maxBytes := memoryOf(process, requestMemoryFraction)
 	return &exclusiveLimiter{limits.NewSocketLimiter(process.Descriptors), limits.NewByteLimiter(maxBytes)}
 }
 
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -67,7 +67,7 @@
 		serveEnded:        make(chan struct{}),
 	}
 	persistent := accept.NewRetryingListener(socketQueue{socket, l}, accept.Clients)
-	l.Listener = limits.Listen(ctx, persistent, n.limiter.clientSockets())
+	l.Listener = limits.Listen(ctx, persistent, n.clientSockets)
 	return l, nil
 }
 
@@ -149,13 +149,9 @@
 	}
 	slog.Info("serving", "listen", l.Addr().String())
 	server := n.server
-	source := net.Listener(l)
-	if n.cfg.Process.Shared { // a reload may add generic HTTP services, which need validation
-		source = front.ValidatingListener(l)
-	}
 	n.tasks.Go(func() {
 		defer close(l.serveEnded)
-		err := server.Serve(front.LingeringListener(source))
+		err := server.Serve(front.LingeringListener(front.ValidatingListener(l)))
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,12 +29,13 @@
 
 // Node is an edge node: one process's listeners and services.
 type Node struct {
-	front        *front.Front
-	limiter      resourceLimiter
-	inherited    map[string]net.Listener // listeners passed on by the supervisor or a predecessor, by name
-	readyChanged chan struct{}           // signals that a service became ready, or that one that was not ready was removed
-	becameReady  chan struct{}           // closed once the node is ready
-	hasBeenReady atomic.Bool             // becameReady is closed or about to be closed
+	front         *front.Front
+	limiter       resourceLimiter
+	clientSockets limits.ConnectionLimiter // limits client connections by descriptors and memory
+	inherited     map[string]net.Listener  // listeners passed on by the supervisor or a predecessor, by name
+	readyChanged  chan struct{}            // signals that a service became ready, or that one that was not ready was removed
+	becameReady   chan struct{}            // closed once the node is ready
+	hasBeenReady  atomic.Bool              // becameReady is closed or about to be closed
 
 	// OnDrained, if not nil, is called once in a drain, when no more quota will be spent and the services can still
 	// report their state. It is set before Run.
@@ -86,6 +87,7 @@
 	} else {
 		n.limiter = newExclusiveLimiter(&cfg.Process)
 	}
+	n.clientSockets = limitClientMemory(&cfg.Process, n.limiter.clientSockets(), n.front)
 	if cfg.Process.Shared && cfg.Process.ControlSocket != "" {
 		n.statistics = &service.StatisticsCollector{}
 	}
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -149,6 +149,7 @@
 		Limiter:         n.limiter.requestLimiter(account),
 		OnReady:         n.notifyReadyChanged,
 	}
+	options.Settings.MaxAccounts = maxServiceAccounts(&n.cfg.Process, len(n.cfg.Services))
 	if account != nil {
 		options.Seed = rand.Uint64() // only the platform's configuration sets a seed
 		options.Streams = &account.streams
--- a/internal/retrybuffer/retrybuffer.go
+++ b/internal/retrybuffer/retrybuffer.go
@@ -64,14 +64,21 @@
 
 // Fill reads and buffers a complete body of a known length, which must not exceed the limit.
 func (b *Body) Fill(length int64) error {
+	return b.FillReserving(length, func(int64) bool { return true })
+}
+
+// FillReserving is like Fill, but reserves the memory of the body as ReadAll does.
+func (b *Body) FillReserving(length int64, reserve func(bytes int64) bool) error {
 	if length > int64(b.limit) {
 		return ErrGone
 	}
 	if b.beforeRead != nil {
 		b.beforeRead()
 	}
-	buffer := make([]byte, length)
-	n, err := io.ReadFull(b.source, buffer)
+	buffer, err := ReadAll(b.source, length, reserve)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err == nil {
 		// net/http must reach the end of the body before it starts to detect a disconnect of the client.
 		var one [1]byte
@@ -81,7 +88,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.buffered, b.totalRead, b.err = buffer[:n], int64(n), err
+	b.buffered, b.totalRead, b.err = buffer, int64(len(buffer)), err
 	if err == nil {
 		b.err = io.EOF
 	}
--- a/internal/service/requests.go
+++ b/internal/service/requests.go
@@ -9,11 +9,27 @@
 // Admit reserves resources for a request with a body of this many bytes and for its answer. If none are available,
 // it returns false, and the module rejects the request in Do.
 func (s *Service) Admit(x *Exchange, body int64) (ok bool) {
+	return s.reserve(x, body+int64(s.upstream.MaxBodyBytes))
+}
+
+// Announce is called for a request whose body is still to be read. If resources for the request are available, it reserves
+// a slot, but no memory: a client that does not send its body must not occupy the memory for an answer. The caller releases
+// the slot before it calls Admit. If no resources are available, Announce returns false, and the module rejects the request
+// in Do.
+func (s *Service) Announce(x *Exchange, body int64) bool {
+	if !s.Admit(x, body) {
+		return false
+	}
+	x.Release()
+	return s.reserve(x, 0)
+}
+
+// reserve reserves a slot and memory for a request.
+func (s *Service) reserve(x *Exchange, bytes int64) (ok bool) {
 	if s.options.Limiter == nil {
 		return true
 	}
-	answer := int64(s.upstream.MaxBodyBytes)
-	if x.releaseResources, ok = s.options.Limiter.Admit(body + answer); !ok {
+	if x.releaseResources, ok = s.options.Limiter.Admit(bytes); !ok {
 		x.Request.IsOverCapacity = true
 		return false
 	}
