Fix evictions that close a request that has been read

What callers saw: under load a request that was sent completely could find its connection closed without an answer.

The scanner of the connection knows whether a complete head has been read; such a connection is not evicted. TestEvictSparesRequestThatHasBeenRead fails without (Evict returned true, want false).

--- a/internal/front/eviction.go
+++ b/internal/front/eviction.go
@@ -52,7 +52,7 @@
 		if !r.isEvictable(c) || oldest != nil && !c.isEvictedBefore(oldest) {
 			continue
 		}
-		if r.canEvict(c, c.input.pendingInputSince()) {
+		if !c.input.hasUnservedRequest() && r.canEvict(c, c.input.pendingInputSince()) {
 			oldest = c
 		}
 	}
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -36,6 +36,8 @@
 type requestProgress interface {
 	// scan scans the next bytes.
 	scan(p []byte)
+	// hasUnservedRequest reports whether the head of a request has been read that net/http has not reported yet.
+	hasUnservedRequest() bool
 	// isBodyMissing reports whether a part of the body of the request that is served has not been read yet.
 	isBodyMissing() bool
 }
@@ -149,6 +151,17 @@
 	return c.firstReadAt
 }
 
+// hasUnservedRequest reports whether the head of a request has been read that net/http has not reported yet. For a nil
+// inputConn it returns false.
+func (c *inputConn) hasUnservedRequest() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests != nil && c.requests.hasUnservedRequest()
+}
+
 // endBody records that the node no longer waits for the body of the current request.
 func (c *inputConn) endBody() {
 	c.mu.Lock()
@@ -199,7 +212,8 @@
 // closeConnection is called without mu held, because closing a socket waits for its reader, which may need mu.
 func (c *inputConn) closeIfAllowed(mayClose func(firstReadAt time.Time) bool, closeConnection func()) {
 	c.mu.Lock()
-	isClosing := !c.isClosed && mayClose(c.firstReadAt)
+	isUnserved := c.requests != nil && c.requests.hasUnservedRequest()
+	isClosing := !c.isClosed && !isUnserved && mayClose(c.firstReadAt)
 	c.isClosed = c.isClosed || isClosing
 	c.mu.Unlock()
 	if isClosing {
--- a/internal/front/input_memory_test.go
+++ b/internal/front/input_memory_test.go
@@ -197,6 +197,45 @@
 	})
 }
 
+// Guards against a loss by eviction: a request that has been read but not begun is not closed, however long ago its first
+// byte was read. A client that has sent only a part of it is.
+func TestEvictSparesRequestThatHasBeenRead(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text      string
+		isEvicted bool
+	}{
+		"complete": {completeRequest, false},
+		"half":     {completeRequest[:len(completeRequest)-4], true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, f, _, stop := startFront(t, rejectRequest, nil, nil)
+			defer stop()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			client := dialTCP(t, listener.Addr().String())
+			conn, err := LingeringListener(ValidatingListener(listener)).Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			f.clients.register(t.Context(), conn)
+			io.WriteString(client, tc.text)
+			if _, err := io.ReadFull(conn, make([]byte, len(tc.text))); err != nil {
+				t.Fatal(err)
+			}
+			past := time.Now().Add(-time.Minute)
+			setOnlyConnection(f, true, past)
+			findWrappedConn[*inputConn](conn).firstReadAt = past
+			if isEvicted := f.Evict(); isEvicted != tc.isEvicted {
+				t.Errorf("Evict returned %v, want %v", isEvicted, tc.isEvicted)
+			}
+		})
+	}
+}
+
 // Guards against clients that stop in the middle of a body and occupy the connections that others wait for: such a
 // connection is evicted after the grace period, and its request is not forwarded. One whose body has arrived is not evicted.
 func TestEvictClosesConnectionThatWaitsForBody(t *testing.T) {
--- a/internal/front/validating_conn.go
+++ b/internal/front/validating_conn.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// hasUnservedRequest implements requestProgress.
+func (c *validatingConn) hasUnservedRequest() bool {
+	if c.isServing.Load() || c.scanner.HasViolation() {
+		return false
+	}
+	return c.scanner.Messages() > c.servedCount || c.scanner.IsHeadRead()
+}
+
 // isBodyMissing implements requestProgress. Messages counts a request with a Content-Length once its head has been read.
 func (c *validatingConn) isBodyMissing() bool {
 	isCurrent := c.scanner.Messages() <= c.servedCount+1
