--- a/internal/front/input_memory.go
+++ b/internal/front/input_memory.go
@@ -102,10 +102,10 @@
 }
 
 // ended records that a request has ended, and sets the size of the heads that are still held.
-func (r *inputReservation) ended(held validation.HeadSize) {
+func (r *inputReservation) ended(remaining validation.HeadSize) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.set(headMemory(held), 0, 0)
+	r.set(headMemory(remaining), 0, 0)
 }
 
 // set changes the amounts and the reservation with them. If the memory is not available, it changes nothing and returns
