--- a/control/accounts.go
+++ b/control/accounts.go
@@ -21,7 +21,7 @@
 	byKey          map[string]*customerAccount // see accountKey
 	binDuration    time.Duration               // length of a bin of the accounts' histories
 	maxAccounts    int                         // above half of it, accounts are evicted after a shorter idle time
-	nextEvictionAt time.Duration               // when a new customer may have accounts evicted again
+	nextEvictionAt time.Duration               // when a new customer may evict others next
 
 	refillStart   time.Duration // time from which the buckets of accounts that are not open yet are filled
 	slackFraction float64       // fraction of its slack that a new hard-limit bucket starts with
