--- a/control/accounts.go
+++ b/control/accounts.go
@@ -18,10 +18,10 @@
 
 // accountTable holds the accounts of recently active customers.
 type accountTable struct {
-	byKey          map[string]*customerAccount // see accountKey
-	binDuration    time.Duration               // length of a bin of the accounts' histories
-	maxAccounts    int                         // above half of it, accounts are evicted after a shorter idle time
-	nextEvictionAt time.Duration               // when a new customer may evict others next
+	byKey       map[string]*customerAccount // see accountKey
+	binDuration time.Duration               // length of a bin of the accounts' histories
+	maxAccounts int                         // above half of it, accounts are evicted after a shorter idle time
+	evictNextAt time.Duration               // when a new customer may evict others next
 
 	refillStart   time.Duration // time from which the buckets of accounts that are not open yet are filled
 	slackFraction float64       // fraction of its slack that a new hard-limit bucket starts with
@@ -62,8 +62,8 @@
 
 // hasPlace reports whether another account may be opened. If there are too many, it evicts idle ones first.
 func (t *accountTable) hasPlace(now time.Duration) bool {
-	if len(t.byKey) >= t.maxAccounts && now >= t.nextEvictionAt {
-		t.nextEvictionAt = now + minEvictionInterval
+	if len(t.byKey) >= t.maxAccounts && now >= t.evictNextAt {
+		t.evictNextAt = now + minEvictionInterval
 		t.evictIdle(now)
 	}
 	return len(t.byKey) < t.maxAccounts
