Ask for want of memory behind a body in one place

Found in the last read of the change: platform and generic HTTP held the same two errors, and the comment of bodyStartedAt told an earlier meaning.

--- a/internal/front/bad_request.go
+++ b/internal/front/bad_request.go
@@ -43,6 +43,11 @@
 	return badRequest.withConnectionClose()
 }
 
+// isOverloaded reports whether a body could not be read for want of memory.
+func isOverloaded(err error) bool {
+	return errors.Is(err, retrybuffer.ErrNoMemory) || errors.Is(err, errInputRefused)
+}
+
 // message returns the error answer as it is written to a connection whose request net/http has not read completely.
 func (b *BadRequest) message() []byte {
 	body := b.text + "\n"
@@ -60,7 +65,7 @@
 
 // newBodyReadError returns the BadRequest for a body that could not be read completely.
 func newBodyReadError(err error) *BadRequest {
-	if errors.Is(err, retrybuffer.ErrNoMemory) || errors.Is(err, errInputRefused) {
+	if isOverloaded(err) {
 		return newOverloaded()
 	}
 	status := http.StatusBadRequest
--- a/internal/front/input_conn.go
+++ b/internal/front/input_conn.go
@@ -29,7 +29,7 @@
 	nextRequestReadAt time.Time       // when a byte of the next request was read during the current one; zero if none was
 	isIdle            bool            // becameActive has not been called since becameIdle
 	isClosed          bool            // closeIfAllowed has decided to close: nothing more is read
-	bodyStartedAt     time.Time       // when the node began to wait for the rest of a request's body; zero if it does not
+	bodyStartedAt     time.Time       // when net/http reported a request whose body has not been read; zero if it has been
 }
 
 // requestProgress scans the bytes that are read from a connection. Its methods are called with inputConn.mu held.
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -110,7 +109,7 @@
 	startedAt := time.Now()
 	body, err := retrybuffer.ReadAll(r.Body, r.ContentLength, inputOf(r).setBody)
 	switch {
-	case errors.Is(err, retrybuffer.ErrNoMemory), errors.Is(err, errInputRefused):
+	case isOverloaded(err):
 		return newOverloaded()
 	case err != nil:
 		return newBadRequest(http.StatusBadRequest, "reading the body: %v", err).withConnectionClose()
