review: drop two cases that earlier ones show, and number the others anew

The others become 6 (409 at a reload), 7 (a drained member that serves) and 8 (tunnels); their programs are as they were.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # its clients, app servers and discovery. The build of deploy/balancer.toml comes first; this one needs no network after it.
 set -eu
 cd "$(dirname "$0")/.."
-for folder in review/*/testdata/case; do
-	go build -o "${folder%/testdata/case}/bin/case" "./$folder"
+for number in 6 7 8; do
+	go build -o "review/$number/bin/case" "./review/$number/testdata/case"
 done
--- a/review/shared-2/testdata/kit/kit.go
+++ b/review/shared-2/testdata/kit/kit.go
@@ -3,7 +3,6 @@
 package kit
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -224,45 +223,3 @@
 	c.Log()
 	c.Cannot(errors.New("the node was not ready within 30 s"))
 }
-
-// Target is an entry of discovery's list.
-type Target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Model    string  `json:"model"`
-	Group    int     `json:"pod_group"`
-	State    string  `json:"state"`
-	Capacity float64 `json:"capacity_hint"`
-	Boot     int64   `json:"boot_ms"`
-}
-
-// List is a whole list of discovery.
-type List struct {
-	Revision int      `json:"rev"`
-	All      bool     `json:"all"`
-	Targets  []Target `json:"targets"`
-}
-
-// ServeDiscovery starts a discovery that gives one list, which does not change, and returns its address.
-func (c *Case) ServeDiscovery(list List) string {
-	text, err := json.Marshal(list)
-	c.Check(err)
-	l := c.Listen()
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = w.Write(append(text, '\n'))
-			if r.URL.Query().Get("watch") == "" {
-				return
-			}
-			controller := http.NewResponseController(w)
-			for controller.Flush() == nil {
-				time.Sleep(2 * time.Second)
-				if _, err := w.Write([]byte("\n")); err != nil {
-					return
-				}
-			}
-		}))
-	}()
-	return l.Addr().String()
-}
