--- a/internal/service/replaced_source_test.go
+++ b/internal/service/replaced_source_test.go
@@ -53,7 +53,6 @@
 // replacedSourceTest is a service with a request at a server that does not answer, and another server.
 type replacedSourceTest struct {
 	t        *testing.T
-	options  Options
 	service  *Service
 	module   *listingModule
 	received chan string // by which server each request was received
@@ -109,7 +108,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
-	x.t.Cleanup(func() { stop(); <-ended })
+	x.t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			x.t.Error(err)
+		}
+	})
 }
 
 // replace replaces a service with one of another source.
