Fix requests that reach a server in another form

Cause: the origin form of a target was made without the check that tables with a router make, and fields that Connection names were dropped, those that decisions stand on too.

Change: route.SplitTarget decides for every table what a target is, and 400 answers what it refuses. The protocol's request headers are never dropped as hop-by-hop.

--- a/internal/front/forwarded_request_test.go
+++ b/internal/front/forwarded_request_test.go
@@ -110,7 +110,9 @@
 			t.Skip(err)
 		}
 		forwarded.ContentLength = int64(len(sentBody))
-		forwarded.Body = io.NopCloser(bytes.NewReader(sentBody))
+		if forwarded.Body = http.NoBody; len(sentBody) > 0 {
+			forwarded.Body = io.NopCloser(bytes.NewReader(sentBody))
+		}
 		var out bytes.Buffer
 		if err := forwarded.Write(&out); err != nil {
 			t.Fatalf("writing the request %q: %v", raw, err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -275,13 +275,13 @@
 }
 
 func (t *RoutingTable) findTarget(r *http.Request) (target *Target, firstSegment string, badRequest *BadRequest) {
-	if t.Router == nil {
-		return &t.Targets[0], firstSegmentOf(r.URL), nil
-	}
 	authority, rawPath, err := route.SplitTarget(r.RequestURI)
-	if err != nil {
+	if err != nil { // it has no origin form in which it could be forwarded
 		return nil, "", newBadRequest(http.StatusBadRequest, "target: %v", err)
 	}
+	if t.Router == nil {
+		return &t.Targets[0], firstSegmentOf(r.URL), nil
+	}
 	path, err := route.CanonicalPath(rawPath)
 	if err != nil {
 		return nil, "", newBadRequest(http.StatusBadRequest, "path: %v", err)
--- a/internal/front/generic_http.go
+++ b/internal/front/generic_http.go
@@ -18,6 +18,7 @@
 	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/responseclass"
+	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
 )
@@ -152,7 +153,7 @@
 	*relay = upstream.RelayedRequest{
 		RequestMethod:    r.Method,
 		Host:             r.Host,
-		Target:           originForm(r.RequestURI),
+		Target:           route.OriginForm(r.RequestURI),
 		Header:           hopheaders.ForwardRequest(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
 		ContentLength:    r.ContentLength,
 		ResponseRules:    &o.ResponseRules,
@@ -199,23 +200,6 @@
 	return ""
 }
 
-// originForm returns a request target in the origin form in which servers get it (RFC 9112, 3.2.1):
-// without scheme and authority, and otherwise unchanged.
-func originForm(target string) string {
-	if strings.HasPrefix(target, "/") || target == "*" {
-		return target
-	}
-	_, rest, _ := strings.Cut(target, "://")
-	end := strings.IndexAny(rest, "/?")
-	switch {
-	case end < 0:
-		return "/"
-	case rest[end] == '?':
-		return "/" + rest[end:]
-	}
-	return rest[end:]
-}
-
 // parseTimeout parses the timeout that a client requests: a duration such as "1.5s" or "800ms", or a number of seconds.
 func parseTimeout(text string) (time.Duration, error) {
 	timeout, err := time.ParseDuration(text)
--- a/internal/hopheaders/hopheaders.go
+++ b/internal/hopheaders/hopheaders.go
@@ -37,11 +37,14 @@
 	Proto     string // "http" or "https"
 }
 
-// DropNamed deletes from out the fields that the Connection field of in names (RFC 9110, 7.6.1).
+// DropNamed deletes from out the fields that the Connection field of in names (RFC 9110, 7.6.1). It keeps those that
+// the protocol has for requests: without them a server could not tell a repeat.
 func DropNamed(out, in http.Header) {
 	for _, list := range in["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+			if name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)); !protocol.IsRequestHeader(name) {
+				delete(out, name)
+			}
 		}
 	}
 }
