Fix requests that are answered 409 after a reload

Cause: each generation of a service of generic HTTP numbered its requests from 1. A request that the old generation has not accepted when it is replaced, as its body is still arriving, is passed to the new one with its old number, which a request there may have.

Change: the protocol of a service goes on with the numbers of the one that it replaces.

--- a/internal/front/generic_http.go
+++ b/internal/front/generic_http.go
@@ -60,7 +60,9 @@
 // It is safe for concurrent use.
 type GenericHTTP struct {
 	GenericHTTPOptions
-	lastID atomic.Uint64 // numeric value of the last request ID given to the service
+	// lastID is the numeric value of the last request ID given to the service. It is shared with the protocol of the
+	// service that this one replaces, which passes on requests with their IDs.
+	lastID *atomic.Uint64
 }
 
 // NewGenericHTTP returns the generic HTTP protocol of one service.
@@ -68,9 +70,13 @@
 	if o.Customers == nil {
 		o.Customers = customer.New(customer.Options{})
 	}
-	return &GenericHTTP{GenericHTTPOptions: o}
+	return &GenericHTTP{GenericHTTPOptions: o, lastID: new(atomic.Uint64)}
 }
 
+// Succeed makes the protocol continue the request IDs of the protocol of the service that its service replaces. It must be
+// called before the first request.
+func (o *GenericHTTP) Succeed(predecessor *GenericHTTP) { o.lastID = predecessor.lastID }
+
 // ReadRequest checks the head of a request and prepares to forward it.
 func (o *GenericHTTP) ReadRequest(
 	r *http.Request, target *Target, _ string, arrived time.Time,
