Fix tunnels that are cut by line feeds of their clients

Cause: the client's connection goes on being scanned as HTTP after it was hijacked. Lines count as fields of a head, and beyond 256 of them reads are refused.

Change: scanning ends when net/http reports the connection as hijacked, which is before the 101 is written; a refusal because of bytes that came before is taken back.

--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -115,6 +115,9 @@
 			client.closeIf(client.canCloseWithoutLoss)
 		}
 	case http.StateClosed, http.StateHijacked:
+		if newState == http.StateHijacked && client.validating != nil {
+			client.validating.becameTunnel()
+		}
 		client.endServing()
 		delete(r.connections, conn)
 		if len(r.connections) == 0 && r.empty != nil {
