Test that a drain leaves tunnels open until its timeout

The test fails on this code: the tunnel ends 100 ms after the drain's start. The file has the name of what it holds now.

--- a/internal/testsupport/generichttptest/tunnel_bytes_test.go
+++ b/internal/testsupport/generichttptest/tunnel_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"lockflow/internal/testsupport/fake"
 )
@@ -36,3 +38,31 @@
 		})
 	}
 }
+
+// TestDrainLeavesTunnelsOpen checks that tunnels without any other client stay open during a drain, until its timeout.
+func TestDrainLeavesTunnelsOpen(t *testing.T) {
+	o := startNodeWithConfig(t, `drain = { idle = "0s", accept = "100ms", most = "4s" }`, "", "", &fake.Origin{})
+	client, reader := openTunnel(t, o)
+	closed, closedReader := openTunnel(t, o)
+	o.Drain()
+	for started := time.Now(); time.Since(started) < time.Second; time.Sleep(20 * time.Millisecond) {
+		requireEcho(t, client, reader, "while it drains")
+	}
+	// The drain ends with its last tunnel.
+	for _, c := range []struct {
+		conn   net.Conn
+		reader io.Reader
+	}{{client, reader}, {closed, closedReader}} {
+		c.conn.(*net.TCPConn).CloseWrite()
+		if rest, err := io.ReadAll(c.reader); err != nil || len(rest) > 0 {
+			t.Errorf("after the end of a tunnel: got %q, error %v", rest, err)
+		}
+	}
+	started := time.Now()
+	if err := o.Stop(); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(started); took > 2*time.Second {
+		t.Errorf("the node ended %v after its last tunnel, before its timeout of 4s is over", took)
+	}
+}
