Fix tunnels that a drain ends before its timeout

Cause: the drain waits until no client is connected, and a connection no longer counted from its upgrade on.

Change: tunnels count until they have ended.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -157,8 +157,8 @@
 func (f *Front) CloseWhenIdle() { f.clients.closeWhenIdle() }
 
 // WaitDisconnected waits until no client is connected; CloseWhenIdle must have been called before. It
-// returns false if ctx ends first. It does not wait for connections that have been upgraded to another
-// protocol.
+// returns false if ctx ends first. Connections that have been upgraded to another protocol count until their
+// tunnels have ended.
 func (f *Front) WaitDisconnected(ctx context.Context) bool { return f.clients.waitEmpty(ctx) }
 
 // ServeHTTP handles one client request until its final answer has been written.
--- a/internal/front/generic_answer.go
+++ b/internal/front/generic_answer.go
@@ -38,7 +38,7 @@
 	case answer.Stream == nil:
 		writeBufferedAnswer(w, r, answer)
 	case answer.Stream.IsTunnel:
-		o.serveTunnel(w, answer)
+		o.serveTunnel(front, w, r, answer)
 	default:
 		o.streamAnswer(front, w, r, answer)
 	}
