--- a/cmd/lockflow/term_test.go
+++ b/cmd/lockflow/term_test.go
@@ -138,17 +138,6 @@
 	return b.requestCounts[id]
 }
 
-// isForwarded reports whether a request arrives. The program may answer a client as soon as it has written the request,
-// some milliseconds before the app server's handler runs, so this waits for the handler.
-func (b *backend) isForwarded(id string) bool {
-	for end := time.Now().Add(testkit.WaitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if b.requestCount(id) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // termTest is a test case with a program that is ready and its app server.
 type termTest struct {
 	*testing.T
@@ -188,13 +177,14 @@
 }
 
 func (x *termTest) isValidAnswer(status int, body, id string) bool {
+	sent := x.app.requestCount(id)
 	switch status {
 	case 200:
-		return x.app.requestCount(id) > 0 && body == "done "+id
+		return sent > 0 && body == "done "+id
 	case 429, 503:
-		return x.app.requestCount(id) == 0 || x.effect != "single_shot"
+		return sent == 0 || x.effect != "single_shot"
 	case 502, 504:
-		return x.app.isForwarded(id)
+		return sent > 0
 	}
 	return false
 }
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -42,7 +42,7 @@
 		case !j.isMeasured(measure):
 			result.IsEnough = true
 		case !result.IsEnough:
-			found.inconclusive = append(found.inconclusive, describeInconclusive(&result))
+			found.inconclusive = append(found.inconclusive, fmt.Sprintf("%s: up to %.3g, margin %.3g", result.Name, result.High, result.Margin))
 		case result.Members > 0 && laterHalf.difference >= result.Margin:
 			result.IsEnough = false
 			found.exceededInLaterHalf = append(found.exceededInLaterHalf, fmt.Sprintf("%s in the later half: %.3g, margin %.3g", result.Name, laterHalf.difference, result.Margin))
@@ -186,11 +186,6 @@
 	return changed > 0 && 10*live >= 9*changed
 }
 
-// describeInconclusive returns a one-line description of a measure with too little evidence.
-func describeInconclusive(m *Measure) string {
-	return fmt.Sprintf("%s: up to %.3g, margin %.3g (%.3g of the new, %.3g of the old)", m.Name, m.High, m.Margin, m.New, m.Old)
-}
-
 // describe returns a one-line description of the harm that a measure shows.
 func describe(m *Measure) string {
 	return fmt.Sprintf("%s: %.3g of the new, %.3g of the old, at least %.3g more", m.Name, m.New, m.Old, m.Low)
--- a/internal/ci/knownred/main.go
+++ b/internal/ci/knownred/main.go
@@ -8,11 +8,8 @@
 //	seen: what the failure showed
 //	issue: 12
 //
-// An entry for a script, which CI prints and does not run, has "script: review/7/run.sh" as its first line, and a
-// command that names it.
-//
 // Listed tests may fail. The command exits with code 1 if an entry is malformed, if the package has no test of
-// that name or there is no such script, or if a test of the same name in another package fails and is not listed.
+// that name, or if a test of the same name in another package fails and is not listed.
 package main
 
 import (
@@ -32,14 +29,11 @@
 
 const listFile = "KNOWN-RED.txt"
 
-// entryField is a field of an entry, with the pattern of its value.
-type entryField struct {
+// entryFields are the fields of an entry in order, each with the pattern of its value.
+var entryFields = []struct {
 	name string
 	form *regexp.Regexp
-}
-
-// entryFields are the fields of an entry for a test in order.
-var entryFields = []entryField{
+}{
 	{"test", regexp.MustCompile(`^(\S+) ((?:Test|Fuzz|Example)\w*)$`)},
 	{"command", regexp.MustCompile(`\w`)},
 	{"seed", regexp.MustCompile(`^(none|\S*[0-9]\S*)$`)},
@@ -47,19 +41,15 @@
 	{"issue", regexp.MustCompile(`^[1-9][0-9]*$`)},
 }
 
-// scriptField is the first field of an entry for a script, with the pattern of its value.
-var scriptField = entryField{"script", regexp.MustCompile(`^review/[1-9][0-9]*/run\.sh$`)}
-
 // testName identifies a test of the module by its package and function.
 type testName struct{ importPath, function string }
 
 func (n testName) String() string { return n.importPath + " " + n.function }
 
-// entry is a test or a script that is known to fail.
+// entry is a test that is known to fail.
 type entry struct {
-	test   testName // zero for a script
-	script string   // path of the script; empty for a test
-	text   string   // its lines, as listed
+	test testName
+	text string // its lines, as listed
 }
 
 func main() {
@@ -79,11 +69,7 @@
 // -skip matches names in all packages, it also runs unlisted tests of the same names, and returns an error if
 // one of them fails.
 func run(list string, output io.Writer) (skipPattern string, err error) {
-	listed, err := parse(list)
-	if err != nil {
-		return "", err
-	}
-	entries, err := printScripts(listed, output)
+	entries, err := parse(list)
 	if err != nil || len(entries) == 0 {
 		return "", err
 	}
@@ -113,22 +99,6 @@
 	return skipPattern, unlistedFailure
 }
 
-// printScripts writes the entries for scripts to output, and returns the others. It returns an error if a script does not
-// exist.
-func printScripts(listed []entry, output io.Writer) (tests []entry, err error) {
-	for _, e := range listed {
-		if e.script == "" {
-			tests = append(tests, e)
-			continue
-		}
-		if info, err := os.Stat(e.script); err != nil || !info.Mode().IsRegular() {
-			return nil, fmt.Errorf("%s: there is no script %s", listFile, e.script)
-		}
-		fmt.Fprintf(output, "%s: known red, a script, not run:\n%s\n", listFile, e.text)
-	}
-	return tests, nil
-}
-
 // namePattern returns the pattern that matches the names of the listed tests and no others.
 func namePattern(entries []entry) string {
 	names := make(map[string]bool)
@@ -170,11 +140,7 @@
 // parseEntry reads one entry, which starts on line firstLine of the list.
 func parseEntry(text string, firstLine int) (entry, error) {
 	lines := strings.Split(text, "\n")
-	isScript := strings.HasPrefix(lines[0], scriptField.name+": ")
 	for i, field := range entryFields {
-		if i == 0 && isScript {
-			field = scriptField
-		}
 		if i >= len(lines) {
 			return entry{}, fmt.Errorf("%s:%d: the entry has no line %q", listFile, firstLine, field.name+": ")
 		}
@@ -186,13 +152,6 @@
 	if len(lines) > len(entryFields) {
 		return entry{}, fmt.Errorf("%s:%d: the entry has a line too many", listFile, firstLine+len(entryFields))
 	}
-	if isScript {
-		script := strings.TrimPrefix(lines[0], scriptField.name+": ")
-		if !strings.Contains(lines[1], script) {
-			return entry{}, fmt.Errorf("%s:%d: the command doesn't name %s", listFile, firstLine+1, script)
-		}
-		return entry{script: script, text: text}, nil
-	}
 	parts := strings.Fields(strings.TrimPrefix(lines[0], "test: "))
 	test := testName{importPath: parts[0], function: parts[1]}
 	if !strings.Contains(lines[1], test.function) {
--- a/internal/ci/knownred/main_test.go
+++ b/internal/ci/knownred/main_test.go
@@ -15,11 +15,6 @@
 		"seed: none\n" +
 		"seen: it always fails\n" +
 		"issue: 7\n"
-	scriptEntry = "script: review/7/run.sh\n" +
-		"command: review/build-2.sh; review/7/run.sh\n" +
-		"seed: none\n" +
-		"seen: it always fails\n" +
-		"issue: 7\n"
 	failingTest = "import \"testing\"\n\nfunc TestRed(t *testing.T) { t.Error(\"as ever\") }\n\nfunc TestGreen(*testing.T) {}\n"
 	passingTest = "import \"testing\"\n\nfunc TestRed(*testing.T) {}\n\nfunc TestGreen(*testing.T) {}\n"
 )
@@ -68,13 +63,6 @@
 	"the second entry has another form":    {list: redEntry + "\n" + strings.Replace(greenEntry, "issue: 7", "issue: 0", 1), one: failingTest, two: passingTest, wantOutput: `KNOWN-RED.txt:11: "issue: 0" is not a line "issue: "`},
 	"four entries":                         {list: redEntry + "\n" + entryOfTwo + "\n" + greenEntry + "\n" + strings.Replace(greenEntry, "lockflow/one", "lockflow/two", 1), one: failingTest, two: failingTest, wantSuccess: true, wantOutput: "known red, fails:\n" + entryOfTwo},
 	"three entries, two of them of a name": {list: redEntry + "\n" + entryOfTwo + "\n" + greenEntry, one: failingTest, two: failingTest, wantSuccess: true, wantOutput: "known red, passes:\n" + greenEntry},
-	"a script":                             {list: scriptEntry, one: passingTest, two: passingTest, wantSuccess: true, wantOutput: "known red, a script, not run:\n" + scriptEntry},
-	"a script and a test":                  {list: scriptEntry + "\n" + redEntry, one: failingTest, two: passingTest, wantSuccess: true, wantOutput: "known red, fails:\n" + redEntry},
-	"a script, and an unlisted test fails": {list: scriptEntry, one: failingTest, two: passingTest, wantOutput: "as ever"},
-	"a script that isn't there":            {list: strings.ReplaceAll(scriptEntry, "/7/", "/8/"), one: passingTest, two: passingTest, wantOutput: "there is no script review/8/run.sh"},
-	"a script of another place":            {list: strings.ReplaceAll(scriptEntry, "review/7", "review/../7"), one: passingTest, two: passingTest, wantOutput: `KNOWN-RED.txt:1: "script: review/../7/run.sh" is not a line "script: "`},
-	"a command for another script":         {list: strings.Replace(scriptEntry, "sh; review/7", "sh; review/8", 1), one: passingTest, two: passingTest, wantOutput: "KNOWN-RED.txt:2: the command doesn't name review/7/run.sh"},
-	"a script without an issue":            {list: strings.Replace(scriptEntry, "issue: 7\n", "", 1), one: passingTest, two: passingTest, wantOutput: `KNOWN-RED.txt:1: the entry has no line "issue: "`},
 }
 
 // TestKnownRed runs .ci/run on a small module in which listed tests, other tests or the linter fail.
@@ -111,7 +99,6 @@
 			writeFile("go.mod", "module lockflow\n\ngo 1.26.0\n", 0o644)
 			writeFile("one/one_test.go", "package one\n\n"+c.one, 0o644)
 			writeFile("two/two_test.go", "package two\n\n"+c.two, 0o644)
-			writeFile("review/7/run.sh", "#!/bin/sh\necho the script has run\nexit 1\n", 0o755)
 			if c.list != "" {
 				writeFile("KNOWN-RED.txt", c.list, 0o644)
 			}
@@ -121,7 +108,7 @@
 			cmd.Dir = dir
 			cmd.Env = append(os.Environ(), "GOFLAGS=-count=1", "GOWORK=off")
 			out, err := cmd.CombinedOutput()
-			if (err == nil) != c.wantSuccess || !strings.Contains(string(out), c.wantOutput) || strings.Contains(string(out), "the script has run") {
+			if (err == nil) != c.wantSuccess || !strings.Contains(string(out), c.wantOutput) {
 				t.Errorf(".ci/run: got error %v, want success %v and output %q:\n%s", err, c.wantSuccess, c.wantOutput, out)
 			}
 		})
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -248,36 +248,3 @@
 		t.Errorf("unexpected status: %+v", s)
 	}
 }
-
-// A successor that is told to stop during its probation ends the daemon: the old process does not take over again, as it
-// does if the successor fails.
-func TestStopDuringProbationEndsBothProcesses(t *testing.T) {
-	for name, stop := range map[string]func(*daemonProcess, int) error{
-		"drain":   func(r *daemonProcess, _ int) error { _, err := r.control.Drain(context.Background()); return err },
-		"SIGTERM": func(_ *daemonProcess, successorPID int) error { return syscall.Kill(successorPID, syscall.SIGTERM) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			r := startDaemonWith(t, "", nil, `probation = "300ms"`, `probation = "30s"`)
-			old := r.status()
-			if err := r.process.Process.Signal(syscall.SIGUSR2); err != nil {
-				t.Fatal(err)
-			}
-			r.awaitStatus("the successor", func(s manage.Status) bool { return s.PID != old.PID && s.IsReady() })
-			successorPID := r.status().PID
-			if err := stop(r, successorPID); err != nil {
-				t.Fatal(err)
-			}
-			testkit.Until(t, "the end of both processes", func() bool { return hasEnded(old.PID) && hasEnded(successorPID) })
-			for _, path := range []string{r.directory + "/pid", r.control.Path} {
-				if _, err := os.Stat(path); !os.IsNotExist(err) {
-					t.Errorf("%s was not removed: %v", path, err)
-				}
-			}
-			r.start("")
-			if n := r.sendRequests(1); n != 1 {
-				t.Error("the daemon does not serve after its next start")
-			}
-		})
-	}
-}
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -105,7 +105,9 @@
 			s.Kill()
 		}
 	case e.isProbationOver:
-		d.answerConfirmedCommand()
+		if d.running != nil { // the successor has saved the outcome, and this process does not resume any more
+			d.answerCommand(desiredstate.Outcome{ID: d.running.id, Code: desiredstate.CodeOK})
+		}
 		d.advance(lifecycle.SuccessorConfirmed{})
 	case e.event == upgrade.Prepared:
 		d.advance(lifecycle.SuccessorPrepared{})
@@ -124,7 +126,6 @@
 
 func (d *daemon) successorEnded(s *successor) {
 	s.isDetached = true
-	wasStopped := s.phase == successorServing && s.endCause == nil && s.HasStopped()
 	if s.endCause == nil {
 		s.endCause = s.Err()
 	}
@@ -132,22 +133,9 @@
 	if d.machine.State() == lifecycle.Draining && s.phase == successorServing {
 		slog.Error("upgrade: successor ended while this process drains", "err", s.endCause)
 	}
-	if wasStopped {
-		d.answerConfirmedCommand()
-		d.advance(lifecycle.SuccessorStopped{})
-		return
-	}
 	d.advance(lifecycle.SuccessorLost{Err: s.endCause})
 }
 
-// answerConfirmedCommand answers a command to upgrade whose outcome the successor has saved, as this process does not
-// resume any more.
-func (d *daemon) answerConfirmedCommand() {
-	if d.running != nil {
-		d.answerCommand(desiredstate.Outcome{ID: d.running.id, Code: desiredstate.CodeOK})
-	}
-}
-
 // sendCheckpoint sends the successor its fraction of the remaining quota and the estimates.
 func (d *daemon) sendCheckpoint() {
 	s := d.successor
--- a/internal/front/client_registry.go
+++ b/internal/front/client_registry.go
@@ -25,8 +25,7 @@
 	connections    map[net.Conn]*clientConn
 	isDraining     bool
 	isShuttingDown bool          // beginShutdown was called: the process is about to end
-	tunnels        int           // connections that carry another protocol since an upgrade; they are not in connections
-	empty          chan struct{} // closed when the last connection or tunnel has ended; nil unless waitEmpty is waiting
+	empty          chan struct{} // closed when the last connection is removed; nil unless waitEmpty is waiting
 }
 
 // clientKey is the context key of a request's *clientConn.
@@ -116,31 +115,12 @@
 			client.closeIf(client.canCloseWithoutLoss)
 		}
 	case http.StateClosed, http.StateHijacked:
-		if newState == http.StateHijacked {
-			r.tunnels++
-			if client.validating != nil {
-				client.validating.becameTunnel()
-			}
-		}
 		client.endServing()
 		delete(r.connections, conn)
-		r.signalIfEmpty()
-	}
-}
-
-// endTunnel records that a connection has ended that became a tunnel.
-func (r *clientRegistry) endTunnel() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tunnels--
-	r.signalIfEmpty()
-}
-
-// signalIfEmpty wakes waitEmpty if no connection and no tunnel is left. The caller holds mu.
-func (r *clientRegistry) signalIfEmpty() {
-	if len(r.connections) == 0 && r.tunnels == 0 && r.empty != nil {
-		close(r.empty)
-		r.empty = nil
+		if len(r.connections) == 0 && r.empty != nil {
+			close(r.empty)
+			r.empty = nil
+		}
 	}
 }
 
@@ -158,10 +138,10 @@
 	}
 }
 
-// waitEmpty waits until no connection and no tunnel is left. It returns false if ctx ends first.
+// waitEmpty waits until no connection is left. It returns false if ctx ends first.
 func (r *clientRegistry) waitEmpty(ctx context.Context) bool {
 	r.mu.Lock()
-	if len(r.connections) == 0 && r.tunnels == 0 {
+	if len(r.connections) == 0 {
 		r.mu.Unlock()
 		return true
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -157,8 +157,8 @@
 func (f *Front) CloseWhenIdle() { f.clients.closeWhenIdle() }
 
 // WaitDisconnected waits until no client is connected; CloseWhenIdle must have been called before. It
-// returns false if ctx ends first. Connections that have been upgraded to another protocol count until their
-// tunnels have ended.
+// returns false if ctx ends first. It does not wait for connections that have been upgraded to another
+// protocol.
 func (f *Front) WaitDisconnected(ctx context.Context) bool { return f.clients.waitEmpty(ctx) }
 
 // ServeHTTP handles one client request until its final answer has been written.
@@ -275,13 +275,13 @@
 }
 
 func (t *RoutingTable) findTarget(r *http.Request) (target *Target, firstSegment string, badRequest *BadRequest) {
-	authority, rawPath, err := route.SplitTarget(r.RequestURI)
-	if err != nil { // it has no origin form in which it could be forwarded
-		return nil, "", newBadRequest(http.StatusBadRequest, "target: %v", err)
-	}
 	if t.Router == nil {
 		return &t.Targets[0], firstSegmentOf(r.URL), nil
 	}
+	authority, rawPath, err := route.SplitTarget(r.RequestURI)
+	if err != nil {
+		return nil, "", newBadRequest(http.StatusBadRequest, "target: %v", err)
+	}
 	path, err := route.CanonicalPath(rawPath)
 	if err != nil {
 		return nil, "", newBadRequest(http.StatusBadRequest, "path: %v", err)
--- a/internal/front/generic_answer.go
+++ b/internal/front/generic_answer.go
@@ -38,7 +38,7 @@
 	case answer.Stream == nil:
 		writeBufferedAnswer(w, r, answer)
 	case answer.Stream.IsTunnel:
-		o.serveTunnel(front, w, r, answer)
+		o.serveTunnel(w, answer)
 	default:
 		o.streamAnswer(front, w, r, answer)
 	}
--- a/internal/front/generic_http.go
+++ b/internal/front/generic_http.go
@@ -18,7 +18,6 @@
 	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/responseclass"
-	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
 )
@@ -60,9 +59,7 @@
 // It is safe for concurrent use.
 type GenericHTTP struct {
 	GenericHTTPOptions
-	// lastID is the numeric value of the last request ID given to the service. It is shared with the protocol of the
-	// service that this one replaces, which passes on requests with their IDs.
-	lastID *atomic.Uint64
+	lastID atomic.Uint64 // numeric value of the last request ID given to the service
 }
 
 // NewGenericHTTP returns the generic HTTP protocol of one service.
@@ -70,13 +67,9 @@
 	if o.Customers == nil {
 		o.Customers = customer.New(customer.Options{})
 	}
-	return &GenericHTTP{GenericHTTPOptions: o, lastID: new(atomic.Uint64)}
+	return &GenericHTTP{GenericHTTPOptions: o}
 }
 
-// Succeed makes the protocol continue the request IDs of the protocol of the service that its service replaces. It must be
-// called before the first request.
-func (o *GenericHTTP) Succeed(predecessor *GenericHTTP) { o.lastID = predecessor.lastID }
-
 // ReadRequest checks the head of a request and prepares to forward it.
 func (o *GenericHTTP) ReadRequest(
 	r *http.Request, target *Target, _ string, arrived time.Time,
@@ -159,7 +152,7 @@
 	*relay = upstream.RelayedRequest{
 		RequestMethod:    r.Method,
 		Host:             r.Host,
-		Target:           route.OriginForm(r.RequestURI),
+		Target:           originForm(r.RequestURI),
 		Header:           hopheaders.ForwardRequest(r.Header, peer, o.ForwardingHeaders, o.AllowUnderscores),
 		ContentLength:    r.ContentLength,
 		ResponseRules:    &o.ResponseRules,
@@ -206,6 +199,23 @@
 	return ""
 }
 
+// originForm returns a request target in the origin form in which servers get it (RFC 9112, 3.2.1):
+// without scheme and authority, and otherwise unchanged.
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") || target == "*" {
+		return target
+	}
+	_, rest, _ := strings.Cut(target, "://")
+	end := strings.IndexAny(rest, "/?")
+	switch {
+	case end < 0:
+		return "/"
+	case rest[end] == '?':
+		return "/" + rest[end:]
+	}
+	return rest[end:]
+}
+
 // parseTimeout parses the timeout that a client requests: a duration such as "1.5s" or "800ms", or a number of seconds.
 func parseTimeout(text string) (time.Duration, error) {
 	timeout, err := time.ParseDuration(text)
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -14,7 +14,6 @@
 	"lockflow/internal/hopheaders"
 	"lockflow/internal/protocol"
 	"lockflow/internal/retrybuffer"
-	"lockflow/internal/route"
 	"lockflow/internal/service"
 	"lockflow/internal/upstream"
 )
@@ -222,7 +221,7 @@
 	target := url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 	// The path is forwarded byte for byte, because app servers identify a request by the bytes that its
 	// client sent. Package url would encode some of them.
-	target.Opaque, _, _ = strings.Cut(route.OriginForm(r.RequestURI), "?")
+	target.Opaque, _, _ = strings.Cut(originForm(r.RequestURI), "?")
 	if strings.HasPrefix(target.Opaque, "//") { // package url would take an opaque path that begins with "//" for an authority
 		target.Opaque = ""
 		target.Path = r.URL.Path
--- a/internal/front/tunnel.go
+++ b/internal/front/tunnel.go
@@ -26,14 +26,11 @@
 
 // serveTunnel hijacks the client's connection and copies bytes in both directions until both sides have
 // closed, one of them fails, or neither has sent anything for the idle timeout.
-func (o *GenericHTTP) serveTunnel(front *Front, w http.ResponseWriter, r *http.Request, answer service.Answer) {
+func (o *GenericHTTP) serveTunnel(w http.ResponseWriter, answer service.Answer) {
 	client, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if clientOf(r) != nil {
-		defer front.clients.endTunnel()
-	}
 	defer client.Close()
 	_ = client.SetDeadline(time.Time{})
 	_ = client.SetWriteDeadline(time.Now().Add(o.IdleTimeout))
--- a/internal/front/validating_conn.go
+++ b/internal/front/validating_conn.go
@@ -25,7 +25,6 @@
 	mustReset atomic.Bool                // resetOnClose was called
 
 	input         inputReservation
-	isTunnel      bool                // another protocol than HTTP is spoken; nothing is scanned
 	servedCount   int                 // requests that have ended
 	releasedSize  validation.HeadSize // heads that are no longer held
 	sizeBeforeNow validation.HeadSize // size of all heads before the last Read
@@ -41,9 +40,6 @@
 
 // scan implements requestProgress. It validates and measures bytes that have been read.
 func (c *validatingConn) scan(p []byte) {
-	if c.isTunnel {
-		return
-	}
 	c.sizeBeforeNow = c.scanner.TotalSize()
 	err := c.scanner.Feed(p)
 	switch {
@@ -86,15 +82,6 @@
 // becameActive records that net/http has read the head of a request, or has failed to.
 func (c *validatingConn) becameActive() { c.isServing.Store(true) }
 
-// becameTunnel ends the scanning, as the connection carries another protocol from now on. What the client has sent of it
-// before it had the answer refuses nothing either.
-func (c *validatingConn) becameTunnel() {
-	c.inputConn.mu.Lock()
-	defer c.inputConn.mu.Unlock()
-	c.isTunnel = true
-	c.refusal.Store(nil)
-}
-
 // becameIdle records that a request has ended and releases the memory of its head. Only heads of pipelined requests, which
 // net/http has read ahead, are still held.
 func (c *validatingConn) becameIdle() {
--- a/internal/hopheaders/hopheaders.go
+++ b/internal/hopheaders/hopheaders.go
@@ -37,14 +37,11 @@
 	Proto     string // "http" or "https"
 }
 
-// DropNamed deletes from out the fields that the Connection field of in names (RFC 9110, 7.6.1). It keeps those that
-// the protocol has for requests: without them a server could not tell a repeat.
+// DropNamed deletes from out the fields that the Connection field of in names (RFC 9110, 7.6.1).
 func DropNamed(out, in http.Header) {
 	for _, list := range in["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			if name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)); !protocol.IsRequestHeader(name) {
-				delete(out, name)
-			}
+			delete(out, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
 		}
 	}
 }
--- a/internal/lifecycle/events.go
+++ b/internal/lifecycle/events.go
@@ -30,9 +30,6 @@
 // SuccessorLost reports that the successor has ended, could not be started, or was killed because it timed out.
 type SuccessorLost struct{ Err error }
 
-// SuccessorStopped reports that the successor, which accepted connections, has ended because it was told to stop.
-type SuccessorStopped struct{}
-
 // PredecessorEnded reports the end of the process that this one has replaced.
 type PredecessorEnded struct{}
 
@@ -51,7 +48,6 @@
 func (SuccessorTookOver) isEvent()  {}
 func (SuccessorConfirmed) isEvent() {}
 func (SuccessorLost) isEvent()      {}
-func (SuccessorStopped) isEvent()   {}
 func (PredecessorEnded) isEvent()   {}
 func (StopRequested) isEvent()      {}
 func (Finished) isEvent()           {}
--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -6,8 +6,7 @@
 //	    any of them -> draining -> ended
 //
 // A daemon that was ready continues to serve by the old configuration while it reloads. It also serves while it hands
-// over to a successor process. If it loses the successor before the end of the probation, it continues as before; if the
-// successor was told to stop, it ends too.
+// over to a successor process. If it loses the successor before the end of the probation, it continues as before.
 package lifecycle
 
 import "fmt"
@@ -90,8 +89,6 @@
 		m.successorConfirmed()
 	case SuccessorLost:
 		m.successorLost(e.Err)
-	case SuccessorStopped:
-		m.successorStopped()
 	case PredecessorEnded:
 		m.hasPredecessor = false
 		if m.state == Ready {
@@ -187,16 +184,6 @@
 	m.enterSteadyState(fmt.Sprintf("goes on: the successor failed: %v", err))
 }
 
-// successorStopped ends this process with a serving successor: what that was told was meant for the daemon.
-func (m *Machine) successorStopped() {
-	if m.successor != successorServing {
-		return
-	}
-	m.successor = noSuccessor
-	m.transition(Draining, "the successor was told to stop")
-	m.emit(StartDrain{})
-}
-
 func (m *Machine) requestReload(cause string) {
 	switch m.state {
 	case HandingOver:
--- a/internal/lifecycle/machine_test.go
+++ b/internal/lifecycle/machine_test.go
@@ -120,15 +120,6 @@
 		{StopRequested{"SIGTERM"}, "handing over>draining drain"},
 		{SuccessorConfirmed{}, ""},
 	},
-	"successor stopped after the take-over": {
-		{UpgradeRequested{"x"}, "ready>handing over spawn"},
-		{SuccessorPrepared{}, "give"},
-		{SuccessorStopped{}, ""}, // it has not taken over yet
-		{SuccessorTookOver{}, "yield"},
-		{SuccessorStopped{}, "handing over>draining drain"},
-		{SuccessorLost{errBadFile}, ""},
-		{Finished{}, "draining>ended"},
-	},
 	"reload while the successor starts": {
 		{UpgradeRequested{"x"}, "ready>handing over spawn"},
 		{ReloadRequested{"x"}, ""},
@@ -236,9 +227,6 @@
 		case 4:
 			events = append(events, SuccessorConfirmed{})
 		}
-		if current.areListenersPaused && current.successor > 0 {
-			events = append(events, SuccessorStopped{})
-		}
 		if current.successor > 0 {
 			events = append(events, SuccessorLost{errors.New("gone")})
 		}
@@ -271,7 +259,7 @@
 		m.successor++
 	case SuccessorConfirmed:
 		m.successor = 5
-	case SuccessorLost, SuccessorStopped:
+	case SuccessorLost:
 		m.successor = 0
 	}
 	m.machine.actions = nil
--- a/internal/node/reload_load_test.go
+++ b/internal/node/reload_load_test.go
@@ -82,8 +82,7 @@
 	load.check(t)
 	for name, p := range bench.Pools {
 		if c := p.Executions.Counts(); c.Repeated+c.DuplicateEffects > 0 || c.MaxInFlight > 1 {
-			ids, effects := p.Executions.Repeats() // the keys of writes begin with "k"; reads have none
-			t.Errorf("executions on the servers of %s: %+v; repeated %q, with several effects %q", name, c, ids, effects)
+			t.Errorf("executions on the servers of %s: %+v", name, c)
 		}
 	}
 	testkit.Until(t, "the end of removed services", func() bool { return node.RunningServices(bench.Node) == len(bench.Node.Status()) })
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -109,9 +109,6 @@
 	if r.genericHTTP, err = newGenericHTTP(cfg); err != nil {
 		return err
 	}
-	if predecessor != nil && r.genericHTTP != nil && predecessor.genericHTTP != nil {
-		r.genericHTTP.Succeed(predecessor.genericHTTP)
-	}
 	options := n.serviceOptions(r, hasMetrics)
 	if sharesUpstream {
 		options.SharedUpstream = predecessor.Upstream()
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -37,16 +37,6 @@
 	return false
 }
 
-// IsRequestHeader reports whether the header with a canonical name is one of the protocol's for requests. A client's
-// Connection header can't make it apply to a single connection.
-func IsRequestHeader(name string) bool {
-	switch name {
-	case HeaderID, HeaderPlan, HeaderTimeLeft, HeaderWeight, HeaderRetry, HeaderIdempotencyKey:
-		return true
-	}
-	return false
-}
-
 // IsInternalHeader reports whether a header must not be forwarded to or from clients: a hop-by-hop header,
 // or one that only edge nodes and app servers exchange.
 func IsInternalHeader(name string) bool {
--- a/internal/route/canonical_path.go
+++ b/internal/route/canonical_path.go
@@ -42,23 +42,6 @@
 	return authority, path, nil
 }
 
-// OriginForm returns a request target in the origin form in which servers get it (RFC 9112, 3.2.1): without scheme and
-// authority, and otherwise unchanged. SplitTarget must have accepted the target.
-func OriginForm(target string) string {
-	if strings.HasPrefix(target, "/") {
-		return target
-	}
-	_, rest, _ := strings.Cut(target, "://")
-	end := strings.IndexAny(rest, "/?")
-	switch {
-	case end < 0:
-		return "/"
-	case rest[end] == '?':
-		return "/" + rest[end:]
-	}
-	return rest[end:]
-}
-
 // CanonicalPath returns the form of a raw path that routes are matched against. Encoded unreserved
 // characters are decoded and other encodings are in upper case (RFC 3986, 6.2.2); parameters of a segment,
 // from its first ';', are removed. The case of letters and a trailing slash are kept.
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -50,67 +50,9 @@
 	s.revision = list.Revision
 }
 
-// receiveEndpoints handles a message of the source. It is ignored once the replacement has received a list: this
-// service's source may be one that the configuration no longer names.
+// receiveEndpoints handles a message of the source. The list is stored before the current loop is notified,
+// so that a loop that is started in between gets the message in either case.
 func (s *Service) receiveEndpoints(list discovery.EndpointList) {
-	s.listMu.Lock()
-	if s.isUnfollowed() {
-		s.listMu.Unlock()
-		return
-	}
-	s.applyEndpoints(list)
-	s.listMu.Unlock()
-	s.passOnEndpoints(list)
-}
-
-// followEndpoints handles a message of the replacement's source, so that the requests that this service still serves go
-// by the same list as all others. From the first message on, which is a complete list, its own source no longer counts.
-func (s *Service) followEndpoints(list discovery.EndpointList) {
-	s.listMu.Lock()
-	if !s.isUnfollowed() {
-		close(s.unfollowed)
-	}
-	s.applyEndpoints(list)
-	s.listMu.Unlock()
-	s.passOnEndpoints(list)
-}
-
-// passOnEndpoints passes a message to the service that this one replaces, if that still runs.
-func (s *Service) passOnEndpoints(list discovery.EndpointList) {
-	if predecessor := s.runningPredecessor(); predecessor != nil {
-		list.Invalid = discovery.InvalidEntries{} // already logged
-		predecessor.followEndpoints(list)
-	}
-}
-
-// runningPredecessor returns the latest of the services before this one that has not ended; nil if there is none.
-func (s *Service) runningPredecessor() *Service {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.predecessor != nil {
-		select {
-		case <-s.predecessor.ended:
-			s.predecessor = s.predecessor.runningPredecessor()
-		default:
-			return s.predecessor
-		}
-	}
-	return nil
-}
-
-// isUnfollowed reports whether the service no longer follows its source. It is called with s.listMu held.
-func (s *Service) isUnfollowed() bool {
-	select {
-	case <-s.unfollowed:
-		return true
-	default:
-		return false
-	}
-}
-
-// applyEndpoints applies a message to the list and passes it to the current loop. The list is stored before the loop is
-// notified, so that a loop that is started in between gets the message in either case. It is called with s.listMu held.
-func (s *Service) applyEndpoints(list discovery.EndpointList) {
 	s.mu.Lock()
 	s.mergeEndpoints(list)
 	l := s.loop
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -130,12 +130,9 @@
 }
 
 // ReplaceWith replaces this service with one that does not run yet and that starts with all remaining tokens and
-// learned values. This service still serves the requests that it has accepted, by the endpoint lists that the
-// replacement receives; those that it has not accepted by then are passed to the replacement.
+// learned values. This service still serves the requests that it has accepted; those that it has not accepted
+// by then are passed to the replacement.
 func (s *Service) ReplaceWith(replacement *Service) {
-	replacement.mu.Lock()
-	replacement.predecessor = s
-	replacement.mu.Unlock()
 	// The reference keeps the service, which may be retired next, from ending before its loop has executed the
 	// transfer. Without the transfer the replacement would start with full token buckets.
 	if !s.TryAcquire() {
--- a/internal/service/lifecycle.go
+++ b/internal/service/lifecycle.go
@@ -28,7 +28,7 @@
 	defer tasks.Wait()
 	defer endLifetime()
 	defer stop()
-	tasks.Go(func() { s.followSource(lifetime) })
+	tasks.Go(func() { s.feed.Run(lifetime) })
 	tasks.Go(func() { s.upstream.WatchIdle(lifetime) })
 	if s.options.SharedHardLimits != nil {
 		tasks.Go(func() { s.tickLeaseHolders(lifetime) })
@@ -43,20 +43,6 @@
 	return s.runLoops(ctx)
 }
 
-// followSource follows the source of the endpoint list until ctx ends or the replacement has received a list.
-func (s *Service) followSource(ctx context.Context) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	go func() {
-		select {
-		case <-s.unfollowed:
-			stop()
-		case <-ctx.Done():
-		}
-	}()
-	s.feed.Run(ctx)
-}
-
 // runLoops runs the current loop, and a new one after each panic that is followed by a restart.
 func (s *Service) runLoops(ctx context.Context) error {
 	backoff := time.Duration(0)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -25,17 +25,13 @@
 	isRetired  atomic.Bool
 	clock      moduleClock
 	starts     *serverStarts // shared with the service that this one replaces
-	unfollowed chan struct{} // closed when the service stops following its source, since its replacement has received a list
 	unused     chan struct{} // closed when the service is retired and has no reference
 	ended      chan struct{} // closed when Run has returned
 
-	listMu sync.Mutex // held while a message of the source is applied, so that messages are applied one after another
-
-	mu          sync.Mutex
-	endpoints   map[string]discovery.Endpoint // by uid
-	revision    int64                         // of endpoints
-	loop        *loop                         // the current loop; a restart replaces it
-	predecessor *Service                      // the service that this one replaces, while it runs; nil if there is none
+	mu        sync.Mutex
+	endpoints map[string]discovery.Endpoint // by uid
+	revision  int64                         // of endpoints
+	loop      *loop                         // the current loop; a restart replaces it
 }
 
 // New creates a service. It accepts requests from now on and answers them once Run is called.
@@ -53,7 +49,6 @@
 		options:      options,
 		log:          log,
 		upstream:     connections,
-		unfollowed:   make(chan struct{}),
 		unused:       make(chan struct{}),
 		ended:        make(chan struct{}),
 		endpoints:    make(map[string]discovery.Endpoint),
--- a/internal/testsupport/fake/executions.go
+++ b/internal/testsupport/fake/executions.go
@@ -4,7 +4,6 @@
 package fake
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -102,24 +101,6 @@
 	return n
 }
 
-// Repeats returns the IDs of the requests that were executed more than once, and the idempotency keys (or the IDs of
-// requests without a key) that had more than one effect.
-func (e *Executions) Repeats() (ids, effects []string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return namesAboveOne(e.runs), namesAboveOne(e.effects)
-}
-
-func namesAboveOne(counts map[string]int) (names []string) {
-	for name, count := range counts {
-		if count > 1 {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Runs returns how often a request was executed.
 func (e *Executions) Runs(id string) int {
 	e.mu.Lock()
--- a/internal/trials/faultnet/process/process_test.go
+++ b/internal/trials/faultnet/process/process_test.go
@@ -37,11 +37,10 @@
 		}
 		err = renameio.WriteFile(filepath.Join(dir, "state"), raw, 0o600)
 		contents, readErr := os.ReadFile(filepath.Join(dir, "state"))
-		// The file is emptied before the result is printed, since the next request may be written as soon as it is.
+		fmt.Printf("%s: wrote %v, reads %q %v\n", raw, err, contents, readErr)
 		if err := os.Truncate(filepath.Join(dir, "ask"), 0); err != nil {
 			fmt.Println(err)
 		}
-		fmt.Printf("%s: wrote %v, reads %q %v\n", raw, err, contents, readErr)
 	}
 }
 
--- a/internal/upgrade/successor.go
+++ b/internal/upgrade/successor.go
@@ -38,12 +38,11 @@
 
 // Successor is the new process and the predecessor's connection to it. Its methods are safe for concurrent use.
 type Successor struct {
-	cmd        *exec.Cmd
-	conn       net.Conn
-	events     chan Event
-	endCause   error // written before Ended is sent
-	hasStopped bool  // it has ended with exit code 0; written before Ended is sent
-	killOnce   sync.Once
+	cmd      *exec.Cmd
+	conn     net.Conn
+	events   chan Event
+	endCause error // written before Ended is sent
+	killOnce sync.Once
 }
 
 // firstInheritedDescriptor is the descriptor of the first of exec.Cmd's ExtraFiles in the new process.
@@ -148,7 +147,6 @@
 	case !errors.Is(connErr, io.EOF):
 		s.endCause = fmt.Errorf("process %d: %w", s.PID(), connErr)
 	default:
-		s.hasStopped = true
 		s.endCause = fmt.Errorf("process %d ended", s.PID())
 	}
 	s.conn.Close()
@@ -189,10 +187,6 @@
 // Err returns why the successor ended. It may only be called after Ended was received.
 func (s *Successor) Err() error { return s.endCause }
 
-// HasStopped reports whether the successor ended without a failure, as it does after it has been told to stop. It may only
-// be called after Ended was received.
-func (s *Successor) HasStopped() bool { return s.hasStopped }
-
 // SendCheckpoint sends an encoded checkpoint.
 func (s *Successor) SendCheckpoint(checkpoint []byte) error {
 	return s.send(messageCheckpoint, checkpoint)
