Fix requests that get another's response where a server answers twice

Cause: a connection rests for 50 ms after a response, since a second one may follow. popIdle ended that as soon as four connections to the server rested, which is so from 80 requests a second on; acquireAfterQuietPeriod ended it where a dial failed. A server without TCP_NODELAY holds its copy until the response is acknowledged, which came with the next request, so that the look before the write saw nothing.

Change: neither exception is left. A request that gets no new connection reserves the one whose rest ends first and waits for it. A response is acknowledged at once (TCP_QUICKACK), so that what a server's system holds back arrives while the connection rests.

TestConnectionsInQuietPeriodAreBounded and TestConnectionInQuietPeriodIsUsedWhenDialsFail asked for the two exceptions, so they required the fault; TestNoConnectionIsUsedInItsQuietPeriod and TestRequestAwaitsQuietPeriodWhenDialsFail take their place.

--- a/internal/upstream/buffered_request.go
+++ b/internal/upstream/buffered_request.go
@@ -50,7 +50,7 @@
 // AttemptHTTP1 makes one attempt over HTTP/1.1, whatever the pool's protocol is. It returns when the attempt has
 // ended, at the latest when ctx ends.
 func (u *Upstream) AttemptHTTP1(ctx context.Context, pool *Pool, request *http.Request) Outcome {
-	conn, err := u.acquireAfterQuietPeriod(ctx, pool, u.QuietPeriod)
+	conn, err := u.acquire(ctx, pool, u.QuietPeriod)
 	if err != nil {
 		return unconnectedOutcome(err)
 	}
@@ -72,7 +72,7 @@
 	isReusable := false
 	defer func() {
 		if stopContextWatch() && isReusable {
-			u.release(pool, conn)
+			u.release(pool, conn, u.QuietPeriod)
 		} else {
 			conn.Close()
 		}
@@ -132,7 +132,7 @@
 	outcome.classify(response.StatusCode, response.Header)
 	hasMore := c.reader.Buffered() > 0
 	if hasMore {
-		c.hasUnsolicitedResponse.Store(true)
+		c.upstream.noteUnsolicitedResponse()
 	}
 	return outcome, !response.Close && !hasMore
 }
--- a/internal/upstream/http1_attempt.go
+++ b/internal/upstream/http1_attempt.go
@@ -153,7 +153,7 @@
 		if a.hasConnDeadline || a.bodySendEnded != nil {
 			a.conn.SetDeadline(time.Time{})
 		}
-		a.upstream.release(a.pool, a.conn)
+		a.upstream.release(a.pool, a.conn, a.upstream.relayedQuietPeriod())
 	})
 }
 
@@ -269,5 +269,8 @@
 func (a *http1Attempt) hasClientFailed() bool { return a.clientErr.Load() != nil }
 
 func (a *http1Attempt) end(isComplete bool) {
+	if isComplete && a.response != nil && !a.request.Close && a.conn.reader.Buffered() > 0 {
+		a.upstream.noteUnsolicitedResponse()
+	}
 	a.release(isComplete && !a.request.Close && a.canReuseConnection())
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,21 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"lockflow/control"
 )
 
-// SecondResponseDelay is how long after a response a second one may arrive. The system of a server that does not set
-// TCP_NODELAY delays small writes until the previous one is acknowledged, which happens after 40 ms or with the
-// next request.
-const SecondResponseDelay = 50 * time.Millisecond
-
-// maxConnectionsInQuietPeriod is the number of connections to a server that may be in their quiet period before a
-// request uses one of them early.
-const maxConnectionsInQuietPeriod = 4
-
 // Pool holds the connections to one app server at one address. A server that later gets the same address has a pool
 // of its own, so that it is not sent requests over its predecessor's connections.
 type Pool struct {
@@ -85,35 +75,29 @@
 	return !ok
 }
 
-// acquire returns the most recently used idle connection that is still usable, or a new one if there is none.
-func (u *Upstream) acquire(ctx context.Context, pool *Pool) (*serverConn, error) {
-	return u.acquireAfterQuietPeriod(ctx, pool, 0)
-}
-
-// acquireAfterQuietPeriod is like acquire, but takes only connections whose last response ended at least a quiet
-// period ago. If no new connection can be made, it takes one that is still in its quiet period, unless servers are
-// known to send second responses.
-func (u *Upstream) acquireAfterQuietPeriod(ctx context.Context, pool *Pool, quietPeriod time.Duration) (*serverConn, error) {
+// acquire returns the most recently used idle connection that is still usable and whose last response ended at least a
+// quiet period ago, or a new one if there is none. If no new connection can be made, it waits for the idle connection
+// whose quiet period ends first.
+func (u *Upstream) acquire(ctx context.Context, pool *Pool, quietPeriod time.Duration) (*serverConn, error) {
 	var dialErr error
 	for {
-		conn := u.popIdle(pool, quietPeriod)
-		isNew := conn == nil
-		if isNew {
-			if dialErr != nil {
-				return nil, dialErr
-			}
+		conn := u.popRested(pool, quietPeriod)
+		isNew := false
+		if conn == nil && dialErr == nil {
 			if u.isRetired(pool) {
 				return nil, errServerRemoved
 			}
-			if conn, dialErr = u.dial(ctx, pool.Endpoint); dialErr != nil {
-				if !u.hasUnsolicitedResponse.Load() {
-					quietPeriod = 0
-				}
-				continue
-			}
+			conn, dialErr = u.dial(ctx, pool.Endpoint)
+			isNew = dialErr == nil
+		}
+		if conn == nil {
+			conn = u.awaitRested(ctx, pool, quietPeriod)
+		}
+		if conn == nil {
+			return nil, dialErr
 		}
 		switch {
-		case isNew && u.isRetired(pool):
+		case u.isRetired(pool):
 			conn.Close()
 			return nil, errServerRemoved
 		case !isNew && !u.isUsable(conn):
@@ -127,34 +111,13 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection whose quiet period is over. If all are in their
-// quiet period and there are at least maxConnectionsInQuietPeriod, it takes the least recently used one, unless
-// servers are known to send second responses. A second response may arrive some milliseconds late: once the next
-// request is written, nothing on the wire distinguishes it from the response to that request.
-func (u *Upstream) popIdle(pool *Pool, quietPeriod time.Duration) *serverConn {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	pool = pool.owner()
-	i := len(pool.idle) - 1
-	before := time.Now().Add(-quietPeriod)
-	for i >= 0 && quietPeriod > 0 && pool.idle[i].lastResponseEnd.After(before) {
-		i--
-	}
-	if i < 0 && len(pool.idle) >= maxConnectionsInQuietPeriod && !u.hasUnsolicitedResponse.Load() {
-		i = 0
-	}
-	if i < 0 {
-		return nil
-	}
-	conn := pool.idle[i]
-	pool.idle = slices.Delete(pool.idle, i, i+1)
-	return conn
-}
-
-// release returns a connection to its pool after a response.
-func (u *Upstream) release(pool *Pool, conn *serverConn) {
+// release returns a connection to its pool after a response, for requests that observe a quiet period.
+func (u *Upstream) release(pool *Pool, conn *serverConn, quietPeriod time.Duration) {
 	conn.idleSince = time.Now()
 	conn.lastResponseEnd = conn.idleSince
+	if quietPeriod > 0 {
+		conn.acknowledge()
+	}
 	u.addIdle(pool, conn)
 }
 
--- a/internal/upstream/relayed_request.go
+++ b/internal/upstream/relayed_request.go
@@ -74,7 +74,7 @@
 			return outcome
 		}
 	}
-	conn, err := upstream.acquire(ctx, pool)
+	conn, err := upstream.acquire(ctx, pool, upstream.relayedQuietPeriod())
 	if err != nil {
 		return unconnectedOutcome(err)
 	}
--- a/internal/upstream/second_answer_test.go
+++ b/internal/upstream/second_answer_test.go
@@ -1,17 +1,24 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lockflow/control"
 	"lockflow/internal/limits"
+	"lockflow/internal/protocol"
+	"lockflow/internal/responseclass"
 	"lockflow/internal/testsupport/testkit"
 )
 
@@ -34,10 +41,8 @@
 			}
 			server.respond(okResponse)
 			server.waitIdle(1)
-			// Servers are now known to send second responses, so no connection in its quiet period is used, however many
-			// there are.
 			used := map[string]bool{second.clientAddress: true}
-			for range maxConnectionsInQuietPeriod {
+			for range 4 {
 				next := server.startRequest()
 				if used[next.clientAddress] {
 					t.Error("request written on a connection where a second response may still arrive")
@@ -55,20 +60,19 @@
 	}
 }
 
-// TestConnectionsInQuietPeriodAreBounded checks that the number of connections in their quiet period is limited as long
-// as no server sends second responses: the next request takes the one whose quiet period started first.
-func TestConnectionsInQuietPeriodAreBounded(t *testing.T) {
+// TestNoConnectionIsUsedInItsQuietPeriod checks that no number of connections to a server ends their quiet period. Four of
+// them once did, so that from 80 requests a second on clients got answers to the requests of others.
+func TestNoConnectionIsUsedInItsQuietPeriod(t *testing.T) {
 	server := newScriptedServer(t)
 	server.upstream.QuietPeriod = testkit.WaitTimeout
-	var addresses []string
-	for range 2 * maxConnectionsInQuietPeriod {
-		addresses = append(addresses, server.startRequest().clientAddress)
-		server.respond(okResponse)
-	}
-	for i, address := range addresses {
-		if j := slices.Index(addresses, address); j != i%maxConnectionsInQuietPeriod {
-			t.Errorf("request %d used the same connection as request %d, of %q", i, j, addresses)
+	used := make(map[string]bool)
+	for i := range 40 {
+		address := server.startRequest().clientAddress
+		if used[address] {
+			t.Errorf("request %d was written on a connection in its quiet period", i)
 		}
+		used[address] = true
+		server.respond(okResponse)
 	}
 }
 
@@ -78,22 +82,58 @@
 func (rejectedDials) TryAcquire() bool { return false }
 func (rejectedDials) Release()         {}
 
-// TestConnectionInQuietPeriodIsUsedWhenDialsFail checks that a request takes a connection in its quiet period if no new
-// one can be made, unless servers are known to send second responses. Otherwise the request would fail although a
-// working connection to its server is open.
-func TestConnectionInQuietPeriodIsUsedWhenDialsFail(t *testing.T) {
+// TestRequestAwaitsQuietPeriodWhenDialsFail checks that a request waits for the end of a connection's quiet period if no
+// new connection can be made: before that it could get the answer of another request, and without it, it would fail
+// although a working connection to its server is open.
+func TestRequestAwaitsQuietPeriodWhenDialsFail(t *testing.T) {
+	const quietPeriod = 200 * time.Millisecond
 	server := newScriptedServer(t)
-	server.upstream.QuietPeriod = testkit.WaitTimeout
+	server.upstream.QuietPeriod = quietPeriod
 	first := server.startRequest().clientAddress
 	server.respond(okResponse)
+	answeredAt := idleConnections(server.upstream)[0].lastResponseEnd
 	server.upstream.DialLimiter = rejectedDials{}
-	if address := server.startRequest().clientAddress; address != first {
-		t.Errorf("request came from %s, want %s", address, first)
+	next := server.startRequest()
+	if elapsed := time.Since(answeredAt); next.clientAddress != first || elapsed < quietPeriod {
+		t.Errorf("request came from %s after %v, want %s after the quiet period", next.clientAddress, elapsed, first)
 	}
 	server.respond(okResponse)
-	server.upstream.hasUnsolicitedResponse.Store(true)
-	if outcome := server.upstream.AttemptHTTP1(t.Context(), server.pool, newPOSTRequest(t, nil)); outcome.Reason != control.NotSent || !errors.Is(outcome.Err, errDialLimit) {
-		t.Errorf("reason %d (%v)", outcome.Reason, outcome.Err)
+}
+
+// TestAwaitedConnectionIsNotUsed checks what ends a wait for a connection's quiet period, and that nothing is written then.
+func TestAwaitedConnectionIsNotUsed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		disturb  func(*scriptedServer, net.Conn, context.CancelFunc)
+		wantErr  error
+		wantIdle int
+	}{
+		"second response": {func(_ *scriptedServer, conn net.Conn, _ context.CancelFunc) { io.WriteString(conn, secondResponse) }, errDialLimit, 0},
+		"server removed":  {func(s *scriptedServer, _ net.Conn, _ context.CancelFunc) { s.upstream.RetirePool(s.pool) }, errServerRemoved, 0},
+		"attempt ended":   {func(_ *scriptedServer, _ net.Conn, cancel context.CancelFunc) { cancel() }, errDialLimit, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newScriptedServer(t)
+			server.upstream.QuietPeriod = 200 * time.Millisecond
+			conn := server.startRequest()
+			server.respond(okResponse)
+			server.upstream.DialLimiter = rejectedDials{}
+			ctx, cancel := context.WithTimeout(t.Context(), testkit.WaitTimeout)
+			defer cancel()
+			go func() { server.outcomes <- server.upstream.AttemptHTTP1(ctx, server.pool, newPOSTRequest(t, nil)) }()
+			server.waitIdle(0)
+			tc.disturb(server, conn, cancel)
+			select {
+			case <-server.requests:
+				t.Error("a request was written")
+			case outcome := <-server.outcomes:
+				if !errors.Is(outcome.Err, tc.wantErr) {
+					t.Errorf("reason %d (%v), want %v", outcome.Reason, outcome.Err, tc.wantErr)
+				}
+			}
+			if idle, _ := server.upstream.CountIdle(); idle != tc.wantIdle {
+				t.Errorf("%d idle connections, want %d", idle, tc.wantIdle)
+			}
+		})
 	}
 }
 
@@ -153,3 +193,99 @@
 		}
 	}
 }
+
+// TestNoRequestGetsSecondResponse plays the servers that are known to answer twice: without TCP_NODELAY, so that the
+// system delays the copy until the response is acknowledged, and with it, some milliseconds late. No request may get the
+// response of another, also not when the first copy of all comes under load.
+func TestNoRequestGetsSecondResponse(t *testing.T) {
+	const (
+		requestInterval = time.Millisecond
+		requestCount    = 2500
+		copyFraction    = 0.05
+	)
+	for name, tc := range map[string]struct {
+		noDelay bool
+		delay   time.Duration // of the copy
+	}{
+		"right behind, in the server's queue": {false, 0},
+		"some milliseconds late":              {true, 8 * time.Millisecond},
+		"late, in the server's queue":         {false, 8 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var copies atomic.Int64
+			endpoint := serveConnections(t, func(conn net.Conn) {
+				conn.(*net.TCPConn).SetNoDelay(tc.noDelay)
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					time.Sleep(5 * time.Millisecond)
+					id := request.Header.Get(protocol.HeaderID)
+					response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+					io.WriteString(conn, response)
+					if rand.Float64() < copyFraction {
+						copies.Add(1)
+						time.Sleep(tc.delay)
+						io.WriteString(conn, response)
+					}
+				}
+			})
+			upstream := newTestUpstream(2*testkit.WaitTimeout, limits.NewSocketLimiter(1024))
+			upstream.QuietPeriod = SecondResponseDelay
+			pool := upstream.NewPool(endpoint, ProtocolHTTP1)
+			defer upstream.RetirePool(pool)
+			var attempts sync.WaitGroup
+			var foreign atomic.Int64
+			for i := range requestCount {
+				attempts.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), testkit.WaitTimeout)
+					defer cancel()
+					request, id := newPOSTRequest(t, nil), strconv.Itoa(i)
+					request.Header.Set(protocol.HeaderID, id)
+					if outcome := upstream.AttemptHTTP1(ctx, pool, request); outcome.Reason == control.OK && string(outcome.Body) != id {
+						foreign.Add(1)
+					}
+				})
+				time.Sleep(requestInterval)
+			}
+			attempts.Wait()
+			if foreign.Load() > 0 || copies.Load() == 0 {
+				t.Errorf("%d of %d requests got another request's response, %d copies", foreign.Load(), requestCount, copies.Load())
+			}
+		})
+	}
+}
+
+// TestRelayedRequestsRestAfterSecondResponse checks that requests of generic HTTP avoid connections in their quiet period
+// once a server has answered twice, and only then.
+func TestRelayedRequestsRestAfterSecondResponse(t *testing.T) {
+	server := newScriptedServer(t)
+	server.upstream.QuietPeriod = testkit.WaitTimeout
+	relay := func(response string) string {
+		t.Helper()
+		go func() {
+			request := &RelayedRequest{
+				RequestMethod: http.MethodGet, Target: "/x", Host: "h", ResponseRules: &responseclass.Rules{}, MaxBufferedBytes: 100,
+				IdleTimeout: testkit.WaitTimeout, ResponseTimeout: testkit.WaitTimeout,
+			}
+			server.outcomes <- request.Attempt(t.Context(), t.Context(), server.upstream, server.pool)
+		}()
+		address := testkit.Next(t, server.requests).clientAddress
+		server.respond(response)
+		return address
+	}
+	first := relay(okResponse)
+	if next := relay(okResponse + secondResponse); next != first {
+		t.Error("a connection rested before any server had answered twice")
+	}
+	used := make(map[string]bool)
+	for range 10 {
+		address := relay(okResponse)
+		if used[address] || address == first {
+			t.Error("request written on a connection where a second response may still arrive")
+		}
+		used[address] = true
+	}
+}
--- a/internal/upstream/server_conn.go
+++ b/internal/upstream/server_conn.go
@@ -21,18 +21,18 @@
 // serverConn is an HTTP/1.1 connection to an app server. One attempt uses it at a time.
 type serverConn struct {
 	*limits.Conn
-	rawConn                syscall.RawConn
-	isInterrupted          atomic.Bool // all reads and writes fail from now on
-	responses              responseReader
-	reader                 *bufio.Reader
-	writer                 *bufio.Writer
-	idleSince              time.Time    // zero until the connection is idle for the first time
-	lastResponseEnd        time.Time    // when the last response ended; zero is none
-	hasUnsolicitedResponse *atomic.Bool // the flag of the connection's Upstream
+	rawConn         syscall.RawConn
+	isInterrupted   atomic.Bool // all reads and writes fail from now on
+	responses       responseReader
+	reader          *bufio.Reader
+	writer          *bufio.Writer
+	idleSince       time.Time // zero until the connection is idle for the first time
+	lastResponseEnd time.Time // when the last response ended; zero is none
+	upstream        *Upstream
 }
 
 func (u *Upstream) newConn(conn *limits.Conn, rawConn syscall.RawConn) *serverConn {
-	created := &serverConn{Conn: conn, rawConn: rawConn, hasUnsolicitedResponse: &u.hasUnsolicitedResponse}
+	created := &serverConn{Conn: conn, rawConn: rawConn, upstream: u}
 	created.responses = responseReader{Conn: conn.Conn, owner: created}
 	created.reader = bufio.NewReaderSize(&created.responses, connBufferBytes)
 	created.writer = bufio.NewWriterSize(conn.Conn, connBufferBytes)
@@ -80,7 +80,7 @@
 		n, err := syscall.Read(int(fd), probe[:])
 		isOpenAndEmpty = errors.Is(err, syscall.EAGAIN)
 		if _, isTLS := c.Conn.Conn.(*tls.Conn); n > 0 && !isTLS { // over TLS the byte may belong to a record of TLS itself
-			c.hasUnsolicitedResponse.Store(true)
+			c.upstream.noteUnsolicitedResponse()
 		}
 	})
 	return err == nil && isOpenAndEmpty
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,7 +21,7 @@
 	SocketLimiter    limits.ConnectionLimiter // counts open connections
 	DialLimiter      limits.ConnectionLimiter // counts connections that are being established; nil counts none
 	MaxBodyBytes     int                      // limit of a response body; 0 is protocol.MaxBodyBytes
-	QuietPeriod      time.Duration            // wait after a response before the connection takes the next BufferedRequest; 0 is none
+	QuietPeriod      time.Duration            // wait after a response before its connection takes the next request; 0 is none
 	HTTP2            HTTP2Options
 	TLS              *certs.Store // nil connects without TLS
 }
@@ -50,9 +50,10 @@
 // by itself, and it records whether the last byte of a request was written.
 type Upstream struct {
 	Options
-	maxIdleTime            time.Duration
-	hasUnsolicitedResponse atomic.Bool // a server has sent a response without a request
-	usesHTTP2              atomic.Bool // some pool uses HTTP/2 or has used it
+	maxIdleTime time.Duration
+	usesHTTP2   atomic.Bool // some pool uses HTTP/2 or has used it
+
+	lastUnsolicitedResponse atomic.Pointer[time.Time] // when a server last sent a response without a request; nil is never
 
 	mu    sync.Mutex // guards pools, and the idle list and mergedInto of every Pool
 	pools map[*Pool]struct{}
