Fix repeats that are completed after their repeat window

Cause: WithWriteDeadline says that an attempt is written completely by the deadline or not at all. Buffered requests over HTTP/1.1 keep that on the socket. Over HTTP/2, and for bodies that are relayed as they arrive over HTTP/1.1, it was looked at once, before the first byte; the rest was written whenever windows or the client allowed.

Change: h2.Request has the deadline. Each part of a body, END_STREAM alone and trailers are written only before it; a timer then resets the stream, or closes the connection if the last bytes are in the output already and the socket has not taken them. A relayed attempt over HTTP/1.1 has the deadline on its socket and a timer. The attempt counts as never run where servers start at the last byte and that was not written, else as timed out.

--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -115,13 +115,18 @@
 	c.wakeWriter()
 }
 
-// open opens a stream and sends the part of its request that is available and can be written without blocking.
-func (c *Conn) open(request *Request, receiver eventReceiver) (id uint32, err error) {
+// open opens a stream and sends the part of its request that is available and can be written without blocking. The
+// caller has to call stopDeadline once the stream has ended.
+func (c *Conn) open(request *Request, receiver eventReceiver) (id uint32, stopDeadline func() bool, err error) {
+	stopDeadline = func() bool { return false }
+	if deadline := request.WriteDeadline; !deadline.IsZero() {
+		request.mayWrite = func() bool { return time.Now().Before(deadline) }
+	}
 	c.mu.Lock()
 	id, err = c.machine.OpenStream(request)
 	if err != nil {
 		c.mu.Unlock()
-		return 0, err
+		return 0, stopDeadline, err
 	}
 	if c.machine.OpenStreams() == 1 {
 		c.lastRead = time.Now() // the silence period starts with the first stream
@@ -130,7 +135,24 @@
 	c.receivers[id] = receiver
 	c.mu.Unlock()
 	c.writeNow()
-	return id, nil
+	if !request.WriteDeadline.IsZero() {
+		stopDeadline = time.AfterFunc(time.Until(request.WriteDeadline), func() { c.endUnwritten(id) }).Stop
+	}
+	return id, stopDeadline, nil
+}
+
+// endUnwritten ends a stream whose request has not been written completely by its WriteDeadline. The connection is
+// closed if only that keeps the last bytes of the request from the server.
+func (c *Conn) endUnwritten(id uint32) {
+	c.mu.Lock()
+	isUnwritten, isQueued := c.machine.unwrittenRequest(id)
+	c.mu.Unlock()
+	switch {
+	case isUnwritten && isQueued:
+		c.Close()
+	case isUnwritten:
+		c.cancelStream(id)
+	}
 }
 
 // cancelStream resets a stream, and returns once the reset is written or the connection has ended. It does nothing
@@ -153,10 +175,11 @@
 // once the reset is written or the connection has ended. If it returns an error, such as ErrNoStream, nothing was sent.
 func (c *Conn) Do(ctx context.Context, request *Request) (Event, error) {
 	receiver := make(endReceiver, 1)
-	id, err := c.open(request, receiver)
+	id, stopDeadline, err := c.open(request, receiver)
 	if err != nil {
 		return Event{}, err
 	}
+	defer stopDeadline()
 	select {
 	case event := <-receiver:
 		return event, nil
--- a/internal/h2/machine.go
+++ b/internal/h2/machine.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"time"
 
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
@@ -80,6 +81,12 @@
 	StreamsAnswer bool
 	// MayBegin, which may be nil, is called right before the request is written; if it returns false, nothing is written.
 	MayBegin func() bool
+	// WriteDeadline is the time from which on a Conn writes no more of the request. If the request is not written
+	// completely by then, the Conn cancels its stream, or closes the connection if it can't take back the last bytes.
+	// Zero is none.
+	WriteDeadline time.Time
+
+	mayWrite func() bool // called right before each part of the body is written; nil for a request without WriteDeadline
 }
 
 // Answer is a complete answer, or the head of a streamed answer.
@@ -170,6 +177,7 @@
 	unsentBody       []byte
 	hasMoreBody      bool        // SendBody will add to the body
 	trailer          http.Header // sent after the body
+	mayWrite         func() bool // whether more of the request may be written; nil means always
 	isQueued         bool        // the complete request has been written to output
 	streamsAnswer    bool        // the answer is passed on in events as it arrives
 	unreturnedWindow int         // part of the receive window that is consumed and not yet returned
@@ -299,6 +307,16 @@
 	return MomentUnsent
 }
 
+// unwrittenRequest reports whether part of a stream's request has not been written to the socket, and whether all of
+// it is in the output, from which it can't be taken back. Both are false if the stream has ended.
+func (m *Machine) unwrittenRequest(id uint32) (isUnwritten, isQueued bool) {
+	stream := m.streams[id]
+	if stream == nil {
+		return false, false
+	}
+	return !stream.isQueued || m.written < stream.endOffset, stream.isQueued
+}
+
 // endStream ends a stream without an answer.
 func (m *Machine) endStream(stream *stream, end End, code http2.ErrCode, detail string) Event {
 	delete(m.streams, stream.id)
--- a/internal/h2/sending.go
+++ b/internal/h2/sending.go
@@ -36,6 +36,7 @@
 		sendWindow:    m.initialWindow,
 		unsentBody:    request.Body,
 		hasMoreBody:   request.HasMoreBody,
+		mayWrite:      request.mayWrite,
 		streamsAnswer: request.StreamsAnswer,
 		contentLength: -1,
 		firstOffset:   m.offset(),
@@ -209,6 +210,9 @@
 		if n <= 0 && !isLast {
 			break
 		}
+		if stream.mayWrite != nil && !stream.mayWrite() {
+			break
+		}
 		n = max(n, 0)
 		part := stream.unsentBody[:n]
 		stream.unsentBody = stream.unsentBody[n:]
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -25,6 +25,7 @@
 	aborted        chan struct{}          // closed by Abort
 	abortOnce      sync.Once              // closes aborted
 	deadlines      [2]streamDeadline      // indexed by direction
+	stopDeadline   func() bool            // stops the timer of the request's WriteDeadline
 
 	// Guarded by the connection's mu.
 	heads []*Answer // heads that Head has not returned
@@ -53,11 +54,12 @@
 		aborted:        make(chan struct{}),
 		ended:          make(chan struct{}),
 	}
-	id, err := c.open(request, stream)
+	id, stopDeadline, err := c.open(request, stream)
 	if err != nil {
 		return nil, err
 	}
 	stream.id = id
+	stream.stopDeadline = stopDeadline
 	return stream, nil
 }
 
@@ -269,4 +271,7 @@
 func (s *Stream) Abort() { s.abortOnce.Do(func() { close(s.aborted) }) }
 
 // Close resets the stream unless it has ended, and returns once the reset is written or the connection has ended.
-func (s *Stream) Close() { s.conn.cancelStream(s.id) }
+func (s *Stream) Close() {
+	s.stopDeadline()
+	s.conn.cancelStream(s.id)
+}
--- a/internal/upstream/http1_attempt.go
+++ b/internal/upstream/http1_attempt.go
@@ -34,9 +34,11 @@
 	response             *http.Response // response whose body is read; nil for a tunnel
 	headScanner          validation.Scanner
 	headBytesLeft        int
-	isReadingBody        bool // the final head has been read
-	lacksContextDeadline bool // ctx has no deadline: ResponseTimeout applies, from the last byte of the request
-	hasConnDeadline      bool // a deadline is set on the connection
+	isReadingBody        bool        // the final head has been read
+	lacksContextDeadline bool        // ctx has no deadline: ResponseTimeout applies, from the last byte of the request
+	hasConnDeadline      bool        // a deadline is set on the connection
+	writeDeadline        time.Time   // from which on no more of the request is written; zero is none
+	stopWriteDeadline    func() bool // stops the timer of writeDeadline; nil if there is none
 
 	bodySendEnded    chan struct{} // closed when sending of the body has ended; nil if the body was written with the head
 	continueReceived chan struct{} // closed when a body that waits for a 100 may be sent; nil if it does not wait
@@ -144,6 +146,9 @@
 		if a.attemptEnded != nil {
 			close(a.attemptEnded)
 		}
+		if a.stopWriteDeadline != nil {
+			a.stopWriteDeadline()
+		}
 		isRunning := a.stopContextWatch()
 		a.conn.responses.attempt = nil
 		if !isRunning || !canReuse {
--- a/internal/upstream/http1_send.go
+++ b/internal/upstream/http1_send.go
@@ -17,8 +17,15 @@
 func (a *http1Attempt) sendRequest(ctx context.Context) Outcome {
 	_, hasDeadline := ctx.Deadline()
 	a.lacksContextDeadline = !hasDeadline
-	if a.lacksContextDeadline {
-		a.conn.writeBy(time.Now().Add(a.IdleTimeout))
+	if a.writeDeadline = writeDeadline(ctx); !a.writeDeadline.IsZero() {
+		a.hasConnDeadline = true
+		a.stopWriteDeadline = time.AfterFunc(time.Until(a.writeDeadline), a.interruptUnwritten).Stop
+	}
+	switch {
+	case a.lacksContextDeadline:
+		a.setWriteTimeout()
+	case !a.writeDeadline.IsZero():
+		a.conn.writeBy(a.writeDeadline)
 	}
 	writer := a.conn.writer
 	a.writeRequestLine(writer)
@@ -41,10 +48,28 @@
 	}
 	if !a.isRequestWritten.Load() {
 		a.startBody()
+	} else if !a.writeDeadline.IsZero() {
+		a.conn.writeBy(time.Time{}) // a tunnel may follow
 	}
 	return Outcome{}
 }
 
+// setWriteTimeout limits the time of the next write to IdleTimeout, and to the write deadline if that is earlier.
+func (a *http1Attempt) setWriteTimeout() {
+	deadline := time.Now().Add(a.IdleTimeout)
+	if !a.writeDeadline.IsZero() && a.writeDeadline.Before(deadline) {
+		deadline = a.writeDeadline
+	}
+	a.conn.writeBy(deadline)
+}
+
+// interruptUnwritten ends the attempt at its write deadline, unless the request has been written completely.
+func (a *http1Attempt) interruptUnwritten() {
+	if !a.isRequestWritten.Load() {
+		a.conn.interrupt()
+	}
+}
+
 // writeRequestLine writes the request line and the Host field.
 func (a *http1Attempt) writeRequestLine(writer *bufio.Writer) {
 	writer.WriteString(a.RequestMethod)
@@ -145,7 +170,7 @@
 // writePiece writes one piece of the body, as a chunk if the length is unknown.
 func (a *http1Attempt) writePiece(piece []byte) error {
 	writer := a.conn.writer
-	a.conn.writeBy(time.Now().Add(a.IdleTimeout))
+	a.setWriteTimeout()
 	if a.ContentLength < 0 {
 		writer.WriteString(strconv.FormatInt(int64(len(piece)), 16) + "\r\n")
 	}
--- a/internal/upstream/http2_attempt.go
+++ b/internal/upstream/http2_attempt.go
@@ -86,7 +86,8 @@
 		Authority:     a.Host,
 		Path:          a.Target,
 		ContentLength: a.ContentLength,
-		MayBegin:      func() bool { return Commit(ctx) },
+		MayBegin:      func() bool { return commitByWriteDeadline(ctx) },
+		WriteDeadline: writeDeadline(ctx),
 	}
 	if a.Body != nil {
 		if body, ok := a.inlineBody(); ok {
@@ -207,15 +208,17 @@
 	}
 	outcome := Outcome{Reason: control.ResetByPeer, Err: err}
 	unprocessed := control.Reason(0)
+	wasCancelled := false // by this side; without an end of ctx, at the write deadline
 	if event := a.stream.Result(); event != nil {
 		unprocessed = unprocessedReason(*event)
+		wasCancelled = event.Err != nil && event.Err.End == h2.EndCancelled
 	}
 	switch {
 	case unprocessed != 0:
 		outcome.Reason = unprocessed
 	case errors.Is(ctx.Err(), context.Canceled):
 		outcome.Reason = control.Cancelled
-	case ctx.Err() != nil || a.bodyTimedOut.Load() || errors.Is(err, os.ErrDeadlineExceeded):
+	case ctx.Err() != nil || wasCancelled || a.bodyTimedOut.Load() || errors.Is(err, os.ErrDeadlineExceeded):
 		outcome.Reason = control.TimedOut
 	}
 	return outcome
--- a/internal/upstream/http2_send.go
+++ b/internal/upstream/http2_send.go
@@ -31,7 +31,9 @@
 		Path:      httpRequest.URL.RequestURI(),
 		Header:    httpRequest.Header,
 		Body:      buffered.Body,
-		MayBegin:  func() bool { return Commit(ctx) },
+		MayBegin:  func() bool { return commitByWriteDeadline(ctx) },
+
+		WriteDeadline: writeDeadline(ctx),
 	}
 	var event h2.Event
 	outcome, isDialed, ok := s.withConnection(ctx, func(conn *h2.Conn) (err error) {
--- a/internal/upstream/write_deadline.go
+++ b/internal/upstream/write_deadline.go
@@ -29,6 +29,10 @@
 	return !deadline.IsZero() && !time.Now().Before(deadline)
 }
 
+// commitByWriteDeadline is Commit for an attempt that may not be written if the deadline set by WithWriteDeadline has
+// passed.
+func commitByWriteDeadline(ctx context.Context) bool { return !isPastWriteDeadline(ctx) && Commit(ctx) }
+
 // setTimeLeft adds a header field to a request that tells the server how long this node will wait for the response.
 func setTimeLeft(request *http.Request, deadline time.Time) {
 	request.Header.Set(protocol.HeaderTimeLeft, formatTimeLeft(timeUntil(deadline)))
