Fix requests that run twice when they come again after their client left

What callers saw: an update whose client had closed its connection with the answer unread ran a second time, in another group of servers, when it came again with its id and key.

Cause: the loop knows the ids of open requests only, and forgets one with its answer; the second arrival was a new request.

One that comes again is answered 409, as one beside an open request always was. A reload shares the memory, an upgrade hands it over.

--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -73,7 +73,7 @@
 		return nil, newBadRequest(http.StatusBadRequest, "%s: %v", protocol.HeaderWeight, err)
 	}
 	call := &platformCall{
-		Exchange:        service.Exchange{Request: request, Deadline: arrived.Add(timeLeft - service.DeadlineMargin)},
+		Exchange:        service.Exchange{Request: request, Deadline: arrived.Add(timeLeft - service.DeadlineMargin), HasClientID: true},
 		BufferedRequest: upstream.BufferedRequest{Request: forwardedRequest(r)},
 	}
 	call.Forwarder = &call.BufferedRequest
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -34,7 +34,9 @@
 	Request   control.Request // the service sets its Timeout
 	Forwarder Forwarder
 	Deadline  time.Time // when attempts are stopped
-	Gate      *Gate     // nil starts attempts as soon as the module decides on them
+	// HasClientID is set if the client has chosen the request's ID, and not the node.
+	HasClientID bool
+	Gate        *Gate // nil starts attempts as soon as the module decides on them
 	// Client is asked right before an attempt is written whether the client still waits. If nil, it waits until Do's ctx ends.
 	Client upstream.Client
 
@@ -53,6 +55,7 @@
 	isAnswered   bool                // or its client has disconnected
 	attemptCount int                 // attempts that the module has decided on
 	inFlight     int                 // attempts without an outcome yet
+	isRecorded   bool                // in recentRuns
 	mayHaveRun   bool                // some attempt that has ended may have run the request; those in flight are not considered
 	attempts     []*upstream.Attempt // by number; nil if it was never made
 	lastReason   control.Reason      // how the last attempt ended; 0 if none has
--- a/internal/service/handover.go
+++ b/internal/service/handover.go
@@ -15,6 +15,8 @@
 	Servers    map[uint32]string  `cbor:"servers"` // the uid of each server number in Checkpoint
 	// Starts are the start times of servers, where known, by uid.
 	Starts map[string]ServerStart `cbor:"starts,omitempty"`
+	// RecentRuns are the ids of requests that must not run again, if the state is handed over to another process.
+	RecentRuns []string `cbor:"recent_runs,omitempty"`
 }
 
 // shift converts the times of a state to this process's module clock, on which the state was taken at takenAt.
@@ -40,6 +42,7 @@
 	l := s.currentLoop()
 	ok = l.useStatefulModule(func(m StatefulModule) {
 		state = l.newState(m.HandOver(l.now(), fraction))
+		state.RecentRuns = l.recentRuns.export()
 		l.resignLeases()
 	})
 	return state, ok
@@ -55,6 +58,7 @@
 			m.ReclaimRates(l.now(), nil)
 			return
 		}
+		l.recentRuns.restore(returned.RecentRuns)
 		checkpoint := l.translateServers(*returned)
 		m.ReclaimRates(l.now(), &checkpoint)
 	})
@@ -63,6 +67,7 @@
 // Restore has the service start from the state of another process, which was taken age ago. It is called before the
 // service's first request. The caller must not use the state afterwards.
 func (s *Service) Restore(state State, age time.Duration, trust control.Trust) {
+	s.recentRuns.restore(state.RecentRuns)
 	state.shift(s.clock.now() - age)
 	s.restoreFrom(func() (transfer, bool) { return transfer{State: state}, true }, trust)
 }
--- a/internal/service/hard_limits.go
+++ b/internal/service/hard_limits.go
@@ -222,6 +222,7 @@
 		delete(h.undecided, id)
 		if !x.isAnswered && replacement.accepts(x, l.classes) {
 			delete(l.exchanges, x.Request.ID)
+			l.endRun(x)
 			x.unretain()
 			x.answer <- Answer{replacement: replacement} // from now on x belongs to the replacement
 			continue
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -30,6 +30,7 @@
 	log               *slog.Logger
 	clock             moduleClock
 	starts            *serverStarts
+	recentRuns        *recentRuns
 	maxAttempts       int // of a request; 0 is unlimited
 	classes           []control.Class
 	maxUnitsByPlan    map[string]float64
@@ -89,6 +90,7 @@
 		log:               s.log,
 		clock:             s.clock,
 		starts:            s.starts,
+		recentRuns:        s.recentRuns,
 		maxAttempts:       options.Settings.MaxAttempts,
 		classes:           options.Settings.Classes,
 		maxUnitsByPlan:    newRequestRules(options.Settings, options.AnyMethod).MaxUnitsByPlan,
@@ -221,6 +223,7 @@
 			answer = Answer{Kind: Rejected, Status: http.StatusServiceUnavailable, LastAttempt: x.lastReason}
 		}
 		l.finish(x, answer)
+		l.endRun(x)
 		x.unretain() // the outcomes of attempts still in flight are not handled any more
 	}
 	return unanswered
--- a/internal/service/loop_requests.go
+++ b/internal/service/loop_requests.go
@@ -7,7 +7,8 @@
 	"lockflow/control"
 )
 
-// acceptRequest accepts a client's request. It answers a request with the ID of another accepted one as failed. After
+// acceptRequest accepts a client's request. It answers a request with the ID of another accepted one as failed, and of
+// one that may have run a short time ago unless the class is idempotent. After
 // the service has been replaced, a request is passed to the replacement, which has the remaining tokens, if that accepts
 // the request's class and plan.
 func (l *loop) acceptRequest(x *Exchange) {
@@ -15,7 +16,7 @@
 		x.answer <- Answer{replacement: l.replacement}
 		return
 	}
-	if l.exchanges[x.Request.ID] != nil {
+	if l.exchanges[x.Request.ID] != nil || !l.beginRun(x) {
 		x.answer <- Answer{Kind: Failed, Status: http.StatusConflict}
 		return
 	}
@@ -121,6 +122,26 @@
 func (l *loop) releaseIfEnded(x *Exchange) {
 	if x.isAnswered && x.inFlight == 0 {
 		delete(l.exchanges, x.Request.ID)
+		l.endRun(x)
 		x.unretain()
 	}
 }
+
+// beginRun records that a request is open, if its client has chosen its id and it must not run twice. It returns false if
+// it may run or have run already.
+func (l *loop) beginRun(x *Exchange) bool {
+	class := l.classOf(x)
+	if !x.HasClientID || class == nil || class.Idempotency == control.Idempotent {
+		return true
+	}
+	x.isRecorded = l.recentRuns.begin(x.Request.ID)
+	return x.isRecorded
+}
+
+// endRun records the end of a request that beginRun has recorded.
+func (l *loop) endRun(x *Exchange) {
+	if x.isRecorded {
+		x.isRecorded = false
+		l.recentRuns.end(x.Request.ID, !x.cannotHaveRun())
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -25,6 +25,7 @@
 	isRetired  atomic.Bool
 	clock      moduleClock
 	starts     *serverStarts // shared with the service that this one replaces
+	recentRuns *recentRuns   // shared with the service that this one replaces
 	unused     chan struct{} // closed when the service is retired and has no reference
 	ended      chan struct{} // closed when Run has returned
 
@@ -54,10 +55,12 @@
 		endpoints:    make(map[string]discovery.Endpoint),
 		clock:        moduleClock{time.Now()},
 		starts:       newServerStarts(),
+		recentRuns:   newRecentRuns(),
 	}
 	if p := options.Predecessor; p != nil {
 		s.clock = p.clock
 		s.starts = p.starts
+		s.recentRuns = p.recentRuns
 	}
 	s.options.CachedEndpoints = discovery.EndpointList{} // mergeEndpoints copies it
 	s.options.Predecessor = nil                          // so that it can be freed
