Fix repeats that reach a process which has taken over its server's address

What callers saw: an update that a server had run as its process ended ran a second time, at a process of another group that listened at the same address.

Cause: a pool of connections follows the uid and the address of the list, and a new connection was taken for one to that uid. Between the end of a process and the list's message, or between the message and the end, that is wrong.

Change: processIdentity records what shows which process a connection leads to: older open connections, connections that the server's side has ended, refusals, addresses that the list has just given to another server. An attempt that may have run over a connection in doubt is not repeated.

--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -225,6 +225,13 @@
 	c.wakeWriter()
 }
 
+// IsRetired reports whether Retire has been called.
+func (c *Conn) IsRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isClosing
+}
+
 // Close ends the connection and all streams on it.
 func (c *Conn) Close() {
 	c.abort(net.ErrClosed)
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -91,6 +91,9 @@
 	}
 	if a.WriteTimeout > 0 {
 		ctx = upstream.WithWriteDeadline(ctx, time.Now().Add(a.WriteTimeout))
+		if l.hasScopedKey(x) {
+			ctx = upstream.WithKnownProcess(ctx)
+		}
 	}
 	return ctx, cancel
 }
@@ -221,7 +224,10 @@
 		if o.Status != 0 {
 			x.lastResponse = o
 		}
-		if !x.Forwarder.CanRetry() { // the beginning of its body is no longer available, whatever the module decides
+		switch {
+		case !x.Forwarder.CanRetry(): // the beginning of its body is no longer available, whatever the module decides
+			l.failRequest(x)
+		case o.IsProcessUnknown && mayHaveRun(o.Reason) && l.hasScopedKey(x): // which servers know its key is unknown
 			l.failRequest(x)
 		}
 	}
@@ -230,6 +236,12 @@
 	l.handle(response)
 }
 
+// hasScopedKey reports whether only some of the servers recognize the key of a request.
+func (l *loop) hasScopedKey(x *Exchange) bool {
+	class := l.classOf(x)
+	return class != nil && class.Idempotency == control.IdempotentWithKey && class.KeyScope != control.ScopeAll
+}
+
 // mayHaveRun reports whether an attempt that ended for this reason may have run the request.
 func mayHaveRun(reason control.Reason) bool {
 	return reason != control.RejectedByServer && reason != control.ConnectFailed && reason != control.NotSent
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -90,7 +90,7 @@
 		if l.recorder != nil {
 			l.recorder.serverListed(id, target.UID, startedAt)
 		}
-		l.updatePool(endpoint, target, startedAt)
+		l.updatePool(endpoint, target, startedAt, now.monotonic)
 	}
 	for uid, id := range l.serverIDs {
 		remainsListed, isInMessage := isListed[uid]
@@ -145,8 +145,8 @@
 }
 
 // updatePool creates a connection pool for a server that takes new requests, and retires the pool of a server that
-// does not, or whose address or protocol has changed.
-func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Endpoint, startedAt time.Time) {
+// does not, or whose address or protocol has changed. listedAt is the time of the message with the entry.
+func (l *loop) updatePool(endpoint control.Endpoint, target *discovery.Endpoint, startedAt, listedAt time.Time) {
 	id := endpoint.Server
 	isAvailable := endpoint.State == control.Active
 	if isAvailable { // an entry in any other state may have no further fields
@@ -164,7 +164,11 @@
 		l.upstream.CloseIdleBefore(pool, startedAt)
 	}
 	if isAvailable && l.pools[id] == nil {
-		l.pools[id] = l.upstream.NewPool(target.Address, protocol)
+		pool := l.upstream.NewPool(target.Address, protocol)
+		l.pools[id] = pool
+		if l.addresses.begin(target.Address, id, target.UID, listedAt) {
+			l.upstream.DoubtProcess(pool, listedAt.Add(upstream.IdentityDelay))
+		}
 	}
 }
 
@@ -187,20 +191,20 @@
 	}
 }
 
-// retirePool closes the connections to a server (those in use once they are returned to the pool) and returns their
-// pool; nil if there was none.
-func (l *loop) retirePool(server uint32) *upstream.Pool {
+// retirePool closes the connections to a server (those in use once they are returned to the pool).
+func (l *loop) retirePool(server uint32) {
 	pool := l.pools[server]
 	if pool != nil {
 		l.upstream.RetirePool(pool)
 		delete(l.pools, server)
+		l.addresses.end(pool.Endpoint, server, time.Now())
 	}
-	return pool
 }
 
 // reconnect replaces the connections to a server with new ones.
 func (l *loop) reconnect(server uint32) {
-	if pool := l.retirePool(server); pool != nil {
+	if pool := l.pools[server]; pool != nil {
+		l.upstream.RetirePool(pool)
 		l.pools[server] = l.upstream.NewPool(pool.Endpoint, pool.Protocol)
 	}
 }
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -53,6 +53,7 @@
 	lastServerID uint32
 	pools        map[uint32]*upstream.Pool // of the servers that take new requests
 	locations    map[uint32]serverLocation // of the listed servers
+	addresses    addressHistory
 
 	// pendingServerState waits for the first server to be listed; nil if there is none.
 	pendingServerState *pendingServerState
@@ -102,6 +103,7 @@
 		serverIDs:         make(map[string]uint32),
 		pools:             make(map[uint32]*upstream.Pool),
 		locations:         make(map[uint32]serverLocation),
+		addresses:         newAddressHistory(),
 		warmups:           newWarmupGuard(&options.Settings),
 		jobs:              make(chan attemptJob),
 		openStreams:       options.Streams,
--- a/internal/upstream/buffered_request.go
+++ b/internal/upstream/buffered_request.go
@@ -55,16 +55,18 @@
 		return unconnectedOutcome(err)
 	}
 	isDialed := conn.idleSince.IsZero()
+	doubtedUntil := u.processOf(pool).doubtedUntilOf(conn)
 	if !Commit(ctx) {
 		return u.releaseUnused(pool, conn)
 	}
 	outcome := u.attemptOn(ctx, pool, conn, request)
 	outcome.IsDialed = isDialed
+	outcome.IsProcessUnknown = time.Now().Before(doubtedUntil)
 	return outcome
 }
 
 // attemptOn makes an attempt on a connection, then returns the connection to its pool or closes it.
-func (u *Upstream) attemptOn(ctx context.Context, pool *Pool, conn *serverConn, request *http.Request) Outcome {
+func (u *Upstream) attemptOn(ctx context.Context, pool *Pool, conn *serverConn, request *http.Request) (outcome Outcome) {
 	deadline, hasDeadline := ctx.Deadline()
 	conn.responses.start(deadline, u.MaxBodyBytes+maxHeadBytes)
 	// The peer may stop both reading and writing, so both directions are interrupted when ctx ends.
@@ -74,7 +76,7 @@
 		if stopContextWatch() && isReusable && !conn.isInterrupted.Load() {
 			u.release(pool, conn, u.QuietPeriod)
 		} else {
-			conn.abandon()
+			u.discard(pool, conn, outcome.Err != nil && conn.isClosedByPeer())
 		}
 	}()
 	if hasDeadline {
@@ -86,7 +88,6 @@
 		return Outcome{Reason: control.ConnectFailed, Err: err}
 	}
 	guard := conn.guardDelivery(writeDeadline(ctx), func() bool { return true })
-	var outcome Outcome
 	outcome, isReusable = conn.readOutcome(request, u.MaxBodyBytes)
 	guard.stop()
 	if outcome.Err != nil && ctx.Err() != nil {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -15,6 +15,7 @@
 	errWithdrawn       = errors.New("attempt withdrawn before it was sent")
 	errWriteDeadline   = errors.New("write deadline passed before the request was sent")
 	errServerRemoved   = errors.New("server removed from the endpoint list")
+	errUnknownProcess  = errors.New("another process may have taken over the server's address")
 	errNoDescriptor    = errors.New("no file descriptor available for a connection")
 	errDialLimit       = errors.New("too many connections are being established")
 	errNoStream        = errors.New("no HTTP/2 stream available")
--- a/internal/upstream/http1_attempt.go
+++ b/internal/upstream/http1_attempt.go
@@ -39,6 +39,7 @@
 	hasConnDeadline      bool           // a deadline is set on the connection
 	writeDeadline        time.Time      // from which on no more of the request is written; zero is none
 	deliveryGuard        *deliveryGuard // of writeDeadline; nil if there is none
+	isComplete           bool           // the response has been read to its end
 	isTunnel             bool           // the connection has switched to another protocol
 
 	bodySendEnded    chan struct{} // closed when sending of the body has ended; nil if the body was written with the head
@@ -154,9 +155,10 @@
 		switch {
 		case a.isTunnel:
 			a.conn.Close()
+			a.upstream.processOf(a.pool).closed(a.conn, false)
 			return
 		case !isRunning || !canReuse || a.conn.isInterrupted.Load():
-			a.conn.abandon()
+			a.upstream.discard(a.pool, a.conn, !a.isComplete && a.conn.isClosedByPeer())
 			return
 		}
 		if a.hasConnDeadline || a.bodySendEnded != nil {
@@ -278,6 +280,7 @@
 func (a *http1Attempt) hasClientFailed() bool { return a.clientErr.Load() != nil }
 
 func (a *http1Attempt) end(isComplete bool) {
+	a.isComplete = isComplete
 	if isComplete && a.response != nil && !a.request.Close && a.conn.reader.Buffered() > 0 {
 		a.upstream.noteUnsolicitedResponse()
 	}
--- a/internal/upstream/http2_attempt.go
+++ b/internal/upstream/http2_attempt.go
@@ -52,7 +52,9 @@
 		outcome.IsDialed = isDialed
 		return outcome, ok
 	}
+	isProcessUnknown := outcome.IsProcessUnknown
 	outcome = attempt.run(ctx, lifetime)
+	outcome.IsProcessUnknown = isProcessUnknown
 	outcome.IsDialed = isDialed
 	return outcome, true
 }
--- a/internal/upstream/http2_send.go
+++ b/internal/upstream/http2_send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"lockflow/control"
 	"lockflow/internal/h2"
@@ -45,7 +46,9 @@
 		return err
 	})
 	if ok && outcome.Err == nil {
+		isProcessUnknown := outcome.IsProcessUnknown
 		outcome = eventOutcome(ctx, event)
+		outcome.IsProcessUnknown = isProcessUnknown
 	}
 	outcome.IsDialed = isDialed
 	return outcome, ok
@@ -56,6 +59,7 @@
 func (s *sharedConnections) withConnection(
 	ctx context.Context, send func(*h2.Conn) error,
 ) (outcome Outcome, isDialed, ok bool) {
+	requirement := newProcessRequirement(ctx)
 	for {
 		conn, isNew, err := s.acquire(ctx)
 		isDialed = isDialed || isNew
@@ -67,6 +71,15 @@
 		case err != nil:
 			return unconnectedOutcome(err), isDialed, true
 		}
+		peer := http2PeerConn{conn}
+		if !requirement.accepts(s.process, peer) {
+			if err := requirement.await(ctx, s.process); err != nil {
+				return Outcome{Reason: control.ConnectFailed, Err: err}, isDialed, true
+			}
+			continue
+		}
+		doubtedUntil := s.process.doubtedUntilOf(peer)
+		outcome.IsProcessUnknown = time.Now().Before(doubtedUntil)
 		if isPastWriteDeadline(ctx) {
 			return Outcome{Reason: control.NotSent, Err: errWriteDeadline}, isDialed, true
 		}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -40,6 +40,7 @@
 		isOlder := conn.idleSince.Before(before)
 		if isOlder {
 			conn.Close()
+			pool.process.closed(conn, false)
 		}
 		return isOlder
 	})
@@ -107,7 +108,9 @@
 		idle := pool.idle[:0]
 		for _, conn := range pool.idle {
 			if matches(conn) {
+				byPeer := conn.isClosedByPeer()
 				conn.Close()
+				pool.process.closed(conn, byPeer)
 			} else {
 				idle = append(idle, conn)
 			}
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -16,15 +16,17 @@
 
 // Outcome is the result of an attempt.
 type Outcome struct {
-	Reason        control.Reason
-	Err           error // why there is no response
-	Status        int   // status of a response that can be forwarded to the client; 0 is none
-	IsFinal       bool  // the response is sent to the client, even if the request could be retried
-	Header        http.Header
-	Body          []byte
-	Stream        *Stream // rest of a response that is not buffered, closed by the caller; nil if Body is complete
-	IsDialed      bool    // a connection was dialed for the attempt, whether or not that succeeded
-	HasClientLeft bool    // nothing was sent because the client no longer waits
+	Reason  control.Reason
+	Err     error // why there is no response
+	Status  int   // status of a response that can be forwarded to the client; 0 is none
+	IsFinal bool  // the response is sent to the client, even if the request could be retried
+	Header  http.Header
+	Body    []byte
+	Stream  *Stream // rest of a response that is not buffered, closed by the caller; nil if Body is complete
+	// IsProcessUnknown is set if the attempt may have been sent to another process than the one that the endpoint list names.
+	IsProcessUnknown bool
+	IsDialed         bool // a connection was dialed for the attempt, whether or not that succeeded
+	HasClientLeft    bool // nothing was sent because the client no longer waits
 }
 
 // unconnectedOutcome returns the outcome of an attempt that got no connection.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"lockflow/control"
@@ -15,6 +17,7 @@
 	idle       []*serverConn      // in order of use, most recent last; permanently nil once the pool is retired
 	mergedInto *Pool              // pool that has taken over all connections; nil if not merged
 	shared     *sharedConnections // nil if only HTTP/1.1 is used
+	process    *processIdentity
 }
 
 // owner returns the pool that holds the connections of p, following merges. Upstream.mu must be locked.
@@ -27,7 +30,9 @@
 
 // NewPool creates a pool of connections to one server.
 func (u *Upstream) NewPool(endpoint string, protocol Protocol) *Pool {
-	pool := &Pool{Endpoint: endpoint, Protocol: protocol, shared: u.newSharedConnections(endpoint, protocol)}
+	process := newProcessIdentity()
+	shared := u.newSharedConnections(endpoint, protocol, process)
+	pool := &Pool{Endpoint: endpoint, Protocol: protocol, shared: shared, process: process}
 	u.mu.Lock()
 	u.pools[pool] = struct{}{}
 	u.mu.Unlock()
@@ -51,6 +56,7 @@
 	pool.mergedInto = target
 	delete(u.pools, pool)
 	target.shared.mergeFrom(pool.shared)
+	target.process.absorb(pool.process)
 }
 
 // RetirePool closes a pool's idle connections. Connections in use are closed when they are released.
@@ -63,6 +69,7 @@
 	}
 	pool.idle = nil
 	pool.shared.retire()
+	pool.process.notifyChanged()
 }
 
 // isRetired reports whether a pool is retired. Without this check, an attempt that starts while its server leaves
@@ -80,14 +87,15 @@
 // whose quiet period ends first.
 func (u *Upstream) acquire(ctx context.Context, pool *Pool, quietPeriod time.Duration) (*serverConn, error) {
 	var dialErr error
+	requirement := newProcessRequirement(ctx)
 	for {
-		conn := u.popRested(pool, quietPeriod)
+		conn := u.popRested(pool, quietPeriod, &requirement)
 		isNew := false
 		if conn == nil && dialErr == nil {
 			if u.isRetired(pool) {
 				return nil, errServerRemoved
 			}
-			conn, dialErr = u.dial(ctx, pool.Endpoint)
+			conn, dialErr = u.dialServer(ctx, pool)
 			isNew = dialErr == nil
 		}
 		if conn == nil {
@@ -101,7 +109,13 @@
 			conn.Close()
 			return nil, errServerRemoved
 		case !isNew && !u.isUsable(conn):
-			conn.Close()
+			u.discard(pool, conn, conn.isClosedByPeer())
+		case !requirement.accepts(u.processOf(pool), conn):
+			u.releaseUnused(pool, conn)
+			if err := requirement.await(ctx, u.processOf(pool)); err != nil {
+				return nil, err
+			}
+			dialErr = nil
 		case isPastWriteDeadline(ctx):
 			u.releaseUnused(pool, conn)
 			return nil, errWriteDeadline
@@ -111,6 +125,18 @@
 	}
 }
 
+// dialServer establishes a connection to the server of a pool.
+func (u *Upstream) dialServer(ctx context.Context, pool *Pool) (*serverConn, error) {
+	conn, err := u.dial(ctx, pool.Endpoint)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		u.processOf(pool).refused()
+	case err == nil:
+		u.processOf(pool).established(conn)
+	}
+	return conn, err
+}
+
 // release returns a connection to its pool after a response, for requests that observe a quiet period.
 func (u *Upstream) release(pool *Pool, conn *serverConn, quietPeriod time.Duration) {
 	conn.idleSince = time.Now()
--- a/internal/upstream/quiet_period.go
+++ b/internal/upstream/quiet_period.go
@@ -42,16 +42,17 @@
 	})
 }
 
-// popRested removes and returns the most recently used idle connection whose quiet period is over, or nil if there is
-// none. Until then a second response may arrive: once the next request is written, nothing on the wire distinguishes it
+// popRested removes and returns the most recently used idle connection whose quiet period is over and that an attempt
+// accepts, or nil if there is none. Until then a second response may arrive: once the next request is written, nothing on the wire distinguishes it
 // from the response to that request.
-func (u *Upstream) popRested(pool *Pool, quietPeriod time.Duration) *serverConn {
+func (u *Upstream) popRested(pool *Pool, quietPeriod time.Duration, requirement *processRequirement) *serverConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	pool = pool.owner()
 	before := time.Now().Add(-quietPeriod)
 	for i, conn := range slices.Backward(pool.idle) {
-		if quietPeriod == 0 || !conn.lastResponseEnd.After(before) {
+		isRested := quietPeriod == 0 || !conn.lastResponseEnd.After(before)
+		if isRested && requirement.accepts(pool.process, conn) {
 			pool.idle = slices.Delete(pool.idle, i, i+1)
 			return conn
 		}
--- a/internal/upstream/relayed_request.go
+++ b/internal/upstream/relayed_request.go
@@ -88,7 +88,10 @@
 		conn:           conn,
 		headBytesLeft:  maxHeadBytes,
 	}
-	return attempt.run(ctx, lifetime)
+	doubtedUntil := upstream.processOf(pool).doubtedUntilOf(conn)
+	outcome := attempt.run(ctx, lifetime)
+	outcome.IsProcessUnknown = time.Now().Before(doubtedUntil)
+	return outcome
 }
 
 // timeLeft returns how long the node will wait for the response.
--- a/internal/upstream/shared_connections.go
+++ b/internal/upstream/shared_connections.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"lockflow/internal/certs"
@@ -24,6 +25,7 @@
 	upstream  *Upstream
 	endpoint  string
 	protocol  Protocol
+	process   *processIdentity
 	available chan struct{} // signalled when a stream may be available; each attempt that it wakes signals the next one
 
 	mu          sync.Mutex // guards the fields below
@@ -37,12 +39,18 @@
 }
 
 // newSharedConnections creates the HTTP/2 connections of a pool; nil if only HTTP/1.1 is used.
-func (u *Upstream) newSharedConnections(endpoint string, protocol Protocol) *sharedConnections {
+func (u *Upstream) newSharedConnections(endpoint string, protocol Protocol, process *processIdentity) *sharedConnections {
 	if protocol == ProtocolHTTP1 {
 		return nil
 	}
 	u.usesHTTP2.Store(true)
-	return &sharedConnections{upstream: u, endpoint: endpoint, protocol: protocol, available: make(chan struct{}, 1)}
+	return &sharedConnections{
+		upstream:  u,
+		endpoint:  endpoint,
+		protocol:  protocol,
+		process:   process,
+		available: make(chan struct{}, 1),
+	}
 }
 
 // sharedConnectionsOf returns the HTTP/2 connections of a pool; nil if only HTTP/1.1 is used.
@@ -182,8 +190,12 @@
 	case err == nil && s.isRetired:
 		conn.Retire()
 	case err == nil:
+		s.process.established(http2PeerConn{conn})
 		s.connections = append(s.connections, conn)
 	default:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.process.refused()
+		}
 		s.failedDials++
 		s.lastDialErr = err
 		if errors.Is(err, h2.ErrNotHTTP2) && s.protocol == ProtocolPreferHTTP2 {
@@ -227,6 +239,8 @@
 	active := s.connections[:0]
 	for _, conn := range s.connections {
 		if view := conn.View(); view.IsEnding && view.OpenStreams == 0 {
+			peer := http2PeerConn{conn}
+			s.process.closed(peer, peer.isClosedByPeer())
 			conn.Retire()
 			continue
 		}
