Fix clients with invalid requests at full speed that crowd out valid ones

What callers saw: while some connections sent requests of an unknown class one after the other, usual clients got their answers late, or 503.

Cause: an invalid request is answered at once and without a bound, tens of thousands a second. A valid one passes several goroutines, each behind the others' answers, until the module takes it for too late.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -104,7 +104,8 @@
 	table      atomic.Pointer[RoutingTable]
 	isDraining atomic.Bool
 
-	clients clientRegistry
+	clients     clientRegistry
+	badRequests badRequestPacer
 }
 
 // New returns a Front that uses the given routing table. isReady reports whether the node is ready for
@@ -179,12 +180,12 @@
 	}
 	defer discardUnreadBody(w, r)
 	if badRequest := checkSize(r); badRequest != nil {
-		f.writeBadRequest(w, badRequest)
+		f.writeBadRequest(w, r, badRequest)
 		return
 	}
 	target, firstSegment, badRequest := f.findTarget(r)
 	if badRequest != nil {
-		f.writeBadRequest(w, badRequest)
+		f.writeBadRequest(w, r, badRequest)
 		return
 	}
 	if target.ScatterGather != nil {
@@ -312,7 +313,8 @@
 }
 
 // writeBadRequest writes the error answer for an invalid request in the format of the platform's protocol.
-func (f *Front) writeBadRequest(w http.ResponseWriter, badRequest *BadRequest) {
+func (f *Front) writeBadRequest(w http.ResponseWriter, r *http.Request, badRequest *BadRequest) {
+	f.paceBadRequest(r, badRequest)
 	if badRequest.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/node_answer.go
+++ b/internal/front/node_answer.go
@@ -84,6 +84,7 @@
 
 // writeBadRequestAnswer writes the error answer for an invalid request, in the format of the node's own answers.
 func writeBadRequestAnswer(front *Front, w http.ResponseWriter, r *http.Request, badRequest *BadRequest) {
+	front.paceBadRequest(r, badRequest)
 	if badRequest.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -136,8 +136,8 @@
 }
 
 // WriteBadRequest writes the error answer for an invalid request to the client.
-func (platformProtocol) WriteBadRequest(front *Front, w http.ResponseWriter, _ *http.Request, badRequest *BadRequest) {
-	front.writeBadRequest(w, badRequest)
+func (platformProtocol) WriteBadRequest(front *Front, w http.ResponseWriter, r *http.Request, badRequest *BadRequest) {
+	front.writeBadRequest(w, r, badRequest)
 }
 
 // customerOf returns the customer that a URL's query names; empty if it names none or several.
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -167,7 +167,7 @@
 		pool := l.upstream.NewPool(target.Address, protocol)
 		l.pools[id] = pool
 		if l.addresses.begin(target.Address, id, target.UID, listedAt) {
-			l.upstream.DoubtProcess(pool, listedAt.Add(upstream.IdentityDelay))
+			l.upstream.SuspectProcess(pool, listedAt.Add(upstream.IdentityDelay))
 		}
 	}
 }
--- a/internal/upstream/buffered_request.go
+++ b/internal/upstream/buffered_request.go
@@ -55,13 +55,13 @@
 		return unconnectedOutcome(err)
 	}
 	isDialed := conn.idleSince.IsZero()
-	doubtedUntil := u.processOf(pool).doubtedUntilOf(conn)
+	suspectUntil := u.processOf(pool).suspectUntilOf(conn)
 	if !Commit(ctx) {
 		return u.releaseUnused(pool, conn)
 	}
 	outcome := u.attemptOn(ctx, pool, conn, request)
 	outcome.IsDialed = isDialed
-	outcome.IsProcessUnknown = time.Now().Before(doubtedUntil)
+	outcome.IsProcessUnknown = time.Now().Before(suspectUntil)
 	return outcome
 }
 
--- a/internal/upstream/http2_send.go
+++ b/internal/upstream/http2_send.go
@@ -78,8 +78,8 @@
 			}
 			continue
 		}
-		doubtedUntil := s.process.doubtedUntilOf(peer)
-		outcome.IsProcessUnknown = time.Now().Before(doubtedUntil)
+		suspectUntil := s.process.suspectUntilOf(peer)
+		outcome.IsProcessUnknown = time.Now().Before(suspectUntil)
 		if isPastWriteDeadline(ctx) {
 			return Outcome{Reason: control.NotSent, Err: errWriteDeadline}, isDialed, true
 		}
--- a/internal/upstream/process_identity.go
+++ b/internal/upstream/process_identity.go
@@ -22,7 +22,7 @@
 // several or refuses one. It is safe for concurrent use.
 type processIdentity struct {
 	mu           sync.Mutex
-	doubtedUntil time.Time
+	suspectUntil time.Time
 	lost         int // connections that the server's side has ended since the process was last proved, and refusals
 	lastLossAt   time.Time
 	isReplaced   bool          // the endpoint list has named another server at this address
@@ -42,12 +42,12 @@
 	return &processIdentity{connections: make(map[peerConn]time.Time), changed: make(chan struct{})}
 }
 
-// doubt records that another process may be at the address until a time.
-func (p *processIdentity) doubt(until time.Time) {
+// suspect records that another process may be at the address until a time.
+func (p *processIdentity) suspect(until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isReplaced = true
-	p.doubtedUntil = until
+	p.suspectUntil = until
 }
 
 // established records a new connection.
@@ -60,11 +60,11 @@
 	case hasProof:
 		p.lost = 0
 	case ended > 0:
-		p.extendDoubt(now)
+		p.extendSuspicion(now)
 	}
 	p.connections[conn] = time.Time{}
-	if !hasProof && now.Before(p.doubtedUntil) {
-		p.connections[conn] = p.doubtedUntil
+	if !hasProof && now.Before(p.suspectUntil) {
+		p.connections[conn] = p.suspectUntil
 	}
 }
 
@@ -88,7 +88,7 @@
 // strongLoss is the number of lost connections from which on the process has most probably ended.
 const strongLoss = 2
 
-// recordLoss records signs that the process has ended. The doubt begins once no connection proves that it has not: the
+// recordLoss records signs that the process has ended. The suspicion begins once no connection proves that it has not: the
 // connections of a process that ends are closed one after the other.
 func (p *processIdentity) recordLoss(connections int) {
 	now := time.Now()
@@ -98,26 +98,26 @@
 	p.lost += connections
 	p.lastLossAt = now
 	if hasProof, _ := p.examine(now); !hasProof {
-		p.extendDoubt(now)
+		p.extendSuspicion(now)
 	}
 }
 
-// extendDoubt lets the doubt last for IdentityDelay from now on.
-func (p *processIdentity) extendDoubt(now time.Time) {
-	if !now.Before(p.doubtedUntil) {
+// extendSuspicion lets the suspicion last for IdentityDelay from now on.
+func (p *processIdentity) extendSuspicion(now time.Time) {
+	if !now.Before(p.suspectUntil) {
 		p.isReplaced = false
 	}
-	p.doubtedUntil = now.Add(IdentityDelay)
+	p.suspectUntil = now.Add(IdentityDelay)
 }
 
 // examine reports whether some open connection is known to lead to the named process, and how many of the others the
 // server's side has ended.
 func (p *processIdentity) examine(now time.Time) (hasProof bool, ended int) {
-	for conn, doubtedUntil := range p.connections {
+	for conn, suspectUntil := range p.connections {
 		switch {
 		case conn.isClosedByPeer():
 			ended++
-		case !now.Before(doubtedUntil):
+		case !now.Before(suspectUntil):
 			return true, ended
 		}
 	}
@@ -138,8 +138,8 @@
 	p.changed = make(chan struct{})
 }
 
-// doubtedUntilOf returns the time until which it is in doubt which process a connection leads to; zero is none.
-func (p *processIdentity) doubtedUntilOf(conn peerConn) time.Time {
+// suspectUntilOf returns the time until which it is in doubt which process a connection leads to; zero is none.
+func (p *processIdentity) suspectUntilOf(conn peerConn) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.connections[conn]
@@ -148,14 +148,14 @@
 // absorb takes over what is known of the same process.
 func (p *processIdentity) absorb(source *processIdentity) {
 	source.mu.Lock()
-	doubtedUntil, connections := source.doubtedUntil, source.connections
+	suspectUntil, connections := source.suspectUntil, source.connections
 	source.connections = make(map[peerConn]time.Time)
 	lost, lastLossAt, isReplaced := source.lost, source.lastLossAt, source.isReplaced
 	source.mu.Unlock()
 	source.notifyChanged()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.doubtedUntil = doubtedUntil
+	p.suspectUntil = suspectUntil
 	p.lost = lost
 	p.lastLossAt = lastLossAt
 	p.isReplaced = isReplaced
@@ -164,9 +164,9 @@
 	}
 }
 
-// DoubtProcess records that until a time, a process other than the one that the endpoint list names for a pool may be at
+// SuspectProcess records that until a time, a process other than the one that the endpoint list names for a pool may be at
 // its address.
-func (u *Upstream) DoubtProcess(pool *Pool, until time.Time) { u.processOf(pool).doubt(until) }
+func (u *Upstream) SuspectProcess(pool *Pool, until time.Time) { u.processOf(pool).suspect(until) }
 
 func (u *Upstream) processOf(pool *Pool) *processIdentity {
 	u.mu.Lock()
@@ -207,7 +207,7 @@
 	return r.acceptsLoneLoss && !process.hasStrongSign(now)
 }
 
-// await waits for the process to be known: until the doubt is over or, where only one connection was lost, for half of the time
+// await waits for the process to be known: until the suspicion is over or, where only one connection was lost, for half of the time
 // in which the attempt can be made. The endpoint list can retire the pool meanwhile. await returns nil if it is worth trying
 // again.
 func (r *processRequirement) await(ctx context.Context, process *processIdentity) error {
@@ -217,13 +217,13 @@
 		limit = deadline
 	}
 	process.mu.Lock()
-	until, changed, isStrong := process.doubtedUntil, process.changed, process.hasStrongSign(now)
+	until, changed, isStrong := process.suspectUntil, process.changed, process.hasStrongSign(now)
 	process.mu.Unlock()
 	if middle := now.Add(limit.Sub(now) / 2); !isStrong && middle.Before(until) {
 		until = middle
 	}
-	isWithinLimit := limit.IsZero() || until.Before(limit)
-	if !isWithinLimit {
+	isBeforeLimit := limit.IsZero() || until.Before(limit)
+	if !isBeforeLimit {
 		until = limit
 	}
 	timer := time.NewTimer(time.Until(until))
@@ -235,7 +235,7 @@
 		return errUnknownProcess
 	case <-timer.C:
 	}
-	if !isWithinLimit {
+	if !isBeforeLimit {
 		return errUnknownProcess
 	}
 	r.acceptsLoneLoss = !isStrong
--- a/internal/upstream/process_identity_test.go
+++ b/internal/upstream/process_identity_test.go
@@ -79,7 +79,7 @@
 func (s *endableServer) address() string { return s.listener.Addr().String() }
 
 // attempt starts an attempt and returns the channel with its outcome.
-func attempt(t *testing.T, ctx context.Context, upstream *Upstream, pool *Pool) <-chan Outcome {
+func attempt(ctx context.Context, t *testing.T, upstream *Upstream, pool *Pool) <-chan Outcome {
 	outcome := make(chan Outcome, 1)
 	go func() { outcome <- upstream.AttemptHTTP1(ctx, pool, newPOSTRequest(t, nil)) }()
 	return outcome
@@ -89,7 +89,7 @@
 func (s *endableServer) startAttempts(upstream *Upstream, pool *Pool, count int) (outcomes []<-chan Outcome, conns []net.Conn) {
 	s.t.Helper()
 	for range count {
-		outcomes = append(outcomes, attempt(s.t, s.t.Context(), upstream, pool))
+		outcomes = append(outcomes, attempt(s.t.Context(), s.t, upstream, pool))
 		conns = append(conns, testkit.Next(s.t, s.requests))
 	}
 	return outcomes, conns
@@ -123,7 +123,7 @@
 				wantErr = errServerRemoved
 				time.AfterFunc(window/4, func() { upstream.RetirePool(pool) })
 			}
-			outcome := testkit.Next(t, attempt(t, newRepeatContext(t, window), upstream, pool))
+			outcome := testkit.Next(t, attempt(newRepeatContext(t, window), t, upstream, pool))
 			if outcome.Reason != control.ConnectFailed || !errors.Is(outcome.Err, wantErr) {
 				t.Errorf("outcome %+v, want %v", outcome, wantErr)
 			}
@@ -173,7 +173,7 @@
 			reset(conns[0])
 			testkit.Next(t, outcomes[0])
 			startedAt := time.Now()
-			attempt(t, newRepeatContext(t, window), upstream, pool)
+			attempt(newRepeatContext(t, window), t, upstream, pool)
 			testkit.Next(t, server.requests)
 			if elapsed := time.Since(startedAt); elapsed < tc.minWait || elapsed > tc.maxWait {
 				t.Errorf("sent after %v, want %v to %v", elapsed, tc.minWait, tc.maxWait)
@@ -182,21 +182,21 @@
 	}
 }
 
-// TestDoubtedProcessGetsNoRepeat checks that a server at an address which the list had given to another one gets no repeat
-// before the other process has certainly gone, and that a merge of pools keeps the doubt.
-func TestDoubtedProcessGetsNoRepeat(t *testing.T) {
+// TestSuspectProcessGetsNoRepeat checks that a server at an address which the list had given to another one gets no repeat
+// before the other process has certainly gone, and that a merge of pools keeps the suspicion.
+func TestSuspectProcessGetsNoRepeat(t *testing.T) {
 	const window = 200 * time.Millisecond
 	upstream := newTestUpstream(testkit.WaitTimeout, limits.NewSocketLimiter(100))
 	server := startEndableServer(t, "127.0.0.1:0")
 	pool, merged := upstream.NewPool(server.address(), ProtocolHTTP1), upstream.NewPool(server.address(), ProtocolHTTP1)
 	defer upstream.RetirePool(pool)
-	upstream.DoubtProcess(merged, time.Now().Add(2*window))
+	upstream.SuspectProcess(merged, time.Now().Add(2*window))
 	upstream.MergePool(merged, pool)
-	outcome := testkit.Next(t, attempt(t, newRepeatContext(t, window), upstream, pool))
+	outcome := testkit.Next(t, attempt(newRepeatContext(t, window), t, upstream, pool))
 	if !errors.Is(outcome.Err, errUnknownProcess) || len(server.requests) > 0 {
 		t.Errorf("outcome %+v, %d requests", outcome, len(server.requests))
 	}
 	time.Sleep(window)
-	attempt(t, newRepeatContext(t, window), upstream, pool)
+	attempt(newRepeatContext(t, window), t, upstream, pool)
 	testkit.Next(t, server.requests)
 }
--- a/internal/upstream/relayed_request.go
+++ b/internal/upstream/relayed_request.go
@@ -88,9 +88,9 @@
 		conn:           conn,
 		headBytesLeft:  maxHeadBytes,
 	}
-	doubtedUntil := upstream.processOf(pool).doubtedUntilOf(conn)
+	suspectUntil := upstream.processOf(pool).suspectUntilOf(conn)
 	outcome := attempt.run(ctx, lifetime)
-	outcome.IsProcessUnknown = time.Now().Before(doubtedUntil)
+	outcome.IsProcessUnknown = time.Now().Before(suspectUntil)
 	return outcome
 }
 
