Test the stored form of recent requests' ids beside the one without

Change: the sample with the new key has a golden file of its own, as the one with uptimes had before. The file without the key stays as it is, and a test holds that it is decoded and encoded without a change.

--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -17,13 +17,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw := testkit.GoldenBytes(t, "testdata/golden/state-with-uptime", got)
+	raw := testkit.GoldenBytes(t, "testdata/golden/state-with-recent-runs", got)
 	requireUnchangedByReencoding(t, raw)
 }
 
 // A checkpoint of a build without uptimes and start times of servers is decoded, and encoded without a change.
 func TestGoldenCheckpointWithoutUptime(t *testing.T) {
-	raw, err := os.ReadFile("testdata/golden/state")
+	requireUnchangedFile(t, "testdata/golden/state")
+}
+
+// A checkpoint of a build without ids of recent requests is decoded, and encoded without a change.
+func TestGoldenCheckpointWithoutRecentRuns(t *testing.T) {
+	requireUnchangedFile(t, "testdata/golden/state-with-uptime")
+}
+
+func requireUnchangedFile(t *testing.T, path string) {
+	t.Helper()
+	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
