Fix repeats that do not wait after the merge of a suspect pool

Cause: found by reading the change once more. absorb took over the time of the source, also where the target's own was later. A connection of the target stayed suspect, while await saw nothing to wait for: over HTTP/2 an attempt would have tried again without a pause, for 6 s at most.

Change: the later time, the greater loss and either sign hold after a merge.

Measured: TestMergeKeepsSuspicion fails without it, as the wait ends at once, and passes with it.

--- a/internal/upstream/process_identity.go
+++ b/internal/upstream/process_identity.go
@@ -155,10 +155,14 @@
 	source.notifyChanged()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.suspectUntil = suspectUntil
-	p.lost = lost
-	p.lastLossAt = lastLossAt
-	p.isReplaced = isReplaced
+	if suspectUntil.After(p.suspectUntil) { // never earlier than that of a connection, for which await waits
+		p.suspectUntil = suspectUntil
+	}
+	if lastLossAt.After(p.lastLossAt) {
+		p.lastLossAt = lastLossAt
+	}
+	p.lost = max(p.lost, lost)
+	p.isReplaced = p.isReplaced || isReplaced
 	for conn, until := range connections {
 		p.connections[conn] = until
 	}
--- a/internal/upstream/process_identity_test.go
+++ b/internal/upstream/process_identity_test.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// TestMergeKeepsSuspicion checks that a pool stays suspect when it takes over the connections of one that is not: its own
+// connections would stay so, and an attempt would not wait for that to end.
+func TestMergeKeepsSuspicion(t *testing.T) {
+	process, known := newProcessIdentity(), newProcessIdentity()
+	process.suspect(time.Now().Add(time.Hour))
+	conn := &serverConn{}
+	process.established(conn)
+	process.absorb(known)
+	requirement := newProcessRequirement(newRepeatContext(t, time.Millisecond))
+	if requirement.accepts(process, conn) {
+		t.Error("the connection is not suspect")
+	}
+	if err := requirement.await(newRepeatContext(t, time.Millisecond), process); !errors.Is(err, errUnknownProcess) {
+		t.Errorf("the wait ended with %v", err)
+	}
+}
+
 // TestSuspectProcessGetsNoRepeat checks that a server at an address which the list had given to another one gets no repeat
 // before the other process has certainly gone, and that a merge of pools keeps the suspicion.
 func TestSuspectProcessGetsNoRepeat(t *testing.T) {
